--- a/src/hibiscusdrum/internal/clock.py
+++ b/src/hibiscusdrum/internal/clock.py
@@ -30,6 +30,19 @@
         return time.time()
 
 
+class BootClock(SystemClock):
+    """Clock of the operating system that also counts the time in which the VM was suspended.
+
+    A lease that was counted on a clock that stands still meanwhile would outlast its term.
+    """
+
+    __slots__ = ()
+
+    def monotonic(self) -> float:
+        """Return seconds since the VM was started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """Clock that moves only when told to, optionally at a rate that differs from true time.
 
--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -85,6 +85,95 @@
     rows: tuple[tuple[str, int, Any], ...]
 
 
+class Forward(Message, frozen=True, array_like=True, tag=True):
+    """A request on its way from the caller's VM to the VM of the chosen target.
+
+    Attributes
+    ----------
+    id : bytes
+        Unique among the requests of the sender.
+    sent_at : float
+        Steady clock of the sender in seconds; comparable only with other messages of this sender.
+    left : float
+        Seconds until the caller's deadline when the message was sent.
+    key : int
+        Key of a partitioned service, or -1.
+    cost_class : str
+        Requests of one class take about the same time.
+    caller : str
+        Service of the VM on which the request began.
+    """
+
+    id: bytes
+    origin: str
+    sent_at: float
+    left: float
+    service: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    attempt_id: str
+    key: int
+    priority: int
+    repeatable: bool
+    cost_class: str
+    caller: str
+
+
+class Answered(Message, frozen=True, array_like=True, tag=True):
+    """The target's answer to a forwarded request; the body travels in its own frame.
+
+    Attributes
+    ----------
+    load : tuple
+        Load of the target: running, queued, slots, mean service time in seconds, accepting.
+    """
+
+    id: bytes
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    load: tuple[int, int, int, float, bool]
+
+
+class Declined(Message, frozen=True, array_like=True, tag=True):
+    """A forwarded request has no answer.
+
+    Attributes
+    ----------
+    reason : str
+        A code, not text for people.
+    may_have_run : bool
+        False only if the request has certainly not run and will not.
+    arrived : bool
+        Whether the target got it.
+    retry_after : float
+        Seconds after which there is room again; 0 when not known.
+    """
+
+    id: bytes
+    reason: str
+    may_have_run: bool
+    arrived: bool
+    retry_after: float
+    load: tuple[int, int, int, float, bool]
+
+
+class Ping(Message, frozen=True, array_like=True, tag=True):
+    """Asks a peer whether it lives; answered at once."""
+
+    origin: str
+    sent_at: float
+
+
+class Pong(Message, frozen=True, array_like=True, tag=True):
+    """The answer to a ping; the incarnation differs after each start of the peer's process."""
+
+    node: str
+    incarnation: str
+    sent_at: float
+    load: tuple[int, int, int, float, bool]
+
+
 class RenewLease(Message, frozen=True, array_like=True, tag=True):
     """An owner asks its guard for a grant under a version of its lease row."""
 
@@ -149,4 +238,6 @@
 
 
 CONTROL = RenewLease | LeaseGranted | LeaseRefused | RowsChanged | ConfigChange | ConfigAck | ConfigRequest
-REQUEST = Call | Cancel | Reply | Refusal | MapRequest | MapReply
+REQUEST = (
+    Call | Cancel | Reply | Refusal | MapRequest | MapReply | Forward | Answered | Declined | Ping | Pong
+)
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/admission.py
@@ -0,0 +1,198 @@
+"""Admission to one target: a queue by urgency, refusals of what cannot be served in time, and cold limits.
+
+The load that these decisions answer is an overload of one target: more requests than slots, of several
+priorities, some with deadlines that the queue can no longer meet. What cannot be served is refused at once,
+with the time after which there is room again.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import deque
+from typing import Any
+
+# Weight of the newest sample in the averages of service times.
+SERVICE_GAIN = 0.1
+# Service time assumed before the first answer, in seconds.
+FIRST_SERVICE_SECONDS = 0.15
+# Part of the expected service time that must fit between the expected start and the deadline. Requests vary
+# in length, so a full mean would refuse many that would have fitted.
+FIT_SHARE = 0.8
+SHORTEST_RETRY_SECONDS = 0.05
+LONGEST_RETRY_SECONDS = 2.0
+# Requests of a cold target are counted over this time, in seconds.
+COLD_WINDOW_SECONDS = 1.0
+# Share of the rate that a cold target bears which is used; the rest covers requests under way when it is counted.
+COLD_SHARE = 0.9
+
+
+class Entry:
+    """A queued request.
+
+    Attributes
+    ----------
+    order : tuple
+        Priority, then deadline.
+    deadline : float
+        Monotonic time in seconds after which an answer is worth nothing.
+    """
+
+    __slots__ = ("cost_class", "deadline", "item", "order", "removed")
+
+    def __init__(self, item: Any, priority: int, deadline: float, cost_class: str) -> None:
+        self.item = item
+        self.order = (priority, deadline)
+        self.deadline = deadline
+        self.cost_class = cost_class
+        self.removed = False
+
+
+class ColdGate:
+    """Limits the requests a second to a target that has just started.
+
+    Attributes
+    ----------
+    rate : float
+        Requests a second that the cold target bears; 0 when not limited.
+    until : float
+        Monotonic time in seconds at which it is warm.
+    """
+
+    __slots__ = ("rate", "sent", "until")
+
+    def __init__(self) -> None:
+        self.rate = 0.0
+        self.until = 0.0
+        self.sent: deque[float] = deque()
+
+    def room(self, now: float) -> bool:
+        """Return whether one more request may be sent."""
+        if now >= self.until or self.rate <= 0.0:
+            return True
+        while self.sent and self.sent[0] <= now - COLD_WINDOW_SECONDS:
+            self.sent.popleft()
+        return len(self.sent) < max(1.0, self.rate * COLD_SHARE)
+
+    def note(self, now: float) -> None:
+        """Count a request; the last second counts also when the target turns cold now."""
+        self.sent.append(now)
+        while self.sent[0] <= now - COLD_WINDOW_SECONDS:
+            self.sent.popleft()
+
+
+class Admission:
+    """Queue in front of one target.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the target runs at once.
+
+    Attributes
+    ----------
+    running : int
+        Requests at the target.
+    """
+
+    __slots__ = ("cold", "counter", "heap", "queued", "running", "service", "services", "slots")
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.running = 0
+        self.queued = 0
+        self.heap: list[tuple[tuple[int, float], int, Entry]] = []
+        self.counter = itertools.count()
+        self.service = FIRST_SERVICE_SECONDS
+        self.services: dict[str, float] = {}
+        self.cold = ColdGate()
+
+    def expected_service(self, cost_class: str) -> float:
+        """Return the mean seconds that requests of a class take at the target."""
+        return self.services.get(cost_class, self.service)
+
+    def expected_wait(self, priority: int, deadline: float, now: float) -> float:
+        """Return the seconds until a request would start, by what is ahead of it."""
+        if now < self.cold.until and self.cold.rate > 0.0:
+            ahead = self.ahead(priority, deadline)
+            full = 0.0 if self.cold.room(now) else COLD_WINDOW_SECONDS / 2
+            wait = full + ahead / self.cold.rate
+        else:
+            wait = 0.0
+        free = self.slots - self.running
+        ahead = self.ahead(priority, deadline) - free + 1
+        return max(wait, ahead * self.service / self.slots if ahead > 0 else 0.0)
+
+    def ahead(self, priority: int, deadline: float) -> int:
+        """Return the number of queued requests that go before."""
+        order = (priority, deadline)
+        return sum(1 for key, _, entry in self.heap if key <= order and not entry.removed)
+
+    def fits(self, priority: int, deadline: float, cost_class: str, now: float) -> bool:
+        """Return whether a request can probably be answered before its deadline."""
+        wait = self.expected_wait(priority, deadline, now)
+        return now + wait + self.expected_service(cost_class) * FIT_SHARE <= deadline
+
+    def retry_after(self, priority: int, now: float) -> float:
+        """Return the seconds after which a refused request would start at once."""
+        wait = self.expected_wait(priority, float("inf"), now)
+        return min(LONGEST_RETRY_SECONDS, max(SHORTEST_RETRY_SECONDS, wait))
+
+    def push(self, item: Any, priority: int, deadline: float, cost_class: str) -> Entry:
+        """Queue a request."""
+        entry = Entry(item, priority, deadline, cost_class)
+        heapq.heappush(self.heap, (entry.order, next(self.counter), entry))
+        self.queued += 1
+        return entry
+
+    def remove(self, entry: Entry) -> None:
+        """Take a request out of the queue, for example when its caller has left."""
+        if not entry.removed:
+            entry.removed = True
+            self.queued -= 1
+
+    def pop(self, now: float) -> Entry | None:
+        """Return the most urgent request if the target has room, and count it as running."""
+        while self.heap:
+            entry = self.heap[0][2]
+            if entry.removed:
+                heapq.heappop(self.heap)
+                continue
+            if self.running >= self.slots or not self.cold.room(now):
+                return None
+            heapq.heappop(self.heap)
+            entry.removed = True
+            self.queued -= 1
+            self.running += 1
+            self.cold.note(now)
+            return entry
+        return None
+
+    def hopeless(self, now: float) -> list[Entry]:
+        """Remove and return the queued requests that can no longer be answered in time."""
+        late = [
+            entry
+            for _, _, entry in self.heap
+            if not entry.removed
+            and now + self.expected_service(entry.cost_class) * FIT_SHARE > entry.deadline
+        ]
+        for entry in late:
+            self.remove(entry)
+        return late
+
+    def drain(self) -> list[Entry]:
+        """Remove and return everything that is queued."""
+        entries = [entry for _, _, entry in sorted(self.heap, key=lambda item: item[:2]) if not entry.removed]
+        for entry in entries:
+            self.remove(entry)
+        self.heap.clear()
+        return entries
+
+    def done(self, cost_class: str, seconds: float | None) -> None:
+        """Count a request as ended; ``seconds`` is its service time, or None when it says nothing of it."""
+        self.running = max(0, self.running - 1)
+        if seconds is None:
+            return
+        self.service += (seconds - self.service) * SERVICE_GAIN
+        known = self.services.get(cost_class, seconds)
+        self.services[cost_class] = known + (seconds - known) * SERVICE_GAIN
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -0,0 +1,465 @@
+"""Requests of the callers on this VM: the choice of a route and a target, repeats, and the final answer."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.kernel import Service, Timer
+from hibiscusdrum.internal.load.retry_budget import RetryBudget
+from hibiscusdrum.internal.messages import Answered, Declined, Forward
+from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.hop import Hop
+from hibiscusdrum.internal.router.members import Members
+from hibiscusdrum.internal.router.range_owner import RangeOwner
+from hibiscusdrum.internal.router.receiver import HOP_HEADERS, Receiver
+from hibiscusdrum.internal.router.routes import (
+    EMPTY_TABLE,
+    KEY_SPACE,
+    HeaderNames,
+    Route,
+    RouteTable,
+    WeightedChoice,
+)
+from hibiscusdrum.internal.router.selection import LoadReport, Selection
+from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.transport.http_entry import EntryRequest, HttpEntry
+
+# Time a caller is given when it names none, in seconds.
+DEFAULT_LEFT_SECONDS = 10.0
+# Nodes that are asked before a request is refused; a refusal between daemons costs no target anything.
+MOST_NODES_ASKED = 4
+# A request is not sent again with less than this left, in seconds.
+SHORTEST_REPEAT_SECONDS = 0.05
+# Time after which a caller may come back when nothing better is known: about one report of a target.
+RETRY_SECONDS = 0.5
+# Times that a request for a key whose owner has just changed is tried again, and the wait in seconds.
+MOVED_TRIES = 3
+MOVED_WAIT_SECONDS = 0.08
+# Share of the service's retry budget that all nodes together use.
+BUDGET_SHARE = 0.5
+MOVED_REASONS = frozenset(("not_owner", "misdirected"))
+SERVER_ERRORS = (500, 502, 503)
+
+
+class Flight:
+    """A caller's request on its way to an answer."""
+
+    __slots__ = (
+        "arrivals",
+        "asked",
+        "attempt_id",
+        "begun_at",
+        "body",
+        "cancelled",
+        "deadline",
+        "expect",
+        "forward",
+        "key",
+        "moved",
+        "node",
+        "reason",
+        "request",
+        "retry_after",
+        "route",
+        "service",
+        "timer",
+        "uncertain",
+    )
+
+    def __init__(
+        self, request: EntryRequest, route: Route, service: str, deadline: float, now: float
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.deadline = deadline
+        self.begun_at = now
+        self.attempt_id = ""
+        self.key = -1
+        self.body = request.body
+        self.asked: list[str] = []
+        self.arrivals = 0
+        self.moved = 0
+        self.node = ""
+        self.forward: Forward | None = None
+        self.retry_after = 0.0
+        self.uncertain = False
+        self.cancelled = False
+        self.timer: Timer | None = None
+        self.reason = ""
+
+
+class Gateway(Service):
+    """Answers the requests of this VM's callers.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Headers of callers and targets.
+
+    Attributes
+    ----------
+    table : RouteTable
+        The configuration in force here.
+    """
+
+    service_name = "gateway"
+
+    def __init__(self, settings: RouterSettings, names: HeaderNames, selection: Selection) -> None:
+        super().__init__()
+        self.settings = settings
+        self.names = names
+        self.selection = selection
+        self.table = EMPTY_TABLE
+        self.weights = WeightedChoice()
+        self.flights: set[Flight] = set()
+        self.budgets: dict[str, RetryBudget] = {}
+        self.stopping = False
+
+    def on_start(self) -> None:
+        """Listen for callers."""
+        find = self.app.find
+        self.members: Members = find("members")
+        self.owner: RangeOwner = find("range_owner")
+        self.receiver: Receiver = find("receiver")
+        self.hop: Hop = find("hop")
+        self.metrics = find("metrics")
+        self.entry: HttpEntry = find("entry")
+        self.entry.listen(self.settings.caller_address, self.on_request)
+
+    def set_table(self, table: RouteTable) -> None:
+        """Put a configuration in force; an older one changes nothing."""
+        if table.version <= self.table.version:
+            return
+        former, self.table = self.table, table
+        self.receiver.table = table
+        self.entry.limits = table.limits
+        self.owner.set_partitioned(self.settings.service in table.partitioned)
+        log_events.emit(
+            events.RoutesInForce(
+                version=table.version,
+                former=former.version,
+                routes=sum(len(routes) for routes in table.by_host.values()),
+            )
+        )
+
+    # A new request
+
+    def on_request(self, request: EntryRequest) -> None:
+        """Find the route of a request and send it on its way."""
+        now = self.app.clock.monotonic()
+        if self.table.version == 0:
+            self.refuse_early(request, 503, "no_configuration")
+            return
+        route = self.table.find(request.header("host") or "", request.target)
+        if route is None:
+            self.refuse_early(request, 404, "no_route")
+            return
+        left = self.left(request, route)
+        flight = Flight(request, route, self.weights.choose(route), now + left, now)
+        flight.attempt_id = request.header(self.names.attempt_id) or ""
+        spec = self.table.services.get(flight.service)
+        if spec is not None and spec.partitioned:
+            key = request.header(self.names.key) or ""
+            if not key.isdecimal() or int(key) >= KEY_SPACE:
+                self.refuse_early(request, 400, "no_key")
+                return
+            flight.key = int(key)
+        self.flights.add(flight)
+        request.on_closed = lambda: self.on_caller_gone(flight)
+        flight.timer = self.app.scheduler.call_later(left, lambda: self.on_deadline(flight))
+        self.budget(flight.service).on_request()
+        self.place(flight)
+
+    def left(self, request: EntryRequest, route: Route) -> float:
+        """Return the seconds in which a request must be answered."""
+        text = request.header(self.names.deadline_ms) or ""
+        try:
+            left = float(text) / 1000.0
+        except ValueError:
+            left = DEFAULT_LEFT_SECONDS
+        if not 0.0 < left < float("inf"):
+            left = DEFAULT_LEFT_SECONDS
+        return min(left, route.timeout) if route.timeout > 0.0 else left
+
+    def refuse_early(self, request: EntryRequest, status: int, reason: str) -> None:
+        """Answer a request that has no route or no key."""
+        attempt_id = request.header(self.names.attempt_id) or ""
+        log_events.emit(
+            events.RequestEnded(
+                id=attempt_id,
+                route="",
+                service="",
+                status=status,
+                reason=reason,
+                node="",
+                asked=(),
+                took_ms=0,
+                version=self.table.version,
+            )
+        )
+        headers = [(self.names.attempt_id, attempt_id)] if attempt_id else []
+        if status == 503:
+            headers.append(("retry-after", f"{RETRY_SECONDS:.3f}"))
+        request.respond(status, headers)
+
+    # Placing
+
+    def place(self, flight: Flight) -> None:
+        """Send a request to the owner of its key, or to the node that probably answers first."""
+        now = self.app.clock.monotonic()
+        if flight.key >= 0:
+            node = self.owner.owner_node(flight.service, flight.key)
+            if node is None:
+                flight.reason = flight.reason or "no_owner"
+                self.refuse(flight)
+                return
+        else:
+            candidates = self.members.candidates(flight.service, flight.route.regions)
+            chosen = self.selection.choose(candidates, len(flight.body), now, flight.asked)
+            if chosen is None:
+                flight.reason = flight.reason or "no_target"
+                self.refuse(flight)
+                return
+            node = chosen.node
+        self.send(flight, node, now)
+
+    def send(self, flight: Flight, node: str, now: float) -> None:
+        """Pass a request to a node."""
+        request = flight.request
+        flight.node = node
+        flight.asked.append(node)
+        forward = Forward(
+            id=self.hop.next_id(),
+            origin=self.settings.node,
+            sent_at=now,
+            left=flight.deadline - now,
+            service=flight.service,
+            method=request.method.decode("latin-1"),
+            target=request.target,
+            headers=tuple((name, value) for name, value in request.headers if name not in HOP_HEADERS)
+            + (("host", request.header("host") or ""),),
+            attempt_id=flight.attempt_id,
+            key=flight.key,
+            priority=flight.route.priority,
+            repeatable=flight.route.repeatable,
+            cost_class=flight.route.name,
+            caller=self.settings.service,
+        )
+        flight.forward = forward
+        self.selection.sent(node)
+
+        def reply(answer: Answered | Declined, body: bytes) -> None:
+            self.on_reply(flight, forward, answer, body)
+
+        if node == self.settings.node:
+            self.receiver.submit(forward, flight.body, reply)
+        elif not self.hop.send(node, forward, flight.body, reply):
+            self.selection.failed(node, now)
+            reply(Declined(forward.id, "peer_disconnected", False, False, 0.0, (0, 0, 1, 0.15, False)), b"")
+
+    # Outcomes
+
+    def on_reply(self, flight: Flight, forward: Forward, answer: Answered | Declined, body: bytes) -> None:
+        """Take the outcome of one try."""
+        self.selection.ended(flight.node)
+        if flight not in self.flights or flight.forward is not forward:
+            return
+        now = self.app.clock.monotonic()
+        if flight.node == self.settings.node:
+            self.selection.reported(flight.node, LoadReport(*answer.load), now)
+        if isinstance(answer, Answered):
+            self.on_answered(flight, answer, body, now)
+        else:
+            self.on_declined(flight, answer, now)
+
+    def on_answered(self, flight: Flight, answer: Answered, body: bytes, now: float) -> None:
+        """Pass the target's answer on; a failure of a request that may be repeated is tried elsewhere."""
+        flight.arrivals += 1
+        if answer.status in SERVER_ERRORS:
+            self.selection.failed(flight.node, now)
+            if self.may_repeat(flight, now):
+                self.repeat(flight, f"status_{answer.status}")
+                return
+        else:
+            self.selection.succeeded(flight.node)
+        names = {name for name, _ in answer.headers}
+        headers = list(answer.headers)
+        if self.names.attempt_id not in names and flight.attempt_id:
+            headers.append((self.names.attempt_id, flight.attempt_id))
+        self.end(flight, answer.status, headers, body, "answered")
+
+    def on_declined(self, flight: Flight, answer: Declined, now: float) -> None:
+        """Try another node, or give the final answer."""
+        flight.reason = answer.reason
+        flight.arrivals += answer.arrived
+        if answer.retry_after:
+            known = flight.retry_after or answer.retry_after
+            flight.retry_after = min(known, answer.retry_after)
+        if answer.may_have_run:
+            self.selection.failed(flight.node, now)
+            if self.may_repeat(flight, now):
+                self.repeat(flight, answer.reason)
+                return
+            flight.uncertain = True
+            self.fail(flight, 502)
+            return
+        if answer.reason in MOVED_REASONS and flight.moved < MOVED_TRIES:
+            flight.moved += 1
+            self.app.scheduler.call_later(MOVED_WAIT_SECONDS, lambda: self.place_again(flight))
+            return
+        if flight.key >= 0 or len(flight.asked) >= MOST_NODES_ASKED or (answer.arrived and not self.may_repeat(flight, now, ran=False)) or flight.deadline - now < SHORTEST_REPEAT_SECONDS:
+            self.refuse(flight)
+        else:
+            self.place(flight)
+
+    def place_again(self, flight: Flight) -> None:
+        """Place a request whose key had moved."""
+        if flight in self.flights:
+            self.place(flight)
+
+    def may_repeat(self, flight: Flight, now: float, ran: bool = True) -> bool:
+        """Return whether a request may be sent to one more target, within the budget of its service."""
+        if ran and not flight.route.repeatable:
+            return False
+        if flight.arrivals >= max(1, flight.route.attempts):
+            return False
+        if flight.deadline - now < SHORTEST_REPEAT_SECONDS:
+            return False
+        return self.budget(flight.service).may_retry(now)
+
+    def repeat(self, flight: Flight, reason: str) -> None:
+        """Send a request to another target."""
+        log_events.emit(
+            events.RequestRepeated(
+                id=flight.attempt_id,
+                reason=reason,
+                node=flight.node,
+                arrivals=flight.arrivals,
+                left_s=round(flight.deadline - self.app.clock.monotonic(), 3),
+            )
+        )
+        self.place(flight)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the budget of requests that are sent to a second target."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            settings = self.settings
+            nodes = max(1, len(self.members.nodes))
+            rate = settings.retry_slack / settings.retry_window / nodes
+            budget = self.budgets[service] = RetryBudget(
+                ratio=min(1.0, settings.retry_ratio * BUDGET_SHARE),
+                burst=max(1.0, settings.retry_slack * BUDGET_SHARE / nodes),
+                minimum_rate=rate * BUDGET_SHARE,
+            )
+        return budget
+
+    # Final answers
+
+    def refuse(self, flight: Flight) -> None:
+        """Answer that a request has not run, and when to come back."""
+        if flight.uncertain:
+            self.fail(flight, 502)
+            return
+        wait = flight.retry_after or RETRY_SECONDS
+        headers = [("retry-after", f"{wait:.3f}")]
+        if flight.attempt_id:
+            headers.append((self.names.attempt_id, flight.attempt_id))
+        self.end(flight, 503, headers, b"", flight.reason)
+
+    def fail(self, flight: Flight, status: int) -> None:
+        """Answer that the outcome is not known."""
+        headers = [(self.names.attempt_id, flight.attempt_id)] if flight.attempt_id else []
+        self.end(flight, status, headers, b"", flight.reason)
+
+    def on_deadline(self, flight: Flight) -> None:
+        """Give up on a request whose time has passed."""
+        if flight not in self.flights:
+            return
+        flight.reason = flight.reason or "deadline"
+        self.withdraw(flight)
+        self.fail(flight, 504)
+
+    def on_caller_gone(self, flight: Flight) -> None:
+        """Withdraw a request whose caller has closed the connection."""
+        if flight not in self.flights:
+            return
+        self.withdraw(flight)
+        self.end(flight, 499, [], b"", "caller_gone")
+
+    def withdraw(self, flight: Flight) -> None:
+        """Tell whoever has the request that nobody waits for it."""
+        forward = flight.forward
+        if forward is None:
+            return
+        self.selection.ended(flight.node)
+        if flight.node == self.settings.node:
+            self.receiver.cancel(forward.id)
+        else:
+            self.hop.cancel(forward.id)
+
+    def end(
+        self, flight: Flight, status: int, headers: list[tuple[str, str]], body: bytes, reason: str
+    ) -> None:
+        """Give the final answer."""
+        self.flights.discard(flight)
+        if flight.timer is not None:
+            flight.timer.cancel()
+        took = self.app.clock.monotonic() - flight.begun_at
+        log_events.emit(
+            events.RequestEnded(
+                id=flight.attempt_id,
+                route=flight.route.name,
+                service=flight.service,
+                status=status,
+                reason=reason,
+                node=flight.node,
+                asked=tuple(flight.asked),
+                took_ms=round(took * 1000),
+                version=self.table.version,
+            )
+        )
+        self.metrics.ended(flight.route.name, status, took)
+        if status != 499:
+            flight.request.respond(status, headers, body, close=self.stopping)
+
+    @property
+    def busy(self) -> bool:
+        """Whether a caller waits for an answer."""
+        return bool(self.flights)
+
+
+class Readiness(Service):
+    """Tells the platform whether callers on this VM may send requests.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether the process ends soon.
+    """
+
+    service_name = "readiness"
+
+    def __init__(self, settings: RouterSettings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.stopping = False
+
+    def on_start(self) -> None:
+        """Listen for the question."""
+        self.gateway: Gateway = self.app.find("gateway")
+        self.members: Members = self.app.find("members")
+        self.app.find("entry").listen(self.settings.ready_address, self.on_request)
+
+    @property
+    def ready(self) -> bool:
+        """Whether routes and nodes are known and the process does not end."""
+        return not self.stopping and self.gateway.table.version > 0 and self.members.loaded
+
+    def on_request(self, request: EntryRequest) -> None:
+        """Answer 200 or 503."""
+        body = msgspec.json.encode({"ready": self.ready, "version": self.gateway.table.version})
+        headers = [("content-type", "application/json")]
+        request.respond(200 if self.ready else 503, headers, body)
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -0,0 +1,251 @@
+"""Requests between daemons: sending, answers, and the liveness of peers that have requests of this node."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import uuid
+from collections.abc import Callable
+
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.messages import Answered, Cancel, Declined, Forward, Message, Ping, Pong
+from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.members import Members
+from hibiscusdrum.internal.router.selection import LoadReport, Selection
+from hibiscusdrum.internal.router.settings import RouterSettings
+
+PING_SECONDS = 0.25
+# A peer with requests of this node that has been silent for this long is taken to be unreachable. A round trip
+# between regions takes 60 ms, and a busy peer may be late by a few hundred.
+SILENCE_SECONDS = 1.0
+# Age beyond the fastest message of the same sender at which a message counts as held up on its way.
+LATE_SECONDS = 0.5
+# The fastest message is remembered for one to two such periods, so that a slow change of the path is followed.
+PERIOD_SECONDS = 30.0
+
+ReplyCallback = Callable[[Answered | Declined, bytes], None]
+
+
+class Outstanding:
+    """A request sent to a peer, without an answer yet."""
+
+    __slots__ = ("address", "callback", "node", "sent_at")
+
+    def __init__(self, node: str, address: str, callback: ReplyCallback, sent_at: float) -> None:
+        self.node = node
+        self.address = address
+        self.callback = callback
+        self.sent_at = sent_at
+
+
+class Transit:
+    """Age of one sender's messages, relative to its fastest."""
+
+    __slots__ = ("best", "former", "period")
+
+    def __init__(self) -> None:
+        self.best = float("inf")
+        self.former = float("inf")
+        self.period = 0.0
+
+    def delay(self, sent_at: float, now: float) -> float:
+        """Note a message; returns by how many seconds it is slower than the fastest one."""
+        if now - self.period > PERIOD_SECONDS:
+            self.former, self.best, self.period = self.best, float("inf"), now
+        difference = now - sent_at
+        self.best = min(self.best, difference)
+        return difference - min(self.best, self.former)
+
+
+class PeerState:
+    """What is known of a peer's process."""
+
+    __slots__ = ("address", "heard_at", "incarnation", "pinged_at", "reachable")
+
+    def __init__(self, address: str, now: float) -> None:
+        self.address = address
+        self.incarnation = ""
+        self.heard_at = now
+        self.pinged_at = float("-inf")
+        self.reachable = True
+
+
+class Hop(Service):
+    """Sends requests to other daemons, and receives theirs.
+
+    Attributes
+    ----------
+    accept : callable or None
+        Takes a forwarded request: message, body, seconds of delay on the way, and what to call with the reply.
+    cancel_received : callable or None
+        Takes the id of a request whose caller no longer waits.
+    """
+
+    service_name = "hop"
+
+    def __init__(self, settings: RouterSettings, selection: Selection) -> None:
+        super().__init__()
+        self.settings = settings
+        self.selection = selection
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.prefix = os.urandom(6)
+        self.counter = itertools.count(1)
+        self.outstanding: dict[bytes, Outstanding] = {}
+        self.states: dict[str, PeerState] = {}
+        self.transit: dict[str, Transit] = {}
+        self.accept: Callable[[Forward, bytes, float, ReplyCallback], None] | None = None
+        self.cancel_received: Callable[[bytes], None] | None = None
+        self.own_load: Callable[[], tuple[int, int, int, float, bool]] = lambda: (0, 0, 1, 0.0, False)
+
+    def on_start(self) -> None:
+        """Listen to peers, and connect to them as they appear."""
+        self.peers = self.app.find("peers")
+        self.members: Members = self.app.find("members")
+        self.peers.on_request = self.on_request
+        self.peers.on_reply = self.on_reply
+        self.members.on_change.append(self.connect)
+        self.app.scheduler.every(PING_SECONDS, self.ping)
+
+    @property
+    def now(self) -> float:
+        """Steady time in seconds."""
+        return self.app.clock.monotonic()
+
+    def connect(self) -> None:
+        """Open connections to all nodes, and close those to nodes that are gone."""
+        known = {}
+        for row in self.members.nodes.values():
+            if row.node != self.settings.node:
+                known[row.node] = row.peer_address
+                state = self.states.get(row.node)
+                if state is None or state.address != row.peer_address:
+                    self.states[row.node] = PeerState(row.peer_address, self.now)
+                    self.peers.peer(row.peer_address)
+        for node in [node for node in self.states if node not in known]:
+            self.peers.forget_peer(self.states.pop(node).address)
+            self.fail_all(node, "removed")
+
+    def next_id(self) -> bytes:
+        """Return a new id of a request."""
+        return self.prefix + next(self.counter).to_bytes(5, "big")
+
+    # Sending
+
+    def send(self, node: str, forward: Forward, body: bytes, callback: ReplyCallback) -> bool:
+        """Send a request; False when nothing was sent because there is no connection."""
+        state = self.states.get(node)
+        if state is None or not self.peers.try_send_request(state.address, forward, body):
+            return False
+        self.outstanding[forward.id] = Outstanding(node, state.address, callback, self.now)
+        return True
+
+    def cancel(self, request_id: bytes) -> None:
+        """Tell the peer that nobody waits for a request; its answer is dropped."""
+        entry = self.outstanding.pop(request_id, None)
+        if entry is not None:
+            self.peers.try_send_request(entry.address, Cancel(request_id))
+
+    def on_reply(self, message: Message, body: bytes) -> None:
+        """Pass an answer to the sender of its request."""
+        kind = type(message)
+        if kind is Pong:
+            self.on_pong(message)
+            return
+        if kind not in (Answered, Declined):
+            return
+        entry = self.outstanding.pop(message.id, None)
+        if entry is None:
+            return
+        state = self.states.get(entry.node)
+        if state is not None:
+            state.heard_at = self.now
+        self.selection.reported(entry.node, LoadReport(*message.load), self.now)
+        entry.callback(message, body)
+
+    def on_pong(self, pong: Pong) -> None:
+        """Note that a peer lives; what was sent to an earlier process of it is lost."""
+        state = self.states.get(pong.node)
+        if state is None:
+            return
+        now = self.now
+        state.heard_at = now
+        if not state.reachable:
+            state.reachable = True
+            log_events.emit(events.PeerRegained(peer=pong.node, incarnation=pong.incarnation))
+        self.selection.reported(pong.node, LoadReport(*pong.load), now)
+        if state.incarnation and state.incarnation != pong.incarnation:
+            self.fail_all(pong.node, "restarted", before=pong.sent_at)
+        state.incarnation = pong.incarnation
+
+    def ping(self) -> None:
+        """Ask the peers that have requests of this node; give up on those that have been silent."""
+        now = self.now
+        waiting: dict[str, float] = {}
+        for entry in self.outstanding.values():
+            waiting[entry.node] = min(waiting.get(entry.node, now), entry.sent_at)
+        for node, since in waiting.items():
+            state = self.states.get(node)
+            if state is None:
+                self.fail_all(node, "removed")
+                continue
+            sent = self.peers.try_send_request(state.address, Ping(self.settings.node, now))
+            silent = now - max(state.heard_at, since)
+            if not sent or silent > SILENCE_SECONDS:
+                self.lost(node, state, "disconnected" if not sent else "silent")
+
+    def lost(self, node: str, state: PeerState, reason: str) -> None:
+        """Take a peer to be unreachable: what it has is given up."""
+        if state.reachable:
+            state.reachable = False
+            log_events.emit(
+                events.PeerLost(
+                    peer=node,
+                    reason=reason,
+                    silence_s=round(self.now - state.heard_at, 3),
+                    outstanding=sum(entry.node == node for entry in self.outstanding.values()),
+                )
+            )
+        self.selection.failed(node, self.now)
+        self.fail_all(node, reason)
+
+    def fail_all(self, node: str, reason: str, before: float = float("inf")) -> None:
+        """Decline the requests at a peer; they may have run."""
+        ids = [
+            request_id
+            for request_id, entry in self.outstanding.items()
+            if entry.node == node and entry.sent_at <= before
+        ]
+        for request_id in ids:
+            entry = self.outstanding.pop(request_id)
+            entry.callback(
+                Declined(request_id, f"peer_{reason}", True, True, 0.0, (0, 0, 1, 0.0, False)), b""
+            )
+
+    # Receiving
+
+    def on_request(self, identity: bytes, message: Message, body: bytes) -> None:
+        """Take a message of another daemon."""
+        kind = type(message)
+        if kind is Forward:
+            delay = self.delay(message.origin, message.sent_at)
+
+            def reply(answer: Answered | Declined, content: bytes) -> None:
+                self.peers.reply(identity, answer, content)
+
+            self.accept(message, body, delay, reply)
+        elif kind is Ping:
+            self.delay(message.origin, message.sent_at)
+            self.peers.reply(
+                identity, Pong(self.settings.node, self.incarnation, message.sent_at, self.own_load())
+            )
+        elif kind is Cancel:
+            self.cancel_received(message.request_id)
+
+    def delay(self, origin: str, sent_at: float) -> float:
+        """Return by how many seconds a message was held up on its way; 0 for usual delays."""
+        transit = self.transit.get(origin)
+        if transit is None:
+            transit = self.transit[origin] = Transit()
+        late = transit.delay(sent_at, self.now)
+        return late if late > LATE_SECONDS else 0.0
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -0,0 +1,266 @@
+"""The nodes of the system: each publishes a row in the store and follows the rows of the others."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+from returns.result import Result, Success
+
+from hibiscusdrum.errors import HibiscusdrumError
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.daemon.operations import new_operation_id
+from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.platform.table import Changes, Row, Transaction
+from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.local_target import LocalTarget
+from hibiscusdrum.internal.router.ring import Owner
+from hibiscusdrum.internal.router.selection import Candidate
+from hibiscusdrum.internal.router.settings import RouterSettings
+
+NODE_PREFIX = "node/"
+RETRY_SECONDS = 0.3
+# Wait after a failed read of the rows, at first and at most.
+FAILED_READ_SECONDS = 0.2
+MAX_FAILED_READ_SECONDS = 1.0
+
+RowListener = Callable[[Row], None]
+
+
+class NodeRow(msgspec.Struct, frozen=True):
+    """What a node says of itself.
+
+    Attributes
+    ----------
+    life : str
+        The present start of its target; empty when there is none.
+    accepting : bool
+        Whether the target takes new work.
+    """
+
+    node: str
+    region: str
+    failure_domain: str
+    service: str
+    peer_address: str
+    life: str = ""
+    accepting: bool = False
+
+
+class Members(Service):
+    """Keeps the rows of all nodes.
+
+    Attributes
+    ----------
+    evacuated : frozenset of str
+        Failure domains whose targets are to get nothing.
+    loaded : bool
+        Whether the rows have been read once.
+    """
+
+    service_name = "members"
+
+    def __init__(self, settings: RouterSettings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.nodes: dict[str, NodeRow] = {}
+        self.by_service: dict[str, list[NodeRow]] = {}
+        self.candidate_cache: dict[tuple[str, tuple[str, ...]], list[Candidate]] = {}
+        self.versions: dict[str, int] = {}
+        self.seq = 0
+        self.loaded = False
+        self.failures = 0
+        self.evacuated: frozenset[str] = frozenset()
+        self.listeners: dict[str, RowListener] = {}
+        self.on_change: list[Callable[[], None]] = []
+        self.writing = False
+        self.own_key = NODE_PREFIX + settings.node
+        self.own_version = 0
+        self.published: NodeRow | None = None
+        self.leaving = False
+        self.reachable = True
+        self.rng = random.Random(settings.node)
+
+    def on_start(self) -> None:
+        """Read the rows, and publish this node's when its target appears."""
+        self.table = self.app.find("table")
+        self.target: LocalTarget = self.app.find("local_target")
+        self.target.on_change.append(self.publish)
+        self.read()
+
+    # Reading
+
+    def read(self) -> None:
+        """Wait for the rows that changed since the last read."""
+        self.table.changes(self.seq, self.on_changes)
+
+    def on_changes(self, result: Result[Changes, HibiscusdrumError]) -> None:
+        """Apply changed rows and read on."""
+        if not isinstance(result, Success):
+            self.failures += 1
+            self.note_reachable(False, result.failure().code)
+            longest = min(MAX_FAILED_READ_SECONDS, FAILED_READ_SECONDS * 2.0 ** min(self.failures, 6))
+            self.app.scheduler.call_later(longest * (0.5 + 0.5 * self.rng.random()), self.read)
+            return
+        self.failures = 0
+        self.note_reachable(True, "")
+        changes = result.unwrap()
+        self.seq = max(self.seq, changes.seq)
+        for row in changes.rows:
+            self.apply(row)
+        first = not self.loaded
+        self.loaded = True
+        if changes.rows or first:
+            self.rows_changed()
+        # Another node may have removed the row of one that was silent for long.
+        self.publish()
+        self.read()
+
+    def note_reachable(self, reachable: bool, reason: str) -> None:
+        """Log that the store was lost or regained."""
+        if reachable == self.reachable:
+            return
+        self.reachable = reachable
+        if reachable:
+            log_events.emit(events.StoreRegained(operation="changes", version=self.seq))
+        else:
+            log_events.emit(events.StoreLost(operation="changes", reason=reason, version=self.seq))
+
+    def apply(self, row: Row) -> None:
+        """Take over one row if it is newer than the known one."""
+        if row.version <= self.versions.get(row.key, 0):
+            return
+        self.versions[row.key] = row.version
+        if row.key.startswith(NODE_PREFIX):
+            self.apply_node(row.key[len(NODE_PREFIX) :], row)
+            return
+        listener = self.listeners.get(row.key.partition("/")[0])
+        if listener is not None:
+            listener(row)
+
+    def apply_node(self, name: str, row: Row) -> None:
+        """Take over the row of a node."""
+        value: NodeRow | None = None
+        if row.value is not None:
+            try:
+                value = msgspec.convert(row.value, NodeRow)
+            except msgspec.ValidationError as error:
+                logger.error("row of node {} cannot be read: {}", name, error)
+                return
+        if value is None:
+            self.nodes.pop(name, None)
+        else:
+            self.nodes[name] = value
+        if name == self.settings.node:
+            self.published = value
+            self.own_version = row.version if value is not None else 0
+
+    def rows_changed(self) -> None:
+        """Index the nodes and tell the listeners."""
+        self.by_service = {}
+        for row in sorted(self.nodes.values(), key=lambda row: row.node):
+            self.by_service.setdefault(row.service, []).append(row)
+        self.candidate_cache.clear()
+        for listener in self.on_change:
+            listener()
+
+    # Writing
+
+    def own_row(self) -> NodeRow:
+        """Return the row that this node should have."""
+        settings = self.settings
+        return NodeRow(
+            node=settings.node,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            service=settings.service,
+            peer_address=settings.peer_address,
+            life=self.target.life,
+            accepting=self.target.ready,
+        )
+
+    def publish(self) -> None:
+        """Write this node's row when it differs from the stored one."""
+        row = self.own_row()
+        if self.writing or not self.loaded or self.leaving or row == self.published:
+            return
+        if self.published is None and not row.life:
+            return
+        self.writing = True
+        puts = {self.own_key: msgspec.to_builtins(row)}
+        transaction = Transaction(new_operation_id(), {self.own_key: self.own_version}, puts)
+        self.table.commit(transaction, lambda result: self.written(row, result))
+
+    def written(self, row: NodeRow, result: Result[int, HibiscusdrumError]) -> None:
+        """Note the outcome; a failed write is repeated after a look at the stored row."""
+        if not isinstance(result, Success):
+            delay = RETRY_SECONDS * (0.5 + self.rng.random())
+            self.app.scheduler.call_later(delay, self.read_own)
+            return
+        self.writing = False
+        self.apply(Row(self.own_key, result.unwrap(), msgspec.to_builtins(row)))
+        self.rows_changed()
+        log_events.emit(events.NodePublished(life=row.life, accepting=row.accepting, version=result.unwrap()))
+        self.publish()
+
+    def read_own(self) -> None:
+        """Read the own row, which a write without an answer may have changed, then publish again."""
+
+        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+            if not isinstance(result, Success):
+                self.app.scheduler.call_later(RETRY_SECONDS, self.read_own)
+                return
+            self.writing = False
+            row = result.unwrap().get(self.own_key)
+            if row is not None:
+                self.apply(row)
+            elif self.published is not None:
+                self.own_version, self.published = 0, None
+            self.publish()
+
+        self.table.read((self.own_key,), done)
+
+    def leave(self, done: Callable[[], None]) -> None:
+        """Remove the own row, because this VM ends; ``done`` is called when the store has answered."""
+        self.leaving = True
+        if self.published is None:
+            done()
+            return
+        transaction = Transaction(new_operation_id(), {self.own_key: self.own_version}, {}, (self.own_key,))
+        self.table.commit(transaction, lambda _result: done())
+
+    # Questions
+
+    def candidates(self, service: str, regions: tuple[str, ...]) -> list[Candidate]:
+        """Return the nodes whose targets may take a request of a service in some regions (all when empty)."""
+        cached = self.candidate_cache.get((service, regions))
+        if cached is None:
+            cached = [
+                Candidate(row.node, row.region, row.failure_domain)
+                for row in self.by_service.get(service, ())
+                if row.accepting
+                and row.failure_domain not in self.evacuated
+                and (not regions or row.region in regions)
+            ]
+            self.candidate_cache[service, regions] = cached
+        return cached
+
+    def set_evacuated(self, failure_domains: frozenset[str]) -> None:
+        """Take over which failure domains are to get nothing."""
+        if failure_domains == self.evacuated:
+            return
+        self.evacuated = failure_domains
+        self.candidate_cache.clear()
+        log_events.emit(events.EvacuationChanged(failure_domains=tuple(sorted(failure_domains))))
+        for listener in self.on_change:
+            listener()
+
+    def owners(self, service: str) -> list[Owner]:
+        """Return the targets of a service that may take keys."""
+        return [
+            Owner(row.node, row.life)
+            for row in self.by_service.get(service, ())
+            if row.accepting and row.life and row.failure_domain not in self.evacuated
+        ]
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -0,0 +1,74 @@
+"""Counters and latency histograms of the router, served in the Prometheus text format."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+
+from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.transport.http_entry import EntryRequest
+
+# Upper bounds in seconds: from one hop within a failure domain to the longest deadline.
+BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class RouterMetrics(Service):
+    """Counts requests by route and status."""
+
+    service_name = "metrics"
+
+    def __init__(self, settings: RouterSettings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.counts: dict[tuple[str, int], int] = {}
+        self.buckets: dict[str, list[int]] = {}
+        self.totals: dict[str, float] = {}
+
+    def on_start(self) -> None:
+        """Serve the metrics when an address is set."""
+        self.receiver = self.app.find("receiver")
+        self.owner = self.app.find("range_owner")
+        self.members = self.app.find("members")
+        if self.settings.metrics_address:
+            self.app.find("entry").listen(self.settings.metrics_address, self.on_request)
+
+    def ended(self, route: str, status: int, seconds: float) -> None:
+        """Count a request that has its final answer."""
+        self.counts[route, status] = self.counts.get((route, status), 0) + 1
+        buckets = self.buckets.get(route)
+        if buckets is None:
+            buckets = self.buckets[route] = [0] * (len(BOUNDS) + 1)
+        buckets[bisect_left(BOUNDS, seconds)] += 1
+        self.totals[route] = self.totals.get(route, 0.0) + seconds
+
+    def on_request(self, request: EntryRequest) -> None:
+        """Answer a scrape."""
+        request.respond(200, [("content-type", CONTENT_TYPE)], self.render())
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        lines = ["# TYPE hibiscusdrum_requests_total counter"]
+        for (route, status), count in sorted(self.counts.items()):
+            lines.append(f'hibiscusdrum_requests_total{{route="{route}",status="{status}"}} {count}')
+        lines.append("# TYPE hibiscusdrum_request_seconds histogram")
+        for route, buckets in sorted(self.buckets.items()):
+            total = 0
+            for bound, count in zip((*map(str, BOUNDS), "+Inf"), buckets, strict=True):
+                total += count
+                lines.append(f'hibiscusdrum_request_seconds_bucket{{route="{route}",le="{bound}"}} {total}')
+            lines.append(f'hibiscusdrum_request_seconds_sum{{route="{route}"}} {self.totals[route]:.6f}')
+            lines.append(f'hibiscusdrum_request_seconds_count{{route="{route}"}} {total}')
+        admission = self.receiver.admission
+        gauges = {
+            "running": admission.running,
+            "queued": admission.queued,
+            "service_seconds": round(admission.service, 4),
+            "stripes": len(self.owner.granted),
+            "lease_seconds": round(self.owner.lease.remaining(self.app.clock.monotonic()), 3),
+            "nodes": len(self.members.nodes),
+            "store_reachable": int(self.members.reachable),
+        }
+        for name, value in gauges.items():
+            lines += [f"# TYPE hibiscusdrum_{name} gauge", f"hibiscusdrum_{name} {value}"]
+        return ("\n".join(lines) + "\n").encode()
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -0,0 +1,599 @@
+"""Ownership of key ranges by this node: its lease, what its target is to hold, and changes of the ring.
+
+The target enforces what it holds, for a time that never outlasts this node's lease. A stripe changes hands by
+one conditional write of the ring's row: by its owner, once the target has given it back or its hold has
+ended, or by another node, once the owner's lease has ended on the store's clock.
+"""
+
+from __future__ import annotations
+
+import enum
+import uuid
+import zlib
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+from loguru import logger
+from returns.result import Result, Success
+
+from hibiscusdrum.errors import HibiscusdrumError
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.daemon.operations import new_operation_id
+from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.platform.table import Row, Transaction
+from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router import ring as ring_edits
+from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetReport
+from hibiscusdrum.internal.router.members import NODE_PREFIX, Members
+from hibiscusdrum.internal.router.range_lease import LeaseRow, RangeLease, expired
+from hibiscusdrum.internal.router.ring import Owner, Range, Ring
+from hibiscusdrum.internal.router.settings import RouterSettings
+
+RING_PREFIX = "ring/"
+LEASE_PREFIX = "lease/"
+# Reason of a store failure after which the write may still take effect.
+UNKNOWN = "unknown"
+TICK_SECONDS = 0.2
+# Hold of the target in seconds: long enough for two lost reports, short enough that the keys of a target that
+# went silent soon have another owner.
+HOLD_SECONDS = 5.0
+# A target's clock may run this much slow, which lengthens its hold.
+TARGET_CLOCK_SLOW = 1.025
+# The hold is counted from when the report was sent; requests are not started in its last part.
+HOLD_MARGIN_SECONDS = 0.15
+# Time in which all targets report for the first time before a ring is made, and without a new one.
+BOOTSTRAP_SECONDS = 2.0
+BOOTSTRAP_QUIET_SECONDS = 1.2
+# Time between looks at the leases for the first nodes in a fixed order, and for the others.
+WATCH_SECONDS = 1.0
+SLOW_WATCH_SECONDS = 5.0
+WATCHERS = 3
+# A node without a lease row counts as gone after this long; a new owner writes its row within it.
+MISSING_LEASE_SECONDS = 4.0
+# After the store was away its nodes get this long to renew before they count as gone.
+REGAINED_GRACE_SECONDS = 2.5
+# A newcomer waits this long for stripes of others, so that restarts in a row do not move keys each time.
+REBALANCE_SECONDS = 2.0
+
+
+class KeyState(enum.Enum):
+    """What this node can do with a request for a key."""
+
+    HELD = "held"
+    EXPECTED = "expected"
+    FOREIGN = "foreign"
+
+
+class RangeOwner(Service):
+    """Owns ranges for this node's target, and follows the rings of all partitioned services.
+
+    Attributes
+    ----------
+    rings : dict of str to Ring
+        Newest known ring of each service.
+    giving : dict of int to Owner
+        Stripes that are being handed to other owners.
+    on_granted : list of callable
+        Called when the target has been given keys.
+    """
+
+    service_name = "range_owner"
+
+    def __init__(self, settings: RouterSettings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.node = settings.node
+        self.ring_key = RING_PREFIX + settings.service
+        self.lease_key = f"{LEASE_PREFIX}{settings.service}/{settings.node}"
+        self.lease = RangeLease(settings.node, uuid.uuid4().hex[:12])
+        self.rings: dict[str, Ring] = {}
+        self.versions: dict[str, int] = {}
+        self.partitioned = False
+        self.synced = False
+        self.lease_writing = False
+        self.lease_known = False
+        self.started_at = 0.0
+        self.busy = False
+        # Stripes of a change whose outcome is unknown: it may still take effect, until the ring is written again.
+        self.uncertain: set[int] = set()
+        self.giving: dict[int, Owner] = {}
+        self.granted: set[int] = set()
+        self.granted_until = 0.0
+        self.granted_life = ""
+        self.ungranted_at: dict[int, float] = {}
+        self.released: dict[int, str] = {}
+        self.owners_changed_at = 0.0
+        self.known_owners: list[Owner] = []
+        self.first_owner_at: float | None = None
+        self.watched_at = 0.0
+        self.missing_since: dict[str, float] = {}
+        self.reachable_since = 0.0
+        self.uneven_since: float | None = None
+        self.on_granted: list[Callable[[], None]] = []
+
+    def on_start(self) -> None:
+        """Follow rows and the target."""
+        self.started_at = self.now
+        self.table = self.app.find("table")
+        self.members: Members = self.app.find("members")
+        self.target: LocalTarget = self.app.find("local_target")
+        self.members.listeners["ring"] = self.on_ring
+        self.members.on_change.append(self.on_members)
+        self.target.grant = self.grant
+        self.target.on_change.append(self.on_target)
+        self.table.on_stamp = self.lease.clock.observe
+        self.app.scheduler.every(TICK_SECONDS, self.tick)
+
+    @property
+    def now(self) -> float:
+        """Steady time in seconds."""
+        return self.app.clock.monotonic()
+
+    @property
+    def ring(self) -> Ring | None:
+        """The ring of this node's service."""
+        return self.rings.get(self.settings.service)
+
+    def set_partitioned(self, partitioned: bool) -> None:
+        """Take over whether this node's service is divided by key."""
+        self.partitioned = partitioned
+
+    # Rows
+
+    def on_ring(self, row: Row) -> None:
+        """Take over a changed ring."""
+        if row.version <= self.versions.get(row.key, 0):
+            return
+        self.versions[row.key] = row.version
+        service = row.key[len(RING_PREFIX) :]
+        if service == self.settings.service:
+            self.uncertain.clear()
+        if row.value is None:
+            self.rings.pop(service, None)
+            return
+        try:
+            self.rings[service] = msgspec.convert(row.value, Ring)
+        except msgspec.ValidationError as error:
+            logger.error("ring of {} cannot be read: {}", service, error)
+
+    def on_members(self) -> None:
+        """Note when the owners last changed."""
+        owners = self.members.owners(self.settings.service)
+        if owners != self.known_owners:
+            self.known_owners = owners
+            self.owners_changed_at = self.now
+            if owners and self.first_owner_at is None:
+                self.first_owner_at = self.now
+
+    def on_target(self) -> None:
+        """Act at once when the target starts anew, drains or goes."""
+        if self.partitioned:
+            self.app.scheduler.call_later(0.0, self.tick)
+
+    # The target
+
+    @property
+    def me(self) -> Owner:
+        """This node's target as an owner."""
+        return Owner(self.node, self.target.life)
+
+    def mine(self) -> list[int]:
+        """Return the stripes that the present start of the target owns."""
+        ring, me = self.ring, self.me
+        if ring is None or not me.life:
+            return []
+        return [
+            index
+            for index, stripe in enumerate(ring.stripes)
+            if stripe.owner != ring_edits.UNOWNED and ring.owners[stripe.owner] == me
+        ]
+
+    @property
+    def emptying(self) -> bool:
+        """Whether the target is to give all its keys back."""
+        return not self.target.ready or self.settings.failure_domain in self.members.evacuated
+
+    def grant(self, report: TargetReport) -> Grant | None:
+        """Answer a report with everything that the target is to hold, or None to renew nothing."""
+        if not self.partitioned:
+            return None
+        self.note_released(report)
+        now, ring = self.now, self.ring
+        remaining = self.lease.remaining(now) / TARGET_CLOCK_SLOW
+        seconds = min(self.settings.longest_hold, HOLD_SECONDS, remaining)
+        if ring is None or not self.synced or seconds <= HOLD_MARGIN_SECONDS:
+            return None
+        keep = set() if self.emptying else set(self.mine()) - set(self.giving) - self.uncertain
+        for index in self.granted - keep:
+            self.ungranted_at[index] = now
+        for index in keep:
+            self.ungranted_at.pop(index, None)
+            self.released.pop(index, None)
+        gained = keep - self.granted or report.life != self.granted_life
+        self.granted, self.granted_life = keep, report.life
+        self.granted_until = now + seconds
+        ranges = ring.ranges(keep)[: ring_edits.LARGEST_RANGE_COUNT + 20]
+        if gained:
+            self.app.scheduler.call_later(0.0, self.tell_granted)
+        return Grant(ranges, seconds)
+
+    def tell_granted(self) -> None:
+        """Tell the listeners that requests for new keys may be sent."""
+        log_events.emit(
+            events.KeysGranted(
+                stripes=len(self.granted),
+                version=self.versions.get(self.ring_key, 0),
+                hold_s=round(self.granted_until - self.now, 3),
+            )
+        )
+        for listener in self.on_granted:
+            listener()
+
+    def note_released(self, report: TargetReport) -> None:
+        """Note the handover tokens of stripes that the target gave back."""
+        ring = self.ring
+        if ring is None:
+            return
+        for released in report.released:
+            for index in range(ring.index(released.first), ring.index(released.last) + 1):
+                if index not in self.granted:
+                    self.released[index] = released.token
+        if report.released and (self.giving or self.emptying):
+            self.app.scheduler.call_later(0.0, self.tick)
+
+    def state(self, key: int) -> KeyState:
+        """Return what this node can do with a request for a key now."""
+        ring = self.ring
+        if ring is None or not self.partitioned:
+            return KeyState.FOREIGN
+        index = ring.index(key)
+        stripe = ring.stripes[index]
+        if stripe.owner == ring_edits.UNOWNED or ring.owners[stripe.owner].node != self.node:
+            return KeyState.FOREIGN
+        if self.emptying or index in self.giving:
+            return KeyState.FOREIGN
+        held = index in self.granted and self.granted_life == self.target.life
+        if held and self.now < self.granted_until - HOLD_MARGIN_SECONDS:
+            return KeyState.HELD
+        return KeyState.EXPECTED
+
+    # Periodic work
+
+    def tick(self) -> None:
+        """Renew the lease, and do the most urgent change of the ring."""
+        if not self.partitioned or not self.members.loaded:
+            return
+        if not self.members.reachable:
+            self.reachable_since = self.now
+        self.renew()
+        if self.busy:
+            return
+        if self.ring is None:
+            self.bootstrap()
+        elif self.uncertain:
+            self.commit(self.ring, {}, (), "settled", len(self.uncertain))
+        elif not self.adopt_new_life() and not self.give_away():
+            self.watch()
+
+    def renew(self) -> None:
+        """Write the lease when it is due."""
+        wanted = self.target.ready or (self.ring is not None and bool(self.ring.owned_by(self.node)))
+        if self.lease_writing or not wanted:
+            return
+        if self.lease.version == 0 and not self.lease_known:
+            self.read_lease()
+        elif self.lease.version == 0 or not self.synced or self.lease.renewal_due(self.now):
+            self.write_lease()
+
+    def read_lease(self) -> None:
+        """Read the row of an earlier incarnation, whose process has ended: this one has its port."""
+        self.lease_writing = True
+
+        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+            self.lease_writing = False
+            if isinstance(result, Success):
+                row = result.unwrap().get(self.lease_key)
+                self.lease.version = row.version if row is not None else 0
+                self.lease_known = True
+                self.renew()
+
+        self.table.read((self.lease_key,), done)
+
+    def write_lease(self) -> None:
+        """Write the lease row under its known version."""
+        row = self.lease.proposal(self.now)
+        version = self.lease.version
+        self.lease_writing = True
+        puts = {self.lease_key: msgspec.to_builtins(row)}
+        transaction = Transaction(new_operation_id(), {self.lease_key: version}, puts)
+
+        def done(result: Result[int, HibiscusdrumError]) -> None:
+            self.lease_writing = False
+            if isinstance(result, Success):
+                self.lease.written(row, result.unwrap())
+                if not self.synced:
+                    self.read_ring()
+                return
+            code = result.failure().code
+            log_events.emit(
+                events.LeaseNotRenewed(
+                    reason=code, version=version, left_s=round(self.lease.remaining(self.now), 3)
+                )
+            )
+            self.settle_lease()
+
+        self.table.commit(transaction, done)
+
+    def settle_lease(self) -> None:
+        """Learn which row the store holds after a conflict or a lost answer.
+
+        An unanswered write may still take effect later. Its row names an end that was counted from before it
+        was sent, so that adopting it is safe whenever it appears.
+        """
+        self.lease_writing = True
+
+        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+            self.lease_writing = False
+            if not isinstance(result, Success):
+                return
+            row = result.unwrap().get(self.lease_key)
+            value = msgspec.convert(row.value, LeaseRow) if row is not None else None
+            if value is not None and value.incarnation == self.lease.incarnation:
+                self.lease.written(value, row.version)
+            else:
+                self.lease.lost()
+                self.synced = False
+                self.lease.version = row.version if row is not None else 0
+                log_events.emit(events.LeaseTaken(version=self.lease.version))
+
+        self.table.read((self.lease_key,), done)
+
+    def read_ring(self) -> None:
+        """Read the ring after the first write of a lease: it may have been changed while there was none."""
+
+        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+            if isinstance(result, Success):
+                row = result.unwrap().get(self.ring_key)
+                if row is not None:
+                    self.on_ring(row)
+                self.synced = True
+
+        self.table.read((self.ring_key,), done)
+
+    # Changes of the ring
+
+    @property
+    def rank(self) -> int:
+        """Position of this node in a fixed order of the service's nodes, in which domains are mixed."""
+        names = sorted(
+            (owner.node for owner in self.known_owners), key=lambda name: zlib.crc32(name.encode())
+        )
+        return names.index(self.node) if self.node in names else len(names)
+
+    def bootstrap(self) -> None:
+        """Make the ring when all targets have had time to report."""
+        now = self.now
+        owners = self.members.owners(self.settings.service)
+        if self.first_owner_at is None or not self.synced:
+            return
+        waited = now - self.first_owner_at - self.rank * 0.5
+        if owners and waited > BOOTSTRAP_SECONDS and now - self.owners_changed_at > BOOTSTRAP_QUIET_SECONDS:
+            self.commit(ring_edits.create(owners), {}, (), "created", len(owners))
+
+    def adopt_new_life(self) -> bool:
+        """Give the stripes of an earlier start of the target to the present one, which holds nothing."""
+        ring = self.ring
+        if self.emptying or not self.synced or self.lease.remaining(self.now) <= 0.0:
+            return False
+        stale = set(ring.owned_by(self.node)) - set(self.mine())
+        if not stale:
+            return False
+        self.commit(ring_edits.reassign(ring, dict.fromkeys(stale, self.me)), {}, (), "restarted", len(stale))
+        return True
+
+    def movable(self, index: int) -> bool:
+        """Return whether the target surely holds a stripe no more."""
+        ring, target, now = self.ring, self.target, self.now
+        longest_hold = HOLD_SECONDS * TARGET_CLOCK_SLOW
+        if now > max(self.started_at + longest_hold, self.granted_until + longest_hold - HOLD_SECONDS):
+            return True
+        if target.ended or index in self.released:
+            return True
+        if target.report is None:
+            return False
+        if ring.owners[ring.stripes[index].owner].life != target.report.life:
+            # An earlier start of the target holds nothing any more.
+            return True
+        if target.reported_at <= self.ungranted_at.get(index, now):
+            return False
+        first, last = ring.bounds(index)
+        return not any(held.first <= last and held.last >= first for held in target.report.held)
+
+    def give_away(self) -> bool:
+        """Hand over stripes that are to leave, as far as the target has given them back."""
+        ring = self.ring
+        if not self.synced or self.lease.remaining(self.now) <= 0.0:
+            return False
+        owned = ring.owned_by(self.node)
+        self.giving = {index: owner for index, owner in self.giving.items() if index in owned}
+        leaving = owned if self.emptying else list(self.giving)
+        movable = [index for index in leaving if self.movable(index)]
+        if not movable:
+            return False
+        if not self.emptying:
+            moves = {index: self.giving[index] for index in movable}
+            self.commit(ring_edits.reassign(ring, moves, self.released), {}, (), "rebalanced", len(moves))
+            return True
+        self.with_leases(lambda alive, _dead: self.give_all(movable, alive))
+        return True
+
+    def give_all(self, movable: list[int], alive: list[Owner]) -> None:
+        """Give stripes of a target that leaves to others, or to nobody when there is none."""
+        ring = self.ring
+        receivers = [owner for owner in alive if owner.node != self.node]
+        if not receivers:
+            return
+        moves = ring_edits.spread(ring, movable, receivers)
+        self.commit(ring_edits.reassign(ring, moves, self.released), {}, (), "left", len(moves))
+
+    def watch(self) -> None:
+        """Look for owners whose lease has ended and for stripes without an owner."""
+        now = self.now
+        interval = WATCH_SECONDS if self.rank < WATCHERS else SLOW_WATCH_SECONDS
+        if now - self.watched_at < interval * (1.0 + 0.2 * self.rank) or not self.members.reachable:
+            return
+        if now - self.reachable_since < REGAINED_GRACE_SECONDS or self.emptying or not self.synced:
+            return
+        self.watched_at = now
+        self.with_leases(self.take_over)
+
+    def with_leases(self, act: Callable[[list[Owner], dict[str, int]], None]) -> None:
+        """Read the leases of the service; ``act`` gets the owners with a valid one, and the gone nodes."""
+        ring = self.ring
+        nodes = ring.nodes() | {owner.node for owner in self.known_owners}
+        prefix = f"{LEASE_PREFIX}{self.settings.service}/"
+        self.busy = True
+
+        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+            self.busy = False
+            if not isinstance(result, Success):
+                return
+            rows = result.unwrap()
+            gone = self.gone_nodes({node: rows.get(prefix + node) for node in nodes})
+            alive = [
+                owner
+                for owner in self.members.owners(self.settings.service)
+                if owner.node not in gone and prefix + owner.node in rows
+            ]
+            act(alive, gone)
+
+        self.table.read(tuple(prefix + node for node in sorted(nodes)), done)
+
+    def gone_nodes(self, rows: Mapping[str, Row | None]) -> dict[str, int]:
+        """Return the nodes whose lease has ended, with the version of its row."""
+        gone: dict[str, int] = {}
+        stamp = self.table.stamp
+        for node, row in rows.items():
+            if node == self.node:
+                continue
+            if row is None:
+                since = self.missing_since.setdefault(node, self.now)
+                if self.now - since > MISSING_LEASE_SECONDS:
+                    gone[node] = 0
+                continue
+            self.missing_since.pop(node, None)
+            if expired(msgspec.convert(row.value, LeaseRow), stamp):
+                gone[node] = row.version
+        return gone
+
+    def take_over(self, alive: list[Owner], gone: dict[str, int]) -> None:
+        """Give the stripes of gone nodes, and those without an owner, to the others."""
+        ring = self.ring
+        if self.busy or ring is None or not alive:
+            return
+        lost = [index for node in gone for index in ring.owned_by(node)]
+        free = ring.unowned()
+        if not lost and not free:
+            self.consider_rebalance(alive)
+            return
+        moves = ring_edits.spread(ring, lost + free, alive)
+        prefix = f"{LEASE_PREFIX}{self.settings.service}/"
+        owners = [node for node in gone if ring.owned_by(node)]
+        checks = {prefix + node: gone[node] for node in owners}
+        deletes = [prefix + node for node in owners if gone[node]]
+        for node in owners:
+            version = self.members.versions.get(NODE_PREFIX + node, 0)
+            if version and node in self.members.nodes:
+                checks[NODE_PREFIX + node] = version
+                deletes.append(NODE_PREFIX + node)
+        log_events.emit(
+            events.OwnersGone(
+                nodes=tuple(sorted(owners)),
+                stripes=len(lost),
+                unowned=len(free),
+                store_time_s=self.table.stamp,
+            )
+        )
+        self.commit(ring_edits.reassign(ring, moves), checks, tuple(deletes), "taken_over", len(moves))
+
+    def consider_rebalance(self, alive: list[Owner]) -> None:
+        """Begin to hand stripes to owners that have far fewer."""
+        if self.giving or self.emptying:
+            return
+        moves = ring_edits.rebalance(self.ring, alive, self.node)
+        if not moves:
+            self.uneven_since = None
+            return
+        if self.uneven_since is None:
+            self.uneven_since = self.now
+        if self.now - self.uneven_since > REBALANCE_SECONDS:
+            self.uneven_since = None
+            self.giving = {index: owner for index, owner in moves.items() if owner is not None}
+            log_events.emit(events.HandoverBegun(stripes=len(self.giving)))
+
+    def commit(
+        self, ring: Ring, checks: dict[str, int], deletes: tuple[str, ...], reason: str, count: int
+    ) -> None:
+        """Write a ring under the version that it was made from."""
+        version = self.versions.get(self.ring_key, 0) if self.ring is not None else 0
+        changed = self.changed_stripes(ring)
+        value: Any = msgspec.to_builtins(ring)
+        transaction = Transaction(
+            new_operation_id(), {**checks, self.ring_key: version}, {self.ring_key: value}, deletes
+        )
+        self.busy = True
+
+        def done(result: Result[int, HibiscusdrumError]) -> None:
+            self.busy = False
+            if isinstance(result, Success):
+                self.on_ring(Row(self.ring_key, result.unwrap(), value))
+                for index in list(self.released):
+                    if index not in self.mine():
+                        del self.released[index]
+                outcome = "written"
+            else:
+                outcome = result.failure().code
+                if getattr(result.failure(), "reason", "") == UNKNOWN:
+                    self.uncertain |= changed
+                self.reread_ring()
+            log_events.emit(
+                events.RingChanged(
+                    reason=reason,
+                    stripes=count,
+                    base_version=version,
+                    fence=ring.next_fence - 1,
+                    outcome=outcome,
+                )
+            )
+
+        self.table.commit(transaction, done)
+
+    def changed_stripes(self, ring: Ring) -> set[int]:
+        """Return the stripes that a change would take from or give to someone."""
+        if self.ring is None:
+            return set()
+        pairs = enumerate(zip(self.ring.stripes, ring.stripes, strict=True))
+        return {index for index, (old, new) in pairs if old.fence != new.fence} | self.uncertain
+
+    def reread_ring(self) -> None:
+        """Read the ring after a conflict or an unknown outcome."""
+        self.busy = True
+
+        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+            self.busy = False
+            row = result.unwrap().get(self.ring_key) if isinstance(result, Success) else None
+            if row is not None:
+                self.on_ring(row)
+
+        self.table.read((self.ring_key,), done)
+
+    def owner_node(self, service: str, key: int) -> str | None:
+        """Return the node that owns a key, or None."""
+        ring = self.rings.get(service)
+        owner = ring.owner(key) if ring is not None else None
+        return owner.node if owner is not None else None
+
+    def held_ranges(self) -> tuple[Range, ...]:
+        """Return the ranges that the target was last given."""
+        return self.ring.ranges(self.granted) if self.ring is not None else ()
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -0,0 +1,404 @@
+"""Requests at the VM of their target: admission, the exchange with the target, and the outcome."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from returns.result import Result, Success
+
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.messages import Answered, Declined, Forward
+from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.admission import Admission, Entry
+from hibiscusdrum.internal.router.local_target import LocalTarget, TargetState
+from hibiscusdrum.internal.router.range_owner import KeyState, RangeOwner
+from hibiscusdrum.internal.router.routes import HeaderNames, RouteTable
+from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.transport.http_client import HttpClient
+from hibiscusdrum.internal.transport.http_connection import (
+    FailureKind,
+    HttpExchange,
+    HttpFailure,
+    HttpResponse,
+)
+
+EXPIRE_SECONDS = 0.02
+# A target ends work at the deadline that it is given; its answer to that may take this long to arrive.
+ANSWER_SLACK_SECONDS = 0.15
+# Requests that target and queue have given up on are not sent with less than this left, in seconds.
+SHORTEST_SEND_SECONDS = 0.005
+# Connections beyond the slots: health checks, and those whose answers are still being read.
+SPARE_CONNECTIONS = 4
+SERVICE_UNAVAILABLE = 503
+MISDIRECTED = 421
+DEFAULT_SLOTS = 8
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    )
+)
+
+ReplyCallback = Callable[[Answered | Declined, bytes], None]
+
+
+class Job:
+    """A request on this VM without an outcome."""
+
+    __slots__ = ("body", "deadline", "entry", "exchange", "forward", "reply", "sent_at")
+
+    def __init__(self, forward: Forward, body: bytes, deadline: float, reply: ReplyCallback) -> None:
+        self.forward = forward
+        self.body = body
+        self.deadline = deadline
+        self.reply = reply
+        self.entry: Entry | None = None
+        self.exchange: HttpExchange | None = None
+        self.sent_at = 0.0
+
+
+class Receiver(Service):
+    """Admits requests to this VM's target.
+
+    Attributes
+    ----------
+    parked : list of Job
+        Requests for keys that the target is about to be given.
+    stopping : bool
+        Whether the process ends soon; shared services are then refused.
+    """
+
+    service_name = "receiver"
+
+    def __init__(self, settings: RouterSettings, names: HeaderNames) -> None:
+        super().__init__()
+        self.settings = settings
+        self.names = names
+        self.admission = Admission(DEFAULT_SLOTS)
+        self.jobs: dict[bytes, Job] = {}
+        self.parked: list[Job] = []
+        self.stopping = False
+        self.table: RouteTable | None = None
+        self.target_headers = {names.attempt_id, names.deadline_ms, names.expected_target, names.caller}
+
+    def on_start(self) -> None:
+        """Find the services of the path."""
+        find = self.app.find
+        self.target: LocalTarget = find("local_target")
+        self.owner: RangeOwner = find("range_owner")
+        self.members = find("members")
+        self.http: HttpClient = find("http_client")
+        self.hop = find("hop")
+        self.hop.accept = self.on_forward
+        self.hop.cancel_received = self.cancel
+        self.hop.own_load = self.load
+        self.owner.on_granted.append(self.unpark)
+        self.target.on_change.append(self.on_target)
+        self.target.on_cold.append(self.on_cold)
+        self.members.on_change.append(self.on_target)
+        self.expiry = self.app.scheduler.while_needed(EXPIRE_SECONDS, self.expire)
+
+    @property
+    def now(self) -> float:
+        """Steady time in seconds."""
+        return self.app.clock.monotonic()
+
+    def load(self) -> tuple[int, int, int, float, bool]:
+        """Return the load report that travels with each reply."""
+        admission = self.admission
+        return (
+            admission.running,
+            admission.queued + len(self.parked),
+            admission.slots,
+            round(admission.service, 4),
+            self.accepting,
+        )
+
+    @property
+    def evacuated(self) -> bool:
+        """Whether this node's failure domain is to get nothing."""
+        return self.settings.failure_domain in self.members.evacuated
+
+    @property
+    def accepting(self) -> bool:
+        """Whether the target takes requests that others could serve."""
+        return self.target.ready and not self.evacuated and not self.stopping
+
+    # Changes of the target
+
+    def on_cold(self, seconds: float) -> None:
+        """Limit the rate while the target is cold."""
+        spec = self.table.services.get(self.settings.service) if self.table is not None else None
+        self.admission.cold.rate = spec.cold_rate if spec is not None else 0.0
+        self.admission.cold.until = self.now + seconds
+
+    def on_target(self) -> None:
+        """Follow the target's slots, and refuse what waits for a target that takes nothing."""
+        report = self.target.report
+        if report is not None:
+            self.admission.slots = max(1, report.slots)
+        if self.target.ready and not self.evacuated:
+            self.pump()
+            return
+        reason = "evacuated" if self.evacuated else f"target_{self.target.state.value}"
+        for entry in self.admission.drain():
+            self.decline(entry.item, reason)
+        parked, self.parked = self.parked, []
+        for job in parked:
+            self.decline(job, reason)
+
+    # Admission
+
+    def on_forward(self, forward: Forward, body: bytes, delay: float, reply: ReplyCallback) -> None:
+        """Take a request of another daemon; one that was held up on its way is refused."""
+        if delay:
+            log_events.emit(
+                events.RequestDeclined(
+                    id=forward.attempt_id,
+                    origin=forward.origin,
+                    reason="late",
+                    left_s=round(forward.left, 3),
+                    running=self.admission.running,
+                    queued=self.admission.queued,
+                    wait_s=round(delay, 3),
+                )
+            )
+            reply(Declined(forward.id, "late", False, False, 0.0, self.load()), b"")
+            return
+        self.submit(forward, body, reply)
+
+    def submit(self, forward: Forward, body: bytes, reply: ReplyCallback) -> None:
+        """Admit a request or decline it at once; ``reply`` is called once."""
+        job = Job(forward, body, self.now + forward.left, reply)
+        self.jobs[forward.id] = job
+        reason = self.refusal(forward)
+        if reason:
+            self.decline(job, reason)
+        elif forward.key >= 0 and self.owner.state(forward.key) is KeyState.EXPECTED:
+            self.park(job)
+        else:
+            self.enqueue(job)
+
+    def refusal(self, forward: Forward) -> str:
+        """Return why a request cannot be taken, or an empty text."""
+        if forward.service != self.settings.service:
+            return "other_service"
+        if self.evacuated:
+            return "evacuated"
+        if self.target.state is not TargetState.READY:
+            return f"target_{self.target.state.value}"
+        if forward.key >= 0:
+            return "not_owner" if self.owner.state(forward.key) is KeyState.FOREIGN else ""
+        return "stopping" if self.stopping else ""
+
+    def park(self, job: Job) -> None:
+        """Let a request wait for keys, if the next report of the target probably comes in time."""
+        due = max(0.0, self.target.reported_at + self.settings.heartbeat - self.now)
+        service = self.admission.expected_service(job.forward.cost_class)
+        room = len(self.parked) < self.admission.slots * 2
+        if not room or self.now + due + service > job.deadline:
+            self.decline(job, "keys_expected", retry_after=due + 0.1)
+            return
+        self.parked.append(job)
+        self.expiry.wake()
+
+    def unpark(self) -> None:
+        """Queue the requests whose keys the target was given, and refuse those whose keys went elsewhere."""
+        parked, self.parked = self.parked, []
+        for job in parked:
+            state = self.owner.state(job.forward.key)
+            if state is KeyState.HELD:
+                self.enqueue(job)
+            elif state is KeyState.FOREIGN:
+                self.decline(job, "not_owner")
+            else:
+                self.parked.append(job)
+
+    def enqueue(self, job: Job) -> None:
+        """Queue a request that can probably be answered in time."""
+        forward = job.forward
+        if not self.admission.fits(forward.priority, job.deadline, forward.cost_class, self.now):
+            retry_after = self.admission.retry_after(forward.priority, self.now)
+            self.decline(job, "overloaded", retry_after=retry_after)
+            return
+        job.entry = self.admission.push(job, forward.priority, job.deadline, forward.cost_class)
+        self.pump()
+        if self.admission.queued:
+            self.expiry.wake()
+
+    def pump(self) -> None:
+        """Send queued requests while the target has room."""
+        while True:
+            entry = self.admission.pop(self.now)
+            if entry is None:
+                return
+            self.send(entry.item)
+
+    def expire(self) -> bool:
+        """Decline what can no longer be answered in time; True while something waits."""
+        for entry in self.admission.hopeless(self.now):
+            self.decline(entry.item, "too_late")
+        now = self.now
+        for job in [job for job in self.parked if now + self.admission.service > job.deadline]:
+            self.parked.remove(job)
+            self.decline(job, "keys_late")
+        self.pump()
+        return bool(self.admission.queued or self.parked)
+
+    # The target
+
+    def send(self, job: Job) -> None:
+        """Pass a request to the target."""
+        forward, now = job.forward, self.now
+        left = job.deadline - now
+        if left < SHORTEST_SEND_SECONDS:
+            self.unsent(job, "too_late")
+            return
+        if forward.key >= 0 and self.owner.state(forward.key) is not KeyState.HELD:
+            self.unsent(job, "not_owner")
+            return
+        job.sent_at = now
+        host, headers = self.headers(job, left)
+        job.exchange = self.http.request(
+            self.settings.target_address,
+            forward.method,
+            forward.target,
+            headers,
+            job.body,
+            left + ANSWER_SLACK_SECONDS,
+            lambda result: self.on_answer(job, result),
+            self.connection_limit(),
+            host,
+        )
+
+    def connection_limit(self) -> int:
+        """Return the connections that may be open to the target."""
+        spec = self.table.services.get(self.settings.service) if self.table is not None else None
+        wanted = self.admission.slots + SPARE_CONNECTIONS
+        return min(wanted, spec.max_connections) if spec is not None else wanted
+
+    def headers(self, job: Job, left: float) -> tuple[str, dict[str, str]]:
+        """Return the host and the headers that the target gets."""
+        forward, names = job.forward, self.names
+        headers: dict[str, str] = {}
+        host = ""
+        for name, value in forward.headers:
+            if name == "host":
+                host = value
+            elif name not in HOP_HEADERS and name not in self.target_headers:
+                headers[name] = f"{headers[name]}, {value}" if name in headers else value
+        headers[names.attempt_id] = forward.attempt_id
+        headers[names.deadline_ms] = str(max(1, int(left * 1000.0)))
+        headers[names.expected_target] = self.target.report.target
+        headers[names.caller] = forward.caller
+        return host, headers
+
+    def unsent(self, job: Job, reason: str) -> None:
+        """End a request that got a slot but was not sent."""
+        self.admission.done(job.forward.cost_class, None)
+        self.decline(job, reason)
+
+    def on_answer(self, job: Job, result: Result[HttpResponse, HttpFailure]) -> None:
+        """Free the slot, learn from the answer, and report the outcome."""
+        job.exchange = None
+        forward = job.forward
+        if isinstance(result, Success):
+            self.on_response(job, result.unwrap())
+        else:
+            self.admission.done(forward.cost_class, None)
+            self.on_failure(job, result.failure())
+        self.pump()
+
+    def on_response(self, job: Job, response: HttpResponse) -> None:
+        """Report a complete answer."""
+        forward, names = job.forward, self.names
+        self.target.answered()
+        refused = names.not_run in response.headers or response.status == MISDIRECTED
+        if refused:
+            self.admission.done(forward.cost_class, None)
+            misdirected = response.status == MISDIRECTED
+            reason = "misdirected" if misdirected else f"target_refused_{response.status}"
+            self.decline(job, reason, arrived=not misdirected)
+            return
+        self.admission.done(forward.cost_class, self.now - job.sent_at)
+        if names.signature not in response.headers and 200 <= response.status < 300:
+            self.decline(job, "unsigned", may_have_run=True, arrived=True)
+            return
+        headers = tuple((name, value) for name, value in response.headers.items() if name not in HOP_HEADERS)
+        if self.jobs.pop(forward.id, None) is None:
+            return
+        log_events.emit(
+            events.RequestRun(
+                id=forward.attempt_id,
+                origin=forward.origin,
+                target=self.target.report.target,
+                status=response.status,
+                queued_ms=round((job.sent_at - job.deadline + forward.left) * 1000),
+                ran_ms=round((self.now - job.sent_at) * 1000),
+            )
+        )
+        job.reply(Answered(forward.id, response.status, headers, self.load()), response.body)
+
+    def on_failure(self, job: Job, failure: HttpFailure) -> None:
+        """Report an exchange without an answer."""
+        if failure.kind is FailureKind.REFUSED and not failure.bytes_sent:
+            self.target.refused()
+        reason = f"target_{failure.kind.value}"
+        self.decline(job, reason, may_have_run=failure.bytes_sent, arrived=failure.bytes_sent)
+
+    def decline(
+        self,
+        job: Job,
+        reason: str,
+        may_have_run: bool = False,
+        arrived: bool = False,
+        retry_after: float = 0.0,
+    ) -> None:
+        """Report that a request has no answer."""
+        forward = job.forward
+        if self.jobs.pop(forward.id, None) is None:
+            return
+        log_events.emit(
+            events.RequestDeclined(
+                id=forward.attempt_id,
+                origin=forward.origin,
+                reason=reason,
+                left_s=round(job.deadline - self.now, 3),
+                running=self.admission.running,
+                queued=self.admission.queued,
+                wait_s=round(retry_after, 3),
+            )
+        )
+        job.reply(Declined(forward.id, reason, may_have_run, arrived, retry_after, self.load()), b"")
+
+    def cancel(self, request_id: bytes) -> None:
+        """Drop a request whose caller has left; one that must not be repeated runs to its end."""
+        job = self.jobs.get(request_id)
+        if job is None:
+            return
+        if job.exchange is not None:
+            if job.forward.repeatable:
+                del self.jobs[request_id]
+                job.exchange.cancel()
+            return
+        del self.jobs[request_id]
+        if job in self.parked:
+            self.parked.remove(job)
+        elif job.entry is not None:
+            self.admission.remove(job.entry)
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is on this VM without an outcome."""
+        return bool(self.jobs)
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -0,0 +1,207 @@
+"""Routes, services and limits as the router uses them, and the choice of a route for a request."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+KEY_SPACE = 65_536
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    UPLOAD = "upload"
+
+
+class HeaderNames(msgspec.Struct, frozen=True):
+    """Names of the headers that callers, targets and the router exchange, in lower case.
+
+    Attributes
+    ----------
+    attempt_id : str
+        Identifies one attempt of a caller; a target repeats it in its answer.
+    deadline_ms : str
+        Milliseconds for which the sender waits.
+    key : str
+        Key of a request to a partitioned service.
+    signature : str
+        Marks an answer as the target's own.
+    expected_target, target_id : str
+        Target that must answer, and the target that did.
+    not_run : str
+        Present when the target did not run the request.
+    load : str
+        Running, queued, slots and, optionally, the target's present slowness in percent.
+    caller : str
+        Service of the VM on which the request began.
+    warmup_ms : str
+        Time for which the target stays cold.
+    """
+
+    attempt_id: str = "x-attempt-id"
+    deadline_ms: str = "x-deadline-ms"
+    key: str = "x-key"
+    signature: str = "x-signature"
+    expected_target: str = "x-expected-target"
+    target_id: str = "x-target-id"
+    not_run: str = "x-not-run"
+    load: str = "x-load"
+    caller: str = "x-caller"
+    warmup_ms: str = "x-warmup-ms"
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Where the requests of a host and prefix go.
+
+    Attributes
+    ----------
+    timeout, latency_goal : float
+        Seconds; 0 when not limited.
+    priority : int
+        0 is the most urgent.
+    services : tuple of (str, float)
+        Services with their weights.
+    attempts : int
+        Largest number of targets to which one attempt of a caller may be sent.
+    regions : tuple of str
+        Regions in which requests may be served; all when empty.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    services: tuple[tuple[str, float], ...]
+    timeout: float = 0.0
+    latency_goal: float = 0.0
+    priority: int = 1
+    attempts: int = 1
+    regions: tuple[str, ...] = ()
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RequestKind.IDEMPOTENT
+
+
+class ServiceSpec(msgspec.Struct, frozen=True):
+    """Properties of the targets of a service.
+
+    Attributes
+    ----------
+    max_connections : int
+        Connections that one target accepts.
+    warmup : float
+        Seconds for which a target is cold after a start.
+    cold_rate : float
+        Requests a second that a cold target bears; 0 when not limited.
+    partitioned : bool
+        Whether targets own ranges of keys.
+    """
+
+    name: str
+    health_path: str = "/healthz"
+    max_connections: int = 64
+    warmup: float = 0.0
+    cold_rate: float = 0.0
+    partitioned: bool = False
+
+
+class EntryLimits(msgspec.Struct, frozen=True):
+    """What a caller may send, and for how long it may be slow or idle; bytes and seconds."""
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 16_777_216
+    head_timeout: float = 5.0
+    idle_timeout: float = 60.0
+
+
+class RouteTable(msgspec.Struct, frozen=True):
+    """One version of the configuration.
+
+    Attributes
+    ----------
+    version : int
+        0 when no configuration is known.
+    by_host : dict
+        Routes of each host, longest prefix first.
+    """
+
+    version: int
+    by_host: dict[str, tuple[Route, ...]]
+    services: dict[str, ServiceSpec]
+    limits: EntryLimits = EntryLimits()
+
+    @classmethod
+    def build(
+        cls,
+        version: int,
+        routes: list[Route],
+        services: list[ServiceSpec],
+        limits: EntryLimits | None = None,
+    ) -> RouteTable:
+        """Sort the routes for ``find``."""
+        by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            by_host.setdefault(route.host.lower(), []).append(route)
+        ordered = {
+            host: tuple(sorted(entries, key=lambda route: -len(route.prefix)))
+            for host, entries in by_host.items()
+        }
+        return cls(version, ordered, {spec.name: spec for spec in services}, limits or EntryLimits())
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path, or None.
+
+        Parameters
+        ----------
+        host : str
+            Host header; a port is ignored.
+        path : str
+            Path and query.
+        """
+        name = host.lower()
+        routes = self.by_host.get(name)
+        if routes is None:
+            routes = self.by_host.get(name.rpartition(":")[0], ())
+        path = path.partition("?")[0]
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    @property
+    def partitioned(self) -> tuple[str, ...]:
+        """Names of the services whose targets own keys."""
+        return tuple(sorted(name for name, spec in self.services.items() if spec.partitioned))
+
+
+EMPTY_TABLE = RouteTable(0, {}, {})
+
+
+class WeightedChoice:
+    """Smooth weighted round robin over the services of each route."""
+
+    __slots__ = ("credits",)
+
+    def __init__(self) -> None:
+        self.credits: dict[str, dict[str, float]] = {}
+
+    def choose(self, route: Route) -> str:
+        """Return the service for the next request of a route."""
+        if len(route.services) == 1:
+            return route.services[0][0]
+        credits = self.credits.setdefault(route.name, {})
+        total = 0.0
+        best = route.services[0][0]
+        for service, weight in route.services:
+            credits[service] = credits.get(service, 0.0) + weight
+            total += weight
+            if credits[service] > credits[best]:
+                best = service
+        credits[best] -= total
+        return best
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -0,0 +1,81 @@
+"""Planned stop of the router: no new callers, requests under way finished, then the end."""
+
+from __future__ import annotations
+
+import signal
+from typing import Any
+
+from circuits import handler
+
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.local_target import TargetState
+from hibiscusdrum.internal.router.settings import RouterSettings
+
+STEP_SECONDS = 0.05
+# Callers send new requests until readiness has been denied twice, a second apart.
+READINESS_SECONDS = 2.3
+# Kept free before the process is killed, in seconds.
+END_MARGIN_SECONDS = 0.4
+
+
+class RouterStopping(Service):
+    """Runs the planned stop on SIGTERM; SIGHUP is logged, since settings are read at start only."""
+
+    service_name = "stopping"
+
+    def __init__(self, settings: RouterSettings) -> None:
+        super().__init__()
+        self.settings = settings
+        self.started_at: float | None = None
+        self.ended = False
+
+    def on_start(self) -> None:
+        """Find the services that take part."""
+        find = self.app.find
+        self.gateway = find("gateway")
+        self.receiver = find("receiver")
+        self.readiness = find("readiness")
+        self.entry = find("entry")
+        self.target = find("local_target")
+        self.members = find("members")
+
+    @handler("signal", channel="*")
+    def on_signal(self, event: Any, signal_number: int, _frame: Any) -> None:
+        """Begin the stop; a second signal changes nothing."""
+        event.stop()
+        if signal_number == signal.SIGHUP:
+            log_events.emit(events.ReloadAsked(version=self.gateway.table.version))
+        elif self not in self.app.started_services:
+            self.app.shutdown(0)
+        elif self.started_at is None:
+            self.begin()
+
+    def begin(self) -> None:
+        """Deny readiness, and let other daemons choose other targets."""
+        self.started_at = self.app.clock.monotonic()
+        in_flight = len(self.gateway.flights) + len(self.receiver.jobs)
+        log_events.emit(log_events.Stopping(reason="signal", in_flight=in_flight))
+        self.readiness.stopping = True
+        self.receiver.stopping = True
+        self.gateway.stopping = True
+        if self.target.state is TargetState.ABSENT or self.target.report.life in self.target.left_lives:
+            self.members.leave(lambda: None)
+        self.app.scheduler.every(STEP_SECONDS, self.step)
+
+    def step(self) -> None:
+        """End when nothing is under way, or when the time is over."""
+        if self.ended:
+            return
+        elapsed = self.app.clock.monotonic() - self.started_at
+        last = elapsed > self.settings.grace - END_MARGIN_SECONDS
+        busy = self.gateway.busy or self.receiver.busy or self.entry.unanswered
+        if last or (elapsed > READINESS_SECONDS and not busy):
+            self.ended = True
+            log_events.emit(
+                log_events.Stopped(
+                    duration_ms=round(elapsed * 1000), slices_left=0, in_flight=len(self.gateway.flights)
+                )
+            )
+            self.app.shutdown(0)
--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -38,12 +38,30 @@
 
 
 class HttpClient(Service):
-    """Sends requests and matches the answers to them."""
+    """Sends requests and matches the answers to them.
+
+    Parameters
+    ----------
+    id_header : str
+        Header, in lower case, by which an answer names its request.
+    skips_other_answers : bool
+        Whether an answer to another request is dropped and the next one awaited, instead of being a failure.
+    accepts_unframed : bool
+        Whether an answer without a length is complete when the peer ends the connection without a reset.
+    """
 
     service_name = "http_client"
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        id_header: str = REQUEST_ID_HEADER,
+        skips_other_answers: bool = False,
+        accepts_unframed: bool = False,
+    ) -> None:
         super().__init__()
+        self.id_header = id_header
+        self.skips_other_answers = skips_other_answers
+        self.accepts_unframed = accepts_unframed
         self.pools: dict[str, Pool] = {}
         self.connections: dict[socket.socket, Connection] = {}
         self.pending: set[HttpExchange] = set()
@@ -60,6 +78,7 @@
         timeout: float,
         callback: HttpCallback,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        host: str | None = None,
     ) -> HttpExchange:
         """Send a request.
 
@@ -73,6 +92,8 @@
             Gets the result once, never before this method returns.
         max_connections : int
             Limit for this address; requests beyond it wait.
+        host : str, optional
+            Host header; the address when not given.
 
         Raises
         ------
@@ -85,9 +106,9 @@
             raise InvalidArgument(name="max_connections", value=max_connections, expected="at least 1")
         pool = self.pools.get(address) or self.add_pool(address)
         pool.max_connections = max_connections
-        payload = encode_request(address, method, path, headers, body)
+        payload = encode_request(address, method, path, headers, body, host)
         deadline = self.app.clock.monotonic() + timeout
-        request_id = headers.get(REQUEST_ID_HEADER)
+        request_id = headers.get(self.id_header)
         exchange = HttpExchange(self, pool, payload, request_id, method == "HEAD", deadline, callback)
         self.pending.add(exchange)
         if deadline < self.sweep_due:
@@ -117,6 +138,8 @@
 
     def is_stale(self, connection: Connection) -> bool:
         """Tell whether the peer closed, or wrote to, an idle connection without the poller's notice yet."""
+        if self.app.clock.monotonic() >= connection.expires_at:
+            return True
         try:
             connection.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -211,7 +234,11 @@
         except BlockingIOError:
             return
         except OSError:
-            data = b""
+            self.connection_lost(connection)
+            return
+        if not data and self.accepts_unframed and connection.ends_with_connection:
+            self.finish(connection)
+            return
         if not data or connection.exchange is None:
             # Data on an idle connection answers nothing that was asked.
             self.connection_lost(connection)
@@ -241,6 +268,7 @@
         else:
             connection.exchange = None
             connection.reused = True
+            connection.expires_at = self.app.clock.monotonic() + connection.idle_seconds()
             connection.reset()
             self.release(connection)
         self.deliver(exchange, Success(response))
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -22,6 +22,8 @@
 DEFAULT_MAX_CONNECTIONS = 64
 # Headers that the client sets; a second one would let the peer read another request than was sent.
 OWN_HEADERS = frozenset(("host", "content-length", "transfer-encoding"))
+# An idle connection is not used again later than this share of the time that the peer keeps it open.
+KEEP_ALIVE_SHARE = 0.8
 # A peer that repeats this header lets the client tell an answer from a late one to an earlier request.
 REQUEST_ID_HEADER = "x-hibiscusdrum-request-id"
 NO_LENGTH = -1
@@ -165,6 +167,7 @@
         "connecting",
         "declared",
         "exchange",
+        "expires_at",
         "head_bytes",
         "headers",
         "keep_alive",
@@ -172,6 +175,7 @@
         "pool",
         "received",
         "reused",
+        "skipping",
         "sock",
         "started",
         "unsent",
@@ -186,6 +190,7 @@
         self.unsent: memoryview | None = None
         self.reused = False
         self.broken = False
+        self.expires_at = float("inf")
         self.reset()
 
     def reset(self) -> None:
@@ -199,6 +204,7 @@
         self.started = False
         self.complete = False
         self.keep_alive = False
+        self.skipping = False
 
     def on_message_begin(self) -> None:
         """Note the start of an answer; one after the answer that was asked for ends the parsing."""
@@ -220,8 +226,12 @@
 
     def on_headers_complete(self) -> None:
         """Note the declared length; the parser has already refused one that is not a number."""
-        if self.headers.get(REQUEST_ID_HEADER, self.exchange.request_id) != self.exchange.request_id:
-            raise httptools.HttpParserError("answer to another request")
+        client = self.exchange.client
+        if self.headers.get(client.id_header, self.exchange.request_id) != self.exchange.request_id:
+            if not client.skips_other_answers:
+                raise httptools.HttpParserError("answer to another request")
+            self.skipping = True
+            return
         length = self.headers.get("content-length")
         if length is not None:
             self.declared = int(length.partition(",")[0])
@@ -245,13 +255,27 @@
 
     def on_message_complete(self) -> None:
         """Note the end of an answer; informational answers precede the real one."""
-        if self.parser.get_status_code() in INFORMATIONAL:
+        if self.skipping or self.parser.get_status_code() in INFORMATIONAL:
             self.reset()
             return
         self.complete = True
         # The parser forgets the headers after this call, and would then always say no.
         self.keep_alive = self.parser.should_keep_alive()
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether an answer has begun whose body has no declared end."""
+        chunked = "transfer-encoding" in self.headers
+        return self.started and bool(self.headers) and self.declared == NO_LENGTH and not chunked
+
+    def idle_seconds(self) -> float:
+        """Return how long the peer keeps the connection open, or infinity when it does not say."""
+        for part in self.headers.get("keep-alive", "").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdecimal():
+                return float(value) * KEEP_ALIVE_SHARE
+        return float("inf")
+
     def response(self) -> HttpResponse:
         """Return the answer received."""
         body = self.body if self.chunks is None else b"".join(self.chunks)
@@ -277,8 +301,10 @@
     return host, number
 
 
-def encode_request(address: str, method: str, path: str, headers: dict[str, str], body: bytes) -> bytes:
-    """Return the bytes of a request.
+def encode_request(
+    address: str, method: str, path: str, headers: dict[str, str], body: bytes, host: str | None = None
+) -> bytes:
+    """Return the bytes of a request; ``host`` is the address when not given.
 
     Raises
     ------
@@ -289,7 +315,7 @@
         raise InvalidArgument(
             name="headers", value=sorted(headers), expected=f"none of {sorted(OWN_HEADERS)}"
         )
-    lines = [f"{method} {path} HTTP/1.1", f"host: {address}"]
+    lines = [f"{method} {path} HTTP/1.1", f"host: {host or address}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"content-length: {len(body)}\r\n\r\n")
     head = "\r\n".join(lines)
--- a/src/hibiscusdrum/internal/transport/peer.py
+++ b/src/hibiscusdrum/internal/transport/peer.py
@@ -14,6 +14,17 @@
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 500
+# A connection that has gone silent without a reset is noticed within the two times together.
+HEARTBEAT_INTERVAL_MS = 500
+HEARTBEAT_TIMEOUT_MS = 1200
+
+
+def detect_silence(socket: zmq.Socket) -> None:
+    """Let ZeroMQ end connections whose peer no longer answers."""
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    socket.setsockopt(zmq.TCP_MAXRT, HEARTBEAT_TIMEOUT_MS)
+    socket.setsockopt(zmq.CONNECT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
 
 
 class Peer:
@@ -34,6 +45,7 @@
         self.socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         self.socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         self.socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        detect_silence(self.socket)
         self.socket.connect(f"tcp://{address}")
 
     def try_send(self, frames: list[bytes]) -> bool:
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -23,6 +23,7 @@
     REQUEST_KIND,
     SEND_QUEUE_MESSAGES,
     Peer,
+    detect_silence,
 )
 
 # Messages read from one socket before the loop turns to other work, so that a flood cannot delay renewals.
@@ -90,6 +91,7 @@
         router.setsockopt(zmq.LINGER, 0)
         router.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         router.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        detect_silence(router)
         try:
             router.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
--- /dev/null
+++ b/src/hibiscusdrum/platform/boot.py
@@ -0,0 +1,88 @@
+"""Settings file of the platform: lines ``a.b=value``, decoded into the router's settings."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from hibiscusdrum.errors import InvalidSettings
+from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.settings import Problem
+
+BOOT_VARIABLE = "HIBISCUSDRUM_BOOT"
+# Ports of the range that the platform leaves to us, counted from its start.
+PEER_PORT_OFFSET = 0
+METRICS_PORT_OFFSET = 1
+
+
+def read_boot_file(path: str) -> dict[str, str]:
+    """Return the lines of a settings file by name.
+
+    Raises
+    ------
+    InvalidSettings
+        If the file cannot be read.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = Problem(BOOT_VARIABLE, path, f"a readable file ({error})")
+        raise InvalidSettings(problems=(problem,)) from error
+    values = {}
+    for line in text.splitlines():
+        name, separator, value = line.strip().partition("=")
+        if separator and not name.startswith("#"):
+            values[name.strip()] = value.strip()
+    return values
+
+
+def router_settings(values: dict[str, str]) -> RouterSettings:
+    """Translate the platform's settings.
+
+    Raises
+    ------
+    InvalidSettings
+        If a value is missing or malformed; all of them are named.
+    """
+    problems: list[Problem] = []
+    bounds = dict(part.partition("=")[::2] for part in values.get("bounds", "").split(",") if "=" in part)
+
+    def number(source: dict[str, str], name: str, default: float) -> float:
+        text = source.get(name, "")
+        try:
+            return float(text) if text else default
+        except ValueError:
+            problems.append(Problem(name, text, "a number"))
+            return default
+
+    ports = values.get("portRange", "").partition(",")[0]
+    if not ports.isdecimal():
+        problems.append(Problem("portRange", values.get("portRange", "(missing)"), "two ports"))
+        ports = "1"
+    ip = values.get("ip", "")
+    settings = RouterSettings(
+        node=values.get("node", ""),
+        region=values.get("region", ""),
+        failure_domain=values.get("zone", ""),
+        service=values.get("service", ""),
+        target_address=values.get("appAddr", ""),
+        caller_address=values.get("listen.outbound", ""),
+        ready_address=values.get("listen.ready", ""),
+        target_control_address=values.get("listen.control", ""),
+        peer_address=f"{ip}:{int(ports) + PEER_PORT_OFFSET}",
+        metrics_address=f"{ip}:{int(ports) + METRICS_PORT_OFFSET}",
+        store_address=values.get("provider.addr", ""),
+        heartbeat=number(values, "heartbeatS", 1.0),
+        longest_hold=number(bounds, "holdMaxS", 10.0),
+        grace=number(bounds, "graceS", 6.0),
+        drain=number(bounds, "drainS", 2.5),
+        retry_ratio=number(bounds, "budgetRatio", 0.2),
+        retry_slack=number(bounds, "budgetSlack", 60.0),
+        retry_window=number(bounds, "budgetWindowS", 10.0),
+    )
+    try:
+        settings.checked()
+    except InvalidSettings as error:
+        problems.extend(error.problems)
+    if problems:
+        raise InvalidSettings(problems=tuple(problems))
+    return settings
--- /dev/null
+++ b/src/hibiscusdrum/platform/operator.py
@@ -0,0 +1,159 @@
+"""What the operator writes to the store: the configuration, and failure domains that are to be emptied."""
+
+from __future__ import annotations
+
+import base64
+import random
+from typing import Any
+
+import msgspec
+from returns.result import Result, Success
+
+from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.routes import EntryLimits, RequestKind, Route, RouteTable, ServiceSpec
+from hibiscusdrum.platform.store import OPERATOR_TABLE, StoreClient, WireRow, WireRows
+
+CONFIG_KEY = "config"
+EVACUATE_PREFIX = "evacuate/"
+RETRY_SECONDS = 0.2
+MAX_RETRY_SECONDS = 1.0
+DEFAULT_PRIORITY = 1
+
+
+class Columns(msgspec.Struct, frozen=True):
+    """A table: names of the fields, and a list of values for each entry."""
+
+    columns: tuple[str, ...]
+    records: tuple[tuple[Any, ...], ...]
+
+    def entries(self) -> list[dict[str, Any]]:
+        """Return the entries by field name, without those left out."""
+        return [
+            {name: value for name, value in zip(self.columns, record, strict=False) if value is not None}
+            for record in self.records
+        ]
+
+
+class WireConfig(msgspec.Struct, frozen=True):
+    """The configuration on the wire; ``version`` is ``r`` and a number."""
+
+    version: str
+    routes: Columns
+    services: Columns
+    limits: dict[str, Any] = {}
+
+
+def decode_config(data: bytes) -> RouteTable:
+    """Translate a configuration.
+
+    Raises
+    ------
+    InvalidArgument
+        If it cannot be read.
+    """
+    try:
+        wire = msgspec.json.decode(data, type=WireConfig)
+        return RouteTable.build(
+            int(wire.version.removeprefix("r")),
+            [decode_route(entry) for entry in wire.routes.entries()],
+            [decode_service(entry) for entry in wire.services.entries()],
+            decode_limits(wire.limits),
+        )
+    except (msgspec.DecodeError, ValueError, KeyError, TypeError) as error:
+        raise InvalidArgument(name="configuration", value=data[:64], expected=str(error)) from error
+
+
+def decode_route(entry: dict[str, Any]) -> Route:
+    """Translate a route; ``backends`` holds services with weights, not targets."""
+    parts = entry.get("backends") or [{"service": entry["service"], "weight": 1}]
+    return Route(
+        name=entry["name"],
+        host=entry["host"],
+        prefix=entry["prefix"],
+        kind=RequestKind(entry["kind"]),
+        services=tuple((part["service"], float(part["weight"])) for part in parts),
+        timeout=float(entry.get("timeoutS", 0.0)),
+        latency_goal=float(entry.get("goalS", 0.0)),
+        priority=int(entry.get("priority", DEFAULT_PRIORITY)),
+        attempts=int(entry.get("attempts", 1)),
+        regions=tuple(entry.get("allowedRegions", ())),
+    )
+
+
+def decode_service(entry: dict[str, Any]) -> ServiceSpec:
+    """Translate a service."""
+    return ServiceSpec(
+        name=entry["name"],
+        health_path=entry.get("healthPath", "/healthz"),
+        max_connections=int(entry.get("maxConns", 64)),
+        warmup=float(entry.get("warmupS", 0.0)),
+        cold_rate=float(entry.get("warmupPerS", 0.0)),
+        partitioned=bool(entry.get("partitioned", False)),
+    )
+
+
+def decode_limits(entry: dict[str, Any]) -> EntryLimits:
+    """Translate the limits on callers."""
+    default = EntryLimits()
+    return EntryLimits(
+        max_head_bytes=int(entry.get("maxHeaderBytes", default.max_head_bytes)),
+        max_body_bytes=int(entry.get("maxBodyBytes", default.max_body_bytes)),
+        head_timeout=float(entry.get("headerTimeoutS", default.head_timeout)),
+        idle_timeout=float(entry.get("idleTimeoutS", default.idle_timeout)),
+    )
+
+
+class OperatorRows(Service):
+    """Follows the operator's rows and puts them in force."""
+
+    service_name = "operator_rows"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.seq = 0
+        self.failures = 0
+        self.evacuated: set[str] = set()
+        self.rng = random.Random()
+
+    def on_start(self) -> None:
+        """Read the rows."""
+        self.store: StoreClient = self.app.find("table")
+        self.gateway = self.app.find("gateway")
+        self.members = self.app.find("members")
+        self.read()
+
+    def read(self) -> None:
+        """Wait for the next change."""
+        whole = self.seq == 0
+        self.store.follow(OPERATOR_TABLE, self.seq, lambda result: self.on_rows(result, whole))
+
+    def on_rows(self, result: Result[WireRows, HibiscusdrumError], whole: bool) -> None:
+        """Put changed rows in force."""
+        if not isinstance(result, Success):
+            self.failures += 1
+            longest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2.0 ** min(self.failures, 5))
+            self.app.scheduler.call_later(longest * (0.5 + 0.5 * self.rng.random()), self.read)
+            return
+        rows = result.unwrap()
+        self.failures = 0
+        self.seq = max(self.seq, rows.ver)
+        if whole:
+            self.evacuated.clear()
+        for row in rows.records:
+            self.apply(row)
+        self.members.set_evacuated(frozenset(self.evacuated))
+        self.read()
+
+    def apply(self, row: WireRow) -> None:
+        """Take over one row."""
+        if row.key.startswith(EVACUATE_PREFIX):
+            failure_domain = row.key[len(EVACUATE_PREFIX) :]
+            (self.evacuated.discard if row.deleted else self.evacuated.add)(failure_domain)
+        elif row.key == CONFIG_KEY and not row.deleted:
+            try:
+                self.gateway.set_table(decode_config(base64.b64decode(row.value)))
+            except (ValueError, InvalidArgument) as error:
+                log_events.emit(events.RowUnreadable(what="configuration", reason=str(error)[:200]))
--- /dev/null
+++ b/src/hibiscusdrum/platform/store.py
@@ -0,0 +1,292 @@
+"""Client of the platform's store, with the interface of the product's table.
+
+Rows whose key begins with ``lease/`` lie in a table of their own, which ``changes`` leaves out: they are
+rewritten every few seconds, and nobody follows them.
+"""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from hibiscusdrum.errors import HibiscusdrumError, StoreConflict, StoreUnavailable
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.platform.table import (
+    Changes,
+    ChangesCallback,
+    CommitCallback,
+    ReadCallback,
+    Row,
+    Transaction,
+)
+from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.transport.http_client import HttpClient
+from hibiscusdrum.internal.transport.http_connection import HttpFailure, HttpResponse
+
+TABLE = "hibiscusdrum"
+LEASE_TABLE = "hibiscusdrum-lease"
+LEASE_PREFIX = "lease/"
+OPERATOR_TABLE = "op"
+# Time for one call in seconds; answers usually take 4 ms, and 0.2 s when the store is slow.
+CALL_SECONDS = 1.5
+# A change is awaited this long, and its answer for a little longer. A connection that went silent without a
+# reset is noticed after both.
+FEED_SECONDS = 3.0
+FEED_SLACK_SECONDS = 1.0
+PAGE_ROWS = 500
+STORE_CONNECTIONS = 16
+OK = 200
+GONE = 410
+CONFLICT = 412
+JSON_HEADERS = {"content-type": "application/json"}
+
+
+class WireRow(msgspec.Struct, frozen=True):
+    """A row on the wire; ``ver`` is the number of the transaction that wrote it."""
+
+    key: str
+    ver: int = 0
+    value: str = ""
+    deleted: bool = False
+
+
+class WireRows(msgspec.Struct, frozen=True):
+    """An answer with rows; ``ver`` is the newest version of the whole store."""
+
+    records: tuple[WireRow, ...] = ()
+    ver: int = 0
+    hasMore: bool = False  # noqa: N815 - name on the wire
+    serverTimeS: float = 0.0  # noqa: N815 - name on the wire
+
+
+class WireCommitted(msgspec.Struct, frozen=True):
+    """The answer to a transaction."""
+
+    ver: int
+    serverTimeS: float = 0.0  # noqa: N815 - name on the wire
+
+
+rows_decoder = msgspec.json.Decoder(WireRows)
+committed_decoder = msgspec.json.Decoder(WireCommitted)
+RowsCallback = Callable[[Result[WireRows, HibiscusdrumError]], None]
+
+
+def table_of(key: str) -> str:
+    """Return the platform's table in which a row lies."""
+    return LEASE_TABLE if key.startswith(LEASE_PREFIX) else TABLE
+
+
+def decode_row(row: WireRow, decode: Callable[[bytes], Any] = msgspec.json.decode) -> Row:
+    """Return a row of the product; its value is None when it was deleted or cannot be read."""
+    if row.deleted:
+        return Row(row.key, row.ver, None)
+    try:
+        return Row(row.key, row.ver, decode(base64.b64decode(row.value)))
+    except (ValueError, msgspec.DecodeError) as error:
+        log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)[:120]))
+        return Row(row.key, row.ver, None)
+
+
+class StoreClient(Service):
+    """The product's table on the platform's store.
+
+    Attributes
+    ----------
+    stamp : float
+        Newest time on the store's clock, in seconds, that an answer bore.
+    on_stamp : callable or None
+        Told when a request was sent and which time its answer bore.
+    """
+
+    service_name = "table"
+
+    def __init__(self, address: str) -> None:
+        super().__init__()
+        self.address = address
+        self.stamp = 0.0
+        self.on_stamp: Callable[[float, float], None] | None = None
+
+    def on_start(self) -> None:
+        """Find the HTTP client."""
+        self.http: HttpClient = self.app.find("http_client")
+
+    # Product's interface
+
+    def read(self, keys: tuple[str, ...], callback: ReadCallback) -> None:
+        """Read rows by key; all keys lie in one table."""
+        wanted = set(keys)
+
+        def done(result: Result[WireRows, HibiscusdrumError]) -> None:
+            if isinstance(result, Success):
+                rows = [decode_row(row) for row in result.unwrap().records if row.key in wanted]
+                callback(Success({row.key: row for row in rows}))
+            else:
+                callback(Failure(result.failure()))
+
+        self.read_all(table_of(keys[0]), min(keys), max(keys) + "\0", done)
+
+    def changes(self, since: int, callback: ChangesCallback) -> None:
+        """Read the rows written after a version, waiting for some; 0 reads all."""
+
+        def done(result: Result[WireRows, HibiscusdrumError]) -> None:
+            if isinstance(result, Success):
+                answer = result.unwrap()
+                callback(Success(Changes(answer.ver, tuple(decode_row(row) for row in answer.records))))
+            else:
+                callback(Failure(result.failure()))
+
+        self.follow(TABLE, since, done)
+
+    def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
+        """Write conditionally; reason ``unknown`` means that the write may still take effect."""
+        body = {
+            "expect": [
+                {"table": table_of(key), "part": "", "key": key, "ver": version}
+                for key, version in transaction.checks.items()
+            ],
+            "write": [
+                {"table": table_of(key), "part": "", "key": key, "value": encode_value(value)}
+                for key, value in transaction.puts.items()
+            ],
+            "delete": [{"table": table_of(key), "part": "", "key": key} for key in transaction.deletes],
+        }
+        keys = tuple(transaction.checks)
+
+        def done(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+            if not isinstance(result, Success):
+                callback(Failure(result.failure()))
+                return
+            response = result.unwrap()
+            if response.status == CONFLICT:
+                callback(Failure(StoreConflict(keys=keys)))
+                return
+            try:
+                committed = committed_decoder.decode(response.body)
+            except msgspec.DecodeError:
+                callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
+                return
+            callback(Success(committed.ver))
+
+        self.call("commit", "POST", "/rows-tx", msgspec.json.encode(body), CALL_SECONDS, done)
+
+    # The platform's calls
+
+    def read_all(self, table: str, first: str, last: str, callback: RowsCallback) -> None:
+        """Read the rows of a table between two keys, the last one excluded, page by page."""
+        collected: list[WireRow] = []
+        newest = 0
+
+        def page(start: str) -> None:
+            query = {"table": table, "part": "", "maxItems": PAGE_ROWS}
+            if start:
+                query["from"] = start
+            if last:
+                query["to"] = last
+            self.call("read", "GET", f"/rows-get?{urlencode(query)}", b"", CALL_SECONDS, done)
+
+        def done(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+            nonlocal newest
+            answer = self.rows("read", result)
+            if not isinstance(answer, Success):
+                callback(answer)
+                return
+            rows = answer.unwrap()
+            # Rows written between two pages are read again by the next wait for changes.
+            newest = newest or rows.ver
+            collected.extend(rows.records)
+            if rows.hasMore and rows.records:
+                page(rows.records[-1].key + "\0")
+            else:
+                callback(Success(WireRows(tuple(collected), newest)))
+
+        page(first)
+
+    def follow(self, table: str, since: int, callback: RowsCallback) -> None:
+        """Wait for changes after a version; read everything when there is none or it is too old."""
+        if since <= 0:
+            self.read_all(table, "", "", callback)
+            return
+        query = urlencode({"table": table, "after": since, "blockMs": int(FEED_SECONDS * 1000)})
+
+        def done(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+            if isinstance(result, Success) and result.unwrap().status == GONE:
+                self.read_all(table, "", "", callback)
+            else:
+                callback(self.rows("changes", result))
+
+        path = f"/rows-feed?{query}"
+        self.call("changes", "GET", path, b"", FEED_SECONDS + FEED_SLACK_SECONDS, done, (GONE,))
+
+    def rows(
+        self, operation: str, result: Result[HttpResponse, HibiscusdrumError]
+    ) -> Result[WireRows, HibiscusdrumError]:
+        """Decode an answer with rows."""
+        if not isinstance(result, Success):
+            return Failure(result.failure())
+        try:
+            return Success(rows_decoder.decode(result.unwrap().body))
+        except msgspec.DecodeError as error:
+            log_events.emit(events.RowUnreadable(what=operation, reason=str(error)[:120]))
+            return Failure(StoreUnavailable(operation=operation, reason="unreadable"))
+
+    def call(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout: float,
+        callback: Callable[[Result[HttpResponse, HibiscusdrumError]], None],
+        accepted: tuple[int, ...] = (CONFLICT,),
+    ) -> None:
+        """Send one call; other answers than 200 and those accepted are failures."""
+        sent_at = self.app.clock.monotonic()
+
+        def done(result: Result[HttpResponse, HttpFailure]) -> None:
+            if isinstance(result, Success):
+                response = result.unwrap()
+                if response.status == OK or response.status in accepted:
+                    self.note_stamp(sent_at, response.body)
+                    callback(Success(response))
+                    return
+                # The store has done nothing when it answers so.
+                reason = f"status_{response.status}"
+            else:
+                failure = result.failure()
+                reason = "unknown" if failure.bytes_sent else "refused"
+            took = self.app.clock.monotonic() - sent_at
+            log_events.emit(
+                events.StoreCallFailed(operation=operation, reason=reason, took_ms=round(took * 1000))
+            )
+            callback(Failure(StoreUnavailable(operation=operation, reason=reason)))
+
+        headers = JSON_HEADERS if body else {}
+        self.http.request(self.address, method, path, headers, body, timeout, done, STORE_CONNECTIONS)
+
+    def note_stamp(self, sent_at: float, body: bytes) -> None:
+        """Note the store's clock."""
+        try:
+            stamp = msgspec.json.decode(body, type=Stamped).serverTimeS
+        except msgspec.DecodeError:
+            return
+        if stamp:
+            self.stamp = max(self.stamp, stamp)
+            if self.on_stamp is not None:
+                self.on_stamp(sent_at, stamp)
+
+
+class Stamped(msgspec.Struct, frozen=True):
+    """The part of each answer that bears the store's clock."""
+
+    serverTimeS: float = 0.0  # noqa: N815 - name on the wire
+
+
+def encode_value(value: Any) -> str:
+    """Return a row's value as it is sent."""
+    return base64.b64encode(msgspec.json.encode(value)).decode()
