--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -36,8 +36,9 @@
 # Times that a request for a key whose owner has just changed is tried again, and the wait in seconds.
 MOVED_TRIES = 3
 MOVED_WAIT_SECONDS = 0.08
-# Share of the service's retry budget that all nodes together use.
-BUDGET_SHARE = 0.5
+# Share of the service's budget of repeats that the router uses itself. A repeated run also repeats the calls that
+# its target makes, which count at the called service.
+BUDGET_SHARE = 0.3
 MOVED_REASONS = frozenset(("not_owner", "misdirected"))
 SERVER_ERRORS = (500, 502, 503)
 
@@ -116,6 +117,7 @@
         self.flights: set[Flight] = set()
         self.budgets: dict[str, RetryBudget] = {}
         self.stopping = False
+        self.closed = False
 
     def on_start(self) -> None:
         """Listen for callers."""
@@ -128,12 +130,17 @@
         self.entry: HttpEntry = find("entry")
         self.entry.listen(self.settings.caller_address, self.on_request)
 
+    def close(self) -> None:
+        """Refuse new requests and connections, because the process ends when those under way have ended."""
+        self.closed = True
+        self.entry.stop_listening(self.settings.caller_address)
+
     def set_table(self, table: RouteTable) -> None:
         """Put a configuration in force; an older one changes nothing."""
         if table.version <= self.table.version:
             return
         former, self.table = self.table, table
-        self.receiver.table = table
+        self.receiver.set_table(table)
         self.entry.limits = table.limits
         self.owner.set_partitioned(self.settings.service in table.partitioned)
         log_events.emit(
@@ -149,8 +156,8 @@
     def on_request(self, request: EntryRequest) -> None:
         """Find the route of a request and send it on its way."""
         now = self.app.clock.monotonic()
-        if self.table.version == 0:
-            self.refuse_early(request, 503, "no_configuration")
+        if self.table.version == 0 or self.closed:
+            self.refuse_early(request, 503, "stopping" if self.closed else "no_configuration")
             return
         route = self.table.find(request.header("host") or "", request.target)
         if route is None:
@@ -202,7 +209,7 @@
         headers = [(self.names.attempt_id, attempt_id)] if attempt_id else []
         if status == 503:
             headers.append(("retry-after", f"{RETRY_SECONDS:.3f}"))
-        request.respond(status, headers)
+        request.respond(status, headers, close=self.closed)
 
     # Placing
 
@@ -345,15 +352,14 @@
     def budget(self, service: str) -> RetryBudget:
         """Return the budget of requests that are sent to a second target."""
         budget = self.budgets.get(service)
+        settings = self.settings
+        # All nodes draw on one budget, and each knows only its own repeats.
+        slack = settings.retry_slack * BUDGET_SHARE / max(1, len(self.members.nodes))
         if budget is None:
-            settings = self.settings
-            nodes = max(1, len(self.members.nodes))
-            rate = settings.retry_slack / settings.retry_window / nodes
-            budget = self.budgets[service] = RetryBudget(
-                ratio=min(1.0, settings.retry_ratio * BUDGET_SHARE),
-                burst=max(1.0, settings.retry_slack * BUDGET_SHARE / nodes),
-                minimum_rate=rate * BUDGET_SHARE,
-            )
+            ratio = min(1.0, settings.retry_ratio * BUDGET_SHARE)
+            budget = self.budgets[service] = RetryBudget(ratio=ratio, burst=max(1.0, slack))
+        budget.burst = max(1.0, slack)
+        budget.minimum_rate = slack / settings.retry_window
         return budget
 
     # Final answers
@@ -446,6 +452,7 @@
         super().__init__()
         self.settings = settings
         self.stopping = False
+        self.closed = False
 
     def on_start(self) -> None:
         """Listen for the question."""
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -24,7 +24,7 @@
 RETRY_SECONDS = 0.3
 # Wait after a failed read of the rows, at first and at most.
 FAILED_READ_SECONDS = 0.2
-MAX_FAILED_READ_SECONDS = 1.0
+MAX_FAILED_READ_SECONDS = 0.5
 
 RowListener = Callable[[Row], None]
 
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -76,7 +76,9 @@
     parked : list of Job
         Requests for keys that the target is about to be given.
     stopping : bool
-        Whether the process ends soon; shared services are then refused.
+        Whether the process ends soon; requests that other targets may serve are then refused.
+    closed : bool
+        Whether all new requests are refused, so that the process can end.
     """
 
     service_name = "receiver"
@@ -89,6 +91,7 @@
         self.jobs: dict[bytes, Job] = {}
         self.parked: list[Job] = []
         self.stopping = False
+        self.closed = False
         self.table: RouteTable | None = None
         self.target_headers = {names.attempt_id, names.deadline_ms, names.expected_target, names.caller}
 
@@ -139,10 +142,14 @@
 
     def on_cold(self, seconds: float) -> None:
         """Limit the rate while the target is cold."""
-        spec = self.table.services.get(self.settings.service) if self.table is not None else None
-        self.admission.cold.rate = spec.cold_rate if spec is not None else 0.0
         self.admission.cold.until = self.now + seconds
 
+    def set_table(self, table: RouteTable) -> None:
+        """Take over what a cold target bears, also when it became cold before the table was known."""
+        self.table = table
+        spec = table.services.get(self.settings.service)
+        self.admission.cold.rate = spec.cold_rate if spec is not None else 0.0
+
     def on_target(self) -> None:
         """Follow the target's slots, and refuse what waits for a target that takes nothing."""
         report = self.target.report
@@ -196,6 +203,8 @@
             return "other_service"
         if self.evacuated:
             return "evacuated"
+        if self.closed:
+            return "stopping"
         if self.target.state is not TargetState.READY:
             return f"target_{self.target.state.value}"
         if forward.key >= 0:
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -16,6 +16,8 @@
 STEP_SECONDS = 0.05
 # Callers send new requests until readiness has been denied twice, a second apart.
 READINESS_SECONDS = 2.3
+# From then on new requests are refused, so that those under way can end before the process is killed.
+REFUSE_SECONDS = 2.3
 # Kept free before the process is killed, in seconds.
 END_MARGIN_SECONDS = 0.4
 
@@ -69,6 +71,9 @@
         if self.ended:
             return
         elapsed = self.app.clock.monotonic() - self.started_at
+        if elapsed > REFUSE_SECONDS and not self.gateway.closed:
+            self.gateway.close()
+            self.receiver.closed = True
         last = elapsed > self.settings.grace - END_MARGIN_SECONDS
         busy = self.gateway.busy or self.receiver.busy or self.entry.unanswered
         if last or (elapsed > READINESS_SECONDS and not busy):
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -510,12 +510,12 @@
         """Requests that were read and have no answer yet, and answers still being written."""
         return sum(len(entry.pending) + bool(entry.out) for entry in self.connections.values())
 
-    def stop_listening(self) -> None:
-        """Refuse new connections; open ones go on."""
-        for sock in self.listeners:
+    def stop_listening(self, address: str | None = None) -> None:
+        """Refuse new connections on one address, or on all; open ones go on."""
+        for sock in [sock for sock, bound in self.listeners.items() if address in (None, bound)]:
             self.app.poller.discard(sock)
             sock.close()
-        self.listeners.clear()
+            del self.listeners[sock]
 
     def on_stop(self) -> None:
         """Close all sockets."""
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -19,7 +19,7 @@
 CONFIG_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
 RETRY_SECONDS = 0.2
-MAX_RETRY_SECONDS = 1.0
+MAX_RETRY_SECONDS = 0.5
 DEFAULT_PRIORITY = 1
 
 
@@ -113,7 +113,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.seq = 0
+        self.seq: int | None = None
         self.failures = 0
         self.evacuated: set[str] = set()
         self.rng = random.Random()
@@ -127,7 +127,7 @@
 
     def read(self) -> None:
         """Wait for the next change."""
-        whole = self.seq == 0
+        whole = self.seq is None
         self.store.follow(OPERATOR_TABLE, self.seq, lambda result: self.on_rows(result, whole))
 
     def on_rows(self, result: Result[WireRows, HibiscusdrumError], whole: bool) -> None:
@@ -139,7 +139,7 @@
             return
         rows = result.unwrap()
         self.failures = 0
-        self.seq = max(self.seq, rows.ver)
+        self.seq = max(self.seq or 0, rows.ver)
         if whole:
             self.evacuated.clear()
         for row in rows.records:
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -36,9 +36,11 @@
 # Time for one call in seconds; answers usually take 4 ms, and 0.2 s when the store is slow.
 CALL_SECONDS = 1.5
 # A change is awaited this long, and its answer for a little longer. A connection that went silent without a
-# reset is noticed after both.
+# reset is noticed after both, in time for the 4 s after which the platform expects a node to be up to date.
 FEED_SECONDS = 3.0
-FEED_SLACK_SECONDS = 1.0
+FEED_SLACK_SECONDS = 0.5
+# After a failure the store is asked without waiting, so that its return is noticed within this time.
+PROBE_SECONDS = 0.6
 PAGE_ROWS = 500
 STORE_CONNECTIONS = 16
 OK = 200
@@ -110,6 +112,8 @@
         super().__init__()
         self.address = address
         self.stamp = 0.0
+        self.failing: set[str] = set()
+        self.read_once = False
         self.on_stamp: Callable[[float, float], None] | None = None
 
     def on_start(self) -> None:
@@ -137,11 +141,12 @@
         def done(result: Result[WireRows, HibiscusdrumError]) -> None:
             if isinstance(result, Success):
                 answer = result.unwrap()
+                self.read_once = True
                 callback(Success(Changes(answer.ver, tuple(decode_row(row) for row in answer.records))))
             else:
                 callback(Failure(result.failure()))
 
-        self.follow(TABLE, since, done)
+        self.follow(TABLE, since if since or self.read_once else None, done)
 
     def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
         """Write conditionally; reason ``unknown`` means that the write may still take effect."""
@@ -207,21 +212,27 @@
 
         page(first)
 
-    def follow(self, table: str, since: int, callback: RowsCallback) -> None:
-        """Wait for changes after a version; read everything when there is none or it is too old."""
-        if since <= 0:
+    def follow(self, table: str, since: int | None, callback: RowsCallback) -> None:
+        """Wait for changes after a version; read everything when it is None or too old."""
+        if since is None:
             self.read_all(table, "", "", callback)
             return
-        query = urlencode({"table": table, "after": since, "blockMs": int(FEED_SECONDS * 1000)})
+        failing = table in self.failing
+        wait = 0.0 if failing else FEED_SECONDS
+        timeout = PROBE_SECONDS if failing else FEED_SECONDS + FEED_SLACK_SECONDS
+        query = urlencode({"table": table, "after": since, "blockMs": int(wait * 1000)})
 
         def done(result: Result[HttpResponse, HibiscusdrumError]) -> None:
-            if isinstance(result, Success) and result.unwrap().status == GONE:
-                self.read_all(table, "", "", callback)
+            if isinstance(result, Success):
+                self.failing.discard(table)
+                if result.unwrap().status == GONE:
+                    self.read_all(table, "", "", callback)
+                    return
             else:
-                callback(self.rows("changes", result))
+                self.failing.add(table)
+            callback(self.rows("changes", result))
 
-        path = f"/rows-feed?{query}"
-        self.call("changes", "GET", path, b"", FEED_SECONDS + FEED_SLACK_SECONDS, done, (GONE,))
+        self.call("changes", "GET", f"/rows-feed?{query}", b"", timeout, done, (GONE,))
 
     def rows(
         self, operation: str, result: Result[HttpResponse, HibiscusdrumError]
