Serve first what can still be on time, and refuse the rest at once while a target is saturated

Change: the queue orders by priority, then by the time left to the latency goal; requests that miss it go behind, and are refused at once while the target has been busy without a break for 0.6 s.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -94,8 +94,8 @@
         Unique among the requests of the sender.
     sent_at : float
         Steady clock of the sender in seconds; comparable only with other messages of this sender.
-    left : float
-        Seconds until the caller's deadline when the message was sent.
+    left, goal_left : float
+        Seconds until the caller's deadline, and until its answer counts as late, when the message was sent.
     key : int
         Key of a partitioned service, or -1.
     cost_class : str
@@ -108,6 +108,7 @@
     origin: str
     sent_at: float
     left: float
+    goal_left: float
     service: str
     method: str
     target: str
--- a/src/hibiscusdrum/internal/router/admission.py
+++ b/src/hibiscusdrum/internal/router/admission.py
@@ -19,11 +19,13 @@
 # Part of the expected service time that must fit between the expected start and the deadline. Requests vary
 # in length, so a full mean would refuse many that would have fitted.
 FIT_SHARE = 0.8
+# A target that was busy without a break for this long is overloaded: a burst has passed by then.
+SATURATED_SECONDS = 0.6
 SHORTEST_RETRY_SECONDS = 0.05
 LONGEST_RETRY_SECONDS = 2.0
 # Requests of a cold target are counted over this time, in seconds.
 COLD_WINDOW_SECONDS = 1.0
-# Share of the rate that a cold target bears which is used; the rest covers requests under way when it is counted.
+# Share of the rate that a cold target bears which is used; the rest covers requests under way.
 COLD_SHARE = 0.9
 
 
@@ -32,21 +34,30 @@
 
     Attributes
     ----------
-    order : tuple
-        Priority, then deadline.
-    deadline : float
-        Monotonic time in seconds after which an answer is worth nothing.
+    priority : int
+        0 is the most urgent.
+    goal, deadline : float
+        Monotonic times in seconds from which an answer counts as late, and is worth nothing.
+    cost_class : str
+        Requests of one class take about the same time.
     """
 
-    __slots__ = ("cost_class", "deadline", "item", "order", "removed")
+    __slots__ = ("cost_class", "deadline", "goal", "item", "late", "priority", "removed")
 
-    def __init__(self, item: Any, priority: int, deadline: float, cost_class: str) -> None:
+    def __init__(self, item: Any, priority: int, goal: float, deadline: float, cost_class: str) -> None:
         self.item = item
-        self.order = (priority, deadline)
+        self.priority = priority
+        self.goal = goal
         self.deadline = deadline
         self.cost_class = cost_class
+        self.late = False
         self.removed = False
 
+    @property
+    def order(self) -> tuple[int, bool, float]:
+        """Priority first; then those that can still be on time, by the time that they have left."""
+        return (self.priority, self.late, self.deadline if self.late else self.goal)
+
 
 class ColdGate:
     """Limits the requests a second to a target that has just started.
@@ -84,6 +95,9 @@
 class Admission:
     """Queue in front of one target.
 
+    Requests that can still be on time go before those that cannot. While the target has been busy without a
+    break, the latter are refused: each of them would make one more request late.
+
     Parameters
     ----------
     slots : int
@@ -93,57 +107,67 @@
     ----------
     running : int
         Requests at the target.
+    idle_at : float
+        Monotonic time in seconds at which the target last had room and nothing was queued.
     """
 
-    __slots__ = ("cold", "counter", "heap", "queued", "running", "service", "services", "slots")
+    __slots__ = ("cold", "counter", "heap", "idle_at", "queued", "running", "service", "services", "slots")
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.running = 0
         self.queued = 0
-        self.heap: list[tuple[tuple[int, float], int, Entry]] = []
+        self.heap: list[tuple[tuple[int, bool, float], int, Entry]] = []
         self.counter = itertools.count()
         self.service = FIRST_SERVICE_SECONDS
         self.services: dict[str, float] = {}
         self.cold = ColdGate()
+        self.idle_at = float("-inf")
+
+    # Estimates
 
     def expected_service(self, cost_class: str) -> float:
         """Return the mean seconds that requests of a class take at the target."""
         return self.services.get(cost_class, self.service)
 
-    def expected_wait(self, priority: int, deadline: float, now: float) -> float:
+    def expected_wait(self, order: tuple[int, bool, float], now: float) -> float:
         """Return the seconds until a request would start, by what is ahead of it."""
+        ahead = sum(1 for key, _, entry in self.heap if key <= order and not entry.removed)
+        wait = 0.0
         if now < self.cold.until and self.cold.rate > 0.0:
-            ahead = self.ahead(priority, deadline)
-            full = 0.0 if self.cold.room(now) else COLD_WINDOW_SECONDS / 2
-            wait = full + ahead / self.cold.rate
-        else:
-            wait = 0.0
-        free = self.slots - self.running
-        ahead = self.ahead(priority, deadline) - free + 1
-        return max(wait, ahead * self.service / self.slots if ahead > 0 else 0.0)
-
-    def ahead(self, priority: int, deadline: float) -> int:
-        """Return the number of queued requests that go before."""
-        order = (priority, deadline)
-        return sum(1 for key, _, entry in self.heap if key <= order and not entry.removed)
-
-    def fits(self, priority: int, deadline: float, cost_class: str, now: float) -> bool:
-        """Return whether a request can probably be answered before its deadline."""
-        wait = self.expected_wait(priority, deadline, now)
-        return now + wait + self.expected_service(cost_class) * FIT_SHARE <= deadline
-
-    def retry_after(self, priority: int, now: float) -> float:
+            wait = (0.0 if self.cold.room(now) else COLD_WINDOW_SECONDS / 2) + ahead / self.cold.rate
+        before = ahead - (self.slots - self.running) + 1
+        return max(wait, before * self.service / self.slots if before > 0 else 0.0)
+
+    def finish(self, entry: Entry, now: float) -> float:
+        """Return the expected time of a request's answer, a little early, since requests vary in length."""
+        wait = self.expected_wait(entry.order, now)
+        return now + wait + self.expected_service(entry.cost_class) * FIT_SHARE
+
+    def saturated(self, now: float) -> bool:
+        """Return whether the target has been busy for so long that the queue does not drain by itself."""
+        return self.queued > 0 and now - self.idle_at > SATURATED_SECONDS
+
+    def fits(self, entry: Entry, now: float) -> bool:
+        """Return whether a request should be queued: it can be answered, and on time in an overload."""
+        finish = self.finish(entry, now)
+        if finish > entry.goal and self.saturated(now):
+            return False
+        return finish <= entry.deadline
+
+    def retry_after(self, entry: Entry, now: float) -> float:
         """Return the seconds after which a refused request would start at once."""
-        wait = self.expected_wait(priority, float("inf"), now)
+        wait = self.expected_wait((entry.priority, True, float("inf")), now)
         return min(LONGEST_RETRY_SECONDS, max(SHORTEST_RETRY_SECONDS, wait))
 
-    def push(self, item: Any, priority: int, deadline: float, cost_class: str) -> Entry:
+    # Queue
+
+    def push(self, entry: Entry, now: float) -> None:
         """Queue a request."""
-        entry = Entry(item, priority, deadline, cost_class)
+        if not self.queued and self.running < self.slots:
+            self.idle_at = now
         heapq.heappush(self.heap, (entry.order, next(self.counter), entry))
         self.queued += 1
-        return entry
 
     def remove(self, entry: Entry) -> None:
         """Take a request out of the queue, for example when its caller has left."""
@@ -161,24 +185,38 @@
             if self.running >= self.slots or not self.cold.room(now):
                 return None
             heapq.heappop(self.heap)
+            if not entry.late and self.misses_goal(entry, now):
+                entry.late = True
+                heapq.heappush(self.heap, (entry.order, next(self.counter), entry))
+                continue
             entry.removed = True
             self.queued -= 1
             self.running += 1
             self.cold.note(now)
             return entry
+        if self.running < self.slots:
+            self.idle_at = now
         return None
 
+    def misses_goal(self, entry: Entry, now: float) -> bool:
+        """Return whether a request would be late even if it started now."""
+        return now + self.expected_service(entry.cost_class) * FIT_SHARE > entry.goal
+
     def hopeless(self, now: float) -> list[Entry]:
-        """Remove and return the queued requests that can no longer be answered in time."""
-        late = [
+        """Remove and return what is not worth waiting for: past its deadline, or late in an overload."""
+        saturated = self.saturated(now)
+        entries = [
             entry
             for _, _, entry in self.heap
             if not entry.removed
-            and now + self.expected_service(entry.cost_class) * FIT_SHARE > entry.deadline
+            and (
+                now + self.expected_service(entry.cost_class) * FIT_SHARE > entry.deadline
+                or (saturated and self.misses_goal(entry, now))
+            )
         ]
-        for entry in late:
+        for entry in entries:
             self.remove(entry)
-        return late
+        return entries
 
     def drain(self) -> list[Entry]:
         """Remove and return everything that is queued."""
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -137,7 +137,7 @@
 
 
 class HandoverBegun(LogEvent, frozen=True):
-    """This node begins to hand stripes to owners that have fewer."""
+    """The node begins to hand stripes to owners that have fewer."""
 
     number = 812
     cause = "A target has joined."
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -36,8 +36,8 @@
 # Times that a request for a key whose owner has just changed is tried again, and the wait in seconds.
 MOVED_TRIES = 3
 MOVED_WAIT_SECONDS = 0.08
-# Share of the service's budget of repeats that the router uses itself. A repeated run also repeats the calls that
-# its target makes, which count at the called service.
+# Share of the service's budget of repeats that the router uses. A repeated run also repeats the calls of its
+# target, which count at the called service.
 BUDGET_SHARE = 0.3
 MOVED_REASONS = frozenset(("not_owner", "misdirected"))
 SERVER_ERRORS = (500, 502, 503)
@@ -242,11 +242,11 @@
             origin=self.settings.node,
             sent_at=now,
             left=flight.deadline - now,
+            goal_left=self.goal_left(flight, now),
             service=flight.service,
             method=request.method.decode("latin-1"),
             target=request.target,
-            headers=tuple((name, value) for name, value in request.headers if name not in HOP_HEADERS)
-            + (("host", request.header("host") or ""),),
+            headers=forwarded_headers(request),
             attempt_id=flight.attempt_id,
             key=flight.key,
             priority=flight.route.priority,
@@ -266,6 +266,11 @@
             self.selection.failed(node, now)
             reply(Declined(forward.id, "peer_disconnected", False, False, 0.0, (0, 0, 1, 0.15, False)), b"")
 
+    def goal_left(self, flight: Flight, now: float) -> float:
+        """Return the seconds until an answer counts as late."""
+        goal = flight.route.latency_goal
+        return (flight.begun_at + goal if goal > 0.0 else flight.deadline) - now
+
     # Outcomes
 
     def on_reply(self, flight: Flight, forward: Forward, answer: Answered | Declined, body: bytes) -> None:
@@ -316,7 +321,12 @@
             flight.moved += 1
             self.app.scheduler.call_later(MOVED_WAIT_SECONDS, lambda: self.place_again(flight))
             return
-        if flight.key >= 0 or len(flight.asked) >= MOST_NODES_ASKED or (answer.arrived and not self.may_repeat(flight, now, ran=False)) or flight.deadline - now < SHORTEST_REPEAT_SECONDS:
+        if (
+            flight.key >= 0
+            or len(flight.asked) >= MOST_NODES_ASKED
+            or (answer.arrived and not self.may_repeat(flight, now, ran=False))
+            or flight.deadline - now < SHORTEST_REPEAT_SECONDS
+        ):
             self.refuse(flight)
         else:
             self.place(flight)
@@ -437,6 +447,12 @@
         return bool(self.flights)
 
 
+def forwarded_headers(request: EntryRequest) -> tuple[tuple[str, str], ...]:
+    """Return the headers that are passed on: all but those of one connection, and the host."""
+    host = ("host", request.header("host") or "")
+    return (host, *(entry for entry in request.headers if entry[0] not in HOP_HEADERS))
+
+
 class Readiness(Service):
     """Tells the platform whether callers on this VM may send requests.
 
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -16,12 +16,12 @@
 from hibiscusdrum.internal.router.settings import RouterSettings
 
 PING_SECONDS = 0.25
-# A peer with requests of this node that has been silent for this long is taken to be unreachable. A round trip
-# between regions takes 60 ms, and a busy peer may be late by a few hundred.
+# A peer with requests of this node that has been silent for this long is taken to be unreachable. A round
+# trip between regions takes 60 ms, and a busy peer may be late by a few hundred.
 SILENCE_SECONDS = 1.0
 # Age beyond the fastest message of the same sender at which a message counts as held up on its way.
 LATE_SECONDS = 0.5
-# The fastest message is remembered for one to two such periods, so that a slow change of the path is followed.
+# The fastest message is remembered for one to two such periods, so that a change of the path is followed.
 PERIOD_SECONDS = 30.0
 
 ReplyCallback = Callable[[Answered | Declined, bytes], None]
@@ -77,7 +77,7 @@
     Attributes
     ----------
     accept : callable or None
-        Takes a forwarded request: message, body, seconds of delay on the way, and what to call with the reply.
+        Takes a forwarded request: message, body, seconds of delay on the way, and what to call then.
     cancel_received : callable or None
         Takes the id of a request whose caller no longer waits.
     """
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -95,7 +95,7 @@
         self.lease_known = False
         self.started_at = 0.0
         self.busy = False
-        # Stripes of a change whose outcome is unknown: it may still take effect, until the ring is written again.
+        # Stripes of a change whose outcome is unknown: it may take effect until the ring is written again.
         self.uncertain: set[int] = set()
         self.giving: dict[int, Owner] = {}
         self.granted: set[int] = set()
@@ -175,7 +175,7 @@
 
     @property
     def me(self) -> Owner:
-        """This node's target as an owner."""
+        """The target of this node as an owner."""
         return Owner(self.node, self.target.life)
 
     def mine(self) -> list[int]:
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -56,12 +56,13 @@
 class Job:
     """A request on this VM without an outcome."""
 
-    __slots__ = ("body", "deadline", "entry", "exchange", "forward", "reply", "sent_at")
+    __slots__ = ("body", "deadline", "entry", "exchange", "forward", "goal", "reply", "sent_at")
 
-    def __init__(self, forward: Forward, body: bytes, deadline: float, reply: ReplyCallback) -> None:
+    def __init__(self, forward: Forward, body: bytes, now: float, reply: ReplyCallback) -> None:
         self.forward = forward
         self.body = body
-        self.deadline = deadline
+        self.deadline = now + forward.left
+        self.goal = now + min(forward.goal_left, forward.left)
         self.reply = reply
         self.entry: Entry | None = None
         self.exchange: HttpExchange | None = None
@@ -187,7 +188,7 @@
 
     def submit(self, forward: Forward, body: bytes, reply: ReplyCallback) -> None:
         """Admit a request or decline it at once; ``reply`` is called once."""
-        job = Job(forward, body, self.now + forward.left, reply)
+        job = Job(forward, body, self.now, reply)
         self.jobs[forward.id] = job
         reason = self.refusal(forward)
         if reason:
@@ -236,12 +237,12 @@
 
     def enqueue(self, job: Job) -> None:
         """Queue a request that can probably be answered in time."""
-        forward = job.forward
-        if not self.admission.fits(forward.priority, job.deadline, forward.cost_class, self.now):
-            retry_after = self.admission.retry_after(forward.priority, self.now)
-            self.decline(job, "overloaded", retry_after=retry_after)
+        entry = Entry(job, job.forward.priority, job.goal, job.deadline, job.forward.cost_class)
+        if not self.admission.fits(entry, self.now):
+            self.decline(job, "overloaded", retry_after=self.admission.retry_after(entry, self.now))
             return
-        job.entry = self.admission.push(job, forward.priority, job.deadline, forward.cost_class)
+        job.entry = entry
+        self.admission.push(entry, self.now)
         self.pump()
         if self.admission.queued:
             self.expiry.wake()
@@ -257,7 +258,7 @@
     def expire(self) -> bool:
         """Decline what can no longer be answered in time; True while something waits."""
         for entry in self.admission.hopeless(self.now):
-            self.decline(entry.item, "too_late")
+            self.decline(entry.item, "too_late", retry_after=self.admission.retry_after(entry, self.now))
         now = self.now
         for job in [job for job in self.parked if now + self.admission.service > job.deadline]:
             self.parked.remove(job)
--- a/src/hibiscusdrum/internal/router/ring.py
+++ b/src/hibiscusdrum/internal/router/ring.py
@@ -1,7 +1,7 @@
 """Ownership of the keys of one service: stripes of adjacent keys, each with an owner and a fencing token.
 
-The keys 0 to 65535 are cut into stripes of equal width that are dealt to the owners in turn, because busy keys
-lie close together: adjacent stripes then have different owners. All functions here are pure; conditional
+The keys 0 to 65535 are cut into stripes of equal width that are dealt to the owners in turn, because busy
+keys lie close together: adjacent stripes then have different owners. All functions here are pure; conditional
 writes of the ring's row decide which change wins.
 """
 
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -39,8 +39,8 @@
 class Beat(msgspec.Struct, frozen=True):
     """A report on the wire.
 
-    ``holdCount`` lists ranges, not a number: first key, last key, fencing token. ``released`` lists first key,
-    last key, handover token. ``born`` is the start in Unix milliseconds.
+    ``holdCount`` lists ranges, not a number: first key, last key, fencing token. ``released`` lists first
+    key, last key, handover token. ``born`` is the start in Unix milliseconds.
     """
 
     addr: str
