Run real routers against stand-ins of the platform, and wait for keys that a target has lost

Change: after such a refusal requests wait for the next grant, and a repeat draws on the budget. Stand-ins speak the platform's store and heartbeats; scenarios start real routers.

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -12,7 +12,7 @@
 from hibiscusdrum.internal.router.hop import Hop
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.range_owner import RangeOwner
-from hibiscusdrum.internal.router.receiver import HOP_HEADERS, Receiver
+from hibiscusdrum.internal.router.receiver import HOP_HEADERS, MISDIRECTED_REASON, Receiver
 from hibiscusdrum.internal.router.routes import (
     EMPTY_TABLE,
     KEY_SPACE,
@@ -39,7 +39,7 @@
 # Share of the service's budget of repeats that the router uses. A repeated run also repeats the calls of its
 # target, which count at the called service.
 BUDGET_SHARE = 0.3
-MOVED_REASONS = frozenset(("not_owner", "misdirected"))
+NOT_OWNER = "not_owner"
 SERVER_ERRORS = (500, 502, 503)
 
 
@@ -317,7 +317,10 @@
             flight.uncertain = True
             self.fail(flight, 502)
             return
-        if answer.reason in MOVED_REASONS and flight.moved < MOVED_TRIES:
+        moved = answer.reason == NOT_OWNER or (
+            answer.reason == MISDIRECTED_REASON and self.may_repeat(flight, now, ran=False)
+        )
+        if moved and flight.moved < MOVED_TRIES:
             flight.moved += 1
             self.app.scheduler.call_later(MOVED_WAIT_SECONDS, lambda: self.place_again(flight))
             return
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -218,6 +218,10 @@
             self.app.scheduler.call_later(0.0, self.tell_granted)
         return Grant(ranges, seconds)
 
+    def hold_lost(self) -> None:
+        """Note that the target does not hold what it was given; its next report renews it."""
+        self.granted = set()
+
     def tell_granted(self) -> None:
         """Tell the listeners that requests for new keys may be sent."""
         log_events.emit(
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -33,6 +33,8 @@
 SERVICE_UNAVAILABLE = 503
 MISDIRECTED = 421
 DEFAULT_SLOTS = 8
+MISDIRECTED_REASON = "misdirected"
+REFUSED_REASON = "target_refused"
 HOP_HEADERS = frozenset(
     (
         "connection",
@@ -339,8 +341,9 @@
         if refused:
             self.admission.done(forward.cost_class, None)
             misdirected = response.status == MISDIRECTED
-            reason = "misdirected" if misdirected else f"target_refused_{response.status}"
-            self.decline(job, reason, arrived=not misdirected)
+            if misdirected and forward.key >= 0:
+                self.owner.hold_lost()
+            self.decline(job, MISDIRECTED_REASON if misdirected else REFUSED_REASON, arrived=True)
             return
         self.admission.done(forward.cost_class, self.now - job.sent_at)
         if names.signature not in response.headers and 200 <= response.status < 300:
--- a/src/hibiscusdrum/platform/__main__.py
+++ b/src/hibiscusdrum/platform/__main__.py
@@ -2,8 +2,8 @@
 
 import sys
 
-# circuits declares a namespace through pkg_resources where that exists, and does without it otherwise; loading it
-# takes a third of the time of a start.
+# circuits declares a namespace through pkg_resources where that exists, and does without it otherwise. Its
+# import takes a third of the time of a start.
 sys.modules.setdefault("pkg_resources", None)
 
 from hibiscusdrum.platform.main import main  # noqa: E402
--- /dev/null
+++ b/tests/features/router_system.feature
@@ -0,0 +1,77 @@
+Feature: Real routers serve callers through faults of targets, processes and the store
+  Guards against doubled or lost requests, wrong answers, false refusals and cut connections.
+
+  Scenario: Requests reach an instance of the right service, unchanged
+    Given a system of routers
+    When a caller posts 5000 bytes to "/g/x?y=1" of "grants.example"
+    Then the answer is 200 with the target's signature and whole body
+    And the target ran it once with the caller's service and a deadline of at most 2000 ms
+
+  Scenario Outline: A target that <fault> causes no wrong answer and no second run
+    Given a system of routers
+    When a caller sends a <method> request to "<path>" of "grants.example"
+    Then the status is <status> and it has run <runs> times
+
+    Examples:
+      | fault                                | method | path       | status | runs |
+      | loses its answer to a grant          | POST   | /g/lost    | 502    | 1    |
+      | loses its answer to a read           | GET    | /r/lost    | 502    | 2    |
+      | answers garbage to a grant           | POST   | /g/garbled | 502    | 1    |
+      | cuts its answer short                | POST   | /g/short   | 502    | 1    |
+      | sends a late answer first            | GET    | /r/late    | 200    | 1    |
+      | refuses each grant                   | POST   | /g/full    | 503    | 0    |
+      | takes longer than the route's time   | POST   | /g/slow    | 504    | 1    |
+
+  Scenario: A refusal tells when to come back
+    Given a system of routers
+    When a caller sends a POST request to "/g/full" of "grants.example"
+    Then the answer has a time to come back of at most 2 s
+
+  Scenario: An unknown path is refused, and a route that was added is served
+    Given a system of routers
+    When a caller sends a GET request to "/new/x" of "grants.example"
+    Then the status is 404 and it has run 0 times
+    When the operator adds the route "/new/"
+    Then the route "/new/" is served on every VM within 2.5 s
+
+  Scenario: A request with a home region runs there only
+    Given a system of routers
+    When 40 requests with the home region "east" are sent in the region "west"
+    Then all of them ran in the region "east"
+
+  Scenario: A caller's departure ends its read at the target's door
+    Given a system of routers
+    When a caller leaves 0.2 s after a GET request to "/r/slow" of "grants.example"
+    Then the log of its VM shows the end of the request with reason "caller_gone"
+
+  Scenario Outline: A planned stop of a router cuts no request
+    Given a system of routers
+    When a router is stopped while callers on <where> send requests
+    Then no connection ended without an answer after its request was read
+    And the router ended within 6 s with exit code 0
+
+    Examples:
+      | where        |
+      | its VM       |
+      | another VM   |
+
+  Scenario: Keys are served again after all routers were killed
+    Given a system of routers
+    When all routers are killed and restarted
+    Then every key is served within 8 s
+
+  Scenario: Keys are served through a short outage of the store
+    Given a system of routers
+    When the store is silent for 3 s while callers ask for keys
+    Then each request for a key was answered with 200
+
+  Scenario: Configuration reaches every VM soon after an outage of the store
+    Given a system of routers
+    When the store is silent for 5 s and the operator adds the route "/after/" at its end
+    Then the route "/after/" is served on every VM within 4 s
+
+  Scenario: A failure domain that is evacuated gets nothing after 5 s
+    Given a system of routers
+    When the failure domain "east-1" is evacuated for 7 s while callers send requests
+    Then its targets ran nothing from 5 s after the request to its end
+    And no request was refused in that time after the first 5 s
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -31,6 +31,7 @@
 
     @property
     def on_time(self):
+        """Whether the answer came within the goal."""
         return self.outcome == "answered" and self.ended <= self.arrived + self.goal
 
 
@@ -49,6 +50,7 @@
 
     @property
     def capacity(self):
+        """Requests a second that the target can serve."""
         return self.admission.slots / self.seconds
 
     def arrive(self, request, now):
--- /dev/null
+++ b/tests/features/steps/router_system_steps.py
@@ -0,0 +1,282 @@
+"""Steps with real routers as separate processes, against stand-ins of the store and the targets.
+
+They guard against doubled or lost requests, wrong answers and false refusals that only processes show.
+"""
+
+import shutil
+import socket
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+from behave import given, then, when
+from tools.processes import wait_until
+from tools.router_system import PREFIX, ROUTES, RouterSystem
+
+PLACES = [
+    ("east", "east-1", "keyed"),
+    ("west", "west-1", "keyed"),
+    ("east", "east-2", "keyed"),
+    ("east", "east-1", "shared"),
+    ("east", "east-2", "shared"),
+    ("west", "west-1", "shared"),
+]
+KEYS = range(0, 65_536, 4_099)
+
+
+@given("a system of routers")
+def a_system(context):
+    folder = Path(tempfile.mkdtemp(prefix="router-"))
+    context.system = RouterSystem(folder, PLACES)
+
+    def end():
+        context.system.stop()
+        if context.scenario.status.name == "failed":
+            print(f"logs are kept in {folder}")
+        else:
+            shutil.rmtree(folder, ignore_errors=True)
+
+    context.add_cleanup(end)
+    context.system.start()
+    context.vm = context.system.vms["vm0"]
+
+
+@when('a caller posts {size:d} bytes to "{path}" of "{host}"')
+def posts(context, size, path, host):
+    context.size = size
+    context.answer = context.system.ask(context.vm, host, path, "POST", body=b"x" * size, attempt="posted")
+
+
+@then("the answer is 200 with the target's signature and whole body")
+def whole_answer(context):
+    status, headers, body = context.answer
+    name = headers[PREFIX + "response-sig"].removeprefix("sig-")
+    assert status == 200 and body == f"{name} /g/x?y=1 {context.size}".encode(), context.answer
+
+
+@then("the target ran it once with the caller's service and a deadline of at most {most:d} ms")
+def ran_once(context, most):
+    (run,) = context.system.runs("posted")
+    assert run["caller"] == "keyed" and 0 < int(run["deadline"]) <= most, run
+    assert run["body"] == context.size and run["method"] == "POST", run
+
+
+@when('a caller sends a {method} request to "{path}" of "{host}"')
+def sends(context, method, path, host):
+    context.answer = context.system.ask(context.vm, host, path, method, attempt="sent", deadline_ms=3000)
+
+
+@then("the status is {status:d} and it has run {runs:d} times")
+def status_and_runs(context, status, runs):
+    time.sleep(0.2)
+    assert context.answer[0] == status, context.answer
+    assert len(context.system.runs("sent")) == runs, context.system.runs("sent")
+
+
+@then("the answer has a time to come back of at most {most:g} s")
+def comes_back(context, most):
+    assert 0.0 < float(context.answer[1]["retry-after"]) <= most, context.answer
+
+
+@when('the operator adds the route "{prefix}"')
+def adds_route(context, prefix):
+    route = ["added", "grants.example", prefix, "idempotent", 2.0, 0.5, 1, "shared", 2, [], None]
+    context.system.configure([*ROUTES, route])
+
+
+@then('the route "{prefix}" is served on every VM within {seconds:g} s')
+def route_served(context, prefix, seconds):
+    system = context.system
+
+    def served():
+        return all(system.ask(vm, "grants.example", prefix + "x")[0] == 200 for vm in system.vms.values())
+
+    wait_until(served, seconds, f"{prefix} is served everywhere")
+
+
+@when('{count:d} requests with the home region "{home}" are sent in the region "{region}"')
+def home_requests(context, count, home, region):
+    senders = [vm for vm in context.system.vms.values() if vm.region == region]
+    context.attempts = []
+    for index in range(count):
+        attempt = f"home{index}"
+        status, _, _ = context.system.ask(
+            senders[index % len(senders)], "home.example", "/h/x", attempt=attempt
+        )
+        assert status == 200, status
+        context.attempts.append(attempt)
+
+
+@then('all of them ran in the region "{region}"')
+def ran_in(context, region):
+    names = {f"i-{vm.name}" for vm in context.system.vms.values() if vm.region == region}
+    for attempt in context.attempts:
+        assert {run["target"] for run in context.system.runs(attempt)} <= names, attempt
+
+
+@when('a caller leaves {seconds:g} s after a GET request to "{path}" of "{host}"')
+def leaves(context, seconds, path, host):
+    address = context.vm.address(1).rpartition(":")
+    with socket.create_connection((address[0], int(address[2]))) as connection:
+        head = f"GET {path} HTTP/1.1\r\nhost: {host}\r\n{PREFIX}attempt-id: left\r\n\r\n"
+        connection.sendall(head.encode())
+        time.sleep(seconds)
+
+
+@then('the log of its VM shows the end of the request with reason "{reason}"')
+def log_shows(context, reason):
+    def found():
+        return [
+            line
+            for line in context.system.log(context.vm)
+            if line["name"] == "request_ended" and line["fields"]["id"] == "left"
+        ]
+
+    (line,) = wait_until(found, 2.0, "the end of the request is logged")
+    assert line["fields"]["reason"] == reason, line
+
+
+class Callers(threading.Thread):
+    """Sends requests one after the other; notes status and times of each."""
+
+    def __init__(self, system, vm, make):
+        super().__init__(daemon=True)
+        self.system, self.vm, self.make = system, vm, make
+        self.results = []
+        self.ending = False
+        self.start()
+
+    def run(self):
+        index = 0
+        while not self.ending:
+            host, path, method, key = self.make(index)
+            index += 1
+            began = time.monotonic()
+            status, _, _ = self.system.ask(self.vm, host, path, method, key=key)
+            self.results.append((began, time.monotonic(), status))
+            if status != 200:
+                time.sleep(0.02)
+
+    def end(self):
+        self.ending = True
+        self.join(10.0)
+
+
+def keyed(index):
+    return "keys.example", "/k/x", "GET", (index * 977) % 65_536
+
+
+def shared(index):
+    return ("grants.example", "/g/x", "POST", None) if index % 2 else ("grants.example", "/r/x", "GET", None)
+
+
+@when("a router is stopped while callers on {where} send requests")
+def router_stopped(context, where):
+    system = context.system
+    stopped = system.vms["vm3"]
+    vm = stopped if where == "its VM" else system.vms["vm4"]
+    callers = [Callers(system, vm, keyed), Callers(system, vm, shared), Callers(system, vm, shared)]
+    time.sleep(0.5)
+    context.began = time.monotonic()
+    context.exit_code = stopped.router.stop(10.0)
+    context.ended = time.monotonic()
+    for caller in callers:
+        caller.end()
+    # A refused connection has read nothing; it is noted within a millisecond or two.
+    context.cut = [
+        (began - context.began, ended - began)
+        for caller in callers
+        for began, ended, status in caller.results
+        if status == 0 and ended - began > 0.05
+    ]
+
+
+@then("no connection ended without an answer after its request was read")
+def none_cut(context):
+    assert not context.cut, context.cut
+
+
+@then("the router ended within {seconds:g} s with exit code {code:d}")
+def router_ended(context, seconds, code):
+    assert context.exit_code == code and context.ended - context.began < seconds
+
+
+@when("all routers are killed and restarted")
+def all_killed(context):
+    for vm in context.system.vms.values():
+        vm.router.kill()
+    time.sleep(0.8)
+    for vm in context.system.vms.values():
+        context.system.start_router(vm)
+
+
+@then("every key is served within {seconds:g} s")
+def keys_served(context, seconds):
+    system = context.system
+
+    def served():
+        return all(system.ask(context.vm, "keys.example", "/k/x", key=key)[0] == 200 for key in KEYS)
+
+    wait_until(served, seconds, "every key is served")
+
+
+@when("the store is silent for {seconds:g} s while callers ask for keys")
+def store_silent(context, seconds):
+    system = context.system
+    caller = Callers(system, context.vm, keyed)
+    system.faults({"silent": True})
+    time.sleep(seconds)
+    system.faults({})
+    caller.end()
+    context.results = caller.results
+
+
+@then("each request for a key was answered with 200")
+def all_answered_200(context):
+    failed = [result for result in context.results if result[2] != 200]
+    assert context.results and not failed, failed
+
+
+@when('the store is silent for {seconds:g} s and the operator adds the route "{prefix}" at its end')
+def silent_then_route(context, seconds, prefix):
+    context.system.faults({"silent": True})
+    time.sleep(seconds)
+    adds_route(context, prefix)
+    context.system.faults({})
+
+
+@when('the failure domain "{name}" is evacuated for {seconds:g} s while callers send requests')
+def evacuated(context, name, seconds):
+    system = context.system
+    context.domain = name
+    callers = [Callers(system, context.vm, keyed), Callers(system, system.vms["vm4"], shared)]
+    context.began = time.monotonic()
+    system.evacuate(name, True)
+    time.sleep(seconds)
+    context.ended = time.monotonic()
+    for caller in callers:
+        caller.end()
+    system.evacuate(name, False)
+    context.results = [result for caller in callers for result in caller.results]
+
+
+@then("its targets ran nothing from {seconds:g} s after the request to its end")
+def ran_nothing(context, seconds):
+    names = {f"i-{vm.name}" for vm in context.system.vms.values() if vm.failure_domain == context.domain}
+    late = [
+        line
+        for line in context.system.records()
+        if line["event"] == "run"
+        and line["target"] in names
+        and context.began + seconds < line["at"] < context.ended
+    ]
+    assert not late, late[:3]
+
+
+@then("no request was refused in that time after the first {seconds:g} s")
+def none_refused(context, seconds):
+    refused = [
+        result for result in context.results if result[2] != 200 and result[0] > context.began + seconds
+    ]
+    assert context.results and not refused, refused[:3]
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -343,6 +343,7 @@
         return sum(self.targets[name].holds(key)[0] for key in PROBED_KEYS)
 
     def close(self):
+        """End all nodes."""
         logger.enable("hibiscusdrum")
         for name in list(self.nodes):
             self.kill_daemon(name)
