--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -114,6 +114,12 @@
         self.selection = selection
         self.table = EMPTY_TABLE
         self.weights = WeightedChoice()
+        self.own_headers = HOP_HEADERS | {
+            names.attempt_id,
+            names.deadline_ms,
+            names.expected_target,
+            names.caller,
+        }
         self.flights: set[Flight] = set()
         self.budgets: dict[str, RetryBudget] = {}
         self.stopping = False
@@ -246,7 +252,7 @@
             service=flight.service,
             method=request.method.decode("latin-1"),
             target=request.target,
-            headers=forwarded_headers(request),
+            headers=self.forwarded_headers(request),
             attempt_id=flight.attempt_id,
             key=flight.key,
             priority=flight.route.priority,
@@ -266,6 +272,11 @@
             self.selection.failed(node, now)
             reply(Declined(forward.id, "peer_disconnected", False, False, 0.0, (0, 0, 1, 0.15, False)), b"")
 
+    def forwarded_headers(self, request: EntryRequest) -> tuple[tuple[str, str], ...]:
+        """Return the headers that are passed on: the host, and all but those that are set anew."""
+        host = ("host", request.header("host") or "")
+        return (host, *(entry for entry in request.headers if entry[0] not in self.own_headers))
+
     def goal_left(self, flight: Flight, now: float) -> float:
         """Return the seconds until an answer counts as late."""
         goal = flight.route.latency_goal
@@ -450,12 +461,6 @@
         return bool(self.flights)
 
 
-def forwarded_headers(request: EntryRequest) -> tuple[tuple[str, str], ...]:
-    """Return the headers that are passed on: all but those of one connection, and the host."""
-    host = ("host", request.header("host") or "")
-    return (host, *(entry for entry in request.headers if entry[0] not in HOP_HEADERS))
-
-
 class Readiness(Service):
     """Tells the platform whether callers on this VM may send requests.
 
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -23,6 +23,7 @@
 LATE_SECONDS = 0.5
 # The fastest message is remembered for one to two such periods, so that a change of the path is followed.
 PERIOD_SECONDS = 30.0
+SILENT = "silent"
 
 ReplyCallback = Callable[[Answered | Declined, bytes], None]
 
@@ -121,7 +122,8 @@
                 state = self.states.get(row.node)
                 if state is None or state.address != row.peer_address:
                     self.states[row.node] = PeerState(row.peer_address, self.now)
-                    self.peers.peer(row.peer_address)
+                    # Heartbeats between regions would take more of the link than requests.
+                    self.peers.peer(row.peer_address, heartbeats=row.region == self.settings.region)
         for node in [node for node in self.states if node not in known]:
             self.peers.forget_peer(self.states.pop(node).address)
             self.fail_all(node, "removed")
@@ -192,7 +194,7 @@
             sent = self.peers.try_send_request(state.address, Ping(self.settings.node, now))
             silent = now - max(state.heard_at, since)
             if not sent or silent > SILENCE_SECONDS:
-                self.lost(node, state, "disconnected" if not sent else "silent")
+                self.lost(node, state, SILENT if sent else "disconnected")
 
     def lost(self, node: str, state: PeerState, reason: str) -> None:
         """Take a peer to be unreachable: what it has is given up."""
@@ -206,6 +208,11 @@
                     outstanding=sum(entry.node == node for entry in self.outstanding.values()),
                 )
             )
+            if reason == SILENT:
+                # What the old connection still holds must not arrive later.
+                row = self.members.nodes.get(node)
+                self.peers.forget_peer(state.address)
+                self.peers.peer(state.address, row is not None and row.region == self.settings.region)
         self.selection.failed(node, self.now)
         self.fail_all(node, reason)
 
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -309,7 +309,7 @@
         for name, value in forward.headers:
             if name == "host":
                 host = value
-            elif name not in HOP_HEADERS and name not in self.target_headers:
+            elif name not in self.target_headers:
                 headers[name] = f"{headers[name]}, {value}" if name in headers else value
         headers[names.attempt_id] = forward.attempt_id
         headers[names.deadline_ms] = str(max(1, int(left * 1000.0)))
--- a/src/hibiscusdrum/internal/router/selection.py
+++ b/src/hibiscusdrum/internal/router/selection.py
@@ -16,7 +16,9 @@
 UNKNOWN_SERVICE_SECONDS = 0.15
 # Advantage that an answer from another region must have, in seconds: the round trip is 60 ms, and the link is
 # narrow and paid for by volume.
-CROSS_REGION_SECONDS = 0.25
+CROSS_REGION_SECONDS = 0.15
+# Weight of a target's utilization: requests that may go elsewhere leave room for those that may not.
+UTILIZATION_WEIGHT = 0.3
 # Further advantage for each megabyte of body; 30 Mbit/s are shared by all nodes of a region.
 CROSS_REGION_SECONDS_PER_MB = 3.0
 CROSS_DOMAIN_SECONDS = 0.004
@@ -106,8 +108,7 @@
         slots = max(1, report.slots)
         over = view.busy(now) + 1.0 - slots
         seconds = report.service * (1.0 + max(0.0, over) / slots)
-        # A target that is nearly full is slower; spreading the load also leaves room for bursts.
-        seconds += 0.2 * report.service * view.busy(now) / slots
+        seconds += UTILIZATION_WEIGHT * report.service * view.busy(now) / slots
         if candidate.region != self.region:
             seconds += CROSS_REGION_SECONDS + CROSS_REGION_SECONDS_PER_MB * size / MEGABYTE
         elif candidate.failure_domain != self.failure_domain:
--- a/src/hibiscusdrum/internal/transport/peer.py
+++ b/src/hibiscusdrum/internal/transport/peer.py
@@ -32,7 +32,7 @@
 
     __slots__ = ("address", "descriptor", "pending", "socket")
 
-    def __init__(self, context: zmq.Context, address: str) -> None:
+    def __init__(self, context: zmq.Context, address: str, heartbeats: bool = True) -> None:
         self.address = address
         self.descriptor = -1
         self.pending: deque[tuple[float, list[bytes]]] = deque()
@@ -45,7 +45,8 @@
         self.socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         self.socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         self.socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-        detect_silence(self.socket)
+        if heartbeats:
+            detect_silence(self.socket)
         self.socket.connect(f"tcp://{address}")
 
     def try_send(self, frames: list[bytes]) -> bool:
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -23,7 +23,6 @@
     REQUEST_KIND,
     SEND_QUEUE_MESSAGES,
     Peer,
-    detect_silence,
 )
 
 # Messages read from one socket before the loop turns to other work, so that a flood cannot delay renewals.
@@ -91,7 +90,6 @@
         router.setsockopt(zmq.LINGER, 0)
         router.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         router.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
-        detect_silence(router)
         try:
             router.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
@@ -178,11 +176,17 @@
             # The asker disconnected or does not read; it treats the outcome as unknown.
             return
 
-    def peer(self, address: str) -> Peer:
-        """Return the connection to an address, opening it if needed."""
+    def peer(self, address: str, heartbeats: bool = True) -> Peer:
+        """Return the connection to an address, opening it if needed.
+
+        Parameters
+        ----------
+        heartbeats : bool
+            Whether a new connection is probed while it is idle.
+        """
         peer = self.peers.get(address)
         if peer is None:
-            peer = self.peers[address] = Peer(self.context, address)
+            peer = self.peers[address] = Peer(self.context, address, heartbeats)
             peer.descriptor = self.watch(peer.socket, lambda: self.read_peer(peer))
         return peer
 
--- /dev/null
+++ b/tests/features/router_entry.feature
@@ -0,0 +1,48 @@
+Feature: The entry reads requests as they were meant, answers in order, and bounds what callers may take
+  Guards against smuggled requests, answers to the wrong request, and callers that hold a daemon up.
+
+  Scenario Outline: A connection that sends <input> gets <answers>
+    Given an entry that echoes path and body
+    When a caller sends "<input>"
+    Then the caller gets the answers "<answers>"
+
+    Examples:
+      | input                           | answers                  |
+      | one request                     | 200 /a                   |
+      | one request byte by byte        | 200 /a                   |
+      | a body in chunks                | 200 /a hello             |
+      | a body with a length            | 200 /a hello             |
+      | three requests at once          | 200 /a; 200 /b; 200 /c   |
+      | a length and chunks             | 400                      |
+      | two lengths                     | 400                      |
+      | a bad chunk                     | 400                      |
+      | no protocol                     | 400                      |
+      | a head that is too large        | 431                      |
+      | a body that is declared too large | 413                    |
+      | chunks that are too many        | 413                      |
+      | a HEAD request                  | 200                      |
+      | a request that asks to close    | 200 /a                   |
+
+  Scenario: Answers leave in the order of the requests
+    Given an entry that answers the first of three requests last
+    When a caller sends "three requests at once"
+    Then the caller gets the answers "200 /a; 200 /b; 200 /c"
+
+  Scenario: A request that must not be repeated waits for the answers before it
+    Given an entry that answers nothing yet
+    When a caller sends "a read, a post and a read"
+    Then only the read before the post was handed over
+    When the first request is answered
+    Then only the post was handed over after that
+
+  Scenario: A caller's departure is reported
+    Given an entry that answers nothing yet
+    When a caller sends "one request" and leaves
+    Then the departure is reported within 0.5 s
+
+  Scenario: A slow head is refused and an idle connection is closed
+    Given an entry that echoes path and body
+    When a caller sends "half a head" and waits for 1 s
+    Then the caller gets the answers "408"
+    When a caller is idle for longer than the limit
+    Then its connection is closed without an answer
--- /dev/null
+++ b/tests/features/steps/router_entry_steps.py
@@ -0,0 +1,196 @@
+"""Steps on the router's HTTP entry over real sockets.
+
+They guard against smuggled requests, answers to the wrong request, and callers that hold a daemon up.
+"""
+
+import socket
+import threading
+import time
+
+import httptools
+from behave import given, then, when
+from tests.loopback import Loopback, free_address
+
+from hibiscusdrum.internal.router.routes import EntryLimits
+from hibiscusdrum.internal.transport.http_entry import HttpEntry
+
+LIMITS = EntryLimits(max_head_bytes=2000, max_body_bytes=5000, head_timeout=0.4, idle_timeout=0.6)
+GET = b"GET %s HTTP/1.1\r\nhost: h\r\n\r\n"
+CHUNKED = b"POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+POST = b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n"
+INPUTS = {
+    "one request": [GET % b"/a"],
+    "one request byte by byte": [bytes([byte]) for byte in GET % b"/a"],
+    "a body in chunks": [CHUNKED, b"3\r\nhel\r\n", b"2\r\nlo\r\n0\r\n\r\n"],
+    "a body with a length": [POST + b"\r\nhe", b"llo"],
+    "three requests at once": [GET % b"/a" + GET % b"/b" + GET % b"/c"],
+    "a read, a post and a read": [GET % b"/r" + POST + b"\r\nhello" + GET % b"/c"],
+    "a length and chunks": [POST + b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n"],
+    "two lengths": [POST + b"content-length: 6\r\n\r\nhello"],
+    "a bad chunk": [CHUNKED, b"zz\r\nhel\r\n"],
+    "no protocol": [b"\x16\x03\x01 tls\r\n\r\n"],
+    "a head that is too large": [b"GET /a HTTP/1.1\r\nhost: h\r\nx: " + b"y" * 3000 + b"\r\n\r\n"],
+    "a body that is declared too large": [
+        b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 9000\r\n\r\nhello"
+    ],
+    "chunks that are too many": [CHUNKED] + [b"800\r\n" + b"x" * 2048 + b"\r\n"] * 4,
+    "a HEAD request": [b"HEAD /a HTTP/1.1\r\nhost: h\r\n\r\n"],
+    "a request that asks to close": [b"GET /a HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"],
+    "half a head": [b"GET /a HTTP/1.1\r\nho"],
+}
+
+
+class Answers:
+    """Collects the answers that a parser finds."""
+
+    def __init__(self):
+        self.found = []
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = b""
+
+    def on_body(self, data):
+        """Collect a part of the body."""
+        self.body += data
+
+    def on_message_complete(self):
+        """Note an answer."""
+        self.found.append(f"{self.parser.get_status_code()} {self.body.decode()}".strip())
+        self.body = b""
+
+
+class Caller(threading.Thread):
+    """Sends parts, then reads until the other side ends or nothing more comes."""
+
+    def __init__(self, address, parts, patience):
+        super().__init__(daemon=True)
+        host, _, port = address.rpartition(":")
+        self.sock = socket.create_connection((host, int(port)))
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.parts, self.patience = parts, patience
+        self.received = b""
+        self.ended = False
+        self.start()
+
+    def run(self):
+        """Do the work of the thread."""
+        self.sock.settimeout(self.patience)
+        try:
+            for part in self.parts:
+                self.sock.sendall(part)
+                time.sleep(0.002)
+            while data := self.sock.recv(65_536):
+                self.received += data
+            self.ended = True
+        except OSError:
+            return
+
+
+def start_entry(context, handle):
+    context.entry = HttpEntry()
+    context.loopback = Loopback(context.entry)
+    context.add_cleanup(context.loopback.stop)
+    context.address = free_address()
+    context.entry.limits = LIMITS
+    context.entry.listen(context.address, handle)
+
+
+def echo(request):
+    text = f"{request.target} {request.body.decode()}".strip()
+    request.respond(200, [("x-echo", "1")], text.encode())
+
+
+@given("an entry that echoes path and body")
+def echoing(context):
+    start_entry(context, echo)
+
+
+@given("an entry that answers the first of three requests last")
+def answers_backwards(context):
+    held = []
+
+    def handle(request):
+        held.append(request)
+        if len(held) == 3:
+            for entry in reversed(held):
+                echo(entry)
+
+    start_entry(context, handle)
+
+
+@given("an entry that answers nothing yet")
+def answers_nothing(context):
+    context.handed = []
+    context.left = []
+
+    def handle(request):
+        context.handed.append(request)
+        request.on_closed = lambda: context.left.append(request)
+
+    start_entry(context, handle)
+
+
+def send(context, name, patience=0.4):
+    context.caller = Caller(context.address, INPUTS[name], patience)
+    return context.caller
+
+
+@when('a caller sends "{name}"')
+def sends_input(context, name):
+    caller = send(context, name)
+    context.loopback.run_until(lambda: not caller.is_alive(), 5.0)
+
+
+@when('a caller sends "{name}" and waits for {seconds:g} s')
+def sends_and_waits(context, name, seconds):
+    caller = send(context, name, seconds)
+    context.loopback.run_until(lambda: not caller.is_alive(), 5.0)
+
+
+@then('the caller gets the answers "{answers}"')
+def gets_answers(context, answers):
+    found = Answers()
+    data = context.caller.received
+    if answers == "200":
+        assert data.startswith(b"HTTP/1.1 200 OK") and data.endswith(b"\r\n\r\n"), data
+        return
+    found.parser.feed_data(data)
+    assert "; ".join(found.found) == answers, found.found
+
+
+@then("only the read before the post was handed over")
+def only_read(context):
+    assert [request.target for request in context.handed] == ["/r"]
+
+
+@when("the first request is answered")
+def first_answered(context):
+    echo(context.handed[0])
+    context.loopback.settle()
+
+
+@then("only the post was handed over after that")
+def only_post(context):
+    assert [request.target for request in context.handed] == ["/r", "/a"]
+
+
+@when('a caller sends "{name}" and leaves')
+def sends_and_leaves(context, name):
+    caller = send(context, name, 0.1)
+    context.loopback.run_until(lambda: bool(context.handed))
+    caller.sock.close()
+
+
+@then("the departure is reported within {seconds:g} s")
+def departure(context, seconds):
+    context.loopback.run_until(lambda: bool(context.left), seconds)
+
+
+@when("a caller is idle for longer than the limit")
+def idle(context):
+    context.caller = Caller(context.address, [], 2.0)
+    context.loopback.run_until(lambda: not context.caller.is_alive(), 4.0)
+
+
+@then("its connection is closed without an answer")
+def closed_idle(context):
+    assert context.caller.ended and not context.caller.received
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -148,6 +148,7 @@
         self.start()
 
     def run(self):
+        """Do the work of the thread."""
         index = 0
         while not self.ending:
             host, path, method, key = self.make(index)
@@ -159,6 +160,7 @@
                 time.sleep(0.02)
 
     def end(self):
+        """End it and note the outcome."""
         self.ending = True
         self.join(10.0)
 
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -80,6 +80,7 @@
         self.on_stamp = None
 
     def answer(self, delay, callback, result, sent_at, stamp):
+        """Deliver a result later, unless the node was started anew meanwhile."""
         node = self.world.nodes.get(self.node)
 
         def deliver():
@@ -94,10 +95,12 @@
         self.world.after(delay, deliver)
 
     def failing(self, callback, reason):
+        """Deliver a failure after the time limit of a call."""
         error = StoreUnavailable(operation="call", reason=reason)
         self.answer(CALL_TIMEOUT_SECONDS, callback, Failure(error), self.world.now, None)
 
     def read(self, keys, callback):
+        """Read rows by key."""
         store, sent_at = self.world.store, self.world.now
         if store.blocked(self.node):
             self.failing(callback, "refused")
@@ -108,6 +111,7 @@
         self.answer(STORE_SECONDS, callback, Success(found), sent_at, self.world.store_time)
 
     def changes(self, since, callback, until=None):
+        """Wait for rows that were written after a version."""
         store = self.world.store
         if store.blocked(self.node):
             self.failing(callback, "refused")
@@ -127,6 +131,7 @@
         )
 
     def commit(self, transaction, callback):
+        """Write conditionally, with the faults in force."""
         store, rng = self.world.store, self.world.rng
         if store.blocked(self.node):
             self.failing(callback, "refused")
@@ -168,10 +173,12 @@
         world.after(self.offset, self.report)
 
     def holds(self, key):
+        """Return whether a key is held now, and its fencing token."""
         fence, end = self.held.get(key, (0, 0.0))
         return self.up and self.world.now < end, fence
 
     def report(self):
+        """Send a report and take the answer."""
         if not self.up:
             return
         self.world.after(REPORT_SECONDS, self.report)
@@ -197,6 +204,7 @@
             self.take(grant, sent_at)
 
     def take(self, grant, sent_at):
+        """Hold what an answer grants."""
         assert grant.seconds <= 10.0, grant.seconds
         end = sent_at + grant.seconds * self.stretch
         kept = {}
@@ -212,6 +220,7 @@
             self.world.after(0.1, self.report_once)
 
     def report_once(self):
+        """Send a report out of turn."""
         if self.up:
             former, self.report_timer = self.world.after, None
             self.world.after = lambda _delay, _call: None
@@ -272,10 +281,12 @@
 
     @property
     def now(self):
+        """True time in seconds."""
         return self.clock.monotonic()
 
     @property
     def store_time(self):
+        """Seconds on the store's clock."""
         return self.now - 900.0
 
     def add(self, name, failure_domain="d0"):
@@ -285,22 +296,27 @@
         self.targets[name] = FakeTarget(self, name, f"i-{name}")
 
     def kill_daemon(self, name):
+        """End a daemon at once."""
         node = self.nodes.pop(name, None)
         if node is not None:
             node.app.poller._poller.close()
 
     def start_daemon(self, name):
+        """Start a daemon that does not run."""
         if name not in self.nodes:
             Node(self, name, self.domains[name])
 
     def restart_target(self, name):
+        """Replace a target by a new start of it."""
         self.targets[name].up = False
         self.targets[name] = FakeTarget(self, name, f"i-{name}")
 
     def after(self, delay, call):
+        """Call something later."""
         heapq.heappush(self.calls, (self.now + delay, next(self.counter), call))
 
     def keys_between(self, first, last):
+        """Return the probed keys of a range."""
         step = PROBED_KEYS.step
         return range(-(-first // step) * step, last + 1, step)
 
@@ -317,6 +333,7 @@
             self.check()
 
     def check(self):
+        """Check that no probed key has two holders."""
         for key in PROBED_KEYS:
             holders = []
             for target in self.targets.values():
@@ -340,6 +357,7 @@
         return sum(any(target.holds(key)[0] for target in self.targets.values()) for key in PROBED_KEYS)
 
     def held_by(self, name):
+        """Return the number of probed keys that a target holds."""
         return sum(self.targets[name].holds(key)[0] for key in PROBED_KEYS)
 
     def close(self):
