--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check format clean
+.PHONY: demo test soak check format clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -14,6 +14,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m tools.demo
 
+soak: $(STAMP)
+	$(BIN)/python -m soak.run $(SEEDS)
+
 check: $(STAMP)
 	$(BIN)/ruff format --check --quiet .
 	$(BIN)/ruff check --quiet .
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -59,7 +59,8 @@
 def config(**changes):
     route = {
         "name": "r", "host": "h.example", "prefix": "/a/", "kind": "non_idempotent", "timeoutS": 2,
-        "goalS": 1, "priority": 3, "service": "s", "attempts": 2, "allowedRegions": ["east"], "backends": None,
+        "goalS": 1, "priority": 3, "service": "s", "attempts": 2, "allowedRegions": ["east"],
+        "backends": None,
     }  # fmt: skip
     split = {**route, "name": "split", "prefix": "/b/", "kind": "idempotent", "service": None}
     split["backends"] = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
--- /dev/null
+++ b/tests/features/steps/soak_steps.py
@@ -0,0 +1,50 @@
+"""Steps on the soak: fixed seeds, and planted faults that its checks must notice."""
+
+from behave import then
+from soak.callers import Asked
+from soak.checks import broken_promises
+from soak.run import Soak
+
+
+@then("the soak keeps all promises on seed {seed:d}")
+def seed_passes(_context, seed):
+    lines = Soak(seed).run()
+    assert not lines, lines
+
+
+def asked(**changes):
+    values = {
+        "attempt": "a", "vm": "vm0", "path": "/g/x", "unsafe": True, "size": 2, "began": 10.0, "ended": 10.1,
+        "status": 200, "signature": "sig-vm1", "body": b"vm1 /g/x 2",
+    }  # fmt: skip
+    return Asked(**(values | changes))
+
+
+def run(at=10.05):
+    return {"event": "run", "id": "a", "at": at, "target": "i-vm1", "body": 2}
+
+
+def hold(target, fence, begin, end):
+    base = {"target": target, "born": 1}
+    return [
+        {**base, "event": "hold", "at": begin, "rows": [[0, 99, fence]], "until": end},
+        {**base, "event": "until", "at": begin, "until": end},
+    ]
+
+
+PLANTED = {
+    "ran 2 times": (asked(), [run(), run(10.06)]),
+    "said not to have run": (asked(status=503, signature=""), [run()]),
+    "wrong answer": (asked(body=b"vm1 /g/other 2"), [run()]),
+    "answered without a run": (asked(), []),
+    "answered after": (asked(ended=13.0), [run()]),
+    "two holders": (asked(), [run(), *hold("i-vm1", 1, 1.0, 6.0), *hold("i-vm2", 2, 5.9, 9.0)]),
+    "token of": (asked(), [run(), *hold("i-vm1", 2, 1.0, 6.0), *hold("i-vm2", 2, 6.1, 9.0)]),
+}
+
+
+@then('the checks of the soak report "{fault}" and nothing else')
+def planted(_context, fault):
+    entry, records = PLANTED[fault]
+    lines = broken_promises([entry], records, {})
+    assert len(lines) == 1 and fault in lines[0], lines
--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -48,6 +48,7 @@
         self.failure_domain = failure_domain
         self.service = service
         self.ports = ports
+        self.control_address = self.address(3)
         self.router: Process | None = None
         self.target: Process | None = None
 
@@ -120,7 +121,7 @@
         """Start the target of a VM."""
         arguments = [
             "-m", "tools.standins.holding_target", "--name", vm.name, "--service", vm.service,
-            "--address", vm.address(0), "--control", vm.address(3), "--seconds", str(seconds),
+            "--address", vm.address(0), "--control", vm.control_address, "--seconds", str(seconds),
         ]  # fmt: skip
         if vm.service == "keyed":
             arguments.append("--partitioned")
