--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -5,13 +5,16 @@
 import random
 
 from hibiscusdrum.internal.kernel import Application, Service
-from hibiscusdrum.internal.router.gateway import Gateway, Readiness
+from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.hop import Hop
+from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper
 from hibiscusdrum.internal.router.local_target import LocalTarget
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.metrics import RouterMetrics
 from hibiscusdrum.internal.router.range_owner import RangeOwner
+from hibiscusdrum.internal.router.readiness import Readiness
 from hibiscusdrum.internal.router.receiver import Receiver
+from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.internal.router.selection import Selection
 from hibiscusdrum.internal.router.settings import RouterSettings
@@ -46,6 +49,8 @@
     app.add(LocalTarget(settings))
     members = app.add(Members(settings))
     hop = app.add(Hop(settings, selection))
+    app.add(Rings(settings))
+    app.add(LeaseKeeper(settings))
     app.add(RangeOwner(settings))
     app.add(RouterMetrics(settings))
     app.add(Receiver(settings, names))
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -0,0 +1,56 @@
+"""A caller's request on its way to an answer."""
+
+from __future__ import annotations
+
+from hibiscusdrum.internal.kernel import Timer
+from hibiscusdrum.internal.messages import Forward
+from hibiscusdrum.internal.router.routes import Route
+from hibiscusdrum.internal.transport.entry_connection import EntryRequest
+
+
+class Flight:
+    """A caller's request on its way to an answer."""
+
+    __slots__ = (
+        "arrivals",
+        "asked",
+        "attempt_id",
+        "begun_at",
+        "body",
+        "cancelled",
+        "deadline",
+        "expect",
+        "forward",
+        "key",
+        "moved",
+        "node",
+        "reason",
+        "request",
+        "retry_after",
+        "route",
+        "service",
+        "timer",
+        "uncertain",
+    )
+
+    def __init__(
+        self, request: EntryRequest, route: Route, service: str, deadline: float, now: float
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.deadline = deadline
+        self.begun_at = now
+        self.attempt_id = ""
+        self.key = -1
+        self.body = request.body
+        self.asked: list[str] = []
+        self.arrivals = 0
+        self.moved = 0
+        self.node = ""
+        self.forward: Forward | None = None
+        self.retry_after = 0.0
+        self.uncertain = False
+        self.cancelled = False
+        self.timer: Timer | None = None
+        self.reason = ""
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from hibiscusdrum.internal import log_events
-from hibiscusdrum.internal.kernel import Service, Timer
+from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import RetryBudget
 from hibiscusdrum.internal.messages import Answered, Declined, Forward
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.flight import Flight
 from hibiscusdrum.internal.router.hop import Hop
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.receiver import HOP_HEADERS, MISDIRECTED_REASON, Receiver
+from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.routes import (
     EMPTY_TABLE,
     KEY_SPACE,
@@ -23,7 +23,8 @@
 )
 from hibiscusdrum.internal.router.selection import LoadReport, Selection
 from hibiscusdrum.internal.router.settings import RouterSettings
-from hibiscusdrum.internal.transport.http_entry import EntryRequest, HttpEntry
+from hibiscusdrum.internal.transport.entry_connection import EntryRequest
+from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
 # Time a caller is given when it names none, in seconds.
 DEFAULT_LEFT_SECONDS = 10.0
@@ -43,54 +44,6 @@
 SERVER_ERRORS = (500, 502, 503)
 
 
-class Flight:
-    """A caller's request on its way to an answer."""
-
-    __slots__ = (
-        "arrivals",
-        "asked",
-        "attempt_id",
-        "begun_at",
-        "body",
-        "cancelled",
-        "deadline",
-        "expect",
-        "forward",
-        "key",
-        "moved",
-        "node",
-        "reason",
-        "request",
-        "retry_after",
-        "route",
-        "service",
-        "timer",
-        "uncertain",
-    )
-
-    def __init__(
-        self, request: EntryRequest, route: Route, service: str, deadline: float, now: float
-    ) -> None:
-        self.request = request
-        self.route = route
-        self.service = service
-        self.deadline = deadline
-        self.begun_at = now
-        self.attempt_id = ""
-        self.key = -1
-        self.body = request.body
-        self.asked: list[str] = []
-        self.arrivals = 0
-        self.moved = 0
-        self.node = ""
-        self.forward: Forward | None = None
-        self.retry_after = 0.0
-        self.uncertain = False
-        self.cancelled = False
-        self.timer: Timer | None = None
-        self.reason = ""
-
-
 class Gateway(Service):
     """Answers the requests of this VM's callers.
 
@@ -130,6 +83,7 @@
         find = self.app.find
         self.members: Members = find("members")
         self.owner: RangeOwner = find("range_owner")
+        self.rings: Rings = find("rings")
         self.receiver: Receiver = find("receiver")
         self.hop: Hop = find("hop")
         self.metrics = find("metrics")
@@ -223,7 +177,7 @@
         """Send a request to the owner of its key, or to the node that probably answers first."""
         now = self.app.clock.monotonic()
         if flight.key >= 0:
-            node = self.owner.owner_node(flight.service, flight.key)
+            node = self.rings.owner_node(flight.service, flight.key)
             if node is None:
                 flight.reason = flight.reason or "no_owner"
                 self.refuse(flight)
@@ -459,38 +413,3 @@
     def busy(self) -> bool:
         """Whether a caller waits for an answer."""
         return bool(self.flights)
-
-
-class Readiness(Service):
-    """Tells the platform whether callers on this VM may send requests.
-
-    Attributes
-    ----------
-    stopping : bool
-        Whether the process ends soon.
-    """
-
-    service_name = "readiness"
-
-    def __init__(self, settings: RouterSettings) -> None:
-        super().__init__()
-        self.settings = settings
-        self.stopping = False
-        self.closed = False
-
-    def on_start(self) -> None:
-        """Listen for the question."""
-        self.gateway: Gateway = self.app.find("gateway")
-        self.members: Members = self.app.find("members")
-        self.app.find("entry").listen(self.settings.ready_address, self.on_request)
-
-    @property
-    def ready(self) -> bool:
-        """Whether routes and nodes are known and the process does not end."""
-        return not self.stopping and self.gateway.table.version > 0 and self.members.loaded
-
-    def on_request(self, request: EntryRequest) -> None:
-        """Answer 200 or 503."""
-        body = msgspec.json.encode({"ready": self.ready, "version": self.gateway.table.version})
-        headers = [("content-type", "application/json")]
-        request.respond(200 if self.ready else 503, headers, body)
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -6,7 +6,7 @@
 
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router.settings import RouterSettings
-from hibiscusdrum.internal.transport.http_entry import EntryRequest
+from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
 # Upper bounds in seconds: from one hop within a failure domain to the longest deadline.
 BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
@@ -65,7 +65,7 @@
             "queued": admission.queued,
             "service_seconds": round(admission.service, 4),
             "stripes": len(self.owner.granted),
-            "lease_seconds": round(self.owner.lease.remaining(self.app.clock.monotonic()), 3),
+            "lease_seconds": round(self.owner.keeper.remaining, 3),
             "nodes": len(self.members.nodes),
             "store_reachable": int(self.members.reachable),
         }
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -8,32 +8,26 @@
 from __future__ import annotations
 
 import enum
-import uuid
 import zlib
 from collections.abc import Callable, Mapping
-from typing import Any
 
 import msgspec
-from loguru import logger
 from returns.result import Result, Success
 
 from hibiscusdrum.errors import HibiscusdrumError
 from hibiscusdrum.internal import log_events
-from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
-from hibiscusdrum.internal.platform.table import Row, Transaction
+from hibiscusdrum.internal.platform.table import Row
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router import ring as ring_edits
+from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper, lease_key
 from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetReport
 from hibiscusdrum.internal.router.members import NODE_PREFIX, Members
-from hibiscusdrum.internal.router.range_lease import LeaseRow, RangeLease, expired
-from hibiscusdrum.internal.router.ring import Owner, Range, Ring
+from hibiscusdrum.internal.router.range_lease import LeaseRow, expired
+from hibiscusdrum.internal.router.ring import Owner, Ring
+from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.settings import RouterSettings
 
-RING_PREFIX = "ring/"
-LEASE_PREFIX = "lease/"
-# Reason of a store failure after which the write may still take effect.
-UNKNOWN = "unknown"
 TICK_SECONDS = 0.2
 # Hold of the target in seconds: long enough for two lost reports, short enough that the keys of a target that
 # went silent soon have another owner.
@@ -66,12 +60,10 @@
 
 
 class RangeOwner(Service):
-    """Owns ranges for this node's target, and follows the rings of all partitioned services.
+    """Owns ranges for this node's target, and takes over those of gone owners.
 
     Attributes
     ----------
-    rings : dict of str to Ring
-        Newest known ring of each service.
     giving : dict of int to Owner
         Stripes that are being handed to other owners.
     on_granted : list of callable
@@ -84,19 +76,9 @@
         super().__init__()
         self.settings = settings
         self.node = settings.node
-        self.ring_key = RING_PREFIX + settings.service
-        self.lease_key = f"{LEASE_PREFIX}{settings.service}/{settings.node}"
-        self.lease = RangeLease(settings.node, uuid.uuid4().hex[:12])
-        self.rings: dict[str, Ring] = {}
-        self.versions: dict[str, int] = {}
         self.partitioned = False
-        self.synced = False
-        self.lease_writing = False
-        self.lease_known = False
         self.started_at = 0.0
         self.busy = False
-        # Stripes of a change whose outcome is unknown: it may take effect until the ring is written again.
-        self.uncertain: set[int] = set()
         self.giving: dict[int, Owner] = {}
         self.granted: set[int] = set()
         self.granted_until = 0.0
@@ -118,11 +100,13 @@
         self.table = self.app.find("table")
         self.members: Members = self.app.find("members")
         self.target: LocalTarget = self.app.find("local_target")
-        self.members.listeners["ring"] = self.on_ring
+        self.rings: Rings = self.app.find("rings")
+        self.rings.on_written.append(self.forget_tokens)
         self.members.on_change.append(self.on_members)
         self.target.grant = self.grant
         self.target.on_change.append(self.on_target)
-        self.table.on_stamp = self.lease.clock.observe
+        self.keeper: LeaseKeeper = self.app.find("lease_keeper")
+        self.keeper.on_first_write = self.read_ring
         self.app.scheduler.every(TICK_SECONDS, self.tick)
 
     @property
@@ -133,7 +117,7 @@
     @property
     def ring(self) -> Ring | None:
         """The ring of this node's service."""
-        return self.rings.get(self.settings.service)
+        return self.rings.own
 
     def set_partitioned(self, partitioned: bool) -> None:
         """Take over whether this node's service is divided by key."""
@@ -141,22 +125,6 @@
 
     # Rows
 
-    def on_ring(self, row: Row) -> None:
-        """Take over a changed ring."""
-        if row.version <= self.versions.get(row.key, 0):
-            return
-        self.versions[row.key] = row.version
-        service = row.key[len(RING_PREFIX) :]
-        if service == self.settings.service:
-            self.uncertain.clear()
-        if row.value is None:
-            self.rings.pop(service, None)
-            return
-        try:
-            self.rings[service] = msgspec.convert(row.value, Ring)
-        except msgspec.ValidationError as error:
-            logger.error("ring of {} cannot be read: {}", service, error)
-
     def on_members(self) -> None:
         """Note when the owners last changed."""
         owners = self.members.owners(self.settings.service)
@@ -200,11 +168,11 @@
             return None
         self.note_released(report)
         now, ring = self.now, self.ring
-        remaining = self.lease.remaining(now) / TARGET_CLOCK_SLOW
+        remaining = self.keeper.remaining / TARGET_CLOCK_SLOW
         seconds = min(self.settings.longest_hold, HOLD_SECONDS, remaining)
-        if ring is None or not self.synced or seconds <= HOLD_MARGIN_SECONDS:
+        if ring is None or seconds <= HOLD_MARGIN_SECONDS:
             return None
-        keep = set() if self.emptying else set(self.mine()) - set(self.giving) - self.uncertain
+        keep = set() if self.emptying else set(self.mine()) - set(self.giving) - self.rings.uncertain
         for index in self.granted - keep:
             self.ungranted_at[index] = now
         for index in keep:
@@ -227,7 +195,7 @@
         log_events.emit(
             events.KeysGranted(
                 stripes=len(self.granted),
-                version=self.versions.get(self.ring_key, 0),
+                version=self.rings.version,
                 hold_s=round(self.granted_until - self.now, 3),
             )
         )
@@ -270,100 +238,29 @@
             return
         if not self.members.reachable:
             self.reachable_since = self.now
-        self.renew()
-        if self.busy:
+        if self.target.ready or (self.ring is not None and self.ring.owned_by(self.node)):
+            self.keeper.renew()
+        if self.busy or self.rings.busy:
             return
         if self.ring is None:
             self.bootstrap()
-        elif self.uncertain:
-            self.commit(self.ring, {}, (), "settled", len(self.uncertain))
+        elif self.rings.uncertain:
+            self.rings.commit(self.ring, {}, (), "settled", len(self.rings.uncertain))
         elif not self.adopt_new_life() and not self.give_away():
             self.watch()
 
-    def renew(self) -> None:
-        """Write the lease when it is due."""
-        wanted = self.target.ready or (self.ring is not None and bool(self.ring.owned_by(self.node)))
-        if self.lease_writing or not wanted:
-            return
-        if self.lease.version == 0 and not self.lease_known:
-            self.read_lease()
-        elif self.lease.version == 0 or not self.synced or self.lease.renewal_due(self.now):
-            self.write_lease()
-
-    def read_lease(self) -> None:
-        """Read the row of an earlier incarnation, whose process has ended: this one has its port."""
-        self.lease_writing = True
-
-        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
-            self.lease_writing = False
-            if isinstance(result, Success):
-                row = result.unwrap().get(self.lease_key)
-                self.lease.version = row.version if row is not None else 0
-                self.lease_known = True
-                self.renew()
-
-        self.table.read((self.lease_key,), done)
-
-    def write_lease(self) -> None:
-        """Write the lease row under its known version."""
-        row = self.lease.proposal(self.now)
-        version = self.lease.version
-        self.lease_writing = True
-        puts = {self.lease_key: msgspec.to_builtins(row)}
-        transaction = Transaction(new_operation_id(), {self.lease_key: version}, puts)
-
-        def done(result: Result[int, HibiscusdrumError]) -> None:
-            self.lease_writing = False
-            if isinstance(result, Success):
-                self.lease.written(row, result.unwrap())
-                if not self.synced:
-                    self.read_ring()
-                return
-            code = result.failure().code
-            log_events.emit(
-                events.LeaseNotRenewed(
-                    reason=code, version=version, left_s=round(self.lease.remaining(self.now), 3)
-                )
-            )
-            self.settle_lease()
-
-        self.table.commit(transaction, done)
-
-    def settle_lease(self) -> None:
-        """Learn which row the store holds after a conflict or a lost answer.
-
-        An unanswered write may still take effect later. Its row names an end that was counted from before it
-        was sent, so that adopting it is safe whenever it appears.
-        """
-        self.lease_writing = True
-
-        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
-            self.lease_writing = False
-            if not isinstance(result, Success):
-                return
-            row = result.unwrap().get(self.lease_key)
-            value = msgspec.convert(row.value, LeaseRow) if row is not None else None
-            if value is not None and value.incarnation == self.lease.incarnation:
-                self.lease.written(value, row.version)
-            else:
-                self.lease.lost()
-                self.synced = False
-                self.lease.version = row.version if row is not None else 0
-                log_events.emit(events.LeaseTaken(version=self.lease.version))
-
-        self.table.read((self.lease_key,), done)
-
     def read_ring(self) -> None:
         """Read the ring after the first write of a lease: it may have been changed while there was none."""
 
-        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
-            if isinstance(result, Success):
-                row = result.unwrap().get(self.ring_key)
-                if row is not None:
-                    self.on_ring(row)
-                self.synced = True
+        def done(read: bool) -> None:
+            self.keeper.synced = self.keeper.synced or read
+
+        self.rings.read(done)
 
-        self.table.read((self.ring_key,), done)
+    def forget_tokens(self) -> None:
+        """Drop the handover tokens of stripes that now belong to others."""
+        mine = set(self.mine())
+        self.released = {index: token for index, token in self.released.items() if index in mine}
 
     # Changes of the ring
 
@@ -379,21 +276,23 @@
         """Make the ring when all targets have had time to report."""
         now = self.now
         owners = self.members.owners(self.settings.service)
-        if self.first_owner_at is None or not self.synced:
+        if self.first_owner_at is None or not self.keeper.synced:
             return
         waited = now - self.first_owner_at - self.rank * 0.5
         if owners and waited > BOOTSTRAP_SECONDS and now - self.owners_changed_at > BOOTSTRAP_QUIET_SECONDS:
-            self.commit(ring_edits.create(owners), {}, (), "created", len(owners))
+            self.rings.commit(ring_edits.create(owners), {}, (), "created", len(owners))
 
     def adopt_new_life(self) -> bool:
         """Give the stripes of an earlier start of the target to the present one, which holds nothing."""
         ring = self.ring
-        if self.emptying or not self.synced or self.lease.remaining(self.now) <= 0.0:
+        if self.emptying or self.keeper.remaining <= 0.0:
             return False
         stale = set(ring.owned_by(self.node)) - set(self.mine())
         if not stale:
             return False
-        self.commit(ring_edits.reassign(ring, dict.fromkeys(stale, self.me)), {}, (), "restarted", len(stale))
+        self.rings.commit(
+            ring_edits.reassign(ring, dict.fromkeys(stale, self.me)), {}, (), "restarted", len(stale)
+        )
         return True
 
     def movable(self, index: int) -> bool:
@@ -417,7 +316,7 @@
     def give_away(self) -> bool:
         """Hand over stripes that are to leave, as far as the target has given them back."""
         ring = self.ring
-        if not self.synced or self.lease.remaining(self.now) <= 0.0:
+        if self.keeper.remaining <= 0.0:
             return False
         owned = ring.owned_by(self.node)
         self.giving = {index: owner for index, owner in self.giving.items() if index in owned}
@@ -427,7 +326,9 @@
             return False
         if not self.emptying:
             moves = {index: self.giving[index] for index in movable}
-            self.commit(ring_edits.reassign(ring, moves, self.released), {}, (), "rebalanced", len(moves))
+            self.rings.commit(
+                ring_edits.reassign(ring, moves, self.released), {}, (), "rebalanced", len(moves)
+            )
             return True
         self.with_leases(lambda alive, _dead: self.give_all(movable, alive))
         return True
@@ -439,7 +340,7 @@
         if not receivers:
             return
         moves = ring_edits.spread(ring, movable, receivers)
-        self.commit(ring_edits.reassign(ring, moves, self.released), {}, (), "left", len(moves))
+        self.rings.commit(ring_edits.reassign(ring, moves, self.released), {}, (), "left", len(moves))
 
     def watch(self) -> None:
         """Look for owners whose lease has ended and for stripes without an owner."""
@@ -447,7 +348,7 @@
         interval = WATCH_SECONDS if self.rank < WATCHERS else SLOW_WATCH_SECONDS
         if now - self.watched_at < interval * (1.0 + 0.2 * self.rank) or not self.members.reachable:
             return
-        if now - self.reachable_since < REGAINED_GRACE_SECONDS or self.emptying or not self.synced:
+        if now - self.reachable_since < REGAINED_GRACE_SECONDS or self.emptying or not self.keeper.synced:
             return
         self.watched_at = now
         self.with_leases(self.take_over)
@@ -456,7 +357,7 @@
         """Read the leases of the service; ``act`` gets the owners with a valid one, and the gone nodes."""
         ring = self.ring
         nodes = ring.nodes() | {owner.node for owner in self.known_owners}
-        prefix = f"{LEASE_PREFIX}{self.settings.service}/"
+        prefix = lease_key(self.settings.service, "")
         self.busy = True
 
         def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
@@ -494,7 +395,7 @@
     def take_over(self, alive: list[Owner], gone: dict[str, int]) -> None:
         """Give the stripes of gone nodes, and those without an owner, to the others."""
         ring = self.ring
-        if self.busy or ring is None or not alive:
+        if self.busy or self.rings.busy or ring is None or not alive:
             return
         lost = [index for node in gone for index in ring.owned_by(node)]
         free = ring.unowned()
@@ -502,7 +403,7 @@
             self.consider_rebalance(alive)
             return
         moves = ring_edits.spread(ring, lost + free, alive)
-        prefix = f"{LEASE_PREFIX}{self.settings.service}/"
+        prefix = lease_key(self.settings.service, "")
         owners = [node for node in gone if ring.owned_by(node)]
         checks = {prefix + node: gone[node] for node in owners}
         deletes = [prefix + node for node in owners if gone[node]]
@@ -519,7 +420,7 @@
                 store_time_s=self.table.stamp,
             )
         )
-        self.commit(ring_edits.reassign(ring, moves), checks, tuple(deletes), "taken_over", len(moves))
+        self.rings.commit(ring_edits.reassign(ring, moves), checks, tuple(deletes), "taken_over", len(moves))
 
     def consider_rebalance(self, alive: list[Owner]) -> None:
         """Begin to hand stripes to owners that have far fewer."""
@@ -535,69 +436,3 @@
             self.uneven_since = None
             self.giving = {index: owner for index, owner in moves.items() if owner is not None}
             log_events.emit(events.HandoverBegun(stripes=len(self.giving)))
-
-    def commit(
-        self, ring: Ring, checks: dict[str, int], deletes: tuple[str, ...], reason: str, count: int
-    ) -> None:
-        """Write a ring under the version that it was made from."""
-        version = self.versions.get(self.ring_key, 0) if self.ring is not None else 0
-        changed = self.changed_stripes(ring)
-        value: Any = msgspec.to_builtins(ring)
-        transaction = Transaction(
-            new_operation_id(), {**checks, self.ring_key: version}, {self.ring_key: value}, deletes
-        )
-        self.busy = True
-
-        def done(result: Result[int, HibiscusdrumError]) -> None:
-            self.busy = False
-            if isinstance(result, Success):
-                self.on_ring(Row(self.ring_key, result.unwrap(), value))
-                for index in list(self.released):
-                    if index not in self.mine():
-                        del self.released[index]
-                outcome = "written"
-            else:
-                outcome = result.failure().code
-                if getattr(result.failure(), "reason", "") == UNKNOWN:
-                    self.uncertain |= changed
-                self.reread_ring()
-            log_events.emit(
-                events.RingChanged(
-                    reason=reason,
-                    stripes=count,
-                    base_version=version,
-                    fence=ring.next_fence - 1,
-                    outcome=outcome,
-                )
-            )
-
-        self.table.commit(transaction, done)
-
-    def changed_stripes(self, ring: Ring) -> set[int]:
-        """Return the stripes that a change would take from or give to someone."""
-        if self.ring is None:
-            return set()
-        pairs = enumerate(zip(self.ring.stripes, ring.stripes, strict=True))
-        return {index for index, (old, new) in pairs if old.fence != new.fence} | self.uncertain
-
-    def reread_ring(self) -> None:
-        """Read the ring after a conflict or an unknown outcome."""
-        self.busy = True
-
-        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
-            self.busy = False
-            row = result.unwrap().get(self.ring_key) if isinstance(result, Success) else None
-            if row is not None:
-                self.on_ring(row)
-
-        self.table.read((self.ring_key,), done)
-
-    def owner_node(self, service: str, key: int) -> str | None:
-        """Return the node that owns a key, or None."""
-        ring = self.rings.get(service)
-        owner = ring.owner(key) if ring is not None else None
-        return owner.node if owner is not None else None
-
-    def held_ranges(self) -> tuple[Range, ...]:
-        """Return the ranges that the target was last given."""
-        return self.ring.ranges(self.granted) if self.ring is not None else ()
--- /dev/null
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -0,0 +1,156 @@
+"""The rings of all partitioned services as stored, and conditional writes of this node's own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from loguru import logger
+from returns.result import Result, Success
+
+from hibiscusdrum.errors import HibiscusdrumError
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.daemon.operations import new_operation_id
+from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.platform.table import Row, Transaction
+from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.ring import Ring
+from hibiscusdrum.internal.router.settings import RouterSettings
+
+RING_PREFIX = "ring/"
+# Reason of a store failure after which the write may still take effect.
+UNKNOWN = "unknown"
+
+
+class Rings(Service):
+    """Follows the rows of rings.
+
+    Attributes
+    ----------
+    by_service : dict of str to Ring
+        Newest known ring of each service.
+    busy : bool
+        Whether a write, or a read after one, is under way.
+    uncertain : set of int
+        Stripes of a change whose outcome is unknown: it may take effect until the ring is written again.
+    on_written : list of callable
+        Called when a change of this node is in the store.
+    """
+
+    service_name = "rings"
+
+    def __init__(self, settings: RouterSettings) -> None:
+        super().__init__()
+        self.service = settings.service
+        self.key = RING_PREFIX + settings.service
+        self.by_service: dict[str, Ring] = {}
+        self.versions: dict[str, int] = {}
+        self.busy = False
+        self.uncertain: set[int] = set()
+        self.on_written: list[Callable[[], None]] = []
+
+    def on_start(self) -> None:
+        """Follow the rows."""
+        self.table = self.app.find("table")
+        self.app.find("members").listeners["ring"] = self.on_row
+
+    @property
+    def own(self) -> Ring | None:
+        """The ring of this node's service."""
+        return self.by_service.get(self.service)
+
+    @property
+    def version(self) -> int:
+        """Version of the own ring's row; 0 when there is none."""
+        return self.versions.get(self.key, 0) if self.own is not None else 0
+
+    def owner_node(self, service: str, key: int) -> str | None:
+        """Return the node that owns a key, or None."""
+        ring = self.by_service.get(service)
+        owner = ring.owner(key) if ring is not None else None
+        return owner.node if owner is not None else None
+
+    def on_row(self, row: Row) -> None:
+        """Take over a changed ring."""
+        if row.version <= self.versions.get(row.key, 0):
+            return
+        self.versions[row.key] = row.version
+        service = row.key[len(RING_PREFIX) :]
+        if service == self.service:
+            self.uncertain.clear()
+        if row.value is None:
+            self.by_service.pop(service, None)
+            return
+        try:
+            self.by_service[service] = msgspec.convert(row.value, Ring)
+        except msgspec.ValidationError as error:
+            logger.error("ring of {} cannot be read: {}", service, error)
+
+    def read(self, done: Callable[[bool], None]) -> None:
+        """Read the own ring; ``done`` is told whether the store answered."""
+
+        def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+            row = result.unwrap().get(self.key) if isinstance(result, Success) else None
+            if row is not None:
+                self.on_row(row)
+            done(isinstance(result, Success))
+
+        self.table.read((self.key,), on_rows)
+
+    def commit(
+        self, ring: Ring, checks: dict[str, int], deletes: tuple[str, ...], reason: str, count: int
+    ) -> None:
+        """Write the own ring under the version that it was made from.
+
+        Parameters
+        ----------
+        checks : dict of str to int
+            Versions that further rows must have.
+        deletes : tuple of str
+            Rows that are removed by the same write.
+        reason, count
+            Why, and the number of stripes, for the log.
+        """
+        version = self.version
+        changed = self.changed_stripes(ring)
+        value: Any = msgspec.to_builtins(ring)
+        transaction = Transaction(
+            new_operation_id(), {**checks, self.key: version}, {self.key: value}, deletes
+        )
+        self.busy = True
+
+        def done(result: Result[int, HibiscusdrumError]) -> None:
+            self.busy = False
+            outcome = "written" if isinstance(result, Success) else result.failure().code
+            log_events.emit(
+                events.RingChanged(
+                    reason=reason,
+                    stripes=count,
+                    base_version=version,
+                    fence=ring.next_fence - 1,
+                    outcome=outcome,
+                )
+            )
+            if isinstance(result, Success):
+                self.on_row(Row(self.key, result.unwrap(), value))
+                for listener in self.on_written:
+                    listener()
+                return
+            if getattr(result.failure(), "reason", "") == UNKNOWN:
+                self.uncertain |= changed
+            self.busy = True
+            self.read(self.on_reread)
+
+        self.table.commit(transaction, done)
+
+    def on_reread(self, _read: bool) -> None:
+        """Allow the next write after a conflict or an unknown outcome."""
+        self.busy = False
+
+    def changed_stripes(self, ring: Ring) -> set[int]:
+        """Return the stripes that a change would take from or give to someone."""
+        if self.own is None:
+            return set()
+        pairs = enumerate(zip(self.own.stripes, ring.stripes, strict=True))
+        return {index for index, (old, new) in pairs if old.fence != new.fence} | self.uncertain
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -13,7 +13,7 @@
 from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetReport
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.settings import RouterSettings
-from hibiscusdrum.internal.transport.http_entry import EntryRequest
+from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
 INSTANCES_PATH = "/instances/"
 JSON_HEADERS = [("content-type", "application/json")]
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -18,10 +18,12 @@
 from hibiscusdrum.internal.clock import ManualClock
 from hibiscusdrum.internal.kernel import Application, Service
 from hibiscusdrum.internal.platform.table import Changes, Row
+from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetReport
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.ring import Range
+from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.settings import RouterSettings
 
 STEP_SECONDS = 0.05
@@ -253,6 +255,8 @@
         self.app.add(NodeTable(world, name))
         self.target = self.app.add(LocalTarget(settings))
         self.members = self.app.add(Members(settings))
+        self.app.add(Rings(settings))
+        self.app.add(LeaseKeeper(settings))
         self.owner = self.app.add(RangeOwner(settings))
         world.nodes[name] = self
         for service in self.app.services.values():
--- a/tools/standins/rows_store.py
+++ b/tools/standins/rows_store.py
@@ -15,7 +15,8 @@
 
 import msgspec
 
-from hibiscusdrum.internal.transport.http_entry import EntryRequest, HttpEntry
+from hibiscusdrum.internal.transport.entry_connection import EntryRequest
+from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from tools.standins.web import serve
 
 HEADERS = [("content-type", "application/json")]
