--- a/src/hibiscusdrum/platform/__main__.py
+++ b/src/hibiscusdrum/platform/__main__.py
@@ -8,4 +8,4 @@
 
 from hibiscusdrum.platform.main import main  # noqa: E402
 
-main()
+sys.exit(main())
--- a/src/hibiscusdrum/platform/main.py
+++ b/src/hibiscusdrum/platform/main.py
@@ -43,9 +43,7 @@
     try:
         settings = router_settings(read_boot_file(boot_file))
     except InvalidSettings as error:
-        for problem in error.problems:
-            print(f"hibiscusdrum: {problem}", file=sys.stderr)
-        return EXIT_USAGE
+        return report(error)
     clock = BootClock()
     log_events.configure(settings.node, settings.log_level, clock, NonBlockingOutput(STDOUT))
     app = Application(clock)
@@ -71,10 +69,41 @@
     return app.exit_code
 
 
-def main() -> None:
-    """Run with the settings file that the environment names."""
-    path = os.environ.get(BOOT_VARIABLE, "")
-    if not path:
-        print(f"hibiscusdrum: {BOOT_VARIABLE} names no settings file", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-    sys.exit(run(path))
+def check(boot_file: str) -> int:
+    """Print the settings in force without starting; returns the exit code."""
+    try:
+        settings = router_settings(read_boot_file(boot_file))
+    except InvalidSettings as error:
+        return report(error)
+    for name in settings.__struct_fields__:
+        print(f"{name}={getattr(settings, name)}")
+    return 0
+
+
+def report(error: InvalidSettings) -> int:
+    """Print what is wrong with the settings; returns the exit code."""
+    for problem in error.problems:
+        print(f"hibiscusdrum: {problem}", file=sys.stderr)
+    return EXIT_USAGE
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run or check with the settings file that is given, or else named by the environment.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+        ``[run|check] [FILE]``; those of the process when not given. They are read without a library for
+        command lines, whose import would lengthen each restart by 0.2 s.
+    """
+    words = list(sys.argv[1:] if arguments is None else arguments)
+    command = words.pop(0) if words and words[0] in COMMANDS else "run"
+    path = words.pop(0) if words else os.environ.get(BOOT_VARIABLE, "")
+    if words or not path or path.startswith("-"):
+        print(USAGE, file=sys.stderr)
+        return EXIT_USAGE
+    return COMMANDS[command](path)
+
+
+COMMANDS = {"run": run, "check": check}
+USAGE = f"usage: python -m hibiscusdrum.platform [run|check] [FILE]; without FILE, {BOOT_VARIABLE} names it"
--- a/tests/features/router_decisions.feature
+++ b/tests/features/router_decisions.feature
@@ -67,3 +67,8 @@
     Given a peer whose clock differs by 1000 s and whose messages take 1 to 30 ms
     When one message is held up for 2 s
     Then only that message counts as late
+
+  Scenario: A target that is cold before the routes are known is limited
+    Given a receiver whose target reports itself cold before the routes are known
+    When the routes arrive with a rate of 8.8 requests a second for cold targets
+    Then its queue lets at most 8 requests start at once
--- a/tests/features/router_platform.feature
+++ b/tests/features/router_platform.feature
@@ -53,3 +53,13 @@
     And a write under an old version is a conflict
     And a write without an answer is reported as unknown, and one that was refused as not done
     And a wait for changes ends with the row that changed
+
+  Scenario Outline: The command line checks a settings file without starting
+    Then the command line "<words>" with a settings file "<file>" ends with <code> and names "<text>"
+
+    Examples:
+      | words        | file       | code | text           |
+      | check        | in order   | 0    | service=keyed  |
+      | check        | with fault | 2    | target_address |
+      | check        | missing    | 2    | usage          |
+      | check --help | missing    | 2    | usage          |
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -10,11 +10,19 @@
 
 from behave import given, then, when
 
+from hibiscusdrum.internal.clock import ManualClock
+from hibiscusdrum.internal.kernel import Application
 from hibiscusdrum.internal.router.admission import Admission, Entry
 from hibiscusdrum.internal.router.hop import LATE_SECONDS, Transit
+from hibiscusdrum.internal.router.receiver import Receiver
+from hibiscusdrum.internal.router.routes import HeaderNames, RouteTable, ServiceSpec
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, Selection
+from hibiscusdrum.internal.router.settings import RouterSettings
 
 STEP_SECONDS = 0.02
+SETTINGS = RouterSettings(
+    "n", "east", "east-1", "keyed", *(f"127.0.0.1:{port}" for port in range(1, 7))
+)  # fmt: skip
 
 
 class Played:
@@ -309,3 +317,30 @@
 def only_one_late(context):
     delays = [context.transit.delay(sent, received) for sent, received in context.messages]
     assert sum(delay > LATE_SECONDS for delay in delays) == 1
+
+
+@given("a receiver whose target reports itself cold before the routes are known")
+def cold_before_routes(context):
+    app = Application(ManualClock())
+    context.receiver = Receiver(SETTINGS, HeaderNames())
+    context.receiver.app = app
+    context.receiver.on_cold(3.0)
+
+
+@when("the routes arrive with a rate of {rate:g} requests a second for cold targets")
+def routes_arrive(context, rate):
+    spec = ServiceSpec(SETTINGS.service, cold_rate=rate)
+    context.receiver.set_table(RouteTable.build(1, [], [spec]))
+
+
+@then("its queue lets at most {most:d} requests start at once")
+def starts_at_once(context, most):
+    receiver = context.receiver
+    admission, now = receiver.admission, receiver.now
+    admission.slots = 50
+    for _ in range(50):
+        admission.push(Entry("request", 1, now + 5.0, now + 9.0, "request", now), now)
+    started = 0
+    while admission.pop(now) is not None:
+        started += 1
+    assert 0 < started <= most, started
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -3,6 +3,11 @@
 They guard against settings, configurations and reports that are read as something else than they say.
 """
 
+import io
+import tempfile
+from contextlib import redirect_stderr, redirect_stdout
+from pathlib import Path
+
 import msgspec
 from behave import given, then
 from returns.result import Success
@@ -18,6 +23,7 @@
 from hibiscusdrum.internal.router.routes import RequestKind, Route, RouteTable, WeightedChoice
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.platform.boot import router_settings
+from hibiscusdrum.platform.main import main
 from hibiscusdrum.platform.operator import decode_config
 from hibiscusdrum.platform.reports import decode_report
 from hibiscusdrum.platform.store import StoreClient
@@ -220,3 +226,16 @@
     assert isinstance(written, Success)
     rows = results.one(context.loopback).unwrap().rows
     assert [(row.key, row.value) for row in rows] == [("ring/s", [1])]
+
+
+@then('the command line "{words}" with a settings file "{file}" ends with {code:d} and names "{text}"')
+def command_line(_context, words, file, code, text):
+    values = boot_values() | ({"appAddr": "nowhere"} if file == "with fault" else {})
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "local.conf"
+        path.write_text("".join(f"{name}={value}\n" for name, value in values.items()))
+        arguments = words.split() + ([] if file == "missing" else [str(path)])
+        output = io.StringIO()
+        with redirect_stdout(output), redirect_stderr(output):
+            assert main(arguments) == code
+    assert text in output.getvalue(), output.getvalue()
