--- a/src/hibiscusdrum/internal/router/local_target.py
+++ b/src/hibiscusdrum/internal/router/local_target.py
@@ -97,7 +97,6 @@
         self.ended = False
         self.seen_at = float("-inf")
         self.reported_at = float("-inf")
-        self.cold_until = 0.0
         self.left_lives: set[str] = set()
         self.on_change: list[Callable[[], None]] = []
         self.on_cold: list[Callable[[float], None]] = []
@@ -137,7 +136,6 @@
         self.report = report
         self.ended = False
         self.seen_at = self.reported_at = now
-        self.cold_until = now + report.cold_seconds if report.cold_seconds > 0.0 else 0.0
         if report.cold_seconds > 0.0:
             self.note_cold(report.cold_seconds)
         draining = report.draining or report.life in self.left_lives
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -13,6 +13,7 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.platform.table import Changes, Row, Transaction
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.local_target import LocalTarget
@@ -106,8 +107,8 @@
         if not isinstance(result, Success):
             self.failures += 1
             self.note_reachable(False, result.failure().code)
-            longest = min(MAX_FAILED_READ_SECONDS, FAILED_READ_SECONDS * 2.0 ** min(self.failures, 6))
-            self.app.scheduler.call_later(longest * (0.5 + 0.5 * self.rng.random()), self.read)
+            wait = full_jitter(self.failures, self.rng, FAILED_READ_SECONDS, MAX_FAILED_READ_SECONDS)
+            self.app.scheduler.call_later(wait, self.read)
             return
         self.failures = 0
         self.note_reachable(True, "")
--- a/src/hibiscusdrum/internal/router/routes.py
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -30,16 +30,12 @@
         Key of a request to a partitioned service.
     signature : str
         Marks an answer as the target's own.
-    expected_target, target_id : str
-        Target that must answer, and the target that did.
+    expected_target : str
+        Target that must answer.
     not_run : str
         Present when the target did not run the request.
-    load : str
-        Running, queued, slots and, optionally, the target's present slowness in percent.
     caller : str
         Service of the VM on which the request began.
-    warmup_ms : str
-        Time for which the target stays cold.
     """
 
     attempt_id: str = "x-attempt-id"
@@ -47,11 +43,8 @@
     key: str = "x-key"
     signature: str = "x-signature"
     expected_target: str = "x-expected-target"
-    target_id: str = "x-target-id"
     not_run: str = "x-not-run"
-    load: str = "x-load"
     caller: str = "x-caller"
-    warmup_ms: str = "x-warmup-ms"
 
 
 class Route(msgspec.Struct, frozen=True):
--- a/src/hibiscusdrum/internal/router/selection.py
+++ b/src/hibiscusdrum/internal/router/selection.py
@@ -51,7 +51,7 @@
 class NodeView:
     """What this node knows of another one's target."""
 
-    __slots__ = ("avoid_for", "avoid_until", "failures", "in_flight", "report", "reported_at", "sent_since")
+    __slots__ = ("avoid_for", "avoid_until", "in_flight", "report", "reported_at", "sent_since")
 
     def __init__(self) -> None:
         self.report = LoadReport()
@@ -60,7 +60,6 @@
         self.sent_since = 0
         self.avoid_until = 0.0
         self.avoid_for = AVOID_SECONDS
-        self.failures = 0
 
     def busy(self, now: float) -> float:
         """Return the expected number of requests at the target."""
@@ -155,13 +154,11 @@
     def succeeded(self, node: str) -> None:
         """Trust a node again."""
         view = self.view(node)
-        view.failures = 0
         view.avoid_for = AVOID_SECONDS
         view.avoid_until = 0.0
 
     def failed(self, node: str, now: float) -> None:
         """Pass a node over for a time that doubles with each failure in a row."""
         view = self.view(node)
-        view.failures += 1
         view.avoid_until = now + view.avoid_for
         view.avoid_for = min(MAX_AVOID_SECONDS, view.avoid_for * 2.0)
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -10,7 +10,6 @@
 DEFAULT_HEARTBEAT_SECONDS = 1.0
 DEFAULT_HOLD_SECONDS = 10.0
 DEFAULT_GRACE_SECONDS = 6.0
-DEFAULT_DRAIN_SECONDS = 2.5
 DEFAULT_RETRY_RATIO = 0.2
 
 
@@ -35,8 +34,6 @@
         Seconds for which a target may hold keys without a renewal.
     grace : float
         Seconds from a stop signal to the end of the process.
-    drain : float
-        Seconds in which a target that leaves may still get requests.
     retry_ratio, retry_slack, retry_window : float
         Requests sent to a second target: a share of all, and a number in so many seconds for all nodes.
     """
@@ -55,7 +52,6 @@
     heartbeat: float = DEFAULT_HEARTBEAT_SECONDS
     longest_hold: float = DEFAULT_HOLD_SECONDS
     grace: float = DEFAULT_GRACE_SECONDS
-    drain: float = DEFAULT_DRAIN_SECONDS
     retry_ratio: float = DEFAULT_RETRY_RATIO
     retry_slack: float = 60.0
     retry_window: float = 10.0
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -134,7 +134,6 @@
         "failed",
         "head_bytes",
         "head_started",
-        "input_paused",
         "listener",
         "out",
         "parser",
@@ -163,7 +162,6 @@
         self.body_bytes = 0
         self.active_at = now
         self.discard_until = 0.0
-        self.input_paused = False
         self.stash: list[bytes] = []
 
     # Callbacks of the parser
--- a/src/hibiscusdrum/platform/boot.py
+++ b/src/hibiscusdrum/platform/boot.py
@@ -74,7 +74,6 @@
         heartbeat=number(values, "heartbeatS", 1.0),
         longest_hold=number(bounds, "holdMaxS", 10.0),
         grace=number(bounds, "graceS", 6.0),
-        drain=number(bounds, "drainS", 2.5),
         retry_ratio=number(bounds, "budgetRatio", 0.2),
         retry_slack=number(bounds, "budgetSlack", 60.0),
         retry_window=number(bounds, "budgetWindowS", 10.0),
--- a/src/hibiscusdrum/platform/main.py
+++ b/src/hibiscusdrum/platform/main.py
@@ -30,11 +30,8 @@
     key="x-hibiscusdrum-shard-key",
     signature="x-hibiscusdrum-response-sig",
     expected_target="x-hibiscusdrum-expect-instance",
-    target_id="x-hibiscusdrum-instance-id",
     not_run="x-hibiscusdrum-not-executed",
-    load="x-hibiscusdrum-load-report",
     caller="x-hibiscusdrum-caller",
-    warmup_ms="x-hibiscusdrum-warmup-ms",
 )
 
 
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -12,6 +12,7 @@
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.routes import EntryLimits, RequestKind, Route, RouteTable, ServiceSpec
 from hibiscusdrum.platform.store import OPERATOR_TABLE, StoreClient, WireRow, WireRows
@@ -134,8 +135,8 @@
         """Put changed rows in force."""
         if not isinstance(result, Success):
             self.failures += 1
-            longest = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2.0 ** min(self.failures, 5))
-            self.app.scheduler.call_later(longest * (0.5 + 0.5 * self.rng.random()), self.read)
+            wait = full_jitter(self.failures, self.rng, RETRY_SECONDS, MAX_RETRY_SECONDS)
+            self.app.scheduler.call_later(wait, self.read)
             return
         rows = result.unwrap()
         self.failures = 0
