--- a/src/hibiscusdrum/internal/transport/peer.py
+++ b/src/hibiscusdrum/internal/transport/peer.py
@@ -32,7 +32,7 @@
 
     __slots__ = ("address", "descriptor", "pending", "socket")
 
-    def __init__(self, context: zmq.Context, address: str, heartbeats: bool = True) -> None:
+    def __init__(self, context: zmq.Context, address: str, heartbeats: bool = False) -> None:
         self.address = address
         self.descriptor = -1
         self.pending: deque[tuple[float, list[bytes]]] = deque()
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -176,13 +176,14 @@
             # The asker disconnected or does not read; it treats the outcome as unknown.
             return
 
-    def peer(self, address: str, heartbeats: bool = True) -> Peer:
+    def peer(self, address: str, heartbeats: bool = False) -> Peer:
         """Return the connection to an address, opening it if needed.
 
         Parameters
         ----------
         heartbeats : bool
-            Whether a new connection is probed while it is idle.
+            Whether a new connection is probed while it is idle, and ended when its peer is silent. What was
+            sent on it is lost then; without, it arrives when the network is back.
         """
         peer = self.peers.get(address)
         if peer is None:
