Do not call a read not run when its first try may have run

Cause: a request whose first try had no answer was repeated, and a refusal of the repeat became 503, which says that it has not run. Found by reading the change. Change: a repeat marks the request as uncertain, and its final refusal is 502; a withdrawn request is counted as ended once. Measured: the scenario fails before (503 with one run) and passes after (502).

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -240,9 +240,10 @@
 
     def on_reply(self, flight: Flight, forward: Forward, answer: Answered | Declined, body: bytes) -> None:
         """Take the outcome of one try."""
-        self.selection.ended(flight.node)
         if flight not in self.flights or flight.forward is not forward:
+            # The request was withdrawn, and counted as ended then.
             return
+        self.selection.ended(flight.node)
         now = self.app.clock.monotonic()
         if flight.node == self.settings.node:
             self.selection.reported(flight.node, LoadReport(*answer.load), now)
@@ -279,7 +280,6 @@
             if self.may_repeat(flight, now):
                 self.repeat(flight, answer.reason)
                 return
-            flight.uncertain = True
             self.fail(flight, 502)
             return
         moved = answer.reason == NOT_OWNER or (
@@ -315,7 +315,8 @@
         return self.budget(flight.service).may_retry(now)
 
     def repeat(self, flight: Flight, reason: str) -> None:
-        """Send a request to another target."""
+        """Send a request that may have run to another target."""
+        flight.uncertain = True
         log_events.emit(
             events.RequestRepeated(
                 id=flight.attempt_id,
--- a/tests/features/router_system.feature
+++ b/tests/features/router_system.feature
@@ -22,6 +22,11 @@
       | refuses each grant                   | POST   | /g/full    | 503    | 0    |
       | takes longer than the route's time   | POST   | /g/slow    | 504    | 1    |
 
+  Scenario: A read that has run once is not said to be not run when its repeat is refused
+    Given a system of routers
+    When a caller reads "/k/lost-then-full" of "keys.example" with a key
+    Then the status is 502 and it has run 1 times
+
   Scenario: A refusal tells when to come back
     Given a system of routers
     When a caller sends a POST request to "/g/full" of "grants.example"
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -67,6 +67,11 @@
     context.answer = context.system.ask(context.vm, host, path, method, attempt="sent", deadline_ms=3000)
 
 
+@when('a caller reads "{path}" of "{host}" with a key')
+def reads_with_key(context, path, host):
+    context.answer = context.system.ask(context.vm, host, path, key=77, attempt="sent", deadline_ms=3000)
+
+
 @then("the status is {status:d} and it has run {runs:d} times")
 def status_and_runs(context, status, runs):
     time.sleep(0.2)
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -2,7 +2,8 @@
 
 Faults are chosen by the path of a request: ``/.../slow`` takes 2 s, ``/.../lost`` runs without an answer,
 ``/.../garbled`` answers bytes that are no answer, ``/.../short`` ends its body early, ``/.../late`` sends an
-answer to another request first, ``/.../full`` refuses. The record is a line for each run and each change of
+answer to another request first, ``/.../full`` refuses, ``/.../lost-then-full`` loses the first answer to an
+attempt and refuses it after that. The record is a line for each run and each change of
 what it holds.
 """
 
@@ -43,6 +44,7 @@
         self.released: list[list[Any]] = []
         self.in_progress = 0
         self.draining = False
+        self.lost: set[str] = set()
 
     def on_start(self) -> None:
         """Listen and report."""
@@ -124,6 +126,9 @@
         if request.header(PREFIX + "expect-instance") != self.id or not self.holds(request):
             request.respond(421, [*headers, (PREFIX + "not-executed", "1")])
             return
+        if path.endswith("/lost-then-full"):
+            path = path[: -len("-then-full")] if attempt not in self.lost else "/full"
+            self.lost.add(attempt)
         if path.endswith("/full") or self.in_progress >= self.options.slots + 4:
             request.respond(503, [*headers, (PREFIX + "not-executed", "1")])
             return
