Reserve the ports of a test system for its process

The log of vm5 shows address_in_use: both runs had chosen overlapping blocks of ports at the same moment. Change: blocks are aligned, and their first port stays bound by the process that uses them. No product code.

--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -19,6 +19,9 @@
 START_SECONDS = 15.0
 LOWEST_PORT = 11_000
 HIGHEST_PORT = 30_000
+BLOCK_PORTS = 64
+# Keep the blocks of this process from others until it ends.
+GUARDS: list[socket.socket] = []
 PREFIX = "x-hibiscusdrum-"
 ATTEMPTS = itertools.count(1)
 ROUTE_COLUMNS = [
@@ -230,15 +233,23 @@
 
 
 def block_of_ports(count: int) -> list[int]:
-    """Return neighbouring free ports below those that the kernel gives to outgoing connections."""
+    """Return neighbouring free ports below those that the kernel gives to outgoing connections.
+
+    Blocks are aligned, and the first port of each stays bound by this process, so that systems that start at
+    the same moment never share one.
+    """
     rng = random.Random()
     while True:
-        first = rng.randrange(LOWEST_PORT, HIGHEST_PORT - count)
-        ports = list(range(first, first + count))
+        first = LOWEST_PORT + BLOCK_PORTS * rng.randrange((HIGHEST_PORT - LOWEST_PORT) // BLOCK_PORTS)
+        guard = socket.socket()
+        ports = list(range(first + 1, first + 1 + count))
         try:
+            guard.bind((HOST, first))
             for port in ports:
                 with socket.socket() as probe:
                     probe.bind((HOST, port))
         except OSError:
+            guard.close()
             continue
+        GUARDS.append(guard)
         return ports
