Tell full links, waiting calls and refused tries apart in logs and metrics

Change: bytes sent by kind of message and by place (own region, other region, store), delays of messages by place, runs and slot time by route, declines by reason, all on the metrics address; a `traffic_summary` line every 5 s with the bytes and the longest delays; `request_ended` tells the time before the last try and on the way; a declined try tells whether slots, awaited bodies or the link had no room. No decision changes.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -146,12 +146,15 @@
     ----------
     load : tuple
         Load of the target: running, queued, slots, mean service time in seconds, accepting.
+    held : float
+        Seconds from the arrival of the request at the target's node to the answer.
     """
 
     id: bytes
     status: int
     headers: tuple[tuple[str, str], ...]
     load: tuple[int, int, int, float, bool]
+    held: float = 0.0
 
 
 class Declined(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -19,6 +19,7 @@
 from hibiscusdrum.internal.router.selection import Selection
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.stopping import RouterStopping
+from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from hibiscusdrum.internal.transport.peers import PeerTransport
@@ -46,6 +47,7 @@
     app.add(table)
     app.add(PeerTransport(settings.peer_address, b""))
     app.add(HttpEntry())
+    app.add(Traffic(settings))
     app.add(LocalTarget(settings))
     members = app.add(Members(settings))
     hop = app.add(Hop(settings, selection))
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -184,6 +184,18 @@
     delay_s: float
 
 
+class TrafficSummary(LogEvent, frozen=True):
+    """Bytes exchanged with other nodes and the store, and the longest delays, since the last summary."""
+
+    number = 826
+    cause = "Written at intervals."
+
+    seconds: float
+    bytes: dict[str, int]
+    longest_delay_own_s: float
+    longest_delay_other_s: float
+
+
 class PeerRegained(LogEvent, frozen=True):
     """A peer answers again."""
 
@@ -195,7 +207,11 @@
 
 
 class RequestDeclined(LogEvent, frozen=True):
-    """A request was not passed to the target, or has no answer of it."""
+    """A request was not passed to the target, or has no answer of it.
+
+    ``full`` names what had no room for a request that others can serve: the target's slots, bodies that are
+    awaited, or the link.
+    """
 
     number = 816
     limited = True
@@ -210,6 +226,7 @@
     running: int
     queued: int
     wait_s: float
+    full: str = ""
 
 
 class RequestRun(LogEvent, frozen=True):
@@ -229,7 +246,11 @@
 
 
 class RequestEnded(LogEvent, frozen=True):
-    """A caller's request has its final answer; status 499 means that the caller left."""
+    """A caller's request has its final answer; status 499 means that the caller left.
+
+    ``before_ms`` is the time until the last try began, ``path_ms`` what that try spent on the way to the
+    target's node and back; both are part of ``took_ms``.
+    """
 
     number = 818
     limited = True
@@ -246,6 +267,8 @@
     asked: tuple[str, ...]
     took_ms: int
     version: int
+    before_ms: int = 0
+    path_ms: int = 0
 
 
 class RequestRepeated(LogEvent, frozen=True):
@@ -354,5 +377,6 @@
         StoreRegained,
         TargetChanged,
         TargetGone,
+        TrafficSummary,
     )
 )
--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -15,6 +15,10 @@
     ----------
     asked, busy, refused : list of str
         Nodes that it was sent to; of these, those without a free slot, and those that refused or failed.
+    sent_at : float
+        Monotonic time in seconds of the last try.
+    path : float
+        Seconds of the last try that neither the target nor its queue took.
     """
 
     __slots__ = (
@@ -31,11 +35,13 @@
         "key",
         "moved",
         "node",
+        "path",
         "reason",
         "refused",
         "request",
         "retry_after",
         "route",
+        "sent_at",
         "service",
         "timer",
         "uncertain",
@@ -58,6 +64,8 @@
         self.arrivals = 0
         self.moved = 0
         self.node = ""
+        self.sent_at = now
+        self.path = 0.0
         self.forward: Forward | None = None
         self.retry_after = 0.0
         self.uncertain = False
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -211,7 +211,7 @@
     def send(self, flight: Flight, node: str, now: float, only_if_free: bool) -> None:
         """Pass a request to a node."""
         request = flight.request
-        flight.node = node
+        flight.node, flight.sent_at = node, now
         flight.asked.append(node)
         forward = Forward(
             id=self.hop.next_id(),
@@ -272,6 +272,7 @@
     def on_answered(self, flight: Flight, answer: Answered, body: bytes, now: float) -> None:
         """Pass the target's answer on; a failure of a request that may be repeated is tried elsewhere."""
         flight.arrivals += 1
+        flight.path = now - flight.sent_at - answer.held
         if answer.status in SERVER_ERRORS:
             self.selection.failed(flight.node, now)
             flight.refused.append(flight.node)
@@ -438,6 +439,8 @@
                 asked=tuple(flight.asked),
                 took_ms=round(took * 1000),
                 version=self.table.version,
+                before_ms=round((flight.sent_at - flight.begun_at) * 1000),
+                path_ms=round(flight.path * 1000),
             )
         )
         self.metrics.ended(flight.route.name, status, took)
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -26,6 +26,7 @@
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.selection import LoadReport, Selection
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.traffic import Traffic
 
 PING_SECONDS = 0.25
 # A peer with requests of this node that has been silent for this long is taken to be unreachable. A round
@@ -135,6 +136,7 @@
         self.started_at = self.now
         self.peers = self.app.find("peers")
         self.members: Members = self.app.find("members")
+        self.traffic: Traffic = self.app.find("traffic")
         self.peers.on_request = self.on_request
         self.peers.on_reply = self.on_reply
         self.members.on_change.append(self.connect)
@@ -179,8 +181,10 @@
         if len(body) > LARGE_BODY_BYTES:
             offered, body = body, b""
             forward = msgspec.structs.replace(forward, offered_bytes=len(offered))
-        if state is None or not self.peers.try_send_request(state.address, forward, body):
+        size = self.peers.try_send_request(state.address, forward, body) if state is not None else 0
+        if not size:
             return False
+        self.traffic.note_sent(self.members.region(node), "forward", size)
         self.outstanding[forward.id] = Outstanding(node, state.address, callback, self.now, offered)
         return True
 
@@ -189,7 +193,9 @@
         entry = self.outstanding.get(request_id)
         if entry is None or not entry.body:
             return
-        if self.peers.try_send_request(entry.address, Body(request_id), entry.body):
+        size = self.peers.try_send_request(entry.address, Body(request_id), entry.body)
+        if size:
+            self.traffic.note_sent(self.members.region(entry.node), "body", size)
             entry.body = b""
 
     def holds_body(self, request_id: bytes) -> bool:
@@ -299,7 +305,10 @@
             delay = self.delay(message.origin, message.sent_at)
 
             def reply(answer: Answered | Declined | SendBody, content: bytes) -> None:
-                self.peers.reply(identity, answer, content)
+                size = self.peers.reply(identity, answer, content)
+                self.traffic.note_sent(
+                    self.members.region(message.origin), type(answer).__name__.lower(), size
+                )
 
             self.accept(message, body, delay, reply)
         elif kind is Body:
@@ -329,6 +338,7 @@
         if transit is None:
             transit = self.transit[origin] = Transit()
         late = transit.delay(sent_at, self.now)
+        self.traffic.note_delay(self.members.region(origin), late)
         if late > CONGESTED_SECONDS and self.members.region(origin) == self.settings.region:
             self.note_congestion(origin, late)
         return late if late > LATE_SECONDS else 0.0
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -6,6 +6,7 @@
 
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.traffic import DELAY_BOUNDS, Traffic
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
 # Upper bounds in seconds: from one hop within a failure domain to the longest deadline.
@@ -24,12 +25,16 @@
         self.counts: dict[tuple[str, int], int] = {}
         self.buckets: dict[str, list[int]] = {}
         self.totals: dict[str, float] = {}
+        self.declines: dict[tuple[str, str], int] = {}
+        self.runs: dict[str, int] = {}
+        self.run_seconds: dict[str, float] = {}
 
     def on_start(self) -> None:
         """Serve the metrics when an address is set."""
         self.receiver = self.app.find("receiver")
         self.owner = self.app.find("range_owner")
         self.members = self.app.find("members")
+        self.traffic = self.app.find("traffic")
         if self.settings.metrics_address:
             self.app.find("entry").listen(self.settings.metrics_address, self.on_request)
 
@@ -42,6 +47,15 @@
         buckets[bisect_left(BOUNDS, seconds)] += 1
         self.totals[route] = self.totals.get(route, 0.0) + seconds
 
+    def declined(self, route: str, reason: str) -> None:
+        """Count a request that this node's target did not get or did not answer."""
+        self.declines[route, reason] = self.declines.get((route, reason), 0) + 1
+
+    def ran(self, route: str, seconds: float) -> None:
+        """Count a request that this node's target answered, and the time that it held a slot."""
+        self.runs[route] = self.runs.get(route, 0) + 1
+        self.run_seconds[route] = self.run_seconds.get(route, 0.0) + seconds
+
     def on_request(self, request: EntryRequest) -> None:
         """Answer a scrape."""
         request.respond(200, [("content-type", CONTENT_TYPE)], self.render())
@@ -59,6 +73,14 @@
                 lines.append(f'hibiscusdrum_request_seconds_bucket{{route="{route}",le="{bound}"}} {total}')
             lines.append(f'hibiscusdrum_request_seconds_sum{{route="{route}"}} {self.totals[route]:.6f}')
             lines.append(f'hibiscusdrum_request_seconds_count{{route="{route}"}} {total}')
+        lines.append("# TYPE hibiscusdrum_declined_total counter")
+        for (route, reason), count in sorted(self.declines.items()):
+            lines.append(f'hibiscusdrum_declined_total{{route="{route}",reason="{reason}"}} {count}')
+        lines.append("# TYPE hibiscusdrum_slot_seconds summary")
+        for route, count in sorted(self.runs.items()):
+            lines.append(f'hibiscusdrum_slot_seconds_sum{{route="{route}"}} {self.run_seconds[route]:.6f}')
+            lines.append(f'hibiscusdrum_slot_seconds_count{{route="{route}"}} {count}')
+        lines += traffic_lines(self.traffic)
         admission = self.receiver.admission
         gauges = {
             "running": admission.running,
@@ -72,3 +94,20 @@
         for name, value in gauges.items():
             lines += [f"# TYPE hibiscusdrum_{name} gauge", f"hibiscusdrum_{name} {value}"]
         return ("\n".join(lines) + "\n").encode()
+
+
+def traffic_lines(traffic: Traffic) -> list[str]:
+    """Return the metrics of the links."""
+    lines = []
+    for name, sizes in (("sent", traffic.sent), ("received", traffic.received)):
+        lines.append(f"# TYPE hibiscusdrum_{name}_bytes_total counter")
+        for (place, kind), size in sorted(sizes.items()):
+            lines.append(f'hibiscusdrum_{name}_bytes_total{{place="{place}",kind="{kind}"}} {size}')
+    lines.append("# TYPE hibiscusdrum_delay_seconds histogram")
+    for place, buckets in traffic.delays.items():
+        total = 0
+        for bound, count in zip((*map(str, DELAY_BOUNDS), "+Inf"), buckets, strict=True):
+            total += count
+            lines.append(f'hibiscusdrum_delay_seconds_bucket{{place="{place}",le="{bound}"}} {total}')
+        lines.append(f'hibiscusdrum_delay_seconds_count{{place="{place}"}} {total}')
+    return lines
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -64,11 +64,12 @@
 class Job:
     """A request on this VM without an outcome."""
 
-    __slots__ = ("body", "deadline", "entry", "exchange", "forward", "goal", "reply", "sent_at")
+    __slots__ = ("arrived_at", "body", "deadline", "entry", "exchange", "forward", "goal", "reply", "sent_at")
 
     def __init__(self, forward: Forward, body: bytes, now: float, reply: ReplyCallback) -> None:
         self.forward = forward
         self.body = body
+        self.arrived_at = now
         self.deadline = now + forward.left
         self.goal = now + min(forward.goal_left, forward.left)
         self.reply = reply
@@ -115,6 +116,7 @@
         self.members = find("members")
         self.http: HttpClient = find("http_client")
         self.hop = find("hop")
+        self.metrics = find("metrics")
         self.hop.accept = self.on_forward
         self.hop.cancel_received = self.cancel
         self.hop.body_received = self.on_body
@@ -212,17 +214,21 @@
         self.jobs[forward.id] = job
         if forward.key >= 0 and self.owner.state(forward.key) is not KeyState.FOREIGN:
             self.owner.note_request(forward.key)
-        if forward.only_if_free and not self.free:
-            self.decline(job, self.refusal(forward) or BUSY_REASON)
+        if forward.only_if_free and (full := self.full):
+            self.decline(job, self.refusal(forward) or BUSY_REASON, full=full)
         elif forward.offered_bytes and not body:
             self.await_body(job)
         else:
             self.admit(job)
 
     @property
-    def free(self) -> bool:
-        """Whether a request would start at once, and reach this VM without delay."""
-        return self.admission.free(self.now) and self.bodies.free and not self.hop.congested
+    def full(self) -> str:
+        """What keeps a request from starting at once; empty when nothing does."""
+        if not self.admission.free(self.now):
+            return "slots"
+        if not self.bodies.free:
+            return "bodies"
+        return "link" if self.hop.congested else ""
 
     def admit(self, job: Job) -> None:
         """Queue a request that is complete, or refuse it."""
@@ -427,6 +433,7 @@
             self.decline(job, MISDIRECTED_REASON if misdirected else REFUSED_REASON, arrived=True)
             return
         self.admission.done(forward.cost_class, self.now - job.sent_at)
+        self.metrics.ran(forward.cost_class, self.now - job.sent_at)
         if forward.key >= 0:
             self.owner.key_load.served(self.now - job.sent_at)
         if names.signature not in response.headers and 200 <= response.status < 300:
@@ -441,11 +448,12 @@
                 origin=forward.origin,
                 target=self.target.report.target,
                 status=response.status,
-                queued_ms=round((job.sent_at - job.deadline + forward.left) * 1000),
+                queued_ms=round((job.sent_at - job.arrived_at) * 1000),
                 ran_ms=round((self.now - job.sent_at) * 1000),
             )
         )
-        job.reply(Answered(forward.id, response.status, headers, self.load()), response.body)
+        held = self.now - job.arrived_at
+        job.reply(Answered(forward.id, response.status, headers, self.load(), held), response.body)
 
     def on_failure(self, job: Job, failure: HttpFailure) -> None:
         """Report an exchange without an answer."""
@@ -461,6 +469,7 @@
         may_have_run: bool = False,
         arrived: bool = False,
         retry_after: float = 0.0,
+        full: str = "",
     ) -> None:
         """Report that a request has no answer."""
         forward = job.forward
@@ -478,8 +487,10 @@
                 running=self.admission.running,
                 queued=self.admission.queued,
                 wait_s=round(retry_after, 3),
+                full=full,
             )
         )
+        self.metrics.declined(forward.cost_class, full or reason)
         job.reply(Declined(forward.id, reason, may_have_run, arrived, retry_after, self.load()), b"")
 
     def cancel(self, request_id: bytes) -> None:
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -164,8 +164,14 @@
             if self.on_bad_frame is not None:
                 self.on_bad_frame(error)
 
-    def reply(self, identity: bytes, message: Message, body: bytes | None = None) -> None:
-        """Answer a request that came in by the ROUTER; dropped when the asker is gone."""
+    def reply(self, identity: bytes, message: Message, body: bytes | None = None) -> int:
+        """Answer a request that came in by the ROUTER; dropped when the asker is gone.
+
+        Returns
+        -------
+        int
+            Bytes handed to the connection; 0 when the answer was dropped.
+        """
         frames = [identity, REQUEST_KIND, codec.encode(message)]
         if body is not None:
             frames.append(body)
@@ -174,7 +180,8 @@
             send_frames(self.router, frames)
         except zmq.ZMQError:
             # The asker disconnected or does not read; it treats the outcome as unknown.
-            return
+            return 0
+        return sum(map(len, frames))
 
     def peer(self, address: str, heartbeats: bool = False) -> Peer:
         """Return the connection to an address, opening it if needed.
@@ -221,14 +228,20 @@
             self.on_control_sent(address, len(payload))
         self.send(address, [CONTROL_KIND, payload])
 
-    def try_send_request(self, address: str, message: Message, body: bytes = b"") -> bool:
-        """Send a request message at once; False when there is no connection, so that nothing was sent."""
+    def try_send_request(self, address: str, message: Message, body: bytes = b"") -> int:
+        """Send a request message at once.
+
+        Returns
+        -------
+        int
+            Bytes handed to the connection; 0 when there is none, so that nothing was sent.
+        """
         frames = [REQUEST_KIND, codec.encode(message)]
         if body:
             frames.append(body)
         peer = self.peer(address)
         self.unread.add(peer.descriptor)
-        return peer.try_send(frames)
+        return sum(map(len, frames)) if peer.try_send(frames) else 0
 
     def send(self, address: str, frames: list[bytes]) -> None:
         """Send frames now, or keep them until the connection is up or the time for it has passed."""
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -124,6 +124,8 @@
         Newest time on the store's clock, in seconds, that an answer bore.
     on_stamp : callable or None
         Told when a request was sent and which time its answer bore.
+    on_bytes : callable or None
+        Told the operation of a call that was answered, and the bytes of both ways.
     """
 
     service_name = "table"
@@ -135,6 +137,7 @@
         self.failures: dict[str, int] = {}
         self.read_once = False
         self.on_stamp: Callable[[float, float], None] | None = None
+        self.on_bytes: Callable[[str, int, int], None] | None = None
 
     def on_start(self) -> None:
         """Find the HTTP client."""
@@ -288,6 +291,8 @@
         def done(result: Result[HttpResponse, HttpFailure]) -> None:
             if isinstance(result, Success):
                 response = result.unwrap()
+                if self.on_bytes is not None:
+                    self.on_bytes(operation, len(path) + len(body), len(response.body))
                 if response.status == OK or response.status in accepted:
                     self.note_stamp(sent_at, response.body)
                     callback(Success(response))
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -12,6 +12,34 @@
       | same   | 100   | does not ask |
       | other  | 300   | does not ask |
 
+  Scenario Outline: The metrics tell whether a link within the region or between regions delays messages
+    Given a router that knows a peer in the <region> region
+    When the peer's messages take 5 ms, and then 300 ms more
+    And it sends the peer a request with a body of 60000 bytes
+    Then the metrics count 1 message of "<place>" that was delayed by 0.2 to 0.4 s, and none of "<not place>"
+    And the bytes sent to "<place>" are counted, and none to "<not place>"
+
+    Examples:
+      | region | place | not place |
+      | same   | own   | other     |
+      | other  | other | own       |
+
+  Scenario: The log tells how much of a request's time was spent on the way to its target
+    Given a gateway with 8 nodes to choose from
+    When a node declines a request 200 ms after it was sent, and the next answers 500 ms later after 150 ms of work
+    Then the log says that the last try began after 200 ms and was on its way for 350 ms
+
+  Scenario Outline: The log tells what had no room for a request
+    Given a receiver on a link of 625000 bytes a second with 8 offered bodies
+    When <what> and a request asks to start at once
+    Then it is declined as busy because of "<full>"
+
+    Examples:
+      | what                               | full   |
+      | the target has no free slot        | slots  |
+      | nothing else happens               | bodies |
+      | only the link of the VM is congested | link |
+
   Scenario: A node asks for work again once its link is free
     Given a router that knows a peer in the same region
     When the peer's messages take 5 ms, and then 300 ms more
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -4,24 +4,29 @@
 """
 
 import random
+from unittest import mock
 
 import msgspec
 from behave import given, then, when
 from returns.result import Failure, Success
 
+from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.clock import ManualClock
 from hibiscusdrum.internal.kernel import Application, Service
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.messages import Answered, Body, Declined, Forward, Ping, Pong, SendBody
 from hibiscusdrum.internal.platform.table import Changes
+from hibiscusdrum.internal.router.events import RequestEnded
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.hop import Hop, PeerState
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetReport
 from hibiscusdrum.internal.router.members import Members, NodeRow
+from hibiscusdrum.internal.router.metrics import traffic_lines
 from hibiscusdrum.internal.router.receiver import BUSY_REASON, LATE_REASON, Receiver
 from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
 from hibiscusdrum.internal.router.selection import Candidate, Selection
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure
 from hibiscusdrum.platform.operator import EVACUATE_PREFIX, OperatorRows
 from hibiscusdrum.platform.store import FollowedRows, StoreClient, WireRow
@@ -50,13 +55,15 @@
 @given("a router that knows a peer in the {region} region")
 def router_with_peer(context, region):
     app = application()
-    app.add(Stub("peers", reply=lambda *_: None))
+    app.add(Stub("peers", reply=lambda *_: 100, try_send_request=lambda *_: 100))
     app.add(Stub("table"))
+    context.traffic = app.add(Traffic(SETTINGS))
     members = app.add(Members(SETTINGS))
     row = NodeRow("peer", "east" if region == "same" else "west", "d", "keys", "127.0.0.1:9")
     members.nodes["peer"] = row
     context.hop = app.add(Hop(SETTINGS, Selection("east", "east-1", random.Random(1))))
     context.hop.peers, context.hop.members = app.find("peers"), members
+    context.hop.traffic = context.traffic
     context.app = app
 
 
@@ -68,6 +75,73 @@
         context.hop.on_request(b"", Ping("peer", sent_at), b"")
 
 
+def rendered(context):
+    """Return the metrics of the links by their names with labels."""
+    lines = (line.rpartition(" ") for line in traffic_lines(context.traffic) if not line.startswith("#"))
+    return {name: int(value) for name, _, value in lines}
+
+
+@then('the metrics count 1 message of "{place}" that was delayed by 0.2 to 0.4 s, and none of "{other}"')
+def check_delays(context, place, other):
+    found = rendered(context)
+    bucket = 'hibiscusdrum_delay_seconds_bucket{{place="{}",le="{}"}}'
+    assert found[bucket.format(place, 0.4)] - found[bucket.format(place, 0.2)] == 1, found
+    assert found[bucket.format(other, "+Inf")] == 0, found
+
+
+@then('the bytes sent to "{place}" are counted, and none to "{other}"')
+def check_bytes(context, place, other):
+    found = {name: value for name, value in rendered(context).items() if "sent_bytes" in name}
+    assert found and all(f'place="{place}"' in name and value > 0 for name, value in found.items()), found
+
+
+def ended_line(context, act):
+    """Return the log event of the request that ends while ``act`` runs."""
+    with mock.patch.object(log_events, "emit") as emit:
+        act()
+    return next(call.args[0] for call in emit.call_args_list if type(call.args[0]) is RequestEnded)
+
+
+@when(
+    "a node declines a request {first:d} ms after it was sent, and the next answers {second:d} ms later "
+    "after {held:d} ms of work"
+)
+def declined_then_answered(context, first, second, held):
+    context.gateway.on_request(Request())
+    context.app.clock.advance(first / 1000.0)
+    decline(context, BUSY_REASON)
+    context.app.clock.advance(second / 1000.0)
+    _, sent, _, reply = context.hop.sent[-1]
+    answer = Answered(sent.id, 200, (), FREE, held / 1000.0)
+    context.ended = ended_line(context, lambda: reply(answer, b"ok"))
+
+
+@then("the log says that the last try began after {before:d} ms and was on its way for {path:d} ms")
+def check_path(context, before, path):
+    assert (context.ended.before_ms, context.ended.path_ms) == (before, path), context.ended
+
+
+@when("{what} and a request asks to start at once")
+def asks_to_start(context, what):
+    receiver = context.receiver
+    if what == "the target has no free slot":
+        receiver.admission.running = receiver.admission.slots
+    elif what == "only the link of the VM is congested":
+        for request_id in (*receiver.bodies.sizes, *receiver.bodies.under_way):
+            receiver.bodies.done(request_id)
+        receiver.hop.congested = True
+    small = msgspec.structs.replace(forward(100, 0, 1.0), only_if_free=True)
+    with mock.patch.object(log_events, "emit") as emit:
+        receiver.on_forward(small, b"", 0.0, lambda answer, _body: context.replies.append(answer))
+    context.declined = emit.call_args.args[0]
+
+
+@then('it is declined as busy because of "{full}"')
+def check_full(context, full):
+    assert (context.declined.reason, context.declined.full) == (BUSY_REASON, full), context.declined
+    assert context.replies[-1].reason == BUSY_REASON
+
+
 @when("no message is held up for {seconds:g} s")
 def time_passes(context, seconds):
     context.app.clock.advance(seconds)
@@ -299,6 +373,7 @@
     app.add(Stub("members", evacuated=frozenset(), on_change=[]))
     app.add(Stub("range_owner", on_granted=[]))
     app.add(Stub("hop", congested=False))
+    app.add(Stub("metrics", declined=lambda *_: None, ran=lambda *_: None))
     app.add(Stub("http_client", request=lambda *_arguments, **_more: None))
     target = app.add(LocalTarget(SETTINGS))
     settings = msgspec.structs.replace(SETTINGS, link_bytes_per_second=float(rate))
