Cut off answers, reports and pipelines that never end

What a target could do: send a header, chunk framing, blank lines, informational answers or answers to other requests without end. httptools gathers a header until it is complete, so the limit of the head, which counts reported headers, never applied: memory grew with what arrived (and with the square of it in time) until the deadline. Eight endless bodies were held at 16 MB each, on VMs with 200 MB. The entry, which takes the reports of targets, had the same fault, read on for 1 s at any speed after it had refused, and kept everything that arrived behind a full pipeline.

Change: client and entry count what they feed to the parser besides bodies, and give up when it is more than a head and the framing of the body may take; bodies of skipped answers count too; the bodies held by all connections are bounded together; after a refusal 1 MB more is read at most; behind a full pipeline 256 KB are read and the rest stays in the socket.

--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from hibiscusdrum.internal.transport.http_connection import framing_exceeds
+
 if TYPE_CHECKING:
     from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
@@ -17,6 +19,11 @@
 PIPELINE_DEPTH = 16
 # A refused body is read and dropped for this long, since a reset could overtake the answer.
 DISCARD_SECONDS = 1.0
+# No longer than this, in bytes: a sender that goes on after its answer is not one that has yet to read it.
+DISCARD_BYTES = 1024 * 1024
+# Requests behind those of a full pipeline are read up to this many bytes, so that the end of the connection
+# is noticed; more is left in the socket.
+STASH_BYTES = 262_144
 PARALLEL_METHODS = (b"GET", b"HEAD")
 REASONS = {
     100: b"Continue",
@@ -121,7 +128,15 @@
 
 
 class EntryConnection:
-    """A caller's connection; the methods named ``on_`` are called by httptools."""
+    """A caller's connection; the methods named ``on_`` are called by httptools.
+
+    Attributes
+    ----------
+    fed_bytes : int
+        Bytes that arrived since the last complete request.
+    paused : bool
+        Whether nothing is read, because more has arrived than is parsed ahead.
+    """
 
     __slots__ = (
         "active_at",
@@ -131,16 +146,20 @@
         "closing",
         "current",
         "discard_until",
+        "discarded_bytes",
         "failed",
+        "fed_bytes",
         "head_bytes",
         "head_started",
         "listener",
         "out",
         "parser",
+        "paused",
         "pending",
         "server",
         "sock",
         "stash",
+        "stash_bytes",
         "writing",
     )
 
@@ -162,7 +181,11 @@
         self.body_bytes = 0
         self.active_at = now
         self.discard_until = 0.0
+        self.discarded_bytes = 0
+        self.fed_bytes = 0
+        self.paused = False
         self.stash: list[bytes] = []
+        self.stash_bytes = 0
 
     # Callbacks of the parser
 
@@ -213,6 +236,7 @@
         """Queue a complete request."""
         request = self.current
         self.current = None
+        self.fed_bytes = 0
         if self.failed:
             return
         request.keep_alive = self.parser.should_keep_alive()
@@ -227,22 +251,38 @@
         """Parse what arrived and dispatch what is complete."""
         self.active_at = self.server.app.clock.monotonic()
         if self.discard_until or self.closing:
+            self.discarded_bytes += len(data)
+            if self.discarded_bytes > DISCARD_BYTES:
+                self.server.connection_lost(self, "sent on after its last answer")
             return
         if len(self.pending) >= PIPELINE_DEPTH:
             self.stash.append(data)
+            self.stash_bytes += len(data)
+            if self.stash_bytes > STASH_BYTES:
+                self.paused = True
+                self.server.pause(self)
             return
         if self.current is None and self.head_started is None:
             self.head_started = self.active_at
+        self.fed_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.failed = self.failed or 400
+        body = self.body_bytes if self.current is not None else 0
+        if framing_exceeds(self.server.limits.max_head_bytes, self.fed_bytes, body):
+            self.failed = self.failed or (400 if self.in_body else 431)
         if self.current is None and not self.failed:
             self.head_started = None
         self.dispatch()
         if self.failed:
             self.refuse(self.failed)
 
+    @property
+    def in_body(self) -> bool:
+        """Whether the head of the present request is complete."""
+        return self.current is not None and bool(self.current.method)
+
     def refuse(self, status: int) -> None:
         """Answer a request that cannot be read; what follows it is dropped."""
         request = self.current or EntryRequest(self, self.listener)
@@ -284,7 +324,10 @@
                 return
         self.active_at = self.server.app.clock.monotonic()
         if self.stash and len(pending) < PIPELINE_DEPTH:
-            data, self.stash = b"".join(self.stash), []
+            data, self.stash, self.stash_bytes = b"".join(self.stash), [], 0
+            if self.paused:
+                self.paused = False
+                self.server.resume(self)
             self.server.app.scheduler.call_later(0.0, lambda: self.feed(data))
         elif pending:
             self.dispatch()
--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -10,7 +10,6 @@
 import socket
 from typing import Any
 
-import httptools
 from circuits import handler
 from loguru import logger
 from returns.result import Failure, Result, Success
@@ -19,6 +18,7 @@
 from hibiscusdrum.internal.kernel import Service, Timer
 from hibiscusdrum.internal.transport.http_connection import (
     DEFAULT_MAX_CONNECTIONS,
+    MAX_HELD_BYTES,
     NO_LENGTH,
     REQUEST_ID_HEADER,
     Connection,
@@ -172,6 +172,7 @@
     def send(self, connection: Connection, exchange: HttpExchange) -> None:
         """Write the request, with one call when the socket's buffer takes all of it."""
         connection.exchange = exchange
+        connection.fed_bytes = connection.body_bytes = 0
         exchange.connection = connection
         payload = exchange.payload
         try:
@@ -246,14 +247,20 @@
             # Data on an idle connection answers nothing that was asked.
             self.connection_lost(connection)
             return
-        try:
-            connection.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            connection.broken = True
+        former = connection.received
+        connection.feed(data)
         if connection.complete:
             self.finish(connection)
         elif connection.broken:
             self.abandon(connection, FailureKind.MALFORMED)
+        elif connection.received > former:
+            self.bound_held()
+
+    def bound_held(self) -> None:
+        """Give up the longest answer when the bodies that are held take too much memory together."""
+        if sum(connection.received for connection in self.connections.values()) > MAX_HELD_BYTES:
+            longest = max(self.connections.values(), key=lambda connection: connection.received)
+            self.abandon(longest, FailureKind.MALFORMED)
 
     @handler("_disconnect", "_error")
     def on_disconnected(self, sock: socket.socket, *_error: Any) -> None:
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -19,6 +19,10 @@
 # Largest answer that is buffered; a peer that sends more would exhaust the 64 MB of a daemon.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEAD_BYTES = 65_536
+# Bodies of answers that are held for all connections together; a VM of the smallest kind has 200 MB.
+MAX_HELD_BYTES = 32 * 1024 * 1024
+# Framing that a byte of a body may take: a chunk of one byte is five bytes longer than the byte.
+CHUNK_OVERHEAD = 5
 DEFAULT_MAX_CONNECTIONS = 64
 # Headers that the client sets; a second one would let the peer read another request than was sent.
 OWN_HEADERS = frozenset(("host", "content-length", "transfer-encoding"))
@@ -30,6 +34,22 @@
 INFORMATIONAL = range(100, 200)
 
 
+def framing_exceeds(limit: int, received: int, body: int) -> bool:
+    """Return whether heads and framing are longer than allowed.
+
+    A parser reports a header or the framing of a chunk when it is complete, so one without end shows only in
+    what it was fed.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes allowed for a head.
+    received, body : int
+        Bytes fed to the parser, and those of them that it reported as part of a body.
+    """
+    return received - body > limit + CHUNK_OVERHEAD * body
+
+
 class FailureKind(enum.Enum):
     """Reason why an exchange has no answer."""
 
@@ -198,10 +218,17 @@
 
 
 class Connection:
-    """One socket and the parser of its answers; the methods named ``on_`` are called by httptools."""
+    """One socket and the parser of its answers; the methods named ``on_`` are called by httptools.
+
+    Attributes
+    ----------
+    fed_bytes, body_bytes : int
+        Bytes that arrived for the present exchange, and those of them in bodies, of other answers too.
+    """
 
     __slots__ = (
         "body",
+        "body_bytes",
         "broken",
         "chunks",
         "complete",
@@ -209,6 +236,7 @@
         "declared",
         "exchange",
         "expires_at",
+        "fed_bytes",
         "head_bytes",
         "headers",
         "keep_alive",
@@ -238,6 +266,8 @@
         self.sent_at = 0.0
         self.broken = False
         self.expires_at = float("inf")
+        self.fed_bytes = 0
+        self.body_bytes = 0
         self.reset()
 
     def reset(self) -> None:
@@ -253,6 +283,18 @@
         self.keep_alive = False
         self.skipping = False
 
+    def feed(self, data: bytes) -> None:
+        """Parse what arrived; ``broken`` tells afterwards that it is no acceptable answer."""
+        self.fed_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.broken = True
+        if self.body_bytes > MAX_BODY_BYTES or framing_exceeds(
+            MAX_HEAD_BYTES, self.fed_bytes, self.body_bytes
+        ):
+            self.broken = True
+
     def on_message_begin(self) -> None:
         """Note the start of an answer; one after the answer that was asked for ends the parsing."""
         if self.complete:
@@ -289,7 +331,10 @@
             self.complete = True
 
     def on_body(self, data: bytes) -> None:
-        """Collect a part of the body."""
+        """Collect a part of the body; that of an answer to another request is dropped."""
+        self.body_bytes += len(data)
+        if self.skipping:
+            return
         if not self.received:
             self.body = data
         elif self.chunks is None:
@@ -297,8 +342,6 @@
         else:
             self.chunks.append(data)
         self.received += len(data)
-        if self.received > MAX_BODY_BYTES:
-            self.broken = True
 
     def on_message_complete(self) -> None:
         """Note the end of an answer; informational answers precede the real one."""
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -123,6 +123,16 @@
             self.connections[sock] = EntryConnection(self, sock, address, self.app.clock.monotonic())
             self.app.poller.addReader(self, sock)
 
+    def pause(self, connection: EntryConnection) -> None:
+        """Read nothing more from a connection."""
+        if not connection.closed:
+            self.app.poller.removeReader(connection.sock)
+
+    def resume(self, connection: EntryConnection) -> None:
+        """Read from a connection again."""
+        if not connection.closed:
+            self.app.poller.addReader(self, connection.sock)
+
     def want_write(self, connection: EntryConnection) -> None:
         """Ask the poller for the next chance to write."""
         if not connection.writing:
