--- /dev/null
+++ b/tests/features/router_overload.feature
@@ -0,0 +1,39 @@
+Feature: A service that gets more than it can run serves what it can, and refuses the rest at once
+  Guards against refusals that cost more than the requests that are served: offered to node after node, held at the
+  caller's node, and in the way of what was answered.
+
+  Scenario Outline: Refusals of an overloaded service do not fill the link between two regions
+    Given routers in two regions whose link carries 300000 bytes a second, and a service of 8 targets in one of them
+    When the service gets <load> times what it can run for 10 s, half of it from the other region
+    Then every request is answered or refused as not run
+    And at least 0.9 of what the targets can run is answered
+    And <share> of the refusals take at most <part> of the latency goal
+    And the link carries at most twice the bytes of the callers' requests
+
+    Examples:
+      | load | share | part  |
+      | 1.2  | 0.8   | 1     |
+      | 1.5  | 0.5   | 0.125 |
+      | 2    | 0.5   | 0.125 |
+
+  Scenario Outline: Callers that come back after a refusal do not make new ones late
+    Given routers in two regions whose link carries 300000 bytes a second, and a service of 8 targets in one of them
+    When the service gets <load> times what it can run for 10 s, half of it from the other region
+    Then at least 0.75 of what the targets can run is answered on time
+
+    Examples:
+      | load |
+      | 1.2  |
+      | 1.5  |
+      | 2    |
+
+  Scenario: A service that has room refuses nothing
+    Given routers in two regions whose link carries 300000 bytes a second, and a service of 8 targets in one of them
+    When the service gets 0.7 times what it can run for 10 s, half of it from the other region
+    Then every request is answered and 0.95 of them on time
+
+  Scenario: Requests are served again as soon as an overload has passed
+    Given routers in two regions whose link carries 300000 bytes a second, and a service of 8 targets in one of them
+    When the service gets 3 times what it can run for 6 s, half of it from the other region
+    And then 0.6 times what it can run for 6 s
+    Then 0.9 of the requests that arrive from 3 s after the overload on are answered on time
--- /dev/null
+++ b/tests/features/steps/router_overload_steps.py
@@ -0,0 +1,83 @@
+"""Steps that play overloads of a service through real gateways and receivers.
+
+They guard against a loss of service that grows with the requests that are refused.
+"""
+
+from behave import given, then, when
+from tests.overload_world import HEADER_BYTES, OverloadWorld, ServiceModel
+
+
+@given(
+    "routers in two regions whose link carries {rate:d} bytes a second, and a service of {count:d} targets "
+    "in one of them"
+)
+def two_regions(context, rate, count):
+    context.grants = ServiceModel("grants", {"east": count}, 0.22, regions=("east",), body=1200)
+    callers = ServiceModel("lookups", {"east": 6, "west": 14}, 0.17)
+    context.world = OverloadWorld([context.grants, callers], rate)
+    context.add_cleanup(context.world.close)
+
+
+@when("the service gets {load:g} times what it can run for {seconds:d} s, half of it from the other region")
+@when("then {load:g} times what it can run for {seconds:d} s")
+def overload(context, load, seconds):
+    context.seconds, context.phase_began = seconds, context.world.now
+    context.world.load("grants", context.grants.capacity * load, seconds)
+    context.world.run(seconds)
+
+
+def finish(context):
+    """Let the last requests end; returns all callers."""
+    context.world.run(6.0)
+    return context.world.callers
+
+
+def on_time(context, caller):
+    return caller.status == 200 and caller.ended_at - caller.began <= context.grants.goal
+
+
+@then("every request is answered or refused as not run")
+def all_ended(context):
+    statuses = {caller.status for caller in finish(context)}
+    assert statuses == {200, 503}, statuses
+
+
+@then("at least {share:g} of what the targets can run is answered")
+def check_served(context, share):
+    served = sum(caller.status == 200 for caller in context.world.callers)
+    assert served >= share * context.grants.capacity * context.seconds, served
+
+
+@then("{share:g} of the refusals take at most {part:g} of the latency goal")
+def check_refusals(context, share, part):
+    taken = sorted(wait for caller in context.world.callers for wait in caller.refused_after)
+    wait = taken[int(len(taken) * share)]
+    assert wait <= part * context.grants.goal, wait
+
+
+@then("the link carries at most twice the bytes of the callers' requests")
+def check_link(context):
+    size = context.grants.body + HEADER_BYTES
+    attempts = sum(caller.attempts for caller in context.world.callers if caller.node.region == "west")
+    assert context.world.region_links["west"].bytes <= 2 * size * attempts
+
+
+@then("at least {share:g} of what the targets can run is answered on time")
+def check_on_time(context, share):
+    count = sum(on_time(context, caller) for caller in finish(context))
+    assert count >= share * context.grants.capacity * context.seconds, count
+
+
+@then("every request is answered and {share:g} of them on time")
+def check_room(context, share):
+    callers = finish(context)
+    assert all(caller.status == 200 for caller in callers)
+    assert sum(on_time(context, caller) for caller in callers) >= share * len(callers)
+
+
+@then("{share:g} of the requests that arrive from {seconds:g} s after the overload on are answered on time")
+def check_recovery(context, share, seconds):
+    since = context.phase_began + seconds
+    callers = [caller for caller in finish(context) if caller.began >= since]
+    served = sum(on_time(context, caller) for caller in callers)
+    assert served >= share * len(callers) > 0, (served, len(callers))
