Let new requests go before those of callers who came back after a refusal

Cause: a caller who comes back looked like a new one. Its latency goal was counted from its return, so it took the slot in which a new request could have been on time, and was late all the same.

Change: the time that a caller still has, compared with the longest limit of its route, tells how long it has waited; that counts against the goal. Callers with limits of their own each are left alone.

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -10,6 +10,7 @@
 from hibiscusdrum.internal.router.flight import Flight
 from hibiscusdrum.internal.router.hop import Hop
 from hibiscusdrum.internal.router.members import Members
+from hibiscusdrum.internal.router.patience import Patience
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.receiver import (
     BUSY_REASON,
@@ -90,6 +91,7 @@
         self.flights: set[Flight] = set()
         self.budgets: dict[str, RetryBudget] = {}
         self.throttles: dict[str, Throttle] = {}
+        self.patience: dict[str, Patience] = {}
         self.stopping = False
         self.closed = False
 
@@ -146,10 +148,10 @@
         if route is None:
             self.refuse_early(request, 404, "no_route")
             return
-        left = self.left(request, route)
+        left, spent = self.left(request, route, now)
         flight = Flight(request, route, self.weights.choose(route), now + left, now)
         if route.latency_goal > 0.0:
-            flight.goal = now + route.latency_goal
+            flight.goal = now - spent + route.latency_goal
         flight.attempt_id = request.header(self.names.attempt_id) or ""
         spec = self.table.services.get(flight.service)
         if spec is not None and spec.partitioned:
@@ -190,16 +192,22 @@
             throttle.note(False, now)
         return refused
 
-    def left(self, request: EntryRequest, route: Route) -> float:
-        """Return the seconds in which a request must be answered."""
+    def left(self, request: EntryRequest, route: Route, now: float) -> tuple[float, float]:
+        """Return the seconds in which a request must be answered, and those that its caller has waited."""
         text = request.header(self.names.deadline_ms) or ""
         try:
             left = float(text) / 1000.0
         except ValueError:
             left = DEFAULT_LEFT_SECONDS
+        spent = 0.0
         if not 0.0 < left < float("inf"):
             left = DEFAULT_LEFT_SECONDS
-        return min(left, route.timeout) if route.timeout > 0.0 else left
+        else:
+            patience = self.patience.get(route.name)
+            if patience is None:
+                patience = self.patience[route.name] = Patience()
+            spent = patience.spent(left, now)
+        return (min(left, route.timeout) if route.timeout > 0.0 else left), spent
 
     def refuse_early(self, request: EntryRequest, status: int, reason: str) -> None:
         """Answer a request that has no route or no key."""
--- a/tests/features/router_decisions.feature
+++ b/tests/features/router_decisions.feature
@@ -144,6 +144,25 @@
     When 10 tries find a free slot
     Then tries pay
 
+  Scenario Outline: Callers who came back are told from new ones by the time that they still have
+    Given callers who wait for <limits> s in turn
+    When a caller with <left> s left comes
+    Then it has waited for <waited> s
+
+    Examples:
+      | limits        | left | waited |
+      | 5, 5, 4, 5, 3 | 5    | 0      |
+      | 5, 5, 4, 5, 3 | 4.95 | 0      |
+      | 5, 5, 4, 5, 3 | 3.5  | 1.5    |
+      | 5, 1, 2, 3, 4 | 2    | 0      |
+      | 5             | 2    | 0      |
+
+  Scenario: The limit of a route is forgotten when callers have another one
+    Given callers who wait for 5, 5, 5, 5, 5 s in turn
+    When callers wait for 2 s each for 25 s
+    And a caller with 2 s left comes
+    Then it has waited for 0 s
+
   Scenario Outline: Fewer requests are sent to another region the longer its link holds messages up
     Given round trips of 0.06 s to a region
     When round trips take <seconds> s for 2 s
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -16,6 +16,7 @@
 from hibiscusdrum.internal.router.hop import LATE_SECONDS, Transit
 from hibiscusdrum.internal.router.key_load import OwnerLoad, relieve
 from hibiscusdrum.internal.router.path_delay import PathDelay
+from hibiscusdrum.internal.router.patience import Patience
 from hibiscusdrum.internal.router.receiver import Receiver
 from hibiscusdrum.internal.router.ring import Owner, Ring, Stripe, create, reassign, rebalance
 from hibiscusdrum.internal.router.routes import HeaderNames, RouteTable, ServiceSpec
@@ -584,6 +585,34 @@
     assert context.throttle.tries_pay(context.time) == (verb == "pay"), verb
 
 
+# Callers who came back
+
+
+@given("callers who wait for {limits} s in turn")
+def callers_wait(context, limits):
+    context.patience, context.time = Patience(), 100.0
+    for limit in limits.split(","):
+        context.patience.spent(float(limit), context.time)
+        context.time += 0.1
+
+
+@when("callers wait for {limit:g} s each for {seconds:d} s")
+def callers_change(context, limit, seconds):
+    for _ in range(seconds):
+        context.time += 1.0
+        context.patience.spent(limit, context.time)
+
+
+@when("a caller with {left:g} s left comes")
+def caller_comes(context, left):
+    context.waited = context.patience.spent(left, context.time)
+
+
+@then("it has waited for {seconds:g} s")
+def check_waited(context, seconds):
+    assert abs(context.waited - seconds) < 0.001, context.waited
+
+
 # Delay of the way to another region
 
 
