Give a cold target nothing before the configuration tells what it bears

Suspected cause, not shown by a log: a node that starts with its target takes requests as soon as the target reports, and the limit of a cold target stands in the configuration, which comes from the store, from another region after two round trips. Until then there was no limit.

Change: while the target is cold and no configuration is known, requests are declined as not run.

Measured: "A cold target gets nothing before it is known what it bears" sent all 20 requests before, none now.

--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -291,6 +291,9 @@
             return "other_service"
         if self.closed:
             return "stopping"
+        if self.table is None and self.now < self.admission.cold.until:
+            # What the target bears while it is cold stands in the configuration.
+            return "no_configuration"
         if self.still_served(forward):
             return ""
         if self.evacuated:
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -40,6 +40,13 @@
       | bodies of others are awaited and one of its own | bodies |
       | only the link of the VM is congested | link |
 
+  Scenario: A cold target gets nothing before it is known what it bears
+    Given a receiver on a link of 625000 bytes a second with 0 offered bodies
+    When its target reports itself cold for 3 s, and 20 requests arrive before the routes
+    Then none of them is sent to the target, and all are declined as not run
+    When the routes arrive with a rate of 5.5 requests a second for cold targets, and 20 requests more
+    Then 5 of them are sent to the target
+
   Scenario: A small request is not turned away for bodies that are awaited
     Given a receiver on a link of 625000 bytes a second with 8 offered bodies
     When nothing else happens and a request asks to start at once
