Recognize returning callers by when they give up, and let new requests pass first

Change: the time at which a caller gives up is the same in all of its attempts. A node notes it for each caller that it refuses, and so knows a returning one and how long it has waited. Of what a throttled route passes on, new requests come first; those that come too late for their goal pass only as far as room is left. Replaces the comparison of limits.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -249,7 +249,8 @@
     """A caller's request has its final answer; status 499 means that the caller left.
 
     ``before_ms`` is the time until the last try began, ``path_ms`` what that try spent on the way to the
-    target's node and back; both are part of ``took_ms``.
+    target's node and back; both are part of ``took_ms``. ``limit_ms`` is the caller's time limit on
+    arrival, and ``waited_ms`` how long it seems to have waited before, because it came back after a refusal.
     """
 
     number = 818
@@ -269,6 +270,8 @@
     version: int
     before_ms: int = 0
     path_ms: int = 0
+    limit_ms: int = 0
+    waited_ms: int = 0
 
 
 class RequestRepeated(LogEvent, frozen=True):
--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -17,6 +17,10 @@
         Nodes that it was sent to; of these, those without a free slot, and those that refused or failed.
     goal : float
         Monotonic time in seconds from which an answer counts as late.
+    late : bool
+        Whether it came too late for its latency goal.
+    limit, waited : float
+        Seconds for which the caller waits from now on, and those that it has waited before.
     overload : bool
         Whether its service refused many requests shortly before it came.
     overloads : int
@@ -40,6 +44,8 @@
         "forward",
         "goal",
         "key",
+        "late",
+        "limit",
         "moved",
         "node",
         "overload",
@@ -54,6 +60,7 @@
         "service",
         "timer",
         "uncertain",
+        "waited",
     )
 
     def __init__(
@@ -65,6 +72,9 @@
         self.deadline = deadline
         self.begun_at = now
         self.goal = deadline
+        self.late = False
+        self.limit = 0.0
+        self.waited = 0.0
         self.attempt_id = ""
         self.key = -1
         self.body = request.body
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -10,7 +10,6 @@
 from hibiscusdrum.internal.router.flight import Flight
 from hibiscusdrum.internal.router.hop import Hop
 from hibiscusdrum.internal.router.members import Members
-from hibiscusdrum.internal.router.patience import Patience
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.receiver import (
     BUSY_REASON,
@@ -19,6 +18,7 @@
     MISDIRECTED_REASON,
     Receiver,
 )
+from hibiscusdrum.internal.router.returns import Returns
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.routes import (
     EMPTY_TABLE,
@@ -52,6 +52,8 @@
 # Share of the service's budget of repeats that the router uses. A repeated run also repeats the calls of its
 # target, which count at the called service.
 BUDGET_SHARE = 0.3
+# A request with less than this share of its latency goal left will hardly meet it.
+NEW_GOAL_SHARE = 0.5
 NOT_OWNER = "not_owner"
 OVERLOADED = ("overloaded", "too_late")
 THROTTLED = "throttled"
@@ -91,7 +93,7 @@
         self.flights: set[Flight] = set()
         self.budgets: dict[str, RetryBudget] = {}
         self.throttles: dict[str, Throttle] = {}
-        self.patience: dict[str, Patience] = {}
+        self.returns: dict[str, Returns] = {}
         self.stopping = False
         self.closed = False
 
@@ -148,10 +150,14 @@
         if route is None:
             self.refuse_early(request, 404, "no_route")
             return
-        left, spent = self.left(request, route, now)
+        limit = self.limit(request)
+        left = min(limit, route.timeout) if route.timeout > 0.0 else limit
         flight = Flight(request, route, self.weights.choose(route), now + left, now)
+        flight.limit = limit
+        flight.waited = now - self.returns_of(route).first_attempt(now + limit, now)
         if route.latency_goal > 0.0:
-            flight.goal = now - spent + route.latency_goal
+            flight.goal = now - flight.waited + route.latency_goal
+            flight.late = flight.goal - now < NEW_GOAL_SHARE * route.latency_goal
         flight.attempt_id = request.header(self.names.attempt_id) or ""
         spec = self.table.services.get(flight.service)
         if spec is not None and spec.partitioned:
@@ -185,29 +191,27 @@
         if flight.key >= 0:
             return False
         throttle = self.throttle(flight)
-        share = throttle.refused_share(now)
-        flight.overload = share > 0.0
-        refused = share > 0.0 and (self.selection.rng.random() < share or flight.goal <= now)
+        flight.overload = throttle.refused_share(now) > 0.0
+        share = throttle.refused_share(now, late=flight.late)
+        refused = share > 0.0 and self.selection.rng.random() < share
         if refused:
-            throttle.note(False, now)
+            throttle.note(False, now, late=flight.late)
         return refused
 
-    def left(self, request: EntryRequest, route: Route, now: float) -> tuple[float, float]:
-        """Return the seconds in which a request must be answered, and those that its caller has waited."""
-        text = request.header(self.names.deadline_ms) or ""
+    def limit(self, request: EntryRequest) -> float:
+        """Return the seconds for which the caller waits."""
         try:
-            left = float(text) / 1000.0
+            limit = float(request.header(self.names.deadline_ms) or "") / 1000.0
         except ValueError:
-            left = DEFAULT_LEFT_SECONDS
-        spent = 0.0
-        if not 0.0 < left < float("inf"):
-            left = DEFAULT_LEFT_SECONDS
-        else:
-            patience = self.patience.get(route.name)
-            if patience is None:
-                patience = self.patience[route.name] = Patience()
-            spent = patience.spent(left, now)
-        return (min(left, route.timeout) if route.timeout > 0.0 else left), spent
+            return DEFAULT_LEFT_SECONDS
+        return limit if 0.0 < limit < float("inf") else DEFAULT_LEFT_SECONDS
+
+    def returns_of(self, route: Route) -> Returns:
+        """Return the refused callers of a route."""
+        found = self.returns.get(route.name)
+        if found is None:
+            found = self.returns[route.name] = Returns()
+        return found
 
     def refuse_early(self, request: EntryRequest, status: int, reason: str) -> None:
         """Answer a request that has no route or no key."""
@@ -331,7 +335,7 @@
         if forward.only_if_free:
             self.throttle(flight).note_try(True, now)
         running, queued, slots = answer.load[:3]
-        self.throttle(flight).note(True, now, room=running + queued < slots)
+        self.throttle(flight).note(True, now, room=running + queued < slots, late=flight.late)
         flight.path = now - flight.sent_at - answer.held
         if answer.status in SERVER_ERRORS:
             self.selection.failed(flight.node, now)
@@ -384,7 +388,7 @@
             or flight.deadline - now < SHORTEST_REPEAT_SECONDS
         ):
             if answer.reason in OVERLOADED or answer.reason == LATE_REASON:
-                self.throttle(flight).note(False, now)
+                self.throttle(flight).note(False, now, late=flight.late)
             self.refuse(flight)
         else:
             self.place(flight)
@@ -449,6 +453,8 @@
             self.fail(flight, 502)
             return
         wait = flight.retry_after or RETRY_SECONDS
+        ends_at, first = flight.begun_at + flight.limit, flight.begun_at - flight.waited
+        self.returns_of(flight.route).note(ends_at, first, self.app.clock.monotonic(), wait)
         headers = [("retry-after", f"{wait:.3f}")]
         if flight.attempt_id:
             headers.append((self.names.attempt_id, flight.attempt_id))
@@ -464,7 +470,7 @@
         if flight not in self.flights:
             return
         flight.reason = flight.reason or "deadline"
-        self.throttle(flight).note(False, self.app.clock.monotonic())
+        self.throttle(flight).note(False, self.app.clock.monotonic(), late=flight.late)
         self.withdraw(flight)
         self.fail(flight, 504)
 
@@ -507,6 +513,8 @@
                 version=self.table.version,
                 before_ms=round((flight.sent_at - flight.begun_at) * 1000),
                 path_ms=round(flight.path * 1000),
+                limit_ms=round(flight.limit * 1000),
+                waited_ms=round(flight.waited * 1000),
             )
         )
         self.metrics.ended(flight.route.name, status, took)
--- a/src/hibiscusdrum/internal/router/throttle.py
+++ b/src/hibiscusdrum/internal/router/throttle.py
@@ -33,14 +33,18 @@
 
     Attributes
     ----------
-    requests, accepted : float
-        Requests with an outcome, and those of them that were not refused for an overload, weighted by age.
+    new, late : float
+        Requests with an outcome that came in time for the latency goal, and those that came too late for it
+        because they had been refused before; weighted by age.
+    accepted : float
+        Those of both that were not refused for an overload, weighted by age.
     """
 
-    __slots__ = ("accepted", "noted_at", "requests", "tries", "tries_free")
+    __slots__ = ("accepted", "late", "new", "noted_at", "tries", "tries_free")
 
     def __init__(self) -> None:
-        self.requests = 0.0
+        self.new = 0.0
+        self.late = 0.0
         self.accepted = 0.0
         self.tries = 0.0
         self.tries_free = 0.0
@@ -49,22 +53,28 @@
     def age(self, now: float) -> None:
         """Let what was noted count less."""
         factor = math.exp((self.noted_at - now) / MEMORY_SECONDS) if now > self.noted_at else 1.0
-        self.requests *= factor
+        self.new *= factor
+        self.late *= factor
         self.accepted *= factor
         self.tries *= factor
         self.tries_free *= factor
         self.noted_at = max(now, self.noted_at)
 
-    def note(self, accepted: bool, now: float, room: bool = False) -> None:
+    def note(self, accepted: bool, now: float, room: bool = False, late: bool = False) -> None:
         """Count an outcome: accepted, or not served for an overload of the service or of the way to it.
 
         Parameters
         ----------
         room : bool
             Whether the target had a free slot when it answered.
+        late : bool
+            Whether the request came too late for its latency goal.
         """
         self.age(now)
-        self.requests += 1.0
+        if late:
+            self.late += 1.0
+        else:
+            self.new += 1.0
         if accepted:
             self.accepted += ROOM_CREDIT if room else 1.0
 
@@ -79,8 +89,13 @@
         self.age(now)
         return self.tries_free + IGNORED_BUSY >= LEAST_FREE_SHARE * self.tries
 
-    def refused_share(self, now: float) -> float:
-        """Return the share of requests that is to be refused without asking the service."""
+    def refused_share(self, now: float, late: bool = False) -> float:
+        """Return the share of requests that is to be refused without asking the service.
+
+        Those that are late pass only when there is more room than new ones take.
+        """
         self.age(now)
-        beyond = self.requests - PASSED_PER_ACCEPTED * self.accepted - IGNORED_REFUSALS
-        return max(0.0, beyond / (self.requests + 1.0))
+        passed = PASSED_PER_ACCEPTED * self.accepted + IGNORED_REFUSALS
+        if late:
+            return max(0.0, (self.late - max(0.0, passed - self.new)) / (self.late + 1.0))
+        return max(0.0, (self.new - passed) / (self.new + 1.0))
--- a/tests/features/router_decisions.feature
+++ b/tests/features/router_decisions.feature
@@ -144,25 +144,34 @@
     When 10 tries find a free slot
     Then tries pay
 
-  Scenario Outline: Callers who came back are told from new ones by the time that they still have
-    Given callers who wait for <limits> s in turn
-    When a caller with <left> s left comes
+  Scenario Outline: Callers who come back are told from new ones by the time at which they give up
+    Given callers with 4 s, 4.4 s and 5 s left, refused after <told> s and told to come back after 0.5 s
+    When a caller with <left> s left comes <later> s after the refusal
     Then it has waited for <waited> s
 
     Examples:
-      | limits        | left | waited |
-      | 5, 5, 4, 5, 3 | 5    | 0      |
-      | 5, 5, 4, 5, 3 | 4.95 | 0      |
-      | 5, 5, 4, 5, 3 | 3.5  | 1.5    |
-      | 5, 1, 2, 3, 4 | 2    | 0      |
-      | 5             | 2    | 0      |
-
-  Scenario: The limit of a route is forgotten when callers have another one
-    Given callers who wait for 5, 5, 5, 5, 5 s in turn
-    When callers wait for 2 s each for 25 s
-    And a caller with 2 s left comes
+      | told | left  | later | waited |
+      | 0    | 3.5   | 0.5   | 0.5    |
+      | 0.2  | 3.3   | 0.5   | 0.7    |
+      | 0    | 3.9   | 0.5   | 0.5    |
+      | 0    | 3.903 | 0.5   | 0.5    |
+      | 0    | 4.2   | 0.5   | 0      |
+      | 0    | 4     | 0     | 0      |
+      | 0    | 3.9   | 0.1   | 0      |
+
+  Scenario: A caller is recognized once, and its later attempts by its first one
+    Given callers with 4 s, 4.4 s and 5 s left, refused after 0 s and told to come back after 0.5 s
+    When a caller with 3.5 s left comes 0.5 s after the refusal
+    And it is refused again and comes 1 s later with 2.5 s left
+    Then it has waited for 1.5 s
+    When another caller with 2.5 s left comes
     Then it has waited for 0 s
 
+  Scenario: Callers who have given up are forgotten
+    Given callers with 4 s, 4.4 s and 5 s left, refused after 0 s and told to come back after 0.5 s
+    When one more is refused 4.5 s later
+    Then 2 refused callers are known
+
   Scenario Outline: Fewer requests are sent to another region the longer its link holds messages up
     Given round trips of 0.06 s to a region
     When round trips take <seconds> s for 2 s
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -16,8 +16,8 @@
 from hibiscusdrum.internal.router.hop import LATE_SECONDS, Transit
 from hibiscusdrum.internal.router.key_load import OwnerLoad, relieve
 from hibiscusdrum.internal.router.path_delay import PathDelay
-from hibiscusdrum.internal.router.patience import Patience
 from hibiscusdrum.internal.router.receiver import Receiver
+from hibiscusdrum.internal.router.returns import Returns
 from hibiscusdrum.internal.router.ring import Owner, Ring, Stripe, create, reassign, rebalance
 from hibiscusdrum.internal.router.routes import HeaderNames, RouteTable, ServiceSpec
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, Selection
@@ -585,27 +585,46 @@
     assert context.throttle.tries_pay(context.time) == (verb == "pay"), verb
 
 
-# Callers who came back
+# Callers who come back
 
 
-@given("callers who wait for {limits} s in turn")
-def callers_wait(context, limits):
-    context.patience, context.time = Patience(), 100.0
-    for limit in limits.split(","):
-        context.patience.spent(float(limit), context.time)
-        context.time += 0.1
+@given(
+    "callers with 4 s, 4.4 s and 5 s left, refused after {told:g} s and told to come back after {wait:g} s"
+)
+def refused_callers(context, told, wait):
+    context.returns, context.time, context.wait = Returns(), 100.0, wait
+    for left in (4.0, 4.4, 5.0):
+        context.returns.note(100.0 + left, 100.0, 100.0 + told, wait)
+    context.time += told
 
 
-@when("callers wait for {limit:g} s each for {seconds:d} s")
-def callers_change(context, limit, seconds):
-    for _ in range(seconds):
-        context.time += 1.0
-        context.patience.spent(limit, context.time)
+@when("a caller with {left:g} s left comes {later:g} s after the refusal")
+def caller_comes(context, left, later):
+    context.time += later
+    context.ends_at = context.time + left
+    context.waited = context.time - context.returns.first_attempt(context.ends_at, context.time)
+
+
+@when("it is refused again and comes {later:g} s later with {left:g} s left")
+def comes_again(context, later, left):
+    context.returns.note(context.ends_at, context.time - context.waited, context.time, context.wait)
+    caller_comes(context, left, later)
+
+
+@when("another caller with {left:g} s left comes")
+def other_caller(context, left):
+    caller_comes(context, left, 0.0)
+
+
+@when("one more is refused {later:g} s later")
+def one_more(context, later):
+    now = context.time + later
+    context.returns.note(now + 4.0, now, now, context.wait)
 
 
-@when("a caller with {left:g} s left comes")
-def caller_comes(context, left):
-    context.waited = context.patience.spent(left, context.time)
+@then("{count:d} refused callers are known")
+def check_known(context, count):
+    assert len(context.returns.refused) == count, context.returns.refused
 
 
 @then("it has waited for {seconds:g} s")
--- a/tests/overload_world.py
+++ b/tests/overload_world.py
@@ -35,6 +35,7 @@
 HEADER_BYTES = 400
 NAMES = HeaderNames()
 REPORT_SECONDS = 0.5
+LEAST_LIMIT_SHARE = 0.83
 LATE_ANSWER_SECONDS = 0.01
 
 
@@ -352,7 +353,9 @@
         def arrive():
             if self.now >= end:
                 return
-            self.callers.append(Caller(self, self.rng.choice(nodes), self.services[service], deadline))
+            # Callers of one kind differ in how long they wait.
+            limit = deadline * self.rng.uniform(LEAST_LIMIT_SHARE, 1.0)
+            self.callers.append(Caller(self, self.rng.choice(nodes), self.services[service], limit))
             self.after(self.rng.expovariate(rate), arrive)
 
         end = self.now + seconds
