Tell a caller whom the target turned away when a slot is free

Cause: only refusals by the queue carried a time; those by the target itself got the default.

Change: they carry the queue's expected wait.

Measured: "A request that the target itself turns away..." failed before (no time), passes now: 0.05 to 0.1 s with free slots, 1 to 2 s behind 60 queued requests.

--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -447,7 +447,10 @@
             misdirected = response.status == MISDIRECTED
             if misdirected and forward.key >= 0:
                 self.owner.hold_lost()
-            self.decline(job, MISDIRECTED_REASON if misdirected else REFUSED_REASON, arrived=True)
+            reason = MISDIRECTED_REASON if misdirected else REFUSED_REASON
+            # A target that turns requests away with slots free may well take the next attempt.
+            wait = 0.0 if misdirected else self.admission.retry_after(self.entry(job), self.now)
+            self.decline(job, reason, arrived=True, retry_after=wait)
             return
         self.admission.done(forward.cost_class, self.now - job.sent_at)
         self.metrics.ran(forward.cost_class, self.now - job.sent_at)
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -47,6 +47,16 @@
     When the routes arrive with a rate of 5.5 requests a second for cold targets, and 20 requests more
     Then 5 of them are sent to the target
 
+  Scenario Outline: A request that the target itself turns away may come back as soon as a slot is free
+    Given a receiver on a link of 625000 bytes a second with 0 offered bodies
+    When <queued> requests are queued for its 6 slots, and the target turns one away that it did not run
+    Then that one is declined as not run, with a time to come back of <least> s to <most> s
+
+    Examples:
+      | queued | least | most |
+      | 0      | 0.05  | 0.1  |
+      | 60     | 1     | 2    |
+
   Scenario: A small request is not turned away for bodies that are awaited
     Given a receiver on a link of 625000 bytes a second with 8 offered bodies
     When nothing else happens and a request asks to start at once
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -16,6 +16,7 @@
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.messages import Answered, Body, Declined, Forward, Ping, Pong, SendBody
 from hibiscusdrum.internal.platform.table import Changes
+from hibiscusdrum.internal.router.admission import Entry
 from hibiscusdrum.internal.router.events import RequestEnded
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.hop import Hop, PeerState
@@ -27,7 +28,7 @@
 from hibiscusdrum.internal.router.selection import Candidate, Selection
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.traffic import Traffic
-from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure
+from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure, HttpResponse
 from hibiscusdrum.platform.operator import EVACUATE_PREFIX, OperatorRows
 from hibiscusdrum.platform.store import FollowedRows, StoreClient, WireRow
 
@@ -155,6 +156,28 @@
         )
 
 
+@when("{queued:d} requests are queued for its 6 slots, and the target turns one away that it did not run")
+def target_turns_away(context, queued):
+    receiver = context.receiver
+    callbacks = []
+    receiver.http.request = lambda *arguments, **_more: callbacks.append(arguments[6])
+    requests_arrive(context, 1)
+    now = receiver.now
+    for _ in range(queued):
+        receiver.admission.push(Entry("queued", 1, now + 9.0, now + 9.0, "upload", now), now)
+    receiver.admission.running = receiver.admission.slots if queued else 1
+    receiver.pump = lambda: None
+    answer = HttpResponse(503, {receiver.names.not_run: "1"}, b"")
+    callbacks[0](Success(answer))
+
+
+@then("that one is declined as not run, with a time to come back of {least:g} s to {most:g} s")
+def check_comes_back(context, least, most):
+    (answer,) = context.replies
+    assert type(answer) is Declined and not answer.may_have_run
+    assert least <= answer.retry_after <= most, answer.retry_after
+
+
 @when("its target reports itself cold for {seconds:g} s, and {count:d} requests arrive before the routes")
 def cold_without_routes(context, seconds, count):
     context.receiver.admission.slots = 20
