--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -185,13 +185,14 @@
 
 
 class TrafficSummary(LogEvent, frozen=True):
-    """Bytes exchanged with other nodes and the store, and the longest delays, since the last summary."""
+    """Bytes and calls exchanged with nodes and the store, and the longest delays, since the last summary."""
 
     number = 826
     cause = "Written at intervals."
 
     seconds: float
     bytes: dict[str, int]
+    calls: dict[str, int]
     longest_delay_own_s: float
     longest_delay_other_s: float
 
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -103,6 +103,9 @@
         lines.append(f"# TYPE hibiscusdrum_{name}_bytes_total counter")
         for (place, kind), size in sorted(sizes.items()):
             lines.append(f'hibiscusdrum_{name}_bytes_total{{place="{place}",kind="{kind}"}} {size}')
+    lines.append("# TYPE hibiscusdrum_store_calls_total counter")
+    for operation, count in sorted(traffic.calls.items()):
+        lines.append(f'hibiscusdrum_store_calls_total{{operation="{operation}"}} {count}')
     lines.append("# TYPE hibiscusdrum_delay_seconds histogram")
     for place, buckets in traffic.delays.items():
         total = 0
--- a/src/hibiscusdrum/internal/router/traffic.py
+++ b/src/hibiscusdrum/internal/router/traffic.py
@@ -31,6 +31,8 @@
         Bytes by place and kind of message; the place is the own region, another region or the store.
     received : dict of (str, str) to int
         Bytes by the store's operation.
+    calls : dict of str to int
+        Answered calls to the store by operation.
     delays : dict of str to list of int
         Messages by the bucket of their delay, for each place of their sender.
     """
@@ -42,6 +44,8 @@
         self.settings = settings
         self.sent: dict[tuple[str, str], int] = {}
         self.received: dict[tuple[str, str], int] = {}
+        self.calls: dict[str, int] = {}
+        self.reported_calls: dict[str, int] = {}
         self.delays: dict[str, list[int]] = {place: [0] * (len(DELAY_BOUNDS) + 1) for place in (OWN, OTHER)}
         self.longest: dict[str, float] = {OWN: 0.0, OTHER: 0.0}
         self.reported: dict[tuple[str, str], int] = {}
@@ -63,6 +67,7 @@
     def note_store(self, operation: str, sent: int, received: int) -> None:
         """Count a call to the store."""
         key = (STORE, operation)
+        self.calls[operation] = self.calls.get(operation, 0) + 1
         self.sent[key] = self.sent.get(key, 0) + sent
         self.received[key] = self.received.get(key, 0) + received
 
@@ -81,11 +86,17 @@
             for (name, kind), size in totals.items()
         }
         self.reported = totals
+        calls = {
+            operation: count - self.reported_calls.get(operation, 0)
+            for operation, count in self.calls.items()
+        }
+        self.reported_calls = dict(self.calls)
         longest, self.longest = self.longest, {OWN: 0.0, OTHER: 0.0}
         log_events.emit(
             events.TrafficSummary(
                 seconds=SUMMARY_SECONDS,
                 bytes={name: size for name, size in sorted(changes.items()) if size},
+                calls={name: count for name, count in sorted(calls.items()) if count},
                 longest_delay_own_s=round(longest[OWN], 3),
                 longest_delay_other_s=round(longest[OTHER], 3),
             )
