Try the other region when the own one is full, before a request is refused

Cause: one refusal for an overload is final, whatever regions the request may go to.

Change: it is final for the region of the node that refused; nodes of other regions are asked if the route allows them.

Grants, which have one region, are refused as fast as before.

--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -23,8 +23,8 @@
         Seconds for which the caller waits from now on, and those that it has waited before.
     overload : bool
         Whether its service refused many requests shortly before it came.
-    overloads : int
-        Nodes that refused it because they were overloaded.
+    full_regions : set of str
+        Regions in which a node refused it because it was overloaded.
     sent_at : float
         Monotonic time in seconds of the last try.
     path : float
@@ -42,6 +42,7 @@
         "deadline",
         "expect",
         "forward",
+        "full_regions",
         "goal",
         "key",
         "late",
@@ -49,7 +50,6 @@
         "moved",
         "node",
         "overload",
-        "overloads",
         "path",
         "reason",
         "refused",
@@ -84,7 +84,7 @@
         self.arrivals = 0
         self.moved = 0
         self.overload = False
-        self.overloads = 0
+        self.full_regions: set[str] = set()
         self.node = ""
         self.sent_at = now
         self.path = 0.0
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -28,7 +28,7 @@
     RouteTable,
     WeightedChoice,
 )
-from hibiscusdrum.internal.router.selection import LoadReport, Selection
+from hibiscusdrum.internal.router.selection import Candidate, LoadReport, Selection
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.throttle import Throttle
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
@@ -39,9 +39,6 @@
 # Nodes that may refuse a request before its caller is refused; a refusal between daemons costs no target
 # anything.
 MOST_NODES_ASKED = 4
-# The same when they refuse it because they are overloaded. The first was the best of a sample, so another one
-# rarely has room, and what is refused must be refused at once.
-MOST_OVERLOADED_ASKED = 1
 # A request is not sent again with less than this left, in seconds.
 SHORTEST_REPEAT_SECONDS = 0.05
 # Time after which a caller may come back when nothing better is known: about one report of a target.
@@ -247,7 +244,7 @@
                 self.refuse(flight)
                 return
         else:
-            candidates = self.members.candidates(flight.service, flight.route.regions)
+            candidates = self.open_candidates(flight)
             tries = not flight.overload and self.throttle(flight).tries_pay(now)
             placed = self.selection.place(
                 candidates, len(flight.body), now, flight.busy, flight.refused, tries
@@ -263,6 +260,13 @@
             return
         self.send(flight, node, now, only_if_free)
 
+    def open_candidates(self, flight: Flight) -> list[Candidate]:
+        """Return the nodes that may serve a request, those of regions that refused it left out."""
+        candidates = self.members.candidates(flight.service, flight.route.regions)
+        if not flight.full_regions:
+            return candidates
+        return [entry for entry in candidates if entry.region not in flight.full_regions]
+
     def held_back(self, node: str, now: float) -> bool:
         """Return whether a request is not sent to a node, because the link to its region is full."""
         region = self.members.region(node)
@@ -360,7 +364,9 @@
             return
         flight.reason = answer.reason
         flight.refused.append(flight.node)
-        flight.overloads += answer.reason in OVERLOADED
+        if answer.reason in OVERLOADED:
+            # The node that was asked was the best of a sample, so others of its region rarely have room.
+            flight.full_regions.add(self.members.region(flight.node))
         flight.arrivals += answer.arrived
         if answer.retry_after:
             known = flight.retry_after or answer.retry_after
@@ -383,7 +389,7 @@
         if (
             flight.key >= 0
             or len(flight.refused) >= MOST_NODES_ASKED
-            or flight.overloads >= MOST_OVERLOADED_ASKED
+            or (flight.full_regions and not self.open_candidates(flight))
             or (answer.arrived and not self.may_repeat(flight, now, ran=False))
             or flight.deadline - now < SHORTEST_REPEAT_SECONDS
         ):
--- a/tests/features/router_overload.feature
+++ b/tests/features/router_overload.feature
@@ -27,6 +27,11 @@
       | 1.5  |
       | 2    |
 
+  Scenario: Work that may run anywhere runs in the other region when the own one is full
+    Given routers in two regions, and a service with 8 targets in each, of which those in the east are kept busy
+    When calls that may run anywhere come in the east at 0.6 times what the targets in the west can run for 8 s
+    Then at least 0.97 of the calls are answered
+
   Scenario: A service that has room refuses nothing
     Given routers in two regions whose link carries 300000 bytes a second, and a service of 8 targets in one of them
     When the service gets 0.7 times what it can run for 10 s, half of it from the other region
--- a/tests/features/steps/router_overload_steps.py
+++ b/tests/features/steps/router_overload_steps.py
@@ -83,6 +83,41 @@
     assert served >= share * len(callers) > 0, (served, len(callers))
 
 
+# Work with and without homes
+
+
+@given(
+    "routers in two regions, and a service with {count:d} targets in each, "
+    "of which those in the east are kept busy"
+)
+def two_kinds(context, count):
+    nodes = {"east": count, "west": count}
+    context.grants = ServiceModel("grants", nodes, 0.22, regions=("east",), body=1200)
+    context.calls = ServiceModel("calls", {}, 0.031, service="grants", goal=0.194, timeout=0.646)
+    callers = ServiceModel("lookups", {"east": 8, "west": 8}, 0.17)
+    context.world = OverloadWorld([context.grants, context.calls, callers], 3_750_000)
+    context.add_cleanup(context.world.close)
+
+
+@when(
+    "calls that may run anywhere come in the east at {load:g} times what the targets in the west can run "
+    "for {seconds:d} s"
+)
+def calls_come(context, load, seconds):
+    world = context.world
+    slots = context.grants.nodes["west"] * context.grants.slots
+    world.load("grants", 1.5 * slots / context.grants.work, seconds, regions=("east",))
+    world.load("calls", load * slots / context.calls.work, seconds, regions=("east",), deadline=0.646)
+    world.run(seconds + 6.0)
+
+
+@then("at least {share:g} of the calls are answered")
+def check_calls(context, share):
+    calls = [caller for caller in context.world.callers if caller.spec is context.calls]
+    served = sum(caller.status == 200 for caller in calls)
+    assert served >= share * len(calls), (served, len(calls))
+
+
 # Large bodies
 
 
