Throttle each service of a route by its own outcomes

Found by reading: with the outcomes of a route counted together, the answers of an idle service of the route hid that another one was overloaded, and refusals of the overloaded one could have cost the idle one its requests.

Change: outcomes are kept for each route and service.

Measured: "Of a route with two services only the overloaded one is throttled" fails with the outcomes counted together (none of 869 refusals without asking) and passes with 307 of 933; a node sees few requests in it, so that a quarter is asked for.

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -89,7 +89,7 @@
         }
         self.flights: set[Flight] = set()
         self.budgets: dict[str, RetryBudget] = {}
-        self.throttles: dict[str, Throttle] = {}
+        self.throttles: dict[tuple[str, str], Throttle] = {}
         self.returns: dict[str, Returns] = {}
         self.stopping = False
         self.closed = False
@@ -174,10 +174,11 @@
             self.place(flight)
 
     def throttle(self, flight: Flight) -> Throttle:
-        """Return the outcomes of the requests of a route."""
-        found = self.throttles.get(flight.route.name)
+        """Return the outcomes of the requests of a route to one of its services."""
+        key = (flight.route.name, flight.service)
+        found = self.throttles.get(key)
         if found is None:
-            found = self.throttles[flight.route.name] = Throttle()
+            found = self.throttles[key] = Throttle()
         return found
 
     def throttled(self, flight: Flight, now: float) -> bool:
--- a/tests/features/router_overload.feature
+++ b/tests/features/router_overload.feature
@@ -32,6 +32,12 @@
     When calls that may run anywhere come in the east at 0.6 times what the targets in the west can run for 8 s
     Then at least 0.97 of the calls are answered
 
+  Scenario: Of a route with two services only the overloaded one is throttled
+    Given routers in two regions, and a route whose requests go by halves to a full and to an idle service
+    When the route gets 6 times what the full service can run for 8 s
+    Then at least 0.99 of the requests for the idle service are answered
+    And at least 0.25 of the refusals of the full service are made without asking it
+
   Scenario: A service that has room refuses nothing
     Given routers in two regions whose link carries 300000 bytes a second, and a service of 8 targets in one of them
     When the service gets 0.7 times what it can run for 10 s, half of it from the other region
--- a/tests/features/steps/router_overload_steps.py
+++ b/tests/features/steps/router_overload_steps.py
@@ -3,9 +3,15 @@
 They guard against a loss of service that grows with the requests that are refused.
 """
 
+from unittest import mock
+
+import msgspec
 from behave import given, then, when
 from tests.overload_world import OverloadWorld, ServiceModel
 
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.router.events import RequestEnded
+
 
 @given(
     "routers in two regions whose link carries {rate:d} bytes a second, and a service of {count:d} targets "
@@ -118,6 +124,37 @@
     assert served >= share * len(calls), (served, len(calls))
 
 
+@given("routers in two regions, and a route whose requests go by halves to a full and to an idle service")
+def two_parts(context):
+    full = ServiceModel("full", {"east": 4}, 0.2)
+    idle = ServiceModel("idle", {"east": 24}, 0.2)
+    full.route = msgspec.structs.replace(full.route, services=(("full", 1.0), ("idle", 1.0)))
+    context.full = full
+    context.world = OverloadWorld([full, idle], 3_750_000)
+    context.add_cleanup(context.world.close)
+
+
+@when("the route gets {load:g} times what the full service can run for {seconds:d} s")
+def load_both(context, load, seconds):
+    context.world.load("full", load * context.full.capacity, seconds)
+    with mock.patch.object(log_events, "emit") as emit:
+        context.world.run(seconds + 6.0)
+    events = [call.args[0] for call in emit.call_args_list]
+    context.ended = [event for event in events if type(event) is RequestEnded]
+
+
+@then("at least {share:g} of the requests for the idle service are answered")
+def check_idle(context, share):
+    statuses = [event.status for event in context.ended if event.service == "idle"]
+    assert statuses.count(200) >= share * len(statuses) > 0, (statuses.count(200), len(statuses))
+
+
+@then("at least {share:g} of the refusals of the full service are made without asking it")
+def check_full(context, share):
+    reasons = [event.reason for event in context.ended if event.service == "full" and event.status == 503]
+    assert reasons.count("throttled") >= share * len(reasons) > 0, (reasons.count("throttled"), len(reasons))
+
+
 # Large bodies
 
 
