Do not take the messages of a rebooted VM for held up

Cause: the delay of a message is its age beyond the fastest one of the same sender. A VM that was started anew counts its steady clock from 0, so that all its requests were older by its former uptime and were refused as late, and its node was passed over, until the fastest message was forgotten after 30 to 60 s.

Change: what is known of a sender's messages belongs to its process, which the ids of its requests and its pings name.

Measured: "Messages of a VM that was started anew do not count as held up" failed before (80,000 s late), passes now.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -196,10 +196,19 @@
 
 
 class Ping(Message, frozen=True, array_like=True, tag=True):
-    """Asks a peer whether it lives; answered at once."""
+    """Asks a peer whether it lives; answered at once.
+
+    Attributes
+    ----------
+    sent_at : float
+        Seconds on the sender's steady clock, which starts anew with its VM.
+    process : bytes
+        Names the sender's process, as the ids of its requests begin.
+    """
 
     origin: str
     sent_at: float
+    process: bytes = b""
 
 
 class Pong(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -41,6 +41,8 @@
 # The fastest message is remembered for one to two such periods, so that a change of the path is followed.
 PERIOD_SECONDS = 30.0
 SILENT = "silent"
+# First bytes of a request's id, which name the process that sent it.
+PROCESS_BYTES = 6
 # A larger body is only offered, and sent when the receiver asks for it: a round trip costs less than the time
 # that it takes on a narrow link.
 LARGE_BODY_BYTES = 16_384
@@ -119,11 +121,11 @@
         self.settings = settings
         self.selection = selection
         self.incarnation = uuid.uuid4().hex[:12]
-        self.prefix = os.urandom(6)
+        self.prefix = os.urandom(PROCESS_BYTES)
         self.counter = itertools.count(1)
         self.outstanding: dict[bytes, Outstanding] = {}
         self.states: dict[str, PeerState] = {}
-        self.transit: dict[str, Transit] = {}
+        self.transit: dict[str, tuple[bytes, Transit]] = {}
         self.congested_until = float("-inf")
         self.started_at = 0.0
         self.accept: Callable[[Forward, bytes, float, ReplyCallback], None] | None = None
@@ -261,7 +263,7 @@
             if state is None:
                 self.fail_all(node, "removed")
                 continue
-            sent = self.peers.try_send_request(state.address, Ping(self.settings.node, now))
+            sent = self.peers.try_send_request(state.address, Ping(self.settings.node, now, self.prefix))
             silent = now - max(state.heard_at, since)
             if not sent or silent > SILENCE_SECONDS:
                 self.lost(node, state, SILENT if sent else "disconnected")
@@ -306,7 +308,7 @@
         """Take a message of another daemon."""
         kind = type(message)
         if kind is Forward:
-            delay = self.delay(message.origin, message.sent_at)
+            delay = self.delay(message.origin, message.id[:PROCESS_BYTES], message.sent_at)
 
             def reply(answer: Answered | Declined | SendBody, content: bytes) -> None:
                 size = self.peers.reply(identity, answer, content)
@@ -318,7 +320,7 @@
         elif kind is Body:
             self.body_received(message.id, message.first, body)
         elif kind is Ping:
-            self.delay(message.origin, message.sent_at)
+            self.delay(message.origin, message.process, message.sent_at)
             age = self.now - self.started_at
             pong = Pong(self.settings.node, self.incarnation, message.sent_at, self.own_load(), age)
             self.peers.reply(identity, pong)
@@ -336,11 +338,15 @@
             log_events.emit(events.LinkCongested(peer=origin, delay_s=round(late, 3)))
         self.congested_until = self.now + CONGESTED_FOR_SECONDS
 
-    def delay(self, origin: str, sent_at: float) -> float:
-        """Return by how many seconds a message was held up on its way; 0 for usual delays."""
-        transit = self.transit.get(origin)
-        if transit is None:
-            transit = self.transit[origin] = Transit()
+    def delay(self, origin: str, process: bytes, sent_at: float) -> float:
+        """Return by how many seconds a message was held up on its way; 0 for usual delays.
+
+        Another process of the same node may be on a VM that was started anew, whose clock has too.
+        """
+        known, transit = self.transit.get(origin, (b"", None))
+        if transit is None or known != process:
+            transit = Transit()
+            self.transit[origin] = process, transit
         late = transit.delay(sent_at, self.now)
         self.traffic.note_delay(self.members.region(origin), late)
         if late > CONGESTED_SECONDS and self.members.region(origin) == self.settings.region:
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -62,6 +62,13 @@
     When nothing else happens and a request asks to start at once
     Then it is sent to the target
 
+  Scenario: Messages of a VM that was started anew do not count as held up
+    Given a router that knows a peer in the same region
+    When the peer's messages take 5 ms, and its VM is started anew with a clock that is 80000 s behind
+    Then its next request is accepted, and the router does not ask others to send elsewhere
+    When a request of the new process is held up for 2 s
+    Then that one is refused as late
+
   Scenario: A node asks for work again once its link is free
     Given a router that knows a peer in the same region
     When the peer's messages take 5 ms, and then 300 ms more
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -207,6 +207,45 @@
     assert context.receiver.admission.running == count, context.receiver.admission.running
 
 
+@when("the peer's messages take 5 ms, and its VM is started anew with a clock that is {seconds:g} s behind")
+def started_anew(context, seconds):
+    hop, clock = context.hop, context.app.clock
+    context.accepted = []
+    hop.accept = lambda message, _body, delay, _reply: context.accepted.append((message.id, delay))
+    for number in range(3):
+        clock.advance(0.3)
+        sent_at = clock.monotonic() - 0.005 + 100_000.0
+        message = msgspec.structs.replace(forward(0), id=b"first-%d" % number, sent_at=sent_at)
+        hop.on_request(b"", message, b"")
+    context.behind = 100_000.0 - seconds
+
+
+def of_new_process(context, number, held_up):
+    sent_at = context.app.clock.monotonic() - 0.005 - held_up + context.behind
+    message = msgspec.structs.replace(forward(0), id=b"second%d" % number, sent_at=sent_at)
+    context.hop.on_request(b"", message, b"")
+
+
+@then("its next request is accepted, and the router does not ask others to send elsewhere")
+def next_accepted(context):
+    context.app.clock.advance(0.3)
+    of_new_process(context, 1, 0.0)
+    assert context.accepted[-1] == (b"second1", 0.0), context.accepted
+    assert not context.hop.congested
+
+
+@when("a request of the new process is held up for {seconds:g} s")
+def new_held_up(context, seconds):
+    context.app.clock.advance(0.3)
+    of_new_process(context, 2, seconds)
+
+
+@then("that one is refused as late")
+def refused_late(context):
+    request_id, delay = context.accepted[-1]
+    assert request_id == b"second2" and delay > 1.9, context.accepted
+
+
 @when("no message is held up for {seconds:g} s")
 def time_passes(context, seconds):
     context.app.clock.advance(seconds)
