Keep what a node knows of overloads in a class of its own

The gateway had taken over throttles, refused callers and the delay of paths besides placing requests. No decision changes.

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -10,6 +10,7 @@
 from hibiscusdrum.internal.router.flight import Flight
 from hibiscusdrum.internal.router.hop import Hop
 from hibiscusdrum.internal.router.members import Members
+from hibiscusdrum.internal.router.overload import Overload
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.receiver import (
     BUSY_REASON,
@@ -18,19 +19,16 @@
     MISDIRECTED_REASON,
     Receiver,
 )
-from hibiscusdrum.internal.router.returns import Returns
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.routes import (
     EMPTY_TABLE,
     KEY_SPACE,
     HeaderNames,
-    Route,
     RouteTable,
     WeightedChoice,
 )
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, Selection
 from hibiscusdrum.internal.router.settings import RouterSettings
-from hibiscusdrum.internal.router.throttle import Throttle
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
@@ -49,8 +47,6 @@
 # Share of the service's budget of repeats that the router uses. A repeated run also repeats the calls of its
 # target, which count at the called service.
 BUDGET_SHARE = 0.3
-# A request with less than this share of its latency goal left will hardly meet it.
-NEW_GOAL_SHARE = 0.5
 NOT_OWNER = "not_owner"
 OVERLOADED = ("overloaded", "too_late")
 THROTTLED = "throttled"
@@ -89,8 +85,7 @@
         }
         self.flights: set[Flight] = set()
         self.budgets: dict[str, RetryBudget] = {}
-        self.throttles: dict[tuple[str, str], Throttle] = {}
-        self.returns: dict[str, Returns] = {}
+        self.overload = Overload(selection.rng)
         self.stopping = False
         self.closed = False
 
@@ -151,10 +146,7 @@
         left = min(limit, route.timeout) if route.timeout > 0.0 else limit
         flight = Flight(request, route, self.weights.choose(route), now + left, now)
         flight.limit = limit
-        flight.waited = now - self.returns_of(route).first_attempt(now + limit, now)
-        if route.latency_goal > 0.0:
-            flight.goal = now - flight.waited + route.latency_goal
-            flight.late = flight.goal - now < NEW_GOAL_SHARE * route.latency_goal
+        self.overload.arrived(flight, now)
         flight.attempt_id = request.header(self.names.attempt_id) or ""
         spec = self.table.services.get(flight.service)
         if spec is not None and spec.partitioned:
@@ -167,35 +159,12 @@
         request.on_closed = lambda: self.on_caller_gone(flight)
         flight.timer = self.app.scheduler.call_later(left, lambda: self.on_deadline(flight))
         self.budget(flight.service).on_request()
-        if self.throttled(flight, now):
+        if self.overload.throttled(flight, now):
             flight.reason = THROTTLED
             self.refuse(flight)
         else:
             self.place(flight)
 
-    def throttle(self, flight: Flight) -> Throttle:
-        """Return the outcomes of the requests of a route to one of its services."""
-        key = (flight.route.name, flight.service)
-        found = self.throttles.get(key)
-        if found is None:
-            found = self.throttles[key] = Throttle()
-        return found
-
-    def throttled(self, flight: Flight, now: float) -> bool:
-        """Return whether to refuse a request without asking an overloaded service.
-
-        A key has one owner, whose load says nothing of the others.
-        """
-        if flight.key >= 0:
-            return False
-        throttle = self.throttle(flight)
-        flight.overload = throttle.refused_share(now) > 0.0
-        share = throttle.refused_share(now, late=flight.late)
-        refused = share > 0.0 and self.selection.rng.random() < share
-        if refused:
-            throttle.note(False, now, late=flight.late)
-        return refused
-
     def limit(self, request: EntryRequest) -> float:
         """Return the seconds for which the caller waits."""
         try:
@@ -204,13 +173,6 @@
             return DEFAULT_LEFT_SECONDS
         return limit if 0.0 < limit < float("inf") else DEFAULT_LEFT_SECONDS
 
-    def returns_of(self, route: Route) -> Returns:
-        """Return the refused callers of a route."""
-        found = self.returns.get(route.name)
-        if found is None:
-            found = self.returns[route.name] = Returns()
-        return found
-
     def refuse_early(self, request: EntryRequest, status: int, reason: str) -> None:
         """Answer a request that has no route or no key."""
         attempt_id = request.header(self.names.attempt_id) or ""
@@ -246,7 +208,7 @@
                 return
         else:
             candidates = self.open_candidates(flight)
-            tries = not flight.overload and self.throttle(flight).tries_pay(now)
+            tries = self.overload.tries_pay(flight, now)
             placed = self.selection.place(
                 candidates, len(flight.body), now, flight.busy, flight.refused, tries
             )
@@ -255,7 +217,9 @@
                 self.refuse(flight)
                 return
             node, only_if_free = placed[0].node, placed[1]
-        if not flight.asked and self.held_back(node, now):
+        region = self.members.region(node)
+        far = region != self.settings.region
+        if far and not flight.asked and self.overload.held_back(self.selection.path(region), now):
             flight.reason = LINK_CONGESTED
             self.refuse(flight)
             return
@@ -268,14 +232,6 @@
             return candidates
         return [entry for entry in candidates if entry.region not in flight.full_regions]
 
-    def held_back(self, node: str, now: float) -> bool:
-        """Return whether a request is not sent to a node, because the link to its region is full."""
-        region = self.members.region(node)
-        if region == self.settings.region:
-            return False
-        share = self.selection.path(region).refused_share(now)
-        return share > 0.0 and self.selection.rng.random() < share
-
     def send(self, flight: Flight, node: str, now: float, only_if_free: bool) -> None:
         """Pass a request to a node."""
         request = flight.request
@@ -337,10 +293,7 @@
     ) -> None:
         """Pass the target's answer on; a failure of a request that may be repeated is tried elsewhere."""
         flight.arrivals += 1
-        if forward.only_if_free:
-            self.throttle(flight).note_try(True, now)
-        running, queued, slots = answer.load[:3]
-        self.throttle(flight).note(True, now, room=running + queued < slots, late=flight.late)
+        self.overload.answered(flight, forward, answer, now)
         flight.path = now - flight.sent_at - answer.held
         if answer.status in SERVER_ERRORS:
             self.selection.failed(flight.node, now)
@@ -359,7 +312,7 @@
     def on_declined(self, flight: Flight, answer: Declined, now: float) -> None:
         """Try another node, or give the final answer."""
         if answer.reason == BUSY_REASON:
-            self.throttle(flight).note_try(False, now)
+            self.overload.turned_away(flight, now)
             flight.busy.append(flight.node)
             self.place(flight)
             return
@@ -395,7 +348,7 @@
             or flight.deadline - now < SHORTEST_REPEAT_SECONDS
         ):
             if answer.reason in OVERLOADED or answer.reason == LATE_REASON:
-                self.throttle(flight).note(False, now, late=flight.late)
+                self.overload.not_served(flight, now)
             self.refuse(flight)
         else:
             self.place(flight)
@@ -460,8 +413,7 @@
             self.fail(flight, 502)
             return
         wait = flight.retry_after or RETRY_SECONDS
-        ends_at, first = flight.begun_at + flight.limit, flight.begun_at - flight.waited
-        self.returns_of(flight.route).note(ends_at, first, self.app.clock.monotonic(), wait)
+        self.overload.refused(flight, wait, self.app.clock.monotonic())
         headers = [("retry-after", f"{wait:.3f}")]
         if flight.attempt_id:
             headers.append((self.names.attempt_id, flight.attempt_id))
@@ -477,7 +429,7 @@
         if flight not in self.flights:
             return
         flight.reason = flight.reason or "deadline"
-        self.throttle(flight).note(False, self.app.clock.monotonic(), late=flight.late)
+        self.overload.not_served(flight, self.app.clock.monotonic())
         self.withdraw(flight)
         self.fail(flight, 504)
 
