Place a request in the own region when the link to another one is full

Found by reading the change: a request that may go anywhere and was placed in another region was refused when the link to it was full, although nodes of the own region could take it later.

Change: such a region is left out and the request placed again; it is refused when no region is left.

--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -24,7 +24,7 @@
     overload : bool
         Whether its service refused many requests shortly before it came.
     full_regions : set of str
-        Regions in which a node refused it because it was overloaded.
+        Regions in which a node refused it because it was overloaded, or to which the link is full.
     sent_at : float
         Monotonic time in seconds of the last try.
     path : float
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -221,12 +221,16 @@
         far = region != self.settings.region
         if far and not flight.asked and self.overload.held_back(self.selection.path(region), now):
             flight.reason = LINK_CONGESTED
-            self.refuse(flight)
+            flight.full_regions.add(region)
+            if flight.key < 0 and self.open_candidates(flight):
+                self.place(flight)
+            else:
+                self.refuse(flight)
             return
         self.send(flight, node, now, only_if_free)
 
     def open_candidates(self, flight: Flight) -> list[Candidate]:
-        """Return the nodes that may serve a request, those of regions that refused it left out."""
+        """Return the nodes that may serve a request, those of regions without room for it left out."""
         candidates = self.members.candidates(flight.service, flight.route.regions)
         if not flight.full_regions:
             return candidates
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -80,6 +80,11 @@
     When a node declines a request because it was held up on its way
     Then the request goes to another node, and the next 50 requests too
 
+  Scenario: A request that the full link to another region cannot take goes to a busier node of the own region
+    Given a gateway with 4 busy nodes in the own region and 4 idle ones in the other, whose link holds up for 2 s
+    When 50 requests arrive
+    Then all of them are sent, and at least 0.8 to the own region
+
   Scenario: A busy node turns a request away once, and the request goes to another at once
     Given a gateway with 8 nodes to choose from
     When two nodes turn a request away because they have no free slot
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -25,7 +25,7 @@
 from hibiscusdrum.internal.router.metrics import traffic_lines
 from hibiscusdrum.internal.router.receiver import BUSY_REASON, LATE_REASON, Receiver
 from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
-from hibiscusdrum.internal.router.selection import Candidate, Selection
+from hibiscusdrum.internal.router.selection import Candidate, LoadReport, Selection
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure, HttpResponse
@@ -334,6 +334,41 @@
     context.app = app
 
 
+@given(
+    "a gateway with {count:d} busy nodes in the own region and {other:d} idle ones in the other, "
+    "whose link holds up for {seconds:g} s"
+)
+def gateway_with_full_link(context, count, other, seconds):
+    gateway_with_nodes(context, count)
+    near = [Candidate(f"n{index}", "east", "d") for index in range(count)]
+    far = [Candidate(f"far{index}", "west", "d") for index in range(other)]
+    members, selection = context.gateway.members, context.gateway.selection
+    members.candidates = lambda *_: near + far
+    members.region = lambda node: "west" if node.startswith("far") else "east"
+    now = context.app.clock.monotonic()
+    for taken in (0.06, 0.06 + seconds):
+        selection.path("west").note(taken, now)
+        context.app.clock.advance(1.1)
+        now = context.app.clock.monotonic()
+    selection.path("west").note(0.06 + seconds, now)
+    for entry in near:
+        selection.reported(entry.node, LoadReport(6, 200, 6, 0.5, True), now)
+
+
+@when("{count:d} requests arrive")
+def many_requests(context, count):
+    context.count = count
+    for _ in range(count):
+        context.gateway.on_request(Request())
+
+
+@then("all of them are sent, and at least {share:g} to the own region")
+def all_near(context, share):
+    nodes = [node for node, *_ in context.hop.sent]
+    assert len(nodes) == context.count, len(nodes)
+    assert sum(node.startswith("n") for node in nodes) >= share * context.count, nodes
+
+
 def decline(context, reason, load=FREE):
     node, forward, _, reply = context.hop.sent[-1]
     context.gateway.selection.reported(node, context.gateway.selection.view(node).report, 100.0)
