Tell whom a key has moved to, instead of letting each node read the ring

That these reads were a large part of it is a computation from sizes and limits, not a measurement.

Change: a node that declines a request for a key which it has given away names the owner that it knows, and the request goes there at once; the ring is read when that one declines too.

Measured: "A request for a key that has moved goes to the new owner without a read of the ring" fails before (the ring was read), passes now.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -185,6 +185,8 @@
         Whether the target got it.
     retry_after : float
         Seconds after which there is room again; 0 when not known.
+    owner : str
+        Node that owns the request's key as far as this one knows; empty when it does not.
     """
 
     id: bytes
@@ -193,6 +195,7 @@
     arrived: bool
     retry_after: float
     load: tuple[int, int, int, float, bool]
+    owner: str = ""
 
 
 class Ping(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -17,6 +17,7 @@
     HOP_HEADERS,
     LATE_REASON,
     MISDIRECTED_REASON,
+    NOT_OWNER_REASON,
     Receiver,
 )
 from hibiscusdrum.internal.router.rings import Rings
@@ -47,7 +48,6 @@
 # Share of the service's budget of repeats that the router uses. A repeated run also repeats the calls of its
 # target, which count at the called service.
 BUDGET_SHARE = 0.3
-NOT_OWNER = "not_owner"
 OVERLOADED = ("overloaded", "too_late")
 THROTTLED = "throttled"
 LINK_CONGESTED = "link_congested"
@@ -337,11 +337,15 @@
                 return
             self.fail(flight, 502)
             return
-        moved = answer.reason == NOT_OWNER or (
+        moved = answer.reason == NOT_OWNER_REASON or (
             answer.reason == MISDIRECTED_REASON and self.may_repeat(flight, now, ran=False)
         )
         if moved and flight.moved < MOVED_TRIES:
             flight.moved += 1
+            if answer.owner and answer.owner not in flight.asked:
+                # The former owner knows the new one without a read of the ring.
+                self.send(flight, answer.owner, now, False)
+                return
             self.app.scheduler.call_later(MOVED_WAIT_SECONDS, lambda: self.find_owner(flight))
             return
         if (
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -36,6 +36,7 @@
 MISDIRECTED = 421
 DEFAULT_SLOTS = 8
 MISDIRECTED_REASON = "misdirected"
+NOT_OWNER_REASON = "not_owner"
 REFUSED_REASON = "target_refused"
 # A body that would arrive later than this share of the time that its request has is not asked for.
 LONGEST_BODY_SHARE = 0.5
@@ -129,6 +130,7 @@
         self.http: HttpClient = find("http_client")
         self.hop = find("hop")
         self.metrics = find("metrics")
+        self.rings = find("rings")
         self.hop.accept = self.on_forward
         self.hop.cancel_received = self.cancel
         self.hop.body_received = self.on_body
@@ -302,7 +304,7 @@
         if self.target.state is not TargetState.READY:
             return f"target_{self.target.state.value}"
         if forward.key >= 0:
-            return "not_owner" if self.owner.state(forward.key) is KeyState.FOREIGN else ""
+            return NOT_OWNER_REASON if self.owner.state(forward.key) is KeyState.FOREIGN else ""
         return "stopping" if self.stopping else ""
 
     def still_served(self, forward: Forward) -> bool:
@@ -328,7 +330,7 @@
             if state is KeyState.HELD:
                 self.enqueue(job)
             elif state is KeyState.FOREIGN:
-                self.decline(job, "not_owner")
+                self.decline(job, NOT_OWNER_REASON)
             else:
                 self.parked.append(job)
 
@@ -383,7 +385,7 @@
             self.unsent(job, "too_late")
             return
         if forward.key >= 0 and self.owner.state(forward.key) is not KeyState.HELD:
-            self.unsent(job, "not_owner")
+            self.unsent(job, NOT_OWNER_REASON)
             return
         job.sent_at = now
         host, headers = self.headers(job, left)
@@ -511,7 +513,14 @@
             )
         )
         self.metrics.declined(forward.cost_class, full or reason)
-        job.reply(Declined(forward.id, reason, may_have_run, arrived, retry_after, self.load()), b"")
+        owner = self.other_owner(forward) if reason == NOT_OWNER_REASON else ""
+        declined = Declined(forward.id, reason, may_have_run, arrived, retry_after, self.load(), owner)
+        job.reply(declined, b"")
+
+    def other_owner(self, forward: Forward) -> str:
+        """Return the node that owns the key of a request, when it is another one."""
+        node = self.rings.owner_node(forward.service, forward.key)
+        return node if node is not None and node != self.settings.node else ""
 
     def cancel(self, request_id: bytes) -> None:
         """Drop a request whose caller has left; one that must not be repeated runs to its end."""
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -85,6 +85,13 @@
     When 50 requests arrive
     Then all of them are sent, and at least 0.8 to the own region
 
+  Scenario: A request for a key that has moved goes to the new owner without a read of the ring
+    Given a gateway that knows an old owner of a key
+    When the old owner declines a request and names the new one
+    Then the request goes to the new owner at once
+    When the new owner declines it too and names the old one
+    Then the ring is read
+
   Scenario: A busy node turns a request away once, and the request goes to another at once
     Given a gateway with 8 nodes to choose from
     When two nodes turn a request away because they have no free slot
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -23,7 +23,7 @@
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetReport
 from hibiscusdrum.internal.router.members import Members, NodeRow
 from hibiscusdrum.internal.router.metrics import traffic_lines
-from hibiscusdrum.internal.router.receiver import BUSY_REASON, LATE_REASON, Receiver
+from hibiscusdrum.internal.router.receiver import BUSY_REASON, LATE_REASON, NOT_OWNER_REASON, Receiver
 from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, Selection
 from hibiscusdrum.internal.router.settings import RouterSettings
@@ -355,6 +355,50 @@
         selection.reported(entry.node, LoadReport(6, 200, 6, 0.5, True), now)
 
 
+@given("a gateway that knows an old owner of a key")
+def gateway_with_keys(context):
+    gateway_with_nodes(context, 3)
+    gateway = context.gateway
+    context.refreshed = []
+    gateway.rings.owner_node = lambda *_: "n0"
+    gateway.rings.refresh = lambda service, _done: context.refreshed.append(service)
+    gateway.members.reachable = True
+    route = Route("r", "h.example", "/a/", RequestKind.IDEMPOTENT, (("s", 1.0),), attempts=2)
+    gateway.set_table(RouteTable.build(2, [route], [ServiceSpec("s", partitioned=True)]))
+    request = Request()
+    request.headers.append((gateway.names.key, "7"))
+    gateway.on_request(request)
+
+
+def decline_moved(context, owner):
+    _, forward, _, reply = context.hop.sent[-1]
+    reply(Declined(forward.id, NOT_OWNER_REASON, False, False, 0.0, FREE, owner), b"")
+
+
+@when("the old owner declines a request and names the new one")
+def old_owner_declines(context):
+    decline_moved(context, "n1")
+
+
+@then("the request goes to the new owner at once")
+def goes_to_new_owner(context):
+    assert [node for node, *_ in context.hop.sent] == ["n0", "n1"] and not context.refreshed
+
+
+@when("the new owner declines it too and names the old one")
+def new_owner_declines(context):
+    decline_moved(context, "n0")
+    context.app.clock.advance(0.3)
+    # The key's owner as known here has been asked before.
+    context.gateway.rings.owner_node = lambda *_: "n1"
+    context.app.scheduler.run_due(Stub("loop", reduce_time_left=lambda _: None))
+
+
+@then("the ring is read")
+def ring_is_read(context):
+    assert context.refreshed == ["s"] and len(context.hop.sent) == 2
+
+
 @when("{count:d} requests arrive")
 def many_requests(context, count):
     context.count = count
@@ -564,6 +608,7 @@
     app.add(Stub("members", evacuated=frozenset(), on_change=[], region=lambda _: SETTINGS.region))
     app.add(Stub("range_owner", on_granted=[]))
     app.add(Stub("hop", congested=False))
+    app.add(Stub("rings", owner_node=lambda *_: None))
     app.add(Stub("metrics", declined=lambda *_: None, ran=lambda *_: None))
     app.add(Stub("http_client", request=lambda *_arguments, **_more: None))
     target = app.add(LocalTarget(SETTINGS))
