Name the reasons of refusals once, and drop what the overload model does not use

Found by reading the change: the gateway repeated two reasons of the receiver as texts, and the model of overloads had counters that no scenario reads and a second copy of the stand-in for the poller's event. No behaviour changes.

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -18,6 +18,8 @@
     LATE_REASON,
     MISDIRECTED_REASON,
     NOT_OWNER_REASON,
+    OVERLOADED_REASON,
+    TOO_LATE_REASON,
     Receiver,
 )
 from hibiscusdrum.internal.router.rings import Rings
@@ -48,7 +50,7 @@
 # Share of the service's budget of repeats that the router uses. A repeated run also repeats the calls of its
 # target, which count at the called service.
 BUDGET_SHARE = 0.3
-OVERLOADED = ("overloaded", "too_late")
+OVERLOAD_REASONS = (OVERLOADED_REASON, TOO_LATE_REASON)
 THROTTLED = "throttled"
 LINK_CONGESTED = "link_congested"
 SERVER_ERRORS = (500, 502, 503)
@@ -322,7 +324,7 @@
             return
         flight.reason = answer.reason
         flight.refused.append(flight.node)
-        if answer.reason in OVERLOADED:
+        if answer.reason in OVERLOAD_REASONS:
             # The node that was asked was the best of a sample, so others of its region rarely have room.
             flight.full_regions.add(self.members.region(flight.node))
         flight.arrivals += answer.arrived
@@ -355,7 +357,7 @@
             or (answer.arrived and not self.may_repeat(flight, now, ran=False))
             or flight.deadline - now < SHORTEST_REPEAT_SECONDS
         ):
-            if answer.reason in OVERLOADED or answer.reason == LATE_REASON:
+            if answer.reason in OVERLOAD_REASONS or answer.reason == LATE_REASON:
                 self.overload.not_served(flight, now)
             self.refuse(flight)
         else:
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -37,6 +37,8 @@
 DEFAULT_SLOTS = 8
 MISDIRECTED_REASON = "misdirected"
 NOT_OWNER_REASON = "not_owner"
+OVERLOADED_REASON = "overloaded"
+TOO_LATE_REASON = "too_late"
 REFUSED_REASON = "target_refused"
 # A body that would arrive later than this share of the time that its request has is not asked for.
 LONGEST_BODY_SHARE = 0.5
@@ -263,7 +265,7 @@
         wait = self.bodies.wait(forward.offered_bytes)
         late = wait > (job.deadline - self.now) * LONGEST_BODY_SHARE
         if not reason and (late or not self.admission.fits(self.entry(job), self.now)):
-            reason = "overloaded"
+            reason = OVERLOADED_REASON
         if reason:
             self.decline(job, reason, retry_after=min(wait, LONGEST_RETRY_SECONDS))
             return
@@ -339,7 +341,7 @@
         now = self.now
         entry = self.entry(job)
         if not self.admission.fits(entry, now):
-            self.decline(job, "overloaded", retry_after=self.admission.retry_after(entry, now))
+            self.decline(job, OVERLOADED_REASON, retry_after=self.admission.retry_after(entry, now))
             return
         job.entry = entry
         self.admission.push(entry, now)
@@ -363,7 +365,7 @@
     def expire(self) -> bool:
         """Decline what can no longer be answered in time; True while something waits."""
         for entry in self.admission.hopeless(self.now):
-            self.decline(entry.item, "too_late", retry_after=self.admission.retry_after(entry, self.now))
+            self.decline(entry.item, TOO_LATE_REASON, retry_after=self.admission.retry_after(entry, self.now))
         now = self.now
         for job in [job for job in self.parked if now + self.admission.service > job.deadline]:
             self.parked.remove(job)
@@ -382,7 +384,7 @@
         forward, now = job.forward, self.now
         left = job.deadline - now
         if left < SHORTEST_SEND_SECONDS:
-            self.unsent(job, "too_late")
+            self.unsent(job, TOO_LATE_REASON)
             return
         if forward.key >= 0 and self.owner.state(forward.key) is not KeyState.HELD:
             self.unsent(job, NOT_OWNER_REASON)
--- a/tests/overload_world.py
+++ b/tests/overload_world.py
@@ -27,6 +27,7 @@
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_connection import HttpResponse
+from tests.router_world import Loop
 
 STEP_SECONDS = 0.002
 NEAR_SECONDS = 0.001
@@ -36,14 +37,6 @@
 NAMES = HeaderNames()
 REPORT_SECONDS = 0.5
 LEAST_LIMIT_SHARE = 0.83
-LATE_ANSWER_SECONDS = 0.01
-
-
-class Loop:
-    """Stands in for the event that the poller hands to the scheduler."""
-
-    def reduce_time_left(self, _seconds):
-        """Ignore the wait: the world decides when time passes."""
 
 
 class Stub(Service):
@@ -113,19 +106,13 @@
     def __init__(self, world, node):
         super().__init__()
         self.world, self.node = world, node
-        self.active = 0
-        self.busy_seconds = 0.0
 
     def request(self, _address, _method, target, _headers, _body, _timeout, callback, *_more):
         """Run a request; its path names the model."""
         spec = self.world.services[target.strip("/")]
         seconds = self.world.rng.gammavariate(4.0, spec.work / 4.0)
-        self.active += 1
-        self.world.most_running = max(self.world.most_running, self.active)
 
         def done():
-            self.active -= 1
-            self.busy_seconds += seconds
             callback(Success(HttpResponse(200, {NAMES.signature: "s"}, b"x" * spec.answer)))
 
         self.world.after(seconds, done)
@@ -192,7 +179,7 @@
         self.app.add(Traffic(settings))
         self.app.add(Stub("range_owner", set_partitioned=lambda _: None, on_granted=[]))
         self.app.add(Stub("rings"))
-        quiet = dict.fromkeys(("ended", "declined", "ran", "throttled"), lambda *_: None)
+        quiet = dict.fromkeys(("ended", "declined", "ran"), lambda *_: None)
         self.app.add(Stub("metrics", **quiet))
         self.app.add(Stub("entry", listen=lambda *_: None, limits=None))
         self.target = self.app.add(LocalTarget(settings))
@@ -298,7 +285,6 @@
         self.callers = []
         self.forwards = 0
         self.far_forwards = 0
-        self.most_running = 0
         self.node_rate = node_rate
         self.services = {spec.name: spec for spec in services}
         self.region_links = {region: Link(self, region_rate) for region in ("east", "west")}
