--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -8,7 +8,7 @@
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
 
-class Flight:
+class PendingRequest:
     """A caller's request on its way to an answer.
 
     Attributes
@@ -32,35 +32,35 @@
     """
 
     __slots__ = (
-        "arrivals",
-        "asked",
+        "arrived_at",
+        "asked_nodes",
         "attempt_id",
-        "begun_at",
         "body",
-        "busy",
+        "busy_nodes",
         "cancelled",
         "deadline",
+        "excluded_regions",
         "expect",
         "forward",
-        "full_regions",
-        "goal",
+        "goal_at",
         "key",
-        "late",
-        "limit",
-        "moved",
+        "late_on_arrival",
+        "may_have_run",
         "node",
-        "overload",
-        "path",
+        "owner_changes",
+        "path_seconds",
         "reason",
-        "refused",
+        "refusing_nodes",
         "request",
         "retry_after",
         "route",
         "sent_at",
         "service",
+        "service_overloaded",
+        "target_attempts",
+        "timeout",
         "timer",
-        "uncertain",
-        "waited",
+        "waited_before",
     )
 
     def __init__(
@@ -70,27 +70,27 @@
         self.route = route
         self.service = service
         self.deadline = deadline
-        self.begun_at = now
-        self.goal = deadline
-        self.late = False
-        self.limit = 0.0
-        self.waited = 0.0
+        self.arrived_at = now
+        self.goal_at = deadline
+        self.late_on_arrival = False
+        self.timeout = 0.0
+        self.waited_before = 0.0
         self.attempt_id = ""
         self.key = -1
         self.body = request.body
-        self.asked: list[str] = []
-        self.busy: list[str] = []
-        self.refused: list[str] = []
-        self.arrivals = 0
-        self.moved = 0
-        self.overload = False
-        self.full_regions: set[str] = set()
+        self.asked_nodes: list[str] = []
+        self.busy_nodes: list[str] = []
+        self.refusing_nodes: list[str] = []
+        self.target_attempts = 0
+        self.owner_changes = 0
+        self.service_overloaded = False
+        self.excluded_regions: set[str] = set()
         self.node = ""
         self.sent_at = now
-        self.path = 0.0
+        self.path_seconds = 0.0
         self.forward: Forward | None = None
         self.retry_after = 0.0
-        self.uncertain = False
+        self.may_have_run = False
         self.cancelled = False
         self.timer: Timer | None = None
         self.reason = ""
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -24,114 +24,116 @@
 )
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.members import Members
-from hibiscusdrum.internal.router.selection import LoadReport, Selection
+from hibiscusdrum.internal.router.selection import LoadReport, NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.traffic import Traffic
 
-PING_SECONDS = 0.25
+PING_INTERVAL_SECONDS = 0.25
 # A peer with requests of this node that has been silent for this long is taken to be unreachable. A round
 # trip between regions takes 60 ms, and a busy peer may be late by a few hundred.
-SILENCE_SECONDS = 1.0
+MAX_SILENCE_SECONDS = 1.0
 # Age beyond the fastest message of the same sender at which a message counts as held up on its way.
-LATE_SECONDS = 0.5
+LATE_MESSAGE_SECONDS = 0.5
 # Age beyond the fastest message from the same region at which this VM's link counts as congested, and for how
 # long after. Uncongested links within a region delay messages by a few milliseconds.
-CONGESTED_SECONDS = 0.2
-CONGESTED_FOR_SECONDS = 1.0
+CONGESTION_DELAY_SECONDS = 0.2
+CONGESTION_HOLD_SECONDS = 1.0
 # The fastest message is remembered for one to two such periods, so that a change of the path is followed.
-PERIOD_SECONDS = 30.0
-SILENT = "silent"
+BASELINE_PERIOD_SECONDS = 30.0
+SILENT_REASON = "silent"
 # First bytes of a request's id, which name the process that sent it.
-PROCESS_BYTES = 6
+PROCESS_ID_BYTES = 6
 # A larger body is only offered, and sent when the receiver asks for it: a round trip costs less than the time
 # that it takes on a narrow link.
-LARGE_BODY_BYTES = 16_384
+MAX_INLINE_BODY_BYTES = 16_384
 
 ReplyCallback = Callable[[Answered | Declined | SendBody, bytes], None]
 
 
-class Outstanding:
+class OutstandingRequest:
     """A request sent to a peer, without an answer yet.
 
     Attributes
     ----------
-    body : bytes
+    unsent_body : bytes
         Body that was offered and not yet sent to its end; the request cannot have run without it.
     """
 
-    __slots__ = ("address", "body", "callback", "node", "sent_at")
+    __slots__ = ("address", "callback", "node", "sent_at", "unsent_body")
 
-    def __init__(self, node: str, address: str, callback: ReplyCallback, sent_at: float, body: bytes) -> None:
+    def __init__(
+        self, node: str, address: str, callback: ReplyCallback, sent_at: float, unsent_body: bytes
+    ) -> None:
         self.node = node
         self.address = address
         self.callback = callback
         self.sent_at = sent_at
-        self.body = body
+        self.unsent_body = unsent_body
 
 
-class Transit:
+class TransitDelay:
     """Age of one sender's messages, relative to its fastest."""
 
-    __slots__ = ("best", "former", "period")
+    __slots__ = ("fastest", "period_started_at", "previous_fastest")
 
     def __init__(self) -> None:
-        self.best = float("inf")
-        self.former = float("inf")
-        self.period = 0.0
+        self.fastest = float("inf")
+        self.previous_fastest = float("inf")
+        self.period_started_at = 0.0
 
-    def delay(self, sent_at: float, now: float) -> float:
+    def record(self, sent_at: float, now: float) -> float:
         """Note a message; returns by how many seconds it is slower than the fastest one."""
-        if now - self.period > PERIOD_SECONDS:
-            self.former, self.best, self.period = self.best, float("inf"), now
-        difference = now - sent_at
-        self.best = min(self.best, difference)
-        return difference - min(self.best, self.former)
+        if now - self.period_started_at > BASELINE_PERIOD_SECONDS:
+            self.previous_fastest, self.fastest, self.period_started_at = self.fastest, float("inf"), now
+        age = now - sent_at
+        self.fastest = min(self.fastest, age)
+        return age - min(self.fastest, self.previous_fastest)
 
 
 class PeerState:
     """What is known of a peer's process."""
 
-    __slots__ = ("address", "heard_at", "incarnation", "pinged_at", "reachable")
+    __slots__ = ("address", "incarnation", "last_heard_at", "pinged_at", "reachable")
 
     def __init__(self, address: str, now: float) -> None:
         self.address = address
         self.incarnation = ""
-        self.heard_at = now
+        self.last_heard_at = now
         self.pinged_at = float("-inf")
         self.reachable = True
 
 
-class Hop(Service):
+class Forwarder(Service):
     """Sends requests to other daemons, and receives theirs.
 
     Attributes
     ----------
-    accept : callable or None
+    on_forward : callable or None
         Takes a forwarded request: message, body, seconds of delay on the way, and what to call then.
-    cancel_received : callable or None
+    on_cancel : callable or None
         Takes the id of a request whose caller no longer waits.
-    body_received : callable or None
+    on_body_part : callable or None
         Takes the id of a request, the position of a part of its body, and that part.
     """
 
     service_name = "hop"
 
-    def __init__(self, settings: RouterSettings, selection: Selection) -> None:
+    def __init__(self, settings: RouterSettings, selector: NodeSelector) -> None:
         super().__init__()
         self.settings = settings
-        self.selection = selection
+        self.selector = selector
         self.incarnation = uuid.uuid4().hex[:12]
-        self.prefix = os.urandom(PROCESS_BYTES)
-        self.counter = itertools.count(1)
-        self.outstanding: dict[bytes, Outstanding] = {}
-        self.states: dict[str, PeerState] = {}
-        self.transit: dict[str, tuple[bytes, Transit]] = {}
+        self.process_id = os.urandom(PROCESS_ID_BYTES)
+        self.request_counter = itertools.count(1)
+        self.outstanding: dict[bytes, OutstandingRequest] = {}
+        self.peer_states: dict[str, PeerState] = {}
+        self.transit_delays: dict[str, tuple[bytes, TransitDelay]] = {}
         self.congested_until = float("-inf")
         self.started_at = 0.0
-        self.accept: Callable[[Forward, bytes, float, ReplyCallback], None] | None = None
-        self.cancel_received: Callable[[bytes], None] | None = None
-        self.body_received: Callable[[bytes, int, bytes], None] | None = None
-        self.own_load: Callable[[], tuple[int, int, int, float, bool]] = lambda: (0, 0, 1, 0.0, False)
+        self.on_forward: Callable[[Forward, bytes, float, ReplyCallback], None] | None = None
+        self.on_cancel: Callable[[bytes], None] | None = None
+        self.on_body_part: Callable[[bytes, int, bytes], None] | None = None
+        self.load_report: Callable[[], tuple[int, int, int, float, bool]] = lambda: (0, 0, 1, 0.0, False)
 
     def on_start(self) -> None:
         """Listen to peers, and connect to them as they appear."""
@@ -141,72 +143,76 @@
         self.traffic: Traffic = self.app.find("traffic")
         self.peers.on_request = self.on_request
         self.peers.on_reply = self.on_reply
-        self.members.on_change.append(self.connect)
-        self.app.scheduler.every(PING_SECONDS, self.ping)
+        self.members.on_change.append(self.connect_to_members)
+        self.app.scheduler.every(PING_INTERVAL_SECONDS, self.ping)
 
     @property
     def now(self) -> float:
         """Steady time in seconds."""
         return self.app.clock.monotonic()
 
-    def connect(self) -> None:
+    def connect_to_members(self) -> None:
         """Open connections to all nodes, and close those to nodes that are gone."""
         for row in self.members.nodes.values():
             if row.node != self.settings.node:
-                state = self.states.get(row.node)
+                state = self.peer_states.get(row.node)
                 if state is None or state.address != row.peer_address:
-                    self.states[row.node] = PeerState(row.peer_address, self.now)
+                    self.peer_states[row.node] = PeerState(row.peer_address, self.now)
                     # Heartbeats between regions would take more of the link than requests.
                     self.peers.peer(row.peer_address, heartbeats=row.region == self.settings.region)
-        self.forget_gone()
+        self.disconnect_removed()
 
-    def forget_gone(self) -> None:
+    def disconnect_removed(self) -> None:
         """Close connections to nodes whose rows are gone, unless requests are there.
 
         A row is also removed before its node has answered everything, and that of a node that only cannot
         reach the store; an end of the node shows by its silence.
         """
         busy = {entry.node for entry in self.outstanding.values()}
-        for node in [node for node in self.states if node not in self.members.nodes and node not in busy]:
-            self.peers.forget_peer(self.states.pop(node).address)
+        for node in [
+            node for node in self.peer_states if node not in self.members.nodes and node not in busy
+        ]:
+            self.peers.forget_peer(self.peer_states.pop(node).address)
 
-    def next_id(self) -> bytes:
+    def next_request_id(self) -> bytes:
         """Return a new id of a request."""
-        return self.prefix + next(self.counter).to_bytes(5, "big")
+        return self.process_id + next(self.request_counter).to_bytes(5, "big")
 
     # Sending
 
     def send(self, node: str, forward: Forward, body: bytes, callback: ReplyCallback) -> bool:
         """Send a request; False when nothing was sent because there is no connection."""
-        state = self.states.get(node)
-        offered = b""
-        if len(body) > LARGE_BODY_BYTES:
-            offered, body = body, b""
-            forward = msgspec.structs.replace(forward, offered_bytes=len(offered))
+        state = self.peer_states.get(node)
+        unsent_body = b""
+        if len(body) > MAX_INLINE_BODY_BYTES:
+            unsent_body, body = body, b""
+            forward = msgspec.structs.replace(forward, offered_bytes=len(unsent_body))
         size = self.peers.try_send_request(state.address, forward, body) if state is not None else 0
         if not size:
             return False
-        self.traffic.note_sent(self.members.region(node), "forward", size)
-        self.outstanding[forward.id] = Outstanding(node, state.address, callback, self.now, offered)
+        self.traffic.count_sent(self.members.region(node), "forward", size)
+        self.outstanding[forward.id] = OutstandingRequest(
+            node, state.address, callback, self.now, unsent_body
+        )
         return True
 
-    def send_body(self, asked: SendBody) -> None:
+    def send_body_part(self, asked: SendBody) -> None:
         """Send the part of a body that a receiver asks for."""
         entry = self.outstanding.get(asked.id)
-        if entry is None or not entry.body:
+        if entry is None or not entry.unsent_body:
             return
         end = asked.first + asked.count
-        part = entry.body[asked.first : end]
+        part = entry.unsent_body[asked.first : end]
         size = self.peers.try_send_request(entry.address, Body(asked.id, asked.first), part)
         if size:
-            self.traffic.note_sent(self.members.region(entry.node), "body", size)
-            if end >= len(entry.body):
-                entry.body = b""
+            self.traffic.count_sent(self.members.region(entry.node), "body", size)
+            if end >= len(entry.unsent_body):
+                entry.unsent_body = b""
 
-    def holds_body(self, request_id: bytes) -> bool:
+    def has_unsent_body(self, request_id: bytes) -> bool:
         """Return whether the end of a request's body was not sent, so that it cannot have run."""
         entry = self.outstanding.get(request_id)
-        return entry is not None and bool(entry.body)
+        return entry is not None and bool(entry.unsent_body)
 
     def cancel(self, request_id: bytes) -> None:
         """Tell the peer that nobody waits for a request; its answer is dropped."""
@@ -221,54 +227,54 @@
             self.on_pong(message)
             return
         if kind is SendBody:
-            self.send_body(message)
+            self.send_body_part(message)
             return
         if kind not in (Answered, Declined):
             return
         entry = self.outstanding.pop(message.id, None)
         if entry is None:
             return
-        state = self.states.get(entry.node)
+        state = self.peer_states.get(entry.node)
         if state is not None:
-            state.heard_at = self.now
-        self.selection.reported(entry.node, LoadReport(*message.load), self.now)
+            state.last_heard_at = self.now
+        self.selector.on_report(entry.node, LoadReport(*message.load), self.now)
         entry.callback(message, body)
 
     def on_pong(self, pong: Pong) -> None:
         """Note that a peer lives; what was sent to an earlier process of it is lost."""
-        state = self.states.get(pong.node)
+        state = self.peer_states.get(pong.node)
         if state is None:
             return
         now = self.now
-        state.heard_at = now
+        state.last_heard_at = now
         if not state.reachable:
             state.reachable = True
             log_events.emit(events.PeerRegained(peer=pong.node, incarnation=pong.incarnation))
-        self.selection.reported(pong.node, LoadReport(*pong.load), now)
-        self.selection.path(self.members.region(pong.node)).note(now - pong.sent_at, now)
+        self.selector.on_report(pong.node, LoadReport(*pong.load), now)
+        self.selector.path_delay(self.members.region(pong.node)).record(now - pong.sent_at, now)
         if state.incarnation and state.incarnation != pong.incarnation:
             # What was sent since the new process listens has reached it, and it still works on it.
-            self.fail_all(pong.node, "restarted", before=now - pong.age)
+            self.decline_outstanding(pong.node, "restarted", before=now - pong.age)
         state.incarnation = pong.incarnation
 
     def ping(self) -> None:
         """Ask the peers that have requests of this node; give up on those that have been silent."""
-        self.forget_gone()
+        self.disconnect_removed()
         now = self.now
         waiting: dict[str, float] = {}
         for entry in self.outstanding.values():
             waiting[entry.node] = min(waiting.get(entry.node, now), entry.sent_at)
         for node, since in waiting.items():
-            state = self.states.get(node)
+            state = self.peer_states.get(node)
             if state is None:
-                self.fail_all(node, "removed")
+                self.decline_outstanding(node, "removed")
                 continue
-            sent = self.peers.try_send_request(state.address, Ping(self.settings.node, now, self.prefix))
-            silent = now - max(state.heard_at, since)
-            if not sent or silent > SILENCE_SECONDS:
-                self.lost(node, state, SILENT if sent else "disconnected")
+            sent = self.peers.try_send_request(state.address, Ping(self.settings.node, now, self.process_id))
+            silence = now - max(state.last_heard_at, since)
+            if not sent or silence > MAX_SILENCE_SECONDS:
+                self.mark_unreachable(node, state, SILENT_REASON if sent else "disconnected")
 
-    def lost(self, node: str, state: PeerState, reason: str) -> None:
+    def mark_unreachable(self, node: str, state: PeerState, reason: str) -> None:
         """Take a peer to be unreachable: what it has is given up."""
         if state.reachable:
             state.reachable = False
@@ -276,19 +282,19 @@
                 events.PeerLost(
                     peer=node,
                     reason=reason,
-                    silence_s=round(self.now - state.heard_at, 3),
+                    silence_s=round(self.now - state.last_heard_at, 3),
                     outstanding=sum(entry.node == node for entry in self.outstanding.values()),
                 )
             )
-            if reason == SILENT:
+            if reason == SILENT_REASON:
                 # What the old connection still holds must not arrive later.
                 row = self.members.nodes.get(node)
                 self.peers.forget_peer(state.address)
                 self.peers.peer(state.address, row is not None and row.region == self.settings.region)
-        self.selection.failed(node, self.now)
-        self.fail_all(node, reason)
+        self.selector.on_failure(node, self.now)
+        self.decline_outstanding(node, reason)
 
-    def fail_all(self, node: str, reason: str, before: float = float("inf")) -> None:
+    def decline_outstanding(self, node: str, reason: str, before: float = float("inf")) -> None:
         """Decline the requests at a peer; they may have run, unless their body was not sent."""
         ids = [
             request_id
@@ -297,9 +303,12 @@
         ]
         for request_id in ids:
             entry = self.outstanding.pop(request_id)
-            sent = not entry.body
+            may_have_run = not entry.unsent_body
             entry.callback(
-                Declined(request_id, f"peer_{reason}", sent, sent, 0.0, (0, 0, 1, 0.0, False)), b""
+                Declined(
+                    request_id, f"peer_{reason}", may_have_run, may_have_run, 0.0, (0, 0, 1, 0.0, False)
+                ),
+                b"",
             )
 
     # Receiving
@@ -308,47 +317,47 @@
         """Take a message of another daemon."""
         kind = type(message)
         if kind is Forward:
-            delay = self.delay(message.origin, message.id[:PROCESS_BYTES], message.sent_at)
+            delay = self.transit_delay(message.origin, message.id[:PROCESS_ID_BYTES], message.sent_at)
 
             def reply(answer: Answered | Declined | SendBody, content: bytes) -> None:
                 size = self.peers.reply(identity, answer, content)
-                self.traffic.note_sent(
+                self.traffic.count_sent(
                     self.members.region(message.origin), type(answer).__name__.lower(), size
                 )
 
-            self.accept(message, body, delay, reply)
+            self.on_forward(message, body, delay, reply)
         elif kind is Body:
-            self.body_received(message.id, message.first, body)
+            self.on_body_part(message.id, message.first, body)
         elif kind is Ping:
-            self.delay(message.origin, message.process, message.sent_at)
+            self.transit_delay(message.origin, message.process, message.sent_at)
             age = self.now - self.started_at
-            pong = Pong(self.settings.node, self.incarnation, message.sent_at, self.own_load(), age)
+            pong = Pong(self.settings.node, self.incarnation, message.sent_at, self.load_report(), age)
             self.peers.reply(identity, pong)
         elif kind is Cancel:
-            self.cancel_received(message.request_id)
+            self.on_cancel(message.request_id)
 
     @property
-    def congested(self) -> bool:
+    def link_congested(self) -> bool:
         """Whether messages to this VM are held up on its link."""
         return self.now < self.congested_until
 
-    def note_congestion(self, origin: str, late: float) -> None:
+    def note_congestion(self, origin: str, delay: float) -> None:
         """Ask others to send elsewhere for a while, because messages from nearby were held up."""
-        if not self.congested:
-            log_events.emit(events.LinkCongested(peer=origin, delay_s=round(late, 3)))
-        self.congested_until = self.now + CONGESTED_FOR_SECONDS
+        if not self.link_congested:
+            log_events.emit(events.LinkCongested(peer=origin, delay_s=round(delay, 3)))
+        self.congested_until = self.now + CONGESTION_HOLD_SECONDS
 
-    def delay(self, origin: str, process: bytes, sent_at: float) -> float:
+    def transit_delay(self, origin: str, process: bytes, sent_at: float) -> float:
         """Return by how many seconds a message was held up on its way; 0 for usual delays.
 
         Another process of the same node may be on a VM that was started anew, whose clock has too.
         """
-        known, transit = self.transit.get(origin, (b"", None))
+        known, transit = self.transit_delays.get(origin, (b"", None))
         if transit is None or known != process:
-            transit = Transit()
-            self.transit[origin] = process, transit
-        late = transit.delay(sent_at, self.now)
-        self.traffic.note_delay(self.members.region(origin), late)
-        if late > CONGESTED_SECONDS and self.members.region(origin) == self.settings.region:
-            self.note_congestion(origin, late)
-        return late if late > LATE_SECONDS else 0.0
+            transit = TransitDelay()
+            self.transit_delays[origin] = process, transit
+        delay = transit.record(sent_at, self.now)
+        self.traffic.count_delay(self.members.region(origin), delay)
+        if delay > CONGESTION_DELAY_SECONDS and self.members.region(origin) == self.settings.region:
+            self.note_congestion(origin, delay)
+        return delay if delay > LATE_MESSAGE_SECONDS else 0.0
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -6,11 +6,11 @@
 
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router.settings import RouterSettings
-from hibiscusdrum.internal.router.traffic import DELAY_BOUNDS, Traffic
+from hibiscusdrum.internal.router.traffic import DELAY_BOUNDS_SECONDS, Traffic
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
 # Upper bounds in seconds: from one hop within a failure domain to the longest deadline.
-BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
+LATENCY_BOUNDS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -22,72 +22,74 @@
     def __init__(self, settings: RouterSettings) -> None:
         super().__init__()
         self.settings = settings
-        self.counts: dict[tuple[str, int], int] = {}
-        self.buckets: dict[str, list[int]] = {}
-        self.totals: dict[str, float] = {}
-        self.declines: dict[tuple[str, str], int] = {}
-        self.runs: dict[str, int] = {}
+        self.request_counts: dict[tuple[str, int], int] = {}
+        self.latency_buckets: dict[str, list[int]] = {}
+        self.latency_sums: dict[str, float] = {}
+        self.decline_counts: dict[tuple[str, str], int] = {}
+        self.run_counts: dict[str, int] = {}
         self.run_seconds: dict[str, float] = {}
 
     def on_start(self) -> None:
         """Serve the metrics when an address is set."""
         self.receiver = self.app.find("receiver")
-        self.owner = self.app.find("range_owner")
+        self.range_owner = self.app.find("range_owner")
         self.members = self.app.find("members")
         self.traffic = self.app.find("traffic")
         if self.settings.metrics_address:
-            self.app.find("entry").listen(self.settings.metrics_address, self.on_request)
+            self.app.find("entry").listen(self.settings.metrics_address, self.on_scrape)
 
-    def ended(self, route: str, status: int, seconds: float) -> None:
+    def count_ended(self, route: str, status: int, seconds: float) -> None:
         """Count a request that has its final answer."""
-        self.counts[route, status] = self.counts.get((route, status), 0) + 1
-        buckets = self.buckets.get(route)
+        self.request_counts[route, status] = self.request_counts.get((route, status), 0) + 1
+        buckets = self.latency_buckets.get(route)
         if buckets is None:
-            buckets = self.buckets[route] = [0] * (len(BOUNDS) + 1)
-        buckets[bisect_left(BOUNDS, seconds)] += 1
-        self.totals[route] = self.totals.get(route, 0.0) + seconds
+            buckets = self.latency_buckets[route] = [0] * (len(LATENCY_BOUNDS_SECONDS) + 1)
+        buckets[bisect_left(LATENCY_BOUNDS_SECONDS, seconds)] += 1
+        self.latency_sums[route] = self.latency_sums.get(route, 0.0) + seconds
 
-    def declined(self, route: str, reason: str) -> None:
+    def count_declined(self, route: str, reason: str) -> None:
         """Count a request that this node's target did not get or did not answer."""
-        self.declines[route, reason] = self.declines.get((route, reason), 0) + 1
+        self.decline_counts[route, reason] = self.decline_counts.get((route, reason), 0) + 1
 
-    def ran(self, route: str, seconds: float) -> None:
+    def count_run(self, route: str, seconds: float) -> None:
         """Count a request that this node's target answered, and the time that it held a slot."""
-        self.runs[route] = self.runs.get(route, 0) + 1
+        self.run_counts[route] = self.run_counts.get(route, 0) + 1
         self.run_seconds[route] = self.run_seconds.get(route, 0.0) + seconds
 
-    def on_request(self, request: EntryRequest) -> None:
+    def on_scrape(self, request: EntryRequest) -> None:
         """Answer a scrape."""
         request.respond(200, [("content-type", CONTENT_TYPE)], self.render())
 
     def render(self) -> bytes:
         """Return all metrics as text."""
         lines = ["# TYPE hibiscusdrum_requests_total counter"]
-        for (route, status), count in sorted(self.counts.items()):
+        for (route, status), count in sorted(self.request_counts.items()):
             lines.append(f'hibiscusdrum_requests_total{{route="{route}",status="{status}"}} {count}')
         lines.append("# TYPE hibiscusdrum_request_seconds histogram")
-        for route, buckets in sorted(self.buckets.items()):
+        for route, buckets in sorted(self.latency_buckets.items()):
             total = 0
-            for bound, count in zip((*map(str, BOUNDS), "+Inf"), buckets, strict=True):
+            for bound, count in zip((*map(str, LATENCY_BOUNDS_SECONDS), "+Inf"), buckets, strict=True):
                 total += count
                 lines.append(f'hibiscusdrum_request_seconds_bucket{{route="{route}",le="{bound}"}} {total}')
-            lines.append(f'hibiscusdrum_request_seconds_sum{{route="{route}"}} {self.totals[route]:.6f}')
+            lines.append(
+                f'hibiscusdrum_request_seconds_sum{{route="{route}"}} {self.latency_sums[route]:.6f}'
+            )
             lines.append(f'hibiscusdrum_request_seconds_count{{route="{route}"}} {total}')
         lines.append("# TYPE hibiscusdrum_declined_total counter")
-        for (route, reason), count in sorted(self.declines.items()):
+        for (route, reason), count in sorted(self.decline_counts.items()):
             lines.append(f'hibiscusdrum_declined_total{{route="{route}",reason="{reason}"}} {count}')
         lines.append("# TYPE hibiscusdrum_slot_seconds summary")
-        for route, count in sorted(self.runs.items()):
+        for route, count in sorted(self.run_counts.items()):
             lines.append(f'hibiscusdrum_slot_seconds_sum{{route="{route}"}} {self.run_seconds[route]:.6f}')
             lines.append(f'hibiscusdrum_slot_seconds_count{{route="{route}"}} {count}')
-        lines += traffic_lines(self.traffic)
+        lines += render_traffic(self.traffic)
         admission = self.receiver.admission
         gauges = {
             "running": admission.running,
             "queued": admission.queued,
-            "service_seconds": round(admission.service, 4),
-            "stripes": len(self.owner.granted),
-            "lease_seconds": round(self.owner.keeper.remaining, 3),
+            "service_seconds": round(admission.mean_service_seconds, 4),
+            "stripes": len(self.range_owner.granted),
+            "lease_seconds": round(self.range_owner.keeper.remaining, 3),
             "nodes": len(self.members.nodes),
             "store_reachable": int(self.members.reachable),
         }
@@ -96,20 +98,20 @@
         return ("\n".join(lines) + "\n").encode()
 
 
-def traffic_lines(traffic: Traffic) -> list[str]:
+def render_traffic(traffic: Traffic) -> list[str]:
     """Return the metrics of the links."""
     lines = []
-    for name, sizes in (("sent", traffic.sent), ("received", traffic.received)):
+    for name, sizes in (("sent", traffic.sent_bytes), ("received", traffic.received_bytes)):
         lines.append(f"# TYPE hibiscusdrum_{name}_bytes_total counter")
         for (place, kind), size in sorted(sizes.items()):
             lines.append(f'hibiscusdrum_{name}_bytes_total{{place="{place}",kind="{kind}"}} {size}')
     lines.append("# TYPE hibiscusdrum_store_calls_total counter")
-    for operation, count in sorted(traffic.calls.items()):
+    for operation, count in sorted(traffic.store_calls.items()):
         lines.append(f'hibiscusdrum_store_calls_total{{operation="{operation}"}} {count}')
     lines.append("# TYPE hibiscusdrum_delay_seconds histogram")
-    for place, buckets in traffic.delays.items():
+    for place, buckets in traffic.delay_counts.items():
         total = 0
-        for bound, count in zip((*map(str, DELAY_BOUNDS), "+Inf"), buckets, strict=True):
+        for bound, count in zip((*map(str, DELAY_BOUNDS_SECONDS), "+Inf"), buckets, strict=True):
             total += count
             lines.append(f'hibiscusdrum_delay_seconds_bucket{{place="{place}",le="{bound}"}} {total}')
         lines.append(f'hibiscusdrum_delay_seconds_count{{place="{place}"}} {total}')
--- a/src/hibiscusdrum/internal/router/overload.py
+++ b/src/hibiscusdrum/internal/router/overload.py
@@ -9,17 +9,17 @@
 import random
 
 from hibiscusdrum.internal.messages import Answered, Forward
-from hibiscusdrum.internal.router.flight import Flight
+from hibiscusdrum.internal.router.flight import PendingRequest
 from hibiscusdrum.internal.router.path_delay import PathDelay
-from hibiscusdrum.internal.router.returns import Returns
+from hibiscusdrum.internal.router.returns import ReturningCallers
 from hibiscusdrum.internal.router.routes import Route
 from hibiscusdrum.internal.router.throttle import Throttle
 
 # A request with less than this share of its latency goal left will hardly meet it.
-NEW_GOAL_SHARE = 0.5
+MIN_GOAL_SHARE_LEFT = 0.5
 
 
-class Overload:
+class OverloadControl:
     """Outcomes of this node's requests, and what follows for the next ones; times are monotonic, in seconds.
 
     Parameters
@@ -28,80 +28,80 @@
         Chooses which requests are refused.
     """
 
-    __slots__ = ("returns", "rng", "throttles")
+    __slots__ = ("returning_callers", "rng", "throttles")
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.throttles: dict[tuple[str, str], Throttle] = {}
-        self.returns: dict[str, Returns] = {}
+        self.returning_callers: dict[str, ReturningCallers] = {}
 
-    def throttle(self, flight: Flight) -> Throttle:
+    def throttle_of(self, pending: PendingRequest) -> Throttle:
         """Return the outcomes of the requests of a route to one of its services."""
-        key = (flight.route.name, flight.service)
-        found = self.throttles.get(key)
-        if found is None:
-            found = self.throttles[key] = Throttle()
-        return found
+        key = (pending.route.name, pending.service)
+        instance = self.throttles.get(key)
+        if instance is None:
+            instance = self.throttles[key] = Throttle()
+        return instance
 
-    def returns_of(self, route: Route) -> Returns:
+    def returning_callers_of(self, route: Route) -> ReturningCallers:
         """Return the refused callers of a route."""
-        found = self.returns.get(route.name)
-        if found is None:
-            found = self.returns[route.name] = Returns()
-        return found
+        instance = self.returning_callers.get(route.name)
+        if instance is None:
+            instance = self.returning_callers[route.name] = ReturningCallers()
+        return instance
 
-    def arrived(self, flight: Flight, now: float) -> None:
+    def on_arrival(self, pending: PendingRequest, now: float) -> None:
         """Set when a request counts as late, by when its caller came first."""
-        first = self.returns_of(flight.route).first_attempt(now + flight.limit, now)
-        flight.waited = now - first
-        goal = flight.route.latency_goal
+        first = self.returning_callers_of(pending.route).first_attempt(now + pending.timeout, now)
+        pending.waited_before = now - first
+        goal = pending.route.latency_goal
         if goal > 0.0:
-            flight.goal = first + goal
-            flight.late = flight.goal - now < NEW_GOAL_SHARE * goal
+            pending.goal_at = first + goal
+            pending.late_on_arrival = pending.goal_at - now < MIN_GOAL_SHARE_LEFT * goal
 
-    def throttled(self, flight: Flight, now: float) -> bool:
+    def refuses(self, pending: PendingRequest, now: float) -> bool:
         """Return whether to refuse a request without asking an overloaded service.
 
         A key has one owner, whose load says nothing of the others.
         """
-        if flight.key >= 0:
+        if pending.key >= 0:
             return False
-        throttle = self.throttle(flight)
-        flight.overload = throttle.refused_share(now) > 0.0
-        refused = self.chosen(throttle.refused_share(now, late=flight.late))
+        throttle = self.throttle_of(pending)
+        pending.service_overloaded = throttle.refused_share(now) > 0.0
+        refused = self.in_random_share(throttle.refused_share(now, late=pending.late_on_arrival))
         if refused:
-            throttle.note(False, now, late=flight.late)
+            throttle.record(False, now, late=pending.late_on_arrival)
         return refused
 
-    def held_back(self, path: PathDelay, now: float) -> bool:
+    def withholds_from_path(self, path: PathDelay, now: float) -> bool:
         """Return whether a request is not sent to another region, because the link to it is full."""
-        return self.chosen(path.refused_share(now))
+        return self.in_random_share(path.refused_share(now))
 
-    def chosen(self, share: float) -> bool:
+    def in_random_share(self, share: float) -> bool:
         """Return whether a request belongs to the share that is refused."""
         return share > 0.0 and self.rng.random() < share
 
-    def tries_pay(self, flight: Flight, now: float) -> bool:
+    def probing_pays(self, pending: PendingRequest, now: float) -> bool:
         """Return whether nodes should be asked for a free slot before a request is queued."""
-        return not flight.overload and self.throttle(flight).tries_pay(now)
+        return not pending.service_overloaded and self.throttle_of(pending).probing_pays(now)
 
-    def turned_away(self, flight: Flight, now: float) -> None:
+    def on_busy(self, pending: PendingRequest, now: float) -> None:
         """Note that a node had no free slot."""
-        self.throttle(flight).note_try(False, now)
+        self.throttle_of(pending).record_probe(False, now)
 
-    def answered(self, flight: Flight, forward: Forward, answer: Answered, now: float) -> None:
+    def on_answered(self, pending: PendingRequest, forward: Forward, answer: Answered, now: float) -> None:
         """Note that a target ran a request."""
-        throttle = self.throttle(flight)
+        throttle = self.throttle_of(pending)
         if forward.only_if_free:
-            throttle.note_try(True, now)
+            throttle.record_probe(True, now)
         running, queued, slots = answer.load[:3]
-        throttle.note(True, now, room=running + queued < slots, late=flight.late)
+        throttle.record(True, now, free_slot=running + queued < slots, late=pending.late_on_arrival)
 
-    def not_served(self, flight: Flight, now: float) -> None:
+    def on_not_served(self, pending: PendingRequest, now: float) -> None:
         """Note that a request was not served, for an overload of the service or of the way to it."""
-        self.throttle(flight).note(False, now, late=flight.late)
+        self.throttle_of(pending).record(False, now, late=pending.late_on_arrival)
 
-    def refused(self, flight: Flight, wait: float, now: float) -> None:
+    def on_refused(self, pending: PendingRequest, wait: float, now: float) -> None:
         """Note that a caller was told to come back after ``wait`` seconds."""
-        ends_at, first = flight.begun_at + flight.limit, flight.begun_at - flight.waited
-        self.returns_of(flight.route).note(ends_at, first, now, wait)
+        gives_up_at, first = pending.arrived_at + pending.timeout, pending.arrived_at - pending.waited_before
+        self.returning_callers_of(pending.route).record(gives_up_at, first, now, wait)
--- a/src/hibiscusdrum/internal/router/readiness.py
+++ b/src/hibiscusdrum/internal/router/readiness.py
@@ -37,10 +37,10 @@
     @property
     def ready(self) -> bool:
         """Whether routes and nodes are known and the process does not end."""
-        return not self.stopping and self.gateway.table.version > 0 and self.members.loaded
+        return not self.stopping and self.gateway.route_table.version > 0 and self.members.loaded
 
     def on_request(self, request: EntryRequest) -> None:
         """Answer 200 or 503."""
-        body = msgspec.json.encode({"ready": self.ready, "version": self.gateway.table.version})
+        body = msgspec.json.encode({"ready": self.ready, "version": self.gateway.route_table.version})
         headers = [("content-type", "application/json")]
         request.respond(200 if self.ready else 503, headers, body)
--- a/src/hibiscusdrum/internal/router/routes.py
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -176,7 +176,7 @@
 EMPTY_TABLE = RouteTable(0, {}, {})
 
 
-class WeightedChoice:
+class WeightedRoundRobin:
     """Smooth weighted round robin over the services of each route."""
 
     __slots__ = ("credits",)
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -50,7 +50,7 @@
         """Begin the stop; a second signal changes nothing."""
         event.stop()
         if signal_number == signal.SIGHUP:
-            log_events.emit(events.ReloadAsked(version=self.gateway.table.version))
+            log_events.emit(events.ReloadAsked(version=self.gateway.route_table.version))
         elif self not in self.app.started_services:
             self.app.shutdown(0)
         elif self.started_at is None:
@@ -59,7 +59,7 @@
     def begin(self) -> None:
         """Deny readiness, and let other daemons choose other targets."""
         self.started_at = self.app.clock.monotonic()
-        in_flight = len(self.gateway.flights) + len(self.receiver.jobs)
+        in_flight = len(self.gateway.pending_requests) + len(self.receiver.jobs)
         log_events.emit(log_events.Stopping(reason="signal", in_flight=in_flight))
         self.readiness.stopping = True
         self.receiver.stopping = True
@@ -79,12 +79,14 @@
         if elapsed > self.settings.grace - UNSENT_SECONDS:
             self.gateway.refuse_unsent()
         last = elapsed > self.settings.grace - END_MARGIN_SECONDS
-        busy = self.gateway.busy or self.receiver.busy or self.entry.unanswered
+        busy = self.gateway.has_pending or self.receiver.has_jobs or self.entry.unanswered
         if last or (elapsed > READINESS_SECONDS and not busy):
             self.ended = True
             log_events.emit(
                 log_events.Stopped(
-                    duration_ms=round(elapsed * 1000), slices_left=0, in_flight=len(self.gateway.flights)
+                    duration_ms=round(elapsed * 1000),
+                    slices_left=0,
+                    in_flight=len(self.gateway.pending_requests),
                 )
             )
             self.app.shutdown(0)
--- a/src/hibiscusdrum/internal/router/throttle.py
+++ b/src/hibiscusdrum/internal/router/throttle.py
@@ -19,13 +19,13 @@
 # Refused requests that do not count: a few in a row say nothing of the service.
 IGNORED_REFUSALS = 3.0
 # Tries for a free slot pay while at least this share of them finds one, those ignored left out.
-LEAST_FREE_SHARE = 0.3
-IGNORED_BUSY = 1.0
+MIN_FREE_PROBE_SHARE = 0.3
+IGNORED_BUSY_PROBES = 1.0
 # An answer of a target with a free slot counts as so many accepted requests: an overload leaves none free for
 # long, and with the outcomes alone a node would take many seconds to notice that one has passed.
-ROOM_CREDIT = 4.0
+FREE_SLOT_WEIGHT = 4.0
 # Outcomes count less with their age; a node sees some ten requests of a class in this time.
-MEMORY_SECONDS = 2.0
+DECAY_SECONDS = 2.0
 
 
 class Throttle:
@@ -40,62 +40,62 @@
         Those of both that were not refused for an overload, weighted by age.
     """
 
-    __slots__ = ("accepted", "late", "new", "noted_at", "tries", "tries_free")
+    __slots__ = ("accepted", "free_probes", "late", "noted_at", "on_time", "probes")
 
     def __init__(self) -> None:
-        self.new = 0.0
+        self.on_time = 0.0
         self.late = 0.0
         self.accepted = 0.0
-        self.tries = 0.0
-        self.tries_free = 0.0
+        self.probes = 0.0
+        self.free_probes = 0.0
         self.noted_at = float("-inf")
 
-    def age(self, now: float) -> None:
+    def decay(self, now: float) -> None:
         """Let what was noted count less."""
-        factor = math.exp((self.noted_at - now) / MEMORY_SECONDS) if now > self.noted_at else 1.0
-        self.new *= factor
+        factor = math.exp((self.noted_at - now) / DECAY_SECONDS) if now > self.noted_at else 1.0
+        self.on_time *= factor
         self.late *= factor
         self.accepted *= factor
-        self.tries *= factor
-        self.tries_free *= factor
+        self.probes *= factor
+        self.free_probes *= factor
         self.noted_at = max(now, self.noted_at)
 
-    def note(self, accepted: bool, now: float, room: bool = False, late: bool = False) -> None:
+    def record(self, accepted: bool, now: float, free_slot: bool = False, late: bool = False) -> None:
         """Count an outcome: accepted, or not served for an overload of the service or of the way to it.
 
         Parameters
         ----------
-        room : bool
+        free_slot : bool
             Whether the target had a free slot when it answered.
         late : bool
             Whether the request came too late for its latency goal.
         """
-        self.age(now)
+        self.decay(now)
         if late:
             self.late += 1.0
         else:
-            self.new += 1.0
+            self.on_time += 1.0
         if accepted:
-            self.accepted += ROOM_CREDIT if room else 1.0
+            self.accepted += FREE_SLOT_WEIGHT if free_slot else 1.0
 
-    def note_try(self, free: bool, now: float) -> None:
+    def record_probe(self, free: bool, now: float) -> None:
         """Count a request that was to start at once or be turned away."""
-        self.age(now)
-        self.tries += 1.0
-        self.tries_free += free
+        self.decay(now)
+        self.probes += 1.0
+        self.free_probes += free
 
-    def tries_pay(self, now: float) -> bool:
+    def probing_pays(self, now: float) -> bool:
         """Return whether nodes should be asked for a free slot; each that has none costs a round trip."""
-        self.age(now)
-        return self.tries_free + IGNORED_BUSY >= LEAST_FREE_SHARE * self.tries
+        self.decay(now)
+        return self.free_probes + IGNORED_BUSY_PROBES >= MIN_FREE_PROBE_SHARE * self.probes
 
     def refused_share(self, now: float, late: bool = False) -> float:
         """Return the share of requests that is to be refused without asking the service.
 
         Those that are late pass only when there is more room than new ones take.
         """
-        self.age(now)
+        self.decay(now)
         passed = PASSED_PER_ACCEPTED * self.accepted + IGNORED_REFUSALS
         if late:
-            return max(0.0, (self.late - max(0.0, passed - self.new)) / (self.late + 1.0))
-        return max(0.0, (self.new - passed) / (self.new + 1.0))
+            return max(0.0, (self.late - max(0.0, passed - self.on_time)) / (self.late + 1.0))
+        return max(0.0, (self.on_time - passed) / (self.on_time + 1.0))
--- a/src/hibiscusdrum/internal/router/traffic.py
+++ b/src/hibiscusdrum/internal/router/traffic.py
@@ -14,12 +14,12 @@
 from hibiscusdrum.internal.router.settings import RouterSettings
 
 # Interval of the summary in the log: short against the minutes of an incident, and few lines in a fleet.
-SUMMARY_SECONDS = 5.0
-OWN = "own"
-OTHER = "other"
+SUMMARY_INTERVAL_SECONDS = 5.0
+OWN_REGION = "own"
+OTHER_REGIONS = "other"
 STORE = "store"
 # Upper bounds in seconds of delays beyond the fastest message of a sender.
-DELAY_BOUNDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5)
+DELAY_BOUNDS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5)
 
 
 class Traffic(Service):
@@ -42,62 +42,64 @@
     def __init__(self, settings: RouterSettings) -> None:
         super().__init__()
         self.settings = settings
-        self.sent: dict[tuple[str, str], int] = {}
-        self.received: dict[tuple[str, str], int] = {}
-        self.calls: dict[str, int] = {}
-        self.reported_calls: dict[str, int] = {}
-        self.delays: dict[str, list[int]] = {place: [0] * (len(DELAY_BOUNDS) + 1) for place in (OWN, OTHER)}
-        self.longest: dict[str, float] = {OWN: 0.0, OTHER: 0.0}
-        self.reported: dict[tuple[str, str], int] = {}
+        self.sent_bytes: dict[tuple[str, str], int] = {}
+        self.received_bytes: dict[tuple[str, str], int] = {}
+        self.store_calls: dict[str, int] = {}
+        self.summarized_calls: dict[str, int] = {}
+        self.delay_counts: dict[str, list[int]] = {
+            place: [0] * (len(DELAY_BOUNDS_SECONDS) + 1) for place in (OWN_REGION, OTHER_REGIONS)
+        }
+        self.longest_delays: dict[str, float] = {OWN_REGION: 0.0, OTHER_REGIONS: 0.0}
+        self.summarized_bytes: dict[tuple[str, str], int] = {}
 
     def on_start(self) -> None:
         """Count the store's calls, and write a summary at intervals."""
-        self.app.find("table").on_bytes = self.note_store
-        self.app.scheduler.every(SUMMARY_SECONDS, self.summarize)
+        self.app.find("table").on_bytes = self.count_store_call
+        self.app.scheduler.every(SUMMARY_INTERVAL_SECONDS, self.log_summary)
 
-    def place(self, region: str) -> str:
+    def place_of(self, region: str) -> str:
         """Return whether a region is this node's."""
-        return OWN if region == self.settings.region else OTHER
+        return OWN_REGION if region == self.settings.region else OTHER_REGIONS
 
-    def note_sent(self, region: str, kind: str, size: int) -> None:
+    def count_sent(self, region: str, kind: str, size: int) -> None:
         """Count a message to a node in a region."""
-        key = (self.place(region), kind)
-        self.sent[key] = self.sent.get(key, 0) + size
+        key = (self.place_of(region), kind)
+        self.sent_bytes[key] = self.sent_bytes.get(key, 0) + size
 
-    def note_store(self, operation: str, sent: int, received: int) -> None:
+    def count_store_call(self, operation: str, sent: int, received: int) -> None:
         """Count a call to the store."""
         key = (STORE, operation)
-        self.calls[operation] = self.calls.get(operation, 0) + 1
-        self.sent[key] = self.sent.get(key, 0) + sent
-        self.received[key] = self.received.get(key, 0) + received
+        self.store_calls[operation] = self.store_calls.get(operation, 0) + 1
+        self.sent_bytes[key] = self.sent_bytes.get(key, 0) + sent
+        self.received_bytes[key] = self.received_bytes.get(key, 0) + received
 
-    def note_delay(self, region: str, seconds: float) -> None:
+    def count_delay(self, region: str, seconds: float) -> None:
         """Count a message from a node in a region by its delay beyond that sender's fastest one."""
-        place = self.place(region)
-        self.delays[place][bisect_left(DELAY_BOUNDS, seconds)] += 1
-        self.longest[place] = max(self.longest[place], seconds)
+        place = self.place_of(region)
+        self.delay_counts[place][bisect_left(DELAY_BOUNDS_SECONDS, seconds)] += 1
+        self.longest_delays[place] = max(self.longest_delays[place], seconds)
 
-    def summarize(self) -> None:
+    def log_summary(self) -> None:
         """Log what was exchanged since the last summary."""
-        totals = {(f"sent_{place}", kind): size for (place, kind), size in self.sent.items()}
-        totals |= {(f"received_{place}", kind): size for (place, kind), size in self.received.items()}
+        totals = {(f"sent_{place}", kind): size for (place, kind), size in self.sent_bytes.items()}
+        totals |= {(f"received_{place}", kind): size for (place, kind), size in self.received_bytes.items()}
         changes = {
-            f"{name}.{kind}": size - self.reported.get((name, kind), 0)
+            f"{name}.{kind}": size - self.summarized_bytes.get((name, kind), 0)
             for (name, kind), size in totals.items()
         }
-        self.reported = totals
+        self.summarized_bytes = totals
         calls = {
-            operation: count - self.reported_calls.get(operation, 0)
-            for operation, count in self.calls.items()
+            operation: count - self.summarized_calls.get(operation, 0)
+            for operation, count in self.store_calls.items()
         }
-        self.reported_calls = dict(self.calls)
-        longest, self.longest = self.longest, {OWN: 0.0, OTHER: 0.0}
+        self.summarized_calls = dict(self.store_calls)
+        longest, self.longest_delays = self.longest_delays, {OWN_REGION: 0.0, OTHER_REGIONS: 0.0}
         log_events.emit(
             events.TrafficSummary(
-                seconds=SUMMARY_SECONDS,
+                seconds=SUMMARY_INTERVAL_SECONDS,
                 bytes={name: size for name, size in sorted(changes.items()) if size},
                 calls={name: count for name, count in sorted(calls.items()) if count},
-                longest_delay_own_s=round(longest[OWN], 3),
-                longest_delay_other_s=round(longest[OTHER], 3),
+                longest_delay_own_s=round(longest[OWN_REGION], 3),
+                longest_delay_other_s=round(longest[OTHER_REGIONS], 3),
             )
         )
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -154,6 +154,6 @@
             (self.evacuated.discard if row.deleted else self.evacuated.add)(failure_domain)
         elif row.key == CONFIG_KEY and not row.deleted:
             try:
-                self.gateway.set_table(decode_config(base64.b64decode(row.value)))
+                self.gateway.set_route_table(decode_config(base64.b64decode(row.value)))
             except (ValueError, InvalidArgument) as error:
                 log_events.emit(events.RowUnreadable(what="configuration", reason=str(error)[:200]))
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -12,16 +12,16 @@
 
 from hibiscusdrum.internal.clock import ManualClock
 from hibiscusdrum.internal.kernel import Application
-from hibiscusdrum.internal.router.admission import Admission, ColdGate, Entry
-from hibiscusdrum.internal.router.hop import LATE_SECONDS, Transit
+from hibiscusdrum.internal.router.admission import AdmissionQueue, ColdStartLimiter, QueueEntry
+from hibiscusdrum.internal.router.hop import LATE_MESSAGE_SECONDS, TransitDelay
 from hibiscusdrum.internal.router.key_load import OwnerLoad, gives_first, relief_pause, relieve
 from hibiscusdrum.internal.router.path_delay import PathDelay
 from hibiscusdrum.internal.router.receiver import Receiver
-from hibiscusdrum.internal.router.returns import Returns
+from hibiscusdrum.internal.router.returns import ReturningCallers
 from hibiscusdrum.internal.router.ring import Owner, Ring, Stripe, create, reassign, rebalance
 from hibiscusdrum.internal.router.ring_row import encode_ring
 from hibiscusdrum.internal.router.routes import HeaderNames, RouteTable, ServiceSpec
-from hibiscusdrum.internal.router.selection import Candidate, LoadReport, Selection
+from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.throttle import Throttle
 from hibiscusdrum.platform.store import encode_value
@@ -54,7 +54,7 @@
     """Plays requests on an admission queue whose target takes a random time for each."""
 
     def __init__(self, slots, seconds):
-        self.admission = Admission(slots)
+        self.admission = AdmissionQueue(slots)
         self.seconds = seconds
         self.rng = random.Random(7)
         self.running = []
@@ -71,10 +71,10 @@
     def arrive(self, request, now):
         """Admit a request or refuse it."""
         self.played.append(request)
-        entry = Entry(
+        entry = QueueEntry(
             request, request.priority, now + request.goal, now + request.deadline, request.kind, now
         )
-        if not self.admission.fits(entry, now):
+        if not self.admission.is_servable(entry, now):
             self.end(request, "refused", now)
             return
         self.admission.push(entry, now)
@@ -92,11 +92,11 @@
         """End what is due, and refuse what the queue gives up."""
         while self.running and self.running[0][0] <= now:
             ended, _, entry, started = heapq.heappop(self.running)
-            self.admission.done(entry.cost_class, ended - started)
+            self.admission.finish(entry.cost_class, ended - started)
             late = ended > entry.deadline
             self.end(entry.item, "too late" if late else "answered", ended)
             self.pump(ended)
-        for entry in self.admission.hopeless(now):
+        for entry in self.admission.remove_unservable(now):
             self.end(entry.item, "refused", now)
         self.pump(now)
 
@@ -129,7 +129,7 @@
 @given("a target with {slots:d} slots that takes {seconds:g} s for a request")
 def a_target(context, slots, seconds):
     context.target = Target(slots, seconds)
-    context.target.admission.service = seconds
+    context.target.admission.mean_service_seconds = seconds
 
 
 @when(
@@ -215,7 +215,7 @@
 
 @given("it tolerates {factor:g} times its rate and {slack:g} more in a second")
 def tolerated(context, factor, slack):
-    context.target.admission.cold = ColdGate(factor, slack)
+    context.target.admission.cold_limiter = ColdStartLimiter(factor, slack)
 
 
 @then("it is sent at least {least:d} requests a second while it is cold")
@@ -226,8 +226,8 @@
 @when("it bears {rate:g} requests a second while cold, and requests arrive at twice its capacity")
 def a_cold_target(context, rate):
     target = context.target
-    target.admission.cold.rate = rate
-    target.admission.cold.until = 4.0
+    target.admission.cold_limiter.rate = rate
+    target.admission.cold_limiter.warm_at = 4.0
     target.play([(2.0 * target.capacity, maker())], 4.0)
 
 
@@ -243,7 +243,7 @@
     target = context.target
     context.entries = []
     for _ in range(running + queued):
-        entry = Entry(Played("request", 0.0, 5.0, 9.0, 1), 1, 5.0, 9.0, "request", 0.0)
+        entry = QueueEntry(Played("request", 0.0, 5.0, 9.0, 1), 1, 5.0, 9.0, "request", 0.0)
         target.admission.push(entry, 0.0)
         context.entries.append(entry)
     for _ in range(running):
@@ -253,8 +253,8 @@
 
 @then("a request that is refused now is told to come back after {least:g} s to {most:g} s")
 def told_to_come_back(context, least, most):
-    entry = Entry(None, 2, 0.3, 0.4, "request", 0.0)
-    assert not context.target.admission.fits(entry, 0.0)
+    entry = QueueEntry(None, 2, 0.3, 0.4, "request", 0.0)
+    assert not context.target.admission.is_servable(entry, 0.0)
     wait = context.target.admission.retry_after(entry, 0.0)
     assert least <= wait <= most, wait
 
@@ -269,10 +269,10 @@
 def starts_next(context):
     admission = context.target.admission
     assert admission.queued == 0
-    entry = Entry("next", 1, 9.0, 9.0, "request", 0.0)
+    entry = QueueEntry("next", 1, 9.0, 9.0, "request", 0.0)
     admission.push(entry, 0.0)
     assert admission.pop(0.0) is None
-    admission.done("request", 0.2)
+    admission.finish("request", 0.2)
     assert admission.pop(0.2) is entry
 
 
@@ -285,10 +285,10 @@
 
 @given("targets with load {here:d} here, {near:d} in the other domain and {far:d} in the other region")
 def three_targets(context, here, near, far):
-    context.selection = Selection("east", "east-1", random.Random(1))
+    context.selection = NodeSelector("east", "east-1", random.Random(1))
     for node, queued in (("a", here), ("b", near), ("c", far)):
         report = LoadReport(min(queued, 9), max(0, queued - 9), 9, 0.2, True)
-        context.selection.reported(node, report, 0.0)
+        context.selection.on_report(node, report, 0.0)
 
 
 @when("a request with a body of {size:d} bytes is placed")
@@ -303,8 +303,8 @@
 
 @when("the own target fails twice")
 def fails_twice(context):
-    context.selection.failed("a", 0.0)
-    context.selection.failed("a", 0.0)
+    context.selection.on_failure("a", 0.0)
+    context.selection.on_failure("a", 0.0)
 
 
 @then("requests go elsewhere for {seconds:g} s and come back after that")
@@ -317,7 +317,7 @@
 @given("a peer whose clock differs by {offset:g} s and whose messages take {least:d} to {most:d} ms")
 def a_peer_clock(context, offset, least, most):
     rng = random.Random(3)
-    context.transit = Transit()
+    context.transit = TransitDelay()
     context.messages = [
         (at * 0.1 + offset, at * 0.1 + rng.uniform(least, most) / 1000.0) for at in range(600)
     ]
@@ -332,8 +332,8 @@
 
 @then("only that message counts as late")
 def only_one_late(context):
-    delays = [context.transit.delay(sent, received) for sent, received in context.messages]
-    assert sum(delay > LATE_SECONDS for delay in delays) == 1
+    delays = [context.transit.record(sent, received) for sent, received in context.messages]
+    assert sum(delay > LATE_MESSAGE_SECONDS for delay in delays) == 1
 
 
 @given("a receiver whose target reports itself cold before the routes are known")
@@ -341,13 +341,13 @@
     app = Application(ManualClock())
     context.receiver = Receiver(SETTINGS, HeaderNames())
     context.receiver.app = app
-    context.receiver.on_cold(3.0)
+    context.receiver.on_cold_start(3.0)
 
 
 @when("the routes arrive with a rate of {rate:g} requests a second for cold targets")
 def routes_arrive(context, rate):
     spec = ServiceSpec(SETTINGS.service, cold_rate=rate)
-    context.receiver.set_table(RouteTable.build(1, [], [spec]))
+    context.receiver.set_route_table(RouteTable.build(1, [], [spec]))
 
 
 @then("its queue lets at most {most:d} requests start at once")
@@ -356,7 +356,7 @@
     admission, now = receiver.admission, receiver.now
     admission.slots = 50
     for _ in range(50):
-        admission.push(Entry("request", 1, now + 5.0, now + 9.0, "request", now), now)
+        admission.push(QueueEntry("request", 1, now + 5.0, now + 9.0, "request", now), now)
     started = 0
     while admission.pop(now) is not None:
         started += 1
@@ -380,13 +380,13 @@
     """Place one request; a target without a free slot turns it away if it is asked to."""
     busy = []
     while True:
-        chosen, only_if_free = selection.place(candidates, 0, now, busy, ())
+        chosen, only_if_free = selection.select(candidates, 0, now, busy, ())
         name = chosen.node
         if not only_if_free or targets[name].busy < slots:
-            selection.sent(name)
+            selection.on_sent(name)
             return name
         busy.append(name)
-        selection.reported(name, targets[name].report(slots, seconds), now)
+        selection.on_report(name, targets[name].report(slots, seconds), now)
 
 
 @given("{callers:d} nodes that send to {targets:d} targets with {slots:d} slots of {speeds} speed")
@@ -398,7 +398,7 @@
         for index in range(targets)
     }
     context.selections = [
-        Selection("east", f"d{index % 2}", random.Random(rng.random())) for index in range(callers)
+        NodeSelector("east", f"d{index % 2}", random.Random(rng.random())) for index in range(callers)
     ]
 
 
@@ -415,8 +415,8 @@
             selection, name = ended
             target = targets[name]
             target.busy -= 1
-            selection.ended(name)
-            selection.reported(name, target.report(slots, seconds), now)
+            selection.on_ended(name)
+            selection.on_report(name, target.report(slots, seconds), now)
             continue
         if now < length:
             heapq.heappush(events, (now + rng.expovariate(rate), next(counter), None))
@@ -573,17 +573,17 @@
             context.time += 0.1
             share = context.throttle.refused_share(context.time)
             if context.rng.random() < share:
-                context.throttle.note(False, context.time)
+                context.throttle.record(False, context.time)
                 continue
             context.passed.append(context.time)
-            context.throttle.note(free > 0, context.time, room=context.room)
+            context.throttle.record(free > 0, context.time, free_slot=context.room)
             free -= 1
 
 
 @when("{count:d} requests in a row are refused")
 def refused_in_a_row(context, count):
     for _ in range(count):
-        context.throttle.note(False, context.time)
+        context.throttle.record(False, context.time)
 
 
 @when("the service has room again")
@@ -613,12 +613,12 @@
 @when("{count:d} tries find {what} free slot")
 def tries_found(context, count, what):
     for _ in range(count):
-        context.throttle.note_try(what == "a", context.time)
+        context.throttle.record_probe(what == "a", context.time)
 
 
 @then("tries {verb}")
 def check_tries(context, verb):
-    assert context.throttle.tries_pay(context.time) == (verb == "pay"), verb
+    assert context.throttle.probing_pays(context.time) == (verb == "pay"), verb
 
 
 # Callers who come back
@@ -628,9 +628,9 @@
     "callers with 4 s, 4.4 s and 5 s left, refused after {told:g} s and told to come back after {wait:g} s"
 )
 def refused_callers(context, told, wait):
-    context.returns, context.time, context.wait = Returns(), 100.0, wait
+    context.returns, context.time, context.wait = ReturningCallers(), 100.0, wait
     for left in (4.0, 4.4, 5.0):
-        context.returns.note(100.0 + left, 100.0, 100.0 + told, wait)
+        context.returns.record(100.0 + left, 100.0, 100.0 + told, wait)
     context.time += told
 
 
@@ -643,7 +643,7 @@
 
 @when("it is refused again and comes {later:g} s later with {left:g} s left")
 def comes_again(context, later, left):
-    context.returns.note(context.ends_at, context.time - context.waited, context.time, context.wait)
+    context.returns.record(context.ends_at, context.time - context.waited, context.time, context.wait)
     caller_comes(context, left, later)
 
 
@@ -655,12 +655,12 @@
 @when("one more is refused {later:g} s later")
 def one_more(context, later):
     now = context.time + later
-    context.returns.note(now + 4.0, now, now, context.wait)
+    context.returns.record(now + 4.0, now, now, context.wait)
 
 
 @then("{count:d} refused callers are known")
 def check_known(context, count):
-    assert len(context.returns.refused) == count, context.returns.refused
+    assert len(context.returns.refused_callers) == count, context.returns.refused_callers
 
 
 @then("it has waited for {seconds:g} s")
@@ -676,21 +676,21 @@
     context.path, context.time = PathDelay(), 100.0
     for _ in range(10):
         context.time += 0.25
-        context.path.note(seconds, context.time)
+        context.path.record(seconds, context.time)
 
 
 @when("round trips take {seconds:g} s for {duration:g} s")
 def round_trips_change(context, seconds, duration):
     for _ in range(int(duration / 0.25)):
         context.time += 0.25
-        context.path.note(seconds, context.time)
+        context.path.record(seconds, context.time)
 
 
 @when("every other round trip takes {seconds:g} s for {duration:g} s")
 def other_round_trips(context, seconds, duration):
     for number in range(int(duration / 0.25)):
         context.time += 0.25
-        context.path.note(seconds if number % 2 else 0.06, context.time)
+        context.path.record(seconds if number % 2 else 0.06, context.time)
 
 
 @then("{least:d} to {most:d} of 100 requests are not sent there")
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -16,16 +16,16 @@
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.messages import Answered, Body, Declined, Forward, Ping, Pong, SendBody
 from hibiscusdrum.internal.platform.table import Changes
-from hibiscusdrum.internal.router.admission import Entry
+from hibiscusdrum.internal.router.admission import QueueEntry
 from hibiscusdrum.internal.router.events import RequestEnded
 from hibiscusdrum.internal.router.gateway import Gateway
-from hibiscusdrum.internal.router.hop import Hop, PeerState
+from hibiscusdrum.internal.router.hop import Forwarder, PeerState
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetReport
 from hibiscusdrum.internal.router.members import Members, NodeRow
-from hibiscusdrum.internal.router.metrics import traffic_lines
+from hibiscusdrum.internal.router.metrics import render_traffic
 from hibiscusdrum.internal.router.receiver import BUSY_REASON, LATE_REASON, NOT_OWNER_REASON, Receiver
 from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
-from hibiscusdrum.internal.router.selection import Candidate, LoadReport, Selection
+from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure, HttpResponse
@@ -62,7 +62,7 @@
     members = app.add(Members(SETTINGS))
     row = NodeRow("peer", "east" if region == "same" else "west", "d", "keys", "127.0.0.1:9")
     members.nodes["peer"] = row
-    context.hop = app.add(Hop(SETTINGS, Selection("east", "east-1", random.Random(1))))
+    context.hop = app.add(Forwarder(SETTINGS, NodeSelector("east", "east-1", random.Random(1))))
     context.hop.peers, context.hop.members = app.find("peers"), members
     context.hop.traffic = context.traffic
     context.app = app
@@ -78,7 +78,7 @@
 
 def rendered(context):
     """Return the metrics of the links by their names with labels."""
-    lines = (line.rpartition(" ") for line in traffic_lines(context.traffic) if not line.startswith("#"))
+    lines = (line.rpartition(" ") for line in render_traffic(context.traffic) if not line.startswith("#"))
     return {name: int(value) for name, _, value in lines}
 
 
@@ -128,9 +128,9 @@
     if what == "the target has no free slot":
         receiver.admission.running = receiver.admission.slots
     elif what == "only the link of the VM is congested":
-        for request_id in list(receiver.bodies.transfers):
-            receiver.bodies.done(request_id)
-        receiver.hop.congested = True
+        for request_id in list(receiver.body_gate.transfers):
+            receiver.body_gate.done(request_id)
+        receiver.forwarder.link_congested = True
     size = 60_000 if what == "bodies of others are awaited and one of its own" else 0
     asking = msgspec.structs.replace(forward(100, size, 1.0), only_if_free=True)
     with mock.patch.object(log_events, "emit") as emit:
@@ -160,14 +160,14 @@
 def target_turns_away(context, queued):
     receiver = context.receiver
     callbacks = []
-    receiver.http.request = lambda *arguments, **_more: callbacks.append(arguments[6])
+    receiver.http_client.request = lambda *arguments, **_more: callbacks.append(arguments[6])
     requests_arrive(context, 1)
     now = receiver.now
     for _ in range(queued):
-        receiver.admission.push(Entry("queued", 1, now + 9.0, now + 9.0, "upload", now), now)
+        receiver.admission.push(QueueEntry("queued", 1, now + 9.0, now + 9.0, "upload", now), now)
     receiver.admission.running = receiver.admission.slots if queued else 1
-    receiver.pump = lambda: None
-    answer = HttpResponse(503, {receiver.names.not_run: "1"}, b"")
+    receiver.send_queued = lambda: None
+    answer = HttpResponse(503, {receiver.header_names.not_run: "1"}, b"")
     callbacks[0](Success(answer))
 
 
@@ -181,7 +181,7 @@
 @when("its target reports itself cold for {seconds:g} s, and {count:d} requests arrive before the routes")
 def cold_without_routes(context, seconds, count):
     context.receiver.admission.slots = 20
-    context.receiver.on_cold(seconds)
+    context.receiver.on_cold_start(seconds)
     requests_arrive(context, count)
 
 
@@ -198,7 +198,7 @@
 )
 def routes_and_requests(context, rate, count):
     spec = ServiceSpec(SETTINGS.service, cold_rate=rate)
-    context.receiver.set_table(RouteTable.build(1, [], [spec]))
+    context.receiver.set_route_table(RouteTable.build(1, [], [spec]))
     requests_arrive(context, count)
 
 
@@ -211,7 +211,7 @@
 def started_anew(context, seconds):
     hop, clock = context.hop, context.app.clock
     context.accepted = []
-    hop.accept = lambda message, _body, delay, _reply: context.accepted.append((message.id, delay))
+    hop.on_forward = lambda message, _body, delay, _reply: context.accepted.append((message.id, delay))
     for number in range(3):
         clock.advance(0.3)
         sent_at = clock.monotonic() - 0.005 + 100_000.0
@@ -231,7 +231,7 @@
     context.app.clock.advance(0.3)
     of_new_process(context, 1, 0.0)
     assert context.accepted[-1] == (b"second1", 0.0), context.accepted
-    assert not context.hop.congested
+    assert not context.hop.link_congested
 
 
 @when("a request of the new process is held up for {seconds:g} s")
@@ -253,7 +253,7 @@
 
 @then("the router {asks} others to send elsewhere")
 def asks_others(context, asks):
-    assert context.hop.congested == (asks == "asks")
+    assert context.hop.link_congested == (asks == "asks")
 
 
 class Request:
@@ -285,7 +285,7 @@
         self.unsent = set()
         self.cancelled = []
 
-    def holds_body(self, request_id):
+    def has_unsent_body(self, request_id):
         """Return whether the body of a request was not asked for."""
         return request_id in self.unsent
 
@@ -293,7 +293,7 @@
         """Note a cancelled request."""
         self.cancelled.append(request_id)
 
-    def next_id(self):
+    def next_request_id(self):
         """Return a new id."""
         return len(self.sent).to_bytes(4, "big")
 
@@ -322,15 +322,15 @@
     )
     app.add(Stub("range_owner", set_partitioned=lambda _: None))
     app.add(Stub("rings"))
-    app.add(Stub("receiver", set_table=lambda _: None))
-    app.add(Stub("metrics", ended=lambda *_: None))
+    app.add(Stub("receiver", set_route_table=lambda _: None))
+    app.add(Stub("metrics", count_ended=lambda *_: None))
     app.add(Stub("entry", listen=lambda *_: None, limits=None))
     context.hop = app.add(SentHop())
-    selection = Selection("east", "east-1", random.Random(1))
+    selection = NodeSelector("east", "east-1", random.Random(1))
     context.gateway = app.add(Gateway(SETTINGS, HeaderNames(), selection))
     context.gateway.on_start()
     route = Route("r", "h.example", "/a/", RequestKind.NON_IDEMPOTENT, (("s", 1.0),), attempts=2)
-    context.gateway.set_table(RouteTable.build(1, [route], [ServiceSpec("s")]))
+    context.gateway.set_route_table(RouteTable.build(1, [route], [ServiceSpec("s")]))
     context.app = app
 
 
@@ -342,17 +342,17 @@
     gateway_with_nodes(context, count)
     near = [Candidate(f"n{index}", "east", "d") for index in range(count)]
     far = [Candidate(f"far{index}", "west", "d") for index in range(other)]
-    members, selection = context.gateway.members, context.gateway.selection
+    members, selection = context.gateway.members, context.gateway.selector
     members.candidates = lambda *_: near + far
     members.region = lambda node: "west" if node.startswith("far") else "east"
     now = context.app.clock.monotonic()
     for taken in (0.06, 0.06 + seconds):
-        selection.path("west").note(taken, now)
+        selection.path_delay("west").record(taken, now)
         context.app.clock.advance(1.1)
         now = context.app.clock.monotonic()
-    selection.path("west").note(0.06 + seconds, now)
+    selection.path_delay("west").record(0.06 + seconds, now)
     for entry in near:
-        selection.reported(entry.node, LoadReport(6, 200, 6, 0.5, True), now)
+        selection.on_report(entry.node, LoadReport(6, 200, 6, 0.5, True), now)
 
 
 @given("a gateway that knows an old owner of a key")
@@ -364,9 +364,9 @@
     gateway.rings.refresh = lambda service, _done: context.refreshed.append(service)
     gateway.members.reachable = True
     route = Route("r", "h.example", "/a/", RequestKind.IDEMPOTENT, (("s", 1.0),), attempts=2)
-    gateway.set_table(RouteTable.build(2, [route], [ServiceSpec("s", partitioned=True)]))
+    gateway.set_route_table(RouteTable.build(2, [route], [ServiceSpec("s", partitioned=True)]))
     request = Request()
-    request.headers.append((gateway.names.key, "7"))
+    request.headers.append((gateway.header_names.key, "7"))
     gateway.on_request(request)
 
 
@@ -415,7 +415,7 @@
 
 def decline(context, reason, load=FREE):
     node, forward, _, reply = context.hop.sent[-1]
-    context.gateway.selection.reported(node, context.gateway.selection.view(node).report, 100.0)
+    context.gateway.selector.on_report(node, context.gateway.selector.node_state(node).report, 100.0)
     reply(Declined(forward.id, reason, False, False, 0.0, load), b"")
     return node
 
@@ -469,7 +469,7 @@
 def sends_large_body(context, size):
     hop = context.hop
     context.frames, context.outcomes = [], []
-    hop.states["peer"] = PeerState("127.0.0.1:9", 0.0)
+    hop.peer_states["peer"] = PeerState("127.0.0.1:9", 0.0)
     hop.peers.try_send_request = lambda _address, message, body=b"": (
         context.frames.append((message, body)) or True
     )
@@ -482,7 +482,7 @@
 def restarted_peer(context):
     hop, clock = context.hop, context.app.clock
     context.outcomes = []
-    hop.states["peer"] = PeerState("127.0.0.1:9", 0.0)
+    hop.peer_states["peer"] = PeerState("127.0.0.1:9", 0.0)
     hop.peers.try_send_request = lambda *_arguments: True
     hop.on_reply(Pong("peer", "first", clock.monotonic(), FREE, 50.0), b"")
     hop.send("peer", forward(1), b"", lambda answer, _body: context.outcomes.append(answer))
@@ -505,7 +505,7 @@
     context.forgotten = []
     context.hop.peers.forget_peer = context.forgotten.append
     del context.hop.members.nodes["peer"]
-    context.hop.connect()
+    context.hop.connect_to_members()
     context.hop.ping()
 
 
@@ -534,7 +534,7 @@
 def loss_of_peer(context):
     context.hop.on_reply(SendBody(bytes([1]), 0, 60_000), b"")
     context.hop.on_reply(SendBody(bytes([2]), 0, 59_999), b"")
-    context.hop.fail_all("peer", "silent")
+    context.hop.decline_outstanding("peer", "silent")
     assert {answer.id: answer.may_have_run for answer in context.outcomes} == {b"\x01": True, b"\x02": False}
 
 
@@ -590,16 +590,16 @@
 
 def deliver(receiver, request_id):
     """Let a body arrive in the parts that are asked for, as far as it is wanted."""
-    while (transfer := receiver.bodies.transfers.get(request_id)) is not None:
+    while (transfer := receiver.body_gate.transfers.get(request_id)) is not None:
         part = b"x" * (transfer.asked - transfer.arrived)
         if not part:
             return
-        receiver.on_body(request_id, transfer.arrived, part)
+        receiver.on_body_part(request_id, transfer.arrived, part)
 
 
 def asked_for(receiver):
     """Return the requests of whose bodies a part was asked for."""
-    return {request_id for request_id, transfer in receiver.bodies.transfers.items() if transfer.asked}
+    return {request_id for request_id, transfer in receiver.body_gate.transfers.items() if transfer.asked}
 
 
 @given("a receiver on a link of {rate:d} bytes a second with {count:d} offered bodies")
@@ -607,9 +607,9 @@
     app = context.app = application()
     app.add(Stub("members", evacuated=frozenset(), on_change=[], region=lambda _: SETTINGS.region))
     app.add(Stub("range_owner", on_granted=[]))
-    app.add(Stub("hop", congested=False))
+    app.add(Stub("hop", link_congested=False))
     app.add(Stub("rings", owner_node=lambda *_: None))
-    app.add(Stub("metrics", declined=lambda *_: None, ran=lambda *_: None))
+    app.add(Stub("metrics", count_declined=lambda *_: None, count_run=lambda *_: None))
     app.add(Stub("http_client", request=lambda *_arguments, **_more: None))
     target = app.add(LocalTarget(SETTINGS))
     settings = msgspec.structs.replace(SETTINGS, link_bytes_per_second=float(rate))
@@ -637,7 +637,7 @@
 @when("deadlines of the bodies that were asked for pass")
 def deadlines_pass(context):
     context.app.clock.advance(1.2)
-    context.receiver.expire()
+    context.receiver.decline_expired()
 
 
 @when("bodies that were asked for arrive")
@@ -656,7 +656,7 @@
     declined = {answer.id for answer in context.replies if type(answer) is Declined}
     assert {bytes([number]) for number in range(4, 8)} <= asked
     assert asked | declined >= {bytes([number]) for number in range(8)} - context.asked
-    assert not receiver.bodies.transfers and not receiver.bodies.in_flight
+    assert not receiver.body_gate.transfers and not receiver.body_gate.in_flight
 
 
 @given("the operator's rows with an evacuated failure domain")
@@ -742,8 +742,8 @@
 
 @then("the load report counts what waits for the link")
 def load_counts_bodies(context):
-    _running, queued, slots, service, _accepting = context.receiver.load()
-    waits = context.receiver.bodies.wait()
+    _running, queued, slots, service, _accepting = context.receiver.load_report()
+    waits = context.receiver.body_gate.wait()
     assert waits > 1.0 and queued * service / slots >= waits
 
 
@@ -759,4 +759,4 @@
 def told_not_run(context):
     status, headers, *_ = context.request.answer
     assert status == 503 and "retry-after" in dict(headers)
-    assert not context.gateway.flights
+    assert not context.gateway.pending_requests
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -20,7 +20,7 @@
 from hibiscusdrum.internal.kernel import Application
 from hibiscusdrum.internal.platform.table import Transaction
 from hibiscusdrum.internal.router.local_target import LocalTarget
-from hibiscusdrum.internal.router.routes import RequestKind, Route, RouteTable, WeightedChoice
+from hibiscusdrum.internal.router.routes import RequestKind, Route, RouteTable, WeightedRoundRobin
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.platform.boot import router_settings
 from hibiscusdrum.platform.main import main
@@ -126,7 +126,7 @@
 @then("{count:d} requests on a route with weights 90 and 10 go {one:d} and {other:d} to its services")
 def by_weight(_context, count, one, other):
     split = route("split", "/", (("s", 90.0), ("t", 10.0)))
-    choice = WeightedChoice()
+    choice = WeightedRoundRobin()
     chosen = [choice.choose(split) for _ in range(count)]
     assert (chosen.count("s"), chosen.count("t")) == (one, other)
 
--- a/tests/overload_world.py
+++ b/tests/overload_world.py
@@ -18,12 +18,12 @@
 from hibiscusdrum.internal.kernel import Application, Service
 from hibiscusdrum.internal.messages import Forward
 from hibiscusdrum.internal.router.gateway import Gateway
-from hibiscusdrum.internal.router.hop import LARGE_BODY_BYTES, Hop
+from hibiscusdrum.internal.router.hop import MAX_INLINE_BODY_BYTES, Forwarder
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetReport
 from hibiscusdrum.internal.router.members import NodeRow
 from hibiscusdrum.internal.router.receiver import Receiver
 from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
-from hibiscusdrum.internal.router.selection import Candidate, Selection
+from hibiscusdrum.internal.router.selection import Candidate, NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_connection import HttpResponse
@@ -139,7 +139,7 @@
         self.name, self.nodes, self.work, self.slots = name, nodes, work, slots
         self.regions, self.answer, self.body = regions, answer, body
         self.goal, self.timeout = goal, timeout
-        kind = RequestKind.UPLOAD if body > LARGE_BODY_BYTES else RequestKind.NON_IDEMPOTENT
+        kind = RequestKind.UPLOAD if body > MAX_INLINE_BODY_BYTES else RequestKind.NON_IDEMPOTENT
         self.route = Route(
             name,
             f"{name}.example",
@@ -170,7 +170,7 @@
             link_bytes_per_second=world.node_rate,
         )  # fmt: skip
         self.app = Application(world.clock)
-        selection = Selection(region, f"{region}-1", random.Random(name))
+        selection = NodeSelector(region, f"{region}-1", random.Random(name))
         members = Stub("members", nodes=world.rows, candidates=world.candidates, evacuated=frozenset())
         members.on_change, members.reachable = [], True
         members.region = lambda node: world.rows[node].region
@@ -179,18 +179,18 @@
         self.app.add(Traffic(settings))
         self.app.add(Stub("range_owner", set_partitioned=lambda _: None, on_granted=[]))
         self.app.add(Stub("rings"))
-        quiet = dict.fromkeys(("ended", "declined", "ran"), lambda *_: None)
+        quiet = dict.fromkeys(("count_ended", "count_declined", "count_run"), lambda *_: None)
         self.app.add(Stub("metrics", **quiet))
         self.app.add(Stub("entry", listen=lambda *_: None, limits=None))
         self.target = self.app.add(LocalTarget(settings))
         self.http = self.app.add(WorldTarget(world, self))
         self.peers = self.app.add(WorldPeers(world, self))
-        self.hop = self.app.add(Hop(settings, selection))
+        self.hop = self.app.add(Forwarder(settings, selection))
         self.receiver = self.app.add(Receiver(settings, NAMES))
         self.gateway = self.app.add(Gateway(settings, NAMES, selection))
         for service in ("local_target", "hop", "receiver", "gateway"):
             self.app.find(service).on_start()
-        self.gateway.set_table(world.table)
+        self.gateway.set_route_table(world.table)
         self.reports = 0
         self.report()
 
@@ -301,7 +301,7 @@
                     self.rows[name] = NodeRow(name, region, f"{region}-1", spec.name, name)
                     self.nodes[name] = WorldNode(self, name, region, spec)
         for node in self.nodes.values():
-            node.hop.connect()
+            node.hop.connect_to_members()
 
     @property
     def now(self):
