--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -59,5 +59,5 @@
     app.add(Gateway(settings, header_names, selector))
     app.add(Readiness(settings))
     app.add(RouterStopping(settings))
-    app.on_started.append(members.rows_changed)
+    app.on_started.append(members.notify_rows_changed)
     return forwarder
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -219,7 +219,7 @@
                 self.refuse(pending)
                 return
             node, only_if_free = selected[0].node, selected[1]
-        region = self.members.region(node)
+        region = self.members.region_of(node)
         cross_region = region != self.settings.region
         if (
             cross_region
@@ -332,7 +332,7 @@
         pending.refusing_nodes.append(pending.node)
         if answer.reason in OVERLOAD_REASONS:
             # The node that was asked was the best of a sample, so others of its region rarely have room.
-            pending.excluded_regions.add(self.members.region(pending.node))
+            pending.excluded_regions.add(self.members.region_of(pending.node))
         pending.target_attempts += answer.arrived
         if answer.retry_after:
             earliest = pending.retry_after or answer.retry_after
@@ -374,10 +374,10 @@
         if pending not in self.pending_requests:
             return
         owner_changed = self.rings.owner_node(pending.service, pending.key) != pending.node
-        if owner_changed or not self.members.reachable:
+        if owner_changed or not self.members.store_reachable:
             self.dispatch(pending)
         else:
-            self.rings.refresh(pending.service, lambda: self.dispatch_if_pending(pending))
+            self.rings.refresh_ring(pending.service, lambda: self.dispatch_if_pending(pending))
 
     def dispatch_if_pending(self, pending: PendingRequest) -> None:
         """Place a request whose key had moved."""
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -190,7 +190,7 @@
         size = self.peers.try_send_request(state.address, forward, body) if state is not None else 0
         if not size:
             return False
-        self.traffic.count_sent(self.members.region(node), "forward", size)
+        self.traffic.count_sent(self.members.region_of(node), "forward", size)
         self.outstanding[forward.id] = OutstandingRequest(
             node, state.address, callback, self.now, unsent_body
         )
@@ -205,7 +205,7 @@
         part = entry.unsent_body[asked.first : end]
         size = self.peers.try_send_request(entry.address, Body(asked.id, asked.first), part)
         if size:
-            self.traffic.count_sent(self.members.region(entry.node), "body", size)
+            self.traffic.count_sent(self.members.region_of(entry.node), "body", size)
             if end >= len(entry.unsent_body):
                 entry.unsent_body = b""
 
@@ -251,7 +251,7 @@
             state.reachable = True
             log_events.emit(events.PeerRegained(peer=pong.node, incarnation=pong.incarnation))
         self.selector.on_report(pong.node, LoadReport(*pong.load), now)
-        self.selector.path_delay(self.members.region(pong.node)).record(now - pong.sent_at, now)
+        self.selector.path_delay(self.members.region_of(pong.node)).record(now - pong.sent_at, now)
         if state.incarnation and state.incarnation != pong.incarnation:
             # What was sent since the new process listens has reached it, and it still works on it.
             self.decline_outstanding(pong.node, "restarted", before=now - pong.age)
@@ -322,7 +322,7 @@
             def reply(answer: Answered | Declined | SendBody, content: bytes) -> None:
                 size = self.peers.reply(identity, answer, content)
                 self.traffic.count_sent(
-                    self.members.region(message.origin), type(answer).__name__.lower(), size
+                    self.members.region_of(message.origin), type(answer).__name__.lower(), size
                 )
 
             self.on_forward(message, body, delay, reply)
@@ -357,7 +357,7 @@
             transit = TransitDelay()
             self.transit_delays[origin] = process, transit
         delay = transit.record(sent_at, self.now)
-        self.traffic.count_delay(self.members.region(origin), delay)
-        if delay > CONGESTION_DELAY_SECONDS and self.members.region(origin) == self.settings.region:
+        self.traffic.count_delay(self.members.region_of(origin), delay)
+        if delay > CONGESTION_DELAY_SECONDS and self.members.region_of(origin) == self.settings.region:
             self.note_congestion(origin, delay)
         return delay if delay > LATE_MESSAGE_SECONDS else 0.0
--- a/src/hibiscusdrum/internal/router/key_load.py
+++ b/src/hibiscusdrum/internal/router/key_load.py
@@ -14,28 +14,28 @@
 
 # Time over which the requests for a stripe are averaged, in seconds: several reports of a target, so that a
 # short burst moves no keys.
-AVERAGE_SECONDS = 3.0
+RATE_AVERAGING_SECONDS = 3.0
 # Weight of the newest request in the mean service time, which neighbours on a machine disturb for 0.1 to 1 s.
-SERVICE_GAIN = 0.02
+SERVICE_TIME_GAIN = 0.02
 # Stripes with fewer requests a second are forgotten.
-SMALLEST_RATE = 0.01
+MIN_TRACKED_RATE = 0.01
 # Owners that hand over at once: writers of one row come in each other's way.
-GIVERS_AT_ONCE = 2
+MAX_CONCURRENT_OFFLOADS = 2
 # An owner waits with a handover until the ring has not changed for this long: what is being handed over is
 # served by nobody, and handovers for other reasons go first.
-QUIET_SECONDS = 2.0
+MIN_RING_QUIET_SECONDS = 2.0
 # Size of a stripe in the stored row, and what each node may read to follow such handovers: a quarter of the
 # 18 KB a second that a node may use for control.
 STRIPE_BYTES = 10
-RELIEF_BYTES_PER_SECOND = 4_500
+OFFLOAD_BYTES_PER_SECOND = 4_500
 # An owner is overloaded from this share of its capacity, if others have so much less to do.
-OVERLOADED = 0.6
-ABOVE_MEAN = 1.2
-BELOW_MEAN = 0.9
+OVERLOAD_RATIO = 0.6
+OVERLOAD_MEAN_FACTOR = 1.2
+RECEIVER_MEAN_FACTOR = 0.9
 # Owners are filled up to this share of their capacity.
-FULL = 0.95
+MAX_FILL_RATIO = 0.95
 # Stripes that move at a time: those of a handover cannot be served for about a second.
-LARGEST_MOVE = 40
+MAX_STRIPES_PER_OFFLOAD = 40
 
 
 class OwnerLoad(msgspec.Struct, frozen=True):
@@ -66,31 +66,33 @@
 class KeyLoad:
     """Rates of requests by stripe, and the mean service time of one target."""
 
-    __slots__ = ("counts", "rates", "service", "updated_at")
+    __slots__ = ("mean_service_seconds", "rates", "request_counts", "updated_at")
 
     def __init__(self) -> None:
-        self.counts: dict[int, int] = {}
+        self.request_counts: dict[int, int] = {}
         self.rates: dict[int, float] = {}
-        self.service = 0.0
+        self.mean_service_seconds = 0.0
         self.updated_at: float | None = None
 
-    def note(self, stripe: int) -> None:
+    def record_request(self, stripe: int) -> None:
         """Count a request for a stripe, admitted or not."""
-        self.counts[stripe] = self.counts.get(stripe, 0) + 1
+        self.request_counts[stripe] = self.request_counts.get(stripe, 0) + 1
 
-    def served(self, seconds: float) -> None:
+    def record_service_time(self, seconds: float) -> None:
         """Note the service time of an answered request."""
-        self.service += (seconds - self.service) * (SERVICE_GAIN if self.service else 1.0)
+        self.mean_service_seconds += (seconds - self.mean_service_seconds) * (
+            SERVICE_TIME_GAIN if self.mean_service_seconds else 1.0
+        )
 
     def update(self, now: float) -> None:
         """Average the counts since the last update."""
         elapsed = now - self.updated_at if self.updated_at is not None else 0.0
         self.updated_at = now
         if elapsed <= 0.0:
-            self.counts.clear()
+            self.request_counts.clear()
             return
-        kept = math.exp(-elapsed / AVERAGE_SECONDS)
-        counts, self.counts = self.counts, {}
+        kept = math.exp(-elapsed / RATE_AVERAGING_SECONDS)
+        counts, self.request_counts = self.request_counts, {}
         self.rates = {
             stripe: rate
             for stripe in self.rates.keys() | counts.keys()
@@ -98,9 +100,9 @@
             > 0.01
         }
 
-    def load(self, slots: int) -> OwnerLoad:
+    def owner_load(self, slots: int) -> OwnerLoad:
         """Return the load of the target with so many slots."""
-        capacity = slots / self.service if self.service else 0.0
+        capacity = slots / self.mean_service_seconds if self.mean_service_seconds else 0.0
         return OwnerLoad(round(sum(self.rates.values()), 2), round(capacity, 2))
 
 
@@ -110,28 +112,28 @@
     return sum(load.demand for load in loads.values()) / capacity if capacity else 0.0
 
 
-def overloaded(load: OwnerLoad, mean: float) -> bool:
+def is_overloaded(load: OwnerLoad, mean: float) -> bool:
     """Return whether an owner should give keys to others."""
-    return load.known and load.ratio > OVERLOADED and load.ratio > mean * ABOVE_MEAN
+    return load.known and load.ratio > OVERLOAD_RATIO and load.ratio > mean * OVERLOAD_MEAN_FACTOR
 
 
-def gives_first(loads: Mapping[str, OwnerLoad], node: str) -> bool:
+def may_offload(loads: Mapping[str, OwnerLoad], node: str) -> bool:
     """Return whether a node is among the most overloaded ones, which give stripes to others first."""
     mean = mean_ratio(loads)
-    givers = [name for name, load in loads.items() if overloaded(load, mean)]
+    givers = [name for name, load in loads.items() if is_overloaded(load, mean)]
     givers.sort(key=lambda name: (-loads[name].ratio, name))
-    return node in givers[:GIVERS_AT_ONCE]
+    return node in givers[:MAX_CONCURRENT_OFFLOADS]
 
 
-def relief_pause(stripes: int) -> float:
+def ring_quiet_seconds(stripes: int) -> float:
     """Return the seconds for which a ring must not have changed before an overloaded owner gives some away.
 
     Every node reads the whole row at each change, so a large ring may change less often.
     """
-    return max(QUIET_SECONDS, stripes * STRIPE_BYTES / RELIEF_BYTES_PER_SECOND)
+    return max(MIN_RING_QUIET_SECONDS, stripes * STRIPE_BYTES / OFFLOAD_BYTES_PER_SECOND)
 
 
-def relieve(loads: Mapping[str, OwnerLoad], node: str, rates: Mapping[int, float]) -> dict[int, str]:
+def plan_offload(loads: Mapping[str, OwnerLoad], node: str, rates: Mapping[int, float]) -> dict[int, str]:
     """Return which stripes an overloaded owner should give to which nodes.
 
     All overloaded owners decide by themselves, so they take turns at the list of those with room.
@@ -145,13 +147,13 @@
     """
     mean = mean_ratio(loads)
     mine = loads[node]
-    if not overloaded(mine, mean):
+    if not is_overloaded(mine, mean):
         return {}
-    room = room_for(loads, node, mean)
+    room = offload_room(loads, node, mean)
     moves: dict[int, str] = {}
     left = mine.demand - mean * mine.capacity
     for stripe, rate in sorted(rates.items(), key=lambda item: -item[1]):
-        if not room or len(moves) >= LARGEST_MOVE:
+        if not room or len(moves) >= MAX_STRIPES_PER_OFFLOAD:
             break
         name = max(room, key=lambda other: room[other])
         # A stripe that is larger than the room would only overload another owner.
@@ -162,14 +164,14 @@
     return moves
 
 
-def room_for(loads: Mapping[str, OwnerLoad], node: str, mean: float) -> dict[str, float]:
+def offload_room(loads: Mapping[str, OwnerLoad], node: str, mean: float) -> dict[str, float]:
     """Return the requests a second that one overloaded owner may move to others, by node."""
     room = {
-        name: load.capacity * max(mean, FULL) - load.demand
+        name: load.capacity * max(mean, MAX_FILL_RATIO) - load.demand
         for name, load in loads.items()
-        if load.known and load.ratio < mean * BELOW_MEAN
+        if load.known and load.ratio < mean * RECEIVER_MEAN_FACTOR
     }
-    givers = sorted(name for name, load in loads.items() if overloaded(load, mean))
+    givers = sorted(name for name, load in loads.items() if is_overloaded(load, mean))
     receivers = sorted(room, key=lambda name: (-room[name], name))
     if not receivers:
         return {}
--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -44,18 +44,18 @@
 
     def __init__(self, settings: RouterSettings) -> None:
         super().__init__()
-        self.key = lease_key(settings.service, settings.node)
+        self.row_key = lease_key(settings.service, settings.node)
         self.lease = RangeLease(settings.node, uuid.uuid4().hex[:12])
-        self.writing = False
-        self.known = False
-        self.synced = False
+        self.request_in_flight = False
+        self.row_read = False
+        self.ring_synced = False
         self.on_first_write: Callable[[], None] = lambda: None
-        self.load: Callable[[], OwnerLoad] = OwnerLoad
+        self.current_load: Callable[[], OwnerLoad] = OwnerLoad
 
     def on_start(self) -> None:
         """Follow the store's clock."""
         self.table = self.app.find("table")
-        self.table.on_stamp = self.lease.clock.observe
+        self.table.on_stamp = self.lease.store_clock.observe
 
     @property
     def now(self) -> float:
@@ -63,78 +63,78 @@
         return self.app.clock.monotonic()
 
     @property
-    def remaining(self) -> float:
+    def remaining_seconds(self) -> float:
         """Seconds that are left of the lease; 0 when it may not be used."""
-        return self.lease.remaining(self.now) if self.synced else 0.0
+        return self.lease.remaining_seconds(self.now) if self.ring_synced else 0.0
 
-    def renew(self) -> None:
+    def renew_if_due(self) -> None:
         """Write the lease when it is due."""
-        if self.writing:
+        if self.request_in_flight:
             return
-        if self.lease.version == 0 and not self.known:
+        if self.lease.row_version == 0 and not self.row_read:
             self.read_lease()
-        elif self.lease.version == 0 or not self.synced or self.lease.renewal_due(self.now):
+        elif self.lease.row_version == 0 or not self.ring_synced or self.lease.is_renewal_due(self.now):
             self.write_lease()
 
     def read_lease(self) -> None:
         """Read the row of an earlier incarnation, whose process has ended: this one has its port."""
-        self.writing = True
+        self.request_in_flight = True
 
         def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
-            self.writing = False
+            self.request_in_flight = False
             if isinstance(result, Success):
-                row = result.unwrap().get(self.key)
-                self.lease.version = row.version if row is not None else 0
-                self.known = True
-                self.renew()
+                row = result.unwrap().get(self.row_key)
+                self.lease.row_version = row.version if row is not None else 0
+                self.row_read = True
+                self.renew_if_due()
 
-        self.table.read((self.key,), done)
+        self.table.read((self.row_key,), done)
 
     def write_lease(self) -> None:
         """Write the lease row under its known version."""
-        row = self.lease.proposal(self.now, self.load())
-        version = self.lease.version
-        self.writing = True
-        puts = {self.key: msgspec.to_builtins(row)}
-        transaction = Transaction(new_operation_id(), {self.key: version}, puts)
+        row = self.lease.next_row(self.now, self.current_load())
+        version = self.lease.row_version
+        self.request_in_flight = True
+        puts = {self.row_key: msgspec.to_builtins(row)}
+        transaction = Transaction(new_operation_id(), {self.row_key: version}, puts)
 
         def done(result: Result[int, HibiscusdrumError]) -> None:
-            self.writing = False
+            self.request_in_flight = False
             if isinstance(result, Success):
-                self.lease.written(row, result.unwrap())
-                if not self.synced:
+                self.lease.record_written(row, result.unwrap())
+                if not self.ring_synced:
                     self.on_first_write()
                 return
             code = result.failure().code
             log_events.emit(
                 events.LeaseNotRenewed(
-                    reason=code, version=version, left_s=round(self.lease.remaining(self.now), 3)
+                    reason=code, version=version, left_s=round(self.lease.remaining_seconds(self.now), 3)
                 )
             )
-            self.settle_lease()
+            self.resolve_write()
 
         self.table.commit(transaction, done)
 
-    def settle_lease(self) -> None:
+    def resolve_write(self) -> None:
         """Learn which row the store holds after a conflict or a lost answer.
 
         An unanswered write may still take effect later. Its row names an end that was counted from before it
         was sent, so that adopting it is safe whenever it appears.
         """
-        self.writing = True
+        self.request_in_flight = True
 
         def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
-            self.writing = False
+            self.request_in_flight = False
             if not isinstance(result, Success):
                 return
-            row = result.unwrap().get(self.key)
+            row = result.unwrap().get(self.row_key)
             value = msgspec.convert(row.value, LeaseRow) if row is not None else None
             if value is not None and value.incarnation == self.lease.incarnation:
-                self.lease.written(value, row.version)
+                self.lease.record_written(value, row.version)
             else:
-                self.lease.lost()
-                self.synced = False
-                self.lease.version = row.version if row is not None else 0
-                log_events.emit(events.LeaseTaken(version=self.lease.version))
+                self.lease.record_lost()
+                self.ring_synced = False
+                self.lease.row_version = row.version if row is not None else 0
+                log_events.emit(events.LeaseTaken(version=self.lease.row_version))
 
-        self.table.read((self.key,), done)
+        self.table.read((self.row_key,), done)
--- a/src/hibiscusdrum/internal/router/local_target.py
+++ b/src/hibiscusdrum/internal/router/local_target.py
@@ -15,13 +15,13 @@
 from hibiscusdrum.internal.router.settings import RouterSettings
 
 # Reports that may be missing before a target that also answers no request counts as gone.
-MISSED_REPORTS = 3.0
-CHECK_SECONDS = 0.25
+MAX_MISSED_HEARTBEATS = 3.0
+LIVENESS_CHECK_INTERVAL_SECONDS = 0.25
 # An answer is held up at most this long for keys that the target is about to be given; a target counts
 # answers within 1 s.
-ANSWER_SECONDS = 0.6
-ANSWER_CHECK_SECONDS = 0.05
-REFUSED = "refused"
+MAX_ANSWER_DELAY_SECONDS = 0.6
+DELAYED_ANSWER_CHECK_INTERVAL_SECONDS = 0.05
+REASON_CONNECTION_REFUSED = "refused"
 
 
 class TargetState(enum.Enum):
@@ -32,7 +32,7 @@
     DRAINING = "draining"
 
 
-class TargetReport(msgspec.Struct, frozen=True):
+class TargetHeartbeat(msgspec.Struct, frozen=True):
     """What a target says of itself.
 
     Attributes
@@ -64,7 +64,7 @@
     released: tuple[Range, ...] = ()
 
     @property
-    def life(self) -> str:
+    def incarnation(self) -> str:
         """Identifies one start of the target."""
         return f"{self.target}@{self.started_ms}"
 
@@ -76,10 +76,10 @@
     seconds: float
 
 
-ReportAnswer = Callable[[Grant | None], None]
+GrantReply = Callable[[Grant | None], None]
 
 
-class PendingAnswer:
+class DelayedAnswer:
     """A report whose answer waits for keys.
 
     Attributes
@@ -88,12 +88,12 @@
         Monotonic time in seconds at which it is answered without them.
     """
 
-    __slots__ = ("due", "reply", "report")
+    __slots__ = ("deadline", "heartbeat", "reply")
 
-    def __init__(self, report: TargetReport, reply: ReportAnswer, due: float) -> None:
-        self.report = report
+    def __init__(self, report: TargetHeartbeat, reply: GrantReply, due: float) -> None:
+        self.heartbeat = report
         self.reply = reply
-        self.due = due
+        self.deadline = due
 
 
 class LocalTarget(Service):
@@ -118,22 +118,24 @@
     def __init__(self, settings: RouterSettings) -> None:
         super().__init__()
         self.settings = settings
-        self.report: TargetReport | None = None
+        self.last_heartbeat: TargetHeartbeat | None = None
         self.state = TargetState.ABSENT
-        self.ended = False
-        self.seen_at = float("-inf")
-        self.reported_at = float("-inf")
-        self.left_lives: set[str] = set()
+        self.process_ended = False
+        self.last_seen_at = float("-inf")
+        self.last_heartbeat_at = float("-inf")
+        self.leaving_incarnations: set[str] = set()
         self.on_change: list[Callable[[], None]] = []
         self.on_cold: list[Callable[[float], None]] = []
-        self.grant: Callable[[TargetReport], Grant | None] | None = None
-        self.grants_soon: Callable[[], bool] = lambda: False
-        self.pending: PendingAnswer | None = None
+        self.make_grant: Callable[[TargetHeartbeat], Grant | None] | None = None
+        self.grant_imminent: Callable[[], bool] = lambda: False
+        self.delayed_answer: DelayedAnswer | None = None
 
     def on_start(self) -> None:
         """Watch for a target that falls silent."""
-        self.answer_timer = self.app.scheduler.while_needed(ANSWER_CHECK_SECONDS, self.check_pending)
-        self.app.scheduler.every(CHECK_SECONDS, self.check)
+        self.answer_timer = self.app.scheduler.while_needed(
+            DELAYED_ANSWER_CHECK_INTERVAL_SECONDS, self.answer_delayed
+        )
+        self.app.scheduler.every(LIVENESS_CHECK_INTERVAL_SECONDS, self.check_liveness)
 
     @property
     def ready(self) -> bool:
@@ -141,11 +143,15 @@
         return self.state is TargetState.READY
 
     @property
-    def life(self) -> str:
+    def incarnation(self) -> str:
         """The present start of the target; empty when there is none."""
-        return self.report.life if self.report is not None and self.state is not TargetState.ABSENT else ""
+        return (
+            self.last_heartbeat.incarnation
+            if self.last_heartbeat is not None and self.state is not TargetState.ABSENT
+            else ""
+        )
 
-    def on_report(self, report: TargetReport, reply: ReportAnswer) -> None:
+    def on_heartbeat(self, report: TargetHeartbeat, reply: GrantReply) -> None:
         """Take a report; ``reply`` gets what the target is to hold, or None to renew nothing.
 
         Raises
@@ -155,98 +161,100 @@
         """
         if report.service != self.settings.service:
             raise InvalidArgument(name="service", value=report.service, expected=self.settings.service)
-        if self.outdated(report):
+        if self.is_outdated(report):
             log_events.emit(
-                events.ReportOutdated(target=report.target, life=report.life, sequence=report.sequence)
+                events.ReportOutdated(target=report.target, life=report.incarnation, sequence=report.sequence)
             )
             reply(None)
             return
         now = self.app.clock.monotonic()
-        former, former_state = self.life, self.state
-        self.report = report
-        self.ended = False
-        self.seen_at = self.reported_at = now
+        former, former_state = self.incarnation, self.state
+        self.last_heartbeat = report
+        self.process_ended = False
+        self.last_seen_at = self.last_heartbeat_at = now
         if report.cold_seconds > 0.0:
-            self.note_cold(report.cold_seconds)
-        draining = report.draining or report.life in self.left_lives
+            self.notify_cold(report.cold_seconds)
+        draining = report.draining or report.incarnation in self.leaving_incarnations
         self.state = TargetState.DRAINING if draining else TargetState.READY
-        if self.life != former or self.state is not former_state:
+        if self.incarnation != former or self.state is not former_state:
             log_events.emit(
-                events.TargetChanged(target=report.target, life=report.life, state=self.state.value)
+                events.TargetChanged(target=report.target, life=report.incarnation, state=self.state.value)
             )
-            self.changed()
-        if self.pending is not None:
+            self.notify_changed()
+        if self.delayed_answer is not None:
             # The target has gone on to this report, and counts its hold from here.
-            self.pending.reply(None)
-            self.pending = None
-        if self.state is TargetState.READY and self.grants_soon():
-            self.pending = PendingAnswer(report, reply, now + ANSWER_SECONDS)
+            self.delayed_answer.reply(None)
+            self.delayed_answer = None
+        if self.state is TargetState.READY and self.grant_imminent():
+            self.delayed_answer = DelayedAnswer(report, reply, now + MAX_ANSWER_DELAY_SECONDS)
             self.answer_timer.wake()
         else:
-            reply(self.grant(report) if self.grant is not None else None)
+            reply(self.make_grant(report) if self.make_grant is not None else None)
 
-    def check_pending(self) -> bool:
+    def answer_delayed(self) -> bool:
         """Answer a held report when its keys are there or its time is over; True while one waits."""
-        pending = self.pending
+        pending = self.delayed_answer
         if pending is None:
             return False
-        if self.app.clock.monotonic() < pending.due and self.grants_soon():
+        if self.app.clock.monotonic() < pending.deadline and self.grant_imminent():
             return True
-        self.pending = None
-        pending.reply(self.grant(pending.report) if self.grant is not None else None)
+        self.delayed_answer = None
+        pending.reply(self.make_grant(pending.heartbeat) if self.make_grant is not None else None)
         return False
 
-    def outdated(self, report: TargetReport) -> bool:
+    def is_outdated(self, report: TargetHeartbeat) -> bool:
         """Return whether a report was overtaken by a later one, or is from an earlier start."""
-        known = self.report
-        if known is None or report.life == known.life:
+        known = self.last_heartbeat
+        if known is None or report.incarnation == known.incarnation:
             return known is not None and report.sequence <= known.sequence
-        if report.life in self.left_lives and not report.draining:
+        if report.incarnation in self.leaving_incarnations and not report.draining:
             return True
         return 0 < report.started_ms < known.started_ms
 
     def on_leave(self, target: str, started_ms: int) -> None:
         """Take the notice of a target that it leaves; a late notice of an earlier start changes nothing."""
-        report = self.report
+        report = self.last_heartbeat
         if report is None or report.target != target:
             return
         if started_ms and report.started_ms and started_ms != report.started_ms:
             return
-        self.left_lives.add(report.life)
+        self.leaving_incarnations.add(report.incarnation)
         if self.state is TargetState.READY:
             self.state = TargetState.DRAINING
-            log_events.emit(events.TargetChanged(target=target, life=report.life, state=self.state.value))
-            self.changed()
+            log_events.emit(
+                events.TargetChanged(target=target, life=report.incarnation, state=self.state.value)
+            )
+            self.notify_changed()
 
-    def note_cold(self, seconds: float) -> None:
+    def notify_cold(self, seconds: float) -> None:
         """Take over that the target stays cold for a time."""
         for listener in self.on_cold:
             listener(seconds)
 
-    def answered(self) -> None:
+    def record_answer(self) -> None:
         """Note that the target answered a request."""
-        self.seen_at = self.app.clock.monotonic()
+        self.last_seen_at = self.app.clock.monotonic()
 
-    def refused(self) -> None:
+    def on_connection_refused(self) -> None:
         """Note that nobody listens at the target's address."""
-        self.gone(REFUSED)
+        self.mark_absent(REASON_CONNECTION_REFUSED)
 
-    def check(self) -> None:
+    def check_liveness(self) -> None:
         """Declare a target gone that neither reports nor answers."""
-        silence = self.app.clock.monotonic() - self.seen_at
-        if silence > MISSED_REPORTS * self.settings.heartbeat:
-            self.gone("silent")
+        silence = self.app.clock.monotonic() - self.last_seen_at
+        if silence > MAX_MISSED_HEARTBEATS * self.settings.heartbeat:
+            self.mark_absent("silent")
 
-    def gone(self, reason: str) -> None:
+    def mark_absent(self, reason: str) -> None:
         """Declare the target gone until its next report."""
         if self.state is TargetState.ABSENT:
             return
-        log_events.emit(events.TargetGone(target=self.report.target, reason=reason))
+        log_events.emit(events.TargetGone(target=self.last_heartbeat.target, reason=reason))
         self.state = TargetState.ABSENT
-        self.ended = reason == REFUSED
-        self.changed()
+        self.process_ended = reason == REASON_CONNECTION_REFUSED
+        self.notify_changed()
 
-    def changed(self) -> None:
+    def notify_changed(self) -> None:
         """Tell the listeners."""
         for listener in self.on_change:
             listener()
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -22,16 +22,16 @@
 from hibiscusdrum.internal.router.settings import RouterSettings
 
 NODE_PREFIX = "node/"
-RETRY_SECONDS = 0.3
+PUBLISH_RETRY_SECONDS = 0.3
 # A target reports every 1 to 1.5 s; one that has not reported by then is gone.
-FIRST_REPORT_SECONDS = 4.0
+FIRST_HEARTBEAT_TIMEOUT_SECONDS = 4.0
 # Wait after a failed read of the rows, at first and at most.
-FAILED_READ_SECONDS = 0.2
-MAX_FAILED_READ_SECONDS = 0.5
+READ_BACKOFF_SECONDS = 0.2
+MAX_READ_BACKOFF_SECONDS = 0.5
 # Wait after a read that brought rows, for each node of the system and at most. Each change wakes every node,
 # so that a fleet whose nodes all publish would otherwise make calls by the square of its size.
-GATHER_SECONDS_PER_NODE = 0.015
-MAX_GATHER_SECONDS = 1.0
+CHANGE_BATCH_SECONDS_PER_NODE = 0.015
+MAX_CHANGE_BATCH_SECONDS = 1.0
 
 RowListener = Callable[[Row], None]
 
@@ -75,20 +75,20 @@
         self.nodes: dict[str, NodeRow] = {}
         self.by_service: dict[str, list[NodeRow]] = {}
         self.candidate_cache: dict[tuple[str, tuple[str, ...]], list[Candidate]] = {}
-        self.versions: dict[str, int] = {}
-        self.seq = 0
+        self.row_versions: dict[str, int] = {}
+        self.last_seq = 0
         self.loaded = False
-        self.failures = 0
-        self.evacuated: frozenset[str] = frozenset()
-        self.listeners: dict[str, RowListener] = {}
+        self.failed_reads = 0
+        self.evacuated_domains: frozenset[str] = frozenset()
+        self.row_listeners: dict[str, RowListener] = {}
         self.on_change: list[Callable[[], None]] = []
-        self.writing = False
-        self.own_key = NODE_PREFIX + settings.node
-        self.own_version = 0
-        self.published: NodeRow | None = None
+        self.publishing = False
+        self.local_row_key = NODE_PREFIX + settings.node
+        self.local_row_version = 0
+        self.published_row: NodeRow | None = None
         self.leaving = False
-        self.reachable = True
-        self.silent_until = 0.0
+        self.store_reachable = True
+        self.first_heartbeat_deadline = 0.0
         self.rng = random.Random(settings.node)
 
     def on_start(self) -> None:
@@ -96,78 +96,78 @@
         self.table = self.app.find("table")
         self.target: LocalTarget = self.app.find("local_target")
         self.target.on_change.append(self.publish)
-        self.silent_until = self.app.clock.monotonic() + FIRST_REPORT_SECONDS
-        self.app.scheduler.call_later(FIRST_REPORT_SECONDS + 0.01, self.publish)
-        self.read()
+        self.first_heartbeat_deadline = self.app.clock.monotonic() + FIRST_HEARTBEAT_TIMEOUT_SECONDS
+        self.app.scheduler.call_later(FIRST_HEARTBEAT_TIMEOUT_SECONDS + 0.01, self.publish)
+        self.poll_changes()
 
     # Reading
 
-    def read(self) -> None:
+    def poll_changes(self) -> None:
         """Wait for the rows that changed since the last read."""
-        self.table.changes(self.seq, self.on_changes)
+        self.table.changes(self.last_seq, self.on_changes)
 
     def on_changes(self, result: Result[Changes, HibiscusdrumError]) -> None:
         """Apply changed rows and read on."""
         if not isinstance(result, Success):
-            self.failures += 1
-            self.note_reachable(False, result.failure().code)
-            wait = full_jitter(self.failures, self.rng, FAILED_READ_SECONDS, MAX_FAILED_READ_SECONDS)
-            self.app.scheduler.call_later(wait, self.read)
+            self.failed_reads += 1
+            self.set_store_reachable(False, result.failure().code)
+            wait = full_jitter(self.failed_reads, self.rng, READ_BACKOFF_SECONDS, MAX_READ_BACKOFF_SECONDS)
+            self.app.scheduler.call_later(wait, self.poll_changes)
             return
-        self.failures = 0
-        self.note_reachable(True, "")
+        self.failed_reads = 0
+        self.set_store_reachable(True, "")
         changes = result.unwrap()
-        self.seq = max(self.seq, changes.seq)
+        self.last_seq = max(self.last_seq, changes.seq)
         for row in changes.rows:
-            self.apply(row)
+            self.apply_row(row)
         if changes.complete:
-            self.drop_missing(changes)
+            self.apply_missed_deletions(changes)
         first = not self.loaded
         self.loaded = True
         if changes.rows or first:
-            self.rows_changed()
+            self.notify_rows_changed()
         # Another node may have removed the row of one that was silent for long.
         self.publish()
         if changes.rows:
-            self.app.scheduler.call_later(self.gather_seconds, self.read)
+            self.app.scheduler.call_later(self.change_batch_seconds, self.poll_changes)
         else:
-            self.read()
+            self.poll_changes()
 
     @property
-    def gather_seconds(self) -> float:
+    def change_batch_seconds(self) -> float:
         """Seconds for which further changes are left to gather, so that one read brings many."""
-        return min(MAX_GATHER_SECONDS, GATHER_SECONDS_PER_NODE * len(self.nodes))
+        return min(MAX_CHANGE_BATCH_SECONDS, CHANGE_BATCH_SECONDS_PER_NODE * len(self.nodes))
 
-    def drop_missing(self, changes: Changes) -> None:
+    def apply_missed_deletions(self, changes: Changes) -> None:
         """Forget the rows that were deleted while the store could not tell the changes one by one."""
         present = {row.key for row in changes.rows}
-        for key, version in list(self.versions.items()):
+        for key, version in list(self.row_versions.items()):
             if key not in present and version < changes.seq:
-                self.apply(Row(key, changes.seq))
+                self.apply_row(Row(key, changes.seq))
 
-    def note_reachable(self, reachable: bool, reason: str) -> None:
+    def set_store_reachable(self, reachable: bool, reason: str) -> None:
         """Log that the store was lost or regained."""
-        if reachable == self.reachable:
+        if reachable == self.store_reachable:
             return
-        self.reachable = reachable
+        self.store_reachable = reachable
         if reachable:
-            log_events.emit(events.StoreRegained(operation="changes", version=self.seq))
+            log_events.emit(events.StoreRegained(operation="changes", version=self.last_seq))
         else:
-            log_events.emit(events.StoreLost(operation="changes", reason=reason, version=self.seq))
+            log_events.emit(events.StoreLost(operation="changes", reason=reason, version=self.last_seq))
 
-    def apply(self, row: Row) -> None:
+    def apply_row(self, row: Row) -> None:
         """Take over one row if it is newer than the known one."""
-        if row.version <= self.versions.get(row.key, 0):
+        if row.version <= self.row_versions.get(row.key, 0):
             return
-        self.versions[row.key] = row.version
+        self.row_versions[row.key] = row.version
         if row.key.startswith(NODE_PREFIX):
-            self.apply_node(row.key[len(NODE_PREFIX) :], row)
+            self.apply_node_row(row.key[len(NODE_PREFIX) :], row)
             return
-        listener = self.listeners.get(row.key.partition("/")[0])
+        listener = self.row_listeners.get(row.key.partition("/")[0])
         if listener is not None:
             listener(row)
 
-    def apply_node(self, name: str, row: Row) -> None:
+    def apply_node_row(self, name: str, row: Row) -> None:
         """Take over the row of a node."""
         value: NodeRow | None = None
         if row.value is not None:
@@ -181,10 +181,10 @@
         else:
             self.nodes[name] = value
         if name == self.settings.node:
-            self.published = value
-            self.own_version = row.version if value is not None else 0
+            self.published_row = value
+            self.local_row_version = row.version if value is not None else 0
 
-    def rows_changed(self) -> None:
+    def notify_rows_changed(self) -> None:
         """Index the nodes and tell the listeners."""
         self.by_service = {}
         for row in sorted(self.nodes.values(), key=lambda row: row.node):
@@ -195,7 +195,7 @@
 
     # Writing
 
-    def own_row(self) -> NodeRow:
+    def local_row(self) -> NodeRow:
         """Return the row that this node should have."""
         settings = self.settings
         return NodeRow(
@@ -204,61 +204,63 @@
             failure_domain=settings.failure_domain,
             service=settings.service,
             peer_address=settings.peer_address,
-            life=self.target.life,
+            life=self.target.incarnation,
             accepting=self.target.ready,
         )
 
     def publish(self) -> None:
         """Write this node's row when it differs from the stored one."""
-        row = self.own_row()
-        if self.writing or not self.loaded or self.leaving or row == self.published:
+        row = self.local_row()
+        if self.publishing or not self.loaded or self.leaving or row == self.published_row:
             return
-        if self.published is None and not row.life:
+        if self.published_row is None and not row.life:
             return
-        if self.target.report is None and self.app.clock.monotonic() < self.silent_until:
+        if self.target.last_heartbeat is None and self.app.clock.monotonic() < self.first_heartbeat_deadline:
             # After a restart of this process alone the row still holds.
             return
-        self.writing = True
-        puts = {self.own_key: msgspec.to_builtins(row)}
-        transaction = Transaction(new_operation_id(), {self.own_key: self.own_version}, puts)
-        self.table.commit(transaction, lambda result: self.written(row, result))
+        self.publishing = True
+        puts = {self.local_row_key: msgspec.to_builtins(row)}
+        transaction = Transaction(new_operation_id(), {self.local_row_key: self.local_row_version}, puts)
+        self.table.commit(transaction, lambda result: self.on_published(row, result))
 
-    def written(self, row: NodeRow, result: Result[int, HibiscusdrumError]) -> None:
+    def on_published(self, row: NodeRow, result: Result[int, HibiscusdrumError]) -> None:
         """Note the outcome; a failed write is repeated after a look at the stored row."""
         if not isinstance(result, Success):
-            delay = RETRY_SECONDS * (0.5 + self.rng.random())
-            self.app.scheduler.call_later(delay, self.read_own)
+            delay = PUBLISH_RETRY_SECONDS * (0.5 + self.rng.random())
+            self.app.scheduler.call_later(delay, self.reread_local_row)
             return
-        self.writing = False
-        self.apply(Row(self.own_key, result.unwrap(), msgspec.to_builtins(row)))
-        self.rows_changed()
+        self.publishing = False
+        self.apply_row(Row(self.local_row_key, result.unwrap(), msgspec.to_builtins(row)))
+        self.notify_rows_changed()
         log_events.emit(events.NodePublished(life=row.life, accepting=row.accepting, version=result.unwrap()))
         self.publish()
 
-    def read_own(self) -> None:
+    def reread_local_row(self) -> None:
         """Read the own row, which a write without an answer may have changed, then publish again."""
 
         def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             if not isinstance(result, Success):
-                self.app.scheduler.call_later(RETRY_SECONDS, self.read_own)
+                self.app.scheduler.call_later(PUBLISH_RETRY_SECONDS, self.reread_local_row)
                 return
-            self.writing = False
-            row = result.unwrap().get(self.own_key)
+            self.publishing = False
+            row = result.unwrap().get(self.local_row_key)
             if row is not None:
-                self.apply(row)
-            elif self.published is not None:
-                self.own_version, self.published = 0, None
+                self.apply_row(row)
+            elif self.published_row is not None:
+                self.local_row_version, self.published_row = 0, None
             self.publish()
 
-        self.table.read((self.own_key,), done)
+        self.table.read((self.local_row_key,), done)
 
-    def leave(self, done: Callable[[], None]) -> None:
+    def remove_local_row(self, done: Callable[[], None]) -> None:
         """Remove the own row, because this VM ends; ``done`` is called when the store has answered."""
         self.leaving = True
-        if self.published is None:
+        if self.published_row is None:
             done()
             return
-        transaction = Transaction(new_operation_id(), {self.own_key: self.own_version}, {}, (self.own_key,))
+        transaction = Transaction(
+            new_operation_id(), {self.local_row_key: self.local_row_version}, {}, (self.local_row_key,)
+        )
         self.table.commit(transaction, lambda _result: done())
 
     # Questions
@@ -271,31 +273,31 @@
                 Candidate(row.node, row.region, row.failure_domain)
                 for row in self.by_service.get(service, ())
                 if row.accepting
-                and row.failure_domain not in self.evacuated
+                and row.failure_domain not in self.evacuated_domains
                 and (not regions or row.region in regions)
             ]
             self.candidate_cache[service, regions] = cached
         return cached
 
-    def region(self, node: str) -> str:
+    def region_of(self, node: str) -> str:
         """Return the region of a node; empty when the node is not known."""
         row = self.nodes.get(node)
         return row.region if row is not None else ""
 
-    def set_evacuated(self, failure_domains: frozenset[str]) -> None:
+    def set_evacuated_domains(self, failure_domains: frozenset[str]) -> None:
         """Take over which failure domains are to get nothing."""
-        if failure_domains == self.evacuated:
+        if failure_domains == self.evacuated_domains:
             return
-        self.evacuated = failure_domains
+        self.evacuated_domains = failure_domains
         self.candidate_cache.clear()
         log_events.emit(events.EvacuationChanged(failure_domains=tuple(sorted(failure_domains))))
         for listener in self.on_change:
             listener()
 
-    def owners(self, service: str) -> list[Owner]:
+    def eligible_owners(self, service: str) -> list[Owner]:
         """Return the targets of a service that may take keys."""
         return [
             Owner(row.node, row.life)
             for row in self.by_service.get(service, ())
-            if row.accepting and row.life and row.failure_domain not in self.evacuated
+            if row.accepting and row.life and row.failure_domain not in self.evacuated_domains
         ]
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -88,10 +88,10 @@
             "running": admission.running,
             "queued": admission.queued,
             "service_seconds": round(admission.mean_service_seconds, 4),
-            "stripes": len(self.range_owner.granted),
-            "lease_seconds": round(self.range_owner.keeper.remaining, 3),
+            "stripes": len(self.range_owner.granted_stripes),
+            "lease_seconds": round(self.range_owner.keeper.remaining_seconds, 3),
             "nodes": len(self.members.nodes),
-            "store_reachable": int(self.members.reachable),
+            "store_reachable": int(self.members.store_reachable),
         }
         for name, value in gauges.items():
             lines += [f"# TYPE hibiscusdrum_{name} gauge", f"hibiscusdrum_{name} {value}"]
--- a/src/hibiscusdrum/internal/router/range_lease.py
+++ b/src/hibiscusdrum/internal/router/range_lease.py
@@ -13,10 +13,10 @@
 
 # Term of a lease in seconds. A node that falls silent keeps its keys for this long; the store may be away for
 # the difference to the renewal interval without a lapse.
-TERM_SECONDS = 9.0
-RENEWAL_SECONDS = 2.5
+LEASE_TERM_SECONDS = 9.0
+LEASE_RENEWAL_INTERVAL_SECONDS = 2.5
 # The store's clock and the node's may differ in rate by this much.
-DRIFT = 0.005
+MAX_CLOCK_DRIFT = 0.005
 # Waited beyond the end of a lease before others take over; covers the rounding of both clocks.
 TAKEOVER_MARGIN_SECONDS = 0.3
 
@@ -47,11 +47,11 @@
         Whether an answer has been stamped.
     """
 
-    __slots__ = ("known", "offset")
+    __slots__ = ("max_offset", "observed")
 
     def __init__(self) -> None:
-        self.known = False
-        self.offset = 0.0
+        self.observed = False
+        self.max_offset = 0.0
 
     def observe(self, sent_at: float, store_time: float) -> None:
         """Note the stamp of an answer.
@@ -65,17 +65,17 @@
         """
         offset = store_time - sent_at
         # The stamp was made after sending, so every observation bounds the true offset from above.
-        if not self.known or offset < self.offset:
-            self.offset = offset
-            self.known = True
+        if not self.observed or offset < self.max_offset:
+            self.max_offset = offset
+            self.observed = True
 
-    def latest(self, now: float) -> float:
+    def upper_bound(self, now: float) -> float:
         """Return an upper bound of the store's present time."""
-        return now + self.offset
+        return now + self.max_offset
 
     def reset(self) -> None:
         """Forget the estimate, for example when the store's clock was replaced."""
-        self.known = False
+        self.observed = False
 
 
 class RangeLease:
@@ -87,41 +87,44 @@
         The incarnation differs with each start of the process.
     """
 
-    __slots__ = ("clock", "ends", "incarnation", "node", "version")
+    __slots__ = ("expires_at", "incarnation", "node", "row_version", "store_clock")
 
     def __init__(self, node: str, incarnation: str) -> None:
         self.node = node
         self.incarnation = incarnation
-        self.clock = StoreClock()
-        self.ends = 0.0
-        self.version = 0
+        self.store_clock = StoreClock()
+        self.expires_at = 0.0
+        self.row_version = 0
 
-    def proposal(self, now: float, load: OwnerLoad | None = None) -> LeaseRow:
+    def next_row(self, now: float, load: OwnerLoad | None = None) -> LeaseRow:
         """Return the row to write; the term counts from before it is sent."""
-        ends = self.clock.latest(now) + TERM_SECONDS
+        ends = self.store_clock.upper_bound(now) + LEASE_TERM_SECONDS
         return LeaseRow(self.node, self.incarnation, ends, load or OwnerLoad())
 
-    def written(self, row: LeaseRow, version: int) -> None:
+    def record_written(self, row: LeaseRow, version: int) -> None:
         """Note that a proposal is in the store."""
-        self.ends = row.ends
-        self.version = version
+        self.expires_at = row.ends
+        self.row_version = version
 
-    def lost(self) -> None:
+    def record_lost(self) -> None:
         """Note that the row was removed or replaced."""
-        self.ends = 0.0
-        self.version = 0
+        self.expires_at = 0.0
+        self.row_version = 0
 
-    def remaining(self, now: float) -> float:
+    def remaining_seconds(self, now: float) -> float:
         """Return the seconds for which the node may let its target hold keys; 0 when lapsed."""
-        if not self.ends:
+        if not self.expires_at:
             return 0.0
-        return max(0.0, (self.ends - self.clock.latest(now)) * (1.0 - DRIFT))
+        return max(0.0, (self.expires_at - self.store_clock.upper_bound(now)) * (1.0 - MAX_CLOCK_DRIFT))
 
-    def renewal_due(self, now: float) -> bool:
+    def is_renewal_due(self, now: float) -> bool:
         """Return whether the lease should be written again."""
-        return self.clock.known and self.remaining(now) < TERM_SECONDS - RENEWAL_SECONDS
+        return (
+            self.store_clock.observed
+            and self.remaining_seconds(now) < LEASE_TERM_SECONDS - LEASE_RENEWAL_INTERVAL_SECONDS
+        )
 
 
-def expired(row: LeaseRow, store_time: float) -> bool:
+def is_expired(row: LeaseRow, store_time: float) -> bool:
     """Return whether a lease has ended at a time of the store's clock."""
     return store_time > row.ends + TAKEOVER_MARGIN_SECONDS
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -22,63 +22,63 @@
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router import ring as ring_edits
 from hibiscusdrum.internal.router.key_load import (
-    BELOW_MEAN,
-    OVERLOADED,
+    OVERLOAD_RATIO,
+    RECEIVER_MEAN_FACTOR,
     KeyLoad,
     OwnerLoad,
-    gives_first,
+    may_offload,
     mean_ratio,
-    relief_pause,
-    relieve,
+    plan_offload,
+    ring_quiet_seconds,
 )
 from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper, lease_key
-from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetReport, TargetState
+from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetHeartbeat, TargetState
 from hibiscusdrum.internal.router.members import NODE_PREFIX, Members
-from hibiscusdrum.internal.router.range_lease import LeaseRow, expired
+from hibiscusdrum.internal.router.range_lease import LeaseRow, is_expired
 from hibiscusdrum.internal.router.ring import Owner, Ring
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.settings import RouterSettings
 
-TICK_SECONDS = 0.2
-LOAD_SECONDS = 1.0
+RECONCILE_INTERVAL_SECONDS = 0.2
+LOAD_UPDATE_INTERVAL_SECONDS = 1.0
 # Hold of the target in seconds: long enough for two lost reports, short enough that the keys of a target that
 # went silent soon have another owner.
-HOLD_SECONDS = 5.0
+GRANT_SECONDS = 5.0
 # A target's clock may run this much slow, which lengthens its hold.
-TARGET_CLOCK_SLOW = 1.025
+TARGET_CLOCK_DRIFT_FACTOR = 1.025
 # The hold is counted from when the report was sent; requests are not started in its last part.
-HOLD_MARGIN_SECONDS = 0.15
+GRANT_MARGIN_SECONDS = 0.15
 # Time in which all targets report for the first time before a ring is made, and without a new one.
-BOOTSTRAP_SECONDS = 2.0
-BOOTSTRAP_QUIET_SECONDS = 1.2
+RING_CREATION_DELAY_SECONDS = 2.0
+MEMBERSHIP_QUIET_SECONDS = 1.2
 # Time between looks at the leases for the first nodes in a fixed order, and for the others.
-WATCH_SECONDS = 1.0
-SLOW_WATCH_SECONDS = 5.0
-WATCHERS = 3
+LEASE_CHECK_INTERVAL_SECONDS = 1.0
+STANDBY_LEASE_CHECK_INTERVAL_SECONDS = 5.0
+PRIMARY_LEASE_CHECKERS = 3
 # A node without a lease row counts as gone after this long; a new owner writes its row within it.
-MISSING_LEASE_SECONDS = 4.0
+MISSING_LEASE_TIMEOUT_SECONDS = 4.0
 # After the store was away its nodes get this long to renew before they count as gone.
-REGAINED_GRACE_SECONDS = 2.5
+STORE_RECOVERY_GRACE_SECONDS = 2.5
 # Targets that start together each need new tokens. Each daemon waits a random time of up to this much for
 # each owner, and then renews the tokens of all, so that most find theirs renewed.
-ADOPT_SECONDS_PER_OWNER = 0.01
+REASSIGN_JITTER_SECONDS_PER_OWNER = 0.01
 # Time between looks of an overloaded owner for others with less to do, and after a handover for that reason:
 # loads are published with each renewal of a lease.
-RELIEF_SECONDS = 3.0
-AFTER_RELIEF_SECONDS = 6.0
+OFFLOAD_CHECK_INTERVAL_SECONDS = 3.0
+OFFLOAD_COOLDOWN_SECONDS = 6.0
 # Requests for keys that are to be given away are refused this long before the target's next report, so that
 # none is still queued when the target gives them back.
-LAST_SERVED_SECONDS = 0.4
+HANDOVER_QUIESCE_SECONDS = 0.4
 # A newcomer waits this long for stripes of others, so that restarts in a row do not move keys each time.
-REBALANCE_SECONDS = 2.0
+REBALANCE_DELAY_SECONDS = 2.0
 
 
 class KeyState(enum.Enum):
     """What this node can do with a request for a key."""
 
-    HELD = "held"
-    EXPECTED = "expected"
-    FOREIGN = "foreign"
+    GRANTED = "held"
+    GRANT_PENDING = "expected"
+    NOT_OWNED = "foreign"
 
 
 class RangeOwner(Service):
@@ -101,46 +101,46 @@
         self.settings = settings
         self.node = settings.node
         self.partitioned: bool | None = None
-        self.started_at = 0.0
-        self.busy = False
-        self.giving: dict[int, Owner] = {}
-        self.granted: set[int] = set()
+        self.process_started_at = 0.0
+        self.reading_leases = False
+        self.outgoing_stripes: dict[int, Owner] = {}
+        self.granted_stripes: set[int] = set()
         self.granted_until = 0.0
-        self.granted_life = ""
-        self.ungranted_at: dict[int, float] = {}
-        self.released: dict[int, str] = {}
+        self.granted_incarnation = ""
+        self.revoked_at: dict[int, float] = {}
+        self.handover_tokens: dict[int, str] = {}
         self.owners_changed_at = 0.0
-        self.known_owners: list[Owner] = []
+        self.eligible_owners: list[Owner] = []
         self.first_owner_at: float | None = None
-        self.watched_at = 0.0
-        self.missing_since: dict[str, float] = {}
-        self.reachable_since = 0.0
-        self.uneven_since: float | None = None
-        self.adopt_at: float | None = None
+        self.leases_checked_at = 0.0
+        self.lease_missing_since: dict[str, float] = {}
+        self.store_unreachable_at = 0.0
+        self.imbalance_since: float | None = None
+        self.reassign_at: float | None = None
         self.key_load = KeyLoad()
-        self.loads: dict[str, OwnerLoad] = {}
-        self.relieved_at = float("-inf")
+        self.owner_loads: dict[str, OwnerLoad] = {}
+        self.offloaded_at = float("-inf")
         self.rng = random.Random(settings.node)
         self.on_granted: list[Callable[[], None]] = []
 
     def on_start(self) -> None:
         """Follow rows and the target."""
-        self.started_at = self.now
+        self.process_started_at = self.now
         self.table = self.app.find("table")
         self.members: Members = self.app.find("members")
         self.target: LocalTarget = self.app.find("local_target")
         self.rings: Rings = self.app.find("rings")
-        self.rings.on_written.append(self.forget_tokens)
+        self.rings.on_written.append(self.drop_foreign_tokens)
         # Many nodes write the same row: the sooner after a read, the fewer others come in between.
-        self.rings.on_reread = self.tick
-        self.members.on_change.append(self.on_members)
-        self.target.grant = self.grant
-        self.target.grants_soon = self.grants_soon
-        self.target.on_change.append(self.on_target)
+        self.rings.on_reread = self.reconcile
+        self.members.on_change.append(self.on_members_change)
+        self.target.make_grant = self.make_grant
+        self.target.grant_imminent = self.grant_imminent
+        self.target.on_change.append(self.on_target_change)
         self.keeper: LeaseKeeper = self.app.find("lease_keeper")
-        self.keeper.on_first_write = self.read_ring
-        self.keeper.load = self.own_load
-        self.app.scheduler.every(TICK_SECONDS, self.tick)
+        self.keeper.on_first_write = self.sync_ring
+        self.keeper.current_load = self.local_load
+        self.app.scheduler.every(RECONCILE_INTERVAL_SECONDS, self.reconcile)
 
     @property
     def now(self) -> float:
@@ -148,9 +148,9 @@
         return self.app.clock.monotonic()
 
     @property
-    def ring(self) -> Ring | None:
+    def local_ring(self) -> Ring | None:
         """The ring of this node's service."""
-        return self.rings.own
+        return self.rings.local_ring
 
     def set_partitioned(self, partitioned: bool) -> None:
         """Take over whether this node's service is divided by key."""
@@ -158,137 +158,143 @@
 
     # Rows
 
-    def on_members(self) -> None:
+    def on_members_change(self) -> None:
         """Note when the owners last changed."""
-        owners = self.members.owners(self.settings.service)
-        if owners != self.known_owners:
-            self.known_owners = owners
+        owners = self.members.eligible_owners(self.settings.service)
+        if owners != self.eligible_owners:
+            self.eligible_owners = owners
             self.owners_changed_at = self.now
             if owners and self.first_owner_at is None:
                 self.first_owner_at = self.now
 
-    def on_target(self) -> None:
+    def on_target_change(self) -> None:
         """Act at once when the target starts anew, drains or goes."""
         if self.partitioned:
-            self.app.scheduler.call_later(0.0, self.tick)
+            self.app.scheduler.call_later(0.0, self.reconcile)
 
     # The target
 
     @property
-    def me(self) -> Owner:
+    def local_owner(self) -> Owner:
         """The target of this node as an owner."""
-        return Owner(self.node, self.target.life)
+        return Owner(self.node, self.target.incarnation)
 
-    def mine(self) -> list[int]:
+    def local_stripes(self) -> list[int]:
         """Return the stripes that the present start of the target owns."""
-        ring, me = self.ring, self.me
-        if ring is None or not me.life:
+        ring, me = self.local_ring, self.local_owner
+        if ring is None or not me.incarnation:
             return []
         return [
             index
             for index, stripe in enumerate(ring.stripes)
-            if stripe.owner != ring_edits.UNOWNED and ring.owners[stripe.owner] == me
+            if stripe.owner_index != ring_edits.UNOWNED and ring.owners[stripe.owner_index] == me
         ]
 
     @property
-    def emptying(self) -> bool:
+    def must_release_all(self) -> bool:
         """Whether the target is to give all its keys back."""
-        return not self.target.ready or self.settings.failure_domain in self.members.evacuated
+        return not self.target.ready or self.settings.failure_domain in self.members.evacuated_domains
 
-    def grant(self, report: TargetReport) -> Grant | None:
+    def make_grant(self, report: TargetHeartbeat) -> Grant | None:
         """Answer a report with everything that the target is to hold, or None to renew nothing."""
         if not self.partitioned:
             return None
-        self.note_released(report)
-        now, ring = self.now, self.ring
-        remaining = self.keeper.remaining / TARGET_CLOCK_SLOW
-        seconds = min(self.settings.longest_hold, HOLD_SECONDS, remaining)
-        if ring is None or seconds <= HOLD_MARGIN_SECONDS:
+        self.record_released(report)
+        now, ring = self.now, self.local_ring
+        remaining = self.keeper.remaining_seconds / TARGET_CLOCK_DRIFT_FACTOR
+        seconds = min(self.settings.longest_hold, GRANT_SECONDS, remaining)
+        if ring is None or seconds <= GRANT_MARGIN_SECONDS:
             return None
-        keep = set() if self.emptying else set(self.mine()) - set(self.giving) - self.rings.uncertain
-        for index in self.granted - keep:
-            self.ungranted_at[index] = now
+        keep = (
+            set()
+            if self.must_release_all
+            else set(self.local_stripes()) - set(self.outgoing_stripes) - self.rings.uncertain_stripes
+        )
+        for index in self.granted_stripes - keep:
+            self.revoked_at[index] = now
         for index in keep:
-            self.ungranted_at.pop(index, None)
-            self.released.pop(index, None)
-        gained = keep - self.granted or report.life != self.granted_life
-        self.granted, self.granted_life = keep, report.life
+            self.revoked_at.pop(index, None)
+            self.handover_tokens.pop(index, None)
+        gained = keep - self.granted_stripes or report.incarnation != self.granted_incarnation
+        self.granted_stripes, self.granted_incarnation = keep, report.incarnation
         # The target counts its hold from when it sent the report, which may have been answered late.
-        self.granted_until = self.target.reported_at + seconds
-        ranges = ring.ranges(keep)[: ring_edits.LARGEST_RANGE_COUNT + 20]
+        self.granted_until = self.target.last_heartbeat_at + seconds
+        ranges = ring.key_ranges(keep)[: ring_edits.MAX_RANGES_PER_TARGET + 20]
         if gained:
-            self.app.scheduler.call_later(0.0, self.tell_granted)
+            self.app.scheduler.call_later(0.0, self.notify_granted)
         return Grant(ranges, seconds)
 
-    def grants_soon(self) -> bool:
+    def grant_imminent(self) -> bool:
         """Return whether the target's keys wait only for a first read or a write of this node."""
-        ring = self.ring
-        if not self.members.reachable:
+        ring = self.local_ring
+        if not self.members.store_reachable:
             return False
         if self.partitioned is None or not self.members.loaded:
             return True
-        if not self.partitioned or self.emptying or ring is None:
+        if not self.partitioned or self.must_release_all or ring is None:
             return False
-        if not ring.owned_by(self.node):
+        if not ring.stripes_of(self.node):
             return False
-        return self.keeper.remaining <= HOLD_MARGIN_SECONDS or not self.mine()
+        return self.keeper.remaining_seconds <= GRANT_MARGIN_SECONDS or not self.local_stripes()
 
-    def own_load(self) -> OwnerLoad:
+    def local_load(self) -> OwnerLoad:
         """Return the load of this node's target."""
-        report = self.target.report
-        return self.key_load.load(report.slots if report is not None else 1)
+        report = self.target.last_heartbeat
+        return self.key_load.owner_load(report.slots if report is not None else 1)
 
-    def note_request(self, key: int) -> None:
+    def record_request(self, key: int) -> None:
         """Count a request for a key of this node, admitted or not."""
-        ring = self.ring
+        ring = self.local_ring
         if ring is not None:
-            self.key_load.note(ring.index(key))
+            self.key_load.record_request(ring.stripe_index(key))
 
-    def hold_lost(self) -> None:
+    def invalidate_grant(self) -> None:
         """Note that the target does not hold what it was given; its next report renews it."""
-        self.granted = set()
+        self.granted_stripes = set()
 
-    def tell_granted(self) -> None:
+    def notify_granted(self) -> None:
         """Tell the listeners that requests for new keys may be sent."""
         log_events.emit(
             events.KeysGranted(
-                stripes=len(self.granted),
-                version=self.rings.version,
+                stripes=len(self.granted_stripes),
+                version=self.rings.local_version,
                 hold_s=round(self.granted_until - self.now, 3),
             )
         )
         for listener in self.on_granted:
             listener()
 
-    def note_released(self, report: TargetReport) -> None:
+    def record_released(self, report: TargetHeartbeat) -> None:
         """Note the handover tokens of stripes that the target gave back."""
-        ring = self.ring
+        ring = self.local_ring
         if ring is None:
             return
         for released in report.released:
-            for index in range(ring.index(released.first), ring.index(released.last) + 1):
-                if index not in self.granted:
-                    self.released[index] = released.token
-        if report.released and (self.giving or self.emptying):
-            self.app.scheduler.call_later(0.0, self.tick)
+            for index in range(ring.stripe_index(released.first), ring.stripe_index(released.last) + 1):
+                if index not in self.granted_stripes:
+                    self.handover_tokens[index] = released.handover_token
+        if report.released and (self.outgoing_stripes or self.must_release_all):
+            self.app.scheduler.call_later(0.0, self.reconcile)
 
-    def state(self, key: int) -> KeyState:
+    def key_state(self, key: int) -> KeyState:
         """Return what this node can do with a request for a key now."""
-        ring = self.ring
+        ring = self.local_ring
         if ring is None or not self.partitioned:
-            return KeyState.FOREIGN
-        index = ring.index(key)
+            return KeyState.NOT_OWNED
+        index = ring.stripe_index(key)
         stripe = ring.stripes[index]
-        if stripe.owner == ring_edits.UNOWNED or ring.owners[stripe.owner].node != self.node:
-            return KeyState.FOREIGN
-        if (self.emptying or index in self.giving) and not self.still_served(index):
-            return KeyState.FOREIGN
-        held = index in self.granted and self.granted_life == self.target.life
-        if held and self.now < self.granted_until - HOLD_MARGIN_SECONDS:
-            return KeyState.HELD
-        return KeyState.EXPECTED
-
-    def still_served(self, index: int) -> bool:
+        if stripe.owner_index == ring_edits.UNOWNED or ring.owners[stripe.owner_index].node != self.node:
+            return KeyState.NOT_OWNED
+        if (self.must_release_all or index in self.outgoing_stripes) and not self.served_until_heartbeat(
+            index
+        ):
+            return KeyState.NOT_OWNED
+        held = index in self.granted_stripes and self.granted_incarnation == self.target.incarnation
+        if held and self.now < self.granted_until - GRANT_MARGIN_SECONDS:
+            return KeyState.GRANTED
+        return KeyState.GRANT_PENDING
+
+    def served_until_heartbeat(self, index: int) -> bool:
         """Return whether a stripe that is to be given away is served until the target's next report.
 
         The target holds it until that report is answered without it. A target that drains, or whose failure
@@ -296,222 +302,246 @@
         """
         if self.target.state is TargetState.ABSENT:
             return False
-        next_report = self.target.reported_at + self.settings.heartbeat
-        return index in self.granted and self.now < next_report - LAST_SERVED_SECONDS
+        next_report = self.target.last_heartbeat_at + self.settings.heartbeat
+        return index in self.granted_stripes and self.now < next_report - HANDOVER_QUIESCE_SECONDS
 
     # Periodic work
 
-    def tick(self) -> None:
+    def reconcile(self) -> None:
         """Renew the lease, and do the most urgent change of the ring."""
         if not self.partitioned or not self.members.loaded:
             return
-        if self.now - (self.key_load.updated_at or 0.0) >= LOAD_SECONDS:
+        if self.now - (self.key_load.updated_at or 0.0) >= LOAD_UPDATE_INTERVAL_SECONDS:
             self.key_load.update(self.now)
-        if not self.members.reachable:
-            self.reachable_since = self.now
-        if self.target.ready or (self.ring is not None and self.ring.owned_by(self.node)):
-            self.keeper.renew()
-        if self.busy or self.rings.busy:
+        if not self.members.store_reachable:
+            self.store_unreachable_at = self.now
+        if self.target.ready or (self.local_ring is not None and self.local_ring.stripes_of(self.node)):
+            self.keeper.renew_if_due()
+        if self.reading_leases or self.rings.write_in_progress:
             return
-        if self.ring is None:
-            self.bootstrap()
-        elif self.rings.uncertain:
-            self.rings.commit(self.ring, {}, (), "settled", len(self.rings.uncertain))
-        elif not self.adopt_new_life() and not self.give_away():
-            self.watch()
-
-    def read_ring(self) -> None:
+        if self.local_ring is None:
+            self.create_ring()
+        elif self.rings.uncertain_stripes:
+            self.rings.commit_ring(self.local_ring, {}, (), "settled", len(self.rings.uncertain_stripes))
+        elif not self.reassign_restarted() and not self.transfer_outgoing():
+            self.check_leases()
+
+    def sync_ring(self) -> None:
         """Read the ring after the first write of a lease: it may have been changed while there was none."""
 
         def done(read: bool) -> None:
-            self.keeper.synced = self.keeper.synced or read
+            self.keeper.ring_synced = self.keeper.ring_synced or read
 
-        self.rings.read(done)
+        self.rings.read_ring(done)
 
-    def forget_tokens(self) -> None:
+    def drop_foreign_tokens(self) -> None:
         """Drop the handover tokens of stripes that now belong to others."""
-        mine = set(self.mine())
-        self.released = {index: token for index, token in self.released.items() if index in mine}
+        mine = set(self.local_stripes())
+        self.handover_tokens = {
+            index: token for index, token in self.handover_tokens.items() if index in mine
+        }
 
     # Changes of the ring
 
     @property
-    def rank(self) -> int:
+    def lease_check_rank(self) -> int:
         """Position of this node in a fixed order of the service's nodes, in which domains are mixed."""
         names = sorted(
-            (owner.node for owner in self.known_owners), key=lambda name: zlib.crc32(name.encode())
+            (owner.node for owner in self.eligible_owners), key=lambda name: zlib.crc32(name.encode())
         )
         return names.index(self.node) if self.node in names else len(names)
 
-    def bootstrap(self) -> None:
+    def create_ring(self) -> None:
         """Make the ring when all targets have had time to report."""
         now = self.now
-        owners = self.members.owners(self.settings.service)
-        if self.first_owner_at is None or not self.keeper.synced:
+        owners = self.members.eligible_owners(self.settings.service)
+        if self.first_owner_at is None or not self.keeper.ring_synced:
             return
-        waited = now - self.first_owner_at - self.rank * 0.5
-        if owners and waited > BOOTSTRAP_SECONDS and now - self.owners_changed_at > BOOTSTRAP_QUIET_SECONDS:
-            self.rings.commit(ring_edits.create(owners), {}, (), "created", len(owners))
-
-    def adopt_new_life(self) -> bool:
+        waited = now - self.first_owner_at - self.lease_check_rank * 0.5
+        if (
+            owners
+            and waited > RING_CREATION_DELAY_SECONDS
+            and now - self.owners_changed_at > MEMBERSHIP_QUIET_SECONDS
+        ):
+            self.rings.commit_ring(ring_edits.create_ring(owners), {}, (), "created", len(owners))
+
+    def reassign_restarted(self) -> bool:
         """Give the stripes of an earlier start of the target to the present one, which holds nothing.
 
         Those of other nodes whose targets have started anew get new tokens by the same write.
         """
-        ring = self.ring
-        if self.emptying or self.keeper.remaining <= 0.0:
+        ring = self.local_ring
+        if self.must_release_all or self.keeper.remaining_seconds <= 0.0:
             return False
-        stale = set(ring.owned_by(self.node)) - set(self.mine())
+        stale = set(ring.stripes_of(self.node)) - set(self.local_stripes())
         if not stale:
-            self.adopt_at = None
+            self.reassign_at = None
             return False
-        if self.adopt_at is None:
-            delay = self.rng.uniform(0.0, ADOPT_SECONDS_PER_OWNER * len(ring.owners))
-            self.adopt_at = self.now + delay
-            self.app.scheduler.call_later(delay, self.tick)
-        if self.now < self.adopt_at:
+        if self.reassign_at is None:
+            delay = self.rng.uniform(0.0, REASSIGN_JITTER_SECONDS_PER_OWNER * len(ring.owners))
+            self.reassign_at = self.now + delay
+            self.app.scheduler.call_later(delay, self.reconcile)
+        if self.now < self.reassign_at:
             return True
-        moves: dict[int, Owner | None] = dict.fromkeys(stale, self.me)
-        for owner in self.restarted_elsewhere():
-            moves.update(dict.fromkeys(ring.owned_by(owner.node), owner))
-        self.adopt_at = None
-        self.rings.commit(ring_edits.reassign(ring, moves), {}, (), "restarted", len(moves))
+        moves: dict[int, Owner | None] = dict.fromkeys(stale, self.local_owner)
+        for owner in self.restarted_owners():
+            moves.update(dict.fromkeys(ring.stripes_of(owner.node), owner))
+        self.reassign_at = None
+        self.rings.commit_ring(ring_edits.reassign_stripes(ring, moves), {}, (), "restarted", len(moves))
         return True
 
-    def restarted_elsewhere(self) -> list[Owner]:
+    def restarted_owners(self) -> list[Owner]:
         """Return the present starts of other nodes' targets that the ring knows only by an earlier start."""
         started: dict[str, int] = {}
-        for owner in self.ring.owners:
+        for owner in self.local_ring.owners:
             started[owner.node] = max(started.get(owner.node, 0), owner.started_ms)
         return [
             owner
-            for owner in self.known_owners
+            for owner in self.eligible_owners
             # The row of a node may be older than the ring, and then names the earlier start.
             if owner.node != self.node and owner.started_ms > started.get(owner.node, owner.started_ms)
         ]
 
-    def movable(self, index: int) -> bool:
+    def safe_to_transfer(self, index: int) -> bool:
         """Return whether the target surely holds a stripe no more."""
-        ring, target, now = self.ring, self.target, self.now
-        longest_hold = HOLD_SECONDS * TARGET_CLOCK_SLOW
-        if now > max(self.started_at + longest_hold, self.granted_until + longest_hold - HOLD_SECONDS):
+        ring, target, now = self.local_ring, self.target, self.now
+        longest_hold = GRANT_SECONDS * TARGET_CLOCK_DRIFT_FACTOR
+        if now > max(
+            self.process_started_at + longest_hold, self.granted_until + longest_hold - GRANT_SECONDS
+        ):
             return True
-        if target.ended or index in self.released:
+        if target.process_ended or index in self.handover_tokens:
             return True
-        if target.report is None:
+        if target.last_heartbeat is None:
             return False
-        if ring.owners[ring.stripes[index].owner].life != target.report.life:
+        if ring.owners[ring.stripes[index].owner_index].incarnation != target.last_heartbeat.incarnation:
             # An earlier start of the target holds nothing any more.
             return True
-        if target.reported_at <= self.ungranted_at.get(index, now):
+        if target.last_heartbeat_at <= self.revoked_at.get(index, now):
             return False
-        first, last = ring.bounds(index)
-        return not any(held.first <= last and held.last >= first for held in target.report.held)
+        first, last = ring.key_bounds(index)
+        return not any(held.first <= last and held.last >= first for held in target.last_heartbeat.held)
 
-    def give_away(self) -> bool:
+    def transfer_outgoing(self) -> bool:
         """Hand over stripes that are to leave, as far as the target has given them back."""
-        ring = self.ring
-        if self.keeper.remaining <= 0.0:
+        ring = self.local_ring
+        if self.keeper.remaining_seconds <= 0.0:
             return False
-        owned = ring.owned_by(self.node)
-        self.giving = {index: owner for index, owner in self.giving.items() if index in owned}
-        leaving = owned if self.emptying else list(self.giving)
-        movable = [index for index in leaving if self.movable(index)]
+        owned = ring.stripes_of(self.node)
+        self.outgoing_stripes = {
+            index: owner for index, owner in self.outgoing_stripes.items() if index in owned
+        }
+        leaving = owned if self.must_release_all else list(self.outgoing_stripes)
+        movable = [index for index in leaving if self.safe_to_transfer(index)]
         if not movable:
             return False
-        if not self.emptying:
-            moves = {index: self.giving[index] for index in movable}
-            self.rings.commit(
-                ring_edits.reassign(ring, moves, self.released), {}, (), "rebalanced", len(moves)
+        if not self.must_release_all:
+            moves = {index: self.outgoing_stripes[index] for index in movable}
+            self.rings.commit_ring(
+                ring_edits.reassign_stripes(ring, moves, self.handover_tokens),
+                {},
+                (),
+                "rebalanced",
+                len(moves),
             )
             return True
-        self.with_leases(lambda alive, _dead: self.give_all(movable, alive))
+        self.read_leases(lambda alive, _dead: self.transfer_all(movable, alive))
         return True
 
-    def give_all(self, movable: list[int], alive: list[Owner]) -> None:
+    def transfer_all(self, movable: list[int], alive: list[Owner]) -> None:
         """Give stripes of a target that leaves to others, or to nobody when there is none."""
-        ring = self.ring
+        ring = self.local_ring
         receivers = [owner for owner in alive if owner.node != self.node]
         if not receivers:
             return
-        moves = ring_edits.spread(ring, movable, receivers)
-        self.rings.commit(ring_edits.reassign(ring, moves, self.released), {}, (), "left", len(moves))
+        moves = ring_edits.distribute_stripes(ring, movable, receivers)
+        self.rings.commit_ring(
+            ring_edits.reassign_stripes(ring, moves, self.handover_tokens), {}, (), "left", len(moves)
+        )
 
-    def watch(self) -> None:
+    def check_leases(self) -> None:
         """Look for owners whose lease has ended and for stripes without an owner."""
         now = self.now
-        interval = WATCH_SECONDS if self.rank < WATCHERS else SLOW_WATCH_SECONDS
-        interval *= 1.0 + 0.2 * self.rank
-        if self.own_load().ratio > OVERLOADED and now - self.relieved_at > AFTER_RELIEF_SECONDS:
-            interval = min(interval, RELIEF_SECONDS)
-        if now - self.watched_at < interval or not self.members.reachable:
+        interval = (
+            LEASE_CHECK_INTERVAL_SECONDS
+            if self.lease_check_rank < PRIMARY_LEASE_CHECKERS
+            else STANDBY_LEASE_CHECK_INTERVAL_SECONDS
+        )
+        interval *= 1.0 + 0.2 * self.lease_check_rank
+        if self.local_load().ratio > OVERLOAD_RATIO and now - self.offloaded_at > OFFLOAD_COOLDOWN_SECONDS:
+            interval = min(interval, OFFLOAD_CHECK_INTERVAL_SECONDS)
+        if now - self.leases_checked_at < interval or not self.members.store_reachable:
             return
-        if now - self.reachable_since < REGAINED_GRACE_SECONDS or self.emptying or not self.keeper.synced:
+        if (
+            now - self.store_unreachable_at < STORE_RECOVERY_GRACE_SECONDS
+            or self.must_release_all
+            or not self.keeper.ring_synced
+        ):
             return
-        self.watched_at = now
-        self.with_leases(self.take_over)
+        self.leases_checked_at = now
+        self.read_leases(self.take_over)
 
-    def with_leases(self, act: Callable[[list[Owner], dict[str, int]], None]) -> None:
+    def read_leases(self, act: Callable[[list[Owner], dict[str, int]], None]) -> None:
         """Read the leases of the service; ``act`` gets the owners with a valid one, and the gone nodes."""
-        ring = self.ring
-        nodes = ring.nodes() | {owner.node for owner in self.known_owners}
+        ring = self.local_ring
+        nodes = ring.owner_nodes() | {owner.node for owner in self.eligible_owners}
         prefix = lease_key(self.settings.service, "")
-        self.busy = True
+        self.reading_leases = True
 
         def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
-            self.busy = False
+            self.reading_leases = False
             if not isinstance(result, Success):
                 return
             rows = result.unwrap()
-            gone = self.gone_nodes({node: rows.get(prefix + node) for node in nodes})
+            gone = self.expired_nodes({node: rows.get(prefix + node) for node in nodes})
             alive = [
                 owner
-                for owner in self.members.owners(self.settings.service)
+                for owner in self.members.eligible_owners(self.settings.service)
                 if owner.node not in gone and prefix + owner.node in rows
             ]
             act(alive, gone)
 
         self.table.read(tuple(prefix + node for node in sorted(nodes)), done)
 
-    def gone_nodes(self, rows: Mapping[str, Row | None]) -> dict[str, int]:
+    def expired_nodes(self, rows: Mapping[str, Row | None]) -> dict[str, int]:
         """Return the nodes whose lease has ended, with the version of its row."""
         gone: dict[str, int] = {}
-        self.loads = {}
+        self.owner_loads = {}
         stamp = self.table.stamp
         for node, row in rows.items():
             if node == self.node:
                 continue
             if row is None:
-                since = self.missing_since.setdefault(node, self.now)
-                if self.now - since > MISSING_LEASE_SECONDS:
+                since = self.lease_missing_since.setdefault(node, self.now)
+                if self.now - since > MISSING_LEASE_TIMEOUT_SECONDS:
                     gone[node] = 0
                 continue
-            self.missing_since.pop(node, None)
+            self.lease_missing_since.pop(node, None)
             lease = msgspec.convert(row.value, LeaseRow)
-            if expired(lease, stamp):
+            if is_expired(lease, stamp):
                 gone[node] = row.version
             else:
-                self.loads[node] = lease.load
+                self.owner_loads[node] = lease.load
         return gone
 
     def take_over(self, alive: list[Owner], gone: dict[str, int]) -> None:
         """Give the stripes of gone nodes, and those without an owner, to the others."""
-        ring = self.ring
-        if self.busy or self.rings.busy or ring is None or not alive:
+        ring = self.local_ring
+        if self.reading_leases or self.rings.write_in_progress or ring is None or not alive:
             return
-        lost = [index for node in gone for index in ring.owned_by(node)]
-        free = ring.unowned()
+        lost = [index for node in gone for index in ring.stripes_of(node)]
+        free = ring.unowned_stripes()
         if not lost and not free:
-            self.consider_rebalance(alive)
-            self.consider_relief(alive)
+            self.start_rebalance(alive)
+            self.start_offload(alive)
             return
-        moves = ring_edits.spread(ring, lost + free, alive)
+        moves = ring_edits.distribute_stripes(ring, lost + free, alive)
         prefix = lease_key(self.settings.service, "")
-        owners = [node for node in gone if ring.owned_by(node)]
+        owners = [node for node in gone if ring.stripes_of(node)]
         checks = {prefix + node: gone[node] for node in owners}
         deletes = [prefix + node for node in owners if gone[node]]
         for node in owners:
-            version = self.members.versions.get(NODE_PREFIX + node, 0)
+            version = self.members.row_versions.get(NODE_PREFIX + node, 0)
             if version and node in self.members.nodes:
                 checks[NODE_PREFIX + node] = version
                 deletes.append(NODE_PREFIX + node)
@@ -523,44 +553,54 @@
                 store_time_s=self.table.stamp,
             )
         )
-        self.rings.commit(ring_edits.reassign(ring, moves), checks, tuple(deletes), "taken_over", len(moves))
+        self.rings.commit_ring(
+            ring_edits.reassign_stripes(ring, moves), checks, tuple(deletes), "taken_over", len(moves)
+        )
 
-    def consider_rebalance(self, alive: list[Owner]) -> None:
+    def start_rebalance(self, alive: list[Owner]) -> None:
         """Begin to hand stripes to owners that have far fewer."""
-        if self.giving or self.emptying:
+        if self.outgoing_stripes or self.must_release_all:
             return
-        mean = mean_ratio(self.loads)
-        sated = [node for node, load in self.loads.items() if mean and load.ratio >= mean * BELOW_MEAN]
-        moves = ring_edits.rebalance(self.ring, alive, self.node, sated)
+        mean = mean_ratio(self.owner_loads)
+        sated = [
+            node
+            for node, load in self.owner_loads.items()
+            if mean and load.ratio >= mean * RECEIVER_MEAN_FACTOR
+        ]
+        moves = ring_edits.plan_rebalance(self.local_ring, alive, self.node, sated)
         if not moves:
-            self.uneven_since = None
+            self.imbalance_since = None
             return
-        if self.uneven_since is None:
-            self.uneven_since = self.now
-        if self.now - self.uneven_since > REBALANCE_SECONDS:
-            self.uneven_since = None
-            self.giving = {index: owner for index, owner in moves.items() if owner is not None}
-            log_events.emit(events.HandoverBegun(stripes=len(self.giving)))
-
-    def consider_relief(self, alive: list[Owner]) -> None:
+        if self.imbalance_since is None:
+            self.imbalance_since = self.now
+        if self.now - self.imbalance_since > REBALANCE_DELAY_SECONDS:
+            self.imbalance_since = None
+            self.outgoing_stripes = {index: owner for index, owner in moves.items() if owner is not None}
+            log_events.emit(events.HandoverBegun(stripes=len(self.outgoing_stripes)))
+
+    def start_offload(self, alive: list[Owner]) -> None:
         """Begin to hand busy stripes to owners with less to do, if this node's target is overloaded."""
-        if self.giving or self.emptying or self.now - self.relieved_at < AFTER_RELIEF_SECONDS:
+        if (
+            self.outgoing_stripes
+            or self.must_release_all
+            or self.now - self.offloaded_at < OFFLOAD_COOLDOWN_SECONDS
+        ):
             return
-        if self.now - self.rings.changed_at < relief_pause(len(self.ring.stripes)):
+        if self.now - self.rings.local_ring_changed_at < ring_quiet_seconds(len(self.local_ring.stripes)):
             return
         by_node = {owner.node: owner for owner in alive}
-        loads = {node: load for node, load in self.loads.items() if node in by_node}
-        loads[self.node] = self.own_load()
-        if not gives_first(loads, self.node):
+        loads = {node: load for node, load in self.owner_loads.items() if node in by_node}
+        loads[self.node] = self.local_load()
+        if not may_offload(loads, self.node):
             return
-        mine = set(self.mine())
+        mine = set(self.local_stripes())
         rates = {stripe: rate for stripe, rate in self.key_load.rates.items() if stripe in mine}
-        counts = self.ring.counts()
-        full = {node for node in by_node if counts.get(node, 0) >= ring_edits.LARGEST_RANGE_COUNT}
+        counts = self.local_ring.stripe_counts()
+        full = {node for node in by_node if counts.get(node, 0) >= ring_edits.MAX_RANGES_PER_TARGET}
         open_loads = {node: load for node, load in loads.items() if node not in full or node == self.node}
-        moves = relieve(open_loads, self.node, rates)
+        moves = plan_offload(open_loads, self.node, rates)
         if not moves:
             return
-        self.relieved_at = self.now
-        self.giving = {stripe: by_node[node] for stripe, node in moves.items()}
-        log_events.emit(events.HandoverBegun(stripes=len(self.giving)))
+        self.offloaded_at = self.now
+        self.outgoing_stripes = {stripe: by_node[node] for stripe, node in moves.items()}
+        log_events.emit(events.HandoverBegun(stripes=len(self.outgoing_stripes)))
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -178,7 +178,7 @@
     @property
     def evacuated(self) -> bool:
         """Whether this node's failure domain is to get nothing."""
-        return self.settings.failure_domain in self.members.evacuated
+        return self.settings.failure_domain in self.members.evacuated_domains
 
     @property
     def accepting(self) -> bool:
@@ -199,7 +199,7 @@
 
     def on_target_change(self) -> None:
         """Follow the target's slots, and refuse what waits for a target that takes nothing."""
-        report = self.target.report
+        report = self.target.last_heartbeat
         if report is not None:
             self.admission.slots = max(1, report.slots)
         if self.target.ready and not self.evacuated:
@@ -240,8 +240,8 @@
         """Admit a request or decline it at once; ``reply`` is called once."""
         job = Job(forward, body, self.now, reply)
         self.jobs[forward.id] = job
-        if forward.key >= 0 and self.range_owner.state(forward.key) is not KeyState.FOREIGN:
-            self.range_owner.note_request(forward.key)
+        if forward.key >= 0 and self.range_owner.key_state(forward.key) is not KeyState.NOT_OWNED:
+            self.range_owner.record_request(forward.key)
         if forward.only_if_free and (missing := self.missing_capacity(forward)):
             self.decline(job, self.refusal_reason(forward) or BUSY_REASON, missing=missing)
         elif forward.offered_bytes and not body:
@@ -263,7 +263,7 @@
         reason = self.refusal_reason(forward)
         if reason:
             self.decline(job, reason)
-        elif forward.key >= 0 and self.range_owner.state(forward.key) is KeyState.EXPECTED:
+        elif forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.GRANT_PENDING:
             self.await_keys(job)
         else:
             self.enqueue(job)
@@ -281,7 +281,7 @@
         if reason:
             self.decline(job, reason, retry_after=min(wait, MAX_RETRY_AFTER_SECONDS))
             return
-        cross_region = self.members.region(forward.origin) not in ("", self.settings.region)
+        cross_region = self.members.region_of(forward.origin) not in ("", self.settings.region)
         self.body_gate.offer(forward.id, forward.offered_bytes, forward.priority, job.deadline, cross_region)
         self.request_bodies()
         self.expiry_timer.wake()
@@ -318,16 +318,16 @@
         if self.target.state is not TargetState.READY:
             return f"target_{self.target.state.value}"
         if forward.key >= 0:
-            return NOT_OWNER_REASON if self.range_owner.state(forward.key) is KeyState.FOREIGN else ""
+            return NOT_OWNER_REASON if self.range_owner.key_state(forward.key) is KeyState.NOT_OWNED else ""
         return "stopping" if self.stopping else ""
 
     def target_holds_key(self, forward: Forward) -> bool:
         """Return whether the target holds the key of a request, although it takes no other work."""
-        return forward.key >= 0 and self.range_owner.state(forward.key) is KeyState.HELD
+        return forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.GRANTED
 
     def await_keys(self, job: Job) -> None:
         """Let a request wait for keys, if the next report of the target probably comes in time."""
-        report_due = max(0.0, self.target.reported_at + self.settings.heartbeat - self.now)
+        report_due = max(0.0, self.target.last_heartbeat_at + self.settings.heartbeat - self.now)
         service = self.admission.expected_service_seconds(job.forward.cost_class)
         has_room = len(self.awaiting_keys) < self.admission.slots * 2
         if not has_room or self.now + report_due + service > job.deadline:
@@ -340,10 +340,10 @@
         """Queue the requests whose keys the target was given, and refuse those whose keys went elsewhere."""
         waiting, self.awaiting_keys = self.awaiting_keys, []
         for job in waiting:
-            state = self.range_owner.state(job.forward.key)
-            if state is KeyState.HELD:
+            state = self.range_owner.key_state(job.forward.key)
+            if state is KeyState.GRANTED:
                 self.enqueue(job)
-            elif state is KeyState.FOREIGN:
+            elif state is KeyState.NOT_OWNED:
                 self.decline(job, NOT_OWNER_REASON)
             else:
                 self.awaiting_keys.append(job)
@@ -400,7 +400,7 @@
         if left < MIN_SEND_REMAINING_SECONDS:
             self.release_unsent(job, TOO_LATE_REASON)
             return
-        if forward.key >= 0 and self.range_owner.state(forward.key) is not KeyState.HELD:
+        if forward.key >= 0 and self.range_owner.key_state(forward.key) is not KeyState.GRANTED:
             self.release_unsent(job, NOT_OWNER_REASON)
             return
         job.sent_at = now
@@ -435,7 +435,7 @@
                 headers[name] = f"{headers[name]}, {value}" if name in headers else value
         headers[names.attempt_id] = forward.attempt_id
         headers[names.deadline_ms] = str(max(1, int(left * 1000.0)))
-        headers[names.expected_target] = self.target.report.target
+        headers[names.expected_target] = self.target.last_heartbeat.target
         headers[names.caller] = forward.caller
         return host, headers
 
@@ -458,13 +458,13 @@
     def on_response(self, job: Job, response: HttpResponse) -> None:
         """Report a complete answer."""
         forward, names = job.forward, self.header_names
-        self.target.answered()
+        self.target.record_answer()
         refused = names.not_run in response.headers or response.status == MISDIRECTED_STATUS
         if refused:
             self.admission.finish(forward.cost_class, None)
             misdirected = response.status == MISDIRECTED_STATUS
             if misdirected and forward.key >= 0:
-                self.range_owner.hold_lost()
+                self.range_owner.invalidate_grant()
             reason = MISDIRECTED_REASON if misdirected else REFUSED_REASON
             # A target that turns requests away with slots free may well take the next attempt.
             wait = 0.0 if misdirected else self.admission.retry_after(self.queue_entry(job), self.now)
@@ -473,7 +473,7 @@
         self.admission.finish(forward.cost_class, self.now - job.sent_at)
         self.metrics.count_run(forward.cost_class, self.now - job.sent_at)
         if forward.key >= 0:
-            self.range_owner.key_load.served(self.now - job.sent_at)
+            self.range_owner.key_load.record_service_time(self.now - job.sent_at)
         if names.signature not in response.headers and 200 <= response.status < 300:
             self.decline(job, "unsigned", may_have_run=True, arrived=True)
             return
@@ -486,7 +486,7 @@
             events.RequestRun(
                 id=forward.attempt_id,
                 origin=forward.origin,
-                target=self.target.report.target,
+                target=self.target.last_heartbeat.target,
                 status=response.status,
                 queued_ms=round((job.sent_at - job.arrived_at) * 1000),
                 ran_ms=round((self.now - job.sent_at) * 1000),
@@ -500,7 +500,7 @@
     def on_failure(self, job: Job, failure: HttpFailure) -> None:
         """Report an exchange without an answer."""
         if failure.kind is FailureKind.REFUSED and not failure.bytes_sent:
-            self.target.refused()
+            self.target.on_connection_refused()
         reason = f"target_{failure.kind.value}"
         self.decline(job, reason, may_have_run=failure.bytes_sent, arrived=failure.bytes_sent)
 
--- a/src/hibiscusdrum/internal/router/ring.py
+++ b/src/hibiscusdrum/internal/router/ring.py
@@ -17,9 +17,9 @@
 # in one message of at most 4 KiB, and an owner may get those of others that were lost.
 STRIPES_PER_OWNER = 80
 # Ranges that fit into such a message: about 24 bytes each.
-LARGEST_RANGE_COUNT = 140
+MAX_RANGES_PER_TARGET = 140
 # Bounds the size of the row, which every node reads at each change: about 4 bytes a stripe.
-LARGEST_STRIPE_COUNT = 2048
+MAX_STRIPES = 2048
 UNOWNED = -1
 
 
@@ -27,12 +27,12 @@
     """A target of a node, from one start of it to its end."""
 
     node: str
-    life: str
+    incarnation: str
 
     @property
     def started_ms(self) -> int:
         """Unix milliseconds of the start, 0 when the target did not say."""
-        started = self.life.rpartition("@")[2]
+        started = self.incarnation.rpartition("@")[2]
         return int(started) if started.isdecimal() else 0
 
 
@@ -43,15 +43,15 @@
     ----------
     owner : int
         Index into the ring's owners, or ``UNOWNED``.
-    fence : int
+    fencing_token : int
         Fencing token; grows with each change of the owner.
-    token : str
+    handover_token : str
         Handover token of the last owner's target, which lets the new one start warm.
     """
 
-    owner: int = UNOWNED
-    fence: int = 0
-    token: str = ""
+    owner_index: int = UNOWNED
+    fencing_token: int = 0
+    handover_token: str = ""
 
 
 class Range(msgspec.Struct, frozen=True):
@@ -59,8 +59,8 @@
 
     first: int
     last: int
-    fence: int
-    token: str = ""
+    fencing_token: int
+    handover_token: str = ""
 
 
 class Ring(msgspec.Struct, frozen=True, array_like=True):
@@ -74,68 +74,76 @@
 
     owners: tuple[Owner, ...]
     stripes: tuple[Stripe, ...]
-    next_fence: int = 1
+    next_fencing_token: int = 1
 
-    def index(self, key: int) -> int:
+    def stripe_index(self, key: int) -> int:
         """Return the stripe of a key."""
         return key * len(self.stripes) // KEY_SPACE
 
-    def owner(self, key: int) -> Owner | None:
+    def owner_of(self, key: int) -> Owner | None:
         """Return the owner of a key, or None."""
-        stripe = self.stripes[self.index(key)]
-        return self.owners[stripe.owner] if stripe.owner != UNOWNED else None
+        stripe = self.stripes[self.stripe_index(key)]
+        return self.owners[stripe.owner_index] if stripe.owner_index != UNOWNED else None
 
-    def owned_by(self, node: str) -> list[int]:
+    def stripes_of(self, node: str) -> list[int]:
         """Return the stripes of a node."""
         indexes = {index for index, owner in enumerate(self.owners) if owner.node == node}
-        return [index for index, stripe in enumerate(self.stripes) if stripe.owner in indexes]
+        return [index for index, stripe in enumerate(self.stripes) if stripe.owner_index in indexes]
 
-    def unowned(self) -> list[int]:
+    def unowned_stripes(self) -> list[int]:
         """Return the stripes without an owner."""
-        return [index for index, stripe in enumerate(self.stripes) if stripe.owner == UNOWNED]
+        return [index for index, stripe in enumerate(self.stripes) if stripe.owner_index == UNOWNED]
 
-    def nodes(self) -> set[str]:
+    def owner_nodes(self) -> set[str]:
         """Return the nodes that own a stripe."""
-        return {self.owners[stripe.owner].node for stripe in self.stripes if stripe.owner != UNOWNED}
+        return {
+            self.owners[stripe.owner_index].node for stripe in self.stripes if stripe.owner_index != UNOWNED
+        }
 
-    def counts(self) -> dict[str, int]:
+    def stripe_counts(self) -> dict[str, int]:
         """Return the number of stripes of each node that owns one."""
         counts: dict[str, int] = {}
         for stripe in self.stripes:
-            if stripe.owner != UNOWNED:
-                node = self.owners[stripe.owner].node
+            if stripe.owner_index != UNOWNED:
+                node = self.owners[stripe.owner_index].node
                 counts[node] = counts.get(node, 0) + 1
         return counts
 
-    def bounds(self, index: int) -> tuple[int, int]:
+    def key_bounds(self, index: int) -> tuple[int, int]:
         """Return the first and the last key of a stripe."""
         count = len(self.stripes)
         return -(-index * KEY_SPACE // count), -(-(index + 1) * KEY_SPACE // count) - 1
 
-    def ranges(self, indexes: Iterable[int]) -> tuple[Range, ...]:
+    def key_ranges(self, indexes: Iterable[int]) -> tuple[Range, ...]:
         """Return the ranges of some stripes; adjacent ones with the same token are joined."""
         ranges: list[Range] = []
         for index in sorted(indexes):
             stripe = self.stripes[index]
-            first, last = self.bounds(index)
+            first, last = self.key_bounds(index)
             former = ranges[-1] if ranges else None
-            joined = former is not None and former.last + 1 == first and former.fence == stripe.fence
-            if joined and former.token == stripe.token:
-                ranges[-1] = Range(former.first, last, stripe.fence, stripe.token)
+            joined = (
+                former is not None
+                and former.last + 1 == first
+                and former.fencing_token == stripe.fencing_token
+            )
+            if joined and former.handover_token == stripe.handover_token:
+                ranges[-1] = Range(former.first, last, stripe.fencing_token, stripe.handover_token)
             else:
-                ranges.append(Range(first, last, stripe.fence, stripe.token))
+                ranges.append(Range(first, last, stripe.fencing_token, stripe.handover_token))
         return tuple(ranges)
 
 
-def create(owners: Collection[Owner]) -> Ring:
+def create_ring(owners: Collection[Owner]) -> Ring:
     """Return a ring whose stripes are dealt to the owners in turn."""
     ordered = tuple(sorted(owners, key=lambda owner: owner.node))
-    count = min(LARGEST_STRIPE_COUNT, STRIPES_PER_OWNER * len(ordered))
+    count = min(MAX_STRIPES, STRIPES_PER_OWNER * len(ordered))
     stripes = tuple(Stripe(index % len(ordered), 1) for index in range(count))
     return Ring(ordered, stripes, 2)
 
 
-def reassign(ring: Ring, moves: Mapping[int, Owner | None], tokens: Mapping[int, str] | None = None) -> Ring:
+def reassign_stripes(
+    ring: Ring, moves: Mapping[int, Owner | None], tokens: Mapping[int, str] | None = None
+) -> Ring:
     """Give stripes to other owners, or to nobody, with a new fencing token.
 
     Parameters
@@ -153,23 +161,24 @@
             position = positions.setdefault(owner, len(owners))
             if position == len(owners):
                 owners.append(owner)
-        stripes[index] = Stripe(position, ring.next_fence, (tokens or {}).get(index, ""))
-    return _without_former_owners(Ring(tuple(owners), tuple(stripes), ring.next_fence + 1))
+        stripes[index] = Stripe(position, ring.next_fencing_token, (tokens or {}).get(index, ""))
+    return _drop_unused_owners(Ring(tuple(owners), tuple(stripes), ring.next_fencing_token + 1))
 
 
-def _without_former_owners(ring: Ring) -> Ring:
+def _drop_unused_owners(ring: Ring) -> Ring:
     """Drop owners that own nothing, so that the row does not grow with each restart of a target."""
-    used = sorted({stripe.owner for stripe in ring.stripes if stripe.owner != UNOWNED})
+    used = sorted({stripe.owner_index for stripe in ring.stripes if stripe.owner_index != UNOWNED})
     if len(used) == len(ring.owners):
         return ring
     position = {old: new for new, old in enumerate(used)}
     stripes = tuple(
-        Stripe(position.get(stripe.owner, UNOWNED), stripe.fence, stripe.token) for stripe in ring.stripes
+        Stripe(position.get(stripe.owner_index, UNOWNED), stripe.fencing_token, stripe.handover_token)
+        for stripe in ring.stripes
     )
-    return Ring(tuple(ring.owners[index] for index in used), stripes, ring.next_fence)
+    return Ring(tuple(ring.owners[index] for index in used), stripes, ring.next_fencing_token)
 
 
-def spread(
+def distribute_stripes(
     ring: Ring,
     indexes: Iterable[int],
     receivers: Collection[Owner],
@@ -186,13 +195,13 @@
     weight : callable
         Relative capacity of a node.
     """
-    counts = ring.counts()
+    counts = ring.stripe_counts()
     present = {owner.node: counts.get(owner.node, 0) for owner in receivers}
     by_node = {owner.node: owner for owner in receivers}
     moves: dict[int, Owner | None] = {}
     last = ""
     for index in sorted(indexes):
-        room = [node for node, count in present.items() if count < LARGEST_RANGE_COUNT]
+        room = [node for node, count in present.items() if count < MAX_RANGES_PER_TARGET]
         if not room:
             moves[index] = None
             continue
@@ -203,7 +212,7 @@
     return moves
 
 
-def rebalance(
+def plan_rebalance(
     ring: Ring, receivers: Collection[Owner], node: str, sated: Collection[str] = ()
 ) -> dict[int, Owner | None]:
     """Return stripes that a node should give to owners that have far fewer, such as one that just joined.
@@ -213,8 +222,8 @@
     sated : collection of str
         Nodes whose few stripes already bring them as much work as others have.
     """
-    counts = ring.counts()
-    mine = ring.owned_by(node)
+    counts = ring.stripe_counts()
+    mine = ring.stripes_of(node)
     others = {owner.node: owner for owner in receivers if owner.node != node}
     if not others:
         return {}
@@ -222,7 +231,7 @@
     needy = {
         name: counts.get(name, 0)
         for name in others
-        if counts.get(name, 0) < fair * NEEDY_SHARE and name not in sated
+        if counts.get(name, 0) < fair * UNDERLOADED_SHARE and name not in sated
     }
     surplus = int(len(mine) - fair)
     if not needy or surplus <= 0:
@@ -238,4 +247,4 @@
 
 
 # Share of the mean number of stripes below which an owner gets stripes from others.
-NEEDY_SHARE = 0.6
+UNDERLOADED_SHARE = 0.6
--- a/src/hibiscusdrum/internal/router/ring_row.py
+++ b/src/hibiscusdrum/internal/router/ring_row.py
@@ -18,33 +18,33 @@
 COMPRESSION_LEVEL = 6
 # Handover tokens that are kept, the newest first: an owner needs one only when it is first given the stripe.
 # They do not compress, and take 12 bytes each.
-LARGEST_TOKEN_COUNT = 400
-LARGEST_PLAIN_BYTES = 1_000_000
+MAX_STORED_HANDOVER_TOKENS = 400
+MAX_DECOMPRESSED_BYTES = 1_000_000
 
 
-class Columns(msgspec.Struct, frozen=True, array_like=True):
+class RingColumns(msgspec.Struct, frozen=True, array_like=True):
     """A ring as columns; ``tokens`` holds those of single stripes by index."""
 
     owners: tuple[Owner, ...]
-    next_fence: int
-    positions: tuple[int, ...]
-    fences: tuple[int, ...]
-    tokens: dict[int, str]
+    next_fencing_token: int
+    owner_indexes: tuple[int, ...]
+    fencing_tokens: tuple[int, ...]
+    handover_tokens: dict[int, str]
 
 
-decoder = msgspec.json.Decoder(Columns)
+decoder = msgspec.json.Decoder(RingColumns)
 
 
 def encode_ring(ring: Ring) -> str:
     """Return a ring as it is stored."""
-    with_token = [index for index, stripe in enumerate(ring.stripes) if stripe.token]
-    with_token.sort(key=lambda index: -ring.stripes[index].fence)
-    columns = Columns(
+    with_token = [index for index, stripe in enumerate(ring.stripes) if stripe.handover_token]
+    with_token.sort(key=lambda index: -ring.stripes[index].fencing_token)
+    columns = RingColumns(
         ring.owners,
-        ring.next_fence,
-        tuple(stripe.owner for stripe in ring.stripes),
-        tuple(stripe.fence for stripe in ring.stripes),
-        {index: ring.stripes[index].token for index in with_token[:LARGEST_TOKEN_COUNT]},
+        ring.next_fencing_token,
+        tuple(stripe.owner_index for stripe in ring.stripes),
+        tuple(stripe.fencing_token for stripe in ring.stripes),
+        {index: ring.stripes[index].handover_token for index in with_token[:MAX_STORED_HANDOVER_TOKENS]},
     )
     plain = msgspec.json.encode(columns)
     return base64.b64encode(zlib.compress(plain, COMPRESSION_LEVEL)).decode()
@@ -60,22 +60,24 @@
     """
     try:
         unpacker = zlib.decompressobj()
-        plain = unpacker.decompress(base64.b64decode(value, validate=True), LARGEST_PLAIN_BYTES)
+        plain = unpacker.decompress(base64.b64decode(value, validate=True), MAX_DECOMPRESSED_BYTES)
         columns = decoder.decode(plain)
-        check(columns)
+        validate_columns(columns)
     except (TypeError, ValueError, zlib.error) as error:
         raise InvalidArgument(name="ring", value=str(value)[:64], expected=str(error)) from error
-    tokens = columns.tokens
+    tokens = columns.handover_tokens
     stripes = tuple(
         Stripe(position, fence, tokens.get(index, ""))
-        for index, (position, fence) in enumerate(zip(columns.positions, columns.fences, strict=True))
+        for index, (position, fence) in enumerate(
+            zip(columns.owner_indexes, columns.fencing_tokens, strict=True)
+        )
     )
-    return Ring(columns.owners, stripes, columns.next_fence)
+    return Ring(columns.owners, stripes, columns.next_fencing_token)
 
 
-def check(columns: Columns) -> None:
+def validate_columns(columns: RingColumns) -> None:
     """Raise ValueError if the columns do not make a ring."""
-    if not columns.positions or len(columns.positions) != len(columns.fences):
+    if not columns.owner_indexes or len(columns.owner_indexes) != len(columns.fencing_tokens):
         raise ValueError("as many owners as fencing tokens")
-    if not UNOWNED <= min(columns.positions) <= max(columns.positions) < len(columns.owners):
+    if not UNOWNED <= min(columns.owner_indexes) <= max(columns.owner_indexes) < len(columns.owners):
         raise ValueError("positions of known owners")
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -18,10 +18,10 @@
 
 # Shortest time between two reads of a ring that was found out of date: a row of 10 KB takes a link of
 # 5 Mbit/s for 16 ms.
-REFRESH_SECONDS = 0.5
+MIN_REFRESH_INTERVAL_SECONDS = 0.5
 RING_PREFIX = "ring/"
 # Reason of a store failure after which the write may still take effect.
-UNKNOWN = "unknown"
+REASON_OUTCOME_UNKNOWN = "unknown"
 
 
 class Rings(Service):
@@ -48,47 +48,47 @@
     def __init__(self, settings: RouterSettings) -> None:
         super().__init__()
         self.service = settings.service
-        self.key = RING_PREFIX + settings.service
+        self.local_row_key = RING_PREFIX + settings.service
         self.by_service: dict[str, Ring] = {}
-        self.versions: dict[str, int] = {}
-        self.busy = False
-        self.refreshing: dict[str, list[Callable[[], None]]] = {}
+        self.row_versions: dict[str, int] = {}
+        self.write_in_progress = False
+        self.refresh_waiters: dict[str, list[Callable[[], None]]] = {}
         self.refreshed_at: dict[str, float] = {}
-        self.changed_at = float("-inf")
-        self.uncertain: set[int] = set()
+        self.local_ring_changed_at = float("-inf")
+        self.uncertain_stripes: set[int] = set()
         self.on_written: list[Callable[[], None]] = []
         self.on_reread: Callable[[], None] = lambda: None
 
     def on_start(self) -> None:
         """Follow the rows."""
         self.table = self.app.find("table")
-        self.app.find("members").listeners["ring"] = self.on_row
+        self.app.find("members").row_listeners["ring"] = self.apply_row
 
     @property
-    def own(self) -> Ring | None:
+    def local_ring(self) -> Ring | None:
         """The ring of this node's service."""
         return self.by_service.get(self.service)
 
     @property
-    def version(self) -> int:
+    def local_version(self) -> int:
         """Version of the own ring's row; 0 when there is none."""
-        return self.versions.get(self.key, 0) if self.own is not None else 0
+        return self.row_versions.get(self.local_row_key, 0) if self.local_ring is not None else 0
 
     def owner_node(self, service: str, key: int) -> str | None:
         """Return the node that owns a key, or None."""
         ring = self.by_service.get(service)
-        owner = ring.owner(key) if ring is not None else None
+        owner = ring.owner_of(key) if ring is not None else None
         return owner.node if owner is not None else None
 
-    def on_row(self, row: Row) -> None:
+    def apply_row(self, row: Row) -> None:
         """Take over a changed ring."""
-        if row.version <= self.versions.get(row.key, 0):
+        if row.version <= self.row_versions.get(row.key, 0):
             return
-        self.versions[row.key] = row.version
+        self.row_versions[row.key] = row.version
         service = row.key[len(RING_PREFIX) :]
         if service == self.service:
-            self.uncertain.clear()
-            self.changed_at = self.app.clock.monotonic()
+            self.uncertain_stripes.clear()
+            self.local_ring_changed_at = self.app.clock.monotonic()
         if row.value is None:
             self.by_service.pop(service, None)
             return
@@ -97,36 +97,36 @@
         except InvalidArgument as error:
             log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)[:120]))
 
-    def read(self, done: Callable[[bool], None], service: str = "") -> None:
+    def read_ring(self, done: Callable[[bool], None], service: str = "") -> None:
         """Read a ring, the own one by default; ``done`` is told whether the store answered."""
-        key = RING_PREFIX + service if service else self.key
+        key = RING_PREFIX + service if service else self.local_row_key
 
         def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             row = result.unwrap().get(key) if isinstance(result, Success) else None
             if row is not None:
-                self.on_row(row)
+                self.apply_row(row)
             done(isinstance(result, Success))
 
         self.table.read((key,), on_rows)
 
-    def refresh(self, service: str, done: Callable[[], None]) -> None:
+    def refresh_ring(self, service: str, done: Callable[[], None]) -> None:
         """Read a ring that an answer has shown to be out of date; askers at the same time share one read."""
-        waiting = self.refreshing.get(service)
+        waiting = self.refresh_waiters.get(service)
         if waiting is not None:
             waiting.append(done)
             return
-        self.refreshing[service] = [done]
+        self.refresh_waiters[service] = [done]
 
         def on_read(_read: bool) -> None:
             self.refreshed_at[service] = self.app.clock.monotonic()
-            for listener in self.refreshing.pop(service):
+            for listener in self.refresh_waiters.pop(service):
                 listener()
 
         since = self.app.clock.monotonic() - self.refreshed_at.get(service, float("-inf"))
-        wait = max(0.0, REFRESH_SECONDS - since)
-        self.app.scheduler.call_later(wait, lambda: self.read(on_read, service))
+        wait = max(0.0, MIN_REFRESH_INTERVAL_SECONDS - since)
+        self.app.scheduler.call_later(wait, lambda: self.read_ring(on_read, service))
 
-    def commit(
+    def commit_ring(
         self, ring: Ring, checks: dict[str, int], deletes: tuple[str, ...], reason: str, count: int
     ) -> None:
         """Write the own ring under the version that it was made from.
@@ -140,46 +140,48 @@
         reason, count
             Why, and the number of stripes, for the log.
         """
-        version = self.version
+        version = self.local_version
         changed = self.changed_stripes(ring)
         value = encode_ring(ring)
         transaction = Transaction(
-            new_operation_id(), {**checks, self.key: version}, {self.key: value}, deletes
+            new_operation_id(), {**checks, self.local_row_key: version}, {self.local_row_key: value}, deletes
         )
-        self.busy = True
+        self.write_in_progress = True
 
         def done(result: Result[int, HibiscusdrumError]) -> None:
-            self.busy = False
+            self.write_in_progress = False
             outcome = "written" if isinstance(result, Success) else result.failure().code
             log_events.emit(
                 events.RingChanged(
                     reason=reason,
                     stripes=count,
                     base_version=version,
-                    fence=ring.next_fence - 1,
+                    fence=ring.next_fencing_token - 1,
                     outcome=outcome,
                 )
             )
             if isinstance(result, Success):
-                self.on_row(Row(self.key, result.unwrap(), value))
+                self.apply_row(Row(self.local_row_key, result.unwrap(), value))
                 for listener in self.on_written:
                     listener()
                 return
-            if getattr(result.failure(), "reason", "") == UNKNOWN:
-                self.uncertain |= changed
-            self.busy = True
-            self.read(self.allow_next)
+            if getattr(result.failure(), "reason", "") == REASON_OUTCOME_UNKNOWN:
+                self.uncertain_stripes |= changed
+            self.write_in_progress = True
+            self.read_ring(self.on_reread_done)
 
         self.table.commit(transaction, done)
 
-    def allow_next(self, _read: bool) -> None:
+    def on_reread_done(self, _read: bool) -> None:
         """Allow the next write after a conflict or an unknown outcome."""
-        self.busy = False
+        self.write_in_progress = False
         self.on_reread()
 
     def changed_stripes(self, ring: Ring) -> set[int]:
         """Return the stripes that a change would take from or give to someone."""
-        if self.own is None:
+        if self.local_ring is None:
             return set()
-        pairs = enumerate(zip(self.own.stripes, ring.stripes, strict=True))
-        return {index for index, (old, new) in pairs if old.fence != new.fence} | self.uncertain
+        pairs = enumerate(zip(self.local_ring.stripes, ring.stripes, strict=True))
+        return {
+            index for index, (old, new) in pairs if old.fencing_token != new.fencing_token
+        } | self.uncertain_stripes
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -64,7 +64,7 @@
     link_bytes_per_second: float = 0.0
     log_level: str = "INFO"
 
-    def checked(self) -> RouterSettings:
+    def validated(self) -> RouterSettings:
         """Return the settings.
 
         Raises
--- a/src/hibiscusdrum/platform/boot.py
+++ b/src/hibiscusdrum/platform/boot.py
@@ -83,7 +83,7 @@
         link_bytes_per_second=number(values, "limits.linkMbps", 0.0) * BYTES_PER_MEGABIT,
     )
     try:
-        settings.checked()
+        settings.validated()
     except InvalidSettings as error:
         problems.extend(error.problems)
     if problems:
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -144,7 +144,7 @@
             self.evacuated.clear()
         for row in answer.rows:
             self.apply(row)
-        self.members.set_evacuated(frozenset(self.evacuated))
+        self.members.set_evacuated_domains(frozenset(self.evacuated))
         self.read()
 
     def apply(self, row: WireRow) -> None:
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -10,7 +10,7 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router import events
-from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetReport
+from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
@@ -60,7 +60,7 @@
 STATES = {"ready": False, "draining": True}
 
 
-def decode_report(target: str, body: bytes) -> TargetReport:
+def decode_report(target: str, body: bytes) -> TargetHeartbeat:
     """Translate a report.
 
     Raises
@@ -73,7 +73,7 @@
         draining = STATES[beat.status.state]
     except (msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
         raise InvalidArgument(name="report", value=body[:64], expected=str(error)) from error
-    return TargetReport(
+    return TargetHeartbeat(
         target=target,
         service=beat.info.service,
         address=beat.addr,
@@ -92,7 +92,7 @@
     """Return the answer to a report: nothing to renew, or all ranges with the seconds of the hold."""
     if grant is None:
         return b"{}"
-    ranges = [[entry.first, entry.last, entry.fence, entry.token] for entry in grant.ranges]
+    ranges = [[entry.first, entry.last, entry.fencing_token, entry.handover_token] for entry in grant.ranges]
     # ``holdS`` must end no later than the lease, so it is cut, not rounded.
     return msgspec.json.encode({"holdCount": ranges, "holdS": int(grant.seconds * 1000) / 1000})
 
@@ -123,7 +123,7 @@
                 self.target.on_leave(target, decode_leave(request.body))
                 request.respond(200, JSON_HEADERS, b"{}")
             else:
-                self.target.on_report(
+                self.target.on_heartbeat(
                     decode_report(target, request.body),
                     lambda grant: request.respond(200, JSON_HEADERS, encode_grant(grant)),
                 )
--- a/tests/features/steps/router_decisions_steps.py
+++ b/tests/features/steps/router_decisions_steps.py
@@ -14,11 +14,18 @@
 from hibiscusdrum.internal.kernel import Application
 from hibiscusdrum.internal.router.admission import AdmissionQueue, ColdStartLimiter, QueueEntry
 from hibiscusdrum.internal.router.hop import LATE_MESSAGE_SECONDS, TransitDelay
-from hibiscusdrum.internal.router.key_load import OwnerLoad, gives_first, relief_pause, relieve
+from hibiscusdrum.internal.router.key_load import OwnerLoad, may_offload, plan_offload, ring_quiet_seconds
 from hibiscusdrum.internal.router.path_delay import PathDelay
 from hibiscusdrum.internal.router.receiver import Receiver
 from hibiscusdrum.internal.router.returns import ReturningCallers
-from hibiscusdrum.internal.router.ring import Owner, Ring, Stripe, create, reassign, rebalance
+from hibiscusdrum.internal.router.ring import (
+    Owner,
+    Ring,
+    Stripe,
+    create_ring,
+    plan_rebalance,
+    reassign_stripes,
+)
 from hibiscusdrum.internal.router.ring_row import encode_ring
 from hibiscusdrum.internal.router.routes import HeaderNames, RouteTable, ServiceSpec
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
@@ -453,7 +460,7 @@
         owner.node: SLOW_CAPACITY * (factor if index % 3 == 2 else 1.0) for index, owner in enumerate(owners)
     }
     context.owners = {owner.node: owner for owner in owners}
-    context.ring = context.first_ring = create(owners)
+    context.ring = context.first_ring = create_ring(owners)
 
 
 @when("requests at {load:g} of all capacity come for keys, {hot:g} of them for {keys:d} neighbouring ones")
@@ -462,12 +469,13 @@
     stripes = len(context.ring.stripes)
     context.rates = dict.fromkeys(range(stripes), total * (1.0 - hot) / stripes)
     for key in range(20_000, 20_000 + keys):
-        context.rates[context.ring.index(key)] += total * hot / keys
+        context.rates[context.ring.stripe_index(key)] += total * hot / keys
 
 
 def demand(context):
     return {
-        node: sum(context.rates[stripe] for stripe in context.ring.owned_by(node)) for node in context.owners
+        node: sum(context.rates[stripe] for stripe in context.ring.stripes_of(node))
+        for node in context.owners
     }
 
 
@@ -476,10 +484,10 @@
         loads = {node: OwnerLoad(value, context.capacity[node]) for node, value in demand(context).items()}
         moves = {}
         for node in context.owners:
-            rates = {stripe: context.rates[stripe] for stripe in context.ring.owned_by(node)}
-            moves.update(relieve(loads, node, rates))
+            rates = {stripe: context.rates[stripe] for stripe in context.ring.stripes_of(node)}
+            moves.update(plan_offload(loads, node, rates))
         owners = {stripe: context.owners[node] for stripe, node in moves.items()}
-        context.ring = reassign(context.ring, owners)
+        context.ring = reassign_stripes(context.ring, owners)
 
 
 @then("after {rounds:d} rounds of relief owners can serve at least {share:d} in 100 of the requests")
@@ -492,7 +500,7 @@
 @then("at most {share:d} in 100 of the keys have moved")
 def moved_share(context, share):
     pairs = zip(context.first_ring.stripes, context.ring.stripes, strict=True)
-    moved = sum(old.fence != new.fence for old, new in pairs)
+    moved = sum(old.fencing_token != new.fencing_token for old, new in pairs)
     assert moved <= share / 100 * len(context.ring.stripes), moved
 
 
@@ -509,16 +517,18 @@
     context.ring = Ring(
         owners, tuple(Stripe(index % 13 % 4 if index % 13 < 12 else 0, 1) for index in range(208)), 2
     )
-    counts = context.ring.counts()
-    few = context.ring.owned_by("n3")[counts["n0"] // 4 :]
-    context.ring = reassign(context.ring, {index: owners[number % 3] for number, index in enumerate(few)})
+    counts = context.ring.stripe_counts()
+    few = context.ring.stripes_of("n3")[counts["n0"] // 4 :]
+    context.ring = reassign_stripes(
+        context.ring, {index: owners[number % 3] for number, index in enumerate(few)}
+    )
     context.owners = owners
 
 
 @then("another gives it stripes, but none when it has as much work as the others")
 def sated_owner(context):
-    assert rebalance(context.ring, context.owners, "n0")
-    assert not rebalance(context.ring, context.owners, "n0", ["n3"])
+    assert plan_rebalance(context.ring, context.owners, "n0")
+    assert not plan_rebalance(context.ring, context.owners, "n0", ["n3"])
 
 
 # Relief in large fleets
@@ -533,7 +543,7 @@
 
 @then("{count:d} of them hand stripes over now, and they have the most work")
 def check_givers(context, count):
-    givers = {node for node in context.loads if gives_first(context.loads, node)}
+    givers = {node for node in context.loads if may_offload(context.loads, node)}
     most = sorted(context.loads, key=lambda node: -context.loads[node].ratio)
     assert givers == set(most[:count]), givers
 
@@ -545,7 +555,7 @@
 
 @then("handovers for load take it at most {rate:d} bytes a second to follow, and wait at most {seconds:g} s")
 def check_pause(context, rate, seconds):
-    pause = relief_pause(context.stripes)
+    pause = ring_quiet_seconds(context.stripes)
     row = Ring(
         tuple(Owner(f"sidecar-{index}", f"i-{index:010x}@1787731697131") for index in range(48)),
         tuple(Stripe(index % 48, 5000 + index * 7 % 997) for index in range(context.stripes)),
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -20,7 +20,7 @@
 from hibiscusdrum.internal.router.events import RequestEnded
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.hop import Forwarder, PeerState
-from hibiscusdrum.internal.router.local_target import LocalTarget, TargetReport
+from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.members import Members, NodeRow
 from hibiscusdrum.internal.router.metrics import render_traffic
 from hibiscusdrum.internal.router.receiver import BUSY_REASON, LATE_REASON, NOT_OWNER_REASON, Receiver
@@ -317,7 +317,7 @@
             "members",
             nodes=dict.fromkeys(range(count)),
             candidates=lambda *_: candidates,
-            region=lambda _: region,
+            region_of=lambda _: region,
         )
     )
     app.add(Stub("range_owner", set_partitioned=lambda _: None))
@@ -344,7 +344,7 @@
     far = [Candidate(f"far{index}", "west", "d") for index in range(other)]
     members, selection = context.gateway.members, context.gateway.selector
     members.candidates = lambda *_: near + far
-    members.region = lambda node: "west" if node.startswith("far") else "east"
+    members.region_of = lambda node: "west" if node.startswith("far") else "east"
     now = context.app.clock.monotonic()
     for taken in (0.06, 0.06 + seconds):
         selection.path_delay("west").record(taken, now)
@@ -361,8 +361,8 @@
     gateway = context.gateway
     context.refreshed = []
     gateway.rings.owner_node = lambda *_: "n0"
-    gateway.rings.refresh = lambda service, _done: context.refreshed.append(service)
-    gateway.members.reachable = True
+    gateway.rings.refresh_ring = lambda service, _done: context.refreshed.append(service)
+    gateway.members.store_reachable = True
     route = Route("r", "h.example", "/a/", RequestKind.IDEMPOTENT, (("s", 1.0),), attempts=2)
     gateway.set_route_table(RouteTable.build(2, [route], [ServiceSpec("s", partitioned=True)]))
     request = Request()
@@ -605,7 +605,7 @@
 @given("a receiver on a link of {rate:d} bytes a second with {count:d} offered bodies")
 def receiver_with_bodies(context, rate, count):
     app = context.app = application()
-    app.add(Stub("members", evacuated=frozenset(), on_change=[], region=lambda _: SETTINGS.region))
+    app.add(Stub("members", evacuated_domains=frozenset(), on_change=[], region_of=lambda _: SETTINGS.region))
     app.add(Stub("range_owner", on_granted=[]))
     app.add(Stub("hop", link_congested=False))
     app.add(Stub("rings", owner_node=lambda *_: None))
@@ -615,7 +615,7 @@
     settings = msgspec.structs.replace(SETTINGS, link_bytes_per_second=float(rate))
     receiver = context.receiver = app.add(Receiver(settings, HeaderNames()))
     receiver.on_start()
-    target.on_report(TargetReport("i-1", "other", "127.0.0.1:1", 6, False, 1), lambda _grant: None)
+    target.on_heartbeat(TargetHeartbeat("i-1", "other", "127.0.0.1:1", 6, False, 1), lambda _grant: None)
     context.replies = []
     for number in range(count):
         receiver.on_forward(
@@ -664,7 +664,7 @@
     app = application()
     context.evacuated = []
     app.add(Stub("gateway"))
-    app.add(Stub("members", set_evacuated=context.evacuated.append))
+    app.add(Stub("members", set_evacuated_domains=context.evacuated.append))
     context.follows = []
     app.add(Stub("table", follow=lambda table, since, callback: context.follows.append((since, callback))))
     app.add(OperatorRows()).on_start()
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -18,10 +18,10 @@
 from hibiscusdrum.internal.platform.table import Row
 from hibiscusdrum.internal.router import ring as ring_edits
 from hibiscusdrum.internal.router.local_target import Grant
-from hibiscusdrum.internal.router.range_lease import LeaseRow, RangeLease, expired
+from hibiscusdrum.internal.router.range_lease import LeaseRow, RangeLease, is_expired
 from hibiscusdrum.internal.router.range_owner import KeyState
 from hibiscusdrum.internal.router.ring import Owner, Range, Ring, Stripe
-from hibiscusdrum.internal.router.ring_row import Columns, decode_ring, encode_ring
+from hibiscusdrum.internal.router.ring_row import RingColumns, decode_ring, encode_ring
 from hibiscusdrum.platform.reports import encode_grant
 
 LARGEST_ANSWER_BYTES = 4096
@@ -39,7 +39,7 @@
 def even_shares(context, least, most):
     for name in context.world.nodes:
         owner = context.world.nodes[name].owner
-        share = 100 * len(owner.granted) / len(owner.ring.stripes)
+        share = 100 * len(owner.granted_stripes) / len(owner.local_ring.stripes)
         assert least <= share <= most, (name, share)
 
 
@@ -84,7 +84,7 @@
 @when("the target of one node ends")
 def target_ends(context):
     context.world.targets["n1"].up = False
-    context.world.nodes["n1"].target.refused()
+    context.world.nodes["n1"].target.on_connection_refused()
 
 
 @when("the target of one node stops reporting")
@@ -111,7 +111,7 @@
 @when("all VMs lose power and come back")
 def all_power(context):
     world = context.world
-    context.fence_before = world.nodes["n1"].owner.ring.next_fence
+    context.fence_before = world.nodes["n1"].owner.local_ring.next_fencing_token
     for name in list(world.nodes):
         world.kill_daemon(name)
         world.targets[name].up = False
@@ -135,7 +135,7 @@
 @when("a failure domain is evacuated")
 def evacuated(context):
     for node in context.world.nodes.values():
-        node.members.set_evacuated(frozenset(("d1",)))
+        node.members.set_evacuated_domains(frozenset(("d1",)))
 
 
 @then("every key has a holder within {seconds:d} s")
@@ -156,7 +156,9 @@
 def has_share(context, share, seconds):
     context.world.run(seconds)
     owner = context.world.nodes["n9"].owner
-    assert len(owner.granted) >= share / 100 * len(owner.ring.stripes), len(owner.granted)
+    assert len(owner.granted_stripes) >= share / 100 * len(owner.local_ring.stripes), len(
+        owner.granted_stripes
+    )
 
 
 @when("the daemon of one node is frozen for {seconds:d} s and wakes")
@@ -210,7 +212,7 @@
             else:
                 domains = frozenset(rng.choice([(), ("d0",), ("d1",)]))
                 for node in world.nodes.values():
-                    node.members.set_evacuated(domains)
+                    node.members.set_evacuated_domains(domains)
             world.run(rng.uniform(0.1, 5.0))
             if rng.random() < 0.5:
                 for other in world.domains:
@@ -233,7 +235,7 @@
 
 @then("the largest list of ranges that one target can get takes at most {most:d} bytes")
 def answer_fits(context, most):
-    count = ring_edits.LARGEST_RANGE_COUNT
+    count = ring_edits.MAX_RANGES_PER_TARGET
     ranges = [Range(60_000 + index * 2, 60_000 + index * 2 + 1, 9_999) for index in range(count)]
     body = encode_grant(Grant(tuple(ranges), 4.999))
     assert len(body) <= most, len(body)
@@ -249,12 +251,12 @@
         lease, now = RangeLease("n", "i"), 100.0
         row = LeaseRow("n", "i", 0.0)
         for there, here in zip(to_store, back, strict=False):
-            lease.clock.observe(now, now + there + offset)
+            lease.store_clock.observe(now, now + there + offset)
             now += there + here
-        row = lease.proposal(now)
-        lease.written(row, 1)
-        while lease.remaining(now) > 0.0:
-            assert not expired(row, now + offset)
+        row = lease.next_row(now)
+        lease.record_written(row, 1)
+        while lease.remaining_seconds(now) > 0.0:
+            assert not is_expired(row, now + offset)
             now += 0.5
 
     check()
@@ -270,16 +272,16 @@
     @settings(max_examples=100, deadline=None)
     @given_any(moves)
     def check(steps):
-        ring = ring_edits.create(owners)
+        ring = ring_edits.create_ring(owners)
         for indexes, receiver in steps:
-            changed = ring_edits.reassign(ring, dict.fromkeys(indexes, owners[receiver]))
+            changed = ring_edits.reassign_stripes(ring, dict.fromkeys(indexes, owners[receiver]))
             for index, (old, new) in enumerate(zip(ring.stripes, changed.stripes, strict=True)):
                 if index in indexes:
-                    assert new.fence > max(stripe.fence for stripe in ring.stripes)
-                    assert changed.owners[new.owner] == owners[receiver]
+                    assert new.fencing_token > max(stripe.fencing_token for stripe in ring.stripes)
+                    assert changed.owners[new.owner_index] == owners[receiver]
                 else:
-                    assert new.fence == old.fence
-                    assert changed.owners[new.owner] == ring.owners[old.owner]
+                    assert new.fencing_token == old.fencing_token
+                    assert changed.owners[new.owner_index] == ring.owners[old.owner_index]
             ring = changed
 
     check()
@@ -293,7 +295,7 @@
         world.store.late_for = {"n1", "n3"}
         for domains in (frozenset(("d1",)), frozenset()):
             for node in world.nodes.values():
-                node.members.set_evacuated(domains)
+                node.members.set_evacuated_domains(domains)
             world.run(world.rng.uniform(2.0, 3.5))
         world.store.late_for = set()
         world.run(8.0)
@@ -324,7 +326,9 @@
 
 @then("the ring was written at most {most:d} times meanwhile")
 def bounded_writes(context, most):
-    fences = {ring.next_fence for node in context.world.nodes.values() if (ring := node.owner.ring)}
+    fences = {
+        ring.next_fencing_token for node in context.world.nodes.values() if (ring := node.owner.local_ring)
+    }
     writes = max(fences) - context.fence_before
     assert writes <= most, writes
 
@@ -334,7 +338,7 @@
     world = context.world
     world.run(1.0)
     rings = world.nodes["n1"].app.find("rings")
-    context.rings, context.version = rings, rings.version
+    context.rings, context.version = rings, rings.local_version
     # A change that the node has not seen yet, because its read of changes has not been answered.
     row = world.store.rows["ring/keys"]
     world.store.version += 1
@@ -342,7 +346,7 @@
     context.reads_before = world.store.calls["read"]
     context.answered = []
     for number in range(count):
-        rings.refresh("keys", lambda number=number: context.answered.append(number))
+        rings.refresh_ring("keys", lambda number=number: context.answered.append(number))
 
 
 @then("one call brings the ring to that node")
@@ -350,7 +354,7 @@
     context.world.run(0.1)
     assert context.world.store.calls["read"] == context.reads_before + 1
     assert len(context.answered) == 5, context.answered
-    assert context.rings.version > context.version
+    assert context.rings.local_version > context.version
 
 
 OWNERS = tuple(
@@ -385,8 +389,10 @@
 def ring_row_size(_context, stripes, most):
     ring = moved_ring(stripes, 1)
     assert len(msgspec.json.encode(encode_ring(ring))) <= most
-    newest = sorted(stripe.fence for stripe in ring.stripes)[-400:]
-    kept = {stripe.fence for stripe in decode_ring(encode_ring(ring)).stripes if stripe.token}
+    newest = sorted(stripe.fencing_token for stripe in ring.stripes)[-400:]
+    kept = {
+        stripe.fencing_token for stripe in decode_ring(encode_ring(ring)).stripes if stripe.handover_token
+    }
     assert kept and min(kept) <= newest[0], "the newest tokens are kept"
 
 
@@ -398,8 +404,8 @@
     "is a list": [["a"], []],
     "is no base64": "!?",
     "is cut short": encode_ring(moved_ring(50, 1))[:-40],
-    "names an unknown owner": packed(Columns(OWNERS[:1], 3, (0, 1), (1, 1), {})),
-    "lacks a fencing token": packed(Columns(OWNERS[:1], 3, (0, 0), (1,), {})),
+    "names an unknown owner": packed(RingColumns(OWNERS[:1], 3, (0, 1), (1, 1), {})),
+    "lacks a fencing token": packed(RingColumns(OWNERS[:1], 3, (0, 0), (1,), {})),
 }
 
 
@@ -415,16 +421,16 @@
 
 @then("{keys:d} neighbouring keys of a service with {owners:d} owners have at least {least:d} owners")
 def neighbours_spread(_context, keys, owners, least):
-    ring = ring_edits.create(OWNERS[:owners])
+    ring = ring_edits.create_ring(OWNERS[:owners])
     for first in (0, 1000, 30_000, 65_000):
-        assert len({ring.owner(key) for key in range(first, first + keys)}) >= least, first
+        assert len({ring.owner_of(key) for key in range(first, first + keys)}) >= least, first
 
 
 def after_report(context):
     world = context.world
     node = context.node = world.nodes["n1"]
-    reported_at = node.target.reported_at
-    while node.target.reported_at == reported_at:
+    reported_at = node.target.last_heartbeat_at
+    while node.target.last_heartbeat_at == reported_at:
         world.run(0.05)
     return world, node
 
@@ -432,37 +438,39 @@
 @when("a node's failure domain is evacuated just after a report of its target")
 def evacuated_after_report(context):
     world, node = after_report(context)
-    context.keys = [node.owner.ring.bounds(index)[0] for index in node.owner.mine()]
+    context.keys = [node.owner.local_ring.key_bounds(index)[0] for index in node.owner.local_stripes()]
     for other in world.nodes.values():
-        other.members.set_evacuated(frozenset((world.domains["n1"],)))
+        other.members.set_evacuated_domains(frozenset((world.domains["n1"],)))
 
 
 @when("a node's target begins to drain just after a report of its target")
 def drains_after_report(context):
     world, node = after_report(context)
-    context.keys = [node.owner.ring.bounds(index)[0] for index in node.owner.mine()]
-    node.target.on_leave(node.target.report.target, 0)
+    context.keys = [node.owner.local_ring.key_bounds(index)[0] for index in node.owner.local_stripes()]
+    node.target.on_leave(node.target.last_heartbeat.target, 0)
     world.targets["n1"].draining = True
 
 
 @when("a node begins to hand over {count:d} stripes just after a report of its target")
 def begins_handover(context, count):
     world, node = after_report(context)
-    node.owner.giving = dict.fromkeys(node.owner.mine()[:count], Owner("n2", world.nodes["n2"].target.life))
-    context.keys = [node.owner.ring.bounds(index)[0] for index in node.owner.giving]
+    node.owner.outgoing_stripes = dict.fromkeys(
+        node.owner.local_stripes()[:count], Owner("n2", world.nodes["n2"].target.incarnation)
+    )
+    context.keys = [node.owner.local_ring.key_bounds(index)[0] for index in node.owner.outgoing_stripes]
 
 
 @then("it serves them for {seconds:g} s more, and refuses them before the next report")
 @then("it serves its keys for {seconds:g} s more, and refuses them before the next report")
 def served_until_report(context, seconds):
     owner, world = context.node.owner, context.world
-    reported_at = context.node.target.reported_at
+    reported_at = context.node.target.last_heartbeat_at
     for _ in range(int(seconds / 0.05)):
-        assert {owner.state(key) for key in context.keys} == {KeyState.HELD}
+        assert {owner.key_state(key) for key in context.keys} == {KeyState.GRANTED}
         world.run(0.05)
     world.run(reported_at + 0.95 - world.now)
-    assert context.node.target.reported_at == reported_at
-    assert {owner.state(key) for key in context.keys} == {KeyState.FOREIGN}
+    assert context.node.target.last_heartbeat_at == reported_at
+    assert {owner.key_state(key) for key in context.keys} == {KeyState.NOT_OWNED}
 
 
 @when("every second one begins to hand over {count:d} stripes while the store takes {milliseconds:d} ms")
@@ -473,10 +481,12 @@
     context.givers = [world.nodes[name].owner for name in names[::2]]
     for number, owner in enumerate(context.givers):
         name = names[2 * number + 1]
-        owner.giving = dict.fromkeys(owner.mine()[:count], Owner(name, world.nodes[name].target.life))
+        owner.outgoing_stripes = dict.fromkeys(
+            owner.local_stripes()[:count], Owner(name, world.nodes[name].target.incarnation)
+        )
 
 
 @then("all handovers are written within {seconds:d} s")
 def handovers_written(context, seconds):
     context.world.run(seconds)
-    assert not [owner.node for owner in context.givers if owner.giving]
+    assert not [owner.node for owner in context.givers if owner.outgoing_stripes]
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -158,18 +158,18 @@
     target = app.add(LocalTarget(router_settings(boot_values())))
     replies = []
     if fault != "is in order":
-        target.on_report(decode_report("i-1", report_body()), replies.append)
+        target.on_heartbeat(decode_report("i-1", report_body()), replies.append)
     if fault == "comes after the target's notice":
         target.on_leave("i-1", 2000)
-    before = target.state, target.report
+    before = target.state, target.last_heartbeat
     try:
-        target.on_report(decode_report("i-1", REPORTS[fault]), replies.append)
+        target.on_heartbeat(decode_report("i-1", REPORTS[fault]), replies.append)
     except InvalidArgument:
         assert outcome == "refused"
-        assert (target.state, target.report) == before
+        assert (target.state, target.last_heartbeat) == before
         return
     if outcome == "ignored":
-        assert (target.state, target.report) == before
+        assert (target.state, target.last_heartbeat) == before
     else:
         assert target.state.value == outcome, target.state
 
--- a/tests/overload_world.py
+++ b/tests/overload_world.py
@@ -19,7 +19,7 @@
 from hibiscusdrum.internal.messages import Forward
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.hop import MAX_INLINE_BODY_BYTES, Forwarder
-from hibiscusdrum.internal.router.local_target import LocalTarget, TargetReport
+from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.members import NodeRow
 from hibiscusdrum.internal.router.receiver import Receiver
 from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
@@ -171,9 +171,11 @@
         )  # fmt: skip
         self.app = Application(world.clock)
         selection = NodeSelector(region, f"{region}-1", random.Random(name))
-        members = Stub("members", nodes=world.rows, candidates=world.candidates, evacuated=frozenset())
-        members.on_change, members.reachable = [], True
-        members.region = lambda node: world.rows[node].region
+        members = Stub(
+            "members", nodes=world.rows, candidates=world.candidates, evacuated_domains=frozenset()
+        )
+        members.on_change, members.store_reachable = [], True
+        members.region_of = lambda node: world.rows[node].region
         self.app.add(members)
         self.app.add(Stub("table"))
         self.app.add(Traffic(settings))
@@ -197,10 +199,10 @@
     def report(self):
         """Let the target report."""
         self.reports += 1
-        report = TargetReport(
+        report = TargetHeartbeat(
             f"i-{self.name}", self.spec.name, "127.0.0.1:1", self.spec.slots, False, self.reports
         )
-        self.target.on_report(report, lambda _grant: None)
+        self.target.on_heartbeat(report, lambda _grant: None)
         self.world.after(REPORT_SECONDS, self.report)
 
 
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -19,7 +19,7 @@
 from hibiscusdrum.internal.kernel import Application, Service
 from hibiscusdrum.internal.platform.table import Changes, Row
 from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper
-from hibiscusdrum.internal.router.local_target import LocalTarget, TargetReport
+from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.ring import Range
@@ -197,7 +197,7 @@
             return
         self.sequence += 1
         sent_at = self.world.now
-        report = TargetReport(
+        report = TargetHeartbeat(
             target=self.name,
             service="keys",
             address="127.0.0.1:1",
@@ -214,7 +214,7 @@
             if grant is not None and self.up and self.world.now - sent_at < ANSWER_LIMIT_SECONDS:
                 self.take(grant, sent_at)
 
-        daemon.app.find("local_target").on_report(report, answered)
+        daemon.app.find("local_target").on_heartbeat(report, answered)
 
     def take(self, grant, sent_at):
         """Hold what an answer grants."""
@@ -223,9 +223,9 @@
         kept = {}
         for entry in grant.ranges:
             for key in self.world.keys_between(entry.first, entry.last):
-                assert entry.fence >= self.seen_fences.get(key, 0), (key, entry.fence)
-                self.seen_fences[key] = entry.fence
-                kept[key] = (entry.fence, end)
+                assert entry.fencing_token >= self.seen_fences.get(key, 0), (key, entry.fencing_token)
+                self.seen_fences[key] = entry.fencing_token
+                kept[key] = (entry.fencing_token, end)
         gone = [key for key, (_, until) in self.held.items() if key not in kept and sent_at < until]
         self.released = [Range(key, key, 0, f"t{key}") for key in gone]
         self.held = kept
