--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -23,7 +23,7 @@
 from tools.processes import Process, request, wait_until
 
 from bench.control_sizes import report_sizes
-from hibiscusdrum.internal.ownership.ring_edit import plain
+from hibiscusdrum.internal.ownership.ring_edit import row_to_json
 from hibiscusdrum.internal.ownership.rows import LeaseRow, OwnerRow, lease_key, owner_key
 
 HOST = "127.0.0.1"
@@ -192,8 +192,10 @@
         for i in range(count):
             name, region = f"x{i:03d}", REGIONS[i % len(REGIONS)]
             owner = OwnerRow(name, SERVICE, region, f"{region}-0", self.nodes[0].peer, self.nodes[0].http)
-            puts[owner_key(name)] = plain(owner)
-            puts[lease_key(name)] = plain(LeaseRow(name, "0" * 32, f"x{(i + 2) % count:03d}", "leaving"))
+            puts[owner_key(name)] = row_to_json(owner)
+            puts[lease_key(name)] = row_to_json(
+                LeaseRow(name, "0" * 32, f"x{(i + 2) % count:03d}", "leaving")
+            )
         body = {"operation_id": "extra-rows", "checks": {}, "puts": puts, "deletes": []}
         code, answer = request(self.store, "POST", "/v1/transact", body)
         if code != 200:
--- a/bench/control_sizes.py
+++ b/bench/control_sizes.py
@@ -21,14 +21,14 @@
 from hibiscusdrum.internal.load.hot_keys import HotKeyDetector
 from hibiscusdrum.internal.messages import MapReply, RowsChanged
 from hibiscusdrum.internal.ownership.dedup import DedupWindow
-from hibiscusdrum.internal.ownership.guards import review_guard
-from hibiscusdrum.internal.ownership.ids import make_id
+from hibiscusdrum.internal.ownership.guards import find_better_guard
+from hibiscusdrum.internal.ownership.ids import new_request_id
 from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
-from hibiscusdrum.internal.ownership.placement import moves
-from hibiscusdrum.internal.ownership.ring_edit import plain
+from hibiscusdrum.internal.ownership.placement import plan_moves
+from hibiscusdrum.internal.ownership.ring_edit import row_to_json
 from hibiscusdrum.internal.ownership.rows import LeaseRow, OwnerRow, lease_key, owner_key
-from hibiscusdrum.internal.ownership.takeover import orphans
+from hibiscusdrum.internal.ownership.takeover import orphaned_nodes
 
 NODES = 490
 REGIONS = ("ost", "west")
@@ -59,8 +59,8 @@
                 slices=tuple(sorted(indices[position :: len(names)])),
                 epoch=position + 1,
             )
-            rows.append((lease_key(name), position + 1, plain(lease)))
-            rows.append((owner_key(name), position + 1, plain(owner)))
+            rows.append((lease_key(name), position + 1, row_to_json(lease)))
+            rows.append((owner_key(name), position + 1, row_to_json(owner)))
     return rows
 
 
@@ -98,7 +98,7 @@
     window = DedupWindow()
     for i in range(IDS_PER_SECOND * WINDOW_SECONDS):
         wall = 1.8e9 + i / IDS_PER_SECOND
-        request_id = make_id(wall)
+        request_id = new_request_id(wall)
         window.admit(request_id, 1, 0.0, wall)
         window.finish(request_id, b"%200d" % i)
     return window
@@ -119,13 +119,14 @@
     owners, leases = ownership.owners, ownership.leases
     name = next(iter(owners))
 
-    ring = ownership.nodes("wappensuche", owners[name].region)
+    ring = ownership.owner_rows("wappensuche", owners[name].region)
 
     return {
-        "review_guard, 2/s": 2e3 * seconds(lambda: review_guard(name, owners, leases, leases.__contains__)),
-        "orphans, 1/s": 1e3 * seconds(lambda: orphans(ownership)),
+        "review_guard, 2/s": 2e3
+        * seconds(lambda: find_better_guard(name, owners, leases, leases.__contains__)),
+        "orphans, 1/s": 1e3 * seconds(lambda: orphaned_nodes(ownership)),
         "sorted leases for releases, 1/s": 1e3 * seconds(lambda: sorted(leases)),
-        "placement, 1/s": 1e3 * seconds(lambda: moves(ring, {}, {}, MAX_MOVES)),
+        "placement, 1/s": 1e3 * seconds(lambda: plan_moves(ring, {}, {}, MAX_MOVES)),
     }
 
 
--- a/bench/lease_compare.py
+++ b/bench/lease_compare.py
@@ -16,7 +16,7 @@
 import sys
 
 from bench.lease_liveness import chain_lost, formed, store_outage
-from hibiscusdrum.internal.ownership.lease import CLOCK_MARGIN, TERM_SECONDS
+from hibiscusdrum.internal.ownership.lease import CLOCK_MARGIN_FRACTION, LEASE_TERM_SECONDS
 
 ROUND_TRIP_SECONDS = 0.02
 WATCH_SECONDS = 0.1
@@ -74,7 +74,7 @@
             self.at(self.time + self.renewal, "renew", node, 0.0)
             return
         done = max(arrival, self.free_at) + 1.0 / self.rate
-        if done - self.time > TERM_SECONDS:
+        if done - self.time > LEASE_TERM_SECONDS:
             self.at(self.time + self.renewal, "renew", node, 0.0)
             return
         self.free_at = done
@@ -86,7 +86,7 @@
         self.last_commit[node] = self.time - ROUND_TRIP_SECONDS / 2
         if self.time > self.expiry[node]:
             self.lapsed += max(0.0, self.time - max(self.expiry[node], count_from))
-        self.expiry[node] = max(self.expiry[node], sent + TERM_SECONDS)
+        self.expiry[node] = max(self.expiry[node], sent + LEASE_TERM_SECONDS)
         self.at(max(self.time, sent + self.renewal), "renew", node, 0.0)
 
 
@@ -110,7 +110,7 @@
 def store_recovery(options: argparse.Namespace) -> float:
     """Return the median time to serve again after a loss, with a store that is not overloaded."""
     rng = random.Random(3)
-    wait = TERM_SECONDS * (1 + CLOCK_MARGIN)
+    wait = LEASE_TERM_SECONDS * (1 + CLOCK_MARGIN_FRACTION)
     times = []
     for _ in range(1000):
         since_renewal = rng.random() * options.renewal
@@ -148,7 +148,7 @@
     parser.add_argument("--seeds", type=int, default=20)
     options = parser.parse_args()
     print("command: python -m bench.lease_compare " + " ".join(sys.argv[1:]))
-    print(f"{options.nodes} nodes, term {TERM_SECONDS} s")
+    print(f"{options.nodes} nodes, term {LEASE_TERM_SECONDS} s")
     print("| leases | writes/s | time without lease | unavailable in 60 s outage | served again after loss |")
     print("|---|---|---|---|---|")
     for label, rate in (("store, no rate limit", 1e9), (f"store, {options.rate:.0f} writes/s", options.rate)):
--- a/bench/lease_model.py
+++ b/bench/lease_model.py
@@ -16,11 +16,11 @@
 from typing import Any
 
 from hibiscusdrum.internal.ownership import guards, handover, takeover
-from hibiscusdrum.internal.ownership.guard import GRANTED, GrantDecision, GuardTable, Lessee
+from hibiscusdrum.internal.ownership.guard import GRANTED, LeaseGuard, Lessee, RenewalDecision
 from hibiscusdrum.internal.ownership.keys import slice_of
-from hibiscusdrum.internal.ownership.lease import GUARD_SILENCE_SECONDS, TERM_SECONDS, LeaseHolder
+from hibiscusdrum.internal.ownership.lease import GUARD_TIMEOUT_SECONDS, LEASE_TERM_SECONDS, LeaseHolder
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
-from hibiscusdrum.internal.ownership.ring_edit import plain
+from hibiscusdrum.internal.ownership.ring_edit import row_to_json
 from hibiscusdrum.internal.ownership.rows import (
     LeaseRow,
     OwnerRow,
@@ -72,7 +72,7 @@
     __slots__ = ("cluster",)
 
     def __init__(self, node: str, incarnation: str, cluster: Cluster) -> None:
-        super().__init__(node, incarnation, TERM_SECONDS)
+        super().__init__(node, incarnation, LEASE_TERM_SECONDS)
         self.cluster = cluster
 
     @property
@@ -80,29 +80,29 @@
         """Rules left out."""
         return self.cluster.omit
 
-    def adopt(self, row: LeaseRow, version: int, now: float) -> None:
+    def apply_row(self, row: LeaseRow, version: int, now: float) -> None:
         """Adopt a row."""
-        pending = dict(self.pending)
-        super().adopt(row, version, now)
+        pending = dict(self.pending_renewals)
+        super().apply_row(row, version, now)
         if "grant_bound_to_version" in self.omit:
-            self.pending.update(pending)
+            self.pending_renewals.update(pending)
 
     def reread(self, version: int) -> None:
         """Note that the row was read again with the version known before."""
-        if version == self.version and "change_ends_on_newer_row" in self.omit:
-            self.changing = False
+        if version == self.lease_version and "change_ends_on_newer_row" in self.omit:
+            self.guard_change_pending = False
 
     def on_granted(self, nonce: int, lease_version: int, now: float) -> bool:
         """Count a grant."""
-        pending = self.pending.get(nonce)
+        pending = self.pending_renewals.get(nonce)
         if pending is not None:
             if "count_from_send" in self.omit:
-                pending.sent = now
+                pending.sent_at = now
             if "no_count_while_changing" in self.omit:
-                pending.counts = True
+                pending.extends_lease = True
             if "grant_bound_to_version" in self.omit:
-                pending.lease_version = lease_version = self.version
-                pending.counts = not self.changing
+                pending.lease_version = lease_version = self.lease_version
+                pending.extends_lease = not self.guard_change_pending
         return super().on_granted(nonce, lease_version, now)
 
     def begin_guard_change(self, now: float) -> None:
@@ -113,13 +113,13 @@
             self.expiry = expiry
 
 
-class ModelGuard(GuardTable):
+class ModelGuard(LeaseGuard):
     """Guard table that can leave rules out."""
 
     __slots__ = ("cluster",)
 
     def __init__(self, node: str, cluster: Cluster) -> None:
-        super().__init__(node, TERM_SECONDS)
+        super().__init__(node, LEASE_TERM_SECONDS)
         self.cluster = cluster
 
     @property
@@ -128,34 +128,34 @@
         return self.cluster.omit
 
     @property
-    def wait(self) -> float:
+    def takeover_wait(self) -> float:
         """Return the wait, without the margin if that is left out."""
-        return self.term if "clock_margin" in self.omit else super().wait
+        return self.term if "clock_margin" in self.omit else super().takeover_wait
 
-    def observe(self, row: LeaseRow | None, node: str, version: int, now: float) -> None:
+    def apply_row(self, row: LeaseRow | None, node: str, version: int, now: float) -> None:
         """Observe a row."""
         known = self.lessees.get(node)
-        super().observe(row, node, version, now)
+        super().apply_row(row, node, version, now)
         lessee = self.lessees.get(node)
         if lessee is not None and lessee is not known and "wait_from_read" in self.omit:
-            lessee.deadline = now
+            lessee.takeover_at = now
 
-    def on_renew(
+    def decide_renewal(
         self, node: str, incarnation: str, lease_version: int, own_lease_valid: bool, now: float
-    ) -> GrantDecision:
+    ) -> RenewalDecision:
         """Decide on a renewal."""
         omit = self.omit
         lessee = self.lessees.get(node)
-        taking_over = lessee is not None and lessee.taking_over
+        taking_over = lessee is not None and lessee.takeover_started
         if taking_over and "refuse_during_takeover" in omit:
-            lessee.taking_over = False
-        deadline = lessee.deadline if lessee is not None else 0.0
+            lessee.takeover_started = False
+        deadline = lessee.takeover_at if lessee is not None else 0.0
         valid = own_lease_valid or "grant_only_while_valid" in omit
-        decision = super().on_renew(node, incarnation, lease_version, valid, now)
+        decision = super().decide_renewal(node, incarnation, lease_version, valid, now)
         if lessee is not None:
-            lessee.taking_over = taking_over
+            lessee.takeover_started = taking_over
             if "wait_from_grant" in omit:
-                lessee.deadline = deadline
+                lessee.takeover_at = deadline
         return decision
 
     def end_takeover(self, node: str, committed: bool | None, now: float) -> None:
@@ -164,7 +164,7 @@
         super().end_takeover(node, False if restart else committed, now)
         lessee = self.lessees.get(node)
         if restart and lessee is not None:
-            lessee.deadline = now + self.wait
+            lessee.takeover_at = now + self.takeover_wait
 
 
 class ModelTable:
@@ -330,13 +330,13 @@
             process.next_poll = now + POLL_SECONDS
             self._poll(process)
         holder = process.holder
-        if holder.row is None or holder.gone:
+        if holder.row is None or holder.revoked:
             self._join(process)
             return
         if holder.renewal_due(now):
             self._renew(process, now)
         self._review_guard(process, now)
-        for due in process.guard.due(now, holder.valid(now)):
+        for due in process.guard.expired_leases(now, holder.valid(now)):
             self._take_over(process, due.node, due.lease_version)
         self._adopt_orphans(process, now)
         self._claim(process, now)
@@ -363,8 +363,8 @@
             if kind != "lease":
                 continue
             row = ownership.leases.get(name)
-            version = ownership.version(key) or ownership.deleted[key]
-            process.guard.observe(row, name, version, now)
+            version = ownership.version(key) or ownership.deleted_versions[key]
+            process.guard.apply_row(row, name, version, now)
             if name == self.name:
                 self._own_lease(process, row, version, now)
         if seq:
@@ -375,14 +375,14 @@
 
     def _own_lease(self, process: Process, row: LeaseRow | None, version: int, now: float) -> None:
         if row is None:
-            process.holder.observe_deletion(version, now)
+            process.holder.apply_row_deletion(version, now)
         elif row.incarnation == process.holder.incarnation or process.holder.row is not None:
-            process.holder.adopt(row, version, now)
+            process.holder.apply_row(row, version, now)
 
     def _join(self, process: Process) -> None:
         holder, ownership = process.holder, process.map
-        if holder.gone:
-            incarnation = f"{self.name}.{self.runs}r{holder.version}"
+        if holder.revoked:
+            incarnation = f"{self.name}.{self.runs}r{holder.lease_version}"
             process.holder = holder = ModelHolder(self.name, incarnation, self.cluster)
         if not ownership.seq or self.name in ownership.leases or "join" in process.busy:
             return
@@ -402,7 +402,7 @@
         return OwnerRow(self.name, SERVICE, REGION, self.domain, self.name, self.name)
 
     def _renew(self, process: Process, now: float) -> None:
-        ask = process.holder.next_renewal(now)
+        ask = process.holder.start_renewal(now)
         self._gossip(process.holder.valid(now))
         if ask.guard == self.name or ask.guard not in self.cluster.nodes:
             return
@@ -439,7 +439,9 @@
     ) -> None:
         """Answer a renewal request."""
         now = self.now()
-        decision = process.guard.on_renew(owner.name, incarnation, version, process.holder.valid(now), now)
+        decision = process.guard.decide_renewal(
+            owner.name, incarnation, version, process.holder.valid(now), now
+        )
         if decision is GRANTED:
             reply = lambda peer, other: peer.on_granted(other, incarnation, nonce, version)  # noqa: E731
             self.act(process, lambda: self.cluster.send(self, owner, reply))
@@ -472,7 +474,7 @@
         if "guard" in process.busy or self.name not in ownership.owners:
             return
         guard = holder.row.guard
-        if guard != self.name and holder.silence(now) > self.cluster.guard_silence:
+        if guard != self.name and holder.seconds_since_grant(now) > self.cluster.guard_silence:
             process.failed[guard] = now
             choice = guards.choose_guard(
                 self.name, ownership.owners, ownership.leases, lambda name: self._usable(process, name)
@@ -484,7 +486,7 @@
             chance = 1.0 if guard == self.name else 0.1
             if not self.cluster.review or self.cluster.random.random() > chance:
                 return
-            choice = guards.review_guard(
+            choice = guards.find_better_guard(
                 self.name, ownership.owners, ownership.leases, lambda name: self._usable(process, name)
             )
             if choice is None:
@@ -523,16 +525,16 @@
                 for key in transaction.puts:
                     lessee: Lessee | None = process.guard.lessees.get(key.partition("/")[2])
                     if key.startswith("lease/") and lessee is not None:
-                        lessee.deadline = self.now()
+                        lessee.takeover_at = self.now()
 
         self._commit(process, f"takeover {dead}", transaction, done, name_check)
 
     def _adopt_orphans(self, process: Process, now: float) -> None:
         if not process.holder.valid(now) or self.cluster.random.random() > 0.2:
             return
-        for name in takeover.orphans(process.map):
+        for name in takeover.orphaned_nodes(process.map):
             if name != self.name:
-                transaction = takeover.adoption_transaction(
+                transaction = takeover.orphan_guard_transaction(
                     process.map, name, self.name, self.cluster.operation()
                 )
                 self._commit(process, f"adopt {name}", transaction, lambda committed: None)
@@ -676,7 +678,7 @@
         self.drift = drift
         self.tick_seconds = TICK_SECONDS
         self.review = True
-        self.guard_silence = GUARD_SILENCE_SECONDS
+        self.guard_silence = GUARD_TIMEOUT_SECONDS
         self.nodes: dict[str, ModelNode] = {}
         for index in range(count):
             self.add_node(f"n{index}", f"zone{index % domains}")
@@ -701,9 +703,9 @@
             owner = OwnerRow(
                 name, SERVICE, REGION, owner.failure_domain, name, name, slices=share[name], epoch=1
             )
-            self.table.rows[lease_key(name)] = (1, plain(lease))
-            self.table.rows[owner_key(name)] = (1, plain(owner))
-        self.table.rows[ring_key(SERVICE, REGION)] = (1, plain(RingRow(SERVICE, REGION, self.slices)))
+            self.table.rows[lease_key(name)] = (1, row_to_json(lease))
+            self.table.rows[owner_key(name)] = (1, row_to_json(owner))
+        self.table.rows[ring_key(SERVICE, REGION)] = (1, row_to_json(RingRow(SERVICE, REGION, self.slices)))
         seq, rows = self.table.changes(0)
         for node in self.nodes.values():
             node.apply(node.process, rows, seq)
@@ -847,7 +849,7 @@
             for node in self.nodes.values()
             if node.process is not None
             and node.process.holder.row is not None
-            and not node.process.holder.gone
+            and not node.process.holder.revoked
         ]
 
 
--- a/bench/lease_scenarios.py
+++ b/bench/lease_scenarios.py
@@ -90,7 +90,7 @@
     """Let true time pass until g has started to take x over, at most two terms."""
     for _ in range(300):
         lessee = cluster.nodes["g"].process.guard.lessees.get("x")
-        if lessee is None or lessee.taking_over:
+        if lessee is None or lessee.takeover_started:
             return
         wait(cluster, 0.01)
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -18,8 +18,8 @@
 from hibiscusdrum.internal.ownership import handover, takeover
 from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES, slice_of
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
-from hibiscusdrum.internal.ownership.placement import MAX_IMBALANCE, moves
-from hibiscusdrum.internal.ownership.ring_edit import plain
+from hibiscusdrum.internal.ownership.placement import MAX_LOAD_RATIO, plan_moves
+from hibiscusdrum.internal.ownership.ring_edit import row_to_json
 from hibiscusdrum.internal.ownership.rows import LeaseRow, OwnerRow, RingRow, lease_key, owner_key, ring_key
 from hibiscusdrum.internal.platform.table import SEQUENCE_PLACEHOLDER, Transaction
 
@@ -81,7 +81,7 @@
     def balance(self) -> None:
         """Carry out moves until there are none."""
         for _ in range(1000):
-            planned = moves(self.map.nodes(SERVICE, REGION), {}, {}, 10_000, self.eligible)
+            planned = plan_moves(self.map.owner_rows(SERVICE, REGION), {}, {}, 10_000, self.eligible)
             if not planned:
                 return
             for move in planned:
@@ -123,7 +123,7 @@
 
     def active(self) -> list[str]:
         """Return the nodes that may own keys."""
-        return [row.node for row in self.map.nodes(SERVICE, REGION) if self.eligible(row)]
+        return [row.node for row in self.map.owner_rows(SERVICE, REGION) if self.eligible(row)]
 
 
 class HashPlacement:
@@ -196,7 +196,7 @@
     counts = dict.fromkeys(placement.active(), 0)
     if isinstance(placement, SlicePlacement):
         counts.update(
-            (row.node, len(row.slices)) for row in placement.map.nodes(SERVICE, REGION) if row.slices
+            (row.node, len(row.slices)) for row in placement.map.owner_rows(SERVICE, REGION) if row.slices
         )
     else:
         for name in owners:
@@ -250,16 +250,16 @@
     slices = list(range(DEFAULT_SLICES))
     random.Random(2).shuffle(slices)
     result = OwnershipMap()
-    rows = [(ring_key(SERVICE, REGION), 1, plain(RingRow(SERVICE, REGION, DEFAULT_SLICES)))]
+    rows = [(ring_key(SERVICE, REGION), 1, row_to_json(RingRow(SERVICE, REGION, DEFAULT_SLICES)))]
     for index in range(nodes):
         name = f"n{index:03d}"
         own = tuple(sorted(slices[index::nodes]))
         row = OwnerRow(
             name, SERVICE, REGION, domain_of(index), "10.0.0.1:7000", "10.0.0.1:8000", own, epoch=1
         )
-        rows.append((owner_key(name), 1, plain(row)))
+        rows.append((owner_key(name), 1, row_to_json(row)))
         rows.append(
-            (lease_key(name), 1, plain(LeaseRow(name, f"{index:032x}", f"n{(index + 1) % nodes:03d}")))
+            (lease_key(name), 1, row_to_json(LeaseRow(name, f"{index:032x}", f"n{(index + 1) % nodes:03d}")))
         )
     result.apply(rows, 1)
     return result
@@ -274,7 +274,7 @@
         for value in KEY_HASHES:
             lookup(SERVICE, REGION, value)
 
-    index_lookup = ownership.index(SERVICE, REGION).owner
+    index_lookup = ownership.ring_index(SERVICE, REGION).owner
 
     def look_up_in_index() -> None:
         for value in KEY_HASHES:
@@ -310,8 +310,8 @@
 def _value(ownership: OwnershipMap, key: str):
     kind, _, name = key.partition("/")
     if kind == "ring":
-        return plain(ownership.rings[SERVICE, REGION])
-    return plain((ownership.owners if kind == "owner" else ownership.leases)[name])
+        return row_to_json(ownership.rings[SERVICE, REGION])
+    return row_to_json((ownership.owners if kind == "owner" else ownership.leases)[name])
 
 
 def main() -> int:
@@ -320,7 +320,7 @@
     parser.add_argument("--targets", type=int, nargs="+", default=[10, 50, 100, 245, 490])
     options = parser.parse_args()
     print("command: python -m bench.placement " + " ".join(sys.argv[1:]))
-    print(f"{KEYS} keys, bound of the imbalance of slices {MAX_IMBALANCE}")
+    print(f"{KEYS} keys, bound of the imbalance of slices {MAX_LOAD_RATIO}")
     churn_table(options.targets)
     map_table()
     return 0
--- a/bench/routing_tables.py
+++ b/bench/routing_tables.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from bench.placement import random_moves_map
-from hibiscusdrum.internal.ownership.ring_edit import plain
+from hibiscusdrum.internal.ownership.ring_edit import row_to_json
 
 WIDTH, HEIGHT = 35, 14
 NODES = WIDTH * HEIGHT
@@ -74,7 +74,7 @@
     latencies = sorted(latency for _, latency in routes)
     direct = [SAME_REGION_MS if region(a) == region(b) else CROSS_REGION_MS for a, b in pairs]
     ownership = random_moves_map(NODES)
-    rows = [plain(row) for row in ownership.owners.values()]
+    rows = [row_to_json(row) for row in ownership.owners.values()]
     known = sum(map(len, table)) / NODES
     print("command: python -m bench.routing_tables " + " ".join(sys.argv[1:]))
     size = len(msgspec.msgpack.encode(rows))
--- a/src/hibiscusdrum/internal/caller/engine.py
+++ b/src/hibiscusdrum/internal/caller/engine.py
@@ -36,7 +36,7 @@
 from hibiscusdrum.internal.load.client_policy import ClientPolicy
 from hibiscusdrum.internal.messages import Call, Cancel, Message, Refusal, Reply
 from hibiscusdrum.internal.ownership.handover import ACTIVE
-from hibiscusdrum.internal.ownership.ids import make_id
+from hibiscusdrum.internal.ownership.ids import new_request_id
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
 from hibiscusdrum.internal.ownership.rows import OwnerRow
 from hibiscusdrum.internal.routing import may_take_work, resolve
@@ -170,7 +170,7 @@
     def submit(self, request: Request, on_done: OnDone) -> None:
         """Start a call."""
         now = time.monotonic()
-        request_id = request.request_id or make_id(time.time())
+        request_id = request.request_id or new_request_id(time.time())
         if request_id in self.calls:
             # Answers are matched by id; the call in flight would never end if this one took its place.
             reason = "a call with this id is in flight"
@@ -253,7 +253,7 @@
         names = self.candidates_cache.get((service, region))
         if names is None:
             document = self.view.document
-            rows = self.view.map.nodes(service, region)
+            rows = self.view.map.owner_rows(service, region)
             leases = self.view.map.leases
             names = tuple(
                 row.node
--- a/src/hibiscusdrum/internal/daemon/guarding.py
+++ b/src/hibiscusdrum/internal/daemon/guarding.py
@@ -10,7 +10,7 @@
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.messages import LeaseGranted, LeaseRefused, RenewLease
 from hibiscusdrum.internal.ownership import takeover
-from hibiscusdrum.internal.ownership.guard import GuardTable, Refusal, TakeoverDue
+from hibiscusdrum.internal.ownership.guard import ExpiredLease, LeaseGuard, RenewalRefusal
 from hibiscusdrum.internal.ownership.handover import ACTIVE
 from hibiscusdrum.internal.ownership.rows import LEASE_PREFIX, lease_key
 from hibiscusdrum.internal.platform.table import Row, Transaction
@@ -40,7 +40,7 @@
         super().__init__()
         self.settings = settings
         self.node = settings.node
-        self.guard_table = GuardTable(
+        self.guard_table = LeaseGuard(
             self.node, settings.lease_term_ms / 1000.0, settings.clock_margin_percent / 100.0
         )
 
@@ -69,7 +69,7 @@
             if row.key.startswith(LEASE_PREFIX):
                 node = row.key[len(LEASE_PREFIX) :]
                 value = self.membership.map.leases.get(node) if row.value is not None else None
-                self.guard_table.observe(value, node, row.version, self.now)
+                self.guard_table.apply_row(value, node, row.version, self.now)
 
     # Renewals
 
@@ -77,18 +77,20 @@
         """Grant or refuse a renewal."""
         now = self.now
         self.configuration.note_peer_revision(message.node, message.revision)
-        decision = self.guard_table.on_renew(
+        decision = self.guard_table.decide_renewal(
             message.node, message.incarnation, message.lease_version, self.leases.valid(), now
         )
         address = self.membership.address_of(message.node)
-        if address is None or decision.refusal is Refusal.UNKNOWN_VERSION:
+        if address is None or decision.refusal is RenewalRefusal.UNKNOWN_VERSION:
             # The owner's row is newer than this node's copy; its next renewal comes within the term.
             self.membership.poll()
         if address is None:
             return
         self.peers.send_control(address, self.answer_renewal(message, decision.refusal))
 
-    def answer_renewal(self, message: RenewLease, refusal: Refusal | None) -> LeaseGranted | LeaseRefused:
+    def answer_renewal(
+        self, message: RenewLease, refusal: RenewalRefusal | None
+    ) -> LeaseGranted | LeaseRefused:
         """Build the answer to a renewal."""
         if refusal is not None:
             return LeaseRefused(
@@ -111,10 +113,10 @@
 
     def check(self) -> None:
         """Take over nodes whose leases have ended."""
-        for due in self.guard_table.due(self.now, self.leases.valid()):
+        for due in self.guard_table.expired_leases(self.now, self.leases.valid()):
             self.take_over(due)
 
-    def take_over(self, due: TakeoverDue) -> None:
+    def take_over(self, due: ExpiredLease) -> None:
         """Write the takeover of a lapsed node."""
         if not self.guard_table.begin_takeover(due.node):
             return
@@ -141,7 +143,7 @@
         row = owners.get(taken)
         if row is None:
             return set()
-        ring = self.membership.map.nodes(row.service, row.region)
+        ring = self.membership.map.owner_rows(row.service, row.region)
         usable = {
             other.node
             for other in ring
@@ -153,7 +155,7 @@
         trusted = {node for node in usable if leases[node].guard != taken}
         return trusted or usable
 
-    def commit_takeover(self, due: TakeoverDue, transaction: Transaction, started: float) -> None:
+    def commit_takeover(self, due: ExpiredLease, transaction: Transaction, started: float) -> None:
         """Send a takeover; with an unknown outcome the same transaction is sent again."""
         taken = self.membership.map.owners.get(due.node)
         slices = len(taken.slices) if taken is not None else 0
@@ -173,7 +175,7 @@
 
         self.membership.commit(transaction, done)
 
-    def log_takeover(self, due: TakeoverDue, transaction: Transaction, started: float, slices: int) -> None:
+    def log_takeover(self, due: ExpiredLease, transaction: Transaction, started: float, slices: int) -> None:
         """Log a committed takeover."""
         receivers = tuple(key.removeprefix("owner/") for key in transaction.puts if key.startswith("owner/"))
         duration = (self.now - started) * 1000.0
@@ -196,7 +198,7 @@
         others = sorted(node for node in leases if node not in released)
         if not released or self.node not in others[:RELEASE_CANDIDATES]:
             return
-        for transaction in takeover.release_transaction(
+        for transaction in takeover.release_transactions(
             self.membership.map, released, new_operation_id(), self.configuration.accepts_work
         ):
             self.membership.commit(transaction, ignore_result)
@@ -210,10 +212,10 @@
         if not self.leases.valid():
             return
         owners = self.membership.map.owners
-        for node in takeover.orphans(self.membership.map):
+        for node in takeover.orphaned_nodes(self.membership.map):
             row = owners.get(node)
             if node != self.node and (row is None or row.region == self.settings.region):
-                transaction = takeover.adoption_transaction(
+                transaction = takeover.orphan_guard_transaction(
                     self.membership.map, node, self.node, new_operation_id()
                 )
                 self.membership.commit(transaction, ignore_result)
--- a/src/hibiscusdrum/internal/daemon/handover.py
+++ b/src/hibiscusdrum/internal/daemon/handover.py
@@ -15,7 +15,7 @@
 from hibiscusdrum.internal.messages import Call
 from hibiscusdrum.internal.ownership import handover as transactions
 from hibiscusdrum.internal.ownership.rows import owner_key
-from hibiscusdrum.internal.ownership.takeover import receivers
+from hibiscusdrum.internal.ownership.takeover import choose_receivers
 from hibiscusdrum.internal.platform.table import Transaction
 from hibiscusdrum.internal.routing import Resolution
 from hibiscusdrum.internal.settings import Settings
@@ -285,7 +285,7 @@
         row = self.owned.row
         if row is None:
             return []
-        return receivers(self.membership.map, row, {self.node}, self.configuration.accepts_work)
+        return choose_receivers(self.membership.map, row, {self.node}, self.configuration.accepts_work)
 
     def has_receivers(self) -> bool:
         """Return whether any node may take this node's slices."""
--- a/src/hibiscusdrum/internal/daemon/http_endpoint.py
+++ b/src/hibiscusdrum/internal/daemon/http_endpoint.py
@@ -36,7 +36,7 @@
 from hibiscusdrum.internal.daemon.status import owner_view, status_view
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.messages import Call, Message
-from hibiscusdrum.internal.ownership.ids import make_id
+from hibiscusdrum.internal.ownership.ids import new_request_id
 from hibiscusdrum.internal.routing import resolve
 from hibiscusdrum.internal.settings import Settings
 from hibiscusdrum.internal.transport.http_server import HttpServer
@@ -262,7 +262,7 @@
         idempotent = method in IDEMPOTENT_METHODS
         query = f"?{req.qs}" if req.qs else ""
         return Call(
-            request_id=parse_id(given_id) if given_id else make_id(self.app.clock.wall()),
+            request_id=parse_id(given_id) if given_id else new_request_id(self.app.clock.wall()),
             tenant=required(headers, "tenant"),
             service=service,
             request_class=headers.get(HEADER_PREFIX + "class", "default"),
--- a/src/hibiscusdrum/internal/daemon/leases.py
+++ b/src/hibiscusdrum/internal/daemon/leases.py
@@ -14,8 +14,8 @@
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.messages import LeaseGranted, LeaseRefused, RenewLease
 from hibiscusdrum.internal.ownership import handover
-from hibiscusdrum.internal.ownership.guard import Refusal
-from hibiscusdrum.internal.ownership.guards import choose_guard, review_guard
+from hibiscusdrum.internal.ownership.guard import RenewalRefusal
+from hibiscusdrum.internal.ownership.guards import choose_guard, find_better_guard
 from hibiscusdrum.internal.ownership.lease import LeaseHolder
 from hibiscusdrum.internal.ownership.rows import LeaseRow, OwnerRow, lease_key
 from hibiscusdrum.internal.platform.table import Row, Transaction
@@ -191,7 +191,7 @@
         row = self.membership.map.leases.get(self.node)
         version = self.membership.map.version(lease_key(self.node))
         if self.holder is not None and row is not None:
-            self.holder.adopt(row, version, self.now)
+            self.holder.apply_row(row, version, self.now)
 
     # Rows
 
@@ -205,12 +205,12 @@
     def on_own_row(self, value: LeaseRow | None, version: int) -> None:
         """Adopt a changed own row; when the node was taken over, join again."""
         if value is None or value.incarnation != self.holder.incarnation:
-            self.holder.lost(self.now)
+            self.holder.revoke(self.now)
             self.note_validity()
             self.holder = None
             self.try_join()
             return
-        self.holder.adopt(value, version, self.now)
+        self.holder.apply_row(value, version, self.now)
         self.renew()
 
     # Renewal
@@ -221,7 +221,7 @@
         if holder is None or holder.row is None or holder.self_guarded:
             self.note_validity()
             return
-        ask = holder.next_renewal(self.now)
+        ask = holder.start_renewal(self.now)
         address = self.membership.address_of(ask.guard)
         if address is not None:
             self.peers.send_control(address, self.renewal_message(ask.lease_version, ask.nonce))
@@ -250,7 +250,7 @@
 
     def on_lease_refused(self, message: LeaseRefused) -> None:
         """Read the table when the guard knows another row; a refusing guard is replaced like a silent one."""
-        if message.reason in (Refusal.OLD_VERSION, Refusal.NOT_GUARD):
+        if message.reason in (RenewalRefusal.OLD_VERSION, RenewalRefusal.NOT_GUARD):
             self.membership.poll()
 
     def note_validity(self) -> None:
@@ -259,10 +259,10 @@
         if valid == self.was_valid:
             return
         self.was_valid = valid
-        version = self.holder.version if self.holder is not None else 0
+        version = self.holder.lease_version if self.holder is not None else 0
         if not valid:
             self.lost_at = self.now
-            silence = self.holder.silence(self.now) * 1000.0 if self.holder is not None else 0.0
+            silence = self.holder.seconds_since_grant(self.now) * 1000.0 if self.holder is not None else 0.0
             log_events.emit(
                 log_events.LeaseLost(guard=self.guard, lease_version=version, since_last_grant_ms=silence)
             )
@@ -288,7 +288,7 @@
         holder = self.holder
         if holder is None or holder.row is None or holder.self_guarded or self.writing:
             return
-        if holder.silence(self.now) < SILENT_INTERVALS * self.renewal_seconds:
+        if holder.seconds_since_grant(self.now) < SILENT_INTERVALS * self.renewal_seconds:
             return
         self.avoid(holder.row.guard)
         self.change_guard(choose_guard(self.node, *self.rows_for_choice(), self.usable))
@@ -317,7 +317,7 @@
             or self.node not in self.membership.map.owners
         ):
             return
-        better = review_guard(self.node, *self.rows_for_choice(), self.usable)
+        better = find_better_guard(self.node, *self.rows_for_choice(), self.usable)
         if better is None and not holder.self_guarded and not self.usable(holder.row.guard):
             better = choose_guard(self.node, *self.rows_for_choice(), self.usable)
         if better is not None and better != holder.row.guard:
@@ -327,8 +327,8 @@
 
     def on_document(self, document: Document) -> None:
         """Give up the own lease at once when an operator has declared this node gone."""
-        if self.holder is not None and document.may_release(self.node, self.holder.version):
-            self.holder.lost(self.now)
+        if self.holder is not None and document.may_release(self.node, self.holder.lease_version):
+            self.holder.revoke(self.now)
             self.note_validity()
 
     def change_guard(
--- a/src/hibiscusdrum/internal/daemon/rebalancer.py
+++ b/src/hibiscusdrum/internal/daemon/rebalancer.py
@@ -49,14 +49,16 @@
         row = self.owned.row
         if row is None or self.handover.busy or not self.leases.valid() or not self.eligible(row):
             return
-        rows = [other for other in self.membership.map.nodes(row.service, row.region) if self.eligible(other)]
+        rows = [
+            other for other in self.membership.map.owner_rows(row.service, row.region) if self.eligible(other)
+        ]
         if len(rows) > 1 and not self.move_hot_key(row, rows):
             self.move_slices(row)
 
     def move_slices(self, row: OwnerRow) -> None:
         """Carry out the first of this node's moves in the placement that every node computes alike."""
-        ring = self.membership.map.nodes(row.service, row.region)
-        for move in placement.moves(ring, {}, {}, MAX_MOVES, self.eligible):
+        ring = self.membership.map.owner_rows(row.service, row.region)
+        for move in placement.plan_moves(ring, {}, {}, MAX_MOVES, self.eligible):
             if move.source == row.node:
                 self.handover.begin(move.receiver, move.slices)
                 return
--- a/src/hibiscusdrum/internal/ownership/dedup.py
+++ b/src/hibiscusdrum/internal/ownership/dedup.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from hibiscusdrum.errors import InvalidArgument
-from hibiscusdrum.internal.ownership.ids import created_wall
+from hibiscusdrum.internal.ownership.ids import creation_time
 
 # Ids are remembered for this long; 5,900 requests/s, a tenth of them non-idempotent, make 71,000 ids.
 WINDOW_SECONDS = 120.0
@@ -83,9 +83,9 @@
 
     __slots__ = (
         "answer_bytes",
-        "answered",
+        "answered_ids",
         "entries",
-        "expiries",
+        "expiry_queue",
         "margin_seconds",
         "max_answer_bytes",
         "max_entries",
@@ -108,8 +108,8 @@
         self.max_entries = max_entries
         self.max_answer_bytes = max_answer_bytes
         self.entries: dict[bytes, Entry] = {}
-        self.expiries: deque[tuple[float, bytes]] = deque()
-        self.answered: deque[bytes] = deque()
+        self.expiry_queue: deque[tuple[float, bytes]] = deque()
+        self.answered_ids: deque[bytes] = deque()
         self.answer_bytes = 0
 
     def admit(
@@ -133,7 +133,7 @@
         InvalidArgument
             If the id is not a UUIDv7.
         """
-        created = created_wall(request_id)
+        created = creation_time(request_id)
         self._expire(wall)
         entry = self.entries.get(request_id)
         if entry is not None:
@@ -145,7 +145,7 @@
         self.entries[request_id] = Entry()
         # Twice the margin: the id may be as much as one margin in the future and is accepted as a retry
         # until its creation time is a whole window ago.
-        self.expiries.append((wall + self.window_seconds + 2 * self.margin_seconds, request_id))
+        self.expiry_queue.append((wall + self.window_seconds + 2 * self.margin_seconds, request_id))
         return FRESH
 
     def finish(self, request_id: bytes, answer: Any | None) -> None:
@@ -159,9 +159,9 @@
         entry.answer = answer
         entry.size = len(answer) if hasattr(answer, "__len__") else 0
         self.answer_bytes += entry.size
-        self.answered.append(request_id)
+        self.answered_ids.append(request_id)
         while self.answer_bytes > self.max_answer_bytes:
-            self._drop_answer(self.answered.popleft())
+            self._drop_answer(self.answered_ids.popleft())
 
     def forget(self, request_id: bytes) -> None:
         """Forget a request that did not run, so that it may be tried again."""
@@ -184,13 +184,13 @@
         return None
 
     def _expire(self, wall: float) -> None:
-        expiries = self.expiries
+        expiries = self.expiry_queue
         while expiries and expiries[0][0] < wall:
             request_id = expiries.popleft()[1]
             self._drop_answer(request_id)
             self.entries.pop(request_id, None)
-        while self.answered and self.answered[0] not in self.entries:
-            self.answered.popleft()
+        while self.answered_ids and self.answered_ids[0] not in self.entries:
+            self.answered_ids.popleft()
 
     def _drop_answer(self, request_id: bytes) -> None:
         entry = self.entries.get(request_id)
--- a/src/hibiscusdrum/internal/ownership/guard.py
+++ b/src/hibiscusdrum/internal/ownership/guard.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from hibiscusdrum.errors import InvalidArgument
-from hibiscusdrum.internal.ownership.lease import CLOCK_MARGIN, TERM_SECONDS
+from hibiscusdrum.internal.ownership.lease import CLOCK_MARGIN_FRACTION, LEASE_TERM_SECONDS
 from hibiscusdrum.internal.ownership.rows import LeaseRow
 
 # Versions of lease rows of other guards or deleted rows, kept to ignore late reads. 70 restarts a day add
@@ -22,7 +22,7 @@
 MAX_KNOWN_VERSIONS = 20_000
 
 
-class Refusal(enum.StrEnum):
+class RenewalRefusal(enum.StrEnum):
     """Why a renewal was refused; the value is the code on the wire."""
 
     OWN_LEASE_INVALID = "own_lease_invalid"
@@ -33,14 +33,14 @@
     TAKEOVER_STARTED = "takeover_started"
 
 
-class GrantDecision(msgspec.Struct, frozen=True):
+class RenewalDecision(msgspec.Struct, frozen=True):
     """The answer to a renewal; ``refusal`` is None when it is granted."""
 
     granted: bool
-    refusal: Refusal | None = None
+    refusal: RenewalRefusal | None = None
 
 
-class TakeoverDue(msgspec.Struct, frozen=True):
+class ExpiredLease(msgspec.Struct, frozen=True):
     """A node whose lease has ended; the takeover is conditional on ``lease_version``."""
 
     node: str
@@ -62,21 +62,28 @@
         Whether the deadline was put off once because this guard itself was paused.
     """
 
-    __slots__ = ("deadline", "deferred", "due", "incarnation", "taking_over", "version")
+    __slots__ = (
+        "incarnation",
+        "lease_version",
+        "takeover_at",
+        "takeover_due",
+        "takeover_postponed",
+        "takeover_started",
+    )
 
-    def __init__(self, incarnation: str, version: int, deadline: float) -> None:
+    def __init__(self, incarnation: str, lease_version: int, takeover_at: float) -> None:
         self.incarnation = incarnation
-        self.version = version
-        self.deadline = deadline
-        self.taking_over = False
-        self.due = False
-        self.deferred = False
+        self.lease_version = lease_version
+        self.takeover_at = takeover_at
+        self.takeover_started = False
+        self.takeover_due = False
+        self.takeover_postponed = False
 
 
-GRANTED = GrantDecision(granted=True)
+GRANTED = RenewalDecision(granted=True)
 
 
-class GuardTable:
+class LeaseGuard:
     """The nodes that name this node as guard.
 
     Parameters
@@ -89,9 +96,11 @@
         Largest difference of clock rates, as a share of the term.
     """
 
-    __slots__ = ("incarnation", "known_versions", "last_check", "lessees", "margin", "node", "term")
+    __slots__ = ("incarnation", "known_versions", "last_check_at", "lessees", "margin", "node", "term")
 
-    def __init__(self, node: str, term: float = TERM_SECONDS, margin: float = CLOCK_MARGIN) -> None:
+    def __init__(
+        self, node: str, term: float = LEASE_TERM_SECONDS, margin: float = CLOCK_MARGIN_FRACTION
+    ) -> None:
         if not term > 0:
             raise InvalidArgument(name="term", value=term, expected="seconds above 0")
         if not 0 <= margin < 1:
@@ -102,14 +111,14 @@
         self.incarnation: str | None = None
         self.lessees: dict[str, Lessee] = {}
         self.known_versions: dict[str, int] = {}
-        self.last_check = math.inf
+        self.last_check_at = math.inf
 
     @property
-    def wait(self) -> float:
+    def takeover_wait(self) -> float:
         """Seconds after which a grant has ended on every clock within the margin."""
         return self.term * (1 + self.margin)
 
-    def observe(self, row: LeaseRow | None, node: str, version: int, now: float) -> None:
+    def apply_row(self, row: LeaseRow | None, node: str, version: int, now: float) -> None:
         """Note a lease row as read from the table, or its deletion (``row`` None, version of the deletion).
 
         A version that is not above the known one is a late read and ignored. A row that newly names this
@@ -117,51 +126,51 @@
         """
         if version <= self.known_versions.get(node, 0):
             return
-        self._remember(node, version)
+        self._record_version(node, version)
         if node == self.node:
-            self._observe_self(row)
+            self._apply_own_row(row)
             return
         if row is None or row.guard != self.node:
             self.lessees.pop(node, None)
             return
-        self.lessees[node] = Lessee(row.incarnation, version, now + self.wait)
+        self.lessees[node] = Lessee(row.incarnation, version, now + self.takeover_wait)
 
-    def on_renew(
+    def decide_renewal(
         self, node: str, incarnation: str, lease_version: int, own_lease_valid: bool, now: float
-    ) -> GrantDecision:
+    ) -> RenewalDecision:
         """Decide on a renewal request.
 
         ``own_lease_valid`` must be evaluated in the same step: whoever takes this node over becomes the
         guard of its lessees and waits one term, which covers only grants given while the lease was valid.
         """
         lessee = self.lessees.get(node)
-        refusal = self._refusal(lessee, node, incarnation, lease_version, own_lease_valid)
-        if refusal is Refusal.OWN_LEASE_INVALID:
+        refusal = self._refusal_reason(lessee, node, incarnation, lease_version, own_lease_valid)
+        if refusal is RenewalRefusal.OWN_LEASE_INVALID:
             # The owner is alive. Half a term lets it renew when this node's own lease is valid again.
-            lessee.deadline = max(lessee.deadline, now + self.term / 2)
+            lessee.takeover_at = max(lessee.takeover_at, now + self.term / 2)
         if refusal is not None:
-            return GrantDecision(granted=False, refusal=refusal)
-        lessee.deadline = max(lessee.deadline, now + self.wait)
-        lessee.due = lessee.deferred = False
+            return RenewalDecision(granted=False, refusal=refusal)
+        lessee.takeover_at = max(lessee.takeover_at, now + self.takeover_wait)
+        lessee.takeover_due = lessee.takeover_postponed = False
         return GRANTED
 
-    def due(self, now: float, own_lease_valid: bool = True) -> list[TakeoverDue]:
+    def expired_leases(self, now: float, own_lease_valid: bool = True) -> list[ExpiredLease]:
         """Return the nodes whose lease has ended on every clock within the margin.
 
         Call it several times within a term. While the node's own lease is not valid, nothing is due: its
         lessees cannot renew through it, so their lapse does not show that they are gone.
         """
-        paused = now - self.last_check > self.term / 2
-        self.last_check = now
+        paused = now - self.last_check_at > self.term / 2
+        self.last_check_at = now
         if not own_lease_valid:
             return []
         if paused:
-            self._defer(now)
+            self._postpone_takeovers(now)
         found = []
         for node, lessee in self.lessees.items():
-            if now >= lessee.deadline and not lessee.taking_over:
-                lessee.due = True
-                found.append(TakeoverDue(node=node, lease_version=lessee.version))
+            if now >= lessee.takeover_at and not lessee.takeover_started:
+                lessee.takeover_due = True
+                found.append(ExpiredLease(node=node, lease_version=lessee.lease_version))
         return found
 
     def begin_takeover(self, node: str) -> bool:
@@ -171,9 +180,9 @@
         write would let the old owner serve beside the new one.
         """
         lessee = self.lessees.get(node)
-        if lessee is None or not lessee.due:
+        if lessee is None or not lessee.takeover_due:
             return False
-        lessee.taking_over = True
+        lessee.takeover_started = True
         return True
 
     def end_takeover(self, node: str, committed: bool | None, now: float) -> None:
@@ -192,43 +201,47 @@
         if committed:
             del self.lessees[node]
             return
-        lessee.taking_over = False
+        lessee.takeover_started = False
 
-    def clear(self) -> None:
+    def forget_lessees(self) -> None:
         """Forget all lessees because this node's own lease row is gone; they have another guard now."""
         self.lessees.clear()
 
-    def _refusal(
+    def _refusal_reason(
         self, lessee: Lessee | None, node: str, incarnation: str, lease_version: int, own_lease_valid: bool
-    ) -> Refusal | None:
+    ) -> RenewalRefusal | None:
         if lessee is None:
             newer = lease_version > self.known_versions.get(node, 0)
-            return Refusal.UNKNOWN_VERSION if newer else Refusal.NOT_GUARD
-        if lease_version != lessee.version:
-            return Refusal.UNKNOWN_VERSION if lease_version > lessee.version else Refusal.OLD_VERSION
+            return RenewalRefusal.UNKNOWN_VERSION if newer else RenewalRefusal.NOT_GUARD
+        if lease_version != lessee.lease_version:
+            return (
+                RenewalRefusal.UNKNOWN_VERSION
+                if lease_version > lessee.lease_version
+                else RenewalRefusal.OLD_VERSION
+            )
         if incarnation != lessee.incarnation:
-            return Refusal.OTHER_INCARNATION
-        if lessee.taking_over:
-            return Refusal.TAKEOVER_STARTED
-        return None if own_lease_valid else Refusal.OWN_LEASE_INVALID
+            return RenewalRefusal.OTHER_INCARNATION
+        if lessee.takeover_started:
+            return RenewalRefusal.TAKEOVER_STARTED
+        return None if own_lease_valid else RenewalRefusal.OWN_LEASE_INVALID
 
-    def _observe_self(self, row: LeaseRow | None) -> None:
+    def _apply_own_row(self, row: LeaseRow | None) -> None:
         """Drop the lessees when this node was taken over, since their rows name another guard now."""
         incarnation = row.incarnation if row is not None else None
         if self.incarnation is not None and incarnation != self.incarnation:
-            self.clear()
+            self.forget_lessees()
         self.incarnation = incarnation
 
-    def _remember(self, node: str, version: int) -> None:
+    def _record_version(self, node: str, version: int) -> None:
         self.known_versions.pop(node, None)
         self.known_versions[node] = version
         if len(self.known_versions) > MAX_KNOWN_VERSIONS:
             oldest = next(name for name in self.known_versions if name not in self.lessees)
             del self.known_versions[oldest]
 
-    def _defer(self, now: float) -> None:
+    def _postpone_takeovers(self, now: float) -> None:
         """Put deadlines off once by half a term: after a pause, renewals may wait unread in the socket."""
         for lessee in self.lessees.values():
-            if not lessee.deferred and not lessee.taking_over:
-                lessee.deferred = True
-                lessee.deadline = max(lessee.deadline, now + self.term / 2)
+            if not lessee.takeover_postponed and not lessee.takeover_started:
+                lessee.takeover_postponed = True
+                lessee.takeover_at = max(lessee.takeover_at, now + self.term / 2)
--- a/src/hibiscusdrum/internal/ownership/guards.py
+++ b/src/hibiscusdrum/internal/ownership/guards.py
@@ -75,7 +75,7 @@
     return node
 
 
-def review_guard(
+def find_better_guard(
     node: str,
     owners: Mapping[str, OwnerRow],
     leases: Mapping[str, LeaseRow],
--- a/src/hibiscusdrum/internal/ownership/handover.py
+++ b/src/hibiscusdrum/internal/ownership/handover.py
@@ -9,9 +9,9 @@
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
-from hibiscusdrum.internal.ownership.ring_edit import Eligible, RingEdit, plain
+from hibiscusdrum.internal.ownership.ring_edit import Eligible, RingEdit, row_to_json
 from hibiscusdrum.internal.ownership.rows import ACTIVE, LEAVING, LeaseRow, OwnerRow, lease_key
-from hibiscusdrum.internal.ownership.takeover import receivers, release_transaction
+from hibiscusdrum.internal.ownership.takeover import choose_receivers, release_transactions
 from hibiscusdrum.internal.platform.table import Transaction
 
 __all__ = [
@@ -22,8 +22,8 @@
     "handover_transaction",
     "join_transaction",
     "leave_transaction",
-    "recover_transaction",
-    "release_transaction",
+    "release_transactions",
+    "self_guard_transaction",
 ]
 
 
@@ -123,7 +123,7 @@
     """
     row = _owner_row(ownership_map, node)
     edit = RingEdit(ownership_map, row.service, row.region)
-    targets = [edit.owner(name) for name in receivers(ownership_map, row, {node}, eligible)]
+    targets = [edit.owner(name) for name in choose_receivers(ownership_map, row, {node}, eligible)]
     edit.spread(edit.owner(node), targets)
     edit.remove(node)
     return edit.transaction(operation_id)
@@ -140,11 +140,11 @@
     changed = msgspec.structs.replace(row, guard=guard, state=state or row.state)
     key = lease_key(node)
     return Transaction(
-        operation_id=operation_id, checks={key: ownership_map.version(key)}, puts={key: plain(changed)}
+        operation_id=operation_id, checks={key: ownership_map.version(key)}, puts={key: row_to_json(changed)}
     )
 
 
-def recover_transaction(ownership_map: OwnershipMap, node: str, operation_id: str) -> Transaction:
+def self_guard_transaction(ownership_map: OwnershipMap, node: str, operation_id: str) -> Transaction:
     """Return the transaction by which a node whose lease lapsed names itself as guard.
 
     It conflicts with a takeover by the former guard, since both depend on the version of the lease row.
--- a/src/hibiscusdrum/internal/ownership/ids.py
+++ b/src/hibiscusdrum/internal/ownership/ids.py
@@ -13,7 +13,7 @@
 VARIANT_BITS = 0x80
 
 
-def make_id(wall: float) -> bytes:
+def new_request_id(wall: float) -> bytes:
     """Return a new UUIDv7 for a wall time in seconds since the Unix epoch."""
     random = bytearray(os.urandom(10))
     random[0] = random[0] & 0x0F | VERSION_BITS
@@ -21,7 +21,7 @@
     return int(wall * MILLISECONDS).to_bytes(6, "big") + bytes(random)
 
 
-def created_wall(request_id: bytes) -> float:
+def creation_time(request_id: bytes) -> float:
     """Return the wall time in seconds at which an identifier was made, by its maker's clock.
 
     Raises
--- a/src/hibiscusdrum/internal/ownership/lease.py
+++ b/src/hibiscusdrum/internal/ownership/lease.py
@@ -13,19 +13,19 @@
 from hibiscusdrum.internal.ownership.rows import LeaseRow
 
 # Time in which a grant lets the owner serve, in seconds.
-TERM_SECONDS = 1.5
+LEASE_TERM_SECONDS = 1.5
 # Three renewals may be lost before a lease of 1.5 s lapses.
-RENEWAL_SECONDS = 0.4
+RENEWAL_INTERVAL_SECONDS = 0.4
 # A refused renewal is repeated after this time: the guard may just be reading the row that names it.
-REFUSED_RENEWAL_SECONDS = 0.1
+REFUSED_RENEWAL_RETRY_SECONDS = 0.1
 # Silence of the guard after which the owner names another one. Two renewals were lost by then, and 0.7 s of
 # the term are left for the write and the first grant of the new guard.
-GUARD_SILENCE_SECONDS = 0.8
+GUARD_TIMEOUT_SECONDS = 0.8
 # Largest difference between the clock rates of two nodes, as a share of the term.
-CLOCK_MARGIN = 0.01
+CLOCK_MARGIN_FRACTION = 0.01
 
 
-class RenewalAsk(msgspec.Struct, frozen=True):
+class RenewalRequest(msgspec.Struct, frozen=True):
     """A renewal request to send to ``guard``."""
 
     nonce: int
@@ -36,12 +36,12 @@
 class PendingRenewal:
     """A renewal request whose answer is outstanding."""
 
-    __slots__ = ("counts", "lease_version", "sent")
+    __slots__ = ("extends_lease", "lease_version", "sent_at")
 
-    def __init__(self, sent: float, lease_version: int, counts: bool) -> None:
-        self.sent = sent
+    def __init__(self, sent_at: float, lease_version: int, extends_lease: bool) -> None:
+        self.sent_at = sent_at
         self.lease_version = lease_version
-        self.counts = counts
+        self.extends_lease = extends_lease
 
 
 class LeaseHolder:
@@ -56,42 +56,42 @@
     """
 
     __slots__ = (
-        "changing",
         "expiry",
-        "gone",
+        "guard_change_pending",
         "incarnation",
-        "last_grant",
+        "last_grant_at",
         "last_nonce",
-        "next_due",
+        "lease_version",
+        "next_renewal_at",
         "node",
-        "pending",
+        "pending_renewals",
+        "revoked",
         "row",
         "term",
-        "version",
     )
 
-    def __init__(self, node: str, incarnation: str, term: float = TERM_SECONDS) -> None:
+    def __init__(self, node: str, incarnation: str, term: float = LEASE_TERM_SECONDS) -> None:
         if not term > 0:
             raise InvalidArgument(name="term", value=term, expected="seconds above 0")
         self.node = node
         self.incarnation = incarnation
         self.term = term
         self.row: LeaseRow | None = None
-        self.version = 0
+        self.lease_version = 0
         self.expiry = -math.inf
-        self.pending: dict[int, PendingRenewal] = {}
+        self.pending_renewals: dict[int, PendingRenewal] = {}
         self.last_nonce = 0
-        self.last_grant = -math.inf
-        self.next_due = -math.inf
-        self.changing = False
-        self.gone = False
+        self.last_grant_at = -math.inf
+        self.next_renewal_at = -math.inf
+        self.guard_change_pending = False
+        self.revoked = False
 
     @property
     def self_guarded(self) -> bool:
         """Whether the last known row names the node as its own guard."""
         return self.row is not None and self.row.guard == self.node
 
-    def adopt(self, row: LeaseRow, version: int, now: float) -> None:
+    def apply_row(self, row: LeaseRow, version: int, now: float) -> None:
         """Use the lease row as read from the table or as committed by this node.
 
         Pass only rows that ``OwnershipMap.apply`` reported as changed: the reply to an own write can arrive
@@ -102,33 +102,33 @@
         its way to the table. Only a higher version, or ``guard_change_failed``, ends it.
         """
         if row.node != self.node or row.incarnation != self.incarnation:
-            if version > self.version:
-                self.lost(now)
+            if version > self.lease_version:
+                self.revoke(now)
             return
-        if self.gone or version <= self.version:
+        if self.revoked or version <= self.lease_version:
             return
         self.row = row
-        self.version = version
-        self.changing = False
-        self.pending.clear()
-        self.last_grant = now
-        self.next_due = now
+        self.lease_version = version
+        self.guard_change_pending = False
+        self.pending_renewals.clear()
+        self.last_grant_at = now
+        self.next_renewal_at = now
         if self.self_guarded:
             self.expiry = math.inf
         elif self.expiry == math.inf:
             # The change away from self-guard was made elsewhere than through begin_guard_change.
             self.expiry = -math.inf
 
-    def observe_deletion(self, version: int, now: float) -> None:
+    def apply_row_deletion(self, version: int, now: float) -> None:
         """Note that the lease row was deleted; a deletion older than the adopted row is ignored."""
-        if self.row is not None and version > self.version:
-            self.lost(now)
+        if self.row is not None and version > self.lease_version:
+            self.revoke(now)
 
     def renewal_due(self, now: float) -> bool:
         """Return whether a renewal should be sent: at once after the row changed, soon after a refusal."""
-        return self.row is not None and not self.gone and now >= self.next_due
+        return self.row is not None and not self.revoked and now >= self.next_renewal_at
 
-    def next_renewal(self, now: float) -> RenewalAsk:
+    def start_renewal(self, now: float) -> RenewalRequest:
         """Return the renewal request to send now; its nonce records the send time.
 
         Raises
@@ -139,10 +139,12 @@
         if self.row is None:
             raise InvalidArgument(name="row", value=None, expected="an adopted lease row")
         self._drop_expired(now)
-        self.next_due = now + RENEWAL_SECONDS
+        self.next_renewal_at = now + RENEWAL_INTERVAL_SECONDS
         self.last_nonce += 1
-        self.pending[self.last_nonce] = PendingRenewal(now, self.version, not self.changing)
-        return RenewalAsk(nonce=self.last_nonce, lease_version=self.version, guard=self.row.guard)
+        self.pending_renewals[self.last_nonce] = PendingRenewal(
+            now, self.lease_version, not self.guard_change_pending
+        )
+        return RenewalRequest(nonce=self.last_nonce, lease_version=self.lease_version, guard=self.row.guard)
 
     def on_granted(self, nonce: int, lease_version: int, now: float) -> bool:
         """Count a grant; returns whether it extends the lease.
@@ -151,19 +153,19 @@
         A grant for another version than the current one, or one that was requested while a change of
         guard was under way, is not counted: another guard may already be waiting.
         """
-        pending = self.pending.pop(nonce, None)
-        if pending is None or self.gone or not pending.counts:
+        pending = self.pending_renewals.pop(nonce, None)
+        if pending is None or self.revoked or not pending.extends_lease:
             return False
-        if lease_version != pending.lease_version or lease_version != self.version:
+        if lease_version != pending.lease_version or lease_version != self.lease_version:
             return False
-        self.last_grant = max(self.last_grant, pending.sent)
-        self.expiry = max(self.expiry, pending.sent + self.term)
+        self.last_grant_at = max(self.last_grant_at, pending.sent_at)
+        self.expiry = max(self.expiry, pending.sent_at + self.term)
         return now < self.expiry
 
     def on_refused(self, nonce: int, now: float) -> None:
         """Note a refusal; the renewal is repeated soon."""
-        if self.pending.pop(nonce, None) is not None:
-            self.next_due = min(self.next_due, now + REFUSED_RENEWAL_SECONDS)
+        if self.pending_renewals.pop(nonce, None) is not None:
+            self.next_renewal_at = min(self.next_renewal_at, now + REFUSED_RENEWAL_RETRY_SECONDS)
 
     def valid(self, now: float) -> bool:
         """Return whether the node may consider itself the owner of its slices."""
@@ -179,38 +181,38 @@
         From now on no newly requested grant counts. A self-guarded lease gets a limit of one term, because
         the new guard waits for a whole term from when it reads the changed row.
         """
-        self.changing = True
+        self.guard_change_pending = True
         if self.expiry == math.inf:
             self.expiry = now + self.term
 
     def guard_change_unknown(self, now: float) -> None:
         """Record that the outcome of the change is unknown; the row must be read or written again."""
-        self.changing = True
+        self.guard_change_pending = True
 
     def guard_change_failed(self, now: float) -> None:
         """Record that the change did not take effect and never will, so the old row is still in force.
 
         Not for a conflict: it shows that the row has changed, and the new row must be adopted first.
         """
-        self.changing = False
-        if self.self_guarded and not self.gone:
+        self.guard_change_pending = False
+        if self.self_guarded and not self.revoked:
             self.expiry = math.inf
 
-    def silence(self, now: float) -> float:
+    def seconds_since_grant(self, now: float) -> float:
         """Return the seconds since the send time of the last granted renewal, or since the row was adopted.
 
         Refusals do not count as answers: a guard that refuses must be replaced like a silent one.
         """
-        return now - self.last_grant
+        return now - self.last_grant_at
 
-    def lost(self, now: float) -> None:
+    def revoke(self, now: float) -> None:
         """Record that the row is gone or names another incarnation; the lease is never valid again."""
-        self.gone = True
+        self.revoked = True
         self.expiry = -math.inf
-        self.pending.clear()
+        self.pending_renewals.clear()
 
     def _drop_expired(self, now: float) -> None:
         """Forget requests whose grant would have ended by now."""
-        expired = [nonce for nonce, ask in self.pending.items() if ask.sent + self.term <= now]
+        expired = [nonce for nonce, ask in self.pending_renewals.items() if ask.sent_at + self.term <= now]
         for nonce in expired:
-            del self.pending[nonce]
+            del self.pending_renewals[nonce]
--- a/src/hibiscusdrum/internal/ownership/ownership_map.py
+++ b/src/hibiscusdrum/internal/ownership/ownership_map.py
@@ -135,11 +135,11 @@
     """
 
     __slots__ = (
-        "deleted",
+        "deleted_versions",
         "generation",
         "indexes",
         "leases",
-        "malformed",
+        "malformed_rows",
         "owners",
         "rings",
         "seq",
@@ -153,9 +153,9 @@
         self.leases: dict[str, LeaseRow] = {}
         self.rings: dict[Ring, RingRow] = {}
         self.versions: dict[str, int] = {}
-        self.deleted: dict[str, int] = {}
+        self.deleted_versions: dict[str, int] = {}
         self.indexes: dict[Ring, RingIndex] = {}
-        self.malformed: dict[str, str] = {}
+        self.malformed_rows: dict[str, str] = {}
 
     def apply(self, rows: Iterable[tuple[str, int, Any]], seq: int) -> list[str]:
         """Apply changed rows.
@@ -175,7 +175,7 @@
         """
         changed = []
         for key, version, value in rows:
-            if version <= self.versions.get(key, 0) or version <= self.deleted.get(key, 0):
+            if version <= self.versions.get(key, 0) or version <= self.deleted_versions.get(key, 0):
                 continue
             if self._apply_row(key, version, value):
                 changed.append(key)
@@ -200,7 +200,7 @@
         """Return the version of a row, 0 when it is absent."""
         return self.versions.get(key, 0)
 
-    def nodes(self, service: str, region: str) -> list[OwnerRow]:
+    def owner_rows(self, service: str, region: str) -> list[OwnerRow]:
         """Return the owner rows of a ring."""
         index = self.indexes.get((service, region))
         return [] if index is None else [holder.row for holder in index.holders.values()]
@@ -222,9 +222,9 @@
         try:
             row = None if value is None else msgspec.convert(value, row_type)
         except msgspec.ValidationError as error:
-            self.malformed[key] = str(error)
+            self.malformed_rows[key] = str(error)
             return False
-        self.malformed.pop(key, None)
+        self.malformed_rows.pop(key, None)
         apply(key.partition("/")[2], row, version)
         self._set_version(key, version, row is None)
         return True
@@ -232,13 +232,13 @@
     def _set_version(self, key: str, version: int, deleted: bool) -> None:
         if not deleted:
             self.versions[key] = version
-            self.deleted.pop(key, None)
+            self.deleted_versions.pop(key, None)
             return
         self.versions.pop(key, None)
-        self.deleted.pop(key, None)
-        self.deleted[key] = version
-        if len(self.deleted) > MAX_DELETED:
-            del self.deleted[next(iter(self.deleted))]
+        self.deleted_versions.pop(key, None)
+        self.deleted_versions[key] = version
+        if len(self.deleted_versions) > MAX_DELETED:
+            del self.deleted_versions[next(iter(self.deleted_versions))]
 
     def _set_lease(self, node: str, row: LeaseRow | None, version: int) -> None:
         if row is None:
@@ -256,7 +256,7 @@
             self.owners.pop(node, None)
             return
         self.owners[node] = row
-        self.index(row.service, row.region).set(row, version)
+        self.ring_index(row.service, row.region).set(row, version)
 
     def _set_ring(self, name: str, row: RingRow | None, version: int) -> None:
         service, _, region = name.rpartition("@")
@@ -265,11 +265,11 @@
             self.rings.pop(ring, None)
             return
         self.rings[ring] = row
-        index = self.index(service, region)
+        index = self.ring_index(service, region)
         if index.slice_count != row.slice_count:
             index.resize(row.slice_count)
 
-    def index(self, service: str, region: str) -> RingIndex:
+    def ring_index(self, service: str, region: str) -> RingIndex:
         """Return the index of a ring, which stays valid while the map changes.
 
         A caller that keeps it saves the search for the ring, half of the time of a lookup.
--- a/src/hibiscusdrum/internal/ownership/placement.py
+++ b/src/hibiscusdrum/internal/ownership/placement.py
@@ -16,9 +16,9 @@
 from hibiscusdrum.internal.ownership.rows import OwnerRow
 
 # Largest load for each unit of capacity, as a multiple of the mean.
-MAX_IMBALANCE = 1.10
+MAX_LOAD_RATIO = 1.10
 # A node below this multiple of the mean receives slices, or a node that joins would stay empty.
-MIN_SHARE = 0.90
+MIN_LOAD_RATIO = 0.90
 # Slices that change owner in one handover stay few, so that the pause of each is short.
 DEFAULT_MAX_MOVES = 256
 
@@ -78,7 +78,7 @@
         return self.load / self.capacity
 
 
-def moves(
+def plan_moves(
     owners: Iterable[OwnerRow],
     capacities: Mapping[str, float],
     loads: Mapping[str, float],
@@ -112,7 +112,7 @@
 
     Notes
     -----
-    Overloaded nodes give just enough to fall to ``MAX_IMBALANCE``, and nodes below ``MIN_SHARE`` receive just
+    Overloaded nodes give just enough to fall to ``MAX_LOAD_RATIO``, and nodes below ``MIN_LOAD_RATIO`` receive just
     enough to reach it, so the number of moves stays close to the least possible.
     """
     if max_moves < 0:
@@ -173,7 +173,7 @@
     return Move(source=source, receiver=receiver.node, slices=(), hot_keys=(hash_value,))
 
 
-def move_cost(
+def estimate_cost(
     planned: Sequence[Move],
     regions: Mapping[str, str],
     keys_per_slice: float,
@@ -265,7 +265,7 @@
     heap = [(node.level(), node.node, node) for node in nodes]
     heapq.heapify(heap)
     for source in sorted(nodes, key=lambda node: (-node.level(), node.node)):
-        while source.level() > MAX_IMBALANCE * mean and source.slices and moved < limit:
+        while source.level() > MAX_LOAD_RATIO * mean and source.slices and moved < limit:
             receiver = heap[0][2]
             after = (receiver.load + source.slice_load) / receiver.capacity
             if receiver is source or source.slice_load <= 0 or after >= source.level():
@@ -282,7 +282,7 @@
     heap = [(-node.level(), node.node, node) for node in nodes]
     heapq.heapify(heap)
     for receiver in sorted(nodes, key=lambda node: (node.level(), node.node)):
-        while receiver.level() < MIN_SHARE * mean and moved < limit and heap:
+        while receiver.level() < MIN_LOAD_RATIO * mean and moved < limit and heap:
             source = heap[0][2]
             if source is receiver or not source.slices or source.slice_load <= 0:
                 heapq.heappop(heap)
--- a/src/hibiscusdrum/internal/ownership/ring_edit.py
+++ b/src/hibiscusdrum/internal/ownership/ring_edit.py
@@ -27,7 +27,7 @@
 Eligible = Callable[[OwnerRow], bool]
 
 
-def plain(row: LeaseRow | OwnerRow | RingRow) -> dict[str, Any]:
+def row_to_json(row: LeaseRow | OwnerRow | RingRow) -> dict[str, Any]:
     """Return a row as plain JSON values."""
     return {
         name: list(value) if isinstance(value, tuple) else value
@@ -60,7 +60,7 @@
             hot_keys=tuple(sorted(self.hot_keys - merged)),
             excluded=tuple(sorted(self.excluded - merged)),
         )
-        value = plain(row)
+        value = row_to_json(row)
         if self.gained:
             value["epoch"] = SEQUENCE_PLACEHOLDER
         return value
@@ -137,7 +137,7 @@
 
     def put(self, key: str, row: LeaseRow) -> None:
         """Write a lease row."""
-        self.puts[key] = plain(row)
+        self.puts[key] = row_to_json(row)
 
     def move(self, source: OwnerEdit, receiver: OwnerEdit, slices: Iterable[int]) -> None:
         """Move slices and their exclusions between nodes."""
@@ -217,7 +217,7 @@
         if self.ring_touched:
             key = ring_key(self.service, self.region)
             self.check(key)
-            puts[key] = plain(
+            puts[key] = row_to_json(
                 RingRow(
                     service=self.service,
                     region=self.region,
--- a/src/hibiscusdrum/internal/ownership/takeover.py
+++ b/src/hibiscusdrum/internal/ownership/takeover.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
-from hibiscusdrum.internal.ownership.ring_edit import Eligible, OwnerEdit, RingEdit, plain
+from hibiscusdrum.internal.ownership.ring_edit import Eligible, OwnerEdit, RingEdit, row_to_json
 from hibiscusdrum.internal.ownership.rows import ACTIVE, OwnerRow, lease_key
 from hibiscusdrum.internal.platform.table import Transaction
 
@@ -49,7 +49,7 @@
 
     Notes
     -----
-    Once it is committed, pass the written lease rows to ``GuardTable.observe``: this starts the additional
+    Once it is committed, pass the written lease rows to ``LeaseGuard.apply_row``: this starts the additional
     term for the nodes whose guard the taker has become.
     """
     row = ownership_map.owners.get(dead)
@@ -64,7 +64,7 @@
     return edit.transaction(operation_id)
 
 
-def release_transaction(
+def release_transactions(
     ownership_map: OwnershipMap, nodes: list[str], operation_id: str, eligible: Eligible
 ) -> list[Transaction]:
     """Return the transactions that remove nodes which an operator declares gone, one for each ring.
@@ -87,7 +87,7 @@
     return transactions
 
 
-def orphans(ownership_map: OwnershipMap) -> list[str]:
+def orphaned_nodes(ownership_map: OwnershipMap) -> list[str]:
     """Return the nodes whose guard has no lease row.
 
     This happens when a node chose a guard that was being taken over, and was then lost itself before it
@@ -97,7 +97,7 @@
     return sorted(node for node, row in leases.items() if row.guard != node and row.guard not in leases)
 
 
-def adoption_transaction(
+def orphan_guard_transaction(
     ownership_map: OwnershipMap, orphan: str, taker: str, operation_id: str
 ) -> Transaction:
     """Return the transaction by which a node becomes the guard of an orphan.
@@ -110,15 +110,17 @@
     return Transaction(
         operation_id=operation_id,
         checks={key: ownership_map.version(key), lease_key(row.guard): 0},
-        puts={key: plain(msgspec.structs.replace(row, guard=taker))},
+        puts={key: row_to_json(msgspec.structs.replace(row, guard=taker))},
     )
 
 
-def receivers(ownership_map: OwnershipMap, row: OwnerRow, gone: set[str], eligible: Eligible) -> list[str]:
+def choose_receivers(
+    ownership_map: OwnershipMap, row: OwnerRow, gone: set[str], eligible: Eligible
+) -> list[str]:
     """Return at most ``MAX_RECEIVERS`` nodes of the same ring to give a node's slices to."""
     candidates = [
         other
-        for other in ownership_map.nodes(row.service, row.region)
+        for other in ownership_map.owner_rows(row.service, row.region)
         if other.node not in gone and _active(ownership_map, other.node) and eligible(other)
     ]
     if not candidates:
@@ -131,7 +133,7 @@
 
 def _give_away(edit: RingEdit, gone: set[str], node: str, eligible: Eligible) -> None:
     source = edit.owner(node)
-    names = receivers(edit.map, source.row, gone, eligible)
+    names = choose_receivers(edit.map, source.row, gone, eligible)
     targets: list[OwnerEdit] = [edit.owner(name) for name in names]
     edit.spread(source, targets)
 
--- a/tests/features/steps/call_engine_steps.py
+++ b/tests/features/steps/call_engine_steps.py
@@ -11,7 +11,7 @@
 from hibiscusdrum.internal.caller.types import Request
 from hibiscusdrum.internal.config.document import Document, Route, Tenant
 from hibiscusdrum.internal.messages import Call, Refusal, Reply
-from hibiscusdrum.internal.ownership.ids import make_id
+from hibiscusdrum.internal.ownership.ids import new_request_id
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
 
 VALUES = {
@@ -54,7 +54,7 @@
 
 @when("two calls with one id are submitted")
 def submit_twice(context):
-    same = request(request_id=make_id(time.time()))
+    same = request(request_id=new_request_id(time.time()))
     for _ in range(2):
         context.engine.submit(same, context.outcomes.append)
 
--- a/tests/features/steps/daemon_input_steps.py
+++ b/tests/features/steps/daemon_input_steps.py
@@ -16,7 +16,7 @@
 from hibiscusdrum import Caller, Request
 from hibiscusdrum.internal import codec
 from hibiscusdrum.internal.messages import Call, RenewLease
-from hibiscusdrum.internal.ownership.ids import make_id
+from hibiscusdrum.internal.ownership.ids import new_request_id
 
 SERVICE = "wappensuche"
 BASE = {"x-hibiscusdrum-tenant": "amt", "x-hibiscusdrum-key": "adler"}
@@ -130,7 +130,7 @@
     """Return the messages of a case, each a list of frames."""
     rng = random.Random(20261204)
     renewal = RenewLease("n9", "x", 1, 1, 99, 1)
-    call = Call(make_id(0.0), "amt", SERVICE, "c", b"adler", "GET", "/x", 500.0, True)
+    call = Call(new_request_id(0.0), "amt", SERVICE, "c", b"adler", "GET", "/x", 500.0, True)
     wrong = msgspec.msgpack.encode(["Call", 1, 2, 3, 4, 5, 6, 7, "soon", "yes"])
     return {
         "empty": [[b""]],
--- a/tests/features/steps/daemon_timers_steps.py
+++ b/tests/features/steps/daemon_timers_steps.py
@@ -17,7 +17,7 @@
 from hibiscusdrum.internal.daemon.requests import EXPIRE_SECONDS, Pending, Requests
 from hibiscusdrum.internal.kernel import Application, Scheduler, Service
 from hibiscusdrum.internal.messages import Call, ConfigAck
-from hibiscusdrum.internal.ownership.ids import make_id
+from hibiscusdrum.internal.ownership.ids import new_request_id
 from hibiscusdrum.internal.platform.table import Changes, Row
 from hibiscusdrum.internal.settings import load
 from hibiscusdrum.internal.transport.peers import PeerTransport
@@ -141,7 +141,7 @@
 
 @when("a request with a timeout of {timeout:d} ms is queued")
 def queue_request(context, timeout):
-    call = Call(make_id(0.0), "amt", "s", "default", b"k", "GET", "/", float(timeout), True)
+    call = Call(new_request_id(0.0), "amt", "s", "default", b"k", "GET", "/", float(timeout), True)
     where = SimpleNamespace(owned=False)
     context.outcomes = []
     now = context.loopback.app.clock.monotonic()
@@ -278,7 +278,7 @@
 @when("two requests with one id and a timeout of {timeout:d} ms are queued on a slice")
 def queue_twice(context, timeout):
     context.requests.owned = context.owned = Owned("a")
-    call = Call(make_id(0.0), "amt", "s", "default", b"k", "GET", "/", float(timeout), True)
+    call = Call(new_request_id(0.0), "amt", "s", "default", b"k", "GET", "/", float(timeout), True)
     where = SimpleNamespace(owned=True, hash_value=7, slice=3)
     context.outcomes = []
     now = context.loopback.app.clock.monotonic()
--- a/tests/features/steps/ownership_lease_steps.py
+++ b/tests/features/steps/ownership_lease_steps.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule, run_state_machine_as_test
 
-from hibiscusdrum.internal.ownership.guard import GuardTable
+from hibiscusdrum.internal.ownership.guard import LeaseGuard
 from hibiscusdrum.internal.ownership.lease import LeaseHolder
 from hibiscusdrum.internal.ownership.rows import LeaseRow
 
@@ -144,7 +144,7 @@
     cluster = context.cluster
     assert 0 in cluster.table.rows["owner/n1"][1]["slices"], "the handover did not take place"
     assert cluster.table.rows["lease/n1"][0] == context.lease_version
-    assert cluster.nodes["n1"].process.holder.silence(cluster.nodes["n1"].now()) < 0.5
+    assert cluster.nodes["n1"].process.holder.seconds_since_grant(cluster.nodes["n1"].now()) < 0.5
     assert cluster.unserved() == 0
 
 
@@ -159,10 +159,10 @@
             self.version += 1
         incarnation = "other" if guard == "other" else "i"
         row = LeaseRow("x", incarnation, "x" if guard == "self" else guard)
-        self.holder.adopt(row, self.version, self.now)
+        self.holder.apply_row(row, self.version, self.now)
 
     def ask(self):
-        self.nonce = self.holder.next_renewal(self.now).nonce
+        self.nonce = self.holder.start_renewal(self.now).nonce
 
     def grant(self, kind=""):
         self.holder.on_granted(self.nonce, self.version + (kind == "other version"), self.now)
@@ -183,10 +183,10 @@
         self.holder.guard_change_failed(self.now)
 
     def lost(self):
-        self.holder.lost(self.now)
+        self.holder.revoke(self.now)
 
     def delete(self, kind=""):
-        self.holder.observe_deletion(self.version + (kind != "old"), self.now)
+        self.holder.apply_row_deletion(self.version + (kind != "old"), self.now)
 
 
 @then("a renewal is due at once after a change of its row and soon after a refusal")
@@ -219,28 +219,28 @@
     """Carries out events on the guard table of g, whose owner in question is x."""
 
     def __init__(self):
-        self.guard, self.now, self.outcome = GuardTable("g"), 100.0, None
+        self.guard, self.now, self.outcome = LeaseGuard("g"), 100.0, None
 
     def read(self, version, guard):
-        self.guard.observe(LeaseRow("x", "i", guard), "x", int(version), self.now)
+        self.guard.apply_row(LeaseRow("x", "i", guard), "x", int(version), self.now)
 
     def deleted(self, version):
-        self.guard.observe(None, "x", int(version), self.now)
+        self.guard.apply_row(None, "x", int(version), self.now)
 
     def own(self, *words):
         row = None if words[0] == "deleted" else LeaseRow("g", words[0], "h")
-        self.guard.observe(row, "g", int(words[-1]), self.now)
+        self.guard.apply_row(row, "g", int(words[-1]), self.now)
 
     def renew(self, version, kind=""):
         incarnation = "other" if kind == "other" else "i"
-        decision = self.guard.on_renew("x", incarnation, int(version), kind != "lapsed", self.now)
+        decision = self.guard.decide_renewal("x", incarnation, int(version), kind != "lapsed", self.now)
         self.outcome = "granted" if decision.granted else str(decision.refusal)
 
     def wait(self, seconds):
         self.now += float(seconds)
 
     def due(self, kind=""):
-        self.outcome = "due" if self.guard.due(self.now, kind != "lapsed") else "not due"
+        self.outcome = "due" if self.guard.expired_leases(self.now, kind != "lapsed") else "not due"
 
     def take(self):
         self.outcome = "started" if self.guard.begin_takeover("x") else "not started"
--- a/tests/features/steps/ownership_row_steps.py
+++ b/tests/features/steps/ownership_row_steps.py
@@ -13,7 +13,7 @@
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.ownership import guards, handover, placement, takeover
 from hibiscusdrum.internal.ownership.dedup import DedupWindow, Fresh, Recorded
-from hibiscusdrum.internal.ownership.ids import created_wall, make_id
+from hibiscusdrum.internal.ownership.ids import creation_time, new_request_id
 from hibiscusdrum.internal.ownership.keys import slice_of
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
 from hibiscusdrum.internal.ownership.rows import LeaseRow, OwnerRow, lease_key, owner_key
@@ -58,7 +58,7 @@
         self.table.rows[key] = (self.table.seq, self.table.rows[key][1])
 
     def balance(self, eligible=lambda row: True):
-        while planned := placement.moves(self.map.nodes(SERVICE, REGION), {}, {}, 10_000, eligible):
+        while planned := placement.plan_moves(self.map.owner_rows(SERVICE, REGION), {}, {}, 10_000, eligible):
             for move in planned:
                 self.commit(
                     handover.handover_transaction(
@@ -70,7 +70,7 @@
 def check_assignment(rows):
     """Every slice is in one row; every hot key is held once and excluded where its slice is."""
     ring = rows.map.rings[SERVICE, REGION]
-    owners = rows.map.nodes(SERVICE, REGION)
+    owners = rows.map.owner_rows(SERVICE, REGION)
     slices = [index for row in owners for index in row.slices] + list(ring.unowned)
     assert sorted(slices) == list(range(rows.slices)), slices
     hot = sorted(value for row in owners for value in row.hot_keys)
@@ -108,7 +108,7 @@
     if kind == "leave":
         transactions = [handover.leave_transaction(rows.map, source, rows.operation(), may)]
     elif kind == "release":
-        transactions = takeover.release_transaction(rows.map, [source], rows.operation(), may)
+        transactions = takeover.release_transactions(rows.map, [source], rows.operation(), may)
     elif kind == "claim":
         transactions = [handover.claim_transaction(rows.map, source, rows.operation())]
     elif kind == "takeover":
@@ -183,7 +183,7 @@
 @then('the map still names "{node}" as owner of its slices and reports the row')
 def check_malformed(context, node):
     assert context.rows.map.slice_owner(SERVICE, REGION, context.before.slices[0]) is context.before
-    assert owner_key(node) in context.rows.map.malformed
+    assert owner_key(node) in context.rows.map.malformed_rows
 
 
 def prepare(rows, kind):
@@ -201,12 +201,12 @@
     if kind == "guard change":
         return handover.guard_change_transaction(rows.map, "n1", "n2", operation)
     if kind == "recovery":
-        return handover.recover_transaction(rows.map, "n1", operation)
+        return handover.self_guard_transaction(rows.map, "n1", operation)
     if kind == "adoption":
         rows.commit(handover.leave_transaction(rows.map, rows.map.leases["n1"].guard, rows.operation(), may))
-        return takeover.adoption_transaction(rows.map, "n1", "n2", operation)
+        return takeover.orphan_guard_transaction(rows.map, "n1", "n2", operation)
     if kind == "release":
-        return takeover.release_transaction(rows.map, ["n1"], operation, may)[0]
+        return takeover.release_transactions(rows.map, ["n1"], operation, may)[0]
     if kind == "claim":
         rows.commit(handover.leave_transaction(rows.map, "n3", rows.operation(), lambda row: False))
         return handover.claim_transaction(rows.map, "n1", operation)
@@ -258,7 +258,7 @@
     ownership, may = context.rows.map, lambda row: True
     chosen = Counter()
     for index in range(10, 10 + count):
-        chosen.update(takeover.receivers(ownership, ownership.owners[f"n{index}"], {f"n{index}"}, may))
+        chosen.update(takeover.choose_receivers(ownership, ownership.owners[f"n{index}"], {f"n{index}"}, may))
     assert max(chosen.values()) <= limit, chosen
 
 
@@ -267,8 +267,8 @@
     rows = context.rows
     rows.commit(handover.guard_change_transaction(rows.map, "n0", "n1", rows.operation()))
     rows.commit(handover.leave_transaction(rows.map, "n1", rows.operation(), lambda row: True))
-    assert "n0" in takeover.orphans(rows.map)
-    transaction = takeover.adoption_transaction(rows.map, "n0", "n2", rows.operation())
+    assert "n0" in takeover.orphaned_nodes(rows.map)
+    transaction = takeover.orphan_guard_transaction(rows.map, "n0", "n2", rows.operation())
     rows.join("n1", "zone1")
     context.committed = rows.table.commit(transaction)
 
@@ -402,7 +402,7 @@
         usable = {"other region"}
     if context.leases.keys().isdisjoint({"other domain"}):
         usable.discard("other domain")
-    proposal = guards.review_guard("itself", context.owners, context.leases, lambda name: name in usable)
+    proposal = guards.find_better_guard("itself", context.owners, context.leases, lambda name: name in usable)
     assert (proposal or "nothing") == expected, proposal
 
 
@@ -412,8 +412,8 @@
     give = take = 0
     for row in owners:
         share = mean * capacities[row.node]
-        give += max(0, len(row.slices) - int(placement.MAX_IMBALANCE * share))
-        take += max(0, -int(-placement.MIN_SHARE * share // 1) - len(row.slices))
+        give += max(0, len(row.slices) - int(placement.MAX_LOAD_RATIO * share))
+        take += max(0, -int(-placement.MIN_LOAD_RATIO * share // 1) - len(row.slices))
     return max(give, take)
 
 
@@ -433,8 +433,8 @@
         mean = start / sum(capacities.values())
         if mean < 20:
             return
-        planned = placement.moves(owners, capacities, {}, 100_000)
-        assert planned == placement.moves(list(reversed(owners)), capacities, {}, 100_000)
+        planned = placement.plan_moves(owners, capacities, {}, 100_000)
+        assert planned == placement.plan_moves(list(reversed(owners)), capacities, {}, 100_000)
         moved = sum(len(move.slices) for move in planned)
         counts = {row.node: len(row.slices) for row in owners}
         for move in planned:
@@ -443,8 +443,8 @@
         assert moved <= 1.5 * least_moves(owners, capacities), (moved, least_moves(owners, capacities))
         for name, count in counts.items():
             level = count / (mean * capacities[name])
-            assert level <= placement.MAX_IMBALANCE, (name, level)
-            assert level >= placement.MIN_SHARE - 1 / (mean * capacities[name]), (name, level)
+            assert level <= placement.MAX_LOAD_RATIO, (name, level)
+            assert level >= placement.MIN_LOAD_RATIO - 1 / (mean * capacities[name]), (name, level)
 
     run()
 
@@ -472,7 +472,7 @@
 
 @when("at most {bound:d} slices are moved")
 def move_at_most(context, bound):
-    context.moves = placement.moves(context.owners, {}, context.loads, bound)
+    context.moves = placement.plan_moves(context.owners, {}, context.loads, bound)
 
 
 @then('{count:d} slices leave "{source}"')
@@ -485,7 +485,7 @@
 def check_cost(context):
     planned = [placement.Move("a", "b", (1, 2, 3)), placement.Move("a", "c", (4, 5))]
     regions = {"a": "ost", "b": "ost", "c": "west"}
-    cost = placement.move_cost(planned, regions, 100.0, 100.0, 10_000.0)
+    cost = placement.estimate_cost(planned, regions, 100.0, 100.0, 10_000.0)
     assert cost == placement.MoveCost(slices=5, keys=500, link_bytes=20_000, seconds=2.0), cost
 
 
@@ -496,7 +496,7 @@
     loads = {"n0": float(value)} if name == "load" else {}
     context.error = None
     try:
-        placement.moves([row], capacities, loads, int(value) if name == "max_moves" else 10)
+        placement.plan_moves([row], capacities, loads, int(value) if name == "max_moves" else 10)
     except InvalidArgument as error:
         context.error = error
 
@@ -519,7 +519,7 @@
 
 @when('a request created {age:d} s ago arrives as attempt {attempt:d} after "{history}"')
 def admit_request(context, age, attempt, history):
-    window, request_id = context.window, make_id(WALL - age)
+    window, request_id = context.window, new_request_id(WALL - age)
     if history in ("running", "answered", "unknown", "not run"):
         assert isinstance(window.admit(request_id, 1, context.acquired, WALL - 0.5), Fresh)
     if history == "answered":
@@ -530,7 +530,7 @@
         window.forget(request_id)
     elif history == "10 others":
         for _ in range(10):
-            window.admit(make_id(WALL), 1, context.acquired, WALL)
+            window.admit(new_request_id(WALL), 1, context.acquired, WALL)
     context.decision = window.admit(request_id, attempt, context.acquired, WALL)
 
 
@@ -549,7 +549,7 @@
     @given_values(st.floats(-5.0, 5.0), st.floats(0.0, 10.0), st.floats(0.0, 120.0), st.floats(-11.0, 11.0))
     def run(skew, delay, early, late):
         window = DedupWindow()
-        request_id = make_id(WALL + skew)
+        request_id = new_request_id(WALL + skew)
         assert isinstance(window.admit(request_id, 1, 0.0, WALL + delay), Fresh)
         # The second retry comes about when the window ends by one clock and not yet by the other.
         for wall in (WALL + delay + early, WALL + delay + 120.0 + late):
@@ -561,7 +561,7 @@
 @when("100 answers of 1000 bytes are recorded with a bound of 10000 bytes")
 def record_answers(context):
     context.window = DedupWindow(max_answer_bytes=10_000)
-    context.ids = [make_id(WALL) for _ in range(100)]
+    context.ids = [new_request_id(WALL) for _ in range(100)]
     for request_id in context.ids:
         context.window.admit(request_id, 1, 0.0, WALL)
         context.window.finish(request_id, bytes(1000))
@@ -580,7 +580,7 @@
     context.window = DedupWindow()
     for index in range(count):
         wall = WALL + index * seconds / count
-        request_id = make_id(wall)
+        request_id = new_request_id(wall)
         context.window.admit(request_id, 1, 0.0, wall)
         context.window.finish(request_id, b"")
 
@@ -588,14 +588,14 @@
 @then("the deduplication window remembers at most {limit:d} of them anywhere")
 def check_bounded(context, limit):
     window = context.window
-    assert max(len(window.entries), len(window.expiries), len(window.answered)) <= limit
+    assert max(len(window.entries), len(window.expiry_queue), len(window.answered_ids)) <= limit
 
 
 @when('the request id "{hex_text}" is checked')
 def check_id(context, hex_text):
     context.error = None
     try:
-        created_wall(bytes.fromhex(hex_text))
+        creation_time(bytes.fromhex(hex_text))
     except InvalidArgument as error:
         context.error = error
 
--- a/tests/history/workload.py
+++ b/tests/history/workload.py
@@ -18,7 +18,7 @@
 from returns.result import Result, Success
 
 from hibiscusdrum import Caller, Request
-from hibiscusdrum.internal.ownership.ids import make_id
+from hibiscusdrum.internal.ownership.ids import new_request_id
 from tests.history.model import Load, Operation
 from tests.history.records import digest
 
@@ -60,7 +60,7 @@
     def start(self, number: int) -> None:
         """Send one request."""
         load = self.load
-        request_id = make_id(time.time())
+        request_id = new_request_id(time.time())
         idempotent = self.random.random() >= load.non_idempotent
         marker = f"marker-{request_id.hex()}"
         request = Request(
