--- a/bench/cold_start.py
+++ b/bench/cold_start.py
@@ -165,7 +165,7 @@
             loop.after(COLD_AT_SECONDS, stall, loop, seconds)
         loop.run(RUN_SECONDS)
         print(
-            f"{name}: ramps started again {limiter.cold_resets}, limit at the end {limiter.limit:.0f}, "
+            f"{name}: ramps started again {limiter.ramp_restarts}, limit at the end {limiter.limit:.0f}, "
             f"completed {sender.completed}"
         )
 
--- a/bench/control_sizes.py
+++ b/bench/control_sizes.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from hibiscusdrum.internal import codec
-from hibiscusdrum.internal.config.document import Document, Route, Tenant, encode
+from hibiscusdrum.internal.config.document import Document, Route, Tenant, encode_document
 from hibiscusdrum.internal.daemon.rebalancer import MAX_MOVES
 from hibiscusdrum.internal.load.hot_keys import HotKeyDetector
 from hibiscusdrum.internal.messages import MapReply, RowsChanged
@@ -142,7 +142,7 @@
         routes=routes,
         tenants={name: Tenant(name=name, home_regions=REGIONS[:1]) for name in names},
     )
-    return len(msgspec.msgpack.encode(encode(document)))
+    return len(msgspec.msgpack.encode(encode_document(document)))
 
 
 def report_sizes() -> None:
--- a/bench/fair_queue.py
+++ b/bench/fair_queue.py
@@ -101,7 +101,7 @@
             if item is None:
                 return
             self.free -= 1
-            self.queue.started(item.request_class)
+            self.queue.on_started(item.request_class)
             self.loop.after(self.service_time(item), self.finish, item, self.loop.now - item.arrived)
 
     def service_time(self, item: Item) -> float:
@@ -113,7 +113,7 @@
     def finish(self, item: Item, wait: float) -> None:
         """Return the slot."""
         self.free += 1
-        self.queue.finished(item.request_class)
+        self.queue.on_finished(item.request_class)
         self.late += self.loop.now > item.deadline
         self.waits.setdefault((item.tenant, item.request_class), []).append((item.arrived, wait))
         self.run()
@@ -130,7 +130,7 @@
 def fair_queue() -> FairQueue:
     """Return a fair queue that knows the mean service time, as it learns it from the limiter."""
     queue = FairQueue(QUEUE_CAPACITY)
-    queue.service_seconds = SERVICE_SECONDS
+    queue.service_time_seconds = SERVICE_SECONDS
     return queue
 
 
--- a/bench/load_costs.py
+++ b/bench/load_costs.py
@@ -74,12 +74,12 @@
 
     def slot(i: int) -> None:
         queue.may_run("grant")
-        queue.started("grant")
-        queue.finished("grant")
+        queue.on_started("grant")
+        queue.on_finished("grant")
 
     return {
         "fair_queue: push + pop": cost(pair),
-        "fair_queue: may_run + started + finished": cost(slot),
+        "fair_queue: may_run + on_started + on_finished": cost(slot),
         "fair_queue: expire, nothing due": cost(lambda i: queue.expire(0.0)),
     }
 
@@ -115,13 +115,15 @@
     return {
         "ejection: on_result": cost(lambda i: ejector.on_result(NODES[i % 6], 0.002, True, i * 1e-4)),
         "hedging: on_request + observe": cost(lambda i: (hedge.on_request(), hedge.observe("s", 0.002))),
-        "hedging: delay + may_hedge": cost(lambda i: (hedge.delay("s"), hedge.may_hedge(True, 0.0))),
+        "hedging: delay + try_spend_hedge": cost(
+            lambda i: (hedge.delay("s"), hedge.try_spend_hedge(True, 0.0))
+        ),
         "retry_budget: on_request": cost(lambda i: budget.on_request()),
-        "retry_budget: may_retry + backoff": cost(
-            lambda i: (budget.may_retry(i * 1e-4), budget.backoff(2, rng))
+        "retry_budget: try_spend_retry + backoff": cost(
+            lambda i: (budget.try_spend_retry(i * 1e-4), budget.backoff(2, rng))
         ),
-        "link_budget: take, data": cost(lambda i: link.take(DATA, 300, i * 1e-4)),
-        "link_budget: take, control": cost(lambda i: link.take(CONTROL, 300, i * 1e-4)),
+        "link_budget: try_spend_bytes, data": cost(lambda i: link.try_spend_bytes(DATA, 300, i * 1e-4)),
+        "link_budget: try_spend_bytes, control": cost(lambda i: link.try_spend_bytes(CONTROL, 300, i * 1e-4)),
     }
 
 
@@ -146,7 +148,7 @@
         policy.on_done(node, "wappensuche", 0.002, True)
 
     healthy = cost(request)
-    policy.ejector.cap_seconds = policy.ejector.base_seconds = 1e6
+    policy.ejector.max_ejection_seconds = policy.ejector.base_ejection_seconds = 1e6
     for _ in range(20):
         policy.on_done("n0", "wappensuche", 1.0, True)
     return {
--- a/bench/retry_storm.py
+++ b/bench/retry_storm.py
@@ -96,7 +96,7 @@
         if self.budgets is None:
             return PLAIN_DELAY_SECONDS
         budget = self.budgets[tenant]
-        if not budget.may_retry(self.world.loop.now):
+        if not budget.try_spend_retry(self.world.loop.now):
             return None
         return budget.backoff(number, self.world.rng)
 
--- a/src/hibiscusdrum/internal/caller/engine.py
+++ b/src/hibiscusdrum/internal/caller/engine.py
@@ -371,7 +371,7 @@
             wait = min(OWNERSHIP_MAX_WAIT_SECONDS, OWNERSHIP_WAIT_SECONDS * 2.0**call.ownership_waits)
             call.ownership_waits += 1
             return wait * (0.5 + self.rng.random())
-        if isinstance(error, LOAD_FAILURES) and self.policy.may_retry(call.request.tenant):
+        if isinstance(error, LOAD_FAILURES) and self.policy.try_spend_retry(call.request.tenant):
             return self.policy.backoff(call.tries)
         return None
 
--- a/src/hibiscusdrum/internal/caller/map_cache.py
+++ b/src/hibiscusdrum/internal/caller/map_cache.py
@@ -4,7 +4,7 @@
 
 import random
 
-from hibiscusdrum.internal.config.document import Document, decode_row, empty
+from hibiscusdrum.internal.config.document import Document, decode_config_row, empty_document
 from hibiscusdrum.internal.messages import MapReply, MapRequest
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
 from hibiscusdrum.internal.ownership.rows import CONFIG_KEY
@@ -30,7 +30,7 @@
         self.seeds = seeds
         self.rng = rng
         self.map = OwnershipMap()
-        self.document: Document = empty()
+        self.document: Document = empty_document()
         self.document_version = 0
         self.next_refresh = 0.0
         self.last_sent = 0.0
@@ -71,7 +71,7 @@
         self.map.apply(reply.rows, reply.seq)
         for key, version, value in reply.rows:
             if key == CONFIG_KEY and value is not None and version > self.document_version:
-                self.document = decode_row(value)
+                self.document = decode_config_row(value)
                 self.document_version = version
         self.failed_addresses.clear()
         if reply.nonce == self.nonce:
--- a/src/hibiscusdrum/internal/config/document.py
+++ b/src/hibiscusdrum/internal/config/document.py
@@ -12,8 +12,8 @@
 from hibiscusdrum.internal.settings import NAME_EXPECTED, NAME_PATTERN
 
 # A slice list of this length takes about 400 KB as JSON, the largest row value the daemons accept.
-MAXIMUM_SLICES = 65_536
-MAXIMUM_WEIGHT = 1000.0
+MAX_SLICES = 65_536
+MAX_CLASS_WEIGHT = 1000.0
 
 
 class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
@@ -95,7 +95,7 @@
         """Return whether a node may receive slices and shared requests."""
         return failure_domain not in self.drained and node not in self.retired
 
-    def may_release(self, node: str, lease_version: int) -> bool:
+    def allows_takeover(self, node: str, lease_version: int) -> bool:
         """Return whether an operator allowed the takeover of a self-guarded node's lease row."""
         return Release(node, lease_version) in self.released
 
@@ -111,22 +111,26 @@
     return tuple(sorted(set(route.regions) & set(tenant.home_regions)))
 
 
-def empty() -> Document:
+def empty_document() -> Document:
     """Return the document of revision 0, in force before the first confirm."""
     return Document(revision=0)
 
 
-def encode(document: Document) -> dict[str, Any]:
+def encode_document(document: Document) -> dict[str, Any]:
     """Return the JSON form of a document, as stored in the table."""
     return msgspec.to_builtins(document)
 
 
-def encode_row(document: Document, operation_id: str) -> dict[str, Any]:
+def encode_config_row(document: Document, operation_id: str) -> dict[str, Any]:
     """Return the value of the row ``config/current``."""
-    return {"revision": document.revision, "operation_id": operation_id, "document": encode(document)}
+    return {
+        "revision": document.revision,
+        "operation_id": operation_id,
+        "document": encode_document(document),
+    }
 
 
-def decode_row(value: Any) -> Document:
+def decode_config_row(value: Any) -> Document:
     """Return the document of the row ``config/current``; None stands for an absent row.
 
     Raises
@@ -135,15 +139,15 @@
         If the row or its document is malformed.
     """
     if value is None:
-        return empty()
+        return empty_document()
     if not isinstance(value, Mapping) or "document" not in value:
         raise InvalidArgument(name="config/current", value=value, expected="an object with a document")
-    document = decode(value["document"])
+    document = decode_document(value["document"])
     check_equal("config/current.revision", value.get("revision"), document.revision)
     return document
 
 
-def decode(value: Any) -> Document:
+def decode_document(value: Any) -> Document:
     """Check a JSON value and return the document.
 
     Raises
@@ -153,18 +157,18 @@
     """
     if not isinstance(value, Mapping):
         raise InvalidArgument(name="document", value=value, expected="an object")
-    parts = dict(value)
-    for field, kind in (("routes", Route), ("tenants", Tenant)):
-        members = parts.get(field, {})
-        if not isinstance(members, Mapping):
-            raise InvalidArgument(name=field, value=members, expected="an object")
-        parts[field] = {str(k): convert(v, kind, f"{field}.{k}") for k, v in members.items()}
-    document = convert(parts, Document, "document")
-    check(document)
+    fields = dict(value)
+    for field, struct_type in (("routes", Route), ("tenants", Tenant)):
+        entries = fields.get(field, {})
+        if not isinstance(entries, Mapping):
+            raise InvalidArgument(name=field, value=entries, expected="an object")
+        fields[field] = {str(k): convert_value(v, struct_type, f"{field}.{k}") for k, v in entries.items()}
+    document = convert_value(fields, Document, "document")
+    check_document(document)
     return document
 
 
-def convert(value: Any, kind: type, name: str) -> Any:
+def convert_value(value: Any, struct_type: type, name: str) -> Any:
     """Convert a JSON value to a Struct.
 
     Raises
@@ -173,22 +177,22 @@
         Names the field and its value.
     """
     try:
-        return msgspec.convert(value, kind)
+        return msgspec.convert(value, struct_type)
     except msgspec.ValidationError as error:
         reason, _, path = str(error).partition(" - at `$")
-        raise _invalid(value, name, reason, path.rstrip("`")) from error
+        raise _conversion_error(value, name, reason, path.rstrip("`")) from error
 
 
-def _invalid(value: Any, name: str, reason: str, path: str) -> InvalidArgument:
+def _conversion_error(value: Any, name: str, reason: str, path: str) -> InvalidArgument:
     """Find the value that a conversion error speaks of."""
-    unknown = reason.partition("unknown field `")[2].rstrip("`")
-    field = unknown or path.lstrip(".").partition(".")[0].partition("[")[0]
+    unknown_field = reason.partition("unknown field `")[2].rstrip("`")
+    field = unknown_field or path.lstrip(".").partition(".")[0].partition("[")[0]
     found = value.get(field) if isinstance(value, Mapping) and field else value
-    expected = "no field of this name" if unknown else reason.removeprefix("Expected ")
+    expected = "no field of this name" if unknown_field else reason.removeprefix("Expected ")
     return InvalidArgument(name=f"{name}.{field}" if field else name, value=found, expected=expected)
 
 
-def check(document: Document) -> None:
+def check_document(document: Document) -> None:
     """Check ranges and references within a document.
 
     Raises
@@ -206,8 +210,8 @@
         check_tenant(tenant, f"tenants.{name}.")
     for release in document.released:
         check_name("released.node", release.node)
-    check_names("drained", document.drained)
-    check_names("retired", document.retired)
+    check_unique_names("drained", document.drained)
+    check_unique_names("retired", document.retired)
 
 
 def check_equal(name: str, value: Any, expected: Any) -> None:
@@ -221,20 +225,20 @@
     check_name(prefix + "name", route.name)
     if not route.regions:
         raise InvalidArgument(name=prefix + "regions", value=route.regions, expected="at least one region")
-    check_names(prefix + "regions", route.regions)
-    if not 1 <= route.slices <= MAXIMUM_SLICES:
-        expected = f"an integer from 1 to {MAXIMUM_SLICES}"
+    check_unique_names(prefix + "regions", route.regions)
+    if not 1 <= route.slices <= MAX_SLICES:
+        expected = f"an integer from 1 to {MAX_SLICES}"
         raise InvalidArgument(name=prefix + "slices", value=route.slices, expected=expected)
 
 
 def check_tenant(tenant: Tenant, prefix: str = "") -> None:
     """Check the fields of a tenant."""
     check_name(prefix + "name", tenant.name)
-    check_names(prefix + "home_regions", tenant.home_regions)
+    check_unique_names(prefix + "home_regions", tenant.home_regions)
     for name, weight in tenant.class_weights.items():
         check_name(prefix + "class_weights", name)
-        if not 0 < weight <= MAXIMUM_WEIGHT:
-            expected = f"a number above 0, at most {MAXIMUM_WEIGHT}"
+        if not 0 < weight <= MAX_CLASS_WEIGHT:
+            expected = f"a number above 0, at most {MAX_CLASS_WEIGHT}"
             raise InvalidArgument(name=f"{prefix}class_weights.{name}", value=weight, expected=expected)
     for name, cap in tenant.slot_caps.items():
         check_name(prefix + "slot_caps", name)
@@ -248,7 +252,7 @@
         raise InvalidArgument(name=field, value=name, expected=NAME_EXPECTED)
 
 
-def check_names(field: str, names: tuple[str, ...]) -> None:
+def check_unique_names(field: str, names: tuple[str, ...]) -> None:
     """Check names that may not repeat."""
     for name in names:
         check_name(field, name)
--- a/src/hibiscusdrum/internal/config/intents.py
+++ b/src/hibiscusdrum/internal/config/intents.py
@@ -15,17 +15,17 @@
     Route,
     Tenant,
     check_name,
-    check_names,
     check_route,
     check_tenant,
-    convert,
+    check_unique_names,
+    convert_value,
 )
 from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES
 
 # Intents are short lists of names; a larger body is a mistake.
-MAXIMUM_INTENT_BYTES = 65_536
+MAX_INTENT_BYTES = 65_536
 # Length of the excerpt of a malformed body that an error names.
-EXCERPT_CHARACTERS = 64
+MAX_EXCERPT_CHARACTERS = 64
 
 
 class Intent(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind"):
@@ -119,10 +119,10 @@
     RetireTarget,
     ReleaseNodes,
 )
-STEPS: tuple[type[Intent], ...] = (*OPERATOR_INTENTS, SuspendTenant, ActivateHomeRegions)
+STEP_INTENTS: tuple[type[Intent], ...] = (*OPERATOR_INTENTS, SuspendTenant, ActivateHomeRegions)
 
 
-def kind_of(intent: Intent | type[Intent]) -> str:
+def intent_kind(intent: Intent | type[Intent]) -> str:
     """Return the name of an intent on the wire."""
     return intent.__struct_config__.tag
 
@@ -140,13 +140,13 @@
     InvalidArgument
         If the body is not JSON, the kind is unknown, or a field is unknown, missing or of another type.
     """
-    if len(body) > MAXIMUM_INTENT_BYTES:
-        expected = f"at most {MAXIMUM_INTENT_BYTES} bytes"
+    if len(body) > MAX_INTENT_BYTES:
+        expected = f"at most {MAX_INTENT_BYTES} bytes"
         raise InvalidArgument(name="body", value=f"{len(body)} bytes", expected=expected)
     try:
         value = msgspec.json.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        excerpt = body[:EXCERPT_CHARACTERS].decode("utf-8", "replace")
+        excerpt = body[:MAX_EXCERPT_CHARACTERS].decode("utf-8", "replace")
         raise InvalidArgument(name="body", value=excerpt, expected="a JSON object") from error
     intent = _decode(value, OPERATOR_INTENTS)
     if isinstance(intent, ReleaseNodes) and intent.lease_versions:
@@ -163,17 +163,17 @@
     InvalidArgument
         If the step is malformed.
     """
-    return _decode(value, STEPS)
+    return _decode(value, STEP_INTENTS)
 
 
 def _decode(value: Any, accepted: tuple[type[Intent], ...]) -> Intent:
     if not isinstance(value, Mapping):
         raise InvalidArgument(name="intent", value=value, expected="a JSON object")
-    kinds = {kind_of(cls): cls for cls in accepted}
+    kinds = {intent_kind(cls): cls for cls in accepted}
     kind = value.get("kind")
     if not isinstance(kind, str) or kind not in kinds:
         raise InvalidArgument(name="kind", value=kind, expected="one of " + ", ".join(sorted(kinds)))
-    return convert(value, kinds[kind], kind)
+    return convert_value(value, kinds[kind], kind)
 
 
 @singledispatch
@@ -194,7 +194,7 @@
         raise InvalidArgument(name="name", value=intent.name, expected="the name of a new route")
     route = Route(intent.name, tuple(sorted(intent.regions)), intent.divided, intent.slices)
     check_route(route)
-    return _next(document, routes={**document.routes, route.name: route})
+    return _next_revision(document, routes={**document.routes, route.name: route})
 
 
 @apply.register
@@ -208,41 +208,41 @@
         slot_caps=intent.slot_caps,
     )
     check_tenant(tenant)
-    _check_regions(tenant.home_regions, document)
+    _check_regions_served(tenant.home_regions, document)
     for service in tenant.slot_caps:
         if service not in document.routes:
             raise InvalidArgument(name="slot_caps", value=service, expected="the name of a route")
-    return _with_tenant(document, tenant)
+    return _replace_tenant(document, tenant)
 
 
 @apply.register
 def _(intent: SetHomeRegions, document: Document) -> Document:
-    tenant = _tenant(intent.tenant, document)
-    regions = _home_regions(intent.home_regions, document)
+    tenant = _require_tenant(intent.tenant, document)
+    regions = _validated_home_regions(intent.home_regions, document)
     if regions == tenant.home_regions and not tenant.suspended:
         raise InvalidArgument(name="home_regions", value=regions, expected="other regions than in force")
     changed = msgspec.structs.replace(tenant, home_regions=regions, suspended=False, suspended_at=0)
-    return _with_tenant(document, changed)
+    return _replace_tenant(document, changed)
 
 
 @apply.register
 def _(intent: SuspendTenant, document: Document) -> Document:
-    tenant = _tenant(intent.tenant, document)
+    tenant = _require_tenant(intent.tenant, document)
     if tenant.suspended:
         raise InvalidArgument(name="tenant", value=tenant.name, expected="a tenant that is not suspended")
     revision = document.revision + 1
-    return _with_tenant(document, msgspec.structs.replace(tenant, suspended=True, suspended_at=revision))
+    return _replace_tenant(document, msgspec.structs.replace(tenant, suspended=True, suspended_at=revision))
 
 
 @apply.register
 def _(intent: ActivateHomeRegions, document: Document) -> Document:
-    tenant = _tenant(intent.tenant, document)
+    tenant = _require_tenant(intent.tenant, document)
     if not tenant.suspended or tenant.suspended_at != intent.suspended_at:
         expected = f"the revision of the present suspension, {tenant.suspended_at}"
         raise InvalidArgument(name="suspended_at", value=intent.suspended_at, expected=expected)
-    regions = _home_regions(intent.home_regions, document)
+    regions = _validated_home_regions(intent.home_regions, document)
     changed = msgspec.structs.replace(tenant, home_regions=regions, suspended=False, suspended_at=0)
-    return _with_tenant(document, changed)
+    return _replace_tenant(document, changed)
 
 
 @apply.register
@@ -252,7 +252,7 @@
     if name in document.drained:
         expected = "a failure domain that is not drained"
         raise InvalidArgument(name="failure_domain", value=name, expected=expected)
-    return _next(document, drained=tuple(sorted((*document.drained, name))))
+    return _next_revision(document, drained=tuple(sorted((*document.drained, name))))
 
 
 @apply.register
@@ -260,7 +260,7 @@
     name = intent.failure_domain
     if name not in document.drained:
         raise InvalidArgument(name="failure_domain", value=name, expected="a drained failure domain")
-    return _next(document, drained=tuple(drained for drained in document.drained if drained != name))
+    return _next_revision(document, drained=tuple(drained for drained in document.drained if drained != name))
 
 
 @apply.register
@@ -268,44 +268,44 @@
     check_name("node", intent.node)
     if intent.node in document.retired:
         raise InvalidArgument(name="node", value=intent.node, expected="a node that is not retired")
-    return _next(document, retired=tuple(sorted((*document.retired, intent.node))))
+    return _next_revision(document, retired=tuple(sorted((*document.retired, intent.node))))
 
 
 @apply.register
 def _(intent: ReleaseNodes, document: Document) -> Document:
     if not intent.nodes:
         raise InvalidArgument(name="nodes", value=intent.nodes, expected="at least one node")
-    check_names("nodes", intent.nodes)
+    check_unique_names("nodes", intent.nodes)
     if set(intent.lease_versions) != set(intent.nodes):
         expected = "nodes that have a lease row"
         raise InvalidArgument(name="nodes", value=intent.nodes, expected=expected)
     kept = [release for release in document.released if release.node not in intent.nodes]
     added = [Release(node, intent.lease_versions[node]) for node in intent.nodes]
-    return _next(document, released=tuple(sorted((*kept, *added), key=lambda release: release.node)))
+    return _next_revision(document, released=tuple(sorted((*kept, *added), key=lambda release: release.node)))
 
 
-def _next(document: Document, **changes: Any) -> Document:
+def _next_revision(document: Document, **changes: Any) -> Document:
     return msgspec.structs.replace(document, revision=document.revision + 1, **changes)
 
 
-def _with_tenant(document: Document, tenant: Tenant) -> Document:
-    return _next(document, tenants={**document.tenants, tenant.name: tenant})
+def _replace_tenant(document: Document, tenant: Tenant) -> Document:
+    return _next_revision(document, tenants={**document.tenants, tenant.name: tenant})
 
 
-def _tenant(name: str, document: Document) -> Tenant:
+def _require_tenant(name: str, document: Document) -> Tenant:
     tenant = document.tenants.get(name)
     if tenant is None:
         raise InvalidArgument(name="tenant", value=name, expected="the name of a tenant")
     return tenant
 
 
-def _home_regions(regions: tuple[str, ...], document: Document) -> tuple[str, ...]:
-    check_names("home_regions", regions)
-    _check_regions(regions, document)
+def _validated_home_regions(regions: tuple[str, ...], document: Document) -> tuple[str, ...]:
+    check_unique_names("home_regions", regions)
+    _check_regions_served(regions, document)
     return tuple(sorted(regions))
 
 
-def _check_regions(regions: tuple[str, ...], document: Document) -> None:
+def _check_regions_served(regions: tuple[str, ...], document: Document) -> None:
     """Check that every home region has a ring, so that a misspelt region is found before a move."""
     known = {region for route in document.routes.values() for region in route.regions}
     for region in regions:
--- a/src/hibiscusdrum/internal/config/operators.py
+++ b/src/hibiscusdrum/internal/config/operators.py
@@ -26,7 +26,12 @@
 )
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.clock import Clock, SystemClock
-from hibiscusdrum.internal.config.document import Document, decode_row, encode, encode_row
+from hibiscusdrum.internal.config.document import (
+    Document,
+    decode_config_row,
+    encode_config_row,
+    encode_document,
+)
 from hibiscusdrum.internal.config.intents import (
     ActivateHomeRegions,
     Intent,
@@ -34,10 +39,10 @@
     decode_intent,
     decode_step,
     encode_step,
-    kind_of,
+    intent_kind,
 )
 from hibiscusdrum.internal.config.planner import Estimate, Plan, make_plan
-from hibiscusdrum.internal.config.revisions import ACCEPTED, COMMITTED, WHOLE_DOCUMENT, Acceptance
+from hibiscusdrum.internal.config.revisions import ACCEPTED, COMMITTED, WHOLE_DOCUMENT_BASE, Acceptance
 from hibiscusdrum.internal.ownership.rows import CONFIG_KEY, PLAN_PREFIX, OwnerRow
 from hibiscusdrum.internal.platform.table import Changes, Row, Table, Transaction
 from hibiscusdrum.internal.settings import NAME_PATTERN
@@ -45,13 +50,13 @@
 PATH_PREFIX = "/v1/operator/"
 KEY_HEADER = "x-hibiscusdrum-key"
 # Reason by which the table client says that a write may have taken effect.
-UNKNOWN_OUTCOME = "unknown"
+UNKNOWN_OUTCOME_REASON = "unknown"
 # Conflicts in a row after which a transaction is given up; each one means that another write succeeded.
-ATTEMPTS = 4
+MAX_COMMIT_ATTEMPTS = 4
 # Plans kept in the table; about a day at 420 changes a day. Every daemon that joins reads them all.
-PLANS_KEPT = 400
+MAX_STORED_PLANS = 400
 # Rows that one pruning transaction deletes at most, which bounds the size of the transaction.
-PRUNED_AT_ONCE = 50
+MAX_PRUNED_PLANS = 50
 
 PLANNED = "planned"
 SUSPENDED = "suspended"
@@ -60,7 +65,7 @@
 # States that do not change any more; only plans in these and unconfirmed ones are pruned.
 FINAL_STATES = (ACCEPTED, CANCELLED)
 
-Callback = Callable[[int, dict[str, Any]], None]
+ResponseCallback = Callable[[int, dict[str, Any]], None]
 
 
 class PlanRow(msgspec.Struct, frozen=True):
@@ -91,12 +96,12 @@
     confirmed_at: float = 0.0
 
     @property
-    def finished(self) -> bool:
+    def is_finished(self) -> bool:
         """Whether no step will be committed any more."""
         return self.steps_done >= len(self.plan.steps) or self.state in FINAL_STATES
 
 
-class Read(msgspec.Struct, frozen=True):
+class PlanSnapshot(msgspec.Struct, frozen=True):
     """A plan and the configuration, read together with their versions."""
 
     row: PlanRow
@@ -165,20 +170,20 @@
         "acceptance",
         "advancing",
         "clock",
-        "current",
+        "current_config",
         "estimate",
         "lease_versions",
         "new_id",
         "on_committed",
         "owners",
-        "pending",
+        "pending_revisions",
         "table",
     )
 
     def __init__(
         self,
         table: Table,
-        current: Callable[[], tuple[Document, int]],
+        current_config: Callable[[], tuple[Document, int]],
         owners: Callable[[], Iterable[OwnerRow]],
         on_committed: Callable[[Document, int, Any], None],
         acceptance: Callable[[int], Acceptance | None],
@@ -188,7 +193,7 @@
         new_id: Callable[[], str] = lambda: uuid.uuid4().hex[:12],
     ) -> None:
         self.table = table
-        self.current = current
+        self.current_config = current_config
         self.owners = owners
         self.on_committed = on_committed
         self.acceptance = acceptance
@@ -198,11 +203,11 @@
         self.new_id = new_id
         # Revision that must be accepted before a plan continues, by plan id; equal to or above that of the
         # plan's last step.
-        self.pending: dict[str, int] = {}
+        self.pending_revisions: dict[str, int] = {}
         # Plans with a store operation of ``advance`` in flight; a slow store would collect one a second.
         self.advancing: set[str] = set()
 
-    def handle(self, method: str, path: str, body: bytes, callback: Callback) -> None:
+    def handle(self, method: str, path: str, body: bytes, callback: ResponseCallback) -> None:
         """Answer one HTTP request; ``callback`` receives the status and the JSON answer once.
 
         The caller has checked the shared key (``authorized``).
@@ -211,26 +216,26 @@
         try:
             self._route(method, parts, body, callback)
         except HibiscusdrumError as error:
-            refuse(error, callback)
+            respond_error(error, callback)
 
-    def _route(self, method: str, parts: list[str], body: bytes, callback: Callback) -> None:
+    def _route(self, method: str, parts: list[str], body: bytes, callback: ResponseCallback) -> None:
         match (method, parts):
             case ("POST", ["plan"]):
-                self.plan(decode_intent(body), callback)
+                self.create_plan(decode_intent(body), callback)
             case ("POST", ["confirm", plan_id]):
-                self.confirm(plan_id, callback)
+                self.confirm_plan(plan_id, callback)
             case ("GET", ["plans"]):
-                self.plans(callback)
+                self.list_plans(callback)
             case ("GET", ["history"]):
-                self.history(callback)
+                self.list_history(callback)
             case ("GET", ["plan", plan_id]):
-                self.show(plan_id, callback)
+                self.show_plan(plan_id, callback)
             case _:
                 raise NotFound(kind="operation", name=f"{method} {PATH_PREFIX}{'/'.join(parts)}")
 
-    def plan(self, intent: Intent, callback: Callback) -> None:
+    def create_plan(self, intent: Intent, callback: ResponseCallback) -> None:
         """Make a plan and store it."""
-        document, _version = self.current()
+        document, _version = self.current_config()
         plan = make_plan(
             intent, document, self.owners(), self.new_id(), self.estimate(), self.lease_versions()
         )
@@ -240,54 +245,61 @@
 
         def stored(result: Any) -> None:
             if not isinstance(result, Success):
-                refuse(_write_error(plan.id, result.failure()), callback)
+                respond_error(_write_error(plan.id, result.failure()), callback)
                 return
-            log_events.emit(log_events.PlanCreated(plan.id, kind_of(intent), plan.base_revision))
-            callback(201, self.view(row))
+            log_events.emit(log_events.PlanCreated(plan.id, intent_kind(intent), plan.base_revision))
+            callback(201, self.plan_response(row))
 
         self.table.commit(transaction, stored)
 
-    def confirm(self, plan_id: str, callback: Callback) -> None:
+    def confirm_plan(self, plan_id: str, callback: ResponseCallback) -> None:
         """Commit the next step of a plan; a plan whose steps are all committed is only reported.
 
         Repeating a confirm is safe and is the way to learn an unknown outcome.
         """
-        self._attempt_confirm(plan_id, callback, ATTEMPTS)
+        self._try_confirm(plan_id, callback, MAX_COMMIT_ATTEMPTS)
 
-    def _attempt_confirm(self, plan_id: str, callback: Callback, attempts: int) -> None:
-        def answer(found: Read) -> None:
-            self._confirm_read(plan_id, found, callback, attempts)
+    def _try_confirm(self, plan_id: str, callback: ResponseCallback, attempts: int) -> None:
+        def answer(snapshot: PlanSnapshot) -> None:
+            self._confirm_snapshot(plan_id, snapshot, callback, attempts)
 
-        self._read(plan_id, answer, callback)
+        self._read_plan(plan_id, answer, callback)
 
-    def _confirm_read(self, plan_id: str, found: Read, callback: Callback, attempts: int) -> None:
-        row = found.row
-        if row.finished or (row.steps_done and not self._accepted(self._followed(row))):
-            self._report_again(found, callback)
+    def _confirm_snapshot(
+        self, plan_id: str, snapshot: PlanSnapshot, callback: ResponseCallback, attempts: int
+    ) -> None:
+        row = snapshot.row
+        if row.is_finished or (row.steps_done and not self._accepted(self._tracked_revision(row))):
+            self._report_confirmed_plan(snapshot, callback)
             return
-        if row.steps_done == 0 and found.document.revision != row.base_revision:
-            self._refuse_revision(plan_id, found, callback)
+        if row.steps_done == 0 and snapshot.document.revision != row.base_revision:
+            self._respond_revision_conflict(plan_id, snapshot, callback)
             return
         if attempts == 0:
-            refuse(StoreConflict(keys=(CONFIG_KEY, plan_key(plan_id))), callback)
+            respond_error(StoreConflict(keys=(CONFIG_KEY, plan_key(plan_id))), callback)
             return
-        self._commit_step(plan_id, found, callback, attempts)
+        self._commit_step(plan_id, snapshot, callback, attempts)
 
-    def _commit_step(self, plan_id: str, found: Read, callback: Callback, attempts: int) -> None:
-        step = _next_step(found.row)
+    def _commit_step(
+        self, plan_id: str, snapshot: PlanSnapshot, callback: ResponseCallback, attempts: int
+    ) -> None:
+        step = _next_step(snapshot.row)
         try:
-            document = apply(step, found.document)
+            document = apply(step, snapshot.document)
         except InvalidArgument as error:
-            if found.row.steps_done:
-                self._store_state(found, CANCELLED)
-            refuse(error, callback)
+            if snapshot.row.steps_done:
+                self._store_state(snapshot, CANCELLED)
+            respond_error(error, callback)
             return
         operation_id = self._operation_id(plan_id)
-        row = self._after_step(found.row, document.revision, operation_id)
+        row = self._after_step(snapshot.row, document.revision, operation_id)
         transaction = Transaction(
             operation_id,
-            {CONFIG_KEY: found.config_version, plan_key(plan_id): found.plan_version},
-            {CONFIG_KEY: encode_row(document, operation_id), plan_key(plan_id): msgspec.to_builtins(row)},
+            {CONFIG_KEY: snapshot.config_version, plan_key(plan_id): snapshot.plan_version},
+            {
+                CONFIG_KEY: encode_config_row(document, operation_id),
+                plan_key(plan_id): msgspec.to_builtins(row),
+            },
         )
 
         def committed(result: Any) -> None:
@@ -295,9 +307,9 @@
                 self._on_step_committed(row, document, encode_step(step), callback)
             elif isinstance(result.failure(), StoreConflict):
                 # Another confirm was first, of this plan or of another; the rows tell which.
-                self._attempt_confirm(plan_id, callback, attempts - 1)
+                self._try_confirm(plan_id, callback, attempts - 1)
             else:
-                refuse(_write_error(plan_id, result.failure()), callback)
+                respond_error(_write_error(plan_id, result.failure()), callback)
 
         self.table.commit(transaction, committed)
 
@@ -313,105 +325,111 @@
         )
 
     def _on_step_committed(
-        self, row: PlanRow, document: Document, change: dict[str, Any], callback: Callback
+        self, row: PlanRow, document: Document, change: dict[str, Any], callback: ResponseCallback
     ) -> None:
         log_events.emit(log_events.PlanConfirmed(row.plan.id, row.steps_done, row.revision))
-        self.pending[row.plan.id] = row.revision
+        self.pending_revisions[row.plan.id] = row.revision
         base = document.revision - 1
         # Revision 0 is the empty document, and base 0 marks a whole document in ``ConfigChange``.
-        self.on_committed(document, base, encode(document) if base == WHOLE_DOCUMENT else change)
-        callback(200, self.view(row))
-        self._prune()
+        self.on_committed(
+            document, base, encode_document(document) if base == WHOLE_DOCUMENT_BASE else change
+        )
+        callback(200, self.plan_response(row))
+        self._prune_plans()
 
-    def _report_again(self, found: Read, callback: Callback) -> None:
+    def _report_confirmed_plan(self, snapshot: PlanSnapshot, callback: ResponseCallback) -> None:
         """Report a confirmed plan and, while it is not accepted, follow it from this daemon too."""
-        row = found.row
-        if row.state not in FINAL_STATES and row.plan.id not in self.pending:
-            self.pending[row.plan.id] = found.document.revision
-            self.on_committed(found.document, WHOLE_DOCUMENT, encode(found.document))
-        callback(200, self.view(row))
-
-    def _refuse_revision(self, plan_id: str, found: Read, callback: Callback) -> None:
-        base, current = found.row.base_revision, found.document.revision
+        row = snapshot.row
+        if row.state not in FINAL_STATES and row.plan.id not in self.pending_revisions:
+            self.pending_revisions[row.plan.id] = snapshot.document.revision
+            self.on_committed(snapshot.document, WHOLE_DOCUMENT_BASE, encode_document(snapshot.document))
+        callback(200, self.plan_response(row))
+
+    def _respond_revision_conflict(
+        self, plan_id: str, snapshot: PlanSnapshot, callback: ResponseCallback
+    ) -> None:
+        base, current = snapshot.row.base_revision, snapshot.document.revision
         log_events.emit(log_events.PlanConflict(plan_id, base, current))
-        refuse(RevisionConflict(plan=plan_id, base=base, current=current), callback)
+        respond_error(RevisionConflict(plan=plan_id, base=base, current=current), callback)
 
     def advance(self) -> None:
         """Continue the plans whose last step is accepted; the daemon calls it about once a second.
 
         Calling it again after a store outage retries what the outage prevented.
         """
-        for plan_id, revision in list(self.pending.items()):
+        for plan_id, revision in list(self.pending_revisions.items()):
             if self._accepted(revision) and plan_id not in self.advancing:
                 self.advancing.add(plan_id)
                 self._advance_plan(plan_id)
 
     def _advance_plan(self, plan_id: str) -> None:
-        def answer(found: Read) -> None:
-            if found.row.finished:
-                self._store_state(found, ACCEPTED)
+        def answer(snapshot: PlanSnapshot) -> None:
+            if snapshot.row.is_finished:
+                self._store_state(snapshot, ACCEPTED)
             else:
-                self._confirm_read(plan_id, found, done, ATTEMPTS)
+                self._confirm_snapshot(plan_id, snapshot, done, MAX_COMMIT_ATTEMPTS)
 
         def done(status: int, _answer: dict[str, Any]) -> None:
             self.advancing.discard(plan_id)
             if status == NotFound.http_status:
-                self.pending.pop(plan_id, None)
+                self.pending_revisions.pop(plan_id, None)
 
-        self._read(plan_id, answer, done)
+        self._read_plan(plan_id, answer, done)
 
-    def _store_state(self, found: Read, state: str) -> None:
+    def _store_state(self, snapshot: PlanSnapshot, state: str) -> None:
         """Record the final state of a plan, so that every daemon reports it."""
-        plan_id = found.row.plan.id
+        plan_id = snapshot.row.plan.id
         key = plan_key(plan_id)
-        row = msgspec.structs.replace(found.row, state=state)
+        row = msgspec.structs.replace(snapshot.row, state=state)
         transaction = Transaction(
-            self._operation_id(plan_id), {key: found.plan_version}, {key: msgspec.to_builtins(row)}
+            self._operation_id(plan_id), {key: snapshot.plan_version}, {key: msgspec.to_builtins(row)}
         )
 
         def stored(result: Any) -> None:
             self.advancing.discard(plan_id)
             if isinstance(result, Success):
-                self.pending.pop(plan_id, None)
+                self.pending_revisions.pop(plan_id, None)
 
-        if found.row.state in FINAL_STATES:
-            stored(Success(found.plan_version))
+        if snapshot.row.state in FINAL_STATES:
+            stored(Success(snapshot.plan_version))
         else:
             self.table.commit(transaction, stored)
 
-    def show(self, plan_id: str, callback: Callback) -> None:
+    def show_plan(self, plan_id: str, callback: ResponseCallback) -> None:
         """Report one plan."""
-        self._read(plan_id, lambda found: callback(200, self.view(found.row)), callback)
+        self._read_plan(plan_id, lambda snapshot: callback(200, self.plan_response(snapshot.row)), callback)
 
-    def plans(self, callback: Callback) -> None:
+    def list_plans(self, callback: ResponseCallback) -> None:
         """List the plans that are not confirmed, oldest first."""
-        self._list(lambda row: _state(row) == PLANNED, "plans", callback)
+        self._respond_plan_list(lambda row: _stored_state(row) == PLANNED, "plans", callback)
 
-    def history(self, callback: Callback) -> None:
+    def list_history(self, callback: ResponseCallback) -> None:
         """List the confirmed plans, oldest first."""
-        self._list(lambda row: _state(row) != PLANNED, "history", callback)
+        self._respond_plan_list(lambda row: _stored_state(row) != PLANNED, "history", callback)
 
-    def _list(self, wanted: Callable[[Row], bool], name: str, callback: Callback) -> None:
+    def _respond_plan_list(
+        self, wanted: Callable[[Row], bool], name: str, callback: ResponseCallback
+    ) -> None:
         def answer(result: Any) -> None:
             if not isinstance(result, Success):
-                refuse(result.failure(), callback)
+                respond_error(result.failure(), callback)
                 return
             rows = _decode_plan_rows(filter(wanted, _plan_rows(result.unwrap())))
             rows.sort(key=lambda row: (row.revision, row.created_at))
-            callback(200, {name: [self.view(row) for row in rows]})
+            callback(200, {name: [self.plan_response(row) for row in rows]})
 
         self.table.changes(0, answer)
 
-    def view(self, row: PlanRow) -> dict[str, Any]:
+    def plan_response(self, row: PlanRow) -> dict[str, Any]:
         """Return the JSON answer for a plan, with the nodes that have yet to acknowledge it.
 
         ``missing`` is null when this daemon does not follow the plan.
         """
-        acceptance = self.acceptance(self._followed(row)) if row.revision else None
+        acceptance = self.acceptance(self._tracked_revision(row)) if row.revision else None
         state = row.state
         if state == COMMITTED and acceptance is not None:
             state = acceptance.state
-        if state == PLANNED and row.base_revision < self.current()[0].revision:
+        if state == PLANNED and row.base_revision < self.current_config()[0].revision:
             state = VOID
         return {
             "plan": msgspec.to_builtins(row.plan),
@@ -423,8 +441,8 @@
             "missing": None if acceptance is None else sorted(acceptance.missing),
         }
 
-    def _followed(self, row: PlanRow) -> int:
-        return self.pending.get(row.plan.id, row.revision)
+    def _tracked_revision(self, row: PlanRow) -> int:
+        return self.pending_revisions.get(row.plan.id, row.revision)
 
     def _accepted(self, revision: int) -> bool:
         acceptance = self.acceptance(revision)
@@ -433,20 +451,22 @@
     def _operation_id(self, plan_id: str) -> str:
         return f"{plan_id}-{self.new_id()}"
 
-    def _read(self, plan_id: str, answer: Callable[[Read], None], callback: Callback) -> None:
+    def _read_plan(
+        self, plan_id: str, answer: Callable[[PlanSnapshot], None], callback: ResponseCallback
+    ) -> None:
         """Read a plan and the configuration; failures go to ``callback``."""
 
         def done(result: Any) -> None:
             try:
                 if not isinstance(result, Success):
                     raise result.failure()
-                answer(_decode_read(plan_id, result.unwrap()))
+                answer(_decode_snapshot(plan_id, result.unwrap()))
             except HibiscusdrumError as error:
-                refuse(error, callback)
+                respond_error(error, callback)
 
         self.table.read((CONFIG_KEY, plan_key(plan_id)), done)
 
-    def _prune(self) -> None:
+    def _prune_plans(self) -> None:
         """Delete the oldest plans beyond the number that is kept; failures are left to the next confirm."""
 
         def listed(result: Any) -> None:
@@ -456,8 +476,8 @@
         self.table.changes(0, listed)
 
     def _delete_oldest(self, rows: list[Row]) -> None:
-        done = [(row.version, row.key) for row in rows if _state(row) in (PLANNED, *FINAL_STATES)]
-        excess = min(len(rows) - PLANS_KEPT, PRUNED_AT_ONCE)
+        done = [(row.version, row.key) for row in rows if _stored_state(row) in (PLANNED, *FINAL_STATES)]
+        excess = min(len(rows) - MAX_STORED_PLANS, MAX_PRUNED_PLANS)
         oldest = sorted(done)[: max(0, excess)]
         if oldest:
             checks = {key: version for version, key in oldest}
@@ -465,7 +485,7 @@
             self.table.commit(transaction, lambda _result: None)
 
 
-def refuse(error: HibiscusdrumError, callback: Callback) -> None:
+def respond_error(error: HibiscusdrumError, callback: ResponseCallback) -> None:
     """Answer with a typed error."""
     callback(error.http_status, error_body(error))
 
@@ -485,21 +505,21 @@
 
 def _write_error(plan_id: str, error: HibiscusdrumError) -> HibiscusdrumError:
     """Turn a store failure into one that does not claim "not run" when the write may have taken effect."""
-    if isinstance(error, StoreUnavailable) and error.reason == UNKNOWN_OUTCOME:
+    if isinstance(error, StoreUnavailable) and error.reason == UNKNOWN_OUTCOME_REASON:
         return OutcomeUnknown(request_id=plan_id, reason="the store did not answer; read the plan again")
     return error
 
 
-def _decode_read(plan_id: str, rows: Mapping[str, Row]) -> Read:
+def _decode_snapshot(plan_id: str, rows: Mapping[str, Row]) -> PlanSnapshot:
     row = rows.get(plan_key(plan_id))
     if row is None or row.value is None:
         raise NotFound(kind="plan", name=plan_id)
     config = rows.get(CONFIG_KEY)
-    document = decode_row(config.value if config else None)
-    return Read(decode_plan_row(row.value), row.version, document, _version(config))
+    document = decode_config_row(config.value if config else None)
+    return PlanSnapshot(decode_plan_row(row.value), row.version, document, _checked_version(config))
 
 
-def _version(row: Row | None) -> int:
+def _checked_version(row: Row | None) -> int:
     """Return the version to check; an absent or deleted row is checked as absent."""
     return 0 if row is None or row.value is None else row.version
 
@@ -510,13 +530,13 @@
 
 def _decode_plan_rows(rows: Iterable[Row]) -> list[PlanRow]:
     """Decode plans; rows of another version's form are left out, so that lists stay usable."""
-    found = []
+    decoded = []
     for row in rows:
         with suppress(InvalidArgument):
-            found.append(decode_plan_row(row.value))
-    return found
+            decoded.append(decode_plan_row(row.value))
+    return decoded
 
 
-def _state(row: Row) -> str:
+def _stored_state(row: Row) -> str:
     """Return the state of a plan's row; a malformed one, which nothing can use, counts as accepted."""
     return row.value.get("state", ACCEPTED) if isinstance(row.value, Mapping) else ACCEPTED
--- a/src/hibiscusdrum/internal/config/planner.py
+++ b/src/hibiscusdrum/internal/config/planner.py
@@ -125,7 +125,7 @@
     warnings: tuple[str, ...] = ()
 
 
-class View(msgspec.Struct, frozen=True):
+class PlanInputs(msgspec.Struct, frozen=True):
     """What a plan is made from."""
 
     document: Document
@@ -155,14 +155,14 @@
     InvalidArgument
         If the intent does not fit the document.
     """
-    bound = _bind(intent, lease_versions or {})
-    view = View(document, tuple(owners), estimate or Estimate())
-    effects = _effects(bound, view)
+    bound_intent = _bind_lease_versions(intent, lease_versions or {})
+    inputs = PlanInputs(document, tuple(owners), estimate or Estimate())
+    effects = _effects(bound_intent, inputs)
     # Only the first step can be checked now; a later one depends on the revision of the former.
     apply(effects.steps[0], document)
     return Plan(
         id=plan_id,
-        intent=encode_step(bound),
+        intent=encode_step(bound_intent),
         base_revision=document.revision,
         steps=tuple(encode_step(step) for step in effects.steps),
         moves=effects.moves,
@@ -171,7 +171,7 @@
     )
 
 
-def _bind(intent: Intent, lease_versions: Mapping[str, int]) -> Intent:
+def _bind_lease_versions(intent: Intent, lease_versions: Mapping[str, int]) -> Intent:
     if not isinstance(intent, ReleaseNodes):
         return intent
     versions = {node: lease_versions[node] for node in intent.nodes if node in lease_versions}
@@ -179,33 +179,33 @@
 
 
 @singledispatch
-def _effects(intent: Intent, view: View) -> Effects:
+def _effects(intent: Intent, inputs: PlanInputs) -> Effects:
     """Return the effects of an intent that moves nothing."""
     return Effects((intent,))
 
 
 @_effects.register
-def _(intent: SetHomeRegions, view: View) -> Effects:
+def _(intent: SetHomeRegions, inputs: PlanInputs) -> Effects:
     # Checks the arguments before the steps are derived from them.
-    after = apply(intent, view.document).tenants[intent.tenant]
-    before = view.document.tenants[intent.tenant]
+    after = apply(intent, inputs.document).tenants[intent.tenant]
+    before = inputs.document.tenants[intent.tenant]
     moves, share = [], 0.0
-    for route in view.document.routes.values():
+    for route in inputs.document.routes.values():
         old, new = candidate_regions(route, before), candidate_regions(route, after)
         if old == new:
             continue
         moves.append(Move(route.name, "", ",".join(old), new, 0, 0))
-        share = max(share, moved_share(old, new))
+        share = max(share, moved_key_share(old, new))
     if not moves:
         return Effects((intent,))
     warnings = tuple(
         f"service {m.service} is not available in the new regions" for m in moves if not m.receivers
     )
     steps = (SuspendTenant(intent.tenant), ActivateHomeRegions(intent.tenant, after.home_regions, 0))
-    return Effects(steps, tuple(moves), _region_cost(intent.tenant, share, view.estimate), warnings)
+    return Effects(steps, tuple(moves), _cross_region_cost(intent.tenant, share, inputs.estimate), warnings)
 
 
-def moved_share(old: tuple[str, ...], new: tuple[str, ...]) -> float:
+def moved_key_share(old: tuple[str, ...], new: tuple[str, ...]) -> float:
     """Return the share of keys whose region changes when the candidates change.
 
     With rendezvous hashing a key keeps its region exactly when the winner among all old and new candidates
@@ -215,7 +215,7 @@
     return 1.0 - len(set(old) & set(new)) / len(union) if union else 0.0
 
 
-def _region_cost(tenant: str, share: float, estimate: Estimate) -> Cost:
+def _cross_region_cost(tenant: str, share: float, estimate: Estimate) -> Cost:
     keys = round(estimate.tenant_keys.get(tenant, 0) * share)
     traffic = round(keys * estimate.bytes_per_key)
     seconds = 2 * ACCEPTANCE_SECONDS + traffic / estimate.cross_region_bytes_per_second
@@ -223,45 +223,47 @@
 
 
 @_effects.register
-def _(intent: DrainFailureDomain, view: View) -> Effects:
-    def leaves(row: OwnerRow) -> bool:
+def _(intent: DrainFailureDomain, inputs: PlanInputs) -> Effects:
+    def is_leaving(row: OwnerRow) -> bool:
         return row.failure_domain == intent.failure_domain
 
-    return _leaving(intent, view, leaves, f"failure domain {intent.failure_domain}", HANDOVER_SECONDS)
+    return _leaving_effects(
+        intent, inputs, is_leaving, f"failure domain {intent.failure_domain}", HANDOVER_SECONDS
+    )
 
 
 @_effects.register
-def _(intent: RetireTarget, view: View) -> Effects:
-    return _leaving(
-        intent, view, lambda row: row.node == intent.node, f"node {intent.node}", HANDOVER_SECONDS
+def _(intent: RetireTarget, inputs: PlanInputs) -> Effects:
+    return _leaving_effects(
+        intent, inputs, lambda row: row.node == intent.node, f"node {intent.node}", HANDOVER_SECONDS
     )
 
 
 @_effects.register
-def _(intent: ReleaseNodes, view: View) -> Effects:
+def _(intent: ReleaseNodes, inputs: PlanInputs) -> Effects:
     name = "nodes " + ", ".join(intent.nodes)
-    return _leaving(intent, view, lambda row: row.node in intent.nodes, name, TAKEOVER_SECONDS)
+    return _leaving_effects(intent, inputs, lambda row: row.node in intent.nodes, name, TAKEOVER_SECONDS)
 
 
-def _leaving(
-    intent: Intent, view: View, leaves: Callable[[OwnerRow], bool], name: str, seconds: float
+def _leaving_effects(
+    intent: Intent, inputs: PlanInputs, is_leaving: Callable[[OwnerRow], bool], name: str, seconds: float
 ) -> Effects:
     """Return the effects of owners that hand all slices to the remaining owners of their rings."""
-    leaving = [row for row in view.owners if leaves(row)]
-    staying = _accepting_by_ring(view, leaves)
+    leaving = [row for row in inputs.owners if is_leaving(row)]
+    remaining = _accepting_owners_by_ring(inputs, is_leaving)
     moves, warnings, handovers = [], [], 0
     if not leaving:
         warnings.append(f"{name} has no owners at present")
-    for (service, region, domain), group in sorted(_by_failure_domain(leaving).items()):
-        receivers = staying.get((service, region), ())
+    for (service, region, failure_domain), group in sorted(_by_failure_domain(leaving).items()):
+        receivers = remaining.get((service, region), ())
         slices = sum(len(row.slices) for row in group)
-        domains = tuple(sorted({row.failure_domain for row in receivers}))
-        moves.append(Move(service, region, domain, domains, len(group), slices))
+        receiving_domains = tuple(sorted({row.failure_domain for row in receivers}))
+        moves.append(Move(service, region, failure_domain, receiving_domains, len(group), slices))
         # Each node hands over to one receiver after the other.
         handovers = max(handovers, *(min(len(receivers), len(row.slices)) for row in group))
         if slices and not receivers:
             warnings.append(f"ring {service}@{region} keeps no owner that takes work")
-    cost = _slice_cost(moves, view, handovers * seconds)
+    cost = _intra_region_cost(moves, inputs, handovers * seconds)
     return Effects((intent,), tuple(moves), cost, tuple(dict.fromkeys(warnings)))
 
 
@@ -272,35 +274,37 @@
     return groups
 
 
-def _accepting_by_ring(
-    view: View, leaves: Callable[[OwnerRow], bool]
+def _accepting_owners_by_ring(
+    inputs: PlanInputs, is_leaving: Callable[[OwnerRow], bool]
 ) -> dict[tuple[str, str], list[OwnerRow]]:
     rings: dict[tuple[str, str], list[OwnerRow]] = {}
-    for row in view.owners:
-        if not leaves(row) and view.document.accepts_work(row.node, row.failure_domain):
+    for row in inputs.owners:
+        if not is_leaving(row) and inputs.document.accepts_work(row.node, row.failure_domain):
             rings.setdefault((row.service, row.region), []).append(row)
     return rings
 
 
 @_effects.register
-def _(intent: ReturnFailureDomain, view: View) -> Effects:
+def _(intent: ReturnFailureDomain, inputs: PlanInputs) -> Effects:
     """Estimate that the returning owners receive a share of each ring by capacity."""
-    domain = intent.failure_domain
-    returning = [row for row in view.owners if row.failure_domain == domain]
-    accepting = _accepting_by_ring(view, lambda row: row.failure_domain == domain)
+    failure_domain = intent.failure_domain
+    returning = [row for row in inputs.owners if row.failure_domain == failure_domain]
+    accepting = _accepting_owners_by_ring(inputs, lambda row: row.failure_domain == failure_domain)
     moves, handovers = [], 0
     for (service, region, _domain), group in sorted(_by_failure_domain(returning).items()):
-        givers = accepting.get((service, region), [])
-        slices = _share_of_ring(group, givers)
-        sources = ",".join(sorted({row.failure_domain for row in givers}))
-        moves.append(Move(service, region, sources, (domain,), len(givers), slices))
-        if givers:
-            handovers = max(handovers, min(len(group), -(-slices // len(givers))))
-    warnings = () if moves else (f"failure domain {domain} has no owners at present",)
-    return Effects((intent,), tuple(moves), _slice_cost(moves, view, handovers * HANDOVER_SECONDS), warnings)
+        donors = accepting.get((service, region), [])
+        slices = _slices_to_receive(group, donors)
+        sources = ",".join(sorted({row.failure_domain for row in donors}))
+        moves.append(Move(service, region, sources, (failure_domain,), len(donors), slices))
+        if donors:
+            handovers = max(handovers, min(len(group), -(-slices // len(donors))))
+    warnings = () if moves else (f"failure domain {failure_domain} has no owners at present",)
+    return Effects(
+        (intent,), tuple(moves), _intra_region_cost(moves, inputs, handovers * HANDOVER_SECONDS), warnings
+    )
 
 
-def _share_of_ring(returning: list[OwnerRow], accepting: list[OwnerRow]) -> int:
+def _slices_to_receive(returning: list[OwnerRow], accepting: list[OwnerRow]) -> int:
     """Return the slices that returning owners still lack of their share by capacity."""
     capacity = sum(row.capacity for row in (*returning, *accepting))
     total = sum(len(row.slices) for row in (*returning, *accepting))
@@ -309,8 +313,8 @@
     return max(0, round(total * share) - held)
 
 
-def _slice_cost(moves: Iterable[Move], view: View, moving_seconds: float) -> Cost:
+def _intra_region_cost(moves: Iterable[Move], inputs: PlanInputs, moving_seconds: float) -> Cost:
     """Return the cost of moves within regions; nodes move in parallel."""
     slices = sum(move.slices for move in moves)
     expected = round(ACCEPTANCE_SECONDS + moving_seconds, 1)
-    return Cost(slices, round(slices * view.estimate.keys_per_slice), 0, expected)
+    return Cost(slices, round(slices * inputs.estimate.keys_per_slice), 0, expected)
--- a/src/hibiscusdrum/internal/config/revisions.py
+++ b/src/hibiscusdrum/internal/config/revisions.py
@@ -8,20 +8,20 @@
 import msgspec
 
 from hibiscusdrum.errors import InvalidArgument
-from hibiscusdrum.internal.config.document import Document, decode
+from hibiscusdrum.internal.config.document import Document, decode_document
 from hibiscusdrum.internal.config.intents import apply, decode_step
 
 COMMITTED = "committed"
 ACCEPTED = "accepted"
 # A change with this base carries the whole document.
-WHOLE_DOCUMENT = 0
+WHOLE_DOCUMENT_BASE = 0
 
 
 class Applied(msgspec.Struct, frozen=True):
     """The offered revision is in force."""
 
     document: Document
-    former: Document
+    previous: Document
 
 
 class Stale(msgspec.Struct, frozen=True):
@@ -56,7 +56,7 @@
         """Revision in force."""
         return self.document.revision
 
-    def offer(self, revision: int, base_revision: int, content: Any) -> Applied | Stale | Behind:
+    def offer_change(self, revision: int, base_revision: int, content: Any) -> Applied | Stale | Behind:
         """Put a revision in force if it is higher than the present one.
 
         Parameters
@@ -73,8 +73,8 @@
         """
         if revision <= self.revision:
             return Stale(self.revision)
-        if base_revision == WHOLE_DOCUMENT:
-            return self._replace(self._whole(revision, content))
+        if base_revision == WHOLE_DOCUMENT_BASE:
+            return self._replace(self._decode_whole(revision, content))
         if base_revision != self.revision or revision != base_revision + 1:
             return Behind(self.revision, revision)
         try:
@@ -90,16 +90,16 @@
             return Stale(self.revision)
         return self._replace(document)
 
-    def _whole(self, revision: int, content: Any) -> Document:
-        document = decode(content)
+    def _decode_whole(self, revision: int, content: Any) -> Document:
+        document = decode_document(content)
         if document.revision != revision:
             expected = f"revision {revision}, as offered"
             raise InvalidArgument(name="revision", value=document.revision, expected=expected)
         return document
 
     def _replace(self, document: Document) -> Applied:
-        former, self.document = self.document, document
-        return Applied(document, former)
+        previous, self.document = self.document, document
+        return Applied(document, previous)
 
 
 class Acceptance:
@@ -130,6 +130,6 @@
         if revision >= self.revision:
             self.missing.discard(node)
 
-    def on_gone(self, node: str) -> None:
+    def on_lease_deleted(self, node: str) -> None:
         """Record that a node's lease row is deleted, so that it serves no keys."""
         self.missing.discard(node)
--- a/src/hibiscusdrum/internal/daemon/configuration.py
+++ b/src/hibiscusdrum/internal/daemon/configuration.py
@@ -6,7 +6,7 @@
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
-from hibiscusdrum.internal.config.document import Document, decode_row, empty, encode
+from hibiscusdrum.internal.config.document import Document, decode_config_row, empty_document, encode_document
 from hibiscusdrum.internal.config.revisions import ACCEPTED, Acceptance, Applied, Behind, RevisionState
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.messages import ConfigAck, ConfigChange, ConfigRequest
@@ -38,7 +38,7 @@
         self.node = node
         self.failure_domain = failure_domain
         self.drained_at: float | None = None
-        self.state = RevisionState(empty())
+        self.state = RevisionState(empty_document())
         self.acknowledged_revision = 0
         self.tracked: dict[int, Acceptance] = {}
         self.started: dict[int, float] = {}
@@ -103,12 +103,12 @@
                 self.apply_row(row.value)
             elif row.key.startswith(LEASE_PREFIX) and row.value is None:
                 for acceptance in self.tracked.values():
-                    acceptance.on_gone(row.key[len(LEASE_PREFIX) :])
+                    acceptance.on_lease_deleted(row.key[len(LEASE_PREFIX) :])
 
     def apply_row(self, value: Any) -> None:
         """Apply the document of the configuration row; a malformed one is reported and ignored."""
         try:
-            document = decode_row(value)
+            document = decode_config_row(value)
         except InvalidArgument as error:
             log_events.emit(log_events.InvalidFrame(party="table", reason=error.name))
             return
@@ -118,7 +118,7 @@
         """Log an applied revision and tell the listeners."""
         if not isinstance(outcome, Applied):
             return
-        former, document = outcome.former, outcome.document
+        former, document = outcome.previous, outcome.document
         self.note_drained(document)
         log_events.emit(log_events.ConfigApplied(revision=document.revision, former=former.revision))
         self.record_ack(self.node, self.acknowledged)
@@ -145,7 +145,7 @@
     def on_change(self, message: ConfigChange) -> None:
         """Apply a peer's change and acknowledge the revision in force."""
         try:
-            outcome = self.state.offer(message.revision, message.base_revision, message.content)
+            outcome = self.state.offer_change(message.revision, message.base_revision, message.content)
         except HibiscusdrumError as error:
             log_events.emit(log_events.InvalidFrame(party="peer", reason=error.code))
             return
@@ -179,7 +179,7 @@
     def whole_change(self) -> ConfigChange:
         """Return the message that carries the whole document."""
         return ConfigChange(
-            node=self.node, revision=self.revision, base_revision=0, content=encode(self.document)
+            node=self.node, revision=self.revision, base_revision=0, content=encode_document(self.document)
         )
 
     # Spreading
--- a/src/hibiscusdrum/internal/daemon/http_endpoint.py
+++ b/src/hibiscusdrum/internal/daemon/http_endpoint.py
@@ -103,7 +103,7 @@
         membership, configuration = self.membership, self.configuration
         return OperatorApi(
             membership,
-            current=lambda: (configuration.document, membership.config_version()),
+            current_config=lambda: (configuration.document, membership.config_version()),
             owners=lambda: membership.map.owners.values(),
             on_committed=configuration.on_committed,
             acceptance=configuration.acceptance,
--- a/src/hibiscusdrum/internal/daemon/leases.py
+++ b/src/hibiscusdrum/internal/daemon/leases.py
@@ -327,7 +327,7 @@
 
     def on_document(self, document: Document) -> None:
         """Give up the own lease at once when an operator has declared this node gone."""
-        if self.holder is not None and document.may_release(self.node, self.holder.lease_version):
+        if self.holder is not None and document.allows_takeover(self.node, self.holder.lease_version):
             self.holder.revoke(self.now)
             self.note_validity()
 
--- a/src/hibiscusdrum/internal/daemon/link.py
+++ b/src/hibiscusdrum/internal/daemon/link.py
@@ -57,14 +57,14 @@
         """Spend the bytes of a request; False when it has to wait."""
         if not self.crosses(address):
             return True
-        allowed = self.budget.take(DATA, size, self.app.clock.monotonic())
+        allowed = self.budget.try_spend_bytes(DATA, size, self.app.clock.monotonic())
         self.shed += not allowed
         return allowed
 
     def note_control(self, address: str, size: int) -> None:
         """Spend the bytes of a control message, which is never held back."""
         if self.crosses(address):
-            self.budget.take(CONTROL, size, self.app.clock.monotonic())
+            self.budget.try_spend_bytes(CONTROL, size, self.app.clock.monotonic())
 
     def log_shed(self) -> None:
         """Log that requests were held back since the last look."""
--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -278,15 +278,15 @@
         """Send queued requests while the target may be given more."""
         limiter, queue = self.limiter, self.queue
         queue.slots = max(1, int(limiter.limit))
-        queue.service_seconds = limiter.usual_latency
-        while limiter.accepting(now):
+        queue.service_time_seconds = limiter.long_term_baseline
+        while limiter.can_acquire(now):
             pending = queue.pop(now)
             if pending is None:
                 return
             if pending.cancelled:
                 continue
             limiter.try_acquire(now)
-            queue.started(pending.call.request_class)
+            queue.on_started(pending.call.request_class)
             self.send(pending, now)
 
     def expire_queued(self) -> bool:
@@ -347,17 +347,17 @@
     def unsent(self, pending: Pending, error: HibiscusdrumError) -> None:
         """End a request that got a slot but was not sent."""
         self.limiter.release()
-        self.queue.finished(pending.call.request_class)
+        self.queue.on_finished(pending.call.request_class)
         self.finish(pending, Failure(error))
 
     def on_answer(self, pending: Pending, result: Result[HttpResponse, HttpFailure]) -> None:
         """Free the slot, learn from the latency, and report the outcome."""
         now = self.app.clock.monotonic()
         self.sent.discard(pending)
-        self.queue.finished(pending.call.request_class)
+        self.queue.on_finished(pending.call.request_class)
         outcome = self.outcome(pending, result)
         if self.overtaken_by_epoch(pending, outcome):
-            self.queue.started(pending.call.request_class)
+            self.queue.on_started(pending.call.request_class)
             self.send(pending, now)
             return
         self.learn(pending, outcome, now)
@@ -411,10 +411,10 @@
         if isinstance(outcome, Failure) and isinstance(outcome.failure(), TargetUnreachable):
             limiter.release()
             return
-        resets = limiter.cold_resets
+        resets = limiter.ramp_restarts
         latency = now - pending.sent_at
         limiter.on_complete(latency, isinstance(outcome, Success), now)
-        if limiter.cold_resets != resets:
+        if limiter.ramp_restarts != resets:
             log_events.emit(
                 log_events.TargetCold(
                     target=self.settings.target_address, latency_ms=latency * 1000.0, limit=limiter.limit
@@ -454,7 +454,7 @@
 
     def on_target_available(self) -> None:
         """Begin the ramp of a fresh target."""
-        self.limiter.reset_cold(self.app.clock.monotonic())
+        self.limiter.restart_ramp(self.app.clock.monotonic())
         self.grant_epoch()
 
     def grant_epoch(self) -> None:
--- a/src/hibiscusdrum/internal/load/balancer.py
+++ b/src/hibiscusdrum/internal/load/balancer.py
@@ -7,31 +7,38 @@
 from collections.abc import Collection, Sequence
 
 # Weight of the newest sample in a node's latency average.
-LATENCY_GAIN = 0.1
+LATENCY_EWMA_WEIGHT = 0.1
 # The same for the average of all nodes.
-OVERALL_GAIN = 0.01
-FIRST_LATENCY_SECONDS = 0.002
+OVERALL_EWMA_WEIGHT = 0.01
+INITIAL_LATENCY_SECONDS = 0.002
 # A report loses weight with this time constant: reports lag by about 2 s, during which a target that is
 # slowed for seconds may have changed twice.
 REPORT_DECAY_SECONDS = 0.5
 # Without new samples for the first time the latency average returns to the level of all nodes with the second
 # as its time constant, so that a node that was slow is tried again.
-FORGET_AFTER_SECONDS = 1.0
-FORGET_SECONDS = 5.0
+STALE_AFTER_SECONDS = 1.0
+STALE_DECAY_SECONDS = 5.0
 
 
 class NodeLoad:
     """What the balancer knows of one node."""
 
-    __slots__ = ("in_flight", "latency", "report_at", "report_in_flight", "report_latency", "sampled_at")
+    __slots__ = (
+        "in_flight",
+        "mean_latency",
+        "reported_at",
+        "reported_in_flight",
+        "reported_latency",
+        "sampled_at",
+    )
 
     def __init__(self) -> None:
         self.in_flight = 0
-        self.latency = 0.0
+        self.mean_latency = 0.0
         self.sampled_at = -math.inf
-        self.report_at = -math.inf
-        self.report_in_flight = 0
-        self.report_latency = 0.0
+        self.reported_at = -math.inf
+        self.reported_in_flight = 0
+        self.reported_latency = 0.0
 
 
 class Balancer:
@@ -43,13 +50,13 @@
         Source of the two candidates.
     """
 
-    __slots__ = ("latency", "nodes", "rng")
+    __slots__ = ("mean_latency", "nodes", "rng")
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.nodes: dict[str, NodeLoad] = {}
         # Any value above 0 serves until there is a sample: nodes are then compared by requests in flight.
-        self.latency = FIRST_LATENCY_SECONDS
+        self.mean_latency = INITIAL_LATENCY_SECONDS
 
     def choose(self, candidates: Sequence[str], now: float, exclude: Collection[str] = ()) -> str | None:
         """Return the less loaded of two random candidates, or None when all are excluded."""
@@ -58,9 +65,9 @@
         count = len(candidates)
         if count < 2:
             return candidates[0] if count else None
-        random_ = self.rng.random
-        first = int(random_() * count)
-        second = int(random_() * (count - 1))
+        uniform = self.rng.random
+        first = int(uniform() * count)
+        second = int(uniform() * (count - 1))
         if second >= first:
             second += 1
         one, other = candidates[first], candidates[second]
@@ -70,16 +77,18 @@
         """Return the expected wait at a node in seconds, up to a common factor."""
         load = self.nodes.get(node)
         if load is None:
-            return self.latency
+            return self.mean_latency
         in_flight = load.in_flight
-        latency = load.latency or self.latency
-        idle = now - load.sampled_at - FORGET_AFTER_SECONDS
-        if idle > 0.0 and load.latency:
-            latency = self.latency + (latency - self.latency) * math.exp(-idle / FORGET_SECONDS)
-        age = now - load.report_at
+        latency = load.mean_latency or self.mean_latency
+        idle = now - load.sampled_at - STALE_AFTER_SECONDS
+        if idle > 0.0 and load.mean_latency:
+            latency = self.mean_latency + (latency - self.mean_latency) * math.exp(
+                -idle / STALE_DECAY_SECONDS
+            )
+        age = now - load.reported_at
         if age < 4.0 * REPORT_DECAY_SECONDS:
             weight = math.exp(-age / REPORT_DECAY_SECONDS) if age > 0.0 else 1.0
-            reported = load.report_in_flight
+            reported = load.reported_in_flight
             if reported > in_flight:
                 in_flight += (reported - in_flight) * weight
         return (in_flight + 1.0) * latency
@@ -100,9 +109,13 @@
             load.in_flight -= 1
         if not ok:
             return
-        load.latency = latency if not load.latency else load.latency + (latency - load.latency) * LATENCY_GAIN
+        load.mean_latency = (
+            latency
+            if not load.mean_latency
+            else load.mean_latency + (latency - load.mean_latency) * LATENCY_EWMA_WEIGHT
+        )
         load.sampled_at = now
-        self.latency += (latency - self.latency) * OVERALL_GAIN
+        self.mean_latency += (latency - self.mean_latency) * OVERALL_EWMA_WEIGHT
 
     def on_cancelled(self, node: str) -> None:
         """Record that a request is no longer awaited, without judging the node by it."""
@@ -116,16 +129,16 @@
         if load is None:
             load = self.nodes[node] = NodeLoad()
         taken_at = now - age_ms / 1000.0
-        if taken_at >= load.report_at:
-            load.report_at = taken_at
-            load.report_in_flight = in_flight
-            load.report_latency = latency_ms / 1000.0
+        if taken_at >= load.reported_at:
+            load.reported_at = taken_at
+            load.reported_in_flight = in_flight
+            load.reported_latency = latency_ms / 1000.0
 
-    def forget_latency(self, node: str) -> None:
+    def reset_latency(self, node: str) -> None:
         """Judge a node by the average of all nodes until it has new samples."""
         load = self.nodes.get(node)
         if load is not None:
-            load.latency = 0.0
+            load.mean_latency = 0.0
 
     def forget(self, node: str) -> None:
         """Drop what is known of a node that has left."""
--- a/src/hibiscusdrum/internal/load/body_gate.py
+++ b/src/hibiscusdrum/internal/load/body_gate.py
@@ -12,19 +12,19 @@
 
 # Bytes asked for at once take the link for this long, in seconds: small messages wait at most that, and the
 # link is busy without a break while a round trip within the region is shorter.
-LINK_SECONDS = 0.04
+LOCAL_WINDOW_SECONDS = 0.04
 # The same for bodies from another region: the round trip of 60 ms is added, in which parts are not on the
 # link of this VM. A longer delay between the regions slows these bodies down.
-FAR_LINK_SECONDS = 0.1
+REMOTE_WINDOW_SECONDS = 0.1
 # Share of the link that is counted on for bodies; requests, answers and callers use it too.
-LINK_SHARE = 0.7
+BODY_LINK_SHARE = 0.7
 # Length of a part in bytes: 13 ms on a link of 5 Mbit/s, the narrowest known.
-PART_BYTES = 8_192
+CHUNK_BYTES = 8_192
 
-Order = tuple[int, float]
+TransferPriority = tuple[int, float]
 
 
-class Lane:
+class TransferQueue:
     """Bodies that share a limit of bytes on their way.
 
     Attributes
@@ -35,17 +35,21 @@
         Their present number.
     """
 
-    __slots__ = ("heap", "in_flight", "limit")
+    __slots__ = ("heap", "in_flight", "max_bytes_in_flight")
 
-    def __init__(self, limit: float) -> None:
-        self.limit = limit
+    def __init__(self, max_bytes_in_flight: float) -> None:
+        self.max_bytes_in_flight = max_bytes_in_flight
         self.in_flight = 0
-        self.heap: list[tuple[Order, int, bytes]] = []
+        self.heap: list[tuple[TransferPriority, int, bytes]] = []
 
     @property
-    def room(self) -> bool:
+    def has_room(self) -> bool:
         """Whether one more part may be asked for; one at least is always on its way."""
-        return not self.limit or not self.in_flight or self.in_flight + PART_BYTES <= self.limit
+        return (
+            not self.max_bytes_in_flight
+            or not self.in_flight
+            or self.in_flight + CHUNK_BYTES <= self.max_bytes_in_flight
+        )
 
 
 class Transfer:
@@ -57,13 +61,13 @@
         Bytes that were asked for, and those of them that have arrived.
     """
 
-    __slots__ = ("arrived", "asked", "lane", "size")
+    __slots__ = ("queue", "received", "requested", "size")
 
-    def __init__(self, size: int, lane: Lane) -> None:
+    def __init__(self, size: int, queue: TransferQueue) -> None:
         self.size = size
-        self.lane = lane
-        self.asked = 0
-        self.arrived = 0
+        self.queue = queue
+        self.requested = 0
+        self.received = 0
 
 
 class BodyGate:
@@ -80,33 +84,35 @@
         Bodies that were offered and have not arrived completely.
     """
 
-    __slots__ = ("bytes_per_second", "counter", "far", "near", "transfers")
+    __slots__ = ("bytes_per_second", "local", "remote", "sequence", "transfers")
 
     def __init__(self, bytes_per_second: float) -> None:
         self.bytes_per_second = bytes_per_second
-        self.near = Lane(bytes_per_second * LINK_SECONDS)
-        self.far = Lane(bytes_per_second * FAR_LINK_SECONDS)
+        self.local = TransferQueue(bytes_per_second * LOCAL_WINDOW_SECONDS)
+        self.remote = TransferQueue(bytes_per_second * REMOTE_WINDOW_SECONDS)
         self.transfers: dict[bytes, Transfer] = {}
-        self.counter = itertools.count()
+        self.sequence = itertools.count()
 
     @property
     def in_flight(self) -> int:
         """Bytes that were asked for and have not arrived."""
-        return self.near.in_flight + self.far.in_flight
+        return self.local.in_flight + self.remote.in_flight
 
-    def wait(self, size: int = 0) -> float:
+    def expected_wait(self, size: int = 0) -> float:
         """Return the seconds until one more body of a size would have arrived."""
         if not self.bytes_per_second:
             return 0.0
-        waiting = sum(transfer.size - transfer.arrived for transfer in self.transfers.values()) + size
-        return waiting / (self.bytes_per_second * LINK_SHARE)
+        waiting = sum(transfer.size - transfer.received for transfer in self.transfers.values()) + size
+        return waiting / (self.bytes_per_second * BODY_LINK_SHARE)
 
     @property
-    def free(self) -> bool:
+    def is_idle(self) -> bool:
         """Whether an offered body would be asked for at once."""
         return not self.bytes_per_second or not self.transfers
 
-    def offer(self, request_id: bytes, size: int, priority: int, deadline: float, far: bool = False) -> None:
+    def offer(
+        self, request_id: bytes, size: int, priority: int, deadline: float, cross_region: bool = False
+    ) -> None:
         """Note a body of so many bytes.
 
         Parameters
@@ -116,44 +122,44 @@
         far : bool
             Whether it comes from another region.
         """
-        lane = self.far if far else self.near
-        self.transfers[request_id] = Transfer(size, lane)
-        heapq.heappush(lane.heap, ((priority, deadline), next(self.counter), request_id))
+        queue = self.remote if cross_region else self.local
+        self.transfers[request_id] = Transfer(size, queue)
+        heapq.heappush(queue.heap, ((priority, deadline), next(self.sequence), request_id))
 
-    def pop(self) -> tuple[bytes, int, int] | None:
+    def next_chunk(self) -> tuple[bytes, int, int] | None:
         """Return the next part to ask for: the request, the first byte and the number of bytes; or None."""
-        return self.next_part(self.near) or self.next_part(self.far)
+        return self.next_chunk_of(self.local) or self.next_chunk_of(self.remote)
 
-    def next_part(self, lane: Lane) -> tuple[bytes, int, int] | None:
+    def next_chunk_of(self, queue: TransferQueue) -> tuple[bytes, int, int] | None:
         """Return the next part of a lane.
 
         A body that has begun is not overtaken by one of the same order, so that bodies arrive one after the
         other.
         """
-        while lane.heap and lane.room:
-            request_id = lane.heap[0][2]
+        while queue.heap and queue.has_room:
+            request_id = queue.heap[0][2]
             transfer = self.transfers.get(request_id)
-            if transfer is None or transfer.asked == transfer.size:
-                heapq.heappop(lane.heap)
+            if transfer is None or transfer.requested == transfer.size:
+                heapq.heappop(queue.heap)
                 continue
-            first = transfer.asked
-            count = min(PART_BYTES if lane.limit else transfer.size, transfer.size - first)
-            transfer.asked += count
-            lane.in_flight += count
+            first = transfer.requested
+            count = min(CHUNK_BYTES if queue.max_bytes_in_flight else transfer.size, transfer.size - first)
+            transfer.requested += count
+            queue.in_flight += count
             return request_id, first, count
         return None
 
-    def take(self, request_id: bytes, first: int, count: int) -> bool:
+    def on_chunk_received(self, request_id: bytes, first: int, count: int) -> bool:
         """Note a part that has arrived; returns whether it is the next one of a body that is awaited."""
         transfer = self.transfers.get(request_id)
-        if transfer is None or first != transfer.arrived or first + count > transfer.asked:
+        if transfer is None or first != transfer.received or first + count > transfer.requested:
             return False
-        transfer.arrived += count
-        transfer.lane.in_flight -= count
+        transfer.received += count
+        transfer.queue.in_flight -= count
         return True
 
-    def done(self, request_id: bytes) -> None:
+    def forget(self, request_id: bytes) -> None:
         """Forget a request whose body has arrived, or is not wanted any more."""
         transfer = self.transfers.pop(request_id, None)
         if transfer is not None:
-            transfer.lane.in_flight -= transfer.asked - transfer.arrived
+            transfer.queue.in_flight -= transfer.requested - transfer.received
--- a/src/hibiscusdrum/internal/load/client_policy.py
+++ b/src/hibiscusdrum/internal/load/client_policy.py
@@ -30,14 +30,14 @@
         One budget for each tenant of this caller.
     """
 
-    __slots__ = ("balancer", "clock", "ejector", "hedge", "retry_budgets", "rng")
+    __slots__ = ("balancer", "clock", "ejector", "hedge_policy", "retry_budgets", "rng")
 
     def __init__(self, rng: random.Random, clock: Clock) -> None:
         self.rng = rng
         self.clock = clock
         self.balancer = Balancer(rng)
         self.ejector = OutlierEjector()
-        self.hedge = HedgePolicy()
+        self.hedge_policy = HedgePolicy()
         self.retry_budgets: dict[str, RetryBudget] = {}
 
     def set_nodes(self, nodes: Iterable[str]) -> None:
@@ -55,9 +55,9 @@
         """
         now = self.clock.monotonic()
         ejector = self.ejector
-        if not ejector.outliers:
+        if not ejector.unhealthy:
             return self.balancer.choose(candidates, now, exclude)
-        probe = ejector.probe(candidates, exclude, now)
+        probe = ejector.next_probe(candidates, exclude, now)
         if probe is not None:
             return probe
         ejected = ejector.excluded(now, self.rng.random())
@@ -66,7 +66,7 @@
 
     def on_request(self, tenant: str) -> None:
         """Record an ordinary first attempt; earns hedge and retry tokens."""
-        self.hedge.on_request()
+        self.hedge_policy.on_request()
         budget = self.retry_budgets.get(tenant)
         if budget is None:
             budget = self.retry_budgets[tenant] = RetryBudget()
@@ -76,7 +76,7 @@
         """Record an attempt sent to a node; one ``on_done`` or ``on_cancelled`` must follow."""
         now = self.clock.monotonic()
         self.balancer.on_sent(node, now)
-        if self.ejector.outliers:
+        if self.ejector.unhealthy:
             self.ejector.on_sent(node, now)
 
     def on_done(self, node: str, service: str, latency: float, ok: bool) -> None:
@@ -84,9 +84,9 @@
         now = self.clock.monotonic()
         self.balancer.on_done(node, latency, ok, now)
         if self.ejector.on_result(node, latency, ok, now):
-            self.balancer.forget_latency(node)
+            self.balancer.reset_latency(node)
         if ok:
-            self.hedge.observe(service, latency)
+            self.hedge_policy.observe(service, latency)
 
     def on_cancelled(self, node: str) -> None:
         """Record that an attempt is no longer awaited, for example because its hedge was answered first."""
@@ -99,16 +99,16 @@
 
     def hedge_delay(self, service: str) -> float:
         """Return the seconds after which an unanswered request should be hedged."""
-        return self.hedge.delay(service)
+        return self.hedge_policy.delay(service)
 
-    def may_hedge(self, node: str, idempotent: bool) -> bool:
+    def try_spend_hedge(self, node: str, idempotent: bool) -> bool:
         """Return whether to send a second copy of a request that ``node`` has left unanswered.
 
         For callers with a single other candidate; ``hedge_node`` also chooses the node.
         """
         now = self.clock.monotonic()
         self.ejector.on_overdue(node, now)
-        return self.hedge.may_hedge(idempotent, now)
+        return self.hedge_policy.try_spend_hedge(idempotent, now)
 
     def hedge_node(
         self, node: str, candidates: Sequence[str], idempotent: bool, exclude: Collection[str] = ()
@@ -120,17 +120,17 @@
         """
         now = self.clock.monotonic()
         self.ejector.on_overdue(node, now)
-        if not idempotent or self.hedge.tokens < 1.0:
+        if not idempotent or self.hedge_policy.tokens < 1.0:
             return None
         other = self.choose(candidates, (*exclude, node))
         if other is None or self.balancer.cost(other, now) > self.balancer.cost(node, now):
             return None
-        return other if self.hedge.may_hedge(idempotent, now) else None
+        return other if self.hedge_policy.try_spend_hedge(idempotent, now) else None
 
-    def may_retry(self, tenant: str) -> bool:
+    def try_spend_retry(self, tenant: str) -> bool:
         """Spend a retry token of a tenant; False when its budget is spent."""
         budget = self.retry_budgets.get(tenant)
-        return budget is not None and budget.may_retry(self.clock.monotonic())
+        return budget is not None and budget.try_spend_retry(self.clock.monotonic())
 
     def backoff(self, attempt: int) -> float:
         """Return the seconds to wait before a retry, with full jitter."""
--- a/src/hibiscusdrum/internal/load/ejection.py
+++ b/src/hibiscusdrum/internal/load/ejection.py
@@ -10,20 +10,20 @@
 # A sample above this multiple of the median node's average counts as slow. Exponential samples exceed it
 # with probability 0.018, so five in a row happen by chance about once in 5e8 samples.
 SLOW_FACTOR = 4.0
-SLOW_RUN = 5
+EJECT_AFTER_SLOW = 5
 # A hedge goes out after the 95th percentile, so six overdue requests in a row without a normal answer happen
 # by chance about once in 6e7.
-OVERDUE_RUN = 6
-FAILURE_RUN = 5
-LATENCY_GAIN = 0.05
+EJECT_AFTER_OVERDUE = 6
+EJECT_AFTER_FAILURES = 5
+LATENCY_EWMA_WEIGHT = 0.05
 # The median is refreshed after this many samples; it costs a few microseconds for six nodes.
-REFERENCE_SAMPLES = 128
+MEDIAN_REFRESH_SAMPLES = 128
 # Good answers in a row, one request at a time, that end the probe phase of a readmitted node.
-PROBE_SUCCESSES = 3
+REQUIRED_PROBE_SUCCESSES = 3
 # A node forgets one ejection for each time of this many first ejection times that it stays healthy.
-HEALTHY_FACTOR = 2.0
+EJECTION_FORGET_FACTOR = 2.0
 # Slow answers in a row that eject a readmitted node again; fewer than for a healthy one.
-RAMP_SLOW_RUN = 3
+EJECT_AFTER_SLOW_ON_RAMP = 3
 # Allows for rounding when the time of sending is computed from the latency.
 PROBE_MARGIN_SECONDS = 1e-6
 
@@ -34,37 +34,37 @@
     """What the ejector knows of one node."""
 
     __slots__ = (
+        "consecutive_failures",
+        "consecutive_overdue",
+        "consecutive_slow",
         "ejected_at",
-        "ejections",
-        "failure_run",
+        "ejection_count",
         "healthy_since",
-        "latency",
-        "overdue_run",
+        "mean_latency",
         "probe_in_flight",
         "probe_sent_at",
         "probe_successes",
-        "slow_run",
         "state",
-        "until",
+        "state_ends_at",
     )
 
     def __init__(self) -> None:
         self.state = HEALTHY
-        self.latency = 0.0
-        self.clear_runs()
-        self.ejections = 0
-        self.until = 0.0
+        self.mean_latency = 0.0
+        self.clear_consecutive()
+        self.ejection_count = 0
+        self.state_ends_at = 0.0
         self.ejected_at = 0.0
         self.healthy_since = 0.0
         self.probe_successes = 0
         self.probe_in_flight = False
         self.probe_sent_at = 0.0
 
-    def clear_runs(self) -> None:
+    def clear_consecutive(self) -> None:
         """Forget the latest slow, failed and overdue requests."""
-        self.slow_run = 0
-        self.failure_run = 0
-        self.overdue_run = 0
+        self.consecutive_slow = 0
+        self.consecutive_failures = 0
+        self.consecutive_overdue = 0
 
 
 class OutlierEjector:
@@ -84,44 +84,44 @@
     """
 
     __slots__ = (
-        "base_seconds",
-        "cap_seconds",
+        "base_ejection_seconds",
+        "max_ejection_seconds",
         "max_share",
+        "median_latency",
         "nodes",
-        "outliers",
         "ramp_seconds",
-        "reference",
-        "until_reference",
+        "samples_until_median",
+        "unhealthy",
     )
 
     def __init__(
         self,
         max_share: float = 0.34,
-        base_seconds: float = 1.0,
-        cap_seconds: float = 30.0,
+        base_ejection_seconds: float = 1.0,
+        max_ejection_seconds: float = 30.0,
         ramp_seconds: float = 1.0,
     ) -> None:
         if not 0.0 <= max_share < 1.0:
             raise InvalidArgument(name="max_share", value=max_share, expected="at least 0 and below 1")
         self.max_share = max_share
-        self.base_seconds = base_seconds
-        self.cap_seconds = cap_seconds
+        self.base_ejection_seconds = base_ejection_seconds
+        self.max_ejection_seconds = max_ejection_seconds
         self.ramp_seconds = ramp_seconds
         self.nodes: dict[str, NodeHealth] = {}
-        self.outliers: dict[str, NodeHealth] = {}
-        self.reference = 0.0
-        self.until_reference = 0
+        self.unhealthy: dict[str, NodeHealth] = {}
+        self.median_latency = 0.0
+        self.samples_until_median = 0
 
     def set_nodes(self, nodes: Iterable[str], now: float) -> None:
         """Replace the known nodes; readmits the newest outliers when the cap shrinks below their number."""
         known = {node: self.nodes.get(node) or NodeHealth() for node in nodes}
         self.nodes = known
-        self.outliers = {node: health for node, health in self.outliers.items() if node in known}
-        while len(self.outliers) > self.largest_number():
-            _, health = self.outliers.popitem()
-            self._heal(health, now)
+        self.unhealthy = {node: health for node, health in self.unhealthy.items() if node in known}
+        while len(self.unhealthy) > self.max_unhealthy():
+            _, health = self.unhealthy.popitem()
+            self._mark_healthy(health, now)
 
-    def largest_number(self) -> int:
+    def max_unhealthy(self) -> int:
         """Return how many of the known nodes may be ejected at once."""
         return int(self.max_share * len(self.nodes))
 
@@ -135,32 +135,32 @@
         draw : float
             Uniform random number in [0, 1) that decides about nodes on the ramp.
         """
-        if not self.outliers:
+        if not self.unhealthy:
             return ()
         excluded = []
-        for node, health in list(self.outliers.items()):
-            if health.state != RAMPING or not self._admits(node, health, now, draw):
+        for node, health in list(self.unhealthy.items()):
+            if health.state != RAMPING or not self._admits_on_ramp(node, health, now, draw):
                 excluded.append(node)
         return excluded
 
-    def probe(self, candidates: Collection[str], exclude: Collection[str], now: float) -> str | None:
+    def next_probe(self, candidates: Collection[str], exclude: Collection[str], now: float) -> str | None:
         """Return a node whose time of ejection is over and that has no probe in flight, or None."""
-        for node, health in self.outliers.items():
-            if health.state == EJECTED and now >= health.until:
+        for node, health in self.unhealthy.items():
+            if health.state == EJECTED and now >= health.state_ends_at:
                 health.state = PROBING
                 health.probe_successes = 0
                 health.probe_in_flight = False
-                health.clear_runs()
+                health.clear_consecutive()
             if health.state != PROBING or node not in candidates or node in exclude:
                 continue
             # A probe without an answer must not keep the node out for ever.
-            if not health.probe_in_flight or now - health.probe_sent_at > self.cap_seconds:
+            if not health.probe_in_flight or now - health.probe_sent_at > self.max_ejection_seconds:
                 return node
         return None
 
     def on_sent(self, node: str, now: float) -> None:
         """Record a request sent to a node; marks the probe of a probed node as in flight."""
-        health = self.outliers.get(node)
+        health = self.unhealthy.get(node)
         if health is not None and health.state == PROBING:
             health.probe_in_flight = True
             health.probe_sent_at = now
@@ -171,24 +171,26 @@
         if health is None:
             health = self.nodes[node] = NodeHealth()
         if not ok:
-            health.failure_run += 1
-            self._judge(node, health, now, latency)
+            health.consecutive_failures += 1
+            self._evaluate(node, health, now, latency)
             return False
-        health.failure_run = 0
-        health.latency += (latency - health.latency) * (LATENCY_GAIN if health.latency else 1.0)
-        self.until_reference -= 1
-        if self.until_reference < 0:
-            self._refresh_reference()
-        if 0.0 < SLOW_FACTOR * self.reference < latency:
-            health.slow_run += 1
-            self._judge(node, health, now, latency)
+        health.consecutive_failures = 0
+        health.mean_latency += (latency - health.mean_latency) * (
+            LATENCY_EWMA_WEIGHT if health.mean_latency else 1.0
+        )
+        self.samples_until_median -= 1
+        if self.samples_until_median < 0:
+            self._refresh_median()
+        if 0.0 < SLOW_FACTOR * self.median_latency < latency:
+            health.consecutive_slow += 1
+            self._evaluate(node, health, now, latency)
             return False
-        health.slow_run = health.overdue_run = 0
+        health.consecutive_slow = health.consecutive_overdue = 0
         return health.state == PROBING and self._on_probe_success(health, now, latency)
 
     def on_cancelled(self, node: str) -> None:
         """Record that a request is no longer awaited; if it was a probe, another one may follow."""
-        health = self.outliers.get(node)
+        health = self.unhealthy.get(node)
         if health is not None:
             health.probe_in_flight = False
 
@@ -196,103 +198,108 @@
         """Record that a request to the node has waited longer than nearly all others, without an answer."""
         health = self.nodes.get(node)
         if health is not None:
-            health.overdue_run += 1
-            if health.overdue_run >= OVERDUE_RUN:
-                self._judge(node, health, now, 0.0)
+            health.consecutive_overdue += 1
+            if health.consecutive_overdue >= EJECT_AFTER_OVERDUE:
+                self._evaluate(node, health, now, 0.0)
 
     def is_ejected(self, node: str, now: float) -> bool:
         """Return whether the node gets no requests, apart from probes."""
-        health = self.outliers.get(node)
+        health = self.unhealthy.get(node)
         return health is not None and health.state in (EJECTED, PROBING)
 
-    def _admits(self, node: str, health: NodeHealth, now: float, draw: float) -> bool:
-        if now >= health.until:
-            del self.outliers[node]
-            self._heal(health, now)
+    def _admits_on_ramp(self, node: str, health: NodeHealth, now: float, draw: float) -> bool:
+        if now >= health.state_ends_at:
+            del self.unhealthy[node]
+            self._mark_healthy(health, now)
             return True
-        return draw >= (health.until - now) / self.ramp_seconds
+        return draw >= (health.state_ends_at - now) / self.ramp_seconds
 
     def _on_probe_success(self, health: NodeHealth, now: float, latency: float) -> bool:
         if self._sent_before_probe(health, now, latency):
             return False
         health.probe_in_flight = False
         health.probe_successes += 1
-        if health.probe_successes < PROBE_SUCCESSES:
+        if health.probe_successes < REQUIRED_PROBE_SUCCESSES:
             return False
         health.state = RAMPING
-        health.until = now + self.ramp_seconds
+        health.state_ends_at = now + self.ramp_seconds
         return True
 
     def _sent_before_probe(self, health: NodeHealth, now: float, latency: float) -> bool:
         # Answers to requests that were sent before the ejection say nothing about the node now.
         return not health.probe_in_flight or now - latency < health.probe_sent_at - PROBE_MARGIN_SECONDS
 
-    def _judge(self, node: str, health: NodeHealth, now: float, latency: float) -> None:
+    def _evaluate(self, node: str, health: NodeHealth, now: float, latency: float) -> None:
         if health.state == EJECTED:
             return
         if health.state == PROBING:
             if self._sent_before_probe(health, now, latency):
-                health.clear_runs()
+                health.clear_consecutive()
             else:
                 self._eject(node, health, now)
             return
-        slow_limit = SLOW_RUN if health.state == HEALTHY else RAMP_SLOW_RUN
-        bad = (
-            health.slow_run >= slow_limit
-            or health.failure_run >= FAILURE_RUN
-            or health.overdue_run >= OVERDUE_RUN
+        slow_limit = EJECT_AFTER_SLOW if health.state == HEALTHY else EJECT_AFTER_SLOW_ON_RAMP
+        should_eject = (
+            health.consecutive_slow >= slow_limit
+            or health.consecutive_failures >= EJECT_AFTER_FAILURES
+            or health.consecutive_overdue >= EJECT_AFTER_OVERDUE
         )
-        if not bad:
+        if not should_eject:
             return
-        if health.state == RAMPING or (self._others_are_well(node) and self._make_room(now)):
+        if health.state == RAMPING or (self._most_others_healthy(node) and self._make_room_under_cap(now)):
             self._eject(node, health, now)
 
-    def _make_room(self, now: float) -> bool:
+    def _make_room_under_cap(self, now: float) -> bool:
         # A node on the ramp has answered its probes well, so it gives up its place under the cap to a node
         # that is slow now. Otherwise a straggler stays in use until the previous one has been readmitted.
-        if len(self.outliers) < self.largest_number():
+        if len(self.unhealthy) < self.max_unhealthy():
             return True
-        for node, health in self.outliers.items():
+        for node, health in self.unhealthy.items():
             if health.state == RAMPING:
-                del self.outliers[node]
-                self._heal(health, now)
+                del self.unhealthy[node]
+                self._mark_healthy(health, now)
                 return True
         # The ejected nodes may have recovered long before their time is over; their probes show it.
-        for health in self.outliers.values():
-            if health.state == EJECTED and now - health.ejected_at >= self.base_seconds:
-                health.until = now
+        for health in self.unhealthy.values():
+            if health.state == EJECTED and now - health.ejected_at >= self.base_ejection_seconds:
+                health.state_ends_at = now
         return False
 
-    def _others_are_well(self, node: str) -> bool:
+    def _most_others_healthy(self, node: str) -> bool:
         # A slow-down of the network or of this process makes all nodes look slow; none is an outlier then.
-        bad = sum(
+        unhealthy_count = sum(
             1
             for name, health in self.nodes.items()
-            if name != node and (health.slow_run >= 2 or health.failure_run >= 2)
+            if name != node and (health.consecutive_slow >= 2 or health.consecutive_failures >= 2)
         )
-        return 2 * bad <= len(self.nodes) - 1
+        return 2 * unhealthy_count <= len(self.nodes) - 1
 
     def _eject(self, node: str, health: NodeHealth, now: float) -> None:
         if health.state == HEALTHY:
             # Only nodes that misbehave soon after readmission stay out for longer and longer.
             healthy_seconds = now - health.healthy_since
-            health.ejections -= int(
-                min(health.ejections, healthy_seconds / (HEALTHY_FACTOR * self.base_seconds))
+            health.ejection_count -= int(
+                min(
+                    health.ejection_count,
+                    healthy_seconds / (EJECTION_FORGET_FACTOR * self.base_ejection_seconds),
+                )
             )
-        seconds = min(self.cap_seconds, self.base_seconds * 2.0 ** min(health.ejections, 30))
-        health.ejections += 1
+        seconds = min(
+            self.max_ejection_seconds, self.base_ejection_seconds * 2.0 ** min(health.ejection_count, 30)
+        )
+        health.ejection_count += 1
         health.state = EJECTED
         health.ejected_at = now
-        health.until = now + seconds
-        health.clear_runs()
-        self.outliers[node] = health
+        health.state_ends_at = now + seconds
+        health.clear_consecutive()
+        self.unhealthy[node] = health
 
-    def _heal(self, health: NodeHealth, now: float) -> None:
+    def _mark_healthy(self, health: NodeHealth, now: float) -> None:
         health.state = HEALTHY
         health.healthy_since = now
-        health.clear_runs()
+        health.clear_consecutive()
 
-    def _refresh_reference(self) -> None:
-        self.until_reference = REFERENCE_SAMPLES
-        samples = [health.latency for health in self.nodes.values() if health.latency]
-        self.reference = statistics.median_low(samples) if len(samples) > 1 else 0.0
+    def _refresh_median(self) -> None:
+        self.samples_until_median = MEDIAN_REFRESH_SAMPLES
+        samples = [health.mean_latency for health in self.nodes.values() if health.mean_latency]
+        self.median_latency = statistics.median_low(samples) if len(samples) > 1 else 0.0
--- a/src/hibiscusdrum/internal/load/fair_queue.py
+++ b/src/hibiscusdrum/internal/load/fair_queue.py
@@ -14,33 +14,33 @@
 # together leave three slots to other classes.
 DEFAULT_CLASS_SHARES: dict[str, float] = {"lineage": 1 / 3, "conflict": 1 / 3}
 # A flow may hold this multiple of the free places, so a flood by one tenant leaves room for others.
-ROOM_FACTOR = 1.0
-CLASS_ROOM_FACTOR = 2.0
-INTERVAL_GAIN = 0.1
+FLOW_THRESHOLD_FACTOR = 1.0
+CLASS_THRESHOLD_FACTOR = 2.0
+POP_INTERVAL_EWMA_WEIGHT = 0.1
 # Longest interval between two pops that enters the average. A stall under way is measured by its present
 # length; once it is over, it must not shed requests for long.
-LONGEST_INTERVAL_SECONDS = 0.25
+MAX_POP_INTERVAL_SECONDS = 0.25
 # Classes come from requests; further names share one queue, so that memory stays bounded.
-LARGEST_CLASS_COUNT = 32
-OTHER_CLASSES = "(other)"
+MAX_CLASSES = 32
+OVERFLOW_CLASS = "(other)"
 # With so few slots that the cap of a class rounds to none, the class runs only when no uncapped class has had
 # work for this long.
-QUIET_SECONDS = 1.0
+UNCAPPED_IDLE_SECONDS = 1.0
 # Idle flows kept beyond the active ones before the outdated ones are dropped.
-IDLE_FLOWS = 64
+IDLE_FLOW_ALLOWANCE = 64
 # Makes a third of nine slots three in spite of rounding.
-ROUNDING = 1e-9
+SLOT_ROUNDING_MARGIN = 1e-9
 
 
 class Flow:
     """Queue of one tenant within one class."""
 
-    __slots__ = ("entries", "tag", "tenant", "weight")
+    __slots__ = ("entries", "start_tag", "tenant", "weight")
 
     def __init__(self, tenant: str, weight: float) -> None:
         self.tenant = tenant
         self.weight = weight
-        self.tag = 0.0
+        self.start_tag = 0.0
         # Items with the time after which each is not worth starting.
         self.entries: deque[tuple[Any, float]] = deque()
 
@@ -49,35 +49,35 @@
     """Flows of one request class and the slots that the class holds."""
 
     __slots__ = (
-        "active",
+        "active_flows",
         "active_weight",
+        "flow_heap",
         "flows",
-        "heap",
-        "interval",
-        "last_pop",
+        "last_popped_at",
         "name",
+        "pop_interval",
         "queued",
         "running",
-        "share",
-        "tag",
-        "virtual",
+        "slot_share",
+        "start_tag",
+        "virtual_time",
         "weight",
     )
 
-    def __init__(self, name: str, weight: float, share: float) -> None:
+    def __init__(self, name: str, weight: float, slot_share: float) -> None:
         self.name = name
         self.weight = weight
-        self.share = share
+        self.slot_share = slot_share
         self.running = 0
         self.queued = 0
-        self.tag = 0.0
-        self.virtual = 0.0
-        self.active = 0
+        self.start_tag = 0.0
+        self.virtual_time = 0.0
+        self.active_flows = 0
         self.active_weight = 0.0
         self.flows: dict[str, Flow] = {}
-        self.heap: list[tuple[float, str]] = []
-        self.interval = 0.0
-        self.last_pop = -math.inf
+        self.flow_heap: list[tuple[float, str]] = []
+        self.pop_interval = 0.0
+        self.last_popped_at = -math.inf
 
 
 class FairQueue:
@@ -106,15 +106,15 @@
         "class_shares",
         "class_weights",
         "classes",
-        "earliest",
+        "earliest_start_by",
         "expired",
-        "latest",
+        "last_call_at",
         "queued",
-        "service_seconds",
+        "service_time_seconds",
         "slots",
         "tenant_weights",
-        "uncapped_at",
-        "virtual",
+        "uncapped_work_at",
+        "virtual_time",
     )
 
     def __init__(
@@ -131,16 +131,16 @@
         if slots < 1:
             raise InvalidArgument(name="slots", value=slots, expected="at least 1")
         self.slots = slots
-        self.tenant_weights = _checked("tenant_weights", tenant_weights)
-        self.class_weights = _checked("class_weights", class_weights)
-        self.class_shares = _checked("class_shares", class_shares)
+        self.tenant_weights = _validated_weights("tenant_weights", tenant_weights)
+        self.class_weights = _validated_weights("class_weights", class_weights)
+        self.class_shares = _validated_weights("class_shares", class_shares)
         self.classes: dict[str, ClassQueue] = {}
         self.queued = 0
-        self.service_seconds = 0.0
-        self.virtual = 0.0
-        self.earliest = math.inf
-        self.latest = -math.inf
-        self.uncapped_at = -math.inf
+        self.service_time_seconds = 0.0
+        self.virtual_time = 0.0
+        self.earliest_start_by = math.inf
+        self.last_call_at = -math.inf
+        self.uncapped_work_at = -math.inf
         self.expired: list[Any] = []
 
     def __len__(self) -> int:
@@ -162,20 +162,24 @@
             Monotonic times in seconds.
         """
         queue = self.classes.get(request_class) or self._add_class(request_class)
-        self.latest = now
-        if queue.share >= 1.0:
-            self.uncapped_at = now
+        self.last_call_at = now
+        if queue.slot_share >= 1.0:
+            self.uncapped_work_at = now
         flow = queue.flows.get(tenant)
         waiting = len(flow.entries) if flow is not None else 0
-        free = self.capacity - self.queued
-        if free <= 0 or waiting > ROOM_FACTOR * free or queue.queued > CLASS_ROOM_FACTOR * free:
+        free_places = self.capacity - self.queued
+        if (
+            free_places <= 0
+            or waiting > FLOW_THRESHOLD_FACTOR * free_places
+            or queue.queued > CLASS_THRESHOLD_FACTOR * free_places
+        ):
             return False
-        start_by = deadline - self.service_seconds
+        start_by = deadline - self.service_time_seconds
         wait = self._expected_wait(queue, flow, waiting, now) if queue.queued else 0.0
         if now + wait >= start_by:
             return False
         if flow is None:
-            if len(queue.flows) > 2 * queue.active + IDLE_FLOWS:
+            if len(queue.flows) > 2 * queue.active_flows + IDLE_FLOW_ALLOWANCE:
                 self._drop_idle_flows(queue)
             flow = queue.flows[tenant] = Flow(tenant, self.tenant_weights.get(tenant, 1.0))
         if not waiting:
@@ -183,43 +187,43 @@
         flow.entries.append((item, start_by))
         queue.queued += 1
         self.queued += 1
-        if start_by < self.earliest:
-            self.earliest = start_by
+        if start_by < self.earliest_start_by:
+            self.earliest_start_by = start_by
         return True
 
     def pop(self, now: float) -> Any | None:
         """Return the next item of a class that may run, or None; expired items are kept for ``expire``."""
-        self.latest = now
+        self.last_call_at = now
         while True:
             queue = self._next_class()
             if queue is None:
                 return None
-            item, start_by = self._take(queue)
+            item, start_by = self._pop_from_class(queue)
             if start_by > now:
-                self._measure(queue, now)
+                self._update_pop_interval(queue, now)
                 return item
             self.expired.append(item)
 
     def expire(self, now: float) -> list[Any]:
         """Remove and return all items that can no longer be answered before their deadline."""
-        if self.earliest <= now:
-            self._sweep(now)
+        if self.earliest_start_by <= now:
+            self._collect_expired(now)
         expired, self.expired = self.expired, []
         return expired
 
     def may_run(self, request_class: str) -> bool:
         """Return whether the class may hold one more slot."""
         queue = self.classes.get(request_class) or self._add_class(request_class)
-        return queue.running < self._cap(queue)
+        return queue.running < self._slot_cap(queue)
 
-    def started(self, request_class: str) -> None:
+    def on_started(self, request_class: str) -> None:
         """Record that a request of the class got a slot."""
         queue = self.classes.get(request_class) or self._add_class(request_class)
         queue.running += 1
-        if queue.share >= 1.0:
-            self.uncapped_at = self.latest
+        if queue.slot_share >= 1.0:
+            self.uncapped_work_at = self.last_call_at
 
-    def finished(self, request_class: str) -> None:
+    def on_finished(self, request_class: str) -> None:
         """Record that a request of the class gave its slot back."""
         queue = self.classes.get(request_class) or self._add_class(request_class)
         if queue.running > 0:
@@ -227,23 +231,23 @@
 
     def set_weights(self, tenant_weights: Mapping[str, float], class_weights: Mapping[str, float]) -> None:
         """Replace the shares, for example after a configuration change; queued items stay in place."""
-        self.tenant_weights = _checked("tenant_weights", tenant_weights)
-        self.class_weights = _checked("class_weights", class_weights)
+        self.tenant_weights = _validated_weights("tenant_weights", tenant_weights)
+        self.class_weights = _validated_weights("class_weights", class_weights)
         for queue in self.classes.values():
             queue.weight = self.class_weights.get(queue.name, 1.0)
             for flow in queue.flows.values():
                 flow.weight = self.tenant_weights.get(flow.tenant, 1.0)
             queue.active_weight = sum(flow.weight for flow in queue.flows.values() if flow.entries)
 
-    def _cap(self, queue: ClassQueue) -> int:
-        if queue.share >= 1.0:
+    def _slot_cap(self, queue: ClassQueue) -> int:
+        if queue.slot_share >= 1.0:
             return self.slots
-        cap = int(self.slots * queue.share + ROUNDING)
-        return cap or int(self.latest - self.uncapped_at > QUIET_SECONDS)
+        cap = int(self.slots * queue.slot_share + SLOT_ROUNDING_MARGIN)
+        return cap or int(self.last_call_at - self.uncapped_work_at > UNCAPPED_IDLE_SECONDS)
 
     def _add_class(self, name: str) -> ClassQueue:
-        if len(self.classes) >= LARGEST_CLASS_COUNT:
-            name = OTHER_CLASSES
+        if len(self.classes) >= MAX_CLASSES:
+            name = OVERFLOW_CLASS
             if name in self.classes:
                 return self.classes[name]
         queue = ClassQueue(name, self.class_weights.get(name, 1.0), self.class_shares.get(name, 1.0))
@@ -252,76 +256,78 @@
 
     def _expected_wait(self, queue: ClassQueue, flow: Flow | None, waiting: int, now: float) -> float:
         weight = flow.weight if flow is not None else 1.0
-        active = queue.active_weight if waiting else queue.active_weight + weight
-        ahead = (waiting + 1) * active / weight
+        competing_weight = queue.active_weight if waiting else queue.active_weight + weight
+        ahead = (waiting + 1) * competing_weight / weight
         if ahead > queue.queued + 1:
             ahead = queue.queued + 1
-        interval = now - queue.last_pop
-        return ahead * (interval if interval > queue.interval else queue.interval)
+        interval = now - queue.last_popped_at
+        return ahead * (interval if interval > queue.pop_interval else queue.pop_interval)
 
     def _activate(self, queue: ClassQueue, flow: Flow, now: float) -> None:
         if not queue.queued:
-            queue.last_pop = now
-            queue.tag = max(queue.tag, self.virtual)
-        flow.tag = max(flow.tag, queue.virtual)
-        queue.active += 1
+            queue.last_popped_at = now
+            queue.start_tag = max(queue.start_tag, self.virtual_time)
+        flow.start_tag = max(flow.start_tag, queue.virtual_time)
+        queue.active_flows += 1
         queue.active_weight += flow.weight
-        heapq.heappush(queue.heap, (flow.tag, flow.tenant))
+        heapq.heappush(queue.flow_heap, (flow.start_tag, flow.tenant))
 
     def _next_class(self) -> ClassQueue | None:
         best = None
         for queue in self.classes.values():
             if not queue.queued:
                 continue
-            if queue.running >= (self.slots if queue.share >= 1.0 else self._cap(queue)):
+            if queue.running >= (self.slots if queue.slot_share >= 1.0 else self._slot_cap(queue)):
                 # A class at its cap doesn't save up a share that it would take at once later.
-                if queue.tag < self.virtual:
-                    queue.tag = self.virtual
-            elif best is None or queue.tag < best.tag:
+                if queue.start_tag < self.virtual_time:
+                    queue.start_tag = self.virtual_time
+            elif best is None or queue.start_tag < best.start_tag:
                 best = queue
         return best
 
-    def _take(self, queue: ClassQueue) -> tuple[Any, float]:
-        tag, tenant = queue.heap[0]
+    def _pop_from_class(self, queue: ClassQueue) -> tuple[Any, float]:
+        start_tag, tenant = queue.flow_heap[0]
         flow = queue.flows[tenant]
         entry = flow.entries.popleft()
-        queue.virtual = tag
-        flow.tag = tag + 1.0 / flow.weight
+        queue.virtual_time = start_tag
+        flow.start_tag = start_tag + 1.0 / flow.weight
         if flow.entries:
-            heapq.heapreplace(queue.heap, (flow.tag, tenant))
+            heapq.heapreplace(queue.flow_heap, (flow.start_tag, tenant))
         else:
-            heapq.heappop(queue.heap)
+            heapq.heappop(queue.flow_heap)
             self._deactivate(queue, flow)
-        self.virtual = queue.tag
-        queue.tag += 1.0 / queue.weight
+        self.virtual_time = queue.start_tag
+        queue.start_tag += 1.0 / queue.weight
         queue.queued -= 1
         self.queued -= 1
         return entry
 
-    def _measure(self, queue: ClassQueue, now: float) -> None:
-        interval = now - queue.last_pop
-        if interval > LONGEST_INTERVAL_SECONDS:
-            interval = LONGEST_INTERVAL_SECONDS
-        queue.interval += (interval - queue.interval) * INTERVAL_GAIN
-        queue.last_pop = now
+    def _update_pop_interval(self, queue: ClassQueue, now: float) -> None:
+        interval = now - queue.last_popped_at
+        if interval > MAX_POP_INTERVAL_SECONDS:
+            interval = MAX_POP_INTERVAL_SECONDS
+        queue.pop_interval += (interval - queue.pop_interval) * POP_INTERVAL_EWMA_WEIGHT
+        queue.last_popped_at = now
 
     def _deactivate(self, queue: ClassQueue, flow: Flow) -> None:
-        queue.active -= 1
-        queue.active_weight = queue.active_weight - flow.weight if queue.active else 0.0
+        queue.active_flows -= 1
+        queue.active_weight = queue.active_weight - flow.weight if queue.active_flows else 0.0
 
     def _drop_idle_flows(self, queue: ClassQueue) -> None:
         # A flow that the virtual time has passed would start there again, so nothing is lost with it.
         queue.flows = {
-            name: flow for name, flow in queue.flows.items() if flow.entries or flow.tag > queue.virtual
+            name: flow
+            for name, flow in queue.flows.items()
+            if flow.entries or flow.start_tag > queue.virtual_time
         }
 
-    def _sweep(self, now: float) -> None:
-        self.earliest = math.inf
+    def _collect_expired(self, now: float) -> None:
+        self.earliest_start_by = math.inf
         for queue in self.classes.values():
             for flow in [flow for flow in queue.flows.values() if flow.entries]:
-                self._sweep_flow(queue, flow, now)
+                self._collect_expired_in_flow(queue, flow, now)
 
-    def _sweep_flow(self, queue: ClassQueue, flow: Flow, now: float) -> None:
+    def _collect_expired_in_flow(self, queue: ClassQueue, flow: Flow, now: float) -> None:
         kept = deque(entry for entry in flow.entries if entry[1] > now)
         removed = len(flow.entries) - len(kept)
         if removed:
@@ -330,16 +336,16 @@
             queue.queued -= removed
             self.queued -= removed
         if kept:
-            self.earliest = min(self.earliest, min(start_by for _, start_by in kept))
+            self.earliest_start_by = min(self.earliest_start_by, min(start_by for _, start_by in kept))
         else:
-            queue.heap.remove((flow.tag, flow.tenant))
-            heapq.heapify(queue.heap)
+            queue.flow_heap.remove((flow.start_tag, flow.tenant))
+            heapq.heapify(queue.flow_heap)
             self._deactivate(queue, flow)
 
 
-def _checked(name: str, shares: Mapping[str, float] | None) -> dict[str, float]:
+def _validated_weights(name: str, weights: Mapping[str, float] | None) -> dict[str, float]:
     """Return a copy of the shares; all must be above 0."""
-    for key, share in (shares or {}).items():
-        if not share > 0.0:
-            raise InvalidArgument(name=f"{name}[{key!r}]", value=share, expected="above 0")
-    return dict(shares or {})
+    for key, weight in (weights or {}).items():
+        if not weight > 0.0:
+            raise InvalidArgument(name=f"{name}[{key!r}]", value=weight, expected="above 0")
+    return dict(weights or {})
--- a/src/hibiscusdrum/internal/load/hedging.py
+++ b/src/hibiscusdrum/internal/load/hedging.py
@@ -4,14 +4,14 @@
 
 from hibiscusdrum.errors import InvalidArgument
 
-QUANTILE = 0.95
+HEDGE_QUANTILE = 0.95
 # Relative step of the quantile estimate. Stationary noise is about 6% for exponential latencies.
-STEP = 0.02
-STEP_UP = 1.0 + STEP * QUANTILE
-STEP_DOWN = 1.0 - STEP * (1.0 - QUANTILE)
+QUANTILE_STEP = 0.02
+STEP_UP = 1.0 + QUANTILE_STEP * HEDGE_QUANTILE
+STEP_DOWN = 1.0 - QUANTILE_STEP * (1.0 - HEDGE_QUANTILE)
 # Delay of a service without samples, in seconds.
-INITIAL_DELAY = 0.05
-SMALLEST_DELAY = 0.0005
+INITIAL_DELAY_SECONDS = 0.05
+MIN_DELAY_SECONDS = 0.0005
 
 
 class HedgePolicy:
@@ -55,10 +55,10 @@
 
     def delay(self, service: str) -> float:
         """Return the seconds after which an unanswered request should be hedged."""
-        delay = self.delays.get(service, INITIAL_DELAY)
-        return delay if delay > SMALLEST_DELAY else SMALLEST_DELAY
+        delay = self.delays.get(service, INITIAL_DELAY_SECONDS)
+        return delay if delay > MIN_DELAY_SECONDS else MIN_DELAY_SECONDS
 
-    def may_hedge(self, idempotent: bool, now: float) -> bool:
+    def try_spend_hedge(self, idempotent: bool, now: float) -> bool:
         """Spend a token for a hedge; False for requests that must run at most once or without budget."""
         if not idempotent or self.tokens < 1.0:
             return False
--- a/src/hibiscusdrum/internal/load/hot_keys.py
+++ b/src/hibiscusdrum/internal/load/hot_keys.py
@@ -15,9 +15,9 @@
 from hibiscusdrum.errors import InvalidArgument
 
 # Observations between two updates of the decay weight.
-WEIGHT_SAMPLES = 64
+WEIGHT_UPDATE_SAMPLES = 64
 # Counters are scaled down before the weight loses precision.
-LARGEST_WEIGHT = 1e9
+MAX_DECAY_WEIGHT = 1e9
 # Share of a node's requests from which a key gets a slice of its own. With 16,384 slices on 490 nodes a slice
 # holds about 3% of its node's requests; a key below that gains little by leaving its slice.
 ENTER_SHARE = 0.03
@@ -25,7 +25,7 @@
 EXIT_SHARE = 0.015
 # Half-lives for which a key that has just arrived is held before its share is judged: its new owner has seen
 # none of its requests before, and would otherwise return it at once.
-HOLD_HALF_LIVES = 2.0
+MIN_ISOLATION_HALF_LIVES = 2.0
 
 
 class HotKeyChanges(msgspec.Struct, frozen=True):
@@ -57,19 +57,19 @@
     __slots__ = (
         "capacity",
         "counts",
+        "decay_weight",
         "enter_share",
-        "errors",
         "exit_share",
         "half_life",
-        "held_since",
-        "largest_number",
-        "minimum_samples",
-        "origin",
+        "isolated_since",
+        "max_isolated",
+        "min_count",
+        "min_samples",
+        "overestimates",
         "random",
-        "smallest",
+        "samples_until_update",
         "total",
-        "until_weight",
-        "weight",
+        "weight_origin",
     )
 
     def __init__(
@@ -79,8 +79,8 @@
         rng: random.Random | None = None,
         enter_share: float = ENTER_SHARE,
         exit_share: float = EXIT_SHARE,
-        largest_number: int = 10,
-        minimum_samples: float = 500.0,
+        max_isolated: int = 10,
+        min_samples: float = 500.0,
     ) -> None:
         if capacity < 1:
             raise InvalidArgument(name="capacity", value=capacity, expected="at least 1")
@@ -93,34 +93,34 @@
         self.random = (rng or random.Random(0)).random
         self.enter_share = enter_share
         self.exit_share = exit_share
-        self.largest_number = largest_number
-        self.minimum_samples = minimum_samples
+        self.max_isolated = max_isolated
+        self.min_samples = min_samples
         self.counts: dict[int, float] = {}
-        self.errors: dict[int, float] = {}
-        self.held_since: dict[int, float] = {}
+        self.overestimates: dict[int, float] = {}
+        self.isolated_since: dict[int, float] = {}
         self.total = 0.0
-        self.smallest = 0.0
-        self.origin: float | None = None
-        self.weight = 1.0
-        self.until_weight = 0
+        self.min_count = 0.0
+        self.weight_origin: float | None = None
+        self.decay_weight = 1.0
+        self.samples_until_update = 0
 
     def observe(self, key_hash: int, now: float) -> None:
         """Count one request for a key."""
-        self.until_weight -= 1
-        if self.until_weight < 0:
+        self.samples_until_update -= 1
+        if self.samples_until_update < 0:
             self._update_weight(now)
-        weight = self.weight
-        self.total += weight
+        decay_weight = self.decay_weight
+        self.total += decay_weight
         counts = self.counts
         if key_hash in counts:
-            counts[key_hash] += weight
+            counts[key_hash] += decay_weight
         elif len(counts) < self.capacity:
-            counts[key_hash] = weight
-            self.errors[key_hash] = 0.0
+            counts[key_hash] = decay_weight
+            self.overestimates[key_hash] = 0.0
         # ``smallest`` is a lower bound, because counters only grow between two scalings; most unknown keys
         # are turned away here without a search for the smallest counter.
-        elif self.random() * (self.smallest + weight) < weight:
-            self._replace(key_hash, weight)
+        elif self.random() * (self.min_count + decay_weight) < decay_weight:
+            self._try_replace_min(key_hash, decay_weight)
 
     def hottest(self, n: int, now: float) -> list[tuple[int, float]]:
         """Return up to ``n`` keys with their estimated share of all requests, hottest first.
@@ -129,12 +129,12 @@
         """
         if not self.total:
             return []
-        errors = self.errors
-        shares = [(key, (count - errors[key]) / self.total) for key, count in self.counts.items()]
+        overestimates = self.overestimates
+        shares = [(key, (count - overestimates[key]) / self.total) for key, count in self.counts.items()]
         shares.sort(key=lambda entry: (-entry[1], entry[0]))
         return shares[:n]
 
-    def changes(self, held: Collection[int], now: float) -> HotKeyChanges:
+    def changes(self, isolated: Collection[int], now: float) -> HotKeyChanges:
         """Return which keys should get a slice of their own and which of ``held`` lose it again.
 
         Parameters
@@ -146,14 +146,14 @@
         """
         self._update_weight(now)
         shares = dict(self.hottest(self.capacity, now))
-        since = self.held_since = {key: self.held_since.get(key, now) for key in held}
-        judged_before = now - HOLD_HALF_LIVES * self.half_life
+        since = self.isolated_since = {key: self.isolated_since.get(key, now) for key in isolated}
+        judged_before = now - MIN_ISOLATION_HALF_LIVES * self.half_life
         merge = [
-            key for key in held if shares.get(key, 0.0) < self.exit_share and since[key] <= judged_before
+            key for key in isolated if shares.get(key, 0.0) < self.exit_share and since[key] <= judged_before
         ]
         isolate: list[int] = []
-        if self.total >= self.minimum_samples * self.weight:
-            room = max(0, self.largest_number - (len(since) - len(merge)))
+        if self.total >= self.min_samples * self.decay_weight:
+            room = max(0, self.max_isolated - (len(since) - len(merge)))
             hot = [key for key, share in shares.items() if share >= self.enter_share and key not in since]
             isolate = hot[:room]
         return HotKeyChanges(isolate=tuple(isolate), merge=tuple(merge))
@@ -166,35 +166,35 @@
         """
         count = self.counts.pop(key_hash, None)
         if count is not None:
-            self.total = max(0.0, self.total - (count - self.errors.pop(key_hash)))
+            self.total = max(0.0, self.total - (count - self.overestimates.pop(key_hash)))
             # The free counter will start lower than the others.
-            self.smallest = 0.0
+            self.min_count = 0.0
 
-    def _replace(self, key_hash: int, weight: float) -> None:
+    def _try_replace_min(self, key_hash: int, decay_weight: float) -> None:
         counts = self.counts
         victim = min(counts, key=counts.__getitem__)
-        smallest = counts[victim]
-        bound, self.smallest = self.smallest, smallest
+        min_count = counts[victim]
+        bound, self.min_count = self.min_count, min_count
         # The first draw used the lower bound; this one makes up the difference.
-        if self.random() * (smallest + weight) >= bound + weight:
+        if self.random() * (min_count + decay_weight) >= bound + decay_weight:
             return
         del counts[victim]
-        del self.errors[victim]
-        counts[key_hash] = smallest + weight
-        self.errors[key_hash] = smallest
+        del self.overestimates[victim]
+        counts[key_hash] = min_count + decay_weight
+        self.overestimates[key_hash] = min_count
 
     def _update_weight(self, now: float) -> None:
-        self.until_weight = WEIGHT_SAMPLES
-        if self.origin is None:
-            self.origin = now
-        self.weight = 2.0 ** min(1000.0, max(0.0, (now - self.origin) / self.half_life))
-        if self.weight > LARGEST_WEIGHT:
-            self._scale(1.0 / self.weight)
-            self.origin = now
-            self.weight = 1.0
-
-    def _scale(self, factor: float) -> None:
+        self.samples_until_update = WEIGHT_UPDATE_SAMPLES
+        if self.weight_origin is None:
+            self.weight_origin = now
+        self.decay_weight = 2.0 ** min(1000.0, max(0.0, (now - self.weight_origin) / self.half_life))
+        if self.decay_weight > MAX_DECAY_WEIGHT:
+            self._scale_counts(1.0 / self.decay_weight)
+            self.weight_origin = now
+            self.decay_weight = 1.0
+
+    def _scale_counts(self, factor: float) -> None:
         self.counts = {key: count * factor for key, count in self.counts.items()}
-        self.errors = {key: error * factor for key, error in self.errors.items()}
+        self.overestimates = {key: error * factor for key, error in self.overestimates.items()}
         self.total *= factor
-        self.smallest *= factor
+        self.min_count *= factor
--- a/src/hibiscusdrum/internal/load/limiter.py
+++ b/src/hibiscusdrum/internal/load/limiter.py
@@ -10,33 +10,33 @@
 WINDOW_SAMPLES = 64
 # Completions for each step of the ramp. A ramp of eight steps then takes about 0.7 s at 2 ms a request, well
 # within the 5 s in which a key must be served again; a shorter step risks outrunning the warm-up.
-RAMP_SAMPLES = 128
+RAMP_STEP_COMPLETIONS = 128
 # A mean latency above this multiple of the baseline means that the target queues requests. The first holds
 # on the ramp, where the baseline was measured moments ago; the second leaves room for changes in the mix of
 # requests and for delays in this process.
-RAMP_TOLERANCE = 1.4
-STEADY_TOLERANCE = 2.0
+RAMP_LATENCY_TOLERANCE = 1.4
+STEADY_LATENCY_TOLERANCE = 2.0
 # Samples below this count as this, in seconds. Less than that is mostly this process's own loop, whose share
 # grows with the requests in flight: a target that answers in 0.1 ms kept a limit of 1.6 for that reason.
-LATENCY_FLOOR_SECONDS = 0.001
+MIN_LATENCY_SECONDS = 0.001
 # A sample above this multiple of the baseline counts towards a jump. An exponential sample exceeds it
 # with probability 0.018, so six in a row happen by chance about once in 3e10 samples.
-JUMP_FACTOR = 4.0
-JUMP_SAMPLES = 6
-SMALLEST_CUT = 0.5
-BASELINE_FALL = 0.5
-BASELINE_RISE = 0.01
+LATENCY_JUMP_FACTOR = 4.0
+LATENCY_JUMP_SAMPLES = 6
+MIN_CUT_FACTOR = 0.5
+BASELINE_FALL_EWMA_WEIGHT = 0.5
+BASELINE_RISE_EWMA_WEIGHT = 0.01
 # A failure adds 1 and a good answer takes this off; at the threshold the limit is cut. Failures of up to a
 # tenth of the requests don't add up, so sporadic ones don't cost capacity.
-FAILURE_FORGIVENESS = 0.125
-FAILURE_THRESHOLD = 4.0
-FAILURE_CUT = 0.7
+FAILURE_SCORE_DECREMENT = 0.125
+FAILURE_SCORE_THRESHOLD = 4.0
+FAILURE_CUT_FACTOR = 0.7
 # When the limit has been cut to the first share of what it was, and the latency is still above the second
 # share, the requests don't queue behind each other: they have become slower, which a lower limit can't help.
-CUT_SHARE = 0.6
-UNCHANGED_SHARE = 0.85
+SLOWDOWN_LIMIT_RATIO = 0.6
+SLOWDOWN_LATENCY_RATIO = 0.85
 # Windows without growth after repeated cuts at the same limit, at most.
-LONGEST_HOLD_WINDOWS = 8
+MAX_HOLD_WINDOWS = 8
 
 
 class ColdStart(msgspec.Struct, frozen=True):
@@ -51,7 +51,7 @@
     """
 
     first_limit: float = 1.0
-    completions_per_slot: int = RAMP_SAMPLES
+    completions_per_slot: int = RAMP_STEP_COMPLETIONS
 
 
 DEFAULT_COLD_START = ColdStart()
@@ -87,26 +87,26 @@
 
     __slots__ = (
         "baseline",
-        "cold_resets",
         "cold_start",
-        "cut_at",
-        "cut_limit",
-        "excess_latency",
-        "excess_limit",
         "failure_score",
-        "hold",
+        "first_slow_at",
+        "hold_windows",
         "in_flight",
+        "last_cut_at",
+        "last_window_latency",
+        "latency_sum",
         "limit",
-        "next_hold",
-        "peak",
+        "limit_before_cut",
+        "long_term_baseline",
+        "next_hold_windows",
+        "overload_latency",
+        "overload_limit",
+        "peak_in_flight",
+        "ramp_restarts",
         "ramping",
-        "recent_latency",
-        "run_count",
-        "run_started",
-        "samples",
+        "sample_count",
         "slots",
-        "sum",
-        "usual_latency",
+        "slow_sample_count",
     )
 
     def __init__(self, slots: int = 9, cold_start: ColdStart = DEFAULT_COLD_START) -> None:
@@ -120,25 +120,25 @@
         self.slots = slots
         self.cold_start = cold_start
         self.in_flight = 0
-        self.usual_latency = 0.0
-        self.recent_latency = 0.0
-        self.cold_resets = -1
-        self.reset_cold(0.0)
+        self.long_term_baseline = 0.0
+        self.last_window_latency = 0.0
+        self.ramp_restarts = -1
+        self.restart_ramp(0.0)
 
-    def reset_cold(self, now: float) -> None:
+    def restart_ramp(self, now: float) -> None:
         """Start the ramp again, for a fresh target or one that has become cold."""
         self.limit = min(self.cold_start.first_limit, float(self.slots))
         self.baseline = 0.0
         self.ramping = True
-        self.cold_resets += 1
-        self.run_count = 0
-        self.run_started = now
-        self.cut_at = now
-        self.cut_limit = self.slots + 1.0
-        self.hold = 0
-        self.next_hold = 1
-        self.excess_limit = 0.0
-        self.excess_latency = 0.0
+        self.ramp_restarts += 1
+        self.slow_sample_count = 0
+        self.first_slow_at = now
+        self.last_cut_at = now
+        self.limit_before_cut = self.slots + 1.0
+        self.hold_windows = 0
+        self.next_hold_windows = 1
+        self.overload_limit = 0.0
+        self.overload_latency = 0.0
         self._clear_window()
 
     @property
@@ -147,9 +147,9 @@
 
         Samples count at most ``JUMP_FACTOR`` times the baseline, so larger values are lower estimates.
         """
-        return self.recent_latency / self.usual_latency if self.usual_latency else 1.0
+        return self.last_window_latency / self.long_term_baseline if self.long_term_baseline else 1.0
 
-    def accepting(self, now: float) -> bool:
+    def can_acquire(self, now: float) -> bool:
         """Return whether a request would get a slot now."""
         return self.in_flight < int(self.limit)
 
@@ -158,8 +158,8 @@
         if self.in_flight >= int(self.limit):
             return False
         self.in_flight += 1
-        if self.in_flight > self.peak:
-            self.peak = self.in_flight
+        if self.in_flight > self.peak_in_flight:
+            self.peak_in_flight = self.in_flight
         return True
 
     def release(self) -> None:
@@ -186,112 +186,117 @@
             self._on_failure(latency_seconds, now)
             return
         # Requests sent before the last cut say nothing about the lower limit.
-        if now - latency_seconds < self.cut_at:
+        if now - latency_seconds < self.last_cut_at:
             return
         if self.failure_score > 0.0:
-            self.failure_score -= FAILURE_FORGIVENESS
-        latency_seconds = max(latency_seconds, LATENCY_FLOOR_SECONDS)
-        longest = JUMP_FACTOR * self.baseline
-        if 0.0 < longest < latency_seconds:
-            self._on_slow(latency_seconds, now)
+            self.failure_score -= FAILURE_SCORE_DECREMENT
+        latency_seconds = max(latency_seconds, MIN_LATENCY_SECONDS)
+        max_sample = LATENCY_JUMP_FACTOR * self.baseline
+        if 0.0 < max_sample < latency_seconds:
+            self._on_slow_sample(latency_seconds, now)
             # A few stalled requests, for example lineage checks, must not raise the mean of all others.
-            latency_seconds = longest
+            latency_seconds = max_sample
         else:
-            self.run_count = 0
-        self.sum += latency_seconds
-        self.samples += 1
-        if self.samples >= (self.cold_start.completions_per_slot if self.ramping else WINDOW_SAMPLES):
+            self.slow_sample_count = 0
+        self.latency_sum += latency_seconds
+        self.sample_count += 1
+        if self.sample_count >= (self.cold_start.completions_per_slot if self.ramping else WINDOW_SAMPLES):
             self._adjust(now)
 
-    def _on_slow(self, latency: float, now: float) -> None:
+    def _on_slow_sample(self, latency: float, now: float) -> None:
         # Only requests sent after the first slow answer count: a pause of this process or a short stall
         # of the target delays everything in flight once, and says nothing about later requests.
-        if self.run_count == 0:
-            self.run_started = now
-            self.run_count = 1
-        elif now - latency >= self.run_started:
-            self.run_count += 1
-            if self.run_count >= JUMP_SAMPLES and self.limit >= 2.0:
-                self.reset_cold(now)
+        if self.slow_sample_count == 0:
+            self.first_slow_at = now
+            self.slow_sample_count = 1
+        elif now - latency >= self.first_slow_at:
+            self.slow_sample_count += 1
+            if self.slow_sample_count >= LATENCY_JUMP_SAMPLES and self.limit >= 2.0:
+                self.restart_ramp(now)
 
     def _on_failure(self, latency: float, now: float) -> None:
-        if now - latency < self.cut_at:
+        if now - latency < self.last_cut_at:
             return
         self.failure_score += 1.0
-        if self.failure_score >= FAILURE_THRESHOLD:
-            self._cut(FAILURE_CUT, now)
+        if self.failure_score >= FAILURE_SCORE_THRESHOLD:
+            self._cut(FAILURE_CUT_FACTOR, now)
 
     def _adjust(self, now: float) -> None:
-        mean = self.recent_latency = self.sum / self.samples
-        self._learn(mean)
-        tolerance = RAMP_TOLERANCE if self.ramping else STEADY_TOLERANCE
+        mean = self.last_window_latency = self.latency_sum / self.sample_count
+        self._update_baseline(mean)
+        tolerance = RAMP_LATENCY_TOLERANCE if self.ramping else STEADY_LATENCY_TOLERANCE
         if mean > tolerance * self.baseline:
-            if self._slower_for_good(mean):
-                self._adopt(mean)
+            if self._is_lasting_slowdown(mean):
+                self._adopt_baseline(mean)
             else:
                 # The target bears less than before, so growth follows the strict rule of the ramp again.
                 self.ramping = True
-                self._cut(max(SMALLEST_CUT, self.baseline / mean), now)
+                self._cut(max(MIN_CUT_FACTOR, self.baseline / mean), now)
             return
-        self.excess_limit = 0.0
-        if int(self.limit) >= self.cut_limit and not self.ramping:
-            self.next_hold = 1
-        if self.hold > 0:
-            self.hold -= 1
-        elif self.peak >= int(self.limit):
+        self.overload_limit = 0.0
+        if int(self.limit) >= self.limit_before_cut and not self.ramping:
+            self.next_hold_windows = 1
+        if self.hold_windows > 0:
+            self.hold_windows -= 1
+        elif self.peak_in_flight >= int(self.limit):
             self._grow()
         self._clear_window()
 
-    def _slower_for_good(self, mean: float) -> bool:
-        if not self.excess_limit:
+    def _is_lasting_slowdown(self, mean: float) -> bool:
+        if not self.overload_limit:
             if not self.ramping:
-                self.excess_limit = self.limit
-                self.excess_latency = mean
+                self.overload_limit = self.limit
+                self.overload_latency = mean
             return False
-        return self.limit <= CUT_SHARE * self.excess_limit and mean >= UNCHANGED_SHARE * self.excess_latency
-
-    def _adopt(self, mean: float) -> None:
-        self.baseline = self.usual_latency = mean
-        self.limit = self.excess_limit
+        return (
+            self.limit <= SLOWDOWN_LIMIT_RATIO * self.overload_limit
+            and mean >= SLOWDOWN_LATENCY_RATIO * self.overload_latency
+        )
+
+    def _adopt_baseline(self, mean: float) -> None:
+        self.baseline = self.long_term_baseline = mean
+        self.limit = self.overload_limit
         self.ramping = False
-        self.excess_limit = 0.0
-        self.hold = 0
-        self.next_hold = 1
+        self.overload_limit = 0.0
+        self.hold_windows = 0
+        self.next_hold_windows = 1
         self._clear_window()
 
-    def _learn(self, mean: float) -> None:
+    def _update_baseline(self, mean: float) -> None:
         # One request at a time doesn't queue behind others, so its latency is the baseline itself. This
         # also adopts a lasting change, such as heavier requests, instead of holding the limit at 1.
         if self.limit < 2.0 or not self.baseline:
             self.baseline = mean
         else:
-            self.baseline = _follow_minimum(self.baseline, mean)
-        self.usual_latency = _follow_minimum(self.usual_latency or mean, mean)
+            self.baseline = _track_minimum(self.baseline, mean)
+        self.long_term_baseline = _track_minimum(self.long_term_baseline or mean, mean)
 
     def _grow(self) -> None:
         if self.limit >= self.slots:
             self.ramping = False
-            self.next_hold = 1
+            self.next_hold_windows = 1
         self.limit = min(float(self.slots), self.limit + 1.0)
         # Once a step of the ramp was too early, all further steps take longer.
         if self.ramping:
-            self.hold = self.next_hold - 1
+            self.hold_windows = self.next_hold_windows - 1
 
     def _cut(self, factor: float, now: float) -> None:
-        self.cut_limit = int(self.limit)
+        self.limit_before_cut = int(self.limit)
         self.limit = max(1.0, self.limit * factor)
-        self.cut_at = now
-        self.hold = self.next_hold
-        self.next_hold = min(LONGEST_HOLD_WINDOWS, 2 * self.next_hold)
+        self.last_cut_at = now
+        self.hold_windows = self.next_hold_windows
+        self.next_hold_windows = min(MAX_HOLD_WINDOWS, 2 * self.next_hold_windows)
         self._clear_window()
 
     def _clear_window(self) -> None:
-        self.sum = 0.0
-        self.samples = 0
+        self.latency_sum = 0.0
+        self.sample_count = 0
         self.failure_score = 0.0
-        self.peak = self.in_flight
+        self.peak_in_flight = self.in_flight
 
 
-def _follow_minimum(baseline: float, mean: float) -> float:
+def _track_minimum(baseline: float, mean: float) -> float:
     """Move a long-term minimum quickly down and slowly up towards a window's mean."""
-    return baseline + (mean - baseline) * (BASELINE_FALL if mean < baseline else BASELINE_RISE)
+    return baseline + (mean - baseline) * (
+        BASELINE_FALL_EWMA_WEIGHT if mean < baseline else BASELINE_RISE_EWMA_WEIGHT
+    )
--- a/src/hibiscusdrum/internal/load/link_budget.py
+++ b/src/hibiscusdrum/internal/load/link_budget.py
@@ -28,12 +28,12 @@
 
     __slots__ = (
         "bytes_per_second",
+        "control_capacity",
         "control_rate",
-        "control_room",
         "control_tokens",
-        "data_room",
+        "data_capacity",
         "data_tokens",
-        "filled_at",
+        "refilled_at",
     )
 
     def __init__(
@@ -48,13 +48,13 @@
             raise InvalidArgument(name="control_share", value=control_share, expected="between 0 and 1")
         self.bytes_per_second = float(bytes_per_second)
         self.control_rate = bytes_per_second * control_share
-        self.control_room = self.control_rate * burst_seconds
-        self.data_room = (bytes_per_second - self.control_rate) * burst_seconds
-        self.control_tokens = self.control_room
-        self.data_tokens = self.data_room
-        self.filled_at: float | None = None
+        self.control_capacity = self.control_rate * burst_seconds
+        self.data_capacity = (bytes_per_second - self.control_rate) * burst_seconds
+        self.control_tokens = self.control_capacity
+        self.data_tokens = self.data_capacity
+        self.refilled_at: float | None = None
 
-    def take(self, kind: str, size: int, now: float) -> bool:
+    def try_spend_bytes(self, kind: str, size: int, now: float) -> bool:
         """Spend the bytes of a message; False when it has to wait.
 
         A message larger than its bucket passes when the bucket is full and leaves it in debt, which delays
@@ -69,27 +69,27 @@
         now : float
             Monotonic time in seconds.
         """
-        self._fill(now)
+        self._refill(now)
         if kind == DATA:
-            if self.data_tokens < size and self.data_tokens < self.data_room:
+            if self.data_tokens < size and self.data_tokens < self.data_capacity:
                 return False
             self.data_tokens -= size
             return True
         if kind != CONTROL:
             raise InvalidArgument(name="kind", value=kind, expected=f"{CONTROL!r} or {DATA!r}")
-        return self._take_control(size)
+        return self._try_spend_control(size)
 
-    def wait(self, kind: str, size: int, now: float) -> float:
+    def seconds_until_allowed(self, kind: str, size: int, now: float) -> float:
         """Return the seconds until a message of this kind and size could pass if nothing else is sent."""
-        self._fill(now)
+        self._refill(now)
         if kind == DATA:
-            missing = min(size, self.data_room) - self.data_tokens
+            missing = min(size, self.data_capacity) - self.data_tokens
             return max(0.0, missing / (self.bytes_per_second - self.control_rate))
-        missing = min(size, self.control_room) - self.control_tokens
+        missing = min(size, self.control_capacity) - self.control_tokens
         return 0.0 if self.data_tokens >= size else max(0.0, missing / self.control_rate)
 
-    def _take_control(self, size: int) -> bool:
-        if self.control_tokens >= size or self.control_tokens >= self.control_room:
+    def _try_spend_control(self, size: int) -> bool:
+        if self.control_tokens >= size or self.control_tokens >= self.control_capacity:
             self.control_tokens -= size
             return True
         # Takes the rest of its own bucket first, so that data loses as little as possible.
@@ -100,15 +100,15 @@
             return True
         return False
 
-    def _fill(self, now: float) -> None:
-        filled_at, self.filled_at = self.filled_at, now
-        if filled_at is None or now <= filled_at:
+    def _refill(self, now: float) -> None:
+        refilled_at, self.refilled_at = self.refilled_at, now
+        if refilled_at is None or now <= refilled_at:
             return
-        seconds = now - filled_at
+        seconds = now - refilled_at
         control = self.control_tokens + self.control_rate * seconds
         data = self.data_tokens + (self.bytes_per_second - self.control_rate) * seconds
-        if control > self.control_room:
-            data += control - self.control_room
-            control = self.control_room
+        if control > self.control_capacity:
+            data += control - self.control_capacity
+            control = self.control_capacity
         self.control_tokens = control
-        self.data_tokens = data if data < self.data_room else self.data_room
+        self.data_tokens = data if data < self.data_capacity else self.data_capacity
--- a/src/hibiscusdrum/internal/load/retry_budget.py
+++ b/src/hibiscusdrum/internal/load/retry_budget.py
@@ -7,9 +7,9 @@
 from hibiscusdrum.errors import InvalidArgument
 
 # Bound of the first delay is twice the base. A takeover lasts about 1.7 s, so the cap spans one.
-BASE_SECONDS = 0.025
-CAP_SECONDS = 2.0
-LARGEST_EXPONENT = 30
+BASE_DELAY_SECONDS = 0.025
+MAX_DELAY_SECONDS = 2.0
+MAX_EXPONENT = 30
 
 
 class RetryBudget:
@@ -27,23 +27,31 @@
         Bounds of the back-off.
     """
 
-    __slots__ = ("base_seconds", "burst", "cap_seconds", "minimum_rate", "ratio", "refilled_at", "tokens")
+    __slots__ = (
+        "base_delay_seconds",
+        "burst",
+        "max_delay_seconds",
+        "min_tokens_per_second",
+        "ratio",
+        "refilled_at",
+        "tokens",
+    )
 
     def __init__(
         self,
         ratio: float = 0.1,
         burst: float = 10.0,
-        minimum_rate: float = 0.2,
-        base_seconds: float = BASE_SECONDS,
-        cap_seconds: float = CAP_SECONDS,
+        min_tokens_per_second: float = 0.2,
+        base_delay_seconds: float = BASE_DELAY_SECONDS,
+        max_delay_seconds: float = MAX_DELAY_SECONDS,
     ) -> None:
         if not 0.0 <= ratio <= 1.0:
             raise InvalidArgument(name="ratio", value=ratio, expected="between 0 and 1")
         self.ratio = ratio
         self.burst = burst
-        self.minimum_rate = minimum_rate
-        self.base_seconds = base_seconds
-        self.cap_seconds = cap_seconds
+        self.min_tokens_per_second = min_tokens_per_second
+        self.base_delay_seconds = base_delay_seconds
+        self.max_delay_seconds = max_delay_seconds
         self.tokens = burst
         self.refilled_at: float | None = None
 
@@ -52,10 +60,10 @@
         tokens = self.tokens + self.ratio
         self.tokens = tokens if tokens < self.burst else self.burst
 
-    def may_retry(self, now: float) -> bool:
+    def try_spend_retry(self, now: float) -> bool:
         """Spend a token for a retry; False when the budget is spent."""
         if self.refilled_at is not None and now > self.refilled_at:
-            self.tokens = min(self.burst, self.tokens + self.minimum_rate * (now - self.refilled_at))
+            self.tokens = min(self.burst, self.tokens + self.min_tokens_per_second * (now - self.refilled_at))
         self.refilled_at = now
         if self.tokens < 1.0:
             return False
@@ -72,15 +80,15 @@
         rng : random.Random
             Source of the jitter.
         """
-        return full_jitter(attempt, rng, self.base_seconds, self.cap_seconds)
+        return full_jitter(attempt, rng, self.base_delay_seconds, self.max_delay_seconds)
 
 
 def full_jitter(
     attempt: int,
     rng: random.Random,
-    base_seconds: float = BASE_SECONDS,
-    cap_seconds: float = CAP_SECONDS,
+    base_delay_seconds: float = BASE_DELAY_SECONDS,
+    max_delay_seconds: float = MAX_DELAY_SECONDS,
 ) -> float:
     """Return a uniform random delay in seconds below a bound that doubles with each attempt up to a cap."""
-    bound = base_seconds * 2.0 ** (attempt if attempt < LARGEST_EXPONENT else LARGEST_EXPONENT)
-    return rng.random() * (bound if bound < cap_seconds else cap_seconds)
+    max_delay = base_delay_seconds * 2.0 ** (attempt if attempt < MAX_EXPONENT else MAX_EXPONENT)
+    return rng.random() * (max_delay if max_delay < max_delay_seconds else max_delay_seconds)
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -392,7 +392,7 @@
             return False
         if pending.deadline - now < MIN_RETRY_REMAINING_SECONDS:
             return False
-        return self.retry_budget(pending.service).may_retry(now)
+        return self.retry_budget(pending.service).try_spend_retry(now)
 
     def retry(self, pending: PendingRequest, reason: str) -> None:
         """Send a request that may have run to another target."""
@@ -418,7 +418,7 @@
             ratio = min(1.0, settings.retry_ratio * RETRY_BUDGET_SHARE)
             budget = self.retry_budgets[service] = RetryBudget(ratio=ratio, burst=max(1.0, slack))
         budget.burst = max(1.0, slack)
-        budget.minimum_rate = slack / settings.retry_window
+        budget.min_tokens_per_second = slack / settings.retry_window
         return budget
 
     # Final answers
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -166,7 +166,7 @@
         Bodies that wait for the link count as the requests that the target would serve in that time.
         """
         admission = self.admission
-        awaited_requests = math.ceil(self.body_gate.wait() / admission.mean_service_seconds * admission.slots)
+        awaited_requests = math.ceil(self.body_gate.expected_wait() / admission.mean_service_seconds * admission.slots)
         return (
             admission.running,
             admission.queued + len(self.awaiting_keys) + awaited_requests,
@@ -253,7 +253,7 @@
         """Return what keeps a request from starting at once; empty when nothing does."""
         if not self.admission.has_free_slot(self.now):
             return "slots"
-        if forward.offered_bytes and not self.body_gate.free:
+        if forward.offered_bytes and not self.body_gate.is_idle:
             return "bodies"
         return "link" if self.forwarder.link_congested else ""
 
@@ -274,7 +274,7 @@
         """Ask for the body of a request when the link has room, if the request can be served."""
         forward = job.forward
         reason = self.refusal_reason(forward)
-        wait = self.body_gate.wait(forward.offered_bytes)
+        wait = self.body_gate.expected_wait(forward.offered_bytes)
         late = wait > (job.deadline - self.now) * MAX_BODY_WAIT_SHARE
         if not reason and (late or not self.admission.is_servable(self.queue_entry(job), self.now)):
             reason = OVERLOADED_REASON
@@ -288,16 +288,16 @@
 
     def request_bodies(self) -> None:
         """Ask for the bodies that the link has room for."""
-        while (part := self.body_gate.pop()) is not None:
+        while (part := self.body_gate.next_chunk()) is not None:
             self.jobs[part[0]].reply(SendBody(*part), b"")
 
     def on_body_part(self, request_id: bytes, first: int, part: bytes) -> None:
         """Take a part of the body of a request that still waits for it."""
         job = self.jobs.get(request_id)
-        if job is not None and self.body_gate.take(request_id, first, len(part)):
+        if job is not None and self.body_gate.on_chunk_received(request_id, first, len(part)):
             job.body_parts.append(part)
             if first + len(part) == job.forward.offered_bytes:
-                self.body_gate.done(request_id)
+                self.body_gate.forget(request_id)
                 job.body, job.body_parts = b"".join(job.body_parts), []
                 self.admit(job)
         self.request_bodies()
@@ -518,7 +518,7 @@
         if self.jobs.pop(forward.id, None) is None:
             return
         if forward.offered_bytes:
-            self.body_gate.done(forward.id)
+            self.body_gate.forget(forward.id)
             self.request_bodies()
         log_events.emit(
             events.RequestDeclined(
@@ -553,7 +553,7 @@
                 job.exchange.cancel()
             return
         del self.jobs[request_id]
-        self.body_gate.done(request_id)
+        self.body_gate.forget(request_id)
         self.request_bodies()
         if job in self.awaiting_keys:
             self.awaiting_keys.remove(job)
--- a/tests/features/steps/catalogues_steps.py
+++ b/tests/features/steps/catalogues_steps.py
@@ -143,7 +143,7 @@
 def check_operators_page(context):
     page = (DOCS / "operators.md").read_text()
     codes = [str(value) for name, value in vars(operator).items() if name.startswith("EXIT_")]
-    kinds = [intents.kind_of(intent) for intent in intents.OPERATOR_INTENTS]
+    kinds = [intents.intent_kind(intent) for intent in intents.OPERATOR_INTENTS]
     states = [
         operators.PLANNED,
         operators.VOID,
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -26,7 +26,7 @@
 
 
 def build(*series, start=None):
-    document = start or documents.empty()
+    document = start or documents.empty_document()
     for intent in series:
         document = intents.apply(intent, document)
     return document
@@ -117,14 +117,14 @@
     sets = [c for size in (1, 2, 3) for c in itertools.combinations(("ost", "west", "mitte"), size)]
     for old, new in itertools.product(sets, sets):
         measured = sum(region_of(key, old) != region_of(key, new) for key in keys) / count
-        assert abs(planner.moved_share(old, new) - measured) <= tolerance, (old, new, measured)
+        assert abs(planner.moved_key_share(old, new) - measured) <= tolerance, (old, new, measured)
 
 
 @when("the document {text} is decoded")
 def decode_document(context, text):
     context.error = None
     try:
-        documents.decode(json.loads(text))
+        documents.decode_document(json.loads(text))
     except InvalidArgument as error:
         context.error = error
 
@@ -133,7 +133,7 @@
 def decode_mixed_row(context, row, revision):
     context.error = None
     try:
-        documents.decode_row({"revision": row, "document": {"revision": revision}})
+        documents.decode_config_row({"revision": row, "document": {"revision": revision}})
     except InvalidArgument as error:
         context.error = error
 
@@ -164,7 +164,7 @@
 
 def history_of(steps):
     """Return the documents by revision and the step that led to each; steps that do not fit are left out."""
-    history, changes = [documents.empty()], [None]
+    history, changes = [documents.empty_document()], [None]
     for step in (*SERIES_START, *steps):
         try:
             history.append(intents.apply(step, history[-1]))
@@ -182,8 +182,8 @@
         history, changes = history_of(steps)
         for revision, document in enumerate(history):
             assert document.revision == revision
-            stored = json.loads(json.dumps(documents.encode_row(document, "op")))
-            assert documents.decode_row(stored) == document
+            stored = json.loads(json.dumps(documents.encode_config_row(document, "op")))
+            assert documents.decode_config_row(stored) == document
         for step in changes[1:]:
             assert intents.decode_step(json.loads(json.dumps(intents.encode_step(step)))) == step
 
@@ -206,9 +206,9 @@
             # Base 0 marks a whole document, so that revision 1 always travels as one.
             whole = whole or revision == 1
             if whole:
-                result = state.offer(revision, 0, documents.encode(history[revision]))
+                result = state.offer_change(revision, 0, documents.encode_document(history[revision]))
             else:
-                result = state.offer(revision, revision - 1, intents.encode_step(changes[revision]))
+                result = state.offer_change(revision, revision - 1, intents.encode_step(changes[revision]))
             applied = isinstance(result, revisions.Applied)
             expected = revision > before and (whole or revision - 1 == before)
             assert applied == expected and state.revision == (revision if applied else before)
@@ -221,7 +221,7 @@
 @when("a change of an unknown kind is offered on the revision in force")
 def offer_unknown(context):
     context.state = revisions.RevisionState(build(*SETUP))
-    context.result = context.state.offer(6, 5, {"kind": "create_universe"})
+    context.result = context.state.offer_change(6, 5, {"kind": "create_universe"})
 
 
 @then("the node reports that it is behind and keeps its revision")
@@ -238,7 +238,7 @@
 def acknowledge_some(context):
     context.acceptance.on_ack("n1", 7)
     context.acceptance.on_ack("n2", 6)
-    context.acceptance.on_gone("n3")
+    context.acceptance.on_lease_deleted("n3")
 
 
 @then('the revision is committed and misses "{node}"')
@@ -263,4 +263,4 @@
 
 @then('node "{node}" may be taken over at lease version {old:d} but not at {new:d}')
 def check_release(context, node, old, new):
-    assert context.document.may_release(node, old) and not context.document.may_release(node, new)
+    assert context.document.allows_takeover(node, old) and not context.document.allows_takeover(node, new)
--- a/tests/features/steps/load_caller_steps.py
+++ b/tests/features/steps/load_caller_steps.py
@@ -37,7 +37,7 @@
     "control_share": lambda value: LinkBudget(control_share=value),
     "half_life": lambda value: HotKeyDetector(half_life=value),
     "exit_share": lambda value: HotKeyDetector(exit_share=value),
-    "link_kind": lambda value: LinkBudget().take(value, 1, 0.0),
+    "link_kind": lambda value: LinkBudget().try_spend_bytes(value, 1, 0.0),
 }
 
 
@@ -68,7 +68,7 @@
                 now += pause / 6
                 ejector.on_sent(node, now)
                 ejector.on_result(node, latency, ok, now + latency)
-            ejector.probe(NODES, (), now)
+            ejector.next_probe(NODES, (), now)
             assert len(ejector.excluded(now, 0.5)) <= 0.34 * count
             assert sum(ejector.is_ejected(name, now) for name in NODES) <= 0.34 * count
 
@@ -128,7 +128,7 @@
 
 @then("no node is ejected")
 def check_none_ejected(context):
-    assert not context.ejector.outliers
+    assert not context.ejector.unhealthy
 
 
 @when("the time of ejection is over")
@@ -139,10 +139,10 @@
 @then('node "{node}" gets one probe at a time')
 def check_one_probe(context, node):
     ejector = context.ejector
-    assert ejector.probe(NODES, (node,), context.now) is None
-    assert ejector.probe(NODES, (), context.now) == node
+    assert ejector.next_probe(NODES, (node,), context.now) is None
+    assert ejector.next_probe(NODES, (), context.now) == node
     ejector.on_sent(node, context.now)
-    assert ejector.probe(NODES, (), context.now) is None
+    assert ejector.next_probe(NODES, (), context.now) is None
     context.now += 0.002
     assert not ejector.on_result(node, 0.002, True, context.now)
 
@@ -161,7 +161,7 @@
 
 @when('node "{node}" answers its probes well')
 def probes_succeed(context, node):
-    assert context.ejector.probe(NODES, (), context.now) == node
+    assert context.ejector.next_probe(NODES, (), context.now) == node
     assert [answer(context, node, 0.002) for _ in range(3)] == [False, False, True]
 
 
@@ -171,9 +171,9 @@
     for _ in range(8):
         health = context.ejector.nodes[node]
         assert health.state == EJECTED
-        times.append(health.until - health.ejected_at)
-        context.now = health.until + 0.01
-        assert context.ejector.probe(NODES, (), context.now) == node
+        times.append(health.state_ends_at - health.ejected_at)
+        context.now = health.state_ends_at + 0.01
+        assert context.ejector.next_probe(NODES, (), context.now) == node
         answer(context, node, 0.02)
     assert [round(seconds) for seconds in times] == [1, 2, 4, 8, 16, 30, 30, 30], times
 
@@ -193,7 +193,7 @@
             for _ in range(more_requests):
                 hedge.on_request()
             requests += more_requests
-            granted = sum(hedge.may_hedge(True, 0.0) for _ in range(attempts))
+            granted = sum(hedge.try_spend_hedge(True, 0.0) for _ in range(attempts))
             hedges += granted
             assert hedges <= 0.05 * requests + 1e-9
             assert granted <= 5
@@ -206,8 +206,8 @@
     hedge = HedgePolicy()
     for _ in range(1000):
         hedge.on_request()
-    assert not hedge.may_hedge(False, 0.0)
-    assert hedge.may_hedge(True, 0.0)
+    assert not hedge.try_spend_hedge(False, 0.0)
+    assert hedge.try_spend_hedge(True, 0.0)
 
 
 @then("the hedge delay comes within 20% of the 95th percentile")
@@ -228,14 +228,14 @@
     @repeatable
     @for_all(st.lists(st.tuples(st.booleans(), st.floats(0.0, 0.5)), max_size=500))
     def holds(calls):
-        budget, now, requests, retries = RetryBudget(0.1, burst=10.0, minimum_rate=0.2), 0.0, 0, 0
+        budget, now, requests, retries = RetryBudget(0.1, burst=10.0, min_tokens_per_second=0.2), 0.0, 0, 0
         for is_request, pause in calls:
             now += pause
             if is_request:
                 budget.on_request()
                 requests += 1
             else:
-                retries += budget.may_retry(now)
+                retries += budget.try_spend_retry(now)
             assert retries <= 10.0 + 0.1 * requests + 0.2 * now + 1e-9
 
     holds()
@@ -247,13 +247,13 @@
     for i in range(3000):
         budget.on_request()
         for _ in range(4):
-            retries += budget.may_retry(i / 100)
+            retries += budget.try_spend_retry(i / 100)
     assert retries <= 0.11 * 3000, retries
 
 
 @then("back-off delays are spread evenly up to a bound that grows to a cap")
 def check_backoff(context):
-    budget, rng = RetryBudget(base_seconds=0.1, cap_seconds=2.0), random.Random(1)
+    budget, rng = RetryBudget(base_delay_seconds=0.1, max_delay_seconds=2.0), random.Random(1)
     for attempt, bound in ((1, 0.2), (2, 0.4), (4, 1.6), (5, 2.0), (500, 2.0)):
         delays = [budget.backoff(attempt, rng) for _ in range(2000)]
         assert min(delays) >= 0.0 and max(delays) <= bound
@@ -358,9 +358,9 @@
     assert policy.hedge_node("a", ["a"], True) is None
     for _ in range(3):
         policy.on_sent("b")
-    tokens = policy.hedge.tokens
+    tokens = policy.hedge_policy.tokens
     assert policy.hedge_node("a", ["a", "b"], True) is None
-    assert policy.hedge.tokens == tokens, "a hedge that was not sent cost a token"
+    assert policy.hedge_policy.tokens == tokens, "a hedge that was not sent cost a token"
 
 
 @then("cancelled requests leave no trace in the client policy")
@@ -378,11 +378,11 @@
 @then('after a cancelled probe node "{node}" gets another one')
 def check_cancelled_probe(context, node):
     ejector = context.ejector
-    assert ejector.probe(NODES, (), context.now) == node
+    assert ejector.next_probe(NODES, (), context.now) == node
     ejector.on_sent(node, context.now)
-    assert ejector.probe(NODES, (), context.now) is None
+    assert ejector.next_probe(NODES, (), context.now) is None
     ejector.on_cancelled(node)
-    assert ejector.probe(NODES, (), context.now) == node
+    assert ejector.next_probe(NODES, (), context.now) == node
 
 
 @given("a stream of {rate:d} requests/s with 10 hot keys of 1% and a tail of other keys")
@@ -420,7 +420,7 @@
 
 @then("the detector holds at most 64 counters")
 def check_counters(context):
-    assert len(context.detector.counts) == len(context.detector.errors) <= 64
+    assert len(context.detector.counts) == len(context.detector.overestimates) <= 64
 
 
 def detector_with(shares):
@@ -490,7 +490,7 @@
             now += pause
             # Larger control messages go into debt, which the last scenario covers.
             size = min(size, 1000) if kind == CONTROL else size
-            if budget.take(kind, size, now):
+            if budget.try_spend_bytes(kind, size, now):
                 taken.append((now, size))
                 for start in range(0, len(taken), 7):
                     sent = sum(size for _, size in taken[start:])
@@ -505,8 +505,8 @@
     for step in range(int(seconds * 1000)):
         now = 10.0 + step / 1000
         for _ in range(100):
-            sent[DATA] += 100 * budget.take(DATA, 100, now)
-        if control_size and budget.take(CONTROL, control_size, now):
+            sent[DATA] += 100 * budget.try_spend_bytes(DATA, 100, now)
+        if control_size and budget.try_spend_bytes(CONTROL, control_size, now):
             sent[CONTROL] += control_size
     return sent
 
@@ -527,8 +527,8 @@
 @then("a message of 5 seconds of traffic passes and delays the next one")
 def check_large_message(context):
     budget = LinkBudget()
-    assert budget.take(DATA, 5 * 3_750_000, 0.0)
-    assert not budget.take(DATA, 1, 4.5)
-    assert budget.wait(DATA, 1, 4.5) > 0.0
-    assert budget.take(CONTROL, 1000, 4.5), "control waits behind a body"
-    assert budget.take(DATA, 1, 6.0)
+    assert budget.try_spend_bytes(DATA, 5 * 3_750_000, 0.0)
+    assert not budget.try_spend_bytes(DATA, 1, 4.5)
+    assert budget.seconds_until_allowed(DATA, 1, 4.5) > 0.0
+    assert budget.try_spend_bytes(CONTROL, 1000, 4.5), "control waits behind a body"
+    assert budget.try_spend_bytes(DATA, 1, 6.0)
--- a/tests/features/steps/load_target_steps.py
+++ b/tests/features/steps/load_target_steps.py
@@ -8,7 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from hibiscusdrum.internal.load.fair_queue import LARGEST_CLASS_COUNT, FairQueue
+from hibiscusdrum.internal.load.fair_queue import MAX_CLASSES, FairQueue
 from hibiscusdrum.internal.load.limiter import ColdStart, ConcurrencyLimiter
 
 SERVICE_SECONDS = 0.002
@@ -77,7 +77,7 @@
             if call == "acquire":
                 expected += limiter.try_acquire(now)
             elif call == "reset":
-                limiter.reset_cold(now)
+                limiter.restart_ramp(now)
             else:
                 expected = max(0, expected - 1)
                 if call == "release":
@@ -86,7 +86,7 @@
                     limiter.on_complete(latency, call == "ok", now)
             assert 1.0 <= limiter.limit <= slots
             assert limiter.in_flight == expected <= slots
-            assert limiter.accepting(now) == (expected < int(limiter.limit))
+            assert limiter.can_acquire(now) == (expected < int(limiter.limit))
 
     holds()
 
@@ -150,7 +150,7 @@
 
 @then("the ramp started again {resets:d} times")
 def check_resets(context, resets):
-    assert context.target.limiter.cold_resets == resets, context.target.limiter.cold_resets
+    assert context.target.limiter.ramp_restarts == resets, context.target.limiter.ramp_restarts
 
 
 @then("the limit never fell below {limit:d} afterwards")
@@ -171,7 +171,7 @@
 @then("a limiter that is reset ignores answers to earlier requests")
 def check_reset_ignores_earlier(context):
     limiter = ConcurrencyLimiter(SLOTS, ColdStart(completions_per_slot=4))
-    limiter.reset_cold(10.0)
+    limiter.restart_ramp(10.0)
     for _ in range(20):
         limiter.on_complete(0.5, True, 10.1)
     assert limiter.baseline == 0.0 and limiter.limit == 1.0
@@ -193,14 +193,14 @@
     for step in range(4000):
         now = step * 0.0005
         while ends and ends[0][0] <= now:
-            queue.finished(heapq.heappop(ends)[1])
+            queue.on_finished(heapq.heappop(ends)[1])
             free += 1
         request_class = "grant" if step % 2 else "lineage"
         queue.push((request_class, now), "amt", request_class, now + 1.0, now)
         queue.expire(now)
         while free and (item := queue.pop(now)):
             free -= 1
-            queue.started(item[0])
+            queue.on_started(item[0])
             service = 1e9 if item[0] == "lineage" else SERVICE_SECONDS
             heapq.heappush(ends, (now + service, item[0]))
             if item[0] == "grant":
@@ -258,13 +258,13 @@
 def hold_lineage(context):
     queue = context.queue
     for _ in range(3):
-        queue.started("lineage")
+        queue.on_started("lineage")
     for i in range(150):
         assert queue.push("lineage", "amt", "lineage", 1e9, 0.0)
         assert queue.push("grant", "amt", "grant", 1e9, 0.0) or i > 120
     assert [queue.pop(0.0) for _ in range(100)] == ["grant"] * 100
     for _ in range(3):
-        queue.finished("lineage")
+        queue.on_finished("lineage")
 
 
 @then("the next 10 items served contain at least 4 grants")
@@ -304,12 +304,12 @@
             ):
                 accepted.append((number, request_class))
             elif call == "pop" and (item := queue.pop(now)) is not None:
-                queue.started(item[1])
+                queue.on_started(item[1])
                 out.append(item)
             elif call == "expire":
                 out.extend(queue.expire(now))
             elif call == "finish":
-                queue.finished("lineage")
+                queue.on_finished("lineage")
             assert len(queue) + len(queue.expired) + len(out) == len(accepted)
             assert len(queue) <= 20
         out.extend(queue.expire(1e9))
@@ -354,7 +354,7 @@
 @when("lineage checks have waited {seconds:d} seconds for a slot")
 def stall_class(context, seconds):
     for _ in range(3):
-        context.queue.started("lineage")
+        context.queue.on_started("lineage")
     context.queue.push("lineage", "amt", "lineage", 100.0, 0.0)
     context.now = float(seconds)
 
@@ -366,7 +366,7 @@
 
 @when("an item waits until its deadline is closer than the service time")
 def wait_close_to_deadline(context):
-    context.queue.service_seconds = 0.02
+    context.queue.service_time_seconds = 0.02
     assert context.queue.push("item", "amt", "grant", 0.1, 0.0)
 
 
@@ -381,7 +381,7 @@
 def check_class_bound(context, count):
     queue = FairQueue(10)
     for i in range(count):
-        queue.started(f"class{i}")
-        queue.finished(f"class{i}")
+        queue.on_started(f"class{i}")
+        queue.on_finished(f"class{i}")
         assert queue.may_run(f"class{i}")
-    assert len(queue.classes) <= LARGEST_CLASS_COUNT + 1
+    assert len(queue.classes) <= MAX_CLASSES + 1
--- a/tests/features/steps/operator_cli_steps.py
+++ b/tests/features/steps/operator_cli_steps.py
@@ -93,7 +93,9 @@
     assert set(context.codes) == {0}, list(zip(context.codes, context.outputs, strict=True))
     document = context.store_table.document()
     assert document.routes["galeria"].slices == 32 and document.tenants["chucao"].home_regions == ("west",)
-    assert (document.drained, document.retired) == ((), ("n2",)) and document.may_release("n1", 5), document
+    assert (document.drained, document.retired) == ((), ("n2",)) and document.allows_takeover("n1", 5), (
+        document
+    )
 
 
 @when('hibiscusdrum watches a plan at "{daemon}" that is never accepted')
--- a/tests/features/steps/operators_steps.py
+++ b/tests/features/steps/operators_steps.py
@@ -99,7 +99,7 @@
     def document(self):
         """Return the stored document."""
         row = self.rows.get(CONFIG_KEY)
-        return documents.decode_row(row.value if row else None)
+        return documents.decode_config_row(row.value if row else None)
 
 
 class FakeDaemon:
@@ -110,19 +110,19 @@
         self.ids = (f"p{number}-{id(self)}" for number in itertools.count())
         self.api = operators.OperatorApi(
             table,
-            current=lambda: (table.document(), table.version(CONFIG_KEY)),
+            current_config=lambda: (table.document(), table.version(CONFIG_KEY)),
             owners=lambda: [OwnerRow("n1", "archiv", "ost", "ost-wien", "", "", (1, 2))],
             on_committed=self.on_committed,
             acceptance=self.tracked.get,
             clock=ManualClock(),
             new_id=lambda: next(self.ids),
         )
-        self.state = revisions.RevisionState(documents.empty())
+        self.state = revisions.RevisionState(documents.empty_document())
 
     def on_committed(self, document, base_revision, content):
         """Track acknowledgements and check that the change gives the committed document."""
         self.tracked[document.revision] = revisions.Acceptance(document.revision, NODES)
-        if isinstance(self.state.offer(document.revision, base_revision, content), revisions.Behind):
+        if isinstance(self.state.offer_change(document.revision, base_revision, content), revisions.Behind):
             self.state.offer_document(document)
         assert self.state.document == document, (self.state.document, document)
 
@@ -151,11 +151,11 @@
 
 
 def seed(table):
-    document = documents.empty()
+    document = documents.empty_document()
     for intent in START:
         document = intents.apply(intent, document)
     table.seq = 1
-    table.rows[CONFIG_KEY] = Row(CONFIG_KEY, 1, documents.encode_row(document, "seed"))
+    table.rows[CONFIG_KEY] = Row(CONFIG_KEY, 1, documents.encode_config_row(document, "seed"))
 
 
 def ask(context, daemon, method, path, body=b""):
@@ -332,7 +332,7 @@
 @then('"{daemon}" follows no plan')
 def check_pending(context, daemon):
     api = context.daemons[daemon].api
-    assert not api.pending and not api.advancing, (api.pending, api.advancing)
+    assert not api.pending_revisions and not api.advancing, (api.pending_revisions, api.advancing)
 
 
 @when('the suspension of "{tenant}" is ended and made again at "{daemon}"')
@@ -403,7 +403,7 @@
 
     def deliver(self, index):
         """Apply one waiting change; a node that is behind reads the table."""
-        result = self.state.offer(*self.inbox.pop(index % len(self.inbox)))
+        result = self.state.offer_change(*self.inbox.pop(index % len(self.inbox)))
         if isinstance(result, revisions.Behind):
             self.state.offer_document(self.table.document())
 
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -129,7 +129,7 @@
         receiver.admission.running = receiver.admission.slots
     elif what == "only the link of the VM is congested":
         for request_id in list(receiver.body_gate.transfers):
-            receiver.body_gate.done(request_id)
+            receiver.body_gate.forget(request_id)
         receiver.forwarder.link_congested = True
     size = 60_000 if what == "bodies of others are awaited and one of its own" else 0
     asking = msgspec.structs.replace(forward(100, size, 1.0), only_if_free=True)
@@ -550,14 +550,16 @@
         gate.offer(bytes([number]), size, 0 if number % 4 == 0 else 1, 9.0)
     on_the_way, arrived = [], []
     while gate.transfers:
-        while (part := gate.pop()) is not None:
+        while (part := gate.next_chunk()) is not None:
             on_the_way.append(part)
         context.most = max(context.most, sum(count for *_, count in on_the_way) / context.rate)
         request_id, first, count = on_the_way.pop(0)
-        assert gate.take(request_id, first, count) and not gate.take(request_id, first, count)
+        assert gate.on_chunk_received(request_id, first, count) and not gate.on_chunk_received(
+            request_id, first, count
+        )
         arrived.append((request_id[0], first, count))
         if first + count == size:
-            gate.done(request_id)
+            gate.forget(request_id)
             context.asked.append(request_id[0])
     assert sum(count for *_, count in arrived) == size * context.count
     assert gate.in_flight == 0
@@ -565,8 +567,8 @@
 
 @when("a body of {size:d} bytes is offered from another region and its parts do not come")
 def far_body(context, size):
-    context.gate.offer(b"far", size, 0, 1.0, far=True)
-    while context.gate.pop() is not None:
+    context.gate.offer(b"far", size, 0, 1.0, cross_region=True)
+    while context.gate.next_chunk() is not None:
         pass
 
 
@@ -574,10 +576,10 @@
 def near_body_arrives(context, size):
     context.gate.offer(b"near", size, 1, 9.0)
     arrived = 0
-    while (part := context.gate.pop()) is not None:
+    while (part := context.gate.next_chunk()) is not None:
         request_id, first, count = part
         assert request_id == b"near"
-        assert context.gate.take(request_id, first, count)
+        assert context.gate.on_chunk_received(request_id, first, count)
         arrived += count
     assert arrived == size
 
@@ -591,15 +593,15 @@
 def deliver(receiver, request_id):
     """Let a body arrive in the parts that are asked for, as far as it is wanted."""
     while (transfer := receiver.body_gate.transfers.get(request_id)) is not None:
-        part = b"x" * (transfer.asked - transfer.arrived)
+        part = b"x" * (transfer.requested - transfer.received)
         if not part:
             return
-        receiver.on_body_part(request_id, transfer.arrived, part)
+        receiver.on_body_part(request_id, transfer.received, part)
 
 
 def asked_for(receiver):
     """Return the requests of whose bodies a part was asked for."""
-    return {request_id for request_id, transfer in receiver.body_gate.transfers.items() if transfer.asked}
+    return {request_id for request_id, transfer in receiver.body_gate.transfers.items() if transfer.requested}
 
 
 @given("a receiver on a link of {rate:d} bytes a second with {count:d} offered bodies")
@@ -743,7 +745,7 @@
 @then("the load report counts what waits for the link")
 def load_counts_bodies(context):
     _running, queued, slots, service, _accepting = context.receiver.load_report()
-    waits = context.receiver.body_gate.wait()
+    waits = context.receiver.body_gate.expected_wait()
     assert waits > 1.0 and queued * service / slots >= waits
 
 
