Name daemon services and constants after what they do, in source and tests

Requests, Owned and Handover did not say what the services do, and EXPIRE_SECONDS and STEP_SECONDS named no interval. Main renames: Requests -> RequestPipeline, Pending -> PendingRequest, Owned -> OwnedSlices, Handover -> HandoverCoordinator, EXPIRE_SECONDS -> QUEUE_EXPIRY_INTERVAL_SECONDS, STEP_SECONDS -> STEP_INTERVAL_SECONDS, MAX_MOVES -> MAX_SLICES_PER_ROUND, on_lost/on_available/on_epoch/on_granted (lists) -> lost_listeners/available_listeners/epoch_listeners/granted_listeners, begin_drain -> start_drain_handover.

Run: daemon_timers.feature, 20 scenarios passed.

--- a/bench/control_sizes.py
+++ b/bench/control_sizes.py
@@ -17,7 +17,7 @@
 
 from hibiscusdrum.internal import codec
 from hibiscusdrum.internal.config.document import Document, Route, Tenant, encode_document
-from hibiscusdrum.internal.daemon.rebalancer import MAX_MOVES
+from hibiscusdrum.internal.daemon.rebalancer import MAX_SLICES_PER_ROUND
 from hibiscusdrum.internal.load.hot_keys import HotKeyDetector
 from hibiscusdrum.internal.messages import MapReply, RowsChanged
 from hibiscusdrum.internal.ownership.dedup import DedupWindow
@@ -126,7 +126,7 @@
         * seconds(lambda: find_better_guard(name, owners, leases, leases.__contains__)),
         "orphans, 1/s": 1e3 * seconds(lambda: orphaned_nodes(ownership)),
         "sorted leases for releases, 1/s": 1e3 * seconds(lambda: sorted(leases)),
-        "placement, 1/s": 1e3 * seconds(lambda: plan_moves(ring, {}, {}, MAX_MOVES)),
+        "placement, 1/s": 1e3 * seconds(lambda: plan_moves(ring, {}, {}, MAX_SLICES_PER_ROUND)),
     }
 
 
--- a/src/hibiscusdrum/internal/daemon/handover.py
+++ b/src/hibiscusdrum/internal/daemon/handover.py
@@ -20,7 +20,7 @@
 from hibiscusdrum.internal.routing import Resolution
 from hibiscusdrum.internal.settings import Settings
 
-STEP_SECONDS = 0.005
+STEP_INTERVAL_SECONDS = 0.005
 # Slices whose requests do not end within this time move later, so that the others are not held up.
 DRAIN_WAIT_SECONDS = 0.1
 MAX_HELD = 1024
@@ -59,7 +59,7 @@
         self.transaction: Transaction | None = None
 
 
-class Handover(Service):
+class HandoverCoordinator(Service):
     """Carries out one move at a time.
 
     Parameters
@@ -89,11 +89,11 @@
         self.requests = find("requests")
         self.target = find("target")
         self.leases = find("leases")
-        self.step_timer = self.app.scheduler.while_needed(STEP_SECONDS, self.step)
+        self.step_timer = self.app.scheduler.while_needed(STEP_INTERVAL_SECONDS, self.step)
         # All that may make a drain necessary: a row, a revision, the loss of the target, and ``leave``.
         self.membership.listeners.append(self.on_change)
         self.configuration.listeners.append(self.on_change)
-        self.target.on_lost.append(self.step_timer.wake)
+        self.target.lost_listeners.append(self.step_timer.wake)
         self.app.scheduler.every(self.settings.rebalance_interval_ms / 1000.0, self.claim_unowned)
 
     @property
@@ -180,15 +180,15 @@
             return False
         if move is None:
             if self.must_drain() and now >= self.retry_at:
-                self.begin_drain()
+                self.start_drain_handover()
         elif move.transaction is None:
             self.write_when_idle(move, now)
         return self.has_work()
 
     def write_when_idle(self, move: Move, now: float) -> None:
         """Write the move when nothing is in flight on its slices; slices with long requests are left out."""
-        busy = self.owned.busy(move.slices)
-        keys_busy = self.owned.keys_busy(move.hot_keys)
+        busy = self.owned.busy_slices(move.slices)
+        keys_busy = self.owned.any_key_busy(move.hot_keys)
         if (busy or keys_busy) and now - move.started < DRAIN_WAIT_SECONDS:
             return
         if busy or keys_busy:
@@ -291,7 +291,7 @@
         """Return whether any node may take this node's slices."""
         return bool(self.receivers())
 
-    def begin_drain(self) -> None:
+    def start_drain_handover(self) -> None:
         """Move a share of the slices to the least loaded receiver."""
         row = self.owned.row
         names = self.receivers()
--- a/src/hibiscusdrum/internal/daemon/leases.py
+++ b/src/hibiscusdrum/internal/daemon/leases.py
@@ -62,8 +62,8 @@
         self.lost_at = 0.0
         self.avoided: dict[str, float] = {}
         self.avoid_seconds: dict[str, float] = {}
-        self.on_granted: list[Callable[[], None]] = []
-        self.on_lost: list[Callable[[], None]] = []
+        self.granted_listeners: list[Callable[[], None]] = []
+        self.lost_listeners: list[Callable[[], None]] = []
 
     def on_start(self) -> None:
         """Subscribe to messages and rows and start the timers."""
@@ -245,7 +245,7 @@
         if self.holder.on_granted(message.nonce, message.lease_version, self.now):
             self.avoid_seconds.pop(message.guard, None)
             self.note_validity()
-            for listener in self.on_granted:
+            for listener in self.granted_listeners:
                 listener()
 
     def on_lease_refused(self, message: LeaseRefused) -> None:
@@ -266,7 +266,7 @@
             log_events.emit(
                 log_events.LeaseLost(guard=self.guard, lease_version=version, since_last_grant_ms=silence)
             )
-            for listener in self.on_lost:
+            for listener in self.lost_listeners:
                 listener()
         elif self.lost_at:
             lost_for = (self.now - self.lost_at) * 1000.0
--- a/src/hibiscusdrum/internal/daemon/main.py
+++ b/src/hibiscusdrum/internal/daemon/main.py
@@ -9,15 +9,15 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.configuration import Configuration
 from hibiscusdrum.internal.daemon.guarding import Guarding
-from hibiscusdrum.internal.daemon.handover import Handover
+from hibiscusdrum.internal.daemon.handover import HandoverCoordinator
 from hibiscusdrum.internal.daemon.http_endpoint import HttpEndpoint
 from hibiscusdrum.internal.daemon.leases import Leases
 from hibiscusdrum.internal.daemon.link import Link
 from hibiscusdrum.internal.daemon.membership import Membership
 from hibiscusdrum.internal.daemon.metrics import Metrics
-from hibiscusdrum.internal.daemon.owned import Owned
+from hibiscusdrum.internal.daemon.owned import OwnedSlices
 from hibiscusdrum.internal.daemon.rebalancer import Rebalancer
-from hibiscusdrum.internal.daemon.requests import Requests
+from hibiscusdrum.internal.daemon.requests import RequestPipeline
 from hibiscusdrum.internal.daemon.stopping import Stopping
 from hibiscusdrum.internal.daemon.target import Target
 from hibiscusdrum.internal.kernel import Application
@@ -40,19 +40,19 @@
     app.add(Membership(settings.node, settings.table_poll_ms / 1000.0))
     app.add(Link(settings))
     app.add(Configuration(settings.node, settings.failure_domain))
-    app.add(Owned(settings.node))
+    app.add(OwnedSlices(settings.node))
     app.add(Target(settings))
     app.add(Leases(settings))
     app.add(Guarding(settings))
-    app.add(Handover(settings))
+    app.add(HandoverCoordinator(settings))
     app.add(Rebalancer(settings))
     app.add(Metrics(settings.node))
-    app.add(Requests(settings))
+    app.add(RequestPipeline(settings))
     app.add(HttpEndpoint(settings))
     app.add(Stopping(settings))
     target, leases = app.find("target"), app.find("leases")
-    target.on_available.append(leases.on_target_available)
-    target.on_lost.append(leases.on_target_lost)
+    target.available_listeners.append(leases.on_target_available)
+    target.lost_listeners.append(leases.on_target_lost)
     return app
 
 
--- a/src/hibiscusdrum/internal/daemon/metrics.py
+++ b/src/hibiscusdrum/internal/daemon/metrics.py
@@ -79,12 +79,12 @@
 
         self.meter.create_observable_counter(f"hibiscusdrum.{name}", callbacks=[observe], unit="By")
 
-    def served(self, tenant: str, request_class: str, latency: float, queue_time: float) -> None:
+    def record_success(self, tenant: str, request_class: str, latency: float, queue_time: float) -> None:
         """Record an answered request; times in seconds."""
         self.latency.record(tenant, request_class, latency)
         self.queue_time.record(tenant, request_class, queue_time)
 
-    def refused(self, tenant: str, request_class: str, code: str) -> None:
+    def count_failure(self, tenant: str, request_class: str, code: str) -> None:
         """Count a request that ended with an error."""
         self.refusals.add(1, {"tenant": tenant, "class": request_class, "code": code})
 
--- a/src/hibiscusdrum/internal/daemon/owned.py
+++ b/src/hibiscusdrum/internal/daemon/owned.py
@@ -10,7 +10,7 @@
 from hibiscusdrum.internal.platform.table import Row
 
 
-class Owned(Service):
+class OwnedSlices(Service):
     """Follows the node's own owner row.
 
     Parameters
@@ -20,10 +20,10 @@
 
     Attributes
     ----------
-    acquired_wall : dict of int to float
+    acquired_at_by_slice : dict of int to float
         Wall time in seconds at which this node got each of its slices; retries made before then may have run
         under an earlier owner.
-    in_flight, keys_in_flight : Counter of int
+    in_flight_by_slice, in_flight_by_key : Counter of int
         Admitted requests without an outcome, by slice and by key hash.
     """
 
@@ -33,11 +33,11 @@
         super().__init__()
         self.node = node
         self.row: OwnerRow | None = None
-        self.acquired_wall: dict[int, float] = {}
-        self.hot_acquired_wall: dict[int, float] = {}
-        self.in_flight: Counter[int] = Counter()
-        self.keys_in_flight: Counter[int] = Counter()
-        self.on_epoch: list[Callable[[], None]] = []
+        self.acquired_at_by_slice: dict[int, float] = {}
+        self.acquired_at_by_hot_key: dict[int, float] = {}
+        self.in_flight_by_slice: Counter[int] = Counter()
+        self.in_flight_by_key: Counter[int] = Counter()
+        self.epoch_listeners: list[Callable[[], None]] = []
 
     def on_start(self) -> None:
         """Subscribe to rows."""
@@ -56,10 +56,10 @@
         self.row = row
         slices = row.slices if row is not None else ()
         hot_keys = row.hot_keys if row is not None else ()
-        self.acquired_wall = {index: self.acquired_wall.get(index, wall) for index in slices}
-        self.hot_acquired_wall = {key: self.hot_acquired_wall.get(key, wall) for key in hot_keys}
+        self.acquired_at_by_slice = {index: self.acquired_at_by_slice.get(index, wall) for index in slices}
+        self.acquired_at_by_hot_key = {key: self.acquired_at_by_hot_key.get(key, wall) for key in hot_keys}
         if self.epoch > former:
-            for listener in self.on_epoch:
+            for listener in self.epoch_listeners:
                 listener()
 
     def owns(self, hash_value: int, slice_index: int) -> bool:
@@ -67,35 +67,35 @@
         row = self.row
         if row is None:
             return False
-        if hash_value in self.hot_acquired_wall:
+        if hash_value in self.acquired_at_by_hot_key:
             return True
-        return slice_index in self.acquired_wall and hash_value not in row.excluded
+        return slice_index in self.acquired_at_by_slice and hash_value not in row.excluded
 
-    def acquired(self, hash_value: int, slice_index: int) -> float:
+    def acquired_at(self, hash_value: int, slice_index: int) -> float:
         """Return the wall time at which this node got the key."""
-        return self.hot_acquired_wall.get(hash_value, self.acquired_wall.get(slice_index, 0.0))
+        return self.acquired_at_by_hot_key.get(hash_value, self.acquired_at_by_slice.get(slice_index, 0.0))
 
     @property
     def epoch(self) -> int:
         """Fencing token of the requests admitted now."""
         return self.row.epoch if self.row is not None else 0
 
-    def started(self, hash_value: int, slice_index: int) -> None:
+    def request_started(self, hash_value: int, slice_index: int) -> None:
         """Count a request admitted on a key."""
-        self.in_flight[slice_index] += 1
-        self.keys_in_flight[hash_value] += 1
+        self.in_flight_by_slice[slice_index] += 1
+        self.in_flight_by_key[hash_value] += 1
 
-    def finished(self, hash_value: int, slice_index: int) -> None:
+    def request_finished(self, hash_value: int, slice_index: int) -> None:
         """Count a request on a key as ended."""
-        for counter, entry in ((self.in_flight, slice_index), (self.keys_in_flight, hash_value)):
+        for counter, entry in ((self.in_flight_by_slice, slice_index), (self.in_flight_by_key, hash_value)):
             counter[entry] -= 1
             if counter[entry] <= 0:
                 del counter[entry]
 
-    def busy(self, slices: frozenset[int]) -> set[int]:
+    def busy_slices(self, slices: frozenset[int]) -> set[int]:
         """Return those of the slices that have requests in flight."""
-        return {index for index in self.in_flight if index in slices}
+        return {index for index in self.in_flight_by_slice if index in slices}
 
-    def keys_busy(self, hot_keys: frozenset[int]) -> bool:
+    def any_key_busy(self, hot_keys: frozenset[int]) -> bool:
         """Return whether one of the keys has requests in flight."""
-        return any(hash_value in self.keys_in_flight for hash_value in hot_keys)
+        return any(hash_value in self.in_flight_by_key for hash_value in hot_keys)
--- a/src/hibiscusdrum/internal/daemon/rebalancer.py
+++ b/src/hibiscusdrum/internal/daemon/rebalancer.py
@@ -10,7 +10,7 @@
 from hibiscusdrum.internal.settings import Settings
 
 # Slices moved in one round of the whole ring, which bounds the work of a round and its churn.
-MAX_MOVES = 20_000
+MAX_SLICES_PER_ROUND = 20_000
 
 
 class Rebalancer(Service):
@@ -58,7 +58,7 @@
     def move_slices(self, row: OwnerRow) -> None:
         """Carry out the first of this node's moves in the placement that every node computes alike."""
         ring = self.membership.map.owner_rows(row.service, row.region)
-        for move in placement.plan_moves(ring, {}, {}, MAX_MOVES, self.eligible):
+        for move in placement.plan_moves(ring, {}, {}, MAX_SLICES_PER_ROUND, self.eligible):
             if move.source == row.node:
                 self.handover.begin(move.receiver, move.slices)
                 return
--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -40,7 +40,7 @@
 )
 
 NANOSECONDS = 1_000_000_000
-EXPIRE_SECONDS = 0.01
+QUEUE_EXPIRY_INTERVAL_SECONDS = 0.01
 # Requests sent longer ago than this get their target's deadline extended at each renewal of the lease.
 EXTEND_AFTER_SECONDS = 0.3
 CONTROL_TIMEOUT_SECONDS = 1.0
@@ -64,7 +64,7 @@
 Answer = Callable[[Outcome], None]
 
 
-class Pending:
+class PendingRequest:
     """An admitted request without an outcome."""
 
     __slots__ = (
@@ -95,7 +95,7 @@
         self.cancelled = False
 
 
-class Requests(Service):
+class RequestPipeline(Service):
     """Admits requests and passes them to this node's target.
 
     Parameters
@@ -113,9 +113,9 @@
         self.queue = FairQueue(settings.queue_capacity, settings.slots)
         self.dedup = DedupWindow(float(settings.dedup_window_s))
         # By identity, since an idempotent request may be here twice with one id.
-        self.pending: set[Pending] = set()
-        self.sent: set[Pending] = set()
-        self.by_id: dict[bytes, Pending] = {}
+        self.pending: set[PendingRequest] = set()
+        self.sent: set[PendingRequest] = set()
+        self.by_id: dict[bytes, PendingRequest] = {}
         self.hot_keys = HotKeyDetector(rng=random.Random(settings.node))
         self.stopping = False
 
@@ -133,12 +133,12 @@
         self.peers = find("peers")
         self.peers.on_request = self.on_request
         self.peers.on_bad_frame = log_bad_frame
-        self.target.on_available.append(self.on_target_available)
-        self.leases.on_granted.append(self.extend_deadlines)
-        self.leases.on_lost.append(self.cancel_owned)
-        self.owned.on_epoch.append(self.grant_epoch)
+        self.target.available_listeners.append(self.on_target_available)
+        self.leases.granted_listeners.append(self.extend_deadlines)
+        self.leases.lost_listeners.append(self.cancel_owned)
+        self.owned.epoch_listeners.append(self.grant_epoch)
         self.configuration.listeners.append(self.on_document)
-        self.expiry_timer = self.app.scheduler.while_needed(EXPIRE_SECONDS, self.expire_queued)
+        self.expiry_timer = self.app.scheduler.while_needed(QUEUE_EXPIRY_INTERVAL_SECONDS, self.expire_queued)
 
     def on_document(self, document: Document) -> None:
         """Take over the weights of request classes.
@@ -185,7 +185,7 @@
 
     def refuse(self, call: Call, error: HibiscusdrumError, answer: Answer) -> None:
         """Answer with an error and count it."""
-        self.metrics.refused(call.tenant, call.request_class, error.code)
+        self.metrics.count_failure(call.tenant, call.request_class, error.code)
         answer(Failure(error))
 
     def admit(self, call: Call, body: bytes, answer: Answer) -> None:
@@ -204,7 +204,7 @@
             self.check_accepting(call, where)
         if not self.target.available:
             raise TargetUnreachable(target=settings.node)
-        pending = Pending(call, body, answer, where, self.app.clock.monotonic())
+        pending = PendingRequest(call, body, answer, where, self.app.clock.monotonic())
         if call.idempotent or self.first_run(pending):
             self.enqueue(pending)
 
@@ -238,10 +238,10 @@
         if self.stopping or row is None or not self.configuration.accepts_work(row):
             raise Draining(node=self.settings.node)
 
-    def first_run(self, pending: Pending) -> bool:
+    def first_run(self, pending: PendingRequest) -> bool:
         """Record a non-idempotent request; False when it was answered from the record of an earlier run."""
         call, where = pending.call, pending.where
-        acquired = self.owned.acquired(where.hash_value, where.slice)
+        acquired = self.owned.acquired_at(where.hash_value, where.slice)
         decision = self.dedup.admit(call.request_id, call.attempt, acquired, self.app.clock.wall())
         if isinstance(decision, Recorded):
             pending.answer(Success(decision.answer))
@@ -253,11 +253,11 @@
         pending.deduplicated = True
         return True
 
-    def enqueue(self, pending: Pending) -> None:
+    def enqueue(self, pending: PendingRequest) -> None:
         """Queue an admitted request, or shed it."""
         call, now = pending.call, pending.admitted_at
         if pending.where.owned:
-            self.owned.started(pending.where.hash_value, pending.where.slice)
+            self.owned.request_started(pending.where.hash_value, pending.where.slice)
         self.pending.add(pending)
         self.by_id[call.request_id] = pending
         if not self.queue.push(pending, call.tenant, call.request_class, pending.deadline, now):
@@ -308,7 +308,7 @@
 
     # Target
 
-    def send(self, pending: Pending, now: float) -> None:
+    def send(self, pending: PendingRequest, now: float) -> None:
         """Pass a request to the target with its epoch and a deadline within the lease."""
         deadline = pending.deadline
         if pending.where.owned:
@@ -332,7 +332,7 @@
             self.settings.connections,
         )
 
-    def headers(self, pending: Pending) -> dict[str, str]:
+    def headers(self, pending: PendingRequest) -> dict[str, str]:
         """Return the headers that the target checks and records."""
         call = pending.call
         return {
@@ -344,13 +344,13 @@
             HEADER_PREFIX + "deadline-ns": str(int(pending.target_deadline * NANOSECONDS)),
         }
 
-    def unsent(self, pending: Pending, error: HibiscusdrumError) -> None:
+    def unsent(self, pending: PendingRequest, error: HibiscusdrumError) -> None:
         """End a request that got a slot but was not sent."""
         self.limiter.release()
         self.queue.on_finished(pending.call.request_class)
         self.finish(pending, Failure(error))
 
-    def on_answer(self, pending: Pending, result: Result[HttpResponse, HttpFailure]) -> None:
+    def on_answer(self, pending: PendingRequest, result: Result[HttpResponse, HttpFailure]) -> None:
         """Free the slot, learn from the latency, and report the outcome."""
         now = self.app.clock.monotonic()
         self.sent.discard(pending)
@@ -364,7 +364,7 @@
         self.finish(pending, outcome)
         self.pump(now)
 
-    def outcome(self, pending: Pending, result: Result[HttpResponse, HttpFailure]) -> Outcome:
+    def outcome(self, pending: PendingRequest, result: Result[HttpResponse, HttpFailure]) -> Outcome:
         """Translate the target's answer, or its absence, into an outcome."""
         if isinstance(result, Success):
             return self.response_outcome(pending, result.unwrap())
@@ -378,7 +378,7 @@
         request_id = pending.call.request_id.hex()
         return Failure(OutcomeUnknown(request_id=request_id, reason=failure.kind.value))
 
-    def overtaken_by_epoch(self, pending: Pending, outcome: Outcome) -> bool:
+    def overtaken_by_epoch(self, pending: PendingRequest, outcome: Outcome) -> bool:
         """Return whether the target refused a request only because this node's epoch has grown since.
 
         The epoch grows when the node gains slices; a request under way on another connection then seems stale
@@ -391,7 +391,7 @@
         owned = not where.owned or self.owned.owns(where.hash_value, where.slice)
         return owned and pending.epoch < self.owned.epoch and self.app.clock.monotonic() < pending.deadline
 
-    def response_outcome(self, pending: Pending, response: HttpResponse) -> Outcome:
+    def response_outcome(self, pending: PendingRequest, response: HttpResponse) -> Outcome:
         """Translate a complete answer."""
         if response.status == SERVICE_UNAVAILABLE and response.headers.get(NOT_RUN_HEADER) == "1":
             return Failure(TargetRefused(target=self.settings.node, reason=refusal_reason(response.body)))
@@ -405,7 +405,7 @@
         )
         return Success(TargetAnswer(reply, response.body))
 
-    def learn(self, pending: Pending, outcome: Outcome, now: float) -> None:
+    def learn(self, pending: PendingRequest, outcome: Outcome, now: float) -> None:
         """Give the limiter the sample of a request that the target got."""
         limiter = self.limiter
         if isinstance(outcome, Failure) and isinstance(outcome.failure(), TargetUnreachable):
@@ -421,7 +421,7 @@
                 )
             )
 
-    def finish(self, pending: Pending, outcome: Outcome) -> None:
+    def finish(self, pending: PendingRequest, outcome: Outcome) -> None:
         """Record and report the outcome of an admitted request."""
         call = pending.call
         if pending not in self.pending:
@@ -430,13 +430,13 @@
         if self.by_id.get(call.request_id) is pending:
             del self.by_id[call.request_id]
         if pending.where.owned:
-            self.owned.finished(pending.where.hash_value, pending.where.slice)
+            self.owned.request_finished(pending.where.hash_value, pending.where.slice)
         if pending.deduplicated:
             self.record(call.request_id, outcome)
         now = self.app.clock.monotonic()
         if isinstance(outcome, Success):
             queued = pending.sent_at - pending.admitted_at
-            self.metrics.served(call.tenant, call.request_class, now - pending.admitted_at, queued)
+            self.metrics.record_success(call.tenant, call.request_class, now - pending.admitted_at, queued)
             pending.answer(outcome)
         else:
             self.refuse(call, outcome.failure(), pending.answer)
--- a/src/hibiscusdrum/internal/daemon/stopping.py
+++ b/src/hibiscusdrum/internal/daemon/stopping.py
@@ -14,7 +14,7 @@
 from hibiscusdrum.internal.ownership import handover as transactions
 from hibiscusdrum.internal.settings import Settings
 
-STEP_SECONDS = 0.02
+STEP_INTERVAL_SECONDS = 0.02
 # Nodes that this one guards get this long to choose another guard; their leases last at least as long.
 LESSEES_WAIT_SECONDS = 3.0
 # After leaving, callers with an old map are still told the new owner: the library reads changes each second.
@@ -70,7 +70,7 @@
         holder = self.leases.holder
         if holder is not None and holder.row is not None and not self.leases.writing:
             self.leases.change_guard(holder.row.guard, state=transactions.LEAVING)
-        self.app.scheduler.every(STEP_SECONDS, self.step)
+        self.app.scheduler.every(STEP_INTERVAL_SECONDS, self.step)
 
     @property
     def elapsed(self) -> float:
@@ -121,7 +121,7 @@
         """End the application when its forwarded requests have ended."""
         self.left = True
         if self.http.engine.calls and self.elapsed < self.settings.stop_timeout_s:
-            self.app.scheduler.call_later(STEP_SECONDS, self.finish)
+            self.app.scheduler.call_later(STEP_INTERVAL_SECONDS, self.finish)
             return
         row = self.owned.row
         slices_left = len(row.slices) if row is not None else 0
--- a/src/hibiscusdrum/internal/daemon/target.py
+++ b/src/hibiscusdrum/internal/daemon/target.py
@@ -42,8 +42,8 @@
         self.settings = settings
         self.announcement: Announcement | None = None
         self.last_seen = 0.0
-        self.on_available: list[Callable[[], None]] = []
-        self.on_lost: list[Callable[[], None]] = []
+        self.available_listeners: list[Callable[[], None]] = []
+        self.lost_listeners: list[Callable[[], None]] = []
 
     def on_start(self) -> None:
         """Watch for a target that stops announcing itself."""
@@ -71,7 +71,7 @@
         if self.announcement is None:
             self.announcement = announcement
             log_events.emit(log_events.TargetAnnounced(target=announcement.address, incarnation=""))
-            for listener in self.on_available:
+            for listener in self.available_listeners:
                 listener()
 
     def check_announcement(self, announcement: Announcement) -> None:
@@ -95,5 +95,5 @@
             return
         self.announcement = None
         log_events.emit(log_events.TargetLost(target=self.settings.target_address, reason=reason))
-        for listener in self.on_lost:
+        for listener in self.lost_listeners:
             listener()
--- a/tests/features/steps/daemon_timers_steps.py
+++ b/tests/features/steps/daemon_timers_steps.py
@@ -11,10 +11,14 @@
 from tests.loopback import Loopback, free_address
 
 from hibiscusdrum.internal.clock import ManualClock
-from hibiscusdrum.internal.daemon.handover import STEP_SECONDS, Handover
+from hibiscusdrum.internal.daemon.handover import STEP_INTERVAL_SECONDS, HandoverCoordinator
 from hibiscusdrum.internal.daemon.membership import Membership
-from hibiscusdrum.internal.daemon.owned import Owned
-from hibiscusdrum.internal.daemon.requests import EXPIRE_SECONDS, Pending, Requests
+from hibiscusdrum.internal.daemon.owned import OwnedSlices
+from hibiscusdrum.internal.daemon.requests import (
+    QUEUE_EXPIRY_INTERVAL_SECONDS,
+    PendingRequest,
+    RequestPipeline,
+)
 from hibiscusdrum.internal.kernel import Application, Scheduler, Service
 from hibiscusdrum.internal.messages import Call, ConfigAck
 from hibiscusdrum.internal.ownership.ids import new_request_id
@@ -129,12 +133,14 @@
     addresses = ("peer_address", "http_address", "target_address", "store_address")
     flags = {**names, **{name: free_address() for name in addresses}, "slots": 1}
     key = {"HIBISCUSDRUM_SHARED_KEY": "test-shared-key-0123456789"}
-    service = context.requests = Requests(load(flags, key))
+    service = context.requests = RequestPipeline(load(flags, key))
     context.loopback = Loopback()
     context.add_cleanup(context.loopback.stop)
     service.app = context.loopback.app
-    service.expiry_timer = service.app.scheduler.while_needed(EXPIRE_SECONDS, service.expire_queued)
-    service.metrics = SimpleNamespace(refused=lambda *_arguments: None)
+    service.expiry_timer = service.app.scheduler.while_needed(
+        QUEUE_EXPIRY_INTERVAL_SECONDS, service.expire_queued
+    )
+    service.metrics = SimpleNamespace(count_failure=lambda *_arguments: None)
     while service.limiter.try_acquire(service.app.clock.monotonic()):
         pass
 
@@ -145,14 +151,14 @@
     where = SimpleNamespace(owned=False)
     context.outcomes = []
     now = context.loopback.app.clock.monotonic()
-    context.requests.enqueue(Pending(call, b"", context.outcomes.append, where, now))
+    context.requests.enqueue(PendingRequest(call, b"", context.outcomes.append, where, now))
 
 
 @then('the request ends with "{code}" within {seconds:g} s and the loop has no timers')
 def check_expired(context, code, seconds):
     context.loopback.run_until(lambda: context.outcomes, seconds)
     assert context.outcomes[0].failure().code == code
-    context.loopback.run_for(2 * EXPIRE_SECONDS)
+    context.loopback.run_for(2 * QUEUE_EXPIRY_INTERVAL_SECONDS)
     assert not timers(context)
 
 
@@ -227,18 +233,18 @@
         "membership": SimpleNamespace(listeners=[]),
         "configuration": SimpleNamespace(listeners=[], accepts_work=lambda _row: context.accepts_work),
         "owned": SimpleNamespace(row=SimpleNamespace(slices=(1,), hot_keys=())),
-        "target": SimpleNamespace(on_lost=[], available=True),
+        "target": SimpleNamespace(lost_listeners=[], available=True),
         "requests": None,
         "leases": SimpleNamespace(holder="the lease of this incarnation"),
     }
     app.services.update(context.services)
     context.scheduler = app.scheduler
-    context.handover = Handover(SimpleNamespace(node="a", rebalance_interval_ms=60_000))
+    context.handover = HandoverCoordinator(SimpleNamespace(node="a", rebalance_interval_ms=60_000))
     app.add(context.handover)
     context.drains = []
-    context.handover.begin_drain = lambda: context.drains.append(context.clock.monotonic())
+    context.handover.start_drain_handover = lambda: context.drains.append(context.clock.monotonic())
     context.handover.on_start()
-    pass_time(context.scheduler, context.clock, 1.0, STEP_SECONDS / 2)
+    pass_time(context.scheduler, context.clock, 1.0, STEP_INTERVAL_SECONDS / 2)
     assert len(context.scheduler.heap) == 1, "only the timer that claims slices without owner may run"
 
 
@@ -253,14 +259,14 @@
         services["membership"].listeners[0]([])
     elif cause == "the loss of the target":
         services["target"].available = False
-        services["target"].on_lost[0]()
+        services["target"].lost_listeners[0]()
     else:
         context.handover.leave()
 
 
 @then("the handover service begins to drain within {milliseconds:d} ms")
 def check_drain(context, milliseconds):
-    pass_time(context.scheduler, context.clock, milliseconds / 1000.0, STEP_SECONDS / 2)
+    pass_time(context.scheduler, context.clock, milliseconds / 1000.0, STEP_INTERVAL_SECONDS / 2)
     assert context.drains
 
 
@@ -271,24 +277,24 @@
 
 @then("the handover service moves nothing")
 def check_no_drain(context):
-    pass_time(context.scheduler, context.clock, 1.0, STEP_SECONDS / 2)
+    pass_time(context.scheduler, context.clock, 1.0, STEP_INTERVAL_SECONDS / 2)
     assert not context.drains
 
 
 @when("two requests with one id and a timeout of {timeout:d} ms are queued on a slice")
 def queue_twice(context, timeout):
-    context.requests.owned = context.owned = Owned("a")
+    context.requests.owned = context.owned = OwnedSlices("a")
     call = Call(new_request_id(0.0), "amt", "s", "default", b"k", "GET", "/", float(timeout), True)
     where = SimpleNamespace(owned=True, hash_value=7, slice=3)
     context.outcomes = []
     now = context.loopback.app.clock.monotonic()
     for _ in range(2):
-        context.requests.enqueue(Pending(call, b"", context.outcomes.append, where, now))
-    assert context.owned.busy(frozenset({3}))
+        context.requests.enqueue(PendingRequest(call, b"", context.outcomes.append, where, now))
+    assert context.owned.busy_slices(frozenset({3}))
 
 
 @then("both end within {seconds:g} s and the slice is not busy")
 def check_both_ended(context, seconds):
     context.loopback.run_until(lambda: len(context.outcomes) == 2, seconds)
-    assert not context.owned.busy(frozenset({3}))
+    assert not context.owned.busy_slices(frozenset({3}))
     assert not context.requests.pending
