Format lines that the joined renames made too long

The renames of several parts met in receiver.py and placement.py and went over 110 columns. Formatter only, and one paragraph of a doc comment reflowed. ruff is clean.

--- a/src/hibiscusdrum/internal/ownership/placement.py
+++ b/src/hibiscusdrum/internal/ownership/placement.py
@@ -112,8 +112,8 @@
 
     Notes
     -----
-    Overloaded nodes give just enough to fall to ``MAX_LOAD_RATIO``, and nodes below ``MIN_LOAD_RATIO`` receive just
-    enough to reach it, so the number of moves stays close to the least possible.
+    Overloaded nodes give just enough to fall to ``MAX_LOAD_RATIO``, and nodes below ``MIN_LOAD_RATIO``
+    receive just enough to reach it, so the number of moves stays close to the least possible.
     """
     if max_moves < 0:
         raise InvalidArgument(name="max_moves", value=max_moves, expected="a number from 0")
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -166,7 +166,9 @@
         Bodies that wait for the link count as the requests that the target would serve in that time.
         """
         admission = self.admission
-        awaited_requests = math.ceil(self.body_gate.expected_wait() / admission.mean_service_seconds * admission.slots)
+        awaited_requests = math.ceil(
+            self.body_gate.expected_wait() / admission.mean_service_seconds * admission.slots
+        )
         return (
             admission.running,
             admission.queued + len(self.awaiting_keys) + awaited_requests,
