--- a/src/hibiscusdrum/internal/router/admission.py
+++ b/src/hibiscusdrum/internal/router/admission.py
@@ -1,8 +1,8 @@
-"""Admission to one target: a queue by urgency, refusals of what cannot be served in time, and cold limits.
+"""Admission control for one target: priority queue, early rejection, and a rate limit after a cold start.
 
-The load that these decisions answer is an overload of one target: more requests than slots, of several
-priorities, some with deadlines that the queue can no longer meet. What cannot be served is refused at once,
-with the time after which there is room again.
+It handles an overload of one target: more requests than slots, of several priorities, some with deadlines
+that can no longer be met. Requests that cannot be served in time are refused immediately, with an estimate of
+when capacity will be available.
 """
 
 from __future__ import annotations
@@ -13,23 +13,24 @@
 from collections import deque
 from typing import Any
 
-# Weight of the newest sample in the averages of service times.
+# Weight of the newest sample in the moving averages of service times.
 SERVICE_TIME_SMOOTHING = 0.1
-# Service time assumed before the first answer, in seconds.
+# Mean service time assumed before the first response.
 INITIAL_SERVICE_SECONDS = 0.15
-# Part of the expected service time that must fit between the expected start and the deadline. Requests vary
-# in length, so a full mean would refuse many that would have fitted.
+# Share of the expected service time that must fit between the expected start and the deadline. Service times
+# vary, so requiring the full mean would refuse many requests that could have been served.
 DEADLINE_SERVICE_SHARE = 0.8
-# A target that was busy without a break for this long is overloaded: a burst has passed by then.
+# A target that was saturated without interruption for this long is overloaded: a burst is over by then.
 SATURATED_SECONDS = 0.6
-# The same for the latency goal. One start in two would be late with the mean alone.
+# Multiple of the expected service time that must fit before the latency goal. With the mean alone, every
+# other request would miss its goal.
 GOAL_SERVICE_SHARE = 1.3
 MIN_GOAL_SECONDS = 0.001
 MIN_RETRY_AFTER_SECONDS = 0.05
 MAX_RETRY_AFTER_SECONDS = 2.0
-# Requests of a cold target are counted over this time, in seconds.
+# Sliding window over which the requests to a cold target are counted.
 COLD_WINDOW_SECONDS = 1.0
-# Share of what a cold target tolerates beyond its rate that is used; the rest covers requests under way.
+# Share used of what a cold target tolerates beyond its rate; the rest is a reserve for requests in flight.
 COLD_TOLERANCE_SHARE = 0.5
 
 
@@ -42,13 +43,17 @@
     Attributes
     ----------
     priority : int
-        0 is the most urgent.
+        0 is the highest priority.
     goal_at, deadline : float
-        Monotonic times in seconds from which an answer counts as late, and is worth nothing.
+        Monotonic times in seconds from which a response is late, and from which it is useless.
     cost_class : str
-        Requests of one class take about the same time.
+        Requests of one class have similar service times.
     goal_bucket : int
-        Logarithm of the time from arrival to the goal: goals of about the same length share a bucket.
+        Binary logarithm of the time from arrival to the goal, so that similar goals share a bucket.
+    late : bool
+        Whether the request can no longer meet its goal; it is then queued behind those that can.
+    removed : bool
+        Whether the entry has left the queue; the heap drops such entries lazily.
     """
 
     __slots__ = ("cost_class", "deadline", "goal_at", "goal_bucket", "item", "late", "priority", "removed")
@@ -67,10 +72,10 @@
 
     @property
     def order(self) -> QueueOrder:
-        """Priority first; then those that can still be on time, short goals before long ones.
+        """Sort key: priority, then requests that can still meet their goal, short goals before long ones.
 
-        By the remaining time alone, requests that have waited for most of a long goal would go before calls
-        with a short one, and the requests that made those calls would fail.
+        If only the remaining time counted, requests that have waited for most of a long goal would precede
+        calls with a short one, and the requests that made those calls would fail.
         """
         if self.late:
             return (self.priority, True, 0, self.deadline)
@@ -78,16 +83,16 @@
 
 
 class ColdStartLimiter:
-    """Limits the requests a second to a target that has just started.
+    """Limits the rate of requests to a target that has just started.
 
     Attributes
     ----------
     rate : float
-        Requests a second that the cold target bears; 0 when not limited.
+        Requests per second that the cold target can handle; 0 if unlimited.
     factor, slack : float
-        In one second it tolerates up to ``rate * factor + slack`` requests.
+        The target tolerates up to ``rate * factor + slack`` requests in any one second.
     warm_at : float
-        Monotonic time in seconds at which it is warm.
+        Monotonic time in seconds at which the target counts as warm.
     """
 
     __slots__ = ("factor", "rate", "sent_times", "slack", "warm_at")
@@ -99,8 +104,8 @@
         self.warm_at = 0.0
         self.sent_times: deque[float] = deque()
 
-    def has_room(self, now: float) -> bool:
-        """Return whether one more request may be sent."""
+    def can_send(self, now: float) -> bool:
+        """Return whether another request may be sent now."""
         if now >= self.warm_at or self.rate <= 0.0:
             return True
         while self.sent_times and self.sent_times[0] <= now - COLD_WINDOW_SECONDS:
@@ -109,35 +114,39 @@
 
     @property
     def max_requests_per_second(self) -> float:
-        """Requests that are sent in one second."""
+        """Maximum number of requests sent in any one second while cold."""
         return self.rate + COLD_TOLERANCE_SHARE * (self.rate * (self.factor - 1.0) + self.slack)
 
     def record(self, now: float) -> None:
-        """Count a request; the last second counts also when the target turns cold now."""
+        """Record a sent request, also while warm: a target that becomes cold has just received those."""
         self.sent_times.append(now)
         while self.sent_times[0] <= now - COLD_WINDOW_SECONDS:
             self.sent_times.popleft()
 
 
 class AdmissionQueue:
-    """Queue in front of one target.
+    """Priority queue in front of one target.
 
-    Requests that can still be on time go before those that cannot. While the target has been busy without a
-    break, the latter are refused: each of them would make one more request late.
+    Requests that can still meet their latency goal precede those that cannot. During an overload the latter
+    are refused, because each of them would delay another request past its goal.
 
     Parameters
     ----------
     slots : int
-        Requests that the target runs at once.
+        Number of requests that the target runs concurrently.
     cold_limiter : ColdStartLimiter, optional
-        Limit while the target is cold; none when not given.
+        Rate limit while the target is cold; unlimited by default.
 
     Attributes
     ----------
     running : int
-        Requests at the target.
+        Number of requests at the target.
+    mean_service_seconds : float
+        Moving average over all requests.
+    class_service_seconds : dict of str to float
+        Moving average for each cost class.
     idle_at : float
-        Monotonic time in seconds at which the target last had room and nothing was queued.
+        Monotonic time in seconds at which the target last had a free slot with nothing queued.
     """
 
     __slots__ = (
@@ -163,35 +172,33 @@
         self.cold_limiter = cold_limiter or ColdStartLimiter()
         self.idle_at = float("-inf")
 
-    # Estimates
-
     def expected_service_seconds(self, cost_class: str) -> float:
-        """Return the mean seconds that requests of a class take at the target."""
+        """Return the expected service time of requests of a class."""
         return self.class_service_seconds.get(cost_class, self.mean_service_seconds)
 
     def has_free_slot(self, now: float) -> bool:
-        """Return whether a request would start at once."""
-        return not self.queued and self.running < self.slots and self.cold_limiter.has_room(now)
+        """Return whether a new request would start immediately."""
+        return not self.queued and self.running < self.slots and self.cold_limiter.can_send(now)
 
     def expected_wait_seconds(self, order: QueueOrder, now: float) -> float:
-        """Return the seconds until a request would start, by what is ahead of it."""
+        """Return the expected seconds until a request starts, given the entries ahead of it."""
         ahead = sum(1 for key, _, entry in self.heap if key <= order and not entry.removed)
         wait = 0.0
         if now < self.cold_limiter.warm_at and self.cold_limiter.rate > 0.0:
             wait = (
-                0.0 if self.cold_limiter.has_room(now) else COLD_WINDOW_SECONDS / 2
+                0.0 if self.cold_limiter.can_send(now) else COLD_WINDOW_SECONDS / 2
             ) + ahead / self.cold_limiter.max_requests_per_second
         starts_before = ahead - (self.slots - self.running) + 1
         return max(wait, starts_before * self.mean_service_seconds / self.slots if starts_before > 0 else 0.0)
 
     def saturated(self, now: float) -> bool:
-        """Return whether a late request would delay others: an overload, not the rest of a burst."""
+        """Return whether the target is overloaded, so that a late request would delay ones still on time."""
         if now - self.idle_at <= SATURATED_SECONDS:
             return False
         return any(not entry.removed and not self.misses_goal(entry, now) for _, _, entry in self.heap)
 
     def is_servable(self, entry: QueueEntry, now: float) -> bool:
-        """Return whether a request should be queued: it can be answered, and on time in an overload."""
+        """Return whether a request is expected to meet its deadline, and in an overload also its goal."""
         start = now + self.expected_wait_seconds(entry.order, now)
         if self.misses_goal(entry, start) and self.saturated(now):
             return False
@@ -200,33 +207,31 @@
         )
 
     def retry_after(self, entry: QueueEntry, now: float) -> float:
-        """Return the seconds after which a refused request would start at once."""
+        """Return the seconds after which a refused request could be expected to start immediately."""
         wait = self.expected_wait_seconds((entry.priority, True, 0, float("inf")), now)
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait))
 
-    # Queue
-
     def push(self, entry: QueueEntry, now: float) -> None:
-        """Queue a request."""
+        """Add a request to the queue."""
         if not self.queued and self.running < self.slots:
             self.idle_at = now
         heapq.heappush(self.heap, (entry.order, next(self.counter), entry))
         self.queued += 1
 
     def remove(self, entry: QueueEntry) -> None:
-        """Take a request out of the queue, for example when its caller has left."""
+        """Remove a request from the queue, for example because its caller has disconnected."""
         if not entry.removed:
             entry.removed = True
             self.queued -= 1
 
     def pop(self, now: float) -> QueueEntry | None:
-        """Return the most urgent request if the target has room, and count it as running."""
+        """Remove the first request if the target has a free slot, and count it as running."""
         while self.heap:
             entry = self.heap[0][2]
             if entry.removed:
                 heapq.heappop(self.heap)
                 continue
-            if self.running >= self.slots or not self.cold_limiter.has_room(now):
+            if self.running >= self.slots or not self.cold_limiter.can_send(now):
                 return None
             heapq.heappop(self.heap)
             if not entry.late and self.misses_goal(entry, now):
@@ -243,11 +248,11 @@
         return None
 
     def misses_goal(self, entry: QueueEntry, now: float) -> bool:
-        """Return whether a request would probably be late even if it started now."""
+        """Return whether a request is expected to miss its goal even if it starts now."""
         return now + self.expected_service_seconds(entry.cost_class) * GOAL_SERVICE_SHARE > entry.goal_at
 
     def remove_unservable(self, now: float) -> list[QueueEntry]:
-        """Remove and return what is not worth waiting for: past its deadline, or late in an overload."""
+        """Remove and return the requests that cannot meet their deadline, or in an overload their goal."""
         saturated = self.saturated(now)
         entries = [
             entry
@@ -264,7 +269,7 @@
         return entries
 
     def remove_all(self) -> list[QueueEntry]:
-        """Remove and return everything that is queued."""
+        """Remove and return all queued requests in their order."""
         entries = [entry for _, _, entry in sorted(self.heap, key=lambda item: item[:2]) if not entry.removed]
         for entry in entries:
             self.remove(entry)
@@ -272,7 +277,13 @@
         return entries
 
     def finish(self, cost_class: str, seconds: float | None) -> None:
-        """Count a request as ended; ``seconds`` is its service time, or None when it says nothing of it."""
+        """Count a request as ended, and update the mean service times.
+
+        Parameters
+        ----------
+        seconds : float or None
+            Service time; None if the outcome does not reflect it.
+        """
         self.running = max(0, self.running - 1)
         if seconds is None:
             return
--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -1,4 +1,4 @@
-"""A caller's request on its way to an answer."""
+"""State of a caller's request until its final response."""
 
 from __future__ import annotations
 
@@ -9,26 +9,34 @@
 
 
 class PendingRequest:
-    """A caller's request on its way to an answer.
+    """A caller's request without a final response, and its attempts so far.
 
     Attributes
     ----------
-    asked, busy, refused : list of str
-        Nodes that it was sent to; of these, those without a free slot, and those that refused or failed.
-    goal : float
-        Monotonic time in seconds from which an answer counts as late.
-    late : bool
-        Whether it came too late for its latency goal.
-    limit, waited : float
-        Seconds for which the caller waits from now on, and those that it has waited before.
-    overload : bool
-        Whether its service refused many requests shortly before it came.
-    full_regions : set of str
-        Regions in which a node refused it because it was overloaded, or to which the link is full.
+    arrived_at, deadline : float
+        Monotonic times in seconds of its arrival, and at which it gets a 504.
+    asked_nodes, busy_nodes, refusing_nodes : list of str
+        Nodes it was sent to; of these, the ones without a free slot, and the ones that refused it or failed.
+    target_attempts : int
+        Number of targets that have received it.
+    owner_changes : int
+        Number of retries because its key had moved to another owner.
+    may_have_run : bool
+        Whether an earlier attempt may have run it.
+    goal_at : float
+        Monotonic time in seconds after which a response is late.
+    late_on_arrival : bool
+        Whether it arrived too late to meet its latency goal.
+    timeout, waited_before : float
+        Seconds that the caller waits from the arrival on, and that it had already waited in earlier attempts.
+    service_overloaded : bool
+        Whether its service was refusing requests because of overload when it arrived.
+    excluded_regions : set of str
+        Regions not to try again: a node there was overloaded, or the link to them is congested.
     sent_at : float
-        Monotonic time in seconds of the last try.
-    path : float
-        Seconds of the last try that neither the target nor its queue took.
+        Monotonic time in seconds of the last attempt.
+    path_seconds : float
+        Seconds of the last attempt that were spent neither in the target nor in its queue.
     """
 
     __slots__ = (
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -1,4 +1,4 @@
-"""Requests of the callers on this VM: the choice of a route and a target, repeats, and the final answer."""
+"""Entry point for callers on this VM: routing, target selection, retries and the final response."""
 
 from __future__ import annotations
 
@@ -35,20 +35,19 @@
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
-# Time a caller is given when it names none, in seconds.
+# Timeout of a request whose deadline header is missing or invalid.
 DEFAULT_TIMEOUT_SECONDS = 10.0
-# Nodes that may refuse a request before its caller is refused; a refusal between daemons costs no target
-# anything.
+# Nodes that may refuse a request before the caller gets a 503. A refusal by a node does not load its target.
 MAX_REFUSING_NODES = 4
-# A request is not sent again with less than this left, in seconds.
+# A request is not retried with less time than this before its deadline.
 MIN_RETRY_REMAINING_SECONDS = 0.05
-# Time after which a caller may come back when nothing better is known: about one report of a target.
+# Retry-After of a 503 when no node gave an estimate: about the interval between two reports of a target.
 DEFAULT_RETRY_AFTER_SECONDS = 0.5
-# Times that a request for a key whose owner has just changed is tried again, and the wait in seconds.
+# Retries of a request whose key has a new owner, and the delay before the owner is looked up again.
 MAX_OWNER_RETRIES = 3
 OWNER_RETRY_DELAY_SECONDS = 0.2
-# Share of the service's budget of repeats that the router uses. A repeated run also repeats the calls of its
-# target, which count at the called service.
+# Share of the service's retry budget that the router uses. The rest is left for the calls that a retried
+# target makes in turn, which count against the budgets of the called services.
 RETRY_BUDGET_SHARE = 0.3
 OVERLOAD_REASONS = (OVERLOADED_REASON, TOO_LATE_REASON)
 THROTTLED_REASON = "throttled"
@@ -57,17 +56,25 @@
 
 
 class Gateway(Service):
-    """Answers the requests of this VM's callers.
+    """Accepts requests from callers on this VM and responds to them.
 
     Parameters
     ----------
     header_names : HeaderNames
-        Headers of callers and targets.
+        Names of the headers exchanged with callers and targets.
 
     Attributes
     ----------
     route_table : RouteTable
-        The configuration in force here.
+        The configuration that is currently active on this node.
+    replaced_headers : set of str
+        Headers of the caller that are not forwarded, because each hop sets its own.
+    pending_requests : set of PendingRequest
+        Requests that have no final response yet.
+    stopping : bool
+        Whether the process is shutting down; connections are then closed after their response.
+    closed : bool
+        Whether new requests are refused because the process is about to exit.
     """
 
     service_name = "gateway"
@@ -92,7 +99,7 @@
         self.closed = False
 
     def on_start(self) -> None:
-        """Listen for callers."""
+        """Look up the services this one uses, and listen for callers."""
         find = self.app.find
         self.members: Members = find("members")
         self.range_owner: RangeOwner = find("range_owner")
@@ -104,12 +111,12 @@
         self.entry.listen(self.settings.caller_address, self.on_request)
 
     def close(self) -> None:
-        """Refuse new requests and connections, because the process ends when those under way have ended."""
+        """Refuse new requests and connections; the process exits once the pending requests have ended."""
         self.closed = True
         self.entry.stop_listening(self.settings.caller_address)
 
     def set_route_table(self, table: RouteTable) -> None:
-        """Put a configuration in force; an older one changes nothing."""
+        """Activate a configuration if it is newer than the active one."""
         if table.version <= self.route_table.version:
             return
         previous, self.route_table = self.route_table, table
@@ -125,17 +132,15 @@
         )
 
     def refuse_unsent(self) -> None:
-        """Refuse the requests whose bodies no node has asked for, because the process ends."""
+        """Refuse the requests whose bodies are not completely sent, because the process is about to exit."""
         for pending in list(self.pending_requests):
             if pending.forward is not None and self.forwarder.has_unsent_body(pending.forward.id):
                 self.cancel_forward(pending)
                 pending.reason = "stopping"
                 self.refuse(pending)
 
-    # A new request
-
     def on_request(self, request: EntryRequest) -> None:
-        """Find the route of a request and send it on its way."""
+        """Match a new request to a route, and dispatch or refuse it."""
         now = self.app.clock.monotonic()
         if self.route_table.version == 0 or self.closed:
             self.refuse_unrouted(request, 503, "stopping" if self.closed else "no_configuration")
@@ -168,7 +173,7 @@
             self.dispatch(pending)
 
     def request_timeout(self, request: EntryRequest) -> float:
-        """Return the seconds for which the caller waits."""
+        """Return the caller's timeout in seconds, from its deadline header."""
         try:
             timeout = float(request.header(self.header_names.deadline_ms) or "") / 1000.0
         except ValueError:
@@ -176,7 +181,7 @@
         return timeout if 0.0 < timeout < float("inf") else DEFAULT_TIMEOUT_SECONDS
 
     def refuse_unrouted(self, request: EntryRequest, status: int, reason: str) -> None:
-        """Answer a request that has no route or no key."""
+        """Respond with an error to a request that cannot be matched to a service or a key."""
         attempt_id = request.header(self.header_names.attempt_id) or ""
         log_events.emit(
             events.RequestEnded(
@@ -196,10 +201,8 @@
             headers.append(("retry-after", f"{DEFAULT_RETRY_AFTER_SECONDS:.3f}"))
         request.respond(status, headers, close=self.closed)
 
-    # Placing
-
     def dispatch(self, pending: PendingRequest) -> None:
-        """Send a request to the owner of its key, or to the node that probably answers first."""
+        """Send a request to the owner of its key, or else to the node that is expected to respond first."""
         now = self.app.clock.monotonic()
         only_if_free = False
         if pending.key >= 0:
@@ -236,14 +239,14 @@
         self.send_to_node(pending, node, now, only_if_free)
 
     def eligible_candidates(self, pending: PendingRequest) -> list[Candidate]:
-        """Return the nodes that may serve a request, those of regions without room for it left out."""
+        """Return the nodes that may serve a request, without those of its excluded regions."""
         candidates = self.members.candidates(pending.service, pending.route.regions)
         if not pending.excluded_regions:
             return candidates
         return [entry for entry in candidates if entry.region not in pending.excluded_regions]
 
     def send_to_node(self, pending: PendingRequest, node: str, now: float, only_if_free: bool) -> None:
-        """Pass a request to a node."""
+        """Forward a request to a node, which may be this one."""
         request = pending.request
         pending.node, pending.sent_at = node, now
         pending.asked_nodes.append(node)
@@ -278,18 +281,16 @@
             reply(Declined(forward.id, "peer_disconnected", False, False, 0.0, (0, 0, 1, 0.15, False)), b"")
 
     def forwarded_headers(self, request: EntryRequest) -> tuple[tuple[str, str], ...]:
-        """Return the headers that are passed on: the host, and all but those that are set anew."""
+        """Return the headers to forward: the host, and all that are not hop-by-hop or set by the router."""
         host = ("host", request.header("host") or "")
         return (host, *(entry for entry in request.headers if entry[0] not in self.replaced_headers))
 
-    # Outcomes
-
     def on_reply(
         self, pending: PendingRequest, forward: Forward, answer: Answered | Declined, body: bytes
     ) -> None:
-        """Take the outcome of one try."""
+        """Process the outcome of one attempt."""
         if pending not in self.pending_requests or pending.forward is not forward:
-            # The request was withdrawn, and counted as ended then.
+            # The attempt was cancelled, and was counted as ended at that time.
             return
         self.selector.on_ended(pending.node)
         now = self.app.clock.monotonic()
@@ -303,7 +304,7 @@
     def on_answered(
         self, pending: PendingRequest, forward: Forward, answer: Answered, body: bytes, now: float
     ) -> None:
-        """Pass the target's answer on; a failure of a request that may be repeated is tried elsewhere."""
+        """Return the target's response to the caller, or retry elsewhere after a retryable server error."""
         pending.target_attempts += 1
         self.overload_control.on_answered(pending, forward, answer, now)
         pending.path_seconds = now - pending.sent_at - answer.held
@@ -322,7 +323,7 @@
         self.finish(pending, answer.status, headers, body, "answered")
 
     def on_declined(self, pending: PendingRequest, answer: Declined, now: float) -> None:
-        """Try another node, or give the final answer."""
+        """Send a declined request to another node, or give the final response."""
         if answer.reason == BUSY_REASON:
             self.overload_control.on_busy(pending, now)
             pending.busy_nodes.append(pending.node)
@@ -331,7 +332,7 @@
         pending.reason = answer.reason
         pending.refusing_nodes.append(pending.node)
         if answer.reason in OVERLOAD_REASONS:
-            # The node that was asked was the best of a sample, so others of its region rarely have room.
+            # The declining node was the best of a sample, so other nodes of its region rarely have capacity.
             pending.excluded_regions.add(self.members.region_of(pending.node))
         pending.target_attempts += answer.arrived
         if answer.retry_after:
@@ -351,7 +352,7 @@
         if owner_changed and pending.owner_changes < MAX_OWNER_RETRIES:
             pending.owner_changes += 1
             if answer.owner and answer.owner not in pending.asked_nodes:
-                # The former owner knows the new one without a read of the ring.
+                # The previous owner named the new one, so the ring need not be read.
                 self.send_to_node(pending, answer.owner, now, False)
                 return
             self.app.scheduler.call_later(OWNER_RETRY_DELAY_SECONDS, lambda: self.resolve_owner(pending))
@@ -370,7 +371,7 @@
             self.dispatch(pending)
 
     def resolve_owner(self, pending: PendingRequest) -> None:
-        """Learn who owns the key of a request now, and place the request again."""
+        """Look up the current owner of a request's key, and dispatch the request to it."""
         if pending not in self.pending_requests:
             return
         owner_changed = self.rings.owner_node(pending.service, pending.key) != pending.node
@@ -380,12 +381,18 @@
             self.rings.refresh_ring(pending.service, lambda: self.dispatch_if_pending(pending))
 
     def dispatch_if_pending(self, pending: PendingRequest) -> None:
-        """Place a request whose key had moved."""
+        """Dispatch a request again unless it has ended meanwhile."""
         if pending in self.pending_requests:
             self.dispatch(pending)
 
     def may_retry(self, pending: PendingRequest, now: float, executed: bool = True) -> bool:
-        """Return whether a request may be sent to one more target, within the budget of its service."""
+        """Return whether a request may be sent to another target; if so, charge it to the retry budget.
+
+        Parameters
+        ----------
+        executed : bool
+            Whether the previous target may have run it, so that it must be safe to repeat.
+        """
         if executed and not pending.route.repeatable:
             return False
         if pending.target_attempts >= max(1, pending.route.attempts):
@@ -395,7 +402,7 @@
         return self.retry_budget(pending.service).try_spend_retry(now)
 
     def retry(self, pending: PendingRequest, reason: str) -> None:
-        """Send a request that may have run to another target."""
+        """Retry on another target a request that may already have run."""
         pending.may_have_run = True
         log_events.emit(
             events.RequestRepeated(
@@ -409,10 +416,10 @@
         self.dispatch(pending)
 
     def retry_budget(self, service: str) -> RetryBudget:
-        """Return the budget of requests that are sent to a second target."""
+        """Return the retry budget of a service, adjusted to the current number of nodes."""
         budget = self.retry_budgets.get(service)
         settings = self.settings
-        # All nodes draw on one budget, and each knows only its own repeats.
+        # The budget is for all nodes together, and each node counts only its own retries.
         slack = settings.retry_slack * RETRY_BUDGET_SHARE / max(1, len(self.members.nodes))
         if budget is None:
             ratio = min(1.0, settings.retry_ratio * RETRY_BUDGET_SHARE)
@@ -421,10 +428,8 @@
         budget.min_tokens_per_second = slack / settings.retry_window
         return budget
 
-    # Final answers
-
     def refuse(self, pending: PendingRequest) -> None:
-        """Answer that a request has not run, and when to come back."""
+        """Respond that a request has not run, with a Retry-After; 502 if an earlier attempt may have run."""
         if pending.may_have_run:
             self.answer_failure(pending, 502)
             return
@@ -436,12 +441,12 @@
         self.finish(pending, 503, headers, b"", pending.reason)
 
     def answer_failure(self, pending: PendingRequest, status: int) -> None:
-        """Answer that the outcome is not known."""
+        """Respond with a status that leaves open whether the request has run."""
         headers = [(self.header_names.attempt_id, pending.attempt_id)] if pending.attempt_id else []
         self.finish(pending, status, headers, b"", pending.reason)
 
     def on_deadline(self, pending: PendingRequest) -> None:
-        """Give up on a request whose time has passed."""
+        """Respond with 504 to a request that has reached its deadline."""
         if pending not in self.pending_requests:
             return
         pending.reason = pending.reason or "deadline"
@@ -450,14 +455,14 @@
         self.answer_failure(pending, 504)
 
     def on_caller_disconnect(self, pending: PendingRequest) -> None:
-        """Withdraw a request whose caller has closed the connection."""
+        """Cancel a request whose caller has closed its connection."""
         if pending not in self.pending_requests:
             return
         self.cancel_forward(pending)
         self.finish(pending, 499, [], b"", "caller_gone")
 
     def cancel_forward(self, pending: PendingRequest) -> None:
-        """Tell whoever has the request that nobody waits for it."""
+        """Cancel the current attempt at the node that has it."""
         forward = pending.forward
         if forward is None:
             return
@@ -470,7 +475,7 @@
     def finish(
         self, pending: PendingRequest, status: int, headers: list[tuple[str, str]], body: bytes, reason: str
     ) -> None:
-        """Give the final answer."""
+        """Log and count the outcome of a request, and respond unless the caller has disconnected."""
         self.pending_requests.discard(pending)
         if pending.timer is not None:
             pending.timer.cancel()
@@ -498,5 +503,5 @@
 
     @property
     def has_pending(self) -> bool:
-        """Whether a caller waits for an answer."""
+        """Whether any request has no final response yet."""
         return bool(self.pending_requests)
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -1,4 +1,4 @@
-"""Requests between daemons: sending, answers, and the liveness of peers that have requests of this node."""
+"""Forwarding of requests between nodes, and failure detection for peers with outstanding requests."""
 
 from __future__ import annotations
 
@@ -29,34 +29,34 @@
 from hibiscusdrum.internal.router.traffic import Traffic
 
 PING_INTERVAL_SECONDS = 0.25
-# A peer with requests of this node that has been silent for this long is taken to be unreachable. A round
-# trip between regions takes 60 ms, and a busy peer may be late by a few hundred.
+# A peer with outstanding requests counts as unreachable after this much silence. A round trip between regions
+# takes 60 ms, and a busy peer may respond a few hundred milliseconds late.
 MAX_SILENCE_SECONDS = 1.0
-# Age beyond the fastest message of the same sender at which a message counts as held up on its way.
+# Transit delay, relative to the fastest message of the same sender, beyond which a message counts as late.
 LATE_MESSAGE_SECONDS = 0.5
-# Age beyond the fastest message from the same region at which this VM's link counts as congested, and for how
-# long after. Uncongested links within a region delay messages by a few milliseconds.
+# Transit delay of a message from the same region beyond which this VM's link counts as congested, and for how
+# long after that message. Uncongested links within a region delay messages by a few milliseconds.
 CONGESTION_DELAY_SECONDS = 0.2
 CONGESTION_HOLD_SECONDS = 1.0
-# The fastest message is remembered for one to two such periods, so that a change of the path is followed.
+# The fastest message is remembered for one to two such periods, to adapt to a change of the network path.
 BASELINE_PERIOD_SECONDS = 30.0
 SILENT_REASON = "silent"
-# First bytes of a request's id, which name the process that sent it.
+# Leading bytes of a request id that identify the sending process.
 PROCESS_ID_BYTES = 6
-# A larger body is only offered, and sent when the receiver asks for it: a round trip costs less than the time
-# that it takes on a narrow link.
+# A larger body is not sent with the request but offered, and sent when the receiver asks for it: the extra
+# round trip takes less time than such a body takes on a slow link.
 MAX_INLINE_BODY_BYTES = 16_384
 
 ReplyCallback = Callable[[Answered | Declined | SendBody, bytes], None]
 
 
 class OutstandingRequest:
-    """A request sent to a peer, without an answer yet.
+    """A request sent to a peer that has not been answered yet.
 
     Attributes
     ----------
     unsent_body : bytes
-        Body that was offered and not yet sent to its end; the request cannot have run without it.
+        Offered body until its last part is sent; until then the request cannot have run.
     """
 
     __slots__ = ("address", "callback", "node", "sent_at", "unsent_body")
@@ -72,7 +72,10 @@
 
 
 class TransitDelay:
-    """Age of one sender's messages, relative to its fastest."""
+    """Transit delay of one sender's messages, relative to its fastest one.
+
+    The clocks of sender and receiver may differ by any constant, so absolute delays are unknown.
+    """
 
     __slots__ = ("fastest", "period_started_at", "previous_fastest")
 
@@ -82,7 +85,7 @@
         self.period_started_at = 0.0
 
     def record(self, sent_at: float, now: float) -> float:
-        """Note a message; returns by how many seconds it is slower than the fastest one."""
+        """Record a message, and return its delay in seconds beyond the fastest message."""
         if now - self.period_started_at > BASELINE_PERIOD_SECONDS:
             self.previous_fastest, self.fastest, self.period_started_at = self.fastest, float("inf"), now
         age = now - sent_at
@@ -91,7 +94,7 @@
 
 
 class PeerState:
-    """What is known of a peer's process."""
+    """Liveness of a peer's process, as seen from this node."""
 
     __slots__ = ("address", "incarnation", "last_heard_at", "pinged_at", "reachable")
 
@@ -104,16 +107,22 @@
 
 
 class Forwarder(Service):
-    """Sends requests to other daemons, and receives theirs.
+    """Forwards requests to other nodes, and receives theirs.
 
     Attributes
     ----------
+    incarnation : str
+        Identifies this start of the process to peers.
+    process_id : bytes
+        Random prefix of this process's request ids.
     on_forward : callable or None
-        Takes a forwarded request: message, body, seconds of delay on the way, and what to call then.
+        Called with a received request: message, body, transit delay in seconds, and reply callback.
     on_cancel : callable or None
-        Takes the id of a request whose caller no longer waits.
+        Called with the id of a received request whose caller has disconnected.
     on_body_part : callable or None
-        Takes the id of a request, the position of a part of its body, and that part.
+        Called with the id of a received request, the offset of a part of its body, and that part.
+    load_report : callable
+        Returns the load of this node's target, which is sent with each pong.
     """
 
     service_name = "hop"
@@ -136,7 +145,7 @@
         self.load_report: Callable[[], tuple[int, int, int, float, bool]] = lambda: (0, 0, 1, 0.0, False)
 
     def on_start(self) -> None:
-        """Listen to peers, and connect to them as they appear."""
+        """Register for the messages of peers, and connect to nodes as they join."""
         self.started_at = self.now
         self.peers = self.app.find("peers")
         self.members: Members = self.app.find("members")
@@ -148,25 +157,25 @@
 
     @property
     def now(self) -> float:
-        """Steady time in seconds."""
+        """Monotonic time in seconds."""
         return self.app.clock.monotonic()
 
     def connect_to_members(self) -> None:
-        """Open connections to all nodes, and close those to nodes that are gone."""
+        """Open connections to all nodes, and close those to removed nodes."""
         for row in self.members.nodes.values():
             if row.node != self.settings.node:
                 state = self.peer_states.get(row.node)
                 if state is None or state.address != row.peer_address:
                     self.peer_states[row.node] = PeerState(row.peer_address, self.now)
-                    # Heartbeats between regions would take more of the link than requests.
+                    # Heartbeats between regions would use more of the link than requests.
                     self.peers.peer(row.peer_address, heartbeats=row.region == self.settings.region)
         self.disconnect_removed()
 
     def disconnect_removed(self) -> None:
-        """Close connections to nodes whose rows are gone, unless requests are there.
+        """Close connections to nodes whose rows were removed and that have no outstanding requests.
 
-        A row is also removed before its node has answered everything, and that of a node that only cannot
-        reach the store; an end of the node shows by its silence.
+        The row of a node may be removed before the node has answered all requests, or because the node cannot
+        reach the store. Whether the node has ended is decided by its silence instead.
         """
         busy = {entry.node for entry in self.outstanding.values()}
         for node in [
@@ -175,13 +184,11 @@
             self.peers.forget_peer(self.peer_states.pop(node).address)
 
     def next_request_id(self) -> bytes:
-        """Return a new id of a request."""
+        """Return a new request id."""
         return self.process_id + next(self.request_counter).to_bytes(5, "big")
 
-    # Sending
-
     def send(self, node: str, forward: Forward, body: bytes, callback: ReplyCallback) -> bool:
-        """Send a request; False when nothing was sent because there is no connection."""
+        """Send a request; return False if nothing was sent because there is no connection."""
         state = self.peer_states.get(node)
         unsent_body = b""
         if len(body) > MAX_INLINE_BODY_BYTES:
@@ -197,7 +204,7 @@
         return True
 
     def send_body_part(self, asked: SendBody) -> None:
-        """Send the part of a body that a receiver asks for."""
+        """Send the part of an offered body that the receiver asks for."""
         entry = self.outstanding.get(asked.id)
         if entry is None or not entry.unsent_body:
             return
@@ -210,18 +217,18 @@
                 entry.unsent_body = b""
 
     def has_unsent_body(self, request_id: bytes) -> bool:
-        """Return whether the end of a request's body was not sent, so that it cannot have run."""
+        """Return whether a request cannot have run because its body has not been sent completely."""
         entry = self.outstanding.get(request_id)
         return entry is not None and bool(entry.unsent_body)
 
     def cancel(self, request_id: bytes) -> None:
-        """Tell the peer that nobody waits for a request; its answer is dropped."""
+        """Ask the peer to cancel a request; a reply that still arrives is dropped."""
         entry = self.outstanding.pop(request_id, None)
         if entry is not None:
             self.peers.try_send_request(entry.address, Cancel(request_id))
 
     def on_reply(self, message: Message, body: bytes) -> None:
-        """Pass an answer to the sender of its request."""
+        """Process a message that answers an earlier one of this node."""
         kind = type(message)
         if kind is Pong:
             self.on_pong(message)
@@ -241,7 +248,7 @@
         entry.callback(message, body)
 
     def on_pong(self, pong: Pong) -> None:
-        """Note that a peer lives; what was sent to an earlier process of it is lost."""
+        """Record that a peer is alive; decline the requests sent to its previous incarnation."""
         state = self.peer_states.get(pong.node)
         if state is None:
             return
@@ -253,12 +260,12 @@
         self.selector.on_report(pong.node, LoadReport(*pong.load), now)
         self.selector.path_delay(self.members.region_of(pong.node)).record(now - pong.sent_at, now)
         if state.incarnation and state.incarnation != pong.incarnation:
-            # What was sent since the new process listens has reached it, and it still works on it.
+            # Requests sent after the new process began to listen have reached it and are still being served.
             self.decline_outstanding(pong.node, "restarted", before=now - pong.age)
         state.incarnation = pong.incarnation
 
     def ping(self) -> None:
-        """Ask the peers that have requests of this node; give up on those that have been silent."""
+        """Ping the peers with outstanding requests; mark those that were silent too long as unreachable."""
         self.disconnect_removed()
         now = self.now
         waiting: dict[str, float] = {}
@@ -275,7 +282,7 @@
                 self.mark_unreachable(node, state, SILENT_REASON if sent else "disconnected")
 
     def mark_unreachable(self, node: str, state: PeerState, reason: str) -> None:
-        """Take a peer to be unreachable: what it has is given up."""
+        """Mark a peer as unreachable, and decline its outstanding requests."""
         if state.reachable:
             state.reachable = False
             log_events.emit(
@@ -287,7 +294,7 @@
                 )
             )
             if reason == SILENT_REASON:
-                # What the old connection still holds must not arrive later.
+                # Messages that are still buffered in the old connection must not be delivered later.
                 row = self.members.nodes.get(node)
                 self.peers.forget_peer(state.address)
                 self.peers.peer(state.address, row is not None and row.region == self.settings.region)
@@ -295,7 +302,7 @@
         self.decline_outstanding(node, reason)
 
     def decline_outstanding(self, node: str, reason: str, before: float = float("inf")) -> None:
-        """Decline the requests at a peer; they may have run, unless their body was not sent."""
+        """Decline the outstanding requests of a peer; they may have run unless their body was not sent."""
         ids = [
             request_id
             for request_id, entry in self.outstanding.items()
@@ -311,10 +318,8 @@
                 b"",
             )
 
-    # Receiving
-
     def on_request(self, identity: bytes, message: Message, body: bytes) -> None:
-        """Take a message of another daemon."""
+        """Process a message from another node."""
         kind = type(message)
         if kind is Forward:
             delay = self.transit_delay(message.origin, message.id[:PROCESS_ID_BYTES], message.sent_at)
@@ -338,19 +343,20 @@
 
     @property
     def link_congested(self) -> bool:
-        """Whether messages to this VM are held up on its link."""
+        """Whether messages to this VM were recently delayed by its link."""
         return self.now < self.congested_until
 
     def note_congestion(self, origin: str, delay: float) -> None:
-        """Ask others to send elsewhere for a while, because messages from nearby were held up."""
+        """Treat the link as congested for a while, because a message from the same region was delayed."""
         if not self.link_congested:
             log_events.emit(events.LinkCongested(peer=origin, delay_s=round(delay, 3)))
         self.congested_until = self.now + CONGESTION_HOLD_SECONDS
 
     def transit_delay(self, origin: str, process: bytes, sent_at: float) -> float:
-        """Return by how many seconds a message was held up on its way; 0 for usual delays.
+        """Return the transit delay of a message in seconds; 0 if it is not late.
 
-        Another process of the same node may be on a VM that was started anew, whose clock has too.
+        The measurement restarts with each process of the sender, because its VM may have restarted, and with
+        it the monotonic clock.
         """
         known, transit = self.transit_delays.get(origin, (b"", None))
         if transit is None or known != process:
--- a/src/hibiscusdrum/internal/router/overload.py
+++ b/src/hibiscusdrum/internal/router/overload.py
@@ -1,7 +1,7 @@
-"""What a node knows of overloads: who was refused, and which requests it refuses without sending them.
+"""Overload control on the caller's node: which requests are refused without being forwarded.
 
-The decisions themselves are in ``throttle``, ``returns`` and ``path_delay``; this keeps one of them for each
-route, service or region, and asks them in turn.
+The algorithms are in ``throttle``, ``returns`` and ``path_delay``. This module keeps their state for each
+route and service, feeds them outcomes, and combines their decisions.
 """
 
 from __future__ import annotations
@@ -15,17 +15,17 @@
 from hibiscusdrum.internal.router.routes import Route
 from hibiscusdrum.internal.router.throttle import Throttle
 
-# A request with less than this share of its latency goal left will hardly meet it.
+# A request that arrives with less than this share of its latency goal left is unlikely to meet it.
 MIN_GOAL_SHARE_LEFT = 0.5
 
 
 class OverloadControl:
-    """Outcomes of this node's requests, and what follows for the next ones; times are monotonic, in seconds.
+    """Decides from the outcomes of earlier requests which new ones to refuse; times are monotonic seconds.
 
     Parameters
     ----------
     rng : random.Random
-        Chooses which requests are refused.
+        Selects the requests to refuse.
     """
 
     __slots__ = ("returning_callers", "rng", "throttles")
@@ -36,7 +36,7 @@
         self.returning_callers: dict[str, ReturningCallers] = {}
 
     def throttle_of(self, pending: PendingRequest) -> Throttle:
-        """Return the outcomes of the requests of a route to one of its services."""
+        """Return the throttle for the route and service of a request."""
         key = (pending.route.name, pending.service)
         instance = self.throttles.get(key)
         if instance is None:
@@ -44,14 +44,14 @@
         return instance
 
     def returning_callers_of(self, route: Route) -> ReturningCallers:
-        """Return the refused callers of a route."""
+        """Return the recently refused callers of a route."""
         instance = self.returning_callers.get(route.name)
         if instance is None:
             instance = self.returning_callers[route.name] = ReturningCallers()
         return instance
 
     def on_arrival(self, pending: PendingRequest, now: float) -> None:
-        """Set when a request counts as late, by when its caller came first."""
+        """Set the latency goal of a request, counted from the first attempt of its caller."""
         first = self.returning_callers_of(pending.route).first_attempt(now + pending.timeout, now)
         pending.waited_before = now - first
         goal = pending.route.latency_goal
@@ -60,9 +60,10 @@
             pending.late_on_arrival = pending.goal_at - now < MIN_GOAL_SHARE_LEFT * goal
 
     def refuses(self, pending: PendingRequest, now: float) -> bool:
-        """Return whether to refuse a request without asking an overloaded service.
+        """Return whether to refuse a request immediately because its service is overloaded.
 
-        A key has one owner, whose load says nothing of the others.
+        Requests with a key are never throttled: the load of one key's owner says nothing about that of
+        others.
         """
         if pending.key >= 0:
             return False
@@ -74,23 +75,23 @@
         return refused
 
     def withholds_from_path(self, path: PathDelay, now: float) -> bool:
-        """Return whether a request is not sent to another region, because the link to it is full."""
+        """Return whether a request should not be sent to another region because the link is congested."""
         return self.in_random_share(path.refused_share(now))
 
     def in_random_share(self, share: float) -> bool:
-        """Return whether a request belongs to the share that is refused."""
+        """Return True with the given probability."""
         return share > 0.0 and self.rng.random() < share
 
     def probing_pays(self, pending: PendingRequest, now: float) -> bool:
-        """Return whether nodes should be asked for a free slot before a request is queued."""
+        """Return whether nodes should be probed for a free slot before a request is queued."""
         return not pending.service_overloaded and self.throttle_of(pending).probing_pays(now)
 
     def on_busy(self, pending: PendingRequest, now: float) -> None:
-        """Note that a node had no free slot."""
+        """Record that a probed node had no free slot."""
         self.throttle_of(pending).record_probe(False, now)
 
     def on_answered(self, pending: PendingRequest, forward: Forward, answer: Answered, now: float) -> None:
-        """Note that a target ran a request."""
+        """Record that a target ran a request."""
         throttle = self.throttle_of(pending)
         if forward.only_if_free:
             throttle.record_probe(True, now)
@@ -98,10 +99,10 @@
         throttle.record(True, now, free_slot=running + queued < slots, late=pending.late_on_arrival)
 
     def on_not_served(self, pending: PendingRequest, now: float) -> None:
-        """Note that a request was not served, for an overload of the service or of the way to it."""
+        """Record that a request was not served because the service or the network path was overloaded."""
         self.throttle_of(pending).record(False, now, late=pending.late_on_arrival)
 
     def on_refused(self, pending: PendingRequest, wait: float, now: float) -> None:
-        """Note that a caller was told to come back after ``wait`` seconds."""
+        """Record that a caller was refused with a Retry-After of ``wait`` seconds."""
         gives_up_at, first = pending.arrived_at + pending.timeout, pending.arrived_at - pending.waited_before
         self.returning_callers_of(pending.route).record(gives_up_at, first, now, wait)
--- a/src/hibiscusdrum/internal/router/path_delay.py
+++ b/src/hibiscusdrum/internal/router/path_delay.py
@@ -1,27 +1,27 @@
-"""How long messages to another region are held up on their way, and what share of requests to send there.
+"""Congestion control for links between regions, based on round trip times.
 
-The load that these decisions answer is a link between regions that gets more than it can carry. Its queue
-grows until everything that crosses it is late, what could be answered included. Round trips show the queue
-within a second; requests are then refused at the caller's node, more of them the longer the queue is.
+It handles a link that is offered more traffic than it can carry: its queue grows until all messages on it are
+late, including those for requests that could be served. Round trip times reveal the queue within a second.
+Then requests are refused at the caller's node, in a share that grows with the queueing delay.
 """
 
 from __future__ import annotations
 
 from collections import deque
 
-# Round trips count for this long, in seconds; nodes with requests of this one are asked four times a second.
+# Age up to which round trips count. Nodes with outstanding requests are pinged four times a second.
 WINDOW_SECONDS = 1.0
-# The shortest round trip is remembered for one to two such periods, so that a change of the path is followed.
+# The shortest round trip is remembered for one to two such periods, to adapt to a change of the network path.
 BASELINE_PERIOD_SECONDS = 30.0
-# Delay in seconds up to which nothing is refused: a burst passes the link in this time.
+# Queueing delay up to which nothing is refused: a burst passes the link in this time.
 TOLERATED_DELAY_SECONDS = 0.1
-# Further delay in seconds at which all but the last share would be refused.
+# Additional queueing delay at which all requests would be refused, were it not for the maximum share.
 FULL_REFUSAL_DELAY_SECONDS = 0.4
 MAX_REFUSED_SHARE = 0.9
 
 
 class PathDelay:
-    """Round trips to the nodes of one region."""
+    """Round trip times to the nodes of one region, and the share of requests to refuse."""
 
     __slots__ = ("period_started_at", "previous_shortest", "recent", "shortest")
 
@@ -32,7 +32,7 @@
         self.recent: deque[tuple[float, float]] = deque()
 
     def record(self, seconds: float, now: float) -> None:
-        """Note a round trip."""
+        """Record the duration of a round trip."""
         if now - self.period_started_at > BASELINE_PERIOD_SECONDS:
             self.previous_shortest, self.shortest, self.period_started_at = self.shortest, float("inf"), now
         self.shortest = min(self.shortest, seconds)
@@ -40,14 +40,15 @@
         self.drop_expired(now)
 
     def drop_expired(self, now: float) -> None:
-        """Drop round trips that say nothing any more."""
+        """Drop the round trips that are too old to count."""
         while self.recent and now - self.recent[0][0] > WINDOW_SECONDS:
             self.recent.popleft()
 
     def queueing_seconds(self, now: float) -> float:
-        """Return the seconds by which round trips are longer than the shortest known one.
+        """Return the queueing delay: recent round trips in excess of the shortest known one, in seconds.
 
-        The shortest recent one counts: a longer one may have been held up by the link of its node alone.
+        The shortest recent round trip is used, because the link of a single node may have delayed longer
+        ones.
         """
         self.drop_expired(now)
         if not self.recent:
@@ -55,6 +56,6 @@
         return min(seconds for _, seconds in self.recent) - min(self.shortest, self.previous_shortest)
 
     def refused_share(self, now: float) -> float:
-        """Return the share of requests that is not to be sent there."""
+        """Return the share of requests not to send to the region."""
         excess = (self.queueing_seconds(now) - TOLERATED_DELAY_SECONDS) / FULL_REFUSAL_DELAY_SECONDS
         return min(MAX_REFUSED_SHARE, max(0.0, excess))
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -1,4 +1,4 @@
-"""Requests at the VM of their target: admission, the exchange with the target, and the outcome."""
+"""Requests on the VM of their target: admission, the HTTP exchange with the target, and the outcome."""
 
 from __future__ import annotations
 
@@ -31,11 +31,11 @@
 )
 
 EXPIRY_INTERVAL_SECONDS = 0.02
-# A target ends work at the deadline that it is given; its answer to that may take this long to arrive.
+# A target stops work at the deadline it is given; its response to that may arrive this much later.
 RESPONSE_GRACE_SECONDS = 0.15
-# Requests that target and queue have given up on are not sent with less than this left, in seconds.
+# A request with less time than this before its deadline is not sent to the target.
 MIN_SEND_REMAINING_SECONDS = 0.005
-# Connections beyond the slots: health checks, and those whose answers are still being read.
+# Connections beyond the slots, for health checks and for responses that are still being read.
 SPARE_CONNECTIONS = 4
 SERVICE_UNAVAILABLE_STATUS = 503
 MISDIRECTED_STATUS = 421
@@ -45,7 +45,7 @@
 OVERLOADED_REASON = "overloaded"
 TOO_LATE_REASON = "too_late"
 REFUSED_REASON = "target_refused"
-# A body that would arrive later than this share of the time that its request has is not asked for.
+# A body is requested only if it can arrive within this share of the time left for its request.
 MAX_BODY_WAIT_SHARE = 0.5
 BUSY_REASON = "busy"
 LATE_REASON = "late"
@@ -70,7 +70,19 @@
 
 
 class Job:
-    """A request on this VM without an outcome."""
+    """A request for this VM's target that has no outcome yet.
+
+    Attributes
+    ----------
+    goal_at, deadline : float
+        Monotonic times in seconds from which a response is late, and from which it is useless.
+    body_parts : list of bytes
+        Parts of a large body received so far.
+    queue_entry : QueueEntry or None
+        Entry in the admission queue, once queued.
+    exchange : HttpExchange or None
+        HTTP exchange with the target while it is in progress.
+    """
 
     __slots__ = (
         "arrived_at",
@@ -99,18 +111,22 @@
 
 
 class Receiver(Service):
-    """Admits requests to this VM's target.
+    """Admits requests to this VM's target and sends them to it.
 
     Attributes
     ----------
     body_gate : BodyGate
-        Large bodies that were offered or asked for.
+        Large bodies that were offered, and those of them that were requested.
+    jobs : dict of bytes to Job
+        Requests without an outcome, by request id.
     awaiting_keys : list of Job
-        Requests for keys that the target is about to be given.
+        Requests for keys that the target is about to be granted.
     stopping : bool
-        Whether the process ends soon; requests that other targets may serve are then refused.
+        Whether the process is shutting down; requests that other targets may serve are then refused.
     closed : bool
-        Whether all new requests are refused, so that the process can end.
+        Whether all new requests are refused, so that the process can exit.
+    replaced_headers : set of str
+        Headers of the forwarded request that are replaced by those for the target.
     """
 
     service_name = "receiver"
@@ -136,7 +152,7 @@
         }
 
     def on_start(self) -> None:
-        """Find the services of the path."""
+        """Look up the services this one uses, and register for their events."""
         find = self.app.find
         self.target: LocalTarget = find("local_target")
         self.range_owner: RangeOwner = find("range_owner")
@@ -157,13 +173,14 @@
 
     @property
     def now(self) -> float:
-        """Steady time in seconds."""
+        """Monotonic time in seconds."""
         return self.app.clock.monotonic()
 
     def load_report(self) -> tuple[int, int, int, float, bool]:
-        """Return the load report that travels with each reply.
+        """Return the load report that is sent with each reply.
 
-        Bodies that wait for the link count as the requests that the target would serve in that time.
+        The time that offered bodies wait for the link is counted as the number of requests that the target
+        could serve in that time.
         """
         admission = self.admission
         awaited_requests = math.ceil(
@@ -179,28 +196,32 @@
 
     @property
     def evacuated(self) -> bool:
-        """Whether this node's failure domain is to get nothing."""
+        """Whether this node's failure domain is being evacuated."""
         return self.settings.failure_domain in self.members.evacuated_domains
 
     @property
     def accepting(self) -> bool:
-        """Whether the target takes requests that others could serve."""
+        """Whether the target accepts requests that other targets could serve."""
         return self.target.ready and not self.evacuated and not self.stopping
 
-    # Changes of the target
-
     def on_cold_start(self, seconds: float) -> None:
-        """Limit the rate while the target is cold."""
+        """Limit the request rate for a number of seconds, while the target is cold."""
         self.admission.cold_limiter.warm_at = self.now + seconds
 
     def set_route_table(self, table: RouteTable) -> None:
-        """Take over what a cold target bears, also when it became cold before the table was known."""
+        """Set the rate limit of a cold target from the configuration.
+
+        The limit also applies to a target that became cold before the configuration was known.
+        """
         self.route_table = table
-        spec = table.services.get(self.settings.service)
-        self.admission.cold_limiter.rate = spec.cold_rate if spec is not None else 0.0
+        service = table.services.get(self.settings.service)
+        self.admission.cold_limiter.rate = service.cold_rate if service is not None else 0.0
 
     def on_target_change(self) -> None:
-        """Follow the target's slots, and refuse what waits for a target that takes nothing."""
+        """Update the number of slots; decline waiting requests if the target takes no new work.
+
+        Requests for keys that the target still holds stay queued, since no other target may serve them.
+        """
         report = self.target.last_heartbeat
         if report is not None:
             self.admission.slots = max(1, report.slots)
@@ -218,10 +239,8 @@
         for job in (*waiting, *awaiting_bodies):
             self.decline(job, reason)
 
-    # Admission
-
     def on_forward(self, forward: Forward, body: bytes, delay: float, reply: ReplyCallback) -> None:
-        """Take a request of another daemon; one that was held up on its way is refused."""
+        """Submit a request from another node, or decline it if it was delayed in transit."""
         if delay:
             log_events.emit(
                 events.RequestDeclined(
@@ -239,7 +258,10 @@
         self.submit(forward, body, reply)
 
     def submit(self, forward: Forward, body: bytes, reply: ReplyCallback) -> None:
-        """Admit a request or decline it at once; ``reply`` is called once."""
+        """Admit a request, or decline it immediately.
+
+        ``reply`` is called once with the outcome, and before that for each part of a large body to request.
+        """
         job = Job(forward, body, self.now, reply)
         self.jobs[forward.id] = job
         if forward.key >= 0 and self.range_owner.key_state(forward.key) is not KeyState.NOT_OWNED:
@@ -252,7 +274,7 @@
             self.admit(job)
 
     def missing_capacity(self, forward: Forward) -> str:
-        """Return what keeps a request from starting at once; empty when nothing does."""
+        """Return the resource that a request would have to wait for; an empty string if none."""
         if not self.admission.has_free_slot(self.now):
             return "slots"
         if forward.offered_bytes and not self.body_gate.is_idle:
@@ -260,7 +282,7 @@
         return "link" if self.forwarder.link_congested else ""
 
     def admit(self, job: Job) -> None:
-        """Queue a request that is complete, or refuse it."""
+        """Queue a request whose body has arrived, or decline it."""
         forward = job.forward
         reason = self.refusal_reason(forward)
         if reason:
@@ -270,10 +292,8 @@
         else:
             self.enqueue(job)
 
-    # Large bodies
-
     def await_body(self, job: Job) -> None:
-        """Ask for the body of a request when the link has room, if the request can be served."""
+        """Schedule the transfer of a large body, or decline a request that cannot be served in time."""
         forward = job.forward
         reason = self.refusal_reason(forward)
         wait = self.body_gate.expected_wait(forward.offered_bytes)
@@ -289,12 +309,12 @@
         self.expiry_timer.wake()
 
     def request_bodies(self) -> None:
-        """Ask for the bodies that the link has room for."""
+        """Request the parts of offered bodies that the link has capacity for."""
         while (part := self.body_gate.next_chunk()) is not None:
             self.jobs[part[0]].reply(SendBody(*part), b"")
 
     def on_body_part(self, request_id: bytes, first: int, part: bytes) -> None:
-        """Take a part of the body of a request that still waits for it."""
+        """Add a received part to the body of its request, and admit the request once the body is complete."""
         job = self.jobs.get(request_id)
         if job is not None and self.body_gate.on_chunk_received(request_id, first, len(part)):
             job.body_parts.append(part)
@@ -305,13 +325,13 @@
         self.request_bodies()
 
     def refusal_reason(self, forward: Forward) -> str:
-        """Return why a request cannot be taken, or an empty text."""
+        """Return why a request cannot be accepted; an empty string if it can."""
         if forward.service != self.settings.service:
             return "other_service"
         if self.closed:
             return "stopping"
         if self.route_table is None and self.now < self.admission.cold_limiter.warm_at:
-            # What the target bears while it is cold stands in the configuration.
+            # The rate limit of a cold target comes from the configuration.
             return "no_configuration"
         if self.target_holds_key(forward):
             return ""
@@ -324,11 +344,11 @@
         return "stopping" if self.stopping else ""
 
     def target_holds_key(self, forward: Forward) -> bool:
-        """Return whether the target holds the key of a request, although it takes no other work."""
+        """Return whether the target holds the key of a request, which it then serves even when draining."""
         return forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.GRANTED
 
     def await_keys(self, job: Job) -> None:
-        """Let a request wait for keys, if the next report of the target probably comes in time."""
+        """Hold a request until its key is granted, if the target's next report is due in time."""
         report_due = max(0.0, self.target.last_heartbeat_at + self.settings.heartbeat - self.now)
         service = self.admission.expected_service_seconds(job.forward.cost_class)
         has_room = len(self.awaiting_keys) < self.admission.slots * 2
@@ -339,7 +359,7 @@
         self.expiry_timer.wake()
 
     def on_keys_granted(self) -> None:
-        """Queue the requests whose keys the target was given, and refuse those whose keys went elsewhere."""
+        """Queue the requests whose keys the target now holds; decline those whose keys went elsewhere."""
         waiting, self.awaiting_keys = self.awaiting_keys, []
         for job in waiting:
             state = self.range_owner.key_state(job.forward.key)
@@ -351,7 +371,7 @@
                 self.awaiting_keys.append(job)
 
     def enqueue(self, job: Job) -> None:
-        """Queue a request that can probably be answered in time."""
+        """Queue a request that is expected to be served in time, or decline it."""
         now = self.now
         entry = self.queue_entry(job)
         if not self.admission.is_servable(entry, now):
@@ -364,12 +384,12 @@
             self.expiry_timer.wake()
 
     def queue_entry(self, job: Job) -> QueueEntry:
-        """Return a request as the queue takes it."""
+        """Return an entry of the admission queue for a request."""
         forward = job.forward
         return QueueEntry(job, forward.priority, job.goal_at, job.deadline, forward.cost_class, self.now)
 
     def send_queued(self) -> None:
-        """Send queued requests while the target has room."""
+        """Send queued requests to the target while it has free slots."""
         while True:
             entry = self.admission.pop(self.now)
             if entry is None:
@@ -377,7 +397,7 @@
             self.send_to_target(entry.item)
 
     def decline_expired(self) -> bool:
-        """Decline what can no longer be answered in time; True while something waits."""
+        """Decline requests that can no longer be served in time; return whether any are still waiting."""
         for entry in self.admission.remove_unservable(self.now):
             self.decline(entry.item, TOO_LATE_REASON, retry_after=self.admission.retry_after(entry, self.now))
         now = self.now
@@ -393,10 +413,8 @@
         self.send_queued()
         return bool(self.admission.queued or self.awaiting_keys or self.body_gate.transfers)
 
-    # The target
-
     def send_to_target(self, job: Job) -> None:
-        """Pass a request to the target."""
+        """Send a request that has a slot to the target."""
         forward, now = job.forward, self.now
         left = job.deadline - now
         if left < MIN_SEND_REMAINING_SECONDS:
@@ -420,13 +438,15 @@
         )
 
     def connection_limit(self) -> int:
-        """Return the connections that may be open to the target."""
-        spec = self.route_table.services.get(self.settings.service) if self.route_table is not None else None
+        """Return the maximum number of open connections to the target."""
+        service = (
+            self.route_table.services.get(self.settings.service) if self.route_table is not None else None
+        )
         limit = self.admission.slots + SPARE_CONNECTIONS
-        return min(limit, spec.max_connections) if spec is not None else limit
+        return min(limit, service.max_connections) if service is not None else limit
 
     def target_headers(self, job: Job, left: float) -> tuple[str, dict[str, str]]:
-        """Return the host and the headers that the target gets."""
+        """Return the host and the headers to send to the target."""
         forward, names = job.forward, self.header_names
         headers: dict[str, str] = {}
         host = ""
@@ -442,12 +462,12 @@
         return host, headers
 
     def release_unsent(self, job: Job, reason: str) -> None:
-        """End a request that got a slot but was not sent."""
+        """Free the slot of a request that was not sent, and decline the request."""
         self.admission.finish(job.forward.cost_class, None)
         self.decline(job, reason)
 
     def on_result(self, job: Job, result: Result[HttpResponse, HttpFailure]) -> None:
-        """Free the slot, learn from the answer, and report the outcome."""
+        """Process the result of the exchange with the target, and send the next queued requests."""
         job.exchange = None
         forward = job.forward
         if isinstance(result, Success):
@@ -458,7 +478,7 @@
         self.send_queued()
 
     def on_response(self, job: Job, response: HttpResponse) -> None:
-        """Report a complete answer."""
+        """Process a complete response: reply with it, or decline the request if the target did not run it."""
         forward, names = job.forward, self.header_names
         self.target.record_answer()
         refused = names.not_run in response.headers or response.status == MISDIRECTED_STATUS
@@ -468,7 +488,7 @@
             if misdirected and forward.key >= 0:
                 self.range_owner.invalidate_grant()
             reason = MISDIRECTED_REASON if misdirected else REFUSED_REASON
-            # A target that turns requests away with slots free may well take the next attempt.
+            # A target that rejects a request while it has free slots may accept the next attempt.
             wait = 0.0 if misdirected else self.admission.retry_after(self.queue_entry(job), self.now)
             self.decline(job, reason, arrived=True, retry_after=wait)
             return
@@ -500,7 +520,7 @@
         )
 
     def on_failure(self, job: Job, failure: HttpFailure) -> None:
-        """Report an exchange without an answer."""
+        """Decline a request whose exchange with the target failed."""
         if failure.kind is FailureKind.REFUSED and not failure.bytes_sent:
             self.target.on_connection_refused()
         reason = f"target_{failure.kind.value}"
@@ -515,7 +535,19 @@
         retry_after: float = 0.0,
         missing: str = "",
     ) -> None:
-        """Report that a request has no answer."""
+        """Reply that a request was not served.
+
+        Parameters
+        ----------
+        may_have_run : bool
+            Whether the target may have run the request.
+        arrived : bool
+            Whether the target received the request.
+        retry_after : float
+            Seconds after which capacity is expected; 0 if unknown.
+        missing : str
+            Resource that a request with ``only_if_free`` would have had to wait for.
+        """
         forward = job.forward
         if self.jobs.pop(forward.id, None) is None:
             return
@@ -540,12 +572,12 @@
         job.reply(declined, b"")
 
     def other_owner(self, forward: Forward) -> str:
-        """Return the node that owns the key of a request, when it is another one."""
+        """Return the node that owns the key of a request; an empty string if unknown or this node."""
         node = self.rings.owner_node(forward.service, forward.key)
         return node if node is not None and node != self.settings.node else ""
 
     def cancel(self, request_id: bytes) -> None:
-        """Drop a request whose caller has left; one that must not be repeated runs to its end."""
+        """Drop a request whose caller has gone; a running one that is not repeatable runs to its end."""
         job = self.jobs.get(request_id)
         if job is None:
             return
@@ -564,5 +596,5 @@
 
     @property
     def has_jobs(self) -> bool:
-        """Whether a request is on this VM without an outcome."""
+        """Whether any request has no outcome yet."""
         return bool(self.jobs)
--- a/src/hibiscusdrum/internal/router/returns.py
+++ b/src/hibiscusdrum/internal/router/returns.py
@@ -1,35 +1,35 @@
-"""Callers who come back after a refusal, recognized by the time at which they give up.
+"""Recognition of callers that retry after a refusal.
 
-The load that this answers is an overload in which refused callers come back: without it a returning request
-looks as urgent as a new one, takes the slot in which that one could have been answered on time, and is late
-all the same.
+During an overload a retried request would otherwise look as urgent as a new one, and take the slot in which
+the new one could have met its latency goal, although it misses its own goal anyway.
 
-A caller sends how long it still waits, so the time at which it gives up is the same in each of its attempts.
+Callers carry no identity across attempts. But each attempt sends the caller's remaining time, so the absolute
+time at which the caller gives up is the same for all of its attempts and identifies it.
 """
 
 from __future__ import annotations
 
 from bisect import bisect_left, insort
 
-# Two attempts of a caller agree within this, in seconds: limits are whole milliseconds, and the way to the
-# router varies by a few.
+# Maximum difference between the give-up times of two attempts of one caller: timeouts are sent in whole
+# milliseconds, and the delay on the way to the router varies by a few.
 MATCH_TOLERANCE_SECONDS = 0.004
-# A caller may be early by this share of the time that it was told to wait.
+# Share of the Retry-After by which a caller may return early.
 EARLY_RETURN_SHARE = 0.1
 MAX_REFUSED_CALLERS = 1000
 
 
 class RefusedCaller:
-    """A caller who was told to come back.
+    """A caller that was refused with a Retry-After.
 
     Attributes
     ----------
     gives_up_at : float
-        When it gives up.
+        When the caller stops waiting.
     first_arrived_at : float
-        When its first attempt arrived.
+        When the first attempt of the caller arrived.
     earliest_return_at : float
-        When it may be back at the earliest.
+        Earliest time at which an attempt can be a retry of this caller.
     """
 
     __slots__ = ("earliest_return_at", "first_arrived_at", "gives_up_at")
@@ -41,7 +41,7 @@
 
 
 class ReturningCallers:
-    """Refused callers of one route; all times are monotonic, in seconds."""
+    """Recently refused callers of one route, ordered by the time at which they give up; monotonic seconds."""
 
     __slots__ = ("refused_callers",)
 
@@ -49,8 +49,8 @@
         self.refused_callers: list[RefusedCaller] = []
 
     def record(self, gives_up_at: float, first_arrived_at: float, now: float, wait: float) -> None:
-        """Note a caller who was refused and told to come back after ``wait`` seconds."""
-        # Whoever has given up by now is not coming back.
+        """Record a caller that was refused with a Retry-After of ``wait`` seconds."""
+        # Callers that have given up by now will not retry.
         del self.refused_callers[: bisect_left(self.refused_callers, now, key=give_up_time)]
         if len(self.refused_callers) < MAX_REFUSED_CALLERS:
             insort(
@@ -60,7 +60,10 @@
             )
 
     def first_attempt(self, gives_up_at: float, now: float) -> float:
-        """Return when the first attempt of a caller arrived: now, unless it was refused before."""
+        """Return when the first attempt of a caller arrived; ``now`` if it is not a retry.
+
+        The matching refused caller is removed.
+        """
         index = bisect_left(self.refused_callers, gives_up_at - MATCH_TOLERANCE_SECONDS, key=give_up_time)
         while (
             index < len(self.refused_callers)
@@ -73,5 +76,5 @@
 
 
 def give_up_time(caller: RefusedCaller) -> float:
-    """Return when a caller gives up."""
+    """Return the sort key of refused callers."""
     return caller.gives_up_at
--- a/src/hibiscusdrum/internal/router/selection.py
+++ b/src/hibiscusdrum/internal/router/selection.py
@@ -1,12 +1,12 @@
-"""Choice of the node whose target serves a request that any target of a service may serve.
+"""Load balancing: choice of the node for a request that any target of a service may serve.
 
-The load that these decisions answer is a service whose targets differ in speed and are unevenly busy, in
-several failure domains and regions. The node with the shortest expected time to an answer is chosen; another
-region is chosen only when that saves the caller more than the detour costs.
+Targets differ in speed and load, and are spread over failure domains and regions. The node with the shortest
+expected response time is chosen; one in another region only if that saves the caller more than the detour
+costs.
 
-In a large service each node sees another's load only with its own answers, seconds apart. So a few nodes are
-drawn and the best of them is chosen, and the first ones are asked to turn the request away when they have no
-free slot: a round trip within a region takes less time than a place in a queue.
+In a large service a node learns the load of another one only from the replies to its own requests, seconds
+apart. Therefore the best of a small random sample is chosen, and the first nodes are probed: they decline the
+request if they have no free slot, since a round trip within a region takes less time than waiting in a queue.
 """
 
 from __future__ import annotations
@@ -19,36 +19,37 @@
 
 from hibiscusdrum.internal.router.path_delay import PathDelay
 
-# Expected time of an answer from a node that nothing is known of, in seconds.
+# Assumed mean service time of a target whose load is unknown.
 DEFAULT_SERVICE_SECONDS = 0.15
-# Advantage that an answer from another region must have, in seconds: the round trip is 60 ms, and the link is
-# narrow and paid for by volume.
+# Added to the expected response time of a node in another region: the round trip takes 60 ms, and the link is
+# slow and billed by volume.
 CROSS_REGION_PENALTY_SECONDS = 0.15
-# Weight of a target's utilization: requests that may go elsewhere leave room for those that may not.
+# Weight of a target's utilization: requests that can go elsewhere should leave capacity for those that
+# cannot.
 UTILIZATION_WEIGHT = 0.3
-# Further advantage for each megabyte of body; 30 Mbit/s are shared by all nodes of a region.
+# Added for each megabyte of body, because all nodes of a region share a link of 30 Mbit/s.
 CROSS_REGION_PENALTY_SECONDS_PER_MB = 3.0
 CROSS_DOMAIN_PENALTY_SECONDS = 0.004
-# After a failure a node is passed over for this long, when there is another.
+# A node is avoided for this long after a failure, if there is another; the time doubles up to the maximum.
 INITIAL_AVOIDANCE_SECONDS = 1.0
 MAX_AVOIDANCE_SECONDS = 8.0
-# A load report says nothing any more after this many seconds.
+# Older load reports are ignored.
 REPORT_MAX_AGE_SECONDS = 3.0
-# Reported requests count less with the age of the report: most have ended after a few service times.
+# Time constant with which reported requests decay: most of them have ended after a few service times.
 REPORT_DECAY_SECONDS = 0.5
-# Nodes that are compared for a request, in the own region and in others. Smaller services are compared whole.
+# Nodes compared for a request, in this region and in others. Services of up to six nodes are not sampled.
 LOCAL_SAMPLE_SIZE = 3
 REMOTE_SAMPLE_SIZE = 1
 MAX_UNSAMPLED_CANDIDATES = 6
-# Nodes that may turn a request away because they have no free slot. Large bodies are not sent with a try.
+# Nodes probed for a free slot before a request is queued. A probe does not carry a large body.
 MAX_LOCAL_PROBES = 2
-# The same for a service without a node in the own region: a round trip takes 60 ms.
+# The same for a service without a node in this region, since a round trip to another region takes 60 ms.
 MAX_REMOTE_PROBES = 1
 BYTES_PER_MEGABYTE = 1_000_000.0
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
-    """Load of a target as its daemon sees it; ``service`` is the mean service time in seconds."""
+    """Load of a target as seen by the router on its VM."""
 
     running: int = 0
     queued: int = 0
@@ -66,7 +67,19 @@
 
 
 class NodeState:
-    """What this node knows of another one's target."""
+    """What this node knows about a node's target.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests from this node that have no outcome yet.
+    sent_since_report : int
+        Requests sent since the last load report.
+    avoided_until : float
+        Monotonic time in seconds until which the node is avoided after a failure.
+    avoidance_seconds : float
+        Duration of the next avoidance.
+    """
 
     __slots__ = (
         "avoidance_seconds",
@@ -94,20 +107,20 @@
         return max(float(self.in_flight), reported + self.sent_since_report)
 
     def avoided(self, now: float) -> bool:
-        """Return whether the node failed shortly before, or says that it takes nothing."""
+        """Return whether the node failed recently, or reports that it accepts no requests."""
         outdated = now - self.reported_at >= REPORT_MAX_AGE_SECONDS
         return self.avoided_until > now or not (self.report.accepting or outdated)
 
 
 class NodeSelector:
-    """Views of all nodes, and the choice among them.
+    """Chooses among the nodes of a service by their expected response time.
 
     Parameters
     ----------
     region, failure_domain : str
-        Where this node is.
+        Location of this node.
     rng : random.Random
-        Breaks ties, so that nodes do not all choose the same target.
+        Draws samples and varies the estimates, so that nodes do not all choose the same target.
     """
 
     __slots__ = ("failure_domain", "node_states", "path_delays", "region", "rng")
@@ -120,21 +133,21 @@
         self.path_delays: dict[str, PathDelay] = {}
 
     def path_delay(self, region: str) -> PathDelay:
-        """Return the round trips to a region."""
+        """Return the round trip measurements of a region."""
         path = self.path_delays.get(region)
         if path is None:
             path = self.path_delays[region] = PathDelay()
         return path
 
     def node_state(self, node: str) -> NodeState:
-        """Return what is known of a node."""
+        """Return what is known about a node."""
         state = self.node_states.get(node)
         if state is None:
             state = self.node_states[node] = NodeState()
         return state
 
     def expected_seconds(self, candidate: Candidate, size: int, now: float) -> float:
-        """Return the expected seconds to an answer, detours included.
+        """Return the expected response time in seconds, with penalties for distant nodes.
 
         Parameters
         ----------
@@ -159,9 +172,9 @@
     def choose(
         self, candidates: Iterable[Candidate], size: int, now: float, exclude: Collection[str] = ()
     ) -> Candidate | None:
-        """Return the candidate with the shortest expected time, or None when there is none."""
+        """Return the candidate with the shortest expected response time, or None if there is no candidate."""
         best: Candidate | None = None
-        best_cost = float("inf")
+        lowest_cost = float("inf")
         for candidate in self.comparison_sample(
             [entry for entry in candidates if entry.node not in exclude], now
         ):
@@ -171,8 +184,8 @@
                 cost += 10.0 + (state.avoided_until - now)
             if not state.report.accepting and now - state.reported_at < REPORT_MAX_AGE_SECONDS:
                 cost += 5.0
-            if cost < best_cost:
-                best, best_cost = candidate, cost
+            if cost < lowest_cost:
+                best, lowest_cost = candidate, cost
         return best
 
     def select(
@@ -180,37 +193,37 @@
         candidates: Collection[Candidate],
         size: int,
         now: float,
-        busy: Collection[str],
-        refused: Collection[str],
+        busy_nodes: Collection[str],
+        refusing_nodes: Collection[str],
         probe: bool = True,
     ) -> tuple[Candidate, bool] | None:
-        """Return a node for a request, and whether it should turn the request away when it has no free slot.
+        """Return a node for a request, and whether it should decline the request if it has no free slot.
 
         Parameters
         ----------
         size : int
             Bytes of the request's body.
-        busy, refused : collection of str
-            Nodes that had no free slot, and nodes that refused the request for good.
+        busy_nodes, refusing_nodes : collection of str
+            Nodes that had no free slot and may still queue the request, and nodes not to ask again.
         probe : bool
-            Whether nodes may be asked for a free slot; in an overload none has one.
+            Whether nodes may be probed for a free slot; pointless in an overload.
 
         Returns
         -------
         tuple or None
-            None when no node is left.
+            None if no node is left.
         """
         local = any(entry.region == self.region for entry in candidates)
-        if probe and len(busy) < (MAX_LOCAL_PROBES if local else MAX_REMOTE_PROBES):
-            chosen = self.choose(candidates, size, now, (*busy, *refused))
+        if probe and len(busy_nodes) < (MAX_LOCAL_PROBES if local else MAX_REMOTE_PROBES):
+            chosen = self.choose(candidates, size, now, (*busy_nodes, *refusing_nodes))
             if chosen is not None:
-                others = len(candidates) - len(busy) - len(refused) > 1
-                return chosen, others and (chosen.region == self.region or not local)
-        chosen = self.choose(candidates, size, now, refused)
+                has_other = len(candidates) - len(busy_nodes) - len(refusing_nodes) > 1
+                return chosen, has_other and (chosen.region == self.region or not local)
+        chosen = self.choose(candidates, size, now, refusing_nodes)
         return None if chosen is None else (chosen, False)
 
     def comparison_sample(self, candidates: list[Candidate], now: float) -> list[Candidate]:
-        """Return the candidates to compare: all of a few, else a random sample of those that seem well."""
+        """Return the candidates to compare: all of a few, else a random sample of those not avoided."""
         if len(candidates) <= MAX_UNSAMPLED_CANDIDATES:
             return candidates
         available = [
@@ -218,38 +231,38 @@
         ] or candidates
         local = [entry for entry in available if entry.region == self.region]
         remote = [entry for entry in available if entry.region != self.region]
-        # Without a node in the own region the far ones are compared in its place.
+        # Without a node in this region, remote nodes are sampled at the local sample size.
         remote_sample_size = REMOTE_SAMPLE_SIZE if local else LOCAL_SAMPLE_SIZE
         return self.rng.sample(local, min(LOCAL_SAMPLE_SIZE, len(local))) + self.rng.sample(
             remote, min(remote_sample_size, len(remote))
         )
 
     def on_sent(self, node: str) -> None:
-        """Count a request sent to a node."""
+        """Count a request as sent to a node."""
         state = self.node_state(node)
         state.in_flight += 1
         state.sent_since_report += 1
 
     def on_ended(self, node: str) -> None:
-        """Count a request as ended."""
+        """Count a request to a node as ended."""
         state = self.node_state(node)
         state.in_flight = max(0, state.in_flight - 1)
 
     def on_report(self, node: str, report: LoadReport, now: float) -> None:
-        """Take over a load report."""
+        """Store a node's load report."""
         state = self.node_state(node)
         state.report = report
         state.reported_at = now
         state.sent_since_report = 0
 
     def on_success(self, node: str) -> None:
-        """Trust a node again."""
+        """End the avoidance of a node."""
         state = self.node_state(node)
         state.avoidance_seconds = INITIAL_AVOIDANCE_SECONDS
         state.avoided_until = 0.0
 
     def on_failure(self, node: str, now: float) -> None:
-        """Pass a node over for a time that doubles with each failure in a row."""
+        """Avoid a node for a time that doubles with each consecutive failure."""
         state = self.node_state(node)
         state.avoided_until = now + state.avoidance_seconds
         state.avoidance_seconds = min(MAX_AVOIDANCE_SECONDS, state.avoidance_seconds * 2.0)
