Reword the router's traffic counters, metrics, log events and routes

Causes and operator actions of log events used figures (a store that is away, a row's writer, a request held up). Event names, fields, numbers and metric names are as before.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -1,4 +1,4 @@
-"""Numbered log events of the router; ``log_events`` writes them."""
+"""Numbered log events of the router, which ``log_events`` writes."""
 
 from __future__ import annotations
 
@@ -6,13 +6,13 @@
 
 
 class ReportOutdated(LogEvent, frozen=True):
-    """A report of the target was overtaken by a later one, or is from an earlier start."""
+    """A report of the target was ignored: a later one was received before, or it is of a previous start."""
 
     number = 801
     level = "DEBUG"
     limited = True
     lines = 20
-    cause = "A report was held up on its way."
+    cause = "The report was delayed in transit."
 
     target: str
     life: str
@@ -20,10 +20,10 @@
 
 
 class TargetChanged(LogEvent, frozen=True):
-    """The target appeared, started anew, or drains."""
+    """The target was discovered, has restarted, or is draining."""
 
     number = 802
-    cause = "A report of the target, or its notice that it leaves."
+    cause = "A report of the target, or its notice that it is leaving."
 
     target: str
     life: str
@@ -31,22 +31,22 @@
 
 
 class TargetGone(LogEvent, frozen=True):
-    """The target neither reports nor answers, or nobody listens at its address."""
+    """The target neither reports nor responds, or refuses connections."""
 
     number = 803
     level = "WARNING"
-    cause = "The target's process has ended or hangs."
-    operator_action = "Check the target if it does not come back."
+    cause = "The target's process has ended or is not responding."
+    operator_action = "Check the target if it does not recover."
 
     target: str
     reason: str
 
 
 class NodePublished(LogEvent, frozen=True):
-    """The row of this node was written."""
+    """The node wrote its own row to the store."""
 
     number = 804
-    cause = "The target appeared, started anew, drains or has gone."
+    cause = "The target was discovered, has restarted, is draining or is gone."
 
     life: str
     accepting: bool
@@ -54,20 +54,20 @@
 
 
 class EvacuationChanged(LogEvent, frozen=True):
-    """The failure domains that are to get nothing have changed."""
+    """The set of evacuated failure domains has changed."""
 
     number = 805
-    cause = "An operator's request."
+    cause = "An operator began or ended an evacuation."
 
     failure_domains: tuple[str, ...]
 
 
 class StoreLost(LogEvent, frozen=True):
-    """The store does not answer."""
+    """The store does not respond."""
 
     number = 806
     level = "WARNING"
-    cause = "The store is down, or this VM is cut off from it."
+    cause = "The store is down, or unreachable from this VM."
     operator_action = "Check the store and the network."
 
     operation: str
@@ -76,7 +76,7 @@
 
 
 class StoreRegained(LogEvent, frozen=True):
-    """The store answers again."""
+    """The store responds again."""
 
     number = 807
     cause = "The store or the network has recovered."
@@ -86,10 +86,10 @@
 
 
 class KeysGranted(LogEvent, frozen=True):
-    """The target was given keys that it did not hold."""
+    """The target was granted keys that it did not hold."""
 
     number = 808
-    cause = "A change of the ring, a new start of the target, or a lapse of its hold."
+    cause = "The ring changed, the target restarted, or its previous grant expired."
 
     stripes: int
     version: int
@@ -97,14 +97,14 @@
 
 
 class LeaseNotRenewed(LogEvent, frozen=True):
-    """A write of this node's lease failed."""
+    """Writing this node's lease failed."""
 
     number = 809
     level = "WARNING"
     limited = True
     lines = 5
-    cause = "The store is away, or its answer was lost."
-    operator_action = "Check the store if `left_s` falls to 0."
+    cause = "The store is unavailable, or its response was lost."
+    operator_action = "Check the store if `left_s` reaches 0."
 
     reason: str
     version: int
@@ -112,23 +112,23 @@
 
 
 class LeaseTaken(LogEvent, frozen=True):
-    """The lease of this node was removed by another one."""
+    """Another node removed this node's lease."""
 
     number = 810
     level = "WARNING"
-    cause = "This node could not renew its lease for a whole term."
-    operator_action = "Find out why the node was cut off."
+    cause = "This node did not renew its lease for a whole term."
+    operator_action = "Find out why the node could not reach the store."
 
     version: int
 
 
 class OwnersGone(LogEvent, frozen=True):
-    """Leases of other nodes have ended; their keys are given to others."""
+    """Leases of other nodes have expired; their keys are reassigned."""
 
     number = 811
     level = "WARNING"
-    cause = "The nodes are lost or cut off from the store."
-    operator_action = "Replace the VMs if they do not come back."
+    cause = "The nodes have failed or cannot reach the store."
+    operator_action = "Replace the VMs if they do not recover."
 
     nodes: tuple[str, ...]
     stripes: int
@@ -137,7 +137,7 @@
 
 
 class HandoverBegun(LogEvent, frozen=True):
-    """The node begins to hand stripes to owners that have fewer."""
+    """The node begins to hand over stripes to owners that have fewer."""
 
     number = 812
     cause = "A target has joined."
@@ -146,10 +146,10 @@
 
 
 class RingChanged(LogEvent, frozen=True):
-    """A change of the ring was tried."""
+    """A change of the ring was attempted."""
 
     number = 813
-    cause = "`reason` tells why; `outcome` is `written` or the failure."
+    cause = "`reason` names the cause; `outcome` is `written` or names the failure."
 
     reason: str
     stripes: int
@@ -159,11 +159,11 @@
 
 
 class PeerLost(LogEvent, frozen=True):
-    """A peer with requests of this node is unreachable; they are given up here."""
+    """A peer with outstanding requests of this node is unreachable; the requests are declined here."""
 
     number = 814
     level = "WARNING"
-    cause = "The peer's process or VM is lost, or the network is cut."
+    cause = "The peer's process or VM has failed, or there is a network partition."
     operator_action = "Check the VM if `peer_regained` does not follow."
 
     peer: str
@@ -173,19 +173,19 @@
 
 
 class LinkCongested(LogEvent, frozen=True):
-    """Messages from the same region were held up; others are asked to send elsewhere for a while."""
+    """A message from the same region was delayed; requests that others can serve are declined for a while."""
 
     number = 825
     level = "WARNING"
-    cause = "The link of this VM is full, for example with large bodies."
-    operator_action = "None for short times; else give the VM a faster link or add targets."
+    cause = "The link of this VM is saturated, for example by large bodies."
+    operator_action = "None if brief; otherwise give the VM a faster link or add targets."
 
     peer: str
     delay_s: float
 
 
 class TrafficSummary(LogEvent, frozen=True):
-    """Bytes and calls exchanged with nodes and the store, and the longest delays, since the last summary."""
+    """Traffic with nodes and the store, and the longest transit delays, since the last summary."""
 
     number = 826
     cause = "Written at intervals."
@@ -198,7 +198,7 @@
 
 
 class PeerRegained(LogEvent, frozen=True):
-    """A peer answers again."""
+    """A peer responds again."""
 
     number = 815
     cause = "The peer or the network has recovered."
@@ -208,16 +208,16 @@
 
 
 class RequestDeclined(LogEvent, frozen=True):
-    """A request was not passed to the target, or has no answer of it.
+    """A request was not sent to the target, or the target did not answer it.
 
-    ``full`` names what had no room for a request that others can serve: the target's slots, bodies that are
-    awaited, or the link.
+    ``full`` names the exhausted resource if another node can serve the request: the target's slots, the
+    bodies being received, or the link.
     """
 
     number = 816
     limited = True
     lines = 100
-    cause = "`reason` tells why."
+    cause = "`reason` names the cause."
     operator_action = "See OPERATIONS.md."
 
     id: str
@@ -236,7 +236,7 @@
     number = 817
     limited = True
     lines = 100
-    cause = "A request."
+    cause = "A request was sent to this node's target."
 
     id: str
     origin: str
@@ -247,17 +247,17 @@
 
 
 class RequestEnded(LogEvent, frozen=True):
-    """A caller's request has its final answer; status 499 means that the caller left.
+    """A caller's request has its final response; status 499 means that the caller disconnected.
 
-    ``before_ms`` is the time until the last try began, ``path_ms`` what that try spent on the way to the
-    target's node and back; both are part of ``took_ms``. ``limit_ms`` is the caller's time limit on
-    arrival, and ``waited_ms`` how long it seems to have waited before, because it came back after a refusal.
+    ``before_ms`` is the time until the last attempt began, ``path_ms`` the time that this attempt spent on
+    the way to the target's node and back; both are part of ``took_ms``. ``limit_ms`` is the caller's timeout
+    on arrival, and ``waited_ms`` the estimated time it had waited before, if it retried after a refusal.
     """
 
     number = 818
     limited = True
     lines = 100
-    cause = "A request."
+    cause = "A caller on this VM sent a request."
     operator_action = "See OPERATIONS.md."
 
     id: str
@@ -276,12 +276,12 @@
 
 
 class RequestRepeated(LogEvent, frozen=True):
-    """A request is sent to another target."""
+    """A request is retried on another target."""
 
     number = 819
     limited = True
     lines = 50
-    cause = "The first target failed it, or its answer was lost."
+    cause = "The previous target failed to serve it, or its response was lost."
 
     id: str
     reason: str
@@ -291,10 +291,10 @@
 
 
 class RoutesInForce(LogEvent, frozen=True):
-    """A configuration is in force on this node."""
+    """A configuration was activated on this node."""
 
     number = 820
-    cause = "An operator's change."
+    cause = "An operator changed the configuration."
 
     version: int
     former: int
@@ -302,7 +302,7 @@
 
 
 class ReloadAsked(LogEvent, frozen=True):
-    """The process was told that its settings file has changed."""
+    """The process was asked to reload its settings file, which it reads only at start."""
 
     number = 821
     cause = "SIGHUP."
@@ -312,7 +312,7 @@
 
 
 class RouterStarted(LogEvent, frozen=True):
-    """The router listens on its addresses."""
+    """The router has started and listens on its addresses."""
 
     number = 822
     cause = "The process was started."
@@ -326,14 +326,14 @@
 
 
 class RowUnreadable(LogEvent, frozen=True):
-    """A row or a report cannot be read and is ignored."""
+    """A row or report could not be decoded and is ignored."""
 
     number = 823
     level = "ERROR"
     limited = True
     lines = 5
-    cause = "Another program wrote it, or a fault."
-    operator_action = "Find its writer."
+    cause = "Another program wrote it, or its writer has a bug."
+    operator_action = "Find out which program wrote it."
 
     what: str
     reason: str
@@ -346,7 +346,7 @@
     level = "WARNING"
     limited = True
     lines = 10
-    cause = "The store is away, slow or refuses this VM."
+    cause = "The store is unavailable or slow, or refuses requests of this VM."
     operator_action = "Check the store."
 
     operation: str
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -9,13 +9,13 @@
 from hibiscusdrum.internal.router.traffic import DELAY_BOUNDS_SECONDS, Traffic
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
-# Upper bounds in seconds: from one hop within a failure domain to the longest deadline.
+# Upper bounds of the latency histogram, from one hop within a failure domain to the longest deadline.
 LATENCY_BOUNDS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class RouterMetrics(Service):
-    """Counts requests by route and status."""
+    """Counts requests by route and outcome, and serves all metrics of the router."""
 
     service_name = "metrics"
 
@@ -30,7 +30,7 @@
         self.run_seconds: dict[str, float] = {}
 
     def on_start(self) -> None:
-        """Serve the metrics when an address is set."""
+        """Look up the measured services, and serve the metrics if an address is configured."""
         self.receiver = self.app.find("receiver")
         self.range_owner = self.app.find("range_owner")
         self.members = self.app.find("members")
@@ -39,7 +39,7 @@
             self.app.find("entry").listen(self.settings.metrics_address, self.on_scrape)
 
     def count_ended(self, route: str, status: int, seconds: float) -> None:
-        """Count a request that has its final answer."""
+        """Count a caller's request that has its final response, and its latency."""
         self.request_counts[route, status] = self.request_counts.get((route, status), 0) + 1
         buckets = self.latency_buckets.get(route)
         if buckets is None:
@@ -48,16 +48,16 @@
         self.latency_sums[route] = self.latency_sums.get(route, 0.0) + seconds
 
     def count_declined(self, route: str, reason: str) -> None:
-        """Count a request that this node's target did not get or did not answer."""
+        """Count a request that was not sent to this node's target, or not answered by it."""
         self.decline_counts[route, reason] = self.decline_counts.get((route, reason), 0) + 1
 
     def count_run(self, route: str, seconds: float) -> None:
-        """Count a request that this node's target answered, and the time that it held a slot."""
+        """Count a request that this node's target answered, and the time for which it occupied a slot."""
         self.run_counts[route] = self.run_counts.get(route, 0) + 1
         self.run_seconds[route] = self.run_seconds.get(route, 0.0) + seconds
 
     def on_scrape(self, request: EntryRequest) -> None:
-        """Answer a scrape."""
+        """Respond to a scrape."""
         request.respond(200, [("content-type", CONTENT_TYPE)], self.render())
 
     def render(self) -> bytes:
@@ -99,7 +99,7 @@
 
 
 def render_traffic(traffic: Traffic) -> list[str]:
-    """Return the metrics of the links."""
+    """Return the metric lines of the traffic counters."""
     lines = []
     for name, sizes in (("sent", traffic.sent_bytes), ("received", traffic.received_bytes)):
         lines.append(f"# TYPE hibiscusdrum_{name}_bytes_total counter")
--- a/src/hibiscusdrum/internal/router/routes.py
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -1,4 +1,4 @@
-"""Routes, services and limits as the router uses them, and the choice of a route for a request."""
+"""Routes, services and limits of the active configuration, and the matching of requests to routes."""
 
 from __future__ import annotations
 
@@ -6,11 +6,12 @@
 
 import msgspec
 
+# Keys of partitioned services are integers from 0 to this, exclusive.
 KEY_SPACE = 65_536
 
 
 class RequestKind(enum.Enum):
-    """What may be repeated."""
+    """Kinds of requests, which differ in whether they may be repeated."""
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
@@ -23,19 +24,19 @@
     Attributes
     ----------
     attempt_id : str
-        Identifies one attempt of a caller; a target repeats it in its answer.
+        Identifies one attempt of a caller; the response carries it too.
     deadline_ms : str
-        Milliseconds for which the sender waits.
+        Milliseconds that the sender will wait for the response.
     key : str
         Key of a request to a partitioned service.
     signature : str
-        Marks an answer as the target's own.
+        Present in a response that was produced by the target.
     expected_target : str
-        Target that must answer.
+        The only target that may run the request.
     not_run : str
-        Present when the target did not run the request.
+        Present in a response if the target did not run the request.
     caller : str
-        Service of the VM on which the request began.
+        Service of the VM from which the request was sent.
     """
 
     attempt_id: str = "x-attempt-id"
@@ -48,20 +49,20 @@
 
 
 class Route(msgspec.Struct, frozen=True):
-    """Where the requests of a host and prefix go.
+    """A rule that sends requests for a host and path prefix to services.
 
     Attributes
     ----------
     timeout, latency_goal : float
-        Seconds; 0 when not limited.
+        Seconds; 0 if unlimited.
     priority : int
-        0 is the most urgent.
+        0 is the highest priority.
     services : tuple of (str, float)
         Services with their weights.
     attempts : int
-        Largest number of targets to which one attempt of a caller may be sent.
+        Maximum number of targets to which one attempt of a caller may be sent.
     regions : tuple of str
-        Regions in which requests may be served; all when empty.
+        Regions in which requests may be served; all if empty.
     """
 
     name: str
@@ -77,7 +78,7 @@
 
     @property
     def repeatable(self) -> bool:
-        """Whether a request may run more than once."""
+        """Whether requests may safely run more than once."""
         return self.kind is RequestKind.IDEMPOTENT
 
 
@@ -87,13 +88,13 @@
     Attributes
     ----------
     max_connections : int
-        Connections that one target accepts.
+        Maximum number of connections to one target.
     warmup : float
         Seconds for which a target is cold after a start.
     cold_rate : float
-        Requests a second that a cold target bears; 0 when not limited.
+        Requests per second that a cold target can handle; 0 if unlimited.
     partitioned : bool
-        Whether targets own ranges of keys.
+        Whether each target exclusively owns ranges of keys.
     """
 
     name: str
@@ -105,7 +106,7 @@
 
 
 class EntryLimits(msgspec.Struct, frozen=True):
-    """What a caller may send, and for how long it may be slow or idle; bytes and seconds."""
+    """Limits on the size of callers' requests in bytes, and on slow or idle connections in seconds."""
 
     max_head_bytes: int = 16_384
     max_body_bytes: int = 16_777_216
@@ -119,9 +120,9 @@
     Attributes
     ----------
     version : int
-        0 when no configuration is known.
+        Increases with each change; 0 if no configuration is known yet.
     by_host : dict
-        Routes of each host, longest prefix first.
+        Routes by host in lower case, longest prefix first.
     """
 
     version: int
@@ -137,7 +138,7 @@
         services: list[ServiceSpec],
         limits: EntryLimits | None = None,
     ) -> RouteTable:
-        """Sort the routes for ``find``."""
+        """Return a table whose routes are indexed by host and sorted by length of prefix."""
         by_host: dict[str, list[Route]] = {}
         for route in routes:
             by_host.setdefault(route.host.lower(), []).append(route)
@@ -148,14 +149,14 @@
         return cls(version, ordered, {spec.name: spec for spec in services}, limits or EntryLimits())
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix that begins the path, or None.
+        """Return the route with the longest matching prefix, or None.
 
         Parameters
         ----------
         host : str
-            Host header; a port is ignored.
+            Host header; a port is ignored unless a route names it.
         path : str
-            Path and query.
+            Path with an optional query, which is ignored.
         """
         name = host.lower()
         routes = self.by_host.get(name)
@@ -169,7 +170,7 @@
 
     @property
     def partitioned(self) -> tuple[str, ...]:
-        """Names of the services whose targets own keys."""
+        """Sorted names of the partitioned services."""
         return tuple(sorted(name for name, spec in self.services.items() if spec.partitioned))
 
 
@@ -185,7 +186,7 @@
         self.credits: dict[str, dict[str, float]] = {}
 
     def choose(self, route: Route) -> str:
-        """Return the service for the next request of a route."""
+        """Return the service for the next request of a route, in proportion to the weights."""
         if len(route.services) == 1:
             return route.services[0][0]
         credits = self.credits.setdefault(route.name, {})
--- a/src/hibiscusdrum/internal/router/traffic.py
+++ b/src/hibiscusdrum/internal/router/traffic.py
@@ -1,7 +1,7 @@
-"""Bytes that this node sends and the delay of what reaches it, by kind and by own or other region.
+"""Counters of the bytes that this node sends and of the delay of received messages, by region and kind.
 
-The link between two regions and the link of a VM are shared by requests, bodies, answers and the store. A
-full one shows as delay in both cases; what fills it shows in these counters.
+Requests, bodies, replies and store calls share the link between two regions and the link of a VM. A saturated
+link shows as delay in both cases; these counters show what saturates it.
 """
 
 from __future__ import annotations
@@ -13,28 +13,30 @@
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.settings import RouterSettings
 
-# Interval of the summary in the log: short against the minutes of an incident, and few lines in a fleet.
+# Interval of the log summary: short compared to the minutes of an incident, and few lines in a large fleet.
 SUMMARY_INTERVAL_SECONDS = 5.0
 OWN_REGION = "own"
 OTHER_REGIONS = "other"
 STORE = "store"
-# Upper bounds in seconds of delays beyond the fastest message of a sender.
+# Upper bounds of the histogram of transit delays, measured relative to the fastest message of each sender.
 DELAY_BOUNDS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5)
 
 
 class Traffic(Service):
-    """Counts what is exchanged with other nodes and with the store.
+    """Counts the traffic with other nodes and with the store.
 
     Attributes
     ----------
-    sent : dict of (str, str) to int
-        Bytes by place and kind of message; the place is the own region, another region or the store.
-    received : dict of (str, str) to int
-        Bytes by the store's operation.
-    calls : dict of str to int
-        Answered calls to the store by operation.
-    delays : dict of str to list of int
-        Messages by the bucket of their delay, for each place of their sender.
+    sent_bytes : dict of (str, str) to int
+        Bytes by place and kind of message; the place is this region, other regions or the store.
+    received_bytes : dict of (str, str) to int
+        Bytes received from the store, by place and operation.
+    store_calls : dict of str to int
+        Answered calls to the store, by operation.
+    delay_counts : dict of str to list of int
+        Number of messages in each histogram bucket of their transit delay, by place of the sender.
+    summarized_calls, summarized_bytes : dict
+        Totals at the time of the last summary.
     """
 
     service_name = "traffic"
@@ -53,34 +55,34 @@
         self.summarized_bytes: dict[tuple[str, str], int] = {}
 
     def on_start(self) -> None:
-        """Count the store's calls, and write a summary at intervals."""
+        """Register for the store's calls, and schedule the summaries."""
         self.app.find("table").on_bytes = self.count_store_call
         self.app.scheduler.every(SUMMARY_INTERVAL_SECONDS, self.log_summary)
 
     def place_of(self, region: str) -> str:
-        """Return whether a region is this node's."""
+        """Return the place of a region: this node's region or other regions."""
         return OWN_REGION if region == self.settings.region else OTHER_REGIONS
 
     def count_sent(self, region: str, kind: str, size: int) -> None:
-        """Count a message to a node in a region."""
+        """Count the bytes of a message to a node in a region."""
         key = (self.place_of(region), kind)
         self.sent_bytes[key] = self.sent_bytes.get(key, 0) + size
 
     def count_store_call(self, operation: str, sent: int, received: int) -> None:
-        """Count a call to the store."""
+        """Count a call to the store and its bytes."""
         key = (STORE, operation)
         self.store_calls[operation] = self.store_calls.get(operation, 0) + 1
         self.sent_bytes[key] = self.sent_bytes.get(key, 0) + sent
         self.received_bytes[key] = self.received_bytes.get(key, 0) + received
 
     def count_delay(self, region: str, seconds: float) -> None:
-        """Count a message from a node in a region by its delay beyond that sender's fastest one."""
+        """Count a message from a region by its delay relative to the fastest message of the same sender."""
         place = self.place_of(region)
         self.delay_counts[place][bisect_left(DELAY_BOUNDS_SECONDS, seconds)] += 1
         self.longest_delays[place] = max(self.longest_delays[place], seconds)
 
     def log_summary(self) -> None:
-        """Log what was exchanged since the last summary."""
+        """Log the traffic since the last summary."""
         totals = {(f"sent_{place}", kind): size for (place, kind), size in self.sent_bytes.items()}
         totals |= {(f"received_{place}", kind): size for (place, kind), size in self.received_bytes.items()}
         changes = {
