Name the remaining constants of admission and throttling by what they are

GOAL_SERVICE_SHARE was a factor above 1, IGNORED_BUSY_PROBES a credit of free probes. Renames: -> GOAL_SERVICE_FACTOR, CREDITED_FREE_PROBES, FORWARDED_PER_ACCEPTED (was PASSED_PER_ACCEPTED), OVERLOAD_SATURATION_SECONDS (was SATURATED_SECONDS), Forwarder.record_congestion (was note_congestion).

--- a/src/hibiscusdrum/internal/router/admission.py
+++ b/src/hibiscusdrum/internal/router/admission.py
@@ -21,10 +21,10 @@
 # vary, so requiring the full mean would refuse many requests that could have been served.
 DEADLINE_SERVICE_SHARE = 0.8
 # A target that was saturated without interruption for this long is overloaded: a burst is over by then.
-SATURATED_SECONDS = 0.6
+OVERLOAD_SATURATION_SECONDS = 0.6
 # Multiple of the expected service time that must fit before the latency goal. With the mean alone, every
 # other request would miss its goal.
-GOAL_SERVICE_SHARE = 1.3
+GOAL_SERVICE_FACTOR = 1.3
 MIN_GOAL_SECONDS = 0.001
 MIN_RETRY_AFTER_SECONDS = 0.05
 MAX_RETRY_AFTER_SECONDS = 2.0
@@ -193,7 +193,7 @@
 
     def saturated(self, now: float) -> bool:
         """Return whether the target is overloaded, so that a late request would delay ones still on time."""
-        if now - self.idle_at <= SATURATED_SECONDS:
+        if now - self.idle_at <= OVERLOAD_SATURATION_SECONDS:
             return False
         return any(not entry.removed and not self.misses_goal(entry, now) for _, _, entry in self.heap)
 
@@ -249,7 +249,7 @@
 
     def misses_goal(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a request is expected to miss its goal even if it starts now."""
-        return now + self.expected_service_seconds(entry.cost_class) * GOAL_SERVICE_SHARE > entry.goal_at
+        return now + self.expected_service_seconds(entry.cost_class) * GOAL_SERVICE_FACTOR > entry.goal_at
 
     def remove_unservable(self, now: float) -> list[QueueEntry]:
         """Remove and return the requests that cannot meet their deadline, or in an overload their goal."""
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -203,14 +203,14 @@
         )
         return True
 
-    def send_body_part(self, asked: SendBody) -> None:
+    def send_body_part(self, part_request: SendBody) -> None:
         """Send the part of an offered body that the receiver asks for."""
-        entry = self.outstanding.get(asked.id)
+        entry = self.outstanding.get(part_request.id)
         if entry is None or not entry.unsent_body:
             return
-        end = asked.first + asked.count
-        part = entry.unsent_body[asked.first : end]
-        size = self.peers.try_send_request(entry.address, Body(asked.id, asked.first), part)
+        end = part_request.first + part_request.count
+        part = entry.unsent_body[part_request.first : end]
+        size = self.peers.try_send_request(entry.address, Body(part_request.id, part_request.first), part)
         if size:
             self.traffic.count_sent(self.members.region_of(entry.node), "body", size)
             if end >= len(entry.unsent_body):
@@ -346,7 +346,7 @@
         """Whether messages to this VM were recently delayed by its link."""
         return self.now < self.congested_until
 
-    def note_congestion(self, origin: str, delay: float) -> None:
+    def record_congestion(self, origin: str, delay: float) -> None:
         """Treat the link as congested for a while, because a message from the same region was delayed."""
         if not self.link_congested:
             log_events.emit(events.LinkCongested(peer=origin, delay_s=round(delay, 3)))
@@ -365,5 +365,5 @@
         delay = transit.record(sent_at, self.now)
         self.traffic.count_delay(self.members.region_of(origin), delay)
         if delay > CONGESTION_DELAY_SECONDS and self.members.region_of(origin) == self.settings.region:
-            self.note_congestion(origin, delay)
+            self.record_congestion(origin, delay)
         return delay if delay > LATE_MESSAGE_SECONDS else 0.0
--- a/src/hibiscusdrum/internal/router/throttle.py
+++ b/src/hibiscusdrum/internal/router/throttle.py
@@ -5,7 +5,7 @@
 Without a bound, refusals alone can fill the link between two regions, which delays the responses of the
 targets.
 
-Each node throttles by the outcomes it has observed: it forwards about ``PASSED_PER_ACCEPTED`` requests for
+Each node throttles by the outcomes it has observed: it forwards about ``FORWARDED_PER_ACCEPTED`` requests for
 each accepted one, and refuses the rest immediately.
 """
 
@@ -15,13 +15,13 @@
 
 # Requests forwarded for each accepted one: enough to detect that a service has capacity again, and few enough
 # that refused requests are a small part of the traffic.
-PASSED_PER_ACCEPTED = 1.25
+FORWARDED_PER_ACCEPTED = 1.25
 # Number of refusals tolerated before throttling begins: a few in a row do not indicate an overload.
 IGNORED_REFUSALS = 3.0
 # Nodes are probed for a free slot while at least this share of probes finds one.
 MIN_FREE_PROBE_SHARE = 0.3
 # Free probes credited in advance, so that a few unsuccessful ones do not end probing.
-IGNORED_BUSY_PROBES = 1.0
+CREDITED_FREE_PROBES = 1.0
 # A response from a target with a free slot counts as this many accepted requests. An overloaded target has no
 # free slots for long, and from outcomes alone a node would take many seconds to detect the end of an
 # overload.
@@ -91,7 +91,7 @@
     def probing_pays(self, now: float) -> bool:
         """Return whether to probe nodes for a free slot; each unsuccessful probe costs a round trip."""
         self.decay(now)
-        return self.free_probes + IGNORED_BUSY_PROBES >= MIN_FREE_PROBE_SHARE * self.probes
+        return self.free_probes + CREDITED_FREE_PROBES >= MIN_FREE_PROBE_SHARE * self.probes
 
     def refused_share(self, now: float, late: bool = False) -> float:
         """Return the share of requests to refuse without forwarding them.
@@ -99,7 +99,7 @@
         Late requests get only the capacity that requests on time leave.
         """
         self.decay(now)
-        passed = PASSED_PER_ACCEPTED * self.accepted + IGNORED_REFUSALS
+        forwarded = FORWARDED_PER_ACCEPTED * self.accepted + IGNORED_REFUSALS
         if late:
-            return max(0.0, (self.late - max(0.0, passed - self.on_time)) / (self.late + 1.0))
-        return max(0.0, (self.on_time - passed) / (self.on_time + 1.0))
+            return max(0.0, (self.late - max(0.0, forwarded - self.on_time)) / (self.late + 1.0))
+        return max(0.0, (self.on_time - forwarded) / (self.on_time + 1.0))
