--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -26,13 +26,13 @@
 
 
 def add_router(
-    app: Application, settings: RouterSettings, header_names: HeaderNames, table: Service, rng: random.Random
+    app: Application, settings: RouterSettings, names: HeaderNames, table: Service, rng: random.Random
 ) -> Forwarder:
     """Add all services of a router.
 
     Parameters
     ----------
-    header_names : HeaderNames
+    names : HeaderNames
         Headers of callers and targets.
     table : Service
         The platform's table under the service name ``table``.
@@ -42,22 +42,22 @@
     Forwarder
         The service that names this process's incarnation.
     """
-    selector = NodeSelector(settings.region, settings.failure_domain, rng)
-    app.add(HttpClient(header_names.attempt_id, skips_other_answers=True, accepts_unframed=True))
+    selection = NodeSelector(settings.region, settings.failure_domain, rng)
+    app.add(HttpClient(names.attempt_id, skips_other_answers=True, accepts_unframed=True))
     app.add(table)
     app.add(PeerTransport(settings.peer_address, b""))
     app.add(HttpEntry())
     app.add(Traffic(settings))
     app.add(LocalTarget(settings))
     members = app.add(Members(settings))
-    forwarder = app.add(Forwarder(settings, selector))
+    hop = app.add(Forwarder(settings, selection))
     app.add(Rings(settings))
     app.add(LeaseKeeper(settings))
     app.add(RangeOwner(settings))
     app.add(RouterMetrics(settings))
-    app.add(Receiver(settings, header_names))
-    app.add(Gateway(settings, header_names, selector))
+    app.add(Receiver(settings, names))
+    app.add(Gateway(settings, names, selection))
     app.add(Readiness(settings))
     app.add(RouterStopping(settings))
     app.on_started.append(members.notify_rows_changed)
-    return forwarder
+    return hop
