Describe lease, guard and guard selection in the terms of the field

The comments spoke of rows that one notes, deadlines put off, guards that are silent and nodes that are gone; attributes were not listed. lease.py, guard.py and guards.py are reworded throughout, with the attributes of the classes described.

--- a/src/hibiscusdrum/internal/ownership/guard.py
+++ b/src/hibiscusdrum/internal/ownership/guard.py
@@ -1,9 +1,11 @@
-"""The guard's side of leases: which renewals to grant, and when a takeover is due.
+"""Lease state of a guard, which grants renewals and determines when a lessee may be taken over.
 
-A guard decides nothing about ownership; it only times how long an owner may still be serving. The table
-arbitrates, because every takeover is conditional on the version of the lease row.
-All times are seconds of the node's own monotonic clock. ``now`` must have been read after the row or request
-was received: a clock reading from before a pause would start a wait before the grant that it must outlast.
+A guard does not decide who owns a slice; it only tracks how long a lessee may still be serving. The table
+arbitrates, because each takeover is conditional on the version of the lease row.
+
+All times are in seconds on the node's own monotonic clock. ``now`` must be read after the row or request was
+received: a clock value from before a pause would start the takeover wait before the grant that it must
+outlast.
 """
 
 from __future__ import annotations
@@ -17,13 +19,13 @@
 from hibiscusdrum.internal.ownership.lease import CLOCK_MARGIN_FRACTION, LEASE_TERM_SECONDS
 from hibiscusdrum.internal.ownership.rows import LeaseRow
 
-# Versions of lease rows of other guards or deleted rows, kept to ignore late reads. 70 restarts a day add
-# 70 entries a day.
+# Number of nodes whose last lease version is kept, also after deletion or a change of guard, so that stale
+# reads are ignored. 70 restarts a day add 70 entries a day.
 MAX_KNOWN_VERSIONS = 20_000
 
 
 class RenewalRefusal(enum.StrEnum):
-    """Why a renewal was refused; the value is the code on the wire."""
+    """Reason for refusing a renewal; the value is sent on the wire."""
 
     OWN_LEASE_INVALID = "own_lease_invalid"
     NOT_GUARD = "not_guard"
@@ -34,32 +36,36 @@
 
 
 class RenewalDecision(msgspec.Struct, frozen=True):
-    """The answer to a renewal; ``refusal`` is None when it is granted."""
+    """Decision on a renewal request; ``refusal`` is None when it is granted."""
 
     granted: bool
     refusal: RenewalRefusal | None = None
 
 
 class ExpiredLease(msgspec.Struct, frozen=True):
-    """A node whose lease has ended; the takeover is conditional on ``lease_version``."""
+    """A node whose lease has expired; its takeover is conditional on ``lease_version``."""
 
     node: str
     lease_version: int
 
 
 class Lessee:
-    """A node that this guard grants its lease.
+    """A node whose lease this guard grants.
 
     Attributes
     ----------
-    deadline : float
-        Time from which no grant of this or an earlier guard can still be in force.
-    taking_over : bool
+    incarnation : str
+        Incarnation of the node in its lease row.
+    lease_version : int
+        Version of that row.
+    takeover_at : float
+        Time from which no grant of this or an earlier guard can still be valid.
+    takeover_due : bool
+        Whether ``expired_leases`` reported the node and no renewal has been granted since.
+    takeover_postponed : bool
+        Whether ``takeover_at`` was postponed once because this guard itself was paused.
+    takeover_started : bool
         Whether a takeover was started whose outcome is not known.
-    due : bool
-        Whether ``due`` reported the node and nothing was granted since.
-    deferred : bool
-        Whether the deadline was put off once because this guard itself was paused.
     """
 
     __slots__ = (
@@ -84,16 +90,27 @@
 
 
 class LeaseGuard:
-    """The nodes that name this node as guard.
+    """State of a guard: its lessees, which are the nodes whose lease rows name it as guard.
 
     Parameters
     ----------
     node : str
-        This node.
+        Name of this node.
     term : float
-        Seconds that a grant lasts.
+        Duration of a grant in seconds.
     margin : float
-        Largest difference of clock rates, as a share of the term.
+        Largest tolerated difference between clock rates, as a fraction of the term.
+
+    Attributes
+    ----------
+    incarnation : str or None
+        Incarnation in this node's own lease row.
+    lessees : dict of str to Lessee
+        Lessees by node.
+    known_versions : dict of str to int
+        Newest lease version seen of each node.
+    last_check_at : float
+        Time of the last call of ``expired_leases``.
     """
 
     __slots__ = ("incarnation", "known_versions", "last_check_at", "lessees", "margin", "node", "term")
@@ -104,7 +121,7 @@
         if not term > 0:
             raise InvalidArgument(name="term", value=term, expected="seconds above 0")
         if not 0 <= margin < 1:
-            raise InvalidArgument(name="margin", value=margin, expected="a share from 0 to 1")
+            raise InvalidArgument(name="margin", value=margin, expected="a fraction from 0 and below 1")
         self.node = node
         self.term = term
         self.margin = margin
@@ -115,14 +132,26 @@
 
     @property
     def takeover_wait(self) -> float:
-        """Seconds after which a grant has ended on every clock within the margin."""
+        """Seconds after which a grant has expired on every clock within the margin."""
         return self.term * (1 + self.margin)
 
     def apply_row(self, row: LeaseRow | None, node: str, version: int, now: float) -> None:
-        """Note a lease row as read from the table, or its deletion (``row`` None, version of the deletion).
+        """Apply a lease row read from the table, or its deletion.
+
+        A version that is not newer than the known one is a stale read and ignored. When a row newly names
+        this node as guard, a takeover must wait one term, because the previous guard may have granted
+        renewals until the row changed.
 
-        A version that is not above the known one is a late read and ignored. A row that newly names this
-        node starts a wait of a whole term, since an earlier guard may have granted until the row changed.
+        Parameters
+        ----------
+        row : LeaseRow or None
+            The row; None when it was deleted.
+        node : str
+            Node that the row belongs to.
+        version : int
+            Version of the row or of its deletion.
+        now : float
+            Current time.
         """
         if version <= self.known_versions.get(node, 0):
             return
@@ -138,15 +167,17 @@
     def decide_renewal(
         self, node: str, incarnation: str, lease_version: int, own_lease_valid: bool, now: float
     ) -> RenewalDecision:
-        """Decide on a renewal request.
+        """Grant or refuse a renewal request.
 
-        ``own_lease_valid`` must be evaluated in the same step: whoever takes this node over becomes the
-        guard of its lessees and waits one term, which covers only grants given while the lease was valid.
+        ``own_lease_valid`` must be evaluated without waiting in between. The node that takes over this one
+        also becomes the guard of its lessees and waits one term, which is enough only if this guard granted
+        nothing after its own lease had expired.
         """
         lessee = self.lessees.get(node)
         refusal = self._refusal_reason(lessee, node, incarnation, lease_version, own_lease_valid)
         if refusal is RenewalRefusal.OWN_LEASE_INVALID:
-            # The owner is alive. Half a term lets it renew when this node's own lease is valid again.
+            # The owner is running. Half a term gives it time to renew once this node's own lease is valid
+            # again.
             lessee.takeover_at = max(lessee.takeover_at, now + self.term / 2)
         if refusal is not None:
             return RenewalDecision(granted=False, refusal=refusal)
@@ -155,10 +186,11 @@
         return GRANTED
 
     def expired_leases(self, now: float, own_lease_valid: bool = True) -> list[ExpiredLease]:
-        """Return the nodes whose lease has ended on every clock within the margin.
+        """Return the nodes whose lease has expired on every clock within the margin.
 
-        Call it several times within a term. While the node's own lease is not valid, nothing is due: its
-        lessees cannot renew through it, so their lapse does not show that they are gone.
+        Call this several times per term; a longer interval is treated as a pause of this node. No lease is
+        reported while the node's own lease is invalid: lessees cannot renew through this guard then, so an
+        expired lease does not show that a lessee has failed.
         """
         paused = now - self.last_check_at > self.term / 2
         self.last_check_at = now
@@ -166,18 +198,18 @@
             return []
         if paused:
             self._postpone_takeovers(now)
-        found = []
+        expired = []
         for node, lessee in self.lessees.items():
             if now >= lessee.takeover_at and not lessee.takeover_started:
                 lessee.takeover_due = True
-                found.append(ExpiredLease(node=node, lease_version=lessee.lease_version))
-        return found
+                expired.append(ExpiredLease(node=node, lease_version=lessee.lease_version))
+        return expired
 
     def begin_takeover(self, node: str) -> bool:
-        """Stop granting to a node; returns False when it is no longer due.
+        """Stop granting renewals to a node; return False if its takeover is no longer due.
 
-        Call this before any step that waits, such as reading rows: a grant given between the check and the
-        write would let the old owner serve beside the new one.
+        Call this before any step that waits, such as reading rows: a renewal granted between the check and
+        the write would let the old and the new owner serve at the same time.
         """
         lessee = self.lessees.get(node)
         if lessee is None or not lessee.takeover_due:
@@ -191,9 +223,9 @@
         Parameters
         ----------
         committed : bool or None
-            True when the write took effect, False when it did not and never will, None when the outcome is
-            unknown. After None the guard goes on refusing until a newer row is observed or a repeated
-            write has a known outcome.
+            True if the write took effect, False if it did not and never will, None if the outcome is
+            unknown. After None the guard continues to refuse renewals until a newer row is applied or the
+            outcome of a repeated write is known.
         """
         lessee = self.lessees.get(node)
         if lessee is None or committed is None:
@@ -203,8 +235,8 @@
             return
         lessee.takeover_started = False
 
-    def forget_lessees(self) -> None:
-        """Forget all lessees because this node's own lease row is gone; they have another guard now."""
+    def remove_lessees(self) -> None:
+        """Remove all lessees after this node's own lease row was deleted; they have another guard now."""
         self.lessees.clear()
 
     def _refusal_reason(
@@ -226,10 +258,10 @@
         return None if own_lease_valid else RenewalRefusal.OWN_LEASE_INVALID
 
     def _apply_own_row(self, row: LeaseRow | None) -> None:
-        """Drop the lessees when this node was taken over, since their rows name another guard now."""
+        """Remove the lessees if this node was taken over, because their rows name another guard now."""
         incarnation = row.incarnation if row is not None else None
         if self.incarnation is not None and incarnation != self.incarnation:
-            self.forget_lessees()
+            self.remove_lessees()
         self.incarnation = incarnation
 
     def _record_version(self, node: str, version: int) -> None:
@@ -240,7 +272,10 @@
             del self.known_versions[oldest]
 
     def _postpone_takeovers(self, now: float) -> None:
-        """Put deadlines off once by half a term: after a pause, renewals may wait unread in the socket."""
+        """Postpone takeovers once by half a term.
+
+        After a pause of this node, renewal requests may still be unread in the socket.
+        """
         for lessee in self.lessees.values():
             if not lessee.takeover_postponed and not lessee.takeover_started:
                 lessee.takeover_postponed = True
--- a/src/hibiscusdrum/internal/ownership/guards.py
+++ b/src/hibiscusdrum/internal/ownership/guards.py
@@ -1,8 +1,8 @@
-"""Choice of the guard of a node.
+"""Selection of the guard of a node.
 
-The nodes of a region are ordered so that failure domains alternate; each node prefers the next one in
-another failure domain. In steady state this makes one long cycle, which only the loss of all its nodes
-breaks.
+The nodes of a region are ordered so that failure domains alternate, and each node prefers the next node in
+another failure domain. In steady state the guards form one long cycle, in which a failed node remains
+without a running guard only if all nodes of the cycle fail.
 """
 
 from __future__ import annotations
@@ -15,18 +15,20 @@
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.ownership.rows import LEAVING, LeaseRow, OwnerRow
 
-# Bounds the renewals that one node answers and the nodes that must wait when it is lost.
+# Limits the renewals that one node answers and the nodes that are affected when it fails.
 MAX_LESSEES = 4
-# Nodes ahead in the order that are tried first; beyond them the choice is spread by hash.
-NEAR_CANDIDATES = 3
-# A chain of three lost nodes is served again within 5 s, so a cycle needs at least four nodes.
-MIN_CYCLE = 4
+# Number of successors in the order that are tried before a candidate is chosen by hash.
+MAX_SUCCESSORS_TRIED = 3
+# The slices of three failed nodes that guard each other in a chain are served again within 5 s, so a cycle
+# must have at least four nodes.
+MIN_CYCLE_NODES = 4
 
 
-def alternating_order(nodes: Iterable[OwnerRow]) -> list[str]:
-    """Return node names such that neighbours are in different failure domains as far as possible.
+def interleaved_order(nodes: Iterable[OwnerRow]) -> list[str]:
+    """Return node names in an order in which neighbours are in different failure domains where possible.
 
-    A node's position depends on its rank in its failure domain, so domains of different sizes mix evenly.
+    A node's position is its relative rank within its failure domain, so failure domains of different sizes
+    are interleaved evenly.
     """
     domains: dict[str, list[str]] = {}
     for row in nodes:
@@ -45,33 +47,35 @@
     usable: Callable[[str], bool],
     max_lessees: int = MAX_LESSEES,
 ) -> str:
-    """Return the best guard for a node, the node itself when no other is usable.
+    """Return the best guard for a node, or the node itself if no other node is usable.
 
     Parameters
     ----------
     node : str
         Must be in ``owners``.
     owners, leases : mapping
-        Rows by node.
+        Owner rows and lease rows by node.
     usable : callable
-        Whether a node's lease is believed valid; leaving nodes are passed over in any case.
+        Returns whether a node's lease is assumed to be valid. Leaving nodes are never chosen.
+    max_lessees : int
+        Nodes with this many lessees are chosen only if no other candidate exists.
 
     Raises
     ------
     InvalidArgument
         If the node has no owner row.
     """
-    here = owners.get(node)
-    if here is None:
+    own_row = owners.get(node)
+    if own_row is None:
         raise InvalidArgument(name="node", value=node, expected="a node with an owner row")
-    lessees = Counter(row.guard for name, row in leases.items() if name != node and row.guard != name)
+    lessee_counts = Counter(row.guard for name, row in leases.items() if name != node and row.guard != name)
     leaving = {name for name, row in leases.items() if row.state == LEAVING}
     candidates = [name for name in owners if name != node and name not in leaving and usable(name)]
-    free = [name for name in candidates if lessees[name] < max_lessees]
-    for allowed in (free, candidates):
-        for group in _groups(here, owners, allowed):
+    with_capacity = [name for name in candidates if lessee_counts[name] < max_lessees]
+    for allowed in (with_capacity, candidates):
+        for group in _group_by_distance(own_row, owners, allowed):
             if group:
-                return _pick(here, owners, leases, group)
+                return _choose_in_group(own_row, owners, leases, group)
     return node
 
 
@@ -82,11 +86,11 @@
     usable: Callable[[str], bool],
     max_lessees: int = MAX_LESSEES,
 ) -> str | None:
-    """Return a better guard than the present one, or None to keep it.
+    """Return a better guard than the current one, or None to keep the current one.
 
-    A guard is replaced when it is the node itself, leaves, serves too many owners (only the ones beyond the
-    limit change, in order of name), is in the same failure domain or another region without need, or forms
-    a short cycle.
+    The guard is replaced if it is the node itself, is leaving or has no rows, has too many lessees (only
+    those beyond the limit change, in order of their names), is in the same failure domain or another region
+    although a usable node is not, or is part of a short cycle.
     """
     lease = leases.get(node)
     if lease is None:
@@ -95,85 +99,92 @@
     if best in (node, lease.guard):
         return None
     guard_lease = leases.get(lease.guard)
-    gone = lease.guard not in owners or guard_lease is None or guard_lease.state == LEAVING
-    if lease.guard == node or gone:
+    unavailable = lease.guard not in owners or guard_lease is None or guard_lease.state == LEAVING
+    if lease.guard == node or unavailable:
         return best
-    served = sorted(name for name, row in leases.items() if row.guard == lease.guard and name != lease.guard)
-    if node in served[max_lessees:]:
+    lessees = sorted(name for name, row in leases.items() if row.guard == lease.guard and name != lease.guard)
+    if node in lessees[max_lessees:]:
         return best
-    here = owners[node]
-    if _distance(here, owners[best]) < _distance(here, owners[lease.guard]):
+    own_row = owners[node]
+    if _distance(own_row, owners[best]) < _distance(own_row, owners[lease.guard]):
         return best
-    if _cycle_length(node, lease.guard, leases) < MIN_CYCLE:
-        return _out_of_short_cycle(here, owners, leases, usable, best)
+    if _cycle_length(node, lease.guard, leases) < MIN_CYCLE_NODES:
+        return _guard_outside_short_cycle(own_row, owners, leases, usable, best)
     return None
 
 
-def _out_of_short_cycle(
-    here: OwnerRow,
+def _guard_outside_short_cycle(
+    own_row: OwnerRow,
     owners: Mapping[str, OwnerRow],
     leases: Mapping[str, LeaseRow],
     usable: Callable[[str], bool],
     best: str,
 ) -> str | None:
-    """Return a guard that leads out of a short cycle, at once or when the others have changed theirs too.
+    """Return a guard that ends a short cycle, immediately or after the other nodes have changed theirs.
 
-    Nodes that guard each other in pairs can be so linked that no single change makes a long cycle. If each
-    changes to its successor in the order, one cycle of all nodes results.
+    Nodes that guard each other in pairs can be linked such that no single change makes a long cycle. If each
+    node changes to its successor in the order, one cycle of all nodes results.
     """
-    present = leases[here.node].guard
-    if _cycle_length(here.node, best, leases) >= MIN_CYCLE:
+    current = leases[own_row.node].guard
+    if _cycle_length(own_row.node, best, leases) >= MIN_CYCLE_NODES:
         return best
-    successor = next((name for name in _ahead(here, owners) if usable(name)), present)
-    return successor if successor != present else None
+    successor = next((name for name in _successors(own_row, owners) if usable(name)), current)
+    return successor if successor != current else None
 
 
-def _groups(here: OwnerRow, owners: Mapping[str, OwnerRow], names: list[str]) -> list[list[str]]:
-    """Divide candidates by preference: other failure domain, same failure domain, other region."""
+def _group_by_distance(
+    own_row: OwnerRow, owners: Mapping[str, OwnerRow], names: list[str]
+) -> list[list[str]]:
+    """Group candidates by preference: other failure domain, same failure domain, other region."""
     groups: list[list[str]] = [[], [], []]
     for name in names:
-        groups[_distance(here, owners[name])].append(name)
+        groups[_distance(own_row, owners[name])].append(name)
     return groups
 
 
-def _distance(here: OwnerRow, other: OwnerRow) -> int:
-    if other.region != here.region:
+def _distance(own_row: OwnerRow, other: OwnerRow) -> int:
+    """Return the preference of a node as guard; lower is better."""
+    if other.region != own_row.region:
         return 2
-    return 1 if other.failure_domain == here.failure_domain else 0
+    return 1 if other.failure_domain == own_row.failure_domain else 0
 
 
-def _pick(
-    here: OwnerRow, owners: Mapping[str, OwnerRow], leases: Mapping[str, LeaseRow], group: list[str]
+def _choose_in_group(
+    own_row: OwnerRow, owners: Mapping[str, OwnerRow], leases: Mapping[str, LeaseRow], group: list[str]
 ) -> str:
-    """Return the next candidate in the order, or one spread by hash when the next ones are not usable.
+    """Return one of the first successors in the order, or a candidate by hash if none of them is in the group.
 
-    Always taking the next usable node would make many nodes that restart at once choose the same one.
+    If each node took the next usable one, many nodes that restart at the same time would choose the same
+    guard.
     """
-    long_cycle = [name for name in group if _cycle_length(here.node, name, leases) >= MIN_CYCLE]
-    names = set(long_cycle or group)
-    ahead = _ahead(here, owners)
-    for name in ahead[:NEAR_CANDIDATES]:
+    in_long_cycle = [name for name in group if _cycle_length(own_row.node, name, leases) >= MIN_CYCLE_NODES]
+    names = set(in_long_cycle or group)
+    successors = _successors(own_row, owners)
+    for name in successors[:MAX_SUCCESSORS_TRIED]:
         if name in names:
             return name
-    return max(names, key=lambda name: (xxhash.xxh64_intdigest(f"{here.node}>{name}".encode()), name))
+    return max(names, key=lambda name: (xxhash.xxh64_intdigest(f"{own_row.node}>{name}".encode()), name))
 
 
-def _ahead(here: OwnerRow, owners: Mapping[str, OwnerRow]) -> list[str]:
-    """Return the region's nodes in other failure domains, in the order that begins after a node."""
-    order = alternating_order(row for row in owners.values() if row.region == here.region)
-    start = order.index(here.node) + 1
-    return [name for name in order[start:] + order[:start] if _distance(here, owners[name]) == 0]
+def _successors(own_row: OwnerRow, owners: Mapping[str, OwnerRow]) -> list[str]:
+    """Return the region's nodes in other failure domains, in order beginning after the node."""
+    order = interleaved_order(row for row in owners.values() if row.region == own_row.region)
+    start = order.index(own_row.node) + 1
+    return [name for name in order[start:] + order[:start] if _distance(own_row, owners[name]) == 0]
 
 
 def _cycle_length(node: str, guard: str, leases: Mapping[str, LeaseRow]) -> int:
-    """Return the length, at most ``MIN_CYCLE``, of the cycle that naming ``guard`` would close."""
+    """Return the length of the cycle that choosing ``guard`` would close, limited to ``MIN_CYCLE_NODES``.
+
+    If there would be no cycle, the limit is returned.
+    """
     length, name = 1, guard
-    while length < MIN_CYCLE:
+    while length < MIN_CYCLE_NODES:
         if name == node:
             return length
         row = leases.get(name)
         if row is None or row.guard == name:
-            return MIN_CYCLE
+            return MIN_CYCLE_NODES
         name = row.guard
         length += 1
-    return MIN_CYCLE
+    return MIN_CYCLE_NODES
--- a/src/hibiscusdrum/internal/ownership/lease.py
+++ b/src/hibiscusdrum/internal/ownership/lease.py
@@ -1,6 +1,6 @@
-"""The owner's side of a lease: when the node may consider itself the owner of its slices.
+"""Lease state of an owner, which determines whether the node may serve its slices.
 
-All times are seconds of the node's own monotonic clock.
+All times are in seconds on the node's own monotonic clock.
 """
 
 from __future__ import annotations
@@ -12,21 +12,21 @@
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.ownership.rows import LeaseRow
 
-# Time in which a grant lets the owner serve, in seconds.
+# Duration of a grant, counted from when the owner sent the renewal request.
 LEASE_TERM_SECONDS = 1.5
-# Three renewals may be lost before a lease of 1.5 s lapses.
+# At this interval a lease of 1.5 s survives the loss of three consecutive renewals.
 RENEWAL_INTERVAL_SECONDS = 0.4
-# A refused renewal is repeated after this time: the guard may just be reading the row that names it.
+# Delay before a refused renewal is retried; the guard may not have read the row that names it yet.
 REFUSED_RENEWAL_RETRY_SECONDS = 0.1
-# Silence of the guard after which the owner names another one. Two renewals were lost by then, and 0.7 s of
-# the term are left for the write and the first grant of the new guard.
+# Time without a grant after which the owner replaces its guard. By then two renewals have been lost, and
+# 0.7 s of the term remain for writing the lease row and for the first grant of the new guard.
 GUARD_TIMEOUT_SECONDS = 0.8
-# Largest difference between the clock rates of two nodes, as a share of the term.
+# Largest tolerated difference between the clock rates of two nodes, as a fraction of the term.
 CLOCK_MARGIN_FRACTION = 0.01
 
 
 class RenewalRequest(msgspec.Struct, frozen=True):
-    """A renewal request to send to ``guard``."""
+    """A renewal request that the owner sends to ``guard``."""
 
     nonce: int
     lease_version: int
@@ -34,7 +34,17 @@
 
 
 class PendingRenewal:
-    """A renewal request whose answer is outstanding."""
+    """A renewal request that has not been answered yet.
+
+    Attributes
+    ----------
+    sent_at : float
+        Time at which the request was sent.
+    lease_version : int
+        Version of the lease row under which it was sent.
+    extends_lease : bool
+        Whether a grant may extend the lease; false for requests sent during a change of guard.
+    """
 
     __slots__ = ("extends_lease", "lease_version", "sent_at")
 
@@ -45,14 +55,33 @@
 
 
 class LeaseHolder:
-    """The lease of one incarnation of a node.
+    """State of the lease of one incarnation of a node.
 
     Parameters
     ----------
     node, incarnation : str
-        The holder; a row that names another incarnation ends the lease for ever.
+        The lease holder. A lease row with another incarnation ends the lease permanently.
     term : float
-        Seconds that a grant lasts, counted from when the renewal request was sent.
+        Duration of a grant in seconds, counted from when the renewal request was sent.
+
+    Attributes
+    ----------
+    row : LeaseRow or None
+        Lease row in use, None until one has been applied.
+    lease_version : int
+        Version of that row.
+    expiry : float
+        End of the lease; infinite when the node is its own guard.
+    pending_renewals : dict of int to PendingRenewal
+        Unanswered renewal requests by nonce.
+    last_grant_at : float
+        Send time of the latest granted renewal, or the time at which the row was applied.
+    next_renewal_at : float
+        Earliest time of the next renewal request.
+    guard_change_pending : bool
+        Whether a change of guard is in progress or has an unknown outcome.
+    revoked : bool
+        Whether the lease has ended permanently.
     """
 
     __slots__ = (
@@ -88,18 +117,18 @@
 
     @property
     def self_guarded(self) -> bool:
-        """Whether the last known row names the node as its own guard."""
+        """Whether the node is its own guard according to the last applied row."""
         return self.row is not None and self.row.guard == self.node
 
     def apply_row(self, row: LeaseRow, version: int, now: float) -> None:
-        """Use the lease row as read from the table or as committed by this node.
+        """Apply a lease row that was read from the table or committed by this node.
 
-        Pass only rows that ``OwnershipMap.apply`` reported as changed: the reply to an own write can arrive
-        after the deletion of the row has been read.
+        Pass only rows that ``OwnershipMap.apply`` reported as changed: the reply to this node's own write
+        can arrive after the deletion of the row has been read.
 
-        A version that is not above the known one changes nothing. In particular, reading the old version
-        after a change of guard with unknown outcome does not end the change: the write may still be on
-        its way to the table. Only a higher version, or ``guard_change_failed``, ends it.
+        A version that is not newer than the applied one is ignored. In particular, reading the old version
+        again after a change of guard with unknown outcome does not end the change, because the write may
+        still reach the table. Only a newer version or ``guard_change_failed`` ends it.
         """
         if row.node != self.node or row.incarnation != self.incarnation:
             if version > self.lease_version:
@@ -116,29 +145,32 @@
         if self.self_guarded:
             self.expiry = math.inf
         elif self.expiry == math.inf:
-            # The change away from self-guard was made elsewhere than through begin_guard_change.
+            # The guard was changed without begin_guard_change, so the infinite expiry was not limited there.
             self.expiry = -math.inf
 
     def apply_row_deletion(self, version: int, now: float) -> None:
-        """Note that the lease row was deleted; a deletion older than the adopted row is ignored."""
+        """Revoke the lease because its row was deleted; a deletion older than the applied row is ignored."""
         if self.row is not None and version > self.lease_version:
             self.revoke(now)
 
     def renewal_due(self, now: float) -> bool:
-        """Return whether a renewal should be sent: at once after the row changed, soon after a refusal."""
+        """Return whether a renewal request should be sent now.
+
+        One is due immediately after the row has changed, and after a short delay when one was refused.
+        """
         return self.row is not None and not self.revoked and now >= self.next_renewal_at
 
     def start_renewal(self, now: float) -> RenewalRequest:
-        """Return the renewal request to send now; its nonce records the send time.
+        """Register a renewal request that is sent now, and return it.
 
         Raises
         ------
         InvalidArgument
-            If no lease row has been adopted.
+            If no lease row has been applied.
         """
         if self.row is None:
-            raise InvalidArgument(name="row", value=None, expected="an adopted lease row")
-        self._drop_expired(now)
+            raise InvalidArgument(name="row", value=None, expected="an applied lease row")
+        self._remove_expired_renewals(now)
         self.next_renewal_at = now + RENEWAL_INTERVAL_SECONDS
         self.last_nonce += 1
         self.pending_renewals[self.last_nonce] = PendingRenewal(
@@ -147,11 +179,11 @@
         return RenewalRequest(nonce=self.last_nonce, lease_version=self.lease_version, guard=self.row.guard)
 
     def on_granted(self, nonce: int, lease_version: int, now: float) -> bool:
-        """Count a grant; returns whether it extends the lease.
+        """Process a grant and return whether it was accepted and the lease is valid.
 
-        The grant lasts from when its request was sent, since the guard's wait cannot begin before that.
-        A grant for another version than the current one, or one that was requested while a change of
-        guard was under way, is not counted: another guard may already be waiting.
+        A grant counts from when its request was sent, because the guard starts its takeover wait later
+        than that. Grants for another version of the lease row, and grants requested during a change of
+        guard, are ignored: another guard's takeover wait may already be running.
         """
         pending = self.pending_renewals.pop(nonce, None)
         if pending is None or self.revoked or not pending.extends_lease:
@@ -163,56 +195,59 @@
         return now < self.expiry
 
     def on_refused(self, nonce: int, now: float) -> None:
-        """Note a refusal; the renewal is repeated soon."""
+        """Process a refusal; the renewal is retried after a short delay."""
         if self.pending_renewals.pop(nonce, None) is not None:
             self.next_renewal_at = min(self.next_renewal_at, now + REFUSED_RENEWAL_RETRY_SECONDS)
 
     def valid(self, now: float) -> bool:
-        """Return whether the node may consider itself the owner of its slices."""
+        """Return whether the node may serve its slices."""
         return now < self.expiry
 
     def expires_at(self, now: float) -> float:
-        """Return the end of the lease: infinity under self-guard, minus infinity when there is none."""
+        """Return the end of the lease: infinite when self-guarded, minus infinite without a lease."""
         return self.expiry
 
     def begin_guard_change(self, now: float) -> None:
-        """Record that a change of the lease row is about to be sent.
+        """Prepare for a change of the lease row that is about to be sent.
 
-        From now on no newly requested grant counts. A self-guarded lease gets a limit of one term, because
-        the new guard waits for a whole term from when it reads the changed row.
+        Grants requested from now on are ignored. A self-guarded lease is limited to one term, because the
+        new guard waits one term from when it reads the changed row before it may take the node over.
         """
         self.guard_change_pending = True
         if self.expiry == math.inf:
             self.expiry = now + self.term
 
     def guard_change_unknown(self, now: float) -> None:
-        """Record that the outcome of the change is unknown; the row must be read or written again."""
+        """Handle an unknown outcome of a change of guard; the row must be read or written again."""
         self.guard_change_pending = True
 
     def guard_change_failed(self, now: float) -> None:
-        """Record that the change did not take effect and never will, so the old row is still in force.
+        """Handle a change of guard that has not taken effect and never will; the old row stays valid.
 
-        Not for a conflict: it shows that the row has changed, and the new row must be adopted first.
+        Do not call this on a conflict: a conflict shows that the row has changed, and the new row must be
+        applied first.
         """
         self.guard_change_pending = False
         if self.self_guarded and not self.revoked:
             self.expiry = math.inf
 
     def seconds_since_grant(self, now: float) -> float:
-        """Return the seconds since the send time of the last granted renewal, or since the row was adopted.
+        """Return the seconds since the last granted renewal was sent, or since the row was applied.
 
-        Refusals do not count as answers: a guard that refuses must be replaced like a silent one.
+        Refusals do not reset this time: a guard that refuses must be replaced like an unresponsive one.
         """
         return now - self.last_grant_at
 
     def revoke(self, now: float) -> None:
-        """Record that the row is gone or names another incarnation; the lease is never valid again."""
+        """End the lease permanently because its row was deleted or has another incarnation."""
         self.revoked = True
         self.expiry = -math.inf
         self.pending_renewals.clear()
 
-    def _drop_expired(self, now: float) -> None:
-        """Forget requests whose grant would have ended by now."""
-        expired = [nonce for nonce, ask in self.pending_renewals.items() if ask.sent_at + self.term <= now]
+    def _remove_expired_renewals(self, now: float) -> None:
+        """Remove requests whose grant would already have expired."""
+        expired = [
+            nonce for nonce, pending in self.pending_renewals.items() if pending.sent_at + self.term <= now
+        ]
         for nonce in expired:
             del self.pending_renewals[nonce]
