--- a/src/hibiscusdrum/internal/ownership/guards.py
+++ b/src/hibiscusdrum/internal/ownership/guards.py
@@ -90,7 +90,8 @@
 
     The guard is replaced if it is the node itself, is leaving or has no rows, has too many lessees (only
     those beyond the limit change, in order of their names), is in the same failure domain or another region
-    although a usable node is not, or is part of a short cycle.
+    although a better candidate
+    is usable, or is part of a short cycle.
     """
     lease = leases.get(node)
     if lease is None:
@@ -152,7 +153,7 @@
 def _choose_in_group(
     own_row: OwnerRow, owners: Mapping[str, OwnerRow], leases: Mapping[str, LeaseRow], group: list[str]
 ) -> str:
-    """Return one of the first successors in the order, or a candidate by hash if none of them is in the group.
+    """Return one of the first successors in the order, or a candidate by hash if none of them qualifies.
 
     If each node took the next usable one, many nodes that restart at the same time would choose the same
     guard.
