Describe ownership map, rows, placement, deduplication and ids in the terms of the field

RingIndex: holders -> entries, slots -> slice_entries, hot -> hot_key_entries, set -> set_row, remove -> remove_node; Holder -> OwnerEntry; Ring -> RingId. OwnershipMap.indexes -> ring_indexes.

--- a/src/hibiscusdrum/internal/ownership/dedup.py
+++ b/src/hibiscusdrum/internal/ownership/dedup.py
@@ -1,4 +1,4 @@
-"""At-most-once execution: which request ids an owner has already admitted."""
+"""Deduplication of requests by id, by which an owner executes each request at most once."""
 
 from __future__ import annotations
 
@@ -11,20 +11,20 @@
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.ownership.ids import creation_time
 
-# Ids are remembered for this long; 5,900 requests/s, a tenth of them non-idempotent, make 71,000 ids.
-WINDOW_SECONDS = 120.0
-# Largest difference between the wall clocks of a caller and an owner.
-MARGIN_SECONDS = 5.0
-# Nearly three times the ids expected within the window.
+# Time for which ids are kept. At 5,900 requests/s, a tenth of them non-idempotent, this makes 71,000 ids.
+DEDUP_WINDOW_SECONDS = 120.0
+# Largest tolerated difference between the wall clocks of a caller and an owner.
+MAX_CLOCK_SKEW_SECONDS = 5.0
+# Nearly three times the number of ids expected within the window.
 MAX_ENTRIES = 200_000
-# Recorded answers beyond this size are dropped, oldest first; their retries get OutcomeUnknown.
+# When recorded answers exceed this total size, the oldest are dropped; their retries get OutcomeUnknown.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class RefusalReason(enum.StrEnum):
-    """Why a request was not admitted.
+    """Reason for not admitting a request.
 
-    Only ``FULL`` and ``FUTURE`` prove that the request did not run; all others map to ``OutcomeUnknown``.
+    Only ``FULL`` and ``FUTURE`` can prove that the request did not run; all others map to ``OutcomeUnknown``.
     """
 
     RUNNING = "running"
@@ -36,24 +36,35 @@
 
 
 class Fresh(msgspec.Struct, frozen=True):
-    """The request was not seen before and is now recorded as running."""
+    """The request is new and is now registered as running."""
 
 
 class Recorded(msgspec.Struct, frozen=True):
-    """The request has run; ``answer`` is what it answered."""
+    """The request has already run; ``answer`` is its recorded answer."""
 
     answer: Any
 
 
 class Refused(msgspec.Struct, frozen=True):
-    """The request may not run."""
+    """The request must not run; ``not_run`` tells whether it is certain that it has not run before."""
 
     reason: RefusalReason
     not_run: bool = False
 
 
-class Entry:
-    """A remembered request; ``answer`` is None while it runs or when its outcome is unknown."""
+class RequestEntry:
+    """State of an admitted request.
+
+    Attributes
+    ----------
+    answer : Any
+        The recorded answer; None while the request runs, if its outcome is unknown, or after the answer
+        was dropped.
+    finished : bool
+        Whether the request has ended.
+    size : int
+        Size of the recorded answer in bytes; 0 if there is none or it has no length.
+    """
 
     __slots__ = ("answer", "finished", "size")
 
@@ -67,18 +78,18 @@
 
 
 class DedupWindow:
-    """Ids of non-idempotent requests that this owner admitted.
+    """Ids and answers of the non-idempotent requests that this owner has admitted.
 
     Parameters
     ----------
     window_seconds : float
-        How long a retry can be recognised.
+        Time during which a retry is recognised.
     margin_seconds : float
-        Largest difference between wall clocks.
+        Largest tolerated difference between wall clocks.
     max_entries : int
-        Bound of remembered ids; further requests are refused as not run.
+        Largest number of stored ids; further requests are refused.
     max_answer_bytes : int
-        Bound of the recorded answers that have a length.
+        Largest total size of the recorded answers; answers without a length are not counted.
     """
 
     __slots__ = (
@@ -94,8 +105,8 @@
 
     def __init__(
         self,
-        window_seconds: float = WINDOW_SECONDS,
-        margin_seconds: float = MARGIN_SECONDS,
+        window_seconds: float = DEDUP_WINDOW_SECONDS,
+        margin_seconds: float = MAX_CLOCK_SKEW_SECONDS,
         max_entries: int = MAX_ENTRIES,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
@@ -107,49 +118,49 @@
         self.margin_seconds = margin_seconds
         self.max_entries = max_entries
         self.max_answer_bytes = max_answer_bytes
-        self.entries: dict[bytes, Entry] = {}
+        self.entries: dict[bytes, RequestEntry] = {}
         self.expiry_queue: deque[tuple[float, bytes]] = deque()
         self.answered_ids: deque[bytes] = deque()
         self.answer_bytes = 0
 
     def admit(
-        self, request_id: bytes, attempt: int, slice_acquired_wall: float, wall: float
+        self, request_id: bytes, attempt: int, slice_acquired_at: float, wall_time: float
     ) -> Fresh | Recorded | Refused:
-        """Decide on a request.
+        """Admit or refuse a request, or return its recorded answer.
 
         Parameters
         ----------
         request_id : bytes
-            UUIDv7.
+            Id of the request, a UUIDv7.
         attempt : int
             1 for the first attempt; any other value is treated as a retry.
-        slice_acquired_wall : float
-            Wall time at which this node acquired the key's slice.
-        wall : float
-            Wall time now.
+        slice_acquired_at : float
+            Wall time at which this node became the owner of the key's slice.
+        wall_time : float
+            Current wall time.
 
         Raises
         ------
         InvalidArgument
             If the id is not a UUIDv7.
         """
-        created = creation_time(request_id)
-        self._expire(wall)
+        created_at = creation_time(request_id)
+        self._remove_expired(wall_time)
         entry = self.entries.get(request_id)
         if entry is not None:
-            return _seen(entry)
-        reason = self._refusal(created, attempt, slice_acquired_wall, wall)
+            return _repeat_decision(entry)
+        reason = self._refusal_reason(created_at, attempt, slice_acquired_at, wall_time)
         if reason is not None:
-            proven = attempt == 1 and reason in (RefusalReason.FULL, RefusalReason.FUTURE)
-            return Refused(reason=reason, not_run=proven)
-        self.entries[request_id] = Entry()
-        # Twice the margin: the id may be as much as one margin in the future and is accepted as a retry
-        # until its creation time is a whole window ago.
-        self.expiry_queue.append((wall + self.window_seconds + 2 * self.margin_seconds, request_id))
+            not_run = attempt == 1 and reason in (RefusalReason.FULL, RefusalReason.FUTURE)
+            return Refused(reason=reason, not_run=not_run)
+        self.entries[request_id] = RequestEntry()
+        # Twice the margin, because the creation time may be up to one margin in the future, and a retry is
+        # accepted until its creation time is one window in the past.
+        self.expiry_queue.append((wall_time + self.window_seconds + 2 * self.margin_seconds, request_id))
         return FRESH
 
     def finish(self, request_id: bytes, answer: Any | None) -> None:
-        """Record the answer of an admitted request; None when its outcome is unknown."""
+        """Record the answer of an admitted request, or None if its outcome is unknown."""
         entry = self.entries.get(request_id)
         if entry is None or entry.finished:
             return
@@ -164,29 +175,30 @@
             self._drop_answer(self.answered_ids.popleft())
 
     def forget(self, request_id: bytes) -> None:
-        """Forget a request that did not run, so that it may be tried again."""
+        """Remove a request that did not run, so that it can be retried."""
         entry = self.entries.get(request_id)
         if entry is not None and not entry.finished:
             del self.entries[request_id]
 
-    def _refusal(
-        self, created: float, attempt: int, slice_acquired_wall: float, wall: float
+    def _refusal_reason(
+        self, created_at: float, attempt: int, slice_acquired_at: float, wall_time: float
     ) -> RefusalReason | None:
-        if created > wall + self.margin_seconds:
+        if created_at > wall_time + self.margin_seconds:
             return RefusalReason.FUTURE
-        # A first attempt this old is refused as well: it may be a copy of a message whose record expired.
-        if created < wall - self.window_seconds:
+        # First attempts of this age are refused as well: they may be duplicates of messages whose entry has
+        # expired.
+        if created_at < wall_time - self.window_seconds:
             return RefusalReason.OUTSIDE_WINDOW
-        if attempt != 1 and created < slice_acquired_wall + self.margin_seconds:
+        if attempt != 1 and created_at < slice_acquired_at + self.margin_seconds:
             return RefusalReason.BEFORE_ACQUISITION
         if len(self.entries) >= self.max_entries:
             return RefusalReason.FULL
         return None
 
-    def _expire(self, wall: float) -> None:
-        expiries = self.expiry_queue
-        while expiries and expiries[0][0] < wall:
-            request_id = expiries.popleft()[1]
+    def _remove_expired(self, wall_time: float) -> None:
+        expiry_queue = self.expiry_queue
+        while expiry_queue and expiry_queue[0][0] < wall_time:
+            request_id = expiry_queue.popleft()[1]
             self._drop_answer(request_id)
             self.entries.pop(request_id, None)
         while self.answered_ids and self.answered_ids[0] not in self.entries:
@@ -200,7 +212,7 @@
             entry.answer = None
 
 
-def _seen(entry: Entry) -> Recorded | Refused:
+def _repeat_decision(entry: RequestEntry) -> Recorded | Refused:
     if not entry.finished:
         return Refused(reason=RefusalReason.RUNNING)
     if entry.answer is None:
--- a/src/hibiscusdrum/internal/ownership/ids.py
+++ b/src/hibiscusdrum/internal/ownership/ids.py
@@ -1,4 +1,4 @@
-"""Request identifiers: UUIDv7 (RFC 9562), whose first 48 bits are the Unix time in milliseconds."""
+"""Request identifiers: UUIDv7 (RFC 9562), whose first 48 bits contain the Unix time in milliseconds."""
 
 from __future__ import annotations
 
@@ -7,22 +7,22 @@
 from hibiscusdrum.errors import InvalidArgument
 
 ID_BYTES = 16
-MILLISECONDS = 1000.0
-# Version 7 in the upper half of byte 6, variant 10 in the upper two bits of byte 8.
+MILLISECONDS_PER_SECOND = 1000.0
+# Version 7 is in the upper four bits of byte 6, variant 0b10 in the upper two bits of byte 8.
 VERSION_BITS = 0x70
 VARIANT_BITS = 0x80
 
 
-def new_request_id(wall: float) -> bytes:
-    """Return a new UUIDv7 for a wall time in seconds since the Unix epoch."""
-    random = bytearray(os.urandom(10))
-    random[0] = random[0] & 0x0F | VERSION_BITS
-    random[2] = random[2] & 0x3F | VARIANT_BITS
-    return int(wall * MILLISECONDS).to_bytes(6, "big") + bytes(random)
+def new_request_id(wall_time: float) -> bytes:
+    """Return a new UUIDv7 for a creation time, given as Unix time in seconds."""
+    random_bytes = bytearray(os.urandom(10))
+    random_bytes[0] = random_bytes[0] & 0x0F | VERSION_BITS
+    random_bytes[2] = random_bytes[2] & 0x3F | VARIANT_BITS
+    return int(wall_time * MILLISECONDS_PER_SECOND).to_bytes(6, "big") + bytes(random_bytes)
 
 
 def creation_time(request_id: bytes) -> float:
-    """Return the wall time in seconds at which an identifier was made, by its maker's clock.
+    """Return the Unix time in seconds at which an identifier was created, by its creator's clock.
 
     Raises
     ------
@@ -35,4 +35,4 @@
         or request_id[8] & 0xC0 != VARIANT_BITS
     ):
         raise InvalidArgument(name="request_id", value=request_id.hex(), expected="16 bytes of a UUIDv7")
-    return int.from_bytes(request_id[:6], "big") / MILLISECONDS
+    return int.from_bytes(request_id[:6], "big") / MILLISECONDS_PER_SECOND
--- a/src/hibiscusdrum/internal/ownership/keys.py
+++ b/src/hibiscusdrum/internal/ownership/keys.py
@@ -1,4 +1,4 @@
-"""Mapping from keys to regions and slices."""
+"""Maps keys to regions and slices."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 import xxhash
 
-# 490 targets then hold 33 or 34 slices each, an imbalance of 1.02 by count.
+# With 490 targets each owns 33 or 34 slices, which is an imbalance of 1.02 by slice count.
 DEFAULT_SLICES = 16_384
 
 
@@ -15,23 +15,23 @@
     return xxhash.xxh64_intdigest(key)
 
 
-def slice_of(hash_value: int, slices: int = DEFAULT_SLICES) -> int:
-    """Return the slice, in ``range(slices)``, of a key's hash.
+def slice_of(hash_value: int, slice_count: int = DEFAULT_SLICES) -> int:
+    """Return the slice of a key hash, from 0 up to but excluding ``slice_count``.
 
-    The high bits are used, so that a ring with twice the slices splits each slice in two.
+    The slice depends on the high bits, so that doubling the number of slices splits each slice in two.
     """
-    return (hash_value * slices) >> 64
+    return (hash_value * slice_count) >> 64
 
 
 def region_of(key: bytes, regions: Sequence[str]) -> str:
-    """Return the one region that serves a key, by rendezvous hashing among the allowed regions.
+    """Return the region that serves a key, chosen from the allowed regions by rendezvous hashing.
 
     Parameters
     ----------
     key : bytes
         The key.
     regions : sequence of str
-        Non-empty; the order does not matter.
+        Allowed regions, at least one; their order does not matter.
     """
     if len(regions) == 1:
         return regions[0]
--- a/src/hibiscusdrum/internal/ownership/ownership_map.py
+++ b/src/hibiscusdrum/internal/ownership/ownership_map.py
@@ -1,7 +1,7 @@
-"""The map from keys to owners, built from the rows of the table.
+"""Maps keys to their owners, based on the rows of the table.
 
-Lookup is on the request path of every caller: one dictionary access for hot keys and one list access for
-slices. A changed row updates only the slices that it names.
+The lookup is on the request path of every caller, so it takes one dictionary access for hot keys and one list
+access for slices. A changed row updates only the slices that it contains.
 """
 
 from __future__ import annotations
@@ -21,21 +21,21 @@
     RingRow,
 )
 
-# Versions of deleted rows, kept so that a late read does not bring a deleted row back.
-MAX_DELETED = 20_000
+# Number of deleted rows whose versions are kept, so that a stale read does not restore a deleted row.
+MAX_DELETED_VERSIONS = 20_000
 
-Ring = tuple[str, str]
+RingId = tuple[str, str]
 
 
-class Holder:
-    """The current owner row of a node; the slots of its slices refer to it."""
+class OwnerEntry:
+    """Current owner row of a node; the index entries of its slices and hot keys refer to this object."""
 
     __slots__ = ("excluded", "row", "version")
 
     def __init__(self, row: OwnerRow, version: int) -> None:
-        self.set(row, version)
+        self.set_row(row, version)
 
-    def set(self, row: OwnerRow, version: int) -> None:
+    def set_row(self, row: OwnerRow, version: int) -> None:
         """Replace the row."""
         self.row = row
         self.version = version
@@ -43,104 +43,123 @@
 
 
 class RingIndex:
-    """Owners of one ring by slice and by hot key.
+    """Index of the owners of one ring by slice and by hot key.
 
-    Two rows can claim one slice while only one of them has been brought up to date; the row with the
-    higher version is right, because the transaction that moved the slice wrote both rows.
+    Two rows can contain the same slice while only one of them has been updated. The row with the higher
+    version is correct, because the transaction that moved the slice wrote both rows.
+
+    Attributes
+    ----------
+    entries : dict of str to OwnerEntry
+        Entries by node.
+    slice_entries : list of OwnerEntry or None
+        Entry of the owner of each slice.
+    hot_key_entries : dict of int to OwnerEntry
+        Entries of the owners of hot keys, by key hash.
+    shift : int
+        Number of bits by which a key hash is shifted to get its slice; 0 if the number of slices is not a
+        power of two.
     """
 
-    __slots__ = ("holders", "hot", "shift", "slice_count", "slots")
+    __slots__ = ("entries", "hot_key_entries", "shift", "slice_count", "slice_entries")
 
     def __init__(self, slice_count: int) -> None:
-        self.holders: dict[str, Holder] = {}
+        self.entries: dict[str, OwnerEntry] = {}
         self.resize(slice_count)
 
     def owner(self, hash_value: int) -> OwnerRow | None:
-        """Return the owner of a key by its 64-bit hash, or None when it has none.
+        """Return the owner of a key by its 64-bit hash, or None if the key has no owner.
 
-        A power of two needs a shift only. The general product has more than 64 bits, which made the lookup
-        take 195 ns instead of 157 ns.
+        If the number of slices is a power of two, a shift is enough. The general product exceeds 64 bits,
+        with which the lookup took 195 ns instead of 157 ns.
         """
-        holder = self.hot.get(hash_value)
-        if holder is not None:
-            return holder.row
+        entry = self.hot_key_entries.get(hash_value)
+        if entry is not None:
+            return entry.row
         shift = self.shift
-        holder = self.slots[hash_value >> shift if shift else (hash_value * self.slice_count) >> 64]
-        if holder is None or hash_value in holder.excluded:
+        entry = self.slice_entries[hash_value >> shift if shift else (hash_value * self.slice_count) >> 64]
+        if entry is None or hash_value in entry.excluded:
             return None
-        return holder.row
+        return entry.row
 
-    def set(self, row: OwnerRow, version: int) -> None:
+    def set_row(self, row: OwnerRow, version: int) -> None:
         """Insert or replace the row of a node."""
-        holder = self.holders.get(row.node)
-        if holder is None:
-            holder = self.holders[row.node] = Holder(row, version)
+        entry = self.entries.get(row.node)
+        if entry is None:
+            entry = self.entries[row.node] = OwnerEntry(row, version)
         else:
-            self._release(holder, set(row.slices), set(row.hot_keys))
-            holder.set(row, version)
-        self._claim(holder)
+            self._remove_from_index(entry, set(row.slices), set(row.hot_keys))
+            entry.set_row(row, version)
+        self._add_to_index(entry)
 
-    def remove(self, node: str) -> None:
+    def remove_node(self, node: str) -> None:
         """Remove the row of a node."""
-        holder = self.holders.pop(node, None)
-        if holder is not None:
-            self._release(holder, set(), set())
+        entry = self.entries.pop(node, None)
+        if entry is not None:
+            self._remove_from_index(entry, set(), set())
 
     def resize(self, slice_count: int) -> None:
-        """Build the index again for another number of slices."""
+        """Rebuild the index for a different number of slices."""
         self.slice_count = slice_count
         power_of_two = slice_count & (slice_count - 1) == 0
         self.shift = 65 - slice_count.bit_length() if power_of_two else 0
-        self.slots: list[Holder | None] = [None] * slice_count
-        self.hot: dict[int, Holder] = {}
-        for holder in self.holders.values():
-            self._claim(holder)
-
-    def _claim(self, holder: Holder) -> None:
-        slots, count = self.slots, self.slice_count
-        for index in holder.row.slices:
-            if 0 <= index < count:
-                present = slots[index]
-                if present is None or present.version <= holder.version:
-                    slots[index] = holder
-        for hash_value in holder.row.hot_keys:
-            present = self.hot.get(hash_value)
-            if present is None or present.version <= holder.version:
-                self.hot[hash_value] = holder
-
-    def _release(self, holder: Holder, kept_slices: set[int], kept_hot: set[int]) -> None:
-        slots, count = self.slots, self.slice_count
-        for index in holder.row.slices:
-            if index not in kept_slices and 0 <= index < count and slots[index] is holder:
-                slots[index] = None
-        for hash_value in holder.row.hot_keys:
-            if hash_value not in kept_hot and self.hot.get(hash_value) is holder:
-                del self.hot[hash_value]
+        self.slice_entries: list[OwnerEntry | None] = [None] * slice_count
+        self.hot_key_entries: dict[int, OwnerEntry] = {}
+        for entry in self.entries.values():
+            self._add_to_index(entry)
+
+    def _add_to_index(self, entry: OwnerEntry) -> None:
+        slice_entries, slice_count = self.slice_entries, self.slice_count
+        for index in entry.row.slices:
+            if 0 <= index < slice_count:
+                current = slice_entries[index]
+                if current is None or current.version <= entry.version:
+                    slice_entries[index] = entry
+        for hash_value in entry.row.hot_keys:
+            current = self.hot_key_entries.get(hash_value)
+            if current is None or current.version <= entry.version:
+                self.hot_key_entries[hash_value] = entry
+
+    def _remove_from_index(self, entry: OwnerEntry, kept_slices: set[int], kept_hot_keys: set[int]) -> None:
+        slice_entries, slice_count = self.slice_entries, self.slice_count
+        for index in entry.row.slices:
+            if index not in kept_slices and 0 <= index < slice_count and slice_entries[index] is entry:
+                slice_entries[index] = None
+        for hash_value in entry.row.hot_keys:
+            if hash_value not in kept_hot_keys and self.hot_key_entries.get(hash_value) is entry:
+                del self.hot_key_entries[hash_value]
 
 
 class OwnershipMap:
-    """Rows of the table that describe ownership, indexed for lookup.
+    """The rows of the table that describe ownership, indexed for lookup.
 
     Attributes
     ----------
     generation : int
-        Grows with each change, so that what is derived from the map can be cached.
+        Increases with each change, so that values derived from the map can be cached.
     seq : int
-        Sequence number of the table up to which rows have been applied.
+        Sequence number of the table up to which all rows have been applied.
     owners : dict of str to OwnerRow
+        Owner rows by node.
     leases : dict of str to LeaseRow
+        Lease rows by node.
     rings : dict of (service, region) to RingRow
-    malformed : dict of str to str
-        Rows that could not be read, by key, with the reason. Their last good value stays in force.
+        Ring rows by ring.
+    versions : dict of str to int
+        Versions of existing rows by row key.
+    deleted_versions : dict of str to int
+        Versions of deletions by row key.
+    malformed_rows : dict of str to str
+        Reason for each row that could not be decoded, by row key. Its last valid value remains in use.
     """
 
     __slots__ = (
         "deleted_versions",
         "generation",
-        "indexes",
         "leases",
         "malformed_rows",
         "owners",
+        "ring_indexes",
         "rings",
         "seq",
         "versions",
@@ -151,10 +170,10 @@
         self.generation = 0
         self.owners: dict[str, OwnerRow] = {}
         self.leases: dict[str, LeaseRow] = {}
-        self.rings: dict[Ring, RingRow] = {}
+        self.rings: dict[RingId, RingRow] = {}
         self.versions: dict[str, int] = {}
         self.deleted_versions: dict[str, int] = {}
-        self.indexes: dict[Ring, RingIndex] = {}
+        self.ring_indexes: dict[RingId, RingIndex] = {}
         self.malformed_rows: dict[str, str] = {}
 
     def apply(self, rows: Iterable[tuple[str, int, Any]], seq: int) -> list[str]:
@@ -163,15 +182,15 @@
         Parameters
         ----------
         rows : iterable of (str, int, Any)
-            Key, version and JSON value, or None when the row was deleted.
+            Key, version and JSON value of each row; the value is None if the row was deleted.
         seq : int
-            Sequence number of the table up to which the rows are complete. For rows that were received
-            singly, such as those of an own write, pass 0; else rows written in between are never read.
+            Sequence number of the table up to which the rows are complete. Pass 0 for individual rows, such
+            as those of this node's own write; otherwise rows written in between are never read.
 
         Returns
         -------
         list of str
-            Keys of the rows that were newer than the known ones.
+            Keys of the rows that were newer than the known rows.
         """
         changed = []
         for key, version, value in rows:
@@ -184,30 +203,30 @@
         return changed
 
     def owner(self, service: str, region: str, hash_value: int) -> OwnerRow | None:
-        """Return the owner of a key by its 64-bit hash, or None when it has none."""
-        index = self.indexes.get((service, region))
+        """Return the owner of a key by its 64-bit hash, or None if the key has no owner."""
+        index = self.ring_indexes.get((service, region))
         return None if index is None else index.owner(hash_value)
 
     def slice_owner(self, service: str, region: str, slice_index: int) -> OwnerRow | None:
-        """Return the owner of a slice, or None when it has none."""
-        index = self.indexes.get((service, region))
+        """Return the owner of a slice, or None if it has no owner."""
+        index = self.ring_indexes.get((service, region))
         if index is None:
             return None
-        holder = index.slots[slice_index]
-        return None if holder is None else holder.row
+        entry = index.slice_entries[slice_index]
+        return None if entry is None else entry.row
 
     def version(self, key: str) -> int:
-        """Return the version of a row, 0 when it is absent."""
+        """Return the version of a row, or 0 if the row does not exist."""
         return self.versions.get(key, 0)
 
     def owner_rows(self, service: str, region: str) -> list[OwnerRow]:
         """Return the owner rows of a ring."""
-        index = self.indexes.get((service, region))
-        return [] if index is None else [holder.row for holder in index.holders.values()]
+        index = self.ring_indexes.get((service, region))
+        return [] if index is None else [entry.row for entry in index.entries.values()]
 
     def slice_count(self, service: str, region: str) -> int:
         """Return the number of slices of a ring."""
-        index = self.indexes.get((service, region))
+        index = self.ring_indexes.get((service, region))
         return DEFAULT_SLICES if index is None else index.slice_count
 
     def _apply_row(self, key: str, version: int, value: Any) -> bool:
@@ -237,7 +256,7 @@
         self.versions.pop(key, None)
         self.deleted_versions.pop(key, None)
         self.deleted_versions[key] = version
-        if len(self.deleted_versions) > MAX_DELETED:
+        if len(self.deleted_versions) > MAX_DELETED_VERSIONS:
             del self.deleted_versions[next(iter(self.deleted_versions))]
 
     def _set_lease(self, node: str, row: LeaseRow | None, version: int) -> None:
@@ -247,16 +266,16 @@
             self.leases[node] = row
 
     def _set_owner(self, node: str, row: OwnerRow | None, version: int) -> None:
-        before = self.owners.get(node)
-        if before is not None and (
-            row is None or (before.service, before.region) != (row.service, row.region)
+        former = self.owners.get(node)
+        if former is not None and (
+            row is None or (former.service, former.region) != (row.service, row.region)
         ):
-            self.indexes[before.service, before.region].remove(node)
+            self.ring_indexes[former.service, former.region].remove_node(node)
         if row is None:
             self.owners.pop(node, None)
             return
         self.owners[node] = row
-        self.ring_index(row.service, row.region).set(row, version)
+        self.ring_index(row.service, row.region).set_row(row, version)
 
     def _set_ring(self, name: str, row: RingRow | None, version: int) -> None:
         service, _, region = name.rpartition("@")
@@ -270,13 +289,13 @@
             index.resize(row.slice_count)
 
     def ring_index(self, service: str, region: str) -> RingIndex:
-        """Return the index of a ring, which stays valid while the map changes.
+        """Return the index of a ring, which remains valid when the map changes.
 
-        A caller that keeps it saves the search for the ring, half of the time of a lookup.
+        Callers can keep it to avoid the lookup of the ring, which takes half of the time of a key lookup.
         """
         ring = (service, region)
-        index = self.indexes.get(ring)
+        index = self.ring_indexes.get(ring)
         if index is None:
             row = self.rings.get(ring)
-            index = self.indexes[ring] = RingIndex(DEFAULT_SLICES if row is None else row.slice_count)
+            index = self.ring_indexes[ring] = RingIndex(DEFAULT_SLICES if row is None else row.slice_count)
         return index
--- a/src/hibiscusdrum/internal/ownership/rows.py
+++ b/src/hibiscusdrum/internal/ownership/rows.py
@@ -1,6 +1,6 @@
-"""Rows of the table service that describe ownership, and their names.
+"""Rows of the table service that describe ownership, and their row keys.
 
-A row's version is the number of the transaction that last wrote it; it is kept beside the value, not in it.
+A row's version is the number of the transaction that last wrote it. It is stored separately from the value.
 """
 
 from __future__ import annotations
@@ -18,7 +18,11 @@
 
 
 class LeaseRow(msgspec.Struct, frozen=True):
-    """Who grants the lease of a node. Its version changes only with the guard or the owner."""
+    """The lease of a node: its incarnation, its guard and its state.
+
+    Handovers of slices do not write this row, so its version changes only when the incarnation, the guard or
+    the state changes.
+    """
 
     node: str
     incarnation: str
@@ -27,22 +31,22 @@
 
 
 class OwnerRow(msgspec.Struct, frozen=True):
-    """What a node owns and where it listens.
+    """The slices and hot keys that a node owns, and the addresses on which it listens.
 
     Attributes
     ----------
     slices : tuple of int
-        Owned slices of the ring (service, region), sorted.
+        Owned slices of the ring of ``service`` and ``region``, sorted.
     hot_keys : tuple of int
         Hashes of hot keys owned separately from their slices, sorted.
     excluded : tuple of int
-        Hashes of hot keys that lie in owned slices but are owned elsewhere, sorted.
+        Hashes of hot keys in owned slices that are owned by other nodes, sorted.
     epoch : int
-        Number of the transaction that last added slices or hot keys; the fencing token.
+        Number of the transaction that last added slices or hot keys, used as the fencing token.
     peer_address, http_address : str
         ``ip:port`` of the daemon's ZeroMQ socket and of its HTTP endpoint.
     capacity : float
-        Relative weight of the target.
+        Relative capacity of the target.
     """
 
     node: str
@@ -59,13 +63,15 @@
 
 
 class RingRow(msgspec.Struct, frozen=True):
-    """Slices of a ring that have no owner.
+    """The number of slices of a ring, and its slices without an owner.
 
     Attributes
     ----------
+    unowned : tuple of int
+        Slices without an owner, sorted.
     excluded : tuple of int
-        Hashes of hot keys that lie in unowned slices but are owned by a node, sorted. Whoever claims
-        the slice must exclude them, or the key would have two owners.
+        Hashes of hot keys in unowned slices that are owned by a node, sorted. A node that claims the slices
+        must exclude these keys, since otherwise they would have two owners.
     """
 
     service: str
@@ -76,15 +82,15 @@
 
 
 def lease_key(node: str) -> str:
-    """Return the name of a node's lease row."""
+    """Return the key of a node's lease row."""
     return LEASE_PREFIX + node
 
 
 def owner_key(node: str) -> str:
-    """Return the name of a node's owner row."""
+    """Return the key of a node's owner row."""
     return OWNER_PREFIX + node
 
 
 def ring_key(service: str, region: str) -> str:
-    """Return the name of a ring's row."""
+    """Return the key of a ring's row."""
     return f"{RING_PREFIX}{service}@{region}"
