Name the default number of slices as a count

DEFAULT_SLICES read like a list of slices; it is now DEFAULT_SLICE_COUNT, with all uses. Three comments in guard.py and takeover.py are reworded as well.

--- a/bench/control_sizes.py
+++ b/bench/control_sizes.py
@@ -23,7 +23,7 @@
 from hibiscusdrum.internal.ownership.dedup import DedupWindow
 from hibiscusdrum.internal.ownership.guards import find_better_guard
 from hibiscusdrum.internal.ownership.ids import new_request_id
-from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES
+from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
 from hibiscusdrum.internal.ownership.placement import plan_moves
 from hibiscusdrum.internal.ownership.ring_edit import row_to_json
@@ -39,7 +39,7 @@
 RowValue = tuple[str, int, Any]
 
 
-def build_rows(nodes: int = NODES, slices: int = DEFAULT_SLICES, seed: int = 1) -> list[RowValue]:
+def build_rows(nodes: int = NODES, slices: int = DEFAULT_SLICE_COUNT, seed: int = 1) -> list[RowValue]:
     """Return lease and owner rows as JSON values; each region's ring is spread in random order."""
     rng = random.Random(seed)
     rows: list[RowValue] = []
@@ -152,7 +152,7 @@
     receivers = [(key, version, {**value, "epoch": 99}) for key, version, value in rows[1:9:2]]
     takeover = [*receivers, (rows[10][0], 99, rows[10][2]), (rows[12][0], 99, None), (rows[13][0], 99, None)]
     encoded = msgspec.json.encode({"seq": 1, "rows": [dict(zip("kvw", row, strict=True)) for row in rows]})
-    print(f"sizes at {NODES} nodes, 2 rings of {DEFAULT_SLICES} slices, built in this process")
+    print(f"sizes at {NODES} nodes, 2 rings of {DEFAULT_SLICE_COUNT} slices, built in this process")
     print(
         f"  rows {len(rows)}; JSON {len(encoded)} bytes; MapReply {len(message(MapReply(1, 1, rows)))} bytes"
     )
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -16,7 +16,7 @@
 import xxhash
 
 from hibiscusdrum.internal.ownership import handover, takeover
-from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES, slice_of
+from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT, slice_of
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
 from hibiscusdrum.internal.ownership.placement import MAX_LOAD_RATIO, plan_moves
 from hibiscusdrum.internal.ownership.ring_edit import row_to_json
@@ -119,7 +119,7 @@
         return [names[slice_of(value)] for value in KEY_HASHES]
 
     def _slots(self) -> list[OwnerRow | None]:
-        return [self.map.slice_owner(SERVICE, REGION, index) for index in range(DEFAULT_SLICES)]
+        return [self.map.slice_owner(SERVICE, REGION, index) for index in range(DEFAULT_SLICE_COUNT)]
 
     def active(self) -> list[str]:
         """Return the nodes that may own keys."""
@@ -247,10 +247,10 @@
 
 def random_moves_map(nodes: int) -> OwnershipMap:
     """Return a map whose slices are scattered at random, as after many moves."""
-    slices = list(range(DEFAULT_SLICES))
+    slices = list(range(DEFAULT_SLICE_COUNT))
     random.Random(2).shuffle(slices)
     result = OwnershipMap()
-    rows = [(ring_key(SERVICE, REGION), 1, row_to_json(RingRow(SERVICE, REGION, DEFAULT_SLICES)))]
+    rows = [(ring_key(SERVICE, REGION), 1, row_to_json(RingRow(SERVICE, REGION, DEFAULT_SLICE_COUNT)))]
     for index in range(nodes):
         name = f"n{index:03d}"
         own = tuple(sorted(slices[index::nodes]))
--- a/src/hibiscusdrum/internal/cli/operator.py
+++ b/src/hibiscusdrum/internal/cli/operator.py
@@ -34,7 +34,7 @@
 )
 from hibiscusdrum.internal.config.operators import KEY_HEADER, PATH_PREFIX
 from hibiscusdrum.internal.config.revisions import ACCEPTED
-from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES
+from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT
 from hibiscusdrum.internal.settings import ADDRESS_EXPECTED, BY_NAME, parse_address
 
 PROGRAM = "hibiscusdrum"
@@ -171,7 +171,7 @@
 
 
 def create_route(
-    session: Session, name: str, *regions: str, divided: bool = False, slices: int = DEFAULT_SLICES
+    session: Session, name: str, *regions: str, divided: bool = False, slices: int = DEFAULT_SLICE_COUNT
 ) -> int:
     """Plan a new route.
 
--- a/src/hibiscusdrum/internal/config/document.py
+++ b/src/hibiscusdrum/internal/config/document.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from hibiscusdrum.errors import InvalidArgument
-from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES
+from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT
 from hibiscusdrum.internal.settings import NAME_EXPECTED, NAME_PATTERN
 
 # A slice list of this length takes about 400 KB as JSON, the largest row value the daemons accept.
@@ -32,7 +32,7 @@
     name: str
     regions: tuple[str, ...]
     divided: bool
-    slices: int = DEFAULT_SLICES
+    slices: int = DEFAULT_SLICE_COUNT
 
 
 class Tenant(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
--- a/src/hibiscusdrum/internal/config/intents.py
+++ b/src/hibiscusdrum/internal/config/intents.py
@@ -20,7 +20,7 @@
     check_unique_names,
     convert_value,
 )
-from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES
+from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT
 
 # Intents are short lists of names; a larger body is a mistake.
 MAX_INTENT_BYTES = 65_536
@@ -38,7 +38,7 @@
     name: str
     regions: tuple[str, ...]
     divided: bool
-    slices: int = DEFAULT_SLICES
+    slices: int = DEFAULT_SLICE_COUNT
 
 
 class CreateTenant(Intent, frozen=True, tag="create_tenant"):
--- a/src/hibiscusdrum/internal/daemon/configuration.py
+++ b/src/hibiscusdrum/internal/daemon/configuration.py
@@ -10,7 +10,7 @@
 from hibiscusdrum.internal.config.revisions import ACCEPTED, Acceptance, Applied, Behind, RevisionState
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.messages import ConfigAck, ConfigChange, ConfigRequest
-from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES
+from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT
 from hibiscusdrum.internal.ownership.rows import CONFIG_KEY, LEASE_PREFIX, OwnerRow
 from hibiscusdrum.internal.platform.table import Row
 
@@ -92,7 +92,7 @@
     def slice_count(self, service: str) -> int:
         """Return the number of slices of a service's rings."""
         route = self.document.routes.get(service)
-        return route.slices if route is not None else DEFAULT_SLICES
+        return route.slices if route is not None else DEFAULT_SLICE_COUNT
 
     # Applying
 
--- a/src/hibiscusdrum/internal/ownership/guard.py
+++ b/src/hibiscusdrum/internal/ownership/guard.py
@@ -176,7 +176,7 @@
         lessee = self.lessees.get(node)
         refusal = self._refusal_reason(lessee, node, incarnation, lease_version, own_lease_valid)
         if refusal is RenewalRefusal.OWN_LEASE_INVALID:
-            # The owner is running. Half a term gives it time to renew once this node's own lease is valid
+            # The lessee is running. Half a term gives it time to renew once this node's own lease is valid
             # again.
             lessee.takeover_at = max(lessee.takeover_at, now + self.term / 2)
         if refusal is not None:
@@ -218,7 +218,7 @@
         return True
 
     def end_takeover(self, node: str, committed: bool | None, now: float) -> None:
-        """Record the outcome of a takeover.
+        """Process the outcome of a takeover.
 
         Parameters
         ----------
--- a/src/hibiscusdrum/internal/ownership/handover.py
+++ b/src/hibiscusdrum/internal/ownership/handover.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from hibiscusdrum.errors import InvalidArgument
-from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES
+from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
 from hibiscusdrum.internal.ownership.ring_edit import EligibilityCheck, RingEdit, row_to_json
 from hibiscusdrum.internal.ownership.rows import ACTIVE, LEAVING, LeaseRow, OwnerRow, lease_key
@@ -33,7 +33,7 @@
     incarnation: str,
     guard: str,
     operation_id: str,
-    slice_count: int = DEFAULT_SLICES,
+    slice_count: int = DEFAULT_SLICE_COUNT,
     claim: bool = True,
 ) -> Transaction:
     """Return the transaction by which a node joins its ring.
--- a/src/hibiscusdrum/internal/ownership/keys.py
+++ b/src/hibiscusdrum/internal/ownership/keys.py
@@ -7,7 +7,7 @@
 import xxhash
 
 # With 490 targets each owns 33 or 34 slices, which is an imbalance of 1.02 by slice count.
-DEFAULT_SLICES = 16_384
+DEFAULT_SLICE_COUNT = 16_384
 
 
 def key_hash(key: bytes) -> int:
@@ -15,7 +15,7 @@
     return xxhash.xxh64_intdigest(key)
 
 
-def slice_of(hash_value: int, slice_count: int = DEFAULT_SLICES) -> int:
+def slice_of(hash_value: int, slice_count: int = DEFAULT_SLICE_COUNT) -> int:
     """Return the slice of a key hash, from 0 up to but excluding ``slice_count``.
 
     The slice depends on the high bits, so that doubling the number of slices splits each slice in two.
--- a/src/hibiscusdrum/internal/ownership/ownership_map.py
+++ b/src/hibiscusdrum/internal/ownership/ownership_map.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICES
+from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT
 from hibiscusdrum.internal.ownership.rows import (
     LEASE_PREFIX,
     OWNER_PREFIX,
@@ -227,7 +227,7 @@
     def slice_count(self, service: str, region: str) -> int:
         """Return the number of slices of a ring."""
         index = self.ring_indexes.get((service, region))
-        return DEFAULT_SLICES if index is None else index.slice_count
+        return DEFAULT_SLICE_COUNT if index is None else index.slice_count
 
     def _apply_row(self, key: str, version: int, value: Any) -> bool:
         if key.startswith(OWNER_PREFIX):
@@ -297,5 +297,7 @@
         index = self.ring_indexes.get(ring)
         if index is None:
             row = self.rings.get(ring)
-            index = self.ring_indexes[ring] = RingIndex(DEFAULT_SLICES if row is None else row.slice_count)
+            index = self.ring_indexes[ring] = RingIndex(
+                DEFAULT_SLICE_COUNT if row is None else row.slice_count
+            )
         return index
--- a/src/hibiscusdrum/internal/ownership/takeover.py
+++ b/src/hibiscusdrum/internal/ownership/takeover.py
@@ -1,4 +1,4 @@
-"""Transactions that reassign the slices of a failed node, and the guards of its lessees."""
+"""Transactions that remove failed nodes and reassign their slices and their lessees."""
 
 from __future__ import annotations
 
