Describe the fair queue and the concurrency limiter in usual terms

Comments spoke of free places, flows that hold parts and targets that bear requests. They now speak of capacity, thresholds, slot caps, baseline and ramp; doc comments name the renamed attributes. All figures and reasons are kept.

--- a/src/hibiscusdrum/internal/load/__init__.py
+++ b/src/hibiscusdrum/internal/load/__init__.py
@@ -1,1 +1,1 @@
-"""Load decisions: limits, queues, choice of target, retries, without I/O."""
+"""Load control without I/O: concurrency limits, queues, load balancing, hedging and retries."""
--- a/src/hibiscusdrum/internal/load/fair_queue.py
+++ b/src/hibiscusdrum/internal/load/fair_queue.py
@@ -1,4 +1,4 @@
-"""Queue of admitted requests with fair shares by class and tenant, slot caps per class and early shedding."""
+"""Fair queue of admitted requests: weighted shares by class and tenant, slot caps by class, load shedding."""
 
 from __future__ import annotations
 
@@ -10,30 +10,31 @@
 
 from hibiscusdrum.errors import InvalidArgument
 
-# Slots that an internal class may hold at once out of nine, so that stalled lineage and conflict checks
-# together leave three slots to other classes.
+# Fraction of the slots that an internal class may occupy at once. When lineage and conflict checks both
+# stall, three of nine slots remain for the other classes.
 DEFAULT_CLASS_SHARES: dict[str, float] = {"lineage": 1 / 3, "conflict": 1 / 3}
-# A flow may hold this multiple of the free places, so a flood by one tenant leaves room for others.
+# Dynamic thresholds: a flow or class may queue at most this multiple of the free capacity, so that a flood by
+# one tenant leaves capacity for the others.
 FLOW_THRESHOLD_FACTOR = 1.0
 CLASS_THRESHOLD_FACTOR = 2.0
 POP_INTERVAL_EWMA_WEIGHT = 0.1
-# Longest interval between two pops that enters the average. A stall under way is measured by its present
-# length; once it is over, it must not shed requests for long.
+# Upper bound of one sample of the average interval between pops. An ongoing stall is measured by its current
+# length; bounding the sample keeps a past stall from causing shedding for long.
 MAX_POP_INTERVAL_SECONDS = 0.25
-# Classes come from requests; further names share one queue, so that memory stays bounded.
+# Class names come from requests. Names beyond this number share one queue, which bounds memory.
 MAX_CLASSES = 32
 OVERFLOW_CLASS = "(other)"
-# With so few slots that the cap of a class rounds to none, the class runs only when no uncapped class has had
+# If the slot cap of a class rounds down to 0, the class may run only after the uncapped classes have had no
 # work for this long.
 UNCAPPED_IDLE_SECONDS = 1.0
-# Idle flows kept beyond the active ones before the outdated ones are dropped.
+# Number of idle flows kept in addition to twice the active ones before idle flows are dropped.
 IDLE_FLOW_ALLOWANCE = 64
-# Makes a third of nine slots three in spite of rounding.
+# Compensates for floating-point error, so that 1/3 of nine slots is 3.
 SLOT_ROUNDING_MARGIN = 1e-9
 
 
 class Flow:
-    """Queue of one tenant within one class."""
+    """Queued items of one tenant within one class."""
 
     __slots__ = ("entries", "start_tag", "tenant", "weight")
 
@@ -41,12 +42,12 @@
         self.tenant = tenant
         self.weight = weight
         self.start_tag = 0.0
-        # Items with the time after which each is not worth starting.
+        # Pairs of an item and the latest time at which starting it is still useful.
         self.entries: deque[tuple[Any, float]] = deque()
 
 
 class ClassQueue:
-    """Flows of one request class and the slots that the class holds."""
+    """Flows of one request class, and the number of slots that the class occupies."""
 
     __slots__ = (
         "active_flows",
@@ -81,24 +82,24 @@
 
 
 class FairQueue:
-    """Queue with virtual-time fair shares: classes by weight, and tenants by weight within a class.
+    """Start-time fair queue: weighted shares between classes, and between tenants within a class.
 
     Parameters
     ----------
     capacity : int
-        Largest number of queued items.
+        Maximum number of queued items.
     slots : int
-        Slots of the target; set ``slots`` to the present limit when it changes.
+        Concurrency limit of the target; assign ``slots`` when the limit changes.
     tenant_weights, class_weights : mapping of str to float
-        Shares; 1 when absent.
+        Weights; 1 for names that are absent.
     class_shares : mapping of str to float
-        Share of the slots that a class may hold at once; 1 when absent.
+        Fraction of the slots that a class may occupy at once; 1 for classes that are absent.
 
     Attributes
     ----------
-    service_seconds : float
-        Time that a request is expected to run, 0 when not known. Items expire this long before their
-        deadline: an answer that comes too late wastes a slot.
+    service_time_seconds : float
+        Expected time that a request runs, 0 if unknown. Items expire this long before their deadline, since
+        an answer after the deadline would waste a slot.
     """
 
     __slots__ = (
@@ -147,17 +148,17 @@
         return self.queued
 
     def push(self, item: Any, tenant: str, request_class: str, deadline: float, now: float) -> bool:
-        """Queue an item; False when it is shed.
+        """Queue an item, or return False if it is shed.
 
-        An item is shed when its tenant or class already holds more than its part of the free places, or
-        when it is not expected to be popped before its deadline.
+        An item is shed if its tenant or class already queues more than its threshold, or if it is not
+        expected to be popped early enough to finish before its deadline.
 
         Parameters
         ----------
         item : Any
-            Returned by ``pop`` or ``expire``.
+            Object that ``pop`` or ``expire`` returns later.
         tenant, request_class : str
-            The flow of the item.
+            Flow that the item belongs to.
         deadline, now : float
             Monotonic times in seconds.
         """
@@ -192,7 +193,7 @@
         return True
 
     def pop(self, now: float) -> Any | None:
-        """Return the next item of a class that may run, or None; expired items are kept for ``expire``."""
+        """Return the next item of a class below its slot cap, or None; expired ones go to ``expire``."""
         self.last_call_at = now
         while True:
             queue = self._next_class()
@@ -205,32 +206,32 @@
             self.expired.append(item)
 
     def expire(self, now: float) -> list[Any]:
-        """Remove and return all items that can no longer be answered before their deadline."""
+        """Remove and return all items that can no longer finish before their deadline."""
         if self.earliest_start_by <= now:
             self._collect_expired(now)
         expired, self.expired = self.expired, []
         return expired
 
     def may_run(self, request_class: str) -> bool:
-        """Return whether the class may hold one more slot."""
+        """Return whether the class is below its slot cap."""
         queue = self.classes.get(request_class) or self._add_class(request_class)
         return queue.running < self._slot_cap(queue)
 
     def on_started(self, request_class: str) -> None:
-        """Record that a request of the class got a slot."""
+        """Record that a request of the class has been given a slot."""
         queue = self.classes.get(request_class) or self._add_class(request_class)
         queue.running += 1
         if queue.slot_share >= 1.0:
             self.uncapped_work_at = self.last_call_at
 
     def on_finished(self, request_class: str) -> None:
-        """Record that a request of the class gave its slot back."""
+        """Record that a request of the class has released its slot."""
         queue = self.classes.get(request_class) or self._add_class(request_class)
         if queue.running > 0:
             queue.running -= 1
 
     def set_weights(self, tenant_weights: Mapping[str, float], class_weights: Mapping[str, float]) -> None:
-        """Replace the shares, for example after a configuration change; queued items stay in place."""
+        """Replace the weights, for example after a configuration change; queued items stay queued."""
         self.tenant_weights = _validated_weights("tenant_weights", tenant_weights)
         self.class_weights = _validated_weights("class_weights", class_weights)
         for queue in self.classes.values():
@@ -278,7 +279,7 @@
             if not queue.queued:
                 continue
             if queue.running >= (self.slots if queue.slot_share >= 1.0 else self._slot_cap(queue)):
-                # A class at its cap doesn't save up a share that it would take at once later.
+                # A class at its cap earns no credit while it waits, which it would otherwise use in a burst.
                 if queue.start_tag < self.virtual_time:
                     queue.start_tag = self.virtual_time
             elif best is None or queue.start_tag < best.start_tag:
@@ -314,7 +315,7 @@
         queue.active_weight = queue.active_weight - flow.weight if queue.active_flows else 0.0
 
     def _drop_idle_flows(self, queue: ClassQueue) -> None:
-        # A flow that the virtual time has passed would start there again, so nothing is lost with it.
+        # An idle flow whose tag is not ahead of the virtual time would restart there, so no state is lost.
         queue.flows = {
             name: flow
             for name, flow in queue.flows.items()
@@ -344,7 +345,7 @@
 
 
 def _validated_weights(name: str, weights: Mapping[str, float] | None) -> dict[str, float]:
-    """Return a copy of the shares; all must be above 0."""
+    """Return a copy of the weights, all of which must be above 0."""
     for key, weight in (weights or {}).items():
         if not weight > 0.0:
             raise InvalidArgument(name=f"{name}[{key!r}]", value=weight, expected="above 0")
--- a/src/hibiscusdrum/internal/load/limiter.py
+++ b/src/hibiscusdrum/internal/load/limiter.py
@@ -1,4 +1,4 @@
-"""Adaptive limit on the requests in flight to one target, learned from its latency as seen locally."""
+"""Adaptive limit on the requests in flight to one target, derived from locally measured latency."""
 
 from __future__ import annotations
 
@@ -6,48 +6,52 @@
 
 from hibiscusdrum.errors import InvalidArgument
 
-# Samples per adjustment: the mean of 64 exponential samples has a relative deviation of 1/8.
+# Samples per adjustment. The mean of 64 exponentially distributed samples has a relative deviation of 1/8.
 WINDOW_SAMPLES = 64
-# Completions for each step of the ramp. A ramp of eight steps then takes about 0.7 s at 2 ms a request, well
-# within the 5 s in which a key must be served again; a shorter step risks outrunning the warm-up.
+# Completions per step of the ramp. At 2 ms per request a ramp of eight steps takes about 0.7 s, well within
+# the 5 s in which a key must be served again. Shorter steps risk exceeding what a target that warms up can
+# handle.
 RAMP_STEP_COMPLETIONS = 128
-# A mean latency above this multiple of the baseline means that the target queues requests. The first holds
-# on the ramp, where the baseline was measured moments ago; the second leaves room for changes in the mix of
-# requests and for delays in this process.
+# A mean latency above this multiple of the baseline means that requests queue at the target. The ramp uses
+# the stricter value because its baseline was measured moments ago; in steady state there must be room for
+# changes in the mix of requests and for delays in this process.
 RAMP_LATENCY_TOLERANCE = 1.4
 STEADY_LATENCY_TOLERANCE = 2.0
-# Samples below this count as this, in seconds. Less than that is mostly this process's own loop, whose share
-# grows with the requests in flight: a target that answers in 0.1 ms kept a limit of 1.6 for that reason.
+# Shorter samples are raised to this value, since most of such a sample is time in this process's event loop,
+# which grows with the requests in flight. Without it the limit for a target that answers in 0.1 ms stayed at
+# 1.6.
 MIN_LATENCY_SECONDS = 0.001
-# A sample above this multiple of the baseline counts towards a jump. An exponential sample exceeds it
-# with probability 0.018, so six in a row happen by chance about once in 3e10 samples.
+# Samples above this multiple of the baseline count as evidence of a latency jump. An exponentially
+# distributed sample exceeds it with probability 0.018, so six in a row happen by chance about once in 3e10
+# samples.
 LATENCY_JUMP_FACTOR = 4.0
 LATENCY_JUMP_SAMPLES = 6
 MIN_CUT_FACTOR = 0.5
 BASELINE_FALL_EWMA_WEIGHT = 0.5
 BASELINE_RISE_EWMA_WEIGHT = 0.01
-# A failure adds 1 and a good answer takes this off; at the threshold the limit is cut. Failures of up to a
-# tenth of the requests don't add up, so sporadic ones don't cost capacity.
+# A failure adds 1 to the score and a success subtracts this; the limit is cut when the score reaches the
+# threshold. Failures of up to a tenth of the requests do not accumulate, so sporadic ones cost no capacity.
 FAILURE_SCORE_DECREMENT = 0.125
 FAILURE_SCORE_THRESHOLD = 4.0
 FAILURE_CUT_FACTOR = 0.7
-# When the limit has been cut to the first share of what it was, and the latency is still above the second
-# share, the requests don't queue behind each other: they have become slower, which a lower limit can't help.
+# If the limit has been cut to the first fraction of its former value and the latency is still above the
+# second fraction of its former value, the requests are not queueing: they take longer, which no lower limit
+# can change.
 SLOWDOWN_LIMIT_RATIO = 0.6
 SLOWDOWN_LATENCY_RATIO = 0.85
-# Windows without growth after repeated cuts at the same limit, at most.
+# Maximum number of windows without growth after repeated cuts at the same limit.
 MAX_HOLD_WINDOWS = 8
 
 
 class ColdStart(msgspec.Struct, frozen=True):
-    """Ramp of a target that may bear little.
+    """Ramp of a target that can handle only a few requests at first.
 
     Attributes
     ----------
     first_limit : float
-        Requests in flight at the start.
+        Limit at the start of the ramp.
     completions_per_slot : int
-        Completions at the present limit before it grows by one.
+        Completions at the current limit before the limit grows by one.
     """
 
     first_limit: float = 1.0
@@ -58,31 +62,31 @@
 
 
 class ConcurrencyLimiter:
-    """Limit on requests in flight to one target.
+    """Adaptive limit on the requests in flight to one target.
 
     Parameters
     ----------
     slots : int
-        Requests that the target runs at once when warm; the limit never exceeds it.
+        Requests that a warm target runs concurrently; upper bound of the limit.
     cold_start : ColdStart
-        Ramp that a fresh target, or one that has become cold, goes through.
+        Ramp for a new target and for one that has become cold.
 
     Attributes
     ----------
     limit : float
-        Present limit; its integer part is enforced.
+        Current limit; its integer part is enforced.
     in_flight : int
         Requests acquired and neither completed nor released.
     baseline : float
-        Latency of the target without queueing in seconds, 0 until the first window is complete.
-    usual_latency : float
-        Like ``baseline``, but kept when the ramp starts again.
-    recent_latency : float
+        Latency of the target without queueing, in seconds; 0 until the first window is complete.
+    long_term_baseline : float
+        Like ``baseline``, but kept when the ramp restarts.
+    last_window_latency : float
         Mean latency of the last window in seconds.
     ramping : bool
-        Whether the target is not yet known to bear all slots.
-    cold_resets : int
-        Number of times the ramp started again.
+        Whether the target has yet to show that it can handle the full number of slots.
+    ramp_restarts : int
+        Number of times the ramp was restarted.
     """
 
     __slots__ = (
@@ -126,7 +130,7 @@
         self.restart_ramp(0.0)
 
     def restart_ramp(self, now: float) -> None:
-        """Start the ramp again, for a fresh target or one that has become cold."""
+        """Restart the ramp, for a new target or one that has become cold."""
         self.limit = min(self.cold_start.first_limit, float(self.slots))
         self.baseline = 0.0
         self.ramping = True
@@ -143,18 +147,18 @@
 
     @property
     def slowdown(self) -> float:
-        """Return the last window's mean latency as a multiple of the usual one; 1 without samples.
+        """Return the last window's mean latency relative to the long-term baseline; 1 without samples.
 
-        Samples count at most ``JUMP_FACTOR`` times the baseline, so larger values are lower estimates.
+        Samples are clipped at ``LATENCY_JUMP_FACTOR`` times the baseline, so large values are underestimates.
         """
         return self.last_window_latency / self.long_term_baseline if self.long_term_baseline else 1.0
 
     def can_acquire(self, now: float) -> bool:
-        """Return whether a request would get a slot now."""
+        """Return whether ``try_acquire`` would succeed now."""
         return self.in_flight < int(self.limit)
 
     def try_acquire(self, now: float) -> bool:
-        """Take a slot if the limit allows it."""
+        """Acquire a slot if the limit allows it."""
         if self.in_flight >= int(self.limit):
             return False
         self.in_flight += 1
@@ -163,20 +167,20 @@
         return True
 
     def release(self) -> None:
-        """Return a slot without a sample, for a request that the target never got."""
+        """Release a slot without a latency sample, for a request that was never sent to the target."""
         if self.in_flight > 0:
             self.in_flight -= 1
 
     def on_complete(self, latency_seconds: float, ok: bool, now: float) -> None:
-        """Return a slot and learn from the request's latency.
+        """Release a slot and record the request's latency.
 
         Parameters
         ----------
         latency_seconds : float
-            Time from sending the request to its complete answer.
+            Time from sending the request to receiving its complete answer.
         ok : bool
-            False when the target shed the request, failed to answer or timed out. An answer that reports an
-            error of the application is ok, because the target bore the request.
+            False if the target shed the request, failed to answer or timed out. An application error counts
+            as ok, because the target handled the request.
         now : float
             Monotonic time in seconds.
         """
@@ -185,7 +189,7 @@
         if not ok:
             self._on_failure(latency_seconds, now)
             return
-        # Requests sent before the last cut say nothing about the lower limit.
+        # The latency of requests sent before the last cut does not reflect the lower limit.
         if now - latency_seconds < self.last_cut_at:
             return
         if self.failure_score > 0.0:
@@ -194,7 +198,7 @@
         max_sample = LATENCY_JUMP_FACTOR * self.baseline
         if 0.0 < max_sample < latency_seconds:
             self._on_slow_sample(latency_seconds, now)
-            # A few stalled requests, for example lineage checks, must not raise the mean of all others.
+            # Clipped so that a few stalled requests, such as lineage checks, do not dominate the mean.
             latency_seconds = max_sample
         else:
             self.slow_sample_count = 0
@@ -204,8 +208,8 @@
             self._adjust(now)
 
     def _on_slow_sample(self, latency: float, now: float) -> None:
-        # Only requests sent after the first slow answer count: a pause of this process or a short stall
-        # of the target delays everything in flight once, and says nothing about later requests.
+        # Only requests sent after the first slow answer count. A pause of this process or a short stall of
+        # the target delays everything in flight once, and predicts nothing about later requests.
         if self.slow_sample_count == 0:
             self.first_slow_at = now
             self.slow_sample_count = 1
@@ -229,7 +233,7 @@
             if self._is_lasting_slowdown(mean):
                 self._adopt_baseline(mean)
             else:
-                # The target bears less than before, so growth follows the strict rule of the ramp again.
+                # The target's capacity has dropped, so growth uses the stricter tolerance of the ramp again.
                 self.ramping = True
                 self._cut(max(MIN_CUT_FACTOR, self.baseline / mean), now)
             return
@@ -263,8 +267,8 @@
         self._clear_window()
 
     def _update_baseline(self, mean: float) -> None:
-        # One request at a time doesn't queue behind others, so its latency is the baseline itself. This
-        # also adopts a lasting change, such as heavier requests, instead of holding the limit at 1.
+        # A single request at a time cannot queue behind others, so its latency is the baseline. This also
+        # accepts a lasting change, such as heavier requests, which would otherwise hold the limit at 1.
         if self.limit < 2.0 or not self.baseline:
             self.baseline = mean
         else:
@@ -276,7 +280,7 @@
             self.ramping = False
             self.next_hold_windows = 1
         self.limit = min(float(self.slots), self.limit + 1.0)
-        # Once a step of the ramp was too early, all further steps take longer.
+        # After a ramp step that came too early, every further step takes longer.
         if self.ramping:
             self.hold_windows = self.next_hold_windows - 1
 
@@ -296,7 +300,7 @@
 
 
 def _track_minimum(baseline: float, mean: float) -> float:
-    """Move a long-term minimum quickly down and slowly up towards a window's mean."""
+    """Move a running minimum quickly down or slowly up towards a window's mean."""
     return baseline + (mean - baseline) * (
         BASELINE_FALL_EWMA_WEIGHT if mean < baseline else BASELINE_RISE_EWMA_WEIGHT
     )
