Describe body transfers, the link budget and hot keys in usual terms

Parts that are asked for and on their way are chunks requested and in flight; buckets have tokens and a capacity; keys are isolated and merged.

--- a/src/hibiscusdrum/internal/load/body_gate.py
+++ b/src/hibiscusdrum/internal/load/body_gate.py
@@ -1,8 +1,8 @@
-"""Large bodies on their way to one VM: in parts, the most urgent first.
+"""Flow control for large request bodies sent to one VM: bodies are pulled in chunks by priority.
 
-The load that these decisions answer is a narrow link on which many nodes would send large bodies at the same
-time. Everything else for the VM, such as small requests, answers and pings, would wait behind them. So parts
-are asked for one after the other, and few are on their way at any time.
+Many nodes may offer large bodies to a VM with a narrow link at the same time. Sent all at once, they would
+delay all other messages to the VM, such as small requests, answers and pings. Therefore the receiver requests
+one chunk after another and keeps few bytes in flight.
 """
 
 from __future__ import annotations
@@ -10,29 +10,29 @@
 import heapq
 import itertools
 
-# Bytes asked for at once take the link for this long, in seconds: small messages wait at most that, and the
-# link is busy without a break while a round trip within the region is shorter.
+# Limit on the bytes in flight, in seconds of link time. Small messages wait at most this long, and the link
+# stays busy as long as a round trip within the region is shorter.
 LOCAL_WINDOW_SECONDS = 0.04
-# The same for bodies from another region: the round trip of 60 ms is added, in which parts are not on the
-# link of this VM. A longer delay between the regions slows these bodies down.
+# The same limit for bodies from another region. It includes the round trip of 60 ms, during which the chunks
+# do not occupy the link of this VM; a longer delay between the regions slows these bodies down.
 REMOTE_WINDOW_SECONDS = 0.1
-# Share of the link that is counted on for bodies; requests, answers and callers use it too.
+# Share of the link assumed to be available for bodies, since requests, answers and callers use it too.
 BODY_LINK_SHARE = 0.7
-# Length of a part in bytes: 13 ms on a link of 5 Mbit/s, the narrowest known.
+# One chunk takes 13 ms on a link of 5 Mbit/s, the narrowest one known.
 CHUNK_BYTES = 8_192
 
 TransferPriority = tuple[int, float]
 
 
 class TransferQueue:
-    """Bodies that share a limit of bytes on their way.
+    """Bodies that share a limit on the bytes in flight.
 
     Attributes
     ----------
-    limit : float
-        Largest number of bytes that were asked for and have not arrived; 0 for no limit.
+    max_bytes_in_flight : float
+        Maximum number of bytes requested and not yet received; 0 for no limit.
     in_flight : int
-        Their present number.
+        Bytes requested and not yet received.
     """
 
     __slots__ = ("heap", "in_flight", "max_bytes_in_flight")
@@ -44,7 +44,7 @@
 
     @property
     def has_room(self) -> bool:
-        """Whether one more part may be asked for; one at least is always on its way."""
+        """Whether one more chunk may be requested; one is always allowed if none is in flight."""
         return (
             not self.max_bytes_in_flight
             or not self.in_flight
@@ -53,12 +53,12 @@
 
 
 class Transfer:
-    """A body on its way.
+    """Progress of one body.
 
     Attributes
     ----------
-    asked, arrived : int
-        Bytes that were asked for, and those of them that have arrived.
+    requested, received : int
+        Bytes requested so far, and bytes received of those.
     """
 
     __slots__ = ("queue", "received", "requested", "size")
@@ -71,17 +71,17 @@
 
 
 class BodyGate:
-    """Chooses which parts of offered bodies are asked for.
+    """Selects which chunks of the offered bodies to request next.
 
     Parameters
     ----------
     bytes_per_second : float
-        Rate of the VM's link; 0 when it is not known, and bodies are asked for whole and at once.
+        Rate of the VM's link; 0 if unknown, in which case each body is requested whole and at once.
 
     Attributes
     ----------
     transfers : dict of bytes to Transfer
-        Bodies that were offered and have not arrived completely.
+        Offered bodies that have not been received completely, by request id.
     """
 
     __slots__ = ("bytes_per_second", "local", "remote", "sequence", "transfers")
@@ -95,11 +95,11 @@
 
     @property
     def in_flight(self) -> int:
-        """Bytes that were asked for and have not arrived."""
+        """Bytes requested and not yet received."""
         return self.local.in_flight + self.remote.in_flight
 
     def expected_wait(self, size: int = 0) -> float:
-        """Return the seconds until one more body of a size would have arrived."""
+        """Return the seconds until all pending bodies and one more of the given size would be received."""
         if not self.bytes_per_second:
             return 0.0
         waiting = sum(transfer.size - transfer.received for transfer in self.transfers.values()) + size
@@ -107,34 +107,38 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether an offered body would be asked for at once."""
+        """Whether a newly offered body would be requested at once."""
         return not self.bytes_per_second or not self.transfers
 
     def offer(
         self, request_id: bytes, size: int, priority: int, deadline: float, cross_region: bool = False
     ) -> None:
-        """Note a body of so many bytes.
+        """Add a body that a sender has offered.
 
         Parameters
         ----------
+        size : int
+            Length of the body in bytes.
+        priority : int
+            Bodies with a lower value are requested first; equal ones in the order of their deadlines.
         deadline : float
-            Seconds on any clock.
-        far : bool
-            Whether it comes from another region.
+            Time in seconds; only compared with other deadlines, so any clock will do.
+        cross_region : bool
+            Whether the body comes from another region.
         """
         queue = self.remote if cross_region else self.local
         self.transfers[request_id] = Transfer(size, queue)
         heapq.heappush(queue.heap, ((priority, deadline), next(self.sequence), request_id))
 
     def next_chunk(self) -> tuple[bytes, int, int] | None:
-        """Return the next part to ask for: the request, the first byte and the number of bytes; or None."""
+        """Return the request id, offset and length of the next chunk to request, or None."""
         return self.next_chunk_of(self.local) or self.next_chunk_of(self.remote)
 
     def next_chunk_of(self, queue: TransferQueue) -> tuple[bytes, int, int] | None:
-        """Return the next part of a lane.
+        """Return the next chunk to request from one queue.
 
-        A body that has begun is not overtaken by one of the same order, so that bodies arrive one after the
-        other.
+        A body that has begun is not overtaken by one of the same priority and deadline, so that such bodies
+        complete one after the other.
         """
         while queue.heap and queue.has_room:
             request_id = queue.heap[0][2]
@@ -150,7 +154,7 @@
         return None
 
     def on_chunk_received(self, request_id: bytes, first: int, count: int) -> bool:
-        """Note a part that has arrived; returns whether it is the next one of a body that is awaited."""
+        """Record a received chunk; returns whether it is the next one of an awaited body."""
         transfer = self.transfers.get(request_id)
         if transfer is None or first != transfer.received or first + count > transfer.requested:
             return False
@@ -159,7 +163,7 @@
         return True
 
     def forget(self, request_id: bytes) -> None:
-        """Forget a request whose body has arrived, or is not wanted any more."""
+        """Remove a body that has been received completely or is no longer wanted."""
         transfer = self.transfers.pop(request_id, None)
         if transfer is not None:
             transfer.queue.in_flight -= transfer.requested - transfer.received
--- a/src/hibiscusdrum/internal/load/hot_keys.py
+++ b/src/hibiscusdrum/internal/load/hot_keys.py
@@ -1,8 +1,8 @@
-"""Detection of hot keys in bounded memory, and which of them should have a slice of their own.
+"""Hot key detection in bounded memory, and the choice of the keys that get a slice of their own.
 
-Counters are replaced by random admission: an unknown key takes the smallest counter with probability
-``weight / (smallest + weight)``. With plain space-saving every unknown key takes one, and among hundreds of
-millions of keys the tail would overwrite each key whose share is below ``1 / capacity``.
+Space-saving counters with randomized admission: a key without a counter replaces the key with the smallest
+count with probability ``weight / (min_count + weight)``. In plain space-saving each such key replaces one, so
+among hundreds of millions of keys the rare ones would evict every key whose share is below ``1 / capacity``.
 """
 
 from __future__ import annotations
@@ -16,42 +16,42 @@
 
 # Observations between two updates of the decay weight.
 WEIGHT_UPDATE_SAMPLES = 64
-# Counters are scaled down before the weight loses precision.
+# Weight at which all counters are scaled down, before floating-point precision is lost.
 MAX_DECAY_WEIGHT = 1e9
-# Share of a node's requests from which a key gets a slice of its own. With 16,384 slices on 490 nodes a slice
-# holds about 3% of its node's requests; a key below that gains little by leaving its slice.
+# Minimum share of a node's requests for a key to be isolated in its own slice. With 16,384 slices on 490
+# nodes a slice carries about 3% of its node's requests; isolating a key below that gains little.
 ENTER_SHARE = 0.03
-# Half of the share above, so that noise and short pauses of a key don't move it back and forth.
+# Half of ENTER_SHARE, so that noise and short pauses of a key do not move it back and forth.
 EXIT_SHARE = 0.015
-# Half-lives for which a key that has just arrived is held before its share is judged: its new owner has seen
-# none of its requests before, and would otherwise return it at once.
+# Time, in half-lives, that a newly received hot key stays isolated before its share is evaluated. Its new
+# owner has not seen any of its requests yet and would otherwise merge it at once.
 MIN_ISOLATION_HALF_LIVES = 2.0
 
 
 class HotKeyChanges(msgspec.Struct, frozen=True):
-    """Keys that should get a slice of their own, and keys that should return to their slice."""
+    """Keys to isolate in slices of their own, and isolated keys to merge back into their slices."""
 
     isolate: tuple[int, ...]
     merge: tuple[int, ...]
 
 
 class HotKeyDetector:
-    """Bounded top-k of key hashes with exponential decay.
+    """Approximate top-k counter of key hashes with exponential decay and bounded memory.
 
     Parameters
     ----------
     capacity : int
         Number of counters.
     half_life : float
-        Seconds after which an observation counts half.
+        Seconds after which the weight of an observation has halved.
     rng : random.Random
-        Source of the random admission.
+        Randomness of the admission of new keys.
     enter_share, exit_share : float
         Share of the observed requests from which a key is isolated, and below which it is merged again.
-    largest_number : int
-        Most keys isolated at once.
-    minimum_samples : float
-        Decayed observations needed before ``changes`` isolates any key.
+    max_isolated : int
+        Maximum number of keys isolated at once.
+    min_samples : float
+        Decayed number of observations required before ``changes`` isolates any key.
     """
 
     __slots__ = (
@@ -117,15 +117,15 @@
         elif len(counts) < self.capacity:
             counts[key_hash] = decay_weight
             self.overestimates[key_hash] = 0.0
-        # ``smallest`` is a lower bound, because counters only grow between two scalings; most unknown keys
-        # are turned away here without a search for the smallest counter.
+        # ``min_count`` is a lower bound, since counters only grow between two scalings. It rejects most keys
+        # without a search for the smallest counter.
         elif self.random() * (self.min_count + decay_weight) < decay_weight:
             self._try_replace_min(key_hash, decay_weight)
 
     def hottest(self, n: int, now: float) -> list[tuple[int, float]]:
         """Return up to ``n`` keys with their estimated share of all requests, hottest first.
 
-        The share is a lower estimate: what a key's counter held when the key took it is left out.
+        Shares are underestimated: the count that a key took over from its predecessor is subtracted.
         """
         if not self.total:
             return []
@@ -135,12 +135,12 @@
         return shares[:n]
 
     def changes(self, isolated: Collection[int], now: float) -> HotKeyChanges:
-        """Return which keys should get a slice of their own and which of ``held`` lose it again.
+        """Return which keys to isolate and which of the isolated ones to merge.
 
         Parameters
         ----------
-        held : collection of int
-            Hashes of the keys that have a slice of their own here.
+        isolated : collection of int
+            Hashes of the keys that this node holds in slices of their own.
         now : float
             Monotonic time in seconds.
         """
@@ -159,15 +159,15 @@
         return HotKeyChanges(isolate=tuple(isolate), merge=tuple(merge))
 
     def forget(self, key_hash: int) -> None:
-        """Drop a key that has moved to another node, with its requests.
+        """Remove a key that has moved to another node, together with its observations.
 
-        Without this the key stays among the hottest here for several half-lives, and ``changes`` asks for
-        it to be isolated although another node already serves it.
+        Otherwise the key would stay among the hottest ones for several half-lives, and ``changes`` would
+        isolate it although another node already owns it.
         """
         count = self.counts.pop(key_hash, None)
         if count is not None:
             self.total = max(0.0, self.total - (count - self.overestimates.pop(key_hash)))
-            # The free counter will start lower than the others.
+            # The counter that is now free starts lower than the others.
             self.min_count = 0.0
 
     def _try_replace_min(self, key_hash: int, decay_weight: float) -> None:
@@ -175,7 +175,7 @@
         victim = min(counts, key=counts.__getitem__)
         min_count = counts[victim]
         bound, self.min_count = self.min_count, min_count
-        # The first draw used the lower bound; this one makes up the difference.
+        # ``observe`` admitted the key using the lower bound; this draw corrects for the actual minimum.
         if self.random() * (min_count + decay_weight) >= bound + decay_weight:
             return
         del counts[victim]
--- a/src/hibiscusdrum/internal/load/link_budget.py
+++ b/src/hibiscusdrum/internal/load/link_budget.py
@@ -1,4 +1,4 @@
-"""Byte budget of the link between the regions, with priority for control traffic."""
+"""Rate limit of the link between two regions, with priority for control traffic."""
 
 from __future__ import annotations
 
@@ -6,24 +6,24 @@
 
 CONTROL = "control"
 DATA = "data"
-# Seconds of traffic that may be sent at once after a pause.
+# Seconds of traffic that may be sent as one burst after an idle period.
 BURST_SECONDS = 0.25
 
 
 class LinkBudget:
-    """Two token buckets that share one rate.
+    """Rate limiter of two token buckets, one for control traffic and one for data.
 
-    Control traffic has a bucket of its own, filled first at its share of the rate, and then takes from the
-    rest. Data takes from the rest only, which also gets what overflows from the control bucket.
+    The control bucket is filled at its share of the rate; what overflows goes to the data bucket, which gets
+    the rest of the rate. Control traffic may also spend data tokens, data spends only its own.
 
     Parameters
     ----------
     bytes_per_second : float
         Rate of the link; 30 Mbit/s by default.
     control_share : float
-        Share of the rate kept for control traffic.
+        Share of the rate reserved for control traffic.
     burst_seconds : float
-        Size of both buckets together, in seconds of traffic.
+        Combined capacity of both buckets, in seconds of traffic at the full rate.
     """
 
     __slots__ = (
@@ -55,17 +55,17 @@
         self.refilled_at: float | None = None
 
     def try_spend_bytes(self, kind: str, size: int, now: float) -> bool:
-        """Spend the bytes of a message; False when it has to wait.
+        """Spend the tokens for a message; False if it must wait.
 
-        A message larger than its bucket passes when the bucket is full and leaves it in debt, which delays
-        what follows; it couldn't pass at all otherwise.
+        A message larger than its bucket is allowed when the bucket is full, since it could never be sent
+        otherwise. It leaves a negative balance, which delays the messages after it.
 
         Parameters
         ----------
         kind : str
             ``CONTROL`` or ``DATA``.
         size : int
-            Bytes on the wire.
+            Bytes sent over the link.
         now : float
             Monotonic time in seconds.
         """
@@ -80,7 +80,7 @@
         return self._try_spend_control(size)
 
     def seconds_until_allowed(self, kind: str, size: int, now: float) -> float:
-        """Return the seconds until a message of this kind and size could pass if nothing else is sent."""
+        """Return the seconds until a message of this kind and size is allowed if nothing else is sent."""
         self._refill(now)
         if kind == DATA:
             missing = min(size, self.data_capacity) - self.data_tokens
@@ -92,7 +92,7 @@
         if self.control_tokens >= size or self.control_tokens >= self.control_capacity:
             self.control_tokens -= size
             return True
-        # Takes the rest of its own bucket first, so that data loses as little as possible.
+        # Spends the control tokens that are left first, to take as few data tokens as possible.
         own = max(0.0, self.control_tokens)
         if self.data_tokens >= size - own:
             self.control_tokens -= own
