Describe balancing, ejection, hedging and retries in usual terms

Doc comments say what each method records or returns and under which condition it returns None or False; probabilities and times behind constants are kept.

--- a/src/hibiscusdrum/internal/load/balancer.py
+++ b/src/hibiscusdrum/internal/load/balancer.py
@@ -1,4 +1,4 @@
-"""Choice of a node by power of two choices, from the caller's own observations and aged load reports."""
+"""Load balancing by power of two choices, based on the caller's own measurements and aged load reports."""
 
 from __future__ import annotations
 
@@ -6,22 +6,22 @@
 import random
 from collections.abc import Collection, Sequence
 
-# Weight of the newest sample in a node's latency average.
+# Weight of the newest sample in the moving average of a node's latency.
 LATENCY_EWMA_WEIGHT = 0.1
-# The same for the average of all nodes.
+# Weight of the newest sample in the moving average over all nodes.
 OVERALL_EWMA_WEIGHT = 0.01
 INITIAL_LATENCY_SECONDS = 0.002
-# A report loses weight with this time constant: reports lag by about 2 s, during which a target that is
-# slowed for seconds may have changed twice.
+# Time constant with which a report loses weight. Reports are about 2 s old on arrival, in which time a target
+# that is slowed down for a few seconds may have changed twice.
 REPORT_DECAY_SECONDS = 0.5
-# Without new samples for the first time the latency average returns to the level of all nodes with the second
-# as its time constant, so that a node that was slow is tried again.
+# After the first time without new samples a node's average latency decays towards the average of all nodes,
+# with the second as its time constant, so that a node that was slow is tried again.
 STALE_AFTER_SECONDS = 1.0
 STALE_DECAY_SECONDS = 5.0
 
 
 class NodeLoad:
-    """What the balancer knows of one node."""
+    """Load of one node as known to the balancer."""
 
     __slots__ = (
         "in_flight",
@@ -42,12 +42,12 @@
 
 
 class Balancer:
-    """Power of two choices.
+    """Selects the less loaded of two randomly drawn nodes (power of two choices).
 
     Parameters
     ----------
     rng : random.Random
-        Source of the two candidates.
+        Draws the two candidates.
     """
 
     __slots__ = ("mean_latency", "nodes", "rng")
@@ -55,11 +55,11 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.nodes: dict[str, NodeLoad] = {}
-        # Any value above 0 serves until there is a sample: nodes are then compared by requests in flight.
+        # Until there are samples any value above 0 will do: nodes are compared by their requests in flight.
         self.mean_latency = INITIAL_LATENCY_SECONDS
 
     def choose(self, candidates: Sequence[str], now: float, exclude: Collection[str] = ()) -> str | None:
-        """Return the less loaded of two random candidates, or None when all are excluded."""
+        """Return the less loaded of two random candidates, or None if all are excluded."""
         if exclude:
             candidates = [node for node in candidates if node not in exclude]
         count = len(candidates)
@@ -74,7 +74,7 @@
         return one if self.cost(one, now) <= self.cost(other, now) else other
 
     def cost(self, node: str, now: float) -> float:
-        """Return the expected wait at a node in seconds, up to a common factor."""
+        """Return the expected wait at a node, proportional to seconds; only useful to compare nodes."""
         load = self.nodes.get(node)
         if load is None:
             return self.mean_latency
@@ -94,14 +94,14 @@
         return (in_flight + 1.0) * latency
 
     def on_sent(self, node: str, now: float) -> None:
-        """Record a request sent to a node; one ``on_done`` or ``on_cancelled`` must follow."""
+        """Record a request sent to a node; must be followed by one ``on_done`` or ``on_cancelled``."""
         load = self.nodes.get(node)
         if load is None:
             load = self.nodes[node] = NodeLoad()
         load.in_flight += 1
 
     def on_done(self, node: str, latency: float, ok: bool, now: float) -> None:
-        """Record the end of a request; failures don't count as latency samples."""
+        """Record the end of a request; the latency of a failed one is ignored."""
         load = self.nodes.get(node)
         if load is None:
             return
@@ -118,13 +118,13 @@
         self.mean_latency += (latency - self.mean_latency) * OVERALL_EWMA_WEIGHT
 
     def on_cancelled(self, node: str) -> None:
-        """Record that a request is no longer awaited, without judging the node by it."""
+        """Record that a request is no longer awaited, without taking a latency sample."""
         load = self.nodes.get(node)
         if load is not None and load.in_flight > 0:
             load.in_flight -= 1
 
     def on_report(self, node: str, in_flight: int, latency_ms: float, age_ms: float, now: float) -> None:
-        """Record a node's load report, dated back by its age."""
+        """Record a node's load report, taken ``age_ms`` ago; older than the one already known is ignored."""
         load = self.nodes.get(node)
         if load is None:
             load = self.nodes[node] = NodeLoad()
@@ -135,11 +135,11 @@
             load.reported_latency = latency_ms / 1000.0
 
     def reset_latency(self, node: str) -> None:
-        """Judge a node by the average of all nodes until it has new samples."""
+        """Assume the average latency of all nodes for a node until it has new samples."""
         load = self.nodes.get(node)
         if load is not None:
             load.mean_latency = 0.0
 
     def forget(self, node: str) -> None:
-        """Drop what is known of a node that has left."""
+        """Remove a node that has left."""
         self.nodes.pop(node, None)
--- a/src/hibiscusdrum/internal/load/client_policy.py
+++ b/src/hibiscusdrum/internal/load/client_policy.py
@@ -1,4 +1,4 @@
-"""A caller's load policy: balancer, ejector, hedge policy and retry budgets combined."""
+"""Load control of a caller: combines balancer, outlier ejector, hedge policy and retry budgets."""
 
 from __future__ import annotations
 
@@ -13,21 +13,21 @@
 
 
 class ClientPolicy:
-    """Choice of node, hedges and retries of one caller.
+    """Selects nodes and decides about hedges and retries for one caller.
 
     Parameters
     ----------
     rng : random.Random
         Source of all random choices.
     clock : Clock
-        Read once in each call that needs the time.
+        Read once in each method that needs the time.
 
     Attributes
     ----------
-    balancer, ejector, hedge
-        The parts, which may be replaced before the first request.
+    balancer, ejector, hedge_policy
+        Components; they may be replaced before the first request.
     retry_budgets : dict of str to RetryBudget
-        One budget for each tenant of this caller.
+        Retry budget of each tenant of this caller.
     """
 
     __slots__ = ("balancer", "clock", "ejector", "hedge_policy", "retry_budgets", "rng")
@@ -41,17 +41,17 @@
         self.retry_budgets: dict[str, RetryBudget] = {}
 
     def set_nodes(self, nodes: Iterable[str]) -> None:
-        """Replace the known nodes, for example after the ownership map changed."""
+        """Replace the known nodes, for example after a change of the ownership map."""
         known = list(nodes)
         self.ejector.set_nodes(known, self.clock.monotonic())
         for node in set(self.balancer.nodes).difference(known):
             self.balancer.forget(node)
 
     def choose(self, candidates: Sequence[str], exclude: Collection[str] = ()) -> str | None:
-        """Return the node for a request, or None when all candidates are excluded.
+        """Return the node for a request, or None if all candidates are excluded.
 
-        Ejected nodes are used when no other candidate is left: an ejection must not turn a slow service
-        into an unavailable one.
+        Ejected nodes are used if no other candidate is left, so that ejection never turns a slow service into
+        an unavailable one.
         """
         now = self.clock.monotonic()
         ejector = self.ejector
@@ -65,7 +65,7 @@
         return node if node is not None else self.balancer.choose(candidates, now, exclude)
 
     def on_request(self, tenant: str) -> None:
-        """Record an ordinary first attempt; earns hedge and retry tokens."""
+        """Record the first attempt of a request, which earns hedge and retry tokens."""
         self.hedge_policy.on_request()
         budget = self.retry_budgets.get(tenant)
         if budget is None:
@@ -73,14 +73,14 @@
         budget.on_request()
 
     def on_sent(self, node: str) -> None:
-        """Record an attempt sent to a node; one ``on_done`` or ``on_cancelled`` must follow."""
+        """Record an attempt sent to a node; must be followed by one ``on_done`` or ``on_cancelled``."""
         now = self.clock.monotonic()
         self.balancer.on_sent(node, now)
         if self.ejector.unhealthy:
             self.ejector.on_sent(node, now)
 
     def on_done(self, node: str, service: str, latency: float, ok: bool) -> None:
-        """Record the end of an attempt; ``latency`` in seconds."""
+        """Record the end of an attempt and its latency in seconds."""
         now = self.clock.monotonic()
         self.balancer.on_done(node, latency, ok, now)
         if self.ejector.on_result(node, latency, ok, now):
@@ -98,13 +98,13 @@
         self.balancer.on_report(node, in_flight, latency_ms, age_ms, self.clock.monotonic())
 
     def hedge_delay(self, service: str) -> float:
-        """Return the seconds after which an unanswered request should be hedged."""
+        """Return the seconds after which to hedge an unanswered request."""
         return self.hedge_policy.delay(service)
 
     def try_spend_hedge(self, node: str, idempotent: bool) -> bool:
-        """Return whether to send a second copy of a request that ``node`` has left unanswered.
+        """Spend a hedge token for a request that ``node`` has not answered; False if it must not be hedged.
 
-        For callers with a single other candidate; ``hedge_node`` also chooses the node.
+        Suits callers that have only one other candidate; ``hedge_node`` also selects the node.
         """
         now = self.clock.monotonic()
         self.ejector.on_overdue(node, now)
@@ -113,10 +113,10 @@
     def hedge_node(
         self, node: str, candidates: Sequence[str], idempotent: bool, exclude: Collection[str] = ()
     ) -> str | None:
-        """Return the node for a second copy of a request that ``node`` has left unanswered.
+        """Return the node for a hedge of a request that ``node`` has not answered, and spend a token.
 
-        None when there is no other candidate, when the request must run at most once, when the budget is
-        spent, or when the other candidate is no less loaded: under high load hedges would only add to it.
+        None if there is no other candidate, the request is not idempotent, the budget is spent, or the other
+        candidate is more heavily loaded, since under high load a hedge would only add to it.
         """
         now = self.clock.monotonic()
         self.ejector.on_overdue(node, now)
@@ -128,10 +128,10 @@
         return other if self.hedge_policy.try_spend_hedge(idempotent, now) else None
 
     def try_spend_retry(self, tenant: str) -> bool:
-        """Spend a retry token of a tenant; False when its budget is spent."""
+        """Spend a retry token of a tenant; False if its budget is spent."""
         budget = self.retry_budgets.get(tenant)
         return budget is not None and budget.try_spend_retry(self.clock.monotonic())
 
     def backoff(self, attempt: int) -> float:
-        """Return the seconds to wait before a retry, with full jitter."""
+        """Return the delay in seconds before a retry, with full jitter."""
         return full_jitter(attempt, self.rng)
--- a/src/hibiscusdrum/internal/load/ejection.py
+++ b/src/hibiscusdrum/internal/load/ejection.py
@@ -1,4 +1,4 @@
-"""Ejection of nodes that straggle or fail, with a cap on the share ejected."""
+"""Outlier ejection: takes slow or failing nodes out of rotation, up to a maximum share of all nodes."""
 
 from __future__ import annotations
 
@@ -7,31 +7,32 @@
 
 from hibiscusdrum.errors import InvalidArgument
 
-# A sample above this multiple of the median node's average counts as slow. Exponential samples exceed it
-# with probability 0.018, so five in a row happen by chance about once in 5e8 samples.
+# A sample is slow if it exceeds this multiple of the median of the nodes' mean latencies. An exponentially
+# distributed sample does so with probability 0.018, so five in a row happen by chance about once in 5e8
+# samples.
 SLOW_FACTOR = 4.0
 EJECT_AFTER_SLOW = 5
-# A hedge goes out after the 95th percentile, so six overdue requests in a row without a normal answer happen
-# by chance about once in 6e7.
+# A hedge is sent after the 95th percentile of the latency, so six overdue requests in a row without a normal
+# answer happen by chance about once in 6e7.
 EJECT_AFTER_OVERDUE = 6
 EJECT_AFTER_FAILURES = 5
 LATENCY_EWMA_WEIGHT = 0.05
-# The median is refreshed after this many samples; it costs a few microseconds for six nodes.
+# Samples between two updates of the median, which costs a few microseconds for six nodes.
 MEDIAN_REFRESH_SAMPLES = 128
-# Good answers in a row, one request at a time, that end the probe phase of a readmitted node.
+# Consecutive successful probes, sent one at a time, that end the probing state.
 REQUIRED_PROBE_SUCCESSES = 3
-# A node forgets one ejection for each time of this many first ejection times that it stays healthy.
+# A node's ejection count drops by one for each period of this many base ejection times that it stays healthy.
 EJECTION_FORGET_FACTOR = 2.0
-# Slow answers in a row that eject a readmitted node again; fewer than for a healthy one.
+# Consecutive slow answers that eject a node on the ramp again; fewer than for a healthy node.
 EJECT_AFTER_SLOW_ON_RAMP = 3
-# Allows for rounding when the time of sending is computed from the latency.
+# Tolerates rounding errors in the time of sending, which is computed from the latency.
 PROBE_MARGIN_SECONDS = 1e-6
 
 HEALTHY, EJECTED, PROBING, RAMPING = range(4)
 
 
 class NodeHealth:
-    """What the ejector knows of one node."""
+    """Health of one node as observed by the ejector."""
 
     __slots__ = (
         "consecutive_failures",
@@ -61,26 +62,27 @@
         self.probe_sent_at = 0.0
 
     def clear_consecutive(self) -> None:
-        """Forget the latest slow, failed and overdue requests."""
+        """Reset the counts of consecutive slow, failed and overdue requests."""
         self.consecutive_slow = 0
         self.consecutive_failures = 0
         self.consecutive_overdue = 0
 
 
 class OutlierEjector:
-    """Ejects stragglers and failing nodes for growing times and readmits them slowly.
+    """Ejects slow or failing nodes for exponentially growing times and readmits them gradually.
 
-    A node passes through *ejected* (no requests), *probing* (one request at a time) and *ramping* (a
-    growing share of its requests) back to *healthy*. All three count towards the cap.
+    An ejected node passes through the states *ejected* (no requests), *probing* (one request at a time) and
+    *ramping* (a growing share of its requests) back to *healthy*. Nodes in the first three count towards the
+    cap.
 
     Parameters
     ----------
     max_share : float
-        Largest share of the nodes that may be other than healthy.
-    base_seconds, cap_seconds : float
-        Time of the first ejection, doubled for each that follows, and the longest.
+        Maximum share of the nodes that may be unhealthy at once.
+    base_ejection_seconds, max_ejection_seconds : float
+        Duration of the first ejection, which doubles with each further one, and its maximum.
     ramp_seconds : float
-        Time in which a readmitted node returns to its whole share.
+        Time in which a readmitted node regains its full share of requests.
     """
 
     __slots__ = (
@@ -113,7 +115,7 @@
         self.samples_until_median = 0
 
     def set_nodes(self, nodes: Iterable[str], now: float) -> None:
-        """Replace the known nodes; readmits the newest outliers when the cap shrinks below their number."""
+        """Replace the known nodes; readmits the latest ejected ones if they now exceed the cap."""
         known = {node: self.nodes.get(node) or NodeHealth() for node in nodes}
         self.nodes = known
         self.unhealthy = {node: health for node, health in self.unhealthy.items() if node in known}
@@ -122,18 +124,18 @@
             self._mark_healthy(health, now)
 
     def max_unhealthy(self) -> int:
-        """Return how many of the known nodes may be ejected at once."""
+        """Return how many of the known nodes may be unhealthy at once."""
         return int(self.max_share * len(self.nodes))
 
     def excluded(self, now: float, draw: float) -> Collection[str]:
-        """Return the nodes that should get no ordinary request now.
+        """Return the nodes that should receive no ordinary request now.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
         draw : float
-            Uniform random number in [0, 1) that decides about nodes on the ramp.
+            Uniform random number in [0, 1) that decides about nodes in the ramping state.
         """
         if not self.unhealthy:
             return ()
@@ -144,7 +146,7 @@
         return excluded
 
     def next_probe(self, candidates: Collection[str], exclude: Collection[str], now: float) -> str | None:
-        """Return a node whose time of ejection is over and that has no probe in flight, or None."""
+        """Return a node whose ejection time has passed and that has no probe in flight, or None."""
         for node, health in self.unhealthy.items():
             if health.state == EJECTED and now >= health.state_ends_at:
                 health.state = PROBING
@@ -153,20 +155,20 @@
                 health.clear_consecutive()
             if health.state != PROBING or node not in candidates or node in exclude:
                 continue
-            # A probe without an answer must not keep the node out for ever.
+            # A probe that is never answered must not keep the node ejected forever.
             if not health.probe_in_flight or now - health.probe_sent_at > self.max_ejection_seconds:
                 return node
         return None
 
     def on_sent(self, node: str, now: float) -> None:
-        """Record a request sent to a node; marks the probe of a probed node as in flight."""
+        """Record a request sent to a node; for a node in the probing state it is the probe in flight."""
         health = self.unhealthy.get(node)
         if health is not None and health.state == PROBING:
             health.probe_in_flight = True
             health.probe_sent_at = now
 
     def on_result(self, node: str, latency: float, ok: bool, now: float) -> bool:
-        """Record the end of a request, its latency in seconds; True when it readmits a probed node."""
+        """Record the end of a request and its latency in seconds; True if it moves the node to the ramp."""
         health = self.nodes.get(node)
         if health is None:
             health = self.nodes[node] = NodeHealth()
@@ -189,13 +191,13 @@
         return health.state == PROBING and self._on_probe_success(health, now, latency)
 
     def on_cancelled(self, node: str) -> None:
-        """Record that a request is no longer awaited; if it was a probe, another one may follow."""
+        """Record that a request is no longer awaited; if it was a probe, another one may be sent."""
         health = self.unhealthy.get(node)
         if health is not None:
             health.probe_in_flight = False
 
     def on_overdue(self, node: str, now: float) -> None:
-        """Record that a request to the node has waited longer than nearly all others, without an answer."""
+        """Record that a request to the node is still unanswered after its hedge delay."""
         health = self.nodes.get(node)
         if health is not None:
             health.consecutive_overdue += 1
@@ -203,7 +205,7 @@
                 self._evaluate(node, health, now, 0.0)
 
     def is_ejected(self, node: str, now: float) -> bool:
-        """Return whether the node gets no requests, apart from probes."""
+        """Return whether the node receives no requests other than probes."""
         health = self.unhealthy.get(node)
         return health is not None and health.state in (EJECTED, PROBING)
 
@@ -226,7 +228,7 @@
         return True
 
     def _sent_before_probe(self, health: NodeHealth, now: float, latency: float) -> bool:
-        # Answers to requests that were sent before the ejection say nothing about the node now.
+        # Answers to requests sent before the ejection do not reflect the current state of the node.
         return not health.probe_in_flight or now - latency < health.probe_sent_at - PROBE_MARGIN_SECONDS
 
     def _evaluate(self, node: str, health: NodeHealth, now: float, latency: float) -> None:
@@ -250,8 +252,8 @@
             self._eject(node, health, now)
 
     def _make_room_under_cap(self, now: float) -> bool:
-        # A node on the ramp has answered its probes well, so it gives up its place under the cap to a node
-        # that is slow now. Otherwise a straggler stays in use until the previous one has been readmitted.
+        # A node on the ramp has passed its probes, so it gives up its place under the cap to a node that is
+        # slow now. Otherwise a slow node would stay in use until the previous one has been fully readmitted.
         if len(self.unhealthy) < self.max_unhealthy():
             return True
         for node, health in self.unhealthy.items():
@@ -259,14 +261,14 @@
                 del self.unhealthy[node]
                 self._mark_healthy(health, now)
                 return True
-        # The ejected nodes may have recovered long before their time is over; their probes show it.
+        # Probes early those that have been out for the base time, since they may have recovered by now.
         for health in self.unhealthy.values():
             if health.state == EJECTED and now - health.ejected_at >= self.base_ejection_seconds:
                 health.state_ends_at = now
         return False
 
     def _most_others_healthy(self, node: str) -> bool:
-        # A slow-down of the network or of this process makes all nodes look slow; none is an outlier then.
+        # If the network or this process slows down, all nodes look slow and none of them is an outlier.
         unhealthy_count = sum(
             1
             for name, health in self.nodes.items()
@@ -276,7 +278,7 @@
 
     def _eject(self, node: str, health: NodeHealth, now: float) -> None:
         if health.state == HEALTHY:
-            # Only nodes that misbehave soon after readmission stay out for longer and longer.
+            # Only nodes that misbehave soon after their readmission get longer and longer ejections.
             healthy_seconds = now - health.healthy_since
             health.ejection_count -= int(
                 min(
--- a/src/hibiscusdrum/internal/load/hedging.py
+++ b/src/hibiscusdrum/internal/load/hedging.py
@@ -1,28 +1,29 @@
-"""Hedged requests: when to send a second copy of an idempotent request, within a budget."""
+"""Hedging policy: when to send a second copy of an idempotent request, within a budget."""
 
 from __future__ import annotations
 
 from hibiscusdrum.errors import InvalidArgument
 
 HEDGE_QUANTILE = 0.95
-# Relative step of the quantile estimate. Stationary noise is about 6% for exponential latencies.
+# Relative step of the quantile estimate. It leaves noise of about 6% in steady state for exponentially
+# distributed latencies.
 QUANTILE_STEP = 0.02
 STEP_UP = 1.0 + QUANTILE_STEP * HEDGE_QUANTILE
 STEP_DOWN = 1.0 - QUANTILE_STEP * (1.0 - HEDGE_QUANTILE)
-# Delay of a service without samples, in seconds.
+# Hedge delay of a service that has no samples yet.
 INITIAL_DELAY_SECONDS = 0.05
 MIN_DELAY_SECONDS = 0.0005
 
 
 class HedgePolicy:
-    """Decides after which delay a hedge is sent, and whether the budget allows it.
+    """Determines the hedge delay of each service and limits hedges to a budget.
 
     Parameters
     ----------
     budget : float
-        Hedges for each ordinary request, at most.
+        Maximum number of hedges per ordinary request.
     burst : float
-        Largest balance of tokens; a hedge costs one.
+        Maximum token balance; a hedge costs one token.
     """
 
     __slots__ = ("budget", "burst", "delays", "tokens")
@@ -36,14 +37,14 @@
         self.delays: dict[str, float] = {}
 
     def on_request(self) -> None:
-        """Earn the share of a token that an ordinary request brings."""
+        """Earn the tokens of one ordinary request."""
         tokens = self.tokens + self.budget
         self.tokens = tokens if tokens < self.burst else self.burst
 
     def observe(self, service: str, latency: float) -> None:
-        """Learn the 95th percentile of a service's latency from one first attempt, in seconds.
+        """Update the estimated 95th percentile of a service's latency from a first attempt, in seconds.
 
-        A hedged first attempt whose answer is no longer awaited is observed with the time it has waited.
+        For a first attempt that was cancelled because its hedge was answered, pass the time it has waited.
         """
         delay = self.delays.get(service)
         if delay is None:
@@ -54,12 +55,12 @@
             self.delays[service] = delay * STEP_DOWN
 
     def delay(self, service: str) -> float:
-        """Return the seconds after which an unanswered request should be hedged."""
+        """Return the seconds after which to hedge an unanswered request."""
         delay = self.delays.get(service, INITIAL_DELAY_SECONDS)
         return delay if delay > MIN_DELAY_SECONDS else MIN_DELAY_SECONDS
 
     def try_spend_hedge(self, idempotent: bool, now: float) -> bool:
-        """Spend a token for a hedge; False for requests that must run at most once or without budget."""
+        """Spend a token for a hedge; False if the request is not idempotent or the budget is spent."""
         if not idempotent or self.tokens < 1.0:
             return False
         self.tokens -= 1.0
--- a/src/hibiscusdrum/internal/load/retry_budget.py
+++ b/src/hibiscusdrum/internal/load/retry_budget.py
@@ -1,4 +1,4 @@
-"""Retry budget of one tenant: retries are a bounded share of ordinary requests."""
+"""Retry budget of one tenant: limits retries to a share of its ordinary requests."""
 
 from __future__ import annotations
 
@@ -6,25 +6,25 @@
 
 from hibiscusdrum.errors import InvalidArgument
 
-# Bound of the first delay is twice the base. A takeover lasts about 1.7 s, so the cap spans one.
+# The first delay is at most twice the base. The maximum exceeds the duration of a takeover, about 1.7 s.
 BASE_DELAY_SECONDS = 0.025
 MAX_DELAY_SECONDS = 2.0
 MAX_EXPONENT = 30
 
 
 class RetryBudget:
-    """Token budget that allows ``ratio`` retries for each ordinary request.
+    """Token budget that allows ``ratio`` retries per ordinary request.
 
     Parameters
     ----------
     ratio : float
         Tokens earned by each first attempt; a retry costs one token.
     burst : float
-        Largest balance, so that a quiet time doesn't pay for a burst of retries after an outage.
-    minimum_rate : float
-        Tokens a second earned regardless of traffic, so that a tenant with few requests can retry.
-    base_seconds, cap_seconds : float
-        Bounds of the back-off.
+        Maximum token balance, so that a quiet period does not allow a burst of retries after an outage.
+    min_tokens_per_second : float
+        Tokens earned per second regardless of traffic, so that a tenant with few requests can retry.
+    base_delay_seconds, max_delay_seconds : float
+        Half of the maximum first delay, and the maximum of all delays.
     """
 
     __slots__ = (
@@ -56,12 +56,12 @@
         self.refilled_at: float | None = None
 
     def on_request(self) -> None:
-        """Earn the share of a token that an ordinary first attempt brings."""
+        """Earn the tokens of one first attempt."""
         tokens = self.tokens + self.ratio
         self.tokens = tokens if tokens < self.burst else self.burst
 
     def try_spend_retry(self, now: float) -> bool:
-        """Spend a token for a retry; False when the budget is spent."""
+        """Spend a token for a retry; False if the budget is spent."""
         if self.refilled_at is not None and now > self.refilled_at:
             self.tokens = min(self.burst, self.tokens + self.min_tokens_per_second * (now - self.refilled_at))
         self.refilled_at = now
@@ -71,7 +71,7 @@
         return True
 
     def backoff(self, attempt: int, rng: random.Random) -> float:
-        """Return the seconds to wait before a retry, with full jitter.
+        """Return the delay in seconds before a retry, with full jitter.
 
         Parameters
         ----------
@@ -89,6 +89,6 @@
     base_delay_seconds: float = BASE_DELAY_SECONDS,
     max_delay_seconds: float = MAX_DELAY_SECONDS,
 ) -> float:
-    """Return a uniform random delay in seconds below a bound that doubles with each attempt up to a cap."""
+    """Return a random delay in seconds, uniform up to a maximum that doubles per attempt and is capped."""
     max_delay = base_delay_seconds * 2.0 ** (attempt if attempt < MAX_EXPONENT else MAX_EXPONENT)
     return rng.random() * (max_delay if max_delay < max_delay_seconds else max_delay_seconds)
