--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -1,4 +1,4 @@
-"""Keeps the lease row of this node: reads it at start, renews it, and settles writes without an answer."""
+"""Reads the lease row of this node at start, renews it, and resolves writes whose outcome is unknown."""
 
 from __future__ import annotations
 
@@ -22,21 +22,25 @@
 
 
 def lease_key(service: str, node: str) -> str:
-    """Return the key of a node's lease row."""
+    """Return the store key of a node's lease row; with an empty node, the prefix of a service's leases."""
     return f"{LEASE_PREFIX}{service}/{node}"
 
 
 class LeaseKeeper(Service):
-    """Keeps the lease under which this node's target holds keys.
+    """Renews the lease under which this node owns keys.
 
     Attributes
     ----------
-    synced : bool
-        Whether the ring has been read since the lease was first written; before that it may have been changed
-        while there was no lease.
+    request_in_flight : bool
+        Whether a read or write of the lease row is in progress.
+    row_read : bool
+        Whether the row of an earlier incarnation has been looked up.
+    ring_synced : bool
+        Whether the ring has been read since the lease was first written. Until then the lease is not used,
+        since the ring may have changed while there was no lease.
     on_first_write : callable
-        Called after the first write of a lease; sets ``synced`` when it has read the ring.
-    load : callable
+        Called after the first write of a lease; must read the ring and then set ``ring_synced``.
+    current_load : callable
         Returns the load that is published with the lease.
     """
 
@@ -53,22 +57,22 @@
         self.current_load: Callable[[], OwnerLoad] = OwnerLoad
 
     def on_start(self) -> None:
-        """Follow the store's clock."""
+        """Subscribe to the store's clock."""
         self.table = self.app.find("table")
         self.table.on_stamp = self.lease.store_clock.observe
 
     @property
     def now(self) -> float:
-        """Steady time in seconds."""
+        """Monotonic time in seconds."""
         return self.app.clock.monotonic()
 
     @property
     def remaining_seconds(self) -> float:
-        """Seconds that are left of the lease; 0 when it may not be used."""
+        """Remaining seconds of the lease; 0 when it may not be used."""
         return self.lease.remaining_seconds(self.now) if self.ring_synced else 0.0
 
     def renew_if_due(self) -> None:
-        """Write the lease when it is due."""
+        """Write the lease if it is due for renewal, after a first read of the stored row."""
         if self.request_in_flight:
             return
         if self.lease.row_version == 0 and not self.row_read:
@@ -77,10 +81,10 @@
             self.write_lease()
 
     def read_lease(self) -> None:
-        """Read the row of an earlier incarnation, whose process has ended: this one has its port."""
+        """Read the row of an earlier incarnation, whose process has ended: this one holds its port."""
         self.request_in_flight = True
 
-        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+        def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             self.request_in_flight = False
             if isinstance(result, Success):
                 row = result.unwrap().get(self.row_key)
@@ -88,17 +92,17 @@
                 self.row_read = True
                 self.renew_if_due()
 
-        self.table.read((self.row_key,), done)
+        self.table.read((self.row_key,), on_rows)
 
     def write_lease(self) -> None:
-        """Write the lease row under its known version."""
+        """Write the lease row, provided that its stored version is still the known one."""
         row = self.lease.next_row(self.now, self.current_load())
         version = self.lease.row_version
         self.request_in_flight = True
         puts = {self.row_key: msgspec.to_builtins(row)}
         transaction = Transaction(new_operation_id(), {self.row_key: version}, puts)
 
-        def done(result: Result[int, HibiscusdrumError]) -> None:
+        def on_committed(result: Result[int, HibiscusdrumError]) -> None:
             self.request_in_flight = False
             if isinstance(result, Success):
                 self.lease.record_written(row, result.unwrap())
@@ -113,17 +117,17 @@
             )
             self.resolve_write()
 
-        self.table.commit(transaction, done)
+        self.table.commit(transaction, on_committed)
 
     def resolve_write(self) -> None:
-        """Learn which row the store holds after a conflict or a lost answer.
+        """Read the stored row after a conflict or a lost answer.
 
-        An unanswered write may still take effect later. Its row names an end that was counted from before it
-        was sent, so that adopting it is safe whenever it appears.
+        An unanswered write may still take effect later. The term of its row starts before the write was sent,
+        so the row can be adopted safely whenever it appears.
         """
         self.request_in_flight = True
 
-        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+        def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             self.request_in_flight = False
             if not isinstance(result, Success):
                 return
@@ -137,4 +141,4 @@
                 self.lease.row_version = row.version if row is not None else 0
                 log_events.emit(events.LeaseTaken(version=self.lease.row_version))
 
-        self.table.read((self.row_key,), done)
+        self.table.read((self.row_key,), on_rows)
--- a/src/hibiscusdrum/internal/router/range_lease.py
+++ b/src/hibiscusdrum/internal/router/range_lease.py
@@ -1,8 +1,8 @@
-"""Lease of a node on its ranges, counted on the clock of the store.
+"""Lease of a node on its key ranges, with its expiry on the store's clock.
 
-The store stamps each answer with a steady clock. A lease row names the time on that clock at which the lease
-ends; the owner stops before it, and others may take its ranges once the store's clock has passed it. Two
-clocks of the same store are compared, so that no node waits a whole term from its first look.
+The store stamps each answer with the time of its monotonic clock. A lease row holds the time on that clock at
+which the lease expires: the owner stops before it, and other nodes may take over its ranges after it. Since
+both sides use the store's clock, a node that reads a lease for the first time need not wait a whole term.
 """
 
 from __future__ import annotations
@@ -11,23 +11,25 @@
 
 from hibiscusdrum.internal.router.key_load import OwnerLoad
 
-# Term of a lease in seconds. A node that falls silent keeps its keys for this long; the store may be away for
-# the difference to the renewal interval without a lapse.
+# A lost node keeps its keys for up to this long. Leases survive an outage of the store of this time less the
+# renewal interval.
 LEASE_TERM_SECONDS = 9.0
 LEASE_RENEWAL_INTERVAL_SECONDS = 2.5
-# The store's clock and the node's may differ in rate by this much.
+# The clock rates of the store and the node may differ by this share.
 MAX_CLOCK_DRIFT = 0.005
-# Waited beyond the end of a lease before others take over; covers the rounding of both clocks.
+# Others take over only this long after a lease has expired, which covers the rounding of both clocks.
 TAKEOVER_MARGIN_SECONDS = 0.3
 
 
 class LeaseRow(msgspec.Struct, frozen=True):
-    """Row of a lease.
+    """Stored row of a lease.
 
     Attributes
     ----------
+    incarnation : str
+        Identifies one start of the node's process.
     ends : float
-        Seconds on the store's clock.
+        Expiry in seconds on the store's clock.
     load : OwnerLoad
         Load of the owner when the row was written.
     """
@@ -39,12 +41,14 @@
 
 
 class StoreClock:
-    """Estimate of the store's clock from above, so that an owner errs towards an earlier end.
+    """Upper bound of the store's clock, so that an owner stops too early rather than too late.
 
     Attributes
     ----------
-    known : bool
-        Whether an answer has been stamped.
+    observed : bool
+        Whether a stamped answer has been observed.
+    max_offset : float
+        Upper bound in seconds of the store's clock minus the local one.
     """
 
     __slots__ = ("max_offset", "observed")
@@ -54,37 +58,45 @@
         self.max_offset = 0.0
 
     def observe(self, sent_at: float, store_time: float) -> None:
-        """Note the stamp of an answer.
+        """Update the bound from the stamp of an answer.
 
         Parameters
         ----------
         sent_at : float
-            Local time in seconds at which the request was sent; the stamp is no older than that.
+            Local monotonic time in seconds at which the request was sent; the stamp is no older.
         store_time : float
-            Seconds on the store's clock.
+            Stamp of the answer, in seconds on the store's clock.
         """
         offset = store_time - sent_at
-        # The stamp was made after sending, so every observation bounds the true offset from above.
+        # The stamp was made after the request was sent, so each observation is an upper bound of the offset.
         if not self.observed or offset < self.max_offset:
             self.max_offset = offset
             self.observed = True
 
     def upper_bound(self, now: float) -> float:
-        """Return an upper bound of the store's present time."""
+        """Return an upper bound of the store's current time."""
         return now + self.max_offset
 
     def reset(self) -> None:
-        """Forget the estimate, for example when the store's clock was replaced."""
+        """Discard the bound, for example when the store's clock was replaced."""
         self.observed = False
 
 
 class RangeLease:
-    """The lease of this node.
+    """The lease of this node as last written.
 
     Parameters
     ----------
-    node, incarnation : str
-        The incarnation differs with each start of the process.
+    node : str
+    incarnation : str
+        Identifies one start of this process.
+
+    Attributes
+    ----------
+    expires_at : float
+        Expiry in seconds on the store's clock; 0 when there is no lease.
+    row_version : int
+        Version of the stored row; 0 when there is none.
     """
 
     __slots__ = ("expires_at", "incarnation", "node", "row_version", "store_clock")
@@ -97,28 +109,28 @@
         self.row_version = 0
 
     def next_row(self, now: float, load: OwnerLoad | None = None) -> LeaseRow:
-        """Return the row to write; the term counts from before it is sent."""
-        ends = self.store_clock.upper_bound(now) + LEASE_TERM_SECONDS
-        return LeaseRow(self.node, self.incarnation, ends, load or OwnerLoad())
+        """Return the row to write next; its term starts before the write is sent."""
+        expires_at = self.store_clock.upper_bound(now) + LEASE_TERM_SECONDS
+        return LeaseRow(self.node, self.incarnation, expires_at, load or OwnerLoad())
 
     def record_written(self, row: LeaseRow, version: int) -> None:
-        """Note that a proposal is in the store."""
+        """Record that a row of this process is in the store."""
         self.expires_at = row.ends
         self.row_version = version
 
     def record_lost(self) -> None:
-        """Note that the row was removed or replaced."""
+        """Record that the row was removed or replaced."""
         self.expires_at = 0.0
         self.row_version = 0
 
     def remaining_seconds(self, now: float) -> float:
-        """Return the seconds for which the node may let its target hold keys; 0 when lapsed."""
+        """Return the seconds for which the node may still own keys; 0 when the lease has expired."""
         if not self.expires_at:
             return 0.0
         return max(0.0, (self.expires_at - self.store_clock.upper_bound(now)) * (1.0 - MAX_CLOCK_DRIFT))
 
     def is_renewal_due(self, now: float) -> bool:
-        """Return whether the lease should be written again."""
+        """Return whether the lease is due for renewal."""
         return (
             self.store_clock.observed
             and self.remaining_seconds(now) < LEASE_TERM_SECONDS - LEASE_RENEWAL_INTERVAL_SECONDS
@@ -126,5 +138,5 @@
 
 
 def is_expired(row: LeaseRow, store_time: float) -> bool:
-    """Return whether a lease has ended at a time of the store's clock."""
+    """Return whether other nodes may take over a lease at ``store_time`` on the store's clock."""
     return store_time > row.ends + TAKEOVER_MARGIN_SECONDS
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -1,8 +1,8 @@
-"""Ownership of key ranges by this node: its lease, what its target is to hold, and changes of the ring.
+"""Ownership of key ranges by this node: its lease, the grant of its target, and changes of the ring.
 
-The target enforces what it holds, for a time that never outlasts this node's lease. A stripe changes hands by
-one conditional write of the ring's row: by its owner, once the target has given it back or its hold has
-ended, or by another node, once the owner's lease has ended on the store's clock.
+The target serves only granted keys, and a grant never outlasts this node's lease. Ownership of a stripe
+changes by one conditional write of the ring row: by its owner, once the target has released the stripe or its
+grant has expired, or by another node, once the owner's lease has expired on the store's clock.
 """
 
 from __future__ import annotations
@@ -41,40 +41,51 @@
 
 RECONCILE_INTERVAL_SECONDS = 0.2
 LOAD_UPDATE_INTERVAL_SECONDS = 1.0
-# Hold of the target in seconds: long enough for two lost reports, short enough that the keys of a target that
-# went silent soon have another owner.
+# Survives two lost heartbeats, yet lets the keys of a target that stopped responding move on soon.
 GRANT_SECONDS = 5.0
-# A target's clock may run this much slow, which lengthens its hold.
+# The clock of a target may run up to 2.5% slow, which lengthens its grant.
 TARGET_CLOCK_DRIFT_FACTOR = 1.025
-# The hold is counted from when the report was sent; requests are not started in its last part.
+# The grant counts from when the heartbeat was sent; no request is started in this last part of it.
 GRANT_MARGIN_SECONDS = 0.15
-# Time in which all targets report for the first time before a ring is made, and without a new one.
+# Before the ring is created, all targets get this long to send a first heartbeat, and the set of eligible
+# owners must have stayed unchanged for ``MEMBERSHIP_QUIET_SECONDS``.
 RING_CREATION_DELAY_SECONDS = 2.0
 MEMBERSHIP_QUIET_SECONDS = 1.2
-# Time between looks at the leases for the first nodes in a fixed order, and for the others.
+# The first ``PRIMARY_LEASE_CHECKERS`` nodes of a fixed order check leases more often than the others.
 LEASE_CHECK_INTERVAL_SECONDS = 1.0
 STANDBY_LEASE_CHECK_INTERVAL_SECONDS = 5.0
 PRIMARY_LEASE_CHECKERS = 3
-# A node without a lease row counts as gone after this long; a new owner writes its row within it.
+# A node without a lease row counts as lost after this time, within which a new owner writes its row.
 MISSING_LEASE_TIMEOUT_SECONDS = 4.0
-# After the store was away its nodes get this long to renew before they count as gone.
+# After an outage of the store, nodes get this long to renew their leases before they count as lost.
 STORE_RECOVERY_GRACE_SECONDS = 2.5
-# Targets that start together each need new tokens. Each daemon waits a random time of up to this much for
-# each owner, and then renews the tokens of all, so that most find theirs renewed.
+# Targets that restart together all need new fencing tokens. Each node waits for a random delay of up to this
+# long per owner and then renews the tokens of all restarted targets, so that most need no write of their own.
 REASSIGN_JITTER_SECONDS_PER_OWNER = 0.01
-# Time between looks of an overloaded owner for others with less to do, and after a handover for that reason:
-# loads are published with each renewal of a lease.
+# How often an overloaded owner looks for less loaded ones, and how long it waits after an offload. Loads are
+# published only with each lease renewal.
 OFFLOAD_CHECK_INTERVAL_SECONDS = 3.0
 OFFLOAD_COOLDOWN_SECONDS = 6.0
-# Requests for keys that are to be given away are refused this long before the target's next report, so that
-# none is still queued when the target gives them back.
+# Requests for keys that are about to move are refused this long before the target's next heartbeat, so that
+# none is still queued when the target releases the keys.
 HANDOVER_QUIESCE_SECONDS = 0.4
-# A newcomer waits this long for stripes of others, so that restarts in a row do not move keys each time.
+# An imbalance must last this long before stripes move to a new node, so that rolling restarts do not move
+# keys each time.
 REBALANCE_DELAY_SECONDS = 2.0
 
 
 class KeyState(enum.Enum):
-    """What this node can do with a request for a key."""
+    """Whether this node may serve requests for a key.
+
+    Attributes
+    ----------
+    GRANTED
+        The target holds a valid grant for the key.
+    GRANT_PENDING
+        The node owns the key, and its target has no valid grant yet.
+    NOT_OWNED
+        Another node owns the key, or this node is handing it over.
+    """
 
     GRANTED = "held"
     GRANT_PENDING = "expected"
@@ -82,16 +93,24 @@
 
 
 class RangeOwner(Service):
-    """Owns ranges for this node's target, and takes over those of gone owners.
+    """Manages the stripes of this node, grants them to its target, and takes over those of lost nodes.
 
     Attributes
     ----------
     partitioned : bool or None
-        Whether the service is divided by key; None until the configuration is known.
-    giving : dict of int to Owner
-        Stripes that are being handed to other owners.
+        Whether the service is partitioned by key; None until the configuration is known.
+    reading_leases : bool
+        Whether a read of lease rows is in progress.
+    outgoing_stripes : dict of int to Owner
+        Stripes that are being handed over, with their new owners.
+    granted_stripes : set of int
+        Stripes of the last grant to the target.
+    revoked_at : dict of int to float
+        Monotonic time in seconds at which a stripe was left out of the grant.
+    handover_tokens : dict of int to str
+        Handover tokens of the stripes that the target has released.
     on_granted : list of callable
-        Called when the target has been given keys.
+        Called when the target has been granted further keys.
     """
 
     service_name = "range_owner"
@@ -124,14 +143,14 @@
         self.on_granted: list[Callable[[], None]] = []
 
     def on_start(self) -> None:
-        """Follow rows and the target."""
+        """Subscribe to rows and the target, and start the periodic work."""
         self.process_started_at = self.now
         self.table = self.app.find("table")
         self.members: Members = self.app.find("members")
         self.target: LocalTarget = self.app.find("local_target")
         self.rings: Rings = self.app.find("rings")
         self.rings.on_written.append(self.drop_foreign_tokens)
-        # Many nodes write the same row: the sooner after a read, the fewer others come in between.
+        # All nodes write the same row; writing right after a read makes a conflict less likely.
         self.rings.on_reread = self.reconcile
         self.members.on_change.append(self.on_members_change)
         self.target.make_grant = self.make_grant
@@ -144,7 +163,7 @@
 
     @property
     def now(self) -> float:
-        """Steady time in seconds."""
+        """Monotonic time in seconds."""
         return self.app.clock.monotonic()
 
     @property
@@ -153,13 +172,11 @@
         return self.rings.local_ring
 
     def set_partitioned(self, partitioned: bool) -> None:
-        """Take over whether this node's service is divided by key."""
+        """Set whether this node's service is partitioned by key."""
         self.partitioned = partitioned
 
-    # Rows
-
     def on_members_change(self) -> None:
-        """Note when the owners last changed."""
+        """Record when the set of eligible owners last changed."""
         owners = self.members.eligible_owners(self.settings.service)
         if owners != self.eligible_owners:
             self.eligible_owners = owners
@@ -168,38 +185,36 @@
                 self.first_owner_at = self.now
 
     def on_target_change(self) -> None:
-        """Act at once when the target starts anew, drains or goes."""
+        """Reconcile at once when the target appears, restarts, drains or is lost."""
         if self.partitioned:
             self.app.scheduler.call_later(0.0, self.reconcile)
 
-    # The target
-
     @property
     def local_owner(self) -> Owner:
-        """The target of this node as an owner."""
+        """The current incarnation of this node's target as an owner."""
         return Owner(self.node, self.target.incarnation)
 
     def local_stripes(self) -> list[int]:
-        """Return the stripes that the present start of the target owns."""
-        ring, me = self.local_ring, self.local_owner
-        if ring is None or not me.incarnation:
+        """Return the stripes that the current incarnation of the target owns."""
+        ring, local_owner = self.local_ring, self.local_owner
+        if ring is None or not local_owner.incarnation:
             return []
         return [
             index
             for index, stripe in enumerate(ring.stripes)
-            if stripe.owner_index != ring_edits.UNOWNED and ring.owners[stripe.owner_index] == me
+            if stripe.owner_index != ring_edits.UNOWNED and ring.owners[stripe.owner_index] == local_owner
         ]
 
     @property
     def must_release_all(self) -> bool:
-        """Whether the target is to give all its keys back."""
+        """Whether the target must release all keys: it is not ready, or its failure domain is evacuated."""
         return not self.target.ready or self.settings.failure_domain in self.members.evacuated_domains
 
-    def make_grant(self, report: TargetHeartbeat) -> Grant | None:
-        """Answer a report with everything that the target is to hold, or None to renew nothing."""
+    def make_grant(self, heartbeat: TargetHeartbeat) -> Grant | None:
+        """Return the whole grant that answers a heartbeat, or None to renew nothing."""
         if not self.partitioned:
             return None
-        self.record_released(report)
+        self.record_released(heartbeat)
         now, ring = self.now, self.local_ring
         remaining = self.keeper.remaining_seconds / TARGET_CLOCK_DRIFT_FACTOR
         seconds = min(self.settings.longest_hold, GRANT_SECONDS, remaining)
@@ -215,9 +230,9 @@
         for index in keep:
             self.revoked_at.pop(index, None)
             self.handover_tokens.pop(index, None)
-        gained = keep - self.granted_stripes or report.incarnation != self.granted_incarnation
-        self.granted_stripes, self.granted_incarnation = keep, report.incarnation
-        # The target counts its hold from when it sent the report, which may have been answered late.
+        gained = keep - self.granted_stripes or heartbeat.incarnation != self.granted_incarnation
+        self.granted_stripes, self.granted_incarnation = keep, heartbeat.incarnation
+        # The target counts its grant from when it sent the heartbeat, which may have been answered late.
         self.granted_until = self.target.last_heartbeat_at + seconds
         ranges = ring.key_ranges(keep)[: ring_edits.MAX_RANGES_PER_TARGET + 20]
         if gained:
@@ -225,7 +240,7 @@
         return Grant(ranges, seconds)
 
     def grant_imminent(self) -> bool:
-        """Return whether the target's keys wait only for a first read or a write of this node."""
+        """Return whether only a pending first read or write of this node delays the target's grant."""
         ring = self.local_ring
         if not self.members.store_reachable:
             return False
@@ -239,8 +254,8 @@
 
     def local_load(self) -> OwnerLoad:
         """Return the load of this node's target."""
-        report = self.target.last_heartbeat
-        return self.key_load.owner_load(report.slots if report is not None else 1)
+        heartbeat = self.target.last_heartbeat
+        return self.key_load.owner_load(heartbeat.slots if heartbeat is not None else 1)
 
     def record_request(self, key: int) -> None:
         """Count a request for a key of this node, admitted or not."""
@@ -249,11 +264,11 @@
             self.key_load.record_request(ring.stripe_index(key))
 
     def invalidate_grant(self) -> None:
-        """Note that the target does not hold what it was given; its next report renews it."""
+        """Mark the grant as missing at the target; the answer to its next heartbeat renews it."""
         self.granted_stripes = set()
 
     def notify_granted(self) -> None:
-        """Tell the listeners that requests for new keys may be sent."""
+        """Notify the listeners that requests for the granted keys may be sent."""
         log_events.emit(
             events.KeysGranted(
                 stripes=len(self.granted_stripes),
@@ -264,20 +279,20 @@
         for listener in self.on_granted:
             listener()
 
-    def record_released(self, report: TargetHeartbeat) -> None:
-        """Note the handover tokens of stripes that the target gave back."""
+    def record_released(self, heartbeat: TargetHeartbeat) -> None:
+        """Store the handover tokens of stripes that the target has released."""
         ring = self.local_ring
         if ring is None:
             return
-        for released in report.released:
+        for released in heartbeat.released:
             for index in range(ring.stripe_index(released.first), ring.stripe_index(released.last) + 1):
                 if index not in self.granted_stripes:
                     self.handover_tokens[index] = released.handover_token
-        if report.released and (self.outgoing_stripes or self.must_release_all):
+        if heartbeat.released and (self.outgoing_stripes or self.must_release_all):
             self.app.scheduler.call_later(0.0, self.reconcile)
 
     def key_state(self, key: int) -> KeyState:
-        """Return what this node can do with a request for a key now."""
+        """Return whether this node may serve requests for a key now."""
         ring = self.local_ring
         if ring is None or not self.partitioned:
             return KeyState.NOT_OWNED
@@ -289,26 +304,24 @@
             index
         ):
             return KeyState.NOT_OWNED
-        held = index in self.granted_stripes and self.granted_incarnation == self.target.incarnation
-        if held and self.now < self.granted_until - GRANT_MARGIN_SECONDS:
+        granted = index in self.granted_stripes and self.granted_incarnation == self.target.incarnation
+        if granted and self.now < self.granted_until - GRANT_MARGIN_SECONDS:
             return KeyState.GRANTED
         return KeyState.GRANT_PENDING
 
     def served_until_heartbeat(self, index: int) -> bool:
-        """Return whether a stripe that is to be given away is served until the target's next report.
+        """Return whether a stripe that must move is still served before the target's next heartbeat.
 
-        The target holds it until that report is answered without it. A target that drains, or whose failure
-        domain is evacuated, may get work for longer than that.
+        The target keeps the stripe until the answer to that heartbeat leaves it out. A target that drains, or
+        whose failure domain is evacuated, may get requests for longer than that.
         """
         if self.target.state is TargetState.ABSENT:
             return False
-        next_report = self.target.last_heartbeat_at + self.settings.heartbeat
-        return index in self.granted_stripes and self.now < next_report - HANDOVER_QUIESCE_SECONDS
-
-    # Periodic work
+        next_heartbeat = self.target.last_heartbeat_at + self.settings.heartbeat
+        return index in self.granted_stripes and self.now < next_heartbeat - HANDOVER_QUIESCE_SECONDS
 
     def reconcile(self) -> None:
-        """Renew the lease, and do the most urgent change of the ring."""
+        """Renew the lease if due, and make the most urgent change of the ring."""
         if not self.partitioned or not self.members.loaded:
             return
         if self.now - (self.key_load.updated_at or 0.0) >= LOAD_UPDATE_INTERVAL_SECONDS:
@@ -327,32 +340,30 @@
             self.check_leases()
 
     def sync_ring(self) -> None:
-        """Read the ring after the first write of a lease: it may have been changed while there was none."""
+        """Read the ring after the first write of a lease: it may have changed while there was no lease."""
 
-        def done(read: bool) -> None:
-            self.keeper.ring_synced = self.keeper.ring_synced or read
+        def on_read(succeeded: bool) -> None:
+            self.keeper.ring_synced = self.keeper.ring_synced or succeeded
 
-        self.rings.read_ring(done)
+        self.rings.read_ring(on_read)
 
     def drop_foreign_tokens(self) -> None:
         """Drop the handover tokens of stripes that now belong to others."""
-        mine = set(self.local_stripes())
+        local_stripes = set(self.local_stripes())
         self.handover_tokens = {
-            index: token for index, token in self.handover_tokens.items() if index in mine
+            index: token for index, token in self.handover_tokens.items() if index in local_stripes
         }
 
-    # Changes of the ring
-
     @property
     def lease_check_rank(self) -> int:
-        """Position of this node in a fixed order of the service's nodes, in which domains are mixed."""
+        """Position of this node in an order of the service's nodes by hash, which mixes failure domains."""
         names = sorted(
             (owner.node for owner in self.eligible_owners), key=lambda name: zlib.crc32(name.encode())
         )
         return names.index(self.node) if self.node in names else len(names)
 
     def create_ring(self) -> None:
-        """Make the ring when all targets have had time to report."""
+        """Create the ring once all targets have had time for a first heartbeat."""
         now = self.now
         owners = self.members.eligible_owners(self.settings.service)
         if self.first_owner_at is None or not self.keeper.ring_synced:
@@ -366,9 +377,10 @@
             self.rings.commit_ring(ring_edits.create_ring(owners), {}, (), "created", len(owners))
 
     def reassign_restarted(self) -> bool:
-        """Give the stripes of an earlier start of the target to the present one, which holds nothing.
+        """Reassign the stripes of an earlier incarnation of the target to the current one, which holds none.
 
-        Those of other nodes whose targets have started anew get new tokens by the same write.
+        The same write gives new fencing tokens to the stripes of other nodes whose targets have restarted.
+        Returns whether a write was begun or is waiting for its delay.
         """
         ring = self.local_ring
         if self.must_release_all or self.keeper.remaining_seconds <= 0.0:
@@ -391,23 +403,23 @@
         return True
 
     def restarted_owners(self) -> list[Owner]:
-        """Return the present starts of other nodes' targets that the ring knows only by an earlier start."""
+        """Return other nodes' targets whose current incarnation is newer than the one in the ring."""
         started: dict[str, int] = {}
         for owner in self.local_ring.owners:
             started[owner.node] = max(started.get(owner.node, 0), owner.started_ms)
         return [
             owner
             for owner in self.eligible_owners
-            # The row of a node may be older than the ring, and then names the earlier start.
+            # A node's row may be older than the ring, and then names the earlier incarnation.
             if owner.node != self.node and owner.started_ms > started.get(owner.node, owner.started_ms)
         ]
 
     def safe_to_transfer(self, index: int) -> bool:
-        """Return whether the target surely holds a stripe no more."""
+        """Return whether the target certainly no longer serves a stripe."""
         ring, target, now = self.local_ring, self.target, self.now
-        longest_hold = GRANT_SECONDS * TARGET_CLOCK_DRIFT_FACTOR
+        longest_grant = GRANT_SECONDS * TARGET_CLOCK_DRIFT_FACTOR
         if now > max(
-            self.process_started_at + longest_hold, self.granted_until + longest_hold - GRANT_SECONDS
+            self.process_started_at + longest_grant, self.granted_until + longest_grant - GRANT_SECONDS
         ):
             return True
         if target.process_ended or index in self.handover_tokens:
@@ -415,7 +427,7 @@
         if target.last_heartbeat is None:
             return False
         if ring.owners[ring.stripes[index].owner_index].incarnation != target.last_heartbeat.incarnation:
-            # An earlier start of the target holds nothing any more.
+            # An earlier incarnation of the target has ended and serves nothing.
             return True
         if target.last_heartbeat_at <= self.revoked_at.get(index, now):
             return False
@@ -423,7 +435,10 @@
         return not any(held.first <= last and held.last >= first for held in target.last_heartbeat.held)
 
     def transfer_outgoing(self) -> bool:
-        """Hand over stripes that are to leave, as far as the target has given them back."""
+        """Transfer the stripes that must move and that the target no longer serves.
+
+        Returns whether a write or the read before it was begun.
+        """
         ring = self.local_ring
         if self.keeper.remaining_seconds <= 0.0:
             return False
@@ -445,11 +460,11 @@
                 len(moves),
             )
             return True
-        self.read_leases(lambda alive, _dead: self.transfer_all(movable, alive))
+        self.read_leases(lambda alive, _lost: self.transfer_all(movable, alive))
         return True
 
     def transfer_all(self, movable: list[int], alive: list[Owner]) -> None:
-        """Give stripes of a target that leaves to others, or to nobody when there is none."""
+        """Transfer the stripes of a departing target to other owners; without any, nothing is written."""
         ring = self.local_ring
         receivers = [owner for owner in alive if owner.node != self.node]
         if not receivers:
@@ -460,7 +475,7 @@
         )
 
     def check_leases(self) -> None:
-        """Look for owners whose lease has ended and for stripes without an owner."""
+        """Read the leases at intervals, and act on expired ones, unowned stripes and uneven load."""
         now = self.now
         interval = (
             LEASE_CHECK_INTERVAL_SECONDS
@@ -481,75 +496,79 @@
         self.leases_checked_at = now
         self.read_leases(self.take_over)
 
-    def read_leases(self, act: Callable[[list[Owner], dict[str, int]], None]) -> None:
-        """Read the leases of the service; ``act`` gets the owners with a valid one, and the gone nodes."""
+    def read_leases(self, callback: Callable[[list[Owner], dict[str, int]], None]) -> None:
+        """Read the leases of the service, and pass ``callback`` the live owners and the lost nodes.
+
+        Lost nodes come with the version of their lease row, 0 when there is none. Without an answer of the
+        store, ``callback`` is not called.
+        """
         ring = self.local_ring
         nodes = ring.owner_nodes() | {owner.node for owner in self.eligible_owners}
         prefix = lease_key(self.settings.service, "")
         self.reading_leases = True
 
-        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+        def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             self.reading_leases = False
             if not isinstance(result, Success):
                 return
             rows = result.unwrap()
-            gone = self.expired_nodes({node: rows.get(prefix + node) for node in nodes})
+            lost = self.expired_nodes({node: rows.get(prefix + node) for node in nodes})
             alive = [
                 owner
                 for owner in self.members.eligible_owners(self.settings.service)
-                if owner.node not in gone and prefix + owner.node in rows
+                if owner.node not in lost and prefix + owner.node in rows
             ]
-            act(alive, gone)
+            callback(alive, lost)
 
-        self.table.read(tuple(prefix + node for node in sorted(nodes)), done)
+        self.table.read(tuple(prefix + node for node in sorted(nodes)), on_rows)
 
     def expired_nodes(self, rows: Mapping[str, Row | None]) -> dict[str, int]:
-        """Return the nodes whose lease has ended, with the version of its row."""
-        gone: dict[str, int] = {}
+        """Return the nodes with an expired lease and its row version, and store the loads of the others."""
+        expired: dict[str, int] = {}
         self.owner_loads = {}
-        stamp = self.table.stamp
+        store_time = self.table.stamp
         for node, row in rows.items():
             if node == self.node:
                 continue
             if row is None:
                 since = self.lease_missing_since.setdefault(node, self.now)
                 if self.now - since > MISSING_LEASE_TIMEOUT_SECONDS:
-                    gone[node] = 0
+                    expired[node] = 0
                 continue
             self.lease_missing_since.pop(node, None)
             lease = msgspec.convert(row.value, LeaseRow)
-            if is_expired(lease, stamp):
-                gone[node] = row.version
+            if is_expired(lease, store_time):
+                expired[node] = row.version
             else:
                 self.owner_loads[node] = lease.load
-        return gone
+        return expired
 
-    def take_over(self, alive: list[Owner], gone: dict[str, int]) -> None:
-        """Give the stripes of gone nodes, and those without an owner, to the others."""
+    def take_over(self, alive: list[Owner], lost: dict[str, int]) -> None:
+        """Reassign the stripes of lost nodes, and unowned stripes, to the live owners."""
         ring = self.local_ring
         if self.reading_leases or self.rings.write_in_progress or ring is None or not alive:
             return
-        lost = [index for node in gone for index in ring.stripes_of(node)]
-        free = ring.unowned_stripes()
-        if not lost and not free:
+        lost_stripes = [index for node in lost for index in ring.stripes_of(node)]
+        unowned = ring.unowned_stripes()
+        if not lost_stripes and not unowned:
             self.start_rebalance(alive)
             self.start_offload(alive)
             return
-        moves = ring_edits.distribute_stripes(ring, lost + free, alive)
+        moves = ring_edits.distribute_stripes(ring, lost_stripes + unowned, alive)
         prefix = lease_key(self.settings.service, "")
-        owners = [node for node in gone if ring.stripes_of(node)]
-        checks = {prefix + node: gone[node] for node in owners}
-        deletes = [prefix + node for node in owners if gone[node]]
-        for node in owners:
+        lost_owners = [node for node in lost if ring.stripes_of(node)]
+        checks = {prefix + node: lost[node] for node in lost_owners}
+        deletes = [prefix + node for node in lost_owners if lost[node]]
+        for node in lost_owners:
             version = self.members.row_versions.get(NODE_PREFIX + node, 0)
             if version and node in self.members.nodes:
                 checks[NODE_PREFIX + node] = version
                 deletes.append(NODE_PREFIX + node)
         log_events.emit(
             events.OwnersGone(
-                nodes=tuple(sorted(owners)),
-                stripes=len(lost),
-                unowned=len(free),
+                nodes=tuple(sorted(lost_owners)),
+                stripes=len(lost_stripes),
+                unowned=len(unowned),
                 store_time_s=self.table.stamp,
             )
         )
@@ -558,16 +577,16 @@
         )
 
     def start_rebalance(self, alive: list[Owner]) -> None:
-        """Begin to hand stripes to owners that have far fewer."""
+        """Start to hand stripes to owners that have far fewer, once the imbalance has lasted long enough."""
         if self.outgoing_stripes or self.must_release_all:
             return
         mean = mean_ratio(self.owner_loads)
-        sated = [
+        loaded_nodes = [
             node
             for node, load in self.owner_loads.items()
             if mean and load.ratio >= mean * RECEIVER_MEAN_FACTOR
         ]
-        moves = ring_edits.plan_rebalance(self.local_ring, alive, self.node, sated)
+        moves = ring_edits.plan_rebalance(self.local_ring, alive, self.node, loaded_nodes)
         if not moves:
             self.imbalance_since = None
             return
@@ -579,7 +598,7 @@
             log_events.emit(events.HandoverBegun(stripes=len(self.outgoing_stripes)))
 
     def start_offload(self, alive: list[Owner]) -> None:
-        """Begin to hand busy stripes to owners with less to do, if this node's target is overloaded."""
+        """Start to hand busy stripes to less loaded owners if this node's target is overloaded."""
         if (
             self.outgoing_stripes
             or self.must_release_all
@@ -593,11 +612,13 @@
         loads[self.node] = self.local_load()
         if not may_offload(loads, self.node):
             return
-        mine = set(self.local_stripes())
-        rates = {stripe: rate for stripe, rate in self.key_load.rates.items() if stripe in mine}
+        local_stripes = set(self.local_stripes())
+        rates = {stripe: rate for stripe, rate in self.key_load.rates.items() if stripe in local_stripes}
         counts = self.local_ring.stripe_counts()
-        full = {node for node in by_node if counts.get(node, 0) >= ring_edits.MAX_RANGES_PER_TARGET}
-        open_loads = {node: load for node, load in loads.items() if node not in full or node == self.node}
+        full_nodes = {node for node in by_node if counts.get(node, 0) >= ring_edits.MAX_RANGES_PER_TARGET}
+        open_loads = {
+            node: load for node, load in loads.items() if node not in full_nodes or node == self.node
+        }
         moves = plan_offload(open_loads, self.node, rates)
         if not moves:
             return
--- a/src/hibiscusdrum/internal/router/ring.py
+++ b/src/hibiscusdrum/internal/router/ring.py
@@ -1,8 +1,8 @@
 """Ownership of the keys of one service: stripes of adjacent keys, each with an owner and a fencing token.
 
-The keys 0 to 65535 are cut into stripes of equal width that are dealt to the owners in turn, because busy
-keys lie close together: adjacent stripes then have different owners. All functions here are pure; conditional
-writes of the ring's row decide which change wins.
+The keys 0 to 65535 are divided into stripes of equal width, which are assigned to the owners round-robin:
+busy keys lie close together, and adjacent stripes then have different owners. All functions here are pure;
+conditional writes of the ring row decide which change wins.
 """
 
 from __future__ import annotations
@@ -13,40 +13,46 @@
 
 from hibiscusdrum.internal.router.routes import KEY_SPACE
 
-# Stripes for each owner when a ring is made. More spread busy keys better; a target takes its list of ranges
-# in one message of at most 4 KiB, and an owner may get those of others that were lost.
+# Stripes per owner in a new ring. More stripes distribute busy keys better, but a target gets its ranges in
+# one message of at most 4 KiB, and an owner may also get stripes of lost nodes.
 STRIPES_PER_OWNER = 80
-# Ranges that fit into such a message: about 24 bytes each.
+# Ranges that fit into a grant of at most 4 KiB, at about 24 bytes each.
 MAX_RANGES_PER_TARGET = 140
-# Bounds the size of the row, which every node reads at each change: about 4 bytes a stripe.
+# Limits the size of the ring row, which every node reads at each change: about 4 bytes per stripe.
 MAX_STRIPES = 2048
 UNOWNED = -1
 
 
 class Owner(msgspec.Struct, frozen=True, array_like=True):
-    """A target of a node, from one start of it to its end."""
+    """One incarnation of a node's target.
+
+    Attributes
+    ----------
+    incarnation : str
+        Name of the target and Unix milliseconds of its start, joined by ``@``.
+    """
 
     node: str
     incarnation: str
 
     @property
     def started_ms(self) -> int:
-        """Unix milliseconds of the start, 0 when the target did not say."""
+        """Unix milliseconds of the start; 0 when the target did not report it."""
         started = self.incarnation.rpartition("@")[2]
         return int(started) if started.isdecimal() else 0
 
 
 class Stripe(msgspec.Struct, frozen=True, array_like=True):
-    """Who owns a stripe.
+    """Owner and tokens of one stripe.
 
     Attributes
     ----------
-    owner : int
+    owner_index : int
         Index into the ring's owners, or ``UNOWNED``.
     fencing_token : int
-        Fencing token; grows with each change of the owner.
+        Increases with each change of the owner.
     handover_token : str
-        Handover token of the last owner's target, which lets the new one start warm.
+        Token from the previous owner's target, which lets the new one start warm; may be empty.
     """
 
     owner_index: int = UNOWNED
@@ -55,7 +61,7 @@
 
 
 class Range(msgspec.Struct, frozen=True):
-    """Adjacent keys that one target holds; both ends are included."""
+    """Range of keys of one target; ``first`` and ``last`` are included."""
 
     first: int
     last: int
@@ -68,8 +74,8 @@
 
     Attributes
     ----------
-    next_fence : int
-        Larger than every fencing token given so far.
+    next_fencing_token : int
+        Greater than every fencing token assigned so far.
     """
 
     owners: tuple[Owner, ...]
@@ -77,31 +83,31 @@
     next_fencing_token: int = 1
 
     def stripe_index(self, key: int) -> int:
-        """Return the stripe of a key."""
+        """Return the index of the stripe that contains a key."""
         return key * len(self.stripes) // KEY_SPACE
 
     def owner_of(self, key: int) -> Owner | None:
-        """Return the owner of a key, or None."""
+        """Return the owner of a key, or None if its stripe is unowned."""
         stripe = self.stripes[self.stripe_index(key)]
         return self.owners[stripe.owner_index] if stripe.owner_index != UNOWNED else None
 
     def stripes_of(self, node: str) -> list[int]:
-        """Return the stripes of a node."""
-        indexes = {index for index, owner in enumerate(self.owners) if owner.node == node}
-        return [index for index, stripe in enumerate(self.stripes) if stripe.owner_index in indexes]
+        """Return the indexes of the stripes that any incarnation of a node's target owns."""
+        owner_indexes = {index for index, owner in enumerate(self.owners) if owner.node == node}
+        return [index for index, stripe in enumerate(self.stripes) if stripe.owner_index in owner_indexes]
 
     def unowned_stripes(self) -> list[int]:
-        """Return the stripes without an owner."""
+        """Return the indexes of the stripes without an owner."""
         return [index for index, stripe in enumerate(self.stripes) if stripe.owner_index == UNOWNED]
 
     def owner_nodes(self) -> set[str]:
-        """Return the nodes that own a stripe."""
+        """Return the nodes that own at least one stripe."""
         return {
             self.owners[stripe.owner_index].node for stripe in self.stripes if stripe.owner_index != UNOWNED
         }
 
     def stripe_counts(self) -> dict[str, int]:
-        """Return the number of stripes of each node that owns one."""
+        """Return the number of stripes of each node that owns at least one."""
         counts: dict[str, int] = {}
         for stripe in self.stripes:
             if stripe.owner_index != UNOWNED:
@@ -115,64 +121,66 @@
         return -(-index * KEY_SPACE // count), -(-(index + 1) * KEY_SPACE // count) - 1
 
     def key_ranges(self, indexes: Iterable[int]) -> tuple[Range, ...]:
-        """Return the ranges of some stripes; adjacent ones with the same token are joined."""
+        """Return the key ranges of stripes; adjacent ones with the same tokens are merged."""
         ranges: list[Range] = []
         for index in sorted(indexes):
             stripe = self.stripes[index]
             first, last = self.key_bounds(index)
-            former = ranges[-1] if ranges else None
-            joined = (
-                former is not None
-                and former.last + 1 == first
-                and former.fencing_token == stripe.fencing_token
+            previous = ranges[-1] if ranges else None
+            adjacent = (
+                previous is not None
+                and previous.last + 1 == first
+                and previous.fencing_token == stripe.fencing_token
             )
-            if joined and former.handover_token == stripe.handover_token:
-                ranges[-1] = Range(former.first, last, stripe.fencing_token, stripe.handover_token)
+            if adjacent and previous.handover_token == stripe.handover_token:
+                ranges[-1] = Range(previous.first, last, stripe.fencing_token, stripe.handover_token)
             else:
                 ranges.append(Range(first, last, stripe.fencing_token, stripe.handover_token))
         return tuple(ranges)
 
 
 def create_ring(owners: Collection[Owner]) -> Ring:
-    """Return a ring whose stripes are dealt to the owners in turn."""
-    ordered = tuple(sorted(owners, key=lambda owner: owner.node))
-    count = min(MAX_STRIPES, STRIPES_PER_OWNER * len(ordered))
-    stripes = tuple(Stripe(index % len(ordered), 1) for index in range(count))
-    return Ring(ordered, stripes, 2)
+    """Return a new ring whose stripes are assigned to the owners round-robin."""
+    sorted_owners = tuple(sorted(owners, key=lambda owner: owner.node))
+    count = min(MAX_STRIPES, STRIPES_PER_OWNER * len(sorted_owners))
+    stripes = tuple(Stripe(index % len(sorted_owners), 1) for index in range(count))
+    return Ring(sorted_owners, stripes, 2)
 
 
 def reassign_stripes(
-    ring: Ring, moves: Mapping[int, Owner | None], tokens: Mapping[int, str] | None = None
+    ring: Ring, moves: Mapping[int, Owner | None], handover_tokens: Mapping[int, str] | None = None
 ) -> Ring:
-    """Give stripes to other owners, or to nobody, with a new fencing token.
+    """Return a ring in which stripes have other owners, or none, and a new fencing token.
 
     Parameters
     ----------
+    ring : Ring
     moves : mapping of int to Owner or None
-    tokens : mapping of int to str
-        Handover tokens of the stripes that their last owner released.
+        New owner by stripe index; None leaves the stripe unowned.
+    handover_tokens : mapping of int to str, optional
+        Handover tokens of the stripes that their previous owner has released.
     """
     owners = list(ring.owners)
-    positions = {owner: index for index, owner in enumerate(owners)}
+    owner_indexes = {owner: index for index, owner in enumerate(owners)}
     stripes = list(ring.stripes)
     for index, owner in moves.items():
-        position = UNOWNED
+        owner_index = UNOWNED
         if owner is not None:
-            position = positions.setdefault(owner, len(owners))
-            if position == len(owners):
+            owner_index = owner_indexes.setdefault(owner, len(owners))
+            if owner_index == len(owners):
                 owners.append(owner)
-        stripes[index] = Stripe(position, ring.next_fencing_token, (tokens or {}).get(index, ""))
+        stripes[index] = Stripe(owner_index, ring.next_fencing_token, (handover_tokens or {}).get(index, ""))
     return _drop_unused_owners(Ring(tuple(owners), tuple(stripes), ring.next_fencing_token + 1))
 
 
 def _drop_unused_owners(ring: Ring) -> Ring:
-    """Drop owners that own nothing, so that the row does not grow with each restart of a target."""
+    """Return the ring without owners that own nothing; else it would grow with each restart of a target."""
     used = sorted({stripe.owner_index for stripe in ring.stripes if stripe.owner_index != UNOWNED})
     if len(used) == len(ring.owners):
         return ring
-    position = {old: new for new, old in enumerate(used)}
+    new_indexes = {old: new for new, old in enumerate(used)}
     stripes = tuple(
-        Stripe(position.get(stripe.owner_index, UNOWNED), stripe.fencing_token, stripe.handover_token)
+        Stripe(new_indexes.get(stripe.owner_index, UNOWNED), stripe.fencing_token, stripe.handover_token)
         for stripe in ring.stripes
     )
     return Ring(tuple(ring.owners[index] for index in used), stripes, ring.next_fencing_token)
@@ -184,67 +192,78 @@
     receivers: Collection[Owner],
     weight: Callable[[str], float] = lambda _node: 1.0,
 ) -> dict[int, Owner | None]:
-    """Choose new owners for stripes: those with the fewest for their weight, neighbours apart.
+    """Choose new owners for stripes: each time the receiver with the fewest stripes for its weight.
 
-    Stripes for which no receiver has room stay without an owner.
+    Among equal receivers, one other than that of the previous stripe is preferred. Stripes for which no
+    receiver has room become unowned.
 
     Parameters
     ----------
+    ring : Ring
+    indexes : iterable of int
+        Stripes to assign.
     receivers : collection of Owner
-        Owners that take stripes.
+        Owners that may get stripes.
     weight : callable
-        Relative capacity of a node.
+        Returns the relative capacity of a node.
     """
     counts = ring.stripe_counts()
-    present = {owner.node: counts.get(owner.node, 0) for owner in receivers}
+    totals = {owner.node: counts.get(owner.node, 0) for owner in receivers}
     by_node = {owner.node: owner for owner in receivers}
     moves: dict[int, Owner | None] = {}
-    last = ""
+    previous_node = ""
     for index in sorted(indexes):
-        room = [node for node, count in present.items() if count < MAX_RANGES_PER_TARGET]
-        if not room:
+        nodes_with_room = [node for node, count in totals.items() if count < MAX_RANGES_PER_TARGET]
+        if not nodes_with_room:
             moves[index] = None
             continue
-        node = min(room, key=lambda name: (present[name] / weight(name), name == last, name))
-        present[node] += 1
-        last = node
+        node = min(
+            nodes_with_room, key=lambda name: (totals[name] / weight(name), name == previous_node, name)
+        )
+        totals[node] += 1
+        previous_node = node
         moves[index] = by_node[node]
     return moves
 
 
 def plan_rebalance(
-    ring: Ring, receivers: Collection[Owner], node: str, sated: Collection[str] = ()
+    ring: Ring, receivers: Collection[Owner], node: str, loaded_nodes: Collection[str] = ()
 ) -> dict[int, Owner | None]:
-    """Return stripes that a node should give to owners that have far fewer, such as one that just joined.
+    """Return the stripes that a node should hand to owners with far fewer, and their new owners.
 
     Parameters
     ----------
-    sated : collection of str
-        Nodes whose few stripes already bring them as much work as others have.
+    ring : Ring
+    receivers : collection of Owner
+        Owners that may get stripes.
+    node : str
+        Node that hands over stripes.
+    loaded_nodes : collection of str
+        Nodes that get no stripes, since the few that they own already load them as much as others.
     """
     counts = ring.stripe_counts()
-    mine = ring.stripes_of(node)
+    own_stripes = ring.stripes_of(node)
     others = {owner.node: owner for owner in receivers if owner.node != node}
     if not others:
         return {}
-    fair = sum(counts.values()) / (len(others) + 1)
-    needy = {
+    mean = sum(counts.values()) / (len(others) + 1)
+    underloaded = {
         name: counts.get(name, 0)
         for name in others
-        if counts.get(name, 0) < fair * UNDERLOADED_SHARE and name not in sated
+        if counts.get(name, 0) < mean * UNDERLOADED_SHARE and name not in loaded_nodes
     }
-    surplus = int(len(mine) - fair)
-    if not needy or surplus <= 0:
+    surplus = int(len(own_stripes) - mean)
+    if not underloaded or surplus <= 0:
         return {}
     moves: dict[int, Owner | None] = {}
-    for index in mine[:: max(1, len(mine) // surplus)][:surplus]:
-        name = min(needy, key=lambda other: (needy[other], other))
-        if needy[name] >= fair:
+    for index in own_stripes[:: max(1, len(own_stripes) // surplus)][:surplus]:
+        name = min(underloaded, key=lambda other: (underloaded[other], other))
+        if underloaded[name] >= mean:
             break
-        needy[name] += 1
+        underloaded[name] += 1
         moves[index] = others[name]
     return moves
 
 
-# Share of the mean number of stripes below which an owner gets stripes from others.
+# An owner gets stripes from others when it has less than this share of the mean number.
 UNDERLOADED_SHARE = 0.6
--- a/src/hibiscusdrum/internal/router/ring_row.py
+++ b/src/hibiscusdrum/internal/router/ring_row.py
@@ -1,8 +1,8 @@
-"""The stored form of a ring: columns instead of stripes, compressed.
+"""Encoding of a ring as a row of the store: compressed columns.
 
-Every node reads the row at each change, and a row has a largest size. A list of stripes would take about 30
-bytes for each; as columns, a ring that was just dealt out takes a few hundred bytes in all, and one whose
-stripes have all moved about 4 for each.
+Every node reads the row at each change, and the size of a row is limited. A list of stripes would take about
+30 bytes per stripe. As columns, a new ring takes a few hundred bytes in all, and one whose stripes have all
+moved takes about 4 bytes per stripe.
 """
 
 from __future__ import annotations
@@ -16,14 +16,14 @@
 from hibiscusdrum.internal.router.ring import UNOWNED, Owner, Ring, Stripe
 
 COMPRESSION_LEVEL = 6
-# Handover tokens that are kept, the newest first: an owner needs one only when it is first given the stripe.
-# They do not compress, and take 12 bytes each.
+# Only the newest handover tokens are stored: an owner needs one only when it first gets the stripe, and they
+# do not compress and take 12 bytes each.
 MAX_STORED_HANDOVER_TOKENS = 400
 MAX_DECOMPRESSED_BYTES = 1_000_000
 
 
 class RingColumns(msgspec.Struct, frozen=True, array_like=True):
-    """A ring as columns; ``tokens`` holds those of single stripes by index."""
+    """A ring as columns, with one entry per stripe; handover tokens are mapped by stripe index."""
 
     owners: tuple[Owner, ...]
     next_fencing_token: int
@@ -36,7 +36,7 @@
 
 
 def encode_ring(ring: Ring) -> str:
-    """Return a ring as it is stored."""
+    """Return the row value of a ring."""
     with_token = [index for index, stripe in enumerate(ring.stripes) if stripe.handover_token]
     with_token.sort(key=lambda index: -ring.stripes[index].fencing_token)
     columns = RingColumns(
@@ -51,24 +51,24 @@
 
 
 def decode_ring(value: object) -> Ring:
-    """Return the ring that a row holds.
+    """Return the ring of a row value.
 
     Raises
     ------
     InvalidArgument
-        If it cannot be read.
+        If the value is malformed.
     """
     try:
-        unpacker = zlib.decompressobj()
-        plain = unpacker.decompress(base64.b64decode(value, validate=True), MAX_DECOMPRESSED_BYTES)
+        decompressor = zlib.decompressobj()
+        plain = decompressor.decompress(base64.b64decode(value, validate=True), MAX_DECOMPRESSED_BYTES)
         columns = decoder.decode(plain)
         validate_columns(columns)
     except (TypeError, ValueError, zlib.error) as error:
         raise InvalidArgument(name="ring", value=str(value)[:64], expected=str(error)) from error
-    tokens = columns.handover_tokens
+    handover_tokens = columns.handover_tokens
     stripes = tuple(
-        Stripe(position, fence, tokens.get(index, ""))
-        for index, (position, fence) in enumerate(
+        Stripe(owner_index, fencing_token, handover_tokens.get(index, ""))
+        for index, (owner_index, fencing_token) in enumerate(
             zip(columns.owner_indexes, columns.fencing_tokens, strict=True)
         )
     )
@@ -76,8 +76,14 @@
 
 
 def validate_columns(columns: RingColumns) -> None:
-    """Raise ValueError if the columns do not make a ring."""
+    """Check that columns describe a ring.
+
+    Raises
+    ------
+    ValueError
+        If columns differ in length or name an unknown owner.
+    """
     if not columns.owner_indexes or len(columns.owner_indexes) != len(columns.fencing_tokens):
-        raise ValueError("as many owners as fencing tokens")
+        raise ValueError("one owner index and one fencing token for each stripe")
     if not UNOWNED <= min(columns.owner_indexes) <= max(columns.owner_indexes) < len(columns.owners):
-        raise ValueError("positions of known owners")
+        raise ValueError("indexes of listed owners")
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -1,4 +1,4 @@
-"""The rings of all partitioned services as stored, and conditional writes of this node's own."""
+"""Known rings of all partitioned services, and conditional writes of the ring of this node's service."""
 
 from __future__ import annotations
 
@@ -16,31 +16,32 @@
 from hibiscusdrum.internal.router.ring_row import decode_ring, encode_ring
 from hibiscusdrum.internal.router.settings import RouterSettings
 
-# Shortest time between two reads of a ring that was found out of date: a row of 10 KB takes a link of
-# 5 Mbit/s for 16 ms.
+# Limits how often a stale ring is read again: a row of 10 KB occupies a link of 5 Mbit/s for 16 ms.
 MIN_REFRESH_INTERVAL_SECONDS = 0.5
 RING_PREFIX = "ring/"
-# Reason of a store failure after which the write may still take effect.
+# Reason in a store failure after which the write may still take effect.
 REASON_OUTCOME_UNKNOWN = "unknown"
 
 
 class Rings(Service):
-    """Follows the rows of rings.
+    """Keeps the newest known ring of each partitioned service, and writes that of this node's service.
 
     Attributes
     ----------
     by_service : dict of str to Ring
         Newest known ring of each service.
-    busy : bool
-        Whether a write, or a read after one, is under way.
-    uncertain : set of int
-        Stripes of a change whose outcome is unknown: it may take effect until the ring is written again.
+    write_in_progress : bool
+        Whether a write, or the read after a failed one, is in progress.
+    refresh_waiters : dict of str to list of callable
+        Callbacks of the refresh in progress, by service.
+    uncertain_stripes : set of int
+        Stripes of a write whose outcome is unknown; it may take effect until the ring is written again.
     on_written : list of callable
-        Called when a change of this node is in the store.
+        Called when a write of this node has succeeded.
     on_reread : callable
-        Called when the ring has been read after a write that failed.
-    changed_at : float
-        Monotonic time in seconds at which a new version of the own ring was last seen.
+        Called when the ring has been read after a failed write.
+    local_ring_changed_at : float
+        Monotonic time in seconds at which a new version of the ring of this node's service was last seen.
     """
 
     service_name = "rings"
@@ -60,7 +61,7 @@
         self.on_reread: Callable[[], None] = lambda: None
 
     def on_start(self) -> None:
-        """Follow the rows."""
+        """Subscribe to ring rows."""
         self.table = self.app.find("table")
         self.app.find("members").row_listeners["ring"] = self.apply_row
 
@@ -71,17 +72,17 @@
 
     @property
     def local_version(self) -> int:
-        """Version of the own ring's row; 0 when there is none."""
+        """Version of the row of this node's ring; 0 when there is none."""
         return self.row_versions.get(self.local_row_key, 0) if self.local_ring is not None else 0
 
     def owner_node(self, service: str, key: int) -> str | None:
-        """Return the node that owns a key, or None."""
+        """Return the node that owns a key, or None if none is known."""
         ring = self.by_service.get(service)
         owner = ring.owner_of(key) if ring is not None else None
         return owner.node if owner is not None else None
 
     def apply_row(self, row: Row) -> None:
-        """Take over a changed ring."""
+        """Apply a ring row if it is newer than the known one."""
         if row.version <= self.row_versions.get(row.key, 0):
             return
         self.row_versions[row.key] = row.version
@@ -98,7 +99,14 @@
             log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)[:120]))
 
     def read_ring(self, done: Callable[[bool], None], service: str = "") -> None:
-        """Read a ring, the own one by default; ``done`` is told whether the store answered."""
+        """Read the ring of a service, by default this node's.
+
+        Parameters
+        ----------
+        done : callable
+            Called with whether the store answered.
+        service : str, optional
+        """
         key = RING_PREFIX + service if service else self.local_row_key
 
         def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
@@ -110,14 +118,14 @@
         self.table.read((key,), on_rows)
 
     def refresh_ring(self, service: str, done: Callable[[], None]) -> None:
-        """Read a ring that an answer has shown to be out of date; askers at the same time share one read."""
+        """Read a ring that is known to be stale; concurrent callers share one read."""
         waiting = self.refresh_waiters.get(service)
         if waiting is not None:
             waiting.append(done)
             return
         self.refresh_waiters[service] = [done]
 
-        def on_read(_read: bool) -> None:
+        def on_read(_succeeded: bool) -> None:
             self.refreshed_at[service] = self.app.clock.monotonic()
             for listener in self.refresh_waiters.pop(service):
                 listener()
@@ -127,18 +135,21 @@
         self.app.scheduler.call_later(wait, lambda: self.read_ring(on_read, service))
 
     def commit_ring(
-        self, ring: Ring, checks: dict[str, int], deletes: tuple[str, ...], reason: str, count: int
+        self, ring: Ring, checks: dict[str, int], deletes: tuple[str, ...], reason: str, stripe_count: int
     ) -> None:
-        """Write the own ring under the version that it was made from.
+        """Write this node's ring, provided that the stored version is still the one it was derived from.
 
         Parameters
         ----------
+        ring : Ring
         checks : dict of str to int
-            Versions that further rows must have.
+            Versions that other rows must have, by row key.
         deletes : tuple of str
-            Rows that are removed by the same write.
-        reason, count
-            Why, and the number of stripes, for the log.
+            Keys of rows that the same write deletes.
+        reason : str
+            Reason for the change, for the log.
+        stripe_count : int
+            Number of changed stripes, for the log.
         """
         version = self.local_version
         changed = self.changed_stripes(ring)
@@ -148,13 +159,13 @@
         )
         self.write_in_progress = True
 
-        def done(result: Result[int, HibiscusdrumError]) -> None:
+        def on_committed(result: Result[int, HibiscusdrumError]) -> None:
             self.write_in_progress = False
             outcome = "written" if isinstance(result, Success) else result.failure().code
             log_events.emit(
                 events.RingChanged(
                     reason=reason,
-                    stripes=count,
+                    stripes=stripe_count,
                     base_version=version,
                     fence=ring.next_fencing_token - 1,
                     outcome=outcome,
@@ -170,15 +181,15 @@
             self.write_in_progress = True
             self.read_ring(self.on_reread_done)
 
-        self.table.commit(transaction, done)
+        self.table.commit(transaction, on_committed)
 
-    def on_reread_done(self, _read: bool) -> None:
+    def on_reread_done(self, _succeeded: bool) -> None:
         """Allow the next write after a conflict or an unknown outcome."""
         self.write_in_progress = False
         self.on_reread()
 
     def changed_stripes(self, ring: Ring) -> set[int]:
-        """Return the stripes that a change would take from or give to someone."""
+        """Return the stripes whose owner a new ring changes, and those of earlier uncertain writes."""
         if self.local_ring is None:
             return set()
         pairs = enumerate(zip(self.local_ring.stripes, ring.stripes, strict=True))
