Reword key_load and members in plain terms

Owners "gave" stripes away to others "with less to do", and rows were "taken over" and "gathered". The comments now speak of offload, load ratio, backoff and batching of changes, and name every reason and number as before. Locals: givers -> overloaded_nodes, left -> excess, kept -> decay. The log line of a node row that cannot be decoded says that it is ignored.

--- a/src/hibiscusdrum/internal/router/key_load.py
+++ b/src/hibiscusdrum/internal/router/key_load.py
@@ -1,8 +1,7 @@
-"""Load of the owners of a partitioned service, and which stripes an overloaded owner should give away.
+"""Load of the owners of a partitioned service, and which stripes an overloaded owner should hand over.
 
-The load that these decisions answer is uneven ownership: targets differ in speed, busy keys lie close
-together and change, and a request for a key has no other target to go to. Few stripes move, the busiest
-first.
+Ownership can load targets unevenly: targets differ in speed, busy keys lie close together and change over
+time, and only the owner of a key can serve its requests. Few stripes move at a time, the busiest first.
 """
 
 from __future__ import annotations
@@ -12,41 +11,42 @@
 
 import msgspec
 
-# Time over which the requests for a stripe are averaged, in seconds: several reports of a target, so that a
-# short burst moves no keys.
+# Request rates are averaged over several heartbeats, so that a short burst moves no keys.
 RATE_AVERAGING_SECONDS = 3.0
-# Weight of the newest request in the mean service time, which neighbours on a machine disturb for 0.1 to 1 s.
+# Weight of the newest request in the mean service time. Low, since other load on the same machine disturbs
+# service times for 0.1 to 1 s.
 SERVICE_TIME_GAIN = 0.02
-# Stripes with fewer requests a second are forgotten.
+# Stripes with fewer requests per second are no longer tracked.
 MIN_TRACKED_RATE = 0.01
-# Owners that hand over at once: writers of one row come in each other's way.
+# Few owners offload at the same time, since concurrent writes of the ring row conflict.
 MAX_CONCURRENT_OFFLOADS = 2
-# An owner waits with a handover until the ring has not changed for this long: what is being handed over is
-# served by nobody, and handovers for other reasons go first.
+# The ring must have been unchanged for at least this long before an offload: no target serves a stripe during
+# its handover, and handovers for other reasons take precedence.
 MIN_RING_QUIET_SECONDS = 2.0
-# Size of a stripe in the stored row, and what each node may read to follow such handovers: a quarter of the
-# 18 KB a second that a node may use for control.
+# Size of a stripe in the stored row, and the rate at which each node may read ring rows because of offloads:
+# a quarter of the 18 KB/s that a node may use for control traffic.
 STRIPE_BYTES = 10
 OFFLOAD_BYTES_PER_SECOND = 4_500
-# An owner is overloaded from this share of its capacity, if others have so much less to do.
+# An owner is overloaded if its load ratio exceeds both ``OVERLOAD_RATIO`` and the mean times
+# ``OVERLOAD_MEAN_FACTOR``. Owners below the mean times ``RECEIVER_MEAN_FACTOR`` get stripes from it.
 OVERLOAD_RATIO = 0.6
 OVERLOAD_MEAN_FACTOR = 1.2
 RECEIVER_MEAN_FACTOR = 0.9
-# Owners are filled up to this share of their capacity.
+# Receivers are filled up to this share of their capacity, or to the mean load ratio if that is greater.
 MAX_FILL_RATIO = 0.95
-# Stripes that move at a time: those of a handover cannot be served for about a second.
+# Limits the stripes of one offload, since they cannot be served for about a second.
 MAX_STRIPES_PER_OFFLOAD = 40
 
 
 class OwnerLoad(msgspec.Struct, frozen=True):
-    """Load of an owner, in requests a second.
+    """Load of an owner, in requests per second.
 
     Attributes
     ----------
     demand : float
-        Requests that arrive for its keys, refused ones included.
+        Rate of requests for its keys, including refused ones.
     capacity : float
-        Requests that its target could serve; 0 when not known.
+        Rate of requests that its target can serve; 0 when not known.
     """
 
     demand: float = 0.0
@@ -54,17 +54,27 @@
 
     @property
     def known(self) -> bool:
-        """Whether the owner has told its load."""
+        """Whether the capacity is known."""
         return self.capacity > 0.0
 
     @property
     def ratio(self) -> float:
-        """Demand as a share of capacity."""
+        """Demand as a share of capacity; 0 when the capacity is not known."""
         return self.demand / self.capacity if self.capacity > 0.0 else 0.0
 
 
 class KeyLoad:
-    """Rates of requests by stripe, and the mean service time of one target."""
+    """Request rates by stripe and mean service time of one target.
+
+    Attributes
+    ----------
+    request_counts : dict of int to int
+        Requests since the last update, by stripe.
+    rates : dict of int to float
+        Averaged requests per second, by stripe.
+    mean_service_seconds : float
+        Mean service time; 0 before the first answer.
+    """
 
     __slots__ = ("mean_service_seconds", "rates", "request_counts", "updated_at")
 
@@ -79,102 +89,108 @@
         self.request_counts[stripe] = self.request_counts.get(stripe, 0) + 1
 
     def record_service_time(self, seconds: float) -> None:
-        """Note the service time of an answered request."""
+        """Include the service time of an answered request in the mean."""
         self.mean_service_seconds += (seconds - self.mean_service_seconds) * (
             SERVICE_TIME_GAIN if self.mean_service_seconds else 1.0
         )
 
     def update(self, now: float) -> None:
-        """Average the counts since the last update."""
+        """Update the averaged rates from the requests counted since the last update."""
         elapsed = now - self.updated_at if self.updated_at is not None else 0.0
         self.updated_at = now
         if elapsed <= 0.0:
             self.request_counts.clear()
             return
-        kept = math.exp(-elapsed / RATE_AVERAGING_SECONDS)
+        decay = math.exp(-elapsed / RATE_AVERAGING_SECONDS)
         counts, self.request_counts = self.request_counts, {}
         self.rates = {
             stripe: rate
             for stripe in self.rates.keys() | counts.keys()
-            if (rate := self.rates.get(stripe, 0.0) * kept + counts.get(stripe, 0) / elapsed * (1.0 - kept))
+            if (rate := self.rates.get(stripe, 0.0) * decay + counts.get(stripe, 0) / elapsed * (1.0 - decay))
             > 0.01
         }
 
     def owner_load(self, slots: int) -> OwnerLoad:
-        """Return the load of the target with so many slots."""
+        """Return the load of the target, given its number of slots."""
         capacity = slots / self.mean_service_seconds if self.mean_service_seconds else 0.0
         return OwnerLoad(round(sum(self.rates.values()), 2), round(capacity, 2))
 
 
 def mean_ratio(loads: Mapping[str, OwnerLoad]) -> float:
-    """Return the demand of all owners as a share of their capacity."""
+    """Return the total demand of all owners as a share of their total capacity."""
     capacity = sum(load.capacity for load in loads.values())
     return sum(load.demand for load in loads.values()) / capacity if capacity else 0.0
 
 
 def is_overloaded(load: OwnerLoad, mean: float) -> bool:
-    """Return whether an owner should give keys to others."""
+    """Return whether an owner should hand stripes to others, given the mean load ratio of all owners."""
     return load.known and load.ratio > OVERLOAD_RATIO and load.ratio > mean * OVERLOAD_MEAN_FACTOR
 
 
 def may_offload(loads: Mapping[str, OwnerLoad], node: str) -> bool:
-    """Return whether a node is among the most overloaded ones, which give stripes to others first."""
+    """Return whether a node is among the most overloaded ones, which may offload stripes now."""
     mean = mean_ratio(loads)
-    givers = [name for name, load in loads.items() if is_overloaded(load, mean)]
-    givers.sort(key=lambda name: (-loads[name].ratio, name))
-    return node in givers[:MAX_CONCURRENT_OFFLOADS]
+    overloaded_nodes = [name for name, load in loads.items() if is_overloaded(load, mean)]
+    overloaded_nodes.sort(key=lambda name: (-loads[name].ratio, name))
+    return node in overloaded_nodes[:MAX_CONCURRENT_OFFLOADS]
 
 
 def ring_quiet_seconds(stripes: int) -> float:
-    """Return the seconds for which a ring must not have changed before an overloaded owner gives some away.
+    """Return the seconds for which a ring must have been unchanged before an offload.
 
-    Every node reads the whole row at each change, so a large ring may change less often.
+    Every node reads the whole row at each change, so a larger ring may change less often.
     """
     return max(MIN_RING_QUIET_SECONDS, stripes * STRIPE_BYTES / OFFLOAD_BYTES_PER_SECOND)
 
 
 def plan_offload(loads: Mapping[str, OwnerLoad], node: str, rates: Mapping[int, float]) -> dict[int, str]:
-    """Return which stripes an overloaded owner should give to which nodes.
+    """Return the stripes that an overloaded owner should offload, with the node that gets each.
 
-    All overloaded owners decide by themselves, so they take turns at the list of those with room.
+    Overloaded owners decide independently, so each uses only its own part of the receivers' room.
 
     Parameters
     ----------
     loads : mapping of str to OwnerLoad
-        Loads by node, the own one included.
+        Loads by node, including ``node``.
+    node : str
+        The overloaded owner.
     rates : mapping of int to float
-        Requests a second for the own stripes.
+        Requests per second of its stripes.
     """
     mean = mean_ratio(loads)
-    mine = loads[node]
-    if not is_overloaded(mine, mean):
+    own_load = loads[node]
+    if not is_overloaded(own_load, mean):
         return {}
     room = offload_room(loads, node, mean)
     moves: dict[int, str] = {}
-    left = mine.demand - mean * mine.capacity
+    excess = own_load.demand - mean * own_load.capacity
     for stripe, rate in sorted(rates.items(), key=lambda item: -item[1]):
         if not room or len(moves) >= MAX_STRIPES_PER_OFFLOAD:
             break
-        name = max(room, key=lambda other: room[other])
-        # A stripe that is larger than the room would only overload another owner.
-        if rate <= min(left, room[name]):
-            moves[stripe] = name
-            left -= rate
-            room[name] -= rate
+        receiver = max(room, key=lambda other: room[other])
+        # A stripe whose rate exceeds the room would only overload the receiver.
+        if rate <= min(excess, room[receiver]):
+            moves[stripe] = receiver
+            excess -= rate
+            room[receiver] -= rate
     return moves
 
 
 def offload_room(loads: Mapping[str, OwnerLoad], node: str, mean: float) -> dict[str, float]:
-    """Return the requests a second that one overloaded owner may move to others, by node."""
+    """Return the requests per second that one overloaded owner may move to each receiver.
+
+    Receivers are divided among the overloaded owners. Where there are fewer receivers than overloaded owners,
+    several share one, and each may use an equal part of its room.
+    """
     room = {
         name: load.capacity * max(mean, MAX_FILL_RATIO) - load.demand
         for name, load in loads.items()
         if load.known and load.ratio < mean * RECEIVER_MEAN_FACTOR
     }
-    givers = sorted(name for name, load in loads.items() if is_overloaded(load, mean))
+    overloaded_nodes = sorted(name for name, load in loads.items() if is_overloaded(load, mean))
     receivers = sorted(room, key=lambda name: (-room[name], name))
     if not receivers:
         return {}
-    turn, shared_by = givers.index(node), -(-len(givers) // len(receivers))
-    own = receivers[turn :: len(givers)] or [receivers[turn % len(receivers)]]
-    return {name: room[name] / shared_by for name in own}
+    position, shared_by = overloaded_nodes.index(node), -(-len(overloaded_nodes) // len(receivers))
+    own_receivers = receivers[position :: len(overloaded_nodes)] or [receivers[position % len(receivers)]]
+    return {name: room[name] / shared_by for name in own_receivers}
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -1,4 +1,4 @@
-"""The nodes of the system: each publishes a row in the store and follows the rows of the others."""
+"""Membership: each node publishes a row in the store and follows the rows of all nodes."""
 
 from __future__ import annotations
 
@@ -23,13 +23,14 @@
 
 NODE_PREFIX = "node/"
 PUBLISH_RETRY_SECONDS = 0.3
-# A target reports every 1 to 1.5 s; one that has not reported by then is gone.
+# Targets send a heartbeat every 1 to 1.5 s; one that has sent none within this time counts as absent.
 FIRST_HEARTBEAT_TIMEOUT_SECONDS = 4.0
-# Wait after a failed read of the rows, at first and at most.
+# Initial and longest backoff after a failed read of the rows.
 READ_BACKOFF_SECONDS = 0.2
 MAX_READ_BACKOFF_SECONDS = 0.5
-# Wait after a read that brought rows, for each node of the system and at most. Each change wakes every node,
-# so that a fleet whose nodes all publish would otherwise make calls by the square of its size.
+# Delay of the next read after one that returned rows, per node of the system and at most. Each change wakes
+# every node, so without it the calls to the store would grow with the square of the number of nodes when all
+# of them publish.
 CHANGE_BATCH_SECONDS_PER_NODE = 0.015
 MAX_CHANGE_BATCH_SECONDS = 1.0
 
@@ -37,14 +38,14 @@
 
 
 class NodeRow(msgspec.Struct, frozen=True):
-    """What a node says of itself.
+    """Stored row that a node publishes about itself.
 
     Attributes
     ----------
     life : str
-        The present start of its target; empty when there is none.
+        Current incarnation of its target; empty when there is none.
     accepting : bool
-        Whether the target takes new work.
+        Whether the target accepts new requests.
     """
 
     node: str
@@ -57,14 +58,24 @@
 
 
 class Members(Service):
-    """Keeps the rows of all nodes.
+    """Publishes this node's row and keeps the rows of all nodes.
 
     Attributes
     ----------
-    evacuated : frozenset of str
-        Failure domains whose targets are to get nothing.
+    row_versions : dict of str to int
+        Newest known version of each row, by key.
     loaded : bool
-        Whether the rows have been read once.
+        Whether the rows have been read at least once.
+    evacuated_domains : frozenset of str
+        Failure domains whose targets get neither requests nor keys.
+    row_listeners : dict of str to callable
+        Called with rows of other kinds, by the first part of their key.
+    on_change : list of callable
+        Called when nodes or evacuated failure domains have changed.
+    published_row : NodeRow or None
+        This node's row as stored.
+    store_reachable : bool
+        Whether the last read of changes succeeded.
     """
 
     service_name = "members"
@@ -92,7 +103,7 @@
         self.rng = random.Random(settings.node)
 
     def on_start(self) -> None:
-        """Read the rows, and publish this node's when its target appears."""
+        """Start to read rows, and publish this node's when its target appears."""
         self.table = self.app.find("table")
         self.target: LocalTarget = self.app.find("local_target")
         self.target.on_change.append(self.publish)
@@ -100,14 +111,12 @@
         self.app.scheduler.call_later(FIRST_HEARTBEAT_TIMEOUT_SECONDS + 0.01, self.publish)
         self.poll_changes()
 
-    # Reading
-
     def poll_changes(self) -> None:
-        """Wait for the rows that changed since the last read."""
+        """Request the rows that changed since the last read; the store answers once there are some."""
         self.table.changes(self.last_seq, self.on_changes)
 
     def on_changes(self, result: Result[Changes, HibiscusdrumError]) -> None:
-        """Apply changed rows and read on."""
+        """Apply changed rows and continue to poll."""
         if not isinstance(result, Success):
             self.failed_reads += 1
             self.set_store_reachable(False, result.failure().code)
@@ -126,7 +135,7 @@
         self.loaded = True
         if changes.rows or first:
             self.notify_rows_changed()
-        # Another node may have removed the row of one that was silent for long.
+        # Another node may have removed this node's row, for example after an expired lease.
         self.publish()
         if changes.rows:
             self.app.scheduler.call_later(self.change_batch_seconds, self.poll_changes)
@@ -135,18 +144,18 @@
 
     @property
     def change_batch_seconds(self) -> float:
-        """Seconds for which further changes are left to gather, so that one read brings many."""
+        """Delay of the next read in seconds, so that one read returns many changes."""
         return min(MAX_CHANGE_BATCH_SECONDS, CHANGE_BATCH_SECONDS_PER_NODE * len(self.nodes))
 
     def apply_missed_deletions(self, changes: Changes) -> None:
-        """Forget the rows that were deleted while the store could not tell the changes one by one."""
+        """Delete the rows that a complete listing lacks, since the store did not report their deletion."""
         present = {row.key for row in changes.rows}
         for key, version in list(self.row_versions.items()):
             if key not in present and version < changes.seq:
                 self.apply_row(Row(key, changes.seq))
 
     def set_store_reachable(self, reachable: bool, reason: str) -> None:
-        """Log that the store was lost or regained."""
+        """Set whether the store is reachable, and log a change."""
         if reachable == self.store_reachable:
             return
         self.store_reachable = reachable
@@ -156,7 +165,7 @@
             log_events.emit(events.StoreLost(operation="changes", reason=reason, version=self.last_seq))
 
     def apply_row(self, row: Row) -> None:
-        """Take over one row if it is newer than the known one."""
+        """Apply a row if it is newer than the known one."""
         if row.version <= self.row_versions.get(row.key, 0):
             return
         self.row_versions[row.key] = row.version
@@ -168,13 +177,13 @@
             listener(row)
 
     def apply_node_row(self, name: str, row: Row) -> None:
-        """Take over the row of a node."""
+        """Apply the row of a node."""
         value: NodeRow | None = None
         if row.value is not None:
             try:
                 value = msgspec.convert(row.value, NodeRow)
             except msgspec.ValidationError as error:
-                logger.error("row of node {} cannot be read: {}", name, error)
+                logger.error("ignored malformed row of node {}: {}", name, error)
                 return
         if value is None:
             self.nodes.pop(name, None)
@@ -185,7 +194,7 @@
             self.local_row_version = row.version if value is not None else 0
 
     def notify_rows_changed(self) -> None:
-        """Index the nodes and tell the listeners."""
+        """Rebuild the index of nodes by service and notify the listeners."""
         self.by_service = {}
         for row in sorted(self.nodes.values(), key=lambda row: row.node):
             self.by_service.setdefault(row.service, []).append(row)
@@ -193,10 +202,8 @@
         for listener in self.on_change:
             listener()
 
-    # Writing
-
     def local_row(self) -> NodeRow:
-        """Return the row that this node should have."""
+        """Return the row that describes this node's current state."""
         settings = self.settings
         return NodeRow(
             node=settings.node,
@@ -216,7 +223,7 @@
         if self.published_row is None and not row.life:
             return
         if self.target.last_heartbeat is None and self.app.clock.monotonic() < self.first_heartbeat_deadline:
-            # After a restart of this process alone the row still holds.
+            # After a restart of only this process, the published row is still correct.
             return
         self.publishing = True
         puts = {self.local_row_key: msgspec.to_builtins(row)}
@@ -224,7 +231,7 @@
         self.table.commit(transaction, lambda result: self.on_published(row, result))
 
     def on_published(self, row: NodeRow, result: Result[int, HibiscusdrumError]) -> None:
-        """Note the outcome; a failed write is repeated after a look at the stored row."""
+        """Record the outcome of a write; after a failure, read the stored row and try again."""
         if not isinstance(result, Success):
             delay = PUBLISH_RETRY_SECONDS * (0.5 + self.rng.random())
             self.app.scheduler.call_later(delay, self.reread_local_row)
@@ -236,9 +243,9 @@
         self.publish()
 
     def reread_local_row(self) -> None:
-        """Read the own row, which a write without an answer may have changed, then publish again."""
+        """Read this node's row, which a write without an answer may have changed, then publish again."""
 
-        def done(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
+        def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             if not isinstance(result, Success):
                 self.app.scheduler.call_later(PUBLISH_RETRY_SECONDS, self.reread_local_row)
                 return
@@ -250,10 +257,10 @@
                 self.local_row_version, self.published_row = 0, None
             self.publish()
 
-        self.table.read((self.local_row_key,), done)
+        self.table.read((self.local_row_key,), on_rows)
 
     def remove_local_row(self, done: Callable[[], None]) -> None:
-        """Remove the own row, because this VM ends; ``done`` is called when the store has answered."""
+        """Remove this node's row before its VM ends; ``done`` is called when the store has answered."""
         self.leaving = True
         if self.published_row is None:
             done()
@@ -263,10 +270,8 @@
         )
         self.table.commit(transaction, lambda _result: done())
 
-    # Questions
-
     def candidates(self, service: str, regions: tuple[str, ...]) -> list[Candidate]:
-        """Return the nodes whose targets may take a request of a service in some regions (all when empty)."""
+        """Return the nodes whose targets accept requests of a service, in some regions (all when empty)."""
         cached = self.candidate_cache.get((service, regions))
         if cached is None:
             cached = [
@@ -280,12 +285,12 @@
         return cached
 
     def region_of(self, node: str) -> str:
-        """Return the region of a node; empty when the node is not known."""
+        """Return the region of a node; empty when the node is unknown."""
         row = self.nodes.get(node)
         return row.region if row is not None else ""
 
     def set_evacuated_domains(self, failure_domains: frozenset[str]) -> None:
-        """Take over which failure domains are to get nothing."""
+        """Set the failure domains whose targets get neither requests nor keys."""
         if failure_domains == self.evacuated_domains:
             return
         self.evacuated_domains = failure_domains
@@ -295,7 +300,7 @@
             listener()
 
     def eligible_owners(self, service: str) -> list[Owner]:
-        """Return the targets of a service that may take keys."""
+        """Return the targets of a service that may own keys."""
         return [
             Owner(row.node, row.life)
             for row in self.by_service.get(service, ())
