Reword local_target, readiness, stopping, settings and application in plain terms

Comments spoke of targets that say something of themselves, of held-up answers and of whoever fills in settings. They now speak of heartbeats, delayed answers, absent targets, readiness and graceful shutdown; each setting has its own line. Locals: report -> heartbeat, pending -> delayed, known -> last.

--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -1,4 +1,4 @@
-"""Adds the router's services to an application, in their order of start."""
+"""Assembles the router: adds its services to an application in the order in which they start."""
 
 from __future__ import annotations
 
@@ -28,19 +28,23 @@
 def add_router(
     app: Application, settings: RouterSettings, names: HeaderNames, table: Service, rng: random.Random
 ) -> Forwarder:
-    """Add all services of a router.
+    """Add all services of the router to an application.
 
     Parameters
     ----------
+    app : Application
+    settings : RouterSettings
     names : HeaderNames
-        Headers of callers and targets.
+        Names of the headers exchanged with callers and targets.
     table : Service
-        The platform's table under the service name ``table``.
+        Client of the platform's store, with the service name ``table``.
+    rng : random.Random
+        Source of randomness for the choice of targets.
 
     Returns
     -------
     Forwarder
-        The service that names this process's incarnation.
+        The service with the incarnation of this process.
     """
     selection = NodeSelector(settings.region, settings.failure_domain, rng)
     app.add(HttpClient(names.attempt_id, skips_other_answers=True, accepts_unframed=True))
--- a/src/hibiscusdrum/internal/router/local_target.py
+++ b/src/hibiscusdrum/internal/router/local_target.py
@@ -1,4 +1,4 @@
-"""The target on this VM: its reports, whether it takes work, and the keys that it says it holds."""
+"""The target on this VM: its heartbeats, its state, and the keys that it reports to hold."""
 
 from __future__ import annotations
 
@@ -14,18 +14,18 @@
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.settings import RouterSettings
 
-# Reports that may be missing before a target that also answers no request counts as gone.
+# A target that misses this many heartbeats and answers no request in that time counts as absent.
 MAX_MISSED_HEARTBEATS = 3.0
 LIVENESS_CHECK_INTERVAL_SECONDS = 0.25
-# An answer is held up at most this long for keys that the target is about to be given; a target counts
-# answers within 1 s.
+# The answer to a heartbeat is delayed at most this long while a grant is imminent; targets ignore answers
+# after more than 1 s.
 MAX_ANSWER_DELAY_SECONDS = 0.6
 DELAYED_ANSWER_CHECK_INTERVAL_SECONDS = 0.05
 REASON_CONNECTION_REFUSED = "refused"
 
 
 class TargetState(enum.Enum):
-    """Whether a target takes work."""
+    """Whether a target accepts requests."""
 
     ABSENT = "absent"
     READY = "ready"
@@ -33,22 +33,26 @@
 
 
 class TargetHeartbeat(msgspec.Struct, frozen=True):
-    """What a target says of itself.
+    """Periodic message of a target about itself.
 
     Attributes
     ----------
     target : str
-        Name of the target; a new start may have the same one.
-    started_ms : int
-        Unix milliseconds of its start, 0 when it does not say.
+        Name of the target; it may stay the same after a restart.
+    address : str
+        Address at which it serves requests.
+    slots : int
+        Requests that it can run concurrently.
     sequence : int
-        Grows with each report of one start.
+        Increases with each heartbeat of one incarnation.
+    started_ms : int
+        Unix milliseconds of its start; 0 when not reported.
     cold_seconds : float
-        Time for which it stays cold.
+        Time for which it stays cold from now on.
     held : tuple of Range
-        Keys that it holds or still works on.
+        Keys that it holds, or for which it still runs requests.
     released : tuple of Range
-        Keys that it gave back since its last acknowledged report, with handover tokens.
+        Keys that it released since its last acknowledged heartbeat, with handover tokens.
     """
 
     target: str
@@ -65,12 +69,12 @@
 
     @property
     def incarnation(self) -> str:
-        """Identifies one start of the target."""
+        """Identifier of one start of the target."""
         return f"{self.target}@{self.started_ms}"
 
 
 class Grant(msgspec.Struct, frozen=True):
-    """Everything that a target is to hold, for ``seconds`` from when its report was sent."""
+    """All keys that a target may serve, for ``seconds`` from when its heartbeat was sent."""
 
     ranges: tuple[Range, ...]
     seconds: float
@@ -80,37 +84,47 @@
 
 
 class DelayedAnswer:
-    """A report whose answer waits for keys.
+    """A heartbeat whose answer is delayed because a grant is imminent.
 
     Attributes
     ----------
-    due : float
-        Monotonic time in seconds at which it is answered without them.
+    deadline : float
+        Monotonic time in seconds at which it is answered in any case.
     """
 
     __slots__ = ("deadline", "heartbeat", "reply")
 
-    def __init__(self, report: TargetHeartbeat, reply: GrantReply, due: float) -> None:
-        self.heartbeat = report
+    def __init__(self, heartbeat: TargetHeartbeat, reply: GrantReply, deadline: float) -> None:
+        self.heartbeat = heartbeat
         self.reply = reply
-        self.deadline = due
+        self.deadline = deadline
 
 
 class LocalTarget(Service):
-    """Follows the reports of this VM's target.
+    """Tracks the target of this VM by its heartbeats.
 
     Attributes
     ----------
-    report : TargetReport or None
-        The newest report of the present start.
-    ended : bool
+    last_heartbeat : TargetHeartbeat or None
+        The newest heartbeat; kept while the target is absent.
+    process_ended : bool
         Whether the target's process has certainly ended.
+    last_seen_at : float
+        Monotonic time in seconds of the last heartbeat or answered request.
+    last_heartbeat_at : float
+        Monotonic time in seconds of the last heartbeat.
+    leaving_incarnations : set of str
+        Incarnations that have announced that they leave.
     on_change : list of callable
-        Called when the target appears, starts anew, drains or goes.
-    grant : callable or None
-        Answers a report of a target that holds keys.
-    grants_soon : callable
-        Whether the target is about to be given keys, so that an answer now would delay them by a report.
+        Called when the target appears, restarts, drains or is lost.
+    on_cold : list of callable
+        Called with the seconds for which the target stays cold.
+    make_grant : callable or None
+        Returns the grant that answers a heartbeat.
+    grant_imminent : callable
+        Returns whether a grant will soon be available, so that an answer now would delay it by one heartbeat.
+    delayed_answer : DelayedAnswer or None
+        The heartbeat whose answer is delayed.
     """
 
     service_name = "local_target"
@@ -131,7 +145,7 @@
         self.delayed_answer: DelayedAnswer | None = None
 
     def on_start(self) -> None:
-        """Watch for a target that falls silent."""
+        """Start the timers for liveness checks and delayed answers."""
         self.answer_timer = self.app.scheduler.while_needed(
             DELAYED_ANSWER_CHECK_INTERVAL_SECONDS, self.answer_delayed
         )
@@ -139,114 +153,127 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the target takes work."""
+        """Whether the target accepts requests."""
         return self.state is TargetState.READY
 
     @property
     def incarnation(self) -> str:
-        """The present start of the target; empty when there is none."""
+        """The current incarnation of the target; empty when it is absent."""
         return (
             self.last_heartbeat.incarnation
             if self.last_heartbeat is not None and self.state is not TargetState.ABSENT
             else ""
         )
 
-    def on_heartbeat(self, report: TargetHeartbeat, reply: GrantReply) -> None:
-        """Take a report; ``reply`` gets what the target is to hold, or None to renew nothing.
+    def on_heartbeat(self, heartbeat: TargetHeartbeat, reply: GrantReply) -> None:
+        """Process a heartbeat, and answer it now or with a delay.
+
+        Parameters
+        ----------
+        heartbeat : TargetHeartbeat
+        reply : callable
+            Called once with the grant, or None to renew nothing.
 
         Raises
         ------
         InvalidArgument
-            If the report is not from this VM's target.
+            If the heartbeat names another service than this VM's.
         """
-        if report.service != self.settings.service:
-            raise InvalidArgument(name="service", value=report.service, expected=self.settings.service)
-        if self.is_outdated(report):
+        if heartbeat.service != self.settings.service:
+            raise InvalidArgument(name="service", value=heartbeat.service, expected=self.settings.service)
+        if self.is_outdated(heartbeat):
             log_events.emit(
-                events.ReportOutdated(target=report.target, life=report.incarnation, sequence=report.sequence)
+                events.ReportOutdated(
+                    target=heartbeat.target, life=heartbeat.incarnation, sequence=heartbeat.sequence
+                )
             )
             reply(None)
             return
         now = self.app.clock.monotonic()
-        former, former_state = self.incarnation, self.state
-        self.last_heartbeat = report
+        former_incarnation, former_state = self.incarnation, self.state
+        self.last_heartbeat = heartbeat
         self.process_ended = False
         self.last_seen_at = self.last_heartbeat_at = now
-        if report.cold_seconds > 0.0:
-            self.notify_cold(report.cold_seconds)
-        draining = report.draining or report.incarnation in self.leaving_incarnations
+        if heartbeat.cold_seconds > 0.0:
+            self.notify_cold(heartbeat.cold_seconds)
+        draining = heartbeat.draining or heartbeat.incarnation in self.leaving_incarnations
         self.state = TargetState.DRAINING if draining else TargetState.READY
-        if self.incarnation != former or self.state is not former_state:
+        if self.incarnation != former_incarnation or self.state is not former_state:
             log_events.emit(
-                events.TargetChanged(target=report.target, life=report.incarnation, state=self.state.value)
+                events.TargetChanged(
+                    target=heartbeat.target, life=heartbeat.incarnation, state=self.state.value
+                )
             )
             self.notify_changed()
         if self.delayed_answer is not None:
-            # The target has gone on to this report, and counts its hold from here.
+            # The target has sent a newer heartbeat, from which it counts its grant.
             self.delayed_answer.reply(None)
             self.delayed_answer = None
         if self.state is TargetState.READY and self.grant_imminent():
-            self.delayed_answer = DelayedAnswer(report, reply, now + MAX_ANSWER_DELAY_SECONDS)
+            self.delayed_answer = DelayedAnswer(heartbeat, reply, now + MAX_ANSWER_DELAY_SECONDS)
             self.answer_timer.wake()
         else:
-            reply(self.make_grant(report) if self.make_grant is not None else None)
+            reply(self.make_grant(heartbeat) if self.make_grant is not None else None)
 
     def answer_delayed(self) -> bool:
-        """Answer a held report when its keys are there or its time is over; True while one waits."""
-        pending = self.delayed_answer
-        if pending is None:
+        """Answer the delayed heartbeat if the grant is available or its deadline has passed.
+
+        Returns whether it is still delayed.
+        """
+        delayed = self.delayed_answer
+        if delayed is None:
             return False
-        if self.app.clock.monotonic() < pending.deadline and self.grant_imminent():
+        if self.app.clock.monotonic() < delayed.deadline and self.grant_imminent():
             return True
         self.delayed_answer = None
-        pending.reply(self.make_grant(pending.heartbeat) if self.make_grant is not None else None)
+        delayed.reply(self.make_grant(delayed.heartbeat) if self.make_grant is not None else None)
         return False
 
-    def is_outdated(self, report: TargetHeartbeat) -> bool:
-        """Return whether a report was overtaken by a later one, or is from an earlier start."""
-        known = self.last_heartbeat
-        if known is None or report.incarnation == known.incarnation:
-            return known is not None and report.sequence <= known.sequence
-        if report.incarnation in self.leaving_incarnations and not report.draining:
+    def is_outdated(self, heartbeat: TargetHeartbeat) -> bool:
+        """Return whether a heartbeat was overtaken by a later one, or is from an earlier incarnation."""
+        last = self.last_heartbeat
+        if last is None or heartbeat.incarnation == last.incarnation:
+            return last is not None and heartbeat.sequence <= last.sequence
+        if heartbeat.incarnation in self.leaving_incarnations and not heartbeat.draining:
             return True
-        return 0 < report.started_ms < known.started_ms
+        return 0 < heartbeat.started_ms < last.started_ms
 
     def on_leave(self, target: str, started_ms: int) -> None:
-        """Take the notice of a target that it leaves; a late notice of an earlier start changes nothing."""
-        report = self.last_heartbeat
-        if report is None or report.target != target:
+        """Process a target's notice that it leaves; a late notice of an earlier incarnation is ignored."""
+        heartbeat = self.last_heartbeat
+        if heartbeat is None or heartbeat.target != target:
             return
-        if started_ms and report.started_ms and started_ms != report.started_ms:
+        if started_ms and heartbeat.started_ms and started_ms != heartbeat.started_ms:
             return
-        self.leaving_incarnations.add(report.incarnation)
+        self.leaving_incarnations.add(heartbeat.incarnation)
         if self.state is TargetState.READY:
             self.state = TargetState.DRAINING
             log_events.emit(
-                events.TargetChanged(target=target, life=report.incarnation, state=self.state.value)
+                events.TargetChanged(target=target, life=heartbeat.incarnation, state=self.state.value)
             )
             self.notify_changed()
 
     def notify_cold(self, seconds: float) -> None:
-        """Take over that the target stays cold for a time."""
+        """Notify the listeners that the target stays cold for some seconds."""
         for listener in self.on_cold:
             listener(seconds)
 
     def record_answer(self) -> None:
-        """Note that the target answered a request."""
+        """Record that the target answered a request."""
         self.last_seen_at = self.app.clock.monotonic()
 
     def on_connection_refused(self) -> None:
-        """Note that nobody listens at the target's address."""
+        """Mark the target as absent, because its address refuses connections."""
         self.mark_absent(REASON_CONNECTION_REFUSED)
 
     def check_liveness(self) -> None:
-        """Declare a target gone that neither reports nor answers."""
+        """Mark the target as absent if it neither sends heartbeats nor answers requests."""
         silence = self.app.clock.monotonic() - self.last_seen_at
         if silence > MAX_MISSED_HEARTBEATS * self.settings.heartbeat:
             self.mark_absent("silent")
 
     def mark_absent(self, reason: str) -> None:
-        """Declare the target gone until its next report."""
+        """Mark the target as absent until its next heartbeat."""
         if self.state is TargetState.ABSENT:
             return
         log_events.emit(events.TargetGone(target=self.last_heartbeat.target, reason=reason))
@@ -255,6 +282,6 @@
         self.notify_changed()
 
     def notify_changed(self) -> None:
-        """Tell the listeners."""
+        """Notify the listeners of a changed target."""
         for listener in self.on_change:
             listener()
--- a/src/hibiscusdrum/internal/router/readiness.py
+++ b/src/hibiscusdrum/internal/router/readiness.py
@@ -1,4 +1,4 @@
-"""The platform's question whether callers on this VM may send requests."""
+"""Readiness endpoint: tells the platform whether callers on this VM may send requests."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 
 
 class Readiness(Service):
-    """Tells the platform whether callers on this VM may send requests.
+    """Serves the readiness endpoint.
 
     Attributes
     ----------
     stopping : bool
-        Whether the process ends soon.
+        Whether a planned stop of the process has begun.
     """
 
     service_name = "readiness"
@@ -29,18 +29,18 @@
         self.closed = False
 
     def on_start(self) -> None:
-        """Listen for the question."""
+        """Listen for readiness requests."""
         self.gateway: Gateway = self.app.find("gateway")
         self.members: Members = self.app.find("members")
         self.app.find("entry").listen(self.settings.ready_address, self.on_request)
 
     @property
     def ready(self) -> bool:
-        """Whether routes and nodes are known and the process does not end."""
+        """Whether routes and nodes are known and no stop has begun."""
         return not self.stopping and self.gateway.route_table.version > 0 and self.members.loaded
 
     def on_request(self, request: EntryRequest) -> None:
-        """Answer 200 or 503."""
+        """Answer 200 if ready, else 503."""
         body = msgspec.json.encode({"ready": self.ready, "version": self.gateway.route_table.version})
         headers = [("content-type", "application/json")]
         request.respond(200 if self.ready else 503, headers, body)
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -1,4 +1,4 @@
-"""Settings of the router's processes; whoever starts the router fills them in."""
+"""Settings of one router process, supplied by the program that starts it."""
 
 from __future__ import annotations
 
@@ -14,32 +14,41 @@
 
 
 class RouterSettings(msgspec.Struct, frozen=True):
-    """Names, addresses and limits of one node.
+    """Names, addresses and limits of one node. Addresses have the form ``ip:port``.
 
     Attributes
     ----------
+    service : str
+        Service of the target on this VM.
     target_address : str
-        ``ip:port`` of the target on this VM.
-    caller_address, ready_address, target_control_address : str
-        Where callers of this VM send requests, where readiness is asked, and where the target reports.
+        Where the target on this VM serves requests.
+    caller_address : str
+        Where this process accepts requests of callers on this VM.
+    ready_address : str
+        Where this process answers readiness requests.
+    target_control_address : str
+        Where this process receives heartbeats of the target.
     peer_address : str
-        Where other daemons reach this one.
-    metrics_address : str
-        Where metrics are served; empty when nowhere.
+        Where this process accepts connections of other nodes.
     store_address : str
         Address of the platform's store.
+    metrics_address : str
+        Where metrics are served; empty to serve none.
     heartbeat : float
-        Seconds between two reports of the target.
+        Seconds between two heartbeats of the target.
     longest_hold : float
-        Seconds for which a target may hold keys without a renewal.
+        Longest time in seconds of one grant to the target.
     grace : float
-        Seconds from a stop signal to the end of the process.
-    retry_ratio, retry_slack, retry_window : float
-        Requests sent to a second target: a share of all, and a number in so many seconds for all nodes.
+        Seconds from a stop signal until the process is killed.
+    retry_ratio : float
+        Share of requests that may be retried at another target.
+    retry_slack, retry_window : float
+        Further retries that all nodes together may make: ``retry_slack`` in ``retry_window`` seconds.
     cold_factor, cold_slack : float
-        A target that bears R requests a second while cold tolerates ``R * cold_factor + cold_slack`` in one.
+        A target that sustains R requests per second while cold accepts up to
+        ``R * cold_factor + cold_slack`` within one second.
     link_bytes_per_second : float
-        Rate of this VM's link; 0 when not known.
+        Bandwidth of this VM's link; 0 when not known.
     """
 
     node: str
@@ -65,12 +74,12 @@
     log_level: str = "INFO"
 
     def validated(self) -> RouterSettings:
-        """Return the settings.
+        """Return these settings after a check.
 
         Raises
         ------
         InvalidSettings
-            If some are missing or malformed; all of them are named.
+            If any setting is missing or malformed; lists all of them.
         """
         problems = [
             Problem(name, "(missing)", "a name")
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -1,4 +1,4 @@
-"""Planned stop of the router: no new callers, requests under way finished, then the end."""
+"""Graceful shutdown of the router: readiness is denied, requests in flight finish, then the process exits."""
 
 from __future__ import annotations
 
@@ -14,18 +14,27 @@
 from hibiscusdrum.internal.router.settings import RouterSettings
 
 STOP_STEP_INTERVAL_SECONDS = 0.05
-# Callers send new requests until readiness has been denied twice, a second apart.
+# Callers stop sending new requests once readiness has been denied twice, one second apart.
 READINESS_DENIAL_SECONDS = 2.3
-# From then on new requests are refused, so that those under way can end before the process is killed.
+# New requests are refused from this time after the signal, so that those in flight can finish before the
+# process is killed.
 REQUEST_REFUSAL_DELAY_SECONDS = 2.3
-# Bodies that no node has asked for this long before the process is killed are not sent any more.
+# A body that no node has requested this long before the process is killed is no longer sent.
 UNSENT_BODY_MARGIN_SECONDS = 2.0
-# Kept free before the process is killed, in seconds.
+# The process exits this long before it would be killed.
 EXIT_MARGIN_SECONDS = 0.4
 
 
 class RouterStopping(Service):
-    """Runs the planned stop on SIGTERM; SIGHUP is logged, since settings are read at start only."""
+    """Shuts down gracefully on SIGTERM; SIGHUP is only logged, since settings are read only at start.
+
+    Attributes
+    ----------
+    stop_started_at : float or None
+        Monotonic time in seconds at which the shutdown began.
+    finished : bool
+        Whether the application has been told to end.
+    """
 
     service_name = "stopping"
 
@@ -36,7 +45,7 @@
         self.finished = False
 
     def on_start(self) -> None:
-        """Find the services that take part."""
+        """Look up the services that take part in the shutdown."""
         find = self.app.find
         self.gateway = find("gateway")
         self.receiver = find("receiver")
@@ -47,7 +56,7 @@
 
     @handler("signal", channel="*")
     def on_signal(self, event: Any, signal_number: int, _frame: Any) -> None:
-        """Begin the stop; a second signal changes nothing."""
+        """Begin the shutdown, or log SIGHUP; a second stop signal has no effect."""
         event.stop()
         if signal_number == signal.SIGHUP:
             log_events.emit(events.ReloadAsked(version=self.gateway.route_table.version))
@@ -57,7 +66,7 @@
             self.begin_stop()
 
     def begin_stop(self) -> None:
-        """Deny readiness, and let other daemons choose other targets."""
+        """Deny readiness, and make other nodes choose other targets."""
         self.stop_started_at = self.app.clock.monotonic()
         in_flight = len(self.gateway.pending_requests) + len(self.receiver.jobs)
         log_events.emit(log_events.Stopping(reason="signal", in_flight=in_flight))
@@ -72,7 +81,7 @@
         self.app.scheduler.every(STOP_STEP_INTERVAL_SECONDS, self.advance_stop)
 
     def advance_stop(self) -> None:
-        """End when nothing is under way, or when the time is over."""
+        """Advance the shutdown; exit when no request is in flight or the grace period is over."""
         if self.finished:
             return
         elapsed = self.app.clock.monotonic() - self.stop_started_at
@@ -81,9 +90,9 @@
             self.receiver.closed = True
         if elapsed > self.settings.grace - UNSENT_BODY_MARGIN_SECONDS:
             self.gateway.refuse_unsent()
-        last = elapsed > self.settings.grace - EXIT_MARGIN_SECONDS
+        grace_over = elapsed > self.settings.grace - EXIT_MARGIN_SECONDS
         busy = self.gateway.has_pending or self.receiver.has_jobs or self.entry.unanswered
-        if last or (elapsed > READINESS_DENIAL_SECONDS and not busy):
+        if grace_over or (elapsed > READINESS_DENIAL_SECONDS and not busy):
             self.finished = True
             log_events.emit(
                 log_events.Stopped(
