Reword the request path of the daemon

Comments spoke of askers, orders and learning, and names such as where, answer, pump and unsent did not say what they hold or do. Main renames: Pending.where -> resolution, Pending.answer -> on_outcome, TargetAnswer -> TargetResponse, pump -> dispatch_queued, learn -> update_limiter, first_run -> record_attempt, overtaken_by_epoch -> refused_for_former_epoch, by_id -> pending_by_id, grant_epoch -> send_epoch_grant.

--- a/src/hibiscusdrum/internal/daemon/configuration.py
+++ b/src/hibiscusdrum/internal/daemon/configuration.py
@@ -76,7 +76,7 @@
         """
         if self.acknowledged_revision < self.revision:
             suspended = {name for name, tenant in self.document.tenants.items() if tenant.suspended}
-            if not suspended or not self.app.find("requests").serves_any(suspended):
+            if not suspended or not self.app.find("requests").has_pending_of(suspended):
                 self.acknowledged_revision = self.revision
         return self.acknowledged_revision
 
--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -1,4 +1,4 @@
-"""The request path: admission, queueing, sending to the target, and the outcome."""
+"""Request path: admission, queueing, dispatch to the target and outcome reporting."""
 
 from __future__ import annotations
 
@@ -39,19 +39,19 @@
     HttpResponse,
 )
 
-NANOSECONDS = 1_000_000_000
+NANOSECONDS_PER_SECOND = 1_000_000_000
 QUEUE_EXPIRY_INTERVAL_SECONDS = 0.01
-# Requests sent longer ago than this get their target's deadline extended at each renewal of the lease.
-EXTEND_AFTER_SECONDS = 0.3
-CONTROL_TIMEOUT_SECONDS = 1.0
-SERVICE_UNAVAILABLE = 503
-STALE_EPOCH = "stale_epoch"
+# After each lease renewal, requests sent longer ago than this get a later deadline at the target.
+DEADLINE_EXTENSION_MIN_AGE_SECONDS = 0.3
+TARGET_CONTROL_TIMEOUT_SECONDS = 1.0
+HTTP_SERVICE_UNAVAILABLE = 503
+STALE_EPOCH_REASON = "stale_epoch"
 NOT_RUN_HEADER = "x-not-run"
 HEADER_PREFIX = "x-hibiscusdrum-"
 
 
-class TargetAnswer(msgspec.Struct, frozen=True):
-    """What a request came back with."""
+class TargetResponse(msgspec.Struct, frozen=True):
+    """Complete response of the target, as stored for retries and sent to the caller."""
 
     reply: Reply
     body: bytes
@@ -60,43 +60,45 @@
         return len(self.body)
 
 
-Outcome = Result[TargetAnswer, HibiscusdrumError]
-Answer = Callable[[Outcome], None]
+Outcome = Result[TargetResponse, HibiscusdrumError]
+OutcomeCallback = Callable[[Outcome], None]
 
 
 class PendingRequest:
-    """An admitted request without an outcome."""
+    """Admitted request that has no outcome yet."""
 
     __slots__ = (
         "admitted_at",
-        "answer",
         "body",
         "call",
         "cancelled",
         "deadline",
-        "deduplicated",
         "epoch",
+        "in_dedup_window",
+        "on_outcome",
+        "resolution",
         "sent_at",
         "target_deadline",
-        "where",
     )
 
-    def __init__(self, call: Call, body: bytes, answer: Answer, where: Resolution, now: float) -> None:
+    def __init__(
+        self, call: Call, body: bytes, on_outcome: OutcomeCallback, resolution: Resolution, now: float
+    ) -> None:
         self.call = call
         self.body = body
-        self.answer = answer
-        self.where = where
+        self.on_outcome = on_outcome
+        self.resolution = resolution
         self.admitted_at = now
         self.deadline = now + call.timeout_ms / 1000.0
         self.sent_at = 0.0
         self.target_deadline = 0.0
         self.epoch = 0
-        self.deduplicated = False
+        self.in_dedup_window = False
         self.cancelled = False
 
 
 class RequestPipeline(Service):
-    """Admits requests and passes them to this node's target.
+    """Admits requests, queues them and sends them to this node's target.
 
     Parameters
     ----------
@@ -112,15 +114,15 @@
         self.limiter = ConcurrencyLimiter(settings.slots)
         self.queue = FairQueue(settings.queue_capacity, settings.slots)
         self.dedup = DedupWindow(float(settings.dedup_window_s))
-        # By identity, since an idempotent request may be here twice with one id.
+        # A set of objects rather than a dict by id: an idempotent request may be pending twice under one id.
         self.pending: set[PendingRequest] = set()
-        self.sent: set[PendingRequest] = set()
-        self.by_id: dict[bytes, PendingRequest] = {}
+        self.sent_requests: set[PendingRequest] = set()
+        self.pending_by_id: dict[bytes, PendingRequest] = {}
         self.hot_keys = HotKeyDetector(rng=random.Random(settings.node))
         self.stopping = False
 
     def on_start(self) -> None:
-        """Find the services that the path uses."""
+        """Look up the services of the request path and subscribe to their changes."""
         find = self.app.find
         self.membership = find("membership")
         self.configuration = find("configuration")
@@ -134,17 +136,17 @@
         self.peers.on_request = self.on_request
         self.peers.on_bad_frame = log_bad_frame
         self.target.available_listeners.append(self.on_target_available)
-        self.leases.granted_listeners.append(self.extend_deadlines)
-        self.leases.lost_listeners.append(self.cancel_owned)
-        self.owned.epoch_listeners.append(self.grant_epoch)
+        self.leases.granted_listeners.append(self.extend_target_deadlines)
+        self.leases.lost_listeners.append(self.cancel_owned_requests)
+        self.owned.epoch_listeners.append(self.send_epoch_grant)
         self.configuration.listeners.append(self.on_document)
         self.expiry_timer = self.app.scheduler.while_needed(QUEUE_EXPIRY_INTERVAL_SECONDS, self.expire_queued)
 
     def on_document(self, document: Document) -> None:
-        """Take over the weights of request classes.
+        """Apply the request class weights of a new configuration.
 
-        The queue serves classes by weight, and tenants within a class alike. Of several tenants' weights
-        for a class the largest counts.
+        The queue serves classes by weight and the tenants within a class equally. If several tenants set
+        different weights for a class, the largest one applies.
         """
         weights: dict[str, float] = {}
         for tenant in document.tenants.values():
@@ -152,130 +154,147 @@
                 weights[name] = max(weight, weights.get(name, weight))
         self.queue.set_weights({}, weights)
 
-    # Messages
-
     def on_request(self, identity: bytes, message: Message, body: bytes) -> None:
         """Handle one message from a caller or a forwarding daemon."""
         kind = type(message)
         if kind is Call:
-            self.submit(message, body, lambda outcome: self.reply(identity, message.request_id, outcome))
+            self.submit(
+                message, body, lambda outcome: self.send_outcome(identity, message.request_id, outcome)
+            )
         elif kind is MapRequest:
             rows = self.membership.changes_since(message.since)
             self.peers.reply(identity, MapReply(message.nonce, self.membership.map.seq, rows))
         elif kind is Cancel:
             self.cancel(message.request_id)
 
-    def reply(self, identity: bytes, request_id: bytes, outcome: Outcome) -> None:
-        """Send an outcome to the asker."""
+    def send_outcome(self, identity: bytes, request_id: bytes, outcome: Outcome) -> None:
+        """Send an outcome to the peer with the given ZeroMQ identity."""
         if isinstance(outcome, Success):
-            answer = outcome.unwrap()
-            self.peers.reply(identity, answer.reply, answer.body)
+            response = outcome.unwrap()
+            self.peers.reply(identity, response.reply, response.body)
         else:
             error = outcome.failure()
             self.peers.reply(identity, Refusal(request_id, error.code, error.values, self.settings.node))
 
-    # Admission
-
-    def submit(self, call: Call, body: bytes, answer: Answer) -> None:
-        """Admit a request or refuse it with a typed error; ``answer`` is called once."""
+    def submit(self, call: Call, body: bytes, on_outcome: OutcomeCallback) -> None:
+        """Admit a request or refuse it with a typed error; ``on_outcome`` is called exactly once."""
         try:
-            self.admit(call, body, answer)
+            self.admit(call, body, on_outcome)
         except HibiscusdrumError as error:
-            self.refuse(call, error, answer)
+            self.report_failure(call, error, on_outcome)
 
-    def refuse(self, call: Call, error: HibiscusdrumError, answer: Answer) -> None:
-        """Answer with an error and count it."""
+    def report_failure(self, call: Call, error: HibiscusdrumError, on_outcome: OutcomeCallback) -> None:
+        """Report an error as the outcome of a request and count it in the metrics."""
         self.metrics.count_failure(call.tenant, call.request_class, error.code)
-        answer(Failure(error))
+        on_outcome(Failure(error))
+
+    def admit(self, call: Call, body: bytes, on_outcome: OutcomeCallback) -> None:
+        """Run the admission checks and queue the request.
 
-    def admit(self, call: Call, body: bytes, answer: Answer) -> None:
-        """Run the admission checks in their order and queue the request."""
+        Raises
+        ------
+        HibiscusdrumError
+            If a check refuses the request.
+        """
         settings = self.settings
         if len(body) > settings.max_body_bytes:
             raise BodyTooLarge(size=len(body), limit=settings.max_body_bytes)
-        where = resolve(self.configuration.document, call.service, call.tenant, call.key, call.idempotent)
-        self.check_region(call, where)
-        if where.owned:
-            if self.handover.hold(where, call, body, answer):
+        resolution = resolve(
+            self.configuration.document, call.service, call.tenant, call.key, call.idempotent
+        )
+        self.check_region(call, resolution)
+        if resolution.owned:
+            if self.handover.hold(resolution, call, body, on_outcome):
                 return
-            self.check_owner(call, where)
-            self.hot_keys.observe(where.hash_value, self.app.clock.monotonic())
+            self.check_owner(call, resolution)
+            self.hot_keys.observe(resolution.hash_value, self.app.clock.monotonic())
         else:
-            self.check_accepting(call, where)
+            self.check_accepts_unowned(call, resolution)
         if not self.target.available:
             raise TargetUnreachable(target=settings.node)
-        pending = PendingRequest(call, body, answer, where, self.app.clock.monotonic())
-        if call.idempotent or self.first_run(pending):
+        pending = PendingRequest(call, body, on_outcome, resolution, self.app.clock.monotonic())
+        if call.idempotent or self.record_attempt(pending):
             self.enqueue(pending)
 
-    def check_region(self, call: Call, where: Resolution) -> None:
-        """Refuse a request whose key belongs to another region."""
+    def check_region(self, call: Call, resolution: Resolution) -> None:
+        """Raise ``WrongRegion`` or ``Moved`` if the key belongs to another region."""
         here = self.settings.region
-        if where.region != here:
-            if where.tenant.home_regions:
-                regions = tuple(where.tenant.home_regions)
+        if resolution.region != here:
+            if resolution.tenant.home_regions:
+                regions = tuple(resolution.tenant.home_regions)
                 log_events.emit(log_events.RequestRefusedRegion(tenant=call.tenant, regions=regions))
                 raise WrongRegion(tenant=call.tenant, here=here, regions=regions)
-            raise Moved(slice=where.slice, owner=where.region)
-
-    def check_owner(self, call: Call, where: Resolution) -> None:
-        """Refuse a request whose key this node does not own or may not serve now."""
-        if call.service != self.settings.service or not self.owned.owns(where.hash_value, where.slice):
-            owner = self.membership.map.owner(call.service, where.region, where.hash_value)
+            raise Moved(slice=resolution.slice, owner=resolution.region)
+
+    def check_owner(self, call: Call, resolution: Resolution) -> None:
+        """Raise an error if this node does not own the key or may not serve it now."""
+        if call.service != self.settings.service or not self.owned.owns(
+            resolution.hash_value, resolution.slice
+        ):
+            owner = self.membership.map.owner(call.service, resolution.region, resolution.hash_value)
             if owner is None or owner.node == self.settings.node:
-                raise NoOwner(slice=where.slice)
-            raise Moved(slice=where.slice, owner=owner.node)
+                raise NoOwner(slice=resolution.slice)
+            raise Moved(slice=resolution.slice, owner=owner.node)
         if not self.leases.valid():
             raise LeaseLost(node=self.settings.node)
         if self.configuration.refuses_owned():
             raise Draining(node=self.settings.node)
 
-    def check_accepting(self, call: Call, where: Resolution) -> None:
-        """Refuse a request that any target may run when this one takes no new work."""
+    def check_accepts_unowned(self, call: Call, resolution: Resolution) -> None:
+        """Raise an error if this node takes no new requests for keys without an owner."""
         if call.service != self.settings.service:
-            raise Moved(slice=where.slice, owner="")
+            raise Moved(slice=resolution.slice, owner="")
         row = self.owned.row
         if self.stopping or row is None or not self.configuration.accepts_work(row):
             raise Draining(node=self.settings.node)
 
-    def first_run(self, pending: PendingRequest) -> bool:
-        """Record a non-idempotent request; False when it was answered from the record of an earlier run."""
-        call, where = pending.call, pending.where
-        acquired = self.owned.acquired_at(where.hash_value, where.slice)
+    def record_attempt(self, pending: PendingRequest) -> bool:
+        """Record a non-idempotent request in the deduplication window.
+
+        Returns
+        -------
+        bool
+            False if the recorded response of an earlier attempt was sent, so that nothing is left to run.
+
+        Raises
+        ------
+        Overloaded, OutcomeUnknown
+            If the request must not run; ``OutcomeUnknown`` if an earlier attempt may have run.
+        """
+        call, resolution = pending.call, pending.resolution
+        acquired = self.owned.acquired_at(resolution.hash_value, resolution.slice)
         decision = self.dedup.admit(call.request_id, call.attempt, acquired, self.app.clock.wall())
         if isinstance(decision, Recorded):
-            pending.answer(Success(decision.answer))
+            pending.on_outcome(Success(decision.answer))
             return False
         if isinstance(decision, Refused):
             if decision.not_run:
                 raise Overloaded(tenant=call.tenant, request_class=call.request_class)
             raise OutcomeUnknown(request_id=call.request_id.hex(), reason=decision.reason.value)
-        pending.deduplicated = True
+        pending.in_dedup_window = True
         return True
 
     def enqueue(self, pending: PendingRequest) -> None:
-        """Queue an admitted request, or shed it."""
+        """Queue an admitted request, or fail it with ``Overloaded`` when the queue is full."""
         call, now = pending.call, pending.admitted_at
-        if pending.where.owned:
-            self.owned.request_started(pending.where.hash_value, pending.where.slice)
+        if pending.resolution.owned:
+            self.owned.request_started(pending.resolution.hash_value, pending.resolution.slice)
         self.pending.add(pending)
-        self.by_id[call.request_id] = pending
+        self.pending_by_id[call.request_id] = pending
         if not self.queue.push(pending, call.tenant, call.request_class, pending.deadline, now):
             error = Overloaded(tenant=call.tenant, request_class=call.request_class)
             self.finish(pending, Failure(error))
             return
-        self.pump(now)
+        self.dispatch_queued(now)
         if len(self.queue):
             self.expiry_timer.wake()
 
-    def serves_any(self, tenants: set[str]) -> bool:
-        """Return whether a request of one of the tenants is in flight."""
+    def has_pending_of(self, tenants: set[str]) -> bool:
+        """Return whether any of the tenants has a request that is queued or sent."""
         return any(pending.call.tenant in tenants for pending in self.pending)
 
-    # Queue
-
-    def pump(self, now: float) -> None:
-        """Send queued requests while the target may be given more."""
+    def dispatch_queued(self, now: float) -> None:
+        """Send queued requests to the target until the concurrency limit is reached."""
         limiter, queue = self.limiter, self.queue
         queue.slots = max(1, int(limiter.limit))
         queue.service_time_seconds = limiter.long_term_baseline
@@ -290,50 +309,48 @@
             self.send(pending, now)
 
     def expire_queued(self) -> bool:
-        """Refuse queued requests whose deadline has passed; True if some are still queued."""
+        """Fail queued requests whose deadline has passed; returns whether any are still queued."""
         now = self.app.clock.monotonic()
         for pending in self.queue.expire(now):
             error = DeadlineExceeded(timeout_ms=pending.call.timeout_ms)
             self.finish(pending, Failure(error))
         if len(self.queue):
-            self.pump(now)
+            self.dispatch_queued(now)
         return len(self.queue) > 0
 
     def cancel(self, request_id: bytes) -> None:
-        """Drop an idempotent request that still waits in the queue; one that was sent runs to its end."""
-        pending = self.by_id.get(request_id)
-        if pending is not None and pending.call.idempotent and pending not in self.sent:
+        """Cancel a queued idempotent request; a request already sent to the target runs to completion."""
+        pending = self.pending_by_id.get(request_id)
+        if pending is not None and pending.call.idempotent and pending not in self.sent_requests:
             pending.cancelled = True
             self.finish(pending, Failure(DeadlineExceeded(timeout_ms=pending.call.timeout_ms)))
 
-    # Target
-
     def send(self, pending: PendingRequest, now: float) -> None:
-        """Pass a request to the target with its epoch and a deadline within the lease."""
+        """Send a request to the target with its epoch and a deadline no later than the end of the lease."""
         deadline = pending.deadline
-        if pending.where.owned:
+        if pending.resolution.owned:
             expires_at = self.leases.expires_at()
             if expires_at <= now:
-                self.unsent(pending, LeaseLost(node=self.settings.node))
+                self.finish_unsent(pending, LeaseLost(node=self.settings.node))
                 return
             deadline = min(deadline, expires_at)
         pending.sent_at = now
         pending.target_deadline = deadline
         pending.epoch = self.owned.epoch
-        self.sent.add(pending)
+        self.sent_requests.add(pending)
         self.http.request(
             self.settings.target_address,
             pending.call.method,
             pending.call.path,
-            self.headers(pending),
+            self.target_headers(pending),
             pending.body,
             pending.deadline - now,
-            lambda result: self.on_answer(pending, result),
+            lambda result: self.on_target_response(pending, result),
             self.settings.connections,
         )
 
-    def headers(self, pending: PendingRequest) -> dict[str, str]:
-        """Return the headers that the target checks and records."""
+    def target_headers(self, pending: PendingRequest) -> dict[str, str]:
+        """Return the headers by which the target identifies the request and checks its epoch and deadline."""
         call = pending.call
         return {
             "content-type": call.content_type,
@@ -341,33 +358,33 @@
             HEADER_PREFIX + "tenant": call.tenant,
             HEADER_PREFIX + "key": call.key.hex(),
             HEADER_PREFIX + "epoch": str(pending.epoch),
-            HEADER_PREFIX + "deadline-ns": str(int(pending.target_deadline * NANOSECONDS)),
+            HEADER_PREFIX + "deadline-ns": str(int(pending.target_deadline * NANOSECONDS_PER_SECOND)),
         }
 
-    def unsent(self, pending: PendingRequest, error: HibiscusdrumError) -> None:
-        """End a request that got a slot but was not sent."""
+    def finish_unsent(self, pending: PendingRequest, error: HibiscusdrumError) -> None:
+        """Release the slot of a request that was not sent, and report its error."""
         self.limiter.release()
         self.queue.on_finished(pending.call.request_class)
         self.finish(pending, Failure(error))
 
-    def on_answer(self, pending: PendingRequest, result: Result[HttpResponse, HttpFailure]) -> None:
-        """Free the slot, learn from the latency, and report the outcome."""
+    def on_target_response(self, pending: PendingRequest, result: Result[HttpResponse, HttpFailure]) -> None:
+        """Release the slot, update the concurrency limiter and report the outcome."""
         now = self.app.clock.monotonic()
-        self.sent.discard(pending)
+        self.sent_requests.discard(pending)
         self.queue.on_finished(pending.call.request_class)
-        outcome = self.outcome(pending, result)
-        if self.overtaken_by_epoch(pending, outcome):
+        outcome = self.outcome_of(pending, result)
+        if self.refused_for_former_epoch(pending, outcome):
             self.queue.on_started(pending.call.request_class)
             self.send(pending, now)
             return
-        self.learn(pending, outcome, now)
+        self.update_limiter(pending, outcome, now)
         self.finish(pending, outcome)
-        self.pump(now)
+        self.dispatch_queued(now)
 
-    def outcome(self, pending: PendingRequest, result: Result[HttpResponse, HttpFailure]) -> Outcome:
-        """Translate the target's answer, or its absence, into an outcome."""
+    def outcome_of(self, pending: PendingRequest, result: Result[HttpResponse, HttpFailure]) -> Outcome:
+        """Convert the result of the HTTP exchange with the target into an outcome."""
         if isinstance(result, Success):
-            return self.response_outcome(pending, result.unwrap())
+            return self.response_to_outcome(pending, result.unwrap())
         failure = result.failure()
         if not failure.bytes_sent:
             if failure.kind is FailureKind.REFUSED:
@@ -378,22 +395,23 @@
         request_id = pending.call.request_id.hex()
         return Failure(OutcomeUnknown(request_id=request_id, reason=failure.kind.value))
 
-    def overtaken_by_epoch(self, pending: PendingRequest, outcome: Outcome) -> bool:
-        """Return whether the target refused a request only because this node's epoch has grown since.
+    def refused_for_former_epoch(self, pending: PendingRequest, outcome: Outcome) -> bool:
+        """Return whether to resend a request that was refused only because this node's epoch has increased.
 
-        The epoch grows when the node gains slices; a request under way on another connection then seems stale
-        to a target that checks epochs. It did not run, and this node still owns its key.
+        The epoch increases when the node gains slices. A request already sent on another connection then
+        carries a stale epoch and is refused by a target that checks epochs. It did not run, and this node
+        still owns its key, so it can be sent again.
         """
         error = outcome.failure() if isinstance(outcome, Failure) else None
-        if not isinstance(error, TargetRefused) or error.reason != STALE_EPOCH:
+        if not isinstance(error, TargetRefused) or error.reason != STALE_EPOCH_REASON:
             return False
-        where = pending.where
-        owned = not where.owned or self.owned.owns(where.hash_value, where.slice)
+        resolution = pending.resolution
+        owned = not resolution.owned or self.owned.owns(resolution.hash_value, resolution.slice)
         return owned and pending.epoch < self.owned.epoch and self.app.clock.monotonic() < pending.deadline
 
-    def response_outcome(self, pending: PendingRequest, response: HttpResponse) -> Outcome:
-        """Translate a complete answer."""
-        if response.status == SERVICE_UNAVAILABLE and response.headers.get(NOT_RUN_HEADER) == "1":
+    def response_to_outcome(self, pending: PendingRequest, response: HttpResponse) -> Outcome:
+        """Convert a complete HTTP response of the target into an outcome."""
+        if response.status == HTTP_SERVICE_UNAVAILABLE and response.headers.get(NOT_RUN_HEADER) == "1":
             return Failure(TargetRefused(target=self.settings.node, reason=refusal_reason(response.body)))
         reply = Reply(
             request_id=pending.call.request_id,
@@ -403,18 +421,18 @@
             target=self.settings.node,
             epoch=pending.epoch,
         )
-        return Success(TargetAnswer(reply, response.body))
+        return Success(TargetResponse(reply, response.body))
 
-    def learn(self, pending: PendingRequest, outcome: Outcome, now: float) -> None:
-        """Give the limiter the sample of a request that the target got."""
+    def update_limiter(self, pending: PendingRequest, outcome: Outcome, now: float) -> None:
+        """Pass the latency of a request that reached the target to the concurrency limiter."""
         limiter = self.limiter
         if isinstance(outcome, Failure) and isinstance(outcome.failure(), TargetUnreachable):
             limiter.release()
             return
-        resets = limiter.ramp_restarts
+        resets_before = limiter.ramp_restarts
         latency = now - pending.sent_at
         limiter.on_complete(latency, isinstance(outcome, Success), now)
-        if limiter.ramp_restarts != resets:
+        if limiter.ramp_restarts != resets_before:
             log_events.emit(
                 log_events.TargetCold(
                     target=self.settings.target_address, latency_ms=latency * 1000.0, limit=limiter.limit
@@ -422,27 +440,27 @@
             )
 
     def finish(self, pending: PendingRequest, outcome: Outcome) -> None:
-        """Record and report the outcome of an admitted request."""
+        """Report the outcome of an admitted request once; later calls for the same request do nothing."""
         call = pending.call
         if pending not in self.pending:
             return
         self.pending.remove(pending)
-        if self.by_id.get(call.request_id) is pending:
-            del self.by_id[call.request_id]
-        if pending.where.owned:
-            self.owned.request_finished(pending.where.hash_value, pending.where.slice)
-        if pending.deduplicated:
-            self.record(call.request_id, outcome)
+        if self.pending_by_id.get(call.request_id) is pending:
+            del self.pending_by_id[call.request_id]
+        if pending.resolution.owned:
+            self.owned.request_finished(pending.resolution.hash_value, pending.resolution.slice)
+        if pending.in_dedup_window:
+            self.record_outcome(call.request_id, outcome)
         now = self.app.clock.monotonic()
         if isinstance(outcome, Success):
             queued = pending.sent_at - pending.admitted_at
             self.metrics.record_success(call.tenant, call.request_class, now - pending.admitted_at, queued)
-            pending.answer(outcome)
+            pending.on_outcome(outcome)
         else:
-            self.refuse(call, outcome.failure(), pending.answer)
+            self.report_failure(call, outcome.failure(), pending.on_outcome)
 
-    def record(self, request_id: bytes, outcome: Outcome) -> None:
-        """Remember the outcome of a non-idempotent request for its retries."""
+    def record_outcome(self, request_id: bytes, outcome: Outcome) -> None:
+        """Store the outcome of a non-idempotent request in the deduplication window for later retries."""
         if isinstance(outcome, Success):
             self.dedup.finish(request_id, outcome.unwrap())
         elif outcome.failure().not_run:
@@ -450,58 +468,63 @@
         else:
             self.dedup.finish(request_id, None)
 
-    # Lease and target changes
-
     def on_target_available(self) -> None:
-        """Begin the ramp of a fresh target."""
+        """Reset the concurrency limit for a newly started target and send it the epoch."""
         self.limiter.restart_ramp(self.app.clock.monotonic())
-        self.grant_epoch()
+        self.send_epoch_grant()
 
-    def grant_epoch(self) -> None:
-        """Give the target the fenced grant, so that it refuses requests of an earlier epoch."""
+    def send_epoch_grant(self) -> None:
+        """Send the epoch to the target as a fencing token, so that it refuses requests of earlier epochs."""
         if self.target.available and self.owned.epoch:
-            self.control("/control/grant", {"epoch": self.owned.epoch})
+            self.send_control_request("/control/grant", {"epoch": self.owned.epoch})
 
-    def extend_deadlines(self) -> None:
-        """Extend the deadlines of long requests after a renewal of the lease."""
+    def extend_target_deadlines(self) -> None:
+        """Extend the target's deadlines of long-running requests after a lease renewal."""
         now = self.app.clock.monotonic()
         expires_at = self.leases.expires_at()
-        for pending in list(self.sent):
+        for pending in list(self.sent_requests):
             deadline = min(pending.deadline, expires_at)
-            if now - pending.sent_at > EXTEND_AFTER_SECONDS and pending.target_deadline < deadline:
+            if (
+                now - pending.sent_at > DEADLINE_EXTENSION_MIN_AGE_SECONDS
+                and pending.target_deadline < deadline
+            ):
                 pending.target_deadline = deadline
                 value = {
                     "request_id": pending.call.request_id.hex(),
-                    "deadline_ns": int(deadline * NANOSECONDS),
+                    "deadline_ns": int(deadline * NANOSECONDS_PER_SECOND),
                 }
-                self.control("/control/extend", value)
+                self.send_control_request("/control/extend", value)
+
+    def cancel_owned_requests(self) -> None:
+        """Cancel requests at the target for owned keys, since another node may own the keys soon."""
+        for pending in list(self.sent_requests):
+            if pending.resolution.owned:
+                self.send_control_request("/control/cancel", {"request_id": pending.call.request_id.hex()})
 
-    def cancel_owned(self) -> None:
-        """Cancel requests in flight on owned keys, because another node may own them soon."""
-        for pending in list(self.sent):
-            if pending.where.owned:
-                self.control("/control/cancel", {"request_id": pending.call.request_id.hex()})
+    def send_control_request(self, path: str, value: dict) -> None:
+        """Send a control request to the target.
 
-    def control(self, path: str, value: dict) -> None:
-        """Send an order to the target; its answer does not matter, since the deadline holds anyway."""
+        The response is ignored: if the control request is lost, the deadline sent with each request still
+        ends it within the lease.
+        """
         self.http.request(
             self.settings.target_address,
             "POST",
             path,
             {"content-type": "application/json"},
             msgspec.json.encode(value),
-            CONTROL_TIMEOUT_SECONDS,
-            ignore_answer,
+            TARGET_CONTROL_TIMEOUT_SECONDS,
+            ignore_control_result,
             self.settings.connections,
         )
 
 
-def ignore_answer(_result: object) -> None:
-    """Leave an order's outcome to the deadline that the target has."""
+def ignore_control_result(_result: object) -> None:
+    """Ignore the result of a control request; the deadline at the target still applies."""
 
 
 def refusal_reason(body: bytes) -> str:
-    """Return the reason that a target gave for not running a request."""
+    """Return the reason from a target's refusal body, or an empty string if there is none."""
     try:
         return str(msgspec.json.decode(body, type=dict).get("reason", ""))
     except msgspec.DecodeError:
@@ -509,7 +532,7 @@
 
 
 def log_bad_frame(error: HibiscusdrumError) -> None:
-    """Log a message that could not be decoded or verified."""
+    """Log a message that could not be decoded or authenticated."""
     if error.code == "unauthorized":
         log_events.emit(log_events.Unauthorized(party=error.party))
     else:
