Reword the lease and handover services of the daemon

Move, hold, begin, end, wanted and avoid did not say what they apply to, and the comments described services as people who look, give away and take over.

--- a/src/hibiscusdrum/internal/daemon/handover.py
+++ b/src/hibiscusdrum/internal/daemon/handover.py
@@ -1,4 +1,4 @@
-"""Moves slices away from this node while it serves: planned moves, draining, rebalancing, leaving."""
+"""Hands slices over to other nodes without interrupting service: drains, rebalancing and shutdown."""
 
 from __future__ import annotations
 
@@ -21,46 +21,48 @@
 from hibiscusdrum.internal.settings import Settings
 
 STEP_INTERVAL_SECONDS = 0.005
-# Slices whose requests do not end within this time move later, so that the others are not held up.
-DRAIN_WAIT_SECONDS = 0.1
-MAX_HELD = 1024
-RETRY_SECONDS = 0.1
-UNKNOWN = "unknown"
+# Slices whose requests in flight do not end within this time are left out of the handover, so that requests
+# for the other slices are not held any longer; they are handed over later.
+IN_FLIGHT_WAIT_SECONDS = 0.1
+MAX_HELD_REQUESTS = 1024
+RETRY_INTERVAL_SECONDS = 0.1
+OUTCOME_UNKNOWN = "unknown"
 
 
-class HeldCall(msgspec.Struct, frozen=True):
-    """A request that waits for the end of a handover."""
+class HeldRequest(msgspec.Struct, frozen=True):
+    """Request that is held until a handover has ended."""
 
     call: Call
     body: bytes
-    answer: object
+    on_outcome: object
     held_at: float
 
 
-class Move:
-    """A handover under way.
+class ActiveHandover:
+    """State of the handover in progress.
 
     Attributes
     ----------
     slices : frozenset of int
-        Slices that are held; those with long requests are taken out before the write.
+        Slices to hand over, whose requests are held. Slices with long-running requests are removed before the
+        transaction is sent.
     transaction : Transaction or None
-        The write, once it was sent.
+        Ownership change in the table; None until it is sent.
     """
 
-    __slots__ = ("held", "hot_keys", "receiver", "slices", "started", "transaction")
+    __slots__ = ("held_requests", "hot_keys", "receiver", "slices", "started_at", "transaction")
 
     def __init__(self, receiver: str, slices: frozenset[int], hot_keys: frozenset[int], now: float) -> None:
         self.receiver = receiver
         self.slices = slices
         self.hot_keys = hot_keys
-        self.started = now
-        self.held: list[HeldCall] = []
+        self.started_at = now
+        self.held_requests: list[HeldRequest] = []
         self.transaction: Transaction | None = None
 
 
 class HandoverCoordinator(Service):
-    """Carries out one move at a time.
+    """Runs handovers of slices and hot keys, one at a time.
 
     Parameters
     ----------
@@ -74,14 +76,14 @@
         super().__init__()
         self.settings = settings
         self.node = settings.node
-        self.move: Move | None = None
-        self.probing = False
+        self.active_handover: ActiveHandover | None = None
+        self.store_check_pending = False
         self.leaving = False
         self.retry_at = 0.0
         self.rng = random.Random(settings.node)
 
     def on_start(self) -> None:
-        """Start the timers."""
+        """Subscribe to the events that can require a drain, and start the timers."""
         find = self.app.find
         self.membership = find("membership")
         self.configuration = find("configuration")
@@ -90,7 +92,7 @@
         self.target = find("target")
         self.leases = find("leases")
         self.step_timer = self.app.scheduler.while_needed(STEP_INTERVAL_SECONDS, self.step)
-        # All that may make a drain necessary: a row, a revision, the loss of the target, and ``leave``.
+        # A drain can become necessary by changed rows, a new revision, the loss of the target, or ``leave``.
         self.membership.listeners.append(self.on_change)
         self.configuration.listeners.append(self.on_change)
         self.target.lost_listeners.append(self.step_timer.wake)
@@ -98,213 +100,218 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a move is under way or about to start."""
-        return self.move is not None or self.probing
+        """Whether a handover is in progress or about to start."""
+        return self.active_handover is not None or self.store_check_pending
 
     def on_change(self, _changed: object) -> None:
-        """Look whether a drain is due, after rows or the configuration have changed."""
-        if self.has_work():
+        """Wake the step timer if a change of rows or configuration requires a drain."""
+        if self.needs_step():
             self.step_timer.wake()
 
     def leave(self) -> None:
-        """Give all slices away, because this node leaves."""
+        """Drain all slices because this node is shutting down."""
         self.leaving = True
         self.step_timer.wake()
 
-    def has_work(self) -> bool:
-        """Return whether a move waits for requests in flight, or slices are to be given away."""
-        if self.move is not None:
-            return self.move.transaction is None
+    def needs_step(self) -> bool:
+        """Return whether a handover waits for requests in flight or a drain has slices left."""
+        if self.active_handover is not None:
+            return self.active_handover.transaction is None
         return self.must_drain()
 
-    # Requests during a move
+    def hold(self, resolution: Resolution, call: Call, body: bytes, on_outcome: object) -> bool:
+        """Hold a request if its key is part of the handover in progress.
 
-    def hold(self, where: Resolution, call: Call, body: bytes, answer: object) -> bool:
-        """Keep a request for a moving key until the move has ended; False when the key stays.
+        Returns
+        -------
+        bool
+            False if the key is not being handed over, so that the request can be served now.
 
         Raises
         ------
         Overloaded
-            If too many requests wait already.
+            If ``MAX_HELD_REQUESTS`` requests are held already.
         """
-        move = self.move
-        if move is None or (where.slice not in move.slices and where.hash_value not in move.hot_keys):
+        handover = self.active_handover
+        if handover is None or (
+            resolution.slice not in handover.slices and resolution.hash_value not in handover.hot_keys
+        ):
             return False
-        if len(move.held) >= MAX_HELD:
+        if len(handover.held_requests) >= MAX_HELD_REQUESTS:
             raise Overloaded(tenant=call.tenant, request_class=call.request_class)
-        move.held.append(HeldCall(call, body, answer, self.app.clock.monotonic()))
+        handover.held_requests.append(HeldRequest(call, body, on_outcome, self.app.clock.monotonic()))
         return True
 
-    def release_held(self, held: Sequence[HeldCall]) -> None:
-        """Submit held requests again; moved ones are answered with the new owner."""
+    def release_held(self, held: Sequence[HeldRequest]) -> None:
+        """Submit held requests again; those for keys that were handed over fail with ``Moved``."""
         now = self.app.clock.monotonic()
-        for item in held:
-            left = item.call.timeout_ms - (now - item.held_at) * 1000.0
-            if left <= 0.0:
-                item.answer(Failure(DeadlineExceeded(timeout_ms=item.call.timeout_ms)))
+        for request in held:
+            remaining_ms = request.call.timeout_ms - (now - request.held_at) * 1000.0
+            if remaining_ms <= 0.0:
+                request.on_outcome(Failure(DeadlineExceeded(timeout_ms=request.call.timeout_ms)))
                 continue
-            call = msgspec.structs.replace(item.call, timeout_ms=left)
-            self.requests.submit(call, item.body, item.answer)
-
-    # Moves
+            call = msgspec.structs.replace(request.call, timeout_ms=remaining_ms)
+            self.requests.submit(call, request.body, request.on_outcome)
 
-    def begin(self, receiver: str, slices: Sequence[int], hot_keys: Sequence[int] = ()) -> None:
-        """Start to move slices to a receiver, once the store has answered.
+    def start_handover(self, receiver: str, slices: Sequence[int], hot_keys: Sequence[int] = ()) -> None:
+        """Start a handover after a read has shown that the store responds.
 
-        From the write until its outcome is known, the requests of the moving slices are held. A store that
-        has just answered is not likely to fail within the few milliseconds until then.
+        The requests of the slices are held until the outcome of the write is known. A store that has just
+        responded is unlikely to fail within the few milliseconds until then.
         """
-        self.probing = True
+        self.store_check_pending = True
 
         def answered(result: Result[object, HibiscusdrumError]) -> None:
-            self.probing = False
+            self.store_check_pending = False
             if isinstance(result, Success):
-                self.start_move(receiver, slices, hot_keys)
+                self.hold_and_commit(receiver, slices, hot_keys)
             else:
-                self.retry_at = self.app.clock.monotonic() + RETRY_SECONDS
-                self.wake_for_drain()
+                self.retry_at = self.app.clock.monotonic() + RETRY_INTERVAL_SECONDS
+                self.continue_drain()
 
         self.membership.read((owner_key(self.node),), answered)
 
-    def start_move(self, receiver: str, slices: Sequence[int], hot_keys: Sequence[int]) -> None:
-        """Hold the requests of what moves, and write when nothing is in flight on it."""
-        self.move = Move(receiver, frozenset(slices), frozenset(hot_keys), self.app.clock.monotonic())
+    def hold_and_commit(self, receiver: str, slices: Sequence[int], hot_keys: Sequence[int]) -> None:
+        """Hold new requests for the slices and hot keys, and commit once none are in flight."""
+        self.active_handover = ActiveHandover(
+            receiver, frozenset(slices), frozenset(hot_keys), self.app.clock.monotonic()
+        )
         self.step_timer.wake()
         self.step()
 
     def step(self) -> bool:
-        """Advance the move under way, or start the next one of a drain; True if there is more to do."""
+        """Advance the handover in progress, or start the next one of a drain; returns ``needs_step``."""
         now = self.app.clock.monotonic()
-        move = self.move
-        if self.probing:
+        handover = self.active_handover
+        if self.store_check_pending:
             return False
-        if move is None:
+        if handover is None:
             if self.must_drain() and now >= self.retry_at:
                 self.start_drain_handover()
-        elif move.transaction is None:
-            self.write_when_idle(move, now)
-        return self.has_work()
-
-    def write_when_idle(self, move: Move, now: float) -> None:
-        """Write the move when nothing is in flight on its slices; slices with long requests are left out."""
-        busy = self.owned.busy_slices(move.slices)
-        keys_busy = self.owned.any_key_busy(move.hot_keys)
-        if (busy or keys_busy) and now - move.started < DRAIN_WAIT_SECONDS:
+        elif handover.transaction is None:
+            self.commit_when_idle(handover, now)
+        return self.needs_step()
+
+    def commit_when_idle(self, handover: ActiveHandover, now: float) -> None:
+        """Commit a handover without what is still busy after ``IN_FLIGHT_WAIT_SECONDS``."""
+        busy = self.owned.busy_slices(handover.slices)
+        hot_keys_busy = self.owned.any_key_busy(handover.hot_keys)
+        if (busy or hot_keys_busy) and now - handover.started_at < IN_FLIGHT_WAIT_SECONDS:
             return
-        if busy or keys_busy:
-            self.leave_out(move, busy, keys_busy)
-        if not move.slices and not move.hot_keys:
-            self.end(move)
+        if busy or hot_keys_busy:
+            self.exclude_busy(handover, busy, hot_keys_busy)
+        if not handover.slices and not handover.hot_keys:
+            self.complete(handover)
             return
-        self.write(move)
-
-    def leave_out(self, move: Move, busy: set[int], keys_busy: bool) -> None:
-        """Let what has long requests in flight stay for now, and serve its held requests."""
-        move.slices -= busy
-        if keys_busy:
-            move.hot_keys = frozenset()
-        held, move.held = move.held, []
+        self.commit(handover)
+
+    def exclude_busy(self, handover: ActiveHandover, busy: set[int], hot_keys_busy: bool) -> None:
+        """Remove slices and hot keys with requests in flight from a handover, and release held requests."""
+        handover.slices -= busy
+        if hot_keys_busy:
+            handover.hot_keys = frozenset()
+        held, handover.held_requests = handover.held_requests, []
         self.release_held(held)
 
-    def write(self, move: Move) -> None:
-        """Send the transaction of a move."""
+    def commit(self, handover: ActiveHandover) -> None:
+        """Send the transaction of a handover to the table."""
         try:
-            move.transaction = transactions.handover_transaction(
+            handover.transaction = transactions.handover_transaction(
                 self.membership.map,
                 self.node,
-                move.receiver,
-                sorted(move.slices),
-                sorted(move.hot_keys),
+                handover.receiver,
+                sorted(handover.slices),
+                sorted(handover.hot_keys),
                 new_operation_id(),
             )
         except HibiscusdrumError as error:
-            self.failed(move, error)
+            self.on_failure(handover, error)
             return
-        self.membership.commit(move.transaction, lambda result: self.written(move, result))
+        self.membership.commit(handover.transaction, lambda result: self.on_write_result(handover, result))
 
-    def written(self, move: Move, result: Result[int, HibiscusdrumError]) -> None:
-        """End the move, or send the same transaction again when its outcome is unknown."""
+    def on_write_result(self, handover: ActiveHandover, result: Result[int, HibiscusdrumError]) -> None:
+        """Complete the handover, or resend the same transaction if its outcome is unknown."""
         if isinstance(result, Success):
-            self.log_move(move)
-            self.end(move)
-        elif getattr(result.failure(), "reason", "") == UNKNOWN:
-            # The slices stay held: they may belong to the receiver already.
+            self.log_committed(handover)
+            self.complete(handover)
+        elif getattr(result.failure(), "reason", "") == OUTCOME_UNKNOWN:
+            # The requests stay held, since the receiver may own the slices already.
             self.app.scheduler.call_later(
-                RETRY_SECONDS,
-                lambda: self.membership.commit(move.transaction, lambda again: self.written(move, again)),
+                RETRY_INTERVAL_SECONDS,
+                lambda: self.membership.commit(
+                    handover.transaction, lambda again: self.on_write_result(handover, again)
+                ),
             )
         else:
-            self.failed(move, result.failure())
+            self.on_failure(handover, result.failure())
 
-    def failed(self, move: Move, error: HibiscusdrumError) -> None:
-        """Keep the slices and try again later."""
+    def on_failure(self, handover: ActiveHandover, error: HibiscusdrumError) -> None:
+        """Log a failed handover and delay the next attempt; the slices stay with this node."""
         log_events.emit(
-            log_events.HandoverFailed(receiver=move.receiver, slices=len(move.slices), code=error.code)
+            log_events.HandoverFailed(
+                receiver=handover.receiver, slices=len(handover.slices), code=error.code
+            )
         )
-        self.retry_at = self.app.clock.monotonic() + RETRY_SECONDS
-        self.end(move)
+        self.retry_at = self.app.clock.monotonic() + RETRY_INTERVAL_SECONDS
+        self.complete(handover)
 
-    def end(self, move: Move) -> None:
-        """Submit the held requests again."""
-        self.move = None
-        self.wake_for_drain()
-        self.release_held(move.held)
+    def complete(self, handover: ActiveHandover) -> None:
+        """End the handover, continue a drain and release the held requests."""
+        self.active_handover = None
+        self.continue_drain()
+        self.release_held(handover.held_requests)
 
-    def wake_for_drain(self) -> None:
-        """Continue a drain."""
+    def continue_drain(self) -> None:
+        """Wake the step timer if a drain has slices left."""
         if self.must_drain():
             self.step_timer.wake()
 
-    def log_move(self, move: Move) -> None:
-        """Log a committed move."""
-        duration = (self.app.clock.monotonic() - move.started) * 1000.0
+    def log_committed(self, handover: ActiveHandover) -> None:
+        """Log a committed handover."""
+        duration_ms = (self.app.clock.monotonic() - handover.started_at) * 1000.0
         log_events.emit(
             log_events.HandoverCommitted(
-                receiver=move.receiver,
-                slices=len(move.slices),
-                held_requests=len(move.held),
-                duration_ms=duration,
+                receiver=handover.receiver,
+                slices=len(handover.slices),
+                held_requests=len(handover.held_requests),
+                duration_ms=duration_ms,
             )
         )
 
-    # Draining
-
     def must_drain(self) -> bool:
-        """Return whether this node should give all its slices away.
+        """Return whether this node must hand over all its slices.
 
-        Before this process has joined, the row of its name belongs to an earlier incarnation, which may still
-        be serving: only that one, or its guard, may move its slices.
+        Until this process has joined, the owner row under its name belongs to an earlier incarnation, which
+        may still be serving. Only that incarnation or its guard may change the ownership of its slices.
         """
         row = self.owned.row
         if self.leases.holder is None or row is None or not (row.slices or row.hot_keys):
             return False
         return self.leaving or not self.target.available or not self.configuration.accepts_work(row)
 
-    def receivers(self) -> list[str]:
-        """Return the nodes that may take this node's slices."""
+    def drain_receivers(self) -> list[str]:
+        """Return the nodes that may receive this node's slices, in order of preference."""
         row = self.owned.row
         if row is None:
             return []
         return choose_receivers(self.membership.map, row, {self.node}, self.configuration.accepts_work)
 
-    def has_receivers(self) -> bool:
-        """Return whether any node may take this node's slices."""
-        return bool(self.receivers())
+    def has_drain_receivers(self) -> bool:
+        """Return whether any node may receive this node's slices."""
+        return bool(self.drain_receivers())
 
     def start_drain_handover(self) -> None:
-        """Move a share of the slices to the least loaded receiver."""
+        """Start the handover of an even share of the slices to the preferred receiver."""
         row = self.owned.row
-        names = self.receivers()
-        if not names:
-            self.retry_at = self.app.clock.monotonic() + RETRY_SECONDS
+        receiver_names = self.drain_receivers()
+        if not receiver_names:
+            self.retry_at = self.app.clock.monotonic() + RETRY_INTERVAL_SECONDS
             return
-        share = -(-len(row.slices) // len(names))
-        self.begin(names[0], row.slices[:share], row.hot_keys)
-
-    # Slices without an owner
+        slices_per_receiver = -(-len(row.slices) // len(receiver_names))
+        self.start_handover(receiver_names[0], row.slices[:slices_per_receiver], row.hot_keys)
 
     def claim_unowned(self) -> None:
-        """Claim slices of the ring that have no owner."""
+        """Claim slices of this node's ring that have no owner."""
         row = self.owned.row
         if (
             row is None
--- a/src/hibiscusdrum/internal/daemon/main.py
+++ b/src/hibiscusdrum/internal/daemon/main.py
@@ -11,7 +11,7 @@
 from hibiscusdrum.internal.daemon.guarding import Guarding
 from hibiscusdrum.internal.daemon.handover import HandoverCoordinator
 from hibiscusdrum.internal.daemon.http_endpoint import HttpEndpoint
-from hibiscusdrum.internal.daemon.leases import Leases
+from hibiscusdrum.internal.daemon.leases import LeaseManager
 from hibiscusdrum.internal.daemon.link import Link
 from hibiscusdrum.internal.daemon.membership import Membership
 from hibiscusdrum.internal.daemon.metrics import Metrics
@@ -42,7 +42,7 @@
     app.add(Configuration(settings.node, settings.failure_domain))
     app.add(OwnedSlices(settings.node))
     app.add(Target(settings))
-    app.add(Leases(settings))
+    app.add(LeaseManager(settings))
     app.add(Guarding(settings))
     app.add(HandoverCoordinator(settings))
     app.add(Rebalancer(settings))
--- a/src/hibiscusdrum/internal/daemon/rebalancer.py
+++ b/src/hibiscusdrum/internal/daemon/rebalancer.py
@@ -60,7 +60,7 @@
         ring = self.membership.map.owner_rows(row.service, row.region)
         for move in placement.plan_moves(ring, {}, {}, MAX_SLICES_PER_ROUND, self.eligible):
             if move.source == row.node:
-                self.handover.begin(move.receiver, move.slices)
+                self.handover.start_handover(move.receiver, move.slices)
                 return
 
     def move_hot_key(self, row: OwnerRow, rows: list[OwnerRow]) -> bool:
@@ -70,7 +70,7 @@
         for hash_value in changes.merge:
             owner = self.slice_owner(row, hash_value)
             if owner is not None and owner.node != row.node:
-                self.handover.begin(owner.node, (), (hash_value,))
+                self.handover.start_handover(owner.node, (), (hash_value,))
                 return True
         for hash_value in changes.isolate:
             if hash_value in row.excluded:
@@ -78,7 +78,7 @@
             others = [other for other in rows if other.node != row.node]
             receiver = min(others, key=lambda other: (len(other.hot_keys), len(other.slices), other.node))
             detector.forget(hash_value)
-            self.handover.begin(receiver.node, (), (hash_value,))
+            self.handover.start_handover(receiver.node, (), (hash_value,))
             return True
         return False
 
--- a/src/hibiscusdrum/internal/daemon/stopping.py
+++ b/src/hibiscusdrum/internal/daemon/stopping.py
@@ -66,10 +66,10 @@
         log_events.emit(log_events.Stopping(reason="signal", in_flight=in_flight))
         self.requests.stopping = True
         self.handover.leave()
-        self.leases.leave_wanted()
+        self.leases.disable_rejoin()
         holder = self.leases.holder
-        if holder is not None and holder.row is not None and not self.leases.writing:
-            self.leases.change_guard(holder.row.guard, state=transactions.LEAVING)
+        if holder is not None and holder.row is not None and not self.leases.row_write_pending:
+            self.leases.write_lease_row(holder.row.guard, state=transactions.LEAVING)
         self.app.scheduler.every(STEP_INTERVAL_SECONDS, self.step)
 
     @property
@@ -91,7 +91,7 @@
         row = self.owned.row
         if row is None or not (row.slices or row.hot_keys):
             return not self.handover.busy
-        return not self.handover.has_receivers()
+        return not self.handover.has_drain_receivers()
 
     def lessees_gone(self) -> bool:
         """Return whether the nodes that this one guards have another guard, or have had time for it."""
