Reword the guard and membership services of the daemon

Names and comments spoke of guard duties, orphans that are adopted, forgetting and spreading. Main renames: Guarding -> GuardService, check -> take_over_expired, receivers -> eligible_receivers, adopt_orphan -> adopt_orphaned_node, Membership.polling -> poll_in_progress, poll_again -> repeat_poll, note_store -> update_store_state, version -> row_version, FORGET_SECONDS -> CONNECTION_LINGER_SECONDS, with_sequence -> fill_sequence_placeholder.

--- a/src/hibiscusdrum/internal/daemon/guarding.py
+++ b/src/hibiscusdrum/internal/daemon/guarding.py
@@ -1,4 +1,4 @@
-"""Guard duties: the leases that this node grants, and the takeover of nodes that are lost."""
+"""Guard role of this node: grants leases to other nodes and takes over nodes whose leases have expired."""
 
 from __future__ import annotations
 
@@ -16,17 +16,18 @@
 from hibiscusdrum.internal.platform.table import Row, Transaction
 from hibiscusdrum.internal.settings import Settings
 
-# Time between checks for lapsed lessees; it adds to the time until a key is served again.
-CHECK_SECONDS = 0.05
-# Wait before a takeover with an unknown outcome is sent again.
-REPEAT_SECONDS = 0.2
-ORPHAN_CHECK_SECONDS = 1.0
-# Nodes that try to remove a released node, so that the loss of one of them does not matter.
-RELEASE_CANDIDATES = 3
+# Interval of the checks for expired leases; it adds to the time until the keys of a lost node are served
+# again.
+CHECK_INTERVAL_SECONDS = 0.05
+# Delay before a takeover transaction with an unknown outcome is sent again.
+TAKEOVER_RETRY_SECONDS = 0.2
+ORPHAN_CHECK_INTERVAL_SECONDS = 1.0
+# Number of nodes that each try to remove a released node, so that the loss of some of them does not matter.
+RELEASE_ATTEMPTING_NODES = 3
 
 
-class Guarding(Service):
-    """Grants leases, and takes over nodes whose leases have ended.
+class GuardService(Service):
+    """Grants leases and takes over nodes whose leases have expired.
 
     Parameters
     ----------
@@ -45,7 +46,7 @@
         )
 
     def on_start(self) -> None:
-        """Subscribe to renewals and rows and start the timers."""
+        """Subscribe to renewal messages and rows, and start the timers."""
         find = self.app.find
         self.membership = find("membership")
         self.configuration = find("configuration")
@@ -54,9 +55,9 @@
         self.peers.control_handlers[RenewLease] = self.on_renew
         self.membership.listeners.append(self.on_rows)
         every = self.app.scheduler.every
-        every(CHECK_SECONDS, self.check)
-        every(ORPHAN_CHECK_SECONDS, self.adopt_orphan)
-        every(ORPHAN_CHECK_SECONDS, self.take_over_released)
+        every(CHECK_INTERVAL_SECONDS, self.take_over_expired)
+        every(ORPHAN_CHECK_INTERVAL_SECONDS, self.adopt_orphaned_node)
+        every(ORPHAN_CHECK_INTERVAL_SECONDS, self.take_over_released)
 
     @property
     def now(self) -> float:
@@ -64,17 +65,15 @@
         return self.app.clock.monotonic()
 
     def on_rows(self, rows: list[Row]) -> None:
-        """Note changed lease rows."""
+        """Pass changed lease rows to the guard table."""
         for row in rows:
             if row.key.startswith(LEASE_PREFIX):
                 node = row.key[len(LEASE_PREFIX) :]
                 value = self.membership.map.leases.get(node) if row.value is not None else None
                 self.guard_table.apply_row(value, node, row.version, self.now)
 
-    # Renewals
-
     def on_renew(self, message: RenewLease) -> None:
-        """Grant or refuse a renewal."""
+        """Grant or refuse a lease renewal."""
         now = self.now
         self.configuration.note_peer_revision(message.node, message.revision)
         decision = self.guard_table.decide_renewal(
@@ -82,16 +81,16 @@
         )
         address = self.membership.address_of(message.node)
         if address is None or decision.refusal is RenewalRefusal.UNKNOWN_VERSION:
-            # The owner's row is newer than this node's copy; its next renewal comes within the term.
+            # The sender's row is newer than this node's copy; its next renewal arrives within the lease term.
             self.membership.poll()
         if address is None:
             return
-        self.peers.send_control(address, self.answer_renewal(message, decision.refusal))
+        self.peers.send_control(address, self.renewal_response(message, decision.refusal))
 
-    def answer_renewal(
+    def renewal_response(
         self, message: RenewLease, refusal: RenewalRefusal | None
     ) -> LeaseGranted | LeaseRefused:
-        """Build the answer to a renewal."""
+        """Build the response to a renewal: a grant, or a refusal if a reason is given."""
         if refusal is not None:
             return LeaseRefused(
                 guard=self.node,
@@ -109,19 +108,17 @@
             table_seq=self.membership.map.seq,
         )
 
-    # Takeovers
-
-    def check(self) -> None:
-        """Take over nodes whose leases have ended."""
+    def take_over_expired(self) -> None:
+        """Take over the nodes guarded by this one whose leases have expired."""
         for due in self.guard_table.expired_leases(self.now, self.leases.valid()):
             self.take_over(due)
 
     def take_over(self, due: ExpiredLease) -> None:
-        """Write the takeover of a lapsed node."""
+        """Start the takeover of a node whose lease has expired."""
         if not self.guard_table.begin_takeover(due.node):
             return
-        started = self.now
-        receivers = self.receivers(due.node)
+        started_at = self.now
+        receivers = self.eligible_receivers(due.node)
         log_events.emit(log_events.TakeoverStarted(taken_node=due.node, lease_version=due.lease_version))
         transaction = takeover.takeover_transaction(
             self.membership.map,
@@ -131,72 +128,75 @@
             new_operation_id(),
             lambda row: row.node in receivers,
         )
-        self.commit_takeover(due, transaction, started)
+        self.commit_takeover(due, transaction, started_at)
 
-    def receivers(self, taken: str) -> set[str]:
-        """Return the nodes that may get slices of one that is taken over.
+    def eligible_receivers(self, lost_node: str) -> set[str]:
+        """Return the nodes that may receive slices of a node that is taken over.
 
-        A node whose guard was the lost one may be lost with it, which would delay its new slices by a term;
-        such nodes are left out unless there are no others.
+        A node guarded by the lost node may be lost as well, which would delay the service of its new slices
+        by a lease term. Such nodes are excluded unless there are no others.
         """
         owners, leases = self.membership.map.owners, self.membership.map.leases
-        row = owners.get(taken)
+        row = owners.get(lost_node)
         if row is None:
             return set()
         ring = self.membership.map.owner_rows(row.service, row.region)
-        usable = {
+        eligible = {
             other.node
             for other in ring
-            if other.node != taken
+            if other.node != lost_node
             and other.node in leases
             and leases[other.node].state == ACTIVE
             and self.configuration.accepts_work(other)
         }
-        trusted = {node for node in usable if leases[node].guard != taken}
-        return trusted or usable
+        independent = {node for node in eligible if leases[node].guard != lost_node}
+        return independent or eligible
 
-    def commit_takeover(self, due: ExpiredLease, transaction: Transaction, started: float) -> None:
-        """Send a takeover; with an unknown outcome the same transaction is sent again."""
-        taken = self.membership.map.owners.get(due.node)
-        slices = len(taken.slices) if taken is not None else 0
+    def commit_takeover(self, due: ExpiredLease, transaction: Transaction, started_at: float) -> None:
+        """Commit a takeover; a transaction with an unknown outcome is sent again unchanged."""
+        lost_row = self.membership.map.owners.get(due.node)
+        slices = len(lost_row.slices) if lost_row is not None else 0
 
         def done(result: Result[int, HibiscusdrumError]) -> None:
             if isinstance(result, Success):
                 self.guard_table.end_takeover(due.node, True, self.now)
-                self.log_takeover(due, transaction, started, slices)
+                self.log_takeover(due, transaction, started_at, slices)
             elif isinstance(result.failure(), StoreConflict):
                 self.guard_table.end_takeover(due.node, False, self.now)
                 keys = tuple(result.failure().keys)
                 log_events.emit(log_events.TakeoverConflict(taken_node=due.node, keys=keys))
             else:
                 self.app.scheduler.call_later(
-                    REPEAT_SECONDS, lambda: self.commit_takeover(due, transaction, started)
+                    TAKEOVER_RETRY_SECONDS, lambda: self.commit_takeover(due, transaction, started_at)
                 )
 
         self.membership.commit(transaction, done)
 
-    def log_takeover(self, due: ExpiredLease, transaction: Transaction, started: float, slices: int) -> None:
+    def log_takeover(
+        self, due: ExpiredLease, transaction: Transaction, started_at: float, slices: int
+    ) -> None:
         """Log a committed takeover."""
         receivers = tuple(key.removeprefix("owner/") for key in transaction.puts if key.startswith("owner/"))
-        duration = (self.now - started) * 1000.0
+        duration_ms = (self.now - started_at) * 1000.0
         log_events.emit(
             log_events.TakeoverCommitted(
-                taken_node=due.node, receivers=receivers, slices=slices, duration_ms=duration
+                taken_node=due.node, receivers=receivers, slices=slices, duration_ms=duration_ms
             )
         )
 
-    # Nodes without a guard that could take them over
-
     def take_over_released(self) -> None:
-        """Remove nodes that an operator declared gone; few nodes try, and the table lets one succeed."""
+        """Remove nodes that an operator has released as lost.
+
+        Only the first ``RELEASE_ATTEMPTING_NODES`` nodes by name try; the table lets one of them succeed.
+        """
         leases = self.membership.map.leases
         released = [
             entry.node
             for entry in self.configuration.document.released
             if entry.node in leases and entry.lease_version == self.lease_version(entry.node)
         ]
-        others = sorted(node for node in leases if node not in released)
-        if not released or self.node not in others[:RELEASE_CANDIDATES]:
+        remaining_nodes = sorted(node for node in leases if node not in released)
+        if not released or self.node not in remaining_nodes[:RELEASE_ATTEMPTING_NODES]:
             return
         for transaction in takeover.release_transactions(
             self.membership.map, released, new_operation_id(), self.configuration.accepts_work
@@ -207,8 +207,8 @@
         """Return the version of a node's lease row."""
         return self.membership.map.version(lease_key(node))
 
-    def adopt_orphan(self) -> None:
-        """Become the guard of a node in this region whose guard has no lease row any more."""
+    def adopt_orphaned_node(self) -> None:
+        """Become the guard of one node in this region whose guard no longer has a lease row."""
         if not self.leases.valid():
             return
         owners = self.membership.map.owners
--- a/src/hibiscusdrum/internal/daemon/leases.py
+++ b/src/hibiscusdrum/internal/daemon/leases.py
@@ -143,7 +143,7 @@
         if not self.join_requested or self.holder is not None or self.join_pending:
             return
         has_route = self.app.find("configuration").serves(self.settings.service, self.settings.region)
-        if not membership.loaded or not has_route or membership.map.version(lease_key(self.node)):
+        if not membership.table_loaded or not has_route or membership.map.version(lease_key(self.node)):
             self.app.scheduler.call_later(JOIN_RETRY_SECONDS, self.try_join)
             return
         self.join_pending = True
--- a/src/hibiscusdrum/internal/daemon/main.py
+++ b/src/hibiscusdrum/internal/daemon/main.py
@@ -8,7 +8,7 @@
 from hibiscusdrum.errors import HibiscusdrumError
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.configuration import Configuration
-from hibiscusdrum.internal.daemon.guarding import Guarding
+from hibiscusdrum.internal.daemon.guarding import GuardService
 from hibiscusdrum.internal.daemon.handover import HandoverCoordinator
 from hibiscusdrum.internal.daemon.http_endpoint import HttpEndpoint
 from hibiscusdrum.internal.daemon.leases import LeaseManager
@@ -43,7 +43,7 @@
     app.add(OwnedSlices(settings.node))
     app.add(Target(settings))
     app.add(LeaseManager(settings))
-    app.add(Guarding(settings))
+    app.add(GuardService(settings))
     app.add(HandoverCoordinator(settings))
     app.add(Rebalancer(settings))
     app.add(Metrics(settings.node))
--- a/src/hibiscusdrum/internal/daemon/membership.py
+++ b/src/hibiscusdrum/internal/daemon/membership.py
@@ -1,4 +1,4 @@
-"""The daemon's copy of the table: reads changes, commits transactions and spreads the rows to peers."""
+"""Local replica of the table: polls for changes, commits transactions and sends committed rows to peers."""
 
 from __future__ import annotations
 
@@ -24,94 +24,99 @@
     Transaction,
 )
 
-# Reads of 490 daemons that started together spread over the poll interval within a few rounds.
-POLL_JITTER = 0.2
-# Reads after a failure back off, with jitter, so that 490 daemons do not ask 980 times a second during an
-# outage, nor all at once after it.
-FAILED_POLL_SECONDS = 0.5
-MAX_FAILED_POLL_SECONDS = 2.0
-# A connection to a node that has left is kept for answers under way. Kept for ever, each of 70 replaced VMs a
-# day would cost one of the 1,023 sockets that a ZeroMQ context allows, and reconnect twice a second.
-FORGET_SECONDS = 10.0
+# Share of the poll interval that is randomized, so that the reads of 490 daemons started together spread over
+# the interval within a few rounds.
+POLL_JITTER_SHARE = 0.2
+# Failed reads are retried with exponential backoff and jitter. Otherwise 490 daemons would send 980 reads a
+# second during an outage and all read at once after it.
+POLL_RETRY_SECONDS = 0.5
+MAX_POLL_RETRY_SECONDS = 2.0
+# A connection to a node that has left is kept this long for responses in flight. It must be closed: each of
+# 70 replaced VMs a day would else use up one of the 1,023 sockets of a ZeroMQ context and reconnect twice a
+# second.
+CONNECTION_LINGER_SECONDS = 10.0
 
 RowsListener = Callable[[list[Row]], None]
 
 
 class Membership(Service):
-    """Keeps the ownership map current and is the only writer of rows in this process.
+    """Keeps the ownership map up to date; all writes of rows in this process go through this service.
 
     Parameters
     ----------
     node : str
         Name of this node.
-    poll_seconds : float
-        Time between reads of the table's changes.
+    poll_interval_seconds : float
+        Interval at which the changes of the table are read.
     """
 
     service_name = "membership"
 
-    def __init__(self, node: str, poll_seconds: float) -> None:
+    def __init__(self, node: str, poll_interval_seconds: float) -> None:
         super().__init__()
         self.node = node
-        self.poll_seconds = poll_seconds
+        self.poll_interval_seconds = poll_interval_seconds
         self.map = OwnershipMap()
         self.rows: dict[str, Row] = {}
         self.listeners: list[RowsListener] = []
         self.store_reachable = False
         self.unreachable_since: float | None = None
-        self.polling = False
-        self.poll_again = False
-        self.next_poll: Timer | None = None
-        self.loaded = False
+        self.poll_in_progress = False
+        self.repeat_poll = False
+        self.poll_timer: Timer | None = None
+        self.table_loaded = False
         self.failed_polls = 0
         self.rng = random.Random(node)
 
     def on_start(self) -> None:
-        """Read the whole table, then its changes."""
+        """Start polling; the first read returns the whole table."""
         self.table = self.app.find("table")
         self.peers = self.app.find("peers")
         self.peers.control_handlers[RowsChanged] = self.on_rows_changed
         self.poll()
 
-    # Reading
-
     def poll(self) -> None:
-        """Read the changes now, or again after the read under way, which may miss the latest writes."""
-        if self.polling:
-            self.poll_again = True
+        """Read the table's changes now.
+
+        If a read is in progress, another one follows it, since the one in progress may miss the latest
+        writes.
+        """
+        if self.poll_in_progress:
+            self.repeat_poll = True
             return
-        self.polling = True
-        self.poll_again = False
-        # A read out of turn replaces the next regular one; else each would add a cycle of its own.
-        if self.next_poll is not None:
-            self.next_poll.cancel()
+        self.poll_in_progress = True
+        self.repeat_poll = False
+        # An extra read replaces the next scheduled one; otherwise each extra read would start another poll
+        # loop.
+        if self.poll_timer is not None:
+            self.poll_timer.cancel()
         self.table.changes(self.map.seq, self.on_changes)
 
     def on_changes(self, result: Result[Changes, HibiscusdrumError]) -> None:
-        """Apply the changes and schedule the next read."""
-        self.polling = False
+        """Apply the result of a read and schedule the next one."""
+        self.poll_in_progress = False
         if isinstance(result, Success):
             changes = result.unwrap()
-            self.note_store(True, "")
-            self.loaded = True
+            self.update_store_state(True, "")
+            self.table_loaded = True
             self.failed_polls = 0
             self.apply(changes.rows, changes.seq)
-            delay = self.poll_seconds * (1.0 + POLL_JITTER * (self.rng.random() - 0.5))
+            delay = self.poll_interval_seconds * (1.0 + POLL_JITTER_SHARE * (self.rng.random() - 0.5))
         else:
-            self.note_store(False, result.failure().code)
+            self.update_store_state(False, result.failure().code)
             self.failed_polls += 1
-            longest = min(MAX_FAILED_POLL_SECONDS, FAILED_POLL_SECONDS * 2.0 ** min(self.failed_polls, 8))
-            delay = longest * (0.5 + 0.5 * self.rng.random())
-        self.next_poll = self.app.scheduler.call_later(delay, self.poll)
-        if self.poll_again and self.store_reachable:
+            max_delay = min(MAX_POLL_RETRY_SECONDS, POLL_RETRY_SECONDS * 2.0 ** min(self.failed_polls, 8))
+            delay = max_delay * (0.5 + 0.5 * self.rng.random())
+        self.poll_timer = self.app.scheduler.call_later(delay, self.poll)
+        if self.repeat_poll and self.store_reachable:
             self.poll()
 
-    def note_store(self, reachable: bool, reason: str) -> None:
-        """Record whether the store answered, and log a change."""
+    def update_store_state(self, reachable: bool, reason: str) -> None:
+        """Record whether the store is reachable, and log the start and the end of an outage."""
         now = self.app.clock.monotonic()
         if reachable and self.unreachable_since is not None:
-            outage = (now - self.unreachable_since) * 1000.0
-            log_events.emit(log_events.StoreAvailable(outage_ms=outage))
+            outage_ms = (now - self.unreachable_since) * 1000.0
+            log_events.emit(log_events.StoreAvailable(outage_ms=outage_ms))
             self.unreachable_since = None
         if not reachable and self.unreachable_since is None:
             log_events.emit(log_events.StoreUnavailable(operation="changes", reason=reason))
@@ -119,62 +124,65 @@
         self.store_reachable = reachable
 
     def on_rows_changed(self, message: RowsChanged) -> None:
-        """Apply rows that a peer has committed; rows written before them may still be missing."""
+        """Apply rows that a peer has committed.
+
+        The known sequence number stays, since rows that were written earlier may still be missing here.
+        """
         self.apply((Row(key, version, value) for key, version, value in message.rows), self.map.seq)
 
     def apply(self, rows: Iterable[Row], seq: int) -> None:
-        """Take over rows that are newer than the known ones and tell the listeners."""
-        changed = [row for row in rows if row.version > self.version(row.key)]
-        self.forget_former_addresses(changed)
+        """Apply the rows that are newer than the known ones and notify the listeners."""
+        changed = [row for row in rows if row.version > self.row_version(row.key)]
+        self.schedule_connection_closes(changed)
         self.rows.update((row.key, row) for row in changed)
         self.map.apply([(row.key, row.version, row.value) for row in changed], seq)
         if changed:
             for listener in self.listeners:
                 listener(changed)
 
-    def forget_former_addresses(self, changed: list[Row]) -> None:
-        """Close connections to addresses that owner rows no longer give, a while after the change."""
-        former = {
+    def schedule_connection_closes(self, changed: list[Row]) -> None:
+        """Schedule the closing of connections to addresses that the changed owner rows no longer contain."""
+        former_addresses = {
             self.map.owners[node].peer_address
             for row in changed
             if row.key.startswith(OWNER_PREFIX) and (node := row.key[len(OWNER_PREFIX) :]) in self.map.owners
         }
-        gone = former - {
+        unused_addresses = former_addresses - {
             row.value["peer_address"]
             for row in changed
             if row.key.startswith(OWNER_PREFIX)
             and isinstance(row.value, dict)
             and "peer_address" in row.value
         }
-        for address in gone:
-            self.app.scheduler.call_later(FORGET_SECONDS, lambda gone=address: self.forget_address(gone))
+        for address in unused_addresses:
+            self.app.scheduler.call_later(
+                CONNECTION_LINGER_SECONDS, lambda unused=address: self.close_connection(unused)
+            )
 
-    def forget_address(self, address: str) -> None:
-        """Close the connection to an address unless a node has it again."""
+    def close_connection(self, address: str) -> None:
+        """Close the connection to an address unless a known node uses the address again."""
         if address not in self.peer_addresses():
             self.peers.forget_peer(address)
 
-    def version(self, key: str) -> int:
-        """Return the version of a row as known here, deletions included; 0 when it was never seen."""
+    def row_version(self, key: str) -> int:
+        """Return the version of the known row or its deletion; 0 if the row was never seen."""
         row = self.rows.get(key)
         return row.version if row is not None else 0
 
     def changes_since(self, seq: int) -> tuple[tuple[str, int, Any], ...]:
-        """Return the rows written after a sequence number, for callers' maps."""
+        """Return the known rows written after a sequence number, for a ``MapReply``."""
         return tuple((row.key, row.version, row.value) for row in self.rows.values() if row.version > seq)
 
     def config_version(self) -> int:
-        """Return the version of the configuration row, 0 when it is absent."""
-        return self.version(CONFIG_KEY)
+        """Return the version of the configuration row; 0 if it was never seen."""
+        return self.row_version(CONFIG_KEY)
 
     def lease_versions(self) -> dict[str, int]:
         """Return the version of each node's lease row."""
         return {node: self.map.version(lease_key(node)) for node in self.map.leases}
 
-    # Writing
-
     def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
-        """Commit a transaction; on success the rows are applied here and sent to all peers first."""
+        """Commit a transaction; on success its rows are applied and sent out before ``callback`` is called."""
 
         def done(result: Result[int, HibiscusdrumError]) -> None:
             if isinstance(result, Success):
@@ -186,13 +194,15 @@
         self.table.commit(transaction, done)
 
     def publish(self, transaction: Transaction, seq: int) -> None:
-        """Apply committed rows here and announce them to peers, which otherwise wait for their next read."""
-        rows = [Row(key, seq, with_sequence(value, seq)) for key, value in transaction.puts.items()]
+        """Apply committed rows and send them to all peers, which need not wait for their next poll then."""
+        rows = [
+            Row(key, seq, fill_sequence_placeholder(value, seq)) for key, value in transaction.puts.items()
+        ]
         rows += [Row(key, seq, None) for key in transaction.deletes]
-        receivers = self.peer_addresses()
+        previous_peers = self.peer_addresses()
         self.apply(rows, self.map.seq)
         message = RowsChanged(self.node, seq, tuple((row.key, row.version, row.value) for row in rows))
-        for address in receivers | self.peer_addresses():
+        for address in previous_peers | self.peer_addresses():
             self.peers.send_control(address, message)
 
     def peer_addresses(self) -> set[str]:
@@ -209,7 +219,7 @@
         for address in self.peer_addresses():
             self.peers.send_control(address, message)
 
-    # Table protocol, for the operators' API
+    # Methods of the table client, for ``OperatorApi``
 
     def read(self, keys: tuple[str, ...], callback: ReadCallback) -> None:
         """Read rows from the table."""
@@ -219,20 +229,20 @@
         """Read the rows written after a sequence number from the table."""
         self.table.changes(since, callback)
 
-    # MapView of the call engine
+    # ``MapView`` protocol, for ``CallEngine``
 
     @property
     def document(self) -> Any:
-        """Configuration in force."""
+        """Configuration document in force."""
         return self.app.find("configuration").document
 
     def invalidate(self, _now: float) -> None:
-        """Read the table's changes, because a refusal showed the map to be stale."""
+        """Read the table's changes, since a refusal has shown that the map is stale."""
         self.poll()
 
 
-def with_sequence(value: Any, seq: int) -> Any:
-    """Return a put value as the table stores it, with the sequence number in its epoch field."""
+def fill_sequence_placeholder(value: Any, seq: int) -> Any:
+    """Return a written value as the table stores it, with the sequence number in place of the placeholder."""
     if isinstance(value, dict) and value.get("epoch") == SEQUENCE_PLACEHOLDER:
         return {**value, "epoch": seq}
     return value
