Reword the configuration service of the daemon

Note, track and spread did not name what happens to a revision. Also shortens a doc comment in membership.py that was over the line length.

--- a/src/hibiscusdrum/internal/daemon/guarding.py
+++ b/src/hibiscusdrum/internal/daemon/guarding.py
@@ -75,7 +75,7 @@
     def on_renew(self, message: RenewLease) -> None:
         """Grant or refuse a lease renewal."""
         now = self.now
-        self.configuration.note_peer_revision(message.node, message.revision)
+        self.configuration.on_peer_revision(message.node, message.revision)
         decision = self.guard_table.decide_renewal(
             message.node, message.incarnation, message.lease_version, self.leases.valid(), now
         )
--- a/src/hibiscusdrum/internal/daemon/leases.py
+++ b/src/hibiscusdrum/internal/daemon/leases.py
@@ -142,8 +142,8 @@
         membership = self.membership
         if not self.join_requested or self.holder is not None or self.join_pending:
             return
-        has_route = self.app.find("configuration").serves(self.settings.service, self.settings.region)
-        if not membership.table_loaded or not has_route or membership.map.version(lease_key(self.node)):
+        is_routed = self.app.find("configuration").has_route(self.settings.service, self.settings.region)
+        if not membership.table_loaded or not is_routed or membership.map.version(lease_key(self.node)):
             self.app.scheduler.call_later(JOIN_RETRY_SECONDS, self.try_join)
             return
         self.join_pending = True
@@ -234,7 +234,7 @@
 
     def on_lease_granted(self, message: LeaseGranted) -> None:
         """Extend the lease by a grant and notify the listeners."""
-        self.app.find("configuration").note_peer_revision(message.guard, message.revision)
+        self.app.find("configuration").on_peer_revision(message.guard, message.revision)
         if self.holder is None or message.node != self.node:
             return
         if self.holder.on_granted(message.nonce, message.lease_version, self.now):
--- a/src/hibiscusdrum/internal/daemon/membership.py
+++ b/src/hibiscusdrum/internal/daemon/membership.py
@@ -182,7 +182,7 @@
         return {node: self.map.version(lease_key(node)) for node in self.map.leases}
 
     def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
-        """Commit a transaction; on success its rows are applied and sent out before ``callback`` is called."""
+        """Commit a transaction; on success its rows are applied and sent before ``callback`` is called."""
 
         def done(result: Result[int, HibiscusdrumError]) -> None:
             if isinstance(result, Success):
@@ -194,7 +194,7 @@
         self.table.commit(transaction, done)
 
     def publish(self, transaction: Transaction, seq: int) -> None:
-        """Apply committed rows and send them to all peers, which need not wait for their next poll then."""
+        """Apply committed rows and send them to all peers, which need not wait for their next poll."""
         rows = [
             Row(key, seq, fill_sequence_placeholder(value, seq)) for key, value in transaction.puts.items()
         ]
--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -237,7 +237,7 @@
             raise Moved(slice=resolution.slice, owner=owner.node)
         if not self.leases.valid():
             raise LeaseLost(node=self.settings.node)
-        if self.configuration.refuses_owned():
+        if self.configuration.drain_grace_expired():
             raise Draining(node=self.settings.node)
 
     def check_accepts_unowned(self, call: Call, resolution: Resolution) -> None:
