--- a/src/hibiscusdrum/internal/daemon/owned.py
+++ b/src/hibiscusdrum/internal/daemon/owned.py
@@ -1,4 +1,4 @@
-"""What this node owns now: admission by slice, acquisition times, and requests in flight on each slice."""
+"""Slices and hot keys that this node owns, with their acquisition times and requests in flight."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class OwnedSlices(Service):
-    """Follows the node's own owner row.
+    """Tracks this node's owner row and the requests in flight on its slices.
 
     Parameters
     ----------
@@ -21,8 +21,8 @@
     Attributes
     ----------
     acquired_at_by_slice : dict of int to float
-        Wall time in seconds at which this node got each of its slices; retries made before then may have run
-        under an earlier owner.
+        Wall-clock time in seconds at which this node acquired each of its slices; earlier attempts of a
+        request may have run at a previous owner.
     in_flight_by_slice, in_flight_by_key : Counter of int
         Admitted requests without an outcome, by slice and by key hash.
     """
@@ -45,12 +45,12 @@
         self.membership.listeners.append(self.on_rows)
 
     def on_rows(self, rows: list[Row]) -> None:
-        """Note a change of the own row."""
+        """Process a change of this node's owner row."""
         if any(row.key == owner_key(self.node) for row in rows):
             self.set_row(self.membership.map.owners.get(self.node))
 
     def set_row(self, row: OwnerRow | None) -> None:
-        """Record when slices and hot keys were gained and drop those that were given away."""
+        """Record acquisition times of new slices and hot keys, and remove those no longer owned."""
         wall = self.app.clock.wall()
         former = self.epoch
         self.row = row
@@ -72,21 +72,21 @@
         return slice_index in self.acquired_at_by_slice and hash_value not in row.excluded
 
     def acquired_at(self, hash_value: int, slice_index: int) -> float:
-        """Return the wall time at which this node got the key."""
+        """Return the wall-clock time at which this node acquired the key."""
         return self.acquired_at_by_hot_key.get(hash_value, self.acquired_at_by_slice.get(slice_index, 0.0))
 
     @property
     def epoch(self) -> int:
-        """Fencing token of the requests admitted now."""
+        """Fencing token for newly admitted requests; 0 if this node has no owner row."""
         return self.row.epoch if self.row is not None else 0
 
     def request_started(self, hash_value: int, slice_index: int) -> None:
-        """Count a request admitted on a key."""
+        """Count a request for a key as in flight."""
         self.in_flight_by_slice[slice_index] += 1
         self.in_flight_by_key[hash_value] += 1
 
     def request_finished(self, hash_value: int, slice_index: int) -> None:
-        """Count a request on a key as ended."""
+        """Count a request for a key as ended."""
         for counter, entry in ((self.in_flight_by_slice, slice_index), (self.in_flight_by_key, hash_value)):
             counter[entry] -= 1
             if counter[entry] <= 0:
