--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -388,7 +388,7 @@
         failure = result.failure()
         if not failure.bytes_sent:
             if failure.kind is FailureKind.REFUSED:
-                self.target.lost("refused")
+                self.target.mark_lost("refused")
             return Failure(TargetUnreachable(target=self.settings.node))
         if failure.kind is FailureKind.INCOMPLETE:
             return Failure(IncompleteAnswer(received=failure.received, declared=failure.declared))
--- a/src/hibiscusdrum/internal/daemon/target.py
+++ b/src/hibiscusdrum/internal/daemon/target.py
@@ -1,4 +1,4 @@
-"""The target beside this daemon: its announcements, and whether it can be reached."""
+"""Target of this node: its announcements and its availability."""
 
 from __future__ import annotations
 
@@ -13,11 +13,11 @@
 
 # Targets announce themselves each second; two lost announcements are tolerated.
 ANNOUNCEMENT_TIMEOUT_SECONDS = 3.5
-CHECK_SECONDS = 0.25
+CHECK_INTERVAL_SECONDS = 0.25
 
 
 class Announcement(msgspec.Struct, frozen=True):
-    """What a target says of itself."""
+    """Announcement that a target sends to its daemon each second."""
 
     service: str
     address: str
@@ -27,12 +27,12 @@
 
 
 class Target(Service):
-    """Tracks the one target of this node.
+    """Tracks the availability of this node's target.
 
     Parameters
     ----------
     settings : Settings
-        Names the service and the address that the target must have.
+        Service and address that the target must announce.
     """
 
     service_name = "target"
@@ -41,21 +41,21 @@
         super().__init__()
         self.settings = settings
         self.announcement: Announcement | None = None
-        self.last_seen = 0.0
+        self.last_announced_at = 0.0
         self.available_listeners: list[Callable[[], None]] = []
         self.lost_listeners: list[Callable[[], None]] = []
 
     def on_start(self) -> None:
-        """Watch for a target that stops announcing itself."""
-        self.app.scheduler.every(CHECK_SECONDS, self.check)
+        """Start the timer that checks for missing announcements."""
+        self.app.scheduler.every(CHECK_INTERVAL_SECONDS, self.check_timeout)
 
     @property
     def available(self) -> bool:
-        """Whether the target has announced itself and was not lost since."""
+        """Whether the target has announced itself and has not been lost since then."""
         return self.announcement is not None
 
     def announce(self, body: bytes) -> None:
-        """Take an announcement.
+        """Process an announcement.
 
         Raises
         ------
@@ -67,7 +67,7 @@
         except msgspec.DecodeError as error:
             raise InvalidArgument(name="announcement", value=body[:64], expected=str(error)) from None
         self.check_announcement(announcement)
-        self.last_seen = self.app.clock.monotonic()
+        self.last_announced_at = self.app.clock.monotonic()
         if self.announcement is None:
             self.announcement = announcement
             log_events.emit(log_events.TargetAnnounced(target=announcement.address, incarnation=""))
@@ -75,7 +75,7 @@
                 listener()
 
     def check_announcement(self, announcement: Announcement) -> None:
-        """Raise ``InvalidArgument`` when another target announces itself here."""
+        """Raise ``InvalidArgument`` if the announcement is not from this node's target."""
         settings = self.settings
         if announcement.service != settings.service:
             raise InvalidArgument(name="service", value=announcement.service, expected=settings.service)
@@ -84,13 +84,16 @@
                 name="address", value=announcement.address, expected=settings.target_address
             )
 
-    def check(self) -> None:
-        """Declare the target lost when its announcements have stopped."""
-        if self.available and self.app.clock.monotonic() - self.last_seen > ANNOUNCEMENT_TIMEOUT_SECONDS:
-            self.lost("silent")
+    def check_timeout(self) -> None:
+        """Mark the target as lost if its announcements have stopped."""
+        if (
+            self.available
+            and self.app.clock.monotonic() - self.last_announced_at > ANNOUNCEMENT_TIMEOUT_SECONDS
+        ):
+            self.mark_lost("silent")
 
-    def lost(self, reason: str) -> None:
-        """Declare the target lost, for example after a refused connection."""
+    def mark_lost(self, reason: str) -> None:
+        """Mark the target as lost, for example after a refused connection."""
         if not self.available:
             return
         self.announcement = None
