--- a/src/hibiscusdrum/internal/daemon/leases.py
+++ b/src/hibiscusdrum/internal/daemon/leases.py
@@ -260,7 +260,9 @@
         version = self.holder.lease_version if self.holder is not None else 0
         if not valid:
             self.lease_lost_at = self.now
-            silence_ms = self.holder.seconds_since_grant(self.now) * 1000.0 if self.holder is not None else 0.0
+            silence_ms = (
+                self.holder.seconds_since_grant(self.now) * 1000.0 if self.holder is not None else 0.0
+            )
             log_events.emit(
                 log_events.LeaseLost(guard=self.guard, lease_version=version, since_last_grant_ms=silence_ms)
             )
