Use transport terms for names of the transport that other packages use

The names were private to this project or vague. Renamed: accepts_unframed -> accepts_close_delimited, skips_other_answers -> skips_unmatched_answers, forget_peer -> disconnect_peer, on_bad_frame -> on_invalid_frame, stash -> unparsed, HttpEntry.unanswered -> unanswered_count, Pool.open -> open_count.

--- a/src/hibiscusdrum/internal/daemon/membership.py
+++ b/src/hibiscusdrum/internal/daemon/membership.py
@@ -162,7 +162,7 @@
     def close_connection(self, address: str) -> None:
         """Close the connection to an address unless a known node uses the address again."""
         if address not in self.peer_addresses():
-            self.peers.forget_peer(address)
+            self.peers.disconnect_peer(address)
 
     def row_version(self, key: str) -> int:
         """Return the version of the known row or its deletion; 0 if the row was never seen."""
--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -134,7 +134,7 @@
         self.metrics = find("metrics")
         self.peers = find("peers")
         self.peers.on_request = self.on_request
-        self.peers.on_bad_frame = log_bad_frame
+        self.peers.on_invalid_frame = log_bad_frame
         self.target.available_listeners.append(self.on_target_available)
         self.leases.granted_listeners.append(self.extend_target_deadlines)
         self.leases.lost_listeners.append(self.cancel_owned_requests)
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -181,7 +181,7 @@
         for node in [
             node for node in self.peer_states if node not in self.members.nodes and node not in busy
         ]:
-            self.peers.forget_peer(self.peer_states.pop(node).address)
+            self.peers.disconnect_peer(self.peer_states.pop(node).address)
 
     def next_request_id(self) -> bytes:
         """Return a new request id."""
@@ -296,7 +296,7 @@
             if reason == SILENT_REASON:
                 # Messages that are still buffered in the old connection must not be delivered later.
                 row = self.members.nodes.get(node)
-                self.peers.forget_peer(state.address)
+                self.peers.disconnect_peer(state.address)
                 self.peers.peer(state.address, row is not None and row.region == self.settings.region)
         self.selector.on_failure(node, self.now)
         self.decline_outstanding(node, reason)
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -91,7 +91,7 @@
         if elapsed > self.settings.grace - UNSENT_BODY_MARGIN_SECONDS:
             self.gateway.refuse_unsent()
         grace_over = elapsed > self.settings.grace - EXIT_MARGIN_SECONDS
-        busy = self.gateway.has_pending or self.receiver.has_jobs or self.entry.unanswered
+        busy = self.gateway.has_pending or self.receiver.has_jobs or self.entry.unanswered_count
         if grace_over or (elapsed > READINESS_DENIAL_SECONDS and not busy):
             self.finished = True
             log_events.emit(
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -23,7 +23,7 @@
 DISCARD_BYTES = 1024 * 1024
 # Requests behind those of a full pipeline are read up to this many bytes, so that the end of the connection
 # is noticed; more is left in the socket.
-STASH_BYTES = 262_144
+MAX_UNPARSED_BYTES = 262_144
 PARALLEL_METHODS = (b"GET", b"HEAD")
 REASONS = {
     100: b"Continue",
@@ -158,8 +158,8 @@
         "pending",
         "server",
         "sock",
-        "stash",
-        "stash_bytes",
+        "unparsed",
+        "unparsed_bytes",
         "writing",
     )
 
@@ -184,8 +184,8 @@
         self.discarded_bytes = 0
         self.fed_bytes = 0
         self.paused = False
-        self.stash: list[bytes] = []
-        self.stash_bytes = 0
+        self.unparsed: list[bytes] = []
+        self.unparsed_bytes = 0
 
     # Callbacks of the parser
 
@@ -256,9 +256,9 @@
                 self.server.connection_lost(self, "sent on after its last answer")
             return
         if len(self.pending) >= PIPELINE_DEPTH:
-            self.stash.append(data)
-            self.stash_bytes += len(data)
-            if self.stash_bytes > STASH_BYTES:
+            self.unparsed.append(data)
+            self.unparsed_bytes += len(data)
+            if self.unparsed_bytes > MAX_UNPARSED_BYTES:
                 self.paused = True
                 self.server.pause(self)
             return
@@ -323,8 +323,8 @@
                 self.finish_output()
                 return
         self.active_at = self.server.app.clock.monotonic()
-        if self.stash and len(pending) < PIPELINE_DEPTH:
-            data, self.stash, self.stash_bytes = b"".join(self.stash), [], 0
+        if self.unparsed and len(pending) < PIPELINE_DEPTH:
+            data, self.unparsed, self.unparsed_bytes = b"".join(self.unparsed), [], 0
             if self.paused:
                 self.paused = False
                 self.server.resume(self)
--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -44,9 +44,9 @@
     ----------
     id_header : str
         Header, in lower case, by which an answer names its request.
-    skips_other_answers : bool
+    skips_unmatched_answers : bool
         Whether an answer to another request is dropped and the next one awaited, instead of being a failure.
-    accepts_unframed : bool
+    accepts_close_delimited : bool
         Whether an answer without a length is complete when the peer ends the connection without a reset.
     """
 
@@ -55,13 +55,13 @@
     def __init__(
         self,
         id_header: str = REQUEST_ID_HEADER,
-        skips_other_answers: bool = False,
-        accepts_unframed: bool = False,
+        skips_unmatched_answers: bool = False,
+        accepts_close_delimited: bool = False,
     ) -> None:
         super().__init__()
         self.id_header = id_header
-        self.skips_other_answers = skips_other_answers
-        self.accepts_unframed = accepts_unframed
+        self.skips_unmatched_answers = skips_unmatched_answers
+        self.accepts_close_delimited = accepts_close_delimited
         self.pools: dict[str, Pool] = {}
         self.connections: dict[socket.socket, Connection] = {}
         self.pending: set[HttpExchange] = set()
@@ -134,7 +134,7 @@
                 continue
             self.send(connection, exchange)
             return
-        if pool.open < pool.max_connections:
+        if pool.open_count < pool.max_connections:
             self.connect(pool, exchange)
         else:
             pool.waiting.append(exchange)
@@ -162,7 +162,7 @@
         connection = Connection(pool, sock)
         connection.exchange = exchange
         exchange.connection = connection
-        pool.open += 1
+        pool.open_count += 1
         self.connections[sock] = connection
         if sock.connect_ex(pool.peer) in (0, *WOULD_BLOCK):
             self.app.poller.addWriter(self, sock)
@@ -240,7 +240,7 @@
         except OSError:
             self.connection_lost(connection)
             return
-        if not data and self.accepts_unframed and connection.ends_with_connection:
+        if not data and self.accepts_close_delimited and connection.ends_with_connection:
             self.finish(connection)
             return
         if not data or connection.exchange is None:
@@ -340,14 +340,14 @@
             return
         self.app.poller.discard(sock)
         sock.close()
-        pool.open -= 1
+        pool.open_count -= 1
         if connection in pool.idle:
             pool.idle.remove(connection)
         self.connect_waiting(pool)
 
     def connect_waiting(self, pool: Pool) -> None:
         """Open a connection for the next waiting exchange while the limit allows it."""
-        while pool.waiting and pool.open < pool.max_connections:
+        while pool.waiting and pool.open_count < pool.max_connections:
             exchange = self.next_waiting(pool)
             if exchange is not None:
                 self.connect(pool, exchange)
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -170,7 +170,7 @@
     ----------
     idle : list of Connection
         Most recently used last, so that the surplus ages and is closed by the peer.
-    open : int
+    open_count : int
         Connections that exist, idle ones included.
     rest_limit : float
         Seconds of rest after which a connection is not used again, because the peer has dropped such ones
@@ -184,7 +184,7 @@
         "idle",
         "limited_until",
         "max_connections",
-        "open",
+        "open_count",
         "peer",
         "rest_limit",
         "waiting",
@@ -194,7 +194,7 @@
         self.address = address
         self.peer = peer
         self.idle: list[Connection] = []
-        self.open = 0
+        self.open_count = 0
         self.max_connections = DEFAULT_MAX_CONNECTIONS
         self.waiting: deque[HttpExchange] = deque()
         self.rest_limit = float("inf")
@@ -317,7 +317,7 @@
         """Note the declared length; the parser has already refused one that is not a number."""
         client = self.exchange.client
         if self.headers.get(client.id_header, self.exchange.request_id) != self.exchange.request_id:
-            if not client.skips_other_answers:
+            if not client.skips_unmatched_answers:
                 raise httptools.HttpParserError("answer to another request")
             self.skipping = True
             return
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -205,7 +205,7 @@
                 self.close(connection)
 
     @property
-    def unanswered(self) -> int:
+    def unanswered_count(self) -> int:
         """Requests that were read and have no answer yet, and answers still being written."""
         return sum(len(entry.pending) + bool(entry.out) for entry in self.connections.values())
 
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -64,7 +64,7 @@
         self.unread: set[int] = set()
         self.on_request: RequestHandler | None = None
         self.on_reply: ReplyHandler | None = None
-        self.on_bad_frame: Callable[[HibiscusdrumError], None] | None = None
+        self.on_invalid_frame: Callable[[HibiscusdrumError], None] | None = None
         self.on_control_sent: Callable[[str, int], None] | None = None
         self.control_handlers: dict[type, ControlHandler] = {}
         # Addresses of peers with messages that wait for a connection.
@@ -161,8 +161,8 @@
                 message = codec.decode_control(self.shared_key, payload)
                 self.control_handlers[type(message)](message)
         except HibiscusdrumError as error:
-            if self.on_bad_frame is not None:
-                self.on_bad_frame(error)
+            if self.on_invalid_frame is not None:
+                self.on_invalid_frame(error)
 
     def reply(self, identity: bytes, message: Message, body: bytes | None = None) -> int:
         """Answer a request that came in by the ROUTER; dropped when the asker is gone.
@@ -217,8 +217,8 @@
             if self.on_reply is not None:
                 self.on_reply(message, frames[2] if len(frames) > 2 else b"")
         except HibiscusdrumError as error:
-            if self.on_bad_frame is not None:
-                self.on_bad_frame(error)
+            if self.on_invalid_frame is not None:
+                self.on_invalid_frame(error)
 
     def send_control(self, address: str, message: Message) -> None:
         """Send a control message; it is dropped when no connection comes up in time."""
@@ -266,7 +266,7 @@
                 self.waiting.discard(address)
         return bool(self.waiting)
 
-    def forget_peer(self, address: str) -> None:
+    def disconnect_peer(self, address: str) -> None:
         """Close the connection to a peer that has left."""
         peer = self.peers.pop(address, None)
         if peer is None:
--- a/tests/features/steps/daemon_timers_steps.py
+++ b/tests/features/steps/daemon_timers_steps.py
@@ -59,7 +59,7 @@
         self.control_handlers = {}
         self.closed = []
 
-    def forget_peer(self, address):
+    def disconnect_peer(self, address):
         """Record the address."""
         self.closed.append(address)
 
--- a/tests/features/steps/endless_bytes_steps.py
+++ b/tests/features/steps/endless_bytes_steps.py
@@ -114,7 +114,7 @@
 @given("a target whose answers hold {part} without end")
 def endless_target(context, part, pause=0.0):
     context.target = EndlessTarget(*ANSWERS[part], pause)
-    context.client = HttpClient(skips_other_answers=True, accepts_unframed=True)
+    context.client = HttpClient(skips_unmatched_answers=True, accepts_close_delimited=True)
     context.loopback = Loopback(context.client)
     context.add_cleanup(context.loopback.stop)
     context.add_cleanup(context.target.listener.close)
@@ -239,7 +239,7 @@
 @then("at most 1 MB of them is taken, and the departure of the caller is noticed after the answers")
 def check_left_in_socket(context):
     (connection,) = context.entry.connections.values()
-    held = sum(map(len, connection.stash))
+    held = sum(map(len, connection.unparsed))
     assert held <= MEGABYTE, held
     context.loopback.run_until(lambda: not context.flood.is_alive(), 4.0)
     answered = 0
--- a/tests/features/steps/http_client_steps.py
+++ b/tests/features/steps/http_client_steps.py
@@ -277,7 +277,7 @@
 
 
 def open_at_most(context, limit):
-    found = context.client.pools[context.peer.address].open
+    found = context.client.pools[context.peer.address].open_count
     assert found <= limit, f"{found} connections, the limit is {limit}"
     return True
 
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -503,7 +503,7 @@
 @when("the peer's row is removed")
 def row_removed(context):
     context.forgotten = []
-    context.hop.peers.forget_peer = context.forgotten.append
+    context.hop.peers.disconnect_peer = context.forgotten.append
     del context.hop.members.nodes["peer"]
     context.hop.connect_to_members()
     context.hop.ping()
--- a/tests/overload_world.py
+++ b/tests/overload_world.py
@@ -76,7 +76,7 @@
     def peer(self, _address, heartbeats=False):
         """Connect: nothing to do."""
 
-    def forget_peer(self, _address):
+    def disconnect_peer(self, _address):
         """Disconnect: nothing to do."""
 
     def try_send_request(self, address, message, body=b""):
