--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -47,7 +47,7 @@
         The service with the incarnation of this process.
     """
     selection = NodeSelector(settings.region, settings.failure_domain, rng)
-    app.add(HttpClient(names.attempt_id, skips_unmatched_answers=True, accepts_close_delimited=True))
+    app.add(HttpClient(names.attempt_id, skips_unmatched_responses=True, accepts_close_delimited=True))
     app.add(table)
     app.add(PeerTransport(settings.peer_address, b""))
     app.add(HttpEntry())
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -1,4 +1,4 @@
-"""Requests and connections of the HTTP entry: parsing, order of answers, limits."""
+"""Requests and connections of the HTTP server for callers: parsing, response order and size limits."""
 
 from __future__ import annotations
 
@@ -10,22 +10,24 @@
 
 import httptools
 
-from hibiscusdrum.internal.transport.http_connection import framing_exceeds
+from hibiscusdrum.internal.transport.http_connection import framing_exceeds_limit
 
 if TYPE_CHECKING:
     from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
-# Requests of one connection that are parsed ahead of their answers; later ones wait in the socket.
+# Requests of one connection that are parsed before the responses to earlier ones; later bytes wait unparsed.
 PIPELINE_DEPTH = 16
-# A refused body is read and dropped for this long, since a reset could overtake the answer.
+# After the last response, input is read and dropped for this long: closing a socket with unread input sends a
+# reset, which can make the caller lose the response.
 DISCARD_SECONDS = 1.0
-# No longer than this, in bytes: a sender that goes on after its answer is not one that has yet to read it.
-DISCARD_BYTES = 1024 * 1024
-# Requests behind those of a full pipeline are read up to this many bytes, so that the end of the connection
-# is noticed; more is left in the socket.
+# Callers that send more than this after the last response are disconnected: they ignore the response.
+MAX_DISCARDED_BYTES = 1024 * 1024
+# Input read while the pipeline is full, so that a disconnect of the caller is detected. Beyond this limit
+# reading pauses and the rest stays in the socket buffer.
 MAX_UNPARSED_BYTES = 262_144
-PARALLEL_METHODS = (b"GET", b"HEAD")
-REASONS = {
+# Methods without side effects, whose pipelined requests run concurrently.
+CONCURRENT_METHODS = (b"GET", b"HEAD")
+REASON_PHRASES = {
     100: b"Continue",
     200: b"OK",
     204: b"No Content",
@@ -41,24 +43,24 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
-BODILESS = (204, 304)
+BODILESS_STATUSES = (204, 304)
 
 
 class EntryRequest:
-    """One request of a caller.
+    """An HTTP request of a caller, with the means to respond to it.
 
     Attributes
     ----------
     method : bytes
     target : str
-        Path and query as sent.
+        Path and query, undecoded.
     headers : list of (str, str)
-        Names in lower case, in the order of arrival.
+        Lower-case names with their values, in the order received.
     body : bytes
     arrived_at : float
         Monotonic time in seconds at which the request was complete.
     on_closed : callable or None
-        Called when the caller closes the connection before the answer.
+        Called when the connection ends before the request has a response.
     """
 
     __slots__ = (
@@ -67,18 +69,18 @@
         "body",
         "connection",
         "dispatched",
+        "encoded_response",
         "headers",
         "keep_alive",
-        "listener",
+        "listen_address",
         "method",
         "on_closed",
-        "output",
         "target",
     )
 
-    def __init__(self, connection: EntryConnection, listener: str) -> None:
+    def __init__(self, connection: EntryConnection, listen_address: str) -> None:
         self.connection = connection
-        self.listener = listener
+        self.listen_address = listen_address
         self.method = b""
         self.target = ""
         self.headers: list[tuple[str, str]] = []
@@ -87,11 +89,17 @@
         self.keep_alive = True
         self.dispatched = False
         self.answered = False
-        self.output: bytes | None = None
+        self.encoded_response: bytes | None = None
         self.on_closed: Callable[[], None] | None = None
 
     def header(self, name: str) -> str | None:
-        """Return the first value of a header, or None; ``name`` is in lower case."""
+        """Return the first value of a header, or None.
+
+        Parameters
+        ----------
+        name : str
+            Name in lower case.
+        """
         for key, value in self.headers:
             if key == name:
                 return value
@@ -100,244 +108,249 @@
     def respond(
         self, status: int, headers: list[tuple[str, str]], body: bytes = b"", close: bool = False
     ) -> None:
-        """Answer; the bytes leave when earlier requests of the connection have been answered.
+        """Send the response once all earlier requests of the connection have theirs.
+
+        Further calls have no effect.
 
         Parameters
         ----------
         headers : list of (str, str)
-            Without those that frame the message.
+            Without ``content-length`` and ``connection``, which are added here.
         close : bool
-            Whether the connection ends with this answer.
+            Whether the connection is closed after this response.
         """
         if self.answered:
             return
         self.answered = True
         self.on_closed = None
-        keep = self.keep_alive and not close
-        self.keep_alive = keep
-        reason = REASONS.get(status, b"Status")
+        keep_alive = self.keep_alive and not close
+        self.keep_alive = keep_alive
+        reason = REASON_PHRASES.get(status, b"Status")
         lines = [b"HTTP/1.1 %d %b" % (status, reason)]
         lines += [f"{name}: {value}".encode("latin-1") for name, value in headers]
-        if status not in BODILESS:
+        if status not in BODILESS_STATUSES:
             lines.append(b"content-length: %d" % len(body))
-        if not keep:
+        if not keep_alive:
             lines.append(b"connection: close")
-        content = b"" if self.method == b"HEAD" or status in BODILESS else body
-        self.output = b"\r\n".join(lines) + b"\r\n\r\n" + content
-        self.connection.flush_answers()
+        content = b"" if self.method == b"HEAD" or status in BODILESS_STATUSES else body
+        self.encoded_response = b"\r\n".join(lines) + b"\r\n\r\n" + content
+        self.connection.flush_responses()
 
 
 class EntryConnection:
-    """A caller's connection; the methods named ``on_`` are called by httptools.
+    """A caller's connection; httptools calls the methods named ``on_``.
 
     Attributes
     ----------
     fed_bytes : int
-        Bytes that arrived since the last complete request.
-    paused : bool
-        Whether nothing is read, because more has arrived than is parsed ahead.
+        Bytes passed to the parser since the last complete request.
+    reading_paused : bool
+        Whether reading has stopped because ``unparsed`` has reached its limit.
+    error_status : int
+        HTTP status with which invalid input is rejected; 0 while the input is valid.
+    discard_until : float
+        Monotonic time in seconds until which input is dropped before the connection is closed; 0 while
+        requests are accepted.
     """
 
     __slots__ = (
-        "active_at",
-        "body",
+        "awaiting_writable",
         "body_bytes",
+        "body_parts",
         "closed",
         "closing",
-        "current",
+        "current_request",
         "discard_until",
         "discarded_bytes",
-        "failed",
+        "error_status",
         "fed_bytes",
         "head_bytes",
-        "head_started",
-        "listener",
-        "out",
+        "head_started_at",
+        "last_active_at",
+        "listen_address",
+        "output_buffer",
         "parser",
-        "paused",
         "pending",
+        "reading_paused",
         "server",
         "sock",
         "unparsed",
         "unparsed_bytes",
-        "writing",
     )
 
-    def __init__(self, server: HttpEntry, sock: socket.socket, listener: str, now: float) -> None:
+    def __init__(self, server: HttpEntry, sock: socket.socket, listen_address: str, now: float) -> None:
         self.server = server
         self.sock = sock
-        self.listener = listener
+        self.listen_address = listen_address
         self.parser = httptools.HttpRequestParser(self)
-        self.current: EntryRequest | None = None
+        self.current_request: EntryRequest | None = None
         self.pending: deque[EntryRequest] = deque()
-        self.out = bytearray()
-        self.writing = False
+        self.output_buffer = bytearray()
+        self.awaiting_writable = False
         self.closing = False
         self.closed = False
-        self.failed = 0
+        self.error_status = 0
         self.head_bytes = 0
-        self.head_started: float | None = None
-        self.body: list[bytes] = []
+        self.head_started_at: float | None = None
+        self.body_parts: list[bytes] = []
         self.body_bytes = 0
-        self.active_at = now
+        self.last_active_at = now
         self.discard_until = 0.0
         self.discarded_bytes = 0
         self.fed_bytes = 0
-        self.paused = False
+        self.reading_paused = False
         self.unparsed: list[bytes] = []
         self.unparsed_bytes = 0
 
-    # Callbacks of the parser
-
     def on_message_begin(self) -> None:
-        """Begin a request."""
-        self.current = EntryRequest(self, self.listener)
+        """Start a new request."""
+        self.current_request = EntryRequest(self, self.listen_address)
         self.head_bytes = 0
-        self.body = []
+        self.body_parts = []
         self.body_bytes = 0
 
     def on_url(self, url: bytes) -> None:
-        """Collect the request's target, which may arrive in parts."""
-        self.count_head(len(url))
-        self.current.target += url.decode("latin-1")
+        """Append to the request target, which may arrive in parts."""
+        self.add_head_bytes(len(url))
+        self.current_request.target += url.decode("latin-1")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self.count_head(len(name) + len(value) + 4)
-        self.current.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+        """Store a header."""
+        self.add_head_bytes(len(name) + len(value) + 4)
+        self.current_request.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
-    def count_head(self, size: int) -> None:
-        """Bound the head."""
+    def add_head_bytes(self, size: int) -> None:
+        """Count bytes of the request head and enforce its size limit."""
         self.head_bytes += size
         if self.head_bytes > self.server.limits.max_head_bytes:
-            self.failed = self.failed or 431
+            self.error_status = self.error_status or 431
 
     def on_headers_complete(self) -> None:
-        """Check the declared length before the body is read."""
-        self.head_started = None
-        request = self.current
+        """Check the declared body length, and answer ``Expect: 100-continue``."""
+        self.head_started_at = None
+        request = self.current_request
         request.method = self.parser.get_method()
         length = request.header("content-length")
         if length is not None and length.isdecimal() and int(length) > self.server.limits.max_body_bytes:
-            self.failed = self.failed or 413
-        if request.header("expect") == "100-continue" and not self.failed and not self.pending:
+            self.error_status = self.error_status or 413
+        if request.header("expect") == "100-continue" and not self.error_status and not self.pending:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
-        """Collect a part of the body."""
+        """Store a part of the body, unless the body is too large."""
         self.body_bytes += len(data)
         if self.body_bytes > self.server.limits.max_body_bytes:
-            self.failed = self.failed or 413
-            self.body = []
-        elif not self.failed:
-            self.body.append(data)
+            self.error_status = self.error_status or 413
+            self.body_parts = []
+        elif not self.error_status:
+            self.body_parts.append(data)
 
     def on_message_complete(self) -> None:
-        """Queue a complete request."""
-        request = self.current
-        self.current = None
+        """Add the complete request to the pipeline."""
+        request = self.current_request
+        self.current_request = None
         self.fed_bytes = 0
-        if self.failed:
+        if self.error_status:
             return
         request.keep_alive = self.parser.should_keep_alive()
-        request.body = b"".join(self.body)
-        self.body = []
+        request.body = b"".join(self.body_parts)
+        self.body_parts = []
         request.arrived_at = self.server.app.clock.monotonic()
         self.pending.append(request)
 
-    # Input
-
     def feed(self, data: bytes) -> None:
-        """Parse what arrived and dispatch what is complete."""
-        self.active_at = self.server.app.clock.monotonic()
+        """Parse received bytes and dispatch complete requests."""
+        self.last_active_at = self.server.app.clock.monotonic()
         if self.discard_until or self.closing:
             self.discarded_bytes += len(data)
-            if self.discarded_bytes > DISCARD_BYTES:
-                self.server.connection_lost(self, "sent on after its last answer")
+            if self.discarded_bytes > MAX_DISCARDED_BYTES:
+                self.server.connection_lost(self, "input after the last response exceeds the limit")
             return
         if len(self.pending) >= PIPELINE_DEPTH:
             self.unparsed.append(data)
             self.unparsed_bytes += len(data)
             if self.unparsed_bytes > MAX_UNPARSED_BYTES:
-                self.paused = True
-                self.server.pause(self)
+                self.reading_paused = True
+                self.server.pause_reading(self)
             return
-        if self.current is None and self.head_started is None:
-            self.head_started = self.active_at
+        if self.current_request is None and self.head_started_at is None:
+            self.head_started_at = self.last_active_at
         self.fed_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.failed = self.failed or 400
-        body = self.body_bytes if self.current is not None else 0
-        if framing_exceeds(self.server.limits.max_head_bytes, self.fed_bytes, body):
-            self.failed = self.failed or (400 if self.in_body else 431)
-        if self.current is None and not self.failed:
-            self.head_started = None
+            self.error_status = self.error_status or 400
+        body = self.body_bytes if self.current_request is not None else 0
+        if framing_exceeds_limit(self.server.limits.max_head_bytes, self.fed_bytes, body):
+            self.error_status = self.error_status or (400 if self.head_complete else 431)
+        if self.current_request is None and not self.error_status:
+            self.head_started_at = None
         self.dispatch()
-        if self.failed:
-            self.refuse(self.failed)
+        if self.error_status:
+            self.reject(self.error_status)
 
     @property
-    def in_body(self) -> bool:
-        """Whether the head of the present request is complete."""
-        return self.current is not None and bool(self.current.method)
-
-    def refuse(self, status: int) -> None:
-        """Answer a request that cannot be read; what follows it is dropped."""
-        request = self.current or EntryRequest(self, self.listener)
-        self.current = None
-        self.discard_until = self.active_at + DISCARD_SECONDS
+    def head_complete(self) -> bool:
+        """Whether the head of the current request has been parsed."""
+        return self.current_request is not None and bool(self.current_request.method)
+
+    def reject(self, status: int) -> None:
+        """Respond with an error to invalid input, and drop all further input."""
+        request = self.current_request or EntryRequest(self, self.listen_address)
+        self.current_request = None
+        self.discard_until = self.last_active_at + DISCARD_SECONDS
         self.pending.append(request)
         request.dispatched = True
         request.respond(status, [], close=True)
 
     def dispatch(self) -> None:
-        """Pass requests on: reads of a pipeline side by side, others after all earlier answers."""
+        """Hand requests to the server.
+
+        Requests with a method in ``CONCURRENT_METHODS`` run concurrently; any other request waits until all
+        earlier ones have been answered.
+        """
         for index, request in enumerate(list(self.pending)):
             if request.dispatched:
                 continue
-            if index and (request.method not in PARALLEL_METHODS or self.others_before(index)):
+            if index and (request.method not in CONCURRENT_METHODS or self.is_blocked_by_earlier(index)):
                 return
             request.dispatched = True
             self.server.dispatch(request)
             if self.closed:
                 return
 
-    def others_before(self, index: int) -> bool:
-        """Return whether a request that must not be overtaken is still without an answer."""
+    def is_blocked_by_earlier(self, index: int) -> bool:
+        """Return whether an earlier request that does not run concurrently is still unanswered."""
         return any(
-            request.method not in PARALLEL_METHODS and not request.answered
+            request.method not in CONCURRENT_METHODS and not request.answered
             for request in list(self.pending)[:index]
         )
 
-    # Output
-
-    def flush_answers(self) -> None:
-        """Write the answers that are due in order."""
+    def flush_responses(self) -> None:
+        """Write the completed responses at the front of the pipeline, and continue with waiting input."""
         pending = self.pending
-        while pending and pending[0].output is not None:
+        while pending and pending[0].encoded_response is not None:
             request = pending.popleft()
-            self.write(request.output)
+            self.write(request.encoded_response)
             if not request.keep_alive:
-                self.finish_output()
+                self.close_after_output()
                 return
-        self.active_at = self.server.app.clock.monotonic()
+        self.last_active_at = self.server.app.clock.monotonic()
         if self.unparsed and len(pending) < PIPELINE_DEPTH:
             data, self.unparsed, self.unparsed_bytes = b"".join(self.unparsed), [], 0
-            if self.paused:
-                self.paused = False
-                self.server.resume(self)
+            if self.reading_paused:
+                self.reading_paused = False
+                self.server.resume_reading(self)
             self.server.app.scheduler.call_later(0.0, lambda: self.feed(data))
         elif pending:
             self.dispatch()
 
     def write(self, data: bytes) -> None:
-        """Send now what the socket takes, and the rest when it is writable."""
+        """Write to the socket, and buffer what it does not accept until it is writable."""
         if self.closed:
             return
-        if self.out:
-            self.out += data
+        if self.output_buffer:
+            self.output_buffer += data
             return
         try:
             sent = self.sock.send(data)
@@ -349,18 +362,18 @@
             )
             return
         if sent < len(data):
-            self.out += data[sent:]
-            self.server.want_write(self)
+            self.output_buffer += data[sent:]
+            self.server.watch_writable(self)
 
-    def finish_output(self) -> None:
-        """Close after the bytes under way; requests behind the last answer count as not read."""
+    def close_after_output(self) -> None:
+        """Close the connection once the output buffer is empty, and cancel the pipelined requests left."""
         self.closing = True
-        self.abandon_pending()
-        if not self.out:
-            self.server.end_output(self)
+        self.cancel_pending()
+        if not self.output_buffer:
+            self.server.shutdown_write(self)
 
-    def abandon_pending(self) -> None:
-        """Tell the handlers of unanswered requests that nobody waits for them."""
+    def cancel_pending(self) -> None:
+        """Cancel unanswered requests: drop their responses and call ``on_closed``."""
         pending, self.pending = self.pending, deque()
         for request in pending:
             request.answered = True
--- a/src/hibiscusdrum/internal/transport/frames.py
+++ b/src/hibiscusdrum/internal/transport/frames.py
@@ -8,8 +8,8 @@
 
 import zmq
 
-LAST = int(zmq.NOBLOCK)
-MORE = int(zmq.NOBLOCK | zmq.SNDMORE)
+LAST_FRAME = int(zmq.NOBLOCK)
+MORE_FRAMES = int(zmq.NOBLOCK | zmq.SNDMORE)
 
 
 def send_frames(socket: zmq.Socket, frames: list[bytes]) -> None:
@@ -21,8 +21,8 @@
         If there is no connection or its queue is full; nothing was sent.
     """
     for frame in frames[:-1]:
-        socket.send(frame, MORE)
-    socket.send(frames[-1], LAST)
+        socket.send(frame, MORE_FRAMES)
+    socket.send(frames[-1], LAST_FRAME)
 
 
 def receive_frames(socket: zmq.Socket) -> list[bytes]:
@@ -33,9 +33,9 @@
     zmq.Again
         If none has arrived.
     """
-    frame = socket.recv(LAST, copy=False)
+    frame = socket.recv(LAST_FRAME, copy=False)
     frames = [frame.bytes]
     while frame.more:
-        frame = socket.recv(LAST, copy=False)
+        frame = socket.recv(LAST_FRAME, copy=False)
         frames.append(frame.bytes)
     return frames
--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -18,23 +18,23 @@
 from hibiscusdrum.internal.kernel import Service, Timer
 from hibiscusdrum.internal.transport.http_connection import (
     DEFAULT_MAX_CONNECTIONS,
-    MAX_HELD_BYTES,
-    NO_LENGTH,
+    LENGTH_UNKNOWN,
+    MAX_BUFFERED_BYTES,
     REQUEST_ID_HEADER,
     Connection,
+    ConnectionPool,
     FailureKind,
     HttpCallback,
     HttpExchange,
     HttpFailure,
     HttpResponse,
-    Pool,
     encode_request,
     parse_address,
 )
 
-RECEIVE_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 65_536
 NO_DEADLINE = float("inf")
-WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
+IN_PROGRESS_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
 
 
 class HttpClient(Service):
@@ -42,9 +42,9 @@
 
     Parameters
     ----------
-    id_header : str
+    request_id_header : str
         Header, in lower case, by which an answer names its request.
-    skips_unmatched_answers : bool
+    skips_unmatched_responses : bool
         Whether an answer to another request is dropped and the next one awaited, instead of being a failure.
     accepts_close_delimited : bool
         Whether an answer without a length is complete when the peer ends the connection without a reset.
@@ -54,19 +54,19 @@
 
     def __init__(
         self,
-        id_header: str = REQUEST_ID_HEADER,
-        skips_unmatched_answers: bool = False,
+        request_id_header: str = REQUEST_ID_HEADER,
+        skips_unmatched_responses: bool = False,
         accepts_close_delimited: bool = False,
     ) -> None:
         super().__init__()
-        self.id_header = id_header
-        self.skips_unmatched_answers = skips_unmatched_answers
+        self.request_id_header = request_id_header
+        self.skips_unmatched_responses = skips_unmatched_responses
         self.accepts_close_delimited = accepts_close_delimited
-        self.pools: dict[str, Pool] = {}
+        self.pools: dict[str, ConnectionPool] = {}
         self.connections: dict[socket.socket, Connection] = {}
         self.pending: set[HttpExchange] = set()
-        self.sweep_timer: Timer | None = None
-        self.sweep_due = NO_DEADLINE
+        self.expiry_timer: Timer | None = None
+        self.expiry_due = NO_DEADLINE
 
     def request(
         self,
@@ -108,17 +108,17 @@
         pool.max_connections = max_connections
         payload = encode_request(address, method, path, headers, body, host)
         deadline = self.app.clock.monotonic() + timeout
-        request_id = headers.get(self.id_header)
+        request_id = headers.get(self.request_id_header)
         exchange = HttpExchange(self, pool, payload, request_id, method == "HEAD", deadline, callback)
         self.pending.add(exchange)
-        if deadline < self.sweep_due:
-            self.schedule_sweep(deadline)
+        if deadline < self.expiry_due:
+            self.schedule_expiry(deadline)
         self.dispatch(exchange)
         return exchange
 
-    def add_pool(self, address: str) -> Pool:
+    def add_pool(self, address: str) -> ConnectionPool:
         """Create the pool of an address."""
-        pool = self.pools[address] = Pool(address, parse_address(address))
+        pool = self.pools[address] = ConnectionPool(address, parse_address(address))
         return pool
 
     def dispatch(self, exchange: HttpExchange) -> None:
@@ -127,9 +127,9 @@
         now = self.app.clock.monotonic()
         while pool.idle:
             connection = pool.idle.pop()
-            connection.rest = now - connection.rested_at
+            connection.idle_duration = now - connection.idle_since
             connection.sent_at = now
-            if self.is_stale(connection) or pool.rested_too_long(connection.rest, now):
+            if self.is_stale(connection) or pool.exceeds_idle_limit(connection.idle_duration, now):
                 self.close(connection)
                 continue
             self.send(connection, exchange)
@@ -151,7 +151,7 @@
             return True
         return True
 
-    def connect(self, pool: Pool, exchange: HttpExchange) -> None:
+    def connect(self, pool: ConnectionPool, exchange: HttpExchange) -> None:
         """Open a connection for an exchange."""
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -164,7 +164,7 @@
         exchange.connection = connection
         pool.open_count += 1
         self.connections[sock] = connection
-        if sock.connect_ex(pool.peer) in (0, *WOULD_BLOCK):
+        if sock.connect_ex(pool.peer_address) in (0, *IN_PROGRESS_ERRNOS):
             self.app.poller.addWriter(self, sock)
         else:
             self.app.scheduler.call_later(0.0, lambda: self.connection_lost(connection))
@@ -195,11 +195,11 @@
         if connection is None:
             return
         if connection.connecting:
-            self.connected(connection)
+            self.finish_connect(connection)
         elif connection.unsent is not None:
             self.send_more(connection)
 
-    def connected(self, connection: Connection) -> None:
+    def finish_connect(self, connection: Connection) -> None:
         """Send the first request on a new connection."""
         if connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self.connection_lost(connection)
@@ -208,7 +208,7 @@
         self.app.poller.removeWriter(connection.sock)
         self.app.poller.addReader(self, connection.sock)
         if connection.exchange.deadline <= self.app.clock.monotonic():
-            self.abandon(connection, FailureKind.TIMEOUT)
+            self.close_and_fail(connection, FailureKind.TIMEOUT)
         else:
             self.send(connection, connection.exchange)
 
@@ -234,33 +234,33 @@
         if connection is None:
             return
         try:
-            data = sock.recv(RECEIVE_BYTES)
+            data = sock.recv(RECEIVE_BUFFER_BYTES)
         except BlockingIOError:
             return
         except OSError:
             self.connection_lost(connection)
             return
-        if not data and self.accepts_close_delimited and connection.ends_with_connection:
-            self.finish(connection)
+        if not data and self.accepts_close_delimited and connection.is_close_delimited:
+            self.finish_exchange(connection)
             return
         if not data or connection.exchange is None:
             # Data on an idle connection answers nothing that was asked.
             self.connection_lost(connection)
             return
-        former = connection.received
+        previous = connection.received
         connection.feed(data)
         if connection.complete:
-            self.finish(connection)
-        elif connection.broken:
-            self.abandon(connection, FailureKind.MALFORMED)
-        elif connection.received > former:
-            self.bound_held()
+            self.finish_exchange(connection)
+        elif connection.malformed:
+            self.close_and_fail(connection, FailureKind.MALFORMED)
+        elif connection.received > previous:
+            self.enforce_buffer_limit()
 
-    def bound_held(self) -> None:
+    def enforce_buffer_limit(self) -> None:
         """Give up the longest answer when the bodies that are held take too much memory together."""
-        if sum(connection.received for connection in self.connections.values()) > MAX_HELD_BYTES:
-            longest = max(self.connections.values(), key=lambda connection: connection.received)
-            self.abandon(longest, FailureKind.MALFORMED)
+        if sum(connection.received for connection in self.connections.values()) > MAX_BUFFERED_BYTES:
+            largest = max(self.connections.values(), key=lambda connection: connection.received)
+            self.close_and_fail(largest, FailureKind.MALFORMED)
 
     @handler("_disconnect", "_error")
     def on_disconnected(self, sock: socket.socket, *_error: Any) -> None:
@@ -269,23 +269,23 @@
         if connection is not None:
             self.connection_lost(connection)
 
-    def finish(self, connection: Connection) -> None:
+    def finish_exchange(self, connection: Connection) -> None:
         """Deliver a complete answer and reuse the connection when that is safe."""
         exchange = connection.exchange
-        response = connection.response()
-        if connection.broken or connection.unsent is not None or not connection.keep_alive:
+        response = connection.build_response()
+        if connection.malformed or connection.unsent is not None or not connection.keep_alive:
             self.close(connection)
         else:
             connection.exchange = None
             connection.reused = True
-            connection.rest = 0.0
-            connection.rested_at = self.app.clock.monotonic()
-            connection.expires_at = connection.rested_at + connection.idle_seconds()
-            connection.reset()
-            self.release(connection)
+            connection.idle_duration = 0.0
+            connection.idle_since = self.app.clock.monotonic()
+            connection.expires_at = connection.idle_since + connection.keep_alive_seconds()
+            connection.reset_response()
+            self.release_connection(connection)
         self.deliver(exchange, Success(response))
 
-    def release(self, connection: Connection) -> None:
+    def release_connection(self, connection: Connection) -> None:
         """Give a free connection to the next waiting exchange, or keep it."""
         exchange = self.next_waiting(connection.pool)
         if exchange is None:
@@ -293,7 +293,7 @@
         else:
             self.send(connection, exchange)
 
-    def next_waiting(self, pool: Pool) -> HttpExchange | None:
+    def next_waiting(self, pool: ConnectionPool) -> HttpExchange | None:
         """Return the next exchange that still wants a connection.
 
         After a pause of the process, answers are read before the sweep runs; expired ones must not be sent.
@@ -304,7 +304,7 @@
                 continue
             if exchange.deadline > self.app.clock.monotonic():
                 return exchange
-            self.fail(exchange, FailureKind.TIMEOUT)
+            self.fail_exchange(exchange, FailureKind.TIMEOUT)
         return None
 
     def connection_lost(self, connection: Connection) -> None:
@@ -315,23 +315,23 @@
         if exchange is None:
             self.close(connection)
         elif connection.connecting:
-            self.abandon(connection, FailureKind.REFUSED)
+            self.close_and_fail(connection, FailureKind.REFUSED)
         elif connection.reused and not exchange.bytes_sent:
             connection.exchange = exchange.connection = None
             self.close(connection)
             self.dispatch(exchange)
-        elif connection.started:
-            self.abandon(connection, FailureKind.INCOMPLETE)
+        elif connection.response_started:
+            self.close_and_fail(connection, FailureKind.INCOMPLETE)
         else:
-            connection.pool.note_reset(connection, self.app.clock.monotonic())
-            self.abandon(connection, FailureKind.CLOSED)
+            connection.pool.record_reset(connection, self.app.clock.monotonic())
+            self.close_and_fail(connection, FailureKind.CLOSED)
 
-    def abandon(self, connection: Connection, kind: FailureKind) -> None:
+    def close_and_fail(self, connection: Connection, kind: FailureKind) -> None:
         """Close a connection and fail its exchange."""
         exchange, received, declared = connection.exchange, connection.received, connection.declared
         self.close(connection)
         if exchange is not None:
-            self.fail(exchange, kind, received, declared)
+            self.fail_exchange(exchange, kind, received, declared)
 
     def close(self, connection: Connection) -> None:
         """Close a connection and let a waiting exchange open another."""
@@ -345,7 +345,7 @@
             pool.idle.remove(connection)
         self.connect_waiting(pool)
 
-    def connect_waiting(self, pool: Pool) -> None:
+    def connect_waiting(self, pool: ConnectionPool) -> None:
         """Open a connection for the next waiting exchange while the limit allows it."""
         while pool.waiting and pool.open_count < pool.max_connections:
             exchange = self.next_waiting(pool)
@@ -358,12 +358,12 @@
             return
         connection = exchange.connection
         if connection is not None and connection.exchange is exchange:
-            self.abandon(connection, kind)
+            self.close_and_fail(connection, kind)
         else:
-            self.fail(exchange, kind)
+            self.fail_exchange(exchange, kind)
 
-    def fail(
-        self, exchange: HttpExchange, kind: FailureKind, received: int = 0, declared: int = NO_LENGTH
+    def fail_exchange(
+        self, exchange: HttpExchange, kind: FailureKind, received: int = 0, declared: int = LENGTH_UNKNOWN
     ) -> None:
         """Report a failure."""
         self.deliver(exchange, Failure(HttpFailure(exchange.bytes_sent, kind, received, declared)))
@@ -379,26 +379,28 @@
             # Other exchanges may be ending in the same loop, for example in a sweep of deadlines.
             logger.exception("callback of an HTTP exchange failed")
 
-    def schedule_sweep(self, due: float) -> None:
+    def schedule_expiry(self, due: float) -> None:
         """Check deadlines at ``due``.
 
         One timer for all exchanges: one each would leave 6,000 cancelled timers a second in the heap.
         """
-        if self.sweep_timer is not None:
-            self.sweep_timer.cancel()
-        self.sweep_due = due
-        self.sweep_timer = self.app.scheduler.call_later(due - self.app.clock.monotonic(), self.sweep)
-
-    def sweep(self) -> None:
+        if self.expiry_timer is not None:
+            self.expiry_timer.cancel()
+        self.expiry_due = due
+        self.expiry_timer = self.app.scheduler.call_later(
+            due - self.app.clock.monotonic(), self.expire_exchanges
+        )
+
+    def expire_exchanges(self) -> None:
         """End the exchanges whose deadline passed."""
         now = self.app.clock.monotonic()
-        self.sweep_due = NO_DEADLINE
-        self.sweep_timer = None
+        self.expiry_due = NO_DEADLINE
+        self.expiry_timer = None
         for exchange in [exchange for exchange in self.pending if exchange.deadline <= now]:
             self.abort(exchange, FailureKind.TIMEOUT)
         due = min((exchange.deadline for exchange in self.pending), default=NO_DEADLINE)
-        if due < self.sweep_due:
-            self.schedule_sweep(due)
+        if due < self.expiry_due:
+            self.schedule_expiry(due)
 
     def on_stop(self) -> None:
         """Cancel what is under way and close all connections."""
@@ -406,5 +408,5 @@
             exchange.cancel()
         for connection in list(self.connections.values()):
             self.close(connection)
-        if self.sweep_timer is not None:
-            self.sweep_timer.cancel()
+        if self.expiry_timer is not None:
+            self.expiry_timer.cancel()
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -20,21 +20,21 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEAD_BYTES = 65_536
 # Bodies of answers that are held for all connections together; a VM of the smallest kind has 200 MB.
-MAX_HELD_BYTES = 32 * 1024 * 1024
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # Framing that a byte of a body may take: a chunk of one byte is five bytes longer than the byte.
-CHUNK_OVERHEAD = 5
+CHUNK_OVERHEAD_BYTES = 5
 DEFAULT_MAX_CONNECTIONS = 64
 # Headers that the client sets; a second one would let the peer read another request than was sent.
-OWN_HEADERS = frozenset(("host", "content-length", "transfer-encoding"))
+RESERVED_HEADERS = frozenset(("host", "content-length", "transfer-encoding"))
 # An idle connection is not used again later than this share of the time that the peer keeps it open.
 KEEP_ALIVE_SHARE = 0.8
 # A peer that repeats this header lets the client tell an answer from a late one to an earlier request.
 REQUEST_ID_HEADER = "x-hibiscusdrum-request-id"
-NO_LENGTH = -1
-INFORMATIONAL = range(100, 200)
+LENGTH_UNKNOWN = -1
+INFORMATIONAL_STATUSES = range(100, 200)
 
 
-def framing_exceeds(limit: int, received: int, body: int) -> bool:
+def framing_exceeds_limit(limit: int, received: int, body: int) -> bool:
     """Return whether heads and framing are longer than allowed.
 
     A parser reports a header or the framing of a chunk when it is complete, so one without end shows only in
@@ -47,7 +47,7 @@
     received, body : int
         Bytes fed to the parser, and those of them that it reported as part of a body.
     """
-    return received - body > limit + CHUNK_OVERHEAD * body
+    return received - body > limit + CHUNK_OVERHEAD_BYTES * body
 
 
 class FailureKind(enum.Enum):
@@ -95,7 +95,7 @@
     __slots__ = ("bytes_sent", "declared", "kind", "received")
 
     def __init__(
-        self, bytes_sent: bool, kind: FailureKind, received: int = 0, declared: int = NO_LENGTH
+        self, bytes_sent: bool, kind: FailureKind, received: int = 0, declared: int = LENGTH_UNKNOWN
     ) -> None:
         self.bytes_sent = bytes_sent
         self.kind = kind
@@ -122,7 +122,7 @@
         "connection",
         "deadline",
         "done",
-        "head_only",
+        "is_head_request",
         "payload",
         "pool",
         "request_id",
@@ -131,10 +131,10 @@
     def __init__(
         self,
         client: HttpClient,
-        pool: Pool,
+        pool: ConnectionPool,
         payload: bytes,
         request_id: str | None,
-        head_only: bool,
+        is_head_request: bool,
         deadline: float,
         callback: HttpCallback,
     ) -> None:
@@ -142,7 +142,7 @@
         self.pool = pool
         self.payload = payload
         self.request_id = request_id
-        self.head_only = head_only
+        self.is_head_request = is_head_request
         self.deadline = deadline
         self.callback = callback
         self.connection: Connection | None = None
@@ -156,14 +156,14 @@
 
 # After a peer has dropped a connection that rested, those that rested for this share of the time or longer
 # are not used again, for as long as the second figure says. A rest of the third is always allowed.
-REST_SHARE = 0.5
-REST_LIMIT_SECONDS = 15.0
-SHORTEST_REST_SECONDS = 0.05
+IDLE_LIMIT_SHARE = 0.5
+IDLE_LIMIT_TTL_SECONDS = 15.0
+MIN_IDLE_LIMIT_SECONDS = 0.05
 # A connection that the peer had dropped is reset at once; a later reset has another cause.
-DROPPED_WITHIN_SECONDS = 0.03
+STALE_RESET_WITHIN_SECONDS = 0.03
 
 
-class Pool:
+class ConnectionPool:
     """Connections to one address, and the requests that wait for one.
 
     Attributes
@@ -172,49 +172,49 @@
         Most recently used last, so that the surplus ages and is closed by the peer.
     open_count : int
         Connections that exist, idle ones included.
-    rest_limit : float
+    idle_limit : float
         Seconds of rest after which a connection is not used again, because the peer has dropped such ones
         without notice.
-    limited_until : float
+    idle_limit_until : float
         Monotonic time in seconds until which that limit holds.
     """
 
     __slots__ = (
         "address",
         "idle",
-        "limited_until",
+        "idle_limit",
+        "idle_limit_until",
         "max_connections",
         "open_count",
-        "peer",
-        "rest_limit",
+        "peer_address",
         "waiting",
     )
 
-    def __init__(self, address: str, peer: tuple[str, int]) -> None:
+    def __init__(self, address: str, peer_address: tuple[str, int]) -> None:
         self.address = address
-        self.peer = peer
+        self.peer_address = peer_address
         self.idle: list[Connection] = []
         self.open_count = 0
         self.max_connections = DEFAULT_MAX_CONNECTIONS
         self.waiting: deque[HttpExchange] = deque()
-        self.rest_limit = float("inf")
-        self.limited_until = float("-inf")
+        self.idle_limit = float("inf")
+        self.idle_limit_until = float("-inf")
 
-    def rested_too_long(self, seconds: float, now: float) -> bool:
+    def exceeds_idle_limit(self, seconds: float, now: float) -> bool:
         """Return whether a connection that has rested for some seconds may have been dropped by the peer."""
-        return now < self.limited_until and seconds > self.rest_limit
+        return now < self.idle_limit_until and seconds > self.idle_limit
 
-    def note_reset(self, connection: Connection, now: float) -> None:
+    def record_reset(self, connection: Connection, now: float) -> None:
         """Learn from a connection that ended without an answer."""
-        dropped = connection.reused and now - connection.sent_at < DROPPED_WITHIN_SECONDS
-        if dropped and connection.rest > SHORTEST_REST_SECONDS:
-            self.note_dropped(connection.rest, now)
+        dropped = connection.reused and now - connection.sent_at < STALE_RESET_WITHIN_SECONDS
+        if dropped and connection.idle_duration > MIN_IDLE_LIMIT_SECONDS:
+            self.record_idle_drop(connection.idle_duration, now)
 
-    def note_dropped(self, seconds: float, now: float) -> None:
+    def record_idle_drop(self, seconds: float, now: float) -> None:
         """Note that the peer had dropped a connection that rested for some seconds."""
-        former = self.rest_limit if now < self.limited_until else float("inf")
-        self.rest_limit = min(former, max(SHORTEST_REST_SECONDS, seconds * REST_SHARE))
-        self.limited_until = now + REST_LIMIT_SECONDS
+        previous = self.idle_limit if now < self.idle_limit_until else float("inf")
+        self.idle_limit = min(previous, max(MIN_IDLE_LIMIT_SECONDS, seconds * IDLE_LIMIT_SHARE))
+        self.idle_limit_until = now + IDLE_LIMIT_TTL_SECONDS
 
 
 class Connection:
@@ -229,8 +229,7 @@
     __slots__ = (
         "body",
         "body_bytes",
-        "broken",
-        "chunks",
+        "body_parts",
         "complete",
         "connecting",
         "declared",
@@ -239,21 +238,22 @@
         "fed_bytes",
         "head_bytes",
         "headers",
+        "idle_duration",
+        "idle_since",
         "keep_alive",
+        "malformed",
         "parser",
         "pool",
         "received",
-        "rest",
-        "rested_at",
+        "response_started",
         "reused",
         "sent_at",
-        "skipping",
+        "skipping_unmatched",
         "sock",
-        "started",
         "unsent",
     )
 
-    def __init__(self, pool: Pool, sock: socket.socket) -> None:
+    def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
         self.pool = pool
         self.sock = sock
         self.parser = httptools.HttpResponseParser(self)
@@ -261,51 +261,51 @@
         self.connecting = True
         self.unsent: memoryview | None = None
         self.reused = False
-        self.rested_at = 0.0
-        self.rest = 0.0
+        self.idle_since = 0.0
+        self.idle_duration = 0.0
         self.sent_at = 0.0
-        self.broken = False
+        self.malformed = False
         self.expires_at = float("inf")
         self.fed_bytes = 0
         self.body_bytes = 0
-        self.reset()
+        self.reset_response()
 
-    def reset(self) -> None:
+    def reset_response(self) -> None:
         """Forget the last answer."""
         self.headers: dict[str, str] = {}
         self.body = b""
-        self.chunks: list[bytes] | None = None
+        self.body_parts: list[bytes] | None = None
         self.received = 0
-        self.declared = NO_LENGTH
+        self.declared = LENGTH_UNKNOWN
         self.head_bytes = 0
-        self.started = False
+        self.response_started = False
         self.complete = False
         self.keep_alive = False
-        self.skipping = False
+        self.skipping_unmatched = False
 
     def feed(self, data: bytes) -> None:
-        """Parse what arrived; ``broken`` tells afterwards that it is no acceptable answer."""
+        """Parse what arrived; ``malformed`` tells afterwards that it is no acceptable answer."""
         self.fed_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.broken = True
-        if self.body_bytes > MAX_BODY_BYTES or framing_exceeds(
+            self.malformed = True
+        if self.body_bytes > MAX_BODY_BYTES or framing_exceeds_limit(
             MAX_HEAD_BYTES, self.fed_bytes, self.body_bytes
         ):
-            self.broken = True
+            self.malformed = True
 
     def on_message_begin(self) -> None:
         """Note the start of an answer; one after the answer that was asked for ends the parsing."""
         if self.complete:
             raise httptools.HttpParserError("second answer to one request")
-        self.started = True
+        self.response_started = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
         self.head_bytes += len(name) + len(value)
         if self.head_bytes > MAX_HEAD_BYTES:
-            self.broken = True
+            self.malformed = True
             return
         key = name.decode("latin-1").lower()
         text = value.decode("latin-1")
@@ -316,49 +316,51 @@
     def on_headers_complete(self) -> None:
         """Note the declared length; the parser has already refused one that is not a number."""
         client = self.exchange.client
-        if self.headers.get(client.id_header, self.exchange.request_id) != self.exchange.request_id:
-            if not client.skips_unmatched_answers:
+        if self.headers.get(client.request_id_header, self.exchange.request_id) != self.exchange.request_id:
+            if not client.skips_unmatched_responses:
                 raise httptools.HttpParserError("answer to another request")
-            self.skipping = True
+            self.skipping_unmatched = True
             return
         length = self.headers.get("content-length")
         if length is not None:
             self.declared = int(length.partition(",")[0])
             if self.declared > MAX_BODY_BYTES:
-                self.broken = True
-        if self.exchange.head_only and self.parser.get_status_code() not in INFORMATIONAL:
+                self.malformed = True
+        if self.exchange.is_head_request and self.parser.get_status_code() not in INFORMATIONAL_STATUSES:
             # The parser does not know that this answer has no body, and would wait for it.
             self.complete = True
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body; that of an answer to another request is dropped."""
         self.body_bytes += len(data)
-        if self.skipping:
+        if self.skipping_unmatched:
             return
         if not self.received:
             self.body = data
-        elif self.chunks is None:
-            self.chunks = [self.body, data]
+        elif self.body_parts is None:
+            self.body_parts = [self.body, data]
         else:
-            self.chunks.append(data)
+            self.body_parts.append(data)
         self.received += len(data)
 
     def on_message_complete(self) -> None:
         """Note the end of an answer; informational answers precede the real one."""
-        if self.skipping or self.parser.get_status_code() in INFORMATIONAL:
-            self.reset()
+        if self.skipping_unmatched or self.parser.get_status_code() in INFORMATIONAL_STATUSES:
+            self.reset_response()
             return
         self.complete = True
         # The parser forgets the headers after this call, and would then always say no.
         self.keep_alive = self.parser.should_keep_alive()
 
     @property
-    def ends_with_connection(self) -> bool:
+    def is_close_delimited(self) -> bool:
         """Whether an answer has begun whose body has no declared end."""
         chunked = "transfer-encoding" in self.headers
-        return self.started and bool(self.headers) and self.declared == NO_LENGTH and not chunked
+        return (
+            self.response_started and bool(self.headers) and self.declared == LENGTH_UNKNOWN and not chunked
+        )
 
-    def idle_seconds(self) -> float:
+    def keep_alive_seconds(self) -> float:
         """Return how long the peer keeps the connection open, or infinity when it does not say."""
         for part in self.headers.get("keep-alive", "").split(","):
             name, _, value = part.strip().partition("=")
@@ -366,9 +368,9 @@
                 return float(value) * KEEP_ALIVE_SHARE
         return float("inf")
 
-    def response(self) -> HttpResponse:
+    def build_response(self) -> HttpResponse:
         """Return the answer received."""
-        body = self.body if self.chunks is None else b"".join(self.chunks)
+        body = self.body if self.body_parts is None else b"".join(self.body_parts)
         return HttpResponse(self.parser.get_status_code(), self.headers, body)
 
 
@@ -401,9 +403,9 @@
     InvalidArgument
         If a part of the head would be read as more than that part.
     """
-    if not OWN_HEADERS.isdisjoint(headers):
+    if not RESERVED_HEADERS.isdisjoint(headers):
         raise InvalidArgument(
-            name="headers", value=sorted(headers), expected=f"none of {sorted(OWN_HEADERS)}"
+            name="headers", value=sorted(headers), expected=f"none of {sorted(RESERVED_HEADERS)}"
         )
     lines = [f"{method} {path} HTTP/1.1", f"host: {host or address}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -1,8 +1,8 @@
-"""HTTP/1.1 server on the sockets of the circuits loop, parsed by httptools.
+"""HTTP/1.1 server for callers, on circuits' event loop with the httptools parser.
 
-``circuits.web`` answers one request of a pipeline and cannot tell a handler that the caller has left, and it
-accepts a length beside chunked encoding. This server answers pipelines in order, reports a closed connection,
-and bounds heads, bodies, idle times and slow senders.
+``circuits.web`` answers only one request of a pipeline, cannot notify a handler that the caller disconnected,
+and accepts a ``Content-Length`` together with chunked encoding. This server answers pipelined requests in
+order, reports disconnects, and limits head size, body size, idle time and the time to send a head.
 """
 
 from __future__ import annotations
@@ -24,25 +24,24 @@
 )
 from hibiscusdrum.internal.transport.http_connection import parse_address
 
-RECEIVE_BYTES = 65_536
-# Connections accepted in one turn of the loop, so that a burst of callers does not delay lease renewals.
-ACCEPT_BATCH = 64
-BACKLOG = 1024
-SWEEP_SECONDS = 0.25
-
+RECEIVE_BUFFER_BYTES = 65_536
+# Connections accepted per loop iteration; the limit keeps a burst of callers from delaying lease renewals.
+ACCEPT_BATCH_SIZE = 64
+LISTEN_BACKLOG = 1024
+SWEEP_INTERVAL_SECONDS = 0.25
 
 RequestHandler = Callable[[EntryRequest], None]
 
 
 class HttpEntry(Service):
-    """Listens on several addresses and hands complete requests to the handler of each.
+    """HTTP server that passes requests to the handler registered for the listening address.
 
     Attributes
     ----------
     limits : EntryLimits
-        Apply to what arrives from now on.
-    draining : bool
-        Whether each answer asks the caller to use another connection.
+        Size and time limits; a new value applies to input received from then on.
+    accepted_count : int
+        Connections accepted since the start.
     """
 
     service_name = "entry"
@@ -50,46 +49,46 @@
     def __init__(self) -> None:
         super().__init__()
         self.limits = EntryLimits()
-        self.handlers: dict[str, RequestHandler] = {}
+        self.request_handlers: dict[str, RequestHandler] = {}
         self.listeners: dict[socket.socket, str] = {}
         self.connections: dict[socket.socket, EntryConnection] = {}
-        self.accepted = 0
+        self.accepted_count = 0
 
     def on_start(self) -> None:
-        """Watch for idle and slow callers."""
-        self.app.scheduler.every(SWEEP_SECONDS, self.sweep)
+        """Start the periodic check for idle and slow callers."""
+        self.app.scheduler.every(SWEEP_INTERVAL_SECONDS, self.enforce_timeouts)
 
     def listen(self, address: str, handle: RequestHandler) -> None:
-        """Accept requests on an address.
+        """Listen on an address and pass its requests to ``handle``.
 
         Raises
         ------
         AddressInUse
-            If another process listens there.
+            If the address cannot be bound.
         """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             sock.bind(parse_address(address))
-            sock.listen(BACKLOG)
+            sock.listen(LISTEN_BACKLOG)
         except OSError as error:
             sock.close()
             raise AddressInUse(address=address) from error
-        self.handlers[address] = handle
+        self.request_handlers[address] = handle
         self.listeners[sock] = address
         self.app.poller.addReader(self, sock)
 
     def dispatch(self, request: EntryRequest) -> None:
-        """Call the handler of the request's address; a fault in it is answered and logged."""
+        """Call the handler of the request's address; an exception is logged and answered with status 502."""
         try:
-            self.handlers[request.listener](request)
+            self.request_handlers[request.listen_address](request)
         except Exception:
-            logger.exception("handler of an HTTP request failed")
+            logger.exception("HTTP request handler failed")
             request.respond(502, [])
 
     @handler("_read")
     def on_readable(self, sock: socket.socket) -> None:
-        """Accept connections, or read from one."""
+        """Accept connections on a listening socket, or read from a caller's connection."""
         if sock in self.listeners:
             self.accept(sock, self.listeners[sock])
             return
@@ -97,72 +96,72 @@
         if connection is None:
             return
         try:
-            data = sock.recv(RECEIVE_BYTES)
+            data = sock.recv(RECEIVE_BUFFER_BYTES)
         except BlockingIOError:
             return
         except OSError:
             data = b""
         if not data:
-            self.connection_lost(connection, "caller closed")
+            self.connection_lost(connection, "caller disconnected")
             return
         connection.feed(data)
 
     def accept(self, listener: socket.socket, address: str) -> None:
-        """Accept what waits, up to a batch."""
-        for _ in range(ACCEPT_BATCH):
+        """Accept up to ``ACCEPT_BATCH_SIZE`` waiting connections."""
+        for _ in range(ACCEPT_BATCH_SIZE):
             try:
                 sock, _peer = listener.accept()
             except BlockingIOError:
                 return
             except OSError as error:
-                logger.warning("accept failed: {}", error)
+                logger.warning("cannot accept an HTTP connection: {}", error)
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.accepted += 1
+            self.accepted_count += 1
             self.connections[sock] = EntryConnection(self, sock, address, self.app.clock.monotonic())
             self.app.poller.addReader(self, sock)
 
-    def pause(self, connection: EntryConnection) -> None:
-        """Read nothing more from a connection."""
+    def pause_reading(self, connection: EntryConnection) -> None:
+        """Stop reading from a connection."""
         if not connection.closed:
             self.app.poller.removeReader(connection.sock)
 
-    def resume(self, connection: EntryConnection) -> None:
-        """Read from a connection again."""
+    def resume_reading(self, connection: EntryConnection) -> None:
+        """Resume reading from a connection."""
         if not connection.closed:
             self.app.poller.addReader(self, connection.sock)
 
-    def want_write(self, connection: EntryConnection) -> None:
-        """Ask the poller for the next chance to write."""
-        if not connection.writing:
-            connection.writing = True
+    def watch_writable(self, connection: EntryConnection) -> None:
+        """Register the connection with the poller for writability."""
+        if not connection.awaiting_writable:
+            connection.awaiting_writable = True
             self.app.poller.addWriter(self, connection.sock)
 
     @handler("_write")
     def on_writable(self, sock: socket.socket) -> None:
-        """Send more of the answers."""
+        """Write buffered output; shut the connection down after its last response."""
         connection = self.connections.get(sock)
         if connection is None:
             return
-        if connection.out:
+        if connection.output_buffer:
             try:
-                sent = sock.send(connection.out)
+                sent = sock.send(connection.output_buffer)
             except BlockingIOError:
                 return
             except OSError:
                 self.connection_lost(connection, "write failed")
                 return
-            del connection.out[:sent]
-            connection.active_at = self.app.clock.monotonic()
-        if not connection.out:
-            connection.writing = False
+            del connection.output_buffer[:sent]
+            connection.last_active_at = self.app.clock.monotonic()
+        if not connection.output_buffer:
+            connection.awaiting_writable = False
             self.app.poller.removeWriter(sock)
             if connection.closing:
-                self.end_output(connection)
+                self.shutdown_write(connection)
 
-    def end_output(self, connection: EntryConnection) -> None:
-        """Send the end of the stream, and wait shortly for the caller's own."""
+    def shutdown_write(self, connection: EntryConnection) -> None:
+        """Close the sending direction, and drop further input for ``DISCARD_SECONDS``."""
         try:
             connection.sock.shutdown(socket.SHUT_WR)
         except OSError:
@@ -172,52 +171,55 @@
 
     @handler("_disconnect", "_error")
     def on_disconnected(self, sock: socket.socket, *_error: Any) -> None:
-        """Handle a connection that the poller reports as gone."""
+        """Handle a disconnect or error reported by the poller."""
         connection = self.connections.get(sock)
         if connection is not None:
             self.connection_lost(connection, "connection error")
 
     def connection_lost(self, connection: EntryConnection, _reason: str) -> None:
-        """Forget a closed connection; its unanswered requests are cancelled."""
+        """Close a lost connection and cancel its unanswered requests."""
         if connection.closed:
             return
         self.close(connection)
-        connection.abandon_pending()
+        connection.cancel_pending()
 
     def close(self, connection: EntryConnection) -> None:
-        """Close the socket."""
+        """Close a connection without notifying the handlers of its requests."""
         connection.closed = True
         if self.connections.pop(connection.sock, None) is not None:
             self.app.poller.discard(connection.sock)
             connection.sock.close()
 
-    def sweep(self) -> None:
-        """Close connections that are idle for too long, and answer heads that arrive too slowly."""
+    def enforce_timeouts(self) -> None:
+        """Close idle connections, and reject requests whose head takes too long with status 408."""
         now = self.app.clock.monotonic()
         limits = self.limits
         for connection in list(self.connections.values()):
             if connection.discard_until:
                 if now >= connection.discard_until:
                     self.close(connection)
-            elif connection.head_started is not None and now - connection.head_started > limits.head_timeout:
-                connection.refuse(408)
-            elif not connection.pending and now - connection.active_at > limits.idle_timeout:
+            elif (
+                connection.head_started_at is not None
+                and now - connection.head_started_at > limits.head_timeout
+            ):
+                connection.reject(408)
+            elif not connection.pending and now - connection.last_active_at > limits.idle_timeout:
                 self.close(connection)
 
     @property
     def unanswered_count(self) -> int:
-        """Requests that were read and have no answer yet, and answers still being written."""
-        return sum(len(entry.pending) + bool(entry.out) for entry in self.connections.values())
+        """Number of requests without a response, plus connections with unsent output."""
+        return sum(len(c.pending) + bool(c.output_buffer) for c in self.connections.values())
 
     def stop_listening(self, address: str | None = None) -> None:
-        """Refuse new connections on one address, or on all; open ones go on."""
+        """Stop accepting connections on one address, or on all; open connections stay usable."""
         for sock in [sock for sock, bound in self.listeners.items() if address in (None, bound)]:
             self.app.poller.discard(sock)
             sock.close()
             del self.listeners[sock]
 
     def on_stop(self) -> None:
-        """Close all sockets."""
+        """Close listening sockets and connections."""
         self.stop_listening()
         for connection in list(self.connections.values()):
             self.close(connection)
--- a/src/hibiscusdrum/internal/transport/http_server.py
+++ b/src/hibiscusdrum/internal/transport/http_server.py
@@ -10,7 +10,7 @@
 from circuits.web.events import response
 from circuits.web.servers import BaseServer
 
-# Time in which the rest of a refused request is read and dropped.
+# Time in which the rest of a rejected request is read and dropped.
 DISCARD_SECONDS = 1.0
 
 # Answers a request whose head is enough to refuse it; returns False when the body may be read.
@@ -34,7 +34,7 @@
     def __init__(self, bind: tuple[str, int], check_head: HeadCheck, channel: str) -> None:
         super().__init__(bind, channel=channel)
         self.check_head = check_head
-        self.refused: set[Any] = set()
+        self.rejected_sockets: set[Any] = set()
 
     @handler("ready", override=True)
     def _on_ready(self, *_args: Any) -> None:
@@ -45,7 +45,7 @@
         """Keep listening: a planned stop still answers requests."""
 
     @handler("read", priority=-1)
-    def refuse_early(self, sock: Any, _data: bytes) -> None:
+    def reject_early(self, sock: Any, _data: bytes) -> None:
         """Check the head of a request whose body has not arrived completely.
 
         circuits.web hands a request over only when its body is complete, and keeps what has arrived until
@@ -57,22 +57,22 @@
         request, reply = http._clients[sock]
         if self.check_head(request, reply):
             del http._buffers[sock], http._clients[sock]
-            self.refused.add(sock)
+            self.rejected_sockets.add(sock)
             reply.headers["Connection"] = "close"
             self.fire(response(reply), self.channel)
             Timer(DISCARD_SECONDS, close(sock), self.channel).register(self)
 
     @handler("read", priority=1)
-    def discard_rest(self, event: Any, sock: Any, _data: bytes) -> None:
-        """Drop what follows a refused head.
+    def discard_remaining_body(self, event: Any, sock: Any, _data: bytes) -> None:
+        """Drop what follows a rejected head.
 
         Closing at once would reset the connection while the client still sends, and the client could lose the
         answer.
         """
-        if sock in self.refused:
+        if sock in self.rejected_sockets:
             event.stop()
 
     @handler("disconnect")
-    def forget(self, sock: Any) -> None:
+    def forget_connection(self, sock: Any) -> None:
         """Forget a closed connection."""
-        self.refused.discard(sock)
+        self.rejected_sockets.discard(sock)
--- a/src/hibiscusdrum/internal/transport/peer.py
+++ b/src/hibiscusdrum/internal/transport/peer.py
@@ -20,7 +20,7 @@
 HEARTBEAT_TIMEOUT_MS = 1200
 
 
-def detect_silence(socket: zmq.Socket) -> None:
+def enable_heartbeats(socket: zmq.Socket) -> None:
     """Let ZeroMQ end connections whose peer no longer answers."""
     socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
     socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
@@ -47,7 +47,7 @@
         self.socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         self.socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         if heartbeats:
-            detect_silence(self.socket)
+            enable_heartbeats(self.socket)
         self.socket.connect(f"tcp://{address}")
 
     def try_send(self, frames: list[bytes]) -> bool:
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -26,12 +26,12 @@
 )
 
 # Messages read from one socket before the loop turns to other work, so that a flood cannot delay renewals.
-READ_BATCH = 128
+READ_BATCH_MESSAGES = 128
 # A control message waits this long for a connection; renewals repeat within the time.
 CONNECT_TIMEOUT_SECONDS = 0.3
 # Answers that were just sent still leave when the daemon ends.
 CLOSE_LINGER_MS = 500
-PENDING_RETRY_SECONDS = 0.005
+PENDING_RETRY_INTERVAL_SECONDS = 0.005
 
 RequestHandler = Callable[[bytes, Message, bytes], None]
 ControlHandler = Callable[[Message], None]
@@ -61,14 +61,14 @@
         self.peers: dict[str, Peer] = {}
         self.readers: dict[int, tuple[zmq.Socket, Callable[[], int]]] = {}
         # Descriptors of sockets that may hold messages: signalled by the poller or used since the last read.
-        self.unread: set[int] = set()
+        self.possibly_readable: set[int] = set()
         self.on_request: RequestHandler | None = None
         self.on_reply: ReplyHandler | None = None
         self.on_invalid_frame: Callable[[HibiscusdrumError], None] | None = None
         self.on_control_sent: Callable[[str, int], None] | None = None
         self.control_handlers: dict[type, ControlHandler] = {}
         # Addresses of peers with messages that wait for a connection.
-        self.waiting: set[str] = set()
+        self.waiting_addresses: set[str] = set()
         self.control_bytes_sent = 0
         self.control_bytes_received = 0
 
@@ -82,7 +82,9 @@
         """
         if self.address is not None:
             self.bind(self.address)
-        self.pending_timer = self.app.scheduler.while_needed(PENDING_RETRY_SECONDS, self.flush_pending)
+        self.pending_timer = self.app.scheduler.while_needed(
+            PENDING_RETRY_INTERVAL_SECONDS, self.flush_pending
+        )
 
     def bind(self, address: str) -> None:
         """Open the ROUTER socket on an address."""
@@ -97,7 +99,7 @@
             router.close()
             raise AddressInUse(address=address) from error
         self.router = router
-        self.router_descriptor = self.watch(router, self.read_router)
+        self.router_descriptor = self.watch_socket(router, self.read_router)
 
     def on_stop(self) -> None:
         """Close every socket."""
@@ -107,45 +109,45 @@
         self.readers.clear()
         self.context.term()
 
-    def watch(self, socket: zmq.Socket, reader: Callable[[], int]) -> int:
+    def watch_socket(self, socket: zmq.Socket, reader: Callable[[], int]) -> int:
         """Wake the loop when the socket's descriptor signals; returns the descriptor."""
         descriptor = socket.getsockopt(zmq.FD)
         self.readers[descriptor] = (socket, reader)
-        self.unread.add(descriptor)
+        self.possibly_readable.add(descriptor)
         self.app.poller.addReader(self, descriptor)
         return descriptor
 
     @handler("generate_events", priority=9)
-    def drain_sockets(self, event: Any) -> None:
+    def read_sockets(self, event: Any) -> None:
         """Read what has arrived before the poller waits.
 
         ZeroMQ's descriptor is edge-triggered and its state also changes on sends, so a socket is asked again
         after each use until it has nothing more.
         """
-        for descriptor in tuple(self.unread):
-            entry = self.readers.get(descriptor)
-            if entry is None or not entry[0].getsockopt(zmq.EVENTS) & zmq.POLLIN:
-                self.unread.discard(descriptor)
+        for descriptor in tuple(self.possibly_readable):
+            registration = self.readers.get(descriptor)
+            if registration is None or not registration[0].getsockopt(zmq.EVENTS) & zmq.POLLIN:
+                self.possibly_readable.discard(descriptor)
             else:
-                entry[1]()
+                registration[1]()
                 # Handlers may have fired events, for which circuits would not end the poller's wait.
                 event.reduce_time_left(0)
 
     @handler("_read")
-    def wake(self, descriptor: int) -> None:
+    def mark_readable(self, descriptor: int) -> None:
         """Note that a socket's state has changed."""
-        self.unread.add(descriptor)
+        self.possibly_readable.add(descriptor)
 
     def read_router(self) -> int:
         """Read up to one batch from the listening socket; returns the number of messages."""
         socket = self.router
-        for count in range(READ_BATCH):
+        for count in range(READ_BATCH_MESSAGES):
             try:
                 frames = receive_frames(socket)
             except zmq.Again:
                 return count
             self.dispatch(frames)
-        return READ_BATCH
+        return READ_BATCH_MESSAGES
 
     def dispatch(self, frames: list[bytes]) -> None:
         """Decode one message from the ROUTER and pass it on; a bad one is reported and dropped."""
@@ -175,7 +177,7 @@
         frames = [identity, REQUEST_KIND, codec.encode(message)]
         if body is not None:
             frames.append(body)
-        self.unread.add(self.router_descriptor)
+        self.possibly_readable.add(self.router_descriptor)
         try:
             send_frames(self.router, frames)
         except zmq.ZMQError:
@@ -195,18 +197,18 @@
         peer = self.peers.get(address)
         if peer is None:
             peer = self.peers[address] = Peer(self.context, address, heartbeats)
-            peer.descriptor = self.watch(peer.socket, lambda: self.read_peer(peer))
+            peer.descriptor = self.watch_socket(peer.socket, lambda: self.read_peer(peer))
         return peer
 
     def read_peer(self, peer: Peer) -> int:
         """Read up to one batch of answers from a peer; returns the number of messages."""
-        for count in range(READ_BATCH):
+        for count in range(READ_BATCH_MESSAGES):
             try:
                 frames = receive_frames(peer.socket)
             except zmq.Again:
                 return count
             self.dispatch_reply(frames)
-        return READ_BATCH
+        return READ_BATCH_MESSAGES
 
     def dispatch_reply(self, frames: list[bytes]) -> None:
         """Decode one answer and pass it on; a bad one is reported and dropped."""
@@ -240,39 +242,39 @@
         if body:
             frames.append(body)
         peer = self.peer(address)
-        self.unread.add(peer.descriptor)
+        self.possibly_readable.add(peer.descriptor)
         return sum(map(len, frames)) if peer.try_send(frames) else 0
 
     def send(self, address: str, frames: list[bytes]) -> None:
         """Send frames now, or keep them until the connection is up or the time for it has passed."""
         peer = self.peer(address)
-        self.unread.add(peer.descriptor)
+        self.possibly_readable.add(peer.descriptor)
         if not peer.pending and peer.try_send(frames):
             return
         due = self.app.clock.monotonic() + CONNECT_TIMEOUT_SECONDS
         peer.pending.append((due, frames))
-        self.waiting.add(address)
+        self.waiting_addresses.add(address)
         self.pending_timer.wake()
 
     def flush_pending(self) -> bool:
         """Send what waits for a connection and drop what has waited too long; True if some still waits."""
         now = self.app.clock.monotonic()
-        for address in tuple(self.waiting):
+        for address in tuple(self.waiting_addresses):
             peer = self.peers[address]
             pending = peer.pending
             while pending and (peer.try_send(pending[0][1]) or pending[0][0] <= now):
                 pending.popleft()
             if not pending:
-                self.waiting.discard(address)
-        return bool(self.waiting)
+                self.waiting_addresses.discard(address)
+        return bool(self.waiting_addresses)
 
     def disconnect_peer(self, address: str) -> None:
         """Close the connection to a peer that has left."""
         peer = self.peers.pop(address, None)
         if peer is None:
             return
-        self.waiting.discard(address)
+        self.waiting_addresses.discard(address)
         self.readers.pop(peer.descriptor, None)
-        self.unread.discard(peer.descriptor)
+        self.possibly_readable.discard(peer.descriptor)
         self.app.poller.discard(peer.descriptor)
         peer.socket.close()
--- a/tests/features/steps/endless_bytes_steps.py
+++ b/tests/features/steps/endless_bytes_steps.py
@@ -114,7 +114,7 @@
 @given("a target whose answers hold {part} without end")
 def endless_target(context, part, pause=0.0):
     context.target = EndlessTarget(*ANSWERS[part], pause)
-    context.client = HttpClient(skips_unmatched_answers=True, accepts_close_delimited=True)
+    context.client = HttpClient(skips_unmatched_responses=True, accepts_close_delimited=True)
     context.loopback = Loopback(context.client)
     context.add_cleanup(context.loopback.stop)
     context.add_cleanup(context.target.listener.close)
