Reword the comments and log texts of the HTTP client and the peer transport

Comments in http_connection.py, http_client.py, peers.py, peer.py, frames.py and http_server.py described connections that rest, answers that are held and messages that are handed over. They now use the terms of HTTP and ZeroMQ, and each limit keeps its reason. The texts of parser errors and of a failed callback's log line are reworded.

--- a/src/hibiscusdrum/internal/transport/frames.py
+++ b/src/hibiscusdrum/internal/transport/frames.py
@@ -1,24 +1,25 @@
-"""Multipart messages on ZeroMQ sockets, without the cost of ``send_multipart`` and ``recv_multipart``.
+"""Non-blocking multipart messages on ZeroMQ sockets, faster than pyzmq's multipart methods.
 
-Those convert flags and options to enumerations for each part: 10 us to receive and 10 us to send a message of
-three parts, against 6 us and 4 us here.
+``send_multipart`` and ``recv_multipart`` convert flags and options to enumerations for each part. A message
+of three parts takes them 10 us to receive and 10 us to send; the functions here take 6 us and 4 us.
 """
 
 from __future__ import annotations
 
 import zmq
 
+# Integers, so that pyzmq's flag enumerations are not combined for each frame.
 LAST_FRAME = int(zmq.NOBLOCK)
 MORE_FRAMES = int(zmq.NOBLOCK | zmq.SNDMORE)
 
 
 def send_frames(socket: zmq.Socket, frames: list[bytes]) -> None:
-    """Send a message without waiting.
+    """Send a multipart message without blocking.
 
     Raises
     ------
     zmq.Again
-        If there is no connection or its queue is full; nothing was sent.
+        If there is no connection or its send queue is full; no part of the message was sent.
     """
     for frame in frames[:-1]:
         socket.send(frame, MORE_FRAMES)
@@ -26,12 +27,12 @@
 
 
 def receive_frames(socket: zmq.Socket) -> list[bytes]:
-    """Receive a message without waiting.
+    """Receive a multipart message without blocking.
 
     Raises
     ------
     zmq.Again
-        If none has arrived.
+        If no message has arrived.
     """
     frame = socket.recv(LAST_FRAME, copy=False)
     frames = [frame.bytes]
--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -1,7 +1,8 @@
-"""HTTP/1.1 client in the circuits loop, with a keep-alive pool for each address.
+"""HTTP/1.1 client on circuits' event loop, with a pool of keep-alive connections per address.
 
-A request is written with one send call, and an answer costs one ``_read`` event of the poller. A request
-whose bytes may have reached the peer is never sent again: only the caller knows whether that is safe.
+A request is normally written with one ``send`` call, and a response normally takes one ``_read`` event of the
+poller. A request whose bytes may have reached the peer is never retried here: only the caller knows whether a
+retry is safe.
 """
 
 from __future__ import annotations
@@ -38,16 +39,17 @@
 
 
 class HttpClient(Service):
-    """Sends requests and matches the answers to them.
+    """HTTP client that limits the connections to each address and the duration of each exchange.
 
     Parameters
     ----------
     request_id_header : str
-        Header, in lower case, by which an answer names its request.
+        Lower-case name of the header in which a response repeats the id of its request.
     skips_unmatched_responses : bool
-        Whether an answer to another request is dropped and the next one awaited, instead of being a failure.
+        Whether a response to another request is skipped; otherwise it fails the exchange.
     accepts_close_delimited : bool
-        Whether an answer without a length is complete when the peer ends the connection without a reset.
+        Whether a response without a declared length is complete when the peer closes the connection without
+        a reset; otherwise it is incomplete.
     """
 
     service_name = "http_client"
@@ -87,18 +89,18 @@
         address : str
             ``ip:port`` of the peer.
         timeout : float
-            Seconds for the whole exchange, the wait for a connection included.
+            Seconds for the whole exchange, including the wait for a connection.
         callback : callable
-            Gets the result once, never before this method returns.
+            Called once with the result, never before this method returns.
         max_connections : int
-            Limit for this address; requests beyond it wait.
+            Connection limit for this address; further requests wait.
         host : str, optional
-            Host header; the address when not given.
+            Value of the Host header; ``address`` by default.
 
         Raises
         ------
         InvalidArgument
-            If an argument cannot be sent as it is.
+            If an argument is out of range or cannot be encoded safely.
         """
         if not timeout > 0:
             raise InvalidArgument(name="timeout", value=timeout, expected="seconds above 0")
@@ -117,12 +119,12 @@
         return exchange
 
     def add_pool(self, address: str) -> ConnectionPool:
-        """Create the pool of an address."""
+        """Create the connection pool of an address."""
         pool = self.pools[address] = ConnectionPool(address, parse_address(address))
         return pool
 
     def dispatch(self, exchange: HttpExchange) -> None:
-        """Send on an idle or new connection, or let the exchange wait for one."""
+        """Send on an idle or new connection, or queue the exchange at the connection limit."""
         pool = exchange.pool
         now = self.app.clock.monotonic()
         while pool.idle:
@@ -140,7 +142,10 @@
             pool.waiting.append(exchange)
 
     def is_stale(self, connection: Connection) -> bool:
-        """Tell whether the peer closed, or wrote to, an idle connection without the poller's notice yet."""
+        """Return whether an idle connection has expired, been closed or received unrequested data.
+
+        The socket is checked directly, since the poller may not have reported its state yet.
+        """
         if self.app.clock.monotonic() >= connection.expires_at:
             return True
         try:
@@ -170,7 +175,7 @@
             self.app.scheduler.call_later(0.0, lambda: self.connection_lost(connection))
 
     def send(self, connection: Connection, exchange: HttpExchange) -> None:
-        """Write the request, with one call when the socket's buffer takes all of it."""
+        """Write the request; what the socket does not accept is sent when it is writable."""
         connection.exchange = exchange
         connection.fed_bytes = connection.body_bytes = 0
         exchange.connection = connection
@@ -190,7 +195,7 @@
 
     @handler("_write")
     def on_writable(self, sock: socket.socket) -> None:
-        """Finish a connect, or send more of a request."""
+        """Complete a connect, or continue to send a request."""
         connection = self.connections.get(sock)
         if connection is None:
             return
@@ -200,7 +205,7 @@
             self.send_more(connection)
 
     def finish_connect(self, connection: Connection) -> None:
-        """Send the first request on a new connection."""
+        """Complete a connect and send the request that opened the connection, unless it has expired."""
         if connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self.connection_lost(connection)
             return
@@ -213,7 +218,7 @@
             self.send(connection, connection.exchange)
 
     def send_more(self, connection: Connection) -> None:
-        """Send the rest of a request."""
+        """Continue to send a request."""
         try:
             sent = connection.sock.send(connection.unsent)
         except BlockingIOError:
@@ -229,7 +234,7 @@
 
     @handler("_read")
     def on_readable(self, sock: socket.socket) -> None:
-        """Parse what arrived."""
+        """Receive and parse response bytes."""
         connection = self.connections.get(sock)
         if connection is None:
             return
@@ -244,7 +249,7 @@
             self.finish_exchange(connection)
             return
         if not data or connection.exchange is None:
-            # Data on an idle connection answers nothing that was asked.
+            # Data on an idle connection belongs to no request.
             self.connection_lost(connection)
             return
         previous = connection.received
@@ -257,20 +262,20 @@
             self.enforce_buffer_limit()
 
     def enforce_buffer_limit(self) -> None:
-        """Give up the longest answer when the bodies that are held take too much memory together."""
+        """Fail the exchange with the largest buffered body when all together exceed the limit."""
         if sum(connection.received for connection in self.connections.values()) > MAX_BUFFERED_BYTES:
             largest = max(self.connections.values(), key=lambda connection: connection.received)
             self.close_and_fail(largest, FailureKind.MALFORMED)
 
     @handler("_disconnect", "_error")
     def on_disconnected(self, sock: socket.socket, *_error: Any) -> None:
-        """Handle a connection that the poller reports as gone."""
+        """Handle a disconnect or error reported by the poller."""
         connection = self.connections.get(sock)
         if connection is not None:
             self.connection_lost(connection)
 
     def finish_exchange(self, connection: Connection) -> None:
-        """Deliver a complete answer and reuse the connection when that is safe."""
+        """Deliver a complete response, and keep the connection if it is reusable."""
         exchange = connection.exchange
         response = connection.build_response()
         if connection.malformed or connection.unsent is not None or not connection.keep_alive:
@@ -286,7 +291,7 @@
         self.deliver(exchange, Success(response))
 
     def release_connection(self, connection: Connection) -> None:
-        """Give a free connection to the next waiting exchange, or keep it."""
+        """Use a free connection for the next waiting exchange, or return it to the pool."""
         exchange = self.next_waiting(connection.pool)
         if exchange is None:
             connection.pool.idle.append(connection)
@@ -294,9 +299,10 @@
             self.send(connection, exchange)
 
     def next_waiting(self, pool: ConnectionPool) -> HttpExchange | None:
-        """Return the next exchange that still wants a connection.
+        """Return the next waiting exchange that is neither done nor expired.
 
-        After a pause of the process, answers are read before the sweep runs; expired ones must not be sent.
+        The deadline is checked here too: after a pause of the process, responses may be read, and their
+        connections freed, before the expiry timer runs. An expired request must not be sent.
         """
         while pool.waiting:
             exchange = pool.waiting.popleft()
@@ -308,7 +314,11 @@
         return None
 
     def connection_lost(self, connection: Connection) -> None:
-        """Close a connection that ended; its exchange fails, or moves when no byte of it was sent."""
+        """Close a lost connection.
+
+        Its exchange moves to another connection if this one was reused and no byte of the request was sent;
+        otherwise it fails.
+        """
         if connection.sock not in self.connections:
             return
         exchange = connection.exchange
@@ -334,7 +344,7 @@
             self.fail_exchange(exchange, kind, received, declared)
 
     def close(self, connection: Connection) -> None:
-        """Close a connection and let a waiting exchange open another."""
+        """Close a connection; a waiting exchange may open another."""
         pool, sock = connection.pool, connection.sock
         if self.connections.pop(sock, None) is None:
             return
@@ -346,14 +356,14 @@
         self.connect_waiting(pool)
 
     def connect_waiting(self, pool: ConnectionPool) -> None:
-        """Open a connection for the next waiting exchange while the limit allows it."""
+        """Open connections for waiting exchanges, up to the connection limit."""
         while pool.waiting and pool.open_count < pool.max_connections:
             exchange = self.next_waiting(pool)
             if exchange is not None:
                 self.connect(pool, exchange)
 
     def abort(self, exchange: HttpExchange, kind: FailureKind) -> None:
-        """End an exchange without an answer; its connection cannot be reused."""
+        """Fail an exchange before its response is complete, and close its connection, if any."""
         if exchange.done:
             return
         connection = exchange.connection
@@ -365,24 +375,26 @@
     def fail_exchange(
         self, exchange: HttpExchange, kind: FailureKind, received: int = 0, declared: int = LENGTH_UNKNOWN
     ) -> None:
-        """Report a failure."""
+        """Deliver a failure to an exchange."""
         self.deliver(exchange, Failure(HttpFailure(exchange.bytes_sent, kind, received, declared)))
 
     def deliver(self, exchange: HttpExchange, result: Result[HttpResponse, HttpFailure]) -> None:
-        """Call the callback."""
+        """End an exchange and call its callback."""
         exchange.done = True
         exchange.connection = None
         self.pending.discard(exchange)
         try:
             exchange.callback(result)
         except Exception:
-            # Other exchanges may be ending in the same loop, for example in a sweep of deadlines.
-            logger.exception("callback of an HTTP exchange failed")
+            # A failing callback must not affect other exchanges that end in the same loop, for example in
+            # expire_exchanges.
+            logger.exception("HTTP exchange callback failed")
 
     def schedule_expiry(self, due: float) -> None:
-        """Check deadlines at ``due``.
+        """Schedule the check of deadlines at ``due``.
 
-        One timer for all exchanges: one each would leave 6,000 cancelled timers a second in the heap.
+        All exchanges share one timer: one timer each would add 6,000 cancelled timers per second to the
+        scheduler's heap.
         """
         if self.expiry_timer is not None:
             self.expiry_timer.cancel()
@@ -392,7 +404,7 @@
         )
 
     def expire_exchanges(self) -> None:
-        """End the exchanges whose deadline passed."""
+        """Fail expired exchanges, and schedule the check of the next deadline."""
         now = self.app.clock.monotonic()
         self.expiry_due = NO_DEADLINE
         self.expiry_timer = None
@@ -403,7 +415,7 @@
             self.schedule_expiry(due)
 
     def on_stop(self) -> None:
-        """Cancel what is under way and close all connections."""
+        """Cancel pending exchanges and close all connections."""
         for exchange in list(self.pending):
             exchange.cancel()
         for connection in list(self.connections.values()):
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -1,4 +1,4 @@
-"""Connections and messages of the HTTP client: encoding of requests, parsing of answers."""
+"""Connections and messages of the HTTP client: request encoding and response parsing."""
 
 from __future__ import annotations
 
@@ -16,42 +16,43 @@
 if TYPE_CHECKING:
     from hibiscusdrum.internal.transport.http_client import HttpClient
 
-# Largest answer that is buffered; a peer that sends more would exhaust the 64 MB of a daemon.
+# Largest response body accepted; a larger one could exhaust the 64 MB of a daemon.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEAD_BYTES = 65_536
-# Bodies of answers that are held for all connections together; a VM of the smallest kind has 200 MB.
+# Incomplete response bodies buffered across all connections; the smallest kind of VM has 200 MB of memory.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-# Framing that a byte of a body may take: a chunk of one byte is five bytes longer than the byte.
+# Framing allowed per body byte: a chunk that carries 1 byte takes 5 more for its size and line breaks.
 CHUNK_OVERHEAD_BYTES = 5
 DEFAULT_MAX_CONNECTIONS = 64
-# Headers that the client sets; a second one would let the peer read another request than was sent.
+# Headers that the client sets itself; a duplicate could make the peer parse a different request (smuggling).
 RESERVED_HEADERS = frozenset(("host", "content-length", "transfer-encoding"))
-# An idle connection is not used again later than this share of the time that the peer keeps it open.
+# Fraction of the peer's announced keep-alive timeout during which an idle connection may be reused.
 KEEP_ALIVE_SHARE = 0.8
-# A peer that repeats this header lets the client tell an answer from a late one to an earlier request.
+# A peer that echoes this header lets the client detect a late response to an earlier request.
 REQUEST_ID_HEADER = "x-hibiscusdrum-request-id"
+# Value of ``declared`` for a response without Content-Length.
 LENGTH_UNKNOWN = -1
 INFORMATIONAL_STATUSES = range(100, 200)
 
 
 def framing_exceeds_limit(limit: int, received: int, body: int) -> bool:
-    """Return whether heads and framing are longer than allowed.
+    """Return whether the bytes outside message bodies exceed their limit.
 
-    A parser reports a header or the framing of a chunk when it is complete, so one without end shows only in
-    what it was fed.
+    The parser reports a header or a chunk's framing only once it is complete. An endless one is therefore
+    detected by the number of bytes passed to the parser.
 
     Parameters
     ----------
     limit : int
-        Bytes allowed for a head.
+        Bytes allowed for a message head.
     received, body : int
-        Bytes fed to the parser, and those of them that it reported as part of a body.
+        Bytes passed to the parser, and how many of them it reported as body.
     """
     return received - body > limit + CHUNK_OVERHEAD_BYTES * body
 
 
 class FailureKind(enum.Enum):
-    """Reason why an exchange has no answer."""
+    """Reason why an exchange failed."""
 
     REFUSED = "refused"
     TIMEOUT = "timeout"
@@ -62,13 +63,13 @@
 
 
 class HttpResponse:
-    """A complete answer.
+    """A complete HTTP response.
 
     Attributes
     ----------
     status : int
     headers : dict of str to str
-        Names in lower case; values of repeated names are joined with a comma.
+        Lower-case names; the values of a repeated header are joined with a comma.
     body : bytes
     """
 
@@ -81,15 +82,15 @@
 
 
 class HttpFailure:
-    """Why an exchange has no answer.
+    """Describes why an exchange failed, and whether the request may have been sent.
 
     Attributes
     ----------
     bytes_sent : bool
-        False only if no byte of the request was handed to the kernel's socket.
+        False only if no byte of the request was written to the socket.
     kind : FailureKind
     received, declared : int
-        Body bytes received, and the length that the answer declared, or -1.
+        Body bytes received, and the Content-Length of the response, or -1 without one.
     """
 
     __slots__ = ("bytes_sent", "declared", "kind", "received")
@@ -113,7 +114,7 @@
 
 
 class HttpExchange:
-    """One request and its answer; the callback is called exactly once."""
+    """One request and its response; the callback is called exactly once."""
 
     __slots__ = (
         "bytes_sent",
@@ -150,33 +151,39 @@
         self.done = False
 
     def cancel(self) -> None:
-        """Give up; the callback gets ``FailureKind.CANCELLED`` before this returns. No effect when done."""
+        """Cancel the exchange; no effect once it is done.
+
+        The callback is called with ``FailureKind.CANCELLED`` before this method returns.
+        """
         self.client.abort(self, FailureKind.CANCELLED)
 
 
-# After a peer has dropped a connection that rested, those that rested for this share of the time or longer
-# are not used again, for as long as the second figure says. A rest of the third is always allowed.
+# A peer may drop idle connections without notice. Once that has happened, connections that have been idle for
+# longer than this fraction of the dropped connection's idle time are not reused.
 IDLE_LIMIT_SHARE = 0.5
+# An idle limit expires after this time.
 IDLE_LIMIT_TTL_SECONDS = 15.0
+# Connections idle for no longer than this are always reusable.
 MIN_IDLE_LIMIT_SECONDS = 0.05
-# A connection that the peer had dropped is reset at once; a later reset has another cause.
+# A request on a dropped connection is reset at once; a reset after this time has another cause.
 STALE_RESET_WITHIN_SECONDS = 0.03
 
 
 class ConnectionPool:
-    """Connections to one address, and the requests that wait for one.
+    """Keep-alive connections to one address, and the exchanges waiting for one.
 
     Attributes
     ----------
     idle : list of Connection
-        Most recently used last, so that the surplus ages and is closed by the peer.
+        Reused from the end (most recently used first), so that surplus connections stay idle until the peer
+        closes them.
     open_count : int
-        Connections that exist, idle ones included.
+        Number of connections, including idle and connecting ones.
     idle_limit : float
-        Seconds of rest after which a connection is not used again, because the peer has dropped such ones
-        without notice.
+        Idle time in seconds beyond which a connection is not reused, because the peer has dropped such
+        connections without notice.
     idle_limit_until : float
-        Monotonic time in seconds until which that limit holds.
+        Monotonic time in seconds until which ``idle_limit`` applies.
     """
 
     __slots__ = (
@@ -201,29 +208,36 @@
         self.idle_limit_until = float("-inf")
 
     def exceeds_idle_limit(self, seconds: float, now: float) -> bool:
-        """Return whether a connection that has rested for some seconds may have been dropped by the peer."""
+        """Return whether the peer may have dropped a connection that was idle for ``seconds``."""
         return now < self.idle_limit_until and seconds > self.idle_limit
 
     def record_reset(self, connection: Connection, now: float) -> None:
-        """Learn from a connection that ended without an answer."""
+        """Lower the idle limit if a connection ended because the peer had dropped it while idle."""
         dropped = connection.reused and now - connection.sent_at < STALE_RESET_WITHIN_SECONDS
         if dropped and connection.idle_duration > MIN_IDLE_LIMIT_SECONDS:
             self.record_idle_drop(connection.idle_duration, now)
 
     def record_idle_drop(self, seconds: float, now: float) -> None:
-        """Note that the peer had dropped a connection that rested for some seconds."""
+        """Lower the idle limit after the peer dropped a connection that was idle for ``seconds``."""
         previous = self.idle_limit if now < self.idle_limit_until else float("inf")
         self.idle_limit = min(previous, max(MIN_IDLE_LIMIT_SECONDS, seconds * IDLE_LIMIT_SHARE))
         self.idle_limit_until = now + IDLE_LIMIT_TTL_SECONDS
 
 
 class Connection:
-    """One socket and the parser of its answers; the methods named ``on_`` are called by httptools.
+    """A client connection and its response parser; httptools calls the methods named ``on_``.
 
     Attributes
     ----------
     fed_bytes, body_bytes : int
-        Bytes that arrived for the present exchange, and those of them in bodies, of other answers too.
+        Bytes received during the current exchange, and how many of them were body, including the bodies of
+        skipped responses.
+    received : int
+        Body bytes of the current response.
+    malformed : bool
+        Whether the input is not an acceptable response, so that the connection must be closed.
+    skipping_unmatched : bool
+        Whether the response being parsed belongs to another request and is dropped.
     """
 
     __slots__ = (
@@ -271,7 +285,7 @@
         self.reset_response()
 
     def reset_response(self) -> None:
-        """Forget the last answer."""
+        """Clear the state of the last response."""
         self.headers: dict[str, str] = {}
         self.body = b""
         self.body_parts: list[bytes] | None = None
@@ -284,7 +298,7 @@
         self.skipping_unmatched = False
 
     def feed(self, data: bytes) -> None:
-        """Parse what arrived; ``malformed`` tells afterwards that it is no acceptable answer."""
+        """Parse received bytes, and set ``malformed`` if they are not an acceptable response."""
         self.fed_bytes += len(data)
         try:
             self.parser.feed_data(data)
@@ -296,13 +310,13 @@
             self.malformed = True
 
     def on_message_begin(self) -> None:
-        """Note the start of an answer; one after the answer that was asked for ends the parsing."""
+        """Start a response; a second one for the same request is a parser error."""
         if self.complete:
-            raise httptools.HttpParserError("second answer to one request")
+            raise httptools.HttpParserError("more than one response to a request")
         self.response_started = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Store a header, and enforce the size limit of the head."""
         self.head_bytes += len(name) + len(value)
         if self.head_bytes > MAX_HEAD_BYTES:
             self.malformed = True
@@ -314,11 +328,14 @@
         self.headers[key] = text
 
     def on_headers_complete(self) -> None:
-        """Note the declared length; the parser has already refused one that is not a number."""
+        """Match the response to the request by its id, and check the declared length.
+
+        The parser has already rejected a length that is not a number.
+        """
         client = self.exchange.client
         if self.headers.get(client.request_id_header, self.exchange.request_id) != self.exchange.request_id:
             if not client.skips_unmatched_responses:
-                raise httptools.HttpParserError("answer to another request")
+                raise httptools.HttpParserError("response to another request")
             self.skipping_unmatched = True
             return
         length = self.headers.get("content-length")
@@ -327,11 +344,11 @@
             if self.declared > MAX_BODY_BYTES:
                 self.malformed = True
         if self.exchange.is_head_request and self.parser.get_status_code() not in INFORMATIONAL_STATUSES:
-            # The parser does not know that this answer has no body, and would wait for it.
+            # The parser does not know that the response to a HEAD request has no body; it would wait for one.
             self.complete = True
 
     def on_body(self, data: bytes) -> None:
-        """Collect a part of the body; that of an answer to another request is dropped."""
+        """Store a part of the body, unless the response belongs to another request."""
         self.body_bytes += len(data)
         if self.skipping_unmatched:
             return
@@ -344,24 +361,24 @@
         self.received += len(data)
 
     def on_message_complete(self) -> None:
-        """Note the end of an answer; informational answers precede the real one."""
+        """Complete the response, unless it is informational (1xx) or belongs to another request."""
         if self.skipping_unmatched or self.parser.get_status_code() in INFORMATIONAL_STATUSES:
             self.reset_response()
             return
         self.complete = True
-        # The parser forgets the headers after this call, and would then always say no.
+        # Read now: after this callback the parser has dropped the headers and would always return False.
         self.keep_alive = self.parser.should_keep_alive()
 
     @property
     def is_close_delimited(self) -> bool:
-        """Whether an answer has begun whose body has no declared end."""
+        """Whether the response body ends where the connection closes (RFC 9112, section 6.3)."""
         chunked = "transfer-encoding" in self.headers
         return (
             self.response_started and bool(self.headers) and self.declared == LENGTH_UNKNOWN and not chunked
         )
 
     def keep_alive_seconds(self) -> float:
-        """Return how long the peer keeps the connection open, or infinity when it does not say."""
+        """Return how long the idle connection may be reused; infinity without a ``Keep-Alive: timeout``."""
         for part in self.headers.get("keep-alive", "").split(","):
             name, _, value = part.strip().partition("=")
             if name.lower() == "timeout" and value.isdecimal():
@@ -369,18 +386,18 @@
         return float("inf")
 
     def build_response(self) -> HttpResponse:
-        """Return the answer received."""
+        """Return the response received."""
         body = self.body if self.body_parts is None else b"".join(self.body_parts)
         return HttpResponse(self.parser.get_status_code(), self.headers, body)
 
 
 def parse_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port``.
+    """Split ``ip:port`` into address and port number.
 
     Raises
     ------
     InvalidArgument
-        If the address has another form.
+        If the address is not an IPv4 address with a port from 1 to 65535.
     """
     host, separator, port = address.rpartition(":")
     try:
@@ -396,12 +413,18 @@
 def encode_request(
     address: str, method: str, path: str, headers: dict[str, str], body: bytes, host: str | None = None
 ) -> bytes:
-    """Return the bytes of a request; ``host`` is the address when not given.
+    """Return the bytes of a request.
+
+    Parameters
+    ----------
+    host : str, optional
+        Value of the Host header; ``address`` by default.
 
     Raises
     ------
     InvalidArgument
-        If a part of the head would be read as more than that part.
+        If a part of the head contains characters that would change the structure of the request, is not
+        ASCII, or names a header that the client sets itself.
     """
     if not RESERVED_HEADERS.isdisjoint(headers):
         raise InvalidArgument(
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -209,7 +209,10 @@
     @property
     def unanswered_count(self) -> int:
         """Number of requests without a response, plus connections with unsent output."""
-        return sum(len(c.pending) + bool(c.output_buffer) for c in self.connections.values())
+        return sum(
+            len(connection.pending) + bool(connection.output_buffer)
+            for connection in self.connections.values()
+        )
 
     def stop_listening(self, address: str | None = None) -> None:
         """Stop accepting connections on one address, or on all; open connections stay usable."""
--- a/src/hibiscusdrum/internal/transport/http_server.py
+++ b/src/hibiscusdrum/internal/transport/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP server of circuits.web, without its banner and its own reaction to signals."""
+"""The ``circuits.web`` HTTP server, without its banner and signal handling."""
 
 from __future__ import annotations
 
@@ -10,23 +10,24 @@
 from circuits.web.events import response
 from circuits.web.servers import BaseServer
 
-# Time in which the rest of a rejected request is read and dropped.
+# Time for which the rest of a rejected request is read and dropped.
 DISCARD_SECONDS = 1.0
 
-# Answers a request whose head is enough to refuse it; returns False when the body may be read.
+# Takes request and response. Returns True if it has rejected the request by its head and filled the response,
+# False if the body may be read.
 HeadCheck = Callable[[Any, Any], bool]
 
 
 class HttpServer(BaseServer):
-    """Server that leaves the end of the process to the application.
+    """HTTP server that can reject a request by its head and leaves process shutdown to the application.
 
     Parameters
     ----------
     bind : tuple of (str, int)
         Address to listen on.
     check_head : callable
-        Called with request and response while the body is still arriving. When it returns True, it has filled
-        the response; the answer is sent, and the rest of the request is dropped unread.
+        Called with request and response while the body is still arriving, possibly more than once. If it
+        returns True, it has filled the response, which is sent; the rest of the request is dropped.
     channel : str
         Channel of the server's events.
     """
@@ -38,18 +39,18 @@
 
     @handler("ready", override=True)
     def _on_ready(self, *_args: Any) -> None:
-        """Print nothing: standard error carries log events only."""
+        """Replace the startup banner: standard error carries log events only."""
 
     @handler("signal", override=True)
     def _on_signal(self, *_args: Any) -> None:
-        """Keep listening: a planned stop still answers requests."""
+        """Ignore signals: the server keeps serving requests during a graceful shutdown."""
 
     @handler("read", priority=-1)
     def reject_early(self, sock: Any, _data: bytes) -> None:
-        """Check the head of a request whose body has not arrived completely.
+        """Check the head of a request whose body is incomplete, and send the response if it is rejected.
 
-        circuits.web hands a request over only when its body is complete, and keeps what has arrived until
-        then; the head is taken from the parser's table of open requests.
+        circuits.web buffers a request until its body is complete and only then dispatches it, so the head is
+        read from its private tables of incomplete requests.
         """
         http = self.http
         if sock not in http._buffers or sock not in http._clients:
@@ -64,15 +65,15 @@
 
     @handler("read", priority=1)
     def discard_remaining_body(self, event: Any, sock: Any, _data: bytes) -> None:
-        """Drop what follows a rejected head.
+        """Drop input that follows a rejected head.
 
-        Closing at once would reset the connection while the client still sends, and the client could lose the
-        answer.
+        Closing the connection at once would reset it while the client is still sending, and the client could
+        lose the response.
         """
         if sock in self.rejected_sockets:
             event.stop()
 
     @handler("disconnect")
     def forget_connection(self, sock: Any) -> None:
-        """Forget a closed connection."""
+        """Drop the state of a closed connection."""
         self.rejected_sockets.discard(sock)
--- a/src/hibiscusdrum/internal/transport/peer.py
+++ b/src/hibiscusdrum/internal/transport/peer.py
@@ -1,4 +1,4 @@
-"""A ZeroMQ connection to one daemon; used by daemons and by the caller's library."""
+"""Outgoing ZeroMQ connection to a daemon, for daemons and the client library."""
 
 from __future__ import annotations
 
@@ -8,20 +8,21 @@
 
 from hibiscusdrum.internal.transport.frames import send_frames
 
+# First frame of a message: tells request messages from signed control messages.
 REQUEST_KIND = b"R"
 CONTROL_KIND = b"C"
 SEND_QUEUE_MESSAGES = 10_000
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 500
-# A connection that has gone silent without a reset is noticed within the two times together. Each node has
-# one to every other node of its region, so that their number grows with the square of the fleet.
+# A connection that fails without a reset is detected within the sum of these two times. Each node has a
+# connection to every other node of its region, so heartbeat traffic grows with the square of the fleet size.
 HEARTBEAT_INTERVAL_MS = 2000
 HEARTBEAT_TIMEOUT_MS = 1200
 
 
 def enable_heartbeats(socket: zmq.Socket) -> None:
-    """Let ZeroMQ end connections whose peer no longer answers."""
+    """Make ZeroMQ probe connections and close those whose peer does not respond."""
     socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
     socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
     socket.setsockopt(zmq.TCP_MAXRT, HEARTBEAT_TIMEOUT_MS)
@@ -29,7 +30,15 @@
 
 
 class Peer:
-    """An outgoing connection to one daemon."""
+    """An outgoing connection to one daemon.
+
+    Attributes
+    ----------
+    descriptor : int
+        File descriptor of the socket in the poller; -1 until it is registered.
+    pending : deque of (float, list of bytes)
+        Messages that wait for the connection, each after the monotonic time at which it is dropped.
+    """
 
     __slots__ = ("address", "descriptor", "pending", "socket")
 
@@ -38,8 +47,8 @@
         self.descriptor = -1
         self.pending: deque[tuple[float, list[bytes]]] = deque()
         self.socket = context.socket(zmq.DEALER)
-        # IMMEDIATE: a message is never queued for a peer without a connection, so a failed send has not left
-        # this process, and a restarted peer is not flooded with old messages.
+        # ZMQ_IMMEDIATE queues messages only for established connections: a message whose send failed has not
+        # left this process, and a restarted peer does not receive a backlog of old messages.
         self.socket.setsockopt(zmq.IMMEDIATE, 1)
         self.socket.setsockopt(zmq.LINGER, 0)
         self.socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
@@ -51,7 +60,7 @@
         self.socket.connect(f"tcp://{address}")
 
     def try_send(self, frames: list[bytes]) -> bool:
-        """Hand a message to a live connection; False when there is none."""
+        """Send a message without blocking; return whether a connection accepted it."""
         try:
             send_frames(self.socket, frames)
         except zmq.Again:
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -1,7 +1,7 @@
-"""ZeroMQ sockets in the circuits loop: one ROUTER that listens, one DEALER for each peer.
+"""ZeroMQ transport on circuits' event loop: one listening ROUTER socket and one DEALER socket per peer.
 
-A message on the wire is ``[kind, payload]`` or ``[kind, payload, body]``, where kind tells request messages
-from signed control messages.
+A message on the wire consists of the frames ``[kind, payload]`` or ``[kind, payload, body]``. The kind
+distinguishes request messages from signed control messages.
 """
 
 from __future__ import annotations
@@ -25,11 +25,11 @@
     Peer,
 )
 
-# Messages read from one socket before the loop turns to other work, so that a flood cannot delay renewals.
+# Messages read from a socket per loop iteration; the limit keeps a flood from delaying lease renewals.
 READ_BATCH_MESSAGES = 128
-# A control message waits this long for a connection; renewals repeat within the time.
+# A control message waits this long for a connection and is then dropped; lease renewals repeat more often.
 CONNECT_TIMEOUT_SECONDS = 0.3
-# Answers that were just sent still leave when the daemon ends.
+# Time at shutdown to transmit replies that are still in the send queues.
 CLOSE_LINGER_MS = 500
 PENDING_RETRY_INTERVAL_SECONDS = 0.005
 
@@ -39,12 +39,12 @@
 
 
 class PeerTransport(Service):
-    """Carries messages between daemons, and between callers and daemons.
+    """Sends and receives messages between daemons, and between callers and daemons.
 
     Parameters
     ----------
     address : str or None
-        ``ip:port`` to listen on; None for a process that only connects.
+        ``ip:port`` to listen on; None for a process that only opens connections.
     shared_key : bytes
         Key that signs control messages.
     """
@@ -60,25 +60,25 @@
         self.router_descriptor = -1
         self.peers: dict[str, Peer] = {}
         self.readers: dict[int, tuple[zmq.Socket, Callable[[], int]]] = {}
-        # Descriptors of sockets that may hold messages: signalled by the poller or used since the last read.
+        # Descriptors of sockets that may have messages: reported by the poller, or used since the last read.
         self.possibly_readable: set[int] = set()
         self.on_request: RequestHandler | None = None
         self.on_reply: ReplyHandler | None = None
         self.on_invalid_frame: Callable[[HibiscusdrumError], None] | None = None
         self.on_control_sent: Callable[[str, int], None] | None = None
         self.control_handlers: dict[type, ControlHandler] = {}
-        # Addresses of peers with messages that wait for a connection.
+        # Addresses of peers with pending messages.
         self.waiting_addresses: set[str] = set()
         self.control_bytes_sent = 0
         self.control_bytes_received = 0
 
     def on_start(self) -> None:
-        """Bind the listening socket.
+        """Open the listening socket, if an address is configured.
 
         Raises
         ------
         AddressInUse
-            If another process listens on the address.
+            If the address cannot be bound.
         """
         if self.address is not None:
             self.bind(self.address)
@@ -95,14 +95,14 @@
         try:
             router.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
-            # An open socket would keep the context, and so the process, from ending.
+            # An open socket would block the termination of the context, and with it process exit.
             router.close()
             raise AddressInUse(address=address) from error
         self.router = router
         self.router_descriptor = self.watch_socket(router, self.read_router)
 
     def on_stop(self) -> None:
-        """Close every socket."""
+        """Close all sockets and the ZeroMQ context."""
         for descriptor, (socket, _reader) in list(self.readers.items()):
             self.app.poller.discard(descriptor)
             socket.close(linger=CLOSE_LINGER_MS)
@@ -110,7 +110,7 @@
         self.context.term()
 
     def watch_socket(self, socket: zmq.Socket, reader: Callable[[], int]) -> int:
-        """Wake the loop when the socket's descriptor signals; returns the descriptor."""
+        """Register a socket with the poller and return its file descriptor."""
         descriptor = socket.getsockopt(zmq.FD)
         self.readers[descriptor] = (socket, reader)
         self.possibly_readable.add(descriptor)
@@ -119,10 +119,10 @@
 
     @handler("generate_events", priority=9)
     def read_sockets(self, event: Any) -> None:
-        """Read what has arrived before the poller waits.
+        """Read received messages before the poller waits.
 
-        ZeroMQ's descriptor is edge-triggered and its state also changes on sends, so a socket is asked again
-        after each use until it has nothing more.
+        ZeroMQ's descriptor is edge-triggered, and sends change its state too. A socket is therefore checked
+        after each use until it has no more messages.
         """
         for descriptor in tuple(self.possibly_readable):
             registration = self.readers.get(descriptor)
@@ -130,16 +130,16 @@
                 self.possibly_readable.discard(descriptor)
             else:
                 registration[1]()
-                # Handlers may have fired events, for which circuits would not end the poller's wait.
+                # Handlers may have fired events, which do not end the poller's wait in circuits.
                 event.reduce_time_left(0)
 
     @handler("_read")
     def mark_readable(self, descriptor: int) -> None:
-        """Note that a socket's state has changed."""
+        """Mark a socket as possibly readable."""
         self.possibly_readable.add(descriptor)
 
     def read_router(self) -> int:
-        """Read up to one batch from the listening socket; returns the number of messages."""
+        """Read up to one batch from the listening socket and return the number of messages."""
         socket = self.router
         for count in range(READ_BATCH_MESSAGES):
             try:
@@ -150,7 +150,10 @@
         return READ_BATCH_MESSAGES
 
     def dispatch(self, frames: list[bytes]) -> None:
-        """Decode one message from the ROUTER and pass it on; a bad one is reported and dropped."""
+        """Decode a message from the ROUTER socket and call its handler.
+
+        An invalid message is reported to ``on_invalid_frame`` and dropped.
+        """
         if len(frames) < 3:
             return
         identity, kind, payload = frames[0], frames[1], frames[2]
@@ -167,12 +170,12 @@
                 self.on_invalid_frame(error)
 
     def reply(self, identity: bytes, message: Message, body: bytes | None = None) -> int:
-        """Answer a request that came in by the ROUTER; dropped when the asker is gone.
+        """Reply to a request from the ROUTER socket; the reply is dropped if the sender has disconnected.
 
         Returns
         -------
         int
-            Bytes handed to the connection; 0 when the answer was dropped.
+            Bytes queued for the connection; 0 if the reply was dropped.
         """
         frames = [identity, REQUEST_KIND, codec.encode(message)]
         if body is not None:
@@ -181,18 +184,18 @@
         try:
             send_frames(self.router, frames)
         except zmq.ZMQError:
-            # The asker disconnected or does not read; it treats the outcome as unknown.
+            # The sender has disconnected or does not read; it treats the outcome of its request as unknown.
             return 0
         return sum(map(len, frames))
 
     def peer(self, address: str, heartbeats: bool = False) -> Peer:
-        """Return the connection to an address, opening it if needed.
+        """Return the connection to an address, opening one if there is none.
 
         Parameters
         ----------
         heartbeats : bool
-            Whether a new connection is probed while it is idle, and ended when its peer is silent. What was
-            sent on it is lost then; without, it arrives when the network is back.
+            Whether a new connection uses heartbeats and is closed when its peer does not respond. Messages
+            in transit are then lost; without heartbeats they arrive when the network recovers.
         """
         peer = self.peers.get(address)
         if peer is None:
@@ -201,7 +204,7 @@
         return peer
 
     def read_peer(self, peer: Peer) -> int:
-        """Read up to one batch of answers from a peer; returns the number of messages."""
+        """Read up to one batch of replies from a peer and return the number of messages."""
         for count in range(READ_BATCH_MESSAGES):
             try:
                 frames = receive_frames(peer.socket)
@@ -211,7 +214,7 @@
         return READ_BATCH_MESSAGES
 
     def dispatch_reply(self, frames: list[bytes]) -> None:
-        """Decode one answer and pass it on; a bad one is reported and dropped."""
+        """Decode a reply and call the reply handler; an invalid one is reported and dropped."""
         try:
             if len(frames) < 2:
                 return
@@ -223,7 +226,10 @@
                 self.on_invalid_frame(error)
 
     def send_control(self, address: str, message: Message) -> None:
-        """Send a control message; it is dropped when no connection comes up in time."""
+        """Sign and send a control message.
+
+        It is dropped if no connection is established within ``CONNECT_TIMEOUT_SECONDS``.
+        """
         payload = codec.sign(self.shared_key, message)
         self.control_bytes_sent += len(payload)
         if self.on_control_sent is not None:
@@ -231,12 +237,12 @@
         self.send(address, [CONTROL_KIND, payload])
 
     def try_send_request(self, address: str, message: Message, body: bytes = b"") -> int:
-        """Send a request message at once.
+        """Send a request message without waiting for a connection.
 
         Returns
         -------
         int
-            Bytes handed to the connection; 0 when there is none, so that nothing was sent.
+            Bytes queued for the connection; 0 if there is none or its queue is full: nothing was sent then.
         """
         frames = [REQUEST_KIND, codec.encode(message)]
         if body:
@@ -246,7 +252,7 @@
         return sum(map(len, frames)) if peer.try_send(frames) else 0
 
     def send(self, address: str, frames: list[bytes]) -> None:
-        """Send frames now, or keep them until the connection is up or the time for it has passed."""
+        """Send a message now, or keep it pending for up to ``CONNECT_TIMEOUT_SECONDS``."""
         peer = self.peer(address)
         self.possibly_readable.add(peer.descriptor)
         if not peer.pending and peer.try_send(frames):
@@ -257,7 +263,7 @@
         self.pending_timer.wake()
 
     def flush_pending(self) -> bool:
-        """Send what waits for a connection and drop what has waited too long; True if some still waits."""
+        """Send pending messages, drop expired ones, and return whether any are left."""
         now = self.app.clock.monotonic()
         for address in tuple(self.waiting_addresses):
             peer = self.peers[address]
@@ -269,7 +275,7 @@
         return bool(self.waiting_addresses)
 
     def disconnect_peer(self, address: str) -> None:
-        """Close the connection to a peer that has left."""
+        """Close the connection to a peer, and drop its pending messages."""
         peer = self.peers.pop(address, None)
         if peer is None:
             return
