Name the platform adapter's store client and wire types by the terms of the field

Stamp, follow, feed and call said little about a client that polls a store and reads its clock; StoreClient.call also hid a method of circuits. Main renames: StoreClient.follow -> poll_changes, read_all -> read_range, call -> send_request, rows -> decode_rows, stamp/on_stamp -> store_time/on_store_time, on_bytes -> on_bytes_transferred, FollowedRows -> RowChanges, Stamped -> TimestampedAnswer, FEED_SECONDS -> LONG_POLL_SECONDS, LARGEST_/LONGEST_ -> MAX_, Columns -> ColumnarRecords, Beat -> WireHeartbeat, Leave -> WireLeave, Reports -> ReportEndpoint, decode_report -> decode_heartbeat.

--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -59,7 +59,7 @@
     def on_start(self) -> None:
         """Subscribe to the store's clock."""
         self.table = self.app.find("table")
-        self.table.on_stamp = self.lease.store_clock.observe
+        self.table.on_store_time = self.lease.store_clock.observe
 
     @property
     def now(self) -> float:
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -526,7 +526,7 @@
         """Return the nodes with an expired lease and its row version, and store the loads of the others."""
         expired: dict[str, int] = {}
         self.owner_loads = {}
-        store_time = self.table.stamp
+        store_time = self.table.store_time
         for node, row in rows.items():
             if node == self.node:
                 continue
@@ -569,7 +569,7 @@
                 nodes=tuple(sorted(lost_owners)),
                 stripes=len(lost_stripes),
                 unowned=len(unowned),
-                store_time_s=self.table.stamp,
+                store_time_s=self.table.store_time,
             )
         )
         self.rings.commit_ring(
--- a/src/hibiscusdrum/internal/router/traffic.py
+++ b/src/hibiscusdrum/internal/router/traffic.py
@@ -56,7 +56,7 @@
 
     def on_start(self) -> None:
         """Register for the store's calls, and schedule the summaries."""
-        self.app.find("table").on_bytes = self.count_store_call
+        self.app.find("table").on_bytes_transferred = self.count_store_call
         self.app.scheduler.every(SUMMARY_INTERVAL_SECONDS, self.log_summary)
 
     def place_of(self, region: str) -> str:
--- a/src/hibiscusdrum/platform/boot.py
+++ b/src/hibiscusdrum/platform/boot.py
@@ -47,7 +47,7 @@
     problems: list[Problem] = []
     bounds = dict(part.partition("=")[::2] for part in values.get("bounds", "").split(",") if "=" in part)
 
-    def number(source: dict[str, str], name: str, default: float) -> float:
+    def parse_number(source: dict[str, str], name: str, default: float) -> float:
         text = source.get(name, "")
         try:
             return float(text) if text else default
@@ -55,10 +55,10 @@
             problems.append(Problem(name, text, "a number"))
             return default
 
-    ports = values.get("portRange", "").partition(",")[0]
-    if not ports.isdecimal():
+    first_port = values.get("portRange", "").partition(",")[0]
+    if not first_port.isdecimal():
         problems.append(Problem("portRange", values.get("portRange", "(missing)"), "two ports"))
-        ports = "1"
+        first_port = "1"
     ip = values.get("ip", "")
     settings = RouterSettings(
         node=values.get("node", ""),
@@ -69,18 +69,18 @@
         caller_address=values.get("listen.outbound", ""),
         ready_address=values.get("listen.ready", ""),
         target_control_address=values.get("listen.control", ""),
-        peer_address=f"{ip}:{int(ports) + PEER_PORT_OFFSET}",
-        metrics_address=f"{ip}:{int(ports) + METRICS_PORT_OFFSET}",
+        peer_address=f"{ip}:{int(first_port) + PEER_PORT_OFFSET}",
+        metrics_address=f"{ip}:{int(first_port) + METRICS_PORT_OFFSET}",
         store_address=values.get("provider.addr", ""),
-        heartbeat=number(values, "heartbeatS", 1.0),
-        longest_hold=number(bounds, "holdMaxS", 10.0),
-        grace=number(bounds, "graceS", 6.0),
-        retry_ratio=number(bounds, "budgetRatio", 0.2),
-        retry_slack=number(bounds, "budgetSlack", 60.0),
-        retry_window=number(bounds, "budgetWindowS", 10.0),
-        cold_factor=number(bounds, "coldOver", 1.0),
-        cold_slack=number(bounds, "coldSlack", 0.0),
-        link_bytes_per_second=number(values, "limits.linkMbps", 0.0) * BYTES_PER_MEGABIT,
+        heartbeat=parse_number(values, "heartbeatS", 1.0),
+        longest_hold=parse_number(bounds, "holdMaxS", 10.0),
+        grace=parse_number(bounds, "graceS", 6.0),
+        retry_ratio=parse_number(bounds, "budgetRatio", 0.2),
+        retry_slack=parse_number(bounds, "budgetSlack", 60.0),
+        retry_window=parse_number(bounds, "budgetWindowS", 10.0),
+        cold_factor=parse_number(bounds, "coldOver", 1.0),
+        cold_slack=parse_number(bounds, "coldSlack", 0.0),
+        link_bytes_per_second=parse_number(values, "limits.linkMbps", 0.0) * BYTES_PER_MEGABIT,
     )
     try:
         settings.validated()
--- a/src/hibiscusdrum/platform/main.py
+++ b/src/hibiscusdrum/platform/main.py
@@ -18,12 +18,12 @@
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.platform.boot import BOOT_VARIABLE, read_boot_file, router_settings
 from hibiscusdrum.platform.operator import OperatorRows
-from hibiscusdrum.platform.reports import Reports
+from hibiscusdrum.platform.reports import ReportEndpoint
 from hibiscusdrum.platform.store import StoreClient
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
-STDOUT = 1
+STDOUT_FD = 1
 HEADERS = HeaderNames(
     attempt_id="x-hibiscusdrum-attempt-id",
     deadline_ms="x-hibiscusdrum-deadline-ms",
@@ -40,13 +40,13 @@
     try:
         settings = router_settings(read_boot_file(boot_file))
     except InvalidSettings as error:
-        return report(error)
+        return print_problems(error)
     clock = BootClock()
-    log_events.configure(settings.node, settings.log_level, clock, NonBlockingOutput(STDOUT))
+    log_events.configure(settings.node, settings.log_level, clock, NonBlockingOutput(STDOUT_FD))
     app = Application(clock)
     store = StoreClient(settings.store_address)
     router = add_router(app, settings, HEADERS, store, random.Random())
-    app.add(Reports(settings))
+    app.add(ReportEndpoint(settings))
     app.add(OperatorRows())
     started = events.RouterStarted(
         version=__version__,
@@ -71,13 +71,13 @@
     try:
         settings = router_settings(read_boot_file(boot_file))
     except InvalidSettings as error:
-        return report(error)
+        return print_problems(error)
     for name in settings.__struct_fields__:
         print(f"{name}={getattr(settings, name)}")
     return 0
 
 
-def report(error: InvalidSettings) -> int:
+def print_problems(error: InvalidSettings) -> int:
     """Print what is wrong with the settings; returns the exit code."""
     for problem in error.problems:
         print(f"hibiscusdrum: {problem}", file=sys.stderr)
@@ -93,10 +93,10 @@
         ``[run|check] [FILE]``; those of the process when not given. They are read without a library for
         command lines, whose import would lengthen each restart by 0.2 s.
     """
-    words = list(sys.argv[1:] if arguments is None else arguments)
-    command = words.pop(0) if words and words[0] in COMMANDS else "run"
-    path = words.pop(0) if words else os.environ.get(BOOT_VARIABLE, "")
-    if words or not path or path.startswith("-"):
+    remaining = list(sys.argv[1:] if arguments is None else arguments)
+    command = remaining.pop(0) if remaining and remaining[0] in COMMANDS else "run"
+    path = remaining.pop(0) if remaining else os.environ.get(BOOT_VARIABLE, "")
+    if remaining or not path or path.startswith("-"):
         print(USAGE, file=sys.stderr)
         return EXIT_USAGE
     return COMMANDS[command](path)
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -15,22 +15,22 @@
 from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.routes import EntryLimits, RequestKind, Route, RouteTable, ServiceSpec
-from hibiscusdrum.platform.store import OPERATOR_TABLE, FollowedRows, StoreClient, WireRow
+from hibiscusdrum.platform.store import OPERATOR_TABLE, RowChanges, StoreClient, WireRow
 
 CONFIG_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
-RETRY_SECONDS = 0.2
+BASE_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 0.5
 DEFAULT_PRIORITY = 1
 
 
-class Columns(msgspec.Struct, frozen=True):
+class ColumnarRecords(msgspec.Struct, frozen=True):
     """A table: names of the fields, and a list of values for each entry."""
 
     columns: tuple[str, ...]
     records: tuple[tuple[Any, ...], ...]
 
-    def entries(self) -> list[dict[str, Any]]:
+    def to_dicts(self) -> list[dict[str, Any]]:
         """Return the entries by field name, without those left out."""
         return [
             {name: value for name, value in zip(self.columns, record, strict=False) if value is not None}
@@ -42,8 +42,8 @@
     """The configuration on the wire; ``version`` is ``r`` and a number."""
 
     version: str
-    routes: Columns
-    services: Columns
+    routes: ColumnarRecords
+    services: ColumnarRecords
     limits: dict[str, Any] = {}
 
 
@@ -59,8 +59,8 @@
         wire = msgspec.json.decode(data, type=WireConfig)
         return RouteTable.build(
             int(wire.version.removeprefix("r")),
-            [decode_route(entry) for entry in wire.routes.entries()],
-            [decode_service(entry) for entry in wire.services.entries()],
+            [decode_route(entry) for entry in wire.routes.to_dicts()],
+            [decode_service(entry) for entry in wire.services.to_dicts()],
             decode_limits(wire.limits),
         )
     except (msgspec.DecodeError, ValueError, KeyError, TypeError) as error:
@@ -69,13 +69,13 @@
 
 def decode_route(entry: dict[str, Any]) -> Route:
     """Translate a route; ``backends`` holds services with weights, not targets."""
-    parts = entry.get("backends") or [{"service": entry["service"], "weight": 1}]
+    backends = entry.get("backends") or [{"service": entry["service"], "weight": 1}]
     return Route(
         name=entry["name"],
         host=entry["host"],
         prefix=entry["prefix"],
         kind=RequestKind(entry["kind"]),
-        services=tuple((part["service"], float(part["weight"])) for part in parts),
+        services=tuple((backend["service"], float(backend["weight"])) for backend in backends),
         timeout=float(entry.get("timeoutS", 0.0)),
         latency_goal=float(entry.get("goalS", 0.0)),
         priority=int(entry.get("priority", DEFAULT_PRIORITY)),
@@ -114,9 +114,9 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.seq: int | None = None
+        self.last_version: int | None = None
         self.failures = 0
-        self.evacuated: set[str] = set()
+        self.evacuated_domains: set[str] = set()
         self.rng = random.Random()
 
     def on_start(self) -> None:
@@ -124,34 +124,34 @@
         self.store: StoreClient = self.app.find("table")
         self.gateway = self.app.find("gateway")
         self.members = self.app.find("members")
-        self.read()
+        self.poll()
 
-    def read(self) -> None:
+    def poll(self) -> None:
         """Wait for the next change."""
-        self.store.follow(OPERATOR_TABLE, self.seq, self.on_rows)
+        self.store.poll_changes(OPERATOR_TABLE, self.last_version, self.on_changes)
 
-    def on_rows(self, result: Result[FollowedRows, HibiscusdrumError]) -> None:
+    def on_changes(self, result: Result[RowChanges, HibiscusdrumError]) -> None:
         """Put changed rows in force."""
         if not isinstance(result, Success):
             self.failures += 1
-            wait = full_jitter(self.failures, self.rng, RETRY_SECONDS, MAX_RETRY_SECONDS)
-            self.app.scheduler.call_later(wait, self.read)
+            delay = full_jitter(self.failures, self.rng, BASE_RETRY_SECONDS, MAX_RETRY_SECONDS)
+            self.app.scheduler.call_later(delay, self.poll)
             return
         answer = result.unwrap()
         self.failures = 0
-        self.seq = max(self.seq or 0, answer.version)
+        self.last_version = max(self.last_version or 0, answer.version)
         if answer.complete:
-            self.evacuated.clear()
+            self.evacuated_domains.clear()
         for row in answer.rows:
-            self.apply(row)
-        self.members.set_evacuated_domains(frozenset(self.evacuated))
-        self.read()
+            self.apply_row(row)
+        self.members.set_evacuated_domains(frozenset(self.evacuated_domains))
+        self.poll()
 
-    def apply(self, row: WireRow) -> None:
+    def apply_row(self, row: WireRow) -> None:
         """Take over one row."""
         if row.key.startswith(EVACUATE_PREFIX):
             failure_domain = row.key[len(EVACUATE_PREFIX) :]
-            (self.evacuated.discard if row.deleted else self.evacuated.add)(failure_domain)
+            (self.evacuated_domains.discard if row.deleted else self.evacuated_domains.add)(failure_domain)
         elif row.key == CONFIG_KEY and not row.deleted:
             try:
                 self.gateway.set_route_table(decode_config(base64.b64decode(row.value)))
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -19,7 +19,7 @@
 JSON_HEADERS = [("content-type", "application/json")]
 
 
-class Info(msgspec.Struct, frozen=True):
+class TargetInfo(msgspec.Struct, frozen=True):
     """What does not change during one start of a target."""
 
     service: str
@@ -28,7 +28,7 @@
     version: str = ""
 
 
-class Status(msgspec.Struct, frozen=True):
+class TargetStatus(msgspec.Struct, frozen=True):
     """What changes; ``warmupS_time`` is how long the target stays cold from now on, in seconds."""
 
     state: str
@@ -36,7 +36,7 @@
     warmupS_time: float = 0.0  # noqa: N815 - name on the wire
 
 
-class Beat(msgspec.Struct, frozen=True):
+class WireHeartbeat(msgspec.Struct, frozen=True):
     """A report on the wire.
 
     ``holdCount`` lists ranges, not a number: first key, last key, fencing token. ``released`` lists first
@@ -44,23 +44,23 @@
     """
 
     addr: str
-    info: Info
-    status: Status
+    info: TargetInfo
+    status: TargetStatus
     born: int = 0
     holdCount: tuple[tuple[int, int, int], ...] = ()  # noqa: N815 - name on the wire
     released: tuple[tuple[int, int, str], ...] = ()
 
 
-class Leave(msgspec.Struct, frozen=True):
+class WireLeave(msgspec.Struct, frozen=True):
     """The body of a target's notice that it leaves."""
 
     born: int = 0
 
 
-STATES = {"ready": False, "draining": True}
+DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
-def decode_report(target: str, body: bytes) -> TargetHeartbeat:
+def decode_heartbeat(target: str, body: bytes) -> TargetHeartbeat:
     """Translate a report.
 
     Raises
@@ -69,22 +69,22 @@
         If fields are missing, of another type, or the state is unknown.
     """
     try:
-        beat = msgspec.json.decode(body, type=Beat)
-        draining = STATES[beat.status.state]
+        heartbeat = msgspec.json.decode(body, type=WireHeartbeat)
+        draining = DRAINING_BY_STATE[heartbeat.status.state]
     except (msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
         raise InvalidArgument(name="report", value=body[:64], expected=str(error)) from error
     return TargetHeartbeat(
         target=target,
-        service=beat.info.service,
-        address=beat.addr,
-        slots=beat.info.slots,
+        service=heartbeat.info.service,
+        address=heartbeat.addr,
+        slots=heartbeat.info.slots,
         draining=draining,
-        sequence=beat.status.seq,
-        started_ms=beat.born,
-        cold_seconds=max(0.0, beat.status.warmupS_time),
-        failure_domain=beat.info.zone,
-        held=tuple(Range(first, last, fence) for first, last, fence in beat.holdCount),
-        released=tuple(Range(first, last, 0, token) for first, last, token in beat.released),
+        sequence=heartbeat.status.seq,
+        started_ms=heartbeat.born,
+        cold_seconds=max(0.0, heartbeat.status.warmupS_time),
+        failure_domain=heartbeat.info.zone,
+        held=tuple(Range(first, last, fence) for first, last, fence in heartbeat.holdCount),
+        released=tuple(Range(first, last, 0, token) for first, last, token in heartbeat.released),
     )
 
 
@@ -97,7 +97,7 @@
     return msgspec.json.encode({"holdCount": ranges, "holdS": int(grant.seconds * 1000) / 1000})
 
 
-class Reports(Service):
+class ReportEndpoint(Service):
     """Serves the address to which the target reports."""
 
     service_name = "reports"
@@ -124,7 +124,7 @@
                 request.respond(200, JSON_HEADERS, b"{}")
             else:
                 self.target.on_heartbeat(
-                    decode_report(target, request.body),
+                    decode_heartbeat(target, request.body),
                     lambda grant: request.respond(200, JSON_HEADERS, encode_grant(grant)),
                 )
         except InvalidArgument as error:
@@ -137,6 +137,6 @@
     if not body:
         return 0
     try:
-        return msgspec.json.decode(body, type=Leave).born
+        return msgspec.json.decode(body, type=WireLeave).born
     except msgspec.DecodeError as error:
         raise InvalidArgument(name="notice", value=body[:64], expected=str(error)) from error
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -29,26 +29,26 @@
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import HttpFailure, HttpResponse
 
-TABLE = "hibiscusdrum"
+ROUTER_TABLE = "hibiscusdrum"
 LEASE_TABLE = "hibiscusdrum-lease"
 LEASE_PREFIX = "lease/"
 OPERATOR_TABLE = "op"
 # Time for one call in seconds; answers usually take 4 ms, and 0.2 s when the store is slow.
-CALL_SECONDS = 1.5
+CALL_TIMEOUT_SECONDS = 1.5
 # A change is awaited this long, and its answer for a little longer. A connection that went silent without a
 # reset is noticed after both, in time for the 4 s after which the platform expects a node to be up to date.
-FEED_SECONDS = 3.0
-FEED_SLACK_SECONDS = 0.5
+LONG_POLL_SECONDS = 3.0
+LONG_POLL_MARGIN_SECONDS = 0.5
 # After a failure the store is asked without waiting, at first with a short time limit, so that its return is
 # noticed soon. The limit doubles: with a congested link an answer can take longer.
-PROBE_SECONDS = 1.0
-LONGEST_PROBE_SECONDS = 2.0
-LARGEST_FAILURE_COUNT = 8
-PAGE_ROWS = 500
-STORE_CONNECTIONS = 16
+FIRST_PROBE_TIMEOUT_SECONDS = 1.0
+MAX_PROBE_TIMEOUT_SECONDS = 2.0
+MAX_FAILURE_COUNT = 8
+MAX_PAGE_ROWS = 500
+MAX_CONNECTIONS = 16
 OK = 200
 GONE = 410
-CONFLICT = 412
+PRECONDITION_FAILED = 412
 JSON_HEADERS = {"content-type": "application/json"}
 
 
@@ -77,7 +77,7 @@
     serverTimeS: float = 0.0  # noqa: N815 - name on the wire
 
 
-class FollowedRows(msgspec.Struct, frozen=True):
+class RowChanges(msgspec.Struct, frozen=True):
     """Rows that changed after a version, or all rows of a table.
 
     Attributes
@@ -95,13 +95,13 @@
 
 rows_decoder = msgspec.json.Decoder(WireRows)
 committed_decoder = msgspec.json.Decoder(WireCommitted)
-RowsCallback = Callable[[Result[WireRows, HibiscusdrumError]], None]
-FollowCallback = Callable[[Result[FollowedRows, HibiscusdrumError]], None]
+WireRowsCallback = Callable[[Result[WireRows, HibiscusdrumError]], None]
+RowChangesCallback = Callable[[Result[RowChanges, HibiscusdrumError]], None]
 
 
-def table_of(key: str) -> str:
+def table_for_key(key: str) -> str:
     """Return the platform's table in which a row lies."""
-    return LEASE_TABLE if key.startswith(LEASE_PREFIX) else TABLE
+    return LEASE_TABLE if key.startswith(LEASE_PREFIX) else ROUTER_TABLE
 
 
 def decode_row(row: WireRow, decode: Callable[[bytes], Any] = msgspec.json.decode) -> Row:
@@ -133,11 +133,11 @@
     def __init__(self, address: str) -> None:
         super().__init__()
         self.address = address
-        self.stamp = 0.0
+        self.store_time = 0.0
         self.failures: dict[str, int] = {}
-        self.read_once = False
-        self.on_stamp: Callable[[float, float], None] | None = None
-        self.on_bytes: Callable[[str, int, int], None] | None = None
+        self.initial_read_done = False
+        self.on_store_time: Callable[[float, float], None] | None = None
+        self.on_bytes_transferred: Callable[[str, int, int], None] | None = None
 
     def on_start(self) -> None:
         """Find the HTTP client."""
@@ -149,50 +149,50 @@
         """Read rows by key; all keys lie in one table."""
         wanted = set(keys)
 
-        def done(result: Result[WireRows, HibiscusdrumError]) -> None:
+        def on_response(result: Result[WireRows, HibiscusdrumError]) -> None:
             if isinstance(result, Success):
                 rows = [decode_row(row) for row in result.unwrap().records if row.key in wanted]
                 callback(Success({row.key: row for row in rows}))
             else:
                 callback(Failure(result.failure()))
 
-        self.read_all(table_of(keys[0]), min(keys), max(keys) + "\0", done)
+        self.read_range(table_for_key(keys[0]), min(keys), max(keys) + "\0", on_response)
 
     def changes(self, since: int, callback: ChangesCallback) -> None:
         """Read the rows written after a version, waiting for some; 0 reads all."""
 
-        def done(result: Result[FollowedRows, HibiscusdrumError]) -> None:
+        def on_response(result: Result[RowChanges, HibiscusdrumError]) -> None:
             if isinstance(result, Success):
                 answer = result.unwrap()
-                self.read_once = True
+                self.initial_read_done = True
                 rows = tuple(decode_row(row) for row in answer.rows)
                 callback(Success(Changes(answer.version, rows, answer.complete)))
             else:
                 callback(Failure(result.failure()))
 
-        self.follow(TABLE, since if since or self.read_once else None, done)
+        self.poll_changes(ROUTER_TABLE, since if since or self.initial_read_done else None, on_response)
 
     def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
         """Write conditionally; reason ``unknown`` means that the write may still take effect."""
         body = {
             "expect": [
-                {"table": table_of(key), "part": "", "key": key, "ver": version}
+                {"table": table_for_key(key), "part": "", "key": key, "ver": version}
                 for key, version in transaction.checks.items()
             ],
             "write": [
-                {"table": table_of(key), "part": "", "key": key, "value": encode_value(value)}
+                {"table": table_for_key(key), "part": "", "key": key, "value": encode_value(value)}
                 for key, value in transaction.puts.items()
             ],
-            "delete": [{"table": table_of(key), "part": "", "key": key} for key in transaction.deletes],
+            "delete": [{"table": table_for_key(key), "part": "", "key": key} for key in transaction.deletes],
         }
         keys = tuple(transaction.checks)
 
-        def done(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+        def on_response(result: Result[HttpResponse, HibiscusdrumError]) -> None:
             if not isinstance(result, Success):
                 callback(Failure(result.failure()))
                 return
             response = result.unwrap()
-            if response.status == CONFLICT:
+            if response.status == PRECONDITION_FAILED:
                 callback(Failure(StoreConflict(keys=keys)))
                 return
             try:
@@ -202,68 +202,72 @@
                 return
             callback(Success(committed.ver))
 
-        self.call("commit", "POST", "/rows-tx", msgspec.json.encode(body), CALL_SECONDS, done)
+        self.send_request(
+            "commit", "POST", "/rows-tx", msgspec.json.encode(body), CALL_TIMEOUT_SECONDS, on_response
+        )
 
     # The platform's calls
 
-    def read_all(self, table: str, first: str, last: str, callback: RowsCallback) -> None:
+    def read_range(self, table: str, first: str, last: str, callback: WireRowsCallback) -> None:
         """Read the rows of a table between two keys, the last one excluded, page by page."""
         collected: list[WireRow] = []
-        newest = 0
+        newest_version = 0
 
-        def page(start: str) -> None:
-            query = {"table": table, "part": "", "maxItems": PAGE_ROWS}
+        def request_page(start: str) -> None:
+            query = {"table": table, "part": "", "maxItems": MAX_PAGE_ROWS}
             if start:
                 query["from"] = start
             if last:
                 query["to"] = last
-            self.call("read", "GET", f"/rows-get?{urlencode(query)}", b"", CALL_SECONDS, done)
+            self.send_request(
+                "read", "GET", f"/rows-get?{urlencode(query)}", b"", CALL_TIMEOUT_SECONDS, on_response
+            )
 
-        def done(result: Result[HttpResponse, HibiscusdrumError]) -> None:
-            nonlocal newest
-            answer = self.rows("read", result)
+        def on_response(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+            nonlocal newest_version
+            answer = self.decode_rows("read", result)
             if not isinstance(answer, Success):
                 callback(answer)
                 return
             rows = answer.unwrap()
             # Rows written between two pages are read again by the next wait for changes.
-            newest = newest or rows.ver
+            newest_version = newest_version or rows.ver
             collected.extend(rows.records)
             if rows.hasMore and rows.records:
-                page(rows.records[-1].key + "\0")
+                request_page(rows.records[-1].key + "\0")
             else:
-                callback(Success(WireRows(tuple(collected), newest)))
+                callback(Success(WireRows(tuple(collected), newest_version)))
 
-        page(first)
+        request_page(first)
 
-    def follow(self, table: str, since: int | None, callback: FollowCallback) -> None:
+    def poll_changes(self, table: str, since: int | None, callback: RowChangesCallback) -> None:
         """Wait for changes after a version; read everything when it is None or too old."""
 
-        def pass_on(result: Result[WireRows, HibiscusdrumError], complete: bool) -> None:
-            callback(result.map(lambda answer: FollowedRows(answer.records, answer.ver, complete)))
+        def report(result: Result[WireRows, HibiscusdrumError], complete: bool) -> None:
+            callback(result.map(lambda answer: RowChanges(answer.records, answer.ver, complete)))
 
         if since is None:
-            self.read_all(table, "", "", lambda result: pass_on(result, True))
+            self.read_range(table, "", "", lambda result: report(result, True))
             return
         failures = self.failures.get(table, 0)
-        wait = 0.0 if failures else FEED_SECONDS
-        probe = min(LONGEST_PROBE_SECONDS, PROBE_SECONDS * 2.0 ** (failures - 1))
-        timeout = probe if failures else FEED_SECONDS + FEED_SLACK_SECONDS
-        query = urlencode({"table": table, "after": since, "blockMs": int(wait * 1000)})
+        block_seconds = 0.0 if failures else LONG_POLL_SECONDS
+        probe_timeout = min(MAX_PROBE_TIMEOUT_SECONDS, FIRST_PROBE_TIMEOUT_SECONDS * 2.0 ** (failures - 1))
+        timeout = probe_timeout if failures else LONG_POLL_SECONDS + LONG_POLL_MARGIN_SECONDS
+        query = urlencode({"table": table, "after": since, "blockMs": int(block_seconds * 1000)})
 
-        def done(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+        def on_response(result: Result[HttpResponse, HibiscusdrumError]) -> None:
             if isinstance(result, Success):
                 self.failures.pop(table, None)
                 if result.unwrap().status == GONE:
-                    self.read_all(table, "", "", lambda result: pass_on(result, True))
+                    self.read_range(table, "", "", lambda result: report(result, True))
                     return
             else:
-                self.failures[table] = min(failures + 1, LARGEST_FAILURE_COUNT)
-            pass_on(self.rows("changes", result), False)
+                self.failures[table] = min(failures + 1, MAX_FAILURE_COUNT)
+            report(self.decode_rows("changes", result), False)
 
-        self.call("changes", "GET", f"/rows-feed?{query}", b"", timeout, done, (GONE,))
+        self.send_request("changes", "GET", f"/rows-feed?{query}", b"", timeout, on_response, (GONE,))
 
-    def rows(
+    def decode_rows(
         self, operation: str, result: Result[HttpResponse, HibiscusdrumError]
     ) -> Result[WireRows, HibiscusdrumError]:
         """Decode an answer with rows."""
@@ -275,7 +279,7 @@
             log_events.emit(events.RowUnreadable(what=operation, reason=str(error)[:120]))
             return Failure(StoreUnavailable(operation=operation, reason="unreadable"))
 
-    def call(
+    def send_request(
         self,
         operation: str,
         method: str,
@@ -283,18 +287,18 @@
         body: bytes,
         timeout: float,
         callback: Callable[[Result[HttpResponse, HibiscusdrumError]], None],
-        accepted: tuple[int, ...] = (CONFLICT,),
+        accepted: tuple[int, ...] = (PRECONDITION_FAILED,),
     ) -> None:
         """Send one call; other answers than 200 and those accepted are failures."""
         sent_at = self.app.clock.monotonic()
 
-        def done(result: Result[HttpResponse, HttpFailure]) -> None:
+        def on_response(result: Result[HttpResponse, HttpFailure]) -> None:
             if isinstance(result, Success):
                 response = result.unwrap()
-                if self.on_bytes is not None:
-                    self.on_bytes(operation, len(path) + len(body), len(response.body))
+                if self.on_bytes_transferred is not None:
+                    self.on_bytes_transferred(operation, len(path) + len(body), len(response.body))
                 if response.status == OK or response.status in accepted:
-                    self.note_stamp(sent_at, response.body)
+                    self.record_store_time(sent_at, response.body)
                     callback(Success(response))
                     return
                 # The store has done nothing when it answers so.
@@ -309,21 +313,21 @@
             callback(Failure(StoreUnavailable(operation=operation, reason=reason)))
 
         headers = JSON_HEADERS if body else {}
-        self.http.request(self.address, method, path, headers, body, timeout, done, STORE_CONNECTIONS)
+        self.http.request(self.address, method, path, headers, body, timeout, on_response, MAX_CONNECTIONS)
 
-    def note_stamp(self, sent_at: float, body: bytes) -> None:
+    def record_store_time(self, sent_at: float, body: bytes) -> None:
         """Note the store's clock."""
         try:
-            stamp = msgspec.json.decode(body, type=Stamped).serverTimeS
+            store_time = msgspec.json.decode(body, type=TimestampedAnswer).serverTimeS
         except msgspec.DecodeError:
             return
-        if stamp:
-            self.stamp = max(self.stamp, stamp)
-            if self.on_stamp is not None:
-                self.on_stamp(sent_at, stamp)
+        if store_time:
+            self.store_time = max(self.store_time, store_time)
+            if self.on_store_time is not None:
+                self.on_store_time(sent_at, store_time)
 
 
-class Stamped(msgspec.Struct, frozen=True):
+class TimestampedAnswer(msgspec.Struct, frozen=True):
     """The part of each answer that bears the store's clock."""
 
     serverTimeS: float = 0.0  # noqa: N815 - name on the wire
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -30,7 +30,7 @@
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure, HttpResponse
 from hibiscusdrum.platform.operator import EVACUATE_PREFIX, OperatorRows
-from hibiscusdrum.platform.store import FollowedRows, StoreClient, WireRow
+from hibiscusdrum.platform.store import RowChanges, StoreClient, WireRow
 
 SETTINGS = RouterSettings(
     "own", "east", "east-1", "other", *(f"127.0.0.1:{port}" for port in range(1, 7))
@@ -668,10 +668,12 @@
     app.add(Stub("gateway"))
     app.add(Stub("members", set_evacuated_domains=context.evacuated.append))
     context.follows = []
-    app.add(Stub("table", follow=lambda table, since, callback: context.follows.append((since, callback))))
+    app.add(
+        Stub("table", poll_changes=lambda table, since, callback: context.follows.append((since, callback)))
+    )
     app.add(OperatorRows()).on_start()
     rows = (WireRow(EVACUATE_PREFIX + "east-2", 5, ""),)
-    context.follows[-1][1](Success(FollowedRows(rows, 5, True)))
+    context.follows[-1][1](Success(RowChanges(rows, 5, True)))
     assert context.evacuated[-1] == {"east-2"}
 
 
@@ -679,7 +681,7 @@
 def history_dropped(context):
     since, callback = context.follows[-1]
     assert since == 5
-    callback(Success(FollowedRows((), 9, True)))
+    callback(Success(RowChanges((), 9, True)))
 
 
 @then("no failure domain counts as evacuated")
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -25,7 +25,7 @@
 from hibiscusdrum.platform.boot import router_settings
 from hibiscusdrum.platform.main import main
 from hibiscusdrum.platform.operator import decode_config
-from hibiscusdrum.platform.reports import decode_report
+from hibiscusdrum.platform.reports import decode_heartbeat
 from hibiscusdrum.platform.store import StoreClient
 
 
@@ -158,12 +158,12 @@
     target = app.add(LocalTarget(router_settings(boot_values())))
     replies = []
     if fault != "is in order":
-        target.on_heartbeat(decode_report("i-1", report_body()), replies.append)
+        target.on_heartbeat(decode_heartbeat("i-1", report_body()), replies.append)
     if fault == "comes after the target's notice":
         target.on_leave("i-1", 2000)
     before = target.state, target.last_heartbeat
     try:
-        target.on_heartbeat(decode_report("i-1", REPORTS[fault]), replies.append)
+        target.on_heartbeat(decode_heartbeat("i-1", REPORTS[fault]), replies.append)
     except InvalidArgument:
         assert outcome == "refused"
         assert (target.state, target.last_heartbeat) == before
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -83,8 +83,8 @@
     def __init__(self, world, node):
         super().__init__()
         self.world, self.node = world, node
-        self.stamp = 0.0
-        self.on_stamp = None
+        self.store_time = 0.0
+        self.on_store_time = None
 
     def answer(self, delay, callback, result, sent_at, stamp):
         """Deliver a result later, unless the node was started anew meanwhile."""
@@ -94,9 +94,9 @@
             if self.world.nodes.get(self.node) is not node:
                 return
             if stamp is not None:
-                self.stamp = max(self.stamp, stamp)
-                if self.on_stamp is not None:
-                    self.on_stamp(sent_at, stamp)
+                self.store_time = max(self.store_time, stamp)
+                if self.on_store_time is not None:
+                    self.on_store_time(sent_at, stamp)
             callback(result)
 
         self.world.after(delay, deliver)
