--- a/src/hibiscusdrum/internal/cli/daemon.py
+++ b/src/hibiscusdrum/internal/cli/daemon.py
@@ -71,27 +71,29 @@
     """Build a function whose signature has one flag for each setting, as defopt reads it."""
 
     def command(**flags: str | None) -> int:
-        return _with_settings(action, flags, environment)
+        return _run_with_settings(action, flags, environment)
 
     settings = [setting for setting in SETTINGS if setting.flag]
     command.__name__ = name
     command.__signature__ = inspect.Signature(
         [
-            inspect.Parameter(s.name, inspect.Parameter.KEYWORD_ONLY, default=None, annotation=str | None)
-            for s in settings
+            inspect.Parameter(
+                setting.name, inspect.Parameter.KEYWORD_ONLY, default=None, annotation=str | None
+            )
+            for setting in settings
         ],
         return_annotation=int,
     )
-    command.__annotations__ = {s.name: str | None for s in settings} | {"return": int}
+    command.__annotations__ = {setting.name: str | None for setting in settings} | {"return": int}
     lines = [summary, "", "Parameters", "----------"]
-    for s in settings:
-        default = "required" if s.default is None else f"default {s.default}"
-        lines += [s.name, f"    {s.help} Accepted: {s.accepted}; {default}."]
+    for setting in settings:
+        default = "required" if setting.default is None else f"default {setting.default}"
+        lines += [setting.name, f"    {setting.help} Accepted: {setting.accepted}; {default}."]
     command.__doc__ = "\n".join(lines) + "\n"
     return command
 
 
-def _with_settings(
+def _run_with_settings(
     action: Callable[[Settings], int], flags: Mapping[str, Any], environment: Mapping[str, str]
 ) -> int:
     try:
--- a/src/hibiscusdrum/internal/cli/explain.py
+++ b/src/hibiscusdrum/internal/cli/explain.py
@@ -41,7 +41,7 @@
     try:
         for name in files or ("-",):
             with open(name, "rb") if name != "-" else sys.stdin.buffer as stream:
-                lines.extend(lines_of(request_id, stream))
+                lines.extend(find_request_lines(request_id, stream))
     except OSError as error:
         print(f"hibiscusdrum: {error.filename}: {error.strerror}", file=sys.stderr)
         return EXIT_UNREADABLE
@@ -50,35 +50,35 @@
         return EXIT_NOT_FOUND
     lines.sort(key=lambda line: line.time)
     for line in lines:
-        print(described(line))
-    print(conclusion(lines))
+        print(format_line(line))
+    print(format_conclusion(lines))
     return EXIT_FOUND
 
 
-def lines_of(request_id: str, stream: Iterable[bytes]) -> list[LogLine]:
+def find_request_lines(request_id: str, stream: Iterable[bytes]) -> list[LogLine]:
     """Return the lines about a request; lines that are no log lines of a router are passed over."""
-    wanted = request_id.encode()
-    found = []
-    for raw in stream:
-        if wanted not in raw:
+    encoded_id = request_id.encode()
+    matching = []
+    for raw_line in stream:
+        if encoded_id not in raw_line:
             continue
         try:
             # A collector may have put its own columns in front.
-            line = decoder.decode(raw[raw.index(b"{") :])
+            line = decoder.decode(raw_line[raw_line.index(b"{") :])
         except (msgspec.DecodeError, ValueError):
             continue
         if line.fields.get("id") == request_id:
-            found.append(line)
-    return found
+            matching.append(line)
+    return matching
 
 
-def described(line: LogLine) -> str:
+def format_line(line: LogLine) -> str:
     """Return a line for people."""
     values = " ".join(f"{name}={value}" for name, value in line.fields.items() if name != "id")
     return f"{line.time}  {line.node}  {line.name}  {values}"
 
 
-def conclusion(lines: list[LogLine]) -> str:
+def format_conclusion(lines: list[LogLine]) -> str:
     """Return which decision ended the request."""
     ended = [line for line in lines if line.name == FINAL_EVENT]
     if not ended:
--- a/src/hibiscusdrum/internal/cli/operator.py
+++ b/src/hibiscusdrum/internal/cli/operator.py
@@ -50,7 +50,7 @@
 WATCH_INTERVAL_SECONDS = 0.5
 KEY_VARIABLE = BY_NAME["shared_key"].environment
 
-Request = Callable[[str, str, str, bytes, dict[str, str]], tuple[int, bytes]]
+SendRequest = Callable[[str, str, str, bytes, dict[str, str]], tuple[int, bytes]]
 
 
 class Session:
@@ -73,7 +73,12 @@
     __slots__ = ("as_json", "daemon", "request", "shared_key", "sleep")
 
     def __init__(
-        self, daemon: str, shared_key: str, as_json: bool, request: Request, sleep: Callable[[float], None]
+        self,
+        daemon: str,
+        shared_key: str,
+        as_json: bool,
+        request: SendRequest,
+        sleep: Callable[[float], None],
     ) -> None:
         try:
             self.daemon = parse_address(daemon)
@@ -84,7 +89,7 @@
         self.request = request
         self.sleep = sleep
 
-    def ask(self, method: str, path: str, body: bytes = b"") -> dict[str, Any]:
+    def request_json(self, method: str, path: str, body: bytes = b"") -> dict[str, Any]:
         """Send a request and return the JSON answer.
 
         Raises
@@ -98,7 +103,7 @@
         """
         headers = {KEY_HEADER: self.shared_key} if self.shared_key else {}
         try:
-            status, content = self.request(method, self.daemon, path, body, headers)
+            status, response_body = self.request(method, self.daemon, path, body, headers)
         except ConnectionRefusedError:
             raise NodeUnreachable(node=self.daemon) from None
         except (OSError, http.client.HTTPException) as error:
@@ -106,19 +111,19 @@
                 reason = f"{type(error).__name__} while waiting for {self.daemon}"
                 raise OutcomeUnknown(request_id=path.rpartition("/")[2], reason=reason) from error
             raise NodeUnreachable(node=self.daemon) from error
-        answer = self._decode(content)
+        answer = self._decode_answer(response_body)
         if status >= http.client.BAD_REQUEST:
             reason, message = str(answer.get("code")), str(answer.get("message"))
             raise DaemonRefused(status=status, reason=reason, message=message)
         return answer
 
-    def _decode(self, content: bytes) -> dict[str, Any]:
+    def _decode_answer(self, response_body: bytes) -> dict[str, Any]:
         try:
-            return msgspec.json.decode(content, type=dict[str, Any])
+            return msgspec.json.decode(response_body, type=dict[str, Any])
         except (msgspec.DecodeError, UnicodeDecodeError):
             raise NodeUnreachable(node=self.daemon) from None
 
-    def show(self, answer: dict[str, Any], lines: Iterable[str]) -> None:
+    def print_answer(self, answer: dict[str, Any], lines: Iterable[str]) -> None:
         """Print an answer, for programs or for people."""
         if self.as_json:
             print(msgspec.json.encode(answer).decode())
@@ -127,7 +132,9 @@
             print(line)
 
 
-def send(method: str, address: str, path: str, body: bytes, headers: dict[str, str]) -> tuple[int, bytes]:
+def send_http_request(
+    method: str, address: str, path: str, body: bytes, headers: dict[str, str]
+) -> tuple[int, bytes]:
     """Send one HTTP request over a new connection."""
     host, _, port = address.rpartition(":")
     connection = http.client.HTTPConnection(host.strip("[]"), int(port), timeout=REQUEST_TIMEOUT_SECONDS)
@@ -141,14 +148,14 @@
 
 def status(session: Session) -> int:
     """Show the state of a daemon and all owners it knows."""
-    answer = session.ask("GET", "/v1/status")
+    answer = session.request_json("GET", "/v1/status")
     lines = [
         f"node {answer['node']}, revision {answer['revision']}, table sequence {answer['table_seq']}",
         f"store {'reachable' if answer['store_reachable'] else 'NOT REACHABLE'}, "
         f"lease {'valid' if answer['lease_valid'] else 'NOT VALID'}, guard {answer['guard'] or 'none'}",
     ]
     columns = ("node", "service", "region", "failure_domain", "slices", "guard", "epoch")
-    session.show(answer, [*lines, *table(columns, answer["owners"])])
+    session.print_answer(answer, [*lines, *format_table(columns, answer["owners"])])
     return EXIT_OK
 
 
@@ -165,8 +172,8 @@
         Tenant that the key belongs to; its home regions select the region.
     """
     query = urllib.parse.urlencode({"service": service, "tenant": tenant, "key": key})
-    answer = session.ask("GET", f"/v1/owner?{query}")
-    session.show(answer, table(("slice", "owner", "epoch", "region"), [answer]))
+    answer = session.request_json("GET", f"/v1/owner?{query}")
+    session.print_answer(answer, format_table(("slice", "owner", "epoch", "region"), [answer]))
     return EXIT_OK
 
 
@@ -186,7 +193,7 @@
     slices
         Slices of each ring; cannot be changed later.
     """
-    return submit(session, CreateRoute(name, regions, divided, slices))
+    return submit_intent(session, CreateRoute(name, regions, divided, slices))
 
 
 def create_tenant(
@@ -210,9 +217,9 @@
     slot_caps
         Slots that it may use at most, each as service=slots.
     """
-    weights = pairs("class-weights", class_weights, float)
-    return submit(
-        session, CreateTenant(name, tuple(home_regions), weights, pairs("slot-caps", slot_caps, int))
+    weights = parse_pairs("class-weights", class_weights, float)
+    return submit_intent(
+        session, CreateTenant(name, tuple(home_regions), weights, parse_pairs("slot-caps", slot_caps, int))
     )
 
 
@@ -226,7 +233,7 @@
     regions
         The only regions that may serve it.
     """
-    return submit(session, SetHomeRegions(tenant, regions))
+    return submit_intent(session, SetHomeRegions(tenant, regions))
 
 
 def drain_failure_domain(session: Session, failure_domain: str) -> int:
@@ -237,7 +244,7 @@
     failure_domain
         Failure domain.
     """
-    return submit(session, DrainFailureDomain(failure_domain))
+    return submit_intent(session, DrainFailureDomain(failure_domain))
 
 
 def return_failure_domain(session: Session, failure_domain: str) -> int:
@@ -248,7 +255,7 @@
     failure_domain
         Failure domain.
     """
-    return submit(session, ReturnFailureDomain(failure_domain))
+    return submit_intent(session, ReturnFailureDomain(failure_domain))
 
 
 def retire_target(session: Session, node: str) -> int:
@@ -259,7 +266,7 @@
     node
         Node of the target.
     """
-    return submit(session, RetireTarget(node))
+    return submit_intent(session, RetireTarget(node))
 
 
 def release_nodes(session: Session, *nodes: str) -> int:
@@ -270,7 +277,7 @@
     nodes
         Nodes that no longer run.
     """
-    return submit(session, ReleaseNodes(nodes))
+    return submit_intent(session, ReleaseNodes(nodes))
 
 
 def confirm(session: Session, plan: str) -> int:
@@ -281,22 +288,22 @@
     plan
         Id of the plan.
     """
-    answer = session.ask("POST", f"{PATH_PREFIX}confirm/{quote(plan)}")
-    session.show(answer, state_lines(answer))
+    answer = session.request_json("POST", f"{PATH_PREFIX}confirm/{quote_plan_id(plan)}")
+    session.print_answer(answer, format_plan_state(answer))
     return EXIT_OK
 
 
 def plans(session: Session) -> int:
     """List the plans that are not confirmed."""
-    answer = session.ask("GET", f"{PATH_PREFIX}plans")
-    session.show(answer, plan_table(answer["plans"]))
+    answer = session.request_json("GET", f"{PATH_PREFIX}plans")
+    session.print_answer(answer, format_plan_table(answer["plans"]))
     return EXIT_OK
 
 
 def history(session: Session) -> int:
     """List the confirmed plans, oldest first."""
-    answer = session.ask("GET", f"{PATH_PREFIX}history")
-    session.show(answer, plan_table(answer["history"]))
+    answer = session.request_json("GET", f"{PATH_PREFIX}history")
+    session.print_answer(answer, format_plan_table(answer["history"]))
     return EXIT_OK
 
 
@@ -310,14 +317,14 @@
     timeout
         Seconds to wait at most.
     """
-    waited = 0.0
+    waited_seconds = 0.0
     while True:
-        answer = session.ask("GET", f"{PATH_PREFIX}plan/{quote(plan)}")
-        if answer["state"] == ACCEPTED or waited >= timeout:
-            session.show(answer, state_lines(answer))
+        answer = session.request_json("GET", f"{PATH_PREFIX}plan/{quote_plan_id(plan)}")
+        if answer["state"] == ACCEPTED or waited_seconds >= timeout:
+            session.print_answer(answer, format_plan_state(answer))
             return EXIT_OK if answer["state"] == ACCEPTED else EXIT_REFUSED
         session.sleep(WATCH_INTERVAL_SECONDS)
-        waited += WATCH_INTERVAL_SECONDS
+        waited_seconds += WATCH_INTERVAL_SECONDS
 
 
 COMMANDS: dict[str, Any] = {
@@ -339,19 +346,19 @@
 }
 
 
-def submit(session: Session, intent: Intent) -> int:
+def submit_intent(session: Session, intent: Intent) -> int:
     """Send an intent and show the plan."""
-    answer = session.ask("POST", f"{PATH_PREFIX}plan", msgspec.json.encode(intent))
-    session.show(answer, plan_lines(answer))
+    answer = session.request_json("POST", f"{PATH_PREFIX}plan", msgspec.json.encode(intent))
+    session.print_answer(answer, format_plan(answer))
     return EXIT_OK
 
 
-def quote(plan: str) -> str:
+def quote_plan_id(plan: str) -> str:
     """Return a plan id as a path segment."""
     return urllib.parse.quote(plan, safe="")
 
 
-def pairs(name: str, items: Iterable[str], kind: Callable[[str], Any]) -> dict[str, Any]:
+def parse_pairs(name: str, items: Iterable[str], convert: Callable[[str], Any]) -> dict[str, Any]:
     """Parse ``name=value`` arguments.
 
     Raises
@@ -363,15 +370,15 @@
     for item in items:
         key, separator, value = item.partition("=")
         try:
-            parsed[key] = kind(value)
+            parsed[key] = convert(value)
         except ValueError:
             separator = ""
         if not separator or not key:
-            raise InvalidArgument(name=name, value=item, expected=f"name=value with a {kind.__name__}")
+            raise InvalidArgument(name=name, value=item, expected=f"name=value with a {convert.__name__}")
     return parsed
 
 
-def plan_lines(answer: dict[str, Any]) -> list[str]:
+def format_plan(answer: dict[str, Any]) -> list[str]:
     """Return what a plan moves and costs."""
     plan = answer["plan"]
     cost = plan["cost"]
@@ -383,11 +390,11 @@
     ]
     lines += [f"warning: {warning}" for warning in plan["warnings"]]
     if plan["moves"]:
-        lines += table(("service", "region", "source", "receivers", "nodes", "slices"), plan["moves"])
+        lines += format_table(("service", "region", "source", "receivers", "nodes", "slices"), plan["moves"])
     return [*lines, f"nothing has changed yet; run: {PROGRAM} confirm {plan['id']}"]
 
 
-def state_lines(answer: dict[str, Any]) -> list[str]:
+def format_plan_state(answer: dict[str, Any]) -> list[str]:
     """Return the state of a plan and the nodes that have yet to acknowledge it."""
     plan = answer["plan"]
     done = f"{answer['steps_done']} of {len(plan['steps'])} steps"
@@ -397,15 +404,15 @@
     return lines
 
 
-def plan_table(rows: list[dict[str, Any]]) -> list[str]:
+def format_plan_table(rows: list[dict[str, Any]]) -> list[str]:
     """Return a table of plans."""
     columns = ("plan", "intent", "state", "base", "revision", "confirmed")
-    return table(columns, [_plan_cells(row) for row in rows])
+    return format_table(columns, [_format_plan_row(row) for row in rows])
 
 
-def _plan_cells(row: dict[str, Any]) -> dict[str, Any]:
-    plan, moment = row["plan"], row["confirmed_at"]
-    text = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(moment)) if moment else "-"
+def _format_plan_row(row: dict[str, Any]) -> dict[str, Any]:
+    plan, confirmed_at = row["plan"], row["confirmed_at"]
+    text = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(confirmed_at)) if confirmed_at else "-"
     arguments = [str(value) for name, value in plan["intent"].items() if name != "kind"]
     return {
         "plan": plan["id"],
@@ -417,9 +424,9 @@
     }
 
 
-def table(columns: tuple[str, ...], rows: list[dict[str, Any]]) -> list[str]:
+def format_table(columns: tuple[str, ...], rows: list[dict[str, Any]]) -> list[str]:
     """Lay rows out in columns."""
-    cells = [columns, *[tuple(_cell(row.get(column)) for column in columns) for row in rows]]
+    cells = [columns, *[tuple(_format_cell(row.get(column)) for column in columns) for row in rows]]
     widths = [max(len(row[index]) for row in cells) for index in range(len(columns))]
     return [
         "  ".join(text.ljust(width) for text, width in zip(row, widths, strict=True)).rstrip()
@@ -427,7 +434,7 @@
     ]
 
 
-def _cell(value: Any) -> str:
+def _format_cell(value: Any) -> str:
     if isinstance(value, list):
         return ",".join(map(str, value)) or "-"
     return "-" if value is None or value == "" else str(value)
@@ -436,7 +443,7 @@
 def main(
     arguments: list[str] | None = None,
     environment: Mapping[str, str] | None = None,
-    request: Request = send,
+    request: SendRequest = send_http_request,
     sleep: Callable[[float], None] = time.sleep,
 ) -> None:
     """Run a command and exit with its code.
@@ -451,7 +458,9 @@
         Replaced by tests.
     """
     variables = os.environ if environment is None else environment
-    commands = _bind_all(COMMANDS, partial(_run, variables, request, sleep)) | {"explain": explain}
+    commands = _bind_commands(COMMANDS, partial(_run_command, variables, request, sleep)) | {
+        "explain": explain
+    }
     try:
         code = defopt.run(
             commands,
@@ -466,26 +475,28 @@
     sys.exit(code)
 
 
-def _bind_all(commands: dict[str, Any], run: Callable[..., int]) -> dict[str, Any]:
+def _bind_commands(commands: dict[str, Any], run: Callable[..., int]) -> dict[str, Any]:
     return {
-        name: _bind_all(command, run) if isinstance(command, dict) else _bind(command, run)
+        name: _bind_commands(command, run) if isinstance(command, dict) else _bind_command(command, run)
         for name, command in commands.items()
     }
 
 
-def _bind(command: Callable[..., int], run: Callable[..., int]) -> Callable[..., int]:
+def _bind_command(command: Callable[..., int], run: Callable[..., int]) -> Callable[..., int]:
     """Return a command without its session but with the flags that all commands share, for defopt."""
 
     def bound(*values: Any, daemon: str, shared_key: str = "", json: bool = False, **flags: Any) -> int:
         return run(command, values, flags, daemon, shared_key, json)
 
     signature = inspect.signature(command, eval_str=True)
-    own = list(signature.parameters.values())[1:]
-    shared = [
+    own_parameters = list(signature.parameters.values())[1:]
+    shared_parameters = [
         p for p in inspect.signature(bound, eval_str=True).parameters.values() if p.kind is p.KEYWORD_ONLY
     ]
-    bound.__signature__ = inspect.Signature([*own, *shared], return_annotation=int)
-    bound.__annotations__ = {p.name: p.annotation for p in (*own, *shared)} | {"return": int}
+    bound.__signature__ = inspect.Signature([*own_parameters, *shared_parameters], return_annotation=int)
+    bound.__annotations__ = {p.name: p.annotation for p in (*own_parameters, *shared_parameters)} | {
+        "return": int
+    }
     bound.__name__ = command.__name__
     document = inspect.getdoc(command) or ""
     if "Parameters\n" not in document:
@@ -501,9 +512,9 @@
     return bound
 
 
-def _run(
+def _run_command(
     environment: Mapping[str, str],
-    request: Request,
+    request: SendRequest,
     sleep: Callable[[float], None],
     command: Callable[..., int],
     values: tuple[Any, ...],
@@ -517,16 +528,16 @@
         key = shared_key or environment.get(KEY_VARIABLE, "")
         return command(Session(daemon, key, as_json, request, sleep), *values, **flags)
     except InvalidArgument as error:
-        return _fail(str(error), EXIT_USAGE)
+        return _print_failure(str(error), EXIT_USAGE)
     except (NodeUnreachable, OutcomeUnknown) as error:
-        return _fail(str(error), EXIT_UNREACHABLE)
+        return _print_failure(str(error), EXIT_UNREACHABLE)
     except DaemonRefused as error:
-        return _fail(str(error), EXIT_CONFLICT if error.status == CONFLICT_STATUS else EXIT_REFUSED)
+        return _print_failure(str(error), EXIT_CONFLICT if error.status == CONFLICT_STATUS else EXIT_REFUSED)
     except (KeyError, TypeError) as error:
-        return _fail(f"the answer of {daemon} lacks {error}", EXIT_UNREACHABLE)
+        return _print_failure(f"the answer of {daemon} lacks {error}", EXIT_UNREACHABLE)
 
 
-def _fail(message: str, code: int) -> int:
+def _print_failure(message: str, code: int) -> int:
     print(f"{PROGRAM}: {' '.join(message.split())}", file=sys.stderr)
     return code
 
--- a/src/hibiscusdrum/internal/platform/object_store.py
+++ b/src/hibiscusdrum/internal/platform/object_store.py
@@ -46,30 +46,32 @@
     def put(self, name: str, content: bytes, callback: PutCallback) -> None:
         """Store an object; ``StoreUnavailable`` with reason ``unknown`` means that it may be stored."""
 
-        def done(result: HttpResult) -> None:
-            callback(put_outcome(result))
+        def on_response(result: HttpResult) -> None:
+            callback(put_result(result))
 
-        self.send("PUT", name, content, done)
+        self.send_request("PUT", name, content, on_response)
 
     def get(self, name: str, callback: GetCallback) -> None:
         """Read an object; yields ``NotFound`` when there is none."""
 
-        def done(result: HttpResult) -> None:
-            callback(get_outcome(name, result))
+        def on_response(result: HttpResult) -> None:
+            callback(get_result(name, result))
 
-        self.send("GET", name, b"", done)
+        self.send_request("GET", name, b"", on_response)
 
-    def send(self, method: str, name: str, body: bytes, done: Callable[[HttpResult], None]) -> None:
+    def send_request(
+        self, method: str, name: str, body: bytes, on_response: Callable[[HttpResult], None]
+    ) -> None:
         """Send a request for one object."""
         if not name or name.startswith("/"):
             raise InvalidArgument(name="name", value=name, expected="a name that does not begin with a slash")
         headers = {"content-type": "application/octet-stream"}
         self.http.request(
-            self.address, method, OBJECTS_PATH + quote(name), headers, body, self.timeout_seconds, done
+            self.address, method, OBJECTS_PATH + quote(name), headers, body, self.timeout_seconds, on_response
         )
 
 
-def put_outcome(result: HttpResult) -> Result[None, HibiscusdrumError]:
+def put_result(result: HttpResult) -> Result[None, HibiscusdrumError]:
     """Return the result of a put."""
     if isinstance(result, Failure) and result.failure().bytes_sent:
         return Failure(StoreUnavailable(operation="put", reason="unknown"))
@@ -78,7 +80,7 @@
     return Success(None)
 
 
-def get_outcome(name: str, result: HttpResult) -> Result[bytes, HibiscusdrumError]:
+def get_result(name: str, result: HttpResult) -> Result[bytes, HibiscusdrumError]:
     """Return the result of a get."""
     if isinstance(result, Failure):
         return Failure(StoreUnavailable(operation="get", reason=unavailable_reason(result)))
--- a/src/hibiscusdrum/internal/platform/table_client.py
+++ b/src/hibiscusdrum/internal/platform/table_client.py
@@ -28,10 +28,10 @@
 from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure, HttpResponse
 
 # Operations are read back by a path that ends in their id.
-OPERATION_ID = re.compile("[A-Za-z0-9._-]+")
+OPERATION_ID_PATTERN = re.compile("[A-Za-z0-9._-]+")
 JSON_HEADERS = {"content-type": "application/json"}
 # Wait between two read-backs; the store answers about 2,000 reads a second for all nodes together.
-RESOLVE_INTERVAL_SECONDS = 0.1
+READ_BACK_INTERVAL_SECONDS = 0.1
 OK = 200
 BAD_REQUEST = 400
 CONFLICT = 409
@@ -39,25 +39,25 @@
 HttpResult = Result[HttpResponse, HttpFailure]
 
 
-class RowsAnswer(msgspec.Struct, frozen=True):
+class ReadResponse(msgspec.Struct, frozen=True):
     """Answer to a read."""
 
     rows: tuple[Row, ...]
 
 
-class Committed(msgspec.Struct, frozen=True):
+class CommitResponse(msgspec.Struct, frozen=True):
     """Answer to a transaction that was written."""
 
     seq: int
 
 
-class Conflicting(msgspec.Struct, frozen=True):
+class ConflictResponse(msgspec.Struct, frozen=True):
     """Answer to a transaction whose checks failed."""
 
     keys: tuple[str, ...]
 
 
-class Operation(msgspec.Struct, frozen=True):
+class OperationState(msgspec.Struct, frozen=True):
     """State of an operation: ``committed``, ``conflict`` or ``absent``."""
 
     state: str
@@ -65,7 +65,7 @@
     keys: tuple[str, ...] = ()
 
 
-class Rejection(msgspec.Struct, frozen=True):
+class ErrorResponse(msgspec.Struct, frozen=True):
     """Answer to a request that the service found malformed."""
 
     code: str
@@ -73,15 +73,15 @@
     value: Any = None
 
 
-rows_decoder = msgspec.json.Decoder(RowsAnswer)
+read_decoder = msgspec.json.Decoder(ReadResponse)
 changes_decoder = msgspec.json.Decoder(Changes)
-committed_decoder = msgspec.json.Decoder(Committed)
-conflict_decoder = msgspec.json.Decoder(Conflicting)
-operation_decoder = msgspec.json.Decoder(Operation)
-rejection_decoder = msgspec.json.Decoder(Rejection)
+commit_decoder = msgspec.json.Decoder(CommitResponse)
+conflict_decoder = msgspec.json.Decoder(ConflictResponse)
+operation_decoder = msgspec.json.Decoder(OperationState)
+error_decoder = msgspec.json.Decoder(ErrorResponse)
 
 
-def decode(decoder: msgspec.json.Decoder, body: bytes) -> Any:
+def decode_or_none(decoder: msgspec.json.Decoder, body: bytes) -> Any:
     """Return the decoded body, or None when it has another form."""
     try:
         return decoder.decode(body)
@@ -112,11 +112,13 @@
 
     service_name = "table"
 
-    def __init__(self, address: str, timeout_seconds: float = 1.0, resolve_seconds: float = 5.0) -> None:
+    def __init__(
+        self, address: str, timeout_seconds: float = 1.0, resolve_timeout_seconds: float = 5.0
+    ) -> None:
         super().__init__()
         self.address = address
         self.timeout_seconds = timeout_seconds
-        self.resolve_seconds = resolve_seconds
+        self.resolve_timeout_seconds = resolve_timeout_seconds
         self.http: HttpClient | None = None
 
     def on_start(self) -> None:
@@ -126,26 +128,26 @@
     def read(self, keys: tuple[str, ...], callback: ReadCallback) -> None:
         """Read rows by key; absent rows are left out of the result."""
 
-        def done(result: HttpResult) -> None:
-            answer = decode_ok(rows_decoder, result)
+        def on_response(result: HttpResult) -> None:
+            answer = decode_ok_response(read_decoder, result)
             if answer is None:
                 callback(Failure(StoreUnavailable(operation="read", reason=unavailable_reason(result))))
             else:
                 callback(Success({row.key: row for row in answer.rows}))
 
-        self.post("/v1/read", {"keys": keys}, done)
+        self.post("/v1/read", {"keys": keys}, on_response)
 
     def changes(self, since: int, callback: ChangesCallback) -> None:
         """Read every row written after ``since`` (0 reads the whole table)."""
 
-        def done(result: HttpResult) -> None:
-            answer = decode_ok(changes_decoder, result)
+        def on_response(result: HttpResult) -> None:
+            answer = decode_ok_response(changes_decoder, result)
             if answer is None:
                 callback(Failure(StoreUnavailable(operation="changes", reason=unavailable_reason(result))))
             else:
                 callback(Success(answer))
 
-        self.get(f"/v1/changes?since={since}", done)
+        self.get(f"/v1/changes?since={since}", on_response)
 
     def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
         """Write conditionally; see ``Table.commit``.
@@ -156,28 +158,30 @@
             If the operation id could not stand in a path.
         """
         operation_id = transaction.operation_id
-        if not OPERATION_ID.fullmatch(operation_id):
-            raise InvalidArgument(name="operation_id", value=operation_id, expected=OPERATION_ID.pattern)
-        Commit(self, transaction, callback).send()
+        if not OPERATION_ID_PATTERN.fullmatch(operation_id):
+            raise InvalidArgument(
+                name="operation_id", value=operation_id, expected=OPERATION_ID_PATTERN.pattern
+            )
+        PendingCommit(self, transaction, callback).send()
 
-    def post(self, path: str, value: Any, done: Callable[[HttpResult], None]) -> None:
+    def post(self, path: str, value: Any, on_response: Callable[[HttpResult], None]) -> None:
         """Send a JSON value."""
         body = msgspec.json.encode(value)
-        self.http.request(self.address, "POST", path, JSON_HEADERS, body, self.timeout_seconds, done)
+        self.http.request(self.address, "POST", path, JSON_HEADERS, body, self.timeout_seconds, on_response)
 
-    def get(self, path: str, done: Callable[[HttpResult], None]) -> None:
+    def get(self, path: str, on_response: Callable[[HttpResult], None]) -> None:
         """Ask for a JSON value."""
-        self.http.request(self.address, "GET", path, {}, b"", self.timeout_seconds, done)
+        self.http.request(self.address, "GET", path, {}, b"", self.timeout_seconds, on_response)
 
 
-def decode_ok(decoder: msgspec.json.Decoder, result: HttpResult) -> Any:
+def decode_ok_response(decoder: msgspec.json.Decoder, result: HttpResult) -> Any:
     """Return the decoded body of an answer with status 200, or None."""
     if isinstance(result, Failure) or result.unwrap().status != OK:
         return None
-    return decode(decoder, result.unwrap().body)
+    return decode_or_none(decoder, result.unwrap().body)
 
 
-class Commit:
+class PendingCommit:
     """A transaction under way.
 
     Attributes
@@ -186,19 +190,19 @@
         Monotonic time at which an unknown outcome is given up; None while nothing was lost.
     """
 
-    __slots__ = ("callback", "resolve_until", "table", "transaction")
+    __slots__ = ("callback", "resolve_deadline", "table", "transaction")
 
     def __init__(self, table: TableClient, transaction: Transaction, callback: CommitCallback) -> None:
         self.table = table
         self.transaction = transaction
         self.callback = callback
-        self.resolve_until: float | None = None
+        self.resolve_deadline: float | None = None
 
     def send(self) -> None:
         """Send the transaction; again is safe, since the store knows the operation id."""
-        self.table.post("/v1/transact", self.transaction, self.on_answer)
+        self.table.post("/v1/transact", self.transaction, self.on_transact_response)
 
-    def on_answer(self, result: HttpResult) -> None:
+    def on_transact_response(self, result: HttpResult) -> None:
         """Report a definite answer; otherwise read the operation back."""
         if isinstance(result, Failure):
             self.on_failure(result.failure())
@@ -212,7 +216,7 @@
 
     def on_failure(self, failure: HttpFailure) -> None:
         """Report a commit that was never sent; read back one that may have been applied."""
-        if failure.bytes_sent or self.resolve_until is not None:
+        if failure.bytes_sent or self.resolve_deadline is not None:
             self.resolve()
             return
         reason = "refused" if failure.kind is FailureKind.REFUSED else "not_sent"
@@ -221,29 +225,29 @@
     def resolve(self) -> None:
         """Read the operation back after a pause, until the limit."""
         now = self.table.app.clock.monotonic()
-        if self.resolve_until is None:
-            self.resolve_until = now + self.table.resolve_seconds
+        if self.resolve_deadline is None:
+            self.resolve_deadline = now + self.table.resolve_timeout_seconds
             self.read_back()
-        elif now >= self.resolve_until:
+        elif now >= self.resolve_deadline:
             self.callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
         else:
-            self.table.app.scheduler.call_later(RESOLVE_INTERVAL_SECONDS, self.read_back)
+            self.table.app.scheduler.call_later(READ_BACK_INTERVAL_SECONDS, self.read_back)
 
     def read_back(self) -> None:
         """Ask the store for the state of the operation."""
         operation_id = quote(self.transaction.operation_id, safe="")
-        self.table.get(f"/v1/operations/{operation_id}", self.on_state)
+        self.table.get(f"/v1/operations/{operation_id}", self.on_operation_state)
 
-    def on_state(self, result: HttpResult) -> None:
+    def on_operation_state(self, result: HttpResult) -> None:
         """Report a known outcome; send an absent transaction again."""
-        operation = decode_ok(operation_decoder, result)
+        operation = decode_ok_response(operation_decoder, result)
         if operation is None:
             self.resolve()
         elif operation.state == "committed":
             self.callback(Success(operation.seq))
         elif operation.state == "conflict":
             self.callback(Failure(StoreConflict(keys=operation.keys)))
-        elif self.table.app.clock.monotonic() >= self.resolve_until:
+        elif self.table.app.clock.monotonic() >= self.resolve_deadline:
             self.callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
         else:
             # The first request may still be under way; the store applies only one of the two.
@@ -253,13 +257,13 @@
 def transaction_outcome(response: HttpResponse) -> Result[int, HibiscusdrumError] | None:
     """Return the definite outcome that an answer reports, or None."""
     if response.status == OK:
-        answer = decode(committed_decoder, response.body)
+        answer = decode_or_none(commit_decoder, response.body)
         return None if answer is None else Success(answer.seq)
     if response.status == CONFLICT:
-        answer = decode(conflict_decoder, response.body)
+        answer = decode_or_none(conflict_decoder, response.body)
         return None if answer is None else Failure(StoreConflict(keys=answer.keys))
     if response.status == BAD_REQUEST:
-        answer = decode(rejection_decoder, response.body)
+        answer = decode_or_none(error_decoder, response.body)
         if answer is not None:
             error = InvalidArgument(name=answer.name, value=answer.value, expected="a valid transaction")
             return Failure(error)
