Reword the comments of the platform adapter

They spoke of a stamp that an answer bore, of rows that lie in a table, of us and of the users' platform. They now name the long poll, its margin and why the sum is bounded, the versions of a paged read, the incarnation of a target and the truncation of a grant's duration, each with its reason and its numbers. Comments and doc comments only.

--- a/src/hibiscusdrum/platform/__init__.py
+++ b/src/hibiscusdrum/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Runs hibiscusdrum on the users' platform: translates its settings, store, configuration and reports."""
+"""Adapter to the platform: its settings file, store, operator configuration and target heartbeats."""
--- a/src/hibiscusdrum/platform/__main__.py
+++ b/src/hibiscusdrum/platform/__main__.py
@@ -2,8 +2,8 @@
 
 import sys
 
-# circuits declares a namespace through pkg_resources where that exists, and does without it otherwise. Its
-# import takes a third of the time of a start.
+# circuits imports pkg_resources, if available, to declare a namespace package, and works without it. The
+# import takes a third of the startup time, so it is made to fail here.
 sys.modules.setdefault("pkg_resources", None)
 
 from hibiscusdrum.platform.main import main  # noqa: E402
--- a/src/hibiscusdrum/platform/boot.py
+++ b/src/hibiscusdrum/platform/boot.py
@@ -1,4 +1,4 @@
-"""Settings file of the platform: lines ``a.b=value``, decoded into the router's settings."""
+"""Settings file of the platform, with lines ``a.b=value``, and its conversion to the router's settings."""
 
 from __future__ import annotations
 
@@ -9,14 +9,14 @@
 from hibiscusdrum.internal.settings import Problem
 
 BOOT_VARIABLE = "HIBISCUSDRUM_BOOT"
-# Ports of the range that the platform leaves to us, counted from its start.
+# The router's ports, as offsets into the port range that the platform assigns to it.
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
 BYTES_PER_MEGABIT = 125_000.0
 
 
 def read_boot_file(path: str) -> dict[str, str]:
-    """Return the lines of a settings file by name.
+    """Parse a settings file; lines without ``=`` and those that begin with ``#`` are ignored.
 
     Raises
     ------
@@ -37,12 +37,12 @@
 
 
 def router_settings(values: dict[str, str]) -> RouterSettings:
-    """Translate the platform's settings.
+    """Convert the platform's settings to the router's.
 
     Raises
     ------
     InvalidSettings
-        If a value is missing or malformed; all of them are named.
+        If values are missing or malformed; the error lists all of them.
     """
     problems: list[Problem] = []
     bounds = dict(part.partition("=")[::2] for part in values.get("bounds", "").split(",") if "=" in part)
--- a/src/hibiscusdrum/platform/main.py
+++ b/src/hibiscusdrum/platform/main.py
@@ -1,4 +1,4 @@
-"""Builds and runs the router on the users' platform."""
+"""Command line of the router on the platform: runs it or checks its settings."""
 
 from __future__ import annotations
 
@@ -78,20 +78,20 @@
 
 
 def print_problems(error: InvalidSettings) -> int:
-    """Print what is wrong with the settings; returns the exit code."""
+    """Print each problem of the settings to standard error; returns the exit code."""
     for problem in error.problems:
         print(f"hibiscusdrum: {problem}", file=sys.stderr)
     return EXIT_USAGE
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """Run or check with the settings file that is given, or else named by the environment.
+    """Run the router or check its settings file, which an argument or the environment names.
 
     Parameters
     ----------
     arguments : list of str, optional
-        ``[run|check] [FILE]``; those of the process when not given. They are read without a library for
-        command lines, whose import would lengthen each restart by 0.2 s.
+        ``[run|check] [FILE]``; those of the process when not given. They are parsed without an argument
+        parsing library, whose import would add 0.2 s to each restart.
     """
     remaining = list(sys.argv[1:] if arguments is None else arguments)
     command = remaining.pop(0) if remaining and remaining[0] in COMMANDS else "run"
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -1,4 +1,4 @@
-"""What the operator writes to the store: the configuration, and failure domains that are to be emptied."""
+"""Rows that the operator writes to the store: the configuration and the failure domains to evacuate."""
 
 from __future__ import annotations
 
@@ -25,13 +25,13 @@
 
 
 class ColumnarRecords(msgspec.Struct, frozen=True):
-    """A table: names of the fields, and a list of values for each entry."""
+    """Records that share one list of field names; each record is a list of values in that order."""
 
     columns: tuple[str, ...]
     records: tuple[tuple[Any, ...], ...]
 
     def to_dicts(self) -> list[dict[str, Any]]:
-        """Return the entries by field name, without those left out."""
+        """Return each record as a dict by field name, without the fields whose value is null."""
         return [
             {name: value for name, value in zip(self.columns, record, strict=False) if value is not None}
             for record in self.records
@@ -39,7 +39,7 @@
 
 
 class WireConfig(msgspec.Struct, frozen=True):
-    """The configuration on the wire; ``version`` is ``r`` and a number."""
+    """The configuration as the operator stores it; ``version`` is ``r`` followed by a number."""
 
     version: str
     routes: ColumnarRecords
@@ -48,12 +48,12 @@
 
 
 def decode_config(data: bytes) -> RouteTable:
-    """Translate a configuration.
+    """Decode the operator's configuration into a route table.
 
     Raises
     ------
     InvalidArgument
-        If it cannot be read.
+        If the configuration is malformed.
     """
     try:
         wire = msgspec.json.decode(data, type=WireConfig)
@@ -68,7 +68,7 @@
 
 
 def decode_route(entry: dict[str, Any]) -> Route:
-    """Translate a route; ``backends`` holds services with weights, not targets."""
+    """Convert a route; ``backends`` lists services with weights, not targets."""
     backends = entry.get("backends") or [{"service": entry["service"], "weight": 1}]
     return Route(
         name=entry["name"],
@@ -85,7 +85,7 @@
 
 
 def decode_service(entry: dict[str, Any]) -> ServiceSpec:
-    """Translate a service."""
+    """Convert a service."""
     return ServiceSpec(
         name=entry["name"],
         health_path=entry.get("healthPath", "/healthz"),
@@ -97,7 +97,7 @@
 
 
 def decode_limits(entry: dict[str, Any]) -> EntryLimits:
-    """Translate the limits on callers."""
+    """Convert the limits on callers' requests and connections."""
     default = EntryLimits()
     return EntryLimits(
         max_head_bytes=int(entry.get("maxHeaderBytes", default.max_head_bytes)),
@@ -108,7 +108,17 @@
 
 
 class OperatorRows(Service):
-    """Follows the operator's rows and puts them in force."""
+    """Watches the operator's rows in the store and applies their changes.
+
+    Attributes
+    ----------
+    last_version : int or None
+        Newest version of the store that was read; None before the first read.
+    failures : int
+        Number of consecutive failed polls.
+    evacuated_domains : set of str
+        Failure domains that the operator evacuates.
+    """
 
     service_name = "operator_rows"
 
@@ -120,18 +130,18 @@
         self.rng = random.Random()
 
     def on_start(self) -> None:
-        """Read the rows."""
+        """Read the rows and begin to poll for changes."""
         self.store: StoreClient = self.app.find("table")
         self.gateway = self.app.find("gateway")
         self.members = self.app.find("members")
         self.poll()
 
     def poll(self) -> None:
-        """Wait for the next change."""
+        """Poll for changes; the first poll reads the whole table."""
         self.store.poll_changes(OPERATOR_TABLE, self.last_version, self.on_changes)
 
     def on_changes(self, result: Result[RowChanges, HibiscusdrumError]) -> None:
-        """Put changed rows in force."""
+        """Apply the changed rows and poll again, after a failure with a delay."""
         if not isinstance(result, Success):
             self.failures += 1
             delay = full_jitter(self.failures, self.rng, BASE_RETRY_SECONDS, MAX_RETRY_SECONDS)
@@ -148,7 +158,7 @@
         self.poll()
 
     def apply_row(self, row: WireRow) -> None:
-        """Take over one row."""
+        """Apply a row; a configuration that cannot be decoded is logged and ignored."""
         if row.key.startswith(EVACUATE_PREFIX):
             failure_domain = row.key[len(EVACUATE_PREFIX) :]
             (self.evacuated_domains.discard if row.deleted else self.evacuated_domains.add)(failure_domain)
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -1,4 +1,4 @@
-"""Reports of the target on this VM: the platform's heartbeat, decoded into the router's types."""
+"""HTTP endpoint for the target on this VM: the platform's heartbeat, decoded into the router's types."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class TargetInfo(msgspec.Struct, frozen=True):
-    """What does not change during one start of a target."""
+    """Properties of a target that are constant for one incarnation."""
 
     service: str
     slots: int
@@ -29,7 +29,7 @@
 
 
 class TargetStatus(msgspec.Struct, frozen=True):
-    """What changes; ``warmupS_time`` is how long the target stays cold from now on, in seconds."""
+    """State of a target; ``warmupS_time`` is the remaining warm-up time in seconds."""
 
     state: str
     seq: int
@@ -37,10 +37,11 @@
 
 
 class WireHeartbeat(msgspec.Struct, frozen=True):
-    """A report on the wire.
+    """Body of a heartbeat as the target sends it.
 
-    ``holdCount`` lists ranges, not a number: first key, last key, fencing token. ``released`` lists first
-    key, last key, handover token. ``born`` is the start in Unix milliseconds.
+    Despite its name, ``holdCount`` is a list of the ranges that the target holds, each as first key, last key
+    and fencing token. ``released`` lists the ranges that it gave up, each as first key, last key and handover
+    token. ``born`` is the time at which the target started, in Unix milliseconds.
     """
 
     addr: str
@@ -52,7 +53,7 @@
 
 
 class WireLeave(msgspec.Struct, frozen=True):
-    """The body of a target's notice that it leaves."""
+    """Body of the notice that a target is leaving; ``born`` as in a heartbeat."""
 
     born: int = 0
 
@@ -61,12 +62,12 @@
 
 
 def decode_heartbeat(target: str, body: bytes) -> TargetHeartbeat:
-    """Translate a report.
+    """Decode a heartbeat.
 
     Raises
     ------
     InvalidArgument
-        If fields are missing, of another type, or the state is unknown.
+        If a field is missing or of the wrong type, or the state is unknown.
     """
     try:
         heartbeat = msgspec.json.decode(body, type=WireHeartbeat)
@@ -89,16 +90,16 @@
 
 
 def encode_grant(grant: Grant | None) -> bytes:
-    """Return the answer to a report: nothing to renew, or all ranges with the seconds of the hold."""
+    """Encode the answer to a heartbeat: all granted ranges and their duration, or nothing to renew."""
     if grant is None:
         return b"{}"
     ranges = [[entry.first, entry.last, entry.fencing_token, entry.handover_token] for entry in grant.ranges]
-    # ``holdS`` must end no later than the lease, so it is cut, not rounded.
+    # Truncated to milliseconds rather than rounded: the grant must not outlast the lease.
     return msgspec.json.encode({"holdCount": ranges, "holdS": int(grant.seconds * 1000) / 1000})
 
 
 class ReportEndpoint(Service):
-    """Serves the address to which the target reports."""
+    """Serves the address to which the target sends its heartbeats."""
 
     service_name = "reports"
 
@@ -107,12 +108,12 @@
         self.settings = settings
 
     def on_start(self) -> None:
-        """Listen for the target."""
+        """Listen on the target control address."""
         self.target: LocalTarget = self.app.find("local_target")
         self.app.find("entry").listen(self.settings.target_control_address, self.on_request)
 
     def on_request(self, request: EntryRequest) -> None:
-        """Take a report or a notice that the target leaves."""
+        """Handle a heartbeat (``PUT``) or the notice that the target is leaving (``DELETE``)."""
         path = request.target.partition("?")[0]
         if not path.startswith(INSTANCES_PATH) or request.method not in (b"PUT", b"DELETE"):
             request.respond(404, JSON_HEADERS, b"{}")
@@ -133,7 +134,13 @@
 
 
 def decode_leave(body: bytes) -> int:
-    """Return the start, in Unix milliseconds, of the target that leaves; 0 when it does not say."""
+    """Return the start time in Unix milliseconds that a leave notice gives; 0 if it gives none.
+
+    Raises
+    ------
+    InvalidArgument
+        If the body is malformed.
+    """
     if not body:
         return 0
     try:
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -1,7 +1,7 @@
-"""Client of the platform's store, with the interface of the product's table.
+"""Client of the platform's store that implements the router's ``Table`` interface.
 
-Rows whose key begins with ``lease/`` lie in a table of their own, which ``changes`` leaves out: they are
-rewritten every few seconds, and nobody follows them.
+Rows whose key begins with ``lease/`` are kept in a separate table, which ``changes`` does not read: they are
+rewritten every few seconds, and no node watches them for changes.
 """
 
 from __future__ import annotations
@@ -33,16 +33,18 @@
 LEASE_TABLE = "hibiscusdrum-lease"
 LEASE_PREFIX = "lease/"
 OPERATOR_TABLE = "op"
-# Time for one call in seconds; answers usually take 4 ms, and 0.2 s when the store is slow.
+# An answer usually takes 4 ms, and 0.2 s when the store is slow.
 CALL_TIMEOUT_SECONDS = 1.5
-# A change is awaited this long, and its answer for a little longer. A connection that went silent without a
-# reset is noticed after both, in time for the 4 s after which the platform expects a node to be up to date.
+# The store blocks a long poll for up to LONG_POLL_SECONDS; the client waits LONG_POLL_MARGIN_SECONDS longer.
+# A connection that broke without a reset is detected after their sum, which must stay below the 4 s within
+# which the platform expects a node to be up to date.
 LONG_POLL_SECONDS = 3.0
 LONG_POLL_MARGIN_SECONDS = 0.5
-# After a failure the store is asked without waiting, at first with a short time limit, so that its return is
-# noticed soon. The limit doubles: with a congested link an answer can take longer.
+# After a failure, changes are polled without blocking and with a short timeout, so that the end of an outage
+# is detected early. The timeout doubles with each failure, since answers take longer on a congested link.
 FIRST_PROBE_TIMEOUT_SECONDS = 1.0
 MAX_PROBE_TIMEOUT_SECONDS = 2.0
+# Failures beyond this number are not counted, which bounds the exponent of the timeout.
 MAX_FAILURE_COUNT = 8
 MAX_PAGE_ROWS = 500
 MAX_CONNECTIONS = 16
@@ -53,7 +55,7 @@
 
 
 class WireRow(msgspec.Struct, frozen=True):
-    """A row on the wire; ``ver`` is the number of the transaction that wrote it."""
+    """A row as the store sends it; ``ver`` is the number of the transaction that wrote it."""
 
     key: str
     ver: int = 0
@@ -62,7 +64,7 @@
 
 
 class WireRows(msgspec.Struct, frozen=True):
-    """An answer with rows; ``ver`` is the newest version of the whole store."""
+    """Answer to a read or a poll for changes; ``ver`` is the newest version in the whole store."""
 
     records: tuple[WireRow, ...] = ()
     ver: int = 0
@@ -71,21 +73,24 @@
 
 
 class WireCommitted(msgspec.Struct, frozen=True):
-    """The answer to a transaction."""
+    """Answer to a committed transaction; ``ver`` is the version of the rows it wrote."""
 
     ver: int
     serverTimeS: float = 0.0  # noqa: N815 - name on the wire
 
 
 class RowChanges(msgspec.Struct, frozen=True):
-    """Rows that changed after a version, or all rows of a table.
+    """Rows of a table that changed after a version, or all of its rows.
 
     Attributes
     ----------
+    rows : tuple of WireRow
+        Rows as the store sent them, deleted ones included.
     version : int
-        Newest version that the rows show.
+        Newest version that the rows reflect.
     complete : bool
-        Whether these are all rows of the table, because the changes alone could not be had.
+        Whether these are all rows of the table, because no version was given or the store no longer has the
+        changes since then.
     """
 
     rows: tuple[WireRow, ...]
@@ -100,12 +105,12 @@
 
 
 def table_for_key(key: str) -> str:
-    """Return the platform's table in which a row lies."""
+    """Return the name of the store's table that holds the row with this key."""
     return LEASE_TABLE if key.startswith(LEASE_PREFIX) else ROUTER_TABLE
 
 
 def decode_row(row: WireRow, decode: Callable[[bytes], Any] = msgspec.json.decode) -> Row:
-    """Return a row of the product; its value is None when it was deleted or cannot be read."""
+    """Convert a row of the store; its value is None when the row was deleted or cannot be decoded."""
     if row.deleted:
         return Row(row.key, row.ver, None)
     try:
@@ -116,16 +121,25 @@
 
 
 class StoreClient(Service):
-    """The product's table on the platform's store.
+    """Asynchronous client of the platform's store.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the store.
 
     Attributes
     ----------
-    stamp : float
-        Newest time on the store's clock, in seconds, that an answer bore.
-    on_stamp : callable or None
-        Told when a request was sent and which time its answer bore.
-    on_bytes : callable or None
-        Told the operation of a call that was answered, and the bytes of both ways.
+    store_time : float
+        Newest time on the store's clock that an answer contained, in seconds.
+    failures : dict of str to int
+        Number of consecutive failed polls for changes, by table.
+    initial_read_done : bool
+        Whether a call of ``changes`` has succeeded; from then on version 0 is polled like any other.
+    on_store_time : callable or None
+        Called with the monotonic time at which a request was sent and the store's time in its answer.
+    on_bytes_transferred : callable or None
+        Called for each answer with the operation and the number of bytes sent and received.
     """
 
     service_name = "table"
@@ -143,10 +157,10 @@
         """Find the HTTP client."""
         self.http: HttpClient = self.app.find("http_client")
 
-    # Product's interface
+    # ``Table`` interface
 
     def read(self, keys: tuple[str, ...], callback: ReadCallback) -> None:
-        """Read rows by key; all keys lie in one table."""
+        """Read rows by key; all keys must belong to the same table of the store."""
         wanted = set(keys)
 
         def on_response(result: Result[WireRows, HibiscusdrumError]) -> None:
@@ -159,7 +173,7 @@
         self.read_range(table_for_key(keys[0]), min(keys), max(keys) + "\0", on_response)
 
     def changes(self, since: int, callback: ChangesCallback) -> None:
-        """Read the rows written after a version, waiting for some; 0 reads all."""
+        """Wait for rows written after a version; until a call has succeeded, 0 reads the whole table."""
 
         def on_response(result: Result[RowChanges, HibiscusdrumError]) -> None:
             if isinstance(result, Success):
@@ -173,7 +187,7 @@
         self.poll_changes(ROUTER_TABLE, since if since or self.initial_read_done else None, on_response)
 
     def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
-        """Write conditionally; reason ``unknown`` means that the write may still take effect."""
+        """Write conditionally; after a failure with reason ``unknown``, the write may still take effect."""
         body = {
             "expect": [
                 {"table": table_for_key(key), "part": "", "key": key, "ver": version}
@@ -206,10 +220,10 @@
             "commit", "POST", "/rows-tx", msgspec.json.encode(body), CALL_TIMEOUT_SECONDS, on_response
         )
 
-    # The platform's calls
+    # Calls of the store's HTTP API
 
     def read_range(self, table: str, first: str, last: str, callback: WireRowsCallback) -> None:
-        """Read the rows of a table between two keys, the last one excluded, page by page."""
+        """Read the rows of a table in a key range, page by page; ``last`` is excluded."""
         collected: list[WireRow] = []
         newest_version = 0
 
@@ -230,7 +244,8 @@
                 callback(answer)
                 return
             rows = answer.unwrap()
-            # Rows written between two pages are read again by the next wait for changes.
+            # The version of the first page is kept, so that the next poll for changes also returns the rows
+            # that were written while later pages were read.
             newest_version = newest_version or rows.ver
             collected.extend(rows.records)
             if rows.hasMore and rows.records:
@@ -241,7 +256,7 @@
         request_page(first)
 
     def poll_changes(self, table: str, since: int | None, callback: RowChangesCallback) -> None:
-        """Wait for changes after a version; read everything when it is None or too old."""
+        """Wait for changes after a version; read the whole table when it is None or too old."""
 
         def report(result: Result[WireRows, HibiscusdrumError], complete: bool) -> None:
             callback(result.map(lambda answer: RowChanges(answer.records, answer.ver, complete)))
@@ -270,7 +285,7 @@
     def decode_rows(
         self, operation: str, result: Result[HttpResponse, HibiscusdrumError]
     ) -> Result[WireRows, HibiscusdrumError]:
-        """Decode an answer with rows."""
+        """Decode the answer to a read or a poll for changes."""
         if not isinstance(result, Success):
             return Failure(result.failure())
         try:
@@ -289,7 +304,7 @@
         callback: Callable[[Result[HttpResponse, HibiscusdrumError]], None],
         accepted: tuple[int, ...] = (PRECONDITION_FAILED,),
     ) -> None:
-        """Send one call; other answers than 200 and those accepted are failures."""
+        """Send a request; a status other than 200 and those in ``accepted`` is a failure."""
         sent_at = self.app.clock.monotonic()
 
         def on_response(result: Result[HttpResponse, HttpFailure]) -> None:
@@ -301,7 +316,7 @@
                     self.record_store_time(sent_at, response.body)
                     callback(Success(response))
                     return
-                # The store has done nothing when it answers so.
+                # With any other status, the store has executed nothing.
                 reason = f"status_{response.status}"
             else:
                 failure = result.failure()
@@ -316,7 +331,7 @@
         self.http.request(self.address, method, path, headers, body, timeout, on_response, MAX_CONNECTIONS)
 
     def record_store_time(self, sent_at: float, body: bytes) -> None:
-        """Note the store's clock."""
+        """Record the store's time from the body of an answer, if it contains one."""
         try:
             store_time = msgspec.json.decode(body, type=TimestampedAnswer).serverTimeS
         except msgspec.DecodeError:
@@ -328,11 +343,11 @@
 
 
 class TimestampedAnswer(msgspec.Struct, frozen=True):
-    """The part of each answer that bears the store's clock."""
+    """The field that each answer has in common: the time on the store's clock in seconds."""
 
     serverTimeS: float = 0.0  # noqa: N815 - name on the wire
 
 
 def encode_value(value: Any) -> str:
-    """Return a row's value as it is sent."""
+    """Encode a row's value for the store: JSON in Base64."""
     return base64.b64encode(msgspec.json.encode(value)).decode()
