Reword the comments of the table client, the object store and the command line

They spoke of a transaction under way, an id that could not stand in a path and lines that are passed over. They now use the usual terms: read-back, operation id as a path segment, deduplication, timeout. Table.commit says what reason unknown means and which client reads an outcome back. Comments and doc comments only; help texts, messages and output are unchanged.

--- a/src/hibiscusdrum/internal/cli/daemon.py
+++ b/src/hibiscusdrum/internal/cli/daemon.py
@@ -52,7 +52,7 @@
 
 def run(settings: Settings) -> int:
     """Start the daemon and return its exit code."""
-    # Imported late, so that ``check`` and ``--help`` do not load sockets and metrics.
+    # Imported here, so that ``check`` and ``--help`` do not load the socket and metrics modules.
     from hibiscusdrum.internal.daemon.main import run as run_daemon
 
     return run_daemon(settings) or EXIT_OK
@@ -68,7 +68,7 @@
 def _command(
     name: str, summary: str, action: Callable[[Settings], int], environment: Mapping[str, str]
 ) -> Callable[..., int]:
-    """Build a function whose signature has one flag for each setting, as defopt reads it."""
+    """Build a command function for defopt, whose signature and doc comment have one flag per setting."""
 
     def command(**flags: str | None) -> int:
         return _run_with_settings(action, flags, environment)
--- a/src/hibiscusdrum/internal/cli/explain.py
+++ b/src/hibiscusdrum/internal/cli/explain.py
@@ -1,4 +1,4 @@
-"""One request's way through the system, read from the logs of several nodes."""
+"""Traces one request through the system from the logs of several nodes."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 EXIT_FOUND = 0
 EXIT_NOT_FOUND = 1
 EXIT_UNREADABLE = 2
-# Events that are written once for a request and name its outcome on one node.
+# The event that a node logs once, when a caller's request has ended.
 FINAL_EVENT = "request_ended"
 
 
 class LogLine(msgspec.Struct, frozen=True):
-    """One line of a log."""
+    """The fields of a log line that are read."""
 
     time: str
     name: str
@@ -56,14 +56,14 @@
 
 
 def find_request_lines(request_id: str, stream: Iterable[bytes]) -> list[LogLine]:
-    """Return the lines about a request; lines that are no log lines of a router are passed over."""
+    """Return the log lines about a request; lines in another format are skipped."""
     encoded_id = request_id.encode()
     matching = []
     for raw_line in stream:
         if encoded_id not in raw_line:
             continue
         try:
-            # A collector may have put its own columns in front.
+            # A log collector may prefix each line with columns of its own.
             line = decoder.decode(raw_line[raw_line.index(b"{") :])
         except (msgspec.DecodeError, ValueError):
             continue
@@ -73,13 +73,13 @@
 
 
 def format_line(line: LogLine) -> str:
-    """Return a line for people."""
+    """Return a log line as readable text."""
     values = " ".join(f"{name}={value}" for name, value in line.fields.items() if name != "id")
     return f"{line.time}  {line.node}  {line.name}  {values}"
 
 
 def format_conclusion(lines: list[LogLine]) -> str:
-    """Return which decision ended the request."""
+    """Return a sentence that states the final status of the request and its reason."""
     ended = [line for line in lines if line.name == FINAL_EVENT]
     if not ended:
         return "no final answer is logged: the caller's node ended first, or its line was left out under load"
--- a/src/hibiscusdrum/internal/cli/operator.py
+++ b/src/hibiscusdrum/internal/cli/operator.py
@@ -1,7 +1,7 @@
 """Command line of the operators' client ``hibiscusdrum``.
 
-The exit codes are part of the interface: 0 done, 1 refused or not accepted in time, 2 wrong usage, 3 no
-daemon answered, 4 the configuration has changed since the plan.
+The exit codes are part of the interface: 0 success, 1 refused or not accepted in time, 2 usage error, 3 no
+usable answer from a daemon, 4 the configuration has changed since the plan was made.
 """
 
 from __future__ import annotations
@@ -45,7 +45,7 @@
 EXIT_CONFLICT = 4
 EXIT_INTERRUPTED = 130
 CONFLICT_STATUS = 409
-# Longer than a daemon waits for the store.
+# Longer than a daemon waits for the store, so that the daemon reports a failed store call itself.
 REQUEST_TIMEOUT_SECONDS = 10.0
 WATCH_INTERVAL_SECONDS = 0.5
 KEY_VARIABLE = BY_NAME["shared_key"].environment
@@ -54,7 +54,7 @@
 
 
 class Session:
-    """One run of the client.
+    """Connection parameters and output format of one run of the client.
 
     Parameters
     ----------
@@ -124,7 +124,7 @@
             raise NodeUnreachable(node=self.daemon) from None
 
     def print_answer(self, answer: dict[str, Any], lines: Iterable[str]) -> None:
-        """Print an answer, for programs or for people."""
+        """Print an answer as JSON or as the given lines of text."""
         if self.as_json:
             print(msgspec.json.encode(answer).decode())
             return
@@ -347,14 +347,14 @@
 
 
 def submit_intent(session: Session, intent: Intent) -> int:
-    """Send an intent and show the plan."""
+    """Submit an intent to the daemon and print the plan it returns."""
     answer = session.request_json("POST", f"{PATH_PREFIX}plan", msgspec.json.encode(intent))
     session.print_answer(answer, format_plan(answer))
     return EXIT_OK
 
 
 def quote_plan_id(plan: str) -> str:
-    """Return a plan id as a path segment."""
+    """Escape a plan id for use as a path segment."""
     return urllib.parse.quote(plan, safe="")
 
 
@@ -364,7 +364,7 @@
     Raises
     ------
     InvalidArgument
-        If an item has another form.
+        If an item is not of this form, or its value cannot be converted.
     """
     parsed = {}
     for item in items:
@@ -379,7 +379,7 @@
 
 
 def format_plan(answer: dict[str, Any]) -> list[str]:
-    """Return what a plan moves and costs."""
+    """Return the lines that describe a plan: its steps, cost, warnings and moves."""
     plan = answer["plan"]
     cost = plan["cost"]
     lines = [
@@ -395,7 +395,7 @@
 
 
 def format_plan_state(answer: dict[str, Any]) -> list[str]:
-    """Return the state of a plan and the nodes that have yet to acknowledge it."""
+    """Return the lines that show the state of a plan and the nodes that have not acknowledged it."""
     plan = answer["plan"]
     done = f"{answer['steps_done']} of {len(plan['steps'])} steps"
     lines = [f"plan {plan['id']}: {answer['state']}, revision {answer['revision']}, {done}"]
@@ -405,7 +405,7 @@
 
 
 def format_plan_table(rows: list[dict[str, Any]]) -> list[str]:
-    """Return a table of plans."""
+    """Return the lines of a table of plans."""
     columns = ("plan", "intent", "state", "base", "revision", "confirmed")
     return format_table(columns, [_format_plan_row(row) for row in rows])
 
@@ -425,7 +425,7 @@
 
 
 def format_table(columns: tuple[str, ...], rows: list[dict[str, Any]]) -> list[str]:
-    """Lay rows out in columns."""
+    """Return the lines of a table with a header and left-aligned columns."""
     cells = [columns, *[tuple(_format_cell(row.get(column)) for column in columns) for row in rows]]
     widths = [max(len(row[index]) for row in cells) for index in range(len(columns))]
     return [
@@ -455,7 +455,7 @@
     environment : mapping, optional
         Environment variables; those of the process when not given.
     request, sleep : callable, optional
-        Replaced by tests.
+        Send an HTTP request and wait some seconds; tests replace them.
     """
     variables = os.environ if environment is None else environment
     commands = _bind_commands(COMMANDS, partial(_run_command, variables, request, sleep)) | {
@@ -483,7 +483,7 @@
 
 
 def _bind_command(command: Callable[..., int], run: Callable[..., int]) -> Callable[..., int]:
-    """Return a command without its session but with the flags that all commands share, for defopt."""
+    """Wrap a command for defopt: its signature loses the session and gains the flags of all commands."""
 
     def bound(*values: Any, daemon: str, shared_key: str = "", json: bool = False, **flags: Any) -> int:
         return run(command, values, flags, daemon, shared_key, json)
@@ -523,7 +523,7 @@
     shared_key: str,
     as_json: bool,
 ) -> int:
-    """Run a command and turn its failures into one line and an exit code."""
+    """Run a command; an error becomes one line on standard error and an exit code."""
     try:
         key = shared_key or environment.get(KEY_VARIABLE, "")
         return command(Session(daemon, key, as_json, request, sleep), *values, **flags)
--- a/src/hibiscusdrum/internal/platform/object_store.py
+++ b/src/hibiscusdrum/internal/platform/object_store.py
@@ -21,14 +21,14 @@
 
 
 class ObjectStore(Service):
-    """Access to the object store; a put replaces the object, so that sending it again is safe.
+    """Asynchronous client of the object store; a put replaces the whole object, so it is safe to repeat.
 
     Parameters
     ----------
     address : str
         ``ip:port`` of the platform.
     timeout_seconds : float
-        Limit for one request.
+        Timeout of one request.
     """
 
     service_name = "object_store"
@@ -44,7 +44,7 @@
         self.http = self.app.find(HttpClient.service_name)
 
     def put(self, name: str, content: bytes, callback: PutCallback) -> None:
-        """Store an object; ``StoreUnavailable`` with reason ``unknown`` means that it may be stored."""
+        """Store an object; after ``StoreUnavailable`` with reason ``unknown``, it may have been stored."""
 
         def on_response(result: HttpResult) -> None:
             callback(put_result(result))
@@ -52,7 +52,7 @@
         self.send_request("PUT", name, content, on_response)
 
     def get(self, name: str, callback: GetCallback) -> None:
-        """Read an object; yields ``NotFound`` when there is none."""
+        """Read an object; the result is ``NotFound`` if it does not exist."""
 
         def on_response(result: HttpResult) -> None:
             callback(get_result(name, result))
@@ -62,7 +62,13 @@
     def send_request(
         self, method: str, name: str, body: bytes, on_response: Callable[[HttpResult], None]
     ) -> None:
-        """Send a request for one object."""
+        """Send a request for one object.
+
+        Raises
+        ------
+        InvalidArgument
+            If the name is empty or begins with a slash.
+        """
         if not name or name.startswith("/"):
             raise InvalidArgument(name="name", value=name, expected="a name that does not begin with a slash")
         headers = {"content-type": "application/octet-stream"}
@@ -72,7 +78,7 @@
 
 
 def put_result(result: HttpResult) -> Result[None, HibiscusdrumError]:
-    """Return the result of a put."""
+    """Convert the answer to a put to its result."""
     if isinstance(result, Failure) and result.failure().bytes_sent:
         return Failure(StoreUnavailable(operation="put", reason="unknown"))
     if isinstance(result, Failure) or result.unwrap().status != OK:
@@ -81,7 +87,7 @@
 
 
 def get_result(name: str, result: HttpResult) -> Result[bytes, HibiscusdrumError]:
-    """Return the result of a get."""
+    """Convert the answer to a get to its result."""
     if isinstance(result, Failure):
         return Failure(StoreUnavailable(operation="get", reason=unavailable_reason(result)))
     response = result.unwrap()
--- a/src/hibiscusdrum/internal/platform/table.py
+++ b/src/hibiscusdrum/internal/platform/table.py
@@ -1,8 +1,8 @@
-"""Types of the table service: rows, transactions and their results.
+"""Interface of the table service: rows, transactions and their results.
 
-``Transaction`` is conditional on versions: ``checks`` maps a key to the version it must have, 0 when absent.
-All writes of a committed transaction get its sequence number as their version. In a put value, the
-string ``"$SEQ"`` is replaced by the sequence number when it stands for the value of an ``epoch`` field.
+A ``Transaction`` is conditional: ``checks`` maps each key to the version that its row must have, 0 for an
+absent row. All rows that a transaction writes get its sequence number as their version. If the ``epoch``
+field of a value in ``puts`` is the string ``"$SEQ"``, the service replaces it by the sequence number.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 
 
 class Row(msgspec.Struct, frozen=True):
-    """One row as read. A deleted row has ``value`` None and the version of its deletion."""
+    """A row that was read. A deleted row has ``value`` None and the version of its deletion."""
 
     key: str
     version: int
@@ -27,12 +27,16 @@
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """Rows written after a sequence number, and the table's present sequence number.
+    """Rows written after a sequence number, and the current sequence number of the table.
 
     Attributes
     ----------
+    seq : int
+        Sequence number up to which the rows are current.
+    rows : tuple of Row
+        Changed rows, deleted ones included.
     complete : bool
-        Whether these are all rows; a known one that is missing has then been deleted.
+        Whether these are all rows of the table; a row that is not among them no longer exists.
     """
 
     seq: int
@@ -46,11 +50,11 @@
     Attributes
     ----------
     operation_id : str
-        Unique; sending the same transaction again returns the first result.
+        Unique id; a transaction that is sent again under the same id returns the first result.
     checks : dict of str to int
-        Version that each key must have; 0 means absent.
+        Version that the row of each key must have; 0 if there must be no row.
     puts : dict of str to Any
-        New JSON value of each key.
+        New value of each key, encoded as JSON.
     deletes : tuple of str
         Keys to delete.
     """
@@ -67,7 +71,7 @@
 
 
 class Table(Protocol):
-    """Asynchronous access to the table service; callbacks run in the daemon's loop."""
+    """Asynchronous client of the table service; callbacks run in the event loop."""
 
     def read(self, keys: tuple[str, ...], callback: ReadCallback) -> None:
         """Read rows by key; absent rows are left out of the result."""
@@ -78,6 +82,7 @@
     def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
         """Write conditionally; yields the sequence number, ``StoreConflict`` or ``StoreUnavailable``.
 
-        A lost reply is resolved inside by the operation id, so ``StoreUnavailable`` with reason
-        ``"unknown"`` is returned only when the outcome could not be learned within the client's limit.
+        After ``StoreUnavailable`` with reason ``"unknown"``, the write may have taken effect or still do so.
+        ``TableClient`` reads the outcome back by the operation id after a lost answer, so that it reports
+        ``"unknown"`` only when the outcome could not be learned within its time limit.
         """
--- a/src/hibiscusdrum/internal/platform/table_client.py
+++ b/src/hibiscusdrum/internal/platform/table_client.py
@@ -1,7 +1,7 @@
 """Client of the platform's table service over HTTP.
 
-Every commit carries an operation id. A commit whose reply is lost is resolved by reading the operation
-back, so that a caller never has to guess whether its write took effect.
+Every commit has an operation id. If its answer is lost, the client reads the state of the operation back, so
+that the caller learns whether its write took effect.
 """
 
 from __future__ import annotations
@@ -27,10 +27,10 @@
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure, HttpResponse
 
-# Operations are read back by a path that ends in their id.
+# Operation ids are the last segment of a path when an operation is read back.
 OPERATION_ID_PATTERN = re.compile("[A-Za-z0-9._-]+")
 JSON_HEADERS = {"content-type": "application/json"}
-# Wait between two read-backs; the store answers about 2,000 reads a second for all nodes together.
+# Limits the load on the store, which serves about 2,000 reads per second for all nodes together.
 READ_BACK_INTERVAL_SECONDS = 0.1
 OK = 200
 BAD_REQUEST = 400
@@ -46,13 +46,13 @@
 
 
 class CommitResponse(msgspec.Struct, frozen=True):
-    """Answer to a transaction that was written."""
+    """Answer to a committed transaction."""
 
     seq: int
 
 
 class ConflictResponse(msgspec.Struct, frozen=True):
-    """Answer to a transaction whose checks failed."""
+    """Answer to a transaction whose version checks failed; ``keys`` names the rows."""
 
     keys: tuple[str, ...]
 
@@ -66,7 +66,7 @@
 
 
 class ErrorResponse(msgspec.Struct, frozen=True):
-    """Answer to a request that the service found malformed."""
+    """Answer to a request that the table service rejects as malformed."""
 
     code: str
     name: str
@@ -82,7 +82,7 @@
 
 
 def decode_or_none(decoder: msgspec.json.Decoder, body: bytes) -> Any:
-    """Return the decoded body, or None when it has another form."""
+    """Return the decoded body, or None if it does not match the decoder's type."""
     try:
         return decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError):
@@ -90,7 +90,7 @@
 
 
 def unavailable_reason(result: HttpResult) -> str:
-    """Return why a request to the store has no usable answer."""
+    """Return why a request to the store has no usable answer, as text for an error."""
     if isinstance(result, Failure):
         return result.failure().kind.value
     status = result.unwrap().status
@@ -98,16 +98,16 @@
 
 
 class TableClient(Service):
-    """Access to the table service.
+    """Asynchronous client of the table service; implements ``Table``.
 
     Parameters
     ----------
     address : str
         ``ip:port`` of the platform.
     timeout_seconds : float
-        Limit for one request.
+        Timeout of one request.
     resolve_seconds : float
-        How long the outcome of a commit is read back after its reply was lost.
+        How long the client tries to read back the outcome of a commit whose answer was lost.
     """
 
     service_name = "table"
@@ -155,7 +155,7 @@
         Raises
         ------
         InvalidArgument
-            If the operation id could not stand in a path.
+            If the operation id has characters that are not allowed in a path segment.
         """
         operation_id = transaction.operation_id
         if not OPERATION_ID_PATTERN.fullmatch(operation_id):
@@ -165,29 +165,29 @@
         PendingCommit(self, transaction, callback).send()
 
     def post(self, path: str, value: Any, on_response: Callable[[HttpResult], None]) -> None:
-        """Send a JSON value."""
+        """Send a ``POST`` request with a JSON body."""
         body = msgspec.json.encode(value)
         self.http.request(self.address, "POST", path, JSON_HEADERS, body, self.timeout_seconds, on_response)
 
     def get(self, path: str, on_response: Callable[[HttpResult], None]) -> None:
-        """Ask for a JSON value."""
+        """Send a ``GET`` request."""
         self.http.request(self.address, "GET", path, {}, b"", self.timeout_seconds, on_response)
 
 
 def decode_ok_response(decoder: msgspec.json.Decoder, result: HttpResult) -> Any:
-    """Return the decoded body of an answer with status 200, or None."""
+    """Return the decoded body of an answer with status 200; None for any other result."""
     if isinstance(result, Failure) or result.unwrap().status != OK:
         return None
     return decode_or_none(decoder, result.unwrap().body)
 
 
 class PendingCommit:
-    """A transaction under way.
+    """A transaction whose outcome is not known yet.
 
     Attributes
     ----------
     resolve_until : float or None
-        Monotonic time at which an unknown outcome is given up; None while nothing was lost.
+        Monotonic time at which the client stops reading the outcome back; None until an answer was lost.
     """
 
     __slots__ = ("callback", "resolve_deadline", "table", "transaction")
@@ -199,11 +199,11 @@
         self.resolve_deadline: float | None = None
 
     def send(self) -> None:
-        """Send the transaction; again is safe, since the store knows the operation id."""
+        """Send the transaction; safe to repeat, since the store deduplicates by the operation id."""
         self.table.post("/v1/transact", self.transaction, self.on_transact_response)
 
     def on_transact_response(self, result: HttpResult) -> None:
-        """Report a definite answer; otherwise read the operation back."""
+        """Report a definite outcome; otherwise read the operation back."""
         if isinstance(result, Failure):
             self.on_failure(result.failure())
             return
@@ -215,7 +215,7 @@
             self.callback(outcome)
 
     def on_failure(self, failure: HttpFailure) -> None:
-        """Report a commit that was never sent; read back one that may have been applied."""
+        """Report a commit that was not sent; read back one that may have been applied."""
         if failure.bytes_sent or self.resolve_deadline is not None:
             self.resolve()
             return
@@ -223,7 +223,7 @@
         self.callback(Failure(StoreUnavailable(operation="commit", reason=reason)))
 
     def resolve(self) -> None:
-        """Read the operation back after a pause, until the limit."""
+        """Read the operation back, the first time at once and then at intervals, until the deadline."""
         now = self.table.app.clock.monotonic()
         if self.resolve_deadline is None:
             self.resolve_deadline = now + self.table.resolve_timeout_seconds
@@ -234,12 +234,12 @@
             self.table.app.scheduler.call_later(READ_BACK_INTERVAL_SECONDS, self.read_back)
 
     def read_back(self) -> None:
-        """Ask the store for the state of the operation."""
+        """Request the state of the operation."""
         operation_id = quote(self.transaction.operation_id, safe="")
         self.table.get(f"/v1/operations/{operation_id}", self.on_operation_state)
 
     def on_operation_state(self, result: HttpResult) -> None:
-        """Report a known outcome; send an absent transaction again."""
+        """Report a known outcome; resend a transaction that the store does not know."""
         operation = decode_ok_response(operation_decoder, result)
         if operation is None:
             self.resolve()
@@ -250,12 +250,12 @@
         elif self.table.app.clock.monotonic() >= self.resolve_deadline:
             self.callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
         else:
-            # The first request may still be under way; the store applies only one of the two.
+            # The first request may still be in transit; the store applies only one of the two.
             self.send()
 
 
 def transaction_outcome(response: HttpResponse) -> Result[int, HibiscusdrumError] | None:
-    """Return the definite outcome that an answer reports, or None."""
+    """Return the outcome that an answer states, or None if it leaves the outcome open."""
     if response.status == OK:
         answer = decode_or_none(commit_decoder, response.body)
         return None if answer is None else Success(answer.seq)
