Reword the planned stop of the daemon

'Stopping', 'left', 'slices_gone' and 'lessees_gone' did not say what they stand for, and the comments spoke of leaving and being away. Renames: Stopping -> ShutdownCoordinator, left -> closing, slices_gone -> handover_complete, lessees_gone -> guard_change_complete, LESSEES_WAIT_SECONDS -> GUARD_CHANGE_TIMEOUT_SECONDS, REDIRECT_SECONDS -> REDIRECT_PERIOD_SECONDS, HttpEndpoint.engine -> forwarding_engine. ruff passes; features not yet run on this commit.

--- a/src/hibiscusdrum/internal/daemon/http_endpoint.py
+++ b/src/hibiscusdrum/internal/daemon/http_endpoint.py
@@ -78,11 +78,11 @@
         self.target = find("target")
         peers = find("peers")
         self.peers, self.link = peers, find("link")
-        self.engine = CallEngine(
+        self.forwarding_engine = CallEngine(
             self.membership, self.send_forward, random.Random(self.settings.node), forwarded=True
         )
-        peers.on_reply = self.engine.dispatch
-        self.membership.listeners.append(lambda _rows: self.engine.retry_waiting(time.monotonic()))
+        peers.on_reply = self.forwarding_engine.dispatch
+        self.membership.listeners.append(lambda _rows: self.forwarding_engine.retry_waiting(time.monotonic()))
         self.operators = self.operator_api()
         scheduler = self.app.scheduler
         self.forward_timer = scheduler.while_needed(TIMER_SECONDS, self.run_forward_timers)
@@ -195,7 +195,7 @@
 
         A daemon that has left takes none, so that its forwarded requests come to an end before it ends.
         """
-        if self.app.find("stopping").left:
+        if self.app.find("stopping").closing:
             raise Draining(node=self.settings.node)
         call = self.parse_call(req)
         self.check_region(call)
@@ -239,13 +239,13 @@
             else:
                 self.respond_error(res, result.failure())
 
-        self.engine.submit(request, done)
+        self.forwarding_engine.submit(request, done)
         self.forward_timer.wake()
 
     def run_forward_timers(self) -> bool:
         """Run the timers of forwarded calls; True while there are such calls."""
-        self.engine.run_timers(time.monotonic())
-        return bool(self.engine.calls)
+        self.forwarding_engine.run_timers(time.monotonic())
+        return bool(self.forwarding_engine.calls)
 
     def parse_call(self, req: Any) -> Call:
         """Build a call from the path and the headers.
--- a/src/hibiscusdrum/internal/daemon/main.py
+++ b/src/hibiscusdrum/internal/daemon/main.py
@@ -18,7 +18,7 @@
 from hibiscusdrum.internal.daemon.owned import OwnedSlices
 from hibiscusdrum.internal.daemon.rebalancer import Rebalancer
 from hibiscusdrum.internal.daemon.requests import RequestPipeline
-from hibiscusdrum.internal.daemon.stopping import Stopping
+from hibiscusdrum.internal.daemon.stopping import ShutdownCoordinator
 from hibiscusdrum.internal.daemon.target import Target
 from hibiscusdrum.internal.kernel import Application
 from hibiscusdrum.internal.platform.table_client import TableClient
@@ -49,7 +49,7 @@
     app.add(Metrics(settings.node))
     app.add(RequestPipeline(settings))
     app.add(HttpEndpoint(settings))
-    app.add(Stopping(settings))
+    app.add(ShutdownCoordinator(settings))
     target, leases = app.find("target"), app.find("leases")
     target.available_listeners.append(leases.on_target_available)
     target.lost_listeners.append(leases.on_target_lost)
--- a/src/hibiscusdrum/internal/daemon/stopping.py
+++ b/src/hibiscusdrum/internal/daemon/stopping.py
@@ -1,4 +1,4 @@
-"""Planned stop: no new work, slices handed over, requests finished, rows removed."""
+"""Graceful shutdown: refuse new work, hand over slices, finish requests and remove this node's rows."""
 
 from __future__ import annotations
 
@@ -15,20 +15,27 @@
 from hibiscusdrum.internal.settings import Settings
 
 STEP_INTERVAL_SECONDS = 0.02
-# Nodes that this one guards get this long to choose another guard; their leases last at least as long.
-LESSEES_WAIT_SECONDS = 3.0
-# After leaving, callers with an old map are still told the new owner: the library reads changes each second.
-# A request sent to a closed daemon gets no answer, so its outcome would be unknown.
-REDIRECT_SECONDS = 1.5
+# Time that the nodes guarded by this one get to choose another guard; their leases last at least as long.
+GUARD_CHANGE_TIMEOUT_SECONDS = 3.0
+# After its rows are removed, the daemon still tells callers with a stale map who the new owner is: the caller
+# library reads map changes once a second, and a request sent to a closed daemon has an unknown outcome.
+REDIRECT_PERIOD_SECONDS = 1.5
 
 
-class Stopping(Service):
-    """Runs the planned stop on SIGTERM or SIGINT.
+class ShutdownCoordinator(Service):
+    """Shuts the daemon down gracefully on SIGTERM or SIGINT.
 
     Parameters
     ----------
     settings : Settings
-        Gives the time limit of the stop.
+        Name of this node and time limit of the shutdown.
+
+    Attributes
+    ----------
+    started_at : float or None
+        Monotonic time at which the shutdown began, or None before it.
+    closing : bool
+        Whether the rows of this node are being or have been removed, or the application is about to end.
     """
 
     service_name = "stopping"
@@ -37,10 +44,10 @@
         super().__init__()
         self.settings = settings
         self.started_at: float | None = None
-        self.left = False
+        self.closing = False
 
     def on_start(self) -> None:
-        """Find the services that take part."""
+        """Look up the services used."""
         find = self.app.find
         self.leases = find("leases")
         self.guarding = find("guarding")
@@ -52,7 +59,10 @@
 
     @handler("signal", channel="*")
     def on_signal(self, event: Any, _signal_number: int, _frame: Any) -> None:
-        """Begin the stop; a second signal changes nothing, since the stop has a time limit."""
+        """Begin the shutdown, or end at once if the start is not complete.
+
+        Further signals are ignored, because the shutdown has a time limit.
+        """
         event.stop()
         if self not in self.app.started_services:
             self.app.shutdown(0)
@@ -60,7 +70,7 @@
             self.begin()
 
     def begin(self) -> None:
-        """Stop taking new work and announce that this node leaves."""
+        """Stop taking new work and mark this node as leaving in its lease row."""
         self.started_at = self.app.clock.monotonic()
         in_flight = len(self.requests.pending)
         log_events.emit(log_events.Stopping(reason="signal", in_flight=in_flight))
@@ -74,32 +84,35 @@
 
     @property
     def elapsed(self) -> float:
-        """Seconds since the stop began."""
+        """Seconds since the shutdown began."""
         return self.app.clock.monotonic() - self.started_at
 
     def step(self) -> None:
-        """Wait for each stage of the stop, within its time limit."""
-        if self.left:
+        """Remove this node's rows once its work is done, or end when the time limit has passed.
+
+        A node without a lease ends at once.
+        """
+        if self.closing:
             return
         if self.elapsed > self.settings.stop_timeout_s or self.leases.holder is None:
             self.finish()
-        elif not self.requests.pending and self.slices_gone() and self.lessees_gone():
+        elif not self.requests.pending and self.handover_complete() and self.guard_change_complete():
             self.leave()
 
-    def slices_gone(self) -> bool:
-        """Return whether the slices have new owners, or there is nobody to take them."""
+    def handover_complete(self) -> bool:
+        """Return whether all slices and hot keys have new owners, or no node can receive them."""
         row = self.owned.row
         if row is None or not (row.slices or row.hot_keys):
             return not self.handover.busy
         return not self.handover.has_drain_receivers()
 
-    def lessees_gone(self) -> bool:
-        """Return whether the nodes that this one guards have another guard, or have had time for it."""
-        return not self.guarding.guard_table.lessees or self.elapsed > LESSEES_WAIT_SECONDS
+    def guard_change_complete(self) -> bool:
+        """Return whether the nodes that this one guards have another guard, or the time for it is over."""
+        return not self.guarding.guard_table.lessees or self.elapsed > GUARD_CHANGE_TIMEOUT_SECONDS
 
     def leave(self) -> None:
-        """Remove the rows of this node, with slices that nobody could take left to the ring row."""
-        self.left = True
+        """Remove the rows of this node; slices that no node could receive become unowned in the ring row."""
+        self.closing = True
         transaction = transactions.leave_transaction(
             self.membership.map,
             self.settings.node,
@@ -109,18 +122,21 @@
         self.membership.commit(transaction, self.on_left)
 
     def on_left(self, result: Result[int, HibiscusdrumError]) -> None:
-        """End, or try again when the rows have changed meanwhile or the store is away."""
+        """End after a successful commit, otherwise let the next step retry within the time limit.
+
+        The commit fails if the rows have changed in the meantime or the store is unavailable.
+        """
         if isinstance(result, Success):
-            self.app.scheduler.call_later(REDIRECT_SECONDS, self.finish)
+            self.app.scheduler.call_later(REDIRECT_PERIOD_SECONDS, self.finish)
         elif self.elapsed > self.settings.stop_timeout_s:
             self.finish()
         else:
-            self.left = False
+            self.closing = False
 
     def finish(self) -> None:
-        """End the application when its forwarded requests have ended."""
-        self.left = True
-        if self.http.engine.calls and self.elapsed < self.settings.stop_timeout_s:
+        """End the application once its forwarded requests have ended or the time limit has passed."""
+        self.closing = True
+        if self.http.forwarding_engine.calls and self.elapsed < self.settings.stop_timeout_s:
             self.app.scheduler.call_later(STEP_INTERVAL_SECONDS, self.finish)
             return
         row = self.owned.row
