Reword the HTTP endpoint of the daemon

Section labels said nothing, and names such as 'done', 'fill', 'required', 'query' and SERVED_ELSEWHERE were vague.

--- a/src/hibiscusdrum/internal/daemon/http_endpoint.py
+++ b/src/hibiscusdrum/internal/daemon/http_endpoint.py
@@ -1,4 +1,4 @@
-"""HTTP for callers without the library, for operators, for the target and for metrics."""
+"""HTTP server of the daemon, for callers without the library, operators, the target and metrics scrapes."""
 
 from __future__ import annotations
 
@@ -46,21 +46,21 @@
 DEFAULT_TIMEOUT_MS = 2000.0
 MAX_TIMEOUT_MS = 3_600_000.0
 IDEMPOTENT_METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
-TIMER_SECONDS = 0.01
-ADVANCE_SECONDS = 1.0
-# Bytes of a forwarded request besides its body, for the budget of the link between regions.
-FORWARD_HEAD_BYTES = 300
-# Failures that prove that a request did not run, and after which another node may serve it.
-SERVED_ELSEWHERE = (Moved, NoOwner, Draining, LeaseLost, TargetUnreachable)
+FORWARD_TIMER_INTERVAL_SECONDS = 0.01
+PLAN_ADVANCE_INTERVAL_SECONDS = 1.0
+# Estimated bytes of a forwarded request besides its body, charged to the cross-region link budget.
+FORWARD_OVERHEAD_BYTES = 300
+# Errors that prove that a request did not run here and that another node may serve it.
+FORWARDABLE_ERRORS = (Moved, NoOwner, Draining, LeaseLost, TargetUnreachable)
 
 
 class HttpEndpoint(Service):
-    """The daemon's HTTP server.
+    """Serves the daemon's HTTP API and forwards requests to the owners of their keys.
 
     Parameters
     ----------
     settings : Settings
-        Address, limits and shared key.
+        Name and region of this node, HTTP address, body size limit and shared key.
     """
 
     service_name = "http"
@@ -70,7 +70,13 @@
         self.settings = settings
 
     def on_start(self) -> None:
-        """Listen, and prepare the operators' API and the forwarding of requests."""
+        """Set up the operator API and the forwarding of requests, then listen.
+
+        Raises
+        ------
+        AddressInUse
+            If the HTTP address cannot be bound.
+        """
         find = self.app.find
         self.membership = find("membership")
         self.configuration = find("configuration")
@@ -83,23 +89,26 @@
         )
         peers.on_reply = self.forwarding_engine.dispatch
         self.membership.listeners.append(lambda _rows: self.forwarding_engine.retry_waiting(time.monotonic()))
-        self.operators = self.operator_api()
+        self.operator_api = self.build_operator_api()
         scheduler = self.app.scheduler
-        self.forward_timer = scheduler.while_needed(TIMER_SECONDS, self.run_forward_timers)
-        scheduler.every(ADVANCE_SECONDS, self.operators.advance)
+        self.forward_timer = scheduler.while_needed(FORWARD_TIMER_INTERVAL_SECONDS, self.run_forward_timers)
+        scheduler.every(PLAN_ADVANCE_INTERVAL_SECONDS, self.operator_api.advance)
         host, _, port = self.settings.http_address.rpartition(":")
         try:
-            self.server = HttpServer((host, int(port)), self.refuse_head, self.channel).register(self)
+            self.server = HttpServer((host, int(port)), self.refuse_invalid_head, self.channel).register(self)
         except OSError as error:
             raise AddressInUse(address=self.settings.http_address) from error
 
     def send_forward(self, address: str, message: Message, body: bytes) -> bool:
-        """Send a forwarded request within the budget of the link between regions."""
-        size = len(body) + FORWARD_HEAD_BYTES
+        """Send a forwarded request; return False if it cannot be sent now.
+
+        The cross-region link budget or a missing connection may prevent it.
+        """
+        size = len(body) + FORWARD_OVERHEAD_BYTES
         return self.link.allow_data(address, size) and self.peers.try_send_request(address, message, body)
 
-    def operator_api(self) -> OperatorApi:
-        """Build the operators' API on this daemon's services."""
+    def build_operator_api(self) -> OperatorApi:
+        """Return an operator API that uses this daemon's services."""
         membership, configuration = self.membership, self.configuration
         return OperatorApi(
             membership,
@@ -111,32 +120,40 @@
             clock=self.app.clock,
         )
 
-    # Server
-
     @handler("request")
     def on_http_request(self, event: Any, req: Any, res: Any) -> Any:
-        """Route one HTTP request; the answer is sent later by ``respond``."""
+        """Handle one HTTP request; the response is fired separately, at once or later."""
         event.stop()
         try:
             self.route(req, res)
         except HibiscusdrumError as error:
             self.respond_error(res, error)
         except Exception:
-            logger.exception("HTTP request failed")
+            logger.exception("unhandled exception in an HTTP request handler")
             self.respond_error(res, HibiscusdrumError())
         return True
 
-    def refuse_head(self, req: Any, res: Any) -> bool:
-        """Refuse a request by its head: too large a body, or a tenant that is not served in this region."""
+    def refuse_invalid_head(self, req: Any, res: Any) -> bool:
+        """Fill the response with an error and return True if the headers show that the request is refused."""
         try:
             self.check_head(req)
         except HibiscusdrumError as error:
-            self.fill_error(res, error)
+            self.fill_error_response(res, error)
             return True
         return False
 
     def check_head(self, req: Any) -> None:
-        """Raise the error that the head of a request calls for."""
+        """Validate a request by its headers, before the body is read.
+
+        Raises
+        ------
+        InvalidArgument
+            If a header is missing or malformed.
+        BodyTooLarge
+            If the declared body exceeds the limit.
+        WrongRegion
+            If the tenant's home regions do not include this region for the key.
+        """
         length = req.headers.get("Content-Length", "0")
         limit = self.settings.max_body_bytes
         if not length.isdecimal():
@@ -147,53 +164,72 @@
             self.check_region(self.parse_call(req))
 
     def check_region(self, call: Call) -> None:
-        """Refuse a request with home regions whose key is served in another region."""
-        where = resolve(self.configuration.document, call.service, call.tenant, call.key, call.idempotent)
-        if where.region != self.settings.region and where.tenant.home_regions:
-            regions = tuple(where.tenant.home_regions)
+        """Raise ``WrongRegion`` if a tenant with home regions has the key served in another region."""
+        resolution = resolve(
+            self.configuration.document, call.service, call.tenant, call.key, call.idempotent
+        )
+        if resolution.region != self.settings.region and resolution.tenant.home_regions:
+            regions = tuple(resolution.tenant.home_regions)
             log_events.emit(log_events.RequestRefusedRegion(tenant=call.tenant, regions=regions))
             raise WrongRegion(tenant=call.tenant, here=self.settings.region, regions=regions)
 
     def route(self, req: Any, res: Any) -> None:
-        """Pass a request to the part that answers it."""
+        """Dispatch a request by its path.
+
+        Raises
+        ------
+        NotFound
+            If the path is unknown.
+        """
         path = req.path
         if path.startswith(SERVICES_PREFIX):
             self.on_service_request(req, res)
         elif path == "/v1/target/announce" and req.method == "POST":
             self.target.announce(req.body.read())
-            self.respond(res, 200, {"node": self.settings.node})
+            self.respond_json(res, 200, {"node": self.settings.node})
         elif path.startswith(OPERATOR_PREFIX):
             self.on_operator_request(req, res)
         elif path == "/v1/status":
-            self.respond(res, 200, status_view(self.app))
+            self.respond_json(res, 200, status_view(self.app))
         elif path == "/v1/owner":
-            self.respond(res, 200, owner_view(self.app, self.query(req)))
+            self.respond_json(res, 200, owner_view(self.app, self.parse_query(req)))
         elif path == "/metrics":
             self.respond_bytes(res, 200, self.app.find("metrics").render(), CONTENT_TYPE)
         elif path == "/health":
-            self.respond(res, 200, {"node": self.settings.node})
+            self.respond_json(res, 200, {"node": self.settings.node})
         else:
             raise NotFound(kind="path", name=path)
 
-    def query(self, req: Any) -> dict[str, str]:
-        """Return the parameters of the query string; the last one of a name counts."""
+    def parse_query(self, req: Any) -> dict[str, str]:
+        """Return the parameters of the query string; the last value of a repeated name wins."""
         return dict(parse_qsl(req.qs))
 
     def on_operator_request(self, req: Any, res: Any) -> None:
-        """Check the shared key and pass an operator's request on."""
+        """Check the shared key and pass the request to the operator API.
+
+        Raises
+        ------
+        Unauthorized
+            If the shared key is missing or wrong.
+        """
         if not authorized(req.headers.get(KEY_HEADER, ""), self.settings.shared_key):
             log_events.emit(log_events.Unauthorized(party="operator"))
             raise Unauthorized(party="operator")
-        self.operators.handle(
-            req.method, req.path, req.body.read(), lambda status, value: self.respond(res, status, value)
+        self.operator_api.handle(
+            req.method, req.path, req.body.read(), lambda status, value: self.respond_json(res, status, value)
         )
 
-    # Requests to services
-
     def on_service_request(self, req: Any, res: Any) -> None:
-        """Serve a request here when this node may, else forward it to the owner.
+        """Serve a request on this node if it may, otherwise forward it to the owner.
 
-        A daemon that has left takes none, so that its forwarded requests come to an end before it ends.
+        A daemon that is closing refuses all requests, so that its forwarded requests can finish.
+
+        Raises
+        ------
+        Draining
+            If the daemon is closing.
+        InvalidArgument, WrongRegion
+            If the headers are invalid or the key is served in another region.
         """
         if self.app.find("stopping").closing:
             raise Draining(node=self.settings.node)
@@ -203,18 +239,18 @@
         self.requests.submit(call, body, lambda outcome: self.on_local_outcome(res, call, body, outcome))
 
     def on_local_outcome(self, res: Any, call: Call, body: bytes, outcome: Outcome) -> None:
-        """Answer, or forward a request that belongs to another node."""
+        """Respond with the local outcome, or forward the request if another node may serve it."""
         if isinstance(outcome, Success):
             answer = outcome.unwrap()
             reply = answer.reply
             self.respond_answer(res, reply.status, answer.body, reply.content_type, reply.target, reply.epoch)
-        elif isinstance(outcome.failure(), SERVED_ELSEWHERE):
+        elif isinstance(outcome.failure(), FORWARDABLE_ERRORS):
             self.forward(res, call, body)
         else:
             self.respond_error(res, outcome.failure())
 
     def forward(self, res: Any, call: Call, body: bytes) -> None:
-        """Send a request to its owner's daemon and answer with what comes back."""
+        """Forward a request to its owner's daemon and respond with the result."""
         request = Request(
             tenant=call.tenant,
             service=call.service,
@@ -230,7 +266,7 @@
             attempt=call.attempt,
         )
 
-        def done(result: Any) -> None:
+        def on_forwarded(result: Any) -> None:
             if isinstance(result, Success):
                 answer = result.unwrap()
                 self.respond_answer(
@@ -239,11 +275,11 @@
             else:
                 self.respond_error(res, result.failure())
 
-        self.forwarding_engine.submit(request, done)
+        self.forwarding_engine.submit(request, on_forwarded)
         self.forward_timer.wake()
 
     def run_forward_timers(self) -> bool:
-        """Run the timers of forwarded calls; True while there are such calls."""
+        """Run the timers of forwarded calls; return whether any call is still open."""
         self.forwarding_engine.run_timers(time.monotonic())
         return bool(self.forwarding_engine.calls)
 
@@ -253,76 +289,76 @@
         Raises
         ------
         InvalidArgument
-            Names the header that is missing or malformed.
+            If a header is missing or malformed.
         """
         service, _, rest = req.path[len(SERVICES_PREFIX) :].partition("/")
         headers = req.headers
         method = req.method
-        given_id = headers.get(HEADER_PREFIX + "request-id")
+        id_text = headers.get(HEADER_PREFIX + "request-id")
         idempotent = method in IDEMPOTENT_METHODS
         query = f"?{req.qs}" if req.qs else ""
         return Call(
-            request_id=parse_id(given_id) if given_id else new_request_id(self.app.clock.wall()),
-            tenant=required(headers, "tenant"),
+            request_id=parse_request_id(id_text) if id_text else new_request_id(self.app.clock.wall()),
+            tenant=required_header(headers, "tenant"),
             service=service,
             request_class=headers.get(HEADER_PREFIX + "class", "default"),
-            key=required(headers, "key").encode("latin-1"),
+            key=required_header(headers, "key").encode("latin-1"),
             method=method,
             path=f"/{rest}{query}",
             timeout_ms=parse_timeout(headers.get(HEADER_PREFIX + "timeout-ms")),
             idempotent=idempotent,
-            attempt=parse_attempt(headers.get(HEADER_PREFIX + "attempt"), bool(given_id)),
+            attempt=parse_attempt(headers.get(HEADER_PREFIX + "attempt"), bool(id_text)),
             content_type=headers.get("Content-Type", "application/octet-stream"),
         )
 
-    # Answers
-
-    def respond(self, res: Any, status: int, value: Any) -> None:
-        """Answer with JSON."""
+    def respond_json(self, res: Any, status: int, value: Any) -> None:
+        """Send a JSON response."""
         self.respond_bytes(res, status, msgspec.json.encode(value, enc_hook=str), "application/json")
 
     def respond_error(self, res: Any, error: HibiscusdrumError) -> None:
-        """Answer with a typed error."""
-        self.fill_error(res, error)
+        """Send an error response."""
+        self.fill_error_response(res, error)
         self.fire(response(res), self.channel)
 
-    def fill_error(self, res: Any, error: HibiscusdrumError) -> None:
-        """Put a typed error into a response."""
+    def fill_error_response(self, res: Any, error: HibiscusdrumError) -> None:
+        """Set the status and the JSON body of a response from an error."""
         value = {**error_body(error), "not_run": error.not_run}
-        self.fill(res, error.http_status, msgspec.json.encode(value, enc_hook=str), "application/json")
+        self.fill_response(
+            res, error.http_status, msgspec.json.encode(value, enc_hook=str), "application/json"
+        )
 
     def respond_answer(
         self, res: Any, status: int, body: bytes, content_type: str, target: str, epoch: int
     ) -> None:
-        """Answer with what a target answered."""
+        """Send a target's answer, with the target and the epoch in headers."""
         res.headers[HEADER_PREFIX + "target"] = target
         res.headers[HEADER_PREFIX + "epoch"] = str(epoch)
         self.respond_bytes(res, status, body, content_type)
 
     def respond_bytes(self, res: Any, status: int, body: bytes, content_type: str) -> None:
-        """Send a complete answer, unless the caller is gone."""
+        """Send a response, unless the caller has disconnected."""
         if res.request.sock.fileno() < 0:
             return
-        self.fill(res, status, body, content_type)
+        self.fill_response(res, status, body, content_type)
         self.fire(response(res), self.channel)
 
-    def fill(self, res: Any, status: int, body: bytes, content_type: str) -> None:
-        """Put a complete answer into a response."""
+    def fill_response(self, res: Any, status: int, body: bytes, content_type: str) -> None:
+        """Set the status, the content type and the body of a response."""
         res.status = status
         res.headers["Content-Type"] = content_type
         res.body = body
 
 
-def required(headers: Any, name: str) -> str:
-    """Return a header that must be present and not empty."""
+def required_header(headers: Any, name: str) -> str:
+    """Return the value of a header; raise ``InvalidArgument`` if it is missing or empty."""
     value = headers.get(HEADER_PREFIX + name, "")
     if not value:
         raise InvalidArgument(name=HEADER_PREFIX + name, value=value, expected="a value")
     return value
 
 
-def parse_id(text: str) -> bytes:
-    """Parse a request id in hexadecimal form."""
+def parse_request_id(text: str) -> bytes:
+    """Parse a request id of 32 hexadecimal digits, with or without hyphens."""
     try:
         value = bytes.fromhex(text.replace("-", ""))
     except ValueError:
@@ -333,7 +369,7 @@
 
 
 def parse_timeout(text: str | None) -> float:
-    """Parse the timeout in milliseconds."""
+    """Parse the timeout header, in milliseconds; return the default if it is missing."""
     if text is None:
         return DEFAULT_TIMEOUT_MS
     if not text.isdecimal() or not 0 < int(text) <= MAX_TIMEOUT_MS:
@@ -341,10 +377,13 @@
     return float(text)
 
 
-def parse_attempt(text: str | None, given_id: bool) -> int:
-    """Parse the attempt number; a given id without one may be a retry."""
+def parse_attempt(text: str | None, has_request_id: bool) -> int:
+    """Parse the attempt number.
+
+    Without the header, a request that has an id gets 0, because it may be a retry, and any other gets 1.
+    """
     if text is None:
-        return 0 if given_id else 1
+        return 0 if has_request_id else 1
     if not text.isdecimal() or len(text) > 4:
         raise InvalidArgument(name=HEADER_PREFIX + "attempt", value=text, expected="a number below 10000")
     return int(text)
