Reword status, metrics, link, operations and main of the daemon

Names such as 'crosses', 'shed', 'note_control' and 'gauge' and comments such as 'since the last look' read oddly.

--- a/src/hibiscusdrum/internal/daemon/http_endpoint.py
+++ b/src/hibiscusdrum/internal/daemon/http_endpoint.py
@@ -31,7 +31,7 @@
 from hibiscusdrum.internal.caller.engine import CallEngine
 from hibiscusdrum.internal.caller.types import Request
 from hibiscusdrum.internal.config.operators import KEY_HEADER, OperatorApi, authorized, error_body
-from hibiscusdrum.internal.daemon.metrics import CONTENT_TYPE
+from hibiscusdrum.internal.daemon.metrics import PROMETHEUS_CONTENT_TYPE
 from hibiscusdrum.internal.daemon.requests import HEADER_PREFIX, Outcome
 from hibiscusdrum.internal.daemon.status import owner_view, status_view
 from hibiscusdrum.internal.kernel import Service
@@ -105,7 +105,7 @@
         The cross-region link budget or a missing connection may prevent it.
         """
         size = len(body) + FORWARD_OVERHEAD_BYTES
-        return self.link.allow_data(address, size) and self.peers.try_send_request(address, message, body)
+        return self.link.try_spend_data(address, size) and self.peers.try_send_request(address, message, body)
 
     def build_operator_api(self) -> OperatorApi:
         """Return an operator API that uses this daemon's services."""
@@ -194,7 +194,9 @@
         elif path == "/v1/owner":
             self.respond_json(res, 200, owner_view(self.app, self.parse_query(req)))
         elif path == "/metrics":
-            self.respond_bytes(res, 200, self.app.find("metrics").render(), CONTENT_TYPE)
+            self.respond_bytes(
+                res, 200, self.app.find("metrics").render_prometheus(), PROMETHEUS_CONTENT_TYPE
+            )
         elif path == "/health":
             self.respond_json(res, 200, {"node": self.settings.node})
         else:
--- a/src/hibiscusdrum/internal/daemon/main.py
+++ b/src/hibiscusdrum/internal/daemon/main.py
@@ -1,4 +1,4 @@
-"""Builds and runs the daemon."""
+"""Assembly and main function of the daemon."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from hibiscusdrum.internal.daemon.handover import HandoverCoordinator
 from hibiscusdrum.internal.daemon.http_endpoint import HttpEndpoint
 from hibiscusdrum.internal.daemon.leases import LeaseManager
-from hibiscusdrum.internal.daemon.link import Link
+from hibiscusdrum.internal.daemon.link import CrossRegionLink
 from hibiscusdrum.internal.daemon.membership import Membership
 from hibiscusdrum.internal.daemon.metrics import Metrics
 from hibiscusdrum.internal.daemon.owned import OwnedSlices
@@ -26,19 +26,21 @@
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.peers import PeerTransport
 
-# A request makes few reference cycles, so the youngest generation may grow to about 1,000 requests' objects.
-GC_ALLOCATIONS = 20_000
-GC_GENERATIONS = 20
+# Allocations before a collection of the youngest generation. A request creates few reference cycles, so the
+# objects of about 1,000 requests may accumulate.
+GC_YOUNG_THRESHOLD = 20_000
+# Collections of a generation before the next older one is collected.
+GC_OLDER_THRESHOLD = 20
 
 
 def build(settings: Settings) -> Application:
-    """Return the application with all services, in their order of start."""
+    """Return the application with all services, added in the order in which they start."""
     app = Application()
     app.add(HttpClient())
     app.add(TableClient(settings.store_address))
     app.add(PeerTransport(settings.peer_address, settings.shared_key))
     app.add(Membership(settings.node, settings.table_poll_ms / 1000.0))
-    app.add(Link(settings))
+    app.add(CrossRegionLink(settings))
     app.add(Configuration(settings.node, settings.failure_domain))
     app.add(OwnedSlices(settings.node))
     app.add(Target(settings))
@@ -57,10 +59,13 @@
 
 
 def tune_garbage_collector() -> None:
-    """Keep full collections off the request path: what exists at start is never garbage."""
+    """Keep full garbage collections off the request path.
+
+    The objects that exist at start are never garbage, so they are exempt from collections.
+    """
     gc.collect()
     gc.freeze()
-    gc.set_threshold(GC_ALLOCATIONS, GC_GENERATIONS, GC_GENERATIONS)
+    gc.set_threshold(GC_YOUNG_THRESHOLD, GC_OLDER_THRESHOLD, GC_OLDER_THRESHOLD)
 
 
 def run(settings: Settings) -> int:
--- a/src/hibiscusdrum/internal/daemon/operations.py
+++ b/src/hibiscusdrum/internal/daemon/operations.py
@@ -1,4 +1,4 @@
-"""Helpers for writes to the table."""
+"""Helpers for transactions on the table."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 
 
 def ignore_result(_result: Result[int, HibiscusdrumError]) -> None:
-    """Leave an outcome to the next periodic check."""
+    """Ignore the result of a write, for callers whose next periodic check retries a failed one."""
 
 
 def new_operation_id() -> str:
-    """Return a unique identifier for a write."""
+    """Return a new unique operation id for a transaction."""
     return uuid.uuid4().hex
--- a/src/hibiscusdrum/internal/daemon/status.py
+++ b/src/hibiscusdrum/internal/daemon/status.py
@@ -1,4 +1,4 @@
-"""What the daemon shows of itself and of the map."""
+"""JSON views of the daemon's state and of the ownership map, for the HTTP API."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def status_view(app: Application) -> dict[str, Any]:
-    """Return the answer of ``GET /v1/status``."""
+    """Return the response body of ``GET /v1/status``."""
     membership, leases, requests = app.find("membership"), app.find("leases"), app.find("requests")
     target = app.find("target")
     return {
@@ -36,7 +36,7 @@
 
 
 def owners_view(app: Application) -> list[dict[str, Any]]:
-    """Return one entry for each node of the map."""
+    """Return one entry for each node in the ownership map, sorted by name."""
     ownership_map = app.find("membership").map
     entries = []
     for node, row in sorted(ownership_map.owners.items()):
@@ -61,22 +61,24 @@
 
 
 def owner_view(app: Application, query: dict[str, str]) -> dict[str, Any]:
-    """Return the answer of ``GET /v1/owner``.
+    """Return the response body of ``GET /v1/owner``.
 
     Raises
     ------
     InvalidArgument
-        If a parameter is missing.
+        If a parameter is missing or empty.
+    UnknownService, UnknownTenant, Suspended
+        If the configuration does not let the request be resolved.
     """
     for name in ("service", "tenant", "key"):
         if not query.get(name):
             raise InvalidArgument(name=name, value=query.get(name, ""), expected="a value")
     document = app.find("configuration").document
-    where = resolve(document, query["service"], query["tenant"], query["key"].encode(), idempotent=False)
-    owner = app.find("membership").map.owner(query["service"], where.region, where.hash_value)
+    resolution = resolve(document, query["service"], query["tenant"], query["key"].encode(), idempotent=False)
+    owner = app.find("membership").map.owner(query["service"], resolution.region, resolution.hash_value)
     return {
-        "slice": where.slice,
-        "region": where.region,
+        "slice": resolution.slice,
+        "region": resolution.region,
         "owner": owner.node if owner is not None else None,
         "epoch": owner.epoch if owner is not None else 0,
     }
