Reword the call engine of the callers

'maybe_ran', 'tries', 'hint', 'note_refusal' and 'next_check' were vague, and the section labels said nothing. Renames: maybe_ran -> may_have_run, tries -> try_count, hint -> hinted_owner, ownership_waits -> ownership_retries, timer -> timer_number, waiting -> waiting_for_owner, numbers -> timer_numbers, candidates_key -> candidates_version, choose -> choose_node, choose_shared -> choose_shared_node, next_check -> next_check_time, message -> build_message, note_refusal -> record_refusal, retry_wait -> retry_delay, MAX_HINTS -> MAX_IMMEDIATE_RETRIES, OWNERSHIP_WAIT_SECONDS -> OWNERSHIP_MIN_DELAY_SECONDS, OWNERSHIP_MAX_WAIT_SECONDS -> OWNERSHIP_MAX_DELAY_SECONDS, OWNERSHIP_FAILURES -> OWNERSHIP_ERRORS, LOAD_FAILURES -> LOAD_ERRORS. The reason of an outcome without an answer is now 'no answer received', which is also true when the engine closes.

--- a/src/hibiscusdrum/internal/caller/engine.py
+++ b/src/hibiscusdrum/internal/caller/engine.py
@@ -1,4 +1,4 @@
-"""Sends calls to owners, follows moved keys, repeats what did not run, and matches answers to calls."""
+"""Call engine: sends calls to owners, follows redirects, retries, hedges, and matches answers to calls."""
 
 from __future__ import annotations
 
@@ -43,19 +43,21 @@
 
 OnDone = Callable[[Result[Answer, HibiscusdrumError]], None]
 
-# Waits before a call that found no owner, or a stale one, looks at the refreshed map. The first ones are
-# short, since a handover takes tens of milliseconds; the growth bounds the load during an outage.
-OWNERSHIP_WAIT_SECONDS = 0.02
-OWNERSHIP_MAX_WAIT_SECONDS = 0.25
-# An idempotent attempt without an answer is sent again after this time, to the owner known then.
+# Exponential backoff of a call that found no owner, or a stale one, before it reads the map again. The
+# first delays are short, because a handover takes tens of milliseconds; their growth bounds the load during
+# an outage.
+OWNERSHIP_MIN_DELAY_SECONDS = 0.02
+OWNERSHIP_MAX_DELAY_SECONDS = 0.25
+# An idempotent call without an answer is sent again after this time, to the owner in the map at that time.
 ATTEMPT_TIMEOUT_SECONDS = 0.5
-# Attempts that follow a named owner, or try another shared node, without waiting; two nodes with old maps
-# could send a call back and forth.
-MAX_HINTS = 2
+# Ownership retries that follow an owner hint, or try another node for a shared call, without delay. With no
+# limit, two nodes with stale maps could redirect a call to each other in a tight loop.
+MAX_IMMEDIATE_RETRIES = 2
+# Reported as the time to the next timer when there is none.
 NO_TIMER_SECONDS = 3600.0
-# Failures that mean that the map is stale or ownership is changing. They cost the target nothing, so they are
-# repeated until the deadline without the retry budget.
-OWNERSHIP_FAILURES = (
+# Errors that mean that the map is stale or that ownership is changing. They cost the target nothing, so the
+# call is retried until its deadline without spending the retry budget.
+OWNERSHIP_ERRORS = (
     Moved,
     NoOwner,
     LeaseLost,
@@ -66,44 +68,48 @@
     UnknownService,
     UnknownTenant,
 )
-# Failures that another attempt, perhaps at another target, may avoid; each one costs a retry token.
-LOAD_FAILURES = (Overloaded, TargetRefused, OutcomeUnknown, IncompleteAnswer)
+# Errors that another attempt, perhaps at another target, may avoid; each retry spends a retry token.
+LOAD_ERRORS = (Overloaded, TargetRefused, OutcomeUnknown, IncompleteAnswer)
 
 
 class PendingCall:
-    """A call without an outcome.
+    """State of a call that has no outcome yet.
 
     Attributes
     ----------
     attempts : dict of str to float
         Send time of each attempt that has neither an answer nor a refusal, by node.
-    hint : str
-        Owner that a refusing daemon named; tried once before the map is asked again.
-    maybe_ran : bool
+    hinted_owner : str
+        Owner named by the daemon that refused the call; tried once before the owner in the map.
+    may_have_run : bool
         Whether an attempt has ended with an unknown outcome.
+    ownership_retries : int
+        Number of ownership errors counted for the backoff.
     refused_by : set of str
-        Nodes that refused the call although it is shared; others are tried first.
+        Nodes that refused the shared call for ownership reasons; other nodes are tried first.
     shared : bool
-        Whether any target of the region may run the call, so that it can be hedged.
-    timer : int
-        Number of the call's current timer; older ones are ignored.
+        Whether any target of the region may run the call, so that it may be hedged.
+    timer_number : int
+        Number of the call's current timer; timers with other numbers are ignored.
+    try_count : int
+        Number of attempts to send the call, without hedges.
     """
 
     __slots__ = (
         "attempts",
         "deadline",
         "hedged",
-        "hint",
+        "hinted_owner",
         "last_error",
-        "maybe_ran",
+        "may_have_run",
         "on_done",
-        "ownership_waits",
+        "ownership_retries",
         "refused_by",
         "request",
         "request_id",
         "shared",
-        "timer",
-        "tries",
+        "timer_number",
+        "try_count",
     )
 
     def __init__(self, request: Request, request_id: bytes, on_done: OnDone, deadline: float) -> None:
@@ -112,38 +118,38 @@
         self.on_done = on_done
         self.deadline = deadline
         self.attempts: dict[str, float] = {}
-        self.maybe_ran = False
+        self.may_have_run = False
         self.shared = False
         self.hedged = False
-        self.hint = ""
+        self.hinted_owner = ""
         self.refused_by: set[str] = set()
-        self.timer = 0
-        self.tries = 0
-        self.ownership_waits = 0
+        self.timer_number = 0
+        self.try_count = 0
+        self.ownership_retries = 0
         self.last_error: HibiscusdrumError | None = None
 
 
 class MapView(Protocol):
-    """What the engine needs to know of ownership and configuration."""
+    """Access to the ownership map and the configuration."""
 
     map: OwnershipMap
     document: Document
 
     def invalidate(self, now: float) -> None:
-        """Note that an answer showed the map to be stale."""
+        """Record that an answer showed the map to be stale."""
 
 
 class CallEngine:
-    """Life cycle of calls; used by the caller's library and by daemons that forward HTTP requests.
+    """Runs calls from submission to outcome, for the caller library and for daemons that forward requests.
 
     Parameters
     ----------
     view : MapView
         Ownership map and configuration.
     send : callable
-        Sends a message and a body to an address; False means that nothing was sent.
+        Sends a message and a body to an address; returns False if nothing was sent.
     rng : random.Random
-        Random choices.
+        Source of the randomness in node choices and delays.
     forwarded : bool
         Whether the calls are forwarded by a daemon.
     """
@@ -156,23 +162,21 @@
         self.rng = rng
         self.forwarded = forwarded
         self.policy = ClientPolicy(rng, SystemClock())
-        self.candidates_key = (-1, -1)
+        self.candidates_version = (-1, -1)
         self.candidates_cache: dict[tuple[str, str], tuple[str, ...]] = {}
         self.calls: dict[bytes, PendingCall] = {}
-        # Calls that wait for an owner, with the number of their timer.
-        self.waiting: dict[bytes, int] = {}
+        # Timer numbers of the calls that wait for an owner, by request id.
+        self.waiting_for_owner: dict[bytes, int] = {}
         self.timers: list[tuple[float, int, bytes]] = []
-        self.numbers = itertools.count(1)
+        self.timer_numbers = itertools.count(1)
         self.completed = 0
 
-    # Attempts
-
     def submit(self, request: Request, on_done: OnDone) -> None:
-        """Start a call."""
+        """Start a call; ``on_done`` is called once with its outcome."""
         now = time.monotonic()
         request_id = request.request_id or new_request_id(time.time())
         if request_id in self.calls:
-            # Answers are matched by id; the call in flight would never end if this one took its place.
+            # Answers are matched by id, so the call in flight would never end if this one replaced it.
             reason = "a call with this id is in flight"
             on_done(Failure(OutcomeUnknown(request_id=request_id.hex(), reason=reason)))
             return
@@ -182,72 +186,72 @@
         self.attempt(call, now)
 
     def attempt(self, call: PendingCall, now: float) -> None:
-        """Send the call to its owner, or try again soon when there is none."""
+        """Send the call to a node, or schedule a retry if no node can be chosen or reached."""
         try:
-            node = self.choose(call)
+            node = self.choose_node(call)
         except HibiscusdrumError as error:
             self.retry_or_fail(call, error, now)
             return
-        call.tries += 1
+        call.try_count += 1
         if self.send_attempt(call, node, now):
-            self.set_timer(call, self.next_check(call, now))
+            self.set_timer(call, self.next_check_time(call, now))
         else:
             self.retry_or_fail(call, NodeUnreachable(node=node.node), now)
 
     def send_attempt(self, call: PendingCall, node: OwnerRow, now: float) -> bool:
-        """Send one attempt to a node; False when nothing was sent."""
-        if not self.send(node.peer_address, self.message(call, now), call.request.body):
+        """Send one attempt to a node; return False if nothing was sent."""
+        if not self.send(node.peer_address, self.build_message(call, now), call.request.body):
             return False
         if node.node in call.attempts:
-            # A refusal of the new attempt says nothing of the one that it replaces.
-            call.maybe_ran = True
+            # A refusal of the new attempt does not show whether the replaced one ran.
+            call.may_have_run = True
             self.policy.on_cancelled(node.node)
         call.attempts[node.node] = now
         self.policy.on_sent(node.node)
         return True
 
-    def next_check(self, call: PendingCall, now: float) -> float:
-        """Return when to look at an unanswered call again: to hedge, to repeat, or to give up."""
+    def next_check_time(self, call: PendingCall, now: float) -> float:
+        """Return the time at which an unanswered call is to be hedged, sent again or given up."""
         if not call.request.idempotent:
             return call.deadline
         if call.shared and not call.hedged:
             return min(call.deadline, now + self.policy.hedge_delay(call.request.service))
         return min(call.deadline, now + ATTEMPT_TIMEOUT_SECONDS)
 
-    def choose(self, call: PendingCall) -> OwnerRow:
-        """Return the node to send a call to.
+    def choose_node(self, call: PendingCall) -> OwnerRow:
+        """Return the node to which a call is to be sent.
 
         Raises
         ------
         UnknownService, UnknownTenant, Suspended, NoOwner
-            As the configuration and the map say.
+            If the configuration or the map has no node for the call.
         """
         request, view = call.request, self.view
-        where = resolve(view.document, request.service, request.tenant, request.key, request.idempotent)
-        call.shared = not where.owned
-        if where.owned:
-            hint, call.hint = call.hint, ""
+        resolution = resolve(view.document, request.service, request.tenant, request.key, request.idempotent)
+        call.shared = not resolution.owned
+        if resolution.owned:
+            hint, call.hinted_owner = call.hinted_owner, ""
             owner = view.map.owners.get(hint)
             if owner is None:
-                owner = view.map.owner(request.service, where.region, where.hash_value)
+                owner = view.map.owner(request.service, resolution.region, resolution.hash_value)
         else:
             exclude = (*call.attempts, *call.refused_by)
-            owner = self.choose_shared(request.service, where.region, exclude)
+            owner = self.choose_shared_node(request.service, resolution.region, exclude)
         if owner is None:
-            raise NoOwner(slice=where.slice)
+            raise NoOwner(slice=resolution.slice)
         return owner
 
-    def choose_shared(self, service: str, region: str, exclude: tuple[str, ...]) -> OwnerRow | None:
-        """Return one of the nodes that may run a call, by their load as seen here."""
+    def choose_shared_node(self, service: str, region: str, exclude: tuple[str, ...]) -> OwnerRow | None:
+        """Return a node that may run a shared call, chosen by load; excluded nodes are the last resort."""
         names = self.candidates(service, region)
         name = self.policy.choose(names, exclude) or self.policy.choose(names)
         return self.view.map.owners[name] if name is not None else None
 
     def candidates(self, service: str, region: str) -> tuple[str, ...]:
-        """Return the nodes that may run shared calls; computed again only when the map has changed."""
+        """Return the nodes that may run shared calls; cached until the map or the configuration changes."""
         key = (self.view.map.generation, self.view.document.revision)
-        if key != self.candidates_key:
-            self.candidates_key = key
+        if key != self.candidates_version:
+            self.candidates_version = key
             self.candidates_cache.clear()
             self.policy.set_nodes(self.view.map.owners)
         names = self.candidates_cache.get((service, region))
@@ -264,7 +268,7 @@
         return names
 
     def hedge(self, call: PendingCall, now: float) -> None:
-        """Send a second copy of an unanswered call to another node, within the budget."""
+        """Send an unanswered call to a second node if the hedge policy allows it."""
         call.hedged = True
         (first,) = tuple(call.attempts)[:1]
         request, owners = call.request, self.view.map.owners
@@ -273,10 +277,10 @@
             name = self.policy.hedge_node(first, names, request.idempotent, tuple(call.refused_by))
             if name is not None:
                 self.send_attempt(call, owners[name], now)
-        self.set_timer(call, self.next_check(call, now))
+        self.set_timer(call, self.next_check_time(call, now))
 
-    def message(self, call: PendingCall, now: float) -> Call:
-        """Build the message of one attempt."""
+    def build_message(self, call: PendingCall, now: float) -> Call:
+        """Return the message of one attempt."""
         request = call.request
         return Call(
             request_id=call.request_id,
@@ -293,17 +297,15 @@
             forwarded=self.forwarded,
         )
 
-    # Answers
-
     def dispatch(self, message: Message, body: bytes) -> None:
-        """Handle one message from a daemon; answers to unknown calls are late and dropped."""
+        """Process a message from a daemon; late answers, whose call has ended, are dropped."""
         if isinstance(message, Reply):
             self.on_reply(message, body)
         elif isinstance(message, Refusal):
             self.on_refusal(message)
 
     def on_reply(self, reply: Reply, body: bytes) -> None:
-        """Complete a call with its answer."""
+        """Complete a call with its answer, or retry or fail it if the answer is incomplete."""
         call = self.calls.get(reply.request_id)
         if call is None:
             return
@@ -312,7 +314,7 @@
         if sent_at is not None:
             self.policy.on_done(reply.target, call.request.service, now - sent_at, True)
         if len(body) != reply.length:
-            call.maybe_ran = True
+            call.may_have_run = True
             self.retry_or_fail(call, IncompleteAnswer(received=len(body), declared=reply.length), now)
             return
         answer = Answer(reply.request_id, reply.status, body, reply.content_type, reply.target, reply.epoch)
@@ -327,19 +329,19 @@
         error = from_wire(refusal.code, refusal.values)
         sent_at = call.attempts.pop(refusal.node, None)
         if sent_at is not None:
-            self.note_refusal(call, refusal.node, error, now - sent_at)
-        call.maybe_ran = call.maybe_ran or not error.not_run
+            self.record_refusal(call, refusal.node, error, now - sent_at)
+        call.may_have_run = call.may_have_run or not error.not_run
         if isinstance(error, Moved):
-            call.hint = error.owner
+            call.hinted_owner = error.owner
         self.retry_or_fail(call, error, now)
 
-    def note_refusal(self, call: PendingCall, node: str, error: HibiscusdrumError, latency: float) -> None:
-        """Tell the load policy of a refused attempt.
+    def record_refusal(self, call: PendingCall, node: str, error: HibiscusdrumError, latency: float) -> None:
+        """Record a refused attempt in the load policy.
 
-        A refusal for ownership reasons says nothing of the target's speed. Counted as a fast answer it would
-        draw calls to a node that takes none.
+        A refusal for ownership reasons says nothing about the target's latency. If it counted as a fast
+        answer, it would attract calls to a node that accepts none.
         """
-        if isinstance(error, OWNERSHIP_FAILURES):
+        if isinstance(error, OWNERSHIP_ERRORS):
             self.policy.on_cancelled(node)
             if call.shared:
                 call.refused_by.add(node)
@@ -347,48 +349,50 @@
             self.policy.on_done(node, call.request.service, latency, False)
 
     def retry_or_fail(self, call: PendingCall, error: HibiscusdrumError, now: float) -> None:
-        """Schedule another attempt if that is safe and may help, else end the call with the error."""
+        """Schedule another attempt if that is safe and may succeed, otherwise end the call with the error."""
         call.last_error = error
         if call.attempts and call.request.idempotent:
-            # Another attempt is still under way; it, or the timer, decides.
+            # Another attempt is still in flight; its answer or the timer decides.
             return
-        if call.request.idempotent or not (call.attempts or call.maybe_ran):
-            wait = self.retry_wait(call, error)
-            if wait is not None and now + wait < call.deadline:
-                self.set_timer(call, now + wait)
-                if isinstance(error, OWNERSHIP_FAILURES):
-                    self.waiting[call.request_id] = call.timer
+        if call.request.idempotent or not (call.attempts or call.may_have_run):
+            delay = self.retry_delay(call, error)
+            if delay is not None and now + delay < call.deadline:
+                self.set_timer(call, now + delay)
+                if isinstance(error, OWNERSHIP_ERRORS):
+                    self.waiting_for_owner[call.request_id] = call.timer_number
                 return
         self.finish(call, Failure(self.final_error(call, error)))
 
-    def retry_wait(self, call: PendingCall, error: HibiscusdrumError) -> float | None:
-        """Return the seconds until another attempt, or None when there should be none."""
-        if isinstance(error, OWNERSHIP_FAILURES):
+    def retry_delay(self, call: PendingCall, error: HibiscusdrumError) -> float | None:
+        """Return the seconds until the next attempt, or None if there is to be none."""
+        if isinstance(error, OWNERSHIP_ERRORS):
             self.view.invalidate(time.monotonic())
-            if (call.hint or call.refused_by) and call.ownership_waits < MAX_HINTS:
-                call.ownership_waits += 1
+            if (call.hinted_owner or call.refused_by) and call.ownership_retries < MAX_IMMEDIATE_RETRIES:
+                call.ownership_retries += 1
                 return 0.0
-            wait = min(OWNERSHIP_MAX_WAIT_SECONDS, OWNERSHIP_WAIT_SECONDS * 2.0**call.ownership_waits)
-            call.ownership_waits += 1
-            return wait * (0.5 + self.rng.random())
-        if isinstance(error, LOAD_FAILURES) and self.policy.try_spend_retry(call.request.tenant):
-            return self.policy.backoff(call.tries)
+            delay = min(
+                OWNERSHIP_MAX_DELAY_SECONDS, OWNERSHIP_MIN_DELAY_SECONDS * 2.0**call.ownership_retries
+            )
+            call.ownership_retries += 1
+            return delay * (0.5 + self.rng.random())
+        if isinstance(error, LOAD_ERRORS) and self.policy.try_spend_retry(call.request.tenant):
+            return self.policy.backoff(call.try_count)
         return None
 
     def final_error(self, call: PendingCall, error: HibiscusdrumError) -> HibiscusdrumError:
-        """Return the error to report; "not run" only if no attempt may have run."""
+        """Return the error to report, which states "not run" only if no attempt may have run."""
         request_id = call.request_id.hex()
-        if error.not_run and (call.attempts or call.maybe_ran):
+        if error.not_run and (call.attempts or call.may_have_run):
             return OutcomeUnknown(request_id=request_id, reason="an earlier attempt got no answer")
-        if isinstance(error, Overloaded | TargetRefused) and call.tries > 1:
+        if isinstance(error, Overloaded | TargetRefused) and call.try_count > 1:
             return RetryBudgetSpent(tenant=call.request.tenant)
         return error
 
     def expire(self, call: PendingCall) -> None:
-        """End a call whose deadline has passed."""
-        if call.attempts or call.maybe_ran:
+        """End an unanswered call, at its deadline or when no further answer can arrive."""
+        if call.attempts or call.may_have_run:
             error: HibiscusdrumError = OutcomeUnknown(
-                request_id=call.request_id.hex(), reason="no answer in time"
+                request_id=call.request_id.hex(), reason="no answer received"
             )
         elif call.last_error is not None:
             error = call.last_error
@@ -397,7 +401,7 @@
         self.finish(call, Failure(error))
 
     def finish(self, call: PendingCall, outcome: Result[Answer, HibiscusdrumError]) -> None:
-        """Report a call's outcome once, and cancel attempts that are not needed any more."""
+        """Report the outcome of a call and cancel its remaining attempts."""
         for node in call.attempts:
             self.policy.on_cancelled(node)
             row = self.view.map.owners.get(node)
@@ -407,35 +411,33 @@
         self.completed += 1
         call.on_done(outcome)
 
-    # Timers
-
     def retry_waiting(self, now: float) -> None:
-        """Try the calls that wait for an owner again, because the map has changed."""
-        waiting, self.waiting = self.waiting, {}
+        """Send the calls that wait for an owner again, after a change of the map."""
+        waiting, self.waiting_for_owner = self.waiting_for_owner, {}
         for request_id, timer in waiting.items():
             call = self.calls.get(request_id)
-            if call is not None and call.timer == timer:
+            if call is not None and call.timer_number == timer:
                 self.attempt(call, now)
 
     def set_timer(self, call: PendingCall, due: float) -> None:
         """Replace the call's timer."""
-        call.timer = next(self.numbers)
-        heapq.heappush(self.timers, (due, call.timer, call.request_id))
+        call.timer_number = next(self.timer_numbers)
+        heapq.heappush(self.timers, (due, call.timer_number, call.request_id))
 
     def next_timer_in(self, now: float) -> float:
-        """Return the seconds until the next timer."""
+        """Return the seconds until the next timer is due."""
         return max(0.0, self.timers[0][0] - now) if self.timers else NO_TIMER_SECONDS
 
     def run_timers(self, now: float) -> None:
-        """Run the timers that are due; timers of ended calls are dropped."""
+        """Run the timers that are due; replaced timers and those of ended calls are dropped."""
         while self.timers and self.timers[0][0] <= now:
             _due, number, request_id = heapq.heappop(self.timers)
             call = self.calls.get(request_id)
-            if call is not None and call.timer == number:
+            if call is not None and call.timer_number == number:
                 self.on_timer(call, now)
 
     def on_timer(self, call: PendingCall, now: float) -> None:
-        """Give up, hedge, or send a call again."""
+        """End a call after its deadline, hedge it, or send it again."""
         if now >= call.deadline:
             self.expire(call)
         elif call.attempts and call.shared and not call.hedged:
@@ -444,6 +446,6 @@
             self.attempt(call, now)
 
     def fail_all(self) -> None:
-        """End all open calls, because no answer can come any more."""
+        """End all open calls, for use when no further answer can arrive."""
         for call in list(self.calls.values()):
             self.expire(call)
