--- a/src/hibiscusdrum/internal/caller/driver.py
+++ b/src/hibiscusdrum/internal/caller/driver.py
@@ -1,4 +1,4 @@
-"""Sockets and loop of the caller's library; it has no loop of its own and runs within the caller's thread."""
+"""Sockets of the caller library; they are polled from the caller's thread, without a background thread."""
 
 from __future__ import annotations
 
@@ -16,21 +16,21 @@
 from hibiscusdrum.internal.transport.frames import receive_frames
 from hibiscusdrum.internal.transport.peer import REQUEST_KIND, Peer
 
-# Longest wait of one turn, so that map refreshes are not delayed.
+# Upper bound of one wait in the poll loop, so that map refreshes are not delayed.
 MAX_POLL_SECONDS = 0.01
 
 
 class SocketDriver:
-    """Connects a ``CallEngine`` to daemons.
+    """Runs a ``CallEngine`` on sockets to the daemons.
 
     Parameters
     ----------
     seeds : tuple of str
         Addresses of daemons to ask for the ownership map.
     region : str
-        Region of this process, or empty.
+        Region of this process, or an empty string.
     seed : int, optional
-        Seed of the random choices.
+        Seed of the random number generator.
     """
 
     def __init__(self, seeds: tuple[str, ...], region: str, seed: int | None) -> None:
@@ -39,11 +39,11 @@
         self.poller = zmq.Poller()
         self.peers: dict[str, Peer] = {}
         self.region = region
-        self.cache = MapCache(seeds, rng)
-        self.engine = CallEngine(self.cache, self.send, rng)
+        self.map_cache = MapCache(seeds, rng)
+        self.engine = CallEngine(self.map_cache, self.send, rng)
 
     def submit(self, request: Request, on_done: OnDone) -> None:
-        """Start a call."""
+        """Start a call; ``on_done`` is called once with its outcome."""
         self.engine.submit(request, on_done)
 
     def peer(self, address: str) -> Peer:
@@ -55,14 +55,14 @@
         return peer
 
     def send(self, address: str, message: Message, body: bytes = b"") -> bool:
-        """Send a message; False when there is no connection, so that nothing was sent."""
+        """Send a message; return False if there is no connection, so that nothing was sent."""
         frames = [REQUEST_KIND, codec.encode(message)]
         if body:
             frames.append(body)
         return self.peer(address).try_send(frames)
 
     def poll(self, timeout: float) -> None:
-        """Process answers, timers and map refreshes until something completed or the time is up."""
+        """Process answers, timers and map refreshes until a call completes or ``timeout`` seconds pass."""
         end = time.monotonic() + timeout
         engine = self.engine
         before = engine.completed
@@ -73,14 +73,14 @@
             wait = min(MAX_POLL_SECONDS, max(0.0, end - now), engine.next_timer_in(now))
             if engine.completed != before:
                 wait = 0.0
-            # A wait rounded down to 0 ms would spin until the next timer.
+            # Rounds the wait to milliseconds; one rounded down to 0 would busy-loop until the next timer.
             for socket, _event in self.poller.poll(wait * 1000.0 + (0.5 if wait else 0.0)):
-                self.read(socket)
+                self.read_messages(socket)
             if engine.completed != before or time.monotonic() >= end:
                 return
 
-    def read(self, socket: zmq.Socket) -> None:
-        """Read all messages of one socket."""
+    def read_messages(self, socket: zmq.Socket) -> None:
+        """Read and process all pending messages of a socket."""
         while True:
             try:
                 frames = receive_frames(socket)
@@ -89,7 +89,7 @@
             try:
                 message = codec.decode_request(frames[1])
             except (HibiscusdrumError, IndexError):
-                # A daemon's malformed answer leaves the call to its deadline; its outcome is then unknown.
+                # A malformed answer is dropped; its call ends at its deadline with an unknown outcome.
                 continue
             if isinstance(message, MapReply):
                 self.apply_map(message)
@@ -97,22 +97,22 @@
                 self.engine.dispatch(message, frames[2] if len(frames) > 2 else b"")
 
     def apply_map(self, message: MapReply) -> None:
-        """Take over changes of the map, and retry the calls that wait for them."""
+        """Apply changes of the map, and retry the calls that wait for them."""
         now = time.monotonic()
-        before = self.cache.map.generation, self.cache.document_version
-        self.cache.apply(message, now)
-        if (self.cache.map.generation, self.cache.document_version) != before:
+        before = self.map_cache.map.generation, self.map_cache.document_version
+        self.map_cache.apply(message, now)
+        if (self.map_cache.map.generation, self.map_cache.document_version) != before:
             self.engine.retry_waiting(now)
 
     def refresh_map(self, now: float) -> None:
-        """Ask a daemon for the changes of the map when it is due."""
-        if self.cache.due(now, bool(self.engine.calls)):
-            address, message = self.cache.next_request(now)
+        """Request the changes of the map from a daemon if a refresh is due."""
+        if self.map_cache.refresh_due(now, bool(self.engine.calls)):
+            address, message = self.map_cache.prepare_request(now)
             if not self.send(address, message):
-                self.cache.failed(address, now)
+                self.map_cache.on_send_failed(address, now)
 
     def close(self) -> None:
-        """End open calls and close the sockets."""
+        """End all open calls and close the sockets."""
         self.engine.fail_all()
         for peer in self.peers.values():
             peer.socket.close()
