Name the units of message fields and the rate limit of log events

Forward.left, Answered.held and Pong.age did not say what they measure, and the limited/lines/limit_key attributes of log events not that they limit a rate.

Forward.left -> remaining_seconds, Forward.goal_left -> goal_remaining_seconds, Answered.held -> held_seconds, Pong.age -> uptime_seconds (sent by position), messages.CONTROL -> ControlMessage, REQUEST -> RequestMessage, Scheduler.while_needed -> create_work_timer, LogEvent.limited -> rate_limited, lines -> lines_per_interval, limit_key -> rate_limit_key, LIMITED_INTERVAL_SECONDS -> RATE_LIMIT_INTERVAL_SECONDS.

--- a/src/hibiscusdrum/internal/codec.py
+++ b/src/hibiscusdrum/internal/codec.py
@@ -8,15 +8,15 @@
 import msgspec
 
 from hibiscusdrum.errors import InvalidFrame, Unauthorized
-from hibiscusdrum.internal.messages import CONTROL, REQUEST, Message
+from hibiscusdrum.internal.messages import ControlMessage, Message, RequestMessage
 
 SIGNATURE_BYTES = 16
 # Length of the excerpt of a bad frame that an error names; longer ones would leak request content.
 EXCERPT_BYTES = 16
 
 _encoder = msgspec.msgpack.Encoder()
-_request_decoder = msgspec.msgpack.Decoder(REQUEST)
-_control_decoder = msgspec.msgpack.Decoder(CONTROL)
+_request_decoder = msgspec.msgpack.Decoder(RequestMessage)
+_control_decoder = msgspec.msgpack.Decoder(ControlMessage)
 
 
 def encode(message: Message) -> bytes:
--- a/src/hibiscusdrum/internal/daemon/handover.py
+++ b/src/hibiscusdrum/internal/daemon/handover.py
@@ -91,7 +91,7 @@
         self.requests = find("requests")
         self.target = find("target")
         self.leases = find("leases")
-        self.step_timer = self.app.scheduler.while_needed(STEP_INTERVAL_SECONDS, self.step)
+        self.step_timer = self.app.scheduler.create_work_timer(STEP_INTERVAL_SECONDS, self.step)
         # A drain can become necessary by changed rows, a new revision, the loss of the target, or ``leave``.
         self.membership.listeners.append(self.on_change)
         self.configuration.listeners.append(self.on_change)
--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -140,7 +140,9 @@
         self.leases.lost_listeners.append(self.cancel_owned_requests)
         self.owned.epoch_listeners.append(self.send_epoch_grant)
         self.configuration.listeners.append(self.on_document)
-        self.expiry_timer = self.app.scheduler.while_needed(QUEUE_EXPIRY_INTERVAL_SECONDS, self.expire_queued)
+        self.expiry_timer = self.app.scheduler.create_work_timer(
+            QUEUE_EXPIRY_INTERVAL_SECONDS, self.expire_queued
+        )
 
     def on_document(self, document: Document) -> None:
         """Apply the request class weights of a new configuration.
--- a/src/hibiscusdrum/internal/kernel.py
+++ b/src/hibiscusdrum/internal/kernel.py
@@ -76,7 +76,7 @@
         self.call_later(interval, run)
         return handle
 
-    def while_needed(self, interval: float, callback: Callable[[], bool]) -> WorkTimer:
+    def create_work_timer(self, interval: float, callback: Callable[[], bool]) -> WorkTimer:
         """Return a timer that repeats ``callback`` from ``wake`` until it returns False."""
         return WorkTimer(self, interval, callback)
 
--- a/src/hibiscusdrum/internal/log_base.py
+++ b/src/hibiscusdrum/internal/log_base.py
@@ -1,4 +1,4 @@
-"""Base of the numbered log events."""
+"""Base class of the numbered log events."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class LogEvent(msgspec.Struct, frozen=True):
-    """Base of all events.
+    """Base class of all log events.
 
     Attributes
     ----------
@@ -18,21 +18,21 @@
     level : str
         ``DEBUG``, ``INFO``, ``WARNING`` or ``ERROR``.
     fields : tuple of str
-        Names of the values that an event carries.
+        Names of the fields that are written with the event.
     cause : str
-        What leads to the event.
+        What causes the event.
     operator_action : str
         What an operator should do.
-    limited : bool
-        Whether at most ``lines`` lines are written for each ``LIMITED_INTERVAL_SECONDS``; the next line
-        states how many were left out.
-    lines : int
-        Lines of a limited class that are written in that time.
+    rate_limited : bool
+        Whether the lines of this class are limited to ``lines_per_interval`` for each
+        ``RATE_LIMIT_INTERVAL_SECONDS``; the next line that is written states how many events were left out.
+    lines_per_interval : int
+        Lines of a rate-limited class that are written in one interval, at most.
     """
 
     number: ClassVar[int] = 0
-    limited: ClassVar[bool] = False
-    lines: ClassVar[int] = 1
+    rate_limited: ClassVar[bool] = False
+    lines_per_interval: ClassVar[int] = 1
     level: ClassVar[str] = "INFO"
     fields: ClassVar[tuple[str, ...]] = ()
     cause: ClassVar[str] = ""
@@ -43,6 +43,6 @@
         """Return the class name in snake case, as written to the log."""
         return re.sub(r"(?<=[a-z])(?=[A-Z])", "_", cls.__name__).lower()
 
-    def limit_key(self) -> Any:
-        """Return what events of a limited class share their limit by."""
+    def rate_limit_key(self) -> Any:
+        """Return the key of the rate limit; events with equal keys count against the same limit."""
         return type(self)
--- a/src/hibiscusdrum/internal/log_events.py
+++ b/src/hibiscusdrum/internal/log_events.py
@@ -21,7 +21,7 @@
 
 # Time between two lines of an event that other parties can cause at will. Without it a stray sender fills the
 # log at the rate of its messages.
-LIMITED_INTERVAL_SECONDS = 1.0
+RATE_LIMIT_INTERVAL_SECONDS = 1.0
 # Frames of a traceback that an internal error lists; the innermost ones locate the fault.
 TRACEBACK_FRAMES = 8
 
@@ -29,8 +29,8 @@
 _node = ""
 _handler: int | None = None
 _clock: Clock = SystemClock()
-# Start of the present interval, lines written and events left out in it, by what ``limit_key`` returns.
-_limits: dict[Any, tuple[float, int, int]] = {}
+# Start of the present interval, lines written and events left out in it, by what ``rate_limit_key`` returns.
+_rate_limits: dict[Any, tuple[float, int, int]] = {}
 
 
 class Output(Protocol):
@@ -377,7 +377,7 @@
 
     number = 601
     level = "WARNING"
-    limited = True
+    rate_limited = True
     cause = "A caller or peer of another version, or a stray sender."
     operator_action = "Find the sender if it recurs."
 
@@ -390,7 +390,7 @@
 
     number = 602
     level = "WARNING"
-    limited = True
+    rate_limited = True
     cause = "A daemon or client has another shared key, or a stray sender."
     operator_action = "Compare the shared keys; find the sender if it is unknown."
 
@@ -402,7 +402,7 @@
 
     number = 603
     level = "WARNING"
-    limited = True
+    rate_limited = True
     cause = "The caller uses daemons of a region outside the tenant's home regions."
     operator_action = "Give the caller addresses of daemons in the home regions."
 
@@ -415,7 +415,7 @@
 
     number = 604
     level = "WARNING"
-    limited = True
+    rate_limited = True
     cause = "Traffic between regions exceeds `cross_region_bytes_per_second`."
     operator_action = "Check where callers send their requests."
 
@@ -432,7 +432,7 @@
 
     number = 901
     level = "ERROR"
-    limited = True
+    rate_limited = True
     cause = "A programming error."
     operator_action = "Report it with the line."
 
@@ -440,7 +440,7 @@
     error: str
     location: tuple[str, ...]
 
-    def limit_key(self) -> Any:
+    def rate_limit_key(self) -> Any:
         """Limit each fault by itself, so that a frequent one does not hide another."""
         return self.location
 
@@ -468,7 +468,7 @@
     _node = node
     _output = output
     _clock = clock or SystemClock()
-    _limits.clear()
+    _rate_limits.clear()
     logger.remove(_handler)
     _handler = logger.add(_write, level=level, format="{message}", catch=False)
 
@@ -482,16 +482,16 @@
 
 def _admit(event: LogEvent) -> int | None:
     """Return how many events were left out since the last line, or None to leave this one out too."""
-    if not event.limited:
+    if not event.rate_limited:
         return 0
-    key, now = event.limit_key(), _clock.monotonic()
-    since, written, left_out = _limits.get(key, (float("-inf"), 0, 0))
-    if now - since >= LIMITED_INTERVAL_SECONDS:
+    key, now = event.rate_limit_key(), _clock.monotonic()
+    since, written, left_out = _rate_limits.get(key, (float("-inf"), 0, 0))
+    if now - since >= RATE_LIMIT_INTERVAL_SECONDS:
         since, written = now, 0
-    if written >= event.lines:
-        _limits[key] = (since, written, left_out + 1)
+    if written >= event.lines_per_interval:
+        _rate_limits[key] = (since, written, left_out + 1)
         return None
-    _limits[key] = (since, written + 1, 0)
+    _rate_limits[key] = (since, written + 1, 0)
     return left_out
 
 
@@ -538,7 +538,7 @@
         "standard output, with the members `time` (UTC),",
         "`number`, `name`, `level`, `node` and `fields`. Keys, bodies and other request",
         "contents are never written. Events marked *limited* are written at most so many times in",
-        f"{LIMITED_INTERVAL_SECONDS:g} s; the member `left_out` then counts those that were not written.",
+        f"{RATE_LIMIT_INTERVAL_SECONDS:g} s; the member `left_out` then counts those that were not written.",
         "",
         "| number | name | level | fields | meaning | cause | operator action |",
         "|---|---|---|---|---|---|---|",
@@ -553,7 +553,7 @@
     cells = (
         str(event.number),
         f"`{event.event_name()}`",
-        event.level + (f", limited to {event.lines}" if event.limited else ""),
+        event.level + (f", limited to {event.lines_per_interval}" if event.rate_limited else ""),
         fields,
         meaning,
         event.cause,
--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -94,7 +94,7 @@
         Unique among the requests of the sender.
     sent_at : float
         Steady clock of the sender in seconds; comparable only with other messages of this sender.
-    left, goal_left : float
+    remaining_seconds, goal_remaining_seconds : float
         Seconds until the caller's deadline, and until its answer counts as late, when the message was sent.
     key : int
         Key of a partitioned service, or -1.
@@ -111,8 +111,8 @@
     id: bytes
     origin: str
     sent_at: float
-    left: float
-    goal_left: float
+    remaining_seconds: float
+    goal_remaining_seconds: float
     service: str
     method: str
     target: str
@@ -161,7 +161,7 @@
     ----------
     load : tuple
         Load of the target: running, queued, slots, mean service time in seconds, accepting.
-    held : float
+    held_seconds : float
         Seconds from the arrival of the request at the target's node to the answer.
     """
 
@@ -169,7 +169,7 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     load: tuple[int, int, int, float, bool]
-    held: float = 0.0
+    held_seconds: float = 0.0
 
 
 class Declined(Message, frozen=True, array_like=True, tag=True):
@@ -221,7 +221,7 @@
     ----------
     sent_at : float
         Time of the ping on the asker's clock, in seconds.
-    age : float
+    uptime_seconds : float
         Seconds since the peer's process began to listen.
     """
 
@@ -229,7 +229,7 @@
     incarnation: str
     sent_at: float
     load: tuple[int, int, int, float, bool]
-    age: float = 0.0
+    uptime_seconds: float = 0.0
 
 
 class RenewLease(Message, frozen=True, array_like=True, tag=True):
@@ -295,8 +295,10 @@
     revision: int
 
 
-CONTROL = RenewLease | LeaseGranted | LeaseRefused | RowsChanged | ConfigChange | ConfigAck | ConfigRequest
-REQUEST = (
+ControlMessage = (
+    RenewLease | LeaseGranted | LeaseRefused | RowsChanged | ConfigChange | ConfigAck | ConfigRequest
+)
+RequestMessage = (
     Call
     | Cancel
     | Reply
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -10,8 +10,8 @@
 
     number = 801
     level = "DEBUG"
-    limited = True
-    lines = 20
+    rate_limited = True
+    lines_per_interval = 20
     cause = "The report was delayed in transit."
 
     target: str
@@ -101,8 +101,8 @@
 
     number = 809
     level = "WARNING"
-    limited = True
-    lines = 5
+    rate_limited = True
+    lines_per_interval = 5
     cause = "The store is unavailable, or its response was lost."
     operator_action = "Check the store if `left_s` reaches 0."
 
@@ -215,8 +215,8 @@
     """
 
     number = 816
-    limited = True
-    lines = 100
+    rate_limited = True
+    lines_per_interval = 100
     cause = "`reason` names the cause."
     operator_action = "See OPERATIONS.md."
 
@@ -234,8 +234,8 @@
     """The target answered a request."""
 
     number = 817
-    limited = True
-    lines = 100
+    rate_limited = True
+    lines_per_interval = 100
     cause = "A request was sent to this node's target."
 
     id: str
@@ -255,8 +255,8 @@
     """
 
     number = 818
-    limited = True
-    lines = 100
+    rate_limited = True
+    lines_per_interval = 100
     cause = "A caller on this VM sent a request."
     operator_action = "See OPERATIONS.md."
 
@@ -279,8 +279,8 @@
     """A request is retried on another target."""
 
     number = 819
-    limited = True
-    lines = 50
+    rate_limited = True
+    lines_per_interval = 50
     cause = "The previous target failed to serve it, or its response was lost."
 
     id: str
@@ -330,8 +330,8 @@
 
     number = 823
     level = "ERROR"
-    limited = True
-    lines = 5
+    rate_limited = True
+    lines_per_interval = 5
     cause = "Another program wrote it, or its writer has a bug."
     operator_action = "Find out which program wrote it."
 
@@ -344,8 +344,8 @@
 
     number = 824
     level = "WARNING"
-    limited = True
-    lines = 10
+    rate_limited = True
+    lines_per_interval = 10
     cause = "The store is unavailable or slow, or refuses requests of this VM."
     operator_action = "Check the store."
 
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -254,8 +254,8 @@
             id=self.forwarder.next_request_id(),
             origin=self.settings.node,
             sent_at=now,
-            left=pending.deadline - now,
-            goal_left=pending.goal_at - now,
+            remaining_seconds=pending.deadline - now,
+            goal_remaining_seconds=pending.goal_at - now,
             service=pending.service,
             method=request.method.decode("latin-1"),
             target=request.target,
@@ -307,7 +307,7 @@
         """Return the target's response to the caller, or retry elsewhere after a retryable server error."""
         pending.target_attempts += 1
         self.overload_control.on_answered(pending, forward, answer, now)
-        pending.path_seconds = now - pending.sent_at - answer.held
+        pending.path_seconds = now - pending.sent_at - answer.held_seconds
         if answer.status in SERVER_ERRORS:
             self.selector.on_failure(pending.node, now)
             pending.refusing_nodes.append(pending.node)
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -261,7 +261,7 @@
         self.selector.path_delay(self.members.region_of(pong.node)).record(now - pong.sent_at, now)
         if state.incarnation and state.incarnation != pong.incarnation:
             # Requests sent after the new process began to listen have reached it and are still being served.
-            self.decline_outstanding(pong.node, "restarted", before=now - pong.age)
+            self.decline_outstanding(pong.node, "restarted", before=now - pong.uptime_seconds)
         state.incarnation = pong.incarnation
 
     def ping(self) -> None:
--- a/src/hibiscusdrum/internal/router/local_target.py
+++ b/src/hibiscusdrum/internal/router/local_target.py
@@ -146,7 +146,7 @@
 
     def on_start(self) -> None:
         """Start the timers for liveness checks and delayed answers."""
-        self.answer_timer = self.app.scheduler.while_needed(
+        self.answer_timer = self.app.scheduler.create_work_timer(
             DELAYED_ANSWER_CHECK_INTERVAL_SECONDS, self.answer_delayed
         )
         self.app.scheduler.every(LIVENESS_CHECK_INTERVAL_SECONDS, self.check_liveness)
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -102,8 +102,8 @@
         self.body = body
         self.body_parts: list[bytes] = []
         self.arrived_at = now
-        self.deadline = now + forward.left
-        self.goal_at = now + min(forward.goal_left, forward.left)
+        self.deadline = now + forward.remaining_seconds
+        self.goal_at = now + min(forward.goal_remaining_seconds, forward.remaining_seconds)
         self.reply = reply
         self.queue_entry: QueueEntry | None = None
         self.exchange: HttpExchange | None = None
@@ -169,7 +169,9 @@
         self.target.on_change.append(self.on_target_change)
         self.target.on_cold.append(self.on_cold_start)
         self.members.on_change.append(self.on_target_change)
-        self.expiry_timer = self.app.scheduler.while_needed(EXPIRY_INTERVAL_SECONDS, self.decline_expired)
+        self.expiry_timer = self.app.scheduler.create_work_timer(
+            EXPIRY_INTERVAL_SECONDS, self.decline_expired
+        )
 
     @property
     def now(self) -> float:
@@ -247,7 +249,7 @@
                     id=forward.attempt_id,
                     origin=forward.origin,
                     reason=LATE_REASON,
-                    left_s=round(forward.left, 3),
+                    left_s=round(forward.remaining_seconds, 3),
                     running=self.admission.running,
                     queued=self.admission.queued,
                     wait_s=round(delay, 3),
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -82,7 +82,7 @@
         """
         if self.address is not None:
             self.bind(self.address)
-        self.pending_timer = self.app.scheduler.while_needed(
+        self.pending_timer = self.app.scheduler.create_work_timer(
             PENDING_RETRY_INTERVAL_SECONDS, self.flush_pending
         )
 
--- a/tests/features/steps/daemon_timers_steps.py
+++ b/tests/features/steps/daemon_timers_steps.py
@@ -88,7 +88,7 @@
 
     context.clock = ManualClock()
     context.scheduler = Scheduler(context.clock)
-    context.work_timer = context.scheduler.while_needed(interval / 1000.0, callback)
+    context.work_timer = context.scheduler.create_work_timer(interval / 1000.0, callback)
 
 
 @when("the work timer is woken {times:d} times and {seconds:g} s passes")
@@ -137,7 +137,7 @@
     context.loopback = Loopback()
     context.add_cleanup(context.loopback.stop)
     service.app = context.loopback.app
-    service.expiry_timer = service.app.scheduler.while_needed(
+    service.expiry_timer = service.app.scheduler.create_work_timer(
         QUEUE_EXPIRY_INTERVAL_SECONDS, service.expire_queued
     )
     service.metrics = SimpleNamespace(count_failure=lambda *_arguments: None)
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -459,7 +459,8 @@
 
 def forward(number, size=0, deadline=5.0, priority=1):
     return Forward(
-        id=bytes([number]), origin="peer", sent_at=0.0, left=deadline, goal_left=1.0, service="other",
+        id=bytes([number]), origin="peer", sent_at=0.0, remaining_seconds=deadline,
+        goal_remaining_seconds=1.0, service="other",
         method="POST", target="/a/x", headers=(), attempt_id=f"a{number}", key=-1, priority=priority,
         repeatable=False, cost_class="upload", caller="c", offered_bytes=size,
     )  # fmt: skip
