Reword the kernel

The doc comment of Service described an attribute that does not exist, and start_all only fires the event that starts the services.

--- a/src/hibiscusdrum/internal/kernel.py
+++ b/src/hibiscusdrum/internal/kernel.py
@@ -1,7 +1,7 @@
-"""Micro-kernel: an application object, services found by name, and one scheduler.
+"""Application object, registry of services, and timer scheduler.
 
-Everything runs in the circuits loop on one thread. Services call each other directly on the request path,
-since each circuits event costs tens of microseconds; sockets and life-cycle hooks use events.
+Everything runs on one thread, in the event loop of circuits. On the request path, services call each other
+directly because each circuits event costs tens of microseconds; sockets and life-cycle hooks use events.
 """
 
 from __future__ import annotations
@@ -20,11 +20,11 @@
 
 
 class start_services(Event):  # noqa: N801 - circuits names events in lower case
-    """Starts the services in the order in which they were added."""
+    """Event that starts the services in the order in which they were added."""
 
 
 class Timer:
-    """A call scheduled for later; ``cancel`` prevents it."""
+    """A scheduled callback that can be cancelled."""
 
     __slots__ = ("callback", "cancelled", "due")
 
@@ -34,14 +34,14 @@
         self.cancelled = False
 
     def cancel(self) -> None:
-        """Prevent the call; no effect after it ran."""
+        """Cancel the callback; has no effect after it has run."""
         self.cancelled = True
 
 
 class Scheduler(BaseComponent):
-    """Timers on the monotonic clock.
+    """Runs timers on the monotonic clock.
 
-    ``circuits.Timer`` counts on the wall clock, so that a clock step would delay lease renewals.
+    ``circuits.Timer`` uses the wall clock, so a clock step could delay lease renewals.
 
     Parameters
     ----------
@@ -55,16 +55,16 @@
         super().__init__()
         self.clock = clock
         self.heap: list[tuple[float, int, Timer]] = []
-        self.counter = itertools.count()
+        self.sequence_numbers = itertools.count()
 
     def call_later(self, delay: float, callback: Callable[[], None]) -> Timer:
         """Call ``callback`` once, ``delay`` seconds from now."""
         timer = Timer(self.clock.monotonic() + delay, callback)
-        heapq.heappush(self.heap, (timer.due, next(self.counter), timer))
+        heapq.heappush(self.heap, (timer.due, next(self.sequence_numbers), timer))
         return timer
 
     def every(self, interval: float, callback: Callable[[], None]) -> Timer:
-        """Call ``callback`` each ``interval`` seconds until the returned timer is cancelled."""
+        """Call ``callback`` every ``interval`` seconds until the returned timer is cancelled."""
         handle = Timer(0.0, callback)
 
         def run() -> None:
@@ -77,25 +77,26 @@
         return handle
 
     def create_work_timer(self, interval: float, callback: Callable[[], bool]) -> WorkTimer:
-        """Return a timer that repeats ``callback`` from ``wake`` until it returns False."""
+        """Return a timer that, once woken, repeats ``callback`` until it returns False."""
         return WorkTimer(self, interval, callback)
 
     @handler("generate_events", priority=10)
     def run_due(self, event: Any) -> None:
-        """Run the timers that are due and bound the poller's wait by the next one."""
+        """Run the timers that are due and limit the poller's wait to the time until the next one."""
         now = self.clock.monotonic()
         heap = self.heap
         while heap and heap[0][0] <= now:
             timer = heapq.heappop(heap)[2]
             if not timer.cancelled:
                 self.run_callback(timer)
-                # circuits does not end the poller's wait for events that its own thread fires meanwhile.
+                # The callback may have fired events, and circuits does not wake the poller for events
+                # that its own thread fires.
                 event.reduce_time_left(0)
         if heap:
             event.reduce_time_left(max(0.0, heap[0][0] - self.clock.monotonic()))
 
     def run_callback(self, timer: Timer) -> None:
-        """Run one callback; a failure is logged and does not stop the loop."""
+        """Run one callback; an exception is logged and does not stop the event loop."""
         try:
             timer.callback()
         except Exception:
@@ -103,16 +104,16 @@
 
 
 class WorkTimer:
-    """Repeats a call while there is work for it, so that an idle process does not wake up.
+    """Repeats a callback only while it has work, so that an idle process does not wake up.
 
     Parameters
     ----------
     scheduler : Scheduler
-        Runs the calls.
+        Scheduler that runs the callback.
     interval : float
-        Seconds between calls, and from ``wake`` to the first.
+        Seconds between calls, and from ``wake`` to the first call.
     callback : callable
-        Returns whether there is more work. After an exception the call is repeated.
+        Returns whether there is more work. It is called again after an exception.
     """
 
     __slots__ = ("callback", "interval", "scheduled", "scheduler")
@@ -124,7 +125,7 @@
         self.scheduled = False
 
     def wake(self) -> None:
-        """Schedule the next call unless one is scheduled already."""
+        """Schedule the next call unless one is already scheduled."""
         if not self.scheduled:
             self.scheduled = True
             self.scheduler.call_later(self.interval, self._run)
@@ -140,12 +141,14 @@
 
 
 class Service(BaseComponent):
-    """A named part of the application, with hooks that the kernel calls.
+    """Base class of services, which are found by name and have start and stop hooks.
 
     Attributes
     ----------
-    name : str
+    service_name : str
         Name under which other services find this one.
+    app : Application or None
+        Application to which the service was added.
     """
 
     service_name = "service"
@@ -155,19 +158,31 @@
         self.app: Application | None = None
 
     def on_start(self) -> None:
-        """Acquire resources; all services are registered, earlier ones are started."""
+        """Acquire resources.
+
+        All services are registered by then, and those added before this one are started.
+        """
 
     def on_stop(self) -> None:
-        """Release resources; called in reverse order of start."""
+        """Release resources; services are stopped in reverse order of their start."""
 
 
 class Application(BaseComponent):
-    """Owns the services and the loop.
+    """Owns the services and the event loop.
 
     Parameters
     ----------
     clock : Clock, optional
-        Time source shared by all services.
+        Clock shared by all services; the system clock by default.
+
+    Attributes
+    ----------
+    on_started : list of callable
+        Called once all services are started.
+    exit_code : int
+        Exit code for the process.
+    failure : BaseException or None
+        Exception that made the start of a service fail.
     """
 
     channel = "application"
@@ -185,19 +200,19 @@
         self.failure: BaseException | None = None
 
     def add(self, service: Service) -> Service:
-        """Register a service under its name."""
+        """Register a service under its name and return it."""
         service.app = self
         self.services[service.service_name] = service
         service.register(self)
         return service
 
     def find(self, name: str) -> Any:
-        """Return the service with a name.
+        """Return the service that was added under a name.
 
         Raises
         ------
         NotFound
-            If no such service was added.
+            If there is no service of that name.
         """
         try:
             return self.services[name]
@@ -205,13 +220,13 @@
             raise NotFound(kind="service", name=name) from None
 
     @handler("started", channel="*")
-    def start_all(self, *_args: Any) -> None:
-        """Start the services once the loop runs; a failing start stops the application."""
+    def fire_start_services(self, *_args: Any) -> None:
+        """Fire the event that starts the services, once the event loop runs."""
         self.fire(start_services(), self.channel)
 
     @handler("start_services")
     def run_start_hooks(self) -> None:
-        """Call ``on_start`` of each service in order."""
+        """Call ``on_start`` of each service in order; an exception stops the application."""
         for service in list(self.services.values()):
             try:
                 service.on_start()
@@ -220,22 +235,22 @@
                 self.shutdown(1)
                 return
             self.started_services.append(service)
-        for listener in self.on_started:
-            listener()
+        for callback in self.on_started:
+            callback()
 
     def shutdown(self, exit_code: int = 0) -> None:
-        """Call ``on_stop`` in reverse order and end the loop."""
+        """Call ``on_stop`` of the started services in reverse order and end the event loop."""
         self.exit_code = exit_code
         for service in reversed(self.started_services):
             try:
                 service.on_stop()
             except Exception:
-                logger.exception("stop hook of service {} failed", service.service_name)
+                logger.exception("on_stop of service {} failed", service.service_name)
         self.stop()
 
     @handler("exception", channel="*")
     def log_exception(
         self, error_type: Any, value: Any, traceback: Any, handler: Any = None, fevent: Any = None
     ) -> None:
-        """Log a failing event handler; the loop goes on."""
+        """Log an exception in an event handler; the event loop continues."""
         logger.opt(exception=value).error("event handler failed: {}", error_type.__name__)
