Reword errors, the client library and the package

Doc comments called not_run a promise and errors failures, did not list the class attributes fields and template, and client.close claimed an unknown outcome also for requests that were never sent. The messages of errors stay, as they are sent in answers.

--- a/src/hibiscusdrum/__init__.py
+++ b/src/hibiscusdrum/__init__.py
@@ -10,7 +10,7 @@
 
 
 def __getattr__(name: str) -> Any:
-    """Import the caller's library on its first use: daemons start faster without it."""
+    """Import the client library on first use, since daemons do not need it and start faster without it."""
     if name not in __all__:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
     from hibiscusdrum import client
--- a/src/hibiscusdrum/client.py
+++ b/src/hibiscusdrum/client.py
@@ -1,4 +1,4 @@
-"""Library for callers: requests go straight to the owner of their key, in one hop.
+"""Client library, which sends each request directly to the owner of its key in one hop.
 
 Examples
 --------
@@ -26,16 +26,16 @@
 
 
 class Caller:
-    """Sends requests and waits for their answers. Not safe for use by several threads.
+    """Sends requests and waits for their answers. Not thread-safe.
 
     Parameters
     ----------
     seeds : sequence of str
-        ``ip:port`` of the ZeroMQ sockets of some daemons; any one that answers is enough.
+        ``ip:port`` of the ZeroMQ sockets of some daemons; one that answers is enough.
     region : str, optional
-        Region of this process; reads not bound to an owner stay in it when they may.
+        Region of this process; reads that need no owner are sent within it if the configuration allows it.
     seed : int, optional
-        Seed of the random choices, for repeatable measurements.
+        Seed of the random number generator, for reproducible measurements.
 
     Raises
     ------
@@ -48,7 +48,7 @@
         self.driver = SocketDriver(tuple(seeds), region, seed)
 
     def call(self, request: Request) -> Result[Answer, HibiscusdrumError]:
-        """Send a request and wait for its outcome, at most ``request.timeout`` seconds.
+        """Send a request and wait for its outcome for at most ``request.timeout`` seconds.
 
         Returns
         -------
@@ -63,22 +63,22 @@
         return outcome[0]
 
     def submit(self, request: Request, on_done: Callable[[Result[Answer, HibiscusdrumError]], None]) -> None:
-        """Start a request; ``on_done`` is called once from within ``poll`` or ``call``.
+        """Send a request without waiting; ``on_done`` is called once, from within ``poll`` or ``call``.
 
         Raises
         ------
         InvalidArgument
-            If a field of the request is malformed; nothing was sent.
+            If a field of the request is malformed; nothing is sent.
         """
         check_request(request)
         self.driver.submit(request, on_done)
 
     def poll(self, timeout: float) -> None:
-        """Process answers and timeouts for at most ``timeout`` seconds, or until something happened."""
+        """Process answers and timeouts until a request completes, for at most ``timeout`` seconds."""
         self.driver.poll(timeout)
 
     def close(self) -> None:
-        """Close all connections. Requests without an answer end with an unknown outcome."""
+        """Close all connections; open requests fail, with ``OutcomeUnknown`` if they may have run."""
         self.driver.close()
 
     def __enter__(self) -> Caller:
@@ -89,7 +89,7 @@
 
 
 def check_seeds(seeds: Sequence[str]) -> None:
-    """Raise ``InvalidArgument`` for the first malformed seed address."""
+    """Raise ``InvalidArgument`` if there is no seed address, or for the first malformed one."""
     if not seeds:
         raise InvalidArgument(name="seeds", value=seeds, expected="at least one ip:port")
     for address in seeds:
--- a/src/hibiscusdrum/errors.py
+++ b/src/hibiscusdrum/errors.py
@@ -1,8 +1,8 @@
-"""Every failure that hibiscusdrum reports, one type each.
+"""Exception types, one for each kind of failure that hibiscusdrum reports.
 
-An error carries named values instead of free text, so that callers can act on it and a message can
-always name the value that was wrong. ``not_run`` is a promise: it is true only for errors that are
-raised before any byte of the request reached a target, or that the target itself reported as not run.
+An error carries named values instead of free text, so that callers can act on the values and the message can
+always name the invalid one. ``not_run`` is a guarantee: it is true only for errors that are raised before any
+byte of the request reached a target, or for which the target itself reported that the request did not run.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 
 
 class HibiscusdrumError(Exception):
-    """Base of all failures.
+    """Base class of all errors.
 
     Parameters
     ----------
@@ -21,11 +21,15 @@
     Attributes
     ----------
     code : str
-        Stable identifier used on the wire and in logs.
+        Stable identifier, used on the wire and in logs.
     http_status : int
-        Status of the HTTP answer that reports this failure.
+        Status of the HTTP response that reports this error.
     not_run : bool
-        Whether the failure proves that the request did not run.
+        Whether the error guarantees that the request did not run.
+    fields : tuple of str
+        Names of the values that the error carries.
+    template : str
+        Format string of the message, filled from the values.
     """
 
     code: ClassVar[str] = "internal_error"
@@ -50,7 +54,7 @@
 
 
 class InvalidArgument(HibiscusdrumError):
-    """A value given by a caller or operator is malformed or out of range."""
+    """A value from a caller or operator is malformed or out of range."""
 
     code = "invalid_argument"
     http_status = 400
@@ -60,7 +64,7 @@
 
 
 class InvalidSettings(HibiscusdrumError):
-    """One or more settings are wrong; all of them are listed."""
+    """One or more settings are invalid; ``problems`` lists all of them."""
 
     code = "invalid_settings"
     http_status = 400
@@ -110,7 +114,7 @@
 
 
 class UnknownTenant(HibiscusdrumError):
-    """No client account exists for the tenant."""
+    """No client account exists under the tenant's name."""
 
     code = "unknown_tenant"
     http_status = 404
@@ -130,7 +134,7 @@
 
 
 class WrongRegion(HibiscusdrumError):
-    """The request has home regions and arrived in another region."""
+    """The request arrived in a region that is not one of the tenant's home regions."""
 
     code = "wrong_region"
     http_status = 421
@@ -140,7 +144,7 @@
 
 
 class Suspended(HibiscusdrumError):
-    """The tenant's keys are moving to another region."""
+    """The tenant's keys are being moved to another region."""
 
     code = "suspended"
     http_status = 503
@@ -160,7 +164,7 @@
 
 
 class NoOwner(HibiscusdrumError):
-    """No node owns the key now."""
+    """No node currently owns the key."""
 
     code = "no_owner"
     http_status = 503
@@ -170,7 +174,7 @@
 
 
 class LeaseLost(HibiscusdrumError):
-    """The node's lease is not valid, so it may not serve its keys."""
+    """The node may not serve its keys because its lease is not valid."""
 
     code = "lease_lost"
     http_status = 503
@@ -180,7 +184,7 @@
 
 
 class Draining(HibiscusdrumError):
-    """The node or its failure domain takes no new work."""
+    """The node or its failure domain is draining and accepts no new requests."""
 
     code = "draining"
     http_status = 503
@@ -190,7 +194,7 @@
 
 
 class Overloaded(HibiscusdrumError):
-    """The request was shed before it was sent to a target."""
+    """The request was shed because of overload before it was sent to a target."""
 
     code = "overloaded"
     http_status = 429
@@ -240,7 +244,7 @@
 
 
 class NodeUnreachable(HibiscusdrumError):
-    """No daemon answered; nothing was sent or the daemon never admitted the request."""
+    """No daemon answered: nothing was sent, or the daemon did not admit the request."""
 
     code = "node_unreachable"
     http_status = 502
@@ -270,7 +274,7 @@
 
 
 class RevisionConflict(HibiscusdrumError):
-    """A plan was made from another revision than the one in force."""
+    """A plan is based on a revision other than the one in force."""
 
     code = "revision_conflict"
     http_status = 409
@@ -290,7 +294,7 @@
 
 
 class StoreConflict(HibiscusdrumError):
-    """A conditional write found another version than expected."""
+    """A conditional write found a version other than the expected one."""
 
     code = "store_conflict"
     http_status = 409
@@ -300,7 +304,7 @@
 
 
 class AddressInUse(HibiscusdrumError):
-    """The address that the process should listen on is taken."""
+    """The address on which the process should listen is in use."""
 
     code = "address_in_use"
     http_status = 500
@@ -310,7 +314,7 @@
 
 
 class DaemonRefused(HibiscusdrumError):
-    """A daemon answered an operator's request with an error; ``reason`` is the code of that error."""
+    """A daemon answered an operator's request with an error whose code is ``reason``."""
 
     code = "daemon_refused"
     http_status = 502
@@ -319,29 +323,29 @@
     template = "{message} ({reason}, status {status})"
 
 
-def _subclasses(base: type[HibiscusdrumError]) -> dict[str, type[HibiscusdrumError]]:
-    """Map the code of each error type to the type."""
+def _subclasses_by_code(base: type[HibiscusdrumError]) -> dict[str, type[HibiscusdrumError]]:
+    """Return the direct subclasses by their codes."""
     return {cls.code: cls for cls in base.__subclasses__()}
 
 
-BY_CODE: dict[str, type[HibiscusdrumError]] = _subclasses(HibiscusdrumError)
+BY_CODE: dict[str, type[HibiscusdrumError]] = _subclasses_by_code(HibiscusdrumError)
 
 
 def from_wire(code: str, values: dict[str, Any]) -> HibiscusdrumError:
-    """Rebuild an error that another process reported.
+    """Restore an error that another process reported.
 
     Parameters
     ----------
     code : str
         Code of the error type.
     values : dict
-        Its named values.
+        Values by field name.
 
     Returns
     -------
     HibiscusdrumError
-        The typed error, or ``OutcomeUnknown`` when the code or its values are not known here, which
-        promises least.
+        The typed error, or ``OutcomeUnknown``, which guarantees the least, if this version does not know the
+        code or its fields.
     """
     cls = BY_CODE.get(code)
     if cls is not None and set(values) == set(cls.fields):
