--- a/src/hibiscusdrum/internal/clock.py
+++ b/src/hibiscusdrum/internal/clock.py
@@ -1,4 +1,4 @@
-"""Clocks. Decisions take a clock as an argument so that tests control time."""
+"""Clocks, which are passed as arguments so that tests can control time."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
     """Source of monotonic and wall time, both in seconds."""
 
     def monotonic(self) -> float:
-        """Return seconds that never go backwards; comparable only on one VM."""
+        """Return seconds on a clock that never goes backwards; comparable only within one VM."""
 
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
@@ -22,36 +22,36 @@
     __slots__ = ()
 
     def monotonic(self) -> float:
-        """Return the system's monotonic clock."""
+        """Return the time of the system's monotonic clock."""
         return time.monotonic()
 
     def wall(self) -> float:
-        """Return the system's wall clock."""
+        """Return the time of the system's wall clock."""
         return time.time()
 
 
 class BootClock(SystemClock):
-    """Clock of the operating system that also counts the time in which the VM was suspended.
+    """Clock of the operating system whose monotonic time includes the time while the VM is suspended.
 
-    A lease that was counted on a clock that stands still meanwhile would outlast its term.
+    On a clock that stops during suspension, a lease would outlast its term.
     """
 
     __slots__ = ()
 
     def monotonic(self) -> float:
-        """Return seconds since the VM was started."""
+        """Return the seconds since the VM booted."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class ManualClock:
-    """Clock that moves only when told to, optionally at a rate that differs from true time.
+    """Clock for tests that advances only on request, optionally at a rate different from true time.
 
     Parameters
     ----------
     now : float
-        Start of the monotonic clock in seconds.
+        Initial monotonic time in seconds.
     rate : float
-        Seconds this clock advances for each true second.
+        Seconds by which this clock advances for each second of true time.
     """
 
     __slots__ = ("now", "rate", "wall_offset")
@@ -66,9 +66,9 @@
         return self.now
 
     def wall(self) -> float:
-        """Return the wall time that belongs to the monotonic time."""
+        """Return the wall time that corresponds to the monotonic time."""
         return self.now + self.wall_offset
 
     def advance(self, seconds: float) -> None:
-        """Let ``seconds`` of true time pass."""
+        """Advance the clock by ``seconds`` of true time."""
         self.now += seconds * self.rate
--- a/src/hibiscusdrum/internal/codec.py
+++ b/src/hibiscusdrum/internal/codec.py
@@ -1,4 +1,4 @@
-"""Encoding of messages, and signatures of control messages."""
+"""Encoding and decoding of messages, and signatures of control messages."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from hibiscusdrum.internal.messages import ControlMessage, Message, RequestMessage
 
 SIGNATURE_BYTES = 16
-# Length of the excerpt of a bad frame that an error names; longer ones would leak request content.
+# Bytes of a malformed frame that the error quotes; a longer excerpt could disclose request contents.
 EXCERPT_BYTES = 16
 
 _encoder = msgspec.msgpack.Encoder()
@@ -20,7 +20,7 @@
 
 
 def encode(message: Message) -> bytes:
-    """Return the msgpack form of a message."""
+    """Return a message encoded as msgpack."""
     return _encoder.encode(message)
 
 
@@ -36,7 +36,7 @@
 
 
 def sign(key: bytes, message: Message) -> bytes:
-    """Return a control message in signed form: the signature, then the message."""
+    """Return the signature of a control message, followed by the encoded message."""
     payload = _encoder.encode(message)
     return _signature(key, payload) + payload
 
--- a/src/hibiscusdrum/internal/routing.py
+++ b/src/hibiscusdrum/internal/routing.py
@@ -1,4 +1,4 @@
-"""Which region, slice and node serve a request; shared by daemons and the caller's library."""
+"""Resolution of requests to regions and slices, shared by daemons and the client library."""
 
 from __future__ import annotations
 
@@ -11,14 +11,16 @@
 
 
 class Resolution(msgspec.Struct, frozen=True):
-    """Where a request belongs.
+    """Route, tenant, region and slice of a request.
 
     Attributes
     ----------
     region : str
         The only region that serves the key.
+    hash_value : int
+        Hash of the key.
     owned : bool
-        Whether only the slice's owner may serve it; otherwise any target of the region may.
+        Whether only the slice's owner may serve the request; otherwise any target of the region may.
     """
 
     route: Route
@@ -30,14 +32,14 @@
 
 
 def resolve(document: Document, service: str, tenant_name: str, key: bytes, idempotent: bool) -> Resolution:
-    """Resolve a request by configuration alone.
+    """Resolve a request from the configuration alone.
 
     Raises
     ------
     UnknownService, UnknownTenant
         If the configuration has no such route or tenant.
     Suspended
-        If the tenant's keys are moving between regions.
+        If the tenant's keys are being moved between regions.
     """
     route = document.routes.get(service)
     if route is None:
@@ -60,5 +62,5 @@
 
 
 def may_take_work(document: Document, row: OwnerRow) -> bool:
-    """Return whether a node may be given new work and slices under the configuration."""
+    """Return whether the configuration allows a node to receive new requests and slices."""
     return row.failure_domain not in document.drained and row.node not in document.retired
