--- a/src/hibiscusdrum/internal/histograms.py
+++ b/src/hibiscusdrum/internal/histograms.py
@@ -1,8 +1,8 @@
-"""Histograms that are aggregated here and exported in OpenTelemetry's data model.
+"""Latency histograms that are aggregated without the OpenTelemetry SDK and exported in its data model.
 
-``Histogram.record`` of the SDK takes about 11 us a sample, and a request has two of them;
-``LatencyHistogram.record`` takes under 1 us. The reader adds the aggregated points to
-what it exports, so a scrape shows ordinary histograms.
+``Histogram.record`` of the SDK takes about 11 us for each sample, and each request records two samples;
+``LatencyHistogram.record`` takes less than 1 us. ``HistogramReader`` adds the data points to those of the
+SDK, so that a scrape returns ordinary histograms.
 """
 
 from __future__ import annotations
@@ -24,24 +24,24 @@
 from opentelemetry.sdk.util.instrumentation import InstrumentationScope
 
 SCOPE = InstrumentationScope("hibiscusdrum")
-NANOSECONDS = 1_000_000_000
+NANOSECONDS_PER_SECOND = 1_000_000_000
 
 
 class Series:
-    """Samples with the same attributes."""
+    """Aggregated samples with the same attributes."""
 
-    __slots__ = ("attributes", "counts", "largest", "smallest", "total")
+    __slots__ = ("attributes", "counts", "maximum", "minimum", "total")
 
     def __init__(self, attributes: dict[str, str], buckets: int) -> None:
         self.attributes = attributes
         self.counts = [0] * buckets
         self.total = 0.0
-        self.smallest = float("inf")
-        self.largest = 0.0
+        self.minimum = float("inf")
+        self.maximum = 0.0
 
 
 class LatencyHistogram:
-    """Histogram with fixed bounds, one series for each tenant and class.
+    """Histogram with fixed bucket bounds and one series for each tenant and request class.
 
     Parameters
     ----------
@@ -67,13 +67,13 @@
             series = self.series[tenant, request_class] = Series(attributes, len(self.bounds) + 1)
         series.counts[bisect_left(self.bounds, seconds)] += 1
         series.total += seconds
-        if seconds < series.smallest:
-            series.smallest = seconds
-        if seconds > series.largest:
-            series.largest = seconds
+        if seconds < series.minimum:
+            series.minimum = seconds
+        if seconds > series.maximum:
+            series.maximum = seconds
 
     def metric(self, now_ns: int) -> Metric:
-        """Return the present counts in OpenTelemetry's data model."""
+        """Return the current counts in OpenTelemetry's data model."""
         points = [self.point(series, now_ns) for series in self.series.values()]
         data = Histogram(data_points=points, aggregation_temporality=AggregationTemporality.CUMULATIVE)
         return Metric(name=self.name, description="", unit="s", data=data)
@@ -88,13 +88,13 @@
             sum=series.total,
             bucket_counts=tuple(series.counts),
             explicit_bounds=self.bounds,
-            min=series.smallest,
-            max=series.largest,
+            min=series.minimum,
+            max=series.maximum,
         )
 
 
 class HistogramReader(PrometheusMetricReader):
-    """Prometheus exporter that also exports the histograms aggregated here.
+    """Prometheus exporter that also exports a set of ``LatencyHistogram``.
 
     Parameters
     ----------
@@ -112,6 +112,6 @@
         if metrics and metrics_data is not None and metrics_data.resource_metrics:
             resource = metrics_data.resource_metrics[0].resource
             scope = ScopeMetrics(scope=SCOPE, metrics=metrics, schema_url="")
-            own = ResourceMetrics(resource=resource, scope_metrics=[scope], schema_url="")
-            metrics_data = MetricsData(resource_metrics=[*metrics_data.resource_metrics, own])
+            latency_metrics = ResourceMetrics(resource=resource, scope_metrics=[scope], schema_url="")
+            metrics_data = MetricsData(resource_metrics=[*metrics_data.resource_metrics, latency_metrics])
         super()._receive_metrics(metrics_data, *arguments, **options)
--- a/src/hibiscusdrum/internal/log_events.py
+++ b/src/hibiscusdrum/internal/log_events.py
@@ -1,6 +1,6 @@
-"""Numbered log events, one class each.
+"""Numbered log events, one class for each.
 
-Every event is written as one JSON object a line to the standard error stream. Fields name nodes, slices,
+Each event is written as a JSON object on one line, by default to standard error. Fields hold nodes, slices,
 revisions and counts; they never hold keys, bodies or other contents of a tenant's requests, because logs
 leave the region.
 """
@@ -19,32 +19,33 @@
 from hibiscusdrum.internal.log_base import LogEvent
 from hibiscusdrum.internal.router import events as router_events
 
-# Time between two lines of an event that other parties can cause at will. Without it a stray sender fills the
-# log at the rate of its messages.
+# Interval of the rate limit of events that other parties can cause. Without the limit, an unknown sender can
+# fill the log at the rate of its messages.
 RATE_LIMIT_INTERVAL_SECONDS = 1.0
-# Frames of a traceback that an internal error lists; the innermost ones locate the fault.
+# Innermost stack frames of an exception that are written with an internal error.
 TRACEBACK_FRAMES = 8
 
 _encoder = msgspec.json.Encoder()
 _node = ""
 _handler: int | None = None
 _clock: Clock = SystemClock()
-# Start of the present interval, lines written and events left out in it, by what ``rate_limit_key`` returns.
+# For each rate limit key: start of the current interval, lines written in it, and events left out since the
+# last line.
 _rate_limits: dict[Any, tuple[float, int, int]] = {}
 
 
 class Output(Protocol):
-    """Where lines are written."""
+    """Destination of the log lines."""
 
     def write(self, text: str) -> Any:
-        """Write a line; must not block for long."""
+        """Write a line without blocking for long."""
 
 
 _output: Output | None = None
 
 
 class Started(LogEvent, frozen=True):
-    """The daemon listens on its addresses and has joined."""
+    """The daemon listens on its addresses and has joined the cluster."""
 
     number = 101
     cause = "All services of the daemon have started."
@@ -58,7 +59,7 @@
 
 
 class Stopping(LogEvent, frozen=True):
-    """A planned stop has begun; the node takes no new work."""
+    """A planned stop has begun; the node accepts no new requests."""
 
     number = 102
     cause = "A stop signal was received."
@@ -68,10 +69,10 @@
 
 
 class Stopped(LogEvent, frozen=True):
-    """The daemon has ended."""
+    """The daemon has stopped."""
 
     number = 103
-    cause = "The planned stop finished, or its time limit passed."
+    cause = "The planned stop was completed, or its timeout expired."
     operator_action = "None when `slices_left` is 0; otherwise the guard takes the slices over."
 
     duration_ms: float
@@ -80,12 +81,12 @@
 
 
 class StartFailed(LogEvent, frozen=True):
-    """The daemon could not start and ends."""
+    """The daemon could not start and exits."""
 
     number = 104
     level = "ERROR"
     cause = "An address is in use, or a service failed to start."
-    operator_action = "Correct the cause that `code` and `reason` name, then start the daemon again."
+    operator_action = "Correct the problem that `code` and `reason` describe, then start the daemon again."
 
     code: str
     reason: str
@@ -106,7 +107,7 @@
 
     number = 202
     level = "WARNING"
-    cause = "The target process ended or stopped listening."
+    cause = "The target process exited or stopped listening."
     operator_action = "Check the target process if it does not announce itself again within a minute."
 
     target: str
@@ -114,12 +115,12 @@
 
 
 class TargetCold(LogEvent, frozen=True):
-    """The target responds like a freshly started one; its load is ramped up again."""
+    """The target is as slow as a newly started one; its load is ramped up again."""
 
     number = 203
     level = "WARNING"
     cause = "Latency rose sharply without a rise in load, or the target's incarnation changed."
-    operator_action = "None; look at the target if it recurs without restarts."
+    operator_action = "None; examine the target if the event recurs without restarts."
 
     target: str
     latency_ms: float
@@ -127,19 +128,21 @@
 
 
 class TargetEjected(LogEvent, frozen=True):
-    """The target receives less shared work because it is slower than its peers."""
+    """The target receives fewer requests that any target may serve, because it is slower than its peers."""
 
     number = 204
     level = "WARNING"
     cause = "Its latency exceeds that of the other targets of the ring by the ejection factor."
-    operator_action = "None; look for a neighbour that loads the VM if it recurs."
+    operator_action = (
+        "None; if the event recurs, check whether another workload on the host slows the VM down."
+    )
 
     target: str
     latency_ms: float
 
 
 class TargetReturned(LogEvent, frozen=True):
-    """A target that was ejected receives its full share again."""
+    """An ejected target receives its full share of requests again."""
 
     number = 205
     cause = "Its latency is back within the range of its peers."
@@ -159,7 +162,7 @@
 
 
 class LeaseLost(LogEvent, frozen=True):
-    """The lease lapsed; the node refuses requests for its keys."""
+    """The lease expired; the node refuses requests for its keys."""
 
     number = 302
     level = "ERROR"
@@ -175,7 +178,7 @@
     """The lease is valid again."""
 
     number = 303
-    cause = "The guard granted a renewal after the lease had lapsed."
+    cause = "The guard granted a renewal after the lease had expired."
 
     guard: str
     lease_version: int
@@ -198,18 +201,18 @@
 
     number = 305
     level = "WARNING"
-    cause = "No other node with a valid lease was found: first node, or all guards lapsed together."
+    cause = "No other node has a valid lease: this is the first node, or all leases expired together."
     operator_action = "If the node is lost in this state, confirm a `release_nodes` plan."
 
     lease_version: int
 
 
 class TakeoverStarted(LogEvent, frozen=True):
-    """The guard begins to take over a node."""
+    """The guard has started to take over a node."""
 
     number = 311
     level = "WARNING"
-    cause = "The node did not renew its lease for a term and the clock margin."
+    cause = "The node did not renew its lease for one lease term plus the clock margin."
 
     taken_node: str
     lease_version: int
@@ -233,17 +236,17 @@
     """Rows changed during the takeover; the guard reads them again."""
 
     number = 313
-    cause = "The node came back, changed its guard, or a receiver's row changed."
+    cause = "The node renewed its lease, changed its guard, or a receiver's row changed."
 
     taken_node: str
     keys: tuple[str, ...]
 
 
 class HandoverCommitted(LogEvent, frozen=True):
-    """Slices moved to another node while serving."""
+    """Slices were moved to another node without interrupting service."""
 
     number = 321
-    cause = "A planned move, rebalancing, or a node that is leaving."
+    cause = "A planned move, rebalancing, or the node is leaving."
 
     receiver: str
     slices: int
@@ -252,12 +255,12 @@
 
 
 class HandoverFailed(LogEvent, frozen=True):
-    """Slices stayed with their owner; the move is tried again."""
+    """Slices could not be moved and stay with their owner; the move is retried."""
 
     number = 322
     level = "WARNING"
-    cause = "The store refused or did not answer the transaction, or requests in flight did not end."
-    operator_action = "None; see `store_unavailable` if it recurs."
+    cause = "The store refused or did not answer the transaction, or requests in flight did not complete."
+    operator_action = "None; see `store_unavailable` if the event recurs."
 
     receiver: str
     slices: int
@@ -286,12 +289,12 @@
 
 
 class StoreUnavailable(LogEvent, frozen=True):
-    """The table service does not answer; owners continue, and nothing moves."""
+    """The table service does not answer; owners continue to serve, and no slices are moved."""
 
     number = 401
     level = "ERROR"
-    cause = "The store is down, slow, or cut off from this node."
-    operator_action = "Inform the platform's operators. Postpone planned stops and confirms."
+    cause = "The store is down, slow, or unreachable from this node."
+    operator_action = "Inform the platform's operators. Postpone planned stops and confirmations of plans."
 
     operation: str
     reason: str
@@ -317,11 +320,11 @@
 
 
 class ConfigBehind(LogEvent, frozen=True):
-    """The node lacks a revision that a change builds on; it fetches the document."""
+    """The node lacks the base revision of a change and fetches the whole document."""
 
     number = 502
     cause = "A change was lost, or the node was paused or partitioned."
-    operator_action = "Check the node's network if it recurs for minutes."
+    operator_action = "Check the node's network if the event recurs for minutes."
 
     revision: int
     offered: int
@@ -350,11 +353,11 @@
 
 
 class PlanConflict(LogEvent, frozen=True):
-    """A confirm was refused because the configuration has changed since the plan."""
+    """A confirmation was refused because the configuration has changed since the plan was created."""
 
     number = 513
     level = "WARNING"
-    cause = "Another operator confirmed a plan in between."
+    cause = "Another operator confirmed a plan in the meantime."
     operator_action = "Read the history, then submit the intent again."
 
     plan: str
@@ -366,7 +369,7 @@
     """A revision is acknowledged by every node that holds a lease."""
 
     number = 514
-    cause = "The last acknowledgement arrived, or the last missing node's lease is gone."
+    cause = "The last acknowledgement arrived, or the node that had not acknowledged no longer has a lease."
 
     revision: int
     duration_ms: float
@@ -378,27 +381,27 @@
     number = 601
     level = "WARNING"
     rate_limited = True
-    cause = "A caller or peer of another version, or a stray sender."
-    operator_action = "Find the sender if it recurs."
+    cause = "A caller or peer runs another version, or an unknown sender reached the port."
+    operator_action = "Find the sender if the event recurs."
 
     party: str
     reason: str
 
 
 class Unauthorized(LogEvent, frozen=True):
-    """A control message or operator request without the shared key was refused."""
+    """A control message or operator request without the correct shared key was refused."""
 
     number = 602
     level = "WARNING"
     rate_limited = True
-    cause = "A daemon or client has another shared key, or a stray sender."
+    cause = "A daemon or client uses another shared key, or the sender is unknown."
     operator_action = "Compare the shared keys; find the sender if it is unknown."
 
     party: str
 
 
 class RequestRefusedRegion(LogEvent, frozen=True):
-    """A request with home regions arrived in another region and was not run."""
+    """A request arrived outside its tenant's home regions and was not run."""
 
     number = 603
     level = "WARNING"
@@ -424,45 +427,49 @@
 
 
 class InternalError(LogEvent, frozen=True):
-    """A fault of the program; the loop continues.
+    """An unexpected error in the program; the event loop continues.
 
-    ``message`` is the text of the logging call, ``error`` the exception's type, and ``location`` its
-    stack frames. The exception's own text is left out, since it may quote request contents.
+    ``message`` is the text of the logging call, ``error`` the type of the exception, and ``location`` its
+    stack frames. The text of the exception is not written, since it may quote request contents.
     """
 
     number = 901
     level = "ERROR"
     rate_limited = True
     cause = "A programming error."
-    operator_action = "Report it with the line."
+    operator_action = "Report a bug and include this line."
 
     message: str
     error: str
     location: tuple[str, ...]
 
     def rate_limit_key(self) -> Any:
-        """Limit each fault by itself, so that a frequent one does not hide another."""
+        """Limit each location separately, so that a frequent error does not hide another one."""
         return self.location
 
 
 EVENTS: tuple[type[LogEvent], ...] = tuple(LogEvent.__subclasses__())
 assert set(EVENTS) >= router_events.EVENTS
 for _event in EVENTS:
-    # msgspec collects the fields after ``__init_subclass__`` has run.
+    # msgspec collects the fields only after ``__init_subclass__`` has run, so they cannot be set there.
     _event.fields = _event.__struct_fields__
 
 
 def configure(node: str, level: str, clock: Clock | None = None, output: Output | None = None) -> None:
-    """Write events of ``level`` and above to an output, marked with the node.
+    """Write events of ``level`` and above to an output.
 
-    Lines that reach loguru by another way than ``emit`` are written as ``internal_error``.
+    Messages logged through loguru without ``emit`` are written as ``internal_error``.
 
     Parameters
     ----------
+    node : str
+        Node named in each line.
+    level : str
+        Lowest level that is written.
     clock : Clock, optional
-        Clock of the limit on the rate of lines.
+        Clock of the rate limit; the system clock by default.
     output : Output, optional
-        Standard error when not given.
+        Destination of the lines; standard error by default.
     """
     global _node, _handler, _clock, _output
     _node = node
@@ -474,24 +481,24 @@
 
 
 def emit(event: LogEvent) -> None:
-    """Write one event, unless its class is limited and a line was written shortly before."""
-    left_out = _admit(event)
+    """Write one event unless its rate limit is reached."""
+    left_out = _check_rate_limit(event)
     if left_out is not None:
         logger.bind(event=event, left_out=left_out).log(event.level, event.event_name())
 
 
-def _admit(event: LogEvent) -> int | None:
-    """Return how many events were left out since the last line, or None to leave this one out too."""
+def _check_rate_limit(event: LogEvent) -> int | None:
+    """Return the number of events left out since the last line, or None if this one is left out too."""
     if not event.rate_limited:
         return 0
     key, now = event.rate_limit_key(), _clock.monotonic()
-    since, written, left_out = _rate_limits.get(key, (float("-inf"), 0, 0))
-    if now - since >= RATE_LIMIT_INTERVAL_SECONDS:
-        since, written = now, 0
+    interval_start, written, left_out = _rate_limits.get(key, (float("-inf"), 0, 0))
+    if now - interval_start >= RATE_LIMIT_INTERVAL_SECONDS:
+        interval_start, written = now, 0
     if written >= event.lines_per_interval:
-        _rate_limits[key] = (since, written, left_out + 1)
+        _rate_limits[key] = (interval_start, written, left_out + 1)
         return None
-    _rate_limits[key] = (since, written + 1, 0)
+    _rate_limits[key] = (interval_start, written + 1, 0)
     return left_out
 
 
@@ -500,7 +507,7 @@
     event, left_out = record["extra"].get("event"), record["extra"].get("left_out")
     if event is None:
         event = _internal_error(record)
-        left_out = _admit(event)
+        left_out = _check_rate_limit(event)
     if left_out is not None:
         (_output or sys.stderr).write(_line(event, record, left_out) + "\n")
 
@@ -520,34 +527,34 @@
 def _internal_error(record: Any) -> InternalError:
     exception = record["exception"]
     if exception is None or exception.type is None:
-        where = f"{record['file'].name}:{record['line']} {record['function']}"
-        return InternalError(message=record["message"], error="", location=(where,))
+        call_site = f"{record['file'].name}:{record['line']} {record['function']}"
+        return InternalError(message=record["message"], error="", location=(call_site,))
     frames = traceback.extract_tb(exception.traceback)[-TRACEBACK_FRAMES:]
     location = tuple(f"{frame.filename}:{frame.lineno} {frame.name}" for frame in frames)
     return InternalError(message=record["message"], error=exception.type.__name__, location=location)
 
 
 def describe() -> str:
-    """Return the page ``docs/events.md``."""
+    """Return the contents of ``docs/events.md``."""
     lines = [
         "# Log events",
         "",
         "<!-- Generated by `python -m hibiscusdrum.internal.log_events`; do not edit. -->",
         "",
-        "`hibiscusdrumd` writes one JSON object a line to standard error, and the router of HTTP callers to",
-        "standard output, with the members `time` (UTC),",
+        "Each event is written as a JSON object on one line: by `hibiscusdrumd` to standard error, by the",
+        "router of HTTP callers to standard output. Its members are `time` (UTC),",
         "`number`, `name`, `level`, `node` and `fields`. Keys, bodies and other request",
-        "contents are never written. Events marked *limited* are written at most so many times in",
-        f"{RATE_LIMIT_INTERVAL_SECONDS:g} s; the member `left_out` then counts those that were not written.",
+        "contents are never written. Events marked *limited to n* are written at most n times in",
+        f"{RATE_LIMIT_INTERVAL_SECONDS:g} s; the member `left_out` of the next line counts those left out.",
         "",
         "| number | name | level | fields | meaning | cause | operator action |",
         "|---|---|---|---|---|---|---|",
     ]
-    lines += [_describe_row(event) for event in sorted(EVENTS, key=lambda event: event.number)]
+    lines += [_table_row(event) for event in sorted(EVENTS, key=lambda event: event.number)]
     return "\n".join(lines) + "\n"
 
 
-def _describe_row(event: type[LogEvent]) -> str:
+def _table_row(event: type[LogEvent]) -> str:
     fields = ", ".join(f"`{field}`" for field in event.fields) or "-"
     meaning = (event.__doc__ or "").strip().splitlines()[0]
     cells = (
--- a/src/hibiscusdrum/internal/log_output.py
+++ b/src/hibiscusdrum/internal/log_output.py
@@ -1,43 +1,43 @@
-"""Output of log lines that never blocks the loop."""
+"""Output of log lines that never blocks the event loop."""
 
 from __future__ import annotations
 
 import os
 
-# Bytes of a line of which only a part could be written; more lines are dropped while they wait.
-LARGEST_REST_BYTES = 65_536
+# Most bytes written at once, with those pending from earlier lines; a line that would exceed it is dropped.
+MAX_PENDING_BYTES = 65_536
 
 
 class NonBlockingOutput:
-    """Writes to a descriptor; lines that it cannot take at once are dropped and counted.
+    """Writes lines to a file descriptor; drops and counts lines when the reader is too slow.
 
     Parameters
     ----------
     descriptor : int
-        Put into non-blocking mode.
+        File descriptor, which is set to non-blocking mode.
     """
 
-    __slots__ = ("descriptor", "dropped", "rest")
+    __slots__ = ("descriptor", "dropped", "pending")
 
     def __init__(self, descriptor: int) -> None:
         os.set_blocking(descriptor, False)
         self.descriptor = descriptor
         self.dropped = 0
-        self.rest = b""
+        self.pending = b""
 
     def write(self, text: str) -> None:
-        """Write a line, or drop it when the reader is behind."""
-        data = self.rest + text.encode()
-        if len(data) > LARGEST_REST_BYTES:
+        """Write a line, or drop it if too many bytes are pending."""
+        data = self.pending + text.encode()
+        if len(data) > MAX_PENDING_BYTES:
             self.dropped += 1
-            data = self.rest
+            data = self.pending
         try:
-            sent = os.write(self.descriptor, data) if data else 0
+            written = os.write(self.descriptor, data) if data else 0
         except BlockingIOError:
-            sent = 0
+            written = 0
         except OSError:
-            # Nobody reads any more; there is no other place to report it.
+            # The reader is gone, and there is no other output on which to report it.
             self.dropped += 1
-            self.rest = b""
+            self.pending = b""
             return
-        self.rest = data[sent:]
+        self.pending = data[written:]
