--- a/src/hibiscusdrum/internal/settings.py
+++ b/src/hibiscusdrum/internal/settings.py
@@ -1,7 +1,7 @@
-"""Settings of the daemon, from flags and environment variables.
+"""Settings of the daemon, read from command line flags and environment variables.
 
-One table, ``SETTINGS``, describes every setting. ``load`` checks all of them before anything starts and
-reports every fault at once, so that an operator needs one attempt to correct a command line.
+``SETTINGS`` describes every setting. ``load`` validates all of them before anything is started and reports
+all problems at once, so that an operator can correct them in one attempt.
 """
 
 from __future__ import annotations
@@ -19,26 +19,26 @@
 HIDDEN = "(hidden)"
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 NAME_EXPECTED = "1 to 63 letters, digits, '.', '_' or '-', beginning with a letter or digit"
-ADDRESS_EXPECTED = "ip:port with an IP number that peers can reach and a port from 1 to 65535"
+ADDRESS_EXPECTED = "ip:port with an IP address that peers can reach and a port from 1 to 65535"
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
-# The key is sent as an HTTP header, which limits it to printable ASCII without spaces.
+# The key is sent in an HTTP header, so only printable ASCII without spaces is allowed.
 KEY_PATTERN = re.compile(r"[!-~]{16,256}")
 KEY_EXPECTED = "16 to 256 printable ASCII characters without spaces"
-# Two renewals in a row may be lost before a lease lapses.
+# A lease survives the loss of two consecutive renewals.
 RENEWALS_PER_TERM = 3
 
 
 class Problem(msgspec.Struct, frozen=True):
-    """One wrong setting.
+    """One invalid setting.
 
     Attributes
     ----------
     name : str
-        Setting, or environment variable when it is unknown.
+        Name of the setting, or the given name if there is no such setting.
     value : str
-        What was given; ``(hidden)`` for secrets, ``(missing)`` when nothing was given.
+        The given value; ``(hidden)`` for secrets and unknown names, ``(missing)`` if none was given.
     expected : str
-        The accepted values.
+        Description of the accepted values.
     """
 
     name: str
@@ -58,13 +58,15 @@
     Attributes
     ----------
     parse : callable
-        Turns text into the value; raises ``ValueError`` when it is malformed.
+        Converts text to the value; raises ``ValueError`` if the text is malformed.
     default : Any
-        None when the setting is required.
+        Default value; None if the setting is required.
     minimum, maximum : float or None
-        Accepted range of a number, both ends included.
+        Inclusive range of a number.
     expected : str
-        Accepted values of a setting that is not a number.
+        Description of the accepted values of a setting that is not a number.
+    secret : bool
+        Whether the value must not be printed.
     """
 
     name: str
@@ -90,19 +92,19 @@
 
     @property
     def accepted(self) -> str:
-        """Accepted values in words."""
+        """Description of the accepted values."""
         return self.expected or f"{self.type_name} from {self.minimum} to {self.maximum}"
 
 
 def parse_name(text: str) -> str:
-    """Check a name that becomes part of row keys, which use ``/`` and ``@`` as separators."""
+    """Validate a name, which becomes part of row keys that use ``/`` and ``@`` as separators."""
     if not NAME_PATTERN.fullmatch(text):
         raise ValueError(text)
     return text
 
 
 def parse_address(text: str) -> str:
-    """Check ``ip:port`` (IPv6 in brackets); host names and unspecified addresses are refused."""
+    """Validate ``ip:port`` (IPv6 in brackets); host names, unspecified and multicast IPs are refused."""
     host, separator, port = text.rpartition(":")
     bracketed = host.startswith("[") and host.endswith("]")
     address = ipaddress.ip_address(host[1:-1] if bracketed else host)
@@ -114,7 +116,7 @@
 
 
 def parse_integer(text: str) -> int:
-    """Parse a decimal integer without underscores, spaces or signs other than ``-``."""
+    """Parse a decimal integer; underscores, spaces and a ``+`` sign are refused."""
     if not re.fullmatch(r"-?[0-9]{1,18}", text):
         raise ValueError(text)
     return int(text)
@@ -128,29 +130,29 @@
 
 
 def parse_log_level(text: str) -> str:
-    """Check a log level."""
+    """Validate a log level."""
     if text not in LOG_LEVELS:
         raise ValueError(text)
     return text
 
 
 def parse_shared_key(text: str) -> bytes:
-    """Check the shared key and return its bytes."""
+    """Validate the shared key and return its bytes."""
     if not KEY_PATTERN.fullmatch(text):
         raise ValueError(HIDDEN)
     return text.encode()
 
 
-def _name(name: str, text: str) -> Setting:
-    return Setting(name, parse_name, "name", "", text, expected=NAME_EXPECTED)
+def _name(name: str, meaning: str) -> Setting:
+    return Setting(name, parse_name, "name", "", meaning, expected=NAME_EXPECTED)
 
 
-def _address(name: str, text: str) -> Setting:
-    return Setting(name, parse_address, "address", "ip:port", text, expected=ADDRESS_EXPECTED)
+def _address(name: str, meaning: str) -> Setting:
+    return Setting(name, parse_address, "address", "ip:port", meaning, expected=ADDRESS_EXPECTED)
 
 
-def _integer(name: str, unit: str, default: int, minimum: int, maximum: int, text: str) -> Setting:
-    return Setting(name, parse_integer, "integer", unit, text, default, minimum, maximum)
+def _integer(name: str, unit: str, default: int, minimum: int, maximum: int, meaning: str) -> Setting:
+    return Setting(name, parse_integer, "integer", unit, meaning, default, minimum, maximum)
 
 
 SETTINGS: tuple[Setting, ...] = (
@@ -171,49 +173,49 @@
         expected=KEY_EXPECTED,
         secret=True,
     ),
-    _integer("lease_term_ms", "ms", 1500, 300, 60_000, "Term of a lease grant; equal on all nodes."),
+    _integer("lease_term_ms", "ms", 1500, 300, 60_000, "Term of a lease grant; must be equal on all nodes."),
     _integer("renewal_interval_ms", "ms", 400, 50, 20_000, "Time between lease renewals."),
     Setting(
         "clock_margin_percent",
         parse_decimal,
         "number",
         "%",
-        "Margin for differences of clock rates, as a share of the lease term.",
+        "Margin for differences between clock rates, as a share of the lease term.",
         1.0,
         0.1,
         10.0,
     ),
-    _integer("table_poll_ms", "ms", 2000, 100, 60_000, "Time between reads of the table's changes."),
-    _integer("slots", "requests", 9, 1, 10_000, "Requests that the target runs at once, at most."),
-    _integer("connections", "connections", 120, 1, 10_000, "Connections to the target, at most."),
-    _integer("queue_capacity", "requests", 256, 1, 65_536, "Requests waiting for a slot, at most."),
-    _integer("max_body_bytes", "bytes", 1_048_576, 1, 67_108_864, "Size of a request body, at most."),
-    _integer("dedup_window_s", "s", 120, 10, 3600, "Time for which request ids are remembered."),
-    _integer("stop_timeout_s", "s", 20, 1, 600, "Time that a planned stop waits for work and the store."),
+    _integer("table_poll_ms", "ms", 2000, 100, 60_000, "Time between polls of the table for changes."),
+    _integer("slots", "requests", 9, 1, 10_000, "Maximum number of requests that the target runs at once."),
+    _integer("connections", "connections", 120, 1, 10_000, "Maximum number of connections to the target."),
+    _integer("queue_capacity", "requests", 256, 1, 65_536, "Maximum number of requests waiting for a slot."),
+    _integer("max_body_bytes", "bytes", 1_048_576, 1, 67_108_864, "Maximum size of a request body."),
+    _integer("dedup_window_s", "s", 120, 10, 3600, "Time for which request ids are kept for deduplication."),
+    _integer("stop_timeout_s", "s", 20, 1, 600, "Longest wait of a planned stop for requests and the store."),
     Setting(
         "log_level",
         parse_log_level,
         "level",
         "",
-        "Lowest level of the log events that are written.",
+        "Lowest level of log events that are written.",
         "INFO",
         expected="one of " + ", ".join(LOG_LEVELS),
     ),
-    _integer("rebalance_interval_ms", "ms", 1000, 100, 60_000, "Time between decisions to move slices."),
+    _integer("rebalance_interval_ms", "ms", 1000, 100, 60_000, "Time between decisions to rebalance slices."),
     _integer(
         "cross_region_bytes_per_second",
         "bytes/s",
         3_750_000,
         1000,
         1_250_000_000,
-        "Budget of the link between regions that this deployment may use.",
+        "Budget of this deployment for traffic between regions.",
     ),
 )
 BY_NAME: dict[str, Setting] = {setting.name: setting for setting in SETTINGS}
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
-    """Checked settings; ``SETTINGS`` gives the unit and range of each."""
+    """Validated settings; ``SETTINGS`` describes the unit and range of each."""
 
     node: str
     region: str
@@ -250,36 +252,36 @@
 
 
 def load(flags: Mapping[str, Any], environment: Mapping[str, str]) -> Settings:
-    """Build the settings; a flag takes precedence over the environment variable.
+    """Load the settings; a flag takes precedence over the environment variable.
 
     Parameters
     ----------
     flags : mapping of str to Any
         Values by setting name; None means that the flag was not given.
     environment : mapping of str to str
-        Environment variables; those that begin with ``HIBISCUSDRUM_`` are considered.
+        Environment variables; only those that begin with ``HIBISCUSDRUM_`` are read.
 
     Raises
     ------
     InvalidSettings
-        If any value is missing, malformed, out of range or unknown; names all of them.
+        If any value is missing, malformed or out of range, or any name is unknown; lists all problems.
     """
     given = {name: value for name, value in flags.items() if value is not None}
-    problems = _unknown(given, environment)
+    problems = _unknown_names(given, environment)
     values: dict[str, Any] = {}
     for setting in SETTINGS:
         raw = given.get(setting.name, environment.get(setting.environment))
         try:
-            values[setting.name] = _value(setting, raw)
+            values[setting.name] = _parse_value(setting, raw)
         except ValueError:
-            problems.append(_problem(setting, raw))
-    problems.extend(_relations(values))
+            problems.append(_describe_problem(setting, raw))
+    problems.extend(_check_relations(values))
     if problems:
         raise InvalidSettings(problems=tuple(problems))
     return Settings(**values)
 
 
-def _value(setting: Setting, raw: Any) -> Any:
+def _parse_value(setting: Setting, raw: Any) -> Any:
     if raw is None:
         if setting.default is None:
             raise ValueError(setting.name)
@@ -290,22 +292,22 @@
     return value
 
 
-def _problem(setting: Setting, raw: Any) -> Problem:
+def _describe_problem(setting: Setting, raw: Any) -> Problem:
     if raw is None:
         return Problem(setting.name, "(missing)", setting.accepted)
     return Problem(setting.name, HIDDEN if setting.secret else repr(raw), setting.accepted)
 
 
-def _unknown(given: Mapping[str, Any], environment: Mapping[str, str]) -> list[Problem]:
-    """Report names that no setting has; values are hidden, since they may be a misspelt secret."""
+def _unknown_names(given: Mapping[str, Any], environment: Mapping[str, str]) -> list[Problem]:
+    """Report unknown names; their values are hidden, since the name may be that of a secret, misspelt."""
     known = {setting.environment for setting in SETTINGS}
     names = [name for name in given if name not in BY_NAME]
     names += [name for name in environment if name.startswith(ENVIRONMENT_PREFIX) and name not in known]
     return [Problem(name, HIDDEN, "the name of a setting") for name in sorted(names)]
 
 
-def _relations(values: Mapping[str, Any]) -> list[Problem]:
-    """Check settings against each other; those already found wrong are left out."""
+def _check_relations(values: Mapping[str, Any]) -> list[Problem]:
+    """Check settings that depend on each other; those already found invalid are skipped."""
     problems = []
     term, interval = values.get("lease_term_ms"), values.get("renewal_interval_ms")
     if term and interval and interval * RENEWALS_PER_TERM > term:
@@ -314,12 +316,12 @@
         problems.append(Problem("renewal_interval_ms", repr(interval), expected))
     http = values.get("http_address")
     if http and http == values.get("peer_address"):
-        problems.append(Problem("http_address", repr(http), "another address than peer_address"))
+        problems.append(Problem("http_address", repr(http), "an address other than peer_address"))
     return problems
 
 
 def describe() -> str:
-    """Return the page ``docs/settings.md``."""
+    """Return the contents of ``docs/settings.md``."""
     lines = [
         "# Settings",
         "",
@@ -327,23 +329,23 @@
         "",
         "Each setting is a flag of `hibiscusdrumd` or an environment variable; the flag takes precedence.",
         "Secrets have no flag, since other users of a VM can read command lines. Unknown variables that",
-        f"begin with `{ENVIRONMENT_PREFIX}` are refused. `hibiscusdrumd check` reports every fault and does",
+        f"begin with `{ENVIRONMENT_PREFIX}` are refused. `hibiscusdrumd check` reports all problems and does",
         "not start the daemon.",
         "",
         "| setting | flag | environment variable | type | unit | default | accepted | meaning |",
         "|---|---|---|---|---|---|---|---|",
     ]
-    lines += [_describe_row(setting) for setting in SETTINGS]
+    lines += [_table_row(setting) for setting in SETTINGS]
     lines += [
         "",
         "`renewal_interval_ms` may be at most a third of `lease_term_ms`, so that",
-        f"{RENEWALS_PER_TERM - 1} lost renewals in a row do not end a lease.",
+        f"a lease survives the loss of {RENEWALS_PER_TERM - 1} consecutive renewals.",
         "`peer_address` and `http_address` must differ.",
     ]
     return "\n".join(lines) + "\n"
 
 
-def _describe_row(setting: Setting) -> str:
+def _table_row(setting: Setting) -> str:
     flag = f"`{setting.flag}`" if setting.flag else "none"
     default = "required" if setting.default is None else f"`{setting.default}`"
     cells = (
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -14,7 +14,7 @@
       | PEER_ADDRESS          | 127.0.0.1:65536 | peer_address='127.0.0.1:65536': expected ip:port              |
       | PEER_ADDRESS          | ::1:7001        | peer_address='::1:7001': expected ip:port                     |
       | PEER_ADDRESS          | 127.0.0.1       | peer_address='127.0.0.1': expected ip:port                    |
-      | HTTP_ADDRESS          | 127.0.0.1:7001  | http_address='127.0.0.1:7001': expected another address       |
+      | HTTP_ADDRESS          | 127.0.0.1:7001  | http_address='127.0.0.1:7001': expected an address other than peer_address |
       | SHARED_KEY            | short           | shared_key=(hidden): expected 16 to 256                       |
       | LEASE_TERM_MS         | 299             | lease_term_ms='299': expected integer from 300 to 60000       |
       | LEASE_TERM_MS         | 1.5             | lease_term_ms='1.5': expected integer from 300 to 60000       |
