--- a/src/hibiscusdrum/internal/daemon/http_endpoint.py
+++ b/src/hibiscusdrum/internal/daemon/http_endpoint.py
@@ -91,7 +91,9 @@
         self.membership.listeners.append(lambda _rows: self.forwarding_engine.retry_waiting(time.monotonic()))
         self.operator_api = self.build_operator_api()
         scheduler = self.app.scheduler
-        self.forward_timer = scheduler.create_work_timer(FORWARD_TIMER_INTERVAL_SECONDS, self.run_forward_timers)
+        self.forward_timer = scheduler.create_work_timer(
+            FORWARD_TIMER_INTERVAL_SECONDS, self.run_forward_timers
+        )
         scheduler.every(PLAN_ADVANCE_INTERVAL_SECONDS, self.operator_api.advance)
         host, _, port = self.settings.http_address.rpartition(":")
         try:
