--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -134,13 +134,15 @@
         self.metrics = find("metrics")
         self.peers = find("peers")
         self.peers.on_request = self.on_request
-        self.peers.on_bad_frame = log_bad_frame
+        self.peers.on_invalid_frame = log_bad_frame
         self.target.available_listeners.append(self.on_target_available)
         self.leases.granted_listeners.append(self.extend_target_deadlines)
         self.leases.lost_listeners.append(self.cancel_owned_requests)
         self.owned.epoch_listeners.append(self.send_epoch_grant)
         self.configuration.listeners.append(self.on_document)
-        self.expiry_timer = self.app.scheduler.while_needed(QUEUE_EXPIRY_INTERVAL_SECONDS, self.expire_queued)
+        self.expiry_timer = self.app.scheduler.create_work_timer(
+            QUEUE_EXPIRY_INTERVAL_SECONDS, self.expire_queued
+        )
 
     def on_document(self, document: Document) -> None:
         """Apply the request class weights of a new configuration.
--- a/src/hibiscusdrum/internal/platform/object_store.py
+++ b/src/hibiscusdrum/internal/platform/object_store.py
@@ -21,14 +21,14 @@
 
 
 class ObjectStore(Service):
-    """Access to the object store; a put replaces the object, so that sending it again is safe.
+    """Asynchronous client of the object store; a put replaces the whole object, so it is safe to repeat.
 
     Parameters
     ----------
     address : str
         ``ip:port`` of the platform.
     timeout_seconds : float
-        Limit for one request.
+        Timeout of one request.
     """
 
     service_name = "object_store"
@@ -44,33 +44,41 @@
         self.http = self.app.find(HttpClient.service_name)
 
     def put(self, name: str, content: bytes, callback: PutCallback) -> None:
-        """Store an object; ``StoreUnavailable`` with reason ``unknown`` means that it may be stored."""
+        """Store an object; after ``StoreUnavailable`` with reason ``unknown``, it may have been stored."""
 
-        def done(result: HttpResult) -> None:
-            callback(put_outcome(result))
+        def on_response(result: HttpResult) -> None:
+            callback(put_result(result))
 
-        self.send("PUT", name, content, done)
+        self.send_request("PUT", name, content, on_response)
 
     def get(self, name: str, callback: GetCallback) -> None:
-        """Read an object; yields ``NotFound`` when there is none."""
+        """Read an object; the result is ``NotFound`` if it does not exist."""
 
-        def done(result: HttpResult) -> None:
-            callback(get_outcome(name, result))
+        def on_response(result: HttpResult) -> None:
+            callback(get_result(name, result))
 
-        self.send("GET", name, b"", done)
+        self.send_request("GET", name, b"", on_response)
 
-    def send(self, method: str, name: str, body: bytes, done: Callable[[HttpResult], None]) -> None:
-        """Send a request for one object."""
+    def send_request(
+        self, method: str, name: str, body: bytes, on_response: Callable[[HttpResult], None]
+    ) -> None:
+        """Send a request for one object.
+
+        Raises
+        ------
+        InvalidArgument
+            If the name is empty or begins with a slash.
+        """
         if not name or name.startswith("/"):
             raise InvalidArgument(name="name", value=name, expected="a name that does not begin with a slash")
         headers = {"content-type": "application/octet-stream"}
         self.http.request(
-            self.address, method, OBJECTS_PATH + quote(name), headers, body, self.timeout_seconds, done
+            self.address, method, OBJECTS_PATH + quote(name), headers, body, self.timeout_seconds, on_response
         )
 
 
-def put_outcome(result: HttpResult) -> Result[None, HibiscusdrumError]:
-    """Return the result of a put."""
+def put_result(result: HttpResult) -> Result[None, HibiscusdrumError]:
+    """Convert the answer to a put to its result."""
     if isinstance(result, Failure) and result.failure().bytes_sent:
         return Failure(StoreUnavailable(operation="put", reason="unknown"))
     if isinstance(result, Failure) or result.unwrap().status != OK:
@@ -78,8 +86,8 @@
     return Success(None)
 
 
-def get_outcome(name: str, result: HttpResult) -> Result[bytes, HibiscusdrumError]:
-    """Return the result of a get."""
+def get_result(name: str, result: HttpResult) -> Result[bytes, HibiscusdrumError]:
+    """Convert the answer to a get to its result."""
     if isinstance(result, Failure):
         return Failure(StoreUnavailable(operation="get", reason=unavailable_reason(result)))
     response = result.unwrap()
--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -1,7 +1,8 @@
-"""HTTP/1.1 client in the circuits loop, with a keep-alive pool for each address.
+"""HTTP/1.1 client on circuits' event loop, with a pool of keep-alive connections per address.
 
-A request is written with one send call, and an answer costs one ``_read`` event of the poller. A request
-whose bytes may have reached the peer is never sent again: only the caller knows whether that is safe.
+A request is normally written with one ``send`` call, and a response normally takes one ``_read`` event of the
+poller. A request whose bytes may have reached the peer is never retried here: only the caller knows whether a
+retry is safe.
 """
 
 from __future__ import annotations
@@ -18,55 +19,56 @@
 from hibiscusdrum.internal.kernel import Service, Timer
 from hibiscusdrum.internal.transport.http_connection import (
     DEFAULT_MAX_CONNECTIONS,
-    MAX_HELD_BYTES,
-    NO_LENGTH,
+    LENGTH_UNKNOWN,
+    MAX_BUFFERED_BYTES,
     REQUEST_ID_HEADER,
     Connection,
+    ConnectionPool,
     FailureKind,
     HttpCallback,
     HttpExchange,
     HttpFailure,
     HttpResponse,
-    Pool,
     encode_request,
     parse_address,
 )
 
-RECEIVE_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 65_536
 NO_DEADLINE = float("inf")
-WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
+IN_PROGRESS_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
 
 
 class HttpClient(Service):
-    """Sends requests and matches the answers to them.
+    """HTTP client that limits the connections to each address and the duration of each exchange.
 
     Parameters
     ----------
-    id_header : str
-        Header, in lower case, by which an answer names its request.
-    skips_other_answers : bool
-        Whether an answer to another request is dropped and the next one awaited, instead of being a failure.
-    accepts_unframed : bool
-        Whether an answer without a length is complete when the peer ends the connection without a reset.
+    request_id_header : str
+        Lower-case name of the header in which a response repeats the id of its request.
+    skips_unmatched_responses : bool
+        Whether a response to another request is skipped; otherwise it fails the exchange.
+    accepts_close_delimited : bool
+        Whether a response without a declared length is complete when the peer closes the connection without
+        a reset; otherwise it is incomplete.
     """
 
     service_name = "http_client"
 
     def __init__(
         self,
-        id_header: str = REQUEST_ID_HEADER,
-        skips_other_answers: bool = False,
-        accepts_unframed: bool = False,
+        request_id_header: str = REQUEST_ID_HEADER,
+        skips_unmatched_responses: bool = False,
+        accepts_close_delimited: bool = False,
     ) -> None:
         super().__init__()
-        self.id_header = id_header
-        self.skips_other_answers = skips_other_answers
-        self.accepts_unframed = accepts_unframed
-        self.pools: dict[str, Pool] = {}
+        self.request_id_header = request_id_header
+        self.skips_unmatched_responses = skips_unmatched_responses
+        self.accepts_close_delimited = accepts_close_delimited
+        self.pools: dict[str, ConnectionPool] = {}
         self.connections: dict[socket.socket, Connection] = {}
         self.pending: set[HttpExchange] = set()
-        self.sweep_timer: Timer | None = None
-        self.sweep_due = NO_DEADLINE
+        self.expiry_timer: Timer | None = None
+        self.expiry_due = NO_DEADLINE
 
     def request(
         self,
@@ -87,18 +89,18 @@
         address : str
             ``ip:port`` of the peer.
         timeout : float
-            Seconds for the whole exchange, the wait for a connection included.
+            Seconds for the whole exchange, including the wait for a connection.
         callback : callable
-            Gets the result once, never before this method returns.
+            Called once with the result, never before this method returns.
         max_connections : int
-            Limit for this address; requests beyond it wait.
+            Connection limit for this address; further requests wait.
         host : str, optional
-            Host header; the address when not given.
+            Value of the Host header; ``address`` by default.
 
         Raises
         ------
         InvalidArgument
-            If an argument cannot be sent as it is.
+            If an argument is out of range or cannot be encoded safely.
         """
         if not timeout > 0:
             raise InvalidArgument(name="timeout", value=timeout, expected="seconds above 0")
@@ -108,39 +110,42 @@
         pool.max_connections = max_connections
         payload = encode_request(address, method, path, headers, body, host)
         deadline = self.app.clock.monotonic() + timeout
-        request_id = headers.get(self.id_header)
+        request_id = headers.get(self.request_id_header)
         exchange = HttpExchange(self, pool, payload, request_id, method == "HEAD", deadline, callback)
         self.pending.add(exchange)
-        if deadline < self.sweep_due:
-            self.schedule_sweep(deadline)
+        if deadline < self.expiry_due:
+            self.schedule_expiry(deadline)
         self.dispatch(exchange)
         return exchange
 
-    def add_pool(self, address: str) -> Pool:
-        """Create the pool of an address."""
-        pool = self.pools[address] = Pool(address, parse_address(address))
+    def add_pool(self, address: str) -> ConnectionPool:
+        """Create the connection pool of an address."""
+        pool = self.pools[address] = ConnectionPool(address, parse_address(address))
         return pool
 
     def dispatch(self, exchange: HttpExchange) -> None:
-        """Send on an idle or new connection, or let the exchange wait for one."""
+        """Send on an idle or new connection, or queue the exchange at the connection limit."""
         pool = exchange.pool
         now = self.app.clock.monotonic()
         while pool.idle:
             connection = pool.idle.pop()
-            connection.rest = now - connection.rested_at
+            connection.idle_duration = now - connection.idle_since
             connection.sent_at = now
-            if self.is_stale(connection) or pool.rested_too_long(connection.rest, now):
+            if self.is_stale(connection) or pool.exceeds_idle_limit(connection.idle_duration, now):
                 self.close(connection)
                 continue
             self.send(connection, exchange)
             return
-        if pool.open < pool.max_connections:
+        if pool.open_count < pool.max_connections:
             self.connect(pool, exchange)
         else:
             pool.waiting.append(exchange)
 
     def is_stale(self, connection: Connection) -> bool:
-        """Tell whether the peer closed, or wrote to, an idle connection without the poller's notice yet."""
+        """Return whether an idle connection has expired, been closed or received unrequested data.
+
+        The socket is checked directly, since the poller may not have reported its state yet.
+        """
         if self.app.clock.monotonic() >= connection.expires_at:
             return True
         try:
@@ -151,7 +156,7 @@
             return True
         return True
 
-    def connect(self, pool: Pool, exchange: HttpExchange) -> None:
+    def connect(self, pool: ConnectionPool, exchange: HttpExchange) -> None:
         """Open a connection for an exchange."""
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -162,15 +167,15 @@
         connection = Connection(pool, sock)
         connection.exchange = exchange
         exchange.connection = connection
-        pool.open += 1
+        pool.open_count += 1
         self.connections[sock] = connection
-        if sock.connect_ex(pool.peer) in (0, *WOULD_BLOCK):
+        if sock.connect_ex(pool.peer_address) in (0, *IN_PROGRESS_ERRNOS):
             self.app.poller.addWriter(self, sock)
         else:
             self.app.scheduler.call_later(0.0, lambda: self.connection_lost(connection))
 
     def send(self, connection: Connection, exchange: HttpExchange) -> None:
-        """Write the request, with one call when the socket's buffer takes all of it."""
+        """Write the request; what the socket does not accept is sent when it is writable."""
         connection.exchange = exchange
         connection.fed_bytes = connection.body_bytes = 0
         exchange.connection = connection
@@ -190,17 +195,17 @@
 
     @handler("_write")
     def on_writable(self, sock: socket.socket) -> None:
-        """Finish a connect, or send more of a request."""
+        """Complete a connect, or continue to send a request."""
         connection = self.connections.get(sock)
         if connection is None:
             return
         if connection.connecting:
-            self.connected(connection)
+            self.finish_connect(connection)
         elif connection.unsent is not None:
             self.send_more(connection)
 
-    def connected(self, connection: Connection) -> None:
-        """Send the first request on a new connection."""
+    def finish_connect(self, connection: Connection) -> None:
+        """Complete a connect and send the request that opened the connection, unless it has expired."""
         if connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self.connection_lost(connection)
             return
@@ -208,12 +213,12 @@
         self.app.poller.removeWriter(connection.sock)
         self.app.poller.addReader(self, connection.sock)
         if connection.exchange.deadline <= self.app.clock.monotonic():
-            self.abandon(connection, FailureKind.TIMEOUT)
+            self.close_and_fail(connection, FailureKind.TIMEOUT)
         else:
             self.send(connection, connection.exchange)
 
     def send_more(self, connection: Connection) -> None:
-        """Send the rest of a request."""
+        """Continue to send a request."""
         try:
             sent = connection.sock.send(connection.unsent)
         except BlockingIOError:
@@ -229,74 +234,75 @@
 
     @handler("_read")
     def on_readable(self, sock: socket.socket) -> None:
-        """Parse what arrived."""
+        """Receive and parse response bytes."""
         connection = self.connections.get(sock)
         if connection is None:
             return
         try:
-            data = sock.recv(RECEIVE_BYTES)
+            data = sock.recv(RECEIVE_BUFFER_BYTES)
         except BlockingIOError:
             return
         except OSError:
             self.connection_lost(connection)
             return
-        if not data and self.accepts_unframed and connection.ends_with_connection:
-            self.finish(connection)
+        if not data and self.accepts_close_delimited and connection.is_close_delimited:
+            self.finish_exchange(connection)
             return
         if not data or connection.exchange is None:
-            # Data on an idle connection answers nothing that was asked.
+            # Data on an idle connection belongs to no request.
             self.connection_lost(connection)
             return
-        former = connection.received
+        previous = connection.received
         connection.feed(data)
         if connection.complete:
-            self.finish(connection)
-        elif connection.broken:
-            self.abandon(connection, FailureKind.MALFORMED)
-        elif connection.received > former:
-            self.bound_held()
-
-    def bound_held(self) -> None:
-        """Give up the longest answer when the bodies that are held take too much memory together."""
-        if sum(connection.received for connection in self.connections.values()) > MAX_HELD_BYTES:
-            longest = max(self.connections.values(), key=lambda connection: connection.received)
-            self.abandon(longest, FailureKind.MALFORMED)
+            self.finish_exchange(connection)
+        elif connection.malformed:
+            self.close_and_fail(connection, FailureKind.MALFORMED)
+        elif connection.received > previous:
+            self.enforce_buffer_limit()
+
+    def enforce_buffer_limit(self) -> None:
+        """Fail the exchange with the largest buffered body when all together exceed the limit."""
+        if sum(connection.received for connection in self.connections.values()) > MAX_BUFFERED_BYTES:
+            largest = max(self.connections.values(), key=lambda connection: connection.received)
+            self.close_and_fail(largest, FailureKind.MALFORMED)
 
     @handler("_disconnect", "_error")
     def on_disconnected(self, sock: socket.socket, *_error: Any) -> None:
-        """Handle a connection that the poller reports as gone."""
+        """Handle a disconnect or error reported by the poller."""
         connection = self.connections.get(sock)
         if connection is not None:
             self.connection_lost(connection)
 
-    def finish(self, connection: Connection) -> None:
-        """Deliver a complete answer and reuse the connection when that is safe."""
+    def finish_exchange(self, connection: Connection) -> None:
+        """Deliver a complete response, and keep the connection if it is reusable."""
         exchange = connection.exchange
-        response = connection.response()
-        if connection.broken or connection.unsent is not None or not connection.keep_alive:
+        response = connection.build_response()
+        if connection.malformed or connection.unsent is not None or not connection.keep_alive:
             self.close(connection)
         else:
             connection.exchange = None
             connection.reused = True
-            connection.rest = 0.0
-            connection.rested_at = self.app.clock.monotonic()
-            connection.expires_at = connection.rested_at + connection.idle_seconds()
-            connection.reset()
-            self.release(connection)
+            connection.idle_duration = 0.0
+            connection.idle_since = self.app.clock.monotonic()
+            connection.expires_at = connection.idle_since + connection.keep_alive_seconds()
+            connection.reset_response()
+            self.release_connection(connection)
         self.deliver(exchange, Success(response))
 
-    def release(self, connection: Connection) -> None:
-        """Give a free connection to the next waiting exchange, or keep it."""
+    def release_connection(self, connection: Connection) -> None:
+        """Use a free connection for the next waiting exchange, or return it to the pool."""
         exchange = self.next_waiting(connection.pool)
         if exchange is None:
             connection.pool.idle.append(connection)
         else:
             self.send(connection, exchange)
 
-    def next_waiting(self, pool: Pool) -> HttpExchange | None:
-        """Return the next exchange that still wants a connection.
+    def next_waiting(self, pool: ConnectionPool) -> HttpExchange | None:
+        """Return the next waiting exchange that is neither done nor expired.
 
-        After a pause of the process, answers are read before the sweep runs; expired ones must not be sent.
+        The deadline is checked here too: after a pause of the process, responses may be read, and their
+        connections freed, before the expiry timer runs. An expired request must not be sent.
         """
         while pool.waiting:
             exchange = pool.waiting.popleft()
@@ -304,107 +310,115 @@
                 continue
             if exchange.deadline > self.app.clock.monotonic():
                 return exchange
-            self.fail(exchange, FailureKind.TIMEOUT)
+            self.fail_exchange(exchange, FailureKind.TIMEOUT)
         return None
 
     def connection_lost(self, connection: Connection) -> None:
-        """Close a connection that ended; its exchange fails, or moves when no byte of it was sent."""
+        """Close a lost connection.
+
+        Its exchange moves to another connection if this one was reused and no byte of the request was sent;
+        otherwise it fails.
+        """
         if connection.sock not in self.connections:
             return
         exchange = connection.exchange
         if exchange is None:
             self.close(connection)
         elif connection.connecting:
-            self.abandon(connection, FailureKind.REFUSED)
+            self.close_and_fail(connection, FailureKind.REFUSED)
         elif connection.reused and not exchange.bytes_sent:
             connection.exchange = exchange.connection = None
             self.close(connection)
             self.dispatch(exchange)
-        elif connection.started:
-            self.abandon(connection, FailureKind.INCOMPLETE)
+        elif connection.response_started:
+            self.close_and_fail(connection, FailureKind.INCOMPLETE)
         else:
-            connection.pool.note_reset(connection, self.app.clock.monotonic())
-            self.abandon(connection, FailureKind.CLOSED)
+            connection.pool.record_reset(connection, self.app.clock.monotonic())
+            self.close_and_fail(connection, FailureKind.CLOSED)
 
-    def abandon(self, connection: Connection, kind: FailureKind) -> None:
+    def close_and_fail(self, connection: Connection, kind: FailureKind) -> None:
         """Close a connection and fail its exchange."""
         exchange, received, declared = connection.exchange, connection.received, connection.declared
         self.close(connection)
         if exchange is not None:
-            self.fail(exchange, kind, received, declared)
+            self.fail_exchange(exchange, kind, received, declared)
 
     def close(self, connection: Connection) -> None:
-        """Close a connection and let a waiting exchange open another."""
+        """Close a connection; a waiting exchange may open another."""
         pool, sock = connection.pool, connection.sock
         if self.connections.pop(sock, None) is None:
             return
         self.app.poller.discard(sock)
         sock.close()
-        pool.open -= 1
+        pool.open_count -= 1
         if connection in pool.idle:
             pool.idle.remove(connection)
         self.connect_waiting(pool)
 
-    def connect_waiting(self, pool: Pool) -> None:
-        """Open a connection for the next waiting exchange while the limit allows it."""
-        while pool.waiting and pool.open < pool.max_connections:
+    def connect_waiting(self, pool: ConnectionPool) -> None:
+        """Open connections for waiting exchanges, up to the connection limit."""
+        while pool.waiting and pool.open_count < pool.max_connections:
             exchange = self.next_waiting(pool)
             if exchange is not None:
                 self.connect(pool, exchange)
 
     def abort(self, exchange: HttpExchange, kind: FailureKind) -> None:
-        """End an exchange without an answer; its connection cannot be reused."""
+        """Fail an exchange before its response is complete, and close its connection, if any."""
         if exchange.done:
             return
         connection = exchange.connection
         if connection is not None and connection.exchange is exchange:
-            self.abandon(connection, kind)
+            self.close_and_fail(connection, kind)
         else:
-            self.fail(exchange, kind)
+            self.fail_exchange(exchange, kind)
 
-    def fail(
-        self, exchange: HttpExchange, kind: FailureKind, received: int = 0, declared: int = NO_LENGTH
+    def fail_exchange(
+        self, exchange: HttpExchange, kind: FailureKind, received: int = 0, declared: int = LENGTH_UNKNOWN
     ) -> None:
-        """Report a failure."""
+        """Deliver a failure to an exchange."""
         self.deliver(exchange, Failure(HttpFailure(exchange.bytes_sent, kind, received, declared)))
 
     def deliver(self, exchange: HttpExchange, result: Result[HttpResponse, HttpFailure]) -> None:
-        """Call the callback."""
+        """End an exchange and call its callback."""
         exchange.done = True
         exchange.connection = None
         self.pending.discard(exchange)
         try:
             exchange.callback(result)
         except Exception:
-            # Other exchanges may be ending in the same loop, for example in a sweep of deadlines.
-            logger.exception("callback of an HTTP exchange failed")
+            # A failing callback must not affect other exchanges that end in the same loop, for example in
+            # expire_exchanges.
+            logger.exception("HTTP exchange callback failed")
 
-    def schedule_sweep(self, due: float) -> None:
-        """Check deadlines at ``due``.
+    def schedule_expiry(self, due: float) -> None:
+        """Schedule the check of deadlines at ``due``.
 
-        One timer for all exchanges: one each would leave 6,000 cancelled timers a second in the heap.
+        All exchanges share one timer: one timer each would add 6,000 cancelled timers per second to the
+        scheduler's heap.
         """
-        if self.sweep_timer is not None:
-            self.sweep_timer.cancel()
-        self.sweep_due = due
-        self.sweep_timer = self.app.scheduler.call_later(due - self.app.clock.monotonic(), self.sweep)
-
-    def sweep(self) -> None:
-        """End the exchanges whose deadline passed."""
+        if self.expiry_timer is not None:
+            self.expiry_timer.cancel()
+        self.expiry_due = due
+        self.expiry_timer = self.app.scheduler.call_later(
+            due - self.app.clock.monotonic(), self.expire_exchanges
+        )
+
+    def expire_exchanges(self) -> None:
+        """Fail expired exchanges, and schedule the check of the next deadline."""
         now = self.app.clock.monotonic()
-        self.sweep_due = NO_DEADLINE
-        self.sweep_timer = None
+        self.expiry_due = NO_DEADLINE
+        self.expiry_timer = None
         for exchange in [exchange for exchange in self.pending if exchange.deadline <= now]:
             self.abort(exchange, FailureKind.TIMEOUT)
         due = min((exchange.deadline for exchange in self.pending), default=NO_DEADLINE)
-        if due < self.sweep_due:
-            self.schedule_sweep(due)
+        if due < self.expiry_due:
+            self.schedule_expiry(due)
 
     def on_stop(self) -> None:
-        """Cancel what is under way and close all connections."""
+        """Cancel pending exchanges and close all connections."""
         for exchange in list(self.pending):
             exchange.cancel()
         for connection in list(self.connections.values()):
             self.close(connection)
-        if self.sweep_timer is not None:
-            self.sweep_timer.cancel()
+        if self.expiry_timer is not None:
+            self.expiry_timer.cancel()
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -1,4 +1,4 @@
-"""Reports of the target on this VM: the platform's heartbeat, decoded into the router's types."""
+"""HTTP endpoint for the target on this VM: the platform's heartbeat, decoded into the router's types."""
 
 from __future__ import annotations
 
@@ -19,8 +19,8 @@
 JSON_HEADERS = [("content-type", "application/json")]
 
 
-class Info(msgspec.Struct, frozen=True):
-    """What does not change during one start of a target."""
+class TargetInfo(msgspec.Struct, frozen=True):
+    """Properties of a target that are constant for one incarnation."""
 
     service: str
     slots: int
@@ -28,77 +28,78 @@
     version: str = ""
 
 
-class Status(msgspec.Struct, frozen=True):
-    """What changes; ``warmupS_time`` is how long the target stays cold from now on, in seconds."""
+class TargetStatus(msgspec.Struct, frozen=True):
+    """State of a target; ``warmupS_time`` is the remaining warm-up time in seconds."""
 
     state: str
     seq: int
     warmupS_time: float = 0.0  # noqa: N815 - name on the wire
 
 
-class Beat(msgspec.Struct, frozen=True):
-    """A report on the wire.
+class WireHeartbeat(msgspec.Struct, frozen=True):
+    """Body of a heartbeat as the target sends it.
 
-    ``holdCount`` lists ranges, not a number: first key, last key, fencing token. ``released`` lists first
-    key, last key, handover token. ``born`` is the start in Unix milliseconds.
+    Despite its name, ``holdCount`` is a list of the ranges that the target holds, each as first key, last key
+    and fencing token. ``released`` lists the ranges that it gave up, each as first key, last key and handover
+    token. ``born`` is the time at which the target started, in Unix milliseconds.
     """
 
     addr: str
-    info: Info
-    status: Status
+    info: TargetInfo
+    status: TargetStatus
     born: int = 0
     holdCount: tuple[tuple[int, int, int], ...] = ()  # noqa: N815 - name on the wire
     released: tuple[tuple[int, int, str], ...] = ()
 
 
-class Leave(msgspec.Struct, frozen=True):
-    """The body of a target's notice that it leaves."""
+class WireLeave(msgspec.Struct, frozen=True):
+    """Body of the notice that a target is leaving; ``born`` as in a heartbeat."""
 
     born: int = 0
 
 
-STATES = {"ready": False, "draining": True}
+DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
-def decode_report(target: str, body: bytes) -> TargetHeartbeat:
-    """Translate a report.
+def decode_heartbeat(target: str, body: bytes) -> TargetHeartbeat:
+    """Decode a heartbeat.
 
     Raises
     ------
     InvalidArgument
-        If fields are missing, of another type, or the state is unknown.
+        If a field is missing or of the wrong type, or the state is unknown.
     """
     try:
-        beat = msgspec.json.decode(body, type=Beat)
-        draining = STATES[beat.status.state]
+        heartbeat = msgspec.json.decode(body, type=WireHeartbeat)
+        draining = DRAINING_BY_STATE[heartbeat.status.state]
     except (msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
         raise InvalidArgument(name="report", value=body[:64], expected=str(error)) from error
     return TargetHeartbeat(
         target=target,
-        service=beat.info.service,
-        address=beat.addr,
-        slots=beat.info.slots,
+        service=heartbeat.info.service,
+        address=heartbeat.addr,
+        slots=heartbeat.info.slots,
         draining=draining,
-        sequence=beat.status.seq,
-        started_ms=beat.born,
-        cold_seconds=max(0.0, beat.status.warmupS_time),
-        failure_domain=beat.info.zone,
-        held=tuple(Range(first, last, fence) for first, last, fence in beat.holdCount),
-        released=tuple(Range(first, last, 0, token) for first, last, token in beat.released),
+        sequence=heartbeat.status.seq,
+        started_ms=heartbeat.born,
+        cold_seconds=max(0.0, heartbeat.status.warmupS_time),
+        failure_domain=heartbeat.info.zone,
+        held=tuple(Range(first, last, fence) for first, last, fence in heartbeat.holdCount),
+        released=tuple(Range(first, last, 0, token) for first, last, token in heartbeat.released),
     )
 
 
 def encode_grant(grant: Grant | None) -> bytes:
-    """Return the answer to a report: nothing to renew, or all ranges with the seconds of the hold."""
+    """Encode the answer to a heartbeat: all granted ranges and their duration, or nothing to renew."""
     if grant is None:
         return b"{}"
     ranges = [[entry.first, entry.last, entry.fencing_token, entry.handover_token] for entry in grant.ranges]
-    # ``holdS`` must end no later than the lease, so it is cut, not rounded.
+    # Truncated to milliseconds rather than rounded: the grant must not outlast the lease.
     return msgspec.json.encode({"holdCount": ranges, "holdS": int(grant.seconds * 1000) / 1000})
 
 
-class Reports(Service):
-    """Serves the address to which the target reports."""
+class ReportEndpoint(Service):
+    """Serves the address to which the target sends its heartbeats."""
 
     service_name = "reports"
 
@@ -107,12 +108,12 @@
         self.settings = settings
 
     def on_start(self) -> None:
-        """Listen for the target."""
+        """Listen on the target control address."""
         self.target: LocalTarget = self.app.find("local_target")
         self.app.find("entry").listen(self.settings.target_control_address, self.on_request)
 
     def on_request(self, request: EntryRequest) -> None:
-        """Take a report or a notice that the target leaves."""
+        """Handle a heartbeat (``PUT``) or the notice that the target is leaving (``DELETE``)."""
         path = request.target.partition("?")[0]
         if not path.startswith(INSTANCES_PATH) or request.method not in (b"PUT", b"DELETE"):
             request.respond(404, JSON_HEADERS, b"{}")
@@ -124,7 +125,7 @@
                 request.respond(200, JSON_HEADERS, b"{}")
             else:
                 self.target.on_heartbeat(
-                    decode_report(target, request.body),
+                    decode_heartbeat(target, request.body),
                     lambda grant: request.respond(200, JSON_HEADERS, encode_grant(grant)),
                 )
         except InvalidArgument as error:
@@ -133,10 +134,16 @@
 
 
 def decode_leave(body: bytes) -> int:
-    """Return the start, in Unix milliseconds, of the target that leaves; 0 when it does not say."""
+    """Return the start time in Unix milliseconds that a leave notice gives; 0 if it gives none.
+
+    Raises
+    ------
+    InvalidArgument
+        If the body is malformed.
+    """
     if not body:
         return 0
     try:
-        return msgspec.json.decode(body, type=Leave).born
+        return msgspec.json.decode(body, type=WireLeave).born
     except msgspec.DecodeError as error:
         raise InvalidArgument(name="notice", value=body[:64], expected=str(error)) from error
