Rename the counter of the fixed limit in the cold-start bench with the limiter's

The bench prints limiter.ramp_restarts of either limiter; FixedLimit still had the former name cold_resets, so its run would have ended with an AttributeError. Found by looking for names in bench that no longer exist in src.

--- a/bench/cold_start.py
+++ b/bench/cold_start.py
@@ -48,7 +48,7 @@
     def __init__(self) -> None:
         self.limit = float(SLOTS)
         self.in_flight = 0
-        self.cold_resets = 0
+        self.ramp_restarts = 0
 
     def try_acquire(self, now: float) -> bool:
         """Take a slot if one is free."""
