Rename stand-in names that tests use

Renames: TargetStandIn.in_slots -> running_requests, waiting -> queued_requests, Announcer.answered -> accepted_announcements, ScriptedPeer.accepted -> accepted_sockets, received -> receive_buffers, END -> HEADER_END, web.serve -> run_services, JsonServer.handle -> handle_request, answer -> send_json, answer_bytes -> send_bytes, answer_short -> send_truncated_json, close_without_answer -> close_without_response.

--- a/tests/features/steps/http_client_steps.py
+++ b/tests/features/steps/http_client_steps.py
@@ -157,7 +157,7 @@
     send(context, timeout=0.05, limit=1)
     context.loopback.run_until(lambda: context.peer.requests)
     if acts == "answers":
-        pause.act = lambda: context.peer.accepted[0].send(ANSWER)
+        pause.act = lambda: context.peer.accepted_sockets[0].send(ANSWER)
     pause.seconds = 0.1
     context.loopback.run_until(lambda: all(context.results))
     context.loopback.run_for(0.02)
@@ -175,7 +175,7 @@
 @when("the peer resets its HTTP connections after the client checked them")
 def reset_connections(context):
     context.client.is_stale = lambda connection: False
-    for sock in context.peer.received:
+    for sock in context.peer.receive_buffers:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     context.peer.close_all()
     send(context).one(context.loopback)
@@ -205,7 +205,7 @@
 
 @when("the client sends an HTTP body of {size:d} bytes")
 def send_large(context, size):
-    context.body = bytes(range(1, 251)).replace(b"\r\n", b"") * (size // 250) + ScriptedPeer.END
+    context.body = bytes(range(1, 251)).replace(b"\r\n", b"") * (size // 250) + ScriptedPeer.HEADER_END
     context.peer.requests = []
     context.peer.script = [["hold"], [ANSWER]]
     send(context, method="POST", body=context.body).one(context.loopback)
@@ -252,12 +252,12 @@
 
 @then("the peer received the whole HTTP body")
 def check_body(context):
-    assert context.peer.requests[1] + ScriptedPeer.END == context.body
+    assert context.peer.requests[1] + ScriptedPeer.HEADER_END == context.body
 
 
 @then("the peer accepted {count:d} HTTP connections")
 def check_connections(context, count):
-    assert len(context.peer.accepted) == count, len(context.peer.accepted)
+    assert len(context.peer.accepted_sockets) == count, len(context.peer.accepted_sockets)
 
 
 @then('an HTTP request with {argument} "{value}" is refused by "{name}"')
--- a/tests/features/steps/target_contract_steps.py
+++ b/tests/features/steps/target_contract_steps.py
@@ -70,9 +70,9 @@
 def queued(context, **arguments):
     """Send a request that waits for a slot, since all are taken."""
     fill(context, SLOTS)
-    context.loopback.run_until(lambda: len(context.target.in_slots) == SLOTS)
+    context.loopback.run_until(lambda: len(context.target.running_requests) == SLOTS)
     results = ask(context, request_id="queued", **arguments)
-    context.loopback.run_until(lambda: context.target.waiting)
+    context.loopback.run_until(lambda: context.target.queued_requests)
     return results
 
 
@@ -93,7 +93,7 @@
 
 def control_during(context, path, value):
     results = ask(context)
-    context.loopback.run_until(lambda: context.target.in_slots)
+    context.loopback.run_until(lambda: context.target.running_requests)
     control(context, path, value)
     return results
 
@@ -106,7 +106,7 @@
 
 def shed(context):
     others = fill(context, 2 * SLOTS)
-    context.loopback.run_until(lambda: len(context.target.waiting) == SLOTS)
+    context.loopback.run_until(lambda: len(context.target.queued_requests) == SLOTS)
     results = ask(context)
     context.loopback.run_until(lambda: all(others))
     assert control(context, "/record")[1]["peak_in_flight"] == 2 * SLOTS
@@ -218,7 +218,7 @@
     announcer = Announcer(options, interval_seconds=0.03)
     context.loopback = Loopback(daemon, HttpClient(), announcer)
     context.add_cleanup(context.loopback.stop)
-    context.loopback.run_until(lambda: announcer.answered == 3)
+    context.loopback.run_until(lambda: announcer.accepted_announcements == 3)
     assert b"POST /v1/target/announce HTTP/1.1" in daemon.requests[0]
     # The peer splits at the blank line, so each body is found before the next head.
     body = daemon.requests[1].partition(b"POST")[0] or daemon.requests[-1].partition(b"POST")[0]
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -21,7 +21,7 @@
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
-from tools.standins.web import serve
+from tools.standins.web import run_services
 
 REPORT_SECONDS = 0.5
 PREFIX = "x-hibiscusdrum-"
@@ -183,7 +183,7 @@
     parser.add_argument("--slots", type=int, default=9)
     parser.add_argument("--seconds", type=float, default=0.01)
     parser.add_argument("--partitioned", action="store_true")
-    return serve(HttpClient(), HoldingTarget(parser.parse_args()))
+    return run_services(HttpClient(), HoldingTarget(parser.parse_args()))
 
 
 if __name__ == "__main__":
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -16,7 +16,7 @@
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument, NotFound
 from hibiscusdrum.internal.platform.table import SEQUENCE_PLACEHOLDER, Transaction
-from tools.standins.web import OK, JsonServer, read_json, serve
+from tools.standins.web import OK, JsonServer, read_json, run_services
 
 CONFLICT = 409
 OPERATIONS_PATH = "/v1/operations/"
@@ -141,12 +141,12 @@
             ("GET", OBJECTS_PATH): self.get_object,
         }
 
-    def handle(self, request: Request, reply: Response) -> None:
+    def handle_request(self, request: Request, reply: Response) -> None:
         """Serve the test controls at once and everything else under the fault in force."""
         if request.path == "/faults":
-            self.answer(reply, OK, self.set_fault(read_json(request, Fault)))
+            self.send_json(reply, OK, self.set_fault(read_json(request, Fault)))
         elif request.path == "/counters":
-            self.answer(reply, OK, self.counters)
+            self.send_json(reply, OK, self.counters)
         else:
             self.serve_with_fault(request, reply, self.take_fault())
 
@@ -175,13 +175,13 @@
     def serve_with_fault(self, request: Request, reply: Response, fault: Fault) -> None:
         """Serve a request, late or without an answer when the fault says so."""
         if fault.mode == "down":
-            self.close_without_answer(reply)
+            self.close_without_response(reply)
         elif fault.mode == "slow":
             delay = fault.delay_ms / MS_PER_SECOND
             self.app.scheduler.call_later(delay, lambda: self.respond(request, reply))
         elif fault.mode == "lose_reply":
             self.route(request)
-            self.close_without_answer(reply)
+            self.close_without_response(reply)
         else:
             self.respond(request, reply)
 
@@ -189,9 +189,9 @@
         """Serve a request and answer it."""
         status, value = self.route(request)
         if isinstance(value, bytes):
-            self.answer_bytes(reply, status, value, "application/octet-stream")
+            self.send_bytes(reply, status, value, "application/octet-stream")
         else:
-            self.answer(reply, status, value)
+            self.send_json(reply, status, value)
 
     def route(self, request: Request) -> Answer:
         """Call the handler of a path; a failure becomes its answer."""
@@ -270,7 +270,7 @@
     address : str
         ``ip:port`` to listen on.
     """
-    return serve(PlatformStandIn(address))
+    return run_services(PlatformStandIn(address))
 
 
 if __name__ == "__main__":
--- a/tools/standins/rows_store.py
+++ b/tools/standins/rows_store.py
@@ -17,7 +17,7 @@
 
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
-from tools.standins.web import serve
+from tools.standins.web import run_services
 
 HEADERS = [("content-type", "application/json")]
 LARGEST_PAGE = 500
@@ -162,7 +162,7 @@
     """Run the store."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--address", required=True)
-    return serve(RowsStore(parser.parse_args().address))
+    return run_services(RowsStore(parser.parse_args().address))
 
 
 if __name__ == "__main__":
--- a/tools/standins/scripted_peer.py
+++ b/tools/standins/scripted_peer.py
@@ -25,7 +25,7 @@
         ``ip:port`` to listen on.
     """
 
-    END = b"\r\n\r\n"
+    HEADER_END = b"\r\n\r\n"
 
     def __init__(self, script: list[list[Any]], address: str) -> None:
         self.service_name = "scripted-peer"
@@ -33,8 +33,8 @@
         self.address = address
         self.script = script
         self.requests: list[bytes] = []
-        self.accepted: list[socket.socket] = []
-        self.received: dict[socket.socket, bytes] = {}
+        self.accepted_sockets: list[socket.socket] = []
+        self.receive_buffers: dict[socket.socket, bytes] = {}
 
     def on_start(self) -> None:
         """Listen."""
@@ -48,7 +48,7 @@
         """Accept a connection or receive."""
         if sock is self.listener:
             self.accept()
-        elif sock in self.received:
+        elif sock in self.receive_buffers:
             self.receive(sock)
 
     def accept(self) -> None:
@@ -56,8 +56,8 @@
         connection, _ = self.listener.accept()
         connection.setblocking(False)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.accepted.append(connection)
-        self.received[connection] = b""
+        self.accepted_sockets.append(connection)
+        self.receive_buffers[connection] = b""
         self.app.poller.addReader(self, connection)
 
     def receive(self, sock: socket.socket) -> None:
@@ -69,16 +69,16 @@
         if not data:
             self.close(sock)
             return
-        self.received[sock] += data
-        while self.END in self.received.get(sock, b""):
-            request, _, rest = self.received[sock].partition(self.END)
-            self.received[sock] = rest
+        self.receive_buffers[sock] += data
+        while self.HEADER_END in self.receive_buffers.get(sock, b""):
+            request, _, rest = self.receive_buffers[sock].partition(self.HEADER_END)
+            self.receive_buffers[sock] = rest
             self.requests.append(request)
             self.play(sock, list(self.script[min(len(self.requests), len(self.script)) - 1]), request)
 
     def play(self, sock: socket.socket, actions: list[Any], request: bytes) -> None:
         """Do the actions of a step."""
-        while actions and sock in self.received:
+        while actions and sock in self.receive_buffers:
             action = actions.pop(0)
             if action == "close":
                 self.close(sock)
@@ -92,13 +92,13 @@
 
     def close(self, sock: socket.socket) -> None:
         """Close one connection."""
-        del self.received[sock]
+        del self.receive_buffers[sock]
         self.app.poller.discard(sock)
         sock.close()
 
     def close_all(self) -> None:
         """Close all connections."""
-        for sock in list(self.received):
+        for sock in list(self.receive_buffers):
             self.close(sock)
 
     def stop_listening(self) -> None:
--- a/tools/standins/target.py
+++ b/tools/standins/target.py
@@ -20,7 +20,7 @@
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.transport.http_client import HttpClient
-from tools.standins.web import OK, JsonServer, read_json, serve
+from tools.standins.web import OK, JsonServer, read_json, run_services
 
 SERVICES = ("wappensuche", "verleihung", "archiv", "lista", "registro", "galeria")
 ANNOUNCE_INTERVAL_SECONDS = 1.0
@@ -155,8 +155,8 @@
         self.slow_until = 0.0
         self.short_answers = 0
         self.hangs = 0
-        self.in_slots: dict[int, Work] = {}
-        self.waiting: deque[Work] = deque()
+        self.running_requests: dict[int, Work] = {}
+        self.queued_requests: deque[Work] = deque()
         self.effects: list[Effect] = []
         self.not_run: list[Refused] = []
         self.counts: Counter[str] = Counter()
@@ -178,11 +178,11 @@
         self.app.scheduler.every(min(0.1, self.options.report_lag_seconds or 0.1), self.note_report)
         self.note_report()
 
-    def handle(self, request: Request, reply: Response) -> None:
+    def handle_request(self, request: Request, reply: Response) -> None:
         """Serve a control, or run the request."""
         control = self.controls.get((request.method, request.path))
         if control is not None:
-            self.answer(reply, OK, control(request))
+            self.send_json(reply, OK, control(request))
         else:
             self.admit(Work(request, reply))
 
@@ -192,13 +192,13 @@
             self.refuse(work, "draining")
         elif self.is_stale(work):
             self.refuse(work, "stale_epoch")
-        elif len(self.in_slots) < self.options.slots:
+        elif len(self.running_requests) < self.options.slots:
             self.begin(work)
-        elif len(self.waiting) < self.options.slots * QUEUE_PER_SLOT:
-            self.waiting.append(work)
+        elif len(self.queued_requests) < self.options.slots * QUEUE_PER_SLOT:
+            self.queued_requests.append(work)
         else:
             self.refuse(work, "shed")
-        self.peak_in_flight = max(self.peak_in_flight, len(self.in_slots) + len(self.waiting))
+        self.peak_in_flight = max(self.peak_in_flight, len(self.running_requests) + len(self.queued_requests))
 
     def is_stale(self, work: Work) -> bool:
         """Note the epoch; tell whether it is below the highest one seen."""
@@ -209,7 +209,7 @@
 
     def begin(self, work: Work) -> None:
         """Occupy a slot for the service time."""
-        self.in_slots[id(work)] = work
+        self.running_requests[id(work)] = work
         self.app.scheduler.call_later(self.service_seconds(), lambda: self.execute(work))
 
     def service_seconds(self) -> float:
@@ -223,7 +223,7 @@
 
     def execute(self, work: Work) -> None:
         """Run the effect unless a fence or the deadline forbids it, then free the slot."""
-        del self.in_slots[id(work)]
+        del self.running_requests[id(work)]
         now_ns = time.monotonic_ns()
         if work.cancelled or (work.deadline_ns and now_ns > work.deadline_ns):
             self.refuse(work, "expired")
@@ -235,8 +235,8 @@
 
     def begin_waiting(self) -> None:
         """Start the next request that waits for a slot."""
-        if self.waiting and len(self.in_slots) < self.options.slots:
-            self.begin(self.waiting.popleft())
+        if self.queued_requests and len(self.running_requests) < self.options.slots:
+            self.begin(self.queued_requests.popleft())
 
     def run_effect(self, work: Work, start_ns: int) -> None:
         """Record the effect and answer."""
@@ -260,15 +260,15 @@
         elif self.short_answers:
             self.short_answers -= 1
             body = msgspec.json.encode(value)
-            self.answer_short(work.reply, body[: len(body) // 2], len(body))
+            self.send_truncated_json(work.reply, body[: len(body) // 2], len(body))
         else:
             headers = {REQUEST_HEADER + "request-id": work.request_id} if work.request_id else None
-            self.answer(work.reply, OK, value, headers)
+            self.send_json(work.reply, OK, value, headers)
 
     def refuse(self, work: Work, reason: str) -> None:
         """Answer that the request did not run."""
         self.not_run.append(Refused(work.request_id, work.key, reason, time.monotonic_ns()))
-        self.answer(work.reply, UNAVAILABLE, {"reason": reason}, REFUSED_HEADERS)
+        self.send_json(work.reply, UNAVAILABLE, {"reason": reason}, REFUSED_HEADERS)
 
     def grant(self, request: Request) -> dict[str, Any]:
         """Raise the fence; an older grant is refused by a target that checks epochs."""
@@ -281,7 +281,7 @@
     def drain(self, _request: Request) -> dict[str, Any]:
         """Take no new work; what is inside goes on."""
         self.draining = True
-        return {"in_flight": len(self.in_slots) + len(self.waiting)}
+        return {"in_flight": len(self.running_requests) + len(self.queued_requests)}
 
     def cancel(self, request: Request) -> dict[str, Any]:
         """Cancel a request that has not run."""
@@ -300,7 +300,7 @@
 
     def find(self, request_id: str) -> list[Work]:
         """Return the requests inside the target that have an id."""
-        inside = [*self.in_slots.values(), *self.waiting]
+        inside = [*self.running_requests.values(), *self.queued_requests]
         return [work for work in inside if work.request_id == request_id]
 
     def set_faults(self, request: Request) -> Faults:
@@ -330,8 +330,8 @@
         """Return the present state."""
         return {
             "state": "draining" if self.draining else "ready",
-            "running": len(self.in_slots),
-            "waiting": len(self.waiting),
+            "running": len(self.running_requests),
+            "waiting": len(self.queued_requests),
             "slots": self.options.slots,
             "completions": self.completions,
         }
@@ -365,7 +365,7 @@
         super().__init__()
         self.options = options
         self.interval_seconds = interval_seconds
-        self.answered = 0
+        self.accepted_announcements = 0
 
     def on_start(self) -> None:
         """Begin to announce."""
@@ -395,7 +395,7 @@
     def on_answer(self, result: Result) -> None:
         """Count the announcements that the daemon took."""
         if result.map(lambda response: response.status == OK).value_or(False):
-            self.answered += 1
+            self.accepted_announcements += 1
 
 
 def main(
@@ -446,7 +446,7 @@
         cold_completions,
         report_lag_seconds,
     )
-    return serve(HttpClient(), TargetStandIn(options), Announcer(options))
+    return run_services(HttpClient(), TargetStandIn(options), Announcer(options))
 
 
 if __name__ == "__main__":
--- a/tools/standins/web.py
+++ b/tools/standins/web.py
@@ -40,20 +40,22 @@
     def on_request(self, request: Request, reply: Response) -> bool:
         """Handle a request; the answer is sent by ``answer``, then or later."""
         try:
-            self.handle(request, reply)
+            self.handle_request(request, reply)
         except HibiscusdrumError as error:
-            self.answer(reply, error.http_status, {"code": error.code, **error.values})
+            self.send_json(reply, error.http_status, {"code": error.code, **error.values})
         return True
 
-    def handle(self, request: Request, reply: Response) -> None:
+    def handle_request(self, request: Request, reply: Response) -> None:
         """Handle a request."""
         raise NotImplementedError
 
-    def answer(self, reply: Response, status: int, value: Any, headers: dict[str, str] | None = None) -> None:
+    def send_json(
+        self, reply: Response, status: int, value: Any, headers: dict[str, str] | None = None
+    ) -> None:
         """Answer with a JSON value."""
-        self.answer_bytes(reply, status, msgspec.json.encode(value), "application/json", headers)
+        self.send_bytes(reply, status, msgspec.json.encode(value), "application/json", headers)
 
-    def answer_bytes(
+    def send_bytes(
         self,
         reply: Response,
         status: int,
@@ -71,11 +73,11 @@
         reply.body = body
         self.fire(response(reply))
 
-    def close_without_answer(self, reply: Response) -> None:
+    def close_without_response(self, reply: Response) -> None:
         """Close the caller's connection."""
         self.fire(close(reply.request.sock))
 
-    def answer_short(self, reply: Response, body: bytes, declared: int) -> None:
+    def send_truncated_json(self, reply: Response, body: bytes, declared: int) -> None:
         """Send fewer body bytes than declared, then close."""
         head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {declared}\r\n\r\n"
         self.fire(write(reply.request.sock, head.encode() + body))
@@ -113,7 +115,7 @@
         self.application.shutdown()
 
 
-def serve(*services: Service) -> int:
+def run_services(*services: Service) -> int:
     """Run services until a signal arrives; returns the exit code."""
     application = Application()
     StopOnSignal(application).register(application)
