Reword the row store stand-in

Its comments said "waits" and "faults in force" without saying what a fault does, and the module named a value of "down" that the code does not take. Renames: HEADERS -> JSON_HEADERS, LARGEST_PAGE -> MAX_PAGE_ROWS; RowsStore.waiting -> pending_feeds, answer_waiting -> answer_pending_feeds, on_call -> on_request, serve -> handle_call, apply -> apply_transaction, put -> write_row, page -> read_range, encode -> encode_response.

--- a/tools/standins/rows_store.py
+++ b/tools/standins/rows_store.py
@@ -1,7 +1,7 @@
-"""Stand-in of the platform's store by its published calls, with outages, late writes and partial refusals.
+"""HTTP stand-in for the platform's row store, with fault injection.
 
-``POST /faults`` sets the faults: ``down`` (addresses of callers, or ``*``), ``silent``, ``late`` and ``lost``
-(shares of writes), ``slow`` (seconds for each answer).
+It implements the published calls of the store: conditional transactions, range reads and a change feed with
+long polling. ``POST /faults`` replaces the injected faults; see `Faults` for the fields.
 """
 
 from __future__ import annotations
@@ -19,12 +19,26 @@
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from tools.standins.web import run_services
 
-HEADERS = [("content-type", "application/json")]
-LARGEST_PAGE = 500
+JSON_HEADERS = [("content-type", "application/json")]
+MAX_PAGE_ROWS = 500
 
 
 class Faults(msgspec.Struct):
-    """Faults in force; shares are between 0 and 1, ``slow`` is in seconds."""
+    """Injected faults, as decoded from the body of ``POST /faults``.
+
+    Attributes
+    ----------
+    down : bool
+        Answer store calls with status 503 and end pending feeds without waiting.
+    silent : bool
+        Never answer store calls; pending feeds are dropped.
+    late : float
+        Fraction of transactions, 0 to 1, that are applied 1 to 6 s later and never answered.
+    lost : float
+        Fraction of the other transactions, 0 to 1, that are applied at once and never answered.
+    slow : float
+        Seconds by which each call is delayed.
+    """
 
     down: bool = False
     silent: bool = False
@@ -34,7 +48,15 @@
 
 
 class RowsStore(HttpEntry):
-    """Rows in tables, conditional transactions, and waits for changes."""
+    """Stores versioned rows by table and key in memory and serves them over HTTP.
+
+    A deleted row stays with the value None and the version of its deletion, so that feeds report it.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` to listen on.
+    """
 
     service_name = "rows_store"
 
@@ -45,98 +67,100 @@
         self.version = 0
         self.faults = Faults()
         self.rng = random.Random(1)
-        self.waiting: list[tuple[float, str, int, EntryRequest]] = []
+        self.pending_feeds: list[tuple[float, str, int, EntryRequest]] = []
 
     def on_start(self) -> None:
-        """Listen."""
+        """Start listening and checking the pending feeds."""
         super().on_start()
-        self.listen(self.address, self.on_call)
-        self.app.scheduler.every(0.02, self.answer_waiting)
+        self.listen(self.address, self.on_request)
+        self.app.scheduler.every(0.02, self.answer_pending_feeds)
 
-    def on_call(self, request: EntryRequest) -> None:
-        """Answer one call, or fail as the faults say."""
+    def on_request(self, request: EntryRequest) -> None:
+        """Handle the fault and operator paths, or pass a store call on under the injected faults."""
         path, _, query = request.target.partition("?")
         if path == "/faults":
             self.faults = msgspec.json.decode(request.body, type=Faults)
-            request.respond(200, HEADERS, b"{}")
+            request.respond(200, JSON_HEADERS, b"{}")
         elif path.startswith("/operator/"):
-            self.put(
+            self.write_row(
                 "op", path.removeprefix("/operator/"), request.body if request.method == b"PUT" else None
             )
-            request.respond(200, HEADERS, b"{}")
+            request.respond(200, JSON_HEADERS, b"{}")
         elif self.faults.silent:
             return
         elif self.faults.down:
-            request.respond(503, HEADERS, b"{}")
+            request.respond(503, JSON_HEADERS, b"{}")
         elif self.faults.slow:
-            self.app.scheduler.call_later(self.faults.slow, lambda: self.serve(request, path, query))
+            self.app.scheduler.call_later(self.faults.slow, lambda: self.handle_call(request, path, query))
         else:
-            self.serve(request, path, query)
+            self.handle_call(request, path, query)
 
-    def serve(self, request: EntryRequest, path: str, query: str) -> None:
-        """Serve one call."""
-        values = {name: entries[0] for name, entries in parse_qs(query).items()}
+    def handle_call(self, request: EntryRequest, path: str, query: str) -> None:
+        """Handle one call of the store's interface."""
+        parameters = {name: occurrences[0] for name, occurrences in parse_qs(query).items()}
         if path == "/rows-tx":
             self.transact(request, msgspec.json.decode(request.body))
         elif path == "/rows-get":
-            self.page(request, values)
+            self.read_range(request, parameters)
         elif path == "/rows-feed":
-            due = time.monotonic() + int(values.get("blockMs", "0")) / 1000
-            self.waiting.append((due, values["table"], int(values["after"]), request))
-            self.answer_waiting()
+            deadline = time.monotonic() + int(parameters.get("blockMs", "0")) / 1000
+            self.pending_feeds.append((deadline, parameters["table"], int(parameters["after"]), request))
+            self.answer_pending_feeds()
         else:
-            request.respond(404, HEADERS, b"{}")
+            request.respond(404, JSON_HEADERS, b"{}")
 
-    def transact(self, request: EntryRequest, body: dict[str, Any]) -> None:
-        """Apply a transaction now, later, or without an answer."""
+    def transact(self, request: EntryRequest, transaction: dict[str, Any]) -> None:
+        """Apply a transaction, late or without an answer if a fault is drawn for it."""
         if self.rng.random() < self.faults.late:
-            self.app.scheduler.call_later(self.rng.uniform(1.0, 6.0), lambda: self.apply(body))
+            self.app.scheduler.call_later(
+                self.rng.uniform(1.0, 6.0), lambda: self.apply_transaction(transaction)
+            )
             return
-        version = self.apply(body)
+        version = self.apply_transaction(transaction)
         if self.rng.random() < self.faults.lost:
             return
         if version is None:
-            request.respond(412, HEADERS, self.encode({"records": [], "ver": self.version}))
+            request.respond(412, JSON_HEADERS, self.encode_response({"records": [], "ver": self.version}))
         else:
-            request.respond(200, HEADERS, self.encode({"ver": version}))
+            request.respond(200, JSON_HEADERS, self.encode_response({"ver": version}))
 
-    def apply(self, body: dict[str, Any]) -> int | None:
-        """Apply a transaction if all its rows have the versions that it expects."""
-        for row in body.get("expect", ()):
+    def apply_transaction(self, transaction: dict[str, Any]) -> int | None:
+        """Apply a transaction and return its version, or None if a row lacks its expected version."""
+        for row in transaction.get("expect", ()):
             version, value = self.rows.get((row["table"], row["key"]), (0, None))
             if (version if value is not None else 0) != row["ver"]:
                 return None
         self.version += 1
-        for row in body.get("write", ()):
+        for row in transaction.get("write", ()):
             self.rows[row["table"], row["key"]] = (self.version, row["value"])
-        for row in body.get("delete", ()):
+        for row in transaction.get("delete", ()):
             self.rows[row["table"], row["key"]] = (self.version, None)
         return self.version
 
-    def put(self, table: str, key: str, body: bytes | None) -> None:
-        """Write a row as the operator does; None deletes it."""
+    def write_row(self, table: str, key: str, body: bytes | None) -> None:
+        """Write a row unconditionally, as an operator does; a body of None deletes it."""
         self.version += 1
         value = base64.b64encode(body).decode() if body is not None else None
         self.rows[table, key] = (self.version, value)
 
-    def page(self, request: EntryRequest, values: dict[str, str]) -> None:
-        """Answer a read of a range of keys."""
-        first, last = values.get("from", ""), values.get("to")
-        limit = min(LARGEST_PAGE, int(values.get("maxItems", LARGEST_PAGE)))
-        found = sorted(
+    def read_range(self, request: EntryRequest, parameters: dict[str, str]) -> None:
+        """Answer with the rows of one table in a half-open range of keys."""
+        begin, end = parameters.get("from", ""), parameters.get("to")
+        limit = min(MAX_PAGE_ROWS, int(parameters.get("maxItems", MAX_PAGE_ROWS)))
+        matches = sorted(
             (key, version, value)
             for (table, key), (version, value) in self.rows.items()
-            if table == values["table"] and value is not None and key >= first and (not last or key < last)
+            if table == parameters["table"] and value is not None and key >= begin and (not end or key < end)
         )
-        records = [{"key": key, "ver": version, "value": value} for key, version, value in found[:limit]]
-        answer = {"records": records, "hasMore": len(found) > limit, "ver": self.version}
-        request.respond(200, HEADERS, self.encode(answer))
+        records = [{"key": key, "ver": version, "value": value} for key, version, value in matches[:limit]]
+        response = {"records": records, "hasMore": len(matches) > limit, "ver": self.version}
+        request.respond(200, JSON_HEADERS, self.encode_response(response))
 
-    def answer_waiting(self) -> None:
-        """Answer the waits for which there are changes, or whose time is over."""
+    def answer_pending_feeds(self) -> None:
+        """Answer the feeds that have changes, have reached their deadline, or are cut short by an outage."""
         now = time.monotonic()
-        waiting, self.waiting = self.waiting, []
-        for due, table, after, request in waiting:
+        feeds, self.pending_feeds = self.pending_feeds, []
+        for deadline, table, after, request in feeds:
             changed = sorted(
                 (version, key, value)
                 for (name, key), (version, value) in self.rows.items()
@@ -144,22 +168,24 @@
             )
             if request.answered or self.faults.silent:
                 continue
-            if not changed and now < due and not self.faults.down:
-                self.waiting.append((due, table, after, request))
+            if not changed and now < deadline and not self.faults.down:
+                self.pending_feeds.append((deadline, table, after, request))
                 continue
             records = [
                 {"key": key, "ver": version} | ({"deleted": True} if value is None else {"value": value})
                 for version, key, value in changed
             ]
-            request.respond(200, HEADERS, self.encode({"records": records, "ver": self.version}))
+            request.respond(
+                200, JSON_HEADERS, self.encode_response({"records": records, "ver": self.version})
+            )
 
-    def encode(self, answer: dict[str, Any]) -> bytes:
-        """Return an answer with the store's clock."""
-        return msgspec.json.encode({**answer, "serverTimeS": time.monotonic()})
+    def encode_response(self, response: dict[str, Any]) -> bytes:
+        """Encode a response as JSON and add the store's clock."""
+        return msgspec.json.encode({**response, "serverTimeS": time.monotonic()})
 
 
 def main() -> int:
-    """Run the store."""
+    """Run the store stand-in until a signal arrives."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--address", required=True)
     return run_services(RowsStore(parser.parse_args().address))
