Reword the target stand-in with key ranges

"Holds what it is told" and "record" did not name the grants, heartbeats and events that they mean, and the list of faults was hard to scan. Renames: REPORT_SECONDS -> HEARTBEAT_INTERVAL_SECONDS, PREFIX -> HEADER_PREFIX, JSON -> JSON_HEADERS; HoldingTarget.id -> instance_id, born -> started_at_ms, sequence -> heartbeat_sequence, held -> granted_ranges, held_until -> grant_expires_at, released -> released_ranges, in_progress -> in_flight, lost -> lost_attempts, http -> http_client, report -> send_heartbeat, on_grant -> on_heartbeat_response, record -> write_event, holds -> holds_key, answer -> send_response.

--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -1,10 +1,16 @@
-"""Stand-in of a target that reports to its daemon, holds keys as it is told, and records what it runs.
+"""Target stand-in that sends heartbeats to its daemon and serves only the key ranges granted to it.
 
-Faults are chosen by the path of a request: ``/.../slow`` takes 2 s, ``/.../lost`` runs without an answer,
-``/.../garbled`` answers bytes that are no answer, ``/.../short`` ends its body early, ``/.../late`` sends an
-answer to another request first, ``/.../full`` refuses, ``/.../lost-then-full`` loses the first answer to an
-attempt and refuses it after that. The record is a line for each run and each change of
-what it holds.
+The last segment of a request's path selects a fault:
+
+- ``slow``: the request takes 2 s.
+- ``lost``: the request runs and the connection is closed without a response.
+- ``garbled``: the response is not valid HTTP.
+- ``short``: the connection is closed before the end of the response body.
+- ``late``: a response to another request is sent first.
+- ``full``: the request is refused.
+- ``lost-then-full``: the first response to an attempt is lost; later requests with its id are refused.
+
+Each executed request and each grant is written to standard output as one JSON line.
 """
 
 from __future__ import annotations
@@ -23,45 +29,51 @@
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from tools.standins.web import run_services
 
-REPORT_SECONDS = 0.5
-PREFIX = "x-hibiscusdrum-"
-JSON = {"content-type": "application/json"}
+HEARTBEAT_INTERVAL_SECONDS = 0.5
+HEADER_PREFIX = "x-hibiscusdrum-"
+JSON_HEADERS = {"content-type": "application/json"}
 
 
 class HoldingTarget(HttpEntry):
-    """Serves requests and reports itself."""
+    """Executes requests for its key ranges while its grant is valid.
+
+    Parameters
+    ----------
+    options : argparse.Namespace
+        Command-line options; see `main`.
+    """
 
     service_name = "holding_target"
 
     def __init__(self, options: argparse.Namespace) -> None:
         super().__init__()
         self.options = options
-        self.id = f"i-{options.name}"
-        self.born = int(time.time() * 1000)
-        self.sequence = 0
-        self.held: list[list[Any]] = []
-        self.held_until = 0.0
-        self.released: list[list[Any]] = []
-        self.in_progress = 0
+        self.instance_id = f"i-{options.name}"
+        self.started_at_ms = int(time.time() * 1000)
+        self.heartbeat_sequence = 0
+        self.granted_ranges: list[list[Any]] = []
+        self.grant_expires_at = 0.0
+        self.released_ranges: list[list[Any]] = []
+        self.in_flight = 0
         self.draining = False
-        self.lost: set[str] = set()
+        self.lost_attempts: set[str] = set()
 
     def on_start(self) -> None:
-        """Listen and report."""
+        """Start listening and sending heartbeats."""
         super().on_start()
-        self.http: HttpClient = self.app.find("http_client")
+        self.http_client: HttpClient = self.app.find("http_client")
         self.listen(self.options.address, self.on_request)
-        self.app.scheduler.every(REPORT_SECONDS, self.report)
-        self.report()
+        self.app.scheduler.every(HEARTBEAT_INTERVAL_SECONDS, self.send_heartbeat)
+        self.send_heartbeat()
 
-    def report(self) -> None:
-        """Send a heartbeat."""
-        self.sequence += 1
+    def send_heartbeat(self) -> None:
+        """Send a heartbeat with the state, the key ranges held and the ranges released."""
+        self.heartbeat_sequence += 1
         now = time.monotonic()
-        held = [row[:3] for row in self.held] if now < self.held_until else []
+        ranges = [row[:3] for row in self.granted_ranges] if now < self.grant_expires_at else []
         body = {
             "addr": self.options.address,
-            "born": self.born,
+            "born": self.started_at_ms,
             "info": {
                 "service": self.options.service,
                 "version": "v1",
@@ -70,44 +82,57 @@
             },
             "status": {
                 "state": "draining" if self.draining else "ready",
-                "seq": self.sequence,
+                "seq": self.heartbeat_sequence,
                 "warmupS_time": 0,
             },
-            "holdCount": held,
-            "released": self.released,
+            "holdCount": ranges,
+            "released": self.released_ranges,
         }
-        path = f"/instances/{self.id}"
+        path = f"/instances/{self.instance_id}"
         data = msgspec.json.encode(body)
-        self.http.request(
-            self.options.control, "PUT", path, JSON, data, 1.0, lambda result: self.on_grant(now, result)
+        self.http_client.request(
+            self.options.control,
+            "PUT",
+            path,
+            JSON_HEADERS,
+            data,
+            1.0,
+            lambda result: self.on_heartbeat_response(now, result),
         )
 
-    def on_grant(self, sent_at: float, result: Any) -> None:
-        """Hold what the answer to a heartbeat says."""
+    def on_heartbeat_response(self, sent_at: float, result: Any) -> None:
+        """Replace the granted key ranges with those in the response to a heartbeat.
+
+        The grant is counted from the time at which the heartbeat was sent.
+        """
         if not isinstance(result, Success) or result.unwrap().status != 200:
             return
-        answer = msgspec.json.decode(result.unwrap().body)
-        if "holdCount" not in answer:
+        response = msgspec.json.decode(result.unwrap().body)
+        if "holdCount" not in response:
             return
-        kept = answer["holdCount"]
-        bounds = {(row[0], row[1]) for row in kept}
-        self.released = [
-            [first, last, os.urandom(8).hex()] for first, last, *_ in self.held if (first, last) not in bounds
+        granted = response["holdCount"]
+        granted_bounds = {(row[0], row[1]) for row in granted}
+        self.released_ranges = [
+            [first, last, os.urandom(8).hex()]
+            for first, last, *_ in self.granted_ranges
+            if (first, last) not in granted_bounds
         ]
-        if kept != self.held:
-            self.record("hold", rows=[row[:3] for row in kept], until=round(sent_at + answer["holdS"], 3))
-        self.held = kept
-        self.held_until = sent_at + answer["holdS"] * 1.02
-        self.record("until", until=round(self.held_until, 3))
-        if self.released:
-            self.app.scheduler.call_later(0.1, self.report)
-
-    def record(self, event: str, **fields: Any) -> None:
-        """Write a line of the record."""
+        if granted != self.granted_ranges:
+            self.write_event(
+                "hold", rows=[row[:3] for row in granted], until=round(sent_at + response["holdS"], 3)
+            )
+        self.granted_ranges = granted
+        self.grant_expires_at = sent_at + response["holdS"] * 1.02
+        self.write_event("until", until=round(self.grant_expires_at, 3))
+        if self.released_ranges:
+            self.app.scheduler.call_later(0.1, self.send_heartbeat)
+
+    def write_event(self, event: str, **fields: Any) -> None:
+        """Write an event to standard output as one JSON line."""
         line = {
             "at": round(time.monotonic(), 4),
-            "target": self.id,
-            "born": self.born,
+            "target": self.instance_id,
+            "born": self.started_at_ms,
             "event": event,
             **fields,
         }
@@ -115,46 +140,49 @@
         sys.stdout.flush()
 
     def on_request(self, request: EntryRequest) -> None:
-        """Run a request, refuse it, or fail as its path says."""
+        """Execute a request with the fault that its path selects, or refuse it."""
         path = request.target.partition("?")[0]
-        attempt = request.header(PREFIX + "attempt-id") or ""
-        headers = [(PREFIX + "attempt-id", attempt)]
+        attempt_id = request.header(HEADER_PREFIX + "attempt-id") or ""
+        headers = [(HEADER_PREFIX + "attempt-id", attempt_id)]
         if path == "/drain":
             self.draining = True
             request.respond(200, [], b"")
             return
-        if request.header(PREFIX + "expect-instance") != self.id or not self.holds(request):
-            request.respond(421, [*headers, (PREFIX + "not-executed", "1")])
+        if request.header(HEADER_PREFIX + "expect-instance") != self.instance_id or not self.holds_key(
+            request
+        ):
+            request.respond(421, [*headers, (HEADER_PREFIX + "not-executed", "1")])
             return
         if path.endswith("/lost-then-full"):
-            path = path[: -len("-then-full")] if attempt not in self.lost else "/full"
-            self.lost.add(attempt)
-        if path.endswith("/full") or self.in_progress >= self.options.slots + 4:
-            request.respond(503, [*headers, (PREFIX + "not-executed", "1")])
+            path = path[: -len("-then-full")] if attempt_id not in self.lost_attempts else "/full"
+            self.lost_attempts.add(attempt_id)
+        if path.endswith("/full") or self.in_flight >= self.options.slots + 4:
+            request.respond(503, [*headers, (HEADER_PREFIX + "not-executed", "1")])
             return
-        self.in_progress += 1
+        self.in_flight += 1
         fault = path.rpartition("/")[2]
-        self.record(
-            "run", id=attempt, path=request.target, method=request.method.decode(), body=len(request.body),
-            caller=request.header(PREFIX + "caller"), deadline=request.header(PREFIX + "deadline-ms"),
+        self.write_event(
+            "run", id=attempt_id, path=request.target, method=request.method.decode(), body=len(request.body),
+            caller=request.header(HEADER_PREFIX + "caller"),
+            deadline=request.header(HEADER_PREFIX + "deadline-ms"),
         )  # fmt: skip
-        seconds = 2.0 if fault == "slow" else self.options.seconds
-        self.app.scheduler.call_later(seconds, lambda: self.answer(request, headers, fault))
+        service_seconds = 2.0 if fault == "slow" else self.options.seconds
+        self.app.scheduler.call_later(service_seconds, lambda: self.send_response(request, headers, fault))
 
-    def holds(self, request: EntryRequest) -> bool:
-        """Return whether a request's key is held; a target of a shared service holds all."""
-        key = request.header(PREFIX + "shard-key")
+    def holds_key(self, request: EntryRequest) -> bool:
+        """Return whether a request's key is in a granted range; an unpartitioned service has no ranges."""
+        key = request.header(HEADER_PREFIX + "shard-key")
         if key is None or not self.options.partitioned:
             return True
-        if time.monotonic() >= self.held_until:
+        if time.monotonic() >= self.grant_expires_at:
             return False
-        return any(first <= int(key) <= last for first, last, *_ in self.held)
+        return any(first <= int(key) <= last for first, last, *_ in self.granted_ranges)
 
-    def answer(self, request: EntryRequest, headers: list[tuple[str, str]], fault: str) -> None:
-        """Answer a request that ran."""
-        self.in_progress -= 1
+    def send_response(self, request: EntryRequest, headers: list[tuple[str, str]], fault: str) -> None:
+        """Respond to an executed request, with the fault that its path selects."""
+        self.in_flight -= 1
         body = f"{self.options.name} {request.target} {len(request.body)}".encode()
-        signed = [*headers, (PREFIX + "response-sig", f"sig-{self.options.name}")]
+        signed_headers = [*headers, (HEADER_PREFIX + "response-sig", f"sig-{self.options.name}")]
         connection = request.connection
         if fault == "lost":
             self.close(connection)
@@ -172,11 +200,11 @@
                     b"HTTP/1.1 200 OK\r\nx-hibiscusdrum-attempt-id: other\r\n"
                     b"x-hibiscusdrum-response-sig: s\r\ncontent-length: 5\r\n\r\nwrong"
                 )
-            request.respond(200, signed, body)
+            request.respond(200, signed_headers, body)
 
 
 def main() -> int:
-    """Run a target."""
+    """Run the target stand-in until a signal arrives."""
     parser = argparse.ArgumentParser()
     for name in ("name", "service", "address", "control"):
         parser.add_argument(f"--{name}", required=True)
