Reword the minimal target for load measurements

"Forget the last request" and "wait for room" stood for a reset and a poll for writability, and bare words such as due, wait and counts named fields. Renames: RECEIVE_BYTES -> RECEIVE_BUFFER_BYTES, BACKLOG -> ACCEPT_BACKLOG, OK_HEAD -> OK_HEAD_FORMAT, RAN_HEAD -> RAN_HEAD_FORMAT, REFUSED_HEAD -> NOT_RUN_HEAD_FORMAT, answer -> encode_response; Connection.unsent -> unsent_data, writing -> write_pending; FastTarget.respond -> handle_request, counts -> requests_by_key, poller -> epoll, accept -> accept_connections, serve -> handle_socket_events; Announcer.request -> encoded_request, due -> next_announcement_at, seconds_left -> seconds_until_announcement.

--- a/tools/standins/fast_target.py
+++ b/tools/standins/fast_target.py
@@ -1,8 +1,8 @@
 """Minimal target for load measurements: epoll sockets and httptools, without circuits.
 
-Run as ``python -m tools.standins.fast_target --address 127.0.0.1:7101 --service wappensuche``. It honours the
-request headers of ``tools.standins.target`` and the grant control, and has no slots, faults or record, so
-that a measurement is not bounded by the stand-in.
+Run as ``python -m tools.standins.fast_target --address 127.0.0.1:7101 --service wappensuche``. It honors the
+request headers and the grant control of ``tools.standins.target``. It has no slots, fault injection or record
+of effects, so that the stand-in does not limit a measurement.
 """
 
 from __future__ import annotations
@@ -19,19 +19,19 @@
 import defopt
 import httptools
 
-RECEIVE_BYTES = 65_536
-BACKLOG = 1024
+RECEIVE_BUFFER_BYTES = 65_536
+ACCEPT_BACKLOG = 1024
 ANNOUNCE_INTERVAL_SECONDS = 1.0
-OK_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: %d\r\n\r\n"
-RAN_HEAD = OK_HEAD.replace(b"\r\n\r\n", b"\r\nx-hibiscusdrum-request-id: %b\r\n\r\n")
-REFUSED_HEAD = (
+OK_HEAD_FORMAT = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: %d\r\n\r\n"
+RAN_HEAD_FORMAT = OK_HEAD_FORMAT.replace(b"\r\n\r\n", b"\r\nx-hibiscusdrum-request-id: %b\r\n\r\n")
+NOT_RUN_HEAD_FORMAT = (
     b"HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\n"
     b"content-type: application/json\r\ncontent-length: %d\r\n\r\n"
 )
 
 
 class Connection:
-    """One caller's socket; the methods named ``on_`` are called by httptools."""
+    """Connection of one caller; httptools calls the methods whose names begin with ``on_``."""
 
     __slots__ = (
         "body",
@@ -43,30 +43,30 @@
         "request_id",
         "sock",
         "target",
-        "unsent",
-        "writing",
+        "unsent_data",
+        "write_pending",
     )
 
     def __init__(self, target: FastTarget, sock: socket.socket) -> None:
         self.target = target
         self.sock = sock
         self.parser = httptools.HttpRequestParser(self)
-        self.unsent = b""
-        self.writing = False
+        self.unsent_data = b""
+        self.write_pending = False
 
     def on_message_begin(self) -> None:
-        """Forget the last request."""
+        """Reset the fields of the request."""
         self.path = b""
         self.request_id = self.key = b""
         self.epoch = self.deadline_ns = 0
         self.body = b""
 
     def on_url(self, url: bytes) -> None:
-        """Collect the path."""
+        """Append to the path."""
         self.path += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect the headers of the contract."""
+        """Store a header of the target protocol."""
         name = name.lower()
         if name == b"x-hibiscusdrum-request-id":
             self.request_id = value
@@ -78,23 +78,23 @@
             self.deadline_ns = int(value)
 
     def on_body(self, data: bytes) -> None:
-        """Collect the body."""
+        """Append to the body."""
         self.body += data
 
     def on_message_complete(self) -> None:
-        """Answer."""
-        self.unsent += self.target.respond(self)
+        """Handle the complete request and queue its response."""
+        self.unsent_data += self.target.handle_request(self)
 
 
 class FastTarget:
-    """Accepts connections and answers each request at once.
+    """Accepts connections and responds to each request immediately.
 
     Parameters
     ----------
     address : str
         ``ip:port`` to listen on.
     service : str
-        Name in the answers.
+        Service name in the responses.
     checks_epoch : bool
         Whether requests with an older epoch are refused.
     """
@@ -104,45 +104,45 @@
         self.service = service.encode()
         self.checks_epoch = checks_epoch
         self.highest_epoch = 0
-        self.counts: Counter[bytes] = Counter()
+        self.requests_by_key: Counter[bytes] = Counter()
         self.connections: dict[int, Connection] = {}
-        self.poller = select.epoll()
-        self.listener = socket.create_server((host, int(port)), backlog=BACKLOG)
+        self.epoll = select.epoll()
+        self.listener = socket.create_server((host, int(port)), backlog=ACCEPT_BACKLOG)
         self.listener.setblocking(False)
-        self.poller.register(self.listener.fileno(), select.EPOLLIN)
+        self.epoll.register(self.listener.fileno(), select.EPOLLIN)
         self.stopping = False
 
-    def respond(self, request: Connection) -> bytes:
-        """Return the bytes of the answer."""
+    def handle_request(self, request: Connection) -> bytes:
+        """Handle a request and return the encoded response."""
         if request.path.startswith(b"/control/grant"):
             self.highest_epoch = max(self.highest_epoch, json.loads(request.body)["epoch"])
-            return answer(OK_HEAD, b'{"epoch":%d}' % self.highest_epoch)
+            return encode_response(OK_HEAD_FORMAT, b'{"epoch":%d}' % self.highest_epoch)
         if request.path in (b"/load", b"/health"):
-            return answer(OK_HEAD, b'{"state":"ready","running":0,"waiting":0}')
+            return encode_response(OK_HEAD_FORMAT, b'{"state":"ready","running":0,"waiting":0}')
         if request.deadline_ns and time.monotonic_ns() > request.deadline_ns:
-            return answer(REFUSED_HEAD, b'{"reason":"expired"}')
+            return encode_response(NOT_RUN_HEAD_FORMAT, b'{"reason":"expired"}')
         if self.checks_epoch and request.epoch < self.highest_epoch:
-            return answer(REFUSED_HEAD, b'{"reason":"stale_epoch"}')
+            return encode_response(NOT_RUN_HEAD_FORMAT, b'{"reason":"stale_epoch"}')
         self.highest_epoch = max(self.highest_epoch, request.epoch)
-        self.counts[request.key] += 1
-        values = (self.service, request.key, request.request_id, self.counts[request.key])
+        self.requests_by_key[request.key] += 1
+        values = (self.service, request.key, request.request_id, self.requests_by_key[request.key])
         body = b'{"service":"%b","key":"%b","request_id":"%b","count":%d}' % values
         if not request.request_id:
-            return answer(OK_HEAD, body)
-        return RAN_HEAD % (len(body), request.request_id) + body
+            return encode_response(OK_HEAD_FORMAT, body)
+        return RAN_HEAD_FORMAT % (len(body), request.request_id) + body
 
     def run(self, announcer: Announcer) -> None:
-        """Serve until stopped."""
+        """Serve connections and send announcements until stopped."""
         while not self.stopping:
-            wait = announcer.seconds_left()
-            for fileno, events in self.poller.poll(wait):
+            poll_timeout = announcer.seconds_until_announcement()
+            for fileno, events in self.epoll.poll(poll_timeout):
                 if fileno == self.listener.fileno():
-                    self.accept()
+                    self.accept_connections()
                 elif fileno in self.connections:
-                    self.serve(self.connections[fileno], events)
+                    self.handle_socket_events(self.connections[fileno], events)
             announcer.announce_when_due()
 
-    def accept(self) -> None:
+    def accept_connections(self) -> None:
         """Accept all pending connections."""
         while True:
             try:
@@ -152,13 +152,13 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.connections[sock.fileno()] = Connection(self, sock)
-            self.poller.register(sock.fileno(), select.EPOLLIN)
+            self.epoll.register(sock.fileno(), select.EPOLLIN)
 
-    def serve(self, connection: Connection, events: int) -> None:
-        """Read, answer and write."""
+    def handle_socket_events(self, connection: Connection, events: int) -> None:
+        """Handle the epoll events of a connection; an error or its end closes it."""
         try:
             if events & ~select.EPOLLOUT:
-                data = connection.sock.recv(RECEIVE_BYTES)
+                data = connection.sock.recv(RECEIVE_BUFFER_BYTES)
                 if not data:
                     self.close(connection)
                     return
@@ -168,18 +168,18 @@
             self.close(connection)
 
     def flush(self, connection: Connection) -> None:
-        """Write what the socket takes, and wait for room when it does not take all."""
-        if not connection.unsent:
+        """Send as much as the socket accepts, and poll for writability while data is left."""
+        if not connection.unsent_data:
             return
         try:
-            sent = connection.sock.send(connection.unsent)
+            sent = connection.sock.send(connection.unsent_data)
         except BlockingIOError:
             sent = 0
-        connection.unsent = connection.unsent[sent:]
-        if connection.unsent or connection.writing:
-            connection.writing = bool(connection.unsent)
-            events = select.EPOLLIN | (select.EPOLLOUT if connection.writing else 0)
-            self.poller.modify(connection.sock.fileno(), events)
+        connection.unsent_data = connection.unsent_data[sent:]
+        if connection.unsent_data or connection.write_pending:
+            connection.write_pending = bool(connection.unsent_data)
+            events = select.EPOLLIN | (select.EPOLLOUT if connection.write_pending else 0)
+            self.epoll.modify(connection.sock.fileno(), events)
 
     def close(self, connection: Connection) -> None:
         """Close a connection."""
@@ -188,27 +188,35 @@
 
 
 class Announcer:
-    """Announces the target to its daemon each second, if there is one; the answers are not read."""
+    """Announces the target to its daemon each second and does not read the responses.
+
+    Parameters
+    ----------
+    daemon_address : str
+        ``ip:port`` of the daemon; empty to announce nothing.
+    announcement : dict
+        Body of the announcement.
+    """
 
     def __init__(self, daemon_address: str, announcement: dict[str, Any]) -> None:
         self.daemon_address = daemon_address
         body = json.dumps(announcement).encode()
-        self.request = (
+        self.encoded_request = (
             b"POST /v1/target/announce HTTP/1.1\r\nhost: %b\r\nconnection: close\r\n"
             b"content-type: application/json\r\ncontent-length: %d\r\n\r\n%b"
         ) % (daemon_address.encode(), len(body), body)
-        self.due = time.monotonic()
+        self.next_announcement_at = time.monotonic()
         self.sock: socket.socket | None = None
 
-    def seconds_left(self) -> float:
-        """Return the time until the next announcement, at most one interval."""
-        return max(0.0, self.due - time.monotonic())
+    def seconds_until_announcement(self) -> float:
+        """Return the seconds until the next announcement, at most one interval."""
+        return max(0.0, self.next_announcement_at - time.monotonic())
 
     def announce_when_due(self) -> None:
-        """Send an announcement when its time has come; a failure is made good by the next one."""
-        if time.monotonic() < self.due:
+        """Send an announcement if one is due; after a failure the next one is sent as usual."""
+        if time.monotonic() < self.next_announcement_at:
             return
-        self.due = time.monotonic() + ANNOUNCE_INTERVAL_SECONDS
+        self.next_announcement_at = time.monotonic() + ANNOUNCE_INTERVAL_SECONDS
         if not self.daemon_address:
             return
         if self.sock is not None:
@@ -216,13 +224,13 @@
         host, _, port = self.daemon_address.rpartition(":")
         try:
             self.sock = socket.create_connection((host, int(port)), timeout=0.2)
-            self.sock.sendall(self.request)
+            self.sock.sendall(self.encoded_request)
         except OSError:
             self.sock = None
 
 
-def answer(head: bytes, body: bytes) -> bytes:
-    """Return the bytes of an answer."""
+def encode_response(head: bytes, body: bytes) -> bytes:
+    """Fill the body's length into a response head and append the body."""
     return head % len(body) + body
 
 
@@ -235,7 +243,7 @@
     connections: int = 120,
     checks_epoch: str = "true",
 ) -> int:
-    """Run a minimal target.
+    """Run a minimal target until SIGTERM or SIGINT.
 
     Parameters
     ----------
@@ -252,21 +260,21 @@
     checks_epoch : str
         ``true`` or ``false``: whether requests with an older epoch are refused.
     """
-    checks = checks_epoch == "true"
-    target = FastTarget(address, service, checks)
+    checks_epochs = checks_epoch == "true"
+    target = FastTarget(address, service, checks_epochs)
     announcement = {
         "service": service,
         "address": address,
         "slots": slots,
         "connections": connections,
-        "checks_epoch": checks,
+        "checks_epoch": checks_epochs,
     }
 
-    def stop(*_args: Any) -> None:
+    def request_stop(*_args: Any) -> None:
         target.stopping = True
 
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGTERM, request_stop)
+    signal.signal(signal.SIGINT, request_stop)
     target.run(Announcer(daemon_address, announcement))
     return 0
 
