Reword the scripted peer

"A server that misbehaves" that "plays" a script did not say how requests and steps correspond. Renames: RECEIVE_BYTES -> RECEIVE_BUFFER_BYTES, WAIT_SECONDS -> WAIT_ACTION_SECONDS; ScriptedPeer.accept -> accept_connection, play -> run_actions.

Run: ruff, no findings.

--- a/tools/standins/scripted_peer.py
+++ b/tools/standins/scripted_peer.py
@@ -1,4 +1,4 @@
-"""Stand-in for a server that misbehaves: it answers by a script of bytes, waits and closes."""
+"""TCP server for tests that responds with scripted bytes, delays and connection closes."""
 
 from __future__ import annotations
 
@@ -9,18 +9,21 @@
 
 from hibiscusdrum.internal.kernel import Service
 
-RECEIVE_BYTES = 1 << 20
-WAIT_SECONDS = 0.001
+RECEIVE_BUFFER_BYTES = 1 << 20
+WAIT_ACTION_SECONDS = 0.001
 
 
 class ScriptedPeer(Service):
-    """A TCP server that answers the n-th request with the n-th step of a script.
+    """Responds to the n-th request, counted over all connections, with the n-th step of a script.
+
+    A request ends at the first blank line; a request body counts toward the next request.
 
     Parameters
     ----------
     script : list of list
-        Steps; the last one is repeated. A step is a list of actions: bytes to send, a function that makes
-        them from the request, ``"close"``, ``"wait"`` (a millisecond), or ``"hold"`` (nothing more).
+        Steps; the last one is repeated. A step is a list of actions: bytes to send, a function that returns
+        them for a request, ``"close"``, ``"wait"`` (pause for a millisecond), or
+        ``"hold"`` (keep the connection open).
     address : str
         ``ip:port`` to listen on.
     """
@@ -37,7 +40,7 @@
         self.receive_buffers: dict[socket.socket, bytes] = {}
 
     def on_start(self) -> None:
-        """Listen."""
+        """Start listening."""
         host, _, port = self.address.rpartition(":")
         self.listener = socket.create_server((host, int(port)))
         self.listener.setblocking(False)
@@ -45,13 +48,13 @@
 
     @handler("_read")
     def on_read(self, sock: socket.socket) -> None:
-        """Accept a connection or receive."""
+        """Accept a connection, or receive data from one."""
         if sock is self.listener:
-            self.accept()
+            self.accept_connection()
         elif sock in self.receive_buffers:
             self.receive(sock)
 
-    def accept(self) -> None:
+    def accept_connection(self) -> None:
         """Accept one connection."""
         connection, _ = self.listener.accept()
         connection.setblocking(False)
@@ -61,9 +64,9 @@
         self.app.poller.addReader(self, connection)
 
     def receive(self, sock: socket.socket) -> None:
-        """Receive, and answer each request that is complete."""
+        """Receive data, and run a step of the script for each complete request."""
         try:
-            data = sock.recv(RECEIVE_BYTES)
+            data = sock.recv(RECEIVE_BUFFER_BYTES)
         except OSError:
             data = b""
         if not data:
@@ -71,19 +74,21 @@
             return
         self.receive_buffers[sock] += data
         while self.HEADER_END in self.receive_buffers.get(sock, b""):
-            request, _, rest = self.receive_buffers[sock].partition(self.HEADER_END)
-            self.receive_buffers[sock] = rest
+            request, _, remainder = self.receive_buffers[sock].partition(self.HEADER_END)
+            self.receive_buffers[sock] = remainder
             self.requests.append(request)
-            self.play(sock, list(self.script[min(len(self.requests), len(self.script)) - 1]), request)
+            self.run_actions(sock, list(self.script[min(len(self.requests), len(self.script)) - 1]), request)
 
-    def play(self, sock: socket.socket, actions: list[Any], request: bytes) -> None:
-        """Do the actions of a step."""
+    def run_actions(self, sock: socket.socket, actions: list[Any], request: bytes) -> None:
+        """Run the actions of a step until they end or the connection is closed."""
         while actions and sock in self.receive_buffers:
             action = actions.pop(0)
             if action == "close":
                 self.close(sock)
             elif action == "wait":
-                self.app.scheduler.call_later(WAIT_SECONDS, lambda: self.play(sock, actions, request))
+                self.app.scheduler.call_later(
+                    WAIT_ACTION_SECONDS, lambda: self.run_actions(sock, actions, request)
+                )
                 return
             elif callable(action):
                 sock.send(action(request))
@@ -102,11 +107,11 @@
             self.close(sock)
 
     def stop_listening(self) -> None:
-        """Refuse further connections."""
+        """Close the listening socket, so that further connections are refused."""
         self.app.poller.discard(self.listener)
         self.listener.close()
 
     def on_stop(self) -> None:
-        """Close everything."""
+        """Close all connections and the listening socket."""
         self.close_all()
         self.stop_listening()
