Reword the HTTP base of the stand-ins

The comments used "answer" for sending a response and did not say why a handler returns true. Renames: parameters of read_json and send_truncated_json, form -> expected_type, declared -> declared_length.

--- a/tools/standins/web.py
+++ b/tools/standins/web.py
@@ -1,4 +1,4 @@
-"""Base of the stand-ins: JSON over HTTP by circuits.web, in one loop."""
+"""Base class and helpers for stand-ins that serve JSON over HTTP with circuits.web."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class JsonServer(Service):
-    """A service that answers HTTP requests with JSON.
+    """Serves HTTP requests with JSON responses.
 
     Parameters
     ----------
@@ -38,7 +38,10 @@
 
     @handler("request", priority=1.0)
     def on_request(self, request: Request, reply: Response) -> bool:
-        """Handle a request; the answer is sent by ``answer``, then or later."""
+        """Handle a request and convert its errors to error responses.
+
+        Returning true keeps circuits.web from responding with status 404.
+        """
         try:
             self.handle_request(request, reply)
         except HibiscusdrumError as error:
@@ -46,13 +49,13 @@
         return True
 
     def handle_request(self, request: Request, reply: Response) -> None:
-        """Handle a request."""
+        """Handle a request; subclasses respond at once or later with one of the send methods."""
         raise NotImplementedError
 
     def send_json(
         self, reply: Response, status: int, value: Any, headers: dict[str, str] | None = None
     ) -> None:
-        """Answer with a JSON value."""
+        """Send a response with a JSON body."""
         self.send_bytes(reply, status, msgspec.json.encode(value), "application/json", headers)
 
     def send_bytes(
@@ -63,7 +66,7 @@
         content_type: str,
         headers: dict[str, str] | None = None,
     ) -> None:
-        """Answer with bytes, unless the caller is gone."""
+        """Send a response with a body of bytes, unless the caller has disconnected."""
         if reply.request.sock.fileno() < 0:
             return
         reply.status = status
@@ -74,34 +77,36 @@
         self.fire(response(reply))
 
     def close_without_response(self, reply: Response) -> None:
-        """Close the caller's connection."""
+        """Close the caller's connection without sending a response."""
         self.fire(close(reply.request.sock))
 
-    def send_truncated_json(self, reply: Response, body: bytes, declared: int) -> None:
-        """Send fewer body bytes than declared, then close."""
-        head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {declared}\r\n\r\n"
-        self.fire(write(reply.request.sock, head.encode() + body))
+    def send_truncated_json(self, reply: Response, body: bytes, declared_length: int) -> None:
+        """Send a body shorter than its declared length, then close the connection."""
+        response_head = (
+            f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {declared_length}\r\n\r\n"
+        )
+        self.fire(write(reply.request.sock, response_head.encode() + body))
         self.fire(close(reply.request.sock))
 
 
-def read_json(request: Request, form: Any) -> Any:
-    """Decode a request body.
+def read_json(request: Request, expected_type: Any) -> Any:
+    """Decode a JSON request body as a type.
 
     Raises
     ------
     InvalidArgument
-        If the body does not have the form.
+        If the body is not valid JSON of that type.
     """
     body = request.body.read()
     try:
-        return msgspec.json.decode(body, type=form)
+        return msgspec.json.decode(body, type=expected_type)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        text = body[:200].decode("utf-8", "replace")
-        raise InvalidArgument(name="body", value=text, expected=str(error)) from error
+        preview = body[:200].decode("utf-8", "replace")
+        raise InvalidArgument(name="body", value=preview, expected=str(error)) from error
 
 
 class StopOnSignal(BaseComponent):
-    """Ends the application on SIGTERM or SIGINT."""
+    """Shuts the application down on SIGTERM or SIGINT."""
 
     channel = "*"
 
@@ -111,12 +116,12 @@
 
     @handler("signal", channel="*")
     def on_signal(self, *_args: Any) -> None:
-        """Stop the services and the loop."""
+        """Stop the services and the event loop."""
         self.application.shutdown()
 
 
 def run_services(*services: Service) -> int:
-    """Run services until a signal arrives; returns the exit code."""
+    """Run services in one application until a signal arrives, and return the exit code."""
     application = Application()
     StopOnSignal(application).register(application)
     for service in services:
