Rename the hooks of the FIFO in the fair-queue bench with those of FairQueue

The bench calls queue.on_started and on_finished of either queue; its own FIFO still had started and finished, and the run ended with an AttributeError.

--- a/bench/fair_queue.py
+++ b/bench/fair_queue.py
@@ -60,10 +60,10 @@
         """Keep expired items until they are popped."""
         return []
 
-    def started(self, request_class: str) -> None:
+    def on_started(self, request_class: str) -> None:
         """Count nothing."""
 
-    def finished(self, request_class: str) -> None:
+    def on_finished(self, request_class: str) -> None:
         """Count nothing."""
 
 
