--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that keep their connections, retry nothing, and note each answer."""
+"""Client threads that reuse their connections, never retry, and record each answer."""
 
 from __future__ import annotations
 
@@ -10,80 +10,91 @@
 
 import msgspec
 
-PREFIX = "x-hibiscusdrum-"
+HEADER_PREFIX = "x-hibiscusdrum-"
 DEADLINE_MS = 2000
-PAUSE_SECONDS = 0.03
-SMALL_BODY_BYTES = 4_000
-# Routers offer bodies of this size before they send them.
-LARGE_BODY_BYTES = 120_000
-LARGE_SHARE = 0.2
-COUNTER = itertools.count()
+MEAN_PAUSE_SECONDS = 0.03
+MAX_SMALL_BODY_BYTES = 4_000
+# Large enough that routers offer the body to the owner before they send it.
+MAX_LARGE_BODY_BYTES = 120_000
+LARGE_BODY_SHARE = 0.2
+ATTEMPT_NUMBERS = itertools.count()
 
 
-class Asked(msgspec.Struct):
-    """One request and its answer; status 0 means that the connection ended without one."""
+class RequestRecord(msgspec.Struct):
+    """A request and its answer; status 0 means that the connection closed before an answer arrived."""
 
     attempt: str
     vm: str
     path: str
-    unsafe: bool
-    size: int
-    began: float
-    ended: float = 0.0
+    non_idempotent: bool
+    body_bytes: int
+    started_at: float
+    ended_at: float = 0.0
     status: int = 0
     signature: str = ""
     body: bytes = b""
 
 
-class Caller(threading.Thread):
-    """Sends requests of all kinds one after the other until it is told to end."""
+class CallerThread(threading.Thread):
+    """Sends requests of random kinds to the router of one VM, one at a time, until it is stopped."""
 
     def __init__(self, vm, seed: int) -> None:
         super().__init__(daemon=True)
         self.vm = vm
         self.rng = random.Random(seed)
-        self.asked: list[Asked] = []
-        self.ending = False
+        self.requests: list[RequestRecord] = []
+        self.stopping = False
         self.connection: http.client.HTTPConnection | None = None
 
     def run(self) -> None:
-        """Send requests."""
-        while not self.ending:
-            self.ask()
-            time.sleep(PAUSE_SECONDS * self.rng.random() * 2)
+        """Send requests with random pauses between them until stopped."""
+        while not self.stopping:
+            self.send_request()
+            time.sleep(MEAN_PAUSE_SECONDS * self.rng.random() * 2)
 
-    def ask(self) -> None:
-        """Send one request, on the open connection if there is one."""
+    def send_request(self) -> None:
+        """Send one random request, reusing the open connection if there is one, and record its answer."""
         kind = self.rng.randrange(4)
         host, path = ("keys.example", "/k/x") if kind < 2 else ("grants.example", "/g/x")
         if kind == 3:
             path = "/r/x"
-        fault = self.rng.random()
-        if fault < 0.06:
+        fault_draw = self.rng.random()
+        if fault_draw < 0.06:
             path = path[:3] + self.rng.choice(["lost", "garbled", "short", "late", "full"])
-        unsafe = path.startswith("/g/")
-        largest = LARGE_BODY_BYTES if self.rng.random() < LARGE_SHARE else SMALL_BODY_BYTES
-        body = b"b" * self.rng.randrange(largest) if unsafe else None
-        attempt = f"s{next(COUNTER)}"
-        entry = Asked(attempt, self.vm.name, path, unsafe, len(body or b""), time.monotonic())
-        headers = {"host": host, PREFIX + "attempt-id": attempt, PREFIX + "deadline-ms": str(DEADLINE_MS)}
+        non_idempotent = path.startswith("/g/")
+        max_body_bytes = (
+            MAX_LARGE_BODY_BYTES if self.rng.random() < LARGE_BODY_SHARE else MAX_SMALL_BODY_BYTES
+        )
+        body = b"b" * self.rng.randrange(max_body_bytes) if non_idempotent else None
+        attempt = f"s{next(ATTEMPT_NUMBERS)}"
+        record = RequestRecord(
+            attempt, self.vm.name, path, non_idempotent, len(body or b""), time.monotonic()
+        )
+        headers = {
+            "host": host,
+            HEADER_PREFIX + "attempt-id": attempt,
+            HEADER_PREFIX + "deadline-ms": str(DEADLINE_MS),
+        }
         if kind < 2:
-            headers[PREFIX + "shard-key"] = str(self.rng.randrange(65_536))
+            headers[HEADER_PREFIX + "shard-key"] = str(self.rng.randrange(65_536))
         try:
             if self.connection is None:
                 self.connection = http.client.HTTPConnection(
                     self.vm.address(1), timeout=DEADLINE_MS / 1000 + 1.0
                 )
-            self.connection.request("POST" if unsafe else "GET", path, body, headers)
+            self.connection.request("POST" if non_idempotent else "GET", path, body, headers)
             answer = self.connection.getresponse()
-            entry.status, entry.signature = answer.status, answer.getheader(PREFIX + "response-sig", "")
-            entry.body = answer.read()
+            record.status, record.signature = (
+                answer.status,
+                answer.getheader(HEADER_PREFIX + "response-sig", ""),
+            )
+            record.body = answer.read()
         except (OSError, http.client.HTTPException):
             self.connection = None
-        entry.ended = time.monotonic()
-        self.asked.append(entry)
+        record.ended_at = time.monotonic()
+        self.requests.append(record)
 
-    def end(self) -> None:
-        """Stop sending."""
-        self.ending = True
+    def stop_and_join(self) -> None:
+        """Stop sending, and wait until the current request has ended."""
+        self.stopping = True
         self.join(DEADLINE_MS / 1000 + 3.0)
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -1,23 +1,23 @@
 """Steps on the soak: fixed seeds, and planted faults that its checks must notice."""
 
 from behave import then
-from soak.callers import Asked
-from soak.checks import broken_promises
-from soak.run import Soak
+from soak.callers import RequestRecord
+from soak.checks import find_violations
+from soak.run import SoakRun
 
 
 @then("the soak keeps all promises on seed {seed:d}")
 def seed_passes(_context, seed):
-    lines = Soak(seed).run()
+    lines = SoakRun(seed).run()
     assert not lines, lines
 
 
 def asked(**changes):
     values = {
-        "attempt": "a", "vm": "vm0", "path": "/g/x", "unsafe": True, "size": 2, "began": 10.0, "ended": 10.1,
-        "status": 200, "signature": "sig-vm1", "body": b"vm1 /g/x 2",
+        "attempt": "a", "vm": "vm0", "path": "/g/x", "non_idempotent": True, "body_bytes": 2,
+        "started_at": 10.0, "ended_at": 10.1, "status": 200, "signature": "sig-vm1", "body": b"vm1 /g/x 2",
     }  # fmt: skip
-    return Asked(**(values | changes))
+    return RequestRecord(**(values | changes))
 
 
 def run(at=10.05):
@@ -37,7 +37,7 @@
     "said not to have run": (asked(status=503, signature=""), [run()]),
     "wrong answer": (asked(body=b"vm1 /g/other 2"), [run()]),
     "answered without a run": (asked(), []),
-    "answered after": (asked(ended=13.0), [run()]),
+    "answered after": (asked(ended_at=13.0), [run()]),
     "two holders": (asked(), [run(), *hold("i-vm1", 1, 1.0, 6.0), *hold("i-vm2", 2, 5.9, 9.0)]),
     "token of": (asked(), [run(), *hold("i-vm1", 2, 1.0, 6.0), *hold("i-vm2", 2, 6.1, 9.0)]),
 }
@@ -46,5 +46,5 @@
 @then('the checks of the soak report "{fault}" and nothing else')
 def planted(_context, fault):
     entry, records = PLANTED[fault]
-    lines = broken_promises([entry], records, {})
+    lines = find_violations([entry], records, {})
     assert len(lines) == 1 and fault in lines[0], lines
