Reword the process runner and the router system of the tools

Doc comments named neither units nor what is returned, and names such as ask, faults and block_of_ports didn't say what they do. Main renames: NotReached -> ConditionTimeout; RouterSystem.ask -> send_request, faults -> set_store_faults, evacuate -> set_evacuation, records -> target_records, runs -> runs_of_attempt, log -> router_log, store_base -> direct_store_address; block_of_ports -> reserve_port_block; PREFIX -> HEADER_PREFIX. Uses in soak and tests follow.

--- a/soak/run.py
+++ b/soak/run.py
@@ -12,8 +12,8 @@
 import time
 from pathlib import Path
 
-from tools.processes import NotReached, wait_until
-from tools.router_system import HOST, ROUTES, RouterSystem, Vm, block_of_ports
+from tools.processes import ConditionTimeout, wait_until
+from tools.router_system import HOST, ROUTES, RouterSystem, Vm, reserve_port_block
 
 from soak.callers import CallerThread, RequestRecord
 from soak.checks import RouterPauses, find_violations
@@ -39,13 +39,13 @@
     """A system with proxies between each router and the store, and between each router and its target."""
 
     def __init__(self, folder: Path, links: LinkProxy) -> None:
-        ports = iter(block_of_ports(3 * len(VM_PLACEMENTS)))
+        ports = iter(reserve_port_block(3 * len(VM_PLACEMENTS)))
         self.links = links
         self.ports = {f"vm{index}": [next(ports) for _ in range(3)] for index in range(len(VM_PLACEMENTS))}
         super().__init__(folder, VM_PLACEMENTS, lambda vm, _address: f"{HOST}:{self.ports[vm.name][0]}")
         for vm in self.vms.values():
             store, target, reports = self.ports[vm.name]
-            links.add(f"{vm.name} store", store, self.store_base)
+            links.add(f"{vm.name} store", store, self.direct_store_address)
             links.add(f"{vm.name} target", target, vm.address(0))
             links.add(f"{vm.name} reports", reports, vm.address(3))
             boot_lines = vm.boot_lines
@@ -95,13 +95,13 @@
                 self.inject_event()
                 self.sleep_restarting_routers(self.rng.uniform(0.1, 2.5))
             violations += self.recover()
-        except NotReached as error:
+        except ConditionTimeout as error:
             violations.append(f"not reached: {error}")
         finally:
             for caller in callers:
                 caller.stop_and_join()
             requests: list[RequestRecord] = [entry for caller in callers for entry in caller.requests]
-            violations += find_violations(requests, self.system.records(), self.pauses)
+            violations += find_violations(requests, self.system.target_records(), self.pauses)
             self.system.stop()
         served = sum(entry.status == 200 for entry in requests)
         self.log_event(f"{len(requests)} requests, {served} served")
@@ -136,8 +136,8 @@
         elif kind == 5:
             fault = self.rng.choice(STORE_FAULTS)
             self.log_event(f"store {fault} for {seconds:.2f} s")
-            self.system.faults(fault)
-            self.schedule_repair(seconds, lambda: self.system.faults({}))
+            self.system.set_store_faults(fault)
+            self.schedule_repair(seconds, lambda: self.system.set_store_faults({}))
         elif kind <= 7:
             name = f"{vm.name} {self.rng.choice(['store', 'target', 'reports'])}"
             mode, delay = self.rng.choice(MODES), self.rng.uniform(0.02, 0.8)
@@ -150,8 +150,8 @@
         else:
             domain = vm.failure_domain
             self.log_event(f"evacuate {domain} for {seconds:.2f} s")
-            self.system.evacuate(domain, True)
-            self.schedule_repair(seconds, lambda: self.system.evacuate(domain, False))
+            self.system.set_evacuation(domain, True)
+            self.schedule_repair(seconds, lambda: self.system.set_evacuation(domain, False))
 
     def signal_router(self, vm: Vm, signum: signal.Signals) -> None:
         """Send a router a signal that ends it; it is restarted once it has exited."""
@@ -182,7 +182,9 @@
     def restart_target(self, vm: Vm) -> None:
         """Kill a target, record its end in its log, and start it again."""
         self.log_event(f"restart target of {vm.name}")
-        born = [record["born"] for record in self.system.records() if record["target"] == f"i-{vm.name}"]
+        born = [
+            record["born"] for record in self.system.target_records() if record["target"] == f"i-{vm.name}"
+        ]
         vm.target.kill()
         with (self.folder / f"target-{vm.name}.log").open("a") as log:
             at = round(time.monotonic(), 4)
@@ -194,11 +196,11 @@
         """End all faults, then wait until everything is served and a new configuration is in force."""
         for timer in self.repair_timers:
             timer.cancel()
-        self.system.faults({})
+        self.system.set_store_faults({})
         for name in self.links.links:
             self.links.set_fault(name, PASS)
         for domain in {vm.failure_domain for vm in self.system.vms.values()}:
-            self.system.evacuate(domain, False)
+            self.system.set_evacuation(domain, False)
         for vm in self.system.vms.values():
             vm.router.send(signal.SIGCONT)
             vm.target.send(signal.SIGCONT)
@@ -229,13 +231,13 @@
 
     def answered_by_all_routers(self, host: str, path: str) -> bool:
         """Return whether each router answers a request with status 200."""
-        return all(self.system.ask(vm, host, path)[0] == 200 for vm in self.system.vms.values())
+        return all(self.system.send_request(vm, host, path)[0] == 200 for vm in self.system.vms.values())
 
     def all_keys_and_services_answer(self) -> bool:
         """Return whether the probed keys are served, and the shared service by each router."""
         vms = list(self.system.vms.values())
         keys = all(
-            self.system.ask(vms[key % len(vms)], "keys.example", "/k/x", key=key)[0] == 200
+            self.system.send_request(vms[key % len(vms)], "keys.example", "/k/x", key=key)[0] == 200
             for key in PROBED_KEYS
         )
         return keys and self.answered_by_all_routers("grants.example", "/r/x")
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -12,7 +12,7 @@
 
 from behave import given, then, when
 from tools.processes import wait_until
-from tools.router_system import PREFIX, ROUTES, RouterSystem
+from tools.router_system import HEADER_PREFIX, ROUTES, RouterSystem
 
 PLACES = [
     ("east", "east-1", "keyed"),
@@ -45,38 +45,44 @@
 @when('a caller posts {size:d} bytes to "{path}" of "{host}"')
 def posts(context, size, path, host):
     context.size = size
-    context.answer = context.system.ask(context.vm, host, path, "POST", body=b"x" * size, attempt="posted")
+    context.answer = context.system.send_request(
+        context.vm, host, path, "POST", body=b"x" * size, attempt="posted"
+    )
 
 
 @then("the answer is 200 with the target's signature and whole body")
 def whole_answer(context):
     status, headers, body = context.answer
-    name = headers[PREFIX + "response-sig"].removeprefix("sig-")
+    name = headers[HEADER_PREFIX + "response-sig"].removeprefix("sig-")
     assert status == 200 and body == f"{name} /g/x?y=1 {context.size}".encode(), context.answer
 
 
 @then("the target ran it once with the caller's service and a deadline of at most {most:d} ms")
 def ran_once(context, most):
-    (run,) = context.system.runs("posted")
+    (run,) = context.system.runs_of_attempt("posted")
     assert run["caller"] == "keyed" and 0 < int(run["deadline"]) <= most, run
     assert run["body"] == context.size and run["method"] == "POST", run
 
 
 @when('a caller sends a {method} request to "{path}" of "{host}"')
 def sends(context, method, path, host):
-    context.answer = context.system.ask(context.vm, host, path, method, attempt="sent", deadline_ms=3000)
+    context.answer = context.system.send_request(
+        context.vm, host, path, method, attempt="sent", deadline_ms=3000
+    )
 
 
 @when('a caller reads "{path}" of "{host}" with a key')
 def reads_with_key(context, path, host):
-    context.answer = context.system.ask(context.vm, host, path, key=77, attempt="sent", deadline_ms=3000)
+    context.answer = context.system.send_request(
+        context.vm, host, path, key=77, attempt="sent", deadline_ms=3000
+    )
 
 
 @then("the status is {status:d} and it has run {runs:d} times")
 def status_and_runs(context, status, runs):
     time.sleep(0.2)
     assert context.answer[0] == status, context.answer
-    assert len(context.system.runs("sent")) == runs, context.system.runs("sent")
+    assert len(context.system.runs_of_attempt("sent")) == runs, context.system.runs_of_attempt("sent")
 
 
 @then("the answer has a time to come back of at most {most:g} s")
@@ -95,7 +101,9 @@
     system = context.system
 
     def served():
-        return all(system.ask(vm, "grants.example", prefix + "x")[0] == 200 for vm in system.vms.values())
+        return all(
+            system.send_request(vm, "grants.example", prefix + "x")[0] == 200 for vm in system.vms.values()
+        )
 
     wait_until(served, seconds, f"{prefix} is served everywhere")
 
@@ -106,7 +114,7 @@
     context.attempts = []
     for index in range(count):
         attempt = f"home{index}"
-        status, _, _ = context.system.ask(
+        status, _, _ = context.system.send_request(
             senders[index % len(senders)], "home.example", "/h/x", attempt=attempt
         )
         assert status == 200, status
@@ -117,14 +125,14 @@
 def ran_in(context, region):
     names = {f"i-{vm.name}" for vm in context.system.vms.values() if vm.region == region}
     for attempt in context.attempts:
-        assert {run["target"] for run in context.system.runs(attempt)} <= names, attempt
+        assert {run["target"] for run in context.system.runs_of_attempt(attempt)} <= names, attempt
 
 
 @when('a caller leaves {seconds:g} s after a GET request to "{path}" of "{host}"')
 def leaves(context, seconds, path, host):
     address = context.vm.address(1).rpartition(":")
     with socket.create_connection((address[0], int(address[2]))) as connection:
-        head = f"GET {path} HTTP/1.1\r\nhost: {host}\r\n{PREFIX}attempt-id: left\r\n\r\n"
+        head = f"GET {path} HTTP/1.1\r\nhost: {host}\r\n{HEADER_PREFIX}attempt-id: left\r\n\r\n"
         connection.sendall(head.encode())
         time.sleep(seconds)
 
@@ -134,7 +142,7 @@
     def found():
         return [
             line
-            for line in context.system.log(context.vm)
+            for line in context.system.router_log(context.vm)
             if line["name"] == "request_ended" and line["fields"]["id"] == "left"
         ]
 
@@ -159,7 +167,7 @@
             host, path, method, key = self.make(index)
             index += 1
             began = time.monotonic()
-            status, _, _ = self.system.ask(self.vm, host, path, method, key=key)
+            status, _, _ = self.system.send_request(self.vm, host, path, method, key=key)
             self.results.append((began, time.monotonic(), status))
             if status != 200:
                 time.sleep(0.02)
@@ -223,7 +231,7 @@
     system = context.system
 
     def served():
-        return all(system.ask(context.vm, "keys.example", "/k/x", key=key)[0] == 200 for key in KEYS)
+        return all(system.send_request(context.vm, "keys.example", "/k/x", key=key)[0] == 200 for key in KEYS)
 
     wait_until(served, seconds, "every key is served")
 
@@ -232,9 +240,9 @@
 def store_silent(context, seconds):
     system = context.system
     caller = Callers(system, context.vm, keyed)
-    system.faults({"silent": True})
+    system.set_store_faults({"silent": True})
     time.sleep(seconds)
-    system.faults({})
+    system.set_store_faults({})
     caller.end()
     context.results = caller.results
 
@@ -247,10 +255,10 @@
 
 @when('the store is silent for {seconds:g} s and the operator adds the route "{prefix}" at its end')
 def silent_then_route(context, seconds, prefix):
-    context.system.faults({"silent": True})
+    context.system.set_store_faults({"silent": True})
     time.sleep(seconds)
     adds_route(context, prefix)
-    context.system.faults({})
+    context.system.set_store_faults({})
 
 
 @when('the failure domain "{name}" is evacuated for {seconds:g} s while callers send requests')
@@ -259,12 +267,12 @@
     context.domain = name
     callers = [Callers(system, context.vm, keyed), Callers(system, system.vms["vm4"], shared)]
     context.began = time.monotonic()
-    system.evacuate(name, True)
+    system.set_evacuation(name, True)
     time.sleep(seconds)
     context.ended = time.monotonic()
     for caller in callers:
         caller.end()
-    system.evacuate(name, False)
+    system.set_evacuation(name, False)
     context.results = [result for caller in callers for result in caller.results]
 
 
@@ -273,7 +281,7 @@
     names = {f"i-{vm.name}" for vm in context.system.vms.values() if vm.failure_domain == context.domain}
     late = [
         line
-        for line in context.system.records()
+        for line in context.system.target_records()
         if line["event"] == "run"
         and line["target"] in names
         and context.began + seconds < line["at"] < context.ended
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,4 +1,4 @@
-"""Plain processes on loopback ports: start, signal, end, and HTTP requests to them."""
+"""Starts, signals and stops child processes on loopback ports, and sends them HTTP requests."""
 
 from __future__ import annotations
 
@@ -18,45 +18,45 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 PR_SET_PDEATHSIG = 1
-POLL_SECONDS = 0.02
+POLL_INTERVAL_SECONDS = 0.02
 libc = ctypes.CDLL(None, use_errno=True)
 
 
-class NotReached(AssertionError):
-    """A condition was not met in time."""
+class ConditionTimeout(AssertionError):
+    """Raised when a condition is not met in time."""
 
 
 def free_ports(count: int, host: str) -> list[int]:
-    """Return distinct free ports; all are bound at once, so that none is given twice."""
+    """Return distinct free ports; all are bound at the same time, so that none is returned twice."""
     sockets = [socket.create_server((host, 0)) for _ in range(count)]
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    ports = [bound.getsockname()[1] for bound in sockets]
+    for bound in sockets:
+        bound.close()
     return ports
 
 
-def wait_until(condition: Callable[[], Any], seconds: float, what: str) -> Any:
-    """Return the first true value of a condition.
+def wait_until(condition: Callable[[], Any], timeout_seconds: float, description: str) -> Any:
+    """Poll a condition and return its first true value.
 
     Raises
     ------
-    NotReached
-        If there is none within the time.
+    ConditionTimeout
+        If the condition has not been true within the timeout.
     """
-    end = time.monotonic() + seconds
+    end = time.monotonic() + timeout_seconds
     while True:
         value = condition()
         if value:
             return value
         if time.monotonic() > end:
-            raise NotReached(f"not within {seconds} s: {what}")
-        time.sleep(POLL_SECONDS)
+            raise ConditionTimeout(f"not met within {timeout_seconds} s: {description}")
+        time.sleep(POLL_INTERVAL_SECONDS)
 
 
 def request(
     address: str, method: str, path: str, value: Any = None, headers=None, timeout=2.0
 ) -> tuple[int, Any]:
-    """Send one HTTP request with a JSON body; returns status and decoded answer, (0, None) on failure."""
+    """Send an HTTP request with a JSON body; return status and decoded answer, (0, None) on failure."""
     connection = http.client.HTTPConnection(address, timeout=timeout)
     body = None if value is None else msgspec.json.encode(value)
     try:
@@ -74,58 +74,59 @@
 
 
 class Process:
-    """One child process; its output goes to a log file.
+    """A child process of the Python interpreter whose output goes to a log file.
 
     Parameters
     ----------
     arguments : iterable of str
-        Arguments of the Python interpreter.
+        Command-line arguments of the Python interpreter.
     log : Path
         File to which standard output and error are appended.
     environment : dict of str to str
-        Variables in addition to those of this process.
+        Environment variables to add to those of this process. Its own ``HIBISCUSDRUM_*`` variables are not
+        inherited.
     """
 
     __slots__ = ("log", "process")
 
     def __init__(self, arguments: Iterable[str], log: Path, environment: dict[str, str], stdin=None) -> None:
         self.log = log
-        variables = {
+        inherited = {
             name: value for name, value in os.environ.items() if not name.startswith("HIBISCUSDRUM_")
         }
-        path = os.pathsep.join((str(ROOT / "src"), str(ROOT)))
+        python_path = os.pathsep.join((str(ROOT / "src"), str(ROOT)))
         with log.open("ab") as output:
             self.process = subprocess.Popen(
                 [sys.executable, *arguments],
                 cwd=ROOT,
-                env={**variables, "PYTHONPATH": path, **environment},
+                env={**inherited, "PYTHONPATH": python_path, **environment},
                 stdin=subprocess.DEVNULL if stdin is None else stdin,
                 stdout=output,
                 stderr=output,
-                preexec_fn=_end_with_parent,
+                preexec_fn=_kill_with_parent,
             )
 
     @property
     def running(self) -> bool:
-        """Whether the process has not ended; a paused one has not."""
+        """Whether the process has not exited; a paused process counts as running."""
         return self.process.poll() is None
 
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process, by its id."""
+    def send(self, signum: signal.Signals) -> None:
+        """Send a signal to the process if it has not exited."""
         if self.running:
-            self.process.send_signal(number)
+            self.process.send_signal(signum)
 
     def kill(self) -> None:
-        """End the process at once, even when it is paused."""
+        """Kill the process with SIGKILL, which also ends a paused process, and wait for it."""
         self.send(signal.SIGKILL)
         self.process.wait()
 
-    def stop(self, seconds: float) -> int:
-        """Ask the process to end and return its exit code."""
+    def stop(self, timeout_seconds: float) -> int:
+        """Send SIGTERM, wait for the process to exit, and return its exit code."""
         self.send(signal.SIGTERM)
-        return self.process.wait(seconds)
+        return self.process.wait(timeout_seconds)
 
 
-def _end_with_parent() -> None:
-    """End the child when the test process ends, even by SIGKILL."""
+def _kill_with_parent() -> None:
+    """Have the kernel kill this child when its parent ends, even if the parent ends by SIGKILL."""
     libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -1,4 +1,4 @@
-"""A whole system on loopback: stand-in store and targets, and real routers, each a process of its own."""
+"""Runs a complete system on loopback: stand-in store, stand-in targets and real routers, a process each."""
 
 from __future__ import annotations
 
@@ -15,15 +15,15 @@
 from tools.processes import Process, request, wait_until
 
 HOST = "127.0.0.1"
-PORTS_PER_NODE = 7
-START_SECONDS = 15.0
+PORTS_PER_VM = 7
+START_LIMIT_SECONDS = 15.0
 LOWEST_PORT = 11_000
 HIGHEST_PORT = 30_000
-BLOCK_PORTS = 64
-# Keep the blocks of this process from others until it ends.
-GUARDS: list[socket.socket] = []
-PREFIX = "x-hibiscusdrum-"
-ATTEMPTS = itertools.count(1)
+PORT_BLOCK_SIZE = 64
+# Sockets bound to the first port of each block, which reserve the block until this process ends.
+RESERVATIONS: list[socket.socket] = []
+HEADER_PREFIX = "x-hibiscusdrum-"
+ATTEMPT_NUMBERS = itertools.count(1)
 ROUTE_COLUMNS = [
     "name", "host", "prefix", "kind", "timeoutS", "goalS", "priority", "service", "attempts",
     "allowedRegions", "backends",
@@ -43,7 +43,7 @@
 
 
 class Vm:
-    """One VM: a router and the target beside it."""
+    """The processes and ports of a VM, which runs a router and a target."""
 
     def __init__(self, name: str, region: str, failure_domain: str, service: str, ports: list[int]) -> None:
         self.name = name
@@ -56,11 +56,11 @@
         self.target: Process | None = None
 
     def address(self, index: int) -> str:
-        """Return one of the VM's addresses: target, callers, readiness, reports, peers, metrics."""
+        """Return an address of the VM by index: target, callers, readiness, reports, peers, metrics."""
         return f"{HOST}:{self.ports[index]}"
 
     def boot_lines(self, store: str) -> list[str]:
-        """Return the settings file as the platform writes it."""
+        """Return the lines of the settings file that the platform writes for the router."""
         return [
             f"node={self.name}",
             f"zone={self.failure_domain}",
@@ -79,49 +79,52 @@
 
 
 class RouterSystem:
-    """Starts and ends the processes; only its own are signalled, by their ids.
+    """Starts and stops the processes of a system; signals only those that it started, by process id.
 
     Parameters
     ----------
     folder : Path
-        For logs, records and settings files.
+        Receives logs, records of the targets, and settings files.
     store_address : callable, optional
-        Returns the address under which a VM reaches the store, for example that of a proxy.
+        Takes a VM and the address of the store; returns the address at which the VM reaches the store,
+        such as that of a proxy. Defaults to the address of the store.
     """
 
-    def __init__(self, folder: Path, places: list[tuple[str, str, str]], store_address=None) -> None:
+    def __init__(self, folder: Path, placements: list[tuple[str, str, str]], store_address=None) -> None:
         self.folder = folder
-        count = len(places)
-        ports = block_of_ports(count * PORTS_PER_NODE + 1)
+        count = len(placements)
+        ports = reserve_port_block(count * PORTS_PER_VM + 1)
         self.store_port = ports.pop()
         self.store_address = store_address or (lambda _vm, address: address)
         self.version = 0
         self.store: Process | None = None
         self.vms: dict[str, Vm] = {}
-        for index, (region, failure_domain, service) in enumerate(places):
+        for index, (region, failure_domain, service) in enumerate(placements):
             name = f"vm{index}"
-            own = ports[index * PORTS_PER_NODE : (index + 1) * PORTS_PER_NODE]
-            self.vms[name] = Vm(name, region, failure_domain, service, own)
+            vm_ports = ports[index * PORTS_PER_VM : (index + 1) * PORTS_PER_VM]
+            self.vms[name] = Vm(name, region, failure_domain, service, vm_ports)
 
     @property
-    def store_base(self) -> str:
-        """Address of the store itself."""
+    def direct_store_address(self) -> str:
+        """Address on which the store itself listens, without a proxy."""
         return f"{HOST}:{self.store_port}"
 
     def start(self) -> None:
-        """Start everything and wait until callers are served."""
+        """Start all processes and wait until each router serves all services."""
         self.store = Process(
-            ["-m", "tools.standins.rows_store", "--address", self.store_base], self.folder / "store.log", {}
+            ["-m", "tools.standins.rows_store", "--address", self.direct_store_address],
+            self.folder / "store.log",
+            {},
         )
-        wait_until(lambda: self.faults({}), START_SECONDS, "the store answers")
+        wait_until(lambda: self.set_store_faults({}), START_LIMIT_SECONDS, "the store answers")
         self.configure(ROUTES)
         for vm in self.vms.values():
             self.start_target(vm)
             self.start_router(vm)
-        wait_until(self.serving, START_SECONDS, "all routers serve all services")
+        wait_until(self.all_services_answer, START_LIMIT_SECONDS, "all routers serve all services")
 
     def start_target(self, vm: Vm, seconds: float = 0.01) -> None:
-        """Start the target of a VM."""
+        """Start the target of a VM; each request to it takes ``seconds``."""
         arguments = [
             "-m", "tools.standins.holding_target", "--name", vm.name, "--service", vm.service,
             "--address", vm.address(0), "--control", vm.control_address, "--seconds", str(seconds),
@@ -131,29 +134,29 @@
         vm.target = Process(arguments, self.folder / f"target-{vm.name}.log", {})
 
     def start_router(self, vm: Vm) -> None:
-        """Start the router of a VM."""
+        """Write the settings file of a VM and start its router."""
         boot = self.folder / f"{vm.name}.conf"
-        boot.write_text("\n".join(vm.boot_lines(self.store_address(vm, self.store_base))) + "\n")
+        boot.write_text("\n".join(vm.boot_lines(self.store_address(vm, self.direct_store_address))) + "\n")
         vm.router = Process(
             ["-m", "hibiscusdrum.platform"],
             self.folder / f"router-{vm.name}.log",
             {"HIBISCUSDRUM_BOOT": str(boot)},
         )
 
-    def serving(self) -> bool:
-        """Return whether each router answers requests to all services."""
+    def all_services_answer(self) -> bool:
+        """Return whether each router answers requests to all services with status 200."""
         for vm in self.vms.values():
             for host, path, key in (
                 ("keys.example", "/k/x", 10),
                 ("keys.example", "/k/x", 40_000),
                 ("grants.example", "/r/x", None),
             ):
-                if self.ask(vm, host, path, key=key)[0] != 200:
+                if self.send_request(vm, host, path, key=key)[0] != 200:
                     return False
         return True
 
     def configure(self, routes: list[list[Any]]) -> None:
-        """Write a configuration as the operator does."""
+        """Write a new version of the configuration with these routes, as an operator does."""
         self.version += 3
         value = {
             "version": f"r{self.version}",
@@ -161,19 +164,19 @@
             "services": {"columns": SERVICE_COLUMNS, "records": SERVICES},
             "limits": LIMITS,
         }
-        assert request(self.store_base, "PUT", "/operator/config", value)[0] == 200
+        assert request(self.direct_store_address, "PUT", "/operator/config", value)[0] == 200
 
-    def evacuate(self, failure_domain: str, wanted: bool) -> None:
-        """Ask for an evacuation, or take it back."""
-        method = "PUT" if wanted else "DELETE"
+    def set_evacuation(self, failure_domain: str, requested: bool) -> None:
+        """Request the evacuation of a failure domain, or withdraw the request."""
+        method = "PUT" if requested else "DELETE"
         path = f"/operator/evacuate/{failure_domain}"
-        assert request(self.store_base, method, path, {})[0] == 200
+        assert request(self.direct_store_address, method, path, {})[0] == 200
 
-    def faults(self, faults: dict[str, Any]) -> bool:
-        """Set the store's faults."""
-        return request(self.store_base, "POST", "/faults", faults)[0] == 200
+    def set_store_faults(self, faults: dict[str, Any]) -> bool:
+        """Replace the faults that the store injects; return whether it answered."""
+        return request(self.direct_store_address, "POST", "/faults", faults)[0] == 200
 
-    def ask(
+    def send_request(
         self,
         vm: Vm,
         host: str,
@@ -184,14 +187,14 @@
         deadline_ms: int = 2000,
         attempt: str | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
-        """Send one request as a caller on a VM; status 0 when the connection ends without an answer."""
+        """Send a request to a VM's router; return status 0 if the connection closes without an answer."""
         headers = {
             "host": host,
-            PREFIX + "attempt-id": attempt or f"a{next(ATTEMPTS)}",
-            PREFIX + "deadline-ms": str(deadline_ms),
+            HEADER_PREFIX + "attempt-id": attempt or f"a{next(ATTEMPT_NUMBERS)}",
+            HEADER_PREFIX + "deadline-ms": str(deadline_ms),
         }
         if key is not None:
-            headers[PREFIX + "shard-key"] = str(key)
+            headers[HEADER_PREFIX + "shard-key"] = str(key)
         connection = http.client.HTTPConnection(vm.address(1), timeout=deadline_ms / 1000 + 1.0)
         try:
             connection.request(method, path, body, headers)
@@ -202,8 +205,8 @@
         finally:
             connection.close()
 
-    def records(self) -> list[dict[str, Any]]:
-        """Return the records of all targets in order of time."""
+    def target_records(self) -> list[dict[str, Any]]:
+        """Return the records of all targets, ordered by time."""
         lines = []
         for vm in self.vms.values():
             log = self.folder / f"target-{vm.name}.log"
@@ -212,17 +215,17 @@
                     lines.append(msgspec.json.decode(line))
         return sorted(lines, key=lambda line: line["at"])
 
-    def runs(self, attempt: str) -> list[dict[str, Any]]:
-        """Return the runs of one attempt."""
-        return [line for line in self.records() if line["event"] == "run" and line["id"] == attempt]
+    def runs_of_attempt(self, attempt: str) -> list[dict[str, Any]]:
+        """Return the records of the runs of one attempt on any target."""
+        return [line for line in self.target_records() if line["event"] == "run" and line["id"] == attempt]
 
-    def log(self, vm: Vm) -> list[dict[str, Any]]:
-        """Return the log lines of a router."""
+    def router_log(self, vm: Vm) -> list[dict[str, Any]]:
+        """Return the decoded log lines of a VM's router."""
         text = (self.folder / f"router-{vm.name}.log").read_bytes()
         return [msgspec.json.decode(line) for line in text.splitlines() if line.startswith(b"{")]
 
     def stop(self) -> None:
-        """End all processes."""
+        """Kill all processes that still run."""
         processes = [self.store]
         for vm in self.vms.values():
             processes += [vm.router, vm.target]
@@ -232,24 +235,24 @@
                 process.kill()
 
 
-def block_of_ports(count: int) -> list[int]:
-    """Return neighbouring free ports below those that the kernel gives to outgoing connections.
+def reserve_port_block(count: int) -> list[int]:
+    """Return consecutive free ports below the range that the kernel uses for outgoing connections.
 
-    Blocks are aligned, and the first port of each stays bound by this process, so that systems that start at
-    the same moment never share one.
+    Blocks are aligned, and this process keeps the first port of each bound, so that systems that start at the
+    same time never share a block.
     """
     rng = random.Random()
     while True:
-        first = LOWEST_PORT + BLOCK_PORTS * rng.randrange((HIGHEST_PORT - LOWEST_PORT) // BLOCK_PORTS)
-        guard = socket.socket()
+        first = LOWEST_PORT + PORT_BLOCK_SIZE * rng.randrange((HIGHEST_PORT - LOWEST_PORT) // PORT_BLOCK_SIZE)
+        reservation = socket.socket()
         ports = list(range(first + 1, first + 1 + count))
         try:
-            guard.bind((HOST, first))
+            reservation.bind((HOST, first))
             for port in ports:
                 with socket.socket() as probe:
                     probe.bind((HOST, port))
         except OSError:
-            guard.close()
+            reservation.close()
             continue
-        GUARDS.append(guard)
+        RESERVATIONS.append(reservation)
         return ports
