--- a/bench/domain_cycle.py
+++ b/bench/domain_cycle.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from returns.result import Success
-from tools.demo import Demo, lookup
+from tools.demo import Demo, crest_request
 
 from hibiscusdrum import Caller
 
@@ -50,7 +50,7 @@
             self.latencies.append(time.monotonic() - sent)
             self.failed += not isinstance(result, Success)
 
-        self.caller.submit(lookup(f"key-{self.count % KEYS}", TIMEOUT_SECONDS), done)
+        self.caller.submit(crest_request(f"key-{self.count % KEYS}", TIMEOUT_SECONDS), done)
 
     def run(self, seconds: float) -> None:
         """Load for some seconds, then wait for the open calls."""
--- a/bench/hot_key_move.py
+++ b/bench/hot_key_move.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from returns.result import Success
-from tools.demo import Demo, lookup
+from tools.demo import Demo, crest_request
 
 from hibiscusdrum import Caller
 
@@ -53,7 +53,7 @@
                 self.count += 1
                 self.open += 1
                 key = HOT_KEY if hot and self.count % 2 else f"key-{self.count % OTHER_KEYS}"
-                self.caller.submit(lookup(key), self.done)
+                self.caller.submit(crest_request(key), self.done)
             self.caller.poll(0.05)
             if time.monotonic() - checked > CHECK_SECONDS:
                 checked = time.monotonic()
