--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,7 +14,7 @@
 DEADLINE_MS = 2000
 MEAN_PAUSE_SECONDS = 0.03
 MAX_SMALL_BODY_BYTES = 4_000
-# Large enough that routers offer the body to the owner before they send it.
+# Large enough that a router only offers the body to the receiver, and sends it when the receiver asks for it.
 MAX_LARGE_BODY_BYTES = 120_000
 LARGE_BODY_SHARE = 0.2
 ATTEMPT_NUMBERS = itertools.count()
--- a/soak/run.py
+++ b/soak/run.py
@@ -219,15 +219,15 @@
         )
         return []
 
-    def wait_restarting_routers(self, condition, seconds: float, what: str) -> None:
+    def wait_restarting_routers(self, condition, seconds: float, description: str) -> None:
         """Wait for a condition, restarting routers that exit meanwhile."""
 
         def restart_and_check() -> bool:
             self.restart_exited_routers()
             return condition()
 
-        wait_until(restart_and_check, seconds, what)
-        self.log_event(what)
+        wait_until(restart_and_check, seconds, description)
+        self.log_event(description)
 
     def answered_by_all_routers(self, host: str, path: str) -> bool:
         """Return whether each router answers a request with status 200."""
