Reword the history checker and model

Doc comments spoke of stated seconds, of holders and of what somebody was told. They now name the rule and its bound. Place -> Placement, RevisionSeen -> RevisionObserved, UNPLANNED -> UNPLANNED_EVENT_KINDS, History.places, seen, accepted, homes, texts -> placements, observed_revisions, accepted_revisions, home_regions, outputs (Cluster alike), check_leaving -> check_drained_targets.

--- a/bench/region_partition.py
+++ b/bench/region_partition.py
@@ -41,7 +41,7 @@
             lambda: plan_state(cluster, node, plan) == "accepted", WAIT_SECONDS, "the plan is accepted"
         )
         print(f"accepted {time.monotonic() - healed:.2f} s after the partition")
-        cluster.accepted.append(RevisionAccepted(answer["revision"], time.monotonic()))
+        cluster.accepted_revisions.append(RevisionAccepted(answer["revision"], time.monotonic()))
         time.sleep(SETTLE_SECONDS)
         return report(complete_records(cluster), cluster.events[-1])
     finally:
--- a/tests/features/steps/system_steps.py
+++ b/tests/features/steps/system_steps.py
@@ -298,7 +298,7 @@
 
     wait_until(lambda: plan_state(cluster, node, plan) == "accepted", WAIT_SECONDS, "the plan is accepted")
     revision = cluster.operator(node, "GET", f"plan/{plan}")[1]["revision"]
-    cluster.accepted.append(RevisionAccepted(revision, time.monotonic()))
+    cluster.accepted_revisions.append(RevisionAccepted(revision, time.monotonic()))
 
 
 @when("the owner is stopped as planned")
--- a/tests/history/checker.py
+++ b/tests/history/checker.py
@@ -1,7 +1,7 @@
-"""Checks a history against the guarantees of the design page, section 1.2.
+"""Checks a recorded history against the guarantees of the design page, section 1.2.
 
-Each rule is a function from a history to violations of its own types, so that a report names the
-guarantee that was broken and the records that show it.
+Each rule is a function that yields violations of its own types, so that a report names the broken
+guarantee and the records that prove it.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from tests.history.model import UNPLANNED, Effect, Event, History, Operation, OwnershipView
+from tests.history.model import UNPLANNED_EVENT_KINDS, Effect, Event, History, Operation, OwnershipView
 
 # Stated targets of the design page: guarantees 4 and 9 ("a few seconds"), section 1.6 (5 s and 7 s).
 DRAIN_SECONDS = 5.0
@@ -21,7 +21,7 @@
 
 
 class Violation(msgspec.Struct, frozen=True):
-    """A broken rule; subclasses name the rule, their fields the evidence."""
+    """A broken guarantee; each subclass names the guarantee, and its fields hold the evidence."""
 
 
 class OverlappingOwners(Violation, frozen=True):
@@ -32,14 +32,14 @@
 
 
 class EpochWentBack(Violation, frozen=True):
-    """A later execution of a key at another target did not carry a higher epoch."""
+    """A later execution of a key at another target does not carry a higher epoch."""
 
     first: Effect
     second: Effect
 
 
 class SliceOwnedTwice(Violation, frozen=True):
-    """The acknowledged rows give one slice to two holders."""
+    """The acknowledged rows assign a slice to more than one owner, or to an owner and the unowned set."""
 
     at: float
     ring: str
@@ -47,7 +47,7 @@
 
 
 class AssignmentLost(Violation, frozen=True):
-    """A slice is in no owner row and not in the ring row."""
+    """A slice is neither in an owner row nor in the unowned set of its ring row."""
 
     at: float
     ring: str
@@ -55,7 +55,7 @@
 
 
 class ExecutedTwice(Violation, frozen=True):
-    """A non-idempotent request has more than one effect."""
+    """A non-idempotent request was executed more than once."""
 
     request_id: str
     targets: tuple[str, ...]
@@ -69,13 +69,13 @@
 
 
 class AnswerWithoutEffect(Violation, frozen=True):
-    """A request was answered, but the named target has no effect of it."""
+    """A request was answered, but the target named in the answer recorded no execution of it."""
 
     operation: Operation
 
 
 class WrongAnswer(Violation, frozen=True):
-    """The answer is not the one that the target gave to this request."""
+    """The answer that the caller received differs from the one that the target sent."""
 
     operation: Operation
 
@@ -89,14 +89,14 @@
 
 
 class ContentExposed(Violation, frozen=True):
-    """A log, metric or store holds content of a request with home regions."""
+    """A log, metric or store contains the key or body of a request with home regions."""
 
     request_id: str
     source: str
 
 
 class NewWorkAfterDrain(Violation, frozen=True):
-    """A drained failure domain or a leaving target received new work after the stated seconds."""
+    """A drained failure domain or a leaving target still started requests after ``DRAIN_SECONDS``."""
 
     effect: Effect
     seconds: float
@@ -110,7 +110,7 @@
 
 
 class RevisionReverted(Violation, frozen=True):
-    """The revision in force at a process went down."""
+    """The configuration revision applied by a process decreased."""
 
     process: str
     before: int
@@ -118,7 +118,7 @@
 
 
 class RevisionLate(Violation, frozen=True):
-    """An accepted revision was not in force at a serving process after the stated seconds."""
+    """A serving process had not applied an accepted revision after ``CONFIGURATION_SECONDS``."""
 
     process: str
     revision: int
@@ -126,7 +126,7 @@
 
 
 class NotServedAgain(Violation, frozen=True):
-    """A key was not served within the stated seconds of a loss."""
+    """A key was not served within ``RECOVERY_SECONDS`` of a loss."""
 
     service: str
     key: bytes
@@ -134,16 +134,19 @@
 
 
 def check(history: History) -> list[Violation]:
-    """Return every violation of the history; an empty list means that it keeps all rules."""
+    """Return every violation in the history; the list is empty if all guarantees hold."""
     return [violation for rule in RULES for violation in rule(history)]
 
 
 def check_single_owner(history: History) -> Iterator[Violation]:
-    """Compare the executions of each key that needs its owner, pair by pair where targets differ."""
-    bound = {o.request_id for o in history.operations if needs_owner(history, o)}
+    """Check that executions of a key at different targets do not overlap and have increasing epochs.
+
+    Covers only requests that need the owner of their key.
+    """
+    owner_only = {o.request_id for o in history.operations if needs_owner(history, o)}
     by_key: dict[tuple[str, bytes], list[Effect]] = defaultdict(list)
     for effect in history.effects:
-        if effect.service in history.partitioned or effect.request_id in bound:
+        if effect.service in history.partitioned or effect.request_id in owner_only:
             by_key[effect.service, effect.key].append(effect)
     for effects in by_key.values():
         effects.sort(key=lambda effect: effect.started)
@@ -151,38 +154,40 @@
 
 
 def _compare_executions(effects: list[Effect]) -> Iterator[Violation]:
-    """Compare each execution with the latest ending and the highest epoch of every other target."""
-    latest: dict[str, Effect] = {}
-    highest: dict[str, Effect] = {}
+    """Compare each execution with the latest end and the highest epoch at every other target."""
+    latest_end: dict[str, Effect] = {}
+    highest_epoch: dict[str, Effect] = {}
     for effect in effects:
-        for target, other in latest.items():
+        for target, other in latest_end.items():
             if target != effect.target and effect.started < other.ended:
                 yield OverlappingOwners(other, effect)
-        for target, other in highest.items():
+        for target, other in highest_epoch.items():
             if target != effect.target and effect.epoch <= other.epoch:
                 yield EpochWentBack(other, effect)
-        latest[effect.target] = max(latest.get(effect.target, effect), effect, key=lambda e: e.ended)
-        highest[effect.target] = max(highest.get(effect.target, effect), effect, key=lambda e: e.epoch)
+        latest_end[effect.target] = max(latest_end.get(effect.target, effect), effect, key=lambda e: e.ended)
+        highest_epoch[effect.target] = max(
+            highest_epoch.get(effect.target, effect), effect, key=lambda e: e.epoch
+        )
 
 
 def check_assignments(history: History) -> Iterator[Violation]:
-    """Account for every slice of a ring in each view of the table."""
+    """Check that each view of the table assigns every slice of a ring exactly once."""
     for view in history.ownership:
         holders = [frozenset(slices) for slices in (*view.owners.values(), view.unowned)]
         twice = set().union(*(one & other for one, other in combinations(holders, 2)))
         missing = set(range(view.slice_count)).difference(*holders)
         if twice:
-            yield SliceOwnedTwice(view.at, _ring(view), tuple(sorted(twice)))
+            yield SliceOwnedTwice(view.at, _ring_name(view), tuple(sorted(twice)))
         if missing:
-            yield AssignmentLost(view.at, _ring(view), tuple(sorted(missing)))
+            yield AssignmentLost(view.at, _ring_name(view), tuple(sorted(missing)))
 
 
-def _ring(view: OwnershipView) -> str:
+def _ring_name(view: OwnershipView) -> str:
     return f"{view.service}@{view.region}"
 
 
 def check_outcomes(history: History) -> Iterator[Violation]:
-    """Compare what each caller was told with what the targets recorded."""
+    """Compare the outcome reported to each caller with the executions that the targets recorded."""
     effects: dict[str, list[Effect]] = defaultdict(list)
     for effect in history.effects:
         effects[effect.request_id].append(effect)
@@ -205,34 +210,34 @@
 
 
 def check_home_regions(history: History) -> Iterator[Violation]:
-    """Look for requests with home regions in targets of other regions, and in logs, metrics and stores."""
-    regions = {place.node: place.region for place in history.places}
-    operations = {o.request_id: o for o in history.operations if o.tenant in history.homes}
+    """Check that requests with home regions stay within them, and out of logs, metrics and stores."""
+    regions = {placement.node: placement.region for placement in history.placements}
+    operations = {o.request_id: o for o in history.operations if o.tenant in history.home_regions}
     for effect in history.effects:
         operation = operations.get(effect.request_id)
-        if operation and regions[effect.target] not in history.homes[operation.tenant]:
+        if operation and regions[effect.target] not in history.home_regions[operation.tenant]:
             yield ServedOutsideHome(effect.request_id, effect.target, regions[effect.target])
     for operation in operations.values():
-        for source, text in history.texts.items():
+        for source, text in history.outputs.items():
             if any(marker in text for marker in operation.markers):
                 yield ContentExposed(operation.request_id, source)
 
 
-def check_leaving(history: History) -> Iterator[Violation]:
-    """Look for executions that began long after their target had to stop taking work."""
-    domains = {place.node: place.failure_domain for place in history.places}
+def check_drained_targets(history: History) -> Iterator[Violation]:
+    """Check that draining and leaving targets start no request after ``DRAIN_SECONDS``."""
+    domains = {placement.node: placement.failure_domain for placement in history.placements}
     for event in history.events:
         if event.kind not in ("drain", "leave"):
             continue
         for effect in history.effects:
-            concerned = effect.target in event.nodes or domains[effect.target] == event.failure_domain
-            if concerned and event.at + DRAIN_SECONDS < effect.started < event.until:
+            affected = effect.target in event.nodes or domains[effect.target] == event.failure_domain
+            if affected and event.at + DRAIN_SECONDS < effect.started < event.until:
                 yield NewWorkAfterDrain(effect, effect.started - event.at)
 
 
 def check_planned_stops(history: History) -> Iterator[Violation]:
-    """Look for requests of unknown outcome during a planned stop that no other fault explains."""
-    faults = [event for event in history.events if event.kind in UNPLANNED]
+    """Check that a planned stop leaves no request with an unknown outcome unless a fault explains it."""
+    faults = [event for event in history.events if event.kind in UNPLANNED_EVENT_KINDS]
     for stop in history.events:
         if stop.kind != "stop":
             continue
@@ -248,15 +253,15 @@
 
 
 def check_revisions(history: History) -> Iterator[Violation]:
-    """Follow the revision of each process over time."""
+    """Check that each process applies accepted revisions in time and never reverts to an older one."""
     processes = defaultdict(list)
-    for seen in sorted(history.seen, key=lambda seen: seen.at):
-        processes[seen.process].append(seen)
+    for observed in sorted(history.observed_revisions, key=lambda observed: observed.at):
+        processes[observed.process].append(observed)
     for process, sequence in processes.items():
         for before, after in pairwise(sequence):
             if after.revision < before.revision:
                 yield RevisionReverted(process, before.revision, after.revision)
-        for accepted in history.accepted:
+        for accepted in history.accepted_revisions:
             limit = accepted.at + CONFIGURATION_SECONDS
             late = [s for s in sequence if s.serving and s.at > limit and s.revision < accepted.revision]
             if late:
@@ -264,7 +269,7 @@
 
 
 def check_recovery(history: History) -> Iterator[Violation]:
-    """Require an answer for each key requested within the stated seconds of every loss."""
+    """Check that each key requested soon after a loss is answered within ``RECOVERY_SECONDS`` of it."""
     for loss in (event for event in history.events if event.kind == "loss"):
         for (service, key), seconds in recovery_seconds(history, loss).items():
             if seconds > RECOVERY_SECONDS:
@@ -274,8 +279,8 @@
 def recovery_seconds(history: History, event: Event) -> dict[tuple[str, bytes], float]:
     """Return the time from an event to the first answer of each key requested soon after it.
 
-    Only requests that need the key's owner count, since any target may answer the others. A key without an
-    answer has infinity.
+    Only requests that need the key's owner count, since any target may answer the others. The value
+    is infinity for a key without an answer.
     """
     after = [o for o in history.operations if o.invoked >= event.at and needs_owner(history, o)]
     soon = [o for o in after if o.invoked <= event.at + RECOVERY_SECONDS]
@@ -288,7 +293,7 @@
 
 
 def needs_owner(history: History, operation: Operation) -> bool:
-    """Return whether only the owner of its key may serve a request."""
+    """Return whether only the owner of the key may serve the request."""
     return operation.service in history.partitioned or not operation.idempotent
 
 
@@ -297,7 +302,7 @@
     check_assignments,
     check_outcomes,
     check_home_regions,
-    check_leaving,
+    check_drained_targets,
     check_planned_stops,
     check_revisions,
     check_recovery,
--- a/tests/history/cluster.py
+++ b/tests/history/cluster.py
@@ -101,8 +101,8 @@
         self.relay: Process | None = None
         self.events: list[model.Event] = []
         self.views: list[model.OwnershipView] = []
-        self.seen: list[model.RevisionSeen] = []
-        self.accepted: list[model.RevisionAccepted] = []
+        self.observed_revisions: list[model.RevisionObserved] = []
+        self.accepted_revisions: list[model.RevisionAccepted] = []
         self.loads: list[model.Load] = []
         self.callers: list[Process] = []
         # Whether the last history was kept; a system in an unknown state is not used again.
@@ -401,8 +401,8 @@
                 if "revision" in status and starts == node.starts:
                     serving = bool(status.get("lease_valid", True))
                     process = f"{name}#{starts}"
-                    seen = model.RevisionSeen(process, time.monotonic(), status["revision"], serving)
-                    self.seen.append(seen)
+                    seen = model.RevisionObserved(process, time.monotonic(), status["revision"], serving)
+                    self.observed_revisions.append(seen)
 
     def records(self) -> model.History:
         """Return the history until now."""
@@ -418,17 +418,17 @@
         return model.History(
             operations=tuple(operations),
             effects=tuple(effects),
-            places=tuple(model.Place(n.name, n.region, n.failure_domain) for n in self.spec.nodes),
+            placements=tuple(model.Placement(n.name, n.region, n.failure_domain) for n in self.spec.nodes),
             events=tuple(self.events),
             ownership=tuple(self.views),
-            seen=tuple(self.seen),
-            accepted=tuple(self.accepted),
-            homes={t["name"]: tuple(t["home_regions"]) for t in tenants if t.get("home_regions")},
+            observed_revisions=tuple(self.observed_revisions),
+            accepted_revisions=tuple(self.accepted_revisions),
+            home_regions={t["name"]: tuple(t["home_regions"]) for t in tenants if t.get("home_regions")},
             partitioned=tuple(name for name, route in self.spec.routes.items() if route["divided"]),
-            texts=self.texts(),
+            outputs=self.outputs(),
         )
 
-    def texts(self) -> dict[str, str]:
+    def outputs(self) -> dict[str, str]:
         """Return the logs and metrics of the daemons, and the table."""
         texts = {path.name: path.read_text() for path in self.path.glob("*-daemon.log")}
         for name, node in self.nodes.items():
--- a/tests/history/examples.py
+++ b/tests/history/examples.py
@@ -8,8 +8,8 @@
 from msgspec.structs import replace
 
 from tests.history import checker
-from tests.history.model import Effect, Event, History, Operation, OwnershipView, Place, RevisionAccepted
-from tests.history.model import RevisionSeen as Seen
+from tests.history.model import Effect, Event, History, Operation, OwnershipView, Placement, RevisionAccepted
+from tests.history.model import RevisionObserved as Seen
 
 STEP = 0.2
 STEPS = 160
@@ -22,7 +22,7 @@
 LEAVE = Event("leave", at=24.0, nodes=("ost-a1",))
 EVENTS = (LOSS, DRAIN, STOP, LEAVE)
 PLACES = tuple(
-    Place(f"{region}-{domain}{number}", region, f"{region}-{domain}")
+    Placement(f"{region}-{domain}{number}", region, f"{region}-{domain}")
     for region in ("ost", "west")
     for domain in "ab"
     for number in (1, 2)
@@ -50,22 +50,22 @@
     return History(
         operations=tuple(operations),
         effects=tuple(effects),
-        places=PLACES,
+        placements=PLACES,
         events=EVENTS,
         ownership=tuple(_view(random, at) for at in (1.0, 9.0, 30.0)),
-        seen=tuple(
+        observed_revisions=tuple(
             Seen(place.node, at, 1 + (at > 4) + (at > 12 + random.random()))
             for place in PLACES
             for at in (1.0, 5.0, 12.5, 20.5, 30.0)
         ),
-        accepted=(RevisionAccepted(2, 4.0), RevisionAccepted(3, 13.0)),
-        homes={"tenant-ost": ("ost",)},
+        accepted_revisions=(RevisionAccepted(2, 4.0), RevisionAccepted(3, 13.0)),
+        home_regions={"tenant-ost": ("ost",)},
         partitioned=("lookup",),
-        texts={"ost-a1 log": "HD001 started", "west-a1 metrics": "requests_total 7"},
+        outputs={"ost-a1 log": "HD001 started", "west-a1 metrics": "requests_total 7"},
     )
 
 
-def _available(place: Place, at: float) -> bool:
+def _available(place: Placement, at: float) -> bool:
     named = [
         event for event in EVENTS if place.node in event.nodes or place.failure_domain == event.failure_domain
     ]
@@ -220,10 +220,10 @@
 
 
 def _expose(history: History, random: Random) -> History:
-    operation = random.choice([o for o in history.operations if o.tenant in history.homes])
-    source = random.choice(sorted(history.texts))
-    text = f"{history.texts[source]} {operation.markers[0]}"
-    return replace(history, texts={**history.texts, source: text})
+    operation = random.choice([o for o in history.operations if o.tenant in history.home_regions])
+    source = random.choice(sorted(history.outputs))
+    text = f"{history.outputs[source]} {operation.markers[0]}"
+    return replace(history, outputs={**history.outputs, source: text})
 
 
 def _work_while_leaving(history: History, random: Random) -> History:
@@ -244,17 +244,18 @@
 
 
 def _revert(history: History, random: Random) -> History:
-    process, last = random.choice(PLACES).node, history.accepted[-1].revision
+    process, last = random.choice(PLACES).node, history.accepted_revisions[-1].revision
     added = Seen(process, ENDED, last + 2), Seen(process, ENDED + 1, last + random.choice((0, 1)))
-    return replace(history, seen=(*history.seen, *added))
+    return replace(history, observed_revisions=(*history.observed_revisions, *added))
 
 
 def _delay_revision(history: History, random: Random) -> History:
-    process, last = random.choice(PLACES).node, history.accepted[-1].revision
+    process, last = random.choice(PLACES).node, history.accepted_revisions[-1].revision
     seen = tuple(
-        replace(s, revision=min(s.revision, last - 1)) if s.process == process else s for s in history.seen
+        replace(s, revision=min(s.revision, last - 1)) if s.process == process else s
+        for s in history.observed_revisions
     )
-    return replace(history, seen=seen)
+    return replace(history, observed_revisions=seen)
 
 
 def _stay_lost(history: History, random: Random) -> History:
--- a/tests/history/model.py
+++ b/tests/history/model.py
@@ -1,7 +1,7 @@
-"""Records that make up a history. Times are seconds on the machine's monotonic clock.
+"""Records that make up a history, with times in seconds on the machine's monotonic clock.
 
-All processes of a history run on one machine, so its monotonic clock orders their records. Targets record
-nanoseconds of that same clock.
+All processes of a history run on one machine, so this clock orders their records. Targets record
+nanoseconds of the same clock.
 """
 
 from __future__ import annotations
@@ -11,23 +11,24 @@
 import msgspec
 
 Outcome = Literal["ok", "not_run", "unknown"]
-# "loss" is a fault that the guarantees bound: keys are served again within 5 s of it. "stop" is a planned
-# stop, "drain" a failure domain out of service and "leave" a target that leaves; "until" ends each of them.
+# After a "loss", keys must be served again within 5 s. "pause", "store" and "cut" are faults without such a
+# bound: a suspended process, a store outage and a network partition. "stop" is a planned stop of a daemon,
+# "drain" takes a failure domain out of service, and "leave" removes a target.
 EventKind = Literal["loss", "pause", "store", "cut", "stop", "drain", "leave"]
-UNPLANNED: frozenset[str] = frozenset({"loss", "pause", "store", "cut"})
+UNPLANNED_EVENT_KINDS: frozenset[str] = frozenset({"loss", "pause", "store", "cut"})
 
 
 class Load(msgspec.Struct, frozen=True):
-    """What a caller process sends.
+    """Load that a caller process generates.
 
     Attributes
     ----------
     keys : int
-        Number of keys, requested in turn.
+        Number of keys, requested round-robin.
     rate : float
-        Requests per second, sent whether or not earlier ones were answered.
+        Requests per second, independent of the answers to earlier ones (open loop).
     seconds : float
-        The caller stops by itself after this time.
+        Time after which the caller stops sending.
     non_idempotent : float
         Share of requests that may run at most once.
     """
@@ -47,12 +48,12 @@
 
 
 class Operation(msgspec.Struct, frozen=True):
-    """One request as its caller saw it.
+    """One request and its outcome as its caller observed it.
 
     Attributes
     ----------
     request_id : str
-        Lower-case hexadecimal, without dashes.
+        Identifier in lower-case hexadecimal without dashes.
     key : bytes
         The key, unique within the service.
     answer, length : str, int
@@ -90,7 +91,7 @@
     started, ended : float
         Start and end of the execution.
     answer, length : str, int
-        Digest and length of the body that the target answered, or should have answered.
+        Digest and length of the answer body that the target must send.
     """
 
     request_id: str
@@ -104,8 +105,8 @@
     length: int
 
 
-class Place(msgspec.Struct, frozen=True):
-    """Where a node runs."""
+class Placement(msgspec.Struct, frozen=True):
+    """Region and failure domain of a node."""
 
     node: str
     region: str
@@ -113,7 +114,7 @@
 
 
 class Event(msgspec.Struct, frozen=True):
-    """A fault injected or a planned change, from when it took effect until it was undone."""
+    """An injected fault or a planned change, from its start until it is reverted."""
 
     kind: EventKind
     at: float
@@ -133,15 +134,15 @@
     unowned: tuple[int, ...] = ()
 
 
-class RevisionSeen(msgspec.Struct, frozen=True):
-    """Configuration revision in force at one process.
+class RevisionObserved(msgspec.Struct, frozen=True):
+    """Configuration revision that a process had applied at one time.
 
     Attributes
     ----------
     process : str
-        Unique for each start of a node, since a new process begins without a revision.
+        Identifier unique to each start of a node, since a new process begins without a revision.
     serving : bool
-        Whether the process held a valid lease; only then must accepted revisions be in force.
+        Whether the process held a valid lease; only then must it have applied the accepted revisions.
     """
 
     process: str
@@ -151,32 +152,32 @@
 
 
 class RevisionAccepted(msgspec.Struct, frozen=True):
-    """A revision and when its confirm was answered as accepted."""
+    """A configuration revision and the time at which its confirmation was accepted."""
 
     revision: int
     at: float
 
 
 class History(msgspec.Struct, frozen=True):
-    """Everything recorded of one run.
+    """All records of one run.
 
     Attributes
     ----------
-    homes : dict of str to tuple of str
+    home_regions : dict of str to tuple of str
         Home regions of the tenants that have them.
     partitioned : tuple of str
         Services partitioned by key; in others only non-idempotent requests need the owner.
-    texts : dict of str to str
-        Logs, metrics and stores of the processes, by source.
+    outputs : dict of str to str
+        Contents of logs, metrics and stores of the processes, by source.
     """
 
     operations: tuple[Operation, ...] = ()
     effects: tuple[Effect, ...] = ()
-    places: tuple[Place, ...] = ()
+    placements: tuple[Placement, ...] = ()
     events: tuple[Event, ...] = ()
     ownership: tuple[OwnershipView, ...] = ()
-    seen: tuple[RevisionSeen, ...] = ()
-    accepted: tuple[RevisionAccepted, ...] = ()
-    homes: dict[str, tuple[str, ...]] = {}
+    observed_revisions: tuple[RevisionObserved, ...] = ()
+    accepted_revisions: tuple[RevisionAccepted, ...] = ()
+    home_regions: dict[str, tuple[str, ...]] = {}
     partitioned: tuple[str, ...] = ()
-    texts: dict[str, str] = {}
+    outputs: dict[str, str] = {}
--- a/tests/history/systems.py
+++ b/tests/history/systems.py
@@ -65,7 +65,7 @@
     wait_until(callers_go_on, WAIT_SECONDS, "each caller has a recent outcome")
     history = cluster.records()
     assert sum(operation.outcome == "ok" for operation in history.operations) >= MINIMUM_ANSWERS
-    assert history.ownership and history.seen and history.effects
+    assert history.ownership and history.observed_revisions and history.effects
     return history
 
 
