--- a/tests/history/records.py
+++ b/tests/history/records.py
@@ -1,4 +1,4 @@
-"""Reads the records of processes: rows of the table, effects of targets and outcomes of callers."""
+"""Reads the records that processes leave: table rows, executions at targets and outcomes at callers."""
 
 from __future__ import annotations
 
@@ -11,31 +11,31 @@
 
 from tests.history import model
 
-NS_PER_SECOND = 1e9
+NANOSECONDS_PER_SECOND = 1e9
 
 
 def read_operations(path: Path) -> list[model.Operation]:
-    """Return the outcomes that a caller has written so far; an unfinished last line is left out."""
+    """Return the outcomes that a caller has written so far, without an incomplete last line."""
     lines = path.read_bytes().split(b"\n")[:-1] if path.exists() else []
     return [msgspec.json.decode(line, type=model.Operation) for line in lines]
 
 
 def ownership_views(rows: dict[str, Any], at: float) -> list[model.OwnershipView]:
-    """Return a view for each ring row, with the owner rows of its ring."""
+    """Return one view for each ring row, combined with the owner rows of that ring."""
     views = []
     for ring in (value for key, value in rows.items() if key.startswith("ring/")):
-        name = ring["service"], ring["region"]
+        ring_id = ring["service"], ring["region"]
         owners = {
             value["node"]: tuple(value["slices"])
             for key, value in rows.items()
-            if key.startswith("owner/") and (value["service"], value["region"]) == name
+            if key.startswith("owner/") and (value["service"], value["region"]) == ring_id
         }
-        views.append(model.OwnershipView(at, *name, ring["slice_count"], owners, tuple(ring["unowned"])))
+        views.append(model.OwnershipView(at, *ring_id, ring["slice_count"], owners, tuple(ring["unowned"])))
     return views
 
 
 def read_effects(path: Path, node: str, services: dict[str, str]) -> list[model.Effect]:
-    """Return the effects in a target's file, with the answer that the stand-in gives for each."""
+    """Return the effects in a target's file, each with the answer that the stand-in target must give."""
     effects, counts = [], Counter()
     lines = path.read_bytes().splitlines() if path.exists() else []
     for line in lines:
@@ -58,15 +58,15 @@
                 service=services[node],
                 key=record["key"].encode(),
                 epoch=record["epoch"],
-                started=record["start_ns"] / NS_PER_SECOND,
-                ended=record["end_ns"] / NS_PER_SECOND,
-                answer=digest(body),
+                started=record["start_ns"] / NANOSECONDS_PER_SECOND,
+                ended=record["end_ns"] / NANOSECONDS_PER_SECOND,
+                answer=body_digest(body),
                 length=len(body),
             )
         )
     return effects
 
 
-def digest(body: bytes) -> str:
-    """Return the digest by which answers are compared."""
+def body_digest(body: bytes) -> str:
+    """Return a truncated SHA-256 digest, used to compare answer bodies."""
     return hashlib.sha256(body).hexdigest()[:16]
--- a/tests/history/systems.py
+++ b/tests/history/systems.py
@@ -1,4 +1,4 @@
-"""The systems that features and benchmarks use: a service under load in one or two regions."""
+"""Clusters under load for features and benchmarks: one service in one or two regions."""
 
 from __future__ import annotations
 
@@ -13,25 +13,26 @@
 SLICES = 64
 KEYS = 16
 REQUESTS_PER_SECOND = 80.0
-# Long enough that a missed bound of 5 s or 7 s is reported by the checker and not by the harness.
+# Exceeds the bounds of 5 s and 7 s, so that the checker reports a missed bound before a wait times out.
 WAIT_SECONDS = 12.0
 MINIMUM_ANSWERS = 50
 FAILURE_DOMAINS = "ab"
 NODES = 4
-# The first owner's target does not check epochs, as some do not; leases and deadlines must suffice.
-UNFENCED = {"a": {"checks-epoch": "false"}, "b": {}}
+# Target flags by failure domain. The target of the first owner does not check epochs, as some targets in the
+# field do not, so leases and deadlines alone must keep ownership exclusive.
+TARGET_FLAGS = {"a": {"checks-epoch": "false"}, "b": {}}
 
 
 def loaded_cluster(
     regions: tuple[str, ...], *, relayed: bool = False, load_seconds: float = 180.0
 ) -> Cluster:
-    """Start four nodes in two failure domains of each region, and one caller for each region."""
-    each = NODES // len(regions) // len(FAILURE_DOMAINS)
+    """Start four nodes, spread evenly over two failure domains of each region, and a caller per region."""
+    nodes_per_domain = NODES // len(regions) // len(FAILURE_DOMAINS)
     nodes = tuple(
-        NodeSpec(f"{region}-{domain}{number}", region, f"{region}-{domain}", target=UNFENCED[domain])
+        NodeSpec(f"{region}-{domain}{number}", region, f"{region}-{domain}", target=TARGET_FLAGS[domain])
         for region in regions
         for domain in FAILURE_DOMAINS
-        for number in range(1, each + 1)
+        for number in range(1, nodes_per_domain + 1)
     )
     route = {"name": SERVICE, "regions": list(regions), "divided": False, "slices": SLICES}
     tenants = {f"tenant-{r}": {"name": f"tenant-{r}", "home_regions": [r]} for r in regions}
@@ -49,20 +50,20 @@
 
 
 def complete_records(cluster: Cluster) -> History:
-    """Return the history once each caller has an outcome of a request sent from now on.
+    """Return the history after each caller has recorded an outcome of a request sent since this call.
 
     Raises
     ------
     AssertionError
-        If a caller has ended or the history has too little in it to prove anything.
+        If a caller records no new outcome, or the history has too few records for a meaningful check.
     """
-    now = time.monotonic()
+    called_at = time.monotonic()
 
-    def callers_go_on() -> bool:
-        recent = {operation.caller for operation in cluster.operations() if operation.invoked > now}
+    def callers_progress() -> bool:
+        recent = {operation.caller for operation in cluster.operations() if operation.invoked > called_at}
         return recent == {load.caller for load in cluster.loads}
 
-    wait_until(callers_go_on, WAIT_SECONDS, "each caller has a recent outcome")
+    wait_until(callers_progress, WAIT_SECONDS, "each caller has a recent outcome")
     history = cluster.records()
     assert sum(operation.outcome == "ok" for operation in history.operations) >= MINIMUM_ANSWERS
     assert history.ownership and history.observed_revisions and history.effects
@@ -70,13 +71,13 @@
 
 
 def make_plan(cluster: Cluster, node: str, **intent: object) -> str:
-    """Make a plan at a node and return its id."""
+    """Create a plan at a node and return its identifier."""
     status, answer = cluster.operator(node, "POST", "plan", intent)
     assert status == 201, answer
     return answer["plan"]["id"]
 
 
 def plan_state(cluster: Cluster, node: str, plan: str) -> str:
-    """Return the state of a plan as a node knows it, empty when it does not answer."""
+    """Return the state of a plan as reported by a node, or an empty string if the node does not answer."""
     status, answer = cluster.operator(node, "GET", f"plan/{plan}")
     return answer["state"] if status == 200 else ""
