--- a/tests/history/relay.py
+++ b/tests/history/relay.py
@@ -1,8 +1,8 @@
-"""TCP relay in front of daemons' peer addresses, which can hold or delay the traffic between two nodes.
+"""TCP relay in front of the daemons' peer addresses that can block or delay traffic between two nodes.
 
-Run as ``python -m tests.history.relay LISTEN=TO=NODE ...``. Each line on standard input is a JSON object that
-replaces the rules, see ``Rules``; the relay ends when standard input does. Held bytes are sent once the rule
-is gone, as TCP retransmits after a real partition.
+Run as ``python -m tests.history.relay LISTEN=UPSTREAM=NODE ...``. Each line on standard input is a JSON
+object that replaces the ``Rules``; the relay exits at the end of standard input. Held bytes are sent once the
+rule is removed, as TCP retransmits after a real partition.
 """
 
 from __future__ import annotations
@@ -14,21 +14,21 @@
 import msgspec
 
 CHUNK_BYTES = 65_536
-# Ends the node's name in a routing id.
-NAME_END = b"#"
-# Property of the READY command by which a ZeroMQ socket tells its routing id (ZMTP 3.1).
-IDENTITY = re.compile(rb"\x08Identity\x00\x00\x00(.)", re.DOTALL)
+# Separates the node's name from the random suffix in a routing id.
+NODE_NAME_END = b"#"
+# Property of the READY command in which a ZeroMQ socket sends its routing id (ZMTP 3.1).
+IDENTITY_PROPERTY = re.compile(rb"\x08Identity\x00\x00\x00(.)", re.DOTALL)
 
 
 class Rules(msgspec.Struct):
-    """What happens to bytes from one node to another; nodes are named as (source, destination).
+    """Rules for traffic between nodes, each for one direction given as (source, destination).
 
     Attributes
     ----------
     held : list of tuple
-        Pairs between which nothing passes.
+        Pairs of nodes for which all traffic is held back.
     delays : list of tuple
-        Pairs with a delay in seconds.
+        Pairs of nodes with a delay in seconds.
     """
 
     held: list[tuple[str, str]] = []
@@ -40,22 +40,22 @@
 
 
 class Relay:
-    """Forwards the connections of all routes in one loop."""
+    """Relays the connections of all routes in one event loop."""
 
-    __slots__ = ("changed", "rules", "tasks")
+    __slots__ = ("new_rules", "rules", "tasks")
 
     def __init__(self) -> None:
         self.rules = Rules()
-        self.changed = asyncio.Event()
+        self.new_rules = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
 
     async def run(self, routes: list[str]) -> None:
-        """Serve until standard input ends."""
+        """Accept connections and apply new rules until the end of standard input."""
         for route in routes:
-            listen, to, node = route.split("=")
+            listen, upstream, node = route.split("=")
             host, port = listen.rsplit(":", 1)
             await asyncio.start_server(
-                lambda r, w, to=to, node=node: self.connect(r, w, to, node), host, port
+                lambda r, w, upstream=upstream, node=node: self.connect(r, w, upstream, node), host, port
             )
         print("ready", flush=True)
         reader = asyncio.StreamReader()
@@ -64,13 +64,13 @@
         )
         while line := await reader.readline():
             self.rules = msgspec.json.decode(line, type=Rules)
-            self.changed.set()
-            self.changed = asyncio.Event()
+            self.new_rules.set()
+            self.new_rules = asyncio.Event()
             print("applied", flush=True)
 
-    async def connect(self, reader, writer, to: str, node: str) -> None:
-        """Join an accepted connection with one to the daemon."""
-        host, port = to.rsplit(":", 1)
+    async def connect(self, reader, writer, upstream: str, node: str) -> None:
+        """Relay an accepted connection to the upstream address in both directions."""
+        host, port = upstream.rsplit(":", 1)
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(host, int(port))
         except OSError:
@@ -85,30 +85,30 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def pump(self, reader, writer, ends, names: dict[str, str] | None) -> None:
-        """Read one direction of a connection and queue each chunk with the time at which it is due."""
+    async def pump(self, reader, writer, endpoints, names: dict[str, str] | None) -> None:
+        """Read one direction of a connection and queue each chunk with the time at which to send it."""
         queue: asyncio.Queue = asyncio.Queue()
-        sender = asyncio.create_task(self.send(queue, writer, ends))
-        seen = b""
+        sender = asyncio.create_task(self.send(queue, writer, endpoints))
+        handshake = b""
         try:
             while data := await reader.read(CHUNK_BYTES):
-                if names is not None and not names["peer"] and len(seen) < CHUNK_BYTES:
-                    seen += data
-                    names["peer"] = peer_name(seen)
-                due = asyncio.get_running_loop().time() + self.rules.delay(*ends())
+                if names is not None and not names["peer"] and len(handshake) < CHUNK_BYTES:
+                    handshake += data
+                    names["peer"] = peer_name(handshake)
+                due = asyncio.get_running_loop().time() + self.rules.delay(*endpoints())
                 queue.put_nowait((due, data))
         except OSError:
             pass
         queue.put_nowait((0.0, b""))
         await sender
 
-    async def send(self, queue: asyncio.Queue, writer, ends) -> None:
-        """Write the chunks of one direction in order, when due and not held."""
+    async def send(self, queue: asyncio.Queue, writer, endpoints) -> None:
+        """Write the chunks of one direction in order, each once it is due and not held."""
         try:
             while True:
                 due, data = await queue.get()
-                while ends() in self.rules.held:
-                    await self.changed.wait()
+                while endpoints() in self.rules.held:
+                    await self.new_rules.wait()
                 if not data:
                     break
                 await asyncio.sleep(max(0.0, due - asyncio.get_running_loop().time()))
@@ -120,12 +120,12 @@
 
 
 def peer_name(handshake: bytes) -> str:
-    """Return the node's name in the routing id of a connecting ZeroMQ socket, empty when none is known."""
-    match = IDENTITY.search(handshake)
+    """Return the node's name from a ZeroMQ handshake, or an empty string if it has no routing id yet."""
+    match = IDENTITY_PROPERTY.search(handshake)
     if match is None:
         return ""
     routing_id = handshake[match.end() : match.end() + match.group(1)[0]]
-    return routing_id.partition(NAME_END)[0].decode("utf-8", "replace")
+    return routing_id.partition(NODE_NAME_END)[0].decode("utf-8", "replace")
 
 
 if __name__ == "__main__":
