Reword the cluster that the histories are recorded from

Methods had names such as part, rules and event, and comments told of ends and holds. Cluster.part, rules, operator, store_faults, target_faults, event, records, owner, settled, views, ended -> partition_region, set_relay_rules, operator_request, inject_store_fault, inject_target_faults, begin_event, history, main_owner, is_settled, ownership_views, closing; complete_records -> complete_history, make_plan -> create_plan (systems.py); FAILED, SAMPLE_SECONDS, START_SECONDS, STOP_SECONDS -> FAILED_HISTORIES, SAMPLE_INTERVAL_SECONDS, START_TIMEOUT_SECONDS, STOP_TIMEOUT_SECONDS.

--- a/bench/region_partition.py
+++ b/bench/region_partition.py
@@ -11,7 +11,7 @@
 
 import defopt
 from tests.history.model import RevisionAccepted
-from tests.history.systems import WAIT_SECONDS, complete_records, loaded_cluster, make_plan, plan_state
+from tests.history.systems import WAIT_SECONDS, complete_history, create_plan, loaded_cluster, plan_state
 from tools.processes import wait_until
 
 from bench.store_outage import LOAD_MARGIN_SECONDS, MAXIMUM_SECONDS, SETTLE_SECONDS, report
@@ -30,9 +30,9 @@
     try:
         time.sleep(SETTLE_SECONDS)
         node = cluster.spec.nodes[0].name
-        event = cluster.part("west")
-        plan = make_plan(cluster, node, kind="create_tenant", name="new-tenant")
-        status, answer = cluster.operator(node, "POST", f"confirm/{plan}")
+        event = cluster.partition_region("west")
+        plan = create_plan(cluster, node, kind="create_tenant", name="new-tenant")
+        status, answer = cluster.operator_request(node, "POST", f"confirm/{plan}")
         time.sleep(seconds)
         print(f"confirm: {status}, after {seconds} s: {plan_state(cluster, node, plan)}")
         cluster.heal(event)
@@ -43,7 +43,7 @@
         print(f"accepted {time.monotonic() - healed:.2f} s after the partition")
         cluster.accepted_revisions.append(RevisionAccepted(answer["revision"], time.monotonic()))
         time.sleep(SETTLE_SECONDS)
-        return report(complete_records(cluster), cluster.events[-1])
+        return report(complete_history(cluster), cluster.events[-1])
     finally:
         cluster.close()
 
--- a/bench/store_outage.py
+++ b/bench/store_outage.py
@@ -12,7 +12,7 @@
 import defopt
 from tests.history.checker import check
 from tests.history.model import Event, History
-from tests.history.systems import complete_records, loaded_cluster
+from tests.history.systems import complete_history, loaded_cluster
 
 MAXIMUM_SECONDS = 300
 SETTLE_SECONDS = 3.0
@@ -36,9 +36,9 @@
     try:
         # Nodes that have just joined still move slices; a move under way would wait for the store.
         time.sleep(SETTLE_SECONDS)
-        cluster.store_faults(mode, seconds, delay_ms)
+        cluster.inject_store_fault(mode, seconds, delay_ms)
         time.sleep(seconds + SETTLE_SECONDS)
-        history = complete_records(cluster)
+        history = complete_history(cluster)
         return report(history, cluster.events[-1])
     finally:
         cluster.close()
--- a/tests/features/steps/history_harness_steps.py
+++ b/tests/features/steps/history_harness_steps.py
@@ -44,9 +44,9 @@
 @when('the relay {rule} from "{source}" to "{destination}"')
 def set_rule(context, rule, source, destination):
     if rule == "holds":
-        context.cluster.rules(held=[(source, destination)])
+        context.cluster.set_relay_rules(held=[(source, destination)])
     else:
-        context.cluster.rules(delays=[(source, destination, DELAY_SECONDS)])
+        context.cluster.set_relay_rules(delays=[(source, destination, DELAY_SECONDS)])
 
 
 def arrival(socket):
@@ -72,7 +72,7 @@
 
 @then("nothing is lost once the relay rules are removed")
 def check_release(context):
-    context.cluster.rules()
+    context.cluster.set_relay_rules()
     if context.pending:
         assert context.server.poll(ARRIVAL_SECONDS * 1000)
         context.server.send_multipart(context.server.recv_multipart())
--- a/tests/features/steps/system_steps.py
+++ b/tests/features/steps/system_steps.py
@@ -10,9 +10,9 @@
     KEYS,
     MINIMUM_ANSWERS,
     WAIT_SECONDS,
-    complete_records,
+    complete_history,
+    create_plan,
     loaded_cluster,
-    make_plan,
     plan_state,
 )
 from tools.processes import ROOT, request, wait_until
@@ -35,7 +35,7 @@
     else:
         cluster.restart()
     cluster.intact = False
-    context.cluster, context.owner, context.history = cluster, cluster.owner(), None
+    context.cluster, context.owner, context.history = cluster, cluster.main_owner(), None
 
 
 def close(regions):
@@ -104,7 +104,7 @@
 @when("the target of the owner runs {count:d} requests without an answer, and {lost}")
 def lose_answers(context, count, lost):
     cluster = context.cluster
-    cluster.target_faults(context.owner, hang=count)
+    cluster.inject_target_faults(context.owner, hang=count)
     context.began = time.monotonic()
     target = cluster.nodes[context.owner].target_address
 
@@ -121,7 +121,7 @@
 
 @then("retries of unanswered requests were refused as unknown")
 def check_retries(context):
-    context.history = complete_records(context.cluster)
+    context.history = complete_history(context.cluster)
     executed = {effect.request_id for effect in context.history.effects}
     refused = [
         o
@@ -136,7 +136,7 @@
 
 @when("the store is down for {seconds:d} s")
 def fail_store(context, seconds):
-    context.cluster.store_faults("down", seconds)
+    context.cluster.inject_store_fault("down", seconds)
     context.event = context.cluster.events[-1]
     time.sleep(seconds)
 
@@ -169,7 +169,7 @@
 
 @then("every request during the {event} was answered")
 def check_answered(context, event):
-    context.history = complete_records(context.cluster)
+    context.history = complete_history(context.cluster)
     inside = [o for o in context.history.operations if context.event.at <= o.invoked <= context.event.until]
     failed = [o for o in inside if o.outcome != "ok"]
     assert len(inside) >= MINIMUM_ANSWERS, len(inside)
@@ -181,17 +181,17 @@
     began = time.monotonic()
     # A target runs nothing past its deadline, so only answers that are lost show a false "not run".
     for name in context.cluster.nodes:
-        context.cluster.target_faults(name, hang=hung)
+        context.cluster.inject_target_faults(name, hang=hung)
     time.sleep(1.0)
     for name in context.cluster.nodes:
-        context.cluster.target_faults(name, slow_factor=float(factor), seconds=float(seconds))
+        context.cluster.inject_target_faults(name, slow_factor=float(factor), seconds=float(seconds))
     time.sleep(seconds)
     context.overload = began, time.monotonic()
 
 
 @then("some requests of that time were refused as not run")
 def check_refusals(context):
-    context.history = complete_records(context.cluster)
+    context.history = complete_history(context.cluster)
     began, ended = context.overload
     refused = [
         o for o in context.history.operations if began <= o.invoked <= ended and o.outcome == "not_run"
@@ -204,10 +204,10 @@
 def retire_owner(context):
     cluster, owner = context.cluster, context.owner
     other = next(name for name in cluster.nodes if name != owner)
-    status, answer = cluster.operator(other, "POST", "plan", {"kind": "retire_target", "node": owner})
+    status, answer = cluster.operator_request(other, "POST", "plan", {"kind": "retire_target", "node": owner})
     assert status == 201, answer
     plan = answer["plan"]["id"]
-    status, answer = cluster.operator(other, "POST", f"confirm/{plan}")
+    status, answer = cluster.operator_request(other, "POST", f"confirm/{plan}")
     assert status == 200, answer
     context.retired_at = time.monotonic()
     accept(context, other, plan)
@@ -216,7 +216,7 @@
 
 @then("the retired node owns nothing and its target runs nothing after 5 s")
 def check_retired(context):
-    context.history = complete_records(context.cluster)
+    context.history = complete_history(context.cluster)
     assert not context.cluster.rows()[f"owner/{context.owner}"]["slices"]
     limit = context.retired_at + checker.DRAIN_SECONDS
     late = [e for e in context.history.effects if e.target == context.owner and e.started > limit]
@@ -230,14 +230,16 @@
     cluster = context.cluster
     joining = next(node.name for node in cluster.spec.nodes if node.name != context.owner)
     cluster.stop(joining)
-    plan = make_plan(cluster, context.owner, kind="create_tenant", name="new-tenant")
-    cluster.store_faults("lose_reply", 2.0)
+    plan = create_plan(cluster, context.owner, kind="create_tenant", name="new-tenant")
+    cluster.inject_store_fault("lose_reply", 2.0)
     cluster.start_node(joining)
     context.joining = joining
     # A confirm whose outcome is unknown is repeated until it is known, as operators do.
     path = f"confirm/{plan}"
     wait_until(
-        lambda: cluster.operator(context.owner, "POST", path)[0] == 200, WAIT_SECONDS, "the plan is confirmed"
+        lambda: cluster.operator_request(context.owner, "POST", path)[0] == 200,
+        WAIT_SECONDS,
+        "the plan is confirmed",
     )
     context.plan = plan
 
@@ -255,11 +257,11 @@
 def part(context, region, seconds, other):
     cluster = context.cluster
     # The store stands in the other region; a node that cannot reach it can confirm nothing.
-    node = cluster.owner(other)
-    context.event = cluster.part(region)
+    node = cluster.main_owner(other)
+    context.event = cluster.partition_region(region)
     time.sleep(seconds / 2)
-    plan = make_plan(cluster, node, kind="create_tenant", name="new-tenant")
-    status, answer = cluster.operator(node, "POST", f"confirm/{plan}")
+    plan = create_plan(cluster, node, kind="create_tenant", name="new-tenant")
+    status, answer = cluster.operator_request(node, "POST", f"confirm/{plan}")
     assert status == 200, answer
     assert answer["state"] == "committed", answer
     time.sleep(seconds / 2)
@@ -274,10 +276,10 @@
 @when("{region} is parted for {seconds:d} s and a node of {same} is asked for a plan")
 def ask_parted(context, region, seconds, same):
     cluster = context.cluster
-    context.event = cluster.part(region)
+    context.event = cluster.partition_region(region)
     began = time.monotonic()
     intent = {"kind": "create_tenant", "name": "unreached-tenant"}
-    context.answer = cluster.operator(cluster.owner(same), "POST", "plan", intent)
+    context.answer = cluster.operator_request(cluster.main_owner(same), "POST", "plan", intent)
     time.sleep(max(0.0, began + seconds - time.monotonic()))
     cluster.heal(context.event)
     context.event = cluster.events[-1]
@@ -297,7 +299,7 @@
     cluster = context.cluster
 
     wait_until(lambda: plan_state(cluster, node, plan) == "accepted", WAIT_SECONDS, "the plan is accepted")
-    revision = cluster.operator(node, "GET", f"plan/{plan}")[1]["revision"]
+    revision = cluster.operator_request(node, "GET", f"plan/{plan}")[1]["revision"]
     cluster.accepted_revisions.append(RevisionAccepted(revision, time.monotonic()))
 
 
@@ -310,7 +312,7 @@
 
 @then("no request waited longer than 200 ms during the stop")
 def check_waits(context):
-    context.history = complete_records(context.cluster)
+    context.history = complete_history(context.cluster)
     stop = context.event
     operations = [o for o in context.history.operations if stop.at <= o.completed <= stop.until + 1.0]
     waits = [operation.completed - operation.invoked for operation in operations]
@@ -323,9 +325,9 @@
 @when("the failure domain of the owner is drained by an operator")
 def drain(context):
     cluster = context.cluster
-    plan = make_plan(cluster, context.owner, kind="drain_failure_domain", failure_domain="ost-a")
-    cluster.event("drain", failure_domain="ost-a")
-    status, answer = cluster.operator(context.owner, "POST", f"confirm/{plan}")
+    plan = create_plan(cluster, context.owner, kind="drain_failure_domain", failure_domain="ost-a")
+    cluster.begin_event("drain", failure_domain="ost-a")
+    status, answer = cluster.operator_request(context.owner, "POST", f"confirm/{plan}")
     assert status == 200, answer
     accept(context, context.owner, plan)
     time.sleep(checker.DRAIN_SECONDS + 1.0)
@@ -353,7 +355,7 @@
                     lambda n=node, c=current: cluster.status(n).get("revision") == c, WAIT_SECONDS, "revision"
                 )
             plans = [
-                make_plan(cluster, node, kind="create_tenant", name=f"tenant-{number}-{node}")
+                create_plan(cluster, node, kind="create_tenant", name=f"tenant-{number}-{node}")
                 for node in nodes
             ]
             calls = [
@@ -376,6 +378,6 @@
 
 @then("the system history keeps every guarantee")
 def check_history(context):
-    violations = checker.check(context.history or complete_records(context.cluster))
+    violations = checker.check(context.history or complete_history(context.cluster))
     assert not violations, "\n".join(map(str, violations[:5]))
     context.cluster.intact = not getattr(context, "used_up", False)
--- a/tests/history/cluster.py
+++ b/tests/history/cluster.py
@@ -1,4 +1,4 @@
-"""A whole system of plain processes on loopback ports, with faults and a record of what happened."""
+"""Runs a cluster of processes on loopback ports, injects faults and records its history."""
 
 from __future__ import annotations
 
@@ -19,20 +19,20 @@
 from tests.history.records import ownership_views, read_effects, read_operations
 
 SHARED_KEY = "history-shared-key-0123456789abcdef"
-# Logs and records of systems that did not keep their guarantees.
-FAILED = ROOT / "out" / "failed_histories"
-SAMPLE_SECONDS = 0.2
-START_SECONDS = 20.0
-STOP_SECONDS = 30.0
+# Receives the logs and records of clusters that violated a guarantee.
+FAILED_HISTORIES = ROOT / "out" / "failed_histories"
+SAMPLE_INTERVAL_SECONDS = 0.2
+START_TIMEOUT_SECONDS = 20.0
+STOP_TIMEOUT_SECONDS = 30.0
 
 
 class NodeSpec(msgspec.Struct, frozen=True):
-    """One node: a daemon and its target.
+    """Specification of a node, which consists of a daemon and its target.
 
     Attributes
     ----------
     target, daemon : dict of str to str
-        Flags in addition to the usual ones.
+        Command-line flags that extend or override the defaults.
     """
 
     name: str
@@ -44,14 +44,14 @@
 
 
 class ClusterSpec(msgspec.Struct, frozen=True):
-    """A system to start.
+    """Specification of a cluster.
 
     Attributes
     ----------
     routes, tenants : dict
-        Content of the configuration document of revision 1.
+        Routes and tenants of the configuration document, revision 1.
     relayed : bool
-        Whether traffic to the daemons' peer addresses passes the relay.
+        Whether traffic to the daemons' peer addresses and to the store passes through the relay.
     """
 
     nodes: tuple[NodeSpec, ...]
@@ -61,13 +61,13 @@
 
 
 class Node:
-    """The processes and addresses of a node."""
+    """Processes and addresses of a node."""
 
     __slots__ = ("daemon", "http", "peer", "relay", "spec", "starts", "target", "target_address")
 
     def __init__(self, spec: NodeSpec, host: str, ports: list[int]) -> None:
         self.spec = spec
-        # The relay listens on the advertised address, the daemon behind it on the other.
+        # With a relay, a daemon advertises ``relay``, where the relay listens, and binds to ``peer``.
         self.relay, self.peer, self.http, self.target_address = (f"{host}:{port}" for port in ports)
         self.daemon: Process | None = None
         self.target: Process | None = None
@@ -75,17 +75,17 @@
 
 
 class Cluster:
-    """Starts and ends the processes, injects faults and collects the records.
+    """Starts and stops the processes of a cluster, injects faults and collects the records.
 
     Parameters
     ----------
     spec : ClusterSpec
-        The system.
+        Nodes, routes and tenants of the cluster.
     """
 
     def __init__(self, spec: ClusterSpec) -> None:
         self.spec = spec
-        # An address of its own, so that no other process takes a port between its choice and its use.
+        # A random loopback address, so that no other process takes a port between its choice and its use.
         self.host = f"127.{random.randint(1, 254)}.{random.randint(0, 254)}.{random.randint(1, 254)}"
         self.folder = tempfile.TemporaryDirectory(prefix="history-")
         self.path = Path(self.folder.name)
@@ -100,18 +100,19 @@
         self.platform: Process | None = None
         self.relay: Process | None = None
         self.events: list[model.Event] = []
-        self.views: list[model.OwnershipView] = []
+        self.ownership_views: list[model.OwnershipView] = []
         self.observed_revisions: list[model.RevisionObserved] = []
         self.accepted_revisions: list[model.RevisionAccepted] = []
         self.loads: list[model.Load] = []
         self.callers: list[Process] = []
-        # Whether the last history was kept; a system in an unknown state is not used again.
+        # Whether the last history kept all guarantees. If not, the files are kept and the cluster is not used
+        # again, since its state is unknown.
         self.intact = True
-        self.ended = threading.Event()
+        self.closing = threading.Event()
         self.sampler = threading.Thread(target=self._sample, daemon=True)
 
     def __enter__(self) -> Cluster:
-        """Start the system; nothing keeps running when that fails."""
+        """Start the cluster, and end all of its processes if the start fails."""
         try:
             self.start()
         except BaseException:
@@ -123,15 +124,17 @@
         self.close()
 
     def launch(self, name: str, arguments: list[str], environment=None, stdin=None) -> Process:
-        """Start one process that ends with the cluster."""
+        """Start a process that is ended when the cluster closes."""
         process = Process(arguments, self.path / f"{name}.log", environment or {}, stdin)
         self.processes.append(process)
         return process
 
     def start(self) -> None:
-        """Start the platform, the relay and all nodes, and wait until every slice has an owner."""
+        """Start the platform, the relay and all nodes, and wait for the steady state."""
         self.platform = self.launch("platform", ["-m", "tools.standins.platform", "--address", self.store])
-        wait_until(lambda: request(self.store, "GET", "/counters")[0], START_SECONDS, "platform answers")
+        wait_until(
+            lambda: request(self.store, "GET", "/counters")[0], START_TIMEOUT_SECONDS, "platform answers"
+        )
         document = {"revision": 1, "routes": self.spec.routes, "tenants": self.spec.tenants}
         row = {"revision": 1, "operation_id": "initial", "document": document}
         self.commit({"config/current": row})
@@ -141,23 +144,25 @@
             self.start_node(name)
             if number == 0:
                 # The first node joins alone, so that the first owner is the same in each run.
-                wait_until(lambda name=name: f"lease/{name}" in (self.rows() or {}), START_SECONDS, "join")
-        wait_until(self.settled, START_SECONDS, "every slice has an owner and every node a guard")
+                wait_until(
+                    lambda name=name: f"lease/{name}" in (self.rows() or {}), START_TIMEOUT_SECONDS, "join"
+                )
+        wait_until(self.is_settled, START_TIMEOUT_SECONDS, "every slice has an owner and every node a guard")
         self.sampler.start()
 
     def commit(self, puts: dict[str, Any]) -> None:
-        """Write rows that do not exist yet."""
+        """Write new rows to the store in one transaction."""
         transaction = {"operation_id": f"test-{random.getrandbits(64):x}", "checks": {}, "puts": puts}
         status, answer = request(self.store, "POST", "/v1/transact", transaction)
         assert status == 200, answer
 
     def start_relay(self) -> None:
-        """Start the relay in front of every daemon."""
+        """Start the relay in front of every daemon and of the store."""
         routes = [f"{node.relay}={node.peer}={name}" for name, node in self.nodes.items()]
-        routes += [f"{address}={self.store}={_store(r)}" for r, address in self.store_relays.items()]
+        routes += [f"{address}={self.store}={_store_endpoint(r)}" for r, address in self.store_relays.items()]
         arguments = ["-m", "tests.history.relay", *routes]
         self.relay = self.launch("relay", arguments, stdin=subprocess.PIPE)
-        wait_until(lambda: "ready" in self.relay.log.read_text(), START_SECONDS, "relay listens")
+        wait_until(lambda: "ready" in self.relay.log.read_text(), START_TIMEOUT_SECONDS, "relay listens")
 
     def start_node(self, name: str) -> None:
         """Start the daemon and the target of a node."""
@@ -165,7 +170,7 @@
         self.start_target(name)
 
     def restart(self) -> None:
-        """Start the nodes that have ended, and wait until all have joined again."""
+        """Restart the nodes of which a process has ended, and wait until all have rejoined."""
         former = self.incarnations()
         ended = [
             name for name, node in self.nodes.items() if not (node.daemon.running and node.target.running)
@@ -177,9 +182,9 @@
 
         def joined() -> bool:
             present = self.incarnations()
-            return self.settled() and all(present.get(name) != former.get(name) for name in ended)
+            return self.is_settled() and all(present.get(name) != former.get(name) for name in ended)
 
-        wait_until(joined, START_SECONDS, f"{ended} joined again")
+        wait_until(joined, START_TIMEOUT_SECONDS, f"{ended} joined again")
 
     def incarnations(self) -> dict[str, str]:
         """Return the incarnation in each lease row, by node."""
@@ -221,14 +226,14 @@
         node.target = self.launch(f"{name}-target", arguments, environment)
 
     def rows(self) -> dict[str, Any] | None:
-        """Return the present rows of the table by key, None when the store does not answer."""
+        """Return the current rows of the table by key, or None if the store does not answer."""
         status, answer = request(self.store, "GET", "/v1/changes?since=0", timeout=1.0)
         if status != 200:
             return None
         return {row["key"]: row["value"] for row in answer["rows"] if row["value"] is not None}
 
-    def settled(self) -> bool:
-        """Return whether every slice has an owner and the guards are those of the steady state."""
+    def is_settled(self) -> bool:
+        """Return whether every slice has an owner and every guard is the one of the steady state."""
         rows = self.rows() or {}
         views = ownership_views(rows, 0.0)
         rings = {
@@ -241,18 +246,20 @@
         )
 
     def _well_guarded(self, name: str, guards: dict[str, str]) -> bool:
-        """Return whether the guard is the owner's first choice, and not its lessee if another node exists.
+        """Return whether a node's guard fits the steady state: same region, other failure domain, not mutual.
+
+        A mutual guard is accepted only in a region of at most two nodes.
 
         The loss of two nodes that guard each other is the loss of a whole cycle of guards, which needs an
         operator's release and is not a tolerated loss.
         """
         owner, guard = self.nodes[name].spec, self.nodes[guards[name]].spec
-        in_region = [node for node in self.spec.nodes if node.region == owner.region]
-        mutual = guards[guard.name] == name and len(in_region) > 2
+        region_nodes = [node for node in self.spec.nodes if node.region == owner.region]
+        mutual = guards[guard.name] == name and len(region_nodes) > 2
         return owner.region == guard.region and owner.failure_domain != guard.failure_domain and not mutual
 
-    def owner(self, region: str = "") -> str:
-        """Return the node with the most slices, of one region when it is given."""
+    def main_owner(self, region: str = "") -> str:
+        """Return the node that owns the most slices, in one region if it is given."""
         views = ownership_views(self.rows() or {}, 0.0)
         counts = {
             name: len(slices)
@@ -267,23 +274,23 @@
         return (self.rows() or {})[f"lease/{name}"]["guard"]
 
     def status(self, name: str) -> dict[str, Any]:
-        """Return the status of a daemon, empty when it does not answer."""
+        """Return the status of a daemon, or an empty dict if it does not answer."""
         status, answer = request(self.nodes[name].http, "GET", "/v1/status", timeout=0.5)
         return answer if status == 200 else {}
 
-    def event(self, kind: model.EventKind, *nodes: str, failure_domain: str = "") -> model.Event:
+    def begin_event(self, kind: model.EventKind, *nodes: str, failure_domain: str = "") -> model.Event:
         """Record that a fault or a planned change begins now."""
         event = model.Event(kind, time.monotonic(), nodes=nodes, failure_domain=failure_domain)
         self.events.append(event)
         return event
 
     def end_event(self, event: model.Event) -> None:
-        """Record that it ends now."""
+        """Record that an event ends now."""
         self.events[self.events.index(event)] = msgspec.structs.replace(event, until=time.monotonic())
 
     def kill(self, *names: str, daemon: bool = True, target: bool = True) -> model.Event:
-        """End processes of nodes at once, as a loss that the guarantees bound."""
-        event = self.event("loss", *names)
+        """Kill processes of nodes with SIGKILL, recorded as a loss with a bounded recovery time."""
+        event = self.begin_event("loss", *names)
         chosen = [self.nodes[name].daemon for name in names if daemon]
         chosen += [self.nodes[name].target for name in names if target]
         for process in chosen:
@@ -293,13 +300,13 @@
         return event
 
     def pause(self, name: str, *, daemon: bool = True, target: bool = True) -> model.Event:
-        """Stop processes of a node from running; ``resume`` lets them go on."""
-        event = self.event("pause", name)
+        """Suspend processes of a node with SIGSTOP until ``resume``."""
+        event = self.begin_event("pause", name)
         self._signal(name, signal.SIGSTOP, daemon, target)
         return event
 
     def resume(self, event: model.Event) -> None:
-        """Let the processes of a paused node run again."""
+        """Resume the processes of a paused node with SIGCONT."""
         self._signal(event.nodes[0], signal.SIGCONT, True, True)
         self.end_event(event)
 
@@ -310,28 +317,30 @@
                 process.send(number)
 
     def stop(self, name: str) -> model.Event:
-        """Stop the daemon of a node as planned, then its target; returns the event with its end."""
-        event = self.event("stop", name)
-        code = self.nodes[name].daemon.stop(STOP_SECONDS)
+        """Stop the daemon of a node gracefully, then its target, and return the ended event."""
+        event = self.begin_event("stop", name)
+        code = self.nodes[name].daemon.stop(STOP_TIMEOUT_SECONDS)
         self.end_event(event)
         assert code == 0, f"daemon {name} ended with {code}"
-        self.nodes[name].target.stop(STOP_SECONDS)
+        self.nodes[name].target.stop(STOP_TIMEOUT_SECONDS)
         return self.events[-1]
 
-    def store_faults(self, mode: str, seconds: float, delay_ms: float = 0.0) -> None:
-        """Let the store fail for some seconds; the record of it ends after the last effect of it."""
-        event = self.event("store")
+    def inject_store_fault(self, mode: str, seconds: float, delay_ms: float = 0.0) -> None:
+        """Inject a store fault for some seconds and record an event that ends after its last effect."""
+        event = self.begin_event("store")
         self.events[-1] = msgspec.structs.replace(event, until=event.at + seconds)
         fault = {"mode": mode, "seconds": seconds, "delay_ms": delay_ms}
         status, answer = request(self.store, "POST", "/faults", fault)
         assert status == 200, answer
 
-    def target_faults(self, name: str, **faults: Any) -> None:
-        """Set faults of a target."""
+    def inject_target_faults(self, name: str, **faults: Any) -> None:
+        """Set the faults that a stand-in target injects."""
         status, answer = request(self.nodes[name].target_address, "POST", "/faults", faults)
         assert status == 200, answer
 
-    def rules(self, held: list[tuple[str, str]] = (), delays: list[tuple[str, str, float]] = ()) -> None:
+    def set_relay_rules(
+        self, held: list[tuple[str, str]] = (), delays: list[tuple[str, str, float]] = ()
+    ) -> None:
         """Replace the rules of the relay."""
         applied = self.relay.log.read_text().count("applied")
         line = msgspec.json.encode({"held": held, "delays": delays}) + b"\n"
@@ -339,38 +348,38 @@
         self.relay.process.stdin.flush()
         wait_until(lambda: self.relay.log.read_text().count("applied") > applied, 5.0, "relay rules applied")
 
-    def part(self, region: str) -> model.Event:
-        """Hold all traffic of a region with others and with the store; ``heal`` ends it."""
+    def partition_region(self, region: str) -> model.Event:
+        """Block all traffic of a region with other regions and the store until ``heal``."""
         inside = [node.name for node in self.spec.nodes if node.region == region]
         outside = [node.name for node in self.spec.nodes if node.region != region]
-        event = self.event("cut", *inside, *outside)
+        event = self.begin_event("cut", *inside, *outside)
         pairs = [pair for a in inside for b in outside for pair in ((a, b), (b, a))]
-        self.rules(held=[*pairs, ("", _store(region)), (_store(region), "")])
+        self.set_relay_rules(held=[*pairs, ("", _store_endpoint(region)), (_store_endpoint(region), "")])
         return event
 
     def heal(self, event: model.Event) -> None:
-        """Let all traffic pass again."""
-        self.rules()
+        """Remove all relay rules and end the partition."""
+        self.set_relay_rules()
         self.end_event(event)
 
-    def operator(self, name: str, method: str, path: str, value: Any = None) -> tuple[int, Any]:
-        """Send a request to the operators' API of a node."""
+    def operator_request(self, name: str, method: str, path: str, value: Any = None) -> tuple[int, Any]:
+        """Send a request to the operator API of a node."""
         headers = {"x-hibiscusdrum-key": SHARED_KEY}
         return request(self.nodes[name].http, method, "/v1/operator/" + path, value, headers, timeout=15.0)
 
     def start_load(self, **values: Any) -> Process:
-        """Start a caller; the values are fields of ``model.Load``."""
+        """Start a caller process; the values override fields of its ``model.Load``."""
         caller = f"caller{len(self.loads)}"
         seeds = tuple(node.relay if self.spec.relayed else node.peer for node in self.nodes.values())
         first = self.spec.nodes[0]
-        usual = {
+        defaults = {
             "region": first.region,
             "tenant": next(iter(self.spec.tenants)),
             "service": first.service,
             "seed": len(self.loads),
         }
         record = str(self.path / f"{caller}.operations")
-        load = model.Load(caller=caller, seeds=seeds, record=record, **{**usual, **values})
+        load = model.Load(caller=caller, seeds=seeds, record=record, **{**defaults, **values})
         file = self.path / f"{caller}.load"
         file.write_bytes(msgspec.json.encode(load))
         self.loads.append(load)
@@ -379,11 +388,11 @@
         return process
 
     def finish_loads(self) -> None:
-        """Let the callers send nothing more and wait for their last outcomes."""
+        """Stop the callers and wait until they have recorded the outcomes of pending requests."""
         for caller in self.callers:
             caller.send(signal.SIGTERM)
         for caller in self.callers:
-            code = caller.process.wait(STOP_SECONDS)
+            code = caller.process.wait(STOP_TIMEOUT_SECONDS)
             assert code == 0, caller.log.read_text()
 
     def operations(self) -> list[model.Operation]:
@@ -391,21 +400,21 @@
         return [o for load in self.loads for o in read_operations(Path(load.record))]
 
     def _sample(self) -> None:
-        """Record rows and revisions until the end."""
-        while not self.ended.wait(SAMPLE_SECONDS):
+        """Sample table rows and applied revisions until the cluster closes."""
+        while not self.closing.wait(SAMPLE_INTERVAL_SECONDS):
             rows = self.rows()
             if rows is not None:
-                self.views.extend(ownership_views(rows, time.monotonic()))
+                self.ownership_views.extend(ownership_views(rows, time.monotonic()))
             for name, node in self.nodes.items():
                 starts, status = node.starts, self.status(name)
                 if "revision" in status and starts == node.starts:
                     serving = bool(status.get("lease_valid", True))
                     process = f"{name}#{starts}"
-                    seen = model.RevisionObserved(process, time.monotonic(), status["revision"], serving)
-                    self.observed_revisions.append(seen)
+                    observed = model.RevisionObserved(process, time.monotonic(), status["revision"], serving)
+                    self.observed_revisions.append(observed)
 
-    def records(self) -> model.History:
-        """Return the history until now."""
+    def history(self) -> model.History:
+        """Return the history recorded so far."""
         services = {node.spec.name: node.spec.service for node in self.nodes.values()}
         operations = self.operations()
         keys = {operation.request_id: operation.key for operation in operations}
@@ -420,7 +429,7 @@
             effects=tuple(effects),
             placements=tuple(model.Placement(n.name, n.region, n.failure_domain) for n in self.spec.nodes),
             events=tuple(self.events),
-            ownership=tuple(self.views),
+            ownership=tuple(self.ownership_views),
             observed_revisions=tuple(self.observed_revisions),
             accepted_revisions=tuple(self.accepted_revisions),
             home_regions={t["name"]: tuple(t["home_regions"]) for t in tenants if t.get("home_regions")},
@@ -429,7 +438,7 @@
         )
 
     def outputs(self) -> dict[str, str]:
-        """Return the logs and metrics of the daemons, and the table."""
+        """Return the logs and metrics of the daemons and the rows of the store, by source."""
         texts = {path.name: path.read_text() for path in self.path.glob("*-daemon.log")}
         for name, node in self.nodes.items():
             texts[f"{name} metrics"] = str(request(node.http, "GET", "/metrics", timeout=1.0)[1])
@@ -437,19 +446,19 @@
         return texts
 
     def close(self) -> None:
-        """End every process of the cluster and remove its files, unless its history failed."""
-        self.ended.set()
+        """End all processes and remove the files, which are first copied if a guarantee was violated."""
+        self.closing.set()
         for process in self.processes:
             process.kill()
         if self.sampler.is_alive():
             self.sampler.join()
         if not self.intact:
-            shutil.copytree(self.path, FAILED / self.path.name)
+            shutil.copytree(self.path, FAILED_HISTORIES / self.path.name)
         self.folder.cleanup()
 
 
-def _store(region: str) -> str:
-    """Name the store as seen from a region, in the rules of the relay."""
+def _store_endpoint(region: str) -> str:
+    """Return the name of the store in relay rules for traffic from or to a region."""
     return f"store@{region}"
 
 
--- a/tests/history/systems.py
+++ b/tests/history/systems.py
@@ -49,7 +49,7 @@
     return cluster
 
 
-def complete_records(cluster: Cluster) -> History:
+def complete_history(cluster: Cluster) -> History:
     """Return the history after each caller has recorded an outcome of a request sent since this call.
 
     Raises
@@ -64,20 +64,20 @@
         return recent == {load.caller for load in cluster.loads}
 
     wait_until(callers_progress, WAIT_SECONDS, "each caller has a recent outcome")
-    history = cluster.records()
+    history = cluster.history()
     assert sum(operation.outcome == "ok" for operation in history.operations) >= MINIMUM_ANSWERS
     assert history.ownership and history.observed_revisions and history.effects
     return history
 
 
-def make_plan(cluster: Cluster, node: str, **intent: object) -> str:
+def create_plan(cluster: Cluster, node: str, **intent: object) -> str:
     """Create a plan at a node and return its identifier."""
-    status, answer = cluster.operator(node, "POST", "plan", intent)
+    status, answer = cluster.operator_request(node, "POST", "plan", intent)
     assert status == 201, answer
     return answer["plan"]["id"]
 
 
 def plan_state(cluster: Cluster, node: str, plan: str) -> str:
     """Return the state of a plan as reported by a node, or an empty string if the node does not answer."""
-    status, answer = cluster.operator(node, "GET", f"plan/{plan}")
+    status, answer = cluster.operator_request(node, "GET", f"plan/{plan}")
     return answer["state"] if status == 200 else ""
