Reword the example histories

The mutations are named after what they change: _ok, _swap, _deny, _cut, _stay_lost and others -> _choose_answered, _replace_record, _report_not_run, _interrupt_at_stop, _delay_recovery; PLACES -> PLACEMENTS; STEP, STEPS, ENDED -> STEP_SECONDS, STEP_COUNT, END_SECONDS.

--- a/tests/history/examples.py
+++ b/tests/history/examples.py
@@ -1,4 +1,4 @@
-"""Random histories that keep every rule, and one mutation for each rule that breaks only this rule."""
+"""Random histories that keep every rule, and a mutation per violation type that breaks only its rule."""
 
 from __future__ import annotations
 
@@ -8,20 +8,28 @@
 from msgspec.structs import replace
 
 from tests.history import checker
-from tests.history.model import Effect, Event, History, Operation, OwnershipView, Placement, RevisionAccepted
-from tests.history.model import RevisionObserved as Seen
+from tests.history.model import (
+    Effect,
+    Event,
+    History,
+    Operation,
+    OwnershipView,
+    Placement,
+    RevisionAccepted,
+    RevisionObserved,
+)
 
-STEP = 0.2
-STEPS = 160
-ENDED = STEPS * STEP
-# The gap leaves room for a mutation to insert an epoch between two acknowledged ones.
+STEP_SECONDS = 0.2
+STEP_COUNT = 160
+END_SECONDS = STEP_COUNT * STEP_SECONDS
+# Leaves room for a mutation to insert an epoch between two consecutive ones.
 EPOCH_GAP = 10
 LOSS = Event("loss", at=5.0, until=8.0, nodes=("ost-a2",))
 DRAIN = Event("drain", at=10.0, until=20.0, failure_domain="ost-b")
 STOP = Event("stop", at=22.0, until=22.5, nodes=("ost-b1",))
 LEAVE = Event("leave", at=24.0, nodes=("ost-a1",))
 EVENTS = (LOSS, DRAIN, STOP, LEAVE)
-PLACES = tuple(
+PLACEMENTS = tuple(
     Placement(f"{region}-{domain}{number}", region, f"{region}-{domain}")
     for region in ("ost", "west")
     for domain in "ab"
@@ -32,14 +40,16 @@
 
 
 def clean_history(random: Random) -> History:
-    """Return a history in which owners move, nodes fail and leave, and every rule is kept."""
+    """Return a history in which ownership moves and nodes fail and leave, but no rule is broken."""
     operations, effects = [], []
     owners: dict[int, tuple[str, int]] = {}
     epoch = 0
-    for step in range(STEPS):
-        at, index = step * STEP, step % len(KEYS)
+    for step in range(STEP_COUNT):
+        at, index = step * STEP_SECONDS, step % len(KEYS)
         available = [
-            place.node for place in PLACES if place.region == KEYS[index][2] and _available(place, at)
+            placement.node
+            for placement in PLACEMENTS
+            if placement.region == KEYS[index][2] and _available(placement, at)
         ]
         if owners.get(index, ("",))[0] not in available or random.random() < 0.2:
             epoch += EPOCH_GAP
@@ -50,12 +60,12 @@
     return History(
         operations=tuple(operations),
         effects=tuple(effects),
-        placements=PLACES,
+        placements=PLACEMENTS,
         events=EVENTS,
         ownership=tuple(_view(random, at) for at in (1.0, 9.0, 30.0)),
         observed_revisions=tuple(
-            Seen(place.node, at, 1 + (at > 4) + (at > 12 + random.random()))
-            for place in PLACES
+            RevisionObserved(placement.node, at, 1 + (at > 4) + (at > 12 + random.random()))
+            for placement in PLACEMENTS
             for at in (1.0, 5.0, 12.5, 20.5, 30.0)
         ),
         accepted_revisions=(RevisionAccepted(2, 4.0), RevisionAccepted(3, 13.0)),
@@ -65,19 +75,21 @@
     )
 
 
-def _available(place: Placement, at: float) -> bool:
-    named = [
-        event for event in EVENTS if place.node in event.nodes or place.failure_domain == event.failure_domain
+def _available(placement: Placement, at: float) -> bool:
+    affecting = [
+        event
+        for event in EVENTS
+        if placement.node in event.nodes or placement.failure_domain == event.failure_domain
     ]
-    return not any(event.at <= at <= event.until for event in named)
+    return not any(event.at <= at <= event.until for event in affecting)
 
 
 def _request(random: Random, step: int, owner: tuple[str, int]) -> tuple[Operation, Iterable[Effect]]:
-    index, at = step % len(KEYS), step * STEP
+    index, at = step % len(KEYS), step * STEP_SECONDS
     tenant, service, _ = KEYS[index]
-    # None fails soon after the loss or at the planned stop.
-    quiet = (LOSS.at, LOSS.at + checker.RECOVERY_SECONDS), (STOP.at - 1, STOP.until)
-    may_fail = random.random() < 0.3 and not any(start <= at <= end for start, end in quiet)
+    # No request fails soon after the loss or around the planned stop, where a failure would break a rule.
+    without_failures = (LOSS.at, LOSS.at + checker.RECOVERY_SECONDS), (STOP.at - 1, STOP.until)
+    may_fail = random.random() < 0.3 and not any(start <= at <= end for start, end in without_failures)
     outcome = random.choice(("ok", "not_run", "unknown")) if may_fail else "ok"
     executed = outcome == "ok" or (outcome == "unknown" and random.random() < 0.5)
     operation = Operation(
@@ -88,7 +100,7 @@
         key=b"key-%d" % index,
         idempotent=random.random() < 0.5,
         invoked=at,
-        completed=at + STEP * 0.9,
+        completed=at + STEP_SECONDS * 0.9,
         outcome=outcome,
         target=owner[0] if outcome == "ok" else "",
         epoch=owner[1] if outcome == "ok" else 0,
@@ -108,8 +120,8 @@
         service=operation.service,
         key=operation.key,
         epoch=epoch,
-        started=operation.invoked + STEP * 0.3,
-        ended=operation.invoked + STEP * 0.8,
+        started=operation.invoked + STEP_SECONDS * 0.3,
+        ended=operation.invoked + STEP_SECONDS * 0.8,
         answer=f"digest-{step}",
         length=100 + step,
     )
@@ -125,17 +137,19 @@
 
 
 def mutate(history: History, kind: str, random: Random) -> History:
-    """Return the history changed so that it breaks the rule of violation type ``kind``."""
+    """Return a copy of the history that breaks the rule of violation type ``kind``."""
     return MUTATIONS[getattr(checker, kind)](history, random)
 
 
-def _swap(records: tuple, old, *new) -> tuple:
+def _replace_record(records: tuple, old, *new) -> tuple:
     at = records.index(old)
     return (*records[:at], *new, *records[at + 1 :])
 
 
-def _ok(history: History, random: Random, *, idempotent: bool | None = None, **wanted) -> Operation:
-    """Choose an answered request outside the loss whose attributes have the wanted values."""
+def _choose_answered(
+    history: History, random: Random, *, idempotent: bool | None = None, **values
+) -> Operation:
+    """Choose an answered request with these attribute values, invoked outside the recovery from the loss."""
     return random.choice(
         [
             operation
@@ -143,7 +157,7 @@
             if operation.outcome == "ok"
             and not LOSS.at <= operation.invoked <= LOSS.at + checker.RECOVERY_SECONDS
             and (idempotent is None or operation.idempotent is idempotent)
-            and all(getattr(operation, name) == value for name, value in wanted.items())
+            and all(getattr(operation, name) == value for name, value in values.items())
         ]
     )
 
@@ -152,105 +166,110 @@
     return next(effect for effect in history.effects if effect.request_id == operation.request_id)
 
 
-def _execute_elsewhere(history: History, shift: float, epoch_change: int) -> History:
-    """Add a request of unknown outcome for the last executed key, at another target."""
+def _execute_at_other_target(history: History, shift: float, epoch_change: int) -> History:
+    """Add a request of unknown outcome for the last executed key, executed at another target."""
     last = max((e for e in history.effects if e.service == "lookup"), key=lambda effect: effect.started)
-    region = next(place.region for place in PLACES if place.node == last.target)
+    region = next(placement.region for placement in PLACEMENTS if placement.node == last.target)
     target = next(
-        p.node for p in PLACES if p.region == region and p.node != last.target and _available(p, ENDED)
+        p.node
+        for p in PLACEMENTS
+        if p.region == region and p.node != last.target and _available(p, END_SECONDS)
     )
     base = next(operation for operation in history.operations if operation.request_id == last.request_id)
-    name = f"{STEPS:032x}"
+    name = f"{STEP_COUNT:032x}"
     operation = replace(base, request_id=name, idempotent=True, outcome="unknown", target="", error="unknown")
     moved = {"started": last.started + shift, "ended": last.ended + shift, "epoch": last.epoch + epoch_change}
     effect = replace(last, request_id=name, target=target, **moved)
     return replace(history, operations=(*history.operations, operation), effects=(*history.effects, effect))
 
 
-def _overlap(history: History, random: Random) -> History:
-    return _execute_elsewhere(history, random.uniform(0.01, 0.09), EPOCH_GAP // 2)
+def _overlap_execution(history: History, random: Random) -> History:
+    return _execute_at_other_target(history, random.uniform(0.01, 0.09), EPOCH_GAP // 2)
 
 
 def _lower_epoch(history: History, random: Random) -> History:
-    return _execute_elsewhere(history, random.uniform(0.11, 5.0), random.choice((0, -EPOCH_GAP // 2)))
+    return _execute_at_other_target(history, random.uniform(0.11, 5.0), random.choice((0, -EPOCH_GAP // 2)))
 
 
-def _change_view(history: History, random: Random, held_twice: bool) -> History:
+def _change_view(history: History, random: Random, assigned_twice: bool) -> History:
     view = random.choice([v for v in history.ownership if any(v.owners.values())])
     owner = random.choice([name for name, slices in view.owners.items() if slices])
     lost = random.choice(view.owners[owner])
-    if held_twice:
+    if assigned_twice:
         changed = replace(view, unowned=(*view.unowned, lost))
     else:
         kept = tuple(s for s in view.owners[owner] if s != lost)
         changed = replace(view, owners={**view.owners, owner: kept})
-    return replace(history, ownership=_swap(history.ownership, view, changed))
+    return replace(history, ownership=_replace_record(history.ownership, view, changed))
 
 
 def _execute_twice(history: History, random: Random) -> History:
-    effect = _effect_of(history, _ok(history, random, idempotent=False))
+    effect = _effect_of(history, _choose_answered(history, random, idempotent=False))
     return replace(history, effects=(*history.effects, effect))
 
 
-def _deny(history: History, random: Random) -> History:
-    operation = _ok(history, random)
+def _report_not_run(history: History, random: Random) -> History:
+    operation = _choose_answered(history, random)
     denied = replace(operation, outcome="not_run", target="", error="overloaded")
-    return replace(history, operations=_swap(history.operations, operation, denied))
+    return replace(history, operations=_replace_record(history.operations, operation, denied))
 
 
-def _forget_effect(history: History, random: Random) -> History:
-    effect = _effect_of(history, _ok(history, random))
-    return replace(history, effects=_swap(history.effects, effect))
+def _remove_effect(history: History, random: Random) -> History:
+    effect = _effect_of(history, _choose_answered(history, random))
+    return replace(history, effects=_replace_record(history.effects, effect))
 
 
-def _wrong_answer(history: History, random: Random) -> History:
-    operation, other = _ok(history, random), {"answer": "digest-of-another"}
+def _change_answer(history: History, random: Random) -> History:
+    operation, other = _choose_answered(history, random), {"answer": "digest-of-another"}
     changed = replace(operation, **random.choice((other, {"length": operation.length - 1})))
-    return replace(history, operations=_swap(history.operations, operation, changed))
+    return replace(history, operations=_replace_record(history.operations, operation, changed))
 
 
-def _serve_elsewhere(history: History, random: Random) -> History:
-    operation = _ok(history, random, idempotent=True, tenant="tenant-ost", service="archive")
+def _execute_outside_home(history: History, random: Random) -> History:
+    operation = _choose_answered(history, random, idempotent=True, tenant="tenant-ost", service="archive")
     effect, target = _effect_of(history, operation), random.choice(("west-a1", "west-b2"))
     return replace(
         history,
-        operations=_swap(history.operations, operation, replace(operation, target=target)),
-        effects=_swap(history.effects, effect, replace(effect, target=target)),
+        operations=_replace_record(history.operations, operation, replace(operation, target=target)),
+        effects=_replace_record(history.effects, effect, replace(effect, target=target)),
     )
 
 
-def _expose(history: History, random: Random) -> History:
+def _expose_content(history: History, random: Random) -> History:
     operation = random.choice([o for o in history.operations if o.tenant in history.home_regions])
     source = random.choice(sorted(history.outputs))
     text = f"{history.outputs[source]} {operation.markers[0]}"
     return replace(history, outputs={**history.outputs, source: text})
 
 
-def _work_while_leaving(history: History, random: Random) -> History:
-    target, start, end = random.choice((("ost-b1", DRAIN.at, DRAIN.until), ("ost-a1", LEAVE.at, ENDED)))
+def _execute_while_leaving(history: History, random: Random) -> History:
+    target, start, end = random.choice((("ost-b1", DRAIN.at, DRAIN.until), ("ost-a1", LEAVE.at, END_SECONDS)))
     at = random.uniform(start + checker.DRAIN_SECONDS + 0.01, end - 0.1)
-    operation = _ok(history, random, idempotent=True, tenant="tenant-ost", service="archive")
-    added = replace(operation, request_id=f"{STEPS:032x}", target=target)
+    operation = _choose_answered(history, random, idempotent=True, tenant="tenant-ost", service="archive")
+    added = replace(operation, request_id=f"{STEP_COUNT:032x}", target=target)
     effect = replace(_effect_of(history, operation), request_id=added.request_id, target=target)
     effect = replace(effect, started=at, ended=at + 0.01)
     return replace(history, operations=(*history.operations, added), effects=(*history.effects, effect))
 
 
-def _cut(history: History, random: Random) -> History:
+def _interrupt_at_stop(history: History, random: Random) -> History:
     stopped = [o for o in history.operations if o.completed >= STOP.at and o.invoked <= STOP.until]
     operation = random.choice(stopped)
     cut = replace(operation, outcome="unknown", error="outcome_unknown", target="")
-    return replace(history, operations=_swap(history.operations, operation, cut))
+    return replace(history, operations=_replace_record(history.operations, operation, cut))
 
 
-def _revert(history: History, random: Random) -> History:
-    process, last = random.choice(PLACES).node, history.accepted_revisions[-1].revision
-    added = Seen(process, ENDED, last + 2), Seen(process, ENDED + 1, last + random.choice((0, 1)))
+def _revert_revision(history: History, random: Random) -> History:
+    process, last = random.choice(PLACEMENTS).node, history.accepted_revisions[-1].revision
+    added = (
+        RevisionObserved(process, END_SECONDS, last + 2),
+        RevisionObserved(process, END_SECONDS + 1, last + random.choice((0, 1))),
+    )
     return replace(history, observed_revisions=(*history.observed_revisions, *added))
 
 
 def _delay_revision(history: History, random: Random) -> History:
-    process, last = random.choice(PLACES).node, history.accepted_revisions[-1].revision
+    process, last = random.choice(PLACEMENTS).node, history.accepted_revisions[-1].revision
     seen = tuple(
         replace(s, revision=min(s.revision, last - 1)) if s.process == process else s
         for s in history.observed_revisions
@@ -258,7 +277,7 @@
     return replace(history, observed_revisions=seen)
 
 
-def _stay_lost(history: History, random: Random) -> History:
+def _delay_recovery(history: History, random: Random) -> History:
     key = b"key-%d" % random.choice([i for i, (_, service, _) in enumerate(KEYS) if service == "lookup"])
     limit = random.choice((LOSS.at + checker.RECOVERY_SECONDS, STOP.at - 1))
     operations = tuple(
@@ -271,19 +290,19 @@
 
 
 MUTATIONS: dict[type[checker.Violation], Callable[[History, Random], History]] = {
-    checker.OverlappingOwners: _overlap,
+    checker.OverlappingOwners: _overlap_execution,
     checker.EpochWentBack: _lower_epoch,
-    checker.SliceOwnedTwice: lambda history, random: _change_view(history, random, held_twice=True),
-    checker.AssignmentLost: lambda history, random: _change_view(history, random, held_twice=False),
+    checker.SliceOwnedTwice: lambda history, random: _change_view(history, random, assigned_twice=True),
+    checker.AssignmentLost: lambda history, random: _change_view(history, random, assigned_twice=False),
     checker.ExecutedTwice: _execute_twice,
-    checker.NotRunButExecuted: _deny,
-    checker.AnswerWithoutEffect: _forget_effect,
-    checker.WrongAnswer: _wrong_answer,
-    checker.ServedOutsideHome: _serve_elsewhere,
-    checker.ContentExposed: _expose,
-    checker.NewWorkAfterDrain: _work_while_leaving,
-    checker.RequestCut: _cut,
-    checker.RevisionReverted: _revert,
+    checker.NotRunButExecuted: _report_not_run,
+    checker.AnswerWithoutEffect: _remove_effect,
+    checker.WrongAnswer: _change_answer,
+    checker.ServedOutsideHome: _execute_outside_home,
+    checker.ContentExposed: _expose_content,
+    checker.NewWorkAfterDrain: _execute_while_leaving,
+    checker.RequestCut: _interrupt_at_stop,
+    checker.RevisionReverted: _revert_revision,
     checker.RevisionLate: _delay_revision,
-    checker.NotServedAgain: _stay_lost,
+    checker.NotServedAgain: _delay_recovery,
 }
