Follow the rename of Cluster.operator in a reference without a call

system_steps.py passes the method to a pool, which the rename by its call had missed: the first run of system_changes.feature after it had 2 scenarios passed and 1 error ("Of two operators who confirm at once one succeeds"; the output names no exception).

Run after this change: system_changes.feature, 3 scenarios passed.

--- a/tests/features/steps/system_steps.py
+++ b/tests/features/steps/system_steps.py
@@ -359,7 +359,7 @@
                 for node in nodes
             ]
             calls = [
-                pool.submit(cluster.operator, node, "POST", f"confirm/{plan}")
+                pool.submit(cluster.operator_request, node, "POST", f"confirm/{plan}")
                 for node, plan in zip(nodes, plans, strict=True)
             ]
             outcomes = [call.result() for call in calls]
