Tell requests dropped by a closing connection from those of callers that left

A request that was dropped because this process closed its connection was logged as caller_gone, and the end of a planned stop said nothing about the connections that it closed. The reason is closed_unanswered now, and connections_left tells how many connections were open, unread, unanswered, and how long they had been quiet. No decision changes.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -286,7 +286,7 @@
 
 
 class RequestEnded(LogEvent, frozen=True):
-    """A caller's request has its final response; status 499 means that the caller disconnected.
+    """A caller's request has its final response; status 499 means that the connection was closed before.
 
     ``before_ms`` is the time until the last attempt began, ``path_ms`` the time that this attempt spent on
     the way to the target's node and back; both are part of ``took_ms``. ``limit_ms`` is the caller's timeout
@@ -350,6 +350,24 @@
     version: int
 
 
+class ConnectionsLeft(LogEvent, frozen=True):
+    """The process ends its planned stop while callers still have connections open."""
+
+    number = 840
+    cause = (
+        "Callers keep connections open for later requests. `unread` of them have input that was not read, on "
+        "`unanswered` a request has no response, `discarding` have theirs but were not closed by the caller; "
+        "`quiet_s` is the time since any of them was last used."
+    )
+    operator_action = "None if `unread` and `unanswered` are 0; otherwise these callers lost a request."
+
+    open: int
+    unread: int
+    unanswered: int
+    discarding: int
+    quiet_s: float
+
+
 class RouterStarted(LogEvent, frozen=True):
     """The router has started and listens on its addresses."""
 
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -167,7 +167,7 @@
                 return
             pending.key = int(key)
         self.pending_requests.add(pending)
-        request.on_closed = lambda: self.on_caller_disconnect(pending)
+        request.on_closed = lambda reason: self.on_connection_closed(pending, reason)
         pending.timer = self.app.scheduler.call_later(remaining, lambda: self.on_deadline(pending))
         self.retry_budget(pending.service).on_request()
         if self.overload_control.refuses(pending, now):
@@ -471,12 +471,12 @@
         self.cancel_forward(pending)
         self.answer_failure(pending, 504)
 
-    def on_caller_disconnect(self, pending: PendingRequest) -> None:
-        """Cancel a request whose caller has closed its connection."""
+    def on_connection_closed(self, pending: PendingRequest, reason: str) -> None:
+        """Cancel a request whose connection was closed by its caller or by this process."""
         if pending not in self.pending_requests:
             return
         self.cancel_forward(pending)
-        self.finish(pending, 499, [], b"", "caller_gone")
+        self.finish(pending, 499, [], b"", reason)
 
     def cancel_forward(self, pending: PendingRequest) -> None:
         """Cancel the current attempt at the node that has it."""
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -117,6 +117,7 @@
         grace_over = elapsed > self.settings.grace - EXIT_MARGIN_SECONDS
         if grace_over or (elapsed > READINESS_DENIAL_SECONDS and not self.busy):
             self.finished = True
+            self.log_connections_left()
             log_events.emit(
                 log_events.Stopped(
                     duration_ms=round(elapsed * 1000),
@@ -125,3 +126,18 @@
                 )
             )
             self.app.shutdown(0)
+
+    def log_connections_left(self) -> None:
+        """Log in which state callers' connections are closed by the end of the process."""
+        connections = list(self.entry.connections.values())
+        if not connections:
+            return
+        log_events.emit(
+            events.ConnectionsLeft(
+                open=len(connections),
+                unread=sum(connection.receiving or connection.has_unread_input for connection in connections),
+                unanswered=sum(bool(connection.pending) for connection in connections),
+                discarding=sum(bool(connection.discard_until) for connection in connections),
+                quiet_s=round(min(connection.idle_seconds for connection in connections), 3),
+            )
+        )
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -44,6 +44,9 @@
     504: b"Gateway Timeout",
 }
 BODILESS_STATUSES = (204, 304)
+# Why a request ends without a response: its caller has closed the connection, or this process has.
+CALLER_GONE = "caller_gone"
+CLOSED_UNANSWERED = "closed_unanswered"
 
 
 class EntryRequest:
@@ -60,7 +63,8 @@
     arrived_at : float
         Monotonic time in seconds at which the request was complete.
     on_closed : callable or None
-        Called when the connection ends before the request has a response.
+        Called with ``CALLER_GONE`` or ``CLOSED_UNANSWERED`` when the connection ends before the request has
+        a response.
     """
 
     __slots__ = (
@@ -90,7 +94,7 @@
         self.dispatched = False
         self.answered = False
         self.encoded_response: bytes | None = None
-        self.on_closed: Callable[[], None] | None = None
+        self.on_closed: Callable[[str], None] | None = None
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, or None.
@@ -307,6 +311,11 @@
         except OSError:
             return False
 
+    @property
+    def idle_seconds(self) -> float:
+        """Seconds since the connection last carried input or a response."""
+        return self.server.app.clock.monotonic() - self.last_active_at
+
     @property
     def head_complete(self) -> bool:
         """Whether the head of the current request has been parsed."""
@@ -386,15 +395,15 @@
     def close_after_output(self) -> None:
         """Close the connection once the output buffer is empty, and cancel the pipelined requests left."""
         self.closing = True
-        self.cancel_pending()
+        self.cancel_pending(CLOSED_UNANSWERED)
         if not self.output_buffer:
             self.server.shutdown_write(self)
 
-    def cancel_pending(self) -> None:
-        """Cancel unanswered requests: drop their responses and call ``on_closed``."""
+    def cancel_pending(self, reason: str) -> None:
+        """Cancel unanswered requests: drop their responses and call ``on_closed`` with the reason."""
         pending, self.pending = self.pending, deque()
         for request in pending:
             request.answered = True
             on_closed, request.on_closed = request.on_closed, None
             if on_closed is not None:
-                on_closed()
+                on_closed(reason)
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -18,6 +18,7 @@
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router.routes import EntryLimits
 from hibiscusdrum.internal.transport.entry_connection import (
+    CALLER_GONE,
     DISCARD_SECONDS,
     EntryConnection,
     EntryRequest,
@@ -182,7 +183,7 @@
         if connection.closed:
             return
         self.close(connection)
-        connection.cancel_pending()
+        connection.cancel_pending(CALLER_GONE)
 
     def close(self, connection: EntryConnection) -> None:
         """Close a connection without notifying the handlers of its requests."""
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -124,7 +124,7 @@
 
     def handle(request):
         context.handed.append(request)
-        request.on_closed = lambda: context.left.append(request)
+        request.on_closed = lambda _reason: context.left.append(request)
 
     start_entry(context, handle)
 
