Answer what was received on a connection before a response closes it

During a planned stop callers that pipeline lost requests: no answer, no refusal, although targets were at work on them. Cause: each response of a stopping router closed its connection, and the requests behind it, which run concurrently and may already be at a target, were dropped.

A response now closes the connection only if nothing more has been received on it: no pipelined request, no part of a request, no unread input. The response to the last of them does. A caller that announces the close itself, and invalid input, still end the connection at once.

--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -62,6 +62,10 @@
     body : bytes
     arrived_at : float
         Monotonic time in seconds at which the request was complete.
+    response_head, response_content : bytes
+        The response once there is one, without the header on the connection; the head is empty before.
+    response_closes : bool
+        Whether the connection is closed after the response unless further requests have been received.
     on_closed : callable or None
         Called with ``CALLER_GONE`` or ``CLOSED_UNANSWERED`` when the connection ends before the request has
         a response.
@@ -73,12 +77,14 @@
         "body",
         "connection",
         "dispatched",
-        "encoded_response",
         "headers",
         "keep_alive",
         "listen_address",
         "method",
         "on_closed",
+        "response_closes",
+        "response_content",
+        "response_head",
         "target",
     )
 
@@ -93,7 +99,9 @@
         self.keep_alive = True
         self.dispatched = False
         self.answered = False
-        self.encoded_response: bytes | None = None
+        self.response_head = b""
+        self.response_content = b""
+        self.response_closes = False
         self.on_closed: Callable[[str], None] | None = None
 
     def header(self, name: str) -> str | None:
@@ -121,25 +129,31 @@
         headers : list of (str, str)
             Without ``content-length`` and ``connection``, which are added here.
         close : bool
-            Whether the connection is closed after this response.
+            Whether the connection is closed after this response, or after those to further requests that have
+            been received on it by then.
         """
         if self.answered:
             return
         self.answered = True
         self.on_closed = None
-        keep_alive = self.keep_alive and not close
-        self.keep_alive = keep_alive
+        self.response_closes = close
         reason = REASON_PHRASES.get(status, b"Status")
         lines = [b"HTTP/1.1 %d %b" % (status, reason)]
         lines += [f"{name}: {value}".encode("latin-1") for name, value in headers]
         if status not in BODILESS_STATUSES:
             lines.append(b"content-length: %d" % len(body))
-        if not keep_alive:
-            lines.append(b"connection: close")
-        content = b"" if self.method == b"HEAD" or status in BODILESS_STATUSES else body
-        self.encoded_response = b"\r\n".join(lines) + b"\r\n\r\n" + content
+        self.response_head = b"\r\n".join(lines) + b"\r\n"
+        self.response_content = b"" if self.method == b"HEAD" or status in BODILESS_STATUSES else body
         self.connection.flush_responses()
 
+    def encode_response(self, closes: bool) -> bytes:
+        """Return the response, which announces whether the connection is closed after it."""
+        return b"%b%b\r\n%b" % (
+            self.response_head,
+            b"connection: close\r\n" if closes else b"",
+            self.response_content,
+        )
+
 
 class EntryConnection:
     """A caller's connection; httptools calls the methods named ``on_``.
@@ -311,6 +325,11 @@
         except OSError:
             return False
 
+    @property
+    def has_further_input(self) -> bool:
+        """Whether more input than the requests answered so far has been received."""
+        return bool(self.pending or self.unparsed or self.receiving or self.has_unread_input)
+
     @property
     def idle_seconds(self) -> float:
         """Seconds since the connection last carried input or a response."""
@@ -324,6 +343,7 @@
     def reject(self, status: int) -> None:
         """Respond with an error to invalid input, and drop all further input."""
         request = self.current_request or EntryRequest(self, self.listen_address)
+        request.keep_alive = False
         self.current_request = None
         self.discard_until = self.last_active_at + DISCARD_SECONDS
         self.pending.append(request)
@@ -356,10 +376,12 @@
     def flush_responses(self) -> None:
         """Write the completed responses at the front of the pipeline, and continue with waiting input."""
         pending = self.pending
-        while pending and pending[0].encoded_response is not None:
+        while pending and pending[0].response_head:
             request = pending.popleft()
-            self.write(request.encoded_response)
-            if not request.keep_alive:
+            # Further requests may have reached a target already, so they are answered before the close.
+            closes = not request.keep_alive or (request.response_closes and not self.has_further_input)
+            self.write(request.encode_response(closes))
+            if closes:
                 self.close_after_output()
                 return
         self.last_active_at = self.server.app.clock.monotonic()
--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -35,6 +35,17 @@
     When the first request is answered
     Then only the post was handed over after that
 
+  Scenario Outline: An answer that announces the close drops no request that was received behind it
+    Given an entry that closes the connection with each answer
+    When a caller sends "<input>"
+    Then the caller gets the answers "200 /a; 200 /b; 200 /c"
+    And only the last answer announces the close
+
+    Examples:
+      | input                                 |
+      | three requests at once                |
+      | two requests and a part of a third    |
+
   Scenario: A caller's departure is reported
     Given an entry that answers nothing yet
     When a caller sends "one request" and leaves
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -24,6 +24,7 @@
     "a body in chunks": [CHUNKED, b"3\r\nhel\r\n", b"2\r\nlo\r\n0\r\n\r\n"],
     "a body with a length": [POST + b"\r\nhe", b"llo"],
     "three requests at once": [GET % b"/a" + GET % b"/b" + GET % b"/c"],
+    "two requests and a part of a third": [GET % b"/a" + GET % b"/b" + GET[:9] % b"/c", GET[9:] % ()],
     "a read, a post and a read": [GET % b"/r" + POST + b"\r\nhello" + GET % b"/c"],
     "a length and chunks": [POST + b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n"],
     "two lengths": [POST + b"content-length: 6\r\n\r\nhello"],
@@ -117,6 +118,18 @@
     start_entry(context, handle)
 
 
+@given("an entry that closes the connection with each answer")
+def answers_and_closes(context):
+    start_entry(context, lambda request: request.respond(200, [], request.target.encode(), close=True))
+
+
+@then("only the last answer announces the close")
+def closes_last(context):
+    heads = context.caller.received.split(b"HTTP/1.1 ")[1:]
+    assert [b"connection: close" in head for head in heads] == [False, False, True], heads
+    assert context.caller.ended
+
+
 @given("an entry that answers nothing yet")
 def answers_nothing(context):
     context.handed = []
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -197,7 +197,7 @@
 
     def send_copy(self, request: EntryRequest) -> None:
         """Send the response to a request once more, later."""
-        response = request.encoded_response
+        response = request.encode_response(closes=False)
         self.app.scheduler.call_later(COPY_DELAY_SECONDS, lambda: request.connection.write(response))
 
     def holds_key(self, request: EntryRequest) -> bool:
