Answer a running request although invalid input follows it on its connection

A connection with invalid input was closed 1 s later whatever else was on it, so a request before it that took longer ended without an answer while its target worked. The second in which further input is dropped now begins with the last response, and the earlier requests are answered first.

--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -167,8 +167,9 @@
     error_status : int
         HTTP status with which invalid input is rejected; 0 while the input is valid.
     discard_until : float
-        Monotonic time in seconds until which input is dropped before the connection is closed; 0 while
-        requests are accepted.
+        Monotonic time in seconds at which the connection is closed after its last response; 0 before that.
+    input_rejected : bool
+        Whether further input is dropped because earlier input was invalid.
     """
 
     __slots__ = (
@@ -184,6 +185,7 @@
         "fed_bytes",
         "head_bytes",
         "head_started_at",
+        "input_rejected",
         "last_active_at",
         "listen_address",
         "output_buffer",
@@ -208,6 +210,7 @@
         self.closing = False
         self.closed = False
         self.error_status = 0
+        self.input_rejected = False
         self.head_bytes = 0
         self.head_started_at: float | None = None
         self.body_parts: list[bytes] = []
@@ -310,7 +313,7 @@
     @property
     def accepts_input(self) -> bool:
         """Whether further requests on this connection would be answered."""
-        return not (self.closed or self.closing or self.discard_until)
+        return not (self.closed or self.closing or self.input_rejected)
 
     @property
     def receiving(self) -> bool:
@@ -341,11 +344,12 @@
         return self.current_request is not None and bool(self.current_request.method)
 
     def reject(self, status: int) -> None:
-        """Respond with an error to invalid input, and drop all further input."""
+        """Respond with an error to invalid input after the earlier requests, and drop all further input."""
         request = self.current_request or EntryRequest(self, self.listen_address)
         request.keep_alive = False
         self.current_request = None
-        self.discard_until = self.last_active_at + DISCARD_SECONDS
+        self.head_started_at = None
+        self.input_rejected = True
         self.pending.append(request)
         request.dispatched = True
         request.respond(status, [], close=True)
--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -46,6 +46,11 @@
       | three requests at once                |
       | two requests and a part of a third    |
 
+  Scenario: A request that takes longer than a second is answered although invalid input follows it
+    Given an entry that answers each request after 1.4 s
+    When a caller sends "a request and no protocol" and waits for 3 s
+    Then the caller gets the answers "200 /a; 400"
+
   Scenario: A caller's departure is reported
     Given an entry that answers nothing yet
     When a caller sends "one request" and leaves
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -25,6 +25,7 @@
     "a body with a length": [POST + b"\r\nhe", b"llo"],
     "three requests at once": [GET % b"/a" + GET % b"/b" + GET % b"/c"],
     "two requests and a part of a third": [GET % b"/a" + GET % b"/b" + GET[:9] % b"/c", GET[9:] % ()],
+    "a request and no protocol": [GET % b"/a", b"\x16\x03\x01 tls\r\n\r\n"],
     "a read, a post and a read": [GET % b"/r" + POST + b"\r\nhello" + GET % b"/c"],
     "a length and chunks": [POST + b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n"],
     "two lengths": [POST + b"content-length: 6\r\n\r\nhello"],
@@ -118,6 +119,14 @@
     start_entry(context, handle)
 
 
+@given("an entry that answers each request after {seconds:g} s")
+def answers_slowly(context, seconds):
+    def handle(request):
+        context.loopback.app.scheduler.call_later(seconds, lambda: echo(request))
+
+    start_entry(context, handle)
+
+
 @given("an entry that closes the connection with each answer")
 def answers_and_closes(context):
     start_entry(context, lambda request: request.respond(200, [], request.target.encode(), close=True))
