--- a/tests/features/steps/target_signals_steps.py
+++ b/tests/features/steps/target_signals_steps.py
@@ -123,7 +123,9 @@
     app = world.nodes["n1"].app
     for name in ("gateway", "receiver", "readiness", "entry", "peers"):
         idle = dict.fromkeys(("has_pending", "has_jobs", "has_incoming", "has_unread_messages"), False)
-        app.add(Stub(name, pending_requests=(), jobs=(), closed=True, unanswered_count=0, **idle))
+        app.add(
+            Stub(name, pending_requests=(), jobs=(), closed=True, unanswered_count=0, connections={}, **idle)
+        )
     stopping = app.add(RouterStopping(SETTINGS))
     stopping.on_start()
     app.shutdown = lambda _code: world.kill_daemon("n1")
