Return a target's own failure when its repeat is refused

In planned stops callers got 502 in place of the target's own answer: a run fails with 500 (its own call was refused by the stopping router), the request is repeated at the node that owns its key, which refuses it (stopping, too_late), and the gateway answered 502, since an earlier attempt had run. The last server error that a target answered is kept while a request is repeated, and is the final response if the repeat is refused, lost, or reaches its deadline.

The four examples of the new scenario failed before (502, 502, 502, 504) and pass; router_fleet and router_decisions pass.

--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -3,11 +3,21 @@
 from __future__ import annotations
 
 from hibiscusdrum.internal.kernel import Timer
-from hibiscusdrum.internal.messages import Forward
+from hibiscusdrum.internal.messages import Answered, Forward
 from hibiscusdrum.internal.router.routes import Route
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
 
+class TargetFailure:
+    """A server error that a target answered to an attempt that was repeated."""
+
+    __slots__ = ("answer", "body")
+
+    def __init__(self, answer: Answered, body: bytes) -> None:
+        self.answer = answer
+        self.body = body
+
+
 class PendingRequest:
     """A caller's request without a final response, and its attempts so far.
 
@@ -23,6 +33,8 @@
         Number of retries because its key had moved to another owner.
     may_have_run : bool
         Whether an earlier attempt may have run it.
+    target_failure : TargetFailure or None
+        The last server error that a target answered to an attempt that was repeated.
     goal_at : float
         Monotonic time in seconds after which a response is late.
     late_on_arrival : bool
@@ -66,6 +78,7 @@
         "service",
         "service_overloaded",
         "target_attempts",
+        "target_failure",
         "timeout",
         "timer",
         "waited_before",
@@ -90,6 +103,7 @@
         self.busy_nodes: list[str] = []
         self.refusing_nodes: list[str] = []
         self.target_attempts = 0
+        self.target_failure: TargetFailure | None = None
         self.owner_changes = 0
         self.service_overloaded = False
         self.excluded_regions: set[str] = set()
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -7,7 +7,7 @@
 from hibiscusdrum.internal.load.retry_budget import RetryBudget
 from hibiscusdrum.internal.messages import Answered, Declined, Forward
 from hibiscusdrum.internal.router import events
-from hibiscusdrum.internal.router.flight import PendingRequest
+from hibiscusdrum.internal.router.flight import PendingRequest, TargetFailure
 from hibiscusdrum.internal.router.hop import Forwarder
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.overload import OverloadControl
@@ -329,15 +329,20 @@
             self.selector.on_failure(pending.node, now)
             pending.refusing_nodes.append(pending.node)
             if self.may_retry(pending, now):
+                pending.target_failure = TargetFailure(answer, body)
                 self.retry(pending, f"status_{answer.status}")
                 return
         else:
             self.selector.on_success(pending.node)
+        self.finish_answered(pending, answer, body, "answered")
+
+    def finish_answered(self, pending: PendingRequest, answer: Answered, body: bytes, reason: str) -> None:
+        """Give a target's answer as the final response."""
         names = {name for name, _ in answer.headers}
         headers = list(answer.headers)
         if self.header_names.attempt_id not in names and pending.attempt_id:
             headers.append((self.header_names.attempt_id, pending.attempt_id))
-        self.finish(pending, answer.status, headers, body, "answered")
+        self.finish(pending, answer.status, headers, body, reason)
 
     def on_declined(self, pending: PendingRequest, answer: Declined, now: float) -> None:
         """Send a declined request to another node, or give the final response."""
@@ -446,7 +451,7 @@
         return budget
 
     def refuse(self, pending: PendingRequest) -> None:
-        """Respond that a request has not run, with a Retry-After; 502 if an earlier attempt may have run."""
+        """Respond that a request has not run, with a Retry-After, unless an earlier attempt may have run."""
         if pending.may_have_run:
             self.answer_failure(pending, 502)
             return
@@ -458,7 +463,14 @@
         self.finish(pending, 503, headers, b"", pending.reason)
 
     def answer_failure(self, pending: PendingRequest, status: int) -> None:
-        """Respond with a status that leaves open whether the request has run."""
+        """Respond with a status that leaves open whether the request has run.
+
+        A failure that a target has answered to an earlier attempt takes precedence, since it tells more.
+        """
+        failure = pending.target_failure
+        if failure is not None:
+            self.finish_answered(pending, failure.answer, failure.body, pending.reason)
+            return
         headers = [(self.header_names.attempt_id, pending.attempt_id)] if pending.attempt_id else []
         self.finish(pending, status, headers, b"", pending.reason)
 
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -92,6 +92,18 @@
     When the new owner declines it too and names the old one
     Then the ring is read
 
+  Scenario Outline: A target's own failure is not replaced by another one when its repeat <ends>
+    Given a gateway that knows an old owner of a key
+    When the target answers a request for the key with 500, and the repeat <ends>
+    Then the caller gets the target's answer 500 with its signature and body
+
+    Examples:
+      | ends                                |
+      | is refused as the node stops        |
+      | is refused as the node has no time  |
+      | loses its connection                |
+      | reaches its deadline                |
+
   Scenario: A busy node turns a request away once, and the request goes to another at once
     Given a gateway with 8 nodes to choose from
     When two nodes turn a request away because they have no free slot
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -17,12 +17,18 @@
 from hibiscusdrum.internal.platform.table import Changes
 from hibiscusdrum.internal.router.admission import QueueEntry
 from hibiscusdrum.internal.router.events import RequestEnded
-from hibiscusdrum.internal.router.gateway import Gateway
+from hibiscusdrum.internal.router.gateway import DEFAULT_TIMEOUT_SECONDS, Gateway
 from hibiscusdrum.internal.router.hop import Forwarder, PeerState
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.members import Members, NodeRow
 from hibiscusdrum.internal.router.metrics import render_traffic
-from hibiscusdrum.internal.router.receiver import BUSY_REASON, LATE_REASON, NOT_OWNER_REASON, Receiver
+from hibiscusdrum.internal.router.receiver import (
+    BUSY_REASON,
+    LATE_REASON,
+    NOT_OWNER_REASON,
+    TOO_LATE_REASON,
+    Receiver,
+)
 from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.traffic import Traffic
@@ -302,6 +308,37 @@
     gateway.on_request(request)
 
 
+SIGNATURE = "x-signature"
+REPEAT_REASONS = {
+    "is refused as the node stops": ("stopping", False),
+    "is refused as the node has no time": (TOO_LATE_REASON, False),
+    "loses its connection": ("peer_disconnected", True),
+}
+
+
+@when("the target answers a request for the key with 500, and the repeat {ends}")
+def fails_and_repeat_ends(context, ends):
+    context.request = Request()
+    context.request.headers.append((context.gateway.header_names.key, "7"))
+    context.gateway.on_request(context.request)
+    _, forward, _, reply = context.hop.sent[-1]
+    reply(Answered(forward.id, 500, ((SIGNATURE, "s"),), FREE), b"failed")
+    _, repeat, _, reply = context.hop.sent[-1]
+    assert repeat.id != forward.id, "the request was not repeated"
+    if ends in REPEAT_REASONS:
+        reason, may_have_run = REPEAT_REASONS[ends]
+        reply(Declined(repeat.id, reason, may_have_run, may_have_run, 0.0, FREE), b"")
+    else:
+        context.app.clock.advance(DEFAULT_TIMEOUT_SECONDS + 0.1)
+        context.app.scheduler.run_due(Stub("loop", reduce_time_left=lambda _: None))
+
+
+@then("the caller gets the target's answer 500 with its signature and body")
+def gets_target_failure(context):
+    status, headers, body, _close = context.request.answer
+    assert (status, body) == (500, b"failed") and dict(headers)[SIGNATURE] == "s", context.request.answer
+
+
 def decline_moved(context, owner):
     _, forward, _, reply = context.hop.sent[-1]
     reply(Declined(forward.id, NOT_OWNER_REASON, False, False, 0.0, FREE, owner), b"")
