Serve callers on open connections until a stopping router ends

In planned stops runs at the local target failed, since the calls that they make were refused by their own router from 2.3 s after the signal (503 stopping, then 500 of the target, then 502), and the process ended at the first moment without a request in flight, 80 to 850 ms after a caller last used a connection (connections_left).

From 2.3 s on only requests for the local target are refused, so that its runs end; the gateway serves requests on open connections, and new ones as long as the target runs anything. The process ends when nothing is in flight or half read, no caller has used its connection for 0.3 s, and each caller has read the close of its connection or had 1 s to.

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -78,7 +78,7 @@
     stopping : bool
         Whether the process is shutting down; connections are then closed after their response.
     closed : bool
-        Whether new requests are refused because the process is about to exit.
+        Whether new connections are refused because the process is about to exit.
     """
 
     service_name = "gateway"
@@ -115,7 +115,7 @@
         self.entry.listen(self.settings.caller_address, self.on_request)
 
     def close(self) -> None:
-        """Refuse new requests and connections; the process exits once the pending requests have ended."""
+        """Refuse new connections; requests on open ones are served until the process exits."""
         self.closed = True
         self.entry.stop_listening(self.settings.caller_address)
 
@@ -146,8 +146,8 @@
     def on_request(self, request: EntryRequest) -> None:
         """Match a new request to a route, and dispatch or refuse it."""
         now = self.app.clock.monotonic()
-        if self.route_table.version == 0 or self.closed:
-            self.refuse_unrouted(request, 503, "stopping" if self.closed else "no_configuration")
+        if self.route_table.version == 0:
+            self.refuse_unrouted(request, 503, "no_configuration")
             return
         route = self.route_table.find(request.header("host") or "", request.target)
         if route is None:
@@ -203,7 +203,7 @@
         headers = [(self.header_names.attempt_id, attempt_id)] if attempt_id else []
         if status == 503:
             headers.append(("retry-after", f"{DEFAULT_RETRY_AFTER_SECONDS:.3f}"))
-        request.respond(status, headers, close=self.closed)
+        request.respond(status, headers, close=self.stopping)
 
     def dispatch(self, pending: PendingRequest) -> None:
         """Send a request to the owner of its key, or else to the node that is expected to respond first."""
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -1,4 +1,8 @@
-"""Graceful shutdown of the router: readiness is denied, requests in flight finish, then the process exits."""
+"""Graceful shutdown of the router: readiness is denied, requests in flight finish, then the process exits.
+
+The readiness check makes callers on the VM use other routers, and each response closes its connection. The
+local target ignores readiness: the calls that its runs make are served as long as it runs any.
+"""
 
 from __future__ import annotations
 
@@ -16,9 +20,11 @@
 STOP_STEP_INTERVAL_SECONDS = 0.05
 # Callers stop sending new requests once readiness has been denied twice, one second apart.
 READINESS_DENIAL_SECONDS = 2.3
-# New requests are refused from this time after the signal, so that those in flight can finish before the
-# process is killed.
+# New requests for the local target are refused from this time after the signal, so that those in flight can
+# finish before the process is killed.
 REQUEST_REFUSAL_DELAY_SECONDS = 2.3
+# The process exits only once no caller has used its connection for this long, many times the delay to one.
+QUIET_SECONDS = 0.3
 # A target that still runs has sent a heartbeat within this time.
 ROW_REMOVAL_DELAY_SECONDS = 1.8
 # A body that no node has requested this long before the process is killed is no longer sent.
@@ -101,6 +107,15 @@
         in_flight = self.gateway.has_pending or self.receiver.has_jobs or self.entry.unanswered_count
         return bool(in_flight or self.entry.has_incoming or self.peers.has_unread_messages)
 
+    @property
+    def callers_quiet(self) -> bool:
+        """Whether no caller has used its connection lately, or has yet to read that it is closed."""
+        connections = self.entry.connections_of(self.settings.caller_address)
+        return all(
+            not connection.discard_until and connection.idle_seconds >= QUIET_SECONDS
+            for connection in connections
+        )
+
     def advance_stop(self) -> None:
         """Advance the shutdown; exit when no request is in flight or the grace period is over."""
         if self.finished:
@@ -109,13 +124,15 @@
         if not self.row_removed and self.target_ended:
             self.row_removed = True
             self.members.remove_local_row(lambda: None)
-        if elapsed > REQUEST_REFUSAL_DELAY_SECONDS and not self.gateway.closed:
-            self.gateway.close()
+        if elapsed > REQUEST_REFUSAL_DELAY_SECONDS:
             self.receiver.closed = True
+            if not self.gateway.closed and not self.receiver.has_jobs:
+                self.gateway.close()
         if elapsed > self.settings.grace - UNSENT_BODY_MARGIN_SECONDS:
             self.gateway.refuse_unsent()
         grace_over = elapsed > self.settings.grace - EXIT_MARGIN_SECONDS
-        if grace_over or (elapsed > READINESS_DENIAL_SECONDS and not self.busy):
+        denied = elapsed > READINESS_DENIAL_SECONDS
+        if grace_over or (denied and self.gateway.closed and not self.busy and self.callers_quiet):
             self.finished = True
             self.log_connections_left()
             log_events.emit(
@@ -129,7 +146,7 @@
 
     def log_connections_left(self) -> None:
         """Log in which state callers' connections are closed by the end of the process."""
-        connections = list(self.entry.connections.values())
+        connections = self.entry.connections_of(self.settings.caller_address)
         if not connections:
             return
         log_events.emit(
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -208,6 +208,12 @@
             elif not connection.pending and now - connection.last_active_at > limits.idle_timeout:
                 self.close(connection)
 
+    def connections_of(self, address: str) -> list[EntryConnection]:
+        """Return the open connections to a listening address, which may have been closed since."""
+        return [
+            connection for connection in self.connections.values() if connection.listen_address == address
+        ]
+
     @property
     def unanswered_count(self) -> int:
         """Number of requests without a response, plus connections with unsent output."""
--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -17,6 +17,26 @@
     When half of a request arrives as the router is about to end, and the other half 0.2 s later
     Then the request is refused as not run, and the router ends within 1 s
 
+  Scenario Outline: A request on an open connection is served <until>
+    Given a router in its planned stop, which knows a node to serve requests
+    When 2.4 s after the signal <state>, and a request with 2 s arrives on an open connection
+    Then the request is sent to the node, and the router does not end before it has answered
+
+    Examples:
+      | until                                                   | state                                        |
+      | as long as the local target runs requests that may call | the local target still runs a request        |
+      | although nothing is in flight when it arrives           | nothing is in flight                         |
+
+  Scenario: A router does not end while a caller uses its connection
+    Given a router in its planned stop, which knows a node to serve requests
+    When 2.4 s after the signal a request on an open connection is answered each 0.2 s, 5 times
+    Then the router ends only after the last of them, within 1.5 s
+
+  Scenario: A response is not lost because its caller sends more before it has read the close
+    Given a router in its planned stop, which knows a node to serve requests
+    When a request is answered just before the router ends, and its caller sends another one meanwhile
+    Then the caller reads the whole answer, and then the end of the connection
+
   Scenario: A planned stop ends when nothing more arrives
     Given a router at the end of its planned stop
     Then the router ends within 1 s
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -11,14 +11,14 @@
 import zmq
 from behave import given, then, when
 from tests.loopback import Loopback, free_address
-from tests.router_stubs import FREE, SETTINGS, Stub, forward
+from tests.router_stubs import FREE, SETTINGS, SentHop, Stub, forward
 
 from hibiscusdrum.internal import codec
-from hibiscusdrum.internal.messages import Declined
+from hibiscusdrum.internal.messages import Answered, Declined
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.local_target import TargetState
-from hibiscusdrum.internal.router.routes import HeaderNames
-from hibiscusdrum.internal.router.selection import NodeSelector
+from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
+from hibiscusdrum.internal.router.selection import Candidate, NodeSelector
 from hibiscusdrum.internal.router.stopping import REQUEST_REFUSAL_DELAY_SECONDS, RouterStopping
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from hibiscusdrum.internal.transport.peer import REQUEST_KIND
@@ -31,6 +31,17 @@
 
 @given("a router at the end of its planned stop")
 def stopping_router(context):
+    start_router(
+        context,
+        *(Stub(name) for name in ("range_owner", "rings", "metrics", "hop")),
+        Stub("members", nodes={}),
+        Stub("receiver", jobs={}, has_jobs=False),
+    )
+    context.stopping.begin_stop()
+
+
+def start_router(context, *stubs):
+    """Start the entry, the gateway and the stop of a router on loopback, and connect a caller and a node."""
     settings = msgspec.structs.replace(SETTINGS, caller_address=free_address())
     context.settings, context.peer_address = settings, free_address()
     context.peers = PeerTransport(context.peer_address, b"key")
@@ -47,9 +58,8 @@
         HttpEntry(),
         context.peers,
         target,
-        *(Stub(name) for name in ("range_owner", "rings", "metrics", "hop", "readiness")),
-        Stub("members", nodes={}),
-        Stub("receiver", jobs={}, has_jobs=False),
+        Stub("readiness"),
+        *stubs,
         Gateway(settings, HeaderNames(), NodeSelector("east", "east-1", random.Random(1))),
         context.stopping,
     )
@@ -59,7 +69,6 @@
     context.dealer.connect(f"tcp://{context.peer_address}")
     context.add_cleanup(context.dealer.close, 0)
     context.loopback.run_for(DELIVERY_SECONDS)
-    context.stopping.begin_stop()
 
 
 def decline(peers):
@@ -135,3 +144,162 @@
     if not context.stopping.finished:
         context.stopping.stop_started_at -= REQUEST_REFUSAL_DELAY_SECONDS
     context.loopback.run_until(lambda: context.stopping.finished, seconds)
+
+
+@given("a router in its planned stop, which knows a node to serve requests")
+def stopping_router_with_node(context):
+    context.hop = SentHop()
+    context.local_receiver = Stub(
+        "receiver", jobs={}, has_jobs=False, set_route_table=lambda _: None, reported_rate=lambda: 0.0
+    )
+    start_router(
+        context,
+        context.hop,
+        context.local_receiver,
+        Stub("range_owner", set_partitioned=lambda _: None),
+        Stub("rings"),
+        Stub("metrics", count_ended=lambda *_: None),
+        Stub(
+            "members",
+            nodes={"n1": None},
+            candidates=lambda *_: [Candidate("n1", "east", "east-1")],
+            region_of=lambda _: "east",
+        ),
+    )
+    route = Route("r", "h.example", "/a/", RequestKind.IDEMPOTENT, (("s", 1.0),))
+    context.loopback.app.find("gateway").set_route_table(RouteTable.build(1, [route], [ServiceSpec("s")]))
+    context.stopping.begin_stop()
+
+
+def skip_to(context, seconds):
+    """Let the stop have begun some seconds ago, and advance it."""
+    context.stopping.stop_started_at = time.monotonic() - seconds
+    context.stopping.advance_stop()
+
+
+def send_request(context, seconds=2.0, caller=None):
+    deadline = b"x-deadline-ms: %d\r\n\r\n" % round(seconds * 1000)
+    (caller or context.caller).sendall(REQUEST.removesuffix(b"\r\n") + deadline)
+
+
+def wait_for_forward(context, count=1):
+    context.loopback.run_until(lambda: len(context.hop.sent) >= count, 1.0)
+    return context.hop.sent[-1]
+
+
+def answer_forward(context, body=b"done"):
+    _, sent, _, reply = context.hop.sent[-1]
+    reply(Answered(sent.id, 200, (), FREE), body)
+
+
+def receive(caller):
+    """Return what a socket has received, None without anything."""
+    try:
+        return caller.recv(65_536)
+    except BlockingIOError:
+        return None
+
+
+@when("{seconds:g} s after the signal {state}, and a request with {limit:g} s arrives on an open connection")
+def arrives_in_stop(context, seconds, state, limit):
+    context.local_receiver.has_jobs = state == "the local target still runs a request"
+    send_request(context, limit)
+    time.sleep(DELIVERY_SECONDS)
+    skip_to(context, seconds)
+
+
+@then("the request is sent to the node, and the router does not end before it has answered")
+def served_before_end(context):
+    wait_for_forward(context)
+    context.loopback.run_for(0.3)
+    assert not context.stopping.finished
+    context.local_receiver.has_jobs = False
+    answer_forward(context)
+    answers = []
+    context.loopback.run_until(lambda: answers.append(receive(context.caller)) or answers[-1], 1.0)
+    assert answers[-1].startswith(b"HTTP/1.1 200 ") and b"connection: close" in answers[-1], answers[-1]
+    context.caller.close()
+    context.loopback.run_until(lambda: context.stopping.finished, 1.5)
+
+
+@when(
+    "{seconds:g} s after the signal a request on an open connection is answered each {gap:g} s, "
+    "{times:d} times"
+)
+def used_in_stop(context, seconds, gap, times):
+    callers = [connect(context.settings) for _ in range(times)]
+    context.loopback.run_for(DELIVERY_SECONDS)
+    skip_to(context, seconds)
+    for count, caller in enumerate(callers, start=1):
+        send_request(context, caller=caller)
+        wait_for_forward(context, count)
+        answer_forward(context)
+        context.loopback.run_for(gap)
+        assert receive(caller).startswith(b"HTTP/1.1 200 "), count
+        caller.close()
+        assert not context.stopping.finished or count == times, count
+
+
+@then("the router ends only after the last of them, within {seconds:g} s")
+def ends_after_last(context, seconds):
+    context.loopback.run_until(lambda: context.stopping.finished, seconds)
+
+
+@when("a request is answered just before the router ends, and its caller sends another one meanwhile")
+def sends_behind_close(context):
+    send_request(context)
+    wait_for_forward(context)
+    answer_forward(context, b"x" * 50_000)
+    send_request(context)
+    time.sleep(DELIVERY_SECONDS)
+    skip_to(context, 2.4)
+    context.loopback.run_until(lambda: context.stopping.finished, 3.0)
+
+
+@then("the caller reads the whole answer, and then the end of the connection")
+def reads_whole_answer(context):
+    context.caller.settimeout(1.0)
+    received = b""
+    while data := context.caller.recv(65_536):
+        received += data
+    assert received.endswith(b"x" * 50_000), len(received)
+
+
+@when("{late:g} s after the signal a request with {limit:g} s arrives while the local target runs a request")
+def arrives_late(context, late, limit):
+    context.local_receiver.has_jobs = True
+    skip_to(context, late)
+    send_request(context, limit)
+    context.loopback.run_for(0.1)
+
+
+@then("the request is sent with at most {seconds:g} s")
+def sent_with(context, seconds):
+    _, sent, *_ = wait_for_forward(context)
+    assert seconds - 0.3 <= sent.remaining_seconds <= seconds, sent.remaining_seconds
+
+
+@then("the request is refused at once as not run")
+def refused_at_once(context):
+    answer = receive(context.caller)
+    assert answer and answer.startswith(b"HTTP/1.1 503 ") and b"retry-after" in answer, answer
+    assert not context.hop.sent
+
+
+@when("a request with {limit:g} s is sent to the target of a router that has {left:g} s left for requests")
+def sent_by_ending_router(context, limit, left):
+    context.receiver.service_seconds_left = lambda: left
+    context.deadlines = []
+    request = context.target.request
+
+    def note_deadline(*arguments):
+        context.deadlines.append(int(arguments[3][context.receiver.header_names.deadline_ms]) / 1000)
+        return request(*arguments)
+
+    context.target.request = note_deadline
+    context.receiver.on_forward(forward(1, deadline=limit), b"", 0.0, lambda *_: None)
+
+
+@then("the target is told to stop work at most {seconds:g} s later")
+def told_to_stop(context, seconds):
+    assert context.deadlines and seconds - 0.3 <= context.deadlines[0] <= seconds, context.deadlines
