Take no request that cannot end before a stopping router does

Requests taken late in the grace with more time than was left of it were cut at its end without an answer, also requests that must not be repeated; a target beside a stopping router was given the caller's whole deadline. A stopping router now refuses at once, as not run, what has neither all of its own time nor 1.5 s left; what it takes, and what it sends to its target, gets a deadline 0.3 s before the end of the process, so that the target's own answer still arrives. A node that does not answer by then is answered for (504).

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Callable
+
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import RetryBudget
@@ -50,6 +53,10 @@
 # Share of the service's retry budget that the router uses. The rest is left for the calls that a retried
 # target makes in turn, which count against the budgets of the called services.
 RETRY_BUDGET_SHARE = 0.3
+# A stopping router takes a request only if this much time, or all of the request's own, is left for it.
+MIN_STOP_SERVICE_SECONDS = 1.5
+# A target that is told to stop before its caller's deadline gets this long to answer so itself.
+EARLY_END_PATIENCE_SECONDS = 0.2
 # An owner that leaves serves its keys until its next report, which is due within 1.5 s.
 LEAVING_OWNER_SECONDS = 2.0
 LEAVING_REASON = "target_leaving"
@@ -77,6 +84,8 @@
         Requests that have no final response yet.
     stopping : bool
         Whether the process is shutting down; connections are then closed after their response.
+    service_seconds_left : callable
+        Returns the seconds within which requests must end because the process is about to.
     closed : bool
         Whether new connections are refused because the process is about to exit.
     """
@@ -101,6 +110,7 @@
         self.overload_control = OverloadControl(selector.rng)
         self.stopping = False
         self.closed = False
+        self.service_seconds_left: Callable[[], float] = lambda: math.inf
 
     def on_start(self) -> None:
         """Look up the services this one uses, and listen for callers."""
@@ -155,6 +165,12 @@
             return
         timeout = self.request_timeout(request)
         remaining = min(timeout, route.timeout) if route.timeout > 0.0 else timeout
+        available = self.service_seconds_left()
+        if available < min(remaining, MIN_STOP_SERVICE_SECONDS):
+            self.refuse_unrouted(request, 503, "stopping")
+            return
+        ends_early = available < remaining
+        remaining = min(remaining, available)
         pending = PendingRequest(request, route, self.service_choice.choose(route), now + remaining, now)
         pending.timeout = timeout
         self.overload_control.on_arrival(pending, now)
@@ -168,7 +184,8 @@
             pending.key = int(key)
         self.pending_requests.add(pending)
         request.on_closed = lambda reason: self.on_connection_closed(pending, reason)
-        pending.timer = self.app.scheduler.call_later(remaining, lambda: self.on_deadline(pending))
+        patience = remaining + EARLY_END_PATIENCE_SECONDS if ends_early else remaining
+        pending.timer = self.app.scheduler.call_later(patience, lambda: self.on_deadline(pending))
         self.retry_budget(pending.service).on_request()
         if self.overload_control.refuses(pending, now):
             pending.reason = THROTTLED_REASON
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -136,6 +136,8 @@
         Whether the target has answered since the start of this process, so that its rate limit is known.
     stopping : bool
         Whether the process is shutting down; requests that other targets may serve are then refused.
+    service_seconds_left : callable
+        Returns the seconds within which the target must answer because the process is about to end.
     closed : bool
         Whether all new requests are refused, so that the process can exit.
     replaced_headers : set of str
@@ -156,6 +158,7 @@
         self.awaiting_keys: list[Job] = []
         self.stopping = False
         self.closed = False
+        self.service_seconds_left: Callable[[], float] = lambda: math.inf
         self.route_table: RouteTable | None = None
         self.replaced_headers = {
             header_names.attempt_id,
@@ -451,7 +454,7 @@
     def send_to_target(self, job: Job) -> None:
         """Send a request that has a slot to the target."""
         forward, now = job.forward, self.now
-        left = job.deadline - now
+        left = min(job.deadline - now, self.service_seconds_left())
         if left < MIN_SEND_REMAINING_SECONDS:
             self.release_unsent(job, TOO_LATE_REASON)
             return
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 from typing import Any
 
@@ -31,6 +32,9 @@
 UNSENT_BODY_MARGIN_SECONDS = 2.0
 # The process exits this long before it would be killed.
 EXIT_MARGIN_SECONDS = 0.4
+# Requests end this long before the process exits, since the answer of a target that has reached its deadline
+# takes a round trip between regions and ``RESPONSE_GRACE_SECONDS``.
+ANSWER_MARGIN_SECONDS = 0.3
 
 
 class RouterStopping(Service):
@@ -65,6 +69,8 @@
         self.peers = find("peers")
         self.target = find("local_target")
         self.members = find("members")
+        self.gateway.service_seconds_left = self.service_seconds_left
+        self.receiver.service_seconds_left = self.service_seconds_left
 
     @handler("signal", channel="*")
     def on_signal(self, event: Any, signal_number: int, _frame: Any) -> None:
@@ -87,6 +93,13 @@
         self.gateway.stopping = True
         self.app.scheduler.every(STOP_STEP_INTERVAL_SECONDS, self.advance_stop)
 
+    def service_seconds_left(self) -> float:
+        """Return the seconds within which requests must end; infinite unless the process is shutting down."""
+        if self.stop_started_at is None:
+            return math.inf
+        elapsed = self.app.clock.monotonic() - self.stop_started_at
+        return self.settings.grace - EXIT_MARGIN_SECONDS - ANSWER_MARGIN_SECONDS - elapsed
+
     @property
     def target_ended(self) -> bool:
         """Whether the target has ended for good, as far as this process can tell.
--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -37,6 +37,29 @@
     When a request is answered just before the router ends, and its caller sends another one meanwhile
     Then the caller reads the whole answer, and then the end of the connection
 
+  Scenario Outline: A request that comes <late> after the signal, with <time> s, is <taken>
+    Given a router in its planned stop, which knows a node to serve requests
+    When <late> s after the signal a request with <time> s arrives while the local target runs a request
+    Then the request is <taken>
+
+    Examples:
+      | late | time | taken                                               |
+      | 1.0  | 2    | sent with at most 2 s                               |
+      | 3.0  | 4    | sent with at most 2.3 s                             |
+      | 4.5  | 0.4  | sent with at most 0.4 s                             |
+      | 4.5  | 4    | refused at once as not run                          |
+      | 5.2  | 0.4  | refused at once as not run                          |
+
+  Scenario: A request that its node does not answer in time is answered before the process ends
+    Given a router in its planned stop, which knows a node to serve requests
+    When 3.7 s after the signal a request with 4 s arrives while the local target runs a request
+    Then the caller gets the status 504 within 2 s, before the router ends
+
+  Scenario: A target is given no more time than is left until its stopping router ends
+    Given a router that was just started beside a target with 6 slots
+    When a request with 20 s is sent to the target of a router that has 0.9 s left for requests
+    Then the target is told to stop work at most 0.9 s later
+
   Scenario: A planned stop ends when nothing more arrives
     Given a router at the end of its planned stop
     Then the router ends within 1 s
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -286,6 +286,14 @@
     assert not context.hop.sent
 
 
+@then("the caller gets the status {status:d} within {seconds:g} s, before the router ends")
+def answered_before_end(context, status, seconds):
+    answers = []
+    context.loopback.run_until(lambda: answers.append(receive(context.caller)) or answers[-1], seconds)
+    assert answers[-1].startswith(b"HTTP/1.1 %d " % status), answers[-1]
+    assert not context.stopping.finished
+
+
 @when("a request with {limit:g} s is sent to the target of a router that has {left:g} s left for requests")
 def sent_by_ending_router(context, limit, left):
     context.receiver.service_seconds_left = lambda: left
