Send nothing to a peer that is about to end

A node that declines everything since its process is about to end says so with a reason of its own (closing). From then on a peer sends it nothing, and refuses requests for its keys at once as not run, until the connection has been lost and made anew; callers are told to come back after 1 s, when the next process may serve them.

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -11,7 +11,7 @@
 from hibiscusdrum.internal.messages import Answered, Declined, Forward
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.flight import PendingRequest, TargetFailure
-from hibiscusdrum.internal.router.hop import Forwarder
+from hibiscusdrum.internal.router.hop import CLOSING_REASON, Forwarder
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.overload import OverloadControl
 from hibiscusdrum.internal.router.range_owner import RangeOwner
@@ -22,6 +22,7 @@
     MISDIRECTED_REASON,
     NOT_OWNER_REASON,
     OVERLOADED_REASON,
+    RESTART_SECONDS,
     TOO_LATE_REASON,
     Receiver,
 )
@@ -310,7 +311,9 @@
             self.receiver.submit(forward, pending.body, reply)
         elif not self.forwarder.send(node, forward, pending.body, reply):
             self.selector.on_failure(node, now)
-            reply(Declined(forward.id, "peer_disconnected", False, False, 0.0, (0, 0, 1, 0.15, False)), b"")
+            closing = self.forwarder.is_closing(node)
+            reason, wait = (CLOSING_REASON, RESTART_SECONDS) if closing else ("peer_disconnected", 0.0)
+            reply(Declined(forward.id, reason, False, False, wait, (0, 0, 1, 0.15, False)), b"")
 
     def forwarded_headers(self, request: EntryRequest) -> tuple[tuple[str, str], ...]:
         """Return the headers to forward: the host, and all that are not hop-by-hop or set by the router."""
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -44,6 +44,8 @@
 DISCONNECTED_REASON = "disconnected"
 RESTARTED_REASON = "restarted"
 REMOVED_REASON = "removed"
+# Reason with which a node declines all requests because its process is about to end.
+CLOSING_REASON = "closing"
 # Leading bytes of a request id that identify the sending process.
 PROCESS_ID_BYTES = 6
 # A larger body is not sent with the request but offered, and sent when the receiver asks for it: the extra
@@ -119,9 +121,12 @@
         Whether the peer has been heard since its connection was last lost, or replaced because of silence.
     silent : bool
         Whether the connection was replaced because of silence; that it is not established proves no loss.
+    closing : bool
+        Whether the peer has declined a request because its process is about to end. Requests that it had
+        not read by then would end without an answer, so none are sent before the connection is made anew.
     """
 
-    __slots__ = ("address", "incarnation", "last_heard_at", "reachable", "silent")
+    __slots__ = ("address", "closing", "incarnation", "last_heard_at", "reachable", "silent")
 
     def __init__(self, address: str, now: float) -> None:
         self.address = address
@@ -129,6 +134,7 @@
         self.last_heard_at = now
         self.reachable = True
         self.silent = False
+        self.closing = False
 
 
 class Forwarder(Service):
@@ -216,8 +222,10 @@
         return self.process_id + next(self.request_counter).to_bytes(5, "big")
 
     def send(self, node: str, forward: Forward, body: bytes, callback: ReplyCallback) -> bool:
-        """Send a request; return False if nothing was sent because there is no connection."""
+        """Send a request; return False if nothing was sent because the peer is closing or not connected."""
         state = self.peer_states.get(node)
+        if self.is_closing(node):
+            return False
         unsent_body = b""
         if len(body) > MAX_INLINE_BODY_BYTES:
             unsent_body, body = body, b""
@@ -231,6 +239,14 @@
         )
         return True
 
+    def is_closing(self, node: str) -> bool:
+        """Return whether a node declines all requests because its process is about to end."""
+        state = self.peer_states.get(node)
+        if state is None or not state.closing:
+            return False
+        state.closing = self.peers.is_connected(state.address)
+        return state.closing
+
     def send_body_part(self, part_request: SendBody) -> None:
         """Send the part of an offered body that the receiver asks for."""
         entry = self.outstanding.get(part_request.id)
@@ -272,6 +288,8 @@
         state = self.peer_states.get(entry.node)
         if state is not None:
             state.last_heard_at = self.now
+            if kind is Declined and message.reason == CLOSING_REASON:
+                state.closing = True
         self.selector.on_report(entry.node, LoadReport(*message.load, message.rate_limit), self.now)
         entry.callback(message, body)
 
@@ -297,6 +315,9 @@
     def ping(self) -> None:
         """Ping the peers with outstanding requests; mark those that were silent too long as unreachable."""
         self.disconnect_removed()
+        for node in self.peer_states:
+            # Detects the end of a connection that is made anew before the next request.
+            self.is_closing(node)
         now = self.now
         waiting: dict[str, float] = {}
         for entry in self.outstanding.values():
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -18,6 +18,7 @@
     AdmissionQueue,
     QueueEntry,
 )
+from hibiscusdrum.internal.router.hop import CLOSING_REASON
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetState
 from hibiscusdrum.internal.router.range_owner import KeyState, RangeOwner
 from hibiscusdrum.internal.router.rate_limiter import UNKNOWN_LIMIT_BOUND, RateLimiter
@@ -47,6 +48,8 @@
 SPARE_CONNECTIONS = 4
 SERVICE_UNAVAILABLE_STATUS = 503
 DEFAULT_SLOTS = 8
+# Time from the first request that is declined as closing until the next process may serve its keys.
+RESTART_SECONDS = 1.0
 MISDIRECTED_REASON = "misdirected"
 NOT_OWNER_REASON = "not_owner"
 OVERLOADED_REASON = "overloaded"
@@ -324,7 +327,7 @@
         forward = job.forward
         reason = self.refusal_reason(forward)
         if reason:
-            self.decline(job, reason)
+            self.decline(job, reason, retry_after=RESTART_SECONDS if reason == CLOSING_REASON else 0.0)
         elif forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.GRANT_PENDING:
             self.await_keys(job)
         else:
@@ -367,7 +370,7 @@
         if forward.service != self.settings.service:
             return "other_service"
         if self.closed:
-            return "stopping"
+            return CLOSING_REASON
         if self.route_table is None and self.now < self.admission.rate_limiter.warm_at:
             # The rate limit of a cold target comes from the configuration.
             return "no_configuration"
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -263,6 +263,14 @@
         self.possibly_readable.add(peer.descriptor)
         return sum(map(len, frames)) if peer.try_send(frames) else 0
 
+    def is_connected(self, address: str) -> bool:
+        """Return whether there is a connection to an address that accepts messages."""
+        peer = self.peers.get(address)
+        if peer is None:
+            return False
+        self.possibly_readable.add(peer.descriptor)
+        return bool(peer.socket.getsockopt(zmq.EVENTS) & zmq.POLLOUT)
+
     def send(self, address: str, frames: list[bytes]) -> None:
         """Send a message now, or keep it pending for up to ``CONNECT_TIMEOUT_SECONDS``."""
         peer = self.peer(address)
--- a/tests/features/silent_peers.feature
+++ b/tests/features/silent_peers.feature
@@ -21,6 +21,14 @@
     When the connection to the peer is lost
     Then the order is given up as one that may have run
 
+  Scenario: Nothing is sent to a peer that is about to end, until it has been started anew
+    Given a router that sends an order and a read to a peer
+    When the peer declines the order as it is about to end
+    And the peer answers the read
+    Then a further request is not sent, and is known not to have run
+    When the connection to the peer is lost, and made again
+    Then a further request is sent
+
   Scenario Outline: A <process> that was paused does not take its target for lost
     Given a <process> whose target reports each second
     When the process is paused for 8 s
--- a/tests/features/steps/silent_peers_steps.py
+++ b/tests/features/steps/silent_peers_steps.py
@@ -12,8 +12,8 @@
 from tests.router_world import Loop
 
 from hibiscusdrum.internal.daemon.target import Announcement, Target
-from hibiscusdrum.internal.messages import Answered, Pong
-from hibiscusdrum.internal.router.hop import Forwarder
+from hibiscusdrum.internal.messages import Answered, Declined, Pong
+from hibiscusdrum.internal.router.hop import CLOSING_REASON, Forwarder
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.members import Members, NodeRow
 from hibiscusdrum.internal.router.selection import NodeSelector
@@ -46,6 +46,7 @@
         Stub(
             "peers",
             reply=lambda *_: 100,
+            is_connected=lambda _address: context.connected,
             try_send_request=lambda *_: 100 if context.connected else 0,
             peer=lambda *_arguments, **_options: None,
             disconnect_peer=lambda _address: None,
@@ -124,6 +125,39 @@
     assert context.outcomes[ORDER][0].may_have_run, context.outcomes
 
 
+@when("the peer declines the order as it is about to end")
+def declines_closing(context):
+    context.hop.on_reply(Declined(bytes([ORDER]), CLOSING_REASON, False, False, 1.0, FREE), b"")
+
+
+def send_further(context):
+    """Send a request, and return whether it was sent."""
+    request = msgspec.structs.replace(forward(3), repeatable=False)
+    return context.hop.send("peer", request, b"", lambda answer, _body: note(context, 3, answer))
+
+
+@when("the peer answers the read")
+def answers_read(context):
+    answer_request(context, READ)
+
+
+@then("a further request is not sent, and is known not to have run")
+def not_sent(context):
+    assert not send_further(context) and context.hop.is_closing("peer")
+
+
+@when("the connection to the peer is lost, and made again")
+def connected_again(context):
+    context.connected = False
+    run_for(context.app, 0.5)
+    context.connected = True
+
+
+@then("a further request is sent")
+def is_sent(context):
+    assert not context.hop.is_closing("peer") and send_further(context)
+
+
 @given("a {process} whose target reports each second")
 def process_with_target(context, process):
     context.app = app = application()
