Keep running on SIGHUP

Callers lost whole requests in planned work: SIGHUP, with which the platform announces changed settings, ended the router at once (exit code 129), with all requests in flight on its connections and at its target. Cause: RouterStopping.on_signal has logged SIGHUP since the first version, but circuits installs handlers for SIGINT and SIGTERM only, so the default action of SIGHUP ended the process before any code ran; no test sent the signal to a process. Both daemons had the fault.

Four scenarios (in service, from 0.1 s after the start on, during a planned stop, and for hibiscusdrumd) failed before and pass.

--- a/src/hibiscusdrum/internal/daemon/stopping.py
+++ b/src/hibiscusdrum/internal/daemon/stopping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from typing import Any
 
 from circuits import handler
@@ -12,6 +13,7 @@
 from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.ownership import handover as transactions
+from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.settings import Settings
 
 STEP_INTERVAL_SECONDS = 0.02
@@ -58,13 +60,15 @@
         self.http = find("http")
 
     @handler("signal", channel="*")
-    def on_signal(self, event: Any, _signal_number: int, _frame: Any) -> None:
-        """Begin the shutdown, or end at once if the start is not complete.
+    def on_signal(self, event: Any, signal_number: int, _frame: Any) -> None:
+        """Begin the shutdown, or end at once if the start is not complete; log SIGHUP.
 
         Further signals are ignored, because the shutdown has a time limit.
         """
         event.stop()
-        if self not in self.app.started_services:
+        if signal_number == signal.SIGHUP:
+            log_events.emit(events.ReloadAsked(version=self.app.find("configuration").revision))
+        elif self not in self.app.started_services:
             self.app.shutdown(0)
         elif self.started_at is None:
             self.begin()
--- a/src/hibiscusdrum/internal/kernel.py
+++ b/src/hibiscusdrum/internal/kernel.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import signal
 from collections.abc import Callable
 from typing import Any
 
@@ -215,6 +216,12 @@
         self.exit_code = 0
         self.failure: BaseException | None = None
 
+    def run(self, socket: Any = None) -> None:
+        """Run the event loop until ``shutdown``; SIGHUP is passed to the services like the stop signals."""
+        # circuits handles only SIGINT and SIGTERM; the default action of SIGHUP ends the process.
+        signal.signal(signal.SIGHUP, self._signal_handler)
+        super().run(socket)
+
     def add(self, service: Service) -> Service:
         """Register a service under its name and return it."""
         service.app = self
--- a/tests/features/daemon_input.feature
+++ b/tests/features/daemon_input.feature
@@ -55,6 +55,12 @@
       | peer    |
       | http    |
 
+  Scenario: A signal to reload the settings does not end a daemon
+    Given a running daemon of region "ost"
+    When the other daemon gets SIGHUP while HTTP requests are sent to it
+    Then each HTTP request was answered, or refused as not run
+    And the other daemon still runs
+
   Scenario: A daemon that stops answers its HTTP callers or tells them that nothing ran
     Given a running daemon of region "ost"
     When the other daemon is stopped while HTTP requests are sent to it
--- a/tests/features/router_system.feature
+++ b/tests/features/router_system.feature
@@ -62,6 +62,18 @@
       | its VM       |
       | another VM   |
 
+  Scenario Outline: A signal to reload the settings does not end a router <when>
+    Given a system of routers
+    When a router gets SIGHUP 5 times <when>
+    Then no connection ended without an answer after its request was read
+    And the router <outcome>
+
+    Examples:
+      | when                                    | outcome                     |
+      | while callers on its VM send requests   | still serves all services   |
+      | from 0.1 s after its start on           | still serves all services   |
+      | during its planned stop                 | ended with exit code 0      |
+
   Scenario: Keys are served again after all routers were killed
     Given a system of routers
     When all routers are killed and restarted
--- a/tests/features/steps/daemon_input_steps.py
+++ b/tests/features/steps/daemon_input_steps.py
@@ -196,6 +196,21 @@
     assert node.daemon.process.wait(10) == 0
 
 
+@when("the other daemon gets SIGHUP while HTTP requests are sent to it")
+def reload_under_http(context):
+    node = context.cluster.nodes["n2"]
+    context.http_answers = []
+    for count in range(60):
+        if count % 20 == 10:
+            node.daemon.send(signal.SIGHUP)
+        context.http_answers.append(request(node.http, "GET", PATH, None, BASE, timeout=3.0))
+
+
+@then("the other daemon still runs")
+def daemon_runs(context):
+    assert context.cluster.nodes["n2"].daemon.running
+
+
 def listens(address):
     """Return whether an address accepts connections; a refused one proves that nothing was sent."""
     host, port = address.split(":")
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -13,7 +13,7 @@
 
 from behave import given, then, when
 from tools.processes import wait_until
-from tools.router_system import HEADER_PREFIX, ROUTES, RouterSystem
+from tools.router_system import HEADER_PREFIX, ROUTES, START_LIMIT_SECONDS, RouterSystem
 
 PLACES = [
     ("east", "east-1", "keyed"),
@@ -200,15 +200,57 @@
     context.ended = time.monotonic()
     for caller in callers:
         caller.end()
+    context.cut = cut_requests(callers, context.began)
+
+
+def cut_requests(callers, since):
+    """Return begin and duration of the requests whose connection ended without an answer, in seconds."""
     # A refused connection has read nothing; it is noted within a millisecond or two.
-    context.cut = [
-        (began - context.began, ended - began)
+    return [
+        (began - since, ended - began)
         for caller in callers
         for began, ended, status in caller.results
         if status == 0 and ended - began > 0.05
     ]
 
 
+RELOAD_SIGNALS = 5
+RELOAD_INTERVAL_SECONDS = 0.15
+
+
+@when("a router gets SIGHUP 5 times {when}")
+def router_reloaded(context, when):
+    system = context.system
+    vm = context.reloaded = system.vms["vm3"]
+    if when == "from 0.1 s after its start on":
+        vm.router.kill()
+        system.start_router(vm)
+        time.sleep(0.1)
+    caller = Callers(system, vm, shared)
+    context.began = time.monotonic()
+    if when == "during its planned stop":
+        vm.router.send(signal.SIGTERM)
+    for _ in range(RELOAD_SIGNALS):
+        time.sleep(RELOAD_INTERVAL_SECONDS)
+        vm.router.send(signal.SIGHUP)
+    time.sleep(RELOAD_INTERVAL_SECONDS)
+    caller.end()
+    context.cut = cut_requests([caller], context.began)
+
+
+@then("the router still serves all services")
+def still_serves(context):
+    vm = context.reloaded
+    assert vm.router.running
+    wait_until(context.system.all_services_answer, START_LIMIT_SECONDS, "all routers serve all services")
+    assert vm.router.running
+
+
+@then("the router ended with exit code {code:d}")
+def ended_with(context, code):
+    assert context.reloaded.router.process.wait(10.0) == code
+
+
 @then("no connection ended without an answer after its request was read")
 def none_cut(context):
     assert not context.cut, context.cut
