--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -1,7 +1,12 @@
-"""Graceful shutdown of the router: readiness is denied, requests in flight finish, then the process exits."""
+"""Graceful shutdown of the router: readiness is denied, requests in flight finish, then the process exits.
+
+The readiness check makes callers on the VM use other routers, and each response closes its connection. The
+local target ignores readiness: the calls that its runs make are served as long as it runs any.
+"""
 
 from __future__ import annotations
 
+import math
 import signal
 from typing import Any
 
@@ -16,15 +21,20 @@
 STOP_STEP_INTERVAL_SECONDS = 0.05
 # Callers stop sending new requests once readiness has been denied twice, one second apart.
 READINESS_DENIAL_SECONDS = 2.3
-# New requests are refused from this time after the signal, so that those in flight can finish before the
-# process is killed.
+# New requests for the local target are refused from this time after the signal, so that those in flight can
+# finish before the process is killed.
 REQUEST_REFUSAL_DELAY_SECONDS = 2.3
+# The process exits only once no caller has used its connection for this long, many times the delay to one.
+QUIET_SECONDS = 0.3
 # A target that still runs has sent a heartbeat within this time.
 ROW_REMOVAL_DELAY_SECONDS = 1.8
 # A body that no node has requested this long before the process is killed is no longer sent.
 UNSENT_BODY_MARGIN_SECONDS = 2.0
 # The process exits this long before it would be killed.
 EXIT_MARGIN_SECONDS = 0.4
+# Requests end this long before the process exits, since the answer of a target that has reached its deadline
+# takes a round trip between regions and ``RESPONSE_GRACE_SECONDS``.
+ANSWER_MARGIN_SECONDS = 0.3
 
 
 class RouterStopping(Service):
@@ -59,6 +69,8 @@
         self.peers = find("peers")
         self.target = find("local_target")
         self.members = find("members")
+        self.gateway.service_seconds_left = self.service_seconds_left
+        self.receiver.service_seconds_left = self.service_seconds_left
 
     @handler("signal", channel="*")
     def on_signal(self, event: Any, signal_number: int, _frame: Any) -> None:
@@ -81,6 +93,13 @@
         self.gateway.stopping = True
         self.app.scheduler.every(STOP_STEP_INTERVAL_SECONDS, self.advance_stop)
 
+    def service_seconds_left(self) -> float:
+        """Return the seconds within which requests must end; infinite unless the process is shutting down."""
+        if self.stop_started_at is None:
+            return math.inf
+        elapsed = self.app.clock.monotonic() - self.stop_started_at
+        return self.settings.grace - EXIT_MARGIN_SECONDS - ANSWER_MARGIN_SECONDS - elapsed
+
     @property
     def target_ended(self) -> bool:
         """Whether the target has ended for good, as far as this process can tell.
@@ -101,6 +120,15 @@
         in_flight = self.gateway.has_pending or self.receiver.has_jobs or self.entry.unanswered_count
         return bool(in_flight or self.entry.has_incoming or self.peers.has_unread_messages)
 
+    @property
+    def callers_quiet(self) -> bool:
+        """Whether no caller has used its connection lately, or has yet to read that it is closed."""
+        connections = self.entry.connections_of(self.settings.caller_address)
+        return all(
+            not connection.discard_until and connection.idle_seconds >= QUIET_SECONDS
+            for connection in connections
+        )
+
     def advance_stop(self) -> None:
         """Advance the shutdown; exit when no request is in flight or the grace period is over."""
         if self.finished:
@@ -109,14 +137,17 @@
         if not self.row_removed and self.target_ended:
             self.row_removed = True
             self.members.remove_local_row(lambda: None)
-        if elapsed > REQUEST_REFUSAL_DELAY_SECONDS and not self.gateway.closed:
-            self.gateway.close()
+        if elapsed > REQUEST_REFUSAL_DELAY_SECONDS:
             self.receiver.closed = True
+            if not self.gateway.closed and not self.receiver.has_jobs:
+                self.gateway.close()
         if elapsed > self.settings.grace - UNSENT_BODY_MARGIN_SECONDS:
             self.gateway.refuse_unsent()
         grace_over = elapsed > self.settings.grace - EXIT_MARGIN_SECONDS
-        if grace_over or (elapsed > READINESS_DENIAL_SECONDS and not self.busy):
+        denied = elapsed > READINESS_DENIAL_SECONDS
+        if grace_over or (denied and self.gateway.closed and not self.busy and self.callers_quiet):
             self.finished = True
+            self.log_connections_left()
             log_events.emit(
                 log_events.Stopped(
                     duration_ms=round(elapsed * 1000),
@@ -125,3 +156,18 @@
                 )
             )
             self.app.shutdown(0)
+
+    def log_connections_left(self) -> None:
+        """Log in which state callers' connections are closed by the end of the process."""
+        connections = self.entry.connections_of(self.settings.caller_address)
+        if not connections:
+            return
+        log_events.emit(
+            events.ConnectionsLeft(
+                open=len(connections),
+                unread=sum(connection.receiving or connection.has_unread_input for connection in connections),
+                unanswered=sum(bool(connection.pending) for connection in connections),
+                discarding=sum(bool(connection.discard_until) for connection in connections),
+                quiet_s=round(min(connection.idle_seconds for connection in connections), 3),
+            )
+        )
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -44,6 +44,9 @@
     504: b"Gateway Timeout",
 }
 BODILESS_STATUSES = (204, 304)
+# Why a request ends without a response: its caller has closed the connection, or this process has.
+CALLER_GONE = "caller_gone"
+CLOSED_UNANSWERED = "closed_unanswered"
 
 
 class EntryRequest:
@@ -59,8 +62,13 @@
     body : bytes
     arrived_at : float
         Monotonic time in seconds at which the request was complete.
+    response_head, response_content : bytes
+        The response once there is one, without the header on the connection; the head is empty before.
+    response_closes : bool
+        Whether the connection is closed after the response unless further requests have been received.
     on_closed : callable or None
-        Called when the connection ends before the request has a response.
+        Called with ``CALLER_GONE`` or ``CLOSED_UNANSWERED`` when the connection ends before the request has
+        a response.
     """
 
     __slots__ = (
@@ -69,12 +77,14 @@
         "body",
         "connection",
         "dispatched",
-        "encoded_response",
         "headers",
         "keep_alive",
         "listen_address",
         "method",
         "on_closed",
+        "response_closes",
+        "response_content",
+        "response_head",
         "target",
     )
 
@@ -89,8 +99,10 @@
         self.keep_alive = True
         self.dispatched = False
         self.answered = False
-        self.encoded_response: bytes | None = None
-        self.on_closed: Callable[[], None] | None = None
+        self.response_head = b""
+        self.response_content = b""
+        self.response_closes = False
+        self.on_closed: Callable[[str], None] | None = None
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, or None.
@@ -117,25 +129,31 @@
         headers : list of (str, str)
             Without ``content-length`` and ``connection``, which are added here.
         close : bool
-            Whether the connection is closed after this response.
+            Whether the connection is closed after this response, or after those to further requests that have
+            been received on it by then.
         """
         if self.answered:
             return
         self.answered = True
         self.on_closed = None
-        keep_alive = self.keep_alive and not close
-        self.keep_alive = keep_alive
+        self.response_closes = close
         reason = REASON_PHRASES.get(status, b"Status")
         lines = [b"HTTP/1.1 %d %b" % (status, reason)]
         lines += [f"{name}: {value}".encode("latin-1") for name, value in headers]
         if status not in BODILESS_STATUSES:
             lines.append(b"content-length: %d" % len(body))
-        if not keep_alive:
-            lines.append(b"connection: close")
-        content = b"" if self.method == b"HEAD" or status in BODILESS_STATUSES else body
-        self.encoded_response = b"\r\n".join(lines) + b"\r\n\r\n" + content
+        self.response_head = b"\r\n".join(lines) + b"\r\n"
+        self.response_content = b"" if self.method == b"HEAD" or status in BODILESS_STATUSES else body
         self.connection.flush_responses()
 
+    def encode_response(self, closes: bool) -> bytes:
+        """Return the response, which announces whether the connection is closed after it."""
+        return b"%b%b\r\n%b" % (
+            self.response_head,
+            b"connection: close\r\n" if closes else b"",
+            self.response_content,
+        )
+
 
 class EntryConnection:
     """A caller's connection; httptools calls the methods named ``on_``.
@@ -149,8 +167,9 @@
     error_status : int
         HTTP status with which invalid input is rejected; 0 while the input is valid.
     discard_until : float
-        Monotonic time in seconds until which input is dropped before the connection is closed; 0 while
-        requests are accepted.
+        Monotonic time in seconds at which the connection is closed after its last response; 0 before that.
+    input_rejected : bool
+        Whether further input is dropped because earlier input was invalid.
     """
 
     __slots__ = (
@@ -166,6 +185,7 @@
         "fed_bytes",
         "head_bytes",
         "head_started_at",
+        "input_rejected",
         "last_active_at",
         "listen_address",
         "output_buffer",
@@ -190,6 +210,7 @@
         self.closing = False
         self.closed = False
         self.error_status = 0
+        self.input_rejected = False
         self.head_bytes = 0
         self.head_started_at: float | None = None
         self.body_parts: list[bytes] = []
@@ -292,7 +313,7 @@
     @property
     def accepts_input(self) -> bool:
         """Whether further requests on this connection would be answered."""
-        return not (self.closed or self.closing or self.discard_until)
+        return not (self.closed or self.closing or self.input_rejected)
 
     @property
     def receiving(self) -> bool:
@@ -307,16 +328,28 @@
         except OSError:
             return False
 
+    @property
+    def has_further_input(self) -> bool:
+        """Whether more input than the requests answered so far has been received."""
+        return bool(self.pending or self.unparsed or self.receiving or self.has_unread_input)
+
+    @property
+    def idle_seconds(self) -> float:
+        """Seconds since the connection last carried input or a response."""
+        return self.server.app.clock.monotonic() - self.last_active_at
+
     @property
     def head_complete(self) -> bool:
         """Whether the head of the current request has been parsed."""
         return self.current_request is not None and bool(self.current_request.method)
 
     def reject(self, status: int) -> None:
-        """Respond with an error to invalid input, and drop all further input."""
+        """Respond with an error to invalid input after the earlier requests, and drop all further input."""
         request = self.current_request or EntryRequest(self, self.listen_address)
+        request.keep_alive = False
         self.current_request = None
-        self.discard_until = self.last_active_at + DISCARD_SECONDS
+        self.head_started_at = None
+        self.input_rejected = True
         self.pending.append(request)
         request.dispatched = True
         request.respond(status, [], close=True)
@@ -347,10 +380,12 @@
     def flush_responses(self) -> None:
         """Write the completed responses at the front of the pipeline, and continue with waiting input."""
         pending = self.pending
-        while pending and pending[0].encoded_response is not None:
+        while pending and pending[0].response_head:
             request = pending.popleft()
-            self.write(request.encoded_response)
-            if not request.keep_alive:
+            # Further requests may have reached a target already, so they are answered before the close.
+            closes = not request.keep_alive or (request.response_closes and not self.has_further_input)
+            self.write(request.encode_response(closes))
+            if closes:
                 self.close_after_output()
                 return
         self.last_active_at = self.server.app.clock.monotonic()
@@ -386,15 +421,15 @@
     def close_after_output(self) -> None:
         """Close the connection once the output buffer is empty, and cancel the pipelined requests left."""
         self.closing = True
-        self.cancel_pending()
+        self.cancel_pending(CLOSED_UNANSWERED)
         if not self.output_buffer:
             self.server.shutdown_write(self)
 
-    def cancel_pending(self) -> None:
-        """Cancel unanswered requests: drop their responses and call ``on_closed``."""
+    def cancel_pending(self, reason: str) -> None:
+        """Cancel unanswered requests: drop their responses and call ``on_closed`` with the reason."""
         pending, self.pending = self.pending, deque()
         for request in pending:
             request.answered = True
             on_closed, request.on_closed = request.on_closed, None
             if on_closed is not None:
-                on_closed()
+                on_closed(reason)
