Log when the store was restored from a copy

The store names its era in the header Store-Era of every answer; it rises by one when the store continues from a copy and has lost its newest writes. Nothing read it, so the logs could not distinguish a restored store from one that was merely away: both showed store_lost, store_regained and failed conditional writes.

The client of the store now keeps the newest era, writes the event store_era_changed (829) with the newest version of the former era, and calls listeners before it delivers the answer. A header that is not a number is logged and leaves the era as it is. table.py defines how era and number form a version; nothing uses it yet, and no decision has changed.

--- a/src/hibiscusdrum/internal/platform/table.py
+++ b/src/hibiscusdrum/internal/platform/table.py
@@ -13,8 +13,10 @@
 import msgspec
 from returns.result import Result
 
-from hibiscusdrum.errors import HibiscusdrumError
+from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 
+# A version consists of the era of the store and, in this many low bits, the number that the store gave out.
+VERSION_NUMBER_BITS = 48
 SEQUENCE_PLACEHOLDER = "$SEQ"
 
 
@@ -65,13 +67,54 @@
     deletes: tuple[str, ...] = ()
 
 
+def make_version(era: int, number: int) -> int:
+    """Return the version of a row that was read in an era of the store.
+
+    A store that is restored from a copy begins a new era, in which it gives out numbers of the former one
+    again. Versions are ordered by era first, so that whatever is read in a newer era replaces what was known.
+
+    Raises
+    ------
+    InvalidArgument
+        If the number is negative or has more than ``VERSION_NUMBER_BITS`` bits.
+    """
+    if not 0 <= number < 1 << VERSION_NUMBER_BITS:
+        raise InvalidArgument(
+            name="version", value=number, expected=f"an integer of {VERSION_NUMBER_BITS} bits"
+        )
+    return era << VERSION_NUMBER_BITS | number
+
+
+def era_of(version: int) -> int:
+    """Return the era of the store in which a version was read; 0 if the store names none."""
+    return version >> VERSION_NUMBER_BITS
+
+
+def number_of(version: int) -> int:
+    """Return the number that the store itself uses for a version."""
+    return version & ((1 << VERSION_NUMBER_BITS) - 1)
+
+
 ReadCallback = Callable[[Result[dict[str, Row], HibiscusdrumError]], None]
 ChangesCallback = Callable[[Result[Changes, HibiscusdrumError]], None]
 CommitCallback = Callable[[Result[int, HibiscusdrumError]], None]
+EraListener = Callable[[int, int], None]
 
 
 class Table(Protocol):
-    """Asynchronous client of the table service; callbacks run in the event loop."""
+    """Asynchronous client of the table service; callbacks run in the event loop.
+
+    Attributes
+    ----------
+    era : int
+        Newest era of the table that an answer named; 0 while none did.
+    on_era_change : list of callable
+        Called with the former and the new era when an answer names a newer one, before that answer is
+        delivered. The first era that this process sees is no change.
+    """
+
+    era: int
+    on_era_change: list[EraListener]
 
     def read(self, keys: tuple[str, ...], callback: ReadCallback) -> None:
         """Read rows by key; absent rows are left out of the result."""
--- a/src/hibiscusdrum/internal/platform/table_client.py
+++ b/src/hibiscusdrum/internal/platform/table_client.py
@@ -20,6 +20,7 @@
     Changes,
     ChangesCallback,
     CommitCallback,
+    EraListener,
     ReadCallback,
     Row,
     Transaction,
@@ -98,7 +99,7 @@
 
 
 class TableClient(Service):
-    """Asynchronous client of the table service; implements ``Table``.
+    """Asynchronous client of the table service, which has only one era; implements ``Table``.
 
     Parameters
     ----------
@@ -120,6 +121,8 @@
         self.timeout_seconds = timeout_seconds
         self.resolve_timeout_seconds = resolve_timeout_seconds
         self.http: HttpClient | None = None
+        self.era = 0
+        self.on_era_change: list[EraListener] = []
 
     def on_start(self) -> None:
         """Find the HTTP client."""
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -365,7 +365,7 @@
 
 
 class RowUnreadable(LogEvent, frozen=True):
-    """A row, a report, or a header of the target's answer could not be decoded and is ignored."""
+    """A row, a report, or a header of an answer could not be decoded and is ignored."""
 
     number = 823
     level = "ERROR"
@@ -393,6 +393,22 @@
     took_ms: int
 
 
+class StoreEraChanged(LogEvent, frozen=True):
+    """The store has lost its newest writes: it was restored from a copy.
+
+    ``version`` is the newest version that this node has seen of the era before.
+    """
+
+    number = 829
+    level = "WARNING"
+    cause = "An outage of the store after which it continued from a copy."
+    operator_action = "Write again what was written to the store since the copy."
+
+    former: int
+    era: int
+    version: int
+
+
 EVENTS = frozenset(
     (
         EvacuationChanged,
@@ -416,6 +432,7 @@
         RoutesInForce,
         RowUnreadable,
         StoreCallFailed,
+        StoreEraChanged,
         StoreLost,
         StoreRegained,
         TargetChanged,
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -14,13 +14,14 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from hibiscusdrum.errors import HibiscusdrumError, StoreConflict, StoreUnavailable
+from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument, StoreConflict, StoreUnavailable
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.platform.table import (
     Changes,
     ChangesCallback,
     CommitCallback,
+    EraListener,
     ReadCallback,
     Row,
     Transaction,
@@ -51,6 +52,9 @@
 OK = 200
 GONE = 410
 PRECONDITION_FAILED = 412
+# Header of every answer of the store; it rises by one each time the store is restored from a copy.
+ERA_HEADER = "store-era"
+MAX_ERA_DIGITS = 9
 JSON_HEADERS = {"content-type": "application/json"}
 
 
@@ -104,6 +108,19 @@
 RowChangesCallback = Callable[[Result[RowChanges, HibiscusdrumError]], None]
 
 
+def decode_era(value: str) -> int:
+    """Decode the era that an answer of the store names.
+
+    Raises
+    ------
+    InvalidArgument
+        If it is not a decimal number of at most ``MAX_ERA_DIGITS`` digits.
+    """
+    if not (value.isascii() and value.isdigit() and len(value) <= MAX_ERA_DIGITS):
+        raise InvalidArgument(name=ERA_HEADER, value=value[:64], expected="a decimal number")
+    return int(value)
+
+
 def table_for_key(key: str) -> str:
     """Return the name of the store's table that holds the row with this key."""
     return LEASE_TABLE if key.startswith(LEASE_PREFIX) else ROUTER_TABLE
@@ -132,6 +149,12 @@
     ----------
     store_time : float
         Newest time on the store's clock that an answer contained, in seconds.
+    era : int
+        Newest era of the store that an answer named; 0 while none did.
+    newest_version : int
+        Newest version that an answer of this era contained.
+    on_era_change : list of callable
+        Called with the former and the new era, before the answer that names the new one is delivered.
     failures : dict of str to int
         Number of consecutive failed polls for changes, by table.
     initial_read_done : bool
@@ -148,6 +171,9 @@
         super().__init__()
         self.address = address
         self.store_time = 0.0
+        self.era = 0
+        self.newest_version = 0
+        self.on_era_change: list[EraListener] = []
         self.failures: dict[str, int] = {}
         self.initial_read_done = False
         self.on_store_time: Callable[[float, float], None] | None = None
@@ -312,8 +338,9 @@
                 response = result.unwrap()
                 if self.on_bytes_transferred is not None:
                     self.on_bytes_transferred(operation, len(path) + len(body), len(response.body))
+                self.observe_era(response)
                 if response.status == OK or response.status in accepted:
-                    self.record_store_time(sent_at, response.body)
+                    self.observe_body(sent_at, response.body)
                     callback(Success(response))
                     return
                 # With any other status, the store has executed nothing.
@@ -330,21 +357,43 @@
         headers = JSON_HEADERS if body else {}
         self.http.request(self.address, method, path, headers, body, timeout, on_response, MAX_CONNECTIONS)
 
-    def record_store_time(self, sent_at: float, body: bytes) -> None:
-        """Record the store's time from the body of an answer, if it contains one."""
+    def observe_era(self, response: HttpResponse) -> None:
+        """Record the era that an answer names, and notify the listeners of a newer one."""
+        value = response.headers.get(ERA_HEADER)
+        if value is None:
+            return
         try:
-            store_time = msgspec.json.decode(body, type=TimestampedAnswer).serverTimeS
+            era = decode_era(value)
+        except InvalidArgument as error:
+            log_events.emit(events.RowUnreadable(what=ERA_HEADER, reason=str(error)))
+            return
+        if era <= self.era:
+            return
+        former, version = self.era, self.newest_version
+        self.era, self.newest_version = era, 0
+        # What was read before the first era that this process sees is not known to be of another one.
+        if former:
+            log_events.emit(events.StoreEraChanged(former=former, era=era, version=version))
+            for listener in self.on_era_change:
+                listener(former, era)
+
+    def observe_body(self, sent_at: float, body: bytes) -> None:
+        """Record the store's time and newest version from the body of an answer, if it contains them."""
+        try:
+            answer = msgspec.json.decode(body, type=CommonAnswer)
         except msgspec.DecodeError:
             return
-        if store_time:
-            self.store_time = max(self.store_time, store_time)
+        self.newest_version = max(self.newest_version, answer.ver)
+        if answer.serverTimeS:
+            self.store_time = max(self.store_time, answer.serverTimeS)
             if self.on_store_time is not None:
-                self.on_store_time(sent_at, store_time)
+                self.on_store_time(sent_at, answer.serverTimeS)
 
 
-class TimestampedAnswer(msgspec.Struct, frozen=True):
-    """The field that each answer has in common: the time on the store's clock in seconds."""
+class CommonAnswer(msgspec.Struct, frozen=True):
+    """Fields that answers of the store have in common: the newest version and the time on its clock."""
 
+    ver: int = 0
     serverTimeS: float = 0.0  # noqa: N815 - name on the wire
 
 
