Add failing scenarios of a store that is restored from a copy

The scenarios play the client of the store, members and operator rows against a fake store on a manual clock that is restored from a copy: versions go back and are given out again, a poll after a version that the store does not have gets 410, Store-Era rises.

--- /dev/null
+++ b/tests/features/steps/router_restored_steps.py
@@ -0,0 +1,545 @@
+"""Steps on a store that is restored from a copy.
+
+They guard against what was known before the copy outliving it, and against what was lost being forgotten.
+"""
+
+import random
+from unittest import mock
+
+import msgspec
+from behave import given, then, when
+from returns.result import Failure, Success
+from tests.restorable_store import RestorableStore
+from tests.router_stubs import SETTINGS, Stub, application
+from tools.router_system import LIMITS, ROUTE_COLUMNS, SERVICE_COLUMNS
+
+from hibiscusdrum.errors import StoreConflict
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.platform.table import Transaction
+from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.gateway import Gateway
+from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
+from hibiscusdrum.internal.router.members import Members
+from hibiscusdrum.internal.router.routes import HeaderNames
+from hibiscusdrum.internal.router.selection import NodeSelector
+from hibiscusdrum.platform.operator import EVACUATE_PREFIX, OperatorRows
+from hibiscusdrum.platform.store import OPERATOR_TABLE, ROUTER_TABLE, StoreClient
+
+STEP_SECONDS = 0.01
+LOOP_EVENT = Stub("loop", reduce_time_left=lambda _seconds: None)
+SERVICE = SETTINGS.service
+LOCAL_KEY = f"node/{SETTINGS.node}"
+
+
+def run(context, seconds, check=lambda: None):
+    """Let time pass, with a check after each step."""
+    end = context.app.clock.monotonic() + seconds
+    while context.app.clock.monotonic() < end:
+        context.app.clock.advance(STEP_SECONDS)
+        context.app.scheduler.run_due(LOOP_EVENT)
+        check()
+
+
+def run_until(context, condition, limit):
+    """Let time pass until a condition holds; fails when it does not within the limit."""
+    end = context.app.clock.monotonic() + limit
+    while not condition():
+        assert context.app.clock.monotonic() < end, f"the condition did not hold within {limit} s"
+        run(context, STEP_SECONDS)
+
+
+def configuration(version):
+    route = ["r", "h.example", "/a/", "idempotent", 2, 1, 1, SERVICE, 2, [], None]
+    return {
+        "version": f"r{version}",
+        "routes": {"columns": ROUTE_COLUMNS, "records": [route]},
+        "services": {"columns": SERVICE_COLUMNS, "records": [[SERVICE, "/health", 9, 1.0, 9.0, False]]},
+        "limits": LIMITS,
+    }
+
+
+def node_row(name, **changes):
+    row = {
+        "node": name, "region": "east", "failure_domain": "east-2", "service": SERVICE,
+        "peer_address": "127.0.0.1:9", "life": f"i-{name}@1", "accepting": True, "leaving": False,
+    }  # fmt: skip
+    return row | changes
+
+
+def put_node(context, name, **changes):
+    context.store.put(ROUTER_TABLE, f"node/{name}", node_row(name, **changes))
+
+
+def beat(context):
+    """Send a heartbeat of the target of this node."""
+    context.beats += 1
+    context.target.on_heartbeat(
+        TargetHeartbeat(
+            target="i-1",
+            draining=False,
+            service=SERVICE,
+            address="127.0.0.1:1",
+            slots=9,
+            sequence=context.beats,
+            started_ms=5,
+        ),
+        lambda _grant: None,
+    )
+
+
+@given("a node that follows a store")
+def node_and_store(context):
+    context.app = app = application()
+    app.add(Stub("entry", limits=None))
+    app.add(Stub("receiver", set_route_table=lambda _: None))
+    app.add(Stub("range_owner", set_partitioned=lambda _: None))
+    context.store = app.add(RestorableStore())
+    context.client = app.add(StoreClient("127.0.0.1:1"))
+    context.target = app.add(LocalTarget(SETTINGS))
+    context.members = app.add(Members(SETTINGS))
+    context.gateway = app.add(
+        Gateway(SETTINGS, HeaderNames(), NodeSelector("east", "east-1", random.Random(1)))
+    )
+    for name in ("entry", "receiver", "range_owner"):
+        setattr(context.gateway, name, app.find(name))
+    context.operator_rows = app.add(OperatorRows())
+    context.beats = 0
+    context.store.put(OPERATOR_TABLE, "config", configuration(10))
+    for service in (context.store, context.client, context.target, context.members, context.operator_rows):
+        service.on_start()
+    app.scheduler.every(1.0, lambda: beat(context))
+    beat(context)
+    put_node(context, "n1")
+    run(context, 1.0)
+    assert context.store.value(ROUTER_TABLE, LOCAL_KEY)["accepting"]
+    assert context.gateway.route_table.version == 10
+
+
+def write_rows(context, count):
+    for index in range(count):
+        context.store.put(ROUTER_TABLE, f"ring/other{index % 2}", {"index": index})
+        run(context, 2 * STEP_SECONDS)
+
+
+def copy_then(context, action, seconds=1.0):
+    """Copy the store, do something to it, and let the node learn it."""
+    context.copy = context.store.copy()
+    action()
+    run(context, seconds)
+
+
+@given("the store was copied, and {count:d} rows were written since")
+def copied_before_rows(context, count):
+    # Long enough for the polls of both tables to return the newest version.
+    copy_then(context, lambda: write_rows(context, count), 4.0)
+
+
+@given("the store was copied, and configuration {version:d} was written since")
+def copied_before_configuration(context, version):
+    copy_then(context, lambda: context.store.put(OPERATOR_TABLE, "config", configuration(version)))
+    assert context.gateway.route_table.version == version
+
+
+@given('the store was copied, and the row of node "{name}" was written since')
+def copied_before_node(context, name):
+    copy_then(context, lambda: put_node(context, name))
+    assert name in candidates(context)
+
+
+@given('the store was copied when it had node "{name}", whose row was removed since')
+def copied_before_removal(context, name):
+    put_node(context, name)
+    run(context, 1.0)
+    assert name in candidates(context)
+    copy_then(context, lambda: context.store.put(ROUTER_TABLE, f"node/{name}", None))
+    assert name not in candidates(context)
+
+
+@given('the store was copied before node "{name}" announced that it leaves')
+def copied_before_departure(context, name):
+    put_node(context, name)
+    run(context, 1.0)
+    copy_then(context, lambda: put_node(context, name, accepting=False, leaving=True))
+
+
+@given("the store was copied when it had no row of it")
+def copied_before_own_row(context):
+    rows, version = context.store.copy()
+    context.copy = {key: row for key, row in rows.items() if key[1] != LOCAL_KEY}, version - 1
+
+
+@given("the store was copied when it had a row that does not say that it leaves")
+def copied_before_own_departure(context):
+    copy_then(context, lambda: context.target.on_leave("i-1", 5))
+    assert context.store.value(ROUTER_TABLE, LOCAL_KEY)["leaving"]
+
+
+@given('the store was copied, and failure domain "{name}" was evacuated since')
+def copied_before_evacuation(context, name):
+    copy_then(context, lambda: evacuate(context, name))
+    assert name in context.members.evacuated_domains
+
+
+@given('the store was copied when it had the evacuation of "{name}", which was withdrawn since')
+def copied_before_withdrawal(context, name):
+    evacuate(context, name)
+    run(context, 1.0)
+    copy_then(context, lambda: context.store.put(OPERATOR_TABLE, EVACUATE_PREFIX + name, None))
+    assert name not in context.members.evacuated_domains
+
+
+def evacuate(context, name):
+    context.store.put(OPERATOR_TABLE, EVACUATE_PREFIX + name, {})
+
+
+def candidates(context):
+    return {candidate.node for candidate in context.members.candidates(SERVICE, ())}
+
+
+@when("the store is restored from the copy")
+def restore(context):
+    context.store.calls.clear()
+    context.store.restore(context.copy)
+
+
+@when("the store is restored from the copy while the node cannot reach it")
+def restore_unreachable(context):
+    context.store.down = True
+    restore(context)
+
+
+@when("configuration {version:d} and {count:d} more rows are written before the node asks again")
+def written_meanwhile(context, version, count):
+    before = context.client.newest_version
+    context.store.put(OPERATOR_TABLE, "config", configuration(version))
+    for index in range(count):
+        context.store.put(ROUTER_TABLE, "ring/other", {"index": index})
+    assert context.store.version > before
+    context.store.down = False
+
+
+@when('the row of node "{name}" is written')
+def node_written(context, name):
+    put_node(context, name)
+
+
+@when('the row of node "{name}" is written, which accepts no requests')
+def node_written_refusing(context, name):
+    put_node(context, name, accepting=False)
+    assert context.members.row_versions[f"node/{name}"] >= context.store.version
+
+
+@when('after {seconds:g} s the row of node "{name}" is written')
+def node_written_later(context, seconds, name):
+    run(context, seconds)
+    put_node(context, name)
+
+
+@when('after {seconds:g} s the operator writes the evacuation of "{name}"')
+def evacuated_later(context, seconds, name):
+    run(context, seconds)
+    evacuate(context, name)
+
+
+@when('after {seconds:g} s the operator writes the evacuation of "{name}" and withdraws it')
+def withdrawn_later(context, seconds, name):
+    run(context, seconds)
+    evacuate(context, name)
+    context.store.put(OPERATOR_TABLE, EVACUATE_PREFIX + name, None)
+
+
+@when("the store has no history any more")
+def without_history(context):
+    context.store.calls.clear()
+    context.store.history_from = 1_000_000
+
+
+@then("configuration {version:d} is in force within {seconds:g} s")
+def in_force_within(context, version, seconds):
+    run_until(context, lambda: context.gateway.route_table.version == version, seconds)
+
+
+@then("configuration {version:d} is in force after {seconds:g} s")
+def in_force_after(context, version, seconds):
+    run(context, seconds)
+    assert context.gateway.route_table.version == version
+
+
+@then('node "{name}" is a candidate within {seconds:g} s')
+def candidate_within(context, name, seconds):
+    run_until(context, lambda: name in candidates(context), seconds)
+
+
+@then('node "{name}" is no candidate within {seconds:g} s')
+def no_candidate_within(context, name, seconds):
+    run_until(context, lambda: name not in candidates(context), seconds)
+    assert "n1" in candidates(context)
+
+
+@then('node "{name}" is no candidate for {seconds:g} s')
+def no_candidate_for(context, name, seconds):
+    def check():
+        assert name not in candidates(context)
+
+    run(context, seconds, check)
+    assert "n1" in candidates(context)
+
+
+@then('the row of node "{name}" is deleted again')
+def deleted_again(context, name):
+    run_until(context, lambda: context.store.value(ROUTER_TABLE, f"node/{name}") is None, 4.0)
+
+
+@then('the row of node "{name}" is not deleted')
+def not_deleted(context, name):
+    run(context, 8.0)
+    assert context.store.value(ROUTER_TABLE, f"node/{name}") is not None
+    assert name in candidates(context)
+
+
+@then("the store has the row of this node as it is now within {seconds:g} s")
+def own_row_written(context, seconds):
+    now = msgspec.to_builtins(context.members.local_row())
+    run_until(context, lambda: context.store.value(ROUTER_TABLE, LOCAL_KEY) == now, seconds)
+    run(context, 1.0)
+    assert context.members.published_row == context.members.local_row()
+
+
+@then("each table is read completely at most {count:d} times within {seconds:g} s")
+def complete_reads(context, count, seconds):
+    run(context, seconds)
+    for table in (ROUTER_TABLE, OPERATOR_TABLE):
+        reads = [
+            call
+            for call in context.store.calls
+            if call.path == "/rows-get" and call.query["table"] == table and "to" not in call.query
+        ]
+        assert 0 < len(reads) <= count, (table, len(reads))
+
+
+@then('"{name}" counts as evacuated for {seconds:g} s')
+def evacuated_for(context, name, seconds):
+    def check():
+        assert name in context.members.evacuated_domains
+
+    run(context, seconds, check)
+
+
+@then("after the operator has written it again it counts as evacuated for {seconds:g} s")
+def evacuated_again(context, seconds):
+    evacuate(context, "east-2")
+    evacuated_for(context, "east-2", seconds)
+
+
+@then('"{name}" counts as evacuated within {seconds:g} s')
+def evacuated_within(context, name, seconds):
+    run_until(context, lambda: name in context.members.evacuated_domains, seconds)
+
+
+@then('"{name}" does not count as evacuated within {seconds:g} s')
+def evacuation_ends(context, name, seconds):
+    run_until(context, lambda: name not in context.members.evacuated_domains, seconds)
+
+
+@then('"{name}" does not count as evacuated for {seconds:g} s')
+def not_evacuated_for(context, name, seconds):
+    def check():
+        assert name not in context.members.evacuated_domains
+
+    run(context, seconds, check)
+
+
+# The client of the store alone
+
+
+def new_client(context):
+    context.app = application()
+    context.store = context.app.add(RestorableStore())
+    context.client = context.app.add(StoreClient("127.0.0.1:1"))
+    context.store.on_start()
+    context.client.on_start()
+
+
+def begin(function, *arguments):
+    results = []
+    function(*arguments, results.append)
+    return results
+
+
+def finish(context, results, limit=4.0):
+    run_until(context, lambda: results, limit)
+    assert len(results) == 1, results
+    return results[0]
+
+
+def call(context, function, *arguments):
+    return finish(context, begin(function, *arguments))
+
+
+def write(version, value):
+    return Transaction("1", {"node/a": version}, {"node/a": value})
+
+
+@given('a client of a store with a row "node/a"')
+def client_and_row(context):
+    new_client(context)
+    for value in range(3):
+        context.store.put(ROUTER_TABLE, "node/a", value)
+    context.row = call(context, context.client.read, ("node/a",)).unwrap()["node/a"]
+    context.changes = call(context, context.client.changes, 0).unwrap()
+    assert context.row.value == 2 and context.client.era == 1
+
+
+@given('the store was copied, and "node/a" was written since')
+def copied_before_write(context):
+    context.copy = context.store.copy()
+    context.store.put(ROUTER_TABLE, "node/a", 3)
+    context.row = call(context, context.client.read, ("node/a",)).unwrap()["node/a"]
+    assert context.row.value == 3
+
+
+@when('the store is restored from the copy, and "node/a" has the same version again')
+def same_version(context):
+    version = context.store.version
+    context.store.restore(context.copy)
+    assert context.store.put(ROUTER_TABLE, "node/a", 4) == version
+    call(context, context.client.read, ("node/b",))
+
+
+@then('a write under the version that was read before is a conflict, and "node/a" is as it was')
+def conflict(context):
+    result = call(context, context.client.commit, write(context.row.version, 5))
+    assert isinstance(result, Failure) and isinstance(result.failure(), StoreConflict), result
+    assert context.store.value(ROUTER_TABLE, "node/a") == 4
+
+
+@then("a write under the version that is read now succeeds")
+def success(context):
+    row = call(context, context.client.read, ("node/a",)).unwrap()["node/a"]
+    assert row.version > context.row.version
+    version = call(context, context.client.commit, write(row.version, 5)).unwrap()
+    written = call(context, context.client.read, ("node/a",)).unwrap()["node/a"]
+    assert written.version == version > row.version and written.value == 5
+
+
+@when("a write is on its way while the store is restored")
+def write_on_its_way(context):
+    context.store.hold = "before"
+    context.results = begin(context.client.commit, write(context.row.version, 6))
+    run(context, 0.1)
+    context.store.restore(context.store.copy())
+    context.store.release()
+
+
+@then("the write is reported as unknown")
+def write_unknown(context):
+    result = finish(context, context.results)
+    assert isinstance(result, Failure) and result.failure().reason == "unknown", result
+    assert context.store.value(ROUTER_TABLE, "node/a") == 6
+
+
+CALLS = {
+    "read": lambda client, row, _changes: begin(client.read, ("node/a",)),
+    "write": lambda client, row, _changes: begin(client.commit, write(row.version, 6)),
+    "poll": lambda client, _row, changes: begin(client.changes, changes.seq),
+}
+
+
+@when("the answer to a {name} is held up while the store is restored and read")
+def answer_held_up(context, name):
+    copy = context.store.copy()
+    context.store.hold = "after"
+    context.results = CALLS[name](context.client, context.row, context.changes)
+    if name == "poll":
+        context.store.put(ROUTER_TABLE, "node/a", 7)
+    run(context, 0.1)
+    context.store.hold = ""
+    context.store.restore(copy)
+    assert call(context, context.client.read, ("node/a",)).unwrap()["node/a"].value == 2
+    context.store.release()
+
+
+@then('the {name} has failed with the reason "{reason}"')
+def late_failure(context, name, reason):
+    result = finish(context, context.results)
+    assert isinstance(result, Failure) and result.failure().reason == reason, result
+
+
+@given("a client of a store with {count:d} rows in pages of {size:d}")
+def client_and_rows(context, count, size):
+    new_client(context)
+    context.store.page_rows = size
+    context.copy = context.store.copy()
+    for index in range(count):
+        context.store.put(ROUTER_TABLE, f"node/{index}", index)
+
+
+@when("the store is restored between the pages of a read")
+def restored_between_pages(context):
+    context.results = begin(context.client.changes, 0)
+    run_until(context, lambda: len(context.store.calls) == 2, 1.0)
+    context.store.restore(context.copy)
+    context.store.put(ROUTER_TABLE, "node/2", "restored")
+
+
+@then("the read returns the rows of the restored store")
+def rows_of_restored(context):
+    rows = finish(context, context.results).unwrap().rows
+    assert [(row.key, row.value) for row in rows] == [("node/2", "restored")], rows
+
+
+@when("the store is restored while a poll waits, and gives out the version of the poll again")
+def restored_while_polling(context):
+    context.store.put(ROUTER_TABLE, "node/b", 1)
+    changes = call(context, context.client.changes, context.changes.seq).unwrap()
+    context.results = begin(context.client.changes, changes.seq)
+    run(context, 0.1)
+    assert not context.results
+    rows, version = context.store.copy()
+    context.store.restore(({key: row for key, row in rows.items() if key[1] != "node/b"}, version - 1), False)
+    context.store.put(ROUTER_TABLE, "node/a", "restored")
+    assert context.store.version == version
+    context.store.put(ROUTER_TABLE, "node/c", "new")
+    context.known = changes
+
+
+@then("the poll returns all rows of the restored store")
+def all_rows(context):
+    changes = finish(context, context.results).unwrap()
+    assert changes.complete and changes.seq > context.known.seq
+    assert [(row.key, row.value) for row in changes.rows] == [("node/a", "restored"), ("node/c", "new")]
+
+
+@when('the store answers a read with the era "{header}"')
+def odd_era(context, header):
+    context.store.era_header = header
+    with mock.patch.object(log_events, "emit") as emit:
+        context.result = call(context, context.client.read, ("node/a",))
+    context.logged = [entry.args[0] for entry in emit.call_args_list]
+
+
+@then('the row is read in the known era, and the header "{header}" is logged')
+def known_era(context, header):
+    assert isinstance(context.result, Success) and context.result.unwrap()["node/a"] == context.row
+    assert context.client.era == 1
+    (event,) = context.logged
+    assert isinstance(event, events.RowUnreadable) and repr(header) in event.reason, event
+
+
+@when("the store is restored twice and read")
+def restored_twice(context):
+    context.newest = context.store.version
+    for _ in range(2):
+        context.store.restore(context.store.copy())
+    context.client.on_era_change.append(lambda *eras: context.changes.append(eras))
+    context.changes = []
+    with mock.patch.object(log_events, "emit") as emit:
+        for _ in range(2):
+            call(context, context.client.read, ("node/a",))
+    context.logged = [entry.args[0] for entry in emit.call_args_list]
+
+
+@then("the change from era {former:d} to {era:d} is logged once, with the newest version of era 1")
+def era_logged(context, former, era):
+    assert context.logged == [events.StoreEraChanged(former=former, era=era, version=context.newest)]
+    assert context.changes == [(former, era)]
