Order what is read from the store by era before version

Seen by callers: after the store was restored from a copy, requests went to nodes whose rows the store no longer had, and a node whose own row was lost stayed unknown to nodes that started later. Cause: rows were applied only if their version was higher than the known one, and a restored store gives out lower ones; likewise a complete read counted as older than the rows that it lacks. In addition the position stayed at the old version, so that every poll ended with 410 and a complete read.

The client of the store now combines the era of the answer (header Store-Era) and the number of the store into one integer, era in the upper bits: the version of every row, the sequence number of Changes, and the result of a commit. All existing comparisons of versions thereby order by era first, in this one place; the store gets the number only. A node's notice of departure is not taken back by its older row.

--- a/src/hibiscusdrum/internal/platform/table.py
+++ b/src/hibiscusdrum/internal/platform/table.py
@@ -3,6 +3,9 @@
 A ``Transaction`` is conditional: ``checks`` maps each key to the version that its row must have, 0 for an
 absent row. All rows that a transaction writes get its sequence number as their version. If the ``epoch``
 field of a value in ``puts`` is the string ``"$SEQ"``, the service replaces it by the sequence number.
+
+Versions and sequence numbers of a table that has eras are those of ``make_version``, so that comparing them
+orders by era first.
 """
 
 from __future__ import annotations
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -14,7 +14,7 @@
 from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
-from hibiscusdrum.internal.platform.table import Changes, Row, Transaction
+from hibiscusdrum.internal.platform.table import Changes, Row, Transaction, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.local_target import LocalTarget
 from hibiscusdrum.internal.router.ring import Owner
@@ -167,9 +167,11 @@
             return
         self.store_reachable = reachable
         if reachable:
-            log_events.emit(events.StoreRegained(operation="changes", version=self.last_seq))
+            log_events.emit(events.StoreRegained(operation="changes", version=number_of(self.last_seq)))
         else:
-            log_events.emit(events.StoreLost(operation="changes", reason=reason, version=self.last_seq))
+            log_events.emit(
+                events.StoreLost(operation="changes", reason=reason, version=number_of(self.last_seq))
+            )
 
     def apply_row(self, row: Row) -> None:
         """Apply a row if it is newer than the known one."""
@@ -194,7 +196,11 @@
                 return
         former = self.nodes.pop(name, None)
         if value is not None:
-            self.nodes[name] = value
+            leaves = former is not None and former.life == value.life and former.leaving
+            # The row of a restored store may be older than the notice of departure, which is not taken back.
+            self.nodes[name] = (
+                msgspec.structs.replace(value, accepting=False, leaving=True) if leaves else value
+            )
         if former is not None and (value is None or value.life != former.life):
             self.leaving_since.pop(former.life, None)
         if name == self.settings.node:
@@ -251,7 +257,8 @@
         self.publishing = False
         self.apply_row(Row(self.local_row_key, result.unwrap(), msgspec.to_builtins(row)))
         self.notify_rows_changed()
-        log_events.emit(events.NodePublished(life=row.life, accepting=row.accepting, version=result.unwrap()))
+        version = number_of(result.unwrap())
+        log_events.emit(events.NodePublished(life=row.life, accepting=row.accepting, version=version))
         self.publish()
 
     def reread_local_row(self) -> None:
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -25,6 +25,8 @@
     ReadCallback,
     Row,
     Transaction,
+    make_version,
+    number_of,
 )
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.transport.http_client import HttpClient
@@ -59,7 +61,10 @@
 
 
 class WireRow(msgspec.Struct, frozen=True):
-    """A row as the store sends it; ``ver`` is the number of the transaction that wrote it."""
+    """A row as the store sends it.
+
+    ``ver`` is the number of the transaction that wrote it, or the version after ``WireRows.in_era``.
+    """
 
     key: str
     ver: int = 0
@@ -75,6 +80,17 @@
     hasMore: bool = False  # noqa: N815 - name on the wire
     serverTimeS: float = 0.0  # noqa: N815 - name on the wire
 
+    def in_era(self, era: int) -> WireRows:
+        """Return the answer with versions of an era in place of the store's numbers.
+
+        Raises
+        ------
+        InvalidArgument
+            If a number is out of range.
+        """
+        records = tuple(msgspec.structs.replace(row, ver=make_version(era, row.ver)) for row in self.records)
+        return msgspec.structs.replace(self, records=records, ver=make_version(era, self.ver))
+
 
 class WireCommitted(msgspec.Struct, frozen=True):
     """Answer to a committed transaction; ``ver`` is the version of the rows it wrote."""
@@ -102,8 +118,28 @@
     complete: bool
 
 
+class StoreAnswer:
+    """An answer of the store.
+
+    Attributes
+    ----------
+    status : int
+    body : bytes
+    era : int
+        Era of the store that gave the answer; 0 if it names none.
+    """
+
+    __slots__ = ("body", "era", "status")
+
+    def __init__(self, status: int, body: bytes, era: int) -> None:
+        self.status = status
+        self.body = body
+        self.era = era
+
+
 rows_decoder = msgspec.json.Decoder(WireRows)
 committed_decoder = msgspec.json.Decoder(WireCommitted)
+StoreAnswerResult = Result[StoreAnswer, HibiscusdrumError]
 WireRowsCallback = Callable[[Result[WireRows, HibiscusdrumError]], None]
 RowChangesCallback = Callable[[Result[RowChanges, HibiscusdrumError]], None]
 
@@ -127,7 +163,7 @@
 
 
 def decode_row(row: WireRow, decode: Callable[[bytes], Any] = msgspec.json.decode) -> Row:
-    """Convert a row of the store; its value is None when the row was deleted or cannot be decoded."""
+    """Convert a row with its version; its value is None when the row was deleted or cannot be decoded."""
     if row.deleted:
         return Row(row.key, row.ver, None)
     try:
@@ -151,8 +187,8 @@
         Newest time on the store's clock that an answer contained, in seconds.
     era : int
         Newest era of the store that an answer named; 0 while none did.
-    newest_version : int
-        Newest version that an answer of this era contained.
+    newest_number : int
+        Newest number of a version that an answer of this era contained.
     on_era_change : list of callable
         Called with the former and the new era, before the answer that names the new one is delivered.
     failures : dict of str to int
@@ -172,7 +208,7 @@
         self.address = address
         self.store_time = 0.0
         self.era = 0
-        self.newest_version = 0
+        self.newest_number = 0
         self.on_era_change: list[EraListener] = []
         self.failures: dict[str, int] = {}
         self.initial_read_done = False
@@ -216,7 +252,7 @@
         """Write conditionally; after a failure with reason ``unknown``, the write may still take effect."""
         body = {
             "expect": [
-                {"table": table_for_key(key), "part": "", "key": key, "ver": version}
+                {"table": table_for_key(key), "part": "", "key": key, "ver": number_of(version)}
                 for key, version in transaction.checks.items()
             ],
             "write": [
@@ -227,20 +263,21 @@
         }
         keys = tuple(transaction.checks)
 
-        def on_response(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+        def on_response(result: StoreAnswerResult) -> None:
             if not isinstance(result, Success):
                 callback(Failure(result.failure()))
                 return
-            response = result.unwrap()
-            if response.status == PRECONDITION_FAILED:
+            answer = result.unwrap()
+            if answer.status == PRECONDITION_FAILED:
                 callback(Failure(StoreConflict(keys=keys)))
                 return
             try:
-                committed = committed_decoder.decode(response.body)
-            except msgspec.DecodeError:
+                version = make_version(answer.era, committed_decoder.decode(answer.body).ver)
+            except (msgspec.DecodeError, InvalidArgument) as error:
+                log_events.emit(events.RowUnreadable(what="commit", reason=str(error)[:120]))
                 callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
                 return
-            callback(Success(committed.ver))
+            callback(Success(version))
 
         self.send_request(
             "commit", "POST", "/rows-tx", msgspec.json.encode(body), CALL_TIMEOUT_SECONDS, on_response
@@ -263,7 +300,7 @@
                 "read", "GET", f"/rows-get?{urlencode(query)}", b"", CALL_TIMEOUT_SECONDS, on_response
             )
 
-        def on_response(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+        def on_response(result: StoreAnswerResult) -> None:
             nonlocal newest_version
             answer = self.decode_rows("read", result)
             if not isinstance(answer, Success):
@@ -294,9 +331,9 @@
         block_seconds = 0.0 if failures else LONG_POLL_SECONDS
         probe_timeout = min(MAX_PROBE_TIMEOUT_SECONDS, FIRST_PROBE_TIMEOUT_SECONDS * 2.0 ** (failures - 1))
         timeout = probe_timeout if failures else LONG_POLL_SECONDS + LONG_POLL_MARGIN_SECONDS
-        query = urlencode({"table": table, "after": since, "blockMs": int(block_seconds * 1000)})
+        query = urlencode({"table": table, "after": number_of(since), "blockMs": int(block_seconds * 1000)})
 
-        def on_response(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+        def on_response(result: StoreAnswerResult) -> None:
             if isinstance(result, Success):
                 self.failures.pop(table, None)
                 if result.unwrap().status == GONE:
@@ -308,15 +345,14 @@
 
         self.send_request("changes", "GET", f"/rows-feed?{query}", b"", timeout, on_response, (GONE,))
 
-    def decode_rows(
-        self, operation: str, result: Result[HttpResponse, HibiscusdrumError]
-    ) -> Result[WireRows, HibiscusdrumError]:
+    def decode_rows(self, operation: str, result: StoreAnswerResult) -> Result[WireRows, HibiscusdrumError]:
         """Decode the answer to a read or a poll for changes."""
         if not isinstance(result, Success):
             return Failure(result.failure())
+        answer = result.unwrap()
         try:
-            return Success(rows_decoder.decode(result.unwrap().body))
-        except msgspec.DecodeError as error:
+            return Success(rows_decoder.decode(answer.body).in_era(answer.era))
+        except (msgspec.DecodeError, InvalidArgument) as error:
             log_events.emit(events.RowUnreadable(what=operation, reason=str(error)[:120]))
             return Failure(StoreUnavailable(operation=operation, reason="unreadable"))
 
@@ -327,7 +363,7 @@
         path: str,
         body: bytes,
         timeout: float,
-        callback: Callable[[Result[HttpResponse, HibiscusdrumError]], None],
+        callback: Callable[[StoreAnswerResult], None],
         accepted: tuple[int, ...] = (PRECONDITION_FAILED,),
     ) -> None:
         """Send a request; a status other than 200 and those in ``accepted`` is a failure."""
@@ -338,10 +374,10 @@
                 response = result.unwrap()
                 if self.on_bytes_transferred is not None:
                     self.on_bytes_transferred(operation, len(path) + len(body), len(response.body))
-                self.observe_era(response)
+                era = self.observe_era(response)
                 if response.status == OK or response.status in accepted:
                     self.observe_body(sent_at, response.body)
-                    callback(Success(response))
+                    callback(Success(StoreAnswer(response.status, response.body, era)))
                     return
                 # With any other status, the store has executed nothing.
                 reason = f"status_{response.status}"
@@ -357,25 +393,25 @@
         headers = JSON_HEADERS if body else {}
         self.http.request(self.address, method, path, headers, body, timeout, on_response, MAX_CONNECTIONS)
 
-    def observe_era(self, response: HttpResponse) -> None:
-        """Record the era that an answer names, and notify the listeners of a newer one."""
+    def observe_era(self, response: HttpResponse) -> int:
+        """Return the era of an answer, the newest known one if it names none, and notify of a newer one."""
         value = response.headers.get(ERA_HEADER)
         if value is None:
-            return
+            return self.era
         try:
             era = decode_era(value)
         except InvalidArgument as error:
             log_events.emit(events.RowUnreadable(what=ERA_HEADER, reason=str(error)))
-            return
-        if era <= self.era:
-            return
-        former, version = self.era, self.newest_version
-        self.era, self.newest_version = era, 0
-        # What was read before the first era that this process sees is not known to be of another one.
-        if former:
-            log_events.emit(events.StoreEraChanged(former=former, era=era, version=version))
-            for listener in self.on_era_change:
-                listener(former, era)
+            return self.era
+        if era > self.era:
+            former, version = self.era, self.newest_number
+            self.era, self.newest_number = era, 0
+            # What was read before the first era that this process sees is not known to be of another one.
+            if former:
+                log_events.emit(events.StoreEraChanged(former=former, era=era, version=version))
+                for listener in self.on_era_change:
+                    listener(former, era)
+        return era
 
     def observe_body(self, sent_at: float, body: bytes) -> None:
         """Record the store's time and newest version from the body of an answer, if it contains them."""
@@ -383,7 +419,7 @@
             answer = msgspec.json.decode(body, type=CommonAnswer)
         except msgspec.DecodeError:
             return
-        self.newest_version = max(self.newest_version, answer.ver)
+        self.newest_number = max(self.newest_number, answer.ver)
         if answer.serverTimeS:
             self.store_time = max(self.store_time, answer.serverTimeS)
             if self.on_store_time is not None:
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -15,7 +15,7 @@
 
 from hibiscusdrum.errors import StoreConflict
 from hibiscusdrum.internal import log_events
-from hibiscusdrum.internal.platform.table import Transaction
+from hibiscusdrum.internal.platform.table import Transaction, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
@@ -210,7 +210,7 @@
 
 @when("configuration {version:d} and {count:d} more rows are written before the node asks again")
 def written_meanwhile(context, version, count):
-    before = context.client.newest_version
+    before = context.client.newest_number
     context.store.put(OPERATOR_TABLE, "config", configuration(version))
     for index in range(count):
         context.store.put(ROUTER_TABLE, "ring/other", {"index": index})
@@ -226,7 +226,7 @@
 @when('the row of node "{name}" is written, which accepts no requests')
 def node_written_refusing(context, name):
     put_node(context, name, accepting=False)
-    assert context.members.row_versions[f"node/{name}"] >= context.store.version
+    assert number_of(context.members.row_versions[f"node/{name}"]) >= context.store.version
 
 
 @when('after {seconds:g} s the row of node "{name}" is written')
