Do not send writes whose checks are from before a restore

Seen: after a restore, a node repeated one ring write 107 times in 1.5 s, and a conditional write could overwrite a row that its writer had never read. Cause: the store compares bare numbers, and a restored store gives out numbers again. A write under number 4 of the old era passed the check of another row content with number 4.

A commit whose checks contain a version of another era than the newest one is now a conflict without being sent, so that the existing paths read the row again. A commit that was sent in one era and answered in a later one is reported with the reason "unknown" even if it succeeded, since its checks were judged by the restored store; the callers read again after that reason.

--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -25,6 +25,7 @@
     ReadCallback,
     Row,
     Transaction,
+    era_of,
     make_version,
     number_of,
 )
@@ -249,7 +250,17 @@
         self.poll_changes(ROUTER_TABLE, since if since or self.initial_read_done else None, on_response)
 
     def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
-        """Write conditionally; after a failure with reason ``unknown``, the write may still take effect."""
+        """Write conditionally; after a failure with reason ``unknown``, the write may still take effect.
+
+        A check against a version of an earlier era is a conflict, and the write is not sent: the store may
+        have given the same number to other content.
+        """
+        outdated = tuple(
+            key for key, version in transaction.checks.items() if version and era_of(version) != self.era
+        )
+        if outdated:
+            self.app.scheduler.call_later(0.0, lambda: callback(Failure(StoreConflict(keys=outdated))))
+            return
         body = {
             "expect": [
                 {"table": table_for_key(key), "part": "", "key": key, "ver": number_of(version)}
@@ -262,6 +273,7 @@
             "delete": [{"table": table_for_key(key), "part": "", "key": key} for key in transaction.deletes],
         }
         keys = tuple(transaction.checks)
+        sent_era = self.era
 
         def on_response(result: StoreAnswerResult) -> None:
             if not isinstance(result, Success):
@@ -271,6 +283,10 @@
             if answer.status == PRECONDITION_FAILED:
                 callback(Failure(StoreConflict(keys=keys)))
                 return
+            if sent_era and answer.era != sent_era:
+                # The restored store may have given the numbers in the checks to other content.
+                callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
+                return
             try:
                 version = make_version(answer.era, committed_decoder.decode(answer.body).ver)
             except (msgspec.DecodeError, InvalidArgument) as error:
