Treat an answer from before a restore as a failure

A connection may deliver an answer of the store after a newer one of the restored store. Its rows were applied where they are absent from the restored store, and a write that the restore has undone was taken as done. Such an answer is now a failure with the reason "unknown", after which all callers read again.

--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -382,7 +382,10 @@
         callback: Callable[[StoreAnswerResult], None],
         accepted: tuple[int, ...] = (PRECONDITION_FAILED,),
     ) -> None:
-        """Send a request; a status other than 200 and those in ``accepted`` is a failure."""
+        """Send a request; an answer of an earlier era than the newest one is a failure.
+
+        So is any status other than 200 and those in ``accepted``.
+        """
         sent_at = self.app.clock.monotonic()
 
         def on_response(result: Result[HttpResponse, HttpFailure]) -> None:
@@ -391,12 +394,16 @@
                 if self.on_bytes_transferred is not None:
                     self.on_bytes_transferred(operation, len(path) + len(body), len(response.body))
                 era = self.observe_era(response)
-                if response.status == OK or response.status in accepted:
+                if response.status != OK and response.status not in accepted:
+                    # With any other status, the store has executed nothing.
+                    reason = f"status_{response.status}"
+                elif era < self.era:
+                    # What was read or written before the restore may be lost.
+                    reason = "unknown"
+                else:
                     self.observe_body(sent_at, response.body)
                     callback(Success(StoreAnswer(response.status, response.body, era)))
                     return
-                # With any other status, the store has executed nothing.
-                reason = f"status_{response.status}"
             else:
                 failure = result.failure()
                 reason = "unknown" if failure.bytes_sent else "refused"
