Start a read again when the store is restored between its pages

The pages of one read could come from before and after a restore, and rows that the restored store does not have were taken as present. The read now starts again at its first page.

Measured: "Pages from before and after the store was restored are not mixed" failed before and passes now.

--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -302,7 +302,10 @@
     # Calls of the store's HTTP API
 
     def read_range(self, table: str, first: str, last: str, callback: WireRowsCallback) -> None:
-        """Read the rows of a table in a key range, page by page; ``last`` is excluded."""
+        """Read the rows of a table in a key range, page by page; ``last`` is excluded.
+
+        If the store is restored between two pages, the read starts again.
+        """
         collected: list[WireRow] = []
         newest_version = 0
 
@@ -323,6 +326,11 @@
                 callback(answer)
                 return
             rows = answer.unwrap()
+            if newest_version and era_of(rows.ver) != era_of(newest_version):
+                newest_version = 0
+                collected.clear()
+                request_page(first)
+                return
             # The version of the first page is kept, so that the next poll for changes also returns the rows
             # that were written while later pages were read.
             newest_version = newest_version or rows.ver
