Log each complete read of a table that replaces a poll for changes

The event table_reread (830) names the table, the reason, the version and the number of such reads so far, so that the logs tell a node that reads a table over and over from one that has read it once. No decision has changed.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -409,6 +409,23 @@
     version: int
 
 
+class TableReread(LogEvent, frozen=True):
+    """A table of the store was read completely instead of only its changes; `count` such reads so far."""
+
+    number = 830
+    rate_limited = True
+    lines_per_interval = 10
+    cause = (
+        "`reason`: `history_dropped`, the store no longer has the changes; `restored`, its era has changed."
+    )
+
+    table: str
+    reason: str
+    version: int
+    rows: int
+    count: int
+
+
 EVENTS = frozenset(
     (
         EvacuationChanged,
@@ -435,6 +452,7 @@
         StoreEraChanged,
         StoreLost,
         StoreRegained,
+        TableReread,
         TargetChanged,
         TargetGone,
         TargetLeaving,
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -194,6 +194,8 @@
         Called with the former and the new era, before the answer that names the new one is delivered.
     failures : dict of str to int
         Number of consecutive failed polls for changes, by table.
+    reread_counts : dict of str to int
+        Number of complete reads in place of changes, by table.
     initial_read_done : bool
         Whether a call of ``changes`` has succeeded; from then on version 0 is polled like any other.
     on_store_time : callable or None
@@ -212,6 +214,7 @@
         self.newest_number = 0
         self.on_era_change: list[EraListener] = []
         self.failures: dict[str, int] = {}
+        self.reread_counts: dict[str, int] = {}
         self.initial_read_done = False
         self.on_store_time: Callable[[float, float], None] | None = None
         self.on_bytes_transferred: Callable[[str, int, int], None] | None = None
@@ -361,7 +364,7 @@
             if isinstance(result, Success):
                 self.failures.pop(table, None)
                 if result.unwrap().status == GONE:
-                    self.read_range(table, "", "", lambda result: report(result, True))
+                    self.reread_table(table, "history_dropped", lambda result: report(result, True))
                     return
             else:
                 self.failures[table] = min(failures + 1, MAX_FAILURE_COUNT)
@@ -369,6 +372,26 @@
 
         self.send_request("changes", "GET", f"/rows-feed?{query}", b"", timeout, on_response, (GONE,))
 
+    def reread_table(self, table: str, reason: str, callback: WireRowsCallback) -> None:
+        """Read a whole table in place of its changes, and log the reason."""
+
+        def on_rows(result: Result[WireRows, HibiscusdrumError]) -> None:
+            if isinstance(result, Success):
+                answer = result.unwrap()
+                self.reread_counts[table] = self.reread_counts.get(table, 0) + 1
+                log_events.emit(
+                    events.TableReread(
+                        table=table,
+                        reason=reason,
+                        version=number_of(answer.ver),
+                        rows=len(answer.records),
+                        count=self.reread_counts[table],
+                    )
+                )
+            callback(result)
+
+        self.read_range(table, "", "", on_rows)
+
     def decode_rows(self, operation: str, result: StoreAnswerResult) -> Result[WireRows, HibiscusdrumError]:
         """Decode the answer to a read or a poll for changes."""
         if not isinstance(result, Success):
