Read the whole table when a poll spans a restore of the store

Cause: versions are given out again, so that a poll after version n of the old era returns only what the new era wrote after its own n. With a counter below n the poll got 410, else it silently left changes out.

A poll after a version of an earlier era is replaced by a read of the whole table, and so is one that was sent in one era and answered in a later one. The position is then a version of the new era.

--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -346,14 +346,24 @@
         request_page(first)
 
     def poll_changes(self, table: str, since: int | None, callback: RowChangesCallback) -> None:
-        """Wait for changes after a version; read the whole table when it is None or too old."""
+        """Wait for changes after a version; read the whole table when it is None or too old.
+
+        So it is after a version of an earlier era: the restored store gives out the same number again, for
+        other changes.
+        """
 
         def report(result: Result[WireRows, HibiscusdrumError], complete: bool) -> None:
             callback(result.map(lambda answer: RowChanges(answer.records, answer.ver, complete)))
 
+        def reread(reason: str) -> None:
+            self.reread_table(table, reason, lambda result: report(result, True))
+
         if since is None:
             self.read_range(table, "", "", lambda result: report(result, True))
             return
+        if era_of(since) != self.era:
+            reread("restored")
+            return
         failures = self.failures.get(table, 0)
         block_seconds = 0.0 if failures else LONG_POLL_SECONDS
         probe_timeout = min(MAX_PROBE_TIMEOUT_SECONDS, FIRST_PROBE_TIMEOUT_SECONDS * 2.0 ** (failures - 1))
@@ -363,8 +373,12 @@
         def on_response(result: StoreAnswerResult) -> None:
             if isinstance(result, Success):
                 self.failures.pop(table, None)
-                if result.unwrap().status == GONE:
-                    self.reread_table(table, "history_dropped", lambda result: report(result, True))
+                answer = result.unwrap()
+                if answer.era != era_of(since):
+                    reread("restored")
+                    return
+                if answer.status == GONE:
+                    reread("history_dropped")
                     return
             else:
                 self.failures[table] = min(failures + 1, MAX_FAILURE_COUNT)
