Take the version of a complete read as the position, and space out such reads

Cause: after a 410 and a complete read the higher of the old and the new position was kept, so that the next poll asked for a version that the store does not have and got 410 again, without a pause.

The version of a complete read is now the position even if it is lower, and a table is read completely at most each 0.5 s.

--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -133,7 +133,8 @@
         self.failed_reads = 0
         self.set_store_reachable(True, "")
         changes = result.unwrap()
-        self.last_seq = max(self.last_seq, changes.seq)
+        # A complete read may be older than the position if the store lost rows without naming a new era.
+        self.last_seq = changes.seq if changes.complete else max(self.last_seq, changes.seq)
         for row in changes.rows:
             self.apply_row(row)
         if changes.complete:
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -149,7 +149,7 @@
             return
         answer = result.unwrap()
         self.failures = 0
-        self.last_version = max(self.last_version or 0, answer.version)
+        self.last_version = answer.version if answer.complete else max(self.last_version or 0, answer.version)
         if answer.complete:
             self.evacuated_domains.clear()
         for row in answer.rows:
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -51,6 +51,8 @@
 # Failures beyond this number are not counted, which bounds the exponent of the timeout.
 MAX_FAILURE_COUNT = 8
 MAX_PAGE_ROWS = 500
+# A table is read completely at most this often, should the store refuse every poll for its changes.
+MIN_REREAD_INTERVAL_SECONDS = 0.5
 MAX_CONNECTIONS = 16
 OK = 200
 GONE = 410
@@ -196,6 +198,8 @@
         Number of consecutive failed polls for changes, by table.
     reread_counts : dict of str to int
         Number of complete reads in place of changes, by table.
+    reread_at : dict of str to float
+        Monotonic time in seconds at which the last of them began, by table.
     initial_read_done : bool
         Whether a call of ``changes`` has succeeded; from then on version 0 is polled like any other.
     on_store_time : callable or None
@@ -215,6 +219,7 @@
         self.on_era_change: list[EraListener] = []
         self.failures: dict[str, int] = {}
         self.reread_counts: dict[str, int] = {}
+        self.reread_at: dict[str, float] = {}
         self.initial_read_done = False
         self.on_store_time: Callable[[float, float], None] | None = None
         self.on_bytes_transferred: Callable[[str, int, int], None] | None = None
@@ -387,7 +392,7 @@
         self.send_request("changes", "GET", f"/rows-feed?{query}", b"", timeout, on_response, (GONE,))
 
     def reread_table(self, table: str, reason: str, callback: WireRowsCallback) -> None:
-        """Read a whole table in place of its changes, and log the reason."""
+        """Read a whole table in place of its changes, at intervals, and log the reason."""
 
         def on_rows(result: Result[WireRows, HibiscusdrumError]) -> None:
             if isinstance(result, Success):
@@ -404,7 +409,15 @@
                 )
             callback(result)
 
-        self.read_range(table, "", "", on_rows)
+        def begin() -> None:
+            self.reread_at[table] = self.app.clock.monotonic()
+            self.read_range(table, "", "", on_rows)
+
+        since = self.app.clock.monotonic() - self.reread_at.get(table, float("-inf"))
+        if since < MIN_REREAD_INTERVAL_SECONDS:
+            self.app.scheduler.call_later(MIN_REREAD_INTERVAL_SECONDS - since, begin)
+        else:
+            begin()
 
     def decode_rows(self, operation: str, result: StoreAnswerResult) -> Result[WireRows, HibiscusdrumError]:
         """Decode the answer to a read or a poll for changes."""
--- a/tests/features/router_restored.feature
+++ b/tests/features/router_restored.feature
@@ -78,6 +78,12 @@
     When the store is restored from the copy
     Then each table is read completely at most 2 times within 3 s
 
+  Scenario: The rows of a restored store that does not name its era are read once, not over and over
+    Given a node that follows a store that does not name its era
+    And the store was copied, and 20 rows were written since
+    When the store is restored from the copy
+    Then each table is read completely at most 2 times within 3 s
+
   Scenario: A store that answers every poll with 410 is not asked without a pause
     Given a node that follows a store
     When the store has no history any more
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -88,12 +88,13 @@
 
 
 @given("a node that follows a store")
-def node_and_store(context):
+def node_and_store(context, names_era=True):
     context.app = app = application()
     app.add(Stub("entry", limits=None))
     app.add(Stub("receiver", set_route_table=lambda _: None))
     app.add(Stub("range_owner", set_partitioned=lambda _: None))
     context.store = app.add(RestorableStore())
+    context.store.names_era = names_era
     context.client = app.add(StoreClient("127.0.0.1:1"))
     context.target = app.add(LocalTarget(SETTINGS))
     context.members = app.add(Members(SETTINGS))
@@ -115,6 +116,11 @@
     assert context.gateway.route_table.version == 10
 
 
+@given("a node that follows a store that does not name its era")
+def node_and_store_without_era(context):
+    node_and_store(context, names_era=False)
+
+
 def write_rows(context, count):
     for index in range(count):
         context.store.put(ROUTER_TABLE, f"ring/other{index % 2}", {"index": index})
--- a/tests/restorable_store.py
+++ b/tests/restorable_store.py
@@ -44,6 +44,8 @@
         A poll after an earlier version is answered with 410.
     era_header : str or None
         Header in place of the era, if not None.
+    names_era : bool
+        Whether answers have the header.
     """
 
     service_name = "http_client"
@@ -61,6 +63,7 @@
         self.page_rows = 500
         self.history_from = 0
         self.era_header = None
+        self.names_era = True
 
     def on_start(self):
         """Start to check the pending feeds."""
@@ -143,7 +146,7 @@
         """Answer a call with the era in which it was performed."""
         era = str(self.era) if self.era_header is None else self.era_header
         body = msgspec.json.encode({"ver": self.version, "serverTimeS": self.app.clock.monotonic(), **body})
-        call.response = HttpResponse(status, {"store-era": era}, body)
+        call.response = HttpResponse(status, {"store-era": era} if self.names_era else {}, body)
         if self.hold == "after":
             self.held.append(call)
         else:
