Do not follow rows of removed nodes that a restored store brings back

Seen by callers: after a restore, requests were sent to nodes that had been removed after the copy; nobody wrote such a row again, so it stayed. Cause: the row is the newest state of the new era, and looks like any other.

Each node now remembers the last 8 rows of a node with their numbers, for up to 500 removed nodes. A row that is equal to one of them, number included, in a later era than the one in which the node was seen to be removed, is not applied, and is deleted on condition of its version after 1 s and jitter (event stale_row_deleted, 831). A node that runs writes its row anew with another number, which is applied. If the numbers should happen to be equal, the node finds its row deleted and writes it once more.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -409,6 +409,17 @@
     version: int
 
 
+class StaleRowDeleted(LogEvent, frozen=True):
+    """The row of a node that was removed earlier, which a restored store brought back, is to be deleted."""
+
+    number = 831
+    cause = "The copy was taken before the removal. `outcome` is `deleted` or names the failure."
+
+    row: str
+    version: int
+    outcome: str
+
+
 class TableReread(LogEvent, frozen=True):
     """A table of the store was read completely instead of only its changes; `count` such reads so far."""
 
@@ -448,6 +459,7 @@
         RouterStarted,
         RoutesInForce,
         RowUnreadable,
+        StaleRowDeleted,
         StoreCallFailed,
         StoreEraChanged,
         StoreLost,
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -14,7 +15,7 @@
 from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
-from hibiscusdrum.internal.platform.table import Changes, Row, Transaction, number_of
+from hibiscusdrum.internal.platform.table import Changes, Row, Transaction, era_of, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.local_target import LocalTarget
 from hibiscusdrum.internal.router.ring import Owner
@@ -33,6 +34,13 @@
 # of them publish.
 CHANGE_BATCH_SECONDS_PER_NODE = 0.015
 MAX_CHANGE_BATCH_SECONDS = 1.0
+# A restored store may have the row of a node that was removed. It is deleted again after this delay, within
+# which a running node writes its row anew, and random jitter, so that few nodes try to delete it.
+STALE_ROW_DELAY_SECONDS = 1.0
+STALE_ROW_JITTER_SECONDS_PER_NODE = 0.1
+# Rows of a node that are remembered, and removed nodes of which any are.
+MAX_REMEMBERED_ROWS = 8
+MAX_REMOVED_NODES = 500
 
 RowListener = Callable[[Row], None]
 
@@ -60,6 +68,29 @@
     leaving: bool = False
 
 
+class NodeHistory:
+    """What is remembered of a node's rows, to recognize one that a restored store brings back.
+
+    Attributes
+    ----------
+    rows : deque of (int, NodeRow)
+        The last rows and the number that each had in the store.
+    removed_in : int or None
+        Era of the store in which the node was last seen to be removed; None while it is present.
+    """
+
+    __slots__ = ("removed_in", "rows")
+
+    def __init__(self) -> None:
+        self.rows: deque[tuple[int, NodeRow]] = deque(maxlen=MAX_REMEMBERED_ROWS)
+        self.removed_in: int | None = None
+
+    def is_stale(self, version: int, row: NodeRow) -> bool:
+        """Return whether a row is from before the removal, and is back because the store was restored."""
+        removed_before = self.removed_in is not None and self.removed_in < era_of(version)
+        return removed_before and (number_of(version), row) in self.rows
+
+
 class Members(Service):
     """Publishes this node's row and keeps the rows of all nodes.
 
@@ -67,6 +98,8 @@
     ----------
     row_versions : dict of str to int
         Newest known version of each row, by key.
+    histories : dict of str to NodeHistory
+        Rows and removal of each node, by name; bounded for removed nodes.
     loaded : bool
         Whether the rows have been read at least once.
     evacuated_domains : frozenset of str
@@ -93,6 +126,7 @@
         self.by_service: dict[str, list[NodeRow]] = {}
         self.candidate_cache: dict[tuple[str, tuple[str, ...]], list[Candidate]] = {}
         self.row_versions: dict[str, int] = {}
+        self.histories: dict[str, NodeHistory] = {}
         self.last_seq = 0
         self.loaded = False
         self.failed_reads = 0
@@ -195,6 +229,9 @@
             except msgspec.ValidationError as error:
                 logger.error("ignored malformed row of node {}: {}", name, error)
                 return
+        if name != self.settings.node and not self.update_history(name, row.version, value):
+            self.delete_stale_row_later(row)
+            return
         former = self.nodes.pop(name, None)
         if value is not None:
             leaves = former is not None and former.life == value.life and former.leaving
@@ -211,6 +248,47 @@
                 # Written by an earlier process of this node; the target need not announce it again.
                 self.target.mark_leaving(value.life)
 
+    def update_history(self, name: str, version: int, row: NodeRow | None) -> bool:
+        """Remember a row or the removal of another node; returns False if the row is a stale one."""
+        if row is None:
+            history = self.histories.pop(name, None)
+            if history is None:
+                return True
+            history.removed_in = era_of(version)
+            self.histories[name] = history
+            removed = [name for name, entry in self.histories.items() if entry.removed_in is not None]
+            for former in removed[:-MAX_REMOVED_NODES]:
+                del self.histories[former]
+            return True
+        history = self.histories.setdefault(name, NodeHistory())
+        if history.is_stale(version, row):
+            return False
+        history.removed_in = None
+        history.rows.append((number_of(version), row))
+        return True
+
+    def delete_stale_row_later(self, row: Row) -> None:
+        """Delete the row of a removed node after a random delay, unless it has changed by then."""
+        jitter = STALE_ROW_JITTER_SECONDS_PER_NODE * (len(self.nodes) + 1)
+        delay = STALE_ROW_DELAY_SECONDS + self.rng.uniform(0.0, jitter)
+
+        def on_deleted(result: Result[int, HibiscusdrumError]) -> None:
+            outcome = "deleted" if isinstance(result, Success) else result.failure().code
+            log_events.emit(
+                events.StaleRowDeleted(row=row.key, version=number_of(row.version), outcome=outcome)
+            )
+            if isinstance(result, Success):
+                self.apply_row(Row(row.key, result.unwrap()))
+            else:
+                self.delete_stale_row_later(row)
+
+        def delete() -> None:
+            if self.row_versions.get(row.key) == row.version:
+                transaction = Transaction(new_operation_id(), {row.key: row.version}, {}, (row.key,))
+                self.table.commit(transaction, on_deleted)
+
+        self.app.scheduler.call_later(delay, delete)
+
     def notify_rows_changed(self) -> None:
         """Rebuild the index of nodes by service and notify the listeners."""
         self.by_service = {}
--- a/tests/features/router_restored.feature
+++ b/tests/features/router_restored.feature
@@ -58,6 +58,27 @@
     Then node "n7" is no candidate for 4 s
     And the row of node "n7" is deleted again
 
+  Scenario: A node that was removed gets no requests when a restored store has an earlier row of it
+    Given a node that follows a store
+    And the store was copied before node "n7" drained and was removed
+    When the store is restored from the copy
+    Then node "n7" is no candidate for 4 s
+    And the row of node "n7" is deleted again
+
+  Scenario: A node that was removed gets no requests when the store is restored from the same copy twice
+    Given a node that follows a store
+    And the store was copied when it had node "n7", whose row was removed since
+    When the store is restored from the copy
+    Then node "n7" is no candidate for 4 s
+    When the store is restored from the copy
+    Then node "n7" is no candidate for 4 s
+    And the row of node "n7" is deleted again
+
+  Scenario: What is remembered of removed nodes is bounded
+    Given a node that follows a store
+    When 520 nodes join and are removed
+    Then the rows of at most 501 other nodes are remembered
+
   Scenario: A node that lives and that a restored store brings back is a candidate when it has written its row
     Given a node that follows a store
     And the store was copied when it had node "n7", whose row was removed since
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -161,6 +161,33 @@
     assert name not in candidates(context)
 
 
+@given('the store was copied before node "{name}" drained and was removed')
+def copied_before_drain(context, name):
+    put_node(context, name)
+    run(context, 1.0)
+    copy_then(context, lambda: put_node(context, name, accepting=False))
+    context.store.put(ROUTER_TABLE, f"node/{name}", None)
+    run(context, 1.0)
+    assert name not in context.members.nodes
+
+
+@when("{count:d} nodes join and are removed")
+def nodes_come_and_go(context, count):
+    for index in range(count):
+        put_node(context, f"m{index}")
+    run(context, 2.0)
+    assert len(context.members.nodes) > count
+    for index in range(count):
+        context.store.put(ROUTER_TABLE, f"node/m{index}", None)
+    run(context, 2.0)
+
+
+@then("the rows of at most {count:d} other nodes are remembered")
+def bounded_histories(context, count):
+    assert set(context.members.nodes) == {SETTINGS.node, "n1"}
+    assert 0 < len(context.members.histories) <= count, len(context.members.histories)
+
+
 @given('the store was copied before node "{name}" announced that it leaves')
 def copied_before_departure(context, name):
     put_node(context, name)
