Remove the row of a node that ends also when the store is restored meanwhile

Seen by callers: requests go to a node that has ended. Cause: a node deletes its row once before it exits. If the store is restored before, the delete is a conflict that nobody acted on; if it is restored after, the row is back and the node, which still runs for a moment, did not look at it.

A node that leaves now treats the presence of its row like any other difference between its state and the store: it deletes the row when it appears, and reads and tries again after a failure.

Measured: "The row of a node that ends is removed when the store is restored ..." (2 examples, new) failed before and passes now.

--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -313,9 +313,15 @@
         )
 
     def publish(self) -> None:
-        """Write this node's row when it differs from the stored one."""
+        """Write this node's row when it differs from the stored one, or delete it while the node leaves."""
+        if self.publishing or not self.loaded:
+            return
+        if self.leaving:
+            # The row is back if the store was restored.
+            self.delete_local_row(lambda: None)
+            return
         row = self.local_row()
-        if self.publishing or not self.loaded or self.leaving or row == self.published_row:
+        if row == self.published_row:
             return
         if self.published_row is None and not row.life:
             return
@@ -330,8 +336,7 @@
     def on_published(self, row: NodeRow, result: Result[int, HibiscusdrumError]) -> None:
         """Record the outcome of a write; after a failure, read the stored row and try again."""
         if not isinstance(result, Success):
-            delay = PUBLISH_RETRY_SECONDS * (0.5 + self.rng.random())
-            self.app.scheduler.call_later(delay, self.reread_local_row)
+            self.retry_publish()
             return
         self.publishing = False
         self.apply_row(Row(self.local_row_key, result.unwrap(), msgspec.to_builtins(row)))
@@ -340,6 +345,11 @@
         log_events.emit(events.NodePublished(life=row.life, accepting=row.accepting, version=version))
         self.publish()
 
+    def retry_publish(self) -> None:
+        """Read the stored row after a delay, then publish again."""
+        delay = PUBLISH_RETRY_SECONDS * (0.5 + self.rng.random())
+        self.app.scheduler.call_later(delay, self.reread_local_row)
+
     def reread_local_row(self) -> None:
         """Read this node's row, which a write without an answer may have changed, then publish again."""
 
@@ -360,13 +370,27 @@
     def remove_local_row(self, done: Callable[[], None]) -> None:
         """Remove this node's row before its VM ends; ``done`` is called when the store has answered."""
         self.leaving = True
+        self.delete_local_row(done)
+
+    def delete_local_row(self, done: Callable[[], None]) -> None:
+        """Delete this node's row, if there is one; after a failure, read it and try again."""
         if self.published_row is None:
             done()
             return
         transaction = Transaction(
             new_operation_id(), {self.local_row_key: self.local_row_version}, {}, (self.local_row_key,)
         )
-        self.table.commit(transaction, lambda _result: done())
+        self.publishing = True
+
+        def on_deleted(result: Result[int, HibiscusdrumError]) -> None:
+            if isinstance(result, Success):
+                self.publishing = False
+                self.apply_row(Row(self.local_row_key, result.unwrap()))
+            else:
+                self.retry_publish()
+            done()
+
+        self.table.commit(transaction, on_deleted)
 
     def candidates(self, service: str, regions: tuple[str, ...]) -> list[Candidate]:
         """Return the nodes whose targets accept requests of a service, in some regions (all when empty)."""
--- a/tests/features/router_restored.feature
+++ b/tests/features/router_restored.feature
@@ -51,6 +51,16 @@
       | no row of it                            |
       | a row that does not say that it leaves  |
 
+  Scenario Outline: The row of a node that ends is removed when the store is restored <moment>
+    Given a node that follows a store
+    When the node ends, and the store is restored <moment>
+    Then the store has no row of this node within 3 s
+
+    Examples:
+      | moment                  |
+      | before it removes it    |
+      | after it has removed it |
+
   Scenario: A node that was removed and that a restored store brings back gets no requests
     Given a node that follows a store
     And the store was copied when it had node "n7", whose row was removed since
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -338,6 +338,26 @@
     assert context.members.published_row == context.members.local_row()
 
 
+@when("the node ends, and the store is restored {moment}")
+def restored_at_end(context, moment):
+    copy = context.store.copy()
+    if moment == "before it removes it":
+        context.store.restore(copy, drops_feeds=False)
+        call(context, context.client.read, (LOCAL_KEY,))
+    context.members.remove_local_row(lambda: None)
+    run(context, 0.1)
+    if moment == "after it has removed it":
+        assert context.store.value(ROUTER_TABLE, LOCAL_KEY) is None
+        context.store.restore(copy)
+
+
+@then("the store has no row of this node within {seconds:g} s")
+def own_row_removed(context, seconds):
+    run_until(context, lambda: context.store.value(ROUTER_TABLE, LOCAL_KEY) is None, seconds)
+    run(context, 1.0)
+    assert context.store.value(ROUTER_TABLE, LOCAL_KEY) is None
+
+
 @then("each table is read completely at most {count:d} times within {seconds:g} s")
 def complete_reads(context, count, seconds):
     run(context, seconds)
