Keep evacuations as they were known until the operator has written them again

Seen by callers: after a restore, requests went to an evacuated failure domain until the operator had written the evacuation again (EVAC), or a domain that had been given back was avoided. Cause: a complete read replaced the known evacuations by those of the copy, which was taken before the operator began or ended them.

For 5 s after the first complete read of a new era, an evacuation that it lacks stays in force, and one that was known to be withdrawn stays withdrawn if its row has a number that was known. What is read in the new era after that counts at once; after the 5 s the store is followed. The event evacuation_unconfirmed (832) names both kinds.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -409,6 +409,18 @@
     version: int
 
 
+class EvacuationUnconfirmed(LogEvent, frozen=True):
+    """A restored store differs in evacuations; for some seconds, lost ones are kept and old ones ignored."""
+
+    number = 832
+    level = "WARNING"
+    cause = "The copy was taken before the operator began or ended the evacuations."
+    operator_action = "Begin or end the evacuations again."
+
+    kept: tuple[str, ...]
+    ignored: tuple[str, ...]
+
+
 class StaleRowDeleted(LogEvent, frozen=True):
     """The row of a node that was removed earlier, which a restored store brought back, is to be deleted."""
 
@@ -440,6 +452,7 @@
 EVENTS = frozenset(
     (
         EvacuationChanged,
+        EvacuationUnconfirmed,
         HandoverBegun,
         KeysGranted,
         LeaseNotRenewed,
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -4,6 +4,7 @@
 
 import base64
 import random
+from collections import deque
 from typing import Any
 
 import msgspec
@@ -13,6 +14,7 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
+from hibiscusdrum.internal.platform.table import era_of, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.routes import EntryLimits, RequestKind, Route, RouteTable, ServiceSpec
 from hibiscusdrum.platform.store import OPERATOR_TABLE, RowChanges, StoreClient, WireRow
@@ -22,6 +24,12 @@
 BASE_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 0.5
 DEFAULT_PRIORITY = 1
+# After a restore of the store, the operator writes again what the copy lacks. For this time, evacuations that
+# differ from what was last read before are taken as lost by the store, not as changed by the operator.
+RESTORED_EVACUATION_SECONDS = 5.0
+# Numbers of an evacuation's row that are remembered, and failure domains of which any are.
+MAX_REMEMBERED_NUMBERS = 8
+MAX_REMEMBERED_DOMAINS = 100
 
 
 class ColumnarRecords(msgspec.Struct, frozen=True):
@@ -107,6 +115,82 @@
     )
 
 
+class Evacuations:
+    """Failure domains that the operator evacuates, as far as the store can be believed.
+
+    Attributes
+    ----------
+    stored : dict of str to int
+        Version of the row of each failure domain that has one.
+    numbers : dict of str to deque of int
+        Numbers that the row of a failure domain has had in the store.
+    unconfirmed : dict of str to (bool, float)
+        Failure domains in whose state a restored store differs from what was known, whether they stay
+        evacuated, and until when, in monotonic seconds.
+    """
+
+    def __init__(self) -> None:
+        self.stored: dict[str, int] = {}
+        self.numbers: dict[str, deque[int]] = {}
+        self.unconfirmed: dict[str, tuple[bool, float]] = {}
+
+    @property
+    def in_force(self) -> frozenset[str]:
+        """The evacuated failure domains."""
+        kept = {domain for domain, (evacuated, _until) in self.unconfirmed.items() if evacuated}
+        return frozenset(kept | (self.stored.keys() - self.unconfirmed.keys()))
+
+    def apply(self, failure_domain: str, version: int, deleted: bool) -> None:
+        """Apply a row that was written or deleted."""
+        self.unconfirmed.pop(failure_domain, None)
+        if deleted:
+            self.stored.pop(failure_domain, None)
+        else:
+            self.stored[failure_domain] = version
+            self.remember(failure_domain, version)
+
+    def apply_all(self, versions: dict[str, int]) -> None:
+        """Apply a complete listing of the rows of the same era."""
+        self.unconfirmed = {
+            failure_domain: state
+            for failure_domain, state in self.unconfirmed.items()
+            if self.stored.get(failure_domain) == versions.get(failure_domain)
+        }
+        self.stored = versions
+        for failure_domain, version in versions.items():
+            self.remember(failure_domain, version)
+
+    def apply_restored(self, versions: dict[str, int], until: float) -> None:
+        """Apply a complete listing of the rows of a new era.
+
+        An evacuation that it lacks stays in force until a time, and one that was withdrawn before stays
+        withdrawn if its row is one that was known.
+        """
+        former = self.in_force
+        self.unconfirmed = dict.fromkeys(former - versions.keys(), (True, until))
+        for failure_domain in versions.keys() - former:
+            if number_of(versions[failure_domain]) in self.numbers.get(failure_domain, ()):
+                self.unconfirmed[failure_domain] = (False, until)
+        self.stored = versions
+        for failure_domain, version in versions.items():
+            self.remember(failure_domain, version)
+
+    def remember(self, failure_domain: str, version: int) -> None:
+        """Remember the number of a row."""
+        numbers = self.numbers.pop(failure_domain, None) or deque(maxlen=MAX_REMEMBERED_NUMBERS)
+        if number_of(version) not in numbers:
+            numbers.append(number_of(version))
+        self.numbers[failure_domain] = numbers
+        if len(self.numbers) > MAX_REMEMBERED_DOMAINS:
+            del self.numbers[next(iter(self.numbers))]
+
+    def expire(self, now: float) -> None:
+        """Follow the store in what nobody has written again by now."""
+        self.unconfirmed = {
+            failure_domain: state for failure_domain, state in self.unconfirmed.items() if now < state[1]
+        }
+
+
 class OperatorRows(Service):
     """Watches the operator's rows in the store and applies their changes.
 
@@ -116,8 +200,7 @@
         Newest version of the store that was read; None before the first read.
     failures : int
         Number of consecutive failed polls.
-    evacuated_domains : set of str
-        Failure domains that the operator evacuates.
+    evacuations : Evacuations
     """
 
     service_name = "operator_rows"
@@ -126,7 +209,7 @@
         super().__init__()
         self.last_version: int | None = None
         self.failures = 0
-        self.evacuated_domains: set[str] = set()
+        self.evacuations = Evacuations()
         self.rng = random.Random()
 
     def on_start(self) -> None:
@@ -149,21 +232,50 @@
             return
         answer = result.unwrap()
         self.failures = 0
-        self.last_version = answer.version if answer.complete else max(self.last_version or 0, answer.version)
+        former_version = self.last_version
         if answer.complete:
-            self.evacuated_domains.clear()
+            self.last_version = answer.version
+            restored = former_version is not None and era_of(former_version) < era_of(answer.version)
+            self.apply_all_evacuations(answer.rows, restored)
+        else:
+            self.last_version = max(former_version or 0, answer.version)
+            for row in answer.rows:
+                if row.key.startswith(EVACUATE_PREFIX):
+                    self.evacuations.apply(row.key[len(EVACUATE_PREFIX) :], row.ver, row.deleted)
         for row in answer.rows:
-            self.apply_row(row)
-        self.members.set_evacuated_domains(frozenset(self.evacuated_domains))
+            if row.key == CONFIG_KEY and not row.deleted:
+                self.apply_config(row)
+        self.members.set_evacuated_domains(self.evacuations.in_force)
         self.poll()
 
-    def apply_row(self, row: WireRow) -> None:
-        """Apply a row; a configuration that cannot be decoded is logged and ignored."""
-        if row.key.startswith(EVACUATE_PREFIX):
-            failure_domain = row.key[len(EVACUATE_PREFIX) :]
-            (self.evacuated_domains.discard if row.deleted else self.evacuated_domains.add)(failure_domain)
-        elif row.key == CONFIG_KEY and not row.deleted:
-            try:
-                self.gateway.set_route_table(decode_config(base64.b64decode(row.value)))
-            except (ValueError, InvalidArgument) as error:
-                log_events.emit(events.RowUnreadable(what="configuration", reason=str(error)[:200]))
+    def apply_all_evacuations(self, rows: tuple[WireRow, ...], restored: bool) -> None:
+        """Apply the evacuations of a complete read, the first one in a new era with care."""
+        versions = {
+            row.key[len(EVACUATE_PREFIX) :]: row.ver for row in rows if row.key.startswith(EVACUATE_PREFIX)
+        }
+        if not restored:
+            self.evacuations.apply_all(versions)
+            return
+        until = self.app.clock.monotonic() + RESTORED_EVACUATION_SECONDS
+        self.evacuations.apply_restored(versions, until)
+        unconfirmed = self.evacuations.unconfirmed
+        if unconfirmed:
+            log_events.emit(
+                events.EvacuationUnconfirmed(
+                    kept=tuple(sorted(name for name, state in unconfirmed.items() if state[0])),
+                    ignored=tuple(sorted(name for name, state in unconfirmed.items() if not state[0])),
+                )
+            )
+            self.app.scheduler.call_later(RESTORED_EVACUATION_SECONDS, self.expire_unconfirmed)
+
+    def expire_unconfirmed(self) -> None:
+        """Follow the store in the evacuations that the operator has not written again."""
+        self.evacuations.expire(self.app.clock.monotonic())
+        self.members.set_evacuated_domains(self.evacuations.in_force)
+
+    def apply_config(self, row: WireRow) -> None:
+        """Apply a configuration; one that cannot be decoded is logged and ignored."""
+        try:
+            self.gateway.set_route_table(decode_config(base64.b64decode(row.value)))
+        except (ValueError, InvalidArgument) as error:
+            log_events.emit(events.RowUnreadable(what="configuration", reason=str(error)[:200]))
