--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -421,6 +421,23 @@
     ignored: tuple[str, ...]
 
 
+class RowsRolledBack(LogEvent, frozen=True):
+    """The first complete read of a new era of the store has older versions of rows than this node knew.
+
+    ``rows`` counts the rows that were read, ``older`` the known rows that are older there or absent.
+    """
+
+    number = 833
+    level = "WARNING"
+    cause = "The store was restored from a copy."
+
+    era: int
+    version: int
+    former_version: int
+    rows: int
+    older: int
+
+
 class StaleRowDeleted(LogEvent, frozen=True):
     """The row of a node that was removed earlier, which a restored store brought back, is to be deleted."""
 
@@ -471,6 +488,7 @@
         RingChanged,
         RouterStarted,
         RoutesInForce,
+        RowsRolledBack,
         RowUnreadable,
         StaleRowDeleted,
         StoreCallFailed,
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -167,6 +167,8 @@
         self.failed_reads = 0
         self.set_store_reachable(True, "")
         changes = result.unwrap()
+        if changes.complete and self.loaded and era_of(changes.seq) > era_of(self.last_seq):
+            self.log_rolled_back(changes)
         # A complete read may be older than the position if the store lost rows without naming a new era.
         self.last_seq = changes.seq if changes.complete else max(self.last_seq, changes.seq)
         for row in changes.rows:
@@ -196,6 +198,23 @@
             if key not in present and version < changes.seq:
                 self.apply_row(Row(key, changes.seq))
 
+    def log_rolled_back(self, changes: Changes) -> None:
+        """Log how many known rows are newer than in the first complete read of a new era."""
+        read = {row.key: row.version for row in changes.rows}
+        older = sum(
+            number_of(version) > number_of(read.get(key, changes.seq))
+            for key, version in self.row_versions.items()
+        )
+        log_events.emit(
+            events.RowsRolledBack(
+                era=era_of(changes.seq),
+                version=number_of(changes.seq),
+                former_version=number_of(self.last_seq),
+                rows=len(changes.rows),
+                older=older,
+            )
+        )
+
     def set_store_reachable(self, reachable: bool, reason: str) -> None:
         """Set whether the store is reachable, and log a change."""
         if reachable == self.store_reachable:
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -93,6 +93,7 @@
             "lease_seconds": round(self.range_owner.keeper.remaining_seconds, 3),
             "nodes": len(self.members.nodes),
             "store_reachable": int(self.members.store_reachable),
+            "store_era": self.members.table.era,
         }
         for name, value in gauges.items():
             lines += [f"# TYPE hibiscusdrum_{name} gauge", f"hibiscusdrum_{name} {value}"]
--- a/tests/features/router_restored.feature
+++ b/tests/features/router_restored.feature
@@ -7,6 +7,12 @@
     And configuration 20 and 40 more rows are written before the node asks again
     Then configuration 20 is in force within 4 s
 
+  Scenario: A node logs how many rows it knew newer when the store was restored
+    Given a node that follows a store
+    And the store was copied, and 20 rows were written since
+    When the store is restored from the copy, and its rows are read
+    Then 2 rows are logged as older than known, once
+
   Scenario: A configuration never goes back after the store was restored
     Given a node that follows a store
     And the store was copied, and configuration 15 was written since
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -235,6 +235,21 @@
     context.store.restore(context.copy)
 
 
+@when("the store is restored from the copy, and its rows are read")
+def restore_and_read(context):
+    with mock.patch.object(log_events, "emit") as emit:
+        restore(context)
+        run(context, 4.0)
+    context.logged = [entry.args[0] for entry in emit.call_args_list]
+
+
+@then("{count:d} rows are logged as older than known, once")
+def rolled_back(context, count):
+    (event,) = [event for event in context.logged if isinstance(event, events.RowsRolledBack)]
+    assert (event.era, event.older) == (2, count), event
+    assert event.version == context.copy[1] < event.former_version, event
+
+
 @when("the store is restored from the copy while the node cannot reach it")
 def restore_unreachable(context):
     context.store.down = True
