Let the stand-in of the store be restored from a copy

The published store may come back from a copy some seconds old: acknowledged rows are lost, versions go back and are given out again, and the header Store-Era rises. The stand-in only knew outages that lose nothing.

POST /restore undoes the changes since the copy, which the stand-in records for 30 s; a restore is recorded as well, so that a later copy may be from before it. Pending feeds are cut or never answered, feeds after unknown versions get 410, and the operator's lost writes and deletions are written again under new versions.

--- a/tools/standins/rows_store.py
+++ b/tools/standins/rows_store.py
@@ -1,7 +1,8 @@
 """HTTP stand-in for the platform's row store, with fault injection.
 
 It implements the published calls of the store: conditional transactions, range reads and a change feed with
-long polling. ``POST /faults`` replaces the injected faults; see `Faults` for the fields.
+long polling. ``POST /faults`` replaces the injected faults; see `Faults` for the fields. ``POST /restore``
+loses recent transactions; see `Restoration`. Each response has the header ``Store-Era``.
 """
 
 from __future__ import annotations
@@ -10,7 +11,9 @@
 import base64
 import random
 import time
-from typing import Any
+from collections import deque
+from collections.abc import Iterable
+from typing import Any, Literal
 from urllib.parse import parse_qs
 
 import msgspec
@@ -19,8 +22,15 @@
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from tools.standins.web import run_services
 
-JSON_HEADERS = [("content-type", "application/json")]
 MAX_PAGE_ROWS = 500
+# Age up to which the store can be restored.
+MAX_RESTORE_AGE_SECONDS = 30.0
+OPERATOR_TABLE = "op"
+
+# Table and key of a row.
+RowId = tuple[str, str]
+# Version and value of a row; the value of a deleted row is None, and the entry of one that never existed.
+RowEntry = tuple[int, str | None] | None
 
 
 class Faults(msgspec.Struct):
@@ -47,6 +57,49 @@
     slow: float = 0.0
 
 
+class Restoration(msgspec.Struct, forbid_unknown_fields=True):
+    """An outage that ends with the restore of a copy, as decoded from the body of ``POST /restore``.
+
+    Attributes
+    ----------
+    age_s : float
+        Age in seconds of the copy at the beginning of the outage, at most ``MAX_RESTORE_AGE_SECONDS``.
+    away_s : float
+        Duration of the outage in seconds.
+    rewrite_after_s : float
+        Seconds from the end of the outage until the operator's lost writes and deletions are written again.
+    how : str
+        Whether store calls get status 503 (``down``) or no response (``silent``) during the outage. Pending
+        feeds are disconnected or never answered.
+    forget_history : bool
+        Whether the store has no history from before the copy, so that feeds after earlier versions get 410.
+    """
+
+    age_s: float
+    away_s: float = 0.0
+    rewrite_after_s: float = 0.0
+    how: Literal["silent", "down"] = "silent"
+    forget_history: bool = False
+
+
+class Change(msgspec.Struct):
+    """The state before a transaction or a restore, which undoes it.
+
+    Attributes
+    ----------
+    at : float
+        Monotonic time in seconds of the change.
+    version : int
+        Version counter before the change.
+    rows : dict
+        Changed rows as they were before.
+    """
+
+    at: float
+    version: int
+    rows: dict[RowId, RowEntry]
+
+
 class RowsStore(HttpEntry):
     """Stores versioned rows by table and key in memory and serves them over HTTP.
 
@@ -56,6 +109,21 @@
     ----------
     address : str
         ``ip:port`` to listen on.
+
+    Attributes
+    ----------
+    era : int
+        Number of completed restores plus one.
+    first_feed_version : int
+        Smallest version after which feeds are answered.
+    changes : deque of Change
+        Changes of the last ``MAX_RESTORE_AGE_SECONDS``, oldest first.
+    restorations : list of Restoration
+        Restores whose outage has not ended.
+    operator_writes : dict
+        Monotonic time and value of the operator's last write of each row.
+    lost_operator_rows : set of RowId
+        Rows that the operator has to write again.
     """
 
     service_name = "rows_store"
@@ -63,8 +131,14 @@
     def __init__(self, address: str) -> None:
         super().__init__()
         self.address = address
-        self.rows: dict[tuple[str, str], tuple[int, str | None]] = {}
+        self.rows: dict[RowId, tuple[int, str | None]] = {}
         self.version = 0
+        self.era = 1
+        self.first_feed_version = 0
+        self.changes: deque[Change] = deque()
+        self.restorations: list[Restoration] = []
+        self.operator_writes: dict[RowId, tuple[float, str | None]] = {}
+        self.lost_operator_rows: set[RowId] = set()
         self.faults = Faults()
         self.rng = random.Random(1)
         self.pending_feeds: list[tuple[float, str, int, EntryRequest]] = []
@@ -80,34 +154,57 @@
         path, _, query = request.target.partition("?")
         if path == "/faults":
             self.faults = msgspec.json.decode(request.body, type=Faults)
-            request.respond(200, JSON_HEADERS, b"{}")
+            self.respond(request, 200)
+        elif path == "/restore":
+            self.restore(msgspec.json.decode(request.body, type=Restoration))
+            self.respond(request, 200)
         elif path.startswith("/operator/"):
-            self.write_row(
-                "op", path.removeprefix("/operator/"), request.body if request.method == b"PUT" else None
+            self.write_operator_row(
+                path.removeprefix("/operator/"), request.body if request.method == b"PUT" else None
             )
-            request.respond(200, JSON_HEADERS, b"{}")
-        elif self.faults.silent:
-            return
-        elif self.faults.down:
-            request.respond(503, JSON_HEADERS, b"{}")
-        elif self.faults.slow:
+            self.respond(request, 200)
+        elif self.faults.slow and self.available:
             self.app.scheduler.call_later(self.faults.slow, lambda: self.handle_call(request, path, query))
         else:
             self.handle_call(request, path, query)
 
+    @property
+    def silent(self) -> bool:
+        """Whether store calls get no response."""
+        return self.faults.silent or any(restoration.how == "silent" for restoration in self.restorations)
+
+    @property
+    def down(self) -> bool:
+        """Whether store calls get status 503, unless they get no response."""
+        return self.faults.down or bool(self.restorations)
+
+    @property
+    def available(self) -> bool:
+        """Whether store calls are executed."""
+        return not (self.silent or self.down)
+
     def handle_call(self, request: EntryRequest, path: str, query: str) -> None:
         """Handle one call of the store's interface."""
+        if self.silent:
+            return
+        if self.down:
+            self.respond(request, 503)
+            return
         parameters = {name: occurrences[0] for name, occurrences in parse_qs(query).items()}
         if path == "/rows-tx":
             self.transact(request, msgspec.json.decode(request.body))
         elif path == "/rows-get":
             self.read_range(request, parameters)
         elif path == "/rows-feed":
+            after = int(parameters["after"])
+            if not self.first_feed_version <= after <= self.version:
+                self.respond(request, 410)
+                return
             deadline = time.monotonic() + int(parameters.get("blockMs", "0")) / 1000
-            self.pending_feeds.append((deadline, parameters["table"], int(parameters["after"]), request))
+            self.pending_feeds.append((deadline, parameters["table"], after, request))
             self.answer_pending_feeds()
         else:
-            request.respond(404, JSON_HEADERS, b"{}")
+            self.respond(request, 404)
 
     def transact(self, request: EntryRequest, transaction: dict[str, Any]) -> None:
         """Apply a transaction, late or without an answer if a fault is drawn for it."""
@@ -120,9 +217,9 @@
         if self.rng.random() < self.faults.lost:
             return
         if version is None:
-            request.respond(412, JSON_HEADERS, self.encode_response({"records": [], "ver": self.version}))
+            self.respond(request, 412, {"records": [], "ver": self.version})
         else:
-            request.respond(200, JSON_HEADERS, self.encode_response({"ver": version}))
+            self.respond(request, 200, {"ver": version})
 
     def apply_transaction(self, transaction: dict[str, Any]) -> int | None:
         """Apply a transaction and return its version, or None if a row lacks its expected version."""
@@ -130,18 +227,72 @@
             version, value = self.rows.get((row["table"], row["key"]), (0, None))
             if (version if value is not None else 0) != row["ver"]:
                 return None
+        writes = {(row["table"], row["key"]): row["value"] for row in transaction.get("write", ())}
+        writes |= {(row["table"], row["key"]): None for row in transaction.get("delete", ())}
+        return self.write_rows(writes)
+
+    def write_rows(self, writes: dict[RowId, str | None]) -> int:
+        """Write rows, or delete those with the value None, under a new version; return the version."""
+        self.record_change(writes)
         self.version += 1
-        for row in transaction.get("write", ()):
-            self.rows[row["table"], row["key"]] = (self.version, row["value"])
-        for row in transaction.get("delete", ()):
-            self.rows[row["table"], row["key"]] = (self.version, None)
+        self.rows.update({row_id: (self.version, value) for row_id, value in writes.items()})
         return self.version
 
-    def write_row(self, table: str, key: str, body: bytes | None) -> None:
+    def record_change(self, row_ids: Iterable[RowId]) -> None:
+        """Record the state before a change of rows, and drop changes that are too old to be undone."""
+        now = time.monotonic()
+        self.changes.append(Change(now, self.version, {row_id: self.rows.get(row_id) for row_id in row_ids}))
+        while self.changes[0].at < now - MAX_RESTORE_AGE_SECONDS:
+            self.changes.popleft()
+
+    def write_operator_row(self, key: str, body: bytes | None) -> None:
         """Write a row unconditionally, as an operator does; a body of None deletes it."""
-        self.version += 1
         value = base64.b64encode(body).decode() if body is not None else None
-        self.rows[table, key] = (self.version, value)
+        row_id = (OPERATOR_TABLE, key)
+        self.operator_writes[row_id] = (time.monotonic(), value)
+        self.lost_operator_rows.discard(row_id)
+        self.write_rows({row_id: value})
+
+    def restore(self, restoration: Restoration) -> None:
+        """Begin an outage, and undo the changes that are newer than the copy that is served after it."""
+        copied_at = time.monotonic() - restoration.age_s
+        undone = [change for change in self.changes if change.at > copied_at]
+        # The restore is itself a change, so that a later one can go back to before it.
+        self.record_change({row_id for change in undone for row_id in change.rows})
+        for change in reversed(undone):
+            self.version = change.version
+            for row_id, entry in change.rows.items():
+                if entry is None:
+                    self.rows.pop(row_id, None)
+                else:
+                    self.rows[row_id] = entry
+        if restoration.forget_history:
+            self.first_feed_version = self.version
+        self.first_feed_version = min(self.first_feed_version, self.version)
+        for row_id, (written_at, value) in self.operator_writes.items():
+            if written_at > copied_at or self.rows.get(row_id, (0, None))[1] != value:
+                self.lost_operator_rows.add(row_id)
+        if restoration.how == "down":
+            for *_, request in self.pending_feeds:
+                self.close(request.connection)
+        self.pending_feeds = []
+        self.restorations.append(restoration)
+        self.app.scheduler.call_later(restoration.away_s, lambda: self.complete_restore(restoration))
+
+    def complete_restore(self, restoration: Restoration) -> None:
+        """End the outage of a restore."""
+        self.restorations.remove(restoration)
+        self.era += 1
+        era = self.era
+        self.app.scheduler.call_later(restoration.rewrite_after_s, lambda: self.rewrite_operator_rows(era))
+
+    def rewrite_operator_rows(self, era: int) -> None:
+        """Write the operator's lost rows again, unless a later restore will do so."""
+        if era != self.era or self.restorations:
+            return
+        for row_id in sorted(self.lost_operator_rows, key=lambda row_id: self.operator_writes[row_id][0]):
+            self.write_rows({row_id: self.operator_writes[row_id][1]})
+        self.lost_operator_rows.clear()
 
     def read_range(self, request: EntryRequest, parameters: dict[str, str]) -> None:
         """Answer with the rows of one table in a half-open range of keys."""
@@ -154,7 +305,7 @@
         )
         records = [{"key": key, "ver": version, "value": value} for key, version, value in matches[:limit]]
         response = {"records": records, "hasMore": len(matches) > limit, "ver": self.version}
-        request.respond(200, JSON_HEADERS, self.encode_response(response))
+        self.respond(request, 200, response)
 
     def answer_pending_feeds(self) -> None:
         """Answer the feeds that have changes, have reached their deadline, or are cut short by an outage."""
@@ -166,7 +317,7 @@
                 for (name, key), (version, value) in self.rows.items()
                 if name == table and version > after
             )
-            if request.answered or self.faults.silent:
+            if request.answered or self.silent:
                 continue
             if not changed and now < deadline and not self.faults.down:
                 self.pending_feeds.append((deadline, table, after, request))
@@ -175,13 +326,14 @@
                 {"key": key, "ver": version} | ({"deleted": True} if value is None else {"value": value})
                 for version, key, value in changed
             ]
-            request.respond(
-                200, JSON_HEADERS, self.encode_response({"records": records, "ver": self.version})
-            )
+            self.respond(request, 200, {"records": records, "ver": self.version})
 
-    def encode_response(self, response: dict[str, Any]) -> bytes:
-        """Encode a response as JSON and add the store's clock."""
-        return msgspec.json.encode({**response, "serverTimeS": time.monotonic()})
+    def respond(self, request: EntryRequest, status: int, response: dict[str, Any] | None = None) -> None:
+        """Send a response as JSON; the store's clock is added to a response about rows."""
+        headers = [("content-type", "application/json"), ("store-era", str(self.era))]
+        if response is not None:
+            response = {**response, "serverTimeS": time.monotonic()}
+        request.respond(status, headers, msgspec.json.encode(response or {}))
 
 
 def main() -> int:
