Test the client of the store against its stand-in that is restored from a copy

The scenario goes over real connections, so that the header Store-Era is read from a response as it is sent.

--- a/tests/features/router_platform.feature
+++ b/tests/features/router_platform.feature
@@ -54,6 +54,13 @@
     And a write without an answer is reported as unknown, and one that was refused as not done
     And a wait for changes ends with the row that changed
 
+  Scenario: A row written after the store was restored is newer over a connection too, and an old basis a conflict
+    Given a client of the platform's store and its stand-in
+    When a row is written three times, and the stand-in is restored to before that
+    Then a wait for changes returns all rows of the restored stand-in
+    And the row is written anew with a newer version
+    And a write under its version from before the restore is a conflict
+
   Scenario Outline: The command line checks a settings file without starting
     Then the command line "<words>" with a settings file "<file>" ends with <code> and names "<text>"
 
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -5,15 +5,16 @@
 
 import io
 import tempfile
+import time
 from contextlib import redirect_stderr, redirect_stdout
 from pathlib import Path
 
 import msgspec
-from behave import given, then
+from behave import given, then, when
 from returns.result import Success
 from tests.loopback import Loopback, Results, free_address
 from tools.router_system import LIMITS, ROUTE_COLUMNS, SERVICE_COLUMNS, Vm
-from tools.standins.rows_store import Faults, RowsStore
+from tools.standins.rows_store import Faults, Restoration, RowsStore
 
 from hibiscusdrum.errors import InvalidArgument, InvalidSettings, StoreConflict
 from hibiscusdrum.internal.clock import ManualClock
@@ -229,6 +230,44 @@
     assert [(row.key, row.value) for row in rows] == [("ring/s", [1])]
 
 
+@when("a row is written three times, and the stand-in is restored to before that")
+def written_and_restored(context):
+    kept = call(context, context.client.commit, Transaction("1", {}, {"node/kept": 0})).unwrap()
+    context.loopback.run_for(0.2)
+    copied_at = time.monotonic()
+    context.loopback.run_for(0.05)
+    context.version = 0
+    for value in range(3):
+        transaction = Transaction("2", {"node/a": context.version}, {"node/a": value})
+        context.version = call(context, context.client.commit, transaction).unwrap()
+    context.changes = call(context, context.client.changes, 0).unwrap()
+    assert kept < context.version == context.changes.seq
+    context.store.restore(Restoration(age_s=time.monotonic() - copied_at))
+    context.loopback.settle()
+
+
+@then("a wait for changes returns all rows of the restored stand-in")
+def all_rows_restored(context):
+    changes = call(context, context.client.changes, context.changes.seq).unwrap()
+    assert changes.complete and [row.key for row in changes.rows] == ["node/kept"], changes
+    assert changes.seq > context.changes.seq
+
+
+@then("the row is written anew with a newer version")
+def written_anew(context):
+    transaction = Transaction("3", {"node/a": 0}, {"node/a": "new"})
+    context.new_version = call(context, context.client.commit, transaction).unwrap()
+    assert context.new_version > context.version
+
+
+@then("a write under its version from before the restore is a conflict")
+def old_basis(context):
+    transaction = Transaction("4", {"node/a": context.version}, {"node/a": "old"})
+    result = call(context, context.client.commit, transaction)
+    assert isinstance(result.failure(), StoreConflict), result
+    assert call(context, context.client.read, ("node/a",)).unwrap()["node/a"].value == "new"
+
+
 @then('the command line "{words}" with a settings file "{file}" ends with {code:d} and names "{text}"')
 def command_line(_context, words, file, code, text):
     values = boot_values() | ({"appAddr": "nowhere"} if file == "with fault" else {})
