--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -383,7 +383,7 @@
 
 
 class RowUnreadable(LogEvent, frozen=True):
-    """A row, a report, or a header of the target's answer could not be decoded and is ignored."""
+    """A row, a report, or a header of an answer could not be decoded and is ignored."""
 
     number = 823
     level = "ERROR"
@@ -411,9 +411,83 @@
     took_ms: int
 
 
+class StoreEraChanged(LogEvent, frozen=True):
+    """The store has lost its newest writes: it was restored from a copy.
+
+    ``version`` is the newest version that this node has seen of the era before.
+    """
+
+    number = 829
+    level = "WARNING"
+    cause = "An outage of the store after which it continued from a copy."
+    operator_action = "Write again what was written to the store since the copy."
+
+    former: int
+    era: int
+    version: int
+
+
+class EvacuationUnconfirmed(LogEvent, frozen=True):
+    """A restored store differs in evacuations; for some seconds, lost ones are kept and old ones ignored."""
+
+    number = 832
+    level = "WARNING"
+    cause = "The copy was taken before the operator began or ended the evacuations."
+    operator_action = "Begin or end the evacuations again."
+
+    kept: tuple[str, ...]
+    ignored: tuple[str, ...]
+
+
+class RowsRolledBack(LogEvent, frozen=True):
+    """The first complete read of a new era of the store has older versions of rows than this node knew.
+
+    ``rows`` counts the rows that were read, ``older`` the known rows that are older there or absent.
+    """
+
+    number = 833
+    level = "WARNING"
+    cause = "The store was restored from a copy."
+
+    era: int
+    version: int
+    former_version: int
+    rows: int
+    older: int
+
+
+class StaleRowDeleted(LogEvent, frozen=True):
+    """The row of a node that was removed earlier, which a restored store brought back, is to be deleted."""
+
+    number = 831
+    cause = "The copy was taken before the removal. `outcome` is `deleted` or names the failure."
+
+    row: str
+    version: int
+    outcome: str
+
+
+class TableReread(LogEvent, frozen=True):
+    """A table of the store was read completely instead of only its changes; `count` such reads so far."""
+
+    number = 830
+    rate_limited = True
+    lines_per_interval = 10
+    cause = (
+        "`reason`: `history_dropped`, the store no longer has the changes; `restored`, its era has changed."
+    )
+
+    table: str
+    reason: str
+    version: int
+    rows: int
+    count: int
+
+
 EVENTS = frozenset(
     (
         EvacuationChanged,
+        EvacuationUnconfirmed,
         HandoverBegun,
         KeysGranted,
         LeaseNotRenewed,
@@ -432,10 +506,14 @@
         RingChanged,
         RouterStarted,
         RoutesInForce,
+        RowsRolledBack,
         RowUnreadable,
+        StaleRowDeleted,
         StoreCallFailed,
+        StoreEraChanged,
         StoreLost,
         StoreRegained,
+        TableReread,
         TargetChanged,
         TargetGone,
         TargetLeaving,
