Add a failing scenario: input of a full pipeline is parsed out of order

Input that arrives while 16 requests of a connection are unanswered waits unparsed, and is parsed by a timer once there is room. Input that the poller reports before that timer runs is parsed first.

--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -46,6 +46,11 @@
       | three requests at once                |
       | two requests and a part of a third    |
 
+  Scenario: Input that waited behind a full pipeline is read before input that arrives as the pipeline has room again
+    Given an entry that answers nothing yet
+    When a caller sends 16 requests, then half of another, and the other half as the first request is answered
+    Then the requests were handed over as they were sent, and none was rejected
+
   Scenario: A request that takes longer than a second is answered although invalid input follows it
     Given an entry that answers each request after 1.4 s
     When a caller sends "a request and no protocol" and waits for 3 s
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -195,6 +195,40 @@
     assert [request.target for request in context.handed] == ["/r", "/a"]
 
 
+@when(
+    "a caller sends {count:d} requests, then half of another, and the other half as the first request is "
+    "answered"
+)
+def sends_past_pipeline(context, count):
+    host, _, port = context.address.rpartition(":")
+    caller = socket.create_connection((host, int(port)))
+    context.add_cleanup(caller.close)
+    loopback = context.loopback
+    context.sent = [f"/{number}" for number in range(count + 1)]
+    *requests, last = [GET % target.encode() for target in context.sent]
+    caller.sendall(b"".join(requests))
+    loopback.run_until(lambda: len(context.handed) == count)
+    caller.sendall(last[:9])
+    loopback.run_until(lambda: any(entry.unparsed for entry in context.entry.connections.values()))
+    caller.sendall(last[9:])
+    time.sleep(0.02)
+    echo(context.handed[0])
+    # In the same turn of the loop, the poller reports the input.
+    (sock,) = context.entry.connections
+    context.entry.on_readable(sock)
+    loopback.run_for(0.05)
+    for request in context.handed[1:]:
+        echo(request)
+    loopback.run_for(0.05)
+    context.received = caller.recv(65_536)
+
+
+@then("the requests were handed over as they were sent, and none was rejected")
+def handed_as_sent(context):
+    assert [request.target for request in context.handed] == context.sent, context.handed[-1].target
+    assert b"HTTP/1.1 400" not in context.received
+
+
 @when('a caller sends "{name}" and leaves')
 def sends_and_leaves(context, name):
     caller = send(context, name, 0.1)
