Parse the input of a connection in the order in which it was received

What callers saw: on a connection with more than 16 unanswered requests, requests that were mixed up, answers in another order than that of the requests, or a 400 to proper requests. Cause: input that had waited was taken out of the connection's queue and parsed by a timer; input that the poller reported in between was parsed first. Now it stays in the queue until it is parsed, and later input joins it. Evidence: tests/features/router_entry.feature, "Input that waited behind a full pipeline...", failed before and passes now.

--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -280,20 +280,35 @@
         self.pending.append(request)
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes and dispatch complete requests."""
+        """Parse received bytes, or keep them until there is room in the pipeline."""
         self.last_active_at = self.server.app.clock.monotonic()
         if not self.accepts_input:
             self.discarded_bytes += len(data)
             if self.discarded_bytes > MAX_DISCARDED_BYTES:
                 self.server.connection_lost(self, "input after the last response exceeds the limit")
             return
-        if len(self.pending) >= PIPELINE_DEPTH:
+        if self.unparsed or len(self.pending) >= PIPELINE_DEPTH:
             self.unparsed.append(data)
             self.unparsed_bytes += len(data)
             if self.unparsed_bytes > MAX_UNPARSED_BYTES:
                 self.reading_paused = True
                 self.server.pause_reading(self)
             return
+        self.parse(data)
+
+    def parse_waiting(self) -> None:
+        """Parse the input that waited for room in the pipeline."""
+        if not (self.unparsed and self.accepts_input) or len(self.pending) >= PIPELINE_DEPTH:
+            return
+        data, self.unparsed, self.unparsed_bytes = b"".join(self.unparsed), [], 0
+        if self.reading_paused:
+            self.reading_paused = False
+            self.server.resume_reading(self)
+        self.last_active_at = self.server.app.clock.monotonic()
+        self.parse(data)
+
+    def parse(self, data: bytes) -> None:
+        """Parse bytes, and dispatch the requests that are complete."""
         if self.current_request is None and self.head_started_at is None:
             self.head_started_at = self.last_active_at
         self.fed_bytes += len(data)
@@ -390,11 +405,8 @@
                 return
         self.last_active_at = self.server.app.clock.monotonic()
         if self.unparsed and len(pending) < PIPELINE_DEPTH:
-            data, self.unparsed, self.unparsed_bytes = b"".join(self.unparsed), [], 0
-            if self.reading_paused:
-                self.reading_paused = False
-                self.server.resume_reading(self)
-            self.server.app.scheduler.call_later(0.0, lambda: self.feed(data))
+            # Later input joins what waits, so that both are parsed in the order in which they were received.
+            self.server.app.scheduler.call_later(0.0, self.parse_waiting)
         elif pending:
             self.dispatch()
 
