Add failing scenarios: what waits at a stopping receiver ends without a refusal

A request that was received before the signal and still waits for a slot, its key or its body when the process ends gets no outcome. A caller of the same router sees its connection cut; the router of another node has to assume that the request ran.

--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -60,6 +60,17 @@
     When a request with 20 s is sent to the target of a router that has 0.9 s left for requests
     Then the target is told to stop work at most 0.9 s later
 
+  Scenario Outline: A request that its target was not sent when the router's time is over is refused as not run: <waits>
+    Given a router that was just started beside a target with 1 slots
+    When the time of the stopping router is over while a request runs and another <waits>
+    Then the other is declined as not run before the router ends, and the first is still awaited
+
+    Examples:
+      | waits                |
+      | waits for a slot     |
+      | waits for its key    |
+      | waits for its body   |
+
   Scenario: A planned stop ends when nothing more arrives
     Given a router at the end of its planned stop
     Then the router ends within 1 s
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -12,11 +12,13 @@
 from behave import given, then, when
 from tests.loopback import Loopback, free_address
 from tests.router_stubs import FREE, SETTINGS, SentHop, Stub, forward
+from tests.router_world import Loop
 
 from hibiscusdrum.internal import codec
 from hibiscusdrum.internal.messages import Answered, Declined
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.local_target import TargetState
+from hibiscusdrum.internal.router.range_owner import KeyState
 from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
 from hibiscusdrum.internal.router.selection import Candidate, NodeSelector
 from hibiscusdrum.internal.router.stopping import REQUEST_REFUSAL_DELAY_SECONDS, RouterStopping
@@ -311,3 +313,53 @@
 @then("the target is told to stop work at most {seconds:g} s later")
 def told_to_stop(context, seconds):
     assert context.deadlines and seconds - 0.3 <= context.deadlines[0] <= seconds, context.deadlines
+
+
+def stop_receiver(context, left):
+    """Let the router of a receiver stop, with some seconds left for requests."""
+    app = context.app
+    app.add(Stub("gateway", has_pending=False, pending_requests=(), refuse_unsent=lambda: None, closed=True))
+    app.add(Stub("readiness"))
+    app.add(Stub("entry", unanswered_count=0, has_incoming=False, connections_of=lambda _: []))
+    app.add(Stub("peers", has_unread_messages=False))
+    context.stopping = app.add(RouterStopping(SETTINGS))
+    context.stopping.on_start()
+    context.stopping.begin_stop()
+    context.stopping.row_removed = True
+    context.stopping.stop_started_at -= context.stopping.service_seconds_left() - left
+
+
+@when("the time of the stopping router is over while a request runs and another {waits}")
+def time_over(context, waits):
+    receiver = context.receiver
+    context.target.waiting = []
+    answers = context.answers = {1: [], 2: []}
+    receiver.on_forward(forward(1, deadline=20.0), b"", 0.0, lambda answer, _: answers[1].append(answer))
+    other = forward(2, deadline=20.0)
+    if waits == "waits for its key":
+        context.key_state = KeyState.GRANT_PENDING
+        other = msgspec.structs.replace(other, key=7)
+    elif waits == "waits for its body":
+        other = msgspec.structs.replace(other, offered_bytes=40_000)
+    receiver.on_forward(other, b"", 0.0, lambda answer, _: answers[2].append(answer))
+    assert len(context.target.waiting) == 1 and len(receiver.jobs) == 2
+    stop_receiver(context, 0.1)
+    for _ in range(25):
+        context.app.clock.advance(0.01)
+        context.app.scheduler.run_due(Loop())
+
+
+@then("the other is declined as not run before the router ends, and the first is still awaited")
+def other_declined(context):
+    assert not context.stopping.finished and not context.answers[1]
+    declined = [answer for answer in context.answers[2] if type(answer) is Declined]
+    assert len(declined) == 1 and not declined[0].may_have_run, context.answers[2]
+
+
+@when("a request with {limit:g} s that was sent before the signal is unanswered {late:g} s after it")
+def unanswered_at_end(context, limit, late):
+    stopping = context.stopping
+    stopping.stop_started_at = time.monotonic() + 60.0
+    send_request(context, limit)
+    wait_for_forward(context)
+    skip_to(context, late)
