Decline what a stopping router's target was not sent before the router ends

What callers saw: a request that had been taken before the signal, and that still waited for a slot, its key or its body at the end of the grace, ended with a closed connection; at another node, with a 502 for an order that had never run. Cause: the end of the process was the end of the receiver's queues; only requests taken after the signal had a deadline before it. The stand-in of the HTTP client returns an exchange, as the client does, since only that tells requests that were sent from others.

--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -349,6 +349,15 @@
         self.request_bodies()
         self.expiry_timer.wake()
 
+    def decline_unsent(self) -> None:
+        """Decline the requests that the target was not sent, because the process is about to end."""
+        for job in [job for job in self.jobs.values() if job.exchange is None]:
+            if job.queue_entry is not None:
+                self.admission.remove(job.queue_entry)
+            elif job in self.awaiting_keys:
+                self.awaiting_keys.remove(job)
+            self.decline(job, CLOSING_REASON, retry_after=RESTART_SECONDS)
+
     def request_bodies(self) -> None:
         """Request the parts of offered bodies that the link has capacity for."""
         while (part := self.body_gate.next_chunk()) is not None:
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -143,6 +143,8 @@
                 self.gateway.close()
         if elapsed > self.settings.grace - UNSENT_BODY_MARGIN_SECONDS:
             self.gateway.refuse_unsent()
+        if self.service_seconds_left() <= 0.0:
+            self.receiver.decline_unsent()
         grace_over = elapsed > self.settings.grace - EXIT_MARGIN_SECONDS
         denied = elapsed > READINESS_DENIAL_SECONDS
         if grace_over or (denied and self.gateway.closed and not self.busy and self.callers_quiet):
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -37,7 +37,7 @@
         context,
         *(Stub(name) for name in ("range_owner", "rings", "metrics", "hop")),
         Stub("members", nodes={}),
-        Stub("receiver", jobs={}, has_jobs=False),
+        Stub("receiver", jobs={}, has_jobs=False, decline_unsent=lambda: None),
     )
     context.stopping.begin_stop()
 
@@ -152,7 +152,12 @@
 def stopping_router_with_node(context):
     context.hop = SentHop()
     context.local_receiver = Stub(
-        "receiver", jobs={}, has_jobs=False, set_route_table=lambda _: None, reported_rate=lambda: 0.0
+        "receiver",
+        jobs={},
+        has_jobs=False,
+        decline_unsent=lambda: None,
+        set_route_table=lambda _: None,
+        reported_rate=lambda: 0.0,
     )
     start_router(
         context,
@@ -351,7 +356,7 @@
 
 @then("the other is declined as not run before the router ends, and the first is still awaited")
 def other_declined(context):
-    assert not context.stopping.finished and not context.answers[1]
+    assert not context.stopping.finished and not context.answers[1], context.answers
     declined = [answer for answer in context.answers[2] if type(answer) is Declined]
     assert len(declined) == 1 and not declined[0].may_have_run, context.answers[2]
 
--- a/tests/features/steps/target_signals_steps.py
+++ b/tests/features/steps/target_signals_steps.py
@@ -21,7 +21,7 @@
 from hibiscusdrum.internal.router.range_owner import KeyState
 from hibiscusdrum.internal.router.receiver import Receiver
 from hibiscusdrum.internal.router.stopping import RouterStopping
-from hibiscusdrum.internal.transport.http_connection import HttpResponse
+from hibiscusdrum.internal.transport.http_connection import HttpExchange, HttpResponse
 
 # What a target tolerates in any ``WINDOW_SECONDS``: its rate times this factor, and some requests more.
 WINDOW_SECONDS = 4.0
@@ -275,7 +275,7 @@
         self.waiting = None
 
     def request(self, _address, _method, _target, _headers, _body, _timeout, callback, *_more):
-        """Take a request."""
+        """Take a request, and return its exchange."""
         self.arrivals.append(self.app.clock.monotonic())
 
         def answer(signals=None, status=200):
@@ -286,6 +286,7 @@
             self.app.scheduler.call_later(ANSWER_SECONDS, answer)
         else:
             self.waiting.append(answer)
+        return mock.Mock(spec=HttpExchange)
 
 
 @given("a router that was just started beside a target with {slots:d} slots")
