Add a failing scenario: a request sent before the signal is cut at the end of the grace

Only requests that are taken after the signal get a deadline before the end of the process. One that was sent on before, and is not answered by then, ends with a closed connection, even if it only waits in the queue of the other node.

--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -71,6 +71,11 @@
       | waits for its key    |
       | waits for its body   |
 
+  Scenario: A request that was sent before the signal, and is not answered in time, is answered before the process ends
+    Given a router in its planned stop, which knows a node to serve requests
+    When a request with 9 s that was sent before the signal is unanswered 5.4 s after it
+    Then the caller gets the status 504 within 0.3 s, before the router ends
+
   Scenario: A planned stop ends when nothing more arrives
     Given a router at the end of its planned stop
     Then the router ends within 1 s
