Answer requests sent before the signal before a stopping router ends

What callers saw: a request that a router had sent on before SIGTERM, and that had no answer when the grace was over, ended with a closed connection. Cause: only requests taken after the signal had a deadline before the end of the process.

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -154,6 +154,12 @@
                 pending.reason = "stopping"
                 self.refuse(pending)
 
+    def end_unanswered(self) -> None:
+        """End the requests whose deadlines the process does not reach, as if they had reached them."""
+        for pending in list(self.pending_requests):
+            pending.reason = pending.reason or "stopping"
+            self.on_deadline(pending)
+
     def on_request(self, request: EntryRequest) -> None:
         """Match a new request to a route, and dispatch or refuse it."""
         now = self.app.clock.monotonic()
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -15,6 +15,7 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.gateway import EARLY_END_PATIENCE_SECONDS
 from hibiscusdrum.internal.router.local_target import TargetState
 from hibiscusdrum.internal.router.settings import RouterSettings
 
@@ -145,6 +146,8 @@
             self.gateway.refuse_unsent()
         if self.service_seconds_left() <= 0.0:
             self.receiver.decline_unsent()
+        if self.service_seconds_left() <= -EARLY_END_PATIENCE_SECONDS:
+            self.gateway.end_unanswered()
         grace_over = elapsed > self.settings.grace - EXIT_MARGIN_SECONDS
         denied = elapsed > READINESS_DENIAL_SECONDS
         if grace_over or (denied and self.gateway.closed and not self.busy and self.callers_quiet):
