Add a failing scenario: a restarted peer counts as about to end for ever

That a peer is about to end is forgotten once its connection is seen to be lost, which is checked each 0.25 s. A router that is held up meanwhile, or that reads the statement only after the reconnect, never sees it, and sends the peer nothing any more.

--- a/tests/features/silent_peers.feature
+++ b/tests/features/silent_peers.feature
@@ -29,6 +29,12 @@
     When the connection to the peer is lost, and made again
     Then a further request is sent
 
+  Scenario: A peer that was started anew while this process was paused is sent requests again
+    Given a router that sends an order and a read to a peer
+    When the peer declines the order as it is about to end
+    And the router is paused for 2 s, in which the peer is started anew, and 6 s pass
+    Then a further request is sent
+
   Scenario Outline: A <process> that was paused does not take its target for lost
     Given a <process> whose target reports each second
     When the process is paused for 8 s
--- a/tests/features/steps/silent_peers_steps.py
+++ b/tests/features/steps/silent_peers_steps.py
@@ -153,6 +153,13 @@
     context.connected = True
 
 
+@when("the router is paused for {paused:g} s, in which the peer is started anew, and {seconds:g} s pass")
+def restarted_unseen(context, paused, seconds):
+    pause(context.app, paused)
+    answer_request(context, READ)
+    run_for(context.app, seconds)
+
+
 @then("a further request is sent")
 def is_sent(context):
     assert not context.hop.is_closing("peer") and send_further(context)
