Forget that a peer is about to end after its grace

What callers saw: 503 for all requests to the keys of a node that had been restarted, from one router that did not see the end of its connection, until that connection was lost again. Cause: the end of the connection was the only thing that ended the state, and it is sampled. The peer is killed at the end of its grace, so the state ends by then at the latest.

--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -121,12 +121,13 @@
         Whether the peer has been heard since its connection was last lost, or replaced because of silence.
     silent : bool
         Whether the connection was replaced because of silence; that it is not established proves no loss.
-    closing : bool
-        Whether the peer has declined a request because its process is about to end. Requests that it had
-        not read by then would end without an answer, so none are sent before the connection is made anew.
+    closing_until : float
+        Monotonic time in seconds until which the peer may be about to end, since it has declined a request
+        for that reason. Requests that it had not read by then would end without an answer, so none are
+        sent before that time or before the connection is made anew.
     """
 
-    __slots__ = ("address", "closing", "incarnation", "last_heard_at", "reachable", "silent")
+    __slots__ = ("address", "closing_until", "incarnation", "last_heard_at", "reachable", "silent")
 
     def __init__(self, address: str, now: float) -> None:
         self.address = address
@@ -134,7 +135,7 @@
         self.last_heard_at = now
         self.reachable = True
         self.silent = False
-        self.closing = False
+        self.closing_until = float("-inf")
 
 
 class Forwarder(Service):
@@ -242,10 +243,12 @@
     def is_closing(self, node: str) -> bool:
         """Return whether a node declines all requests because its process is about to end."""
         state = self.peer_states.get(node)
-        if state is None or not state.closing:
+        if state is None or self.now >= state.closing_until:
             return False
-        state.closing = self.peers.is_connected(state.address)
-        return state.closing
+        if not self.peers.is_connected(state.address):
+            state.closing_until = float("-inf")
+            return False
+        return True
 
     def send_body_part(self, part_request: SendBody) -> None:
         """Send the part of an offered body that the receiver asks for."""
@@ -289,7 +292,8 @@
         if state is not None:
             state.last_heard_at = self.now
             if kind is Declined and message.reason == CLOSING_REASON:
-                state.closing = True
+                # The peer is killed at the end of its grace, also if the end of its connection is not seen.
+                state.closing_until = self.now + self.settings.grace
         self.selector.on_report(entry.node, LoadReport(*message.load, message.rate_limit), self.now)
         entry.callback(message, body)
 
