Add a failing scenario: a header value beyond ASCII leaks a slot of the target

Of 12 requests for a key with such a header 9 were answered 502, the others 503 or 504, and so was a request without it: the target has 9 slots.

--- a/tests/features/router_system.feature
+++ b/tests/features/router_system.feature
@@ -74,6 +74,11 @@
       | from 0.1 s after its start on           | still serves all services   |
       | during its planned stop                 | ended with exit code 0      |
 
+  Scenario: Requests with header values beyond ASCII are served, and hold no slot of their target for ever
+    Given a system of routers
+    When 12 requests for a key are sent with a header value beyond ASCII
+    Then each of them is answered with 200, and so is one for the same key without it
+
   Scenario: Keys are served again after all routers were killed
     Given a system of routers
     When all routers are killed and restarted
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -261,6 +261,21 @@
     assert context.exit_code == code and context.ended - context.began < seconds
 
 
+@when("{count:d} requests for a key are sent with a header value beyond ASCII")
+def beyond_ascii(context, count):
+    send = context.system.send_request
+    context.statuses = [
+        send(context.vm, "keys.example", "/k/x", key=77, deadline_ms=300, headers={"x-name": "caf\xe9"})[0]
+        for _ in range(count)
+    ]
+
+
+@then("each of them is answered with 200, and so is one for the same key without it")
+def all_served(context):
+    plain = context.system.send_request(context.vm, "keys.example", "/k/x", key=77, deadline_ms=1000)[0]
+    assert {plain, *context.statuses} == {200}, (context.statuses, plain)
+
+
 @when("all routers are killed and restarted")
 def all_killed(context):
     for vm in context.system.vms.values():
--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -197,9 +197,11 @@
         body: bytes | None = None,
         deadline_ms: int = 2000,
         attempt: str | None = None,
+        headers: dict[str, str] | None = None,
     ) -> tuple[int, dict[str, str], bytes]:
         """Send a request to a VM's router; return status 0 if the connection closes without an answer."""
         headers = {
+            **(headers or {}),
             "host": host,
             HEADER_PREFIX + "attempt-id": attempt or f"a{next(ATTEMPT_NUMBERS)}",
             HEADER_PREFIX + "deadline-ms": str(deadline_ms),
