Pass header values beyond ASCII on to the target

What callers saw: a request with such a header value was answered 502, 503 or 504, and after as many of them as the target has slots, so was every request for that target until its router was restarted. Cause: the entry takes such values, as HTTP allows, while encode_request refused them; the exception left the request in the receiver with its slot. The values are now sent as the bytes that were received. Paths stay ASCII, as the entry demands.

--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -433,7 +433,7 @@
     ------
     InvalidArgument
         If a part of the head contains characters that would change the structure of the request, is not
-        ASCII, or names a header that the client sets itself.
+        Latin-1, or names a header that the client sets itself.
     """
     if not RESERVED_HEADERS.isdisjoint(headers):
         raise InvalidArgument(
@@ -446,9 +446,10 @@
     count = len(lines) + 1
     if head.count("\n") != count or head.count("\r") != count:
         raise InvalidArgument(name="headers", value=sorted(headers), expected="no line breaks")
-    if lines[0].count(" ") != 2:
-        raise InvalidArgument(name="path", value=path, expected="no spaces")
+    if lines[0].count(" ") != 2 or not path.isascii():
+        raise InvalidArgument(name="path", value=path, expected="ASCII text without spaces")
     try:
-        return head.encode("ascii") + body
+        # Bytes beyond ASCII in header values (RFC 9110, section 5.5) are passed on unchanged.
+        return head.encode("latin-1") + body
     except UnicodeEncodeError:
-        raise InvalidArgument(name="headers", value=sorted(headers), expected="ASCII text") from None
+        raise InvalidArgument(name="headers", value=sorted(headers), expected="Latin-1 text") from None
