--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -60,6 +60,11 @@
     When a request with 20 s is sent to the target of a router that has 0.9 s left for requests
     Then the target is told to stop work at most 0.9 s later
 
+  Scenario: A request that takes longer than its stopping router has left is refused as not run, not sent to the target
+    Given a router that was just started beside a target with 6 slots
+    When a request with 20 s, of a class that takes 2 s, arrives at a router that has 0.9 s left for requests
+    Then the target is not sent it, and it is declined as not run, as the router stops
+
   Scenario Outline: A request that its target was not sent when the router's time is over is refused as not run: <waits>
     Given a router that was just started beside a target with 1 slots
     When the time of the stopping router is over while a request runs and another <waits>
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -315,6 +315,27 @@
     context.receiver.on_forward(forward(1, deadline=limit), b"", 0.0, lambda *_: None)
 
 
+@when(
+    "a request with {limit:g} s, of a class that takes {service:g} s, arrives at a router that has {left:g} "
+    "s left for requests"
+)
+def longer_than_left(context, limit, service, left):
+    context.receiver.service_seconds_left = lambda: left
+    request = forward(1, deadline=limit)
+    context.receiver.admission.class_service_seconds[request.cost_class] = service
+    context.answers = []
+    context.receiver.on_forward(request, b"", 0.0, lambda answer, _: context.answers.append(answer))
+
+
+@then("the target is not sent it, and it is declined as not run, as the router stops")
+def declined_stopping(context):
+    assert not context.target.arrivals
+    (declined,) = context.answers
+    assert not declined.may_have_run and declined.reason == "stopping" and declined.retry_after > 0.0, (
+        declined
+    )
+
+
 @then("the target is told to stop work at most {seconds:g} s later")
 def told_to_stop(context, seconds):
     assert context.deadlines and seconds - 0.3 <= context.deadlines[0] <= seconds, context.deadlines
