Refuse what a stopping router's target is not expected to end in time

What callers saw: a request with plenty of time, for a key of a node that was being stopped, was run, broken off by its target when the router's time was over, and answered 504; an order cannot be repeated after that. Cause: the deadline that the target got was capped by the end of the router, the one by which it was admitted was not. Now both are, and what does not fit is declined as not run, to come back when the next process is due.

--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -55,6 +55,7 @@
 OVERLOADED_REASON = "overloaded"
 TOO_LATE_REASON = "too_late"
 REFUSED_REASON = "target_refused"
+STOPPING_REASON = "stopping"
 # A body is requested only if it can arrive within this share of the time left for its request.
 MAX_BODY_WAIT_SHARE = 0.5
 BUSY_REASON = "busy"
@@ -340,7 +341,7 @@
         wait = self.body_gate.expected_wait(forward.offered_bytes)
         late = wait > (job.deadline - self.now) * MAX_BODY_WAIT_SHARE
         if not reason and (late or not self.admission.is_servable(self.queue_entry(job), self.now)):
-            reason = OVERLOADED_REASON
+            reason = self.unservable_reason(job)
         if reason:
             self.decline(job, reason, retry_after=min(wait, MAX_RETRY_AFTER_SECONDS))
             return
@@ -391,7 +392,7 @@
             return f"target_{self.target.state.value}"
         if forward.key >= 0:
             return NOT_OWNER_REASON if self.range_owner.key_state(forward.key) is KeyState.NOT_OWNED else ""
-        return "stopping" if self.stopping else ""
+        return STOPPING_REASON if self.stopping else ""
 
     def target_holds_key(self, forward: Forward) -> bool:
         """Return whether the target holds the key of a request, which it then serves even when draining."""
@@ -425,7 +426,10 @@
         now = self.now
         entry = self.queue_entry(job)
         if not self.admission.is_servable(entry, now):
-            self.decline(job, OVERLOADED_REASON, retry_after=self.admission.retry_after(entry, now))
+            reason = self.unservable_reason(job)
+            stopping = reason == STOPPING_REASON
+            wait = self.service_seconds_left() + RESTART_SECONDS if stopping else 0.0
+            self.decline(job, reason, retry_after=max(wait, self.admission.retry_after(entry, now)))
             return
         job.queue_entry = entry
         self.admission.push(entry, now)
@@ -434,9 +438,15 @@
             self.expiry_timer.wake()
 
     def queue_entry(self, job: Job) -> QueueEntry:
-        """Return an entry of the admission queue for a request."""
-        forward = job.forward
-        return QueueEntry(job, forward.priority, job.goal_at, job.deadline, forward.cost_class, self.now)
+        """Return an entry of the admission queue for a request, which must end before the process does."""
+        forward, now = job.forward, self.now
+        deadline = min(job.deadline, now + self.service_seconds_left())
+        return QueueEntry(job, forward.priority, job.goal_at, deadline, forward.cost_class, now)
+
+    def unservable_reason(self, job: Job) -> str:
+        """Return why a request cannot be served in time: its deadline, or the end of this process."""
+        ends_first = self.now + self.service_seconds_left() < job.deadline
+        return STOPPING_REASON if ends_first else OVERLOADED_REASON
 
     def send_queued(self) -> None:
         """Send queued requests to the target while it has free slots."""
