Add a failing scenario: a request that arrives as its connection becomes idle is reset

The check for idle connections looks at the input that was read, not at what has arrived. It matters most when a configuration shortens the limit, since many connections are then idle for longer than it.

--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -56,6 +56,11 @@
     When a caller sends "a request and no protocol" and waits for 3 s
     Then the caller gets the answers "200 /a; 400"
 
+  Scenario: A request that has arrived when its connection's idle time ends is answered
+    Given an entry that echoes path and body
+    When a request arrives on a connection that was idle for longer than the limit, just before that is checked
+    Then the caller gets the answers "200 /a"
+
   Scenario: A caller's departure is reported
     Given an entry that answers nothing yet
     When a caller sends "one request" and leaves
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -247,6 +247,20 @@
     context.loopback.run_until(lambda: not context.caller.is_alive(), 4.0)
 
 
+@when(
+    "a request arrives on a connection that was idle for longer than the limit, just before that is checked"
+)
+def arrives_idle(context):
+    context.caller = Caller(context.address, [], 0.5)
+    context.loopback.run_until(lambda: bool(context.entry.connections))
+    (connection,) = context.entry.connections.values()
+    connection.last_active_at -= LIMITS.idle_timeout + 0.1
+    context.caller.sock.sendall(GET % b"/a")
+    time.sleep(0.02)
+    context.entry.enforce_timeouts()
+    context.loopback.run_until(lambda: not context.caller.is_alive())
+
+
 @then("its connection is closed without an answer")
 def closed_idle(context):
     assert context.caller.ended and not context.caller.received
