Keep an idle connection on which a request has arrived

What callers saw: a request sent on a connection at about the end of its idle time was reset, though it had arrived before the check. Cause: the check looked at what had been read, not at the socket's buffer. Many connections are concerned at once when a configuration shortens the limit. Evidence: router_entry.feature, "A request that has arrived when its connection's idle time ends is answered", failed before and passes now (23 of 23).

--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -205,7 +205,11 @@
                 and now - connection.head_started_at > limits.head_timeout
             ):
                 connection.reject(408)
-            elif not connection.pending and now - connection.last_active_at > limits.idle_timeout:
+            elif (
+                not connection.pending
+                and now - connection.last_active_at > limits.idle_timeout
+                and not connection.has_unread_input
+            ):
                 self.close(connection)
 
     def connections_of(self, address: str) -> list[EntryConnection]:
