Refuse values that are nested too deeply with the typed error, in one place

Seen: one row of the store nested 5,000 deep, or one such answer, ended the polls for rows of nodes or of the operator for good; in a configuration, heartbeat, notice of departure or message between nodes it raised RecursionError out of the handler.

Cause: msgspec raises RecursionError for such values, and each decoder caught its own list of errors, none of them this one. The callback of a poll was then never called, so nothing asked again.

Change: internal/decoding.py has the list of errors and turns them into InvalidArgument with a bounded excerpt; all decoders use it. An answer of the store without a readable time is logged.

--- a/src/hibiscusdrum/internal/cli/explain.py
+++ b/src/hibiscusdrum/internal/cli/explain.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from hibiscusdrum.internal.decoding import DECODE_ERRORS
+
 EXIT_FOUND = 0
 EXIT_NOT_FOUND = 1
 EXIT_UNREADABLE = 2
@@ -65,7 +67,7 @@
         try:
             # A log collector may prefix each line with columns of its own.
             line = decoder.decode(raw_line[raw_line.index(b"{") :])
-        except (msgspec.DecodeError, ValueError):
+        except DECODE_ERRORS:
             continue
         if line.fields.get("id") == request_id:
             matching.append(line)
--- a/src/hibiscusdrum/internal/cli/operator.py
+++ b/src/hibiscusdrum/internal/cli/operator.py
@@ -34,6 +34,7 @@
 )
 from hibiscusdrum.internal.config.operators import KEY_HEADER, PATH_PREFIX
 from hibiscusdrum.internal.config.revisions import ACCEPTED
+from hibiscusdrum.internal.decoding import DECODE_ERRORS
 from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT
 from hibiscusdrum.internal.settings import ADDRESS_EXPECTED, BY_NAME, parse_address
 
@@ -120,7 +121,7 @@
     def _decode_answer(self, response_body: bytes) -> dict[str, Any]:
         try:
             return msgspec.json.decode(response_body, type=dict[str, Any])
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             raise NodeUnreachable(node=self.daemon) from None
 
     def print_answer(self, answer: dict[str, Any], lines: Iterable[str]) -> None:
--- a/src/hibiscusdrum/internal/codec.py
+++ b/src/hibiscusdrum/internal/codec.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from hibiscusdrum.errors import InvalidFrame, Unauthorized
+from hibiscusdrum.internal.decoding import DECODE_ERRORS
 from hibiscusdrum.internal.messages import ControlMessage, Message, RequestMessage
 
 SIGNATURE_BYTES = 16
@@ -64,5 +65,5 @@
 def _decode(decoder: msgspec.msgpack.Decoder, frame: bytes) -> Message:
     try:
         return decoder.decode(frame)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise InvalidFrame(reason=str(error), frame=frame[:EXCERPT_BYTES].hex()) from error
--- a/src/hibiscusdrum/internal/config/intents.py
+++ b/src/hibiscusdrum/internal/config/intents.py
@@ -20,6 +20,7 @@
     check_unique_names,
     convert_value,
 )
+from hibiscusdrum.internal.decoding import DECODE_ERRORS
 from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT
 
 # Intents are short lists of names, so a larger body must be a mistake.
@@ -145,7 +146,7 @@
         raise InvalidArgument(name="body", value=f"{len(body)} bytes", expected=expected)
     try:
         value = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         excerpt = body[:MAX_EXCERPT_CHARACTERS].decode("utf-8", "replace")
         raise InvalidArgument(name="body", value=excerpt, expected="a JSON object") from error
     intent = _decode(value, OPERATOR_INTENTS)
--- a/src/hibiscusdrum/internal/config/operators.py
+++ b/src/hibiscusdrum/internal/config/operators.py
@@ -43,6 +43,7 @@
 )
 from hibiscusdrum.internal.config.planner import Estimate, Plan, make_plan
 from hibiscusdrum.internal.config.revisions import ACCEPTED, COMMITTED, WHOLE_DOCUMENT_BASE, Acceptance
+from hibiscusdrum.internal.decoding import convert
 from hibiscusdrum.internal.ownership.rows import CONFIG_KEY, PLAN_PREFIX, OwnerRow
 from hibiscusdrum.internal.platform.table import Changes, Row, Table, Transaction
 from hibiscusdrum.internal.settings import NAME_PATTERN
@@ -136,10 +137,7 @@
     InvalidArgument
         If the row is malformed.
     """
-    try:
-        return msgspec.convert(value, PlanRow)
-    except msgspec.ValidationError as error:
-        raise InvalidArgument(name="plan row", value=value, expected=str(error)) from error
+    return convert(value, PlanRow, "plan row")
 
 
 class OperatorApi:
--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -25,6 +25,7 @@
 )
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.config.document import Document
+from hibiscusdrum.internal.decoding import DECODE_ERRORS
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.fair_queue import FairQueue
 from hibiscusdrum.internal.load.hot_keys import HotKeyDetector
@@ -540,7 +541,7 @@
     """Return the reason from a target's refusal body, or an empty string if there is none."""
     try:
         return str(msgspec.json.decode(body, type=dict).get("reason", ""))
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return ""
 
 
--- a/src/hibiscusdrum/internal/daemon/target.py
+++ b/src/hibiscusdrum/internal/daemon/target.py
@@ -8,6 +8,7 @@
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.decoding import decode_json
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.settings import Settings
 
@@ -62,10 +63,7 @@
         InvalidArgument
             If it is malformed or is not from this node's target.
         """
-        try:
-            announcement = msgspec.json.decode(body, type=Announcement)
-        except msgspec.DecodeError as error:
-            raise InvalidArgument(name="announcement", value=body[:64], expected=str(error)) from None
+        announcement = decode_json(body, Announcement, "announcement")
         self.check_announcement(announcement)
         self.last_announced_at = self.app.clock.monotonic()
         if self.announcement is None:
--- a/src/hibiscusdrum/internal/ownership/ownership_map.py
+++ b/src/hibiscusdrum/internal/ownership/ownership_map.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from hibiscusdrum.internal.decoding import DECODE_ERRORS
 from hibiscusdrum.internal.ownership.keys import DEFAULT_SLICE_COUNT
 from hibiscusdrum.internal.ownership.rows import (
     LEASE_PREFIX,
@@ -240,7 +241,7 @@
             return False
         try:
             row = None if value is None else msgspec.convert(value, row_type)
-        except msgspec.ValidationError as error:
+        except DECODE_ERRORS as error:
             self.malformed_rows[key] = str(error)
             return False
         self.malformed_rows.pop(key, None)
--- a/src/hibiscusdrum/internal/platform/table_client.py
+++ b/src/hibiscusdrum/internal/platform/table_client.py
@@ -15,6 +15,7 @@
 from returns.result import Failure, Result, Success
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument, StoreConflict, StoreUnavailable
+from hibiscusdrum.internal.decoding import DECODE_ERRORS
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.platform.table import (
     Changes,
@@ -85,7 +86,7 @@
     """Return the decoded body, or None if it does not match the decoder's type."""
     try:
         return decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/hibiscusdrum/internal/router/ring_row.py
+++ b/src/hibiscusdrum/internal/router/ring_row.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from hibiscusdrum.errors import InvalidArgument
+from hibiscusdrum.internal.decoding import refusing_malformed
 from hibiscusdrum.internal.router.ring import UNOWNED, Owner, Ring, Stripe
 
 COMPRESSION_LEVEL = 6
@@ -58,13 +58,11 @@
     InvalidArgument
         If the value is malformed.
     """
-    try:
+    with refusing_malformed("ring", value):
         decompressor = zlib.decompressobj()
         plain = decompressor.decompress(base64.b64decode(value, validate=True), MAX_DECOMPRESSED_BYTES)
         columns = decoder.decode(plain)
         validate_columns(columns)
-    except (TypeError, ValueError, zlib.error) as error:
-        raise InvalidArgument(name="ring", value=str(value)[:64], expected=str(error)) from error
     handover_tokens = columns.handover_tokens
     stripes = tuple(
         Stripe(owner_index, fencing_token, handover_tokens.get(index, ""))
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -96,7 +96,7 @@
         try:
             self.by_service[service] = decode_ring(row.value)
         except InvalidArgument as error:
-            log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)[:120]))
+            log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)))
 
     def read_ring(self, done: Callable[[bool], None], service: str = "") -> None:
         """Read the ring of a service, by default this node's.
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -11,6 +11,7 @@
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.decoding import refusing_malformed
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.router import events
@@ -55,7 +56,7 @@
     InvalidArgument
         If the configuration is malformed.
     """
-    try:
+    with refusing_malformed("configuration", data):
         wire = msgspec.json.decode(data, type=WireConfig)
         return RouteTable.build(
             int(wire.version.removeprefix("r")),
@@ -63,8 +64,6 @@
             [decode_service(entry) for entry in wire.services.to_dicts()],
             decode_limits(wire.limits),
         )
-    except (msgspec.DecodeError, ValueError, KeyError, TypeError) as error:
-        raise InvalidArgument(name="configuration", value=data[:64], expected=str(error)) from error
 
 
 def decode_route(entry: dict[str, Any]) -> Route:
@@ -164,6 +163,9 @@
             (self.evacuated_domains.discard if row.deleted else self.evacuated_domains.add)(failure_domain)
         elif row.key == CONFIG_KEY and not row.deleted:
             try:
-                self.gateway.set_route_table(decode_config(base64.b64decode(row.value)))
-            except (ValueError, InvalidArgument) as error:
-                log_events.emit(events.RowUnreadable(what="configuration", reason=str(error)[:200]))
+                with refusing_malformed("configuration", row.value):
+                    table = decode_config(base64.b64decode(row.value))
+            except InvalidArgument as error:
+                log_events.emit(events.RowUnreadable(what="configuration", reason=str(error)))
+                return
+            self.gateway.set_route_table(table)
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -8,6 +8,7 @@
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.decoding import decode_json, refusing_malformed
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetHeartbeat
@@ -69,11 +70,9 @@
     InvalidArgument
         If a field is missing or of the wrong type, or the state is unknown.
     """
-    try:
+    with refusing_malformed("report", body):
         heartbeat = msgspec.json.decode(body, type=WireHeartbeat)
         draining = DRAINING_BY_STATE[heartbeat.status.state]
-    except (msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
-        raise InvalidArgument(name="report", value=body[:64], expected=str(error)) from error
     return TargetHeartbeat(
         target=target,
         service=heartbeat.info.service,
@@ -129,7 +128,7 @@
                     lambda grant: request.respond(200, JSON_HEADERS, encode_grant(grant)),
                 )
         except InvalidArgument as error:
-            log_events.emit(events.RowUnreadable(what="report", reason=str(error)[:200]))
+            log_events.emit(events.RowUnreadable(what="report", reason=str(error)))
             request.respond(400, JSON_HEADERS, b"{}")
 
 
@@ -143,7 +142,4 @@
     """
     if not body:
         return 0
-    try:
-        return msgspec.json.decode(body, type=WireLeave).born
-    except msgspec.DecodeError as error:
-        raise InvalidArgument(name="notice", value=body[:64], expected=str(error)) from error
+    return decode_json(body, WireLeave, "notice").born
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -14,8 +14,9 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from hibiscusdrum.errors import HibiscusdrumError, StoreConflict, StoreUnavailable
+from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument, StoreConflict, StoreUnavailable
 from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.decoding import decode_json, refusing_malformed
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.platform.table import (
     Changes,
@@ -98,8 +99,6 @@
     complete: bool
 
 
-rows_decoder = msgspec.json.Decoder(WireRows)
-committed_decoder = msgspec.json.Decoder(WireCommitted)
 WireRowsCallback = Callable[[Result[WireRows, HibiscusdrumError]], None]
 RowChangesCallback = Callable[[Result[RowChanges, HibiscusdrumError]], None]
 
@@ -109,14 +108,15 @@
     return LEASE_TABLE if key.startswith(LEASE_PREFIX) else ROUTER_TABLE
 
 
-def decode_row(row: WireRow, decode: Callable[[bytes], Any] = msgspec.json.decode) -> Row:
+def decode_row(row: WireRow) -> Row:
     """Convert a row of the store; its value is None when the row was deleted or cannot be decoded."""
     if row.deleted:
         return Row(row.key, row.ver, None)
     try:
-        return Row(row.key, row.ver, decode(base64.b64decode(row.value)))
-    except (ValueError, msgspec.DecodeError) as error:
-        log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)[:120]))
+        with refusing_malformed(row.key, row.value):
+            return Row(row.key, row.ver, msgspec.json.decode(base64.b64decode(row.value)))
+    except InvalidArgument as error:
+        log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)))
         return Row(row.key, row.ver, None)
 
 
@@ -210,8 +210,9 @@
                 callback(Failure(StoreConflict(keys=keys)))
                 return
             try:
-                committed = committed_decoder.decode(response.body)
-            except msgspec.DecodeError:
+                committed = decode_json(response.body, WireCommitted, "commit")
+            except InvalidArgument as error:
+                log_events.emit(events.RowUnreadable(what="commit", reason=str(error)))
                 callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
                 return
             callback(Success(committed.ver))
@@ -289,9 +290,9 @@
         if not isinstance(result, Success):
             return Failure(result.failure())
         try:
-            return Success(rows_decoder.decode(result.unwrap().body))
-        except msgspec.DecodeError as error:
-            log_events.emit(events.RowUnreadable(what=operation, reason=str(error)[:120]))
+            return Success(decode_json(result.unwrap().body, WireRows, operation))
+        except InvalidArgument as error:
+            log_events.emit(events.RowUnreadable(what=operation, reason=str(error)))
             return Failure(StoreUnavailable(operation=operation, reason="unreadable"))
 
     def send_request(
@@ -333,8 +334,9 @@
     def record_store_time(self, sent_at: float, body: bytes) -> None:
         """Record the store's time from the body of an answer, if it contains one."""
         try:
-            store_time = msgspec.json.decode(body, type=TimestampedAnswer).serverTimeS
-        except msgspec.DecodeError:
+            store_time = decode_json(body, TimestampedAnswer, "serverTimeS").serverTimeS
+        except InvalidArgument as error:
+            log_events.emit(events.RowUnreadable(what="serverTimeS", reason=str(error)))
             return
         if store_time:
             self.store_time = max(self.store_time, store_time)
