Check the values of heartbeats where they are decoded

Seen: 39 of 157 odd heartbeats were taken as sound: ports out of range, no slots or 10^30, ranges turned round or above the key space, starts and sequence numbers below 0. A target that reported to have released the keys 0 to 10,000,000 made its node keep 36,542 handover tokens for 240 stripes; up to 10^30 it would not have ended. A name with a line break made each request to the target fail where its headers are encoded, after it had taken a slot.

Change: the types of the heartbeat bound their values, and the name of the target must fit in a header. Released ranges are limited to the stripes of the ring, as held ones already were.

--- a/src/hibiscusdrum/internal/decoding.py
+++ b/src/hibiscusdrum/internal/decoding.py
@@ -90,20 +90,21 @@
         return msgspec.convert(value, type_)
 
 
-def check_address(text: str) -> None:
-    """Check that a text is ``ip:port`` with an IPv4 address.
+def check_address(text: str, name: str) -> None:
+    """Check that the text of the field ``name`` is ``ip:port`` with an IPv4 address.
 
     Raises
     ------
     ValueError
         If it is not, or the port is not between 1 and 65535.
     """
+    expected = f"ip:port with a port from 1 to 65535 in {name}, got {excerpt(text)!r}"
+    if text.startswith("["):
+        raise ValueError(expected)
     try:
         parse_address(text)
-    except ValueError:
-        text = ""
-    if not text or text.startswith("["):
-        raise ValueError("ip:port with a port from 1 to 65535")
+    except ValueError as error:
+        raise ValueError(expected) from error
 
 
 def excerpt(value: object) -> Any:
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -21,7 +21,7 @@
 from hibiscusdrum.internal.platform.table import Row
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router import ring as ring_edits
-from hibiscusdrum.internal.router.grant_contents import grant_contents
+from hibiscusdrum.internal.router.grant_contents import grant_contents, range_stripes
 from hibiscusdrum.internal.router.key_load import (
     OVERLOAD_RATIO,
     KeyLoad,
@@ -291,7 +291,7 @@
         if ring is None:
             return
         for released in heartbeat.released:
-            for index in range(ring.stripe_index(released.first), ring.stripe_index(released.last) + 1):
+            for index in range_stripes(ring, released):
                 if index not in self.granted_stripes:
                     self.handover_tokens[index] = released.handover_token
         if heartbeat.released and (self.outgoing_stripes or self.must_release_all):
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -2,39 +2,59 @@
 
 from __future__ import annotations
 
+import re
+from typing import Annotated
 from urllib.parse import unquote
 
 import msgspec
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal import log_events
-from hibiscusdrum.internal.decoding import decode_json, refusing_malformed
+from hibiscusdrum.internal.decoding import (
+    AddressText,
+    Name,
+    Text,
+    Whole,
+    check_address,
+    decode_json,
+    excerpt,
+    refusing_malformed,
+)
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.ring import Range
+from hibiscusdrum.internal.router.routes import KEY_SPACE
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
 INSTANCES_PATH = "/instances/"
 JSON_HEADERS = [("content-type", "application/json")]
+MAX_SLOTS = 1_000_000
+MAX_WARMUP_SECONDS = 86_400.0
+# The name is sent in a header of each request to the target.
+TARGET_PATTERN = re.compile(r"[!-~]{1,200}")
+
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+WarmupSeconds = Annotated[float, msgspec.Meta(ge=-MAX_WARMUP_SECONDS, le=MAX_WARMUP_SECONDS)]
+Key = Annotated[int, msgspec.Meta(ge=0, lt=KEY_SPACE)]
 
 
 class TargetInfo(msgspec.Struct, frozen=True):
     """Properties of a target that are constant for one incarnation."""
 
-    service: str
-    slots: int
-    zone: str = ""
-    version: str = ""
+    service: Name
+    slots: Slots
+    zone: Text = ""
+    version: Text = ""
 
 
 class TargetStatus(msgspec.Struct, frozen=True):
     """State of a target; ``warmupS_time`` is the remaining warm-up time in seconds."""
 
-    state: str
-    seq: int
-    warmupS_time: float = 0.0  # noqa: N815 - name on the wire
+    state: Text
+    seq: Whole
+    warmupS_time: WarmupSeconds = 0.0  # noqa: N815 - name on the wire
 
 
 class WireHeartbeat(msgspec.Struct, frozen=True):
@@ -45,18 +65,24 @@
     token. ``born`` is the time at which the target started, in Unix milliseconds.
     """
 
-    addr: str
+    addr: AddressText
     info: TargetInfo
     status: TargetStatus
-    born: int = 0
-    holdCount: tuple[tuple[int, int, int], ...] = ()  # noqa: N815 - name on the wire
-    released: tuple[tuple[int, int, str], ...] = ()
+    born: Whole = 0
+    holdCount: tuple[tuple[Key, Key, Whole], ...] = ()  # noqa: N815 - name on the wire
+    released: tuple[tuple[Key, Key, Text], ...] = ()
+
+    def __post_init__(self) -> None:
+        check_address(self.addr, "addr")
+        for first, last, _token in (*self.holdCount, *self.released):
+            if first > last:
+                raise ValueError(f"ranges whose first key is not above the last, got {first} to {last}")
 
 
 class WireLeave(msgspec.Struct, frozen=True):
     """Body of the notice that a target is leaving; ``born`` as in a heartbeat."""
 
-    born: int = 0
+    born: Whole = 0
 
 
 DRAINING_BY_STATE = {"ready": False, "draining": True}
@@ -68,8 +94,11 @@
     Raises
     ------
     InvalidArgument
-        If a field is missing or of the wrong type, or the state is unknown.
+        If a field is missing, of the wrong type or out of range, the state is unknown, or the name of the
+        target cannot be sent in a header.
     """
+    if not TARGET_PATTERN.fullmatch(target):
+        raise InvalidArgument(name="target", value=excerpt(target), expected=TARGET_PATTERN.pattern)
     with refusing_malformed("report", body):
         heartbeat = msgspec.json.decode(body, type=WireHeartbeat)
         draining = DRAINING_BY_STATE[heartbeat.status.state]
