--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -22,9 +22,13 @@
     Changes,
     ChangesCallback,
     CommitCallback,
+    EraListener,
     ReadCallback,
     Row,
     Transaction,
+    era_of,
+    make_version,
+    number_of,
 )
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.transport.http_client import HttpClient
@@ -48,15 +52,23 @@
 # Failures beyond this number are not counted, which bounds the exponent of the timeout.
 MAX_FAILURE_COUNT = 8
 MAX_PAGE_ROWS = 500
+# A table is read completely at most this often, should the store refuse every poll for its changes.
+MIN_REREAD_INTERVAL_SECONDS = 0.5
 MAX_CONNECTIONS = 16
 OK = 200
 GONE = 410
 PRECONDITION_FAILED = 412
+# Header of every answer of the store; it rises by one each time the store is restored from a copy.
+ERA_HEADER = "store-era"
+MAX_ERA_DIGITS = 9
 JSON_HEADERS = {"content-type": "application/json"}
 
 
 class WireRow(msgspec.Struct, frozen=True):
-    """A row as the store sends it; ``ver`` is the number of the transaction that wrote it."""
+    """A row as the store sends it.
+
+    ``ver`` is the number of the transaction that wrote it, or the version after ``WireRows.in_era``.
+    """
 
     key: str
     ver: int = 0
@@ -72,6 +84,17 @@
     hasMore: bool = False  # noqa: N815 - name on the wire
     serverTimeS: float = 0.0  # noqa: N815 - name on the wire
 
+    def in_era(self, era: int) -> WireRows:
+        """Return the answer with versions of an era in place of the store's numbers.
+
+        Raises
+        ------
+        InvalidArgument
+            If a number is out of range.
+        """
+        records = tuple(msgspec.structs.replace(row, ver=make_version(era, row.ver)) for row in self.records)
+        return msgspec.structs.replace(self, records=records, ver=make_version(era, self.ver))
+
 
 class WireCommitted(msgspec.Struct, frozen=True):
     """Answer to a committed transaction; ``ver`` is the version of the rows it wrote."""
@@ -99,17 +122,50 @@
     complete: bool
 
 
+class StoreAnswer:
+    """An answer of the store.
+
+    Attributes
+    ----------
+    status : int
+    body : bytes
+    era : int
+        Era of the store that gave the answer; 0 if it names none.
+    """
+
+    __slots__ = ("body", "era", "status")
+
+    def __init__(self, status: int, body: bytes, era: int) -> None:
+        self.status = status
+        self.body = body
+        self.era = era
+
+
+StoreAnswerResult = Result[StoreAnswer, HibiscusdrumError]
 WireRowsCallback = Callable[[Result[WireRows, HibiscusdrumError]], None]
 RowChangesCallback = Callable[[Result[RowChanges, HibiscusdrumError]], None]
 
 
+def decode_era(value: str) -> int:
+    """Decode the era that an answer of the store names.
+
+    Raises
+    ------
+    InvalidArgument
+        If it is not a decimal number of at most ``MAX_ERA_DIGITS`` digits.
+    """
+    if not (value.isascii() and value.isdigit() and len(value) <= MAX_ERA_DIGITS):
+        raise InvalidArgument(name=ERA_HEADER, value=value[:64], expected="a decimal number")
+    return int(value)
+
+
 def table_for_key(key: str) -> str:
     """Return the name of the store's table that holds the row with this key."""
     return LEASE_TABLE if key.startswith(LEASE_PREFIX) else ROUTER_TABLE
 
 
 def decode_row(row: WireRow) -> Row:
-    """Convert a row of the store; its value is None when the row was deleted or cannot be decoded."""
+    """Convert a row with its version; its value is None when the row was deleted or cannot be decoded."""
     if row.deleted:
         return Row(row.key, row.ver, None)
     try:
@@ -132,8 +188,18 @@
     ----------
     store_time : float
         Newest time on the store's clock that an answer contained, in seconds.
+    era : int
+        Newest era of the store that an answer named; 0 while none did.
+    newest_number : int
+        Newest number of a version that an answer of this era contained.
+    on_era_change : list of callable
+        Called with the former and the new era, before the answer that names the new one is delivered.
     failures : dict of str to int
         Number of consecutive failed polls for changes, by table.
+    reread_counts : dict of str to int
+        Number of complete reads in place of changes, by table.
+    reread_at : dict of str to float
+        Monotonic time in seconds at which the last of them began, by table.
     initial_read_done : bool
         Whether a call of ``changes`` has succeeded; from then on version 0 is polled like any other.
     on_store_time : callable or None
@@ -148,7 +214,12 @@
         super().__init__()
         self.address = address
         self.store_time = 0.0
+        self.era = 0
+        self.newest_number = 0
+        self.on_era_change: list[EraListener] = []
         self.failures: dict[str, int] = {}
+        self.reread_counts: dict[str, int] = {}
+        self.reread_at: dict[str, float] = {}
         self.initial_read_done = False
         self.on_store_time: Callable[[float, float], None] | None = None
         self.on_bytes_transferred: Callable[[str, int, int], None] | None = None
@@ -187,10 +258,20 @@
         self.poll_changes(ROUTER_TABLE, since if since or self.initial_read_done else None, on_response)
 
     def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
-        """Write conditionally; after a failure with reason ``unknown``, the write may still take effect."""
+        """Write conditionally; after a failure with reason ``unknown``, the write may still take effect.
+
+        A check against a version of an earlier era is a conflict, and the write is not sent: the store may
+        have given the same number to other content.
+        """
+        outdated = tuple(
+            key for key, version in transaction.checks.items() if version and era_of(version) != self.era
+        )
+        if outdated:
+            self.app.scheduler.call_later(0.0, lambda: callback(Failure(StoreConflict(keys=outdated))))
+            return
         body = {
             "expect": [
-                {"table": table_for_key(key), "part": "", "key": key, "ver": version}
+                {"table": table_for_key(key), "part": "", "key": key, "ver": number_of(version)}
                 for key, version in transaction.checks.items()
             ],
             "write": [
@@ -200,22 +281,27 @@
             "delete": [{"table": table_for_key(key), "part": "", "key": key} for key in transaction.deletes],
         }
         keys = tuple(transaction.checks)
+        sent_era = self.era
 
-        def on_response(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+        def on_response(result: StoreAnswerResult) -> None:
             if not isinstance(result, Success):
                 callback(Failure(result.failure()))
                 return
-            response = result.unwrap()
-            if response.status == PRECONDITION_FAILED:
+            answer = result.unwrap()
+            if answer.status == PRECONDITION_FAILED:
                 callback(Failure(StoreConflict(keys=keys)))
                 return
+            if sent_era and answer.era != sent_era:
+                # The restored store may have given the numbers in the checks to other content.
+                callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
+                return
             try:
-                committed = decode_json(response.body, WireCommitted, "commit")
+                version = make_version(answer.era, decode_json(answer.body, WireCommitted, "commit").ver)
             except InvalidArgument as error:
                 log_events.emit(events.RowUnreadable(what="commit", reason=str(error)))
                 callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
                 return
-            callback(Success(committed.ver))
+            callback(Success(version))
 
         self.send_request(
             "commit", "POST", "/rows-tx", msgspec.json.encode(body), CALL_TIMEOUT_SECONDS, on_response
@@ -224,7 +310,10 @@
     # Calls of the store's HTTP API
 
     def read_range(self, table: str, first: str, last: str, callback: WireRowsCallback) -> None:
-        """Read the rows of a table in a key range, page by page; ``last`` is excluded."""
+        """Read the rows of a table in a key range, page by page; ``last`` is excluded.
+
+        If the store is restored between two pages, the read starts again.
+        """
         collected: list[WireRow] = []
         newest_version = 0
 
@@ -238,13 +327,18 @@
                 "read", "GET", f"/rows-get?{urlencode(query)}", b"", CALL_TIMEOUT_SECONDS, on_response
             )
 
-        def on_response(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+        def on_response(result: StoreAnswerResult) -> None:
             nonlocal newest_version
             answer = self.decode_rows("read", result)
             if not isinstance(answer, Success):
                 callback(answer)
                 return
             rows = answer.unwrap()
+            if newest_version and era_of(rows.ver) != era_of(newest_version):
+                newest_version = 0
+                collected.clear()
+                request_page(first)
+                return
             # The version of the first page is kept, so that the next poll for changes also returns the rows
             # that were written while later pages were read.
             newest_version = newest_version or rows.ver
@@ -257,25 +351,39 @@
         request_page(first)
 
     def poll_changes(self, table: str, since: int | None, callback: RowChangesCallback) -> None:
-        """Wait for changes after a version; read the whole table when it is None or too old."""
+        """Wait for changes after a version; read the whole table when it is None or too old.
+
+        So it is after a version of an earlier era: the restored store gives out the same number again, for
+        other changes.
+        """
 
         def report(result: Result[WireRows, HibiscusdrumError], complete: bool) -> None:
             callback(result.map(lambda answer: RowChanges(answer.records, answer.ver, complete)))
 
+        def reread(reason: str) -> None:
+            self.reread_table(table, reason, lambda result: report(result, True))
+
         if since is None:
             self.read_range(table, "", "", lambda result: report(result, True))
             return
+        if era_of(since) != self.era:
+            reread("restored")
+            return
         failures = self.failures.get(table, 0)
         block_seconds = 0.0 if failures else LONG_POLL_SECONDS
         probe_timeout = min(MAX_PROBE_TIMEOUT_SECONDS, FIRST_PROBE_TIMEOUT_SECONDS * 2.0 ** (failures - 1))
         timeout = probe_timeout if failures else LONG_POLL_SECONDS + LONG_POLL_MARGIN_SECONDS
-        query = urlencode({"table": table, "after": since, "blockMs": int(block_seconds * 1000)})
+        query = urlencode({"table": table, "after": number_of(since), "blockMs": int(block_seconds * 1000)})
 
-        def on_response(result: Result[HttpResponse, HibiscusdrumError]) -> None:
+        def on_response(result: StoreAnswerResult) -> None:
             if isinstance(result, Success):
                 self.failures.pop(table, None)
-                if result.unwrap().status == GONE:
-                    self.read_range(table, "", "", lambda result: report(result, True))
+                answer = result.unwrap()
+                if answer.era != era_of(since):
+                    reread("restored")
+                    return
+                if answer.status == GONE:
+                    reread("history_dropped")
                     return
             else:
                 self.failures[table] = min(failures + 1, MAX_FAILURE_COUNT)
@@ -283,14 +391,41 @@
 
         self.send_request("changes", "GET", f"/rows-feed?{query}", b"", timeout, on_response, (GONE,))
 
-    def decode_rows(
-        self, operation: str, result: Result[HttpResponse, HibiscusdrumError]
-    ) -> Result[WireRows, HibiscusdrumError]:
+    def reread_table(self, table: str, reason: str, callback: WireRowsCallback) -> None:
+        """Read a whole table in place of its changes, at intervals, and log the reason."""
+
+        def on_rows(result: Result[WireRows, HibiscusdrumError]) -> None:
+            if isinstance(result, Success):
+                answer = result.unwrap()
+                self.reread_counts[table] = self.reread_counts.get(table, 0) + 1
+                log_events.emit(
+                    events.TableReread(
+                        table=table,
+                        reason=reason,
+                        version=number_of(answer.ver),
+                        rows=len(answer.records),
+                        count=self.reread_counts[table],
+                    )
+                )
+            callback(result)
+
+        def begin() -> None:
+            self.reread_at[table] = self.app.clock.monotonic()
+            self.read_range(table, "", "", on_rows)
+
+        since = self.app.clock.monotonic() - self.reread_at.get(table, float("-inf"))
+        if since < MIN_REREAD_INTERVAL_SECONDS:
+            self.app.scheduler.call_later(MIN_REREAD_INTERVAL_SECONDS - since, begin)
+        else:
+            begin()
+
+    def decode_rows(self, operation: str, result: StoreAnswerResult) -> Result[WireRows, HibiscusdrumError]:
         """Decode the answer to a read or a poll for changes."""
         if not isinstance(result, Success):
             return Failure(result.failure())
+        answer = result.unwrap()
         try:
-            return Success(decode_json(result.unwrap().body, WireRows, operation))
+            return Success(decode_json(answer.body, WireRows, operation).in_era(answer.era))
         except InvalidArgument as error:
             log_events.emit(events.RowUnreadable(what=operation, reason=str(error)))
             return Failure(StoreUnavailable(operation=operation, reason="unreadable"))
@@ -302,10 +437,13 @@
         path: str,
         body: bytes,
         timeout: float,
-        callback: Callable[[Result[HttpResponse, HibiscusdrumError]], None],
+        callback: Callable[[StoreAnswerResult], None],
         accepted: tuple[int, ...] = (PRECONDITION_FAILED,),
     ) -> None:
-        """Send a request; a status other than 200 and those in ``accepted`` is a failure."""
+        """Send a request; an answer of an earlier era than the newest one is a failure.
+
+        So is any status other than 200 and those in ``accepted``.
+        """
         sent_at = self.app.clock.monotonic()
 
         def on_response(result: Result[HttpResponse, HttpFailure]) -> None:
@@ -313,12 +451,17 @@
                 response = result.unwrap()
                 if self.on_bytes_transferred is not None:
                     self.on_bytes_transferred(operation, len(path) + len(body), len(response.body))
-                if response.status == OK or response.status in accepted:
-                    self.record_store_time(sent_at, response.body)
-                    callback(Success(response))
+                era = self.observe_era(response)
+                if response.status != OK and response.status not in accepted:
+                    # With any other status, the store has executed nothing.
+                    reason = f"status_{response.status}"
+                elif era < self.era:
+                    # What was read or written before the restore may be lost.
+                    reason = "unknown"
+                else:
+                    self.observe_body(sent_at, response.body)
+                    callback(Success(StoreAnswer(response.status, response.body, era)))
                     return
-                # With any other status, the store has executed nothing.
-                reason = f"status_{response.status}"
             else:
                 failure = result.failure()
                 reason = "unknown" if failure.bytes_sent else "refused"
@@ -331,22 +474,44 @@
         headers = JSON_HEADERS if body else {}
         self.http.request(self.address, method, path, headers, body, timeout, on_response, MAX_CONNECTIONS)
 
-    def record_store_time(self, sent_at: float, body: bytes) -> None:
-        """Record the store's time from the body of an answer, if it contains one."""
+    def observe_era(self, response: HttpResponse) -> int:
+        """Return the era of an answer, the newest known one if it names none, and notify of a newer one."""
+        value = response.headers.get(ERA_HEADER)
+        if value is None:
+            return self.era
+        try:
+            era = decode_era(value)
+        except InvalidArgument as error:
+            log_events.emit(events.RowUnreadable(what=ERA_HEADER, reason=str(error)))
+            return self.era
+        if era > self.era:
+            former, version = self.era, self.newest_number
+            self.era, self.newest_number = era, 0
+            # What was read before the first era that this process sees is not known to be of another one.
+            if former:
+                log_events.emit(events.StoreEraChanged(former=former, era=era, version=version))
+                for listener in self.on_era_change:
+                    listener(former, era)
+        return era
+
+    def observe_body(self, sent_at: float, body: bytes) -> None:
+        """Record the store's time and newest version from the body of an answer, if it contains them."""
         try:
-            store_time = decode_json(body, TimestampedAnswer, "serverTimeS").serverTimeS
+            answer = decode_json(body, CommonAnswer, "answer")
         except InvalidArgument as error:
-            log_events.emit(events.RowUnreadable(what="serverTimeS", reason=str(error)))
+            log_events.emit(events.RowUnreadable(what="answer", reason=str(error)))
             return
-        if store_time:
-            self.store_time = max(self.store_time, store_time)
+        self.newest_number = max(self.newest_number, answer.ver)
+        if answer.serverTimeS:
+            self.store_time = max(self.store_time, answer.serverTimeS)
             if self.on_store_time is not None:
-                self.on_store_time(sent_at, store_time)
+                self.on_store_time(sent_at, answer.serverTimeS)
 
 
-class TimestampedAnswer(msgspec.Struct, frozen=True):
-    """The field that each answer has in common: the time on the store's clock in seconds."""
+class CommonAnswer(msgspec.Struct, frozen=True):
+    """Fields that answers of the store have in common: the newest version and the time on its clock."""
 
+    ver: int = 0
     serverTimeS: float = 0.0  # noqa: N815 - name on the wire
 
 
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -29,11 +29,10 @@
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.transport.http_client import HttpClient
-from hibiscusdrum.internal.transport.http_connection import HttpResponse
 from hibiscusdrum.internal.transport.peers import PeerTransport
 from hibiscusdrum.platform.operator import OperatorRows, decode_config
 from hibiscusdrum.platform.reports import ReportEndpoint, decode_heartbeat, decode_leave
-from hibiscusdrum.platform.store import StoreClient, WireRow, decode_row
+from hibiscusdrum.platform.store import StoreAnswer, StoreClient, WireRow, decode_row
 
 STORE_TIME = 100.0
 ROW_KEYS = {"a node row": "node/n2", "a lease row": "lease/keyed/n2", "a ring row": "ring/keyed"}
@@ -75,9 +74,8 @@
 
 def uses_store_answer(body):
     client = application().add(StoreClient("127.0.0.1:1"))
-    response = HttpResponse(200, {}, body)
-    client.record_store_time(0.0, body)
-    return isinstance(client.decode_rows("read", Success(response)), Success)
+    client.observe_body(0.0, body)
+    return isinstance(client.decode_rows("read", Success(StoreAnswer(200, body, 0))), Success)
 
 
 def decodes(decode, *arguments):
