Check the row of a node before it is followed

Seen: a row with an empty or unusable peer address ended the polls for changes: opening the ZeroMQ connection raised. One with port 99999, or that named another node than its key, was connected to and chosen for requests. A row that replaced a node's own by null or an object of another type was never written again, since the node then wrote under version 0. A sound row that became malformed kept its target in use.

Change: the row is decoded with bounded types, its address and its name are checked. An unreadable row counts as that of no target, and keeps its version, so that its node can replace it.

--- a/src/hibiscusdrum/internal/decoding.py
+++ b/src/hibiscusdrum/internal/decoding.py
@@ -29,6 +29,7 @@
 MAX_ADDRESS_CHARACTERS = 64
 # Greatest integer that a JSON number represents exactly in all programs.
 MAX_INTEGER = (1 << 53) - 1
+MAX_INTEGER_DIGITS = 16
 # Bounds seconds, rates and weights, so that no product or sum of them overflows.
 MAX_NUMBER = 1e12
 MAX_EXCERPT_CHARACTERS = 64
@@ -36,6 +37,8 @@
 
 Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARACTERS)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_CHARACTERS)]
+# Name of a target and Unix milliseconds of its start.
+Life = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARACTERS + MAX_INTEGER_DIGITS + 1)]
 AddressText = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARACTERS)]
 Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Number = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_NUMBER)]
--- a/src/hibiscusdrum/internal/platform/table.py
+++ b/src/hibiscusdrum/internal/platform/table.py
@@ -24,11 +24,22 @@
 
 
 class Row(msgspec.Struct, frozen=True):
-    """A row that was read. A deleted row has ``value`` None and the version of its deletion."""
+    """A row that was read.
+
+    Attributes
+    ----------
+    version : int
+        Version of the row, or of its deletion.
+    value : Any
+        Decoded value; None if the row was deleted or its value cannot be decoded.
+    unreadable : bool
+        Whether the row exists, but its value cannot be decoded.
+    """
 
     key: str
     version: int
     value: Any = None
+    unreadable: bool = False
 
 
 class Changes(msgspec.Struct, frozen=True):
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable
 
 import msgspec
-from loguru import logger
 from returns.result import Result, Success
 
-from hibiscusdrum.errors import HibiscusdrumError
+from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.operations import new_operation_id
+from hibiscusdrum.internal.decoding import AddressText, Life, Name, check_address, excerpt, refusing_malformed
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.platform.table import Changes, Row, Transaction, era_of, number_of
@@ -58,16 +58,32 @@
         Whether this incarnation of the target has announced that it leaves, which it does not take back.
     """
 
-    node: str
-    region: str
-    failure_domain: str
-    service: str
-    peer_address: str
-    life: str = ""
+    node: Name
+    region: Name
+    failure_domain: Name
+    service: Name
+    peer_address: AddressText
+    life: Life = ""
     accepting: bool = False
     leaving: bool = False
 
 
+def decode_node_row(name: str, value: object) -> NodeRow:
+    """Decode the value of the row of a node.
+
+    Raises
+    ------
+    InvalidArgument
+        If it is malformed, or names another node or no address.
+    """
+    with refusing_malformed("node row", value):
+        row = msgspec.convert(value, NodeRow)
+        check_address(row.peer_address, "peer_address")
+        if row.node != name:
+            raise ValueError(f"the row of node {excerpt(name)}, got that of {row.node}")
+        return row
+
+
 class NodeHistory:
     """What is remembered of a node's rows, to recognize one that a restored store brings back.
 
@@ -221,14 +237,14 @@
             listener(row)
 
     def apply_node_row(self, name: str, row: Row) -> None:
-        """Apply the row of a node."""
+        """Apply the row of a node; an unreadable one names no target, like a deleted one."""
         value: NodeRow | None = None
+        exists = row.value is not None or row.unreadable
         if row.value is not None:
             try:
-                value = msgspec.convert(row.value, NodeRow)
-            except msgspec.ValidationError as error:
-                logger.error("ignored malformed row of node {}: {}", name, error)
-                return
+                value = decode_node_row(name, row.value)
+            except InvalidArgument as error:
+                log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)))
         if name != self.settings.node and not self.update_history(name, row.version, value):
             self.delete_stale_row_later(row)
             return
@@ -243,7 +259,7 @@
             self.leaving_since.pop(former.life, None)
         if name == self.settings.node:
             self.published_row = value
-            self.local_row_version = row.version if value is not None else 0
+            self.local_row_version = row.version if exists else 0
             if value is not None and value.leaving:
                 # Written by an earlier process of this node; the target need not announce it again.
                 self.target.mark_leaving(value.life)
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -165,15 +165,18 @@
 
 
 def decode_row(row: WireRow) -> Row:
-    """Convert a row with its version; its value is None when the row was deleted or cannot be decoded."""
+    """Convert a row with its version; a row whose value cannot be decoded is marked as unreadable."""
     if row.deleted:
         return Row(row.key, row.ver, None)
     try:
         with refusing_malformed(row.key, row.value):
-            return Row(row.key, row.ver, msgspec.json.decode(base64.b64decode(row.value)))
+            value = msgspec.json.decode(base64.b64decode(row.value))
+            if value is None:
+                raise ValueError("a value other than null")
     except InvalidArgument as error:
         log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)))
-        return Row(row.key, row.ver, None)
+        return Row(row.key, row.ver, None, unreadable=True)
+    return Row(row.key, row.ver, value)
 
 
 class StoreClient(Service):
