Check the row of a lease, and take an unreadable one for that of a lost node in time

Seen: a lease row that is a list, or lacks its end, made every read of the leases of its service raise: no lost node was taken over any more, and no departing one handed its keys over.

Cause: both readers converted the stored value without a check.

Change: the row is decoded with bounded types; it must name its node, and expire within two terms of the store's time. A node whose row is unreadable gets no keys, and counts as lost when the same version has been seen for a term and a second: by then its last readable lease has expired.

--- a/src/hibiscusdrum/internal/router/key_load.py
+++ b/src/hibiscusdrum/internal/router/key_load.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from hibiscusdrum.internal.decoding import Number
 from hibiscusdrum.internal.router.rate_limiter import MIN_REQUESTS_PER_SECOND
 
 # Request rates are averaged over several heartbeats, so that a short burst moves no keys.
@@ -56,8 +57,8 @@
         Rate of requests that its target can serve; 0 when not known.
     """
 
-    demand: float = 0.0
-    capacity: float = 0.0
+    demand: Number = 0.0
+    capacity: Number = 0.0
 
     @property
     def known(self) -> bool:
--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -8,14 +8,14 @@
 import msgspec
 from returns.result import Result, Success
 
-from hibiscusdrum.errors import HibiscusdrumError
+from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.platform.table import Row, Transaction
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.key_load import OwnerLoad
-from hibiscusdrum.internal.router.range_lease import LeaseRow, RangeLease
+from hibiscusdrum.internal.router.range_lease import LeaseRow, RangeLease, decode_lease
 from hibiscusdrum.internal.router.settings import RouterSettings
 
 LEASE_PREFIX = "lease/"
@@ -26,6 +26,25 @@
     return f"{LEASE_PREFIX}{service}/{node}"
 
 
+def readable_lease(node: str, row: Row, store_time: float) -> LeaseRow | None:
+    """Return the lease in the row of a node, or None if the row is unreadable, which is logged.
+
+    Parameters
+    ----------
+    node : str
+    row : Row
+    store_time : float
+        Newest known time in seconds on the store's clock.
+    """
+    if row.unreadable:
+        return None
+    try:
+        return decode_lease(node, row.value, store_time)
+    except InvalidArgument as error:
+        log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)))
+        return None
+
+
 class LeaseKeeper(Service):
     """Renews the lease under which this node owns keys.
 
@@ -132,7 +151,7 @@
             if not isinstance(result, Success):
                 return
             row = result.unwrap().get(self.row_key)
-            value = msgspec.convert(row.value, LeaseRow) if row is not None else None
+            value = readable_lease(self.lease.node, row, self.table.store_time) if row is not None else None
             if value is not None and value.incarnation == self.lease.incarnation:
                 self.lease.record_written(value, row.version)
             else:
--- a/src/hibiscusdrum/internal/router/range_lease.py
+++ b/src/hibiscusdrum/internal/router/range_lease.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from hibiscusdrum.internal.decoding import Name, Number, excerpt, refusing_malformed
 from hibiscusdrum.internal.router.key_load import OwnerLoad
 
 # A lost node keeps its keys for up to this long. Leases survive an outage of the store of this time less the
@@ -17,6 +18,11 @@
 LEASE_RENEWAL_INTERVAL_SECONDS = 2.5
 # The clock rates of the store and the node may differ by this share.
 MAX_CLOCK_DRIFT = 0.005
+# The end of a lease may lie this much further ahead of the newest time that a reader has seen on the store's
+# clock than the term, because its writer has seen a newer one.
+MAX_LEASE_TERM_SECONDS = 2.0 * LEASE_TERM_SECONDS
+# A node whose lease row is unreadable counts as lost after this time: its last readable row has expired then.
+UNREADABLE_LEASE_TIMEOUT_SECONDS = LEASE_TERM_SECONDS + 1.0
 # Others take over only this long after a lease has expired, which covers the rounding of both clocks.
 TAKEOVER_MARGIN_SECONDS = 0.3
 
@@ -34,12 +40,36 @@
         Load of the owner when the row was written.
     """
 
-    node: str
-    incarnation: str
-    ends: float
+    node: Name
+    incarnation: Name
+    ends: Number
     load: OwnerLoad = OwnerLoad()
 
 
+def decode_lease(node: str, value: object, store_time: float) -> LeaseRow:
+    """Decode the value of the row of a node's lease.
+
+    Parameters
+    ----------
+    node : str
+    value : object
+    store_time : float
+        Newest known time in seconds on the store's clock.
+
+    Raises
+    ------
+    InvalidArgument
+        If it is malformed, names another node, or expires later than any lease that a node writes.
+    """
+    with refusing_malformed("lease row", value):
+        row = msgspec.convert(value, LeaseRow)
+        if row.node != node:
+            raise ValueError(f"the lease of node {excerpt(node)}, got that of {row.node}")
+        if row.ends > store_time + MAX_LEASE_TERM_SECONDS:
+            raise ValueError(f"an end within {MAX_LEASE_TERM_SECONDS} s of {store_time}, got {row.ends}")
+        return row
+
+
 class StoreClock:
     """Upper bound of the store's clock, so that an owner stops too early rather than too late.
 
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -12,7 +12,6 @@
 import zlib
 from collections.abc import Callable, Mapping
 
-import msgspec
 from returns.result import Result, Success
 
 from hibiscusdrum.errors import HibiscusdrumError
@@ -32,10 +31,10 @@
     ring_quiet_seconds,
     stripe_weight,
 )
-from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper, lease_key
+from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper, lease_key, readable_lease
 from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetHeartbeat, TargetState
 from hibiscusdrum.internal.router.members import NODE_PREFIX, Members
-from hibiscusdrum.internal.router.range_lease import LeaseRow, is_expired
+from hibiscusdrum.internal.router.range_lease import UNREADABLE_LEASE_TIMEOUT_SECONDS, is_expired
 from hibiscusdrum.internal.router.ring import Owner, Ring
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.settings import RouterSettings
@@ -102,6 +101,8 @@
         Whether the service is partitioned by key; None until the configuration is known.
     reading_leases : bool
         Whether a read of lease rows is in progress.
+    unreadable_leases : dict of str to (int, float)
+        Version of the lease row that is unreadable, and monotonic time in seconds since when, by node.
     outgoing_stripes : dict of int to Owner
         Stripes that are being handed over, with their new owners.
     granted_stripes : set of int
@@ -135,6 +136,7 @@
         self.first_owner_at: float | None = None
         self.leases_checked_at = 0.0
         self.lease_missing_since: dict[str, float] = {}
+        self.unreadable_leases: dict[str, tuple[int, float]] = {}
         self.store_unreachable_at = 0.0
         self.imbalance_since: float | None = None
         self.reassign_at: float | None = None
@@ -522,7 +524,9 @@
             alive = [
                 owner
                 for owner in self.members.eligible_owners(self.settings.service)
-                if owner.node not in lost and prefix + owner.node in rows
+                if owner.node not in lost
+                and owner.node not in self.unreadable_leases
+                and prefix + owner.node in rows
             ]
             callback(alive, lost)
 
@@ -537,18 +541,32 @@
             if node == self.node:
                 continue
             if row is None:
+                self.unreadable_leases.pop(node, None)
                 since = self.lease_missing_since.setdefault(node, self.now)
                 if self.now - since > MISSING_LEASE_TIMEOUT_SECONDS:
                     expired[node] = 0
                 continue
             self.lease_missing_since.pop(node, None)
-            lease = msgspec.convert(row.value, LeaseRow)
+            lease = readable_lease(node, row, store_time)
+            if lease is None:
+                if self.unreadable_seconds(node, row.version) > UNREADABLE_LEASE_TIMEOUT_SECONDS:
+                    expired[node] = row.version
+                continue
+            self.unreadable_leases.pop(node, None)
             if is_expired(lease, store_time):
                 expired[node] = row.version
             else:
                 self.owner_loads[node] = lease.load
         return expired
 
+    def unreadable_seconds(self, node: str, version: int) -> float:
+        """Return for how long this version of a node's lease row has been known to be unreadable."""
+        known, since = self.unreadable_leases.get(node, (0, 0.0))
+        if known != version:
+            since = self.now
+            self.unreadable_leases[node] = version, since
+        return self.now - since
+
     def take_over(self, alive: list[Owner], lost: dict[str, int]) -> None:
         """Reassign the stripes of lost nodes, and unowned stripes, to the live owners."""
         ring = self.local_ring
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -59,7 +59,8 @@
     owner.table = Stub("table", store_time=STORE_TIME)
     keeper = app.add(LeaseKeeper(SETTINGS))
     row = stored_row("a lease row", body)
-    keeper.table = Stub("table", read=lambda keys, callback: callback(Success({keys[0]: row})))
+    keeper.table = Stub("table", store_time=STORE_TIME)
+    keeper.table.read = lambda keys, callback: callback(Success({keys[0]: row}))
     keeper.row_key = row.key
     keeper.resolve_write()
     owner.expired_nodes({"n2": row})
