Keep the known ring while its row is unreadable

Seen: after the ring row was replaced by bytes that are not JSON, no target held a key of the service (0 of 157 probed keys after 25 s). Nodes that started then tried to create a ring 483 times in 15 s. Of 90 odd ring rows 11 were accepted: negative tokens or tokens of 10^30, a next token that is not above those in use, owners without a name, or with a start of 5,000 digits, on which the search for restarted owners raises.

Cause: the client of the store reports such a row like a deleted one.

Change: the known ring stays in use, as with a row that is JSON but no ring. No ring is created in place of an unreadable one, since its fencing tokens are not known. Owners and tokens are bounded.

Result: the scenario of odd ring rows and 2 new ones failed before and pass.

--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -376,6 +376,9 @@
         owners = self.members.eligible_owners(self.settings.service)
         if self.first_owner_at is None or not self.keeper.ring_synced:
             return
+        if self.rings.local_row_key in self.rings.unreadable_rows:
+            # Its fencing tokens are not known, so that no new ring can be sure to exceed them.
+            return
         waited = now - self.first_owner_at - self.lease_check_rank * 0.5
         if (
             owners
--- a/src/hibiscusdrum/internal/router/ring.py
+++ b/src/hibiscusdrum/internal/router/ring.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Annotated
 
 import msgspec
 
+from hibiscusdrum.internal.decoding import Life, Name
 from hibiscusdrum.internal.router.routes import KEY_SPACE
 
 # Stripes per owner in a new ring. More stripes distribute busy keys better, but a target gets its ranges in
@@ -23,6 +25,9 @@
 UNOWNED = -1
 
 
+OwnerLife = Annotated[Life, msgspec.Meta(min_length=1)]
+
+
 class Owner(msgspec.Struct, frozen=True, array_like=True):
     """One incarnation of a node's target.
 
@@ -32,8 +37,8 @@
         Name of the target and Unix milliseconds of its start, joined by ``@``.
     """
 
-    node: str
-    incarnation: str
+    node: Name
+    incarnation: OwnerLife
 
     @property
     def started_ms(self) -> int:
--- a/src/hibiscusdrum/internal/router/ring_row.py
+++ b/src/hibiscusdrum/internal/router/ring_row.py
@@ -9,11 +9,13 @@
 
 import base64
 import zlib
+from typing import Annotated
 
 import msgspec
 
-from hibiscusdrum.internal.decoding import refusing_malformed
+from hibiscusdrum.internal.decoding import Text, Whole, refusing_malformed
 from hibiscusdrum.internal.router.ring import UNOWNED, Owner, Ring, Stripe
+from hibiscusdrum.internal.router.routes import KEY_SPACE
 
 COMPRESSION_LEVEL = 6
 # Only the newest handover tokens are stored: an owner needs one only when it first gets the stripe, and they
@@ -26,10 +28,10 @@
     """A ring as columns, with one entry per stripe; handover tokens are mapped by stripe index."""
 
     owners: tuple[Owner, ...]
-    next_fencing_token: int
-    owner_indexes: tuple[int, ...]
-    fencing_tokens: tuple[int, ...]
-    handover_tokens: dict[int, str]
+    next_fencing_token: Whole
+    owner_indexes: Annotated[tuple[int, ...], msgspec.Meta(max_length=KEY_SPACE)]
+    fencing_tokens: tuple[Whole, ...]
+    handover_tokens: dict[int, Text]
 
 
 decoder = msgspec.json.Decoder(RingColumns)
@@ -79,9 +81,11 @@
     Raises
     ------
     ValueError
-        If columns differ in length or name an unknown owner.
+        If columns differ in length, name an unknown owner, or use a fencing token that is not assigned yet.
     """
     if not columns.owner_indexes or len(columns.owner_indexes) != len(columns.fencing_tokens):
         raise ValueError("one owner index and one fencing token for each stripe")
     if not UNOWNED <= min(columns.owner_indexes) <= max(columns.owner_indexes) < len(columns.owners):
         raise ValueError("indexes of listed owners")
+    if max(columns.fencing_tokens) >= columns.next_fencing_token:
+        raise ValueError(f"fencing tokens below the next one, {columns.next_fencing_token}")
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -30,6 +30,8 @@
     ----------
     by_service : dict of str to Ring
         Newest known ring of each service.
+    unreadable_rows : set of str
+        Keys of the rows that cannot be decoded; the ring known before remains in use.
     write_in_progress : bool
         Whether a write, or the read after a failed one, is in progress.
     refresh_waiters : dict of str to list of callable
@@ -52,6 +54,7 @@
         self.local_row_key = RING_PREFIX + settings.service
         self.by_service: dict[str, Ring] = {}
         self.row_versions: dict[str, int] = {}
+        self.unreadable_rows: set[str] = set()
         self.write_in_progress = False
         self.refresh_waiters: dict[str, list[Callable[[], None]]] = {}
         self.refreshed_at: dict[str, float] = {}
@@ -86,6 +89,10 @@
         if row.version <= self.row_versions.get(row.key, 0):
             return
         self.row_versions[row.key] = row.version
+        self.unreadable_rows.discard(row.key)
+        if row.unreadable:
+            self.unreadable_rows.add(row.key)
+            return
         service = row.key[len(RING_PREFIX) :]
         if service == self.service:
             self.uncertain_stripes.clear()
@@ -96,6 +103,7 @@
         try:
             self.by_service[service] = decode_ring(row.value)
         except InvalidArgument as error:
+            self.unreadable_rows.add(row.key)
             log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)))
 
     def read_ring(self, done: Callable[[bool], None], service: str = "") -> None:
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -99,12 +99,18 @@
       | a lease row        | an end a year away      |
       | a node row         | an object without names |
       | a ring row         | a list                  |
+      | a ring row         | bytes of another kind   |
 
   Scenario: A node whose lease row was replaced by an end a year away is taken over once it has ended
     Given 4 nodes that hold all keys
     When a VM ends, and its lease row is replaced by an end a year away
     Then within 25 s all keys are held, each by one target, and leases are renewed
 
+  Scenario: Nodes that never knew the ring of a service wait while its row is unreadable
+    Given 4 nodes that hold all keys
+    When all VMs end, the ring row is replaced by bytes of another kind, and all VMs start again
+    Then no key is held, and the ring is written at most 2 times in 15 s
+
   Scenario: An odd entry that is sent again and again is logged once and counted
     Given a router's heartbeat endpoint
     When the same odd heartbeat arrives 50 times, a second apart
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -382,6 +382,8 @@
     "a list": [1],
     "an object without an end": {"node": "n1", "incarnation": "x"},
     "an object without names": {"life": 5},
+    # The client of the store has not been able to decode them.
+    "bytes of another kind": None,
     "an end a year away": {"node": "n1", "incarnation": "x", "ends": 31_536_000.0},
 }
 
@@ -389,7 +391,8 @@
 def replace_row(world, row, value):
     store = world.store
     store.version += 1
-    store.rows[WORLD_ROWS[row]] = Row(WORLD_ROWS[row], store.version, WORLD_VALUES[value])
+    value = WORLD_VALUES[value]
+    store.rows[WORLD_ROWS[row]] = Row(WORLD_ROWS[row], store.version, value, unreadable=value is None)
 
 
 @when("a VM ends, and its lease row is replaced by {value}")
@@ -399,6 +402,32 @@
     replace_row(context.world, "a lease row", value)
 
 
+@when("all VMs end, the ring row is replaced by bytes of another kind, and all VMs start again")
+def all_start_again(context):
+    world = context.world
+    for name in list(world.nodes):
+        world.kill_daemon(name)
+        world.restart_target(name)
+    replace_row(world, "a ring row", "bytes of another kind")
+    for name in world.targets:
+        world.start_daemon(name)
+
+
+@then("no key is held, and the ring is written at most {most:d} times in {limit:g} s")
+def ring_not_created(context, most, limit):
+    store, writes = context.world.store, []
+    write = store.write
+
+    def counting(transaction):
+        if "ring/keys" in transaction.puts:
+            writes.append(transaction)
+        return write(transaction)
+
+    store.write = counting
+    context.world.run(limit)
+    assert context.world.held() == 0 and len(writes) <= most, (context.world.held(), len(writes))
+
+
 @when("{row} is replaced by {value}")
 def row_replaced(context, row, value):
     replace_row(context.world, row, value)
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -45,6 +45,11 @@
         """Ignore the wait: the world decides when time passes."""
 
 
+def exists(row):
+    """Return whether the store has a row: not None, and not only its deletion."""
+    return row is not None and (row.value is not None or row.unreadable)
+
+
 class Store:
     """Rows with versions, conditional writes, and faults for single nodes."""
 
@@ -67,7 +72,7 @@
         """Apply a transaction if its checks hold; returns its version or None."""
         for key, version in transaction.checks.items():
             row = self.rows.get(key)
-            if (row.version if row is not None and row.value is not None else 0) != version:
+            if (row.version if exists(row) else 0) != version:
                 return None
         self.version += 1
         for key, value in transaction.puts.items():
@@ -115,9 +120,7 @@
         if store.blocked(self.node):
             self.failing(callback, "refused")
             return
-        found = {
-            key: row for key in keys if (row := store.rows.get(key)) is not None and row.value is not None
-        }
+        found = {key: row for key in keys if exists(row := store.rows.get(key))}
         self.answer(store.seconds, callback, Success(found), sent_at, self.world.store_time)
 
     def changes(self, since, callback, until=None):
