Decode the operator's configuration into bounded types

Seen: a host that is a number raised AttributeError out of the poll for the operator's rows, which then ended; 106 of 264 odd configurations were accepted, among them negative limits, weights of 1e300 or "nan", a version of 10^30 (no later one is in force then), a list of regions given as a text, taken as its letters, and routes whose names or prefixes are lists.

Change: routes, services and limits are converted to types that bound their values. Counts may still be written with a fraction, and a prefix may be empty. A configuration with one odd value is refused as a whole, and the former one holds.

--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -4,14 +4,20 @@
 
 import base64
 import random
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from returns.result import Result, Success
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
-from hibiscusdrum.internal.decoding import refusing_malformed
+from hibiscusdrum.internal.decoding import (
+    MAX_INTEGER,
+    MAX_INTEGER_DIGITS,
+    Number,
+    Text,
+    refusing_malformed,
+)
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.router import events
@@ -23,6 +29,16 @@
 BASE_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 0.5
 DEFAULT_PRIORITY = 1
+MAX_SECONDS = 1e6
+MAX_NAME_CHARACTERS = 8192
+
+# Counts may be written with a fraction of 0.
+Count = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+PositiveCount = Annotated[float, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SECONDS)]
+PositiveSeconds = Annotated[float, msgspec.Meta(gt=0.0, le=MAX_SECONDS)]
+Prefix = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+Name = Annotated[Prefix, msgspec.Meta(min_length=1)]
 
 
 class ColumnarRecords(msgspec.Struct, frozen=True):
@@ -39,13 +55,56 @@
         ]
 
 
+class WireLimits(msgspec.Struct, frozen=True):
+    """Limits on callers' requests and connections; missing ones have their defaults."""
+
+    maxHeaderBytes: PositiveCount | None = None  # noqa: N815 - name on the wire
+    maxBodyBytes: Count | None = None  # noqa: N815 - name on the wire
+    headerTimeoutS: PositiveSeconds | None = None  # noqa: N815 - name on the wire
+    idleTimeoutS: PositiveSeconds | None = None  # noqa: N815 - name on the wire
+
+
 class WireConfig(msgspec.Struct, frozen=True):
     """The configuration as the operator stores it; ``version`` is ``r`` followed by a number."""
 
-    version: str
+    version: Text
     routes: ColumnarRecords
     services: ColumnarRecords
-    limits: dict[str, Any] = {}
+    limits: WireLimits | None = None
+
+
+class WireBackend(msgspec.Struct, frozen=True):
+    """A service to which a route sends requests, with its weight."""
+
+    service: Name
+    weight: Number
+
+
+class WireRoute(msgspec.Struct, frozen=True):
+    """A route; ``backends`` lists services with weights, not targets."""
+
+    name: Name
+    host: Name
+    prefix: Prefix
+    kind: RequestKind
+    service: Prefix = ""
+    backends: tuple[WireBackend, ...] = ()
+    timeoutS: Seconds = 0.0  # noqa: N815 - name on the wire
+    goalS: Seconds = 0.0  # noqa: N815 - name on the wire
+    priority: Count = DEFAULT_PRIORITY
+    attempts: Count = 1
+    allowedRegions: tuple[Name, ...] = ()  # noqa: N815 - name on the wire
+
+
+class WireService(msgspec.Struct, frozen=True):
+    """A service."""
+
+    name: Name
+    healthPath: Prefix = "/healthz"  # noqa: N815 - name on the wire
+    maxConns: PositiveCount = 64  # noqa: N815 - name on the wire
+    warmupS: Seconds = 0.0  # noqa: N815 - name on the wire
+    warmupPerS: Number = 0.0  # noqa: N815 - name on the wire
+    partitioned: bool = False
 
 
 def decode_config(data: bytes) -> RouteTable:
@@ -54,58 +113,75 @@
     Raises
     ------
     InvalidArgument
-        If the configuration is malformed.
+        If the configuration is malformed, or a value of it is out of range.
     """
     with refusing_malformed("configuration", data):
         wire = msgspec.json.decode(data, type=WireConfig)
+        version = int(wire.version.removeprefix("r"))
+        if not 0 <= version <= MAX_INTEGER:
+            raise ValueError(f"a version from r0 to r{MAX_INTEGER}, got {wire.version[:MAX_INTEGER_DIGITS]}")
         return RouteTable.build(
-            int(wire.version.removeprefix("r")),
-            [decode_route(entry) for entry in wire.routes.to_dicts()],
-            [decode_service(entry) for entry in wire.services.to_dicts()],
+            version,
+            [decode_route(msgspec.convert(entry, WireRoute)) for entry in wire.routes.to_dicts()],
+            [decode_service(msgspec.convert(entry, WireService)) for entry in wire.services.to_dicts()],
             decode_limits(wire.limits),
         )
 
 
-def decode_route(entry: dict[str, Any]) -> Route:
-    """Convert a route; ``backends`` lists services with weights, not targets."""
-    backends = entry.get("backends") or [{"service": entry["service"], "weight": 1}]
+def decode_route(wire: WireRoute) -> Route:
+    """Convert a route.
+
+    Raises
+    ------
+    ValueError
+        If it names no service.
+    """
+    services = tuple((backend.service, backend.weight) for backend in wire.backends)
+    if not services and not wire.service:
+        raise ValueError(f"a service or backends in route {wire.name}")
     return Route(
-        name=entry["name"],
-        host=entry["host"],
-        prefix=entry["prefix"],
-        kind=RequestKind(entry["kind"]),
-        services=tuple((backend["service"], float(backend["weight"])) for backend in backends),
-        timeout=float(entry.get("timeoutS", 0.0)),
-        latency_goal=float(entry.get("goalS", 0.0)),
-        priority=int(entry.get("priority", DEFAULT_PRIORITY)),
-        attempts=int(entry.get("attempts", 1)),
-        regions=tuple(entry.get("allowedRegions", ())),
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.prefix,
+        kind=wire.kind,
+        services=services or ((wire.service, 1.0),),
+        timeout=wire.timeoutS,
+        latency_goal=wire.goalS,
+        priority=int(wire.priority),
+        attempts=int(wire.attempts),
+        regions=wire.allowedRegions,
     )
 
 
-def decode_service(entry: dict[str, Any]) -> ServiceSpec:
+def decode_service(wire: WireService) -> ServiceSpec:
     """Convert a service."""
     return ServiceSpec(
-        name=entry["name"],
-        health_path=entry.get("healthPath", "/healthz"),
-        max_connections=int(entry.get("maxConns", 64)),
-        warmup=float(entry.get("warmupS", 0.0)),
-        cold_rate=float(entry.get("warmupPerS", 0.0)),
-        partitioned=bool(entry.get("partitioned", False)),
+        name=wire.name,
+        health_path=wire.healthPath,
+        max_connections=int(wire.maxConns),
+        warmup=wire.warmupS,
+        cold_rate=wire.warmupPerS,
+        partitioned=wire.partitioned,
     )
 
 
-def decode_limits(entry: dict[str, Any]) -> EntryLimits:
+def decode_limits(wire: WireLimits | None) -> EntryLimits:
     """Convert the limits on callers' requests and connections."""
     default = EntryLimits()
+    wire = wire or WireLimits()
     return EntryLimits(
-        max_head_bytes=int(entry.get("maxHeaderBytes", default.max_head_bytes)),
-        max_body_bytes=int(entry.get("maxBodyBytes", default.max_body_bytes)),
-        head_timeout=float(entry.get("headerTimeoutS", default.head_timeout)),
-        idle_timeout=float(entry.get("idleTimeoutS", default.idle_timeout)),
+        max_head_bytes=int(value_or(wire.maxHeaderBytes, default.max_head_bytes)),
+        max_body_bytes=int(value_or(wire.maxBodyBytes, default.max_body_bytes)),
+        head_timeout=value_or(wire.headerTimeoutS, default.head_timeout),
+        idle_timeout=value_or(wire.idleTimeoutS, default.idle_timeout),
     )
 
 
+def value_or(value: float | None, default: float) -> float:
+    """Return a value, or the default if it is missing."""
+    return default if value is None else value
+
+
 class OperatorRows(Service):
     """Watches the operator's rows in the store and applies their changes.
 
