Go on polling the store when applying a change raises

Seen: an exception in a listener of changed nodes, or while a configuration was put in force, was logged as internal_error, and the node never asked the store for changes again.

Cause: the next poll was begun at the end of the handler, and the position had moved before the rows were applied, so that the rest of them would have been left out.

Change: the next poll is begun in any case, with a delay after an exception. The position moves when all rows are applied, and listeners are notified again until all have been. Evacuations are applied before the configuration. Reading a ring ends for those who wait for it, whatever applying its row raises.

--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -118,6 +118,8 @@
         Rows and removal of each node, by name; bounded for removed nodes.
     loaded : bool
         Whether the rows have been read at least once.
+    unnotified : bool
+        Whether rows have changed since all listeners were last notified.
     evacuated_domains : frozenset of str
         Failure domains whose targets get neither requests nor keys.
     row_listeners : dict of str to callable
@@ -145,6 +147,7 @@
         self.histories: dict[str, NodeHistory] = {}
         self.last_seq = 0
         self.loaded = False
+        self.unnotified = False
         self.failed_reads = 0
         self.evacuated_domains: frozenset[str] = frozenset()
         self.row_listeners: dict[str, RowListener] = {}
@@ -183,22 +186,32 @@
         self.failed_reads = 0
         self.set_store_reachable(True, "")
         changes = result.unwrap()
-        # A complete read may be older than the position if the store lost rows without naming a new era.
-        self.last_seq = changes.seq if changes.complete else max(self.last_seq, changes.seq)
+        # After an exception, the rows that were not applied are read again.
+        delay = MAX_READ_BACKOFF_SECONDS
+        try:
+            self.apply_changes(changes)
+            delay = self.change_batch_seconds if changes.rows else 0.0
+        finally:
+            if delay:
+                self.app.scheduler.call_later(delay, self.poll_changes)
+            else:
+                self.poll_changes()
+
+    def apply_changes(self, changes: Changes) -> None:
+        """Apply changed rows, notify the listeners, and publish this node's row if it has to be."""
+        self.unnotified = self.unnotified or bool(changes.rows) or not self.loaded
         for row in changes.rows:
             self.apply_row(row)
         if changes.complete:
             self.apply_missed_deletions(changes)
-        first = not self.loaded
+        # A complete read may be older than the position if the store lost rows without naming a new era.
+        self.last_seq = changes.seq if changes.complete else max(self.last_seq, changes.seq)
         self.loaded = True
-        if changes.rows or first:
+        if self.unnotified:
             self.notify_rows_changed()
+            self.unnotified = False
         # Another node may have removed this node's row, for example after an expired lease.
         self.publish()
-        if changes.rows:
-            self.app.scheduler.call_later(self.change_batch_seconds, self.poll_changes)
-        else:
-            self.poll_changes()
 
     @property
     def change_batch_seconds(self) -> float:
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -119,9 +119,11 @@
 
         def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             row = result.unwrap().get(key) if isinstance(result, Success) else None
-            if row is not None:
-                self.apply_row(row)
-            done(isinstance(result, Success))
+            try:
+                if row is not None:
+                    self.apply_row(row)
+            finally:
+                done(isinstance(result, Success))
 
         self.table.read((key,), on_rows)
 
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -224,24 +224,39 @@
             return
         answer = result.unwrap()
         self.failures = 0
-        self.last_version = answer.version if answer.complete else max(self.last_version or 0, answer.version)
+        # After an exception, the rows are read again.
+        delay = MAX_RETRY_SECONDS
+        try:
+            self.apply_rows(answer)
+            delay = 0.0
+        finally:
+            if delay:
+                self.app.scheduler.call_later(delay, self.poll)
+            else:
+                self.poll()
+
+    def apply_rows(self, answer: RowChanges) -> None:
+        """Apply evacuations, and then the configuration."""
         if answer.complete:
             self.evacuated_domains.clear()
         for row in answer.rows:
-            self.apply_row(row)
+            if row.key.startswith(EVACUATE_PREFIX):
+                failure_domain = row.key[len(EVACUATE_PREFIX) :]
+                (self.evacuated_domains.discard if row.deleted else self.evacuated_domains.add)(
+                    failure_domain
+                )
         self.members.set_evacuated_domains(frozenset(self.evacuated_domains))
-        self.poll()
+        for row in answer.rows:
+            if row.key == CONFIG_KEY and not row.deleted:
+                self.apply_config(row)
+        self.last_version = answer.version if answer.complete else max(self.last_version or 0, answer.version)
 
-    def apply_row(self, row: WireRow) -> None:
-        """Apply a row; a configuration that cannot be decoded is logged and ignored."""
-        if row.key.startswith(EVACUATE_PREFIX):
-            failure_domain = row.key[len(EVACUATE_PREFIX) :]
-            (self.evacuated_domains.discard if row.deleted else self.evacuated_domains.add)(failure_domain)
-        elif row.key == CONFIG_KEY and not row.deleted:
-            try:
-                with refusing_malformed("configuration", row.value):
-                    table = decode_config(base64.b64decode(row.value))
-            except InvalidArgument as error:
-                log_events.emit(events.RowUnreadable(what="configuration", reason=str(error)))
-                return
-            self.gateway.set_route_table(table)
+    def apply_config(self, row: WireRow) -> None:
+        """Apply the configuration; one that cannot be decoded is logged and ignored."""
+        try:
+            with refusing_malformed("configuration", row.value):
+                table = decode_config(base64.b64decode(row.value))
+        except InvalidArgument as error:
+            log_events.emit(events.RowUnreadable(what="configuration", reason=str(error)))
+            return
+        self.gateway.set_route_table(table)
