Bound the time in answers of the store

Seen: an answer with a time of 1e300 s was taken as sound; the newest time is kept, so that every lease would count as expired from then on.

--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -16,7 +16,7 @@
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument, StoreConflict, StoreUnavailable
 from hibiscusdrum.internal import log_events
-from hibiscusdrum.internal.decoding import decode_json, refusing_malformed
+from hibiscusdrum.internal.decoding import Number, Whole, decode_json, refusing_malformed
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.platform.table import (
     Changes,
@@ -82,7 +82,7 @@
     records: tuple[WireRow, ...] = ()
     ver: int = 0
     hasMore: bool = False  # noqa: N815 - name on the wire
-    serverTimeS: float = 0.0  # noqa: N815 - name on the wire
+    serverTimeS: Number = 0.0  # noqa: N815 - name on the wire
 
     def in_era(self, era: int) -> WireRows:
         """Return the answer with versions of an era in place of the store's numbers.
@@ -100,7 +100,7 @@
     """Answer to a committed transaction; ``ver`` is the version of the rows it wrote."""
 
     ver: int
-    serverTimeS: float = 0.0  # noqa: N815 - name on the wire
+    serverTimeS: Number = 0.0  # noqa: N815 - name on the wire
 
 
 class RowChanges(msgspec.Struct, frozen=True):
@@ -514,8 +514,8 @@
 class CommonAnswer(msgspec.Struct, frozen=True):
     """Fields that answers of the store have in common: the newest version and the time on its clock."""
 
-    ver: int = 0
-    serverTimeS: float = 0.0  # noqa: N815 - name on the wire
+    ver: Whole = 0
+    serverTimeS: Number = 0.0  # noqa: N815 - name on the wire
 
 
 def encode_value(value: Any) -> str:
