Leave out rows of other parts of a table in polls for changes

Seen: a sound row of a node that another writer keeps in another part of the table was followed: a poll names no part, so that it reports rows of all parts.

--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -74,6 +74,7 @@
     ver: int = 0
     value: str = ""
     deleted: bool = False
+    part: str = ""
 
 
 class WireRows(msgspec.Struct, frozen=True):
@@ -85,14 +86,20 @@
     serverTimeS: Number = 0.0  # noqa: N815 - name on the wire
 
     def in_era(self, era: int) -> WireRows:
-        """Return the answer with versions of an era in place of the store's numbers.
+        """Return the rows of the empty part, with versions of an era in place of the store's numbers.
+
+        A poll for changes reports rows of all parts of a table; those of others may have the same keys.
 
         Raises
         ------
         InvalidArgument
             If a number is out of range.
         """
-        records = tuple(msgspec.structs.replace(row, ver=make_version(era, row.ver)) for row in self.records)
+        records = tuple(
+            msgspec.structs.replace(row, ver=make_version(era, row.ver))
+            for row in self.records
+            if not row.part
+        )
         return msgspec.structs.replace(self, records=records, ver=make_version(era, self.ver))
 
 
