Log an odd entry once, and count it

Seen: an odd heartbeat wrote a line each second, and an odd lease row one for each read of the leases.

Change: a row or report is logged once for each reason, for the 1,000 newest entries, within the limit of 5 lines a second; the metric hibiscusdrum_unreadable_total counts all. OPERATIONS.md tells what holds until the entry is replaced.

Result: 50 equal heartbeats a second apart wrote 50 lines before, and write one now.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -365,14 +365,17 @@
 
 
 class RowUnreadable(LogEvent, frozen=True):
-    """A row, a report, or a header of an answer could not be decoded and is ignored."""
+    """A row, a report, an answer of the store or a header could not be decoded and is ignored.
+
+    A row or report is logged again only for another reason.
+    """
 
     number = 823
     level = "ERROR"
     rate_limited = True
     lines_per_interval = 5
     cause = "Another program wrote it, or its writer has a bug."
-    operator_action = "Find out which program wrote it."
+    operator_action = "Find out which program wrote it; see OPERATIONS.md."
 
     what: str
     reason: str
--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -17,6 +17,7 @@
 from hibiscusdrum.internal.router.key_load import OwnerLoad
 from hibiscusdrum.internal.router.range_lease import LeaseRow, RangeLease, decode_lease
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 
 LEASE_PREFIX = "lease/"
 
@@ -41,7 +42,7 @@
     try:
         return decode_lease(node, row.value, store_time)
     except InvalidArgument as error:
-        log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)))
+        unreadable_entries.record(row.key, error)
         return None
 
 
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -21,6 +21,7 @@
 from hibiscusdrum.internal.router.ring import Owner
 from hibiscusdrum.internal.router.selection import Candidate
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 
 NODE_PREFIX = "node/"
 PUBLISH_RETRY_SECONDS = 0.3
@@ -257,7 +258,7 @@
             try:
                 value = decode_node_row(name, row.value)
             except InvalidArgument as error:
-                log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)))
+                unreadable_entries.record(row.key, error)
         if name != self.settings.node and not self.update_history(name, row.version, value):
             self.delete_stale_row_later(row)
             return
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -7,6 +7,7 @@
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.traffic import DELAY_BOUNDS_SECONDS, Traffic
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
 # Upper bounds of the latency histogram, from one hop within a failure domain to the longest deadline.
@@ -82,6 +83,8 @@
         for route, count in sorted(self.run_counts.items()):
             lines.append(f'hibiscusdrum_slot_seconds_sum{{route="{route}"}} {self.run_seconds[route]:.6f}')
             lines.append(f'hibiscusdrum_slot_seconds_count{{route="{route}"}} {count}')
+        lines.append("# TYPE hibiscusdrum_unreadable_total counter")
+        lines.append(f"hibiscusdrum_unreadable_total {unreadable_entries.count}")
         lines += render_traffic(self.traffic)
         admission = self.receiver.admission
         gauges = {
--- a/src/hibiscusdrum/internal/router/range_lease.py
+++ b/src/hibiscusdrum/internal/router/range_lease.py
@@ -66,7 +66,7 @@
         if row.node != node:
             raise ValueError(f"the lease of node {excerpt(node)}, got that of {row.node}")
         if row.ends > store_time + MAX_LEASE_TERM_SECONDS:
-            raise ValueError(f"an end within {MAX_LEASE_TERM_SECONDS} s of {store_time}, got {row.ends}")
+            raise ValueError(f"an end at most {MAX_LEASE_TERM_SECONDS} s ahead of the store's time")
         return row
 
 
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -15,6 +15,7 @@
 from hibiscusdrum.internal.router.ring import Ring
 from hibiscusdrum.internal.router.ring_row import decode_ring, encode_ring
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 
 # Limits how often a stale ring is read again: a row of 10 KB occupies a link of 5 Mbit/s for 16 ms.
 MIN_REFRESH_INTERVAL_SECONDS = 0.5
@@ -104,7 +105,7 @@
             self.by_service[service] = decode_ring(row.value)
         except InvalidArgument as error:
             self.unreadable_rows.add(row.key)
-            log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)))
+            unreadable_entries.record(row.key, error)
 
     def read_ring(self, done: Callable[[bool], None], service: str = "") -> None:
         """Read the ring of a service, by default this node's.
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -10,7 +10,6 @@
 from returns.result import Result, Success
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
-from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.decoding import (
     MAX_INTEGER,
     MAX_INTEGER_DIGITS,
@@ -20,8 +19,8 @@
 )
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
-from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.routes import EntryLimits, RequestKind, Route, RouteTable, ServiceSpec
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 from hibiscusdrum.platform.store import OPERATOR_TABLE, RowChanges, StoreClient, WireRow
 
 CONFIG_KEY = "config"
@@ -257,6 +256,6 @@
             with refusing_malformed("configuration", row.value):
                 table = decode_config(base64.b64decode(row.value))
         except InvalidArgument as error:
-            log_events.emit(events.RowUnreadable(what="configuration", reason=str(error)))
+            unreadable_entries.record("configuration", error)
             return
         self.gateway.set_route_table(table)
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from hibiscusdrum.errors import InvalidArgument
-from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.decoding import (
     AddressText,
     Name,
@@ -21,11 +20,11 @@
     refusing_malformed,
 )
 from hibiscusdrum.internal.kernel import Service
-from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.routes import KEY_SPACE
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
 INSTANCES_PATH = "/instances/"
@@ -157,7 +156,7 @@
                     lambda grant: request.respond(200, JSON_HEADERS, encode_grant(grant)),
                 )
         except InvalidArgument as error:
-            log_events.emit(events.RowUnreadable(what="report", reason=str(error)))
+            unreadable_entries.record(f"report of {excerpt(target)}", error)
             request.respond(400, JSON_HEADERS, b"{}")
 
 
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -31,6 +31,7 @@
     number_of,
 )
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import HttpFailure, HttpResponse
 
@@ -181,7 +182,7 @@
             if value is None:
                 raise ValueError("a value other than null")
     except InvalidArgument as error:
-        log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)))
+        unreadable_entries.record(row.key, error)
         return Row(row.key, row.ver, None, unreadable=True)
     return Row(row.key, row.ver, value)
 
@@ -308,7 +309,7 @@
             try:
                 version = make_version(answer.era, decode_json(answer.body, WireCommitted, "commit").ver)
             except InvalidArgument as error:
-                log_events.emit(events.RowUnreadable(what="commit", reason=str(error)))
+                unreadable_entries.record("commit", error)
                 callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
                 return
             callback(Success(version))
@@ -437,7 +438,7 @@
         try:
             return Success(decode_json(answer.body, WireRows, operation).in_era(answer.era))
         except InvalidArgument as error:
-            log_events.emit(events.RowUnreadable(what=operation, reason=str(error)))
+            unreadable_entries.record(operation, error)
             return Failure(StoreUnavailable(operation=operation, reason="unreadable"))
 
     def send_request(
@@ -509,7 +510,7 @@
         try:
             answer = decode_json(body, CommonAnswer, "answer")
         except InvalidArgument as error:
-            log_events.emit(events.RowUnreadable(what="answer", reason=str(error)))
+            unreadable_entries.record("answer", error)
             return
         self.newest_number = max(self.newest_number, answer.ver)
         if answer.serverTimeS:
