--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -201,6 +201,8 @@
     def apply_changes(self, changes: Changes) -> None:
         """Apply changed rows, notify the listeners, and publish this node's row if it has to be."""
         self.unnotified = self.unnotified or bool(changes.rows) or not self.loaded
+        if changes.complete and self.loaded and era_of(changes.seq) > era_of(self.last_seq):
+            self.log_rolled_back(changes)
         for row in changes.rows:
             self.apply_row(row)
         if changes.complete:
@@ -226,6 +228,23 @@
             if key not in present and version < changes.seq:
                 self.apply_row(Row(key, changes.seq))
 
+    def log_rolled_back(self, changes: Changes) -> None:
+        """Log how many known rows are newer than in the first complete read of a new era."""
+        read = {row.key: row.version for row in changes.rows}
+        older = sum(
+            number_of(version) > number_of(read.get(key, changes.seq))
+            for key, version in self.row_versions.items()
+        )
+        log_events.emit(
+            events.RowsRolledBack(
+                era=era_of(changes.seq),
+                version=number_of(changes.seq),
+                former_version=number_of(self.last_seq),
+                rows=len(changes.rows),
+                older=older,
+            )
+        )
+
     def set_store_reachable(self, reachable: bool, reason: str) -> None:
         """Set whether the store is reachable, and log a change."""
         if reachable == self.store_reachable:
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -171,6 +171,10 @@
         super().__init__(address)
         self.next_feed = {}
 
+    def write_row(self, table, key, body):
+        """Write a row unconditionally, as another writer does."""
+        self.write_rows({(table, key): base64.b64encode(body).decode()})
+
     def handle_call(self, request, path, query):
         """Answer a poll with the scripted bytes, if there are any for its table."""
         for table, body in list(self.next_feed.items()):
@@ -489,6 +493,7 @@
     stub.reported_rate = lambda: 0.0
     stub.granted_stripes, stub.keeper = (), Stub("keeper", remaining_seconds=0.0)
     stub.nodes, stub.store_reachable = {}, True
+    stub.table = Stub("table", era=1)
     stub.sent_bytes = stub.received_bytes = stub.store_calls = stub.delay_counts = {}
     metrics = RouterMetrics(SETTINGS)
     metrics.receiver = metrics.range_owner = metrics.members = metrics.traffic = stub
