Test real routers with odd entries in the store and in heartbeats

Each odd variant of the rows of nodes, leases, rings and the operator is written to the stand-in of the store, and each odd heartbeat and notice is sent to each of six routers, while callers send requests; then the rows of the running routers are replaced by values that are nested too deeply.

--- a/tests/features/router_system.feature
+++ b/tests/features/router_system.feature
@@ -92,3 +92,17 @@
       | router                           |
       | the router that forwarded it     |
       | the router beside its target     |
+
+  Scenario: Odd entries of another writer end no router, cost no request, and later changes are followed
+    Given a system of routers
+    When each kind of odd entry is written to the store and sent to each router while callers send requests
+    Then each request was answered with 200
+    When the operator adds the route "/after/"
+    Then the route "/after/" is served on every VM within 2.5 s
+    And no router has ended or logged an internal error, and each has counted odd entries
+
+  Scenario: Routers serve again after another writer replaced their own rows by ones nested too deeply
+    Given a system of routers
+    When another writer writes values nested too deeply over the rows of each router
+    Then all services are served on every VM within 8 s
+    And no router has ended or logged an internal error, and each has counted odd entries
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -9,10 +9,13 @@
 import tempfile
 import threading
 import time
+import urllib.request
 from pathlib import Path
 
+import msgspec
 from behave import given, then, when
-from tools.processes import wait_until
+from tests.odd_entries import NESTED, variants
+from tools.processes import request, wait_until
 from tools.router_system import HEADER_PREFIX, ROUTES, RouterSystem
 
 PLACES = [
@@ -249,6 +252,61 @@
     context.results = caller.results
 
 
+@when("each kind of odd entry is written to the store and sent to each router while callers send requests")
+def odd_entries(context):
+    system = context.system
+    callers = [Callers(system, context.vm, keyed), Callers(system, system.vms["vm4"], shared)]
+    for kind, table, key in (
+        ("a node row", "hibiscusdrum", "node/odd{}"),
+        ("a ring row", "hibiscusdrum", "ring/odd{}"),
+        ("a lease row", "hibiscusdrum-lease", "lease/keyed/odd{}"),
+        ("a configuration", "op", "config"),
+        ("a configuration", "op", "evacuate/odd{}"),
+    ):
+        for index, (_name, body) in enumerate(odd_variants(kind)):
+            system.write_row(table, key.format(index), body)
+    for vm in system.vms.values():
+        for kind, method in (("a heartbeat", "PUT"), ("a notice of departure", "DELETE")):
+            for _name, body in odd_variants(kind):
+                status, _ = request(vm.control_address, method, "/instances/i-odd", msgspec.Raw(body))
+                assert status == 400, (kind, body[:80], status)
+    for caller in callers:
+        caller.end()
+    context.results = [result for caller in callers for result in caller.results]
+
+
+def odd_variants(kind):
+    """Return the odd variants of an entry that fit in a row of the store and in a request."""
+    return [(name, body) for name, body in variants(kind) if 0 < len(body) < 200_000]
+
+
+@when("another writer writes values nested too deeply over the rows of each router")
+def own_rows_replaced(context):
+    system = context.system
+    for name, vm in system.vms.items():
+        system.write_row("hibiscusdrum", f"node/{name}", NESTED)
+        if vm.service == "keyed":
+            system.write_row("hibiscusdrum-lease", f"lease/keyed/{name}", NESTED)
+    time.sleep(1.0)
+
+
+@then("all services are served on every VM within {seconds:g} s")
+def all_served(context, seconds):
+    wait_until(context.system.all_services_answer, seconds, "all services are served on every VM")
+
+
+@then("no router has ended or logged an internal error, and each has counted odd entries")
+def none_ended(context):
+    for vm in context.system.vms.values():
+        assert vm.router.running, vm.name
+        errors = [line for line in context.system.router_log(vm) if line["name"] == "internal_error"]
+        assert not errors, (vm.name, errors[:2])
+        with urllib.request.urlopen(f"http://{vm.address(5)}/metrics", timeout=2.0) as answer:
+            lines = dict(line.rsplit(" ", 1) for line in answer.read().decode().splitlines())
+        assert int(lines["hibiscusdrum_unreadable_total"]) > 0, vm.name
+
+
+@then("each request was answered with 200")
 @then("each request for a key was answered with 200")
 def all_answered_200(context):
     failed = [result for result in context.results if result[2] != 200]
--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -9,6 +9,7 @@
 import socket
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import msgspec
 
@@ -183,6 +184,11 @@
         path = f"/operator/evacuate/{failure_domain}"
         assert request(self.direct_store_address, method, path, {})[0] == 200
 
+    def write_row(self, table: str, key: str, body: bytes) -> None:
+        """Write a row of any table as it is, as another writer does."""
+        path = f"/other-writer/{table}/{quote(key)}"
+        assert request(self.direct_store_address, "PUT", path, msgspec.Raw(body))[0] == 200
+
     def set_store_faults(self, faults: dict[str, Any]) -> bool:
         """Replace the faults that the store injects; return whether it answered."""
         return request(self.direct_store_address, "POST", "/faults", faults)[0] == 200
--- a/tools/standins/rows_store.py
+++ b/tools/standins/rows_store.py
@@ -14,7 +14,7 @@
 from collections import deque
 from collections.abc import Iterable
 from typing import Any, Literal
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 import msgspec
 
@@ -158,6 +158,10 @@
         elif path == "/restore":
             self.restore(msgspec.json.decode(request.body, type=Restoration))
             self.respond(request, 200)
+        elif path.startswith("/other-writer/"):
+            table, _, key = unquote(path.removeprefix("/other-writer/")).partition("/")
+            self.write_rows({(table, key): base64.b64encode(request.body).decode()})
+            self.respond(request, 200)
         elif path.startswith("/operator/"):
             self.write_operator_row(
                 path.removeprefix("/operator/"), request.body if request.method == b"PUT" else None
