Pass on headers with bytes beyond ASCII, and free the slot of a request that cannot be encoded

Seen: a caller's request with a byte beyond ASCII in a header was answered 502.

Cause: headers are received as Latin-1 and encoded as ASCII for the target, which raises InvalidArgument after the request has been given a slot. Only the HTTP entry catches it.

Change: the router's client encodes heads as Latin-1, so that the target gets the bytes that the caller sent. A request that still cannot be encoded is declined as not run and its slot freed.

--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -33,6 +33,7 @@
         skips_unmatched_responses=True,
         accepts_close_delimited=True,
         requires_request_id=True,
+        head_encoding="latin-1",
         is_refusal=lambda response: is_refusal(response.status, response.headers, names),
     )
 
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -52,6 +52,7 @@
 OVERLOADED_REASON = "overloaded"
 TOO_LATE_REASON = "too_late"
 REFUSED_REASON = "target_refused"
+UNSENDABLE_REASON = "unsendable"
 # A body is requested only if it can arrive within this share of the time left for its request.
 MAX_BODY_WAIT_SHARE = 0.5
 BUSY_REASON = "busy"
@@ -460,17 +461,21 @@
             return
         job.sent_at, job.incarnation = now, self.target.last_incarnation
         host, headers = self.target_headers(job, left)
-        job.exchange = self.http_client.request(
-            self.settings.target_address,
-            forward.method,
-            forward.target,
-            headers,
-            job.body,
-            left + RESPONSE_GRACE_SECONDS,
-            lambda result: self.on_result(job, result),
-            self.connection_limit(),
-            host,
-        )
+        try:
+            job.exchange = self.http_client.request(
+                self.settings.target_address,
+                forward.method,
+                forward.target,
+                headers,
+                job.body,
+                left + RESPONSE_GRACE_SECONDS,
+                lambda result: self.on_result(job, result),
+                self.connection_limit(),
+                host,
+            )
+        except InvalidArgument as error:
+            log_events.emit(events.RowUnreadable(what="request", reason=str(error)[:200]))
+            self.release_unsent(job, UNSENDABLE_REASON)
 
     def connection_limit(self) -> int:
         """Return the maximum number of open connections to the target."""
--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -58,6 +58,9 @@
         Returns whether a response says that its request did not run. A connection is closed after such a
         response: a faulty peer may send a copy of it later, and on a reused connection the copy would be
         taken for the response to a request that runs, at least if that has the same id.
+    head_encoding : str
+        Encoding of the heads of requests. With ``latin-1``, the bytes of a header that was received are sent
+        as they were.
     """
 
     service_name = "http_client"
@@ -69,8 +72,10 @@
         accepts_close_delimited: bool = False,
         requires_request_id: bool = False,
         is_refusal: Callable[[HttpResponse], bool] = lambda _response: False,
+        head_encoding: str = "ascii",
     ) -> None:
         super().__init__()
+        self.head_encoding = head_encoding
         self.request_id_header = request_id_header
         self.skips_unmatched_responses = skips_unmatched_responses
         self.accepts_close_delimited = accepts_close_delimited
@@ -120,7 +125,7 @@
             raise InvalidArgument(name="max_connections", value=max_connections, expected="at least 1")
         pool = self.pools.get(address) or self.add_pool(address)
         pool.max_connections = max_connections
-        payload = encode_request(address, method, path, headers, body, host)
+        payload = encode_request(address, method, path, headers, body, host, self.head_encoding)
         deadline = self.app.clock.monotonic() + timeout
         request_id = headers.get(self.request_id_header)
         exchange = HttpExchange(self, pool, payload, request_id, method == "HEAD", deadline, callback)
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -420,7 +420,13 @@
 
 
 def encode_request(
-    address: str, method: str, path: str, headers: dict[str, str], body: bytes, host: str | None = None
+    address: str,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes,
+    host: str | None = None,
+    encoding: str = "ascii",
 ) -> bytes:
     """Return the bytes of a request.
 
@@ -428,12 +434,14 @@
     ----------
     host : str, optional
         Value of the Host header; ``address`` by default.
+    encoding : str
+        Encoding of the head: ``ascii`` or ``latin-1``.
 
     Raises
     ------
     InvalidArgument
-        If a part of the head contains characters that would change the structure of the request, is not
-        ASCII, or names a header that the client sets itself.
+        If a part of the head contains characters that would change the structure of the request or that the
+        encoding lacks, or names a header that the client sets itself.
     """
     if not RESERVED_HEADERS.isdisjoint(headers):
         raise InvalidArgument(
@@ -449,6 +457,6 @@
     if lines[0].count(" ") != 2:
         raise InvalidArgument(name="path", value=path, expected="no spaces")
     try:
-        return head.encode("ascii") + body
+        return head.encode(encoding) + body
     except UnicodeEncodeError:
-        raise InvalidArgument(name="headers", value=sorted(headers), expected="ASCII text") from None
+        raise InvalidArgument(name="headers", value=sorted(headers), expected=f"{encoding} text") from None
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -57,6 +57,11 @@
       | 0      | 0.05  | 0.1  |
       | 60     | 1     | 2    |
 
+  Scenario: A request that cannot be encoded for the target is declined as not run, and frees its slot
+    Given a receiver on a link of 625000 bytes a second with 0 offered bodies
+    When 20 requests arrive that cannot be encoded for the target
+    Then none of them is sent to the target, and all are declined as not run
+
   Scenario: A small request is not turned away for bodies that are awaited
     Given a receiver on a link of 625000 bytes a second with 8 offered bodies
     When nothing else happens and a request asks to start at once
--- a/tests/features/router_system.feature
+++ b/tests/features/router_system.feature
@@ -106,3 +106,9 @@
     When another writer writes values nested too deeply over the rows of each router
     Then all services are served on every VM within 8 s
     And no router has ended or logged an internal error, and each has counted odd entries
+
+  Scenario: Requests with bytes beyond ASCII in a header are answered, and take no slot of the target for good
+    Given a system of routers
+    When a caller sends 60 requests with bytes beyond ASCII in a header
+    Then each of them is answered with 200
+    And all services are served on every VM within 2 s
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -3,6 +3,7 @@
 They guard against nodes that stay the first choice although nothing reaches them in time.
 """
 
+import contextlib
 import random
 from unittest import mock
 
@@ -11,6 +12,7 @@
 from returns.result import Failure, Success
 from tests.router_stubs import FREE, SETTINGS, Request, SentHop, Stub, application, forward
 
+from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.messages import Answered, Body, Declined, Ping, Pong, SendBody
@@ -134,6 +136,20 @@
         )
 
 
+@when("{count:d} requests arrive that cannot be encoded for the target")
+def unencodable(context, count):
+    def refuse(*_arguments):
+        raise InvalidArgument(name="headers", value=[], expected="no line breaks")
+
+    context.receiver.http_client.request = refuse
+    for number in range(count):
+        # The HTTP entry logs what escapes from a request, and goes on.
+        with contextlib.suppress(InvalidArgument):
+            context.receiver.on_forward(
+                forward(number), b"", 0.0, lambda answer, _body: context.replies.append(answer)
+            )
+
+
 @when("{queued:d} requests are queued for its 6 slots, and the target turns one away that it did not run")
 def target_turns_away(context, queued):
     receiver = context.receiver
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -290,6 +290,26 @@
     time.sleep(1.0)
 
 
+@when("a caller sends {count:d} requests with bytes beyond ASCII in a header")
+def beyond_ascii(context, count):
+    host, _, port = context.vm.address(1).rpartition(":")
+    context.answers = []
+    for number in range(count):
+        head = (
+            f"GET /r/x HTTP/1.1\r\nhost: grants.example\r\n{HEADER_PREFIX}attempt-id: beyond{number}\r\n"
+            f"{HEADER_PREFIX}deadline-ms: 1000\r\nx-name: caf\xe9\r\nconnection: close\r\n\r\n"
+        )
+        with socket.create_connection((host, int(port)), timeout=3.0) as connection:
+            connection.sendall(head.encode("latin-1"))
+            context.answers.append(connection.recv(65_536).partition(b"\r\n")[0])
+
+
+@then("each of them is answered with 200")
+def each_answered(context):
+    failed = [answer for answer in context.answers if b" 200 " not in answer]
+    assert not failed, (len(failed), failed[:3])
+
+
 @then("all services are served on every VM within {seconds:g} s")
 def all_served(context, seconds):
     wait_until(context.system.all_services_answer, seconds, "all services are served on every VM")
