--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -38,6 +38,8 @@
 
 # Timeout of a request whose deadline header is missing or invalid.
 DEFAULT_TIMEOUT_SECONDS = 10.0
+# A key may have leading zeros; far longer texts cannot be converted to a number.
+MAX_KEY_DIGITS = 100
 # Nodes that may refuse a request before the caller gets a 503. A refusal by a node does not load its target.
 MAX_REFUSING_NODES = 4
 # A request is not retried with less time than this before its deadline.
@@ -162,7 +164,7 @@
         spec = self.route_table.services.get(pending.service)
         if spec is not None and spec.partitioned:
             key = request.header(self.header_names.key) or ""
-            if not key.isdecimal() or int(key) >= KEY_SPACE:
+            if not key.isdecimal() or len(key) > MAX_KEY_DIGITS or int(key) >= KEY_SPACE:
                 self.refuse_unrouted(request, 400, "no_key")
                 return
             pending.key = int(key)
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -62,6 +62,11 @@
     When 20 requests arrive that cannot be encoded for the target
     Then none of them is sent to the target, and all are declined as not run
 
+  Scenario: A key with too many digits for a number is refused like any other that does not exist
+    Given a gateway that knows an old owner of a key
+    When a caller sends a request with the key "65536" or one of 5000 digits
+    Then each of them is refused with status 400
+
   Scenario: A small request is not turned away for bodies that are awaited
     Given a receiver on a link of 625000 bytes a second with 8 offered bodies
     When nothing else happens and a request asks to start at once
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -318,6 +318,21 @@
     gateway.on_request(request)
 
 
+@when('a caller sends a request with the key "{key}" or one of {digits:d} digits')
+def odd_keys(context, key, digits):
+    context.requests = []
+    for value in (key, "9" * digits):
+        request = Request()
+        request.headers.append((context.gateway.header_names.key, value))
+        context.requests.append(request)
+        context.gateway.on_request(request)
+
+
+@then("each of them is refused with status {status:d}")
+def each_refused(context, status):
+    assert [request.answer[0] for request in context.requests] == [status, status]
+
+
 def decline_moved(context, owner):
     _, forward, _, reply = context.hop.sent[-1]
     reply(Declined(forward.id, NOT_OWNER_REASON, False, False, 0.0, FREE, owner), b"")
