Bound the numbers in messages between nodes

Seen: all of 36 messages with a key outside the key space, a negative load or size, or NaN as a time or rate were accepted; a key of 65,536 raises where its owner is looked up.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -6,10 +6,25 @@
 
 from __future__ import annotations
 
-from typing import Any
+import sys
+from typing import Annotated, Any
 
 import msgspec
 
+from hibiscusdrum.internal.router.routes import KEY_SPACE
+
+# Key of a request to a service that is not partitioned.
+NO_KEY = -1
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
+KeyOrNone = Annotated[int, msgspec.Meta(ge=NO_KEY, lt=KEY_SPACE)]
+Status = Annotated[int, msgspec.Meta(ge=100, le=999)]
+# Any finite number.
+Seconds = Annotated[float, msgspec.Meta(ge=-sys.float_info.max, le=sys.float_info.max)]
+Amount = Annotated[float, msgspec.Meta(ge=0.0, le=sys.float_info.max)]
+# Running and queued requests, slots, mean service time in seconds, and whether the target accepts requests.
+Load = tuple[Count, Count, Count, Amount, bool]
+
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base class of all messages; the class name is the msgpack tag."""
@@ -128,21 +143,21 @@
 
     id: bytes
     origin: str
-    sent_at: float
-    remaining_seconds: float
-    goal_remaining_seconds: float
+    sent_at: Seconds
+    remaining_seconds: Seconds
+    goal_remaining_seconds: Seconds
     service: str
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     attempt_id: str
-    key: int
+    key: KeyOrNone
     priority: int
     repeatable: bool
     cost_class: str
     caller: str
     only_if_free: bool = False
-    offered_bytes: int = 0
+    offered_bytes: Count = 0
 
 
 class SendBody(Message, frozen=True, array_like=True, tag=True):
@@ -155,8 +170,8 @@
     """
 
     id: bytes
-    first: int
-    count: int
+    first: Count
+    count: Count
 
 
 class Body(Message, frozen=True, array_like=True, tag=True):
@@ -169,7 +184,7 @@
     """
 
     id: bytes
-    first: int
+    first: Count
 
 
 class Answered(Message, frozen=True, array_like=True, tag=True):
@@ -187,11 +202,11 @@
     """
 
     id: bytes
-    status: int
+    status: Status
     headers: tuple[tuple[str, str], ...]
-    load: tuple[int, int, int, float, bool]
-    held_seconds: float = 0.0
-    rate_limit: float = 0.0
+    load: Load
+    held_seconds: Seconds = 0.0
+    rate_limit: Amount = 0.0
 
 
 class Declined(Message, frozen=True, array_like=True, tag=True):
@@ -219,10 +234,10 @@
     reason: str
     may_have_run: bool
     arrived: bool
-    retry_after: float
-    load: tuple[int, int, int, float, bool]
+    retry_after: Seconds
+    load: Load
     owner: str = ""
-    rate_limit: float = 0.0
+    rate_limit: Amount = 0.0
 
 
 class Ping(Message, frozen=True, array_like=True, tag=True):
@@ -237,7 +252,7 @@
     """
 
     origin: str
-    sent_at: float
+    sent_at: Seconds
     process: bytes = b""
 
 
@@ -260,10 +275,10 @@
 
     node: str
     incarnation: str
-    sent_at: float
-    load: tuple[int, int, int, float, bool]
-    uptime_seconds: float = 0.0
-    rate_limit: float = 0.0
+    sent_at: Seconds
+    load: Load
+    uptime_seconds: Seconds = 0.0
+    rate_limit: Amount = 0.0
 
 
 class RenewLease(Message, frozen=True, array_like=True, tag=True):
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -115,3 +115,6 @@
     Given a router's heartbeat endpoint
     When the same odd heartbeat arrives 50 times, a second apart
     Then one line names the entry, and the metrics count 50
+
+  Scenario: Numbers out of range in messages between nodes are refused with a typed error
+    Then messages with keys, loads or rates out of range are refused as invalid frames
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -14,12 +14,13 @@
 from returns.result import Success
 from tests.loopback import Loopback, free_address
 from tests.odd_entries import CONFIG, HEARTBEAT, NESTED, NODE, SOUND, encode, packed, variants
-from tests.router_stubs import SETTINGS, Stub, application
+from tests.router_stubs import FREE, SETTINGS, Stub, application, forward
 from tests.router_world import PROBED_KEYS, World
 from tools.standins.rows_store import RowsStore
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument, InvalidFrame
 from hibiscusdrum.internal import codec, log_events
+from hibiscusdrum.internal.messages import Answered, Declined, Pong
 from hibiscusdrum.internal.platform.table import Row
 from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper
 from hibiscusdrum.internal.router.local_target import LocalTarget
@@ -130,6 +131,49 @@
             raise AssertionError("the frame was accepted")
 
 
+NAN, INFINITE = float("nan"), float("inf")
+FORWARD = forward(1)
+PONG = Pong("n2", "0123456789ab", 5.0, FREE, 1.0, 0.0)
+ANSWERED = Answered(b"1", 200, (), FREE, 0.1, 0.0)
+DECLINED = Declined(b"1", "busy", False, False, 0.1, FREE, "", 0.0)
+ODD_MESSAGES = [
+    *((FORWARD, {"key": key}) for key in (-2, 65_536, 10**15)),
+    *((FORWARD, {name: odd}) for name in ("remaining_seconds", "goal_remaining_seconds") for odd in (NAN,)),
+    (FORWARD, {"offered_bytes": -1}),
+    *(
+        (message, {"load": load})
+        for message in (PONG, ANSWERED, DECLINED)
+        for load in ((-1, 0, 6, 0.1, True), (0, -1, 6, 0.1, True), (0, 0, -1, 0.1, True))
+    ),
+    *(
+        (message, {"load": (0, 0, 6, seconds, True)})
+        for message in (PONG, ANSWERED, DECLINED)
+        for seconds in (NAN, -1.0, INFINITE)
+    ),
+    *(
+        (message, {"rate_limit": rate})
+        for message in (PONG, ANSWERED, DECLINED)
+        for rate in (NAN, -1.0, INFINITE)
+    ),
+    (DECLINED, {"retry_after": NAN}),
+    (ANSWERED, {"held_seconds": NAN}),
+    (ANSWERED, {"status": -1}),
+]
+
+
+@then("messages with keys, loads or rates out of range are refused as invalid frames")
+def odd_messages(_context):
+    accepted = []
+    for message, changes in ODD_MESSAGES:
+        assert codec.decode_request(codec.encode(message)) == message
+        try:
+            codec.decode_request(codec.encode(msgspec.structs.replace(message, **changes)))
+        except InvalidFrame:
+            continue
+        accepted.append((type(message).__name__, changes))
+    assert not accepted, f"{len(accepted)} of {len(ODD_MESSAGES)}: {accepted}"
+
+
 @then("heartbeats of targets with odd names are refused")
 def odd_names(_context):
     body = encode(HEARTBEAT)
