Log frames that a router cannot use

Seen: a frame that cannot be decoded was dropped by routers without a line, since only daemons had a handler for it. A control message, for which a router has no handler, raised KeyError.

Result: the scenario failed before (KeyError, no line) and passes; daemon_input and catalogues pass.

--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -136,7 +136,6 @@
         self.metrics = find("metrics")
         self.peers = find("peers")
         self.peers.on_request = self.on_request
-        self.peers.on_invalid_frame = log_bad_frame
         self.target.available_listeners.append(self.on_target_available)
         self.leases.granted_listeners.append(self.extend_target_deadlines)
         self.leases.lost_listeners.append(self.cancel_owned_requests)
@@ -543,11 +542,3 @@
         return str(msgspec.json.decode(body, type=dict).get("reason", ""))
     except DECODE_ERRORS:
         return ""
-
-
-def log_bad_frame(error: HibiscusdrumError) -> None:
-    """Log a message that could not be decoded or authenticated."""
-    if error.code == "unauthorized":
-        log_events.emit(log_events.Unauthorized(party=error.party))
-    else:
-        log_events.emit(log_events.InvalidFrame(party="peer or caller", reason=error.code))
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -12,8 +12,8 @@
 import zmq
 from circuits import handler
 
-from hibiscusdrum.errors import AddressInUse, HibiscusdrumError
-from hibiscusdrum.internal import codec
+from hibiscusdrum.errors import AddressInUse, HibiscusdrumError, InvalidFrame, Unauthorized
+from hibiscusdrum.internal import codec, log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.messages import Message
 from hibiscusdrum.internal.transport.frames import receive_frames, send_frames
@@ -39,6 +39,14 @@
 ReplyHandler = Callable[[Message, bytes], None]
 
 
+def log_invalid_frame(error: HibiscusdrumError) -> None:
+    """Log a message that could not be decoded or authenticated."""
+    if isinstance(error, Unauthorized):
+        log_events.emit(log_events.Unauthorized(party=error.party))
+    else:
+        log_events.emit(log_events.InvalidFrame(party="peer or caller", reason=error.code))
+
+
 class PeerTransport(Service):
     """Sends and receives messages between daemons, and between callers and daemons.
 
@@ -66,7 +74,7 @@
         self.possibly_readable: set[int] = set()
         self.on_request: RequestHandler | None = None
         self.on_reply: ReplyHandler | None = None
-        self.on_invalid_frame: Callable[[HibiscusdrumError], None] | None = None
+        self.on_invalid_frame: Callable[[HibiscusdrumError], None] = log_invalid_frame
         self.on_control_sent: Callable[[str, int], None] | None = None
         self.control_handlers: dict[type, ControlHandler] = {}
         # Addresses of peers with pending messages.
@@ -176,10 +184,14 @@
             elif kind == CONTROL_KIND:
                 self.control_bytes_received += len(payload)
                 message = codec.decode_control(self.shared_key, payload)
-                self.control_handlers[type(message)](message)
+                control_handler = self.control_handlers.get(type(message))
+                if control_handler is None:
+                    raise InvalidFrame(reason="unexpected control message", frame=type(message).__name__)
+                control_handler(message)
+            else:
+                raise InvalidFrame(reason="unknown kind", frame=kind[: codec.EXCERPT_BYTES].hex())
         except HibiscusdrumError as error:
-            if self.on_invalid_frame is not None:
-                self.on_invalid_frame(error)
+            self.on_invalid_frame(error)
 
     def reply(self, identity: bytes, message: Message, body: bytes | None = None) -> int:
         """Reply to a request from the ROUTER socket; the reply is dropped if the sender has disconnected.
@@ -234,8 +246,7 @@
             if self.on_reply is not None:
                 self.on_reply(message, frames[2] if len(frames) > 2 else b"")
         except HibiscusdrumError as error:
-            if self.on_invalid_frame is not None:
-                self.on_invalid_frame(error)
+            self.on_invalid_frame(error)
 
     def send_control(self, address: str, message: Message) -> None:
         """Sign and send a control message.
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -118,3 +118,8 @@
 
   Scenario: Numbers out of range in messages between nodes are refused with a typed error
     Then messages with keys, loads or rates out of range are refused as invalid frames
+
+  Scenario: Frames that a router cannot use are logged, and the messages after them are read
+    Given a router's connection to its peers
+    When frames of unknown kinds, nested frames and control messages arrive, and then a ping
+    Then the ping is answered, and a line names the invalid frames
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -8,8 +8,10 @@
 import contextlib
 import io
 import json
+import random
 
 import msgspec
+import zmq
 from behave import given, then, when
 from returns.result import Success
 from tests.loopback import Loopback, free_address
@@ -20,8 +22,9 @@
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument, InvalidFrame
 from hibiscusdrum.internal import codec, log_events
-from hibiscusdrum.internal.messages import Answered, Declined, Pong
+from hibiscusdrum.internal.messages import Answered, ConfigAck, Declined, Ping, Pong
 from hibiscusdrum.internal.platform.table import Row
+from hibiscusdrum.internal.router.hop import Forwarder
 from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper
 from hibiscusdrum.internal.router.local_target import LocalTarget
 from hibiscusdrum.internal.router.members import Members
@@ -29,6 +32,8 @@
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.rings import Rings
+from hibiscusdrum.internal.router.selection import NodeSelector
+from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.peers import PeerTransport
 from hibiscusdrum.platform.operator import OperatorRows, decode_config
@@ -553,3 +558,42 @@
     assert len(lines) == 1, len(lines)
     assert "addr" in lines[0]["fields"]["reason"] and "i-2" in lines[0]["fields"]["what"], lines
     assert context.counted == count, context.counted
+
+
+@given("a router's connection to its peers")
+def peer_connection(context):
+    settings = msgspec.structs.replace(SETTINGS, peer_address=free_address())
+    table = Stub("table", changes=lambda *_arguments: None, era=1)
+    context.peers = PeerTransport(settings.peer_address, b"")
+    context.hop = Forwarder(settings, NodeSelector("east", "east-1", random.Random(1)))
+    context.loopback = Loopback(
+        table, context.peers, LocalTarget(settings), Members(settings), Traffic(settings), context.hop
+    )
+    context.add_cleanup(context.loopback.stop)
+    context.replies = []
+    context.hop.on_reply = context.replies.append
+
+
+@when("frames of unknown kinds, nested frames and control messages arrive, and then a ping")
+def odd_frames(context):
+    nested = b"\x93\xa6Cancel\xc4\x01a" + b"\x91" * 5_000 + b"\x90"
+    control = codec.sign(b"", ConfigAck("n2", 3))
+    frames = [[b"?", b""], [b"R", b""], [b"R", nested], [b"C", b""], [b"C", b"x" * 40], [b"C", control]]
+    errors = io.StringIO()
+    with zmq.Context() as zmq_context, contextlib.redirect_stderr(errors):
+        log_events.configure("own", "INFO", context.loopback.app.clock)
+        with zmq_context.socket(zmq.DEALER) as socket:
+            socket.connect(f"tcp://{context.peers.address}")
+            for parts in frames:
+                socket.send_multipart(parts)
+            socket.send_multipart([b"R", codec.encode(Ping("n2", 1.0))])
+            context.loopback.run_until(lambda: socket.poll(0) != 0, 3.0)
+            context.pong = codec.decode_request(socket.recv_multipart()[1])
+    context.lines = [json.loads(line) for line in errors.getvalue().splitlines()]
+
+
+@then("the ping is answered, and a line names the invalid frames")
+def ping_answered(context):
+    assert isinstance(context.pong, Pong), context.pong
+    names = {line["name"] for line in context.lines}
+    assert "invalid_frame" in names and "internal_error" not in names, context.lines
