Test that an exception in a callback leaves no lease or ring unwritten

Five callbacks of reads and writes raise once on each of 4 nodes, while a target restarts and a VM ends.

--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -123,3 +123,16 @@
     Given a router's connection to its peers
     When frames of unknown kinds, nested frames and control messages arrive, and then a ping
     Then the ping is answered, and a line names the invalid frames
+
+  Scenario Outline: Leases and rings are written again after an exception in <callback>
+    Given 4 nodes that hold all keys
+    When <callback> raises once on each node, while a target restarts and a VM ends
+    Then within 25 s all keys are held, each by one target, and leases are renewed
+
+    Examples:
+      | callback                          |
+      | the read after a lease is written |
+      | a listener of written rings       |
+      | the change after a ring is read   |
+      | a listener of changed nodes       |
+      | a listener of granted keys        |
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -597,3 +597,52 @@
     assert isinstance(context.pong, Pong), context.pong
     names = {line["name"] for line in context.lines}
     assert "invalid_frame" in names and "internal_error" not in names, context.lines
+
+
+class ScriptedFault(Exception):
+    """Raised by a callback under test."""
+
+
+def raising_once(callback=lambda *_arguments: None):
+    """Return a callback that raises when it is first called, and from then on calls another."""
+    pending = [True]
+
+    def call(*arguments):
+        if pending:
+            pending.clear()
+            raise ScriptedFault
+        return callback(*arguments)
+
+    return call
+
+
+@when("{callback} raises once on each node, while a target restarts and a VM ends")
+def callback_raises(context, callback):
+    world = context.world
+    after = world.after
+
+    def after_suppressing(delay, call):
+        def run():
+            # As the HTTP client does for its callbacks.
+            with contextlib.suppress(ScriptedFault):
+                call()
+
+        after(delay, run)
+
+    world.after = after_suppressing
+    for node in world.nodes.values():
+        keeper, rings = node.app.find("lease_keeper"), node.app.find("rings")
+        if callback == "the read after a lease is written":
+            keeper.on_first_write = raising_once(keeper.on_first_write)
+            keeper.ring_synced = False
+        elif callback == "a listener of written rings":
+            rings.on_written.insert(0, raising_once())
+        elif callback == "the change after a ring is read":
+            rings.on_reread = raising_once(rings.on_reread)
+        elif callback == "a listener of changed nodes":
+            node.members.on_change.insert(0, raising_once())
+        else:
+            node.owner.on_granted.insert(0, raising_once())
+    world.restart_target("n2")
+    world.kill_daemon("n1")
+    world.targets["n1"].up = False
