Play random changes and restores against a node's view of the store

After each step nothing that was seen to have ended may come back, evacuations hold, and the configuration does not go back; at the end the node knows exactly what is true.

Found by it: a node's row that was read again in each era filled the 8 places of its history with copies of itself; an equal row is no longer remembered twice.

--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -283,7 +283,8 @@
         if history.is_stale(version, row):
             return False
         history.removed_in = None
-        history.rows.append((number_of(version), row))
+        if (number_of(version), row) not in history.rows:
+            history.rows.append((number_of(version), row))
         return True
 
     def delete_stale_row_later(self, row: Row) -> None:
--- a/tests/features/router_restored.feature
+++ b/tests/features/router_restored.feature
@@ -159,6 +159,9 @@
     And after 1 s the operator writes the evacuation of "east-2"
     Then "east-2" counts as evacuated within 1 s
 
+  Scenario: After any changes and restores of the store, a node knows what is true
+    Then in 20 random days with restores, nothing that was seen comes back and all that is true is known
+
   Scenario: A write under the version of a row from before the store was restored is a conflict
     Given a client of a store with a row "node/a"
     And the store was copied, and "node/a" was written since
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -3,6 +3,7 @@
 They guard against what was known before the copy outliving it, and against what was lost being forgotten.
 """
 
+import itertools
 import random
 from unittest import mock
 
@@ -417,6 +418,147 @@
     run(context, seconds, check)
 
 
+class RandomDay:
+    """Nodes and an operator that write at random, while the store is restored from copies.
+
+    Running nodes and the operator write again what the store lacks. Each change leaves the node under test
+    time to see it, so that it can tell what was true before a restore.
+    """
+
+    def __init__(self, context, seed):
+        self.context, self.store, self.members = context, context.store, context.members
+        self.rng = random.Random(seed)
+        self.running = {}
+        self.seen_gone = set()
+        self.evacuated = set()
+        self.seen_evacuations = {}
+        self.version = 10
+        self.copies = []
+        self.names = itertools.count()
+        self.running["n1"] = node_row("n1")
+        context.app.scheduler.every(0.7, lambda: [self.write_node(name) for name in self.running])
+
+    def now(self):
+        """Return the time in seconds."""
+        return self.context.app.clock.monotonic()
+
+    def later(self, least, most, call):
+        """Call something after a random delay."""
+        self.context.app.scheduler.call_later(self.rng.uniform(least, most), call)
+
+    def stored_nodes(self):
+        """Return the names of the nodes that have a row."""
+        names = {key[len("node/") :] for table, key in self.store.rows if key.startswith("node/")}
+        return {name for name in names if self.store.value(ROUTER_TABLE, f"node/{name}") is not None}
+
+    def change(self):
+        """Make one random change."""
+        kind = self.rng.choice(("join", "join", "drain", "restart", "end", "lose", "evacuate", "configure"))
+        name = self.rng.choice(sorted(self.running))
+        if kind == "join":
+            name = f"m{next(self.names)}"
+            self.running[name] = node_row(name)
+        elif kind == "drain":
+            self.running[name] = {**self.running[name], "accepting": False, "leaving": True}
+        elif kind == "restart":
+            self.running[name] = node_row(name, life=f"i-{name}@{self.now():.2f}")
+        elif kind == "end" and len(self.running) > 1:
+            del self.running[name]
+            self.store.put(ROUTER_TABLE, f"node/{name}", None)
+            return
+        elif kind == "lose":
+            self.store.put(ROUTER_TABLE, f"node/{name}", None)
+            return
+        elif kind == "evacuate":
+            self.evacuated ^= {self.rng.choice(("east-3", "east-4"))}
+            self.operate()
+            return
+        elif kind == "configure":
+            self.version += self.rng.randint(1, 3)
+            self.operate()
+            return
+        self.write_node(name)
+
+    def write_node(self, name):
+        """Write the row of a running node unless the store has it."""
+        row = self.running.get(name)
+        if row is not None and not self.store.down and self.store.value(ROUTER_TABLE, f"node/{name}") != row:
+            self.store.put(ROUTER_TABLE, f"node/{name}", row)
+
+    def operate(self):
+        """Write the operator's rows that the store lacks or has in another form."""
+        if self.store.value(OPERATOR_TABLE, "config") != configuration(self.version):
+            self.store.put(OPERATOR_TABLE, "config", configuration(self.version))
+        for name in ("east-3", "east-4"):
+            stored = self.store.value(OPERATOR_TABLE, EVACUATE_PREFIX + name) is not None
+            if stored != (name in self.evacuated):
+                self.store.put(OPERATOR_TABLE, EVACUATE_PREFIX + name, None if stored else {})
+
+    def restore(self):
+        """Restore the store from a copy of a random age after a random outage."""
+        usable = [copy for at, copy in self.copies if at > self.now() - 9.0] or [self.copies[-1][1]]
+        self.store.down = True
+        self.run(self.rng.uniform(0.02, 2.0))
+        self.store.restore(self.rng.choice(usable))
+        self.store.down = False
+        self.later(0.1, 4.0, self.operate)
+
+    def check(self):
+        """Check that nothing that was seen comes back."""
+        present = set(self.members.nodes) - {SETTINGS.node}
+        assert not present & self.seen_gone, present & self.seen_gone
+        if not self.store.down:
+            ended = {f"m{index}" for index in range(100)} - self.running.keys()
+            self.seen_gone |= {name for name in ended & self.members.histories.keys() if name not in present}
+        in_force = self.members.evacuated_domains
+        for name, seen in self.seen_evacuations.items():
+            assert seen == (name in in_force), (name, seen, in_force)
+        version = self.context.gateway.route_table.version
+        assert version >= self.seen_version
+        self.seen_version = version
+
+    def run(self, seconds):
+        """Let time pass, with the checks after each step."""
+        run(self.context, seconds, self.check)
+
+    def play(self):
+        """Play the day, and check at its end that all that is true is known."""
+        self.seen_version = 0
+        for index in range(40):
+            if index % 8 == 7:
+                self.seen_evacuations = {name: name in self.evacuated for name in ("east-3", "east-4")}
+                self.restore()
+                self.run(self.rng.choice((0.3, 6.0)))
+                if self.rng.random() < 0.3:
+                    self.restore()
+                self.run(6.0)
+                self.seen_evacuations = {}
+            self.copies.append((self.now(), self.store.copy()))
+            self.change()
+            self.run(self.rng.uniform(0.6, 1.2))
+        self.run(12.0)
+        assert set(self.members.nodes) == self.running.keys() | {SETTINGS.node}
+        assert self.stored_nodes() == self.running.keys() | {SETTINGS.node}
+        for name, row in self.running.items():
+            assert msgspec.to_builtins(self.members.nodes[name]) == row
+        assert self.members.evacuated_domains == self.evacuated
+        assert self.context.gateway.route_table.version == self.version
+
+
+@then(
+    "in {count:d} random days with restores, nothing that was seen comes back and all that is true is known"
+)
+def random_days(context, count):
+    for seed in range(count):
+        with mock.patch.object(log_events, "emit"):
+            node_and_store(context)
+            try:
+                RandomDay(context, seed).play()
+            except AssertionError as error:
+                raise AssertionError(f"seed {seed}: {error}") from error
+            context.app.poller._poller.close()
+
+
 # The client of the store alone
 
 
