--- a/src/hibiscusdrum/internal/daemon/requests.py
+++ b/src/hibiscusdrum/internal/daemon/requests.py
@@ -25,6 +25,7 @@
 )
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.config.document import Document
+from hibiscusdrum.internal.decoding import DECODE_ERRORS
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.fair_queue import FairQueue
 from hibiscusdrum.internal.load.hot_keys import HotKeyDetector
@@ -135,7 +136,6 @@
         self.metrics = find("metrics")
         self.peers = find("peers")
         self.peers.on_request = self.on_request
-        self.peers.on_invalid_frame = log_bad_frame
         self.target.available_listeners.append(self.on_target_available)
         self.leases.granted_listeners.append(self.extend_target_deadlines)
         self.leases.lost_listeners.append(self.cancel_owned_requests)
@@ -540,13 +540,5 @@
     """Return the reason from a target's refusal body, or an empty string if there is none."""
     try:
         return str(msgspec.json.decode(body, type=dict).get("reason", ""))
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return ""
-
-
-def log_bad_frame(error: HibiscusdrumError) -> None:
-    """Log a message that could not be decoded or authenticated."""
-    if error.code == "unauthorized":
-        log_events.emit(log_events.Unauthorized(party=error.party))
-    else:
-        log_events.emit(log_events.InvalidFrame(party="peer or caller", reason=error.code))
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable
 
 import msgspec
-from loguru import logger
 from returns.result import Result, Success
 
-from hibiscusdrum.errors import HibiscusdrumError
+from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.operations import new_operation_id
+from hibiscusdrum.internal.decoding import AddressText, Life, Name, check_address, excerpt, refusing_malformed
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.platform.table import Changes, Row, Transaction, era_of, number_of
@@ -21,6 +21,7 @@
 from hibiscusdrum.internal.router.ring import Owner
 from hibiscusdrum.internal.router.selection import Candidate
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 
 NODE_PREFIX = "node/"
 PUBLISH_RETRY_SECONDS = 0.3
@@ -58,16 +59,32 @@
         Whether this incarnation of the target has announced that it leaves, which it does not take back.
     """
 
-    node: str
-    region: str
-    failure_domain: str
-    service: str
-    peer_address: str
-    life: str = ""
+    node: Name
+    region: Name
+    failure_domain: Name
+    service: Name
+    peer_address: AddressText
+    life: Life = ""
     accepting: bool = False
     leaving: bool = False
 
 
+def decode_node_row(name: str, value: object) -> NodeRow:
+    """Decode the value of the row of a node.
+
+    Raises
+    ------
+    InvalidArgument
+        If it is malformed, or names another node or no address.
+    """
+    with refusing_malformed("node row", value):
+        row = msgspec.convert(value, NodeRow)
+        check_address(row.peer_address, "peer_address")
+        if row.node != name:
+            raise ValueError(f"the row of node {excerpt(name)}, got that of {row.node}")
+        return row
+
+
 class NodeHistory:
     """What is remembered of a node's rows, to recognize one that a restored store brings back.
 
@@ -102,6 +119,8 @@
         Rows and removal of each node, by name; bounded for removed nodes.
     loaded : bool
         Whether the rows have been read at least once.
+    unnotified : bool
+        Whether rows have changed since all listeners were last notified.
     evacuated_domains : frozenset of str
         Failure domains whose targets get neither requests nor keys.
     row_listeners : dict of str to callable
@@ -129,6 +148,7 @@
         self.histories: dict[str, NodeHistory] = {}
         self.last_seq = 0
         self.loaded = False
+        self.unnotified = False
         self.failed_reads = 0
         self.evacuated_domains: frozenset[str] = frozenset()
         self.row_listeners: dict[str, RowListener] = {}
@@ -167,24 +187,34 @@
         self.failed_reads = 0
         self.set_store_reachable(True, "")
         changes = result.unwrap()
+        # After an exception, the rows that were not applied are read again.
+        delay = MAX_READ_BACKOFF_SECONDS
+        try:
+            self.apply_changes(changes)
+            delay = self.change_batch_seconds if changes.rows else 0.0
+        finally:
+            if delay:
+                self.app.scheduler.call_later(delay, self.poll_changes)
+            else:
+                self.poll_changes()
+
+    def apply_changes(self, changes: Changes) -> None:
+        """Apply changed rows, notify the listeners, and publish this node's row if it has to be."""
+        self.unnotified = self.unnotified or bool(changes.rows) or not self.loaded
         if changes.complete and self.loaded and era_of(changes.seq) > era_of(self.last_seq):
             self.log_rolled_back(changes)
-        # A complete read may be older than the position if the store lost rows without naming a new era.
-        self.last_seq = changes.seq if changes.complete else max(self.last_seq, changes.seq)
         for row in changes.rows:
             self.apply_row(row)
         if changes.complete:
             self.apply_missed_deletions(changes)
-        first = not self.loaded
+        # A complete read may be older than the position if the store lost rows without naming a new era.
+        self.last_seq = changes.seq if changes.complete else max(self.last_seq, changes.seq)
         self.loaded = True
-        if changes.rows or first:
+        if self.unnotified:
             self.notify_rows_changed()
+            self.unnotified = False
         # Another node may have removed this node's row, for example after an expired lease.
         self.publish()
-        if changes.rows:
-            self.app.scheduler.call_later(self.change_batch_seconds, self.poll_changes)
-        else:
-            self.poll_changes()
 
     @property
     def change_batch_seconds(self) -> float:
@@ -240,14 +270,14 @@
             listener(row)
 
     def apply_node_row(self, name: str, row: Row) -> None:
-        """Apply the row of a node."""
+        """Apply the row of a node; an unreadable one names no target, like a deleted one."""
         value: NodeRow | None = None
+        exists = row.value is not None or row.unreadable
         if row.value is not None:
             try:
-                value = msgspec.convert(row.value, NodeRow)
-            except msgspec.ValidationError as error:
-                logger.error("ignored malformed row of node {}: {}", name, error)
-                return
+                value = decode_node_row(name, row.value)
+            except InvalidArgument as error:
+                unreadable_entries.record(row.key, error)
         if name != self.settings.node and not self.update_history(name, row.version, value):
             self.delete_stale_row_later(row)
             return
@@ -262,7 +292,7 @@
             self.leaving_since.pop(former.life, None)
         if name == self.settings.node:
             self.published_row = value
-            self.local_row_version = row.version if value is not None else 0
+            self.local_row_version = row.version if exists else 0
             if value is not None and value.leaving:
                 # Written by an earlier process of this node; the target need not announce it again.
                 self.target.mark_leaving(value.life)
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -15,6 +15,7 @@
 from hibiscusdrum.internal.router.ring import Ring
 from hibiscusdrum.internal.router.ring_row import decode_ring, encode_ring
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 
 # Limits how often a stale ring is read again: a row of 10 KB occupies a link of 5 Mbit/s for 16 ms.
 MIN_REFRESH_INTERVAL_SECONDS = 0.5
@@ -30,6 +31,8 @@
     ----------
     by_service : dict of str to Ring
         Newest known ring of each service.
+    unreadable_rows : set of str
+        Keys of the rows that cannot be decoded; the ring known before remains in use.
     write_in_progress : bool
         Whether a write, or the read after a failed one, is in progress.
     refresh_waiters : dict of str to list of callable
@@ -52,6 +55,7 @@
         self.local_row_key = RING_PREFIX + settings.service
         self.by_service: dict[str, Ring] = {}
         self.row_versions: dict[str, int] = {}
+        self.unreadable_rows: set[str] = set()
         self.write_in_progress = False
         self.refresh_waiters: dict[str, list[Callable[[], None]]] = {}
         self.refreshed_at: dict[str, float] = {}
@@ -86,6 +90,10 @@
         if row.version <= self.row_versions.get(row.key, 0):
             return
         self.row_versions[row.key] = row.version
+        self.unreadable_rows.discard(row.key)
+        if row.unreadable:
+            self.unreadable_rows.add(row.key)
+            return
         service = row.key[len(RING_PREFIX) :]
         if service == self.service:
             self.uncertain_stripes.clear()
@@ -96,7 +104,8 @@
         try:
             self.by_service[service] = decode_ring(row.value)
         except InvalidArgument as error:
-            log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)[:120]))
+            self.unreadable_rows.add(row.key)
+            unreadable_entries.record(row.key, error)
 
     def read_ring(self, done: Callable[[bool], None], service: str = "") -> None:
         """Read the ring of a service, by default this node's.
@@ -111,9 +120,11 @@
 
         def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             row = result.unwrap().get(key) if isinstance(result, Success) else None
-            if row is not None:
-                self.apply_row(row)
-            done(isinstance(result, Success))
+            try:
+                if row is not None:
+                    self.apply_row(row)
+            finally:
+                done(isinstance(result, Success))
 
         self.table.read((key,), on_rows)
 
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -16,6 +16,7 @@
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument, StoreConflict, StoreUnavailable
 from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.decoding import Number, Whole, decode_json, refusing_malformed
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.platform.table import (
     Changes,
@@ -30,6 +31,7 @@
     number_of,
 )
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import HttpFailure, HttpResponse
 
@@ -73,6 +75,7 @@
     ver: int = 0
     value: str = ""
     deleted: bool = False
+    part: str = ""
 
 
 class WireRows(msgspec.Struct, frozen=True):
@@ -81,17 +84,23 @@
     records: tuple[WireRow, ...] = ()
     ver: int = 0
     hasMore: bool = False  # noqa: N815 - name on the wire
-    serverTimeS: float = 0.0  # noqa: N815 - name on the wire
+    serverTimeS: Number = 0.0  # noqa: N815 - name on the wire
 
     def in_era(self, era: int) -> WireRows:
-        """Return the answer with versions of an era in place of the store's numbers.
+        """Return the rows of the empty part, with versions of an era in place of the store's numbers.
+
+        A poll for changes reports rows of all parts of a table; those of others may have the same keys.
 
         Raises
         ------
         InvalidArgument
             If a number is out of range.
         """
-        records = tuple(msgspec.structs.replace(row, ver=make_version(era, row.ver)) for row in self.records)
+        records = tuple(
+            msgspec.structs.replace(row, ver=make_version(era, row.ver))
+            for row in self.records
+            if not row.part
+        )
         return msgspec.structs.replace(self, records=records, ver=make_version(era, self.ver))
 
 
@@ -99,7 +108,7 @@
     """Answer to a committed transaction; ``ver`` is the version of the rows it wrote."""
 
     ver: int
-    serverTimeS: float = 0.0  # noqa: N815 - name on the wire
+    serverTimeS: Number = 0.0  # noqa: N815 - name on the wire
 
 
 class RowChanges(msgspec.Struct, frozen=True):
@@ -140,8 +149,6 @@
         self.era = era
 
 
-rows_decoder = msgspec.json.Decoder(WireRows)
-committed_decoder = msgspec.json.Decoder(WireCommitted)
 StoreAnswerResult = Result[StoreAnswer, HibiscusdrumError]
 WireRowsCallback = Callable[[Result[WireRows, HibiscusdrumError]], None]
 RowChangesCallback = Callable[[Result[RowChanges, HibiscusdrumError]], None]
@@ -165,15 +172,19 @@
     return LEASE_TABLE if key.startswith(LEASE_PREFIX) else ROUTER_TABLE
 
 
-def decode_row(row: WireRow, decode: Callable[[bytes], Any] = msgspec.json.decode) -> Row:
-    """Convert a row with its version; its value is None when the row was deleted or cannot be decoded."""
+def decode_row(row: WireRow) -> Row:
+    """Convert a row with its version; a row whose value cannot be decoded is marked as unreadable."""
     if row.deleted:
         return Row(row.key, row.ver, None)
     try:
-        return Row(row.key, row.ver, decode(base64.b64decode(row.value)))
-    except (ValueError, msgspec.DecodeError) as error:
-        log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)[:120]))
-        return Row(row.key, row.ver, None)
+        with refusing_malformed(row.key, row.value):
+            value = msgspec.json.decode(base64.b64decode(row.value))
+            if value is None:
+                raise ValueError("a value other than null")
+    except InvalidArgument as error:
+        unreadable_entries.record(row.key, error)
+        return Row(row.key, row.ver, None, unreadable=True)
+    return Row(row.key, row.ver, value)
 
 
 class StoreClient(Service):
@@ -296,9 +307,9 @@
                 callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
                 return
             try:
-                version = make_version(answer.era, committed_decoder.decode(answer.body).ver)
-            except (msgspec.DecodeError, InvalidArgument) as error:
-                log_events.emit(events.RowUnreadable(what="commit", reason=str(error)[:120]))
+                version = make_version(answer.era, decode_json(answer.body, WireCommitted, "commit").ver)
+            except InvalidArgument as error:
+                unreadable_entries.record("commit", error)
                 callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
                 return
             callback(Success(version))
@@ -425,9 +436,9 @@
             return Failure(result.failure())
         answer = result.unwrap()
         try:
-            return Success(rows_decoder.decode(answer.body).in_era(answer.era))
-        except (msgspec.DecodeError, InvalidArgument) as error:
-            log_events.emit(events.RowUnreadable(what=operation, reason=str(error)[:120]))
+            return Success(decode_json(answer.body, WireRows, operation).in_era(answer.era))
+        except InvalidArgument as error:
+            unreadable_entries.record(operation, error)
             return Failure(StoreUnavailable(operation=operation, reason="unreadable"))
 
     def send_request(
@@ -497,8 +508,9 @@
     def observe_body(self, sent_at: float, body: bytes) -> None:
         """Record the store's time and newest version from the body of an answer, if it contains them."""
         try:
-            answer = msgspec.json.decode(body, type=CommonAnswer)
-        except msgspec.DecodeError:
+            answer = decode_json(body, CommonAnswer, "answer")
+        except InvalidArgument as error:
+            unreadable_entries.record("answer", error)
             return
         self.newest_number = max(self.newest_number, answer.ver)
         if answer.serverTimeS:
@@ -510,8 +522,8 @@
 class CommonAnswer(msgspec.Struct, frozen=True):
     """Fields that answers of the store have in common: the newest version and the time on its clock."""
 
-    ver: int = 0
-    serverTimeS: float = 0.0  # noqa: N815 - name on the wire
+    ver: Whole = 0
+    serverTimeS: Number = 0.0  # noqa: N815 - name on the wire
 
 
 def encode_value(value: Any) -> str:
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -57,6 +57,16 @@
       | 0      | 0.05  | 0.1  |
       | 60     | 1     | 2    |
 
+  Scenario: A request that cannot be encoded for the target is declined as not run, and frees its slot
+    Given a receiver on a link of 625000 bytes a second with 0 offered bodies
+    When 20 requests arrive that cannot be encoded for the target
+    Then none of them is sent to the target, and all are declined as not run
+
+  Scenario: A key with too many digits for a number is refused like any other that does not exist
+    Given a gateway that knows an old owner of a key
+    When a caller sends a request with the key "65536" or one of 5000 digits
+    Then each of them is refused with status 400
+
   Scenario: A small request is not turned away for bodies that are awaited
     Given a receiver on a link of 625000 bytes a second with 8 offered bodies
     When nothing else happens and a request asks to start at once
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -3,6 +3,7 @@
 They guard against nodes that stay the first choice although nothing reaches them in time.
 """
 
+import contextlib
 import random
 from unittest import mock
 
@@ -11,6 +12,7 @@
 from returns.result import Failure, Success
 from tests.router_stubs import FREE, SETTINGS, Request, SentHop, Stub, application, forward
 
+from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.messages import Answered, Body, Declined, Ping, Pong, SendBody
@@ -140,6 +142,20 @@
         )
 
 
+@when("{count:d} requests arrive that cannot be encoded for the target")
+def unencodable(context, count):
+    def refuse(*_arguments):
+        raise InvalidArgument(name="headers", value=[], expected="no line breaks")
+
+    context.receiver.http_client.request = refuse
+    for number in range(count):
+        # The HTTP entry logs what escapes from a request, and goes on.
+        with contextlib.suppress(InvalidArgument):
+            context.receiver.on_forward(
+                forward(number), b"", 0.0, lambda answer, _body: context.replies.append(answer)
+            )
+
+
 @when("{queued:d} requests are queued for its 6 slots, and the target turns one away that it did not run")
 def target_turns_away(context, queued):
     receiver = context.receiver
@@ -339,6 +355,21 @@
     assert (status, body) == (500, b"failed") and dict(headers)[SIGNATURE] == "s", context.request.answer
 
 
+@when('a caller sends a request with the key "{key}" or one of {digits:d} digits')
+def odd_keys(context, key, digits):
+    context.requests = []
+    for value in (key, "9" * digits):
+        request = Request()
+        request.headers.append((context.gateway.header_names.key, value))
+        context.requests.append(request)
+        context.gateway.on_request(request)
+
+
+@then("each of them is refused with status {status:d}")
+def each_refused(context, status):
+    assert [request.answer[0] for request in context.requests] == [status, status]
+
+
 def decline_moved(context, owner):
     _, forward, _, reply = context.hop.sent[-1]
     reply(Declined(forward.id, NOT_OWNER_REASON, False, False, 0.0, FREE, owner), b"")
