--- a/tests/features/router_restored.feature
+++ b/tests/features/router_restored.feature
@@ -206,6 +206,16 @@
       | -1     |
       | 1, 2   |
 
+  Scenario Outline: A version of <number> is taken as no version
+    Given a client of a store with a row "node/a"
+    When the store's version becomes <number>
+    Then a read fails as unreadable, and a write has an unknown outcome
+
+    Examples:
+      | number          |
+      | -2              |
+      | 281474976710656 |
+
   Scenario: A restored store is logged with both eras
     Given a client of a store with a row "node/a"
     When the store is restored twice and read
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -736,6 +736,19 @@
     assert isinstance(event, events.RowUnreadable) and repr(header) in event.reason, event
 
 
+@when("the store's version becomes {number:d}")
+def odd_version(context, number):
+    context.store.version = number
+
+
+@then("a read fails as unreadable, and a write has an unknown outcome")
+def odd_version_refused(context):
+    result = call(context, context.client.read, ("node/a",))
+    assert isinstance(result, Failure) and result.failure().reason == "unreadable", result
+    result = call(context, context.client.commit, write(context.row.version, 1))
+    assert isinstance(result, Failure) and result.failure().reason == "unknown", result
+
+
 @when("the store is restored twice and read")
 def restored_twice(context):
     context.newest = context.store.version
