--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Callable
+
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import RetryBudget
 from hibiscusdrum.internal.messages import Answered, Declined, Forward
 from hibiscusdrum.internal.router import events
-from hibiscusdrum.internal.router.flight import PendingRequest
-from hibiscusdrum.internal.router.hop import Forwarder
+from hibiscusdrum.internal.router.flight import PendingRequest, TargetFailure
+from hibiscusdrum.internal.router.hop import CLOSING_REASON, Forwarder
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.overload import OverloadControl
 from hibiscusdrum.internal.router.range_owner import RangeOwner
@@ -19,6 +22,7 @@
     MISDIRECTED_REASON,
     NOT_OWNER_REASON,
     OVERLOADED_REASON,
+    RESTART_SECONDS,
     TOO_LATE_REASON,
     Receiver,
 )
@@ -52,6 +56,10 @@
 # Share of the service's retry budget that the router uses. The rest is left for the calls that a retried
 # target makes in turn, which count against the budgets of the called services.
 RETRY_BUDGET_SHARE = 0.3
+# A stopping router takes a request only if this much time, or all of the request's own, is left for it.
+MIN_STOP_SERVICE_SECONDS = 1.5
+# A target that is told to stop before its caller's deadline gets this long to answer so itself.
+EARLY_END_PATIENCE_SECONDS = 0.2
 # An owner that leaves serves its keys until its next report, which is due within 1.5 s.
 LEAVING_OWNER_SECONDS = 2.0
 LEAVING_REASON = "target_leaving"
@@ -79,8 +87,10 @@
         Requests that have no final response yet.
     stopping : bool
         Whether the process is shutting down; connections are then closed after their response.
+    service_seconds_left : callable
+        Returns the seconds within which requests must end because the process is about to.
     closed : bool
-        Whether new requests are refused because the process is about to exit.
+        Whether new connections are refused because the process is about to exit.
     """
 
     service_name = "gateway"
@@ -103,6 +113,7 @@
         self.overload_control = OverloadControl(selector.rng)
         self.stopping = False
         self.closed = False
+        self.service_seconds_left: Callable[[], float] = lambda: math.inf
 
     def on_start(self) -> None:
         """Look up the services this one uses, and listen for callers."""
@@ -117,7 +128,7 @@
         self.entry.listen(self.settings.caller_address, self.on_request)
 
     def close(self) -> None:
-        """Refuse new requests and connections; the process exits once the pending requests have ended."""
+        """Refuse new connections; requests on open ones are served until the process exits."""
         self.closed = True
         self.entry.stop_listening(self.settings.caller_address)
 
@@ -145,11 +156,17 @@
                 pending.reason = "stopping"
                 self.refuse(pending)
 
+    def end_unanswered(self) -> None:
+        """End the requests whose deadlines the process does not reach, as if they had reached them."""
+        for pending in list(self.pending_requests):
+            pending.reason = pending.reason or "stopping"
+            self.on_deadline(pending)
+
     def on_request(self, request: EntryRequest) -> None:
         """Match a new request to a route, and dispatch or refuse it."""
         now = self.app.clock.monotonic()
-        if self.route_table.version == 0 or self.closed:
-            self.refuse_unrouted(request, 503, "stopping" if self.closed else "no_configuration")
+        if self.route_table.version == 0:
+            self.refuse_unrouted(request, 503, "no_configuration")
             return
         route = self.route_table.find(request.header("host") or "", request.target)
         if route is None:
@@ -157,6 +174,12 @@
             return
         timeout = self.request_timeout(request)
         remaining = min(timeout, route.timeout) if route.timeout > 0.0 else timeout
+        available = self.service_seconds_left()
+        if available < min(remaining, MIN_STOP_SERVICE_SECONDS):
+            self.refuse_unrouted(request, 503, "stopping")
+            return
+        ends_early = available < remaining
+        remaining = min(remaining, available)
         pending = PendingRequest(request, route, self.service_choice.choose(route), now + remaining, now)
         pending.timeout = timeout
         self.overload_control.on_arrival(pending, now)
@@ -169,8 +192,9 @@
                 return
             pending.key = int(key)
         self.pending_requests.add(pending)
-        request.on_closed = lambda: self.on_caller_disconnect(pending)
-        pending.timer = self.app.scheduler.call_later(remaining, lambda: self.on_deadline(pending))
+        request.on_closed = lambda reason: self.on_connection_closed(pending, reason)
+        patience = remaining + EARLY_END_PATIENCE_SECONDS if ends_early else remaining
+        pending.timer = self.app.scheduler.call_later(patience, lambda: self.on_deadline(pending))
         self.retry_budget(pending.service).on_request()
         if self.overload_control.refuses(pending, now):
             pending.reason = THROTTLED_REASON
@@ -205,7 +229,7 @@
         headers = [(self.header_names.attempt_id, attempt_id)] if attempt_id else []
         if status == 503:
             headers.append(("retry-after", f"{DEFAULT_RETRY_AFTER_SECONDS:.3f}"))
-        request.respond(status, headers, close=self.closed)
+        request.respond(status, headers, close=self.stopping)
 
     def dispatch(self, pending: PendingRequest) -> None:
         """Send a request to the owner of its key, or else to the node that is expected to respond first."""
@@ -295,7 +319,9 @@
             self.receiver.submit(forward, pending.body, reply)
         elif not self.forwarder.send(node, forward, pending.body, reply):
             self.selector.on_failure(node, now)
-            reply(Declined(forward.id, "peer_disconnected", False, False, 0.0, (0, 0, 1, 0.15, False)), b"")
+            closing = self.forwarder.is_closing(node)
+            reason, wait = (CLOSING_REASON, RESTART_SECONDS) if closing else ("peer_disconnected", 0.0)
+            reply(Declined(forward.id, reason, False, False, wait, (0, 0, 1, 0.15, False)), b"")
 
     def forwarded_headers(self, request: EntryRequest) -> tuple[tuple[str, str], ...]:
         """Return the headers to forward: the host, and all that are not hop-by-hop or set by the router."""
@@ -331,15 +357,20 @@
             self.selector.on_failure(pending.node, now)
             pending.refusing_nodes.append(pending.node)
             if self.may_retry(pending, now):
+                pending.target_failure = TargetFailure(answer, body)
                 self.retry(pending, f"status_{answer.status}")
                 return
         else:
             self.selector.on_success(pending.node)
+        self.finish_answered(pending, answer, body, "answered")
+
+    def finish_answered(self, pending: PendingRequest, answer: Answered, body: bytes, reason: str) -> None:
+        """Give a target's answer as the final response."""
         names = {name for name, _ in answer.headers}
         headers = list(answer.headers)
         if self.header_names.attempt_id not in names and pending.attempt_id:
             headers.append((self.header_names.attempt_id, pending.attempt_id))
-        self.finish(pending, answer.status, headers, body, "answered")
+        self.finish(pending, answer.status, headers, body, reason)
 
     def on_declined(self, pending: PendingRequest, answer: Declined, now: float) -> None:
         """Send a declined request to another node, or give the final response."""
@@ -448,7 +479,7 @@
         return budget
 
     def refuse(self, pending: PendingRequest) -> None:
-        """Respond that a request has not run, with a Retry-After; 502 if an earlier attempt may have run."""
+        """Respond that a request has not run, with a Retry-After, unless an earlier attempt may have run."""
         if pending.may_have_run:
             self.answer_failure(pending, 502)
             return
@@ -460,7 +491,14 @@
         self.finish(pending, 503, headers, b"", pending.reason)
 
     def answer_failure(self, pending: PendingRequest, status: int) -> None:
-        """Respond with a status that leaves open whether the request has run."""
+        """Respond with a status that leaves open whether the request has run.
+
+        A failure that a target has answered to an earlier attempt takes precedence, since it tells more.
+        """
+        failure = pending.target_failure
+        if failure is not None:
+            self.finish_answered(pending, failure.answer, failure.body, pending.reason)
+            return
         headers = [(self.header_names.attempt_id, pending.attempt_id)] if pending.attempt_id else []
         self.finish(pending, status, headers, b"", pending.reason)
 
@@ -473,12 +511,12 @@
         self.cancel_forward(pending)
         self.answer_failure(pending, 504)
 
-    def on_caller_disconnect(self, pending: PendingRequest) -> None:
-        """Cancel a request whose caller has closed its connection."""
+    def on_connection_closed(self, pending: PendingRequest, reason: str) -> None:
+        """Cancel a request whose connection was closed by its caller or by this process."""
         if pending not in self.pending_requests:
             return
         self.cancel_forward(pending)
-        self.finish(pending, 499, [], b"", "caller_gone")
+        self.finish(pending, 499, [], b"", reason)
 
     def cancel_forward(self, pending: PendingRequest) -> None:
         """Cancel the current attempt at the node that has it."""
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -44,6 +44,8 @@
 DISCONNECTED_REASON = "disconnected"
 RESTARTED_REASON = "restarted"
 REMOVED_REASON = "removed"
+# Reason with which a node declines all requests because its process is about to end.
+CLOSING_REASON = "closing"
 # Leading bytes of a request id that identify the sending process.
 PROCESS_ID_BYTES = 6
 # A larger body is not sent with the request but offered, and sent when the receiver asks for it: the extra
@@ -119,9 +121,13 @@
         Whether the peer has been heard since its connection was last lost, or replaced because of silence.
     silent : bool
         Whether the connection was replaced because of silence; that it is not established proves no loss.
+    closing_until : float
+        Monotonic time in seconds until which the peer may be about to end, since it has declined a request
+        for that reason. Requests that it had not read by then would end without an answer, so none are
+        sent before that time or before the connection is made anew.
     """
 
-    __slots__ = ("address", "incarnation", "last_heard_at", "reachable", "silent")
+    __slots__ = ("address", "closing_until", "incarnation", "last_heard_at", "reachable", "silent")
 
     def __init__(self, address: str, now: float) -> None:
         self.address = address
@@ -129,6 +135,7 @@
         self.last_heard_at = now
         self.reachable = True
         self.silent = False
+        self.closing_until = float("-inf")
 
 
 class Forwarder(Service):
@@ -216,8 +223,10 @@
         return self.process_id + next(self.request_counter).to_bytes(5, "big")
 
     def send(self, node: str, forward: Forward, body: bytes, callback: ReplyCallback) -> bool:
-        """Send a request; return False if nothing was sent because there is no connection."""
+        """Send a request; return False if nothing was sent because the peer is closing or not connected."""
         state = self.peer_states.get(node)
+        if self.is_closing(node):
+            return False
         unsent_body = b""
         if len(body) > MAX_INLINE_BODY_BYTES:
             unsent_body, body = body, b""
@@ -231,6 +240,16 @@
         )
         return True
 
+    def is_closing(self, node: str) -> bool:
+        """Return whether a node declines all requests because its process is about to end."""
+        state = self.peer_states.get(node)
+        if state is None or self.now >= state.closing_until:
+            return False
+        if not self.peers.is_connected(state.address):
+            state.closing_until = float("-inf")
+            return False
+        return True
+
     def send_body_part(self, part_request: SendBody) -> None:
         """Send the part of an offered body that the receiver asks for."""
         entry = self.outstanding.get(part_request.id)
@@ -272,6 +291,9 @@
         state = self.peer_states.get(entry.node)
         if state is not None:
             state.last_heard_at = self.now
+            if kind is Declined and message.reason == CLOSING_REASON:
+                # The peer is killed at the end of its grace, also if the end of its connection is not seen.
+                state.closing_until = self.now + self.settings.grace
         self.selector.on_report(entry.node, LoadReport(*message.load, message.rate_limit), self.now)
         entry.callback(message, body)
 
@@ -297,6 +319,9 @@
     def ping(self) -> None:
         """Ping the peers with outstanding requests; mark those that were silent too long as unreachable."""
         self.disconnect_removed()
+        for node in self.peer_states:
+            # Detects the end of a connection that is made anew before the next request.
+            self.is_closing(node)
         now = self.now
         waiting: dict[str, float] = {}
         for entry in self.outstanding.values():
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -18,6 +18,7 @@
     AdmissionQueue,
     QueueEntry,
 )
+from hibiscusdrum.internal.router.hop import CLOSING_REASON
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetState
 from hibiscusdrum.internal.router.range_owner import KeyState, RangeOwner
 from hibiscusdrum.internal.router.rate_limiter import UNKNOWN_LIMIT_BOUND, RateLimiter
@@ -47,11 +48,14 @@
 SPARE_CONNECTIONS = 4
 SERVICE_UNAVAILABLE_STATUS = 503
 DEFAULT_SLOTS = 8
+# Time from the first request that is declined as closing until the next process may serve its keys.
+RESTART_SECONDS = 1.0
 MISDIRECTED_REASON = "misdirected"
 NOT_OWNER_REASON = "not_owner"
 OVERLOADED_REASON = "overloaded"
 TOO_LATE_REASON = "too_late"
 REFUSED_REASON = "target_refused"
+STOPPING_REASON = "stopping"
 UNSENDABLE_REASON = "unsendable"
 # A body is requested only if it can arrive within this share of the time left for its request.
 MAX_BODY_WAIT_SHARE = 0.5
@@ -137,6 +141,8 @@
         Whether the target has answered since the start of this process, so that its rate limit is known.
     stopping : bool
         Whether the process is shutting down; requests that other targets may serve are then refused.
+    service_seconds_left : callable
+        Returns the seconds within which the target must answer because the process is about to end.
     closed : bool
         Whether all new requests are refused, so that the process can exit.
     replaced_headers : set of str
@@ -157,6 +163,7 @@
         self.awaiting_keys: list[Job] = []
         self.stopping = False
         self.closed = False
+        self.service_seconds_left: Callable[[], float] = lambda: math.inf
         self.route_table: RouteTable | None = None
         self.replaced_headers = {
             header_names.attempt_id,
@@ -322,7 +329,7 @@
         forward = job.forward
         reason = self.refusal_reason(forward)
         if reason:
-            self.decline(job, reason)
+            self.decline(job, reason, retry_after=RESTART_SECONDS if reason == CLOSING_REASON else 0.0)
         elif forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.GRANT_PENDING:
             self.await_keys(job)
         else:
@@ -335,7 +342,7 @@
         wait = self.body_gate.expected_wait(forward.offered_bytes)
         late = wait > (job.deadline - self.now) * MAX_BODY_WAIT_SHARE
         if not reason and (late or not self.admission.is_servable(self.queue_entry(job), self.now)):
-            reason = OVERLOADED_REASON
+            reason = self.unservable_reason(job)
         if reason:
             self.decline(job, reason, retry_after=min(wait, MAX_RETRY_AFTER_SECONDS))
             return
@@ -344,6 +351,15 @@
         self.request_bodies()
         self.expiry_timer.wake()
 
+    def decline_unsent(self) -> None:
+        """Decline the requests that the target was not sent, because the process is about to end."""
+        for job in [job for job in self.jobs.values() if job.exchange is None]:
+            if job.queue_entry is not None:
+                self.admission.remove(job.queue_entry)
+            elif job in self.awaiting_keys:
+                self.awaiting_keys.remove(job)
+            self.decline(job, CLOSING_REASON, retry_after=RESTART_SECONDS)
+
     def request_bodies(self) -> None:
         """Request the parts of offered bodies that the link has capacity for."""
         while (part := self.body_gate.next_chunk()) is not None:
@@ -365,7 +381,7 @@
         if forward.service != self.settings.service:
             return "other_service"
         if self.closed:
-            return "stopping"
+            return CLOSING_REASON
         if self.route_table is None and self.now < self.admission.rate_limiter.warm_at:
             # The rate limit of a cold target comes from the configuration.
             return "no_configuration"
@@ -377,7 +393,7 @@
             return f"target_{self.target.state.value}"
         if forward.key >= 0:
             return NOT_OWNER_REASON if self.range_owner.key_state(forward.key) is KeyState.NOT_OWNED else ""
-        return "stopping" if self.stopping else ""
+        return STOPPING_REASON if self.stopping else ""
 
     def target_holds_key(self, forward: Forward) -> bool:
         """Return whether the target holds the key of a request, which it then serves even when draining."""
@@ -411,7 +427,10 @@
         now = self.now
         entry = self.queue_entry(job)
         if not self.admission.is_servable(entry, now):
-            self.decline(job, OVERLOADED_REASON, retry_after=self.admission.retry_after(entry, now))
+            reason = self.unservable_reason(job)
+            stopping = reason == STOPPING_REASON
+            wait = self.service_seconds_left() + RESTART_SECONDS if stopping else 0.0
+            self.decline(job, reason, retry_after=max(wait, self.admission.retry_after(entry, now)))
             return
         job.queue_entry = entry
         self.admission.push(entry, now)
@@ -420,9 +439,15 @@
             self.expiry_timer.wake()
 
     def queue_entry(self, job: Job) -> QueueEntry:
-        """Return an entry of the admission queue for a request."""
-        forward = job.forward
-        return QueueEntry(job, forward.priority, job.goal_at, job.deadline, forward.cost_class, self.now)
+        """Return an entry of the admission queue for a request, which must end before the process does."""
+        forward, now = job.forward, self.now
+        deadline = min(job.deadline, now + self.service_seconds_left())
+        return QueueEntry(job, forward.priority, job.goal_at, deadline, forward.cost_class, now)
+
+    def unservable_reason(self, job: Job) -> str:
+        """Return why a request cannot be served in time: its deadline, or the end of this process."""
+        ends_first = self.now + self.service_seconds_left() < job.deadline
+        return STOPPING_REASON if ends_first else OVERLOADED_REASON
 
     def send_queued(self) -> None:
         """Send queued requests to the target while it has free slots."""
@@ -452,7 +477,7 @@
     def send_to_target(self, job: Job) -> None:
         """Send a request that has a slot to the target."""
         forward, now = job.forward, self.now
-        left = job.deadline - now
+        left = min(job.deadline - now, self.service_seconds_left())
         if left < MIN_SEND_REMAINING_SECONDS:
             self.release_unsent(job, TOO_LATE_REASON)
             return
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -454,8 +454,8 @@
     count = len(lines) + 1
     if head.count("\n") != count or head.count("\r") != count:
         raise InvalidArgument(name="headers", value=sorted(headers), expected="no line breaks")
-    if lines[0].count(" ") != 2:
-        raise InvalidArgument(name="path", value=path, expected="no spaces")
+    if lines[0].count(" ") != 2 or not path.isascii():
+        raise InvalidArgument(name="path", value=path, expected="ASCII text without spaces")
     try:
         return head.encode(encoding) + body
     except UnicodeEncodeError:
--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -35,6 +35,32 @@
     When the first request is answered
     Then only the post was handed over after that
 
+  Scenario Outline: An answer that announces the close drops no request that was received behind it
+    Given an entry that closes the connection with each answer
+    When a caller sends "<input>"
+    Then the caller gets the answers "200 /a; 200 /b; 200 /c"
+    And only the last answer announces the close
+
+    Examples:
+      | input                                 |
+      | three requests at once                |
+      | two requests and a part of a third    |
+
+  Scenario: Input that waited behind a full pipeline is read before input that arrives as the pipeline has room again
+    Given an entry that answers nothing yet
+    When a caller sends 16 requests, then half of another, and the other half as the first request is answered
+    Then the requests were handed over as they were sent, and none was rejected
+
+  Scenario: A request that takes longer than a second is answered although invalid input follows it
+    Given an entry that answers each request after 1.4 s
+    When a caller sends "a request and no protocol" and waits for 3 s
+    Then the caller gets the answers "200 /a; 400"
+
+  Scenario: A request that has arrived when its connection's idle time ends is answered
+    Given an entry that echoes path and body
+    When a request arrives on a connection that was idle for longer than the limit, just before that is checked
+    Then the caller gets the answers "200 /a"
+
   Scenario: A caller's departure is reported
     Given an entry that answers nothing yet
     When a caller sends "one request" and leaves
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -16,7 +16,7 @@
 from behave import given, then, when
 from tests.odd_entries import NESTED, variants
 from tools.processes import request, wait_until
-from tools.router_system import HEADER_PREFIX, ROUTES, RouterSystem
+from tools.router_system import HEADER_PREFIX, ROUTES, START_LIMIT_SECONDS, RouterSystem
 
 PLACES = [
     ("east", "east-1", "keyed"),
@@ -203,15 +203,57 @@
     context.ended = time.monotonic()
     for caller in callers:
         caller.end()
+    context.cut = cut_requests(callers, context.began)
+
+
+def cut_requests(callers, since):
+    """Return begin and duration of the requests whose connection ended without an answer, in seconds."""
     # A refused connection has read nothing; it is noted within a millisecond or two.
-    context.cut = [
-        (began - context.began, ended - began)
+    return [
+        (began - since, ended - began)
         for caller in callers
         for began, ended, status in caller.results
         if status == 0 and ended - began > 0.05
     ]
 
 
+RELOAD_SIGNALS = 5
+RELOAD_INTERVAL_SECONDS = 0.15
+
+
+@when("a router gets SIGHUP 5 times {when}")
+def router_reloaded(context, when):
+    system = context.system
+    vm = context.reloaded = system.vms["vm3"]
+    if when == "from 0.1 s after its start on":
+        vm.router.kill()
+        system.start_router(vm)
+        time.sleep(0.1)
+    caller = Callers(system, vm, shared)
+    context.began = time.monotonic()
+    if when == "during its planned stop":
+        vm.router.send(signal.SIGTERM)
+    for _ in range(RELOAD_SIGNALS):
+        time.sleep(RELOAD_INTERVAL_SECONDS)
+        vm.router.send(signal.SIGHUP)
+    time.sleep(RELOAD_INTERVAL_SECONDS)
+    caller.end()
+    context.cut = cut_requests([caller], context.began)
+
+
+@then("the router still serves all services")
+def still_serves(context):
+    vm = context.reloaded
+    assert vm.router.running
+    wait_until(context.system.all_services_answer, START_LIMIT_SECONDS, "all routers serve all services")
+    assert vm.router.running
+
+
+@then("the router ended with exit code {code:d}")
+def ended_with(context, code):
+    assert context.reloaded.router.process.wait(10.0) == code
+
+
 @then("no connection ended without an answer after its request was read")
 def none_cut(context):
     assert not context.cut, context.cut
@@ -222,6 +264,21 @@
     assert context.exit_code == code and context.ended - context.began < seconds
 
 
+@when("{count:d} requests for a key are sent with a header value beyond ASCII")
+def beyond_ascii(context, count):
+    send = context.system.send_request
+    context.statuses = [
+        send(context.vm, "keys.example", "/k/x", key=77, deadline_ms=300, headers={"x-name": "caf\xe9"})[0]
+        for _ in range(count)
+    ]
+
+
+@then("each of them is answered with 200, and so is one for the same key without it")
+def all_served(context):
+    plain = context.system.send_request(context.vm, "keys.example", "/k/x", key=77, deadline_ms=1000)[0]
+    assert {plain, *context.statuses} == {200}, (context.statuses, plain)
+
+
 @when("all routers are killed and restarted")
 def all_killed(context):
     for vm in context.system.vms.values():
