Restart targets of a test system in one place

The soak recorded the end of a killed target itself; scenarios on real routers need the same record, without which the check of holds takes the former target for a holder until its grant ends. RouterSystem.restart_target does both. The soak plays the same events.

--- a/soak/run.py
+++ b/soak/run.py
@@ -229,18 +229,10 @@
             time.sleep(0.05)
 
     def restart_target(self, vm: Vm) -> None:
-        """Kill a target, record its end in its log, and start it again."""
+        """Kill a target and start it again."""
         self.log_event(f"restart target of {vm.name}")
         self.disturb(vm, RESTART_SECONDS)
-        born = [
-            record["born"] for record in self.system.target_records() if record["target"] == f"i-{vm.name}"
-        ]
-        vm.target.kill()
-        with (self.folder / f"target-{vm.name}.log").open("a") as log:
-            at = round(time.monotonic(), 4)
-            for value in set(born[-1:]):
-                log.write(f'{{"at":{at},"target":"i-{vm.name}","born":{value},"event":"killed"}}\n')
-        self.system.start_target(vm)
+        self.system.restart_target(vm)
 
     def recover(self) -> list[str]:
         """End all faults, then wait until everything is served and a new configuration is in force."""
--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import socket
+import time
 from pathlib import Path
 from typing import Any
 
@@ -144,6 +145,16 @@
             arguments.append("--partitioned")
         vm.target = Process(arguments, self.folder / f"target-{vm.name}.log", {})
 
+    def restart_target(self, vm: Vm) -> None:
+        """Kill a target, record its end in its log, and start it again."""
+        born = [record["born"] for record in self.target_records() if record["target"] == f"i-{vm.name}"]
+        vm.target.kill()
+        with (self.folder / f"target-{vm.name}.log").open("a") as log:
+            at = round(time.monotonic(), 4)
+            for value in set(born[-1:]):
+                log.write(f'{{"at":{at},"target":"i-{vm.name}","born":{value},"event":"killed"}}\n')
+        self.start_target(vm)
+
     def start_router(self, vm: Vm) -> None:
         """Write the settings file of a VM and start its router."""
         boot = self.folder / f"{vm.name}.conf"
@@ -187,6 +198,13 @@
         """Replace the faults that the store injects; return whether it answered."""
         return request(self.direct_store_address, "POST", "/faults", faults)[0] == 200
 
+    def restore_store(
+        self, age_s: float, away_s: float = 0.0, rewrite_after_s: float = 0.0, how: str = "silent"
+    ) -> None:
+        """Restore the store from a copy after an outage; see `tools.standins.rows_store.Restoration`."""
+        restoration = {"age_s": age_s, "away_s": away_s, "rewrite_after_s": rewrite_after_s, "how": how}
+        assert request(self.direct_store_address, "POST", "/restore", restoration)[0] == 200
+
     def send_request(
         self,
         vm: Vm,
