Add scenarios on real routers of a store that is restored from a copy

Nothing showed whether routers keep serving when the store loses acknowledged rows and gives versions out again. Nine scenarios restore it from copies without a change of owners, of the configuration or of an evacuation.

--- a/tests/features/router_system.feature
+++ b/tests/features/router_system.feature
@@ -92,3 +92,46 @@
       | router                           |
       | the router that forwarded it     |
       | the router beside its target     |
+
+  Scenario Outline: Keys are served by one holder each after the store was restored from a copy of before <change>
+    Given a system of routers
+    When <change>, and the store is restored from a copy of before while callers ask for keys
+    Then every key is served within 8 s
+    When the target of "vm2" restarts
+    Then every key is served within 8 s
+    And no key had two holders at a time, and its tokens rose
+
+    Examples:
+      | change                               |
+      | the target of "vm0" leaves           |
+      | the target of "vm0" restarts         |
+      | all routers are killed and restarted |
+
+  Scenario: A configuration in force stays in force when the store is restored from a copy without it
+    Given a system of routers
+    When the operator adds the route "/new/"
+    Then the route "/new/" is served on every VM within 2.5 s
+    When the store is restored from a copy without the route while callers ask for "/new/x"
+    Then the route "/new/" is served on every VM within 4 s
+    And no caller was told that there is no such route
+
+  Scenario Outline: A configuration that is written <when> the store is restored from a copy comes into force
+    Given a system of routers
+    When the operator adds the route "/new/" <when> the store is restored from a copy without it
+    Then the route "/new/" is served on every VM within 4 s
+
+    Examples:
+      | when         |
+      | just before  |
+      | before twice |
+      | just after   |
+
+  Scenario: A failure domain gets nothing when the store is restored from a copy without its evacuation
+    Given a system of routers
+    When the failure domain "east-1" is evacuated, and the store is restored from a copy without that
+    Then its targets ran nothing from 4 s after the return of the store to the end
+
+  Scenario: A failure domain is used again when the store is restored from a copy with its former evacuation
+    Given a system of routers
+    When the evacuation of "east-1" ends, and the store is restored from a copy with it
+    Then the targets of "east-1" run requests within 4 s of the return of the store
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -12,7 +12,8 @@
 from pathlib import Path
 
 from behave import given, then, when
-from tools.processes import wait_until
+from soak.checks import hold_violations
+from tools.processes import request, wait_until
 from tools.router_system import HEADER_PREFIX, ROUTES, RouterSystem
 
 PLACES = [
@@ -24,6 +25,10 @@
     ("west", "west-1", "shared"),
 ]
 KEYS = range(0, 65_536, 4_099)
+STORE_AWAY_SECONDS = 2.0
+REWRITE_DELAY_SECONDS = 0.3
+# Time in which a change reaches all routers.
+SETTLING_SECONDS = 3.0
 
 
 @given("a system of routers")
@@ -94,6 +99,7 @@
 
 @when('the operator adds the route "{prefix}"')
 def adds_route(context, prefix):
+    context.changed_at = time.monotonic()
     route = ["added", "grants.example", prefix, "idempotent", 2.0, 0.5, 1, "shared", 2, [], None]
     context.system.configure([*ROUTES, route])
 
@@ -324,3 +330,136 @@
 def order_answered(context):
     assert context.answer[0] == 200, context.answer
     assert len(context.system.runs_of_attempt("sent")) == 1
+
+
+def restore(context, age):
+    """Restore the store from a copy, and wait for its return."""
+    context.system.restore_store(age, STORE_AWAY_SECONDS, REWRITE_DELAY_SECONDS)
+    time.sleep(STORE_AWAY_SECONDS)
+    context.returned_at = time.monotonic()
+
+
+def start_callers(context, *makes):
+    """Start callers on each VM for each kind of request; they end with the scenario at the latest."""
+    callers = [Callers(context.system, vm, make) for vm in context.system.vms.values() for make in makes]
+
+    def end():
+        for caller in callers:
+            caller.ending = True
+        for caller in callers:
+            caller.end()
+
+    context.add_cleanup(end)
+    context.end_callers = end
+    context.callers = callers
+
+
+@when('the target of "{name}" leaves')
+def target_leaves(context, name):
+    address = context.system.vms[name].address(0)
+    assert request(address, "POST", "/leaving")[0] == 200
+
+
+@when('the target of "{name}" restarts')
+def target_restarts(context, name):
+    context.system.restart_target(context.system.vms[name])
+
+
+@when("{change}, and the store is restored from a copy of before while callers ask for keys")
+def change_is_lost(context, change):
+    start_callers(context, keyed)
+    time.sleep(1.0)
+    copied_at = time.monotonic()
+    context.execute_steps(f"When {change}")
+    time.sleep(SETTLING_SECONDS)
+    restore(context, time.monotonic() - copied_at)
+
+
+@then("no key had two holders at a time, and its tokens rose")
+def one_holder(context):
+    violations = hold_violations(context.system.target_records())
+    assert not violations, violations[:6]
+
+
+@when('the store is restored from a copy without the route while callers ask for "{path}"')
+def route_is_lost(context, path):
+    start_callers(context, lambda _index: ("grants.example", path, "GET", None))
+    restore(context, age=time.monotonic() - context.changed_at)
+
+
+@then("no caller was told that there is no such route")
+def none_not_found(context):
+    context.end_callers()
+    results = [(caller.vm.name, *result) for caller in context.callers for result in caller.results]
+    not_found = [
+        (name, round(began - context.returned_at, 3)) for name, began, _, status in results if status == 404
+    ]
+    assert results and not not_found, f"VMs and times since the return: {not_found[:6]}"
+
+
+@when('the operator adds the route "{prefix}" just before the store is restored from a copy without it')
+def route_just_before(context, prefix):
+    adds_route(context, prefix)
+    restore(context, age=time.monotonic() - context.changed_at)
+
+
+@when('the operator adds the route "{prefix}" before twice the store is restored from a copy without it')
+def route_before_twice(context, prefix):
+    adds_route(context, prefix)
+    time.sleep(1.0)
+    restore(context, age=time.monotonic() - context.changed_at)
+    time.sleep(0.5)
+    restore(context, age=time.monotonic() - context.changed_at)
+
+
+@when('the operator adds the route "{prefix}" just after the store is restored from a copy without it')
+def route_just_after(context, prefix):
+    restore(context, age=SETTLING_SECONDS)
+    adds_route(context, prefix)
+
+
+@when('the failure domain "{name}" is evacuated, and the store is restored from a copy without that')
+def evacuation_is_lost(context, name):
+    context.domain = name
+    start_callers(context, keyed, shared)
+    began = time.monotonic()
+    context.system.set_evacuation(name, True)
+    time.sleep(6.0)
+    restore(context, age=time.monotonic() - began)
+    time.sleep(8.0)
+    context.ended = time.monotonic()
+    context.end_callers()
+
+
+@then("its targets ran nothing from {seconds:g} s after the return of the store to the end")
+def ran_nothing_after_return(context, seconds):
+    context.began = context.returned_at
+    ran_nothing(context, seconds)
+    runs = [line["at"] for line in context.system.target_records() if line["event"] == "run"]
+    assert any(context.began + seconds < at < context.ended for at in runs), "no target ran anything"
+
+
+@when('the evacuation of "{name}" ends, and the store is restored from a copy with it')
+def evacuation_comes_back(context, name):
+    context.domain = name
+    start_callers(context, shared)
+    time.sleep(SETTLING_SECONDS)
+    context.system.set_evacuation(name, True)
+    time.sleep(SETTLING_SECONDS)
+    copied_at = time.monotonic()
+    context.system.set_evacuation(name, False)
+    time.sleep(SETTLING_SECONDS)
+    restore(context, age=time.monotonic() - copied_at)
+
+
+@then('the targets of "{name}" run requests within {seconds:g} s of the return of the store')
+def run_again(context, name, seconds):
+    names = {f"i-{vm.name}" for vm in context.system.vms.values() if vm.failure_domain == name}
+
+    def run_since():
+        return any(
+            line["event"] == "run" and line["target"] in names and line["at"] > context.returned_at + 2.0
+            for line in context.system.target_records()
+        )
+
+    wait_until(run_since, seconds, f"the targets of {name} run requests")
