Restore the store from a copy in the soak

The soak played outages of the store that lose nothing. Now about one step in eight restores it from a copy that is 1 to 10 s old, after up to 3 s of silence or status 503, at times twice in a row and beside all other faults. The draws have a generator of their own, so that seeds play the other faults as before. Recovery is timed from the return of the store.

--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from pathlib import Path
+from typing import Any
 
 from tools.processes import ConditionTimeout, request, wait_until
 from tools.router_system import HOST, ROUTES, RouterSystem, Vm, reserve_port_block
@@ -38,6 +39,14 @@
 # statement.
 STATED_LIMITS = (1.5, 4.0, 10.0)
 STATEMENT_SHARE = 0.4
+# Share of steps in which the store is restored from a copy, and share of these in which it is restored again
+# within REPEATED_RESTORE_SECONDS of its return.
+RESTORE_SHARE = 0.12
+REPEATED_RESTORE_SHARE = 0.3
+REPEATED_RESTORE_SECONDS = 2.0
+MIN_COPY_AGE_SECONDS, MAX_COPY_AGE_SECONDS = 1.0, 10.0
+MAX_STORE_OUTAGE_SECONDS = 3.0
+MAX_REWRITE_DELAY_SECONDS = 1.0
 # Time from the statement that a target leaves to its end.
 LEAVING_SECONDS = 4.0
 # Time for which the end of a router or a target disturbs its VM.
@@ -80,6 +89,8 @@
         self.repair_timers: list[threading.Timer] = []
         # Other seeds would play other faults if statements were drawn from the same generator.
         self.statement_rng = random.Random(-1 - seed)
+        self.restore_rng = random.Random(f"restore {seed}")
+        self.store_returns_at = 0.0
         self.leaving_at: dict[str, float] = {}
         self.exited_at: dict[str, float] = {}
         self.pauses: Intervals = {}
@@ -90,7 +101,7 @@
         self.event_log.append(f"{time.monotonic():.3f} {text}")
 
     def schedule_repair(self, seconds: float, action) -> None:
-        """Run an action that ends a fault after a delay."""
+        """Run an action that ends or repeats a fault after a delay, unless the recovery begins earlier."""
         timer = threading.Timer(seconds, action)
         timer.start()
         self.repair_timers.append(timer)
@@ -109,6 +120,7 @@
             for _ in range(EVENTS_PER_SEED):
                 self.inject_event()
                 self.change_statement()
+                self.restore_store_at_random()
                 self.sleep_restarting_routers(self.rng.uniform(0.1, 2.5))
             violations += self.recover()
         except ConditionTimeout as error:
@@ -188,6 +200,33 @@
             request(vm.address(0), "POST", "/leaving", timeout=0.5)
             self.leaving_at[vm.name] = time.monotonic() + LEAVING_SECONDS
 
+    def restore_store_at_random(self) -> None:
+        """Restore the store from a copy, restore it twice in a row, or leave it as it is."""
+        rng = self.restore_rng
+        draw, pause = rng.random(), rng.uniform(0.0, REPEATED_RESTORE_SECONDS)
+        first, second = self.draw_restoration(), self.draw_restoration()
+        if draw >= RESTORE_SHARE:
+            return
+        self.restore_store(first)
+        if draw < RESTORE_SHARE * REPEATED_RESTORE_SHARE:
+            self.schedule_repair(first["away_s"] + pause, lambda: self.restore_store(second))
+
+    def draw_restoration(self) -> dict[str, Any]:
+        """Return random arguments of `RouterSystem.restore_store`."""
+        rng = self.restore_rng
+        return {
+            "age_s": rng.uniform(MIN_COPY_AGE_SECONDS, MAX_COPY_AGE_SECONDS),
+            "away_s": rng.uniform(0.0, MAX_STORE_OUTAGE_SECONDS),
+            "rewrite_after_s": rng.uniform(0.0, MAX_REWRITE_DELAY_SECONDS),
+            "how": rng.choice(("silent", "down")),
+        }
+
+    def restore_store(self, restoration: dict[str, Any]) -> None:
+        """Restore the store from a copy."""
+        self.log_event(f"restore store {restoration}")
+        self.system.restore_store(**restoration)
+        self.store_returns_at = time.monotonic() + restoration["away_s"]
+
     def restart_left_targets(self) -> None:
         """Restart the targets that have announced their departure long enough ago."""
         for name, at in list(self.leaving_at.items()):
@@ -238,6 +277,7 @@
         """End all faults, then wait until everything is served and a new configuration is in force."""
         for timer in self.repair_timers:
             timer.cancel()
+        self.sleep_restarting_routers(self.store_returns_at - time.monotonic())
         self.system.set_store_faults({})
         for name in self.links.links:
             self.links.set_fault(name, PASS)
