Check in the soak that planned stops cut no request that was read or run

A report says that requests were taken during a planned stop and cut without an answer. The soak sent planned stops but ignored requests whose connection ended without an answer, and no caller pipelined requests.

A request that a planned stop cuts is now a violation if a target ran it, or if its router had logged it more than 0.2 s after it was sent. It does not count within 4 s of a fault of its VM, after its deadline, or when its path asks for a fault; with a key, not within 4 s of a fault of the store; nor if it was sent behind another and not run. Each VM gets a third caller, which pipelines up to four reads.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,13 +1,16 @@
-"""Client threads that reuse their connections, never retry, and record each answer."""
+"""Threads of callers that reuse their connections, never retry, and record each answer."""
 
 from __future__ import annotations
 
 import http.client
 import itertools
 import random
+import socket
 import threading
 import time
+from collections import deque
 
+import httptools
 import msgspec
 
 HEADER_PREFIX = "x-hibiscusdrum-"
@@ -20,11 +23,25 @@
 # Faults of the target that a request's path asks for; see ``tools.standins.holding_target``.
 TARGET_FAULTS = ("lost", "garbled", "short", "late", "full", "cut-head", "copy", "full-copy")
 FAULT_SHARE = 0.08
+MAX_PIPELINED_REQUESTS = 4
+# Share of the pipelined reads that have a key.
+PIPELINED_KEY_SHARE = 0.3
+RECEIVE_BYTES = 65_536
 ATTEMPT_NUMBERS = itertools.count()
 
 
 class RequestRecord(msgspec.Struct):
-    """A request and its answer; status 0 means that the connection closed before an answer arrived."""
+    """A request and its answer.
+
+    Attributes
+    ----------
+    pipelined : bool
+        Whether the request was sent on a connection before an earlier one had its answer.
+    sent_at : float
+        Monotonic time in seconds at which the request was sent completely; 0 if it was not.
+    status : int
+        Status of the answer; 0 means that the connection closed before an answer arrived.
+    """
 
     attempt: str
     vm: str
@@ -32,30 +49,62 @@
     non_idempotent: bool
     body_bytes: int
     started_at: float
+    pipelined: bool = False
+    sent_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
     signature: str = ""
     body: bytes = b""
 
 
-class CallerThread(threading.Thread):
-    """Sends requests of random kinds to the router of one VM, one at a time, until it is stopped."""
+def request_headers(host: str, attempt: str, key: int | None) -> dict[str, str]:
+    """Return the headers of a request; a request to a service that is not partitioned has no key."""
+    headers = {
+        "host": host,
+        HEADER_PREFIX + "attempt-id": attempt,
+        HEADER_PREFIX + "deadline-ms": str(DEADLINE_MS),
+    }
+    if key is not None:
+        headers[HEADER_PREFIX + "shard-key"] = str(key)
+    return headers
+
+
+class Caller(threading.Thread):
+    """Sends requests to the router of one VM until it is stopped; subclasses implement ``send``."""
+
+    mean_pause_seconds = MEAN_PAUSE_SECONDS
 
-    def __init__(self, vm, seed: int) -> None:
+    def __init__(self, vm, seed: float) -> None:
         super().__init__(daemon=True)
         self.vm = vm
         self.rng = random.Random(seed)
         self.requests: list[RequestRecord] = []
         self.stopping = False
-        self.connection: http.client.HTTPConnection | None = None
 
     def run(self) -> None:
         """Send requests with random pauses between them until stopped."""
         while not self.stopping:
-            self.send_request()
-            time.sleep(MEAN_PAUSE_SECONDS * self.rng.random() * 2)
+            self.send()
+            time.sleep(self.mean_pause_seconds * self.rng.random() * 2)
+
+    def send(self) -> None:
+        """Send requests and record their answers."""
+        raise NotImplementedError
+
+    def stop_and_join(self) -> None:
+        """Stop sending, and wait until the current requests have ended."""
+        self.stopping = True
+        self.join(DEADLINE_MS / 1000 + 3.0)
+
+
+class SequentialCaller(Caller):
+    """Sends requests of random kinds, one at a time."""
 
-    def send_request(self) -> None:
+    def __init__(self, vm, seed: float) -> None:
+        super().__init__(vm, seed)
+        self.connection: http.client.HTTPConnection | None = None
+
+    def send(self) -> None:
         """Send one random request, reusing the open connection if there is one, and record its answer."""
         kind = self.rng.randrange(4)
         host, path = ("keys.example", "/k/x") if kind < 2 else ("grants.example", "/g/x")
@@ -73,19 +122,14 @@
         record = RequestRecord(
             attempt, self.vm.name, path, non_idempotent, len(body or b""), time.monotonic()
         )
-        headers = {
-            "host": host,
-            HEADER_PREFIX + "attempt-id": attempt,
-            HEADER_PREFIX + "deadline-ms": str(DEADLINE_MS),
-        }
-        if kind < 2:
-            headers[HEADER_PREFIX + "shard-key"] = str(self.rng.randrange(65_536))
+        headers = request_headers(host, attempt, self.rng.randrange(65_536) if kind < 2 else None)
         try:
             if self.connection is None:
                 self.connection = http.client.HTTPConnection(
                     self.vm.address(1), timeout=DEADLINE_MS / 1000 + 1.0
                 )
             self.connection.request("POST" if non_idempotent else "GET", path, body, headers)
+            record.sent_at = time.monotonic()
             answer = self.connection.getresponse()
             record.status, record.signature = (
                 answer.status,
@@ -97,7 +141,86 @@
         record.ended_at = time.monotonic()
         self.requests.append(record)
 
-    def stop_and_join(self) -> None:
-        """Stop sending, and wait until the current request has ended."""
-        self.stopping = True
-        self.join(DEADLINE_MS / 1000 + 3.0)
+
+class PipeliningCaller(Caller):
+    """Sends several reads on its connection before it waits for the first answer."""
+
+    mean_pause_seconds = 0.1
+
+    def __init__(self, vm, seed: float) -> None:
+        super().__init__(vm, seed)
+        self.socket: socket.socket | None = None
+
+    def send(self) -> None:
+        """Send some reads at once, reusing the open connection if there is one, and record their answers."""
+        records, heads = [], []
+        for index in range(self.rng.randrange(2, MAX_PIPELINED_REQUESTS + 1)):
+            keyed = self.rng.random() < PIPELINED_KEY_SHARE
+            host, path = ("keys.example", "/k/x") if keyed else ("grants.example", "/r/x")
+            attempt = f"s{next(ATTEMPT_NUMBERS)}"
+            headers = request_headers(host, attempt, self.rng.randrange(65_536) if keyed else None)
+            lines = [f"GET {path} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+            heads.append("\r\n".join(lines) + "\r\n\r\n")
+            records.append(
+                RequestRecord(attempt, self.vm.name, path, False, 0, time.monotonic(), pipelined=index > 0)
+            )
+        answers = PipelinedAnswers(records)
+        try:
+            if self.socket is None:
+                host, _, port = self.vm.address(1).rpartition(":")
+                self.socket = socket.create_connection((host, int(port)), DEADLINE_MS / 1000 + 1.0)
+            self.socket.sendall("".join(heads).encode())
+            sent_at = time.monotonic()
+            for record in records:
+                record.sent_at = sent_at
+            while not answers.complete and (data := self.socket.recv(RECEIVE_BYTES)):
+                answers.parser.feed_data(data)
+        except (OSError, httptools.HttpParserError):
+            answers.keep_alive = False
+        if self.socket is not None and not (answers.complete and answers.keep_alive):
+            self.socket.close()
+            self.socket = None
+        now = time.monotonic()
+        for record in records:
+            record.ended_at = record.ended_at or now
+        self.requests += records
+
+
+class PipelinedAnswers:
+    """Enters the answers on a connection into the records of its requests, in their order.
+
+    httptools calls the methods named ``on_``.
+    """
+
+    def __init__(self, records: list[RequestRecord]) -> None:
+        self.waiting = deque(records)
+        self.keep_alive = True
+        self.signature = ""
+        self.body = b""
+        self.parser = httptools.HttpResponseParser(self)
+
+    @property
+    def complete(self) -> bool:
+        """Whether all requests have their answers, or no more will follow."""
+        return not (self.waiting and self.keep_alive)
+
+    def on_message_begin(self) -> None:
+        """Begin a new answer."""
+        self.signature, self.body = "", b""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep the target's signature."""
+        if name.decode().lower() == HEADER_PREFIX + "response-sig":
+            self.signature = value.decode()
+
+    def on_body(self, data: bytes) -> None:
+        """Append to the body."""
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        """Enter the answer into the record of the oldest request without one."""
+        self.keep_alive = self.parser.should_keep_alive()
+        if self.waiting:
+            record = self.waiting.popleft()
+            record.status, record.signature = self.parser.get_status_code(), self.signature
+            record.body, record.ended_at = self.body, time.monotonic()
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,12 +14,14 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 from tools.processes import ConditionTimeout, request, wait_until
 from tools.router_system import HOST, ROUTES, RouterSystem, Vm, reserve_port_block
 
-from soak.callers import CallerThread, RequestRecord
+from soak.callers import Caller, PipeliningCaller, RequestRecord, SequentialCaller
 from soak.checks import Intervals, find_violations
 from soak.links import MODES, PASS, LinkProxy
+from soak.stop_checks import STORE, cut_requests, cut_violations, logged_ids
 
 # Repeated for systems of more VMs.
 VM_PLACEMENTS = [
@@ -95,6 +97,11 @@
         self.exited_at: dict[str, float] = {}
         self.pauses: Intervals = {}
         self.disturbances: Intervals = {}
+        # Disturbances other than planned stops, including those of the store.
+        self.unplanned_faults: Intervals = {}
+        # From the signal to the end of the process.
+        self.stops: Intervals = {}
+        self.pipeline_rng = random.Random(f"pipeline {seed}")
 
     def log_event(self, text: str) -> None:
         """Append a line to the event log, with the time."""
@@ -108,13 +115,14 @@
 
     def run(self) -> list[str]:
         """Run the seed and return the violations of guarantees."""
-        callers: list[CallerThread] = []
+        callers: list[Caller] = []
         violations: list[str] = []
         try:
             self.system.start()
             callers = [
-                CallerThread(vm, self.rng.random()) for vm in self.system.vms.values() for _ in range(2)
+                SequentialCaller(vm, self.rng.random()) for vm in self.system.vms.values() for _ in range(2)
             ]
+            callers += [PipeliningCaller(vm, self.pipeline_rng.random()) for vm in self.system.vms.values()]
             for caller in callers:
                 caller.start()
             for _ in range(EVENTS_PER_SEED):
@@ -129,17 +137,19 @@
             for caller in callers:
                 caller.stop_and_join()
             requests: list[RequestRecord] = [entry for caller in callers for entry in caller.requests]
-            violations += find_violations(
-                requests, self.system.target_records(), self.pauses, self.disturbances
-            )
+            records = self.system.target_records()
+            violations += find_violations(requests, records, self.pauses, self.disturbances)
             self.system.stop()
+        cuts = cut_requests(requests, self.stops, self.unplanned_faults)
+        read_ids = {vm: logged_ids((self.folder / f"router-{vm}.log").read_bytes()) for vm in self.stops}
+        violations += cut_violations(cuts, records, read_ids)
         served = sum(entry.status == 200 for entry in requests)
-        self.log_event(f"{len(requests)} requests, {served} served")
+        summary = f"{len(requests)} requests, {served} served"
+        summary += f", {len(cuts)} cut by {self.stop_count} planned stops"
+        self.log_event(summary)
+        self.event_log += [f"cut: {msgspec.json.encode(entry).decode()}" for entry in cuts]
         (self.folder / "events.log").write_text("\n".join([*self.event_log, *violations]) + "\n")
-        print(
-            f"seed {self.seed}: {len(requests)} requests, {served} served, {len(violations)} broken",
-            flush=True,
-        )
+        print(f"seed {self.seed}: {summary}, {len(violations)} broken", flush=True)
         if violations:
             print("\n".join(f"  {line}" for line in violations[:6]), f"\n  logs: {self.folder}", flush=True)
         else:
@@ -168,6 +178,7 @@
             fault = self.rng.choice(STORE_FAULTS)
             self.log_event(f"store {fault} for {seconds:.2f} s")
             self.system.set_store_faults(fault)
+            self.disturb_store(seconds)
             self.schedule_repair(seconds, lambda: self.system.set_store_faults({}))
         elif kind <= 7:
             name = f"{vm.name} {self.rng.choice(['store', 'target', 'reports'])}"
@@ -226,6 +237,7 @@
         self.log_event(f"restore store {restoration}")
         self.system.restore_store(**restoration)
         self.store_returns_at = time.monotonic() + restoration["away_s"]
+        self.disturb_store(restoration["away_s"])
 
     def restart_left_targets(self) -> None:
         """Restart the targets that have announced their departure long enough ago."""
@@ -234,15 +246,42 @@
                 del self.leaving_at[name]
                 self.restart_target(self.system.vms[name])
 
-    def disturb(self, vm: Vm, seconds: float) -> None:
+    def disturb(self, vm: Vm, seconds: float, planned: bool = False) -> None:
         """Note that a VM is disturbed from now on for some seconds."""
         now = time.monotonic()
         self.disturbances.setdefault(vm.name, []).append((now, now + seconds))
+        if not planned:
+            self.unplanned_faults.setdefault(vm.name, []).append((now, now + seconds))
+
+    def disturb_store(self, seconds: float) -> None:
+        """Note that the store is disturbed from now on for some seconds."""
+        now = time.monotonic()
+        self.unplanned_faults.setdefault(STORE, []).append((now, now + seconds))
+
+    def begin_stop(self, vm: Vm) -> None:
+        """Note that the planned stop of a router begins, unless one has begun before."""
+        stops = self.stops.setdefault(vm.name, [])
+        if vm.router.running and not (stops and stops[-1][1] == float("inf")):
+            stops.append((time.monotonic(), float("inf")))
+
+    def end_stop(self, vm: Vm) -> None:
+        """Note that a router has exited."""
+        stops = self.stops.get(vm.name)
+        if stops and stops[-1][1] == float("inf"):
+            stops[-1] = (stops[-1][0], time.monotonic())
+
+    @property
+    def stop_count(self) -> int:
+        """Number of planned stops."""
+        return sum(len(stops) for stops in self.stops.values())
 
     def signal_router(self, vm: Vm, signum: signal.Signals) -> None:
         """Send a router a signal that ends it; it is restarted once it has exited."""
         self.log_event(f"signal {signum.name} to router of {vm.name}")
-        self.disturb(vm, RESTART_SECONDS)
+        planned = signum == signal.SIGTERM
+        self.disturb(vm, RESTART_SECONDS, planned)
+        if planned:
+            self.begin_stop(vm)
         vm.router.send(signum)
 
     def restart_exited_routers(self) -> None:
@@ -253,7 +292,9 @@
         for vm in self.system.vms.values():
             if vm.router.running:
                 self.exited_at.pop(vm.name, None)
-            elif (
+                continue
+            self.end_stop(vm)
+            if (
                 time.monotonic() - self.exited_at.setdefault(vm.name, time.monotonic())
                 > ROUTER_RESTART_DELAY_SECONDS
             ):
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -4,6 +4,7 @@
 from soak.callers import RequestRecord
 from soak.checks import find_violations
 from soak.run import SoakRun
+from soak.stop_checks import STORE, cut_requests, cut_violations
 
 
 @then("the soak keeps all promises on seed {seed:d}")
@@ -58,3 +59,42 @@
     entries, records = PLANTED[fault]
     lines = find_violations(entries if isinstance(entries, list) else [entries], records, {}, {})
     assert len(lines) == 1 and fault in lines[0], lines
+
+
+def cut(**changes):
+    return asked(**({"status": 0, "sent_at": 10.0, "ended_at": 10.3, "path": "/r/x"} | changes))
+
+
+CUT = {
+    "after a target ran it": (cut(), [run()], set()),
+    "behind another after it ran": (cut(pipelined=True), [run()], set()),
+    "0.3 s after its router read it": (cut(), [], {"a"}),
+    "0.1 s after its router read it": (cut(ended_at=10.1), [], {"a"}),
+    "behind another": (cut(pipelined=True), [], {"a"}),
+    "unread": (cut(), [run(attempt="b")], {"b"}),
+}
+NO_CUTS = {
+    "before the planned stop": (cut(started_at=8.0, sent_at=8.0, ended_at=8.9), {}),
+    "after the planned stop": (cut(started_at=11.9, sent_at=11.9, ended_at=12.1), {}),
+    "before it was sent": (cut(sent_at=0.0), {}),
+    "at its deadline": (cut(ended_at=12.0), {}),
+    "as its path asked for": (cut(path="/r/lost"), {}),
+    "3 s after the end of a fault of its VM": (cut(), {"vm0": [(5.0, 7.0)]}),
+    "3 s after the end of a fault of the store, with a key": (cut(path="/k/x"), {STORE: [(5.0, 7.0)]}),
+}
+STOPS = {"vm0": [(9.0, 12.0)]}
+
+
+@then('the checks of planned stops report "{report}" on a request that was cut {how}')
+def cut_reported(_context, report, how):
+    entry, records, read = CUT[how]
+    faults = {"vm1": [(9.0, 12.0)], STORE: [(9.0, 12.0)], "vm0": [(0.0, 5.9), (10.4, 11.0)]}
+    assert cut_requests([entry], STOPS, faults) == [entry]
+    lines = cut_violations([entry], records, {"vm0": read, "vm1": {"a"}})
+    assert (not lines) if report == "nothing" else (len(lines) == 1 and report in lines[0]), lines
+
+
+@then("a request that ended without an answer {when} is not cut")
+def not_cut(_context, when):
+    entry, faults = NO_CUTS[when]
+    assert not cut_requests([entry], STOPS, faults)
