--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -18,6 +18,7 @@
     AdmissionQueue,
     QueueEntry,
 )
+from hibiscusdrum.internal.router.hop import CLOSING_REASON
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetState
 from hibiscusdrum.internal.router.range_owner import KeyState, RangeOwner
 from hibiscusdrum.internal.router.rate_limiter import UNKNOWN_LIMIT_BOUND, RateLimiter
@@ -47,6 +48,8 @@
 SPARE_CONNECTIONS = 4
 SERVICE_UNAVAILABLE_STATUS = 503
 DEFAULT_SLOTS = 8
+# Time from the first request that is declined as closing until the next process may serve its keys.
+RESTART_SECONDS = 1.0
 MISDIRECTED_REASON = "misdirected"
 NOT_OWNER_REASON = "not_owner"
 OVERLOADED_REASON = "overloaded"
@@ -136,6 +139,8 @@
         Whether the target has answered since the start of this process, so that its rate limit is known.
     stopping : bool
         Whether the process is shutting down; requests that other targets may serve are then refused.
+    service_seconds_left : callable
+        Returns the seconds within which the target must answer because the process is about to end.
     closed : bool
         Whether all new requests are refused, so that the process can exit.
     replaced_headers : set of str
@@ -156,6 +161,7 @@
         self.awaiting_keys: list[Job] = []
         self.stopping = False
         self.closed = False
+        self.service_seconds_left: Callable[[], float] = lambda: math.inf
         self.route_table: RouteTable | None = None
         self.replaced_headers = {
             header_names.attempt_id,
@@ -321,7 +327,7 @@
         forward = job.forward
         reason = self.refusal_reason(forward)
         if reason:
-            self.decline(job, reason)
+            self.decline(job, reason, retry_after=RESTART_SECONDS if reason == CLOSING_REASON else 0.0)
         elif forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.GRANT_PENDING:
             self.await_keys(job)
         else:
@@ -364,7 +370,7 @@
         if forward.service != self.settings.service:
             return "other_service"
         if self.closed:
-            return "stopping"
+            return CLOSING_REASON
         if self.route_table is None and self.now < self.admission.rate_limiter.warm_at:
             # The rate limit of a cold target comes from the configuration.
             return "no_configuration"
@@ -451,7 +457,7 @@
     def send_to_target(self, job: Job) -> None:
         """Send a request that has a slot to the target."""
         forward, now = job.forward, self.now
-        left = job.deadline - now
+        left = min(job.deadline - now, self.service_seconds_left())
         if left < MIN_SEND_REMAINING_SECONDS:
             self.release_unsent(job, TOO_LATE_REASON)
             return
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -18,6 +18,7 @@
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router.routes import EntryLimits
 from hibiscusdrum.internal.transport.entry_connection import (
+    CALLER_GONE,
     DISCARD_SECONDS,
     EntryConnection,
     EntryRequest,
@@ -182,7 +183,7 @@
         if connection.closed:
             return
         self.close(connection)
-        connection.cancel_pending()
+        connection.cancel_pending(CALLER_GONE)
 
     def close(self, connection: EntryConnection) -> None:
         """Close a connection without notifying the handlers of its requests."""
@@ -207,6 +208,12 @@
             elif not connection.pending and now - connection.last_active_at > limits.idle_timeout:
                 self.close(connection)
 
+    def connections_of(self, address: str) -> list[EntryConnection]:
+        """Return the open connections to a listening address, which may have been closed since."""
+        return [
+            connection for connection in self.connections.values() if connection.listen_address == address
+        ]
+
     @property
     def unanswered_count(self) -> int:
         """Number of requests without a response, plus connections with unsent output."""
