Stop routers of calm VMs as planned in the soak

About one step in seven now also stops a router on a VM without a fault in the 4 s before, drawn from a generator of its own.

--- a/soak/run.py
+++ b/soak/run.py
@@ -19,9 +19,9 @@
 from tools.router_system import HOST, ROUTES, RouterSystem, Vm, reserve_port_block
 
 from soak.callers import Caller, PipeliningCaller, RequestRecord, SequentialCaller
-from soak.checks import Intervals, find_violations
+from soak.checks import Intervals, disturbed, find_violations
 from soak.links import MODES, PASS, LinkProxy
-from soak.stop_checks import STORE, cut_requests, cut_violations, logged_ids
+from soak.stop_checks import CONTACT_SECONDS, STORE, cut_requests, cut_violations, logged_ids
 
 # Repeated for systems of more VMs.
 VM_PLACEMENTS = [
@@ -49,6 +49,8 @@
 MIN_COPY_AGE_SECONDS, MAX_COPY_AGE_SECONDS = 1.0, 10.0
 MAX_STORE_OUTAGE_SECONDS = 3.0
 MAX_REWRITE_DELAY_SECONDS = 1.0
+# Share of steps in which a router stops as planned on a VM that no fault has disturbed shortly before.
+STOP_SHARE = 0.15
 # Time from the statement that a target leaves to its end.
 LEAVING_SECONDS = 4.0
 # Time for which the end of a router or a target disturbs its VM.
@@ -101,6 +103,7 @@
         self.unplanned_faults: Intervals = {}
         # From the signal to the end of the process.
         self.stops: Intervals = {}
+        self.stop_rng = random.Random(f"stop {seed}")
         self.pipeline_rng = random.Random(f"pipeline {seed}")
 
     def log_event(self, text: str) -> None:
@@ -129,6 +132,7 @@
                 self.inject_event()
                 self.change_statement()
                 self.restore_store_at_random()
+                self.stop_router_at_random()
                 self.sleep_restarting_routers(self.rng.uniform(0.1, 2.5))
             violations += self.recover()
         except ConditionTimeout as error:
@@ -222,6 +226,15 @@
         if draw < RESTORE_SHARE * REPEATED_RESTORE_SHARE:
             self.schedule_repair(first["away_s"] + pause, lambda: self.restore_store(second))
 
+    def stop_router_at_random(self) -> None:
+        """Stop the router of a random VM without recent faults as planned, or leave all as they are."""
+        draw = self.stop_rng.random()
+        vms = self.stop_rng.sample(list(self.system.vms.values()), len(self.system.vms))
+        now = time.monotonic()
+        calm = [vm for vm in vms if not disturbed(self.disturbances, vm.name, now - CONTACT_SECONDS, now)]
+        if draw < STOP_SHARE and calm:
+            self.signal_router(calm[0], signal.SIGTERM)
+
     def draw_restoration(self) -> dict[str, Any]:
         """Return random arguments of `RouterSystem.restore_store`."""
         rng = self.restore_rng
