--- a/tests/features/daemon_timers.feature
+++ b/tests/features/daemon_timers.feature
@@ -75,3 +75,8 @@
     Given the request service of an idle daemon whose target has no free slot
     When two requests with one id and a timeout of 50 ms are queued on a slice
     Then both end within 0.2 s and the slice is not busy
+
+  Scenario: A daemon that has lost its lease ends its requests before it stops
+    Given a daemon without a lease whose target runs a request
+    When the daemon is stopped, and 2 s pass
+    Then it ends only after the request has
--- a/tests/features/steps/daemon_timers_steps.py
+++ b/tests/features/steps/daemon_timers_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from returns.result import Success
 from tests.loopback import Loopback, free_address
+from tests.router_stubs import Stub
 
 from hibiscusdrum.internal.clock import ManualClock
 from hibiscusdrum.internal.daemon.handover import STEP_INTERVAL_SECONDS, HandoverCoordinator
@@ -19,6 +20,7 @@
     PendingRequest,
     RequestPipeline,
 )
+from hibiscusdrum.internal.daemon.stopping import ShutdownCoordinator
 from hibiscusdrum.internal.kernel import Application, Scheduler, Service
 from hibiscusdrum.internal.messages import Call, ConfigAck
 from hibiscusdrum.internal.ownership.ids import new_request_id
@@ -298,3 +300,39 @@
     context.loopback.run_until(lambda: len(context.outcomes) == 2, seconds)
     assert not context.owned.busy_slices(frozenset({3}))
     assert not context.requests.pending
+
+
+@given("a daemon without a lease whose target runs a request")
+def daemon_without_lease(context):
+    app = context.app = Application(ManualClock())
+    app.add(Stub("leases", holder=None, disable_rejoin=lambda: None))
+    app.add(Stub("handover", leave=lambda: None, busy=False, has_drain_receivers=lambda: False))
+    app.add(Stub("guarding", guard_table=SimpleNamespace(lessees=())))
+    app.add(Stub("requests", pending={"running"}))
+    app.add(Stub("owned", row=None))
+    app.add(Stub("membership"))
+    app.add(Stub("http", forwarding_engine=SimpleNamespace(calls={})))
+    context.exits = []
+    app.shutdown = context.exits.append
+    context.coordinator = app.add(ShutdownCoordinator(SimpleNamespace(stop_timeout_s=20, node="n1")))
+    context.coordinator.on_start()
+
+
+@when("the daemon is stopped, and {seconds:g} s pass")
+def daemon_stopped(context, seconds):
+    context.coordinator.begin()
+    run_daemon_for(context, seconds)
+
+
+def run_daemon_for(context, seconds):
+    for _ in range(round(seconds / 0.02)):
+        context.app.clock.advance(0.02)
+        context.app.scheduler.run_due(LOOP_EVENT)
+
+
+@then("it ends only after the request has")
+def ends_after_request(context):
+    assert not context.exits
+    context.app.find("requests").pending.clear()
+    run_daemon_for(context, 0.1)
+    assert context.exits == [0]
