End the requests of a daemon that has lost its lease before it stops

What callers saw: the connections of requests that a daemon was running when it was stopped ended without an answer if it had lost its lease before. Cause: without a lease there is nothing to hand over, which was taken for nothing to do. Evidence: daemon_timers.feature, "A daemon that has lost its lease ends its requests before it stops", failed before and passes now.

--- a/src/hibiscusdrum/internal/daemon/stopping.py
+++ b/src/hibiscusdrum/internal/daemon/stopping.py
@@ -94,13 +94,17 @@
     def step(self) -> None:
         """Remove this node's rows once its work is done, or end when the time limit has passed.
 
-        A node without a lease ends at once.
+        A node without a lease has no rows to remove.
         """
         if self.closing:
             return
-        if self.elapsed > self.settings.stop_timeout_s or self.leases.holder is None:
+        if self.elapsed > self.settings.stop_timeout_s:
             self.finish()
-        elif not self.requests.pending and self.handover_complete() and self.guard_change_complete():
+        elif self.requests.pending:
+            return
+        elif self.leases.holder is None:
+            self.finish()
+        elif self.handover_complete() and self.guard_change_complete():
             self.leave()
 
     def handover_complete(self) -> bool:
