Add a failing scenario: nodes are not told that a router ends until they ask it

A node learns that another one is about to end from its refusal of a request. One that sends its first request of a while as the process ends loses it, and has to assume that it ran.

--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -81,6 +81,11 @@
     When a request with 9 s that was sent before the signal is unanswered 5.4 s after it
     Then the caller gets the status 504 within 0.3 s, before the router ends
 
+  Scenario: No node sends the first request of a while to a router that has just ended
+    Given a router in its planned stop that is connected to another node, which sends it nothing
+    When 2.4 s after the signal nothing is in flight
+    Then the other node is told that the router ends, at least 0.1 s before it does
+
   Scenario: A planned stop ends when nothing more arrives
     Given a router at the end of its planned stop
     Then the router ends within 1 s
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -3,6 +3,7 @@
 They guard against requests that are reset without an answer because nobody read them before the end.
 """
 
+import contextlib
 import random
 import socket
 import time
@@ -17,7 +18,9 @@
 from hibiscusdrum.internal import codec
 from hibiscusdrum.internal.messages import Answered, Declined
 from hibiscusdrum.internal.router.gateway import Gateway
+from hibiscusdrum.internal.router.hop import Forwarder
 from hibiscusdrum.internal.router.local_target import TargetState
+from hibiscusdrum.internal.router.members import NodeRow
 from hibiscusdrum.internal.router.range_owner import KeyState
 from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
 from hibiscusdrum.internal.router.selection import Candidate, NodeSelector
@@ -148,6 +151,51 @@
     context.loopback.run_until(lambda: context.stopping.finished, seconds)
 
 
+@given("a router in its planned stop that is connected to another node, which sends it nothing")
+def stopping_router_with_peer(context):
+    address = free_address()
+    context.node = zmq.Context.instance().socket(zmq.ROUTER)
+    context.node.bind(f"tcp://{address}")
+    context.add_cleanup(context.node.close, 0)
+    start_router(
+        context,
+        *(Stub(name) for name in ("range_owner", "rings", "metrics")),
+        Stub("traffic", count_sent=lambda *_: None),
+        Stub(
+            "members",
+            nodes={"n1": NodeRow("n1", "east", "east-1", "s", address)},
+            on_change=[],
+            region_of=lambda _: "east",
+        ),
+        Stub("receiver", jobs={}, has_jobs=False, decline_unsent=lambda: None),
+        Forwarder(SETTINGS, NodeSelector("east", "east-1", random.Random(1))),
+    )
+    hop = context.loopback.app.find("hop")
+    hop.connect_to_members()
+    context.loopback.run_until(lambda: context.peers.is_connected(address))
+    context.stopping.begin_stop()
+
+
+@when("{seconds:g} s after the signal nothing is in flight")
+def nothing_in_flight(context, seconds):
+    skip_to(context, seconds)
+
+
+@then("the other node is told that the router ends, at least {seconds:g} s before it does")
+def told_before_end(context, seconds):
+    told = []
+
+    def receive_message():
+        with contextlib.suppress(zmq.Again):
+            message = codec.decode_request(context.node.recv_multipart(zmq.NOBLOCK)[2])
+            told.append((type(message).__name__, time.monotonic()))
+        return context.stopping.finished
+
+    context.loopback.run_until(receive_message, 1.5)
+    ended = time.monotonic()
+    assert [name for name, _ in told] == ["Closing"] and ended - told[0][1] >= seconds, (told, ended)
+
+
 @given("a router in its planned stop, which knows a node to serve requests")
 def stopping_router_with_node(context):
     context.hop = SentHop()
