Tell all nodes that a router is about to end, before it does

What callers saw: 502 for a request that another node had sent on as a router ended, though nothing had read it. Cause: a node told only those that asked it that it was about to end. Now it tells all that it is connected to when it begins to decline requests, and ends 0.2 s later at the earliest.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -332,6 +332,14 @@
 ControlMessage = (
     RenewLease | LeaseGranted | LeaseRefused | RowsChanged | ConfigChange | ConfigAck | ConfigRequest
 )
+
+
+class Closing(Message, frozen=True, array_like=True, tag=True):
+    """Tells a peer that the sender's process is about to end and declines all requests."""
+
+    node: str
+
+
 RequestMessage = (
     Call
     | Cancel
@@ -346,4 +354,5 @@
     | Declined
     | Ping
     | Pong
+    | Closing
 )
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -15,6 +15,7 @@
     Answered,
     Body,
     Cancel,
+    Closing,
     Declined,
     Forward,
     Message,
@@ -122,9 +123,9 @@
     silent : bool
         Whether the connection was replaced because of silence; that it is not established proves no loss.
     closing_until : float
-        Monotonic time in seconds until which the peer may be about to end, since it has declined a request
-        for that reason. Requests that it had not read by then would end without an answer, so none are
-        sent before that time or before the connection is made anew.
+        Monotonic time in seconds until which the peer may be about to end, since it has said so or declined
+        a request for that reason. Requests that it had not read by then would end without an answer, so
+        none are sent before that time or before the connection is made anew.
     """
 
     __slots__ = ("address", "closing_until", "incarnation", "last_heard_at", "reachable", "silent")
@@ -250,6 +251,18 @@
             return False
         return True
 
+    def on_closing(self, node: str) -> None:
+        """Record that a node is about to end."""
+        state = self.peer_states.get(node)
+        if state is not None:
+            # The peer is killed at the end of its grace, also if the end of its connection is not seen.
+            state.closing_until = self.now + self.settings.grace
+
+    def announce_end(self) -> None:
+        """Tell all peers that this process is about to end."""
+        for state in self.peer_states.values():
+            self.peers.try_send_request(state.address, Closing(self.settings.node))
+
     def send_body_part(self, part_request: SendBody) -> None:
         """Send the part of an offered body that the receiver asks for."""
         entry = self.outstanding.get(part_request.id)
@@ -292,8 +305,7 @@
         if state is not None:
             state.last_heard_at = self.now
             if kind is Declined and message.reason == CLOSING_REASON:
-                # The peer is killed at the end of its grace, also if the end of its connection is not seen.
-                state.closing_until = self.now + self.settings.grace
+                self.on_closing(entry.node)
         self.selector.on_report(entry.node, LoadReport(*message.load, message.rate_limit), self.now)
         entry.callback(message, body)
 
@@ -413,6 +425,8 @@
             self.peers.reply(identity, pong)
         elif kind is Cancel:
             self.on_cancel(message.request_id)
+        elif kind is Closing:
+            self.on_closing(message.node)
 
     @property
     def link_congested(self) -> bool:
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -25,6 +25,8 @@
 # New requests for the local target are refused from this time after the signal, so that those in flight can
 # finish before the process is killed.
 REQUEST_REFUSAL_DELAY_SECONDS = 2.3
+# Peers learn this long before the process exits that it does: many times the delay between regions.
+END_NOTICE_SECONDS = 0.2
 # The process exits only once no caller has used its connection for this long, many times the delay to one.
 QUIET_SECONDS = 0.3
 # A target that still runs has sent a heartbeat within this time.
@@ -47,6 +49,8 @@
         Monotonic time in seconds at which the shutdown began.
     row_removed : bool
         Whether the removal of this node's row has been requested.
+    announced_at : float or None
+        Seconds after the begin of the shutdown at which the peers were told that the process ends.
     finished : bool
         Whether the application has been told to end.
     """
@@ -58,6 +62,7 @@
         self.settings = settings
         self.stop_started_at: float | None = None
         self.row_removed = False
+        self.announced_at: float | None = None
         self.finished = False
 
     def on_start(self) -> None:
@@ -68,6 +73,7 @@
         self.readiness = find("readiness")
         self.entry = find("entry")
         self.peers = find("peers")
+        self.hop = find("hop")
         self.target = find("local_target")
         self.members = find("members")
         self.gateway.service_seconds_left = self.service_seconds_left
@@ -130,6 +136,10 @@
             for connection in connections
         )
 
+    def peers_told(self, elapsed: float) -> bool:
+        """Return whether the peers have had time to read that the process ends."""
+        return self.announced_at is not None and elapsed > self.announced_at + END_NOTICE_SECONDS
+
     def advance_stop(self) -> None:
         """Advance the shutdown; exit when no request is in flight or the grace period is over."""
         if self.finished:
@@ -139,6 +149,9 @@
             self.row_removed = True
             self.members.remove_local_row(lambda: None)
         if elapsed > REQUEST_REFUSAL_DELAY_SECONDS:
+            if self.announced_at is None:
+                self.announced_at = elapsed
+                self.hop.announce_end()
             self.receiver.closed = True
             if not self.gateway.closed and not self.receiver.has_jobs:
                 self.gateway.close()
@@ -149,7 +162,7 @@
         if self.service_seconds_left() <= -EARLY_END_PATIENCE_SECONDS:
             self.gateway.end_unanswered()
         grace_over = elapsed > self.settings.grace - EXIT_MARGIN_SECONDS
-        denied = elapsed > READINESS_DENIAL_SECONDS
+        denied = elapsed > READINESS_DENIAL_SECONDS and self.peers_told(elapsed)
         if grace_over or (denied and self.gateway.closed and not self.busy and self.callers_quiet):
             self.finished = True
             self.log_connections_left()
--- a/tests/features/silent_peers.feature
+++ b/tests/features/silent_peers.feature
@@ -29,6 +29,12 @@
     When the connection to the peer is lost, and made again
     Then a further request is sent
 
+  Scenario: Nothing is sent to a peer that has announced its end
+    Given a router that sends an order and a read to a peer
+    When the peer announces its end
+    And the peer answers the read
+    Then a further request is not sent, and is known not to have run
+
   Scenario: A peer that was started anew while this process was paused is sent requests again
     Given a router that sends an order and a read to a peer
     When the peer declines the order as it is about to end
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -38,7 +38,8 @@
 def stopping_router(context):
     start_router(
         context,
-        *(Stub(name) for name in ("range_owner", "rings", "metrics", "hop")),
+        *(Stub(name) for name in ("range_owner", "rings", "metrics")),
+        Stub("hop", announce_end=lambda: None),
         Stub("members", nodes={}),
         Stub("receiver", jobs={}, has_jobs=False, decline_unsent=lambda: None),
     )
--- a/tests/features/steps/silent_peers_steps.py
+++ b/tests/features/steps/silent_peers_steps.py
@@ -12,7 +12,7 @@
 from tests.router_world import Loop
 
 from hibiscusdrum.internal.daemon.target import Announcement, Target
-from hibiscusdrum.internal.messages import Answered, Declined, Pong
+from hibiscusdrum.internal.messages import Answered, Closing, Declined, Pong
 from hibiscusdrum.internal.router.hop import CLOSING_REASON, Forwarder
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.members import Members, NodeRow
@@ -130,6 +130,11 @@
     context.hop.on_reply(Declined(bytes([ORDER]), CLOSING_REASON, False, False, 1.0, FREE), b"")
 
 
+@when("the peer announces its end")
+def announces_end(context):
+    context.hop.on_request(b"", Closing("peer"), b"")
+
+
 def send_further(context):
     """Send a request, and return whether it was sent."""
     request = msgspec.structs.replace(forward(3), repeatable=False)
--- a/tests/features/steps/target_signals_steps.py
+++ b/tests/features/steps/target_signals_steps.py
@@ -121,7 +121,7 @@
 def stop_as_planned(world):
     """Play a planned stop of the router without requests in flight."""
     app = world.nodes["n1"].app
-    for name in ("gateway", "receiver", "readiness", "entry", "peers"):
+    for name in ("gateway", "receiver", "readiness", "entry", "peers", "hop"):
         idle = dict.fromkeys(("has_pending", "has_jobs", "has_incoming", "has_unread_messages"), False)
         app.add(
             Stub(
@@ -131,6 +131,7 @@
                 closed=True,
                 unanswered_count=0,
                 connections_of=lambda _address: [],
+                announce_end=lambda: None,
                 **idle,
             )
         )
@@ -303,7 +304,7 @@
             key_load=mock.Mock(),
         )
     )
-    app.add(Stub("hop", link_congested=False))
+    app.add(Stub("hop", link_congested=False, announce_end=lambda: None))
     app.add(Stub("rings", owner_node=lambda *_: None))
     app.add(Stub("metrics", count_declined=lambda *_: None, count_run=lambda *_: None))
     context.target = app.add(AnsweringTarget())
--- a/tests/router_stubs.py
+++ b/tests/router_stubs.py
@@ -63,6 +63,9 @@
         """Note a cancelled request."""
         self.cancelled.append(request_id)
 
+    def announce_end(self):
+        """Take the end of the process."""
+
     def next_request_id(self):
         """Return a new id."""
         return len(self.sent).to_bytes(4, "big")
