--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -14,7 +14,7 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.messages import Answered, Body, Declined, Ping, Pong, SendBody
-from hibiscusdrum.internal.platform.table import Changes
+from hibiscusdrum.internal.platform.table import Changes, make_version
 from hibiscusdrum.internal.router.admission import QueueEntry
 from hibiscusdrum.internal.router.events import RequestEnded
 from hibiscusdrum.internal.router.gateway import Gateway
@@ -618,9 +618,11 @@
 @when("a complete read of the rows lacks one of them")
 def complete_read(context):
     context.members = context.world.nodes["n0"].members
+    table = context.members.table
     rows = [row for key, row in context.world.store.rows.items() if key.startswith(("node/", "ring/"))]
-    kept = tuple(row for row in rows if row.key != "node/n2")
-    context.members.on_changes(Success(Changes(context.world.store.version, kept, True)))
+    kept = tuple(table.known_row(row) for row in rows if row.key != "node/n2")
+    version = make_version(table.era, context.world.store.version)
+    context.members.on_changes(Success(Changes(version, kept, True)))
 
 
 @then("that node is no candidate any more, and the others are")
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -17,7 +17,7 @@
 from hibiscusdrum.errors import StoreConflict, StoreUnavailable
 from hibiscusdrum.internal.clock import ManualClock
 from hibiscusdrum.internal.kernel import Application, Service
-from hibiscusdrum.internal.platform.table import Changes, Row
+from hibiscusdrum.internal.platform.table import Changes, Row, era_of, make_version, number_of
 from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.members import Members
@@ -35,6 +35,9 @@
 STORE_SECONDS = 0.004
 CALL_TIMEOUT_SECONDS = 1.5
 FEED_SECONDS = 3.0
+# Copies of the store are taken this often and kept this long.
+COPY_INTERVAL_SECONDS = 0.5
+COPIES_KEPT_SECONDS = 20.0
 PROBED_KEYS = range(0, 65_536, 419)
 
 
@@ -45,8 +48,26 @@
         """Ignore the wait: the world decides when time passes."""
 
 
+class Copy(msgspec.Struct, frozen=True):
+    """Copy of the store, taken at a true time in seconds."""
+
+    taken_at: float
+    rows: dict[str, Row]
+    version: int
+
+
 class Store:
-    """Rows with versions, conditional writes, and faults for single nodes."""
+    """Rows with versions, conditional writes, faults for single nodes, and copies to restore from.
+
+    Attributes
+    ----------
+    rows : dict of str to Row
+        Rows with the versions that the store itself gives out, deleted ones included.
+    era : int
+        Rises by one with each restore.
+    clock_offset : float
+        Seconds that the store's clock is ahead of the true time.
+    """
 
     def __init__(self, world):
         self.world = world
@@ -58,6 +79,24 @@
         self.late_for = set()
         self.seconds = STORE_SECONDS
         self.calls = {"changes": 0, "read": 0, "commit": 0}
+        self.era = 1
+        self.clock_offset = -900.0
+        self.copies = []
+
+    def take_copy(self):
+        """Take a copy if one is due, and drop old ones."""
+        now = self.world.now
+        if not self.copies or now - self.copies[-1].taken_at >= COPY_INTERVAL_SECONDS:
+            self.copies = [copy for copy in self.copies if now - copy.taken_at <= COPIES_KEPT_SECONDS]
+            self.copies.append(Copy(now, dict(self.rows), self.version))
+
+    def restore(self, age, clock_jump=0.0):
+        """Continue from the newest copy of at least this age in seconds, or from the oldest one."""
+        old = [copy for copy in self.copies if self.world.now - copy.taken_at >= age]
+        copy = old[-1] if old else self.copies[0]
+        self.rows, self.version = dict(copy.rows), copy.version
+        self.era += 1
+        self.clock_offset += clock_jump
 
     def blocked(self, node):
         """Return whether the store turns a node away now."""
@@ -67,7 +106,7 @@
         """Apply a transaction if its checks hold; returns its version or None."""
         for key, version in transaction.checks.items():
             row = self.rows.get(key)
-            if (row.version if row is not None and row.value is not None else 0) != version:
+            if (row.version if row is not None and row.value is not None else 0) != number_of(version):
                 return None
         self.version += 1
         for key, value in transaction.puts.items():
@@ -87,22 +126,45 @@
         self.world, self.node = world, node
         self.store_time = 0.0
         self.on_store_time = None
+        self.era = 0
+        self.on_era_change = []
+
+    def answer(self, delay, callback, result, sent_at, stamp, sent_in=None):
+        """Deliver a result later, unless the node was started anew meanwhile.
 
-    def answer(self, delay, callback, result, sent_at, stamp):
-        """Deliver a result later, unless the node was started anew meanwhile."""
+        A result of a commit that was sent in an earlier era is delivered as unknown.
+        """
         node = self.world.nodes.get(self.node)
+        era = self.world.store.era
 
         def deliver():
             if self.world.nodes.get(self.node) is not node:
                 return
             if stamp is not None:
-                self.store_time = max(self.store_time, stamp)
-                if self.on_store_time is not None:
-                    self.on_store_time(sent_at, stamp)
-            callback(result)
+                self.observe(era, sent_at, stamp)
+            if stamp is not None and sent_in is not None and era != sent_in:
+                callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
+            else:
+                callback(result)
 
         self.world.after(delay, deliver)
 
+    def observe(self, era, sent_at, stamp):
+        """Take the era and the store's time from an answer."""
+        if era < self.era:
+            return
+        if era > self.era:
+            former, self.era, self.store_time = self.era, era, 0.0
+            for listener in self.on_era_change if former else ():
+                listener(former, era)
+        self.store_time = max(self.store_time, stamp)
+        if self.on_store_time is not None:
+            self.on_store_time(sent_at, stamp)
+
+    def known_row(self, row):
+        """Return a row of the store with its version in this era."""
+        return Row(row.key, make_version(self.world.store.era, row.version), row.value)
+
     def failing(self, callback, reason):
         """Deliver a failure after the time limit of a call."""
         error = StoreUnavailable(operation="call", reason=reason)
@@ -116,7 +178,9 @@
             self.failing(callback, "refused")
             return
         found = {
-            key: row for key in keys if (row := store.rows.get(key)) is not None and row.value is not None
+            key: self.known_row(row)
+            for key in keys
+            if (row := store.rows.get(key)) is not None and row.value is not None
         }
         self.answer(store.seconds, callback, Success(found), sent_at, self.world.store_time)
 
@@ -128,11 +192,15 @@
             self.failing(callback, "refused")
             return
         until = self.world.now + FEED_SECONDS if until is None else until
+        complete = bool(since) and era_of(since) != store.era
+        after = 0 if complete else number_of(since)
         rows = tuple(
-            row for key, row in store.rows.items() if row.version > since and not key.startswith("lease/")
+            self.known_row(row)
+            for key, row in store.rows.items()
+            if row.version > after and not key.startswith("lease/") and not (complete and row.value is None)
         )
-        if rows or since == 0 or self.world.now >= until:
-            changes = Changes(store.version, rows)
+        if rows or complete or since == 0 or self.world.now >= until:
+            changes = Changes(make_version(store.era, store.version), rows, complete)
             self.answer(store.seconds, callback, Success(changes), self.world.now, self.world.store_time)
             return
         node = self.world.nodes.get(self.node)
@@ -148,6 +216,10 @@
         if store.blocked(self.node):
             self.failing(callback, "refused")
             return
+        if any(version and era_of(version) != self.era for version in transaction.checks.values()):
+            conflict = StoreConflict(keys=tuple(transaction.checks))
+            self.answer(0.0, callback, Failure(conflict), self.world.now, None)
+            return
         if rng.random() < store.late_writes or self.node in store.late_for:
             self.world.after(rng.uniform(1.0, 6.0), lambda: store.write(transaction))
             self.failing(callback, "unknown")
@@ -156,8 +228,12 @@
         if rng.random() < store.lose_answers:
             self.failing(callback, "unknown")
             return
-        result = Success(version) if version else Failure(StoreConflict(keys=tuple(transaction.checks)))
-        self.answer(store.seconds, callback, result, self.world.now, self.world.store_time)
+        result = (
+            Success(make_version(store.era, version))
+            if version
+            else Failure(StoreConflict(keys=tuple(transaction.checks)))
+        )
+        self.answer(store.seconds, callback, result, self.world.now, self.world.store_time, self.era)
 
 
 def uncovered(entry, others):
@@ -329,7 +405,7 @@
     @property
     def store_time(self):
         """Seconds on the store's clock."""
-        return self.now - 900.0
+        return self.now + self.store.clock_offset
 
     def add(self, name, failure_domain="d0"):
         """Start a VM: daemon and target."""
@@ -367,6 +443,7 @@
         end = self.now + seconds
         while self.now < end:
             self.clock.advance(STEP_SECONDS)
+            self.store.take_copy()
             while self.calls and self.calls[0][0] <= self.now:
                 heapq.heappop(self.calls)[2]()
             for name, node in list(self.nodes.items()):
