--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -409,6 +409,34 @@
     version: int
 
 
+class StaleRowDeleted(LogEvent, frozen=True):
+    """The row of a node that was removed earlier, which a restored store brought back, is to be deleted."""
+
+    number = 831
+    cause = "The copy was taken before the removal. `outcome` is `deleted` or names the failure."
+
+    row: str
+    version: int
+    outcome: str
+
+
+class TableReread(LogEvent, frozen=True):
+    """A table of the store was read completely instead of only its changes; `count` such reads so far."""
+
+    number = 830
+    rate_limited = True
+    lines_per_interval = 10
+    cause = (
+        "`reason`: `history_dropped`, the store no longer has the changes; `restored`, its era has changed."
+    )
+
+    table: str
+    reason: str
+    version: int
+    rows: int
+    count: int
+
+
 EVENTS = frozenset(
     (
         EvacuationChanged,
@@ -431,10 +459,12 @@
         RouterStarted,
         RoutesInForce,
         RowUnreadable,
+        StaleRowDeleted,
         StoreCallFailed,
         StoreEraChanged,
         StoreLost,
         StoreRegained,
+        TableReread,
         TargetChanged,
         TargetGone,
         TargetLeaving,
--- a/tests/features/router_restored.feature
+++ b/tests/features/router_restored.feature
@@ -58,6 +58,27 @@
     Then node "n7" is no candidate for 4 s
     And the row of node "n7" is deleted again
 
+  Scenario: A node that was removed gets no requests when a restored store has an earlier row of it
+    Given a node that follows a store
+    And the store was copied before node "n7" drained and was removed
+    When the store is restored from the copy
+    Then node "n7" is no candidate for 4 s
+    And the row of node "n7" is deleted again
+
+  Scenario: A node that was removed gets no requests when the store is restored from the same copy twice
+    Given a node that follows a store
+    And the store was copied when it had node "n7", whose row was removed since
+    When the store is restored from the copy
+    Then node "n7" is no candidate for 4 s
+    When the store is restored from the copy
+    Then node "n7" is no candidate for 4 s
+    And the row of node "n7" is deleted again
+
+  Scenario: What is remembered of removed nodes is bounded
+    Given a node that follows a store
+    When 520 nodes join and are removed
+    Then the rows of at most 501 other nodes are remembered
+
   Scenario: A node that lives and that a restored store brings back is a candidate when it has written its row
     Given a node that follows a store
     And the store was copied when it had node "n7", whose row was removed since
@@ -78,6 +99,12 @@
     When the store is restored from the copy
     Then each table is read completely at most 2 times within 3 s
 
+  Scenario: The rows of a restored store that does not name its era are read once, not over and over
+    Given a node that follows a store that does not name its era
+    And the store was copied, and 20 rows were written since
+    When the store is restored from the copy
+    Then each table is read completely at most 2 times within 3 s
+
   Scenario: A store that answers every poll with 410 is not asked without a pause
     Given a node that follows a store
     When the store has no history any more
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -15,7 +15,7 @@
 
 from hibiscusdrum.errors import StoreConflict
 from hibiscusdrum.internal import log_events
-from hibiscusdrum.internal.platform.table import Transaction
+from hibiscusdrum.internal.platform.table import Transaction, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
@@ -88,12 +88,13 @@
 
 
 @given("a node that follows a store")
-def node_and_store(context):
+def node_and_store(context, names_era=True):
     context.app = app = application()
     app.add(Stub("entry", limits=None))
     app.add(Stub("receiver", set_route_table=lambda _: None))
     app.add(Stub("range_owner", set_partitioned=lambda _: None))
     context.store = app.add(RestorableStore())
+    context.store.names_era = names_era
     context.client = app.add(StoreClient("127.0.0.1:1"))
     context.target = app.add(LocalTarget(SETTINGS))
     context.members = app.add(Members(SETTINGS))
@@ -115,6 +116,11 @@
     assert context.gateway.route_table.version == 10
 
 
+@given("a node that follows a store that does not name its era")
+def node_and_store_without_era(context):
+    node_and_store(context, names_era=False)
+
+
 def write_rows(context, count):
     for index in range(count):
         context.store.put(ROUTER_TABLE, f"ring/other{index % 2}", {"index": index})
@@ -155,6 +161,33 @@
     assert name not in candidates(context)
 
 
+@given('the store was copied before node "{name}" drained and was removed')
+def copied_before_drain(context, name):
+    put_node(context, name)
+    run(context, 1.0)
+    copy_then(context, lambda: put_node(context, name, accepting=False))
+    context.store.put(ROUTER_TABLE, f"node/{name}", None)
+    run(context, 1.0)
+    assert name not in context.members.nodes
+
+
+@when("{count:d} nodes join and are removed")
+def nodes_come_and_go(context, count):
+    for index in range(count):
+        put_node(context, f"m{index}")
+    run(context, 2.0)
+    assert len(context.members.nodes) > count
+    for index in range(count):
+        context.store.put(ROUTER_TABLE, f"node/m{index}", None)
+    run(context, 2.0)
+
+
+@then("the rows of at most {count:d} other nodes are remembered")
+def bounded_histories(context, count):
+    assert set(context.members.nodes) == {SETTINGS.node, "n1"}
+    assert 0 < len(context.members.histories) <= count, len(context.members.histories)
+
+
 @given('the store was copied before node "{name}" announced that it leaves')
 def copied_before_departure(context, name):
     put_node(context, name)
@@ -210,7 +243,7 @@
 
 @when("configuration {version:d} and {count:d} more rows are written before the node asks again")
 def written_meanwhile(context, version, count):
-    before = context.client.newest_version
+    before = context.client.newest_number
     context.store.put(OPERATOR_TABLE, "config", configuration(version))
     for index in range(count):
         context.store.put(ROUTER_TABLE, "ring/other", {"index": index})
@@ -226,7 +259,7 @@
 @when('the row of node "{name}" is written, which accepts no requests')
 def node_written_refusing(context, name):
     put_node(context, name, accepting=False)
-    assert context.members.row_versions[f"node/{name}"] >= context.store.version
+    assert number_of(context.members.row_versions[f"node/{name}"]) >= context.store.version
 
 
 @when('after {seconds:g} s the row of node "{name}" is written')
