Record eras of the store, and log when leases of the former era have ended

Since a restored store lacks the newest lease rows, nobody can tell which leases run until a lease term has passed. Nothing said when that is, neither to the nodes nor in the logs.

A node of a partitioned service now writes the row era/<n> with a time on the store's clock in that era, one node after the other until one has succeeded. All nodes follow the row and end the settling period (one lease term and 1 s) at the same time; a process that starts later learns from the row that it need not wait. The events era_settling, era_recorded and era_settled (840 to 842) tell when it began, was recorded and ended.

--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -19,6 +19,7 @@
 from hibiscusdrum.internal.router.selection import NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.stopping import RouterStopping
+from hibiscusdrum.internal.router.store_era import StoreEra
 from hibiscusdrum.internal.router.target_signals import is_refusal
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_client import HttpClient
@@ -67,6 +68,7 @@
     app.add(LocalTarget(settings))
     members = app.add(Members(settings))
     hop = app.add(Forwarder(settings, selection))
+    app.add(StoreEra())
     app.add(Rings(settings))
     app.add(LeaseKeeper(settings))
     app.add(RangeOwner(settings))
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -466,8 +466,49 @@
     count: int
 
 
+class EraSettling(LogEvent, frozen=True):
+    """A settling period has begun: rings do not change until all leases of the former era have expired.
+
+    ``recorded`` tells whether the store already has the row of the era.
+    """
+
+    number = 840
+    level = "WARNING"
+    cause = "The store was restored from a copy, or this process started after that."
+
+    era: int
+    recorded: bool
+
+
+class EraRecorded(LogEvent, frozen=True):
+    """The node tried to record the begin of an era in the store.
+
+    ``since_s`` is on the store's clock; ``outcome`` is ``written`` or names the failure.
+    """
+
+    number = 841
+    cause = "The store was restored from a copy. Several nodes may try."
+
+    era: int
+    since_s: float
+    outcome: str
+
+
+class EraSettled(LogEvent, frozen=True):
+    """The settling period has ended, ``seconds`` after this node first saw the era."""
+
+    number = 842
+    cause = "All leases of the former era have expired."
+
+    era: int
+    seconds: float
+
+
 EVENTS = frozenset(
     (
+        EraRecorded,
+        EraSettled,
+        EraSettling,
         EvacuationChanged,
         EvacuationUnconfirmed,
         HandoverBegun,
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -39,6 +39,7 @@
 from hibiscusdrum.internal.router.ring import Owner, Ring
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.store_era import StoreEra
 
 RECONCILE_INTERVAL_SECONDS = 0.2
 LOAD_UPDATE_INTERVAL_SECONDS = 1.0
@@ -158,6 +159,8 @@
         self.target.make_grant = self.make_grant
         self.target.grant_imminent = self.grant_imminent
         self.target.on_change.append(self.on_target_change)
+        self.store_era: StoreEra = self.app.find("store_era")
+        self.store_era.write_rank = lambda: self.lease_check_rank
         self.keeper: LeaseKeeper = self.app.find("lease_keeper")
         self.keeper.on_first_write = self.sync_ring
         self.keeper.current_load = self.local_load
@@ -176,6 +179,7 @@
     def set_partitioned(self, partitioned: bool) -> None:
         """Set whether this node's service is partitioned by key."""
         self.partitioned = partitioned
+        self.store_era.writes_rows = partitioned
 
     def on_members_change(self) -> None:
         """Record when the set of eligible owners last changed."""
--- a/src/hibiscusdrum/internal/router/ring.py
+++ b/src/hibiscusdrum/internal/router/ring.py
@@ -21,6 +21,8 @@
 # Limits the size of the ring row, which every node reads at each change: about 4 bytes per stripe.
 MAX_STRIPES = 2048
 UNOWNED = -1
+# Era of a store that was never restored from a copy.
+FIRST_ERA = 1
 
 
 class Owner(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -25,6 +25,7 @@
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.store_era import StoreEra
 from hibiscusdrum.platform.reports import encode_grant
 
 STEP_SECONDS = 0.05
@@ -368,6 +369,7 @@
         self.app.add(NodeTable(world, name))
         self.target = self.app.add(LocalTarget(settings))
         self.members = self.app.add(Members(settings))
+        self.app.add(StoreEra())
         self.app.add(Rings(settings))
         self.app.add(LeaseKeeper(settings))
         self.owner = self.app.add(RangeOwner(settings))
