Raise fencing tokens with each restore of the store

Cause: the next token is part of the ring's row and goes back with it.

The row now names the era in which stripes were last assigned. The first change in a later era raises the next token by 1,000,000 for each restore in between, more than the writes that a restore can lose, so that tokens of an era are above all earlier ones, known or lost, also after two restores and if no process remembers them. A stripe under a token of an earlier era is granted only while the target holds it under that very token; otherwise its owner gives it a new one first. Whether the target holds it is taken from its heartbeat. A store that was never restored behaves as before. Rows of earlier releases are read as ones of no known era.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -504,6 +504,23 @@
     seconds: float
 
 
+class GrantWithheld(LogEvent, frozen=True):
+    """Stripes of this node are not granted under fencing tokens of an earlier era, unless already held.
+
+    The store may have lost larger tokens. ``era_fence`` is the first token of the ring's era ``era``.
+    """
+
+    number = 844
+    rate_limited = True
+    lines_per_interval = 5
+    cause = "The store was restored from a copy. The stripes get new tokens when the era has settled."
+
+    stripes: int
+    era: int
+    era_fence: int
+    settling: bool
+
+
 EVENTS = frozenset(
     (
         EraRecorded,
@@ -511,6 +528,7 @@
         EraSettling,
         EvacuationChanged,
         EvacuationUnconfirmed,
+        GrantWithheld,
         HandoverBegun,
         KeysGranted,
         LeaseNotRenewed,
--- a/src/hibiscusdrum/internal/router/grant_contents.py
+++ b/src/hibiscusdrum/internal/router/grant_contents.py
@@ -55,6 +55,29 @@
     return GrantContents(tuple(contents), stripes)
 
 
+def grantable_stripes(ring: Ring, indexes: Collection[int], held: Iterable[Range], era: int) -> set[int]:
+    """Return the stripes that may be granted although the store was restored from a copy.
+
+    The store may have lost assignments, so tokens of earlier eras may be smaller than some that were given
+    out. A stripe is granted under such a token only while the target holds it under that very token.
+
+    Parameters
+    ----------
+    ring : Ring
+    indexes : collection of int
+        Stripes that the target should hold.
+    held : iterable of Range
+        Ranges that the target reports to hold.
+    era : int
+        Era of the store if it has settled, otherwise 0.
+    """
+    renewable = held_stripes(ring, held)
+    least_token = ring.era_fencing_token if ring.era == era else ring.next_fencing_token
+    return {
+        index for index in indexes if index in renewable or ring.stripes[index].fencing_token >= least_token
+    }
+
+
 def held_stripes(ring: Ring, held: Iterable[Range]) -> set[int]:
     """Return the stripes that lie in ranges held with the fencing token of the ring."""
     indexes: set[int] = set()
--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -12,7 +12,7 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
-from hibiscusdrum.internal.platform.table import Row, Transaction
+from hibiscusdrum.internal.platform.table import Row, Transaction, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.key_load import OwnerLoad
 from hibiscusdrum.internal.router.range_lease import LeaseRow, RangeLease
@@ -112,7 +112,9 @@
             code = result.failure().code
             log_events.emit(
                 events.LeaseNotRenewed(
-                    reason=code, version=version, left_s=round(self.lease.remaining_seconds(self.now), 3)
+                    reason=code,
+                    version=number_of(version),
+                    left_s=round(self.lease.remaining_seconds(self.now), 3),
                 )
             )
             self.resolve_write()
@@ -139,6 +141,6 @@
                 self.lease.record_lost()
                 self.ring_synced = False
                 self.lease.row_version = row.version if row is not None else 0
-                log_events.emit(events.LeaseTaken(version=self.lease.row_version))
+                log_events.emit(events.LeaseTaken(version=number_of(self.lease.row_version)))
 
         self.table.read((self.row_key,), on_rows)
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -3,6 +3,9 @@
 The target serves only granted keys, and a grant never outlasts this node's lease. Ownership of a stripe
 changes by one conditional write of the ring row: by its owner, once the target has released the stripe or its
 grant has expired, or by another node, once the owner's lease has expired on the store's clock.
+
+After a restore of the store (``store_era``), a grant is only renewed for stripes that the target holds under
+the fencing tokens of the ring. Stripes that it does not hold get new tokens once the era has settled.
 """
 
 from __future__ import annotations
@@ -18,10 +21,10 @@
 from hibiscusdrum.errors import HibiscusdrumError
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
-from hibiscusdrum.internal.platform.table import Row
+from hibiscusdrum.internal.platform.table import Row, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router import ring as ring_edits
-from hibiscusdrum.internal.router.grant_contents import grant_contents
+from hibiscusdrum.internal.router.grant_contents import grant_contents, grantable_stripes
 from hibiscusdrum.internal.router.key_load import (
     OVERLOAD_RATIO,
     KeyLoad,
@@ -195,6 +198,11 @@
         if self.partitioned:
             self.app.scheduler.call_later(0.0, self.reconcile)
 
+    @property
+    def base_ring(self) -> Ring:
+        """The ring from which a change in this era of the store is derived."""
+        return ring_edits.enter_era(self.local_ring, self.store_era.current)
+
     @property
     def local_owner(self) -> Owner:
         """The current incarnation of this node's target as an owner."""
@@ -231,7 +239,17 @@
             if self.must_release_all
             else set(self.local_stripes()) - set(self.outgoing_stripes) - self.rings.uncertain_stripes
         )
-        contents = grant_contents(ring, wanted, heartbeat.held)
+        grantable = self.grantable(wanted, heartbeat)
+        if grantable != wanted:
+            log_events.emit(
+                events.GrantWithheld(
+                    stripes=len(wanted - grantable),
+                    era=ring.era,
+                    era_fence=ring.era_fencing_token,
+                    settling=self.store_era.settling,
+                )
+            )
+        contents = grant_contents(ring, grantable, heartbeat.held)
         keep = set(contents.stripes)
         self.left_out_stripes = len(wanted - keep)
         for index in self.granted_stripes - keep:
@@ -247,6 +265,13 @@
             self.app.scheduler.call_later(0.0, self.notify_granted)
         return Grant(contents.ranges, seconds)
 
+    def grantable(self, stripes: set[int], heartbeat: TargetHeartbeat) -> set[int]:
+        """Return the stripes that the target may hold under the tokens of the ring."""
+        if not self.store_era.restored:
+            return stripes
+        settled_era = 0 if self.store_era.settling else self.store_era.current
+        return grantable_stripes(self.local_ring, stripes, heartbeat.held, settled_era)
+
     def grant_imminent(self) -> bool:
         """Return whether only a pending first read or write of this node delays the target's grant."""
         ring = self.local_ring
@@ -282,7 +307,7 @@
             events.KeysGranted(
                 stripes=len(self.granted_stripes),
                 left_out=self.left_out_stripes,
-                version=self.rings.local_version,
+                version=number_of(self.rings.local_version),
                 hold_s=round(self.granted_until - self.now, 3),
             )
         )
@@ -345,7 +370,7 @@
         if self.local_ring is None:
             self.create_ring()
         elif self.rings.uncertain_stripes:
-            self.rings.commit_ring(self.local_ring, {}, (), "settled", len(self.rings.uncertain_stripes))
+            self.rings.commit_ring(self.base_ring, {}, (), "settled", len(self.rings.uncertain_stripes))
         elif not self.reassign_restarted() and not self.transfer_outgoing():
             self.check_leases()
 
@@ -384,18 +409,22 @@
             and waited > RING_CREATION_DELAY_SECONDS
             and now - self.owners_changed_at > MEMBERSHIP_QUIET_SECONDS
         ):
-            self.rings.commit_ring(ring_edits.create_ring(owners), {}, (), "created", len(owners))
+            ring = ring_edits.create_ring(owners, self.store_era.current)
+            self.rings.commit_ring(ring, {}, (), "created", len(owners))
 
     def reassign_restarted(self) -> bool:
         """Reassign the stripes of an earlier incarnation of the target to the current one, which holds none.
 
-        The same write gives new fencing tokens to the stripes of other nodes whose targets have restarted.
+        So are stripes that the target does not hold and whose tokens are of an earlier era. The same write
+        gives new fencing tokens to the stripes of other nodes whose targets have restarted.
         Returns whether a write was begun or is waiting for its delay.
         """
         ring = self.local_ring
         if self.must_release_all or self.keeper.remaining_seconds <= 0.0:
             return False
-        stale = set(ring.stripes_of(self.node)) - set(self.local_stripes())
+        local_stripes = set(self.local_stripes())
+        withheld = self.withheld_stripes(local_stripes)
+        stale = (set(ring.stripes_of(self.node)) - local_stripes) | withheld
         if not stale:
             self.reassign_at = None
             return False
@@ -409,9 +438,24 @@
         for owner in self.restarted_owners():
             moves.update(dict.fromkeys(ring.stripes_of(owner.node), owner))
         self.reassign_at = None
-        self.rings.commit_ring(ring_edits.reassign_stripes(ring, moves), {}, (), "restarted", len(moves))
+        handover_tokens = {index: self.handover_tokens.get(index, "") for index in withheld}
+        self.rings.commit_ring(
+            ring_edits.reassign_stripes(self.base_ring, moves, handover_tokens),
+            {},
+            (),
+            "restarted",
+            len(moves),
+        )
         return True
 
+    def withheld_stripes(self, local_stripes: set[int]) -> set[int]:
+        """Return the stripes that the target needs new fencing tokens for."""
+        heartbeat = self.target.last_heartbeat
+        if heartbeat is None or heartbeat.incarnation != self.target.incarnation:
+            return set()
+        stripes = local_stripes - set(self.outgoing_stripes)
+        return stripes - self.grantable(stripes, heartbeat)
+
     def restarted_owners(self) -> list[Owner]:
         """Return other nodes' targets whose current incarnation is newer than the one in the ring."""
         started: dict[str, int] = {}
@@ -463,7 +507,7 @@
         if not self.must_release_all:
             moves = {index: self.outgoing_stripes[index] for index in movable}
             self.rings.commit_ring(
-                ring_edits.reassign_stripes(ring, moves, self.handover_tokens),
+                ring_edits.reassign_stripes(self.base_ring, moves, self.handover_tokens),
                 {},
                 (),
                 "rebalanced",
@@ -481,7 +525,11 @@
             return
         moves = ring_edits.distribute_stripes(ring, movable, receivers, self.stripe_weight)
         self.rings.commit_ring(
-            ring_edits.reassign_stripes(ring, moves, self.handover_tokens), {}, (), "left", len(moves)
+            ring_edits.reassign_stripes(self.base_ring, moves, self.handover_tokens),
+            {},
+            (),
+            "left",
+            len(moves),
         )
 
     def check_leases(self) -> None:
@@ -583,7 +631,11 @@
             )
         )
         self.rings.commit_ring(
-            ring_edits.reassign_stripes(ring, moves), checks, tuple(deletes), "taken_over", len(moves)
+            ring_edits.reassign_stripes(self.base_ring, moves),
+            checks,
+            tuple(deletes),
+            "taken_over",
+            len(moves),
         )
 
     def stripe_weight(self, node: str) -> float:
--- a/src/hibiscusdrum/internal/router/ring.py
+++ b/src/hibiscusdrum/internal/router/ring.py
@@ -23,6 +23,8 @@
 UNOWNED = -1
 # Era of a store that was never restored from a copy.
 FIRST_ERA = 1
+# Exceeds the number of writes of a ring that one restore of the store can lose.
+FENCING_TOKENS_PER_ERA = 1_000_000
 
 
 class Owner(msgspec.Struct, frozen=True, array_like=True):
@@ -78,11 +80,20 @@
     ----------
     next_fencing_token : int
         Greater than every fencing token assigned so far.
+    era : int
+        Era of the store in which stripes were last assigned; 0 if it is not known.
+    era_fencing_token : int
+        First fencing token of that era; those of stripes that were assigned earlier are smaller.
+    basis : int
+        Stamp of the content, if a write restored it; 0 after any other write. See ``rings``.
     """
 
     owners: tuple[Owner, ...]
     stripes: tuple[Stripe, ...]
     next_fencing_token: int = 1
+    era: int = 0
+    era_fencing_token: int = 1
+    basis: int = 0
 
     def stripe_index(self, key: int) -> int:
         """Return the index of the stripe that contains a key."""
@@ -141,12 +152,33 @@
         return tuple(ranges)
 
 
-def create_ring(owners: Collection[Owner]) -> Ring:
-    """Return a new ring whose stripes are assigned to the owners round-robin."""
+def create_ring(owners: Collection[Owner], era: int = 0) -> Ring:
+    """Return a new ring whose stripes are assigned to the owners round-robin.
+
+    Parameters
+    ----------
+    owners : collection of Owner
+    era : int
+        Era of the store. A ring of an earlier era may have been lost; the fencing tokens exceed its own.
+    """
     sorted_owners = tuple(sorted(owners, key=lambda owner: owner.node))
     count = min(MAX_STRIPES, STRIPES_PER_OWNER * len(sorted_owners))
-    stripes = tuple(Stripe(index % len(sorted_owners), 1) for index in range(count))
-    return Ring(sorted_owners, stripes, 2)
+    token = max(0, era - FIRST_ERA) * FENCING_TOKENS_PER_ERA + 1
+    stripes = tuple(Stripe(index % len(sorted_owners), token) for index in range(count))
+    return Ring(sorted_owners, stripes, token + 1, era, token)
+
+
+def enter_era(ring: Ring, era: int) -> Ring:
+    """Return a ring from which a change in an era of the store is derived.
+
+    If it was last changed in an earlier era, the next fencing token exceeds all that were assigned until now,
+    also by writes that the store has lost.
+    """
+    if ring.era >= era:
+        return ring
+    restores = era - max(ring.era, FIRST_ERA)
+    token = ring.next_fencing_token + max(0, restores) * FENCING_TOKENS_PER_ERA
+    return msgspec.structs.replace(ring, next_fencing_token=token, era=era, era_fencing_token=token, basis=0)
 
 
 def reassign_stripes(
@@ -172,7 +204,14 @@
             if owner_index == len(owners):
                 owners.append(owner)
         stripes[index] = Stripe(owner_index, ring.next_fencing_token, (handover_tokens or {}).get(index, ""))
-    return _drop_unused_owners(Ring(tuple(owners), tuple(stripes), ring.next_fencing_token + 1))
+    changed = msgspec.structs.replace(
+        ring,
+        owners=tuple(owners),
+        stripes=tuple(stripes),
+        next_fencing_token=ring.next_fencing_token + 1,
+        basis=0,
+    )
+    return _drop_unused_owners(changed)
 
 
 def _drop_unused_owners(ring: Ring) -> Ring:
@@ -185,7 +224,8 @@
         Stripe(new_indexes.get(stripe.owner_index, UNOWNED), stripe.fencing_token, stripe.handover_token)
         for stripe in ring.stripes
     )
-    return Ring(tuple(ring.owners[index] for index in used), stripes, ring.next_fencing_token)
+    owners = tuple(ring.owners[index] for index in used)
+    return msgspec.structs.replace(ring, owners=owners, stripes=stripes)
 
 
 def distribute_stripes(
--- a/src/hibiscusdrum/internal/router/ring_row.py
+++ b/src/hibiscusdrum/internal/router/ring_row.py
@@ -23,13 +23,19 @@
 
 
 class RingColumns(msgspec.Struct, frozen=True, array_like=True):
-    """A ring as columns, with one entry per stripe; handover tokens are mapped by stripe index."""
+    """A ring as columns, with one entry per stripe; handover tokens are mapped by stripe index.
+
+    The fields that have defaults are missing in rows that earlier releases wrote.
+    """
 
     owners: tuple[Owner, ...]
     next_fencing_token: int
     owner_indexes: tuple[int, ...]
     fencing_tokens: tuple[int, ...]
     handover_tokens: dict[int, str]
+    era: int = 0
+    era_fencing_token: int = 1
+    basis: int = 0
 
 
 decoder = msgspec.json.Decoder(RingColumns)
@@ -45,6 +51,9 @@
         tuple(stripe.owner_index for stripe in ring.stripes),
         tuple(stripe.fencing_token for stripe in ring.stripes),
         {index: ring.stripes[index].handover_token for index in with_token[:MAX_STORED_HANDOVER_TOKENS]},
+        ring.era,
+        ring.era_fencing_token,
+        ring.basis,
     )
     plain = msgspec.json.encode(columns)
     return base64.b64encode(zlib.compress(plain, COMPRESSION_LEVEL)).decode()
@@ -72,7 +81,14 @@
             zip(columns.owner_indexes, columns.fencing_tokens, strict=True)
         )
     )
-    return Ring(columns.owners, stripes, columns.next_fencing_token)
+    return Ring(
+        columns.owners,
+        stripes,
+        columns.next_fencing_token,
+        columns.era,
+        columns.era_fencing_token,
+        columns.basis,
+    )
 
 
 def validate_columns(columns: RingColumns) -> None:
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -10,7 +10,7 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
-from hibiscusdrum.internal.platform.table import Row, Transaction
+from hibiscusdrum.internal.platform.table import Row, Transaction, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.ring import Ring
 from hibiscusdrum.internal.router.ring_row import decode_ring, encode_ring
@@ -166,7 +166,7 @@
                 events.RingChanged(
                     reason=reason,
                     stripes=stripe_count,
-                    base_version=version,
+                    base_version=number_of(version),
                     fence=ring.next_fencing_token - 1,
                     outcome=outcome,
                 )
--- a/tests/features/router_restored_ownership.feature
+++ b/tests/features/router_restored_ownership.feature
@@ -18,6 +18,12 @@
     Then every key has a holder within 20 s
     And no target has taken a key with a fencing token that an earlier holder had
 
+  Scenario: Tokens of an era are larger than those that any number of lost writes of earlier eras gave out
+    Then a ring that enters the eras 2 to 9 gives out larger tokens than the eras before could
+
+  Scenario: A ring row of an earlier release is read
+    Then a ring row that an earlier release wrote is read as one of no known era
+
   Scenario Outline: A lease that a restored store <lacks> is not taken over
     Given 4 nodes whose targets hold keys
     When the store is restored from a copy that <lacks> the lease of a node that is cut off for <seconds> s
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -238,11 +238,32 @@
 @then("the largest list of ranges that one target can get takes at most {most:d} bytes")
 def answer_fits(context, most):
     count = ring_edits.MAX_RANGES_PER_TARGET
-    ranges = [Range(60_000 + index * 2, 60_000 + index * 2 + 1, 9_999) for index in range(count)]
+    ranges = [Range(60_000 + index * 2, 60_000 + index * 2 + 1, 9_999_999) for index in range(count)]
     body = encode_grant(Grant(tuple(ranges), 4.999))
     assert len(body) <= most, len(body)
 
 
+@then("a ring that enters the eras {first:d} to {last:d} gives out larger tokens than the eras before could")
+def tokens_of_eras(_context, first, last):
+    ring = ring_edits.create_ring(OWNERS[:2], ring_edits.FIRST_ERA)
+    largest = ring.next_fencing_token - 1
+    for era in range(first, last + 1):
+        # The ring of the era before is known, or was lost as a whole.
+        ring = ring_edits.enter_era(ring if era % 2 else ring_edits.create_ring(OWNERS[:2], era), era)
+        changed = ring_edits.reassign_stripes(ring, {0: OWNERS[1]})
+        token = changed.stripes[0].fencing_token
+        assert token > largest, (era, token)
+        largest = token + ring_edits.FENCING_TOKENS_PER_ERA - 10
+
+
+@then("a ring row that an earlier release wrote is read as one of no known era")
+def row_of_earlier_release(_context):
+    columns = [[["n0", "i@1"]], 3, [0, 0], [1, 2], {}]
+    ring = decode_ring(packed(columns))
+    assert (ring.era, ring.basis) == (0, 0)
+    assert ring_edits.enter_era(ring, 3).next_fencing_token > 2 * ring_edits.FENCING_TOKENS_PER_ERA
+
+
 @given("a ring of {count:d} stripes of one owner, each with a handover token")
 def ring_with_tokens(context, count):
     stripes = tuple(Stripe(0, 9_000 + index, f"{index:016x}") for index in range(count))
@@ -407,9 +428,10 @@
 @then("any ring is read back as it was written")
 def ring_round_trip(_context):
     @settings(max_examples=50, deadline=None)
-    @given_any(st.integers(1, 200), st.integers(0, 99))
-    def check(stripes, seed):
-        ring = moved_ring(stripes, seed)
+    @given_any(st.integers(1, 200), st.integers(0, 99), st.integers(0, 9), st.integers(0, 9 << 48))
+    def check(stripes, seed, era, basis):
+        ring = ring_edits.enter_era(moved_ring(stripes, seed), era)
+        ring = msgspec.structs.replace(ring, basis=basis)
         assert decode_ring(encode_ring(ring)) == ring
 
     check()
