Change no ring until the leases of before a restore have ended

Cause: lease rows go back with the store, so a lease that was renewed after the copy counts as expired, or is missing, for others, while its owner uses it.

While an era settles, nobody takes over, creates a ring, transfers, rebalances or assigns new tokens; handovers that were begun are given up. An owner goes on with the lease of the former era until that expires, and writes a new one at once, which counts when the ring has been read in the new era. Results of calls that were made in the former era are not used. All leases of the former era have ended when the settling period has, whatever the copy says.

Measured: "A lease that a restored store has expired is not taken over" failed before when the owner can reach the store again after 1 s, and passes now.

--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -29,6 +29,9 @@
 class LeaseKeeper(Service):
     """Renews the lease under which this node owns keys.
 
+    When the store is restored, the lease of the former era remains in use until it expires, or until a row
+    has been written in the new era and the ring has been read after that.
+
     Attributes
     ----------
     request_in_flight : bool
@@ -36,10 +39,12 @@
     row_read : bool
         Whether the row of an earlier incarnation has been looked up.
     ring_synced : bool
-        Whether the ring has been read since the lease was first written. Until then the lease is not used,
-        since the ring may have changed while there was no lease.
+        Whether the ring has been read since the lease was first written in this era of the store. Until then
+        the lease is not used, since the ring may have changed while there was no lease.
+    former_expires_at : float
+        Monotonic time in seconds at which the lease of the former era expires.
     on_first_write : callable
-        Called after the first write of a lease; must read the ring and then set ``ring_synced``.
+        Called while ``ring_synced`` is False and the lease is written; must read the ring and then set it.
     current_load : callable
         Returns the load that is published with the lease.
     """
@@ -53,13 +58,15 @@
         self.request_in_flight = False
         self.row_read = False
         self.ring_synced = False
+        self.former_expires_at = 0.0
         self.on_first_write: Callable[[], None] = lambda: None
         self.current_load: Callable[[], OwnerLoad] = OwnerLoad
 
     def on_start(self) -> None:
-        """Subscribe to the store's clock."""
+        """Subscribe to the store's clock and era."""
         self.table = self.app.find("table")
         self.table.on_store_time = self.lease.store_clock.observe
+        self.table.on_era_change.append(self.on_era_change)
 
     @property
     def now(self) -> float:
@@ -69,7 +76,16 @@
     @property
     def remaining_seconds(self) -> float:
         """Remaining seconds of the lease; 0 when it may not be used."""
-        return self.lease.remaining_seconds(self.now) if self.ring_synced else 0.0
+        if self.ring_synced:
+            return self.lease.remaining_seconds(self.now)
+        return max(0.0, self.former_expires_at - self.now)
+
+    def on_era_change(self, _former: int, _era: int) -> None:
+        """Keep the lease until it expires, and write it again: the copy has an older row or none."""
+        self.former_expires_at = self.now + self.remaining_seconds
+        self.lease.record_lost()
+        self.row_read = False
+        self.ring_synced = False
 
     def renew_if_due(self) -> None:
         """Write the lease if it is due for renewal, after a first read of the stored row."""
@@ -77,16 +93,19 @@
             return
         if self.lease.row_version == 0 and not self.row_read:
             self.read_lease()
-        elif self.lease.row_version == 0 or not self.ring_synced or self.lease.is_renewal_due(self.now):
+        elif not self.lease.expires_at or self.lease.is_renewal_due(self.now):
             self.write_lease()
+        elif not self.ring_synced:
+            self.on_first_write()
 
     def read_lease(self) -> None:
         """Read the row of an earlier incarnation, whose process has ended: this one holds its port."""
         self.request_in_flight = True
+        era = self.table.era
 
         def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             self.request_in_flight = False
-            if isinstance(result, Success):
+            if isinstance(result, Success) and era == self.table.era:
                 row = result.unwrap().get(self.row_key)
                 self.lease.row_version = row.version if row is not None else 0
                 self.row_read = True
@@ -96,6 +115,7 @@
 
     def write_lease(self) -> None:
         """Write the lease row, provided that its stored version is still the known one."""
+        era = self.table.era
         row = self.lease.next_row(self.now, self.current_load())
         version = self.lease.row_version
         self.request_in_flight = True
@@ -104,6 +124,8 @@
 
         def on_committed(result: Result[int, HibiscusdrumError]) -> None:
             self.request_in_flight = False
+            if era != self.table.era:
+                return
             if isinstance(result, Success):
                 self.lease.record_written(row, result.unwrap())
                 if not self.ring_synced:
@@ -114,7 +136,7 @@
                 events.LeaseNotRenewed(
                     reason=code,
                     version=number_of(version),
-                    left_s=round(self.lease.remaining_seconds(self.now), 3),
+                    left_s=round(self.remaining_seconds, 3),
                 )
             )
             self.resolve_write()
@@ -128,10 +150,11 @@
         so the row can be adopted safely whenever it appears.
         """
         self.request_in_flight = True
+        era = self.table.era
 
         def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             self.request_in_flight = False
-            if not isinstance(result, Success):
+            if not isinstance(result, Success) or era != self.table.era:
                 return
             row = result.unwrap().get(self.row_key)
             value = msgspec.convert(row.value, LeaseRow) if row is not None else None
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -4,8 +4,9 @@
 changes by one conditional write of the ring row: by its owner, once the target has released the stripe or its
 grant has expired, or by another node, once the owner's lease has expired on the store's clock.
 
-After a restore of the store (``store_era``), a grant is only renewed for stripes that the target holds under
-the fencing tokens of the ring. Stripes that it does not hold get new tokens once the era has settled.
+After a restore of the store, rings do not change until the era has settled (``store_era``). In that time a
+grant is only renewed, for stripes that the target holds under the fencing tokens of the ring. Stripes that it
+does not hold get new tokens after that.
 """
 
 from __future__ import annotations
@@ -106,6 +107,8 @@
         Whether the service is partitioned by key; None until the configuration is known.
     reading_leases : bool
         Whether a read of lease rows is in progress.
+    syncing_ring : bool
+        Whether a read of the ring after the first write of a lease is in progress.
     outgoing_stripes : dict of int to Owner
         Stripes that are being handed over, with their new owners.
     granted_stripes : set of int
@@ -127,6 +130,7 @@
         self.partitioned: bool | None = None
         self.process_started_at = 0.0
         self.reading_leases = False
+        self.syncing_ring = False
         self.outgoing_stripes: dict[int, Owner] = {}
         self.granted_stripes: set[int] = set()
         self.left_out_stripes = 0
@@ -164,6 +168,7 @@
         self.target.on_change.append(self.on_target_change)
         self.store_era: StoreEra = self.app.find("store_era")
         self.store_era.write_rank = lambda: self.lease_check_rank
+        self.table.on_era_change.append(self.on_era_change)
         self.keeper: LeaseKeeper = self.app.find("lease_keeper")
         self.keeper.on_first_write = self.sync_ring
         self.keeper.current_load = self.local_load
@@ -184,6 +189,17 @@
         self.partitioned = partitioned
         self.store_era.writes_rows = partitioned
 
+    def on_era_change(self, _former: int, _era: int) -> None:
+        """Forget what was concluded from rows of the former era, and give up handovers.
+
+        The target has released some of the stripes that were to be handed over; these are not renewed.
+        """
+        self.outgoing_stripes = {}
+        self.lease_missing_since.clear()
+        self.owner_loads = {}
+        self.imbalance_since = None
+        self.reassign_at = None
+
     def on_members_change(self) -> None:
         """Record when the set of eligible owners last changed."""
         owners = self.members.eligible_owners(self.settings.service)
@@ -281,7 +297,7 @@
             return True
         if not self.partitioned or self.must_release_all or ring is None:
             return False
-        if not ring.stripes_of(self.node):
+        if not ring.stripes_of(self.node) or (self.store_era.settling and not self.local_stripes()):
             return False
         return self.keeper.remaining_seconds <= GRANT_MARGIN_SECONDS or not self.local_stripes()
 
@@ -367,6 +383,8 @@
             self.keeper.renew_if_due()
         if self.reading_leases or self.rings.write_in_progress:
             return
+        if self.store_era.settling:
+            return
         if self.local_ring is None:
             self.create_ring()
         elif self.rings.uncertain_stripes:
@@ -375,10 +393,19 @@
             self.check_leases()
 
     def sync_ring(self) -> None:
-        """Read the ring after the first write of a lease: it may have changed while there was no lease."""
+        """Read the ring after the first write of a lease: it may have changed while there was no lease.
+
+        In a new era of the store the lease counts only with a ring of that era.
+        """
+        if self.syncing_ring:
+            return
+        era = self.store_era.current
+        self.syncing_ring = True
 
         def on_read(succeeded: bool) -> None:
-            self.keeper.ring_synced = self.keeper.ring_synced or succeeded
+            self.syncing_ring = False
+            if succeeded and era == self.store_era.current:
+                self.keeper.ring_synced = True
 
         self.rings.read_ring(on_read)
 
@@ -521,7 +548,7 @@
         """Transfer the stripes of a departing target to other owners; without any, nothing is written."""
         ring = self.local_ring
         receivers = [owner for owner in alive if owner.node != self.node]
-        if not receivers:
+        if not receivers or self.store_era.settling:
             return
         moves = ring_edits.distribute_stripes(ring, movable, receivers, self.stripe_weight)
         self.rings.commit_ring(
@@ -606,6 +633,8 @@
         ring = self.local_ring
         if self.reading_leases or self.rings.write_in_progress or ring is None or not alive:
             return
+        if self.store_era.settling:
+            return
         lost_stripes = [index for node in lost for index in ring.stripes_of(node)]
         unowned = ring.unowned_stripes()
         if not lost_stripes and not unowned:
