Write the newest known ring again after a restore of the store

Callers would see keys that moved after the copy unserved: the restored ring names their former owner, whose target does not hold them, and the new owner's grant is not renewed. Cause: nodes follow the stored row, although each of them knows what it lacks.

The content of a ring has a stamp, the era and number of the write that made it; a row that restores a content carries its stamp. While the era settles, a node keeps a known ring with a greater stamp than the stored one, for routing and for renewals, and nodes of the service write it again one after the other, on condition of the stored version. A lease of the new era counts only with the stored ring. When the era has settled, the stored ring is applied whatever a node remembers, so that all decide on the same one. The event ring_outdated (843) names both stamps.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -504,6 +504,22 @@
     seconds: float
 
 
+class RingOutdated(LogEvent, frozen=True):
+    """The stored row of a ring is older than the known ring, which is kept while the era settles.
+
+    A stamp is the era and the number of the write that made the content.
+    """
+
+    number = 843
+    level = "WARNING"
+    cause = "The ring changed after the copy from which the store was restored."
+
+    row: str
+    version: int
+    stamp: tuple[int, int]
+    known_stamp: tuple[int, int]
+
+
 class GrantWithheld(LogEvent, frozen=True):
     """Stripes of this node are not granted under fencing tokens of an earlier era, unless already held.
 
@@ -545,6 +561,7 @@
         RequestRepeated,
         RequestRun,
         RingChanged,
+        RingOutdated,
         RouterStarted,
         RoutesInForce,
         RowsRolledBack,
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -384,7 +384,9 @@
         if self.reading_leases or self.rings.write_in_progress:
             return
         if self.store_era.settling:
+            self.rings.restore_if_due(self.lease_check_rank)
             return
+        self.rings.apply_outdated_rows()
         if self.local_ring is None:
             self.create_ring()
         elif self.rings.uncertain_stripes:
@@ -397,14 +399,14 @@
 
         In a new era of the store the lease counts only with a ring of that era.
         """
-        if self.syncing_ring:
+        if self.syncing_ring or self.rings.local_outdated:
             return
         era = self.store_era.current
         self.syncing_ring = True
 
         def on_read(succeeded: bool) -> None:
             self.syncing_ring = False
-            if succeeded and era == self.store_era.current:
+            if succeeded and era == self.store_era.current and self.rings.local_current:
                 self.keeper.ring_synced = True
 
         self.rings.read_ring(on_read)
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -1,28 +1,43 @@
-"""Known rings of all partitioned services, and conditional writes of the ring of this node's service."""
+"""Known rings of all partitioned services, and conditional writes of the ring of this node's service.
+
+A store that was restored from a copy may have an older ring than the nodes know. Contents of a ring are
+ordered by *stamp*: era and number of the write that made them. While the era settles, a node keeps a known
+ring with a greater stamp than the stored one, and a node of the service writes it again, with its stamp.
+After that, the stored ring counts, whatever a node remembers.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+import msgspec
 from returns.result import Result, Success
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
-from hibiscusdrum.internal.platform.table import Row, Transaction, number_of
+from hibiscusdrum.internal.platform.table import Row, Transaction, era_of, make_version, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.ring import Ring
 from hibiscusdrum.internal.router.ring_row import decode_ring, encode_ring
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.store_era import StoreEra
 
 # Limits how often a stale ring is read again: a row of 10 KB occupies a link of 5 Mbit/s for 16 ms.
 MIN_REFRESH_INTERVAL_SECONDS = 0.5
+# Nodes restore an older ring one after the other, so that few of the writes conflict.
+RESTORE_DELAY_PER_RANK_SECONDS = 0.05
 RING_PREFIX = "ring/"
 # Reason in a store failure after which the write may still take effect.
 REASON_OUTCOME_UNKNOWN = "unknown"
 
 
+def ring_stamp(version: int, ring: Ring) -> int:
+    """Return the stamp of a row's content: the version that the row had when it was first written."""
+    return ring.basis or make_version(ring.era, number_of(version))
+
+
 class Rings(Service):
     """Keeps the newest known ring of each partitioned service, and writes that of this node's service.
 
@@ -30,6 +45,12 @@
     ----------
     by_service : dict of str to Ring
         Newest known ring of each service.
+    row_versions : dict of str to int
+        Version of the newest known row of each ring, by key.
+    stamps : dict of str to int
+        Stamp of each ring in ``by_service``, by key.
+    outdated_rows : dict of str to Row
+        Newest rows that are not applied since their contents are older than the known ring, by key.
     write_in_progress : bool
         Whether a write, or the read after a failed one, is in progress.
     refresh_waiters : dict of str to list of callable
@@ -52,6 +73,8 @@
         self.local_row_key = RING_PREFIX + settings.service
         self.by_service: dict[str, Ring] = {}
         self.row_versions: dict[str, int] = {}
+        self.stamps: dict[str, int] = {}
+        self.outdated_rows: dict[str, Row] = {}
         self.write_in_progress = False
         self.refresh_waiters: dict[str, list[Callable[[], None]]] = {}
         self.refreshed_at: dict[str, float] = {}
@@ -61,8 +84,11 @@
         self.on_reread: Callable[[], None] = lambda: None
 
     def on_start(self) -> None:
-        """Subscribe to ring rows."""
+        """Subscribe to ring rows and eras of the store."""
         self.table = self.app.find("table")
+        self.table.on_era_change.append(self.on_era_change)
+        self.store_era: StoreEra = self.app.find("store_era")
+        self.store_era.on_settled.append(self.apply_outdated_rows)
         self.app.find("members").row_listeners["ring"] = self.apply_row
 
     @property
@@ -73,7 +99,26 @@
     @property
     def local_version(self) -> int:
         """Version of the row of this node's ring; 0 when there is none."""
-        return self.row_versions.get(self.local_row_key, 0) if self.local_ring is not None else 0
+        outdated = self.outdated_rows.get(self.local_row_key)
+        missing = outdated.value is None if outdated is not None else self.local_ring is None
+        return 0 if missing else self.row_versions.get(self.local_row_key, 0)
+
+    @property
+    def local_outdated(self) -> bool:
+        """Whether the stored row of this node's ring is older than the known ring."""
+        return self.local_row_key in self.outdated_rows
+
+    @property
+    def local_current(self) -> bool:
+        """Whether the known ring of this node's service, or that there is none, is from this era's store."""
+        if self.local_ring is None:
+            return True
+        read_in = era_of(self.row_versions.get(self.local_row_key, 0))
+        return read_in == self.table.era and not self.local_outdated
+
+    def on_era_change(self, _former: int, _era: int) -> None:
+        """Forget uncertain stripes: no target holds them, and only writes of the new era grant them again."""
+        self.uncertain_stripes.clear()
 
     def owner_node(self, service: str, key: int) -> str | None:
         """Return the node that owns a key, or None if none is known."""
@@ -82,21 +127,68 @@
         return owner.node if owner is not None else None
 
     def apply_row(self, row: Row) -> None:
-        """Apply a ring row if it is newer than the known one."""
+        """Apply a ring row if it is newer than the known one and, while the era settles, its content too."""
         if row.version <= self.row_versions.get(row.key, 0):
             return
         self.row_versions[row.key] = row.version
-        service = row.key[len(RING_PREFIX) :]
+        ring: Ring | None = None
+        if row.value is not None:
+            try:
+                ring = decode_ring(row.value)
+            except InvalidArgument as error:
+                log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)[:120]))
+                return
+        stamp = ring_stamp(row.version, ring) if ring is not None else 0
+        known_stamp = self.stamps.get(row.key, 0)
+        if stamp < known_stamp and self.store_era.settling:
+            self.outdated_rows[row.key] = row
+            log_events.emit(
+                events.RingOutdated(
+                    row=row.key,
+                    version=number_of(row.version),
+                    stamp=(era_of(stamp), number_of(stamp)),
+                    known_stamp=(era_of(known_stamp), number_of(known_stamp)),
+                )
+            )
+            return
+        self.outdated_rows.pop(row.key, None)
+        self.set_ring(row.key, ring, stamp)
+
+    def set_ring(self, key: str, ring: Ring | None, stamp: int) -> None:
+        """Set the known ring of a service, or that it has none."""
+        service = key[len(RING_PREFIX) :]
         if service == self.service:
             self.uncertain_stripes.clear()
             self.local_ring_changed_at = self.app.clock.monotonic()
-        if row.value is None:
+        if ring is None:
             self.by_service.pop(service, None)
+            self.stamps.pop(key, None)
+        else:
+            self.by_service[service] = ring
+            self.stamps[key] = stamp
+
+    def apply_outdated_rows(self) -> None:
+        """Apply the stored rings, now that the era has settled."""
+        for key, row in self.outdated_rows.items():
+            ring = decode_ring(row.value) if row.value is not None else None
+            self.set_ring(key, ring, ring_stamp(row.version, ring) if ring is not None else 0)
+        self.outdated_rows.clear()
+
+    def restore_if_due(self, rank: int) -> None:
+        """Write the known ring of this node's service in place of an older one of a restored store.
+
+        Parameters
+        ----------
+        rank : int
+            Position of this node among those that may do so.
+        """
+        if not self.local_outdated or not self.store_era.recorded:
+            return
+        delay = RESTORE_DELAY_PER_RANK_SECONDS * rank
+        if self.app.clock.monotonic() - self.store_era.recorded_at < delay:
             return
-        try:
-            self.by_service[service] = decode_ring(row.value)
-        except InvalidArgument as error:
-            log_events.emit(events.RowUnreadable(what=row.key, reason=str(error)[:120]))
+        ring = msgspec.structs.replace(self.local_ring, basis=self.stamps[self.local_row_key])
+        self.commit_ring(ring, {}, (), "restored", len(ring.stripes))
 
     def read_ring(self, done: Callable[[bool], None], service: str = "") -> None:
         """Read the ring of a service, by default this node's.
@@ -155,7 +247,10 @@
         changed = self.changed_stripes(ring)
         value = encode_ring(ring)
         transaction = Transaction(
-            new_operation_id(), {**checks, self.local_row_key: version}, {self.local_row_key: value}, deletes
+            new_operation_id(),
+            {**checks, self.local_row_key: version},
+            {self.local_row_key: value},
+            deletes,
         )
         self.write_in_progress = True
 
