Keep the remaining time of a lease when the store's clock changes with a restore

Two targets held a key in schedules whose store came back with another clock. Cause: the owner's estimate of the store's clock is a bound that only falls, and the time of the newest answer only rises; after a jump both belong to a clock that is gone, so that a lease seemed to last longer, and leases of others or the settling period to have ended.

Both begin anew with an era. The remaining time of the former lease is kept on the local clock, and no lease lasts longer than a term after it was sent, also if the store's clock is observed better later.

--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -41,6 +41,8 @@
     ring_synced : bool
         Whether the ring has been read since the lease was first written in this era of the store. Until then
         the lease is not used, since the ring may have changed while there was no lease.
+    attempted_at : float
+        Monotonic time in seconds at which the lease was last sent to the store.
     former_expires_at : float
         Monotonic time in seconds at which the lease of the former era expires.
     on_first_write : callable
@@ -57,6 +59,7 @@
         self.lease = RangeLease(settings.node, uuid.uuid4().hex[:12])
         self.request_in_flight = False
         self.row_read = False
+        self.attempted_at = 0.0
         self.ring_synced = False
         self.former_expires_at = 0.0
         self.on_first_write: Callable[[], None] = lambda: None
@@ -81,9 +84,13 @@
         return max(0.0, self.former_expires_at - self.now)
 
     def on_era_change(self, _former: int, _era: int) -> None:
-        """Keep the lease until it expires, and write it again: the copy has an older row or none."""
+        """Keep the lease until it expires, and write it again: the copy has an older row or none.
+
+        The clock of the restored store may differ.
+        """
         self.former_expires_at = self.now + self.remaining_seconds
         self.lease.record_lost()
+        self.lease.store_clock.reset()
         self.row_read = False
         self.ring_synced = False
 
@@ -115,10 +122,11 @@
 
     def write_lease(self) -> None:
         """Write the lease row, provided that its stored version is still the known one."""
-        era = self.table.era
-        row = self.lease.next_row(self.now, self.current_load())
+        sent_at, era = self.now, self.table.era
+        row = self.lease.next_row(sent_at, self.current_load())
         version = self.lease.row_version
         self.request_in_flight = True
+        self.attempted_at = sent_at
         puts = {self.row_key: msgspec.to_builtins(row)}
         transaction = Transaction(new_operation_id(), {self.row_key: version}, puts)
 
@@ -127,7 +135,7 @@
             if era != self.table.era:
                 return
             if isinstance(result, Success):
-                self.lease.record_written(row, result.unwrap())
+                self.lease.record_written(row, result.unwrap(), sent_at)
                 if not self.ring_synced:
                     self.on_first_write()
                 return
@@ -159,7 +167,7 @@
             row = result.unwrap().get(self.row_key)
             value = msgspec.convert(row.value, LeaseRow) if row is not None else None
             if value is not None and value.incarnation == self.lease.incarnation:
-                self.lease.record_written(value, row.version)
+                self.lease.record_written(value, row.version, self.attempted_at)
             else:
                 self.lease.record_lost()
                 self.ring_synced = False
--- a/src/hibiscusdrum/internal/router/range_lease.py
+++ b/src/hibiscusdrum/internal/router/range_lease.py
@@ -95,17 +95,21 @@
     ----------
     expires_at : float
         Expiry in seconds on the store's clock; 0 when there is no lease.
+    latest_expiry : float
+        Latest expiry in local monotonic seconds: one term after the row was sent. A better observation of the
+        store's clock does not lengthen the lease beyond it.
     row_version : int
         Version of the stored row; 0 when there is none.
     """
 
-    __slots__ = ("expires_at", "incarnation", "node", "row_version", "store_clock")
+    __slots__ = ("expires_at", "incarnation", "latest_expiry", "node", "row_version", "store_clock")
 
     def __init__(self, node: str, incarnation: str) -> None:
         self.node = node
         self.incarnation = incarnation
         self.store_clock = StoreClock()
         self.expires_at = 0.0
+        self.latest_expiry = float("inf")
         self.row_version = 0
 
     def next_row(self, now: float, load: OwnerLoad | None = None) -> LeaseRow:
@@ -113,9 +117,18 @@
         expires_at = self.store_clock.upper_bound(now) + LEASE_TERM_SECONDS
         return LeaseRow(self.node, self.incarnation, expires_at, load or OwnerLoad())
 
-    def record_written(self, row: LeaseRow, version: int) -> None:
-        """Record that a row of this process is in the store."""
+    def record_written(self, row: LeaseRow, version: int, sent_at: float = float("inf")) -> None:
+        """Record that a row of this process is in the store.
+
+        Parameters
+        ----------
+        row : LeaseRow
+        version : int
+        sent_at : float
+            Local monotonic time in seconds at which it was sent, or an upper bound of it.
+        """
         self.expires_at = row.ends
+        self.latest_expiry = sent_at + LEASE_TERM_SECONDS
         self.row_version = version
 
     def record_lost(self) -> None:
@@ -127,7 +140,8 @@
         """Return the seconds for which the node may still own keys; 0 when the lease has expired."""
         if not self.expires_at:
             return 0.0
-        return max(0.0, (self.expires_at - self.store_clock.upper_bound(now)) * (1.0 - MAX_CLOCK_DRIFT))
+        left = min(self.expires_at - self.store_clock.upper_bound(now), self.latest_expiry - now)
+        return max(0.0, left * (1.0 - MAX_CLOCK_DRIFT))
 
     def is_renewal_due(self, now: float) -> bool:
         """Return whether the lease is due for renewal."""
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -486,7 +486,8 @@
             return self.era
         if era > self.era:
             former, version = self.era, self.newest_number
-            self.era, self.newest_number = era, 0
+            # The clock of the restored store may be behind that of the former one.
+            self.era, self.newest_number, self.store_time = era, 0, 0.0
             # What was read before the first era that this process sees is not known to be of another one.
             if former:
                 log_events.emit(events.StoreEraChanged(former=former, era=era, version=version))
