Reject writes of an earlier era once an era is recorded

A write of a ring or lease that was held up may be performed after a restore, if the version that it names has been given out again: it would replace a ring of the new era, and its tokens could be given out a second time.

A lease of the new era counts only with a ring that was read after that, so that a late write that took effect before is known.

--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -17,6 +17,7 @@
 from hibiscusdrum.internal.router.key_load import OwnerLoad
 from hibiscusdrum.internal.router.range_lease import LeaseRow, RangeLease
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.store_era import StoreEra
 
 LEASE_PREFIX = "lease/"
 
@@ -70,6 +71,7 @@
         self.table = self.app.find("table")
         self.table.on_store_time = self.lease.store_clock.observe
         self.table.on_era_change.append(self.on_era_change)
+        self.store_era: StoreEra = self.app.find("store_era")
 
     @property
     def now(self) -> float:
@@ -128,7 +130,8 @@
         self.request_in_flight = True
         self.attempted_at = sent_at
         puts = {self.row_key: msgspec.to_builtins(row)}
-        transaction = Transaction(new_operation_id(), {self.row_key: version}, puts)
+        checks = {self.row_key: version, **self.store_era.fence()}
+        transaction = Transaction(new_operation_id(), checks, puts)
 
         def on_committed(result: Result[int, HibiscusdrumError]) -> None:
             self.request_in_flight = False
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -397,9 +397,10 @@
     def sync_ring(self) -> None:
         """Read the ring after the first write of a lease: it may have changed while there was no lease.
 
-        In a new era of the store the lease counts only with a ring of that era.
+        In a new era of the store the lease counts only with a ring of that era, which no write of an earlier
+        era can replace any more.
         """
-        if self.syncing_ring or self.rings.local_outdated:
+        if self.syncing_ring or self.rings.local_outdated or not self.store_era.recorded:
             return
         era = self.store_era.current
         self.syncing_ring = True
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -248,7 +248,7 @@
         value = encode_ring(ring)
         transaction = Transaction(
             new_operation_id(),
-            {**checks, self.local_row_key: version},
+            {**checks, self.local_row_key: version, **self.store_era.fence()},
             {self.local_row_key: value},
             deletes,
         )
--- a/src/hibiscusdrum/internal/router/store_era.py
+++ b/src/hibiscusdrum/internal/router/store_era.py
@@ -3,6 +3,10 @@
 A restored store lacks the newest lease rows, so for a whole lease term nobody can tell which leases run. Each
 era therefore begins with a settling period, in which rings do not change: see ``range_owner``. Its begin is
 recorded in a row, so that all nodes end it at the same time and a restarted process need not wait again.
+
+The row of an era also fences writes: each write of a ring or lease requires that the row of the next era does
+not exist. A write that was held up in an earlier era thus fails once the row exists, even if the store has
+given out the version that it names again.
 """
 
 from __future__ import annotations
@@ -107,7 +111,7 @@
 
     @property
     def recorded(self) -> bool:
-        """Whether the store has the row of the newest era."""
+        """Whether no write of an earlier era can take effect any more."""
         return not self.restored or self.current in self.settled_at
 
     @property
@@ -125,6 +129,10 @@
         self.was_settling = True
         log_events.emit(events.EraSettling(era=self.current, recorded=self.recorded))
 
+    def fence(self) -> dict[str, int]:
+        """Return the check that makes a write fail once the next era has been recorded."""
+        return {era_key(self.current + 1): 0}
+
     def apply_row(self, row: Row) -> None:
         """Apply the row of an era."""
         try:
@@ -169,7 +177,7 @@
         first = max(FIRST_ERA + 1, era - REWRITTEN_ERAS)
         keys = [era_key(entry) for entry in range(first, era + 1) if entry not in self.settled_at]
         puts = {key: msgspec.to_builtins(row) for key in keys}
-        transaction = Transaction(new_operation_id(), dict.fromkeys(keys, 0), puts)
+        transaction = Transaction(new_operation_id(), {**dict.fromkeys(keys, 0), **self.fence()}, puts)
         self.write_in_progress = True
 
         def on_committed(result: Result[int, HibiscusdrumError]) -> None:
