--- a/src/hibiscusdrum/internal/decoding.py
+++ b/src/hibiscusdrum/internal/decoding.py
@@ -30,6 +30,7 @@
 # Greatest integer that a JSON number represents exactly in all programs.
 MAX_INTEGER = (1 << 53) - 1
 MAX_INTEGER_DIGITS = 16
+MAX_VERSION = (1 << 63) - 1
 # Bounds seconds, rates and weights, so that no product or sum of them overflows.
 MAX_NUMBER = 1e12
 MAX_EXCERPT_CHARACTERS = 64
@@ -41,6 +42,8 @@
 Life = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARACTERS + MAX_INTEGER_DIGITS + 1)]
 AddressText = Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARACTERS)]
 Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+# A version of a row with the era of the store in its high bits.
+Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
 Number = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_NUMBER)]
 
 T = TypeVar("T")
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -353,7 +353,7 @@
 class ConnectionsLeft(LogEvent, frozen=True):
     """The process ends its planned stop while callers still have connections open."""
 
-    number = 840
+    number = 834
     cause = (
         "Callers keep connections open for later requests. `unread` of them have input that was not read, on "
         "`unanswered` a request has no response, `discarding` have theirs but were not closed by the caller; "
@@ -487,10 +487,85 @@
     count: int
 
 
+class EraSettling(LogEvent, frozen=True):
+    """A settling period has begun: rings do not change until all leases of the former era have expired.
+
+    ``recorded`` tells whether the store already has the row of the era.
+    """
+
+    number = 840
+    level = "WARNING"
+    cause = "The store was restored from a copy, or this process started after that."
+
+    era: int
+    recorded: bool
+
+
+class EraRecorded(LogEvent, frozen=True):
+    """The node tried to record the begin of an era in the store.
+
+    ``since_s`` is on the store's clock; ``outcome`` is ``written`` or names the failure.
+    """
+
+    number = 841
+    cause = "The store was restored from a copy. Several nodes may try."
+
+    era: int
+    since_s: float
+    outcome: str
+
+
+class EraSettled(LogEvent, frozen=True):
+    """The settling period has ended, ``seconds`` after this node first saw the era."""
+
+    number = 842
+    cause = "All leases of the former era have expired."
+
+    era: int
+    seconds: float
+
+
+class RingOutdated(LogEvent, frozen=True):
+    """The stored row of a ring is older than the known ring, which is kept while the era settles.
+
+    A stamp is the era and the number of the write that made the content.
+    """
+
+    number = 843
+    level = "WARNING"
+    cause = "The ring changed after the copy from which the store was restored."
+
+    row: str
+    version: int
+    stamp: tuple[int, int]
+    known_stamp: tuple[int, int]
+
+
+class GrantWithheld(LogEvent, frozen=True):
+    """Stripes of this node are not granted under fencing tokens of an earlier era, unless already held.
+
+    The store may have lost larger tokens. ``era_fence`` is the first token of the ring's era ``era``.
+    """
+
+    number = 844
+    rate_limited = True
+    lines_per_interval = 5
+    cause = "The store was restored from a copy. The stripes get new tokens when the era has settled."
+
+    stripes: int
+    era: int
+    era_fence: int
+    settling: bool
+
+
 EVENTS = frozenset(
     (
+        EraRecorded,
+        EraSettled,
+        EraSettling,
         EvacuationChanged,
         EvacuationUnconfirmed,
+        GrantWithheld,
         HandoverBegun,
         KeysGranted,
         LeaseNotRenewed,
@@ -507,6 +582,7 @@
         RequestRepeated,
         RequestRun,
         RingChanged,
+        RingOutdated,
         RouterStarted,
         RoutesInForce,
         RowsRolledBack,
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -3,6 +3,10 @@
 The target serves only granted keys, and a grant never outlasts this node's lease. Ownership of a stripe
 changes by one conditional write of the ring row: by its owner, once the target has released the stripe or its
 grant has expired, or by another node, once the owner's lease has expired on the store's clock.
+
+After a restore of the store, rings do not change until the era has settled (``store_era``). In that time a
+grant is only renewed, for stripes that the target holds under the fencing tokens of the ring. Stripes that it
+does not hold get new tokens after that.
 """
 
 from __future__ import annotations
@@ -17,10 +21,10 @@
 from hibiscusdrum.errors import HibiscusdrumError
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
-from hibiscusdrum.internal.platform.table import Row
+from hibiscusdrum.internal.platform.table import Row, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router import ring as ring_edits
-from hibiscusdrum.internal.router.grant_contents import grant_contents, range_stripes
+from hibiscusdrum.internal.router.grant_contents import grant_contents, grantable_stripes, range_stripes
 from hibiscusdrum.internal.router.key_load import (
     OVERLOAD_RATIO,
     KeyLoad,
@@ -38,6 +42,7 @@
 from hibiscusdrum.internal.router.ring import Owner, Ring
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.store_era import StoreEra
 
 RECONCILE_INTERVAL_SECONDS = 0.2
 LOAD_UPDATE_INTERVAL_SECONDS = 1.0
@@ -103,6 +108,8 @@
         Whether a read of lease rows is in progress.
     unreadable_leases : dict of str to (int, float)
         Version of the lease row that is unreadable, and monotonic time in seconds since when, by node.
+    syncing_ring : bool
+        Whether a read of the ring after the first write of a lease is in progress.
     outgoing_stripes : dict of int to Owner
         Stripes that are being handed over, with their new owners.
     granted_stripes : set of int
@@ -124,6 +131,7 @@
         self.partitioned: bool | None = None
         self.process_started_at = 0.0
         self.reading_leases = False
+        self.syncing_ring = False
         self.outgoing_stripes: dict[int, Owner] = {}
         self.granted_stripes: set[int] = set()
         self.left_out_stripes = 0
@@ -160,6 +168,9 @@
         self.target.make_grant = self.make_grant
         self.target.grant_imminent = self.grant_imminent
         self.target.on_change.append(self.on_target_change)
+        self.store_era: StoreEra = self.app.find("store_era")
+        self.store_era.write_rank = lambda: self.lease_check_rank
+        self.table.on_era_change.append(self.on_era_change)
         self.keeper: LeaseKeeper = self.app.find("lease_keeper")
         self.keeper.on_first_write = self.sync_ring
         self.keeper.current_load = self.local_load
@@ -178,6 +189,18 @@
     def set_partitioned(self, partitioned: bool) -> None:
         """Set whether this node's service is partitioned by key."""
         self.partitioned = partitioned
+        self.store_era.writes_rows = partitioned
+
+    def on_era_change(self, _former: int, _era: int) -> None:
+        """Forget what was concluded from rows of the former era, and give up handovers.
+
+        The target has released some of the stripes that were to be handed over; these are not renewed.
+        """
+        self.outgoing_stripes = {}
+        self.lease_missing_since.clear()
+        self.owner_loads = {}
+        self.imbalance_since = None
+        self.reassign_at = None
 
     def on_members_change(self) -> None:
         """Record when the set of eligible owners last changed."""
@@ -193,6 +216,11 @@
         if self.partitioned:
             self.app.scheduler.call_later(0.0, self.reconcile)
 
+    @property
+    def base_ring(self) -> Ring:
+        """The ring from which a change in this era of the store is derived."""
+        return ring_edits.enter_era(self.local_ring, self.store_era.current)
+
     @property
     def local_owner(self) -> Owner:
         """The current incarnation of this node's target as an owner."""
@@ -229,7 +257,17 @@
             if self.must_release_all
             else set(self.local_stripes()) - set(self.outgoing_stripes) - self.rings.uncertain_stripes
         )
-        contents = grant_contents(ring, wanted, heartbeat.held)
+        grantable = self.grantable(wanted, heartbeat)
+        if grantable != wanted:
+            log_events.emit(
+                events.GrantWithheld(
+                    stripes=len(wanted - grantable),
+                    era=ring.era,
+                    era_fence=ring.era_fencing_token,
+                    settling=self.store_era.settling,
+                )
+            )
+        contents = grant_contents(ring, grantable, heartbeat.held)
         keep = set(contents.stripes)
         self.left_out_stripes = len(wanted - keep)
         for index in self.granted_stripes - keep:
@@ -245,6 +283,13 @@
             self.app.scheduler.call_later(0.0, self.notify_granted)
         return Grant(contents.ranges, seconds)
 
+    def grantable(self, stripes: set[int], heartbeat: TargetHeartbeat) -> set[int]:
+        """Return the stripes that the target may hold under the tokens of the ring."""
+        if not self.store_era.restored:
+            return stripes
+        settled_era = 0 if self.store_era.settling else self.store_era.current
+        return grantable_stripes(self.local_ring, stripes, heartbeat.held, settled_era)
+
     def grant_imminent(self) -> bool:
         """Return whether only a pending first read or write of this node delays the target's grant."""
         ring = self.local_ring
@@ -254,7 +299,7 @@
             return True
         if not self.partitioned or self.must_release_all or ring is None:
             return False
-        if not ring.stripes_of(self.node):
+        if not ring.stripes_of(self.node) or (self.store_era.settling and not self.local_stripes()):
             return False
         return self.keeper.remaining_seconds <= GRANT_MARGIN_SECONDS or not self.local_stripes()
 
@@ -280,7 +325,7 @@
             events.KeysGranted(
                 stripes=len(self.granted_stripes),
                 left_out=self.left_out_stripes,
-                version=self.rings.local_version,
+                version=number_of(self.rings.local_version),
                 hold_s=round(self.granted_until - self.now, 3),
             )
         )
@@ -340,18 +385,32 @@
             self.keeper.renew_if_due()
         if self.reading_leases or self.rings.write_in_progress:
             return
+        if self.store_era.settling:
+            self.rings.restore_if_due(self.lease_check_rank)
+            return
+        self.rings.apply_outdated_rows()
         if self.local_ring is None:
             self.create_ring()
         elif self.rings.uncertain_stripes:
-            self.rings.commit_ring(self.local_ring, {}, (), "settled", len(self.rings.uncertain_stripes))
+            self.rings.commit_ring(self.base_ring, {}, (), "settled", len(self.rings.uncertain_stripes))
         elif not self.reassign_restarted() and not self.transfer_outgoing():
             self.check_leases()
 
     def sync_ring(self) -> None:
-        """Read the ring after the first write of a lease: it may have changed while there was no lease."""
+        """Read the ring after the first write of a lease: it may have changed while there was no lease.
+
+        In a new era of the store the lease counts only with a ring of that era, which no write of an earlier
+        era can replace any more.
+        """
+        if self.syncing_ring or self.rings.local_outdated or not self.store_era.recorded:
+            return
+        era = self.store_era.current
+        self.syncing_ring = True
 
         def on_read(succeeded: bool) -> None:
-            self.keeper.ring_synced = self.keeper.ring_synced or succeeded
+            self.syncing_ring = False
+            if succeeded and era == self.store_era.current and self.rings.local_current:
+                self.keeper.ring_synced = True
 
         self.rings.read_ring(on_read)
 
@@ -385,18 +444,22 @@
             and waited > RING_CREATION_DELAY_SECONDS
             and now - self.owners_changed_at > MEMBERSHIP_QUIET_SECONDS
         ):
-            self.rings.commit_ring(ring_edits.create_ring(owners), {}, (), "created", len(owners))
+            ring = ring_edits.create_ring(owners, self.store_era.current)
+            self.rings.commit_ring(ring, {}, (), "created", len(owners))
 
     def reassign_restarted(self) -> bool:
         """Reassign the stripes of an earlier incarnation of the target to the current one, which holds none.
 
-        The same write gives new fencing tokens to the stripes of other nodes whose targets have restarted.
+        So are stripes that the target does not hold and whose tokens are of an earlier era. The same write
+        gives new fencing tokens to the stripes of other nodes whose targets have restarted.
         Returns whether a write was begun or is waiting for its delay.
         """
         ring = self.local_ring
         if self.must_release_all or self.keeper.remaining_seconds <= 0.0:
             return False
-        stale = set(ring.stripes_of(self.node)) - set(self.local_stripes())
+        local_stripes = set(self.local_stripes())
+        withheld = self.withheld_stripes(local_stripes)
+        stale = (set(ring.stripes_of(self.node)) - local_stripes) | withheld
         if not stale:
             self.reassign_at = None
             return False
@@ -410,9 +473,24 @@
         for owner in self.restarted_owners():
             moves.update(dict.fromkeys(ring.stripes_of(owner.node), owner))
         self.reassign_at = None
-        self.rings.commit_ring(ring_edits.reassign_stripes(ring, moves), {}, (), "restarted", len(moves))
+        handover_tokens = {index: self.handover_tokens.get(index, "") for index in withheld}
+        self.rings.commit_ring(
+            ring_edits.reassign_stripes(self.base_ring, moves, handover_tokens),
+            {},
+            (),
+            "restarted",
+            len(moves),
+        )
         return True
 
+    def withheld_stripes(self, local_stripes: set[int]) -> set[int]:
+        """Return the stripes that the target needs new fencing tokens for."""
+        heartbeat = self.target.last_heartbeat
+        if heartbeat is None or heartbeat.incarnation != self.target.incarnation:
+            return set()
+        stripes = local_stripes - set(self.outgoing_stripes)
+        return stripes - self.grantable(stripes, heartbeat)
+
     def restarted_owners(self) -> list[Owner]:
         """Return other nodes' targets whose current incarnation is newer than the one in the ring."""
         started: dict[str, int] = {}
@@ -464,7 +542,7 @@
         if not self.must_release_all:
             moves = {index: self.outgoing_stripes[index] for index in movable}
             self.rings.commit_ring(
-                ring_edits.reassign_stripes(ring, moves, self.handover_tokens),
+                ring_edits.reassign_stripes(self.base_ring, moves, self.handover_tokens),
                 {},
                 (),
                 "rebalanced",
@@ -478,11 +556,15 @@
         """Transfer the stripes of a departing target to other owners; without any, nothing is written."""
         ring = self.local_ring
         receivers = [owner for owner in alive if owner.node != self.node]
-        if not receivers:
+        if not receivers or self.store_era.settling:
             return
         moves = ring_edits.distribute_stripes(ring, movable, receivers, self.stripe_weight)
         self.rings.commit_ring(
-            ring_edits.reassign_stripes(ring, moves, self.handover_tokens), {}, (), "left", len(moves)
+            ring_edits.reassign_stripes(self.base_ring, moves, self.handover_tokens),
+            {},
+            (),
+            "left",
+            len(moves),
         )
 
     def check_leases(self) -> None:
@@ -575,6 +657,8 @@
         ring = self.local_ring
         if self.reading_leases or self.rings.write_in_progress or ring is None or not alive:
             return
+        if self.store_era.settling:
+            return
         lost_stripes = [index for node in lost for index in ring.stripes_of(node)]
         unowned = ring.unowned_stripes()
         if not lost_stripes and not unowned:
@@ -600,7 +684,11 @@
             )
         )
         self.rings.commit_ring(
-            ring_edits.reassign_stripes(ring, moves), checks, tuple(deletes), "taken_over", len(moves)
+            ring_edits.reassign_stripes(self.base_ring, moves),
+            checks,
+            tuple(deletes),
+            "taken_over",
+            len(moves),
         )
 
     def stripe_weight(self, node: str) -> float:
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -33,6 +33,7 @@
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.selection import NodeSelector
+from hibiscusdrum.internal.router.store_era import StoreEra
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.peers import PeerTransport
@@ -65,7 +66,7 @@
     owner.table = Stub("table", store_time=STORE_TIME)
     keeper = app.add(LeaseKeeper(SETTINGS))
     row = stored_row("a lease row", body)
-    keeper.table = Stub("table", store_time=STORE_TIME)
+    keeper.table = Stub("table", store_time=STORE_TIME, era=0)
     keeper.table.read = lambda keys, callback: callback(Success({keys[0]: row}))
     keeper.row_key = row.key
     keeper.resolve_write()
@@ -262,7 +263,7 @@
     context.peers = PeerTransport(None, b"")
     context.loopback = Loopback(
         HttpClient(), store, context.client, context.peers, context.target, context.members,
-        Rings(settings), context.gateway, context.operator,
+        StoreEra(), Rings(settings), context.gateway, context.operator,
     )  # fmt: skip
     context.add_cleanup(context.loopback.stop)
 
