Give all stripes new fencing tokens at once when a restore follows a long outage

When the leases of all owners end before the store is restored, each owner needs new tokens once the era has settled.

An owner whose target holds none of its stripes now writes new tokens for all stripes with tokens of an earlier era, as is done after a restart of many targets. An owner that still holds a stripe renews it under the new token.

--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -464,7 +464,11 @@
             self.app.scheduler.call_later(delay, self.reconcile)
         if self.now < self.reassign_at:
             return True
-        moves: dict[int, Owner | None] = dict.fromkeys(stale, self.local_owner)
+        moves: dict[int, Owner | None] = {}
+        if withheld and withheld == local_stripes:
+            # The grants of others have probably expired too; new tokens do no harm to one that still holds.
+            moves.update(ring_edits.outdated_stripes(self.base_ring))
+        moves.update(dict.fromkeys(stale, self.local_owner))
         for owner in self.restarted_owners():
             moves.update(dict.fromkeys(ring.stripes_of(owner.node), owner))
         self.reassign_at = None
--- a/src/hibiscusdrum/internal/router/ring.py
+++ b/src/hibiscusdrum/internal/router/ring.py
@@ -181,6 +181,15 @@
     return msgspec.structs.replace(ring, next_fencing_token=token, era=era, era_fencing_token=token, basis=0)
 
 
+def outdated_stripes(ring: Ring) -> dict[int, Owner]:
+    """Return the stripes whose fencing tokens are of an earlier era than the ring, with their owners."""
+    return {
+        index: ring.owners[stripe.owner_index]
+        for index, stripe in enumerate(ring.stripes)
+        if stripe.owner_index != UNOWNED and stripe.fencing_token < ring.era_fencing_token
+    }
+
+
 def reassign_stripes(
     ring: Ring, moves: Mapping[int, Owner | None], handover_tokens: Mapping[int, str] | None = None
 ) -> Ring:
