--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -14,7 +15,7 @@
 from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
-from hibiscusdrum.internal.platform.table import Changes, Row, Transaction
+from hibiscusdrum.internal.platform.table import Changes, Row, Transaction, era_of, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.local_target import LocalTarget
 from hibiscusdrum.internal.router.ring import Owner
@@ -33,6 +34,13 @@
 # of them publish.
 CHANGE_BATCH_SECONDS_PER_NODE = 0.015
 MAX_CHANGE_BATCH_SECONDS = 1.0
+# A restored store may have the row of a node that was removed. It is deleted again after this delay, within
+# which a running node writes its row anew, and random jitter, so that few nodes try to delete it.
+STALE_ROW_DELAY_SECONDS = 1.0
+STALE_ROW_JITTER_SECONDS_PER_NODE = 0.1
+# Rows of a node that are remembered, and removed nodes of which any are.
+MAX_REMEMBERED_ROWS = 8
+MAX_REMOVED_NODES = 500
 
 RowListener = Callable[[Row], None]
 
@@ -60,6 +68,29 @@
     leaving: bool = False
 
 
+class NodeHistory:
+    """What is remembered of a node's rows, to recognize one that a restored store brings back.
+
+    Attributes
+    ----------
+    rows : deque of (int, NodeRow)
+        The last rows and the number that each had in the store.
+    removed_in : int or None
+        Era of the store in which the node was last seen to be removed; None while it is present.
+    """
+
+    __slots__ = ("removed_in", "rows")
+
+    def __init__(self) -> None:
+        self.rows: deque[tuple[int, NodeRow]] = deque(maxlen=MAX_REMEMBERED_ROWS)
+        self.removed_in: int | None = None
+
+    def is_stale(self, version: int, row: NodeRow) -> bool:
+        """Return whether a row is from before the removal, and is back because the store was restored."""
+        removed_before = self.removed_in is not None and self.removed_in < era_of(version)
+        return removed_before and (number_of(version), row) in self.rows
+
+
 class Members(Service):
     """Publishes this node's row and keeps the rows of all nodes.
 
@@ -67,6 +98,8 @@
     ----------
     row_versions : dict of str to int
         Newest known version of each row, by key.
+    histories : dict of str to NodeHistory
+        Rows and removal of each node, by name; bounded for removed nodes.
     loaded : bool
         Whether the rows have been read at least once.
     evacuated_domains : frozenset of str
@@ -93,6 +126,7 @@
         self.by_service: dict[str, list[NodeRow]] = {}
         self.candidate_cache: dict[tuple[str, tuple[str, ...]], list[Candidate]] = {}
         self.row_versions: dict[str, int] = {}
+        self.histories: dict[str, NodeHistory] = {}
         self.last_seq = 0
         self.loaded = False
         self.failed_reads = 0
@@ -133,7 +167,10 @@
         self.failed_reads = 0
         self.set_store_reachable(True, "")
         changes = result.unwrap()
-        self.last_seq = max(self.last_seq, changes.seq)
+        if changes.complete and self.loaded and era_of(changes.seq) > era_of(self.last_seq):
+            self.log_rolled_back(changes)
+        # A complete read may be older than the position if the store lost rows without naming a new era.
+        self.last_seq = changes.seq if changes.complete else max(self.last_seq, changes.seq)
         for row in changes.rows:
             self.apply_row(row)
         if changes.complete:
@@ -161,15 +198,34 @@
             if key not in present and version < changes.seq:
                 self.apply_row(Row(key, changes.seq))
 
+    def log_rolled_back(self, changes: Changes) -> None:
+        """Log how many known rows are newer than in the first complete read of a new era."""
+        read = {row.key: row.version for row in changes.rows}
+        older = sum(
+            number_of(version) > number_of(read.get(key, changes.seq))
+            for key, version in self.row_versions.items()
+        )
+        log_events.emit(
+            events.RowsRolledBack(
+                era=era_of(changes.seq),
+                version=number_of(changes.seq),
+                former_version=number_of(self.last_seq),
+                rows=len(changes.rows),
+                older=older,
+            )
+        )
+
     def set_store_reachable(self, reachable: bool, reason: str) -> None:
         """Set whether the store is reachable, and log a change."""
         if reachable == self.store_reachable:
             return
         self.store_reachable = reachable
         if reachable:
-            log_events.emit(events.StoreRegained(operation="changes", version=self.last_seq))
+            log_events.emit(events.StoreRegained(operation="changes", version=number_of(self.last_seq)))
         else:
-            log_events.emit(events.StoreLost(operation="changes", reason=reason, version=self.last_seq))
+            log_events.emit(
+                events.StoreLost(operation="changes", reason=reason, version=number_of(self.last_seq))
+            )
 
     def apply_row(self, row: Row) -> None:
         """Apply a row if it is newer than the known one."""
@@ -192,9 +248,16 @@
             except msgspec.ValidationError as error:
                 logger.error("ignored malformed row of node {}: {}", name, error)
                 return
+        if name != self.settings.node and not self.update_history(name, row.version, value):
+            self.delete_stale_row_later(row)
+            return
         former = self.nodes.pop(name, None)
         if value is not None:
-            self.nodes[name] = value
+            leaves = former is not None and former.life == value.life and former.leaving
+            # The row of a restored store may be older than the notice of departure, which is not taken back.
+            self.nodes[name] = (
+                msgspec.structs.replace(value, accepting=False, leaving=True) if leaves else value
+            )
         if former is not None and (value is None or value.life != former.life):
             self.leaving_since.pop(former.life, None)
         if name == self.settings.node:
@@ -204,6 +267,48 @@
                 # Written by an earlier process of this node; the target need not announce it again.
                 self.target.mark_leaving(value.life)
 
+    def update_history(self, name: str, version: int, row: NodeRow | None) -> bool:
+        """Remember a row or the removal of another node; returns False if the row is a stale one."""
+        if row is None:
+            history = self.histories.pop(name, None)
+            if history is None:
+                return True
+            history.removed_in = era_of(version)
+            self.histories[name] = history
+            removed = [name for name, entry in self.histories.items() if entry.removed_in is not None]
+            for former in removed[:-MAX_REMOVED_NODES]:
+                del self.histories[former]
+            return True
+        history = self.histories.setdefault(name, NodeHistory())
+        if history.is_stale(version, row):
+            return False
+        history.removed_in = None
+        if (number_of(version), row) not in history.rows:
+            history.rows.append((number_of(version), row))
+        return True
+
+    def delete_stale_row_later(self, row: Row) -> None:
+        """Delete the row of a removed node after a random delay, unless it has changed by then."""
+        jitter = STALE_ROW_JITTER_SECONDS_PER_NODE * (len(self.nodes) + 1)
+        delay = STALE_ROW_DELAY_SECONDS + self.rng.uniform(0.0, jitter)
+
+        def on_deleted(result: Result[int, HibiscusdrumError]) -> None:
+            outcome = "deleted" if isinstance(result, Success) else result.failure().code
+            log_events.emit(
+                events.StaleRowDeleted(row=row.key, version=number_of(row.version), outcome=outcome)
+            )
+            if isinstance(result, Success):
+                self.apply_row(Row(row.key, result.unwrap()))
+            else:
+                self.delete_stale_row_later(row)
+
+        def delete() -> None:
+            if self.row_versions.get(row.key) == row.version:
+                transaction = Transaction(new_operation_id(), {row.key: row.version}, {}, (row.key,))
+                self.table.commit(transaction, on_deleted)
+
+        self.app.scheduler.call_later(delay, delete)
+
     def notify_rows_changed(self) -> None:
         """Rebuild the index of nodes by service and notify the listeners."""
         self.by_service = {}
@@ -228,9 +333,15 @@
         )
 
     def publish(self) -> None:
-        """Write this node's row when it differs from the stored one."""
+        """Write this node's row when it differs from the stored one, or delete it while the node leaves."""
+        if self.publishing or not self.loaded:
+            return
+        if self.leaving:
+            # The row is back if the store was restored.
+            self.delete_local_row(lambda: None)
+            return
         row = self.local_row()
-        if self.publishing or not self.loaded or self.leaving or row == self.published_row:
+        if row == self.published_row:
             return
         if self.published_row is None and not row.life:
             return
@@ -245,15 +356,20 @@
     def on_published(self, row: NodeRow, result: Result[int, HibiscusdrumError]) -> None:
         """Record the outcome of a write; after a failure, read the stored row and try again."""
         if not isinstance(result, Success):
-            delay = PUBLISH_RETRY_SECONDS * (0.5 + self.rng.random())
-            self.app.scheduler.call_later(delay, self.reread_local_row)
+            self.retry_publish()
             return
         self.publishing = False
         self.apply_row(Row(self.local_row_key, result.unwrap(), msgspec.to_builtins(row)))
         self.notify_rows_changed()
-        log_events.emit(events.NodePublished(life=row.life, accepting=row.accepting, version=result.unwrap()))
+        version = number_of(result.unwrap())
+        log_events.emit(events.NodePublished(life=row.life, accepting=row.accepting, version=version))
         self.publish()
 
+    def retry_publish(self) -> None:
+        """Read the stored row after a delay, then publish again."""
+        delay = PUBLISH_RETRY_SECONDS * (0.5 + self.rng.random())
+        self.app.scheduler.call_later(delay, self.reread_local_row)
+
     def reread_local_row(self) -> None:
         """Read this node's row, which a write without an answer may have changed, then publish again."""
 
@@ -274,13 +390,27 @@
     def remove_local_row(self, done: Callable[[], None]) -> None:
         """Remove this node's row before its VM ends; ``done`` is called when the store has answered."""
         self.leaving = True
+        self.delete_local_row(done)
+
+    def delete_local_row(self, done: Callable[[], None]) -> None:
+        """Delete this node's row, if there is one; after a failure, read it and try again."""
         if self.published_row is None:
             done()
             return
         transaction = Transaction(
             new_operation_id(), {self.local_row_key: self.local_row_version}, {}, (self.local_row_key,)
         )
-        self.table.commit(transaction, lambda _result: done())
+        self.publishing = True
+
+        def on_deleted(result: Result[int, HibiscusdrumError]) -> None:
+            if isinstance(result, Success):
+                self.publishing = False
+                self.apply_row(Row(self.local_row_key, result.unwrap()))
+            else:
+                self.retry_publish()
+            done()
+
+        self.table.commit(transaction, on_deleted)
 
     def candidates(self, service: str, regions: tuple[str, ...]) -> list[Candidate]:
         """Return the nodes whose targets accept requests of a service, in some regions (all when empty)."""
