--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -5,18 +5,26 @@
 import base64
 import random
 from collections import deque
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from returns.result import Result, Success
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.decoding import (
+    MAX_INTEGER,
+    MAX_INTEGER_DIGITS,
+    Number,
+    Text,
+    refusing_malformed,
+)
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.platform.table import era_of, number_of
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.routes import EntryLimits, RequestKind, Route, RouteTable, ServiceSpec
+from hibiscusdrum.internal.router.unreadable import unreadable_entries
 from hibiscusdrum.platform.store import OPERATOR_TABLE, RowChanges, StoreClient, WireRow
 
 CONFIG_KEY = "config"
@@ -24,6 +32,8 @@
 BASE_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 0.5
 DEFAULT_PRIORITY = 1
+MAX_SECONDS = 1e6
+MAX_NAME_CHARACTERS = 8192
 # After a restore of the store, the operator writes again what the copy lacks. For this time, evacuations that
 # differ from what was last read before are taken as lost by the store, not as changed by the operator.
 RESTORED_EVACUATION_SECONDS = 5.0
@@ -31,6 +41,14 @@
 MAX_REMEMBERED_NUMBERS = 8
 MAX_REMEMBERED_DOMAINS = 100
 
+# Counts may be written with a fraction of 0.
+Count = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+PositiveCount = Annotated[float, msgspec.Meta(ge=1, le=MAX_INTEGER)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SECONDS)]
+PositiveSeconds = Annotated[float, msgspec.Meta(gt=0.0, le=MAX_SECONDS)]
+Prefix = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+Name = Annotated[Prefix, msgspec.Meta(min_length=1)]
+
 
 class ColumnarRecords(msgspec.Struct, frozen=True):
     """Records that share one list of field names; each record is a list of values in that order."""
@@ -46,13 +64,56 @@
         ]
 
 
+class WireLimits(msgspec.Struct, frozen=True):
+    """Limits on callers' requests and connections; missing ones have their defaults."""
+
+    maxHeaderBytes: PositiveCount | None = None  # noqa: N815 - name on the wire
+    maxBodyBytes: Count | None = None  # noqa: N815 - name on the wire
+    headerTimeoutS: PositiveSeconds | None = None  # noqa: N815 - name on the wire
+    idleTimeoutS: PositiveSeconds | None = None  # noqa: N815 - name on the wire
+
+
 class WireConfig(msgspec.Struct, frozen=True):
     """The configuration as the operator stores it; ``version`` is ``r`` followed by a number."""
 
-    version: str
+    version: Text
     routes: ColumnarRecords
     services: ColumnarRecords
-    limits: dict[str, Any] = {}
+    limits: WireLimits | None = None
+
+
+class WireBackend(msgspec.Struct, frozen=True):
+    """A service to which a route sends requests, with its weight."""
+
+    service: Name
+    weight: Number
+
+
+class WireRoute(msgspec.Struct, frozen=True):
+    """A route; ``backends`` lists services with weights, not targets."""
+
+    name: Name
+    host: Name
+    prefix: Prefix
+    kind: RequestKind
+    service: Prefix = ""
+    backends: tuple[WireBackend, ...] = ()
+    timeoutS: Seconds = 0.0  # noqa: N815 - name on the wire
+    goalS: Seconds = 0.0  # noqa: N815 - name on the wire
+    priority: Count = DEFAULT_PRIORITY
+    attempts: Count = 1
+    allowedRegions: tuple[Name, ...] = ()  # noqa: N815 - name on the wire
+
+
+class WireService(msgspec.Struct, frozen=True):
+    """A service."""
+
+    name: Name
+    healthPath: Prefix = "/healthz"  # noqa: N815 - name on the wire
+    maxConns: PositiveCount = 64  # noqa: N815 - name on the wire
+    warmupS: Seconds = 0.0  # noqa: N815 - name on the wire
+    warmupPerS: Number = 0.0  # noqa: N815 - name on the wire
+    partitioned: bool = False
 
 
 def decode_config(data: bytes) -> RouteTable:
@@ -61,60 +122,75 @@
     Raises
     ------
     InvalidArgument
-        If the configuration is malformed.
+        If the configuration is malformed, or a value of it is out of range.
     """
-    try:
+    with refusing_malformed("configuration", data):
         wire = msgspec.json.decode(data, type=WireConfig)
+        version = int(wire.version.removeprefix("r"))
+        if not 0 <= version <= MAX_INTEGER:
+            raise ValueError(f"a version from r0 to r{MAX_INTEGER}, got {wire.version[:MAX_INTEGER_DIGITS]}")
         return RouteTable.build(
-            int(wire.version.removeprefix("r")),
-            [decode_route(entry) for entry in wire.routes.to_dicts()],
-            [decode_service(entry) for entry in wire.services.to_dicts()],
+            version,
+            [decode_route(msgspec.convert(entry, WireRoute)) for entry in wire.routes.to_dicts()],
+            [decode_service(msgspec.convert(entry, WireService)) for entry in wire.services.to_dicts()],
             decode_limits(wire.limits),
         )
-    except (msgspec.DecodeError, ValueError, KeyError, TypeError) as error:
-        raise InvalidArgument(name="configuration", value=data[:64], expected=str(error)) from error
 
 
-def decode_route(entry: dict[str, Any]) -> Route:
-    """Convert a route; ``backends`` lists services with weights, not targets."""
-    backends = entry.get("backends") or [{"service": entry["service"], "weight": 1}]
+def decode_route(wire: WireRoute) -> Route:
+    """Convert a route.
+
+    Raises
+    ------
+    ValueError
+        If it names no service.
+    """
+    services = tuple((backend.service, backend.weight) for backend in wire.backends)
+    if not services and not wire.service:
+        raise ValueError(f"a service or backends in route {wire.name}")
     return Route(
-        name=entry["name"],
-        host=entry["host"],
-        prefix=entry["prefix"],
-        kind=RequestKind(entry["kind"]),
-        services=tuple((backend["service"], float(backend["weight"])) for backend in backends),
-        timeout=float(entry.get("timeoutS", 0.0)),
-        latency_goal=float(entry.get("goalS", 0.0)),
-        priority=int(entry.get("priority", DEFAULT_PRIORITY)),
-        attempts=int(entry.get("attempts", 1)),
-        regions=tuple(entry.get("allowedRegions", ())),
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.prefix,
+        kind=wire.kind,
+        services=services or ((wire.service, 1.0),),
+        timeout=wire.timeoutS,
+        latency_goal=wire.goalS,
+        priority=int(wire.priority),
+        attempts=int(wire.attempts),
+        regions=wire.allowedRegions,
     )
 
 
-def decode_service(entry: dict[str, Any]) -> ServiceSpec:
+def decode_service(wire: WireService) -> ServiceSpec:
     """Convert a service."""
     return ServiceSpec(
-        name=entry["name"],
-        health_path=entry.get("healthPath", "/healthz"),
-        max_connections=int(entry.get("maxConns", 64)),
-        warmup=float(entry.get("warmupS", 0.0)),
-        cold_rate=float(entry.get("warmupPerS", 0.0)),
-        partitioned=bool(entry.get("partitioned", False)),
+        name=wire.name,
+        health_path=wire.healthPath,
+        max_connections=int(wire.maxConns),
+        warmup=wire.warmupS,
+        cold_rate=wire.warmupPerS,
+        partitioned=wire.partitioned,
     )
 
 
-def decode_limits(entry: dict[str, Any]) -> EntryLimits:
+def decode_limits(wire: WireLimits | None) -> EntryLimits:
     """Convert the limits on callers' requests and connections."""
     default = EntryLimits()
+    wire = wire or WireLimits()
     return EntryLimits(
-        max_head_bytes=int(entry.get("maxHeaderBytes", default.max_head_bytes)),
-        max_body_bytes=int(entry.get("maxBodyBytes", default.max_body_bytes)),
-        head_timeout=float(entry.get("headerTimeoutS", default.head_timeout)),
-        idle_timeout=float(entry.get("idleTimeoutS", default.idle_timeout)),
+        max_head_bytes=int(value_or(wire.maxHeaderBytes, default.max_head_bytes)),
+        max_body_bytes=int(value_or(wire.maxBodyBytes, default.max_body_bytes)),
+        head_timeout=value_or(wire.headerTimeoutS, default.head_timeout),
+        idle_timeout=value_or(wire.idleTimeoutS, default.idle_timeout),
     )
 
 
+def value_or(value: float | None, default: float) -> float:
+    """Return a value, or the default if it is missing."""
+    return default if value is None else value
+
+
 class Evacuations:
     """Failure domains that the operator evacuates, as far as the store can be believed.
 
@@ -232,21 +308,32 @@
             return
         answer = result.unwrap()
         self.failures = 0
+        # After an exception, the rows are read again.
+        delay = MAX_RETRY_SECONDS
+        try:
+            self.apply_rows(answer)
+            delay = 0.0
+        finally:
+            if delay:
+                self.app.scheduler.call_later(delay, self.poll)
+            else:
+                self.poll()
+
+    def apply_rows(self, answer: RowChanges) -> None:
+        """Apply evacuations, and then the configuration."""
         former_version = self.last_version
         if answer.complete:
-            self.last_version = answer.version
             restored = former_version is not None and era_of(former_version) < era_of(answer.version)
             self.apply_all_evacuations(answer.rows, restored)
         else:
-            self.last_version = max(former_version or 0, answer.version)
             for row in answer.rows:
                 if row.key.startswith(EVACUATE_PREFIX):
                     self.evacuations.apply(row.key[len(EVACUATE_PREFIX) :], row.ver, row.deleted)
+        self.members.set_evacuated_domains(self.evacuations.in_force)
         for row in answer.rows:
             if row.key == CONFIG_KEY and not row.deleted:
                 self.apply_config(row)
-        self.members.set_evacuated_domains(self.evacuations.in_force)
-        self.poll()
+        self.last_version = answer.version if answer.complete else max(former_version or 0, answer.version)
 
     def apply_all_evacuations(self, rows: tuple[WireRow, ...], restored: bool) -> None:
         """Apply the evacuations of a complete read, the first one in a new era with care."""
@@ -274,8 +361,11 @@
         self.members.set_evacuated_domains(self.evacuations.in_force)
 
     def apply_config(self, row: WireRow) -> None:
-        """Apply a configuration; one that cannot be decoded is logged and ignored."""
+        """Apply the configuration; one that cannot be decoded is logged and ignored."""
         try:
-            self.gateway.set_route_table(decode_config(base64.b64decode(row.value)))
-        except (ValueError, InvalidArgument) as error:
-            log_events.emit(events.RowUnreadable(what="configuration", reason=str(error)[:200]))
+            with refusing_malformed("configuration", row.value):
+                table = decode_config(base64.b64decode(row.value))
+        except InvalidArgument as error:
+            unreadable_entries.record("configuration", error)
+            return
+        self.gateway.set_route_table(table)
--- a/tests/features/router_system.feature
+++ b/tests/features/router_system.feature
@@ -74,6 +74,11 @@
       | from 0.1 s after its start on           | still serves all services   |
       | during its planned stop                 | ended with exit code 0      |
 
+  Scenario: Requests with header values beyond ASCII are served, and hold no slot of their target for ever
+    Given a system of routers
+    When 12 requests for a key are sent with a header value beyond ASCII
+    Then each of them is answered with 200, and so is one for the same key without it
+
   Scenario: Keys are served again after all routers were killed
     Given a system of routers
     When all routers are killed and restarted
@@ -104,3 +109,23 @@
       | router                           |
       | the router that forwarded it     |
       | the router beside its target     |
+
+  Scenario: Odd entries of another writer end no router, cost no request, and later changes are followed
+    Given a system of routers
+    When each kind of odd entry is written to the store and sent to each router while callers send requests
+    Then each request was answered with 200
+    When the operator adds the route "/after/"
+    Then the route "/after/" is served on every VM within 2.5 s
+    And no router has ended or logged an internal error, and each has counted odd entries
+
+  Scenario: Routers serve again after another writer replaced their own rows by ones nested too deeply
+    Given a system of routers
+    When another writer writes values nested too deeply over the rows of each router
+    Then all services are served on every VM within 8 s
+    And no router has ended or logged an internal error, and each has counted odd entries
+
+  Scenario: Requests with bytes beyond ASCII in a header are answered, and take no slot of the target for good
+    Given a system of routers
+    When a caller sends 60 requests with bytes beyond ASCII in a header
+    Then each of them is answered with 200
+    And all services are served on every VM within 2 s
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -12,11 +12,13 @@
 from behave import given, then, when
 from tests.loopback import Loopback, free_address
 from tests.router_stubs import FREE, SETTINGS, SentHop, Stub, forward
+from tests.router_world import Loop
 
 from hibiscusdrum.internal import codec
 from hibiscusdrum.internal.messages import Answered, Declined
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.local_target import TargetState
+from hibiscusdrum.internal.router.range_owner import KeyState
 from hibiscusdrum.internal.router.routes import HeaderNames, RequestKind, Route, RouteTable, ServiceSpec
 from hibiscusdrum.internal.router.selection import Candidate, NodeSelector
 from hibiscusdrum.internal.router.stopping import REQUEST_REFUSAL_DELAY_SECONDS, RouterStopping
@@ -35,7 +37,7 @@
         context,
         *(Stub(name) for name in ("range_owner", "rings", "metrics", "hop")),
         Stub("members", nodes={}),
-        Stub("receiver", jobs={}, has_jobs=False),
+        Stub("receiver", jobs={}, has_jobs=False, decline_unsent=lambda: None),
     )
     context.stopping.begin_stop()
 
@@ -150,7 +152,12 @@
 def stopping_router_with_node(context):
     context.hop = SentHop()
     context.local_receiver = Stub(
-        "receiver", jobs={}, has_jobs=False, set_route_table=lambda _: None, reported_rate=lambda: 0.0
+        "receiver",
+        jobs={},
+        has_jobs=False,
+        decline_unsent=lambda: None,
+        set_route_table=lambda _: None,
+        reported_rate=lambda: 0.0,
     )
     start_router(
         context,
@@ -308,6 +315,77 @@
     context.receiver.on_forward(forward(1, deadline=limit), b"", 0.0, lambda *_: None)
 
 
+@when(
+    "a request with {limit:g} s, of a class that takes {service:g} s, arrives at a router that has {left:g} "
+    "s left for requests"
+)
+def longer_than_left(context, limit, service, left):
+    context.receiver.service_seconds_left = lambda: left
+    request = forward(1, deadline=limit)
+    context.receiver.admission.class_service_seconds[request.cost_class] = service
+    context.answers = []
+    context.receiver.on_forward(request, b"", 0.0, lambda answer, _: context.answers.append(answer))
+
+
+@then("the target is not sent it, and it is declined as not run, as the router stops")
+def declined_stopping(context):
+    assert not context.target.arrivals
+    (declined,) = context.answers
+    assert not declined.may_have_run and declined.reason == "stopping" and declined.retry_after > 0.0, (
+        declined
+    )
+
+
 @then("the target is told to stop work at most {seconds:g} s later")
 def told_to_stop(context, seconds):
     assert context.deadlines and seconds - 0.3 <= context.deadlines[0] <= seconds, context.deadlines
+
+
+def stop_receiver(context, left):
+    """Let the router of a receiver stop, with some seconds left for requests."""
+    app = context.app
+    app.add(Stub("gateway", has_pending=False, pending_requests=(), refuse_unsent=lambda: None, closed=True))
+    app.add(Stub("readiness"))
+    app.add(Stub("entry", unanswered_count=0, has_incoming=False, connections_of=lambda _: []))
+    app.add(Stub("peers", has_unread_messages=False))
+    context.stopping = app.add(RouterStopping(SETTINGS))
+    context.stopping.on_start()
+    context.stopping.begin_stop()
+    context.stopping.row_removed = True
+    context.stopping.stop_started_at -= context.stopping.service_seconds_left() - left
+
+
+@when("the time of the stopping router is over while a request runs and another {waits}")
+def time_over(context, waits):
+    receiver = context.receiver
+    context.target.waiting = []
+    answers = context.answers = {1: [], 2: []}
+    receiver.on_forward(forward(1, deadline=20.0), b"", 0.0, lambda answer, _: answers[1].append(answer))
+    other = forward(2, deadline=20.0)
+    if waits == "waits for its key":
+        context.key_state = KeyState.GRANT_PENDING
+        other = msgspec.structs.replace(other, key=7)
+    elif waits == "waits for its body":
+        other = msgspec.structs.replace(other, offered_bytes=40_000)
+    receiver.on_forward(other, b"", 0.0, lambda answer, _: answers[2].append(answer))
+    assert len(context.target.waiting) == 1 and len(receiver.jobs) == 2
+    stop_receiver(context, 0.1)
+    for _ in range(25):
+        context.app.clock.advance(0.01)
+        context.app.scheduler.run_due(Loop())
+
+
+@then("the other is declined as not run before the router ends, and the first is still awaited")
+def other_declined(context):
+    assert not context.stopping.finished and not context.answers[1], context.answers
+    declined = [answer for answer in context.answers[2] if type(answer) is Declined]
+    assert len(declined) == 1 and not declined[0].may_have_run, context.answers[2]
+
+
+@when("a request with {limit:g} s that was sent before the signal is unanswered {late:g} s after it")
+def unanswered_at_end(context, limit, late):
+    stopping = context.stopping
+    stopping.stop_started_at = time.monotonic() + 60.0
+    send_request(context, limit)
+    wait_for_forward(context)
+    skip_to(context, late)
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -9,10 +9,13 @@
 import tempfile
 import threading
 import time
+import urllib.request
 from pathlib import Path
 
+import msgspec
 from behave import given, then, when
-from tools.processes import wait_until
+from tests.odd_entries import NESTED, variants
+from tools.processes import request, wait_until
 from tools.router_system import HEADER_PREFIX, ROUTES, START_LIMIT_SECONDS, RouterSystem
 
 PLACES = [
@@ -261,6 +264,21 @@
     assert context.exit_code == code and context.ended - context.began < seconds
 
 
+@when("{count:d} requests for a key are sent with a header value beyond ASCII")
+def beyond_ascii(context, count):
+    send = context.system.send_request
+    context.statuses = [
+        send(context.vm, "keys.example", "/k/x", key=77, deadline_ms=300, headers={"x-name": "caf\xe9"})[0]
+        for _ in range(count)
+    ]
+
+
+@then("each of them is answered with 200, and so is one for the same key without it")
+def all_served(context):
+    plain = context.system.send_request(context.vm, "keys.example", "/k/x", key=77, deadline_ms=1000)[0]
+    assert {plain, *context.statuses} == {200}, (context.statuses, plain)
+
+
 @when("all routers are killed and restarted")
 def all_killed(context):
     for vm in context.system.vms.values():
@@ -291,6 +309,81 @@
     context.results = caller.results
 
 
+@when("each kind of odd entry is written to the store and sent to each router while callers send requests")
+def odd_entries(context):
+    system = context.system
+    callers = [Callers(system, context.vm, keyed), Callers(system, system.vms["vm4"], shared)]
+    for kind, table, key in (
+        ("a node row", "hibiscusdrum", "node/odd{}"),
+        ("a ring row", "hibiscusdrum", "ring/odd{}"),
+        ("a lease row", "hibiscusdrum-lease", "lease/keyed/odd{}"),
+        ("a configuration", "op", "config"),
+        ("a configuration", "op", "evacuate/odd{}"),
+    ):
+        for index, (_name, body) in enumerate(odd_variants(kind)):
+            system.write_row(table, key.format(index), body)
+    for vm in system.vms.values():
+        for kind, method in (("a heartbeat", "PUT"), ("a notice of departure", "DELETE")):
+            for _name, body in odd_variants(kind):
+                status, _ = request(vm.control_address, method, "/instances/i-odd", msgspec.Raw(body))
+                assert status == 400, (kind, body[:80], status)
+    for caller in callers:
+        caller.end()
+    context.results = [result for caller in callers for result in caller.results]
+
+
+def odd_variants(kind):
+    """Return the odd variants of an entry that fit in a row of the store and in a request."""
+    return [(name, body) for name, body in variants(kind) if 0 < len(body) < 200_000]
+
+
+@when("another writer writes values nested too deeply over the rows of each router")
+def own_rows_replaced(context):
+    system = context.system
+    for name, vm in system.vms.items():
+        system.write_row("hibiscusdrum", f"node/{name}", NESTED)
+        if vm.service == "keyed":
+            system.write_row("hibiscusdrum-lease", f"lease/keyed/{name}", NESTED)
+    time.sleep(1.0)
+
+
+@when("a caller sends {count:d} requests with bytes beyond ASCII in a header")
+def beyond_ascii(context, count):
+    host, _, port = context.vm.address(1).rpartition(":")
+    context.answers = []
+    for number in range(count):
+        head = (
+            f"GET /r/x HTTP/1.1\r\nhost: grants.example\r\n{HEADER_PREFIX}attempt-id: beyond{number}\r\n"
+            f"{HEADER_PREFIX}deadline-ms: 1000\r\nx-name: caf\xe9\r\nconnection: close\r\n\r\n"
+        )
+        with socket.create_connection((host, int(port)), timeout=3.0) as connection:
+            connection.sendall(head.encode("latin-1"))
+            context.answers.append(connection.recv(65_536).partition(b"\r\n")[0])
+
+
+@then("each of them is answered with 200")
+def each_answered(context):
+    failed = [answer for answer in context.answers if b" 200 " not in answer]
+    assert not failed, (len(failed), failed[:3])
+
+
+@then("all services are served on every VM within {seconds:g} s")
+def all_served(context, seconds):
+    wait_until(context.system.all_services_answer, seconds, "all services are served on every VM")
+
+
+@then("no router has ended or logged an internal error, and each has counted odd entries")
+def none_ended(context):
+    for vm in context.system.vms.values():
+        assert vm.router.running, vm.name
+        errors = [line for line in context.system.router_log(vm) if line["name"] == "internal_error"]
+        assert not errors, (vm.name, errors[:2])
+        with urllib.request.urlopen(f"http://{vm.address(5)}/metrics", timeout=2.0) as answer:
+            lines = dict(line.rsplit(" ", 1) for line in answer.read().decode().splitlines())
+        assert int(lines["hibiscusdrum_unreadable_total"]) > 0, vm.name
+
+
+@then("each request was answered with 200")
 @then("each request for a key was answered with 200")
 def all_answered_200(context):
     failed = [result for result in context.results if result[2] != 200]
