--- a/soak/run.py
+++ b/soak/run.py
@@ -12,13 +12,16 @@
 import threading
 import time
 from pathlib import Path
+from typing import Any
 
+import msgspec
 from tools.processes import ConditionTimeout, request, wait_until
 from tools.router_system import HOST, ROUTES, RouterSystem, Vm, reserve_port_block
 
-from soak.callers import CallerThread, RequestRecord
-from soak.checks import Intervals, find_violations
+from soak.callers import Caller, PipeliningCaller, RequestRecord, SequentialCaller
+from soak.checks import Intervals, disturbed, find_violations
 from soak.links import MODES, PASS, LinkProxy
+from soak.stop_checks import CONTACT_SECONDS, STORE, cut_requests, cut_violations, logged_ids
 
 # Repeated for systems of more VMs.
 VM_PLACEMENTS = [
@@ -38,6 +41,16 @@
 # statement.
 STATED_LIMITS = (1.5, 4.0, 10.0)
 STATEMENT_SHARE = 0.4
+# Share of steps in which the store is restored from a copy, and share of these in which it is restored again
+# within REPEATED_RESTORE_SECONDS of its return.
+RESTORE_SHARE = 0.12
+REPEATED_RESTORE_SHARE = 0.3
+REPEATED_RESTORE_SECONDS = 2.0
+MIN_COPY_AGE_SECONDS, MAX_COPY_AGE_SECONDS = 1.0, 10.0
+MAX_STORE_OUTAGE_SECONDS = 3.0
+MAX_REWRITE_DELAY_SECONDS = 1.0
+# Share of steps in which a router stops as planned on a VM that no fault has disturbed shortly before.
+STOP_SHARE = 0.15
 # Time from the statement that a target leaves to its end.
 LEAVING_SECONDS = 4.0
 # Time for which the end of a router or a target disturbs its VM.
@@ -80,35 +93,46 @@
         self.repair_timers: list[threading.Timer] = []
         # Other seeds would play other faults if statements were drawn from the same generator.
         self.statement_rng = random.Random(-1 - seed)
+        self.restore_rng = random.Random(f"restore {seed}")
+        self.store_returns_at = 0.0
         self.leaving_at: dict[str, float] = {}
         self.exited_at: dict[str, float] = {}
         self.pauses: Intervals = {}
         self.disturbances: Intervals = {}
+        # Disturbances other than planned stops, including those of the store.
+        self.unplanned_faults: Intervals = {}
+        # From the signal to the end of the process.
+        self.stops: Intervals = {}
+        self.stop_rng = random.Random(f"stop {seed}")
+        self.pipeline_rng = random.Random(f"pipeline {seed}")
 
     def log_event(self, text: str) -> None:
         """Append a line to the event log, with the time."""
         self.event_log.append(f"{time.monotonic():.3f} {text}")
 
     def schedule_repair(self, seconds: float, action) -> None:
-        """Run an action that ends a fault after a delay."""
+        """Run an action that ends or repeats a fault after a delay, unless the recovery begins earlier."""
         timer = threading.Timer(seconds, action)
         timer.start()
         self.repair_timers.append(timer)
 
     def run(self) -> list[str]:
         """Run the seed and return the violations of guarantees."""
-        callers: list[CallerThread] = []
+        callers: list[Caller] = []
         violations: list[str] = []
         try:
             self.system.start()
             callers = [
-                CallerThread(vm, self.rng.random()) for vm in self.system.vms.values() for _ in range(2)
+                SequentialCaller(vm, self.rng.random()) for vm in self.system.vms.values() for _ in range(2)
             ]
+            callers += [PipeliningCaller(vm, self.pipeline_rng.random()) for vm in self.system.vms.values()]
             for caller in callers:
                 caller.start()
             for _ in range(EVENTS_PER_SEED):
                 self.inject_event()
                 self.change_statement()
+                self.restore_store_at_random()
+                self.stop_router_at_random()
                 self.sleep_restarting_routers(self.rng.uniform(0.1, 2.5))
             violations += self.recover()
         except ConditionTimeout as error:
@@ -117,17 +141,19 @@
             for caller in callers:
                 caller.stop_and_join()
             requests: list[RequestRecord] = [entry for caller in callers for entry in caller.requests]
-            violations += find_violations(
-                requests, self.system.target_records(), self.pauses, self.disturbances
-            )
+            records = self.system.target_records()
+            violations += find_violations(requests, records, self.pauses, self.disturbances)
             self.system.stop()
+        cuts = cut_requests(requests, self.stops, self.unplanned_faults)
+        read_ids = {vm: logged_ids((self.folder / f"router-{vm}.log").read_bytes()) for vm in self.stops}
+        violations += cut_violations(cuts, records, read_ids)
         served = sum(entry.status == 200 for entry in requests)
-        self.log_event(f"{len(requests)} requests, {served} served")
+        summary = f"{len(requests)} requests, {served} served"
+        summary += f", {len(cuts)} cut by {self.stop_count} planned stops"
+        self.log_event(summary)
+        self.event_log += [f"cut: {msgspec.json.encode(entry).decode()}" for entry in cuts]
         (self.folder / "events.log").write_text("\n".join([*self.event_log, *violations]) + "\n")
-        print(
-            f"seed {self.seed}: {len(requests)} requests, {served} served, {len(violations)} broken",
-            flush=True,
-        )
+        print(f"seed {self.seed}: {summary}, {len(violations)} broken", flush=True)
         if violations:
             print("\n".join(f"  {line}" for line in violations[:6]), f"\n  logs: {self.folder}", flush=True)
         else:
@@ -156,6 +182,7 @@
             fault = self.rng.choice(STORE_FAULTS)
             self.log_event(f"store {fault} for {seconds:.2f} s")
             self.system.set_store_faults(fault)
+            self.disturb_store(seconds)
             self.schedule_repair(seconds, lambda: self.system.set_store_faults({}))
         elif kind <= 7:
             name = f"{vm.name} {self.rng.choice(['store', 'target', 'reports'])}"
@@ -188,6 +215,43 @@
             request(vm.address(0), "POST", "/leaving", timeout=0.5)
             self.leaving_at[vm.name] = time.monotonic() + LEAVING_SECONDS
 
+    def restore_store_at_random(self) -> None:
+        """Restore the store from a copy, restore it twice in a row, or leave it as it is."""
+        rng = self.restore_rng
+        draw, pause = rng.random(), rng.uniform(0.0, REPEATED_RESTORE_SECONDS)
+        first, second = self.draw_restoration(), self.draw_restoration()
+        if draw >= RESTORE_SHARE:
+            return
+        self.restore_store(first)
+        if draw < RESTORE_SHARE * REPEATED_RESTORE_SHARE:
+            self.schedule_repair(first["away_s"] + pause, lambda: self.restore_store(second))
+
+    def stop_router_at_random(self) -> None:
+        """Stop the router of a random VM without recent faults as planned, or leave all as they are."""
+        draw = self.stop_rng.random()
+        vms = self.stop_rng.sample(list(self.system.vms.values()), len(self.system.vms))
+        now = time.monotonic()
+        calm = [vm for vm in vms if not disturbed(self.disturbances, vm.name, now - CONTACT_SECONDS, now)]
+        if draw < STOP_SHARE and calm:
+            self.signal_router(calm[0], signal.SIGTERM)
+
+    def draw_restoration(self) -> dict[str, Any]:
+        """Return random arguments of `RouterSystem.restore_store`."""
+        rng = self.restore_rng
+        return {
+            "age_s": rng.uniform(MIN_COPY_AGE_SECONDS, MAX_COPY_AGE_SECONDS),
+            "away_s": rng.uniform(0.0, MAX_STORE_OUTAGE_SECONDS),
+            "rewrite_after_s": rng.uniform(0.0, MAX_REWRITE_DELAY_SECONDS),
+            "how": rng.choice(("silent", "down")),
+        }
+
+    def restore_store(self, restoration: dict[str, Any]) -> None:
+        """Restore the store from a copy."""
+        self.log_event(f"restore store {restoration}")
+        self.system.restore_store(**restoration)
+        self.store_returns_at = time.monotonic() + restoration["away_s"]
+        self.disturb_store(restoration["away_s"])
+
     def restart_left_targets(self) -> None:
         """Restart the targets that have announced their departure long enough ago."""
         for name, at in list(self.leaving_at.items()):
@@ -195,15 +259,42 @@
                 del self.leaving_at[name]
                 self.restart_target(self.system.vms[name])
 
-    def disturb(self, vm: Vm, seconds: float) -> None:
+    def disturb(self, vm: Vm, seconds: float, planned: bool = False) -> None:
         """Note that a VM is disturbed from now on for some seconds."""
         now = time.monotonic()
         self.disturbances.setdefault(vm.name, []).append((now, now + seconds))
+        if not planned:
+            self.unplanned_faults.setdefault(vm.name, []).append((now, now + seconds))
+
+    def disturb_store(self, seconds: float) -> None:
+        """Note that the store is disturbed from now on for some seconds."""
+        now = time.monotonic()
+        self.unplanned_faults.setdefault(STORE, []).append((now, now + seconds))
+
+    def begin_stop(self, vm: Vm) -> None:
+        """Note that the planned stop of a router begins, unless one has begun before."""
+        stops = self.stops.setdefault(vm.name, [])
+        if vm.router.running and not (stops and stops[-1][1] == float("inf")):
+            stops.append((time.monotonic(), float("inf")))
+
+    def end_stop(self, vm: Vm) -> None:
+        """Note that a router has exited."""
+        stops = self.stops.get(vm.name)
+        if stops and stops[-1][1] == float("inf"):
+            stops[-1] = (stops[-1][0], time.monotonic())
+
+    @property
+    def stop_count(self) -> int:
+        """Number of planned stops."""
+        return sum(len(stops) for stops in self.stops.values())
 
     def signal_router(self, vm: Vm, signum: signal.Signals) -> None:
         """Send a router a signal that ends it; it is restarted once it has exited."""
         self.log_event(f"signal {signum.name} to router of {vm.name}")
-        self.disturb(vm, RESTART_SECONDS)
+        planned = signum == signal.SIGTERM
+        self.disturb(vm, RESTART_SECONDS, planned)
+        if planned:
+            self.begin_stop(vm)
         vm.router.send(signum)
 
     def restart_exited_routers(self) -> None:
@@ -214,7 +305,9 @@
         for vm in self.system.vms.values():
             if vm.router.running:
                 self.exited_at.pop(vm.name, None)
-            elif (
+                continue
+            self.end_stop(vm)
+            if (
                 time.monotonic() - self.exited_at.setdefault(vm.name, time.monotonic())
                 > ROUTER_RESTART_DELAY_SECONDS
             ):
@@ -229,23 +322,16 @@
             time.sleep(0.05)
 
     def restart_target(self, vm: Vm) -> None:
-        """Kill a target, record its end in its log, and start it again."""
+        """Kill a target and start it again."""
         self.log_event(f"restart target of {vm.name}")
         self.disturb(vm, RESTART_SECONDS)
-        born = [
-            record["born"] for record in self.system.target_records() if record["target"] == f"i-{vm.name}"
-        ]
-        vm.target.kill()
-        with (self.folder / f"target-{vm.name}.log").open("a") as log:
-            at = round(time.monotonic(), 4)
-            for value in set(born[-1:]):
-                log.write(f'{{"at":{at},"target":"i-{vm.name}","born":{value},"event":"killed"}}\n')
-        self.system.start_target(vm)
+        self.system.restart_target(vm)
 
     def recover(self) -> list[str]:
         """End all faults, then wait until everything is served and a new configuration is in force."""
         for timer in self.repair_timers:
             timer.cancel()
+        self.sleep_restarting_routers(self.store_returns_at - time.monotonic())
         self.system.set_store_faults({})
         for name in self.links.links:
             self.links.set_fault(name, PASS)
--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -347,6 +347,14 @@
 ControlMessage = (
     RenewLease | LeaseGranted | LeaseRefused | RowsChanged | ConfigChange | ConfigAck | ConfigRequest
 )
+
+
+class Closing(Message, frozen=True, array_like=True, tag=True):
+    """Tells a peer that the sender's process is about to end and declines all requests."""
+
+    node: str
+
+
 RequestMessage = (
     Call
     | Cancel
@@ -361,4 +369,5 @@
     | Declined
     | Ping
     | Pong
+    | Closing
 )
