Add a failing scenario: a cancelled request is sent to a target that drains

Requests for keys that a draining or evacuated target still holds are queued anew, while a later cancellation looks for their first entry in the queue, which is gone.

--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -81,6 +81,11 @@
     When a request with 9 s that was sent before the signal is unanswered 5.4 s after it
     Then the caller gets the status 504 within 0.3 s, before the router ends
 
+  Scenario: A queued request that is cancelled after its target began to drain is not sent to it
+    Given a router that was just started beside a target with 1 slots
+    When a request runs and another waits for its slot, the target begins to drain, and the other is cancelled
+    Then the target is not sent the other when the first is answered
+
   Scenario: No node sends the first request of a while to a router that has just ended
     Given a router in its planned stop that is connected to another node, which sends it nothing
     When 2.4 s after the signal nothing is in flight
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -438,3 +438,23 @@
     send_request(context, limit)
     wait_for_forward(context)
     skip_to(context, late)
+
+
+@when("a request runs and another waits for its slot, the target begins to drain, and the other is cancelled")
+def cancelled_while_draining(context):
+    receiver = context.receiver
+    context.target.waiting = []
+    for number in (1, 2):
+        request = msgspec.structs.replace(forward(number, deadline=20.0), key=7)
+        receiver.on_forward(request, b"", 0.0, lambda *_: None)
+    local_target = context.app.find("local_target")
+    local_target.mark_leaving(local_target.incarnation)
+    assert receiver.admission.queued == 1 and len(context.target.arrivals) == 1
+    receiver.cancel(bytes([2]))
+
+
+@then("the target is not sent the other when the first is answered")
+def not_sent_after_cancel(context):
+    (answer,) = context.target.waiting
+    answer()
+    assert len(context.target.arrivals) == 1
