Forget a cancelled request that was queued anew when its target began to drain

What callers saw: nothing; a request whose caller had left, or had been answered 504, ran later at a target that was draining or evacuated, and took the slot of another one. Cause: the request kept the entry of the queue that had ended, so that its cancellation removed nothing. Evidence: planned_stop.feature, "A queued request that is cancelled after its target began to drain...", failed before and passes now (planned_stop, target_signals and router_ownership: 101 of 101).

--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -261,10 +261,12 @@
             return
         reason = "evacuated" if self.evacuated else f"target_{self.target.state.value}"
         for entry in self.admission.remove_all():
-            if self.target_holds_key(entry.item.forward):
-                self.admission.push(self.queue_entry(entry.item), self.now)
+            job = entry.item
+            if self.target_holds_key(job.forward):
+                job.queue_entry = self.queue_entry(job)
+                self.admission.push(job.queue_entry, self.now)
             else:
-                self.decline(entry.item, reason)
+                self.decline(job, reason)
         waiting, self.awaiting_keys = self.awaiting_keys, []
         awaiting_bodies = [self.jobs[request_id] for request_id in self.body_gate.transfers]
         for job in (*waiting, *awaiting_bodies):
