Do not transfer stripes that the target was granted again meanwhile

The node grants the stripes once more, then writes the ring that gives them away: it had decided which to transfer before it read the leases of the receivers.

The stripes are now checked again when the leases have been read, against the ring and the target of that moment, and no stripe whose owner a write in progress changes is granted.

--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -253,7 +253,10 @@
         wanted = (
             set()
             if self.must_release_all
-            else set(self.local_stripes()) - set(self.outgoing_stripes) - self.rings.uncertain_stripes
+            else set(self.local_stripes())
+            - set(self.outgoing_stripes)
+            - self.rings.changing_stripes
+            - self.rings.uncertain_stripes
         )
         grantable = self.grantable(wanted, heartbeat)
         if grantable != wanted:
@@ -552,8 +555,17 @@
         return True
 
     def transfer_all(self, movable: list[int], alive: list[Owner]) -> None:
-        """Transfer the stripes of a departing target to other owners; without any, nothing is written."""
+        """Transfer the stripes of a departing target to other owners; without any, nothing is written.
+
+        While the leases were read, the ring may have changed, or the target come back and got a grant.
+        """
         ring = self.local_ring
+        if ring is None or not self.must_release_all:
+            return
+        owned = set(ring.stripes_of(self.node))
+        movable = [index for index in movable if index in owned and self.safe_to_transfer(index)]
+        if not movable:
+            return
         receivers = [owner for owner in alive if owner.node != self.node]
         if not receivers or self.store_era.settling:
             return
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -55,6 +55,8 @@
         Whether a write, or the read after a failed one, is in progress.
     refresh_waiters : dict of str to list of callable
         Callbacks of the refresh in progress, by service.
+    changing_stripes : set of int
+        Stripes whose owner the write in progress changes.
     uncertain_stripes : set of int
         Stripes of a write whose outcome is unknown; it may take effect until the ring is written again.
     on_written : list of callable
@@ -79,6 +81,7 @@
         self.refresh_waiters: dict[str, list[Callable[[], None]]] = {}
         self.refreshed_at: dict[str, float] = {}
         self.local_ring_changed_at = float("-inf")
+        self.changing_stripes: set[int] = set()
         self.uncertain_stripes: set[int] = set()
         self.on_written: list[Callable[[], None]] = []
         self.on_reread: Callable[[], None] = lambda: None
@@ -253,9 +256,11 @@
             deletes,
         )
         self.write_in_progress = True
+        self.changing_stripes = changed
 
         def on_committed(result: Result[int, HibiscusdrumError]) -> None:
             self.write_in_progress = False
+            self.changing_stripes = set()
             outcome = "written" if isinstance(result, Success) else result.failure().code
             log_events.emit(
                 events.RingChanged(
--- a/tests/features/router_ownership.feature
+++ b/tests/features/router_ownership.feature
@@ -52,6 +52,16 @@
   Scenario: A handover that was taken back does no harm when its write takes effect late
     Then 12 evacuations that end before the writes of the handovers take effect give no key two holders
 
+  Scenario Outline: A target that reports again while <stage> for a transfer does not hold the keys with others
+    Given 4 nodes whose targets hold keys
+    When a silent target reports again while <stage> for the transfer of its keys
+    Then every key has a holder within 10 s
+
+    Examples:
+      | stage                |
+      | the leases are read  |
+      | the ring is written  |
+
   Scenario: No random schedule of faults gives two holders
     Then 60 random schedules of kills, freezes, outages and late writes give no key two holders
 
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -185,6 +185,31 @@
     world.store.late_writes = 0.0
 
 
+@when("a silent target reports again while {stage} for the transfer of its keys")
+def reports_again(context, stage):
+    world = context.world
+    world.store.seconds = 0.3
+    node, target = world.nodes["n1"], world.targets["n1"]
+    target.reporting = False
+    end = world.now + 20.0
+
+    def reached():
+        if stage == "the leases are read":
+            return node.owner.must_release_all and node.owner.reading_leases
+        return node.owner.must_release_all and node.owner.rings.write_in_progress
+
+    while not reached():
+        assert world.now < end, "no transfer was begun"
+        world.run(0.05)
+    target.reporting = True
+    target.report_once()
+    # Its next reports are lost, so that it holds what the answer granted for the whole time.
+    target.reporting = False
+    world.run(3.0)
+    target.reporting = True
+    world.run(3.0)
+
+
 def random_schedule(seed):
     """Play faults at random; the world checks after each step that no key has two holders."""
     world = World(seed, nodes=4)
