Reply after a pause only when peers are connected again

Its caller's node had found the peer silent and replaced the connection under the same identity; the resumed process replied before it had accepted the new connection, so that the answer went to the old one (traffic_summary of the receiver counts it as sent; no node got it). Replies wait now until 0.1 s after a pause of the own process.

The new scenario of silent_peers failed before and passes; silent_peers and router_fleet: 50 passed.

--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -41,6 +41,8 @@
 CONGESTION_HOLD_SECONDS = 1.0
 # The fastest message is remembered for one to two such periods, to adapt to a change of the network path.
 BASELINE_PERIOD_SECONDS = 30.0
+# Time after a pause of this process within which the connections that peers have replaced are accepted.
+RECONNECT_SECONDS = 0.1
 SILENT_REASON = "silent"
 DISCONNECTED_REASON = "disconnected"
 RESTARTED_REASON = "restarted"
@@ -403,10 +405,7 @@
             delay = self.transit_delay(message.origin, message.id[:PROCESS_ID_BYTES], message.sent_at)
 
             def reply(answer: Answered | Declined | SendBody, content: bytes) -> None:
-                size = self.peers.reply(identity, answer, content)
-                self.traffic.count_sent(
-                    self.members.region_of(message.origin), type(answer).__name__.lower(), size
-                )
+                self.reply(identity, message.origin, answer, content)
 
             self.on_forward(message, body, delay, reply)
         elif kind is Body:
@@ -428,6 +427,21 @@
         elif kind is Closing:
             self.on_closing(message.node)
 
+    def reply(
+        self, identity: bytes, origin: str, answer: Answered | Declined | SendBody, content: bytes
+    ) -> None:
+        """Reply to a request of another node, after a pause of this process with a delay.
+
+        A peer that found this process silent has replaced its connection. What is sent before the new one is
+        accepted goes to the old one and is lost.
+        """
+        delay = self.app.scheduler.resumed_at + RECONNECT_SECONDS - self.now
+        if delay > 0.0:
+            self.app.scheduler.call_later(delay, lambda: self.reply(identity, origin, answer, content))
+            return
+        size = self.peers.reply(identity, answer, content)
+        self.traffic.count_sent(self.members.region_of(origin), type(answer).__name__.lower(), size)
+
     @property
     def link_congested(self) -> bool:
         """Whether messages to this VM were recently delayed by its link."""
--- a/tests/features/silent_peers.feature
+++ b/tests/features/silent_peers.feature
@@ -41,6 +41,11 @@
     And the router is paused for 2 s, in which the peer is started anew, and 6 s pass
     Then a further request is sent
 
+  Scenario: An answer after a pause is sent when peers that replaced their connection meanwhile are connected again
+    Given a router that sends an order and a read to a peer
+    When an order of the peer is answered by the target as the router goes on after a pause of 2 s
+    Then the answer is sent 0.05 to 0.2 s later, and one without a pause at once
+
   Scenario Outline: A <process> that was paused does not take its target for lost
     Given a <process> whose target reports each second
     When the process is paused for 8 s
--- a/tests/features/steps/silent_peers_steps.py
+++ b/tests/features/steps/silent_peers_steps.py
@@ -42,10 +42,11 @@
 def router_with_requests(context):
     context.app = app = application()
     context.connected = True
+    context.replies = []
     app.add(
         Stub(
             "peers",
-            reply=lambda *_: 100,
+            reply=lambda _identity, answer, _body: context.replies.append(answer) or 100,
             is_connected=lambda _address: context.connected,
             try_send_request=lambda *_: 100 if context.connected else 0,
             peer=lambda *_arguments, **_options: None,
@@ -170,6 +171,32 @@
     assert not context.hop.is_closing("peer") and send_further(context)
 
 
+def order_arrives(context):
+    """Receive an order from the peer, and return the function that replies to it."""
+    taken = []
+    context.hop.on_forward = lambda _forward, _body, _delay, reply: taken.append(reply)
+    context.hop.on_request(b"peer", forward(7), b"")
+    return taken[0]
+
+
+@when("an order of the peer is answered by the target as the router goes on after a pause of {seconds:g} s")
+def answered_after_pause(context, seconds):
+    reply = order_arrives(context)
+    pause(context.app, seconds)
+    reply(Answered(bytes([7]), 200, (), FREE), b"done")
+
+
+@then("the answer is sent {least:g} to {most:g} s later, and one without a pause at once")
+def sent_later(context, least, most):
+    run_for(context.app, least)
+    assert not context.replies
+    run_for(context.app, most - least)
+    assert len(context.replies) == 1
+    run_for(context.app, 1.0)
+    order_arrives(context)(Answered(bytes([7]), 200, (), FREE), b"done")
+    assert len(context.replies) == 2
+
+
 @given("a {process} whose target reports each second")
 def process_with_target(context, process):
     context.app = app = application()
