Send SIGHUP to routers in the soak, and report routers that end by themselves

In 30 of 100 steps a running router gets it up to three times, drawn from a generator of its own, so that old seeds play the same faults. An exit with another code than those of the signals that the soak sends to end a router is a violation.

--- a/soak/run.py
+++ b/soak/run.py
@@ -51,6 +51,11 @@
 MAX_REWRITE_DELAY_SECONDS = 1.0
 # Share of steps in which a router stops as planned on a VM that no fault has disturbed shortly before.
 STOP_SHARE = 0.15
+# Share of steps in which a router is told to reload its settings, and the most times in a row.
+RELOAD_SHARE = 0.3
+MAX_RELOADS = 3
+# Exit codes of routers that the soak stopped as planned, also before they handled the signal, or killed.
+EXPECTED_EXIT_CODES = (0, -signal.SIGTERM, -signal.SIGKILL)
 # Time from the statement that a target leaves to its end.
 LEAVING_SECONDS = 4.0
 # Time for which the end of a router or a target disturbs its VM.
@@ -104,6 +109,8 @@
         # From the signal to the end of the process.
         self.stops: Intervals = {}
         self.stop_rng = random.Random(f"stop {seed}")
+        self.reload_rng = random.Random(f"reload {seed}")
+        self.unexpected_exits: list[str] = []
         self.pipeline_rng = random.Random(f"pipeline {seed}")
 
     def log_event(self, text: str) -> None:
@@ -133,6 +140,7 @@
                 self.change_statement()
                 self.restore_store_at_random()
                 self.stop_router_at_random()
+                self.reload_router_at_random()
                 self.sleep_restarting_routers(self.rng.uniform(0.1, 2.5))
             violations += self.recover()
         except ConditionTimeout as error:
@@ -143,6 +151,7 @@
             requests: list[RequestRecord] = [entry for caller in callers for entry in caller.requests]
             records = self.system.target_records()
             violations += find_violations(requests, records, self.pauses, self.disturbances)
+            violations += self.unexpected_exits
             self.system.stop()
         cuts = cut_requests(requests, self.stops, self.unplanned_faults)
         read_ids = {vm: logged_ids((self.folder / f"router-{vm}.log").read_bytes()) for vm in self.stops}
@@ -235,6 +244,16 @@
         if draw < STOP_SHARE and calm:
             self.signal_router(calm[0], signal.SIGTERM)
 
+    def reload_router_at_random(self) -> None:
+        """Tell a random router that runs to reload its settings, several times in a row, or tell none."""
+        draw, count = self.reload_rng.random(), self.reload_rng.randint(1, MAX_RELOADS)
+        vm = self.reload_rng.choice(list(self.system.vms.values()))
+        if draw >= RELOAD_SHARE or request(vm.address(2), "GET", "/ready", timeout=0.5)[0] == 0:
+            return
+        self.log_event(f"signal SIGHUP to router of {vm.name}, {count} times")
+        for _ in range(count):
+            vm.router.send(signal.SIGHUP)
+
     def draw_restoration(self) -> dict[str, Any]:
         """Return random arguments of `RouterSystem.restore_store`."""
         rng = self.restore_rng
@@ -307,6 +326,9 @@
                 self.exited_at.pop(vm.name, None)
                 continue
             self.end_stop(vm)
+            code = vm.router.process.returncode
+            if vm.name not in self.exited_at and code not in EXPECTED_EXIT_CODES:
+                self.unexpected_exits.append(f"router of {vm.name} ended by itself with code {code}")
             if (
                 time.monotonic() - self.exited_at.setdefault(vm.name, time.monotonic())
                 > ROUTER_RESTART_DELAY_SECONDS
