Add failing scenarios: an unreadable era row stops all changes of rings

Another writer may replace the row of an era by a value that cannot be decoded. Processes that start after that know of no record of the era: its settling period does not end, and each of them writes the row with the check that there is none, in vain, at each look.

--- a/tests/features/router_restored_ownership.feature
+++ b/tests/features/router_restored_ownership.feature
@@ -85,5 +85,16 @@
     When a write of the ring is held up while the store is restored, and the version it names is given out again
     Then the write does not take effect
 
+  Scenario Outline: An era row that becomes <odd> does not stop rings from changing
+    Given 4 nodes whose targets hold keys
+    When the store is restored, its era row becomes <odd>, and all VMs lose power
+    Then every key has a holder within 20 s
+    And the store gets at most 300 writes meanwhile
+
+    Examples:
+      | odd        |
+      | unreadable |
+      | malformed  |
+
   Scenario: No random schedule of restores and other faults gives two holders
     Then 40 random schedules of restores, kills, freezes, cuts and late writes give no key two holders
--- a/tests/features/steps/router_restored_ownership_steps.py
+++ b/tests/features/steps/router_restored_ownership_steps.py
@@ -5,6 +5,7 @@
 from behave import then, when
 from tests.router_world import COPY_INTERVAL_SECONDS, PROBED_KEYS, World
 
+from hibiscusdrum.internal.platform.table import Row
 from hibiscusdrum.internal.router.ring import Owner
 from hibiscusdrum.internal.router.ring_row import decode_ring
 
@@ -241,6 +242,25 @@
     assert store.rows["ring/keys"].value == context.value
 
 
+@when("the store is restored, its era row becomes {odd}, and all VMs lose power")
+def odd_era_row(context, odd):
+    world = context.world
+    store = world.store
+    store.restore(2.0)
+    world.run(4.0)
+    store.version += 1
+    value = None if odd == "unreadable" else {"since": "noon"}
+    store.rows["era/2"] = Row("era/2", store.version, value, unreadable=value is None)
+    context.execute_steps("When all VMs lose power and come back")
+    context.commits = store.calls["commit"]
+
+
+@then("the store gets at most {count:d} writes meanwhile")
+def writes_meanwhile(context, count):
+    writes = context.world.store.calls["commit"] - context.commits
+    assert writes <= count, writes
+
+
 def await_served(world, seconds):
     """Let time pass until each key has a holder."""
     end = world.now + seconds
