Replace era rows that cannot be decoded

A node that started after another writer had replaced the row of the era knew of no record of it, and could not write one, since it required that there is no row. Rings never changed again, so that no target got keys that it did not hold. The row is now written in place of the unreadable version. Nodes that had read the former row keep its time.

--- a/src/hibiscusdrum/internal/router/store_era.py
+++ b/src/hibiscusdrum/internal/router/store_era.py
@@ -66,6 +66,8 @@
         Returns the position of this node among those that record eras.
     settled_at : dict of int to float
         Monotonic time in seconds at which the settling period of each recorded era ends.
+    unreadable_versions : dict of str to int
+        Versions of the rows that cannot be decoded, by key; they are replaced.
     recorded_at : float
         Monotonic time in seconds at which this node learned that the newest era is recorded.
     seen_at : float
@@ -81,6 +83,7 @@
         self.writes_rows = False
         self.write_rank: Callable[[], int] = lambda: 0
         self.settled_at: dict[int, float] = {}
+        self.unreadable_versions: dict[str, int] = {}
         self.recorded_at = 0.0
         self.seen_at = 0.0
         self.write_in_progress = False
@@ -143,11 +146,19 @@
                 value = msgspec.convert(row.value, EraRow) if row.value is not None else None
         except InvalidArgument as error:
             unreadable_entries.record(row.key, error)
+            self.unreadable_versions[row.key] = row.version
             return
+        if row.unreadable:
+            self.unreadable_versions[row.key] = row.version
+            return
+        self.unreadable_versions.pop(row.key, None)
         if value is None:
             self.settled_at.pop(era, None)
             return
-        if era == self.current and era not in self.settled_at:
+        if era in self.settled_at:
+            # The row replaces an unreadable one, and is newer than the one that was known before.
+            return
+        if era == self.current:
             self.recorded_at = self.now
         # The newest time that was seen on the store's clock is not after the true one.
         left = value.since + SETTLING_SECONDS - self.table.store_time
@@ -167,7 +178,7 @@
                 listener()
 
     def record_if_due(self) -> None:
-        """Write the row of the newest era, and those of the eras before that the store lacks."""
+        """Write the row of the newest era, and missing or unreadable ones of the eras before."""
         if not self.writes_rows or self.write_in_progress or not self.members.loaded:
             return
         # The rows of this era have not been read yet, or tell no time.
@@ -180,7 +191,8 @@
         first = max(FIRST_ERA + 1, era - REWRITTEN_ERAS)
         keys = [era_key(entry) for entry in range(first, era + 1) if entry not in self.settled_at]
         puts = {key: msgspec.to_builtins(row) for key in keys}
-        transaction = Transaction(new_operation_id(), {**dict.fromkeys(keys, 0), **self.fence()}, puts)
+        checks = {key: self.unreadable_versions.get(key, 0) for key in keys}
+        transaction = Transaction(new_operation_id(), {**checks, **self.fence()}, puts)
         self.write_in_progress = True
 
         def on_committed(result: Result[int, HibiscusdrumError]) -> None:
