Add a failing scenario: keys that a target does not hold are not moved on

A node that must release all keys transfers a stripe once its target has reported, after the stripe was left out of a grant, that it does not hold it. A process that never granted the stripe never leaves it out. After a daemon was down for longer than its target's hold, and its failure domain was evacuated, the keys of its target have no holder 60 s later, with or without a restore of the store: the node renews its lease, so that nobody takes over either. A rebalance that picks stripes which are not granted yet would leave them unserved, too.

--- a/tests/features/router_ownership.feature
+++ b/tests/features/router_ownership.feature
@@ -125,3 +125,8 @@
       | event                             |
       | a node's failure domain is evacuated |
       | a node's target begins to drain   |
+
+  Scenario: Keys that a target no longer holds move on although its daemon was restarted and it must release all
+    Given 5 nodes whose targets hold keys
+    When a failure domain is evacuated while a daemon of it is down for 7 s
+    Then every key has a holder within 5 s
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -140,6 +140,15 @@
         node.members.set_evacuated_domains(frozenset(("d1",)))
 
 
+@when("a failure domain is evacuated while a daemon of it is down for {seconds:d} s")
+def evacuated_while_down(context, seconds):
+    world = context.world
+    world.kill_daemon("n1")
+    world.run(seconds)
+    world.start_daemon("n1")
+    evacuated(context)
+
+
 @then("every key has a holder within {seconds:d} s")
 def held_again(context, seconds):
     world = context.world
