Move on stripes that a target does not hold although its daemon never granted them

A stripe that the node owns and leaves out of an answer now counts as left out from then on, also if this process did not grant it before. The target's next report tells whether it holds the stripe from a grant of an earlier process.

--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -115,7 +115,8 @@
     granted_stripes : set of int
         Stripes of the last grant to the target.
     revoked_at : dict of int to float
-        Monotonic time in seconds at which a stripe was left out of the grant.
+        Monotonic time in seconds at which an owned stripe was first left out of the grants since it was last
+        in one.
     handover_tokens : dict of int to str
         Handover tokens of the stripes that the target has released.
     on_granted : list of callable
@@ -272,6 +273,9 @@
         self.left_out_stripes = len(wanted - keep)
         for index in self.granted_stripes - keep:
             self.revoked_at[index] = now
+        # The target may hold stripes that an earlier process granted, or none of what was never granted.
+        for index in set(self.local_stripes()) - keep:
+            self.revoked_at.setdefault(index, now)
         for index in keep:
             self.revoked_at.pop(index, None)
             self.handover_tokens.pop(index, None)
