Grant no stripes under the tokens of a ring of an earlier release while an era settles

An era that has not settled was passed as 0, the era of a ring whose row names none. It is None now, which equals the era of no ring.

--- a/src/hibiscusdrum/internal/router/grant_contents.py
+++ b/src/hibiscusdrum/internal/router/grant_contents.py
@@ -55,7 +55,9 @@
     return GrantContents(tuple(contents), stripes)
 
 
-def grantable_stripes(ring: Ring, indexes: Collection[int], held: Iterable[Range], era: int) -> set[int]:
+def grantable_stripes(
+    ring: Ring, indexes: Collection[int], held: Iterable[Range], era: int | None
+) -> set[int]:
     """Return the stripes that may be granted although the store was restored from a copy.
 
     The store may have lost assignments, so tokens of earlier eras may be smaller than some that were given
@@ -68,8 +70,8 @@
         Stripes that the target should hold.
     held : iterable of Range
         Ranges that the target reports to hold.
-    era : int
-        Era of the store if it has settled, otherwise 0.
+    era : int or None
+        Era of the store if it has settled, otherwise None.
     """
     renewable = held_stripes(ring, held)
     least_token = ring.era_fencing_token if ring.era == era else ring.next_fencing_token
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -291,7 +291,7 @@
         """Return the stripes that the target may hold under the tokens of the ring."""
         if not self.store_era.restored:
             return stripes
-        settled_era = 0 if self.store_era.settling else self.store_era.current
+        settled_era = None if self.store_era.settling else self.store_era.current
         return grantable_stripes(self.local_ring, stripes, heartbeat.held, settled_era)
 
     def grant_imminent(self) -> bool:
