Ignore rows whose keys are other spellings of an era

Keys such as era/02 were taken as the row of era 2. After a restore, such a row of another writer ended the settling period at once, and nobody wrote the row whose absence lets writes of the former era take effect.

--- a/src/hibiscusdrum/internal/router/store_era.py
+++ b/src/hibiscusdrum/internal/router/store_era.py
@@ -143,6 +143,8 @@
         try:
             with refusing_malformed("era row", row.value):
                 era = int(row.key.removeprefix(ERA_PREFIX))
+                if row.key != era_key(era):
+                    raise ValueError(f"the key {era_key(era)}")
                 value = msgspec.convert(row.value, EraRow) if row.value is not None else None
         except InvalidArgument as error:
             unreadable_entries.record(row.key, error)
--- a/tests/features/router_restored_ownership.feature
+++ b/tests/features/router_restored_ownership.feature
@@ -91,6 +91,11 @@
     Then every key has a holder within 20 s
     And no target has taken a key with a fencing token that an earlier holder had
 
+  Scenario: A row whose key is another spelling of an era does not end its settling period
+    Given 4 nodes whose targets hold keys
+    When the store is restored, and another writer leaves a row "era/02" of long ago
+    Then the era is recorded within 2 s, and still settles
+
   Scenario Outline: An era row that becomes <odd> does not stop rings from changing
     Given 4 nodes whose targets hold keys
     When the store is restored, its era row becomes <odd>, and all VMs lose power
--- a/tests/features/steps/router_restored_ownership_steps.py
+++ b/tests/features/steps/router_restored_ownership_steps.py
@@ -281,6 +281,22 @@
         world.start_daemon(name)
 
 
+@when('the store is restored, and another writer leaves a row "{key}" of long ago')
+def other_spelling(context, key):
+    store = context.world.store
+    store.restore(2.0)
+    store.version += 1
+    store.rows[key] = Row(key, store.version, {"since": 0.0})
+
+
+@then("the era is recorded within {seconds:d} s, and still settles")
+def recorded_and_settling(context, seconds):
+    world = context.world
+    world.run(seconds)
+    assert "era/2" in world.store.rows
+    assert all(node.owner.store_era.settling for node in world.nodes.values())
+
+
 def await_served(world, seconds):
     """Let time pass until each key has a holder."""
     end = world.now + seconds
