Add a failing scenario: owners that each lost some stripes in a restore write the ring one by one

When an era has settled, an owner whose target holds none of its stripes gives new tokens to all outdated ones, so that the others need no write. One whose target still holds some writes its own only.

Whether a target starts cold with keys that it holds and gets under a larger token is not known.

--- a/tests/features/router_restored_ownership.feature
+++ b/tests/features/router_restored_ownership.feature
@@ -77,6 +77,11 @@
     When the store turns all away for 14 s and is restored from a copy 5 s old
     Then every key has a holder within 14 s
 
+  Scenario: Many owners that each lost some stripes in a restore get new tokens by few writes
+    Given 40 nodes whose targets hold keys
+    When each node has begun to hand 12 stripes over when the store is restored
+    Then every key has a holder within 14 s
+
   Scenario: The clock of a restored store does not lengthen a lease
     Then 20 restores with a clock that jumps by up to 30 s give no key two holders
 
--- a/tests/features/steps/router_restored_ownership_steps.py
+++ b/tests/features/steps/router_restored_ownership_steps.py
@@ -297,6 +297,21 @@
     assert all(node.owner.store_era.settling for node in world.nodes.values())
 
 
+@when("each node has begun to hand {count:d} stripes over when the store is restored")
+def restored_in_handovers(context, count):
+    world = context.world
+    store = world.store
+    store.down_for[""] = world.now + 2.5
+    names = sorted(world.nodes)
+    for name, receiver in zip(names, [*names[1:], names[0]], strict=True):
+        owner = world.nodes[name].owner
+        owner.outgoing_stripes = dict.fromkeys(
+            owner.local_stripes()[:count], Owner(receiver, world.nodes[receiver].target.incarnation)
+        )
+    world.run(2.5)
+    store.restore(3.0)
+
+
 def await_served(world, seconds):
     """Let time pass until each key has a holder."""
     end = world.now + seconds
