Write the lease of a new era only once the era is recorded

A lease write that was sent before a restore may be performed after it, as long as the row of the new era does not exist. If it names the version that the owner's lease got in the new era meanwhile, it replaces that row by one that ends earlier.

The lease is now written after the record, from which on late writes fail.

--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -117,11 +117,14 @@
         self.ring_synced = False
 
     def renew_if_due(self) -> None:
-        """Write the lease if it is due for renewal, after a first read of the stored row."""
+        """Write the lease if it is due, once the stored row has been read and the era is recorded."""
         if self.request_in_flight:
             return
         if self.lease.row_version == 0 and not self.row_read:
             self.read_lease()
+        elif not self.store_era.recorded:
+            # Until then, a late write of the former era may replace the row.
+            return
         elif not self.lease.expires_at or self.lease.is_renewal_due(self.now):
             self.write_lease()
         elif not self.ring_synced:
--- a/tests/features/router_restored_ownership.feature
+++ b/tests/features/router_restored_ownership.feature
@@ -112,5 +112,10 @@
       | unreadable |
       | malformed  |
 
+  Scenario: A late write of an earlier era does not shorten the row of a lease that is in use
+    Given 4 nodes whose targets hold keys
+    When a write of a lease is held up until its owner has written the lease again in the next era
+    Then the owner never uses its lease for longer than its row says
+
   Scenario: No random schedule of restores and other faults gives two holders
     Then 40 random schedules of restores, kills, freezes, cuts and late writes give no key two holders
--- a/tests/features/steps/router_restored_ownership_steps.py
+++ b/tests/features/steps/router_restored_ownership_steps.py
@@ -312,6 +312,55 @@
     store.restore(3.0)
 
 
+@when("a write of a lease is held up until its owner has written the lease again in the next era")
+def held_up_lease(context):
+    world = context.world
+    store = world.store
+    table = world.nodes["n1"].app.find("table")
+    commit, late = table.commit, []
+
+    def hold_up(transaction, callback):
+        if "lease/keys/n1" not in transaction.puts:
+            commit(transaction, callback)
+        elif not late:
+            late.append(transaction)
+            table.failing(callback, "unknown")
+        else:
+            if table.era == 2 and table.commit is hold_up:
+                # The row gets the version that the late write names.
+                store.version = late[0].checks["lease/keys/n1"] % 2**48 - 1
+                world.after(0.05, lambda: store.write(late[0]))
+                table.commit = commit
+            commit(transaction, callback)
+
+    world.run(4.0)
+    table.commit = hold_up
+    while not late:
+        world.run(0.1)
+    store.down_for[""] = world.now + 3.0
+    world.run(3.0)
+    for node in world.nodes.values():
+        node.owner.store_era.writes_rows = False
+    store.restore(6.0)
+    world.run(0.8)
+    for node in world.nodes.values():
+        node.owner.store_era.writes_rows = True
+
+
+@then("the owner never uses its lease for longer than its row says")
+def lease_as_stored(context):
+    world = context.world
+    keeper = world.nodes["n1"].owner.keeper
+    synced = False
+    for _ in range(60):
+        world.run(0.1)
+        synced = synced or keeper.ring_synced
+        if keeper.ring_synced:
+            left = world.store.rows["lease/keys/n1"].value["ends"] - world.store_time
+            assert keeper.remaining_seconds <= left + 0.1, (keeper.remaining_seconds, left)
+    assert synced
+
+
 def await_served(world, seconds):
     """Let time pass until each key has a holder."""
     end = world.now + seconds
