--- a/tests/features/router_ownership.feature
+++ b/tests/features/router_ownership.feature
@@ -130,3 +130,13 @@
     Given 5 nodes whose targets hold keys
     When a failure domain is evacuated while a daemon of it is down for 7 s
     Then every key has a holder within 5 s
+
+  Scenario Outline: A target that reports again while its keys move away does not get them back: <moment>
+    Given 4 nodes whose targets hold keys
+    When a silent target reports again while <moment>, which takes 1.2 s
+    Then no key gets two holders within 8 s
+
+    Examples:
+      | moment                                  |
+      | its node reads leases to move its keys  |
+      | its node writes the ring without it     |
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -13,7 +13,7 @@
 from hypothesis import given as given_any
 from hypothesis import settings
 from hypothesis import strategies as st
-from tests.router_world import PROBED_KEYS, World
+from tests.router_world import PROBED_KEYS, STORE_SECONDS, World
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.platform.table import Row
@@ -149,6 +149,33 @@
     evacuated(context)
 
 
+@when("a silent target reports again while its node {action}, which takes {seconds:g} s")
+def reports_again(context, action, seconds):
+    world = context.world
+    node, target = world.nodes["n1"], world.targets["n1"]
+    target.reporting = False
+    world.run(3.0)
+    world.store.seconds = seconds
+    for _ in range(200):
+        reading = node.owner.reading_leases
+        writing = node.owner.rings.write_in_progress
+        lapsed = not node.target.ready and world.now > node.owner.granted_until + 0.2
+        if lapsed and (reading if action.startswith("reads") else writing):
+            break
+        world.run(0.05)
+    else:
+        raise AssertionError("the keys of a silent target are moved")
+    # Only that answer is slow.
+    world.store.seconds = STORE_SECONDS
+    target.reporting = True
+
+
+@then("no key gets two holders within {seconds:d} s")
+def no_two_holders(context, seconds):
+    # ``World.run`` checks the holders after each step.
+    context.world.run(float(seconds))
+
+
 @then("every key has a holder within {seconds:d} s")
 def held_again(context, seconds):
     world = context.world
