--- a/tests/features/router_ownership.feature
+++ b/tests/features/router_ownership.feature
@@ -135,3 +135,18 @@
       | event                             |
       | a node's failure domain is evacuated |
       | a node's target begins to drain   |
+
+  Scenario: Keys that a target no longer holds move on although its daemon was restarted and it must release all
+    Given 5 nodes whose targets hold keys
+    When a failure domain is evacuated while a daemon of it is down for 7 s
+    Then every key has a holder within 5 s
+
+  Scenario Outline: A target that reports again while its keys move away does not get them back: <moment>
+    Given 4 nodes whose targets hold keys
+    When a silent target reports again while <moment>, which takes 1.2 s
+    Then no key gets two holders within 8 s
+
+    Examples:
+      | moment                                  |
+      | its node reads leases to move its keys  |
+      | its node writes the ring without it     |
--- a/tests/features/router_restored_ownership.feature
+++ b/tests/features/router_restored_ownership.feature
@@ -77,6 +77,11 @@
     When the store turns all away for 14 s and is restored from a copy 5 s old
     Then every key has a holder within 14 s
 
+  Scenario: Many owners that each lost some stripes in a restore get new tokens by few writes
+    Given 40 nodes whose targets hold keys
+    When each node has begun to hand 12 stripes over when the store is restored
+    Then every key has a holder within 14 s
+
   Scenario: The clock of a restored store does not lengthen a lease
     Then 20 restores with a clock that jumps by up to 30 s give no key two holders
 
@@ -85,5 +90,32 @@
     When a write of the ring is held up while the store is restored, and the version it names is given out again
     Then the write does not take effect
 
+  Scenario: A stripe moved after the copy is not granted to its former owner by a ring of an earlier release
+    Given 4 nodes whose targets hold keys
+    When an earlier release wrote the ring, stripes move, and all daemons restart while the store is restored
+    Then every key has a holder within 20 s
+    And no target has taken a key with a fencing token that an earlier holder had
+
+  Scenario: A row whose key is another spelling of an era does not end its settling period
+    Given 4 nodes whose targets hold keys
+    When the store is restored, and another writer leaves a row "era/02" of long ago
+    Then the era is recorded within 2 s, and still settles
+
+  Scenario Outline: An era row that becomes <odd> does not stop rings from changing
+    Given 4 nodes whose targets hold keys
+    When the store is restored, its era row becomes <odd>, and all VMs lose power
+    Then every key has a holder within 20 s
+    And the store gets at most 300 writes meanwhile
+
+    Examples:
+      | odd        |
+      | unreadable |
+      | malformed  |
+
+  Scenario: A late write of an earlier era does not shorten the row of a lease that is in use
+    Given 4 nodes whose targets hold keys
+    When a write of a lease is held up until its owner has written the lease again in the next era
+    Then the owner never uses its lease for longer than its row says
+
   Scenario: No random schedule of restores and other faults gives two holders
     Then 40 random schedules of restores, kills, freezes, cuts and late writes give no key two holders
--- a/tests/features/steps/router_restored_ownership_steps.py
+++ b/tests/features/steps/router_restored_ownership_steps.py
@@ -2,11 +2,13 @@
 
 import random
 
+import msgspec
 from behave import then, when
 from tests.router_world import COPY_INTERVAL_SECONDS, PROBED_KEYS, World
 
+from hibiscusdrum.internal.platform.table import Row
 from hibiscusdrum.internal.router.ring import Owner
-from hibiscusdrum.internal.router.ring_row import decode_ring
+from hibiscusdrum.internal.router.ring_row import decode_ring, encode_ring
 
 # All leases of the earlier era must have ended before keys change hands.
 RECOVERY_SECONDS = 30.0
@@ -241,6 +243,124 @@
     assert store.rows["ring/keys"].value == context.value
 
 
+@when("the store is restored, its era row becomes {odd}, and all VMs lose power")
+def odd_era_row(context, odd):
+    world = context.world
+    store = world.store
+    store.restore(2.0)
+    world.run(4.0)
+    store.version += 1
+    value = None if odd == "unreadable" else {"since": "noon"}
+    store.rows["era/2"] = Row("era/2", store.version, value, unreadable=value is None)
+    context.execute_steps("When all VMs lose power and come back")
+    context.commits = store.calls["commit"]
+
+
+@then("the store gets at most {count:d} writes meanwhile")
+def writes_meanwhile(context, count):
+    writes = context.world.store.calls["commit"] - context.commits
+    assert writes <= count, writes
+
+
+@when("an earlier release wrote the ring, stripes move, and all daemons restart while the store is restored")
+def ring_of_earlier_release(context):
+    world = context.world
+    store = world.store
+    ring = msgspec.structs.replace(stored_ring(world), era=0, era_fencing_token=1)
+    store.version += 1
+    store.rows["ring/keys"] = Row("ring/keys", store.version, encode_ring(ring))
+    world.run(3.0)
+    began = world.now
+    giver, taker = world.nodes["n1"].owner, world.nodes["n2"]
+    giver.outgoing_stripes = dict.fromkeys(giver.local_stripes()[:20], Owner("n2", taker.target.incarnation))
+    world.run(4.0)
+    for name in sorted(world.nodes):
+        world.kill_daemon(name)
+    store.restore(world.now - began)
+    for name in sorted(world.domains):
+        world.start_daemon(name)
+
+
+@when('the store is restored, and another writer leaves a row "{key}" of long ago')
+def other_spelling(context, key):
+    store = context.world.store
+    store.restore(2.0)
+    store.version += 1
+    store.rows[key] = Row(key, store.version, {"since": 0.0})
+
+
+@then("the era is recorded within {seconds:d} s, and still settles")
+def recorded_and_settling(context, seconds):
+    world = context.world
+    world.run(seconds)
+    assert "era/2" in world.store.rows
+    assert all(node.owner.store_era.settling for node in world.nodes.values())
+
+
+@when("each node has begun to hand {count:d} stripes over when the store is restored")
+def restored_in_handovers(context, count):
+    world = context.world
+    store = world.store
+    store.down_for[""] = world.now + 2.5
+    names = sorted(world.nodes)
+    for name, receiver in zip(names, [*names[1:], names[0]], strict=True):
+        owner = world.nodes[name].owner
+        owner.outgoing_stripes = dict.fromkeys(
+            owner.local_stripes()[:count], Owner(receiver, world.nodes[receiver].target.incarnation)
+        )
+    world.run(2.5)
+    store.restore(3.0)
+
+
+@when("a write of a lease is held up until its owner has written the lease again in the next era")
+def held_up_lease(context):
+    world = context.world
+    store = world.store
+    table = world.nodes["n1"].app.find("table")
+    commit, late = table.commit, []
+
+    def hold_up(transaction, callback):
+        if "lease/keys/n1" not in transaction.puts:
+            commit(transaction, callback)
+        elif not late:
+            late.append(transaction)
+            table.failing(callback, "unknown")
+        else:
+            if table.era == 2 and table.commit is hold_up:
+                # The row gets the version that the late write names.
+                store.version = late[0].checks["lease/keys/n1"] % 2**48 - 1
+                world.after(0.05, lambda: store.write(late[0]))
+                table.commit = commit
+            commit(transaction, callback)
+
+    world.run(4.0)
+    table.commit = hold_up
+    while not late:
+        world.run(0.1)
+    store.down_for[""] = world.now + 3.0
+    world.run(3.0)
+    for node in world.nodes.values():
+        node.owner.store_era.writes_rows = False
+    store.restore(6.0)
+    world.run(0.8)
+    for node in world.nodes.values():
+        node.owner.store_era.writes_rows = True
+
+
+@then("the owner never uses its lease for longer than its row says")
+def lease_as_stored(context):
+    world = context.world
+    keeper = world.nodes["n1"].owner.keeper
+    synced = False
+    for _ in range(60):
+        world.run(0.1)
+        synced = synced or keeper.ring_synced
+        if keeper.ring_synced:
+            left = world.store.rows["lease/keys/n1"].value["ends"] - world.store_time
+            assert keeper.remaining_seconds <= left + 0.1, (keeper.remaining_seconds, left)
+    assert synced
+
+
 def await_served(world, seconds):
     """Let time pass until each key has a holder."""
     end = world.now + seconds
