Split the step of a planned stop by what it ends

It refuses requests, gives late ones an outcome, and asks whether the process may end, each in a function of its own; no decision changes. planned_stop and target_signals: 64 passed.

--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -149,21 +149,9 @@
             self.row_removed = True
             self.members.remove_local_row(lambda: None)
         if elapsed > REQUEST_REFUSAL_DELAY_SECONDS:
-            if self.announced_at is None:
-                self.announced_at = elapsed
-                self.hop.announce_end()
-            self.receiver.closed = True
-            if not self.gateway.closed and not self.receiver.has_jobs:
-                self.gateway.close()
-        if elapsed > self.settings.grace - UNSENT_BODY_MARGIN_SECONDS:
-            self.gateway.refuse_unsent()
-        if self.service_seconds_left() <= 0.0:
-            self.receiver.decline_unsent()
-        if self.service_seconds_left() <= -EARLY_END_PATIENCE_SECONDS:
-            self.gateway.end_unanswered()
-        grace_over = elapsed > self.settings.grace - EXIT_MARGIN_SECONDS
-        denied = elapsed > READINESS_DENIAL_SECONDS and self.peers_told(elapsed)
-        if grace_over or (denied and self.gateway.closed and not self.busy and self.callers_quiet):
+            self.refuse_requests(elapsed)
+        self.end_late_requests(elapsed)
+        if elapsed > self.settings.grace - EXIT_MARGIN_SECONDS or self.may_end(elapsed):
             self.finished = True
             self.log_connections_left()
             log_events.emit(
@@ -175,6 +163,29 @@
             )
             self.app.shutdown(0)
 
+    def refuse_requests(self, elapsed: float) -> None:
+        """Take no more requests for the local target, and no new callers once its runs have ended."""
+        if self.announced_at is None:
+            self.announced_at = elapsed
+            self.hop.announce_end()
+        self.receiver.closed = True
+        if not self.gateway.closed and not self.receiver.has_jobs:
+            self.gateway.close()
+
+    def end_late_requests(self, elapsed: float) -> None:
+        """Give an outcome to the requests that would still be without one when the process is killed."""
+        if elapsed > self.settings.grace - UNSENT_BODY_MARGIN_SECONDS:
+            self.gateway.refuse_unsent()
+        if self.service_seconds_left() <= 0.0:
+            self.receiver.decline_unsent()
+        if self.service_seconds_left() <= -EARLY_END_PATIENCE_SECONDS:
+            self.gateway.end_unanswered()
+
+    def may_end(self, elapsed: float) -> bool:
+        """Return whether the process can exit without cutting off a request."""
+        denied = elapsed > READINESS_DENIAL_SECONDS and self.peers_told(elapsed)
+        return denied and self.gateway.closed and not self.busy and self.callers_quiet
+
     def log_connections_left(self) -> None:
         """Log in which state callers' connections are closed by the end of the process."""
         connections = self.entry.connections_of(self.settings.caller_address)
