Keep a configuration in force without the fields that cannot be used

The decoder converted each record as a whole and raised at the first fault; the former scenarios asserted that, for each odd value of any field.

Change: fields are decoded one by one. A route of an unknown kind is never repeated; a route whose requests or services cannot be told keeps its place without a service, so that its requests get 503 and no other route takes them; a service for which it is unknown whether its targets own keys gets no requests; other values are the former ones. Each fault is an event (845) with entry, field and effect.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -399,6 +399,26 @@
     reason: str
 
 
+class ConfigurationFieldUnusable(LogEvent, frozen=True):
+    """A field of a configuration is missing or could not be decoded; all other entries are in force.
+
+    ``effect`` is ``requests_refused`` (with 503), ``never_repeated`` or ``former_value_or_default``.
+    """
+
+    number = 845
+    level = "ERROR"
+    rate_limited = True
+    lines_per_interval = 20
+    cause = "The operator's tools wrote a value that this release does not know, or have a bug."
+    operator_action = "Write a configuration with a value as documented, or install a release that knows it."
+
+    version: int
+    entry: str
+    field: str
+    effect: str
+    reason: str
+
+
 class StoreCallFailed(LogEvent, frozen=True):
     """A call to the store failed."""
 
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -50,6 +50,8 @@
 MIN_RETRY_REMAINING_SECONDS = 0.05
 # Retry-After of a 503 when no node gave an estimate: about the interval between two reports of a target.
 DEFAULT_RETRY_AFTER_SECONDS = 0.5
+# Retry-After while an entry of the configuration cannot be used: an operator has to write another one.
+UNUSABLE_RETRY_AFTER_SECONDS = 5.0
 # Retries of a request whose key has a new owner, and the delay before the owner is looked up again.
 MAX_OWNER_RETRIES = 3
 OWNER_RETRY_DELAY_SECONDS = 0.2
@@ -172,6 +174,11 @@
         if route is None:
             self.refuse_unrouted(request, 404, "no_route")
             return
+        service = self.service_choice.choose(route) if route.services else ""
+        if not service or service in self.route_table.unusable_services:
+            reason = "service_unusable" if service else "route_unusable"
+            self.refuse_unrouted(request, 503, reason, UNUSABLE_RETRY_AFTER_SECONDS)
+            return
         timeout = self.request_timeout(request)
         remaining = min(timeout, route.timeout) if route.timeout > 0.0 else timeout
         available = self.service_seconds_left()
@@ -180,7 +187,7 @@
             return
         ends_early = available < remaining
         remaining = min(remaining, available)
-        pending = PendingRequest(request, route, self.service_choice.choose(route), now + remaining, now)
+        pending = PendingRequest(request, route, service, now + remaining, now)
         pending.timeout = timeout
         self.overload_control.on_arrival(pending, now)
         pending.attempt_id = request.header(self.header_names.attempt_id) or ""
@@ -210,7 +217,13 @@
             return DEFAULT_TIMEOUT_SECONDS
         return timeout if 0.0 < timeout < float("inf") else DEFAULT_TIMEOUT_SECONDS
 
-    def refuse_unrouted(self, request: EntryRequest, status: int, reason: str) -> None:
+    def refuse_unrouted(
+        self,
+        request: EntryRequest,
+        status: int,
+        reason: str,
+        retry_after: float = DEFAULT_RETRY_AFTER_SECONDS,
+    ) -> None:
         """Respond with an error to a request that cannot be matched to a service or a key."""
         attempt_id = request.header(self.header_names.attempt_id) or ""
         log_events.emit(
@@ -228,7 +241,7 @@
         )
         headers = [(self.header_names.attempt_id, attempt_id)] if attempt_id else []
         if status == 503:
-            headers.append(("retry-after", f"{DEFAULT_RETRY_AFTER_SECONDS:.3f}"))
+            headers.append(("retry-after", f"{retry_after:.3f}"))
         request.respond(status, headers, close=self.stopping)
 
     def dispatch(self, pending: PendingRequest) -> None:
--- a/src/hibiscusdrum/internal/router/routes.py
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -8,6 +8,8 @@
 
 # Keys of partitioned services are integers from 0 to this, exclusive.
 KEY_SPACE = 65_536
+# Host of a route that applies to the requests for which no other route exists, whatever their host.
+ANY_HOST = ""
 
 
 class RequestKind(enum.Enum):
@@ -64,7 +66,7 @@
     priority : int
         0 is the highest priority.
     services : tuple of (str, float)
-        Services with their weights.
+        Services with their weights; none if the route cannot be used, so that its requests are refused.
     attempts : int
         Maximum number of targets to which one attempt of a caller may be sent.
     regions : tuple of str
@@ -129,12 +131,15 @@
         Increases with each change; 0 if no configuration is known yet.
     by_host : dict
         Routes by host in lower case, longest prefix first.
+    unusable_services : frozenset of str
+        Services to which no request may be sent, since their entries cannot be used.
     """
 
     version: int
     by_host: dict[str, tuple[Route, ...]]
     services: dict[str, ServiceSpec]
     limits: EntryLimits = EntryLimits()
+    unusable_services: frozenset[str] = frozenset()
 
     @classmethod
     def build(
@@ -143,6 +148,7 @@
         routes: list[Route],
         services: list[ServiceSpec],
         limits: EntryLimits | None = None,
+        unusable_services: frozenset[str] = frozenset(),
     ) -> RouteTable:
         """Return a table whose routes are indexed by host and sorted by length of prefix."""
         by_host: dict[str, list[Route]] = {}
@@ -152,7 +158,8 @@
             host: tuple(sorted(entries, key=lambda route: -len(route.prefix)))
             for host, entries in by_host.items()
         }
-        return cls(version, ordered, {spec.name: spec for spec in services}, limits or EntryLimits())
+        specs = {spec.name: spec for spec in services}
+        return cls(version, ordered, specs, limits or EntryLimits(), unusable_services)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or None.
@@ -169,7 +176,7 @@
         if routes is None:
             routes = self.by_host.get(name.rpartition(":")[0], ())
         path = path.partition("?")[0]
-        for route in routes:
+        for route in (*routes, *self.by_host.get(ANY_HOST, ())):
             if path.startswith(route.prefix):
                 return route
         return None
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -5,35 +5,24 @@
 import base64
 import random
 from collections import deque
-from typing import Annotated, Any
 
-import msgspec
 from returns.result import Result, Success
 
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
-from hibiscusdrum.internal.decoding import (
-    MAX_INTEGER,
-    MAX_INTEGER_DIGITS,
-    Number,
-    Text,
-    refusing_malformed,
-)
+from hibiscusdrum.internal.decoding import refusing_malformed
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.platform.table import era_of, number_of
 from hibiscusdrum.internal.router import events
-from hibiscusdrum.internal.router.routes import EntryLimits, RequestKind, Route, RouteTable, ServiceSpec
 from hibiscusdrum.internal.router.unreadable import unreadable_entries
+from hibiscusdrum.platform.configuration import DecodedConfig, decode_config
 from hibiscusdrum.platform.store import OPERATOR_TABLE, RowChanges, StoreClient, WireRow
 
 CONFIG_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
 BASE_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 0.5
-DEFAULT_PRIORITY = 1
-MAX_SECONDS = 1e6
-MAX_NAME_CHARACTERS = 8192
 # After a restore of the store, the operator writes again what the copy lacks. For this time, evacuations that
 # differ from what was last read before are taken as lost by the store, not as changed by the operator.
 RESTORED_EVACUATION_SECONDS = 5.0
@@ -41,155 +30,6 @@
 MAX_REMEMBERED_NUMBERS = 8
 MAX_REMEMBERED_DOMAINS = 100
 
-# Counts may be written with a fraction of 0.
-Count = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
-PositiveCount = Annotated[float, msgspec.Meta(ge=1, le=MAX_INTEGER)]
-Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SECONDS)]
-PositiveSeconds = Annotated[float, msgspec.Meta(gt=0.0, le=MAX_SECONDS)]
-Prefix = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
-Name = Annotated[Prefix, msgspec.Meta(min_length=1)]
-
-
-class ColumnarRecords(msgspec.Struct, frozen=True):
-    """Records that share one list of field names; each record is a list of values in that order."""
-
-    columns: tuple[str, ...]
-    records: tuple[tuple[Any, ...], ...]
-
-    def to_dicts(self) -> list[dict[str, Any]]:
-        """Return each record as a dict by field name, without the fields whose value is null."""
-        return [
-            {name: value for name, value in zip(self.columns, record, strict=False) if value is not None}
-            for record in self.records
-        ]
-
-
-class WireLimits(msgspec.Struct, frozen=True):
-    """Limits on callers' requests and connections; missing ones have their defaults."""
-
-    maxHeaderBytes: PositiveCount | None = None  # noqa: N815 - name on the wire
-    maxBodyBytes: Count | None = None  # noqa: N815 - name on the wire
-    headerTimeoutS: PositiveSeconds | None = None  # noqa: N815 - name on the wire
-    idleTimeoutS: PositiveSeconds | None = None  # noqa: N815 - name on the wire
-
-
-class WireConfig(msgspec.Struct, frozen=True):
-    """The configuration as the operator stores it; ``version`` is ``r`` followed by a number."""
-
-    version: Text
-    routes: ColumnarRecords
-    services: ColumnarRecords
-    limits: WireLimits | None = None
-
-
-class WireBackend(msgspec.Struct, frozen=True):
-    """A service to which a route sends requests, with its weight."""
-
-    service: Name
-    weight: Number
-
-
-class WireRoute(msgspec.Struct, frozen=True):
-    """A route; ``backends`` lists services with weights, not targets."""
-
-    name: Name
-    host: Name
-    prefix: Prefix
-    kind: RequestKind
-    service: Prefix = ""
-    backends: tuple[WireBackend, ...] = ()
-    timeoutS: Seconds = 0.0  # noqa: N815 - name on the wire
-    goalS: Seconds = 0.0  # noqa: N815 - name on the wire
-    priority: Count = DEFAULT_PRIORITY
-    attempts: Count = 1
-    allowedRegions: tuple[Name, ...] = ()  # noqa: N815 - name on the wire
-
-
-class WireService(msgspec.Struct, frozen=True):
-    """A service."""
-
-    name: Name
-    healthPath: Prefix = "/healthz"  # noqa: N815 - name on the wire
-    maxConns: PositiveCount = 64  # noqa: N815 - name on the wire
-    warmupS: Seconds = 0.0  # noqa: N815 - name on the wire
-    warmupPerS: Number = 0.0  # noqa: N815 - name on the wire
-    partitioned: bool = False
-
-
-def decode_config(data: bytes) -> RouteTable:
-    """Decode the operator's configuration into a route table.
-
-    Raises
-    ------
-    InvalidArgument
-        If the configuration is malformed, or a value of it is out of range.
-    """
-    with refusing_malformed("configuration", data):
-        wire = msgspec.json.decode(data, type=WireConfig)
-        version = int(wire.version.removeprefix("r"))
-        if not 0 <= version <= MAX_INTEGER:
-            raise ValueError(f"a version from r0 to r{MAX_INTEGER}, got {wire.version[:MAX_INTEGER_DIGITS]}")
-        return RouteTable.build(
-            version,
-            [decode_route(msgspec.convert(entry, WireRoute)) for entry in wire.routes.to_dicts()],
-            [decode_service(msgspec.convert(entry, WireService)) for entry in wire.services.to_dicts()],
-            decode_limits(wire.limits),
-        )
-
-
-def decode_route(wire: WireRoute) -> Route:
-    """Convert a route.
-
-    Raises
-    ------
-    ValueError
-        If it names no service.
-    """
-    services = tuple((backend.service, backend.weight) for backend in wire.backends)
-    if not services and not wire.service:
-        raise ValueError(f"a service or backends in route {wire.name}")
-    return Route(
-        name=wire.name,
-        host=wire.host,
-        prefix=wire.prefix,
-        kind=wire.kind,
-        services=services or ((wire.service, 1.0),),
-        timeout=wire.timeoutS,
-        latency_goal=wire.goalS,
-        priority=int(wire.priority),
-        attempts=int(wire.attempts),
-        regions=wire.allowedRegions,
-    )
-
-
-def decode_service(wire: WireService) -> ServiceSpec:
-    """Convert a service."""
-    return ServiceSpec(
-        name=wire.name,
-        health_path=wire.healthPath,
-        max_connections=int(wire.maxConns),
-        warmup=wire.warmupS,
-        cold_rate=wire.warmupPerS,
-        partitioned=wire.partitioned,
-    )
-
-
-def decode_limits(wire: WireLimits | None) -> EntryLimits:
-    """Convert the limits on callers' requests and connections."""
-    default = EntryLimits()
-    wire = wire or WireLimits()
-    return EntryLimits(
-        max_head_bytes=int(value_or(wire.maxHeaderBytes, default.max_head_bytes)),
-        max_body_bytes=int(value_or(wire.maxBodyBytes, default.max_body_bytes)),
-        head_timeout=value_or(wire.headerTimeoutS, default.head_timeout),
-        idle_timeout=value_or(wire.idleTimeoutS, default.idle_timeout),
-    )
-
-
-def value_or(value: float | None, default: float) -> float:
-    """Return a value, or the default if it is missing."""
-    return default if value is None else value
-
 
 class Evacuations:
     """Failure domains that the operator evacuates, as far as the store can be believed.
@@ -364,8 +204,24 @@
         """Apply the configuration; one that cannot be decoded is logged and ignored."""
         try:
             with refusing_malformed("configuration", row.value):
-                table = decode_config(base64.b64decode(row.value))
+                decoded = decode_config(base64.b64decode(row.value), self.gateway.route_table)
         except InvalidArgument as error:
             unreadable_entries.record("configuration", error)
             return
-        self.gateway.set_route_table(table)
+        if decoded.table.version > self.gateway.route_table.version:
+            self.report_faults(decoded)
+        self.gateway.set_route_table(decoded.table)
+
+    def report_faults(self, decoded: DecodedConfig) -> None:
+        """Count and log the fields of a configuration that could not be used."""
+        unreadable_entries.count += len(decoded.faults)
+        for fault in decoded.faults:
+            log_events.emit(
+                events.ConfigurationFieldUnusable(
+                    version=decoded.table.version,
+                    entry=fault.entry,
+                    field=fault.field,
+                    effect=fault.effect.value,
+                    reason=fault.reason,
+                )
+            )
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -32,12 +32,14 @@
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.rings import Rings
+from hibiscusdrum.internal.router.routes import EMPTY_TABLE
 from hibiscusdrum.internal.router.selection import NodeSelector
 from hibiscusdrum.internal.router.store_era import StoreEra
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.peers import PeerTransport
-from hibiscusdrum.platform.operator import OperatorRows, decode_config
+from hibiscusdrum.platform.configuration import decode_config
+from hibiscusdrum.platform.operator import OperatorRows
 from hibiscusdrum.platform.reports import ReportEndpoint, decode_heartbeat, decode_leave
 from hibiscusdrum.platform.store import StoreAnswer, StoreClient, WireRow, decode_row
 
@@ -243,6 +245,11 @@
         self.table = None
         self.fail_next = False
 
+    @property
+    def route_table(self):
+        """The configuration in force."""
+        return self.table or EMPTY_TABLE
+
     def set_route_table(self, table):
         """Keep a configuration."""
         if self.fail_next:
