Serve requests of running targets before new ones

Ruled out: slots left idle (after the evacuation of rajkot the remaining targets were full), and Retry-After that is too short.

Change: a request is nested if its attempt id names a request that this VM's target is running. Nested requests are not throttled, precede all others in the queue of a target, and are refused only if their deadline cannot be met. Log lines tell which requests were nested, and which regions a route allows.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -139,6 +139,8 @@
     offered_bytes : int
         Size of a large body, which is sent when the receiver asks for it; 0 if the body is sent with this
         message.
+    nested : bool
+        Whether the target on the caller's VM sent the request for one that it is running.
     """
 
     id: bytes
@@ -158,6 +160,7 @@
     caller: str
     only_if_free: bool = False
     offered_bytes: Count = 0
+    nested: bool = False
 
 
 class SendBody(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/admission.py
+++ b/src/hibiscusdrum/internal/router/admission.py
@@ -31,7 +31,7 @@
 MAX_RETRY_AFTER_SECONDS = 2.0
 
 
-QueueOrder = tuple[int, bool, int, float]
+QueueOrder = tuple[bool, int, bool, int, float]
 
 
 class QueueEntry:
@@ -49,15 +49,38 @@
         Binary logarithm of the time from arrival to the goal, so that similar goals share a bucket.
     late : bool
         Whether the request can no longer meet its goal; it is then queued behind those that can.
+    nested : bool
+        Whether a request that a target is running waits for the response. If a nested request fails, so does
+        the one that waits, and the time that its target has spent on it is lost. Nested requests therefore
+        precede all others, and only their deadline counts.
     removed : bool
         Whether the entry has left the queue; the heap drops such entries lazily.
     """
 
-    __slots__ = ("cost_class", "deadline", "goal_at", "goal_bucket", "item", "late", "priority", "removed")
+    __slots__ = (
+        "cost_class",
+        "deadline",
+        "goal_at",
+        "goal_bucket",
+        "item",
+        "late",
+        "nested",
+        "priority",
+        "removed",
+    )
 
     def __init__(
-        self, item: Any, priority: int, goal_at: float, deadline: float, cost_class: str, now: float
+        self,
+        item: Any,
+        priority: int,
+        goal_at: float,
+        deadline: float,
+        cost_class: str,
+        now: float,
+        nested: bool = False,
     ) -> None:
+        if nested:
+            goal_at = deadline
         self.goal_bucket = math.frexp(max(goal_at - now, MIN_GOAL_SECONDS))[1]
         self.item = item
         self.priority = priority
@@ -65,18 +88,19 @@
         self.deadline = deadline
         self.cost_class = cost_class
         self.late = False
+        self.nested = nested
         self.removed = False
 
     @property
     def order(self) -> QueueOrder:
-        """Sort key: priority, then requests that can still meet their goal, short goals before long ones.
+        """Sort key: nested requests, priority, those that can still meet their goal, and short goals first.
 
         If only the remaining time counted, requests that have waited for most of a long goal would precede
         calls with a short one, and the requests that made those calls would fail.
         """
         if self.late:
-            return (self.priority, True, 0, self.deadline)
-        return (self.priority, False, self.goal_bucket, self.goal_at)
+            return (not self.nested, self.priority, True, 0, self.deadline)
+        return (not self.nested, self.priority, False, self.goal_bucket, self.goal_at)
 
 
 class AdmissionQueue:
@@ -159,7 +183,7 @@
 
     def retry_after(self, entry: QueueEntry, now: float) -> float:
         """Return the seconds after which a refused request could be expected to start immediately."""
-        wait = self.expected_wait_seconds((entry.priority, True, 0, float("inf")), now)
+        wait = self.expected_wait_seconds((not entry.nested, entry.priority, True, 0, float("inf")), now)
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, wait))
 
     def push(self, entry: QueueEntry, now: float) -> None:
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -267,6 +267,7 @@
     full: str = ""
     limit_per_s: float | None = None
     limit_age_s: float = 0.0
+    nested: bool = False
 
 
 class RequestRun(LogEvent, frozen=True):
@@ -291,6 +292,8 @@
     ``before_ms`` is the time until the last attempt began, ``path_ms`` the time that this attempt spent on
     the way to the target's node and back; both are part of ``took_ms``. ``limit_ms`` is the caller's timeout
     on arrival, and ``waited_ms`` the estimated time it had waited before, if it retried after a refusal.
+    ``nested`` tells that this VM's target sent it for a request that it was running, and ``allowed_regions``
+    in which regions the route may be served; in all if there are none.
     """
 
     number = 818
@@ -312,6 +315,8 @@
     path_ms: int = 0
     limit_ms: int = 0
     waited_ms: int = 0
+    nested: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 class RequestRepeated(LogEvent, frozen=True):
--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -37,6 +37,8 @@
         The last server error that a target answered to an attempt that was repeated.
     goal_at : float
         Monotonic time in seconds after which a response is late.
+    nested : bool
+        Whether this VM's target sent it for a request that it is running.
     late_on_arrival : bool
         Whether it arrived too late to meet its latency goal.
     timeout, waited_before : float
@@ -66,6 +68,7 @@
         "key",
         "late_on_arrival",
         "may_have_run",
+        "nested",
         "node",
         "owner_changes",
         "path_seconds",
@@ -93,6 +96,7 @@
         self.deadline = deadline
         self.arrived_at = now
         self.goal_at = deadline
+        self.nested = False
         self.late_on_arrival = False
         self.timeout = 0.0
         self.waited_before = 0.0
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -191,6 +191,7 @@
         pending.timeout = timeout
         self.overload_control.on_arrival(pending, now)
         pending.attempt_id = request.header(self.header_names.attempt_id) or ""
+        pending.nested = self.is_nested(pending.attempt_id)
         spec = self.route_table.services.get(pending.service)
         if spec is not None and spec.partitioned:
             key = request.header(self.header_names.key) or ""
@@ -209,6 +210,12 @@
         else:
             self.dispatch(pending)
 
+    def is_nested(self, attempt_id: str) -> bool:
+        """Return whether this VM's target sent a request for one that it is running."""
+        separator = self.settings.nested_id_separator
+        parent = attempt_id.rpartition(separator)[0] if separator else ""
+        return bool(parent) and self.receiver.is_running(parent)
+
     def request_timeout(self, request: EntryRequest) -> float:
         """Return the caller's timeout in seconds, from its deadline header."""
         try:
@@ -321,6 +328,7 @@
             cost_class=pending.route.name,
             caller=self.settings.service,
             only_if_free=only_if_free,
+            nested=pending.nested,
         )
         pending.forward = forward
         self.selector.on_sent(node)
@@ -565,6 +573,8 @@
                 path_ms=round(pending.path_seconds * 1000),
                 limit_ms=round(pending.timeout * 1000),
                 waited_ms=round(pending.waited_before * 1000),
+                nested=pending.nested,
+                allowed_regions=pending.route.regions,
             )
         )
         self.metrics.count_ended(pending.route.name, status, duration)
--- a/src/hibiscusdrum/internal/router/overload.py
+++ b/src/hibiscusdrum/internal/router/overload.py
@@ -63,9 +63,9 @@
         """Return whether to refuse a request immediately because its service is overloaded.
 
         Requests with a key are never throttled: the load of one key's owner says nothing about that of
-        others.
+        others. Nor are nested ones, since a target already spends time on the requests that wait for them.
         """
-        if pending.key >= 0:
+        if pending.key >= 0 or pending.nested:
             return False
         throttle = self.throttle_of(pending)
         pending.service_overloaded = throttle.refused_share(now) > 0.0
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -444,13 +444,21 @@
         """Return an entry of the admission queue for a request, which must end before the process does."""
         forward, now = job.forward, self.now
         deadline = min(job.deadline, now + self.service_seconds_left())
-        return QueueEntry(job, forward.priority, job.goal_at, deadline, forward.cost_class, now)
+        return QueueEntry(
+            job, forward.priority, job.goal_at, deadline, forward.cost_class, now, forward.nested
+        )
 
     def unservable_reason(self, job: Job) -> str:
         """Return why a request cannot be served in time: its deadline, or the end of this process."""
         ends_first = self.now + self.service_seconds_left() < job.deadline
         return STOPPING_REASON if ends_first else OVERLOADED_REASON
 
+    def is_running(self, attempt_id: str) -> bool:
+        """Return whether the target is running a request with this attempt id."""
+        return any(
+            job.exchange is not None and job.forward.attempt_id == attempt_id for job in self.jobs.values()
+        )
+
     def send_queued(self) -> None:
         """Send queued requests to the target while it has free slots."""
         while True:
@@ -705,6 +713,7 @@
                 queued=self.admission.queued,
                 wait_s=round(retry_after, 3),
                 full=missing,
+                nested=forward.nested,
                 limit_per_s=limit.rate,
                 limit_age_s=round(self.now - limit.stated_at, 3) if limit.rate is not None else 0.0,
             )
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -49,6 +49,9 @@
         ``R * cold_factor + cold_slack`` within one second.
     link_bytes_per_second : float
         Bandwidth of this VM's link; 0 when not known.
+    nested_id_separator : str
+        Follows the attempt id of the request being run in the attempt ids of its target's own requests; empty
+        if the platform's ids do not tell these apart.
     """
 
     node: str
@@ -71,6 +74,7 @@
     cold_factor: float = 1.0
     cold_slack: float = 0.0
     link_bytes_per_second: float = 0.0
+    nested_id_separator: str = ""
     log_level: str = "INFO"
 
     def validated(self) -> RouterSettings:
