Derive a ring write anew from the row that a conflict reports

The store's answer to a conflicting transaction already contains the current rows.

Change: the client reports these rows, and the next ring is derived from them at once. Without them, or if it is another row that differs, the ring is read as before.

--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -13,7 +13,7 @@
 import msgspec
 from returns.result import Result, Success
 
-from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
+from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument, StoreConflict
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.operations import new_operation_id
 from hibiscusdrum.internal.kernel import Service
@@ -65,7 +65,7 @@
     on_written : list of callable
         Called when a write of this node has succeeded.
     on_reread : callable
-        Called when the ring has been read after a failed write.
+        Called when the ring is known again after a failed write.
     local_ring_changed_at : float
         Monotonic time in seconds at which a new version of the ring of this node's service was last seen.
     """
@@ -97,6 +97,7 @@
         self.store_era: StoreEra = self.app.find("store_era")
         self.store_era.on_settled.append(self.apply_outdated_rows)
         self.app.find("members").row_listeners["ring"] = self.apply_row
+        self.table.on_current_row = self.apply_current_row
 
     @property
     def local_ring(self) -> Ring | None:
@@ -166,6 +167,11 @@
         self.outdated_rows.pop(row.key, None)
         self.set_ring(row.key, ring, stamp)
 
+    def apply_current_row(self, row: Row) -> None:
+        """Apply a row that the answer to a conflicting write contained, if it is a ring."""
+        if row.key.startswith(RING_PREFIX):
+            self.apply_row(row)
+
     def set_ring(self, key: str, ring: Ring | None, stamp: int) -> None:
         """Set the known ring of a service, or that it has none."""
         service = key[len(RING_PREFIX) :]
@@ -287,10 +293,15 @@
                 for listener in self.on_written:
                     listener()
                 return
-            if getattr(result.failure(), "reason", "") == REASON_OUTCOME_UNKNOWN:
+            failure = result.failure()
+            if getattr(failure, "reason", "") == REASON_OUTCOME_UNKNOWN:
                 self.uncertain_stripes |= changed
             self.write_in_progress = True
-            self.read_ring(self.on_reread_done)
+            if isinstance(failure, StoreConflict) and self.local_version > version:
+                # The answer contained the newer ring.
+                self.on_reread_done(True)
+            else:
+                self.read_ring(self.on_reread_done)
 
         self.table.commit(transaction, on_committed)
 
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -215,6 +215,8 @@
         Whether a call of ``changes`` has succeeded; from then on version 0 is polled like any other.
     on_store_time : callable or None
         Called with the monotonic time at which a request was sent and the store's time in its answer.
+    on_current_row : callable or None
+        Called with each checked row that a conflicting commit reports, before the conflict is.
     on_bytes_transferred : callable or None
         Called for each answer with the operation and the number of bytes sent and received.
     """
@@ -233,6 +235,7 @@
         self.reread_at: dict[str, float] = {}
         self.initial_read_done = False
         self.on_store_time: Callable[[float, float], None] | None = None
+        self.on_current_row: Callable[[Row], None] | None = None
         self.on_bytes_transferred: Callable[[str, int, int], None] | None = None
 
     def on_start(self) -> None:
@@ -300,6 +303,8 @@
                 return
             answer = result.unwrap()
             if answer.status == PRECONDITION_FAILED:
+                if answer.era == sent_era:
+                    self.report_current_rows(answer)
                 callback(Failure(StoreConflict(keys=keys)))
                 return
             if sent_era and answer.era != sent_era:
@@ -318,6 +323,18 @@
             "commit", "POST", "/rows-tx", msgspec.json.encode(body), CALL_TIMEOUT_SECONDS, on_response
         )
 
+    def report_current_rows(self, answer: StoreAnswer) -> None:
+        """Report the rows in the answer to a commit whose checks failed."""
+        if self.on_current_row is None:
+            return
+        try:
+            wire = decode_json(answer.body, WireRows, "conflict").in_era(answer.era)
+        except InvalidArgument as error:
+            unreadable_entries.record("conflict", error)
+            return
+        for row in wire.records:
+            self.on_current_row(decode_row(row))
+
     # Calls of the store's HTTP API
 
     def read_range(self, table: str, first: str, last: str, callback: WireRowsCallback) -> None:
--- a/tests/features/router_ownership.feature
+++ b/tests/features/router_ownership.feature
@@ -52,6 +52,12 @@
   Scenario: A handover that was taken back does no harm when its write takes effect late
     Then 12 evacuations that end before the writes of the handovers take effect give no key two holders
 
+  Scenario: Owners that hand over at the same time derive their writes anew without reading the ring
+    Given 12 nodes whose targets hold keys
+    When the targets of 4 nodes drain, and 6 s pass
+    Then writes of the ring have conflicted, and none was followed by a read of the ring
+    And every key is held, by one target
+
   Scenario Outline: A target that reports again while <stage> for a transfer does not hold the keys with others
     Given 4 nodes whose targets hold keys
     When a silent target reports again while <stage> for the transfer of its keys
--- a/tests/features/router_platform.feature
+++ b/tests/features/router_platform.feature
@@ -50,7 +50,7 @@
   Scenario: The store's rows keep their versions, and a removed history is read anew
     Given a client of the platform's store and its stand-in
     Then a row that is written is read back with its version
-    And a write under an old version is a conflict
+    And a write under an old version is a conflict, and reports the current row
     And a write without an answer is reported as unknown, and one that was refused as not done
     And a wait for changes ends with the row that changed
 
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -13,6 +13,7 @@
 from hypothesis import given as given_any
 from hypothesis import settings
 from hypothesis import strategies as st
+from returns.result import Failure
 from tests.router_world import PROBED_KEYS, STORE_SECONDS, World
 
 from hibiscusdrum.errors import InvalidArgument
@@ -140,6 +141,43 @@
         node.members.set_evacuated_domains(frozenset(("d1",)))
 
 
+@when("the targets of {count:d} nodes drain, and {seconds:d} s pass")
+def drain_together(context, count, seconds):
+    context.conflicts, context.ring_reads = 0, 0
+
+    def watch(table):
+        commit, read = table.commit, table.read
+
+        def counted_commit(transaction, callback):
+            def counted(result):
+                context.conflicts += isinstance(result, Failure)
+                callback(result)
+
+            commit(transaction, counted)
+
+        def counted_read(keys, callback):
+            context.ring_reads += "ring/keys" in keys
+            read(keys, callback)
+
+        table.commit, table.read = counted_commit, counted_read
+
+    for node in context.world.nodes.values():
+        watch(node.app.find("table"))
+    for index in range(count):
+        context.world.targets[f"n{index}"].draining = True
+    context.world.run(seconds)
+
+
+@then("writes of the ring have conflicted, and none was followed by a read of the ring")
+def conflicts_without_reads(context):
+    assert context.conflicts >= 3 and context.ring_reads == 0, (context.conflicts, context.ring_reads)
+
+
+@then("every key is held, by one target")
+def all_held(context):
+    assert context.world.held() == len(PROBED_KEYS), context.world.held()
+
+
 @when("a failure domain is evacuated while a daemon of it is down for {seconds:d} s")
 def evacuated_while_down(context, seconds):
     world = context.world
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -199,10 +199,13 @@
     context.version = version
 
 
-@then("a write under an old version is a conflict")
+@then("a write under an old version is a conflict, and reports the current row")
 def conflict(context):
+    reported = []
+    context.client.on_current_row = reported.append
     result = call(context, context.client.commit, Transaction("2", {"node/a": 0}, {"node/a": {"x": 2}}))
     assert isinstance(result.failure(), StoreConflict)
+    assert [(row.key, row.version, row.value) for row in reported] == [("node/a", context.version, {"x": 1})]
 
 
 @then("a write without an answer is reported as unknown, and one that was refused as not done")
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -132,13 +132,15 @@
         self.world, self.node = world, node
         self.store_time = 0.0
         self.on_store_time = None
+        self.on_current_row = None
         self.era = 0
         self.on_era_change = []
 
-    def answer(self, delay, callback, result, sent_at, stamp, sent_in=None):
+    def answer(self, delay, callback, result, sent_at, stamp, sent_in=None, current=()):
         """Deliver a result later, unless the node was started anew meanwhile.
 
-        A result of a commit that was sent in an earlier era is delivered as unknown.
+        A result of a commit that was sent in an earlier era is delivered as unknown. ``current`` are the rows
+        that come with a conflict.
         """
         node = self.world.nodes.get(self.node)
         era = self.world.store.era
@@ -150,8 +152,10 @@
                 self.observe(era, sent_at, stamp)
             if stamp is not None and sent_in is not None and era != sent_in:
                 callback(Failure(StoreUnavailable(operation="commit", reason="unknown")))
-            else:
-                callback(result)
+                return
+            for row in current:
+                self.on_current_row(row)
+            callback(result)
 
         self.world.after(delay, deliver)
 
@@ -235,7 +239,12 @@
             if version
             else Failure(StoreConflict(keys=tuple(transaction.checks)))
         )
-        self.answer(store.seconds, callback, result, self.world.now, self.world.store_time, self.era)
+        current = (
+            ()
+            if version
+            else [self.known_row(row) for key in transaction.checks if exists(row := store.rows.get(key))]
+        )
+        self.answer(store.seconds, callback, result, self.world.now, self.world.store_time, self.era, current)
 
 
 def uncovered(entry, others):
--- a/tools/standins/rows_store.py
+++ b/tools/standins/rows_store.py
@@ -221,10 +221,20 @@
         if self.rng.random() < self.faults.lost:
             return
         if version is None:
-            self.respond(request, 412, {"records": [], "ver": self.version})
+            self.respond(request, 412, {"records": self.checked_rows(transaction), "ver": self.version})
         else:
             self.respond(request, 200, {"ver": version})
 
+    def checked_rows(self, transaction: dict[str, Any]) -> list[dict[str, Any]]:
+        """Return the current rows among those that a transaction checks."""
+        names = [(row["table"], row["key"]) for row in transaction.get("expect", ())]
+        return [
+            {"table": table, "part": "", "key": key, "value": value, "ver": version}
+            for table, key in names
+            for version, value in (self.rows.get((table, key), (0, None)),)
+            if value is not None
+        ]
+
     def apply_transaction(self, transaction: dict[str, Any]) -> int | None:
         """Apply a transaction and return its version, or None if a row lacks its expected version."""
         for row in transaction.get("expect", ()):
