Give all keys an owner when more than two fifths of the owners are lost

Cause: a grant holds 140 ranges and a new ring has 80 stripes for each owner. When the stripes of lost, drained or evacuated owners did not fit as a range each, the rest stayed without an owner for as long as the VMs were away: 19 of 157 probed keys with 6 of 12 nodes lost, 47 with 3 of 5, found while a scenario with an evacuated half was written. Rings of more than 25 owners are not concerned, since they have 2,048 stripes at most.

Change: where a range for each stripe does not fit, adjacent stripes get one owner and one fencing token, and what does not fit even then extends the range of a neighbour. Where it fits, nothing changes.

--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -578,9 +578,11 @@
         receivers = [owner for owner in alive if owner.node != self.node]
         if not receivers or self.store_era.settling:
             return
-        moves = ring_edits.distribute_stripes(ring, movable, receivers, self.stripe_weight)
+        distribution = ring_edits.distribute_stripes(ring, movable, receivers, self.stripe_weight)
+        moves, joined = distribution.moves, distribution.joined
+        tokens = {index: token for index, token in self.handover_tokens.items() if index not in joined}
         self.rings.commit_ring(
-            ring_edits.reassign_stripes(self.base_ring, moves, self.handover_tokens),
+            ring_edits.reassign_stripes(self.base_ring, moves, tokens),
             {},
             (),
             "left",
@@ -685,7 +687,7 @@
             self.start_rebalance(alive)
             self.start_offload(alive)
             return
-        moves = ring_edits.distribute_stripes(ring, lost_stripes + unowned, alive, self.stripe_weight)
+        moves = ring_edits.distribute_stripes(ring, lost_stripes + unowned, alive, self.stripe_weight).moves
         prefix = lease_key(self.settings.service, "")
         lost_owners = [node for node in lost if ring.stripes_of(node)]
         checks = {prefix + node: lost[node] for node in lost_owners}
--- a/src/hibiscusdrum/internal/router/ring.py
+++ b/src/hibiscusdrum/internal/router/ring.py
@@ -109,6 +109,13 @@
         stripe = self.stripes[self.stripe_index(key)]
         return self.owners[stripe.owner_index] if stripe.owner_index != UNOWNED else None
 
+    def node_of_stripe(self, index: int) -> str:
+        """Return the node that owns a stripe; an empty string if it has no owner or does not exist."""
+        if not 0 <= index < len(self.stripes):
+            return ""
+        owner_index = self.stripes[index].owner_index
+        return self.owners[owner_index].node if owner_index != UNOWNED else ""
+
     def stripes_of(self, node: str) -> list[int]:
         """Return the indexes of the stripes that any incarnation of a node's target owns."""
         owner_indexes = {index for index, owner in enumerate(self.owners) if owner.node == node}
@@ -242,16 +249,32 @@
     return msgspec.structs.replace(ring, owners=owners, stripes=stripes)
 
 
+class Distribution(msgspec.Struct, frozen=True):
+    """New owners of stripes.
+
+    Attributes
+    ----------
+    moves : dict of int to Owner or None
+        New owner by stripe; None for a stripe that no receiver can get.
+    joined : frozenset of int
+        Stripes that share a range with others. They get no handover token, since a range has only one.
+    """
+
+    moves: dict[int, Owner | None]
+    joined: frozenset[int] = frozenset()
+
+
 def distribute_stripes(
     ring: Ring,
     indexes: Iterable[int],
     receivers: Collection[Owner],
     weight: Callable[[str], float] = lambda _node: 1.0,
-) -> dict[int, Owner | None]:
+) -> Distribution:
     """Choose new owners for stripes: each time the receiver with the fewest stripes for its weight.
 
-    Among equal receivers, one other than that of the previous stripe is preferred. Stripes for which no
-    receiver has room become unowned.
+    Among equal receivers, one other than that of the previous stripe is preferred. If a range for each stripe
+    does not fit into the grants of the receivers, adjacent stripes get one owner and form one range. What
+    does not fit even then extends the range of a neighbour.
 
     Parameters
     ----------
@@ -266,20 +289,81 @@
     counts = ring.stripe_counts()
     totals = {owner.node: counts.get(owner.node, 0) for owner in receivers}
     by_node = {owner.node: owner for owner in receivers}
+    ordered = sorted(indexes)
+    room = sum(max(0, MAX_RANGES_PER_TARGET - count) for count in totals.values())
+    if len(ordered) <= room:
+        groups, ranges = [[index] for index in ordered], dict(totals)
+    else:
+        groups = adjacent_groups(ordered)
+        ranges = {node: len(ring.key_ranges(ring.stripes_of(node))) for node in totals}
     moves: dict[int, Owner | None] = {}
+    joined = {index for group in groups if len(group) > 1 for index in group}
+    unplaced: list[list[int]] = []
     previous_node = ""
-    for index in sorted(indexes):
-        nodes_with_room = [node for node, count in totals.items() if count < MAX_RANGES_PER_TARGET]
+    for group in groups:
+        nodes_with_room = [node for node, count in ranges.items() if count < MAX_RANGES_PER_TARGET]
         if not nodes_with_room:
-            moves[index] = None
+            unplaced.append(group)
             continue
         node = min(
             nodes_with_room, key=lambda name: (totals[name] / weight(name), name == previous_node, name)
         )
-        totals[node] += 1
+        totals[node] += len(group)
+        ranges[node] += 1
         previous_node = node
-        moves[index] = by_node[node]
-    return moves
+        moves.update(dict.fromkeys(group, by_node[node]))
+    for group in unplaced:
+        owner, extended = extend_neighbour(ring, group, by_node, totals)
+        moves.update(dict.fromkeys(group, owner))
+        moves.update(dict.fromkeys(extended, owner))
+        joined.update(group, extended)
+    return Distribution(moves, frozenset(joined))
+
+
+def adjacent_groups(indexes: Iterable[int]) -> list[list[int]]:
+    """Return sorted stripes as groups of adjacent ones."""
+    groups: list[list[int]] = []
+    for index in indexes:
+        if groups and groups[-1][-1] + 1 == index:
+            groups[-1].append(index)
+        else:
+            groups.append([index])
+    return groups
+
+
+def extend_neighbour(
+    ring: Ring, group: list[int], by_node: Mapping[str, Owner], totals: dict[str, int]
+) -> tuple[Owner | None, list[int]]:
+    """Choose the owner of the stripes before or after a group, whichever has fewer, to get the group too.
+
+    Parameters
+    ----------
+    group : list of int
+        Adjacent stripes.
+    by_node : mapping of str to Owner
+        Owners that may get stripes.
+    totals : dict of str to int
+        Number of stripes of each of them; updated.
+
+    Returns
+    -------
+    tuple
+        The owner, or None if neither may get stripes, and its stripes beside the group. A new fencing token
+        for these too makes all of them one range.
+    """
+    sides = []
+    for start, step in ((group[0] - 1, -1), (group[-1] + 1, 1)):
+        node, index, stripes = ring.node_of_stripe(start), start, []
+        while node in by_node and ring.node_of_stripe(index) == node:
+            stripes.append(index)
+            index += step
+        if stripes:
+            sides.append((totals[node], node, stripes))
+    if not sides:
+        return None, []
+    _, node, stripes = min(sides)
+    totals[node] += len(group)
+    return by_node[node], stripes
 
 
 def plan_rebalance(
--- a/tests/features/router_ownership.feature
+++ b/tests/features/router_ownership.feature
@@ -52,6 +52,25 @@
   Scenario: A handover that was taken back does no harm when its write takes effect late
     Then 12 evacuations that end before the writes of the handovers take effect give no key two holders
 
+  Scenario Outline: Keys have holders again after <lost> of <count> VMs are lost
+    Given <count> nodes whose targets hold keys
+    When <lost> VMs are lost
+    Then every key has a holder within 20 s
+
+    Examples:
+      | count | lost |
+      | 12    | 4    |
+      | 12    | 6    |
+      | 5     | 3    |
+      | 8     | 6    |
+
+  Scenario: Keys have holders again after half of the owners are evacuated, and after they are back
+    Given 12 nodes whose targets hold keys
+    When a failure domain is evacuated
+    Then every key has a holder within 20 s
+    When the failure domain is taken back, and 20 s pass
+    Then every key is held, by one target, and each node owns some
+
   Scenario: Owners that hand over at the same time derive their writes anew without reading the ring
     Given 12 nodes whose targets hold keys
     When the targets of 4 nodes drain, and 6 s pass
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -141,6 +141,27 @@
         node.members.set_evacuated_domains(frozenset(("d1",)))
 
 
+@when("{count:d} VMs are lost")
+def vms_lost(context, count):
+    for index in range(count):
+        context.world.kill_daemon(f"n{index}")
+        context.world.targets[f"n{index}"].up = False
+
+
+@when("the failure domain is taken back, and {seconds:d} s pass")
+def taken_back(context, seconds):
+    for node in context.world.nodes.values():
+        node.members.set_evacuated_domains(frozenset())
+    context.world.run(seconds)
+
+
+@then("every key is held, by one target, and each node owns some")
+def each_owns(context):
+    all_held(context)
+    ring = context.world.nodes["n0"].owner.local_ring
+    assert set(context.world.nodes) == ring.owner_nodes(), ring.stripe_counts()
+
+
 @when("the targets of {count:d} nodes drain, and {seconds:d} s pass")
 def drain_together(context, count, seconds):
     context.conflicts, context.ring_reads = 0, 0
