--- a/src/hibiscusdrum/internal/router/routes.py
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 
 import msgspec
 
@@ -162,7 +163,7 @@
         return cls(version, ordered, specs, limits or EntryLimits(), unusable_services)
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest matching prefix, or None.
+        """Return the route of the host with the longest matching prefix, else one of any host, or None.
 
         Parameters
         ----------
@@ -176,7 +177,7 @@
         if routes is None:
             routes = self.by_host.get(name.rpartition(":")[0], ())
         path = path.partition("?")[0]
-        for route in (*routes, *self.by_host.get(ANY_HOST, ())):
+        for route in itertools.chain(routes, self.by_host.get(ANY_HOST, ())):
             if path.startswith(route.prefix):
                 return route
         return None
--- a/src/hibiscusdrum/platform/configuration.py
+++ b/src/hibiscusdrum/platform/configuration.py
@@ -142,7 +142,7 @@
         self.found: list[FieldFault] = []
 
     def add(self, entry: str, field: str, effect: FaultEffect, reason: str) -> None:
-        """Note a fault."""
+        """Record a fault."""
         self.found.append(
             FieldFault(entry[:MAX_REASON_CHARACTERS], field, effect, reason[:MAX_REASON_CHARACTERS])
         )
