--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -134,7 +134,6 @@
 OPTIONAL_TEXT = {name: odd for name, odd in TEXT.items() if name not in ("missing", "empty")}
 OPTIONAL_NUMBER = {name: odd for name, odd in NUMBER.items() if name not in ("missing",)}
 OPTIONAL_WHOLE = {name: odd for name, odd in WHOLE_NUMBER.items() if name not in ("missing",)}
-OMITTABLE = ("missing", "null")
 # A time that is left may have passed.
 REMAINING = {name: odd for name, odd in OPTIONAL_NUMBER.items() if name != "negative"}
 # Numbers of a configuration may be written with a fraction, as long as it is 0.
