--- a/review/standins/instance.py
+++ b/review/standins/instance.py
@@ -203,6 +203,8 @@
             self.running -= 1
             self.working[key] -= 1
             self.slot_free.release()
+        if not self.up:
+            return False
         body = f"{self.name} {attempt} {message.target}".encode()
         self.record("ran", instance=self.name, attempt=attempt)
         return await self.answer(message, attempt, body, writer)
@@ -262,20 +264,30 @@
                 wait = min(wait, RELEASE_BEAT_SECONDS)
             await asyncio.sleep(wait)
 
-    async def send_heartbeat(self) -> None:
-        """Send one heartbeat, and take what its answer grants."""
-        self.finish_leaving()
+    def next_heartbeat(self) -> dict[str, Any]:
+        """Return the body of the next heartbeat."""
         self.seq += 1
-        sent_at = time.monotonic()
-        released = list(self.released)
-        body = {
+        return {
             "addr": self.address,
             "info": {"service": self.service, "version": "v1", "zone": self.zone, "slots": self.slots},
             "status": {"state": self.state, "seq": self.seq, "warmupS_time": 0},
             "born": self.born,
             "holdCount": self.held_rows(),
-            "released": released,
+            "released": list(self.released),
         }
+
+    async def leave(self) -> bool:
+        """Send the notice that the instance leaves; return whether it was acknowledged."""
+        self.tasks[0].cancel()
+        answer = await self.call("DELETE", {"born": self.born})
+        return answer is not None and 200 <= answer.status < 300
+
+    async def send_heartbeat(self) -> None:
+        """Send one heartbeat, and take what its answer grants."""
+        self.finish_leaving()
+        sent_at = time.monotonic()
+        body = self.next_heartbeat()
+        released = body["released"]
         answer = await self.call("PUT", body)
         if answer is None or time.monotonic() - sent_at > ACKNOWLEDGE_SECONDS:
             return
