--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -1,9 +1,15 @@
-"""Reads the lease row of this node at start, renews it, and resolves writes whose outcome is unknown."""
+"""Claims the lease of this node, renews it, and resolves writes whose outcome is unknown.
+
+The first write of a lease also writes the *claim row* of the node, which renewals do not change. Each write
+of a ring requires that the claim row is unchanged. A write that an earlier process of this node sent, and
+that has not taken effect when this process claims the lease, therefore never does.
+"""
 
 from __future__ import annotations
 
 import uuid
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 from returns.result import Result, Success
@@ -21,6 +27,7 @@
 from hibiscusdrum.internal.router.unreadable import unreadable_entries
 
 LEASE_PREFIX = "lease/"
+CLAIM_PREFIX = "claim/"
 
 
 def lease_key(service: str, node: str) -> str:
@@ -28,6 +35,16 @@
     return f"{LEASE_PREFIX}{service}/{node}"
 
 
+def claim_key(service: str, node: str) -> str:
+    """Return the store key of a node's claim row."""
+    return f"{CLAIM_PREFIX}{service}/{node}"
+
+
+def new_incarnation() -> str:
+    """Return a random id of a claim."""
+    return uuid.uuid4().hex[:12]
+
+
 def readable_lease(node: str, row: Row, store_time: float) -> LeaseRow | None:
     """Return the lease in the row of a node, or None if the row is unreadable, which is logged.
 
@@ -59,6 +76,8 @@
         Whether a read or write of the lease row is in progress.
     row_read : bool
         Whether the row of an earlier incarnation has been looked up.
+    claim_version : int
+        Version of the claim row that the first write of the lease has written; 0 as long as there is none.
     ring_synced : bool
         Whether the ring has been read since the lease was first written in this era of the store. Until then
         the lease is not used, since the ring may have changed while there was no lease.
@@ -77,7 +96,9 @@
     def __init__(self, settings: RouterSettings) -> None:
         super().__init__()
         self.row_key = lease_key(settings.service, settings.node)
-        self.lease = RangeLease(settings.node, uuid.uuid4().hex[:12])
+        self.claim_key = claim_key(settings.service, settings.node)
+        self.lease = RangeLease(settings.node, new_incarnation())
+        self.claim_version = 0
         self.request_in_flight = False
         self.row_read = False
         self.attempted_at = 0.0
@@ -111,11 +132,28 @@
         The clock of the restored store may differ.
         """
         self.former_expires_at = self.now + self.remaining_seconds
-        self.lease.record_lost()
+        self.discard_lease()
         self.lease.store_clock.reset()
         self.row_read = False
+
+    def discard_lease(self) -> None:
+        """Forget a lease that is no longer in the store; the next write claims it anew.
+
+        A late renewal of the former claim must not be taken for one of the new claim, which has another row.
+        """
+        self.lease.record_lost()
+        self.lease.incarnation = new_incarnation()
+        self.claim_version = 0
         self.ring_synced = False
 
+    def claim_check(self) -> dict[str, int]:
+        """Return the check that makes a write fail once the next process of this node claims the lease."""
+        return {self.claim_key: self.claim_version}
+
+    def rewrite_claim(self) -> None:
+        """Write the claim row with the next renewal, because a write that requires it has failed."""
+        self.claim_version = 0
+
     def renew_if_due(self) -> None:
         """Write the lease if it is due, once the stored row has been read and the era is recorded."""
         if self.request_in_flight:
@@ -125,7 +163,7 @@
         elif not self.store_era.recorded:
             # Until then, a late write of the former era may replace the row.
             return
-        elif not self.lease.expires_at or self.lease.is_renewal_due(self.now):
+        elif not (self.lease.expires_at and self.claim_version) or self.lease.is_renewal_due(self.now):
             self.write_lease()
         elif not self.ring_synced:
             self.on_first_write()
@@ -152,7 +190,9 @@
         version = self.lease.row_version
         self.request_in_flight = True
         self.attempted_at = sent_at
-        puts = {self.row_key: msgspec.to_builtins(row)}
+        puts: dict[str, Any] = {self.row_key: msgspec.to_builtins(row)}
+        if not self.claim_version:
+            puts[self.claim_key] = row.incarnation
         checks = {self.row_key: version, **self.store_era.fence()}
         transaction = Transaction(new_operation_id(), checks, puts)
 
@@ -161,7 +201,7 @@
             if era != self.table.era:
                 return
             if isinstance(result, Success):
-                self.lease.record_written(row, result.unwrap(), sent_at)
+                self.record_written(row, result.unwrap(), sent_at)
                 if not self.ring_synced:
                     self.on_first_write()
                 return
@@ -177,6 +217,11 @@
 
         self.table.commit(transaction, on_committed)
 
+    def record_written(self, row: LeaseRow, version: int, sent_at: float) -> None:
+        """Record that a row of this claim is in the store; its first write has also written the claim row."""
+        self.lease.record_written(row, version, sent_at)
+        self.claim_version = self.claim_version or version
+
     def resolve_write(self) -> None:
         """Read the stored row after a conflict or a lost answer.
 
@@ -193,10 +238,9 @@
             row = result.unwrap().get(self.row_key)
             value = readable_lease(self.lease.node, row, self.table.store_time) if row is not None else None
             if value is not None and value.incarnation == self.lease.incarnation:
-                self.lease.record_written(value, row.version, self.attempted_at)
+                self.record_written(value, row.version, self.attempted_at)
             else:
-                self.lease.record_lost()
-                self.ring_synced = False
+                self.discard_lease()
                 self.lease.row_version = row.version if row is not None else 0
                 log_events.emit(events.LeaseTaken(version=number_of(self.lease.row_version)))
 
--- a/src/hibiscusdrum/internal/router/range_lease.py
+++ b/src/hibiscusdrum/internal/router/range_lease.py
@@ -33,7 +33,7 @@
     Attributes
     ----------
     incarnation : str
-        Identifies one start of the node's process.
+        Identifies one claim of the lease.
     ends : float
         Expiry in seconds on the store's clock.
     load : OwnerLoad
@@ -119,7 +119,7 @@
     ----------
     node : str
     incarnation : str
-        Identifies one start of this process.
+        Identifies one claim of the lease.
 
     Attributes
     ----------
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -390,7 +390,7 @@
             self.store_unreachable_at = self.now
         if self.target.ready or (self.local_ring is not None and self.local_ring.stripes_of(self.node)):
             self.keeper.renew_if_due()
-        if self.reading_leases or self.rings.write_in_progress:
+        if self.reading_leases or self.rings.write_in_progress or not self.keeper.claim_version:
             return
         if self.store_era.settling:
             self.rings.restore_if_due(self.lease_check_rank)
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -19,6 +19,7 @@
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.platform.table import Row, Transaction, era_of, make_version, number_of
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper
 from hibiscusdrum.internal.router.ring import Ring
 from hibiscusdrum.internal.router.ring_row import decode_ring, encode_ring
 from hibiscusdrum.internal.router.settings import RouterSettings
@@ -96,6 +97,7 @@
         self.table.on_era_change.append(self.on_era_change)
         self.store_era: StoreEra = self.app.find("store_era")
         self.store_era.on_settled.append(self.apply_outdated_rows)
+        self.keeper: LeaseKeeper = self.app.find("lease_keeper")
         self.app.find("members").row_listeners["ring"] = self.apply_row
         self.table.on_current_row = self.apply_current_row
 
@@ -251,6 +253,8 @@
     ) -> None:
         """Write this node's ring, provided that the stored version is still the one it was derived from.
 
+        The lease must have been claimed: the write fails once the next process of this node claims it.
+
         Parameters
         ----------
         ring : Ring
@@ -268,7 +272,12 @@
         value = encode_ring(ring)
         transaction = Transaction(
             new_operation_id(),
-            {**checks, self.local_row_key: version, **self.store_era.fence()},
+            {
+                **checks,
+                self.local_row_key: version,
+                **self.keeper.claim_check(),
+                **self.store_era.fence(),
+            },
             {self.local_row_key: value},
             deletes,
         )
@@ -300,8 +309,11 @@
             if isinstance(failure, StoreConflict) and self.local_version > version:
                 # The answer contained the newer ring.
                 self.on_reread_done(True)
-            else:
-                self.read_ring(self.on_reread_done)
+                return
+            if isinstance(failure, StoreConflict):
+                # Another row has changed, perhaps the claim row.
+                self.keeper.rewrite_claim()
+            self.read_ring(self.on_reread_done)
 
         self.table.commit(transaction, on_committed)
 
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's store that implements the router's ``Table`` interface.
 
-Rows whose key begins with ``lease/`` are kept in a separate table, which ``changes`` does not read: they are
-rewritten every few seconds, and no node watches them for changes.
+Rows of leases and of claims are kept in tables of their own, which ``changes`` does not read: no node watches
+them for changes, and leases are rewritten every few seconds.
 """
 
 from __future__ import annotations
@@ -36,8 +36,7 @@
 from hibiscusdrum.internal.transport.http_connection import HttpFailure, HttpResponse
 
 ROUTER_TABLE = "hibiscusdrum"
-LEASE_TABLE = "hibiscusdrum-lease"
-LEASE_PREFIX = "lease/"
+UNWATCHED_TABLES = {"lease": "hibiscusdrum-lease", "claim": "hibiscusdrum-claim"}
 OPERATOR_TABLE = "op"
 # An answer usually takes 4 ms, and 0.2 s when the store is slow.
 CALL_TIMEOUT_SECONDS = 1.5
@@ -169,7 +168,7 @@
 
 def table_for_key(key: str) -> str:
     """Return the name of the store's table that holds the row with this key."""
-    return LEASE_TABLE if key.startswith(LEASE_PREFIX) else ROUTER_TABLE
+    return UNWATCHED_TABLES.get(key.partition("/")[0], ROUTER_TABLE)
 
 
 def decode_row(row: WireRow) -> Row:
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -101,6 +101,17 @@
       | a ring row         | a list                  |
       | a ring row         | bytes of another kind   |
 
+  # Guards against a node that can never change the ring again, and so keeps its keys from everyone.
+  Scenario Outline: Nodes whose claim rows were <change> change the ring again
+    Given 4 nodes that hold all keys
+    When all claim rows are <change>, and a target is restarted
+    Then within 8 s all keys are held, each by one target, and leases are renewed
+
+    Examples:
+      | change   |
+      | replaced |
+      | deleted  |
+
   Scenario: A node whose lease row was replaced by an end a year away is taken over once it has ended
     Given 4 nodes that hold all keys
     When a VM ends, and its lease row is replaced by an end a year away
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -270,7 +270,7 @@
     context.peers = PeerTransport(None, b"")
     context.loopback = Loopback(
         HttpClient(), store, context.client, context.peers, context.target, context.members,
-        StoreEra(), Rings(settings), context.gateway, context.operator,
+        StoreEra(), Rings(settings), LeaseKeeper(settings), context.gateway, context.operator,
     )  # fmt: skip
     context.add_cleanup(context.loopback.stop)
 
@@ -456,6 +456,17 @@
     store.rows[WORLD_ROWS[row]] = Row(WORLD_ROWS[row], store.version, value, unreadable=value is None)
 
 
+@when("all claim rows are {change}, and a target is restarted")
+def claims_changed(context, change):
+    store = context.world.store
+    for name in context.world.nodes:
+        key = f"claim/keys/{name}"
+        assert store.rows[key].value, key
+        store.version += 1
+        store.rows[key] = Row(key, store.version, [1] if change == "replaced" else None)
+    context.world.restart_target("n1")
+
+
 @when("a VM ends, and its lease row is replaced by {value}")
 def vm_ends(context, value):
     context.world.kill_daemon("n1")
--- /dev/null
+++ b/tests/features/steps/router_killed_sender_steps.py
@@ -0,0 +1,121 @@
+"""Steps on routers that are killed while something that they sent or acknowledged has yet to take effect."""
+
+from behave import then
+from tests.router_world import PROBED_KEYS, World
+
+RESTART_SECONDS = 0.5
+LATE_SECONDS = [1.0 + 0.5 * step for step in range(11)]
+RECOVERY_SECONDS = 20.0
+
+
+def join(world):
+    world.add("n9", "d1")
+
+
+def evacuate(world):
+    for node in world.nodes.values():
+        node.members.set_evacuated_domains(frozenset(("d1",)))
+
+
+def silence(world):
+    world.targets["n1"].reporting = False
+
+
+def lose_vm(world):
+    world.kill_daemon("n3")
+    world.targets["n3"].up = False
+
+
+def restart_target(world):
+    world.restart_target("n1")
+
+
+def lose_answer_of_evacuation(world):
+    world.store.late_for = {"n1"}
+    evacuate(world)
+
+
+# Reason that the log gives for the write, how many such writes precede it, and what leads to them. Owners
+# hand over to a new node one after the other; after the last of them, no other write changes the ring.
+WRITES = {
+    "the handover of stripes to a new node": ("rebalanced", 2, join),
+    "the handover by a node of an evacuated domain": ("left", 0, evacuate),
+    "the transfer of the stripes of a silent target": ("left", 0, silence),
+    "the takeover of the stripes of a lost node": ("taken_over", 0, lose_vm),
+    "the reassignment of the stripes of a new target": ("restarted", 0, restart_target),
+    "the settling of an earlier write that was not answered": ("settled", 0, lose_answer_of_evacuation),
+}
+
+
+class KilledSender:
+    """Keeps back one ring write with a reason, and kills and restarts the router that sent it.
+
+    Attributes
+    ----------
+    preceding : int
+        Writes with this reason that still take effect at once.
+    reasons : dict of str to str
+        Reason of the newest ring write of each node.
+    sender : str
+        Node whose write was kept back; empty as long as there is none.
+    """
+
+    def __init__(self, world, reason, preceding, late):
+        self.world, self.reason, self.preceding, self.late = world, reason, preceding, late
+        self.reasons = {}
+        self.sender = ""
+        world.store.seconds_late = self.seconds_late
+        for node in world.nodes.values():
+            self.watch(node)
+
+    def watch(self, node):
+        """Record the reasons of the ring writes of a node."""
+        commit_ring = node.owner.rings.commit_ring
+
+        def recorded(ring, checks, deletes, reason, count):
+            self.reasons[node.name] = reason
+            commit_ring(ring, checks, deletes, reason, count)
+
+        node.owner.rings.commit_ring = recorded
+
+    def seconds_late(self, name, transaction):
+        """Keep the write back, and end the faults that led to it."""
+        if self.sender or "ring/keys" not in transaction.puts or self.reasons.get(name) != self.reason:
+            return None
+        if self.preceding:
+            self.preceding -= 1
+            return None
+        self.sender = name
+        self.world.store.late_for = set()
+        self.world.after(0.0, self.kill)
+        self.world.after(RESTART_SECONDS, lambda: self.world.start_daemon(name))
+        return self.late
+
+    def kill(self):
+        """Kill the sender; evacuations end, and its target reports again."""
+        self.world.kill_daemon(self.sender)
+        for node in self.world.nodes.values():
+            node.members.set_evacuated_domains(frozenset())
+        self.world.targets[self.sender].reporting = True
+
+
+@then("{write}, late by 1 to 6 s, gives no key two holders when its sender is killed and restarted")
+def killed_sender(_context, write):
+    reason, preceding, begin = WRITES[write]
+    for late in LATE_SECONDS:
+        world = World(seed=int(late * 10))
+        try:
+            world.run(8.0)
+            killed = KilledSender(world, reason, preceding, late)
+            begin(world)
+            end = world.now + RECOVERY_SECONDS
+            while not killed.sender:
+                assert world.now < end, f"no write with the reason {reason}"
+                world.run(0.05)
+            # ``World.run`` checks the holders after each step.
+            world.run(late + RECOVERY_SECONDS)
+            assert world.held() == len(PROBED_KEYS), (late, world.held())
+        except AssertionError as error:
+            raise AssertionError(f"late by {late} s: {error}") from error
+        finally:
+            world.close()
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -73,6 +73,8 @@
         Rises by one with each restore.
     clock_offset : float
         Seconds that the store's clock is ahead of the true time.
+    seconds_late : callable
+        Returns after how many seconds a transaction of a node takes effect, without an answer; None for now.
     """
 
     def __init__(self, world):
@@ -83,6 +85,7 @@
         self.lose_answers = 0.0
         self.late_writes = 0.0
         self.late_for = set()
+        self.seconds_late = lambda _node, _transaction: None
         self.seconds = STORE_SECONDS
         self.calls = {"changes": 0, "read": 0, "commit": 0}
         self.era = 1
@@ -203,7 +206,9 @@
         rows = tuple(
             self.known_row(row)
             for key, row in store.rows.items()
-            if row.version > after and not key.startswith("lease/") and not (complete and row.value is None)
+            if row.version > after
+            and not key.startswith(("lease/", "claim/"))
+            and not (complete and row.value is None)
         )
         if rows or complete or since == 0 or self.world.now >= until:
             changes = Changes(make_version(store.era, store.version), rows, complete)
@@ -226,8 +231,11 @@
             conflict = StoreConflict(keys=tuple(transaction.checks))
             self.answer(0.0, callback, Failure(conflict), self.world.now, None)
             return
-        if rng.random() < store.late_writes or self.node in store.late_for:
-            self.world.after(rng.uniform(1.0, 6.0), lambda: store.write(transaction))
+        late = store.seconds_late(self.node, transaction)
+        if late is None and (rng.random() < store.late_writes or self.node in store.late_for):
+            late = rng.uniform(1.0, 6.0)
+        if late is not None:
+            self.world.after(late, lambda: store.write(transaction))
             self.failing(callback, "unknown")
             return
         version = store.write(transaction)
