--- a/src/hibiscusdrum/internal/router/local_target.py
+++ b/src/hibiscusdrum/internal/router/local_target.py
@@ -111,8 +111,10 @@
     ----------
     last_heartbeat : TargetHeartbeat or None
         The newest heartbeat; kept while the target is absent.
-    process_ended : bool
-        Whether the target's process has certainly ended.
+    connection_refused : bool
+        Whether the target's address has refused a connection since the last heartbeat.
+    is_serving : callable
+        Returns whether a request that was sent to the target waits for its answer on an open connection.
     last_seen_at : float
         Monotonic time in seconds of the last heartbeat or answered request.
     last_heartbeat_at : float
@@ -140,7 +142,8 @@
         self.settings = settings
         self.last_heartbeat: TargetHeartbeat | None = None
         self.state = TargetState.ABSENT
-        self.process_ended = False
+        self.connection_refused = False
+        self.is_serving: Callable[[], bool] = lambda: False
         self.last_seen_at = float("-inf")
         self.last_heartbeat_at = float("-inf")
         self.leaving_incarnations: set[str] = set()
@@ -163,6 +166,14 @@
         """Whether the target accepts requests."""
         return self.state is TargetState.READY
 
+    @property
+    def process_ended(self) -> bool:
+        """Whether the target's process has certainly ended: all of its connections end with it.
+
+        A target that has only closed its listening socket may still hold keys and run requests.
+        """
+        return self.connection_refused and not self.is_serving()
+
     @property
     def incarnation(self) -> str:
         """The current incarnation of the target; empty when it is absent."""
@@ -201,7 +212,7 @@
         if heartbeat.incarnation != self.last_incarnation:
             self.rate_limit = RateLimitState()
         self.last_heartbeat = heartbeat
-        self.process_ended = False
+        self.connection_refused = False
         self.last_seen_at = self.last_heartbeat_at = now
         if heartbeat.cold_seconds > 0.0:
             self.notify_cold(heartbeat.cold_seconds)
@@ -298,7 +309,7 @@
             return
         log_events.emit(events.TargetGone(target=self.last_heartbeat.target, reason=reason))
         self.state = TargetState.ABSENT
-        self.process_ended = reason == REASON_CONNECTION_REFUSED
+        self.connection_refused = reason == REASON_CONNECTION_REFUSED
         self.notify_changed()
 
     def notify_changed(self) -> None:
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -179,6 +179,7 @@
         self.range_owner: RangeOwner = find("range_owner")
         self.members = find("members")
         self.http_client: HttpClient = find("http_client")
+        self.target.is_serving = lambda: self.http_client.has_sent_exchange(self.settings.target_address)
         self.forwarder = find("hop")
         self.metrics = find("metrics")
         self.rings = find("rings")
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -52,9 +52,19 @@
 
 
 class FailureKind(enum.Enum):
-    """Reason why an exchange failed."""
+    """Reason why an exchange failed.
+
+    Attributes
+    ----------
+    REFUSED
+        Nothing listens at the address, so the process that did has ended or closed its socket.
+    UNREACHABLE
+        No connection could be opened for any other reason, for example because the peer reset it, or this
+        process has no free file descriptor.
+    """
 
     REFUSED = "refused"
+    UNREACHABLE = "unreachable"
     TIMEOUT = "timeout"
     CLOSED = "closed"
     INCOMPLETE = "incomplete"
--- a/tests/features/router_ownership.feature
+++ b/tests/features/router_ownership.feature
@@ -87,6 +87,14 @@
       | the leases are read  |
       | the ring is written  |
 
+  # Guards against a target that is taken for an ended one while it is at work on the keys that are given away.
+  Scenario: A target that refuses connections while it is at work on a request keeps its keys
+    Given 4 nodes whose targets hold keys
+    When a target that is at work on a request refuses connections
+    Then no key gets two holders within 3 s
+    When the target ends, and so does the request
+    Then every key has a holder within 4 s
+
   Scenario: No random schedule of faults gives two holders
     Then 60 random schedules of kills, freezes, outages and late writes give no key two holders
 
--- a/tests/features/router_system.feature
+++ b/tests/features/router_system.feature
@@ -84,6 +84,12 @@
     When all routers are killed and restarted
     Then every key is served within 8 s
 
+  # Guards against an end that is noticed only when the grant of the target expires.
+  Scenario: Keys of a target that ends are soon served by others
+    Given a system of routers
+    When a target is killed while callers ask for its keys
+    Then every key is served within 1.5 s
+
   Scenario: Keys are served through a short outage of the store
     Given a system of routers
     When the store is silent for 3 s while callers ask for keys
--- a/tests/features/steps/http_client_steps.py
+++ b/tests/features/steps/http_client_steps.py
@@ -181,6 +181,15 @@
     send(context).one(context.loopback)
 
 
+@when("the peer resets an HTTP connection before the client has seen it open")
+def reset_while_opening(context):
+    results = send(context)
+    connection, _ = context.peer.listener.accept()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+    results.one(context.loopback)
+
+
 @when("the client can open no socket for 2 HTTP requests and one is cancelled")
 def send_without_socket(context):
     start_peer(context, "does not listen")
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -90,6 +90,20 @@
     context.world.nodes["n1"].target.on_connection_refused()
 
 
+@when("a target that is at work on a request refuses connections")
+def refuses_at_work(context):
+    context.world.targets["n1"].reporting = False
+    target = context.world.nodes["n1"].target
+    target.is_serving = lambda: True
+    target.on_connection_refused()
+
+
+@when("the target ends, and so does the request")
+def ends_at_work(context):
+    context.world.targets["n1"].up = False
+    context.world.nodes["n1"].target.is_serving = lambda: False
+
+
 @when("the target of one node stops reporting")
 def target_silent(context):
     context.world.targets["n1"].reporting = False
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -294,6 +294,13 @@
         context.system.start_router(vm)
 
 
+@when("a target is killed while callers ask for its keys")
+def target_killed(context):
+    start_callers(context, keyed)
+    time.sleep(0.5)
+    context.system.vms["vm1"].target.kill()
+
+
 @then("every key is served within {seconds:g} s")
 def keys_served(context, seconds):
     system = context.system
