--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -583,8 +583,22 @@
     settling: bool
 
 
+class DepartureNotStored(LogEvent, frozen=True):
+    """A target's notice that it leaves was not acknowledged; the target gets no requests all the same."""
+
+    number = 846
+    level = "WARNING"
+    rate_limited = True
+    lines_per_interval = 5
+    cause = "It could not be stored in time, so that a next process of this node would not know of it."
+    operator_action = "Check the store."
+
+    life: str
+
+
 EVENTS = frozenset(
     (
+        DepartureNotStored,
         EraRecorded,
         EraSettled,
         EraSettling,
--- a/src/hibiscusdrum/internal/router/local_target.py
+++ b/src/hibiscusdrum/internal/router/local_target.py
@@ -74,7 +74,12 @@
     @property
     def incarnation(self) -> str:
         """Identifier of one start of the target."""
-        return f"{self.target}@{self.started_ms}"
+        return incarnation_of(self.target, self.started_ms)
+
+
+def incarnation_of(target: str, started_ms: int) -> str:
+    """Return the identifier of the start of a target at ``started_ms``, in Unix milliseconds."""
+    return f"{target}@{started_ms}"
 
 
 class Grant(msgspec.Struct, frozen=True):
@@ -104,6 +109,25 @@
         self.deadline = deadline
 
 
+DepartureReply = Callable[[bool], None]
+
+
+class Departure:
+    """A notice of departure whose answer is delayed until it is stored.
+
+    Attributes
+    ----------
+    reply : callable
+        Called once with whether the notice is acknowledged.
+    """
+
+    __slots__ = ("incarnation", "reply")
+
+    def __init__(self, incarnation: str, reply: DepartureReply) -> None:
+        self.incarnation = incarnation
+        self.reply = reply
+
+
 class LocalTarget(Service):
     """Tracks the target of this VM by its heartbeats and its answers.
 
@@ -121,6 +145,18 @@
         Monotonic time in seconds of the last heartbeat.
     leaving_incarnations : set of str
         Incarnations that have announced that they leave.
+    last_left : str
+        The one of them that announced it last; empty without one.
+    drained_incarnation : str
+        Incarnation that has reported that it drains; empty without one.
+    drained_since : int
+        Sequence number of its first heartbeat that said so.
+    stored_incarnation : str
+        Incarnation in this node's row, which an earlier process may have written; empty without one.
+    departures : list of Departure
+        Notices of departure that are not stored yet.
+    is_departure_stored : callable
+        Returns whether this node's row says that an incarnation leaves.
     on_change : list of callable
         Called when the target appears, restarts, drains or is lost.
     rate_limit : RateLimitState
@@ -147,6 +183,12 @@
         self.last_seen_at = float("-inf")
         self.last_heartbeat_at = float("-inf")
         self.leaving_incarnations: set[str] = set()
+        self.last_left = ""
+        self.drained_incarnation = ""
+        self.drained_since = 0
+        self.stored_incarnation = ""
+        self.departures: list[Departure] = []
+        self.is_departure_stored: Callable[[str], bool] = lambda _incarnation: False
         self.rate_limit = RateLimitState()
         self.on_change: list[Callable[[], None]] = []
         self.on_cold: list[Callable[[float], None]] = []
@@ -216,6 +258,7 @@
         self.last_seen_at = self.last_heartbeat_at = now
         if heartbeat.cold_seconds > 0.0:
             self.notify_cold(heartbeat.cold_seconds)
+        self.record_draining(heartbeat)
         draining = heartbeat.draining or heartbeat.incarnation in self.leaving_incarnations
         self.state = TargetState.DRAINING if draining else TargetState.READY
         if self.incarnation != former_incarnation or self.state is not former_state:
@@ -252,33 +295,120 @@
     def is_outdated(self, heartbeat: TargetHeartbeat) -> bool:
         """Return whether a heartbeat was overtaken by a later one, or is from an earlier incarnation."""
         last = self.last_heartbeat
+        if heartbeat.incarnation == self.drained_incarnation and heartbeat.sequence < self.drained_since:
+            return True
         if last is None or heartbeat.incarnation == last.incarnation:
             return last is not None and heartbeat.sequence <= last.sequence
         if heartbeat.incarnation in self.leaving_incarnations and not heartbeat.draining:
             return True
         return 0 < heartbeat.started_ms < last.started_ms
 
-    def on_leave(self, target: str, started_ms: int) -> None:
-        """Process a target's notice that it leaves; a late notice of an earlier incarnation is ignored."""
+    def record_draining(self, heartbeat: TargetHeartbeat) -> None:
+        """Record since when the target drains, which is stored for the next process of this node."""
+        if not heartbeat.draining:
+            self.drained_incarnation, self.drained_since = "", 0
+        elif heartbeat.incarnation != self.drained_incarnation:
+            self.drained_incarnation, self.drained_since = heartbeat.incarnation, heartbeat.sequence
+
+    def restore_draining(self, incarnation: str, since: int) -> None:
+        """Adopt what an earlier process of this node has stored, unless a later heartbeat is known.
+
+        Parameters
+        ----------
+        incarnation : str
+        since : int
+            Sequence number of the heartbeat by which it reported first that it drains.
+        """
+        last = self.last_heartbeat
+        if last is None:
+            self.drained_incarnation, self.drained_since = incarnation, since
+        elif last.incarnation == incarnation and last.sequence < since:
+            self.drained_incarnation, self.drained_since = incarnation, since
+            self.begin_draining()
+
+    def on_leave(self, target: str, started_ms: int, reply: DepartureReply) -> None:
+        """Process a target's notice that it leaves.
+
+        It is acknowledged once it is stored, so that the next process of this node knows of it too.
+
+        Parameters
+        ----------
+        target : str
+        started_ms : int
+            Unix milliseconds of the start of the target; 0 when not reported.
+        reply : callable
+            Called once with whether the notice is acknowledged.
+        """
         heartbeat = self.last_heartbeat
-        if heartbeat is None or heartbeat.target != target:
+        if heartbeat is not None and (heartbeat.target != target or 0 < started_ms < heartbeat.started_ms):
+            # A late notice of an earlier target.
+            reply(True)
             return
-        if started_ms and heartbeat.started_ms and started_ms != heartbeat.started_ms:
+        incarnation = self.departing_incarnation(target, started_ms)
+        if not incarnation:
+            reply(False)
             return
-        self.mark_leaving(heartbeat.incarnation)
+        departure = Departure(incarnation, reply)
+        self.departures.append(departure)
+        self.mark_leaving(incarnation)
+        self.answer_departures()
+        self.app.scheduler.call_later(
+            MAX_ANSWER_DELAY_SECONDS, lambda: self.answer_departure(departure, False)
+        )
+
+    def departing_incarnation(self, target: str, started_ms: int) -> str:
+        """Return the incarnation that a notice of departure is about; empty if that is not known."""
+        if started_ms:
+            return incarnation_of(target, started_ms)
+        if self.last_heartbeat is not None:
+            return self.last_heartbeat.incarnation
+        return self.stored_incarnation if self.stored_incarnation.startswith(f"{target}@") else ""
+
+    def answer_departures(self) -> None:
+        """Acknowledge the notices that are stored by now."""
+        for departure in list(self.departures):
+            if self.is_departure_stored(departure.incarnation):
+                self.answer_departure(departure, True)
+
+    def answer_departure(self, departure: Departure, acknowledged: bool) -> None:
+        """Answer a notice of departure, unless that has been done."""
+        if departure not in self.departures:
+            return
+        self.departures.remove(departure)
+        if not acknowledged:
+            log_events.emit(events.DepartureNotStored(life=departure.incarnation))
+        departure.reply(acknowledged)
 
     def mark_leaving(self, incarnation: str) -> None:
         """Record that an incarnation of the target leaves; if it is the current one, it is draining."""
+        known = incarnation in self.leaving_incarnations
         self.leaving_incarnations.add(incarnation)
+        self.last_left = incarnation
         if self.state is TargetState.READY and incarnation == self.incarnation:
-            self.state = TargetState.DRAINING
-            log_events.emit(
-                events.TargetChanged(
-                    target=self.last_heartbeat.target, life=incarnation, state=self.state.value
-                )
-            )
+            self.begin_draining()
+        elif not known:
             self.notify_changed()
 
+    def begin_draining(self) -> None:
+        """Set the state of a ready target to draining."""
+        if self.state is not TargetState.READY:
+            return
+        self.state = TargetState.DRAINING
+        log_events.emit(
+            events.TargetChanged(
+                target=self.last_heartbeat.target, life=self.incarnation, state=self.state.value
+            )
+        )
+        self.notify_changed()
+
+    @property
+    def departed(self) -> str:
+        """Incarnation that leaves or drains, also once it is absent; empty if a later one is known."""
+        if self.last_heartbeat is None:
+            return self.last_left or self.drained_incarnation
+        latest = self.last_heartbeat.incarnation
+        return latest if latest in (self.last_left, self.drained_incarnation) else ""
+
     def notify_cold(self, seconds: float) -> None:
         """Notify the listeners that the target stays cold for some seconds."""
         for listener in self.on_cold:
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -12,7 +12,15 @@
 from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.daemon.operations import new_operation_id
-from hibiscusdrum.internal.decoding import AddressText, Life, Name, check_address, excerpt, refusing_malformed
+from hibiscusdrum.internal.decoding import (
+    AddressText,
+    Life,
+    Name,
+    Whole,
+    check_address,
+    excerpt,
+    refusing_malformed,
+)
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.platform.table import Changes, Row, Transaction, era_of, number_of
@@ -57,6 +65,8 @@
         Whether the target accepts new requests.
     leaving : bool
         Whether this incarnation of the target has announced that it leaves, which it does not take back.
+    draining_since : int
+        Sequence number of the heartbeat by which this incarnation reported first that it drains; 0 otherwise.
     """
 
     node: Name
@@ -67,6 +77,7 @@
     life: Life = ""
     accepting: bool = False
     leaving: bool = False
+    draining_since: Whole = 0
 
 
 def decode_node_row(name: str, value: object) -> NodeRow:
@@ -168,6 +179,7 @@
         self.table = self.app.find("table")
         self.target: LocalTarget = self.app.find("local_target")
         self.target.on_change.append(self.publish)
+        self.target.is_departure_stored = self.is_departure_stored
         self.first_heartbeat_deadline = self.app.clock.monotonic() + FIRST_HEARTBEAT_TIMEOUT_SECONDS
         self.app.scheduler.call_later(FIRST_HEARTBEAT_TIMEOUT_SECONDS + 0.01, self.publish)
         self.poll_changes()
@@ -293,9 +305,22 @@
         if name == self.settings.node:
             self.published_row = value
             self.local_row_version = row.version if exists else 0
-            if value is not None and value.leaving:
-                # Written by an earlier process of this node; the target need not announce it again.
-                self.target.mark_leaving(value.life)
+            self.target.stored_incarnation = value.life if value is not None else ""
+            if value is not None:
+                self.apply_departure(value)
+
+    def apply_departure(self, row: NodeRow) -> None:
+        """Pass on what this node's row says of the target, which need not report it again to this process."""
+        if row.draining_since:
+            self.target.restore_draining(row.life, row.draining_since)
+        if row.leaving:
+            self.target.mark_leaving(row.life)
+            self.target.answer_departures()
+
+    def is_departure_stored(self, incarnation: str) -> bool:
+        """Return whether this node's row says that an incarnation of the target leaves."""
+        row = self.published_row
+        return row is not None and row.leaving and row.life == incarnation
 
     def update_history(self, name: str, version: int, row: NodeRow | None) -> bool:
         """Remember a row or the removal of another node; returns False if the row is a stale one."""
@@ -350,16 +375,18 @@
 
     def local_row(self) -> NodeRow:
         """Return the row that describes this node's current state."""
-        settings = self.settings
+        settings, target = self.settings, self.target
+        life = target.incarnation or target.departed
         return NodeRow(
             node=settings.node,
             region=settings.region,
             failure_domain=settings.failure_domain,
             service=settings.service,
             peer_address=settings.peer_address,
-            life=self.target.incarnation,
-            accepting=self.target.ready,
-            leaving=self.target.incarnation in self.target.leaving_incarnations,
+            life=life,
+            accepting=target.ready,
+            leaving=life in target.leaving_incarnations,
+            draining_since=target.drained_since if life and life == target.drained_incarnation else 0,
         )
 
     def publish(self) -> None:
@@ -375,7 +402,8 @@
             return
         if self.published_row is None and not row.life:
             return
-        if self.target.last_heartbeat is None and self.app.clock.monotonic() < self.first_heartbeat_deadline:
+        unheard = self.target.last_heartbeat is None and not row.leaving
+        if unheard and self.app.clock.monotonic() < self.first_heartbeat_deadline:
             # After a restart of only this process, the published row is still correct.
             return
         self.publishing = True
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -28,6 +28,8 @@
 from hibiscusdrum.internal.transport.entry_connection import EntryRequest
 
 INSTANCES_PATH = "/instances/"
+OK = 200
+UNAVAILABLE = 503
 JSON_HEADERS = [("content-type", "application/json")]
 MAX_SLOTS = 1_000_000
 MAX_WARMUP_SECONDS = 86_400.0
@@ -148,12 +150,17 @@
         target = unquote(path[len(INSTANCES_PATH) :])
         try:
             if request.method == b"DELETE":
-                self.target.on_leave(target, decode_leave(request.body))
-                request.respond(200, JSON_HEADERS, b"{}")
+                self.target.on_leave(
+                    target,
+                    decode_leave(request.body),
+                    lambda acknowledged: request.respond(
+                        OK if acknowledged else UNAVAILABLE, JSON_HEADERS, b"{}"
+                    ),
+                )
             else:
                 self.target.on_heartbeat(
                     decode_heartbeat(target, request.body),
-                    lambda grant: request.respond(200, JSON_HEADERS, encode_grant(grant)),
+                    lambda grant: request.respond(OK, JSON_HEADERS, encode_grant(grant)),
                 )
         except InvalidArgument as error:
             unreadable_entries.record(f"report of {excerpt(target)}", error)
--- a/tests/features/steps/router_killed_sender_steps.py
+++ b/tests/features/steps/router_killed_sender_steps.py
@@ -1,8 +1,11 @@
 """Steps on routers that are killed while something that they sent or acknowledged has yet to take effect."""
 
-from behave import then
+import msgspec
+from behave import then, when
 from tests.router_world import PROBED_KEYS, World
 
+from hibiscusdrum.platform.reports import ReportEndpoint
+
 RESTART_SECONDS = 0.5
 LATE_SECONDS = [1.0 + 0.5 * step for step in range(11)]
 RECOVERY_SECONDS = 20.0
@@ -119,3 +122,121 @@
             raise AssertionError(f"late by {late} s: {error}") from error
         finally:
             world.close()
+
+
+class Call:
+    """A call of the address to which a target reports.
+
+    Attributes
+    ----------
+    status : int
+        Status of the answer; 0 as long as there is none.
+    """
+
+    def __init__(self, method, target, body):
+        self.method, self.target = method.encode(), f"/instances/{target.name}"
+        self.body = msgspec.json.encode(body) if body else b""
+        self.status = 0
+
+    def respond(self, status, _headers, _body):
+        """Take the answer."""
+        self.status = status
+
+
+def call(world, method, target, body):
+    """Call the router of a target; returns the call, whose answer may come later."""
+    request = Call(method, target, body)
+    node = world.nodes[target.node]
+    endpoint = ReportEndpoint(node.owner.settings)
+    endpoint.target = node.target
+    endpoint.on_request(request)
+    return request
+
+
+def heartbeat(target, sequence, state="ready"):
+    """Return the body of a heartbeat of a target."""
+    return {
+        "addr": "127.0.0.1:1",
+        "born": target.started_ms,
+        "info": {"service": "keys", "slots": 9},
+        "status": {"state": state, "seq": sequence},
+    }
+
+
+def report_departure(world, report, target):
+    """Send a report of a target that it leaves; returns the call."""
+    if report == "a heartbeat that reports draining":
+        return call(world, "PUT", target, heartbeat(target, target.sequence + 1, "draining"))
+    return call(world, "DELETE", target, {"born": target.started_ms} if "with the" in report else None)
+
+
+@when("{report} is acknowledged, and its router is killed and restarted {moment}")
+def leaves(context, report, moment):
+    world = context.world
+    target = context.leaving = world.targets["n1"]
+    target.reporting = False
+
+    def restart():
+        world.kill_daemon("n1")
+        world.run(RESTART_SECONDS)
+        world.start_daemon("n1")
+
+    if moment == "before that":
+        restart()
+    end = world.now + 5.0
+    request = report_departure(world, report, target)
+    while request.status != 200:
+        assert world.now < end, request.status
+        world.run(0.05)
+        if request.status not in (0, 200):
+            request = report_departure(world, report, target)
+    if moment != "before that":
+        world.run(float(moment.split()[0]) if moment != "at once" else 0.0)
+        restart()
+
+
+@when("a heartbeat arrives that the target had sent before")
+def late_heartbeat(context):
+    context.world.run(0.5)
+    call(context.world, "PUT", context.leaving, heartbeat(context.leaving, context.leaving.sequence))
+
+
+@then("that target gets no more requests within {seconds:d} s")
+def stays_out(context, seconds):
+    world, node = context.world, context.world.nodes["n1"]
+    for _ in range(seconds * 10):
+        assert not node.target.ready, world.now
+        for other in world.nodes.values():
+            row = other.members.nodes.get("n1")
+            assert row is None or not row.accepting, (other.name, row)
+        world.run(0.1)
+
+
+@then("a new start of the target under its former name is in use within {seconds:d} s")
+def new_start(context, seconds):
+    context.world.restart_target("n1")
+    context.world.run(seconds)
+    node = context.world.nodes["n1"]
+    assert node.target.ready
+    assert context.world.nodes["n0"].members.nodes["n1"].accepting
+
+
+@when("the store turns all away while a target sends its notice again and again")
+def notice_without_store(context):
+    world = context.world
+    target = context.leaving = world.targets["n1"]
+    target.reporting = False
+    world.store.down_for[""] = world.now + 5.0
+    context.calls = []
+    while world.now < world.store.down_for[""] + 2.0:
+        context.calls.append((world.now, call(world, "DELETE", target, {"born": target.started_ms})))
+        world.run(1.0)
+
+
+@then("the notice is acknowledged within {seconds:d} s of the store's return, and not before")
+def acknowledged_late(context, seconds):
+    back = context.world.store.down_for[""]
+    for sent_at, request in context.calls:
+        assert request.status in (200, 503), (sent_at, request.status)
+        assert request.status != 200 or sent_at > back - 1.0, (sent_at, back)
+    assert context.calls[-1][1].status == 200
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -633,7 +633,7 @@
 def drains_after_report(context):
     world, node = after_report(context)
     context.keys = [node.owner.local_ring.key_bounds(index)[0] for index in node.owner.local_stripes()]
-    node.target.on_leave(node.target.last_heartbeat.target, 0)
+    node.target.on_leave(node.target.last_heartbeat.target, 0, lambda _stored: None)
     world.targets["n1"].draining = True
 
 
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -161,7 +161,7 @@
     if fault != "is in order":
         target.on_heartbeat(decode_heartbeat("i-1", report_body()), replies.append)
     if fault == "comes after the target's notice":
-        target.on_leave("i-1", 2000)
+        target.on_leave("i-1", 2000, lambda _stored: None)
     before = target.state, target.last_heartbeat
     try:
         target.on_heartbeat(decode_heartbeat("i-1", REPORTS[fault]), replies.append)
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -63,6 +63,7 @@
     row = {
         "node": name, "region": "east", "failure_domain": "east-2", "service": SERVICE,
         "peer_address": "127.0.0.1:9", "life": f"i-{name}@1", "accepting": True, "leaving": False,
+        "draining_since": 0,
     }  # fmt: skip
     return row | changes
 
@@ -204,7 +205,7 @@
 
 @given("the store was copied when it had a row that does not say that it leaves")
 def copied_before_own_departure(context):
-    copy_then(context, lambda: context.target.on_leave("i-1", 5))
+    copy_then(context, lambda: context.target.on_leave("i-1", 5, lambda _stored: None))
     assert context.store.value(ROUTER_TABLE, LOCAL_KEY)["leaving"]
 
 
--- a/tests/features/steps/target_signals_steps.py
+++ b/tests/features/steps/target_signals_steps.py
@@ -112,7 +112,7 @@
 def announce_departure(world, way):
     target = world.nodes["n1"].target
     if way == "a notice":
-        target.on_leave("i-n1", world.targets["n1"].started_ms)
+        target.on_leave("i-n1", world.targets["n1"].started_ms, lambda _stored: None)
     else:
         target.mark_leaving(target.incarnation)
     world.run(3.0)
