Keep message bodies within the memory of the VM

Callers saw: where a target answers without end, the router beside it, and the router of callers of large answers, grew beyond the memory of their VMs; a process that is killed for that ends the requests of all callers on its VM.

Cause: a closed connection and its parser refer to each other, so that its body stayed until a full garbage collection; a cancelled timer kept its callback, and with it the request and its answer; a body in small chunks took a multiple of its size; request bodies and unread answers had no bound in common, and none followed the memory of the VM.

Change: connections, exchanges, requests and cancelled timers release what they no longer need. body_memory.py bounds each body and all together by the memory that the settings name, and says what is given up beyond; the log names it.

--- a/src/hibiscusdrum/internal/kernel.py
+++ b/src/hibiscusdrum/internal/kernel.py
@@ -27,6 +27,10 @@
     """Event that starts the services in the order in which they were added."""
 
 
+def do_nothing() -> None:
+    """Stand in for the callback of a cancelled timer."""
+
+
 class Timer:
     """A scheduled callback that can be cancelled."""
 
@@ -38,8 +42,9 @@
         self.cancelled = False
 
     def cancel(self) -> None:
-        """Cancel the callback; has no effect after it has run."""
+        """Cancel the callback, and release what it refers to; has no effect after it has run."""
         self.cancelled = True
+        self.callback = do_nothing
 
 
 class Scheduler(BaseComponent):
--- a/src/hibiscusdrum/internal/log_events.py
+++ b/src/hibiscusdrum/internal/log_events.py
@@ -413,6 +413,25 @@
     regions: tuple[str, ...]
 
 
+class BodyLimitReached(LogEvent, frozen=True):
+    """A message body was given up, because this process would hold more bytes of bodies than it may."""
+
+    number = 605
+    level = "WARNING"
+    rate_limited = True
+    cause = (
+        "A target sends bodies without end, many bodies are large, or callers do not read their responses."
+    )
+    operator_action = (
+        "Check the target if `what` is a response; give the VM more memory if the bodies are needed."
+    )
+
+    what: str
+    size: int
+    held: int
+    limit: int
+
+
 class LinkBudgetSpent(LogEvent, frozen=True):
     """Requests to the other region are shed to stay within the link budget."""
 
--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -22,12 +22,13 @@
 from hibiscusdrum.internal.router.store_era import StoreEra
 from hibiscusdrum.internal.router.target_signals import is_refusal
 from hibiscusdrum.internal.router.traffic import Traffic
+from hibiscusdrum.internal.transport.body_memory import BodyMemory
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from hibiscusdrum.internal.transport.peers import PeerTransport
 
 
-def target_client(names: HeaderNames) -> HttpClient:
+def target_client(names: HeaderNames, memory: BodyMemory | None = None) -> HttpClient:
     """Return the HTTP client for the target and the platform."""
     return HttpClient(
         names.attempt_id,
@@ -36,6 +37,7 @@
         requires_request_id=True,
         head_encoding="latin-1",
         is_refusal=lambda response: is_refusal(response.status, response.headers, names),
+        memory=memory,
     )
 
 
@@ -61,10 +63,11 @@
         The service with the incarnation of this process.
     """
     selection = NodeSelector(settings.region, settings.failure_domain, rng)
-    app.add(target_client(names))
+    memory = BodyMemory(settings.memory_bytes)
+    app.add(target_client(names, memory))
     app.add(table)
     app.add(PeerTransport(settings.peer_address, b""))
-    app.add(HttpEntry())
+    app.add(HttpEntry(memory))
     app.add(Traffic(settings))
     app.add(LocalTarget(settings))
     members = app.add(Members(settings))
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -49,6 +49,8 @@
         ``R * cold_factor + cold_slack`` within one second.
     link_bytes_per_second : float
         Bandwidth of this VM's link; 0 when not known.
+    memory_bytes : float
+        Memory that this process may use; 0 when not known.
     nested_id_separator : str
         Follows the attempt id of the request being run in the attempt ids of its target's own requests; empty
         if the platform's ids do not tell these apart.
@@ -74,6 +76,7 @@
     cold_factor: float = 1.0
     cold_slack: float = 0.0
     link_bytes_per_second: float = 0.0
+    memory_bytes: float = 0.0
     nested_id_separator: str = ""
     log_level: str = "INFO"
 
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -25,6 +25,8 @@
 # Input read while the pipeline is full, so that a disconnect of the caller is detected. Beyond this limit
 # reading pauses and the rest stays in the socket buffer.
 MAX_UNPARSED_BYTES = 262_144
+# Smaller bodies are accepted without a look at the memory, which takes time in proportion to the connections.
+MIN_CHECKED_BODY_BYTES = 16_384
 # Methods without side effects, whose pipelined requests run concurrently.
 CONCURRENT_METHODS = (b"GET", b"HEAD")
 REASON_PHRASES = {
@@ -146,6 +148,11 @@
         self.response_content = b"" if self.method == b"HEAD" or status in BODILESS_STATUSES else body
         self.connection.flush_responses()
 
+    def release(self) -> None:
+        """Drop the bodies: whoever keeps the request for a while must not keep them."""
+        self.body = b""
+        self.response_head = self.response_content = b""
+
     def encode_response(self, closes: bool) -> bytes:
         """Return the response, which announces whether the connection is closed after it."""
         return b"%b%b\r\n%b" % (
@@ -174,8 +181,8 @@
 
     __slots__ = (
         "awaiting_writable",
+        "body",
         "body_bytes",
-        "body_parts",
         "closed",
         "closing",
         "current_request",
@@ -213,7 +220,7 @@
         self.input_rejected = False
         self.head_bytes = 0
         self.head_started_at: float | None = None
-        self.body_parts: list[bytes] = []
+        self.body = bytearray()
         self.body_bytes = 0
         self.last_active_at = now
         self.discard_until = 0.0
@@ -227,7 +234,7 @@
         """Start a new request."""
         self.current_request = EntryRequest(self, self.listen_address)
         self.head_bytes = 0
-        self.body_parts = []
+        self.body = bytearray()
         self.body_bytes = 0
 
     def on_url(self, url: bytes) -> None:
@@ -262,9 +269,13 @@
         self.body_bytes += len(data)
         if self.body_bytes > self.server.limits.max_body_bytes:
             self.error_status = self.error_status or 413
-            self.body_parts = []
-        elif not self.error_status:
-            self.body_parts.append(data)
+        elif self.body_bytes > MIN_CHECKED_BODY_BYTES and self.exceeds_memory:
+            self.server.memory.report_exceeded("incomplete request", self.body_bytes)
+            self.error_status = self.error_status or 503
+        if self.error_status:
+            self.body = bytearray()
+        else:
+            self.body += data
 
     def on_message_complete(self) -> None:
         """Add the complete request to the pipeline."""
@@ -274,8 +285,8 @@
         if self.error_status:
             return
         request.keep_alive = self.parser.should_keep_alive()
-        request.body = b"".join(self.body_parts)
-        self.body_parts = []
+        request.body = bytes(self.body)
+        self.body = bytearray()
         request.arrived_at = self.server.app.clock.monotonic()
         self.pending.append(request)
 
@@ -325,6 +336,18 @@
         if self.error_status:
             self.reject(self.error_status)
 
+    @property
+    def exceeds_memory(self) -> bool:
+        """Whether the body being received, or all bodies together, are more than this process can hold."""
+        memory = self.server.memory
+        return self.body_bytes > memory.body_limit or memory.exceeded
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of requests without a response, and of responses that the caller has not read."""
+        bodies = sum(len(request.body) + len(request.response_content) for request in self.pending)
+        return len(self.body) + bodies + len(self.output_buffer)
+
     @property
     def accepts_input(self) -> bool:
         """Whether further requests on this connection would be answered."""
@@ -399,7 +422,9 @@
             request = pending.popleft()
             # Further requests may have reached a target already, so they are answered before the close.
             closes = not request.keep_alive or (request.response_closes and not self.has_further_input)
-            self.write(request.encode_response(closes))
+            response = request.encode_response(closes)
+            request.release()
+            self.write(response)
             if closes:
                 self.close_after_output()
                 return
@@ -417,6 +442,7 @@
         if self.output_buffer:
             self.output_buffer += data
             return
+        self.last_active_at = self.server.app.clock.monotonic()
         try:
             sent = self.sock.send(data)
         except BlockingIOError:
@@ -427,8 +453,9 @@
             )
             return
         if sent < len(data):
-            self.output_buffer += data[sent:]
+            self.output_buffer += memoryview(data)[sent:]
             self.server.watch_writable(self)
+            self.server.enforce_output_limit()
 
     def close_after_output(self) -> None:
         """Close the connection once the output buffer is empty, and cancel the pipelined requests left."""
--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -18,10 +18,10 @@
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.kernel import Service, Timer
+from hibiscusdrum.internal.transport.body_memory import BodyMemory
 from hibiscusdrum.internal.transport.http_connection import (
     DEFAULT_MAX_CONNECTIONS,
     LENGTH_UNKNOWN,
-    MAX_BUFFERED_BYTES,
     REQUEST_ID_HEADER,
     Connection,
     ConnectionPool,
@@ -39,6 +39,10 @@
 IN_PROGRESS_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
 
 
+def ignore_result(_result: Result[HttpResponse, HttpFailure]) -> None:
+    """Stand in for the callback of an exchange that is done."""
+
+
 class HttpClient(Service):
     """HTTP client that limits the connections to each address and the duration of each exchange.
 
@@ -61,6 +65,8 @@
     head_encoding : str
         Encoding of the heads of requests. With ``latin-1``, the bytes of a header that was received are sent
         as they were.
+    memory : BodyMemory, optional
+        Limits on the bodies that are held; those of a process whose memory is not known by default.
     """
 
     service_name = "http_client"
@@ -73,8 +79,11 @@
         requires_request_id: bool = False,
         is_refusal: Callable[[HttpResponse], bool] = lambda _response: False,
         head_encoding: str = "ascii",
+        memory: BodyMemory | None = None,
     ) -> None:
         super().__init__()
+        self.memory = memory or BodyMemory()
+        self.memory.holders.append(self.held_bytes)
         self.head_encoding = head_encoding
         self.request_id_header = request_id_header
         self.skips_unmatched_responses = skips_unmatched_responses
@@ -181,7 +190,7 @@
         except OSError:
             self.app.scheduler.call_later(0.0, lambda: self.abort(exchange, FailureKind.UNREACHABLE))
             return
-        connection = Connection(pool, sock)
+        connection = Connection(pool, sock, self.memory.body_limit)
         connection.exchange = exchange
         exchange.connection = connection
         pool.open_count += 1
@@ -287,10 +296,15 @@
         elif connection.received > previous:
             self.enforce_buffer_limit()
 
+    def held_bytes(self) -> int:
+        """Return the bytes of incomplete response bodies."""
+        return sum(connection.received for connection in self.connections.values())
+
     def enforce_buffer_limit(self) -> None:
-        """Fail the exchange with the largest buffered body when all together exceed the limit."""
-        if sum(connection.received for connection in self.connections.values()) > MAX_BUFFERED_BYTES:
+        """Fail the exchange with the largest incomplete body when all bodies together exceed the limit."""
+        if self.memory.exceeded:
             largest = max(self.connections.values(), key=lambda connection: connection.received)
+            self.memory.report_exceeded("incomplete response", largest.received)
             self.close_and_fail(largest, FailureKind.MALFORMED)
 
     @handler("_disconnect", "_error")
@@ -378,6 +392,7 @@
             return
         self.app.poller.discard(sock)
         sock.close()
+        connection.release()
         pool.open_count -= 1
         if connection in pool.idle:
             pool.idle.remove(connection)
@@ -420,8 +435,11 @@
         exchange.done = True
         exchange.connection = None
         self.pending.discard(exchange)
+        # Whoever keeps the exchange for a while must not keep the body of its request.
+        exchange.payload = b""
+        callback, exchange.callback = exchange.callback, ignore_result
         try:
-            exchange.callback(result)
+            callback(result)
         except Exception:
             # A failing callback must not affect other exchanges that end in the same loop, for example in
             # expire_exchanges.
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -16,11 +16,7 @@
 if TYPE_CHECKING:
     from hibiscusdrum.internal.transport.http_client import HttpClient
 
-# Largest response body accepted; a larger one could exhaust the 64 MB of a daemon.
-MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEAD_BYTES = 65_536
-# Incomplete response bodies buffered across all connections; the smallest kind of VM has 200 MB of memory.
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # Framing allowed per body byte: a chunk that carries 1 byte takes 5 more for its size and line breaks.
 CHUNK_OVERHEAD_BYTES = 5
 DEFAULT_MAX_CONNECTIONS = 64
@@ -244,6 +240,8 @@
         skipped responses.
     received : int
         Body bytes of the current response.
+    body_limit : int
+        Largest number of body bytes in one exchange.
     head_complete : bool
         Whether the head of the current response has ended; until then its framing is unknown.
     malformed : bool
@@ -255,7 +253,7 @@
     __slots__ = (
         "body",
         "body_bytes",
-        "body_parts",
+        "body_limit",
         "complete",
         "connecting",
         "declared",
@@ -280,9 +278,10 @@
         "unsent",
     )
 
-    def __init__(self, pool: ConnectionPool, sock: socket.socket) -> None:
+    def __init__(self, pool: ConnectionPool, sock: socket.socket, body_limit: int) -> None:
         self.pool = pool
         self.sock = sock
+        self.body_limit = body_limit
         self.parser = httptools.HttpResponseParser(self)
         self.exchange: HttpExchange | None = None
         self.connecting = True
@@ -300,8 +299,7 @@
     def reset_response(self) -> None:
         """Clear the state of the last response."""
         self.headers: dict[str, str] = {}
-        self.body = b""
-        self.body_parts: list[bytes] | None = None
+        self.body: bytes | bytearray = b""
         self.received = 0
         self.declared = LENGTH_UNKNOWN
         self.head_bytes = 0
@@ -311,6 +309,14 @@
         self.keep_alive = False
         self.skipping_unmatched = False
 
+    def release(self) -> None:
+        """Drop the parser, which refers to this connection, and what was received.
+
+        Both would stay in memory until the next garbage collection.
+        """
+        self.parser = None
+        self.body = b""
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes, and set ``malformed`` if they are not an acceptable response."""
         self.fed_bytes += len(data)
@@ -318,7 +324,7 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.malformed = True
-        if self.body_bytes > MAX_BODY_BYTES or framing_exceeds_limit(
+        if self.body_bytes > self.body_limit or framing_exceeds_limit(
             MAX_HEAD_BYTES, self.fed_bytes, self.body_bytes
         ):
             self.malformed = True
@@ -362,7 +368,7 @@
         length = self.headers.get("content-length")
         if length is not None:
             self.declared = int(length.partition(",")[0])
-            if self.declared > MAX_BODY_BYTES:
+            if self.declared > self.body_limit:
                 self.malformed = True
         if self.exchange.is_head_request and not informational:
             # The parser does not know that the response to a HEAD request has no body; it would wait for one.
@@ -375,10 +381,11 @@
             return
         if not self.received:
             self.body = data
-        elif self.body_parts is None:
-            self.body_parts = [self.body, data]
         else:
-            self.body_parts.append(data)
+            # A list of parts would take far more memory than their bytes if these are few in each.
+            if isinstance(self.body, bytes):
+                self.body = bytearray(self.body)
+            self.body += data
         self.received += len(data)
 
     def on_message_complete(self) -> None:
@@ -406,8 +413,7 @@
 
     def build_response(self) -> HttpResponse:
         """Return the response received."""
-        body = self.body if self.body_parts is None else b"".join(self.body_parts)
-        return HttpResponse(self.parser.get_status_code(), self.headers, body)
+        return HttpResponse(self.parser.get_status_code(), self.headers, bytes(self.body))
 
 
 def parse_address(address: str) -> tuple[str, int]:
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -17,6 +17,7 @@
 from hibiscusdrum.errors import AddressInUse
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router.routes import EntryLimits
+from hibiscusdrum.internal.transport.body_memory import BodyMemory
 from hibiscusdrum.internal.transport.entry_connection import (
     CALLER_GONE,
     DISCARD_SECONDS,
@@ -37,6 +38,11 @@
 class HttpEntry(Service):
     """HTTP server that passes requests to the handler registered for the listening address.
 
+    Parameters
+    ----------
+    memory : BodyMemory, optional
+        Limits on the bodies that are held; those of a process whose memory is not known by default.
+
     Attributes
     ----------
     limits : EntryLimits
@@ -47,8 +53,10 @@
 
     service_name = "entry"
 
-    def __init__(self) -> None:
+    def __init__(self, memory: BodyMemory | None = None) -> None:
         super().__init__()
+        self.memory = memory or BodyMemory()
+        self.memory.holders.append(self.held_bytes)
         self.limits = EntryLimits()
         self.request_handlers: dict[str, RequestHandler] = {}
         self.listeners: dict[socket.socket, str] = {}
@@ -59,6 +67,19 @@
         """Start the periodic check for idle and slow callers."""
         self.app.scheduler.every(SWEEP_INTERVAL_SECONDS, self.enforce_timeouts)
 
+    def held_bytes(self) -> int:
+        """Return the bytes of bodies on all connections."""
+        return sum(connection.held_bytes for connection in self.connections.values())
+
+    def enforce_output_limit(self) -> None:
+        """Disconnect the caller that has read nothing for longest when all bodies together exceed the limit."""
+        if not self.memory.exceeded:
+            return
+        unread = [connection for connection in self.connections.values() if connection.output_buffer]
+        slowest = min(unread, key=lambda connection: connection.last_active_at)
+        self.memory.report_exceeded("unread response", len(slowest.output_buffer))
+        self.connection_lost(slowest, "responses that callers do not read exceed the limit")
+
     def listen(self, address: str, handle: RequestHandler) -> None:
         """Listen on an address and pass its requests to ``handle``.
 
--- a/src/hibiscusdrum/platform/boot.py
+++ b/src/hibiscusdrum/platform/boot.py
@@ -13,6 +13,7 @@
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
 BYTES_PER_MEGABIT = 125_000.0
+BYTES_PER_MEGABYTE = 1024.0 * 1024.0
 # A target's own requests have the attempt id of the request being run, this, and an id of their own.
 NESTED_ID_SEPARATOR = "."
 
@@ -83,6 +84,7 @@
         cold_factor=parse_number(bounds, "coldOver", 1.0),
         cold_slack=parse_number(bounds, "coldSlack", 0.0),
         nested_id_separator=NESTED_ID_SEPARATOR,
+        memory_bytes=parse_number(values, "limits.memoryMb", 0.0) * BYTES_PER_MEGABYTE,
         link_bytes_per_second=parse_number(values, "limits.linkMbps", 0.0) * BYTES_PER_MEGABIT,
     )
     try:
--- a/tests/features/endless_bytes.feature
+++ b/tests/features/endless_bytes.feature
@@ -56,3 +56,15 @@
     Given an entry that answers nothing and bounds heads to 2000 bytes
     When reads without end arrive on one connection
     Then at most 1 MB of them is taken, and the departure of the caller is noticed after the answers
+
+  Scenario: A caller that does not read its answers is disconnected before these fill the process
+    Given an entry that may hold 3 MB of bodies
+    When 6 callers ask for answers of 1 MB without reading them, and one reads its own
+    Then at most 4 MB of bodies were held at any time
+    And the caller that reads has its whole answer
+
+  Scenario: Request bodies that do not fit beside others are rejected as not run
+    Given an entry that may hold 3 MB of bodies
+    When 6 callers send 1 MB of a body of 1.2 MB each
+    Then at most 4 MB of bodies were held at any time
+    And at least 3 callers got 503, and none of their requests was handled
--- a/tests/features/router_system.feature
+++ b/tests/features/router_system.feature
@@ -90,6 +90,13 @@
     When a target is killed while callers ask for its keys
     Then every key is served within 1.5 s
 
+  # Guards against a router that is killed for its memory, so that requests of other callers on its VM end with it.
+  Scenario: Answers without end, beside large ones, leave routers within the memory of their VMs
+    Given a system of routers
+    When callers ask for answers without end and for large ones for 60 s, and some leave without reading
+    Then no router ever held more memory than its VM has
+    And each large answer is whole, and each request for a key was answered with 200
+
   Scenario: Keys are served through a short outage of the store
     Given a system of routers
     When the store is silent for 3 s while callers ask for keys
--- a/tests/features/steps/endless_bytes_steps.py
+++ b/tests/features/steps/endless_bytes_steps.py
@@ -13,6 +13,7 @@
 from tests.loopback import Loopback, Results, free_address
 
 from hibiscusdrum.internal.router.routes import EntryLimits
+from hibiscusdrum.internal.transport.body_memory import HELD_SHARE_OF_MEMORY, BodyMemory
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import FailureKind
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
@@ -252,3 +253,90 @@
         return not context.entry.connections
 
     context.loopback.run_until(gone, 20.0)
+
+
+@given("an entry that may hold {count:d} MB of bodies")
+def entry_with_memory(context, count):
+    context.memory = BodyMemory(count * MEGABYTE / HELD_SHARE_OF_MEMORY)
+    context.entry = HttpEntry(context.memory)
+    context.loopback = Loopback(context.entry)
+    context.add_cleanup(context.loopback.stop)
+    context.address = free_address()
+    context.requests, context.most = [], 0
+    context.entry.listen(context.address, context.requests.append)
+
+
+def connect(context):
+    host, _, port = context.address.rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+    sock.connect((host, int(port)))
+    sock.setblocking(False)
+    context.add_cleanup(sock.close)
+    return sock
+
+
+def turn(context):
+    """Turn the loop once, and note the most that was held."""
+    context.loopback.app.tick(0)
+    context.most = max(context.most, context.memory.held)
+
+
+def receive(sock):
+    """Return what has arrived."""
+    try:
+        return sock.recv(262_144)
+    except OSError:
+        return b""
+
+
+@when("{count:d} callers ask for answers of 1 MB without reading them, and one reads its own")
+def unread_answers(context, count):
+    callers = [connect(context) for _ in range(count + 1)]
+    for sock in callers:
+        sock.send(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n")
+    context.loopback.run_until(lambda: len(context.requests) == len(callers))
+    for sock in context.entry.connections:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+    context.received, context.reading = b"", callers[-1]
+    for request in context.requests:
+        request.respond(200, [], b"a" * MEGABYTE)
+        end = time.monotonic() + 0.2
+        while time.monotonic() < end:
+            turn(context)
+            context.received += receive(context.reading)
+
+
+@then("the caller that reads has its whole answer")
+def read_whole(context):
+    end = time.monotonic() + 5.0
+    while context.received.count(b"a") < MEGABYTE and time.monotonic() < end:
+        turn(context)
+        context.received += receive(context.reading)
+    assert context.received.count(b"a") == MEGABYTE, len(context.received)
+
+
+@when("{count:d} callers send 1 MB of a body of 1.2 MB each")
+def request_bodies(context, count):
+    context.callers = [connect(context) for _ in range(count)]
+    context.answers = [b""] * count
+    head = b"PUT /a HTTP/1.1\r\nhost: h\r\ncontent-length: 1200000\r\n\r\n"
+    left = [memoryview(head + b"b" * MEGABYTE) for _ in context.callers]
+    end = time.monotonic() + 5.0
+    while any(left) and time.monotonic() < end:
+        for index, sock in enumerate(context.callers):
+            try:
+                left[index] = left[index][sock.send(left[index][:65_536]) :]
+            except BlockingIOError:
+                pass
+            except OSError:
+                left[index] = left[index][:0]
+            context.answers[index] += receive(sock)
+            turn(context)
+
+
+@then("at least {least:d} callers got 503, and none of their requests was handled")
+def rejected(context, least):
+    refused = [answer for answer in context.answers if answer.startswith(b"HTTP/1.1 503 ")]
+    assert len(refused) >= least, context.answers
+    assert not context.requests
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -3,6 +3,8 @@
 They guard against doubled or lost requests, wrong answers and false refusals that only processes show.
 """
 
+import itertools
+import re
 import shutil
 import signal
 import socket
@@ -17,7 +19,8 @@
 from soak.checks import hold_violations
 from tests.odd_entries import NESTED, variants
 from tools.processes import request, wait_until
-from tools.router_system import HEADER_PREFIX, ROUTES, START_LIMIT_SECONDS, RouterSystem
+from tools.router_system import HEADER_PREFIX, MEMORY_MB, ROUTES, START_LIMIT_SECONDS, RouterSystem
+from tools.standins.holding_target import LARGE_BODY
 
 PLACES = [
     ("east", "east-1", "keyed"),
@@ -28,6 +31,7 @@
     ("west", "west-1", "shared"),
 ]
 KEYS = range(0, 65_536, 4_099)
+FLOODS = ("endless", "endless-chunks", "tiny-chunks")
 STORE_AWAY_SECONDS = 2.0
 REWRITE_DELAY_SECONDS = 0.3
 # Time in which a change reaches all routers.
@@ -162,12 +166,12 @@
 
 
 class Callers(threading.Thread):
-    """Sends requests one after the other; notes status and times of each."""
+    """Sends requests one after the other; notes status and times of each, and the sizes of whole answers."""
 
     def __init__(self, system, vm, make):
         super().__init__(daemon=True)
         self.system, self.vm, self.make = system, vm, make
-        self.results = []
+        self.results, self.sizes = [], set()
         self.ending = False
         self.start()
 
@@ -178,8 +182,10 @@
             host, path, method, key = self.make(index)
             index += 1
             began = time.monotonic()
-            status, _, _ = self.system.send_request(self.vm, host, path, method, key=key)
+            status, _, body = self.system.send_request(self.vm, host, path, method, key=key)
             self.results.append((began, time.monotonic(), status))
+            if status == 200:
+                self.sizes.add(len(body))
             if status != 200:
                 time.sleep(0.02)
 
@@ -301,6 +307,79 @@
     context.system.vms["vm1"].target.kill()
 
 
+class LeavingCallers(threading.Thread):
+    """Sends requests for answers without end; each leaves after a short time without reading."""
+
+    def __init__(self, vm, stay_seconds):
+        super().__init__(daemon=True)
+        self.vm, self.stay_seconds = vm, stay_seconds
+        self.ending = False
+        self.start()
+
+    def run(self):
+        """Do the work of the thread."""
+        host, _, port = self.vm.address(1).rpartition(":")
+        for index in itertools.count():
+            if self.ending:
+                return
+            request = (
+                f"GET /r/{FLOODS[index % len(FLOODS)]} HTTP/1.1\r\nhost: grants.example\r\n"
+                f"x-hibiscusdrum-attempt-id: left-{self.vm.name}-{index}\r\n"
+                "x-hibiscusdrum-deadline-ms: 2000\r\n\r\n"
+            )
+            with socket.create_connection((host, int(port))) as connection:
+                connection.sendall(request.encode())
+                time.sleep(self.stay_seconds)
+
+    def end(self):
+        """End it."""
+        self.ending = True
+        self.join(5.0)
+
+
+def peak_bytes(process):
+    """Return the largest resident memory that a process has had."""
+    status = Path(f"/proc/{process.process.pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) * 1024
+
+
+@when(
+    "callers ask for answers without end and for large ones for {seconds:g} s, and some leave without reading"
+)
+def floods(context, seconds):
+    system = context.system
+    vms = list(system.vms.values())
+    asking = [
+        Callers(
+            system, vm, lambda index: ("grants.example", f"/r/{FLOODS[index % len(FLOODS)]}", "GET", None)
+        )
+        for vm in vms
+    ]
+    leaving = [LeavingCallers(vm, 0.2) for vm in vms[:4]]
+    context.large = [
+        Callers(system, vm, lambda _index: ("grants.example", "/r/large", "GET", None))
+        for vm in (vms[0], vms[4])
+    ]
+    caller = Callers(system, vms[1], keyed)
+    time.sleep(seconds)
+    context.peaks = {vm.name: peak_bytes(vm.router) for vm in vms}
+    for thread in (*asking, *leaving, *context.large, caller):
+        thread.end()
+    context.results = caller.results
+
+
+@then("no router ever held more memory than its VM has")
+def within_memory(context):
+    assert max(context.peaks.values()) < MEMORY_MB * 1024 * 1024, context.peaks
+
+
+@then("each large answer is whole, and each request for a key was answered with 200")
+def others_served(context):
+    for caller in context.large:
+        assert caller.sizes == {len(LARGE_BODY)}, caller.sizes
+    assert {status for _, _, status in context.results} == {200}
+
+
 @then("every key is served within {seconds:g} s")
 def keys_served(context, seconds):
     system = context.system
--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -33,6 +33,8 @@
     "allowedRegions", "backends",
 ]  # fmt: skip
 SERVICE_COLUMNS = ["name", "healthPath", "maxConns", "warmupS", "warmupPerS", "partitioned"]
+# The least memory of a VM that the users' sites name.
+MEMORY_MB = 200
 # Time that a request takes at a target by default.
 TARGET_SECONDS = 0.01
 ROUTES = [
@@ -80,6 +82,7 @@
             f"portRange={self.ports[4]},{self.ports[4] + 1}",
             f"provider.addr={store}",
             "heartbeatS=0.5",
+            f"limits.memoryMb={MEMORY_MB}",
             "bounds=holdMaxS=10,graceS=6,drainS=2.5,budgetRatio=0.2,budgetSlack=60,budgetWindowS=10",
         ]
 
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -11,6 +11,10 @@
 - ``late``: a response to another request is sent first.
 - ``full``: the request is refused.
 - ``full-copy``: the request is refused, and the refusal is sent once more, 50 ms later.
+- ``endless``: the response has a body without a length and without end.
+- ``endless-chunks``: the response has a body in chunks without end.
+- ``tiny-chunks``: the same, in chunks of two bytes.
+- ``large``: the response has a body of 4 MB.
 - ``lost-then-full``: the first response to an attempt is lost; later requests with its id are refused.
 
 ``POST /limit/RATE`` makes each response state a limit of RATE requests per second, ``POST /limit/none`` none,
@@ -38,6 +42,14 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 HEADER_PREFIX = "x-hibiscusdrum-"
 COPY_DELAY_SECONDS = 0.05
+LARGE_BODY = b"large " * 700_000
+PART_BYTES = 262_144
+PART_INTERVAL_SECONDS = 0.002
+ENDLESS_PARTS = {
+    "endless": (b"", b"b" * PART_BYTES),
+    "endless-chunks": (b"transfer-encoding: chunked\r\n", (b"1000\r\n" + b"b" * 4_096 + b"\r\n") * 64),
+    "tiny-chunks": (b"transfer-encoding: chunked\r\n", b"2\r\nbb\r\n" * 30_000),
+}
 JSON_HEADERS = {"content-type": "application/json"}
 
 
@@ -200,6 +212,24 @@
         response = request.encode_response(closes=False)
         self.app.scheduler.call_later(COPY_DELAY_SECONDS, lambda: request.connection.write(response))
 
+    def send_endless(
+        self, request: EntryRequest, headers: list[tuple[str, str]], framing: bytes, part: bytes
+    ) -> None:
+        """Send a response without end, as fast as the router takes it."""
+        connection = request.connection
+        named = b"".join(f"{name}: {value}\r\n".encode() for name, value in headers)
+        signature = b"x-hibiscusdrum-response-sig: s\r\n"
+        connection.write(b"HTTP/1.1 200 OK\r\n" + named + signature + framing + b"\r\n")
+
+        def send_part() -> None:
+            if connection.closed:
+                return
+            if len(connection.output_buffer) < PART_BYTES:
+                connection.write(part)
+            self.app.scheduler.call_later(PART_INTERVAL_SECONDS, send_part)
+
+        send_part()
+
     def holds_key(self, request: EntryRequest) -> bool:
         """Return whether a request's key is in a granted range; an unpartitioned service has no ranges."""
         key = request.header(HEADER_PREFIX + "shard-key")
@@ -225,6 +255,10 @@
                 b"HTTP/1.1 200 OK\r\nx-hibiscusdrum-response-sig: s\r\ncontent-length: 99\r\n\r\nab"
             )
             self.close(connection)
+        elif fault in ENDLESS_PARTS:
+            self.send_endless(request, headers, *ENDLESS_PARTS[fault])
+        elif fault == "large":
+            request.respond(200, signed_headers, LARGE_BODY)
         elif fault == "cut-head":
             connection.write(b"HTTP/1.1 200 OK\r\nx-hibiscusdrum-response-sig: s\r\ncontent-le")
             self.close(connection)
