--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -29,6 +30,7 @@
 # Value of ``declared`` for a response without Content-Length.
 LENGTH_UNKNOWN = -1
 INFORMATIONAL_STATUSES = range(100, 200)
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 def framing_exceeds_limit(limit: int, received: int, body: int) -> bool:
@@ -269,6 +271,7 @@
         "malformed",
         "parser",
         "pool",
+        "reason",
         "received",
         "response_started",
         "reused",
@@ -302,6 +305,7 @@
         self.body: bytes | bytearray = b""
         self.received = 0
         self.declared = LENGTH_UNKNOWN
+        self.reason = b""
         self.head_bytes = 0
         self.response_started = False
         self.head_complete = False
@@ -335,12 +339,23 @@
             raise httptools.HttpParserError("more than one response to a request")
         self.response_started = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Check the reason phrase, which may arrive in parts."""
+        self.reason += reason
+        self.check_spliced(self.reason)
+
+    def check_spliced(self, text: bytes) -> None:
+        """Refuse a head that was cut off and is continued by that of another response."""
+        if STATUS_LINE.search(text):
+            raise httptools.HttpParserError("a response begins within the head of another one")
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header, and enforce the size limit of the head."""
         self.head_bytes += len(name) + len(value)
         if self.head_bytes > MAX_HEAD_BYTES:
             self.malformed = True
             return
+        self.check_spliced(value)
         key = name.decode("latin-1").lower()
         text = value.decode("latin-1")
         if key in self.headers:
@@ -399,9 +414,13 @@
 
     @property
     def is_close_delimited(self) -> bool:
-        """Whether the response body ends where the connection closes (RFC 9112, section 6.3)."""
+        """Whether the response body ends where the connection closes (RFC 9112, section 6.3).
+
+        That of a response to another request says nothing about this one.
+        """
         chunked = "transfer-encoding" in self.headers
-        return self.head_complete and self.declared == LENGTH_UNKNOWN and not chunked
+        undeclared = self.head_complete and self.declared == LENGTH_UNKNOWN and not chunked
+        return undeclared and not self.skipping_unmatched
 
     def keep_alive_seconds(self) -> float:
         """Return how long the idle connection may be reused; infinity without a ``Keep-Alive: timeout``."""
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -72,7 +72,7 @@
         return sum(connection.held_bytes for connection in self.connections.values())
 
     def enforce_output_limit(self) -> None:
-        """Disconnect the caller that has read nothing for longest when all bodies together exceed the limit."""
+        """Disconnect the caller that has read nothing for longest if all bodies together exceed the limit."""
         if not self.memory.exceeded:
             return
         unread = [connection for connection in self.connections.values() if connection.output_buffer]
--- a/tests/features/steps/target_answers_steps.py
+++ b/tests/features/steps/target_answers_steps.py
@@ -127,3 +127,80 @@
 def no_answer(context):
     assert not isinstance(context.result, Success), context.result.unwrap().body
     assert context.result.failure().bytes_sent
+
+
+class CuttingTarget(ScriptedPeer):
+    """Answers every other request of a connection; the next one gets a part of that answer first.
+
+    Attributes
+    ----------
+    cut : int
+        Bytes of the former answer that are written once more.
+    follows : bytes
+        What is written after them.
+    """
+
+    def __init__(self, closes, answers):
+        super().__init__([["hold"]], free_address())
+        self.closes, self.answers = closes, answers
+        self.cut = 0
+        self.former = {}
+
+    def answer(self, request, status, body):
+        """Return a whole answer to a request."""
+        request_id = request.split(b" ")[1].strip(b"/")
+        head = b"HTTP/1.1 %b\r\nserver: t\r\n%b: %b\r\n%b: s-%b\r\ncontent-length: %d\r\nage: 1\r\n\r\n"
+        names = NAMES.attempt_id.encode(), NAMES.signature.encode()
+        return head % (status, names[0], request_id, names[1], request_id, len(body)) + body
+
+    def run_actions(self, sock, actions, request):
+        """Answer a request, or continue to do so."""
+        if request is not None and sock not in self.former:
+            actions = [self.answer(request, b"200 OK", b"former")]
+            self.former[sock] = actions[0]
+        elif request is not None:
+            own = self.answer(request, b"500 Failed", b"failed") if self.answers else b""
+            actions = [self.former.pop(sock)[: self.cut] + own, *(["wait", "close"] if self.closes else [])]
+        super().run_actions(sock, actions, None)
+
+
+@given(
+    "a router's target that writes its former answer once more, cut after another byte each time, then {then}"
+)
+def cutting_target(context, then):
+    start(context, CuttingTarget("close" in then, "500" in then))
+
+
+@when("a second request follows on each connection")
+def second_requests(context):
+    def ask(request_id):
+        results = Results()
+        headers = {context.client.request_id_header: request_id}
+        context.client.request(
+            context.peer.address, "GET", f"/{request_id}", headers, b"", 0.1, results.append
+        )
+        return results.one(context.loopback)
+
+    length = len(context.peer.answer(b"GET /first-100 ", b"200 OK", b"former"))
+    context.results = {}
+    for cut in range(1, length):
+        context.peer.cut = cut
+        # The client reuses the connection only as long as its answers were sound.
+        assert ask(f"first-{cut:03}").unwrap().body == b"former"
+        context.results[cut] = ask(f"second-{cut:03}")
+
+
+@then("none of the second requests gets a success")
+def no_second_success(context):
+    wrong = {
+        cut: (result.unwrap().headers, result.unwrap().body)
+        for cut, result in context.results.items()
+        if isinstance(result, Success) and result.unwrap().status < 300
+    }
+    assert not wrong, f"{len(wrong)} of {len(context.results)} places, such as {min(wrong.items())}"
+    mixed = {
+        cut: result.unwrap().headers
+        for cut, result in context.results.items()
+        if isinstance(result, Success) and result.unwrap().body != b"failed"
+    }
+    assert not mixed, mixed
--- a/tests/features/target_answers.feature
+++ b/tests/features/target_answers.feature
@@ -40,3 +40,15 @@
       | named   | outcome        |
       | its id  | its own answer |
       | no id   | no answer, and may have run |
+
+  # Guards against a success that another request's answer, or a failed one, has been made into.
+  Scenario Outline: A late copy of an answer, cut anywhere, does not become the answer to the next request: <then>
+    Given a router's target that writes its former answer once more, cut after another byte each time, then <then>
+    When a second request follows on each connection
+    Then none of the second requests gets a success
+
+    Examples:
+      | then                                  |
+      | closes the connection                 |
+      | answers the next request with 500     |
+      | answers the next request with 500 and closes the connection |
