--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from typing import Annotated
 from urllib.parse import unquote
 
@@ -21,6 +22,7 @@
 )
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetHeartbeat
+from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.routes import KEY_SPACE
 from hibiscusdrum.internal.router.settings import RouterSettings
@@ -33,29 +35,46 @@
 JSON_HEADERS = [("content-type", "application/json")]
 MAX_SLOTS = 1_000_000
 MAX_WARMUP_SECONDS = 86_400.0
+# The year 2100, in Unix milliseconds; a later start would make all true heartbeats count as outdated.
+MAX_STARTED_MS = 4_102_444_800_000
+# At most one heartbeat each 100 ms; a greater number would make all true heartbeats count as outdated.
+MAX_SEQUENCE = 1 << 32
 # The name is sent in a header of each request to the target.
 TARGET_PATTERN = re.compile(r"[!-~]{1,200}")
 
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 WarmupSeconds = Annotated[float, msgspec.Meta(ge=-MAX_WARMUP_SECONDS, le=MAX_WARMUP_SECONDS)]
+StartedMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_STARTED_MS)]
+Sequence = Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
 Key = Annotated[int, msgspec.Meta(ge=0, lt=KEY_SPACE)]
 
 
+DRAINING_BY_STATE = {"ready": False, "draining": True}
+
+
 class TargetInfo(msgspec.Struct, frozen=True):
     """Properties of a target that are constant for one incarnation."""
 
     service: Name
     slots: Slots
-    zone: Text = ""
-    version: Text = ""
+    zone: Name
+    version: Name
 
 
 class TargetStatus(msgspec.Struct, frozen=True):
     """State of a target; ``warmupS_time`` is the remaining warm-up time in seconds."""
 
     state: Text
-    seq: Whole
-    warmupS_time: WarmupSeconds = 0.0  # noqa: N815 - name on the wire
+    seq: Sequence
+    warmupS_time: WarmupSeconds  # noqa: N815 - name on the wire
+
+    def __post_init__(self) -> None:
+        if self.state not in DRAINING_BY_STATE:
+            raise ValueError(f"state: one of {sorted(DRAINING_BY_STATE)}")
+
+
+HeldRanges = tuple[tuple[Key, Key, Whole], ...]
+ReleasedRanges = tuple[tuple[Key, Key, Text], ...]
 
 
 class WireHeartbeat(msgspec.Struct, frozen=True):
@@ -63,35 +82,43 @@
 
     Despite its name, ``holdCount`` is a list of the ranges that the target holds, each as first key, last key
     and fencing token. ``released`` lists the ranges that it gave up, each as first key, last key and handover
-    token. ``born`` is the time at which the target started, in Unix milliseconds.
+    token. Both lists are missing where the service is not partitioned by key. ``born`` is the time at which
+    the target started, in Unix milliseconds.
     """
 
     addr: AddressText
     info: TargetInfo
     status: TargetStatus
-    born: Whole = 0
-    holdCount: tuple[tuple[Key, Key, Whole], ...] = ()  # noqa: N815 - name on the wire
-    released: tuple[tuple[Key, Key, Text], ...] = ()
+    born: StartedMs
+    holdCount: HeldRanges | msgspec.UnsetType = msgspec.UNSET  # noqa: N815 - name on the wire
+    released: ReleasedRanges | msgspec.UnsetType = msgspec.UNSET
 
     def __post_init__(self) -> None:
         check_address(self.addr, "addr")
-        for first, last, _token in (*self.holdCount, *self.released):
-            if first > last:
-                raise ValueError(f"ranges whose first key is not above the last, got {first} to {last}")
+        for name, ranges in (("holdCount", self.holdCount), ("released", self.released)):
+            for first, last, _token in ranges or ():
+                if first > last:
+                    raise ValueError(f"{name}: ranges whose first key is not above the last")
 
 
 class WireLeave(msgspec.Struct, frozen=True):
     """Body of the notice that a target is leaving; ``born`` as in a heartbeat."""
 
-    born: Whole = 0
-
+    born: StartedMs | msgspec.UnsetType = msgspec.UNSET
 
-DRAINING_BY_STATE = {"ready": False, "draining": True}
 
-
-def decode_heartbeat(target: str, body: bytes) -> TargetHeartbeat:
+def decode_heartbeat(target: str, body: bytes, partitioned: bool = False) -> TargetHeartbeat:
     """Decode a heartbeat.
 
+    Parameters
+    ----------
+    target : str
+        Name of the target, from the path.
+    body : bytes
+    partitioned : bool
+        Whether the service is partitioned by key. A heartbeat must then list the keys that the target holds:
+        one without them would say that it holds none.
+
     Raises
     ------
     InvalidArgument
@@ -102,19 +129,21 @@
         raise InvalidArgument(name="target", value=excerpt(target), expected=TARGET_PATTERN.pattern)
     with refusing_malformed("report", body):
         heartbeat = msgspec.json.decode(body, type=WireHeartbeat)
-        draining = DRAINING_BY_STATE[heartbeat.status.state]
+        for name in ("holdCount", "released") if partitioned else ():
+            if getattr(heartbeat, name) is msgspec.UNSET:
+                raise ValueError(f"{name}: a list, since the service is partitioned by key")
     return TargetHeartbeat(
         target=target,
         service=heartbeat.info.service,
         address=heartbeat.addr,
         slots=heartbeat.info.slots,
-        draining=draining,
+        draining=DRAINING_BY_STATE[heartbeat.status.state],
         sequence=heartbeat.status.seq,
         started_ms=heartbeat.born,
         cold_seconds=max(0.0, heartbeat.status.warmupS_time),
         failure_domain=heartbeat.info.zone,
-        held=tuple(Range(first, last, fence) for first, last, fence in heartbeat.holdCount),
-        released=tuple(Range(first, last, 0, token) for first, last, token in heartbeat.released),
+        held=tuple(Range(first, last, fence) for first, last, fence in heartbeat.holdCount or ()),
+        released=tuple(Range(first, last, 0, token) for first, last, token in heartbeat.released or ()),
     )
 
 
@@ -135,10 +164,13 @@
     def __init__(self, settings: RouterSettings) -> None:
         super().__init__()
         self.settings = settings
+        self.is_partitioned: Callable[[], bool] = lambda: False
 
     def on_start(self) -> None:
         """Listen on the target control address."""
         self.target: LocalTarget = self.app.find("local_target")
+        range_owner: RangeOwner = self.app.find("range_owner")
+        self.is_partitioned = lambda: bool(range_owner.partitioned)
         self.app.find("entry").listen(self.settings.target_control_address, self.on_request)
 
     def on_request(self, request: EntryRequest) -> None:
@@ -159,12 +191,12 @@
                 )
             else:
                 self.target.on_heartbeat(
-                    decode_heartbeat(target, request.body),
+                    decode_heartbeat(target, request.body, self.is_partitioned()),
                     lambda grant: request.respond(OK, JSON_HEADERS, encode_grant(grant)),
                 )
         except InvalidArgument as error:
             unreadable_entries.record(f"report of {excerpt(target)}", error)
-            request.respond(400, JSON_HEADERS, b"{}")
+            request.respond(400, JSON_HEADERS, msgspec.json.encode({"error": str(error)}))
 
 
 def decode_leave(body: bytes) -> int:
@@ -177,4 +209,4 @@
     """
     if not body:
         return 0
-    return decode_json(body, WireLeave, "notice").born
+    return decode_json(body, WireLeave, "notice").born or 0
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -18,6 +18,13 @@
   Scenario: A message between nodes that is nested too deeply is refused with a typed error
     Then a message with a value nested 5000 deep is refused as an invalid frame
 
+  # Guards against keys that are given away, or a target that is taken out of use, because of a report of another writer.
+  Scenario: An odd report changes no state, and its sender is told which field is at fault
+    Given a router's heartbeat endpoint, and a target that holds keys
+    When each odd variant of a heartbeat and of a notice of departure arrives
+    Then each is refused, and the answer names the field
+    And the target is as it was
+
   Scenario: A heartbeat of a target whose name cannot be sent in a header is refused
     Then heartbeats of targets with odd names are refused
 
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -15,7 +15,18 @@
 from behave import given, then, when
 from returns.result import Success
 from tests.loopback import Loopback, free_address
-from tests.odd_entries import CONFIG, HEARTBEAT, NESTED, NODE, SOUND, encode, packed, variants
+from tests.odd_entries import (
+    CONFIG,
+    HEARTBEAT,
+    MISSING,
+    NESTED,
+    NODE,
+    SOUND,
+    encode,
+    packed,
+    variants,
+    with_field,
+)  # fmt: skip
 from tests.router_stubs import FREE, SETTINGS, Stub, application, forward
 from tests.router_world import PROBED_KEYS, World
 from tools.standins.rows_store import RowsStore
@@ -528,15 +539,62 @@
 class Heartbeat:
     """A call of the heartbeat endpoint."""
 
-    method, target = b"PUT", "/instances/i-2"
+    target = "/instances/i-2"
 
-    def __init__(self, body):
-        self.body = body
-        self.status = None
+    def __init__(self, body, method=b"PUT"):
+        self.body, self.method = body, method
+        self.status, self.answer = None, b""
 
-    def respond(self, status, _headers, _body=b""):
+    def respond(self, status, _headers, body=b""):
         """Take the answer."""
-        self.status = status
+        self.status, self.answer = status, body
+
+
+@given("a router's heartbeat endpoint, and a target that holds keys")
+def endpoint_with_target(context):
+    settings = msgspec.structs.replace(SETTINGS, service="keyed")
+    context.app = application()
+    context.endpoint = ReportEndpoint(settings)
+    context.app.add(context.endpoint)
+    context.endpoint.target = context.app.add(LocalTarget(settings))
+    context.endpoint.is_partitioned = lambda: True
+    call = Heartbeat(encode(HEARTBEAT))
+    context.endpoint.on_request(call)
+    assert call.status == 200 and context.endpoint.target.ready, call.status
+    context.before = context.endpoint.target.last_heartbeat
+
+
+@when("each odd variant of a heartbeat and of a notice of departure arrives")
+def odd_reports(context):
+    reports = [(b"PUT", name, body) for name, body in variants("a heartbeat")]
+    for field in ("holdCount", "released"):
+        body = encode(with_field(HEARTBEAT, (field,), MISSING))
+        reports.append((b"PUT", f"{field}: missing", body))
+    reports += [(b"DELETE", name, body) for name, body in variants("a notice of departure")]
+    context.odd_calls = []
+    for method, name, body in reports:
+        call = Heartbeat(body, method)
+        context.endpoint.on_request(call)
+        context.odd_calls.append((name, call))
+
+
+@then("each is refused, and the answer names the field")
+def refused_by_name(context):
+    wrong = []
+    for name, call in context.odd_calls:
+        field = name.partition(":")[0].rpartition(".")[2] if ": " in name else ""
+        # Nothing can be said of a field where the body is no JSON, or one that is nested too deeply.
+        unnamed = "nested" in name or "400 digits" in name or "infinite" in name
+        if call.status != 400 or (not unnamed and field.encode() not in call.answer):
+            wrong.append((name, call.status, call.answer))
+    assert not wrong, f"{len(wrong)} of {len(context.odd_calls)}: {wrong[:12]}"
+
+
+@then("the target is as it was")
+def target_as_before(context):
+    target = context.endpoint.target
+    assert target.ready and target.last_heartbeat is context.before
+    assert not target.leaving_incarnations
 
 
 @when("the same odd heartbeat arrives {count:d} times, a second apart")
--- a/tests/features/steps/router_killed_sender_steps.py
+++ b/tests/features/steps/router_killed_sender_steps.py
@@ -158,8 +158,8 @@
     return {
         "addr": "127.0.0.1:1",
         "born": target.started_ms,
-        "info": {"service": "keys", "slots": 9},
-        "status": {"state": state, "seq": sequence},
+        "info": {"service": "keys", "version": "v1", "zone": "d1", "slots": 9},
+        "status": {"state": state, "seq": sequence, "warmupS_time": 0},
     }
 
 
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -97,7 +97,7 @@
             "info": {
                 "service": self.options.service,
                 "version": "v1",
-                "zone": "",
+                "zone": "here",
                 "slots": self.options.slots,
             },
             "status": {
