Take over many lost owners by several writes

Callers saw: nobody served the keys of lost owners if more than 24 owners of a service were lost at once.

Cause: the takeover was one write with four entries for each lost owner and three more; the store refuses more than 100.

Change: one write takes over at most 19 owners, those with most stripes first; the next follows as soon as it has succeeded, and each is conditional on its own owners only. It deletes their claim rows as well. Both stand-ins of the store refuse transactions beyond the limits.

Measured: all keys are held again within 12 s for 40 of 60, within 20 s for 26 of 28, where only nodes are left that look for lost owners rarely.

--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -35,7 +35,7 @@
     ring_quiet_seconds,
     stripe_weight,
 )
-from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper, lease_key, readable_lease
+from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper, claim_key, lease_key, readable_lease
 from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetHeartbeat, TargetState
 from hibiscusdrum.internal.router.members import NODE_PREFIX, Members
 from hibiscusdrum.internal.router.range_lease import UNREADABLE_LEASE_TIMEOUT_SECONDS, is_expired
@@ -62,6 +62,9 @@
 PRIMARY_LEASE_CHECKERS = 3
 # A node without a lease row counts as lost after this time, within which a new owner writes its row.
 MISSING_LEASE_TIMEOUT_SECONDS = 4.0
+# The store accepts 100 entries in a write. A lost owner takes five: checks of its lease and its node's row,
+# and deletions of these and of its claim. The rest of the write takes four.
+MAX_LOST_OWNERS_PER_WRITE = 19
 # After an outage of the store, nodes get this long to renew their leases before they count as lost.
 STORE_RECOVERY_GRACE_SECONDS = 2.5
 # Targets that restart together all need new fencing tokens. Each node waits for a random delay of up to this
@@ -687,11 +690,22 @@
             self.start_rebalance(alive)
             self.start_offload(alive)
             return
+        counts = ring.stripe_counts()
+        lost_owners = sorted((node for node in lost if counts.get(node)), key=lambda node: -counts[node])
+        if len(lost_owners) > MAX_LOST_OWNERS_PER_WRITE:
+            lost_owners = lost_owners[:MAX_LOST_OWNERS_PER_WRITE]
+            lost_stripes = [index for node in lost_owners for index in ring.stripes_of(node)]
+            # Once this write has succeeded, the others follow without waiting for the next check.
+            self.leases_checked_at = float("-inf")
         moves = ring_edits.distribute_stripes(ring, lost_stripes + unowned, alive, self.stripe_weight).moves
         prefix = lease_key(self.settings.service, "")
-        lost_owners = [node for node in lost if ring.stripes_of(node)]
         checks = {prefix + node: lost[node] for node in lost_owners}
-        deletes = [prefix + node for node in lost_owners if lost[node]]
+        deletes = [
+            key
+            for node in lost_owners
+            if lost[node]
+            for key in (prefix + node, claim_key(self.settings.service, node))
+        ]
         for node in lost_owners:
             version = self.members.row_versions.get(NODE_PREFIX + node, 0)
             if version and node in self.members.nodes:
--- a/tests/features/router_ownership.feature
+++ b/tests/features/router_ownership.feature
@@ -64,6 +64,18 @@
       | 5     | 3    |
       | 8     | 6    |
 
+  # Guards against a takeover that is too large for the store, after which no lost key ever has an owner again.
+  Scenario Outline: Keys have holders again after <lost> of <count> VMs are lost at once
+    Given <count> nodes whose targets hold keys
+    When <lost> VMs are lost
+    Then every key has a holder within <seconds> s
+    And no write was too large for the store
+
+    Examples:
+      | count | lost | seconds |
+      | 28    | 26   | 20      |
+      | 60    | 40   | 12      |
+
   Scenario: Keys have holders again after half of the owners are evacuated, and after they are back
     Given 12 nodes whose targets hold keys
     When a failure domain is evacuated
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -258,6 +258,11 @@
         world.run(0.1)
 
 
+@then("no write was too large for the store")
+def writes_fit(context):
+    assert not context.world.store.refused_entries, context.world.store.refused_entries
+
+
 @when("a fifth node joins")
 def joins(context):
     context.world.add("n9", "d1")
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -39,6 +39,8 @@
 # Copies of the store are taken this often and kept this long.
 COPY_INTERVAL_SECONDS = 0.5
 COPIES_KEPT_SECONDS = 20.0
+# The store refuses larger transactions.
+MAX_TRANSACTION_ENTRIES = 100
 PROBED_KEYS = range(0, 65_536, 419)
 
 
@@ -73,6 +75,8 @@
         Rises by one with each restore.
     clock_offset : float
         Seconds that the store's clock is ahead of the true time.
+    refused_entries : list of int
+        Entries of each transaction that was refused because it has too many.
     seconds_late : callable
         Returns after how many seconds a transaction of a node takes effect, without an answer; None for now.
     """
@@ -85,6 +89,7 @@
         self.lose_answers = 0.0
         self.late_writes = 0.0
         self.late_for = set()
+        self.refused_entries = []
         self.seconds_late = lambda _node, _transaction: None
         self.seconds = STORE_SECONDS
         self.calls = {"changes": 0, "read": 0, "commit": 0}
@@ -231,6 +236,12 @@
             conflict = StoreConflict(keys=tuple(transaction.checks))
             self.answer(0.0, callback, Failure(conflict), self.world.now, None)
             return
+        entries = len(transaction.checks) + len(transaction.puts) + len(transaction.deletes)
+        if entries > MAX_TRANSACTION_ENTRIES:
+            store.refused_entries.append(entries)
+            error = StoreUnavailable(operation="commit", reason="status_400")
+            self.answer(store.seconds, callback, Failure(error), self.world.now, self.world.store_time)
+            return
         late = store.seconds_late(self.node, transaction)
         if late is None and (rng.random() < store.late_writes or self.node in store.late_for):
             late = rng.uniform(1.0, 6.0)
--- a/tools/standins/rows_store.py
+++ b/tools/standins/rows_store.py
@@ -32,6 +32,10 @@
 # Version and value of a row; the value of a deleted row is None, and the entry of one that never existed.
 RowEntry = tuple[int, str | None] | None
 
+# Limits of the platform's store for one transaction.
+MAX_TRANSACTION_ENTRIES = 100
+MAX_TRANSACTION_BYTES = 1_000_000
+
 
 class Faults(msgspec.Struct):
     """Injected faults, as decoded from the body of ``POST /faults``.
@@ -211,7 +215,11 @@
             self.respond(request, 404)
 
     def transact(self, request: EntryRequest, transaction: dict[str, Any]) -> None:
-        """Apply a transaction, late or without an answer if a fault is drawn for it."""
+        """Apply a transaction unless it is too large, late or without an answer if a fault is drawn."""
+        entries = sum(len(transaction.get(kind, ())) for kind in ("expect", "write", "delete"))
+        if entries > MAX_TRANSACTION_ENTRIES or len(request.body) > MAX_TRANSACTION_BYTES:
+            self.respond(request, 400)
+            return
         if self.rng.random() < self.faults.late:
             self.app.scheduler.call_later(
                 self.rng.uniform(1.0, 6.0), lambda: self.apply_transaction(transaction)
