--- a/bench/lease_model.py
+++ b/bench/lease_model.py
@@ -41,6 +41,10 @@
 TABLE_TIMEOUT_SECONDS = 0.25
 TABLE_ATTEMPTS = 3
 
+# When a write takes effect whose sender was killed, and when the sender is back.
+LATE_WRITE_SECONDS = (0.1, 6.0)
+RESTART_SECONDS = 0.5
+
 # Above this, an event for each pair of nodes would dominate the run time of the model.
 MAX_GOSSIP_EVENTS_NODES = 16
 
@@ -221,6 +225,10 @@
         # Fixed delay in seconds from one party to another; the table is the party "table".
         self.late: dict[tuple[str, str], float] = {}
         self.table_down = False
+        # Probability that the sender of a write is killed at once, and the write takes effect seconds later.
+        self.kill_sender = 0.0
+        # Probability that the sender of a write is killed as soon as it has learned the outcome.
+        self.kill_informed = 0.0
 
 
 class Process:
@@ -609,6 +617,7 @@
             return self.cluster.table.commit(transaction, name_check)
 
         def replied(seq: int | None) -> None:
+            self.cluster.kill_if_drawn(self, self.cluster.faults.kill_informed)
             process.busy.discard(kind)
             if seq is not None:
                 rows = _rows(transaction, seq)
@@ -627,6 +636,10 @@
                 return
             self.act(process, lambda: self.cluster.table_call(self, process, write, replied, unknown))
 
+        if self.cluster.kill_if_drawn(self, self.cluster.faults.kill_sender):
+            late = self.cluster.killer.uniform(*LATE_WRITE_SECONDS)
+            self.cluster.at(self.cluster.time + late, lambda: (write(), self.cluster.check()))
+            return
         self.act(process, lambda: self.cluster.table_call(self, process, write, replied, unknown))
 
     def _announce(self, process: Process, rows: list[tuple[str, int, Any]]) -> None:
@@ -665,6 +678,8 @@
         domains: int = 2,
     ) -> None:
         self.random = random.Random(seed)
+        # Draws of its own, so that schedules without killed senders stay as they are.
+        self.killer = random.Random(seed + 1)
         self.time = 0.0
         self.heap: list[tuple[float, int, int, Callable[[], None]]] = []
         self.counter = itertools.count()
@@ -733,6 +748,14 @@
 
     # Network and table
 
+    def kill_if_drawn(self, node: ModelNode, probability: float) -> bool:
+        """Kill a node after the current event with a probability, and start it again; return whether."""
+        if not probability or self.killer.random() >= probability:
+            return False
+        self.at(self.time, node.crash)
+        self.at(self.time + RESTART_SECONDS, lambda: node.process or node.start())
+        return True
+
     def send(
         self, sender: ModelNode, receiver: ModelNode, deliver: Callable[[ModelNode, Process], None]
     ) -> None:
--- a/bench/lease_schedules.py
+++ b/bench/lease_schedules.py
@@ -17,8 +17,18 @@
 QUIET_SECONDS = 0.0
 
 
-def schedule(seed: int, omit: frozenset[str] = frozenset()) -> Cluster:
-    """Run one schedule and return the cluster with its violations."""
+def schedule(seed: int, omit: frozenset[str] = frozenset(), kill_senders: bool = False) -> Cluster:
+    """Run one schedule and return the cluster with its violations.
+
+    Parameters
+    ----------
+    seed : int
+    omit : frozenset of str
+        Rules left out.
+    kill_senders : bool
+        Whether senders of writes are killed and restarted before their writes take effect, or as soon as they
+        have learned the outcome.
+    """
     cluster = Cluster(seed, count=0, omit=omit, noisy=True, drift=0.0049)
     rng = cluster.random
     for index in range(rng.randint(2, 5)):
@@ -30,6 +40,9 @@
     cluster.faults.step_pause = rng.choice((0.0, 0.005, 0.02))
     cluster.faults.table_delay = rng.choice((0.005, 0.05, 0.3))
     cluster.form(guard_of)
+    if kill_senders:
+        cluster.faults.kill_sender = cluster.killer.choice((0.05, 0.2))
+        cluster.faults.kill_informed = cluster.killer.choice((0.05, 0.2))
     for _ in range(rng.randint(2, 10)):
         cluster.at(rng.uniform(0.0, SCHEDULE_SECONDS), lambda: fault(cluster))
     cluster.run_until(SCHEDULE_SECONDS)
@@ -81,7 +94,9 @@
     cluster.at(cluster.time + length, lambda: cluster.faults.cuts.difference_update(pairs))
 
 
-def count(seeds: range, omit: frozenset[str], limit_seconds: float) -> tuple[int, int, list[str]]:
+def count(
+    seeds: range, omit: frozenset[str], limit_seconds: float, kill_senders: bool = False
+) -> tuple[int, int, list[str]]:
     """Return the schedules run, those with a violation, and the first violations."""
     bad, run, first = 0, 0, []
     end = time.monotonic() + limit_seconds
@@ -89,7 +104,7 @@
         if time.monotonic() > end:
             break
         run += 1
-        violations = schedule(seed, omit).violations
+        violations = schedule(seed, omit, kill_senders).violations
         if violations:
             bad += 1
             if len(first) < 3:
@@ -104,6 +119,9 @@
     parser.add_argument("--first-seed", type=int, default=0)
     parser.add_argument("--seconds", type=float, default=120.0, help="time limit for each row of the table")
     parser.add_argument("--omit", action="append", default=[], choices=sorted(RULES))
+    parser.add_argument(
+        "--kill-senders", action="store_true", help="kill and restart senders of writes before or after these"
+    )
     parser.add_argument("--each", action="store_true", help="leave each rule out in turn")
     options = parser.parse_args()
     seeds = range(options.first_seed, options.first_seed + options.schedules)
@@ -112,7 +130,7 @@
     variants = [frozenset([rule]) for rule in RULES] if options.each else [frozenset(options.omit)]
     failed = 0
     for omit in variants:
-        run, bad, first = count(seeds, omit, options.seconds)
+        run, bad, first = count(seeds, omit, options.seconds, options.kill_senders)
         print(f"| {', '.join(sorted(omit)) or 'none'} | {run} | {bad} |", flush=True)
         if not omit and bad:
             failed = 1
--- a/tests/features/ownership_leases.feature
+++ b/tests/features/ownership_leases.feature
@@ -31,6 +31,11 @@
     When 150 random lease schedules run
     Then no lease schedule has two owners or lost slices
 
+  # Guards against a next process that does not know what the killed one has sent or learned.
+  Scenario: Random schedules in which senders of writes are killed never give a slice two owners or lose it
+    When 150 random lease schedules run in which senders are killed before or after their writes take effect
+    Then no lease schedule has two owners or lost slices
+
   Scenario: Faults and operations in any order never give a slice two owners or lose it
     Then the stateful lease model finds no violation
 
--- a/tests/features/steps/ownership_lease_steps.py
+++ b/tests/features/steps/ownership_lease_steps.py
@@ -38,6 +38,15 @@
     assert context.lease_result[0] == count, "the schedules did not end in time"
 
 
+@when(
+    "{count:d} random lease schedules run in which senders are killed before or after their writes take "
+    "effect"
+)
+def run_schedules_with_kills(context, count):
+    context.lease_result = lease_schedules.count(range(count), frozenset(), 30.0, kill_senders=True)
+    assert context.lease_result[0] == count, "the schedules did not end in time"
+
+
 @then("no lease schedule has two owners or lost slices")
 def check_random_schedules(context):
     assert context.lease_result[1] == 0, context.lease_result[2]
