--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -3,6 +3,7 @@
 They guard against smuggled requests, answers to the wrong request, and callers that hold a daemon up.
 """
 
+import contextlib
 import socket
 import threading
 import time
@@ -318,14 +319,10 @@
     end = time.monotonic() + 60.0
     while len(context.answers.found) < count and time.monotonic() < end:
         context.loopback.app.tick(0)
-        try:
+        with contextlib.suppress(BlockingIOError):
             left = left[sock.send(left[:65_536]) :] if left else left
-        except BlockingIOError:
-            pass
-        try:
+        with contextlib.suppress(BlockingIOError):
             context.answers.parser.feed_data(sock.recv(65_536))
-        except BlockingIOError:
-            pass
     other.ending = True
     context.loopback.run_until(lambda: not other.is_alive(), 6.0)
     sock.close()
