Log and count how callers' connections end with requests on them, and accepts that fail

Change: events caller_connection_lost (835) and accept_failed (836), counters hibiscusdrum_connections_lost_total by reason and hibiscusdrum_accept_failures_total, gauge hibiscusdrum_connections. No change of logic.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -373,6 +373,39 @@
     quiet_s: float
 
 
+class CallerConnectionLost(LogEvent, frozen=True):
+    """A connection ended while requests on it had no answer, or an answer was not written completely."""
+
+    number = 835
+    rate_limited = True
+    lines_per_interval = 20
+    cause = (
+        "`reason`: `input_ended`, the caller closed its sending direction or its socket; `reset`, it reset "
+        "the connection; `write_failed`, a write was refused; `not_read`, the caller did not read its "
+        "answers; `input_excess`, it sent too much after its last answer."
+    )
+
+    address: str
+    reason: str
+    requests: int
+    unsent_bytes: int
+
+
+class AcceptFailed(LogEvent, frozen=True):
+    """A caller's connection could not be accepted; it waits in the queue of the socket."""
+
+    number = 836
+    level = "WARNING"
+    rate_limited = True
+    lines_per_interval = 1
+    cause = "`error` names it: `EMFILE` means that the process has no free file descriptor."
+    operator_action = "Raise the limit of file descriptors if `open` is near it."
+
+    address: str
+    error: str
+    open: int
+
+
 class RouterStarted(LogEvent, frozen=True):
     """The router has started and listens on its addresses."""
 
@@ -598,6 +631,8 @@
 
 EVENTS = frozenset(
     (
+        AcceptFailed,
+        CallerConnectionLost,
         DepartureNotStored,
         EraRecorded,
         EraSettled,
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -36,8 +36,9 @@
         self.range_owner = self.app.find("range_owner")
         self.members = self.app.find("members")
         self.traffic = self.app.find("traffic")
+        self.entry = self.app.find("entry")
         if self.settings.metrics_address:
-            self.app.find("entry").listen(self.settings.metrics_address, self.on_scrape)
+            self.entry.listen(self.settings.metrics_address, self.on_scrape)
 
     def count_ended(self, route: str, status: int, seconds: float) -> None:
         """Count a caller's request that has its final response, and its latency."""
@@ -85,6 +86,11 @@
             lines.append(f'hibiscusdrum_slot_seconds_count{{route="{route}"}} {count}')
         lines.append("# TYPE hibiscusdrum_unreadable_total counter")
         lines.append(f"hibiscusdrum_unreadable_total {unreadable_entries.count}")
+        lines.append("# TYPE hibiscusdrum_connections_lost_total counter")
+        for reason, count in sorted(self.entry.lost_counts.items()):
+            lines.append(f'hibiscusdrum_connections_lost_total{{reason="{reason}"}} {count}')
+        lines.append("# TYPE hibiscusdrum_accept_failures_total counter")
+        lines.append(f"hibiscusdrum_accept_failures_total {self.entry.accept_failures}")
         lines += render_traffic(self.traffic)
         admission = self.receiver.admission
         gauges = {
@@ -94,6 +100,7 @@
             "service_seconds": round(admission.mean_service_seconds, 4),
             "stripes": len(self.range_owner.granted_stripes),
             "lease_seconds": round(self.range_owner.keeper.remaining_seconds, 3),
+            "connections": len(self.entry.connections),
             "nodes": len(self.members.nodes),
             "store_reachable": int(self.members.store_reachable),
             "store_era": self.members.table.era,
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -300,7 +299,7 @@
         if not self.accepts_input:
             self.discarded_bytes += len(data)
             if self.discarded_bytes > MAX_DISCARDED_BYTES:
-                self.server.connection_lost(self, "input after the last response exceeds the limit")
+                self.server.connection_lost(self, "input_excess")
             return
         if self.unparsed or len(self.pending) >= PIPELINE_DEPTH:
             self.unparsed.append(data)
@@ -478,10 +477,8 @@
             sent = self.sock.send(data)
         except BlockingIOError:
             sent = 0
-        except OSError as error:
-            self.server.connection_lost(
-                self, f"write failed: {errno.errorcode.get(error.errno, error.errno)}"
-            )
+        except OSError:
+            self.server.connection_lost(self, "write_failed")
             return
         if sent < len(data):
             self.output_buffer += memoryview(data)[sent:]
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import errno
 import socket
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -15,7 +17,9 @@
 from loguru import logger
 
 from hibiscusdrum.errors import AddressInUse
+from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.routes import EntryLimits
 from hibiscusdrum.internal.transport.body_memory import BodyMemory
 from hibiscusdrum.internal.transport.entry_connection import (
@@ -47,8 +51,10 @@
     ----------
     limits : EntryLimits
         Size and time limits; a new value applies to input received from then on.
-    accepted_count : int
-        Connections accepted since the start.
+    accepted_count, accept_failures : int
+        Connections accepted since the start, and attempts to accept one that failed.
+    lost_counts : Counter of str
+        Connections that ended with requests or answers on them, by reason.
     """
 
     service_name = "entry"
@@ -62,6 +68,8 @@
         self.listeners: dict[socket.socket, str] = {}
         self.connections: dict[socket.socket, EntryConnection] = {}
         self.accepted_count = 0
+        self.accept_failures = 0
+        self.lost_counts: Counter[str] = Counter()
 
     def on_start(self) -> None:
         """Start the periodic check for idle and slow callers."""
@@ -78,7 +86,7 @@
         unread = [connection for connection in self.connections.values() if connection.output_buffer]
         slowest = min(unread, key=lambda connection: connection.last_active_at)
         self.memory.report_exceeded("unread response", len(slowest.output_buffer))
-        self.connection_lost(slowest, "responses that callers do not read exceed the limit")
+        self.connection_lost(slowest, "not_read")
 
     def listen(self, address: str, handle: RequestHandler) -> None:
         """Listen on an address and pass its requests to ``handle``.
@@ -122,9 +130,10 @@
         except BlockingIOError:
             return
         except OSError:
-            data = b""
+            self.connection_lost(connection, "reset")
+            return
         if not data:
-            self.connection_lost(connection, "caller disconnected")
+            self.connection_lost(connection, "input_ended")
             return
         connection.feed(data)
 
@@ -136,7 +145,9 @@
             except BlockingIOError:
                 return False
             except OSError as error:
-                logger.warning("cannot accept an HTTP connection: {}", error)
+                self.accept_failures += 1
+                name = errno.errorcode.get(error.errno, str(error.errno))
+                log_events.emit(events.AcceptFailed(address, name, len(self.connections)))
                 return False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -173,7 +184,7 @@
             except BlockingIOError:
                 return
             except OSError:
-                self.connection_lost(connection, "write failed")
+                self.connection_lost(connection, "write_failed")
                 return
             del connection.output_buffer[:sent]
             connection.last_active_at = self.app.clock.monotonic()
@@ -197,12 +208,28 @@
         """Handle a disconnect or error reported by the poller."""
         connection = self.connections.get(sock)
         if connection is not None:
-            self.connection_lost(connection, "connection error")
+            self.connection_lost(connection, "reset")
+
+    def connection_lost(self, connection: EntryConnection, reason: str) -> None:
+        """Close a lost connection and cancel its unanswered requests.
 
-    def connection_lost(self, connection: EntryConnection, _reason: str) -> None:
-        """Close a lost connection and cancel its unanswered requests."""
+        Parameters
+        ----------
+        reason : str
+            One of those that ``CallerConnectionLost`` describes.
+        """
         if connection.closed:
             return
+        if connection.pending or connection.output_buffer:
+            self.lost_counts[reason] += 1
+            log_events.emit(
+                events.CallerConnectionLost(
+                    address=connection.listen_address,
+                    reason=reason,
+                    requests=len(connection.pending),
+                    unsent_bytes=len(connection.output_buffer),
+                )
+            )
         self.close(connection)
         connection.cancel_pending(CALLER_GONE)
 
