--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -61,6 +61,39 @@
     When a request arrives on a connection that was idle for longer than the limit, just before that is checked
     Then the caller gets the answers "200 /a"
 
+  # Guards against answers that are dropped because the end of a caller's input counts as its end.
+  Scenario Outline: A caller that closes its sending direction after <input> gets the answers to it
+    Given an entry that answers each request after <seconds> s
+    When a caller sends "<input>", closes its sending direction, and waits for 3 s
+    Then the caller gets the answers "<answers>"
+    And its connection is closed after them
+
+    Examples:
+      | input                              | seconds | answers                |
+      | one request                        | 0       | 200 /a                 |
+      | one request                        | 1.4     | 200 /a                 |
+      | a body in chunks                   | 0.7     | 200 /a hello           |
+      | three requests at once             | 0.7     | 200 /a; 200 /b; 200 /c |
+      | a read, a post and a read          | 0.3     | 200 /r; 200 /a hello; 200 /c |
+      | 40 requests at once                | 0.1     | 200 for each of the 40 |
+      | two requests and a part of a third | 0.3     | 200 /a; 200 /b; 400    |
+
+  Scenario: A caller that closes its sending direction and reads slowly gets its whole answer
+    Given an entry that answers 16 MB
+    When a caller sends "one request", closes its sending direction, and reads from 0.7 s later on
+    Then it gets the whole answer
+
+  Scenario: The departure of a caller that had closed its sending direction before is reported
+    Given an entry that answers nothing yet
+    When a caller sends "one request", closes its sending direction, and leaves 0.7 s later
+    Then the departure is reported within 0.5 s, and not before
+
+  Scenario: A caller of HTTP/1.0 that closes its sending direction gets its answer and no interim one
+    Given an entry that answers each request after 0.7 s
+    When a caller sends "a request of HTTP/1.0", closes its sending direction, and waits for 3 s
+    Then the caller gets the answers "200 /a"
+    And it got no interim response
+
   Scenario: A caller's departure is reported
     Given an entry that answers nothing yet
     When a caller sends "one request" and leaves
--- a/tests/features/router_system.feature
+++ b/tests/features/router_system.feature
@@ -46,6 +46,12 @@
     When 40 requests with the home region "east" are sent in the region "west"
     Then all of them ran in the region "east"
 
+  # Guards against answers that are dropped because the end of a caller's input counts as its end.
+  Scenario: Callers that close their sending direction get their answers from all kinds of routes
+    Given a system of routers whose targets take 0.7 s
+    When a caller on each VM sends a request to each kind of route and closes its sending direction
+    Then each of them is answered with status 200
+
   Scenario: A caller's departure ends its read at the target's door
     Given a system of routers
     When a caller leaves 0.2 s after a GET request to "/r/slow" of "grants.example"
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -25,6 +25,8 @@
     "a body in chunks": [CHUNKED, b"3\r\nhel\r\n", b"2\r\nlo\r\n0\r\n\r\n"],
     "a body with a length": [POST + b"\r\nhe", b"llo"],
     "three requests at once": [GET % b"/a" + GET % b"/b" + GET % b"/c"],
+    "40 requests at once": [b"".join(GET % b"/%d" % number for number in range(40))],
+    "a request of HTTP/1.0": [b"GET /a HTTP/1.0\r\nhost: h\r\n\r\n"],
     "two requests and a part of a third": [GET % b"/a" + GET % b"/b" + GET[:9] % b"/c", GET[9:] % ()],
     "a request and no protocol": [GET % b"/a", b"\x16\x03\x01 tls\r\n\r\n"],
     "a read, a post and a read": [GET % b"/r" + POST + b"\r\nhello" + GET % b"/c"],
@@ -42,6 +44,8 @@
     "half a head": [b"GET /a HTTP/1.1\r\nho"],
 }
 
+LARGE_ANSWER_BYTES = 16_000_000
+
 
 class Answers:
     """Collects the answers that a parser finds."""
@@ -56,20 +60,27 @@
         self.body += data
 
     def on_message_complete(self):
-        """Note an answer."""
+        """Note an answer, unless it is interim."""
+        if self.parser.get_status_code() == 100:
+            return
         self.found.append(f"{self.parser.get_status_code()} {self.body.decode()}".strip())
         self.body = b""
 
 
 class Caller(threading.Thread):
-    """Sends parts, then reads until the other side ends or nothing more comes."""
+    """Sends parts, then reads until the other side ends or nothing more comes.
+
+    With ``half_closes``, it closes its sending direction after the parts, and begins to read
+    ``read_delay`` seconds later.
+    """
 
-    def __init__(self, address, parts, patience):
+    def __init__(self, address, parts, patience, half_closes=False, read_delay=0.0):
         super().__init__(daemon=True)
         host, _, port = address.rpartition(":")
         self.sock = socket.create_connection((host, int(port)))
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.parts, self.patience = parts, patience
+        self.half_closes, self.read_delay = half_closes, read_delay
         self.received = b""
         self.ended = False
         self.start()
@@ -81,6 +92,9 @@
             for part in self.parts:
                 self.sock.sendall(part)
                 time.sleep(0.002)
+            if self.half_closes:
+                self.sock.shutdown(socket.SHUT_WR)
+                time.sleep(self.read_delay)
             while data := self.sock.recv(65_536):
                 self.received += data
             self.ended = True
@@ -169,10 +183,62 @@
     context.loopback.run_until(lambda: not caller.is_alive(), 5.0)
 
 
+@when('a caller sends "{name}", closes its sending direction, and waits for {seconds:g} s')
+def sends_and_half_closes(context, name, seconds):
+    caller = context.caller = Caller(context.address, INPUTS[name], seconds, half_closes=True)
+    context.loopback.run_until(lambda: not caller.is_alive(), 8.0)
+
+
+@then("its connection is closed after them")
+def closed_after(context):
+    assert context.caller.ended
+    context.loopback.run_until(lambda: not context.entry.connections, 0.5)
+
+
+@given("an entry that answers 16 MB")
+def answers_much(context):
+    start_entry(context, lambda request: request.respond(200, [], bytes(LARGE_ANSWER_BYTES)))
+
+
+@when('a caller sends "{name}", closes its sending direction, and reads from {seconds:g} s later on')
+def half_closes_and_reads(context, name, seconds):
+    caller = context.caller = Caller(context.address, INPUTS[name], 2.0, True, seconds)
+    context.loopback.run_until(lambda: not caller.is_alive(), 8.0)
+
+
+@then("it gets the whole answer")
+def whole_answer(context):
+    head, _, body = context.caller.received.rpartition(b"\r\n\r\n")
+    assert b"HTTP/1.1 200" in head and len(body) == LARGE_ANSWER_BYTES, len(body)
+
+
+@when('a caller sends "{name}", closes its sending direction, and leaves {seconds:g} s later')
+def half_closes_and_leaves(context, name, seconds):
+    host, _, port = context.address.rpartition(":")
+    with socket.create_connection((host, int(port))) as caller:
+        caller.sendall(b"".join(INPUTS[name]))
+        caller.shutdown(socket.SHUT_WR)
+        context.loopback.run_for(seconds)
+        context.left_early = bool(context.left)
+
+
+@then("the departure is reported within {seconds:g} s, and not before")
+def departure_in_time(context, seconds):
+    assert context.handed and not context.left_early
+    context.loopback.run_until(lambda: bool(context.left), seconds)
+
+
+@then("it got no interim response")
+def no_interim(context):
+    assert b"HTTP/1.1 100" not in context.caller.received
+
+
 @then('the caller gets the answers "{answers}"')
 def gets_answers(context, answers):
     found = Answers()
     data = context.caller.received
+    if answers == "200 for each of the 40":
+        answers = "; ".join(f"200 /{number}" for number in range(40))
     if answers == "200":
         assert data.startswith(b"HTTP/1.1 200 OK") and data.endswith(b"\r\n\r\n"), data
         return
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -12,6 +12,7 @@
 import threading
 import time
 import urllib.request
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import msgspec
@@ -36,6 +37,7 @@
 REWRITE_DELAY_SECONDS = 0.3
 # Time in which a change reaches all routers.
 SETTLING_SECONDS = 3.0
+INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 @given("a system of routers")
@@ -152,6 +154,35 @@
         time.sleep(seconds)
 
 
+@when("a caller on each VM sends a request to each kind of route and closes its sending direction")
+def half_closes(context):
+    def call(vm, head):
+        host, _, port = vm.address(1).rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=3.0) as connection:
+            connection.sendall(head)
+            connection.shutdown(socket.SHUT_WR)
+            return b"".join(iter(lambda: connection.recv(65_536), b""))
+
+    heads = [
+        f"GET /k/x HTTP/1.1\r\nhost: keys.example\r\n{HEADER_PREFIX}shard-key: 4100\r\n",
+        "POST /g/x HTTP/1.1\r\nhost: grants.example\r\ncontent-length: 0\r\n",
+        "GET /r/x HTTP/1.1\r\nhost: grants.example\r\n",
+    ]
+    requests = [
+        (vm, f"{head}{HEADER_PREFIX}attempt-id: {vm.name}-{index}\r\n\r\n".encode())
+        for vm in context.system.vms.values()
+        for index, head in enumerate(heads)
+    ]
+    with ThreadPoolExecutor(len(requests)) as pool:
+        context.answers = list(pool.map(lambda request: call(*request), requests))
+
+
+@then("each of them is answered with status {status:d}")
+def each_answered(context, status):
+    found = [answer.replace(INTERIM_RESPONSE, b"").split(b"\r\n")[0] for answer in context.answers]
+    assert all(line.startswith(b"HTTP/1.1 %d" % status) for line in found), found
+
+
 @then('the log of its VM shows the end of the request with reason "{reason}"')
 def log_shows(context, reason):
     def found():
