Answer callers that have closed their sending direction

Cause: the entry took a read of no bytes for the end of the caller, and cancelled what it waited for. A socket that was closed and one that was closed for sending look the same until something is written to them. Change: what was received is answered, and the connection is closed after the last answer; an incomplete request gets 400. While requests run, a half-closed caller gets an interim response (100) at 0.05, 0.1 and 0.2 s and each 0.2 s from then on; a caller that has closed its socket answers with a reset, so that the write after it fails and its requests are cancelled. Callers of HTTP/1.0 may not get interim responses; what they asked for runs to its end. Why it works: the end of input ends nothing but the input; the end of a caller is known from a failed write.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -380,9 +380,9 @@
     rate_limited = True
     lines_per_interval = 20
     cause = (
-        "`reason`: `input_ended`, the caller closed its sending direction or its socket; `reset`, it reset "
-        "the connection; `write_failed`, a write was refused; `not_read`, the caller did not read its "
-        "answers; `input_excess`, it sent too much after its last answer."
+        "`reason`: `reset`, the caller reset the connection; `write_failed`, a write was refused, for "
+        "example since the caller has closed its socket; `not_read`, the caller did not read its answers; "
+        "`input_excess`, it sent too much after its last answer."
     )
 
     address: str
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -28,6 +28,13 @@
 MAX_UNPARSED_BYTES = 262_144
 # Smaller bodies are accepted without a look at the memory, which takes time in proportion to the connections.
 MIN_CHECKED_BODY_BYTES = 16_384
+# A caller that has closed only its sending direction ignores it; one that has closed its socket resets the
+# connection.
+INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Interval between the first two of these responses, which doubles up to the longest one. If the caller has
+# closed its socket, the write after the first one fails.
+FIRST_PROBE_INTERVAL_SECONDS = 0.05
+LONGEST_PROBE_INTERVAL_SECONDS = 0.2
 # Methods without side effects, whose pipelined requests run concurrently.
 CONCURRENT_METHODS = (b"GET", b"HEAD")
 REASON_PHRASES = {
@@ -69,6 +76,7 @@
         The response once there is one, without the header on the connection; the head is empty before.
     response_closes : bool
         Whether the connection is closed after the response unless further requests have been received.
+    http_version : str
     on_closed : callable or None
         Called with ``CALLER_GONE`` or ``CLOSED_UNANSWERED`` when the connection ends before the request has
         a response.
@@ -81,6 +89,7 @@
         "connection",
         "dispatched",
         "headers",
+        "http_version",
         "keep_alive",
         "listen_address",
         "method",
@@ -99,6 +108,7 @@
         self.headers: list[tuple[str, str]] = []
         self.body = b""
         self.arrived_at = 0.0
+        self.http_version = ""
         self.keep_alive = True
         self.dispatched = False
         self.answered = False
@@ -176,8 +186,13 @@
         HTTP status with which invalid input is rejected; 0 while the input is valid.
     discard_until : float
         Monotonic time in seconds at which the connection is closed after its last response; 0 before that.
+    input_ended : bool
+        Whether the caller has closed its sending direction; it may still read.
     input_rejected : bool
         Whether further input is dropped because earlier input was invalid.
+    probe_due_at, probe_interval : float
+        Monotonic time in seconds from which a half-closed caller may be probed again, and the seconds from
+        that probe to the next one.
     """
 
     __slots__ = (
@@ -194,12 +209,15 @@
         "fed_bytes",
         "head_bytes",
         "head_started_at",
+        "input_ended",
         "input_rejected",
         "last_active_at",
         "listen_address",
         "output_buffer",
         "parser",
         "pending",
+        "probe_due_at",
+        "probe_interval",
         "reading_paused",
         "server",
         "sock",
@@ -220,6 +238,7 @@
         self.closed = False
         self.dispatching = False
         self.error_status = 0
+        self.input_ended = False
         self.input_rejected = False
         self.head_bytes = 0
         self.head_started_at: float | None = None
@@ -227,6 +246,8 @@
         self.body_bytes = 0
         self.last_active_at = now
         self.discard_until = 0.0
+        self.probe_due_at = 0.0
+        self.probe_interval = FIRST_PROBE_INTERVAL_SECONDS
         self.discarded_bytes = 0
         self.fed_bytes = 0
         self.reading_paused = False
@@ -265,7 +286,7 @@
         if length is not None and length.isdecimal() and int(length) > self.server.limits.max_body_bytes:
             self.error_status = self.error_status or 413
         if request.header("expect") == "100-continue" and not self.error_status and not self.pending:
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.write(INTERIM_RESPONSE)
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, unless the body is too large."""
@@ -287,6 +308,7 @@
         self.fed_bytes = 0
         if self.error_status:
             return
+        request.http_version = self.parser.get_http_version()
         request.keep_alive = self.parser.should_keep_alive()
         request.body = bytes(self.body)
         self.body = bytearray()
@@ -320,6 +342,34 @@
             self.server.resume_reading(self)
         self.last_active_at = self.server.app.clock.monotonic()
         self.parse(data)
+        if self.input_ended:
+            self.finish_input()
+
+    def on_input_ended(self) -> None:
+        """Answer what was received, and then close: the caller sends nothing more, but may still read."""
+        self.input_ended = True
+        self.server.pause_reading(self)
+        self.finish_input()
+
+    def finish_input(self) -> None:
+        """Reject a request that stays incomplete, and close the connection once nothing is left to answer."""
+        if self.unparsed and self.accepts_input:
+            return
+        if self.receiving:
+            self.reject(400)
+        elif not self.pending and not self.closing:
+            self.close_after_output()
+        elif self.discard_until:
+            self.server.close(self)
+
+    def probe_caller(self) -> None:
+        """Write an interim response if one is due and the protocol allows it."""
+        now = self.server.app.clock.monotonic()
+        interim_allowed = bool(self.pending) and self.pending[0].http_version == "1.1"
+        if interim_allowed and not self.output_buffer and now >= self.probe_due_at:
+            self.probe_due_at = now + self.probe_interval
+            self.probe_interval = min(2.0 * self.probe_interval, LONGEST_PROBE_INTERVAL_SECONDS)
+            self.write(INTERIM_RESPONSE)
 
     def parse(self, data: bytes) -> None:
         """Parse bytes, and dispatch complete requests; the rest waits for room in the pipeline."""
@@ -451,7 +501,8 @@
         while pending and pending[0].response_head:
             request = pending.popleft()
             # Further requests may have reached a target already, so they are answered before the close.
-            closes = not request.keep_alive or (request.response_closes and not self.has_further_input)
+            last = request.response_closes or self.input_ended
+            closes = not request.keep_alive or (last and not self.has_further_input)
             response = request.encode_response(closes)
             request.release()
             self.write(response)
