--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -5,7 +5,7 @@
 from hibiscusdrum.internal.kernel import Timer
 from hibiscusdrum.internal.messages import Answered, Forward
 from hibiscusdrum.internal.router.routes import Route
-from hibiscusdrum.internal.transport.entry_connection import EntryRequest
+from hibiscusdrum.internal.transport.entry_request import EntryRequest
 
 
 class TargetFailure:
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -37,7 +37,7 @@
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.target_signals import is_leaving
-from hibiscusdrum.internal.transport.entry_connection import EntryRequest
+from hibiscusdrum.internal.transport.entry_request import EntryRequest
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
 # Timeout of a request whose deadline header is missing or invalid.
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -8,7 +8,7 @@
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.traffic import DELAY_BOUNDS_SECONDS, Traffic
 from hibiscusdrum.internal.router.unreadable import unreadable_entries
-from hibiscusdrum.internal.transport.entry_connection import EntryRequest
+from hibiscusdrum.internal.transport.entry_request import EntryRequest
 
 # Upper bounds of the latency histogram, from one hop within a failure domain to the longest deadline.
 LATENCY_BOUNDS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
--- a/src/hibiscusdrum/internal/router/readiness.py
+++ b/src/hibiscusdrum/internal/router/readiness.py
@@ -8,7 +8,7 @@
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.settings import RouterSettings
-from hibiscusdrum.internal.transport.entry_connection import EntryRequest
+from hibiscusdrum.internal.transport.entry_request import EntryRequest
 
 
 class Readiness(Service):
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -26,8 +26,8 @@
     CALLER_GONE,
     DISCARD_SECONDS,
     EntryConnection,
-    EntryRequest,
 )
+from hibiscusdrum.internal.transport.entry_request import EntryRequest
 from hibiscusdrum.internal.transport.http_connection import parse_address
 
 RECEIVE_BUFFER_BYTES = 65_536
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -27,7 +27,7 @@
 from hibiscusdrum.internal.router.routes import KEY_SPACE
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.unreadable import unreadable_entries
-from hibiscusdrum.internal.transport.entry_connection import EntryRequest
+from hibiscusdrum.internal.transport.entry_request import EntryRequest
 
 INSTANCES_PATH = "/instances/"
 OK = 200
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -34,7 +34,7 @@
 import msgspec
 from returns.result import Success
 
-from hibiscusdrum.internal.transport.entry_connection import EntryRequest
+from hibiscusdrum.internal.transport.entry_request import EntryRequest
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from tools.standins.web import run_services
--- a/tools/standins/rows_store.py
+++ b/tools/standins/rows_store.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from hibiscusdrum.internal.transport.entry_connection import EntryRequest
+from hibiscusdrum.internal.transport.entry_request import EntryRequest
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from tools.standins.web import run_services
 
