--- a/tests/features/daemon_input.feature
+++ b/tests/features/daemon_input.feature
@@ -65,3 +65,14 @@
     Given a running daemon of region "ost"
     When the other daemon is stopped while HTTP requests are sent to it
     Then each HTTP request was answered, or refused as not run
+
+  # The first example shows that the request is answered at all.
+  Scenario Outline: An HTTP caller that <manner> gets its answer
+    Given a running daemon of region "ost"
+    When a caller sends a request for a key to the daemon and <manner>
+    Then it gets an answer with status 200 within 3 s
+
+    Examples:
+      | manner                       |
+      | keeps its connection open    |
+      | closes its sending direction |
--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -113,3 +113,50 @@
     Then each of the 10000 is answered, in order
     And at most 64 of them were held at a time
     And the other caller waited at most 0.5 s for an answer
+
+  # Guards against requests that are dropped although they were received whole, and against work for callers that have left.
+  Scenario Outline: Requests of <bytes> bytes that wait for room in the pipeline as their caller closes its sending direction are answered
+    Given an entry that answers the first request after 0.2 s and the others at once
+    When a caller sends 64 requests of <bytes> bytes at once, and closes its sending direction
+    Then it gets 64 answers
+
+    Examples:
+      | bytes |
+      | 64    |
+      | 128   |
+
+  Scenario: The departure of a caller is reported although reading from it has paused
+    Given an entry that answers nothing yet
+    When a caller sends requests until reading from it pauses, and leaves
+    Then the departure is reported within 0.5 s
+
+  Scenario: A half-closed caller of HTTP/1.0 that resets its connection is reported
+    Given an entry that answers nothing yet
+    When a caller sends "a request of HTTP/1.0", closes its sending direction, and resets its connection
+    Then the departure is reported within 0.5 s
+
+  Scenario: Input that waits for room in the pipeline stays within its limit
+    Given an entry that answers each request after 0.001 s
+    When a caller sends small requests for 2 s without a pause, and reads the answers
+    Then at most one read beyond the limit of waiting input was held
+
+  Scenario: A last answer is read whole although its caller sends another request late and reads slowly
+    Given an entry that answers 1 MB and closes the connection
+    When a caller sends "one request", sends it again 1.5 s later, and only then reads
+    Then it gets the whole answer of 1 MB
+
+  Scenario: A caller of HTTP/1.0 that expects 100-continue gets no interim response
+    Given an entry that echoes path and body
+    When a caller sends "a post of HTTP/1.0 that expects 100-continue"
+    Then the caller gets the answers "200 /a hello"
+    And it got no interim response
+
+  Scenario: A request that offers an upgrade gets one answer
+    Given an entry that echoes path and body
+    When a caller sends "a request that offers an upgrade"
+    Then the caller gets the answers "200 /a"
+
+  Scenario: The end of a connection whose answer was not read is counted
+    Given an entry that answers 16 MB
+    When a caller sends "one request", and reads nothing until its connection is closed
+    Then the connection is counted as lost
--- a/tests/features/steps/daemon_input_steps.py
+++ b/tests/features/steps/daemon_input_steps.py
@@ -228,3 +228,19 @@
     bad = [(s, a) for s, a in answers if s != 200 and not (isinstance(a, dict) and a.get("not_run"))]
     # The last connection may be closed while the process ends, before a request was read from it.
     assert len(bad) <= 1 and all(status == 0 for status, _answer in bad), bad[:5]
+
+
+@when("a caller sends a request for a key to the daemon and {manner}")
+def send_and_half_close(context, manner):
+    lines = [f"GET {PATH} HTTP/1.1", "Host: daemon", *(f"{name}: {value}" for name, value in BASE.items())]
+    host, port = context.node.http.split(":")
+    with socket.create_connection((host, int(port)), timeout=3.0) as connection:
+        connection.sendall("\r\n".join([*lines, "", ""]).encode())
+        if manner == "closes its sending direction":
+            connection.shutdown(socket.SHUT_WR)
+        context.received = connection.recv(65_536)
+
+
+@then("it gets an answer with status {status:d} within 3 s")
+def has_status(context, status):
+    assert context.received.startswith(b"HTTP/1.1 %d " % status), context.received[:200]
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import time
 
@@ -13,7 +14,8 @@
 from tests.loopback import Loopback, free_address
 
 from hibiscusdrum.internal.router.routes import EntryLimits
-from hibiscusdrum.internal.transport.http_entry import HttpEntry
+from hibiscusdrum.internal.transport.entry_connection import MAX_UNPARSED_BYTES
+from hibiscusdrum.internal.transport.http_entry import RECEIVE_BUFFER_BYTES, HttpEntry
 
 LIMITS = EntryLimits(max_head_bytes=2000, max_body_bytes=5000, head_timeout=0.4, idle_timeout=0.6)
 GET = b"GET %s HTTP/1.1\r\nhost: h\r\n\r\n"
@@ -43,6 +45,12 @@
     "a HEAD request": [b"HEAD /a HTTP/1.1\r\nhost: h\r\n\r\n"],
     "a request that asks to close": [b"GET /a HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"],
     "half a head": [b"GET /a HTTP/1.1\r\nho"],
+    "a post of HTTP/1.0 that expects 100-continue": [
+        POST.replace(b"HTTP/1.1", b"HTTP/1.0") + b"expect: 100-continue\r\n\r\nhello"
+    ],
+    "a request that offers an upgrade": [
+        b"GET /a HTTP/1.1\r\nhost: h\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\n"
+    ],
 }
 
 LARGE_ANSWER_BYTES = 16_000_000
@@ -413,3 +421,134 @@
     assert context.other.count > 10 and context.other.longest <= seconds, (
         context.other.count, context.other.longest,
     )  # fmt: skip
+
+
+def connect(context):
+    host, _, port = context.address.rpartition(":")
+    caller = socket.create_connection((host, int(port)))
+    context.add_cleanup(caller.close)
+    return caller
+
+
+@given("an entry that answers the first request after {seconds:g} s and the others at once")
+def answers_first_late(context, seconds):
+    def handle(request):
+        if request.target == "/0":
+            context.loopback.app.scheduler.call_later(seconds, lambda: echo(request))
+        else:
+            echo(request)
+
+    start_entry(context, handle)
+
+
+@when("a caller sends {count:d} requests of {size:d} bytes at once, and closes its sending direction")
+def sends_padded_requests(context, count, size):
+    head = b"GET /%d HTTP/1.1\r\nhost: h\r\nx: "
+    data = b"".join((head % number).ljust(size - 4, b"y") + b"\r\n\r\n" for number in range(count))
+    caller = context.caller = Caller(context.address, [data], 3.0, half_closes=True)
+    context.loopback.run_until(lambda: not caller.is_alive(), 8.0)
+
+
+@then("it gets {count:d} answers")
+def gets_count(context, count):
+    answers = Answers()
+    answers.parser.feed_data(context.caller.received)
+    assert answers.found == [f"200 /{number}" for number in range(count)], len(answers.found)
+
+
+@when("a caller sends requests until reading from it pauses, and leaves")
+def pauses_and_leaves(context):
+    caller = connect(context)
+    caller.setblocking(False)
+    requests = memoryview(b"".join(GET % b"/%d" % number for number in range(12_000)))
+
+    def paused():
+        nonlocal requests
+        with contextlib.suppress(BlockingIOError):
+            requests = requests[caller.send(requests) :] if requests else requests
+        return any(connection.reading_paused for connection in context.entry.connections.values())
+
+    context.loopback.run_until(paused)
+    caller.close()
+
+
+@when('a caller sends "{name}", closes its sending direction, and resets its connection')
+def half_closes_and_resets(context, name):
+    caller = connect(context)
+    caller.sendall(b"".join(INPUTS[name]))
+    caller.shutdown(socket.SHUT_WR)
+    context.loopback.run_for(0.2)
+    assert context.handed and not context.left
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    caller.close()
+
+
+@when("a caller sends small requests for {seconds:g} s without a pause, and reads the answers")
+def sends_without_pause(context, seconds):
+    caller = connect(context)
+    caller.setblocking(False)
+    # One request has the same length as any other, so that a part of the data can be repeated.
+    requests = b"".join(GET % b"/%04d" % number for number in range(2000))
+    offset = context.most_waiting = 0
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        with contextlib.suppress(BlockingIOError):
+            offset = (offset + caller.send(requests[offset:])) % len(requests)
+        with contextlib.suppress(BlockingIOError):
+            caller.recv(65_536)
+        context.loopback.app.tick(0)
+        for connection in context.entry.connections.values():
+            context.most_waiting = max(context.most_waiting, connection.unparsed_bytes)
+
+
+@then("at most one read beyond the limit of waiting input was held")
+def waiting_limited(context):
+    assert context.most_waiting <= MAX_UNPARSED_BYTES + RECEIVE_BUFFER_BYTES, context.most_waiting
+
+
+@given("an entry that answers 1 MB and closes the connection")
+def answers_and_closes_large(context):
+    start_entry(context, lambda request: request.respond(200, [], bytes(1_000_000), close=True))
+
+
+@when('a caller sends "{name}", sends it again {seconds:g} s later, and only then reads')
+def sends_again_late(context, name, seconds):
+    caller = connect(context)
+    data = b"".join(INPUTS[name])
+    caller.sendall(data)
+    context.loopback.run_for(seconds)
+    with contextlib.suppress(OSError):
+        caller.sendall(data)
+    context.loopback.run_for(0.2)
+    context.received = b""
+    caller.setblocking(False)
+
+    def ended():
+        try:
+            received = caller.recv(1_000_000)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        context.received += received
+        return not received
+
+    context.loopback.run_until(ended)
+
+
+@then("it gets the whole answer of 1 MB")
+def gets_megabyte(context):
+    _, _, body = context.received.partition(b"\r\n\r\n")
+    assert len(body) == 1_000_000, len(body)
+
+
+@when('a caller sends "{name}", and reads nothing until its connection is closed')
+def reads_nothing(context, name):
+    connect(context).sendall(b"".join(INPUTS[name]))
+    context.loopback.run_until(lambda: any(c.output_buffer for c in context.entry.connections.values()))
+    context.loopback.run_until(lambda: not context.entry.connections)
+
+
+@then("the connection is counted as lost")
+def counted_as_lost(context):
+    assert sum(context.entry.lost_counts.values()) == 1, context.entry.lost_counts
