--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -160,3 +160,13 @@
     Given an entry that answers 16 MB
     When a caller sends "one request", and reads nothing until its connection is closed
     Then the connection is counted as lost
+
+  Scenario: A request is answered although an upload behind it is refused and goes on
+    Given an entry that answers each request after 0.7 s
+    When a caller sends a read, and behind it 3 MB of an upload that is too large
+    Then the read is answered with 200
+
+  Scenario: Answers that announce the close drop no request that was received with them in one read
+    Given an entry that closes the connection with each answer
+    When a caller sends 64 requests of 64 bytes at once
+    Then each of the 64 requests was answered
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -441,14 +441,57 @@
     start_entry(context, handle)
 
 
-@when("a caller sends {count:d} requests of {size:d} bytes at once, and closes its sending direction")
-def sends_padded_requests(context, count, size):
+def send_padded_requests(context, count, size, half_closes):
     head = b"GET /%d HTTP/1.1\r\nhost: h\r\nx: "
     data = b"".join((head % number).ljust(size - 4, b"y") + b"\r\n\r\n" for number in range(count))
-    caller = context.caller = Caller(context.address, [data], 3.0, half_closes=True)
+    caller = context.caller = Caller(context.address, [data], 3.0, half_closes)
     context.loopback.run_until(lambda: not caller.is_alive(), 8.0)
 
 
+@when("a caller sends {count:d} requests of {size:d} bytes at once, and closes its sending direction")
+def sends_padded_requests_and_half_closes(context, count, size):
+    send_padded_requests(context, count, size, half_closes=True)
+
+
+@when("a caller sends {count:d} requests of {size:d} bytes at once")
+def sends_padded_requests(context, count, size):
+    send_padded_requests(context, count, size, half_closes=False)
+
+
+@then("each of the {count:d} requests was answered")
+def all_answered(context, count):
+    answers = Answers()
+    answers.parser.feed_data(context.caller.received.replace(b"connection: close\r\n", b""))
+    assert answers.found == [f"200 /{number}" for number in range(count)], len(answers.found)
+
+
+@when("a caller sends a read, and behind it 3 MB of an upload that is too large")
+def sends_read_and_upload(context):
+    upload = b"POST /b HTTP/1.1\r\nhost: h\r\ncontent-length: 3000000\r\n\r\n"
+    caller = connect(context)
+    caller.setblocking(False)
+    left = memoryview(GET % b"/a" + upload + bytes(3_000_000))
+    context.received = b""
+
+    def answered_or_ended():
+        nonlocal left
+        try:
+            with contextlib.suppress(BlockingIOError):
+                left = left[caller.send(left) :] if left else left
+            with contextlib.suppress(BlockingIOError):
+                context.received += caller.recv(65_536)
+        except OSError:
+            return True
+        return bool(context.received)
+
+    context.loopback.run_until(answered_or_ended)
+
+
+@then("the read is answered with 200")
+def read_answered(context):
+    assert context.received.startswith(b"HTTP/1.1 200 "), context.received[:100]
+
+
 @then("it gets {count:d} answers")
 def gets_count(context, count):
     answers = Answers()
