Keep connections until slow callers have received the last response

Callers saw: a caller that reads a large answer slowly in a planned stop, and sends its next request before it has read all, lost the rest of the answer.

Cause: the answer is in the kernel when the entry has written it. The entry closed the socket 1 s later, or at the exit, and input that arrives after the close resets the connection: the kernel drops what it has not sent.

Evidence: the two new scenarios failed before ("2154496" and "2146304" of 2500000 bytes read).

Change: input is dropped for a further DISCARD_SECONDS while the caller goes on receiving, and a stop counts a caller as quiet only once its kernel has acknowledged everything. A caller that makes no progress for 1 s is closed as before, and the grace period bounds the stop.

Where the kernel does not tell what is unacknowledged, it counts as none.

--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -129,10 +129,12 @@
 
     @property
     def callers_quiet(self) -> bool:
-        """Whether no caller has used its connection lately, or has yet to read that it is closed."""
+        """Whether no caller has used its connection lately, or has yet to read a response or the close."""
         connections = self.entry.connections_of(self.settings.caller_address)
         return all(
-            not connection.discard_until and connection.idle_seconds >= QUIET_SECONDS
+            not connection.discard_until
+            and connection.idle_seconds >= QUIET_SECONDS
+            and not connection.count_undelivered()
             for connection in connections
         )
 
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import struct
+import sys
+import termios
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -18,9 +22,12 @@
 PIPELINE_DEPTH = 16
 # Input is parsed in parts of this size, lest one read put thousands of requests into the pipeline.
 PARSE_PART_BYTES = 1024
-# After the last response, input is read and dropped for this long: closing a socket with unread input sends a
-# reset, which can make the caller lose the response.
+# After the last response, input is read and dropped for this long, and for as long as the caller goes on
+# receiving what is still in the kernel: input that is unread at the close, or arrives later, resets the
+# connection, which can make the caller lose the response.
 DISCARD_SECONDS = 1.0
+# Size in bytes of the integer in which the kernel returns how much of a socket's output is unacknowledged.
+INT_BYTES = struct.calcsize("i")
 # Callers that send more than this after the last response are disconnected: they ignore the response.
 MAX_DISCARDED_BYTES = 1024 * 1024
 # Input read while the pipeline is full, so that a disconnect of the caller is detected. Beyond this limit
@@ -59,6 +66,8 @@
         Whether the caller has closed its sending direction; it may still read.
     input_rejected : bool
         Whether further input is dropped because earlier input was invalid.
+    undelivered_bytes : int
+        Bytes of responses that the caller's kernel had not acknowledged at the last check after the last one.
     probe_due_at, probe_interval : float
         Monotonic time in seconds from which a half-closed caller may be probed again, and the seconds from
         that probe to the next one.
@@ -90,6 +99,7 @@
         "reading_paused",
         "server",
         "sock",
+        "undelivered_bytes",
         "unparsed",
         "unparsed_bytes",
     )
@@ -118,6 +128,7 @@
         self.probe_due_at = 0.0
         self.probe_interval = FIRST_PROBE_INTERVAL_SECONDS
         self.discarded_bytes = 0
+        self.undelivered_bytes = 0
         self.fed_bytes = 0
         self.reading_paused = False
         self.unparsed: list[bytes] = []
@@ -301,6 +312,22 @@
         except OSError:
             return False
 
+    def count_undelivered(self) -> int:
+        """Return the bytes written to the socket that the caller's kernel has not acknowledged.
+
+        They are lost if the connection is reset, as it is by input that arrives after the socket was closed.
+        """
+        try:
+            count = fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(INT_BYTES))
+        except OSError:
+            return 0
+        return int.from_bytes(count, sys.byteorder)
+
+    def observe_delivery(self) -> bool:
+        """Return whether the caller has received part of its responses, but not all, since the last call."""
+        before, self.undelivered_bytes = self.undelivered_bytes, self.count_undelivered()
+        return 0 < self.undelivered_bytes < before
+
     @property
     def has_further_input(self) -> bool:
         """Whether more input than the requests answered so far has been received."""
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -266,7 +266,9 @@
         limits = self.limits
         for connection in list(self.connections.values()):
             if connection.discard_until:
-                if now >= connection.discard_until:
+                if connection.observe_delivery():
+                    connection.discard_until = now + DISCARD_SECONDS
+                elif now >= connection.discard_until:
                     self.close(connection)
             elif (
                 connection.head_started_at is not None
--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -37,6 +37,17 @@
     When a request is answered just before the router ends, and its caller sends another one meanwhile
     Then the caller reads the whole answer, and then the end of the connection
 
+  # Guards against answers that are lost in the kernel, since input after the close resets the connection.
+  Scenario Outline: A caller that reads slowly, and sends more before it has read all, gets the whole answer <when>
+    Given a router in its planned stop, which knows a node to serve requests
+    When a caller reads an answer of 2.5 MB, given <when>, in 2 s, and sends another request after 1.7 s
+    Then the caller has read the whole answer, and the router ends within 1.5 s
+
+    Examples:
+      | when                |
+      | in the stop         |
+      | before the signal   |
+
   Scenario Outline: A request that comes <late> after the signal, with <time> s, is <taken>
     Given a router in its planned stop, which knows a node to serve requests
     When <late> s after the signal a request with <time> s arrives while the local target runs a request
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 import socket
+import threading
 import time
 
 import msgspec
@@ -32,6 +33,7 @@
 REQUEST = b"GET /a/x HTTP/1.1\r\nhost: h.example\r\nx-attempt-id: a1\r\n\r\n"
 # Time in which bytes that were sent on loopback reach the other socket.
 DELIVERY_SECONDS = 0.05
+SMALL_BUFFER_BYTES = 16_384
 
 
 @given("a router at the end of its planned stop")
@@ -321,6 +323,59 @@
     assert received.endswith(b"x" * 50_000), len(received)
 
 
+class SlowCaller(threading.Thread):
+    """Sends a request, reads the answer at a constant rate, and sends the request again meanwhile."""
+
+    def __init__(self, address, bytes_per_second, repeat_after):
+        super().__init__(daemon=True)
+        host, _, port = address.rpartition(":")
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        self.sock.settimeout(5.0)
+        self.sock.connect((host, int(port)))
+        self.bytes_per_second, self.repeat_after = bytes_per_second, repeat_after
+        self.received = 0
+        self.start()
+
+    def run(self):
+        """Do the work of the thread."""
+        self.sock.sendall(REQUEST)
+        started_at, repeated = time.monotonic(), False
+        with contextlib.suppress(OSError):
+            while data := self.sock.recv(SMALL_BUFFER_BYTES):
+                self.received += len(data)
+                time.sleep(max(0.0, started_at + self.received / self.bytes_per_second - time.monotonic()))
+                if not repeated and time.monotonic() - started_at > self.repeat_after:
+                    self.sock.sendall(REQUEST)
+                    repeated = True
+
+
+@when(
+    "a caller reads an answer of {size:g} MB, given {when}, in {seconds:g} s, and sends another request "
+    "after {pause:g} s"
+)
+def reads_slowly(context, size, when, seconds, pause):
+    gateway = context.loopback.app.find("gateway")
+    gateway.stopping = when == "in the stop"
+    context.answer_bytes = round(size * 1e6)
+    context.slow_caller = SlowCaller(context.settings.caller_address, context.answer_bytes / seconds, pause)
+    wait_for_forward(context)
+    answer_forward(context, b"x" * context.answer_bytes)
+    gateway.stopping = True
+    skip_to(context, 2.4)
+    caller = context.slow_caller
+    context.loopback.run_until(lambda: not caller.is_alive() or len(context.hop.sent) > 1, 4.0)
+    if len(context.hop.sent) > 1:
+        answer_forward(context)
+    context.loopback.run_until(lambda: not caller.is_alive(), 4.0)
+
+
+@then("the caller has read the whole answer, and the router ends within {seconds:g} s")
+def slow_caller_served(context, seconds):
+    assert context.slow_caller.received > context.answer_bytes, context.slow_caller.received
+    ends_after_last(context, seconds)
+
+
 @when("{late:g} s after the signal a request with {limit:g} s arrives while the local target runs a request")
 def arrives_late(context, late, limit):
     context.local_receiver.has_jobs = True
