Answer the daemon's HTTP callers that have closed their sending direction

Cause: circuits.net closes a connection when a read returns no bytes, and the answer finds a closed socket. Change: HttpServer looks at a readable socket before circuits.net does. At the end of input it stops reading, and an own event, which follows those of the input before it, closes the connection: after the answer if a complete request waits for one, otherwise at once. An incomplete request ends without an answer, as before. Why it works: the end of input ends only the input. No interim responses are needed here, since the daemon never cancels a request when its caller leaves, and each request ends by its time limit. Costs one more recv for each read.

--- a/src/hibiscusdrum/internal/transport/http_server.py
+++ b/src/hibiscusdrum/internal/transport/http_server.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
-from circuits import Timer, handler
+from circuits import Event, Timer, handler
 from circuits.net.events import close
 from circuits.web.events import response
 from circuits.web.servers import BaseServer
@@ -18,6 +19,12 @@
 HeadCheck = Callable[[Any, Any], bool]
 
 
+class InputEnded(Event):
+    """A caller has closed its sending direction; fired after the events of all that it sent before."""
+
+    name = "input_ended"
+
+
 class HttpServer(BaseServer):
     """HTTP server that can reject a request by its head and leaves process shutdown to the application.
 
@@ -73,6 +80,37 @@
         if sock in self.rejected_sockets:
             event.stop()
 
+    @handler("_read", priority=2)
+    def detect_end_of_input(self, event: Any, sock: Any) -> None:
+        """Stop reading from a caller that has closed its sending direction, and keep its connection open.
+
+        circuits.net would close the connection, though the caller may still wait for an answer.
+        """
+        if sock not in self.server._clients:
+            return
+        try:
+            ended = not sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return
+        if not ended:
+            return
+        event.stop()
+        if self.server._poller.isReading(sock):
+            self.server._poller.removeReader(sock)
+            self.fire(InputEnded(sock), self.channel)
+
+    @handler("input_ended")
+    def close_after_answer(self, sock: Any) -> None:
+        """Close the connection, but after the answer if a complete request waits for one."""
+        http = self.http
+        parser = http._buffers.get(sock)
+        complete = parser is None or parser.is_message_complete()
+        if sock in http._clients and complete:
+            http._clients[sock][1].close = True
+        else:
+            http._buffers.pop(sock, None)
+            self.fire(close(sock), self.channel)
+
     @handler("disconnect")
     def forget_connection(self, sock: Any) -> None:
         """Drop the state of a closed connection."""
--- a/tests/features/daemon_input.feature
+++ b/tests/features/daemon_input.feature
@@ -65,3 +65,30 @@
     Given a running daemon of region "ost"
     When the other daemon is stopped while HTTP requests are sent to it
     Then each HTTP request was answered, or refused as not run
+
+  Scenario Outline: A caller that closes its sending direction after its request gets the answer: <case>
+    Given a running daemon of region "ost"
+    When a caller sends the request "<case>" and closes its sending direction
+    Then it gets one whole answer with status <status>, and the connection ends
+    And the daemon still serves its keys and has logged no internal error
+
+    Examples:
+      | case              | status |
+      | GET               | 200    |
+      | POST              | 200    |
+      | POST in two parts | 200    |
+      | slow GET          | 200    |
+      | slow POST         | 200    |
+      | unknown path      | 404    |
+
+  Scenario: A caller that closes its sending direction within a request is disconnected
+    Given a running daemon of region "ost"
+    When a caller sends the request "POST without its body" and closes its sending direction
+    Then the connection ends without an answer
+    And the daemon still serves its keys and has logged no internal error
+
+  Scenario: A caller that closes its socket while its request runs does not disturb the daemon
+    Given a running daemon of region "ost"
+    When 20 callers send the request "slow GET" and close their sockets
+    Then the daemon has closed their connections within 3 s
+    And the daemon still serves its keys and has logged no internal error
--- a/tests/features/steps/daemon_input_steps.py
+++ b/tests/features/steps/daemon_input_steps.py
@@ -5,13 +5,14 @@
 import signal
 import socket
 import time
+from pathlib import Path
 
 import msgspec
 import zmq
 from behave import given, then, when
 from returns.result import Success
 from tests.history.cluster import SHARED_KEY, Cluster, ClusterSpec, NodeSpec
-from tools.processes import request
+from tools.processes import request, wait_until
 
 from hibiscusdrum import Caller, Request
 from hibiscusdrum.internal import codec
@@ -23,6 +24,10 @@
 OPERATOR = {"x-hibiscusdrum-key": SHARED_KEY}
 PATH = f"/v1/services/{SERVICE}/x"
 LARGE = 2_000_000
+SLOW_FACTOR = 100.0
+SLOW_SECONDS = 1.0
+# States of a connection in /proc/net/tcp in which a process has it open: established, and closed by the peer.
+OPEN_STATES = ("01", "08")
 SYSTEM = {}
 
 
@@ -117,6 +122,80 @@
     assert value in context.answer["message"], context.answer
 
 
+def slow_targets(context):
+    """Make the requests that begin within the next second take 0.2 s, or 1 s while a target is cold."""
+    for node in context.cluster.nodes.values():
+        faults = {"slow_factor": SLOW_FACTOR, "seconds": SLOW_SECONDS}
+        assert request(node.target_address, "POST", "/faults", faults)[0] == 200
+
+
+def well_formed_request(case):
+    """Return the bytes of a request, in the parts in which they are sent."""
+    method = "POST" if "POST" in case else "GET"
+    lines = [f"{method} {'/nowhere' if case == 'unknown path' else PATH} HTTP/1.1", "Host: daemon"]
+    lines += [f"{name}: {value}" for name, value in BASE.items()]
+    body = b"x" * 1000 if method == "POST" else b""
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    head = "\r\n".join([*lines, "", ""]).encode()
+    if case == "POST without its body":
+        return [head, body[:10]]
+    return [head, body] if "parts" in case else [head + body]
+
+
+def open_connection(context, case):
+    """Connect to the daemon and send a request."""
+    host, port = context.node.http.split(":")
+    connection = socket.create_connection((host, int(port)), timeout=3.0)
+    for part in well_formed_request(case):
+        connection.sendall(part)
+        if "parts" in case:
+            time.sleep(0.05)
+    return connection
+
+
+@when('a caller sends the request "{case}" and closes its sending direction')
+def half_close(context, case):
+    if "slow" in case:
+        slow_targets(context)
+    with open_connection(context, case) as connection:
+        connection.shutdown(socket.SHUT_WR)
+        context.received = b"".join(iter(lambda: connection.recv(65536), b""))
+
+
+@then("it gets one whole answer with status {status:d}, and the connection ends")
+def check_one_answer(context, status):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status), context.received
+    assert b"\r\nContent-Length: %d\r\n" % len(body) in head + b"\r\n", context.received
+
+
+@then("the connection ends without an answer")
+def check_no_answer(context):
+    assert context.received == b"", context.received
+
+
+@when('{count:d} callers send the request "{case}" and close their sockets')
+def leave(context, count, case):
+    context.open_before = open_sockets(context)
+    slow_targets(context)
+    for connection in [open_connection(context, case) for _ in range(count)]:
+        connection.close()
+
+
+@then("the daemon has closed their connections within {seconds:g} s")
+def check_closed(context, seconds):
+    wait_until(lambda: open_sockets(context) <= context.open_before, seconds, "connections are closed")
+
+
+def open_sockets(context):
+    """Return the number of connections that the daemon has open on its HTTP address."""
+    host, port = context.node.http.split(":")
+    local = "".join(f"{int(part):02X}" for part in reversed(host.split("."))) + f":{int(port):04X}"
+    lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
+    return sum(line.split()[1] == local and line.split()[3] in OPEN_STATES for line in lines)
+
+
 @then("the daemon still serves its keys and has logged no internal error")
 def check_alive(context):
     with Caller([context.node.peer]) as caller:
