End the exchange after the daemon's answer to a HEAD request

Callers saw: after a HEAD request to hibiscusdrumd, later requests on the same connection were taken for that request again, and a connection that was to be closed after the answer stayed open, also for a caller that had closed its sending direction. Cause: circuits.web's response handler returns early for HEAD, before it forgets the request and closes the connection. Change: HttpServer forgets the request after the response, and closes the connection if the response says so. Why it works: the handler runs after circuits.web's, on the same event, so that the writes of the response come first.

--- a/src/hibiscusdrum/internal/transport/http_server.py
+++ b/src/hibiscusdrum/internal/transport/http_server.py
@@ -111,6 +111,16 @@
             http._buffers.pop(sock, None)
             self.fire(close(sock), self.channel)
 
+    @handler("response", priority=-1)
+    def finish_head_response(self, reply: Any) -> None:
+        """End the exchange of a HEAD request.
+
+        circuits.web leaves it open, and would answer the next request on the connection as the same one.
+        """
+        sock = reply.request.sock
+        if reply.request.method == "HEAD" and self.http._clients.pop(sock, None) and reply.close:
+            self.fire(close(sock), self.channel)
+
     @handler("disconnect")
     def forget_connection(self, sock: Any) -> None:
         """Drop the state of a closed connection."""
--- a/tests/features/daemon_input.feature
+++ b/tests/features/daemon_input.feature
@@ -81,6 +81,11 @@
       | slow POST         | 200    |
       | unknown path      | 404    |
 
+  Scenario: A request that follows a HEAD request on the same connection gets its own answer
+    Given a running daemon of region "ost"
+    When a caller sends a HEAD request, a GET request and a HEAD request after which it closes the connection
+    Then the three answers name the same length, only the second has a body, and the connection ends
+
   Scenario: A caller that closes its sending direction within a request is disconnected
     Given a running daemon of region "ost"
     When a caller sends the request "POST without its body" and closes its sending direction
--- a/tests/features/steps/daemon_input_steps.py
+++ b/tests/features/steps/daemon_input_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+import re
 import signal
 import socket
 import time
@@ -175,6 +176,28 @@
     assert context.received == b"", context.received
 
 
+@when("a caller sends a HEAD request, a GET request and a HEAD request after which it closes the connection")
+def heads(context):
+    host, port = context.node.http.split(":")
+    with socket.create_connection((host, int(port)), timeout=3.0) as connection:
+        context.answers = []
+        for method in ("HEAD", "GET"):
+            connection.sendall(f"{method} /health HTTP/1.1\r\nHost: daemon\r\n\r\n".encode())
+            time.sleep(0.2)
+            context.answers.append(connection.recv(65536))
+        connection.sendall(b"HEAD /health HTTP/1.1\r\nHost: daemon\r\n\r\n")
+        connection.shutdown(socket.SHUT_WR)
+        context.answers.append(b"".join(iter(lambda: connection.recv(65536), b"")))
+
+
+@then("the three answers name the same length, only the second has a body, and the connection ends")
+def check_heads(context):
+    parts = [answer.partition(b"\r\n\r\n") for answer in context.answers]
+    lengths = {re.search(rb"Content-Length: (\d+)", head).group(1) for head, _, _ in parts}
+    assert [bool(body) for _, _, body in parts] == [False, True, False], context.answers
+    assert lengths == {b"%d" % len(parts[1][2])}, context.answers
+
+
 @when('{count:d} callers send the request "{case}" and close their sockets')
 def leave(context, count, case):
     context.open_before = open_sockets(context)
