Refuse a request whose key is owned outside the regions of its route

Cause: only nodes that are selected by load are filtered by region. The owner by the ring, and an owner that a former one names when it declines, were taken as they are. Evidence: the two new cases, an owner by the ring and one named by the former owner, failed: the requests went to it. Why it works: these are the only two places at which a node is chosen for a key. Beyond this change: a ring that is placed by the home regions of routes.

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -52,6 +52,8 @@
 DEFAULT_RETRY_AFTER_SECONDS = 0.5
 # Retry-After while an entry of the configuration cannot be used: an operator has to write another one.
 UNUSABLE_RETRY_AFTER_SECONDS = 5.0
+# Retry-After while the owner of the key may not serve the route: the key or the configuration has to change.
+OUTSIDE_REGIONS_RETRY_AFTER_SECONDS = 5.0
 # Retries of a request whose key has a new owner, and the delay before the owner is looked up again.
 MAX_OWNER_RETRIES = 3
 OWNER_RETRY_DELAY_SECONDS = 0.2
@@ -65,6 +67,7 @@
 # An owner that leaves serves its keys until its next report, which is due within 1.5 s.
 LEAVING_OWNER_SECONDS = 2.0
 LEAVING_REASON = "target_leaving"
+OUTSIDE_REGIONS_REASON = "owner_outside_regions"
 OVERLOAD_REASONS = (OVERLOADED_REASON, TOO_LATE_REASON)
 THROTTLED_REASON = "throttled"
 LINK_CONGESTED_REASON = "link_congested"
@@ -261,6 +264,9 @@
                 pending.reason = pending.reason or "no_owner"
                 self.refuse(pending)
                 return
+            if not self.may_serve(node, pending):
+                self.refuse_outside_regions(pending)
+                return
             if self.members.leaving_seconds(node) > LEAVING_OWNER_SECONDS:
                 pending.reason = LEAVING_REASON
                 self.refuse(pending)
@@ -295,6 +301,17 @@
             return
         self.send_to_node(pending, node, now, only_if_free)
 
+    def may_serve(self, node: str, pending: PendingRequest) -> bool:
+        """Return whether a node is in a region in which the route's requests may be served."""
+        regions = pending.route.regions
+        return not regions or self.members.region_of(node) in regions
+
+    def refuse_outside_regions(self, pending: PendingRequest) -> None:
+        """Refuse a request because the owner of its key is in a region that its route does not allow."""
+        pending.reason = OUTSIDE_REGIONS_REASON
+        pending.retry_after = OUTSIDE_REGIONS_RETRY_AFTER_SECONDS
+        self.refuse(pending)
+
     def local_load(self) -> LoadReport:
         """Return the load of this node's target."""
         return LoadReport(*self.receiver.load_report(), self.receiver.reported_rate())
@@ -424,7 +441,10 @@
             pending.owner_changes += 1
             if answer.owner and answer.owner not in pending.asked_nodes:
                 # The previous owner named the new one, so the ring need not be read.
-                self.send_to_node(pending, answer.owner, now, False)
+                if self.may_serve(answer.owner, pending):
+                    self.send_to_node(pending, answer.owner, now, False)
+                else:
+                    self.refuse_outside_regions(pending)
                 return
             self.app.scheduler.call_later(OWNER_RETRY_DELAY_SECONDS, lambda: self.resolve_owner(pending))
             return
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -102,6 +102,18 @@
     When the new owner declines it too and names the old one
     Then the ring is read
 
+  Scenario Outline: A request for a key never leaves the regions of its route: <owner>
+    Given a gateway that knows an old owner of a key
+    And the route allows only the region "east", and "<owner>" is in the region "west"
+    When a caller sends a request for the key, which moves to "n1" if the old owner is asked
+    Then the caller gets 503 with reason "owner_outside_regions" and a Retry-After of 5 s
+    And nothing of it was sent to the region "west"
+
+    Examples:
+      | owner |
+      | n0    |
+      | n1    |
+
   Scenario Outline: A target's own failure is not replaced by another one when its repeat <ends>
     Given a gateway that knows an old owner of a key
     When the target answers a request for the key with 500, and the repeat <ends>
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -375,6 +375,40 @@
     reply(Declined(forward.id, NOT_OWNER_REASON, False, False, 0.0, FREE, owner), b"")
 
 
+@given('the route allows only the region "{region}", and "{owner}" is in the region "{other}"')
+def allowed_regions(context, region, owner, other):
+    gateway, table = context.gateway, context.gateway.route_table
+    (route,) = table.by_host["h.example"]
+    route = msgspec.structs.replace(route, regions=(region,))
+    gateway.set_route_table(RouteTable.build(3, [route], list(table.services.values())))
+    gateway.members.region_of = lambda node: other if node == owner else region
+    context.hop.sent.clear()
+
+
+@when('a caller sends a request for the key, which moves to "{owner}" if the old owner is asked')
+def keyed_request(context, owner):
+    context.request = Request()
+    context.request.headers.append((context.gateway.header_names.key, "7"))
+    with mock.patch.object(log_events, "emit") as emit:
+        context.gateway.on_request(context.request)
+        if context.hop.sent:
+            decline_moved(context, owner)
+    context.events = [call.args[0] for call in emit.call_args_list]
+
+
+@then('the caller gets 503 with reason "{reason}" and a Retry-After of {seconds:g} s')
+def gets_refusal(context, reason, seconds):
+    status, headers, _body, _close = context.request.answer
+    assert status == 503 and float(dict(headers)["retry-after"]) == seconds, context.request.answer
+    (ended,) = context.events
+    assert isinstance(ended, RequestEnded) and ended.reason == reason, ended
+
+
+@then('nothing of it was sent to the region "{region}"')
+def nothing_sent(context, region):
+    assert region not in [context.gateway.members.region_of(node) for node, *_ in context.hop.sent]
+
+
 @when("the old owner declines a request and names the new one")
 def old_owner_declines(context):
     decline_moved(context, "n1")
