--- a/tests/features/daemon_input.feature
+++ b/tests/features/daemon_input.feature
@@ -76,3 +76,35 @@
       | manner                       |
       | keeps its connection open    |
       | closes its sending direction |
+
+  Scenario Outline: A caller that closes its sending direction after its request gets the answer: <case>
+    Given a running daemon of region "ost"
+    When a caller sends the request "<case>" and closes its sending direction
+    Then it gets one whole answer with status <status>, and the connection ends
+    And the daemon still serves its keys and has logged no internal error
+
+    Examples:
+      | case              | status |
+      | GET               | 200    |
+      | POST              | 200    |
+      | POST in two parts | 200    |
+      | slow GET          | 200    |
+      | slow POST         | 200    |
+      | unknown path      | 404    |
+
+  Scenario: A request that follows a HEAD request on the same connection gets its own answer
+    Given a running daemon of region "ost"
+    When a caller sends a HEAD request, a GET request and a HEAD request after which it closes the connection
+    Then the three answers name the same length, only the second has a body, and the connection ends
+
+  Scenario: A caller that closes its sending direction within a request is disconnected
+    Given a running daemon of region "ost"
+    When a caller sends the request "POST without its body" and closes its sending direction
+    Then the connection ends without an answer
+    And the daemon still serves its keys and has logged no internal error
+
+  Scenario: A caller that closes its socket while its request runs does not disturb the daemon
+    Given a running daemon of region "ost"
+    When 20 callers send the request "slow GET" and close their sockets
+    Then the daemon has closed their connections within 3 s
+    And the daemon still serves its keys and has logged no internal error
