Answer a running request although a refused upload behind it goes on

Cause: input that is dropped counted against its limit while earlier requests still ran. Change: at the limit reading pauses until the last response is written; only then input is dropped and counted again.

--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -207,9 +207,7 @@
         """Take received bytes, and parse them unless earlier ones wait for room in the pipeline."""
         self.last_active_at = self.server.app.clock.monotonic()
         if not self.accepts_input:
-            self.discarded_bytes += len(data)
-            if self.discarded_bytes > MAX_DISCARDED_BYTES:
-                self.server.connection_lost(self, "input_excess")
+            self.discard(len(data))
             return
         self.unparsed += data
         if not self.parsing:
@@ -217,6 +215,16 @@
         elif len(self.unparsed) > MAX_UNPARSED_BYTES:
             self.pause_input()
 
+    def discard(self, size: int) -> None:
+        """Drop input that is not answered; bound it without taking back the responses to earlier requests."""
+        self.discarded_bytes += size
+        if self.discarded_bytes <= MAX_DISCARDED_BYTES:
+            return
+        if self.pending or self.output_buffer:
+            self.pause_input()
+        else:
+            self.server.connection_lost(self, "input_excess")
+
     def pause_input(self) -> None:
         """Stop reading, and watch for the departure of the caller by other means."""
         if not self.reading_paused:
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -227,6 +227,8 @@
             self.close(connection)
             return
         connection.discard_until = self.app.clock.monotonic() + DISCARD_SECONDS
+        connection.discarded_bytes = 0
+        connection.resume_input()
 
     @handler("_disconnect", "_error")
     def on_disconnected(self, sock: socket.socket, *_error: Any) -> None:
