Answer a request that offers an upgrade once

Cause: the parser stops at an upgrade, which was taken for invalid input. Change: the request is answered without the upgrade, and what follows is parsed as further requests. One with a body is rejected with 400, since the parser does not read it and it could be taken for the next request.

--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -173,6 +173,11 @@
         length = request.header("content-length")
         if length is not None and length.isdecimal() and int(length) > self.server.limits.max_body_bytes:
             self.error_status = self.error_status or 413
+        if self.parser.should_upgrade() and (
+            request.header("transfer-encoding") is not None or length not in (None, "0")
+        ):
+            # The parser would take the body for the next request.
+            self.error_status = self.error_status or 400
         if request.header("expect") == "100-continue" and not self.error_status and not self.pending:
             self.write(INTERIM_RESPONSE)
 
@@ -325,7 +330,10 @@
         self.fed_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserUpgrade as upgrade:
+            # The request is answered without the upgrade, as is allowed; further requests follow it.
+            self.unparsed[:0] = data[upgrade.args[0] :]
+        except httptools.HttpParserError:
             self.error_status = self.error_status or 400
         body = self.body_bytes if self.current_request is not None else 0
         if framing_exceeds_limit(self.server.limits.max_head_bytes, self.fed_bytes, body):
