Send no interim response to a caller of HTTP/1.0

Callers saw: Expect: 100-continue over HTTP/1.0 got an interim response, which that version does not know. Change: the version of the request is asked first, as it is for probes.

--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -178,7 +178,8 @@
         ):
             # The parser would take the body for the next request.
             self.error_status = self.error_status or 400
-        if request.header("expect") == "100-continue" and not self.error_status and not self.pending:
+        interim_allowed = self.parser.get_http_version() == INTERIM_HTTP_VERSION and not self.pending
+        if request.header("expect") == "100-continue" and not self.error_status and interim_allowed:
             self.write(INTERIM_RESPONSE)
 
     def on_body(self, data: bytes) -> None:
