--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -287,7 +287,7 @@
                 and now - connection.last_active_at > limits.idle_timeout
                 and not connection.has_unread_input
             ):
-                self.close(connection)
+                self.connection_lost(connection, "not_read")
 
     def connections_of(self, address: str) -> list[EntryConnection]:
         """Return the open connections to a listening address, which may have been closed since."""
