--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -80,7 +80,7 @@
 
   Scenario: A caller that closes its sending direction and reads slowly gets its whole answer
     Given an entry that answers 16 MB
-    When a caller sends "one request", closes its sending direction, and reads from 0.7 s later on
+    When a caller sends "one request", closes its sending direction, and reads from 0.3 s later on
     Then it gets the whole answer
 
   Scenario: The departure of a caller that had closed its sending direction before is reported
