Transmit replies to other nodes until the end of the grace period

Callers saw: 502 (peer_disconnected) for requests that had run, if the answers of a stopping node's target waited for their connection.

Cause: the process closed its sockets 0.5 s after its last request had its reply, however much of its grace period was left, and dropped what was still in the send queues. After the longest stop, 0.5 s were more than the rest.

Evidence: the new scenario failed before: 1 of 4 answers arrived.

Change: the stop sets the time that sockets may linger to the rest of the grace period, less a margin. It ends as soon as the queues are empty.

--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -35,6 +35,9 @@
 UNSENT_BODY_MARGIN_SECONDS = 2.0
 # The process exits this long before it would be killed.
 EXIT_MARGIN_SECONDS = 0.4
+# A process that waits until its last replies to other nodes are transmitted ends this long before it would be
+# killed.
+KILL_MARGIN_SECONDS = 0.1
 # Requests end this long before the process exits, since the answer of a target that has reached its deadline
 # takes a round trip between regions and ``RESPONSE_GRACE_SECONDS``.
 ANSWER_MARGIN_SECONDS = 0.3
@@ -156,6 +159,7 @@
         if elapsed > self.settings.grace - EXIT_MARGIN_SECONDS or self.may_end(elapsed):
             self.finished = True
             self.log_connections_left()
+            self.peers.close_linger = max(0.0, self.settings.grace - KILL_MARGIN_SECONDS - elapsed)
             log_events.emit(
                 log_events.Stopped(
                     duration_ms=round(elapsed * 1000),
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -30,8 +30,8 @@
 READ_BATCH_MESSAGES = 128
 # A control message waits this long for a connection and is then dropped; lease renewals repeat more often.
 CONNECT_TIMEOUT_SECONDS = 0.3
-# Time at shutdown to transmit replies that are still in the send queues.
-CLOSE_LINGER_MS = 500
+# Time at shutdown to transmit replies that are still in the send queues, unless the owner knows a better one.
+CLOSE_LINGER_SECONDS = 0.5
 PENDING_RETRY_INTERVAL_SECONDS = 0.005
 
 RequestHandler = Callable[[bytes, Message, bytes], None]
@@ -56,6 +56,11 @@
         ``ip:port`` to listen on; None for a process that only opens connections.
     shared_key : bytes
         Key that signs control messages.
+
+    Attributes
+    ----------
+    close_linger : float
+        Seconds for which the shutdown waits at most until replies in the send queues are transmitted.
     """
 
     service_name = "peers"
@@ -64,6 +69,7 @@
         super().__init__()
         self.address = address
         self.shared_key = shared_key
+        self.close_linger = CLOSE_LINGER_SECONDS
         self.context = zmq.Context()
         self.identity = random_identity()
         self.router: zmq.Socket | None = None
@@ -117,7 +123,7 @@
         """Close all sockets and the ZeroMQ context."""
         for descriptor, (socket, _reader) in list(self.readers.items()):
             self.app.poller.discard(descriptor)
-            socket.close(linger=CLOSE_LINGER_MS)
+            socket.close(linger=round(self.close_linger * 1000))
         self.readers.clear()
         self.context.term()
 
--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -37,6 +37,11 @@
     When a request is answered just before the router ends, and its caller sends another one meanwhile
     Then the caller reads the whole answer, and then the end of the connection
 
+  Scenario: Answers to another node that does not read for a while are not dropped by the end of the process
+    Given a router at the end of its planned stop
+    When 4 answers of 4 MB are sent to another node, which reads nothing until 1.2 s after nothing more arrives
+    Then the node gets all of them
+
   # Guards against answers that are lost in the kernel, since input after the close resets the connection.
   Scenario Outline: A caller that reads slowly, and sends more before it has read all, gets the whole answer <when>
     Given a router in its planned stop, which knows a node to serve requests
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -154,6 +154,44 @@
     context.loopback.run_until(lambda: context.stopping.finished, seconds)
 
 
+@when(
+    "{count:d} answers of {size:d} MB are sent to another node, which reads nothing until {pause:g} s after "
+    "nothing more arrives"
+)
+def node_reads_late(context, count, size, pause):
+    context.node_answers = []
+    dealer = zmq.Context.instance().socket(zmq.DEALER)
+    dealer.rcvhwm = 1
+    dealer.rcvbuf = SMALL_BUFFER_BYTES
+    dealer.rcvtimeo = 1_000
+    dealer.connect(f"tcp://{context.peer_address}")
+    context.add_cleanup(dealer.close, 0)
+
+    def answer(identity, message, _body):
+        context.peers.reply(identity, Answered(message.id, 200, (), FREE), bytes(size * 1_000_000))
+
+    def read():
+        time.sleep(pause)
+        with contextlib.suppress(zmq.Again):
+            while len(context.node_answers) < count:
+                context.node_answers.append(len(dealer.recv_multipart()[-1]))
+
+    context.peers.on_request = answer
+    for number in range(count):
+        dealer.send_multipart([REQUEST_KIND, codec.encode(forward(number))])
+    context.loopback.run_for(DELIVERY_SECONDS)
+    context.reader = threading.Thread(target=read, daemon=True)
+    context.reader.start()
+    context.expected_answers = [size * 1_000_000] * count
+    ends(context, 1.0)
+
+
+@then("the node gets all of them")
+def node_gets_all(context):
+    context.reader.join(5.0)
+    assert context.node_answers == context.expected_answers, context.node_answers
+
+
 @given("a router in its planned stop that is connected to another node, which sends it nothing")
 def stopping_router_with_peer(context):
     address = free_address()
