Ask for a body that is held back behind another request

Callers saw: a caller that sends a request, and behind it one with "Expect: 100-continue", was never asked for the second body. In a planned stop the router waited for it until its grace period was over, and closed the connection without an answer.

Cause: the interim response was written with the end of the head only, and only if no earlier request was unanswered by then.

Evidence: the new scenario failed before: no interim response within 2 s.

Change: the connection keeps that the caller may hold the body back, and writes the interim response after the last earlier answer; a body that comes without it ends that.

--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -54,6 +54,8 @@
 
     Attributes
     ----------
+    continue_expected : bool
+        Whether the caller may hold back the body of the current request until an interim response.
     fed_bytes : int
         Bytes passed to the parser since the last complete request.
     reading_paused : bool
@@ -79,6 +81,7 @@
         "body_bytes",
         "closed",
         "closing",
+        "continue_expected",
         "current_request",
         "discard_until",
         "discarded_bytes",
@@ -115,6 +118,7 @@
         self.awaiting_writable = False
         self.closing = False
         self.closed = False
+        self.continue_expected = False
         self.dispatching = False
         self.error_status = 0
         self.input_ended = False
@@ -158,18 +162,25 @@
             self.error_status = self.error_status or 431
 
     def on_headers_complete(self) -> None:
-        """Check the declared body length, and answer ``Expect: 100-continue``."""
+        """Check the declared body length and ``Expect: 100-continue``."""
         self.head_started_at = None
         request = self.current_request
         request.method = self.parser.get_method()
         length = request.header("content-length")
         if length is not None and length.isdecimal() and int(length) > self.server.limits.max_body_bytes:
             self.error_status = self.error_status or 413
-        if request.header("expect") == "100-continue" and not self.error_status and not self.pending:
+        self.continue_expected = request.header("expect") == "100-continue" and not self.error_status
+        self.send_continue()
+
+    def send_continue(self) -> None:
+        """Ask for the body that a caller holds back, once all earlier requests are answered."""
+        if self.continue_expected and self.accepts_input and not self.pending:
+            self.continue_expected = False
             self.write(INTERIM_RESPONSE)
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, unless the body is too large."""
+        self.continue_expected = False
         self.body_bytes += len(data)
         if self.body_bytes > self.server.limits.max_body_bytes:
             self.error_status = self.error_status or 413
@@ -185,6 +196,7 @@
         """Add the complete request to the pipeline."""
         request = self.current_request
         self.current_request = None
+        self.continue_expected = False
         self.fed_bytes = 0
         if self.error_status:
             return
@@ -406,6 +418,7 @@
                 self.close_after_output()
                 return
         self.last_active_at = self.server.app.clock.monotonic()
+        self.send_continue()
         if self.unparsed and len(pending) < PIPELINE_DEPTH:
             # Later input joins what waits, so that both are parsed in the order in which they were received.
             self.server.app.scheduler.call_later(0.0, self.parse_waiting)
--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -56,6 +56,12 @@
     When a caller sends "a request and no protocol" and waits for 3 s
     Then the caller gets the answers "200 /a; 400"
 
+  Scenario: A caller that waits for an interim response behind another request gets it once that is answered
+    Given an entry that answers each request after 0.3 s
+    When a caller sends a request, and another whose body it sends after an interim response
+    Then the caller gets the answers "200 /a; 200 /a hello"
+    And the interim response came between them
+
   Scenario: A request that has arrived when its connection's idle time ends is answered
     Given an entry that echoes path and body
     When a request arrives on a connection that was idle for longer than the limit, just before that is checked
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -7,12 +7,14 @@
 import socket
 import threading
 import time
+from types import SimpleNamespace
 
 import httptools
 from behave import given, then, when
 from tests.loopback import Loopback, free_address
 
 from hibiscusdrum.internal.router.routes import EntryLimits
+from hibiscusdrum.internal.transport.entry_connection import INTERIM_RESPONSE
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
 LIMITS = EntryLimits(max_head_bytes=2000, max_body_bytes=5000, head_timeout=0.4, idle_timeout=0.6)
@@ -190,6 +192,30 @@
     context.loopback.run_until(lambda: not caller.is_alive(), 8.0)
 
 
+@when("a caller sends a request, and another whose body it sends after an interim response")
+def expects_interim(context):
+    host, _, port = context.address.rpartition(":")
+    context.caller = SimpleNamespace(received=b"")
+
+    def received_end(end):
+        with contextlib.suppress(BlockingIOError):
+            context.caller.received += sock.recv(65_536)
+        return context.caller.received.endswith(end)
+
+    with socket.create_connection((host, int(port))) as sock:
+        sock.setblocking(False)
+        sock.sendall(GET % b"/a" + POST + b"expect: 100-continue\r\n\r\n")
+        context.loopback.run_until(lambda: received_end(INTERIM_RESPONSE), 2.0)
+        sock.sendall(b"hello")
+        context.loopback.run_until(lambda: received_end(b"hello"), 2.0)
+
+
+@then("the interim response came between them")
+def interim_between(context):
+    statuses = [head[:3] for head in context.caller.received.split(b"HTTP/1.1 ")[1:]]
+    assert statuses == [b"200", b"100", b"200"], statuses
+
+
 @then("its connection is closed after them")
 def closed_after(context):
     assert context.caller.ended
