Keep a connection until its last response is delivered or its caller is idle for too long

Callers saw: the last 872 kB of an answer of 1 MB were lost if the caller read nothing for 1.5 s and sent another request before it read. Cause: the connection was closed 1 s after the response was handed to the kernel unless the caller made progress, and input that arrives after the close resets it. Change: as long as the kernel has undelivered bytes the idle limit of the configuration decides, as it does for an answer that is still in the process. The scenario's entry now has an idle limit of 3 s, since its caller pauses for 1.5 s and the feature's limit is 0.6 s; it fails on the code before with the same 127,937 bytes.

--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -27,9 +27,9 @@
 BODY_PART_BYTES = 65_536
 # Parts that are parsed in one turn of the loop, so that a long pipeline does not delay other connections.
 PARTS_PER_TURN = 64
-# After the last response, input is read and dropped for this long, and for as long as the caller goes on
-# receiving what is still in the kernel: input that is unread at the close, or arrives later, resets the
-# connection, which can make the caller lose the response.
+# After the last response, input is read and dropped for this long, and for as long as a part of the response
+# is still in the kernel, up to the idle limit without progress: input that is unread at the close, or arrives
+# later, resets the connection, which can make the caller lose the response.
 DISCARD_SECONDS = 1.0
 # Size in bytes of the integer in which the kernel returns how much of a socket's output is unacknowledged.
 INT_BYTES = struct.calcsize("i")
@@ -398,10 +398,11 @@
             return 0
         return int.from_bytes(count, sys.byteorder)
 
-    def observe_delivery(self) -> bool:
-        """Return whether the caller has received part of its responses, but not all, since the last call."""
+    def observe_delivery(self) -> None:
+        """Record that the connection was active if the caller has received more of its responses."""
         before, self.undelivered_bytes = self.undelivered_bytes, self.count_undelivered()
-        return 0 < self.undelivered_bytes < before
+        if self.undelivered_bytes < before:
+            self.last_active_at = self.server.app.clock.monotonic()
 
     @property
     def has_further_input(self) -> bool:
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -273,9 +273,9 @@
         limits = self.limits
         for connection in list(self.connections.values()):
             if connection.discard_until:
-                if connection.observe_delivery():
-                    connection.discard_until = now + DISCARD_SECONDS
-                elif now >= connection.discard_until:
+                connection.observe_delivery()
+                receives = connection.undelivered_bytes and connection.idle_seconds <= limits.idle_timeout
+                if now >= connection.discard_until and not receives:
                     self.close(connection)
             elif (
                 connection.head_started_at is not None
--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -147,7 +147,7 @@
     Then at most one read beyond the limit of waiting input was held
 
   Scenario: A last answer is read whole although its caller sends another request late and reads slowly
-    Given an entry that answers 1 MB and closes the connection
+    Given an entry that answers 1 MB, closes the connection, and allows 3 s without progress
     When a caller sends "one request", sends it again 1.5 s later, and only then reads
     Then it gets the whole answer of 1 MB
 
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -574,9 +574,10 @@
     assert context.most_waiting <= MAX_UNPARSED_BYTES + RECEIVE_BUFFER_BYTES, context.most_waiting
 
 
-@given("an entry that answers 1 MB and closes the connection")
-def answers_and_closes_large(context):
+@given("an entry that answers 1 MB, closes the connection, and allows {seconds:g} s without progress")
+def answers_and_closes_large(context, seconds):
     start_entry(context, lambda request: request.respond(200, [], bytes(1_000_000), close=True))
+    context.entry.limits = EntryLimits(idle_timeout=seconds)
 
 
 @when('a caller sends "{name}", sends it again {seconds:g} s later, and only then reads')
