Raise the soft limit of descriptors to the hard one at the start

Callers saw: beyond what the soft limit allows (1,024 by default on many systems) their connections stay in the queue of the socket, and their requests get no answer, though the hard limit is far higher.

Cause: neither program changed the soft limit that it inherits.

Evidence: with a soft limit of 120 and a hard one of 2,000, 4 of 200 callers that keep their connections got no answer within 2.5 s each; the others were accepted only as the idle timeout of 10 s ended earlier connections.

Change: both programs raise the soft limit; a refusal is logged (`descriptor_limit_kept`) and not fatal. A test can start a process with limits of its own.

--- a/src/hibiscusdrum/internal/daemon/main.py
+++ b/src/hibiscusdrum/internal/daemon/main.py
@@ -23,6 +23,7 @@
 from hibiscusdrum.internal.kernel import Application
 from hibiscusdrum.internal.platform.table_client import TableClient
 from hibiscusdrum.internal.settings import Settings
+from hibiscusdrum.internal.transport.descriptor_limits import raise_descriptor_limit
 from hibiscusdrum.internal.transport.peers import PeerTransport
 
 # Allocations before a collection of the youngest generation. A request creates few reference cycles, so the
@@ -76,6 +77,7 @@
         If a service could not start, for example ``AddressInUse``.
     """
     log_events.configure(settings.node, settings.log_level)
+    raise_descriptor_limit()
     app = build(settings)
     tune_garbage_collector()
     started = log_events.Started(
--- a/src/hibiscusdrum/internal/log_events.py
+++ b/src/hibiscusdrum/internal/log_events.py
@@ -92,6 +92,19 @@
     reason: str
 
 
+class DescriptorLimitKept(LogEvent, frozen=True):
+    """The soft limit of file descriptors could not be raised to the hard limit."""
+
+    number = 105
+    level = "WARNING"
+    cause = "The system refused to read or change the limit; the process works within the limit that it has."
+    operator_action = "Start the process with a higher soft limit if it has many callers or peers."
+
+    soft: int
+    hard: int
+    reason: str
+
+
 class TargetAnnounced(LogEvent, frozen=True):
     """The target announced itself to the daemon."""
 
--- a/src/hibiscusdrum/platform/main.py
+++ b/src/hibiscusdrum/platform/main.py
@@ -16,6 +16,7 @@
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.application import add_router
 from hibiscusdrum.internal.router.routes import HeaderNames
+from hibiscusdrum.internal.transport.descriptor_limits import raise_descriptor_limit
 from hibiscusdrum.platform.boot import BOOT_VARIABLE, read_boot_file, router_settings
 from hibiscusdrum.platform.operator import OperatorRows
 from hibiscusdrum.platform.reports import ReportEndpoint
@@ -45,6 +46,7 @@
         return print_problems(error)
     clock = BootClock()
     log_events.configure(settings.node, settings.log_level, clock, NonBlockingOutput(STDOUT_FD))
+    raise_descriptor_limit()
     app = Application(clock)
     store = StoreClient(settings.store_address)
     router = add_router(app, settings, HEADERS, store, random.Random())
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -5,6 +5,7 @@
 import ctypes
 import http.client
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -85,12 +86,27 @@
     environment : dict of str to str
         Environment variables to add to those of this process. Its own ``HIBISCUSDRUM_*`` variables are not
         inherited.
+    descriptor_limits : tuple of (int, int), optional
+        Soft and hard limit of file descriptors; those of this process by default.
     """
 
     __slots__ = ("log", "process")
 
-    def __init__(self, arguments: Iterable[str], log: Path, environment: dict[str, str], stdin=None) -> None:
+    def __init__(
+        self,
+        arguments: Iterable[str],
+        log: Path,
+        environment: dict[str, str],
+        stdin=None,
+        descriptor_limits: tuple[int, int] | None = None,
+    ) -> None:
         self.log = log
+
+        def prepare_child() -> None:
+            _kill_with_parent()
+            if descriptor_limits is not None:
+                resource.setrlimit(resource.RLIMIT_NOFILE, descriptor_limits)
+
         inherited = {
             name: value for name, value in os.environ.items() if not name.startswith("HIBISCUSDRUM_")
         }
@@ -103,7 +119,7 @@
                 stdin=subprocess.DEVNULL if stdin is None else stdin,
                 stdout=output,
                 stderr=output,
-                preexec_fn=_kill_with_parent,
+                preexec_fn=prepare_child,
             )
 
     @property
--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -97,10 +97,19 @@
     store_address : callable, optional
         Takes a VM and the address of the store; returns the address at which the VM reaches the store,
         such as that of a proxy. Defaults to the address of the store.
+    descriptor_limits : tuple of (int, int), optional
+        Soft and hard limit of file descriptors of each router; those of this process by default.
     """
 
-    def __init__(self, folder: Path, placements: list[tuple[str, str, str]], store_address=None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        placements: list[tuple[str, str, str]],
+        store_address=None,
+        descriptor_limits: tuple[int, int] | None = None,
+    ) -> None:
         self.folder = folder
+        self.descriptor_limits = descriptor_limits
         count = len(placements)
         ports = reserve_port_block(count * PORTS_PER_VM + 1)
         self.store_port = ports.pop()
@@ -167,6 +176,7 @@
             ["-m", "hibiscusdrum.platform"],
             self.folder / f"router-{vm.name}.log",
             {"HIBISCUSDRUM_BOOT": str(boot)},
+            descriptor_limits=self.descriptor_limits,
         )
 
     def all_services_answer(self) -> bool:
