Bound callers' connections, and do not poll a listener that cannot be accepted from

Callers saw: with more kept connections than descriptors, new callers get no answer until the idle timeout of earlier ones ends, and those that are connected are served late or not at all.

Cause: idle callers keep their descriptors, and a failed accept was tried again without pause, since the listener stays readable: the loop took a whole core, and the target, the store and the peers got no descriptors.

Evidence: with soft and hard limit 120, 4 of 200 callers got no answer within 2.5 s each; with 200 callers of half a request the router used 1.0 s of the processor in a second. An entry without a descriptor tried 15,136 times in 0.5 s (with the pause taken out again). A trial with 1,500 callers at once, limit 1,024, one request each that the router answers itself: 505 never answered in 8 s, 378,570 failed attempts.

Change: the callers' listener has a limit of connections: the process's limit (or `limits.maxFds`) less a reserve for files, peers, target, store and the other listeners, a third of it at least. At the limit the connection that has been idle longest, for 0.1 s at least, is closed; without one the listener is not polled until there is room. After a failed accept an idle caller is disconnected if descriptors are short, and the listener is tried again after 0.05 s. A planned stop accepts all that wait, as before. Event `callers_waiting`, three metrics.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -392,20 +392,34 @@
 
 
 class AcceptFailed(LogEvent, frozen=True):
-    """A caller's connection could not be accepted; it waits in the queue of the socket."""
+    """A connection could not be accepted; it waits in the queue of the socket until the next attempt."""
 
     number = 836
     level = "WARNING"
     rate_limited = True
     lines_per_interval = 1
     cause = "`error` names it: `EMFILE` means that the process has no free file descriptor."
-    operator_action = "Raise the limit of file descriptors if `open` is near it."
+    operator_action = "Raise the hard limit of file descriptors; `open` counts the entry's connections."
 
     address: str
     error: str
     open: int
 
 
+class CallersWaiting(LogEvent, frozen=True):
+    """Callers cannot connect until one of the open connections ends or becomes idle."""
+
+    number = 837
+    level = "WARNING"
+    rate_limited = True
+    lines_per_interval = 1
+    cause = "As many callers as the limit of file descriptors allows are connected, and none of them is idle."
+    operator_action = "Raise the hard limit of file descriptors, or spread the callers over more nodes."
+
+    address: str
+    open: int
+
+
 class RouterStarted(LogEvent, frozen=True):
     """The router has started and listens on its addresses."""
 
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -37,6 +37,7 @@
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.target_signals import is_leaving
+from hibiscusdrum.internal.transport.descriptor_limits import caller_connection_limit, descriptor_limit
 from hibiscusdrum.internal.transport.entry_request import EntryRequest
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
@@ -127,7 +128,8 @@
         self.forwarder: Forwarder = find("hop")
         self.metrics = find("metrics")
         self.entry: HttpEntry = find("entry")
-        self.entry.listen(self.settings.caller_address, self.on_request)
+        max_callers = caller_connection_limit(descriptor_limit(self.settings.max_descriptors))
+        self.entry.listen(self.settings.caller_address, self.on_request, max_callers)
 
     def close(self) -> None:
         """Refuse new connections; requests on open ones are served until the process exits."""
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -91,6 +91,8 @@
             lines.append(f'hibiscusdrum_connections_lost_total{{reason="{reason}"}} {count}')
         lines.append("# TYPE hibiscusdrum_accept_failures_total counter")
         lines.append(f"hibiscusdrum_accept_failures_total {self.entry.accept_failures}")
+        lines.append("# TYPE hibiscusdrum_idle_connections_closed_total counter")
+        lines.append(f"hibiscusdrum_idle_connections_closed_total {self.entry.idle_closed_count}")
         lines += render_traffic(self.traffic)
         admission = self.receiver.admission
         gauges = {
@@ -101,6 +103,8 @@
             "stripes": len(self.range_owner.granted_stripes),
             "lease_seconds": round(self.range_owner.keeper.remaining_seconds, 3),
             "connections": len(self.entry.connections),
+            "caller_connections": self.entry.open_counts[self.settings.caller_address],
+            "caller_connections_limit": self.entry.max_connections.get(self.settings.caller_address, 0),
             "nodes": len(self.members.nodes),
             "store_reachable": int(self.members.store_reachable),
             "store_era": self.members.table.era,
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -51,6 +51,8 @@
         Bandwidth of this VM's link; 0 when not known.
     memory_bytes : float
         Memory that this process may use; 0 when not known.
+    max_descriptors : float
+        File descriptors that this process may open, besides the limit of the system; 0 when not known.
     nested_id_separator : str
         Follows the attempt id of the request being run in the attempt ids of its target's own requests; empty
         if the platform's ids do not tell these apart.
@@ -77,6 +79,7 @@
     cold_slack: float = 0.0
     link_bytes_per_second: float = 0.0
     memory_bytes: float = 0.0
+    max_descriptors: float = 0.0
     nested_id_separator: str = ""
     log_level: str = "INFO"
 
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -306,6 +306,12 @@
         """Whether more input than the requests answered so far has been received."""
         return bool(self.pending or self.unparsed or self.receiving or self.has_unread_input)
 
+    @property
+    def idle(self) -> bool:
+        """Whether the caller is owed no answer and has sent nothing that is not answered."""
+        in_use = self.closed or self.closing or self.output_buffer or self.has_further_input
+        return not in_use
+
     @property
     def idle_seconds(self) -> float:
         """Seconds since the connection last carried input or a response."""
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import errno
+import heapq
 import socket
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
 
@@ -34,6 +35,13 @@
 # Connections accepted per loop iteration; the limit keeps a burst of callers from delaying lease renewals.
 ACCEPT_BATCH_SIZE = 64
 LISTEN_BACKLOG = 1024
+# Interval at which a listener that cannot be accepted from is tried again.
+ACCEPT_RETRY_SECONDS = 0.05
+# A caller that has just connected or been answered may have its next request on the way.
+MIN_IDLE_SECONDS = 0.1
+# Idle connections selected at a time, since the selection takes time in proportion to the connections.
+IDLE_SELECTION_SIZE = 64
+OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 SWEEP_INTERVAL_SECONDS = 0.25
 # Interval at which it is checked whether callers that have closed their sending direction are to be probed.
 PROBE_CHECK_SECONDS = 0.05
@@ -55,6 +63,14 @@
         Size and time limits; a new value applies to input received from then on.
     accepted_count, accept_failures : int
         Connections accepted since the start, and attempts to accept one that failed.
+    max_connections : dict of str to int
+        Limit of the connections to a listening address; addresses without one are not limited.
+    open_counts : Counter of str
+        Open connections by listening address.
+    idle_closed_count : int
+        Idle connections closed since the start to make room for others.
+    paused_listeners : set of socket.socket
+        Listening sockets that are not polled until there is room for another connection.
     half_closed : set of EntryConnection
         Connections whose callers have closed their sending direction and wait for answers.
     lost_counts : Counter of str
@@ -73,12 +89,19 @@
         self.connections: dict[socket.socket, EntryConnection] = {}
         self.accepted_count = 0
         self.accept_failures = 0
+        self.max_connections: dict[str, int] = {}
+        self.open_counts: Counter[str] = Counter()
+        self.idle_closed_count = 0
+        # Idle connections with the time of their last activity, the longest idle first.
+        self.idle_selection: deque[tuple[EntryConnection, float]] = deque()
+        self.paused_listeners: set[socket.socket] = set()
         self.half_closed: set[EntryConnection] = set()
         self.lost_counts: Counter[str] = Counter()
 
     def on_start(self) -> None:
         """Start the periodic checks for idle, slow and half-closed callers."""
         self.probe_timer = self.app.scheduler.create_work_timer(PROBE_CHECK_SECONDS, self.probe_callers)
+        self.accept_timer = self.app.scheduler.create_work_timer(ACCEPT_RETRY_SECONDS, self.resume_accepting)
         self.app.scheduler.every(SWEEP_INTERVAL_SECONDS, self.enforce_timeouts)
 
     def held_bytes(self) -> int:
@@ -94,9 +117,12 @@
         self.memory.report_exceeded("unread response", len(slowest.output_buffer))
         self.connection_lost(slowest, "not_read")
 
-    def listen(self, address: str, handle: RequestHandler) -> None:
+    def listen(self, address: str, handle: RequestHandler, max_connections: int | None = None) -> None:
         """Listen on an address and pass its requests to ``handle``.
 
+        At the limit ``max_connections``, the connection that has been idle longest is closed for a new one;
+        if none is idle, callers wait in the queue of the socket.
+
         Raises
         ------
         AddressInUse
@@ -110,6 +136,8 @@
         except OSError as error:
             sock.close()
             raise AddressInUse(address=address) from error
+        if max_connections is not None:
+            self.max_connections[address] = max_connections
         self.request_handlers[address] = handle
         self.listeners[sock] = address
         self.app.poller.addReader(self, sock)
@@ -165,14 +193,67 @@
                 self.accept_failures += 1
                 name = errno.errorcode.get(error.errno, str(error.errno))
                 log_events.emit(events.AcceptFailed(address, name, len(self.connections)))
+                if error.errno in OUT_OF_DESCRIPTORS:
+                    self.close_longest_idle()
+                self.pause_accepting(listener)
                 return False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.accepted_count += 1
             self.connections[sock] = EntryConnection(self, sock, address, self.app.clock.monotonic())
+            self.open_counts[address] += 1
             self.app.poller.addReader(self, sock)
+            if not self.has_room(address):
+                log_events.emit(events.CallersWaiting(address, self.open_counts[address]))
+                self.pause_accepting(listener)
+                return False
         return True
 
+    def has_room(self, address: str) -> bool:
+        """Return whether another connection to an address fits, after closing an idle one if necessary."""
+        limit = self.max_connections.get(address)
+        return limit is None or self.open_counts[address] < limit or self.close_longest_idle()
+
+    def close_longest_idle(self) -> bool:
+        """Close the connection that has been idle longest; return whether there was one.
+
+        Only connections to addresses with a limit are closed.
+        """
+        while self.idle_selection or self.select_idle():
+            connection, active_at = self.idle_selection.popleft()
+            if connection.last_active_at == active_at and connection.idle:
+                self.idle_closed_count += 1
+                self.close(connection)
+                return True
+        return False
+
+    def select_idle(self) -> bool:
+        """Select the connections that have been idle longest; return whether there are any."""
+        idle_since = self.app.clock.monotonic() - MIN_IDLE_SECONDS
+        idle = [
+            (connection, connection.last_active_at)
+            for connection in self.connections.values()
+            if connection.last_active_at <= idle_since
+            and connection.listen_address in self.max_connections
+            and connection.idle
+        ]
+        self.idle_selection.extend(heapq.nsmallest(IDLE_SELECTION_SIZE, idle, key=lambda entry: entry[1]))
+        return bool(idle)
+
+    def pause_accepting(self, listener: socket.socket) -> None:
+        """Stop polling a listening socket until the next attempt to accept from it."""
+        self.app.poller.removeReader(listener)
+        self.paused_listeners.add(listener)
+        self.accept_timer.wake()
+
+    def resume_accepting(self) -> bool:
+        """Poll the paused listening sockets whose addresses have room; return whether any stay paused."""
+        for listener in list(self.paused_listeners):
+            if self.has_room(self.listeners[listener]):
+                self.paused_listeners.discard(listener)
+                self.app.poller.addReader(self, listener)
+        return bool(self.paused_listeners)
+
     def pause_reading(self, connection: EntryConnection) -> None:
         """Stop reading from a connection."""
         if not connection.closed:
@@ -257,6 +338,7 @@
         """Close a connection without notifying the handlers of its requests."""
         connection.closed = True
         if self.connections.pop(connection.sock, None) is not None:
+            self.open_counts[connection.listen_address] -= 1
             self.app.poller.discard(connection.sock)
             connection.sock.close()
 
@@ -304,11 +386,14 @@
     def stop_listening(self, address: str | None = None) -> None:
         """Stop accepting connections on one address, or on all; open connections stay usable.
 
-        Connections that wait to be accepted are accepted first, since the kernel would reset them.
+        Connections that wait to be accepted are accepted first, regardless of the limit, since the kernel
+        would reset them.
         """
         for sock in [sock for sock, bound in self.listeners.items() if address in (None, bound)]:
+            self.max_connections.pop(self.listeners[sock], None)
             while self.accept(sock, self.listeners[sock]):
                 pass
+            self.paused_listeners.discard(sock)
             self.app.poller.discard(sock)
             sock.close()
             del self.listeners[sock]
--- a/src/hibiscusdrum/platform/boot.py
+++ b/src/hibiscusdrum/platform/boot.py
@@ -85,6 +85,7 @@
         cold_slack=parse_number(bounds, "coldSlack", 0.0),
         nested_id_separator=NESTED_ID_SEPARATOR,
         memory_bytes=parse_number(values, "limits.memoryMb", 0.0) * BYTES_PER_MEGABYTE,
+        max_descriptors=parse_number(values, "limits.maxFds", 0.0),
         link_bytes_per_second=parse_number(values, "limits.linkMbps", 0.0) * BYTES_PER_MEGABIT,
     )
     try:
--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -113,3 +113,24 @@
     Then each of the 10000 is answered, in order
     And at most 64 of them were held at a time
     And the other caller waited at most 0.5 s for an answer
+
+  # Guards against callers that keep all descriptors, and against a listener that is polled without effect.
+  Scenario: At the limit of connections only a caller that is owed nothing loses its connection
+    Given an entry for at most 4 callers that answers all but "/held" at once
+    When callers connect that have "one request" answered, "a held request" unanswered and "half a head" sent
+    And 2 more callers connect and send "one request" 0.15 s after that
+    Then each of the 2 is answered, and only the first caller has lost its connection
+    And the entry has closed 2 idle connections and failed to accept 0 times
+
+  Scenario: Callers beyond the limit wait until another leaves if none is idle
+    Given an entry for at most 2 callers that answers all but "/held" at once
+    When 3 callers each send "a held request"
+    Then 2 of the requests are handed over in the next 0.3 s
+    When the first of these callers leaves
+    Then 3 of the requests are handed over in the next 0.3 s
+
+  Scenario: An entry that has no free descriptor tries again at intervals
+    Given an entry that echoes path and body, and has no free descriptor for callers
+    When a caller sends "one request" and waits for 3 s while the entry has none for 0.5 s
+    Then the caller gets the answers "200 /a"
+    And the entry has tried at most 12 times to accept it
--- a/tests/features/steps/router_descriptors_steps.py
+++ b/tests/features/steps/router_descriptors_steps.py
@@ -5,17 +5,26 @@
 
 import http.client
 import os
+import resource
 import shutil
 import socket
 import tempfile
 import time
 import urllib.request
 from pathlib import Path
+from unittest.mock import patch
 
 from behave import given, then, when
 from tools.processes import request, wait_until
 from tools.router_system import HEADER_PREFIX, RouterSystem
 
+from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.transport.descriptor_limits import (
+    caller_connection_limit,
+    descriptor_limit,
+    raise_descriptor_limit,
+)
+
 PLACES = [("east", "east-1", "keyed"), ("east", "east-2", "shared"), ("west", "west-1", "shared")]
 # Seconds between the requests of two callers, which leaves the targets of these routers below their limits.
 PACE_SECONDS = 0.02
@@ -146,3 +155,24 @@
     time.sleep(1.0)
     used = used_seconds() - before
     assert used <= seconds, used
+
+
+@when(
+    "a process that may open {limit:d} descriptors, and is not allowed to raise that, "
+    "has {given:d} in its settings"
+)
+def has_limits(context, limit, given):
+    with (
+        patch.object(resource, "getrlimit", return_value=(limit, 65_536)),
+        patch.object(resource, "setrlimit", side_effect=ValueError("not allowed")),
+        patch.object(log_events, "emit") as emit,
+    ):
+        raise_descriptor_limit()
+        context.connection_limit = caller_connection_limit(descriptor_limit(given))
+    (context.event,) = emit.call_args.args
+
+
+@then("it starts, and its callers may take {count:d} connections")
+def may_take(context, count):
+    assert isinstance(context.event, log_events.DescriptorLimitKept), context.event
+    assert context.connection_limit == count, context.connection_limit
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -4,9 +4,12 @@
 """
 
 import contextlib
+import errno
+import os
 import socket
 import threading
 import time
+from unittest.mock import patch
 
 import httptools
 from behave import given, then, when
@@ -42,6 +45,7 @@
     "chunks that are too many": [CHUNKED] + [b"800\r\n" + b"x" * 2048 + b"\r\n"] * 4,
     "a HEAD request": [b"HEAD /a HTTP/1.1\r\nhost: h\r\n\r\n"],
     "a request that asks to close": [b"GET /a HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"],
+    "a held request": [GET % b"/held"],
     "half a head": [b"GET /a HTTP/1.1\r\nho"],
 }
 
@@ -103,13 +107,13 @@
             return
 
 
-def start_entry(context, handle):
+def start_entry(context, handle, max_connections=None):
     context.entry = HttpEntry()
     context.loopback = Loopback(context.entry)
     context.add_cleanup(context.loopback.stop)
     context.address = free_address()
     context.entry.limits = LIMITS
-    context.entry.listen(context.address, handle)
+    context.entry.listen(context.address, handle, max_connections)
 
 
 def echo(request):
@@ -413,3 +417,89 @@
     assert context.other.count > 10 and context.other.longest <= seconds, (
         context.other.count, context.other.longest,
     )  # fmt: skip
+
+
+class ExhaustibleListener(socket.socket):
+    """Cannot accept connections while ``exhausted``, as in a process without free descriptors."""
+
+    exhausted = False
+
+    def accept(self):
+        """Accept a connection, or fail."""
+        if ExhaustibleListener.exhausted:
+            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+        return super().accept()
+
+
+@given('an entry for at most {count:d} callers that answers all but "/held" at once')
+def limited_entry(context, count):
+    start_entry(context, lambda request: None if request.target == "/held" else echo(request), count)
+    context.entry.limits = EntryLimits()
+
+
+@when('callers connect that have "{answered}" answered, "{held}" unanswered and "{part}" sent')
+def callers_of_all_states(context, answered, held, part):
+    context.earlier = [Caller(context.address, INPUTS[name], 3.0) for name in (answered, held, part)]
+    context.loopback.run_until(lambda: context.earlier[0].received)
+
+
+@when('{count:d} more callers connect and send "{what}" {seconds:g} s after that')
+def more_callers(context, count, what, seconds):
+    context.callers = []
+    for _ in range(count):
+        context.loopback.run_for(seconds)
+        caller = Caller(context.address, INPUTS[what], 3.0)
+        context.callers.append(caller)
+        context.loopback.run_until(lambda caller=caller: caller.received, 2.0)
+
+
+@then("each of the {count:d} is answered, and only the first caller has lost its connection")
+def only_first_lost(context, count):
+    assert [caller.received[:12] for caller in context.callers] == [b"HTTP/1.1 200"] * count
+    first, *others = context.earlier
+    context.loopback.run_until(lambda: first.ended)
+    assert not [caller for caller in others if caller.ended]
+
+
+@then("the entry has closed {closed:d} idle connections and failed to accept {failed:d} times")
+def closed_and_failed(context, closed, failed):
+    assert (context.entry.idle_closed_count, context.entry.accept_failures) == (closed, failed)
+
+
+@when('{count:d} callers each send "{what}"')
+def callers_each_send(context, count, what):
+    context.callers = [Caller(context.address, INPUTS[what], 3.0) for _ in range(count)]
+
+
+@then("{count:d} of the requests are handed over in the next {seconds:g} s")
+def handed_over_in_total(context, count, seconds):
+    context.loopback.run_for(seconds)
+    assert context.entry.accepted_count == count, context.entry.accepted_count
+    held = sum(len(connection.pending) for connection in context.entry.connections.values())
+    assert held == context.entry.open_counts[context.address] == 2, held
+
+
+@when("the first of these callers leaves")
+def first_leaves(context):
+    connection = next(iter(context.entry.connections.values()))
+    context.entry.connection_lost(connection, "reset")
+
+
+@given("an entry that echoes path and body, and has no free descriptor for callers")
+def exhausted_entry(context):
+    with patch.object(socket, "socket", ExhaustibleListener):
+        start_entry(context, echo)
+
+
+@when('a caller sends "{what}" and waits for {patience:g} s while the entry has none for {seconds:g} s')
+def sends_while_exhausted(context, what, patience, seconds):
+    context.caller = Caller(context.address, INPUTS[what], patience)
+    with patch.object(ExhaustibleListener, "exhausted", True):
+        context.loopback.run_for(seconds)
+    context.loopback.run_until(lambda: context.caller.received)
+    assert context.entry.accept_failures, "the entry has not tried"
+
+
+@then("the entry has tried at most {most:d} times to accept it")
+def tried_at_most(context, most):
+    assert context.entry.accept_failures <= most, context.entry.accept_failures
