Let the configuration's limits on callers not bind targets, probes and scrapes

Cause: HttpEntry has one set of limits for all its listening addresses, and the gateway replaces it with the configuration's. Evidence: the new scenario, with the limits of an address disregarded, gets 431 on each of the three addresses. Change: HttpEntry.listen takes limits for its address, which replace the others there; reports, readiness and metrics use CONTROL_LIMITS (head 16 KiB, body 4 MiB, head time-out 5 s, idle time-out 60 s). Why it works: a connection looks its limits up by the address at which it was accepted.

--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -5,6 +5,7 @@
 from bisect import bisect_left
 
 from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.router.routes import CONTROL_LIMITS
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.traffic import DELAY_BOUNDS_SECONDS, Traffic
 from hibiscusdrum.internal.router.unreadable import unreadable_entries
@@ -38,7 +39,7 @@
         self.traffic = self.app.find("traffic")
         self.entry = self.app.find("entry")
         if self.settings.metrics_address:
-            self.entry.listen(self.settings.metrics_address, self.on_scrape)
+            self.entry.listen(self.settings.metrics_address, self.on_scrape, CONTROL_LIMITS)
 
     def count_ended(self, route: str, status: int, seconds: float) -> None:
         """Count a caller's request that has its final response, and its latency."""
--- a/src/hibiscusdrum/internal/router/readiness.py
+++ b/src/hibiscusdrum/internal/router/readiness.py
@@ -7,6 +7,7 @@
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.members import Members
+from hibiscusdrum.internal.router.routes import CONTROL_LIMITS
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.transport.entry_request import EntryRequest
 
@@ -32,7 +33,7 @@
         """Listen for readiness requests."""
         self.gateway: Gateway = self.app.find("gateway")
         self.members: Members = self.app.find("members")
-        self.app.find("entry").listen(self.settings.ready_address, self.on_request)
+        self.app.find("entry").listen(self.settings.ready_address, self.on_request, CONTROL_LIMITS)
 
     @property
     def ready(self) -> bool:
--- a/src/hibiscusdrum/internal/router/routes.py
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -123,6 +123,11 @@
     idle_timeout: float = 60.0
 
 
+# Limits on the reports of the target, on readiness requests and on scrapes of metrics, which those on callers
+# must not stop. A report of 65,536 keys that are held or released one by one takes less than 4 MiB.
+CONTROL_LIMITS = EntryLimits(max_body_bytes=4 * 1024 * 1024)
+
+
 class RouteTable(msgspec.Struct, frozen=True):
     """One version of the configuration.
 
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -12,6 +12,7 @@
 from hibiscusdrum.internal.transport.http_connection import framing_exceeds_limit
 
 if TYPE_CHECKING:
+    from hibiscusdrum.internal.router.routes import EntryLimits
     from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
 # Requests of one connection that are parsed before the responses to earlier ones; later bytes wait unparsed.
@@ -123,6 +124,11 @@
         self.unparsed: list[bytes] = []
         self.unparsed_bytes = 0
 
+    @property
+    def limits(self) -> EntryLimits:
+        """Limits of the listening address."""
+        return self.server.address_limits.get(self.listen_address, self.server.limits)
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         self.current_request = EntryRequest(self, self.listen_address)
@@ -143,7 +149,7 @@
     def add_head_bytes(self, size: int) -> None:
         """Count bytes of the request head and enforce its size limit."""
         self.head_bytes += size
-        if self.head_bytes > self.server.limits.max_head_bytes:
+        if self.head_bytes > self.limits.max_head_bytes:
             self.error_status = self.error_status or 431
 
     def on_headers_complete(self) -> None:
@@ -152,7 +158,7 @@
         request = self.current_request
         request.method = self.parser.get_method()
         length = request.header("content-length")
-        if length is not None and length.isdecimal() and int(length) > self.server.limits.max_body_bytes:
+        if length is not None and length.isdecimal() and int(length) > self.limits.max_body_bytes:
             self.error_status = self.error_status or 413
         if request.header("expect") == "100-continue" and not self.error_status and not self.pending:
             self.write(INTERIM_RESPONSE)
@@ -160,7 +166,7 @@
     def on_body(self, data: bytes) -> None:
         """Store a part of the body, unless the body is too large."""
         self.body_bytes += len(data)
-        if self.body_bytes > self.server.limits.max_body_bytes:
+        if self.body_bytes > self.limits.max_body_bytes:
             self.error_status = self.error_status or 413
         elif self.body_bytes > MIN_CHECKED_BODY_BYTES and self.exceeds_memory:
             self.server.memory.report_exceeded("incomplete request", self.body_bytes)
@@ -263,7 +269,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.error_status = self.error_status or 400
         body = self.body_bytes if self.current_request is not None else 0
-        if framing_exceeds_limit(self.server.limits.max_head_bytes, self.fed_bytes, body):
+        if framing_exceeds_limit(self.limits.max_head_bytes, self.fed_bytes, body):
             self.error_status = self.error_status or (400 if self.head_complete else 431)
         if self.current_request is None and not self.error_status:
             self.head_started_at = None
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -52,7 +52,10 @@
     Attributes
     ----------
     limits : EntryLimits
-        Size and time limits; a new value applies to input received from then on.
+        Size and time limits of addresses without their own; a new value applies to input received from then
+        on.
+    address_limits : dict
+        Limits of the listening addresses that have their own.
     accepted_count, accept_failures : int
         Connections accepted since the start, and attempts to accept one that failed.
     half_closed : set of EntryConnection
@@ -68,6 +71,7 @@
         self.memory = memory or BodyMemory()
         self.memory.holders.append(self.held_bytes)
         self.limits = EntryLimits()
+        self.address_limits: dict[str, EntryLimits] = {}
         self.request_handlers: dict[str, RequestHandler] = {}
         self.listeners: dict[socket.socket, str] = {}
         self.connections: dict[socket.socket, EntryConnection] = {}
@@ -94,9 +98,16 @@
         self.memory.report_exceeded("unread response", len(slowest.output_buffer))
         self.connection_lost(slowest, "not_read")
 
-    def listen(self, address: str, handle: RequestHandler) -> None:
+    def listen(self, address: str, handle: RequestHandler, limits: EntryLimits | None = None) -> None:
         """Listen on an address and pass its requests to ``handle``.
 
+        Parameters
+        ----------
+        address : str
+        handle : callable
+        limits : EntryLimits, optional
+            Limits of this address in place of ``self.limits``.
+
         Raises
         ------
         AddressInUse
@@ -111,6 +122,8 @@
             sock.close()
             raise AddressInUse(address=address) from error
         self.request_handlers[address] = handle
+        if limits is not None:
+            self.address_limits[address] = limits
         self.listeners[sock] = address
         self.app.poller.addReader(self, sock)
 
@@ -263,8 +276,8 @@
     def enforce_timeouts(self) -> None:
         """Close idle connections, and reject requests whose head takes too long with status 408."""
         now = self.app.clock.monotonic()
-        limits = self.limits
         for connection in list(self.connections.values()):
+            limits = connection.limits
             if connection.discard_until:
                 if now >= connection.discard_until:
                     self.close(connection)
--- a/src/hibiscusdrum/platform/reports.py
+++ b/src/hibiscusdrum/platform/reports.py
@@ -24,7 +24,7 @@
 from hibiscusdrum.internal.router.local_target import Grant, LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.ring import Range
-from hibiscusdrum.internal.router.routes import KEY_SPACE
+from hibiscusdrum.internal.router.routes import CONTROL_LIMITS, KEY_SPACE
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.unreadable import unreadable_entries
 from hibiscusdrum.internal.transport.entry_request import EntryRequest
@@ -171,7 +171,7 @@
         self.target: LocalTarget = self.app.find("local_target")
         range_owner: RangeOwner = self.app.find("range_owner")
         self.is_partitioned = lambda: bool(range_owner.partitioned)
-        self.app.find("entry").listen(self.settings.target_control_address, self.on_request)
+        self.app.find("entry").listen(self.settings.target_control_address, self.on_request, CONTROL_LIMITS)
 
     def on_request(self, request: EntryRequest) -> None:
         """Handle a heartbeat (``PUT``) or the notice that the target is leaving (``DELETE``)."""
--- a/tests/features/router_entry.feature
+++ b/tests/features/router_entry.feature
@@ -23,6 +23,17 @@
       | a HEAD request                  | 200                      |
       | a request that asks to close    | 200 /a                   |
 
+  Scenario Outline: The limits on callers do not bind the address for <use>
+    Given an entry that serves reports, readiness and metrics besides its callers
+    When a request beyond the limits on callers is sent slowly for <use>, and another one after a pause
+    Then both requests are answered
+
+    Examples:
+      | use       |
+      | reports   |
+      | readiness |
+      | metrics   |
+
   Scenario: Answers leave in the order of the requests
     Given an entry that answers the first of three requests last
     When a caller sends "three requests at once"
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -9,11 +9,16 @@
 import time
 
 import httptools
+import msgspec
 from behave import given, then, when
 from tests.loopback import Loopback, free_address
+from tests.router_stubs import SETTINGS, Stub
 
+from hibiscusdrum.internal.router.metrics import RouterMetrics
+from hibiscusdrum.internal.router.readiness import Readiness
 from hibiscusdrum.internal.router.routes import EntryLimits
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
+from hibiscusdrum.platform.reports import ReportEndpoint
 
 LIMITS = EntryLimits(max_head_bytes=2000, max_body_bytes=5000, head_timeout=0.4, idle_timeout=0.6)
 GET = b"GET %s HTTP/1.1\r\nhost: h\r\n\r\n"
@@ -69,7 +74,7 @@
 
 
 class Caller(threading.Thread):
-    """Sends parts, then reads until the other side ends or nothing more comes.
+    """Sends parts, with the pauses in seconds that are among them, and reads until nothing more comes.
 
     With ``half_closes``, it closes its sending direction after the parts, and begins to read
     ``read_delay`` seconds later.
@@ -91,6 +96,9 @@
         self.sock.settimeout(self.patience)
         try:
             for part in self.parts:
+                if isinstance(part, float):
+                    time.sleep(part)
+                    continue
                 self.sock.sendall(part)
                 time.sleep(0.002)
             if self.half_closes:
@@ -122,6 +130,38 @@
     start_entry(context, echo)
 
 
+@given("an entry that serves reports, readiness and metrics besides its callers")
+def several_addresses(context):
+    names = ("target_control_address", "ready_address", "metrics_address")
+    addresses = {name: free_address() for name in names}
+    context.addresses = dict(zip(("reports", "readiness", "metrics"), addresses.values(), strict=True))
+    settings = msgspec.structs.replace(SETTINGS, **addresses)
+    context.entry = HttpEntry()
+    stubs = [
+        Stub(name) for name in ("local_target", "range_owner", "gateway", "members", "receiver", "traffic")
+    ]
+    services = (ReportEndpoint(settings), Readiness(settings), RouterMetrics(settings))
+    context.loopback = Loopback(*stubs, context.entry, *services)
+    context.add_cleanup(context.loopback.stop)
+    context.entry.limits = LIMITS
+    context.entry.request_handlers = dict.fromkeys(addresses.values(), echo)
+
+
+@when("a request beyond the limits on callers is sent slowly for {use}, and another one after a pause")
+def sends_beyond_limits(context, use):
+    head = b"POST /a HTTP/1.1\r\nx-long: " + b"x" * LIMITS.max_head_bytes
+    body = b"x" * (LIMITS.max_body_bytes + 1)
+    rest = b"\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
+    parts = [head, 2.0 * LIMITS.head_timeout, rest, 2.0 * LIMITS.idle_timeout, GET % b"/b"]
+    caller = context.caller = Caller(context.addresses[use], parts, 0.4)
+    context.loopback.run_until(lambda: not caller.is_alive(), 5.0)
+
+
+@then("both requests are answered")
+def both_answered(context):
+    assert context.caller.received.count(b"HTTP/1.1 200 OK\r\n") == 2, context.caller.received[:200]
+
+
 @given("an entry that answers the first of three requests last")
 def answers_backwards(context):
     held = []
