Forget incomplete requests of the daemon's HTTP callers whose connections end

Operators saw: the memory of hibiscusdrumd grows for good with each caller whose connection ends within the body of a request, by up to the size of that body (max_body_bytes). Cause: circuits.web forgets the request of a closed connection, but not the parser with what was received of it. Change: HttpServer drops the parser when a connection is closed, for each way of closing. Why it works: the disconnect event follows the read events of the connection, so that none can create another parser.

--- a/src/hibiscusdrum/internal/transport/http_server.py
+++ b/src/hibiscusdrum/internal/transport/http_server.py
@@ -108,7 +108,6 @@
         if sock in http._clients and complete:
             http._clients[sock][1].close = True
         else:
-            http._buffers.pop(sock, None)
             self.fire(close(sock), self.channel)
 
     @handler("response", priority=-1)
@@ -123,5 +122,6 @@
 
     @handler("disconnect")
     def forget_connection(self, sock: Any) -> None:
-        """Drop the state of a closed connection."""
+        """Drop the state of a closed connection, with the incomplete request that circuits.web would keep."""
         self.rejected_sockets.discard(sock)
+        self.http._buffers.pop(sock, None)
--- a/tests/features/daemon_input.feature
+++ b/tests/features/daemon_input.feature
@@ -92,6 +92,12 @@
     Then the connection ends without an answer
     And the daemon still serves its keys and has logged no internal error
 
+  Scenario: Callers that reset their connections within a body leave nothing in the daemon's memory
+    Given a running daemon of region "ost"
+    When 60 callers send 900000 bytes of a longer body and reset their connections
+    Then the daemon's memory has grown by less than 20 MB
+    And the daemon still serves its keys and has logged no internal error
+
   Scenario: A caller that closes its socket while its request runs does not disturb the daemon
     Given a running daemon of region "ost"
     When 20 callers send the request "slow GET" and close their sockets
--- a/tests/features/steps/daemon_input_steps.py
+++ b/tests/features/steps/daemon_input_steps.py
@@ -5,6 +5,7 @@
 import re
 import signal
 import socket
+import struct
 import time
 from pathlib import Path
 
@@ -198,6 +199,31 @@
     assert lengths == {b"%d" % len(parts[1][2])}, context.answers
 
 
+def resident_mb(context):
+    """Return the memory of the daemon that is resident, in MB."""
+    status = Path(f"/proc/{context.node.daemon.process.pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+) kB", status).group(1)) / 1000.0
+
+
+@when("{count:d} callers send {size:d} bytes of a longer body and reset their connections")
+def reset_within_body(context, count, size):
+    context.resident_before = resident_mb(context)
+    host, port = context.node.http.split(":")
+    lines = [f"POST {PATH} HTTP/1.1", "Host: daemon", f"Content-Length: {size + 1}"]
+    head = "\r\n".join([*lines, *(f"{name}: {value}" for name, value in BASE.items()), "", ""]).encode()
+    for _ in range(count):
+        with socket.create_connection((host, int(port)), timeout=3.0) as connection:
+            connection.sendall(head + bytes(size))
+            time.sleep(0.02)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+@then("the daemon's memory has grown by less than {limit:g} MB")
+def check_memory(context, limit):
+    grown = resident_mb(context) - context.resident_before
+    assert grown < limit, grown
+
+
 @when('{count:d} callers send the request "{case}" and close their sockets')
 def leave(context, count, case):
     context.open_before = open_sockets(context)
