--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -132,7 +132,7 @@
         self.metrics = find("metrics")
         self.entry: HttpEntry = find("entry")
         max_callers = caller_connection_limit(descriptor_limit(self.settings.max_descriptors))
-        self.entry.listen(self.settings.caller_address, self.on_request, max_callers)
+        self.entry.listen(self.settings.caller_address, self.on_request, max_connections=max_callers)
 
     def close(self) -> None:
         """Refuse new connections; requests on open ones are served until the process exits."""
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -60,7 +60,10 @@
     Attributes
     ----------
     limits : EntryLimits
-        Size and time limits; a new value applies to input received from then on.
+        Size and time limits of addresses without their own; a new value applies to input received from then
+        on.
+    address_limits : dict
+        Limits of the listening addresses that have their own.
     accepted_count, accept_failures : int
         Connections accepted since the start, and attempts to accept one that failed.
     max_connections : dict of str to int
@@ -84,6 +87,7 @@
         self.memory = memory or BodyMemory()
         self.memory.holders.append(self.held_bytes)
         self.limits = EntryLimits()
+        self.address_limits: dict[str, EntryLimits] = {}
         self.request_handlers: dict[str, RequestHandler] = {}
         self.listeners: dict[socket.socket, str] = {}
         self.connections: dict[socket.socket, EntryConnection] = {}
@@ -119,11 +123,24 @@
         self.memory.report_exceeded("unread response", len(slowest.output_buffer))
         self.connection_lost(slowest, "not_read")
 
-    def listen(self, address: str, handle: RequestHandler, max_connections: int | None = None) -> None:
+    def listen(
+        self,
+        address: str,
+        handle: RequestHandler,
+        limits: EntryLimits | None = None,
+        max_connections: int | None = None,
+    ) -> None:
         """Listen on an address and pass its requests to ``handle``.
 
-        At the limit ``max_connections``, the connection that has been idle longest is closed for a new one;
-        if none is idle, callers wait in the queue of the socket.
+        Parameters
+        ----------
+        address : str
+        handle : callable
+        limits : EntryLimits, optional
+            Limits of this address in place of ``self.limits``.
+        max_connections : int, optional
+            At this limit, the connection that has been idle longest is closed for a new one; if none is idle,
+            callers wait in the queue of the socket.
 
         Raises
         ------
@@ -141,6 +158,8 @@
         if max_connections is not None:
             self.max_connections[address] = max_connections
         self.request_handlers[address] = handle
+        if limits is not None:
+            self.address_limits[address] = limits
         self.listeners[sock] = address
         self.app.poller.addReader(self, sock)
 
@@ -352,8 +371,8 @@
     def enforce_timeouts(self) -> None:
         """Close idle connections, and reject requests whose head takes too long with status 408."""
         now = self.app.clock.monotonic()
-        limits = self.limits
         for connection in list(self.connections.values()):
+            limits = connection.limits
             if connection.discard_until:
                 connection.observe_delivery()
                 receives = connection.undelivered_bytes and connection.idle_seconds <= limits.idle_timeout
