Drop input of the daemon's callers that have reset their connection meanwhile

Cause: circuits.web asks a socket for its peer's address when it makes a request of what was read; after a reset there is none. The line of the log names the place. Change: such input is dropped before circuits.web sees it.

--- a/src/hibiscusdrum/internal/transport/http_server.py
+++ b/src/hibiscusdrum/internal/transport/http_server.py
@@ -80,6 +80,17 @@
         if sock in self.rejected_sockets:
             event.stop()
 
+    @handler("read", priority=2)
+    def drop_input_of_reset_connection(self, event: Any, sock: Any, _data: bytes) -> None:
+        """Drop input whose caller has reset the connection since it was read.
+
+        circuits.web would fail on it, since it asks for the address of the caller.
+        """
+        try:
+            sock.getpeername()
+        except OSError:
+            event.stop()
+
     @handler("_read", priority=2)
     def detect_end_of_input(self, event: Any, sock: Any) -> None:
         """Stop reading from a caller that has closed its sending direction, and keep its connection open.
