Do not let the reader of the daemon's log lines hold up its event loop

Callers saw: nothing is answered, and the daemon joins or renews nothing, once a reader of its standard error no longer reads and the pipe is full.

Cause: the daemon wrote its log lines to standard error in blocking mode; the router has not done so before.

Evidence: a daemon with a full pipe did not join within 20 s. The same scenarios for the router (a reader that never reads, one that closes the pipe at the start or later) passed on the code as it was; with the non-blocking mode taken out the router did not start to serve.

Change: the daemon uses `NonBlockingOutput` too.

--- a/src/hibiscusdrum/internal/daemon/main.py
+++ b/src/hibiscusdrum/internal/daemon/main.py
@@ -21,11 +21,13 @@
 from hibiscusdrum.internal.daemon.stopping import ShutdownCoordinator
 from hibiscusdrum.internal.daemon.target import Target
 from hibiscusdrum.internal.kernel import Application
+from hibiscusdrum.internal.log_output import NonBlockingOutput
 from hibiscusdrum.internal.platform.table_client import TableClient
 from hibiscusdrum.internal.settings import Settings
 from hibiscusdrum.internal.transport.descriptor_limits import raise_descriptor_limit
 from hibiscusdrum.internal.transport.peers import PeerTransport
 
+STDERR_FD = 2
 # Allocations before a collection of the youngest generation. A request creates few reference cycles, so the
 # objects of about 1,000 requests may accumulate.
 GC_YOUNG_THRESHOLD = 20_000
@@ -76,7 +78,7 @@
     HibiscusdrumError
         If a service could not start, for example ``AddressInUse``.
     """
-    log_events.configure(settings.node, settings.log_level)
+    log_events.configure(settings.node, settings.log_level, output=NonBlockingOutput(STDERR_FD))
     raise_descriptor_limit()
     app = build(settings)
     tune_garbage_collector()
