--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -48,6 +48,7 @@
 from hibiscusdrum.internal.router.store_era import StoreEra
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_client import HttpClient
+from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from hibiscusdrum.internal.transport.peers import PeerTransport
 from hibiscusdrum.platform.configuration import decode_config
 from hibiscusdrum.platform.operator import OperatorRows
@@ -622,6 +623,7 @@
     stub.table = Stub("table", era=1)
     stub.sent_bytes = stub.received_bytes = stub.store_calls = stub.delay_counts = {}
     metrics = RouterMetrics(SETTINGS)
+    metrics.entry = HttpEntry()
     metrics.receiver = metrics.range_owner = metrics.members = metrics.traffic = stub
     for line in metrics.render().decode().splitlines():
         if line.startswith("hibiscusdrum_unreadable_total "):
