--- /dev/null
+++ b/soak/proxied_system.py
@@ -0,0 +1,41 @@
+"""System of real processes whose routers reach the store and their targets through proxies."""
+
+from __future__ import annotations
+
+import itertools
+from pathlib import Path
+
+from tools.router_system import HOST, RouterSystem, reserve_port_block
+
+from soak.links import LinkProxy
+
+# Repeated for systems of more VMs.
+VM_PLACEMENTS = [
+    ("east", "east-1", "keyed"),
+    ("west", "west-1", "keyed"),
+    ("east", "east-2", "keyed"),
+    ("east", "east-1", "shared"),
+    ("west", "west-1", "shared"),
+]
+
+
+class ProxiedSystem(RouterSystem):
+    """A system with proxies between each router and the store, and between each router and its target."""
+
+    def __init__(self, folder: Path, links: LinkProxy, vm_count: int) -> None:
+        ports = iter(reserve_port_block(3 * vm_count))
+        self.links = links
+        self.ports = {f"vm{index}": [next(ports) for _ in range(3)] for index in range(vm_count)}
+        placements = list(itertools.islice(itertools.cycle(VM_PLACEMENTS), vm_count))
+        super().__init__(folder, placements, lambda vm, _address: f"{HOST}:{self.ports[vm.name][0]}")
+        for vm in self.vms.values():
+            store, target, reports = self.ports[vm.name]
+            links.add(f"{vm.name} store", store, self.direct_store_address)
+            links.add(f"{vm.name} target", target, vm.address(0))
+            links.add(f"{vm.name} reports", reports, vm.address(3))
+            boot_lines = vm.boot_lines
+            vm.boot_lines = lambda address, boot_lines=boot_lines, target=target: [
+                f"appAddr={HOST}:{target}" if line.startswith("appAddr=") else line
+                for line in boot_lines(address)
+            ]
+            vm.control_address = f"{HOST}:{reports}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import itertools
 import random
 import shutil
 import signal
@@ -16,21 +15,14 @@
 
 import msgspec
 from tools.processes import ConditionTimeout, request, wait_until
-from tools.router_system import HOST, ROUTES, RouterSystem, Vm, reserve_port_block
+from tools.router_system import ROUTES, Vm
 
 from soak.callers import Caller, PipeliningCaller, RequestRecord, SequentialCaller
 from soak.checks import Intervals, disturbed, find_violations
 from soak.links import MODES, PASS, LinkProxy
+from soak.proxied_system import VM_PLACEMENTS, ProxiedSystem
 from soak.stop_checks import CONTACT_SECONDS, STORE, cut_requests, cut_violations, logged_ids
 
-# Repeated for systems of more VMs.
-VM_PLACEMENTS = [
-    ("east", "east-1", "keyed"),
-    ("west", "west-1", "keyed"),
-    ("east", "east-2", "keyed"),
-    ("east", "east-1", "shared"),
-    ("west", "west-1", "shared"),
-]
 EVENTS_PER_SEED = 12
 ROUTER_RESTART_DELAY_SECONDS = 0.4
 # Limit that the platform sets for recovery once all machines are back.
@@ -63,28 +55,6 @@
 PROBED_KEYS = range(0, 65_536, 4_099)
 
 
-class ProxiedSystem(RouterSystem):
-    """A system with proxies between each router and the store, and between each router and its target."""
-
-    def __init__(self, folder: Path, links: LinkProxy, vm_count: int) -> None:
-        ports = iter(reserve_port_block(3 * vm_count))
-        self.links = links
-        self.ports = {f"vm{index}": [next(ports) for _ in range(3)] for index in range(vm_count)}
-        placements = list(itertools.islice(itertools.cycle(VM_PLACEMENTS), vm_count))
-        super().__init__(folder, placements, lambda vm, _address: f"{HOST}:{self.ports[vm.name][0]}")
-        for vm in self.vms.values():
-            store, target, reports = self.ports[vm.name]
-            links.add(f"{vm.name} store", store, self.direct_store_address)
-            links.add(f"{vm.name} target", target, vm.address(0))
-            links.add(f"{vm.name} reports", reports, vm.address(3))
-            boot_lines = vm.boot_lines
-            vm.boot_lines = lambda address, boot_lines=boot_lines, target=target: [
-                f"appAddr={HOST}:{target}" if line.startswith("appAddr=") else line
-                for line in boot_lines(address)
-            ]
-            vm.control_address = f"{HOST}:{reports}"
-
-
 class SoakRun:
     """One seed of the soak: a system, its callers, and random faults."""
 
