Start the routers of some soak seeds under a lower limit of descriptors

Change: three of ten seeds, drawn from a generator of their own, start their routers under a soft limit of 64 descriptors and 8 a VM; the hard limit is inherited unchanged.

--- a/soak/proxied_system.py
+++ b/soak/proxied_system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 from pathlib import Path
 
 from tools.router_system import HOST, RouterSystem, reserve_port_block
@@ -17,6 +18,10 @@
     ("east", "east-1", "shared"),
     ("west", "west-1", "shared"),
 ]
+# Share of systems whose routers start under a lower soft limit of open descriptors, and that limit, which
+# many connections at once reach.
+DESCRIPTOR_LIMIT_SHARE = 0.3
+DESCRIPTORS, DESCRIPTORS_PER_VM = 64, 8
 
 
 class ProxiedSystem(RouterSystem):
@@ -39,3 +44,8 @@
                 for line in boot_lines(address)
             ]
             vm.control_address = f"{HOST}:{reports}"
+
+    def limit_descriptors_at_random(self, rng: random.Random) -> None:
+        """Set a lower soft limit of open descriptors for the routers, or leave them that of this process."""
+        if rng.random() < DESCRIPTOR_LIMIT_SHARE:
+            self.router_descriptors = DESCRIPTORS + DESCRIPTORS_PER_VM * len(self.vms)
--- a/soak/run.py
+++ b/soak/run.py
@@ -82,6 +82,8 @@
         self.reload_rng = random.Random(f"reload {seed}")
         self.unexpected_exits: list[str] = []
         self.pipeline_rng = random.Random(f"pipeline {seed}")
+        self.system.limit_descriptors_at_random(random.Random(f"limit {seed}"))
+        self.log_event(f"soft limit of descriptors: {self.system.router_descriptors or 'inherited'}")
 
     def log_event(self, text: str) -> None:
         """Append a line to the event log, with the time."""
@@ -127,8 +129,8 @@
         read_ids = {vm: logged_ids((self.folder / f"router-{vm}.log").read_bytes()) for vm in self.stops}
         violations += cut_violations(cuts, records, read_ids)
         served = sum(entry.status == 200 for entry in requests)
-        summary = f"{len(requests)} requests, {served} served"
-        summary += f", {len(cuts)} cut by {self.stop_count} planned stops"
+        cut = f"{len(cuts)} cut by {self.stop_count} planned stops"
+        summary = f"{len(requests)} requests, {served} served, {cut}"
         self.log_event(summary)
         self.event_log += [f"cut: {msgspec.json.encode(entry).decode()}" for entry in cuts]
         (self.folder / "events.log").write_text("\n".join([*self.event_log, *violations]) + "\n")
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -5,6 +5,7 @@
 import ctypes
 import http.client
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -85,11 +86,20 @@
     environment : dict of str to str
         Environment variables to add to those of this process. Its own ``HIBISCUSDRUM_*`` variables are not
         inherited.
+    descriptors : int, optional
+        Soft limit of open file descriptors under which the process starts; its hard limit is inherited.
     """
 
     __slots__ = ("log", "process")
 
-    def __init__(self, arguments: Iterable[str], log: Path, environment: dict[str, str], stdin=None) -> None:
+    def __init__(
+        self,
+        arguments: Iterable[str],
+        log: Path,
+        environment: dict[str, str],
+        stdin=None,
+        descriptors: int | None = None,
+    ) -> None:
         self.log = log
         inherited = {
             name: value for name, value in os.environ.items() if not name.startswith("HIBISCUSDRUM_")
@@ -103,7 +113,7 @@
                 stdin=subprocess.DEVNULL if stdin is None else stdin,
                 stdout=output,
                 stderr=output,
-                preexec_fn=_kill_with_parent,
+                preexec_fn=lambda: _prepare_child(descriptors),
             )
 
     @property
@@ -127,6 +137,12 @@
         return self.process.wait(timeout_seconds)
 
 
-def _kill_with_parent() -> None:
-    """Have the kernel kill this child when its parent ends, even if the parent ends by SIGKILL."""
+def _prepare_child(descriptors: int | None) -> None:
+    """Set the soft limit of descriptors, and have the kernel kill this child when its parent ends.
+
+    The kernel does so even if the parent ends by SIGKILL.
+    """
+    if descriptors is not None:
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, hard))
     libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -97,6 +97,11 @@
     store_address : callable, optional
         Takes a VM and the address of the store; returns the address at which the VM reaches the store,
         such as that of a proxy. Defaults to the address of the store.
+
+    Attributes
+    ----------
+    router_descriptors : int or None
+        Soft limit of open descriptors under which routers start; None for that of this process.
     """
 
     def __init__(self, folder: Path, placements: list[tuple[str, str, str]], store_address=None) -> None:
@@ -105,6 +110,7 @@
         ports = reserve_port_block(count * PORTS_PER_VM + 1)
         self.store_port = ports.pop()
         self.store_address = store_address or (lambda _vm, address: address)
+        self.router_descriptors: int | None = None
         self.version = 0
         self.store: Process | None = None
         self.vms: dict[str, Vm] = {}
@@ -167,6 +173,7 @@
             ["-m", "hibiscusdrum.platform"],
             self.folder / f"router-{vm.name}.log",
             {"HIBISCUSDRUM_BOOT": str(boot)},
+            descriptors=self.router_descriptors,
         )
 
     def all_services_answer(self) -> bool:
