Have callers of the soak use their connections in more manners

Change: one more caller a VM draws a manner for each request: half-closed, HTTP/1.0, a new connection, uploads of 100 to 199 kB at once, slowly in chunks or after an interim response, 4 MB read slowly, sending on after a close; a fifth of the requests take 0.8 s. Interim responses are no answers.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,7 @@
 
 import httptools
 import msgspec
+from tools.standins.holding_target import LARGE_BODY
 
 HEADER_PREFIX = "x-hibiscusdrum-"
 DEADLINE_MS = 2000
@@ -27,6 +28,8 @@
 # Share of the pipelined reads that have a key.
 PIPELINED_KEY_SHARE = 0.3
 RECEIVE_BYTES = 65_536
+# Lower statuses are those of interim responses.
+FINAL_STATUS = 200
 ATTEMPT_NUMBERS = itertools.count()
 
 
@@ -194,9 +197,10 @@
 
     def __init__(self, records: list[RequestRecord]) -> None:
         self.waiting = deque(records)
+        self.interim_count = 0
         self.keep_alive = True
         self.signature = ""
-        self.body = b""
+        self.body_parts: list[bytes] = []
         self.parser = httptools.HttpResponseParser(self)
 
     @property
@@ -206,7 +210,7 @@
 
     def on_message_begin(self) -> None:
         """Begin a new answer."""
-        self.signature, self.body = "", b""
+        self.signature, self.body_parts = "", []
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep the target's signature."""
@@ -215,12 +219,18 @@
 
     def on_body(self, data: bytes) -> None:
         """Append to the body."""
-        self.body += data
+        self.body_parts.append(data)
 
     def on_message_complete(self) -> None:
-        """Enter the answer into the record of the oldest request without one."""
+        """Enter the answer into the record of the oldest request without one; skip interim responses."""
+        if self.parser.get_status_code() < FINAL_STATUS:
+            self.interim_count += 1
+            return
         self.keep_alive = self.parser.should_keep_alive()
         if self.waiting:
             record = self.waiting.popleft()
             record.status, record.signature = self.parser.get_status_code(), self.signature
-            record.body, record.ended_at = self.body, time.monotonic()
+            body = b"".join(self.body_parts)
+            # Records share one copy of it.
+            record.body = LARGE_BODY if body == LARGE_BODY else body
+            record.ended_at = time.monotonic()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,6 +5,8 @@
 from collections import defaultdict
 from typing import Any
 
+from tools.standins.holding_target import LARGE_BODY
+
 from soak.callers import RequestRecord
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -128,6 +130,8 @@
     if entry.status == 200:
         name = entry.signature.removeprefix("sig-")
         expected = f"{name} {entry.path} {entry.body_bytes}".encode()
+        if entry.path.endswith("/large"):
+            expected = LARGE_BODY
         if not name or entry.body != expected:
             violations.append(f"wrong answer {entry.body[:60]!r}: {description}")
         if not any(run["target"] == f"i-{name}" for run in runs):
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,6 +20,7 @@
 from soak.callers import Caller, PipeliningCaller, RequestRecord, SequentialCaller
 from soak.checks import Intervals, disturbed, find_violations
 from soak.links import MODES, PASS, LinkProxy
+from soak.manners import manner_callers
 from soak.proxied_system import VM_PLACEMENTS, ProxiedSystem
 from soak.stop_checks import CONTACT_SECONDS, STORE, cut_requests, cut_violations, logged_ids
 
@@ -105,6 +106,7 @@
                 SequentialCaller(vm, self.rng.random()) for vm in self.system.vms.values() for _ in range(2)
             ]
             callers += [PipeliningCaller(vm, self.pipeline_rng.random()) for vm in self.system.vms.values()]
+            callers += manner_callers(list(self.system.vms.values()), random.Random(f"manner {self.seed}"))
             for caller in callers:
                 caller.start()
             for _ in range(EVENTS_PER_SEED):
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -47,3 +47,6 @@
       | as its path asked for                  |
       | 3 s after the end of a fault of its VM |
       | 3 s after the end of a fault of the store, with a key |
+
+  Scenario: Interim responses are no answers
+    Then an interim response before an answer is not entered as the answer
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -3,6 +3,7 @@
 The last segment of a request's path selects a fault:
 
 - ``slow``: the request takes 2 s.
+- ``long``: the request takes 0.8 s.
 - ``lost``: the request runs and the connection is closed without a response.
 - ``garbled``: the response is not valid HTTP.
 - ``short``: the connection is closed before the end of the response body.
@@ -41,6 +42,8 @@
 
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 HEADER_PREFIX = "x-hibiscusdrum-"
+SLOW_SECONDS = 2.0
+LONG_SECONDS = 0.8
 COPY_DELAY_SECONDS = 0.05
 LARGE_BODY = b"large " * 700_000
 PART_BYTES = 262_144
@@ -187,7 +190,7 @@
             caller=request.header(HEADER_PREFIX + "caller"),
             deadline=request.header(HEADER_PREFIX + "deadline-ms"),
         )  # fmt: skip
-        service_seconds = 2.0 if fault == "slow" else self.options.seconds
+        service_seconds = {"slow": SLOW_SECONDS, "long": LONG_SECONDS}.get(fault, self.options.seconds)
         self.app.scheduler.call_later(service_seconds, lambda: self.send_response(request, headers, fault))
 
     def on_control(self, path: str) -> bool:
