Check in the soak that requests get answers at any time

Change: reported are requests that a router read or a target ran and that ended without an answer, at any time; 502 or 504 of a stopping router's own while the target's run went on and succeeded; and routers that leave most of the requests that reach their time without an answer. Targets write a record of each success.

--- a/soak/run.py
+++ b/soak/run.py
@@ -20,9 +20,10 @@
 from soak.callers import Caller, PipeliningCaller, RequestRecord, SequentialCaller
 from soak.checks import Intervals, disturbed, find_violations
 from soak.links import MODES, PASS, LinkProxy
+from soak.loss_checks import lost_violations, replaced_violations, silent_violations
 from soak.manners import manner_callers
 from soak.proxied_system import VM_PLACEMENTS, ProxiedSystem
-from soak.stop_checks import CONTACT_SECONDS, STORE, cut_requests, cut_violations, logged_ids
+from soak.stop_checks import CONTACT_SECONDS, STORE, cut_requests, cut_violations, read_ids_by_vm
 
 EVENTS_PER_SEED = 12
 ROUTER_RESTART_DELAY_SECONDS = 0.4
@@ -128,8 +129,11 @@
             violations += self.unexpected_exits
             self.system.stop()
         cuts = cut_requests(requests, self.stops, self.unplanned_faults)
-        read_ids = {vm: logged_ids((self.folder / f"router-{vm}.log").read_bytes()) for vm in self.stops}
+        read_ids = read_ids_by_vm(self.folder, self.system.vms)
         violations += cut_violations(cuts, records, read_ids)
+        violations += lost_violations(requests, records, self.stops, self.unplanned_faults, read_ids)
+        violations += replaced_violations(requests, records, self.stops, self.unplanned_faults)
+        violations += silent_violations(requests, self.disturbances)
         served = sum(entry.status == 200 for entry in requests)
         cut = f"{len(cuts)} cut by {self.stop_count} planned stops"
         summary = f"{len(requests)} requests, {served} served, {cut}"
--- a/soak/stop_checks.py
+++ b/soak/stop_checks.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
+from pathlib import Path
 from typing import Any
 
 from soak.callers import TARGET_FAULTS, RequestRecord
@@ -22,6 +24,12 @@
     return {attempt.decode() for attempt in LOGGED_ID.findall(log)}
 
 
+def read_ids_by_vm(folder: Path, vms: Iterable[str]) -> dict[str, set[str]]:
+    """Return the ids of the requests that each VM's router logged; it may not have been started."""
+    logs = {vm: folder / f"router-{vm}.log" for vm in vms}
+    return {vm: logged_ids(log.read_bytes()) if log.exists() else set() for vm, log in logs.items()}
+
+
 def cut_requests(requests: list[RequestRecord], stops: Intervals, faults: Intervals) -> list[RequestRecord]:
     """Return the requests whose connections ended without an answer because of a planned stop.
 
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -21,7 +21,7 @@
 ``POST /limit/RATE`` makes each response state a limit of RATE requests per second, ``POST /limit/none`` none,
 and ``POST /leaving`` that the target leaves.
 
-Each executed request, grant and statement is written to standard output as one JSON line.
+Each executed request, success, grant and statement is written to standard output as one JSON line.
 """
 
 from __future__ import annotations
@@ -261,6 +261,7 @@
         elif fault in ENDLESS_PARTS:
             self.send_endless(request, headers, *ENDLESS_PARTS[fault])
         elif fault == "large":
+            self.write_event("success", id=request.header(HEADER_PREFIX + "attempt-id"))
             request.respond(200, signed_headers, LARGE_BODY)
         elif fault == "cut-head":
             connection.write(b"HTTP/1.1 200 OK\r\nx-hibiscusdrum-response-sig: s\r\ncontent-le")
@@ -271,6 +272,7 @@
                     b"HTTP/1.1 200 OK\r\nx-hibiscusdrum-attempt-id: other\r\n"
                     b"x-hibiscusdrum-response-sig: s\r\ncontent-length: 5\r\n\r\nwrong"
                 )
+            self.write_event("success", id=request.header(HEADER_PREFIX + "attempt-id"))
             request.respond(200, signed_headers, body)
             if fault == "copy":
                 self.send_copy(request)
