--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,6 +5,8 @@
 from collections import defaultdict
 from typing import Any
 
+from tools.standins.holding_target import LARGE_BODY
+
 from soak.callers import RequestRecord
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -48,9 +50,11 @@
     violations = []
     for entry in requests:
         violations += answer_violations(entry, runs[entry.attempt])
-        waited = entry.ended_at - entry.started_at - router_pause_seconds(entry, pauses)
+        answered_at = entry.ended_at - entry.reading_seconds
+        waited = answered_at - entry.started_at - router_pause_seconds(entry, pauses)
         if entry.status and waited > DEADLINE_SECONDS + LATE_ANSWER_TOLERANCE_SECONDS:
-            violations.append(f"answered after {waited:.2f} s: {entry.attempt} {entry.path} on {entry.vm}")
+            where = f"{entry.path} on {entry.vm} at {answered_at:.3f}"
+            violations.append(f"answered after {waited:.2f} s: {entry.attempt} {where}")
     violations += limit_violations(records, disturbances)
     violations += leaving_violations(requests, records, disturbances)
     return violations + hold_violations(records)
@@ -128,6 +132,8 @@
     if entry.status == 200:
         name = entry.signature.removeprefix("sig-")
         expected = f"{name} {entry.path} {entry.body_bytes}".encode()
+        if entry.path.endswith("/large"):
+            expected = LARGE_BODY
         if not name or entry.body != expected:
             violations.append(f"wrong answer {entry.body[:60]!r}: {description}")
         if not any(run["target"] == f"i-{name}" for run in runs):
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import itertools
 import random
 import shutil
 import signal
@@ -16,21 +15,17 @@
 
 import msgspec
 from tools.processes import ConditionTimeout, request, wait_until
-from tools.router_system import HOST, ROUTES, RouterSystem, Vm, reserve_port_block
+from tools.router_system import ROUTES, Vm
 
 from soak.callers import Caller, PipeliningCaller, RequestRecord, SequentialCaller
 from soak.checks import Intervals, disturbed, find_violations
 from soak.links import MODES, PASS, LinkProxy
-from soak.stop_checks import CONTACT_SECONDS, STORE, cut_requests, cut_violations, logged_ids
-
-# Repeated for systems of more VMs.
-VM_PLACEMENTS = [
-    ("east", "east-1", "keyed"),
-    ("west", "west-1", "keyed"),
-    ("east", "east-2", "keyed"),
-    ("east", "east-1", "shared"),
-    ("west", "west-1", "shared"),
-]
+from soak.loss_checks import lost_violations, replaced_violations, silent_violations
+from soak.manners import manner_callers
+from soak.proxied_system import VM_PLACEMENTS, ProxiedSystem
+from soak.stalls import StallLog
+from soak.stop_checks import CONTACT_SECONDS, STORE, cut_requests, cut_violations, read_ids_by_vm
+
 EVENTS_PER_SEED = 12
 ROUTER_RESTART_DELAY_SECONDS = 0.4
 # Limit that the platform sets for recovery once all machines are back.
@@ -63,28 +58,6 @@
 PROBED_KEYS = range(0, 65_536, 4_099)
 
 
-class ProxiedSystem(RouterSystem):
-    """A system with proxies between each router and the store, and between each router and its target."""
-
-    def __init__(self, folder: Path, links: LinkProxy, vm_count: int) -> None:
-        ports = iter(reserve_port_block(3 * vm_count))
-        self.links = links
-        self.ports = {f"vm{index}": [next(ports) for _ in range(3)] for index in range(vm_count)}
-        placements = list(itertools.islice(itertools.cycle(VM_PLACEMENTS), vm_count))
-        super().__init__(folder, placements, lambda vm, _address: f"{HOST}:{self.ports[vm.name][0]}")
-        for vm in self.vms.values():
-            store, target, reports = self.ports[vm.name]
-            links.add(f"{vm.name} store", store, self.direct_store_address)
-            links.add(f"{vm.name} target", target, vm.address(0))
-            links.add(f"{vm.name} reports", reports, vm.address(3))
-            boot_lines = vm.boot_lines
-            vm.boot_lines = lambda address, boot_lines=boot_lines, target=target: [
-                f"appAddr={HOST}:{target}" if line.startswith("appAddr=") else line
-                for line in boot_lines(address)
-            ]
-            vm.control_address = f"{HOST}:{reports}"
-
-
 class SoakRun:
     """One seed of the soak: a system, its callers, and random faults."""
 
@@ -112,6 +85,8 @@
         self.reload_rng = random.Random(f"reload {seed}")
         self.unexpected_exits: list[str] = []
         self.pipeline_rng = random.Random(f"pipeline {seed}")
+        self.system.limit_descriptors_at_random(random.Random(f"limit {seed}"))
+        self.log_event(f"limits of descriptors: {self.system.descriptor_limits or 'inherited'}")
 
     def log_event(self, text: str) -> None:
         """Append a line to the event log, with the time."""
@@ -129,7 +104,8 @@
         violations: list[str] = []
         try:
             self.system.start()
-            callers = [
+            callers = [StallLog(self.log_event), *manner_callers(self.system.vms.values(), self.seed)]
+            callers += [
                 SequentialCaller(vm, self.rng.random()) for vm in self.system.vms.values() for _ in range(2)
             ]
             callers += [PipeliningCaller(vm, self.pipeline_rng.random()) for vm in self.system.vms.values()]
@@ -142,7 +118,7 @@
                 self.stop_router_at_random()
                 self.reload_router_at_random()
                 self.sleep_restarting_routers(self.rng.uniform(0.1, 2.5))
-            violations += self.recover()
+            self.recover()
         except ConditionTimeout as error:
             violations.append(f"not reached: {error}")
         finally:
@@ -154,11 +130,14 @@
             violations += self.unexpected_exits
             self.system.stop()
         cuts = cut_requests(requests, self.stops, self.unplanned_faults)
-        read_ids = {vm: logged_ids((self.folder / f"router-{vm}.log").read_bytes()) for vm in self.stops}
+        read_ids = read_ids_by_vm(self.folder, self.system.vms)
         violations += cut_violations(cuts, records, read_ids)
+        violations += lost_violations(requests, records, self.stops, self.unplanned_faults, read_ids)
+        violations += replaced_violations(requests, records, self.stops, self.unplanned_faults)
+        violations += silent_violations(requests, self.disturbances)
         served = sum(entry.status == 200 for entry in requests)
-        summary = f"{len(requests)} requests, {served} served"
-        summary += f", {len(cuts)} cut by {self.stop_count} planned stops"
+        cut = f"{len(cuts)} cut by {self.stop_count} planned stops"
+        summary = f"{len(requests)} requests, {served} served, {cut}"
         self.log_event(summary)
         self.event_log += [f"cut: {msgspec.json.encode(entry).decode()}" for entry in cuts]
         (self.folder / "events.log").write_text("\n".join([*self.event_log, *violations]) + "\n")
@@ -349,7 +328,7 @@
         self.disturb(vm, RESTART_SECONDS)
         self.system.restart_target(vm)
 
-    def recover(self) -> list[str]:
+    def recover(self) -> None:
         """End all faults, then wait until everything is served and a new configuration is in force."""
         for timer in self.repair_timers:
             timer.cancel()
@@ -379,7 +358,6 @@
             CONFIGURATION_LIMIT_SECONDS,
             "the last configuration",
         )
-        return []
 
     def wait_restarting_routers(self, condition, seconds: float, description: str) -> None:
         """Wait for a condition, restarting routers that exit meanwhile."""
