Take a peer for which no socket can be opened for unreachable

Cause: the ZMQError of a socket that cannot be opened escaped from gateway.cancel_forward, the choice of a node, the pings and the changes of members. Where it escaped the callback of a deadline, the request stayed without an answer for good. Change: such a message counts as not sent, as if there was no connection; event peer_socket_failed. Why it works: callers of try_send_request know what to do if nothing was sent; none has to know of sockets.

--- a/src/hibiscusdrum/internal/log_events.py
+++ b/src/hibiscusdrum/internal/log_events.py
@@ -413,6 +413,19 @@
     party: str
 
 
+class PeerSocketFailed(LogEvent, frozen=True):
+    """No socket could be opened for a connection to a peer, which counts as unreachable."""
+
+    number = 606
+    level = "WARNING"
+    rate_limited = True
+    cause = "The process has no free file descriptor, or its limit of sockets is reached."
+    operator_action = "Raise the limit of file descriptors."
+
+    address: str
+    reason: str
+
+
 class RequestRefusedRegion(LogEvent, frozen=True):
     """A request arrived outside its tenant's home regions and was not run."""
 
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -218,8 +218,8 @@
             return 0
         return sum(map(len, frames))
 
-    def peer(self, address: str, heartbeats: bool = False) -> Peer:
-        """Return the connection to an address, opening one if there is none.
+    def peer(self, address: str, heartbeats: bool = False) -> Peer | None:
+        """Return the connection to an address, opening one if there is none; None if that is not possible.
 
         Parameters
         ----------
@@ -229,7 +229,12 @@
         """
         peer = self.peers.get(address)
         if peer is None:
-            peer = self.peers[address] = Peer(self.context, address, self.identity, heartbeats)
+            try:
+                peer = Peer(self.context, address, self.identity, heartbeats)
+            except zmq.ZMQError as error:
+                log_events.emit(log_events.PeerSocketFailed(address=address, reason=str(error)))
+                return None
+            self.peers[address] = peer
             peer.descriptor = self.watch_socket(peer.socket, lambda: self.read_peer(peer))
         return peer
 
@@ -277,6 +282,8 @@
         if body:
             frames.append(body)
         peer = self.peer(address)
+        if peer is None:
+            return 0
         self.possibly_readable.add(peer.descriptor)
         return sum(map(len, frames)) if peer.try_send(frames) else 0
 
@@ -289,8 +296,13 @@
         return bool(peer.socket.getsockopt(zmq.EVENTS) & zmq.POLLOUT)
 
     def send(self, address: str, frames: list[bytes]) -> None:
-        """Send a message now, or keep it pending for up to ``CONNECT_TIMEOUT_SECONDS``."""
+        """Send a message now, or keep it pending for up to ``CONNECT_TIMEOUT_SECONDS``.
+
+        It is dropped if no socket can be opened.
+        """
         peer = self.peer(address)
+        if peer is None:
+            return
         self.possibly_readable.add(peer.descriptor)
         if not peer.pending and peer.try_send(frames):
             return
--- a/tests/features/silent_peers.feature
+++ b/tests/features/silent_peers.feature
@@ -16,6 +16,13 @@
     When the peer is silent for 2 s, and then a new process of it answers a ping
     Then the order is given up as one that may have run
 
+  Scenario: A request to a node for which no socket can be opened is known not to have been sent
+    Given a transport that can open no further socket
+    When a request and a control message are sent to a new address
+    Then both return, and nothing of the request was sent
+    When sockets can be opened again, and a node listens at the address
+    Then a further request is sent to it
+
   Scenario: An order whose connection is lost is given up
     Given a router that sends an order and a read to a peer
     When the connection to the peer is lost
--- a/tests/features/steps/silent_peers_steps.py
+++ b/tests/features/steps/silent_peers_steps.py
@@ -7,17 +7,20 @@
 from types import SimpleNamespace
 
 import msgspec
+import zmq
 from behave import given, then, when
+from tests.loopback import Loopback, free_address
 from tests.router_stubs import FREE, SETTINGS, Stub, application, forward
 from tests.router_world import Loop
 
 from hibiscusdrum.internal.daemon.target import Announcement, Target
-from hibiscusdrum.internal.messages import Answered, Closing, Declined, Pong
+from hibiscusdrum.internal.messages import Answered, Cancel, Closing, Declined, Pong
 from hibiscusdrum.internal.router.hop import CLOSING_REASON, Forwarder
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.members import Members, NodeRow
 from hibiscusdrum.internal.router.selection import NodeSelector
 from hibiscusdrum.internal.router.traffic import Traffic
+from hibiscusdrum.internal.transport.peers import PeerTransport
 
 ORDER, READ = 1, 2
 STEP_SECONDS = 0.05
@@ -232,3 +235,36 @@
 @then("the target is lost")
 def is_lost(context):
     assert context.lost()
+
+
+@given("a transport that can open no further socket")
+def transport_at_limit(context):
+    context.transport = PeerTransport(free_address(), b"")
+    context.transport.context.set(zmq.MAX_SOCKETS, 1)
+    context.loopback = Loopback(context.transport)
+    context.add_cleanup(context.loopback.stop)
+    context.address = free_address()
+
+
+@when("a request and a control message are sent to a new address")
+def sent_without_socket(context):
+    context.sent = context.transport.try_send_request(context.address, Cancel(b"1"))
+    context.transport.send_control(context.address, Cancel(b"2"))
+
+
+@then("both return, and nothing of the request was sent")
+def nothing_sent(context):
+    assert context.sent == 0 and not context.transport.peers
+
+
+@when("sockets can be opened again, and a node listens at the address")
+def sockets_again(context):
+    context.transport.on_stop()
+    context.transport.context = zmq.Context()
+    context.transport.bind(context.address)
+
+
+@then("a further request is sent to it")
+def sent_again(context):
+    context.transport.on_request = lambda *_message: None
+    context.loopback.run_until(lambda: context.transport.try_send_request(context.address, Cancel(b"3")) > 0)
