Let the bound on the store's clock age, so that a lease ends in time for any uptime

Cause: StoreClock kept the least offset for the life of the process, though the clocks drift apart. Why it works: an observation bounds the store's clock at its time, and from then on the clocks differ by at most that rate.

--- a/src/hibiscusdrum/internal/router/range_lease.py
+++ b/src/hibiscusdrum/internal/router/range_lease.py
@@ -73,19 +73,25 @@
 class StoreClock:
     """Upper bound of the store's clock, so that an owner stops too early rather than too late.
 
+    An observation ages, since the clocks run at different rates: the bound rises by ``MAX_CLOCK_DRIFT`` in
+    each second from then on, until another observation is lower.
+
     Attributes
     ----------
     observed : bool
         Whether a stamped answer has been observed.
     max_offset : float
-        Upper bound in seconds of the store's clock minus the local one.
+        Upper bound in seconds of the store's clock minus the local one at the time ``observed_at``.
+    observed_at : float
+        Local monotonic time in seconds.
     """
 
-    __slots__ = ("max_offset", "observed")
+    __slots__ = ("max_offset", "observed", "observed_at")
 
     def __init__(self) -> None:
         self.observed = False
         self.max_offset = 0.0
+        self.observed_at = 0.0
 
     def observe(self, sent_at: float, store_time: float) -> None:
         """Update the bound from the stamp of an answer.
@@ -99,13 +105,13 @@
         """
         offset = store_time - sent_at
         # The stamp was made after the request was sent, so each observation is an upper bound of the offset.
-        if not self.observed or offset < self.max_offset:
-            self.max_offset = offset
+        if not self.observed or offset < self.upper_bound(sent_at) - sent_at:
+            self.max_offset, self.observed_at = offset, sent_at
             self.observed = True
 
     def upper_bound(self, now: float) -> float:
         """Return an upper bound of the store's current time."""
-        return now + self.max_offset
+        return now + self.max_offset + max(0.0, now - self.observed_at) * MAX_CLOCK_DRIFT
 
     def reset(self) -> None:
         """Discard the bound, for example when the store's clock was replaced."""
