--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -278,7 +278,7 @@
     app.add(Stub("rings"))
     app.add(Stub("receiver", set_route_table=lambda _: None, reported_rate=lambda: 0.0))
     app.add(Stub("metrics", count_ended=lambda *_: None))
-    app.add(Stub("entry", listen=lambda *_: None, limits=None))
+    app.add(Stub("entry", listen=lambda *_, **_options: None, limits=None))
     context.hop = app.add(SentHop())
     selection = NodeSelector("east", "east-1", random.Random(1))
     context.gateway = app.add(Gateway(SETTINGS, HeaderNames(), selection))
--- a/tests/overload_world.py
+++ b/tests/overload_world.py
@@ -197,7 +197,7 @@
         self.app.add(Stub("rings"))
         quiet = dict.fromkeys(("count_ended", "count_declined", "count_run"), lambda *_: None)
         self.app.add(Stub("metrics", **quiet))
-        self.app.add(Stub("entry", listen=lambda *_: None, limits=None))
+        self.app.add(Stub("entry", listen=lambda *_, **_options: None, limits=None))
         self.target = self.app.add(LocalTarget(settings))
         self.http = self.app.add(WorldTarget(world, self))
         self.peers = self.app.add(WorldPeers(world, self))
