Tell a crash of the target from a lost connection, and log the requests that it was running

Event 847 names the suspects with an identity that all attempts of a request share. Routing is as before.

--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -5,6 +5,7 @@
 import random
 
 from hibiscusdrum.internal.kernel import Application, Service
+from hibiscusdrum.internal.router.crash_detector import CrashDetector
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.hop import Forwarder
 from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper
@@ -23,6 +24,7 @@
 from hibiscusdrum.internal.router.target_signals import is_refusal
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.body_memory import BodyMemory
+from hibiscusdrum.internal.transport.connect_probe import ConnectProbe
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from hibiscusdrum.internal.transport.peers import PeerTransport
@@ -65,6 +67,7 @@
     selection = NodeSelector(settings.region, settings.failure_domain, rng)
     memory = BodyMemory(settings.memory_bytes)
     app.add(target_client(names, memory))
+    app.add(ConnectProbe())
     app.add(table)
     app.add(PeerTransport(settings.peer_address, b""))
     app.add(HttpEntry(memory))
@@ -77,6 +80,7 @@
     app.add(LeaseKeeper(settings))
     app.add(RangeOwner(settings))
     app.add(RouterMetrics(settings))
+    app.add(CrashDetector(settings))
     app.add(Receiver(settings, names))
     app.add(Gateway(settings, names, selection))
     app.add(Readiness(settings))
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -643,6 +643,25 @@
     life: str
 
 
+class TargetCrashed(LogEvent, frozen=True):
+    """The target's process has ended while it was running requests, the suspects.
+
+    ``ids``, ``identities`` and ``crashes`` have an entry for each suspect: the id of the attempt, the
+    identity that all attempts of the same request share, and the crashes under it that are known, one after
+    the other.
+    """
+
+    number = 847
+    level = "WARNING"
+    cause = "A fault of the target or its VM, or a request that it cannot run."
+    operator_action = "If one identity is suspected again and again, see OPERATIONS.md."
+
+    life: str
+    ids: tuple[str, ...]
+    identities: tuple[str, ...]
+    crashes: tuple[int, ...]
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
@@ -682,6 +701,7 @@
         StoreRegained,
         TableReread,
         TargetChanged,
+        TargetCrashed,
         TargetGone,
         TargetLeaving,
         TargetLimitChanged,
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -18,6 +18,7 @@
     AdmissionQueue,
     QueueEntry,
 )
+from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON, CrashDetector
 from hibiscusdrum.internal.router.hop import CLOSING_REASON
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetState
 from hibiscusdrum.internal.router.range_owner import KeyState, RangeOwner
@@ -96,16 +97,22 @@
         HTTP exchange with the target while it is in progress.
     incarnation : str
         Incarnation of the target to which the request was sent.
+    identity : bytes
+        Identity of the request; empty as long as it was not needed.
+    crashes : int
+        Crashes of targets under this request that were known when it was sent.
     """
 
     __slots__ = (
         "arrived_at",
         "body",
         "body_parts",
+        "crashes",
         "deadline",
         "exchange",
         "forward",
         "goal_at",
+        "identity",
         "incarnation",
         "queue_entry",
         "reply",
@@ -124,6 +131,13 @@
         self.exchange: HttpExchange | None = None
         self.incarnation = ""
         self.sent_at = 0.0
+        self.identity = b""
+        self.crashes = 0
+
+    @property
+    def has_been_sent(self) -> bool:
+        """Whether the target has been sent the request."""
+        return self.incarnation != ""
 
 
 class Receiver(Service):
@@ -180,6 +194,8 @@
         self.members = find("members")
         self.http_client: HttpClient = find("http_client")
         self.target.is_serving = lambda: self.http_client.has_sent_exchange(self.settings.target_address)
+        self.crash_detector: CrashDetector = find("crash_detector")
+        self.crash_detector.on_outcome = self.on_interruption_decided
         self.forwarder = find("hop")
         self.metrics = find("metrics")
         self.rings = find("rings")
@@ -356,7 +372,7 @@
 
     def decline_unsent(self) -> None:
         """Decline the requests that the target was not sent, because the process is about to end."""
-        for job in [job for job in self.jobs.values() if job.exchange is None]:
+        for job in [job for job in self.jobs.values() if not job.has_been_sent]:
             if job.queue_entry is not None:
                 self.admission.remove(job.queue_entry)
             elif job in self.awaiting_keys:
@@ -670,10 +686,17 @@
 
     def on_failure(self, job: Job, failure: HttpFailure) -> None:
         """Decline a request whose exchange with the target failed."""
-        if failure.kind is FailureKind.REFUSED and not failure.bytes_sent:
+        if failure.bytes_sent:
+            self.crash_detector.on_interrupted(job, failure)
+            return
+        if failure.kind is FailureKind.REFUSED:
             self.target.on_connection_refused()
-        reason = f"target_{failure.kind.value}"
-        self.decline(job, reason, may_have_run=failure.bytes_sent, arrived=failure.bytes_sent)
+        self.decline(job, f"target_{failure.kind.value}")
+
+    def on_interruption_decided(self, job: Job, failure: HttpFailure, crashed: bool) -> None:
+        """Decline a request that the target may have run, but has not answered."""
+        reason = CRASHED_REASON if crashed else f"target_{failure.kind.value}"
+        self.decline(job, reason, may_have_run=True, arrived=True)
 
     def decline(
         self,
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -641,6 +641,7 @@
     app.add(Stub("http_client", request=lambda *_arguments, **_more: None))
     target = app.add(LocalTarget(SETTINGS))
     settings = msgspec.structs.replace(SETTINGS, link_bytes_per_second=float(rate))
+    app.add(Stub("crash_detector"))
     receiver = context.receiver = app.add(Receiver(settings, HeaderNames()))
     receiver.on_start()
     target.on_heartbeat(TargetHeartbeat("i-1", "other", "127.0.0.1:1", 6, False, 1), lambda _grant: None)
--- a/tests/features/steps/target_signals_steps.py
+++ b/tests/features/steps/target_signals_steps.py
@@ -309,6 +309,7 @@
     app.add(Stub("metrics", count_declined=lambda *_: None, count_run=lambda *_: None))
     context.target = app.add(AnsweringTarget())
     local_target = app.add(LocalTarget(SETTINGS))
+    app.add(Stub("crash_detector"))
     context.receiver = app.add(Receiver(SETTINGS, NAMES))
     local_target.on_start()
     context.receiver.on_start()
--- a/tests/overload_world.py
+++ b/tests/overload_world.py
@@ -202,6 +202,7 @@
         self.http = self.app.add(WorldTarget(world, self))
         self.peers = self.app.add(WorldPeers(world, self))
         self.hop = self.app.add(Forwarder(settings, selection))
+        self.app.add(Stub("crash_detector"))
         self.receiver = self.app.add(Receiver(settings, NAMES))
         self.gateway = self.app.add(Gateway(settings, NAMES, selection))
         for service in ("local_target", "hop", "receiver", "gateway"):
