--- /dev/null
+++ b/tests/features/steps/poison_requests_steps.py
@@ -0,0 +1,135 @@
+"""Steps on requests that crash each target that begins to run them."""
+
+import random
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from tools.target_keeper import TargetKeeper
+
+CRASHES_TO_QUARANTINE = 3
+
+SOUND_CALLERS = 8
+CONTACT_SECONDS = 4.0
+LARGE_POISON = b"crash " * 500
+# Host, path, method, key and body.
+READ = ("grants.example", "/r/poison/crash", "GET", None, None)
+KEYED_READ = ("keys.example", "/k/poison/crash", "GET", 40_000, None)
+POST = ("grants.example", "/g/orders", "POST", None, LARGE_POISON)
+POISON = {
+    "a read, a read with a key and a large POST": (READ, KEYED_READ, POST),
+    "a read": (READ,),
+    "a POST to the path of a sound one": (POST,),
+}
+
+
+class Repetition(threading.Thread):
+    """Sends requests one after the other at random routers of one service until told to stop.
+
+    Attributes
+    ----------
+    answers : list of (float, str, int)
+        Monotonic time in seconds, attempt id and status of each.
+    """
+
+    def __init__(self, system, name, seed, make_request, pauses):
+        super().__init__(daemon=True)
+        self.system, self.attempt_prefix, self.make_request, self.pauses = system, name, make_request, pauses
+        self.rng = random.Random(seed)
+        self.answers = []
+        self.stopped = threading.Event()
+
+    def run(self):
+        """Send until told to stop."""
+        routers = [vm for vm in self.system.vms.values() if vm.service == "keyed"]
+        while not self.stopped.is_set():
+            attempt = f"{self.attempt_prefix}-{len(self.answers)}"
+            host, path, method, key, body = self.make_request(self.rng, len(self.answers))
+            status, headers, _body = self.system.send_request(
+                self.rng.choice(routers), host, path, method, key, body, attempt=attempt
+            )
+            self.answers.append((time.monotonic(), attempt, status, headers))
+            self.stopped.wait(self.rng.uniform(*self.pauses))
+
+    def stop(self):
+        """Stop and wait for the last answer."""
+        self.stopped.set()
+        self.join()
+
+
+def sound_request(rng, number):
+    """Return a request that any target can run."""
+    choices = (
+        ("grants.example", f"/r/{rng.randrange(200)}", "GET", None, None),
+        ("grants.example", "/g/orders", "POST", None, b"order %d" % number),
+        ("keys.example", f"/k/{number}", "GET", rng.randrange(65_536), None),
+    )
+    return rng.choice(choices)
+
+
+@given("a system of routers whose targets are started again 3 s after a crash")
+def system_with_keeper(context):
+    context.execute_steps("Given a system of routers")
+    keeper = TargetKeeper(context.system)
+    keeper.start()
+    context.add_cleanup(keeper.stop)
+
+
+@when("{requests} are repeated for {seconds:d} s beside sound ones, while nothing else happens")
+def repeated(context, requests, seconds):
+    play(context, requests, seconds, lambda: time.sleep(seconds))
+
+
+@when("{requests} are repeated for {seconds:d} s beside sound ones, while the routers restart in turn")
+def repeated_with_restarts(context, requests, seconds):
+    def restart_routers():
+        ends_at = time.monotonic() + seconds
+        vms = list(context.system.vms.values())
+        for vm in vms:
+            vm.router.stop(10.0)
+            context.system.start_router(vm)
+            time.sleep(max(0.0, (ends_at - time.monotonic()) / len(vms)))
+
+    play(context, requests, seconds, restart_routers)
+
+
+def play(context, requests, seconds, act):
+    """Repeat poison requests and send sound ones while something else happens."""
+    context.poison = [
+        Repetition(context.system, f"poison{index}", index, lambda *_, it=it: it, (0.3, 1.2))
+        for index, it in enumerate(POISON[requests])
+    ]
+    context.sound = [
+        Repetition(context.system, f"sound{index}", index, sound_request, (0.02, 0.05))
+        for index in range(SOUND_CALLERS)
+    ]
+    context.half_at = time.monotonic() + seconds / 2
+    callers = [*context.poison, *context.sound]
+    for caller in callers:
+        caller.start()
+    act()
+    with ThreadPoolExecutor(len(callers)) as pool:
+        list(pool.map(Repetition.stop, callers))
+
+
+@then("each of them reaches targets at most {most:d} times from {seconds:g} s after its third crash on")
+def few_runs(context, most, seconds):
+    runs = [record for record in context.system.target_records() if record["event"] == "run"]
+    for caller in context.poison:
+        own = [record["at"] for record in runs if record["id"].startswith(f"{caller.attempt_prefix}-")]
+        assert len(own) >= CRASHES_TO_QUARANTINE, own
+        late = [at for at in own if at > own[CRASHES_TO_QUARANTINE - 1] + seconds]
+        assert len(late) <= most, f"{len(own)} runs, {len(late)} of them late"
+
+
+@then("at least {share:d} in 100 of the sound requests are served in the second half")
+def sound_served(context, share):
+    statuses = [
+        status
+        for caller in context.sound
+        for at, _attempt, status, _headers in caller.answers
+        if at > context.half_at
+    ]
+    served = sum(status == 200 for status in statuses)
+    assert statuses and served >= share / 100 * len(statuses), (served, len(statuses))
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -17,6 +17,8 @@
 - ``tiny-chunks``: the same, in chunks of two bytes.
 - ``large``: the response has a body of 4 MB.
 - ``lost-then-full``: the first response to an attempt is lost; later requests with its id are refused.
+- ``crash``: the process ends 10 ms after it began to run the request. A body that begins with ``crash`` does
+  the same.
 
 ``POST /limit/RATE`` makes each response state a limit of RATE requests per second, ``POST /limit/none`` none,
 and ``POST /leaving`` that the target leaves.
@@ -45,6 +47,8 @@
 SLOW_SECONDS = 2.0
 LONG_SECONDS = 0.8
 COPY_DELAY_SECONDS = 0.05
+CRASH_DELAY_SECONDS = 0.01
+CRASH_EXIT_CODE = 70
 LARGE_BODY = b"large " * 700_000
 PART_BYTES = 262_144
 PART_INTERVAL_SECONDS = 0.002
@@ -190,6 +194,9 @@
             caller=request.header(HEADER_PREFIX + "caller"),
             deadline=request.header(HEADER_PREFIX + "deadline-ms"),
         )  # fmt: skip
+        if fault == "crash" or request.body.startswith(b"crash"):
+            self.app.scheduler.call_later(CRASH_DELAY_SECONDS, lambda: os._exit(CRASH_EXIT_CODE))
+            return
         service_seconds = {"slow": SLOW_SECONDS, "long": LONG_SECONDS}.get(fault, self.options.seconds)
         self.app.scheduler.call_later(service_seconds, lambda: self.send_response(request, headers, fault))
 
