Keep the quarantine in the store, so that it outlasts a restart of all routers

Cause: no VM has a disk. What nodes knew of crashes ended with their processes, so that after a loss of power a poison request would crash three more targets; a node that was cut off during the messages would not learn of the hold. Change: the node beside the last crash writes a row for each hold; all nodes read it with the other rows. A lost row ends no hold. Rows are deleted 60 s after their hold. Metrics show what is held, and for how long. Measured: quarantine.feature, 21 scenarios on four nodes with the store's faults: lost messages, a store that is down, a copy without the hold, restarts of all nodes, 6,000 different poison requests (at most 512 holds and 4,096 suspects a node, 600 calls of the store at most).

--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -13,6 +13,7 @@
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.metrics import RouterMetrics
 from hibiscusdrum.internal.router.quarantine import Quarantine
+from hibiscusdrum.internal.router.quarantine_rows import QuarantineRows
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.readiness import Readiness
 from hibiscusdrum.internal.router.receiver import Receiver
@@ -83,6 +84,7 @@
     app.add(RouterMetrics(settings))
     app.add(CrashDetector(settings))
     app.add(Quarantine(settings))
+    app.add(QuarantineRows(settings))
     app.add(Receiver(settings, names))
     app.add(Gateway(settings, names, selection))
     app.add(Readiness(settings))
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -688,7 +688,7 @@
     number = 849
     rate_limited = True
     lines_per_interval = 20
-    cause = "`reason`: the hold has expired, a target has answered the request, or an operator released it."
+    cause = "`reason`: the hold has expired, a target has answered the request, or its row is released."
 
     identity: str
     reason: str
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -5,6 +5,7 @@
 from bisect import bisect_left
 
 from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.router.quarantine import Quarantine
 from hibiscusdrum.internal.router.routes import CONTROL_LIMITS
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.traffic import DELAY_BOUNDS_SECONDS, Traffic
@@ -38,6 +39,7 @@
         self.members = self.app.find("members")
         self.traffic = self.app.find("traffic")
         self.entry = self.app.find("entry")
+        self.quarantine = self.app.find("quarantine")
         if self.settings.metrics_address:
             self.entry.listen(self.settings.metrics_address, self.on_scrape, CONTROL_LIMITS)
 
@@ -94,6 +96,11 @@
         lines.append(f"hibiscusdrum_accept_failures_total {self.entry.accept_failures}")
         lines.append("# TYPE hibiscusdrum_idle_connections_closed_total counter")
         lines.append(f"hibiscusdrum_idle_connections_closed_total {self.entry.idle_closed_count}")
+        lines.append("# TYPE hibiscusdrum_quarantine_refusals_total counter")
+        lines.append(f"hibiscusdrum_quarantine_refusals_total {self.quarantine.refusal_count}")
+        lines.append("# TYPE hibiscusdrum_target_crashes_total counter")
+        lines.append(f"hibiscusdrum_target_crashes_total {self.quarantine.crash_count}")
+        lines += render_quarantine(self.quarantine)
         lines += render_traffic(self.traffic)
         admission = self.receiver.admission
         gauges = {
@@ -107,6 +114,8 @@
             "caller_connections": self.entry.open_counts[self.settings.caller_address],
             "caller_connections_limit": self.entry.max_connections.get(self.settings.caller_address, 0),
             "nodes": len(self.members.nodes),
+            "crash_suspects": len(self.quarantine.suspects),
+            "quarantined": len(self.quarantine.held),
             "store_reachable": int(self.members.store_reachable),
             "store_era": self.members.table.era,
         }
@@ -115,6 +124,16 @@
         return ("\n".join(lines) + "\n").encode()
 
 
+def render_quarantine(quarantine: Quarantine) -> list[str]:
+    """Return a metric line for each held request: the seconds that are left of its hold."""
+    lines = ["# TYPE hibiscusdrum_quarantine_seconds gauge"]
+    for identity, record in quarantine.held.items():
+        labels = f'identity="{identity.hex()}",node="{record.node}",source="{record.source}"'
+        left = max(0.0, record.held_until - quarantine.now)
+        lines.append(f"hibiscusdrum_quarantine_seconds{{{labels}}} {left:.0f}")
+    return lines
+
+
 def render_traffic(traffic: Traffic) -> list[str]:
     """Return the metric lines of the traffic counters."""
     lines = []
--- a/src/hibiscusdrum/internal/router/quarantine.py
+++ b/src/hibiscusdrum/internal/router/quarantine.py
@@ -86,10 +86,14 @@
         Requests that are sent to no target. They are not displaced by others.
     cleared : OrderedDict of bytes to float
         Monotonic time in seconds until which each request is no suspect, since it was answered.
-    on_held, on_released : list of callable
-        Called with an identity and its record when the hold begins and ends; not when the hold expires.
+    on_held : list of callable
+        Called with an identity and its record when the request is held.
+    on_answered_here : list of callable
+        Called with the identity of a held request that this VM's target has answered.
     refusal_count : int
         Number of requests that were refused because they are held.
+    crash_count : int
+        Number of crashes of this VM's target with requests running.
     """
 
     service_name = "quarantine"
@@ -101,8 +105,9 @@
         self.held: dict[bytes, CrashRecord] = {}
         self.cleared: OrderedDict[bytes, float] = OrderedDict()
         self.on_held: list[Callable[[bytes, CrashRecord], None]] = []
-        self.on_released: list[Callable[[bytes, CrashRecord], None]] = []
+        self.on_answered_here: list[Callable[[bytes], None]] = []
         self.refusal_count = 0
+        self.crash_count = 0
 
     def on_start(self) -> None:
         """Register for crashes of the target and for the messages of peers."""
@@ -184,6 +189,7 @@
 
     def on_crash(self, incarnation: str, suspects: list[Suspect]) -> None:
         """Count a crash of this VM's target, and tell the other nodes."""
+        self.crash_count += 1
         reported = [suspect for suspect in suspects if not self.is_cleared(suspect.identity)]
         if not reported:
             return
@@ -273,7 +279,10 @@
             return
         if record.crashes >= CRASHES_TO_OBJECT:
             self.forwarder.broadcast(SuspectsCleared(self.settings.node, (identity,), False))
+        was_held = identity in self.held or record.holds
         self.clear(identity, "answered")
+        for listener in self.on_answered_here if was_held else ():
+            listener(identity)
 
     def on_cleared(self, message: SuspectsCleared) -> None:
         """Clear suspects that another node has seen answered."""
@@ -287,8 +296,9 @@
             self.forwarder.broadcast(SuspectsCleared(self.settings.node, known, False))
 
     def release(self, identity: bytes) -> None:
-        """End the hold of a request because an operator says so."""
-        self.clear(identity, "operator")
+        """End the hold of a request because the store says so."""
+        if identity in self.held or identity in self.suspects:
+            self.clear(identity, "released")
 
     def clear(self, identity: bytes, reason: str) -> None:
         """Forget the crashes under a request, and count none for a while."""
@@ -298,11 +308,8 @@
             self.cleared.popitem(last=False)
         self.suspects.pop(identity, None)
         record = self.held.pop(identity, None)
-        if record is None:
-            return
-        log_events.emit(events.QuarantineEnded(identity=identity.hex(), reason=reason, node=record.node))
-        for listener in self.on_released:
-            listener(identity, record)
+        if record is not None:
+            log_events.emit(events.QuarantineEnded(identity=identity.hex(), reason=reason, node=record.node))
 
     def is_cleared(self, identity: bytes) -> bool:
         """Return whether a request was answered a short time ago."""
--- /dev/null
+++ b/tests/features/quarantine.feature
@@ -0,0 +1,77 @@
+Feature: Nodes agree on which requests crash their targets, and on no sound one
+  Guards against poison requests that a node does not recognize, and sound requests that are refused for a crash.
+
+  Scenario Outline: Attempts of one request have the same identity, and no other request has it: <field>
+    Then a request with another <field> has <identity> identity
+
+    Examples:
+      | field                | identity    |
+      | attempt id           | the same    |
+      | deadline             | the same    |
+      | service              | the same    |
+      | case of its host     | the same    |
+      | method               | a different |
+      | host                 | a different |
+      | path                 | a different |
+      | query                | a different |
+      | caller               | a different |
+      | key                  | a different |
+      | body                 | a different |
+      | split of path and caller | a different |
+
+  Scenario Outline: A request that crashed three targets one after the other is held on every node: <case>
+    Given 4 nodes that share what they know of crashes
+    When <case>
+    Then the request is held on every node within 4 s
+    And it is still held on every node after all of them were restarted at once
+
+    Examples:
+      | case                                                         |
+      | three targets crash one after the other                      |
+      | no message arrives after the third crash                     |
+      | the store is down until 2 s after the third crash            |
+
+  Scenario: A restored store that lacks a hold ends it nowhere
+    Given 4 nodes that share what they know of crashes
+    When three targets crash one after the other
+    And the store is restored from a copy that is older than the hold
+    Then the request is held on every node within 4 s
+
+  # Guards against sound requests that are refused since they ran on many targets that were lost together.
+  Scenario: A popular request is not held when four targets are lost together, again and again
+    Given 4 nodes that share what they know of crashes
+    When four targets that run it crash together 3 times, and one answers it between the last two
+    Then it is held on no node, and has 2 crashes at most
+
+  # Guards against a suspect that one node has seen answered and others have not.
+  Scenario: A request that a target has answered is not held for later crashes
+    Given 4 nodes that share what they know of crashes
+    When two targets crash one after the other under a request that a third one has answered
+    Then the request is a suspect on no node
+
+  Scenario: The end of a hold permits one crash, and an answer ends it everywhere
+    Given 4 nodes that share what they know of crashes
+    When three targets crash one after the other
+    And 601 s pass
+    Then the request may be sent on every node
+    When its next target crashes
+    Then the request is held on every node within 4 s
+    And its hold lasts 3600 s
+    When 3601 s pass
+    And a target answers it
+    Then the request is a suspect on no node
+
+  Scenario: Rows of holds that have ended are deleted
+    Given 4 nodes that share what they know of crashes
+    When three targets crash one after the other
+    And 720 s pass
+    Then the store has no row of a hold
+
+  # Guards against callers that fill the memory or displace the holds of others.
+  Scenario: Very many different poison requests displace no hold and fill neither memory nor store
+    Given 4 nodes that share what they know of crashes
+    When three targets crash one after the other
+    And 6000 other requests crash three targets each
+    Then the request is held on every node within 4 s
+    And each node keeps at most 512 holds and 4096 suspects
+    And the store has at most 512 rows of holds, written by at most 600 calls
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -40,6 +40,7 @@
 from hibiscusdrum.internal.router.local_target import LocalTarget
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.metrics import RouterMetrics
+from hibiscusdrum.internal.router.quarantine import Quarantine
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.ring import Range
 from hibiscusdrum.internal.router.rings import Rings
@@ -623,7 +624,7 @@
     stub.table = Stub("table", era=1)
     stub.sent_bytes = stub.received_bytes = stub.store_calls = stub.delay_counts = {}
     metrics = RouterMetrics(SETTINGS)
-    metrics.entry = HttpEntry()
+    metrics.entry, metrics.quarantine = HttpEntry(), Quarantine(SETTINGS)
     metrics.receiver = metrics.range_owner = metrics.members = metrics.traffic = stub
     for line in metrics.render().decode().splitlines():
         if line.startswith("hibiscusdrum_unreadable_total "):
--- /dev/null
+++ b/tests/features/steps/quarantine_steps.py
@@ -0,0 +1,259 @@
+"""Steps on the crashes that nodes count by request, with the services of `router_world` on a manual clock."""
+
+import msgspec
+from behave import given, then, when
+from tests.router_stubs import Stub, forward
+from tests.router_world import World
+
+from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.router.crash_detector import Suspect
+from hibiscusdrum.internal.router.quarantine import Quarantine
+from hibiscusdrum.internal.router.quarantine_rows import ROW_KIND, QuarantineRows
+from hibiscusdrum.internal.router.request_identity import identity_of_forward
+
+POISON = b"p" * 16
+MESSAGE_SECONDS = 0.03
+SETTLING_SECONDS = 8.0
+
+FORWARD = msgspec.structs.replace(forward(1), headers=(("host", "a.example"),), target="/a/x?y=1", key=7)
+VARIANTS = {
+    "attempt id": ({"attempt_id": "other"}, b"b"),
+    "deadline": ({"remaining_seconds": 1.0}, b"b"),
+    "service": ({"service": "another"}, b"b"),
+    "case of its host": ({"headers": (("host", "A.Example"),)}, b"b"),
+    "method": ({"method": "PUT"}, b"b"),
+    "host": ({"headers": (("host", "b.example"),)}, b"b"),
+    "path": ({"target": "/a/z?y=1"}, b"b"),
+    "query": ({"target": "/a/x?y=2"}, b"b"),
+    "caller": ({"caller": "d"}, b"b"),
+    "key": ({"key": 8}, b"b"),
+    "body": ({}, b"c"),
+    "split of path and caller": ({"target": "/a/x?y=1c", "caller": ""}, b"b"),
+}
+
+
+@then("a request with another {field} has {identity} identity")
+def identity_differs(_context, field, identity):
+    changes, body = VARIANTS[field]
+    other = identity_of_forward(msgspec.structs.replace(FORWARD, **changes), body)
+    assert (other == identity_of_forward(FORWARD, b"b")) == (identity == "the same")
+
+
+class WorldHop(Service):
+    """Delivers messages to the other nodes of the world a little later, unless they are lost."""
+
+    service_name = "hop"
+
+    def __init__(self, world, node):
+        super().__init__()
+        self.world, self.node = world, node
+        self.message_handlers = {}
+
+    def broadcast(self, message):
+        """Send a message to all other nodes."""
+        for name in self.world.nodes:
+            if name != self.node:
+                self.send_message(name, message)
+
+    def send_message(self, name, message):
+        """Send a message to a node."""
+        if self.world.loses_messages:
+            return
+
+        def deliver():
+            if name in self.world.nodes:
+                self.world.nodes[name].app.find("hop").message_handlers[type(message)](message)
+
+        self.world.after(MESSAGE_SECONDS, deliver)
+
+
+def add_quarantine(world, name):
+    """Add the services under test to a node."""
+    app = world.nodes[name].app
+    settings = world.nodes[name].owner.settings
+    services = (
+        WorldHop(world, name),
+        Stub("crash_detector", on_crash=[]),
+        Quarantine(settings),
+        QuarantineRows(settings),
+    )
+    for service in services:
+        app.add(service)
+    for service in services:
+        service.on_start()
+
+
+@given("{count:d} nodes that share what they know of crashes")
+def sharing_nodes(context, count):
+    world = context.world = World(nodes=count)
+    context.add_cleanup(world.close)
+    world.loses_messages = False
+    for name in world.nodes:
+        add_quarantine(world, name)
+    world.run(SETTLING_SECONDS)
+
+
+def quarantines(context):
+    return {name: node.app.find("quarantine") for name, node in context.world.nodes.items()}
+
+
+def crash(context, name, *identities):
+    """Crash the target of a node while it runs requests that were sent now."""
+    quarantine = quarantines(context)[name]
+    suspects = [Suspect(it, "a", quarantine.crashes_of(it) + 1) for it in identities]
+    quarantine.on_crash(f"i-{name}@1", suspects)
+
+
+@when("three targets crash one after the other")
+def three_crashes(context):
+    for name in ("n0", "n1", "n2"):
+        crash(context, name, POISON)
+        context.world.run(0.5)
+
+
+@when("no message arrives after the third crash")
+def lost_messages(context):
+    crash(context, "n0", POISON)
+    context.world.run(0.5)
+    crash(context, "n1", POISON)
+    context.world.run(0.5)
+    context.world.loses_messages = True
+    crash(context, "n2", POISON)
+
+
+@when("the store is down until 2 s after the third crash")
+def store_down(context):
+    context.world.store.down_for[""] = context.world.now + 3.5
+    three_crashes(context)
+
+
+@when("the store is restored from a copy that is older than the hold")
+def old_copy(context):
+    context.world.run(1.0)
+    context.world.store.restore(10.0)
+
+
+@when("four targets that run it crash together {count:d} times, and one answers it between the last two")
+def lost_together(context, count):
+    for _ in range(count - 1):
+        for name in ("n0", "n1", "n2", "n3"):
+            crash(context, name, POISON)
+        context.world.run(3.0)
+        assert all(it.crashes_of(POISON) <= count - 1 for it in quarantines(context).values())
+    quarantines(context)["n0"].on_answered(POISON)
+    context.world.run(0.5)
+    for name in ("n0", "n1", "n2", "n3"):
+        crash(context, name, POISON)
+    context.world.run(3.0)
+
+
+@then("it is held on no node, and has {most:d} crashes at most")
+def not_held(context, most):
+    for quarantine in quarantines(context).values():
+        assert not quarantine.hold_seconds(POISON) and quarantine.crashes_of(POISON) <= most
+
+
+@when("two targets crash one after the other under a request that a third one has answered")
+def answered_elsewhere(context):
+    crash(context, "n0", POISON)
+    context.world.run(0.5)
+    quarantines(context)["n2"].on_answered(POISON)
+    crash(context, "n1", POISON)
+    context.world.run(0.5)
+
+
+@then("the request is a suspect on no node")
+def no_suspect(context):
+    context.world.run(0.5)
+    for name, quarantine in quarantines(context).items():
+        assert not quarantine.crashes_of(POISON) and not quarantine.hold_seconds(POISON), name
+
+
+def all_held(context):
+    return all(quarantine.hold_seconds(POISON) for quarantine in quarantines(context).values())
+
+
+@then("the request is held on every node within {seconds:g} s")
+def held_everywhere(context, seconds):
+    end = context.world.now + seconds
+    while not all_held(context):
+        assert context.world.now < end, {name: it.held for name, it in quarantines(context).items()}
+        context.world.run(0.1)
+
+
+@then("it is still held on every node after all of them were restarted at once")
+def held_after_restart(context):
+    world = context.world
+    world.run(5.0)
+    names = list(world.nodes)
+    for name in names:
+        world.kill_daemon(name)
+    for name in names:
+        world.start_daemon(name)
+        add_quarantine(world, name)
+    world.run(1.0)
+    assert all_held(context)
+
+
+@when("{seconds:d} s pass")
+def time_passes(context, seconds):
+    # Only the services under test are played for so long.
+    context.world.clock.advance(seconds - 45.0)
+    context.world.run(45.0)
+
+
+@then("the request may be sent on every node")
+def may_be_sent(context):
+    for quarantine in quarantines(context).values():
+        assert not quarantine.hold_seconds(POISON) and quarantine.crashes_of(POISON) == 2
+
+
+@when("its next target crashes")
+def next_crash(context):
+    crash(context, "n3", POISON)
+
+
+@then("its hold lasts {seconds:d} s")
+def hold_lasts(context, seconds):
+    for quarantine in quarantines(context).values():
+        assert seconds - 10.0 <= quarantine.hold_seconds(POISON) <= seconds
+
+
+@when("a target answers it")
+def answered(context):
+    assert not any(it.hold_seconds(POISON) for it in quarantines(context).values())
+    quarantines(context)["n1"].on_answered(POISON)
+
+
+def hold_rows(context):
+    rows = context.world.store.rows
+    return [key for key, row in rows.items() if key.startswith(f"{ROW_KIND}/") and row.value is not None]
+
+
+@then("the store has no row of a hold")
+def no_rows(context):
+    assert not hold_rows(context)
+
+
+@when("{count:d} other requests crash three targets each")
+def many_requests(context, count):
+    context.world.run(1.0)
+    commits = context.world.store.calls["commit"]
+    for name in ("n0", "n1", "n2"):
+        for number in range(0, count, 60):
+            crash(context, name, *(index.to_bytes(16, "big") for index in range(number, number + 60)))
+            context.world.run(0.05)
+    context.world.run(30.0)
+    context.commits = context.world.store.calls["commit"] - commits
+
+
+@then("each node keeps at most {held:d} holds and {suspects:d} suspects")
+def bounded(context, held, suspects):
+    for quarantine in quarantines(context).values():
+        assert len(quarantine.held) <= held and len(quarantine.suspects) <= suspects
+
+
+@then("the store has at most {rows:d} rows of holds, written by at most {calls:d} calls")
+def bounded_rows(context, rows, calls):
+    assert 0 < len(hold_rows(context)) <= rows
+    assert context.commits <= calls, context.commits
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -151,7 +151,8 @@
     settings = msgspec.structs.replace(SETTINGS, **addresses)
     context.entry = HttpEntry()
     stubs = [
-        Stub(name) for name in ("local_target", "range_owner", "gateway", "members", "receiver", "traffic")
+        Stub(name)
+        for name in ("local_target", "range_owner", "gateway", "members", "receiver", "traffic", "quarantine")
     ]
     services = (ReportEndpoint(settings), Readiness(settings), RouterMetrics(settings))
     context.loopback = Loopback(*stubs, context.entry, *services)
