Bound the suspects that wait at a target, and clear them also where a crash was not heard of

Cause: a router that had missed the report of a crash did not remember that its target had answered the suspect, so that its later attempts went on to run one at a time; interrupted requests were kept with their bodies. Change: an answer clears whatever its sender took for a suspect, at the router of the target and at the entry. At most twice the target's slots wait; others are declined and may go to another target.

--- a/src/hibiscusdrum/internal/router/crash_detector.py
+++ b/src/hibiscusdrum/internal/router/crash_detector.py
@@ -55,18 +55,24 @@
 
 
 class Interruption:
-    """A request whose connection to the target ended without a complete response.
+    """End of a request's connection to the target without a complete response.
 
     Attributes
     ----------
+    suspect : Suspect
+        The request, should the target have crashed.
+    incarnation : str
+        Incarnation of the target.
     at : float
         Monotonic time in seconds.
     """
 
-    __slots__ = ("at", "job")
+    __slots__ = ("at", "incarnation", "suspect")
 
     def __init__(self, job: Job, at: float) -> None:
-        self.job = job
+        identity = job.identity or identity_of_forward(job.forward, job.body)
+        self.suspect = Suspect(identity, job.forward.attempt_id, job.crashes + 1)
+        self.incarnation = job.incarnation
         self.at = at
 
 
@@ -78,7 +84,7 @@
     incarnation : str
         Newest known incarnation of the target.
     interruptions : deque of Interruption
-        Interrupted requests that may have run on a target that has crashed.
+        What is evidence if the target turns out to have crashed.
     undecided : list of (Job, HttpFailure)
         Interrupted requests without an outcome.
     on_outcome : callable
@@ -156,18 +162,13 @@
     def on_ended(self, incarnation: str) -> None:
         """Report the suspects of a crash, and decide about the interrupted requests."""
         since = self.now - MAX_EVIDENCE_AGE_SECONDS
-        interrupted = [entry.job for entry in self.interruptions if entry.at >= since]
-        jobs = [job for job in interrupted if job.incarnation == incarnation]
+        suspects = [
+            entry.suspect
+            for entry in self.interruptions
+            if entry.at >= since and entry.incarnation == incarnation
+        ]
         self.interruptions.clear()
-        if jobs and not self.is_leaving(incarnation):
-            suspects = [
-                Suspect(
-                    job.identity or identity_of_forward(job.forward, job.body),
-                    job.forward.attempt_id,
-                    job.crashes + 1,
-                )
-                for job in jobs
-            ]
+        if suspects and not self.is_leaving(incarnation):
             log_events.emit(
                 events.TargetCrashed(
                     life=incarnation,
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -445,6 +445,8 @@
         """Return the target's response to the caller, or retry elsewhere after a retryable server error."""
         pending.target_attempts += 1
         self.overload_control.on_answered(pending, forward, answer, now)
+        if forward.crashes and any(name == self.header_names.signature for name, _ in answer.headers):
+            self.quarantine.clear(self.identify(pending), "answered")
         pending.path_seconds = now - pending.sent_at - answer.held_seconds
         if is_leaving(dict(answer.headers), self.header_names):
             self.members.mark_leaving(pending.node, pending.attempt_id)
--- a/src/hibiscusdrum/internal/router/quarantine.py
+++ b/src/hibiscusdrum/internal/router/quarantine.py
@@ -272,14 +272,21 @@
         record.holds = max(record.holds, holds)
         self.hold(identity, record)
 
-    def on_answered(self, identity: bytes) -> None:
-        """Clear a suspect that a target has answered; tell the other nodes if it was close to a hold."""
+    def on_answered(self, identity: bytes, crashes: int = 0) -> None:
+        """Clear a suspect that this VM's target has answered; tell the other nodes if it was close to a hold.
+
+        Parameters
+        ----------
+        crashes : int
+            Crashes under the request of which its sender knew.
+        """
         record = self.held.get(identity) or self.suspects.get(identity)
-        if record is None:
+        known = max(crashes, record.crashes if record is not None else 0)
+        if not known:
             return
-        if record.crashes >= CRASHES_TO_OBJECT:
+        if known >= CRASHES_TO_OBJECT:
             self.forwarder.broadcast(SuspectsCleared(self.settings.node, (identity,), False))
-        was_held = identity in self.held or record.holds
+        was_held = record is not None and record.holds > 0
         self.clear(identity, "answered")
         for listener in self.on_answered_here if was_held else ():
             listener(identity)
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -60,6 +60,7 @@
 REFUSED_REASON = "target_refused"
 STOPPING_REASON = "stopping"
 UNSENDABLE_REASON = "unsendable"
+SUSPECTS_WAITING_REASON = "suspects_waiting"
 # A body is requested only if it can arrive within this share of the time left for its request.
 MAX_BODY_WAIT_SHARE = 0.5
 BUSY_REASON = "busy"
@@ -423,7 +424,7 @@
             self.decline_quarantined(job, self.quarantine.hold_seconds(identity))
 
     def defer_suspect(self, job: Job) -> bool:
-        """Return whether a request has to wait because the target is running another suspect.
+        """Return whether a request is not sent now because the target is running another suspect.
 
         The next crash then tells which of them is the cause.
         """
@@ -434,12 +435,15 @@
             job.crashes = max(job.forward.crashes, self.quarantine.crashes_of(identity))
         if not job.crashes:
             return False
-        if self.running_suspect is not None:
+        if self.running_suspect is None:
+            self.running_suspect = job
+            return False
+        if len(self.waiting_suspects) < self.admission.slots * 2:
             self.waiting_suspects.append(job)
             self.expiry_timer.wake()
-            return True
-        self.running_suspect = job
-        return False
+        else:
+            self.decline(job, SUSPECTS_WAITING_REASON)
+        return True
 
     def readmit_suspects(self) -> None:
         """Admit the requests that have waited for the end of another suspect."""
@@ -563,7 +567,9 @@
         ]:
             self.awaiting_keys.remove(job)
             self.decline(job, "keys_late")
-        for job in [job for job in self.waiting_suspects if now > job.deadline]:
+        for job in [
+            job for job in self.waiting_suspects if now + self.admission.mean_service_seconds > job.deadline
+        ]:
             self.waiting_suspects.remove(job)
             self.decline(job, TOO_LATE_REASON)
         for request_id in list(self.body_gate.transfers):
@@ -677,8 +683,8 @@
         if names.signature not in response.headers and 200 <= response.status < 300:
             self.decline(job, "unsigned", may_have_run=True, arrived=True)
             return
-        if self.quarantine.active and names.signature in response.headers:
-            self.quarantine.on_answered(self.identify(job))
+        if (self.quarantine.active or job.crashes) and names.signature in response.headers:
+            self.quarantine.on_answered(self.identify(job), job.crashes)
         headers = tuple(
             (name, value) for name, value in response.headers.items() if name not in HOP_BY_HOP_HEADERS
         )
--- a/tests/features/poison_requests.feature
+++ b/tests/features/poison_requests.feature
@@ -15,3 +15,8 @@
       | a read, a read with a key and a large POST | while nothing else happens         | 99     |
       | a read                                     | while the routers restart in turn  | 90     |
       | a POST to the path of a sound one          | while nothing else happens         | 99     |
+
+  # Guards against sound requests that are refused since they ran on targets that were lost together.
+  Scenario: A popular request is served after most of its targets were killed together, three times
+    When 2 of 3 targets are killed together 3 times, while 8 callers read what takes 0.8 s
+    Then no request is held, and from 4 s after the last kill on all reads are served
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -75,3 +75,26 @@
     Then the request is held on every node within 4 s
     And each node keeps at most 512 holds and 4096 suspects
     And the store has at most 512 rows of holds, written by at most 600 calls
+
+  Scenario: A target runs one suspect of a crash at a time, and other requests beside it
+    Given a router beside a target with 4 slots, and 3 suspects of a crash
+    When the suspects and 2 other requests arrive
+    Then the target is running 1 suspect and 2 other requests
+    When the target answers the suspect
+    Then the target is running 1 suspect and 2 other requests
+    And the suspect that was answered is none any more
+
+  # Guards against a poison request that was already accepted when it was found to be one.
+  Scenario: A request that is held while it waits for its turn is refused at once as not run
+    Given a router beside a target with 4 slots, and 3 suspects of a crash
+    When the suspects and 2 other requests arrive
+    And other nodes report more crashes under one that waits
+    Then it is declined at once as quarantined and not run
+    When it arrives once more
+    Then it is declined at once as quarantined and not run
+
+  # Guards against a body on its way that is run although its request was found to be poison meanwhile.
+  Scenario: A request that is held while its body is on the way is declined when the body is there
+    Given a router beside a target with 4 slots, and 3 suspects of a crash
+    When a suspect with a body of 60000 bytes is held before its body has arrived
+    Then it is declined at once as quarantined and not run
--- a/tests/features/steps/poison_requests_steps.py
+++ b/tests/features/steps/poison_requests_steps.py
@@ -6,7 +6,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
-from tools.target_keeper import TargetKeeper
+from tools.target_keeper import RESTART_SECONDS, TargetKeeper
 
 from hibiscusdrum.internal.router.quarantine import CRASHES_TO_QUARANTINE
 
@@ -138,3 +138,43 @@
     ]
     served = sum(status == 200 for status in statuses)
     assert statuses and served >= share / 100 * len(statuses), (served, len(statuses))
+
+
+@when(
+    "{killed:d} of 3 targets are killed together {times:d} times, while {callers:d} callers read "
+    "what takes 0.8 s"
+)
+def killed_together(context, killed, times, callers):
+    def popular(*_):
+        return "grants.example", "/r/popular/long", "GET", None, None
+
+    context.sound = [
+        Repetition(context.system, f"sound{index}", index, popular, (0.01, 0.05)) for index in range(callers)
+    ]
+    for caller in context.sound:
+        caller.start()
+    targets = [vm for vm in context.system.vms.values() if vm.service == "shared"]
+    for _ in range(times):
+        time.sleep(1.0)
+        for vm in targets[:killed]:
+            vm.target.kill()
+        context.killed_at = time.monotonic()
+        time.sleep(RESTART_SECONDS + 1.0)
+    time.sleep(4.0)
+    for caller in context.sound:
+        caller.stop()
+
+
+@then("no request is held, and from {seconds:g} s after the last kill on all reads are served")
+def nothing_held(context, seconds):
+    late = [
+        status
+        for caller in context.sound
+        for at, _attempt, status, _headers in caller.answers
+        if at > context.killed_at + seconds
+    ]
+    assert late and set(late) == {200}, late
+    for vm in context.system.vms.values():
+        names = {line["name"] for line in context.system.router_log(vm)}
+        assert "request_quarantined" not in names, vm.name
+        assert "target_crashed" in names or vm.service != "shared" or vm.name == "vm5", vm.name
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -257,3 +257,84 @@
 def bounded_rows(context, rows, calls):
     assert 0 < len(hold_rows(context)) <= rows
     assert context.commits <= calls, context.commits
+
+
+def suspect_forward(number, size=0):
+    return msgspec.structs.replace(forward(number, size), target=f"/a/{number}")
+
+
+@given("a router beside a target with {slots:d} slots, and {count:d} suspects of a crash")
+def router_with_suspects(context, slots, count):
+    context.execute_steps(f"Given a router that was just started beside a target with {slots} slots")
+    context.app.find("hop").message_handlers = {}
+    context.app.find("hop").broadcast = lambda _message: None
+    quarantine = context.quarantine = context.app.find("quarantine")
+    context.app.find("crash_detector").on_crash = []
+    quarantine.on_start()
+    context.receiver.on_first_answer()
+    context.target.waiting = []
+    context.suspects = [suspect_forward(number) for number in range(count)]
+    for entry in context.suspects:
+        quarantine.merge(identity_of_forward(entry, b"s"), 1, "n9", "peer")
+
+
+def submit(context, entry, body):
+    """Let a request arrive; its replies are appended to the returned list."""
+    replies = []
+    context.receiver.on_forward(entry, body, 0.0, lambda answer, _body: replies.append(answer))
+    return replies
+
+
+@when("the suspects and {count:d} other requests arrive")
+def suspects_arrive(context, count):
+    context.replies = [submit(context, entry, b"s") for entry in context.suspects]
+    for number in range(count):
+        submit(context, suspect_forward(100 + number), b"")
+
+
+@then("the target is running {suspects:d} suspect and {others:d} other requests")
+def target_runs(context, suspects, others):
+    running = [job for job in context.receiver.jobs.values() if job.exchange is not None]
+    assert sum(job.crashes > 0 for job in running) == suspects
+    assert sum(job.crashes == 0 for job in running) == others
+
+
+@when("the target answers the suspect")
+def answers_suspect(context):
+    context.answered = context.receiver.running_suspect.identity
+    context.target.waiting[0]()
+
+
+@then("the suspect that was answered is none any more")
+def suspect_cleared(context):
+    assert not context.quarantine.crashes_of(context.answered)
+
+
+@when("other nodes report more crashes under one that waits")
+def more_crashes(context):
+    context.waiting = context.suspects[2]
+    context.reply = context.replies[2]
+    context.quarantine.merge(identity_of_forward(context.waiting, b"s"), 3, "n9", "peer")
+
+
+@then("it is declined at once as quarantined and not run")
+def declined_as_quarantined(context):
+    answer = context.reply[-1]
+    assert answer.reason == "quarantined" and not answer.may_have_run and not answer.arrived, answer
+    assert answer.retry_after > 500.0, answer
+
+
+@when("it arrives once more")
+def arrives_again(context):
+    context.reply = submit(context, msgspec.structs.replace(context.waiting, id=b"again"), b"s")
+
+
+@when("a suspect with a body of {size:d} bytes is held before its body has arrived")
+def held_before_body(context, size):
+    entry, receiver = suspect_forward(50, size), context.receiver
+    context.reply = submit(context, entry, b"")
+    context.quarantine.merge(identity_of_forward(entry, b"x" * size), 3, "n9", "peer")
+    while (transfer := receiver.body_gate.transfers.get(entry.id)) is not None:
+        part = b"x" * (transfer.requested - transfer.received)
+        assert part, "no part is asked for"
+        receiver.on_body_part(entry.id, transfer.received, part)
