Test which ends of connections count as a crash of the target

Eight cases: connections lost beside one that goes on, a port that accepts or refuses, new starts at once, 3 s and 7 s later, announced departures.

--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -98,3 +98,20 @@
     Given a router beside a target with 4 slots, and 3 suspects of a crash
     When a suspect with a body of 60000 bytes is held before its body has arrived
     Then it is declined at once as quarantined and not run
+
+  # Guards against crashes that are suspected where a connection was lost, or where a target left as planned.
+  Scenario Outline: Only the end of the target's process without notice is a crash: <what>
+    Given a target that runs 3 requests
+    When <what>
+    Then <suspects> requests are suspects, and the interrupted ones end as <reason>
+
+    Examples:
+      | what                                                              | suspects | reason         |
+      | the connections of 2 requests end, and the third goes on          | 0        | target_closed  |
+      | all connections end, and its port accepts others                  | 0        | target_closed  |
+      | all connections end, and its port refuses others                  | 3        | target_crashed |
+      | all connections end, and a new start reports itself at once       | 3        | target_crashed |
+      | all connections end, and a new start reports itself 3 s later     | 3        | target_closed  |
+      | all connections end, and a new start reports itself 7 s later     | 0        | target_closed  |
+      | it announces that it leaves, and all connections end              | 0        | target_closed  |
+      | it reports that it drains, and all connections end                | 0        | target_closed  |
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -2,14 +2,17 @@
 
 import msgspec
 from behave import given, then, when
-from tests.router_stubs import Stub, forward
-from tests.router_world import World
+from tests.router_stubs import SETTINGS, Stub, application, forward
+from tests.router_world import Loop, World
 
 from hibiscusdrum.internal.kernel import Service
-from hibiscusdrum.internal.router.crash_detector import Suspect
+from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON, CrashDetector, Suspect
+from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.quarantine import Quarantine
 from hibiscusdrum.internal.router.quarantine_rows import ROW_KIND, QuarantineRows
+from hibiscusdrum.internal.router.receiver import Job
 from hibiscusdrum.internal.router.request_identity import identity_of_forward
+from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure
 
 POISON = b"p" * 16
 MESSAGE_SECONDS = 0.03
@@ -338,3 +341,100 @@
         part = b"x" * (transfer.requested - transfer.received)
         assert part, "no part is asked for"
         receiver.on_body_part(entry.id, transfer.received, part)
+
+
+class DetectedTarget:
+    """A target beside a crash detector, whose connections and port a test controls.
+
+    Attributes
+    ----------
+    refuses : bool
+        Whether its port refuses connections.
+    """
+
+    def __init__(self):
+        self.app = application()
+        self.refuses = False
+        self.suspects, self.reasons = [], []
+        self.open_count = 3
+        self.app.add(Stub("http_client", has_sent_exchange=lambda _address: self.open_count > 0))
+        self.app.add(Stub("connect_probe", probe=self.probe))
+        self.local = self.app.add(LocalTarget(SETTINGS))
+        self.local.is_serving = lambda: self.open_count > 0
+        self.detector = self.app.add(CrashDetector(SETTINGS))
+        self.detector.on_start()
+        self.detector.on_crash.append(lambda _life, suspects: self.suspects.extend(suspects))
+        self.detector.on_outcome = lambda _job, failure, crashed: self.reasons.append(
+            CRASHED_REASON if crashed else f"target_{failure.kind.value}"
+        )
+        self.report(1)
+
+    def probe(self, _address, _timeout, callback):
+        """Tell whether the port refuses connections."""
+        self.app.scheduler.call_later(0.001, lambda: callback(self.refuses))
+
+    def report(self, started_ms, draining=False):
+        """Send a heartbeat."""
+        sequence = round(self.app.clock.monotonic() * 1000)
+        heartbeat = TargetHeartbeat("i-1", "other", "127.0.0.1:1", 9, draining, sequence, started_ms)
+        self.local.on_heartbeat(heartbeat, lambda _grant: None)
+
+    def interrupt(self, count):
+        """End the connections of some requests without an answer."""
+        for number in range(count):
+            job = Job(suspect_forward(number), b"", self.app.clock.monotonic(), lambda *_: None)
+            job.incarnation = "i-1@1"
+            self.open_count -= 1
+            self.detector.on_interrupted(job, HttpFailure(True, FailureKind.CLOSED))
+
+    def run(self, seconds):
+        """Let time pass."""
+        for _ in range(round(seconds / 0.01)):
+            self.app.clock.advance(0.01)
+            self.app.scheduler.run_due(Loop())
+
+
+@given("a target that runs {count:d} requests")
+def detected_target(context, count):
+    context.detected = DetectedTarget()
+    context.detected.open_count = count
+
+
+@when("the connections of {count:d} requests end, and the third goes on")
+def some_end(context, count):
+    context.detected.interrupt(count)
+    context.detected.run(1.0)
+
+
+@when("all connections end, and its port {answer} others")
+def all_end(context, answer):
+    context.detected.refuses = answer == "refuses"
+    context.detected.interrupt(3)
+    context.detected.run(1.0)
+
+
+@when("all connections end, and a new start reports itself {when}")
+def all_end_and_new_start(context, when):
+    context.detected.interrupt(3)
+    context.detected.run(0.0 if when == "at once" else float(when.split()[0]))
+    context.detected.report(2)
+    context.detected.run(1.0)
+
+
+@when("it announces that it leaves, and all connections end")
+def leaves(context):
+    context.detected.local.mark_leaving("i-1@1")
+    all_end(context, "refuses")
+
+
+@when("it reports that it drains, and all connections end")
+def drains(context):
+    context.detected.run(0.1)
+    context.detected.report(1, draining=True)
+    all_end(context, "refuses")
+
+
+@then("{count:d} requests are suspects, and the interrupted ones end as {reason}")
+def suspects_found(context, count, reason):
+    assert len(context.detected.suspects) == count, context.detected.suspects
+    assert set(context.detected.reasons) == {reason}, context.detected.reasons
