--- a/soak/checks.py
+++ b/soak/checks.py
@@ -180,11 +180,11 @@
 
 def hold_violations(records: list[dict[str, Any]]) -> list[str]:
     """Return overlapping holds of a key by two targets, and fencing tokens that did not grow."""
-    killed_at = {
-        f"{record['target']}@{record['born']}": record["at"]
-        for record in records
-        if record["event"] == "killed"
-    }
+    killed_at: dict[str, float] = {}
+    for record in records:
+        if record["event"] == "killed":
+            # A target that crashed is recorded by itself, and later by whoever replaces it.
+            killed_at.setdefault(f"{record['target']}@{record['born']}", record["at"])
     entries = sorted(
         (first, last, token, begin, min(end, killed_at.get(incarnation, end)), incarnation)
         for first, last, token, begin, end, incarnation in hold_intervals(records)
--- a/soak/links.py
+++ b/soak/links.py
@@ -18,7 +18,7 @@
 class Link:
     """A proxied address and its current fault; ``delay`` is in seconds."""
 
-    __slots__ = ("delay", "mode", "port", "upstream_address", "writers")
+    __slots__ = ("delay", "mode", "port", "server", "upstream_address", "writers")
 
     def __init__(self, port: int, upstream_address: str) -> None:
         self.port = port
@@ -26,6 +26,7 @@
         self.mode = PASS
         self.delay = 0.0
         self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
 
 
 class LinkProxy:
@@ -40,8 +41,30 @@
     def add(self, name: str, port: int, upstream_address: str) -> None:
         """Listen on a port and forward its connections to an address."""
         link = self.links[name] = Link(port, upstream_address)
-        server = asyncio.start_server(lambda r, w: self.accept_connection(link, r, w), "127.0.0.1", port)
-        asyncio.run_coroutine_threadsafe(server, self.loop).result(5.0)
+        asyncio.run_coroutine_threadsafe(self.listen(link), self.loop).result(5.0)
+
+    async def listen(self, link: Link) -> None:
+        """Accept the connections of a link."""
+        link.server = await asyncio.start_server(
+            lambda r, w: self.accept_connection(link, r, w), "127.0.0.1", link.port
+        )
+
+    async def refuse_until_reachable(self, link: Link) -> None:
+        """Refuse connections, as the port behind the link does, until something listens there again."""
+        server, link.server = link.server, None
+        if server is None:
+            return
+        server.close()
+        host, _, port = link.upstream_address.rpartition(":")
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+            try:
+                _reader, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                continue
+            writer.close()
+            await self.listen(link)
+            return
 
     def set_fault(self, name: str, mode: str, delay: float = 0.0) -> None:
         """Set the fault of a link; ``RESET`` also resets its open connections at once."""
@@ -67,6 +90,9 @@
             upstream_reader, upstream_writer = await asyncio.open_connection(host, int(port))
         except OSError:
             writer.transport.abort()
+            task = self.loop.create_task(self.refuse_until_reachable(link))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
             return
         link.writers |= {writer, upstream_writer}
         for direction in (
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,7 @@
 from soak.links import MODES, PASS, LinkProxy
 from soak.loss_checks import lost_violations, replaced_violations, silent_violations
 from soak.manners import manner_callers
+from soak.poison import PoisonCaller, poison_violations, runs_of
 from soak.proxied_system import VM_PLACEMENTS, ProxiedSystem
 from soak.stalls import StallLog
 from soak.stop_checks import CONTACT_SECONDS, STORE, cut_requests, cut_violations, read_ids_by_vm
@@ -86,6 +87,7 @@
         self.unexpected_exits: list[str] = []
         self.pipeline_rng = random.Random(f"pipeline {seed}")
         self.system.limit_descriptors_at_random(random.Random(f"limit {seed}"))
+        self.crashed_at: dict[str, float] = {}
         self.log_event(f"limits of descriptors: {self.system.descriptor_limits or 'inherited'}")
 
     def log_event(self, text: str) -> None:
@@ -101,6 +103,7 @@
     def run(self) -> list[str]:
         """Run the seed and return the violations of guarantees."""
         callers: list[Caller] = []
+        poison = PoisonCaller(self.system, self.seed)
         violations: list[str] = []
         try:
             self.system.start()
@@ -109,7 +112,7 @@
                 SequentialCaller(vm, self.rng.random()) for vm in self.system.vms.values() for _ in range(2)
             ]
             callers += [PipeliningCaller(vm, self.pipeline_rng.random()) for vm in self.system.vms.values()]
-            for caller in callers:
+            for caller in (*callers, poison):
                 caller.start()
             for _ in range(EVENTS_PER_SEED):
                 self.inject_event()
@@ -118,15 +121,17 @@
                 self.stop_router_at_random()
                 self.reload_router_at_random()
                 self.sleep_restarting_routers(self.rng.uniform(0.1, 2.5))
+            poison.stop_and_join()
             self.recover()
         except ConditionTimeout as error:
             violations.append(f"not reached: {error}")
         finally:
-            for caller in callers:
+            for caller in (*callers, poison):
                 caller.stop_and_join()
             requests: list[RequestRecord] = [entry for caller in callers for entry in caller.requests]
             records = self.system.target_records()
             violations += find_violations(requests, records, self.pauses, self.disturbances)
+            violations += poison_violations(poison.senders, records, self.unplanned_faults)
             violations += self.unexpected_exits
             self.system.stop()
         cuts = cut_requests(requests, self.stops, self.unplanned_faults)
@@ -137,7 +142,8 @@
         violations += silent_violations(requests, self.disturbances)
         served = sum(entry.status == 200 for entry in requests)
         cut = f"{len(cuts)} cut by {self.stop_count} planned stops"
-        summary = f"{len(requests)} requests, {served} served, {cut}"
+        poison_runs = len(runs_of(poison.senders, records))
+        summary = f"{len(requests)} requests, {served} served, {cut}, {poison_runs} poison runs"
         self.log_event(summary)
         self.event_log += [f"cut: {msgspec.json.encode(entry).decode()}" for entry in cuts]
         (self.folder / "events.log").write_text("\n".join([*self.event_log, *violations]) + "\n")
@@ -320,14 +326,31 @@
         while time.monotonic() < end:
             self.restart_exited_routers()
             self.restart_left_targets()
+            self.restart_crashed_targets()
             time.sleep(0.05)
 
     def restart_target(self, vm: Vm) -> None:
         """Kill a target and start it again."""
         self.log_event(f"restart target of {vm.name}")
         self.disturb(vm, RESTART_SECONDS)
+        self.crashed_at.pop(vm.name, None)
         self.system.restart_target(vm)
 
+    def restart_crashed_targets(self) -> None:
+        """Start the targets again that have ended by themselves long enough ago."""
+        now = time.monotonic()
+        for vm in self.system.vms.values():
+            if vm.target.running:
+                continue
+            if vm.name not in self.crashed_at:
+                self.log_event(f"target of {vm.name} has crashed")
+                self.crashed_at[vm.name] = now
+                # A crash costs callers what a restart costs them, but is no fault that excuses the routers.
+                self.disturb(vm, 2 * RESTART_SECONDS, planned=True)
+            elif now - self.crashed_at[vm.name] >= RESTART_SECONDS:
+                del self.crashed_at[vm.name]
+                self.system.start_target(vm)
+
     def recover(self) -> None:
         """End all faults, then wait until everything is served and a new configuration is in force."""
         for timer in self.repair_timers:
@@ -343,7 +366,7 @@
             vm.target.send(signal.SIGCONT)
         for vm in self.system.vms.values():
             request(vm.address(0), "POST", "/limit/none")
-        for name in self.leaving_at:
+        for name in {*self.leaving_at, *self.crashed_at}:
             self.restart_target(self.system.vms[name])
         self.log_event("all faults end")
         self.wait_restarting_routers(
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -103,3 +103,13 @@
 
   Scenario: Interim responses are no answers
     Then an interim response before an answer is not entered as the answer
+
+  Scenario Outline: The check of poison requests counts late runs that undisturbed VMs sent: <late>, <fault>
+    Then <late> late runs of a poison request are reported <reported> times if <fault>
+
+    Examples:
+      | late | fault                                   | reported |
+      | 4    | nothing is disturbed                    | 1        |
+      | 3    | nothing is disturbed                    | 0        |
+      | 4    | the sender is disturbed 3 s before one  | 0        |
+      | 4    | the sender is disturbed 5 s before one  | 1        |
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -3,6 +3,7 @@
 from behave import then
 from soak.callers import RequestRecord
 from soak.checks import find_violations
+from soak.poison import poison_violations
 from soak.run import SoakRun
 from soak.stop_checks import STORE, cut_requests, cut_violations
 
@@ -98,3 +99,13 @@
 def not_cut(_context, when):
     entry, faults = NO_CUTS[when]
     assert not cut_requests([entry], STOPS, faults)
+
+
+@then("{late:d} late runs of a poison request are reported {reported:d} times if {fault}")
+def late_poison_runs(_context, late, reported, fault):
+    times = [1.0, 2.0, 3.0, 6.9, *(20.0 + 10.0 * number for number in range(late))]
+    senders = {f"p{number}": "vm0" for number in range(len(times))}
+    records = [run(at, f"p{number}") for number, at in enumerate(times)]
+    before = {"nothing is disturbed": None, "the sender is disturbed 3 s before one": 3.0}.get(fault, 5.0)
+    faults = {} if before is None else {"vm0": [(20.0 - before - 0.1, 20.0 - before)]}
+    assert len(poison_violations(senders, records, faults)) == reported
--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -160,17 +160,13 @@
 
     def restart_target(self, vm: Vm) -> None:
         """Kill a target, record its end in its log, and start it again."""
-        vm.target.kill()
-        self.record_end(vm)
-        self.start_target(vm)
-
-    def record_end(self, vm: Vm) -> None:
-        """Record the end of a target's process in its log."""
         born = [record["born"] for record in self.target_records() if record["target"] == f"i-{vm.name}"]
+        vm.target.kill()
         with (self.folder / f"target-{vm.name}.log").open("a") as log:
             at = round(time.monotonic(), 4)
             for value in set(born[-1:]):
                 log.write(f'{{"at":{at},"target":"i-{vm.name}","born":{value},"event":"killed"}}\n')
+        self.start_target(vm)
 
     def start_router(self, vm: Vm) -> None:
         """Write the settings file of a VM and start its router."""
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -195,11 +195,16 @@
             deadline=request.header(HEADER_PREFIX + "deadline-ms"),
         )  # fmt: skip
         if fault == "crash" or request.body.startswith(b"crash"):
-            self.app.scheduler.call_later(CRASH_DELAY_SECONDS, lambda: os._exit(CRASH_EXIT_CODE))
+            self.app.scheduler.call_later(CRASH_DELAY_SECONDS, self.crash)
             return
         service_seconds = {"slow": SLOW_SECONDS, "long": LONG_SECONDS}.get(fault, self.options.seconds)
         self.app.scheduler.call_later(service_seconds, lambda: self.send_response(request, headers, fault))
 
+    def crash(self) -> None:
+        """End the process without an answer to anything."""
+        self.write_event("killed")
+        os._exit(CRASH_EXIT_CODE)
+
     def on_control(self, path: str) -> bool:
         """Change what the target states about itself; return whether the path names such a change."""
         if path == "/drain":
--- a/tools/target_keeper.py
+++ b/tools/target_keeper.py
@@ -35,11 +35,10 @@
                     self.restart_when_due(vm)
 
     def restart_when_due(self, vm: Vm) -> None:
-        """Record the end of a target, and start it again if it is time."""
+        """Start a target again if it has ended long enough ago."""
         now = time.monotonic()
         if vm.name not in self.ended_at:
             self.ended_at[vm.name] = now
-            self.system.record_end(vm)
         elif now - self.ended_at[vm.name] >= RESTART_SECONDS:
             del self.ended_at[vm.name]
             self.system.start_target(vm, self.target_seconds)
