Let operators list what is in quarantine, and release it

Cause: a hold could be ended only by its time, although an operator may know that the target is mended. Change: python -m hibiscusdrum.platform quarantine lists the stored holds, release IDENTITY writes that one is released, which every node follows; an identity that cannot be decoded gets an error that names it.

--- a/src/hibiscusdrum/platform/main.py
+++ b/src/hibiscusdrum/platform/main.py
@@ -6,19 +6,23 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
+from functools import partial
 
 from hibiscusdrum import __version__
-from hibiscusdrum.errors import HibiscusdrumError, InvalidSettings
+from hibiscusdrum.errors import HibiscusdrumError, InvalidArgument, InvalidSettings
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.clock import BootClock
 from hibiscusdrum.internal.kernel import Application
 from hibiscusdrum.internal.log_output import NonBlockingOutput
 from hibiscusdrum.internal.router import events
-from hibiscusdrum.internal.router.application import add_router
+from hibiscusdrum.internal.router.application import add_router, target_client
+from hibiscusdrum.internal.router.quarantine_rows import ROW_KIND, decode_identity
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.internal.transport.descriptor_limits import raise_descriptor_limit
 from hibiscusdrum.platform.boot import BOOT_VARIABLE, read_boot_file, router_settings
 from hibiscusdrum.platform.operator import OperatorRows
+from hibiscusdrum.platform.quarantine_command import QuarantineCommand
 from hibiscusdrum.platform.reports import ReportEndpoint
 from hibiscusdrum.platform.store import StoreClient
 
@@ -81,6 +85,36 @@
     return 0
 
 
+def run_store_command(boot_file: str, begin: Callable[[QuarantineCommand], None]) -> int:
+    """Run a command on the platform's store; returns its exit code."""
+    try:
+        settings = router_settings(read_boot_file(boot_file))
+    except InvalidSettings as error:
+        return print_problems(error)
+    app = Application()
+    store = StoreClient(settings.store_address)
+    app.add(target_client(HEADERS))
+    app.add(store)
+    app.on_started.append(lambda: begin(QuarantineCommand(app, store)))
+    app.run()
+    return app.exit_code
+
+
+def list_quarantine(boot_file: str) -> int:
+    """Print the requests in quarantine; returns the exit code."""
+    return run_store_command(boot_file, QuarantineCommand.list_rows)
+
+
+def release(identity: str, boot_file: str) -> int:
+    """Release a request from quarantine on all nodes; returns the exit code."""
+    try:
+        decoded = decode_identity(f"{ROW_KIND}/{identity}")
+    except InvalidArgument as error:
+        print(f"hibiscusdrum: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    return run_store_command(boot_file, lambda command: command.release(decoded))
+
+
 def print_problems(error: InvalidSettings) -> int:
     """Print each problem of the settings to standard error; returns the exit code."""
     for problem in error.problems:
@@ -89,22 +123,30 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """Run the router or check its settings file, which an argument or the environment names.
+    """Run the router or a command with its settings file, which an argument or the environment names.
 
     Parameters
     ----------
     arguments : list of str, optional
-        ``[run|check] [FILE]``; those of the process when not given. They are parsed without an argument
-        parsing library, whose import would add 0.2 s to each restart.
+        ``[run|check|quarantine|release IDENTITY] [FILE]``; those of the process when not given. They are
+        parsed without an argument parsing library, whose import would add 0.2 s to each restart.
     """
     remaining = list(sys.argv[1:] if arguments is None else arguments)
-    command = remaining.pop(0) if remaining and remaining[0] in COMMANDS else "run"
+    if remaining[:1] == ["release"]:
+        identity = remaining[1] if len(remaining) > 1 else ""
+        remaining = remaining[2:]
+        action = partial(release, identity)
+    else:
+        action = COMMANDS[remaining.pop(0) if remaining and remaining[0] in COMMANDS else "run"]
     path = remaining.pop(0) if remaining else os.environ.get(BOOT_VARIABLE, "")
     if remaining or not path or path.startswith("-"):
         print(USAGE, file=sys.stderr)
         return EXIT_USAGE
-    return COMMANDS[command](path)
+    return action(path)
 
 
-COMMANDS = {"run": run, "check": check}
-USAGE = f"usage: python -m hibiscusdrum.platform [run|check] [FILE]; without FILE, {BOOT_VARIABLE} names it"
+COMMANDS = {"run": run, "check": check, "quarantine": list_quarantine}
+USAGE = (
+    "usage: python -m hibiscusdrum.platform [run|check|quarantine|release IDENTITY] [FILE]; "
+    f"without FILE, {BOOT_VARIABLE} names it"
+)
--- a/tests/features/poison_requests.feature
+++ b/tests/features/poison_requests.feature
@@ -20,3 +20,11 @@
   Scenario: A popular request is served after most of its targets were killed together, three times
     When 2 of 3 targets are killed together 3 times, while 8 callers read what takes 0.8 s
     Then no request is held, and from 4 s after the last kill on all reads are served
+
+  Scenario: An operator sees what is held, and releases it on every node
+    When a read is repeated for 12 s beside sound ones, while nothing else happens
+    Then a VM's command "quarantine" names one request, which is held
+    When an operator releases it
+    Then within 4 s every router says that its hold has ended
+    And a VM's command "quarantine" names one request, which is released
+    And releasing "no identity" ends with code 2 and an error that names it
--- a/tests/features/steps/poison_requests_steps.py
+++ b/tests/features/steps/poison_requests_steps.py
@@ -1,11 +1,15 @@
 """Steps on requests that crash each target that begins to run them."""
 
+import os
 import random
+import subprocess
+import sys
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
+from tools.processes import ROOT, wait_until
 from tools.target_keeper import RESTART_SECONDS, TargetKeeper
 
 from hibiscusdrum.internal.router.quarantine import CRASHES_TO_QUARANTINE
@@ -77,6 +81,7 @@
 
 
 @when("{requests} are repeated for {seconds:d} s beside sound ones, while nothing else happens")
+@when("{requests} is repeated for {seconds:d} s beside sound ones, while nothing else happens")
 def repeated(context, requests, seconds):
     play(context, requests, seconds, lambda: time.sleep(seconds))
 
@@ -178,3 +183,46 @@
         names = {line["name"] for line in context.system.router_log(vm)}
         assert "request_quarantined" not in names, vm.name
         assert "target_crashed" in names or vm.service != "shared" or vm.name == "vm5", vm.name
+
+
+def run_command(context, *arguments):
+    """Run a command of the router's program with the settings of a VM; returns code, output and errors."""
+    boot = context.system.folder / "vm0.conf"
+    command = [sys.executable, "-m", "hibiscusdrum.platform", *arguments, str(boot)]
+    environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+    done = subprocess.run(command, capture_output=True, text=True, timeout=20.0, env=environment, check=False)
+    return done.returncode, done.stdout, done.stderr
+
+
+@then('a VM\'s command "quarantine" names one request, which is {state}')
+def command_lists(context, state):
+    code, output, errors = run_command(context, "quarantine")
+    (line,) = output.splitlines()
+    assert code == 0 and state in line, (code, output, errors)
+    context.identity = line.split()[0]
+
+
+@when("an operator releases it")
+def operator_releases(context):
+    code, output, errors = run_command(context, "release", context.identity)
+    assert code == 0 and context.identity in output, (code, output, errors)
+
+
+@then("within {seconds:g} s every router says that its hold has ended")
+def hold_ended(context, seconds):
+    def ended():
+        return all(
+            any(
+                line["name"] == "quarantine_ended" and line["fields"]["identity"] == context.identity
+                for line in context.system.router_log(vm)
+            )
+            for vm in context.system.vms.values()
+        )
+
+    wait_until(ended, seconds, "the hold has ended on every node")
+
+
+@then('releasing "{text}" ends with code {expected:d} and an error that names it')
+def bad_identity(context, text, expected):
+    code, _output, errors = run_command(context, "release", text)
+    assert code == expected and text in errors, (code, errors)
