Let suspects that wait use nothing of a cold target's rate, and pass their place on when they end

Callers saw: after a crash, while the target is cold, up to a request's whole wait more, since each waiting suspect took a turn of the target's rate and a slot each time that another one ended. Cause: whether a suspect has to wait was decided after it had left the queue. Change: the decision comes before the queue; a suspect that cannot be run before its deadline is declined at once, so that its entry may ask another node; each end of a request, also by its caller, passes the place on.

--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -355,6 +355,7 @@
             unsent = forward is not None and self.forwarder.has_unsent_body(forward.id)
             if unsent and self.identify(pending) == identity:
                 self.cancel_forward(pending)
+                self.quarantine.log_refusal(identity, pending.attempt_id)
                 self.refuse_quarantined(pending, self.quarantine.hold_seconds(identity))
 
     def may_serve(self, node: str, pending: PendingRequest) -> bool:
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -154,8 +154,8 @@
         Requests without an outcome, by request id.
     awaiting_keys : list of Job
         Requests for keys that the target is about to be granted.
-    running_suspect : Job or None
-        The only request that the target is running of those under which others have crashed.
+    admitted_suspect : Job or None
+        The only request under which targets have crashed that is queued or running.
     waiting_suspects : list of Job
         Others of these, which wait for its end.
     limit_known : bool
@@ -182,7 +182,7 @@
         self.body_gate = BodyGate(settings.link_bytes_per_second)
         self.jobs: dict[bytes, Job] = {}
         self.awaiting_keys: list[Job] = []
-        self.running_suspect: Job | None = None
+        self.admitted_suspect: Job | None = None
         self.waiting_suspects: list[Job] = []
         self.stopping = False
         self.closed = False
@@ -424,25 +424,35 @@
             self.decline_quarantined(job, self.quarantine.hold_seconds(identity))
 
     def defer_suspect(self, job: Job) -> bool:
-        """Return whether a request is not sent now because the target is running another suspect.
+        """Return whether a request is not queued or sent now because of another suspect.
 
-        The next crash then tells which of them is the cause.
+        The target runs one at a time, so that the next crash tells which of them is the cause.
         """
         if not (self.quarantine.active or job.forward.crashes):
             return False
         identity = self.identify(job)
-        if not self.quarantine.is_cleared(identity):
-            job.crashes = max(job.forward.crashes, self.quarantine.crashes_of(identity))
-        if not job.crashes:
+        cleared = self.quarantine.is_cleared(identity)
+        job.crashes = 0 if cleared else max(job.forward.crashes, self.quarantine.crashes_of(identity))
+        if not job.crashes or self.admitted_suspect is job:
             return False
-        if self.running_suspect is None:
-            self.running_suspect = job
+        if self.admitted_suspect is None:
+            self.admitted_suspect = job
             return False
-        if len(self.waiting_suspects) < self.admission.slots * 2:
+        runs_before = len(self.waiting_suspects) + 1
+        if self.now + (runs_before + 1) * self.admission.mean_service_seconds > job.deadline:
+            self.decline(job, SUSPECTS_WAITING_REASON)
+        else:
             self.waiting_suspects.append(job)
             self.expiry_timer.wake()
-        else:
-            self.decline(job, SUSPECTS_WAITING_REASON)
+        return True
+
+    def end_job(self, job: Job) -> bool:
+        """Forget a request that has its outcome; return False if that has been done."""
+        if self.jobs.pop(job.forward.id, None) is None:
+            return False
+        if job is self.admitted_suspect:
+            self.admitted_suspect = None
+            self.readmit_suspects()
         return True
 
     def readmit_suspects(self) -> None:
@@ -516,6 +526,8 @@
 
     def enqueue(self, job: Job) -> None:
         """Queue a request that is expected to be served in time, or decline it."""
+        if self.defer_suspect(job):
+            return
         now = self.now
         entry = self.queue_entry(job)
         if not self.admission.is_servable(entry, now):
@@ -613,8 +625,6 @@
             )
         except InvalidArgument as error:
             log_events.emit(events.RowUnreadable(what="request", reason=str(error)[:200]))
-            if job is self.running_suspect:
-                self.running_suspect = None
             self.release_unsent(job, UNSENDABLE_REASON)
 
     def connection_limit(self) -> int:
@@ -649,17 +659,12 @@
     def on_result(self, job: Job, result: Result[HttpResponse, HttpFailure]) -> None:
         """Process the result of the exchange with the target, and send the next queued requests."""
         job.exchange = None
-        was_suspect = job is self.running_suspect
-        if was_suspect:
-            self.running_suspect = None
         forward = job.forward
         if isinstance(result, Success):
             self.on_response(job, result.unwrap())
         else:
             self.admission.finish(forward.cost_class, None)
             self.on_failure(job, result.failure())
-        if was_suspect:
-            self.readmit_suspects()
         self.send_queued()
 
     def on_response(self, job: Job, response: HttpResponse) -> None:
@@ -688,7 +693,7 @@
         headers = tuple(
             (name, value) for name, value in response.headers.items() if name not in HOP_BY_HOP_HEADERS
         )
-        if self.jobs.pop(forward.id, None) is None:
+        if not self.end_job(job):
             return
         log_events.emit(
             events.RequestRun(
@@ -816,7 +821,7 @@
             Resource that a request with ``only_if_free`` would have had to wait for.
         """
         forward = job.forward
-        if self.jobs.pop(forward.id, None) is None:
+        if not self.end_job(job):
             return
         if forward.offered_bytes:
             self.body_gate.forget(forward.id)
@@ -863,10 +868,10 @@
             return
         if job.exchange is not None:
             if job.forward.repeatable:
-                del self.jobs[request_id]
+                self.end_job(job)
                 job.exchange.cancel()
             return
-        del self.jobs[request_id]
+        self.end_job(job)
         self.body_gate.forget(request_id)
         self.request_bodies()
         if job in self.awaiting_keys:
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -84,6 +84,18 @@
     Then the target is running 1 suspect and 2 other requests
     And the suspect that was answered is none any more
 
+  # Guards against a cold target whose rate is spent on requests that are not sent.
+  Scenario: Suspects that wait use nothing of the rate of a cold target
+    Given a router beside a target with 9 slots, and 3 suspects of a crash
+    When the target is cold and takes 4 requests a second, and the suspects and 3 other requests arrive
+    Then the target is running 1 suspect and 3 other requests
+
+  Scenario: A suspect leaves its place to the next one when its caller leaves
+    Given a router beside a target with 4 slots, and 3 suspects of a crash
+    When the suspects and 2 other requests arrive
+    And the caller of the running suspect leaves
+    Then the target is running 1 suspect and 2 other requests
+
   # Guards against a poison request that was already accepted when it was found to be one.
   Scenario: A request that is held while it waits for its turn is refused at once as not run
     Given a router beside a target with 4 slots, and 3 suspects of a crash
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -12,6 +12,7 @@
 from hibiscusdrum.internal.router.quarantine_rows import ROW_KIND, QuarantineRows
 from hibiscusdrum.internal.router.receiver import Job
 from hibiscusdrum.internal.router.request_identity import identity_of_forward
+from hibiscusdrum.internal.router.routes import RouteTable, ServiceSpec
 from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure
 
 POISON = b"p" * 16
@@ -304,7 +305,7 @@
 
 @when("the target answers the suspect")
 def answers_suspect(context):
-    context.answered = context.receiver.running_suspect.identity
+    context.answered = context.receiver.admitted_suspect.identity
     context.target.waiting[0]()
 
 
@@ -438,3 +439,22 @@
 def suspects_found(context, count, reason):
     assert len(context.detected.suspects) == count, context.detected.suspects
     assert set(context.detected.reasons) == {reason}, context.detected.reasons
+
+
+@when(
+    "the target is cold and takes {rate:d} requests a second, and the suspects and {count:d} other requests "
+    "arrive"
+)
+def cold_arrivals(context, rate, count):
+    spec = ServiceSpec(SETTINGS.service, cold_rate=float(rate))
+    context.receiver.set_route_table(RouteTable.build(1, [], [spec]))
+    context.receiver.on_cold_start(30.0)
+    suspects_arrive(context, count)
+
+
+@when("the caller of the running suspect leaves")
+def caller_leaves(context):
+    receiver = context.receiver
+    job = receiver.admitted_suspect
+    job.forward = msgspec.structs.replace(job.forward, repeatable=True)
+    receiver.cancel(job.forward.id)
