Give requests at their target's node and the line of suspects modules of their own

Job moves to job.py, with its identity; which suspect runs, waits or is too late is decided in suspect_line.py, without I/O. No change of behaviour.

--- a/src/hibiscusdrum/internal/router/crash_detector.py
+++ b/src/hibiscusdrum/internal/router/crash_detector.py
@@ -9,23 +9,19 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.job import Job
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetState
-from hibiscusdrum.internal.router.request_identity import identity_of_forward
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.transport.connect_probe import ConnectProbe
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure
 
-if TYPE_CHECKING:
-    from hibiscusdrum.internal.router.receiver import Job
-
 # Failures of an exchange with which the end of a process shows.
 INTERRUPTIONS = frozenset((FailureKind.CLOSED, FailureKind.INCOMPLETE))
 # The sockets of a process that ends are not all closed at the same moment.
@@ -70,8 +66,7 @@
     __slots__ = ("at", "incarnation", "suspect")
 
     def __init__(self, job: Job, at: float) -> None:
-        identity = job.identity or identity_of_forward(job.forward, job.body)
-        self.suspect = Suspect(identity, job.forward.attempt_id, job.crashes + 1)
+        self.suspect = Suspect(job.identify(), job.forward.attempt_id, job.crashes + 1)
         self.incarnation = job.incarnation
         self.at = at
 
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -20,13 +20,14 @@
 )
 from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON, CrashDetector
 from hibiscusdrum.internal.router.hop import CLOSING_REASON
+from hibiscusdrum.internal.router.job import Job, ReplyCallback
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetState
 from hibiscusdrum.internal.router.quarantine import QUARANTINED_REASON, CrashRecord, Quarantine
 from hibiscusdrum.internal.router.range_owner import KeyState, RangeOwner
 from hibiscusdrum.internal.router.rate_limiter import UNKNOWN_LIMIT_BOUND, RateLimiter
-from hibiscusdrum.internal.router.request_identity import identity_of_forward
 from hibiscusdrum.internal.router.routes import HeaderNames, RouteTable
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.suspect_line import Place, SuspectLine
 from hibiscusdrum.internal.router.target_signals import (
     MISDIRECTED_STATUS,
     is_leaving,
@@ -37,7 +38,6 @@
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import (
     FailureKind,
-    HttpExchange,
     HttpFailure,
     HttpResponse,
 )
@@ -82,66 +82,6 @@
     )
 )
 
-ReplyCallback = Callable[[Answered | Declined | SendBody, bytes], None]
-
-
-class Job:
-    """A request for this VM's target that has no outcome yet.
-
-    Attributes
-    ----------
-    goal_at, deadline : float
-        Monotonic times in seconds from which a response is late, and from which it is useless.
-    body_parts : list of bytes
-        Parts of a large body received so far.
-    queue_entry : QueueEntry or None
-        Entry in the admission queue, once queued.
-    exchange : HttpExchange or None
-        HTTP exchange with the target while it is in progress.
-    incarnation : str
-        Incarnation of the target to which the request was sent.
-    identity : bytes
-        Identity of the request; empty as long as it was not needed.
-    crashes : int
-        Crashes of targets under this request that were known when it was sent.
-    """
-
-    __slots__ = (
-        "arrived_at",
-        "body",
-        "body_parts",
-        "crashes",
-        "deadline",
-        "exchange",
-        "forward",
-        "goal_at",
-        "identity",
-        "incarnation",
-        "queue_entry",
-        "reply",
-        "sent_at",
-    )
-
-    def __init__(self, forward: Forward, body: bytes, now: float, reply: ReplyCallback) -> None:
-        self.forward = forward
-        self.body = body
-        self.body_parts: list[bytes] = []
-        self.arrived_at = now
-        self.deadline = now + forward.remaining_seconds
-        self.goal_at = now + min(forward.goal_remaining_seconds, forward.remaining_seconds)
-        self.reply = reply
-        self.queue_entry: QueueEntry | None = None
-        self.exchange: HttpExchange | None = None
-        self.incarnation = ""
-        self.sent_at = 0.0
-        self.identity = b""
-        self.crashes = 0
-
-    @property
-    def has_been_sent(self) -> bool:
-        """Whether the target has been sent the request."""
-        return self.incarnation != ""
-
 
 class Receiver(Service):
     """Admits requests to this VM's target and sends them to it.
@@ -154,10 +94,8 @@
         Requests without an outcome, by request id.
     awaiting_keys : list of Job
         Requests for keys that the target is about to be granted.
-    admitted_suspect : Job or None
-        The only request under which targets have crashed that is queued or running.
-    waiting_suspects : list of Job
-        Others of these, which wait for its end.
+    suspect_line : SuspectLine
+        Requests under which targets have crashed.
     limit_known : bool
         Whether the target has answered since the start of this process, so that its rate limit is known.
     stopping : bool
@@ -182,8 +120,7 @@
         self.body_gate = BodyGate(settings.link_bytes_per_second)
         self.jobs: dict[bytes, Job] = {}
         self.awaiting_keys: list[Job] = []
-        self.admitted_suspect: Job | None = None
-        self.waiting_suspects: list[Job] = []
+        self.suspect_line = SuspectLine()
         self.stopping = False
         self.closed = False
         self.service_seconds_left: Callable[[], float] = lambda: math.inf
@@ -240,7 +177,7 @@
             waiting += limiter.wait_seconds(0, self.now) * limiter.stated_rate
         return (
             admission.running,
-            admission.queued + len(self.awaiting_keys) + len(self.waiting_suspects) + math.ceil(waiting),
+            admission.queued + len(self.awaiting_keys) + len(self.suspect_line.waiting) + math.ceil(waiting),
             admission.slots,
             round(admission.mean_service_seconds, 4),
             self.accepting,
@@ -300,7 +237,7 @@
         awaiting_bodies = [self.jobs[request_id] for request_id in self.body_gate.transfers]
         for job in (*waiting, *awaiting_bodies):
             self.decline(job, reason)
-        self.readmit_suspects()
+        self.readmit(self.suspect_line.take_waiting())
 
     def on_forward(self, forward: Forward, body: bytes, delay: float, reply: ReplyCallback) -> None:
         """Submit a request from another node, or decline it if it was delayed in transit."""
@@ -397,13 +334,7 @@
         """Return for how many seconds a request whose body has arrived is held in quarantine."""
         if not self.quarantine.active:
             return 0.0
-        return self.quarantine.hold_seconds(self.identify(job))
-
-    def identify(self, job: Job) -> bytes:
-        """Return the identity of a request whose body has arrived."""
-        if not job.identity:
-            job.identity = identity_of_forward(job.forward, job.body)
-        return job.identity
+        return self.quarantine.hold_seconds(job.identify())
 
     def decline_quarantined(self, job: Job, hold: float) -> None:
         """Decline a request that is held in quarantine for some seconds."""
@@ -413,52 +344,40 @@
     def decline_held(self, identity: bytes, _record: CrashRecord) -> None:
         """Decline the requests with an identity that have arrived and were not sent to the target."""
         for job in list(self.jobs.values()):
-            incomplete = bool(job.forward.offered_bytes and not job.body)
-            if job.has_been_sent or incomplete or self.identify(job) != identity:
+            if job.has_been_sent or not job.has_body or job.identify() != identity:
                 continue
             if job.queue_entry is not None:
                 self.admission.remove(job.queue_entry)
-            for waiting in (self.awaiting_keys, self.waiting_suspects):
-                if job in waiting:
-                    waiting.remove(job)
+            elif job in self.awaiting_keys:
+                self.awaiting_keys.remove(job)
             self.decline_quarantined(job, self.quarantine.hold_seconds(identity))
 
     def defer_suspect(self, job: Job) -> bool:
-        """Return whether a request is not queued or sent now because of another suspect.
-
-        The target runs one at a time, so that the next crash tells which of them is the cause.
-        """
+        """Return whether a request is not queued or sent now because of another suspect."""
         if not (self.quarantine.active or job.forward.crashes):
             return False
-        identity = self.identify(job)
+        identity = job.identify()
         cleared = self.quarantine.is_cleared(identity)
         job.crashes = 0 if cleared else max(job.forward.crashes, self.quarantine.crashes_of(identity))
-        if not job.crashes or self.admitted_suspect is job:
-            return False
-        if self.admitted_suspect is None:
-            self.admitted_suspect = job
+        if not job.crashes:
             return False
-        runs_before = len(self.waiting_suspects) + 1
-        if self.now + (runs_before + 1) * self.admission.mean_service_seconds > job.deadline:
-            self.decline(job, SUSPECTS_WAITING_REASON)
-        else:
-            self.waiting_suspects.append(job)
+        place = self.suspect_line.join(job, self.now, self.admission.mean_service_seconds)
+        if place is Place.WAITING:
             self.expiry_timer.wake()
-        return True
+        elif place is Place.TOO_LATE:
+            self.decline(job, SUSPECTS_WAITING_REASON)
+        return place is not Place.FIRST
 
     def end_job(self, job: Job) -> bool:
         """Forget a request that has its outcome; return False if that has been done."""
         if self.jobs.pop(job.forward.id, None) is None:
             return False
-        if job is self.admitted_suspect:
-            self.admitted_suspect = None
-            self.readmit_suspects()
+        self.readmit(self.suspect_line.leave(job))
         return True
 
-    def readmit_suspects(self) -> None:
-        """Admit the requests that have waited for the end of another suspect."""
-        waiting, self.waiting_suspects = self.waiting_suspects, []
-        for job in waiting:
+    def readmit(self, suspects: list[Job]) -> None:
+        """Admit requests that have waited for the end of another suspect."""
+        for job in suspects:
             if self.jobs.get(job.forward.id) is job:
                 self.admit(job)
 
@@ -579,17 +498,14 @@
         ]:
             self.awaiting_keys.remove(job)
             self.decline(job, "keys_late")
-        for job in [
-            job for job in self.waiting_suspects if now + self.admission.mean_service_seconds > job.deadline
-        ]:
-            self.waiting_suspects.remove(job)
+        for job in self.suspect_line.expired(now, self.admission.mean_service_seconds):
             self.decline(job, TOO_LATE_REASON)
         for request_id in list(self.body_gate.transfers):
             job = self.jobs[request_id]
             if now + self.admission.mean_service_seconds > job.deadline:
                 self.decline(job, "body_late")
         self.send_queued()
-        waiting = self.awaiting_keys or self.waiting_suspects or self.body_gate.transfers
+        waiting = self.awaiting_keys or self.suspect_line.waiting or self.body_gate.transfers
         return bool(self.admission.queued or waiting)
 
     def send_to_target(self, job: Job) -> None:
@@ -689,7 +605,7 @@
             self.decline(job, "unsigned", may_have_run=True, arrived=True)
             return
         if (self.quarantine.active or job.crashes) and names.signature in response.headers:
-            self.quarantine.on_answered(self.identify(job), job.crashes)
+            self.quarantine.on_answered(job.identify(), job.crashes)
         headers = tuple(
             (name, value) for name, value in response.headers.items() if name not in HOP_BY_HOP_HEADERS
         )
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -7,10 +7,10 @@
 
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON, CrashDetector, Suspect
+from hibiscusdrum.internal.router.job import Job
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.quarantine import Quarantine
 from hibiscusdrum.internal.router.quarantine_rows import ROW_KIND, QuarantineRows
-from hibiscusdrum.internal.router.receiver import Job
 from hibiscusdrum.internal.router.request_identity import identity_of_forward
 from hibiscusdrum.internal.router.routes import RouteTable, ServiceSpec
 from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure
@@ -305,7 +305,7 @@
 
 @when("the target answers the suspect")
 def answers_suspect(context):
-    context.answered = context.receiver.admitted_suspect.identity
+    context.answered = context.receiver.suspect_line.first.identity
     context.target.waiting[0]()
 
 
@@ -455,6 +455,6 @@
 @when("the caller of the running suspect leaves")
 def caller_leaves(context):
     receiver = context.receiver
-    job = receiver.admitted_suspect
+    job = receiver.suspect_line.first
     job.forward = msgspec.structs.replace(job.forward, repeatable=True)
     receiver.cancel(job.forward.id)
