Count crashes again 4 s after a release, and 10 s after an answer

Callers would see: after a release by mistake, a poison request crashed targets without limit for 60 s, since what is cleared is no suspect for that long. Cause: one duration for two purposes: an answer proves a request sound, a release does not. Change: 4 s after a release, in which the other nodes follow it; 10 s after an answer, which reports of crashes before it need to arrive. Measured: the scenario in quarantine.feature failed before, 35 passed after.

--- a/src/hibiscusdrum/internal/router/quarantine.py
+++ b/src/hibiscusdrum/internal/router/quarantine.py
@@ -30,8 +30,10 @@
 SUSPECT_SECONDS = 600.0
 # Durations of the first holds, and of all later ones. At the end of each, one crash renews the hold.
 HOLD_SECONDS = (600.0, 3_600.0, 86_400.0)
-# For this long after a request was answered, it is no suspect.
-CLEARED_SECONDS = 60.0
+# For this long after a request was answered, it is no suspect: crashes that are reported late do not count.
+CLEARED_SECONDS = 10.0
+# The same after a release, which may be a mistake: other nodes follow it within this time.
+RELEASED_SECONDS = 4.0
 FORGET_INTERVAL_SECONDS = 30.0
 MAX_SUSPECTS = 4_096
 MAX_HELD = 512
@@ -305,12 +307,12 @@
     def release(self, identity: bytes) -> None:
         """End the hold of a request because the store says so."""
         if identity in self.held or identity in self.suspects:
-            self.clear(identity, "released")
+            self.clear(identity, "released", RELEASED_SECONDS)
 
-    def clear(self, identity: bytes, reason: str) -> None:
-        """Forget the crashes under a request, and count none for a while."""
+    def clear(self, identity: bytes, reason: str, seconds: float = CLEARED_SECONDS) -> None:
+        """Forget the crashes under a request, and count none for some seconds."""
         self.cleared.pop(identity, None)
-        self.cleared[identity] = self.now + CLEARED_SECONDS
+        self.cleared[identity] = self.now + seconds
         if len(self.cleared) > MAX_CLEARED:
             self.cleared.popitem(last=False)
         self.suspects.pop(identity, None)
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -61,6 +61,14 @@
     And a target answers it
     Then the request is a suspect on no node
 
+  # Guards against an unlimited number of crashes after a release by mistake.
+  Scenario: A request that is released and still crashes its targets is held again after three of them
+    Given 4 nodes that share what they know of crashes
+    When three targets crash one after the other
+    And the request is released, and 5 s pass
+    And three targets crash one after the other
+    Then the request is held on every node within 4 s
+
   Scenario: Rows of holds that have ended are deleted
     Given 4 nodes that share what they know of crashes
     When three targets crash one after the other
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -458,3 +458,12 @@
     job = receiver.suspect_line.first
     job.forward = msgspec.structs.replace(job.forward, repeatable=True)
     receiver.cancel(job.forward.id)
+
+
+@when("the request is released, and {seconds:d} s pass")
+def released(context, seconds):
+    for quarantine in quarantines(context).values():
+        assert quarantine.hold_seconds(POISON)
+        quarantine.release(POISON)
+        assert not quarantine.crashes_of(POISON)
+    context.world.run(seconds)
