--- a/soak/run.py
+++ b/soak/run.py
@@ -22,7 +22,7 @@
 from soak.links import MODES, PASS, LinkProxy
 from soak.loss_checks import lost_violations, replaced_violations, silent_violations
 from soak.manners import manner_callers
-from soak.poison import PoisonCaller, poison_violations, runs_of
+from soak.poison import poison_caller, poison_violations, runs_of
 from soak.proxied_system import VM_PLACEMENTS, ProxiedSystem
 from soak.stalls import StallLog
 from soak.stop_checks import CONTACT_SECONDS, STORE, cut_requests, cut_violations, read_ids_by_vm
@@ -103,7 +103,7 @@
     def run(self) -> list[str]:
         """Run the seed and return the violations of guarantees."""
         callers: list[Caller] = []
-        poison = PoisonCaller(self.system, self.seed)
+        poison = poison_caller(self.system, self.seed)
         violations: list[str] = []
         try:
             self.system.start()
