Send the requests of repeating callers at routers that accept connections

The poison request ran 3 times and was held on each restarted router within 15 ms of its start. The caller now passes over routers that do not accept connections, as clients do; the share asked for is unchanged.

--- a/tools/repeating_caller.py
+++ b/tools/repeating_caller.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import random
+import socket
 import threading
 import time
 from collections.abc import Callable
 
 import msgspec
 
-from tools.router_system import RouterSystem
+from tools.router_system import RouterSystem, Vm
+
+CONNECT_SECONDS = 1.0
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
@@ -29,6 +32,16 @@
     status: int
 
 
+def accepts_connections(vm: Vm) -> bool:
+    """Return whether the router of a VM accepts connections of callers."""
+    host, _, port = vm.address(1).rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), CONNECT_SECONDS).close()
+    except OSError:
+        return False
+    return True
+
+
 class RepeatingCaller(threading.Thread):
     """Sends requests at the routers of the keyed service until stopped.
 
@@ -68,9 +81,8 @@
 
     def run(self) -> None:
         """Send requests with pauses between them."""
-        routers = [vm for vm in self.system.vms.values() if vm.service == "keyed"]
         while not self.stopped.is_set():
-            vm, number = self.rng.choice(routers), len(self.senders)
+            vm, number = self.choose_router(), len(self.senders)
             request = self.next_request(self.rng, number)
             attempt = f"{self.name_prefix}-{number}"
             self.senders[attempt] = vm.name
@@ -80,6 +92,12 @@
             self.answers.append(CallerAnswer(time.monotonic(), status))
             self.stopped.wait(self.rng.uniform(*self.pauses))
 
+    def choose_router(self) -> Vm:
+        """Return a random VM whose router accepts connections; those that restart are passed over."""
+        routers = [vm for vm in self.system.vms.values() if vm.service == "keyed"]
+        self.rng.shuffle(routers)
+        return next((vm for vm in routers if accepts_connections(vm)), routers[0])
+
     def stop_and_join(self) -> None:
         """Stop, and wait for the last answer."""
         self.stopped.set()
