Spread the operator's rows between nodes, and answer 503 instead of an unconfirmed 404

Cause: each node learned of a configuration only by its own poll of the store, and took its own table for the newest however old it was. Change: nodes tell random peers which of the operator's rows they know; one that is behind pulls them. Digests carry their age, so a node knows until when its configuration was the newest; without a confirmation for 4 s it refuses an unknown route with 503 and a Retry-After.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -394,6 +394,56 @@
     objection: bool = False
 
 
+class ConfigRow(msgspec.Struct, frozen=True, array_like=True):
+    """A row of the operator, with the value as the store has it."""
+
+    key: str
+    version: Count
+    value: str
+
+
+class ConfigDigest(Message, frozen=True, array_like=True, tag=True):
+    """Tells a peer which rows of the operator the sender knows.
+
+    Attributes
+    ----------
+    process : bytes
+        Prefix of the ids of all requests of the sender's process.
+    sent_at : float
+        Seconds on the sender's monotonic clock.
+    position : int
+        Version of the store up to which the sender knows all rows.
+    content : int
+        Version of the newest row or deletion among them.
+    confirmed_age : float
+        Seconds since the sender last learned that ``content`` was the newest.
+    """
+
+    node: str
+    process: bytes
+    sent_at: Seconds
+    position: Count
+    content: Count
+    confirmed_age: Amount
+
+
+class ConfigPull(Message, frozen=True, array_like=True, tag=True):
+    """Asks a peer for the rows of the operator, which the sender knows up to ``position``."""
+
+    node: str
+    position: Count
+
+
+class ConfigSnapshot(Message, frozen=True, array_like=True, tag=True):
+    """All rows of the operator as of ``position``; the other fields are those of ``ConfigDigest``."""
+
+    node: str
+    position: Count
+    content: Count
+    confirmed_age: Amount
+    rows: tuple[ConfigRow, ...]
+
+
 RequestMessage = (
     Call
     | Cancel
@@ -411,4 +461,7 @@
     | Closing
     | CrashReport
     | SuspectsCleared
+    | ConfigDigest
+    | ConfigPull
+    | ConfigSnapshot
 )
--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -5,6 +5,7 @@
 import random
 
 from hibiscusdrum.internal.kernel import Application, Service
+from hibiscusdrum.internal.router.config_gossip import ConfigGossip
 from hibiscusdrum.internal.router.crash_detector import CrashDetector
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.hop import Forwarder
@@ -77,6 +78,7 @@
     app.add(LocalTarget(settings))
     members = app.add(Members(settings))
     hop = app.add(Forwarder(settings, selection))
+    app.add(ConfigGossip(settings, rng))
     app.add(StoreEra())
     app.add(Rings(settings))
     app.add(LeaseKeeper(settings))
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -759,11 +759,29 @@
     received_bytes: int = 0
 
 
+class ConfigPulled(LogEvent, frozen=True):
+    """Newer rows of the operator were taken from a peer, before the store had answered with them.
+
+    ``unconfirmed_s`` is the time since this node last knew that it had the newest rows.
+    """
+
+    number = 853
+    cause = "The store turns this node away, is slow, or the link to it is congested; or the peer was faster."
+    operator_action = "None; look for `store_call_failed` if it is frequent on one node."
+
+    peer: str
+    version: int
+    former: int
+    rows: int
+    unconfirmed_s: float
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
         CallerConnectionLost,
         ClientErrorAnswered,
+        ConfigPulled,
         DepartureNotStored,
         EraRecorded,
         EraSettled,
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -49,6 +49,9 @@
 from hibiscusdrum.internal.transport.entry_request import EntryRequest
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
+# Without news of the configuration for longer than this, no request is told that no route exists for it. Each
+# poll of the store for changes ends within 3.5 s, and peers confirm the configuration several times a second.
+MAX_CONFIRMATION_AGE_SECONDS = 4.0
 # Longest part of a host or path in a log line.
 MAX_LOGGED_CHARACTERS = 100
 # Timeout of a request whose deadline header is missing or invalid.
@@ -81,6 +84,7 @@
 MAX_CRASHES_TO_RETRY = 2
 LEAVING_REASON = "target_leaving"
 NO_ROUTE_REASON = "no_route"
+UNCONFIRMED_REASON = "configuration_unconfirmed"
 OUTSIDE_REGIONS_REASON = "owner_outside_regions"
 OVERLOAD_REASONS = (OVERLOADED_REASON, TOO_LATE_REASON)
 THROTTLED_REASON = "throttled"
@@ -174,7 +178,7 @@
         if table.version <= self.route_table.version:
             return
         previous, self.route_table = self.route_table, table
-        self.routes_active_at = self.app.clock.monotonic()
+        self.routes_active_at = self.routes_confirmed_at = self.app.clock.monotonic()
         self.receiver.set_route_table(table)
         self.entry.limits = table.limits
         self.range_owner.set_partitioned(self.settings.service in table.partitioned)
@@ -186,9 +190,14 @@
             )
         )
 
-    def confirm_routes(self) -> None:
-        """Record that the active configuration is known to be the newest one."""
-        self.routes_confirmed_at = self.app.clock.monotonic()
+    def confirm_routes(self, at: float) -> None:
+        """Record that the active configuration was the newest one at a monotonic time in seconds."""
+        self.routes_confirmed_at = max(self.routes_confirmed_at, at)
+
+    @property
+    def routes_confirmed(self) -> bool:
+        """Whether the active configuration is known to have been the newest one a short time ago."""
+        return self.app.clock.monotonic() - self.routes_confirmed_at <= MAX_CONFIRMATION_AGE_SECONDS
 
     def refuse_unsent(self) -> None:
         """Refuse the requests whose bodies are not completely sent, because the process is about to exit."""
@@ -212,7 +221,11 @@
             return
         route = self.route_table.find(request.header("host") or "", request.target)
         if route is None:
-            self.refuse_unrouted(request, 404, NO_ROUTE_REASON)
+            if self.routes_confirmed:
+                self.refuse_unrouted(request, 404, NO_ROUTE_REASON)
+            else:
+                # A newer configuration may have the route, and callers do not repeat what gets a 404.
+                self.refuse_unrouted(request, 503, UNCONFIRMED_REASON)
             return
         service = self.service_choice.choose(route) if route.services else ""
         if not service or service in self.route_table.unusable_services:
--- a/src/hibiscusdrum/internal/router/metrics.py
+++ b/src/hibiscusdrum/internal/router/metrics.py
@@ -14,6 +14,8 @@
 
 # Upper bounds of the latency histogram, from one hop within a failure domain to the longest deadline.
 LATENCY_BOUNDS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
+# Age that is reported for a configuration that was never confirmed.
+MAX_AGE_SECONDS = 1e6
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -41,6 +43,7 @@
         self.traffic = self.app.find("traffic")
         self.entry = self.app.find("entry")
         self.quarantine = self.app.find("quarantine")
+        self.config_gossip = self.app.find("config_gossip")
         if self.settings.metrics_address:
             self.entry.listen(self.settings.metrics_address, self.on_scrape, CONTROL_LIMITS)
 
@@ -125,6 +128,8 @@
             "nodes": len(self.members.nodes),
             "crash_suspects": len(self.quarantine.suspects),
             "quarantined": len(self.quarantine.held),
+            "config_pulls": self.config_gossip.pull_count,
+            "config_confirmed_age_seconds": round(min(self.config_gossip.confirmed_age, MAX_AGE_SECONDS), 3),
             "store_reachable": int(self.members.store_reachable),
             "store_era": self.members.table.era,
         }
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -13,8 +13,10 @@
 from hibiscusdrum.internal.decoding import refusing_malformed
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import full_jitter
+from hibiscusdrum.internal.messages import ConfigRow, ConfigSnapshot
 from hibiscusdrum.internal.platform.table import era_of, number_of
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.config_gossip import ConfigGossip
 from hibiscusdrum.internal.router.unreadable import unreadable_entries
 from hibiscusdrum.platform.configuration import DecodedConfig, decode_config
 from hibiscusdrum.platform.store import OPERATOR_TABLE, RowChanges, StoreClient, WireRow
@@ -113,7 +115,11 @@
     Attributes
     ----------
     last_version : int or None
-        Newest version of the store that was read; None before the first read.
+        Version of the store up to which the rows are known; None before the first read.
+    adopted_version : int
+        ``last_version`` as adopted from a peer; 0 once the store has answered with a newer one.
+    store_read : bool
+        Whether the store has answered a read; until then the whole table is read.
     failures : int
         Number of consecutive failed polls.
     evacuations : Evacuations
@@ -124,6 +130,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.last_version: int | None = None
+        self.adopted_version = 0
+        self.store_read = False
         self.failures = 0
         self.evacuations = Evacuations()
         self.rng = random.Random()
@@ -133,11 +141,15 @@
         self.store: StoreClient = self.app.find("table")
         self.gateway = self.app.find("gateway")
         self.members = self.app.find("members")
+        self.gossip: ConfigGossip = self.app.find("config_gossip")
+        self.gossip.on_snapshot = self.adopt_snapshot
+        self.gossip.on_confirmed = self.gateway.confirm_routes
         self.poll()
 
     def poll(self) -> None:
         """Poll for changes; the first poll reads the whole table."""
-        self.store.poll_changes(OPERATOR_TABLE, self.last_version, self.on_changes)
+        since = self.last_version if self.store_read else None
+        self.store.poll_changes(OPERATOR_TABLE, since, self.on_changes)
 
     def on_changes(self, result: Result[RowChanges, HibiscusdrumError]) -> None:
         """Apply the changed rows and poll again, after a failure with a delay."""
@@ -148,6 +160,7 @@
             return
         answer = result.unwrap()
         self.failures = 0
+        self.store_read = True
         # After an exception, the rows are read again.
         delay = MAX_RETRY_SECONDS
         try:
@@ -160,21 +173,49 @@
                 self.poll()
 
     def apply_rows(self, answer: RowChanges) -> None:
+        """Apply what the store has answered, unless the rows of a peer are newer, and pass it on to peers."""
+        former_version = self.last_version or 0
+        if answer.complete and self.is_older_than_adopted(answer.version):
+            # Newer changes follow with the next poll. Should the store have lost them, the next read counts.
+            self.adopted_version = 0
+            return
+        rows = answer.rows
+        if not answer.complete:
+            rows = tuple(row for row in rows if row.ver > former_version)
+        self.apply_changes(RowChanges(rows, answer.version, answer.complete))
+        self.last_version = answer.version if answer.complete else max(former_version, answer.version)
+        self.adopted_version = 0
+        self.gossip.record(
+            self.last_version,
+            [ConfigRow(row.key, row.ver, row.value) for row in rows if not row.deleted],
+            {row.key: row.ver for row in rows if row.deleted},
+            answer.complete,
+        )
+
+    def is_older_than_adopted(self, version: int) -> bool:
+        """Return whether an answer of the store is older than the rows that were adopted from a peer."""
+        return version < self.adopted_version and era_of(version) == era_of(self.adopted_version)
+
+    def adopt_snapshot(self, snapshot: ConfigSnapshot) -> None:
+        """Apply the rows of a peer, which are all rows of the operator as of a newer version."""
+        rows = tuple(WireRow(row.key, row.version, row.value) for row in snapshot.rows)
+        self.apply_changes(RowChanges(rows, snapshot.position, True))
+        self.last_version = self.adopted_version = snapshot.position
+
+    def apply_changes(self, changes: RowChanges) -> None:
         """Apply evacuations, and then the configuration."""
-        former_version = self.last_version
-        if answer.complete:
-            restored = former_version is not None and era_of(former_version) < era_of(answer.version)
-            self.apply_all_evacuations(answer.rows, restored)
+        if changes.complete:
+            former = self.last_version
+            restored = former is not None and era_of(former) < era_of(changes.version)
+            self.apply_all_evacuations(changes.rows, restored)
         else:
-            for row in answer.rows:
+            for row in changes.rows:
                 if row.key.startswith(EVACUATE_PREFIX):
                     self.evacuations.apply(row.key[len(EVACUATE_PREFIX) :], row.ver, row.deleted)
         self.members.set_evacuated_domains(self.evacuations.in_force)
-        for row in answer.rows:
+        for row in changes.rows:
             if row.key == CONFIG_KEY and not row.deleted:
                 self.apply_config(row)
-        self.last_version = answer.version if answer.complete else max(former_version or 0, answer.version)
-        self.gateway.confirm_routes()
 
     def apply_all_evacuations(self, rows: tuple[WireRow, ...], restored: bool) -> None:
         """Apply the evacuations of a complete read, the first one in a new era with care."""
--- a/tests/configuration_world.py
+++ b/tests/configuration_world.py
@@ -1,10 +1,13 @@
-"""Nodes in one process that follow the operator's rows of a store and exchange messages, on a manual clock."""
+"""Nodes in one process that follow the operator's rows of a store and exchange messages on a manual clock."""
 
 from __future__ import annotations
 
 import random
 
+from returns.result import Failure
+
 from hibiscusdrum.internal.kernel import Application, Service
+from hibiscusdrum.internal.router.config_gossip import ConfigGossip
 from hibiscusdrum.internal.router.gateway import Gateway
 from hibiscusdrum.internal.router.local_target import LocalTarget
 from hibiscusdrum.internal.router.members import Members, NodeRow
@@ -12,11 +15,13 @@
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.internal.router.selection import NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure
 from hibiscusdrum.platform.operator import OperatorRows
 from hibiscusdrum.platform.store import OPERATOR_TABLE, StoreClient
 from tests.restorable_store import RestorableStore
 from tests.router_stubs import Request, Stub, application
 
+CLOSED = Failure(HttpFailure(True, FailureKind.CLOSED))
 STEP_SECONDS = 0.01
 MESSAGE_SECONDS = 0.002
 FIRST_VERSION = 10
@@ -48,9 +53,9 @@
     Attributes
     ----------
     turned_away : bool
-        Whether the store answers this node's calls with status 503.
-    answered_bytes : int
-        Bytes of the answers that this node got.
+        Whether the store closes this node's connections without an answer.
+    answer_delay : float
+        Seconds by which answers arrive later.
     """
 
     service_name = "http_client"
@@ -59,20 +64,19 @@
         super().__init__()
         self.store = store
         self.turned_away = False
-        self.answered_bytes = 0
+        self.answer_delay = 0.0
 
     def request(self, address, method, path, headers, body, timeout, callback, *rest, **options):
         """Send a call, or fail it."""
         if self.turned_away:
-            self.app.scheduler.call_later(0.005, lambda: self.store.refuse(callback))
+            self.app.scheduler.call_later(0.005, lambda: callback(CLOSED))
             return
 
         def on_result(result):
             if self.turned_away:
-                self.store.refuse(callback)
+                callback(CLOSED)
                 return
-            self.answered_bytes += len(result.unwrap().body) if hasattr(result, "unwrap") else 0
-            callback(result)
+            self.app.scheduler.call_later(self.answer_delay, lambda: callback(result))
 
         self.store.request(address, method, path, headers, body, timeout, on_result, *rest)
 
@@ -130,8 +134,9 @@
         )
         for service in ("entry", "receiver", "range_owner", "metrics"):
             setattr(self.gateway, service, app.find(service))
+        self.gossip = app.add(ConfigGossip(settings, random.Random(name)))
         self.operator_rows = app.add(OperatorRows())
-        for service in (self.client, self.operator_rows):
+        for service in (self.client, self.gossip, self.operator_rows):
             service.on_start()
 
     @property
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -27,7 +27,7 @@
     variants,
     with_field,
 )  # fmt: skip
-from tests.router_stubs import FREE, SETTINGS, Stub, application, forward
+from tests.router_stubs import FREE, SETTINGS, Stub, application, forward, lone_hop
 from tests.router_world import PROBED_KEYS, World
 from tools.standins.rows_store import RowsStore
 
@@ -35,6 +35,7 @@
 from hibiscusdrum.internal import codec, log_events
 from hibiscusdrum.internal.messages import Answered, ConfigAck, Declined, Ping, Pong
 from hibiscusdrum.internal.platform.table import Row
+from hibiscusdrum.internal.router.config_gossip import ConfigGossip
 from hibiscusdrum.internal.router.hop import Forwarder
 from hibiscusdrum.internal.router.lease_keeper import LeaseKeeper
 from hibiscusdrum.internal.router.local_target import LocalTarget
@@ -263,7 +264,7 @@
         """The configuration in force."""
         return self.table or EMPTY_TABLE
 
-    def confirm_routes(self):
+    def confirm_routes(self, _at):
         """Take the news that the configuration is the newest one."""
 
     def set_route_table(self, table):
@@ -286,7 +287,9 @@
     context.peers = PeerTransport(None, b"")
     context.loopback = Loopback(
         HttpClient(), store, context.client, context.peers, context.target, context.members,
-        StoreEra(), Rings(settings), LeaseKeeper(settings), context.gateway, context.operator,
+        StoreEra(), Rings(settings), LeaseKeeper(settings), context.gateway,
+        lone_hop(), ConfigGossip(settings, random.Random(1)),
+        context.operator,
     )  # fmt: skip
     context.add_cleanup(context.loopback.stop)
 
@@ -629,6 +632,7 @@
     metrics = RouterMetrics(SETTINGS)
     metrics.entry, metrics.quarantine = HttpEntry(), Quarantine(SETTINGS)
     metrics.receiver = metrics.range_owner = metrics.members = metrics.traffic = stub
+    metrics.config_gossip = Stub("config_gossip", pull_count=0, confirmed_age=0.0)
     for line in metrics.render().decode().splitlines():
         if line.startswith("hibiscusdrum_unreadable_total "):
             return int(line.split()[1])
--- a/tests/features/steps/router_entry_steps.py
+++ b/tests/features/steps/router_entry_steps.py
@@ -145,15 +145,13 @@
 
 @given("an entry that serves reports, readiness and metrics besides its callers")
 def several_addresses(context):
-    names = ("target_control_address", "ready_address", "metrics_address")
-    addresses = {name: free_address() for name in names}
+    settable = ("target_control_address", "ready_address", "metrics_address")
+    addresses = {name: free_address() for name in settable}
     context.addresses = dict(zip(("reports", "readiness", "metrics"), addresses.values(), strict=True))
     settings = msgspec.structs.replace(SETTINGS, **addresses)
     context.entry = HttpEntry()
-    stubs = [
-        Stub(name)
-        for name in ("local_target", "range_owner", "gateway", "members", "receiver", "traffic", "quarantine")
-    ]
+    names = "local_target range_owner gateway members receiver traffic quarantine config_gossip"
+    stubs = [Stub(name) for name in names.split()]
     services = (ReportEndpoint(settings), Readiness(settings), RouterMetrics(settings))
     context.loopback = Loopback(*stubs, context.entry, *services)
     context.add_cleanup(context.loopback.stop)
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -10,7 +10,7 @@
 import msgspec
 from behave import given, then, when
 from returns.result import Failure, Success
-from tests.router_stubs import FREE, SETTINGS, Request, SentHop, Stub, application, forward
+from tests.router_stubs import FREE, SETTINGS, Request, SentHop, Stub, application, forward, lone_gossip
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal import log_events
@@ -697,12 +697,13 @@
 def evacuated_domain(context):
     app = application()
     context.evacuated = []
-    app.add(Stub("gateway", confirm_routes=lambda: None))
-    app.add(Stub("members", set_evacuated_domains=context.evacuated.append))
+    app.add(Stub("gateway", confirm_routes=lambda _at: None))
+    app.add(Stub("members", set_evacuated_domains=context.evacuated.append, nodes={}))
     context.follows = []
     app.add(
         Stub("table", poll_changes=lambda table, since, callback: context.follows.append((since, callback)))
     )
+    lone_gossip(app)
     app.add(OperatorRows()).on_start()
     rows = (WireRow(EVACUATE_PREFIX + "east-2", 5, ""),)
     context.follows[-1][1](Success(RowChanges(rows, 5, True)))
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from returns.result import Failure, Success
 from tests.restorable_store import RestorableStore
-from tests.router_stubs import SETTINGS, Stub, application
+from tests.router_stubs import SETTINGS, Stub, application, lone_gossip
 from tools.router_system import LIMITS, ROUTE_COLUMNS, SERVICE_COLUMNS
 
 from hibiscusdrum.errors import StoreConflict
@@ -105,6 +105,7 @@
     )
     for name in ("entry", "receiver", "range_owner"):
         setattr(context.gateway, name, app.find(name))
+    lone_gossip(app)
     context.operator_rows = app.add(OperatorRows())
     context.beats = 0
     context.store.put(OPERATOR_TABLE, "config", configuration(10))
--- a/tests/restorable_store.py
+++ b/tests/restorable_store.py
@@ -128,10 +128,6 @@
         else:
             self.perform(call)
 
-    def refuse(self, callback):
-        """Answer a call of a node that is turned away."""
-        callback(Success(HttpResponse(503, {"store-era": str(self.era)}, b"")))
-
     def fail(self, call):
         """End a call without an answer."""
         call.callback(Failure(HttpFailure(True, FailureKind.CLOSED)))
--- a/tests/router_stubs.py
+++ b/tests/router_stubs.py
@@ -1,8 +1,11 @@
 """Stand-ins for the services around a gateway or a receiver, shared by several steps."""
 
+import random
+
 from hibiscusdrum.internal.clock import ManualClock
 from hibiscusdrum.internal.kernel import Application, Service
 from hibiscusdrum.internal.messages import Forward
+from hibiscusdrum.internal.router.config_gossip import ConfigGossip
 from hibiscusdrum.internal.router.settings import RouterSettings
 
 SETTINGS = RouterSettings(
@@ -20,6 +23,20 @@
         self.__dict__.update(attributes)
 
 
+def lone_hop():
+    """Return a stand-in for the exchange of messages of a node without peers."""
+    return Stub("hop", message_handlers={}, process_id=b"", send_message=lambda *_: None)
+
+
+def lone_gossip(app):
+    """Add the exchange of the operator's rows, of a node without peers, to an application."""
+    if "hop" not in app.services:
+        app.add(lone_hop())
+    gossip = app.add(ConfigGossip(SETTINGS, random.Random(1)))
+    gossip.on_start()
+    return gossip
+
+
 def application():
     app = Application(ManualClock())
     app.clock.advance(100.0)
