Log how long requests and cancellations were in transit

Cause: to see that work went on for a caller that had left, lines of three nodes had to be joined, and no line told whether a receiver had anything to compare the delay of a request with. Change: transit_ms in request_run and request_declined (null if unknown); event 870 (request_cancelled) with how late the cancellation was and whether the target had been sent the request. SharedClock bounds the store's time from the stamps of its answers; Forward and Cancel carry it, in new fields with defaults. Requests are judged as before.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -64,9 +64,17 @@
 
 
 class Cancel(Message, frozen=True, array_like=True, tag=True):
-    """Cancels a request whose answer is no longer needed, for example because a hedged attempt was faster."""
+    """Cancels a request whose answer is no longer needed, for example because a hedged attempt was faster.
+
+    Attributes
+    ----------
+    store_sent_at, store_era : float, int
+        As in ``Forward``.
+    """
 
     request_id: bytes
+    store_sent_at: Seconds = 0.0
+    store_era: Count = 0
 
 
 class Reply(Message, frozen=True, array_like=True, tag=True):
@@ -146,6 +154,9 @@
         Whether the target on the caller's VM sent the request for one that it is running.
     crashes : int
         Crashes of targets under the request that the sender knows of.
+    store_sent_at, store_era : float, int
+        Latest time on the store's clock at which the message may have been sent, and the era of the store;
+        0 if unknown.
     """
 
     id: bytes
@@ -167,6 +178,8 @@
     offered_bytes: Count = 0
     nested: bool = False
     crashes: CrashCount = 0
+    store_sent_at: Seconds = 0.0
+    store_era: Count = 0
 
 
 class SendBody(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -21,6 +21,7 @@
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.internal.router.selection import NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.shared_clock import SharedClock
 from hibiscusdrum.internal.router.stopping import RouterStopping
 from hibiscusdrum.internal.router.store_era import StoreEra
 from hibiscusdrum.internal.router.target_signals import is_refusal
@@ -76,7 +77,9 @@
     app.add(Traffic(settings))
     app.add(LocalTarget(settings))
     members = app.add(Members(settings))
+    shared_clock = app.add(SharedClock())
     hop = app.add(Forwarder(settings, selection))
+    hop.shared_clock = shared_clock
     app.add(StoreEra())
     app.add(Rings(settings))
     app.add(LeaseKeeper(settings))
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -248,7 +248,8 @@
 
     ``full`` names the exhausted resource if another node can serve the request: the target's slots, its
     rate limit, the bodies being received, or the link. ``limit_per_s`` is the rate limit that the target
-    stated ``limit_age_s`` ago; null if it stated none.
+    stated ``limit_age_s`` ago; null if it stated none. ``transit_ms`` is the least time that the request was
+    on its way from its caller's node; null if there is nothing to measure it by.
     """
 
     number = 816
@@ -268,10 +269,11 @@
     limit_per_s: float | None = None
     limit_age_s: float = 0.0
     nested: bool = False
+    transit_ms: int | None = None
 
 
 class RequestRun(LogEvent, frozen=True):
-    """The target answered a request."""
+    """The target answered a request; ``transit_ms`` is as in ``request_declined``."""
 
     number = 817
     rate_limited = True
@@ -284,6 +286,27 @@
     status: int
     queued_ms: int
     ran_ms: int
+    transit_ms: int | None = None
+
+
+class RequestCancelled(LogEvent, frozen=True):
+    """A node cancelled a request because its caller is gone or its deadline has passed.
+
+    ``sent`` tells whether the target has been sent it, ``held_ms`` for how long this node had it, and
+    ``transit_ms`` at least how long the cancellation was on its way; null if there is nothing to measure it
+    by.
+    """
+
+    number = 870
+    rate_limited = True
+    lines_per_interval = 100
+    cause = "The caller left, or its deadline has passed: `request_ended` of its node has status 499 or 504."
+
+    id: str
+    origin: str
+    sent: bool
+    held_ms: int
+    transit_ms: int | None
 
 
 class RequestEnded(LogEvent, frozen=True):
@@ -785,6 +808,7 @@
         PoisonRequestRefused,
         QuarantineEnded,
         QuarantineFull,
+        RequestCancelled,
         RequestDeclined,
         RequestEnded,
         RequestQuarantined,
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -27,6 +27,7 @@
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.selection import LoadReport, NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.shared_clock import SharedClock
 from hibiscusdrum.internal.router.traffic import Traffic
 
 PING_INTERVAL_SECONDS = 0.25
@@ -151,9 +152,13 @@
     process_id : bytes
         Random prefix of this process's request ids.
     on_forward : callable or None
-        Called with a received request: message, body, transit delay in seconds, and reply callback.
+        Called with a received request: message, body, time in transit in seconds or None if unknown, and
+        reply callback.
     on_cancel : callable or None
-        Called with the id of a received request whose caller has disconnected.
+        Called with the id of a received request that is cancelled, and the time that the cancellation was in
+        transit in seconds, or None if unknown.
+    shared_clock : SharedClock
+        Measures the time in transit from the first message between two nodes on.
     on_body_part : callable or None
         Called with the id of a received request, the offset of a part of its body, and that part.
     load_report : callable
@@ -178,8 +183,9 @@
         self.transit_delays: dict[str, tuple[bytes, TransitDelay]] = {}
         self.congested_until = float("-inf")
         self.started_at = 0.0
-        self.on_forward: Callable[[Forward, bytes, float, ReplyCallback], None] | None = None
-        self.on_cancel: Callable[[bytes], None] | None = None
+        self.on_forward: Callable[[Forward, bytes, float | None, ReplyCallback], None] | None = None
+        self.on_cancel: Callable[[bytes, float | None], None] | None = None
+        self.shared_clock = SharedClock()
         self.on_body_part: Callable[[bytes, int, bytes], None] | None = None
         self.load_report: Callable[[], tuple[int, int, int, float, bool]] = lambda: (0, 0, 1, 0.0, False)
         self.rate_limit: Callable[[], float] = lambda: 0.0
@@ -237,6 +243,8 @@
         if len(body) > MAX_INLINE_BODY_BYTES:
             unsent_body, body = body, b""
             forward = msgspec.structs.replace(forward, offered_bytes=len(unsent_body))
+        stamp, era = self.shared_clock.stamp()
+        forward = msgspec.structs.replace(forward, store_sent_at=stamp, store_era=era)
         size = self.peers.try_send_request(state.address, forward, body) if state is not None else 0
         if not size:
             return False
@@ -301,7 +309,7 @@
         """Ask the peer to cancel a request; a reply that still arrives is dropped."""
         entry = self.outstanding.pop(request_id, None)
         if entry is not None:
-            self.peers.try_send_request(entry.address, Cancel(request_id))
+            self.peers.try_send_request(entry.address, Cancel(request_id, *self.shared_clock.stamp()))
 
     def on_reply(self, message: Message, body: bytes) -> None:
         """Process a message that answers an earlier one of this node."""
@@ -416,12 +424,12 @@
         """Process a message from another node."""
         kind = type(message)
         if kind is Forward:
-            delay = self.transit_delay(message.origin, message.id[:PROCESS_ID_BYTES], message.sent_at)
+            transit = self.time_in_transit(message)
 
             def reply(answer: Answered | Declined | SendBody, content: bytes) -> None:
                 self.reply(identity, message.origin, answer, content)
 
-            self.on_forward(message, body, delay, reply)
+            self.on_forward(message, body, transit, reply)
         elif kind is Body:
             self.on_body_part(message.id, message.first, body)
         elif kind is Ping:
@@ -437,7 +445,8 @@
             )
             self.peers.reply(identity, pong)
         elif kind is Cancel:
-            self.on_cancel(message.request_id)
+            transit = self.shared_clock.seconds_since(message.store_sent_at, message.store_era)
+            self.on_cancel(message.request_id, transit)
         elif kind is Closing:
             self.on_closing(message.node)
         elif kind in self.message_handlers:
@@ -469,8 +478,19 @@
             log_events.emit(events.LinkCongested(peer=origin, delay_s=round(delay, 3)))
         self.congested_until = self.now + CONGESTION_HOLD_SECONDS
 
+    def time_in_transit(self, message: Forward) -> float | None:
+        """Return for how many seconds at least a request was in transit; None if that is not known.
+
+        Each measurement is a lower bound of the true time.
+        """
+        known, _ = self.transit_delays.get(message.origin, (b"", None))
+        process = message.id[:PROCESS_ID_BYTES]
+        delay = self.transit_delay(message.origin, process, message.sent_at)
+        # The first message of a process has none to be compared with.
+        return delay if known == process else None
+
     def transit_delay(self, origin: str, process: bytes, sent_at: float) -> float:
-        """Return the transit delay of a message in seconds; 0 if it is not late.
+        """Return the transit delay of a message in seconds beyond the fastest one of its sender's process.
 
         The measurement restarts with each process of the sender, because its VM may have restarted, and with
         it the monotonic clock.
@@ -483,4 +503,4 @@
         self.traffic.count_delay(self.members.region_of(origin), delay)
         if delay > CONGESTION_DELAY_SECONDS and self.members.region_of(origin) == self.settings.region:
             self.record_congestion(origin, delay)
-        return delay if delay > LATE_MESSAGE_SECONDS else 0.0
+        return delay
--- a/src/hibiscusdrum/internal/router/job.py
+++ b/src/hibiscusdrum/internal/router/job.py
@@ -31,6 +31,8 @@
         Identity of the request; empty as long as it was not needed.
     crashes : int
         Crashes of targets under this request that were known when it was sent.
+    transit_seconds : float or None
+        Least time that it was on its way from its caller's node; None if there is nothing to measure it by.
     """
 
     __slots__ = (
@@ -47,9 +49,17 @@
         "queue_entry",
         "reply",
         "sent_at",
+        "transit_seconds",
     )
 
-    def __init__(self, forward: Forward, body: bytes, now: float, reply: ReplyCallback) -> None:
+    def __init__(
+        self,
+        forward: Forward,
+        body: bytes,
+        now: float,
+        reply: ReplyCallback,
+        transit_seconds: float | None = None,
+    ) -> None:
         self.forward = forward
         self.body = body
         self.body_parts: list[bytes] = []
@@ -63,12 +73,18 @@
         self.sent_at = 0.0
         self.identity = b""
         self.crashes = 0
+        self.transit_seconds = transit_seconds
 
     @property
     def has_body(self) -> bool:
         """Whether the whole body has arrived."""
         return bool(self.body) or not self.forward.offered_bytes
 
+    @property
+    def transit_ms(self) -> int | None:
+        """``transit_seconds`` in milliseconds, for the log."""
+        return round(self.transit_seconds * 1000) if self.transit_seconds is not None else None
+
     def identify(self) -> bytes:
         """Return the identity of the request, whose whole body has arrived."""
         if not self.identity:
--- a/src/hibiscusdrum/internal/router/lease_keeper.py
+++ b/src/hibiscusdrum/internal/router/lease_keeper.py
@@ -110,7 +110,7 @@
     def on_start(self) -> None:
         """Subscribe to the store's clock and era."""
         self.table = self.app.find("table")
-        self.table.on_store_time = self.lease.store_clock.observe
+        self.table.on_store_time.append(self.lease.store_clock.observe)
         self.table.on_era_change.append(self.on_era_change)
         self.store_era: StoreEra = self.app.find("store_era")
 
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -19,7 +19,7 @@
     QueueEntry,
 )
 from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON, CrashDetector
-from hibiscusdrum.internal.router.hop import CLOSING_REASON
+from hibiscusdrum.internal.router.hop import CLOSING_REASON, LATE_MESSAGE_SECONDS
 from hibiscusdrum.internal.router.job import Job, ReplyCallback
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetState
 from hibiscusdrum.internal.router.quarantine import QUARANTINED_REASON, CrashRecord, Quarantine
@@ -239,9 +239,12 @@
             self.decline(job, reason)
         self.readmit(self.suspect_line.take_waiting())
 
-    def on_forward(self, forward: Forward, body: bytes, delay: float, reply: ReplyCallback) -> None:
-        """Submit a request from another node, or decline it if it was delayed in transit."""
-        if delay:
+    def on_forward(self, forward: Forward, body: bytes, transit: float | None, reply: ReplyCallback) -> None:
+        """Submit a request from another node, or decline it if it was delayed in transit.
+
+        ``transit`` is the least time in seconds that it was in transit; None if unknown.
+        """
+        if transit is not None and transit > LATE_MESSAGE_SECONDS:
             log_events.emit(
                 events.RequestDeclined(
                     id=forward.attempt_id,
@@ -250,7 +253,8 @@
                     left_s=round(forward.remaining_seconds, 3),
                     running=self.admission.running,
                     queued=self.admission.queued,
-                    wait_s=round(delay, 3),
+                    wait_s=round(transit, 3),
+                    transit_ms=round(transit * 1000),
                 )
             )
             declined = Declined(
@@ -264,14 +268,16 @@
             )
             reply(declined, b"")
             return
-        self.submit(forward, body, reply)
+        self.submit(forward, body, reply, transit)
 
-    def submit(self, forward: Forward, body: bytes, reply: ReplyCallback) -> None:
+    def submit(
+        self, forward: Forward, body: bytes, reply: ReplyCallback, transit: float | None = None
+    ) -> None:
         """Admit a request, or decline it immediately.
 
         ``reply`` is called once with the outcome, and before that for each part of a large body to request.
         """
-        job = Job(forward, body, self.now, reply)
+        job = Job(forward, body, self.now, reply, transit)
         self.jobs[forward.id] = job
         if forward.key >= 0 and self.range_owner.key_state(forward.key) is not KeyState.NOT_OWNED:
             self.range_owner.record_request(forward.key)
@@ -619,6 +625,7 @@
                 status=response.status,
                 queued_ms=round((job.sent_at - job.arrived_at) * 1000),
                 ran_ms=round((self.now - job.sent_at) * 1000),
+                transit_ms=job.transit_ms,
             )
         )
         answered = Answered(
@@ -756,6 +763,7 @@
                 nested=forward.nested,
                 limit_per_s=limit.rate,
                 limit_age_s=round(self.now - limit.stated_at, 3) if limit.rate is not None else 0.0,
+                transit_ms=job.transit_ms,
             )
         )
         self.metrics.count_declined(forward.cost_class, missing or reason)
@@ -777,11 +785,23 @@
         node = self.rings.owner_node(forward.service, forward.key)
         return node if node is not None and node != self.settings.node else ""
 
-    def cancel(self, request_id: bytes) -> None:
-        """Drop a request whose caller has gone; a running one that is not repeatable runs to its end."""
+    def cancel(self, request_id: bytes, transit: float | None = None) -> None:
+        """Drop a request whose caller has gone; a running one that is not repeatable runs to its end.
+
+        ``transit`` is the least time in seconds that the cancellation was in transit; None if unknown.
+        """
         job = self.jobs.get(request_id)
         if job is None:
             return
+        log_events.emit(
+            events.RequestCancelled(
+                id=job.forward.attempt_id,
+                origin=job.forward.origin,
+                sent=job.has_been_sent,
+                held_ms=round((self.now - job.arrived_at) * 1000),
+                transit_ms=round(transit * 1000) if transit is not None else None,
+            )
+        )
         if job.exchange is not None:
             if job.forward.repeatable:
                 self.end_job(job)
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -212,7 +212,7 @@
         Monotonic time in seconds at which the last of them began, by table.
     initial_read_done : bool
         Whether a call of ``changes`` has succeeded; from then on version 0 is polled like any other.
-    on_store_time : callable or None
+    on_store_time : list of callable
         Called with the monotonic time at which a request was sent and the store's time in its answer.
     on_current_row : callable or None
         Called with each checked row that a conflicting commit reports, before the conflict is.
@@ -233,7 +233,7 @@
         self.reread_counts: dict[str, int] = {}
         self.reread_at: dict[str, float] = {}
         self.initial_read_done = False
-        self.on_store_time: Callable[[float, float], None] | None = None
+        self.on_store_time: list[Callable[[float, float], None]] = []
         self.on_current_row: Callable[[Row], None] | None = None
         self.on_bytes_transferred: Callable[[str, int, int], None] | None = None
 
@@ -532,8 +532,8 @@
         self.newest_number = max(self.newest_number, answer.ver)
         if answer.serverTimeS:
             self.store_time = max(self.store_time, answer.serverTimeS)
-            if self.on_store_time is not None:
-                self.on_store_time(sent_at, answer.serverTimeS)
+            for listener in self.on_store_time:
+                listener(sent_at, answer.serverTimeS)
 
 
 class CommonAnswer(msgspec.Struct, frozen=True):
