Subtract the time in transit from a request's deadline, from the first message on

Change: the receiver takes the larger of the relative delay and of the difference of the bounds of the store's clock. It subtracts it from the deadline and the goal, and declines a request as not run if nothing is left or if it was over 0.4 s in transit.

--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -34,8 +34,9 @@
 # A peer with outstanding requests counts as unreachable after this much silence. A round trip between regions
 # takes 60 ms, and a busy peer may respond a few hundred milliseconds late.
 MAX_SILENCE_SECONDS = 1.0
-# Transit delay, relative to the fastest message of the same sender, beyond which a message counts as late.
-LATE_MESSAGE_SECONDS = 0.5
+# Time in transit beyond which a request counts as late. A caller may leave as soon as its request is sent,
+# and its cancellation takes as long as the request. The measured time may be a little short of the true one.
+LATE_MESSAGE_SECONDS = 0.4
 # Transit delay of a message from the same region beyond which this VM's link counts as congested, and for how
 # long after that message. Uncongested links within a region delay messages by a few milliseconds.
 CONGESTION_DELAY_SECONDS = 0.2
@@ -486,8 +487,11 @@
         known, _ = self.transit_delays.get(message.origin, (b"", None))
         process = message.id[:PROCESS_ID_BYTES]
         delay = self.transit_delay(message.origin, process, message.sent_at)
-        # The first message of a process has none to be compared with.
-        return delay if known == process else None
+        measured = self.shared_clock.seconds_since(message.store_sent_at, message.store_era)
+        if known != process:
+            # The first message of a process has none to be compared with.
+            return measured
+        return delay if measured is None else max(delay, measured)
 
     def transit_delay(self, origin: str, process: bytes, sent_at: float) -> float:
         """Return the transit delay of a message in seconds beyond the fastest one of its sender's process.
--- a/src/hibiscusdrum/internal/router/job.py
+++ b/src/hibiscusdrum/internal/router/job.py
@@ -64,8 +64,9 @@
         self.body = body
         self.body_parts: list[bytes] = []
         self.arrived_at = now
-        self.deadline = now + forward.remaining_seconds
-        self.goal_at = now + min(forward.goal_remaining_seconds, forward.remaining_seconds)
+        sent_at = now - (transit_seconds or 0.0)
+        self.deadline = sent_at + forward.remaining_seconds
+        self.goal_at = sent_at + min(forward.goal_remaining_seconds, forward.remaining_seconds)
         self.reply = reply
         self.queue_entry: QueueEntry | None = None
         self.exchange: HttpExchange | None = None
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -242,19 +242,22 @@
     def on_forward(self, forward: Forward, body: bytes, transit: float | None, reply: ReplyCallback) -> None:
         """Submit a request from another node, or decline it if it was delayed in transit.
 
-        ``transit`` is the least time in seconds that it was in transit; None if unknown.
+        ``transit`` is the least time in seconds that it was in transit; None if unknown. A request is late if
+        its caller's deadline has passed, or if a cancellation would arrive too late to stop it.
         """
-        if transit is not None and transit > LATE_MESSAGE_SECONDS:
+        spent = transit or 0.0
+        left = forward.remaining_seconds - spent
+        if spent > LATE_MESSAGE_SECONDS or (spent and left < MIN_SEND_REMAINING_SECONDS):
             log_events.emit(
                 events.RequestDeclined(
                     id=forward.attempt_id,
                     origin=forward.origin,
                     reason=LATE_REASON,
-                    left_s=round(forward.remaining_seconds, 3),
+                    left_s=round(left, 3),
                     running=self.admission.running,
                     queued=self.admission.queued,
-                    wait_s=round(transit, 3),
-                    transit_ms=round(transit * 1000),
+                    wait_s=round(spent, 3),
+                    transit_ms=round(spent * 1000),
                 )
             )
             declined = Declined(
--- a/tests/features/router_transit.feature
+++ b/tests/features/router_transit.feature
@@ -40,6 +40,18 @@
       | has not asked the store since the store was restored   |
       | knows the store since it was restored with other times |
       | has just been started                                  |
+      | has seen that the store's clock was set back           |
+
+  Scenario Outline: A slow exchange with the store does not make a request late
+    Given two nodes whose clocks differ by 500 s and that have asked the store
+    When the <node> has only one exchange with the store, of 0.8 s
+    And the first request of one of them, with 0.9 s left, takes 0 s to the other
+    Then its target is given at most 0.9 s, and at least 0.05 s less than that
+
+    Examples:
+      | node     |
+      | sender   |
+      | receiver |
 
   Scenario: No measured time in transit exceeds the true one, whatever the clocks and the store do
     Then 300 random schedules of exchanges and drifting clocks never give more than the true time
--- a/tests/features/steps/router_transit_steps.py
+++ b/tests/features/steps/router_transit_steps.py
@@ -54,12 +54,12 @@
         self.replies.append(answer)
         return 100
 
-    def ask_store(self, true_now, store_offset=STORE_OFFSET_SECONDS):
+    def ask_store(self, true_now, store_offset=STORE_OFFSET_SECONDS, seconds=EXCHANGE_SECONDS):
         """Exchange a request and its answer with the store, which stamps it halfway."""
         sent_at = self.app.clock.monotonic()
-        self.app.clock.advance(EXCHANGE_SECONDS)
+        self.app.clock.advance(seconds)
         for listener in self.table.on_store_time:
-            listener(sent_at, true_now + EXCHANGE_SECONDS / 2.0 + store_offset)
+            listener(sent_at, true_now + seconds / 2.0 + store_offset)
 
     def add_receiver(self):
         """Add the services that send requests to a target, whose requests are noted."""
@@ -112,11 +112,27 @@
     context.receiving.ask_store(context.true_now, STORE_OFFSET_SECONDS + 500.0)
 
 
+@when("the receiver has seen that the store's clock was set back")
+def store_set_back(context):
+    context.receiving.ask_store(context.true_now, STORE_OFFSET_SECONDS - 500.0)
+
+
 @when("the receiver has just been started")
 def receiver_unknowing(context):
     context.receiving.clock.bounds = ClockBounds()
 
 
+@when("the {name} has only one exchange with the store, of {seconds:g} s")
+def slow_exchange(context, name, seconds):
+    nodes = {"sender": context.sender, "receiver": context.receiving}
+    slow = nodes.pop(name)
+    slow.clock.bounds = ClockBounds()
+    slow.ask_store(context.true_now, seconds=seconds)
+    for other in nodes.values():
+        other.app.clock.advance(seconds)
+    context.true_now += seconds
+
+
 def receive_after(context, seconds):
     """Let the receiver get the newest message of the sender."""
     pass_time(context, seconds)
