Tell nodes the time on the store's clock with requests and pings

Cause: a process that starts while the link to the store's region is full gets no answer of the store for seconds, and its bounds are unknown or short by the delay of the first answer. Change: Forward and Ping state the earliest time on the store's clock at which they may have been sent; the receiver raises its lower bound to it, unless its own exchanges with the store exclude it.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -157,6 +157,8 @@
     store_sent_at, store_era : float, int
         Latest time on the store's clock at which the message may have been sent, and the era of the store;
         0 if unknown.
+    store_earliest : float
+        Earliest such time in that era; 0 if unknown.
     """
 
     id: bytes
@@ -180,6 +182,7 @@
     crashes: CrashCount = 0
     store_sent_at: Seconds = 0.0
     store_era: Count = 0
+    store_earliest: Seconds = 0.0
 
 
 class SendBody(Message, frozen=True, array_like=True, tag=True):
@@ -271,11 +274,15 @@
         Seconds on the sender's monotonic clock, which restarts with its VM.
     process : bytes
         Prefix of the ids of all requests of the sender's process.
+    store_earliest, store_era : float, int
+        As in ``Forward``.
     """
 
     origin: str
     sent_at: Seconds
     process: bytes = b""
+    store_earliest: Seconds = 0.0
+    store_era: Count = 0
 
 
 class Pong(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -244,8 +244,11 @@
         if len(body) > MAX_INLINE_BODY_BYTES:
             unsent_body, body = body, b""
             forward = msgspec.structs.replace(forward, offered_bytes=len(unsent_body))
-        stamp, era = self.shared_clock.stamp()
-        forward = msgspec.structs.replace(forward, store_sent_at=stamp, store_era=era)
+        stamp, _ = self.shared_clock.stamp()
+        earliest, era = self.shared_clock.earliest_stamp()
+        forward = msgspec.structs.replace(
+            forward, store_sent_at=stamp, store_era=era, store_earliest=earliest
+        )
         size = self.peers.try_send_request(state.address, forward, body) if state is not None else 0
         if not size:
             return False
@@ -368,7 +371,8 @@
             if state is None:
                 self.decline_outstanding(node, REMOVED_REASON)
                 continue
-            sent = self.peers.try_send_request(state.address, Ping(self.settings.node, now, self.process_id))
+            ping = Ping(self.settings.node, now, self.process_id, *self.shared_clock.earliest_stamp())
+            sent = self.peers.try_send_request(state.address, ping)
             silence = self.app.scheduler.silence_seconds(max(state.last_heard_at, since))
             if silence > MAX_SILENCE_SECONDS:
                 self.on_silent(node, state)
@@ -425,6 +429,7 @@
         """Process a message from another node."""
         kind = type(message)
         if kind is Forward:
+            self.shared_clock.on_message(message.store_earliest, message.store_era)
             transit = self.time_in_transit(message)
 
             def reply(answer: Answered | Declined | SendBody, content: bytes) -> None:
@@ -434,6 +439,7 @@
         elif kind is Body:
             self.on_body_part(message.id, message.first, body)
         elif kind is Ping:
+            self.shared_clock.on_message(message.store_earliest, message.store_era)
             self.transit_delay(message.origin, message.process, message.sent_at)
             age = self.now - self.started_at
             pong = Pong(
--- a/tests/features/router_transit.feature
+++ b/tests/features/router_transit.feature
@@ -53,6 +53,24 @@
       | sender   |
       | receiver |
 
+  # A process that starts while the links are full gets no answer of the store for seconds.
+  Scenario Outline: A node that has not reached the store since its start learns the time from others
+    Given two nodes whose clocks differ by 500 s and that have asked the store
+    When the receiver has just been started, and a <kind> of a node that is in touch with the store arrives
+    And the first request of one of them, with 0.9 s left, takes 1.4 s to the other
+    Then it is declined as late and not run, and its target gets nothing
+
+    Examples:
+      | kind    |
+      | forward |
+      | ping    |
+
+  Scenario: A time from another node that the own exchange with the store excludes does not make a request late
+    Given two nodes whose clocks differ by 500 s and that have asked the store
+    When the receiver is told a time on the store's clock that is 10 s ahead
+    And the first request of one of them, with 0.9 s left, takes 0 s to the other
+    Then its target is given at most 0.9 s, and at least 0.05 s less than that
+
   Scenario: No measured time in transit exceeds the true one, whatever the clocks and the store do
     Then 300 random schedules of exchanges and drifting clocks never give more than the true time
 
--- a/tests/features/steps/router_transit_steps.py
+++ b/tests/features/steps/router_transit_steps.py
@@ -122,6 +122,26 @@
     context.receiving.clock.bounds = ClockBounds()
 
 
+@when("the receiver has just been started, and a {kind} of a node that is in touch with the store arrives")
+def told_by_neighbour(context, kind):
+    context.receiving.clock.bounds = ClockBounds()
+    neighbour = Node(-3_000.0)
+    neighbour.ask_store(context.true_now)
+    pass_time(context, EXCHANGE_SECONDS)
+    neighbour.hop.send("peer", forward(2), b"", lambda *_: None)
+    if kind == "ping":
+        neighbour.hop.ping()
+    context.receiving.hop.on_request(b"neighbour", neighbour.sent[-1], b"")
+    assert type(neighbour.sent[-1]).__name__.lower() == kind
+    context.receiving.target_requests.clear()
+    context.receiving.replies.clear()
+
+
+@when("the receiver is told a time on the store's clock that is {seconds:g} s ahead")
+def told_wrong_time(context, seconds):
+    context.receiving.clock.on_message(context.true_now + STORE_OFFSET_SECONDS + seconds, 1)
+
+
 @when("the {name} has only one exchange with the store, of {seconds:g} s")
 def slow_exchange(context, name, seconds):
     nodes = {"sender": context.sender, "receiver": context.receiving}
@@ -182,9 +202,11 @@
             sent, stamped, received = now, now + there, now + there + back
             bounds[node].observe(local(node, sent), local(node, received), stamped + store)
             now = received
-        elif bounds[0].observed and bounds[1].observed:
+        else:
             stamp, transit = bounds[node].latest(local(node, now)), rng.random() * 3.0
+            earliest = bounds[node].earliest(local(node, now))
             now += transit
+            bounds[1 - node].observe_earliest(local(1 - node, now), earliest)
             worst = max(worst, bounds[1 - node].earliest(local(1 - node, now)) - stamp - transit)
     return worst
 
