--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -27,14 +27,16 @@
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.selection import LoadReport, NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
+from hibiscusdrum.internal.router.shared_clock import SharedClock
 from hibiscusdrum.internal.router.traffic import Traffic
 
 PING_INTERVAL_SECONDS = 0.25
 # A peer with outstanding requests counts as unreachable after this much silence. A round trip between regions
 # takes 60 ms, and a busy peer may respond a few hundred milliseconds late.
 MAX_SILENCE_SECONDS = 1.0
-# Transit delay, relative to the fastest message of the same sender, beyond which a message counts as late.
-LATE_MESSAGE_SECONDS = 0.5
+# Time in transit beyond which a request counts as late. A caller may leave as soon as its request is sent,
+# and its cancellation takes as long as the request. The measured time may be a little short of the true one.
+LATE_MESSAGE_SECONDS = 0.4
 # Transit delay of a message from the same region beyond which this VM's link counts as congested, and for how
 # long after that message. Uncongested links within a region delay messages by a few milliseconds.
 CONGESTION_DELAY_SECONDS = 0.2
@@ -151,9 +153,13 @@
     process_id : bytes
         Random prefix of this process's request ids.
     on_forward : callable or None
-        Called with a received request: message, body, transit delay in seconds, and reply callback.
+        Called with a received request: message, body, time in transit in seconds or None if unknown, and
+        reply callback.
     on_cancel : callable or None
-        Called with the id of a received request whose caller has disconnected.
+        Called with the id of a received request that is cancelled, and the time that the cancellation was in
+        transit in seconds, or None if unknown.
+    shared_clock : SharedClock
+        Measures the time in transit from the first message between two nodes on.
     on_body_part : callable or None
         Called with the id of a received request, the offset of a part of its body, and that part.
     load_report : callable
@@ -178,8 +184,9 @@
         self.transit_delays: dict[str, tuple[bytes, TransitDelay]] = {}
         self.congested_until = float("-inf")
         self.started_at = 0.0
-        self.on_forward: Callable[[Forward, bytes, float, ReplyCallback], None] | None = None
-        self.on_cancel: Callable[[bytes], None] | None = None
+        self.on_forward: Callable[[Forward, bytes, float | None, ReplyCallback], None] | None = None
+        self.on_cancel: Callable[[bytes, float | None], None] | None = None
+        self.shared_clock = SharedClock()
         self.on_body_part: Callable[[bytes, int, bytes], None] | None = None
         self.load_report: Callable[[], tuple[int, int, int, float, bool]] = lambda: (0, 0, 1, 0.0, False)
         self.rate_limit: Callable[[], float] = lambda: 0.0
@@ -237,6 +244,11 @@
         if len(body) > MAX_INLINE_BODY_BYTES:
             unsent_body, body = body, b""
             forward = msgspec.structs.replace(forward, offered_bytes=len(unsent_body))
+        stamp, _ = self.shared_clock.stamp()
+        earliest, era = self.shared_clock.earliest_stamp()
+        forward = msgspec.structs.replace(
+            forward, store_sent_at=stamp, store_era=era, store_earliest=earliest
+        )
         size = self.peers.try_send_request(state.address, forward, body) if state is not None else 0
         if not size:
             return False
@@ -301,7 +313,7 @@
         """Ask the peer to cancel a request; a reply that still arrives is dropped."""
         entry = self.outstanding.pop(request_id, None)
         if entry is not None:
-            self.peers.try_send_request(entry.address, Cancel(request_id))
+            self.peers.try_send_request(entry.address, Cancel(request_id, *self.shared_clock.stamp()))
 
     def on_reply(self, message: Message, body: bytes) -> None:
         """Process a message that answers an earlier one of this node."""
@@ -359,7 +371,8 @@
             if state is None:
                 self.decline_outstanding(node, REMOVED_REASON)
                 continue
-            sent = self.peers.try_send_request(state.address, Ping(self.settings.node, now, self.process_id))
+            ping = Ping(self.settings.node, now, self.process_id, *self.shared_clock.earliest_stamp())
+            sent = self.peers.try_send_request(state.address, ping)
             silence = self.app.scheduler.silence_seconds(max(state.last_heard_at, since))
             if silence > MAX_SILENCE_SECONDS:
                 self.on_silent(node, state)
@@ -416,15 +429,17 @@
         """Process a message from another node."""
         kind = type(message)
         if kind is Forward:
-            delay = self.transit_delay(message.origin, message.id[:PROCESS_ID_BYTES], message.sent_at)
+            self.shared_clock.on_message(message.store_earliest, message.store_era)
+            transit = self.time_in_transit(message)
 
             def reply(answer: Answered | Declined | SendBody, content: bytes) -> None:
                 self.reply(identity, message.origin, answer, content)
 
-            self.on_forward(message, body, delay, reply)
+            self.on_forward(message, body, transit, reply)
         elif kind is Body:
             self.on_body_part(message.id, message.first, body)
         elif kind is Ping:
+            self.shared_clock.on_message(message.store_earliest, message.store_era)
             self.transit_delay(message.origin, message.process, message.sent_at)
             age = self.now - self.started_at
             pong = Pong(
@@ -437,7 +452,8 @@
             )
             self.peers.reply(identity, pong)
         elif kind is Cancel:
-            self.on_cancel(message.request_id)
+            transit = self.shared_clock.seconds_since(message.store_sent_at, message.store_era)
+            self.on_cancel(message.request_id, transit)
         elif kind is Closing:
             self.on_closing(message.node)
         elif kind in self.message_handlers:
@@ -469,8 +485,22 @@
             log_events.emit(events.LinkCongested(peer=origin, delay_s=round(delay, 3)))
         self.congested_until = self.now + CONGESTION_HOLD_SECONDS
 
+    def time_in_transit(self, message: Forward) -> float | None:
+        """Return for how many seconds at least a request was in transit; None if that is not known.
+
+        Each measurement is a lower bound of the true time.
+        """
+        known, _ = self.transit_delays.get(message.origin, (b"", None))
+        process = message.id[:PROCESS_ID_BYTES]
+        delay = self.transit_delay(message.origin, process, message.sent_at)
+        measured = self.shared_clock.seconds_since(message.store_sent_at, message.store_era)
+        if known != process:
+            # The first message of a process has none to be compared with.
+            return measured
+        return delay if measured is None else max(delay, measured)
+
     def transit_delay(self, origin: str, process: bytes, sent_at: float) -> float:
-        """Return the transit delay of a message in seconds; 0 if it is not late.
+        """Return the transit delay of a message in seconds beyond the fastest one of its sender's process.
 
         The measurement restarts with each process of the sender, because its VM may have restarted, and with
         it the monotonic clock.
@@ -483,4 +513,4 @@
         self.traffic.count_delay(self.members.region_of(origin), delay)
         if delay > CONGESTION_DELAY_SECONDS and self.members.region_of(origin) == self.settings.region:
             self.record_congestion(origin, delay)
-        return delay if delay > LATE_MESSAGE_SECONDS else 0.0
+        return delay
