Count the bytes of store answers that are dropped part-way, and log how far a failed call got

Cause: traffic counters saw whole answers only.

Change: HttpFailure has the bytes received for the request, heads included, and whether a connection was open. The store's client reports them per operation; Traffic counts them under OPERATION_dropped, so that they are in traffic_summary and in hibiscusdrum_received_bytes_total. store_call_failed has received_bytes and connected. No decision depends on them. Bytes that the kernel had received, or that were on their way, are not counted.

Callers see no difference.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -472,7 +472,10 @@
 
 
 class StoreCallFailed(LogEvent, frozen=True):
-    """A call to the store failed."""
+    """A call to the store failed.
+
+    ``received_bytes`` of an answer had arrived. ``connected`` is false if no connection was opened in time.
+    """
 
     number = 824
     level = "WARNING"
@@ -484,6 +487,8 @@
     operation: str
     reason: str
     took_ms: int
+    received_bytes: int = 0
+    connected: bool = False
 
 
 class StoreEraChanged(LogEvent, frozen=True):
--- a/src/hibiscusdrum/internal/router/traffic.py
+++ b/src/hibiscusdrum/internal/router/traffic.py
@@ -18,6 +18,7 @@
 OWN_REGION = "own"
 OTHER_REGIONS = "other"
 STORE = "store"
+DROPPED_SUFFIX = "_dropped"
 # Upper bounds of the histogram of transit delays, measured relative to the fastest message of each sender.
 DELAY_BOUNDS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5)
 
@@ -30,7 +31,8 @@
     sent_bytes : dict of (str, str) to int
         Bytes by place and kind of message; the place is this region, other regions or the store.
     received_bytes : dict of (str, str) to int
-        Bytes received from the store, by place and operation.
+        Bytes received from the store, by place and operation. Those of answers that were not received to
+        their end are counted under the operation with ``DROPPED_SUFFIX``.
     store_calls : dict of str to int
         Answered calls to the store, by operation.
     delay_counts : dict of str to list of int
@@ -56,7 +58,9 @@
 
     def on_start(self) -> None:
         """Register for the store's calls, and schedule the summaries."""
-        self.app.find("table").on_bytes_transferred = self.count_store_call
+        table = self.app.find("table")
+        table.on_bytes_transferred = self.count_store_call
+        table.on_answer_dropped = self.count_dropped_answer
         self.app.scheduler.every(SUMMARY_INTERVAL_SECONDS, self.log_summary)
 
     def place_of(self, region: str) -> str:
@@ -75,6 +79,11 @@
         self.sent_bytes[key] = self.sent_bytes.get(key, 0) + sent
         self.received_bytes[key] = self.received_bytes.get(key, 0) + received
 
+    def count_dropped_answer(self, operation: str, received: int) -> None:
+        """Count the bytes of an answer of the store that was not received to its end."""
+        key = (STORE, operation + DROPPED_SUFFIX)
+        self.received_bytes[key] = self.received_bytes.get(key, 0) + received
+
     def count_delay(self, region: str, seconds: float) -> None:
         """Count a message from a region by its delay relative to the fastest message of the same sender."""
         place = self.place_of(region)
--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -380,10 +380,16 @@
 
     def close_and_fail(self, connection: Connection, kind: FailureKind) -> None:
         """Close a connection and fail its exchange."""
-        exchange, received, declared = connection.exchange, connection.received, connection.declared
+        exchange = connection.exchange
+        progress = (
+            connection.received,
+            connection.declared,
+            connection.fed_bytes,
+            not connection.connecting,
+        )
         self.close(connection)
         if exchange is not None:
-            self.fail_exchange(exchange, kind, received, declared)
+            self.fail_exchange(exchange, kind, *progress)
 
     def close(self, connection: Connection) -> None:
         """Close a connection; a waiting exchange may open another."""
@@ -425,10 +431,17 @@
             self.fail_exchange(exchange, kind)
 
     def fail_exchange(
-        self, exchange: HttpExchange, kind: FailureKind, received: int = 0, declared: int = LENGTH_UNKNOWN
+        self,
+        exchange: HttpExchange,
+        kind: FailureKind,
+        received: int = 0,
+        declared: int = LENGTH_UNKNOWN,
+        dropped_bytes: int = 0,
+        connected: bool = False,
     ) -> None:
-        """Deliver a failure to an exchange."""
-        self.deliver(exchange, Failure(HttpFailure(exchange.bytes_sent, kind, received, declared)))
+        """Deliver a failure to an exchange; see ``HttpFailure`` for the arguments."""
+        failure = HttpFailure(exchange.bytes_sent, kind, received, declared, dropped_bytes, connected)
+        self.deliver(exchange, Failure(failure))
 
     def deliver(self, exchange: HttpExchange, result: Result[HttpResponse, HttpFailure]) -> None:
         """End an exchange and call its callback."""
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -99,17 +99,29 @@
     kind : FailureKind
     received, declared : int
         Body bytes received, and the Content-Length of the response, or -1 without one.
+    dropped_bytes : int
+        All bytes received for the request, heads and framing included.
+    connected : bool
+        Whether the exchange had an open connection.
     """
 
-    __slots__ = ("bytes_sent", "declared", "kind", "received")
+    __slots__ = ("bytes_sent", "connected", "declared", "dropped_bytes", "kind", "received")
 
     def __init__(
-        self, bytes_sent: bool, kind: FailureKind, received: int = 0, declared: int = LENGTH_UNKNOWN
+        self,
+        bytes_sent: bool,
+        kind: FailureKind,
+        received: int = 0,
+        declared: int = LENGTH_UNKNOWN,
+        dropped_bytes: int = 0,
+        connected: bool = False,
     ) -> None:
         self.bytes_sent = bytes_sent
         self.kind = kind
         self.received = received
         self.declared = declared
+        self.dropped_bytes = dropped_bytes
+        self.connected = connected
 
     def __repr__(self) -> str:
         return (
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -218,6 +218,8 @@
         Called with each checked row that a conflicting commit reports, before the conflict is.
     on_bytes_transferred : callable or None
         Called for each answer with the operation and the number of bytes sent and received.
+    on_answer_dropped : callable or None
+        Called with the operation and the number of bytes received when a call ends within its answer.
     """
 
     service_name = "table"
@@ -236,6 +238,7 @@
         self.on_store_time: Callable[[float, float], None] | None = None
         self.on_current_row: Callable[[Row], None] | None = None
         self.on_bytes_transferred: Callable[[str, int, int], None] | None = None
+        self.on_answer_dropped: Callable[[str, int], None] | None = None
 
     def on_start(self) -> None:
         """Find the HTTP client."""
@@ -476,6 +479,7 @@
         def on_response(result: Result[HttpResponse, HttpFailure]) -> None:
             if isinstance(result, Success):
                 response = result.unwrap()
+                received, connected = len(response.body), True
                 if self.on_bytes_transferred is not None:
                     self.on_bytes_transferred(operation, len(path) + len(body), len(response.body))
                 era = self.observe_era(response)
@@ -492,9 +496,18 @@
             else:
                 failure = result.failure()
                 reason = "unknown" if failure.bytes_sent else "refused"
+                received, connected = failure.dropped_bytes, failure.connected
+                if received and self.on_answer_dropped is not None:
+                    self.on_answer_dropped(operation, received)
             took = self.app.clock.monotonic() - sent_at
             log_events.emit(
-                events.StoreCallFailed(operation=operation, reason=reason, took_ms=round(took * 1000))
+                events.StoreCallFailed(
+                    operation=operation,
+                    reason=reason,
+                    took_ms=round(took * 1000),
+                    received_bytes=received,
+                    connected=connected,
+                )
             )
             callback(Failure(StoreUnavailable(operation=operation, reason=reason)))
 
