Let the store's stand-in report each version of a row, share a link among answers and turn callers away

Cause: the stand-in sent the newest version of each row only, at any rate and to everybody, so that neither the answers to polls that fill a link nor a store that refuses some callers could be tried.

Change: a history of the versions of 60 s, a poll after a version that was dropped gets 410; Faults.link_bytes_per_second sends answers in parts of 1,500 bytes in turn, and up to 64 KB of an answer whose caller has closed still take room; Faults.turned_away and turned_away_callers answer 503 by connection and source address.

An existing check asked for the old form: 'a feed after version 0 has the versions 1 and 3' of rows a 1, b 2, b 3. It now asks for 1, 2 and 3, for the keys too, and for the deletion last.

--- a/tests/features/steps/store_restored_steps.py
+++ b/tests/features/steps/store_restored_steps.py
@@ -142,11 +142,15 @@
     assert body["ver"] == newest, body
 
 
-@then("a feed after version {after:d} has the versions {first:d} and {second:d}, the last one a deletion")
-def feed_has(context, after, first, second):
+@then(
+    "a feed after version {after:d} has the versions {first:d}, {second:d} and {third:d}, "
+    "the last one a deletion"
+)
+def feed_has(context, after, first, second, third):
     _, _, body = feed(context, after)
-    assert [record["ver"] for record in body["records"]] == [first, second], body
-    assert body["records"][-1]["deleted"] and body["ver"] == second, body
+    assert [record["ver"] for record in body["records"]] == [first, second, third], body
+    assert [record["key"] for record in body["records"]] == ["a", "b", "b"], body
+    assert body["records"][-1]["deleted"] and body["ver"] == third, body
 
 
 @then("a feed after version {after:d} has no changes")
--- a/tests/features/store_restored.feature
+++ b/tests/features/store_restored.feature
@@ -7,7 +7,7 @@
     And 0.3 s later "a" is written, "b" is written, and "c" is written
     And the store is restored from a copy that is 0.15 s old
     Then the store has the row "a" of version 1 and its newest version is 3
-    And a feed after version 0 has the versions 1 and 3, the last one a deletion
+    And a feed after version 0 has the versions 1, 2 and 3, the last one a deletion
     And the next transaction gets version 4
 
   Scenario Outline: A store that is about to be restored is <how>
--- a/tools/standins/rows_store.py
+++ b/tools/standins/rows_store.py
@@ -1,8 +1,9 @@
 """HTTP stand-in for the platform's row store, with fault injection.
 
 It implements the published calls of the store: conditional transactions, range reads and a change feed with
-long polling. ``POST /faults`` replaces the injected faults; see `Faults` for the fields. ``POST /restore``
-loses recent transactions; see `Restoration`. Each response has the header ``Store-Era``.
+long polling, which reports each version of a row. ``POST /faults`` replaces the injected faults; see `Faults`
+for the fields. ``POST /restore`` loses recent transactions; see `Restoration`. Each response has the header
+``Store-Era``.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import base64
 import random
 import time
+import zlib
 from collections import deque
 from collections.abc import Iterable
 from typing import Any, Literal
@@ -18,6 +20,7 @@
 
 import msgspec
 
+from hibiscusdrum.internal.transport.entry_connection import EntryConnection
 from hibiscusdrum.internal.transport.entry_request import EntryRequest
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 from tools.standins.web import run_services
@@ -25,6 +28,16 @@
 MAX_PAGE_ROWS = 500
 # Age up to which the store can be restored.
 MAX_RESTORE_AGE_SECONDS = 30.0
+# Age of the versions of rows that feeds report.
+HISTORY_SECONDS = 60.0
+FEED_CHECK_SECONDS = 0.02
+# Interval at which answers are sent over the congested link, and the most that one caller gets in a turn.
+LINK_TURN_SECONDS = 0.01
+LINK_PART_BYTES = 1_500
+# What the link did not carry for longer than this, for example in a pause of the process, is not made up for.
+LINK_BURST_SECONDS = 0.1
+# Rest of an answer that takes room on the link although its caller has closed the connection.
+LINK_WINDOW_BYTES = 65_536
 OPERATOR_TABLE = "op"
 
 # Table and key of a row.
@@ -52,6 +65,14 @@
         Fraction of the other transactions, 0 to 1, that are applied at once and never answered.
     slow : float
         Seconds by which each call is delayed.
+    turned_away : float
+        Fraction of connections, 0 to 1, whose store calls get status 503.
+    turned_away_callers : tuple of str
+        Source addresses whose store calls get status 503.
+    link_bytes_per_second : float
+        Rate of the link over which answers are sent, in small parts of all of them in turn; 0 for no limit.
+    link_callers : tuple of str
+        Source addresses that are answered over this link; all of them when empty.
     """
 
     down: bool = False
@@ -59,6 +80,10 @@
     late: float = 0.0
     lost: float = 0.0
     slow: float = 0.0
+    turned_away: float = 0.0
+    turned_away_callers: tuple[str, ...] = ()
+    link_bytes_per_second: float = 0.0
+    link_callers: tuple[str, ...] = ()
 
 
 class Restoration(msgspec.Struct, forbid_unknown_fields=True):
@@ -104,6 +129,56 @@
     rows: dict[RowId, RowEntry]
 
 
+class RowVersion(msgspec.Struct):
+    """A version of a row, as feeds report it; the value of a deleted row is None.
+
+    Attributes
+    ----------
+    at : float
+        Monotonic time in seconds at which it was written.
+    """
+
+    at: float
+    version: int
+    table: str
+    key: str
+    value: str | None
+
+
+class LinkAnswer:
+    """An answer that is being sent over the congested link; ``rest`` is what has not been sent."""
+
+    __slots__ = ("connection", "request", "rest")
+
+    def __init__(self, request: EntryRequest, data: bytes) -> None:
+        self.request = request
+        self.connection: EntryConnection = request.connection
+        self.rest = memoryview(data)
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the connection does not take the answer any more."""
+        return self.connection.closed or self.request not in self.connection.pending
+
+    @property
+    def waiting(self) -> bool:
+        """Whether an earlier request of the connection has no answer yet."""
+        return not self.cancelled and self.connection.pending[0] is not self.request
+
+    def send(self, limit: int) -> int:
+        """Send a part of the answer, and complete the request with the last one; return the bytes taken."""
+        if self.cancelled:
+            self.rest = self.rest[:LINK_WINDOW_BYTES]
+        part, self.rest = self.rest[:limit], self.rest[limit:]
+        if not self.cancelled:
+            self.connection.write(bytes(part))
+        if not self.rest and not self.cancelled:
+            self.connection.pending.popleft()
+            self.request.release()
+            self.connection.flush_responses()
+        return len(part)
+
+
 class RowsStore(HttpEntry):
     """Stores versioned rows by table and key in memory and serves them over HTTP.
 
@@ -120,6 +195,12 @@
         Number of completed restores plus one.
     first_feed_version : int
         Smallest version after which feeds are answered.
+    history : deque of RowVersion
+        Versions of rows of the last ``HISTORY_SECONDS``, oldest first.
+    link : deque of LinkAnswer
+        Answers that are being sent over the congested link.
+    link_credit : float
+        Bytes that the link may carry now.
     changes : deque of Change
         Changes of the last ``MAX_RESTORE_AGE_SECONDS``, oldest first.
     restorations : list of Restoration
@@ -139,6 +220,10 @@
         self.version = 0
         self.era = 1
         self.first_feed_version = 0
+        self.history: deque[RowVersion] = deque()
+        self.link: deque[LinkAnswer] = deque()
+        self.link_credit = 0.0
+        self.link_used_at = 0.0
         self.changes: deque[Change] = deque()
         self.restorations: list[Restoration] = []
         self.operator_writes: dict[RowId, tuple[float, str | None]] = {}
@@ -151,7 +236,8 @@
         """Start listening and checking the pending feeds."""
         super().on_start()
         self.listen(self.address, self.on_request)
-        self.app.scheduler.every(0.02, self.answer_pending_feeds)
+        self.app.scheduler.every(FEED_CHECK_SECONDS, self.answer_pending_feeds)
+        self.link_timer = self.app.scheduler.create_work_timer(LINK_TURN_SECONDS, self.use_link)
 
     def on_request(self, request: EntryRequest) -> None:
         """Handle the fault and operator paths, or pass a store call on under the injected faults."""
@@ -195,7 +281,7 @@
         """Handle one call of the store's interface."""
         if self.silent:
             return
-        if self.down:
+        if self.down or self.is_turned_away(request):
             self.respond(request, 503)
             return
         parameters = {name: occurrences[0] for name, occurrences in parse_qs(query).items()}
@@ -214,6 +300,12 @@
         else:
             self.respond(request, 404)
 
+    def is_turned_away(self, request: EntryRequest) -> bool:
+        """Return whether calls of this connection are refused."""
+        host, port = source_of(request)
+        share = zlib.crc32(f"{host}:{port}".encode()) / 2**32
+        return share < self.faults.turned_away or host in self.faults.turned_away_callers
+
     def transact(self, request: EntryRequest, transaction: dict[str, Any]) -> None:
         """Apply a transaction unless it is too large, late or without an answer if a fault is drawn."""
         entries = sum(len(transaction.get(kind, ())) for kind in ("expect", "write", "delete"))
@@ -258,6 +350,11 @@
         self.record_change(writes)
         self.version += 1
         self.rows.update({row_id: (self.version, value) for row_id, value in writes.items()})
+        now = time.monotonic()
+        for (table, key), value in sorted(writes.items(), key=lambda write: write[0]):
+            self.history.append(RowVersion(now, self.version, table, key, value))
+        while self.history[0].at < now - HISTORY_SECONDS:
+            self.first_feed_version = max(self.first_feed_version, self.history.popleft().version)
         return self.version
 
     def record_change(self, row_ids: Iterable[RowId]) -> None:
@@ -288,6 +385,8 @@
                     self.rows.pop(row_id, None)
                 else:
                     self.rows[row_id] = entry
+        while self.history and self.history[-1].version > self.version:
+            self.history.pop()
         if restoration.forget_history:
             self.first_feed_version = self.version
         self.first_feed_version = min(self.first_feed_version, self.version)
@@ -334,11 +433,11 @@
         now = time.monotonic()
         feeds, self.pending_feeds = self.pending_feeds, []
         for deadline, table, after, request in feeds:
-            changed = sorted(
-                (version, key, value)
-                for (name, key), (version, value) in self.rows.items()
-                if name == table and version > after
-            )
+            changed = [
+                (row.version, row.key, row.value)
+                for row in self.history
+                if row.table == table and row.version > after
+            ]
             if request.answered or self.silent:
                 continue
             if not changed and now < deadline and not self.faults.down:
@@ -355,7 +454,49 @@
         headers = [("content-type", "application/json"), ("store-era", str(self.era))]
         if response is not None:
             response = {**response, "serverTimeS": time.monotonic()}
-        request.respond(status, headers, msgspec.json.encode(response or {}))
+        body = msgspec.json.encode(response or {})
+        if not self.is_behind_link(request):
+            request.respond(status, headers, body)
+            return
+        request.answered = True
+        head = f"HTTP/1.1 {status} Status\r\ncontent-length: {len(body)}\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in headers)
+        self.link.append(LinkAnswer(request, head.encode() + b"\r\n" + body))
+        self.link_timer.wake()
+
+    def is_behind_link(self, request: EntryRequest) -> bool:
+        """Return whether the answer to a request is sent over the congested link."""
+        if not self.faults.link_bytes_per_second or not request.keep_alive or request.answered:
+            return False
+        callers = self.faults.link_callers
+        return not callers or source_of(request)[0] in callers
+
+    def use_link(self) -> bool:
+        """Send parts of the answers in turn, as far as the link's rate allows; return whether any is left."""
+        now = time.monotonic()
+        rate = self.faults.link_bytes_per_second or float("inf")
+        most = rate * LINK_BURST_SECONDS
+        self.link_credit = min(most, self.link_credit + rate * (now - self.link_used_at))
+        self.link_used_at = now
+        skipped = 0
+        while skipped < len(self.link) and self.link_credit > 0.0:
+            answer = self.link.popleft()
+            if answer.waiting:
+                skipped += 1
+            else:
+                skipped = 0
+                self.link_credit -= answer.send(LINK_PART_BYTES)
+            if answer.rest:
+                self.link.append(answer)
+        return bool(self.link)
+
+
+def source_of(request: EntryRequest) -> tuple[str, int]:
+    """Return the source address and port of a request; empty and 0 once its connection is gone."""
+    try:
+        return request.connection.sock.getpeername()
+    except OSError:
+        return "", 0
 
 
 def main() -> int:
