Limit the time without progress of store calls, so that an answer that arrives is not dropped

Cause: the time-out of a call (polls 3.5 s, probes 1 and 2 s, reads and commits 1.5 s) was that of the whole exchange.

Change: HttpClient.request takes max_seconds; its timeout then is the longest time without progress, which begins anew when a connection is open or free and with bytes of the response. Before an exchange expires, what the kernel has received meanwhile is read. The store's client uses it with its present timeouts, and 15 s for a whole read of a page or poll, 4 s for a commit. Without max_seconds, so for requests to targets, nothing changes.

Why it stays safe that a commit ends after up to 4 s instead of 1.5 s: - lease: the row's end and latest_expiry count from before the request was sent, so a late answer grants no more time; 4 s fit into the 6.5 s that are left at a renewal. A longer wait can only let the lease lapse, which ends grants. - rings: changing_stripes are granted to nobody until the commit has ended, and are uncertain_stripes until read again if its outcome is unknown. An answer has the version it was written with; a newer row stays. - eras: answers are judged by the era they name against the newest known one, whenever they arrive. - takeovers check the lease row's version in the same commit, so rows read late lead to a conflict. The store's time is the newest of any answer, and an observation of its clock pairs the time before sending with the answer: later is wider, not wrong. - stopping: removing the own row has no callback to wait for; the process ends at its own limits as before.

--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -107,6 +107,7 @@
         callback: HttpCallback,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
         host: str | None = None,
+        max_seconds: float | None = None,
     ) -> HttpExchange:
         """Send a request.
 
@@ -115,13 +116,16 @@
         address : str
             ``ip:port`` of the peer.
         timeout : float
-            Seconds for the whole exchange, including the wait for a connection.
+            Seconds for the whole exchange, including the wait for a connection; with ``max_seconds``, the
+            longest time without progress. Progress is an opened or free connection, or bytes of the response.
         callback : callable
             Called once with the result, never before this method returns.
         max_connections : int
             Connection limit for this address; further requests wait.
         host : str, optional
             Value of the Host header; ``address`` by default.
+        max_seconds : float, optional
+            Seconds for the whole exchange, if its ``timeout`` limits the time without progress.
 
         Raises
         ------
@@ -130,14 +134,19 @@
         """
         if not timeout > 0:
             raise InvalidArgument(name="timeout", value=timeout, expected="seconds above 0")
+        if max_seconds is not None and not max_seconds > 0:
+            raise InvalidArgument(name="max_seconds", value=max_seconds, expected="seconds above 0")
         if max_connections < 1:
             raise InvalidArgument(name="max_connections", value=max_connections, expected="at least 1")
         pool = self.pools.get(address) or self.add_pool(address)
         pool.max_connections = max_connections
         payload = encode_request(address, method, path, headers, body, host, self.head_encoding)
-        deadline = self.app.clock.monotonic() + timeout
+        now = self.app.clock.monotonic()
+        deadline = now + timeout
         request_id = headers.get(self.request_id_header)
         exchange = HttpExchange(self, pool, payload, request_id, method == "HEAD", deadline, callback)
+        if max_seconds is not None:
+            exchange.silence_seconds, exchange.last_deadline = timeout, now + max_seconds
         self.pending.add(exchange)
         if deadline < self.expiry_due:
             self.schedule_expiry(deadline)
@@ -206,6 +215,7 @@
         connection.exchange = exchange
         connection.fed_bytes = connection.body_bytes = 0
         exchange.connection = connection
+        exchange.record_progress(self.app.clock.monotonic())
         payload = exchange.payload
         try:
             sent = connection.sock.send(payload)
@@ -240,7 +250,9 @@
         connection.connecting = False
         self.app.poller.removeWriter(connection.sock)
         self.app.poller.addReader(self, connection.sock)
-        if connection.exchange.deadline <= self.app.clock.monotonic():
+        now = self.app.clock.monotonic()
+        connection.exchange.record_progress(now)
+        if connection.exchange.deadline <= now:
             self.close_and_fail(connection, FailureKind.TIMEOUT)
         else:
             self.send(connection, connection.exchange)
@@ -288,6 +300,7 @@
             self.connection_lost(connection)
             return
         previous = connection.received
+        connection.exchange.record_progress(self.app.clock.monotonic())
         connection.feed(data)
         if connection.complete:
             self.finish_exchange(connection)
@@ -477,11 +490,32 @@
         self.expiry_due = NO_DEADLINE
         self.expiry_timer = None
         for exchange in [exchange for exchange in self.pending if exchange.deadline <= now]:
-            self.abort(exchange, FailureKind.TIMEOUT)
+            if exchange.silence_seconds:
+                self.find_progress(exchange)
+            if exchange.deadline <= now:
+                self.abort(exchange, FailureKind.TIMEOUT)
         due = min((exchange.deadline for exchange in self.pending), default=NO_DEADLINE)
         if due < self.expiry_due:
             self.schedule_expiry(due)
 
+    def find_progress(self, exchange: HttpExchange) -> None:
+        """Complete the connect, or receive what has arrived, of an exchange that has expired.
+
+        After a pause of the process, the poller has not reported yet what happened meanwhile.
+        """
+        connection = exchange.connection
+        if exchange.done or connection is None or connection.exchange is not exchange:
+            return
+        if not connection.connecting:
+            self.on_readable(connection.sock)
+            return
+        try:
+            connection.sock.getpeername()
+        except OSError:
+            # The connection is not open.
+            return
+        self.finish_connect(connection)
+
     def on_stop(self) -> None:
         """Cancel pending exchanges and close all connections."""
         for exchange in list(self.pending):
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -134,7 +134,17 @@
 
 
 class HttpExchange:
-    """One request and its response; the callback is called exactly once."""
+    """One request and its response; the callback is called exactly once.
+
+    Attributes
+    ----------
+    deadline : float
+        Monotonic time in seconds at which the exchange expires; ``record_progress`` may move it.
+    silence_seconds : float
+        Longest time without progress; 0 if only the whole duration is limited.
+    last_deadline : float
+        Monotonic time in seconds at which the exchange expires in spite of progress.
+    """
 
     __slots__ = (
         "bytes_sent",
@@ -144,9 +154,11 @@
         "deadline",
         "done",
         "is_head_request",
+        "last_deadline",
         "payload",
         "pool",
         "request_id",
+        "silence_seconds",
     )
 
     def __init__(
@@ -165,11 +177,18 @@
         self.request_id = request_id
         self.is_head_request = is_head_request
         self.deadline = deadline
+        self.silence_seconds = 0.0
+        self.last_deadline = deadline
         self.callback = callback
         self.connection: Connection | None = None
         self.bytes_sent = False
         self.done = False
 
+    def record_progress(self, now: float) -> None:
+        """Let the time without progress begin anew, if that is what is limited."""
+        if self.silence_seconds:
+            self.deadline = min(now + self.silence_seconds, self.last_deadline)
+
     def cancel(self) -> None:
         """Cancel the exchange; no effect once it is done.
 
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -38,8 +38,16 @@
 ROUTER_TABLE = "hibiscusdrum"
 UNWATCHED_TABLES = {"lease": "hibiscusdrum-lease", "claim": "hibiscusdrum-claim"}
 OPERATOR_TABLE = "op"
+# The timeouts of calls limit the time without progress: until the connection is open, until the first bytes
+# of the answer, and between its bytes. An answer that is dropped while it arrives over a congested link would
+# be asked for again, and the link would stay full without any whole answer.
 # An answer usually takes 4 ms, and 0.2 s when the store is slow.
 CALL_TIMEOUT_SECONDS = 1.5
+# Whole duration of a read of a page or of a poll, so that an answer that trickles does not hold it for ever.
+MAX_CALL_SECONDS = 15.0
+# Whole duration of a commit. A lease is renewed when up to 6.5 s of it are left, and is read again after a
+# commit without an answer.
+MAX_COMMIT_SECONDS = 4.0
 # The store blocks a long poll for up to LONG_POLL_SECONDS; the client waits LONG_POLL_MARGIN_SECONDS longer.
 # A connection that broke without a reset is detected after their sum, which must stay below the 4 s within
 # which the platform expects a node to be up to date.
@@ -339,7 +347,13 @@
 
     # Calls of the store's HTTP API
 
-    def read_range(self, table: str, first: str, last: str, callback: WireRowsCallback) -> None:
+    def read_range(
+        self,
+        table: str,
+        first: str,
+        last: str,
+        callback: WireRowsCallback,
+    ) -> None:
         """Read the rows of a table in a key range, page by page; ``last`` is excluded.
 
         If the store is restored between two pages, the read starts again.
@@ -473,6 +487,11 @@
         """Send a request; an answer of an earlier era than the newest one is a failure.
 
         So is any status other than 200 and those in ``accepted``.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds without progress after which the call fails.
         """
         sent_at = self.app.clock.monotonic()
 
@@ -512,7 +531,18 @@
             callback(Failure(StoreUnavailable(operation=operation, reason=reason)))
 
         headers = JSON_HEADERS if body else {}
-        self.http.request(self.address, method, path, headers, body, timeout, on_response, MAX_CONNECTIONS)
+        max_seconds = MAX_COMMIT_SECONDS if operation == "commit" else MAX_CALL_SECONDS
+        self.http.request(
+            self.address,
+            method,
+            path,
+            headers,
+            body,
+            timeout,
+            on_response,
+            MAX_CONNECTIONS,
+            max_seconds=max_seconds,
+        )
 
     def observe_era(self, response: HttpResponse) -> int:
         """Return the era of an answer, the newest known one if it names none, and notify of a newer one."""
