Wait for as long as the path to the store needs

Cause: with a round trip of 1.5 s and more over a congested link, no call of 1.5 s gets an answer, even on an open connection, and a long poll that the store ends after 3.0 s is answered after 3.5 s. A failed read of a whole table was tried again with the same 1.5 s.

Change: the longest connect of the last 15 s counts as the round trip. Calls wait for 1.5 times that without progress if it is more than their time-out, up to the 3.5 s of a long poll; a long poll asks the store to wait for that much less. A whole table that was not read is asked for with 2 s the next time, as probes are. On a path whose connects take less than 0.33 s (0.67 s for probes) nothing changes; a pause of the process while it connects counts as a slow path for 15 s. A commit still ends after 4 s, and a lease that is renewed with 6.5 s left has time for it and a read.

--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -199,7 +199,7 @@
         except OSError:
             self.app.scheduler.call_later(0.0, lambda: self.abort(exchange, FailureKind.UNREACHABLE))
             return
-        connection = Connection(pool, sock, self.memory.body_limit)
+        connection = Connection(pool, sock, self.memory.body_limit, self.app.clock.monotonic())
         connection.exchange = exchange
         exchange.connection = connection
         pool.open_count += 1
@@ -251,6 +251,7 @@
         self.app.poller.removeWriter(connection.sock)
         self.app.poller.addReader(self, connection.sock)
         now = self.app.clock.monotonic()
+        connection.pool.record_connect(now - connection.opened_at, now)
         connection.exchange.record_progress(now)
         if connection.exchange.deadline <= now:
             self.close_and_fail(connection, FailureKind.TIMEOUT)
@@ -424,6 +425,11 @@
             if exchange is not None:
                 self.connect(pool, exchange)
 
+    def connect_seconds(self, address: str) -> float:
+        """Return the longest duration of a recent connect to an address; 0 without any."""
+        pool = self.pools.get(address)
+        return pool.recent_connect_seconds(self.app.clock.monotonic()) if pool is not None else 0.0
+
     def has_sent_exchange(self, address: str) -> bool:
         """Return whether an exchange with the peer waits for its response on an open connection."""
         return any(
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -197,6 +197,8 @@
         self.client.abort(self, FailureKind.CANCELLED)
 
 
+# Time for which the duration of a connect counts as that of the path.
+CONNECT_SECONDS_TTL = 15.0
 # A peer may drop idle connections without notice. Once that has happened, connections that have been idle for
 # longer than this fraction of the dropped connection's idle time are not reused.
 IDLE_LIMIT_SHARE = 0.5
@@ -223,10 +225,16 @@
         connections without notice.
     idle_limit_until : float
         Monotonic time in seconds until which ``idle_limit`` applies.
+    connect_seconds : float
+        Longest recent duration of a connect.
+    connected_at : float
+        Monotonic time in seconds at which that connect was completed.
     """
 
     __slots__ = (
         "address",
+        "connect_seconds",
+        "connected_at",
         "idle",
         "idle_limit",
         "idle_limit_until",
@@ -245,6 +253,17 @@
         self.waiting: deque[HttpExchange] = deque()
         self.idle_limit = float("inf")
         self.idle_limit_until = float("-inf")
+        self.connect_seconds = 0.0
+        self.connected_at = float("-inf")
+
+    def record_connect(self, seconds: float, now: float) -> None:
+        """Record the duration of a connect, unless a recent one took longer."""
+        if seconds >= self.recent_connect_seconds(now):
+            self.connect_seconds, self.connected_at = seconds, now
+
+    def recent_connect_seconds(self, now: float) -> float:
+        """Return the longest duration of a recent connect; 0 without any."""
+        return self.connect_seconds if now - self.connected_at < CONNECT_SECONDS_TTL else 0.0
 
     def exceeds_idle_limit(self, seconds: float, now: float) -> bool:
         """Return whether the peer may have dropped a connection that was idle for ``seconds``."""
@@ -268,6 +287,8 @@
 
     Attributes
     ----------
+    opened_at : float
+        Monotonic time in seconds at which the connect began.
     fed_bytes, body_bytes : int
         Bytes received during the current exchange, and how many of them were body, including the bodies of
         skipped responses.
@@ -300,6 +321,7 @@
         "idle_since",
         "keep_alive",
         "malformed",
+        "opened_at",
         "parser",
         "pool",
         "reason",
@@ -312,8 +334,9 @@
         "unsent",
     )
 
-    def __init__(self, pool: ConnectionPool, sock: socket.socket, body_limit: int) -> None:
+    def __init__(self, pool: ConnectionPool, sock: socket.socket, body_limit: int, opened_at: float) -> None:
         self.pool = pool
+        self.opened_at = opened_at
         self.sock = sock
         self.body_limit = body_limit
         self.parser = httptools.HttpResponseParser(self)
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -48,7 +48,10 @@
 # Whole duration of a commit. A lease is renewed when up to 6.5 s of it are left, and is read again after a
 # commit without an answer.
 MAX_COMMIT_SECONDS = 4.0
-# The store blocks a long poll for up to LONG_POLL_SECONDS; the client waits LONG_POLL_MARGIN_SECONDS longer.
+# On a slow path, calls wait for this multiple of the time that a connect took.
+PATH_TIMEOUT_FACTOR = 1.5
+# The store blocks a long poll for up to LONG_POLL_SECONDS, less on a slow path; the client waits for
+# LONG_POLL_SECONDS and LONG_POLL_MARGIN_SECONDS.
 # A connection that broke without a reset is detected after their sum, which must stay below the 4 s within
 # which the platform expects a node to be up to date.
 LONG_POLL_SECONDS = 3.0
@@ -213,7 +216,7 @@
     on_era_change : list of callable
         Called with the former and the new era, before the answer that names the new one is delivered.
     failures : dict of str to int
-        Number of consecutive failed polls for changes, by table.
+        Number of consecutive failed polls for changes, or reads in place of the first one, by table.
     reread_counts : dict of str to int
         Number of complete reads in place of changes, by table.
     reread_at : dict of str to float
@@ -353,6 +356,7 @@
         first: str,
         last: str,
         callback: WireRowsCallback,
+        timeout: float = CALL_TIMEOUT_SECONDS,
     ) -> None:
         """Read the rows of a table in a key range, page by page; ``last`` is excluded.
 
@@ -367,9 +371,7 @@
                 query["from"] = start
             if last:
                 query["to"] = last
-            self.send_request(
-                "read", "GET", f"/rows-get?{urlencode(query)}", b"", CALL_TIMEOUT_SECONDS, on_response
-            )
+            self.send_request("read", "GET", f"/rows-get?{urlencode(query)}", b"", timeout, on_response)
 
         def on_response(result: StoreAnswerResult) -> None:
             nonlocal newest_version
@@ -407,21 +409,29 @@
         def reread(reason: str) -> None:
             self.reread_table(table, reason, lambda result: report(result, True))
 
+        failures = self.failures.get(table, 0)
+
+        def on_rows(result: Result[WireRows, HibiscusdrumError]) -> None:
+            self.record_outcome(table, result)
+            report(result, True)
+
         if since is None:
-            self.read_range(table, "", "", lambda result: report(result, True))
+            timeout = min(MAX_PROBE_TIMEOUT_SECONDS, CALL_TIMEOUT_SECONDS * 2.0**failures)
+            self.read_range(table, "", "", on_rows, timeout)
             return
         if era_of(since) != self.era:
             reread("restored")
             return
-        failures = self.failures.get(table, 0)
-        block_seconds = 0.0 if failures else LONG_POLL_SECONDS
+        longest_seconds = LONG_POLL_SECONDS + LONG_POLL_MARGIN_SECONDS
+        # The answer needs the time of the path after the store has ended the wait.
+        block_seconds = 0.0 if failures else min(LONG_POLL_SECONDS, longest_seconds - self.path_timeout)
         probe_timeout = min(MAX_PROBE_TIMEOUT_SECONDS, FIRST_PROBE_TIMEOUT_SECONDS * 2.0 ** (failures - 1))
-        timeout = probe_timeout if failures else LONG_POLL_SECONDS + LONG_POLL_MARGIN_SECONDS
-        query = urlencode({"table": table, "after": number_of(since), "blockMs": int(block_seconds * 1000)})
+        timeout = probe_timeout if failures else longest_seconds
+        query = urlencode({"table": table, "after": number_of(since), "blockMs": round(block_seconds * 1000)})
 
         def on_response(result: StoreAnswerResult) -> None:
+            self.record_outcome(table, result)
             if isinstance(result, Success):
-                self.failures.pop(table, None)
                 answer = result.unwrap()
                 if answer.era != era_of(since):
                     reread("restored")
@@ -429,12 +439,17 @@
                 if answer.status == GONE:
                     reread("history_dropped")
                     return
-            else:
-                self.failures[table] = min(failures + 1, MAX_FAILURE_COUNT)
             report(self.decode_rows("changes", result), False)
 
         self.send_request("changes", "GET", f"/rows-feed?{query}", b"", timeout, on_response, (GONE,))
 
+    def record_outcome(self, table: str, result: Result[Any, HibiscusdrumError]) -> None:
+        """Count a failed poll for the changes of a table, or forget the failures after an answer."""
+        if isinstance(result, Success):
+            self.failures.pop(table, None)
+        else:
+            self.failures[table] = min(self.failures.get(table, 0) + 1, MAX_FAILURE_COUNT)
+
     def reread_table(self, table: str, reason: str, callback: WireRowsCallback) -> None:
         """Read a whole table in place of its changes, at intervals, and log the reason."""
 
@@ -491,7 +506,7 @@
         Parameters
         ----------
         timeout : float
-            Seconds without progress after which the call fails.
+            Seconds without progress after which the call fails; more on a slow path.
         """
         sent_at = self.app.clock.monotonic()
 
@@ -538,12 +553,18 @@
             path,
             headers,
             body,
-            timeout,
+            max(timeout, self.path_timeout),
             on_response,
             MAX_CONNECTIONS,
             max_seconds=max_seconds,
         )
 
+    @property
+    def path_timeout(self) -> float:
+        """Seconds without progress that are usual on the path to the store, up to those of a long poll."""
+        needed = PATH_TIMEOUT_FACTOR * self.http.connect_seconds(self.address)
+        return min(needed, LONG_POLL_SECONDS + LONG_POLL_MARGIN_SECONDS)
+
     def observe_era(self, response: HttpResponse) -> int:
         """Return the era of an answer, the newest known one if it names none, and notify of a newer one."""
         value = response.headers.get(ERA_HEADER)
--- a/tests/features/congested_store.feature
+++ b/tests/features/congested_store.feature
@@ -103,6 +103,13 @@
       | read of a row   |
       | commit          |
 
+  Scenario: After a connection that took long to open, a poll for changes leaves the path time for its answer
+    Given a store whose answers a test sends byte by byte
+    When a poll for changes is sent, and its connection is opened after 1.4 s
+    And the whole answer arrives 0.1 s later
+    And the connection is lost, and a poll for changes is sent on another one
+    Then the store is asked to wait for 1400 ms
+
   Scenario: A read of a table that failed waits longer for its connection the next time
     Given a store whose answers a test sends byte by byte
     When a read of a table is sent, and its connection is opened after 1.6 s
--- a/tests/features/steps/congested_store_steps.py
+++ b/tests/features/steps/congested_store_steps.py
@@ -301,6 +301,12 @@
     request_arrived(context)
 
 
+@then("the store is asked to wait for {milliseconds:d} ms")
+def asked_to_wait(context, milliseconds):
+    request = context.store.requests[-1]
+    assert f"blockMs={milliseconds} ".encode() in request, request
+
+
 # Several pages, and many nodes, over loopback
 
 
--- a/tests/restorable_store.py
+++ b/tests/restorable_store.py
@@ -113,6 +113,10 @@
 
     # Calls
 
+    def connect_seconds(self, _address):
+        """Return the duration of a connect."""
+        return 0.0
+
     def request(self, _address, method, path, _headers, body, timeout, callback, *_, max_seconds):
         """Send a call."""
         call = Call(method, path, body, self.app.clock.monotonic() + timeout, callback)
