Go on with a read of the store at the page that failed

Cause: a read of a table of several pages that failed at a later page reported a failure, and its caller asked for all pages again. On a congested link the first pages were sent again and again.

Change: a page other than the first that fails is requested again after 0.2 s, at most three times in a row. It is as safe as reading pages one after the other is: the version of the first page is kept, so the next poll returns what changed since, and a page of a newer era starts the read again. If the history since the first page is dropped, the poll gets 410 and reads anew.

--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -63,6 +63,9 @@
 # Failures beyond this number are not counted, which bounds the exponent of the timeout.
 MAX_FAILURE_COUNT = 8
 MAX_PAGE_ROWS = 500
+# A page is requested at most this often in a row; after the last time, the whole read fails.
+MAX_PAGE_ATTEMPTS = 3
+PAGE_RETRY_SECONDS = 0.2
 # A table is read completely at most this often, should the store refuse every poll for its changes.
 MIN_REREAD_INTERVAL_SECONDS = 0.5
 MAX_CONNECTIONS = 16
@@ -360,10 +363,12 @@
     ) -> None:
         """Read the rows of a table in a key range, page by page; ``last`` is excluded.
 
-        If the store is restored between two pages, the read starts again.
+        If the store is restored between two pages, the read starts again. A later page that fails is
+        requested again, up to ``MAX_PAGE_ATTEMPTS`` times.
         """
         collected: list[WireRow] = []
         newest_version = 0
+        failed_attempts = 0
 
         def request_page(start: str) -> None:
             query = {"table": table, "part": "", "maxItems": MAX_PAGE_ROWS}
@@ -373,12 +378,20 @@
                 query["to"] = last
             self.send_request("read", "GET", f"/rows-get?{urlencode(query)}", b"", timeout, on_response)
 
+        def next_start() -> str:
+            return collected[-1].key + "\0" if collected else first
+
         def on_response(result: StoreAnswerResult) -> None:
-            nonlocal newest_version
+            nonlocal newest_version, failed_attempts
             answer = self.decode_rows("read", result)
             if not isinstance(answer, Success):
-                callback(answer)
+                failed_attempts += 1
+                if collected and failed_attempts < MAX_PAGE_ATTEMPTS:
+                    self.app.scheduler.call_later(PAGE_RETRY_SECONDS, lambda: request_page(next_start()))
+                else:
+                    callback(answer)
                 return
+            failed_attempts = 0
             rows = answer.unwrap()
             if newest_version and era_of(rows.ver) != era_of(newest_version):
                 newest_version = 0
@@ -390,7 +403,7 @@
             newest_version = newest_version or rows.ver
             collected.extend(rows.records)
             if rows.hasMore and rows.records:
-                request_page(rows.records[-1].key + "\0")
+                request_page(next_start())
             else:
                 callback(Success(WireRows(tuple(collected), newest_version)))
 
--- a/tests/features/congested_store.feature
+++ b/tests/features/congested_store.feature
@@ -123,6 +123,13 @@
     When a caller reads it, and the connection of the second page is lost
     Then it has read 1200 rows with 4 requests
 
+  Scenario: A read of several pages starts again if the store was restored when a page failed
+    Given a stand-in of the store
+    And a table of 1200 rows of 20 bytes
+    When a caller reads it, and the store is restored while it loses the connection of the second page
+    Then it has read 1200 rows with 6 requests
+    And they are of era 2
+
   Scenario: A read whose page fails again and again ends
     Given a stand-in of the store
     And a table of 1200 rows of 20 bytes
--- a/tests/features/steps/congested_store_steps.py
+++ b/tests/features/steps/congested_store_steps.py
@@ -10,12 +10,12 @@
 from returns.result import Success
 from tests.loopback import Loopback, Results, free_address
 from tests.router_stubs import SETTINGS
-from tools.standins.rows_store import HISTORY_SECONDS, Faults, LinkAnswer, RowsStore
+from tools.standins.rows_store import HISTORY_SECONDS, Faults, LinkAnswer, Restoration, RowsStore
 from tools.standins.scripted_peer import ScriptedPeer
 
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.clock import ManualClock
-from hibiscusdrum.internal.platform.table import Transaction, make_version
+from hibiscusdrum.internal.platform.table import Transaction, era_of, make_version
 from hibiscusdrum.internal.router.metrics import render_traffic
 from hibiscusdrum.internal.router.traffic import STORE, Traffic
 from hibiscusdrum.internal.transport.http_client import HttpClient
@@ -336,6 +336,22 @@
     read_pages(context, lambda number, request: number == 2 and context.store.close(request.connection))
 
 
+@when("a caller reads it, and the store is restored while it loses the connection of the second page")
+def page_lost_in_restore(context):
+    def lose(number, request):
+        if number == 2:
+            context.store.close(request.connection)
+            context.store.restore(Restoration(age_s=0.0))
+
+    read_pages(context, lose)
+
+
+@then("they are of era {era:d}")
+def of_era(context, era):
+    answer = context.results[0].unwrap()
+    assert {era_of(version) for version in (answer.ver, *(row.ver for row in answer.records))} == {era}
+
+
 @then("it has read {rows:d} rows with {requests:d} requests")
 def pages_read(context, rows, requests):
     keys = [row.key for row in context.results[0].unwrap().records]
