--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -99,17 +99,29 @@
     kind : FailureKind
     received, declared : int
         Body bytes received, and the Content-Length of the response, or -1 without one.
+    dropped_bytes : int
+        All bytes received for the request, heads and framing included.
+    connected : bool
+        Whether the exchange had an open connection.
     """
 
-    __slots__ = ("bytes_sent", "declared", "kind", "received")
+    __slots__ = ("bytes_sent", "connected", "declared", "dropped_bytes", "kind", "received")
 
     def __init__(
-        self, bytes_sent: bool, kind: FailureKind, received: int = 0, declared: int = LENGTH_UNKNOWN
+        self,
+        bytes_sent: bool,
+        kind: FailureKind,
+        received: int = 0,
+        declared: int = LENGTH_UNKNOWN,
+        dropped_bytes: int = 0,
+        connected: bool = False,
     ) -> None:
         self.bytes_sent = bytes_sent
         self.kind = kind
         self.received = received
         self.declared = declared
+        self.dropped_bytes = dropped_bytes
+        self.connected = connected
 
     def __repr__(self) -> str:
         return (
@@ -122,7 +134,17 @@
 
 
 class HttpExchange:
-    """One request and its response; the callback is called exactly once."""
+    """One request and its response; the callback is called exactly once.
+
+    Attributes
+    ----------
+    deadline : float
+        Monotonic time in seconds at which the exchange expires; ``record_progress`` may move it.
+    silence_seconds : float
+        Longest time without progress; 0 if only the whole duration is limited.
+    last_deadline : float
+        Monotonic time in seconds at which the exchange expires in spite of progress.
+    """
 
     __slots__ = (
         "bytes_sent",
@@ -132,9 +154,11 @@
         "deadline",
         "done",
         "is_head_request",
+        "last_deadline",
         "payload",
         "pool",
         "request_id",
+        "silence_seconds",
     )
 
     def __init__(
@@ -153,11 +177,18 @@
         self.request_id = request_id
         self.is_head_request = is_head_request
         self.deadline = deadline
+        self.silence_seconds = 0.0
+        self.last_deadline = deadline
         self.callback = callback
         self.connection: Connection | None = None
         self.bytes_sent = False
         self.done = False
 
+    def record_progress(self, now: float) -> None:
+        """Let the time without progress begin anew, if that is what is limited."""
+        if self.silence_seconds:
+            self.deadline = min(now + self.silence_seconds, self.last_deadline)
+
     def cancel(self) -> None:
         """Cancel the exchange; no effect once it is done.
 
@@ -166,6 +197,8 @@
         self.client.abort(self, FailureKind.CANCELLED)
 
 
+# Time for which the duration of a connect counts as that of the path.
+CONNECT_SECONDS_TTL = 15.0
 # A peer may drop idle connections without notice. Once that has happened, connections that have been idle for
 # longer than this fraction of the dropped connection's idle time are not reused.
 IDLE_LIMIT_SHARE = 0.5
@@ -192,10 +225,16 @@
         connections without notice.
     idle_limit_until : float
         Monotonic time in seconds until which ``idle_limit`` applies.
+    connect_seconds : float
+        Longest recent duration of a connect.
+    connected_at : float
+        Monotonic time in seconds at which that connect was completed.
     """
 
     __slots__ = (
         "address",
+        "connect_seconds",
+        "connected_at",
         "idle",
         "idle_limit",
         "idle_limit_until",
@@ -214,6 +253,17 @@
         self.waiting: deque[HttpExchange] = deque()
         self.idle_limit = float("inf")
         self.idle_limit_until = float("-inf")
+        self.connect_seconds = 0.0
+        self.connected_at = float("-inf")
+
+    def record_connect(self, seconds: float, now: float) -> None:
+        """Record the duration of a connect, unless a recent one took longer."""
+        if seconds >= self.recent_connect_seconds(now):
+            self.connect_seconds, self.connected_at = seconds, now
+
+    def recent_connect_seconds(self, now: float) -> float:
+        """Return the longest duration of a recent connect; 0 without any."""
+        return self.connect_seconds if now - self.connected_at < CONNECT_SECONDS_TTL else 0.0
 
     def exceeds_idle_limit(self, seconds: float, now: float) -> bool:
         """Return whether the peer may have dropped a connection that was idle for ``seconds``."""
@@ -237,6 +287,8 @@
 
     Attributes
     ----------
+    opened_at : float
+        Monotonic time in seconds at which the connect began.
     fed_bytes, body_bytes : int
         Bytes received during the current exchange, and how many of them were body, including the bodies of
         skipped responses.
@@ -269,6 +321,7 @@
         "idle_since",
         "keep_alive",
         "malformed",
+        "opened_at",
         "parser",
         "pool",
         "reason",
@@ -281,8 +334,9 @@
         "unsent",
     )
 
-    def __init__(self, pool: ConnectionPool, sock: socket.socket, body_limit: int) -> None:
+    def __init__(self, pool: ConnectionPool, sock: socket.socket, body_limit: int, opened_at: float) -> None:
         self.pool = pool
+        self.opened_at = opened_at
         self.sock = sock
         self.body_limit = body_limit
         self.parser = httptools.HttpResponseParser(self)
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -38,9 +38,20 @@
 ROUTER_TABLE = "hibiscusdrum"
 UNWATCHED_TABLES = {"lease": "hibiscusdrum-lease", "claim": "hibiscusdrum-claim"}
 OPERATOR_TABLE = "op"
+# The timeouts of calls limit the time without progress: until the connection is open, until the first bytes
+# of the answer, and between its bytes. An answer that is dropped while it arrives over a congested link would
+# be asked for again, and the link would stay full without any whole answer.
 # An answer usually takes 4 ms, and 0.2 s when the store is slow.
 CALL_TIMEOUT_SECONDS = 1.5
-# The store blocks a long poll for up to LONG_POLL_SECONDS; the client waits LONG_POLL_MARGIN_SECONDS longer.
+# Whole duration of a read of a page or of a poll, so that an answer that trickles does not hold it for ever.
+MAX_CALL_SECONDS = 15.0
+# Whole duration of a commit. A lease is renewed when up to 6.5 s of it are left, and is read again after a
+# commit without an answer.
+MAX_COMMIT_SECONDS = 4.0
+# On a slow path, calls wait for this multiple of the time that a connect took.
+PATH_TIMEOUT_FACTOR = 1.5
+# The store blocks a long poll for up to LONG_POLL_SECONDS, less on a slow path; the client waits for
+# LONG_POLL_SECONDS and LONG_POLL_MARGIN_SECONDS.
 # A connection that broke without a reset is detected after their sum, which must stay below the 4 s within
 # which the platform expects a node to be up to date.
 LONG_POLL_SECONDS = 3.0
@@ -52,6 +63,9 @@
 # Failures beyond this number are not counted, which bounds the exponent of the timeout.
 MAX_FAILURE_COUNT = 8
 MAX_PAGE_ROWS = 500
+# A page is requested at most this often in a row; after the last time, the whole read fails.
+MAX_PAGE_ATTEMPTS = 3
+PAGE_RETRY_SECONDS = 0.2
 # A table is read completely at most this often, should the store refuse every poll for its changes.
 MIN_REREAD_INTERVAL_SECONDS = 0.5
 MAX_CONNECTIONS = 16
@@ -205,7 +219,7 @@
     on_era_change : list of callable
         Called with the former and the new era, before the answer that names the new one is delivered.
     failures : dict of str to int
-        Number of consecutive failed polls for changes, by table.
+        Number of consecutive failed polls for changes, or reads in place of the first one, by table.
     reread_counts : dict of str to int
         Number of complete reads in place of changes, by table.
     reread_at : dict of str to float
@@ -218,6 +232,8 @@
         Called with each checked row that a conflicting commit reports, before the conflict is.
     on_bytes_transferred : callable or None
         Called for each answer with the operation and the number of bytes sent and received.
+    on_answer_dropped : callable or None
+        Called with the operation and the number of bytes received when a call ends within its answer.
     """
 
     service_name = "table"
@@ -236,6 +252,7 @@
         self.on_store_time: list[Callable[[float, float], None]] = []
         self.on_current_row: Callable[[Row], None] | None = None
         self.on_bytes_transferred: Callable[[str, int, int], None] | None = None
+        self.on_answer_dropped: Callable[[str, int], None] | None = None
 
     def on_start(self) -> None:
         """Find the HTTP client."""
@@ -336,13 +353,22 @@
 
     # Calls of the store's HTTP API
 
-    def read_range(self, table: str, first: str, last: str, callback: WireRowsCallback) -> None:
+    def read_range(
+        self,
+        table: str,
+        first: str,
+        last: str,
+        callback: WireRowsCallback,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+    ) -> None:
         """Read the rows of a table in a key range, page by page; ``last`` is excluded.
 
-        If the store is restored between two pages, the read starts again.
+        If the store is restored between two pages, the read starts again. A later page that fails is
+        requested again, up to ``MAX_PAGE_ATTEMPTS`` times.
         """
         collected: list[WireRow] = []
         newest_version = 0
+        failed_attempts = 0
 
         def request_page(start: str) -> None:
             query = {"table": table, "part": "", "maxItems": MAX_PAGE_ROWS}
@@ -350,16 +376,22 @@
                 query["from"] = start
             if last:
                 query["to"] = last
-            self.send_request(
-                "read", "GET", f"/rows-get?{urlencode(query)}", b"", CALL_TIMEOUT_SECONDS, on_response
-            )
+            self.send_request("read", "GET", f"/rows-get?{urlencode(query)}", b"", timeout, on_response)
+
+        def next_start() -> str:
+            return collected[-1].key + "\0" if collected else first
 
         def on_response(result: StoreAnswerResult) -> None:
-            nonlocal newest_version
+            nonlocal newest_version, failed_attempts
             answer = self.decode_rows("read", result)
             if not isinstance(answer, Success):
-                callback(answer)
+                failed_attempts += 1
+                if collected and failed_attempts < MAX_PAGE_ATTEMPTS:
+                    self.app.scheduler.call_later(PAGE_RETRY_SECONDS, lambda: request_page(next_start()))
+                else:
+                    callback(answer)
                 return
+            failed_attempts = 0
             rows = answer.unwrap()
             if newest_version and era_of(rows.ver) != era_of(newest_version):
                 newest_version = 0
@@ -371,7 +403,7 @@
             newest_version = newest_version or rows.ver
             collected.extend(rows.records)
             if rows.hasMore and rows.records:
-                request_page(rows.records[-1].key + "\0")
+                request_page(next_start())
             else:
                 callback(Success(WireRows(tuple(collected), newest_version)))
 
@@ -390,21 +422,29 @@
         def reread(reason: str) -> None:
             self.reread_table(table, reason, lambda result: report(result, True))
 
+        failures = self.failures.get(table, 0)
+
+        def on_rows(result: Result[WireRows, HibiscusdrumError]) -> None:
+            self.record_outcome(table, result)
+            report(result, True)
+
         if since is None:
-            self.read_range(table, "", "", lambda result: report(result, True))
+            timeout = min(MAX_PROBE_TIMEOUT_SECONDS, CALL_TIMEOUT_SECONDS * 2.0**failures)
+            self.read_range(table, "", "", on_rows, timeout)
             return
         if era_of(since) != self.era:
             reread("restored")
             return
-        failures = self.failures.get(table, 0)
-        block_seconds = 0.0 if failures else LONG_POLL_SECONDS
+        longest_seconds = LONG_POLL_SECONDS + LONG_POLL_MARGIN_SECONDS
+        # The answer needs the time of the path after the store has ended the wait.
+        block_seconds = 0.0 if failures else min(LONG_POLL_SECONDS, longest_seconds - self.path_timeout)
         probe_timeout = min(MAX_PROBE_TIMEOUT_SECONDS, FIRST_PROBE_TIMEOUT_SECONDS * 2.0 ** (failures - 1))
-        timeout = probe_timeout if failures else LONG_POLL_SECONDS + LONG_POLL_MARGIN_SECONDS
-        query = urlencode({"table": table, "after": number_of(since), "blockMs": int(block_seconds * 1000)})
+        timeout = probe_timeout if failures else longest_seconds
+        query = urlencode({"table": table, "after": number_of(since), "blockMs": round(block_seconds * 1000)})
 
         def on_response(result: StoreAnswerResult) -> None:
+            self.record_outcome(table, result)
             if isinstance(result, Success):
-                self.failures.pop(table, None)
                 answer = result.unwrap()
                 if answer.era != era_of(since):
                     reread("restored")
@@ -412,12 +452,17 @@
                 if answer.status == GONE:
                     reread("history_dropped")
                     return
-            else:
-                self.failures[table] = min(failures + 1, MAX_FAILURE_COUNT)
             report(self.decode_rows("changes", result), False)
 
         self.send_request("changes", "GET", f"/rows-feed?{query}", b"", timeout, on_response, (GONE,))
 
+    def record_outcome(self, table: str, result: Result[Any, HibiscusdrumError]) -> None:
+        """Count a failed poll for the changes of a table, or forget the failures after an answer."""
+        if isinstance(result, Success):
+            self.failures.pop(table, None)
+        else:
+            self.failures[table] = min(self.failures.get(table, 0) + 1, MAX_FAILURE_COUNT)
+
     def reread_table(self, table: str, reason: str, callback: WireRowsCallback) -> None:
         """Read a whole table in place of its changes, at intervals, and log the reason."""
 
@@ -470,12 +515,18 @@
         """Send a request; an answer of an earlier era than the newest one is a failure.
 
         So is any status other than 200 and those in ``accepted``.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds without progress after which the call fails; more on a slow path.
         """
         sent_at = self.app.clock.monotonic()
 
         def on_response(result: Result[HttpResponse, HttpFailure]) -> None:
             if isinstance(result, Success):
                 response = result.unwrap()
+                received, connected = len(response.body), True
                 if self.on_bytes_transferred is not None:
                     self.on_bytes_transferred(operation, len(path) + len(body), len(response.body))
                 era = self.observe_era(response)
@@ -492,14 +543,40 @@
             else:
                 failure = result.failure()
                 reason = "unknown" if failure.bytes_sent else "refused"
+                received, connected = failure.dropped_bytes, failure.connected
+                if received and self.on_answer_dropped is not None:
+                    self.on_answer_dropped(operation, received)
             took = self.app.clock.monotonic() - sent_at
             log_events.emit(
-                events.StoreCallFailed(operation=operation, reason=reason, took_ms=round(took * 1000))
+                events.StoreCallFailed(
+                    operation=operation,
+                    reason=reason,
+                    took_ms=round(took * 1000),
+                    received_bytes=received,
+                    connected=connected,
+                )
             )
             callback(Failure(StoreUnavailable(operation=operation, reason=reason)))
 
         headers = JSON_HEADERS if body else {}
-        self.http.request(self.address, method, path, headers, body, timeout, on_response, MAX_CONNECTIONS)
+        max_seconds = MAX_COMMIT_SECONDS if operation == "commit" else MAX_CALL_SECONDS
+        self.http.request(
+            self.address,
+            method,
+            path,
+            headers,
+            body,
+            max(timeout, self.path_timeout),
+            on_response,
+            MAX_CONNECTIONS,
+            max_seconds=max_seconds,
+        )
+
+    @property
+    def path_timeout(self) -> float:
+        """Seconds without progress that are usual on the path to the store, up to those of a long poll."""
+        needed = PATH_TIMEOUT_FACTOR * self.http.connect_seconds(self.address)
+        return min(needed, LONG_POLL_SECONDS + LONG_POLL_MARGIN_SECONDS)
 
     def observe_era(self, response: HttpResponse) -> int:
         """Return the era of an answer, the newest known one if it names none, and notify of a newer one."""
--- a/tests/restorable_store.py
+++ b/tests/restorable_store.py
@@ -113,7 +113,11 @@
 
     # Calls
 
-    def request(self, _address, method, path, _headers, body, timeout, callback, *_):
+    def connect_seconds(self, _address):
+        """Return the duration of a connect."""
+        return 0.0
+
+    def request(self, _address, method, path, _headers, body, timeout, callback, *_, max_seconds):
         """Send a call."""
         call = Call(method, path, body, self.app.clock.monotonic() + timeout, callback)
         self.calls.append(call)
