--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -80,8 +80,8 @@
     members = app.add(Members(settings))
     shared_clock = app.add(SharedClock())
     hop = app.add(Forwarder(settings, selection))
-    app.add(ConfigGossip(settings, rng))
     hop.shared_clock = shared_clock
+    app.add(ConfigGossip(settings, rng))
     app.add(StoreEra())
     app.add(Rings(settings))
     app.add(LeaseKeeper(settings))
