Test that six poison requests of one class stop reaching targets

Tests played one poison request, or three of different classes. Six different reads of one class are repeated for 45 s beside sound callers of that class and others.

--- a/tests/features/poison_requests.feature
+++ b/tests/features/poison_requests.feature
@@ -16,6 +16,12 @@
       | a read                                     | while the routers restart in turn  | 90     |
       | a POST to the path of a sound one          | while nothing else happens         | 99     |
 
+  # Guards against sound requests of a class that stay unserved because many of its requests are poison.
+  Scenario: Six different poison requests of one class stop reaching targets, and the class is served again
+    When six different reads are repeated for 45 s beside sound ones, while nothing else happens
+    Then each of them reaches targets at most 3 times from 4 s after its third crash on
+    And at least 99 in 100 of the sound requests are served from 5 s after the last third crash on
+
   # Guards against sound requests that are refused since they ran on targets that were lost together.
   Scenario: A popular request is served after most of its targets were killed together, three times
     When 2 of 3 targets are killed together 3 times, while 8 callers read what takes 0.8 s
--- a/tests/features/steps/poison_requests_steps.py
+++ b/tests/features/steps/poison_requests_steps.py
@@ -23,6 +23,7 @@
 POISON = {
     "a read, a read with a key and a large POST": (READ, KEYED_READ, POST),
     "a read": (READ,),
+    "six different reads": tuple(CallerRequest("grants.example", f"/r/{n}/crash") for n in range(6)),
     "a POST to the path of a sound one": (POST,),
 }
 
