Send an idempotent call to no other target once three have ended under it

Callers of hibiscusdrumd and of the library: a call that ends the process of its target was sent to one target after the other as long as its tenant's retry budget and its deadline allowed.

Cause: the engine counted retries by tenant only, not the targets that had ended under one call.

Change: the engine counts attempts whose connection to the target ended without a complete answer. After three of them the call ends with the error of the last one, or waits for an attempt that is in flight. A caller's next call is still new to the engine.

--- a/src/hibiscusdrum/internal/caller/engine.py
+++ b/src/hibiscusdrum/internal/caller/engine.py
@@ -40,6 +40,7 @@
 from hibiscusdrum.internal.ownership.ownership_map import OwnershipMap
 from hibiscusdrum.internal.ownership.rows import OwnerRow
 from hibiscusdrum.internal.routing import may_take_work, resolve
+from hibiscusdrum.internal.transport.http_connection import FailureKind
 
 OnDone = Callable[[Result[Answer, HibiscusdrumError]], None]
 
@@ -70,6 +71,15 @@
 )
 # Errors that another attempt, perhaps at another target, may avoid; each retry spends a retry token.
 LOAD_ERRORS = (Overloaded, TargetRefused, OutcomeUnknown, IncompleteAnswer)
+# A call under which this many targets have ended without an answer may be the cause, and is not sent again.
+MAX_TARGET_ENDS = 3
+
+
+def is_target_end(error: HibiscusdrumError) -> bool:
+    """Return whether an attempt failed as it does when the process of its target ends."""
+    if isinstance(error, OutcomeUnknown):
+        return error.reason == FailureKind.CLOSED.value
+    return isinstance(error, IncompleteAnswer)
 
 
 class PendingCall:
@@ -89,6 +99,8 @@
         Nodes that refused the shared call for ownership reasons; other nodes are tried first.
     shared : bool
         Whether any target of the region may run the call, so that it may be hedged.
+    target_ends : int
+        Number of attempts at whose target the connection ended without a complete answer.
     timer_number : int
         Number of the call's current timer; timers with other numbers are ignored.
     try_count : int
@@ -108,6 +120,7 @@
         "request",
         "request_id",
         "shared",
+        "target_ends",
         "timer_number",
         "try_count",
     )
@@ -123,6 +136,7 @@
         self.hedged = False
         self.hinted_owner = ""
         self.refused_by: set[str] = set()
+        self.target_ends = 0
         self.timer_number = 0
         self.try_count = 0
         self.ownership_retries = 0
@@ -315,6 +329,7 @@
             self.policy.on_done(reply.target, call.request.service, now - sent_at, True)
         if len(body) != reply.length:
             call.may_have_run = True
+            call.target_ends += 1
             self.retry_or_fail(call, IncompleteAnswer(received=len(body), declared=reply.length), now)
             return
         answer = Answer(reply.request_id, reply.status, body, reply.content_type, reply.target, reply.epoch)
@@ -331,6 +346,7 @@
         if sent_at is not None:
             self.record_refusal(call, refusal.node, error, now - sent_at)
         call.may_have_run = call.may_have_run or not error.not_run
+        call.target_ends += is_target_end(error)
         if isinstance(error, Moved):
             call.hinted_owner = error.owner
         self.retry_or_fail(call, error, now)
@@ -354,6 +370,9 @@
         if call.attempts and call.request.idempotent:
             # Another attempt is still in flight; its answer or the timer decides.
             return
+        if call.target_ends >= MAX_TARGET_ENDS:
+            self.finish(call, Failure(self.final_error(call, error)))
+            return
         if call.request.idempotent or not (call.attempts or call.may_have_run):
             delay = self.retry_delay(call, error)
             if delay is not None and now + delay < call.deadline:
@@ -440,6 +459,8 @@
         """End a call after its deadline, hedge it, or send it again."""
         if now >= call.deadline:
             self.expire(call)
+        elif call.target_ends >= MAX_TARGET_ENDS:
+            self.set_timer(call, call.deadline)
         elif call.attempts and call.shared and not call.hedged:
             self.hedge(call, now)
         else:
--- a/tests/features/call_engine.feature
+++ b/tests/features/call_engine.feature
@@ -20,3 +20,19 @@
     Given a call engine whose key "adler" is owned by "n1"
     When a non-idempotent call is refused with "lease_lost" and then answered
     Then the call was sent twice and is answered
+
+  # Guards against a call that crashes its target and is sent to one target after the other.
+  Scenario Outline: An idempotent call that targets leave unanswered as they end is sent to three at most: <end>
+    Given a call engine whose key "adler" is owned by "n1"
+    When an idempotent call of 10 s is refused with "<end>" each time it is sent
+    Then it was sent 3 times, and the call ends with "<end>"
+
+    Examples:
+      | end               |
+      | outcome_unknown   |
+      | incomplete_answer |
+
+  Scenario: A call under which three targets have ended waits for the fourth, and is sent to no other
+    Given a call engine whose key "adler" is owned by "n1"
+    When an idempotent call is sent, ends three targets that no longer own its key, and is answered after 3 s
+    Then it was sent once, and is answered
--- a/tests/features/steps/call_engine_steps.py
+++ b/tests/features/steps/call_engine_steps.py
@@ -18,6 +18,8 @@
     "lease_lost": {"node": "n1"},
     "overloaded": {"tenant": "amt", "request_class": "default"},
     "no_owner": {"slice": 1},
+    "outcome_unknown": {"request_id": "", "reason": "closed"},
+    "incomplete_answer": {"received": 1, "declared": 2},
 }
 
 
@@ -42,10 +44,10 @@
     return Reply(call.request_id, 200, "text/plain", 2, "n1", 1)
 
 
-def refuse(context, code):
+def refuse(context, code, node="n1"):
     call = context.sent[-1][1]
     assert from_wire(code, VALUES[code]).code == code
-    context.engine.dispatch(Refusal(call.request_id, code, VALUES[code], "n1"), b"")
+    context.engine.dispatch(Refusal(call.request_id, code, VALUES[code], node), b"")
 
 
 def calls(context):
@@ -89,6 +91,41 @@
     context.engine.dispatch(answer(calls(context)[-1]), b"ok")
 
 
+@when('an idempotent call of 10 s is refused with "{code}" each time it is sent')
+def refuse_each(context, code):
+    context.engine.submit(request(timeout=10.0), context.outcomes.append)
+    now = time.monotonic()
+    refused = 0
+    for later in range(24):
+        if len(calls(context)) > refused:
+            refused += 1
+            refuse(context, code)
+        context.engine.run_timers(now + later / 3)
+
+
+@when("an idempotent call is sent, ends three targets that no longer own its key, and is answered after 3 s")
+def ends_former_owners(context):
+    context.engine.submit(request(timeout=10.0), context.outcomes.append)
+    now = time.monotonic()
+    for node in ("n2", "n3", "n4"):
+        refuse(context, "outcome_unknown", node)
+    for later in range(4):
+        context.engine.run_timers(now + later)
+    context.engine.dispatch(answer(calls(context)[0]), b"ok")
+
+
+@then('it was sent {count:d} times, and the call ends with "{code}"')
+def check_sent_and_code(context, count, code):
+    assert len(calls(context)) == count, len(calls(context))
+    check_call_code(context, code)
+
+
+@then("it was sent once, and is answered")
+def check_sent_once(context):
+    assert len(calls(context)) == 1, len(calls(context))
+    assert context.outcomes[0].unwrap().body == b"ok"
+
+
 @then('the call ends with "{code}"')
 def check_call_code(context, code):
     assert [outcome.failure().code for outcome in context.outcomes] == [code], context.outcomes
