Store a hold of poison requests whose writer has ended

A request that had crashed three targets was sent again after all routers had restarted, if the node beside the third target had ended between its message and its write: the others held the request in memory only.

Cause: only that node wrote the row.

Change: three other nodes, chosen by the identity, check after 1.5, 3 and 4.5 s that the hold is stored, and store it otherwise (event 880). They wait while they cannot reach the store. With the writer alive they read its row meanwhile and write nothing.

--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -709,6 +709,19 @@
     held: int
 
 
+class QuarantineBackedUp(LogEvent, frozen=True):
+    """A hold that another node has begun is not stored in time, so this node stores it."""
+
+    number = 880
+    level = "WARNING"
+    rate_limited = True
+    cause = "The node beside the target that crashed last has ended, or cannot reach the store."
+    operator_action = "None; check that node if it keeps happening."
+
+    identity: str
+    node: str
+
+
 class PoisonRequestRefused(LogEvent, frozen=True):
     """Request `id` is not sent to a target, because the request is in quarantine.
 
--- a/src/hibiscusdrum/internal/router/quarantine_rows.py
+++ b/src/hibiscusdrum/internal/router/quarantine_rows.py
@@ -1,8 +1,9 @@
 """Rows of the store that keep the quarantine when all routers restart, or when a message is lost.
 
 A row is written by the node beside the target that crashed last, once for each hold, and again when a target
-has answered the request. Rows are never the only source: a node keeps what it knows if a row is lost, for
-example because the store was restored from a copy.
+has answered the request. Should that node end before it has written, one of a few others writes the row.
+Rows are never the only source: a node keeps what it knows if a row is lost, for example because the store was
+restored from a copy.
 """
 
 from __future__ import annotations
@@ -39,6 +40,10 @@
 MAX_RETRY_SECONDS = 5.0
 # Rows that wait to be written; further holds are known from messages only.
 MAX_PENDING_ROWS = 64
+# A hold that another node should have stored is checked by this many nodes in turn, this long one after the
+# other. Each learns of the row of the one before it meanwhile.
+BACKUP_WRITERS = 3
+BACKUP_DELAY_SECONDS = 1.5
 DELETION_INTERVAL_SECONDS = 30.0
 # Time after the end of a hold at which its row is deleted.
 DELETION_DELAY_SECONDS = 60.0
@@ -158,13 +163,43 @@
             self.quarantine.adopt(identity, value.node, SOURCE_STORE, value.holds - 1)
 
     def on_held(self, identity: bytes, record: CrashRecord) -> None:
-        """Store a hold that was begun by a crash beside this node."""
-        if record.source != SOURCE_LOCAL:
+        """Store a hold that was begun by a crash beside this node, or check later that it is stored."""
+        if record.source == SOURCE_LOCAL:
+            self.add_pending(identity, self.settings.node, record.holds)
+        elif record.source != SOURCE_STORE and (turn := self.backup_turn(identity, record.node)):
+            self.app.scheduler.call_later(
+                turn * BACKUP_DELAY_SECONDS, lambda: self.store_if_missing(identity, record)
+            )
+
+    def backup_turn(self, identity: bytes, writer: str) -> int:
+        """Return this node's place among those that store a hold in place of a writer; 0 if it has none."""
+        names = sorted(name for name in self.members.nodes if name != writer)
+        if self.settings.node not in names:
+            return 0
+        first = int.from_bytes(identity, "big") % len(names)
+        turn = (names.index(self.settings.node) - first) % len(names) + 1
+        return turn if turn <= BACKUP_WRITERS else 0
+
+    def store_if_missing(self, identity: bytes, record: CrashRecord) -> None:
+        """Store a hold of another node that it has not stored, unless the hold has ended."""
+        known = self.rows.get(identity)
+        is_stored = known is not None and not known.row.released and known.row.holds >= record.holds
+        if self.quarantine.held.get(identity) is not record or is_stored:
+            return
+        if not self.members.store_reachable:
+            self.app.scheduler.call_later(
+                BACKUP_DELAY_SECONDS, lambda: self.store_if_missing(identity, record)
+            )
             return
+        log_events.emit(events.QuarantineBackedUp(identity=identity.hex(), node=record.node))
+        self.add_pending(identity, record.node, record.holds)
+
+    def add_pending(self, identity: bytes, node: str, holds: int) -> None:
+        """Write the row of a hold, unless too many are stored or wait to be."""
         if len(self.pending) >= MAX_PENDING_ROWS or len(self.rows) >= MAX_HELD:
             log_events.emit(events.QuarantineFull(identity=identity.hex(), held=len(self.rows)))
             return
-        self.pending[identity] = QuarantineRow(self.settings.node, record.holds)
+        self.pending[identity] = QuarantineRow(node, holds)
         self.write_next()
 
     def on_answered(self, identity: bytes) -> None:
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -30,6 +30,14 @@
       | three targets crash one after the other                      |
       | no message arrives after the third crash                     |
       | the store is down until 2 s after the third crash            |
+      | the node beside the third target ends before it writes       |
+
+  # Guards against routers that send a held request since they read targets before they read holds.
+  Scenario: Nodes that all restart while the store is away know of no target before they know the hold
+    Given 4 nodes that share what they know of crashes
+    When three targets crash one after the other
+    And all nodes restart at once while the store is down for 3 s
+    Then no node knows a target before the hold, and all know both within 8 s
 
   Scenario: A restored store that lacks a hold ends it nowhere
     Given 4 nodes that share what they know of crashes
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -127,6 +127,31 @@
     three_crashes(context)
 
 
+@when("the node beside the third target ends before it writes")
+def writer_ends(context):
+    context.world.store.seconds_late = lambda node, _transaction: 600.0 if node == "n2" else None
+    three_crashes(context)
+    context.world.kill_daemon("n2")
+
+
+@when("all nodes restart at once while the store is down for {seconds:d} s")
+def restart_without_store(context, seconds):
+    world = context.world
+    world.run(1.0)
+    world.store.down_for[""] = world.now + seconds
+    restart_all(world)
+
+
+@then("no node knows a target before the hold, and all know both within {seconds:d} s")
+def hold_known_first(context, seconds):
+    world, end = context.world, context.world.now + seconds
+    while not (all_held(context) and all(node.members.nodes for node in world.nodes.values())):
+        assert world.now < end, {name: it.held for name, it in quarantines(context).items()}
+        for name, node in world.nodes.items():
+            assert not node.members.nodes or quarantines(context)[name].hold_seconds(POISON), name
+        world.run(0.05)
+
+
 @when("the store is restored from a copy that is older than the hold")
 def old_copy(context):
     context.world.run(1.0)
@@ -179,16 +204,21 @@
         context.world.run(0.1)
 
 
-@then("it is still held on every node after all of them were restarted at once")
-def held_after_restart(context):
-    world = context.world
-    world.run(5.0)
+def restart_all(world):
+    """Restart the services of all nodes at once."""
     names = list(world.nodes)
     for name in names:
         world.kill_daemon(name)
     for name in names:
         world.start_daemon(name)
         add_quarantine(world, name)
+
+
+@then("it is still held on every node after all of them were restarted at once")
+def held_after_restart(context):
+    world = context.world
+    world.run(5.0)
+    restart_all(world)
     world.run(1.0)
     assert all_held(context)
 
