Keep a request that has crashed two targets from the last target of its service

Cause: a suspect was sent to any target that was up, also to the only one.

Change: for 6 s after the second crash, a target's router declines the suspect if no other target of the service accepts requests; the one that crashed last counts as away for 2 s whatever its row says.

--- a/src/hibiscusdrum/internal/router/quarantine.py
+++ b/src/hibiscusdrum/internal/router/quarantine.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
@@ -26,6 +26,12 @@
 CRASHES_TO_QUARANTINE = 3
 # From this count on, a crash of a request that another node has seen answered is objected to.
 CRASHES_TO_OBJECT = 2
+# A request with this many crashes is kept from the last target of its service for some seconds after the last
+# crash, in which another target starts again.
+CRASHES_TO_SPARE = 2
+SPARE_SECONDS = 6.0
+# Time within which the row of a node says that its target has crashed. It takes longer to start again.
+ROW_DELAY_SECONDS = 2.0
 # A suspect is forgotten this long after its last crash.
 SUSPECT_SECONDS = 600.0
 # Durations of the first holds, and of all later ones. At the end of each, one crash renews the hold.
@@ -173,6 +179,24 @@
         log_events.emit(events.QuarantineEnded(identity=identity.hex(), reason="expired", node=record.node))
         return 0.0
 
+    def spare_seconds(self, identity: bytes, other_nodes: Collection[str]) -> float:
+        """Return for how many seconds a suspect is kept from a target, as the last one that accepts requests.
+
+        Without this, the third crash under a request may leave its service with no target.
+
+        Parameters
+        ----------
+        other_nodes : collection of str
+            Nodes beside the other targets of the service that accept requests.
+        """
+        record = self.suspects.get(identity)
+        if record is None or record.crashes < CRASHES_TO_SPARE:
+            return 0.0
+        age = self.now - record.crashed_at
+        crashed = record.node if age < ROW_DELAY_SECONDS else ""
+        is_last = all(node == crashed for node in other_nodes)
+        return max(0.0, SPARE_SECONDS - age) if is_last else 0.0
+
     def log_refusal(self, identity: bytes, attempt_id: str) -> None:
         """Count and log that a request is not sent because it is held."""
         self.refusal_count += 1
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -22,7 +22,12 @@
 from hibiscusdrum.internal.router.hop import CLOSING_REASON
 from hibiscusdrum.internal.router.job import Job, ReplyCallback
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetState
-from hibiscusdrum.internal.router.quarantine import QUARANTINED_REASON, CrashRecord, Quarantine
+from hibiscusdrum.internal.router.quarantine import (
+    CRASHES_TO_SPARE,
+    QUARANTINED_REASON,
+    CrashRecord,
+    Quarantine,
+)
 from hibiscusdrum.internal.router.range_owner import KeyState, RangeOwner
 from hibiscusdrum.internal.router.rate_limiter import UNKNOWN_LIMIT_BOUND, RateLimiter
 from hibiscusdrum.internal.router.routes import HeaderNames, RouteTable
@@ -61,6 +66,7 @@
 STOPPING_REASON = "stopping"
 UNSENDABLE_REASON = "unsendable"
 SUSPECTS_WAITING_REASON = "suspects_waiting"
+LAST_TARGET_REASON = "last_target_spared"
 # A body is requested only if it can arrive within this share of the time left for its request.
 MAX_BODY_WAIT_SHARE = 0.5
 BUSY_REASON = "busy"
@@ -353,7 +359,7 @@
             self.decline_quarantined(job, self.quarantine.hold_seconds(identity))
 
     def defer_suspect(self, job: Job) -> bool:
-        """Return whether a request is not queued or sent now because of another suspect."""
+        """Return whether a request is not queued or sent now because it is a suspect."""
         if not (self.quarantine.active or job.forward.crashes):
             return False
         identity = job.identify()
@@ -361,6 +367,9 @@
         job.crashes = 0 if cleared else max(job.forward.crashes, self.quarantine.crashes_of(identity))
         if not job.crashes:
             return False
+        if wait := self.spare_seconds(job):
+            self.decline(job, LAST_TARGET_REASON, retry_after=wait)
+            return True
         place = self.suspect_line.join(job, self.now, self.admission.mean_service_seconds)
         if place is Place.WAITING:
             self.expiry_timer.wake()
@@ -368,6 +377,14 @@
             self.decline(job, SUSPECTS_WAITING_REASON)
         return place is not Place.FIRST
 
+    def spare_seconds(self, job: Job) -> float:
+        """Return for how many seconds a suspect is kept from the target, if no other accepts requests."""
+        if job.crashes < CRASHES_TO_SPARE:
+            return 0.0
+        candidates = self.members.candidates(self.settings.service, ())
+        others = [entry.node for entry in candidates if entry.node != self.settings.node]
+        return self.quarantine.spare_seconds(job.identify(), others)
+
     def end_job(self, job: Job) -> bool:
         """Forget a request that has its outcome; return False if that has been done."""
         if self.jobs.pop(job.forward.id, None) is None:
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -112,6 +112,21 @@
     And the caller of the running suspect leaves
     Then the target is running 1 suspect and 2 other requests
 
+  # Guards against a service without any target, because its last one crashes while the others start again.
+  Scenario Outline: A request that has crashed two targets is kept from the last one of its service: <others>
+    Given a router beside a target with 4 slots, and 3 suspects of a crash
+    When a second target crashes under one of them, and the service has <others> beside this target
+    And it arrives after <seconds> s
+    Then the suspect is <outcome>
+
+    Examples:
+      | others                     | seconds | outcome                         |
+      | no other target            | 0       | declined as last_target_spared  |
+      | the target that crashed    | 0       | declined as last_target_spared  |
+      | the target that crashed    | 4       | run                             |
+      | another target             | 0       | run                             |
+      | no other target            | 7       | run                             |
+
   # Guards against a poison request that was already accepted when it was found to be one.
   Scenario: A request that is held while it waits for its turn is refused at once as not run
     Given a router beside a target with 4 slots, and 3 suspects of a crash
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -352,6 +352,34 @@
     assert answer.retry_after > 500.0, answer
 
 
+@when("a second target crashes under one of them, and the service has {others} beside this target")
+def second_crash(context, others):
+    names = {"no other target": (), "the target that crashed": ("n9",), "another target": ("n8",)}[others]
+    nodes = [Stub(name, node=name) for name in (SETTINGS.node, *names)]
+    context.app.find("members").candidates = lambda _service, _regions: nodes
+    context.waiting = context.suspects[2]
+    context.quarantine.merge(identity_of_forward(context.waiting, b"s"), 2, "n9", "peer")
+
+
+@when("it arrives after {seconds:d} s")
+def arrives_later(context, seconds):
+    context.app.clock.advance(seconds)
+    context.reply = submit(context, context.waiting, b"s")
+
+
+@then("the suspect is declined as {reason}")
+def declined_as(context, reason):
+    (answer,) = context.reply
+    assert (answer.reason, answer.may_have_run, answer.arrived) == (reason, False, False), answer
+    assert 0.0 < answer.retry_after <= 6.0, answer
+
+
+@then("the suspect is run")
+def is_run(context):
+    running = [job for job in context.receiver.jobs.values() if job.exchange is not None]
+    assert not context.reply and [job.forward.id for job in running] == [context.waiting.id], context.reply
+
+
 @when("it arrives once more")
 def arrives_again(context):
     context.reply = submit(context, msgspec.structs.replace(context.waiting, id=b"again"), b"s")
