--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -30,6 +30,14 @@
       | three targets crash one after the other                      |
       | no message arrives after the third crash                     |
       | the store is down until 2 s after the third crash            |
+      | the node beside the third target ends before it writes       |
+
+  # Guards against routers that send a held request since they read targets before they read holds.
+  Scenario: Nodes that all restart while the store is away know of no target before they know the hold
+    Given 4 nodes that share what they know of crashes
+    When three targets crash one after the other
+    And all nodes restart at once while the store is down for 3 s
+    Then no node knows a target before the hold, and all know both within 8 s
 
   Scenario: A restored store that lacks a hold ends it nowhere
     Given 4 nodes that share what they know of crashes
@@ -104,6 +112,21 @@
     And the caller of the running suspect leaves
     Then the target is running 1 suspect and 2 other requests
 
+  # Guards against a service without any target, because its last one crashes while the others start again.
+  Scenario Outline: A request that has crashed two targets is kept from the last one of its service: <others>
+    Given a router beside a target with 4 slots, and 3 suspects of a crash
+    When a second target crashes under one of them, and the service has <others> beside this target
+    And it arrives after <seconds> s
+    Then the suspect is <outcome>
+
+    Examples:
+      | others                     | seconds | outcome                         |
+      | no other target            | 0       | declined as last_target_spared  |
+      | the target that crashed    | 0       | declined as last_target_spared  |
+      | the target that crashed    | 4       | run                             |
+      | another target             | 0       | run                             |
+      | no other target            | 7       | run                             |
+
   # Guards against a poison request that was already accepted when it was found to be one.
   Scenario: A request that is held while it waits for its turn is refused at once as not run
     Given a router beside a target with 4 slots, and 3 suspects of a crash
