--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -27,6 +27,7 @@
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.store_era import StoreEra
 from hibiscusdrum.platform.reports import encode_grant
+from hibiscusdrum.platform.store import table_for_key
 
 STEP_SECONDS = 0.05
 REPORT_SECONDS = 1.0
@@ -34,6 +35,8 @@
 ANSWER_LIMIT_SECONDS = 1.0
 ANSWER_LIMIT_BYTES = 4096
 STORE_SECONDS = 0.004
+MESSAGE_SECONDS = 0.001
+POLLED_TABLE = table_for_key("node/")
 CALL_TIMEOUT_SECONDS = 1.5
 FEED_SECONDS = 3.0
 # Copies of the store are taken this often and kept this long.
@@ -77,6 +80,16 @@
         Seconds that the store's clock is ahead of the true time.
     refused_entries : list of int
         Entries of each transaction that was refused because it has too many.
+    written : list of (int, str, int)
+        Version, key and size in bytes of each row that was written; the feed reports each version.
+    ring_reads : list of (str, str)
+        Node and key of each version of a ring that a read or a poll has returned.
+    feed_bytes : dict of str to int
+        Bytes of values that polls have returned, by the first part of the rows' keys.
+    refuses_reads : set of str
+        Nodes whose reads are turned away, unlike their polls for changes.
+    conflicts : int
+        Number of transactions whose checks failed.
     seconds_late : callable
         Returns after how many seconds a transaction of a node takes effect, without an answer; None for now.
     """
@@ -84,6 +97,11 @@
     def __init__(self, world):
         self.world = world
         self.rows = {}
+        self.written = []
+        self.ring_reads = []
+        self.feed_bytes = {}
+        self.conflicts = 0
+        self.refuses_reads = set()
         self.version = 1
         self.down_for = {}
         self.lose_answers = 0.0
@@ -121,9 +139,11 @@
         for key, version in transaction.checks.items():
             row = self.rows.get(key)
             if (row.version if exists(row) else 0) != number_of(version):
+                self.conflicts += 1
                 return None
         self.version += 1
         for key, value in transaction.puts.items():
+            self.written.append((self.version, key, len(msgspec.json.encode(value))))
             self.rows[key] = Row(key, self.version, msgspec.json.decode(msgspec.json.encode(value)))
         for key in transaction.deletes:
             self.rows[key] = Row(key, self.version, None)
@@ -192,9 +212,10 @@
         """Read rows by key."""
         store, sent_at = self.world.store, self.world.now
         store.calls["read"] += 1
-        if store.blocked(self.node):
+        if store.blocked(self.node) or self.node in store.refuses_reads:
             self.failing(callback, "refused")
             return
+        store.ring_reads += [(self.node, key) for key in keys if key.startswith("ring/")]
         found = {key: self.known_row(row) for key in keys if exists(row := store.rows.get(key))}
         self.answer(store.seconds, callback, Success(found), sent_at, self.world.store_time)
 
@@ -212,10 +233,16 @@
             self.known_row(row)
             for key, row in store.rows.items()
             if row.version > after
-            and not key.startswith(("lease/", "claim/"))
+            and table_for_key(key) == POLLED_TABLE
             and not (complete and row.value is None)
         )
         if rows or complete or since == 0 or self.world.now >= until:
+            for version, key, size in store.written if after else ():
+                if version > after and table_for_key(key) == POLLED_TABLE:
+                    kind = key.partition("/")[0]
+                    store.feed_bytes[kind] = store.feed_bytes.get(kind, 0) + size
+                    if kind == "ring":
+                        store.ring_reads.append((self.node, key))
             changes = Changes(make_version(store.era, store.version), rows, complete)
             self.answer(store.seconds, callback, Success(changes), self.world.now, self.world.store_time)
             return
@@ -266,6 +293,40 @@
         self.answer(store.seconds, callback, result, self.world.now, self.world.store_time, self.era, current)
 
 
+class PeerLinks(Service):
+    """Delivers messages between the nodes of the world, unless one of the two is cut off."""
+
+    service_name = "hop"
+
+    def __init__(self, world, node):
+        super().__init__()
+        self.world, self.node = world, node
+        self.message_handlers = {}
+
+    def is_connected(self, name):
+        """Return whether there is a connection to a node."""
+        return name in self.world.nodes and not {self.node, name} & self.world.cut_off
+
+    def send_message(self, name, message):
+        """Send a message to a node; returns whether there is a connection."""
+        if not self.is_connected(name):
+            return False
+        if self.node not in self.world.silent:
+            self.world.messages.append((self.node, name, message))
+            receiver = self.world.nodes[name]
+            self.world.after(MESSAGE_SECONDS, lambda: self.deliver(receiver, message))
+        return True
+
+    def deliver(self, receiver, message):
+        """Deliver a message to a process that still runs, once it is not paused."""
+        if self.world.nodes.get(receiver.name) is not receiver:
+            return
+        if receiver.name in self.world.frozen:
+            self.world.after(STEP_SECONDS, lambda: self.deliver(receiver, message))
+            return
+        receiver.app.find("hop").message_handlers[type(message)](message)
+
+
 def uncovered(entry, others):
     """Return the first and last keys of the parts of a range that no other range, in order, covers."""
     parts, first = [], entry.first
@@ -379,11 +440,11 @@
 class Node:
     """The services of one daemon."""
 
-    def __init__(self, world, name, failure_domain):
+    def __init__(self, world, name, failure_domain, region):
         self.name = name
         settings = RouterSettings(
             node=name,
-            region="east",
+            region=region,
             failure_domain=failure_domain,
             service="keys",
             target_address="127.0.0.1:1",
@@ -398,6 +459,7 @@
         self.app.add(NodeTable(world, name))
         self.target = self.app.add(LocalTarget(settings))
         self.members = self.app.add(Members(settings))
+        self.app.add(PeerLinks(world, name))
         self.app.add(StoreEra())
         self.app.add(Rings(settings))
         self.app.add(LeaseKeeper(settings))
@@ -411,13 +473,17 @@
 class World:
     """Nodes, targets, a store, and checks of what the targets hold."""
 
-    def __init__(self, seed=0, nodes=4):
+    def __init__(self, seed=0, nodes=4, regions=("east",)):
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.store = Store(self)
         self.nodes = {}
         self.targets = {}
+        self.regions = {}
         self.frozen = set()
+        self.cut_off = set()
+        self.silent = set()
+        self.messages = []
         self.calls = []
         self.counter = itertools.count()
         self.max_fence = {}
@@ -426,7 +492,7 @@
         # Thousands of decisions are played; the checks tell what went wrong.
         logger.disable("hibiscusdrum")
         for index in range(nodes):
-            self.add(f"n{index}", f"d{index % 2}")
+            self.add(f"n{index}", f"d{index % 2}", regions[index // 2 % len(regions)])
 
     @property
     def now(self):
@@ -438,10 +504,11 @@
         """Seconds on the store's clock."""
         return self.now + self.store.clock_offset
 
-    def add(self, name, failure_domain="d0"):
+    def add(self, name, failure_domain="d0", region="east"):
         """Start a VM: daemon and target."""
         self.domains[name] = failure_domain
-        Node(self, name, failure_domain)
+        self.regions[name] = region
+        Node(self, name, failure_domain, region)
         self.targets[name] = FakeTarget(self, name, f"i-{name}")
 
     def kill_daemon(self, name):
@@ -453,7 +520,7 @@
     def start_daemon(self, name):
         """Start a daemon that does not run."""
         if name not in self.nodes:
-            Node(self, name, self.domains[name])
+            Node(self, name, self.domains[name], self.regions[name])
 
     def restart_target(self, name):
         """Replace a target by a new start of it."""
