Keep rings out of the polled table, and hand them from node to node in a region

Cause: a ring of up to 20 KB was a row of the polled table; the store returns each version of it to each node, and configurations, leases and node rows waited behind 41 Mbit/s of rings. Change: node rows, eras and quarantine rows move to the table hibiscusdrum-members; each write of a ring also writes a notice of a few bytes there. A node that reads a newer notice fetches the ring: two nodes of a region from the store, the others from their parent in a tree, another peer, or the store.

Changed tests: table names (odd_entries, router_restored, router_system; the last also writes a notice for each odd ring, since nodes read none without). "none was followed by a read of the ring" counts the reads that a writer makes after a conflict, as other reads for notices are proper now; "one call brings the ring" counts that node's reads of the ring, since a read of leases fell into its 0.1 s. Bounds are as before.

Not covered: nodes of the earlier release and of this one do not know each other's node rows.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -394,6 +394,38 @@
     objection: bool = False
 
 
+class RingRequest(Message, frozen=True, array_like=True, tag=True):
+    """Asks a peer of the own region for the row of a ring.
+
+    Attributes
+    ----------
+    known, wanted : int
+        Version of the row that the sender has, 0 if none, and the one that the store has at least.
+    """
+
+    node: str
+    service: str
+    known: Count
+    wanted: Count
+
+
+class RingReply(Message, frozen=True, array_like=True, tag=True):
+    """Answers ``RingRequest`` with the newest row of the ring that the sender has.
+
+    Attributes
+    ----------
+    version : int
+        Version of the row; 0 if the sender has none that is newer than the one the receiver has.
+    value : str
+        Value of the row as stored.
+    """
+
+    node: str
+    service: str
+    version: Count
+    value: str = ""
+
+
 RequestMessage = (
     Call
     | Cancel
@@ -411,4 +443,6 @@
     | Closing
     | CrashReport
     | SuspectsCleared
+    | RingRequest
+    | RingReply
 )
--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -17,6 +17,7 @@
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.readiness import Readiness
 from hibiscusdrum.internal.router.receiver import Receiver
+from hibiscusdrum.internal.router.ring_replication import RingReplication
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.internal.router.selection import NodeSelector
@@ -81,6 +82,7 @@
     app.add(Rings(settings))
     app.add(LeaseKeeper(settings))
     app.add(RangeOwner(settings))
+    app.add(RingReplication(settings))
     app.add(RouterMetrics(settings))
     app.add(CrashDetector(settings))
     app.add(Quarantine(settings))
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -759,6 +759,40 @@
     received_bytes: int = 0
 
 
+class RingFetched(LogEvent, frozen=True):
+    """A ring that the polled table said to be newer was read, or nobody had it.
+
+    ``source`` is the peer that had it, ``store``, or empty; ``asked`` counts the peers and reads until then.
+    """
+
+    number = 860
+    cause = "The ring has changed."
+    rate_limited = True
+
+    service: str
+    source: str
+    version: int
+    wanted: int
+    asked: int
+    took_ms: int
+
+
+class RingCopyRefused(LogEvent, frozen=True):
+    """A copy of a ring that a peer sent is not used."""
+
+    number = 861
+    level = "WARNING"
+    rate_limited = True
+    lines_per_interval = 20
+    cause = "`reason`: the copy is of another era of the store, or cannot be decoded."
+    operator_action = "If the peer is named again and again, restart its router."
+
+    peer: str
+    service: str
+    version: int
+    reason: str
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
@@ -791,6 +825,8 @@
         RequestRepeated,
         RequestRun,
         RingChanged,
+        RingCopyRefused,
+        RingFetched,
         RingOutdated,
         RouterStarted,
         RoutesInForce,
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -272,12 +272,19 @@
         for node in self.peer_states:
             self.send_message(node, message)
 
-    def send_message(self, node: str, message: Message) -> None:
-        """Send a message that needs no answer to a peer, if there is a connection to it."""
+    def is_connected(self, node: str) -> bool:
+        """Return whether there is a connection to a peer."""
         state = self.peer_states.get(node)
-        if state is not None:
-            size = self.peers.try_send_request(state.address, message)
-            self.traffic.count_sent(self.members.region_of(node), type(message).__name__.lower(), size)
+        return state is not None and self.peers.is_connected(state.address)
+
+    def send_message(self, node: str, message: Message) -> bool:
+        """Send a message to a peer, and return whether there is a connection to it."""
+        state = self.peer_states.get(node)
+        if state is None:
+            return False
+        size = self.peers.try_send_request(state.address, message)
+        self.traffic.count_sent(self.members.region_of(node), type(message).__name__.lower(), size)
+        return size > 0
 
     def send_body_part(self, part_request: SendBody) -> None:
         """Send the part of an offered body that the receiver asks for."""
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -63,7 +63,7 @@
 # A node without a lease row counts as lost after this time, within which a new owner writes its row.
 MISSING_LEASE_TIMEOUT_SECONDS = 4.0
 # The store accepts 100 entries in a write. A lost owner takes five: checks of its lease and its node's row,
-# and deletions of these and of its claim. The rest of the write takes four.
+# and deletions of these and of its claim. The rest of the write takes five.
 MAX_LOST_OWNERS_PER_WRITE = 19
 # After an outage of the store, nodes get this long to renew their leases before they count as lost.
 STORE_RECOVERY_GRACE_SECONDS = 2.5
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -31,6 +31,9 @@
 # Nodes restore an older ring one after the other, so that few of the writes conflict.
 RESTORE_DELAY_PER_RANK_SECONDS = 0.05
 RING_PREFIX = "ring/"
+# The row of this key is written with each ring, and is watched in place of it.
+NOTICE_PREFIX = "ring-version/"
+NOTICE_VALUE = 1
 # Reason in a store failure after which the write may still take effect.
 REASON_OUTCOME_UNKNOWN = "unknown"
 
@@ -49,6 +52,8 @@
         Newest known ring of each service.
     unreadable_rows : set of str
         Keys of the rows that cannot be decoded; the ring known before remains in use.
+    rows : dict of str to Row
+        Newest readable row of each ring as stored, by key.
     row_versions : dict of str to int
         Version of the newest known row of each ring, by key.
     stamps : dict of str to int
@@ -65,6 +70,8 @@
         Stripes of a write whose outcome is unknown; it may take effect until the ring is written again.
     on_written : list of callable
         Called when a write of this node has succeeded.
+    on_row : list of callable
+        Called with the service after a newer row of its ring has been read.
     on_reread : callable
         Called when the ring is known again after a failed write.
     local_ring_changed_at : float
@@ -78,6 +85,7 @@
         self.service = settings.service
         self.local_row_key = RING_PREFIX + settings.service
         self.by_service: dict[str, Ring] = {}
+        self.rows: dict[str, Row] = {}
         self.row_versions: dict[str, int] = {}
         self.unreadable_rows: set[str] = set()
         self.stamps: dict[str, int] = {}
@@ -89,16 +97,16 @@
         self.changing_stripes: set[int] = set()
         self.uncertain_stripes: set[int] = set()
         self.on_written: list[Callable[[], None]] = []
+        self.on_row: list[Callable[[str], None]] = []
         self.on_reread: Callable[[], None] = lambda: None
 
     def on_start(self) -> None:
-        """Subscribe to ring rows and eras of the store."""
+        """Subscribe to rows in conflicts and to eras of the store."""
         self.table = self.app.find("table")
         self.table.on_era_change.append(self.on_era_change)
         self.store_era: StoreEra = self.app.find("store_era")
         self.store_era.on_settled.append(self.apply_outdated_rows)
         self.keeper: LeaseKeeper = self.app.find("lease_keeper")
-        self.app.find("members").row_listeners["ring"] = self.apply_row
         self.table.on_current_row = self.apply_current_row
 
     @property
@@ -141,7 +149,16 @@
         if row.version <= self.row_versions.get(row.key, 0):
             return
         self.row_versions[row.key] = row.version
+        self.rows.pop(row.key, None)
         self.unreadable_rows.discard(row.key)
+        try:
+            self.decode_row(row)
+        finally:
+            for listener in self.on_row:
+                listener(row.key[len(RING_PREFIX) :])
+
+    def decode_row(self, row: Row) -> None:
+        """Decode a newer row, and apply it unless its content is older while the era settles."""
         if row.unreadable:
             self.unreadable_rows.add(row.key)
             return
@@ -153,6 +170,7 @@
                 self.unreadable_rows.add(row.key)
                 unreadable_entries.record(row.key, error)
                 return
+            self.rows[row.key] = row
         stamp = ring_stamp(row.version, ring) if ring is not None else 0
         known_stamp = self.stamps.get(row.key, 0)
         if stamp < known_stamp and self.store_era.settling:
@@ -278,7 +296,7 @@
                 **self.keeper.claim_check(),
                 **self.store_era.fence(),
             },
-            {self.local_row_key: value},
+            {self.local_row_key: value, NOTICE_PREFIX + self.service: NOTICE_VALUE},
             deletes,
         )
         self.write_in_progress = True
--- a/src/hibiscusdrum/platform/quarantine_command.py
+++ b/src/hibiscusdrum/platform/quarantine_command.py
@@ -19,7 +19,7 @@
     decode_identity,
     row_key,
 )
-from hibiscusdrum.platform.store import ROUTER_TABLE, StoreClient, WireRows, decode_row
+from hibiscusdrum.platform.store import MEMBERS_TABLE, StoreClient, WireRows, decode_row
 
 EXIT_FAILED = 1
 # First text after those that begin with the kind of row and a slash.
@@ -76,7 +76,7 @@
             else:
                 self.fail(result.failure())
 
-        self.store.read_range(ROUTER_TABLE, f"{ROW_KIND}/", END_OF_ROWS, on_response)
+        self.store.read_range(MEMBERS_TABLE, f"{ROW_KIND}/", END_OF_ROWS, on_response)
 
     def print_rows(self, rows: dict[str, Row]) -> None:
         """Print the rows; those that cannot be decoded are named on standard error."""
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -1,7 +1,9 @@
 """Client of the platform's store that implements the router's ``Table`` interface.
 
-Rows of leases and of claims are kept in tables of their own, which ``changes`` does not read: no node watches
-them for changes, and leases are rewritten every few seconds.
+``changes`` reads the table of the rows that nodes watch. Rows of rings, leases and claims are kept in other
+tables: the store reports each version of a row to each node that polls its table, a ring has up to 20 KB, and
+leases are rewritten every few seconds. Rings stay in the table in which earlier releases keep all watched
+rows, so that releases that run side by side never have two rings.
 """
 
 from __future__ import annotations
@@ -35,8 +37,12 @@
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import HttpFailure, HttpResponse
 
-ROUTER_TABLE = "hibiscusdrum"
-UNWATCHED_TABLES = {"lease": "hibiscusdrum-lease", "claim": "hibiscusdrum-claim"}
+MEMBERS_TABLE = "hibiscusdrum-members"
+UNWATCHED_TABLES = {
+    "ring": "hibiscusdrum",
+    "lease": "hibiscusdrum-lease",
+    "claim": "hibiscusdrum-claim",
+}
 OPERATOR_TABLE = "op"
 # An answer usually takes 4 ms, and 0.2 s when the store is slow.
 CALL_TIMEOUT_SECONDS = 1.5
@@ -168,7 +174,7 @@
 
 def table_for_key(key: str) -> str:
     """Return the name of the store's table that holds the row with this key."""
-    return UNWATCHED_TABLES.get(key.partition("/")[0], ROUTER_TABLE)
+    return UNWATCHED_TABLES.get(key.partition("/")[0], MEMBERS_TABLE)
 
 
 def decode_row(row: WireRow) -> Row:
@@ -268,7 +274,7 @@
             else:
                 callback(Failure(result.failure()))
 
-        self.poll_changes(ROUTER_TABLE, since if since or self.initial_read_done else None, on_response)
+        self.poll_changes(MEMBERS_TABLE, since if since or self.initial_read_done else None, on_response)
 
     def commit(self, transaction: Transaction, callback: CommitCallback) -> None:
         """Write conditionally; after a failure with reason ``unknown``, the write may still take effect.
--- a/tests/features/steps/odd_entries_steps.py
+++ b/tests/features/steps/odd_entries_steps.py
@@ -303,7 +303,7 @@
 def write_node(context, name, **changes):
     """Write a sound row of a node, with changes, and return it."""
     row = {**NODE, "node": name, "life": f"i-{name}@1"} | changes
-    context.store.write_row("hibiscusdrum", f"node/{name}", encode(row))
+    context.store.write_row("hibiscusdrum-members", f"node/{name}", encode(row))
 
 
 def joins(context, name, limit):
@@ -333,7 +333,7 @@
     assert sorted(context.members.nodes) == ["joined", "own"], context.members.nodes
 
 
-TABLES = {"the node rows": "hibiscusdrum", "the operator's rows": "op"}
+TABLES = {"the node rows": "hibiscusdrum-members", "the operator's rows": "op"}
 
 
 @when("the store once answers a poll of {rows} with {fault}")
@@ -387,7 +387,7 @@
 
 @when("another writer replaces the row of the other node by one that cannot be decoded")
 def other_replaced(context):
-    context.store.write_row("hibiscusdrum", "node/other", NESTED)
+    context.store.write_row("hibiscusdrum-members", "node/other", NESTED)
 
 
 @then("the other node gets no requests within {limit:g} s")
@@ -406,13 +406,13 @@
 
 @when("another writer replaces its own row by {value}")
 def own_replaced(context, value):
-    context.store.write_row("hibiscusdrum", "node/own", OWN_ROW_VALUES[value])
+    context.store.write_row("hibiscusdrum-members", "node/own", OWN_ROW_VALUES[value])
 
 
 @then("its own row names its target again within {limit:g} s")
 def own_written_again(context, limit):
     def written():
-        _version, value = context.store.rows["hibiscusdrum", "node/own"]
+        _version, value = context.store.rows["hibiscusdrum-members", "node/own"]
         return b"i-own@" in base64.b64decode(value)
 
     context.loopback.run_until(written, limit)
@@ -437,10 +437,11 @@
 @when("the store reports a sound node row of another part")
 def other_part(context):
     record = {
-        "table": "hibiscusdrum", "part": "elsewhere", "key": "node/elsewhere", "ver": context.store.version,
+        "table": "hibiscusdrum-members", "part": "elsewhere", "key": "node/elsewhere",
+        "ver": context.store.version,
         "value": base64.b64encode(encode({**NODE, "node": "elsewhere"})).decode(),
     }  # fmt: skip
-    context.store.next_feed["hibiscusdrum"] = msgspec.json.encode(
+    context.store.next_feed["hibiscusdrum-members"] = msgspec.json.encode(
         {"records": [record], "ver": context.store.version, "serverTimeS": 1.0}
     )
     write_node(context, "first")
--- a/tests/features/steps/router_ownership_steps.py
+++ b/tests/features/steps/router_ownership_steps.py
@@ -180,8 +180,8 @@
 def drain_together(context, count, seconds):
     context.conflicts, context.ring_reads = 0, 0
 
-    def watch(table):
-        commit, read = table.commit, table.read
+    def watch(table, rings):
+        commit, read = table.commit, rings.read_ring
 
         def counted_commit(transaction, callback):
             def counted(result):
@@ -190,14 +190,15 @@
 
             commit(transaction, counted)
 
-        def counted_read(keys, callback):
-            context.ring_reads += "ring/keys" in keys
-            read(keys, callback)
+        def counted_read(done, service=""):
+            # Reads for a notice of another node's write do not follow a conflict.
+            context.ring_reads += done == rings.on_reread_done
+            read(done, service)
 
-        table.commit, table.read = counted_commit, counted_read
+        table.commit, rings.read_ring = counted_commit, counted_read
 
     for node in context.world.nodes.values():
-        watch(node.app.find("table"))
+        watch(node.app.find("table"), node.app.find("rings"))
     for index in range(count):
         context.world.targets[f"n{index}"].draining = True
     context.world.run(seconds)
@@ -533,7 +534,7 @@
     row = world.store.rows["ring/keys"]
     world.store.version += 1
     world.store.rows["ring/keys"] = Row(row.key, world.store.version, row.value)
-    context.reads_before = world.store.calls["read"]
+    world.store.ring_reads.clear()
     context.answered = []
     for number in range(count):
         rings.refresh_ring("keys", lambda number=number: context.answered.append(number))
@@ -542,7 +543,8 @@
 @then("one call brings the ring to that node")
 def one_call(context):
     context.world.run(0.1)
-    assert context.world.store.calls["read"] == context.reads_before + 1
+    reads = [name for name, _key in context.world.store.ring_reads if name == "n1"]
+    assert len(reads) == 1, context.world.store.ring_reads
     assert len(context.answered) == 5, context.answered
     assert context.rings.local_version > context.version
 
--- a/tests/features/steps/router_restored_steps.py
+++ b/tests/features/steps/router_restored_steps.py
@@ -24,7 +24,7 @@
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.internal.router.selection import NodeSelector
 from hibiscusdrum.platform.operator import EVACUATE_PREFIX, OperatorRows
-from hibiscusdrum.platform.store import OPERATOR_TABLE, ROUTER_TABLE, StoreClient
+from hibiscusdrum.platform.store import MEMBERS_TABLE, OPERATOR_TABLE, StoreClient
 
 STEP_SECONDS = 0.01
 LOOP_EVENT = Stub("loop", reduce_time_left=lambda _seconds: None)
@@ -69,7 +69,7 @@
 
 
 def put_node(context, name, **changes):
-    context.store.put(ROUTER_TABLE, f"node/{name}", node_row(name, **changes))
+    context.store.put(MEMBERS_TABLE, f"node/{name}", node_row(name, **changes))
 
 
 def beat(context):
@@ -114,7 +114,7 @@
     beat(context)
     put_node(context, "n1")
     run(context, 1.0)
-    assert context.store.value(ROUTER_TABLE, LOCAL_KEY)["accepting"]
+    assert context.store.value(MEMBERS_TABLE, LOCAL_KEY)["accepting"]
     assert context.gateway.route_table.version == 10
 
 
@@ -125,7 +125,7 @@
 
 def write_rows(context, count):
     for index in range(count):
-        context.store.put(ROUTER_TABLE, f"ring/other{index % 2}", {"index": index})
+        context.store.put(MEMBERS_TABLE, f"ring/other{index % 2}", {"index": index})
         run(context, 2 * STEP_SECONDS)
 
 
@@ -159,7 +159,7 @@
     put_node(context, name)
     run(context, 1.0)
     assert name in candidates(context)
-    copy_then(context, lambda: context.store.put(ROUTER_TABLE, f"node/{name}", None))
+    copy_then(context, lambda: context.store.put(MEMBERS_TABLE, f"node/{name}", None))
     assert name not in candidates(context)
 
 
@@ -168,7 +168,7 @@
     put_node(context, name)
     run(context, 1.0)
     copy_then(context, lambda: put_node(context, name, accepting=False))
-    context.store.put(ROUTER_TABLE, f"node/{name}", None)
+    context.store.put(MEMBERS_TABLE, f"node/{name}", None)
     run(context, 1.0)
     assert name not in context.members.nodes
 
@@ -180,7 +180,7 @@
     run(context, 2.0)
     assert len(context.members.nodes) > count
     for index in range(count):
-        context.store.put(ROUTER_TABLE, f"node/m{index}", None)
+        context.store.put(MEMBERS_TABLE, f"node/m{index}", None)
     run(context, 2.0)
 
 
@@ -206,7 +206,7 @@
 @given("the store was copied when it had a row that does not say that it leaves")
 def copied_before_own_departure(context):
     copy_then(context, lambda: context.target.on_leave("i-1", 5, lambda _stored: None))
-    assert context.store.value(ROUTER_TABLE, LOCAL_KEY)["leaving"]
+    assert context.store.value(MEMBERS_TABLE, LOCAL_KEY)["leaving"]
 
 
 @given('the store was copied, and failure domain "{name}" was evacuated since')
@@ -263,7 +263,7 @@
     before = context.client.newest_number
     context.store.put(OPERATOR_TABLE, "config", configuration(version))
     for index in range(count):
-        context.store.put(ROUTER_TABLE, "ring/other", {"index": index})
+        context.store.put(MEMBERS_TABLE, "ring/other", {"index": index})
     assert context.store.version > before
     context.store.down = False
 
@@ -337,20 +337,20 @@
 
 @then('the row of node "{name}" is deleted again')
 def deleted_again(context, name):
-    run_until(context, lambda: context.store.value(ROUTER_TABLE, f"node/{name}") is None, 4.0)
+    run_until(context, lambda: context.store.value(MEMBERS_TABLE, f"node/{name}") is None, 4.0)
 
 
 @then('the row of node "{name}" is not deleted')
 def not_deleted(context, name):
     run(context, 8.0)
-    assert context.store.value(ROUTER_TABLE, f"node/{name}") is not None
+    assert context.store.value(MEMBERS_TABLE, f"node/{name}") is not None
     assert name in candidates(context)
 
 
 @then("the store has the row of this node as it is now within {seconds:g} s")
 def own_row_written(context, seconds):
     now = msgspec.to_builtins(context.members.local_row())
-    run_until(context, lambda: context.store.value(ROUTER_TABLE, LOCAL_KEY) == now, seconds)
+    run_until(context, lambda: context.store.value(MEMBERS_TABLE, LOCAL_KEY) == now, seconds)
     run(context, 1.0)
     assert context.members.published_row == context.members.local_row()
 
@@ -364,21 +364,21 @@
     context.members.remove_local_row(lambda: None)
     run(context, 0.1)
     if moment == "after it has removed it":
-        assert context.store.value(ROUTER_TABLE, LOCAL_KEY) is None
+        assert context.store.value(MEMBERS_TABLE, LOCAL_KEY) is None
         context.store.restore(copy)
 
 
 @then("the store has no row of this node within {seconds:g} s")
 def own_row_removed(context, seconds):
-    run_until(context, lambda: context.store.value(ROUTER_TABLE, LOCAL_KEY) is None, seconds)
+    run_until(context, lambda: context.store.value(MEMBERS_TABLE, LOCAL_KEY) is None, seconds)
     run(context, 1.0)
-    assert context.store.value(ROUTER_TABLE, LOCAL_KEY) is None
+    assert context.store.value(MEMBERS_TABLE, LOCAL_KEY) is None
 
 
 @then("each table is read completely at most {count:d} times within {seconds:g} s")
 def complete_reads(context, count, seconds):
     run(context, seconds)
-    for table in (ROUTER_TABLE, OPERATOR_TABLE):
+    for table in (MEMBERS_TABLE, OPERATOR_TABLE):
         reads = [
             call
             for call in context.store.calls
@@ -450,7 +450,7 @@
     def stored_nodes(self):
         """Return the names of the nodes that have a row."""
         names = {key[len("node/") :] for table, key in self.store.rows if key.startswith("node/")}
-        return {name for name in names if self.store.value(ROUTER_TABLE, f"node/{name}") is not None}
+        return {name for name in names if self.store.value(MEMBERS_TABLE, f"node/{name}") is not None}
 
     def change(self):
         """Make one random change."""
@@ -465,10 +465,10 @@
             self.running[name] = node_row(name, life=f"i-{name}@{self.now():.2f}")
         elif kind == "end" and len(self.running) > 1:
             del self.running[name]
-            self.store.put(ROUTER_TABLE, f"node/{name}", None)
+            self.store.put(MEMBERS_TABLE, f"node/{name}", None)
             return
         elif kind == "lose":
-            self.store.put(ROUTER_TABLE, f"node/{name}", None)
+            self.store.put(MEMBERS_TABLE, f"node/{name}", None)
             return
         elif kind == "evacuate":
             self.evacuated ^= {self.rng.choice(("east-3", "east-4"))}
@@ -483,8 +483,8 @@
     def write_node(self, name):
         """Write the row of a running node unless the store has it."""
         row = self.running.get(name)
-        if row is not None and not self.store.down and self.store.value(ROUTER_TABLE, f"node/{name}") != row:
-            self.store.put(ROUTER_TABLE, f"node/{name}", row)
+        if row is not None and not self.store.down and self.store.value(MEMBERS_TABLE, f"node/{name}") != row:
+            self.store.put(MEMBERS_TABLE, f"node/{name}", row)
 
     def operate(self):
         """Write the operator's rows that the store lacks or has in another form."""
@@ -595,7 +595,7 @@
 def client_and_row(context):
     new_client(context)
     for value in range(3):
-        context.store.put(ROUTER_TABLE, "node/a", value)
+        context.store.put(MEMBERS_TABLE, "node/a", value)
     context.row = call(context, context.client.read, ("node/a",)).unwrap()["node/a"]
     context.changes = call(context, context.client.changes, 0).unwrap()
     assert context.row.value == 2 and context.client.era == 1
@@ -604,7 +604,7 @@
 @given('the store was copied, and "node/a" was written since')
 def copied_before_write(context):
     context.copy = context.store.copy()
-    context.store.put(ROUTER_TABLE, "node/a", 3)
+    context.store.put(MEMBERS_TABLE, "node/a", 3)
     context.row = call(context, context.client.read, ("node/a",)).unwrap()["node/a"]
     assert context.row.value == 3
 
@@ -613,7 +613,7 @@
 def same_version(context):
     version = context.store.version
     context.store.restore(context.copy)
-    assert context.store.put(ROUTER_TABLE, "node/a", 4) == version
+    assert context.store.put(MEMBERS_TABLE, "node/a", 4) == version
     call(context, context.client.read, ("node/b",))
 
 
@@ -621,7 +621,7 @@
 def conflict(context):
     result = call(context, context.client.commit, write(context.row.version, 5))
     assert isinstance(result, Failure) and isinstance(result.failure(), StoreConflict), result
-    assert context.store.value(ROUTER_TABLE, "node/a") == 4
+    assert context.store.value(MEMBERS_TABLE, "node/a") == 4
 
 
 @then("a write under the version that is read now succeeds")
@@ -646,7 +646,7 @@
 def write_unknown(context):
     result = finish(context, context.results)
     assert isinstance(result, Failure) and result.failure().reason == "unknown", result
-    assert context.store.value(ROUTER_TABLE, "node/a") == 6
+    assert context.store.value(MEMBERS_TABLE, "node/a") == 6
 
 
 CALLS = {
@@ -662,7 +662,7 @@
     context.store.hold = "after"
     context.results = CALLS[name](context.client, context.row, context.changes)
     if name == "poll":
-        context.store.put(ROUTER_TABLE, "node/a", 7)
+        context.store.put(MEMBERS_TABLE, "node/a", 7)
     run(context, 0.1)
     context.store.hold = ""
     context.store.restore(copy)
@@ -682,7 +682,7 @@
     context.store.page_rows = size
     context.copy = context.store.copy()
     for index in range(count):
-        context.store.put(ROUTER_TABLE, f"node/{index}", index)
+        context.store.put(MEMBERS_TABLE, f"node/{index}", index)
 
 
 @when("the store is restored between the pages of a read")
@@ -690,7 +690,7 @@
     context.results = begin(context.client.changes, 0)
     run_until(context, lambda: len(context.store.calls) == 2, 1.0)
     context.store.restore(context.copy)
-    context.store.put(ROUTER_TABLE, "node/2", "restored")
+    context.store.put(MEMBERS_TABLE, "node/2", "restored")
 
 
 @then("the read returns the rows of the restored store")
@@ -701,16 +701,16 @@
 
 @when("the store is restored while a poll waits, and gives out the version of the poll again")
 def restored_while_polling(context):
-    context.store.put(ROUTER_TABLE, "node/b", 1)
+    context.store.put(MEMBERS_TABLE, "node/b", 1)
     changes = call(context, context.client.changes, context.changes.seq).unwrap()
     context.results = begin(context.client.changes, changes.seq)
     run(context, 0.1)
     assert not context.results
     rows, version = context.store.copy()
     context.store.restore(({key: row for key, row in rows.items() if key[1] != "node/b"}, version - 1), False)
-    context.store.put(ROUTER_TABLE, "node/a", "restored")
+    context.store.put(MEMBERS_TABLE, "node/a", "restored")
     assert context.store.version == version
-    context.store.put(ROUTER_TABLE, "node/c", "new")
+    context.store.put(MEMBERS_TABLE, "node/c", "new")
     context.known = changes
 
 
--- a/tests/features/steps/router_system_steps.py
+++ b/tests/features/steps/router_system_steps.py
@@ -437,7 +437,7 @@
     system = context.system
     callers = [Callers(system, context.vm, keyed), Callers(system, system.vms["vm4"], shared)]
     for kind, table, key in (
-        ("a node row", "hibiscusdrum", "node/odd{}"),
+        ("a node row", "hibiscusdrum-members", "node/odd{}"),
         ("a ring row", "hibiscusdrum", "ring/odd{}"),
         ("a lease row", "hibiscusdrum-lease", "lease/keyed/odd{}"),
         ("a configuration", "op", "config"),
@@ -445,6 +445,8 @@
     ):
         for index, (_name, body) in enumerate(odd_variants(kind)):
             system.write_row(table, key.format(index), body)
+            if kind == "a ring row":
+                system.write_row("hibiscusdrum-members", f"ring-version/odd{index}", body)
     for vm in system.vms.values():
         for kind, method in (("a heartbeat", "PUT"), ("a notice of departure", "DELETE")):
             for _name, body in odd_variants(kind):
@@ -464,7 +466,7 @@
 def own_rows_replaced(context):
     system = context.system
     for name, vm in system.vms.items():
-        system.write_row("hibiscusdrum", f"node/{name}", NESTED)
+        system.write_row("hibiscusdrum-members", f"node/{name}", NESTED)
         if vm.service == "keyed":
             system.write_row("hibiscusdrum-lease", f"lease/keyed/{name}", NESTED)
     time.sleep(1.0)
--- a/tests/router_world.py
+++ b/tests/router_world.py
@@ -23,6 +23,7 @@
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.ring import Range
+from hibiscusdrum.internal.router.ring_replication import RingReplication
 from hibiscusdrum.internal.router.rings import Rings
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.store_era import StoreEra
@@ -324,7 +325,7 @@
         if receiver.name in self.world.frozen:
             self.world.after(STEP_SECONDS, lambda: self.deliver(receiver, message))
             return
-        receiver.app.find("hop").message_handlers[type(message)](message)
+        receiver.links.message_handlers[type(message)](message)
 
 
 def uncovered(entry, others):
@@ -459,11 +460,12 @@
         self.app.add(NodeTable(world, name))
         self.target = self.app.add(LocalTarget(settings))
         self.members = self.app.add(Members(settings))
-        self.app.add(PeerLinks(world, name))
+        self.links = self.app.add(PeerLinks(world, name))
         self.app.add(StoreEra())
         self.app.add(Rings(settings))
         self.app.add(LeaseKeeper(settings))
         self.owner = self.app.add(RangeOwner(settings))
+        self.app.add(RingReplication(settings))
         world.nodes[name] = self
         for service in self.app.services.values():
             service.on_start()
