--- a/tests/features/steps/congested_store_steps.py
+++ b/tests/features/steps/congested_store_steps.py
@@ -20,7 +20,7 @@
 from hibiscusdrum.internal.router.traffic import STORE, Traffic
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import FailureKind
-from hibiscusdrum.platform.store import ROUTER_TABLE, StoreClient, encode_value
+from hibiscusdrum.platform.store import MEMBERS_TABLE, StoreClient, encode_value
 
 PARTIAL_ANSWER = b'HTTP/1.1 200 OK\r\nstore-era: 1\r\ncontent-length: 900\r\n\r\n{"records":['
 
@@ -40,7 +40,7 @@
 def poll(context):
     context.results = Results()
     with mock.patch.object(log_events, "emit") as emit:
-        context.client.poll_changes(ROUTER_TABLE, make_version(1, 5), context.results.append)
+        context.client.poll_changes(MEMBERS_TABLE, make_version(1, 5), context.results.append)
         context.results.one(context.loopback)
     context.logged = [entry.args[0] for entry in emit.call_args_list]
 
@@ -71,13 +71,13 @@
 def written_and_deleted(context, count):
     context.values = [*(encode_value(number) for number in range(count)), None]
     for value in context.values:
-        context.store.write_rows({(ROUTER_TABLE, "node/a"): value, (ROUTER_TABLE, "node/b"): value})
+        context.store.write_rows({(MEMBERS_TABLE, "node/a"): value, (MEMBERS_TABLE, "node/b"): value})
 
 
 def poll_after(context, version):
     results = Results()
     context.client.era = 1
-    context.client.poll_changes(ROUTER_TABLE, make_version(1, version), results.append)
+    context.client.poll_changes(MEMBERS_TABLE, make_version(1, version), results.append)
     return results.one(context.loopback).unwrap()
 
 
@@ -92,7 +92,7 @@
 def dropped_version(context):
     for row in context.store.history:
         row.at -= HISTORY_SECONDS
-    context.store.write_rows({(ROUTER_TABLE, "node/c"): encode_value(1)})
+    context.store.write_rows({(MEMBERS_TABLE, "node/c"): encode_value(1)})
     answer = poll_after(context, 1)
     assert answer.complete and [row.key for row in answer.rows] == ["node/c"], answer
 
@@ -100,14 +100,14 @@
 @given("a table of {count:d} rows of {size:d} bytes")
 def table(context, count, size):
     value = encode_value("x" * size)
-    context.store.write_rows({(ROUTER_TABLE, f"node/{number:05d}"): value for number in range(count)})
+    context.store.write_rows({(MEMBERS_TABLE, f"node/{number:05d}"): value for number in range(count)})
 
 
 def read_table(context, faults, callers):
     context.store.faults = faults
     context.read_results = [Results() for _ in range(callers)]
     for results in context.read_results:
-        context.client.read_range(ROUTER_TABLE, "", "", results.append)
+        context.client.read_range(MEMBERS_TABLE, "", "", results.append)
 
 
 @when("{callers:d} callers read it over a link of {rate:d} bytes per second")
@@ -174,9 +174,9 @@
     context.results = Results()
     client, callback = context.client, context.results.append
     if call == "poll for changes":
-        client.poll_changes(ROUTER_TABLE, make_version(1, 5), callback)
+        client.poll_changes(MEMBERS_TABLE, make_version(1, 5), callback)
     elif call == "read of a table":
-        client.poll_changes(ROUTER_TABLE, None, callback)
+        client.poll_changes(MEMBERS_TABLE, None, callback)
     elif call == "read of a row":
         client.read(("node/a",), callback)
     else:
@@ -327,7 +327,7 @@
 def read_pages(context, act):
     count_requests(context, act)
     context.results = Results()
-    context.client.read_range(ROUTER_TABLE, "", "", context.results.append)
+    context.client.read_range(MEMBERS_TABLE, "", "", context.results.append)
     context.results.one(context.loopback)
 
 
@@ -386,7 +386,7 @@
         if isinstance(result, Success):
             context.complete += 1
         else:
-            context.client.read_range(ROUTER_TABLE, "", "", read)
+            context.client.read_range(MEMBERS_TABLE, "", "", read)
 
     patched = mock.patch.object(LinkAnswer, "send", counted)
     patched.start()
