Let the played client of a test take the limits of store calls

Change: the played client has both, and checks that the whole duration is longer than the time without progress. What the scenario asks for (1 s growing to 2 s) is unchanged.

Callers see no difference.

--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -742,11 +742,12 @@
     app = application()
     context.limits = []
 
-    def request(_address, _method, _path, _headers, _body, timeout, callback, *_):
+    def request(_address, _method, _path, _headers, _body, timeout, callback, *_, max_seconds):
+        assert max_seconds > timeout
         context.limits.append(timeout)
         callback(Failure(HttpFailure(False, FailureKind.TIMEOUT, 0, 0)))
 
-    app.add(Stub("http_client", request=request))
+    app.add(Stub("http_client", request=request, connect_seconds=lambda _address: 0.0))
     context.client = app.add(StoreClient("127.0.0.1:1"))
     context.client.on_start()
 
