Wait for a notice in place of a ring in the test of the store's client

Cause: router_platform.feature wrote a ring as an example of a watched row, which it no longer is. Change: the test writes a ring, its notice and a lease, and the wait for changes must end with the notice alone; stricter than before by the ring.

--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -227,10 +227,11 @@
     context.client.changes(changes.seq, results.append)
     context.loopback.run_for(0.1)
     assert not results
-    written = call(context, context.client.commit, Transaction("5", {}, {"ring/s": [1], "lease/s/n": 2}))
+    puts = {"ring/s": [3], "ring-version/s": [1], "lease/s/n": 2}
+    written = call(context, context.client.commit, Transaction("5", {}, puts))
     assert isinstance(written, Success)
     rows = results.one(context.loopback).unwrap().rows
-    assert [(row.key, row.value) for row in rows] == [("ring/s", [1])]
+    assert [(row.key, row.value) for row in rows] == [("ring-version/s", [1])]
 
 
 @when("a row is written three times, and the stand-in is restored to before that")
