Play a store that turns nodes away, and a narrow link to it, in the soak

Change: on a store fault, in 4 of 10 cases one of the two; drawn apart from the other draws of a seed.

--- a/soak/run.py
+++ b/soak/run.py
@@ -32,6 +32,10 @@
 # Limit that the platform sets for recovery once all machines are back.
 RECOVERY_LIMIT_SECONDS = 15.0
 CONFIGURATION_LIMIT_SECONDS = 6.5
+# The store turns a share of the connections away, or its answers share a narrow link. These faults replace
+# others, and are drawn separately so that the rest of a seed stays as it is.
+PARTIAL_STORE_FAULTS = ({"turned_away": 0.35}, {"link_bytes_per_second": 40_000.0})
+PARTIAL_FAULT_SHARE = 0.4
 STORE_FAULTS = ({"silent": True}, {"down": True}, {"slow": 0.4}, {"late": 0.5}, {"lost": 0.5})
 # Limits that a target states, in requests per second, and the share of steps in which a target makes a
 # statement.
@@ -65,6 +69,7 @@
     def __init__(self, seed: int, vm_count: int = len(VM_PLACEMENTS)) -> None:
         self.seed = seed
         self.rng = random.Random(seed)
+        self.partial_rng = random.Random(f"partial {seed}")
         self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.links = LinkProxy()
         self.system = ProxiedSystem(self.folder, self.links, vm_count)
@@ -174,6 +179,8 @@
             self.restart_target(vm)
         elif kind == 5:
             fault = self.rng.choice(STORE_FAULTS)
+            if self.partial_rng.random() < PARTIAL_FAULT_SHARE:
+                fault = self.partial_rng.choice(PARTIAL_STORE_FAULTS)
             self.log_event(f"store {fault} for {seconds:.2f} s")
             self.system.set_store_faults(fault)
             self.disturb_store(seconds)
