--- a/src/hibiscusdrum/internal/router/ring_replication.py
+++ b/src/hibiscusdrum/internal/router/ring_replication.py
@@ -37,11 +37,10 @@
 # How long a peer keeps a request for a row that it does not have yet, and how long its answer is waited for.
 REQUEST_HOLD_SECONDS = 0.4
 PEER_TIMEOUT_SECONDS = 0.5
-# A ring without its notice was written by an earlier release. The first nodes of each service read their ring
+# A ring without its notice was written by an earlier release. The first node of each service reads its ring
 # at this interval to find it. It is written again after a delay in which a notice arrives, and a further one
 # by rank, so that few nodes do so.
 AUDIT_INTERVAL_SECONDS = 5.0
-AUDITOR_COUNT = 2
 NOTICE_CHECK_INTERVAL_SECONDS = 1.0
 NOTICE_DELAY_SECONDS = 3.0
 NOTICE_DELAY_PER_RANK_SECONDS = 0.5
@@ -364,7 +363,7 @@
 
     def audit(self) -> None:
         """Read the ring of this node's service, which may have changed without a notice."""
-        if self.rings.local_ring is not None and self.service_rank() < AUDITOR_COUNT:
+        if self.rings.local_ring is not None and self.service_rank() == 0:
             self.rings.read_ring(lambda _succeeded: None)
 
     def announce_if_due(self) -> None:
