--- a/tests/configuration_world.py
+++ b/tests/configuration_world.py
@@ -66,6 +66,10 @@
         self.turned_away = False
         self.answer_delay = 0.0
 
+    def connect_seconds(self, _address):
+        """Return that connects took no time."""
+        return 0.0
+
     def request(self, address, method, path, headers, body, timeout, callback, *rest, **options):
         """Send a call, or fail it."""
         if self.turned_away:
@@ -78,7 +82,7 @@
                 return
             self.app.scheduler.call_later(self.answer_delay, lambda: callback(result))
 
-        self.store.request(address, method, path, headers, body, timeout, on_result, *rest)
+        self.store.request(address, method, path, headers, body, timeout, on_result, *rest, **options)
 
 
 class Hop(Service):
