Let the store block polls for a second also on a slow path

Found in review: after one connect of 2.4 s a node sent 501 polls in 5 s, since polls did not block for the next 15 s. Cause: the time to block is what the path leaves of 3.5 s, and the slowest connect of 15 s counted. Change: at least 1 s, and the last connect counts. Result: 'A slow connect to the store does not let a node poll without a pause', which failed before.

--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -426,7 +426,7 @@
                 self.connect(pool, exchange)
 
     def connect_seconds(self, address: str) -> float:
-        """Return the longest duration of a recent connect to an address; 0 without any."""
+        """Return the duration of the last connect to an address if it was recent; 0 otherwise."""
         pool = self.pools.get(address)
         return pool.recent_connect_seconds(self.app.clock.monotonic()) if pool is not None else 0.0
 
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -226,7 +226,7 @@
     idle_limit_until : float
         Monotonic time in seconds until which ``idle_limit`` applies.
     connect_seconds : float
-        Longest recent duration of a connect.
+        Duration of the last connect in seconds.
     connected_at : float
         Monotonic time in seconds at which that connect was completed.
     """
@@ -257,12 +257,11 @@
         self.connected_at = float("-inf")
 
     def record_connect(self, seconds: float, now: float) -> None:
-        """Record the duration of a connect, unless a recent one took longer."""
-        if seconds >= self.recent_connect_seconds(now):
-            self.connect_seconds, self.connected_at = seconds, now
+        """Record the duration of the last connect."""
+        self.connect_seconds, self.connected_at = seconds, now
 
     def recent_connect_seconds(self, now: float) -> float:
-        """Return the longest duration of a recent connect; 0 without any."""
+        """Return the duration of the last connect if it was recent; 0 otherwise."""
         return self.connect_seconds if now - self.connected_at < CONNECT_SECONDS_TTL else 0.0
 
     def exceeds_idle_limit(self, seconds: float, now: float) -> bool:
--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -62,6 +62,8 @@
 # which the platform expects a node to be up to date.
 LONG_POLL_SECONDS = 3.0
 LONG_POLL_MARGIN_SECONDS = 0.5
+# The store blocks a poll for this long also on a slow path, since one that is answered is sent again at once.
+MIN_LONG_POLL_SECONDS = 1.0
 # After a failure, changes are polled without blocking and with a short timeout, so that the end of an outage
 # is detected early. The timeout doubles with each failure, since answers take longer on a congested link.
 FIRST_PROBE_TIMEOUT_SECONDS = 1.0
@@ -452,7 +454,11 @@
             return
         longest_seconds = LONG_POLL_SECONDS + LONG_POLL_MARGIN_SECONDS
         # The answer needs the time of the path after the store has ended the wait.
-        block_seconds = 0.0 if failures else min(LONG_POLL_SECONDS, longest_seconds - self.path_timeout)
+        block_seconds = min(
+            LONG_POLL_SECONDS, max(MIN_LONG_POLL_SECONDS, longest_seconds - self.path_timeout)
+        )
+        if failures:
+            block_seconds = 0.0
         probe_timeout = min(MAX_PROBE_TIMEOUT_SECONDS, FIRST_PROBE_TIMEOUT_SECONDS * 2.0 ** (failures - 1))
         timeout = probe_timeout if failures else longest_seconds
         query = urlencode({"table": table, "after": number_of(since), "blockMs": round(block_seconds * 1000)})
