End calls for leases early also on a slow path

Found in review: after a connect of 2.4 s, a renewal and a read without answers took 7 s, and the lease lapsed; its keys were not served. Change: calls for leases and claims wait 2 s at most without progress, and 4 s in all.

--- a/src/hibiscusdrum/platform/store.py
+++ b/src/hibiscusdrum/platform/store.py
@@ -56,6 +56,9 @@
 MAX_COMMIT_SECONDS = 4.0
 # On a slow path, calls wait for this multiple of the time that a connect took.
 PATH_TIMEOUT_FACTOR = 1.5
+# Calls for leases wait no longer without progress, so that a lease outlasts a renewal and a read that fail.
+MAX_LEASE_TIMEOUT_SECONDS = 2.0
+LEASE_TABLES = (UNWATCHED_TABLES["lease"], UNWATCHED_TABLES["claim"])
 # The store blocks a long poll for up to LONG_POLL_SECONDS, less on a slow path; the client waits for
 # LONG_POLL_SECONDS and LONG_POLL_MARGIN_SECONDS.
 # A connection that broke without a reset is detected after their sum, which must stay below the 4 s within
@@ -321,6 +324,7 @@
             ],
             "delete": [{"table": table_for_key(key), "part": "", "key": key} for key in transaction.deletes],
         }
+        for_lease = any(table_for_key(key) in LEASE_TABLES for key in transaction.puts)
         keys = tuple(transaction.checks)
         sent_era = self.era
 
@@ -347,7 +351,13 @@
             callback(Success(version))
 
         self.send_request(
-            "commit", "POST", "/rows-tx", msgspec.json.encode(body), CALL_TIMEOUT_SECONDS, on_response
+            "commit",
+            "POST",
+            "/rows-tx",
+            msgspec.json.encode(body),
+            CALL_TIMEOUT_SECONDS,
+            on_response,
+            for_lease=for_lease,
         )
 
     def report_current_rows(self, answer: StoreAnswer) -> None:
@@ -388,7 +398,9 @@
                 query["from"] = start
             if last:
                 query["to"] = last
-            self.send_request("read", "GET", f"/rows-get?{urlencode(query)}", b"", timeout, on_response)
+            path = f"/rows-get?{urlencode(query)}"
+            for_lease = table in LEASE_TABLES
+            self.send_request("read", "GET", path, b"", timeout, on_response, for_lease=for_lease)
 
         def next_start() -> str:
             return collected[-1].key + "\0" if collected else first
@@ -532,6 +544,7 @@
         timeout: float,
         callback: Callable[[StoreAnswerResult], None],
         accepted: tuple[int, ...] = (PRECONDITION_FAILED,),
+        for_lease: bool = False,
     ) -> None:
         """Send a request; an answer of an earlier era than the newest one is a failure.
 
@@ -541,6 +554,8 @@
         ----------
         timeout : float
             Seconds without progress after which the call fails; more on a slow path.
+        for_lease : bool
+            Whether a lease depends on the call, so that it must end early also on a slow path.
         """
         sent_at = self.app.clock.monotonic()
 
@@ -580,14 +595,15 @@
             callback(Failure(StoreUnavailable(operation=operation, reason=reason)))
 
         headers = JSON_HEADERS if body else {}
-        max_seconds = MAX_COMMIT_SECONDS if operation == "commit" else MAX_CALL_SECONDS
+        max_seconds = MAX_COMMIT_SECONDS if operation == "commit" or for_lease else MAX_CALL_SECONDS
+        path_timeout = min(self.path_timeout, MAX_LEASE_TIMEOUT_SECONDS) if for_lease else self.path_timeout
         self.http.request(
             self.address,
             method,
             path,
             headers,
             body,
-            max(timeout, self.path_timeout),
+            max(timeout, path_timeout),
             on_response,
             MAX_CONNECTIONS,
             max_seconds=max_seconds,
