--- a/tools/standins/rows_store.py
+++ b/tools/standins/rows_store.py
@@ -353,7 +353,7 @@
         now = time.monotonic()
         for (table, key), value in sorted(writes.items(), key=lambda write: write[0]):
             self.history.append(RowVersion(now, self.version, table, key, value))
-        while self.history[0].at < now - HISTORY_SECONDS:
+        while self.history and self.history[0].at < now - HISTORY_SECONDS:
             self.first_feed_version = max(self.first_feed_version, self.history.popleft().version)
         return self.version
 
