Wait for a peer that is still fetching a ring, and forget a ring only if the store lacks it

Found in review, each with a scenario that failed: with reads of 1.4 s by the roots, each node of a region read the ring from the store (13 reads), so that the copies fill a congested link again; a deleted notice made all nodes forget a ring that the store has, for good. Cause: a child waited 0.5 s for its parent whether that was silent or still waiting itself; the read after a deleted notice was not looked at. Change: a peer that is itself waiting says so, and its child waits on, longer by its place in the tree; requests for unknown services are dropped.

--- a/src/hibiscusdrum/internal/router/ring_replication.py
+++ b/src/hibiscusdrum/internal/router/ring_replication.py
@@ -37,6 +37,13 @@
 # How long a peer keeps a request for a row that it does not have yet, and how long its answer is waited for.
 REQUEST_HOLD_SECONDS = 0.4
 PEER_TIMEOUT_SECONDS = 0.5
+# How long a node waits for a peer that is itself waiting, and longer by its place in the order of its region:
+# nodes that have waited in vain read from the store one after the other.
+PENDING_SECONDS = 1.0
+PENDING_SECONDS_PER_RANK = 0.12
+# Peers that are asked before the store is, and at most.
+PEERS_BEFORE_STORE = 2
+MAX_ASKED_PEERS = 5
 # A ring without its notice was written by an earlier release. The first node of each service reads its ring
 # at this interval to find it. It is written again after a delay in which a notice arrives, and a further one
 # by rank, so that few nodes do so.
@@ -75,14 +82,17 @@
         Peers that were asked, and ``STORE`` for each read.
     begun_at : float
         Monotonic time in seconds; 0 while it is not begun.
+    step : int
+        Rises with each source that is asked and with each sign of life of a peer.
     """
 
-    __slots__ = ("asked", "begun_at", "wanted")
+    __slots__ = ("asked", "begun_at", "step", "wanted")
 
     def __init__(self) -> None:
         self.wanted = 0
         self.asked: list[str] = []
         self.begun_at = 0.0
+        self.step = 0
 
 
 class RingReplication(Service):
@@ -147,10 +157,19 @@
         }
         return tree_order(domains)
 
+    def tree_rank(self) -> int:
+        """Return the position of this node in the order of its region."""
+        order = self.region_order()
+        return order.index(self.settings.node) if self.settings.node in order else len(order)
+
+    def longest_wait(self) -> float:
+        """Return for how many seconds this node waits for a peer that is itself waiting."""
+        return PENDING_SECONDS + PENDING_SECONDS_PER_RANK * self.tree_rank()
+
     def parent_node(self) -> str:
         """Return the node that this one asks first; empty for a root, which reads from the store."""
         order = self.region_order()
-        rank = order.index(self.settings.node) if self.settings.node in order else len(order)
+        rank = self.tree_rank()
         return order[(rank - ROOT_COUNT) // FAN_OUT] if rank >= ROOT_COUNT else ""
 
     def other_peer(self, asked: list[str]) -> str:
@@ -209,7 +228,7 @@
         if not parent:
             self.read_store(service, fetch)
         elif not self.ask(service, fetch, parent):
-            self.ask_other(service, fetch)
+            self.ask_next(service, fetch)
 
     def ask(self, service: str, fetch: Fetch, peer: str) -> bool:
         """Ask a peer for a ring; returns False if there is no connection to it."""
@@ -217,33 +236,38 @@
         if not self.hop.is_connected(peer) or not self.hop.send_message(peer, request):
             return False
         fetch.asked.append(peer)
-        count = len(fetch.asked)
+        self.await_peer(service, fetch)
+        return True
+
+    def await_peer(self, service: str, fetch: Fetch) -> None:
+        """Ask the next source if the asked peer gives no sign of life."""
+        fetch.step += 1
+        step = fetch.step
 
         def on_timeout() -> None:
-            if self.fetches.get(service) is fetch and len(fetch.asked) == count:
+            if self.fetches.get(service) is fetch and fetch.step == step:
                 self.ask_next(service, fetch)
 
         self.app.scheduler.call_later(PEER_TIMEOUT_SECONDS, on_timeout)
-        return True
-
-    def ask_other(self, service: str, fetch: Fetch) -> None:
-        """Ask another peer of the region for a ring; without one, read it from the store."""
-        peer = self.other_peer([*fetch.asked, self.parent_node()])
-        if not peer or not self.ask(service, fetch, peer):
-            self.read_store(service, fetch)
 
     def ask_next(self, service: str, fetch: Fetch) -> None:
-        """Ask the next source, since the last one has no newer ring or did not answer."""
+        """Ask the next source: another peer, the store once, and then further peers."""
+        peer_count = len(fetch.asked) - fetch.asked.count(STORE)
+        if STORE not in fetch.asked and peer_count >= PEERS_BEFORE_STORE:
+            self.read_store(service, fetch)
+            return
+        peer = self.other_peer(fetch.asked) if peer_count < MAX_ASKED_PEERS else ""
+        if peer and self.ask(service, fetch, peer):
+            return
         if STORE in fetch.asked:
             self.end_fetch(service, fetch, "")
-        elif len(fetch.asked) == 1:
-            self.ask_other(service, fetch)
         else:
             self.read_store(service, fetch)
 
     def read_store(self, service: str, fetch: Fetch) -> None:
         """Read a ring from the store; a root that the store turns away asks a peer."""
         fetch.asked.append(STORE)
+        fetch.step += 1
         count, notice = len(fetch.asked), self.wanted.get(service)
 
         def on_read(succeeded: bool) -> None:
@@ -254,9 +278,7 @@
             if succeeded:
                 self.end_fetch(service, fetch, STORE)
                 return
-            peer = self.other_peer(fetch.asked) if count == 1 else ""
-            if not peer or not self.ask(service, fetch, peer):
-                self.end_fetch(service, fetch, "")
+            self.ask_next(service, fetch)
 
         self.rings.read_ring(on_read, service)
 
@@ -265,8 +287,8 @@
         if notice is None or self.wanted.get(service) is not notice:
             return
         del self.wanted[service]
-        if notice.value is None and not notice.unreadable:
-            # The ring is gone with its notice, unless the read has found one.
+        is_deletion = notice.value is None and not notice.unreadable
+        if is_deletion and RING_PREFIX + service in self.rings.missing_rows:
             self.rings.apply_row(Row(RING_PREFIX + service, notice.version))
 
     def end_fetch(self, service: str, fetch: Fetch, source: str) -> None:
@@ -290,11 +312,24 @@
         fetch = self.fetches.get(reply.service)
         if fetch is None or reply.node not in fetch.asked:
             return
-        if self.apply_copy(reply):
+        if reply.pending:
+            if fetch.asked[-1] == reply.node:
+                self.on_pending(reply.service, fetch)
+        elif self.apply_copy(reply):
             self.end_fetch(reply.service, fetch, reply.node)
         elif fetch.asked[-1] == reply.node:
             self.ask_next(reply.service, fetch)
 
+    def on_pending(self, service: str, fetch: Fetch) -> None:
+        """Go on waiting for the parent while it waits itself, but not too long; else ask the next source."""
+        is_parent = fetch.asked[-1] == self.parent_node()
+        if is_parent and self.now - fetch.begun_at < self.longest_wait():
+            self.await_peer(service, fetch)
+        elif STORE not in fetch.asked:
+            self.read_store(service, fetch)
+        else:
+            self.ask_next(service, fetch)
+
     def apply_copy(self, reply: RingReply) -> bool:
         """Apply the copy of a row like one that was read; returns False if it is not used."""
         if reply.version and era_of(reply.version) != self.table.era:
@@ -323,20 +358,34 @@
         """Answer a peer of this region, or keep its request until the ring is known."""
         if self.members.region_of(request.node) != self.settings.region:
             return
+        if request.service not in self.members.by_service:
+            return
         if era_of(request.wanted) == self.table.era:
             self.want(request.service, Row(NOTICE_PREFIX + request.service, request.wanted, unreadable=True))
         if self.known_version(request.service) >= request.wanted:
             self.answer(request)
             return
-        held = request.service, request.node
-        self.held_requests[held] = request
+        self.held_requests[request.service, request.node] = request
+        self.app.scheduler.call_later(REQUEST_HOLD_SECONDS, lambda: self.on_hold_ended(request))
 
-        def on_timeout() -> None:
-            if self.held_requests.get(held) is request:
-                del self.held_requests[held]
-                self.answer(request)
+    def on_hold_ended(self, request: RingRequest) -> None:
+        """Tell a peer that this node is still waiting for the row it asks for, or has no newer one."""
+        held = request.service, request.node
+        if self.held_requests.get(held) is not request:
+            return
+        if self.is_pending(request.service):
+            self.hop.send_message(
+                request.node, RingReply(self.settings.node, request.service, 0, pending=True)
+            )
+            self.app.scheduler.call_later(REQUEST_HOLD_SECONDS, lambda: self.on_hold_ended(request))
+            return
+        del self.held_requests[held]
+        self.answer(request)
 
-        self.app.scheduler.call_later(REQUEST_HOLD_SECONDS, on_timeout)
+    def is_pending(self, service: str) -> bool:
+        """Return whether this node is fetching a ring."""
+        fetch = self.fetches.get(service)
+        return fetch is not None and bool(fetch.asked)
 
     def answer(self, request: RingRequest) -> None:
         """Send the newest row that this node has, if the peer has an older one."""
--- a/src/hibiscusdrum/internal/router/rings.py
+++ b/src/hibiscusdrum/internal/router/rings.py
@@ -50,6 +50,8 @@
     ----------
     by_service : dict of str to Ring
         Newest known ring of each service.
+    missing_rows : set of str
+        Keys of the rows that the store lacked when they were last read.
     unreadable_rows : set of str
         Keys of the rows that cannot be decoded; the ring known before remains in use.
     rows : dict of str to Row
@@ -88,6 +90,7 @@
         self.rows: dict[str, Row] = {}
         self.row_versions: dict[str, int] = {}
         self.unreadable_rows: set[str] = set()
+        self.missing_rows: set[str] = set()
         self.stamps: dict[str, int] = {}
         self.outdated_rows: dict[str, Row] = {}
         self.write_in_progress = False
@@ -241,6 +244,10 @@
 
         def on_rows(result: Result[dict[str, Row], HibiscusdrumError]) -> None:
             row = result.unwrap().get(key) if isinstance(result, Success) else None
+            if row is not None:
+                self.missing_rows.discard(key)
+            elif isinstance(result, Success):
+                self.missing_rows.add(key)
             try:
                 if row is not None:
                     self.apply_row(row)
