Hash the operator's rows with the standard library, and test what the deployed program needs

Change: blake2b, as for identities of requests. Scenario 'The program that is deployed needs only the libraries that its build installs', which fails on the code before.

--- a/src/hibiscusdrum/internal/router/config_gossip.py
+++ b/src/hibiscusdrum/internal/router/config_gossip.py
@@ -10,11 +10,10 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 from collections.abc import Callable
 
-import xxhash
-
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.messages import ConfigDigest, ConfigPull, ConfigRow, ConfigSnapshot
@@ -33,6 +32,7 @@
 REGION_CROSSINGS = 2.0
 # Another peer is asked for the rows when one has not sent them within this time.
 PULL_TIMEOUT_SECONDS = 0.3
+FINGERPRINT_BYTES = 8
 
 RowsListener = Callable[[ConfigSnapshot], None]
 
@@ -40,7 +40,7 @@
 def hash_rows(rows: dict[str, ConfigRow]) -> int:
     """Return a hash of the keys and versions of rows."""
     text = "\n".join(f"{key}\t{rows[key].version}" for key in sorted(rows))
-    return xxhash.xxh64_intdigest(text.encode())
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=FINGERPRINT_BYTES).digest(), "big")
 
 
 class ConfigGossip(Service):
--- a/tests/features/catalogues.feature
+++ b/tests/features/catalogues.feature
@@ -42,3 +42,6 @@
 
   Scenario: The glossary points to places that exist
     Then every place in the glossary exists in the code
+
+  Scenario: The program that is deployed needs only the libraries that its build installs
+    Then the program for the platform starts with no other libraries than those in "deploy/requirements.txt"
--- a/tests/features/steps/catalogues_steps.py
+++ b/tests/features/steps/catalogues_steps.py
@@ -6,6 +6,9 @@
 import json
 import re
 import string
+import subprocess
+import sys
+from importlib.metadata import packages_distributions
 from pathlib import Path
 
 from behave import then, when
@@ -17,7 +20,8 @@
 from hibiscusdrum.internal.clock import ManualClock
 from hibiscusdrum.internal.config import intents, operators
 
-DOCS = Path(__file__).resolve().parents[3] / "docs"
+ROOT = Path(__file__).resolve().parents[3]
+DOCS = ROOT / "docs"
 CONTENT_FIELDS = {"key", "keys_of_requests", "body", "path", "content", "contents", "shared_key", "value"}
 
 
@@ -167,3 +171,25 @@
         text = (DOCS.parent / "src/hibiscusdrum" / path).read_text()
         for name in names:
             assert all(re.search(rf"\b{part}\b", text) for part in name.split(".")), row
+
+
+# Imports the program while the modules that are named as arguments cannot be found.
+IMPORT_PROGRAM = """
+import sys
+sys.modules.update(dict.fromkeys(sys.argv[1:]))
+import hibiscusdrum.platform.main
+"""
+
+
+@then('the program for the platform starts with no other libraries than those in "{path}"')
+def starts_with_installed(_context, path):
+    lines = (ROOT / path).read_text().splitlines()
+    installed = {line.partition("==")[0].lower().replace("-", "_") for line in lines} | {"hibiscusdrum"}
+    hidden = [
+        module
+        for module, owners in packages_distributions().items()
+        if not {owner.lower().replace("-", "_") for owner in owners} & installed and module.isidentifier()
+    ]
+    assert "xxhash" in hidden, hidden
+    result = subprocess.run([sys.executable, "-c", IMPORT_PROGRAM, *hidden], capture_output=True, text=True)
+    assert result.returncode == 0, result.stderr[-500:]
