--- a/src/hibiscusdrum/internal/router/ring_replication.py
+++ b/src/hibiscusdrum/internal/router/ring_replication.py
@@ -147,8 +147,6 @@
         """Return the version of the newest known row of a ring; 0 if none is known."""
         return self.rings.row_versions.get(RING_PREFIX + service, 0)
 
-    # Trees
-
     def region_order(self) -> list[str]:
         """Return the nodes of this region in the order of its trees."""
         region = self.settings.region
@@ -181,8 +179,6 @@
         ]
         return self.rng.choice(names) if names else ""
 
-    # Fetches
-
     def on_notice(self, notice: Row) -> None:
         """Fetch the ring whose notice has been read, if it is newer than the known one."""
         self.want(notice.key[len(NOTICE_PREFIX) :], notice)
@@ -352,8 +348,6 @@
             events.RingCopyRefused(peer=reply.node, service=reply.service, version=version, reason=reason)
         )
 
-    # Requests of peers
-
     def on_request(self, request: RingRequest) -> None:
         """Answer a peer of this region, or keep its request until the ring is known."""
         if self.members.region_of(request.node) != self.settings.region:
@@ -402,8 +396,6 @@
                 del self.held_requests[held]
                 self.answer(request)
 
-    # Rings without a notice
-
     def service_rank(self) -> int:
         """Return the position of this node in a fixed order of the nodes of its service."""
         rows = self.members.by_service.get(self.settings.service, ())
