--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -27,6 +27,11 @@
 CrashCount = Annotated[int, msgspec.Meta(ge=0, le=1_000)]
 # Running and queued requests, slots, mean service time in seconds, and whether the target accepts requests.
 Load = tuple[Count, Count, Count, Amount, bool]
+# Expected work of all that runs or waits at the target in seconds of one slot at usual speed (0 if unknown),
+# expected wait of a further large answer for the link of its VM in seconds, and how long work takes there now
+# (1 as usual).
+Outlook = tuple[Amount, Amount, Amount]
+UNKNOWN_OUTLOOK = (0.0, 0.0, 1.0)
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -159,6 +164,8 @@
         0 if unknown.
     store_earliest : float
         Earliest such time in that era; 0 if unknown.
+    account : str
+        Name of the client account; empty if none.
     """
 
     id: bytes
@@ -183,6 +190,7 @@
     store_sent_at: Seconds = 0.0
     store_era: Count = 0
     store_earliest: Seconds = 0.0
+    account: str = ""
 
 
 class SendBody(Message, frozen=True, array_like=True, tag=True):
@@ -224,6 +232,8 @@
         Time from the arrival of the request at the target's node to the answer.
     rate_limit : float
         Requests per second that the target accepts from all nodes together; 0 if unlimited.
+    outlook : tuple
+        Outstanding work in seconds, wait for the link in seconds, and slowdown of the target.
     """
 
     id: bytes
@@ -232,6 +242,7 @@
     load: Load
     held_seconds: Seconds = 0.0
     rate_limit: Amount = 0.0
+    outlook: Outlook = UNKNOWN_OUTLOOK
 
 
 class Declined(Message, frozen=True, array_like=True, tag=True):
@@ -253,6 +264,8 @@
         Node that owns the request's key according to the sender; empty if unknown.
     rate_limit : float
         As in ``Answered``.
+    outlook : tuple
+        As in ``Answered``.
     """
 
     id: bytes
@@ -263,6 +276,7 @@
     load: Load
     owner: str = ""
     rate_limit: Amount = 0.0
+    outlook: Outlook = UNKNOWN_OUTLOOK
 
 
 class Ping(Message, frozen=True, array_like=True, tag=True):
@@ -308,6 +322,7 @@
     load: Load
     uptime_seconds: Seconds = 0.0
     rate_limit: Amount = 0.0
+    outlook: Outlook = UNKNOWN_OUTLOOK
 
 
 class RenewLease(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -435,7 +435,9 @@
 
     def local_load(self) -> LoadReport:
         """Return the load of this node's target."""
-        return LoadReport(*self.receiver.load_report(), self.receiver.reported_rate())
+        return LoadReport(
+            *self.receiver.load_report(), self.receiver.reported_rate(), *self.receiver.outlook()
+        )
 
     def eligible_candidates(self, pending: PendingRequest) -> list[Candidate]:
         """Return the nodes that may serve a request, without those of its excluded regions."""
@@ -498,7 +500,7 @@
         self.selector.on_ended(pending.node)
         now = self.app.clock.monotonic()
         if pending.node == self.settings.node:
-            self.selector.on_report(pending.node, LoadReport(*answer.load, answer.rate_limit), now)
+            self.selector.on_report(pending.node, LoadReport.of(answer), now)
         if isinstance(answer, Answered):
             self.on_answered(pending, forward, answer, body, now)
         else:
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -12,6 +12,7 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.messages import (
+    UNKNOWN_OUTLOOK,
     Answered,
     Body,
     Cancel,
@@ -166,6 +167,8 @@
         Returns the load of this node's target, which is sent with each pong.
     rate_limit : callable
         Returns the requests per second that this node's target accepts, or 0; sent with each pong.
+    outlook : callable
+        Returns the outlook of this node's target, which is sent with each pong.
     message_handlers : dict of type to callable
         Called with the messages of other types.
     """
@@ -190,6 +193,7 @@
         self.on_body_part: Callable[[bytes, int, bytes], None] | None = None
         self.load_report: Callable[[], tuple[int, int, int, float, bool]] = lambda: (0, 0, 1, 0.0, False)
         self.rate_limit: Callable[[], float] = lambda: 0.0
+        self.outlook: Callable[[], tuple[float, float, float]] = lambda: UNKNOWN_OUTLOOK
         self.message_handlers: dict[type, Callable[[Message], None]] = {}
 
     def on_start(self) -> None:
@@ -341,7 +345,7 @@
             state.last_heard_at = self.now
             if kind is Declined and message.reason == CLOSING_REASON:
                 self.on_closing(entry.node)
-        self.selector.on_report(entry.node, LoadReport(*message.load, message.rate_limit), self.now)
+        self.selector.on_report(entry.node, LoadReport.of(message), self.now)
         entry.callback(message, body)
 
     def on_pong(self, pong: Pong) -> None:
@@ -355,7 +359,7 @@
         if not state.reachable:
             state.reachable = True
             log_events.emit(events.PeerRegained(peer=pong.node, incarnation=pong.incarnation))
-        self.selector.on_report(pong.node, LoadReport(*pong.load, pong.rate_limit), now)
+        self.selector.on_report(pong.node, LoadReport.of(pong), now)
         self.selector.path_delay(self.members.region_of(pong.node)).record(now - pong.sent_at, now)
         if state.incarnation and state.incarnation != pong.incarnation:
             # Requests sent after the new process began to listen have reached it and are still being served.
@@ -456,6 +460,7 @@
                 self.load_report(),
                 age,
                 self.rate_limit(),
+                self.outlook(),
             )
             self.peers.reply(identity, pong)
         elif kind is Cancel:
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -11,7 +11,7 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.body_gate import BodyGate
-from hibiscusdrum.internal.messages import Answered, Declined, Forward, SendBody
+from hibiscusdrum.internal.messages import UNKNOWN_OUTLOOK, Answered, Declined, Forward, SendBody
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.admission import (
     MAX_RETRY_AFTER_SECONDS,
@@ -158,6 +158,7 @@
         self.forwarder.on_body_part = self.on_body_part
         self.forwarder.load_report = self.load_report
         self.forwarder.rate_limit = self.reported_rate
+        self.forwarder.outlook = self.outlook
         self.range_owner.on_granted.append(self.on_keys_granted)
         self.target.on_change.append(self.on_target_change)
         self.target.on_cold.append(self.on_cold_start)
@@ -189,6 +190,10 @@
             self.accepting,
         )
 
+    def outlook(self) -> tuple[float, float, float]:
+        """Return the outstanding work, the wait for the link and the slowdown sent with each load report."""
+        return UNKNOWN_OUTLOOK
+
     def reported_rate(self) -> float:
         """Return the rate limit that is sent with each load report: requests per second, 0 if unlimited."""
         limiter = self.admission.rate_limiter
@@ -274,6 +279,7 @@
                 0.0,
                 self.load_report(),
                 rate_limit=self.reported_rate(),
+                outlook=self.outlook(),
             )
             reply(declined, b"")
             return
@@ -655,6 +661,7 @@
             self.load_report(),
             self.now - job.arrived_at,
             self.reported_rate(),
+            self.outlook(),
         )
         job.reply(answered, response.body)
 
@@ -797,6 +804,7 @@
             self.load_report(),
             owner,
             self.reported_rate(),
+            self.outlook(),
         )
         job.reply(declined, b"")
 
--- a/src/hibiscusdrum/internal/router/selection.py
+++ b/src/hibiscusdrum/internal/router/selection.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from hibiscusdrum.internal.messages import Answered, Declined, Pong
 from hibiscusdrum.internal.router.path_delay import PathDelay
 
 # Assumed mean service time of a target whose load is unknown.
@@ -58,6 +59,12 @@
     ----------
     rate_limit : float
         Requests per second that the target accepts from all nodes together; 0 if unlimited.
+    work_seconds : float
+        Expected work of all that runs or waits, in seconds of one slot at usual speed; 0 if unknown.
+    link_seconds : float
+        Expected wait of a further large answer for the link of the target's VM.
+    slowdown : float
+        How long work takes at the target now; 1 as usual.
     """
 
     running: int = 0
@@ -66,6 +73,14 @@
     mean_service_seconds: float = DEFAULT_SERVICE_SECONDS
     accepting: bool = True
     rate_limit: float = 0.0
+    work_seconds: float = 0.0
+    link_seconds: float = 0.0
+    slowdown: float = 1.0
+
+    @classmethod
+    def of(cls, message: Answered | Declined | Pong) -> LoadReport:
+        """Return the report that a message carries."""
+        return cls(*message.load, message.rate_limit, *message.outlook)
 
 
 class Candidate(msgspec.Struct, frozen=True):
