--- a/src/hibiscusdrum/internal/router/routes.py
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -19,6 +19,11 @@
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
     UPLOAD = "upload"
+    DOWNLOAD = "download"
+
+
+# A download is a read with a large answer, so that running it twice has no further effect.
+REPEATABLE_KINDS = frozenset((RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD))
 
 
 class HeaderNames(msgspec.Struct, frozen=True):
@@ -88,7 +93,7 @@
     @property
     def repeatable(self) -> bool:
         """Whether requests may safely run more than once."""
-        return self.kind is RequestKind.IDEMPOTENT
+        return self.kind in REPEATABLE_KINDS
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
