--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -852,6 +852,17 @@
     reason: str
 
 
+class EvacuationPeriodOver(LogEvent, frozen=True):
+    """The target of an evacuated failure domain gets no more requests, although it still owns keys."""
+
+    number = 960
+    level = "WARNING"
+    cause = "No other target could get the keys, or the store took too long to write the ring."
+    operator_action = "Start targets of the service in other failure domains, or see why ring writes fail."
+
+    stripes: int
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
@@ -863,6 +874,7 @@
         EraSettled,
         EraSettling,
         EvacuationChanged,
+        EvacuationPeriodOver,
         EvacuationUnconfirmed,
         GrantWithheld,
         HandoverBegun,
--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -134,6 +134,10 @@
         Whether rows have changed since all listeners were last notified.
     evacuated_domains : frozenset of str
         Failure domains whose targets get neither requests nor keys.
+    evacuated_since : dict of str to float
+        Monotonic time in seconds since when each of them may have been evacuated.
+    confirmed_age : callable
+        Returns for how many seconds at most the evacuated failure domains have not been known to be current.
     row_listeners : dict of str to callable
         Called with rows of other kinds, by the first part of their key.
     on_change : list of callable
@@ -162,6 +166,8 @@
         self.unnotified = False
         self.failed_reads = 0
         self.evacuated_domains: frozenset[str] = frozenset()
+        self.evacuated_since: dict[str, float] = {}
+        self.confirmed_age: Callable[[], float] = lambda: 0.0
         self.row_listeners: dict[str, RowListener] = {}
         self.on_change: list[Callable[[], None]] = []
         self.leaving_since: dict[str, float] = {}
@@ -510,11 +516,22 @@
         if failure_domains == self.evacuated_domains:
             return
         self.evacuated_domains = failure_domains
+        # The operator counts from when the store had the evacuation, which may have taken long to get here.
+        since = self.app.clock.monotonic() - self.confirmed_age()
+        self.evacuated_since = {
+            failure_domain: self.evacuated_since.get(failure_domain, since)
+            for failure_domain in failure_domains
+        }
         self.candidate_cache.clear()
         log_events.emit(events.EvacuationChanged(failure_domains=tuple(sorted(failure_domains))))
         for listener in self.on_change:
             listener()
 
+    def evacuated_seconds(self, failure_domain: str) -> float:
+        """Return for how many seconds at most a failure domain has been evacuated; 0 if it is not."""
+        now = self.app.clock.monotonic()
+        return now - self.evacuated_since.get(failure_domain, now)
+
     def eligible_owners(self, service: str) -> list[Owner]:
         """Return the targets of a service that may own keys."""
         return [
--- a/src/hibiscusdrum/internal/router/range_owner.py
+++ b/src/hibiscusdrum/internal/router/range_owner.py
@@ -77,6 +77,20 @@
 # Requests for keys that are about to move are refused this long before the target's next heartbeat, so that
 # none is still queued when the target releases the keys.
 HANDOVER_QUIESCE_SECONDS = 0.4
+# While a failure domain is evacuated, the same before the heartbeat that is answered without keys. Requests
+# that come in this time wait for the new owner. Most runs end in it; a key of a running request moves later.
+EVACUATION_QUIESCE_SECONDS = 0.1
+# No request is sent to an evacuated target in the last part of the period in which the operator allows it: a
+# request needs some of it for its way to the target, and may wait there for a connection.
+EVACUATION_MARGIN_SECONDS = 0.5
+# Evacuated targets release their keys one after the other within this time, if the period is long enough for
+# the release and the new owner's grant. When all did so in the same second, most writes of the ring
+# conflicted, and new owners got most keys only by their second answer to a heartbeat.
+EVACUATION_SPREAD_SECONDS = 1.5
+EVACUATION_HANDOVER_SECONDS = 2.0
+# Live owners that were read within this time get stripes without a further read. An owner is only taken over
+# after 9 s, so that one lost meanwhile is found by the check of leases as if it had been lost later.
+OWNERS_REUSE_SECONDS = 2.0
 # An imbalance must last this long before stripes move to a new node, so that rolling restarts do not move
 # keys each time.
 REBALANCE_DELAY_SECONDS = 2.0
@@ -91,12 +105,15 @@
         The target holds a valid grant for the key.
     GRANT_PENDING
         The node owns the key, and its target has no valid grant yet.
+    MOVING
+        This node's failure domain is evacuated, and the key gets another owner soon.
     NOT_OWNED
         Another node owns the key, or this node is handing it over.
     """
 
     GRANTED = "held"
     GRANT_PENDING = "expected"
+    MOVING = "moving"
     NOT_OWNED = "foreign"
 
 
@@ -124,6 +141,14 @@
         Handover tokens of the stripes that the target has released.
     on_granted : list of callable
         Called when the target has been granted further keys.
+    live_owners : list of Owner
+        Owners whose leases had not expired when they were last read.
+    live_owners_at : float
+        Monotonic time in seconds of that read.
+    release_at : float
+        Monotonic time in seconds from which the target of an evacuated failure domain releases its keys.
+    on_moved : list of callable
+        Called with the nodes that this node has given keys in an evacuation.
     """
 
     service_name = "range_owner"
@@ -157,6 +182,13 @@
         self.offloaded_at = float("-inf")
         self.rng = random.Random(settings.node)
         self.on_granted: list[Callable[[], None]] = []
+        self.live_owners: list[Owner] = []
+        self.live_owners_at = float("-inf")
+        self.was_evacuated = False
+        self.period_over = False
+        self.release_at = 0.0
+        self.receiving_nodes: set[str] = set()
+        self.on_moved: list[Callable[[set[str]], None]] = []
 
     def on_start(self) -> None:
         """Subscribe to rows and the target, and start the periodic work."""
@@ -166,6 +198,7 @@
         self.target: LocalTarget = self.app.find("local_target")
         self.rings: Rings = self.app.find("rings")
         self.rings.on_written.append(self.drop_foreign_tokens)
+        self.rings.on_written.append(self.notify_moved)
         # All nodes write the same row; writing right after a read makes a conflict less likely.
         self.rings.on_reread = self.reconcile
         self.members.on_change.append(self.on_members_change)
@@ -207,7 +240,10 @@
         self.reassign_at = None
 
     def on_members_change(self) -> None:
-        """Record when the set of eligible owners last changed."""
+        """Record when the set of eligible owners last changed, and plan the release of evacuated keys."""
+        if self.evacuated != self.was_evacuated:
+            self.was_evacuated = self.evacuated
+            self.release_at = self.planned_release_at()
         owners = self.members.eligible_owners(self.settings.service)
         if owners != self.eligible_owners:
             self.eligible_owners = owners
@@ -244,7 +280,65 @@
     @property
     def must_release_all(self) -> bool:
         """Whether the target must release all keys: it is not ready, or its failure domain is evacuated."""
-        return not self.target.ready or self.settings.failure_domain in self.members.evacuated_domains
+        return not self.target.ready or self.evacuated
+
+    @property
+    def evacuated(self) -> bool:
+        """Whether this node's failure domain is being evacuated."""
+        return self.settings.failure_domain in self.members.evacuated_domains
+
+    @property
+    def may_serve_evacuated(self) -> bool:
+        """Whether the operator still allows requests at targets of this node's evacuated failure domain."""
+        allowed = self.settings.evacuation_period - EVACUATION_MARGIN_SECONDS
+        return self.members.evacuated_seconds(self.settings.failure_domain) < allowed
+
+    @property
+    def moves_soon(self) -> bool:
+        """Whether the keys of this node's evacuated failure domain get other owners without a further wait.
+
+        Those of a target that is silent do so only when its grant has expired.
+        """
+        if not self.evacuated or not self.has_receivers:
+            return False
+        return self.target.state is not TargetState.ABSENT or self.target.process_ended
+
+    @property
+    def has_receivers(self) -> bool:
+        """Whether keys can be given to other owners now."""
+        others = any(owner.node != self.node for owner in self.eligible_owners)
+        return others and self.members.store_reachable and not self.store_era.settling
+
+    @property
+    def keeps_keys(self) -> bool:
+        """Whether the target of an evacuated failure domain keeps its keys for now.
+
+        It does so before its turn to release them, and as long as no other could get them.
+        """
+        if not self.target.ready or not self.may_serve_evacuated:
+            return False
+        return self.now < self.release_at or not self.has_receivers
+
+    def planned_release_at(self) -> float:
+        """Return the monotonic time in seconds from which this evacuated target is to release its keys."""
+        domain = self.settings.failure_domain
+        if self.local_ring is None or domain not in self.members.evacuated_since:
+            return 0.0
+        leaving = sorted(
+            owner.node
+            for owner in self.local_ring.owners
+            if self.domain_of(owner.node) in self.members.evacuated_domains
+        )
+        if self.node not in leaving:
+            return 0.0
+        allowed = self.settings.evacuation_period - EVACUATION_MARGIN_SECONDS - EVACUATION_HANDOVER_SECONDS
+        spread = max(0.0, min(EVACUATION_SPREAD_SECONDS, allowed))
+        return self.members.evacuated_since[domain] + spread * leaving.index(self.node) / len(leaving)
+
+    def domain_of(self, node: str) -> str:
+        """Return the failure domain of a node; empty if the node is unknown."""
+        row = self.members.nodes.get(node)
+        return row.failure_domain if row is not None else ""
 
     def make_grant(self, heartbeat: TargetHeartbeat) -> Grant | None:
         """Return the whole grant that answers a heartbeat, or None to renew nothing."""
@@ -258,7 +352,7 @@
             return None
         wanted = (
             set()
-            if self.must_release_all
+            if self.must_release_all and not self.keeps_keys
             else set(self.local_stripes())
             - set(self.outgoing_stripes)
             - self.rings.changing_stripes
@@ -311,8 +405,20 @@
             return False
         if not ring.stripes_of(self.node) or (self.store_era.settling and not self.local_stripes()):
             return False
+        if self.awaits_evacuated_keys(ring):
+            return True
         return self.keeper.remaining_seconds <= GRANT_MARGIN_SECONDS or not self.local_stripes()
 
+    def awaits_evacuated_keys(self, ring: Ring) -> bool:
+        """Return whether the target holds all of this node's keys, and is about to get evacuated ones too."""
+        if not set(self.local_stripes()) <= self.granted_stripes:
+            return False
+        for owner in ring.owners:
+            seconds = self.members.evacuated_seconds(self.domain_of(owner.node))
+            if 0.0 < seconds < self.settings.evacuation_period:
+                return True
+        return False
+
     def local_load(self) -> OwnerLoad:
         """Return the load of this node's target."""
         heartbeat = self.target.last_heartbeat
@@ -363,10 +469,9 @@
         stripe = ring.stripes[index]
         if stripe.owner_index == ring_edits.UNOWNED or ring.owners[stripe.owner_index].node != self.node:
             return KeyState.NOT_OWNED
-        if (self.must_release_all or index in self.outgoing_stripes) and not self.served_until_heartbeat(
-            index
-        ):
-            return KeyState.NOT_OWNED
+        must_move = self.must_release_all or index in self.outgoing_stripes
+        if must_move and not self.served_until_heartbeat(index):
+            return KeyState.MOVING if self.moves_soon else KeyState.NOT_OWNED
         granted = index in self.granted_stripes and self.granted_incarnation == self.target.incarnation
         if granted and self.now < self.granted_until - GRANT_MARGIN_SECONDS:
             return KeyState.GRANTED
@@ -378,15 +483,23 @@
         The target keeps the stripe until the answer to that heartbeat leaves it out. A target that drains, or
         whose failure domain is evacuated, may get requests for longer than that.
         """
-        if self.target.state is TargetState.ABSENT:
+        if self.target.state is TargetState.ABSENT or index not in self.granted_stripes:
             return False
-        next_heartbeat = self.target.last_heartbeat_at + self.settings.heartbeat
-        return index in self.granted_stripes and self.now < next_heartbeat - HANDOVER_QUIESCE_SECONDS
+        if not self.evacuated:
+            quiesce = HANDOVER_QUIESCE_SECONDS
+        elif not self.may_serve_evacuated:
+            return False
+        elif self.keeps_keys:
+            return True
+        else:
+            quiesce = EVACUATION_QUIESCE_SECONDS
+        return self.now < self.target.last_heartbeat_at + self.settings.heartbeat - quiesce
 
     def reconcile(self) -> None:
         """Renew the lease if due, and make the most urgent change of the ring."""
         if not self.partitioned or not self.members.loaded:
             return
+        self.report_period_over()
         if self.now - (self.key_load.updated_at or 0.0) >= LOAD_UPDATE_INTERVAL_SECONDS:
             self.key_load.update(self.now)
         if not self.members.store_reachable:
@@ -406,6 +519,14 @@
         elif not self.reassign_restarted() and not self.transfer_outgoing():
             self.check_leases()
 
+    def report_period_over(self) -> None:
+        """Log once that the target may get no more requests for the keys that it still owns."""
+        over = self.evacuated and not self.may_serve_evacuated
+        stripes = len(self.local_stripes()) if over and not self.period_over else 0
+        self.period_over = over
+        if stripes:
+            log_events.emit(events.EvacuationPeriodOver(stripes=stripes))
+
     def sync_ring(self) -> None:
         """Read the ring after the first write of a lease: it may have changed while there was no lease.
 
@@ -552,7 +673,7 @@
         leaving = owned if self.must_release_all else list(self.outgoing_stripes)
         movable = [index for index in leaving if self.safe_to_transfer(index)]
         if not movable:
-            return False
+            return self.read_owners_early(owned)
         if not self.must_release_all:
             moves = {index: self.outgoing_stripes[index] for index in movable}
             self.rings.commit_ring(
@@ -563,9 +684,39 @@
                 len(moves),
             )
             return True
-        self.read_leases(lambda alive, _lost: self.transfer_all(movable, alive))
+        alive = self.recent_live_owners()
+        if alive is not None:
+            self.transfer_all(movable, alive)
+        else:
+            self.read_leases(lambda alive, _lost: self.transfer_all(movable, alive))
         return True
 
+    def read_owners_early(self, owned: list[int]) -> bool:
+        """Read who may get the keys of an evacuated target before it releases them.
+
+        Returns whether a read was begun.
+        """
+        if not owned or not self.evacuated or not self.may_serve_evacuated or self.keeps_keys:
+            return False
+        if self.recent_live_owners() is not None:
+            return False
+        self.read_leases(lambda _alive, _lost: self.app.scheduler.call_later(0.0, self.reconcile))
+        return True
+
+    def recent_live_owners(self) -> list[Owner] | None:
+        """Return the eligible owners that were alive a short time ago, or None if that is not known."""
+        if self.now - self.live_owners_at > OWNERS_REUSE_SECONDS:
+            return None
+        eligible = set(self.members.eligible_owners(self.settings.service))
+        return [owner for owner in self.live_owners if owner in eligible]
+
+    def notify_moved(self) -> None:
+        """Notify the listeners which nodes this node has given keys in an evacuation."""
+        nodes, self.receiving_nodes = self.receiving_nodes, set()
+        if nodes:
+            for listener in self.on_moved:
+                listener(nodes)
+
     def transfer_all(self, movable: list[int], alive: list[Owner]) -> None:
         """Transfer the stripes of a departing target to other owners; without any, nothing is written.
 
@@ -584,6 +735,8 @@
         distribution = ring_edits.distribute_stripes(ring, movable, receivers, self.stripe_weight)
         moves, joined = distribution.moves, distribution.joined
         tokens = {index: token for index, token in self.handover_tokens.items() if index not in joined}
+        if self.evacuated:
+            self.receiving_nodes = {owner.node for owner in moves.values() if owner is not None}
         self.rings.commit_ring(
             ring_edits.reassign_stripes(self.base_ring, moves, tokens),
             {},
@@ -638,6 +791,7 @@
                 and owner.node not in self.unreadable_leases
                 and prefix + owner.node in rows
             ]
+            self.live_owners, self.live_owners_at = alive, self.now
             callback(alive, lost)
 
         self.table.read(tuple(prefix + node for node in sorted(nodes)), on_rows)
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -67,6 +67,9 @@
 UNSENDABLE_REASON = "unsendable"
 SUSPECTS_WAITING_REASON = "suspects_waiting"
 LAST_TARGET_REASON = "last_target_spared"
+EVACUATED_REASON = "evacuated"
+# Within this time most keys of an evacuated target have their new owner, who also needs a grant for them.
+MOVE_RETRY_AFTER_SECONDS = 1.0
 # A body is requested only if it can arrive within this share of the time left for its request.
 MAX_BODY_WAIT_SHARE = 0.5
 BUSY_REASON = "busy"
@@ -100,6 +103,8 @@
         Requests without an outcome, by request id.
     awaiting_keys : list of Job
         Requests for keys that the target is about to be granted.
+    awaiting_move : list of Job
+        Requests for keys of this evacuated node that get another owner soon.
     suspect_line : SuspectLine
         Requests under which targets have crashed.
     limit_known : bool
@@ -126,6 +131,7 @@
         self.body_gate = BodyGate(settings.link_bytes_per_second)
         self.jobs: dict[bytes, Job] = {}
         self.awaiting_keys: list[Job] = []
+        self.awaiting_move: list[Job] = []
         self.suspect_line = SuspectLine()
         self.stopping = False
         self.closed = False
@@ -184,12 +190,17 @@
             waiting += limiter.wait_seconds(0, self.now) * limiter.stated_rate
         return (
             admission.running,
-            admission.queued + len(self.awaiting_keys) + len(self.suspect_line.waiting) + math.ceil(waiting),
+            admission.queued + self.waiting_count + math.ceil(waiting),
             admission.slots,
             round(admission.mean_service_seconds, 4),
             self.accepting,
         )
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait for something else than a slot."""
+        return len(self.awaiting_keys) + len(self.awaiting_move) + len(self.suspect_line.waiting)
+
     def outlook(self) -> tuple[float, float, float]:
         """Return the outstanding work, the wait for the link and the slowdown sent with each load report."""
         return UNKNOWN_OUTLOOK
@@ -236,18 +247,21 @@
         if self.target.ready and not self.evacuated:
             self.send_queued()
             return
-        reason = "evacuated" if self.evacuated else f"target_{self.target.state.value}"
+        reason = EVACUATED_REASON if self.evacuated else f"target_{self.target.state.value}"
         for entry in self.admission.remove_all():
             job = entry.item
             if self.target_holds_key(job.forward):
                 job.queue_entry = self.queue_entry(job)
                 self.admission.push(job.queue_entry, self.now)
             else:
-                self.decline(job, reason)
+                self.redirect(job, reason)
         waiting, self.awaiting_keys = self.awaiting_keys, []
         awaiting_bodies = [self.jobs[request_id] for request_id in self.body_gate.transfers]
-        for job in (*waiting, *awaiting_bodies):
-            self.decline(job, reason)
+        for job in waiting:
+            self.redirect(job, reason)
+        for job in awaiting_bodies:
+            if not self.may_come_later(job.forward):
+                self.decline(job, reason)
         self.readmit(self.suspect_line.take_waiting())
 
     def on_forward(self, forward: Forward, body: bytes, transit: float | None, reply: ReplyCallback) -> None:
@@ -323,6 +337,8 @@
             self.decline_quarantined(job, hold)
         elif forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.GRANT_PENDING:
             self.await_keys(job)
+        elif forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.MOVING:
+            self.await_move(job)
         else:
             self.enqueue(job)
 
@@ -349,6 +365,8 @@
                 self.admission.remove(job.queue_entry)
             elif job in self.awaiting_keys:
                 self.awaiting_keys.remove(job)
+            elif job in self.awaiting_move:
+                self.awaiting_move.remove(job)
             self.decline(job, CLOSING_REASON, retry_after=RESTART_SECONDS)
 
     def hold_seconds(self, job: Job) -> float:
@@ -371,6 +389,8 @@
                 self.admission.remove(job.queue_entry)
             elif job in self.awaiting_keys:
                 self.awaiting_keys.remove(job)
+            elif job in self.awaiting_move:
+                self.awaiting_move.remove(job)
             self.decline_quarantined(job, self.quarantine.hold_seconds(identity))
 
     def defer_suspect(self, job: Job) -> bool:
@@ -438,10 +458,13 @@
         if self.route_table is None and self.now < self.admission.rate_limiter.warm_at:
             # The rate limit of a cold target comes from the configuration.
             return "no_configuration"
-        if self.target_holds_key(forward):
+        if self.may_come_later(forward):
             return ""
+        if forward.key >= 0 and self.other_owner(forward):
+            # Its caller's node has an outdated ring, and learns of the owner from the answer.
+            return NOT_OWNER_REASON
         if self.evacuated:
-            return "evacuated"
+            return EVACUATED_REASON
         if self.target.state is not TargetState.READY:
             return f"target_{self.target.state.value}"
         if forward.key >= 0:
@@ -452,6 +475,44 @@
         """Return whether the target holds the key of a request, which it then serves even when draining."""
         return forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.GRANTED
 
+    def may_come_later(self, forward: Forward) -> bool:
+        """Return whether a request is for a key that the target holds, or that moves from it soon."""
+        if forward.key < 0:
+            return False
+        return self.range_owner.key_state(forward.key) in (KeyState.GRANTED, KeyState.MOVING)
+
+    def redirect(self, job: Job, reason: str) -> None:
+        """Hold a request until its key has its new owner, or decline it if it is for no such key."""
+        forward = job.forward
+        if forward.key < 0:
+            self.decline(job, reason)
+        elif self.range_owner.key_state(forward.key) is KeyState.MOVING:
+            self.await_move(job)
+        else:
+            self.decline(job, NOT_OWNER_REASON if self.other_owner(forward) else reason)
+
+    def await_move(self, job: Job) -> None:
+        """Hold a request until its key has its new owner, whom the caller's node is then told."""
+        service = self.admission.expected_service_seconds(job.forward.cost_class)
+        has_room = len(self.awaiting_move) < self.admission.slots * 2
+        if not has_room or self.now + service > job.deadline:
+            self.decline(job, EVACUATED_REASON, retry_after=MOVE_RETRY_AFTER_SECONDS)
+            return
+        job.queue_entry = None
+        self.awaiting_move.append(job)
+        self.expiry_timer.wake()
+
+    def admit_moved(self) -> None:
+        """Admit or decline the requests whose keys do not move any more, and decline those that are late."""
+        waiting, self.awaiting_move = self.awaiting_move, []
+        for job in waiting:
+            if self.range_owner.key_state(job.forward.key) is not KeyState.MOVING:
+                self.admit(job)
+            elif self.now + self.admission.mean_service_seconds > job.deadline:
+                self.decline(job, EVACUATED_REASON, retry_after=MOVE_RETRY_AFTER_SECONDS)
+            else:
+                self.awaiting_move.append(job)
+
     def await_keys(self, job: Job) -> None:
         """Hold a request until its key is granted, if the target's next report is due in time."""
         report_due = max(0.0, self.target.last_heartbeat_at + self.settings.heartbeat - self.now)
@@ -472,6 +533,8 @@
                 self.enqueue(job)
             elif state is KeyState.NOT_OWNED:
                 self.decline(job, NOT_OWNER_REASON)
+            elif state is KeyState.MOVING:
+                self.await_move(job)
             else:
                 self.awaiting_keys.append(job)
 
@@ -537,8 +600,8 @@
             if now + self.admission.mean_service_seconds > job.deadline:
                 self.decline(job, "body_late")
         self.send_queued()
-        waiting = self.awaiting_keys or self.suspect_line.waiting or self.body_gate.transfers
-        return bool(self.admission.queued or waiting)
+        self.admit_moved()
+        return bool(self.admission.queued or self.waiting_count or self.body_gate.transfers)
 
     def send_to_target(self, job: Job) -> None:
         """Send a request that has a slot to the target."""
@@ -547,7 +610,12 @@
         if left < MIN_SEND_REMAINING_SECONDS:
             self.release_unsent(job, TOO_LATE_REASON)
             return
-        if forward.key >= 0 and self.range_owner.key_state(forward.key) is not KeyState.GRANTED:
+        key_state = self.range_owner.key_state(forward.key) if forward.key >= 0 else KeyState.GRANTED
+        if key_state is KeyState.MOVING:
+            self.admission.finish(forward.cost_class, None)
+            self.await_move(job)
+            return
+        if key_state is not KeyState.GRANTED:
             self.release_unsent(job, NOT_OWNER_REASON)
             return
         if hold := self.hold_seconds(job):
@@ -840,6 +908,8 @@
         self.request_bodies()
         if job in self.awaiting_keys:
             self.awaiting_keys.remove(job)
+        elif job in self.awaiting_move:
+            self.awaiting_move.remove(job)
         elif job.queue_entry is not None:
             self.admission.remove(job.queue_entry)
 
--- a/src/hibiscusdrum/internal/router/ring_replication.py
+++ b/src/hibiscusdrum/internal/router/ring_replication.py
@@ -133,6 +133,7 @@
         self.hop: Forwarder = self.app.find("hop")
         self.members.row_listeners[NOTICE_PREFIX.rstrip("/")] = self.on_notice
         self.rings.on_row.append(self.on_row)
+        self.app.find("range_owner").on_moved.append(self.notify_owners)
         self.hop.message_handlers[RingRequest] = self.on_request
         self.hop.message_handlers[RingReply] = self.on_reply
         self.app.scheduler.every(NOTICE_CHECK_INTERVAL_SECONDS, self.announce_if_due)
@@ -349,19 +350,35 @@
         )
 
     def on_request(self, request: RingRequest) -> None:
-        """Answer a peer of this region, or keep its request until the ring is known."""
-        if self.members.region_of(request.node) != self.settings.region:
-            return
+        """Answer a peer of this region, or keep its request until the ring is known.
+
+        A peer that has the version which it names only tells of it.
+        """
         if request.service not in self.members.by_service:
             return
+        only_notice = request.known >= request.wanted
+        if not only_notice and self.members.region_of(request.node) != self.settings.region:
+            return
         if era_of(request.wanted) == self.table.era:
             self.want(request.service, Row(NOTICE_PREFIX + request.service, request.wanted, unreadable=True))
+        if only_notice:
+            return
         if self.known_version(request.service) >= request.wanted:
             self.answer(request)
             return
         self.held_requests[request.service, request.node] = request
         self.app.scheduler.call_later(REQUEST_HOLD_SECONDS, lambda: self.on_hold_ended(request))
 
+    def notify_owners(self, nodes: set[str]) -> None:
+        """Tell the new owners of an evacuated target's keys at once that there is a newer ring.
+
+        The notice in the store would reach them up to 1 s later in a large system (``change_batch_seconds``).
+        """
+        service = self.settings.service
+        version = self.known_version(service)
+        for node in sorted(nodes):
+            self.hop.send_message(node, RingRequest(self.settings.node, service, version, version))
+
     def on_hold_ended(self, request: RingRequest) -> None:
         """Tell a peer that this node is still waiting for the row it asks for, or has no newer one."""
         held = request.service, request.node
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -11,6 +11,7 @@
 DEFAULT_HOLD_SECONDS = 10.0
 DEFAULT_GRACE_SECONDS = 6.0
 DEFAULT_RETRY_RATIO = 0.2
+DEFAULT_EVACUATION_SECONDS = 5.0
 
 
 class RouterSettings(msgspec.Struct, frozen=True):
@@ -40,6 +41,8 @@
         Longest time in seconds of one grant to the target.
     grace : float
         Seconds from a stop signal until the process is killed.
+    evacuation_period : float
+        Seconds for which targets of a failure domain may get requests after its evacuation has begun.
     retry_ratio : float
         Share of requests that may be retried at another target.
     retry_slack, retry_window : float
@@ -72,6 +75,7 @@
     heartbeat: float = DEFAULT_HEARTBEAT_SECONDS
     longest_hold: float = DEFAULT_HOLD_SECONDS
     grace: float = DEFAULT_GRACE_SECONDS
+    evacuation_period: float = DEFAULT_EVACUATION_SECONDS
     retry_ratio: float = DEFAULT_RETRY_RATIO
     retry_slack: float = 60.0
     retry_window: float = 10.0
--- a/src/hibiscusdrum/platform/boot.py
+++ b/src/hibiscusdrum/platform/boot.py
@@ -78,6 +78,7 @@
         heartbeat=parse_number(values, "heartbeatS", 1.0),
         longest_hold=parse_number(bounds, "holdMaxS", 10.0),
         grace=parse_number(bounds, "graceS", 6.0),
+        evacuation_period=parse_number(bounds, "evacuateS", 5.0),
         retry_ratio=parse_number(bounds, "budgetRatio", 0.2),
         retry_slack=parse_number(bounds, "budgetSlack", 60.0),
         retry_window=parse_number(bounds, "budgetWindowS", 10.0),
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -144,6 +144,7 @@
         self.gossip: ConfigGossip = self.app.find("config_gossip")
         self.gossip.on_snapshot = self.adopt_snapshot
         self.gateway.confirmed_age = lambda: self.gossip.confirmed_age
+        self.members.confirmed_age = lambda: self.gossip.confirmed_age
         self.poll()
 
     def poll(self) -> None:
--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -13,3 +13,52 @@
       | download       | sent again    |
       | non_idempotent | given up: 502 |
       | upload         | given up: 502 |
+
+  # Guards against requests that are refused while the target of their key could have run them.
+  Scenario: Keys of an evacuated failure domain are served until their targets release them
+    Given 24 nodes in 4 failure domains whose targets hold keys
+    When one of the failure domains is evacuated, and 6 s pass
+    Then each of its keys was served until at most 0.2 s before its target released it
+    And each of them got another holder within 4.5 s
+    And none was served by its former target after 4.5 s
+
+  Scenario: Keys that no other target can get are served until the period of an evacuation ends
+    Given 4 nodes in 2 failure domains whose targets hold keys
+    When all failure domains are evacuated, and 6 s pass
+    Then each of the keys was served by its target for 4.3 s
+    And none was served by its former target after 4.5 s
+
+  # The operator counts from its write, whenever a node learns of it.
+  Scenario: A node that learns late of an evacuation counts from when it may have begun
+    Given 4 nodes in 2 failure domains whose targets hold keys
+    And the configuration was confirmed 3 s ago
+    When all failure domains are evacuated, and 6 s pass
+    Then none was served by its former target after 1.5 s
+
+  Scenario: A node that was just started sends an evacuated target nothing
+    Given 4 nodes in 2 failure domains whose targets hold keys
+    And the configuration was never confirmed
+    When all failure domains are evacuated, and 6 s pass
+    Then none was served by its former target after 0 s
+
+  # Guards against refusals as evacuated of requests that another target could run.
+  Scenario Outline: A request for a key that <state> at an evacuated target gets <outcome>: <event>
+    Given a router that was just started beside a target with 2 slots
+    And its failure domain is evacuated while a key <state>
+    When a request for the key arrives and <event>
+    Then its sender gets <outcome>
+
+    Examples:
+      | state         | event                                   | outcome         |
+      | is moving     | the key gets a new owner after 0.3 s    | not_owner of n9 |
+      | is moving     | the key stays where it is for 20 s      | evacuated       |
+      | is moving     | the evacuation is withdrawn after 0.3 s | 200             |
+      | has moved     | nothing happens for 0.1 s               | not_owner of n9 |
+      | is held       | nothing happens for 0.5 s               | 200             |
+      | is not usable | nothing happens for 0.1 s               | evacuated       |
+
+  Scenario: A queued request is not sent to a target that has released its key
+    Given a router beside a target with 2 slots and no limit
+    And its failure domain is evacuated while a key is held
+    When 5 requests for the key arrive, and the target releases it after 0.1 s
+    Then 2 were sent, and the others get not_owner of n9 once the key has its new owner
--- a/tests/features/steps/odd_answers_steps.py
+++ b/tests/features/steps/odd_answers_steps.py
@@ -2,14 +2,23 @@
 
 import copy
 
-from behave import then, when
+import msgspec
+from behave import given, then, when
+from tests.features.steps.target_signals_steps import HELD_KEY, arrive, run
 from tests.odd_entries import CONFIG, encode
-from tests.router_stubs import FREE, Request
+from tests.router_stubs import FREE, SETTINGS, Request, forward
+from tests.router_world import PROBED_KEYS, World
 
 from hibiscusdrum.internal import log_events
-from hibiscusdrum.internal.messages import Declined
+from hibiscusdrum.internal.messages import Answered, Declined
+from hibiscusdrum.internal.router.range_owner import KeyState
 from hibiscusdrum.platform.configuration import decode_config
 
+# A call from the other region takes 60 ms.
+EVACUATION_STORE_SECONDS = 0.06
+WATCH_SECONDS = 0.05
+ROUNDING_SECONDS = 1e-6
+
 
 @when('a request of the kind "{kind}" reaches a target that is lost, and may be sent twice')
 def lost_target(context, kind):
@@ -36,3 +45,159 @@
 def given_up(context, status):
     assert context.request.answer[0] == status and len(context.hop.sent) == 1, context.request.answer
     assert not context.hop.sent[0][1].repeatable
+
+
+@given("{count:d} nodes in {domains:d} failure domains whose targets hold keys")
+def nodes_in_domains(context, count, domains):
+    world = context.world = World(nodes=0)
+    context.add_cleanup(world.close)
+    world.store.seconds = EVACUATION_STORE_SECONDS
+    for index in range(count):
+        region = "east" if index % domains < domains // 2 else "west"
+        world.add(f"n{index}", f"d{index % domains}", region)
+    world.run(14.0)
+    assert world.held() == len(PROBED_KEYS), world.held()
+
+
+@given("the configuration was confirmed {seconds:g} s ago")
+def confirmed(context, seconds):
+    for node in context.world.nodes.values():
+        node.members.confirmed_age = lambda: seconds
+
+
+@given("the configuration was never confirmed")
+def never_confirmed(context):
+    confirmed(context, float("inf"))
+
+
+@when("one of the failure domains is evacuated, and {seconds:g} s pass")
+def one_evacuated(context, seconds):
+    evacuate(context, {"d1"}, seconds)
+
+
+@when("all failure domains are evacuated, and {seconds:g} s pass")
+def all_evacuated(context, seconds):
+    evacuate(context, set(context.world.domains.values()), seconds)
+
+
+def evacuate(context, domains, seconds):
+    """Evacuate failure domains, and note when the keys were served and held, in seconds from then."""
+    world = context.world
+    began = world.now
+    rings = world.nodes["n0"].owner.rings
+    context.former = {key: rings.owner_node("keys", key) for key in PROBED_KEYS}
+    context.former = {key: node for key, node in context.former.items() if world.domains[node] in domains}
+    assert context.former
+    context.served, context.held, context.taken = {}, {}, {}
+    for node in world.nodes.values():
+        node.members.set_evacuated_domains(frozenset(domains))
+    while world.now < began + seconds:
+        passed = world.now - began
+        for key, former in context.former.items():
+            if world.nodes[former].owner.key_state(key) is KeyState.GRANTED:
+                context.served[key] = passed
+            holders = [name for name, target in world.targets.items() if target.holds(key)[0]]
+            if holders == [former]:
+                context.held[key] = passed
+            elif holders:
+                context.taken.setdefault(key, passed)
+        world.run(WATCH_SECONDS)
+
+
+@then("each of its keys was served until at most {seconds:g} s before its target released it")
+def served_until_released(context, seconds):
+    gaps = {key: held - context.served.get(key, 0.0) for key, held in context.held.items()}
+    assert max(gaps.values()) <= seconds + ROUNDING_SECONDS, gaps
+
+
+@then("each of them got another holder within {seconds:g} s")
+def other_holder(context, seconds):
+    assert context.taken.keys() == context.former.keys(), context.former.keys() - context.taken.keys()
+    assert max(context.taken.values()) <= seconds, context.taken
+
+
+@then("each of the keys was served by its target for {seconds:g} s")
+def served_for(context, seconds):
+    assert context.served.keys() == context.former.keys(), context.former.keys() - context.served.keys()
+    assert min(context.served.values()) >= seconds, context.served
+
+
+@then("none was served by its former target after {seconds:g} s")
+def none_served_after(context, seconds):
+    assert max(context.served.values(), default=0.0) <= seconds, context.served
+
+
+@given("its failure domain is evacuated while a key {state}")
+def evacuated_key(context, state):
+    context.receiver.members.evacuated_domains = frozenset((SETTINGS.failure_domain,))
+    set_key_state(context, state)
+    context.receiver.on_target_change()
+
+
+def set_key_state(context, state):
+    """Set what the services say about the key of the requests."""
+    context.key_state = {
+        "is moving": KeyState.MOVING,
+        "has moved": KeyState.NOT_OWNED,
+        "is held": KeyState.GRANTED,
+        "is not usable": KeyState.NOT_OWNED,
+    }[state]
+    owner = "n9" if state == "has moved" else SETTINGS.node
+    context.receiver.rings.owner_node = lambda *_: owner
+
+
+@when("a request for the key arrives and {event} s")
+def request_for_key(context, event):
+    context.reply = None
+    arrive(context, key=HELD_KEY)
+    what, _, seconds = event.rpartition(" ")
+    if what.startswith(("nothing", "the key stays")):
+        run(context, float(seconds))
+        return
+    run(context, float(seconds))
+    assert context.reply is None, context.reply
+    if what.startswith("the evacuation"):
+        context.receiver.members.evacuated_domains = frozenset()
+        set_key_state(context, "is held")
+    else:
+        set_key_state(context, "has moved")
+    run(context, 0.5)
+
+
+@then("its sender gets {outcome}")
+def sender_gets(context, outcome):
+    if outcome.isdecimal():
+        assert isinstance(context.reply, Answered), context.reply
+        assert context.reply.status == int(outcome), context.reply
+    else:
+        reason, _, owner = outcome.partition(" of ")
+        check_declined(context.reply, reason, owner)
+
+
+def check_declined(answer, reason, owner):
+    """Check that a request was declined without having reached the target."""
+    assert isinstance(answer, Declined), answer
+    assert (answer.reason, answer.owner) == (reason, owner), answer
+    assert not answer.may_have_run and not answer.arrived, answer
+
+
+@when("{count:d} requests for the key arrive, and the target releases it after {seconds:g} s")
+def released_while_queued(context, count, seconds):
+    context.replies = []
+    for _ in range(count):
+        request = msgspec.structs.replace(forward(next(context.numbers), 0, 20.0), key=HELD_KEY)
+        context.receiver.on_forward(request, b"", 0.0, lambda answer, _body: context.replies.append(answer))
+    run(context, seconds)
+    set_key_state(context, "is moving")
+    run(context, 1.0)
+
+
+@then("{sent:d} were sent, and the others get {reason} of {owner} once the key has its new owner")
+def others_redirected(context, sent, reason, owner):
+    assert len(context.target.arrivals) == sent, context.target.arrivals
+    assert [type(answer) for answer in context.replies] == [Answered] * sent, context.replies
+    set_key_state(context, "has moved")
+    run(context, 0.1)
+    assert len(context.target.arrivals) == sent and len(context.replies) == 5, context.replies
+    for answer in context.replies[sent:]:
+        check_declined(answer, reason, owner)
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -43,6 +43,9 @@
     assert settings.target_address == "127.0.0.1:7001" and settings.caller_address == "127.0.0.1:7002"
     assert settings.peer_address == "127.0.0.1:7005" and settings.metrics_address == "127.0.0.1:7006"
     assert settings.longest_hold == 10.0 and settings.heartbeat == 0.5 and settings.retry_ratio == 0.2
+    assert settings.evacuation_period == 5.0
+    bounds = {"bounds": "holdMaxS=9,evacuateS=4.5"}
+    assert router_settings({**boot_values(), **bounds}).evacuation_period == 4.5
 
 
 FAULTY_SETTINGS = {
