--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -92,6 +92,8 @@
 THROTTLED_REASON = "throttled"
 LINK_CONGESTED_REASON = "link_congested"
 SERVER_ERRORS = (500, 502, 503)
+FINAL_STATUSES = range(200, 600)
+MALFORMED_REASON = "target_malformed"
 
 
 def first_segment(path: str) -> str:
@@ -501,7 +503,11 @@
         now = self.app.clock.monotonic()
         if pending.node == self.settings.node:
             self.selector.on_report(pending.node, LoadReport.of(answer), now)
-        if isinstance(answer, Answered):
+        if isinstance(answer, Answered) and answer.status not in FINAL_STATUSES:
+            # A node of an earlier release passes on any status of its target.
+            declined = Declined(forward.id, MALFORMED_REASON, True, True, 0.0, answer.load)
+            self.on_declined(pending, declined, now)
+        elif isinstance(answer, Answered):
             self.on_answered(pending, forward, answer, body, now)
         else:
             self.on_declined(pending, answer, now)
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -30,6 +30,8 @@
 # Value of ``declared`` for a response without Content-Length.
 LENGTH_UNKNOWN = -1
 INFORMATIONAL_STATUSES = range(100, 200)
+# The parser accepts any three digits.
+FIRST_UNKNOWN_STATUS = 600
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
@@ -416,14 +418,17 @@
         self.headers[key] = text
 
     def on_headers_complete(self) -> None:
-        """Match the response to the request by its id, and check the declared length.
+        """Check the status and the declared length, and match the response to the request by its id.
 
-        The parser has already rejected a length that is not a number.
+        The parser has already rejected a status of other than three digits, and a length that is no number.
         """
+        status = self.parser.get_status_code()
+        if not INFORMATIONAL_STATUSES.start <= status < FIRST_UNKNOWN_STATUS:
+            raise httptools.HttpParserError("no status from 100 to 599")
         self.head_complete = True
         client, request_id = self.exchange.client, self.exchange.request_id
         named_id = self.headers.get(client.request_id_header)
-        informational = self.parser.get_status_code() in INFORMATIONAL_STATUSES
+        informational = status in INFORMATIONAL_STATUSES
         if named_id is None and request_id is not None and not informational and self.reused:
             # Possibly a copy of an earlier response on this connection.
             if client.requires_request_id:
--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -62,3 +62,56 @@
     And its failure domain is evacuated while a key is held
     When 5 requests for the key arrive, and the target releases it after 0.1 s
     Then 2 were sent, and the others get not_owner of n9 once the key has its new owner
+
+  # Guards against answers that no HTTP client can read: a status 000 reached callers as "HTTP/1.1 0".
+  Scenario Outline: An answer with the status line <status> is <outcome>
+    Given a router's client of a target
+    When answers with the status line "<status>" come in both versions, on new and on used connections
+    Then the client takes them as <outcome>
+
+    Examples: final statuses
+      | status  | outcome |
+      | 200 OK  | whole   |
+      | 200     | whole   |
+      | 404 No  | whole   |
+      | 599 Odd | whole   |
+
+    Examples: no statuses, and such that are not final
+      | status   | outcome   |
+      | 000 OK   | failed    |
+      | 0 OK     | failed    |
+      | 001 OK   | failed    |
+      | 099 OK   | failed    |
+      | 99 OK    | failed    |
+      | 0200 OK  | failed    |
+      | 1000 OK  | failed    |
+      | 600 OK   | failed    |
+      | 999 OK   | failed    |
+      | OK       | failed    |
+      | two OK   | failed    |
+      | 2xx OK   | failed    |
+      | 20 0 OK  | failed    |
+      | +200 OK  | failed    |
+      | -200 OK  | failed    |
+      | 20.0 OK  | failed    |
+      | 100 Go   | failed    |
+      | 101 Swap | failed    |
+      | 199 Odd  | failed    |
+
+  # Guards against a part of an answer that reaches the caller as the whole.
+  Scenario: The part of an answer before a reset is not taken while an upload is still being written
+    Given a router's client of a target
+    When 20 uploads of 8 MB are answered at once by 200 without a length, a part of the body and a reset
+    Then the client takes them as failed
+
+  Scenario Outline: A peer that passes on the status <status> of its target gives the caller 502
+    Given a gateway with 3 nodes to choose from
+    When a peer of an earlier release answers a request with the status <status>
+    Then the caller gets 502, and the failure counts against that node
+
+    Examples:
+      | status |
+      | 0      |
+      | 99     |
+      | 100    |
+      | 600    |
--- a/tests/features/steps/odd_answers_steps.py
+++ b/tests/features/steps/odd_answers_steps.py
@@ -1,17 +1,23 @@
 """Steps with odd answers of targets, and with targets that are full or in an evacuated failure domain."""
 
 import copy
+from unittest import mock
 
 import msgspec
 from behave import given, then, when
+from returns.result import Success
 from tests.features.steps.target_signals_steps import HELD_KEY, arrive, run
+from tests.loopback import Loopback, Results, free_address
 from tests.odd_entries import CONFIG, encode
 from tests.router_stubs import FREE, SETTINGS, Request, forward
 from tests.router_world import PROBED_KEYS, World
+from tools.standins.scripted_peer import ScriptedPeer
 
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.messages import Answered, Declined
+from hibiscusdrum.internal.router.application import target_client
 from hibiscusdrum.internal.router.range_owner import KeyState
+from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.platform.configuration import decode_config
 
 # A call from the other region takes 60 ms.
@@ -201,3 +207,78 @@
     assert len(context.target.arrivals) == sent and len(context.replies) == 5, context.replies
     for answer in context.replies[sent:]:
         check_declined(answer, reason, owner)
+
+
+def whole_answer(request_id):
+    """Return an answer that names its request."""
+    return b"HTTP/1.1 200 OK\r\nx-attempt-id: %b\r\ncontent-length: 5\r\n\r\ncrest" % request_id
+
+
+@given("a router's client of a target")
+def client_of_target(context):
+    context.results = []
+
+
+def answers_of(context, script, bodies):
+    """Return the results of requests that a peer answers by a script, one after the other."""
+    client = target_client(HeaderNames())
+    peer = ScriptedPeer(script, free_address())
+    loopback = Loopback(client, peer)
+    results = Results()
+    try:
+        for number, body in enumerate(bodies):
+            headers = {"x-attempt-id": f"a{number}"}
+            client.request(peer.address, "POST", "/x", headers, body, 2.0, results.append)
+            loopback.run_until(lambda sent=number + 1: len(results) == sent, 3.0)
+    finally:
+        loopback.stop()
+    context.connections = len(peer.accepted_sockets)
+    return list(results)
+
+
+@when('answers with the status line "{status}" come in both versions, on new and on used connections')
+def odd_status_lines(context, status):
+    for version in (b"1.0", b"1.1"):
+        for used in (0, 1):
+            answer = whole_answer(b"a%d" % used).replace(b"1.1 200 OK", version + b" " + status.encode())
+            script = [[whole_answer(b"a0")]] * used + [[answer, "wait", "close"]]
+            context.results.append(answers_of(context, script, [b""] * (used + 1))[used])
+            assert context.connections == 1
+
+
+@when(
+    "{count:d} uploads of 8 MB are answered at once by 200 without a length, a part of the body and a reset"
+)
+def reset_uploads(context, count):
+    head = b"HTTP/1.1 200 OK\r\nx-attempt-id: a0\r\nx-signature: s\r\n\r\n"
+    for number in range(count):
+        waits = ["wait"] * (number % 4)
+        context.results += answers_of(context, [[head + b"x" * 5_000, *waits, "reset"]], [b"y" * 8_000_000])
+
+
+@then("the client takes them as {outcome}")
+def each_is(context, outcome):
+    assert context.results
+    for result in context.results:
+        if outcome == "whole":
+            assert isinstance(result, Success) and result.unwrap().body == b"crest", result
+        else:
+            assert not isinstance(result, Success), (result.unwrap().status, result.unwrap().body[:20])
+            assert result.failure().bytes_sent, result.failure()
+
+
+@when("a peer of an earlier release answers a request with the status {status:d}")
+def odd_status_of_peer(context, status):
+    log_events.configure("own", "ERROR")
+    context.gateway.selector = mock.Mock(wraps=context.gateway.selector)
+    context.request = Request()
+    context.gateway.on_request(context.request)
+    _node, sent, _body, reply = context.hop.sent[0]
+    reply(Answered(sent.id, status, (), FREE, 0.1), b"x")
+
+
+@then("the caller gets {status:d}, and the failure counts against that node")
+def caller_gets(context, status):
+    assert context.request.answer[0] == status, context.request.answer
+    failed = [call.args[0] for call in context.gateway.selector.on_failure.call_args_list]
+    assert failed == [context.hop.sent[0][0]], failed
--- a/tools/standins/scripted_peer.py
+++ b/tools/standins/scripted_peer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from typing import Any
 
 from circuits import handler
@@ -22,7 +23,7 @@
     ----------
     script : list of list
         Steps; the last one is repeated. A step is a list of actions: bytes to send, a function that returns
-        them for a request, ``"close"``, ``"wait"`` (pause for a millisecond), or
+        them for a request, ``"close"``, ``"reset"``, ``"wait"`` (pause for a millisecond), or
         ``"hold"`` (keep the connection open).
     address : str
         ``ip:port`` to listen on.
@@ -85,6 +86,9 @@
             action = actions.pop(0)
             if action == "close":
                 self.close(sock)
+            elif action == "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                self.close(sock)
             elif action == "wait":
                 self.app.scheduler.call_later(
                     WAIT_ACTION_SECONDS, lambda: self.run_actions(sock, actions, request)
