--- a/src/hibiscusdrum/internal/router/members.py
+++ b/src/hibiscusdrum/internal/router/members.py
@@ -25,6 +25,7 @@
 from hibiscusdrum.internal.load.retry_budget import full_jitter
 from hibiscusdrum.internal.platform.table import Changes, Row, Transaction, era_of, number_of
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.change_batching import ChangeBatching
 from hibiscusdrum.internal.router.local_target import LocalTarget
 from hibiscusdrum.internal.router.ring import Owner
 from hibiscusdrum.internal.router.selection import Candidate
@@ -38,11 +39,6 @@
 # Initial and longest backoff after a failed read of the rows.
 READ_BACKOFF_SECONDS = 0.2
 MAX_READ_BACKOFF_SECONDS = 0.5
-# Delay of the next read after one that returned rows, per node of the system and at most. Each change wakes
-# every node, so without it the calls to the store would grow with the square of the number of nodes when all
-# of them publish.
-CHANGE_BATCH_SECONDS_PER_NODE = 0.015
-MAX_CHANGE_BATCH_SECONDS = 1.0
 # A restored store may have the row of a node that was removed. It is deleted again after this delay, within
 # which a running node writes its row anew, and random jitter, so that few nodes try to delete it.
 STALE_ROW_DELAY_SECONDS = 1.0
@@ -145,6 +141,8 @@
         This node's row as stored.
     store_reachable : bool
         Whether the last read of changes succeeded.
+    batching : ChangeBatching
+        Decides how long the next read waits after one that returned rows.
     """
 
     service_name = "members"
@@ -173,6 +171,12 @@
         self.store_reachable = True
         self.first_heartbeat_deadline = 0.0
         self.rng = random.Random(settings.node)
+        self.batching = ChangeBatching()
+
+    @property
+    def now(self) -> float:
+        """Monotonic time in seconds."""
+        return self.app.clock.monotonic()
 
     def on_start(self) -> None:
         """Start to read rows, and publish this node's when its target appears."""
@@ -203,7 +207,7 @@
         delay = MAX_READ_BACKOFF_SECONDS
         try:
             self.apply_changes(changes)
-            delay = self.change_batch_seconds if changes.rows else 0.0
+            delay = self.batching.wait_seconds(len(self.nodes), self.now) if changes.rows else 0.0
         finally:
             if delay:
                 self.app.scheduler.call_later(delay, self.poll_changes)
@@ -215,8 +219,11 @@
         self.unnotified = self.unnotified or bool(changes.rows) or not self.loaded
         if changes.complete and self.loaded and era_of(changes.seq) > era_of(self.last_seq):
             self.log_rolled_back(changes)
+        former = self.nodes.keys() | {self.settings.node}
         for row in changes.rows:
             self.apply_row(row)
+        if self.loaded:
+            self.batching.record_joined(len(self.nodes.keys() - former), self.now)
         if changes.complete:
             self.apply_missed_deletions(changes)
         # A complete read may be older than the position if the store lost rows without naming a new era.
@@ -228,11 +235,6 @@
         # Another node may have removed this node's row, for example after an expired lease.
         self.publish()
 
-    @property
-    def change_batch_seconds(self) -> float:
-        """Delay of the next read in seconds, so that one read returns many changes."""
-        return min(MAX_CHANGE_BATCH_SECONDS, CHANGE_BATCH_SECONDS_PER_NODE * len(self.nodes))
-
     def apply_missed_deletions(self, changes: Changes) -> None:
         """Delete the rows that a complete listing lacks, since the store did not report their deletion."""
         present = {row.key for row in changes.rows}
