--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -863,6 +863,22 @@
     stripes: int
 
 
+class RequestHung(LogEvent, frozen=True):
+    """A request was given up before its deadline, since its target answers later ones but not this one."""
+
+    number = 961
+    level = "WARNING"
+    rate_limited = True
+    lines_per_interval = 20
+    cause = "The target could not queue the request, or its connection hangs."
+    operator_action = "If it recurs, see whether the slots in the target's heartbeats are those that it has."
+
+    id: str
+    target: str
+    waited_ms: int
+    left_s: float
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
@@ -894,6 +910,7 @@
         RequestCancelled,
         RequestDeclined,
         RequestEnded,
+        RequestHung,
         RequestQuarantined,
         RequestRepeated,
         RequestRun,
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -20,6 +20,7 @@
 )
 from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON, CrashDetector
 from hibiscusdrum.internal.router.hop import CLOSING_REASON, LATE_MESSAGE_SECONDS
+from hibiscusdrum.internal.router.hung_requests import HungRequests
 from hibiscusdrum.internal.router.job import Job, ReplyCallback
 from hibiscusdrum.internal.router.local_target import LocalTarget, TargetState
 from hibiscusdrum.internal.router.quarantine import (
@@ -92,6 +93,10 @@
 )
 
 
+def ignore_reply(_answer: Answered | Declined | SendBody, _body: bytes) -> None:
+    """Stand in for the reply to a request whose caller has gone."""
+
+
 class Receiver(Service):
     """Admits requests to this VM's target and sends them to it.
 
@@ -107,6 +112,8 @@
         Requests for keys of this evacuated node that get another owner soon.
     suspect_line : SuspectLine
         Requests under which targets have crashed.
+    hung_requests : HungRequests
+        Requests at the target, and which of them it will not answer any more.
     limit_known : bool
         Whether the target has answered since the start of this process, so that its rate limit is known.
     stopping : bool
@@ -133,6 +140,7 @@
         self.awaiting_keys: list[Job] = []
         self.awaiting_move: list[Job] = []
         self.suspect_line = SuspectLine()
+        self.hung_requests = HungRequests()
         self.stopping = False
         self.closed = False
         self.service_seconds_left: Callable[[], float] = lambda: math.inf
@@ -642,6 +650,8 @@
         except InvalidArgument as error:
             log_events.emit(events.RowUnreadable(what="request", reason=str(error)[:200]))
             self.release_unsent(job, UNSENDABLE_REASON)
+            return
+        self.hung_requests.on_sent(forward.id, now)
 
     def connection_limit(self) -> int:
         """Return the maximum number of open connections to the target."""
@@ -677,12 +687,42 @@
         job.exchange = None
         forward = job.forward
         if isinstance(result, Success):
+            self.hung_requests.on_answered(forward.id)
             self.on_response(job, result.unwrap())
+            self.end_hung()
         else:
-            self.admission.finish(forward.cost_class, None)
-            self.on_failure(job, result.failure())
+            self.hung_requests.forget(forward.id)
+            failure = result.failure()
+            if failure.kind is FailureKind.UNANSWERED:
+                # The target may still run it, but not beyond the deadline that it was given.
+                self.app.scheduler.call_later(job.deadline - self.now, lambda: self.free_slot(job))
+            else:
+                self.admission.finish(forward.cost_class, None)
+            self.on_failure(job, failure)
         self.send_queued()
 
+    def free_slot(self, job: Job) -> None:
+        """Free the slot of a request that was given up before its deadline."""
+        self.admission.finish(job.forward.cost_class, None)
+        self.send_queued()
+
+    def end_hung(self) -> None:
+        """Give up the requests that the target will not answer any more, as answers to later ones show."""
+        for job in list(self.jobs.values()):
+            if job.exchange is None or not job.exchange.is_unanswered:
+                continue
+            expected = self.admission.expected_service_seconds(job.forward.cost_class)
+            if self.hung_requests.is_hung(job.forward.id, self.admission.slots, expected, self.now):
+                log_events.emit(
+                    events.RequestHung(
+                        id=job.forward.attempt_id,
+                        target=self.target.last_heartbeat.target,
+                        waited_ms=round((self.now - job.sent_at) * 1000),
+                        left_s=round(job.deadline - self.now, 3),
+                    )
+                )
+                job.exchange.cancel(FailureKind.UNANSWERED)
+
     def on_response(self, job: Job, response: HttpResponse) -> None:
         """Process a complete response: reply with it, or decline the request if the target did not run it."""
         forward, names = job.forward, self.header_names
@@ -882,7 +922,10 @@
         return node if node is not None and node != self.settings.node else ""
 
     def cancel(self, request_id: bytes, transit: float | None = None) -> None:
-        """Drop a request whose caller has gone; a running one that is not repeatable runs to its end.
+        """Drop a request whose caller has gone; a running one runs to its end.
+
+        Its target may not notice that a connection is closed, and would get a request more than it has slots.
+        The answer to a repeatable one is not passed on.
 
         ``transit`` is the least time in seconds that the cancellation was in transit; None if unknown.
         """
@@ -900,8 +943,7 @@
         )
         if job.exchange is not None:
             if job.forward.repeatable:
-                self.end_job(job)
-                job.exchange.cancel()
+                job.reply = ignore_reply
             return
         self.end_job(job)
         self.body_gate.forget(request_id)
--- a/src/hibiscusdrum/internal/transport/http_connection.py
+++ b/src/hibiscusdrum/internal/transport/http_connection.py
@@ -61,6 +61,8 @@
     UNREACHABLE
         No connection could be opened for any other reason, for example because the peer reset it, or this
         process has no free file descriptor.
+    UNANSWERED
+        The sender has given the response up before the deadline, because later requests were answered.
     """
 
     REFUSED = "refused"
@@ -70,6 +72,7 @@
     INCOMPLETE = "incomplete"
     MALFORMED = "malformed"
     CANCELLED = "cancelled"
+    UNANSWERED = "unanswered"
 
 
 class HttpResponse:
@@ -191,12 +194,23 @@
         if self.silence_seconds:
             self.deadline = min(now + self.silence_seconds, self.last_deadline)
 
-    def cancel(self) -> None:
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the whole request was sent and no byte of a response has arrived."""
+        connection = self.connection
+        return (
+            connection is not None
+            and self.bytes_sent
+            and connection.unsent is None
+            and not connection.fed_bytes
+        )
+
+    def cancel(self, kind: FailureKind = FailureKind.CANCELLED) -> None:
         """Cancel the exchange; no effect once it is done.
 
-        The callback is called with ``FailureKind.CANCELLED`` before this method returns.
+        The callback is called with a failure of this kind before this method returns.
         """
-        self.client.abort(self, FailureKind.CANCELLED)
+        self.client.abort(self, kind)
 
 
 # Time for which the duration of a connect counts as that of the path.
--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -115,3 +115,29 @@
       | 99     |
       | 100    |
       | 600    |
+
+  # Guards against more requests at a target than it has slots, some of which it would never answer.
+  Scenario: A node sends a target no more than its slots although callers leave
+    Given a router beside a target that runs 4 requests for 0.2 s each, whoever waits
+    When 30 requests arrive, and the callers of those that it runs leave 4 times
+    Then the target never had more than 4 requests
+    And the other callers got their answers
+
+  Scenario: A request that a target never answers is given up long before its deadline
+    Given a router beside a target that runs 3 requests for 0.1 s each, whoever waits
+    When the target swallows 1 of 60 requests, whose deadline is in 20 s
+    Then that one is given up with an unknown outcome after 1.1 s to 2 s
+    And the target never had more than 3 requests
+    And the other callers got their answers
+
+  # Guards against a slow request whose outcome is given as unknown although its target will answer it.
+  Scenario: The slowest requests are not given up
+    Given a router beside a target that runs 3 requests for 0.1 s each, whoever waits
+    When the target takes 7 times as long for 5 of 60 requests
+    Then the other callers got their answers
+    And no request was given up
+
+  Scenario: A hung connection is closed when its request is given up
+    Given a router's client of a target
+    When a request without an answer is given up
+    Then its failure is "unanswered", and the next request comes on another connection
--- a/tests/features/steps/odd_answers_steps.py
+++ b/tests/features/steps/odd_answers_steps.py
@@ -5,19 +5,25 @@
 
 import msgspec
 from behave import given, then, when
-from returns.result import Success
-from tests.features.steps.target_signals_steps import HELD_KEY, arrive, run
+from returns.result import Failure, Success
+from tests.features.steps.target_signals_steps import HELD_KEY, arrive, report, run
 from tests.loopback import Loopback, Results, free_address
 from tests.odd_entries import CONFIG, encode
-from tests.router_stubs import FREE, SETTINGS, Request, forward
+from tests.router_stubs import FREE, SETTINGS, Request, Stub, application, forward
 from tests.router_world import PROBED_KEYS, World
 from tools.standins.scripted_peer import ScriptedPeer
 
 from hibiscusdrum.internal import log_events
+from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.messages import Answered, Declined
 from hibiscusdrum.internal.router.application import target_client
+from hibiscusdrum.internal.router.crash_detector import CrashDetector
+from hibiscusdrum.internal.router.local_target import LocalTarget
+from hibiscusdrum.internal.router.quarantine import Quarantine
 from hibiscusdrum.internal.router.range_owner import KeyState
+from hibiscusdrum.internal.router.receiver import Receiver
 from hibiscusdrum.internal.router.routes import HeaderNames
+from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure, HttpResponse
 from hibiscusdrum.platform.configuration import decode_config
 
 # A call from the other region takes 60 ms.
@@ -282,3 +288,179 @@
     assert context.request.answer[0] == status, context.request.answer
     failed = [call.args[0] for call in context.gateway.selector.on_failure.call_args_list]
     assert failed == [context.hop.sent[0][0]], failed
+
+
+class BusyExchange:
+    """A request at a ``BusyTarget``."""
+
+    is_unanswered = True
+
+    def __init__(self, callback):
+        self.callback = callback
+
+    def cancel(self, kind=FailureKind.CANCELLED):
+        """Give the request up; the target goes on with it."""
+        callback, self.callback = self.callback, lambda _result: None
+        callback(Failure(HttpFailure(True, kind)))
+
+
+class BusyTarget(Service):
+    """Runs each request to its end, in the place of the HTTP client.
+
+    Attributes
+    ----------
+    run_count, most : int
+        Requests that it runs, and the most that it had at a time.
+    run_seconds : callable
+        Returns how long it runs its n-th request; None for one that it never answers.
+    """
+
+    service_name = "http_client"
+
+    def __init__(self, seconds):
+        super().__init__()
+        self.run_count = self.most = self.count = 0
+        self.run_seconds = lambda _number: seconds
+
+    def has_sent_exchange(self, _address):
+        """Return whether a request waits for its answer."""
+        return self.run_count > 0
+
+    def request(self, _address, _method, _target, _headers, _body, _timeout, callback, *_more):
+        """Take a request, and return its exchange."""
+        self.count += 1
+        self.run_count += 1
+        self.most = max(self.most, self.run_count)
+        exchange = BusyExchange(callback)
+        seconds = self.run_seconds(self.count)
+
+        def end():
+            self.run_count -= 1
+            exchange.callback(Success(HttpResponse(200, {"x-signature": "s"}, b"")))
+
+        if seconds is not None:
+            self.app.scheduler.call_later(seconds, end)
+        return exchange
+
+
+@given("a router beside a target that runs {slots:d} requests for {seconds:g} s each, whoever waits")
+def busy_target(context, slots, seconds):
+    log_events.configure("own", "ERROR")
+    app = context.app = application()
+    app.add(Stub("members", evacuated_domains=frozenset(), on_change=[], region_of=lambda _: SETTINGS.region))
+    app.add(Stub("range_owner", on_granted=[], record_request=lambda _key: None, key_load=mock.Mock()))
+    app.add(Stub("hop", link_congested=False, announce_end=lambda: None))
+    app.add(Stub("rings", owner_node=lambda *_: None))
+    app.add(Stub("metrics", count_declined=lambda *_: None, count_run=lambda *_: None))
+    context.target = app.add(BusyTarget(seconds))
+    local_target = app.add(LocalTarget(SETTINGS))
+    app.add(CrashDetector(SETTINGS))
+    app.add(Quarantine(SETTINGS))
+    context.receiver = app.add(Receiver(SETTINGS, HeaderNames()))
+    local_target.on_start()
+    context.receiver.on_start()
+    context.receiver.crash_detector.on_interrupted = lambda job, failure: (
+        context.receiver.on_interruption_decided(job, failure, False)
+    )
+    context.slots = slots
+    report(context, 1)
+    context.receiver.on_first_answer()
+    context.answers, context.left = {}, set()
+
+
+def busy_arrivals(context, count, seconds_apart):
+    """Let repeatable requests arrive, one after the other."""
+    context.began = context.app.clock.monotonic()
+    for number in range(count):
+        request = msgspec.structs.replace(
+            forward(number, 0, 20.0), repeatable=True, goal_remaining_seconds=20.0
+        )
+
+        def reply(answer, _body, number=number):
+            context.answers[number] = answer, context.app.clock.monotonic()
+
+        context.receiver.on_forward(request, b"", 0.0, reply)
+        if seconds_apart:
+            run(context, seconds_apart)
+
+
+@when("{count:d} requests arrive, and the callers of those that it runs leave {times:d} times")
+def callers_leave(context, count, times):
+    busy_arrivals(context, count, 0.0)
+    for _ in range(times):
+        run(context, 0.05)
+        for job in list(context.receiver.jobs.values()):
+            if job.exchange is not None:
+                context.left.add(job.forward.id[0])
+                context.receiver.cancel(job.forward.id)
+    run(context, 4.0)
+    assert context.left
+
+
+@when("the target swallows 1 of {count:d} requests, whose deadline is in 20 s")
+def swallowed(context, count):
+    context.target.run_seconds = lambda number: None if number == 10 else 0.1
+    context.swallowed = 9
+    busy_arrivals(context, count, 0.06)
+    run(context, 2.0)
+
+
+@when("the target takes {times:d} times as long for {slow:d} of {count:d} requests")
+def slow_requests(context, times, slow, count):
+    every = count // slow
+    context.target.run_seconds = lambda number: 0.1 * times if number % every == 0 else 0.1
+    busy_arrivals(context, count, 0.06)
+    run(context, 3.0)
+
+
+@then("that one is given up with an unknown outcome after {least:g} s to {most:g} s")
+def given_up_after(context, least, most):
+    answer, at = context.answers.pop(context.swallowed)
+    context.left.add(context.swallowed)
+    assert (answer.reason, answer.may_have_run, answer.arrived) == ("target_unanswered", True, True), answer
+    # The requests arrive 0.06 s apart.
+    waited = at - context.began - 0.06 * context.swallowed
+    assert least <= waited <= most, waited
+
+
+@then("the target never had more than {slots:d} requests")
+def never_more(context, slots):
+    assert context.target.most <= slots, context.target.most
+
+
+@then("the other callers got their answers")
+def others_answered(context):
+    assert context.target.count >= 30
+    answered = {number for number, (answer, _at) in context.answers.items() if isinstance(answer, Answered)}
+    assert answered == set(range(context.target.count)) - context.left, context.answers
+
+
+@then("no request was given up")
+def none_given_up(context):
+    assert all(isinstance(answer, Answered) for answer, _at in context.answers.values()), context.answers
+
+
+@when("a request without an answer is given up")
+def hung_connection(context):
+    client = target_client(HeaderNames())
+    peer = ScriptedPeer([["hold"], [whole_answer(b"a1")]], free_address())
+    loopback = Loopback(client, peer)
+    context.add_cleanup(loopback.stop)
+    for number in range(2):
+        results = Results()
+        headers = {"x-attempt-id": f"a{number}"}
+        exchange = client.request(peer.address, "GET", "/x", headers, b"", 5.0, results.append)
+        if not number:
+            assert not exchange.is_unanswered
+            loopback.run_until(lambda: peer.requests, 3.0)
+            assert exchange.is_unanswered
+            exchange.cancel(FailureKind.UNANSWERED)
+        context.results.append(results.one(loopback))
+    context.connections = len(peer.accepted_sockets)
+
+
+@then('its failure is "{kind}", and the next request comes on another connection')
+def closed_when_given_up(context, kind):
+    given_up, answered = context.results
+    assert given_up.failure().kind.value == kind and given_up.failure().bytes_sent, given_up
+    assert answered.unwrap().body == b"crest" and context.connections == 2, context.connections
