--- a/src/hibiscusdrum/internal/router/routes.py
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from hibiscusdrum.internal.router.accounts import AccountTable
+
 # Keys of partitioned services are integers from 0 to this, exclusive.
 KEY_SPACE = 65_536
 # Host of a route that applies to the requests for which no other route exists, whatever their host.
@@ -44,6 +46,10 @@
         Requests per second that the target accepts from all nodes together, while it states so.
     leaving : str
         Present in all responses of a target that is leaving.
+    account_key : str
+        Key of a client account, which is read where the request enters and goes no further.
+    account : str
+        Name of the client account, which the router tells the target.
     """
 
     attempt_id: str = "x-attempt-id"
@@ -55,6 +61,8 @@
     caller: str = "x-caller"
     rate_limit: str = "x-rate-limit"
     leaving: str = "x-leaving"
+    account_key: str = "x-account-key"
+    account: str = "x-account"
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -72,6 +80,8 @@
         Maximum number of targets to which one attempt of a caller may be sent.
     regions : tuple of str
         Regions in which requests may be served; all if empty.
+    public : bool
+        Whether requests need no key of a client account.
     """
 
     name: str
@@ -84,6 +94,7 @@
     priority: int = 1
     attempts: int = 1
     regions: tuple[str, ...] = ()
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -139,6 +150,8 @@
         Routes by host in lower case, longest prefix first.
     unusable_services : frozenset of str
         Services to which no request may be sent, since their entries cannot be used.
+    accounts : AccountTable or None
+        Client accounts; None if requests need no key.
     """
 
     version: int
@@ -146,6 +159,7 @@
     services: dict[str, ServiceSpec]
     limits: EntryLimits = EntryLimits()
     unusable_services: frozenset[str] = frozenset()
+    accounts: AccountTable | None = None
 
     @classmethod
     def build(
@@ -155,6 +169,7 @@
         services: list[ServiceSpec],
         limits: EntryLimits | None = None,
         unusable_services: frozenset[str] = frozenset(),
+        accounts: AccountTable | None = None,
     ) -> RouteTable:
         """Return a table whose routes are indexed by host and sorted by length of prefix."""
         by_host: dict[str, list[Route]] = {}
@@ -165,7 +180,7 @@
             for host, entries in by_host.items()
         }
         specs = {spec.name: spec for spec in services}
-        return cls(version, ordered, specs, limits or EntryLimits(), unusable_services)
+        return cls(version, ordered, specs, limits or EntryLimits(), unusable_services, accounts)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest matching prefix, else one of any host, or None.
--- a/src/hibiscusdrum/platform/configuration.py
+++ b/src/hibiscusdrum/platform/configuration.py
@@ -17,6 +17,7 @@
     excerpt,
     refusing_malformed,
 )
+from hibiscusdrum.internal.router.accounts import Account, AccountTable, header_form, key_digest
 from hibiscusdrum.internal.router.routes import (
     ANY_HOST,
     EMPTY_TABLE,
@@ -35,6 +36,9 @@
 # Fields of a route that decide which targets may run its requests.
 TARGET_FIELDS = ("service", "backends", "allowedRegions")
 MISSING = "the field is missing"
+NO_KEY_LIST = "a list of texts is expected"
+# Longest name of an account: it is sent in a header of each request.
+MAX_ACCOUNT_CHARACTERS = 256
 
 # Counts may be written with a fraction of 0.
 Count = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
@@ -70,6 +74,7 @@
     routes: ColumnarRecords
     services: ColumnarRecords
     limits: msgspec.Raw = msgspec.Raw(b"null")
+    tenants: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class WireBackend(msgspec.Struct, frozen=True):
@@ -93,6 +98,21 @@
     priority: Count = DEFAULT_PRIORITY
     attempts: Count = 1
     allowedRegions: tuple[Name, ...] = ()  # noqa: N815 - name on the wire
+    public: bool = False
+
+
+class WireTenant(msgspec.Struct, frozen=True):
+    """A client account. None stands for a required field.
+
+    Keys are decoded apart, so that they appear in no reason of a fault.
+    """
+
+    name: Name | None = None
+    apiKeys: Any = ()  # noqa: N815 - name on the wire
+    priority: Count | None = None
+    ratePerS: Number = 0.0  # noqa: N815 - name on the wire
+    burst: Number = 0.0
+    allowedRegions: tuple[Name, ...] = ()  # noqa: N815 - name on the wire
 
 
 class WireService(msgspec.Struct, frozen=True):
@@ -114,6 +134,9 @@
 
     REFUSED = "requests_refused"
     NOT_REPEATED = "never_repeated"
+    KEY_REQUIRED = "key_required"
+    KEY_IGNORED = "key_ignored"
+    NO_REQUESTS = "account_without_requests"
     FORMER_OR_DEFAULT = "former_value_or_default"
 
 
@@ -162,7 +185,8 @@
         If the JSON, the version, or one of the lists of routes and services cannot be decoded.
     """
     faults = FieldFaults()
-    with refusing_malformed("configuration", data):
+    # The beginning of the configuration is not quoted, since it may contain keys of accounts.
+    with refusing_malformed("configuration", f"{len(data)} bytes"):
         wire = msgspec.json.decode(data, type=WireConfig)
         version = int(wire.version.removeprefix("r"))
         if not 0 <= version <= MAX_INTEGER:
@@ -170,7 +194,9 @@
         routes = decode_routes(wire.routes, former, faults)
         services, unusable = decode_services(wire.services, routes, former, faults)
         limits = decode_limits(wire.limits, former.limits, faults)
-    return DecodedConfig(RouteTable.build(version, routes, services, limits, unusable), tuple(faults.found))
+        accounts = decode_accounts(wire.tenants, former.accounts, faults)
+    table = RouteTable.build(version, routes, services, limits, unusable, accounts)
+    return DecodedConfig(table, tuple(faults.found))
 
 
 def decode_fields(fields: dict[str, msgspec.Raw], type_: type[T]) -> tuple[T, dict[str, str]]:
@@ -260,6 +286,8 @@
     for name in ("timeoutS", "goalS", "priority"):
         if name in reasons:
             faults.add(entry, name, FaultEffect.FORMER_OR_DEFAULT, reasons[name])
+    if "public" in reasons:
+        faults.add(entry, "public", FaultEffect.KEY_REQUIRED, reasons["public"])
     host = fallback.host if wire.host is None else wire.host
     prefix = fallback.prefix if wire.prefix is None else wire.prefix
     return Route(
@@ -273,6 +301,122 @@
         priority=fallback.priority if "priority" in reasons else int(wire.priority),
         attempts=int(wire.attempts),
         regions=wire.allowedRegions,
+        public=wire.public,
+    )
+
+
+def decode_accounts(
+    raw: msgspec.Raw, former: AccountTable | None, faults: FieldFaults
+) -> AccountTable | None:
+    """Decode the client accounts; None if the configuration has none.
+
+    If the list cannot be decoded, the former accounts stay in force.
+    """
+    if bytes(raw) == b"null":
+        return None
+    try:
+        wire = msgspec.json.decode(raw, type=ColumnarRecords)
+    except DECODE_ERRORS as error:
+        faults.add("tenants", "", FaultEffect.FORMER_OR_DEFAULT, str(error))
+        return former or AccountTable(usable=False)
+    accounts: list[Account] = []
+    names: set[str] = set()
+    for position, record in enumerate(wire.records):
+        try:
+            fields, reasons = decode_record(record, wire.columns, WireTenant)
+        except DECODE_ERRORS as error:
+            faults.add(f"tenant {position}", "", FaultEffect.REFUSED, str(error))
+            continue
+        account = decode_account(position, fields, reasons, former, faults)
+        if account.usable and account.name in names:
+            faults.add(f"tenant {account.name}", "name", FaultEffect.REFUSED, "an earlier entry has the name")
+            account.usable = False
+        elif account.usable:
+            names.add(account.name)
+        accounts.append(account)
+    accounts.sort(key=lambda account: not account.usable)
+    owners: dict[bytes, Account] = {}
+    for account in accounts:
+        shared = {owner.name for digest in account.digests if (owner := owners.get(digest)) is not None}
+        for name in sorted(shared):
+            reason = f"a key is also one of tenant {name}, which comes first and has it"
+            faults.add(f"tenant {account.name}", "apiKeys", FaultEffect.KEY_IGNORED, reason)
+        for digest in account.digests:
+            owners.setdefault(digest, account)
+    return AccountTable(accounts)
+
+
+def decode_account(
+    position: int,
+    wire: WireTenant,
+    reasons: dict[str, str],
+    former_table: AccountTable | None,
+    faults: FieldFaults,
+) -> Account:
+    """Convert an account, and record its faults.
+
+    It is unusable if it is not known how it is named, which keys it has, or where its requests may be served.
+    """
+    entry = f"tenant {wire.name or position}"
+    name, refused = wire.name or "", {}
+    if wire.name is None:
+        refused["name"] = reasons.get("name", MISSING)
+    elif not is_header_text(wire.name):
+        refused["name"] = f"up to {MAX_ACCOUNT_CHARACTERS} characters that a header can have"
+    if "allowedRegions" in reasons:
+        refused["allowedRegions"] = reasons["allowedRegions"]
+    former = former_table.by_name.get(name) if former_table is not None else None
+    keys = wire.apiKeys
+    if "apiKeys" in reasons or not isinstance(keys, list | tuple):
+        refused["apiKeys"] = NO_KEY_LIST
+        # The former keys may have been removed; requests with them are refused as long as that is not known.
+        digests = former.digests if former is not None else frozenset()
+    else:
+        digests = frozenset(key_digest(header_form(key)) for key in keys if is_key(key))
+        if odd := sum(not is_key(key) for key in keys):
+            reason = f"{odd} of {len(keys)} keys are no texts that a header can have"
+            faults.add(entry, "apiKeys", FaultEffect.KEY_IGNORED, reason)
+    for field, reason in refused.items():
+        faults.add(entry, field, FaultEffect.REFUSED, reason)
+    if not digests and not refused:
+        faults.add(entry, "apiKeys", FaultEffect.NO_REQUESTS, "the account has no key")
+    for field in ("ratePerS", "burst"):
+        if field not in reasons and getattr(wire, field) < 0:
+            reasons[field] = "a number from 0"
+    for field in ("priority", "ratePerS", "burst"):
+        if field in reasons:
+            faults.add(entry, field, FaultEffect.FORMER_OR_DEFAULT, reasons[field])
+    fallback = former or Account("")
+    return Account(
+        name=name,
+        digests=digests,
+        priority=fallback.priority if "priority" in reasons else as_priority(wire.priority),
+        rate=fallback.rate if "ratePerS" in reasons else wire.ratePerS,
+        burst=fallback.burst if "burst" in reasons else wire.burst,
+        regions=wire.allowedRegions,
+        usable=not refused,
+    )
+
+
+def as_priority(value: float | None) -> int | None:
+    """Return a priority as a whole number, or None if there is none."""
+    return None if value is None else int(value)
+
+
+def is_header_text(text: str) -> bool:
+    """Return whether an account's name can be sent in a header without a change."""
+    return (
+        len(text) <= MAX_ACCOUNT_CHARACTERS and text.isascii() and text.isprintable() and text == text.strip()
+    )
+
+
+def is_key(value: object) -> bool:
+    """Return whether a caller can send a configured key in a header."""
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_NAME_CHARACTERS
+        and value == value.strip()
+        and not any(ord(character) < 32 or ord(character) == 127 for character in value)
     )
 
 
--- a/src/hibiscusdrum/platform/operator.py
+++ b/src/hibiscusdrum/platform/operator.py
@@ -246,7 +246,8 @@
     def apply_config(self, row: WireRow) -> None:
         """Apply the configuration; one that cannot be decoded is logged and ignored."""
         try:
-            with refusing_malformed("configuration", row.value):
+            # The value is not quoted, since it may contain keys of accounts.
+            with refusing_malformed("configuration", f"{len(row.value)} characters"):
                 decoded = decode_config(base64.b64decode(row.value), self.gateway.route_table)
         except InvalidArgument as error:
             unreadable_entries.record("configuration", error)
