--- a/src/hibiscusdrum/internal/cli/explain.py
+++ b/src/hibiscusdrum/internal/cli/explain.py
@@ -86,4 +86,6 @@
     if not ended:
         return "no final answer is logged: the caller's node ended first, or its line was left out under load"
     last = ended[-1].fields
-    return f"ended with {last.get('status')} because of {last.get('reason')!r}, asked {last.get('asked')}"
+    account = f", client account {last['account']!r}" if last.get("account") else ""
+    outcome = f"ended with {last.get('status')} because of {last.get('reason')!r}"
+    return f"{outcome}, asked {last.get('asked')}{account}"
--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -82,6 +82,12 @@
     store_era: Count = 0
 
 
+class Withdraw(Message, frozen=True, array_like=True, tag=True):
+    """Asks to decline a forwarded request unless its target has been sent it, which is not answered."""
+
+    request_id: bytes
+
+
 class Reply(Message, frozen=True, array_like=True, tag=True):
     """The target's answer to a call; the body frame has exactly ``length`` bytes."""
 
@@ -529,4 +535,5 @@
     | ConfigSnapshot
     | RingRequest
     | RingReply
+    | Withdraw
 )
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -316,7 +316,8 @@
     the way to the target's node and back; both are part of ``took_ms``. ``limit_ms`` is the caller's timeout
     on arrival, and ``waited_ms`` the estimated time it had waited before, if it retried after a refusal.
     ``nested`` tells that this VM's target sent it for a request that it was running, and ``allowed_regions``
-    in which regions the route may be served; in all if there are none.
+    in which regions the route and the account may be served; in all if there are none. ``account`` is the
+    client account, if it has one.
     """
 
     number = 818
@@ -340,6 +341,7 @@
     waited_ms: int = 0
     nested: bool = False
     allowed_regions: tuple[str, ...] = ()
+    account: str = ""
 
 
 class RequestRepeated(LogEvent, frozen=True):
@@ -477,7 +479,9 @@
 class ConfigurationFieldUnusable(LogEvent, frozen=True):
     """A field of a configuration is missing or could not be decoded; all other entries are in force.
 
-    ``effect`` is ``requests_refused`` (with 503), ``never_repeated`` or ``former_value_or_default``.
+    ``effect`` is ``requests_refused`` (with 503), ``never_repeated``, ``former_value_or_default``,
+    ``key_required`` (the route is not public), ``key_ignored`` (a key of an account names no account, or the
+    one that comes first) or ``account_without_requests`` (no key names it). No reason contains a key.
     """
 
     number = 845
@@ -774,11 +778,12 @@
 class ClientErrorAnswered(LogEvent, frozen=True):
     """The router answered a caller with a status of 400 to 499 of its own, which no target gave.
 
-    ``reason`` is ``no_route``, ``no_key``, or what was wrong with the input: ``malformed``, ``incomplete``,
-    ``framing``, ``head_too_large``, ``body_too_large``, ``head_timeout``. ``version`` is the configuration in
-    force, ``version_age_s`` the time since it came into force here, and ``confirmed_age_s`` the time since it
-    was last known to be the newest. ``host`` and ``prefix``, the first segment of the path, are given for
-    ``no_route``. ``received_bytes`` is what the connection had received of the request.
+    ``reason`` is ``no_route``, ``no_key``, ``no_account_key``, ``unknown_account_key``, or what was wrong
+    with the input: ``malformed``, ``incomplete``, ``framing``, ``head_too_large``, ``body_too_large``,
+    ``head_timeout``. ``version`` is the configuration in force, ``version_age_s`` the time since it came into
+    force here, and ``confirmed_age_s`` the time since it was last known to be the newest. ``host`` and
+    ``prefix``, the first segment of the path, are given for ``no_route``. ``received_bytes`` is what the
+    connection had received of the request.
     """
 
     number = 852
@@ -852,6 +857,20 @@
     reason: str
 
 
+class RequestsWithdrawn(LogEvent, frozen=True):
+    """Requests without an answer have keys that were removed, or that were given to other accounts.
+
+    Those that their targets have not been sent are refused.
+    """
+
+    number = 920
+    cause = "The operator removed a key of a client account, or the whole account."
+    operator_action = "None if that was meant."
+
+    version: int
+    requests: int
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
@@ -885,6 +904,7 @@
         RequestQuarantined,
         RequestRepeated,
         RequestRun,
+        RequestsWithdrawn,
         RingChanged,
         RingCopyRefused,
         RingFetched,
--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -4,6 +4,7 @@
 
 from hibiscusdrum.internal.kernel import Timer
 from hibiscusdrum.internal.messages import Answered, Forward
+from hibiscusdrum.internal.router.accounts import Account
 from hibiscusdrum.internal.router.routes import Route
 from hibiscusdrum.internal.transport.entry_request import EntryRequest
 
@@ -55,9 +56,20 @@
         Crashes of targets under the request, as far as its attempts have shown.
     path_seconds : float
         Seconds of the last attempt that were spent neither in the target nor in its queue.
+    account : Account or None
+        Client account; None if it has none.
+    inherits_account : bool
+        Whether it has its account, or none, from the run that sent it.
+    priority : int
+        Priority of the account, or else of the route.
+    regions : tuple of str
+        Regions in which it may be served; all if empty.
+    withdrawn : bool
+        Whether its key has been removed since it arrived, so that no further target may be sent it.
     """
 
     __slots__ = (
+        "account",
         "arrived_at",
         "asked_nodes",
         "attempt_id",
@@ -71,6 +83,7 @@
         "forward",
         "goal_at",
         "identity",
+        "inherits_account",
         "key",
         "late_on_arrival",
         "may_have_run",
@@ -78,8 +91,10 @@
         "node",
         "owner_changes",
         "path_seconds",
+        "priority",
         "reason",
         "refusing_nodes",
+        "regions",
         "request",
         "retry_after",
         "route",
@@ -91,6 +106,7 @@
         "timeout",
         "timer",
         "waited_before",
+        "withdrawn",
     )
 
     def __init__(
@@ -128,3 +144,13 @@
         self.cancelled = False
         self.timer: Timer | None = None
         self.reason = ""
+        self.account: Account | None = None
+        self.inherits_account = False
+        self.priority = route.priority
+        self.regions = route.regions
+        self.withdrawn = False
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account; empty if it has none."""
+        return self.account.name if self.account is not None else ""
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -8,8 +8,18 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import RetryBudget
-from hibiscusdrum.internal.messages import Answered, Declined, Forward
+from hibiscusdrum.internal.messages import Answered, Declined, Forward, Withdraw
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.accounts import (
+    ENDED_RUN_SECONDS,
+    NO_ACCOUNT,
+    AccountTable,
+    Admission,
+    Verdict,
+    authenticate,
+    common_regions,
+    only_key,
+)
 from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON
 from hibiscusdrum.internal.router.flight import PendingRequest, TargetFailure
 from hibiscusdrum.internal.router.hop import CLOSING_REASON, Forwarder
@@ -39,6 +49,7 @@
     EMPTY_TABLE,
     KEY_SPACE,
     HeaderNames,
+    Route,
     RouteTable,
     WeightedRoundRobin,
 )
@@ -88,6 +99,12 @@
 NO_ROUTE_REASON = "no_route"
 UNCONFIRMED_REASON = "configuration_unconfirmed"
 OUTSIDE_REGIONS_REASON = "owner_outside_regions"
+NO_REGION_REASON = "no_allowed_region"
+NO_ACCOUNT_KEY_REASON = "no_account_key"
+UNKNOWN_ACCOUNT_KEY_REASON = "unknown_account_key"
+ACCOUNT_CHANGED_REASON = "account_changed"
+# Sent with each 401, which has to name how to authenticate: by a key in the header of the configuration.
+KEY_CHALLENGE = ("www-authenticate", "ApiKey")
 OVERLOAD_REASONS = (OVERLOADED_REASON, TOO_LATE_REASON)
 THROTTLED_REASON = "throttled"
 LINK_CONGESTED_REASON = "link_congested"
@@ -119,6 +136,10 @@
         Whether the process is shutting down; connections are then closed after their response.
     service_seconds_left : callable
         Returns the seconds within which requests must end because the process is about to.
+    hidden_headers : set of str
+        Headers that are not forwarded if the configuration has client accounts.
+    started_at : float
+        Monotonic time in seconds at which the process began to listen.
     closed : bool
         Whether new connections are refused because the process is about to exit.
     routes_active_at : float
@@ -142,6 +163,8 @@
             header_names.expected_target,
             header_names.caller,
         }
+        self.hidden_headers = self.replaced_headers | {header_names.account_key, header_names.account}
+        self.started_at = -math.inf
         self.pending_requests: set[PendingRequest] = set()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.overload_control = OverloadControl(selector.rng)
@@ -153,6 +176,7 @@
 
     def on_start(self) -> None:
         """Look up the services this one uses, and listen for callers."""
+        self.started_at = self.app.clock.monotonic()
         find = self.app.find
         self.members: Members = find("members")
         self.range_owner: RangeOwner = find("range_owner")
@@ -192,6 +216,57 @@
                 routes=sum(len(routes) for routes in table.by_host.values()),
             )
         )
+        if previous.accounts is not None and table.accounts is not None:
+            self.check_keys_again(table.accounts)
+
+    def check_keys_again(self, accounts: AccountTable) -> None:
+        """Withdraw the requests whose keys have been removed or given to other accounts."""
+        withdrawn = []
+        for pending in self.pending_requests:
+            if pending.account is None or pending.inherits_account or pending.route.public:
+                continue
+            key = only_key(pending.request.headers, self.header_names.account_key)
+            account = accounts.find(key) if key else None
+            if account is None or not account.usable or account.name != pending.account.name:
+                withdrawn.append(pending)
+        if withdrawn:
+            log_events.emit(
+                events.RequestsWithdrawn(version=self.route_table.version, requests=len(withdrawn))
+            )
+        for pending in withdrawn:
+            self.withdraw(pending)
+
+    def withdraw(self, pending: PendingRequest) -> None:
+        """Have a request refused unless its target has been sent it."""
+        pending.withdrawn = True
+        forward = pending.forward
+        if forward is None:
+            self.refuse_withdrawn(pending)
+        elif pending.node == self.settings.node:
+            self.receiver.withdraw(forward.id)
+        elif self.forwarder.has_unsent_body(forward.id):
+            self.cancel_forward(pending)
+            self.refuse_withdrawn(pending)
+        else:
+            self.forwarder.send_message(pending.node, Withdraw(forward.id))
+
+    def refuse_withdrawn(self, pending: PendingRequest) -> None:
+        """Refuse a request whose key has been removed since it arrived, unless an attempt may have run it."""
+        if pending.may_have_run:
+            self.answer_failure(pending, 502)
+            return
+        accounts = self.route_table.accounts
+        key = only_key(pending.request.headers, self.header_names.account_key)
+        if accounts is None or (key and accounts.find(key) is not None):
+            pending.reason = ACCOUNT_CHANGED_REASON
+            self.refuse(pending)
+        elif not self.routes_confirmed:
+            pending.reason = UNCONFIRMED_REASON
+            self.refuse(pending)
+        else:
+            self.report_client_error(pending.request, 401, UNKNOWN_ACCOUNT_KEY_REASON)
+            headers = [(self.header_names.attempt_id, pending.attempt_id)] if pending.attempt_id else []
+            self.finish(pending, 401, [*headers, KEY_CHALLENGE], b"", UNKNOWN_ACCOUNT_KEY_REASON)
 
     @property
     def routes_confirmed(self) -> bool:
@@ -222,6 +297,18 @@
         if route is None:
             self.refuse_unconfigured(request, 404, NO_ROUTE_REASON)
             return
+        admission, regions = NO_ACCOUNT, route.regions
+        if self.route_table.accounts is not None:
+            admission = self.admit(request, route)
+            if admission.verdict is not Verdict.ADMITTED:
+                self.refuse_admission(request, admission.verdict)
+                return
+            if admission.account is not None:
+                common = common_regions(regions, admission.account.regions)
+                if common is None:
+                    self.refuse_unrouted(request, 503, NO_REGION_REASON, OUTSIDE_REGIONS_RETRY_AFTER_SECONDS)
+                    return
+                regions = common
         service = self.service_choice.choose(route) if route.services else ""
         if not service or service in self.route_table.unusable_services:
             reason = "service_unusable" if service else "route_unusable"
@@ -237,6 +324,10 @@
         remaining = min(remaining, available)
         pending = PendingRequest(request, route, service, now + remaining, now)
         pending.timeout = timeout
+        pending.regions = regions
+        pending.account, pending.inherits_account = admission.account, admission.nested
+        if admission.account is not None and admission.account.priority is not None:
+            pending.priority = admission.account.priority
         self.overload_control.on_arrival(pending, now)
         pending.attempt_id = request.header(self.header_names.attempt_id) or ""
         pending.nested = self.is_nested(pending.attempt_id)
@@ -260,10 +351,33 @@
 
     def is_nested(self, attempt_id: str) -> bool:
         """Return whether this VM's target sent a request for one that it is running."""
-        separator = self.settings.nested_id_separator
-        parent = attempt_id.rpartition(separator)[0] if separator else ""
+        parent = self.parent_id(attempt_id)
         return bool(parent) and self.receiver.is_running(parent)
 
+    def parent_id(self, attempt_id: str) -> str:
+        """Return the attempt id of the run that sent a request, as far as its id tells; empty if none."""
+        separator = self.settings.nested_id_separator
+        return attempt_id.rpartition(separator)[0] if separator else ""
+
+    def admit(self, request: EntryRequest, route: Route) -> Admission:
+        """Return whether a request is admitted, and for which account."""
+        names = self.header_names
+        key = only_key(request.headers, names.account_key)
+        run_account, restarted = None, False
+        if key is None and (parent := self.parent_id(request.header(names.attempt_id) or "")):
+            run_account = self.receiver.account_of_run(parent)
+            restarted = self.app.clock.monotonic() - self.started_at < ENDED_RUN_SECONDS
+        return authenticate(self.route_table.accounts, route.public, key, run_account, restarted)
+
+    def refuse_admission(self, request: EntryRequest, verdict: Verdict) -> None:
+        """Respond to a request whose key, or lack of one, does not admit it."""
+        if verdict is Verdict.UNAUTHORIZED:
+            has_key = request.header(self.header_names.account_key)
+            reason = UNKNOWN_ACCOUNT_KEY_REASON if has_key else NO_ACCOUNT_KEY_REASON
+            self.refuse_unconfigured(request, 401, reason)
+        else:
+            self.refuse_unrouted(request, 503, verdict.value, UNUSABLE_RETRY_AFTER_SECONDS)
+
     def request_timeout(self, request: EntryRequest) -> float:
         """Return the caller's timeout in seconds, from its deadline header."""
         try:
@@ -309,6 +423,8 @@
         headers = [(self.header_names.attempt_id, attempt_id)] if attempt_id else []
         if status == 503:
             headers.append(("retry-after", f"{retry_after:.3f}"))
+        elif status == 401:
+            headers.append(KEY_CHALLENGE)
         request.respond(status, headers, close=self.stopping)
 
     def report_client_error(
@@ -334,6 +450,9 @@
 
     def dispatch(self, pending: PendingRequest) -> None:
         """Send a request to the owner of its key, or else to the node that is expected to respond first."""
+        if pending.withdrawn:
+            self.refuse_withdrawn(pending)
+            return
         now = self.app.clock.monotonic()
         if hold := self.hold_seconds(pending):
             self.quarantine.log_refusal(pending.identity, pending.attempt_id)
@@ -423,8 +542,8 @@
                 self.refuse_quarantined(pending, self.quarantine.hold_seconds(identity))
 
     def may_serve(self, node: str, pending: PendingRequest) -> bool:
-        """Return whether a node is in a region in which the route's requests may be served."""
-        regions = pending.route.regions
+        """Return whether a node is in a region in which a request may be served."""
+        regions = pending.regions
         return not regions or self.members.region_of(node) in regions
 
     def refuse_outside_regions(self, pending: PendingRequest) -> None:
@@ -441,7 +560,7 @@
 
     def eligible_candidates(self, pending: PendingRequest) -> list[Candidate]:
         """Return the nodes that may serve a request, without those of its excluded regions."""
-        candidates = self.members.candidates(pending.service, pending.route.regions)
+        candidates = self.members.candidates(pending.service, pending.regions)
         if not pending.excluded_regions:
             return candidates
         return [entry for entry in candidates if entry.region not in pending.excluded_regions]
@@ -463,13 +582,14 @@
             headers=self.forwarded_headers(request),
             attempt_id=pending.attempt_id,
             key=pending.key,
-            priority=pending.route.priority,
+            priority=pending.priority,
             repeatable=pending.route.repeatable,
             cost_class=pending.route.name,
             caller=self.settings.service,
             only_if_free=only_if_free,
             nested=pending.nested,
             crashes=self.known_crashes(pending),
+            account=pending.account_name,
         )
         pending.forward = forward
         self.selector.on_sent(node)
@@ -488,6 +608,8 @@
     def forwarded_headers(self, request: EntryRequest) -> tuple[tuple[str, str], ...]:
         """Return the headers to forward: the host, and all that are not hop-by-hop or set by the router."""
         host = ("host", request.header("host") or "")
+        if self.route_table.accounts is not None:
+            return (host, *(entry for entry in request.headers if entry[0] not in self.hidden_headers))
         return (host, *(entry for entry in request.headers if entry[0] not in self.replaced_headers))
 
     def on_reply(
@@ -538,6 +660,11 @@
 
     def on_declined(self, pending: PendingRequest, answer: Declined, now: float) -> None:
         """Send a declined request to another node, or give the final response."""
+        if pending.withdrawn:
+            pending.may_have_run = pending.may_have_run or answer.may_have_run
+            pending.reason = answer.reason
+            self.refuse_withdrawn(pending)
+            return
         if answer.reason == BUSY_REASON:
             self.overload_control.on_busy(pending, now)
             pending.busy_nodes.append(pending.node)
@@ -616,7 +743,7 @@
         executed : bool
             Whether the previous target may have run it, so that it must be safe to repeat.
         """
-        if executed and not pending.route.repeatable:
+        if pending.withdrawn or (executed and not pending.route.repeatable):
             return False
         if pending.target_attempts >= max(1, pending.route.attempts):
             return False
@@ -728,7 +855,8 @@
                 limit_ms=round(pending.timeout * 1000),
                 waited_ms=round(pending.waited_before * 1000),
                 nested=pending.nested,
-                allowed_regions=pending.route.regions,
+                allowed_regions=pending.regions,
+                account=pending.account_name,
             )
         )
         self.metrics.count_ended(pending.route.name, status, duration)
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -23,6 +23,7 @@
     Ping,
     Pong,
     SendBody,
+    Withdraw,
 )
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.members import Members
@@ -159,6 +160,8 @@
     on_cancel : callable or None
         Called with the id of a received request that is cancelled, and the time that the cancellation was in
         transit in seconds, or None if unknown.
+    on_withdraw : callable or None
+        Called with the id of a received request that must not run if the target has not been sent it.
     shared_clock : SharedClock
         Measures the time in transit from the first message between two nodes on.
     on_body_part : callable or None
@@ -189,6 +192,7 @@
         self.started_at = 0.0
         self.on_forward: Callable[[Forward, bytes, float | None, ReplyCallback], None] | None = None
         self.on_cancel: Callable[[bytes, float | None], None] | None = None
+        self.on_withdraw: Callable[[bytes], None] | None = None
         self.shared_clock = SharedClock()
         self.on_body_part: Callable[[bytes, int, bytes], None] | None = None
         self.load_report: Callable[[], tuple[int, int, int, float, bool]] = lambda: (0, 0, 1, 0.0, False)
@@ -466,6 +470,8 @@
         elif kind is Cancel:
             transit = self.shared_clock.seconds_since(message.store_sent_at, message.store_era)
             self.on_cancel(message.request_id, transit)
+        elif kind is Withdraw:
+            self.on_withdraw(message.request_id)
         elif kind is Closing:
             self.on_closing(message.node)
         elif kind in self.message_handlers:
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -13,6 +13,7 @@
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.messages import UNKNOWN_OUTLOOK, Answered, Declined, Forward, SendBody
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.accounts import EndedRuns
 from hibiscusdrum.internal.router.admission import (
     MAX_RETRY_AFTER_SECONDS,
     AdmissionQueue,
@@ -71,6 +72,7 @@
 MAX_BODY_WAIT_SHARE = 0.5
 BUSY_REASON = "busy"
 LATE_REASON = "late"
+WITHDRAWN_REASON = "withdrawn"
 HOP_BY_HOP_HEADERS = frozenset(
     (
         "connection",
@@ -112,6 +114,10 @@
         Whether all new requests are refused, so that the process can exit.
     replaced_headers : set of str
         Headers of the forwarded request that are replaced by those for the target.
+    account_headers : frozenset of str
+        Those that are replaced besides if the configuration has client accounts.
+    ended_runs : EndedRuns
+        Accounts of the runs that have ended, for the requests that their targets still send.
     """
 
     service_name = "receiver"
@@ -137,6 +143,8 @@
             header_names.expected_target,
             header_names.caller,
         }
+        self.account_headers = frozenset((header_names.account_key, header_names.account))
+        self.ended_runs = EndedRuns()
 
     def on_start(self) -> None:
         """Look up the services this one uses, and register for their events."""
@@ -155,6 +163,7 @@
         self.rings = find("rings")
         self.forwarder.on_forward = self.on_forward
         self.forwarder.on_cancel = self.cancel
+        self.forwarder.on_withdraw = self.withdraw
         self.forwarder.on_body_part = self.on_body_part
         self.forwarder.load_report = self.load_report
         self.forwarder.rate_limit = self.reported_rate
@@ -345,10 +354,7 @@
     def decline_unsent(self) -> None:
         """Decline the requests that the target was not sent, because the process is about to end."""
         for job in [job for job in self.jobs.values() if not job.has_been_sent]:
-            if job.queue_entry is not None:
-                self.admission.remove(job.queue_entry)
-            elif job in self.awaiting_keys:
-                self.awaiting_keys.remove(job)
+            self.remove_waiting(job)
             self.decline(job, CLOSING_REASON, retry_after=RESTART_SECONDS)
 
     def hold_seconds(self, job: Job) -> float:
@@ -362,15 +368,27 @@
         self.quarantine.log_refusal(job.identity, job.forward.attempt_id)
         self.decline(job, QUARANTINED_REASON, retry_after=hold)
 
+    def withdraw(self, request_id: bytes) -> None:
+        """Decline a request whose key was removed, unless the target has been sent it."""
+        job = self.jobs.get(request_id)
+        if job is None or job.has_been_sent:
+            return
+        self.remove_waiting(job)
+        self.decline(job, WITHDRAWN_REASON)
+
+    def remove_waiting(self, job: Job) -> None:
+        """Remove a request that was not sent to the target from where it waits."""
+        if job.queue_entry is not None:
+            self.admission.remove(job.queue_entry)
+        elif job in self.awaiting_keys:
+            self.awaiting_keys.remove(job)
+
     def decline_held(self, identity: bytes, _record: CrashRecord) -> None:
         """Decline the requests with an identity that have arrived and were not sent to the target."""
         for job in list(self.jobs.values()):
             if job.has_been_sent or not job.has_body or job.identify() != identity:
                 continue
-            if job.queue_entry is not None:
-                self.admission.remove(job.queue_entry)
-            elif job in self.awaiting_keys:
-                self.awaiting_keys.remove(job)
+            self.remove_waiting(job)
             self.decline_quarantined(job, self.quarantine.hold_seconds(identity))
 
     def defer_suspect(self, job: Job) -> bool:
@@ -404,6 +422,8 @@
         """Forget a request that has its outcome; return False if that has been done."""
         if self.jobs.pop(job.forward.id, None) is None:
             return False
+        if job.has_been_sent and self.has_accounts:
+            self.ended_runs.record(job.forward.attempt_id, job.forward.account, self.now)
         self.readmit(self.suspect_line.leave(job))
         return True
 
@@ -512,6 +532,18 @@
             job.exchange is not None and job.forward.attempt_id == attempt_id for job in self.jobs.values()
         )
 
+    def account_of_run(self, attempt_id: str) -> str | None:
+        """Return the account (empty without one) of a run that the target may still be at, or None."""
+        for job in self.jobs.values():
+            if job.has_been_sent and job.forward.attempt_id == attempt_id:
+                return job.forward.account
+        return self.ended_runs.find(attempt_id, self.now)
+
+    @property
+    def has_accounts(self) -> bool:
+        """Whether the configuration has client accounts."""
+        return self.route_table is not None and self.route_table.accounts is not None
+
     def send_queued(self) -> None:
         """Send queued requests to the target while it has free slots."""
         while True:
@@ -588,15 +620,18 @@
         forward, names = job.forward, self.header_names
         headers: dict[str, str] = {}
         host = ""
+        hidden = self.account_headers if forward.account or self.has_accounts else ()
         for name, value in forward.headers:
             if name == "host":
                 host = value
-            elif name not in self.replaced_headers:
+            elif name not in self.replaced_headers and name not in hidden:
                 headers[name] = f"{headers[name]}, {value}" if name in headers else value
         headers[names.attempt_id] = forward.attempt_id
         headers[names.deadline_ms] = str(max(1, int(left * 1000.0)))
         headers[names.expected_target] = self.target.last_heartbeat.target
         headers[names.caller] = forward.caller
+        if forward.account:
+            headers[names.account] = forward.account
         return host, headers
 
     def release_unsent(self, job: Job, reason: str) -> None:
--- a/src/hibiscusdrum/internal/transport/entry_request.py
+++ b/src/hibiscusdrum/internal/transport/entry_request.py
@@ -13,6 +13,7 @@
     200: b"OK",
     204: b"No Content",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/src/hibiscusdrum/platform/main.py
+++ b/src/hibiscusdrum/platform/main.py
@@ -39,6 +39,8 @@
     caller="x-hibiscusdrum-caller",
     rate_limit="server-limit",
     leaving="server-leaving",
+    account_key="x-hibiscusdrum-key",
+    account="x-hibiscusdrum-tenant",
 )
 
 
