--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -513,6 +513,54 @@
     pending: bool = False
 
 
+# Account, requests that may take reserved tokens, other requests, tokens to lease, and, since the last
+# message, leased tokens that were used and tokens that were not needed.
+QuotaNeed = tuple[str, Count, Count, Count, Count, Count]
+# Account, seconds to wait for each of its requests (0 if it may run), and leased tokens.
+QuotaAnswer = tuple[str, tuple[Amount, ...], Count]
+
+
+class QuotaAsk(Message, frozen=True, array_like=True, tag=True):
+    """Asks the keeper of a group of client accounts for tokens, and supports it.
+
+    Attributes
+    ----------
+    number : int
+        Number of the message among those of the sender for the group.
+    supports : bool
+        Whether the keeper may count the sender until ``stamp`` and a fixed time more.
+    process, stamp : bytes, float
+        As in the last ``QuotaGrant`` of the keeper.
+    """
+
+    node: str
+    group: Count
+    number: Count
+    entries: tuple[QuotaNeed, ...] = ()
+    supports: bool = False
+    process: bytes = b""
+    stamp: Seconds = 0.0
+
+
+class QuotaGrant(Message, frozen=True, array_like=True, tag=True):
+    """Answers ``QuotaAsk`` with the same number.
+
+    Attributes
+    ----------
+    process : bytes
+        Identifies the start of the keeper's process.
+    stamp : float
+        Seconds on the keeper's monotonic clock when it sent the message.
+    """
+
+    node: str
+    group: Count
+    number: Count
+    entries: tuple[QuotaAnswer, ...] = ()
+    process: bytes = b""
+    stamp: Seconds = 0.0
+
+
 RequestMessage = (
     Call
     | Cancel
@@ -536,4 +584,6 @@
     | RingRequest
     | RingReply
     | Withdraw
+    | QuotaAsk
+    | QuotaGrant
 )
--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -15,6 +15,7 @@
 from hibiscusdrum.internal.router.metrics import RouterMetrics
 from hibiscusdrum.internal.router.quarantine import Quarantine
 from hibiscusdrum.internal.router.quarantine_rows import QuarantineRows
+from hibiscusdrum.internal.router.quota_service import QuotaService
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.readiness import Readiness
 from hibiscusdrum.internal.router.receiver import Receiver
@@ -94,6 +95,7 @@
     app.add(QuarantineRows(settings))
     app.add(Receiver(settings, names))
     app.add(Gateway(settings, names, selection))
+    app.add(QuotaService(settings))
     app.add(Readiness(settings))
     app.add(RouterStopping(settings))
     app.on_started.append(members.notify_rows_changed)
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -778,12 +778,12 @@
 class ClientErrorAnswered(LogEvent, frozen=True):
     """The router answered a caller with a status of 400 to 499 of its own, which no target gave.
 
-    ``reason`` is ``no_route``, ``no_key``, ``no_account_key``, ``unknown_account_key``, or what was wrong
-    with the input: ``malformed``, ``incomplete``, ``framing``, ``head_too_large``, ``body_too_large``,
-    ``head_timeout``. ``version`` is the configuration in force, ``version_age_s`` the time since it came into
-    force here, and ``confirmed_age_s`` the time since it was last known to be the newest. ``host`` and
-    ``prefix``, the first segment of the path, are given for ``no_route``. ``received_bytes`` is what the
-    connection had received of the request.
+    ``reason`` is ``no_route``, ``no_key``, ``no_account_key``, ``unknown_account_key``, ``over_quota``, or
+    what was wrong with the input: ``malformed``, ``incomplete``, ``framing``, ``head_too_large``,
+    ``body_too_large``, ``head_timeout``. ``version`` is the configuration in force, ``version_age_s`` the
+    time since it came into force here, and ``confirmed_age_s`` the time since it was last known to be the
+    newest. ``host`` and ``prefix``, the first segment of the path, are given for ``no_route``.
+    ``received_bytes`` is what the connection had received of the request.
     """
 
     number = 852
@@ -871,6 +871,43 @@
     requests: int
 
 
+class QuotaExceeded(LogEvent, frozen=True):
+    """A request was refused with 429, because its account has used up its quota or no token could be had.
+
+    ``wait_s`` is its Retry-After.
+    """
+
+    number = 921
+    rate_limited = True
+    lines_per_interval = 20
+    cause = (
+        "The account sends more than its rate and burst, or the keeper of its quota was lost a moment ago."
+    )
+    operator_action = "Raise the quota if it is too low; without one, look for `quota_keeper_changed`."
+
+    account: str
+    wait_s: float
+
+
+class QuotaKeeperChanged(LogEvent, frozen=True):
+    """The node asks another one for the tokens of a group of accounts.
+
+    ``silent`` are the nodes that were not chosen since they do not answer. A node that keeps a group for
+    itself has its part of each quota only.
+    """
+
+    number = 922
+    rate_limited = True
+    lines_per_interval = 20
+    cause = "A node joined, left, does not answer, or answers again."
+    operator_action = "None unless a node keeps its groups for itself for long; then check its network."
+
+    group: int
+    keeper: str
+    former: str
+    silent: tuple[str, ...]
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
@@ -898,6 +935,8 @@
         PoisonRequestRefused,
         QuarantineEnded,
         QuarantineFull,
+        QuotaExceeded,
+        QuotaKeeperChanged,
         RequestCancelled,
         RequestDeclined,
         RequestEnded,
--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -58,6 +58,8 @@
         Seconds of the last attempt that were spent neither in the target nor in its queue.
     account : Account or None
         Client account; None if it has none.
+    has_token : bool
+        Whether it has taken a token of its account's quota.
     inherits_account : bool
         Whether it has its account, or none, from the run that sent it.
     priority : int
@@ -82,6 +84,7 @@
         "expect",
         "forward",
         "goal_at",
+        "has_token",
         "identity",
         "inherits_account",
         "key",
@@ -145,6 +148,7 @@
         self.timer: Timer | None = None
         self.reason = ""
         self.account: Account | None = None
+        self.has_token = False
         self.inherits_account = False
         self.priority = route.priority
         self.regions = route.regions
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -31,6 +31,7 @@
     CrashRecord,
     Quarantine,
 )
+from hibiscusdrum.internal.router.quota_service import QuotaService
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.receiver import (
     BUSY_REASON,
@@ -103,6 +104,7 @@
 NO_ACCOUNT_KEY_REASON = "no_account_key"
 UNKNOWN_ACCOUNT_KEY_REASON = "unknown_account_key"
 ACCOUNT_CHANGED_REASON = "account_changed"
+OVER_QUOTA_REASON = "over_quota"
 # Sent with each 401, which has to name how to authenticate: by a key in the header of the configuration.
 KEY_CHALLENGE = ("www-authenticate", "ApiKey")
 OVERLOAD_REASONS = (OVERLOADED_REASON, TOO_LATE_REASON)
@@ -138,6 +140,8 @@
         Returns the seconds within which requests must end because the process is about to.
     hidden_headers : set of str
         Headers that are not forwarded if the configuration has client accounts.
+    quota : QuotaService or None
+        Gives tokens to requests of accounts that have a quota.
     started_at : float
         Monotonic time in seconds at which the process began to listen.
     closed : bool
@@ -164,6 +168,7 @@
             header_names.caller,
         }
         self.hidden_headers = self.replaced_headers | {header_names.account_key, header_names.account}
+        self.quota: QuotaService | None = None
         self.started_at = -math.inf
         self.pending_requests: set[PendingRequest] = set()
         self.retry_budgets: dict[str, RetryBudget] = {}
@@ -216,6 +221,8 @@
                 routes=sum(len(routes) for routes in table.by_host.values()),
             )
         )
+        if self.quota is not None and (previous.accounts is not None or table.accounts is not None):
+            self.quota.set_accounts(table.accounts)
         if previous.accounts is not None and table.accounts is not None:
             self.check_keys_again(table.accounts)
 
@@ -264,6 +271,7 @@
             pending.reason = UNCONFIRMED_REASON
             self.refuse(pending)
         else:
+            self.return_token(pending)
             self.report_client_error(pending.request, 401, UNKNOWN_ACCOUNT_KEY_REASON)
             headers = [(self.header_names.attempt_id, pending.attempt_id)] if pending.attempt_id else []
             self.finish(pending, 401, [*headers, KEY_CHALLENGE], b"", UNKNOWN_ACCOUNT_KEY_REASON)
@@ -346,9 +354,47 @@
         if self.overload_control.refuses(pending, now):
             pending.reason = THROTTLED_REASON
             self.refuse(pending)
+        elif pending.account is not None and pending.account.rate and not pending.inherits_account:
+            self.dispatch_within_quota(pending)
         else:
             self.dispatch(pending)
 
+    def dispatch_within_quota(self, pending: PendingRequest) -> None:
+        """Dispatch a request once there is a token for it, or refuse it."""
+        account = pending.account.name
+
+        def decide(wait: float) -> None:
+            if pending not in self.pending_requests:
+                if not wait:
+                    self.quota.give_back(account)
+            elif wait:
+                self.refuse_over_quota(pending, wait)
+            else:
+                pending.has_token = True
+                self.dispatch(pending)
+
+        if self.quota is None or account not in self.quota.accounts:
+            self.dispatch(pending)
+        elif self.quota.acquire(account, pending.waited_before > 0.0, decide):
+            pending.has_token = True
+            self.dispatch(pending)
+
+    def refuse_over_quota(self, pending: PendingRequest, wait: float) -> None:
+        """Respond that the account of a request has used up its quota for some seconds."""
+        self.quota.count_refused(pending.account_name, wait)
+        self.overload_control.on_refused(pending, wait, self.app.clock.monotonic())
+        self.report_client_error(pending.request, 429, OVER_QUOTA_REASON)
+        headers = [("retry-after", f"{wait:.3f}")]
+        if pending.attempt_id:
+            headers.append((self.header_names.attempt_id, pending.attempt_id))
+        self.finish(pending, 429, headers, b"", OVER_QUOTA_REASON)
+
+    def return_token(self, pending: PendingRequest) -> None:
+        """Return the token of a request that has not run and never will."""
+        if pending.has_token:
+            pending.has_token = False
+            self.quota.give_back(pending.account_name)
+
     def is_nested(self, attempt_id: str) -> bool:
         """Return whether this VM's target sent a request for one that it is running."""
         parent = self.parent_id(attempt_id)
@@ -785,6 +831,7 @@
         if pending.may_have_run:
             self.answer_failure(pending, 502)
             return
+        self.return_token(pending)
         wait = pending.retry_after or DEFAULT_RETRY_AFTER_SECONDS
         self.overload_control.on_refused(pending, wait, self.app.clock.monotonic())
         headers = [("retry-after", f"{wait:.3f}")]
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -53,6 +53,9 @@
         Memory that this process may use; 0 when not known.
     max_descriptors : float
         File descriptors that this process may open, besides the limit of the system; 0 when not known.
+    quota_window, quota_over, quota_slack : float
+        Tolerance of the quotas of client accounts: in any ``quota_window`` seconds, as many requests as the
+        rate and the burst allow, ``quota_over`` times as many more, and ``quota_slack``.
     nested_id_separator : str
         Follows the attempt id of the request being run in the attempt ids of its target's own requests; empty
         if the platform's ids do not tell these apart.
@@ -80,6 +83,9 @@
     link_bytes_per_second: float = 0.0
     memory_bytes: float = 0.0
     max_descriptors: float = 0.0
+    quota_window: float = 5.0
+    quota_over: float = 0.1
+    quota_slack: float = 20.0
     nested_id_separator: str = ""
     log_level: str = "INFO"
 
