--- a/src/hibiscusdrum/internal/router/job.py
+++ b/src/hibiscusdrum/internal/router/job.py
@@ -27,6 +27,8 @@
         HTTP exchange with the target while it is in progress.
     incarnation : str
         Incarnation of the target to which the request was sent.
+    drawn : bool or None
+        Whether it precedes others for the sake of its account; None if that is not decided yet.
     identity : bytes
         Identity of the request; empty as long as it was not needed.
     crashes : int
@@ -41,6 +43,7 @@
         "body_parts",
         "crashes",
         "deadline",
+        "drawn",
         "exchange",
         "forward",
         "goal_at",
@@ -72,6 +75,7 @@
         self.exchange: HttpExchange | None = None
         self.incarnation = ""
         self.sent_at = 0.0
+        self.drawn: bool | None = None
         self.identity = b""
         self.crashes = 0
         self.transit_seconds = transit_seconds
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Callable
 
 from returns.result import Result, Success
@@ -13,6 +14,7 @@
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.messages import UNKNOWN_OUTLOOK, Answered, Declined, Forward, SendBody
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.account_fairness import DRAWN_PRIORITY, AccountFairness
 from hibiscusdrum.internal.router.accounts import EndedRuns
 from hibiscusdrum.internal.router.admission import (
     MAX_RETRY_AFTER_SECONDS,
@@ -116,6 +118,8 @@
         Headers of the forwarded request that are replaced by those for the target.
     account_headers : frozenset of str
         Those that are replaced besides if the configuration has client accounts.
+    fairness : AccountFairness
+        Draws the requests that precede others whatever the priority of their accounts.
     ended_runs : EndedRuns
         Accounts of the runs that have ended, for the requests that their targets still send.
     """
@@ -145,6 +149,7 @@
         }
         self.account_headers = frozenset((header_names.account_key, header_names.account))
         self.ended_runs = EndedRuns()
+        self.fairness = AccountFairness(random.Random(settings.node))
 
     def on_start(self) -> None:
         """Look up the services this one uses, and register for their events."""
@@ -517,9 +522,10 @@
         """Return an entry of the admission queue for a request, which must end before the process does."""
         forward, now = job.forward, self.now
         deadline = min(job.deadline, now + self.service_seconds_left())
-        return QueueEntry(
-            job, forward.priority, job.goal_at, deadline, forward.cost_class, now, forward.nested
-        )
+        if job.drawn is None and forward.account and not forward.nested:
+            job.drawn = self.fairness.draws(now)
+        priority = DRAWN_PRIORITY if job.drawn else forward.priority
+        return QueueEntry(job, priority, job.goal_at, deadline, forward.cost_class, now, forward.nested)
 
     def unservable_reason(self, job: Job) -> str:
         """Return why a request cannot be served in time: its deadline, or the end of this process."""
@@ -590,6 +596,8 @@
             self.admission.finish(forward.cost_class, None)
             return
         job.sent_at, job.incarnation = now, self.target.last_incarnation
+        if job.drawn is not None:
+            self.fairness.on_served(now)
         host, headers = self.target_headers(job, left)
         try:
             job.exchange = self.http_client.request(
@@ -808,6 +816,8 @@
         forward = job.forward
         if not self.end_job(job):
             return
+        if job.drawn is not None and reason in (OVERLOADED_REASON, TOO_LATE_REASON):
+            self.fairness.on_refused(self.now)
         if forward.offered_bytes:
             self.body_gate.forget(forward.id)
             self.request_bodies()
