--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -32,6 +32,7 @@
     "name", "host", "prefix", "kind", "timeoutS", "goalS", "priority", "service", "attempts",
     "allowedRegions", "backends",
 ]  # fmt: skip
+TENANT_COLUMNS = ["name", "apiKeys", "priority", "ratePerS", "burst", "allowedRegions"]
 SERVICE_COLUMNS = ["name", "healthPath", "maxConns", "warmupS", "warmupPerS", "partitioned"]
 # The least memory of a VM that the users' sites name.
 MEMORY_MB = 200
@@ -191,8 +192,11 @@
                     return False
         return True
 
-    def configure(self, routes: list[list[Any]]) -> None:
-        """Write a new version of the configuration with these routes, as an operator does."""
+    def configure(self, routes: list[list[Any]], tenants: list[list[Any]] | None = None) -> None:
+        """Write a new version of the configuration with these routes, as an operator does.
+
+        ``tenants`` are the client accounts; without them, requests need no key.
+        """
         self.version += 3
         value = {
             "version": f"r{self.version}",
@@ -200,6 +204,8 @@
             "services": {"columns": SERVICE_COLUMNS, "records": SERVICES},
             "limits": LIMITS,
         }
+        if tenants is not None:
+            value["tenants"] = {"columns": TENANT_COLUMNS, "records": tenants}
         assert request(self.direct_store_address, "PUT", "/operator/config", value)[0] == 200
 
     def set_evacuation(self, failure_domain: str, requested: bool) -> None:
--- a/tools/standins/holding_target.py
+++ b/tools/standins/holding_target.py
@@ -193,6 +193,7 @@
             "run", id=attempt_id, path=request.target, method=request.method.decode(), body=len(request.body),
             caller=request.header(HEADER_PREFIX + "caller"),
             deadline=request.header(HEADER_PREFIX + "deadline-ms"),
+            tenant=request.header(HEADER_PREFIX + "tenant"), key=request.header(HEADER_PREFIX + "key"),
         )  # fmt: skip
         if fault == "crash" or request.body.startswith(b"crash"):
             self.app.scheduler.call_later(CRASH_DELAY_SECONDS, self.crash)
