--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -23,6 +23,7 @@
     Ping,
     Pong,
     SendBody,
+    Withdraw,
 )
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.members import Members
@@ -159,6 +160,8 @@
     on_cancel : callable or None
         Called with the id of a received request that is cancelled, and the time that the cancellation was in
         transit in seconds, or None if unknown.
+    on_withdraw : callable or None
+        Called with the id of a received request that must not run if the target has not been sent it.
     shared_clock : SharedClock
         Measures the time in transit from the first message between two nodes on.
     on_body_part : callable or None
@@ -171,6 +174,10 @@
         Returns the outlook of this node's target, which is sent with each pong.
     message_handlers : dict of type to callable
         Called with the messages of other types.
+    before_end : list of callable
+        Called before the peers are told that this process is about to end.
+    on_peer_closing : list of callable
+        Called with a node whose process is about to end.
     """
 
     service_name = "hop"
@@ -189,12 +196,15 @@
         self.started_at = 0.0
         self.on_forward: Callable[[Forward, bytes, float | None, ReplyCallback], None] | None = None
         self.on_cancel: Callable[[bytes, float | None], None] | None = None
+        self.on_withdraw: Callable[[bytes], None] | None = None
         self.shared_clock = SharedClock()
         self.on_body_part: Callable[[bytes, int, bytes], None] | None = None
         self.load_report: Callable[[], tuple[int, int, int, float, bool]] = lambda: (0, 0, 1, 0.0, False)
         self.rate_limit: Callable[[], float] = lambda: 0.0
         self.outlook: Callable[[], tuple[float, float, float]] = lambda: UNKNOWN_OUTLOOK
         self.message_handlers: dict[type, Callable[[Message], None]] = {}
+        self.before_end: list[Callable[[], None]] = []
+        self.on_peer_closing: list[Callable[[str], None]] = []
 
     def on_start(self) -> None:
         """Register for the messages of peers, and connect to nodes as they join."""
@@ -278,9 +288,13 @@
         if state is not None:
             # The peer is killed at the end of its grace, also if the end of its connection is not seen.
             state.closing_until = self.now + self.settings.grace
+        for listener in self.on_peer_closing:
+            listener(node)
 
     def announce_end(self) -> None:
         """Tell all peers that this process is about to end."""
+        for listener in self.before_end:
+            listener()
         self.broadcast(Closing(self.settings.node))
 
     def broadcast(self, message: Message) -> None:
@@ -466,6 +480,8 @@
         elif kind is Cancel:
             transit = self.shared_clock.seconds_since(message.store_sent_at, message.store_era)
             self.on_cancel(message.request_id, transit)
+        elif kind is Withdraw:
+            self.on_withdraw(message.request_id)
         elif kind is Closing:
             self.on_closing(message.node)
         elif kind in self.message_handlers:
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Callable
 
 from returns.result import Result, Success
@@ -13,6 +14,8 @@
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.messages import UNKNOWN_OUTLOOK, Answered, Declined, Forward, SendBody
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.account_fairness import DRAWN_PRIORITY, AccountFairness
+from hibiscusdrum.internal.router.accounts import EndedRuns
 from hibiscusdrum.internal.router.admission import (
     MAX_RETRY_AFTER_SECONDS,
     AdmissionQueue,
@@ -75,6 +78,7 @@
 MAX_BODY_WAIT_SHARE = 0.5
 BUSY_REASON = "busy"
 LATE_REASON = "late"
+WITHDRAWN_REASON = "withdrawn"
 HOP_BY_HOP_HEADERS = frozenset(
     (
         "connection",
@@ -124,6 +128,12 @@
         Whether all new requests are refused, so that the process can exit.
     replaced_headers : set of str
         Headers of the forwarded request that are replaced by those for the target.
+    account_headers : frozenset of str
+        Those that are replaced besides if the configuration has client accounts.
+    fairness : AccountFairness
+        Draws the requests that precede others whatever the priority of their accounts.
+    ended_runs : EndedRuns
+        Accounts of the runs that have ended, for the requests that their targets still send.
     """
 
     service_name = "receiver"
@@ -151,6 +161,9 @@
             header_names.expected_target,
             header_names.caller,
         }
+        self.account_headers = frozenset((header_names.account_key, header_names.account))
+        self.ended_runs = EndedRuns()
+        self.fairness = AccountFairness(random.Random(settings.node))
 
     def on_start(self) -> None:
         """Look up the services this one uses, and register for their events."""
@@ -169,6 +182,7 @@
         self.rings = find("rings")
         self.forwarder.on_forward = self.on_forward
         self.forwarder.on_cancel = self.cancel
+        self.forwarder.on_withdraw = self.withdraw
         self.forwarder.on_body_part = self.on_body_part
         self.forwarder.load_report = self.load_report
         self.forwarder.rate_limit = self.reported_rate
@@ -369,12 +383,7 @@
     def decline_unsent(self) -> None:
         """Decline the requests that the target was not sent, because the process is about to end."""
         for job in [job for job in self.jobs.values() if not job.has_been_sent]:
-            if job.queue_entry is not None:
-                self.admission.remove(job.queue_entry)
-            elif job in self.awaiting_keys:
-                self.awaiting_keys.remove(job)
-            elif job in self.awaiting_move:
-                self.awaiting_move.remove(job)
+            self.remove_waiting(job)
             self.decline(job, CLOSING_REASON, retry_after=RESTART_SECONDS)
 
     def hold_seconds(self, job: Job) -> float:
@@ -388,17 +397,29 @@
         self.quarantine.log_refusal(job.identity, job.forward.attempt_id)
         self.decline(job, QUARANTINED_REASON, retry_after=hold)
 
+    def withdraw(self, request_id: bytes) -> None:
+        """Decline a request whose key was removed, unless the target has been sent it."""
+        job = self.jobs.get(request_id)
+        if job is None or job.has_been_sent:
+            return
+        self.remove_waiting(job)
+        self.decline(job, WITHDRAWN_REASON)
+
+    def remove_waiting(self, job: Job) -> None:
+        """Remove a request that was not sent to the target from where it waits."""
+        if job.queue_entry is not None:
+            self.admission.remove(job.queue_entry)
+        elif job in self.awaiting_keys:
+            self.awaiting_keys.remove(job)
+        elif job in self.awaiting_move:
+            self.awaiting_move.remove(job)
+
     def decline_held(self, identity: bytes, _record: CrashRecord) -> None:
         """Decline the requests with an identity that have arrived and were not sent to the target."""
         for job in list(self.jobs.values()):
             if job.has_been_sent or not job.has_body or job.identify() != identity:
                 continue
-            if job.queue_entry is not None:
-                self.admission.remove(job.queue_entry)
-            elif job in self.awaiting_keys:
-                self.awaiting_keys.remove(job)
-            elif job in self.awaiting_move:
-                self.awaiting_move.remove(job)
+            self.remove_waiting(job)
             self.decline_quarantined(job, self.quarantine.hold_seconds(identity))
 
     def defer_suspect(self, job: Job) -> bool:
@@ -432,6 +453,8 @@
         """Forget a request that has its outcome; return False if that has been done."""
         if self.jobs.pop(job.forward.id, None) is None:
             return False
+        if job.has_been_sent and self.has_accounts:
+            self.ended_runs.record(job.forward.attempt_id, job.forward.account, self.now)
         self.readmit(self.suspect_line.leave(job))
         return True
 
@@ -568,9 +591,10 @@
         """Return an entry of the admission queue for a request, which must end before the process does."""
         forward, now = job.forward, self.now
         deadline = min(job.deadline, now + self.service_seconds_left())
-        return QueueEntry(
-            job, forward.priority, job.goal_at, deadline, forward.cost_class, now, forward.nested
-        )
+        if job.drawn is None and forward.account and not forward.nested:
+            job.drawn = self.fairness.draws(now)
+        priority = DRAWN_PRIORITY if job.drawn else forward.priority
+        return QueueEntry(job, priority, job.goal_at, deadline, forward.cost_class, now, forward.nested)
 
     def unservable_reason(self, job: Job) -> str:
         """Return why a request cannot be served in time: its deadline, or the end of this process."""
@@ -583,6 +607,18 @@
             job.exchange is not None and job.forward.attempt_id == attempt_id for job in self.jobs.values()
         )
 
+    def account_of_run(self, attempt_id: str) -> str | None:
+        """Return the account (empty without one) of a run that the target may still be at, or None."""
+        for job in self.jobs.values():
+            if job.has_been_sent and job.forward.attempt_id == attempt_id:
+                return job.forward.account
+        return self.ended_runs.find(attempt_id, self.now)
+
+    @property
+    def has_accounts(self) -> bool:
+        """Whether the configuration has client accounts."""
+        return self.route_table is not None and self.route_table.accounts is not None
+
     def send_queued(self) -> None:
         """Send queued requests to the target while it has free slots."""
         while True:
@@ -634,6 +670,8 @@
             self.admission.finish(forward.cost_class, None)
             return
         job.sent_at, job.incarnation = now, self.target.last_incarnation
+        if job.drawn is not None:
+            self.fairness.on_served(now)
         host, headers = self.target_headers(job, left)
         try:
             job.exchange = self.http_client.request(
@@ -666,15 +704,18 @@
         forward, names = job.forward, self.header_names
         headers: dict[str, str] = {}
         host = ""
+        hidden = self.account_headers if forward.account or self.has_accounts else ()
         for name, value in forward.headers:
             if name == "host":
                 host = value
-            elif name not in self.replaced_headers:
+            elif name not in self.replaced_headers and name not in hidden:
                 headers[name] = f"{headers[name]}, {value}" if name in headers else value
         headers[names.attempt_id] = forward.attempt_id
         headers[names.deadline_ms] = str(max(1, int(left * 1000.0)))
         headers[names.expected_target] = self.target.last_heartbeat.target
         headers[names.caller] = forward.caller
+        if forward.account:
+            headers[names.account] = forward.account
         return host, headers
 
     def release_unsent(self, job: Job, reason: str) -> None:
@@ -881,6 +922,8 @@
         forward = job.forward
         if not self.end_job(job):
             return
+        if job.drawn is not None and reason in (OVERLOADED_REASON, TOO_LATE_REASON):
+            self.fairness.on_refused(self.now)
         if forward.offered_bytes:
             self.body_gate.forget(forward.id)
             self.request_bodies()
