--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -166,6 +166,8 @@
         Earliest such time in that era; 0 if unknown.
     account : str
         Name of the client account; empty if none.
+    takes_parts : bool
+        Whether the sender assembles an answer that is sent in parts.
     """
 
     id: bytes
@@ -191,6 +193,7 @@
     store_era: Count = 0
     store_earliest: Seconds = 0.0
     account: str = ""
+    takes_parts: bool = False
 
 
 class SendBody(Message, frozen=True, array_like=True, tag=True):
@@ -234,6 +237,8 @@
         Requests per second that the target accepts from all nodes together; 0 if unlimited.
     outlook : tuple
         Outstanding work in seconds, wait for the link in seconds, and slowdown of the target.
+    first : int
+        Offset of the body in the separate frame; the bytes before it were sent in ``AnswerPart`` messages.
     """
 
     id: bytes
@@ -243,6 +248,22 @@
     held_seconds: Seconds = 0.0
     rate_limit: Amount = 0.0
     outlook: Outlook = UNKNOWN_OUTLOOK
+    first: Count = 0
+
+
+class AnswerPart(Message, frozen=True, array_like=True, tag=True):
+    """A part of the target's answer, whose last part comes with ``Answered``.
+
+    The bytes are in a separate frame.
+
+    Attributes
+    ----------
+    first : int
+        Offset of the first byte.
+    """
+
+    id: bytes
+    first: Count
 
 
 class Declined(Message, frozen=True, array_like=True, tag=True):
@@ -518,6 +539,7 @@
     | SendBody
     | Body
     | Answered
+    | AnswerPart
     | Declined
     | Ping
     | Pong
