--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -82,6 +82,7 @@
     shared_clock = app.add(SharedClock())
     hop = app.add(Forwarder(settings, selection))
     hop.shared_clock = shared_clock
+    hop.memory = memory
     app.add(ConfigGossip(settings, rng))
     app.add(StoreEra())
     app.add(Rings(settings))
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -6,14 +6,18 @@
 import os
 import uuid
 from collections.abc import Callable
+from functools import singledispatch
+from typing import Any
 
 import msgspec
 
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.load.egress import EgressQueue, Lane, Outgoing
 from hibiscusdrum.internal.messages import (
     UNKNOWN_OUTLOOK,
     Answered,
+    AnswerPart,
     Body,
     Cancel,
     Closing,
@@ -30,6 +34,7 @@
 from hibiscusdrum.internal.router.settings import RouterSettings
 from hibiscusdrum.internal.router.shared_clock import SharedClock
 from hibiscusdrum.internal.router.traffic import Traffic
+from hibiscusdrum.internal.transport.body_memory import MAX_BODY_BYTES, BodyMemory
 
 PING_INTERVAL_SECONDS = 0.25
 # A peer with outstanding requests counts as unreachable after this much silence. A round trip between regions
@@ -49,6 +54,8 @@
 SILENT_REASON = "silent"
 DISCONNECTED_REASON = "disconnected"
 RESTARTED_REASON = "restarted"
+PARTS_LOST_REASON = "parts_lost"
+ANSWER_MEMORY_REASON = "answer_memory"
 REMOVED_REASON = "removed"
 # Reason with which a node declines all requests because its process is about to end.
 CLOSING_REASON = "closing"
@@ -57,6 +64,9 @@
 # A larger body is not sent with the request but offered, and sent when the receiver asks for it: the extra
 # round trip takes less time than such a body takes on a slow link.
 MAX_INLINE_BODY_BYTES = 16_384
+# The memory of bodies is checked after so many bytes of parts of answers, since a check takes time in
+# proportion to the callers' connections.
+MEMORY_CHECK_BYTES = 65_536
 
 ReplyCallback = Callable[[Answered | Declined | SendBody, bytes], None]
 
@@ -70,9 +80,26 @@
         Whether the request may be sent to another node although this one may have run it.
     unsent_body : bytes
         Offered body until its last part is sent; until then the request cannot have run.
+    lane : Lane
+        Lane of the body on the link of this VM.
+    deadline : float
+        Monotonic time in seconds from which an answer is useless.
+    answer_parts, received : list of bytes, int
+        Parts of the answer received so far, and their bytes.
     """
 
-    __slots__ = ("address", "callback", "node", "repeatable", "sent_at", "unsent_body")
+    __slots__ = (
+        "address",
+        "answer_parts",
+        "callback",
+        "deadline",
+        "lane",
+        "node",
+        "received",
+        "repeatable",
+        "sent_at",
+        "unsent_body",
+    )
 
     def __init__(
         self,
@@ -82,6 +109,8 @@
         sent_at: float,
         repeatable: bool,
         unsent_body: bytes,
+        lane: Lane,
+        deadline: float,
     ) -> None:
         self.node = node
         self.address = address
@@ -89,6 +118,10 @@
         self.sent_at = sent_at
         self.repeatable = repeatable
         self.unsent_body = unsent_body
+        self.lane = lane
+        self.deadline = deadline
+        self.answer_parts: list[bytes] = []
+        self.received = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -96,6 +129,36 @@
         return not self.unsent_body
 
 
+class QueuedAnswer:
+    """An answer to another node that waits for the link.
+
+    Attributes
+    ----------
+    identity, origin : bytes, str
+        Connection of the node, and its name.
+    queued_at : float
+        Monotonic time in seconds.
+    """
+
+    __slots__ = ("answer", "content", "identity", "origin", "queued_at")
+
+    def __init__(self, identity: bytes, origin: str, answer: Answered, content: bytes, now: float) -> None:
+        self.identity = identity
+        self.origin = origin
+        self.answer = answer
+        self.content = content
+        self.queued_at = now
+
+
+class QueuedBody:
+    """Requested bytes of the body of a request, from an offset on, that wait for the link."""
+
+    __slots__ = ("first",)
+
+    def __init__(self, first: int) -> None:
+        self.first = first
+
+
 class TransitDelay:
     """Transit delay of one sender's messages, relative to its fastest one.
 
@@ -171,6 +234,10 @@
         Returns the outlook of this node's target, which is sent with each pong.
     message_handlers : dict of type to callable
         Called with the messages of other types.
+    egress : EgressQueue
+        Answers and bodies that wait for the link of this VM.
+    memory : BodyMemory
+        Limits on the bodies that this process holds.
     """
 
     service_name = "hop"
@@ -195,6 +262,10 @@
         self.rate_limit: Callable[[], float] = lambda: 0.0
         self.outlook: Callable[[], tuple[float, float, float]] = lambda: UNKNOWN_OUTLOOK
         self.message_handlers: dict[type, Callable[[Message], None]] = {}
+        self.egress = EgressQueue(settings.link_bytes_per_second)
+        self.egress_due_at = float("inf")
+        self.memory = BodyMemory()
+        self.unchecked_bytes = 0
 
     def on_start(self) -> None:
         """Register for the messages of peers, and connect to nodes as they join."""
@@ -205,8 +276,34 @@
         self.peers.on_request = self.on_request
         self.peers.on_reply = self.on_reply
         self.members.on_change.append(self.connect_to_members)
+        self.memory.holders.append(self.held_bytes)
+        self.traffic.on_store_sent = self.charge
         self.app.scheduler.every(PING_INTERVAL_SECONDS, self.ping)
 
+    def on_stop(self) -> None:
+        """Hand all that waits for the link to the connections, which transmit it before they are closed."""
+        while (part := self.egress.next_part(self.now, paced=False)) is not None:
+            send_part(part[0].item, self, *part)
+
+    def held_bytes(self) -> int:
+        """Return the bytes of answers that wait for the link or have arrived in part."""
+        waiting = sum(entry.size for entry in self.egress.entries.values())
+        return waiting + sum(entry.received for entry in self.outstanding.values())
+
+    @property
+    def has_queued(self) -> bool:
+        """Whether an answer or a body waits for the link."""
+        return bool(self.egress.entries)
+
+    def charge(self, size: int) -> None:
+        """Count bytes that were sent over the link of this VM."""
+        self.egress.charge(size, self.now)
+
+    def count_sent(self, region: str, kind: str, size: int) -> None:
+        """Count the bytes of a message to a node in a region."""
+        self.traffic.count_sent(region, kind, size)
+        self.charge(size)
+
     @property
     def now(self) -> float:
         """Monotonic time in seconds."""
@@ -251,14 +348,21 @@
         stamp, _ = self.shared_clock.stamp()
         earliest, era = self.shared_clock.earliest_stamp()
         forward = msgspec.structs.replace(
-            forward, store_sent_at=stamp, store_era=era, store_earliest=earliest
+            forward, store_sent_at=stamp, store_era=era, store_earliest=earliest, takes_parts=True
         )
         size = self.peers.try_send_request(state.address, forward, body) if state is not None else 0
         if not size:
             return False
-        self.traffic.count_sent(self.members.region_of(node), "forward", size)
+        self.count_sent(self.members.region_of(node), "forward", size)
         self.outstanding[forward.id] = OutstandingRequest(
-            node, state.address, callback, self.now, forward.repeatable, unsent_body
+            node,
+            state.address,
+            callback,
+            self.now,
+            forward.repeatable,
+            unsent_body,
+            Lane.NESTED if forward.nested else Lane.BULK,
+            self.now + forward.remaining_seconds,
         )
         return True
 
@@ -299,21 +403,58 @@
         if state is None:
             return False
         size = self.peers.try_send_request(state.address, message)
-        self.traffic.count_sent(self.members.region_of(node), type(message).__name__.lower(), size)
+        self.count_sent(self.members.region_of(node), type(message).__name__.lower(), size)
         return size > 0
 
     def send_body_part(self, part_request: SendBody) -> None:
-        """Send the part of an offered body that the receiver asks for."""
-        entry = self.outstanding.get(part_request.id)
+        """Send the part of an offered body that the receiver asks for, once the link has room for it."""
+        request_id, first = part_request.id, part_request.first
+        entry = self.outstanding.get(request_id)
         if entry is None or not entry.unsent_body:
             return
-        end = part_request.first + part_request.count
-        part = entry.unsent_body[part_request.first : end]
-        size = self.peers.try_send_request(entry.address, Body(part_request.id, part_request.first), part)
+        count = min(part_request.count, len(entry.unsent_body) - first)
+        queued = self.egress.entries.get(request_id)
+        if not self.egress.rate or count <= 0:
+            self.transmit_body(request_id, first, part_request.count)
+        elif queued is None:
+            outgoing = Outgoing(request_id, entry.lane, count, entry.deadline, QueuedBody(first))
+            self.egress.push(outgoing, self.now)
+            self.send_due()
+        elif queued.item.first + queued.size == first:
+            self.egress.extend(queued, count)
+
+    def transmit_body(self, request_id: bytes, first: int, count: int) -> bool:
+        """Send a part of an offered body; return False if it was not sent."""
+        entry = self.outstanding.get(request_id)
+        if entry is None or not entry.unsent_body:
+            return False
+        end = first + count
+        part = entry.unsent_body[first:end]
+        size = self.peers.try_send_request(entry.address, Body(request_id, first), part)
         if size:
-            self.traffic.count_sent(self.members.region_of(entry.node), "body", size)
+            self.count_sent(self.members.region_of(entry.node), "body", size)
             if end >= len(entry.unsent_body):
                 entry.unsent_body = b""
+        return size > 0
+
+    def send_due(self) -> None:
+        """Send the parts of answers and bodies that the link has room for, and wait for the next one."""
+        self.egress_due_at = float("inf")
+        now = self.now
+        # Peers may have replaced their connections during a pause of this process.
+        delay = self.app.scheduler.resumed_at + RECONNECT_SECONDS - now
+        if delay <= 0.0:
+            while (part := self.egress.next_part(now)) is not None:
+                send_part(part[0].item, self, *part)
+            delay = self.egress.next_due_seconds(now)
+        if delay is not None and self.has_queued:
+            self.egress_due_at = now + delay
+            self.app.scheduler.call_later(delay, self.send_if_due)
+
+    def send_if_due(self) -> None:
+        """Continue to send, unless that has been done since this call was scheduled."""
+        if self.now >= self.egress_due_at:
+            self.send_due()
 
     def has_unsent_body(self, request_id: bytes) -> bool:
         """Return whether a request cannot have run because its body has not been sent completely."""
@@ -324,7 +465,10 @@
         """Ask the peer to cancel a request; a reply that still arrives is dropped."""
         entry = self.outstanding.pop(request_id, None)
         if entry is not None:
-            self.peers.try_send_request(entry.address, Cancel(request_id, *self.shared_clock.stamp()))
+            self.egress.remove(request_id)
+            self.charge(
+                self.peers.try_send_request(entry.address, Cancel(request_id, *self.shared_clock.stamp()))
+            )
 
     def on_reply(self, message: Message, body: bytes) -> None:
         """Process a message that answers an earlier one of this node."""
@@ -335,11 +479,21 @@
         if kind is SendBody:
             self.send_body_part(message)
             return
+        if kind is AnswerPart:
+            self.on_answer_part(message, body)
+            return
         if kind not in (Answered, Declined):
             return
-        entry = self.outstanding.pop(message.id, None)
+        entry = self.outstanding.get(message.id)
         if entry is None:
             return
+        if kind is Answered and message.first != entry.received:
+            self.give_up(message.id, f"peer_{PARTS_LOST_REASON}")
+            return
+        del self.outstanding[message.id]
+        self.egress.remove(message.id)
+        if kind is Answered and entry.answer_parts:
+            body = b"".join((*entry.answer_parts, body))
         state = self.peer_states.get(entry.node)
         if state is not None:
             state.last_heard_at = self.now
@@ -348,6 +502,41 @@
         self.selector.on_report(entry.node, LoadReport.of(message), self.now)
         entry.callback(message, body)
 
+    def on_answer_part(self, message: AnswerPart, part: bytes) -> None:
+        """Add a part to an answer; give the request up if a part is missing or the memory is full."""
+        entry = self.outstanding.get(message.id)
+        if entry is None or not part:
+            return
+        state = self.peer_states.get(entry.node)
+        if state is not None:
+            state.last_heard_at = self.now
+        if message.first != entry.received:
+            self.give_up(message.id, f"peer_{PARTS_LOST_REASON}")
+            return
+        entry.answer_parts.append(part)
+        entry.received += len(part)
+        if entry.received > MAX_BODY_BYTES:
+            self.give_up_incomplete(message.id)
+            return
+        self.unchecked_bytes += len(part)
+        if self.unchecked_bytes >= MEMORY_CHECK_BYTES:
+            self.unchecked_bytes = 0
+            if self.memory.exceeded:
+                self.give_up_incomplete(
+                    max(self.outstanding, key=lambda request_id: self.outstanding[request_id].received)
+                )
+
+    def give_up_incomplete(self, request_id: bytes) -> None:
+        """Give up a request because there is no memory for the rest of its answer."""
+        self.memory.report_exceeded("incomplete answer", self.outstanding[request_id].received)
+        self.give_up(request_id, ANSWER_MEMORY_REASON)
+
+    def give_up(self, request_id: bytes, reason: str) -> None:
+        """Decline a request that has run, whose answer cannot be completed."""
+        entry = self.outstanding[request_id]
+        self.cancel(request_id)
+        entry.callback(Declined(request_id, reason, True, True, 0.0, (0, 0, 1, 0.0, False)), b"")
+
     def on_pong(self, pong: Pong) -> None:
         """Record that a peer is alive; decline the requests sent to its previous incarnation."""
         state = self.peer_states.get(pong.node)
@@ -384,6 +573,7 @@
                 continue
             ping = Ping(self.settings.node, now, self.process_id, *self.shared_clock.earliest_stamp())
             sent = self.peers.try_send_request(state.address, ping)
+            self.charge(sent)
             silence = self.app.scheduler.silence_seconds(max(state.last_heard_at, since))
             if silence > MAX_SILENCE_SECONDS:
                 self.on_silent(node, state)
@@ -433,6 +623,7 @@
         ]
         for request_id in ids:
             entry = self.outstanding.pop(request_id)
+            self.egress.remove(request_id)
             ran = entry.may_have_run
             entry.callback(Declined(request_id, f"peer_{reason}", ran, ran, 0.0, (0, 0, 1, 0.0, False)), b"")
 
@@ -442,9 +633,10 @@
         if kind is Forward:
             self.shared_clock.on_message(message.store_earliest, message.store_era)
             transit = self.time_in_transit(message)
+            deadline = self.now - (transit or 0.0) + message.remaining_seconds
 
             def reply(answer: Answered | Declined | SendBody, content: bytes) -> None:
-                self.reply(identity, message.origin, answer, content)
+                self.reply(identity, message, deadline, answer, content)
 
             self.on_forward(message, body, transit, reply)
         elif kind is Body:
@@ -462,8 +654,9 @@
                 self.rate_limit(),
                 self.outlook(),
             )
-            self.peers.reply(identity, pong)
+            self.charge(self.peers.reply(identity, pong))
         elif kind is Cancel:
+            self.egress.remove(message.request_id)
             transit = self.shared_clock.seconds_since(message.store_sent_at, message.store_era)
             self.on_cancel(message.request_id, transit)
         elif kind is Closing:
@@ -472,19 +665,39 @@
             self.message_handlers[kind](message)
 
     def reply(
-        self, identity: bytes, origin: str, answer: Answered | Declined | SendBody, content: bytes
+        self,
+        identity: bytes,
+        forward: Forward,
+        deadline: float,
+        answer: Answered | Declined | SendBody,
+        content: bytes,
     ) -> None:
         """Reply to a request of another node, after a pause of this process with a delay.
 
         A peer that found this process silent has replaced its connection. What is sent before the new one is
-        accepted goes to the old one and is lost.
+        accepted goes to the old one and is lost. An answer waits for the link if that is busy.
         """
-        delay = self.app.scheduler.resumed_at + RECONNECT_SECONDS - self.now
+        now = self.now
+        delay = self.app.scheduler.resumed_at + RECONNECT_SECONDS - now
         if delay > 0.0:
-            self.app.scheduler.call_later(delay, lambda: self.reply(identity, origin, answer, content))
+            self.app.scheduler.call_later(
+                delay, lambda: self.reply(identity, forward, deadline, answer, content)
+            )
             return
+        lane = answer_lane(forward, content)
+        if type(answer) is not Answered or self.egress.passes(lane, len(content), now):
+            self.transmit_reply(identity, forward.origin, answer, content)
+            return
+        item = QueuedAnswer(identity, forward.origin, answer, content, now)
+        whole = not forward.takes_parts
+        self.egress.push(Outgoing(forward.id, lane, len(content), deadline, item, whole), now)
+        self.send_due()
+
+    def transmit_reply(self, identity: bytes, origin: str, answer: Message, content: bytes) -> int:
+        """Send a reply, and return its size; 0 if the connection is lost."""
         size = self.peers.reply(identity, answer, content)
-        self.traffic.count_sent(self.members.region_of(origin), type(answer).__name__.lower(), size)
+        self.count_sent(self.members.region_of(origin), type(answer).__name__.lower(), size)
+        return size
 
     @property
     def link_congested(self) -> bool:
@@ -526,3 +739,40 @@
         if delay > CONGESTION_DELAY_SECONDS and self.members.region_of(origin) == self.settings.region:
             self.record_congestion(origin, delay)
         return delay
+
+
+def answer_lane(forward: Forward, content: bytes) -> Lane:
+    """Return the lane of an answer on the link."""
+    if len(content) <= MAX_INLINE_BODY_BYTES:
+        return Lane.SMALL
+    return Lane.NESTED if forward.nested else Lane.BULK
+
+
+@singledispatch
+def send_part(item: Any, hop: Forwarder, entry: Outgoing, first: int, count: int) -> None:
+    """Send a part of what waited for the link; drop the rest if there is no connection."""
+    raise TypeError(type(item).__name__)
+
+
+@send_part.register
+def send_answer_part(item: QueuedAnswer, hop: Forwarder, entry: Outgoing, first: int, count: int) -> None:
+    """Send a part of an answer; the last one with the answer itself and the current load."""
+    message: Message = AnswerPart(item.answer.id, first)
+    if first + count == entry.size:
+        message = msgspec.structs.replace(
+            item.answer,
+            load=hop.load_report(),
+            held_seconds=item.answer.held_seconds + hop.now - item.queued_at,
+            outlook=hop.outlook(),
+            first=first,
+        )
+    part = item.content[first : first + count]
+    if not hop.transmit_reply(item.identity, item.origin, message, part):
+        hop.egress.remove(entry.key)
+
+
+@send_part.register
+def send_queued_body(item: QueuedBody, hop: Forwarder, entry: Outgoing, first: int, count: int) -> None:
+    """Send a part of the body of a request."""
+    if not hop.transmit_body(entry.key, item.first + first, count):
+        hop.egress.remove(entry.key)
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -126,8 +126,13 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is in flight, or has arrived and is not read yet."""
-        in_flight = self.gateway.has_pending or self.receiver.has_jobs or self.entry.unanswered_count
+        """Whether a request is in flight or not read yet, or an answer waits for the link."""
+        in_flight = (
+            self.gateway.has_pending
+            or self.receiver.has_jobs
+            or self.entry.unanswered_count
+            or self.hop.has_queued
+        )
         return bool(in_flight or self.entry.has_incoming or self.peers.has_unread_messages)
 
     @property
--- a/src/hibiscusdrum/internal/router/traffic.py
+++ b/src/hibiscusdrum/internal/router/traffic.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from collections.abc import Callable
 
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
@@ -39,6 +40,8 @@
         Number of messages in each histogram bucket of their transit delay, by place of the sender.
     summarized_calls, summarized_bytes : dict
         Totals at the time of the last summary.
+    on_store_sent : callable
+        Called with the bytes that a call to the store has sent.
     """
 
     service_name = "traffic"
@@ -55,6 +58,7 @@
         }
         self.longest_delays: dict[str, float] = {OWN_REGION: 0.0, OTHER_REGIONS: 0.0}
         self.summarized_bytes: dict[tuple[str, str], int] = {}
+        self.on_store_sent: Callable[[int], None] = lambda _size: None
 
     def on_start(self) -> None:
         """Register for the store's calls, and schedule the summaries."""
@@ -78,6 +82,7 @@
         self.store_calls[operation] = self.store_calls.get(operation, 0) + 1
         self.sent_bytes[key] = self.sent_bytes.get(key, 0) + sent
         self.received_bytes[key] = self.received_bytes.get(key, 0) + received
+        self.on_store_sent(sent)
 
     def count_dropped_answer(self, operation: str, received: int) -> None:
         """Count the bytes of an answer of the store that was not received to its end."""
--- /dev/null
+++ b/tests/features/link.feature
@@ -0,0 +1,87 @@
+Feature: The link of a VM is shared in an order that answers with short time limits survive
+  Guards against small answers that wait behind large ones, and against large answers that are lost or mixed up in parts.
+
+  Scenario Outline: Small answers wait for a part or two of the large ones, which all arrive
+    Given a link of 1250000 bytes a second, <overhead> of which headers take, and timers up to <late> s late
+    When answers of 90 kB use 90 in 100 of it for 60 s, and 25 small ones a second are sent too
+    Then each small answer has left the link after 0.022 s, and all large ones in the end
+
+    Examples:
+      | overhead | late  |
+      | 0.0      | 0.0   |
+      | 0.04     | 0.0   |
+      | 0.04     | 0.003 |
+
+  Scenario: Large answers to nested requests precede other large ones, and small ones precede both
+    Given a queue for a link of 1250000 bytes a second
+    When large answers, a large answer to a nested request and many small ones wait
+    Then the small ones are sent first, then the nested one, and then those with the earliest deadlines
+
+  Scenario: What is cancelled or has passed its deadline is not sent
+    Given a queue for a link of 1250000 bytes a second
+    When one of three large answers is cancelled after its first part, and the deadline of another passes
+    Then only the third one is sent completely, and nothing is counted as waiting
+
+  Scenario: After a pause of the process the link is not flooded
+    Given a queue for a link of 1250000 bytes a second
+    When a large answer waits while the process is paused for 2 s
+    Then at most 0.02 s of the link are sent at once
+
+  Scenario Outline: A link of <rate> bytes a second takes an answer of 90 kB in one message at once
+    Given two nodes, one of them on a link of <rate> bytes a second
+    When it answers a request of the other with 90000 bytes
+    Then 1 message was sent at once, and the other node has the answer
+
+    Examples:
+      | rate     |
+      | 0        |
+      | 12500000 |
+      | 25000000 |
+
+  Scenario: An answer that is sent in parts arrives whole, and a small one overtakes it
+    Given two nodes, one of them on a link of 1250000 bytes a second
+    When it answers a request of the other with 200000 bytes, and another one with 400 bytes
+    Then the small answer arrives first, and the large one is complete after 0.15 to 0.25 s
+
+  Scenario: A node of an earlier release gets an answer in one message
+    Given two nodes, one of them on a link of 1250000 bytes a second
+    When it answers a request of the other, which knows no parts, with 200000 bytes
+    Then 1 message was sent at once, and the other node has the answer
+
+  Scenario Outline: <event> between two parts leaves the outcome unknown
+    Given two nodes, one of them on a link of 1250000 bytes a second
+    When it answers a request of the other with 200000 bytes
+    And <event> between two parts
+    Then the request is declined once, as one that may have run
+    And nothing is kept of the answer
+
+    Examples:
+      | event                      |
+      | a part is lost             |
+      | the peer falls silent      |
+      | the connection is lost     |
+      | the memory becomes full    |
+
+  Scenario: A peer that sends parts, and nothing else, is not silent
+    Given two nodes, one of them on a link of 125000 bytes a second
+    When it answers a request of the other with 400000 bytes, and no ping is answered
+    Then the large answer is complete after 3 to 4 s
+
+  Scenario: The rest of an answer whose caller has left is not sent
+    Given two nodes, one of them on a link of 1250000 bytes a second
+    When it answers a request of the other with 200000 bytes
+    And the other node cancels the request after 0.05 s
+    Then no more parts are sent, and neither node keeps anything
+
+  Scenario: A planned stop waits for the link, and delivers what is queued at the end of its grace
+    Given two nodes, one of them on a link of 1250000 bytes a second
+    When it answers a request of the other with 200000 bytes
+    Then it does not count as idle
+    When its process stops
+    Then the other node has the answer
+
+  Scenario: A large body is sent in parts and counts as unsent until the last of them
+    Given two nodes, one of them on a link of 1250000 bytes a second
+    When it sends a request with a body of 100000 bytes, which the other node requests whole
+    Then a small answer that it sends meanwhile has at most 0.02 s of the link ahead
+    And the request cannot have run until the other node has the whole body
--- /dev/null
+++ b/tests/features/steps/link_steps.py
@@ -0,0 +1,428 @@
+"""Steps on the order and the pacing of what a node sends over the link of its VM, without a network.
+
+They guard against small answers that are late because large ones were sent before them, and against answers
+in parts that are lost, mixed up, or kept in memory.
+"""
+
+import heapq
+import itertools
+import random
+
+import msgspec
+from behave import given, then, when
+from tests.router_stubs import FREE, SETTINGS, Stub, application, forward
+from tests.router_world import Loop
+
+from hibiscusdrum.internal import codec
+from hibiscusdrum.internal.load.egress import PART_SECONDS, EgressQueue, Lane, Outgoing
+from hibiscusdrum.internal.messages import Answered, AnswerPart, Body, Declined, Forward, Ping, SendBody
+from hibiscusdrum.internal.router.hop import Forwarder
+from hibiscusdrum.internal.router.members import Members, NodeRow
+from hibiscusdrum.internal.router.selection import NodeSelector
+from hibiscusdrum.internal.router.traffic import Traffic
+
+LARGE_BYTES, SMALL_BYTES = 90_000, 400
+STEP_SECONDS = 0.001
+
+
+class LinkModel:
+    """A link behind an egress queue; bytes leave it in the order in which they were handed over.
+
+    Attributes
+    ----------
+    sent : list of (bytes, Lane, float)
+        Id and lane of each complete answer, and the seconds until its last byte had left the link.
+    """
+
+    def __init__(self, rate, overhead, late, seed=7):
+        self.egress = EgressQueue(rate)
+        self.rate, self.overhead, self.late = rate, overhead, late
+        self.rng = random.Random(seed)
+        self.free_at = 0.0
+        self.queued_at = {}
+        self.sent = []
+        self.calls = []
+        self.counter = itertools.count()
+
+    def hand_over(self, key, lane, size, last, now):
+        """Put bytes on the link."""
+        self.egress.charge(size, now)
+        self.free_at = max(self.free_at, now) + size * (1.0 + self.overhead) / self.rate
+        if last:
+            self.sent.append((key, lane, self.free_at - self.queued_at[key]))
+
+    def send(self, lane, size, now, deadline=60.0):
+        """Answer a request."""
+        key = next(self.counter).to_bytes(4, "big")
+        self.queued_at[key] = now
+        if self.egress.passes(lane, size, now):
+            self.hand_over(key, lane, size, True, now)
+            return
+        self.egress.push(Outgoing(key, lane, size, now + deadline, None), now)
+        self.send_due(now)
+
+    def send_due(self, now):
+        """Send what is due, and set a timer for the rest."""
+        while (part := self.egress.next_part(now)) is not None:
+            entry, first, count = part
+            self.hand_over(entry.key, entry.lane, count, first + count == entry.size, now)
+        due = self.egress.next_due_seconds(now)
+        if due is not None:
+            self.at(now + due + self.rng.uniform(0.0, self.late), self.send_due)
+
+    def at(self, time, call):
+        """Call a function at a time, which it is given."""
+        heapq.heappush(self.calls, (time, next(self.counter), call))
+
+    def arrivals(self, lane, size, rate, end):
+        """Let answers of a size be sent at a mean rate until a time."""
+
+        def arrive(now):
+            if now < end:
+                self.send(lane, size(), now)
+                self.at(now + self.rng.expovariate(rate), arrive)
+
+        self.at(self.rng.expovariate(rate), arrive)
+
+    def run(self):
+        """Run until nothing is left to do."""
+        while self.calls:
+            now, _, call = heapq.heappop(self.calls)
+            call(now)
+
+
+@given(
+    "a link of {rate:d} bytes a second, {overhead:g} of which headers take, and timers up to {late:g} s late"
+)
+def link_model(context, rate, overhead, late):
+    context.link = LinkModel(rate, overhead, late)
+
+
+@when(
+    "answers of 90 kB use {share:d} in 100 of it for {seconds:d} s, "
+    "and {small:d} small ones a second are sent too"
+)
+def link_used(context, share, seconds, small):
+    link = context.link
+    rate = link.rate * share / 100 / LARGE_BYTES
+    link.arrivals(Lane.BULK, lambda: int(link.rng.uniform(0.5, 1.5) * LARGE_BYTES), rate, seconds)
+    link.arrivals(Lane.SMALL, lambda: SMALL_BYTES, small, seconds)
+    link.run()
+
+
+@then("each small answer has left the link after {most:g} s, and all large ones in the end")
+def small_in_time(context, most):
+    link = context.link
+    small = [seconds for _, lane, seconds in link.sent if lane is Lane.SMALL]
+    assert len(small) > 1000 and max(small) <= most, (len(small), max(small))
+    assert len(link.sent) == len(link.queued_at) and not link.egress.entries
+
+
+@given("a queue for a link of {rate:d} bytes a second")
+def egress_queue(context, rate):
+    context.egress = EgressQueue(rate)
+
+
+def push(egress, key, lane, size, deadline, now=0.0):
+    egress.push(Outgoing(key, lane, size, deadline, None), now)
+
+
+def send_all(egress, now, end=10.0):
+    """Send all that is queued as the link permits; return the ids in the order of their last parts."""
+    done = []
+    while now < end:
+        while (part := egress.next_part(now)) is not None:
+            entry, first, count = part
+            egress.charge(count, now)
+            if first + count == entry.size:
+                done.append(entry.key)
+        now += STEP_SECONDS
+    return done
+
+
+@when("large answers, a large answer to a nested request and many small ones wait")
+def several_wait(context):
+    push(context.egress, b"late", Lane.BULK, LARGE_BYTES, 9.0)
+    push(context.egress, b"soon", Lane.BULK, LARGE_BYTES, 5.0)
+    push(context.egress, b"nested", Lane.NESTED, LARGE_BYTES, 7.0)
+    for number in range(50):
+        push(context.egress, b"%d" % number, Lane.SMALL, 1_000, 8.0)
+
+
+@then("the small ones are sent first, then the nested one, and then those with the earliest deadlines")
+def in_order(context):
+    small = [b"%d" % number for number in range(50)]
+    assert send_all(context.egress, 0.0) == [*small, b"nested", b"soon", b"late"]
+
+
+@when("one of three large answers is cancelled after its first part, and the deadline of another passes")
+def one_cancelled(context):
+    egress = context.egress
+    for key, deadline in ((b"cancelled", 1.0), (b"expired", 0.001), (b"third", 5.0)):
+        push(egress, key, Lane.BULK, LARGE_BYTES, deadline)
+    egress.free_at = 0.002
+    entry, _, count = egress.next_part(0.002)
+    assert entry.key == b"cancelled" and count < LARGE_BYTES
+    assert egress.remove(b"cancelled") is entry and egress.remove(b"cancelled") is None
+
+
+@then("only the third one is sent completely, and nothing is counted as waiting")
+def third_sent(context):
+    assert send_all(context.egress, 0.003) == [b"third"]
+    assert not context.egress.queued_bytes and not context.egress.entries
+    assert context.egress.next_due_seconds(10.0) is None
+
+
+@when("a large answer waits while the process is paused for {seconds:g} s")
+def paused(context, seconds):
+    push(context.egress, b"large", Lane.BULK, 10 * LARGE_BYTES, 60.0)
+    context.sent = 0
+    while (part := context.egress.next_part(seconds)) is not None:
+        context.egress.charge(part[2], seconds)
+        context.sent += part[2]
+
+
+@then("at most {seconds:g} s of the link are sent at once")
+def not_flooded(context, seconds):
+    assert 0 < context.sent <= seconds * context.egress.rate, context.sent
+
+
+class LinkNode:
+    """One of two nodes, whose messages to the other are kept until they are delivered."""
+
+    def __init__(self, name, other, rate):
+        settings = msgspec.structs.replace(SETTINGS, node=name, link_bytes_per_second=float(rate))
+        self.name, self.other = name, None
+        self.outbox = []
+        self.messages = []
+        self.connected = True
+        self.app = app = application()
+        peers = Stub("peers", try_send_request=self.send, reply=self.reply)
+        peers.is_connected = lambda _: self.connected
+        peers.peer = lambda *_arguments, **_options: None
+        peers.disconnect_peer = lambda _: None
+        app.add(peers)
+        app.add(Stub("table"))
+        app.add(Traffic(settings))
+        members = app.add(Members(settings))
+        members.nodes[other] = NodeRow(other, "east", "d", "other", "127.0.0.1:9")
+        self.hop = app.add(Forwarder(settings, NodeSelector("east", "east-1", random.Random(1))))
+        self.hop.on_start()
+        self.hop.connect_to_members()
+        self.requests = []
+        self.hop.on_forward = lambda message, _body, _transit, reply: self.requests.append((message, reply))
+        self.hop.on_cancel = lambda *_: None
+        self.body = b""
+        self.hop.on_body_part = self.on_body
+
+    def on_body(self, _request_id, first, part):
+        """Take a part of a body."""
+        assert first == len(self.body)
+        self.body += part
+
+    def send(self, _address, message, body=b""):
+        """Send a message to the other node."""
+        self.messages.append(message)
+        self.outbox.append((True, message, body))
+        return len(body) + 100 if self.connected else 0
+
+    def reply(self, _identity, message, body=b""):
+        """Reply to the other node."""
+        self.messages.append(message)
+        self.outbox.append((False, message, body))
+        return len(body) + 100
+
+    def deliver(self, keep=lambda _message: True):
+        """Bring the messages so far to the other node."""
+        outbox, self.outbox = self.outbox, []
+        for is_request, message, body in outbox:
+            if not keep(message):
+                continue
+            message = codec.decode_request(codec.encode(message))
+            if is_request:
+                self.other.hop.on_request(self.name.encode(), message, body)
+            else:
+                self.other.hop.on_reply(message, body)
+
+
+@given("two nodes, one of them on a link of {rate:d} bytes a second")
+def two_nodes(context, rate):
+    context.node, context.entry = LinkNode("far", "near", rate), LinkNode("near", "far", 0)
+    context.node.other, context.entry.other = context.entry, context.node
+    context.outcomes = []
+    context.elapsed = 0.0
+    context.keep = lambda _message: True
+
+
+def run(context, seconds, until=lambda: False):
+    """Let time pass on both nodes; return the seconds until a condition held."""
+    for step in range(round(seconds / STEP_SECONDS)):
+        if until():
+            return step * STEP_SECONDS
+        for node in (context.node, context.entry):
+            node.app.clock.advance(STEP_SECONDS)
+            node.app.scheduler.run_due(Loop())
+            node.deliver(context.keep)
+    return seconds
+
+
+def ask(context, number, takes_parts=True, deadline=5.0):
+    """Send a request from the entry node, and return the reply function of the other one."""
+
+    def outcome(answer, body):
+        context.outcomes.append((number, answer, body))
+
+    request = msgspec.structs.replace(forward(number, deadline=deadline), repeatable=True)
+    assert context.entry.hop.send("far", request, b"", outcome)
+    if not takes_parts:
+        _, message, body = context.entry.outbox[-1]
+        context.entry.outbox[-1] = True, msgspec.structs.replace(message, takes_parts=False), body
+    context.entry.deliver()
+    context.node.messages.clear()
+    return context.node.requests[-1][1]
+
+
+def answer(number, size, reply):
+    body = random.Random(number).randbytes(size)
+    reply(Answered(bytes([number]), 200, (), FREE), body)
+    return body
+
+
+@when("it answers a request of the other with {size:d} bytes")
+def answers(context, size):
+    context.body = answer(1, size, ask(context, 1))
+
+
+@when("it answers a request of the other, which knows no parts, with {size:d} bytes")
+def answers_earlier_release(context, size):
+    context.body = answer(1, size, ask(context, 1, takes_parts=False))
+
+
+@when("it answers a request of the other with {large:d} bytes, and another one with {small:d} bytes")
+def answers_both(context, large, small):
+    reply = ask(context, 2)
+    context.body = answer(1, large, ask(context, 1))
+    run(context, 0.03)
+    context.elapsed = 0.03
+    answer(2, small, reply)
+
+
+@when("it answers a request of the other with {size:d} bytes, and no ping is answered")
+def answers_without_pong(context, size):
+    context.keep = lambda message: type(message) is not Ping
+    context.body = answer(1, size, ask(context, 1))
+
+
+@then("{count:d} message was sent at once, and the other node has the answer")
+def sent_at_once(context, count):
+    assert len(context.node.messages) == count
+    has_answer(context)
+
+
+@then("the other node has the answer")
+def has_answer(context):
+    context.node.deliver()
+    assert [(number, body) for number, _, body in context.outcomes] == [(1, context.body)]
+    assert not context.entry.hop.outstanding and not context.entry.hop.held_bytes()
+
+
+@then("the small answer arrives first, and the large one is complete after {least:g} to {most:g} s")
+def small_first(context, least, most):
+    large_complete(context, least, most)
+    assert [number for number, *_ in context.outcomes] == [2, 1]
+
+
+@then("the large answer is complete after {least:g} to {most:g} s")
+def large_complete(context, least, most):
+    seconds = run(context, 2.0 * most, lambda: any(number == 1 for number, *_ in context.outcomes))
+    seconds += context.elapsed
+    assert least <= seconds <= most, seconds
+    assert context.outcomes[-1][2] == context.body
+    assert not context.node.hop.egress.entries and not context.entry.hop.held_bytes()
+
+
+@when("{event} between two parts")
+def event_between_parts(context, event):
+    run(context, 0.05)
+    entry = context.entry
+    assert entry.hop.held_bytes() and not context.outcomes
+    if event == "a part is lost":
+        context.node.outbox.clear()
+        seen = []
+        context.keep = lambda message: type(message) is not AnswerPart or seen.append(1) or len(seen) != 2
+    elif event == "the peer falls silent":
+        context.keep = lambda _message: False
+    elif event == "the connection is lost":
+        entry.connected = False
+        context.keep = lambda _message: False
+    else:
+        entry.hop.memory.held_limit = 1
+    run(context, 2.0)
+
+
+@then("the request is declined once, as one that may have run")
+def declined_once(context):
+    assert [type(outcome) for _, outcome, _ in context.outcomes] == [Declined], context.outcomes
+    assert context.outcomes[0][1].may_have_run
+
+
+@then("nothing is kept of the answer")
+def nothing_kept(context):
+    assert not context.entry.hop.held_bytes() and not context.node.hop.held_bytes()
+
+
+@when("the other node cancels the request after {seconds:g} s")
+def cancels(context, seconds):
+    run(context, seconds)
+    context.entry.hop.cancel(bytes([1]))
+    context.entry.deliver()
+    context.node.messages.clear()
+
+
+@then("no more parts are sent, and neither node keeps anything")
+def no_more_parts(context):
+    run(context, 0.5)
+    assert not context.node.messages and not context.outcomes
+    nothing_kept(context)
+
+
+@then("it does not count as idle")
+def not_idle(context):
+    assert context.node.hop.has_queued
+
+
+@when("its process stops")
+def process_stops(context):
+    context.node.hop.on_stop()
+    assert not context.node.hop.has_queued
+
+
+@when("it sends a request with a body of {size:d} bytes, which the other node requests whole")
+def sends_body(context, size):
+    reply = ask(context, 2)
+    node, entry = context.node, context.entry
+    context.body = random.Random(1).randbytes(size)
+    assert node.hop.send("near", forward(1), context.body, lambda *_: None)
+    node.deliver()
+    node.messages.clear()
+    entry.hop.on_body_part = entry.on_body
+    entry.requests[-1][1](SendBody(bytes([1]), 0, size), b"")
+    entry.deliver()
+    run(context, 0.03)
+    context.reply = reply
+
+
+@then("a small answer that it sends meanwhile has at most {seconds:g} s of the link ahead")
+def small_beside_body(context, seconds):
+    node = context.node
+    assert node.hop.egress.backlog_seconds(node.hop.now) <= seconds + PART_SECONDS / 10
+    answer(2, SMALL_BYTES, context.reply)
+    assert type(node.messages[-1]) is Answered
+
+
+@then("the request cannot have run until the other node has the whole body")
+def body_unsent_until_last(context):
+    node, entry = context.node, context.entry
+    run(context, 0.5, lambda: not node.hop.has_unsent_body(bytes([1])))
+    assert entry.body == context.body and sum(type(message) is Body for message in node.messages) > 1
+    assert type(node.requests[0][0]) is Forward
--- a/tests/features/steps/target_signals_steps.py
+++ b/tests/features/steps/target_signals_steps.py
@@ -123,7 +123,9 @@
     """Play a planned stop of the router without requests in flight."""
     app = world.nodes["n1"].app
     for name in ("gateway", "receiver", "readiness", "entry", "peers", "hop"):
-        idle = dict.fromkeys(("has_pending", "has_jobs", "has_incoming", "has_unread_messages"), False)
+        idle = dict.fromkeys(
+            ("has_pending", "has_jobs", "has_incoming", "has_queued", "has_unread_messages"), False
+        )
         app.add(
             Stub(
                 name,
--- a/tests/router_stubs.py
+++ b/tests/router_stubs.py
@@ -73,6 +73,7 @@
         super().__init__()
         self.sent = []
         self.unsent = set()
+        self.has_queued = False
         self.cancelled = []
 
     def has_unsent_body(self, request_id):
