--- a/src/hibiscusdrum/internal/router/selection.py
+++ b/src/hibiscusdrum/internal/router/selection.py
@@ -153,6 +153,10 @@
         wait = (self.report.queued + self.sent_since_report) / rate - age
         return max(0.0, wait) if probing else max(wait, min(age, RATE_WAIT_SHARE / rate))
 
+    def link_wait(self, now: float) -> float:
+        """Return the expected seconds that a large answer waits for the link of the target's VM."""
+        return max(0.0, self.report.link_seconds - (now - self.reported_at))
+
     def avoided(self, now: float) -> bool:
         """Return whether the node failed recently, or reports that it accepts no requests."""
         outdated = now - self.reported_at >= REPORT_MAX_AGE_SECONDS
@@ -193,7 +197,14 @@
             state = self.node_states[node] = NodeState()
         return state
 
-    def expected_seconds(self, candidate: Candidate, size: int, now: float, probing: bool = False) -> float:
+    def expected_seconds(
+        self,
+        candidate: Candidate,
+        size: int,
+        now: float,
+        probing: bool = False,
+        bulk_answer: bool = False,
+    ) -> float:
         """Return the expected response time in seconds, with penalties for distant nodes.
 
         Parameters
@@ -202,6 +213,8 @@
             Bytes of the request's body.
         probing : bool
             Whether the node is only to be probed for a free slot.
+        bulk_answer : bool
+            Whether the answer is expected to be large, so that it waits for the link of the target's VM.
         """
         state = self.node_state(candidate.node)
         report = state.report
@@ -210,6 +223,8 @@
         seconds = report.mean_service_seconds * (1.0 + max(0.0, excess_requests) / slots)
         seconds += UTILIZATION_WEIGHT * report.mean_service_seconds * state.expected_requests(now) / slots
         seconds = max(seconds, report.mean_service_seconds + state.rate_wait(now, probing))
+        if bulk_answer:
+            seconds += state.link_wait(now)
         if candidate.region != self.region:
             seconds += (
                 CROSS_REGION_PENALTY_SECONDS + CROSS_REGION_PENALTY_SECONDS_PER_MB * size / BYTES_PER_MEGABYTE
@@ -226,6 +241,7 @@
         now: float,
         exclude: Collection[str] = (),
         probing: bool = False,
+        bulk_answer: bool = False,
     ) -> Candidate | None:
         """Return the candidate with the shortest expected response time, or None if there is no candidate."""
         best: Candidate | None = None
@@ -234,7 +250,7 @@
             [entry for entry in candidates if entry.node not in exclude], now
         ):
             state = self.node_state(candidate.node)
-            cost = self.expected_seconds(candidate, size, now, probing)
+            cost = self.expected_seconds(candidate, size, now, probing, bulk_answer)
             if state.avoided_until > now:
                 cost += 10.0 + (state.avoided_until - now)
             if not state.report.accepting and now - state.reported_at < REPORT_MAX_AGE_SECONDS:
@@ -251,6 +267,7 @@
         busy_nodes: Collection[str],
         refusing_nodes: Collection[str],
         probe: bool = True,
+        bulk_answer: bool = False,
     ) -> tuple[Candidate, bool] | None:
         """Return a node for a request, and whether it should decline the request if it has no free slot.
 
@@ -262,6 +279,8 @@
             Nodes that had no free slot and may still queue the request, and nodes not to ask again.
         probe : bool
             Whether nodes may be probed for a free slot; pointless in an overload.
+        bulk_answer : bool
+            Whether the answer is expected to be large.
 
         Returns
         -------
@@ -270,11 +289,11 @@
         """
         local = any(entry.region == self.region for entry in candidates)
         if probe and len(busy_nodes) < (MAX_LOCAL_PROBES if local else MAX_REMOTE_PROBES):
-            chosen = self.choose(candidates, size, now, (*busy_nodes, *refusing_nodes), probing=True)
+            chosen = self.choose(candidates, size, now, (*busy_nodes, *refusing_nodes), True, bulk_answer)
             if chosen is not None:
                 has_other = len(candidates) - len(busy_nodes) - len(refusing_nodes) > 1
                 return chosen, has_other and (chosen.region == self.region or not local)
-        chosen = self.choose(candidates, size, now, refusing_nodes)
+        chosen = self.choose(candidates, size, now, refusing_nodes, bulk_answer=bulk_answer)
         return None if chosen is None else (chosen, False)
 
     def comparison_sample(self, candidates: list[Candidate], now: float) -> list[Candidate]:
