--- a/src/hibiscusdrum/internal/load/egress.py
+++ b/src/hibiscusdrum/internal/load/egress.py
@@ -85,16 +85,19 @@
         What waits for the link, by the id of its request.
     free_at : float
         Monotonic time in seconds at which the bytes that were handed over have left the link.
-    queued_bytes : int
-        Bytes that wait for the link.
+    lane_bytes : list of int
+        Bytes that wait for the link, by lane.
+    busy_since : float
+        Monotonic time in seconds since which something has waited without interruption, if anything waits.
     """
 
     __slots__ = (
+        "busy_since",
         "entries",
         "free_at",
         "heap",
+        "lane_bytes",
         "part_bytes",
-        "queued_bytes",
         "rate",
         "sequence",
         "small_count",
@@ -106,10 +109,20 @@
         self.entries: dict[bytes, Outgoing] = {}
         self.heap: list[tuple[Lane, float, int, Outgoing]] = []
         self.sequence = itertools.count()
-        self.queued_bytes = 0
+        self.lane_bytes = [0] * len(Lane)
+        self.busy_since = 0.0
         self.small_count = 0
         self.free_at = 0.0
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait for the link."""
+        return sum(self.lane_bytes)
+
+    def busy_seconds(self, now: float) -> float:
+        """Return for how many seconds something has waited for the link without interruption."""
+        return now - self.busy_since if self.entries else 0.0
+
     def charge(self, size: int, now: float) -> None:
         """Count bytes that were handed over to the link."""
         if not self.rate:
@@ -122,10 +135,6 @@
         """Return the seconds until the bytes that were handed over have left the link."""
         return max(0.0, self.free_at - now)
 
-    def expected_wait(self, now: float, size: int = 0) -> float:
-        """Return the seconds until all that waits, and some further bytes, would have left the link."""
-        return self.backlog_seconds(now) + (self.queued_bytes + size) / self.rate if self.rate else 0.0
-
     def passes(self, lane: Lane, size: int, now: float) -> bool:
         """Return whether a message may be sent whole and at once, without being queued."""
         if not self.rate:
@@ -136,24 +145,24 @@
 
     def push(self, entry: Outgoing, now: float) -> None:
         """Queue an answer or a body."""
-        if not self.entries:
-            self.free_at = max(self.free_at, now)
+        if not self.entries and self.free_at <= now:
+            self.free_at = self.busy_since = now
         self.remove(entry.key)
         self.entries[entry.key] = entry
-        self.queued_bytes += entry.left
+        self.lane_bytes[entry.lane] += entry.left
         self.small_count += entry.lane is Lane.SMALL
         heapq.heappush(self.heap, (entry.lane, entry.deadline, next(self.sequence), entry))
 
     def extend(self, entry: Outgoing, count: int) -> None:
         """Add bytes to the end of a queued body."""
         entry.size += count
-        self.queued_bytes += count
+        self.lane_bytes[entry.lane] += count
 
     def remove(self, key: bytes) -> Outgoing | None:
         """Remove and return what is queued for a request; None if nothing is."""
         entry = self.entries.pop(key, None)
         if entry is not None:
-            self.queued_bytes -= entry.left
+            self.lane_bytes[entry.lane] -= entry.left
             self.small_count -= entry.lane is Lane.SMALL
         return entry
 
@@ -182,7 +191,7 @@
             if first + count == entry.size:
                 self.remove(entry.key)
             else:
-                self.queued_bytes -= count
+                self.lane_bytes[entry.lane] -= count
             entry.sent += count
             return entry, first, count
         return None
--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -5,6 +5,7 @@
 import random
 
 from hibiscusdrum.internal.kernel import Application, Service
+from hibiscusdrum.internal.router.answer_sizes import LinkForecast
 from hibiscusdrum.internal.router.config_gossip import ConfigGossip
 from hibiscusdrum.internal.router.crash_detector import CrashDetector
 from hibiscusdrum.internal.router.gateway import Gateway
@@ -93,7 +94,8 @@
     app.add(CrashDetector(settings))
     app.add(Quarantine(settings))
     app.add(QuarantineRows(settings))
-    app.add(Receiver(settings, names))
+    receiver = app.add(Receiver(settings, names))
+    receiver.link_forecast = LinkForecast(hop.egress)
     app.add(Gateway(settings, names, selection))
     app.add(Readiness(settings))
     app.add(RouterStopping(settings))
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -852,6 +852,28 @@
     reason: str
 
 
+class LinkFull(LogEvent, frozen=True):
+    """Request `id` is declined because its answer would leave the link of this VM ``late_s`` too late.
+
+    ``wait_s`` is the expected wait of a large answer, for the bytes that are queued and those expected of
+    requests that are queued or running.
+    """
+
+    number = 940
+    level = "WARNING"
+    rate_limited = True
+    lines_per_interval = 20
+    cause = "The target's answers need more than the link of its VM carries."
+    operator_action = "None if brief; otherwise add targets, or give the VM a faster link."
+
+    id: str
+    origin: str
+    late_s: float
+    wait_s: float
+    queued_bytes: int
+    expected_bytes: int
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
@@ -870,6 +892,7 @@
         LeaseNotRenewed,
         LeaseTaken,
         LinkCongested,
+        LinkFull,
         NodePublished,
         OwnersGone,
         PeerLost,
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -5,11 +5,14 @@
 import math
 from collections.abc import Callable
 
+import msgspec
+
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import RetryBudget
 from hibiscusdrum.internal.messages import Answered, Declined, Forward
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.answer_sizes import AnswerSizes
 from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON
 from hibiscusdrum.internal.router.flight import PendingRequest, TargetFailure
 from hibiscusdrum.internal.router.hop import CLOSING_REASON, Forwarder
@@ -26,6 +29,7 @@
     BUSY_REASON,
     HOP_BY_HOP_HEADERS,
     LATE_REASON,
+    LINK_FULL_REASON,
     MISDIRECTED_REASON,
     NOT_OWNER_REASON,
     OVERLOADED_REASON,
@@ -145,6 +149,7 @@
         self.pending_requests: set[PendingRequest] = set()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.overload_control = OverloadControl(selector.rng)
+        self.answer_sizes = AnswerSizes()
         self.stopping = False
         self.closed = False
         self.routes_active_at = 0.0
@@ -360,7 +365,13 @@
                 self.selector.on_report(self.settings.node, self.local_load(), now)
             probe = self.overload_control.probing_pays(pending, now)
             selected = self.selector.select(
-                candidates, len(pending.body), now, pending.busy_nodes, pending.refusing_nodes, probe
+                candidates,
+                len(pending.body),
+                now,
+                pending.busy_nodes,
+                pending.refusing_nodes,
+                probe,
+                bulk_answer=self.answer_sizes.is_bulk(pending.route.name),
             )
             if selected is None:
                 pending.reason = pending.reason or "no_target"
@@ -435,9 +446,10 @@
 
     def local_load(self) -> LoadReport:
         """Return the load of this node's target."""
-        return LoadReport(
+        report = LoadReport(
             *self.receiver.load_report(), self.receiver.reported_rate(), *self.receiver.outlook()
         )
+        return msgspec.structs.replace(report, link_seconds=0.0)
 
     def eligible_candidates(self, pending: PendingRequest) -> list[Candidate]:
         """Return the nodes that may serve a request, without those of its excluded regions."""
@@ -500,7 +512,9 @@
         self.selector.on_ended(pending.node)
         now = self.app.clock.monotonic()
         if pending.node == self.settings.node:
-            self.selector.on_report(pending.node, LoadReport.of(answer), now)
+            # The answer of this node's own target does not cross the link between nodes.
+            report = msgspec.structs.replace(LoadReport.of(answer), link_seconds=0.0)
+            self.selector.on_report(pending.node, report, now)
         if isinstance(answer, Answered):
             self.on_answered(pending, forward, answer, body, now)
         else:
@@ -511,6 +525,7 @@
     ) -> None:
         """Return the target's response to the caller, or retry elsewhere after a retryable server error."""
         pending.target_attempts += 1
+        self.answer_sizes.observe(pending.route.name, len(body))
         self.overload_control.on_answered(pending, forward, answer, now)
         if forward.crashes and any(name == self.header_names.signature for name, _ in answer.headers):
             self.quarantine.clear(self.identify(pending), "answered")
@@ -587,7 +602,7 @@
             or (answer.arrived and not self.may_retry(pending, now, executed=False))
             or pending.deadline - now < MIN_RETRY_REMAINING_SECONDS
         ):
-            if answer.reason in OVERLOAD_REASONS or answer.reason == LATE_REASON:
+            if answer.reason in (*OVERLOAD_REASONS, LATE_REASON, LINK_FULL_REASON):
                 self.overload_control.on_not_served(pending, now)
             self.refuse(pending)
         else:
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -29,6 +29,7 @@
     SendBody,
 )
 from hibiscusdrum.internal.router import events
+from hibiscusdrum.internal.router.answer_sizes import MAX_INLINE_BODY_BYTES
 from hibiscusdrum.internal.router.members import Members
 from hibiscusdrum.internal.router.selection import LoadReport, NodeSelector
 from hibiscusdrum.internal.router.settings import RouterSettings
@@ -61,9 +62,6 @@
 CLOSING_REASON = "closing"
 # Leading bytes of a request id that identify the sending process.
 PROCESS_ID_BYTES = 6
-# A larger body is not sent with the request but offered, and sent when the receiver asks for it: the extra
-# round trip takes less time than such a body takes on a slow link.
-MAX_INLINE_BODY_BYTES = 16_384
 # The memory of bodies is checked after so many bytes of parts of answers, since a check takes time in
 # proportion to the callers' connections.
 MEMORY_CHECK_BYTES = 65_536
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -11,13 +11,16 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.body_gate import BodyGate
+from hibiscusdrum.internal.load.egress import EgressQueue
 from hibiscusdrum.internal.messages import UNKNOWN_OUTLOOK, Answered, Declined, Forward, SendBody
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.admission import (
     MAX_RETRY_AFTER_SECONDS,
+    MIN_RETRY_AFTER_SECONDS,
     AdmissionQueue,
     QueueEntry,
 )
+from hibiscusdrum.internal.router.answer_sizes import LinkForecast
 from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON, CrashDetector
 from hibiscusdrum.internal.router.hop import CLOSING_REASON, LATE_MESSAGE_SECONDS
 from hibiscusdrum.internal.router.job import Job, ReplyCallback
@@ -62,6 +65,7 @@
 NOT_OWNER_REASON = "not_owner"
 OVERLOADED_REASON = "overloaded"
 TOO_LATE_REASON = "too_late"
+LINK_FULL_REASON = "link_full"
 REFUSED_REASON = "target_refused"
 STOPPING_REASON = "stopping"
 UNSENDABLE_REASON = "unsendable"
@@ -89,6 +93,10 @@
 )
 
 
+def drop_reply(_answer: Answered | Declined | SendBody, _body: bytes) -> None:
+    """Take the outcome of a request that was cancelled while it was running."""
+
+
 class Receiver(Service):
     """Admits requests to this VM's target and sends them to it.
 
@@ -110,6 +118,8 @@
         Returns the seconds within which the target must answer because the process is about to end.
     closed : bool
         Whether all new requests are refused, so that the process can exit.
+    link_forecast : LinkForecast
+        Expects when answers will have left the link of this VM.
     replaced_headers : set of str
         Headers of the forwarded request that are replaced by those for the target.
     """
@@ -124,6 +134,7 @@
         self.limit_known = False
         self.admission.rate_limiter.stated = UNKNOWN_LIMIT_BOUND
         self.body_gate = BodyGate(settings.link_bytes_per_second)
+        self.link_forecast = LinkForecast(EgressQueue(0.0))
         self.jobs: dict[bytes, Job] = {}
         self.awaiting_keys: list[Job] = []
         self.suspect_line = SuspectLine()
@@ -192,7 +203,8 @@
 
     def outlook(self) -> tuple[float, float, float]:
         """Return the outstanding work, the wait for the link and the slowdown sent with each load report."""
-        return UNKNOWN_OUTLOOK
+        work_seconds, _, slowdown = UNKNOWN_OUTLOOK
+        return work_seconds, round(self.link_forecast.wait_seconds(self.now), 4), slowdown
 
     def reported_rate(self) -> float:
         """Return the rate limit that is sent with each load report: requests per second, 0 if unlimited."""
@@ -404,6 +416,7 @@
         """Forget a request that has its outcome; return False if that has been done."""
         if self.jobs.pop(job.forward.id, None) is None:
             return False
+        self.link_forecast.remove(job.forward.id)
         self.readmit(self.suspect_line.leave(job))
         return True
 
@@ -487,12 +500,51 @@
             wait = self.service_seconds_left() + RESTART_SECONDS if stopping else 0.0
             self.decline(job, reason, retry_after=max(wait, self.admission.retry_after(entry, now)))
             return
+        if late := self.link_late_seconds(entry, now):
+            self.decline_link_full(job, late)
+            return
         job.queue_entry = entry
+        self.expect_answer(job)
         self.admission.push(entry, now)
         self.send_queued()
         if self.admission.queued:
             self.expiry_timer.wake()
 
+    def crosses_link(self, job: Job) -> bool:
+        """Return whether the answer to a request leaves this VM towards another node."""
+        return job.forward.origin != self.settings.node
+
+    def expect_answer(self, job: Job) -> None:
+        """Count the expected bytes of the answer to an admitted request."""
+        if self.crosses_link(job):
+            self.link_forecast.add(job.forward.id, job.forward.cost_class, job.forward.nested)
+
+    def link_late_seconds(self, entry: QueueEntry, now: float) -> float:
+        """Return by how many seconds the link would make the answer to a request late; 0 if in time."""
+        if not self.link_forecast.egress.rate or not self.crosses_link(entry.item):
+            return 0.0
+        admission = self.admission
+        start = now + admission.expected_wait_seconds(entry.order, now)
+        ready_at = start + admission.expected_service_seconds(entry.cost_class)
+        return self.link_forecast.late_seconds(
+            entry.cost_class, entry.nested, ready_at, entry.goal_at, entry.deadline, now
+        )
+
+    def decline_link_full(self, job: Job, late: float) -> None:
+        """Decline a request whose answer the link could deliver in time only some seconds later."""
+        egress = self.link_forecast.egress
+        log_events.emit(
+            events.LinkFull(
+                id=job.forward.attempt_id,
+                origin=job.forward.origin,
+                late_s=round(late, 3),
+                wait_s=round(self.link_forecast.wait_seconds(self.now), 3),
+                queued_bytes=egress.queued_bytes,
+                expected_bytes=round(sum(self.link_forecast.means)),
+            )
+        )
+        self.decline(job, LINK_FULL_REASON, retry_after=max(MIN_RETRY_AFTER_SECONDS, late))
+
     def queue_entry(self, job: Job) -> QueueEntry:
         """Return an entry of the admission queue for a request, which must end before the process does."""
         forward, now = job.forward, self.now
@@ -630,6 +682,7 @@
             self.decline(job, reason, arrived=True, retry_after=wait)
             return
         self.admission.finish(forward.cost_class, self.now - job.sent_at)
+        self.link_forecast.sizes.observe(forward.cost_class, len(response.body))
         self.metrics.count_run(forward.cost_class, self.now - job.sent_at)
         if forward.key >= 0:
             self.range_owner.key_load.record_service_time(self.now - job.sent_at)
@@ -834,6 +887,10 @@
             if job.forward.repeatable:
                 self.end_job(job)
                 job.exchange.cancel()
+            else:
+                # Its answer would take up the link, and nobody waits for it.
+                self.link_forecast.remove(request_id)
+                job.reply = drop_reply
             return
         self.end_job(job)
         self.body_gate.forget(request_id)
--- a/tests/features/link.feature
+++ b/tests/features/link.feature
@@ -85,3 +85,42 @@
     When it sends a request with a body of 100000 bytes, which the other node requests whole
     Then a small answer that it sends meanwhile has at most 0.02 s of the link ahead
     And the request cannot have run until the other node has the whole body
+
+  Scenario Outline: In an overload of the link answers are refused at once, and no admitted one is late
+    Given a link of 1250000 bytes a second behind a target with free slots, whose answers vary by <spread>, with seed <seed>
+    When large answers are asked for at <load> times its rate for 30 s, with a goal of <goal> s and <limit> s to wait
+    And 25 small answers to nested requests a second
+    Then no admitted answer arrives after its deadline, and the nested ones are not refused
+    And the link is used to at least <used> in 100
+    And who comes back when told is admitted, with 6 s of the link filled at the end of the load
+
+    Examples:
+      | spread | seed | load | goal | limit | used |
+      | 0.0    | 1    | 1.3  | 2.0  | 3.0   | 90   |
+      | 0.5    | 1    | 1.3  | 2.0  | 3.0   | 85   |
+      | 0.5    | 2    | 2.0  | 1.0  | 3.0   | 85   |
+      | 0.5    | 3    | 3.0  | 0.7  | 1.5   | 80   |
+
+  Scenario Outline: A target that is not asked for more than its link carries refuses nothing
+    Given a link of 1250000 bytes a second behind a target with free slots, whose answers vary by 0.5, with seed <seed>
+    When large answers are asked for at <load> times its rate for 30 s, with a goal of 2.0 s and 3.0 s to wait
+    Then nothing is refused
+
+    Examples:
+      | seed | load |
+      | 1    | 0.5  |
+      | 2    | 0.7  |
+
+  Scenario: A receiver refuses what its link cannot deliver in time, and reports the wait for the link
+    Given a receiver behind a link of 1250000 bytes a second whose answers have 90000 bytes
+    When 60 requests of other nodes with 2 s left arrive at once
+    Then between 15 and 30 of them run, and the others are told at once to come back within 0.05 to 4 s
+    And its outlook tells a wait of 1 to 2.4 s for the link
+    And a request of its own node and a small one are admitted
+    When the running ones are cancelled
+    Then its outlook tells a wait of 0 to 0 s for the link
+
+  Scenario: A large answer is asked for where the link has room, a small one where the target is faster
+    Given two targets, of which the faster one reports a wait of 0.6 s for its link
+    Then a request for a large answer goes to the other one, and one for a small answer to the faster one
+    And 0.7 s later both go to the faster one
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -16,9 +16,14 @@
 from hibiscusdrum.internal import codec
 from hibiscusdrum.internal.load.egress import PART_SECONDS, EgressQueue, Lane, Outgoing
 from hibiscusdrum.internal.messages import Answered, AnswerPart, Body, Declined, Forward, Ping, SendBody
+from hibiscusdrum.internal.router.answer_sizes import LinkForecast
 from hibiscusdrum.internal.router.hop import Forwarder
+from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
 from hibiscusdrum.internal.router.members import Members, NodeRow
-from hibiscusdrum.internal.router.selection import NodeSelector
+from hibiscusdrum.internal.router.quarantine import Quarantine
+from hibiscusdrum.internal.router.receiver import LINK_FULL_REASON, Receiver
+from hibiscusdrum.internal.router.routes import HeaderNames
+from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.traffic import Traffic
 
 LARGE_BYTES, SMALL_BYTES = 90_000, 400
@@ -39,6 +44,7 @@
         self.rate, self.overhead, self.late = rate, overhead, late
         self.rng = random.Random(seed)
         self.free_at = 0.0
+        self.due_at = float("inf")
         self.queued_at = {}
         self.sent = []
         self.calls = []
@@ -67,8 +73,15 @@
             entry, first, count = part
             self.hand_over(entry.key, entry.lane, count, first + count == entry.size, now)
         due = self.egress.next_due_seconds(now)
+        self.due_at = float("inf")
         if due is not None:
-            self.at(now + due + self.rng.uniform(0.0, self.late), self.send_due)
+            self.due_at = now + due + self.rng.uniform(0.0, self.late)
+            self.at(self.due_at, self.send_if_due)
+
+    def send_if_due(self, now):
+        """Send what is due, unless the timer was set anew."""
+        if now >= self.due_at:
+            self.send_due(now)
 
     def at(self, time, call):
         """Call a function at a time, which it is given."""
@@ -426,3 +439,226 @@
     run(context, 0.5, lambda: not node.hop.has_unsent_body(bytes([1])))
     assert entry.body == context.body and sum(type(message) is Body for message in node.messages) > 1
     assert type(node.requests[0][0]) is Forward
+
+
+class TargetModel(LinkModel):
+    """A target with free slots whose answers cross a link, and the admission of its requests by their bytes.
+
+    Attributes
+    ----------
+    refused : list of (Lane, float, float, float)
+        Lane, time, goal and retry-after in seconds of each refusal.
+    late : int
+        Admitted answers that did not leave the link before their deadline.
+    """
+
+    service_seconds = 0.04
+
+    def __init__(self, rate, spread, seed):
+        super().__init__(rate, 0.0, 0.001, seed)
+        self.forecast = LinkForecast(self.egress)
+        self.spread = spread
+        self.refused, self.deadlines = [], {}
+        self.bytes = 0
+        for _ in range(50):
+            self.forecast.sizes.observe("large", self.size("large"))
+            self.forecast.sizes.observe("small", SMALL_BYTES)
+
+    def size(self, cost_class):
+        """Return the size of an answer."""
+        if cost_class == "small":
+            return SMALL_BYTES
+        return int(LARGE_BYTES * self.rng.uniform(1.0 - self.spread, 1.0 + self.spread))
+
+    def late_seconds(self, cost_class, goal, limit, now):
+        """Return by how much an answer would be late."""
+        ready_at, nested = now + self.service_seconds, cost_class == "small"
+        return self.forecast.late_seconds(cost_class, nested, ready_at, now + goal, now + limit, now)
+
+    def ask(self, cost_class, goal, limit, now):
+        """Let a request arrive."""
+        late = self.late_seconds(cost_class, goal, limit, now)
+        if late:
+            self.refused.append((cost_class, now, late))
+            return
+        key = next(self.counter).to_bytes(4, "big")
+        self.forecast.add(key, cost_class, cost_class == "small")
+        self.deadlines[key] = now + limit
+
+        def answer_request(answered_at):
+            size = self.size(cost_class)
+            self.forecast.remove(key)
+            self.forecast.sizes.observe(cost_class, size)
+            self.bytes += size
+            self.queued_at[key] = answered_at
+            lane = Lane.SMALL if cost_class == "small" else Lane.BULK
+            if self.egress.passes(lane, size, answered_at):
+                self.hand_over(key, lane, size, True, answered_at)
+            else:
+                self.egress.push(Outgoing(key, lane, size, self.deadlines[key], None), answered_at)
+                self.send_due(answered_at)
+
+        self.at(now + self.rng.gammavariate(4.0, self.service_seconds / 4.0), answer_request)
+
+    def requests(self, cost_class, rate, goal, limit, end):
+        """Let requests arrive at a mean rate until a time."""
+
+        def arrive(now):
+            if now < end:
+                self.ask(cost_class, goal, limit, now)
+                self.at(now + self.rng.expovariate(rate), arrive)
+
+        self.at(self.rng.expovariate(rate), arrive)
+
+
+@given(
+    "a link of {rate:d} bytes a second behind a target with free slots, "
+    "whose answers vary by {spread:g}, with seed {seed:d}"
+)
+def target_model(context, rate, spread, seed):
+    context.target = TargetModel(rate, spread, seed)
+
+
+@when(
+    "large answers are asked for at {load:g} times its rate for {seconds:d} s, "
+    "with a goal of {goal:g} s and {limit:g} s to wait"
+)
+def large_asked(context, load, seconds, goal, limit):
+    target = context.target
+    context.seconds, context.goal, context.limit = seconds, goal, limit
+    target.requests("large", target.rate * load / LARGE_BYTES, goal, limit, seconds)
+
+
+@when("{rate:d} small answers to nested requests a second")
+def nested_asked(context, rate):
+    context.target.requests("small", rate, 0.865, 0.865, context.seconds)
+
+
+@then("no admitted answer arrives after its deadline, and the nested ones are not refused")
+def none_late(context):
+    target = context.target
+    target.run()
+    times = {key: target.queued_at[key] + seconds for key, _, seconds in target.sent}
+    late = [times.get(key, 0.0) - at for key, at in target.deadlines.items() if not times.get(key, 1e9) <= at]
+    assert not late, (len(late), max(late), len(target.deadlines))
+    assert not [entry for entry in target.refused if entry[0] == "small"]
+    assert target.refused
+
+
+@then("the link is used to at least {share:d} in 100")
+def link_is_used(context, share):
+    assert context.target.bytes >= share / 100 * context.target.rate * context.seconds
+
+
+@then("who comes back when told is admitted, with {seconds:g} s of the link filled at the end of the load")
+def admitted_again(context, seconds):
+    target, now = context.target, context.seconds + context.limit
+    push(target.egress, b"w", Lane.BULK, int(seconds * target.rate), 1e9, now)
+    late = target.late_seconds("large", context.goal, context.limit, now)
+    assert 0.0 < late < seconds
+    # A part may have been sent just before.
+    send_all(target.egress, now, now + late + PART_SECONDS)
+    again = target.late_seconds("large", context.goal, context.limit, now + late + PART_SECONDS)
+    assert again == 0.0, (late, again, target.egress.queued_bytes, target.egress.free_at - now - late)
+
+
+@then("nothing is refused")
+def nothing_refused(context):
+    context.target.run()
+    assert len(context.target.sent) > 100 and not context.target.refused, len(context.target.refused)
+
+
+@given("a receiver behind a link of {rate:d} bytes a second whose answers have {size:d} bytes")
+def receiver_behind_link(context, rate, size):
+    app = context.app = application()
+    app.add(Stub("members", evacuated_domains=frozenset(), on_change=[], region_of=lambda _: SETTINGS.region))
+    app.add(Stub("range_owner", on_granted=[]))
+    app.add(Stub("hop", link_congested=False))
+    app.add(Stub("rings", owner_node=lambda *_: None))
+    app.add(Stub("metrics", count_declined=lambda *_: None, count_run=lambda *_: None))
+    context.ran = []
+    exchange = Stub("exchange", cancel=lambda: None)
+    app.add(Stub("http_client", request=lambda *_arguments: context.ran.append(1) or exchange))
+    target = app.add(LocalTarget(SETTINGS))
+    app.add(Stub("crash_detector"))
+    app.add(Quarantine(SETTINGS))
+    settings = msgspec.structs.replace(SETTINGS, link_bytes_per_second=float(rate))
+    receiver = context.receiver = app.add(Receiver(settings, HeaderNames()))
+    receiver.link_forecast = LinkForecast(EgressQueue(float(rate)))
+    receiver.on_start()
+    target.on_heartbeat(TargetHeartbeat("i-1", "other", "127.0.0.1:1", 100, False, 1), lambda _grant: None)
+    receiver.on_first_answer()
+    receiver.link_forecast.sizes.observe("large", size)
+    receiver.link_forecast.sizes.observe("small", SMALL_BYTES)
+    context.replies = []
+
+
+def arrive(context, number, cost_class="large", origin="peer", limit=2.0):
+    request = msgspec.structs.replace(
+        forward(number, deadline=limit),
+        cost_class=cost_class,
+        origin=origin,
+        repeatable=True,
+        goal_remaining_seconds=limit,
+    )
+    context.receiver.on_forward(request, b"", 0.0, lambda reply, _body: context.replies.append(reply))
+
+
+@when("{count:d} requests of other nodes with {limit:g} s left arrive at once")
+def arrive_at_once(context, count, limit):
+    for number in range(count):
+        arrive(context, number, limit=limit)
+    context.count = count
+
+
+@then(
+    "between {least:d} and {most:d} of them run, "
+    "and the others are told at once to come back within {soonest:g} to {latest:g} s"
+)
+def some_run(context, least, most, soonest, latest):
+    assert least <= len(context.ran) <= most, len(context.ran)
+    assert len(context.replies) == context.count - len(context.ran)
+    for reply in context.replies:
+        assert type(reply) is Declined and reply.reason == LINK_FULL_REASON and not reply.may_have_run
+        assert soonest <= reply.retry_after <= latest, reply
+
+
+@then("its outlook tells a wait of {least:g} to {most:g} s for the link")
+def outlook_tells(context, least, most):
+    assert least <= context.receiver.outlook()[1] <= most, context.receiver.outlook()
+
+
+@then("a request of its own node and a small one are admitted")
+def others_admitted(context):
+    ran = len(context.ran)
+    arrive(context, 200, origin=SETTINGS.node)
+    arrive(context, 201, cost_class="small")
+    assert len(context.ran) == ran + 2
+
+
+@when("the running ones are cancelled")
+def running_cancelled(context):
+    for request_id in list(context.receiver.jobs):
+        context.receiver.cancel(request_id)
+
+
+@given("two targets, of which the faster one reports a wait of {seconds:g} s for its link")
+def two_targets(context, seconds):
+    context.selector = NodeSelector("east", "east-1", random.Random(1))
+    context.selector.on_report("fast", LoadReport(0, 0, 4, 0.1, link_seconds=seconds), 0.0)
+    context.selector.on_report("slow", LoadReport(0, 0, 4, 0.3), 0.0)
+
+
+def chosen(context, now, bulk):
+    candidates = [Candidate(node, "east", "east-1") for node in ("fast", "slow")]
+    return context.selector.select(candidates, 0, now, (), (), bulk_answer=bulk)[0].node
+
+
+@then("a request for a large answer goes to the other one, and one for a small answer to the faster one")
+def chosen_by_link(context):
+    assert (chosen(context, 0.0, True), chosen(context, 0.0, False)) == ("slow", "fast")
+
+
+@then("{seconds:g} s later both go to the faster one")
+def chosen_later(context, seconds):
+    assert (chosen(context, seconds, True), chosen(context, seconds, False)) == ("fast", "fast")
