--- a/src/hibiscusdrum/internal/load/egress.py
+++ b/src/hibiscusdrum/internal/load/egress.py
@@ -43,6 +43,8 @@
         Monotonic time in seconds from which it is useless.
     whole : bool
         Whether it must be sent in one part.
+    expires : bool
+        Whether it is dropped at its deadline.
 
     Attributes
     ----------
@@ -50,10 +52,17 @@
         Bytes sent so far.
     """
 
-    __slots__ = ("deadline", "item", "key", "lane", "sent", "size", "whole")
+    __slots__ = ("deadline", "expires", "item", "key", "lane", "sent", "size", "whole")
 
     def __init__(
-        self, key: bytes, lane: Lane, size: int, deadline: float, item: Any, whole: bool = False
+        self,
+        key: bytes,
+        lane: Lane,
+        size: int,
+        deadline: float,
+        item: Any,
+        whole: bool = False,
+        expires: bool = True,
     ) -> None:
         self.key = key
         self.lane = lane
@@ -61,6 +70,7 @@
         self.deadline = deadline
         self.item = item
         self.whole = whole or lane is Lane.SMALL
+        self.expires = expires
         self.sent = 0
 
     @property
@@ -181,7 +191,7 @@
             if self.entries.get(entry.key) is not entry:
                 heapq.heappop(self.heap)
                 continue
-            if entry.deadline <= now:
+            if entry.expires and entry.deadline <= now:
                 self.remove(entry.key)
                 continue
             if paced and self.seconds_until_due(entry, now) > 0.0:
--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -76,7 +76,7 @@
     app.add(ConnectProbe())
     app.add(table)
     app.add(PeerTransport(settings.peer_address, b""))
-    app.add(HttpEntry(memory))
+    entry = app.add(HttpEntry(memory))
     app.add(Traffic(settings))
     app.add(LocalTarget(settings))
     members = app.add(Members(settings))
@@ -84,6 +84,8 @@
     hop = app.add(Forwarder(settings, selection))
     hop.shared_clock = shared_clock
     hop.memory = memory
+    if settings.link_bytes_per_second:
+        entry.pacer = hop
     app.add(ConfigGossip(settings, rng))
     app.add(StoreEra())
     app.add(Rings(settings))
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -748,6 +748,9 @@
         )
         self.metrics.count_ended(pending.route.name, status, duration)
         if status != 499:
+            if not pending.nested:
+                # The caller of a nested request is the target on this VM.
+                pending.request.link_deadline = pending.deadline
             pending.request.respond(status, headers, body, close=self.stopping)
 
     @property
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -36,6 +36,7 @@
 from hibiscusdrum.internal.router.shared_clock import SharedClock
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.body_memory import MAX_BODY_BYTES, BodyMemory
+from hibiscusdrum.internal.transport.entry_connection import EntryConnection
 
 PING_INTERVAL_SECONDS = 0.25
 # A peer with outstanding requests counts as unreachable after this much silence. A round trip between regions
@@ -157,6 +158,15 @@
         self.first = first
 
 
+class QueuedOutput:
+    """Output to a caller's connection that waits for the link."""
+
+    __slots__ = ("connection",)
+
+    def __init__(self, connection: EntryConnection) -> None:
+        self.connection = connection
+
+
 class TransitDelay:
     """Transit delay of one sender's messages, relative to its fastest one.
 
@@ -285,7 +295,8 @@
 
     def held_bytes(self) -> int:
         """Return the bytes of answers that wait for the link or have arrived in part."""
-        waiting = sum(entry.size for entry in self.egress.entries.values())
+        items = [entry.item for entry in self.egress.entries.values()]
+        waiting = sum(len(item.content) for item in items if isinstance(item, QueuedAnswer))
         return waiting + sum(entry.received for entry in self.outstanding.values())
 
     @property
@@ -449,6 +460,31 @@
             self.egress_due_at = now + delay
             self.app.scheduler.call_later(delay, self.send_if_due)
 
+    def takes_output(self, size: int) -> bool:
+        """Return whether a response to a caller has to wait for the link."""
+        lane = Lane.SMALL if size <= MAX_INLINE_BODY_BYTES else Lane.BULK
+        return lane is Lane.BULK and not self.egress.passes(lane, size, self.now)
+
+    def queue_output(self, connection: EntryConnection, size: int, deadline: float) -> None:
+        """Write the output of a caller's connection in parts, when the link has room for them.
+
+        It is written to its end also after the deadline, since the caller could not tell a part from a whole.
+        """
+        item = QueuedOutput(connection)
+        outgoing = Outgoing(output_key(connection), Lane.BULK, size, deadline, item, expires=False)
+        self.egress.push(outgoing, self.now)
+        self.send_due()
+
+    def extend_output(self, connection: EntryConnection, size: int) -> None:
+        """Add bytes to the output of a caller's connection, if it is queued."""
+        entry = self.egress.entries.get(output_key(connection))
+        if entry is not None:
+            self.egress.extend(entry, size)
+
+    def forget_output(self, connection: EntryConnection) -> None:
+        """Drop the output of a caller's connection that is closed."""
+        self.egress.remove(output_key(connection))
+
     def send_if_due(self) -> None:
         """Continue to send, unless that has been done since this call was scheduled."""
         if self.now >= self.egress_due_at:
@@ -746,6 +782,11 @@
     return Lane.NESTED if forward.nested else Lane.BULK
 
 
+def output_key(connection: EntryConnection) -> bytes:
+    """Return the key of a connection's output in the queue, which differs from all ids of requests."""
+    return b"output" + id(connection).to_bytes(8, "big")
+
+
 @singledispatch
 def send_part(item: Any, hop: Forwarder, entry: Outgoing, first: int, count: int) -> None:
     """Send a part of what waited for the link; drop the rest if there is no connection."""
@@ -774,3 +815,10 @@
     """Send a part of the body of a request."""
     if not hop.transmit_body(entry.key, item.first + first, count):
         hop.egress.remove(entry.key)
+
+
+@send_part.register
+def send_output_part(item: QueuedOutput, hop: Forwarder, entry: Outgoing, first: int, count: int) -> None:
+    """Write a part of the output of a caller's connection."""
+    hop.charge(count)
+    item.connection.write_paced(entry.left)
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -497,7 +497,10 @@
             closes = not request.keep_alive or (last and not self.has_further_input)
             response = request.encode_response(closes)
             request.release()
-            self.write(response)
+            if request.link_deadline is None:
+                self.write(response)
+            else:
+                self.write_over_link(response, request.link_deadline)
             if closes:
                 self.close_after_output()
                 return
@@ -509,12 +512,48 @@
         elif pending:
             self.dispatch()
 
+    def write_over_link(self, data: bytes, deadline: float) -> None:
+        """Write a response that crosses the link of this VM, a large one at the pace of the link."""
+        pacer = self.server.pacer
+        if pacer is None or self.closed:
+            self.write(data)
+        elif self.output_buffer or not pacer.takes_output(len(data)):
+            pacer.charge(len(data))
+            self.write(data)
+        else:
+            self.output_buffer += data
+            pacer.queue_output(self, len(data), deadline)
+            self.server.enforce_output_limit()
+
+    def write_paced(self, left: int) -> None:
+        """Write buffered output for which the link has room, all but ``left`` bytes."""
+        if self.closed:
+            return
+        try:
+            sent = self.sock.send(self.output_buffer[: len(self.output_buffer) - left])
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.server.connection_lost(self, "write_failed")
+            return
+        del self.output_buffer[:sent]
+        if sent:
+            self.last_active_at = self.server.app.clock.monotonic()
+        if left:
+            return
+        if self.output_buffer:
+            self.server.watch_writable(self)
+        elif self.closing:
+            self.server.shutdown_write(self)
+
     def write(self, data: bytes) -> None:
         """Write to the socket, and buffer what it does not accept until it is writable."""
         if self.closed:
             return
         if self.output_buffer:
             self.output_buffer += data
+            if self.server.pacer is not None:
+                self.server.pacer.extend_output(self, len(data))
             return
         self.last_active_at = self.server.app.clock.monotonic()
         try:
--- a/src/hibiscusdrum/internal/transport/entry_request.py
+++ b/src/hibiscusdrum/internal/transport/entry_request.py
@@ -44,6 +44,8 @@
         The response once there is one, without the header on the connection; the head is empty before.
     response_closes : bool
         Whether the connection is closed after the response unless further requests have been received.
+    link_deadline : float or None
+        Monotonic time in seconds from which the response is useless, if it crosses the link of this VM.
     http_version : str
     on_closed : callable or None
         Called with ``CALLER_GONE`` or ``CLOSED_UNANSWERED`` when the connection ends before the request has
@@ -59,6 +61,7 @@
         "headers",
         "http_version",
         "keep_alive",
+        "link_deadline",
         "listen_address",
         "method",
         "on_closed",
@@ -83,6 +86,7 @@
         self.response_head = b""
         self.response_content = b""
         self.response_closes = False
+        self.link_deadline: float | None = None
         self.on_closed: Callable[[str], None] | None = None
 
     def header(self, name: str) -> str | None:
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -12,7 +12,7 @@
 import socket
 from collections import Counter, deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from circuits import handler
 from loguru import logger
@@ -46,6 +46,26 @@
 # Interval at which it is checked whether the callers of connections that are not read have left.
 DEPARTURE_CHECK_SECONDS = 0.05
 
+
+class OutputPacer(Protocol):
+    """Decides when large responses are written, because they cross the link of this VM."""
+
+    def takes_output(self, size: int) -> bool:
+        """Return whether a response has to wait for the link."""
+
+    def queue_output(self, connection: EntryConnection, size: int, deadline: float) -> None:
+        """Call ``write_paced`` of a connection whenever the link has room for a part of its output."""
+
+    def extend_output(self, connection: EntryConnection, size: int) -> None:
+        """Add bytes to the output of a connection, if it is queued."""
+
+    def forget_output(self, connection: EntryConnection) -> None:
+        """Drop the output of a connection that is closed."""
+
+    def charge(self, size: int) -> None:
+        """Count bytes that are written without being queued."""
+
+
 RequestHandler = Callable[[EntryRequest], None]
 # Called with the rejected request as far as it was received, the status, the reason and the bytes received.
 RejectionHandler = Callable[[EntryRequest, int, str, int], None]
@@ -95,6 +115,8 @@
         Connections that are not read, because the input has ended or too much of it waits.
     lost_counts : Counter of str
         Connections that ended with requests or answers on them, by reason.
+    pacer : OutputPacer or None
+        Paces large responses; None to write them at once.
     """
 
     service_name = "entry"
@@ -119,6 +141,7 @@
         self.paused_listeners: set[socket.socket] = set()
         self.watched: set[EntryConnection] = set()
         self.lost_counts: Counter[str] = Counter()
+        self.pacer: OutputPacer | None = None
 
     def on_start(self) -> None:
         """Start the periodic checks for idle, slow and departed callers."""
@@ -389,6 +412,8 @@
     def close(self, connection: EntryConnection) -> None:
         """Close a connection without notifying the handlers of its requests."""
         connection.closed = True
+        if self.pacer is not None:
+            self.pacer.forget_output(connection)
         if self.connections.pop(connection.sock, None) is not None:
             self.open_counts[connection.listen_address] -= 1
             self.app.poller.discard(connection.sock)
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -4,12 +4,17 @@
 in parts that are lost, mixed up, or kept in memory.
 """
 
+import contextlib
 import heapq
 import itertools
 import random
+import socket
+import struct
+import time
 
 import msgspec
 from behave import given, then, when
+from tests.loopback import Loopback, free_address
 from tests.router_stubs import FREE, SETTINGS, Stub, application, forward
 from tests.router_world import Loop
 
@@ -25,6 +30,7 @@
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.traffic import Traffic
+from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
 LARGE_BYTES, SMALL_BYTES = 90_000, 400
 STEP_SECONDS = 0.001
@@ -662,3 +668,86 @@
 @then("{seconds:g} s later both go to the faster one")
 def chosen_later(context, seconds):
     assert (chosen(context, seconds, True), chosen(context, seconds, False)) == ("fast", "fast")
+
+
+@given(
+    "a router on a link of {rate:d} bytes a second, "
+    "with a caller that asks for {first:d} and then for {second:d} bytes"
+)
+def router_with_caller(context, rate, first, second):
+    settings = msgspec.structs.replace(SETTINGS, link_bytes_per_second=float(rate))
+    context.peer_replies = []
+    peers = Stub("peers", reply=lambda _identity, message, _body: context.peer_replies.append(message) or 500)
+    entry, hop = HttpEntry(), Forwarder(settings, NodeSelector("east", "east-1", random.Random(1)))
+    members = Stub("members", nodes={}, on_change=[], region_of=lambda _: "east")
+    context.loopback = Loopback(peers, Stub("table"), entry, Traffic(settings), members, hop)
+    context.add_cleanup(context.loopback.stop)
+    context.hop, entry.pacer = hop, hop
+    context.bodies = [random.Random(size).randbytes(size) for size in (first, second)]
+
+    def respond(request):
+        request.link_deadline = time.monotonic() + 5.0
+        request.respond(200, [], context.bodies[int(request.target[1:])])
+
+    address = free_address()
+    entry.listen(address, respond)
+    host, _, port = address.rpartition(":")
+    context.caller = socket.create_connection((host, int(port)))
+    context.caller.setblocking(False)
+    context.add_cleanup(context.caller.close)
+    context.caller.sendall(b"".join(b"GET /%d HTTP/1.1\r\nhost: h\r\n\r\n" % number for number in range(2)))
+    context.loopback.run_until(lambda: hop.has_queued)
+    context.asked_at = time.monotonic()
+
+
+@when("{seconds:g} s later an answer of {size:d} bytes to another node is ready")
+def answer_to_node(context, seconds, size):
+    context.loopback.run_for(seconds)
+    answer = Answered(b"1", 200, (), FREE)
+    context.hop.reply(b"node", forward(1), context.hop.now + 1.0, answer, bytes(size))
+
+
+@then(
+    "the answer to the node is sent at once, "
+    "and the caller gets both responses whole after {least:g} to {most:g} s"
+)
+def both_served(context, least, most):
+    assert [type(message) for message in context.peer_replies] == [Answered] and context.hop.has_queued
+    caller_gets_both(context, least, most)
+
+
+@then("the caller gets both responses whole after {least:g} to {most:g} s")
+def caller_gets_both(context, least, most):
+    received = bytearray()
+
+    def complete():
+        with contextlib.suppress(BlockingIOError):
+            received.extend(context.caller.recv(1_000_000))
+        return received.endswith(context.bodies[1])
+
+    context.loopback.run_until(complete, most)
+    assert time.monotonic() - context.asked_at >= least
+    heads = [b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) for body in context.bodies]
+    assert received == b"".join(head + body for head, body in zip(heads, context.bodies, strict=True))
+    assert not context.hop.has_queued
+
+
+@when("the caller resets its connection after {seconds:g} s")
+def caller_resets(context, seconds):
+    context.loopback.run_for(seconds)
+    assert context.hop.has_queued
+    context.caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    context.caller.close()
+
+
+@then("nothing waits for the link after {seconds:g} s")
+def nothing_waits(context, seconds):
+    context.loopback.run_until(lambda: not context.hop.has_queued, seconds)
+    assert not context.hop.egress.queued_bytes
+
+
+@when("the router's services stop after {seconds:g} s")
+def services_stop(context, seconds):
+    context.loopback.run_for(seconds)
+    assert context.hop.has_queued
+    context.loopback.stop()
