--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -874,6 +874,24 @@
     expected_bytes: int
 
 
+class TargetBodiesFull(LogEvent, frozen=True):
+    """Request `id` waits because the target holds as many bytes of request bodies as it may."""
+
+    number = 941
+    level = "WARNING"
+    rate_limited = True
+    cause = "Many large bodies arrive at one target at once."
+    operator_action = (
+        "None if brief; otherwise add targets, or raise `limits.targetBodyMb` if memory permits."
+    )
+
+    id: str
+    size: int
+    outstanding: int
+    limit: int
+    waiting: int
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
@@ -922,6 +940,7 @@
         StoreLost,
         StoreRegained,
         TableReread,
+        TargetBodiesFull,
         TargetChanged,
         TargetCrashed,
         TargetGone,
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -11,6 +11,7 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.body_gate import BodyGate
+from hibiscusdrum.internal.load.body_room import BodyRoom, default_room
 from hibiscusdrum.internal.load.egress import EgressQueue
 from hibiscusdrum.internal.messages import UNKNOWN_OUTLOOK, Answered, Declined, Forward, SendBody
 from hibiscusdrum.internal.router import events
@@ -118,6 +119,8 @@
         Returns the seconds within which the target must answer because the process is about to end.
     closed : bool
         Whether all new requests are refused, so that the process can exit.
+    body_room : BodyRoom
+        Bytes of bodies at the target, and the requests that wait for room.
     link_forecast : LinkForecast
         Expects when answers will have left the link of this VM.
     replaced_headers : set of str
@@ -135,6 +138,7 @@
         self.admission.rate_limiter.stated = UNKNOWN_LIMIT_BOUND
         self.body_gate = BodyGate(settings.link_bytes_per_second)
         self.link_forecast = LinkForecast(EgressQueue(0.0))
+        self.body_room = BodyRoom(int(settings.target_body_bytes) or default_room(settings.memory_bytes))
         self.jobs: dict[bytes, Job] = {}
         self.awaiting_keys: list[Job] = []
         self.suspect_line = SuspectLine()
@@ -195,7 +199,11 @@
             waiting += limiter.wait_seconds(0, self.now) * limiter.stated_rate
         return (
             admission.running,
-            admission.queued + len(self.awaiting_keys) + len(self.suspect_line.waiting) + math.ceil(waiting),
+            admission.queued
+            + len(self.awaiting_keys)
+            + len(self.suspect_line.waiting)
+            + len(self.body_room.waiting)
+            + math.ceil(waiting),
             admission.slots,
             round(admission.mean_service_seconds, 4),
             self.accepting,
@@ -258,7 +266,8 @@
                 self.decline(job, reason)
         waiting, self.awaiting_keys = self.awaiting_keys, []
         awaiting_bodies = [self.jobs[request_id] for request_id in self.body_gate.transfers]
-        for job in (*waiting, *awaiting_bodies):
+        awaiting_room = [job for job in self.body_room.waiting if not self.target_holds_key(job.forward)]
+        for job in (*waiting, *awaiting_bodies, *awaiting_room):
             self.decline(job, reason)
         self.readmit(self.suspect_line.take_waiting())
 
@@ -417,6 +426,7 @@
         if self.jobs.pop(job.forward.id, None) is None:
             return False
         self.link_forecast.remove(job.forward.id)
+        self.body_room.remove(job)
         self.readmit(self.suspect_line.leave(job))
         return True
 
@@ -494,6 +504,8 @@
             return
         now = self.now
         entry = self.queue_entry(job)
+        # It may have been admitted before, and wait for room at the target since.
+        self.link_forecast.remove(job.forward.id)
         if not self.admission.is_servable(entry, now):
             reason = self.unservable_reason(job)
             stopping = reason == STOPPING_REASON
@@ -582,6 +594,9 @@
         ]:
             self.awaiting_keys.remove(job)
             self.decline(job, "keys_late")
+        late = [job for job in self.body_room.waiting if self.is_too_late(job, now)]
+        for job in late:
+            self.decline(job, TOO_LATE_REASON, retry_after=self.admission.mean_service_seconds)
         for job in self.suspect_line.expired(now, self.admission.mean_service_seconds):
             self.decline(job, TOO_LATE_REASON)
         for request_id in list(self.body_gate.transfers):
@@ -589,9 +604,18 @@
             if now + self.admission.mean_service_seconds > job.deadline:
                 self.decline(job, "body_late")
         self.send_queued()
-        waiting = self.awaiting_keys or self.suspect_line.waiting or self.body_gate.transfers
+        waiting = (
+            self.awaiting_keys
+            or self.suspect_line.waiting
+            or self.body_gate.transfers
+            or self.body_room.waiting
+        )
         return bool(self.admission.queued or waiting)
 
+    def is_too_late(self, job: Job, now: float) -> bool:
+        """Return whether the target could not answer a request in time if it started now."""
+        return now + self.admission.expected_service_seconds(job.forward.cost_class) > job.deadline
+
     def send_to_target(self, job: Job) -> None:
         """Send a request that has a slot to the target."""
         forward, now = job.forward, self.now
@@ -609,6 +633,10 @@
         if self.defer_suspect(job):
             self.admission.finish(forward.cost_class, None)
             return
+        if not self.body_room.take(forward.id, len(job.body)):
+            self.admission.finish(forward.cost_class, None)
+            self.await_room(job)
+            return
         job.sent_at, job.incarnation = now, self.target.last_incarnation
         host, headers = self.target_headers(job, left)
         try:
@@ -627,6 +655,21 @@
             log_events.emit(events.RowUnreadable(what="request", reason=str(error)[:200]))
             self.release_unsent(job, UNSENDABLE_REASON)
 
+    def await_room(self, job: Job) -> None:
+        """Hold a request until the target holds fewer bytes of bodies."""
+        room = self.body_room
+        log_events.emit(
+            events.TargetBodiesFull(
+                id=job.forward.attempt_id,
+                size=len(job.body),
+                outstanding=room.outstanding,
+                limit=room.limit,
+                waiting=len(room.waiting),
+            )
+        )
+        room.waiting.append(job)
+        self.expiry_timer.wake()
+
     def connection_limit(self) -> int:
         """Return the maximum number of open connections to the target."""
         service = (
@@ -654,6 +697,7 @@
     def release_unsent(self, job: Job, reason: str) -> None:
         """Free the slot of a request that was not sent, and decline the request."""
         self.admission.finish(job.forward.cost_class, None)
+        self.readmit(self.body_room.release(job.forward.id))
         self.decline(job, reason)
 
     def on_result(self, job: Job, result: Result[HttpResponse, HttpFailure]) -> None:
@@ -665,6 +709,7 @@
         else:
             self.admission.finish(forward.cost_class, None)
             self.on_failure(job, result.failure())
+        self.readmit(self.body_room.release(forward.id))
         self.send_queued()
 
     def on_response(self, job: Job, response: HttpResponse) -> None:
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -53,6 +53,9 @@
         Memory that this process may use; 0 when not known.
     max_descriptors : float
         File descriptors that this process may open, besides the limit of the system; 0 when not known.
+    target_body_bytes : float
+        Bytes of request bodies that the target may hold at the same time; further ones wait, unless it holds
+        none. 0 for a quarter of ``memory_bytes``, 64 MiB at most and if the memory is not known.
     nested_id_separator : str
         Follows the attempt id of the request being run in the attempt ids of its target's own requests; empty
         if the platform's ids do not tell these apart.
@@ -81,6 +84,7 @@
     memory_bytes: float = 0.0
     max_descriptors: float = 0.0
     nested_id_separator: str = ""
+    target_body_bytes: float = 0.0
     log_level: str = "INFO"
 
     def validated(self) -> RouterSettings:
--- a/src/hibiscusdrum/platform/boot.py
+++ b/src/hibiscusdrum/platform/boot.py
@@ -86,6 +86,7 @@
         nested_id_separator=NESTED_ID_SEPARATOR,
         memory_bytes=parse_number(values, "limits.memoryMb", 0.0) * BYTES_PER_MEGABYTE,
         max_descriptors=parse_number(values, "limits.maxFds", 0.0),
+        target_body_bytes=parse_number(values, "limits.targetBodyMb", 0.0) * BYTES_PER_MEGABYTE,
         link_bytes_per_second=parse_number(values, "limits.linkMbps", 0.0) * BYTES_PER_MEGABIT,
     )
     try:
--- a/tests/features/link.feature
+++ b/tests/features/link.feature
@@ -139,3 +139,25 @@
     Given a router on a link of 1250000 bytes a second, with a caller that asks for 200000 and then for 100 bytes
     When the router's services stop after 0.05 s
     Then the caller gets both responses whole after 0 to 1 s
+
+  Scenario: A target holds no more bytes of bodies than it may, and all uploads are run in the end
+    Given a receiver whose target may hold 100000 bytes of bodies, with 10 free slots
+    When uploads of 60000, 30000, 60000, 20000 and 5000 bytes arrive
+    Then those of 60000, 30000 and 5000 bytes run
+    When the one of 60000 bytes is answered
+    Then those of 30000, 5000, 60000 bytes run
+    When the one of 60000 bytes is answered
+    Then those of 30000, 5000, 20000 bytes run
+
+  Scenario Outline: An upload that waits for room at the target <event>
+    Given a receiver whose target may hold 100000 bytes of bodies, with 10 free slots
+    When uploads of 150000 and 60000 bytes arrive
+    Then those of 150000 bytes run
+    When <what>
+    Then nothing waits for room, and <outcome>
+
+    Examples:
+      | event                             | what                                      | outcome                                |
+      | is forgotten when it is cancelled | the upload of 60000 bytes is cancelled    | it gets no reply                       |
+      | is declined before its deadline   | the uploads' deadline of 5 s comes near   | it is declined as one that has not run |
+      | is run when another is cancelled  | the upload of 150000 bytes is cancelled   | it runs                                |
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -14,11 +14,13 @@
 
 import msgspec
 from behave import given, then, when
+from returns.result import Failure, Success
 from tests.loopback import Loopback, free_address
 from tests.router_stubs import FREE, SETTINGS, Stub, application, forward
 from tests.router_world import Loop
 
 from hibiscusdrum.internal import codec
+from hibiscusdrum.internal.load.body_room import BodyRoom
 from hibiscusdrum.internal.load.egress import PART_SECONDS, EgressQueue, Lane, Outgoing
 from hibiscusdrum.internal.messages import Answered, AnswerPart, Body, Declined, Forward, Ping, SendBody
 from hibiscusdrum.internal.router.answer_sizes import LinkForecast
@@ -30,6 +32,7 @@
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.traffic import Traffic
+from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure, HttpResponse
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
 LARGE_BYTES, SMALL_BYTES = 90_000, 400
@@ -751,3 +754,67 @@
     context.loopback.run_for(seconds)
     assert context.hop.has_queued
     context.loopback.stop()
+
+
+@given("a receiver whose target may hold {limit:d} bytes of bodies, with {slots:d} free slots")
+def receiver_with_room(context, limit, slots):
+    receiver_behind_link(context, 0, LARGE_BYTES)
+    context.receiver.body_room = BodyRoom(limit)
+    context.receiver.admission.slots = slots
+    context.exchanges = {}
+
+    def request(*arguments):
+        body, callback = arguments[4], arguments[6]
+        failure = Failure(HttpFailure(True, FailureKind.CANCELLED, 0, 0))
+        context.exchanges[len(body)] = callback
+        return Stub("exchange", cancel=lambda: context.exchanges.pop(len(body)) and callback(failure))
+
+    context.receiver.http_client.request = request
+    context.receiver.metrics.count_run = lambda *_: None
+    context.receiver.crash_detector.on_interrupted = lambda *_: None
+
+
+@when("uploads of {sizes} bytes arrive")
+def uploads_arrive(context, sizes):
+    for number, size in enumerate(sizes.replace(" and", ",").split(", ")):
+        request = msgspec.structs.replace(forward(number), repeatable=True, goal_remaining_seconds=5.0)
+        context.receiver.on_forward(
+            request, bytes(int(size)), 0.0, lambda reply, _body: context.replies.append(reply)
+        )
+
+
+@then("those of {sizes} bytes run")
+def uploads_run(context, sizes):
+    expected = sorted(int(size) for size in sizes.replace(" and", ",").split(", "))
+    assert sorted(context.exchanges) == expected, sorted(context.exchanges)
+
+
+@when("the one of {size:d} bytes is answered")
+def upload_answered(context, size):
+    context.exchanges.pop(size)(Success(HttpResponse(200, {HeaderNames().signature: "s"}, b"")))
+
+
+@when("the upload of {size:d} bytes is cancelled")
+def upload_cancelled(context, size):
+    jobs = context.receiver.jobs.values()
+    context.receiver.cancel(next(job.forward.id for job in jobs if len(job.body) == size))
+
+
+@when("the uploads' deadline of {seconds:d} s comes near")
+def uploads_late(context, seconds):
+    context.app.clock.advance(seconds - 0.1)
+    context.receiver.decline_expired()
+
+
+@then("nothing waits for room, and {outcome}")
+def none_wait(context, outcome):
+    assert not context.receiver.body_room.waiting
+    if outcome == "it runs":
+        assert sorted(context.exchanges) == [60_000]
+        return
+    assert 60_000 not in context.exchanges
+    declined = [reply for reply in context.replies if reply.id == bytes([1])]
+    if outcome == "it gets no reply":
+        assert not declined
+    else:
+        assert len(declined) == 1 and not declined[0].may_have_run
