--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -5,6 +5,7 @@
 import random
 
 from hibiscusdrum.internal.kernel import Application, Service
+from hibiscusdrum.internal.router.answer_sizes import LinkForecast
 from hibiscusdrum.internal.router.config_gossip import ConfigGossip
 from hibiscusdrum.internal.router.crash_detector import CrashDetector
 from hibiscusdrum.internal.router.gateway import Gateway
@@ -76,13 +77,16 @@
     app.add(ConnectProbe())
     app.add(table)
     app.add(PeerTransport(settings.peer_address, b""))
-    app.add(HttpEntry(memory))
+    entry = app.add(HttpEntry(memory))
     app.add(Traffic(settings))
     app.add(LocalTarget(settings))
     members = app.add(Members(settings))
     shared_clock = app.add(SharedClock())
     hop = app.add(Forwarder(settings, selection))
     hop.shared_clock = shared_clock
+    hop.memory = memory
+    if settings.link_bytes_per_second:
+        entry.pacer = hop
     app.add(ConfigGossip(settings, rng))
     app.add(StoreEra())
     app.add(Rings(settings))
@@ -93,7 +97,8 @@
     app.add(CrashDetector(settings))
     app.add(Quarantine(settings))
     app.add(QuarantineRows(settings))
-    app.add(Receiver(settings, names))
+    receiver = app.add(Receiver(settings, names))
+    receiver.link_forecast = LinkForecast(hop.egress)
     app.add(Gateway(settings, names, selection))
     app.add(QuotaService(settings))
     app.add(Readiness(settings))
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -952,6 +952,46 @@
     silent: tuple[str, ...]
 
 
+class LinkFull(LogEvent, frozen=True):
+    """Request `id` is declined because its answer would leave the link of this VM ``late_s`` too late.
+
+    ``wait_s`` is the expected wait of a large answer, for the bytes that are queued and those expected of
+    requests that are queued or running.
+    """
+
+    number = 940
+    level = "WARNING"
+    rate_limited = True
+    lines_per_interval = 20
+    cause = "The target's answers need more than the link of its VM carries."
+    operator_action = "None if brief; otherwise add targets, or give the VM a faster link."
+
+    id: str
+    origin: str
+    late_s: float
+    wait_s: float
+    queued_bytes: int
+    expected_bytes: int
+
+
+class TargetBodiesFull(LogEvent, frozen=True):
+    """Request `id` waits because the target holds as many bytes of request bodies as it may."""
+
+    number = 941
+    level = "WARNING"
+    rate_limited = True
+    cause = "Many large bodies arrive at one target at once."
+    operator_action = (
+        "None if brief; otherwise add targets, or raise `limits.targetBodyMb` if memory permits."
+    )
+
+    id: str
+    size: int
+    outstanding: int
+    limit: int
+    waiting: int
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
@@ -971,6 +1011,7 @@
         LeaseNotRenewed,
         LeaseTaken,
         LinkCongested,
+        LinkFull,
         NodePublished,
         OwnersGone,
         PeerLost,
@@ -1005,6 +1046,7 @@
         StorePollWithdrawn,
         StoreRegained,
         TableReread,
+        TargetBodiesFull,
         TargetChanged,
         TargetCrashed,
         TargetGone,
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -5,6 +5,8 @@
 import math
 from collections.abc import Callable
 
+import msgspec
+
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.retry_budget import RetryBudget
@@ -20,6 +22,7 @@
     common_regions,
     only_key,
 )
+from hibiscusdrum.internal.router.answer_sizes import AnswerSizes
 from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON
 from hibiscusdrum.internal.router.flight import PendingRequest, TargetFailure
 from hibiscusdrum.internal.router.hop import CLOSING_REASON, Forwarder
@@ -37,6 +40,7 @@
     BUSY_REASON,
     HOP_BY_HOP_HEADERS,
     LATE_REASON,
+    LINK_FULL_REASON,
     MISDIRECTED_REASON,
     NOT_OWNER_REASON,
     OVERLOADED_REASON,
@@ -175,6 +179,7 @@
         self.pending_requests: set[PendingRequest] = set()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.overload_control = OverloadControl(selector.rng)
+        self.answer_sizes = AnswerSizes()
         self.stopping = False
         self.closed = False
         self.routes_active_at = 0.0
@@ -527,7 +532,13 @@
                 self.selector.on_report(self.settings.node, self.local_load(), now)
             probe = self.overload_control.probing_pays(pending, now)
             selected = self.selector.select(
-                candidates, len(pending.body), now, pending.busy_nodes, pending.refusing_nodes, probe
+                candidates,
+                len(pending.body),
+                now,
+                pending.busy_nodes,
+                pending.refusing_nodes,
+                probe,
+                bulk_answer=self.answer_sizes.is_bulk(pending.route.name),
             )
             if selected is None:
                 pending.reason = pending.reason or "no_target"
@@ -602,9 +613,10 @@
 
     def local_load(self) -> LoadReport:
         """Return the load of this node's target."""
-        return LoadReport(
+        report = LoadReport(
             *self.receiver.load_report(), self.receiver.reported_rate(), *self.receiver.outlook()
         )
+        return msgspec.structs.replace(report, link_seconds=0.0)
 
     def eligible_candidates(self, pending: PendingRequest) -> list[Candidate]:
         """Return the nodes that may serve a request, without those of its excluded regions."""
@@ -670,7 +682,9 @@
         self.selector.on_ended(pending.node)
         now = self.app.clock.monotonic()
         if pending.node == self.settings.node:
-            self.selector.on_report(pending.node, LoadReport.of(answer), now)
+            # The answer of this node's own target does not cross the link between nodes.
+            report = msgspec.structs.replace(LoadReport.of(answer), link_seconds=0.0)
+            self.selector.on_report(pending.node, report, now)
         if isinstance(answer, Answered) and answer.status not in FINAL_STATUSES:
             # A node of an earlier release passes on any status of its target.
             declined = Declined(forward.id, MALFORMED_REASON, True, True, 0.0, answer.load)
@@ -685,6 +699,7 @@
     ) -> None:
         """Return the target's response to the caller, or retry elsewhere after a retryable server error."""
         pending.target_attempts += 1
+        self.answer_sizes.observe(pending.route.name, len(body))
         self.overload_control.on_answered(pending, forward, answer, now)
         if forward.crashes and any(name == self.header_names.signature for name, _ in answer.headers):
             self.quarantine.clear(self.identify(pending), "answered")
@@ -766,7 +781,7 @@
             or (answer.arrived and not self.may_retry(pending, now, executed=False))
             or pending.deadline - now < MIN_RETRY_REMAINING_SECONDS
         ):
-            if answer.reason in OVERLOAD_REASONS or answer.reason == LATE_REASON:
+            if answer.reason in (*OVERLOAD_REASONS, LATE_REASON, LINK_FULL_REASON):
                 self.overload_control.on_not_served(pending, now)
             self.refuse(pending)
         else:
@@ -916,6 +931,9 @@
         if pending.account is not None:
             self.metrics.count_account(pending.account_name, status)
         if status != 499:
+            if not pending.nested:
+                # The caller of a nested request is the target on this VM.
+                pending.request.link_deadline = pending.deadline
             pending.request.respond(status, headers, body, close=self.stopping)
 
     @property
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -12,15 +12,19 @@
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
 from hibiscusdrum.internal.load.body_gate import BodyGate
+from hibiscusdrum.internal.load.body_room import BodyRoom, default_room
+from hibiscusdrum.internal.load.egress import EgressQueue
 from hibiscusdrum.internal.messages import UNKNOWN_OUTLOOK, Answered, Declined, Forward, SendBody
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.account_fairness import DRAWN_PRIORITY, AccountFairness
 from hibiscusdrum.internal.router.accounts import EndedRuns
 from hibiscusdrum.internal.router.admission import (
     MAX_RETRY_AFTER_SECONDS,
+    MIN_RETRY_AFTER_SECONDS,
     AdmissionQueue,
     QueueEntry,
 )
+from hibiscusdrum.internal.router.answer_sizes import LinkForecast
 from hibiscusdrum.internal.router.crash_detector import CRASHED_REASON, CrashDetector
 from hibiscusdrum.internal.router.hop import CLOSING_REASON, LATE_MESSAGE_SECONDS
 from hibiscusdrum.internal.router.hung_requests import HungRequests
@@ -66,6 +70,7 @@
 NOT_OWNER_REASON = "not_owner"
 OVERLOADED_REASON = "overloaded"
 TOO_LATE_REASON = "too_late"
+LINK_FULL_REASON = "link_full"
 REFUSED_REASON = "target_refused"
 STOPPING_REASON = "stopping"
 UNSENDABLE_REASON = "unsendable"
@@ -97,8 +102,8 @@
 )
 
 
-def ignore_reply(_answer: Answered | Declined | SendBody, _body: bytes) -> None:
-    """Stand in for the reply to a request whose caller has gone."""
+def drop_reply(_answer: Answered | Declined | SendBody, _body: bytes) -> None:
+    """Take the outcome of a request that was cancelled while it was running."""
 
 
 class Receiver(Service):
@@ -126,6 +131,10 @@
         Returns the seconds within which the target must answer because the process is about to end.
     closed : bool
         Whether all new requests are refused, so that the process can exit.
+    body_room : BodyRoom
+        Bytes of bodies at the target, and the requests that wait for room.
+    link_forecast : LinkForecast
+        Expects when answers will have left the link of this VM.
     replaced_headers : set of str
         Headers of the forwarded request that are replaced by those for the target.
     account_headers : frozenset of str
@@ -146,6 +155,8 @@
         self.limit_known = False
         self.admission.rate_limiter.stated = UNKNOWN_LIMIT_BOUND
         self.body_gate = BodyGate(settings.link_bytes_per_second)
+        self.link_forecast = LinkForecast(EgressQueue(0.0))
+        self.body_room = BodyRoom(int(settings.target_body_bytes) or default_room(settings.memory_bytes))
         self.jobs: dict[bytes, Job] = {}
         self.awaiting_keys: list[Job] = []
         self.awaiting_move: list[Job] = []
@@ -221,11 +232,17 @@
     @property
     def waiting_count(self) -> int:
         """Number of requests that wait for something else than a slot."""
-        return len(self.awaiting_keys) + len(self.awaiting_move) + len(self.suspect_line.waiting)
+        return (
+            len(self.awaiting_keys)
+            + len(self.awaiting_move)
+            + len(self.suspect_line.waiting)
+            + len(self.body_room.waiting)
+        )
 
     def outlook(self) -> tuple[float, float, float]:
         """Return the outstanding work, the wait for the link and the slowdown sent with each load report."""
-        return UNKNOWN_OUTLOOK
+        work_seconds, _, slowdown = UNKNOWN_OUTLOOK
+        return work_seconds, round(self.link_forecast.wait_seconds(self.now), 4), slowdown
 
     def reported_rate(self) -> float:
         """Return the rate limit that is sent with each load report: requests per second, 0 if unlimited."""
@@ -281,7 +298,8 @@
         awaiting_bodies = [self.jobs[request_id] for request_id in self.body_gate.transfers]
         for job in waiting:
             self.redirect(job, reason)
-        for job in awaiting_bodies:
+        awaiting_room = list(self.body_room.waiting)
+        for job in (*awaiting_bodies, *awaiting_room):
             if not self.may_come_later(job.forward):
                 self.decline(job, reason)
         self.readmit(self.suspect_line.take_waiting())
@@ -455,6 +473,8 @@
             return False
         if job.has_been_sent and self.has_accounts:
             self.ended_runs.record(job.forward.attempt_id, job.forward.account, self.now)
+        self.link_forecast.remove(job.forward.id)
+        self.body_room.remove(job)
         self.readmit(self.suspect_line.leave(job))
         return True
 
@@ -575,18 +595,59 @@
             return
         now = self.now
         entry = self.queue_entry(job)
+        # It may have been admitted before, and wait for room at the target since.
+        self.link_forecast.remove(job.forward.id)
         if not self.admission.is_servable(entry, now):
             reason = self.unservable_reason(job)
             stopping = reason == STOPPING_REASON
             wait = self.service_seconds_left() + RESTART_SECONDS if stopping else 0.0
             self.decline(job, reason, retry_after=max(wait, self.admission.retry_after(entry, now)))
             return
+        if late := self.link_late_seconds(entry, now):
+            self.decline_link_full(job, late)
+            return
         job.queue_entry = entry
+        self.expect_answer(job)
         self.admission.push(entry, now)
         self.send_queued()
         if self.admission.queued:
             self.expiry_timer.wake()
 
+    def crosses_link(self, job: Job) -> bool:
+        """Return whether the answer to a request leaves this VM towards another node."""
+        return job.forward.origin != self.settings.node
+
+    def expect_answer(self, job: Job) -> None:
+        """Count the expected bytes of the answer to an admitted request."""
+        if self.crosses_link(job):
+            self.link_forecast.add(job.forward.id, job.forward.cost_class, job.forward.nested)
+
+    def link_late_seconds(self, entry: QueueEntry, now: float) -> float:
+        """Return by how many seconds the link would make the answer to a request late; 0 if in time."""
+        if not self.link_forecast.egress.rate or not self.crosses_link(entry.item):
+            return 0.0
+        admission = self.admission
+        start = now + admission.expected_wait_seconds(entry.order, now)
+        ready_at = start + admission.expected_service_seconds(entry.cost_class)
+        return self.link_forecast.late_seconds(
+            entry.cost_class, entry.nested, ready_at, entry.goal_at, entry.deadline, now
+        )
+
+    def decline_link_full(self, job: Job, late: float) -> None:
+        """Decline a request whose answer the link could deliver in time only some seconds later."""
+        egress = self.link_forecast.egress
+        log_events.emit(
+            events.LinkFull(
+                id=job.forward.attempt_id,
+                origin=job.forward.origin,
+                late_s=round(late, 3),
+                wait_s=round(self.link_forecast.wait_seconds(self.now), 3),
+                queued_bytes=egress.queued_bytes,
+                expected_bytes=round(sum(self.link_forecast.means)),
+            )
+        )
+        self.decline(job, LINK_FULL_REASON, retry_after=max(MIN_RETRY_AFTER_SECONDS, late))
+
     def queue_entry(self, job: Job) -> QueueEntry:
         """Return an entry of the admission queue for a request, which must end before the process does."""
         forward, now = job.forward, self.now
@@ -637,6 +698,9 @@
         ]:
             self.awaiting_keys.remove(job)
             self.decline(job, "keys_late")
+        late = [job for job in self.body_room.waiting if self.is_too_late(job, now)]
+        for job in late:
+            self.decline(job, TOO_LATE_REASON, retry_after=self.admission.mean_service_seconds)
         for job in self.suspect_line.expired(now, self.admission.mean_service_seconds):
             self.decline(job, TOO_LATE_REASON)
         for request_id in list(self.body_gate.transfers):
@@ -647,6 +711,10 @@
         self.admit_moved()
         return bool(self.admission.queued or self.waiting_count or self.body_gate.transfers)
 
+    def is_too_late(self, job: Job, now: float) -> bool:
+        """Return whether the target could not answer a request in time if it started now."""
+        return now + self.admission.expected_service_seconds(job.forward.cost_class) > job.deadline
+
     def send_to_target(self, job: Job) -> None:
         """Send a request that has a slot to the target."""
         forward, now = job.forward, self.now
@@ -669,6 +737,10 @@
         if self.defer_suspect(job):
             self.admission.finish(forward.cost_class, None)
             return
+        if not self.body_room.take(forward.id, len(job.body)):
+            self.admission.finish(forward.cost_class, None)
+            self.await_room(job)
+            return
         job.sent_at, job.incarnation = now, self.target.last_incarnation
         if job.drawn is not None:
             self.fairness.on_served(now)
@@ -691,6 +763,21 @@
             return
         self.hung_requests.on_sent(forward.id, now)
 
+    def await_room(self, job: Job) -> None:
+        """Hold a request until the target holds fewer bytes of bodies."""
+        room = self.body_room
+        log_events.emit(
+            events.TargetBodiesFull(
+                id=job.forward.attempt_id,
+                size=len(job.body),
+                outstanding=room.outstanding,
+                limit=room.limit,
+                waiting=len(room.waiting),
+            )
+        )
+        room.waiting.append(job)
+        self.expiry_timer.wake()
+
     def connection_limit(self) -> int:
         """Return the maximum number of open connections to the target."""
         service = (
@@ -721,6 +808,7 @@
     def release_unsent(self, job: Job, reason: str) -> None:
         """Free the slot of a request that was not sent, and decline the request."""
         self.admission.finish(job.forward.cost_class, None)
+        self.readmit(self.body_room.release(job.forward.id))
         self.decline(job, reason)
 
     def on_result(self, job: Job, result: Result[HttpResponse, HttpFailure]) -> None:
@@ -740,6 +828,7 @@
             else:
                 self.admission.finish(forward.cost_class, None)
             self.on_failure(job, failure)
+        self.readmit(self.body_room.release(forward.id))
         self.send_queued()
 
     def free_slot(self, job: Job) -> None:
@@ -779,6 +868,7 @@
             self.decline(job, reason, arrived=True, retry_after=wait)
             return
         self.admission.finish(forward.cost_class, self.now - job.sent_at)
+        self.link_forecast.sizes.observe(forward.cost_class, len(response.body))
         self.metrics.count_run(forward.cost_class, self.now - job.sent_at)
         if forward.key >= 0:
             self.range_owner.key_load.record_service_time(self.now - job.sent_at)
@@ -965,10 +1055,7 @@
         return node if node is not None and node != self.settings.node else ""
 
     def cancel(self, request_id: bytes, transit: float | None = None) -> None:
-        """Drop a request whose caller has gone; a running one runs to its end.
-
-        Its target may not notice that a connection is closed, and would get a request more than it has slots.
-        The answer to a repeatable one is not passed on.
+        """Drop a request whose caller has gone; a running one that is not repeatable runs to its end.
 
         ``transit`` is the least time in seconds that the cancellation was in transit; None if unknown.
         """
@@ -986,7 +1073,12 @@
         )
         if job.exchange is not None:
             if job.forward.repeatable:
-                job.reply = ignore_reply
+                self.end_job(job)
+                job.exchange.cancel()
+            else:
+                # Its answer would take up the link, and nobody waits for it.
+                self.link_forecast.remove(request_id)
+                job.reply = drop_reply
             return
         self.end_job(job)
         self.body_gate.forget(request_id)
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -59,6 +59,9 @@
     quota_window, quota_over, quota_slack : float
         Tolerance of the quotas of client accounts: in any ``quota_window`` seconds, as many requests as the
         rate and the burst allow, ``quota_over`` times as many more, and ``quota_slack``.
+    target_body_bytes : float
+        Bytes of request bodies that the target may hold at the same time; further ones wait, unless it holds
+        none. 0 for a quarter of ``memory_bytes``, 64 MiB at most and if the memory is not known.
     nested_id_separator : str
         Follows the attempt id of the request being run in the attempt ids of its target's own requests; empty
         if the platform's ids do not tell these apart.
@@ -91,6 +94,7 @@
     quota_over: float = 0.1
     quota_slack: float = 20.0
     nested_id_separator: str = ""
+    target_body_bytes: float = 0.0
     log_level: str = "INFO"
 
     def validated(self) -> RouterSettings:
