--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -234,6 +234,8 @@
         Requests per second that the target accepts from all nodes together; 0 if unlimited.
     outlook : tuple
         Outstanding work in seconds, wait for the link in seconds, and slowdown of the target.
+    class_seconds : float
+        Mean cost of the request's cost class at the target, in seconds at its usual speed; 0 if unknown.
     """
 
     id: bytes
@@ -243,6 +245,7 @@
     held_seconds: Seconds = 0.0
     rate_limit: Amount = 0.0
     outlook: Outlook = UNKNOWN_OUTLOOK
+    class_seconds: Amount = 0.0
 
 
 class Declined(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/admission.py
+++ b/src/hibiscusdrum/internal/router/admission.py
@@ -12,6 +12,7 @@
 import math
 from typing import Any
 
+from hibiscusdrum.internal.router.outstanding_work import OutstandingWork
 from hibiscusdrum.internal.router.rate_limiter import RateLimiter
 
 # Weight of the newest sample in the moving averages of service times.
@@ -126,6 +127,10 @@
         Moving average for each cost class.
     idle_at : float
         Monotonic time in seconds at which the target last had a free slot with nothing queued.
+    work : OutstandingWork
+        Costs by class, and the work of the requests at the target.
+    queued_classes : dict of str to int
+        Number of queued requests by cost class.
     """
 
     __slots__ = (
@@ -135,9 +140,11 @@
         "idle_at",
         "mean_service_seconds",
         "queued",
+        "queued_classes",
         "rate_limiter",
         "running",
         "slots",
+        "work",
     )
 
     def __init__(self, slots: int, rate_limiter: RateLimiter | None = None) -> None:
@@ -150,6 +157,14 @@
         self.class_service_seconds: dict[str, float] = {}
         self.rate_limiter = rate_limiter or RateLimiter()
         self.idle_at = float("-inf")
+        self.work = OutstandingWork()
+        self.queued_classes: dict[str, int] = {}
+
+    def outstanding_seconds(self, now: float) -> float:
+        """Return the expected work of what is running or queued, in seconds of one slot at usual speed."""
+        expected = self.work.costs.expected
+        queued = sum(count * expected(cost_class) for cost_class, count in self.queued_classes.items())
+        return self.work.running_seconds(now) + queued
 
     def expected_service_seconds(self, cost_class: str) -> float:
         """Return the expected service time of requests of a class."""
@@ -192,12 +207,17 @@
             self.idle_at = now
         heapq.heappush(self.heap, (entry.order, next(self.counter), entry))
         self.queued += 1
+        self.queued_classes[entry.cost_class] = self.queued_classes.get(entry.cost_class, 0) + 1
 
     def remove(self, entry: QueueEntry) -> None:
         """Remove a request from the queue, for example because its caller has disconnected."""
-        if not entry.removed:
-            entry.removed = True
-            self.queued -= 1
+        if entry.removed:
+            return
+        entry.removed = True
+        self.queued -= 1
+        count = self.queued_classes.pop(entry.cost_class) - 1
+        if count:
+            self.queued_classes[entry.cost_class] = count
 
     def pop(self, now: float) -> QueueEntry | None:
         """Remove the first request if the target has a free slot, and count it as running."""
@@ -213,9 +233,9 @@
                 entry.late = True
                 heapq.heappush(self.heap, (entry.order, next(self.counter), entry))
                 continue
-            entry.removed = True
-            self.queued -= 1
+            self.remove(entry)
             self.running += 1
+            self.work.start(entry, entry.cost_class, now)
             self.rate_limiter.record(now)
             return entry
         if self.running < self.slots:
@@ -251,15 +271,23 @@
         self.heap.clear()
         return entries
 
-    def finish(self, cost_class: str, seconds: float | None) -> None:
+    def finish(
+        self, cost_class: str, seconds: float | None, entry: QueueEntry | None = None, now: float = 0.0
+    ) -> None:
         """Count a request as ended, and update the mean service times.
 
         Parameters
         ----------
         seconds : float or None
             Service time; None if the outcome does not reflect it.
+        entry : QueueEntry or None
+            Entry with which the request was taken from the queue.
+        now : float
+            Monotonic time in seconds; required with ``entry``.
         """
         self.running = max(0, self.running - 1)
+        if entry is not None:
+            self.work.end(entry, now, learn=seconds is not None)
         if seconds is None:
             return
         self.mean_service_seconds += (seconds - self.mean_service_seconds) * SERVICE_TIME_SMOOTHING
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -39,6 +39,7 @@
     is_refusal,
     parse_rate_limit,
     parse_retry_after,
+    parse_slowdown,
 )
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import (
@@ -178,21 +179,29 @@
         The time that offered bodies wait for the link is counted as the number of requests that the target
         could serve in that time, and the wait for the target's rate as the number that the rate allows in it.
         """
-        admission, limiter = self.admission, self.admission.rate_limiter
-        waiting = self.body_gate.expected_wait() / admission.mean_service_seconds * admission.slots
-        if limiter.stated is not None:
-            waiting += limiter.wait_seconds(0, self.now) * limiter.stated_rate
+        admission = self.admission
         return (
             admission.running,
-            admission.queued + len(self.awaiting_keys) + len(self.suspect_line.waiting) + math.ceil(waiting),
+            admission.queued + self.waiting_elsewhere(),
             admission.slots,
             round(admission.mean_service_seconds, 4),
             self.accepting,
         )
 
+    def waiting_elsewhere(self) -> int:
+        """Return the number of requests that wait outside of the queue, as ``load_report`` counts them."""
+        admission, limiter = self.admission, self.admission.rate_limiter
+        waiting = self.body_gate.expected_wait() / admission.mean_service_seconds * admission.slots
+        if limiter.stated is not None:
+            waiting += limiter.wait_seconds(0, self.now) * limiter.stated_rate
+        return len(self.awaiting_keys) + len(self.suspect_line.waiting) + math.ceil(waiting)
+
     def outlook(self) -> tuple[float, float, float]:
         """Return the outstanding work, the wait for the link and the slowdown sent with each load report."""
-        return UNKNOWN_OUTLOOK
+        admission, now = self.admission, self.now
+        work = admission.outstanding_seconds(now)
+        work += self.waiting_elsewhere() * admission.work.costs.overall.mean
+        return (round(work, 4), UNKNOWN_OUTLOOK[1], round(admission.work.slowdown(now), 2))
 
     def reported_rate(self) -> float:
         """Return the rate limit that is sent with each load report: requests per second, 0 if unlimited."""
@@ -551,11 +560,11 @@
             self.release_unsent(job, NOT_OWNER_REASON)
             return
         if hold := self.hold_seconds(job):
-            self.admission.finish(forward.cost_class, None)
+            self.release_slot(job)
             self.decline_quarantined(job, hold)
             return
         if self.defer_suspect(job):
-            self.admission.finish(forward.cost_class, None)
+            self.release_slot(job)
             return
         job.sent_at, job.incarnation = now, self.target.last_incarnation
         host, headers = self.target_headers(job, left)
@@ -599,19 +608,22 @@
         headers[names.caller] = forward.caller
         return host, headers
 
+    def release_slot(self, job: Job, seconds: float | None = None) -> None:
+        """Free the slot of a request, with its service time if the outcome reflects that."""
+        self.admission.finish(job.forward.cost_class, seconds, job.queue_entry, self.now)
+
     def release_unsent(self, job: Job, reason: str) -> None:
         """Free the slot of a request that was not sent, and decline the request."""
-        self.admission.finish(job.forward.cost_class, None)
+        self.release_slot(job)
         self.decline(job, reason)
 
     def on_result(self, job: Job, result: Result[HttpResponse, HttpFailure]) -> None:
         """Process the result of the exchange with the target, and send the next queued requests."""
         job.exchange = None
-        forward = job.forward
         if isinstance(result, Success):
             self.on_response(job, result.unwrap())
         else:
-            self.admission.finish(forward.cost_class, None)
+            self.release_slot(job)
             self.on_failure(job, result.failure())
         self.send_queued()
 
@@ -621,7 +633,7 @@
         self.target.record_answer()
         self.observe_signals(job, response)
         if is_refusal(response.status, response.headers, names):
-            self.admission.finish(forward.cost_class, None)
+            self.release_slot(job)
             misdirected = response.status == MISDIRECTED_STATUS
             if misdirected and forward.key >= 0:
                 self.range_owner.invalidate_grant()
@@ -629,7 +641,7 @@
             wait = 0.0 if misdirected else self.refusal_retry_after(job, response)
             self.decline(job, reason, arrived=True, retry_after=wait)
             return
-        self.admission.finish(forward.cost_class, self.now - job.sent_at)
+        self.release_slot(job, self.now - job.sent_at)
         self.metrics.count_run(forward.cost_class, self.now - job.sent_at)
         if forward.key >= 0:
             self.range_owner.key_load.record_service_time(self.now - job.sent_at)
@@ -662,6 +674,7 @@
             self.now - job.arrived_at,
             self.reported_rate(),
             self.outlook(),
+            round(self.admission.work.costs.expected(forward.cost_class), 4),
         )
         job.reply(answered, response.body)
 
@@ -691,6 +704,7 @@
             self.on_first_answer()
         if is_leaving(response.headers, self.header_names):
             self.on_leaving(job)
+        self.observe_slowdown(response)
         try:
             rate = parse_rate_limit(response.headers, self.header_names)
         except InvalidArgument as error:
@@ -698,6 +712,16 @@
             return
         self.on_rate_limit(job, rate)
 
+    def observe_slowdown(self, response: HttpResponse) -> None:
+        """Record how long a response says that work takes at the target now."""
+        try:
+            slowdown = parse_slowdown(response.headers, self.header_names)
+        except InvalidArgument as error:
+            self.log_unreadable(error)
+            return
+        if slowdown is not None:
+            self.admission.work.state_slowdown(slowdown, self.now)
+
     def on_first_answer(self) -> None:
         """Lift the bound that applies while the target's rate limit is unknown."""
         self.limit_known = True
--- a/src/hibiscusdrum/internal/router/routes.py
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -44,6 +44,9 @@
         Requests per second that the target accepts from all nodes together, while it states so.
     leaving : str
         Present in all responses of a target that is leaving.
+    load_report : str
+        Running and waiting requests and slots of the target, and sometimes how long work takes in percent of
+        usual.
     """
 
     attempt_id: str = "x-attempt-id"
@@ -55,6 +58,7 @@
     caller: str = "x-caller"
     rate_limit: str = "x-rate-limit"
     leaving: str = "x-leaving"
+    load_report: str = "x-load-report"
 
 
 class Route(msgspec.Struct, frozen=True):
--- a/src/hibiscusdrum/internal/router/target_signals.py
+++ b/src/hibiscusdrum/internal/router/target_signals.py
@@ -10,6 +10,8 @@
 
 MISDIRECTED_STATUS = 421
 RETRY_AFTER_HEADER = "retry-after"
+# Position of the optional figure in a load report that says how long work takes, in percent of usual.
+SLOWDOWN_FIELD = 3
 
 
 def is_refusal(status: int, headers: Mapping[str, str], names: HeaderNames) -> bool:
@@ -59,6 +61,27 @@
     return parse_number(headers, RETRY_AFTER_HEADER, "seconds") or 0.0
 
 
+def parse_slowdown(headers: Mapping[str, str], names: HeaderNames) -> float | None:
+    """Return how long work takes at the target now, 1 as usual; None if the target does not state it.
+
+    Raises
+    ------
+    InvalidArgument
+        If the figure is not a decimal number above 0.
+    """
+    text = headers.get(names.load_report, "")
+    figures = text.split(",")
+    if len(figures) <= SLOWDOWN_FIELD:
+        return None
+    try:
+        percent = float(figures[SLOWDOWN_FIELD])
+    except ValueError:
+        percent = math.nan
+    if not 0.0 < percent < math.inf:
+        raise InvalidArgument(name=names.load_report, value=text, expected="a percentage above 0")
+    return percent / 100.0
+
+
 def is_leaving(headers: Mapping[str, str], names: HeaderNames) -> bool:
     """Return whether the target is leaving: any value but 0 says so, since work sent to it may be lost."""
     return headers.get(names.leaving, "0").strip() != "0"
--- a/src/hibiscusdrum/platform/main.py
+++ b/src/hibiscusdrum/platform/main.py
@@ -39,6 +39,7 @@
     caller="x-hibiscusdrum-caller",
     rate_limit="server-limit",
     leaving="server-leaving",
+    load_report="x-hibiscusdrum-load-report",
 )
 
 
