--- a/src/hibiscusdrum/internal/router/admission.py
+++ b/src/hibiscusdrum/internal/router/admission.py
@@ -116,6 +116,8 @@
         Number of requests that the target runs concurrently.
     rate_limiter : RateLimiter, optional
         Limits the rate of requests to the target; unlimited by default.
+    cost_aware : bool
+        Whether waits are expected by the costs of the requests ahead instead of their number.
 
     Attributes
     ----------
@@ -135,6 +137,7 @@
 
     __slots__ = (
         "class_service_seconds",
+        "cost_aware",
         "counter",
         "heap",
         "idle_at",
@@ -147,8 +150,9 @@
         "work",
     )
 
-    def __init__(self, slots: int, rate_limiter: RateLimiter | None = None) -> None:
+    def __init__(self, slots: int, rate_limiter: RateLimiter | None = None, cost_aware: bool = False) -> None:
         self.slots = slots
+        self.cost_aware = cost_aware
         self.running = 0
         self.queued = 0
         self.heap: list[tuple[QueueOrder, int, QueueEntry]] = []
--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -69,7 +69,7 @@
     Forwarder
         The service with the incarnation of this process.
     """
-    selection = NodeSelector(settings.region, settings.failure_domain, rng)
+    selection = NodeSelector(settings.region, settings.failure_domain, rng, cost_aware=settings.cost_aware)
     memory = BodyMemory(settings.memory_bytes)
     app.add(target_client(names, memory))
     app.add(ConnectProbe())
--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -128,3 +128,8 @@
         self.cancelled = False
         self.timer: Timer | None = None
         self.reason = ""
+
+    @property
+    def cost_class(self) -> tuple[str, str]:
+        """Service and route: its requests have similar costs."""
+        return self.service, self.route.name
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -360,7 +360,13 @@
                 self.selector.on_report(self.settings.node, self.local_load(), now)
             probe = self.overload_control.probing_pays(pending, now)
             selected = self.selector.select(
-                candidates, len(pending.body), now, pending.busy_nodes, pending.refusing_nodes, probe
+                candidates,
+                len(pending.body),
+                now,
+                pending.busy_nodes,
+                pending.refusing_nodes,
+                probe,
+                cost_class=pending.cost_class,
             )
             if selected is None:
                 pending.reason = pending.reason or "no_target"
@@ -472,7 +478,7 @@
             crashes=self.known_crashes(pending),
         )
         pending.forward = forward
-        self.selector.on_sent(node)
+        self.selector.on_sent(node, pending.cost_class)
 
         def reply(answer: Answered | Declined, body: bytes) -> None:
             self.on_reply(pending, forward, answer, body)
@@ -511,6 +517,7 @@
     ) -> None:
         """Return the target's response to the caller, or retry elsewhere after a retryable server error."""
         pending.target_attempts += 1
+        self.selector.on_class_cost(pending.node, pending.cost_class, answer.class_seconds)
         self.overload_control.on_answered(pending, forward, answer, now)
         if forward.crashes and any(name == self.header_names.signature for name, _ in answer.headers):
             self.quarantine.clear(self.identify(pending), "answered")
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -121,7 +121,9 @@
         super().__init__()
         self.settings = settings
         self.header_names = header_names
-        self.admission = AdmissionQueue(DEFAULT_SLOTS, RateLimiter(settings.cold_factor, settings.cold_slack))
+        self.admission = AdmissionQueue(
+            DEFAULT_SLOTS, RateLimiter(settings.cold_factor, settings.cold_slack), settings.cost_aware
+        )
         self.limit_known = False
         self.admission.rate_limiter.stated = UNKNOWN_LIMIT_BOUND
         self.body_gate = BodyGate(settings.link_bytes_per_second)
--- a/src/hibiscusdrum/internal/router/selection.py
+++ b/src/hibiscusdrum/internal/router/selection.py
@@ -17,7 +17,8 @@
 
 import msgspec
 
-from hibiscusdrum.internal.messages import Answered, Declined, Pong
+from hibiscusdrum.internal.load.cost_model import ClassCosts
+from hibiscusdrum.internal.messages import UNKNOWN_OUTLOOK, Answered, Declined, Pong
 from hibiscusdrum.internal.router.path_delay import PathDelay
 
 # Assumed mean service time of a target whose load is unknown.
@@ -41,6 +42,8 @@
 REPORT_MAX_AGE_SECONDS = 3.0
 # Time constant with which reported requests decay: most of them have ended after a few service times.
 REPORT_DECAY_SECONDS = 0.5
+# Weight of a report in the usual load of a target. At a few reports a second it spans several seconds.
+USUAL_LOAD_SMOOTHING = 0.1
 # Nodes compared for a request, in this region and in others. Services of up to six nodes are not sampled.
 LOCAL_SAMPLE_SIZE = 3
 REMOTE_SAMPLE_SIZE = 1
@@ -50,6 +53,14 @@
 # The same for a service without a node in this region, since a round trip to another region takes 60 ms.
 MAX_REMOTE_PROBES = 1
 BYTES_PER_MEGABYTE = 1_000_000.0
+# Time constant with which a reported slowdown is forgotten: targets are slow for 0.4 s at a time.
+SLOWDOWN_DECAY_SECONDS = 0.3
+# Reports beyond these bounds are not credible: no queue holds a minute of work, since deadlines are shorter.
+MAX_WORK_SECONDS_PER_SLOT = 60.0
+MAX_REPORTED_SLOWDOWN = 10.0
+
+# Service, and class of requests of similar cost.
+CostClass = tuple[str, str]
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
@@ -82,6 +93,15 @@
         """Return the report that a message carries."""
         return cls(*message.load, message.rate_limit, *message.outlook)
 
+    @property
+    def credible(self) -> bool:
+        """Whether work and slowdown are plausible; otherwise they count as not reported."""
+        work, slowdown = self.work_seconds, self.slowdown
+        return (
+            0.0 <= work <= MAX_WORK_SECONDS_PER_SLOT * max(1, self.slots)
+            and 1.0 / MAX_REPORTED_SLOWDOWN <= slowdown <= MAX_REPORTED_SLOWDOWN
+        )
+
 
 class Candidate(msgspec.Struct, frozen=True):
     """A node that may serve a request."""
@@ -100,6 +120,10 @@
         Requests from this node that have no outcome yet.
     sent_since_report : int
         Requests sent since the last load report.
+    sent_seconds : float
+        Expected cost of these requests at the target.
+    usual_requests, usual_work : float
+        Moving averages of the reported requests, and of their work in seconds.
     avoided_until : float
         Monotonic time in seconds until which the node is avoided after a failure.
     avoidance_seconds : float
@@ -112,7 +136,10 @@
         "in_flight",
         "report",
         "reported_at",
+        "sent_seconds",
         "sent_since_report",
+        "usual_requests",
+        "usual_work",
     )
 
     def __init__(self) -> None:
@@ -120,6 +147,9 @@
         self.reported_at = float("-inf")
         self.in_flight = 0
         self.sent_since_report = 0
+        self.sent_seconds = 0.0
+        self.usual_requests = 0.0
+        self.usual_work = 0.0
         self.avoided_until = 0.0
         self.avoidance_seconds = INITIAL_AVOIDANCE_SECONDS
 
@@ -131,6 +161,47 @@
         reported = (self.report.running + self.report.queued) * math.exp(-age / REPORT_DECAY_SECONDS)
         return max(float(self.in_flight), reported + self.sent_since_report)
 
+    def expected_load(self, now: float) -> tuple[float, float]:
+        """Return the expected number of requests at the target, and their work at its usual speed in seconds.
+
+        Between reports the load returns to what it usually is at this target: the requests that were there
+        end, and others arrive from nodes of which this one knows nothing.
+        """
+        report = self.report
+        weight = math.exp(min(0.0, self.reported_at - now) / REPORT_DECAY_SECONDS)
+        requests = self.usual_requests + (report.running + report.queued - self.usual_requests) * weight
+        work = self.usual_work + (self.reported_work - self.usual_work) * weight
+        requests, work = requests + self.sent_since_report, work + self.sent_seconds
+        if requests < self.in_flight:
+            per_request = work / requests if requests > 0.0 else report.mean_service_seconds
+            return float(self.in_flight), self.in_flight * per_request
+        return requests, work
+
+    @property
+    def reported_work(self) -> float:
+        """Work in the last report; a peer of an earlier release reports the number of requests only."""
+        report = self.report
+        return report.work_seconds or (report.running + report.queued) * report.mean_service_seconds
+
+    def on_report(self, report: LoadReport, now: float) -> None:
+        """Store a report."""
+        if not report.credible:
+            work, _, slowdown = UNKNOWN_OUTLOOK
+            report = msgspec.structs.replace(report, work_seconds=work, slowdown=slowdown)
+        self.report = report
+        first = math.isinf(self.reported_at)
+        share = 1.0 if first else USUAL_LOAD_SMOOTHING
+        self.usual_requests += (report.running + report.queued - self.usual_requests) * share
+        self.usual_work += (self.reported_work - self.usual_work) * share
+        self.reported_at = now
+        self.sent_since_report = 0
+        self.sent_seconds = 0.0
+
+    def slowdown(self, now: float) -> float:
+        """Return how long work is expected to take at the target now, 1 as usual."""
+        age = max(0.0, now - self.reported_at)
+        return 1.0 + (self.report.slowdown - 1.0) * math.exp(-age / SLOWDOWN_DECAY_SECONDS)
+
     @property
     def capacity(self) -> float:
         """Requests per second that the target can run according to its last report."""
@@ -168,11 +239,30 @@
         Location of this node.
     rng : random.Random
         Draws samples and varies the estimates, so that nodes do not all choose the same target.
+    cost_aware : bool
+        Whether response times are expected by the costs of requests instead of their number.
+
+    Attributes
+    ----------
+    class_costs : ClassCosts
+        Costs of classes, and relative costs of targets.
     """
 
-    __slots__ = ("failure_domain", "node_states", "path_delays", "region", "rng")
+    __slots__ = (
+        "class_costs",
+        "cost_aware",
+        "failure_domain",
+        "node_states",
+        "path_delays",
+        "region",
+        "rng",
+    )
 
-    def __init__(self, region: str, failure_domain: str, rng: random.Random) -> None:
+    def __init__(
+        self, region: str, failure_domain: str, rng: random.Random, cost_aware: bool = False
+    ) -> None:
+        self.cost_aware = cost_aware
+        self.class_costs = ClassCosts()
         self.region = region
         self.failure_domain = failure_domain
         self.rng = rng
@@ -193,7 +283,34 @@
             state = self.node_states[node] = NodeState()
         return state
 
-    def expected_seconds(self, candidate: Candidate, size: int, now: float, probing: bool = False) -> float:
+    def own_cost(self, node: str, cost_class: CostClass | None) -> float:
+        """Return the expected cost of a request at a node's target, at the usual speed of this target."""
+        state = self.node_state(node)
+        known = self.class_costs.expected(node, cost_class) if cost_class is not None else None
+        if known is not None and (node in self.class_costs.relative_costs or math.isinf(state.reported_at)):
+            return known
+        # Either the class is unknown, or the peer is of an earlier release, which reports no class costs.
+        return max(state.report.mean_service_seconds, MIN_SERVICE_SECONDS)
+
+    def expected_end_seconds(self, node: str, cost_class: CostClass | None, now: float) -> float:
+        """Return the expected time to the end of a request, by the work at the target and its own cost."""
+        state = self.node_state(node)
+        slots = max(1, state.report.slots)
+        requests, work = state.expected_load(now)
+        seconds = self.own_cost(node, cost_class) + UTILIZATION_WEIGHT * work / slots
+        excess_requests = requests + 1.0 - slots
+        if excess_requests > 0.0 and requests > 0.0:
+            seconds += work / requests * excess_requests / slots
+        return seconds * state.slowdown(now)
+
+    def expected_seconds(
+        self,
+        candidate: Candidate,
+        size: int,
+        now: float,
+        probing: bool = False,
+        cost_class: CostClass | None = None,
+    ) -> float:
         """Return the expected response time in seconds, with penalties for distant nodes.
 
         Parameters
@@ -202,13 +319,18 @@
             Bytes of the request's body.
         probing : bool
             Whether the node is only to be probed for a free slot.
+        cost_class : tuple or None
+            Class of the request; None if not known.
         """
         state = self.node_state(candidate.node)
         report = state.report
-        slots = max(1, report.slots)
-        excess_requests = state.expected_requests(now) + 1.0 - slots
-        seconds = report.mean_service_seconds * (1.0 + max(0.0, excess_requests) / slots)
-        seconds += UTILIZATION_WEIGHT * report.mean_service_seconds * state.expected_requests(now) / slots
+        if self.cost_aware:
+            seconds = self.expected_end_seconds(candidate.node, cost_class, now)
+        else:
+            slots = max(1, report.slots)
+            excess_requests = state.expected_requests(now) + 1.0 - slots
+            seconds = report.mean_service_seconds * (1.0 + max(0.0, excess_requests) / slots)
+            seconds += UTILIZATION_WEIGHT * report.mean_service_seconds * state.expected_requests(now) / slots
         seconds = max(seconds, report.mean_service_seconds + state.rate_wait(now, probing))
         if candidate.region != self.region:
             seconds += (
@@ -226,6 +348,7 @@
         now: float,
         exclude: Collection[str] = (),
         probing: bool = False,
+        cost_class: CostClass | None = None,
     ) -> Candidate | None:
         """Return the candidate with the shortest expected response time, or None if there is no candidate."""
         best: Candidate | None = None
@@ -234,7 +357,7 @@
             [entry for entry in candidates if entry.node not in exclude], now
         ):
             state = self.node_state(candidate.node)
-            cost = self.expected_seconds(candidate, size, now, probing)
+            cost = self.expected_seconds(candidate, size, now, probing, cost_class)
             if state.avoided_until > now:
                 cost += 10.0 + (state.avoided_until - now)
             if not state.report.accepting and now - state.reported_at < REPORT_MAX_AGE_SECONDS:
@@ -251,6 +374,7 @@
         busy_nodes: Collection[str],
         refusing_nodes: Collection[str],
         probe: bool = True,
+        cost_class: CostClass | None = None,
     ) -> tuple[Candidate, bool] | None:
         """Return a node for a request, and whether it should decline the request if it has no free slot.
 
@@ -262,6 +386,8 @@
             Nodes that had no free slot and may still queue the request, and nodes not to ask again.
         probe : bool
             Whether nodes may be probed for a free slot; pointless in an overload.
+        cost_class : tuple or None
+            Class of the request; None if not known.
 
         Returns
         -------
@@ -270,11 +396,11 @@
         """
         local = any(entry.region == self.region for entry in candidates)
         if probe and len(busy_nodes) < (MAX_LOCAL_PROBES if local else MAX_REMOTE_PROBES):
-            chosen = self.choose(candidates, size, now, (*busy_nodes, *refusing_nodes), probing=True)
+            chosen = self.choose(candidates, size, now, (*busy_nodes, *refusing_nodes), True, cost_class)
             if chosen is not None:
                 has_other = len(candidates) - len(busy_nodes) - len(refusing_nodes) > 1
                 return chosen, has_other and (chosen.region == self.region or not local)
-        chosen = self.choose(candidates, size, now, refusing_nodes)
+        chosen = self.choose(candidates, size, now, refusing_nodes, cost_class=cost_class)
         return None if chosen is None else (chosen, False)
 
     def comparison_sample(self, candidates: list[Candidate], now: float) -> list[Candidate]:
@@ -300,17 +426,35 @@
         """Return a random sample without replacement, in proportion to the capacity of the targets."""
         if len(candidates) <= size:
             return candidates
-        weights = [self.node_state(entry.node).capacity for entry in candidates]
+        weights = [self.sample_weight(entry.node) for entry in candidates]
         # The entries with the earliest arrivals of Poisson processes whose rates are the weights.
         arrivals = [self.rng.expovariate(weight) for weight in weights]
         order = sorted(range(len(candidates)), key=arrivals.__getitem__)
         return [candidates[index] for index in order[:size]]
 
-    def on_sent(self, node: str) -> None:
+    def sample_weight(self, node: str) -> float:
+        """Return the requests per second that a node's target can run, for the choice of a sample.
+
+        The mean service time of a target depends on the costs of the requests that were sent to it, so it
+        says little about its speed once they are sent where they end first.
+        """
+        state = self.node_state(node)
+        if not self.cost_aware or node not in self.class_costs.relative_costs:
+            return state.capacity
+        report = state.report
+        capacity = max(1, report.slots) / (DEFAULT_SERVICE_SECONDS * self.class_costs.relative_cost(node))
+        return min(capacity, report.rate_limit or capacity)
+
+    def on_sent(self, node: str, cost_class: CostClass | None = None) -> None:
         """Count a request as sent to a node."""
         state = self.node_state(node)
         state.in_flight += 1
         state.sent_since_report += 1
+        state.sent_seconds += self.own_cost(node, cost_class)
+
+    def on_class_cost(self, node: str, cost_class: CostClass, seconds: float) -> None:
+        """Store the mean cost of a class at a node's target; 0 if the node does not report it."""
+        self.class_costs.record(node, cost_class, seconds)
 
     def on_ended(self, node: str) -> None:
         """Count a request to a node as ended."""
@@ -320,9 +464,7 @@
     def on_report(self, node: str, report: LoadReport, now: float) -> None:
         """Store a node's load report."""
         state = self.node_state(node)
-        state.report = report
-        state.reported_at = now
-        state.sent_since_report = 0
+        state.on_report(report, now)
 
     def on_success(self, node: str) -> None:
         """End the avoidance of a node."""
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -56,6 +56,9 @@
     nested_id_separator : str
         Follows the attempt id of the request being run in the attempt ids of its target's own requests; empty
         if the platform's ids do not tell these apart.
+    cost_aware : bool
+        Whether targets are chosen, and requests queued and refused, by the expected cost of requests instead
+        of their number.
     """
 
     node: str
@@ -81,6 +84,7 @@
     memory_bytes: float = 0.0
     max_descriptors: float = 0.0
     nested_id_separator: str = ""
+    cost_aware: bool = False
     log_level: str = "INFO"
 
     def validated(self) -> RouterSettings:
--- a/src/hibiscusdrum/platform/boot.py
+++ b/src/hibiscusdrum/platform/boot.py
@@ -12,6 +12,7 @@
 # The router's ports, as offsets into the port range that the platform assigns to it.
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
+BOOLEANS = {"true": True, "false": False}
 BYTES_PER_MEGABIT = 125_000.0
 BYTES_PER_MEGABYTE = 1024.0 * 1024.0
 # A target's own requests have the attempt id of the request being run, this, and an id of their own.
@@ -58,6 +59,12 @@
             problems.append(Problem(name, text, "a number"))
             return default
 
+    def parse_boolean(name: str, default: bool) -> bool:
+        text = values.get(name, "")
+        if text and text not in BOOLEANS:
+            problems.append(Problem(name, text, "true or false"))
+        return BOOLEANS.get(text, default)
+
     first_port = values.get("portRange", "").partition(",")[0]
     if not first_port.isdecimal():
         problems.append(Problem("portRange", values.get("portRange", "(missing)"), "two ports"))
@@ -83,6 +90,7 @@
         retry_window=parse_number(bounds, "budgetWindowS", 10.0),
         cold_factor=parse_number(bounds, "coldOver", 1.0),
         cold_slack=parse_number(bounds, "coldSlack", 0.0),
+        cost_aware=parse_boolean("costAware", False),
         nested_id_separator=NESTED_ID_SEPARATOR,
         memory_bytes=parse_number(values, "limits.memoryMb", 0.0) * BYTES_PER_MEGABYTE,
         max_descriptors=parse_number(values, "limits.maxFds", 0.0),
--- a/tests/features/request_cost.feature
+++ b/tests/features/request_cost.feature
@@ -52,3 +52,47 @@
     When 3 short requests and 1 long one arrive
     Then 0.9 s of work are outstanding
     And after 0.05 s and the end of one short request, 0.7 to 0.8 s are
+
+  Scenario: A long request goes to the faster target, although a short one ends sooner at the idle one
+    Given a fast target with 9 short requests and one half as fast with 0
+    Then a short request is sent to the slow target
+    And a long request is sent to the fast target
+
+  Scenario: Of two targets with as many requests, the one with less work is chosen
+    Given two equal targets with 6 requests each, those at one of them long
+    Then a short request is sent to the fast target
+
+  Scenario Outline: Values that are not credible count as not reported
+    Given a target that reports work <work> and slowdown <slowdown>
+    Then its expected end is finite, and what it would be if it reported nothing
+
+    Examples:
+      | work | slowdown |
+      | -5   | 1        |
+      | inf  | 1        |
+      | nan  | 1        |
+      | 1e9  | 1        |
+      | 0.4  | 0        |
+      | 0.4  | -3       |
+      | 0.4  | inf      |
+      | 0.4  | nan      |
+
+  Scenario: A peer of an earlier release is judged by its mean service time
+    Given a peer of an earlier release that takes 0.3 s for a request, beside one that takes 0.1 s
+    Then a short request is sent to the fast target
+    Given a peer of an earlier release that takes 0.05 s for a request, beside one that takes 0.1 s
+    Then a short request is sent to the slow target
+
+  Scenario: An old report counts less than the usual load of the target
+    Given reports of a target that usually has 6 requests, and has 0 in the last one
+    Then 0 to 0.7 requests are expected there 0 s later
+    And 5 to 6 requests are expected there 3 s later
+
+  Scenario Outline: Requests end sooner when their costs are known
+    When requests of unequal cost come at <load> of the capacity for 20 s, with 3 seeds
+    Then with costs the mean and the 99th percentile are shorter, and fewer goals are missed
+
+    Examples:
+      | load |
+      | 0.6  |
+      | 0.9  |
--- a/tests/features/steps/request_cost_steps.py
+++ b/tests/features/steps/request_cost_steps.py
@@ -4,22 +4,17 @@
 import random
 
 from behave import given, then, when
+from tests.cost_world import CostWorld, Outcome, draw_cost
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.load.cost_model import CostModel
 from hibiscusdrum.internal.router.admission import AdmissionQueue, QueueEntry
 from hibiscusdrum.internal.router.outstanding_work import OutstandingWork
 from hibiscusdrum.internal.router.routes import HeaderNames
+from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.target_signals import parse_slowdown
 
 KIND = "route"
-TAIL_SHARE = 0.05
-
-
-def draw_cost(rng, mean):
-    """Draw a cost with some spread, of which one in 20 is 3 to 7 times as large."""
-    cost = rng.lognormvariate(-0.125, 0.5) * (rng.uniform(3.0, 7.0) if rng.random() < TAIL_SHARE else 1.0)
-    return mean * cost / (1.0 + TAIL_SHARE * 4.0)
 
 
 def learn(model, costs, start=0.0, cost_class=KIND):
@@ -179,3 +174,107 @@
     context.now += seconds
     context.queue.finish("short", None, context.taken[0], context.now)
     assert low <= context.queue.outstanding_seconds(context.now) <= high
+
+
+SHORT, LONG = ("work", "short"), ("work", "long")
+PLACES = {name: Candidate(name, "east", "d0") for name in ("fast", "slow")}
+
+
+def report_of(requests, work=0.0, slots=4, mean=0.1, slowdown=1.0):
+    """Return a report of a target with some requests."""
+    running = min(requests, slots)
+    return LoadReport(running, requests - running, slots, mean, True, 0.0, work, 0.0, slowdown)
+
+
+@given("a fast target with {fast:d} short requests and one half as fast with {slow:d}")
+def two_speeds(context, fast, slow):
+    selector = context.selector = NodeSelector("east", "d0", random.Random(1), cost_aware=True)
+    for name, factor, requests in (("fast", 1.0, fast), ("slow", 2.0, slow)):
+        selector.on_class_cost(name, SHORT, 0.1 * factor)
+        selector.on_class_cost(name, LONG, 0.8 * factor)
+        selector.on_report(name, report_of(requests, requests * 0.06 * factor), 10.0)
+
+
+@then("a {kind} request is sent to the {name} target")
+def sent_to(context, kind, name):
+    cost_class = SHORT if kind == "short" else LONG
+    chosen = context.selector.choose(PLACES.values(), 0, 10.0, cost_class=cost_class)
+    assert chosen.node == name, chosen
+
+
+@given("two equal targets with {count:d} requests each, those at one of them long")
+def unequal_work(context, count):
+    selector = context.selector = NodeSelector("east", "d0", random.Random(1), cost_aware=True)
+    for name, work in (("fast", count * 0.1), ("slow", count * 0.8)):
+        selector.on_class_cost(name, SHORT, 0.1)
+        selector.on_report(name, report_of(count, work), 10.0)
+
+
+@given("a target that reports work {work:g} and slowdown {slowdown:g}")
+def odd_report(context, work, slowdown):
+    selector = context.selector = NodeSelector("east", "d0", random.Random(1), cost_aware=True)
+    for name in PLACES:
+        selector.on_class_cost(name, SHORT, 0.1)
+    selector.on_report("slow", report_of(8, 0.8), 10.0)
+    selector.on_report("fast", report_of(8, 0.8), 10.0)
+    selector.on_report("fast", report_of(4, work, slowdown=slowdown), 10.0)
+
+
+@then("its expected end is finite, and what it would be if it reported nothing")
+def as_unknown(context):
+    seconds = context.selector.expected_end_seconds("fast", SHORT, 10.0)
+    context.selector.on_report("fast", report_of(4), 10.0)
+    unknown = context.selector.expected_end_seconds("fast", SHORT, 10.0)
+    assert math.isfinite(seconds) and math.isclose(seconds, unknown, rel_tol=0.1), (seconds, unknown)
+
+
+@given(
+    "a peer of an earlier release that takes {seconds:g} s for a request, beside one that takes {other:g} s"
+)
+def earlier_release(context, seconds, other):
+    selector = context.selector = NodeSelector("east", "d0", random.Random(1), cost_aware=True)
+    selector.on_class_cost("fast", SHORT, other)
+    selector.on_class_cost("slow", SHORT, 0.0)
+    selector.on_report("fast", report_of(0, mean=other), 10.0)
+    selector.on_report("slow", report_of(0, mean=seconds), 10.0)
+
+
+@given("reports of a target that usually has {usual:d} requests, and has {now:d} in the last one")
+def usual_load(context, usual, now):
+    selector = context.selector = NodeSelector("east", "d0", random.Random(1), cost_aware=True)
+    for index in range(60):
+        selector.on_report("fast", report_of(usual, usual * 0.1), index * 0.2)
+    selector.on_report("fast", report_of(now, now * 0.1), 12.0)
+
+
+@then("{low:g} to {high:g} requests are expected there {seconds:g} s later")
+def expected_there(context, low, high, seconds):
+    requests, work = context.selector.node_state("fast").expected_load(12.0 + seconds)
+    assert low <= requests <= high, requests
+    assert math.isclose(work, requests * 0.1, rel_tol=0.01, abs_tol=0.01), (requests, work)
+
+
+def play(load, cost_aware, seeds, seconds, burst=False):
+    """Return the outcome of calls at a load, after a time at 0.6 in which the nodes learn."""
+    calls = []
+    for seed in range(seeds):
+        world = CostWorld(cost_aware, seed)
+        world.load(0.6, 10.0)
+        first = len(world.calls)
+        world.load(load, seconds)
+        last = len(world.calls)
+        world.load(0.6 if burst else 0.3, 10.0)
+        calls += world.calls[first:last]
+    return Outcome(calls)
+
+
+@when("requests of unequal cost come at {load:g} of the capacity for {seconds:g} s, with {seeds:d} seeds")
+def compare(context, load, seconds, seeds):
+    burst = load > 1.0
+    context.off, context.on = (play(load, setting, seeds, seconds, burst) for setting in (False, True))
+
+
+@then("with costs the mean and the 99th percentile are shorter, and fewer goals are missed")
+def better(context):
+    off, on = context.off, context.on
+    assert on.mean < off.mean and on.p99 < off.p99 and on.missed < off.missed, (off, on)
