--- a/src/hibiscusdrum/internal/router/admission.py
+++ b/src/hibiscusdrum/internal/router/admission.py
@@ -12,6 +12,7 @@
 import math
 from typing import Any
 
+from hibiscusdrum.internal.load.service_floor import ServiceFloor
 from hibiscusdrum.internal.router.outstanding_work import OutstandingWork
 from hibiscusdrum.internal.router.rate_limiter import RateLimiter
 
@@ -28,6 +29,13 @@
 # other request would miss its goal.
 GOAL_SERVICE_FACTOR = 1.3
 MIN_GOAL_SECONDS = 0.001
+# A request yields to one of the same priority that costs at most this share and would else miss its goal.
+SHORT_COST_SHARE = 0.5
+# Share of its expected wait that decides whether a queued request is refused because of those that arrived
+# later: the expectation varies, and a request that was admitted should rarely be refused.
+DISPLACED_WAIT_SHARE = 0.7
+# Priority of requests whose class is served too rarely: before all except nested ones.
+PREFERRED_PRIORITY = -1
 MIN_RETRY_AFTER_SECONDS = 0.05
 MAX_RETRY_AFTER_SECONDS = 2.0
 
@@ -54,6 +62,9 @@
         Whether a request that a target is running waits for the response. If a nested request fails, so does
         the one that waits, and the time that its target has spent on it is lost. Nested requests therefore
         precede all others, and only their deadline counts.
+    preferred : bool
+        Whether it precedes all others that are not nested, and only its deadline counts, because its class is
+        served too rarely.
     removed : bool
         Whether the entry has left the queue; the heap drops such entries lazily.
     """
@@ -66,6 +77,7 @@
         "item",
         "late",
         "nested",
+        "preferred",
         "priority",
         "removed",
     )
@@ -90,6 +102,7 @@
         self.cost_class = cost_class
         self.late = False
         self.nested = nested
+        self.preferred = False
         self.removed = False
 
     @property
@@ -99,6 +112,8 @@
         If only the remaining time counted, requests that have waited for most of a long goal would precede
         calls with a short one, and the requests that made those calls would fail.
         """
+        if self.preferred:
+            return (not self.nested, PREFERRED_PRIORITY, False, 0, self.deadline)
         if self.late:
             return (not self.nested, self.priority, True, 0, self.deadline)
         return (not self.nested, self.priority, False, self.goal_bucket, self.goal_at)
@@ -133,12 +148,15 @@
         Costs by class, and the work of the requests at the target.
     queued_classes : dict of str to int
         Number of queued requests by cost class.
+    floor : ServiceFloor
+        Which classes are served too rarely.
     """
 
     __slots__ = (
         "class_service_seconds",
         "cost_aware",
         "counter",
+        "floor",
         "heap",
         "idle_at",
         "mean_service_seconds",
@@ -162,6 +180,7 @@
         self.rate_limiter = rate_limiter or RateLimiter()
         self.idle_at = float("-inf")
         self.work = OutstandingWork()
+        self.floor = ServiceFloor()
         self.queued_classes: dict[str, int] = {}
 
     def outstanding_seconds(self, now: float) -> float:
@@ -172,6 +191,8 @@
 
     def expected_service_seconds(self, cost_class: str) -> float:
         """Return the expected service time of requests of a class."""
+        if self.cost_aware:
+            return self.work.costs.expected(cost_class)
         return self.class_service_seconds.get(cost_class, self.mean_service_seconds)
 
     def has_free_slot(self, now: float) -> bool:
@@ -180,11 +201,30 @@
 
     def expected_wait_seconds(self, order: QueueOrder, now: float) -> float:
         """Return the expected seconds until a request starts, given the entries ahead of it."""
-        ahead = sum(1 for key, _, entry in self.heap if key <= order and not entry.removed)
-        starts_before = max(0, ahead - (self.slots - self.running) + 1)
-        slot_wait = starts_before * self.mean_service_seconds / self.slots
+        if self.cost_aware:
+            costs = [
+                self.expected_service_seconds(entry.cost_class)
+                for key, _, entry in self.heap
+                if key <= order and not entry.removed
+            ]
+            ahead, slot_wait = len(costs), self.wait_behind(len(costs), sum(costs), now)
+        else:
+            ahead = sum(1 for key, _, entry in self.heap if key <= order and not entry.removed)
+            starts_before = max(0, ahead - (self.slots - self.running) + 1)
+            slot_wait = starts_before * self.mean_service_seconds / self.slots
         return max(slot_wait, self.rate_limiter.wait_seconds(ahead, now))
 
+    def wait_behind(self, requests: int, seconds: float, now: float) -> float:
+        """Return the expected wait for a slot behind a number of queued requests that cost some seconds.
+
+        A slot becomes free when the first of the running requests ends, and then with each request ahead.
+        """
+        starts_before = requests - (self.slots - self.running) + 1
+        if starts_before <= 0:
+            return 0.0
+        running = self.work.running_seconds(now) / self.running if self.running else 0.0
+        return (running + seconds) * starts_before / (requests + 1) / self.slots
+
     def saturated(self, now: float) -> bool:
         """Return whether the target is overloaded, so that a late request would delay ones still on time."""
         if now - self.idle_at <= OVERLOAD_SATURATION_SECONDS:
@@ -193,12 +233,19 @@
 
     def is_servable(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a request is expected to meet its deadline, and in an overload also its goal."""
+        entry.preferred = self.cost_aware and self.floor.is_starved(entry.cost_class, now)
         start = now + self.expected_wait_seconds(entry.order, now)
-        if self.misses_goal(entry, start) and self.saturated(now):
-            return False
-        return (
-            start + self.expected_service_seconds(entry.cost_class) * DEADLINE_SERVICE_SHARE <= entry.deadline
+        too_late = self.misses_deadline(entry, start) or (
+            not entry.preferred and self.misses_goal(entry, start) and self.saturated(now)
         )
+        if too_late:
+            self.floor.record(entry.cost_class, False, now)
+        return not too_late
+
+    def misses_deadline(self, entry: QueueEntry, start: float) -> bool:
+        """Return whether a request that starts at a time is expected to miss its deadline."""
+        service = self.expected_service_seconds(entry.cost_class) * DEADLINE_SERVICE_SHARE
+        return start + service > entry.deadline
 
     def retry_after(self, entry: QueueEntry, now: float) -> float:
         """Return the seconds after which a refused request could be expected to start immediately."""
@@ -232,20 +279,54 @@
                 continue
             if self.running >= self.slots or not self.rate_limiter.can_send(now):
                 return None
+            short = self.urgent_short_entry(entry, now) if self.cost_aware else None
+            if short is not None:
+                # Its place in the heap is dropped later, like that of any removed entry.
+                return self.begin(short, now)
             heapq.heappop(self.heap)
-            if not entry.late and self.misses_goal(entry, now):
+            if not entry.late and not entry.preferred and self.misses_goal(entry, now):
                 entry.late = True
                 heapq.heappush(self.heap, (entry.order, next(self.counter), entry))
                 continue
-            self.remove(entry)
-            self.running += 1
-            self.work.start(entry, entry.cost_class, now)
-            self.rate_limiter.record(now)
-            return entry
+            return self.begin(entry, now)
         if self.running < self.slots:
             self.idle_at = now
         return None
 
+    def begin(self, entry: QueueEntry, now: float) -> QueueEntry:
+        """Take a request from the queue, count it as running, and return it."""
+        self.remove(entry)
+        self.running += 1
+        self.work.start(entry, entry.cost_class, now)
+        self.floor.record(entry.cost_class, True, now)
+        self.rate_limiter.record(now)
+        return entry
+
+    def urgent_short_entry(self, first: QueueEntry, now: float) -> QueueEntry | None:
+        """Return a short request to which the first one yields, since it would else miss its goal."""
+        if first.nested or first.preferred:
+            return None
+        cost = self.expected_service_seconds(first.cost_class)
+        short_classes = {
+            name
+            for name in self.queued_classes
+            if self.expected_service_seconds(name) <= SHORT_COST_SHARE * cost
+        }
+        if not short_classes:
+            return None
+        # If the first one starts now, another slot becomes free after this time.
+        next_start = now + (self.work.running_seconds(now) + cost) / (self.running + 1) / self.slots
+        urgent = [
+            entry
+            for _, _, entry in self.heap
+            if entry.cost_class in short_classes
+            and entry.priority == first.priority
+            and not (entry.removed or entry.nested or entry.late or entry.preferred)
+            and self.misses_goal(entry, next_start)
+            and not self.misses_goal(entry, now)
+        ]
+        return min(urgent, key=lambda entry: entry.goal_at, default=None)
+
     def misses_goal(self, entry: QueueEntry, now: float) -> bool:
         """Return whether a request is expected to miss its goal even if it starts now."""
         return now + self.expected_service_seconds(entry.cost_class) * GOAL_SERVICE_FACTOR > entry.goal_at
@@ -253,18 +334,24 @@
     def remove_unservable(self, now: float) -> list[QueueEntry]:
         """Remove and return the requests that cannot meet their deadline, or in an overload their goal."""
         saturated = self.saturated(now)
-        entries = [
-            entry
-            for _, _, entry in self.heap
-            if not entry.removed
-            and (
-                now + self.expected_service_seconds(entry.cost_class) * DEADLINE_SERVICE_SHARE
-                > entry.deadline
-                or (saturated and self.misses_goal(entry, now))
-            )
-        ]
+        entries = []
+        requests, seconds = 0, 0.0
+        queued = sorted(self.heap, key=lambda item: item[:2]) if self.cost_aware else self.heap
+        for _, _, entry in queued:
+            if entry.removed:
+                continue
+            start = now
+            if self.cost_aware:
+                start += DISPLACED_WAIT_SHARE * self.wait_behind(requests, seconds, now)
+            late = saturated and not entry.preferred and self.misses_goal(entry, start)
+            if late or self.misses_deadline(entry, start):
+                entries.append(entry)
+            else:
+                requests += 1
+                seconds += self.expected_service_seconds(entry.cost_class)
         for entry in entries:
             self.remove(entry)
+            self.floor.record(entry.cost_class, False, now)
         return entries
 
     def remove_all(self) -> list[QueueEntry]:
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -144,7 +144,7 @@
         }
         self.pending_requests: set[PendingRequest] = set()
         self.retry_budgets: dict[str, RetryBudget] = {}
-        self.overload_control = OverloadControl(selector.rng)
+        self.overload_control = OverloadControl(selector.rng, settings.cost_aware)
         self.stopping = False
         self.closed = False
         self.routes_active_at = 0.0
--- a/src/hibiscusdrum/internal/router/overload.py
+++ b/src/hibiscusdrum/internal/router/overload.py
@@ -8,6 +8,7 @@
 
 import random
 
+from hibiscusdrum.internal.load.service_floor import ServiceFloor
 from hibiscusdrum.internal.messages import Answered, Forward
 from hibiscusdrum.internal.router.flight import PendingRequest
 from hibiscusdrum.internal.router.path_delay import PathDelay
@@ -26,12 +27,22 @@
     ----------
     rng : random.Random
         Selects the requests to refuse.
+    cost_aware : bool
+        Whether the requests of a route that is served too rarely are all forwarded, so that the nodes beside
+        the targets know how many there are and can keep the floor of their class.
+
+    Attributes
+    ----------
+    floors : dict of str to ServiceFloor
+        Which routes are served too rarely, by service.
     """
 
-    __slots__ = ("returning_callers", "rng", "throttles")
+    __slots__ = ("cost_aware", "floors", "returning_callers", "rng", "throttles")
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, cost_aware: bool = False) -> None:
         self.rng = rng
+        self.cost_aware = cost_aware
+        self.floors: dict[str, ServiceFloor] = {}
         self.throttles: dict[tuple[str, str], Throttle] = {}
         self.returning_callers: dict[str, ReturningCallers] = {}
 
@@ -43,6 +54,19 @@
             instance = self.throttles[key] = Throttle()
         return instance
 
+    def record(self, pending: PendingRequest, accepted: bool, now: float, free_slot: bool = False) -> None:
+        """Record whether a request was accepted, or not served because of an overload."""
+        late = pending.late_on_arrival
+        self.throttle_of(pending).record(accepted, now, free_slot=free_slot, late=late)
+        self.floor_of(pending).record(pending.route.name, accepted, now)
+
+    def floor_of(self, pending: PendingRequest) -> ServiceFloor:
+        """Return the floor for the service of a request."""
+        floor = self.floors.get(pending.service)
+        if floor is None:
+            floor = self.floors[pending.service] = ServiceFloor()
+        return floor
+
     def returning_callers_of(self, route: Route) -> ReturningCallers:
         """Return the recently refused callers of a route."""
         instance = self.returning_callers.get(route.name)
@@ -69,9 +93,11 @@
             return False
         throttle = self.throttle_of(pending)
         pending.service_overloaded = throttle.refused_share(now) > 0.0
+        if self.cost_aware and self.floor_of(pending).is_starved(pending.route.name, now):
+            return False
         refused = self.in_random_share(throttle.refused_share(now, late=pending.late_on_arrival))
         if refused:
-            throttle.record(False, now, late=pending.late_on_arrival)
+            self.record(pending, False, now)
         return refused
 
     def withholds_from_path(self, path: PathDelay, now: float) -> bool:
@@ -97,11 +123,11 @@
             throttle.record_probe(True, now)
         running, queued, slots = answer.load[:3]
         free_slot = running + queued < slots and not (answer.rate_limit and queued)
-        throttle.record(True, now, free_slot=free_slot, late=pending.late_on_arrival)
+        self.record(pending, True, now, free_slot)
 
     def on_not_served(self, pending: PendingRequest, now: float) -> None:
         """Record that a request was not served because the service or the network path was overloaded."""
-        self.throttle_of(pending).record(False, now, late=pending.late_on_arrival)
+        self.record(pending, False, now)
 
     def on_refused(self, pending: PendingRequest, wait: float, now: float) -> None:
         """Record that a caller was refused with a Retry-After of ``wait`` seconds."""
--- a/tests/cost_world.py
+++ b/tests/cost_world.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 
+from hibiscusdrum.internal.load.service_floor import ServiceFloor
 from hibiscusdrum.internal.router.admission import AdmissionQueue, QueueEntry
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.throttle import Throttle
@@ -163,8 +164,9 @@
         self.late = call.began + call.kind.goal - world.now < 0.5 * call.kind.goal
         share = self.throttle.refused_share(world.now, self.late)
         self.overloaded = share > 0.0
-        if self.overloaded and world.rng.random() < share:
-            self.throttle.record(False, world.now, late=self.late)
+        starved = world.cost_aware and self.node.floor.is_starved(call.kind.name, world.now)
+        if self.overloaded and not starved and world.rng.random() < share:
+            self.record(False)
             self.refuse(DEFAULT_RETRY_AFTER_SECONDS)
         else:
             self.dispatch()
@@ -191,7 +193,7 @@
     def on_declined(self, report, retry_after):
         """Refuse the request."""
         self.note(report)
-        self.throttle.record(False, self.world.now, late=self.late)
+        self.record(False)
         self.refuse(retry_after)
 
     def on_answered(self, report, class_seconds):
@@ -201,13 +203,18 @@
         if self.probed:
             self.throttle.record_probe(True, self.world.now)
         free = report.running + report.queued < report.slots
-        self.throttle.record(True, self.world.now, free_slot=free, late=self.late)
+        self.record(True, free)
         self.call.took = self.world.now - self.call.began
 
     def on_deadline(self):
         """Count a request that ran into its deadline."""
         self.node.selector.on_ended(self.asked)
 
+    def record(self, accepted, free_slot=False):
+        """Record whether the request was accepted."""
+        self.throttle.record(accepted, self.world.now, free_slot=free_slot, late=self.late)
+        self.node.floor.record(self.call.kind.name, accepted, self.world.now)
+
     def note(self, report):
         """Take a report with the outcome of the request."""
         self.node.selector.on_ended(self.asked)
@@ -228,6 +235,7 @@
         rng = random.Random(world.rng.random())
         self.selector = NodeSelector("east", f"d{index % 2}", rng, cost_aware=world.cost_aware)
         self.throttles = {kind.name: Throttle() for kind in CLASSES}
+        self.floor = ServiceFloor()
 
 
 class CostWorld:
--- a/tests/features/request_cost.feature
+++ b/tests/features/request_cost.feature
@@ -96,3 +96,27 @@
       | load |
       | 0.6  |
       | 0.9  |
+
+  Scenario: The expected wait follows the costs of the entries ahead
+    Given a full target with 2 slots and classes that cost 0.1 and 0.6 s
+    Then 4 long ones ahead delay a request 3 to 7 times as long as short ones
+
+  Scenario: A request that cannot end in time because of more urgent ones is refused before its deadline
+    Given a full target with 2 slots and classes that cost 0.1 and 0.6 s
+    When a short request of priority 1 with 1 s left waits, and 8 long ones of priority 0 arrive
+    Then only the short one is refused within 0.1 s
+
+  Scenario: A long request yields to a short one of its priority that would else miss its goal
+    Given a full target with 1 slots and classes that cost 0.1 and 0.6 s
+    When a short request has 0.3 s left for its goal, and a long one that precedes it arrives
+    Then the short one is started first
+
+  Scenario Outline: In an overload no class is served less than a quarter as often as all, nor urgent ones least
+    When requests of unequal cost come at <load> of the capacity for 12 s, with 2 seeds
+    Then with costs each class is served at least 0.25 times as often as all
+    And classes of priority 0 are served at least as often as those of priority 1
+
+    Examples:
+      | load |
+      | 1.6  |
+      | 3    |
--- a/tests/features/steps/request_cost_steps.py
+++ b/tests/features/steps/request_cost_steps.py
@@ -4,7 +4,7 @@
 import random
 
 from behave import given, then, when
-from tests.cost_world import CostWorld, Outcome, draw_cost
+from tests.cost_world import CLASSES, CostWorld, Outcome, draw_cost
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.load.cost_model import CostModel
@@ -278,3 +278,84 @@
 def better(context):
     off, on = context.off, context.on
     assert on.mean < off.mean and on.p99 < off.p99 and on.missed < off.missed, (off, on)
+
+
+@given("a full target with {slots:d} slots and classes that cost {short:g} and {long:g} s")
+def full_target(context, slots, short, long):
+    cost_queue(context, slots, short, long)
+    context.queue.cost_aware = True
+    for _ in range(slots):
+        context.queue.push(entry_of("long", context.now), context.now)
+    context.taken = [context.queue.pop(context.now) for _ in range(slots)]
+
+
+def wait_behind(context, cost_class, count):
+    """Return the expected wait of a request behind others, without what the running ones take."""
+    queue, now = context.queue, context.now
+    last = entry_of("short", now, goal=9.0)
+    alone = queue.expected_wait_seconds(last.order, now)
+    ahead = [entry_of(cost_class, now) for _ in range(count)]
+    for entry in ahead:
+        queue.push(entry, now)
+    wait = queue.expected_wait_seconds(last.order, now) - alone
+    for entry in ahead:
+        queue.remove(entry)
+    return wait
+
+
+@then("{count:d} long ones ahead delay a request {low:g} to {high:g} times as long as short ones")
+def wait_by_cost(context, count, low, high):
+    ratio = wait_behind(context, "long", count) / wait_behind(context, "short", count)
+    assert low <= ratio <= high, ratio
+
+
+@when(
+    "a short request of priority {low:d} with {deadline:g} s left waits, "
+    "and {count:d} long ones of priority {high:d} arrive"
+)
+def displaced(context, low, deadline, count, high):
+    queue, now = context.queue, context.now
+    context.short = entry_of("short", now, low, deadline, deadline)
+    assert queue.is_servable(context.short, now)
+    queue.push(context.short, now)
+    for _ in range(count):
+        entry = entry_of("long", now, high)
+        assert queue.is_servable(entry, now)
+        queue.push(entry, now)
+
+
+@then("only the short one is refused within {seconds:g} s")
+def refused_soon(context, seconds):
+    assert context.queue.remove_unservable(context.now + seconds) == [context.short]
+
+
+@when("a short request has {seconds:g} s left for its goal, and a long one that precedes it arrives")
+def both_wait(context, seconds):
+    queue = context.queue
+    context.short = entry_of("short", context.now, goal=1.6)
+    queue.push(context.short, context.now)
+    context.now += 1.6 - seconds
+    long = entry_of("long", context.now, goal=0.95)
+    queue.push(long, context.now)
+    assert long.order < context.short.order and not queue.misses_goal(long, context.now)
+
+
+@then("the short one is started first")
+def short_first(context):
+    context.queue.finish("long", 0.65, context.taken[0], context.now)
+    assert context.queue.pop(context.now) is context.short
+
+
+@then("with costs each class is served at least {share:g} times as often as all")
+def floor_kept(context, share):
+    served = context.on.served
+    overall = sum(call.took is not None for call in context.on.calls) / len(context.on.calls)
+    assert min(served.values()) >= share * overall, (overall, context.on)
+
+
+@then("classes of priority 0 are served at least as often as those of priority 1")
+def urgent_served(context):
+    served = {priority: [] for priority in (0, 1)}
+    for kind in CLASSES:
+        served[kind.priority].append(context.on.served[kind.name])
+    assert min(served[0]) >= max(served[1]), context.on
