--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -245,6 +245,8 @@
         Outstanding work in seconds, wait for the link in seconds, and slowdown of the target.
     first : int
         Offset of the body in the separate frame; the bytes before it were sent in ``AnswerPart`` messages.
+    class_seconds : float
+        Mean cost of the request's cost class at the target, in seconds at its usual speed; 0 if unknown.
     """
 
     id: bytes
@@ -255,6 +257,7 @@
     rate_limit: Amount = 0.0
     outlook: Outlook = UNKNOWN_OUTLOOK
     first: Count = 0
+    class_seconds: Amount = 0.0
 
 
 class AnswerPart(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -158,3 +158,8 @@
     def account_name(self) -> str:
         """Name of the client account; empty if it has none."""
         return self.account.name if self.account is not None else ""
+
+    @property
+    def cost_class(self) -> tuple[str, str]:
+        """Service and route: its requests have similar costs."""
+        return self.service, self.route.name
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -178,7 +178,7 @@
         self.started_at = -math.inf
         self.pending_requests: set[PendingRequest] = set()
         self.retry_budgets: dict[str, RetryBudget] = {}
-        self.overload_control = OverloadControl(selector.rng)
+        self.overload_control = OverloadControl(selector.rng, settings.cost_aware)
         self.answer_sizes = AnswerSizes()
         self.stopping = False
         self.closed = False
@@ -539,6 +539,7 @@
                 pending.refusing_nodes,
                 probe,
                 bulk_answer=self.answer_sizes.is_bulk(pending.route.name),
+                cost_class=pending.cost_class,
             )
             if selected is None:
                 pending.reason = pending.reason or "no_target"
@@ -652,7 +653,7 @@
             account=pending.account_name,
         )
         pending.forward = forward
-        self.selector.on_sent(node)
+        self.selector.on_sent(node, pending.cost_class)
 
         def reply(answer: Answered | Declined, body: bytes) -> None:
             self.on_reply(pending, forward, answer, body)
@@ -700,6 +701,7 @@
         """Return the target's response to the caller, or retry elsewhere after a retryable server error."""
         pending.target_attempts += 1
         self.answer_sizes.observe(pending.route.name, len(body))
+        self.selector.on_class_cost(pending.node, pending.cost_class, answer.class_seconds)
         self.overload_control.on_answered(pending, forward, answer, now)
         if forward.crashes and any(name == self.header_names.signature for name, _ in answer.headers):
             self.quarantine.clear(self.identify(pending), "answered")
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -14,7 +14,7 @@
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.load.body_room import BodyRoom, default_room
 from hibiscusdrum.internal.load.egress import EgressQueue
-from hibiscusdrum.internal.messages import UNKNOWN_OUTLOOK, Answered, Declined, Forward, SendBody
+from hibiscusdrum.internal.messages import Answered, Declined, Forward, SendBody
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.account_fairness import DRAWN_PRIORITY, AccountFairness
 from hibiscusdrum.internal.router.accounts import EndedRuns
@@ -47,6 +47,7 @@
     is_refusal,
     parse_rate_limit,
     parse_retry_after,
+    parse_slowdown,
 )
 from hibiscusdrum.internal.transport.http_client import HttpClient
 from hibiscusdrum.internal.transport.http_connection import (
@@ -151,7 +152,9 @@
         super().__init__()
         self.settings = settings
         self.header_names = header_names
-        self.admission = AdmissionQueue(DEFAULT_SLOTS, RateLimiter(settings.cold_factor, settings.cold_slack))
+        self.admission = AdmissionQueue(
+            DEFAULT_SLOTS, RateLimiter(settings.cold_factor, settings.cold_slack), settings.cost_aware
+        )
         self.limit_known = False
         self.admission.rate_limiter.stated = UNKNOWN_LIMIT_BOUND
         self.body_gate = BodyGate(settings.link_bytes_per_second)
@@ -217,13 +220,10 @@
         The time that offered bodies wait for the link is counted as the number of requests that the target
         could serve in that time, and the wait for the target's rate as the number that the rate allows in it.
         """
-        admission, limiter = self.admission, self.admission.rate_limiter
-        waiting = self.body_gate.expected_wait() / admission.mean_service_seconds * admission.slots
-        if limiter.stated is not None:
-            waiting += limiter.wait_seconds(0, self.now) * limiter.stated_rate
+        admission = self.admission
         return (
             admission.running,
-            admission.queued + self.waiting_count + math.ceil(waiting),
+            admission.queued + self.waiting_elsewhere(),
             admission.slots,
             round(admission.mean_service_seconds, 4),
             self.accepting,
@@ -239,10 +239,21 @@
             + len(self.body_room.waiting)
         )
 
+    def waiting_elsewhere(self) -> int:
+        """Return the number of requests that wait outside of the queue, as ``load_report`` counts them."""
+        admission, limiter = self.admission, self.admission.rate_limiter
+        waiting = self.body_gate.expected_wait() / admission.mean_service_seconds * admission.slots
+        if limiter.stated is not None:
+            waiting += limiter.wait_seconds(0, self.now) * limiter.stated_rate
+        return self.waiting_count + math.ceil(waiting)
+
     def outlook(self) -> tuple[float, float, float]:
         """Return the outstanding work, the wait for the link and the slowdown sent with each load report."""
-        work_seconds, _, slowdown = UNKNOWN_OUTLOOK
-        return work_seconds, round(self.link_forecast.wait_seconds(self.now), 4), slowdown
+        admission, now = self.admission, self.now
+        work = admission.outstanding_seconds(now)
+        work += self.waiting_elsewhere() * admission.work.costs.overall.mean
+        link = self.link_forecast.wait_seconds(now)
+        return (round(work, 4), round(link, 4), round(admission.work.slowdown(now), 2))
 
     def reported_rate(self) -> float:
         """Return the rate limit that is sent with each load report: requests per second, 0 if unlimited."""
@@ -724,21 +735,21 @@
             return
         key_state = self.range_owner.key_state(forward.key) if forward.key >= 0 else KeyState.GRANTED
         if key_state is KeyState.MOVING:
-            self.admission.finish(forward.cost_class, None)
+            self.release_slot(job)
             self.await_move(job)
             return
         if key_state is not KeyState.GRANTED:
             self.release_unsent(job, NOT_OWNER_REASON)
             return
         if hold := self.hold_seconds(job):
-            self.admission.finish(forward.cost_class, None)
+            self.release_slot(job)
             self.decline_quarantined(job, hold)
             return
         if self.defer_suspect(job):
-            self.admission.finish(forward.cost_class, None)
+            self.release_slot(job)
             return
         if not self.body_room.take(forward.id, len(job.body)):
-            self.admission.finish(forward.cost_class, None)
+            self.release_slot(job)
             self.await_room(job)
             return
         job.sent_at, job.incarnation = now, self.target.last_incarnation
@@ -805,9 +816,13 @@
             headers[names.account] = forward.account
         return host, headers
 
+    def release_slot(self, job: Job, seconds: float | None = None) -> None:
+        """Free the slot of a request, with its service time if the outcome reflects that."""
+        self.admission.finish(job.forward.cost_class, seconds, job.queue_entry, self.now)
+
     def release_unsent(self, job: Job, reason: str) -> None:
         """Free the slot of a request that was not sent, and decline the request."""
-        self.admission.finish(job.forward.cost_class, None)
+        self.release_slot(job)
         self.readmit(self.body_room.release(job.forward.id))
         self.decline(job, reason)
 
@@ -826,14 +841,14 @@
                 # The target may still run it, but not beyond the deadline that it was given.
                 self.app.scheduler.call_later(job.deadline - self.now, lambda: self.free_slot(job))
             else:
-                self.admission.finish(forward.cost_class, None)
+                self.release_slot(job)
             self.on_failure(job, failure)
         self.readmit(self.body_room.release(forward.id))
         self.send_queued()
 
     def free_slot(self, job: Job) -> None:
         """Free the slot of a request that was given up before its deadline."""
-        self.admission.finish(job.forward.cost_class, None)
+        self.release_slot(job)
         self.send_queued()
 
     def end_hung(self) -> None:
@@ -859,7 +874,7 @@
         self.target.record_answer()
         self.observe_signals(job, response)
         if is_refusal(response.status, response.headers, names):
-            self.admission.finish(forward.cost_class, None)
+            self.release_slot(job)
             misdirected = response.status == MISDIRECTED_STATUS
             if misdirected and forward.key >= 0:
                 self.range_owner.invalidate_grant()
@@ -867,7 +882,7 @@
             wait = 0.0 if misdirected else self.refusal_retry_after(job, response)
             self.decline(job, reason, arrived=True, retry_after=wait)
             return
-        self.admission.finish(forward.cost_class, self.now - job.sent_at)
+        self.release_slot(job, self.now - job.sent_at)
         self.link_forecast.sizes.observe(forward.cost_class, len(response.body))
         self.metrics.count_run(forward.cost_class, self.now - job.sent_at)
         if forward.key >= 0:
@@ -901,6 +916,7 @@
             self.now - job.arrived_at,
             self.reported_rate(),
             self.outlook(),
+            round(self.admission.work.costs.expected(forward.cost_class), 4),
         )
         job.reply(answered, response.body)
 
@@ -930,6 +946,7 @@
             self.on_first_answer()
         if is_leaving(response.headers, self.header_names):
             self.on_leaving(job)
+        self.observe_slowdown(response)
         try:
             rate = parse_rate_limit(response.headers, self.header_names)
         except InvalidArgument as error:
@@ -937,6 +954,16 @@
             return
         self.on_rate_limit(job, rate)
 
+    def observe_slowdown(self, response: HttpResponse) -> None:
+        """Record how long a response says that work takes at the target now."""
+        try:
+            slowdown = parse_slowdown(response.headers, self.header_names)
+        except InvalidArgument as error:
+            self.log_unreadable(error)
+            return
+        if slowdown is not None:
+            self.admission.work.state_slowdown(slowdown, self.now)
+
     def on_first_answer(self) -> None:
         """Lift the bound that applies while the target's rate limit is unknown."""
         self.limit_known = True
--- a/src/hibiscusdrum/internal/router/routes.py
+++ b/src/hibiscusdrum/internal/router/routes.py
@@ -55,6 +55,9 @@
         Key of a client account, which is read where the request enters and goes no further.
     account : str
         Name of the client account, which the router tells the target.
+    load_report : str
+        Running and waiting requests and slots of the target, and sometimes how long work takes in percent of
+        usual.
     """
 
     attempt_id: str = "x-attempt-id"
@@ -68,6 +71,7 @@
     leaving: str = "x-leaving"
     account_key: str = "x-account-key"
     account: str = "x-account"
+    load_report: str = "x-load-report"
 
 
 class Route(msgspec.Struct, frozen=True):
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -65,6 +65,9 @@
     nested_id_separator : str
         Follows the attempt id of the request being run in the attempt ids of its target's own requests; empty
         if the platform's ids do not tell these apart.
+    cost_aware : bool
+        Whether targets are chosen, and requests queued and refused, by the expected cost of requests instead
+        of their number.
     """
 
     node: str
@@ -95,6 +98,7 @@
     quota_slack: float = 20.0
     nested_id_separator: str = ""
     target_body_bytes: float = 0.0
+    cost_aware: bool = False
     log_level: str = "INFO"
 
     def validated(self) -> RouterSettings:
--- a/src/hibiscusdrum/platform/main.py
+++ b/src/hibiscusdrum/platform/main.py
@@ -41,6 +41,7 @@
     leaving="server-leaving",
     account_key="x-hibiscusdrum-key",
     account="x-hibiscusdrum-tenant",
+    load_report="x-hibiscusdrum-load-report",
 )
 
 
