--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -698,7 +698,7 @@
     app = application()
     context.evacuated = []
     app.add(Stub("gateway"))
-    app.add(Stub("members", set_evacuated_domains=context.evacuated.append, nodes={}))
+    app.add(Stub("members", set_evacuated_domains=context.evacuated.append, nodes={}, store_reachable=True))
     context.follows = []
     app.add(
         Stub("table", poll_changes=lambda table, since, callback: context.follows.append((since, callback)))
--- a/tests/features/steps/store_polls_steps.py
+++ b/tests/features/steps/store_polls_steps.py
@@ -97,6 +97,44 @@
     assert context.hold.begin(0.3, context.conditions) == SHORT_HOLD_SECONDS
 
 
+@when("the poll is held, and a peer has newer rows")
+def newer_rows(context):
+    context.hold.begin(0.0, context.conditions)
+    context.hold.record_newer(1.0)
+    context.hold.record_newer(1.5)
+
+
+@then("it goes on for 0.9 s and then ends, unless the store has answered")
+def ends_for_newer(context):
+    hold, conditions = context.hold, context.conditions
+    assert hold.reason_to_end(1.9, conditions) == ""
+    assert hold.reason_to_end(2.0, conditions) == "newer_rows"
+    hold.record_answer(True)
+    hold.begin(2.0, conditions)
+    assert hold.long and hold.reason_to_end(9.0, conditions) == ""
+
+
+@when('"{name}" gets a digest with newer rows of both tables')
+def newer_digest(context, name):
+    context.node = context.world.nodes[name]
+    digest = context.node.gossip.digest()
+    fields = {field: getattr(digest, field) for field in digest.__struct_fields__}
+    newer = {
+        "node": "east-2",
+        "position": digest.position + 9,
+        "fingerprint": 1,
+        "members_position": digest.members_position + 9,
+        "members_fingerprint": 1,
+    }
+    context.node.gossip.on_digest(ConfigDigest(**{**fields, **newer}))
+
+
+@then("its polls of both tables end if the store does not answer")
+def both_noted(context):
+    now = context.world.clock.monotonic()
+    assert context.node.members.hold.newer_since == context.node.operator_rows.hold.newer_since == now
+
+
 @when("a peer says for {seconds:g} s that it has newer rows, and the store knows of none")
 def newer_for_ever(context, seconds):
     context.polls = 0
@@ -210,6 +248,22 @@
     context.world.nodes[name].access.silent = False
 
 
+@when('"{name}" reaches no peers')
+def no_peers(context, name):
+    context.world.cut.add(name)
+
+
+@when('the store falls silent to "{name}"')
+def silent_to_one(context, name):
+    context.world.nodes[name].access.silent = True
+
+
+@then('"{name}" knows within {seconds:g} s that it is lost')
+def one_knows_lost(context, name, seconds):
+    members = context.world.nodes[name].members
+    context.world.run_until(lambda: not members.store_reachable, seconds)
+
+
 @when("the store falls silent to all nodes")
 def store_silent(context):
     for node in context.world.nodes.values():
--- a/tests/features/store_polls.feature
+++ b/tests/features/store_polls.feature
@@ -64,6 +64,16 @@
       | store_reachable | 0     | store_lost   |
       | answer_age      | 3.0   | store_silent |
 
+  Scenario: A held poll that brings no answer ends when a peer has had newer rows for 1 s
+    Given the conditions of a calm fleet of 72 nodes, but with nodes 72
+    When the poll is held, and a peer has newer rows
+    Then it goes on for 0.9 s and then ends, unless the store has answered
+
+  Scenario: A digest with newer rows of either table is noted by a node that lacks them
+    Given 30 nodes in region "east" and 30 in region "west", which also follow members
+    When "east-1" gets a digest with newer rows of both tables
+    Then its polls of both tables end if the store does not answer
+
   Scenario: A peer whose rows never match costs two calls in 10 s
     Given the conditions of a calm fleet of 72 nodes, but with nodes 72
     When a peer says for 60 s that it has newer rows, and the store knows of none
@@ -89,6 +99,29 @@
     Then all nodes have configuration 11 within 2.5 s
     And all nodes know that "east-9" is gone within 3.5 s
 
+  Scenario: An owner whose held poll died learns of a departure once peers know of it
+    Given 30 nodes in region "east" and 30 in region "west", which also follow members
+    And half of them renew leases
+    When the connections of "east-1 and west-1" die without a reset
+    And the row of "east-9" is deleted
+    Then all nodes know that "east-9" is gone within 2.5 s
+
+  Scenario: An owner whose held polls died, and who reaches no peers, is behind no longer than with short polls
+    Given 30 nodes in region "east" and 30 in region "west", which also follow members
+    And half of them renew leases
+    When the connections of "east-1" die without a reset
+    And "east-1" reaches no peers
+    And configuration 11 adds a route
+    And the row of "east-9" is deleted
+    Then all nodes have configuration 11 within 3.7 s
+    And all nodes know that "east-9" is gone within 3.7 s
+
+  Scenario: An owner to whom the store falls silent knows it although peers confirm its rows
+    Given 30 nodes in region "east" and 30 in region "west", which also follow members
+    And half of them renew leases
+    When the store falls silent to "east-1"
+    Then "east-1" knows within 3.7 s that it is lost
+
   Scenario: A node that is cut off polls briefly, and is up to date soon after
     Given 30 nodes in region "east" and 30 in region "west", which also follow members
     When "east-0" loses its connections and peers, and the store is silent to it
