--- a/src/hibiscusdrum/internal/load/egress.py
+++ b/src/hibiscusdrum/internal/load/egress.py
@@ -169,13 +169,20 @@
         self.lane_bytes[entry.lane] += count
 
     def remove(self, key: bytes) -> Outgoing | None:
-        """Remove and return what is queued for a request; None if nothing is."""
-        entry = self.entries.pop(key, None)
+        """Remove and return what is queued for a request, without its item; None if nothing is."""
+        entry = self.entries.get(key)
         if entry is not None:
-            self.lane_bytes[entry.lane] -= entry.left
-            self.small_count -= entry.lane is Lane.SMALL
+            self.detach(entry)
+            # The entry stays in the heap until its turn, and must not keep the answer in memory.
+            entry.item = None
         return entry
 
+    def detach(self, entry: Outgoing) -> None:
+        """Count an entry as queued no longer."""
+        del self.entries[entry.key]
+        self.lane_bytes[entry.lane] -= entry.left
+        self.small_count -= entry.lane is Lane.SMALL
+
     def next_part(self, now: float, paced: bool = True) -> tuple[Outgoing, int, int] | None:
         """Return an entry with the offset and the length of its part to send now; None if it is not time yet.
 
@@ -199,7 +206,7 @@
             first = entry.sent
             count = entry.left if entry.whole else min(entry.left, self.part_bytes)
             if first + count == entry.size:
-                self.remove(entry.key)
+                self.detach(entry)
             else:
                 self.lane_bytes[entry.lane] -= count
             entry.sent += count
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -148,7 +148,7 @@
 
 
 def push(egress, key, lane, size, deadline, now=0.0):
-    egress.push(Outgoing(key, lane, size, deadline, None), now)
+    egress.push(Outgoing(key, lane, size, deadline, b"answer"), now)
 
 
 def send_all(egress, now, end=10.0):
@@ -188,6 +188,7 @@
     entry, _, count = egress.next_part(0.002)
     assert entry.key == b"cancelled" and count < LARGE_BYTES
     assert egress.remove(b"cancelled") is entry and egress.remove(b"cancelled") is None
+    assert entry.item is None, "a cancelled answer stays in memory until its deadline"
 
 
 @then("only the third one is sent completely, and nothing is counted as waiting")
