--- a/src/hibiscusdrum/internal/router/answer_sizes.py
+++ b/src/hibiscusdrum/internal/router/answer_sizes.py
@@ -18,6 +18,9 @@
 SIZE_SMOOTHING = 0.05
 # A peer may send any cost class; those beyond this number share the estimate over all classes.
 MAX_CLASSES = 1_000
+# A large answer also crosses the link of its caller's VM on its way to the caller. That rate is not known and
+# taken to be the same; the entry node sends nothing before it has the whole answer.
+LINK_PASSES = 2.0
 # Standard deviations that are added to the expected bytes; of a normal distribution, 98% lie below.
 SPREAD_FACTOR = 2.0
 # An answer needs this long beyond the link: 30 ms between regions, and some for the nodes at both ends.
@@ -162,7 +165,9 @@
         if queued:
             start = max(ready_at, now + self.wait_seconds(now, lane))
             variance += sum(self.variances[: lane + 1])
-        return start + (size.mean + SPREAD_FACTOR * math.sqrt(max(0.0, variance))) / rate + PATH_SECONDS
+        passes = LINK_PASSES if self.sizes.is_bulk(cost_class) else 1
+        seconds = (passes * size.mean + SPREAD_FACTOR * math.sqrt(max(0.0, variance))) / rate
+        return start + seconds + PATH_SECONDS
 
     def late_seconds(
         self, cost_class: str, nested: bool, ready_at: float, goal_at: float, deadline: float, now: float
