--- a/src/hibiscusdrum/internal/router/flight.py
+++ b/src/hibiscusdrum/internal/router/flight.py
@@ -4,7 +4,7 @@
 
 from hibiscusdrum.internal.kernel import Timer
 from hibiscusdrum.internal.messages import Answered, Forward
-from hibiscusdrum.internal.router.accounts import Account
+from hibiscusdrum.internal.router.accounts import Account, Admission
 from hibiscusdrum.internal.router.routes import Route
 from hibiscusdrum.internal.transport.entry_request import EntryRequest
 
@@ -56,8 +56,8 @@
         Crashes of targets under the request, as far as its attempts have shown.
     path_seconds : float
         Seconds of the last attempt that were spent neither in the target nor in its queue.
-    account : Account or None
-        Client account; None if it has none.
+    account, account_name : Account or None, str
+        Client account and its name; None and empty if it has none.
     has_token : bool
         Whether it has taken a token of its account's quota.
     inherits_account : bool
@@ -72,6 +72,7 @@
 
     __slots__ = (
         "account",
+        "account_name",
         "arrived_at",
         "asked_nodes",
         "attempt_id",
@@ -148,13 +149,18 @@
         self.timer: Timer | None = None
         self.reason = ""
         self.account: Account | None = None
+        self.account_name = ""
         self.has_token = False
         self.inherits_account = False
         self.priority = route.priority
         self.regions = route.regions
         self.withdrawn = False
 
-    @property
-    def account_name(self) -> str:
-        """Name of the client account; empty if it has none."""
-        return self.account.name if self.account is not None else ""
+    def set_account(self, admission: Admission, regions: tuple[str, ...]) -> None:
+        """Set what follows from the client account, and the regions that both it and the route allow."""
+        self.account, self.inherits_account = admission.account, admission.nested
+        self.regions = regions
+        if self.account is not None:
+            self.account_name = self.account.name
+            if self.account.priority is not None:
+                self.priority = self.account.priority
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -12,7 +12,6 @@
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.accounts import (
     ENDED_RUN_SECONDS,
-    NO_ACCOUNT,
     AccountTable,
     Admission,
     Verdict,
@@ -221,10 +220,11 @@
                 routes=sum(len(routes) for routes in table.by_host.values()),
             )
         )
-        if self.quota is not None and (previous.accounts is not None or table.accounts is not None):
-            self.quota.set_accounts(table.accounts)
         if previous.accounts is not None and table.accounts is not None:
+            # Before the quotas: requests that wait for a token of an account that has none any more are sent.
             self.check_keys_again(table.accounts)
+        if self.quota is not None and (previous.accounts is not None or table.accounts is not None):
+            self.quota.set_accounts(table.accounts)
 
     def check_keys_again(self, accounts: AccountTable) -> None:
         """Withdraw the requests whose keys have been removed or given to other accounts."""
@@ -305,18 +305,17 @@
         if route is None:
             self.refuse_unconfigured(request, 404, NO_ROUTE_REASON)
             return
-        admission, regions = NO_ACCOUNT, route.regions
+        admission, regions = None, route.regions
         if self.route_table.accounts is not None:
             admission = self.admit(request, route)
             if admission.verdict is not Verdict.ADMITTED:
                 self.refuse_admission(request, admission.verdict)
                 return
             if admission.account is not None:
-                common = common_regions(regions, admission.account.regions)
-                if common is None:
+                regions = common_regions(regions, admission.account.regions)
+                if regions is None:
                     self.refuse_unrouted(request, 503, NO_REGION_REASON, OUTSIDE_REGIONS_RETRY_AFTER_SECONDS)
                     return
-                regions = common
         service = self.service_choice.choose(route) if route.services else ""
         if not service or service in self.route_table.unusable_services:
             reason = "service_unusable" if service else "route_unusable"
@@ -332,10 +331,8 @@
         remaining = min(remaining, available)
         pending = PendingRequest(request, route, service, now + remaining, now)
         pending.timeout = timeout
-        pending.regions = regions
-        pending.account, pending.inherits_account = admission.account, admission.nested
-        if admission.account is not None and admission.account.priority is not None:
-            pending.priority = admission.account.priority
+        if admission is not None:
+            pending.set_account(admission, regions)
         self.overload_control.on_arrival(pending, now)
         pending.attempt_id = request.header(self.header_names.attempt_id) or ""
         pending.nested = self.is_nested(pending.attempt_id)
--- a/tests/features/account_quota.feature
+++ b/tests/features/account_quota.feature
@@ -88,3 +88,9 @@
     Then a request of it is refused with 503 for another reason, and the next one is served
     And the one after that gets 429 with a Retry-After
     And a nested request of it is served
+
+  # Guards against a run because the quota of an account ends together with the account.
+  Scenario: A request that waits for a token is refused when its account is removed
+    Given a gateway whose account "alice" has a quota of 1 request and no rate to speak of
+    When a request of it waits for a token while the account is removed
+    Then it is refused with 401 and was sent to no node
--- a/tests/features/steps/account_quota_steps.py
+++ b/tests/features/steps/account_quota_steps.py
@@ -264,6 +264,21 @@
     assert 0.0 < float(dict(request.answer[1])["retry-after"]) <= 10.0, request.answer
 
 
+@when("a request of it waits for a token while the account is removed")
+def removed_while_waiting(context):
+    count = len(context.hop.sent)
+    context.request, _ = ask(context, [(NAMES.account_key, KEYS["alice"][0])])
+    assert context.request.answer is None and len(context.hop.sent) == count
+    activate(context, 4, [["bob", KEYS["bob"], None, 0.1, 1]])
+    pass_time(context, 0.05)
+    assert len(context.hop.sent) == count, "the request was sent"
+
+
+@then("it is refused with {status:d} and was sent to no node")
+def refused_unsent(context, status):
+    assert context.request.answer[0] == status, context.request.answer
+
+
 @then("a nested request of it is served")
 def nested_without_token(context):
     context.gateway.receiver.account_of_run = lambda _: "alice"
