--- a/soak/poison.py
+++ b/soak/poison.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Container
 from typing import Any
 
 from tools.repeating_caller import CallerRequest, RepeatingCaller
@@ -34,7 +35,7 @@
     return caller
 
 
-def runs_of(senders: dict[str, str], records: list[dict[str, Any]]) -> list[dict[str, Any]]:
+def runs_of(senders: Container[str], records: list[dict[str, Any]]) -> list[dict[str, Any]]:
     """Return the records of the runs of some attempts."""
     return [record for record in records if record["event"] == "run" and record["id"] in senders]
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,13 +10,16 @@
 import tempfile
 import threading
 import time
+from collections import Counter
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 import msgspec
 from tools.processes import ConditionTimeout, request, wait_until
-from tools.router_system import ROUTES, Vm
+from tools.router_system import Vm
 
+from soak.accounts import ACCOUNT_ROUTE, PUBLIC_ROUTES, TENANTS, AccountCaller, account_violations
 from soak.callers import Caller, PipeliningCaller, RequestRecord, SequentialCaller
 from soak.checks import Intervals, disturbed, find_violations
 from soak.links import MODES, PASS, LinkProxy
@@ -108,16 +111,23 @@
     def run(self) -> list[str]:
         """Run the seed and return the violations of guarantees."""
         callers: list[Caller] = []
+        accounts: list[AccountCaller] = []
+        attempts: dict[str, bool] = {}
         poison = poison_caller(self.system, self.seed)
         violations: list[str] = []
         try:
             self.system.start()
+            self.configure()
+            accounts = [
+                AccountCaller(self.system, vm, f"account {self.seed} {vm.name}")
+                for vm in self.system.vms.values()
+            ]
             callers = [StallLog(self.log_event), *manner_callers(self.system.vms.values(), self.seed)]
             callers += [
                 SequentialCaller(vm, self.rng.random()) for vm in self.system.vms.values() for _ in range(2)
             ]
             callers += [PipeliningCaller(vm, self.pipeline_rng.random()) for vm in self.system.vms.values()]
-            for caller in (*callers, poison):
+            for caller in (*callers, *accounts, poison):
                 caller.start()
             for _ in range(EVENTS_PER_SEED):
                 self.inject_event()
@@ -131,12 +141,18 @@
         except ConditionTimeout as error:
             violations.append(f"not reached: {error}")
         finally:
-            for caller in (*callers, poison):
+            for caller in (*callers, *accounts, poison):
                 caller.stop_and_join()
             requests: list[RequestRecord] = [entry for caller in callers for entry in caller.requests]
             records = self.system.target_records()
             violations += find_violations(requests, records, self.pauses, self.disturbances)
             violations += poison_violations(poison.senders, records, self.unplanned_faults)
+            attempts |= {attempt: right for caller in accounts for attempt, right in caller.attempts.items()}
+            violations += account_violations(attempts, records, self.disturbances)
+            statuses = Counter()
+            for caller in accounts:
+                statuses.update(caller.statuses)
+            self.log_event(f"answers to requests of accounts: {sorted(statuses.items())}")
             violations += self.unexpected_exits
             self.system.stop()
         cuts = cut_requests(requests, self.stops, self.unplanned_faults)
@@ -147,8 +163,11 @@
         violations += silent_violations(requests, self.disturbances)
         served = sum(entry.status == 200 for entry in requests)
         cut = f"{len(cuts)} cut by {self.stop_count} planned stops"
-        poison_runs = len(runs_of(poison.senders, records))
-        summary = f"{len(requests)} requests, {served} served, {cut}, {poison_runs} poison runs"
+        poison_runs, account_runs = len(runs_of(poison.senders, records)), len(runs_of(attempts, records))
+        summary = (
+            f"{len(requests)} requests, {served} served, {cut}, {poison_runs} poison runs, "
+            f"{account_runs} runs for {len(attempts)} requests of accounts"
+        )
         self.log_event(summary)
         self.event_log += [f"cut: {msgspec.json.encode(entry).decode()}" for entry in cuts]
         (self.folder / "events.log").write_text("\n".join([*self.event_log, *violations]) + "\n")
@@ -159,6 +178,10 @@
             shutil.rmtree(self.folder, ignore_errors=True)
         return violations
 
+    def configure(self, routes: Sequence[list[Any]] = ()) -> None:
+        """Write the configuration with client accounts, and further routes; most callers need no key."""
+        self.system.configure([*PUBLIC_ROUTES, ACCOUNT_ROUTE, *routes], TENANTS)
+
     def inject_event(self) -> None:
         """Inject a random fault or change; faults may overlap with earlier ones."""
         vm = self.rng.choice(list(self.system.vms.values()))
@@ -194,7 +217,7 @@
             self.schedule_repair(seconds, lambda: self.links.set_fault(name, PASS))
         elif kind == 8:
             self.log_event("configuration")
-            self.system.configure(ROUTES)
+            self.configure()
         else:
             domain = vm.failure_domain
             self.log_event(f"evacuate {domain} for {seconds:.2f} s")
@@ -381,8 +404,8 @@
             RECOVERY_LIMIT_SECONDS,
             "all keys and services are served again",
         )
-        route = ["last", "grants.example", "/last/", "idempotent", 2.0, 0.5, 1, "shared", 2, [], None]
-        self.system.configure([*ROUTES, route])
+        route = ["last", "grants.example", "/last/", "idempotent", 2.0, 0.5, 1, "shared", 2, [], None, True]
+        self.configure([route])
         self.wait_restarting_routers(
             lambda: self.answered_by_all_routers("grants.example", "/last/x"),
             CONFIGURATION_LIMIT_SECONDS,
--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -30,7 +30,7 @@
 ATTEMPT_NUMBERS = itertools.count(1)
 ROUTE_COLUMNS = [
     "name", "host", "prefix", "kind", "timeoutS", "goalS", "priority", "service", "attempts",
-    "allowedRegions", "backends",
+    "allowedRegions", "backends", "public",
 ]  # fmt: skip
 TENANT_COLUMNS = ["name", "apiKeys", "priority", "ratePerS", "burst", "allowedRegions"]
 SERVICE_COLUMNS = ["name", "healthPath", "maxConns", "warmupS", "warmupPerS", "partitioned"]
