--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -30,6 +30,7 @@
     CrashRecord,
     Quarantine,
 )
+from hibiscusdrum.internal.router.quota import RefusedConnections
 from hibiscusdrum.internal.router.quota_service import QuotaService
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.receiver import (
@@ -139,6 +140,8 @@
         Returns the seconds within which requests must end because the process is about to.
     hidden_headers : set of str
         Headers that are not forwarded if the configuration has client accounts.
+    refused_connections : RefusedConnections
+        Connections of callers that were refused over their quota.
     quota : QuotaService or None
         Gives tokens to requests of accounts that have a quota.
     started_at : float
@@ -168,6 +171,7 @@
         }
         self.hidden_headers = self.replaced_headers | {header_names.account_key, header_names.account}
         self.quota: QuotaService | None = None
+        self.refused_connections = RefusedConnections()
         self.started_at = -math.inf
         self.pending_requests: set[PendingRequest] = set()
         self.retry_budgets: dict[str, RetryBudget] = {}
@@ -372,14 +376,19 @@
 
         if self.quota is None or account not in self.quota.accounts:
             self.dispatch(pending)
-        elif self.quota.acquire(account, pending.waited_before > 0.0, decide):
-            pending.has_token = True
-            self.dispatch(pending)
+        else:
+            now = self.app.clock.monotonic()
+            returning = self.refused_connections.take(pending.request.connection, now)
+            if self.quota.acquire(account, returning or pending.waited_before > 0.0, decide):
+                pending.has_token = True
+                self.dispatch(pending)
 
     def refuse_over_quota(self, pending: PendingRequest, wait: float) -> None:
         """Respond that the account of a request has used up its quota for some seconds."""
         log_events.emit(events.QuotaExceeded(account=pending.account_name, wait_s=round(wait, 3)))
-        self.overload_control.on_refused(pending, wait, self.app.clock.monotonic())
+        now = self.app.clock.monotonic()
+        self.refused_connections.record(pending.request.connection, wait, now)
+        self.overload_control.on_refused(pending, wait, now)
         self.report_client_error(pending.request, 429, OVER_QUOTA_REASON)
         headers = [("retry-after", f"{wait:.3f}")]
         if pending.attempt_id:
--- a/src/hibiscusdrum/internal/router/quota.py
+++ b/src/hibiscusdrum/internal/router/quota.py
@@ -32,6 +32,8 @@
 # A keeper that has not answered for this long is replaced. Busy nodes answer a few hundred milliseconds late.
 KEEPER_SILENCE_SECONDS = 0.7
 PROBE_SECONDS = 2.0
+# A message that could not be sent costs nothing. After a start, connections are made within this time or two.
+RECONNECT_SECONDS = 0.3
 # Longest wait of a request for an answer of the keeper: two round trips between regions take 0.12 s.
 MAX_TOKEN_WAIT_SECONDS = 0.6
 # Unused tokens end after LEASE_SECONDS at their node, which counts from its message, and later at the keeper.
@@ -59,6 +61,8 @@
 MAX_WAIT_SECONDS = 10.0
 # Above this demand at a node, requests do not take the reservations of callers who come back.
 MAX_CLAIMING_DEMAND = 0.3
+# Refused callers that are remembered by their connections.
+MAX_REFUSED_CONNECTIONS = 10_000
 # Level from which a token counts as whole, despite rounding.
 WHOLE_TOKEN = 1.0 - 1e-6
 # Candidates for the keeper: the first of all nodes, and the first of the node's own region.
@@ -637,6 +641,8 @@
         if ask is None:
             return []
         self.mark_silent(ask.keeper, now)
+        if ask.keeper in self.silent:
+            self.silent[ask.keeper] = now + RECONNECT_SECONDS
         return self.refused(ask, now)
 
     def mark_silent(self, keeper: str, now: float) -> None:
@@ -674,6 +680,34 @@
         return freed
 
 
+class RefusedConnections:
+    """Connections on which a request was refused, so that the next one on them comes from that caller.
+
+    A caller who comes back with the same deadline is known by it, one with a new deadline by its connection.
+
+    Attributes
+    ----------
+    ends : dict of int to float
+        Until when the caller of each connection may come back, in the order of the refusals.
+    """
+
+    __slots__ = ("ends",)
+
+    def __init__(self) -> None:
+        self.ends: dict[int, float] = {}
+
+    def record(self, connection: object, wait: float, now: float) -> None:
+        """Record a refusal with a Retry-After of some seconds."""
+        self.ends.pop(id(connection), None)
+        self.ends[id(connection)] = now + wait + RESERVED_SECONDS
+        if len(self.ends) > MAX_REFUSED_CONNECTIONS:
+            del self.ends[next(iter(self.ends))]
+
+    def take(self, connection: object, now: float) -> bool:
+        """Return whether the caller was refused and comes back in time, and forget the refusal."""
+        return now < self.ends.pop(id(connection), now)
+
+
 def limited_accounts(accounts: Any) -> dict[str, Account]:
     """Return the accounts of a configuration that have a quota, by name; none without accounts."""
     if accounts is None:
--- a/tests/features/account_quota.feature
+++ b/tests/features/account_quota.feature
@@ -89,6 +89,11 @@
     And the one after that gets 429 with a Retry-After
     And a nested request of it is served
 
+  Scenario: A caller who comes back is known by its deadline or its connection, and others do not take its token
+    Given a gateway whose account "alice" has a quota of 1 request and no rate to speak of
+    When its token is used, and a caller is refused
+    Then the next request on the connection of that caller counts as coming back, and the one after it does not
+
   # Guards against a run because the quota of an account ends together with the account.
   Scenario: A request that waits for a token is refused when its account is removed
     Given a gateway whose account "alice" has a quota of 1 request and no rate to speak of
--- a/tests/features/steps/account_quota_steps.py
+++ b/tests/features/steps/account_quota_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 from tests.features.steps.client_accounts_steps import KEYS, NAMES, activate, ask, gateway_with_accounts
 from tests.quota_world import Loop, QuotaWorld, fleet_accounts
-from tests.router_stubs import SETTINGS
+from tests.router_stubs import SETTINGS, Request
 
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.messages import Declined
@@ -264,6 +264,28 @@
     assert 0.0 < float(dict(request.answer[1])["retry-after"]) <= 10.0, request.answer
 
 
+@when("its token is used, and a caller is refused")
+def one_refused(context):
+    assert ask_alice(context)[0].answer is None
+    context.request, _ = ask_alice(context)
+    assert context.request.answer[0] == 429
+
+
+@then(
+    "the next request on the connection of that caller counts as coming back, and the one after it does not"
+)
+def known_by_connection(context):
+    gateway, seen = context.gateway, []
+    gateway.quota.acquire = lambda _account, returning, _decide: seen.append(returning)
+    pass_time(context, 1.0)
+    for connection in (object(), context.request.connection, context.request.connection):
+        request = Request()
+        request.headers += [(NAMES.account_key, KEYS["alice"][0]), (NAMES.deadline_ms, "70000")]
+        request.connection = connection
+        gateway.on_request(request)
+    assert seen == [False, True, False], seen
+
+
 @when("a request of it waits for a token while the account is removed")
 def removed_while_waiting(context):
     count = len(context.hop.sent)
--- a/tests/router_stubs.py
+++ b/tests/router_stubs.py
@@ -54,6 +54,7 @@
         self.headers = [("host", "h.example")]
         self.answer = None
         self.on_closed = None
+        self.connection = object()
 
     def header(self, name):
         """Return a header's value."""
