--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -14,7 +14,6 @@
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.accounts import (
     ENDED_RUN_SECONDS,
-    NO_ACCOUNT,
     AccountTable,
     Admission,
     Verdict,
@@ -34,6 +33,7 @@
     CrashRecord,
     Quarantine,
 )
+from hibiscusdrum.internal.router.quota import RefusedConnections
 from hibiscusdrum.internal.router.quota_service import QuotaService
 from hibiscusdrum.internal.router.range_owner import RangeOwner
 from hibiscusdrum.internal.router.receiver import (
@@ -146,6 +146,8 @@
         Returns the seconds within which requests must end because the process is about to.
     hidden_headers : set of str
         Headers that are not forwarded if the configuration has client accounts.
+    refused_connections : RefusedConnections
+        Connections of callers that were refused over their quota.
     quota : QuotaService or None
         Gives tokens to requests of accounts that have a quota.
     started_at : float
@@ -175,6 +177,7 @@
         }
         self.hidden_headers = self.replaced_headers | {header_names.account_key, header_names.account}
         self.quota: QuotaService | None = None
+        self.refused_connections = RefusedConnections()
         self.started_at = -math.inf
         self.pending_requests: set[PendingRequest] = set()
         self.retry_budgets: dict[str, RetryBudget] = {}
@@ -228,10 +231,11 @@
                 routes=sum(len(routes) for routes in table.by_host.values()),
             )
         )
-        if self.quota is not None and (previous.accounts is not None or table.accounts is not None):
-            self.quota.set_accounts(table.accounts)
         if previous.accounts is not None and table.accounts is not None:
+            # Before the quotas: requests that wait for a token of an account that has none any more are sent.
             self.check_keys_again(table.accounts)
+        if self.quota is not None and (previous.accounts is not None or table.accounts is not None):
+            self.quota.set_accounts(table.accounts)
 
     def check_keys_again(self, accounts: AccountTable) -> None:
         """Withdraw the requests whose keys have been removed or given to other accounts."""
@@ -312,18 +316,17 @@
         if route is None:
             self.refuse_unconfigured(request, 404, NO_ROUTE_REASON)
             return
-        admission, regions = NO_ACCOUNT, route.regions
+        admission, regions = None, route.regions
         if self.route_table.accounts is not None:
             admission = self.admit(request, route)
             if admission.verdict is not Verdict.ADMITTED:
                 self.refuse_admission(request, admission.verdict)
                 return
             if admission.account is not None:
-                common = common_regions(regions, admission.account.regions)
-                if common is None:
+                regions = common_regions(regions, admission.account.regions)
+                if regions is None:
                     self.refuse_unrouted(request, 503, NO_REGION_REASON, OUTSIDE_REGIONS_RETRY_AFTER_SECONDS)
                     return
-                regions = common
         service = self.service_choice.choose(route) if route.services else ""
         if not service or service in self.route_table.unusable_services:
             reason = "service_unusable" if service else "route_unusable"
@@ -339,10 +342,8 @@
         remaining = min(remaining, available)
         pending = PendingRequest(request, route, service, now + remaining, now)
         pending.timeout = timeout
-        pending.regions = regions
-        pending.account, pending.inherits_account = admission.account, admission.nested
-        if admission.account is not None and admission.account.priority is not None:
-            pending.priority = admission.account.priority
+        if admission is not None:
+            pending.set_account(admission, regions)
         self.overload_control.on_arrival(pending, now)
         pending.attempt_id = request.header(self.header_names.attempt_id) or ""
         pending.nested = self.is_nested(pending.attempt_id)
@@ -382,14 +383,19 @@
 
         if self.quota is None or account not in self.quota.accounts:
             self.dispatch(pending)
-        elif self.quota.acquire(account, pending.waited_before > 0.0, decide):
-            pending.has_token = True
-            self.dispatch(pending)
+        else:
+            now = self.app.clock.monotonic()
+            returning = self.refused_connections.take(pending.request.connection, now)
+            if self.quota.acquire(account, returning or pending.waited_before > 0.0, decide):
+                pending.has_token = True
+                self.dispatch(pending)
 
     def refuse_over_quota(self, pending: PendingRequest, wait: float) -> None:
         """Respond that the account of a request has used up its quota for some seconds."""
         log_events.emit(events.QuotaExceeded(account=pending.account_name, wait_s=round(wait, 3)))
-        self.overload_control.on_refused(pending, wait, self.app.clock.monotonic())
+        now = self.app.clock.monotonic()
+        self.refused_connections.record(pending.request.connection, wait, now)
+        self.overload_control.on_refused(pending, wait, now)
         self.report_client_error(pending.request, 429, OVER_QUOTA_REASON)
         headers = [("retry-after", f"{wait:.3f}")]
         if pending.attempt_id:
