--- a/tests/features/request_cost.feature
+++ b/tests/features/request_cost.feature
@@ -133,3 +133,15 @@
     Given a full target with 1 slots and classes that cost 0.1 and 0.6 s
     When requests of priority 0 and 1 and one like the latter of a caller that came back wait
     Then they start in the order: urgent, returned, other
+
+  Scenario: Routers that know costs tell callers times to come back at which they are served
+    Given routers in two regions that know costs, and a service of 8 targets in one of them
+    When the service gets 1.5 times what it can run for 10 s, half of it from the other region
+    Then every request is answered or refused as not run
+    And at least 0.75 of what the targets can run is answered on time
+    And of the callers that come back to these routers, fewer than 0.2 are refused again
+
+  Scenario: A slow phase that a target states, its work and its costs reach the nodes that send to it
+    Given routers in two regions that know costs, and a service of 8 targets in one of them
+    When all targets state 300 percent, and the service gets 0.8 times what it can run for 3 s
+    Then a node knows of a slowdown of 3, of outstanding work, and of the cost of the service
--- a/tests/features/router_platform.feature
+++ b/tests/features/router_platform.feature
@@ -12,6 +12,7 @@
       | a bad address      | target_address  |
       | a bad port range   | portRange       |
       | a bad bound        | holdMaxS        |
+      | a bad switch       | costAware       |
 
   Scenario: A configuration becomes routes
     Then a configuration with columns gives routes, weights, homes, services and limits
--- a/tests/features/steps/request_cost_steps.py
+++ b/tests/features/steps/request_cost_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 from tests.cost_world import CLASSES, CostWorld, Outcome, draw_cost
+from tests.overload_world import NAMES, OverloadWorld, ServiceModel
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.load.cost_model import CostModel
@@ -410,3 +411,39 @@
         started.append(queue.pop(context.now))
         queue.finish("short", 0.1, started[-1], context.now)
     assert started == [context.entries[name] for name in ("urgent", "returned", "other")]
+
+
+@given("routers in two regions that know costs, and a service of {count:d} targets in one of them")
+def cost_aware_routers(context, count):
+    context.grants = ServiceModel("grants", {"east": count}, 0.22, regions=("east",), body=1200)
+    callers = ServiceModel("lookups", {"east": 6, "west": 14}, 0.17)
+    context.world = OverloadWorld([context.grants, callers], 300_000.0, cost_aware=True)
+    context.add_cleanup(context.world.close)
+
+
+@then("of the callers that come back to these routers, fewer than {share:g} are refused again")
+def returns_served(context, share):
+    returned = [caller for caller in context.world.callers if caller.attempts > 1]
+    refused = sum(len(caller.refused_after) > 1 for caller in returned)
+    assert returned and refused < share * len(returned), (refused, len(returned))
+
+
+@when(
+    "all targets state {percent:d} percent, "
+    "and the service gets {load:g} times what it can run for {seconds:d} s"
+)
+def stated_in_world(context, percent, load, seconds):
+    world = context.world
+    for node in world.nodes.values():
+        node.http.signals[NAMES.load_report] = f"1,0,3,{percent}"
+    world.load("grants", context.grants.capacity * load, seconds)
+    world.run(seconds)
+
+
+@then("a node knows of a slowdown of {slowdown:g}, of outstanding work, and of the cost of the service")
+def outlook_known(context, slowdown):
+    selectors = [node.gateway.selector for node in context.world.nodes.values()]
+    states = [state for selector in selectors for state in selector.node_states.values()]
+    assert any(state.report.slowdown == slowdown and state.report.work_seconds > 0.0 for state in states)
+    costs = [selector.class_costs.costs for selector in selectors if selector.class_costs.costs]
+    assert costs and all(list(known) == [("grants", "grants")] for known in costs), costs
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -43,6 +43,7 @@
     assert settings.target_address == "127.0.0.1:7001" and settings.caller_address == "127.0.0.1:7002"
     assert settings.peer_address == "127.0.0.1:7005" and settings.metrics_address == "127.0.0.1:7006"
     assert settings.longest_hold == 10.0 and settings.heartbeat == 0.5 and settings.retry_ratio == 0.2
+    assert not settings.cost_aware and router_settings({**boot_values(), "costAware": "true"}).cost_aware
 
 
 FAULTY_SETTINGS = {
@@ -50,6 +51,7 @@
     "a bad address": {"appAddr": "nowhere"},
     "a bad port range": {"portRange": "a,b"},
     "a bad bound": {"bounds": "holdMaxS=soon"},
+    "a bad switch": {"costAware": "maybe"},
 }
 
 
--- a/tests/overload_world.py
+++ b/tests/overload_world.py
@@ -180,7 +180,7 @@
         self.link_in, self.link_out = Link(world, world.node_rate), Link(world, world.node_rate)
         settings = RouterSettings(
             name, region, f"{region}-1", spec.name, *(f"127.0.0.1:{port}" for port in range(1, 7)),
-            link_bytes_per_second=world.node_rate,
+            link_bytes_per_second=world.node_rate, cost_aware=world.cost_aware,
         )  # fmt: skip
         self.app = Application(world.clock)
         selection = NodeSelector(region, f"{region}-1", random.Random(name))
@@ -294,7 +294,7 @@
         Messages with a request between nodes, and those of them between regions.
     """
 
-    def __init__(self, services, region_rate, node_rate=1_250_000.0, seed=1):
+    def __init__(self, services, region_rate, node_rate=1_250_000.0, seed=1, cost_aware=False):
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.counter = itertools.count()
@@ -305,6 +305,7 @@
         self.forwards = 0
         self.far_forwards = 0
         self.node_rate = node_rate
+        self.cost_aware = cost_aware
         self.services = {spec.name: spec for spec in services}
         self.region_links = {region: Link(self, region_rate) for region in ("east", "west")}
         routes = [spec.route for spec in services]
