--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -174,6 +174,8 @@
         Name of the client account; empty if none.
     takes_parts : bool
         Whether the sender assembles an answer that is sent in parts.
+    returning : bool
+        Whether the caller was refused before, and was told to come back at this time.
     """
 
     id: bytes
@@ -200,6 +202,7 @@
     store_earliest: Seconds = 0.0
     account: str = ""
     takes_parts: bool = False
+    returning: bool = False
 
 
 class SendBody(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -655,6 +655,7 @@
             caller=self.settings.service,
             only_if_free=only_if_free,
             nested=pending.nested,
+            returning=self.overload_control.is_returning(pending),
             crashes=self.known_crashes(pending),
             account=pending.account_name,
         )
@@ -861,8 +862,11 @@
             self.answer_failure(pending, 502)
             return
         self.return_token(pending)
+        now = self.app.clock.monotonic()
         wait = pending.retry_after or DEFAULT_RETRY_AFTER_SECONDS
-        self.overload_control.on_refused(pending, wait, self.app.clock.monotonic())
+        if pending.key < 0 and pending.reason in (*OVERLOAD_REASONS, THROTTLED_REASON):
+            wait = self.overload_control.reserve_return(pending, wait, now)
+        self.overload_control.on_refused(pending, wait, now)
         headers = [("retry-after", f"{wait:.3f}")]
         if pending.attempt_id:
             headers.append((self.header_names.attempt_id, pending.attempt_id))
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -665,8 +665,16 @@
         deadline = min(job.deadline, now + self.service_seconds_left())
         if job.drawn is None and forward.account and not forward.nested:
             job.drawn = self.fairness.draws(now)
-        priority = DRAWN_PRIORITY if job.drawn else forward.priority
-        return QueueEntry(job, priority, job.goal_at, deadline, forward.cost_class, now, forward.nested)
+        return QueueEntry(
+            job,
+            DRAWN_PRIORITY if job.drawn else forward.priority,
+            job.goal_at,
+            deadline,
+            forward.cost_class,
+            now,
+            forward.nested,
+            forward.returning,
+        )
 
     def unservable_reason(self, job: Job) -> str:
         """Return why a request cannot be served in time: its deadline, or the end of this process."""
--- a/tests/features/steps/request_cost_steps.py
+++ b/tests/features/steps/request_cost_steps.py
@@ -1,15 +1,18 @@
 """Steps for the cost of requests and the work that targets still have to do."""
 
+import itertools
 import math
 import random
 
 from behave import given, then, when
 from tests.cost_world import CLASSES, CostWorld, Outcome, draw_cost
+from tests.overload_world import NAMES, OverloadWorld, ServiceModel
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal.load.cost_model import CostModel
 from hibiscusdrum.internal.router.admission import AdmissionQueue, QueueEntry
 from hibiscusdrum.internal.router.outstanding_work import OutstandingWork
+from hibiscusdrum.internal.router.returns import ReturnSchedule
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
 from hibiscusdrum.internal.router.target_signals import parse_slowdown
@@ -359,3 +362,88 @@
     for kind in CLASSES:
         served[kind.priority].append(context.on.served[kind.name])
     assert min(served[0]) >= max(served[1]), context.on
+
+
+@then("of the refused callers that come back, fewer than {share:g} are refused again")
+def rarely_refused_again(context, share):
+    assert context.on.refused_again < share, context.on
+
+
+@given("a route of which {rate:g} requests a second are served")
+def served_rate(context, rate):
+    context.schedule, context.rate = ReturnSchedule(), rate
+
+
+@when("{count:d} callers are refused who wait for up to {seconds:g} s")
+def callers_refused(context, count, seconds):
+    context.before = context.schedule.next_at
+    context.waits = [context.schedule.reserve(0.2, context.rate, seconds, 10.0) for _ in range(count)]
+
+
+@then("they come back {low:g} to {high:g} s apart")
+def come_back_apart(context, low, high):
+    assert math.isclose(context.waits[0], 0.2)
+    gaps = [later - earlier for earlier, later in itertools.pairwise(context.waits)]
+    assert low <= min(gaps) and max(gaps) <= high, gaps
+
+
+@then("no room is kept for them")
+def no_room_kept(context):
+    assert context.schedule.next_at == context.before and min(context.waits) > 0.5
+
+
+@when("requests of priority {high:d} and {low:d} and one like the latter of a caller that came back wait")
+def returned_waits(context, high, low):
+    queue, now = context.queue, context.now
+    context.entries = {name: entry_of("short", now, low) for name in ("other", "returned")}
+    context.entries["urgent"] = entry_of("short", now, high)
+    context.entries["returned"].returning = True
+    for entry in context.entries.values():
+        queue.push(entry, now)
+
+
+@then("they start in the order: urgent, returned, other")
+def start_order(context):
+    queue = context.queue
+    queue.finish("long", 0.6, context.taken[0], context.now)
+    started = []
+    for _ in range(3):
+        started.append(queue.pop(context.now))
+        queue.finish("short", 0.1, started[-1], context.now)
+    assert started == [context.entries[name] for name in ("urgent", "returned", "other")]
+
+
+@given("routers in two regions that know costs, and a service of {count:d} targets in one of them")
+def cost_aware_routers(context, count):
+    context.grants = ServiceModel("grants", {"east": count}, 0.22, regions=("east",), body=1200)
+    callers = ServiceModel("lookups", {"east": 6, "west": 14}, 0.17)
+    context.world = OverloadWorld([context.grants, callers], 300_000.0, cost_aware=True)
+    context.add_cleanup(context.world.close)
+
+
+@then("of the callers that come back to these routers, fewer than {share:g} are refused again")
+def returns_served(context, share):
+    returned = [caller for caller in context.world.callers if caller.attempts > 1]
+    refused = sum(len(caller.refused_after) > 1 for caller in returned)
+    assert returned and refused < share * len(returned), (refused, len(returned))
+
+
+@when(
+    "all targets state {percent:d} percent, "
+    "and the service gets {load:g} times what it can run for {seconds:d} s"
+)
+def stated_in_world(context, percent, load, seconds):
+    world = context.world
+    for node in world.nodes.values():
+        node.http.signals[NAMES.load_report] = f"1,0,3,{percent}"
+    world.load("grants", context.grants.capacity * load, seconds)
+    world.run(seconds)
+
+
+@then("a node knows of a slowdown of {slowdown:g}, of outstanding work, and of the cost of the service")
+def outlook_known(context, slowdown):
+    selectors = [node.gateway.selector for node in context.world.nodes.values()]
+    states = [state for selector in selectors for state in selector.node_states.values()]
+    assert any(state.report.slowdown == slowdown and state.report.work_seconds > 0.0 for state in states)
+    costs = [selector.class_costs.costs for selector in selectors if selector.class_costs.costs]
+    assert costs and all(list(known) == [("grants", "grants")] for known in costs), costs
--- a/tests/features/steps/router_platform_steps.py
+++ b/tests/features/steps/router_platform_steps.py
@@ -46,6 +46,7 @@
     assert settings.evacuation_period == 5.0
     bounds = {"bounds": "holdMaxS=9,evacuateS=4.5"}
     assert router_settings({**boot_values(), **bounds}).evacuation_period == 4.5
+    assert not settings.cost_aware and router_settings({**boot_values(), "costAware": "true"}).cost_aware
 
 
 FAULTY_SETTINGS = {
@@ -53,6 +54,7 @@
     "a bad address": {"appAddr": "nowhere"},
     "a bad port range": {"portRange": "a,b"},
     "a bad bound": {"bounds": "holdMaxS=soon"},
+    "a bad switch": {"costAware": "maybe"},
 }
 
 
