--- a/tools/router_system.py
+++ b/tools/router_system.py
@@ -99,6 +99,10 @@
         such as that of a proxy. Defaults to the address of the store.
     descriptor_limits : tuple of (int, int), optional
         Soft and hard limit of file descriptors of each router; those of this process by default.
+    limits : dict, optional
+        Limits on callers in the configuration; `LIMITS` by default.
+    boot_settings : dict of str to str, optional
+        Settings of each router that replace or extend those of `Vm.boot_lines`.
     """
 
     def __init__(
@@ -107,8 +111,12 @@
         placements: list[tuple[str, str, str]],
         store_address=None,
         descriptor_limits: tuple[int, int] | None = None,
+        limits: dict[str, Any] | None = None,
+        boot_settings: dict[str, str] | None = None,
     ) -> None:
         self.folder = folder
+        self.limits = limits or LIMITS
+        self.boot_settings = boot_settings or {}
         self.descriptor_limits = descriptor_limits
         count = len(placements)
         ports = reserve_port_block(count * PORTS_PER_VM + 1)
@@ -171,7 +179,10 @@
     def start_router(self, vm: Vm) -> None:
         """Write the settings file of a VM and start its router."""
         boot = self.folder / f"{vm.name}.conf"
-        boot.write_text("\n".join(vm.boot_lines(self.store_address(vm, self.direct_store_address))) + "\n")
+        lines = vm.boot_lines(self.store_address(vm, self.direct_store_address))
+        # Of two lines with the same name the last one counts.
+        lines += [f"{name}={value}" for name, value in self.boot_settings.items()]
+        boot.write_text("\n".join(lines) + "\n")
         vm.router = Process(
             ["-m", "hibiscusdrum.platform"],
             self.folder / f"router-{vm.name}.log",
@@ -198,7 +209,7 @@
             "version": f"r{self.version}",
             "routes": {"columns": ROUTE_COLUMNS, "records": routes},
             "services": {"columns": SERVICE_COLUMNS, "records": SERVICES},
-            "limits": LIMITS,
+            "limits": self.limits,
         }
         assert request(self.direct_store_address, "PUT", "/operator/config", value)[0] == 200
 
