--- a/src/hibiscusdrum/internal/router/overload.py
+++ b/src/hibiscusdrum/internal/router/overload.py
@@ -69,8 +69,11 @@
             return False
         throttle = self.throttle_of(pending)
         pending.service_overloaded = throttle.refused_share(now) > 0.0
-        refused = self.in_random_share(throttle.refused_share(now, late=pending.late_on_arrival))
-        if refused:
+        share = throttle.refused_share(now, late=pending.late_on_arrival)
+        refused = self.in_random_share(share) and not throttle.probe_is_due(now)
+        if not refused:
+            throttle.forwarded_at = now
+        else:
             throttle.record(False, now, late=pending.late_on_arrival)
         return refused
 
--- a/src/hibiscusdrum/internal/router/throttle.py
+++ b/src/hibiscusdrum/internal/router/throttle.py
@@ -26,6 +26,9 @@
 # free slots for long, and from outcomes alone a node would take many seconds to detect the end of an
 # overload.
 FREE_SLOT_WEIGHT = 4.0
+# A request is forwarded if none was for this long, whatever the share: after a flood of requests, the counts
+# take tens of seconds to decay, while a service that is free again shows in one response.
+PROBE_INTERVAL_SECONDS = 0.5
 # Time constant with which outcomes decay; a node sees about ten requests of a class in this time.
 DECAY_SECONDS = 2.0
 
@@ -42,9 +45,11 @@
         Requests of both kinds that were not refused because of overload.
     probes, free_probes : float
         Probes for a free slot, and those of them that found one.
+    forwarded_at : float
+        Monotonic time in seconds at which a request was last forwarded.
     """
 
-    __slots__ = ("accepted", "decayed_at", "free_probes", "late", "on_time", "probes")
+    __slots__ = ("accepted", "decayed_at", "forwarded_at", "free_probes", "late", "on_time", "probes")
 
     def __init__(self) -> None:
         self.on_time = 0.0
@@ -53,6 +58,7 @@
         self.probes = 0.0
         self.free_probes = 0.0
         self.decayed_at = float("-inf")
+        self.forwarded_at = float("-inf")
 
     def decay(self, now: float) -> None:
         """Decay all counts to the current time."""
@@ -93,6 +99,10 @@
         self.decay(now)
         return self.free_probes + CREDITED_FREE_PROBES >= MIN_FREE_PROBE_SHARE * self.probes
 
+    def probe_is_due(self, now: float) -> bool:
+        """Return whether a request is to be forwarded to learn whether the service is still overloaded."""
+        return now - self.forwarded_at >= PROBE_INTERVAL_SECONDS
+
     def refused_share(self, now: float, late: bool = False) -> float:
         """Return the share of requests to refuse without forwarding them.
 
