--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -31,7 +31,7 @@
 from hibiscusdrum.internal.transport.body_memory import BodyMemory
 from hibiscusdrum.internal.transport.connect_probe import ConnectProbe
 from hibiscusdrum.internal.transport.http_client import HttpClient
-from hibiscusdrum.internal.transport.http_entry import HttpEntry
+from hibiscusdrum.internal.transport.http_entry import EntryPolicy, HttpEntry
 from hibiscusdrum.internal.transport.peers import PeerTransport
 
 
@@ -75,7 +75,13 @@
     app.add(ConnectProbe())
     app.add(table)
     app.add(PeerTransport(settings.peer_address, b""))
-    app.add(HttpEntry(memory))
+    policy = EntryPolicy(
+        settings.parse_turn_seconds,
+        settings.processor_share,
+        settings.stalled_seconds,
+        int(settings.control_connections),
+    )
+    app.add(HttpEntry(memory, policy))
     app.add(Traffic(settings))
     app.add(LocalTarget(settings))
     members = app.add(Members(settings))
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -852,12 +852,45 @@
     reason: str
 
 
+class ConnectionGivenUp(LogEvent, frozen=True):
+    """A connection without progress for ``idle_s`` was closed, because its address has no room for others.
+
+    An ``incomplete`` request on it was answered with 503; it has not run.
+    """
+
+    number = 931
+    level = "WARNING"
+    rate_limited = True
+    lines_per_interval = 20
+    cause = "Clients keep very many connections and do not go on."
+    operator_action = "Find the clients; give the router more descriptors if they are ordinary callers."
+
+    address: str
+    idle_s: float
+    incomplete: bool
+    unsent_bytes: int
+
+
+class InputDeferred(LogEvent, frozen=True):
+    """Input of a connection took ``debt_ms`` of processor time beyond its share, so it waits for others."""
+
+    number = 930
+    rate_limited = True
+    lines_per_interval = 20
+    cause = "A client sends input that takes much processor time, such as bodies in very small chunks."
+    operator_action = "Find the client if the router is short of processor time."
+
+    address: str
+    debt_ms: int
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
         CallerConnectionLost,
         ClientErrorAnswered,
         ConfigPulled,
+        ConnectionGivenUp,
         DepartureNotStored,
         EraRecorded,
         EraSettled,
@@ -866,6 +899,7 @@
         EvacuationUnconfirmed,
         GrantWithheld,
         HandoverBegun,
+        InputDeferred,
         KeysGranted,
         LeaseNotRenewed,
         LeaseTaken,
--- a/src/hibiscusdrum/internal/router/settings.py
+++ b/src/hibiscusdrum/internal/router/settings.py
@@ -53,6 +53,15 @@
         Memory that this process may use; 0 when not known.
     max_descriptors : float
         File descriptors that this process may open, besides the limit of the system; 0 when not known.
+    parse_turn_seconds : float
+        Processor time in seconds for which callers' input is parsed in one turn of the event loop.
+    processor_share : float
+        Share of the processor that the input of one connection may take for long without waiting for others.
+    stalled_seconds : float
+        Time in seconds without progress after which a caller's connection is given up first when memory or
+        connections are short.
+    control_connections : float
+        Connections to each of the addresses for readiness, reports and metrics.
     nested_id_separator : str
         Follows the attempt id of the request being run in the attempt ids of its target's own requests; empty
         if the platform's ids do not tell these apart.
@@ -80,6 +89,10 @@
     link_bytes_per_second: float = 0.0
     memory_bytes: float = 0.0
     max_descriptors: float = 0.0
+    parse_turn_seconds: float = 0.01
+    processor_share: float = 0.05
+    stalled_seconds: float = 3.0
+    control_connections: float = 20.0
     nested_id_separator: str = ""
     log_level: str = "INFO"
 
@@ -105,6 +118,10 @@
                     problems.append(Problem(name, str(value), "ip:port"))
             elif isinstance(value, float) and not value >= 0.0:
                 problems.append(Problem(name, str(value), "a number from 0"))
+        if not self.parse_turn_seconds > 0.0:
+            problems.append(Problem("parse_turn_seconds", str(self.parse_turn_seconds), "a number above 0"))
+        if not self.control_connections >= 1.0:
+            problems.append(Problem("control_connections", str(self.control_connections), "at least 1"))
         if problems:
             raise InvalidSettings(problems=tuple(problems))
         return self
--- a/src/hibiscusdrum/internal/transport/body_memory.py
+++ b/src/hibiscusdrum/internal/transport/body_memory.py
@@ -1,9 +1,12 @@
-"""Limits on the message bodies that a process holds, each and all together.
+"""Limits on the memory that a process holds for messages, each body and all together.
 
-Whoever is about to hold more than the limit allows gives something up:
+Counted are bodies, unparsed input, heads with what their fields take as objects, and requests without a
+response. Whoever is about to hold more than the limit allows gives something up. Requests that are still
+being received are refused first, since they have not run (``load/memory_relief.py`` chooses them). If that is not
+enough,
 
 - of the responses being received, the largest one fails as malformed; its caller gets 502 or another target;
-- a request whose body is being received is rejected with 503, since it has not run;
+- a complete request that is not small is rejected with 503 before it is passed on;
 - of the callers with unread responses, the one that has read nothing for longest is disconnected.
 """
 
@@ -39,14 +42,17 @@
         Bytes of one body.
     holders : list of callable
         Each returns the bytes that one part of the process holds.
+    relievers : list of callable
+        Each releases what can be released without loss of an outcome, if more is held than the limit allows.
     """
 
-    __slots__ = ("body_limit", "held_limit", "holders")
+    __slots__ = ("body_limit", "held_limit", "holders", "relievers")
 
     def __init__(self, memory_bytes: float = 0.0) -> None:
         self.held_limit = int(memory_bytes * HELD_SHARE_OF_MEMORY) or DEFAULT_HELD_BYTES
         self.body_limit = min(MAX_BODY_BYTES, int(self.held_limit * MAX_SHARE_OF_ONE_BODY))
         self.holders: list[Callable[[], int]] = []
+        self.relievers: list[Callable[[], None]] = []
 
     @property
     def held(self) -> int:
@@ -63,3 +69,10 @@
     def exceeded(self) -> bool:
         """Whether more is held than the limit allows."""
         return self.held > self.held_limit
+
+    def exceeded_after_relief(self) -> bool:
+        """Return whether more is held than the limit allows after requests being received are refused."""
+        if self.exceeded:
+            for relieve in self.relievers:
+                relieve()
+        return self.exceeded
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from hibiscusdrum.internal.load.input_schedule import ParseDebt
 from hibiscusdrum.internal.transport.entry_request import EntryRequest
 from hibiscusdrum.internal.transport.http_connection import framing_exceeds_limit
 
@@ -28,6 +29,19 @@
 BODY_PART_BYTES = 65_536
 # Parts that are parsed in one turn of the loop, so that a long pipeline does not delay other connections.
 PARTS_PER_TURN = 64
+# A connection's input is parsed for at most this long before other connections get their turn.
+SLICE_SECONDS = 0.001
+# Size of a part within a body whose framing takes more bytes than its content: such bytes take about a
+# hundred times the processor time of others.
+FRAMED_PART_BYTES = 4096
+# Memory of a head's field beside its characters: two strings, a tuple, and its place in a list.
+FIELD_BYTES = 200
+# Memory of a request beside its head and body, in the connection and in the services that handle it.
+REQUEST_BYTES = 4096
+# Requests whose memory is above this are refused when memory is exceeded; smaller ones cost little.
+SMALL_REQUEST_BYTES = 16_384
+# Requests of one connection that are parsed ahead while memory is short.
+SHORT_PIPELINE_DEPTH = 1
 # After the last response, input is read and dropped for this long, and for as long as a part of the response
 # is still in the kernel, up to the idle limit without progress: input that is unread at the close, or arrives
 # later, resets the connection, which can make the caller lose the response.
@@ -39,8 +53,8 @@
 # Input read while the pipeline is full, so that a disconnect of the caller is detected. Beyond this limit
 # reading pauses and the rest stays in the socket buffer.
 MAX_UNPARSED_BYTES = 262_144
-# Smaller bodies are accepted without a look at the memory, which takes time in proportion to the connections.
-MIN_CHECKED_BODY_BYTES = 16_384
+# The same while memory is short. A departure is then noticed only once what is ahead of it has been read.
+SHORT_UNPARSED_BYTES = 32_768
 # A caller that has closed only its sending direction ignores it; one that has closed its socket resets the
 # connection.
 INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -61,10 +75,18 @@
 
     Attributes
     ----------
+    answered_count : int
+        Requests that were answered without an error in the input.
     continue_expected : bool
         Whether the caller may hold back the body of the current request until an interim response.
+    debt : ParseDebt
+        Processor time that the input took beyond its share.
     fed_bytes : int
         Bytes passed to the parser since the last complete request.
+    held_bytes : int
+        Memory of unparsed input, of requests without a response, and of responses that were not read.
+    head_cost : int
+        Memory of the head that is being received.
     reading_paused : bool
         Whether reading has stopped because ``unparsed``, or the input that is dropped, has reached its limit.
     parsing : bool
@@ -79,12 +101,15 @@
         Whether further input is dropped because earlier input was invalid.
     undelivered_bytes : int
         Bytes of responses that the caller's kernel had not acknowledged at the last check after the last one.
+    max_body_bytes, max_head_bytes : int
+        Limits on the current request, as they were when it began.
     probe_due_at, probe_interval : float
         Monotonic time in seconds from which a half-closed caller may be probed again, and the seconds from
         that probe to the next one.
     """
 
     __slots__ = (
+        "answered_count",
         "awaiting_writable",
         "body",
         "body_bytes",
@@ -92,6 +117,7 @@
         "closing",
         "continue_expected",
         "current_request",
+        "debt",
         "discard_until",
         "discarded_bytes",
         "dispatching",
@@ -99,11 +125,15 @@
         "error_status",
         "fed_bytes",
         "head_bytes",
+        "head_cost",
         "head_started_at",
+        "held_bytes",
         "input_ended",
         "input_rejected",
         "last_active_at",
         "listen_address",
+        "max_body_bytes",
+        "max_head_bytes",
         "output_buffer",
         "parser",
         "parsing",
@@ -126,6 +156,7 @@
         self.pending: deque[EntryRequest] = deque()
         self.output_buffer = bytearray()
         self.awaiting_writable = False
+        self.answered_count = 0
         self.closing = False
         self.closed = False
         self.continue_expected = False
@@ -135,7 +166,12 @@
         self.input_ended = False
         self.input_rejected = False
         self.head_bytes = 0
+        self.head_cost = 0
         self.head_started_at: float | None = None
+        self.held_bytes = 0
+        self.max_head_bytes = self.limits.max_head_bytes
+        self.max_body_bytes = self.limits.max_body_bytes
+        self.debt = ParseDebt(now)
         self.body = bytearray()
         self.body_bytes = 0
         self.last_active_at = now
@@ -158,6 +194,9 @@
         """Start a new request."""
         self.current_request = EntryRequest(self, self.listen_address)
         self.head_bytes = 0
+        self.head_cost = REQUEST_BYTES
+        self.max_head_bytes = self.limits.max_head_bytes
+        self.max_body_bytes = self.limits.max_body_bytes
         self.body = bytearray()
         self.body_bytes = 0
 
@@ -168,13 +207,15 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
-        self.add_head_bytes(len(name) + len(value) + 4)
+        size = len(name) + len(value)
+        self.head_cost += FIELD_BYTES + size
+        self.add_head_bytes(size + 4)
         self.current_request.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def add_head_bytes(self, size: int) -> None:
         """Count bytes of the request head and enforce its size limit."""
         self.head_bytes += size
-        if self.head_bytes > self.limits.max_head_bytes:
+        if self.head_bytes > self.max_head_bytes:
             self.set_error(431, "head_too_large")
 
     def on_headers_complete(self) -> None:
@@ -204,9 +245,9 @@
         """Store a part of the body, unless the body is too large."""
         self.continue_expected = False
         self.body_bytes += len(data)
-        if self.body_bytes > self.limits.max_body_bytes:
+        if self.body_bytes > self.max_body_bytes:
             self.set_error(413, "body_too_large")
-        elif self.body_bytes > MIN_CHECKED_BODY_BYTES and self.exceeds_memory:
+        elif self.body_bytes > self.server.memory.body_limit:
             self.server.memory.report_exceeded("incomplete request", self.body_bytes)
             self.set_error(503, "memory")
         if self.error_status:
@@ -225,6 +266,8 @@
         request.http_version = self.parser.get_http_version()
         request.keep_alive = self.parser.should_keep_alive()
         request.body = bytes(self.body)
+        request.held_bytes = self.head_cost + len(request.body)
+        self.head_cost = 0
         self.body = bytearray()
         request.arrived_at = self.server.app.clock.monotonic()
         self.pending.append(request)
@@ -236,10 +279,13 @@
             self.discard(len(data))
             return
         self.unparsed += data
-        if not self.parsing:
+        if not self.parsing and self.server.may_parse_now(self):
             self.parse_waiting()
-        elif len(self.unparsed) > MAX_UNPARSED_BYTES:
+            return
+        self.schedule_parsing()
+        if len(self.unparsed) > self.max_unparsed_bytes:
             self.pause_input()
+        self.update_held()
 
     def discard(self, size: int) -> None:
         """Drop input that is not answered; bound it without taking back the responses to earlier requests."""
@@ -266,39 +312,61 @@
                 self.server.resume_reading(self)
 
     def schedule_parsing(self) -> None:
-        """Parse the waiting input in the next turn of the loop, unless that is due already."""
+        """Parse the waiting input in a later turn of the loop, unless that is due already."""
         if not self.parsing:
             self.parsing = True
-            self.server.app.scheduler.call_later(0.0, self.parse_waiting)
+            self.server.schedule_parsing(self)
 
     def parse_waiting(self) -> None:
-        """Parse waiting input while there is room in the pipeline, up to ``PARTS_PER_TURN`` parts."""
+        """Parse waiting input while there is room in the pipeline, for at most ``SLICE_SECONDS``."""
         self.parsing = True
+        monotonic = self.server.app.clock.monotonic
+        now = started = monotonic()
         for _ in range(PARTS_PER_TURN):
-            if not self.can_parse:
+            if not self.can_parse or now - started > SLICE_SECONDS:
                 break
-            within_body = self.current_request is not None and self.body_bytes > 0
-            size = BODY_PART_BYTES if within_body else PARSE_PART_BYTES
+            size = self.part_bytes
             part = bytes(self.unparsed[:size])
             del self.unparsed[:size]
             self.parse_part(part)
+            now = monotonic()
         self.parsing = False
+        self.server.charge(self, now - started, now)
         if not self.accepts_input:
             self.unparsed.clear()
+            self.update_held()
             return
         if self.can_parse:
             self.schedule_parsing()
-        if len(self.unparsed) > MAX_UNPARSED_BYTES:
+        if len(self.unparsed) > self.max_unparsed_bytes:
             self.pause_input()
         else:
             self.resume_input()
+        self.update_held()
         if self.input_ended:
             self.finish_input()
 
+    @property
+    def part_bytes(self) -> int:
+        """Size of the next part of the input to parse."""
+        if self.current_request is None or not self.body_bytes:
+            return PARSE_PART_BYTES
+        return FRAMED_PART_BYTES if self.fed_bytes > 2 * self.body_bytes else BODY_PART_BYTES
+
     @property
     def can_parse(self) -> bool:
         """Whether input waits and there is room in the pipeline."""
-        return bool(self.unparsed) and self.accepts_input and len(self.pending) < PIPELINE_DEPTH
+        return bool(self.unparsed) and self.accepts_input and len(self.pending) < self.pipeline_depth
+
+    @property
+    def max_unparsed_bytes(self) -> int:
+        """Input that may wait before reading pauses."""
+        return SHORT_UNPARSED_BYTES if self.server.memory_short else MAX_UNPARSED_BYTES
+
+    @property
+    def pipeline_depth(self) -> int:
+        """Requests that may wait for their responses while further input is parsed."""
+        return SHORT_PIPELINE_DEPTH if self.server.memory_short else PIPELINE_DEPTH
 
     def on_input_ended(self) -> None:
         """Answer what was received, and then close: the caller sends nothing more, but may still read."""
@@ -361,21 +429,36 @@
             self.set_error(*((400, "framing") if self.head_complete else (431, "head_too_large")))
         if self.current_request is None and not self.error_status:
             self.head_started_at = None
+        self.update_held()
+        if self.server.memory_short and not self.error_status:
+            self.server.relieve_memory()
+            if self.input_rejected:
+                return
+            self.refuse_large_undispatched()
         self.dispatch()
         if self.error_status:
             self.reject(self.error_status, self.error_reason)
 
-    @property
-    def exceeds_memory(self) -> bool:
-        """Whether the body being received, or all bodies together, are more than this process can hold."""
-        memory = self.server.memory
-        return self.body_bytes > memory.body_limit or memory.exceeded
+    def update_held(self) -> None:
+        """Count anew what the connection holds, and add the difference to the server's account."""
+        held = len(self.unparsed) + len(self.body) + self.head_cost + len(self.output_buffer)
+        for request in self.pending:
+            held += request.held_bytes
+        if self.closed:
+            held = 0
+        self.server.held_total += held - self.held_bytes
+        self.held_bytes = held
 
-    @property
-    def held_bytes(self) -> int:
-        """Bytes of unparsed input, of requests without a response, and of responses that were not read."""
-        bodies = sum(len(request.body) + len(request.response_content) for request in self.pending)
-        return len(self.body) + bodies + len(self.output_buffer) + len(self.unparsed)
+    def refuse_large_undispatched(self) -> None:
+        """Refuse complete requests that are not small, and have not been passed on, if memory is exceeded."""
+        pending = self.pending
+        last = pending[-1] if pending else None
+        if last is None or last.dispatched or last.held_bytes <= SMALL_REQUEST_BYTES:
+            return
+        if self.server.memory.exceeded:
+            pending.pop()
+            self.server.memory.report_exceeded("complete request", last.held_bytes)
+            self.reject(503, "memory")
 
     @property
     def accepts_input(self) -> bool:
@@ -423,6 +506,11 @@
         in_use = self.closed or self.closing or self.output_buffer or self.has_further_input
         return not in_use
 
+    @property
+    def expendable(self) -> bool:
+        """Whether nothing that was passed on waits for its response, and no input waits to be read."""
+        return not (self.closed or self.pending or self.has_unread_input)
+
     @property
     def idle_seconds(self) -> float:
         """Seconds since the connection last carried input or a response."""
@@ -446,9 +534,15 @@
         self.current_request = None
         self.head_started_at = None
         self.input_rejected = True
+        self.body = bytearray()
+        self.head_cost = 0
+        request.headers = []
         self.pending.append(request)
         request.dispatched = True
+        if not self.parsing:
+            self.unparsed.clear()
         request.respond(status, [], close=True)
+        self.update_held()
 
     def dispatch(self) -> None:
         """Hand requests to the server.
@@ -497,13 +591,16 @@
             closes = not request.keep_alive or (last and not self.has_further_input)
             response = request.encode_response(closes)
             request.release()
+            self.answered_count += not self.input_rejected
             self.write(response)
             if closes:
                 self.close_after_output()
+                self.update_held()
                 return
+        self.update_held()
         self.last_active_at = self.server.app.clock.monotonic()
         self.send_continue()
-        if self.unparsed and len(pending) < PIPELINE_DEPTH:
+        if self.unparsed and len(pending) < self.pipeline_depth:
             # Later input joins what waits, so that both are parsed in the order in which they were received.
             self.schedule_parsing()
         elif pending:
@@ -527,6 +624,7 @@
         if sent < len(data):
             self.output_buffer += memoryview(data)[sent:]
             self.server.watch_writable(self)
+            self.update_held()
             self.server.enforce_output_limit()
 
     def close_after_output(self) -> None:
--- a/src/hibiscusdrum/internal/transport/entry_request.py
+++ b/src/hibiscusdrum/internal/transport/entry_request.py
@@ -45,6 +45,8 @@
     response_closes : bool
         Whether the connection is closed after the response unless further requests have been received.
     http_version : str
+    held_bytes : int
+        Memory that the request and its response take.
     on_closed : callable or None
         Called with ``CALLER_GONE`` or ``CLOSED_UNANSWERED`` when the connection ends before the request has
         a response.
@@ -57,6 +59,7 @@
         "connection",
         "dispatched",
         "headers",
+        "held_bytes",
         "http_version",
         "keep_alive",
         "listen_address",
@@ -76,6 +79,7 @@
         self.headers: list[tuple[str, str]] = []
         self.body = b""
         self.arrived_at = 0.0
+        self.held_bytes = 0
         self.http_version = ""
         self.keep_alive = True
         self.dispatched = False
@@ -125,6 +129,7 @@
             lines.append(b"content-length: %d" % len(body))
         self.response_head = b"\r\n".join(lines) + b"\r\n"
         self.response_content = b"" if self.method == b"HEAD" or status in BODILESS_STATUSES else body
+        self.held_bytes += len(self.response_content)
         self.connection.flush_responses()
 
     def release(self) -> None:
--- a/src/hibiscusdrum/internal/transport/http_client.py
+++ b/src/hibiscusdrum/internal/transport/http_client.py
@@ -316,7 +316,7 @@
 
     def enforce_buffer_limit(self) -> None:
         """Fail the exchange with the largest incomplete body when all bodies together exceed the limit."""
-        if self.memory.exceeded:
+        if self.memory.exceeded_after_relief():
             largest = max(self.connections.values(), key=lambda connection: connection.received)
             self.memory.report_exceeded("incomplete response", largest.received)
             self.close_and_fail(largest, FailureKind.MALFORMED)
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -20,6 +20,8 @@
 from hibiscusdrum.errors import AddressInUse
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
+from hibiscusdrum.internal.load.input_schedule import InputSchedule
+from hibiscusdrum.internal.load.memory_relief import RELIEVED_SHARE, Holding, choose_refused
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.routes import EntryLimits
 from hibiscusdrum.internal.transport.body_memory import BodyMemory
@@ -46,6 +48,17 @@
 # Interval at which it is checked whether the callers of connections that are not read have left.
 DEPARTURE_CHECK_SECONDS = 0.05
 
+# A connection whose input took this much processor time beyond its share is costly: its input waits for that
+# of others. An ordinary request takes less than 1 ms.
+COSTLY_SECONDS = 0.02
+# Share of the time in which input is parsed as soon as it is read, rather than in a turn of its own.
+IMMEDIATE_SHARE = 0.5
+# Share of the limit of bodies above which connections are read in small parts, and not ahead.
+SHORT_SHARE = 0.5
+# While memory is short, a read takes at most this share of what the limit leaves, but this many bytes.
+SHORT_READ_SHARE = 0.125
+LEAST_READ_BYTES = 4096
+
 RequestHandler = Callable[[EntryRequest], None]
 # Called with the rejected request as far as it was received, the status, the reason and the bytes received.
 RejectionHandler = Callable[[EntryRequest, int, str, int], None]
@@ -66,6 +79,39 @@
     )
 
 
+class EntryPolicy:
+    """Limits on clients that misbehave.
+
+    Attributes
+    ----------
+    parse_turn_seconds : float
+        Processor time for which input is parsed in one turn of the event loop.
+    processor_share : float
+        Share of the processor that the input of one connection may take for long without waiting for others.
+    stalled_seconds : float
+        Time without progress after which a connection is given up first when memory or connections are short.
+    control_connections : int
+        Connections to each address that is not for callers.
+    """
+
+    __slots__ = ("control_connections", "parse_turn_seconds", "processor_share", "stalled_seconds")
+
+    def __init__(
+        self,
+        parse_turn_seconds: float = 0.01,
+        processor_share: float = 0.05,
+        stalled_seconds: float = 3.0,
+        control_connections: int = 20,
+    ) -> None:
+        self.control_connections = control_connections
+        self.parse_turn_seconds = parse_turn_seconds
+        self.processor_share = processor_share
+        self.stalled_seconds = stalled_seconds
+
+
+DEFAULT_POLICY = EntryPolicy()
+
+
 class HttpEntry(Service):
     """HTTP server that passes requests to the handler registered for the listening address.
 
@@ -73,6 +119,8 @@
     ----------
     memory : BodyMemory, optional
         Limits on the bodies that are held; those of a process whose memory is not known by default.
+    policy : EntryPolicy, optional
+        Limits on clients that misbehave.
 
     Attributes
     ----------
@@ -86,6 +134,8 @@
     max_connections : dict of str to int
         Limit of the connections to a listening address; addresses without one are not limited.
     open_counts : Counter of str
+        Number of open connections by listening address.
+    address_connections : dict of str to set of EntryConnection
         Open connections by listening address.
     idle_closed_count : int
         Idle connections closed since the start to make room for others.
@@ -95,14 +145,26 @@
         Connections that are not read, because the input has ended or too much of it waits.
     lost_counts : Counter of str
         Connections that ended with requests or answers on them, by reason.
+    held_total : int
+        Memory of the requests and responses on all connections.
+    parse_credit, credited_at : float
+        Processor time in seconds for which input may be parsed at once, and when that was last computed.
     """
 
     service_name = "entry"
 
-    def __init__(self, memory: BodyMemory | None = None) -> None:
+    def __init__(self, memory: BodyMemory | None = None, policy: EntryPolicy = DEFAULT_POLICY) -> None:
         super().__init__()
         self.memory = memory or BodyMemory()
         self.memory.holders.append(self.held_bytes)
+        self.memory.relievers.append(self.relieve_memory)
+        self.policy = policy
+        self.held_total = 0
+        self.short_above = int(self.memory.held_limit * SHORT_SHARE)
+        self.schedule: InputSchedule[EntryConnection] = InputSchedule()
+        self.parse_scheduled = False
+        self.parse_credit = policy.parse_turn_seconds
+        self.credited_at = 0.0
         self.limits = EntryLimits()
         self.address_limits: dict[str, EntryLimits] = {}
         self.request_handlers: dict[str, RequestHandler] = {}
@@ -113,9 +175,11 @@
         self.accept_failures = 0
         self.max_connections: dict[str, int] = {}
         self.open_counts: Counter[str] = Counter()
+        self.address_connections: dict[str, set[EntryConnection]] = {}
         self.idle_closed_count = 0
-        # Idle connections with the time of their last activity, the longest idle first.
-        self.idle_selection: deque[tuple[EntryConnection, float]] = deque()
+        # By address, idle connections with the time of their last activity, the longest idle first; those of
+        # all addresses with a limit under the empty address.
+        self.idle_selections: dict[str, deque[tuple[EntryConnection, float]]] = {}
         self.paused_listeners: set[socket.socket] = set()
         self.watched: set[EntryConnection] = set()
         self.lost_counts: Counter[str] = Counter()
@@ -129,14 +193,87 @@
         self.app.scheduler.every(SWEEP_INTERVAL_SECONDS, self.enforce_timeouts)
 
     def held_bytes(self) -> int:
-        """Return the bytes of bodies on all connections."""
-        return sum(connection.held_bytes for connection in self.connections.values())
+        """Return the memory of requests and responses on all connections."""
+        return self.held_total
+
+    @property
+    def memory_short(self) -> bool:
+        """Whether requests and responses take so much memory that no more is read ahead."""
+        return self.held_total > self.short_above
+
+    def short_read_bytes(self) -> int:
+        """Return how much is read at once while memory is short."""
+        left = self.memory.held_limit - self.held_total
+        return max(LEAST_READ_BYTES, min(RECEIVE_BUFFER_BYTES, int(left * SHORT_READ_SHARE)))
+
+    def may_parse_now(self, connection: EntryConnection) -> bool:
+        """Return whether the input of a connection is parsed at once rather than in a later turn."""
+        return self.parse_credit > 0.0 and connection.debt.seconds < COSTLY_SECONDS
+
+    def charge(self, connection: EntryConnection, used: float, now: float) -> None:
+        """Record the processor time that the input of a connection took."""
+        credit = self.parse_credit + (now - self.credited_at) * IMMEDIATE_SHARE
+        self.parse_credit = min(self.policy.parse_turn_seconds, credit) - used
+        self.credited_at = now
+        before = connection.debt.seconds
+        connection.debt.add(used, self.policy.processor_share, now)
+        if before < COSTLY_SECONDS <= connection.debt.seconds:
+            log_events.emit(
+                events.InputDeferred(connection.listen_address, round(connection.debt.seconds * 1000.0))
+            )
+
+    def schedule_parsing(self, connection: EntryConnection) -> None:
+        """Parse the input of a connection in a later turn."""
+        self.schedule.add(connection, connection.debt.seconds >= COSTLY_SECONDS)
+        if not self.parse_scheduled:
+            self.parse_scheduled = True
+            self.app.scheduler.call_later(0.0, self.parse_turn)
+
+    def parse_turn(self) -> None:
+        """Parse waiting input for the time of one turn."""
+        self.parse_scheduled = False
+        monotonic = self.app.clock.monotonic
+        now = started = monotonic()
+        turn = self.policy.parse_turn_seconds
+        # Connections that wait again during this turn are served in the next one.
+        for _ in range(len(self.schedule)):
+            if not self.schedule or now - started >= turn:
+                break
+            connection = self.schedule.take((now - started) / turn)
+            try:
+                connection.parse_waiting()
+            except Exception:
+                logger.exception("parsing failed")
+                self.close(connection)
+            now = monotonic()
+        if self.schedule and not self.parse_scheduled:
+            self.parse_scheduled = True
+            self.app.scheduler.call_later(0.0, self.parse_turn)
+
+    def relieve_memory(self) -> None:
+        """Refuse requests that are incomplete while memory is exceeded."""
+        if not self.memory.exceeded:
+            return
+        excess = self.memory.held - int(self.memory.held_limit * RELIEVED_SHARE)
+        holdings = [
+            Holding(connection, connection.held_bytes, connection.idle_seconds)
+            for connection in self.connections.values()
+            if connection.receiving
+        ]
+        for connection in choose_refused(holdings, excess, self.policy.stalled_seconds):
+            # A refusal before may have ended it.
+            if not connection.receiving:
+                continue
+            self.memory.report_exceeded("incomplete request", connection.held_bytes)
+            connection.reject(503, "memory")
 
     def enforce_output_limit(self) -> None:
         """Disconnect the caller that has read nothing for longest if all bodies together exceed the limit."""
-        if not self.memory.exceeded:
+        if not self.memory.exceeded_after_relief():
             return
         unread = [connection for connection in self.connections.values() if connection.output_buffer]
+        if not unread:
+            return
         slowest = min(unread, key=lambda connection: connection.last_active_at)
         self.memory.report_exceeded("unread response", len(slowest.output_buffer))
         self.connection_lost(slowest, "not_read")
@@ -158,8 +295,9 @@
         limits : EntryLimits, optional
             Limits of this address in place of ``self.limits``.
         max_connections : int, optional
-            At this limit, the connection that has been idle longest is closed for a new one; if none is idle,
-            callers wait in the queue of the socket.
+            At this limit, the connection that has been idle longest is closed for a new one, or one that has
+            stalled; if there is none, callers wait in the queue of the socket. An address with limits of its
+            own has ``policy.control_connections`` by default.
         on_rejected : callable, optional
             Called when input is answered with an error without reaching ``handle``.
 
@@ -176,6 +314,8 @@
         except OSError as error:
             sock.close()
             raise AddressInUse(address=address) from error
+        if max_connections is None and limits is not None:
+            max_connections = self.policy.control_connections
         if max_connections is not None:
             self.max_connections[address] = max_connections
         self.request_handlers[address] = handle
@@ -207,7 +347,7 @@
         if connection is None:
             return
         try:
-            data = sock.recv(RECEIVE_BUFFER_BYTES)
+            data = sock.recv(self.short_read_bytes() if self.memory_short else RECEIVE_BUFFER_BYTES)
         except BlockingIOError:
             return
         except OSError:
@@ -250,7 +390,9 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.accepted_count += 1
-            self.connections[sock] = EntryConnection(self, sock, address, self.app.clock.monotonic())
+            connection = EntryConnection(self, sock, address, self.app.clock.monotonic())
+            self.connections[sock] = connection
+            self.address_connections.setdefault(address, set()).add(connection)
             self.open_counts[address] += 1
             self.app.poller.addReader(self, sock)
             if not self.has_room(address):
@@ -262,32 +404,81 @@
     def has_room(self, address: str) -> bool:
         """Return whether another connection to an address fits, after closing an idle one if necessary."""
         limit = self.max_connections.get(address)
-        return limit is None or self.open_counts[address] < limit or self.close_longest_idle()
+        if limit is None or self.open_counts[address] < limit:
+            return True
+        if address in self.address_limits:
+            # The target's and the platform's connections are kept: those that were never answered go first.
+            return self.close_unanswered(address) or self.close_longest_idle(address)
+        return self.close_longest_idle(address) or self.close_stalled(address)
+
+    def close_unanswered(self, address: str) -> bool:
+        """Close the connection that waited longest for its first response; return whether there was one."""
+        waiting = [
+            connection
+            for connection in self.connections_of(address)
+            if not connection.answered_count and connection.expendable
+        ]
+        return self.give_up_longest_idle(waiting)
+
+    def close_stalled(self, address: str) -> bool:
+        """Close the connection that has stalled for longest; return whether there was one."""
+        stalled = [
+            connection
+            for connection in self.connections_of(address)
+            if connection.idle_seconds > self.policy.stalled_seconds and connection.expendable
+        ]
+        return self.give_up_longest_idle(stalled)
+
+    def give_up_longest_idle(self, connections: list[EntryConnection]) -> bool:
+        """Close the connection of some that has been idle longest; return whether there was one.
 
-    def close_longest_idle(self) -> bool:
+        A request that is incomplete is answered with 503, since it has not run.
+        """
+        if not connections:
+            return False
+        connection = min(connections, key=lambda entry: entry.last_active_at)
+        log_events.emit(
+            events.ConnectionGivenUp(
+                address=connection.listen_address,
+                idle_s=round(connection.idle_seconds, 3),
+                incomplete=connection.receiving,
+                unsent_bytes=len(connection.output_buffer),
+            )
+        )
+        if connection.receiving:
+            connection.reject(503, "connections")
+        self.connection_lost(connection, "not_read")
+        return True
+
+    def close_longest_idle(self, address: str = "") -> bool:
         """Close the connection that has been idle longest; return whether there was one.
 
-        Only connections to addresses with a limit are closed.
+        Parameters
+        ----------
+        address : str
+            Listening address of the connection; empty for all addresses with a limit.
         """
-        while self.idle_selection or self.select_idle():
-            connection, active_at = self.idle_selection.popleft()
+        selection = self.idle_selections.setdefault(address, deque())
+        while selection or self.select_idle(address, selection):
+            connection, active_at = selection.popleft()
             if connection.last_active_at == active_at and connection.idle:
                 self.idle_closed_count += 1
                 self.close(connection)
                 return True
         return False
 
-    def select_idle(self) -> bool:
+    def select_idle(self, address: str, selection: deque[tuple[EntryConnection, float]]) -> bool:
         """Select the connections that have been idle longest; return whether there are any."""
         idle_since = self.app.clock.monotonic() - MIN_IDLE_SECONDS
         idle = [
             (connection, connection.last_active_at)
             for connection in self.connections.values()
             if connection.last_active_at <= idle_since
+            and (connection.listen_address == address or not address)
             and connection.listen_address in self.max_connections
             and connection.idle
         ]
-        self.idle_selection.extend(heapq.nsmallest(IDLE_SELECTION_SIZE, idle, key=lambda entry: entry[1]))
+        selection.extend(heapq.nsmallest(IDLE_SELECTION_SIZE, idle, key=lambda entry: entry[1]))
         return bool(idle)
 
     def pause_accepting(self, listener: socket.socket) -> None:
@@ -336,6 +527,7 @@
                 return
             del connection.output_buffer[:sent]
             connection.last_active_at = self.app.clock.monotonic()
+            connection.update_held()
         if not connection.output_buffer:
             connection.awaiting_writable = False
             self.app.poller.removeWriter(sock)
@@ -389,8 +581,10 @@
     def close(self, connection: EntryConnection) -> None:
         """Close a connection without notifying the handlers of its requests."""
         connection.closed = True
+        connection.update_held()
         if self.connections.pop(connection.sock, None) is not None:
             self.open_counts[connection.listen_address] -= 1
+            self.address_connections[connection.listen_address].discard(connection)
             self.app.poller.discard(connection.sock)
             connection.sock.close()
 
@@ -418,9 +612,7 @@
 
     def connections_of(self, address: str) -> list[EntryConnection]:
         """Return the open connections to a listening address, which may have been closed since."""
-        return [
-            connection for connection in self.connections.values() if connection.listen_address == address
-        ]
+        return list(self.address_connections.get(address, ()))
 
     @property
     def unanswered_count(self) -> int:
--- a/src/hibiscusdrum/platform/boot.py
+++ b/src/hibiscusdrum/platform/boot.py
@@ -86,6 +86,10 @@
         nested_id_separator=NESTED_ID_SEPARATOR,
         memory_bytes=parse_number(values, "limits.memoryMb", 0.0) * BYTES_PER_MEGABYTE,
         max_descriptors=parse_number(values, "limits.maxFds", 0.0),
+        parse_turn_seconds=parse_number(values, "router.parseTurnS", 0.01),
+        processor_share=parse_number(values, "router.processorShare", 0.05),
+        stalled_seconds=parse_number(values, "router.stalledS", 3.0),
+        control_connections=parse_number(values, "router.controlConnections", 20.0),
         link_bytes_per_second=parse_number(values, "limits.linkMbps", 0.0) * BYTES_PER_MEGABIT,
     )
     try:
