--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -408,18 +408,12 @@
             return True
         if address in self.address_limits:
             # The target's and the platform's connections are kept: those that were never answered go first.
-            return self.close_unanswered(address) or self.close_longest_idle(address)
+            waiting = [entry for entry in self.connections_of(address) if not entry.answered_count]
+            if waiting:
+                return self.give_up_longest_idle([entry for entry in waiting if entry.expendable])
+            return self.close_longest_idle(address)
         return self.close_longest_idle(address) or self.close_stalled(address)
 
-    def close_unanswered(self, address: str) -> bool:
-        """Close the connection that waited longest for its first response; return whether there was one."""
-        waiting = [
-            connection
-            for connection in self.connections_of(address)
-            if not connection.answered_count and connection.expendable
-        ]
-        return self.give_up_longest_idle(waiting)
-
     def close_stalled(self, address: str) -> bool:
         """Close the connection that has stalled for longest; return whether there was one."""
         stalled = [
