--- a/src/hibiscusdrum/internal/router/application.py
+++ b/src/hibiscusdrum/internal/router/application.py
@@ -74,7 +74,7 @@
     app.add(target_client(names, memory))
     app.add(ConnectProbe())
     app.add(table)
-    app.add(PeerTransport(settings.peer_address, b""))
+    app.add(PeerTransport(settings.peer_address, b"", requires_handshake=True))
     policy = EntryPolicy(
         settings.parse_turn_seconds,
         settings.processor_share,
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -884,6 +884,20 @@
     debt_ms: int
 
 
+class PeerRefused(LogEvent, frozen=True):
+    """A connection to the port for peers was closed in its handshake, with a system error; `count` so far."""
+
+    number = 932
+    level = "WARNING"
+    rate_limited = True
+    lines_per_interval = 5
+    cause = "Something other than a node connects to the port for peers, or a node left while it connected."
+    operator_action = "If `count` rises all the time, keep callers away from the ports between nodes."
+
+    error: int
+    count: int
+
+
 EVENTS = frozenset(
     (
         AcceptFailed,
@@ -907,6 +921,7 @@
         NodePublished,
         OwnersGone,
         PeerLost,
+        PeerRefused,
         PeerRegained,
         ReloadAsked,
         ReportOutdated,
--- a/src/hibiscusdrum/internal/transport/body_memory.py
+++ b/src/hibiscusdrum/internal/transport/body_memory.py
@@ -2,8 +2,8 @@
 
 Counted are bodies, unparsed input, heads with what their fields take as objects, and requests without a
 response. Whoever is about to hold more than the limit allows gives something up. Requests that are still
-being received are refused first, since they have not run (``load/memory_relief.py`` chooses them). If that is not
-enough,
+being received are refused first, since they have not run (``load/memory_relief.py`` chooses them). If that
+is not enough,
 
 - of the responses being received, the largest one fails as malformed; its caller gets 502 or another target;
 - a complete request that is not small is rejected with 503 before it is passed on;
--- a/src/hibiscusdrum/internal/transport/peers.py
+++ b/src/hibiscusdrum/internal/transport/peers.py
@@ -25,6 +25,7 @@
     Peer,
     random_identity,
 )
+from hibiscusdrum.internal.transport.peer_admission import PeerAdmission
 
 # Messages read from a socket per loop iteration; the limit keeps a flood from delaying lease renewals.
 READ_BATCH_MESSAGES = 128
@@ -56,6 +57,9 @@
         ``ip:port`` to listen on; None for a process that only opens connections.
     shared_key : bytes
         Key that signs control messages.
+    requires_handshake : bool
+        Whether the listening socket closes connections that do not begin with a handshake of version 3 of
+        ZeroMQ's protocol.
 
     Attributes
     ----------
@@ -65,8 +69,9 @@
 
     service_name = "peers"
 
-    def __init__(self, address: str | None, shared_key: bytes) -> None:
+    def __init__(self, address: str | None, shared_key: bytes, requires_handshake: bool = False) -> None:
         super().__init__()
+        self.requires_handshake = requires_handshake
         self.address = address
         self.shared_key = shared_key
         self.close_linger = CLOSE_LINGER_SECONDS
@@ -110,22 +115,31 @@
         router.setsockopt(zmq.ROUTER_HANDOVER, 1)
         router.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         router.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        if self.requires_handshake:
+            admission = PeerAdmission(router)
+            self.watch_socket(admission.questions, admission.read_questions)
+            self.watch_socket(admission.monitor, admission.read_refusals)
         try:
             router.bind(f"tcp://{address}")
         except zmq.ZMQError as error:
             # An open socket would block the termination of the context, and with it process exit.
             router.close()
+            self.close_watched()
             raise AddressInUse(address=address) from error
         self.router = router
         self.router_descriptor = self.watch_socket(router, self.read_router)
 
     def on_stop(self) -> None:
         """Close all sockets and the ZeroMQ context."""
+        self.close_watched()
+        self.context.term()
+
+    def close_watched(self) -> None:
+        """Close the sockets that are read."""
         for descriptor, (socket, _reader) in list(self.readers.items()):
             self.app.poller.discard(descriptor)
             socket.close(linger=round(self.close_linger * 1000))
         self.readers.clear()
-        self.context.term()
 
     def watch_socket(self, socket: zmq.Socket, reader: Callable[[], int]) -> int:
         """Register a socket with the poller and return its file descriptor."""
