--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -429,7 +429,9 @@
             self.set_error(*((400, "framing") if self.head_complete else (431, "head_too_large")))
         if self.current_request is None and not self.error_status:
             self.head_started_at = None
-        self.update_held()
+        if self.current_request is not None or self.server.memory_short:
+            # A complete request is counted at the end of the slice, when most have been answered.
+            self.update_held()
         if self.server.memory_short and not self.error_status:
             self.server.relieve_memory()
             if self.input_rejected:
@@ -446,8 +448,11 @@
             held += request.held_bytes
         if self.closed:
             held = 0
-        self.server.held_total += held - self.held_bytes
-        self.held_bytes = held
+        if held != self.held_bytes:
+            server = self.server
+            server.held_total += held - self.held_bytes
+            server.memory_short = server.held_total > server.short_above
+            self.held_bytes = held
 
     def refuse_large_undispatched(self) -> None:
         """Refuse complete requests that are not small, and have not been passed on, if memory is exceeded."""
@@ -478,6 +483,11 @@
         except OSError:
             return False
 
+    @property
+    def has_waiting_input(self) -> bool:
+        """Whether input waits to be parsed, in this process or in the socket."""
+        return bool(self.unparsed) or self.has_unread_input
+
     def count_undelivered(self) -> int:
         """Return the bytes written to the socket that the caller's kernel has not acknowledged.
 
@@ -498,7 +508,7 @@
     @property
     def has_further_input(self) -> bool:
         """Whether more input than the requests answered so far has been received."""
-        return bool(self.pending or self.unparsed or self.receiving or self.has_unread_input)
+        return bool(self.pending or self.receiving or self.has_waiting_input)
 
     @property
     def idle(self) -> bool:
@@ -508,8 +518,8 @@
 
     @property
     def expendable(self) -> bool:
-        """Whether nothing that was passed on waits for its response, and no input waits to be read."""
-        return not (self.closed or self.pending or self.has_unread_input)
+        """Whether nothing that was passed on waits for its response, and no input waits to be handled."""
+        return not (self.closed or self.pending or self.has_waiting_input)
 
     @property
     def idle_seconds(self) -> float:
@@ -539,8 +549,7 @@
         request.headers = []
         self.pending.append(request)
         request.dispatched = True
-        if not self.parsing:
-            self.unparsed.clear()
+        self.unparsed.clear()
         request.respond(status, [], close=True)
         self.update_held()
 
@@ -597,7 +606,8 @@
                 self.close_after_output()
                 self.update_held()
                 return
-        self.update_held()
+        if not self.parsing:
+            self.update_held()
         self.last_active_at = self.server.app.clock.monotonic()
         self.send_continue()
         if self.unparsed and len(pending) < self.pipeline_depth:
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -51,6 +51,9 @@
 # A connection whose input took this much processor time beyond its share is costly: its input waits for that
 # of others. An ordinary request takes less than 1 ms.
 COSTLY_SECONDS = 0.02
+# Incomplete requests that hold less are not refused for memory: ordinary ones are smaller, and as many as
+# callers may connect take less than the limit.
+LEAST_REFUSED_BYTES = 8192
 # Share of the time in which input is parsed as soon as it is read, rather than in a turn of its own.
 IMMEDIATE_SHARE = 0.5
 # Share of the limit of bodies above which connections are read in small parts, and not ahead.
@@ -147,6 +150,8 @@
         Connections that ended with requests or answers on them, by reason.
     held_total : int
         Memory of the requests and responses on all connections.
+    memory_short : bool
+        Whether that is so much that no more is read ahead.
     parse_credit, credited_at : float
         Processor time in seconds for which input may be parsed at once, and when that was last computed.
     """
@@ -160,6 +165,7 @@
         self.memory.relievers.append(self.relieve_memory)
         self.policy = policy
         self.held_total = 0
+        self.memory_short = False
         self.short_above = int(self.memory.held_limit * SHORT_SHARE)
         self.schedule: InputSchedule[EntryConnection] = InputSchedule()
         self.parse_scheduled = False
@@ -196,11 +202,6 @@
         """Return the memory of requests and responses on all connections."""
         return self.held_total
 
-    @property
-    def memory_short(self) -> bool:
-        """Whether requests and responses take so much memory that no more is read ahead."""
-        return self.held_total > self.short_above
-
     def short_read_bytes(self) -> int:
         """Return how much is read at once while memory is short."""
         left = self.memory.held_limit - self.held_total
@@ -258,7 +259,7 @@
         holdings = [
             Holding(connection, connection.held_bytes, connection.idle_seconds)
             for connection in self.connections.values()
-            if connection.receiving
+            if connection.receiving and connection.held_bytes >= LEAST_REFUSED_BYTES
         ]
         for connection in choose_refused(holdings, excess, self.policy.stalled_seconds):
             # A refusal before may have ended it.
@@ -595,12 +596,13 @@
             elif (
                 connection.head_started_at is not None
                 and now - connection.head_started_at > limits.head_timeout
+                and not connection.unparsed
             ):
                 connection.reject(408, "head_timeout")
             elif (
                 not connection.pending
                 and now - connection.last_active_at > limits.idle_timeout
-                and not connection.has_unread_input
+                and not connection.has_waiting_input
             ):
                 self.connection_lost(connection, "not_read")
 
@@ -618,9 +620,9 @@
 
     @property
     def has_incoming(self) -> bool:
-        """Whether a caller has sent bytes that have not been read, or only a part of a request."""
+        """Whether a caller has sent bytes that have not been parsed, or only a part of a request."""
         return any(
-            connection.receiving or connection.has_unread_input for connection in self.connections.values()
+            connection.receiving or connection.has_waiting_input for connection in self.connections.values()
         )
 
     def stop_listening(self, address: str | None = None) -> None:
