--- a/src/hibiscusdrum/internal/router/overload.py
+++ b/src/hibiscusdrum/internal/router/overload.py
@@ -100,8 +100,11 @@
         starved = self.cost_aware and self.floor_of(pending).is_starved(pending.route.name, now)
         if starved or self.is_returning(pending):
             return False
-        refused = self.in_random_share(throttle.refused_share(now, late=pending.late_on_arrival))
-        if refused:
+        share = throttle.refused_share(now, late=pending.late_on_arrival)
+        refused = self.in_random_share(share) and not throttle.probe_is_due(now)
+        if not refused:
+            throttle.forwarded_at = now
+        else:
             self.record(pending, False, now)
         return refused
 
