--- a/src/hibiscusdrum/internal/router/answer_sizes.py
+++ b/src/hibiscusdrum/internal/router/answer_sizes.py
@@ -175,7 +175,8 @@
         """Return the seconds after which an answer that the link would make late could be in time.
 
         It is 0 if the answer will be in time. An answer is late after its deadline, and after its goal if the
-        link is overloaded, since it would make others miss theirs. The returned time suffices for the goal,
+        link is overloaded, since it would make others miss theirs. One that cannot reach its goal at all then
+        counts as late unless it hardly has to wait. The returned time suffices for the goal,
         because the link may be overloaded by then.
 
         Parameters
@@ -190,6 +191,11 @@
         arrival = self.arrival(cost_class, lane, ready_at, now)
         reaches_goal = not nested and self.arrival(cost_class, lane, ready_at, now, queued=False) <= goal_at
         overloaded = self.egress.busy_seconds(now) > OVERLOAD_BUSY_SECONDS
+        if overloaded and not nested and not reaches_goal:
+            # Callers who were refused before come back with little time: if their answers filled the link,
+            # those of all others would miss their goals too.
+            wait = self.wait_seconds(now, lane)
+            return wait if wait > self.sizes.expect(cost_class).mean / self.egress.rate else 0.0
         if arrival <= (goal_at if overloaded and reaches_goal else deadline):
             return 0.0
         return arrival - (goal_at if reaches_goal else deadline)
--- a/tests/features/link.feature
+++ b/tests/features/link.feature
@@ -111,6 +111,12 @@
       | 1    | 0.5  |
       | 2    | 0.7  |
 
+  # Guards against callers who come back late and fill the link, so that all others miss their goals.
+  Scenario: On an overloaded link an answer that is late anyway gets only the room that others leave
+    Given a link of 625000 bytes a second that has been full for 4 s
+    Then an answer with 0.1 s left for its goal is refused while 0.6 s of bytes wait, and not while 0.05 s wait
+    And one with 2 s left for its goal is admitted in both cases
+
   Scenario: A receiver refuses what its link cannot deliver in time, and reports the wait for the link
     Given a receiver behind a link of 1250000 bytes a second whose answers have 90000 bytes
     When 60 requests of other nodes with 2 s left arrive at once
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -574,6 +574,37 @@
     assert again == 0.0, (late, again, target.egress.queued_bytes, target.egress.free_at - now - late)
 
 
+@given("a link of {rate:d} bytes a second that has been full for {seconds:g} s")
+def full_link(context, rate, seconds):
+    context.rate, context.now = rate, seconds
+    context.forecasts = {}
+    for waiting in (0.6, 0.05):
+        forecast = context.forecasts[waiting] = LinkForecast(EgressQueue(rate))
+        for _ in range(50):
+            forecast.sizes.observe("large", LARGE_BYTES)
+        push(forecast.egress, b"w", Lane.BULK, int(waiting * rate), 1e9, 0.0)
+
+
+@then(
+    "an answer with {left:g} s left for its goal is refused while {long:g} s of bytes wait, "
+    "and not while {short:g} s wait"
+)
+def late_answer(context, left, long, short):
+    now = context.now
+    late = {
+        wait: forecast.late_seconds("large", False, now + 0.2, now + left, now + 6.0, now)
+        for wait, forecast in context.forecasts.items()
+    }
+    assert late[long] > 0.0 and late[short] == 0.0, late
+
+
+@then("one with {left:g} s left for its goal is admitted in both cases")
+def answer_in_time(context, left):
+    now = context.now
+    for forecast in context.forecasts.values():
+        assert forecast.late_seconds("large", False, now + 0.2, now + left, now + 6.0, now) == 0.0
+
+
 @then("nothing is refused")
 def nothing_refused(context):
     context.target.run()
