--- a/tests/features/request_cost.feature
+++ b/tests/features/request_cost.feature
@@ -145,3 +145,9 @@
     Given routers in two regions that know costs, and a service of 8 targets in one of them
     When all targets state 300 percent, and the service gets 0.8 times what it can run for 3 s
     Then a node knows of a slowdown of 3, of outstanding work, and of the cost of the service
+
+  Scenario: Routers that know costs refuse at once what they cannot serve
+    Given routers in two regions that know costs, and a service of 8 targets in one of them
+    When the service gets 1.5 times what it can run for 10 s, half of it from the other region
+    Then every request is answered or refused as not run
+    And 0.5 of the refusals take at most 0.125 of the latency goal
