--- a/src/hibiscusdrum/internal/load/egress.py
+++ b/src/hibiscusdrum/internal/load/egress.py
@@ -137,6 +137,9 @@
         """Count bytes that were handed over to the link."""
         if not self.rate:
             return
+        if not self.entries and self.free_at + PART_SECONDS < now:
+            # A period in which the link is busy begins with bytes that were sent without waiting.
+            self.busy_since = now
         # While something waits, the link was kept idle only by a late timer; one part is made up for.
         credit = PART_SECONDS if self.entries else 0.0
         self.free_at = max(self.free_at, now - credit) + size / self.rate
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -241,7 +241,7 @@
         """Withdraw the requests whose keys have been removed or given to other accounts."""
         withdrawn = []
         for pending in self.pending_requests:
-            if pending.account is None or pending.inherits_account or pending.route.public:
+            if pending.account is None or pending.inherits_account:
                 continue
             key = only_key(pending.request.headers, self.header_names.account_key)
             account = accounts.find(key) if key else None
@@ -275,7 +275,7 @@
             return
         accounts = self.route_table.accounts
         key = only_key(pending.request.headers, self.header_names.account_key)
-        if accounts is None or (key and accounts.find(key) is not None):
+        if accounts is None or pending.route.public or (key and accounts.find(key) is not None):
             pending.reason = ACCOUNT_CHANGED_REASON
             self.refuse(pending)
         elif not self.routes_confirmed:
--- a/src/hibiscusdrum/internal/router/quota.py
+++ b/src/hibiscusdrum/internal/router/quota.py
@@ -677,6 +677,9 @@
         freed: list[tuple[Waiter, float]] = []
         for name in self.shares.keys() - set(accounts):
             freed += [(waiter, 0.0) for waiter in self.shares.pop(name).waiting]
+            for ask in self.asks.values():
+                # Those of an ask under way have left the share.
+                freed += [(waiter, 0.0) for waiter in ask.waiters.pop(name, ())]
         return freed
 
 
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -583,6 +583,7 @@
         if not has_room or self.now + report_due + service > job.deadline:
             self.decline(job, "keys_expected", retry_after=report_due + 0.1)
             return
+        job.queue_entry = None
         self.awaiting_keys.append(job)
         self.expiry_timer.wake()
 
@@ -839,8 +840,13 @@
         job.exchange = None
         forward = job.forward
         if isinstance(result, Success):
-            self.hung_requests.on_answered(forward.id)
-            self.on_response(job, result.unwrap())
+            response = result.unwrap()
+            if is_refusal(response.status, response.headers, self.header_names):
+                # A full target refuses later requests while it runs earlier ones.
+                self.hung_requests.forget(forward.id)
+            else:
+                self.hung_requests.on_answered(forward.id)
+            self.on_response(job, response)
             self.end_hung()
         else:
             self.hung_requests.forget(forward.id)
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -111,6 +111,7 @@
     __slots__ = (
         "answered_count",
         "awaiting_writable",
+        "awaits_link",
         "body",
         "body_bytes",
         "closed",
@@ -135,6 +136,7 @@
         "max_body_bytes",
         "max_head_bytes",
         "output_buffer",
+        "paced",
         "parser",
         "parsing",
         "pending",
@@ -155,6 +157,8 @@
         self.current_request: EntryRequest | None = None
         self.pending: deque[EntryRequest] = deque()
         self.output_buffer = bytearray()
+        self.paced = False
+        self.awaits_link = False
         self.awaiting_writable = False
         self.answered_count = 0
         self.closing = False
@@ -519,7 +523,7 @@
     @property
     def expendable(self) -> bool:
         """Whether nothing that was passed on waits for its response, and no input waits to be handled."""
-        return not (self.closed or self.pending or self.has_waiting_input)
+        return not (self.closed or self.pending or self.has_waiting_input or self.awaits_link)
 
     @property
     def idle_seconds(self) -> float:
@@ -616,7 +620,8 @@
         if self.unparsed and len(pending) < self.pipeline_depth:
             # Later input joins what waits, so that both are parsed in the order in which they were received.
             self.schedule_parsing()
-        elif pending:
+        if pending:
+            # If the pipeline may be less deep by the next turn, nothing is parsed and dispatched then.
             self.dispatch()
 
     def write_over_link(self, data: bytes, deadline: float) -> None:
@@ -625,11 +630,13 @@
         if pacer is None or self.closed:
             self.write(data)
         elif self.output_buffer or not pacer.takes_output(len(data)):
-            pacer.charge(len(data))
+            if not self.paced:
+                pacer.charge(len(data))
             self.write(data)
         else:
             self.output_buffer += data
             self.update_held()
+            self.paced = self.awaits_link = True
             pacer.queue_output(self, len(data), deadline)
             self.server.enforce_output_limit()
 
@@ -638,14 +645,18 @@
         if self.closed:
             return
         try:
-            sent = self.sock.send(self.output_buffer[: len(self.output_buffer) - left])
+            with memoryview(self.output_buffer) as view:
+                sent = self.sock.send(view[: len(view) - left])
         except BlockingIOError:
             sent = 0
         except OSError:
             self.server.connection_lost(self, "write_failed")
             return
+        offered = len(self.output_buffer) - left
         del self.output_buffer[:sent]
         self.update_held()
+        self.awaits_link = sent == offered and left > 0
+        self.paced = left > 0
         if sent:
             self.last_active_at = self.server.app.clock.monotonic()
         if left:
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -294,7 +294,11 @@
         """Disconnect the caller that has read nothing for longest if all bodies together exceed the limit."""
         if not self.memory.exceeded_after_relief():
             return
-        unread = [connection for connection in self.connections.values() if connection.output_buffer]
+        unread = [
+            connection
+            for connection in self.connections.values()
+            if connection.output_buffer and not connection.awaits_link
+        ]
         if not unread:
             return
         slowest = min(unread, key=lambda connection: connection.last_active_at)
@@ -626,7 +630,7 @@
             elif (
                 not connection.pending
                 and now - connection.last_active_at > limits.idle_timeout
-                and not connection.has_waiting_input
+                and not (connection.has_waiting_input or connection.awaits_link)
             ):
                 self.connection_lost(connection, "not_read")
 
