--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -866,9 +866,12 @@
         self.send_queued()
 
     def end_hung(self) -> None:
-        """Give up the requests that the target will not answer any more, as answers to later ones show."""
+        """Give up the requests that the target will not answer any more, as answers to later ones show.
+
+        One that must not run twice is not given up: no other target may run it, and it may only be slow.
+        """
         for job in list(self.jobs.values()):
-            if job.exchange is None or not job.exchange.is_unanswered:
+            if not job.forward.repeatable or job.exchange is None or not job.exchange.is_unanswered:
                 continue
             expected = self.admission.expected_service_seconds(job.forward.cost_class)
             if self.hung_requests.is_hung(job.forward.id, self.admission.slots, expected, self.now):
--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -101,6 +101,13 @@
     Then the other callers got their answers
     And no request was given up
 
+  # Guards against 502 for an order whose target answers it with success a moment later (soak, seed 22).
+  Scenario: A slow request that must not run twice is not given up
+    Given a router beside a target that runs 3 requests for 0.1 s each, whoever waits
+    When the target takes 15 times as long for one order among 60 requests
+    Then the other callers got their answers
+    And no request was given up
+
   Scenario: A hung connection is closed when its request is given up
     Given a router's client of a target
     When a request without an answer is given up
