--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -87,6 +87,13 @@
     When peers of an earlier release answer requests with the statuses 0, 99, 100 and 600
     Then the callers get 502, and each failure counts against its node
 
+  # Guards against more requests at a target than it has slots, some of which it would never answer.
+  Scenario: A node sends a target no more than its slots although callers leave
+    Given a router beside a target that runs 4 requests for 0.2 s each, whoever waits
+    When 30 requests arrive, and the callers of those that it runs leave 4 times
+    Then the target never had more than 4 requests
+    And the other callers got their answers
+
   Scenario: A request that a target never answers is given up long before its deadline
     Given a router beside a target that runs 3 requests for 0.1 s each, whoever waits
     When the target swallows 1 of 60 requests, whose deadline is in 20 s
--- a/tests/features/steps/odd_answers_steps.py
+++ b/tests/features/steps/odd_answers_steps.py
@@ -388,6 +388,19 @@
             run(context, seconds_apart)
 
 
+@when("{count:d} requests arrive, and the callers of those that it runs leave {times:d} times")
+def callers_leave(context, count, times):
+    busy_arrivals(context, count, 0.0)
+    for _ in range(times):
+        run(context, 0.05)
+        for job in list(context.receiver.jobs.values()):
+            if job.exchange is not None:
+                context.left.add(job.forward.id[0])
+                context.receiver.cancel(job.forward.id)
+    run(context, 4.0)
+    assert context.left
+
+
 @when("the target swallows 1 of {count:d} requests, whose deadline is in 20 s")
 def swallowed(context, count):
     context.target.run_seconds = lambda number: None if number == 10 else 0.1
