--- a/tests/features/steps/merged_load_steps.py
+++ b/tests/features/steps/merged_load_steps.py
@@ -154,7 +154,8 @@
 
 
 @given(
-    "an account of {rate:d} requests a second and a burst of {burst:d} that sends {demand:d} a second to one node"
+    "an account of {rate:d} requests a second and a burst of {burst:d} "
+    "that sends {demand:d} a second to one node"
 )
 def busy_account(context, rate, burst, demand):
     """Record when its requests get their tokens, over 20 s."""
