--- a/src/hibiscusdrum/internal/router/hung_requests.py
+++ b/src/hibiscusdrum/internal/router/hung_requests.py
@@ -53,17 +53,11 @@
         self.sent_at.pop(request, None)
         self.overtaken.pop(request, None)
 
-    def is_hung(self, request: Hashable, slots: int, expected_seconds: float, now: float) -> bool:
-        """Return whether a request will not be answered any more.
+    def overtaken_by(self, count: int) -> list[Hashable]:
+        """Return the requests than which at least as many later ones were answered."""
+        return [request for request, answers in self.overtaken.items() if answers >= count]
 
-        Parameters
-        ----------
-        slots : int
-            Number of requests that the target runs concurrently.
-        expected_seconds : float
-            Mean service time of the request's class.
-        now : float
-            Monotonic time in seconds.
-        """
+    def takes_too_long(self, request: Hashable, expected_seconds: float, now: float) -> bool:
+        """Return whether a request takes longer than the slowest of its class, of this mean service time."""
         longest = expected_seconds * SLOWEST_SHARE + SLOW_PHASE_SECONDS
-        return self.overtaken.get(request, 0) >= slots and now - self.sent_at[request] > longest
+        return now - self.sent_at[request] > longest
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -14,7 +14,7 @@
 from hibiscusdrum.internal.load.body_gate import BodyGate
 from hibiscusdrum.internal.load.body_room import BodyRoom, default_room
 from hibiscusdrum.internal.load.egress import EgressQueue
-from hibiscusdrum.internal.messages import Answered, Declined, Forward, SendBody
+from hibiscusdrum.internal.messages import UNKNOWN_OUTLOOK, Answered, Declined, Forward, SendBody
 from hibiscusdrum.internal.router import events
 from hibiscusdrum.internal.router.account_fairness import DRAWN_PRIORITY, AccountFairness
 from hibiscusdrum.internal.router.accounts import EndedRuns
@@ -250,10 +250,13 @@
     def outlook(self) -> tuple[float, float, float]:
         """Return the outstanding work, the wait for the link and the slowdown sent with each load report."""
         admission, now = self.admission, self.now
+        link = round(self.link_forecast.wait_seconds(now), 4)
+        if not self.settings.cost_aware:
+            # No node of this deployment compares targets by them.
+            return (UNKNOWN_OUTLOOK[0], link, UNKNOWN_OUTLOOK[2])
         work = admission.outstanding_seconds(now)
         work += self.waiting_elsewhere() * admission.work.costs.overall.mean
-        link = self.link_forecast.wait_seconds(now)
-        return (round(work, 4), round(link, 4), round(admission.work.slowdown(now), 2))
+        return (round(work, 4), link, round(admission.work.slowdown(now), 2))
 
     def reported_rate(self) -> float:
         """Return the rate limit that is sent with each load report: requests per second, 0 if unlimited."""
@@ -386,12 +389,14 @@
             self.decline(job, reason, retry_after=RESTART_SECONDS if reason == CLOSING_REASON else 0.0)
         elif hold := self.hold_seconds(job):
             self.decline_quarantined(job, hold)
-        elif forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.GRANT_PENDING:
-            self.await_keys(job)
-        elif forward.key >= 0 and self.range_owner.key_state(forward.key) is KeyState.MOVING:
-            self.await_move(job)
         else:
-            self.enqueue(job)
+            key_state = self.range_owner.key_state(forward.key) if forward.key >= 0 else KeyState.GRANTED
+            if key_state is KeyState.GRANT_PENDING:
+                self.await_keys(job)
+            elif key_state is KeyState.MOVING:
+                self.await_move(job)
+            else:
+                self.enqueue(job)
 
     def await_body(self, job: Job) -> None:
         """Schedule the transfer of a large body, or decline a request that cannot be served in time."""
@@ -840,13 +845,7 @@
         job.exchange = None
         forward = job.forward
         if isinstance(result, Success):
-            response = result.unwrap()
-            if is_refusal(response.status, response.headers, self.header_names):
-                # A full target refuses later requests while it runs earlier ones.
-                self.hung_requests.forget(forward.id)
-            else:
-                self.hung_requests.on_answered(forward.id)
-            self.on_response(job, response)
+            self.on_response(job, result.unwrap())
             self.end_hung()
         else:
             self.hung_requests.forget(forward.id)
@@ -870,11 +869,14 @@
 
         One that must not run twice is not given up: no other target may run it, and it may only be slow.
         """
-        for job in list(self.jobs.values()):
-            if not job.forward.repeatable or job.exchange is None or not job.exchange.is_unanswered:
+        for request_id in self.hung_requests.overtaken_by(self.admission.slots):
+            job = self.jobs.get(request_id)
+            if job is None or job.exchange is None:
+                continue
+            if not (job.forward.repeatable and job.exchange.is_unanswered):
                 continue
             expected = self.admission.expected_service_seconds(job.forward.cost_class)
-            if self.hung_requests.is_hung(job.forward.id, self.admission.slots, expected, self.now):
+            if self.hung_requests.takes_too_long(request_id, expected, self.now):
                 log_events.emit(
                     events.RequestHung(
                         id=job.forward.attempt_id,
@@ -891,6 +893,8 @@
         self.target.record_answer()
         self.observe_signals(job, response)
         if is_refusal(response.status, response.headers, names):
+            # A full target refuses later requests while it runs earlier ones.
+            self.hung_requests.forget(forward.id)
             self.release_slot(job)
             misdirected = response.status == MISDIRECTED_STATUS
             if misdirected and forward.key >= 0:
@@ -899,6 +903,7 @@
             wait = 0.0 if misdirected else self.refusal_retry_after(job, response)
             self.decline(job, reason, arrived=True, retry_after=wait)
             return
+        self.hung_requests.on_answered(forward.id)
         self.release_slot(job, self.now - job.sent_at)
         self.link_forecast.sizes.observe(forward.cost_class, len(response.body))
         self.metrics.count_run(forward.cost_class, self.now - job.sent_at)
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -18,7 +18,7 @@
 from returns.result import Failure, Success
 from tests.loopback import Loopback, free_address
 from tests.overload_world import OverloadWorld, ServiceModel
-from tests.router_stubs import FREE, SETTINGS, Stub, application, forward
+from tests.router_stubs import FREE, SETTINGS, Stub, application, forward, receiver_application
 from tests.router_world import Loop
 
 from hibiscusdrum.internal import codec
@@ -613,12 +613,7 @@
 
 @given("a receiver behind a link of {rate:d} bytes a second whose answers have {size:d} bytes")
 def receiver_behind_link(context, rate, size):
-    app = context.app = application()
-    app.add(Stub("members", evacuated_domains=frozenset(), on_change=[], region_of=lambda _: SETTINGS.region))
-    app.add(Stub("range_owner", on_granted=[]))
-    app.add(Stub("hop", link_congested=False))
-    app.add(Stub("rings", owner_node=lambda *_: None))
-    app.add(Stub("metrics", count_declined=lambda *_: None, count_run=lambda *_: None))
+    app = context.app = receiver_application()
     context.ran = []
     exchange = Stub("exchange", cancel=lambda: None, is_unanswered=False)
     app.add(Stub("http_client", request=lambda *_arguments: context.ran.append(1) or exchange))
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -10,7 +10,17 @@
 import msgspec
 from behave import given, then, when
 from returns.result import Failure, Success
-from tests.router_stubs import FREE, SETTINGS, Request, SentHop, Stub, application, forward, lone_gossip
+from tests.router_stubs import (
+    FREE,
+    SETTINGS,
+    Request,
+    SentHop,
+    Stub,
+    application,
+    forward,
+    lone_gossip,
+    receiver_application,
+)
 
 from hibiscusdrum.errors import InvalidArgument
 from hibiscusdrum.internal import log_events
@@ -634,12 +644,7 @@
 
 @given("a receiver on a link of {rate:d} bytes a second with {count:d} offered bodies")
 def receiver_with_bodies(context, rate, count):
-    app = context.app = application()
-    app.add(Stub("members", evacuated_domains=frozenset(), on_change=[], region_of=lambda _: SETTINGS.region))
-    app.add(Stub("range_owner", on_granted=[]))
-    app.add(Stub("hop", link_congested=False))
-    app.add(Stub("rings", owner_node=lambda *_: None))
-    app.add(Stub("metrics", count_declined=lambda *_: None, count_run=lambda *_: None))
+    app = context.app = receiver_application()
     app.add(Stub("http_client", request=lambda *_arguments, **_more: None))
     target = app.add(LocalTarget(SETTINGS))
     settings = msgspec.structs.replace(SETTINGS, link_bytes_per_second=float(rate))
--- a/tests/router_stubs.py
+++ b/tests/router_stubs.py
@@ -24,6 +24,17 @@
         self.__dict__.update(attributes)
 
 
+def receiver_application():
+    """Return an application with stubs of the services that a receiver uses."""
+    app = application()
+    app.add(Stub("members", evacuated_domains=frozenset(), on_change=[], region_of=lambda _: SETTINGS.region))
+    app.add(Stub("range_owner", on_granted=[]))
+    app.add(Stub("hop", link_congested=False))
+    app.add(Stub("rings", owner_node=lambda *_: None))
+    app.add(Stub("metrics", count_declined=lambda *_: None, count_run=lambda *_: None))
+    return app
+
+
 def lone_hop():
     """Return a stand-in for the exchange of messages of a node without peers."""
     return Stub("hop", message_handlers={}, send_message=lambda *_: None)
