--- a/review/rig2/instance.py
+++ b/review/rig2/instance.py
@@ -115,7 +115,7 @@
                     await asyncio.sleep(self.options.seconds)
             finally:
                 self.present -= 1
-            body = f"{self.identity} {path} {length}".encode()
+            body = f"{self.identity} {path} {length}".encode().ljust(self.options.answer_bytes, b".")
             extra = {PREFIX + "response-sig": f"{self.identity}.{attempt}.200"}
         fields = {PREFIX + "attempt-id": attempt, **extra, "content-length": str(len(body))}
         text = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
@@ -140,6 +140,7 @@
     parser.add_argument("--slots", type=int, default=9)
     parser.add_argument("--queue", type=int, default=36)
     parser.add_argument("--seconds", type=float, default=0.14)
+    parser.add_argument("--answer-bytes", type=int, default=0)
     parser.add_argument("--heartbeat", type=float, default=0.87)
     asyncio.run(Instance(parser.parse_args()).run())
 
