--- a/review/rig2/instance.py
+++ b/review/rig2/instance.py
@@ -112,7 +112,9 @@
             try:
                 async with self.slots:
                     self.write("run", id=attempt, method=method, path=path, bytes=length)
-                    await asyncio.sleep(self.options.seconds)
+                    await asyncio.sleep(self.seconds_of(path))
+                    if self.options.long_seconds:
+                        self.write("end", id=attempt)
             finally:
                 self.present -= 1
             body = f"{self.identity} {path} {length}".encode().ljust(self.options.answer_bytes, b".")
@@ -123,6 +125,11 @@
         await writer.drain()
         return True
 
+    def seconds_of(self, path: str) -> float:
+        """Return for how long a request runs."""
+        is_long = self.options.long_seconds and "/long" in path
+        return self.options.long_seconds if is_long else self.options.seconds
+
     async def run(self) -> None:
         """Listen and send heartbeats until the process is ended."""
         host, port = self.options.address.split(":")
@@ -140,6 +147,8 @@
     parser.add_argument("--slots", type=int, default=9)
     parser.add_argument("--queue", type=int, default=36)
     parser.add_argument("--seconds", type=float, default=0.14)
+    # Time for which requests run whose path contains "/long"; 0 if there are none.
+    parser.add_argument("--long-seconds", type=float, default=0.0)
     parser.add_argument("--answer-bytes", type=int, default=0)
     parser.add_argument("--heartbeat", type=float, default=0.87)
     asyncio.run(Instance(parser.parse_args()).run())
--- a/review/rig2/system.py
+++ b/review/rig2/system.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -15,39 +16,36 @@
 ROOT = Path(__file__).resolve().parents[2]
 DEPS = ROOT / "target" / "deps"
 HOST = "127.0.0.1"
-# Ports of a machine: instance, outbound, ready, control, peers, metrics.
-PORTS = 6
+# Below the ports that the kernel takes for outgoing connections, which would use some of them up meanwhile.
+PORT_RANGE = range(12_000, 32_000)
 START_LIMIT_SECONDS = 30.0
 PREFIX = "x-hibiscusdrum-"
+given_ports: set[int] = set()
 
 
 class CannotRun(Exception):
     """The case could not run."""
 
 
-def free_ports(count: int) -> list[int]:
-    """Return free ports, of which each pair of neighbours in the list may lie apart."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
-    return ports
+def is_free(port: int) -> bool:
+    """Return whether a port can be listened on."""
+    try:
+        socket.create_server((HOST, port)).close()
+    except OSError:
+        return False
+    return True
 
 
-def free_pairs(count: int) -> list[int]:
-    """Return the first ports of pairs of adjacent free ports."""
-    pairs: list[int] = []
-    while len(pairs) < count:
-        first = free_ports(1)[0]
-        try:
-            held = [socket.create_server((HOST, port)) for port in (first, first + 1)]
-        except OSError:
-            continue
-        for entry in held:
-            entry.close()
-        if first not in pairs and first - 1 not in pairs and first + 1 not in pairs:
-            pairs.append(first)
-    return pairs
+def free_ports(count: int, adjacent: int = 1) -> list[int]:
+    """Return the first ports of runs of adjacent free ports, of which none has been returned before."""
+    firsts: list[int] = []
+    while len(firsts) < count:
+        first = random.choice(PORT_RANGE)
+        ports = range(first, first + adjacent)
+        if given_ports.isdisjoint(ports) and all(is_free(port) for port in ports):
+            given_ports.update(ports)
+            firsts.append(first)
+    return firsts
 
 
 def call(address: str, method: str, path: str, body: bytes = b"", headers=None, timeout: float = 2.0):
@@ -70,7 +68,7 @@
         self.name, self.region, self.zone, self.service = name, region, zone, service
         ports = free_ports(4)
         self.instance_address, self.outbound, self.ready, self.control = (f"{HOST}:{port}" for port in ports)
-        self.first_port = free_pairs(1)[0]
+        self.first_port = free_ports(1, adjacent=2)[0]
         self.router: subprocess.Popen | None = None
         self.instance: subprocess.Popen | None = None
 
