Send responses to callers first when a stopping router's link cannot carry all

Callers whose router was stopped got cut responses: the connection ended within a response that the target had given long before, 1.8 s before the caller's deadline. Nothing tells such a caller whether to ask again.

Cause: the queue for the link of a VM orders large responses to callers and answers to other nodes by deadline alone, also while the process is about to end.

From the signal on the router compares what is queued with what the link carries until it ends. If that is too little, responses to callers go first, then answers that no other node may produce again. Answers that do not fit are declined at once with answer_unsent, as requests that have run, so that their nodes can repeat them elsewhere while there is time. If all fits, the order stays as it is.

--- a/src/hibiscusdrum/internal/load/egress.py
+++ b/src/hibiscusdrum/internal/load/egress.py
@@ -30,6 +30,17 @@
     BULK = 2
 
 
+class Precedence(enum.IntEnum):
+    """Order on a link that cannot carry all before the process ends, first ones first."""
+
+    # The end of the process closes the caller's connection.
+    RESPONSE = 0
+    # Its outcome would stay unknown, or its caller would have to send its body again.
+    UNREPEATABLE = 1
+    # Another node can provide it too.
+    REPEATABLE = 2
+
+
 class Outgoing:
     """An answer or a body that waits for the link, or of which parts have been sent.
 
@@ -45,6 +56,8 @@
         Whether it must be sent in one part.
     expires : bool
         Whether it is dropped at its deadline.
+    precedence : Precedence
+        Place before other large ones once the process is about to end.
 
     Attributes
     ----------
@@ -52,7 +65,7 @@
         Bytes sent so far.
     """
 
-    __slots__ = ("deadline", "expires", "item", "key", "lane", "sent", "size", "whole")
+    __slots__ = ("deadline", "expires", "item", "key", "lane", "precedence", "sent", "size", "whole")
 
     def __init__(
         self,
@@ -63,6 +76,7 @@
         item: Any,
         whole: bool = False,
         expires: bool = True,
+        precedence: Precedence = Precedence.UNREPEATABLE,
     ) -> None:
         self.key = key
         self.lane = lane
@@ -71,6 +85,7 @@
         self.item = item
         self.whole = whole or lane is Lane.SMALL
         self.expires = expires
+        self.precedence = precedence
         self.sent = 0
 
     @property
@@ -99,10 +114,13 @@
         Bytes that wait for the link, by lane.
     busy_since : float
         Monotonic time in seconds since which something has waited without interruption, if anything waits.
+    ending : bool
+        Whether large entries are ordered by precedence, because the process ends before all are sent.
     """
 
     __slots__ = (
         "busy_since",
+        "ending",
         "entries",
         "free_at",
         "heap",
@@ -117,7 +135,8 @@
         self.rate = bytes_per_second * USABLE_SHARE
         self.part_bytes = max(MIN_PART_BYTES, int(self.rate * PART_SECONDS))
         self.entries: dict[bytes, Outgoing] = {}
-        self.heap: list[tuple[Lane, float, int, Outgoing]] = []
+        self.heap: list[tuple[tuple[Precedence, Lane, float], int, Outgoing]] = []
+        self.ending = False
         self.sequence = itertools.count()
         self.lane_bytes = [0] * len(Lane)
         self.busy_since = 0.0
@@ -164,7 +183,39 @@
         self.entries[entry.key] = entry
         self.lane_bytes[entry.lane] += entry.left
         self.small_count += entry.lane is Lane.SMALL
-        heapq.heappush(self.heap, (entry.lane, entry.deadline, next(self.sequence), entry))
+        heapq.heappush(self.heap, (self.order(entry), next(self.sequence), entry))
+
+    def order(self, entry: Outgoing) -> tuple[Precedence, Lane, float]:
+        """Return the key by which the entries are sorted."""
+        ranked = self.ending and entry.lane is not Lane.SMALL
+        return entry.precedence if ranked else Precedence.RESPONSE, entry.lane, entry.deadline
+
+    def order_by_precedence(self) -> None:
+        """Order large entries by precedence from now on."""
+        if not self.ending:
+            self.ending = True
+            self.heap = [(self.order(entry), next(self.sequence), entry) for entry in self.entries.values()]
+            heapq.heapify(self.heap)
+
+    def seconds_to_send(self, now: float) -> float:
+        """Return the seconds until all that is queued has left the link."""
+        return self.backlog_seconds(now) + self.queued_bytes / self.rate if self.rate else 0.0
+
+    def unsendable(self, now: float, seconds: float) -> list[Outgoing]:
+        """Return the entries that will not have left the link after some seconds, in their present order.
+
+        Those that are too long for the rest of the time do not keep shorter ones back.
+        """
+        used, late = self.backlog_seconds(now), []
+        for _, _, entry in sorted(self.heap):
+            if self.entries.get(entry.key) is not entry:
+                continue
+            needed = entry.left / self.rate
+            if used + needed > seconds:
+                late.append(entry)
+            else:
+                used += needed
+        return late
 
     def extend(self, entry: Outgoing, count: int) -> None:
         """Add bytes to the end of a queued body."""
@@ -197,7 +248,7 @@
             False to return all that is queued regardless of the link, because the process is about to end.
         """
         while self.heap:
-            entry = self.heap[0][3]
+            entry = self.heap[0][-1]
             if self.entries.get(entry.key) is not entry:
                 heapq.heappop(self.heap)
                 continue
@@ -223,6 +274,6 @@
 
     def next_due_seconds(self, now: float) -> float | None:
         """Return the seconds until the next part may be sent; None if nothing is queued."""
-        while self.heap and self.entries.get(self.heap[0][3].key) is not self.heap[0][3]:
+        while self.heap and self.entries.get(self.heap[0][-1].key) is not self.heap[0][-1]:
             heapq.heappop(self.heap)
-        return self.seconds_until_due(self.heap[0][3], now) if self.heap else None
+        return self.seconds_until_due(self.heap[0][-1], now) if self.heap else None
--- a/src/hibiscusdrum/internal/router/events.py
+++ b/src/hibiscusdrum/internal/router/events.py
@@ -974,6 +974,24 @@
     expected_bytes: int
 
 
+class AnswerGivenUp(LogEvent, frozen=True):
+    """An answer to another node is not sent, because the link cannot carry it before the process ends."""
+
+    number = 942
+    level = "WARNING"
+    rate_limited = True
+    lines_per_interval = 20
+    cause = "A planned stop while more is queued than the link of this VM carries in the grace period."
+    operator_action = "Check whether the link is too slow for its load, or the grace period too short."
+
+    id: str
+    origin: str
+    left_bytes: int
+    sent_bytes: int
+    queued_bytes: int
+    left_s: float
+
+
 class TargetBodiesFull(LogEvent, frozen=True):
     """Request `id` waits because the target holds as many bytes of request bodies as it may."""
 
@@ -1041,6 +1059,7 @@
 EVENTS = frozenset(
     (
         AcceptFailed,
+        AnswerGivenUp,
         CallerConnectionLost,
         ClientErrorAnswered,
         ConfigPulled,
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -13,7 +13,7 @@
 
 from hibiscusdrum.internal import log_events
 from hibiscusdrum.internal.kernel import Service
-from hibiscusdrum.internal.load.egress import EgressQueue, Lane, Outgoing
+from hibiscusdrum.internal.load.egress import EgressQueue, Lane, Outgoing, Precedence
 from hibiscusdrum.internal.messages import (
     UNKNOWN_OUTLOOK,
     Answered,
@@ -62,6 +62,8 @@
 REMOVED_REASON = "removed"
 # Reason with which a node declines all requests because its process is about to end.
 CLOSING_REASON = "closing"
+# Reason with which a node declines a request that has run, whose answer it cannot send before it ends.
+UNSENT_REASON = "answer_unsent"
 # Leading bytes of a request id that identify the sending process.
 PROCESS_ID_BYTES = 6
 # The memory of bodies is checked after so many bytes of parts of answers, since a check takes time in
@@ -136,15 +138,20 @@
     ----------
     identity, origin : bytes, str
         Connection of the node, and its name.
+    attempt_id : str
+        Caller's id of the request.
     queued_at : float
         Monotonic time in seconds.
     """
 
-    __slots__ = ("answer", "content", "identity", "origin", "queued_at")
+    __slots__ = ("answer", "attempt_id", "content", "identity", "origin", "queued_at")
 
-    def __init__(self, identity: bytes, origin: str, answer: Answered, content: bytes, now: float) -> None:
+    def __init__(
+        self, identity: bytes, forward: Forward, answer: Answered, content: bytes, now: float
+    ) -> None:
         self.identity = identity
-        self.origin = origin
+        self.origin = forward.origin
+        self.attempt_id = forward.attempt_id
         self.answer = answer
         self.content = content
         self.queued_at = now
@@ -485,7 +492,15 @@
         It is written to its end also after the deadline, since the caller could not tell a part from a whole.
         """
         item = QueuedOutput(connection)
-        outgoing = Outgoing(output_key(connection), Lane.BULK, size, deadline, item, expires=False)
+        outgoing = Outgoing(
+            output_key(connection),
+            Lane.BULK,
+            size,
+            deadline,
+            item,
+            expires=False,
+            precedence=Precedence.RESPONSE,
+        )
         self.egress.push(outgoing, self.now)
         self.send_due()
 
@@ -738,9 +753,13 @@
         if type(answer) is not Answered or self.egress.passes(lane, len(content), now):
             self.transmit_reply(identity, forward.origin, answer, content)
             return
-        item = QueuedAnswer(identity, forward.origin, answer, content, now)
+        item = QueuedAnswer(identity, forward, answer, content, now)
+        precedence = Precedence.REPEATABLE if forward.repeatable else Precedence.UNREPEATABLE
         whole = not forward.takes_parts
-        self.egress.push(Outgoing(forward.id, lane, len(content), deadline, item, whole), now)
+        outgoing = Outgoing(
+            forward.id, lane, len(content), deadline, item, whole=whole, precedence=precedence
+        )
+        self.egress.push(outgoing, now)
         self.send_due()
 
     def transmit_reply(self, identity: bytes, origin: str, answer: Message, content: bytes) -> int:
@@ -749,6 +768,51 @@
         self.count_sent(self.members.region_of(origin), type(answer).__name__.lower(), size)
         return size
 
+    def fit_queue(self, seconds: float) -> None:
+        """Give up answers to other nodes that cannot leave the link before the process ends.
+
+        Responses to callers go first from then on, and the other nodes are told at once. They can still
+        repeat a request elsewhere then, while a response that is cut cannot be replaced.
+
+        Parameters
+        ----------
+        seconds : float
+            Time that is left to send what is queued.
+        """
+        egress, now = self.egress, self.now
+        if egress.seconds_to_send(now) <= seconds:
+            return
+        egress.order_by_precedence()
+        for entry in egress.unsendable(now, seconds):
+            if isinstance(entry.item, QueuedAnswer):
+                self.give_up_answer(entry, seconds)
+
+    def give_up_answer(self, entry: Outgoing, seconds: float) -> None:
+        """Tell another node that an answer will not come."""
+        item = entry.item
+        self.egress.remove(entry.key)
+        log_events.emit(
+            events.AnswerGivenUp(
+                id=item.attempt_id,
+                origin=item.origin,
+                left_bytes=entry.left,
+                sent_bytes=entry.sent,
+                queued_bytes=self.egress.queued_bytes,
+                left_s=round(seconds, 3),
+            )
+        )
+        declined = Declined(
+            entry.key,
+            UNSENT_REASON,
+            True,
+            True,
+            0.0,
+            self.load_report(),
+            rate_limit=self.rate_limit(),
+            outlook=self.outlook(),
+        )
+        self.transmit_reply(item.identity, item.origin, declined, b"")
+
     @property
     def link_congested(self) -> bool:
         """Whether messages to this VM were recently delayed by its link."""
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -161,6 +161,7 @@
         if elapsed > REQUEST_REFUSAL_DELAY_SECONDS:
             self.refuse_requests(elapsed)
         self.end_late_requests(elapsed)
+        self.hop.fit_queue(self.settings.grace - EXIT_MARGIN_SECONDS - elapsed)
         if elapsed > self.settings.grace - EXIT_MARGIN_SECONDS or self.may_end(elapsed):
             self.finished = True
             self.log_connections_left()
--- a/tests/features/link.feature
+++ b/tests/features/link.feature
@@ -146,6 +146,21 @@
     When the router's services stop after 0.05 s
     Then the caller gets both responses whole after 0 to 4 s
 
+  # Guards against a response that is cut by the end of a planned stop, behind answers with earlier deadlines.
+  Scenario Outline: A planned stop on a link that <carries> all that is queued cuts no response to a caller
+    Given a router on a link of 1250000 bytes a second, with a caller of a small window that asks for 600000 and then for 100 bytes
+    And 4 answers of <size> bytes to other nodes, due earlier, of which <repeat> answer requests that may be repeated
+    When the router is told to stop, with 1.5 s before it ends
+    Then the caller gets both responses whole after 0.4 to <most> s, whatever else waits for the link
+    And within 0.1 s other nodes are told that <count> answers to such requests will not come, and get the others
+
+    # At 95 in 100 of the link, 1.5 s carry 1.78 MB.
+    Examples:
+      | carries      | size   | repeat  | most | count |
+      | carries      | 150000 | 1 2 3 4 | 1.5  | 0     |
+      | cannot carry | 500000 | 1 2 3 4 | 0.9  | 2     |
+      | cannot carry | 500000 | 1 2     | 0.9  | 2     |
+
   Scenario: A target holds no more bytes of bodies than it may, and all uploads are run in the end
     Given a receiver whose target may hold 100000 bytes of bodies, with 10 free slots
     When uploads of 60000, 30000, 60000, 20000 and 5000 bytes arrive
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -26,19 +26,26 @@
 from hibiscusdrum.internal.load.egress import PART_SECONDS, EgressQueue, Lane, Outgoing
 from hibiscusdrum.internal.messages import Answered, AnswerPart, Body, Declined, Forward, Ping, SendBody
 from hibiscusdrum.internal.router.answer_sizes import LinkForecast
-from hibiscusdrum.internal.router.hop import Forwarder
-from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat
+from hibiscusdrum.internal.router.hop import UNSENT_REASON, Forwarder
+from hibiscusdrum.internal.router.local_target import LocalTarget, TargetHeartbeat, TargetState
 from hibiscusdrum.internal.router.members import Members, NodeRow
 from hibiscusdrum.internal.router.quarantine import Quarantine
 from hibiscusdrum.internal.router.receiver import LINK_FULL_REASON, Receiver
 from hibiscusdrum.internal.router.routes import HeaderNames
 from hibiscusdrum.internal.router.selection import Candidate, LoadReport, NodeSelector
+from hibiscusdrum.internal.router.stopping import EXIT_MARGIN_SECONDS, RouterStopping
 from hibiscusdrum.internal.router.traffic import Traffic
 from hibiscusdrum.internal.transport.http_connection import FailureKind, HttpFailure, HttpResponse
 from hibiscusdrum.internal.transport.http_entry import HttpEntry
 
 LARGE_BYTES, SMALL_BYTES = 90_000, 400
 STEP_SECONDS = 0.001
+# Segments of an Ethernet in place of those of the loopback interface, and a receive buffer of a few of them.
+SEGMENT_BYTES, WINDOW_BYTES = 1_460, 32_768
+# Time limit of answers that are due before the responses to the caller, which have 5 s.
+EARLIER_SECONDS = 4.0
+# What a planned stop calls of the gateway, the receiver and the readiness check.
+STOP_CALLS = ("close", "refuse_unsent", "decline_unsent", "end_unanswered")
 
 
 class LinkModel:
@@ -702,11 +709,24 @@
     assert (chosen(context, seconds, True), chosen(context, seconds, False)) == ("fast", "fast")
 
 
+def connect_with_small_window(address):
+    """Return a socket whose peer can hand only a small part of a large response to the kernel at once."""
+    caller = socket.socket()
+    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    caller.connect(address)
+    return caller
+
+
 @given(
     "a router on a link of {rate:d} bytes a second, "
     "with a caller that asks for {first:d} and then for {second:d} bytes"
 )
-def router_with_caller(context, rate, first, second):
+@given(
+    "a router on a link of {rate:d} bytes a second, "
+    "with a caller of a {window} window that asks for {first:d} and then for {second:d} bytes"
+)
+def router_with_caller(context, rate, first, second, window="usual"):
     settings = msgspec.structs.replace(SETTINGS, link_bytes_per_second=float(rate))
     context.peer_replies = []
     peers = Stub("peers", reply=lambda _identity, message, _body: context.peer_replies.append(message) or 500)
@@ -721,10 +741,11 @@
         request.link_deadline = time.monotonic() + 5.0
         request.respond(200, [], context.bodies[int(request.target[1:])])
 
-    address = free_address()
+    address = context.caller_address = free_address()
     entry.listen(address, respond)
     host, _, port = address.rpartition(":")
-    context.caller = socket.create_connection((host, int(port)))
+    connect = connect_with_small_window if window == "small" else socket.create_connection
+    context.caller = connect((host, int(port)))
     context.caller.setblocking(False)
     context.add_cleanup(context.caller.close)
     context.caller.sendall(b"".join(b"GET /%d HTTP/1.1\r\nhost: h\r\n\r\n" % number for number in range(2)))
@@ -750,6 +771,12 @@
 
 @then("the caller gets both responses whole after {least:g} to {most:g} s")
 def caller_gets_both(context, least, most):
+    caller_is_answered(context, least, most)
+    assert not context.hop.has_queued
+
+
+@then("the caller gets both responses whole after {least:g} to {most:g} s, whatever else waits for the link")
+def caller_is_answered(context, least, most):
     received = bytearray()
 
     def complete():
@@ -761,7 +788,62 @@
     assert time.monotonic() - context.asked_at >= least
     heads = [b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) for body in context.bodies]
     assert received == b"".join(head + body for head, body in zip(heads, context.bodies, strict=True))
-    assert not context.hop.has_queued
+
+
+@given(
+    "{count:d} answers of {size:d} bytes to other nodes, due earlier, "
+    "of which {repeat} answer requests that may be repeated"
+)
+def answers_due_earlier(context, count, size, repeat):
+    context.repeatable = {bytes([int(number)]) for number in repeat.split()}
+    context.expected = {bytes([number]): size for number in range(1, count + 1)}
+    context.received = dict.fromkeys(context.expected, 0)
+    context.declined = {}
+
+    def receive(_identity, message, body):
+        if type(message) is Declined:
+            assert message.may_have_run and message.arrived and message.reason == UNSENT_REASON, message
+            context.declined[message.id] = time.monotonic()
+        else:
+            context.received[message.id] += len(body)
+        return len(body) + 100
+
+    context.loopback.app.find("peers").reply = receive
+    for number in range(1, count + 1):
+        repeatable = bytes([number]) in context.repeatable
+        request = msgspec.structs.replace(forward(number), repeatable=repeatable, takes_parts=True)
+        answer = Answered(request.id, 200, (), FREE)
+        context.hop.reply(b"node", request, context.hop.now + EARLIER_SECONDS, answer, bytes(size))
+
+
+@when("the router is told to stop, with {seconds:g} s before it ends")
+def told_to_stop(context, seconds):
+    settings = msgspec.structs.replace(
+        SETTINGS, caller_address=context.caller_address, grace=seconds + EXIT_MARGIN_SECONDS
+    )
+    app, context.stopping = context.loopback.app, RouterStopping(settings)
+    none_left = {"has_jobs": False, "jobs": {}, "pending_requests": set(), "has_pending": False}
+    for name in ("gateway", "receiver", "readiness"):
+        app.add(Stub(name, closed=True, **none_left, **dict.fromkeys(STOP_CALLS, lambda: None)))
+    app.add(Stub("local_target", state=TargetState.READY, last_seen_at=float("inf"), leaving_incarnations=()))
+    app.find("local_target").last_incarnation = "t@1"
+    app.find("peers").has_unread_messages = False
+    app.add(context.stopping)
+    context.stopping.on_start()
+    context.stopping.begin_stop()
+    context.stopped_at = time.monotonic()
+
+
+@then(
+    "within {seconds:g} s other nodes are told that {count:d} answers to such requests will not come, "
+    "and get the others"
+)
+def told_what_will_not_come(context, seconds, count):
+    assert len(context.declined) == count and context.declined.keys() <= context.repeatable, context.declined
+    assert all(told <= context.stopped_at + seconds for told in context.declined.values())
+    context.loopback.run_until(lambda: context.stopping.finished, 3.0)
+    others = {key: size for key, size in context.expected.items() if key not in context.declined}
+    assert {key: context.received[key] for key in others} == others, context.received
 
 
 @when("the caller resets its connection after {seconds:g} s")
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -41,7 +41,7 @@
     start_router(
         context,
         *(Stub(name) for name in ("range_owner", "rings", "metrics")),
-        Stub("hop", announce_end=lambda: None, has_queued=False),
+        Stub("hop", announce_end=lambda: None, has_queued=False, fit_queue=lambda _: None),
         Stub("members", nodes={}),
         Stub("receiver", jobs={}, has_jobs=False, decline_unsent=lambda: None),
     )
--- a/tests/features/steps/target_signals_steps.py
+++ b/tests/features/steps/target_signals_steps.py
@@ -135,6 +135,7 @@
                 unanswered_count=0,
                 connections_of=lambda _address: [],
                 announce_end=lambda: None,
+                fit_queue=lambda _seconds: None,
                 **idle,
             )
         )
@@ -307,7 +308,7 @@
             key_load=mock.Mock(),
         )
     )
-    app.add(Stub("hop", link_congested=False, announce_end=lambda: None))
+    app.add(Stub("hop", link_congested=False, announce_end=lambda: None, fit_queue=lambda _: None))
     app.add(Stub("rings", owner_node=lambda *_: None))
     app.add(Stub("metrics", count_declined=lambda *_: None, count_run=lambda *_: None))
     context.target = app.add(AnsweringTarget())
--- a/tests/router_stubs.py
+++ b/tests/router_stubs.py
@@ -99,6 +99,9 @@
     def announce_end(self):
         """Take the end of the process."""
 
+    def fit_queue(self, seconds):
+        """Take the time that is left for the link."""
+
     def next_request_id(self):
         """Return a new id."""
         return len(self.sent).to_bytes(4, "big")
