Keep a stopping router until callers have received their responses, or its grace period ends

Callers that were still reading a response 0.4 s before the end of the grace period lost the rest of it, although the router could have waited. Cause: RouterStopping ends the process 0.4 s before it would be killed whatever is left in the buffers of connections to callers. The margin is kept for everything else; a router that owes bytes to callers now ends 0.1 s before it would be killed, as one does that owes answers to other nodes.

--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -35,8 +35,8 @@
 UNSENT_BODY_MARGIN_SECONDS = 2.0
 # The process exits this long before it would be killed.
 EXIT_MARGIN_SECONDS = 0.4
-# A process that waits until its last replies to other nodes are transmitted ends this long before it would be
-# killed.
+# A process that waits until its last replies to other nodes or responses to callers are transmitted ends this
+# long before it would be killed.
 KILL_MARGIN_SECONDS = 0.1
 # Requests end this long before the process exits, since the answer of a target that has reached its deadline
 # takes a round trip between regions and ``RESPONSE_GRACE_SECONDS``.
@@ -162,7 +162,7 @@
             self.refuse_requests(elapsed)
         self.end_late_requests(elapsed)
         self.hop.fit_queue(self.settings.grace - EXIT_MARGIN_SECONDS - elapsed)
-        if elapsed > self.settings.grace - EXIT_MARGIN_SECONDS or self.may_end(elapsed):
+        if self.must_end(elapsed) or self.may_end(elapsed):
             self.finished = True
             self.log_connections_left()
             self.peers.close_linger = max(0.0, self.settings.grace - KILL_MARGIN_SECONDS - elapsed)
@@ -193,6 +193,14 @@
         if self.service_seconds_left() <= -EARLY_END_PATIENCE_SECONDS:
             self.gateway.end_unanswered()
 
+    def must_end(self, elapsed: float) -> bool:
+        """Return whether the grace period is over, but for what callers have not received."""
+        owed = any(
+            connection.output_buffer or connection.count_undelivered()
+            for connection in self.entry.connections_of(self.settings.caller_address)
+        )
+        return elapsed > self.settings.grace - (KILL_MARGIN_SECONDS if owed else EXIT_MARGIN_SECONDS)
+
     def may_end(self, elapsed: float) -> bool:
         """Return whether the process can exit without cutting off a request."""
         denied = elapsed > READINESS_DENIAL_SECONDS and self.peers_told(elapsed)
--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -53,6 +53,12 @@
       | in the stop         |
       | before the signal   |
 
+  # Guards against responses that are cut by the end of the process although the grace period is not over.
+  Scenario: A response that its caller is still reading is not cut 0.4 s before the end of the grace period
+    Given a router in its planned stop, which knows a node to serve requests
+    When 5.5 s after the signal a caller begins to read an answer of 8 MB in 0.25 s
+    Then the caller has read the whole answer, and the router ends within 0.5 s
+
   Scenario Outline: A request that comes <late> after the signal, with <time> s, is <taken>
     Given a router in its planned stop, which knows a node to serve requests
     When <late> s after the signal a request with <time> s arrives while the local target runs a request
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -409,6 +409,17 @@
     context.loopback.run_until(lambda: not caller.is_alive(), 4.0)
 
 
+@when("{late:g} s after the signal a caller begins to read an answer of {size:g} MB in {seconds:g} s")
+def reads_at_end(context, late, size, seconds):
+    context.loopback.app.find("gateway").stopping = True
+    context.answer_bytes = round(size * 1e6)
+    context.slow_caller = SlowCaller(context.settings.caller_address, context.answer_bytes / seconds, 60.0)
+    wait_for_forward(context)
+    answer_forward(context, b"x" * context.answer_bytes)
+    skip_to(context, late)
+    context.loopback.run_until(lambda: not context.slow_caller.is_alive(), 4.0)
+
+
 @then("the caller has read the whole answer, and the router ends within {seconds:g} s")
 def slow_caller_served(context, seconds):
     assert context.slow_caller.received > context.answer_bytes, context.slow_caller.received
