Refuse requests for large responses that a stopping router's link cannot carry

Callers that used an open connection to a stopping router could be cut within a large response: the router took the request since its target had time to run it, without regard to what the link had to carry before. Cause: admission at the entry compared the time of the request with the end of the process only. It now leaves out the time that the link needs for the responses to callers that are queued and for the expected one; the request is refused as not run, and its caller can ask another router at once. Small responses are not affected.

"A request for 540000 bytes, while the link needs 3 s for earlier responses, is refused at once as not run" failed before and passes.

--- a/src/hibiscusdrum/internal/load/egress.py
+++ b/src/hibiscusdrum/internal/load/egress.py
@@ -197,9 +197,25 @@
             self.heap = [(self.order(entry), next(self.sequence), entry) for entry in self.entries.values()]
             heapq.heapify(self.heap)
 
-    def seconds_to_send(self, now: float) -> float:
-        """Return the seconds until all that is queued has left the link."""
-        return self.backlog_seconds(now) + self.queued_bytes / self.rate if self.rate else 0.0
+    def seconds_to_send(
+        self, now: float, least: Precedence = Precedence.REPEATABLE, further: float = 0.0
+    ) -> float:
+        """Return the seconds until what is queued has left the link.
+
+        Parameters
+        ----------
+        least : Precedence
+            Entries that come after this one are left out.
+        further : float
+            Bytes that are to be sent besides.
+        """
+        if not self.rate:
+            return 0.0
+        if least is Precedence.REPEATABLE:
+            waiting = self.queued_bytes
+        else:
+            waiting = sum(entry.left for entry in self.entries.values() if entry.precedence <= least)
+        return self.backlog_seconds(now) + (waiting + further) / self.rate
 
     def unsendable(self, now: float, seconds: float) -> list[Outgoing]:
         """Return the entries that will not have left the link after some seconds, in their present order.
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -335,6 +335,8 @@
         timeout = self.request_timeout(request)
         remaining = min(timeout, route.timeout) if route.timeout > 0.0 else timeout
         available = self.service_seconds_left()
+        if self.stopping:
+            available -= self.link_seconds(request, route)
         if available < min(remaining, MIN_STOP_SERVICE_SECONDS):
             self.refuse_unrouted(request, 503, "stopping")
             return
@@ -367,6 +369,14 @@
         else:
             self.dispatch(pending)
 
+    def link_seconds(self, request: EntryRequest, route: Route) -> float:
+        """Return the seconds that a large response to a caller needs on the link, with those before it."""
+        attempt_id = request.header(self.header_names.attempt_id) or ""
+        if not self.answer_sizes.is_bulk(route.name) or self.is_nested(attempt_id):
+            return 0.0
+        expected = self.answer_sizes.expect(route.name).mean
+        return self.forwarder.seconds_for_callers(expected)
+
     def dispatch_within_quota(self, pending: PendingRequest) -> None:
         """Dispatch a request once there is a token for it, or refuse it."""
         account = pending.account.name
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -813,6 +813,10 @@
         )
         self.transmit_reply(item.identity, item.origin, declined, b"")
 
+    def seconds_for_callers(self, further: float) -> float:
+        """Return the seconds that queued responses to callers, and further bytes, take on the link."""
+        return self.egress.seconds_to_send(self.now, Precedence.RESPONSE, further)
+
     @property
     def link_congested(self) -> bool:
         """Whether messages to this VM were recently delayed by its link."""
--- a/tests/features/planned_stop.feature
+++ b/tests/features/planned_stop.feature
@@ -59,6 +59,18 @@
     When 5.5 s after the signal a caller begins to read an answer of 8 MB in 0.25 s
     Then the caller has read the whole answer, and the router ends within 0.5 s
 
+  # Guards against responses that are admitted although the end of the process would cut them.
+  Scenario Outline: A request for <size> bytes, while the link needs 3 s for earlier responses, is <taken>
+    Given a router in its planned stop, which knows a node to serve requests
+    When its route's answers have <size> bytes, and the link needs 3 s for one and those that wait
+    And 1 s after the signal a request with 4 s arrives while the local target runs a request
+    Then the request is <taken>
+
+    Examples:
+      | size   | taken                      |
+      | 400    | sent with at most 4 s      |
+      | 540000 | refused at once as not run |
+
   Scenario Outline: A request that comes <late> after the signal, with <time> s, is <taken>
     Given a router in its planned stop, which knows a node to serve requests
     When <late> s after the signal a request with <time> s arrives while the local target runs a request
--- a/tests/features/steps/planned_stop_steps.py
+++ b/tests/features/steps/planned_stop_steps.py
@@ -420,6 +420,12 @@
     context.loopback.run_until(lambda: not context.slow_caller.is_alive(), 4.0)
 
 
+@when("its route's answers have {size:d} bytes, and the link needs {seconds:g} s for one and those that wait")
+def link_needs(context, size, seconds):
+    context.loopback.app.find("gateway").answer_sizes.observe("r", size)
+    context.hop.link_seconds = seconds
+
+
 @then("the caller has read the whole answer, and the router ends within {seconds:g} s")
 def slow_caller_served(context, seconds):
     assert context.slow_caller.received > context.answer_bytes, context.slow_caller.received
--- a/tests/router_stubs.py
+++ b/tests/router_stubs.py
@@ -86,6 +86,7 @@
         self.sent = []
         self.unsent = set()
         self.has_queued = False
+        self.link_seconds = 0.0
         self.cancelled = []
 
     def has_unsent_body(self, request_id):
@@ -102,6 +103,10 @@
     def fit_queue(self, seconds):
         """Take the time that is left for the link."""
 
+    def seconds_for_callers(self, _further):
+        """Return the seconds that responses to callers take on the link."""
+        return self.link_seconds
+
     def next_request_id(self):
         """Return a new id."""
         return len(self.sent).to_bytes(4, "big")
