Keep no response from the link for one whose caller does not read

Callers on a narrow link waited for seconds, and were cut by a planned stop, behind a large response to a caller that did not read. Cause: the parts of a queued response were charged to the link and took their turn even when the caller's socket took nothing of them, so 6 MB that nobody read kept a link of 1.25 MB/s idle for 5 s.

Only what the socket has taken is charged now. A response whose socket is full leaves the queue, and is queued again with its deadline once the socket is writable, so that it stays paced.

--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -904,5 +904,4 @@
 @send_part.register
 def send_output_part(item: QueuedOutput, hop: Forwarder, entry: Outgoing, first: int, count: int) -> None:
     """Write a part of the output of a caller's connection."""
-    hop.charge(count)
-    item.connection.write_paced(entry.left)
+    hop.charge(item.connection.write_paced(entry.left))
--- a/src/hibiscusdrum/internal/transport/entry_connection.py
+++ b/src/hibiscusdrum/internal/transport/entry_connection.py
@@ -95,6 +95,10 @@
         HTTP status with which invalid input is rejected, and why; 0 and empty while the input is valid.
     discard_until : float
         Monotonic time in seconds at which the connection is closed after its last response; 0 before that.
+    awaits_link, paced : bool
+        Whether the output is queued for the link, and whether it is or will be once the caller reads again.
+    link_deadline : float
+        Monotonic time in seconds at which the output that is paced is due.
     input_ended : bool
         Whether the caller has closed its sending direction; it may still read.
     input_rejected : bool
@@ -132,6 +136,7 @@
         "input_ended",
         "input_rejected",
         "last_active_at",
+        "link_deadline",
         "listen_address",
         "max_body_bytes",
         "max_head_bytes",
@@ -159,6 +164,7 @@
         self.output_buffer = bytearray()
         self.paced = False
         self.awaits_link = False
+        self.link_deadline = 0.0
         self.awaiting_writable = False
         self.answered_count = 0
         self.closing = False
@@ -636,14 +642,22 @@
         else:
             self.output_buffer += data
             self.update_held()
-            self.paced = self.awaits_link = True
-            pacer.queue_output(self, len(data), deadline)
+            self.link_deadline = deadline
+            self.await_link()
             self.server.enforce_output_limit()
 
-    def write_paced(self, left: int) -> None:
-        """Write buffered output for which the link has room, all but ``left`` bytes."""
+    def await_link(self) -> None:
+        """Queue the buffered output for the link."""
+        self.paced = self.awaits_link = True
+        self.server.pacer.queue_output(self, len(self.output_buffer), self.link_deadline)
+
+    def write_paced(self, left: int) -> int:
+        """Write buffered output but for its last ``left`` bytes, and return how many bytes were written.
+
+        If the caller does not read, the rest leaves the queue for the link until it does.
+        """
         if self.closed:
-            return
+            return 0
         try:
             with memoryview(self.output_buffer) as view:
                 sent = self.sock.send(view[: len(view) - left])
@@ -651,20 +665,21 @@
             sent = 0
         except OSError:
             self.server.connection_lost(self, "write_failed")
-            return
+            return 0
         offered = len(self.output_buffer) - left
         del self.output_buffer[:sent]
         self.update_held()
-        self.awaits_link = sent == offered and left > 0
-        self.paced = left > 0
         if sent:
             self.last_active_at = self.server.app.clock.monotonic()
-        if left:
-            return
-        if self.output_buffer:
+        if sent < offered:
+            self.awaits_link = False
+            self.server.pacer.forget_output(self)
             self.server.watch_writable(self)
-        elif self.closing:
+            return sent
+        self.paced = self.awaits_link = left > 0
+        if not left and self.closing:
             self.server.shutdown_write(self)
+        return sent
 
     def write(self, data: bytes) -> None:
         """Write to the socket, and buffer what it does not accept until it is writable."""
--- a/src/hibiscusdrum/internal/transport/http_entry.py
+++ b/src/hibiscusdrum/internal/transport/http_entry.py
@@ -532,12 +532,22 @@
             connection.awaiting_writable = True
             self.app.poller.addWriter(self, connection.sock)
 
+    def ignore_writable(self, connection: EntryConnection) -> None:
+        """Stop watching whether a connection is writable."""
+        connection.awaiting_writable = False
+        self.app.poller.removeWriter(connection.sock)
+
     @handler("_write")
     def on_writable(self, sock: socket.socket) -> None:
         """Write buffered output; shut the connection down after its last response."""
         connection = self.connections.get(sock)
         if connection is None:
             return
+        if connection.paced:
+            self.ignore_writable(connection)
+            if not connection.awaits_link:
+                connection.await_link()
+            return
         if connection.output_buffer:
             try:
                 sent = sock.send(connection.output_buffer)
@@ -550,8 +560,7 @@
             connection.last_active_at = self.app.clock.monotonic()
             connection.update_held()
         if not connection.output_buffer:
-            connection.awaiting_writable = False
-            self.app.poller.removeWriter(sock)
+            self.ignore_writable(connection)
             if connection.closing:
                 self.shutdown_write(connection)
 
--- a/tests/features/link.feature
+++ b/tests/features/link.feature
@@ -146,6 +146,13 @@
     When the router's services stop after 0.05 s
     Then the caller gets both responses whole after 0 to 4 s
 
+  # Guards against responses that wait, or are cut by a planned stop, behind one whose caller does not read it.
+  Scenario: A response that its caller does not read keeps none of the others from the link
+    Given a router on a link of 1250000 bytes a second, with a caller of a small window that asks for 600000 and then for 100 bytes
+    And another caller of a small window that asks for 6000000 bytes, due earlier, and does not read
+    Then the caller gets both responses whole after 0.4 to 1.2 s, whatever else waits for the link
+    And the other caller gets its response whole, at the pace of the link, when it begins to read
+
   # Guards against a response that is cut by the end of a planned stop, behind answers with earlier deadlines.
   Scenario Outline: A planned stop on a link that <carries> all that is queued cuts no response to a caller
     Given a router on a link of 1250000 bytes a second, with a caller of a small window that asks for 600000 and then for 100 bytes
--- a/tests/features/steps/link_steps.py
+++ b/tests/features/steps/link_steps.py
@@ -738,8 +738,9 @@
     context.bodies = [random.Random(size).randbytes(size) for size in (first, second)]
 
     def respond(request):
-        request.link_deadline = time.monotonic() + 5.0
-        request.respond(200, [], context.bodies[int(request.target[1:])])
+        unread = request.target == "/unread"
+        request.link_deadline = time.monotonic() + (EARLIER_SECONDS if unread else 5.0)
+        request.respond(200, [], context.unread if unread else context.bodies[int(request.target[1:])])
 
     address = context.caller_address = free_address()
     entry.listen(address, respond)
@@ -790,6 +791,33 @@
     assert received == b"".join(head + body for head, body in zip(heads, context.bodies, strict=True))
 
 
+@given("another caller of a small window that asks for {size:d} bytes, due earlier, and does not read")
+def caller_that_does_not_read(context, size):
+    context.unread = random.Random(size).randbytes(size)
+    host, _, port = context.caller_address.rpartition(":")
+    context.other_caller = connect_with_small_window((host, int(port)))
+    context.add_cleanup(context.other_caller.close)
+    context.other_caller.sendall(b"GET /unread HTTP/1.1\r\nhost: h\r\n\r\n")
+
+
+@then("the other caller gets its response whole, at the pace of the link, when it begins to read")
+def read_late(context):
+    context.other_caller.setblocking(False)
+    received, began_at, rate = bytearray(), time.monotonic(), context.hop.egress.rate
+    connections = context.loopback.app.find("entry").connections.values()
+    unsent = sum(len(connection.output_buffer) for connection in connections)
+    # Most of the response did not fit into the buffers of the kernel.
+    assert unsent > 1_000_000, unsent
+
+    def complete():
+        with contextlib.suppress(BlockingIOError):
+            received.extend(context.other_caller.recv(1_000_000))
+        return received.endswith(context.unread)
+
+    context.loopback.run_until(complete, unsent / rate + 1.0)
+    assert time.monotonic() - began_at >= unsent / rate - 0.1
+
+
 @given(
     "{count:d} answers of {size:d} bytes to other nodes, due earlier, "
     "of which {repeat} answer requests that may be repeated"
