Ignore signals while a process ends

Answers to other nodes that a stopping router still had to transmit were lost, and its exit code was that of a signal, when SIGHUP or a second SIGTERM came as it ended. Two causes: the handler of a signal interrupts the wait for ZeroMQ's send queues, and pyzmq takes the interrupted wait for a complete one, so the process exits at once; and the interpreter resets handlers written in Python to the default action before it deletes its modules, so a signal in that time ends the process (codes 129 and 143).

The application now ignores both signals from its shutdown on, if it handles signals. A signal that is ignored interrupts no wait, and the interpreter leaves it ignored.

--- a/src/hibiscusdrum/internal/kernel.py
+++ b/src/hibiscusdrum/internal/kernel.py
@@ -21,6 +21,7 @@
 
 # A timer that runs this late shows that the process was paused, or had no processor time.
 PAUSE_SECONDS = 0.3
+IGNORED_AT_END = (signal.SIGHUP, signal.SIGTERM)
 
 
 class start_services(Event):  # noqa: N801 - circuits names events in lower case
@@ -201,6 +202,8 @@
     ----------
     on_started : list of callable
         Called once all services are started.
+    handles_signals : bool
+        Whether signals to the process are passed to the services.
     exit_code : int
         Exit code for the process.
     failure : BaseException or None
@@ -218,6 +221,7 @@
         # The poller must be registered before any socket, or circuits falls back to select().
         self.poller = EPoll().register(self)
         self.scheduler = Scheduler(self.clock).register(self)
+        self.handles_signals = False
         self.exit_code = 0
         self.failure: BaseException | None = None
 
@@ -225,6 +229,7 @@
         """Run the event loop until ``shutdown``; SIGHUP is passed to the services like the stop signals."""
         # circuits handles only SIGINT and SIGTERM; the default action of SIGHUP ends the process.
         signal.signal(signal.SIGHUP, self._signal_handler)
+        self.handles_signals = True
         super().run(socket)
 
     def add(self, service: Service) -> Service:
@@ -269,6 +274,8 @@
     def shutdown(self, exit_code: int = 0) -> None:
         """Call ``on_stop`` of the started services in reverse order and end the event loop."""
         self.exit_code = exit_code
+        if self.handles_signals:
+            self.ignore_signals()
         for service in reversed(self.started_services):
             try:
                 service.on_stop()
@@ -276,6 +283,15 @@
                 logger.exception("on_stop of service {} failed", service.service_name)
         self.stop()
 
+    def ignore_signals(self) -> None:
+        """Ignore further signals to reload or stop, because the process is ending.
+
+        A handler would interrupt the wait for what services still transmit. At its end the interpreter resets
+        handlers to the default action, which would end the process without its exit code, but not this one.
+        """
+        for number in IGNORED_AT_END:
+            signal.signal(number, signal.SIG_IGN)
+
     @handler("exception", channel="*")
     def log_exception(
         self, error_type: Any, value: Any, traceback: Any, handler: Any = None, fevent: Any = None
--- /dev/null
+++ b/tests/features/steps/process_signals_steps.py
@@ -0,0 +1,80 @@
+"""Steps on signals to processes that are about to start or to end, with real processes.
+
+They guard against ends by the default action of a signal, and against replies that such an end loses.
+"""
+
+import contextlib
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+import zmq
+from behave import given, then, when
+from tests.loopback import free_address
+from tests.router_stubs import forward
+from tools.processes import Process, wait_until
+
+from hibiscusdrum.internal import codec
+from hibiscusdrum.internal.transport.peer import REQUEST_KIND
+
+END_LIMIT_SECONDS = 10.0
+SMALL_BUFFER_BYTES = 16_384
+SIGNAL_INTERVAL_SECONDS = 0.1
+
+
+@given("a process that answers other nodes")
+def process_not_signalled_last(context):
+    # The default action of this signal is to go on.
+    process_signalled_last(context, "SIGCONT")
+
+
+@given("a process that answers other nodes, and gets {name} when its interpreter ends")
+def process_signalled_last(context, name):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    log = Path(folder.name) / "log"
+    context.address = free_address()
+    arguments = ["-m", "tests.ending_process", context.address, name, "4000000"]
+    context.process = Process(arguments, log, {})
+    context.add_cleanup(context.process.kill)
+    wait_until(lambda: b"started" in log.read_bytes(), END_LIMIT_SECONDS, "the process has started")
+
+
+@when("it is told to stop")
+def told_to_stop(context):
+    context.process.send(signal.SIGTERM)
+
+
+@then("its exit code is {code:d}")
+def has_exit_code(context, code):
+    assert context.process.process.wait(END_LIMIT_SECONDS) == code
+
+
+@when(
+    "another node asks it for {count:d} answers of 4 MB, it is told to stop, "
+    "and it gets {name} {times:d} times meanwhile"
+)
+def signalled_while_answers_wait(context, count, name, times):
+    node = context.node = zmq.Context.instance().socket(zmq.DEALER)
+    context.add_cleanup(node.close, 0)
+    node.rcvhwm, node.rcvbuf, node.rcvtimeo = 1, SMALL_BUFFER_BYTES, 1_000
+    node.connect(f"tcp://{context.address}")
+    for number in range(count):
+        node.send_multipart([REQUEST_KIND, codec.encode(forward(number))])
+    context.count = count
+    time.sleep(SIGNAL_INTERVAL_SECONDS)
+    told_to_stop(context)
+    for _ in range(times):
+        time.sleep(SIGNAL_INTERVAL_SECONDS)
+        context.process.send(signal.Signals[name])
+
+
+@then("the other node gets all answers when it begins to read, and the exit code is {code:d}")
+def gets_all_answers(context, code):
+    sizes = []
+    with contextlib.suppress(zmq.Again):
+        while len(sizes) < context.count:
+            sizes.append(len(context.node.recv_multipart()[-1]))
+    assert sizes == [4_000_000] * context.count, sizes
+    has_exit_code(context, code)
