Ignore SIGHUP before the libraries of a starting process are imported

A process that was told to reload its settings as it started ended with code 129, and its VM served nobody until it was started again. Cause: the router ignored SIGHUP from the first line of its package on, which runs after the interpreter has read the machine's packages and imported the parents of that package; hibiscusdrumd ignored it only from its event loop on.

Until the interpreter runs the first line, the default action remains.

The two scenarios on starts failed before (ended by signal 1) and pass.

--- a/tests/features/steps/process_signals_steps.py
+++ b/tests/features/steps/process_signals_steps.py
@@ -4,25 +4,84 @@
 """
 
 import contextlib
+import os
+import shlex
 import signal
+import subprocess
+import sys
 import tempfile
 import time
+import tomllib
 from pathlib import Path
 
 import zmq
 from behave import given, then, when
 from tests.loopback import free_address
 from tests.router_stubs import forward
-from tools.processes import Process, wait_until
+from tools.processes import ROOT, Process, wait_until
 
 from hibiscusdrum.internal import codec
 from hibiscusdrum.internal.transport.peer import REQUEST_KIND
 
+SIGNAL_ITSELF = "import os, signal\nos.kill(os.getpid(), signal.SIGHUP)\n"
+REACHED = 7
 END_LIMIT_SECONDS = 10.0
 SMALL_BUFFER_BYTES = 16_384
 SIGNAL_INTERVAL_SECONDS = 0.1
 
 
+def write_module(context, path, text):
+    """Write a module that is found before those of the project."""
+    if "modules" not in context:
+        folder = tempfile.TemporaryDirectory()
+        context.add_cleanup(folder.cleanup)
+        context.modules = Path(folder.name)
+    file = context.modules / path
+    file.parent.mkdir(parents=True, exist_ok=True)
+    file.write_text(text)
+
+
+def start_with_modules(context, arguments, *folders):
+    """Run a command with the written modules first on Python's path."""
+    path = os.pathsep.join((str(context.modules), *folders))
+    context.exit_code = subprocess.run(
+        arguments, cwd=ROOT, env={**os.environ, "PYTHONPATH": path}, timeout=END_LIMIT_SECONDS
+    ).returncode
+
+
+@given("a program that gets SIGHUP while its first modules are imported")
+def program_signalled(context):
+    for path in ("sitecustomize.py", "hibiscusdrum/__init__.py", "hibiscusdrum/platform/__init__.py"):
+        write_module(context, path, SIGNAL_ITSELF)
+    write_module(context, "hibiscusdrum/platform/__main__.py", f"raise SystemExit({REACHED})\n")
+
+
+@when("it is started by the command of the deployment")
+def started_by_deployment(context):
+    deployment = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    program, *arguments = shlex.split(deployment["roles"]["router"]["run"])
+    assert program == "python3", program
+    start_with_modules(context, [sys.executable, *arguments])
+
+
+@given("a library of the daemon's command line that gets SIGHUP while it is imported")
+def library_signalled(context):
+    write_module(context, "defopt.py", f"{SIGNAL_ITSELF}raise SystemExit({REACHED})\n")
+
+
+@when("the daemon is started by its command")
+def started_by_command(context):
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    module, _, function = project["scripts"]["hibiscusdrumd"].partition(":")
+    program = f"import sys; from {module} import {function}; sys.exit({function}())"
+    start_with_modules(context, [sys.executable, "-c", program], str(ROOT / "src"))
+
+
+@then("it goes on to its main function")
+def reaches_main(context):
+    assert context.exit_code == REACHED, context.exit_code
+
+
 @given("a process that answers other nodes")
 def process_not_signalled_last(context):
     # The default action of this signal is to go on.
