Do not give up requests at their last attempt because later ones are answered

Callers got 502 for reads at which a sound target was working, long before their deadlines; while a router stops, that breaks its promise to end no request itself. Cause: a target's node gives up a repeatable request that takes longer than 7 times the mean of its route and 0.4 s while later ones are answered, so that another target can answer it. It did so also where no other target gets the request, because its route's attempts were used up: nobody gained anything, since the slot stays taken until the deadline, and the caller lost the answer.

Forward now says whether it is the last attempt, and such a request is treated like one that must not run twice. A request at an earlier attempt is still given up as before.

--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -176,6 +176,8 @@
         Whether the sender assembles an answer that is sent in parts.
     returning : bool
         Whether the caller was refused before, and was told to come back at this time.
+    last_attempt : bool
+        Whether the sender sends the request to no other target if this one has run it.
     """
 
     id: bytes
@@ -203,6 +205,7 @@
     account: str = ""
     takes_parts: bool = False
     returning: bool = False
+    last_attempt: bool = False
 
 
 class SendBody(Message, frozen=True, array_like=True, tag=True):
--- a/src/hibiscusdrum/internal/router/gateway.py
+++ b/src/hibiscusdrum/internal/router/gateway.py
@@ -668,6 +668,7 @@
             returning=self.overload_control.is_returning(pending),
             crashes=self.known_crashes(pending),
             account=pending.account_name,
+            last_attempt=pending.target_attempts + 1 >= pending.route.attempts,
         )
         pending.forward = forward
         self.selector.on_sent(node, pending.cost_class)
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -754,7 +754,8 @@
             self.transmit_reply(identity, forward.origin, answer, content)
             return
         item = QueuedAnswer(identity, forward, answer, content, now)
-        precedence = Precedence.REPEATABLE if forward.repeatable else Precedence.UNREPEATABLE
+        gets_another = forward.repeatable and not forward.last_attempt
+        precedence = Precedence.REPEATABLE if gets_another else Precedence.UNREPEATABLE
         whole = not forward.takes_parts
         outgoing = Outgoing(
             forward.id, lane, len(content), deadline, item, whole=whole, precedence=precedence
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -867,13 +867,15 @@
     def end_hung(self) -> None:
         """Give up the requests that the target will not answer any more, as answers to later ones show.
 
-        One that must not run twice is not given up: no other target may run it, and it may only be slow.
+        One that no other target gets is not given up, since it may only be slow: one that must not run twice,
+        or has been sent to as many targets as it may.
         """
         for request_id in self.hung_requests.overtaken_by(self.admission.slots):
             job = self.jobs.get(request_id)
             if job is None or job.exchange is None:
                 continue
-            if not (job.forward.repeatable and job.exchange.is_unanswered):
+            gets_another = job.forward.repeatable and not job.forward.last_attempt
+            if not (gets_another and job.exchange.is_unanswered):
                 continue
             expected = self.admission.expected_service_seconds(job.forward.cost_class)
             if self.hung_requests.takes_too_long(request_id, expected, self.now):
--- a/tests/features/odd_answers.feature
+++ b/tests/features/odd_answers.feature
@@ -115,6 +115,13 @@
     Then the other callers got their answers
     And no request was given up
 
+  # Guards against 502 for a read whose target answers it a moment later, though it may be sent to no other target.
+  Scenario: A slow request that is sent to no other target any more is not given up
+    Given a router beside a target that runs 3 requests for 0.1 s each, whoever waits
+    When the target takes 15 times as long for one request at its last attempt among 60
+    Then the other callers got their answers
+    And no request was given up
+
   Scenario: A hung connection is closed when its request is given up
     Given a router's client of a target
     When a request without an answer is given up
--- a/tests/features/router_fleet.feature
+++ b/tests/features/router_fleet.feature
@@ -203,3 +203,9 @@
     Given a gateway with 8 nodes to choose from
     When an upload waits at another node while the node must end
     Then its caller is told to come back, and that it has not run
+
+  # Guards against a target that gives a request up although no other one gets it.
+  Scenario: A target is told whether a request that it does not answer is sent to another one
+    Given a gateway with 3 nodes to choose from
+    When a read that may be sent to 2 targets is not answered by the first one
+    Then the first target was told that another one may get it, and the second one that none does
--- a/tests/features/steps/odd_answers_steps.py
+++ b/tests/features/steps/odd_answers_steps.py
@@ -372,12 +372,15 @@
     context.answers, context.left = {}, set()
 
 
-def busy_arrivals(context, count, seconds_apart, order=None):
-    """Let requests arrive, one after the other, which may be repeated except for that of one number."""
+def busy_arrivals(context, count, seconds_apart, order=None, last=None):
+    """Let requests arrive, one after the other; an order, and a last attempt, are not sent elsewhere."""
     context.began = context.app.clock.monotonic()
     for number in range(count):
         request = msgspec.structs.replace(
-            forward(number, 0, 20.0), repeatable=number != order, goal_remaining_seconds=20.0
+            forward(number, 0, 20.0),
+            repeatable=number != order,
+            last_attempt=number == last,
+            goal_remaining_seconds=20.0,
         )
 
         def reply(answer, _body, number=number):
@@ -424,6 +427,13 @@
     run(context, 3.0)
 
 
+@when("the target takes {times:d} times as long for one request at its last attempt among {count:d}")
+def slow_last_attempt(context, times, count):
+    context.target.run_seconds = lambda number: 0.1 * times if number == 10 else 0.1
+    busy_arrivals(context, count, 0.06, last=9)
+    run(context, 3.0)
+
+
 @then("that one is given up with an unknown outcome after {least:g} s to {most:g} s")
 def given_up_after(context, least, most):
     answer, at = context.answers.pop(context.swallowed)
--- a/tests/features/steps/router_fleet_steps.py
+++ b/tests/features/steps/router_fleet_steps.py
@@ -805,3 +805,17 @@
     status, headers, *_ = context.request.answer
     assert status == 503 and "retry-after" in dict(headers)
     assert not context.gateway.pending_requests
+
+
+@when("a read that may be sent to {count:d} targets is not answered by the first one")
+def first_target_silent(context, count):
+    route = Route("r", "h.example", "/a/", RequestKind.IDEMPOTENT, (("s", 1.0),), attempts=count)
+    context.gateway.set_route_table(RouteTable.build(2, [route], [ServiceSpec("s")]))
+    context.gateway.on_request(Request())
+    _, sent, _, reply = context.hop.sent[0]
+    reply(Declined(sent.id, "target_unanswered", True, True, 0.0, FREE), b"")
+
+
+@then("the first target was told that another one may get it, and the second one that none does")
+def told_last_attempt(context):
+    assert [sent.last_attempt for _, sent, _, _ in context.hop.sent] == [False, True], context.hop.sent
