Soak: repeat signals during planned stops, and narrow links

A router that stops as planned gets up to six further SIGHUP and SIGTERM until its grace period is over, and the VMs of three in ten systems have links of 50 or 100 Mbit/s, on which the largest answers take 0.3 to 0.7 s. Both are drawn apart, so that the rest of a seed stays as it is.

--- a/soak/proxied_system.py
+++ b/soak/proxied_system.py
@@ -25,6 +25,11 @@
 DESCRIPTORS, DESCRIPTORS_PER_VM = 64, 8
 
 
+# Share of systems whose VMs have narrow links, and their rates; the largest answers take 0.3 to 0.7 s.
+NARROW_LINK_SHARE = 0.3
+NARROW_LINKS_MBPS = (50.0, 100.0)
+
+
 class ProxiedSystem(RouterSystem):
     """A system with proxies between each router and the store, and between each router and its target."""
 
@@ -46,6 +51,11 @@
             ]
             vm.control_address = f"{HOST}:{reports}"
 
+    def narrow_links_at_random(self, rng: random.Random) -> None:
+        """Let the routers pace large answers as on VMs with a narrow link, or send them at once."""
+        if rng.random() < NARROW_LINK_SHARE:
+            self.boot_settings["limits.linkMbps"] = str(rng.choice(NARROW_LINKS_MBPS))
+
     def limit_descriptors_at_random(self, rng: random.Random) -> None:
         """Set a lower soft limit of open descriptors for the routers, or leave them that of this process."""
         if rng.random() < DESCRIPTOR_LIMIT_SHARE:
--- a/soak/run.py
+++ b/soak/run.py
@@ -54,6 +54,10 @@
 MAX_REWRITE_DELAY_SECONDS = 1.0
 # Share of steps in which a router stops as planned on a VM that no fault has disturbed shortly before.
 STOP_SHARE = 0.15
+# Signals that a router may get besides while it stops, the most of them, and the grace period of a stop.
+REPEATED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
+MAX_REPEATED_SIGNALS = 6
+GRACE_SECONDS = 6.0
 # Share of steps in which a router is told to reload its settings, and the most times in a row.
 RELOAD_SHARE = 0.3
 MAX_RELOADS = 3
@@ -93,9 +97,12 @@
         self.stop_rng = random.Random(f"stop {seed}")
         self.reload_rng = random.Random(f"reload {seed}")
         self.unexpected_exits: list[str] = []
+        self.repeat_rng = random.Random(f"repeat {seed}")
         self.pipeline_rng = random.Random(f"pipeline {seed}")
         self.system.limit_descriptors_at_random(random.Random(f"limit {seed}"))
         self.crashed_at: dict[str, float] = {}
+        self.system.narrow_links_at_random(random.Random(f"narrow {seed}"))
+        self.log_event(f"settings: {self.system.boot_settings or 'usual'}")
         self.log_event(f"limits of descriptors: {self.system.descriptor_limits or 'inherited'}")
 
     def log_event(self, text: str) -> None:
@@ -258,6 +265,16 @@
         calm = [vm for vm in vms if not disturbed(self.disturbances, vm.name, now - CONTACT_SECONDS, now)]
         if draw < STOP_SHARE and calm:
             self.signal_router(calm[0], signal.SIGTERM)
+            self.repeat_signals(calm[0])
+
+    def repeat_signals(self, vm: Vm) -> None:
+        """Send further signals to a router that stops as planned, at random times until it has ended."""
+        router = vm.router
+        for _ in range(self.repeat_rng.randint(0, MAX_REPEATED_SIGNALS)):
+            number = self.repeat_rng.choice(REPEATED_SIGNALS)
+            delay = self.repeat_rng.uniform(0.0, GRACE_SECONDS)
+            self.log_event(f"signal {number.name} to the stopping router of {vm.name} after {delay:.2f} s")
+            self.schedule_repair(delay, lambda number=number: router.send(number))
 
     def reload_router_at_random(self) -> None:
         """Tell a random router that runs to reload its settings, several times in a row, or tell none."""
