Name the question whether a request may go elsewhere, and ask callers' sockets only at the end

Read as a newcomer would: the same two conditions stood in the receiver and the forwarder, and a stopping router asked each caller's socket for undelivered bytes twenty times a second, though the answer counts only in the last 0.4 s of its grace period. No decision changes; link, planned_stop, router_fleet, odd_answers (but for its known red) and process_signals pass.

--- a/src/hibiscusdrum/internal/kernel.py
+++ b/src/hibiscusdrum/internal/kernel.py
@@ -286,8 +286,8 @@
     def ignore_signals(self) -> None:
         """Ignore further signals to reload or stop, because the process is ending.
 
-        A handler would interrupt the wait for what services still transmit. At its end the interpreter resets
-        handlers to the default action, which would end the process without its exit code, but not this one.
+        A handler would interrupt the wait for what services still transmit. The interpreter resets handlers
+        to the default action before it deletes its modules, but leaves an ignored signal ignored.
         """
         for number in IGNORED_AT_END:
             signal.signal(number, signal.SIG_IGN)
--- a/src/hibiscusdrum/internal/messages.py
+++ b/src/hibiscusdrum/internal/messages.py
@@ -207,6 +207,11 @@
     returning: bool = False
     last_attempt: bool = False
 
+    @property
+    def may_go_elsewhere(self) -> bool:
+        """Whether another target gets the request if this one may have run it and does not answer."""
+        return self.repeatable and not self.last_attempt
+
 
 class SendBody(Message, frozen=True, array_like=True, tag=True):
     """Asks the sender of a request for a part of its large body.
--- a/src/hibiscusdrum/internal/router/hop.py
+++ b/src/hibiscusdrum/internal/router/hop.py
@@ -754,8 +754,7 @@
             self.transmit_reply(identity, forward.origin, answer, content)
             return
         item = QueuedAnswer(identity, forward, answer, content, now)
-        gets_another = forward.repeatable and not forward.last_attempt
-        precedence = Precedence.REPEATABLE if gets_another else Precedence.UNREPEATABLE
+        precedence = Precedence.REPEATABLE if forward.may_go_elsewhere else Precedence.UNREPEATABLE
         whole = not forward.takes_parts
         outgoing = Outgoing(
             forward.id, lane, len(content), deadline, item, whole=whole, precedence=precedence
--- a/src/hibiscusdrum/internal/router/receiver.py
+++ b/src/hibiscusdrum/internal/router/receiver.py
@@ -874,8 +874,7 @@
             job = self.jobs.get(request_id)
             if job is None or job.exchange is None:
                 continue
-            gets_another = job.forward.repeatable and not job.forward.last_attempt
-            if not (gets_another and job.exchange.is_unanswered):
+            if not (job.forward.may_go_elsewhere and job.exchange.is_unanswered):
                 continue
             expected = self.admission.expected_service_seconds(job.forward.cost_class)
             if self.hung_requests.takes_too_long(request_id, expected, self.now):
--- a/src/hibiscusdrum/internal/router/stopping.py
+++ b/src/hibiscusdrum/internal/router/stopping.py
@@ -195,11 +195,13 @@
 
     def must_end(self, elapsed: float) -> bool:
         """Return whether the grace period is over, but for what callers have not received."""
-        owed = any(
-            connection.output_buffer or connection.count_undelivered()
-            for connection in self.entry.connections_of(self.settings.caller_address)
-        )
-        return elapsed > self.settings.grace - (KILL_MARGIN_SECONDS if owed else EXIT_MARGIN_SECONDS)
+        left = self.settings.grace - elapsed
+        if KILL_MARGIN_SECONDS <= left < EXIT_MARGIN_SECONDS:
+            return not any(
+                connection.output_buffer or connection.count_undelivered()
+                for connection in self.entry.connections_of(self.settings.caller_address)
+            )
+        return left < KILL_MARGIN_SECONDS
 
     def may_end(self, elapsed: float) -> bool:
         """Return whether the process can exit without cutting off a request."""
