Wait in a test until the answers are queued before the process is told to stop

It sent the signal to stop 0.1 s after the requests; that the process had not read any by then is likely, not shown. It now waits until the process has answered all four, so that what it checks does not depend on that time.

--- a/tests/ending_process.py
+++ b/tests/ending_process.py
@@ -47,9 +47,12 @@
     app = Application()
     peers = PeerTransport(address, b"key")
     peers.close_linger = LINGER_SECONDS
-    peers.on_request = lambda identity, message, _body: peers.reply(
-        identity, Answered(message.id, 200, (), FREE), bytes(int(size))
-    )
+
+    def answer(identity, message, _body):
+        peers.reply(identity, Answered(message.id, 200, (), FREE), bytes(int(size)))
+        print("answered", flush=True)
+
+    peers.on_request = answer
     app.add(peers)
     app.add(Stopping())
     app.on_started.append(lambda: print("started", flush=True))
--- a/tests/features/steps/process_signals_steps.py
+++ b/tests/features/steps/process_signals_steps.py
@@ -92,7 +92,7 @@
 def process_signalled_last(context, name):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
-    log = Path(folder.name) / "log"
+    log = context.log = Path(folder.name) / "log"
     context.address = free_address()
     arguments = ["-m", "tests.ending_process", context.address, name, "4000000"]
     context.process = Process(arguments, log, {})
@@ -122,7 +122,10 @@
     for number in range(count):
         node.send_multipart([REQUEST_KIND, codec.encode(forward(number))])
     context.count = count
-    time.sleep(SIGNAL_INTERVAL_SECONDS)
+    # Most of the answers wait in the send queue by then.
+    wait_until(
+        lambda: context.log.read_bytes().count(b"answered") == count, END_LIMIT_SECONDS, "it has answered"
+    )
     told_to_stop(context)
     for _ in range(times):
         time.sleep(SIGNAL_INTERVAL_SECONDS)
